Lay down the base: types, results, events, HTTP, peer links, messages

Cause: the repository was empty and several people build on it at once, so the shared interfaces have to exist first.

--- /dev/null
+++ b/boragespool/backends/__init__.py
@@ -0,0 +1,3 @@
+"""State and limits of backend servers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/boragespool/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Measurements."""
+
+from __future__ import annotations
--- /dev/null
+++ b/boragespool/blackboard/topics.py
@@ -0,0 +1,35 @@
+"""Topics on the blackboard and the parts that post them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from boragespool.blackboard.board import Topic
+from boragespool.types import Phase
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from boragespool.messages import MemberRecord, ServerRecord
+    from boragespool.revisions import RevisionDocument
+    from boragespool.types import HostName, ServerName
+
+#: Posted by the membership controller; includes this daemon's own record.
+MEMBERS: Final[Topic[Mapping[HostName, MemberRecord]]] = Topic('members', {})
+#: Posted by the server controller from own polls and from announcements.
+SERVERS: Final[Topic[Mapping[ServerName, ServerRecord]]] = Topic('servers', {})
+#: Posted by the configuration controller.
+IN_FORCE: Final[Topic[RevisionDocument | None]] = Topic('in_force', None)
+#: Posted by the daemon.
+PHASE: Final[Topic[Phase]] = Topic('phase', Phase.STARTING)
+#: Fingerprints of requests that crash backend servers; posted by dispatch.
+BLOCKED: Final[Topic[frozenset[int]]] = Topic('blocked', frozenset())
+#: Fingerprints seen in the loss of one server; posted by dispatch.
+SUSPECTS: Final[Topic[frozenset[int]]] = Topic('suspects', frozenset())
+#: Hosts of the platform's list that are leaving; posted by configuration.
+LEAVING_HOSTS: Final[Topic[frozenset[str]]] = Topic(
+    'leaving_hosts',
+    frozenset(),
+)
+#: Requests of callers in flight at this daemon; posted by the caller API.
+LOAD: Final[Topic[float]] = Topic('load', 0)
--- /dev/null
+++ b/boragespool/claims/__init__.py
@@ -0,0 +1,3 @@
+"""Tickets, issuers and witnesses."""
+
+from __future__ import annotations
--- /dev/null
+++ b/boragespool/cli/__init__.py
@@ -0,0 +1,3 @@
+"""The operators' command."""
+
+from __future__ import annotations
--- /dev/null
+++ b/boragespool/client/__init__.py
@@ -0,0 +1,3 @@
+"""Library for callers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/boragespool/controllers/__init__.py
@@ -0,0 +1,3 @@
+"""Controllers that carry decisions out."""
+
+from __future__ import annotations
--- /dev/null
+++ b/boragespool/daemon/__init__.py
@@ -0,0 +1,3 @@
+"""The entry daemon."""
+
+from __future__ import annotations
--- /dev/null
+++ b/boragespool/events.py
@@ -0,0 +1,105 @@
+"""Numbered log events and the JSON logger."""
+
+from __future__ import annotations
+
+import enum
+import logging
+import sys
+from typing import Any, TextIO
+
+from pythonjsonlogger.json import JsonFormatter
+
+
+class Event(enum.IntEnum):
+    """Number of a log event; ``docs/events.md`` is the catalogue.
+
+    100s: life cycle; 200s: callers; 300s: queries and dispatch; 400s: backend
+    servers; 500s: claims; 600s: membership and peers; 700s: configuration;
+    800s: platform.
+    """
+
+    PROCESS_STARTED = 100
+    PROCESS_READY = 101
+    STOP_REQUESTED = 102
+    STOP_LEFT_ADDRESSES = 103
+    STOP_DRAINED = 104
+    STOP_HANDED_OVER = 105
+    PROCESS_STOPPED = 106
+    SETTING_REJECTED = 107
+    TASK_FAILED = 108
+    CALLER_REJECTED = 200
+    HANDLER_FAILED = 201
+    QUERY_PARTIAL = 300
+    QUERY_RESTARTED = 301
+    WORK_REFUSED = 302
+    WORK_PREEMPTED = 303
+    SERVER_STATE_CHANGED = 400
+    SERVER_LIMIT_CHANGED = 401
+    CONNECTION_SILENT = 402
+    SERVER_CRASH_SUSPECTED = 403
+    REQUEST_BLOCKED = 404
+    REQUEST_UNBLOCKED = 405
+    SERVER_REPLY_REJECTED = 406
+    CLAIM_SEALED = 500
+    CLAIM_UNKNOWN = 501
+    CLAIM_RECORDS_HANDED_OVER = 502
+    CLAIM_RECORDS_DROPPED = 503
+    MEMBER_STATUS_CHANGED = 600
+    PEER_LINK_SILENT = 601
+    PEER_FRAME_REJECTED = 602
+    REVISION_IN_FORCE = 700
+    REVISION_REJECTED = 701
+    REVISION_APPLIED = 702
+    REVISION_CONFLICT = 703
+    STORE_UNAVAILABLE = 800
+    STORE_AVAILABLE = 801
+    HOST_LIST_CHANGED = 802
+
+
+_LOGGER = logging.getLogger('boragespool')
+
+
+def configure_logging(level: str, stream: TextIO | None = None) -> None:
+    """Send events as one JSON object per line to a stream.
+
+    Parameters
+    ----------
+    level : str
+        Name of a `logging` level, such as ``'INFO'``.
+    stream : TextIO, optional
+        Destination; standard error by default.
+    """
+    handler = logging.StreamHandler(stream or sys.stderr)
+    handler.setFormatter(
+        JsonFormatter('%(asctime)s %(levelname)s %(message)s'),
+    )
+    for previous in tuple(_LOGGER.handlers):
+        _LOGGER.removeHandler(previous)
+    _LOGGER.addHandler(handler)
+    _LOGGER.setLevel(level)
+    _LOGGER.propagate = False
+
+
+def log_event(
+    event: Event,
+    message: str,
+    *,
+    level: int = logging.INFO,
+    **fields: Any,
+) -> None:
+    """Log one numbered event.
+
+    Parameters
+    ----------
+    event : Event
+        Number from the catalogue.
+    message : str
+        One sentence.
+    level : int
+        `logging` level.
+    **fields
+        Further keys of the JSON object.
+    """
+    if _LOGGER.isEnabledFor(level):
+        numbered = {'event': int(event), 'event_name': event.name}
+        _LOGGER.log(level, message, extra=numbered | fields)
--- /dev/null
+++ b/boragespool/http/__init__.py
@@ -0,0 +1,31 @@
+"""HTTP/1.1 server and client on h11 and asyncio streams."""
+
+from __future__ import annotations
+
+from boragespool.http.client import (
+    ExchangeFailure,
+    FailureKind,
+    HttpConnection,
+    open_connection,
+)
+from boragespool.http.limits import HttpLimits
+from boragespool.http.messages import (
+    HttpRequest,
+    HttpResponse,
+    failure_response,
+    json_response,
+)
+from boragespool.http.server import HttpServer
+
+__all__ = (
+    'ExchangeFailure',
+    'FailureKind',
+    'HttpConnection',
+    'HttpLimits',
+    'HttpRequest',
+    'HttpResponse',
+    'HttpServer',
+    'failure_response',
+    'json_response',
+    'open_connection',
+)
--- /dev/null
+++ b/boragespool/http/exchange.py
@@ -0,0 +1,187 @@
+"""One server-side connection: reads requests, writes responses."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+import h11
+
+from boragespool.http.messages import HttpRequest
+from boragespool.results import Failure, ResultCode
+
+if TYPE_CHECKING:
+    from boragespool.http.limits import HttpLimits
+    from boragespool.http.messages import HttpResponse
+
+_READ_SIZE_BYTES: Final = 65_536
+_HEADERS_TOO_LARGE_STATUS: Final = 431
+
+
+class ServerExchange:
+    """Protocol state of one connection."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Take over both stream ends."""
+        self._reader = reader
+        self._writer = writer
+        self._protocol = h11.Connection(h11.SERVER)
+        peer = writer.get_extra_info('peername') or ('',)
+        self._peer_ip = str(peer[0])
+
+    async def wait_for_bytes(self) -> bool:
+        """Wait until a request begins; False when the peer closed."""
+        if self._protocol.trailing_data[0]:
+            return True
+        received = await self._reader.read(_READ_SIZE_BYTES)
+        self._protocol.receive_data(received)
+        return bool(received)
+
+    async def read_request(self, limits: HttpLimits) -> HttpRequest | Failure:
+        """Read one request within the limits."""
+        try:
+            async with asyncio.timeout(limits.read_timeout_s):
+                return await self._read_request(limits)
+        except TimeoutError:
+            return Failure(
+                ResultCode.REQUEST_TIMEOUT,
+                f'the request took longer than {limits.read_timeout_s!r} s '
+                'to arrive',
+            )
+        except h11.RemoteProtocolError as error:
+            return _protocol_failure(error, limits)
+
+    async def respond(self, response: HttpResponse, *, close: bool) -> bool:
+        """Write a response; tell whether the connection can go on."""
+        headers = [
+            ('content-type', response.content_type),
+            ('content-length', str(len(response.body))),
+        ]
+        if close:
+            headers.append(('connection', 'close'))
+        head = h11.Response(status_code=response.status, headers=headers)
+        try:
+            self._writer.write(
+                (self._protocol.send(head) or b'')
+                + (self._protocol.send(h11.Data(data=response.body)) or b'')
+                + (self._protocol.send(h11.EndOfMessage()) or b''),
+            )
+        except h11.LocalProtocolError:
+            return False
+        await self._writer.drain()
+        if self._protocol.our_state is not h11.DONE:
+            return False
+        if self._protocol.their_state is not h11.DONE:
+            return False
+        self._protocol.start_next_cycle()
+        return True
+
+    async def _read_request(self, limits: HttpLimits) -> HttpRequest | Failure:
+        head = await self._next_event(limits.header_size_bytes)
+        if not isinstance(head, h11.Request):
+            return Failure(
+                ResultCode.MALFORMED_HTTP,
+                'the connection closed before a request was complete',
+            )
+        headers = {
+            name.decode('ascii'): text.decode('latin-1')
+            for name, text in head.headers
+        }
+        refusal = _check_length(headers, limits)
+        if refusal is not None:
+            return refusal
+        body = await self._read_body(limits)
+        if isinstance(body, Failure):
+            return body
+        return HttpRequest(
+            head.method.decode('ascii'),
+            head.target.decode('latin-1'),
+            body,
+            headers,
+            self._peer_ip,
+        )
+
+    async def _read_body(self, limits: HttpLimits) -> bytes | Failure:
+        parts: list[bytes] = []
+        size_bytes = 0
+        while True:
+            event = await self._next_event(None)
+            if isinstance(event, h11.EndOfMessage):
+                return b''.join(parts)
+            if not isinstance(event, h11.Data):
+                return Failure(
+                    ResultCode.MALFORMED_HTTP,
+                    'the connection closed inside a request body',
+                )
+            size_bytes += len(event.data)
+            if size_bytes > limits.body_size_bytes:
+                return _body_too_large(size_bytes, limits)
+            parts.append(bytes(event.data))
+
+    async def _next_event(self, head_limit_bytes: int | None) -> object:
+        """Return the next protocol event, reading as often as needed."""
+        while True:
+            event = self._protocol.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self._check_head_size(head_limit_bytes)
+            if self._protocol.they_are_waiting_for_100_continue:
+                go_ahead = h11.InformationalResponse(
+                    status_code=100,
+                    headers=[],
+                )
+                self._writer.write(self._protocol.send(go_ahead) or b'')
+            received = await self._reader.read(_READ_SIZE_BYTES)
+            self._protocol.receive_data(received)
+
+    def _check_head_size(self, limit_bytes: int | None) -> None:
+        buffered = len(self._protocol.trailing_data[0])
+        if limit_bytes is not None and buffered > limit_bytes:
+            raise h11.RemoteProtocolError(
+                f'request head exceeds {limit_bytes} bytes',
+                error_status_hint=_HEADERS_TOO_LARGE_STATUS,
+            )
+
+
+def _check_length(
+    headers: dict[str, str],
+    limits: HttpLimits,
+) -> Failure | None:
+    """Refuse ambiguous framing, the base of request smuggling."""
+    if 'content-length' in headers and 'transfer-encoding' in headers:
+        return Failure(
+            ResultCode.AMBIGUOUS_LENGTH,
+            'a request has either Content-Length or Transfer-Encoding, '
+            'not both',
+        )
+    declared = int(headers.get('content-length', 0))
+    if declared > limits.body_size_bytes:
+        return _body_too_large(declared, limits)
+    return None
+
+
+def _body_too_large(size_bytes: int, limits: HttpLimits) -> Failure:
+    return Failure(
+        ResultCode.BODY_TOO_LARGE,
+        f'the body has {size_bytes} bytes or more; at most '
+        f'{limits.body_size_bytes} are allowed',
+    )
+
+
+def _protocol_failure(
+    error: h11.RemoteProtocolError,
+    limits: HttpLimits,
+) -> Failure:
+    if error.error_status_hint == _HEADERS_TOO_LARGE_STATUS:
+        return Failure(
+            ResultCode.HEADERS_TOO_LARGE,
+            f'the request head exceeds {limits.header_size_bytes} bytes',
+        )
+    return Failure(
+        ResultCode.MALFORMED_HTTP,
+        f'the request is not valid HTTP/1.1: {error}',
+    )
--- /dev/null
+++ b/boragespool/http/messages.py
@@ -0,0 +1,66 @@
+"""Requests and responses as the rest of the program sees them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any, Final
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+
+from boragespool.results import Failure, http_status
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+_JSON_TYPE: Final = 'application/json'
+_ENCODER: Final = msgspec.json.Encoder()
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """One complete request; header names are lower case."""
+
+    method: str
+    target: str
+    body: bytes = b''
+    headers: Mapping[str, str] = field(default_factory=dict)
+    peer_ip: str = ''
+
+    @property
+    def path(self) -> str:
+        """Path without the query string."""
+        return urlsplit(self.target).path
+
+    @property
+    def query(self) -> Mapping[str, str]:
+        """Last value of each query string parameter."""
+        parsed = parse_qs(urlsplit(self.target).query)
+        return {name: given[-1] for name, given in parsed.items()}
+
+
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """One complete response."""
+
+    status: int
+    body: bytes = b''
+    content_type: str = _JSON_TYPE
+    close: bool = False
+
+
+def json_response(body: Any, status: int = 200) -> HttpResponse:
+    """Encode a body that msgspec can encode as JSON."""
+    return HttpResponse(status, _ENCODER.encode(body))
+
+
+def failure_response(failure: Failure) -> HttpResponse:
+    """Encode a refusal with its code, reason and run state."""
+    body = {
+        'code': int(failure.code),
+        'name': failure.code.name.lower(),
+        'reason': failure.reason,
+        'run': failure.run,
+        'retry_after_s': failure.retry_after_s,
+    }
+    return json_response(body, http_status(failure.code))
--- /dev/null
+++ b/boragespool/membership/__init__.py
@@ -0,0 +1,3 @@
+"""Members, failure detection and address answers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/boragespool/messages/__init__.py
@@ -0,0 +1,68 @@
+"""Frozen data classes that daemons send to each other."""
+
+from __future__ import annotations
+
+from boragespool.messages.claims import (
+    ClaimReply,
+    ClaimRecord,
+    ClaimState,
+    DroppedMark,
+    ForwardClaim,
+    HandOver,
+    HandOverAck,
+    RecordOutcome,
+    RecordStart,
+    SealTicket,
+    WitnessReply,
+    WitnessVerdict,
+)
+from boragespool.messages.membership import (
+    Ack,
+    Gossip,
+    MemberRecord,
+    Ping,
+    PingRequest,
+)
+from boragespool.messages.revisions import RevisionReply, RevisionRequest
+from boragespool.messages.servers import (
+    Holding,
+    ServerAnnouncement,
+    ServerRecord,
+    SuspectNotice,
+)
+from boragespool.messages.work import (
+    CancelWork,
+    Item,
+    WorkReply,
+    WorkRequest,
+)
+
+__all__ = (
+    'Ack',
+    'CancelWork',
+    'ClaimRecord',
+    'ClaimReply',
+    'ClaimState',
+    'DroppedMark',
+    'ForwardClaim',
+    'Gossip',
+    'HandOver',
+    'HandOverAck',
+    'Holding',
+    'Item',
+    'MemberRecord',
+    'Ping',
+    'PingRequest',
+    'RecordOutcome',
+    'RecordStart',
+    'RevisionReply',
+    'RevisionRequest',
+    'SealTicket',
+    'ServerAnnouncement',
+    'ServerRecord',
+    'SuspectNotice',
+    'WitnessReply',
+    'WitnessVerdict',
+    'WorkReply',
+    'WorkRequest',
+)
--- /dev/null
+++ b/boragespool/metrics.py
@@ -0,0 +1,47 @@
+"""Metrics of a daemon, served at ``/metrics`` by prometheus_client."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from prometheus_client import Counter, Gauge, Histogram
+
+_LATENCY_BUCKETS_S: Final = (
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.39,
+    0.8,
+    2,
+    5,
+)
+
+REQUESTS: Final = Counter(
+    'boragespool_requests_total',
+    'Requests of callers by form, rank and result code.',
+    ('form', 'rank', 'code'),
+)
+LATENCY: Final = Histogram(
+    'boragespool_request_seconds',
+    'Time from a complete request to its answer.',
+    ('form', 'rank'),
+    buckets=_LATENCY_BUCKETS_S,
+)
+COVERAGE: Final = Histogram(
+    'boragespool_coverage_ratio',
+    'Coverage of answered queries.',
+    buckets=(0.1, 0.25, 0.5, 0.75, 0.9, 0.95, 0.99, 0.999, 1),
+)
+ATTEMPTS: Final = Counter(
+    'boragespool_attempts_total',
+    'Requests sent to backend servers: first, hedge, retry.',
+    ('kind',),
+)
+REVISION: Final = Gauge(
+    'boragespool_revision_in_force',
+    'Configuration revision in force.',
+)
--- /dev/null
+++ b/boragespool/peers/__init__.py
@@ -0,0 +1,8 @@
+"""Links between daemons: pynng sockets with batched MessagePack frames."""
+
+from __future__ import annotations
+
+from boragespool.peers.network import PeerNetwork, Sender
+from boragespool.peers.options import PeerOptions
+
+__all__ = ('PeerNetwork', 'PeerOptions', 'Sender')
--- /dev/null
+++ b/boragespool/peers/link.py
@@ -0,0 +1,160 @@
+"""The sending side of one link to one peer.
+
+Owns a Push0 socket. The transport reports neither a lost frame nor a silent
+connection, so the link probes the peer and dials again without an answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections import deque
+from typing import TYPE_CHECKING, Self
+
+import pynng
+
+from boragespool.events import Event, log_event
+from boragespool.peers.frames import (
+    FRAME_VERSION,
+    Envelope,
+    Frame,
+    Probe,
+    encode_frame,
+    encode_message,
+)
+
+if TYPE_CHECKING:
+    from boragespool.peers.options import PeerOptions
+    from boragespool.timers import TimerService
+    from boragespool.types import Address, Seconds
+
+
+class PeerLink:
+    """Queues messages for one peer and sends them in frames."""
+
+    def __init__(
+        self,
+        address: Address,
+        options: PeerOptions,
+        timers: TimerService,
+    ) -> None:
+        """Keep the settings; `start` dials."""
+        self.address = address
+        self.frames_sent = 0
+        self.bytes_sent = 0
+        self._options = options
+        self._timers = timers
+        self._queue: deque[Envelope] = deque()
+        self._wakeup = asyncio.Event()
+        self._probe_number = 0
+        self._unanswered_since_s: Seconds | None = None
+        self._used_since_probe = False
+
+    async def __aenter__(self) -> Self:
+        """Start the link."""
+        self.start()
+        return self
+
+    def start(self) -> None:
+        """Dial without waiting for the peer."""
+        self._dial()
+        self._sender = asyncio.create_task(self._send_frames())
+        self._probing = self._timers.every(
+            self._options.probe_interval_s,
+            self._probe,
+        )
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Close the socket; queued messages are dropped."""
+        self._probing.cancel()
+        self._sender.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._sender
+        self._socket.close()
+
+    def queue(self, envelope: Envelope) -> bool:
+        """Queue one message; False if the queue is full."""
+        if len(self._queue) >= self._options.queue_count:
+            return False
+        self._queue.append(envelope)
+        self._used_since_probe = True
+        self._wakeup.set()
+        return True
+
+    def probe_answered(self) -> None:
+        """Note that the peer answered a probe."""
+        self._unanswered_since_s = None
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing waits to be sent."""
+        return not self._queue
+
+    def _dial(self) -> None:
+        self._socket = pynng.Push0(
+            send_buffer_size=8,
+            send_timeout=int(self._options.silence_timeout_s * 1_000),
+            reconnect_time_min=20,
+            reconnect_time_max=200,
+        )
+        self._socket.dial(f'tcp://{self.address}', block=False)
+
+    def _redial(self) -> None:
+        """Replace the connection."""
+        self._socket.close()
+        self._unanswered_since_s = None
+        self._dial()
+
+    def _probe(self) -> None:
+        """Probe a link in use; dial again after a silence."""
+        now_s = self._timers.now_s()
+        since_s = self._unanswered_since_s
+        if since_s is None:
+            if self._used_since_probe:
+                self._unanswered_since_s = now_s
+                self._queue_probe()
+            return
+        if now_s - since_s >= self._options.silence_timeout_s:
+            log_event(
+                Event.PEER_LINK_SILENT,
+                f'no answer from {self.address!r}; dialling again',
+                address=self.address,
+            )
+            self._redial()
+        self._queue_probe()
+
+    def _queue_probe(self) -> None:
+        self._probe_number += 1
+        self.queue(encode_message(Probe(self._probe_number)))
+        self._used_since_probe = False
+
+    async def _send_frames(self) -> None:
+        """Send what is queued, at most one frame per flush interval."""
+        while True:
+            await self._wakeup.wait()
+            await asyncio.sleep(self._options.flush_interval_s)
+            self._wakeup.clear()
+            while self._queue:
+                await self._send(encode_frame(self._take_frame()))
+
+    async def _send(self, encoded: bytes) -> None:
+        """Send one frame; it is lost if the connection stays blocked."""
+        with contextlib.suppress(pynng.NNGException):
+            await self._socket.asend(encoded)
+            self.frames_sent += 1
+            self.bytes_sent += len(encoded)
+
+    def _take_frame(self) -> Frame:
+        envelopes: list[Envelope] = []
+        size_bytes = 0
+        while self._queue and size_bytes < self._options.frame_size_bytes:
+            envelope = self._queue.popleft()
+            size_bytes += len(bytes(envelope.body))
+            envelopes.append(envelope)
+        return Frame(
+            FRAME_VERSION,
+            self._options.host,
+            self._options.incarnation,
+            self._options.listen_address,
+            tuple(envelopes),
+        )
--- /dev/null
+++ b/boragespool/peers/network.py
@@ -0,0 +1,334 @@
+"""Messages and requests between the daemons.
+
+Owns one Pull0 listener, the links to peers, and the requests that wait for a
+reply.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import logging
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Self, TypeVar
+
+import pynng
+
+from boragespool.events import Event, log_event
+from boragespool.peers.frames import (
+    Envelope,
+    Frame,
+    Probe,
+    ProbeAnswer,
+    Refusal,
+    decode_frame,
+    decode_message,
+    encode_message,
+)
+from boragespool.peers.link import PeerLink
+from boragespool.results import Failure, ResultCode
+from boragespool.types import Address, HostName, Incarnation, RunState
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from boragespool.peers.options import PeerOptions
+    from boragespool.timers import TimerService
+    from boragespool.types import Seconds
+
+_MessageT = TypeVar('_MessageT')
+
+
+@dataclass(frozen=True, slots=True)
+class Sender:
+    """The daemon that a message came from."""
+
+    host: HostName
+    incarnation: Incarnation
+    address: Address
+
+
+class PeerNetwork:
+    """All links of one daemon, an async context manager.
+
+    Parameters
+    ----------
+    options : PeerOptions
+        Identity and bounds.
+    timers : TimerService
+        Clock of the probes.
+    """
+
+    def __init__(self, options: PeerOptions, timers: TimerService) -> None:
+        """Keep the settings; `__aenter__` listens."""
+        self.options = options
+        self._timers = timers
+        self._stack = contextlib.AsyncExitStack()
+        self._address_by_host: dict[HostName, Address] = {}
+        self._link_by_host: dict[HostName, PeerLink] = {}
+        self._message_handlers: dict[str, Callable[[Sender, Any], None]] = {}
+        self._request_handlers: dict[
+            str,
+            Callable[[Sender, Any], Awaitable[Any]],
+        ] = {}
+        self._exchanges = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future[Any]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def __aenter__(self) -> Self:
+        """Listen.
+
+        Raises
+        ------
+        pynng.NNGException
+            If the address is in use or is not local.
+        """
+        self._socket = pynng.Pull0(recv_buffer_size=256)
+        self._stack.callback(self._socket.close)
+        listen_address = self.options.listen_address
+        self._socket.listen(f'tcp://{listen_address}')
+        self._spawn(self._receive_frames())
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Close all links."""
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for link in self._link_by_host.values():
+            await link.__aexit__()
+        await self._stack.aclose()
+
+    def set_address(self, host: HostName, address: Address) -> None:
+        """Set where a peer listens; a changed address closes the old link."""
+        if self._address_by_host.get(host) == address:
+            return
+        self._address_by_host[host] = address
+        self.forget_link(host)
+
+    def forget_link(self, host: HostName) -> None:
+        """Close the link to a peer; the next message dials again."""
+        link = self._link_by_host.pop(host, None)
+        if link is not None:
+            self._spawn(link.__aexit__())
+
+    def on_message(
+        self,
+        kind: type[_MessageT],
+        handler: Callable[[Sender, _MessageT], None],
+    ) -> None:
+        """Call a handler with each message of a kind."""
+        self._message_handlers[kind.__name__] = handler
+
+    def on_request(
+        self,
+        kind: type[_MessageT],
+        handler: Callable[[Sender, _MessageT], Awaitable[Any]],
+    ) -> None:
+        """Answer each request of a kind with the handler's result."""
+        self._request_handlers[kind.__name__] = handler
+
+    def send(self, host: HostName, message: object) -> bool:
+        """Queue a message; False if the peer has no address or a full queue.
+
+        Messages can be lost. They arrive at most once.
+        """
+        if host == self.options.host:
+            asyncio.get_running_loop().call_soon(
+                self._deliver,
+                self._self_sender(),
+                message,
+            )
+            return True
+        return self._queue(host, encode_message(message))
+
+    async def request(
+        self,
+        host: HostName,
+        message: object,
+        timeout_s: Seconds,
+    ) -> Any | Failure:
+        """Send a request and wait for its reply.
+
+        Parameters
+        ----------
+        host : str
+            Peer, or this daemon itself.
+        message : object
+            Message for which the peer registered a request handler.
+        timeout_s : float
+            Longest wait, in seconds.
+
+        Returns
+        -------
+        object or Failure
+            The reply. A failure has run state ``NOT_RUN`` if nothing was
+            sent or the peer refused, else ``UNKNOWN``.
+        """
+        if host == self.options.host:
+            return await self._request_self(message, timeout_s)
+        exchange = next(self._exchanges)
+        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self._waiting[exchange] = future
+        try:
+            if not self._queue(host, encode_message(message, exchange)):
+                return Failure(
+                    ResultCode.PEER_UNREACHABLE,
+                    f'peer {host!r} has no address or a full queue',
+                )
+            async with asyncio.timeout(timeout_s):
+                return await future
+        except TimeoutError:
+            return _no_answer(host, timeout_s)
+        finally:
+            del self._waiting[exchange]
+
+    def traffic(self) -> tuple[int, int]:
+        """Return frames and bytes sent on the links that are open."""
+        links = tuple(self._link_by_host.values())
+        return (
+            sum(link.frames_sent for link in links),
+            sum(link.bytes_sent for link in links),
+        )
+
+    async def flush(self, timeout_s: Seconds) -> None:
+        """Wait until the queues are empty, at most `timeout_s` seconds."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while not all(
+                    link.idle for link in self._link_by_host.values()
+                ):
+                    await asyncio.sleep(self.options.flush_interval_s)
+
+    def _self_sender(self) -> Sender:
+        return Sender(
+            self.options.host,
+            self.options.incarnation,
+            self.options.listen_address,
+        )
+
+    async def _request_self(
+        self,
+        message: object,
+        timeout_s: Seconds,
+    ) -> Any | Failure:
+        """Call the own handler directly."""
+        handler = self._request_handlers.get(type(message).__name__)
+        if handler is None:
+            return _no_handler(type(message).__name__)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await handler(self._self_sender(), message)
+        except TimeoutError:
+            return _no_answer(self.options.host, timeout_s)
+
+    def _queue(self, host: HostName, envelope: Envelope) -> bool:
+        address = self._address_by_host.get(host)
+        if address is None:
+            return False
+        link = self._link_by_host.get(host)
+        if link is None:
+            link = PeerLink(address, self.options, self._timers)
+            self._link_by_host[host] = link
+            link.start()
+        return link.queue(envelope)
+
+    async def _receive_frames(self) -> None:
+        while True:
+            received = await self._socket.arecv()
+            frame = decode_frame(received)
+            if isinstance(frame, Failure):
+                log_event(
+                    Event.PEER_FRAME_REJECTED,
+                    frame.reason,
+                    level=logging.WARNING,
+                    code=int(frame.code),
+                )
+            else:
+                self._receive(frame)
+
+    def _receive(self, frame: Frame) -> None:
+        sender = Sender(frame.sender, frame.incarnation, frame.address)
+        self._address_by_host.setdefault(frame.sender, frame.address)
+        for envelope in frame.envelopes:
+            message = decode_message(envelope)
+            if envelope.reply:
+                self._resolve(envelope.exchange, message)
+            elif envelope.exchange:
+                self._spawn(self._answer(sender, envelope, message))
+            else:
+                self._deliver(sender, message)
+
+    def _resolve(self, exchange: int, message: object) -> None:
+        """Give a reply to the request that waits; a late one is dropped."""
+        future = self._waiting.get(exchange)
+        if future is None or future.done():
+            return
+        if isinstance(message, Refusal):
+            message = Failure(ResultCode(message.code), message.reason)
+        future.set_result(message)
+
+    def _deliver(self, sender: Sender, message: object) -> None:
+        if isinstance(message, Probe):
+            self.send(sender.host, ProbeAnswer(message.number))
+            return
+        if isinstance(message, ProbeAnswer):
+            link = self._link_by_host.get(sender.host)
+            if link is not None:
+                link.probe_answered()
+            return
+        handler = self._message_handlers.get(type(message).__name__)
+        if handler is not None:
+            handler(sender, message)
+
+    async def _answer(
+        self,
+        sender: Sender,
+        envelope: Envelope,
+        message: object,
+    ) -> None:
+        """Run the request handler and send its result."""
+        handler = self._request_handlers.get(envelope.kind)
+        if isinstance(message, Failure):
+            result: object = message
+        elif handler is None:
+            result = _no_handler(envelope.kind)
+        else:
+            result = await handler(sender, message)
+        if isinstance(result, Failure):
+            result = Refusal(int(result.code), result.reason)
+        self._queue(
+            sender.host,
+            encode_message(result, envelope.exchange, reply=True),
+        )
+
+    def _spawn(self, work: Any) -> None:
+        """Run a coroutine that ends with the network."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish_task)
+
+    def _finish_task(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log_event(
+                Event.TASK_FAILED,
+                f'a peer task raised {task.exception()!r}',
+                level=logging.ERROR,
+            )
+
+
+def _no_answer(host: HostName, timeout_s: Seconds) -> Failure:
+    return Failure(
+        ResultCode.PEER_UNREACHABLE,
+        f'peer {host!r} did not answer within {timeout_s!r} s',
+        RunState.UNKNOWN,
+    )
+
+
+def _no_handler(kind: str) -> Failure:
+    return Failure(
+        ResultCode.PEER_REFUSED,
+        f'requests of kind {kind!r} are not served here',
+    )
--- /dev/null
+++ b/boragespool/ranks/__init__.py
@@ -0,0 +1,3 @@
+"""Queueing and admission by rank."""
+
+from __future__ import annotations
--- /dev/null
+++ b/boragespool/results.py
@@ -0,0 +1,133 @@
+"""Numbered result codes and the sentinel value that carries them."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import Final
+
+from boragespool.types import RunState
+
+
+class ResultCode(enum.IntEnum):
+    """Outcome of a request; ``docs/result-codes.md`` explains each number.
+
+    Codes 1000 to 1999 answer callers, 2000 to 2999 are about settings and
+    revisions, 3000 to 3999 are between daemons and towards other systems.
+    """
+
+    COMPLETE = 1000
+    PARTIAL = 1001
+    CLAIM_RUN = 1002
+    NOT_RUN_SEALED = 1010
+    OUTCOME_UNKNOWN = 1011
+    CLAIM_FAILED = 1012
+    MALFORMED_HTTP = 1100
+    AMBIGUOUS_LENGTH = 1101
+    HEADERS_TOO_LARGE = 1102
+    BODY_TOO_LARGE = 1103
+    REQUEST_TIMEOUT = 1104
+    UNKNOWN_PATH = 1105
+    WRONG_METHOD = 1106
+    TOO_MANY_CONNECTIONS = 1107
+    MALFORMED_BODY = 1110
+    DUPLICATE_KEY = 1111
+    UNKNOWN_ROUTE = 1112
+    UNKNOWN_RANK = 1113
+    DEADLINE_PASSED = 1114
+    BAD_TICKET = 1115
+    TICKET_REUSED = 1116
+    WRONG_FORM = 1117
+    QUEUE_FULL = 1200
+    DEADLINE_UNREACHABLE = 1201
+    NO_SNAPSHOT = 1202
+    NO_SERVER = 1203
+    REQUEST_BLOCKED = 1204
+    LEAVING = 1205
+    NOT_READY = 1206
+    NO_WITNESS = 1207
+    CANCELLED = 1208
+    INTERNAL_ERROR = 1299
+    INVALID_SETTING = 2000
+    UNKNOWN_SETTING = 2001
+    UNREADABLE_FILE = 2002
+    REVISION_CONFLICT = 2010
+    REVISION_UNKNOWN = 2011
+    APPLY_UNCONFIRMED = 2012
+    VALUE_TOO_LARGE = 2013
+    STORE_UNAVAILABLE = 2020
+    PEER_UNREACHABLE = 3000
+    PEER_VERSION = 3001
+    PEER_REFUSED = 3002
+    SERVER_UNREACHABLE = 3100
+    SERVER_SHED = 3101
+    SERVER_DRAINING = 3102
+    VERSION_NOT_HELD = 3103
+    SERVER_REPLY_INVALID = 3104
+    SERVER_CLOSED = 3105
+
+
+_HTTP_STATUS: Final = MappingProxyType(
+    {
+        ResultCode.COMPLETE: 200,
+        ResultCode.PARTIAL: 200,
+        ResultCode.CLAIM_RUN: 200,
+        ResultCode.CLAIM_FAILED: 200,
+        ResultCode.NOT_RUN_SEALED: 409,
+        ResultCode.OUTCOME_UNKNOWN: 504,
+        ResultCode.HEADERS_TOO_LARGE: 431,
+        ResultCode.BODY_TOO_LARGE: 413,
+        ResultCode.REQUEST_TIMEOUT: 408,
+        ResultCode.UNKNOWN_PATH: 404,
+        ResultCode.WRONG_METHOD: 405,
+        ResultCode.UNKNOWN_ROUTE: 404,
+        ResultCode.REQUEST_BLOCKED: 422,
+        ResultCode.TICKET_REUSED: 409,
+        ResultCode.INTERNAL_ERROR: 500,
+        ResultCode.REVISION_CONFLICT: 409,
+        ResultCode.QUEUE_FULL: 429,
+    }
+)
+_FIRST_UNAVAILABLE: Final = 1200
+_BAD_REQUEST: Final = 400
+_UNAVAILABLE: Final = 503
+
+
+def http_status(code: ResultCode) -> int:
+    """Return the HTTP status that accompanies a result code.
+
+    Parameters
+    ----------
+    code : ResultCode
+        Code of an answer or a refusal.
+
+    Returns
+    -------
+    int
+        The listed status; otherwise 400 for codes below 1200, else 503.
+    """
+    default = _BAD_REQUEST if code < _FIRST_UNAVAILABLE else _UNAVAILABLE
+    return _HTTP_STATUS.get(code, default)
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """Sentinel returned in place of a result, with the reason.
+
+    Attributes
+    ----------
+    code : ResultCode
+        Number of the failure.
+    reason : str
+        One sentence that names the offending value and what is allowed.
+    run : RunState
+        Whether the work was executed. ``NOT_RUN`` is a promise.
+    retry_after_s : float
+        Earliest useful time of another attempt, in seconds; 0 if unknown.
+    """
+
+    code: ResultCode
+    reason: str
+    run: RunState = RunState.NOT_RUN
+    retry_after_s: float = 0
--- /dev/null
+++ b/boragespool/snapshots/__init__.py
@@ -0,0 +1,3 @@
+"""Index versions, key ranges and coverage."""
+
+from __future__ import annotations
--- /dev/null
+++ b/boragespool/store/__init__.py
@@ -0,0 +1,3 @@
+"""Client of the platform."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/relay.py
@@ -0,0 +1,71 @@
+"""A TCP relay whose open connections can be cut or made silent."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import Self
+
+
+class Relay:
+    """Forwards connections to one address, an async context manager."""
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.accepted = 0
+        self._silent: set[asyncio.StreamWriter] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def __aenter__(self) -> Self:
+        self._server = await asyncio.start_server(
+            self._relay,
+            '127.0.0.1',
+            0,
+        )
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f'{host}:{port}'
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        self._server.close()
+        self.cut()
+
+    def silence(self) -> None:
+        """Drop all further bytes of the open connections, in silence."""
+        self._silent |= self._writers
+
+    def cut(self) -> None:
+        """Reset the open connections."""
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    async def _relay(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.accepted += 1
+        host, port = self.target.split(':')
+        try:
+            far = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, far[1]}
+        await asyncio.gather(
+            self._pump(reader, far[1]),
+            self._pump(far[0], writer),
+        )
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while received := await reader.read(65_536):
+                if writer not in self._silent:
+                    writer.write(received)
+                    await writer.drain()
+        self._writers.discard(writer)
+        writer.close()
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,135 @@
+"""Links between daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from contextlib import asynccontextmanager
+
+import msgspec
+
+from boragespool.messages import Ack, Gossip, Ping, PingRequest
+from boragespool.peers import PeerNetwork, PeerOptions
+from boragespool.peers.frames import FRAME_VERSION, Frame, decode_frame
+from boragespool.results import Failure, ResultCode
+from boragespool.timers import LoopTimers
+from tests.relay import Relay
+
+
+def free_address() -> str:
+    """Return an address on the loopback interface that nobody uses."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+@asynccontextmanager
+async def pair():
+    """Two networks that know each other."""
+    options = [
+        PeerOptions(
+            host,
+            1,
+            free_address(),
+            probe_interval_s=0.05,
+            silence_timeout_s=0.2,
+        )
+        for host in ('a', 'b')
+    ]
+    async with (
+        PeerNetwork(options[0], LoopTimers()) as first,
+        PeerNetwork(options[1], LoopTimers()) as second,
+    ):
+        first.set_address('b', options[1].listen_address)
+        second.set_address('a', options[0].listen_address)
+        yield first, second
+
+
+def test_request_gets_its_own_reply():
+    """Replies that arrive crossed must not reach another request."""
+
+    async def run() -> None:
+        async with pair() as (first, second):
+
+            async def answer(sender, message):
+                await asyncio.sleep(0.02 if message.target == 'slow' else 0)
+                return Ack(reached=message.target == 'slow')
+
+            second.on_request(PingRequest, answer)
+            slow, fast = await asyncio.gather(
+                first.request('b', PingRequest('slow'), 2),
+                first.request('b', PingRequest('fast'), 2),
+            )
+            assert slow.reached
+            assert not fast.reached
+
+    asyncio.run(run())
+
+
+def test_messages_of_one_interval_share_a_frame():
+    """One frame per message would exceed the control budget."""
+
+    async def run() -> None:
+        async with pair() as (first, second):
+            received = []
+            second.on_message(Gossip, lambda _, m: received.append(m))
+            for _ in range(200):
+                assert first.send('b', Gossip(()))
+            while len(received) < 200:
+                await asyncio.sleep(0.01)
+            assert first.traffic()[0] <= 3
+
+    asyncio.run(run())
+
+
+def test_request_without_handler_or_peer_fails():
+    """A request must not hang when nobody can answer it."""
+
+    async def run() -> None:
+        async with pair() as (first, _):
+            refused = await first.request('b', Ping(), 2)
+            assert isinstance(refused, Failure)
+            assert refused.code == ResultCode.PEER_REFUSED
+            unknown = await first.request('nobody', Ping(), 1)
+            assert unknown.code == ResultCode.PEER_UNREACHABLE
+
+    asyncio.run(run())
+
+
+def test_other_frame_version_is_refused():
+    """A release must not guess at frames of another version."""
+    frame = Frame(FRAME_VERSION + 1, 'a', 1, '127.0.0.1:1', ())
+    refused = decode_frame(msgspec.msgpack.encode(frame))
+    assert isinstance(refused, Failure)
+    assert refused.code == ResultCode.PEER_VERSION
+
+
+def test_unknown_fields_are_ignored():
+    """A newer release may add fields to a frame."""
+    frame = msgspec.to_builtins(Frame(FRAME_VERSION, 'a', 1, 'x:1', ()))
+    frame['added_later'] = 1
+    assert isinstance(decode_frame(msgspec.msgpack.encode(frame)), Frame)
+
+
+def test_silent_link_is_dialled_again():
+    """A connection that swallows data must be replaced by probing."""
+
+    async def run() -> None:
+        async with pair() as (first, second):
+            received = []
+            second.on_message(Gossip, lambda _, m: received.append(m))
+            async with Relay(second.options.listen_address) as relay:
+                first.set_address('b', relay.address)
+                first.send('b', Gossip(()))
+                while not received:
+                    await asyncio.sleep(0.01)
+                relay.silence()
+                first.send('b', Gossip(()))
+                await asyncio.sleep(0.6)
+                assert len(received) == 1
+                first.send('b', Gossip(()))
+                await asyncio.sleep(0.3)
+                assert len(received) == 2
+                assert relay.accepted == 2
+
+    asyncio.run(run())
