Run claims at most once with tickets, issuers and witnesses

Cause: a claim must run at most once although hosts keep nothing, the store has outages, and callers resend to other hosts.

Change: tickets bound to an issuer incarnation and a witness; the issuer runs a ticket only after the witness recorded the start; any other daemon has the witness seal a silent issuer's ticket. Record tables are bounded and remember the highest dropped sequence number, so that they never vouch for a ticket they forgot. A leaving witness hands its records over. Refusals between peers keep their run state, and a request to the own daemon goes on after its timeout, as a remote one does.

A pytest run of all directories did not end once after the claim tests; the cause is not yet found.

--- /dev/null
+++ b/boragespool/controllers/claim_runs.py
@@ -0,0 +1,286 @@
+"""Runs the claims of this daemon's own tickets.
+
+Owns the issuer's records and the claims that are running.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import replace
+from typing import TYPE_CHECKING, Final
+
+from boragespool.blackboard.topics import BLOCKED, IN_FORCE
+from boragespool.claims import (
+    Issuer,
+    RecordTable,
+    Ticket,
+    begin,
+    claim_hash,
+)
+from boragespool.controllers.claim_attempts import attempt_claim
+from boragespool.events import Event, log_event
+from boragespool.messages import (
+    ClaimRecord,
+    ClaimState,
+    ForwardClaim,
+    RecordOutcome,
+    RecordStart,
+    WitnessVerdict,
+    WorkReply,
+)
+from boragespool.results import Failure, ResultCode
+from boragespool.settings import ClaimSettings
+from boragespool.tasks import TaskSet
+from boragespool.types import RunState
+
+if TYPE_CHECKING:
+    from boragespool.controllers.context import Context
+    from boragespool.controllers.witnesses import WitnessController
+    from boragespool.types import Seconds
+
+_OUTCOME_TRIES: Final = 3
+_FINAL_STATES: Final = frozenset((ClaimState.OUTCOME, ClaimState.SEALED))
+
+
+class ClaimRunner:
+    """Issuer side of claims."""
+
+    def __init__(
+        self,
+        context: Context,
+        issuer: Issuer,
+        witnesses: WitnessController,
+    ) -> None:
+        """Start with no records."""
+        self._context = context
+        self._issuer = issuer
+        self._witnesses = witnesses
+        self._table = RecordTable()
+        self._run_by_ticket: dict[str, asyncio.Task[None]] = {}
+        self._runs = TaskSet()
+        self._reports = TaskSet()
+
+    @property
+    def idle(self) -> bool:
+        """Whether no claim runs and every outcome was reported."""
+        return not self._run_by_ticket and not self._reports
+
+    @property
+    def record_count(self) -> int:
+        """Records kept."""
+        return len(self._table)
+
+    async def run(
+        self,
+        ticket: Ticket,
+        claim: ForwardClaim,
+    ) -> ClaimRecord | Failure:
+        """Run a claim once, or return what is known of its ticket.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            Ticket of this issuer and incarnation.
+        claim : ForwardClaim
+            The claim; with `outcome_only` a ticket that has not started is
+            sealed.
+
+        Returns
+        -------
+        ClaimRecord or Failure
+            The record after at most `claim.deadline_s` seconds. A record
+            that is not final means that the claim is still running.
+        """
+        body_hash = (
+            0 if claim.outcome_only else claim_hash(claim.route, claim.body)
+        )
+        record = begin(
+            self._table,
+            ticket,
+            body_hash,
+            issuer=self._issuer,
+            oldest_s=self._now_s() - self.settings().ticket_validity_s,
+        )
+        if isinstance(record, Failure):
+            return record
+        if self._table.get(ticket.ticket_id) is None:
+            self._accept(ticket, record, claim)
+        await self._wait_for(ticket.ticket_id, claim.deadline_s)
+        return self._table.get(ticket.ticket_id) or record
+
+    def expire(self) -> None:
+        """Drop old records."""
+        settings = self.settings()
+        self._table.expire(
+            self._now_s(),
+            settings.record_age_s,
+            settings.record_count,
+        )
+
+    async def stop(self) -> None:
+        """Cancel what still runs; used when the daemon ends."""
+        await self._runs.close()
+        await self._reports.close()
+
+    def settings(self) -> ClaimSettings:
+        """Return the claim settings in force."""
+        document = self._context.board.read(IN_FORCE)
+        return document.settings.claims if document else ClaimSettings()
+
+    def _accept(
+        self,
+        ticket: Ticket,
+        record: ClaimRecord,
+        claim: ForwardClaim,
+    ) -> None:
+        """Enter a new record; begin to run it unless it is sealed."""
+        if claim.outcome_only and record.state is ClaimState.STARTING:
+            record = _sealed(
+                record,
+                ResultCode.NOT_RUN_SEALED,
+                'its outcome was asked for before it started',
+            )
+        self._put(record)
+        if record.state is ClaimState.STARTING:
+            task = self._runs.spawn(self._execute(ticket, record, claim))
+            self._run_by_ticket[ticket.ticket_id] = task
+            task.add_done_callback(
+                lambda _: self._run_by_ticket.pop(ticket.ticket_id, None),
+            )
+
+    async def _wait_for(self, ticket_id: str, timeout_s: Seconds) -> None:
+        task = self._run_by_ticket.get(ticket_id)
+        if task is not None:
+            await asyncio.wait((task,), timeout=timeout_s)
+
+    async def _execute(
+        self,
+        ticket: Ticket,
+        record: ClaimRecord,
+        claim: ForwardClaim,
+    ) -> None:
+        """Start the ticket at its witness, run the claim, tell the witness."""
+        deadline_s = self._now_s() + claim.deadline_s
+        blocked = self._context.board.read(BLOCKED)
+        if record.body_hash in blocked:
+            self._put(
+                _sealed(
+                    record,
+                    ResultCode.REQUEST_BLOCKED,
+                    'this request crashed backend servers',
+                ),
+            )
+            return
+        if not await self._start(ticket, record):
+            return
+        reply = await attempt_claim(
+            self._context,
+            ticket.ticket_id,
+            claim,
+            deadline_s,
+        )
+        final = _final_record(record, reply)
+        self._put(final)
+        self._reports.spawn(self._report(ticket, final))
+
+    async def _start(self, ticket: Ticket, record: ClaimRecord) -> bool:
+        """Record the start at the witness; seal the ticket otherwise."""
+        if ticket.witness:
+            reply = await self._witnesses.ask(
+                RecordStart(
+                    record,
+                    ticket.witness,
+                    ticket.witness_incarnation,
+                ),
+                self.settings().witness_timeout_s,
+            )
+            if reply.verdict is not WitnessVerdict.RECORDED:
+                self._seal_unwitnessed(ticket, record, reply.verdict)
+                return False
+        self._put(replace(record, state=ClaimState.STARTED))
+        return True
+
+    def _seal_unwitnessed(
+        self,
+        ticket: Ticket,
+        record: ClaimRecord,
+        verdict: WitnessVerdict,
+    ) -> None:
+        reason = f'witness {ticket.witness!r} answered {verdict.value!r}'
+        self._put(_sealed(record, ResultCode.NO_WITNESS, reason))
+        log_event(
+            Event.CLAIM_SEALED,
+            reason,
+            level=logging.DEBUG,
+            ticket=ticket.ticket_id,
+        )
+
+    async def _report(self, ticket: Ticket, record: ClaimRecord) -> None:
+        """Tell the witness the outcome; it may be down or slow."""
+        if not ticket.witness:
+            return
+        message = RecordOutcome(
+            record,
+            ticket.witness,
+            ticket.witness_incarnation,
+        )
+        for _ in range(_OUTCOME_TRIES):
+            reply = await self._witnesses.ask(
+                message,
+                self.settings().witness_timeout_s,
+            )
+            if reply.verdict is WitnessVerdict.RECORDED:
+                return
+
+    def _put(self, record: ClaimRecord) -> None:
+        self._table.put(record, self._now_s())
+
+    def _now_s(self) -> Seconds:
+        return self._context.timers.now_s()
+
+
+def is_final(record: ClaimRecord) -> bool:
+    """Tell whether the record of a ticket no longer changes."""
+    return record.state in _FINAL_STATES
+
+
+def _sealed(
+    record: ClaimRecord,
+    code: ResultCode,
+    reason: str,
+) -> ClaimRecord:
+    return replace(
+        record,
+        state=ClaimState.SEALED,
+        code=int(code),
+        run=RunState.NOT_RUN,
+        reason=reason,
+    )
+
+
+def _final_record(
+    record: ClaimRecord,
+    reply: WorkReply | Failure,
+) -> ClaimRecord:
+    """Return the record for the last attempt's result."""
+    if reply.run is RunState.NOT_RUN:
+        return _sealed(record, ResultCode(reply.code), reply.reason)
+    if reply.run is RunState.UNKNOWN or isinstance(reply, Failure):
+        return replace(
+            record,
+            state=ClaimState.OUTCOME,
+            code=int(ResultCode.OUTCOME_UNKNOWN),
+            run=RunState.UNKNOWN,
+            reason=reply.reason,
+        )
+    completed = reply.code == ResultCode.COMPLETE
+    code = ResultCode.CLAIM_RUN if completed else ResultCode.CLAIM_FAILED
+    return replace(
+        record,
+        state=ClaimState.OUTCOME,
+        code=int(code),
+        run=RunState.RUN,
+        outcome=reply.outcome,
+        reason=reply.reason,
+    )
--- /dev/null
+++ b/boragespool/controllers/claims.py
@@ -0,0 +1,329 @@
+"""Claims of callers: issues tickets and runs claims at most once.
+
+The issuer of a ticket runs its claim. Any other daemon forwards the claim to
+the issuer, and has the witness seal the ticket if the issuer is silent.
+"""
+
+from __future__ import annotations
+
+import itertools
+import logging
+import secrets
+from typing import TYPE_CHECKING, Final, Self
+
+from boragespool.blackboard.topics import IN_FORCE, MEMBERS
+from boragespool.claims import (
+    Issuer,
+    Ticket,
+    choose_witness,
+    claim_hash,
+    forgotten,
+    format_ticket,
+    issue_ticket,
+    new_record,
+    parse_ticket,
+)
+from boragespool.controllers.claim_runs import ClaimRunner, is_final
+from boragespool.controllers.requests import ClaimAnswer
+from boragespool.controllers.witnesses import (
+    WitnessController,
+    reply_from_record,
+)
+from boragespool.events import Event, log_event
+from boragespool.messages import (
+    ClaimRecord,
+    ClaimReply,
+    ClaimState,
+    ForwardClaim,
+    SealTicket,
+    WitnessVerdict,
+)
+from boragespool.results import Failure, ResultCode
+from boragespool.types import MemberStatus, Rank, RunState
+
+if TYPE_CHECKING:
+    from boragespool.controllers.context import Context
+    from boragespool.controllers.requests import ClaimRequest
+    from boragespool.peers import Sender
+    from boragespool.timers import Subscription
+    from boragespool.types import HostName, RequestId, Seconds
+
+_EXPIRE_INTERVAL_S: Final = 5
+_KEY_SIZE_BYTES: Final = 32
+#: Time for asking after the outcome of an earlier claim.
+_OUTCOME_TIMEOUT_S: Final = 2
+
+
+class ClaimController:
+    """Claims at one daemon, an async context manager."""
+
+    def __init__(self, context: Context) -> None:
+        """Prepare an issuer with a new key."""
+        identity = context.identity
+        self._context = context
+        self._issuer = Issuer(
+            identity.host,
+            identity.incarnation,
+            identity.data_centre,
+            secrets.token_bytes(_KEY_SIZE_BYTES),
+        )
+        self._sequence = itertools.count(1)
+        self._witnesses = WitnessController(context)
+        self._runner = ClaimRunner(context, self._issuer, self._witnesses)
+        self._expiry: Subscription | None = None
+
+    async def __aenter__(self) -> Self:
+        """Serve forwarded claims and witness messages."""
+        await self._witnesses.__aenter__()
+        self._context.peers.on_request(ForwardClaim, self._serve_forwarded)
+        self._expiry = self._context.timers.every(
+            _EXPIRE_INTERVAL_S,
+            self._runner.expire,
+        )
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Cancel running claims and timers."""
+        if self._expiry is not None:
+            self._expiry.cancel()
+        await self._runner.stop()
+        await self._witnesses.__aexit__(*exc_info)
+
+    @property
+    def idle(self) -> bool:
+        """Whether no own ticket runs and every outcome was reported."""
+        return self._runner.idle
+
+    def status(self) -> dict[str, int]:
+        """Return the number of records kept as issuer and as witness."""
+        return {
+            'issuer_records': self._runner.record_count,
+            'witness_records': self._witnesses.record_count,
+        }
+
+    def issue(self, count: int) -> tuple[str, ...]:
+        """Return new tickets in the form that callers are given."""
+        members = self._context.board.read(MEMBERS)
+        tickets = (
+            issue_ticket(
+                self._issuer,
+                next(self._sequence),
+                choose_witness(
+                    self._issuer,
+                    members.values(),
+                    self._context.draw(),
+                ),
+                self._context.timers.now_s(),
+            )
+            for _ in range(count)
+        )
+        return tuple(format_ticket(ticket) for ticket in tickets)
+
+    async def run(self, request: ClaimRequest) -> ClaimAnswer | Failure:
+        """Run a claim at most once.
+
+        Parameters
+        ----------
+        request : ClaimRequest
+            Claim under a ticket from any daemon.
+
+        Returns
+        -------
+        ClaimAnswer or Failure
+            A failure with run state ``NOT_RUN`` holds for ever. ``UNKNOWN``
+            means that the claim may have run or may still be running.
+        """
+        claim = ForwardClaim(
+            ticket=request.ticket,
+            route=request.route,
+            caller=request.caller,
+            body=request.body,
+            deadline_s=request.deadline_s,
+        )
+        return await self._answer(claim, request.request_id)
+
+    async def outcome(
+        self,
+        ticket: str,
+        request_id: RequestId,
+    ) -> ClaimAnswer | Failure:
+        """Return the outcome of an earlier claim.
+
+        A ticket that has not started is sealed, so that the answer
+        ``NOT_RUN`` stays true.
+        """
+        claim = ForwardClaim(
+            ticket=ticket,
+            route='',
+            caller='',
+            body=b'',
+            deadline_s=_OUTCOME_TIMEOUT_S,
+            outcome_only=True,
+        )
+        return await self._answer(claim, request_id)
+
+    async def hand_over(self) -> HostName | None:
+        """Move the witness records to a member that stays."""
+        return await self._witnesses.hand_over()
+
+    async def _answer(
+        self,
+        claim: ForwardClaim,
+        request_id: RequestId,
+    ) -> ClaimAnswer | Failure:
+        ticket = parse_ticket(claim.ticket)
+        if isinstance(ticket, Failure):
+            return ticket
+        record = await self._resolve(ticket, claim)
+        if isinstance(record, Failure):
+            return record
+        refusal = (
+            reply_from_record(record)
+            if is_final(record)
+            else _still_running(ticket)
+        )
+        if refusal is not None:
+            return refusal
+        return ClaimAnswer(
+            request_id,
+            ResultCode(record.code),
+            record.run,
+            self._rank(claim),
+            record.outcome,
+        )
+
+    async def _resolve(
+        self,
+        ticket: Ticket,
+        claim: ForwardClaim,
+    ) -> ClaimRecord | Failure:
+        """Get the record of a ticket from its issuer or its witness."""
+        if self._is_own(ticket):
+            return await self._runner.run(ticket, claim)
+        if self._issuer_may_answer(ticket):
+            reply = await self._context.peers.request(
+                ticket.issuer,
+                claim,
+                self._forward_timeout_s(claim),
+            )
+            if isinstance(reply, ClaimReply):
+                return _record_from_reply(ticket, reply)
+        return await self._seal(ticket, claim)
+
+    async def _serve_forwarded(
+        self,
+        sender: Sender,
+        claim: ForwardClaim,
+    ) -> ClaimReply | Failure:
+        """Run a claim for another daemon if the ticket is an own one."""
+        ticket = parse_ticket(claim.ticket)
+        if isinstance(ticket, Failure):
+            return ticket
+        if not self._is_own(ticket):
+            return Failure(
+                ResultCode.PEER_REFUSED,
+                f'this daemon did not issue {claim.ticket!r}',
+            )
+        record = await self._runner.run(ticket, claim)
+        if isinstance(record, Failure):
+            return ClaimReply(int(record.code), record.run, None, record.reason)
+        if not is_final(record):
+            failure = _still_running(ticket)
+            return ClaimReply(int(failure.code), failure.run)
+        return ClaimReply(
+            record.code,
+            record.run,
+            record.outcome,
+            record.reason,
+        )
+
+    async def _seal(
+        self,
+        ticket: Ticket,
+        claim: ForwardClaim,
+    ) -> ClaimRecord | Failure:
+        """Have the witness seal the ticket or tell what it knows."""
+        body_hash = (
+            0 if claim.outcome_only else claim_hash(claim.route, claim.body)
+        )
+        reply = await self._witnesses.ask(
+            SealTicket(
+                new_record(ticket, body_hash),
+                ticket.witness,
+                ticket.witness_incarnation,
+            ),
+            self._runner.settings().witness_timeout_s,
+        )
+        verdict = reply.verdict.value
+        log_event(
+            Event.CLAIM_SEALED,
+            f'the witness answered {verdict!r}',
+            level=logging.DEBUG,
+            ticket=ticket.ticket_id,
+        )
+        known = reply.record
+        if known is None or reply.verdict is WitnessVerdict.STARTED:
+            return forgotten(ticket)
+        if body_hash and known.body_hash not in {0, body_hash}:
+            return Failure(
+                ResultCode.TICKET_REUSED,
+                f'ticket {ticket.ticket_id!r} is bound to another claim',
+            )
+        return known
+
+    def _is_own(self, ticket: Ticket) -> bool:
+        identity = self._context.identity
+        return (ticket.issuer, ticket.issuer_incarnation) == (
+            identity.host,
+            identity.incarnation,
+        )
+
+    def _issuer_may_answer(self, ticket: Ticket) -> bool:
+        """Tell whether the issuer's incarnation may still be running."""
+        member = self._context.board.read(MEMBERS).get(ticket.issuer)
+        if member is None:
+            return False
+        same = member.incarnation == ticket.issuer_incarnation
+        return same and member.status is not MemberStatus.DEAD
+
+    def _forward_timeout_s(self, claim: ForwardClaim) -> Seconds:
+        """Leave time to ask the witness before the caller's deadline."""
+        witness_timeout_s = self._runner.settings().witness_timeout_s
+        return max(
+            claim.deadline_s - witness_timeout_s,
+            claim.deadline_s / 2,
+        )
+
+    def _rank(self, claim: ForwardClaim) -> Rank:
+        document = self._context.board.read(IN_FORCE)
+        route = document.settings.routes.get(claim.route) if document else None
+        return route.rank if route else Rank.URGENT
+
+
+def _record_from_reply(
+    ticket: Ticket,
+    reply: ClaimReply,
+) -> ClaimRecord | Failure:
+    """Turn the issuer's reply into a record or a refusal."""
+    if reply.run is not RunState.RUN:
+        return Failure(ResultCode(reply.code), reply.reason, reply.run)
+    return ClaimRecord(
+        ticket_id=ticket.ticket_id,
+        issuer=ticket.issuer,
+        issuer_incarnation=ticket.issuer_incarnation,
+        sequence=ticket.sequence,
+        state=ClaimState.OUTCOME,
+        code=reply.code,
+        run=reply.run,
+        outcome=reply.outcome,
+        reason=reply.reason,
+    )
+
+
+def _still_running(ticket: Ticket) -> Failure:
+    return Failure(
+        ResultCode.OUTCOME_UNKNOWN,
+        f'ticket {ticket.ticket_id!r} is still running; ask for its outcome',
+        RunState.UNKNOWN,
+        retry_after_s=1,
+    )
--- /dev/null
+++ b/boragespool/controllers/witnesses.py
@@ -0,0 +1,281 @@
+"""Serves as a witness of claims and asks other witnesses.
+
+Owns the witness records of this daemon and, after a hand-over, those of
+daemons that left.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Final, Self, TypeAlias
+
+from boragespool.blackboard.topics import IN_FORCE, MEMBERS
+from boragespool.claims import RecordTable, record_outcome, record_start, seal
+from boragespool.events import Event, log_event
+from boragespool.messages import (
+    ClaimRecord,
+    HandOver,
+    HandOverAck,
+    MemberRecord,
+    RecordOutcome,
+    RecordStart,
+    SealTicket,
+    WitnessReply,
+    WitnessVerdict,
+)
+from boragespool.results import Failure, ResultCode
+from boragespool.settings import ClaimSettings
+from boragespool.types import HostName, Incarnation, MemberStatus, RunState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from boragespool.controllers.context import Context
+    from boragespool.peers import Sender
+    from boragespool.timers import Subscription
+    from boragespool.types import Seconds
+
+WitnessMessage: TypeAlias = RecordStart | RecordOutcome | SealTicket
+_Identity: TypeAlias = tuple[HostName, Incarnation]
+
+_EXPIRE_INTERVAL_S: Final = 5
+_HAND_OVER_CHUNK: Final = 1_000
+_HAND_OVER_TIMEOUT_S: Final = 2
+_HAND_OVER_TRIES: Final = 3
+_SUCCESSOR_COUNT: Final = 20_000
+_SUCCESSOR_HOPS: Final = 8
+_REASONS: Final = MappingProxyType(
+    {
+        RunState.NOT_RUN: 'the ticket is sealed; the claim was not run',
+        RunState.UNKNOWN: 'the outcome of the claim is not known',
+    }
+)
+
+
+class WitnessController:
+    """Witness records of one daemon, an async context manager."""
+
+    def __init__(self, context: Context) -> None:
+        """Keep the shared parts; `__aenter__` begins to serve."""
+        self._context = context
+        own = (context.identity.host, context.identity.incarnation)
+        self._identities: set[_Identity] = {own}
+        self._table = RecordTable()
+        self._successor_by_witness: dict[_Identity, HostName] = {}
+        self._handed_over: asyncio.Future[HostName | None] | None = None
+        self._subscriptions: list[Subscription] = []
+        self._unsubscribe: Callable[[], None] | None = None
+
+    async def __aenter__(self) -> Self:
+        """Serve witness messages."""
+        peers = self._context.peers
+        peers.on_request(RecordStart, self._serve)
+        peers.on_request(RecordOutcome, self._serve)
+        peers.on_request(SealTicket, self._serve)
+        peers.on_request(HandOver, self._adopt)
+        self._unsubscribe = self._context.board.subscribe(
+            MEMBERS,
+            self._note_successors,
+        )
+        self._subscriptions.append(
+            self._context.timers.every(_EXPIRE_INTERVAL_S, self._expire),
+        )
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Stop the timers."""
+        for subscription in self._subscriptions:
+            subscription.cancel()
+        if self._unsubscribe is not None:
+            self._unsubscribe()
+
+    @property
+    def record_count(self) -> int:
+        """Records kept."""
+        return len(self._table)
+
+    async def ask(
+        self,
+        message: WitnessMessage,
+        timeout_s: Seconds,
+    ) -> WitnessReply:
+        """Ask the witness that a message names, or its successor.
+
+        Returns
+        -------
+        WitnessReply
+            ``FORGOTTEN`` if there is no witness or it does not answer.
+        """
+        host = self._current_host(message)
+        if not host:
+            return WitnessReply(WitnessVerdict.FORGOTTEN)
+        reply = await self._context.peers.request(host, message, timeout_s)
+        if isinstance(reply, WitnessReply):
+            return reply
+        return WitnessReply(WitnessVerdict.FORGOTTEN)
+
+    async def hand_over(self) -> HostName | None:
+        """Move all records to a member that stays.
+
+        Returns
+        -------
+        str or None
+            The successor; None if no member took the records.
+        """
+        self._handed_over = asyncio.get_running_loop().create_future()
+        successor: HostName | None = None
+        for candidate in self._successor_candidates():
+            if await self._send_records(candidate):
+                successor = candidate
+                break
+        self._handed_over.set_result(successor)
+        log_event(
+            Event.CLAIM_RECORDS_HANDED_OVER,
+            f'{len(self._table)} witness records went to {successor!r}',
+            successor=successor,
+        )
+        return successor
+
+    async def _serve(
+        self,
+        sender: Sender,
+        message: WitnessMessage,
+    ) -> WitnessReply | Failure:
+        if (message.witness, message.witness_incarnation) not in (
+            self._identities
+        ):
+            return WitnessReply(WitnessVerdict.FORGOTTEN)
+        if self._handed_over is not None:
+            return await self._pass_on(message)
+        now_s = self._context.timers.now_s()
+        if isinstance(message, RecordStart):
+            return record_start(self._table, message.record, now_s)
+        if isinstance(message, RecordOutcome):
+            return record_outcome(self._table, message.record, now_s)
+        return seal(self._table, message.record, now_s)
+
+    async def _pass_on(
+        self,
+        message: WitnessMessage,
+    ) -> WitnessReply | Failure:
+        """Answer from the successor while peers don't know it yet."""
+        timeout_s = self._settings().witness_timeout_s
+        handed_over = self._handed_over
+        if handed_over is None:
+            return WitnessReply(WitnessVerdict.FORGOTTEN)
+        done, _ = await asyncio.wait((handed_over,), timeout=timeout_s)
+        successor = handed_over.result() if done else None
+        if successor is None:
+            return WitnessReply(WitnessVerdict.FORGOTTEN)
+        reply = await self._context.peers.request(
+            successor,
+            message,
+            timeout_s,
+        )
+        if isinstance(reply, WitnessReply):
+            return reply
+        return WitnessReply(WitnessVerdict.FORGOTTEN)
+
+    async def _adopt(self, sender: Sender, message: HandOver) -> HandOverAck:
+        if self._handed_over is not None:
+            return HandOverAck(accepted=False)
+        self._table.adopt(
+            message.records,
+            message.dropped,
+            self._context.timers.now_s(),
+        )
+        if message.last:
+            self._identities.update(message.identities)
+        return HandOverAck(accepted=True)
+
+    async def _send_records(self, candidate: HostName) -> bool:
+        """Send all records in chunks; tell whether all were accepted."""
+        records = self._table.records()
+        marks = self._table.marks()
+        starts = range(0, max(1, len(records)), _HAND_OVER_CHUNK)
+        for start in starts:
+            message = HandOver(
+                tuple(sorted(self._identities)),
+                records[start : start + _HAND_OVER_CHUNK],
+                marks if start == 0 else (),
+                last=start == starts[-1],
+            )
+            reply = await self._context.peers.request(
+                candidate,
+                message,
+                _HAND_OVER_TIMEOUT_S,
+            )
+            if not isinstance(reply, HandOverAck) or not reply.accepted:
+                return False
+        return True
+
+    def _successor_candidates(self) -> tuple[HostName, ...]:
+        """Return alive members, those of the own data centre first."""
+        identity = self._context.identity
+        members = [
+            member
+            for member in self._context.board.read(MEMBERS).values()
+            if member.status is MemberStatus.ALIVE
+            and member.host != identity.host
+        ]
+        members.sort(
+            key=lambda member: (
+                member.data_centre != identity.data_centre,
+                member.host,
+            ),
+        )
+        return tuple(member.host for member in members[:_HAND_OVER_TRIES])
+
+    def _current_host(self, message: WitnessMessage) -> HostName:
+        """Follow the successors of a witness that left."""
+        host = message.witness
+        incarnation = message.witness_incarnation
+        members = self._context.board.read(MEMBERS)
+        for _ in range(_SUCCESSOR_HOPS):
+            successor = self._successor_by_witness.get((host, incarnation))
+            if not successor:
+                break
+            host = successor
+            member = members.get(successor)
+            incarnation = member.incarnation if member else 0
+        return host
+
+    def _note_successors(
+        self,
+        members: Mapping[HostName, MemberRecord],
+    ) -> None:
+        """Remember successors, as a restart replaces the member record."""
+        known = self._successor_by_witness
+        for member in members.values():
+            if member.successor:
+                known[member.host, member.incarnation] = member.successor
+        while len(known) > _SUCCESSOR_COUNT:
+            known.pop(next(iter(known)))
+
+    def _expire(self) -> None:
+        settings = self._settings()
+        dropped = self._table.expire(
+            self._context.timers.now_s(),
+            settings.record_age_s,
+            settings.record_count,
+        )
+        if dropped:
+            log_event(
+                Event.CLAIM_RECORDS_DROPPED,
+                f'dropped {dropped} witness records',
+                level=logging.DEBUG,
+            )
+
+    def _settings(self) -> ClaimSettings:
+        document = self._context.board.read(IN_FORCE)
+        return document.settings.claims if document else ClaimSettings()
+
+
+def reply_from_record(record: ClaimRecord) -> Failure | None:
+    """Return the refusal that a final record stands for, if any."""
+    if record.run is RunState.RUN:
+        return None
+    code = ResultCode(record.code or ResultCode.OUTCOME_UNKNOWN)
+    return Failure(code, record.reason or _REASONS[record.run], record.run)
--- a/boragespool/messages/claims.py
+++ b/boragespool/messages/claims.py
@@ -52,6 +52,8 @@
         Result code of the outcome.
     outcome : Any
         JSON value of the backend server.
+    reason : str
+        Why the claim was not run or failed.
     """
 
     ticket_id: str
@@ -63,6 +65,7 @@
     code: int = 0
     run: RunState = RunState.UNKNOWN
     outcome: Any = None
+    reason: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +100,7 @@
     run: RunState
     outcome: Any = None
     reason: str = ''
+    retry_after_s: Seconds = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +108,7 @@
     """Asks the witness to record that a ticket starts."""
 
     record: ClaimRecord
+    witness: HostName
     witness_incarnation: Incarnation
 
 
@@ -112,6 +117,7 @@
     """Tells the witness the outcome of a ticket."""
 
     record: ClaimRecord
+    witness: HostName
     witness_incarnation: Incarnation
 
 
@@ -120,6 +126,7 @@
     """Asks the witness to seal a ticket that has not started."""
 
     record: ClaimRecord
+    witness: HostName
     witness_incarnation: Incarnation
 
 
@@ -133,10 +140,17 @@
 
 @dataclass(frozen=True, slots=True)
 class HandOver:
-    """Moves the witness records of a leaving daemon."""
+    """Moves the witness records of a leaving daemon.
 
-    witness: HostName
-    witness_incarnation: Incarnation
+    Attributes
+    ----------
+    identities : tuple of (str, int)
+        Hosts and incarnations for which the sender was the witness.
+    last : bool
+        Whether the receiver now stands for the identities.
+    """
+
+    identities: tuple[tuple[HostName, Incarnation], ...]
     records: tuple[ClaimRecord, ...]
     dropped: tuple[DroppedMark, ...]
     last: bool
--- a/boragespool/peers/frames.py
+++ b/boragespool/peers/frames.py
@@ -14,7 +14,7 @@
 
 from boragespool import messages
 from boragespool.results import Failure, ResultCode
-from boragespool.types import Address, HostName, Incarnation
+from boragespool.types import Address, HostName, Incarnation, RunState
 
 FRAME_VERSION: Final = 1
 
@@ -25,6 +25,7 @@
 
     code: int
     reason: str
+    run: RunState = RunState.NOT_RUN
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragespool/peers/network.py
+++ b/boragespool/peers/network.py
@@ -28,6 +28,7 @@
 )
 from boragespool.peers.link import PeerLink
 from boragespool.results import Failure, ResultCode
+from boragespool.tasks import TaskSet
 from boragespool.types import Address, HostName, Incarnation, RunState
 
 if TYPE_CHECKING:
@@ -74,7 +75,7 @@
         ] = {}
         self._exchanges = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[Any]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet()
 
     async def __aenter__(self) -> Self:
         """Listen.
@@ -88,14 +89,12 @@
         self._stack.callback(self._socket.close)
         listen_address = self.options.listen_address
         self._socket.listen(f'tcp://{listen_address}')
-        self._spawn(self._receive_frames())
+        self._tasks.spawn(self._receive_frames())
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Close all links."""
-        for task in tuple(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.close()
         for link in self._link_by_host.values():
             await link.__aexit__()
         await self._stack.aclose()
@@ -111,7 +110,7 @@
         """Close the link to a peer; the next message dials again."""
         link = self._link_by_host.pop(host, None)
         if link is not None:
-            self._spawn(link.__aexit__())
+            self._tasks.spawn(link.__aexit__())
 
     def on_message(
         self,
@@ -217,11 +216,14 @@
         handler = self._request_handlers.get(type(message).__name__)
         if handler is None:
             return _no_handler(type(message).__name__)
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await handler(self._self_sender(), message)
-        except TimeoutError:
+        # Like a remote handler, it goes on after a timeout.
+        task = self._tasks.spawn(
+            _call(handler, self._self_sender(), message),
+        )
+        done, _ = await asyncio.wait((task,), timeout=timeout_s)
+        if not done or task.cancelled() or task.exception() is not None:
             return _no_answer(self.options.host, timeout_s)
+        return task.result()
 
     def _queue(self, host: HostName, envelope: Envelope) -> bool:
         address = self._address_by_host.get(host)
@@ -256,7 +258,7 @@
             if envelope.reply:
                 self._resolve(envelope.exchange, message)
             elif envelope.exchange:
-                self._spawn(self._answer(sender, envelope, message))
+                self._tasks.spawn(self._answer(sender, envelope, message))
             else:
                 self._deliver(sender, message)
 
@@ -266,7 +268,11 @@
         if future is None or future.done():
             return
         if isinstance(message, Refusal):
-            message = Failure(ResultCode(message.code), message.reason)
+            message = Failure(
+                ResultCode(message.code),
+                message.reason,
+                message.run,
+            )
         future.set_result(message)
 
     def _deliver(self, sender: Sender, message: object) -> None:
@@ -297,26 +303,23 @@
         else:
             result = await handler(sender, message)
         if isinstance(result, Failure):
-            result = Refusal(int(result.code), result.reason)
+            result = Refusal(
+                int(result.code),
+                result.reason,
+                result.run,
+            )
         self._queue(
             sender.host,
             encode_message(result, envelope.exchange, reply=True),
         )
 
-    def _spawn(self, work: Any) -> None:
-        """Run a coroutine that ends with the network."""
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._finish_task)
-
-    def _finish_task(self, task: asyncio.Task[Any]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log_event(
-                Event.TASK_FAILED,
-                f'a peer task raised {task.exception()!r}',
-                level=logging.ERROR,
-            )
+
+async def _call(
+    handler: Callable[[Sender, Any], Awaitable[Any]],
+    sender: Sender,
+    message: object,
+) -> Any:
+    return await handler(sender, message)
 
 
 def _no_answer(host: HostName, timeout_s: Seconds) -> Failure:
--- /dev/null
+++ b/tests/fuzz/test_claim_interleavings.py
@@ -0,0 +1,19 @@
+"""Longer exploration of claim interleavings: ``make fuzz SEEDS=n``."""
+
+from __future__ import annotations
+
+import os
+
+import pytest
+
+from tests.claim_network import explore
+
+EXAMPLES = int(os.environ.get('FUZZ_EXAMPLES', '20000'))
+
+
+@pytest.mark.parametrize('fault_rate', [0.02, 0.1, 0.3, 0.5])
+def test_claims_run_at_most_once(fault_rate):
+    """A failing seed is printed and replays with `World(seed, rate)`."""
+    states, violations = explore(range(EXAMPLES // 4), fault_rate)
+    print(fault_rate, dict(states))
+    assert not violations
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,99 @@
+"""Claims run at most once and refusals are true."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from boragespool.claims import (
+    RecordTable,
+    new_record,
+    parse_ticket,
+    record_outcome,
+    record_start,
+    seal,
+)
+from boragespool.claims.tickets import Ticket, format_ticket
+from boragespool.messages import WitnessVerdict
+from boragespool.results import Failure, ResultCode
+from tests.claim_network import explore
+
+CI_SEEDS = 1_500
+
+
+@pytest.mark.parametrize('fault_rate', [0.05, 0.3])
+def test_interleavings_run_claims_at_most_once(fault_rate):
+    """A claim must not run twice, nor a `not_run` hide a run."""
+    states, violations = explore(range(CI_SEEDS), fault_rate)
+    assert not violations
+    assert states['run']
+    assert states['not_run']
+
+
+def test_no_outcome_is_unknown_without_faults():
+    """`unknown` is allowed only where information was lost."""
+    states, violations = explore(range(500), 0)
+    assert not violations
+    assert states['unknown'] == 0
+
+
+def ticket(sequence: int) -> Ticket:
+    """Return a ticket of one issuer."""
+    return Ticket('a', 1, sequence, 0, 'b', 1, 'x')
+
+
+@settings(derandomize=True, max_examples=300)
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(['start', 'outcome', 'seal', 'expire']),
+            st.integers(1, 6),
+        ),
+        max_size=40,
+    ),
+)
+def test_witness_never_allows_start_after_seal(steps):
+    """A bounded table must not forget that it sealed or started a ticket."""
+    table = RecordTable()
+    started, sealed = set(), set()
+    for now_s, (action, sequence) in enumerate(steps):
+        record = new_record(ticket(sequence), 1)
+        if action == 'start':
+            reply = record_start(table, record, now_s)
+            if reply.verdict is WitnessVerdict.RECORDED:
+                assert sequence not in started | sealed
+                started.add(sequence)
+        elif action == 'outcome':
+            record_outcome(table, record, now_s)
+        elif action == 'seal':
+            reply = seal(table, record, now_s)
+            if reply.verdict is WitnessVerdict.SEALED:
+                assert sequence not in started
+                sealed.add(sequence)
+        else:
+            table.expire(now_s, age_s=1_000, count=2)
+            assert len(table) <= 2
+
+
+def test_adopted_records_keep_marks():
+    """A successor must not vouch for what its predecessor dropped."""
+    old, successor = RecordTable(), RecordTable()
+    for sequence in range(1, 5):
+        record_start(old, new_record(ticket(sequence), 1), 0)
+    old.expire(0, age_s=10, count=1)
+    successor.adopt(old.records(), old.marks(), 0)
+    for sequence in range(1, 4):
+        reply = seal(successor, new_record(ticket(sequence), 1), 1)
+        assert reply.verdict is WitnessVerdict.FORGOTTEN
+    reply = seal(successor, new_record(ticket(4), 1), 1)
+    assert reply.verdict is WitnessVerdict.STARTED
+
+
+@pytest.mark.parametrize('text', ['', 'x', 'AAAA', 'é', '{}'])
+def test_other_text_is_not_a_ticket(text):
+    """Bad tickets must get a code instead of an exception."""
+    refused = parse_ticket(text)
+    assert isinstance(refused, Failure)
+    assert refused.code == ResultCode.BAD_TICKET
+    assert isinstance(parse_ticket(format_ticket(ticket(1))), Ticket)
