--- a/boragespool/http/__init__.py
+++ b/boragespool/http/__init__.py
@@ -15,9 +15,11 @@
     failure_response,
     json_response,
 )
+from boragespool.http.pool import ConnectionPool
 from boragespool.http.server import HttpServer
 
 __all__ = (
+    'ConnectionPool',
     'ExchangeFailure',
     'FailureKind',
     'HttpConnection',
--- /dev/null
+++ b/boragespool/http/pool.py
@@ -0,0 +1,121 @@
+"""Idle client connections, kept for the next exchange."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final, Self
+
+from boragespool.http.client import (
+    ExchangeFailure,
+    FailureKind,
+    HttpConnection,
+    open_connection,
+)
+
+if TYPE_CHECKING:
+    from boragespool.http.messages import HttpRequest, HttpResponse
+    from boragespool.types import Address, Seconds
+
+# Half of the listener's idle timeout, so that a connection is rarely reused
+# at the moment at which its other end closes it.
+_IDLE_LIMIT_S: Final = 30
+
+
+class ConnectionPool:
+    """Connections to any number of addresses, an async context manager.
+
+    Parameters
+    ----------
+    connection_count : int
+        Exchanges at the same time; further ones wait.
+    """
+
+    def __init__(self, connection_count: int) -> None:
+        """Start without connections."""
+        self._slots = asyncio.Semaphore(connection_count)
+        self._idle_by_address: dict[
+            Address, list[tuple[Seconds, HttpConnection]]
+        ] = {}
+
+    async def __aenter__(self) -> Self:
+        """Return the pool."""
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Close the idle connections."""
+        for address in tuple(self._idle_by_address):
+            self.forget(address)
+
+    def forget(self, address: Address) -> None:
+        """Close the idle connections to one address."""
+        for _, connection in self._idle_by_address.pop(address, ()):
+            connection.close()
+
+    async def exchange(
+        self,
+        address: Address,
+        request: HttpRequest,
+        timeout_s: Seconds,
+    ) -> HttpResponse | ExchangeFailure:
+        """Send one request over an idle or a new connection.
+
+        Parameters
+        ----------
+        address : str
+            ``ip:port``.
+        request : HttpRequest
+            Request to send once.
+        timeout_s : float
+            Longest time, in seconds, for the wait, the TCP handshake and the
+            exchange together.
+
+        Returns
+        -------
+        HttpResponse or ExchangeFailure
+            `ExchangeFailure.sent` is false if no byte was sent.
+        """
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._slots.acquire()
+        except TimeoutError:
+            return ExchangeFailure(
+                FailureKind.TIMEOUT,
+                sent=False,
+                reason=f'no connection became free within {timeout_s!r} s',
+            )
+        try:
+            return await self._exchange(address, request, deadline_s)
+        finally:
+            self._slots.release()
+
+    async def _exchange(
+        self,
+        address: Address,
+        request: HttpRequest,
+        deadline_s: Seconds,
+    ) -> HttpResponse | ExchangeFailure:
+        loop = asyncio.get_running_loop()
+        connection = self._take_idle(address) or await open_connection(
+            address,
+            deadline_s - loop.time(),
+        )
+        if isinstance(connection, ExchangeFailure):
+            return connection
+        response = await connection.exchange(request, deadline_s - loop.time())
+        if connection.usable:
+            idle = self._idle_by_address.setdefault(address, [])
+            idle.append((loop.time(), connection))
+        return response
+
+    def _take_idle(self, address: Address) -> HttpConnection | None:
+        """Return the connection that was used last, closing old ones."""
+        idle = self._idle_by_address.get(address, [])
+        oldest_s = asyncio.get_running_loop().time() - _IDLE_LIMIT_S
+        while idle:
+            used_s, connection = idle.pop()
+            if used_s >= oldest_s and connection.usable:
+                return connection
+            connection.close()
+        return None
