--- a/boragespool/standins/process.py
+++ b/boragespool/standins/process.py
@@ -41,6 +41,8 @@
             from_environment = os.environ.get(f'BORAGESPOOL_{name.upper()}')
             if from_environment is not None:
                 flag_values[name].parse(from_environment)
+                # A flag that may be repeated would extend the default.
+                flag_values[name].present = 0
         flag_values(sys.argv)
     except flags.Error as error:
         sys.exit(f'{sys.argv[0]}: {error}')
