Add the HTTP API towards callers

Cause: callers need addresses, queries, claims and outcomes, and every bad input needs a numbered code and one sentence.

Change: `CallerApi` takes `CallerPorts` (protocols of the query, claim, membership and dispatch controllers). Bodies are checked for duplicate keys at any depth, which msgspec does not detect, and for text that the json module alone accepts (NaN, lone surrogates). Rank and deadline can only be lowered; `QueryRequest` and `ClaimRequest` carry the lowered rank. An answer with another request id is refused.

Faults fixed in boragespool.http: an exception in a handler was answered with `not_run`, a promise that does not hold after a claim has started; it is now `unknown`. A target such as `//[` made urlsplit raise and gave a 500; it is now an unknown path.

Conclusion: ready to be wired in the daemon.

--- /dev/null
+++ b/boragespool/controllers/caller_input.py
@@ -0,0 +1,221 @@
+"""Checks of what callers send."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from boragespool.controllers.strict_json import decode_object
+from boragespool.results import Failure, ResultCode
+from boragespool.types import (
+    CallerName,
+    Rank,
+    RequestId,
+    RouteName,
+    Seconds,
+    WorkKind,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from boragespool.settings import RouteSettings, Settings
+
+NAME_LENGTH: Final = 128
+TICKET_LENGTH: Final = 512
+_MS_PER_S: Final = 1_000
+_RANKS: Final = tuple(Rank)
+_ALLOWED_FIELDS: Final = frozenset(
+    ('route', 'caller', 'body', 'deadline_ms', 'rank', 'request_id', 'ticket'),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class CallerBody:
+    """Body of ``POST /v1/query`` and ``POST /v1/claim``; see docs/api.md."""
+
+    route: RouteName
+    caller: CallerName
+    body: msgspec.Raw
+    deadline_ms: float | None = None
+    rank: str | None = None
+    request_id: RequestId = ''
+    ticket: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class CheckedBody:
+    """A body that agrees with the settings in force.
+
+    Attributes
+    ----------
+    rank : Rank
+        Rank of the request, never above the rank of its route.
+    lowered : Rank or None
+        `rank` if the caller lowered it.
+    deadline_s : float
+        Time left for the answer, in seconds.
+    """
+
+    given: CallerBody
+    rank: Rank
+    lowered: Rank | None
+    deadline_s: Seconds
+
+
+def check_body(
+    raw: bytes,
+    form: WorkKind,
+    settings: Settings,
+) -> CheckedBody | Failure:
+    """Decode a query or a claim and compare it with the settings.
+
+    Parameters
+    ----------
+    raw : bytes
+        Body of the HTTP request.
+    form : WorkKind
+        Form that the path stands for.
+    settings : Settings
+        Settings in force.
+
+    Returns
+    -------
+    CheckedBody or Failure
+        A failure names the field, its value and what is allowed.
+    """
+    given = _decode(raw)
+    if isinstance(given, Failure):
+        return given
+    route = _find_route(given.route, form, settings.routes)
+    if isinstance(route, Failure):
+        return route
+    rank = _lower_rank(given.rank, route.rank)
+    if isinstance(rank, Failure):
+        return rank
+    deadline_s = _deadline_s(given.deadline_ms, route)
+    if isinstance(deadline_s, Failure):
+        return deadline_s
+    failure = check_ticket(given.ticket) if form is WorkKind.CLAIM else None
+    if failure is not None:
+        return failure
+    lowered = None if rank is route.rank else rank
+    return CheckedBody(given, rank, lowered, deadline_s)
+
+
+def check_ticket(ticket: str) -> Failure | None:
+    """Refuse a ticket that no daemon can have issued."""
+    is_plain = ticket.isascii() and ticket.isprintable() and ' ' not in ticket
+    if ticket and is_plain and len(ticket) <= TICKET_LENGTH:
+        return None
+    shown = ticket[:NAME_LENGTH]
+    return Failure(
+        ResultCode.BAD_TICKET,
+        f'ticket {shown!r} is not one that GET /v1/addresses hands out',
+    )
+
+
+def check_parameter(
+    name: str,
+    text: str | None,
+    default: int,
+    highest: int,
+) -> int | Failure:
+    """Read a whole number from the query string.
+
+    Returns
+    -------
+    int or Failure
+        ``MALFORMED_PARAMETER`` unless it is between 0 and `highest`.
+    """
+    if text is None:
+        return default
+    # The length keeps int() away from numbers with thousands of digits.
+    is_number = text.isascii() and text.isdigit() and len(text) < NAME_LENGTH
+    if is_number and int(text) <= highest:
+        return int(text)
+    shown = text[:NAME_LENGTH]
+    return Failure(
+        ResultCode.MALFORMED_PARAMETER,
+        f'parameter {name!r} is {shown!r}; allowed are whole numbers from 0 '
+        f'to {highest}',
+    )
+
+
+def _decode(raw: bytes) -> CallerBody | Failure:
+    members = decode_object(raw)
+    if isinstance(members, Failure):
+        return members
+    unknown = sorted(members.keys() - _ALLOWED_FIELDS)
+    if unknown:
+        shown = unknown[0][:NAME_LENGTH]
+        allowed = sorted(_ALLOWED_FIELDS)
+        return _malformed(f'unknown field {shown!r}; allowed are {allowed!r}')
+    try:
+        given = msgspec.json.decode(raw, type=CallerBody)
+    except msgspec.ValidationError as error:
+        return _malformed(f'a field is missing or has a wrong type: {error}')
+    if not 0 < len(given.caller) <= NAME_LENGTH:
+        return _malformed(
+            f'field caller must have 1 to {NAME_LENGTH} characters',
+        )
+    if len(given.request_id) > NAME_LENGTH:
+        return _malformed(
+            f'field request_id must have at most {NAME_LENGTH} characters',
+        )
+    return given
+
+
+def _find_route(
+    name: RouteName,
+    form: WorkKind,
+    routes: Mapping[RouteName, RouteSettings],
+) -> RouteSettings | Failure:
+    route = routes.get(name)
+    if route is None:
+        shown = name[:NAME_LENGTH]
+        allowed = sorted(routes)
+        return Failure(
+            ResultCode.UNKNOWN_ROUTE,
+            f'route {shown!r} does not exist; allowed are {allowed!r}',
+        )
+    if route.form is not form:
+        return Failure(
+            ResultCode.WRONG_FORM,
+            f'route {name!r} takes a {route.form}; send it to /v1/{route.form}',
+        )
+    return route
+
+
+def _lower_rank(text: str | None, highest: Rank) -> Rank | Failure:
+    if text is None:
+        return highest
+    if text not in _RANKS:
+        shown = text[:NAME_LENGTH]
+        allowed = [rank.value for rank in _RANKS]
+        return Failure(
+            ResultCode.UNKNOWN_RANK,
+            f'rank {shown!r} does not exist; allowed are {allowed!r}',
+        )
+    return max(Rank(text), highest, key=_RANKS.index)
+
+
+def _deadline_s(
+    deadline_ms: float | None,
+    route: RouteSettings,
+) -> Seconds | Failure:
+    if deadline_ms is None:
+        return route.deadline_ms / _MS_PER_S
+    if deadline_ms <= 0:
+        return Failure(
+            ResultCode.DEADLINE_PASSED,
+            f'deadline_ms is {deadline_ms!r}; it is the time left in '
+            f'milliseconds, above 0 and at most {route.deadline_ms!r}',
+        )
+    return min(deadline_ms, route.deadline_ms) / _MS_PER_S
+
+
+def _malformed(reason: str) -> Failure:
+    return Failure(ResultCode.MALFORMED_BODY, reason)
--- /dev/null
+++ b/boragespool/controllers/callers.py
@@ -0,0 +1,294 @@
+"""HTTP API towards callers; docs/api.md describes it."""
+
+from __future__ import annotations
+
+import itertools
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Any, Final, Self, TypeVar
+from urllib.parse import unquote
+
+import msgspec
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from boragespool.blackboard.topics import IN_FORCE, LOAD, PHASE
+from boragespool.controllers.caller_input import (
+    CheckedBody,
+    check_body,
+    check_parameter,
+    check_ticket,
+)
+from boragespool.controllers.caller_status import (
+    check_ready,
+    describe_health,
+    describe_status,
+)
+from boragespool.controllers.requests import ClaimRequest, QueryRequest
+from boragespool.http import HttpResponse, failure_response, json_response
+from boragespool.metrics import LATENCY, REQUESTS
+from boragespool.results import Failure, ResultCode, http_status
+from boragespool.settings import Settings
+from boragespool.types import Phase, RunState, WorkKind
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
+    from boragespool.controllers.caller_ports import CallerPorts
+    from boragespool.controllers.context import Context
+    from boragespool.controllers.requests import ClaimAnswer, QueryAnswer
+    from boragespool.http import HttpRequest
+    from boragespool.types import RequestId
+
+    _AnswerT = TypeVar('_AnswerT', QueryAnswer, ClaimAnswer)
+
+_LARGEST_COUNT: Final = 64
+_CLAIM_PREFIX: Final = '/v1/claim/'
+_METHODS_BY_PATH: Final = MappingProxyType(
+    {
+        '/v1/addresses': 'GET',
+        '/v1/query': 'POST',
+        '/v1/claim': 'POST',
+        _CLAIM_PREFIX: 'GET',
+        '/v1/health': 'GET',
+        '/v1/ready': 'GET',
+        '/v1/status': 'GET',
+        '/metrics': 'GET',
+    },
+)
+
+
+class CallerApi:
+    """Turns requests of callers into calls of other controllers.
+
+    Parameters
+    ----------
+    context : Context
+        Shared parts of the daemon.
+    ports : CallerPorts
+        Controllers that answer.
+    """
+
+    def __init__(self, context: Context, ports: CallerPorts) -> None:
+        """Start without requests."""
+        self._context = context
+        self._ports = ports
+        self._in_flight = 0
+        self._numbers = itertools.count(1)
+
+    async def __aenter__(self) -> Self:
+        """Return the API."""
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Post that nothing is in flight."""
+        self._context.board.post(LOAD, 0)
+
+    @property
+    def in_flight(self) -> int:
+        """Queries and claims that are not answered yet."""
+        return self._in_flight
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one HTTP request; bad input gets a numbered refusal."""
+        path = request.path
+        if path.startswith(_CLAIM_PREFIX):
+            path = _CLAIM_PREFIX
+        refused = _check_method(path, request)
+        if refused is not None:
+            return failure_response(refused)
+        match path:
+            case '/v1/query':
+                return await self._serve_query(request)
+            case '/v1/claim':
+                return await self._serve_claim(request)
+            case '/v1/claim/':
+                return await self._serve_outcome(request)
+            case '/v1/addresses':
+                return self._serve_addresses(request)
+        return self._serve_report(path)
+
+    def _serve_report(self, path: str) -> HttpResponse:
+        if path == '/metrics':
+            return HttpResponse(200, generate_latest(), CONTENT_TYPE_LATEST)
+        if path == '/v1/status':
+            queues = self._ports.dispatch.status()
+            return json_response(
+                describe_status(self._context, self._in_flight, queues),
+            )
+        failure = check_ready(self._context) if path == '/v1/ready' else None
+        if failure is not None:
+            return failure_response(failure)
+        return json_response(describe_health(self._context))
+
+    def _serve_addresses(self, request: HttpRequest) -> HttpResponse:
+        document = self._context.board.read(IN_FORCE)
+        settings = (document.settings if document else Settings()).addresses
+        given = request.query
+        count = check_parameter(
+            'count',
+            given.get('count'),
+            settings.count,
+            _LARGEST_COUNT,
+        )
+        tickets = check_parameter(
+            'tickets',
+            given.get('tickets'),
+            0,
+            _LARGEST_COUNT,
+        )
+        if isinstance(count, Failure):
+            return failure_response(count)
+        if isinstance(tickets, Failure):
+            return failure_response(tickets)
+        data_centre = given.get(
+            'data_centre',
+            self._context.identity.data_centre,
+        )
+        addresses = self._ports.members.addresses(data_centre, max(1, count))
+        if not addresses:
+            return failure_response(
+                Failure(
+                    ResultCode.NOT_READY,
+                    'the daemon knows no daemon that takes callers',
+                    retry_after_s=1,
+                ),
+            )
+        return json_response(
+            {
+                'addresses': addresses,
+                'keep_s': settings.keep_s,
+                'tickets': self._issue(tickets),
+            },
+        )
+
+    def _issue(self, count: int) -> tuple[str, ...]:
+        """Issue tickets, but not for the time after this daemon has left."""
+        if count and self._context.board.read(PHASE) is not Phase.LEAVING:
+            return self._ports.claims.issue(count)
+        return ()
+
+    async def _serve_query(self, request: HttpRequest) -> HttpResponse:
+        checked = self._check(request.body, WorkKind.QUERY)
+        if isinstance(checked, Failure):
+            return failure_response(checked)
+        given = checked.given
+        query = QueryRequest(
+            given.request_id or self._new_request_id(),
+            given.route,
+            given.caller,
+            bytes(given.body),
+            checked.deadline_s,
+            checked.lowered,
+        )
+        return await self._answer(
+            query.request_id,
+            (WorkKind.QUERY, checked.rank),
+            self._ports.query.answer(query),
+        )
+
+    async def _serve_claim(self, request: HttpRequest) -> HttpResponse:
+        checked = self._check(request.body, WorkKind.CLAIM)
+        if isinstance(checked, Failure):
+            return failure_response(checked)
+        given = checked.given
+        claim = ClaimRequest(
+            given.request_id or self._new_request_id(),
+            given.route,
+            given.caller,
+            given.ticket,
+            bytes(given.body),
+            checked.deadline_s,
+            checked.lowered,
+        )
+        return await self._answer(
+            claim.request_id,
+            (WorkKind.CLAIM, checked.rank),
+            self._ports.claims.run(claim),
+        )
+
+    async def _serve_outcome(self, request: HttpRequest) -> HttpResponse:
+        ticket = unquote(request.path.removeprefix(_CLAIM_PREFIX))
+        failure = check_ticket(ticket)
+        if failure is not None:
+            return failure_response(failure)
+        request_id = self._new_request_id()
+        return await self._answer(
+            request_id,
+            ('outcome', ''),
+            self._ports.claims.outcome(ticket, request_id),
+        )
+
+    def _check(self, raw: bytes, form: WorkKind) -> CheckedBody | Failure:
+        document = self._context.board.read(IN_FORCE)
+        if document is None:
+            return Failure(
+                ResultCode.NOT_READY,
+                'the daemon has no configuration yet',
+                retry_after_s=1,
+            )
+        return check_body(raw, form, document.settings)
+
+    def _new_request_id(self) -> RequestId:
+        identity = self._context.identity
+        number = next(self._numbers)
+        return f'{identity.host}.{identity.incarnation}.{number}'
+
+    async def _answer(
+        self,
+        request_id: RequestId,
+        labels: tuple[str, str],
+        answering: Awaitable[_AnswerT | Failure],
+    ) -> HttpResponse:
+        """Await one controller and encode its answer."""
+        started_s = self._context.timers.now_s()
+        self._count_in_flight(1)
+        try:
+            answer = await answering
+        finally:
+            self._count_in_flight(-1)
+        taken_s = self._context.timers.now_s() - started_s
+        LATENCY.labels(*labels).observe(taken_s)
+        if not isinstance(answer, Failure) and answer.request_id != request_id:
+            answer = _crossed(request_id, answer.request_id)
+        REQUESTS.labels(*labels, int(answer.code)).inc()
+        if isinstance(answer, Failure):
+            return _refuse(answer, request_id)
+        body: dict[str, Any] = msgspec.to_builtins(answer)
+        body['name'] = answer.code.name.lower()
+        return json_response(body, http_status(answer.code))
+
+    def _count_in_flight(self, change: int) -> None:
+        self._in_flight += change
+        self._context.board.post(LOAD, self._in_flight)
+
+
+def _check_method(path: str, request: HttpRequest) -> Failure | None:
+    method = _METHODS_BY_PATH.get(path)
+    if method is None:
+        shown = path[:_LARGEST_COUNT]
+        allowed = sorted(_METHODS_BY_PATH)
+        return Failure(
+            ResultCode.UNKNOWN_PATH,
+            f'path {shown!r} does not exist; allowed are {allowed!r}',
+        )
+    if method != request.method:
+        return Failure(
+            ResultCode.WRONG_METHOD,
+            f'method {request.method!r} is not allowed at {path!r}; '
+            f'allowed is {method!r}',
+        )
+    return None
+
+
+def _crossed(request_id: RequestId, other: RequestId) -> Failure:
+    """Refuse the answer to another request."""
+    return Failure(
+        ResultCode.INTERNAL_ERROR,
+        f'request {request_id!r} got the answer to request {other!r}',
+        RunState.UNKNOWN,
+    )
+
+
+def _refuse(failure: Failure, request_id: RequestId) -> HttpResponse:
+    refused = failure_response(failure)
+    body: dict[str, Any] = msgspec.json.decode(refused.body)
+    return json_response(body | {'request_id': request_id}, refused.status)
--- a/boragespool/controllers/requests.py
+++ b/boragespool/controllers/requests.py
@@ -29,6 +29,8 @@
         JSON of the query, passed to backend servers as it is.
     deadline_s : float
         Time left for the answer, in seconds.
+    rank : Rank or None
+        Rank if it is lower than the rank of the route.
     """
 
     request_id: RequestId
@@ -36,6 +38,7 @@
     caller: CallerName
     body: bytes
     deadline_s: Seconds
+    rank: Rank | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +71,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimRequest:
-    """A checked claim under a ticket."""
+    """A checked claim under a ticket.
+
+    Attributes
+    ----------
+    deadline_s : float
+        Time left for the answer, in seconds.
+    rank : Rank or None
+        Rank if it is lower than the rank of the route.
+    """
 
     request_id: RequestId
     route: RouteName
@@ -76,6 +87,7 @@
     ticket: str
     body: bytes
     deadline_s: Seconds
+    rank: Rank | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragespool/http/messages.py
+++ b/boragespool/http/messages.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Final
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import SplitResult, parse_qs, urlsplit
 
 import msgspec
 
@@ -30,12 +30,12 @@
     @property
     def path(self) -> str:
         """Path without the query string."""
-        return urlsplit(self.target).path
+        return _split(self.target).path
 
     @property
     def query(self) -> Mapping[str, str]:
         """Last value of each query string parameter."""
-        parsed = parse_qs(urlsplit(self.target).query)
+        parsed = parse_qs(_split(self.target).query)
         return {name: given[-1] for name, given in parsed.items()}
 
 
@@ -49,6 +49,14 @@
     close: bool = False
 
 
+def _split(target: str) -> SplitResult:
+    """Split a target; one that is not a URL, such as ``//[``, has no path."""
+    try:
+        return urlsplit(target)
+    except ValueError:
+        return SplitResult('', '', '', '', '')
+
+
 def json_response(body: Any, status: int = 200) -> HttpResponse:
     """Encode a body that msgspec can encode as JSON."""
     return HttpResponse(status, _ENCODER.encode(body))
--- a/boragespool/http/server.py
+++ b/boragespool/http/server.py
@@ -14,6 +14,7 @@
 from boragespool.http.exchange import ServerExchange
 from boragespool.http.messages import HttpResponse, failure_response
 from boragespool.results import Failure, ResultCode
+from boragespool.types import RunState
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -202,6 +203,7 @@
                 Failure(
                     ResultCode.INTERNAL_ERROR,
                     'the request failed inside the daemon; see event 201',
+                    RunState.UNKNOWN,
                 ),
             )
 
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,263 @@
+"""API towards callers."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from boragespool.blackboard.topics import LOAD, PHASE
+from boragespool.http import HttpLimits, HttpRequest, HttpServer
+from boragespool.results import Failure, ResultCode
+from boragespool.types import Phase, Rank
+from tests.caller_fakes import FakeTier, make_api
+from tests.standin_calls import call, decoded, encoded
+
+QUERY = {'route': 'lookup', 'caller': 'till', 'body': {'match': 'a'}}
+CLAIM = {'route': 'unlock', 'caller': 'till', 'body': {}, 'ticket': 't-0'}
+
+
+def send(api, method, target, body=None):
+    """Send one request; return status and decoded body."""
+    request = HttpRequest(method, target, encoded(body))
+    return decoded(asyncio.run(api.handle(request)))
+
+
+BAD_BODIES = [
+    (b'', ResultCode.MALFORMED_BODY),
+    (b'[]', ResultCode.MALFORMED_BODY),
+    (b'{"route":', ResultCode.MALFORMED_BODY),
+    (b'\xff', ResultCode.MALFORMED_BODY),
+    (b'{"a":' * 50_000, ResultCode.MALFORMED_BODY),
+    (b'{"a":NaN}', ResultCode.MALFORMED_BODY),
+    (b'{"a":1,"a":1}', ResultCode.DUPLICATE_KEY),
+    (
+        b'{"route":"lookup","caller":"c","body":{"x":[{"y":1,"y":2}]}}',
+        ResultCode.DUPLICATE_KEY,
+    ),
+    *(
+        (
+            b'{"route":"lookup","caller":"c","body":%s}' % body,
+            ResultCode.MALFORMED_BODY,
+        )
+        for body in (b'[NaN]', b'[1e999]', b'"\\ud800"')
+    ),
+    ({'route': 'lookup'}, ResultCode.MALFORMED_BODY),
+    (QUERY | {'caller': 3}, ResultCode.MALFORMED_BODY),
+    (QUERY | {'caller': ''}, ResultCode.MALFORMED_BODY),
+    (QUERY | {'deadline': 3}, ResultCode.MALFORMED_BODY),
+    (QUERY | {'deadline_ms': '3'}, ResultCode.MALFORMED_BODY),
+    (QUERY | {'deadline_ms': True}, ResultCode.MALFORMED_BODY),
+    (QUERY | {'request_id': 'x' * 200}, ResultCode.MALFORMED_BODY),
+    (QUERY | {'route': 'x'}, ResultCode.UNKNOWN_ROUTE),
+    (QUERY | {'route': 'unlock'}, ResultCode.WRONG_FORM),
+    (QUERY | {'rank': 'vital'}, ResultCode.UNKNOWN_RANK),
+    (QUERY | {'deadline_ms': 0}, ResultCode.DEADLINE_PASSED),
+    (QUERY | {'deadline_ms': -5.5}, ResultCode.DEADLINE_PASSED),
+]
+
+
+@pytest.mark.parametrize(('body', 'code'), BAD_BODIES)
+def test_bad_queries_get_their_code(body, code):
+    """Bad input must get its number and must not reach a controller."""
+    tier = FakeTier()
+    status, refusal = send(make_api(tier)[0], 'POST', '/v1/query', body)
+    assert refusal['code'] == code
+    assert 400 <= status < 500
+    assert refusal['run'] == 'not_run'
+    assert refusal['retry_after_s'] == 0
+    assert refusal['reason']
+    assert not tier.requests
+
+
+@pytest.mark.parametrize(
+    ('method', 'target', 'code'),
+    [
+        ('GET', '/v1/query', ResultCode.WRONG_METHOD),
+        ('POST', '/v1/claim/t-0', ResultCode.WRONG_METHOD),
+        ('GET', '/v2', ResultCode.UNKNOWN_PATH),
+        ('GET', '//[', ResultCode.UNKNOWN_PATH),
+        ('GET', '/v1/claim/', ResultCode.BAD_TICKET),
+        ('GET', '/v1/claim/%00', ResultCode.BAD_TICKET),
+        ('GET', '/v1/claim/' + 'x' * 600, ResultCode.BAD_TICKET),
+        ('GET', '/v1/addresses?count=-1', ResultCode.MALFORMED_PARAMETER),
+        ('GET', '/v1/addresses?tickets=65', ResultCode.MALFORMED_PARAMETER),
+        ('GET', '/v1/addresses?tickets=%C2%B2', ResultCode.MALFORMED_PARAMETER),
+    ],
+)
+def test_bad_targets_get_their_code(method, target, code):
+    """A misspelt path or parameter must get a sentence, not a traceback."""
+    status, refusal = send(make_api(FakeTier())[0], method, target)
+    assert refusal['code'] == code
+    assert 400 <= status < 500
+
+
+@pytest.mark.parametrize('ticket', ['', 'a b', 'é', 'x' * 600])
+def test_bad_tickets_do_not_reach_the_claim_controller(ticket):
+    """A ticket that nobody issued must not be recorded."""
+    tier = FakeTier()
+    body = CLAIM | {'ticket': ticket}
+    _, refusal = send(make_api(tier)[0], 'POST', '/v1/claim', body)
+    assert refusal['code'] == ResultCode.BAD_TICKET
+    assert not tier.requests
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from([*CLAIM, 'rank', 'x']), inner)
+    ),
+    max_leaves=8,
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(
+    changed=st.dictionaries(
+        st.sampled_from([*CLAIM, 'deadline_ms', 'rank', 'request_id']),
+        JSON,
+        max_size=3,
+    ),
+    cut=st.integers(0, 40),
+)
+def test_any_input_gets_a_numbered_answer(changed, cut):
+    """No input may raise an exception in the daemon."""
+    whole = encoded(CLAIM | changed)
+    for raw in (whole, whole[:cut]):
+        status, answer = send(
+            make_api(FakeTier())[0],
+            'POST',
+            '/v1/claim',
+            raw,
+        )
+        assert answer['code'] in set(ResultCode)
+        assert status < 500
+
+
+@settings(derandomize=True, max_examples=60)
+@given(
+    rank=st.none() | st.sampled_from(list(Rank)),
+    deadline_ms=st.none() | st.floats(0.001, 1e6),
+)
+def test_callers_may_only_lower_rank_and_deadline(rank, deadline_ms):
+    """A caller must not get ahead of others by what it asks for."""
+    tier = FakeTier()
+    asked = QUERY | {'rank': rank, 'deadline_ms': deadline_ms}
+    status, answer = send(make_api(tier)[0], 'POST', '/v1/query', asked)
+    assert status == 200
+    (request,) = tier.requests
+    is_lower = rank is Rank.DEFERRABLE
+    assert request.rank is (Rank.DEFERRABLE if is_lower else None)
+    assert request.deadline_s == min(deadline_ms or 800, 800) / 1_000
+    assert msgspec.json.decode(request.body) == {'match': 'a'}
+    assert (answer['coverage'], answer['snapshot']) == (0.5, 7)
+    assert answer['missing'] == [[0, 2**31]]
+    assert answer['code'] == ResultCode.PARTIAL
+
+
+def test_refusals_keep_run_state_and_retry_time():
+    """A refusal must pass on whether the work ran."""
+    tier = FakeTier(
+        script=[
+            Failure(ResultCode.QUEUE_FULL, 'full', retry_after_s=2),
+            Failure(ResultCode.OUTCOME_UNKNOWN, 'lost', 'unknown'),
+        ],
+    )
+    api, _ = make_api(tier)
+    status, refusal = send(api, 'POST', '/v1/claim', CLAIM)
+    assert (status, refusal['run'], refusal['retry_after_s']) == (
+        429,
+        'not_run',
+        2,
+    )
+    body = CLAIM | {'request_id': 'mine'}
+    status, refusal = send(api, 'POST', '/v1/claim', body)
+    assert (status, refusal['run']) == (504, 'unknown')
+    assert refusal['request_id'] == 'mine'
+    status, answer = send(api, 'POST', '/v1/claim', CLAIM)
+    assert (status, answer['run']) == (200, 'run')
+    assert answer['outcome'] == {'ticket': 't-0'}
+    assert send(api, 'GET', '/v1/claim/t-0')[1]['outcome'] == answer['outcome']
+
+
+def test_crossed_answer_is_not_passed_on():
+    """A caller must never see the answer to the request of another."""
+    api, _ = make_api(FakeTier(wrong_id='other'))
+    status, refusal = send(api, 'POST', '/v1/query', QUERY)
+    assert (status, refusal['run']) == (500, 'unknown')
+    assert 'items' not in refusal
+
+
+def test_fault_after_the_start_of_a_claim_is_unknown():
+    """An exception must not promise that the claim did not run."""
+
+    async def fail(request):
+        raise ValueError(request)
+
+    async def run():
+        api, _ = make_api(FakeTier(script=[fail]))
+        limits = HttpLimits()
+        async with HttpServer('127.0.0.1:0', limits, api.handle) as server:
+            return await call(server.address, 'POST', '/v1/claim', CLAIM)
+
+    status, refusal = asyncio.run(run())
+    assert (status, refusal['run']) == (500, 'unknown')
+
+
+def test_load_counts_requests_in_flight():
+    """Addresses are chosen by load, which must fall back to 0."""
+
+    async def run():
+        api, board = make_api(FakeTier(delay_s=0.02))
+        request = HttpRequest('POST', '/v1/query', encoded(QUERY))
+        running = [asyncio.create_task(api.handle(request)) for _ in '123']
+        await asyncio.sleep(0.01)
+        assert board.read(LOAD) == api.in_flight == 3
+        running[0].cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+        assert board.read(LOAD) == api.in_flight == 0
+
+    asyncio.run(run())
+
+
+def test_leaving_daemon_serves_but_gives_no_tickets():
+    """Tickets of a daemon that leaves would outlive their issuer."""
+    tier = FakeTier(addresses_given=['127.0.0.1:9'])
+    api, board = make_api(tier)
+    target = '/v1/addresses?tickets=2&count=1'
+    _, answer = send(api, 'GET', target)
+    assert answer['tickets'] == ['t-0', 't-1']
+    assert (answer['addresses'], answer['keep_s']) == (['127.0.0.1:9'], 5)
+    board.post(PHASE, Phase.LEAVING)
+    assert send(api, 'GET', target)[1]['tickets'] == []
+    assert send(api, 'POST', '/v1/query', QUERY)[0] == 200
+    assert send(api, 'GET', '/v1/ready')[1]['code'] == ResultCode.LEAVING
+    assert send(api, 'GET', '/v1/health')[0] == 200
+
+
+def test_daemon_without_revision_is_not_ready():
+    """A daemon must not guess routes before it has a configuration."""
+    api, _ = make_api(FakeTier(), Phase.STARTING, settings=None)
+    for method, target, body in (
+        ('POST', '/v1/query', QUERY),
+        ('GET', '/v1/ready', None),
+        ('GET', '/v1/addresses', None),
+    ):
+        status, refusal = send(api, method, target, body)
+        assert (status, refusal['code']) == (503, ResultCode.NOT_READY)
+    assert send(api, 'GET', '/v1/status')[1]['revision'] == 0
+
+
+def test_reports():
+    """Operators need revision, queues and counters of a daemon."""
+    api, _ = make_api(FakeTier())
+    _, status = send(api, 'GET', '/v1/status')
+    assert (status['revision'], status['phase']) == (3, 'ready')
+    assert status['queues'] == {'lots-0': {'urgent': 3}}
+    send(api, 'POST', '/v1/query', QUERY)
+    response = asyncio.run(api.handle(HttpRequest('GET', '/metrics')))
+    assert b'boragespool_requests_total{code="1001"' in response.body
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -86,7 +86,7 @@
 
 
 def test_handler_exception_is_hidden():
-    """A fault inside the daemon must not leak its traceback."""
+    """A fault inside must not leak its traceback or promise `not_run`."""
 
     async def run() -> None:
         async with listening() as server:
@@ -97,6 +97,7 @@
                 )
         assert response.status == 500
         assert b'ValueError' not in response.body
+        assert msgspec.json.decode(response.body)['run'] == 'unknown'
 
     asyncio.run(run())
 
