Read, merge and validate a folder of settings

Cause: the settings schema existed, but nothing read a folder of TOML files into it.

A layer records whether a table replaces, merges or only removes. Hypothesis found that a removal below a scalar would otherwise replace that scalar by an empty table.

--- a/boragespool/settings/__init__.py
+++ b/boragespool/settings/__init__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from boragespool.settings.folder import load_folder, problems_or_settings
+from boragespool.settings.problems import Problem, describe
 from boragespool.settings.schema import (
     AddressSettings,
     ClaimSettings,
@@ -12,14 +14,21 @@
     ServiceSettings,
     Settings,
 )
+from boragespool.settings.validation import check, validate
 
 __all__ = (
     'AddressSettings',
     'ClaimSettings',
     'HedgingSettings',
+    'Problem',
     'RankSettings',
     'RouteSettings',
     'ServerSettings',
     'ServiceSettings',
     'Settings',
+    'check',
+    'describe',
+    'load_folder',
+    'problems_or_settings',
+    'validate',
 )
--- /dev/null
+++ b/tests/test_settings_merge.py
@@ -0,0 +1,126 @@
+"""The merge rule of the settings folder."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from boragespool.settings.merge import (
+    EMPTY,
+    compose,
+    file_of,
+    find,
+    layer,
+    merge,
+    plain,
+    settle,
+)
+
+KEYS = st.sampled_from('abc')
+VALUES = st.integers(0, 9) | st.lists(st.integers(0, 9), max_size=2)
+TABLES = st.recursive(
+    st.dictionaries(KEYS, VALUES, max_size=3),
+    lambda inner: st.dictionaries(KEYS, VALUES | inner, max_size=3),
+    max_leaves=6,
+)
+PATHS = st.lists(KEYS, min_size=1, max_size=3).map('.'.join)
+LAYERS = st.builds(
+    layer,
+    st.sampled_from(('1.toml', '2.toml', '3.toml')),
+    TABLES,
+    st.lists(PATHS, max_size=2),
+)
+
+
+def oracle(files):
+    """Apply files one by one to a dictionary, as the rule is worded."""
+    merged = {}
+    for content, removed in files:
+        for path in removed:
+            *parents, last = path.split('.')
+            table = merged
+            for key in parents:
+                table = table.get(key)
+                if not isinstance(table, dict):
+                    break
+            else:
+                table.pop(last, None)
+        update(merged, content)
+    return merged
+
+
+def update(target, content):
+    """Merge tables by key and replace everything else."""
+    for key, value in content.items():
+        if isinstance(value, dict):
+            if not isinstance(target.get(key), dict):
+                target[key] = {}
+            update(target[key], value)
+        else:
+            target[key] = value
+
+
+def leaves(content, prefix=''):
+    """List the dotted paths of all scalars and lists."""
+    for key, value in content.items():
+        if isinstance(value, dict):
+            yield from leaves(value, f'{prefix}{key}.')
+        else:
+            yield f'{prefix}{key}', value
+
+
+@settings(derandomize=True, max_examples=500)
+@given(LAYERS, LAYERS, LAYERS)
+def test_compose_is_associative(first, second, third):
+    """Grouping of files must not change the outcome."""
+    left = compose(compose(first, second), third)
+    assert left == compose(first, compose(second, third))
+    assert compose(EMPTY, first).entries == first.entries
+
+
+@settings(derandomize=True, max_examples=500)
+@given(st.lists(st.tuples(TABLES, st.lists(PATHS, max_size=2)), max_size=4))
+def test_merge_follows_the_rule(files):
+    """A removal or a change of type must not keep or drop other keys."""
+    layers = [layer('f', content, removed) for content, removed in files]
+    assert plain(settle(merge(layers))) == oracle(files)
+
+
+@settings(derandomize=True, max_examples=300)
+@given(st.lists(TABLES, min_size=1, max_size=4))
+def test_later_file_wins_and_nothing_is_lost(contents):
+    """Each value survives unless a later file sets its path."""
+    names = [f'{number}.toml' for number in range(len(contents))]
+    merged = settle(merge(map(layer, names, contents)))
+    for number, content in enumerate(contents):
+        for path, value in leaves(content):
+            later = [
+                later_path
+                for other in contents[number + 1 :]
+                for later_path, _ in leaves(other)
+            ]
+            related = any(
+                f'{path}.'.startswith(f'{one}.')
+                or f'{one}.'.startswith(f'{path}.')
+                for one in later
+            )
+            replaced_by_table = any(
+                isinstance(find(layer('', other), path), type(merged))
+                for other in contents[number + 1 :]
+            )
+            if not related and not replaced_by_table:
+                assert plain(find(merged, path)) == value
+                assert file_of(merged, path) == names[number]
+    for path, value in leaves(contents[-1]):
+        assert plain(find(merged, path)) == value
+
+
+def test_removal_acts_before_the_same_file():
+    """A file must be able to replace a table as a whole."""
+    merged = merge(
+        (
+            layer('1', {'a': {'old': 1, 'kept': 2}}),
+            layer('2', {'a': {'new': 3}}, ('a', 'a.old')),
+        ),
+    )
+    assert plain(settle(merged)) == {'a': {'new': 3}}
