--- a/boragespool/revisions/document.py
+++ b/boragespool/revisions/document.py
@@ -19,7 +19,7 @@
     author : str
         Operator, as the command was told.
     action : str
-        ``apply``, ``rollback``, ``drain`` or ``clear``.
+        ``apply``, ``rollback``, ``drain``, ``undrain`` or ``clear``.
     base : int
         Revision that the change started from.
     """
@@ -33,6 +33,23 @@
     note: str = ''
 
 
+@dataclass(frozen=True, slots=True)
+class Clearance:
+    """A fingerprint that an operator cleared.
+
+    Attributes
+    ----------
+    fingerprint : int
+        xxhash of route and body.
+    revision : int
+        Revision that cleared it. A daemon acts once, when it replaces an
+        older revision, so that the fingerprint can be blocked again later.
+    """
+
+    fingerprint: int
+    revision: Revision
+
+
 @dataclass(frozen=True, slots=True)
 class RevisionDocument:
     """A whole merged configuration with its audit trail.
@@ -43,9 +60,12 @@
         Random identifier of the change; settles a lost answer.
     audit : tuple of AuditEntry
         Bounded trail, newest last; it includes this revision's entry.
+    cleared : tuple of Clearance
+        Bounded, newest last.
     """
 
     revision: Revision
     change_id: str
     settings: Settings
     audit: tuple[AuditEntry, ...] = ()
+    cleared: tuple[Clearance, ...] = ()
