--- a/boragespool/messages/__init__.py
+++ b/boragespool/messages/__init__.py
@@ -16,6 +16,7 @@
     WitnessReply,
     WitnessVerdict,
 )
+from boragespool.messages.hosts import LeavingHosts, LeavingHostsRequest
 from boragespool.messages.membership import (
     Ack,
     Gossip,
@@ -50,6 +51,8 @@
     'HandOverAck',
     'Holding',
     'Item',
+    'LeavingHosts',
+    'LeavingHostsRequest',
     'MemberRecord',
     'Ping',
     'PingRequest',
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,251 @@
+"""Configuration controller: watching, spreading, outages."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from boragespool.blackboard.topics import IN_FORCE
+from boragespool.controllers.pauses import backoff_s
+from boragespool.messages import LeavingHosts
+from boragespool.revisions import Change, encode_document, next_document
+from boragespool.revisions.host_list import publishable, supersedes
+from boragespool.settings import Settings
+from tests.configuration_fleet import Fleet
+
+
+def documents(count):
+    """Encode revisions 1 to `count`."""
+    document = None
+    encoded = []
+    for number in range(count):
+        change = Change(str(number), 'apply', 'amina', 1)
+        document = next_document(Settings(), document, change)
+        encoded.append(encode_document(document).decode())
+    return encoded
+
+
+def test_revision_is_in_force_everywhere_within_seconds():
+    """Daemons that do not watch must learn revisions from their peers."""
+
+    async def run() -> None:
+        async with Fleet(20) as fleet:
+            for number, value in enumerate(documents(4), start=1):
+                fleet.platform.put(value)
+                await fleet.advance(3)
+                assert fleet.revisions() == {number}
+
+    asyncio.run(run())
+
+
+def test_only_three_daemons_call_the_store():
+    """Calls that grow with the fleet would exceed the store's rates."""
+
+    async def run() -> None:
+        async with Fleet(20) as fleet:
+            await fleet.advance(15)
+            watching = [one.is_watcher for one in fleet.controllers.values()]
+            assert sum(watching) == 3
+            fleet.platform.calls.update(watch=0, hosts=0)
+            fleet.platform.watchers.clear()
+            await fleet.advance(60)
+            assert len(fleet.platform.watchers) == 3
+            assert fleet.platform.calls['watch'] <= 21
+            assert fleet.platform.calls['hosts'] <= 3 * 121
+
+    asyncio.run(run())
+
+
+def test_watcher_that_fails_is_replaced():
+    """A fleet whose watchers died would never learn a revision again."""
+
+    async def run() -> None:
+        async with Fleet(6) as fleet:
+            await fleet.advance(1)
+            fleet.cut_off = {
+                host
+                for host, controller in fleet.controllers.items()
+                if controller.is_watcher
+            }
+            assert len(fleet.cut_off) == 3
+            await fleet.advance(1)
+            fleet.platform.put(documents(1)[0])
+            await fleet.advance(3)
+            assert fleet.revisions() == {1}
+
+    asyncio.run(run())
+
+
+def test_start_while_the_store_is_down():
+    """The highest revision of the peers is taken and never reverted."""
+
+    async def run() -> None:
+        first, second, _, fourth = documents(4)
+        async with Fleet(5) as fleet:
+            fleet.platform.put(second)
+            await fleet.advance(3)
+            fleet.platform.down = True
+            await fleet.advance(2)
+            await fleet.start('late')
+            await fleet.advance(3)
+            assert fleet.revision('late') == 2
+            fleet.platform.down = False
+            fleet.platform.put(first)
+            await fleet.advance(8)
+            assert fleet.revisions() == {2}
+            fleet.platform.put(fourth)
+            await fleet.advance(3)
+            assert fleet.revisions() == {4}
+
+    asyncio.run(run())
+
+
+def test_all_start_while_the_store_is_down():
+    """Nobody has a revision until the store answers; then all have it."""
+
+    async def run() -> None:
+        async with Fleet(5) as fleet:
+            fleet.platform.down = True
+            fleet.platform.put(documents(1)[0])
+            await fleet.advance(60)
+            assert fleet.revisions() == {0}
+            assert fleet.platform.calls['watch'] <= 5 + 3 * 25
+            fleet.platform.down = False
+            await fleet.advance(6)
+            assert fleet.revisions() == {1}
+
+    asyncio.run(run())
+
+
+def test_store_that_answers_at_once_is_not_called_in_a_loop():
+    """A store without long polls must not receive thousands of calls."""
+
+    async def run() -> None:
+        async with Fleet(1) as fleet:
+            client = fleet.platform.client('h0')
+
+            async def watch(key, after_version, wait_s):
+                return await client.watch(key, after_version, 0)
+
+            fleet.controllers['h0']._store.watch = watch
+            await fleet.advance(10)
+            calls = fleet.platform.calls['watch']
+            await fleet.advance(10)
+            assert fleet.platform.calls['watch'] - calls <= 21
+
+    asyncio.run(run())
+
+
+def test_invalid_document_leaves_the_old_one_in_force():
+    """A document that fails validation must not stop a daemon."""
+
+    async def run() -> None:
+        first, second, third = documents(3)
+        async with Fleet(4) as fleet:
+            fleet.platform.put(first)
+            await fleet.advance(3)
+            fleet.platform.put(second.replace('"keep_s":5', '"keep_s":-5'))
+            await fleet.advance(3)
+            assert fleet.revisions() == {1}
+            fleet.platform.put(third)
+            await fleet.advance(3)
+            assert fleet.revisions() == {3}
+
+    asyncio.run(run())
+
+
+def test_error_of_a_subscriber_does_not_end_the_watch():
+    """One faulty subscriber must not freeze the configuration."""
+
+    async def run() -> None:
+        first, second = documents(2)
+        async with Fleet(1) as fleet:
+
+            def fail(document):
+                if document.revision == 1:
+                    raise ValueError(document)
+
+            fleet.boards['h0'].subscribe(IN_FORCE, fail)
+            fleet.platform.put(first)
+            await fleet.advance(1)
+            fleet.platform.put(second)
+            await fleet.advance(8)
+            assert fleet.revisions() == {2}
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('loss', [0, 0.7])
+def test_leaving_hosts_reach_daemons_that_do_not_watch(loss):
+    """A backend server that leaves gets no new work after 3 seconds."""
+
+    async def run() -> None:
+        async with Fleet(20) as fleet:
+            await fleet.advance(2)
+            fleet.loss = loss
+            fleet.platform.leaving = ('b1', 'b2')
+            await fleet.advance(3)
+            assert fleet.leaving() == {frozenset({'b1', 'b2'})}
+            fleet.platform.leaving = ('b2',)
+            await fleet.advance(4)
+            assert fleet.leaving() == {frozenset({'b2'})}
+            fleet.platform.down = True
+            await fleet.advance(10)
+            assert fleet.leaving() == {frozenset({'b2'})}
+            sent = sum(peers.sent for peers in fleet.peers.values())
+            # Each daemon passes each list on once, and up to three
+            # watchers publish the same change.
+            assert sent <= 3 * 3 * 20 * 4
+
+    asyncio.run(run())
+
+
+def test_lists_are_ordered_and_removals_confirmed():
+    """Copies of the platform's list that lag must not undo each other."""
+    current = LeavingHosts(4, 'w1', ('a', 'b'))
+    assert not supersedes(current, current)
+    assert supersedes(current, LeavingHosts(4, 'w2'))
+    assert not supersedes(current, LeavingHosts(3, 'w9'))
+    both = frozenset('ab')
+    only_a = frozenset('a')
+    assert publishable(current, both, both, 'w2') is None
+    assert publishable(current, only_a, both, 'w2') is None
+    assert publishable(current, only_a, only_a, 'w2') == LeavingHosts(
+        5, 'w2', ('a',)
+    )
+    assert publishable(current, both | {'c'}, only_a, 'w2').hosts == (
+        'a',
+        'b',
+        'c',
+    )
+
+
+def test_backoff_grows_to_its_limit():
+    """Daemons that failed together must not call together again."""
+    assert backoff_s(1, 0.1, 3, 0) == pytest.approx(0.05)
+    assert backoff_s(4, 0.1, 3, 0.5) == pytest.approx(0.6)
+    assert backoff_s(10_000, 0.1, 3, 0.999) < 3
+
+
+def test_late_answer_does_not_undo_a_newer_list():
+    """An answer that is older than a received list must not be published."""
+
+    async def run() -> None:
+        async with Fleet(2) as fleet:
+            await fleet.advance(1)
+            host_list = fleet.controllers['h0']._host_list
+            fleet.platform.leaving = ('gone',)
+            hosts = fleet.platform.client('h0').hosts
+
+            async def slow_hosts():
+                answer = await hosts()
+                newer = LeavingHosts(9, 'h1', ('new',))
+                fleet.peers['h0'].handlers[LeavingHosts](None, newer)
+                return answer
+
+            host_list._source.hosts = slow_hosts
+            await host_list.read()
+            assert fleet.leaving() == {frozenset({'new'})}
+
+    asyncio.run(run())
