--- /dev/null
+++ b/tests/test_ranks.py
@@ -0,0 +1,280 @@
+"""Queue of one backend server by rank."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import deque
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from boragespool.ranks import QueuedWork, ServerQueue
+from boragespool.results import ResultCode
+from boragespool.settings import RankSettings
+from boragespool.types import Rank
+
+URGENT, ROUTINE, DEFERRABLE = Rank
+FLOORS = {
+    URGENT: RankSettings(floor=0.2, cap=1),
+    ROUTINE: RankSettings(floor=0.2, cap=0.8),
+    DEFERRABLE: RankSettings(floor=0.1, cap=0.4),
+}
+NO_FLOORS = {
+    URGENT: RankSettings(cap=1, queue_limit=6),
+    ROUTINE: RankSettings(cap=0.6, queue_limit=6),
+    DEFERRABLE: RankSettings(cap=0.4, queue_limit=6),
+}
+NAMES = (f'w{number}' for number in itertools.count())
+
+
+def work(rank, caller='c', deadline_at_s=1e9, **options):
+    """Build work with a fresh attempt."""
+    return QueuedWork(next(NAMES), rank, caller, deadline_at_s, **options)
+
+
+def offer_all(queue, rank, count, now_s=0, **options):
+    """Offer several pieces of work; return them."""
+    offered = [work(rank, **options) for _ in range(count)]
+    for each in offered:
+        assert not queue.offer(each, now_s)
+    return offered
+
+
+class Oracle:
+    """The rules without floors, on plain lists."""
+
+    def __init__(self, slots):
+        self.slots = slots
+        self.turns = {rank: deque() for rank in Rank}
+        self.waiting = {rank: [] for rank in Rank}
+        self.running = []
+
+    def push(self, new):
+        self.waiting[new.rank].append(new)
+        if new.caller not in self.turns[new.rank]:
+            self.turns[new.rank].append(new.caller)
+
+    def offered(self, new, refused):
+        if new not in refused:
+            self.push(new)
+            for each in refused:
+                self.remove(each)
+            return
+        # Only a caller with its fair share may be refused.
+        lane = self.waiting[new.rank]
+        own = sum(w.caller == new.caller for w in lane)
+        callers = {w.caller for w in lane} | {new.caller}
+        assert own >= 6 // len(callers)
+
+    def remove(self, old):
+        self.waiting[old.rank].remove(old)
+        if not any(w.caller == old.caller for w in self.waiting[old.rank]):
+            self.turns[old.rank].remove(old.caller)
+
+    def below_cap(self, rank):
+        held = sum(w.rank == rank for w in self.running)
+        return held < max(1, int(NO_FLOORS[rank].cap * self.slots + 1e-9))
+
+    def take(self):
+        started = []
+        while len(self.running) < self.slots:
+            ranks = [rank for rank in Rank if self.waiting[rank]]
+            ranks.sort(key=lambda rank: not self.below_cap(rank))
+            if not ranks:
+                break
+            caller = self.turns[ranks[0]][0]
+            chosen = next(
+                w for w in self.waiting[ranks[0]] if w.caller == caller
+            )
+            self.remove(chosen)
+            if caller in self.turns[ranks[0]]:
+                self.turns[ranks[0]].rotate(-1)
+            self.running.append(chosen)
+            started.append(chosen)
+        return started
+
+
+def random_operations(seed, count=150):
+    """Draw operations so that the queues are full part of the time."""
+    draw = random.Random(seed)
+    offers = draw.uniform(0.4, 0.8)
+    for _ in range(count):
+        if draw.random() < offers:
+            yield 'offer', draw.choice(list(Rank)), draw.choice('abc')
+        else:
+            name = draw.choice(('finish', 'finish', 'withdraw'))
+            yield name, draw.randrange(10), ''
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(st.integers(), st.integers(1, 5))
+def test_choice_follows_the_oracle(seed, slots):
+    """Wrong order of ranks, caps, or callers' turns; lost or doubled work."""
+    queue, oracle = ServerQueue(slots, NO_FLOORS), Oracle(slots)
+    for now_s, (name, first, caller) in enumerate(random_operations(seed)):
+        if name == 'offer':
+            new = work(first, caller)
+            oracle.offered(new, [w.work for w in queue.offer(new, now_s)])
+        elif name == 'finish' and oracle.running:
+            done = oracle.running.pop(first % len(oracle.running))
+            assert queue.finish(done.attempt_id, now_s)
+        elif name == 'withdraw':
+            lane = [w for rank in Rank for w in oracle.waiting[rank]]
+            if lane:
+                gone = lane[first % len(lane)]
+                assert queue.withdraw(gone.attempt_id) == gone
+                oracle.remove(gone)
+        assert list(queue.take(now_s).started) == oracle.take()
+        for rank, counts in queue.counts_by_rank.items():
+            assert counts.waiting == len(oracle.waiting[rank]) <= 6
+
+
+def saturate(queue, seconds, demand, service_s=lambda: 0.02):
+    """Keep the given ranks backlogged; return served slot seconds by rank."""
+    served = dict.fromkeys(Rank, 0)
+    finishes = []
+    now_s = 0
+    while now_s < seconds:
+        for rank in demand:
+            while queue.counts_by_rank[rank].waiting < 10:
+                if queue.offer(work(rank, cancellable=False), now_s):
+                    break
+        for new in queue.take(now_s).started:
+            cost = service_s()
+            heapq.heappush(finishes, (now_s + cost, new.attempt_id))
+            served[new.rank] += cost
+        now_s, attempt = heapq.heappop(finishes)
+        queue.finish(attempt, now_s)
+    return served
+
+
+@pytest.mark.parametrize('seed', range(3))
+@pytest.mark.parametrize('scale_s', (0.002, 0.02, 0.5))
+def test_floors_hold_in_a_flood_of_urgent_work(seed, scale_s):
+    """Urgent work must not starve other ranks, nor floors starve urgent."""
+    draw = random.Random(seed)
+
+    def service_s():
+        return scale_s * draw.uniform(0.5, 1.5)
+
+    queue = ServerQueue(5, FLOORS)
+    seconds = 1_000 * scale_s
+    served = saturate(queue, seconds, Rank, service_s)
+    share = {rank: served[rank] / (5 * seconds) for rank in Rank}
+    assert share[ROUTINE] == pytest.approx(0.2, rel=0.1)
+    assert share[DEFERRABLE] == pytest.approx(0.1, rel=0.1)
+    assert share[URGENT] == pytest.approx(0.7, rel=0.05)
+
+
+def test_idle_slots_are_lent_and_taken_back():
+    """Idle slots must not be wasted, nor kept from entitled work."""
+    queue = ServerQueue(5, FLOORS)
+    deferrable = offer_all(queue, DEFERRABLE, 6)
+    assert len(queue.take(0).started) == 5
+    urgent = offer_all(queue, URGENT, 4, now_s=1)
+    preempted = queue.take(1).preempted
+    assert len(preempted) == 3
+    assert not queue.take(1).preempted
+    for each in preempted:
+        queue.finish(each.attempt_id, 1.01, served=False)
+    assert queue.take(1.01).started == tuple(urgent[:3])
+    assert deferrable[5] not in preempted
+
+
+def test_only_cancellable_work_is_preempted():
+    """A running claim must never be cancelled to make room."""
+    queue = ServerQueue(5, FLOORS)
+    offer_all(queue, DEFERRABLE, 4, cancellable=False)
+    newest = offer_all(queue, DEFERRABLE, 1)
+    queue.take(0)
+    offer_all(queue, URGENT, 4, now_s=1)
+    assert queue.take(1).preempted == tuple(newest)
+
+
+def test_solo_work_runs_alone():
+    """A suspect must not take other work with it, nor wait for ever."""
+    queue = ServerQueue(3, FLOORS)
+    first = offer_all(queue, URGENT, 1)
+    queue.take(0)
+    (solo,) = offer_all(queue, URGENT, 1, solo=True)
+    (later,) = offer_all(queue, URGENT, 1)
+    assert not queue.take(0).started
+    queue.finish(first[0].attempt_id, 1)
+    assert queue.take(1).started == (solo,)
+    assert not queue.take(1).started
+    queue.finish(solo.attempt_id, 2)
+    assert queue.take(2).started == (later,)
+
+
+def test_late_work_expires_before_it_is_started():
+    """A slot must not go to work whose deadline passed."""
+    queue = ServerQueue(1, FLOORS)
+    offer_all(queue, URGENT, 1)
+    queue.take(0)
+    late = work(URGENT, deadline_at_s=1)
+    in_time = work(URGENT, deadline_at_s=3)
+    assert not queue.offer(late, 0)
+    assert not queue.offer(in_time, 0)
+    assert queue.next_expiry_s == 1
+    (refused,) = queue.take(1).refused
+    assert refused.work == late
+    assert refused.failure.code == ResultCode.DEADLINE_UNREACHABLE
+    assert queue.next_expiry_s == 3
+
+
+def test_hopeless_work_is_refused_early():
+    """Work that will miss its deadline must not take queue space."""
+    queue = ServerQueue(1, FLOORS)
+    (first,) = offer_all(queue, URGENT, 1)
+    queue.take(0)
+    queue.finish(first.attempt_id, 1)
+    offer_all(queue, URGENT, 4, now_s=1)
+    queue.take(1)
+    (refused,) = queue.offer(work(URGENT, deadline_at_s=4), 1)
+    assert refused.failure.code == ResultCode.DEADLINE_UNREACHABLE
+    assert refused.failure.retry_after_s > 3
+    assert not queue.offer(work(URGENT, deadline_at_s=20), 1)
+
+
+def test_idle_server_accepts_whatever_the_estimate_says():
+    """A slow past must not refuse all work, as no new sample would follow."""
+    queue = ServerQueue(1, FLOORS)
+    (slow,) = offer_all(queue, URGENT, 1)
+    queue.take(0)
+    queue.finish(slow.attempt_id, 100)
+    assert not queue.offer(work(URGENT, deadline_at_s=100.1), 100)
+
+
+def test_one_caller_cannot_fill_a_queue():
+    """A greedy caller must leave room for others, even if it came first."""
+    queue = ServerQueue(1, NO_FLOORS)
+    offer_all(queue, URGENT, 1, caller='first')
+    queue.take(0)
+    greedy = offer_all(queue, URGENT, 6, caller='greedy')
+    assert queue.offer(work(URGENT, 'greedy'), 0)
+    (displaced,) = queue.offer(work(URGENT, 'modest'), 0)
+    assert displaced.work == greedy[-1]
+    assert displaced.failure.code == ResultCode.QUEUE_FULL
+    (refused,) = queue.offer(work(URGENT, 'greedy'), 0)
+    assert refused.work.caller == 'greedy'
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(st.integers(0, 6), st.integers(1, 5))
+def test_estimate_is_close_to_the_wait(queued, slots):
+    """A wrong estimate refuses good work or admits hopeless work."""
+    queue = ServerQueue(slots, NO_FLOORS)
+    first = offer_all(queue, URGENT, slots)
+    queue.take(0)
+    for each in first:
+        queue.finish(each.attempt_id, 1)
+    offer_all(queue, URGENT, slots, now_s=1)
+    queue.take(1)
+    offer_all(queue, URGENT, queued, now_s=1)
+    expected_s = queue.wait_s(URGENT, 'c')
+    # All slots free up each second, so the true wait is a whole number.
+    true_s = queued // slots + 1
+    assert true_s - 1 <= expected_s <= true_s + 1
