Add the dispatch controller

Each backend server has a rank queue, a limit, and a bounded pool of connections. At its deadline, work is cancelled at the server on another connection; if the exchange then ends, the connection is kept, else it is closed and logged as silent. The first contact with a server asks for its incarnation, so that a loss has the right loss_id. New topic OBSERVATIONS (limit, draining replies, refusals) for the server controller. New code SERVER_SILENT.

http/client.py: h11 raises RemoteProtocolError when the server closes before its response, and this was reported as malformed. It is reported as closed now; the crash check depends on it.

--- a/boragespool/blackboard/topics.py
+++ b/boragespool/blackboard/topics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
 from boragespool.blackboard.board import Topic
@@ -12,7 +14,26 @@
 
     from boragespool.messages import MemberRecord, ServerRecord
     from boragespool.revisions import RevisionDocument
-    from boragespool.types import HostName, ServerName
+    from boragespool.types import HostName, Seconds, ServerName
+
+
+@dataclass(frozen=True, slots=True)
+class ServerObservation:
+    """What this daemon saw of a backend server while it sent work there.
+
+    Attributes
+    ----------
+    limit : int
+        Requests that it would run there at the same time.
+    draining_at_s, refused_at_s : float
+        Time of the latest reply ``draining`` and of the latest refused
+        connection, on the clock of the timer service.
+    """
+
+    limit: int
+    draining_at_s: Seconds = -math.inf
+    refused_at_s: Seconds = -math.inf
+
 
 #: Posted by the membership controller; includes this daemon's own record.
 MEMBERS: Final[Topic[Mapping[HostName, MemberRecord]]] = Topic('members', {})
@@ -33,3 +54,8 @@
 )
 #: Requests of callers in flight at this daemon; posted by the caller API.
 LOAD: Final[Topic[float]] = Topic('load', 0)
+#: Posted by dispatch.
+OBSERVATIONS: Final[Topic[Mapping[ServerName, ServerObservation]]] = Topic(
+    'observations',
+    {},
+)
--- /dev/null
+++ b/boragespool/controllers/backend.py
@@ -0,0 +1,284 @@
+"""One backend server at its dispatcher: queue, limit, connections, work."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+from dataclasses import replace
+from typing import TYPE_CHECKING, Final
+
+from boragespool.blackboard.topics import BLOCKED
+from boragespool.controllers.backend_protocol import (
+    cancel_to_http,
+    read_cancel,
+    read_reply,
+    work_to_http,
+)
+from boragespool.controllers.connections import ConnectionPool
+from boragespool.controllers.jobs import (
+    BLOCKED_FAILURE,
+    BackendHooks,
+    Job,
+    interrupted,
+    refusal,
+)
+from boragespool.controllers.server_health import ServerHealth
+from boragespool.events import Event, log_event
+from boragespool.http import (
+    ExchangeFailure,
+    FailureKind,
+    HttpConnection,
+    HttpResponse,
+)
+from boragespool.ranks import QueuedWork, ServerQueue
+from boragespool.results import Failure, ResultCode
+from boragespool.types import (
+    AttemptId,
+    Incarnation,
+    Rank,
+    RunState,
+    Seconds,
+    ServerName,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from boragespool.controllers.context import Context
+    from boragespool.messages import WorkReply, WorkRequest
+    from boragespool.settings import RankSettings, ServiceSettings
+    from boragespool.timers import Subscription
+
+_CANCEL_TIMEOUT_S: Final = 0.5
+#: Time for the cancelled exchange itself to end before its connection closes.
+_CANCEL_GRACE_S: Final = 0.2
+
+
+class Backend:
+    """Serves the work of one backend server."""
+
+    def __init__(
+        self,
+        server: ServerName,
+        service: ServiceSettings,
+        ranks: Mapping[Rank, RankSettings],
+        context: Context,
+        hooks: BackendHooks,
+    ) -> None:
+        """Start with an empty queue and the limit of a cold start."""
+        self.server = server
+        self.jobs_by_attempt: dict[AttemptId, Job] = {}
+        self.queue = ServerQueue(1, ranks)
+        self.health = ServerHealth(server, service.slots, context, hooks)
+        self.pool = ConnectionPool(
+            service.servers[server].address,
+            service.connections,
+            context.timers,
+        )
+        self._context = context
+        self._hooks = hooks
+        self._wakeup: Subscription | None = None
+        self._wakeup_at_s = math.inf
+
+    def configure(
+        self,
+        service: ServiceSettings,
+        ranks: Mapping[Rank, RankSettings],
+    ) -> None:
+        """Follow new settings."""
+        self.queue.settings_by_rank = ranks
+        self.health.configure(service.slots)
+
+    def accept(self, work: WorkRequest, queued: QueuedWork) -> Job:
+        """Queue work; its job is answered in any case."""
+        now_s = self._context.timers.now_s()
+        loop = asyncio.get_running_loop()
+        job = Job(work, queued, now_s, loop.create_future())
+        self.jobs_by_attempt[work.attempt_id] = job
+        for refused in self.queue.offer(queued, now_s):
+            self._refuse(refused.work, refused.failure)
+        self.pump()
+        return job
+
+    def refuse_waiting(self, failure: Failure) -> None:
+        """Answer all queued work with a refusal."""
+        for queued in self.queue.clear():
+            self._refuse(queued, failure)
+
+    def cancel(self, attempt_id: AttemptId) -> None:
+        """Withdraw queued work, or cancel running work at the server."""
+        queued = self.queue.withdraw(attempt_id)
+        if queued is not None:
+            reason = 'cancelled while it waited'
+            self._refuse(queued, Failure(ResultCode.CANCELLED, reason))
+            self.pump()
+            return
+        job = self.jobs_by_attempt.get(attempt_id)
+        if job is not None:
+            self._hooks.spawn(self._cancel_running(job))
+
+    def pump(self) -> None:
+        """Start, refuse and pre-empt what the queue decides."""
+        now_s = self._context.timers.now_s()
+        self.queue.slots = self.health.limit
+        grants = self.queue.take(now_s)
+        for refused in grants.refused:
+            self._refuse(refused.work, refused.failure)
+        for started in grants.started:
+            job = self.jobs_by_attempt[started.attempt_id]
+            job.started_s = now_s
+            self._hooks.spawn(self._run(job))
+        for preempted in grants.preempted:
+            self._preempt(preempted)
+        self._wake_at(self.queue.next_expiry_s, now_s)
+
+    def _wake_at(self, at_s: Seconds, now_s: Seconds) -> None:
+        """Look at the queue again when the next work expires."""
+        if at_s >= self._wakeup_at_s or math.isinf(at_s):
+            return
+        if self._wakeup is not None:
+            self._wakeup.cancel()
+        self._wakeup_at_s = at_s
+        self._wakeup = self._context.timers.after(at_s - now_s, self._woken)
+
+    def _woken(self) -> None:
+        self._wakeup_at_s = math.inf
+        self.pump()
+
+    def _preempt(self, queued: QueuedWork) -> None:
+        job = self.jobs_by_attempt[queued.attempt_id]
+        log_event(
+            Event.WORK_PREEMPTED,
+            f'{queued.attempt_id!r} makes room at {self.server!r}',
+            level=logging.DEBUG,
+            rank=queued.rank,
+        )
+        self._hooks.spawn(self._cancel_running(job))
+
+    async def _run(self, job: Job) -> None:
+        """Run one job that holds a slot."""
+        reply = interrupted(job, job.started_s)
+        try:
+            reply = await self._attempt(job)
+        finally:
+            self._release(job, reply)
+        self.pump()
+
+    def _release(self, job: Job, reply: WorkReply) -> None:
+        self.queue.finish(
+            job.work.attempt_id,
+            self._context.timers.now_s(),
+            served=reply.run == RunState.RUN,
+        )
+        self._answer(job, reply)
+
+    async def _attempt(self, job: Job) -> WorkReply:
+        if job.work.fingerprint in self._context.board.read(BLOCKED):
+            return refusal(job.work, BLOCKED_FAILURE)
+        if not self.health.incarnation:
+            await self.health.learn_incarnation(self.pool)
+        incarnation = self.health.incarnation
+        result = await self._exchange(job)
+        in_flight = self.queue.running_count
+        reply = read_reply(job.work, result)
+        if job.cancel_run is not None and reply.code != ResultCode.COMPLETE:
+            return interrupted(job, self._context.timers.now_s())
+        if isinstance(result, ExchangeFailure):
+            await self._failed(result, incarnation)
+        else:
+            self.health.note_reply(reply, in_flight)
+        return reply
+
+    async def _exchange(self, job: Job) -> HttpResponse | ExchangeFailure:
+        """Send the work; at its deadline cancel it at the server."""
+
+        def connected(connection: HttpConnection) -> None:
+            job.connection = connection
+
+        now_s = self._context.timers.now_s()
+        left_s = max(0, job.queued.deadline_at_s - now_s)
+        request = work_to_http(job.work, left_s)
+        timer = self._context.timers.after(
+            left_s,
+            lambda: self._hooks.spawn(self._cancel_running(job)),
+        )
+        limit_s = left_s + _CANCEL_GRACE_S
+        try:
+            return await self.pool.exchange(request, limit_s, connected)
+        finally:
+            timer.cancel()
+
+    async def _cancel_running(self, job: Job) -> None:
+        """Cancel running work at the server on another connection."""
+        response = await self.pool.exchange(
+            cancel_to_http(job.work.attempt_id),
+            _CANCEL_TIMEOUT_S,
+        )
+        reply = read_cancel(response)
+        if job.answer.done() or not reply.cancelled:
+            return
+        job.cancel_run = reply.run
+        await asyncio.wait((job.answer,), timeout=_CANCEL_GRACE_S)
+        if not job.answer.done() and job.connection is not None:
+            self._log_silent('the cancelled exchange did not end')
+            job.connection.close()
+
+    async def _failed(
+        self,
+        failure: ExchangeFailure,
+        incarnation: Incarnation,
+    ) -> None:
+        """Find out whether the connection or the server was lost."""
+        if failure.kind == FailureKind.REFUSED:
+            self.health.refused()
+        elif not failure.sent:
+            return
+        elif failure.kind == FailureKind.TIMEOUT:
+            self.pool.close_idle()
+            self._log_silent(failure.reason)
+        elif failure.kind == FailureKind.CLOSED:
+            await self.health.check_loss(
+                self.pool,
+                incarnation,
+                self._fingerprints_in_flight(),
+            )
+
+    def _fingerprints_in_flight(self) -> tuple[int, ...]:
+        return tuple(
+            job.work.fingerprint
+            for job in self.jobs_by_attempt.values()
+            if job.connection is not None and job.work.fingerprint
+        )
+
+    def _log_silent(self, reason: str) -> None:
+        log_event(
+            Event.CONNECTION_SILENT,
+            f'a connection to {self.server!r} is replaced: {reason}',
+            server=self.server,
+        )
+
+    def _refuse(self, queued: QueuedWork, failure: Failure) -> None:
+        job = self.jobs_by_attempt[queued.attempt_id]
+        log_event(
+            Event.WORK_REFUSED,
+            failure.reason,
+            level=logging.DEBUG,
+            code=int(failure.code),
+            rank=queued.rank,
+        )
+        self._answer(job, refusal(job.work, failure))
+
+    def _answer(self, job: Job, reply: WorkReply) -> None:
+        """Complete a reply with times and backpressure and give it out."""
+        self.jobs_by_attempt.pop(job.work.attempt_id, None)
+        now_s = self._context.timers.now_s()
+        started_s = min(job.started_s, now_s)
+        timed = replace(
+            reply,
+            queue_time_s=started_s - job.received_s,
+            service_time_s=now_s - started_s,
+            waits_s=self.queue.waits_s,
+        )
+        if not job.answer.done():
+            job.answer.set_result(timed)
--- /dev/null
+++ b/boragespool/controllers/backend_protocol.py
@@ -0,0 +1,242 @@
+"""Work and its replies as backend servers write them in HTTP and JSON."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Any, Final
+
+import msgspec
+
+from boragespool.http import ExchangeFailure, FailureKind, HttpRequest
+from boragespool.messages import Item, WorkReply
+from boragespool.results import Failure, ResultCode
+from boragespool.types import (
+    IndexVersion,
+    Rank,
+    RunState,
+    Seconds,
+    ServerState,
+    WorkKind,
+)
+
+if TYPE_CHECKING:
+    from boragespool.http import HttpResponse
+    from boragespool.messages import WorkRequest
+    from boragespool.types import AttemptId
+
+_OK: Final = 200
+_CONFLICT: Final = 409
+_UNAVAILABLE: Final = 503
+_JSON_HEADERS: Final = MappingProxyType({'content-type': 'application/json'})
+_CODE_BY_FAILURE: Final = MappingProxyType(
+    {
+        FailureKind.REFUSED: ResultCode.SERVER_UNREACHABLE,
+        FailureKind.TIMEOUT: ResultCode.SERVER_SILENT,
+        FailureKind.CLOSED: ResultCode.SERVER_CLOSED,
+        FailureKind.MALFORMED: ResultCode.SERVER_REPLY_INVALID,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class _WorkBody:
+    attempt_id: str
+    request_id: str
+    kind: WorkKind
+    version: IndexVersion
+    start: int
+    end: int
+    body: msgspec.Raw
+    rank: Rank
+    deadline_s: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class _ReplyBody:
+    attempt_id: str = ''
+    version: IndexVersion = 0
+    start: int = 0
+    end: int = 0
+    items: tuple[Item, ...] = ()
+    item_count: int = 0
+    outcome: Any = None
+    run: RunState = RunState.UNKNOWN
+    reason: str = ''
+    retry_after_s: Seconds = 0
+
+
+@dataclass(frozen=True, slots=True)
+class CancelReply:
+    """Answer of a backend server to a cancellation."""
+
+    cancelled: bool = False
+    run: RunState = RunState.UNKNOWN
+
+
+@dataclass(frozen=True, slots=True)
+class BackendStatus:
+    """Answer of a backend server to ``GET /v1/status``.
+
+    Attributes
+    ----------
+    holdings : dict of str to tuple
+        Key ranges ``[start, end)`` by index version.
+    """
+
+    server: str
+    incarnation: int
+    service: str = ''
+    state: ServerState = ServerState.SERVING
+    holdings: dict[str, tuple[tuple[int, int], ...]] = msgspec.field(
+        default_factory=dict,
+    )
+
+
+_ENCODER: Final = msgspec.json.Encoder()
+_REPLY_DECODER: Final = msgspec.json.Decoder(_ReplyBody)
+_CANCEL_DECODER: Final = msgspec.json.Decoder(CancelReply)
+_STATUS_DECODER: Final = msgspec.json.Decoder(BackendStatus)
+STATUS_REQUEST: Final = HttpRequest('GET', '/v1/status')
+
+
+def work_to_http(work: WorkRequest, deadline_s: Seconds) -> HttpRequest:
+    """Build ``POST /v1/work`` with the time left in seconds."""
+    body = _WorkBody(
+        attempt_id=work.attempt_id,
+        request_id=work.request_id,
+        kind=work.kind,
+        version=work.version,
+        start=work.start,
+        end=work.end,
+        body=msgspec.Raw(work.body or b'null'),
+        rank=work.rank,
+        deadline_s=deadline_s,
+    )
+    return _post('/v1/work', body)
+
+
+def cancel_to_http(attempt_id: AttemptId) -> HttpRequest:
+    """Build ``POST /v1/cancel``."""
+    return _post('/v1/cancel', {'attempt_id': attempt_id})
+
+
+def read_status(
+    response: HttpResponse | ExchangeFailure,
+) -> BackendStatus | Failure:
+    """Decode the answer to ``GET /v1/status``."""
+    if isinstance(response, ExchangeFailure):
+        return Failure(_CODE_BY_FAILURE[response.kind], response.reason)
+    try:
+        return _STATUS_DECODER.decode(response.body)
+    except msgspec.DecodeError as error:
+        return Failure(ResultCode.SERVER_REPLY_INVALID, f'status: {error}')
+
+
+def read_cancel(response: HttpResponse | ExchangeFailure) -> CancelReply:
+    """Decode the answer to a cancellation; doubt counts as not cancelled."""
+    if isinstance(response, ExchangeFailure):
+        return CancelReply()
+    try:
+        return _CANCEL_DECODER.decode(response.body)
+    except msgspec.DecodeError:
+        return CancelReply()
+
+
+def read_reply(
+    work: WorkRequest,
+    response: HttpResponse | ExchangeFailure,
+) -> WorkReply:
+    """Check the answer to work and translate it.
+
+    Returns
+    -------
+    WorkReply
+        ``COMPLETE`` only if attempt, version, range and number of items are
+        those of the request. ``NOT_RUN`` only if the backend server said so,
+        or if no byte was sent.
+    """
+    if isinstance(response, ExchangeFailure):
+        return _unanswered(work, response)
+    try:
+        body = _REPLY_DECODER.decode(response.body)
+    except msgspec.DecodeError as error:
+        return _invalid(work, f'status {response.status}, {error}')
+    if response.status == _OK:
+        return _complete(work, body)
+    if body.attempt_id not in {'', work.attempt_id}:
+        return _invalid(work, f'attempt {body.attempt_id!r}')
+    return WorkReply(
+        work.attempt_id,
+        int(_refusal_code(response.status, body)),
+        body.run,
+        reason=body.reason or f'status {response.status}',
+        retry_after_s=body.retry_after_s,
+    )
+
+
+def _post(path: str, body: Any) -> HttpRequest:
+    return HttpRequest('POST', path, _ENCODER.encode(body), _JSON_HEADERS)
+
+
+def _unanswered(work: WorkRequest, failure: ExchangeFailure) -> WorkReply:
+    code = ResultCode.SERVER_UNREACHABLE
+    run = RunState.NOT_RUN
+    if failure.sent:
+        code = _CODE_BY_FAILURE[failure.kind]
+        run = RunState.UNKNOWN
+    return WorkReply(work.attempt_id, int(code), run, reason=failure.reason)
+
+
+def _invalid(work: WorkRequest, found: str) -> WorkReply:
+    return WorkReply(
+        work.attempt_id,
+        int(ResultCode.SERVER_REPLY_INVALID),
+        RunState.UNKNOWN,
+        reason=f'reply of {work.server!r} to {work.attempt_id!r}: {found}',
+    )
+
+
+def _complete(work: WorkRequest, body: _ReplyBody) -> WorkReply:
+    if body.attempt_id != work.attempt_id:
+        return _invalid(work, f'attempt {body.attempt_id!r}')
+    if work.kind == WorkKind.CLAIM:
+        return _claim_outcome(work, body)
+    searched = (body.version, body.start, body.end)
+    if searched != (work.version, work.start, work.end):
+        return _invalid(work, f'version and range {searched!r}')
+    if body.item_count != len(body.items):
+        return _invalid(work, f'{len(body.items)} of {body.item_count} items')
+    return WorkReply(
+        work.attempt_id,
+        int(ResultCode.COMPLETE),
+        RunState.RUN,
+        version=body.version,
+        start=body.start,
+        end=body.end,
+        items=body.items,
+    )
+
+
+def _claim_outcome(work: WorkRequest, body: _ReplyBody) -> WorkReply:
+    """Pass on the ``outcome`` of a claim, or its items without one."""
+    outcome = body.outcome
+    if outcome is None and body.items:
+        outcome = msgspec.to_builtins(body.items)
+    return WorkReply(
+        work.attempt_id,
+        int(ResultCode.COMPLETE),
+        body.run,
+        outcome=outcome,
+    )
+
+
+def _refusal_code(status: int, body: _ReplyBody) -> ResultCode:
+    """Return the code of an answer other than 200."""
+    if status == _UNAVAILABLE and body.reason == 'draining':
+        return ResultCode.SERVER_DRAINING
+    if status == _UNAVAILABLE:
+        return ResultCode.SERVER_SHED
+    if status == _CONFLICT:
+        return ResultCode.VERSION_NOT_HELD
+    return ResultCode.SERVER_REPLY_INVALID
--- /dev/null
+++ b/boragespool/controllers/server_health.py
@@ -0,0 +1,134 @@
+"""What a dispatcher learns about one backend server from its exchanges."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any, Final
+
+from boragespool import backends
+from boragespool.blackboard.topics import ServerObservation
+from boragespool.controllers.backend_protocol import (
+    STATUS_REQUEST,
+    read_status,
+)
+from boragespool.events import Event, log_event
+from boragespool.results import Failure, ResultCode
+from boragespool.types import RunState
+
+if TYPE_CHECKING:
+    from boragespool.controllers.connections import ConnectionPool
+    from boragespool.controllers.context import Context
+    from boragespool.controllers.jobs import BackendHooks
+    from boragespool.messages import WorkReply
+    from boragespool.types import Incarnation, ServerName
+
+_STATUS_TIMEOUT_S: Final = 1
+
+
+class ServerHealth:
+    """Incarnation, limit and signs of one backend server.
+
+    Attributes
+    ----------
+    incarnation : int
+        Incarnation that answers now; 0 while it is unknown.
+    """
+
+    def __init__(
+        self,
+        server: ServerName,
+        slots: int,
+        context: Context,
+        hooks: BackendHooks,
+    ) -> None:
+        """Start with the limit of a cold start."""
+        self.incarnation: Incarnation = 0
+        self._server = server
+        self._limit = backends.cold_start(slots)
+        self._observation = ServerObservation(self._limit.limit)
+        self._context = context
+        self._hooks = hooks
+
+    @property
+    def limit(self) -> int:
+        """Requests that may run at the same time."""
+        return self._limit.limit
+
+    def configure(self, slots: int) -> None:
+        """Follow a change of the configured slots."""
+        if slots != self._limit.slots:
+            self._set_limit(backends.configured(self._limit, slots))
+
+    def restarted(self, incarnation: Incarnation) -> None:
+        """Treat a higher incarnation as a cold start."""
+        if incarnation <= self.incarnation:
+            return
+        if self.incarnation:
+            self._set_limit(backends.cold_start(self._limit.slots))
+        self.incarnation = incarnation
+
+    def refused(self) -> None:
+        """Note that the server does not accept connections."""
+        self.incarnation = 0
+        self._set_limit(backends.cold_start(self._limit.slots))
+        self._observe(refused_at_s=self._context.timers.now_s())
+
+    def note_reply(self, reply: WorkReply, in_flight: int) -> None:
+        """Move the limit and note what a reply says about the server."""
+        now_s = self._context.timers.now_s()
+        if reply.run == RunState.RUN:
+            self._set_limit(backends.after_reply(self._limit, in_flight))
+        elif reply.code == ResultCode.SERVER_SHED:
+            self._set_limit(backends.after_shed(self._limit, now_s))
+        elif reply.code == ResultCode.SERVER_DRAINING:
+            self._observe(draining_at_s=now_s)
+        elif reply.code == ResultCode.SERVER_REPLY_INVALID:
+            log_event(Event.SERVER_REPLY_REJECTED, reply.reason)
+
+    async def learn_incarnation(self, pool: ConnectionPool) -> None:
+        """Ask the server for its incarnation."""
+        response = await pool.exchange(STATUS_REQUEST, _STATUS_TIMEOUT_S)
+        status = read_status(response)
+        if not isinstance(status, Failure):
+            self.restarted(status.incarnation)
+
+    async def check_loss(
+        self,
+        pool: ConnectionPool,
+        incarnation: Incarnation,
+        fingerprints: tuple[int, ...],
+    ) -> None:
+        """After a lost connection, find out whether the server was lost.
+
+        Parameters
+        ----------
+        pool : ConnectionPool
+            Connections to the server; idle ones are closed.
+        incarnation : int
+            Incarnation to which the work was sent; 0 if unknown, and then
+            no loss is reported, as it could be counted twice.
+        fingerprints : tuple of int
+            Work in flight when the connection was lost.
+        """
+        pool.close_idle()
+        response = await pool.exchange(STATUS_REQUEST, _STATUS_TIMEOUT_S)
+        status = read_status(response)
+        if isinstance(status, Failure):
+            lost = status.code == ResultCode.SERVER_UNREACHABLE
+            if lost:
+                self.refused()
+        else:
+            lost = status.incarnation != incarnation
+            self.restarted(status.incarnation)
+        if lost and incarnation:
+            self._hooks.lost(self._server, incarnation, fingerprints)
+
+    def _set_limit(self, limit: backends.LimitState) -> None:
+        before = self._limit.limit
+        self._limit = limit
+        if limit.limit != before:
+            self._observe(limit=limit.limit)
+
+    def _observe(self, **changes: Any) -> None:
+        self._observation = replace(self._observation, **changes)
+        self._hooks.observed(self._server, self._observation)
--- a/boragespool/http/client.py
+++ b/boragespool/http/client.py
@@ -65,6 +65,7 @@
         self._writer = writer
         self._protocol = h11.Connection(h11.CLIENT)
         self._usable = True
+        self._peer_closed = False
 
     async def __aenter__(self) -> Self:
         """Return the open connection."""
@@ -125,7 +126,7 @@
         except TimeoutError:
             return self._fail(FailureKind.TIMEOUT, f'{timeout_s!r} s passed')
         except (OSError, h11.RemoteProtocolError) as error:
-            return self._fail(_failure_kind(error), str(error))
+            return self._fail(self._failure_kind(error), str(error))
         except asyncio.CancelledError:
             self.close()
             raise
@@ -172,6 +173,7 @@
             event = self._protocol.next_event()
             if event is h11.NEED_DATA:
                 received = await self._reader.read(_READ_SIZE_BYTES)
+                self._peer_closed = not received
                 self._protocol.receive_data(received)
             elif not isinstance(event, h11.InformationalResponse):
                 return event
@@ -192,11 +194,11 @@
             reason=f'exchange with {self.address!r} failed: {reason}',
         )
 
-
-def _failure_kind(error: Exception) -> FailureKind:
-    if isinstance(error, OSError):
-        return FailureKind.CLOSED
-    return FailureKind.MALFORMED
+    def _failure_kind(self, error: Exception) -> FailureKind:
+        """Tell a close before the response, which h11 rejects, from noise."""
+        if isinstance(error, OSError) or self._peer_closed:
+            return FailureKind.CLOSED
+        return FailureKind.MALFORMED
 
 
 async def open_connection(
--- a/boragespool/ranks/queue.py
+++ b/boragespool/ranks/queue.py
@@ -28,6 +28,7 @@
 
 #: Absorbs the rounding of products such as ``0.6 * 5``.
 _ROUNDING: Final = 1e-9
+_RANKS: Final = tuple(Rank)
 _LOWEST_FIRST: Final = tuple(reversed(Rank))
 _ABSENT: Final = RankSettings()
 
@@ -157,14 +158,19 @@
 
     def wait_s(self, rank: Rank, caller: CallerName = '') -> Seconds:
         """Estimate the queueing time of new work of a caller, in seconds."""
-        loads = tuple(self._load(each, caller) for each in Rank)
-        position = tuple(Rank).index(rank)
+        loads = self._loads(caller)
+        position = _RANKS.index(rank)
         return wait_s(loads, position, self.slots, self._free_slots)
 
     @property
     def waits_s(self) -> tuple[Seconds, ...]:
         """Estimated queueing time of a new caller by rank, in seconds."""
-        return tuple(self.wait_s(rank) for rank in Rank)
+        loads = self._loads('')
+        free_slots = self._free_slots
+        return tuple(
+            wait_s(loads, position, self.slots, free_slots)
+            for position in range(len(loads))
+        )
 
     @property
     def _free_slots(self) -> int:
@@ -177,15 +183,16 @@
         """Slots that a rank may hold while others wait, at least one."""
         return max(1, int(self._settings(rank).cap * self.slots + _ROUNDING))
 
-    def _load(self, rank: Rank, caller: CallerName) -> RankLoad:
-        lane = self._lanes[rank]
-        account = self._accounts[rank]
-        return RankLoad(
-            lane.count,
-            lane.ahead_of(caller),
-            account.mean_service_s,
-            account.usage_slots,
-            self._settings(rank).floor,
+    def _loads(self, caller: CallerName) -> tuple[RankLoad, ...]:
+        return tuple(
+            RankLoad(
+                lane.count,
+                lane.ahead_of(caller),
+                self._accounts[rank].mean_service_s,
+                self._accounts[rank].usage_slots,
+                self._settings(rank).floor,
+            )
+            for rank, lane in self._lanes.items()
         )
 
     def _advance(self, now_s: Seconds) -> None:
--- a/boragespool/results.py
+++ b/boragespool/results.py
@@ -66,6 +66,7 @@
     VERSION_NOT_HELD = 3103
     SERVER_REPLY_INVALID = 3104
     SERVER_CLOSED = 3105
+    SERVER_SILENT = 3106
 
 
 _HTTP_STATUS: Final = MappingProxyType(
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -151,3 +151,30 @@
         assert str(int(ResultCode.TOO_MANY_CONNECTIONS)).encode() in received
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ('answer', 'kind'),
+    [
+        (b'', 'closed'),
+        (b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab', 'closed'),
+        (b'nonsense\r\n\r\n', 'malformed'),
+    ],
+)
+def test_close_before_the_response_is_told_from_noise(answer, kind):
+    """A lost server must not look like one that writes bad HTTP."""
+
+    async def reply(reader, writer):
+        await reader.read(1_000)
+        writer.write(answer)
+        writer.close()
+
+    async def run() -> None:
+        server = await asyncio.start_server(reply, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        async with server, await open_connection(f'{host}:{port}', 1) as client:
+            failure = await client.exchange(HttpRequest('GET', '/'), 1)
+        assert failure.kind == kind
+        assert failure.sent
+
+    asyncio.run(run())
