--- a/boragespool/messages/work.py
+++ b/boragespool/messages/work.py
@@ -76,6 +76,9 @@
     waits_s : tuple of float
         Estimated queueing time for new work at the server by rank, most
         important first, in seconds.
+    item_count : int or None
+        Number of items that the backend server counted; None if the
+        dispatcher checked it and does not pass it on.
     """
 
     attempt_id: AttemptId
@@ -91,6 +94,7 @@
     queue_time_s: Seconds = 0
     retry_after_s: Seconds = 0
     waits_s: tuple[Seconds, ...] = ()
+    item_count: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
