Choose replicas, time hedges and bound second attempts

Cause: the slowest shard sets the latency of a query, and retries of several hops can multiply the load of an outage.

Conclusion: the decisions hold their bounds without a clock or sockets.

--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,207 @@
+"""Replica choice, hedging and the budget."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from boragespool.messages import Holding, ServerRecord
+from boragespool.routing import (
+    LatencyTracker,
+    ServerObservations,
+    TokenBudget,
+    choose_replica,
+    eligible_holdings,
+    fingerprint_of,
+    hedge_delay_s,
+)
+from boragespool.settings import (
+    HedgingSettings,
+    ServerSettings,
+    ServiceSettings,
+)
+from boragespool.types import ServerState
+
+
+@settings(derandomize=True, max_examples=300)
+@given(
+    st.floats(0, 0.2),
+    st.floats(0, 30),
+    st.lists(st.tuples(st.integers(0, 60), st.integers(0, 60)), max_size=40),
+)
+def test_budget_holds_over_every_period(ratio, burst, rounds):
+    """Retries of several hops at once must not multiply the load."""
+    budget = TokenBudget(HedgingSettings(budget_ratio=ratio, burst=burst))
+    firsts, seconds = [], []
+    for earned, wished in rounds:
+        budget.earn(earned)
+        firsts.append(earned)
+        seconds.append(sum(budget.spend() for _ in range(wished)))
+    for begin in range(len(rounds)):
+        allowed = burst + ratio * sum(firsts[begin:])
+        assert sum(seconds[begin:]) <= allowed + 1e-6
+
+
+def test_budget_takes_over_new_settings():
+    """A lower burst must hold at once."""
+    budget = TokenBudget(HedgingSettings(burst=20))
+    budget.configure(HedgingSettings(burst=2))
+    assert [budget.spend() for _ in range(4)] == [True, True, False, False]
+
+
+def service(names, drained=()):
+    """Return a service whose server on each host has the host's name."""
+    return ServiceSettings(
+        5,
+        40,
+        {
+            name: ServerSettings('', 'dc', host=name, drained=name in drained)
+            for name in names
+        },
+    )
+
+
+def record(name, state):
+    """Return a server record."""
+    holdings = (Holding(1, ((0, 9),)),)
+    return ServerRecord(name, 's', 'dc', 'd', 1, 1, 1, state, 5, holdings)
+
+
+NAMES = ('a', 'b', 'c', 'd')
+SOME = st.sets(st.sampled_from(NAMES))
+
+
+@settings(derandomize=True, max_examples=500)
+@given(
+    st.tuples(*[st.sampled_from(ServerState)] * 4),
+    SOME,
+    SOME,
+    SOME,
+    SOME,
+    st.integers(0, 2**32),
+)
+def test_no_new_work_to_servers_that_leave(
+    states, drained, hosts, said, suspect, seed
+):
+    """Suspicion of the other replicas must not reopen a leaving one."""
+    records = {n: record(n, s) for n, s in zip(NAMES, states, strict=True)}
+    replicas = tuple(eligible_holdings(service(NAMES, drained), records, hosts))
+    observations = ServerObservations()
+    for name in suspect:
+        observations.failed(name, 0)
+    for name in said:
+        observations.draining(name, 0)
+    closed = {
+        name
+        for name, state in zip(NAMES, states, strict=True)
+        if state in {ServerState.DRAINING, ServerState.LOST}
+    }
+    usable = set(NAMES) - closed - drained - hosts - said
+    draw = random.Random(seed).random
+    chosen = {
+        choose_replica(replicas, (), observations, (draw(), draw()), 0.1, 0)
+        for _ in range(40)
+    }
+    assert chosen - {None} <= usable
+    assert (None in chosen) == (not usable)
+    if usable and len(usable & suspect) * 2 <= len(usable):
+        assert not chosen & suspect
+
+
+def spread(observations, now_s=0.0, replicas=NAMES[:3]):
+    """Return how often each replica is chosen out of 300."""
+    draw = random.Random(1).random
+    chosen = [
+        choose_replica(replicas, (), observations, (draw(), draw()), now_s, 0)
+        for _ in range(300)
+    ]
+    return {name: chosen.count(name) for name in replicas}
+
+
+def test_all_replicas_are_used_when_most_are_suspect():
+    """A fault of the merger's own link must not close a whole service."""
+    observations = ServerObservations()
+    observations.failed('a', 0)
+    assert spread(observations)['a'] == 0
+    observations.failed('b', 0)
+    assert min(spread(observations).values()) > 0
+
+
+def test_own_observations_outweigh_reported_waits():
+    """A false report must not keep all work away from a server."""
+    observations = ServerObservations()
+    for name in NAMES[:3]:
+        observations.started(name)
+        observations.answered(name, 0.01, 0)
+    observations.report_waits('a', (1e9,), 0)
+    assert spread(observations)['a'] == 0
+    for name in ('b', 'c'):
+        observations.started(name)
+        observations.started(name)
+    assert spread(observations)['a'] > 150
+    assert observations.wait_s('a', 0, 1) == 1
+    assert observations.wait_s('a', 0, 3) == 0
+
+
+def test_lost_server_is_tried_by_one_attempt_at_a_time():
+    """All queries at once must not test whether a server is back."""
+    observations = ServerObservations()
+    observations.started('a')
+    observations.failed('a', 0)
+    assert observations.is_suspect('a', 0.4)
+    assert not observations.is_suspect('a', 0.6)
+    observations.started('a')
+    assert observations.is_suspect('a', 0.6)
+    observations.answered('a', 0.01, 0.7)
+    assert not observations.is_suspect('a', 0.7)
+
+
+def test_silent_server_becomes_suspect_and_one_straggler_does_not():
+    """A dispatcher that died answers nothing; a straggler is normal."""
+    observations = ServerObservations()
+    observations.unanswered('a', 0)
+    observations.unanswered('a', 0)
+    assert not observations.is_suspect('a', 0)
+    observations.unanswered('a', 0)
+    assert observations.is_suspect('a', 0)
+
+
+def test_one_straggler_does_not_shut_a_replica_out():
+    """A reply 20 times slower would take a server out of use for long."""
+    observations = ServerObservations()
+    for latency_s in (0.01, 0.2):
+        observations.started('a')
+        observations.answered('a', latency_s, 0)
+    assert observations.latency_s('a', 0) == pytest.approx(0.013)
+
+
+def test_latency_quantile_follows_recent_attempts():
+    """A quantile of old attempts would hedge at the wrong time."""
+    tracker = LatencyTracker(0.97)
+    draw = random.Random(3)
+    for _ in range(47):
+        tracker.record(draw.uniform(0.5, 0.6))
+    assert tracker.quantile_s is None
+    for _ in range(5000):
+        tracker.record(draw.uniform(0.5, 0.6))
+    assert tracker.quantile_s == pytest.approx(0.597, rel=0.05)
+    for _ in range(9000):
+        tracker.record(draw.uniform(0, 0.1))
+    assert tracker.quantile_s == pytest.approx(0.097, rel=0.05)
+
+
+def test_hedge_only_where_it_can_help():
+    """A hedge of a suspect request could crash a second server."""
+    assert hedge_delay_s(0.02, 0.1, suspect=False) == 0.02
+    assert hedge_delay_s(0.02, 0.1, suspect=True) is None
+    assert hedge_delay_s(0.2, 0.1, suspect=False) is None
+    assert hedge_delay_s(None, 0.1, suspect=False) is None
+
+
+def test_fingerprint_separates_route_and_body():
+    """Two requests must not share the fate of one fingerprint."""
+    assert fingerprint_of('ab', b'c') != fingerprint_of('a', b'bc')
+    assert fingerprint_of('a', b'c') == fingerprint_of('a', b'c')
