--- a/boragespool/results.py
+++ b/boragespool/results.py
@@ -81,6 +81,7 @@
         ResultCode.HEADERS_TOO_LARGE: 431,
         ResultCode.BODY_TOO_LARGE: 413,
         ResultCode.REQUEST_TIMEOUT: 408,
+        ResultCode.TOO_MANY_CONNECTIONS: 503,
         ResultCode.UNKNOWN_PATH: 404,
         ResultCode.WRONG_METHOD: 405,
         ResultCode.UNKNOWN_ROUTE: 404,
