--- a/boragespool/http/pool.py
+++ b/boragespool/http/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING, Final, Self
 
 from boragespool.http.client import (
@@ -28,11 +29,18 @@
     ----------
     connection_count : int
         Exchanges at the same time; further ones wait.
+    connect_timeout_s : float, optional
+        Longest time for a TCP handshake, in seconds.
     """
 
-    def __init__(self, connection_count: int) -> None:
+    def __init__(
+        self,
+        connection_count: int,
+        connect_timeout_s: Seconds = math.inf,
+    ) -> None:
         """Start without connections."""
         self._slots = asyncio.Semaphore(connection_count)
+        self._connect_timeout_s = connect_timeout_s
         self._idle_by_address: dict[
             Address, list[tuple[Seconds, HttpConnection]]
         ] = {}
@@ -99,7 +107,7 @@
         loop = asyncio.get_running_loop()
         connection = self._take_idle(address) or await open_connection(
             address,
-            deadline_s - loop.time(),
+            min(deadline_s - loop.time(), self._connect_timeout_s),
         )
         if isinstance(connection, ExchangeFailure):
             return connection
