--- /dev/null
+++ b/boragespool/cli/settings_commands.py
@@ -0,0 +1,140 @@
+"""Commands that read settings and revisions."""
+
+from __future__ import annotations
+
+import datetime
+import pathlib
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from boragespool.cli.outcome import ExitCode, Outcome, error_line
+from boragespool.cli.store_access import read_base, read_current
+from boragespool.results import Failure
+from boragespool.revisions import difference
+from boragespool.settings import (
+    Settings,
+    describe,
+    load_folder,
+    problems_or_settings,
+)
+from boragespool.store import StoreClient
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from boragespool.cli.invocation import Invocation
+    from boragespool.revisions import Difference
+
+
+def open_store(call: Invocation) -> StoreClient:
+    """Return a client of the platform that the flags name."""
+    return StoreClient(call.flags['store'], call.flags['timeout_s'])
+
+
+async def check(call: Invocation) -> Outcome | Failure:
+    """Check a folder and list every problem."""
+    loaded = problems_or_settings(pathlib.Path(call.arguments['FOLDER']))
+    if isinstance(loaded, Settings):
+        servers = sum(
+            len(service.servers) for service in loaded.services.values()
+        )
+        counts = {
+            'services': len(loaded.services),
+            'servers': servers,
+            'routes': len(loaded.routes),
+        }
+        return Outcome(
+            {'valid': True, **counts},
+            tuple(counts),
+            (tuple(counts.values()),),
+            ('the folder is valid',),
+        )
+    return Outcome(
+        {'valid': False, 'problems': loaded},
+        notes=tuple(
+            error_line(problem.code, describe(problem)) for problem in loaded
+        ),
+        exit_code=ExitCode.REJECTED,
+    )
+
+
+async def diff(call: Invocation) -> Outcome | Failure:
+    """Compare a folder with the revision in the store."""
+    settings = load_folder(pathlib.Path(call.arguments['FOLDER']))
+    if isinstance(settings, Failure):
+        return settings
+    async with open_store(call) as store:
+        base = await read_base(store)
+    if isinstance(base, Failure):
+        return base
+    revision = base.document.revision if base.document else 0
+    before = base.document.settings if base.document else Settings()
+    differences = difference(before, settings)
+    return Outcome(
+        {'revision': revision, 'difference': differences},
+        ('setting', 'in the store', 'in the folder'),
+        difference_rows(differences),
+        (
+            f'{len(differences)} settings differ from revision {revision}; '
+            f'apply with --base {revision} to be sure that it is still there',
+        ),
+    )
+
+
+async def show(call: Invocation) -> Outcome | Failure:
+    """Show the revision in the store with all settings."""
+    async with open_store(call) as store:
+        document = await read_current(store)
+    if isinstance(document, Failure):
+        return document
+    leaves = difference(Settings(ranks={}), document.settings)
+    return Outcome(
+        {
+            'revision': document.revision,
+            'change_id': document.change_id,
+            'settings': document.settings,
+            'cleared': document.cleared,
+        },
+        ('setting', 'value'),
+        tuple((leaf.path, leaf.new) for leaf in leaves),
+        (f'revision {document.revision}; settings at their default are '
+         'left out',),
+    )  # fmt: skip
+
+
+async def audit(call: Invocation) -> Outcome | Failure:
+    """List the changes of the audit trail, newest first."""
+    async with open_store(call) as store:
+        document = await read_current(store)
+    if isinstance(document, Failure):
+        return document
+    entries = tuple(reversed(document.audit))
+    return Outcome(
+        msgspec.to_builtins(entries),
+        ('revision', 'base', 'at', 'author', 'action', 'note', 'change'),
+        tuple(
+            (
+                entry.revision,
+                entry.base,
+                _utc(entry.at_s),
+                entry.author,
+                entry.action,
+                entry.note,
+                entry.change_id,
+            )
+            for entry in entries
+        ),
+    )
+
+
+def difference_rows(
+    differences: Iterable[Difference],
+) -> tuple[tuple[Any, ...], ...]:
+    """Return table rows of path, old and new value."""
+    return tuple((one.path, one.old, one.new) for one in differences)
+
+
+def _utc(at_s: float) -> str:
+    moment = datetime.datetime.fromtimestamp(at_s, datetime.UTC)
+    return moment.isoformat(timespec='seconds')
