End the links of a daemon when pynng drops a cancellation

Cause: pynng's asend and arecv swallow a cancellation when the frame is sent or received at that moment. The loops of PeerLink and PeerNetwork then waited for ever, and closing hung.

Change: both loops look at a flag that is set before they are cancelled.

The new test in tests/test_peers.py hangs without either flag.

Conclusion: a planned stop is not held up by a frame in flight.

--- a/boragespool/peers/link.py
+++ b/boragespool/peers/link.py
@@ -49,6 +49,7 @@
         self._probe_number = 0
         self._unanswered_since_s: Seconds | None = None
         self._used_since_probe = False
+        self._closing = False
 
     async def __aenter__(self) -> Self:
         """Start the link."""
@@ -66,6 +67,7 @@
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Close the socket; queued messages are dropped."""
+        self._closing = True
         self._probing.cancel()
         self._sender.cancel()
         with contextlib.suppress(asyncio.CancelledError):
@@ -129,12 +131,16 @@
         self._used_since_probe = False
 
     async def _send_frames(self) -> None:
-        """Send what is queued, at most one frame per flush interval."""
-        while True:
+        """Send what is queued, at most one frame per flush interval.
+
+        pynng drops a cancellation if the frame is sent at that moment, so
+        the loop looks at the flag as well.
+        """
+        while not self._closing:
             await self._wakeup.wait()
             await asyncio.sleep(self._options.flush_interval_s)
             self._wakeup.clear()
-            while self._queue:
+            while self._queue and not self._closing:
                 await self._send(encode_frame(self._take_frame()))
 
     async def _send(self, encoded: bytes) -> None:
--- a/boragespool/peers/network.py
+++ b/boragespool/peers/network.py
@@ -75,6 +75,7 @@
         self._exchanges = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[Any]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._closing = False
 
     async def __aenter__(self) -> Self:
         """Listen.
@@ -93,6 +94,7 @@
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Close all links."""
+        self._closing = True
         for task in tuple(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -235,7 +237,8 @@
         return link.queue(envelope)
 
     async def _receive_frames(self) -> None:
-        while True:
+        # pynng drops a cancellation if a frame arrives at that moment.
+        while not self._closing:
             received = await self._socket.arecv()
             frame = decode_frame(received)
             if isinstance(frame, Failure):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,14 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
+import time
 from contextlib import asynccontextmanager
 
 import msgspec
 
 from boragespool.messages import Ack, Gossip, Ping, PingRequest
 from boragespool.peers import PeerNetwork, PeerOptions
-from boragespool.peers.frames import FRAME_VERSION, Frame, decode_frame
+from boragespool.peers.frames import (
+    FRAME_VERSION,
+    Frame,
+    decode_frame,
+    encode_message,
+)
+from boragespool.peers.link import PeerLink
 from boragespool.results import Failure, ResultCode
 from boragespool.timers import LoopTimers
 from tests.relay import Relay
@@ -133,3 +141,39 @@
                 assert relay.accepted == 2
 
     asyncio.run(run())
+
+
+class SwallowingSocket:
+    """Completes just when it is cancelled, as pynng does now and then."""
+
+    async def _finish(self) -> bytes:
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.sleep(10)
+        return b''
+
+    async def asend(self, encoded: bytes) -> None:
+        await self._finish()
+
+    async def arecv(self) -> bytes:
+        return await self._finish()
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+def test_close_ends_when_pynng_swallows_the_cancellation():
+    """A frame that is sent or received at that moment must not hang a stop."""
+
+    async def run() -> None:
+        options = PeerOptions('a', 1, free_address())
+        async with PeerNetwork(options, LoopTimers()) as network:
+            network._socket = SwallowingSocket()
+            async with PeerLink('127.0.0.1:1', options, LoopTimers()) as link:
+                link._socket.close()
+                link._socket = SwallowingSocket()
+                link.queue(encode_message(Gossip(())))
+                await asyncio.sleep(0.05)
+
+    started_s = time.monotonic()
+    asyncio.run(asyncio.wait_for(run(), 3))
+    assert time.monotonic() - started_s < 2
