--- /dev/null
+++ b/boragespool/controllers/server_polls.py
@@ -0,0 +1,135 @@
+"""Polls of ``GET /v1/status`` at the backend servers of one dispatcher."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from boragespool.controllers.backend_protocol import (
+    STATUS_REQUEST,
+    BackendStatus,
+    read_status,
+)
+from boragespool.controllers.connections import ConnectionPool
+from boragespool.events import Event, log_event
+from boragespool.http import ExchangeFailure, FailureKind
+from boragespool.results import Failure
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from boragespool.timers import TimerService
+    from boragespool.types import Address, Seconds, ServerName
+
+#: Connections that time out one after the other before a server is lost.
+_LOSING_TIMEOUTS: Final = 3
+
+
+@dataclass(frozen=True, slots=True)
+class PollHooks:
+    """Results of polls.
+
+    Attributes
+    ----------
+    answered : callable
+        Called with each status.
+    lost : callable
+        Called after a poll of a server that takes no connections. A server
+        that is slow to answer is not lost.
+    """
+
+    answered: Callable[[ServerName, BackendStatus], None]
+    lost: Callable[[ServerName], None]
+
+
+class ServerPolls:
+    """Owns one connection to each polled server."""
+
+    def __init__(
+        self,
+        timers: TimerService,
+        timeout_s: Seconds,
+        hooks: PollHooks,
+    ) -> None:
+        """Poll nothing yet."""
+        self._timers = timers
+        self._timeout_s = timeout_s
+        self._hooks = hooks
+        self._pools: dict[ServerName, ConnectionPool] = {}
+        self._tasks: dict[ServerName, asyncio.Task[None]] = {}
+        self._timeouts: dict[ServerName, int] = {}
+
+    @property
+    def servers(self) -> Iterable[ServerName]:
+        """Servers that are polled."""
+        return tuple(self._pools)
+
+    async def close(self) -> None:
+        """Stop polling and close the connections."""
+        for server in self.servers:
+            self.remove(server)
+        tasks = tuple(self._tasks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def add(self, server: ServerName, address: Address) -> None:
+        """Poll a server at once and from now on."""
+        pool = self._pools.get(server)
+        if pool is None or pool.address != address:
+            self.remove(server)
+            self._pools[server] = ConnectionPool(address, 1, self._timers)
+            self.poll(server)
+
+    def remove(self, server: ServerName) -> None:
+        """Stop polling a server."""
+        pool = self._pools.pop(server, None)
+        if pool is not None:
+            pool.close()
+
+    def poll(self, server: ServerName) -> None:
+        """Poll one server unless a poll is under way."""
+        if server in self._tasks:
+            return
+        task = asyncio.ensure_future(self._poll_once(server))
+        self._tasks[server] = task
+        task.add_done_callback(lambda done: self._finished(server, done))
+
+    def _finished(self, server: ServerName, task: asyncio.Task[None]) -> None:
+        self._tasks.pop(server, None)
+        if not task.cancelled() and task.exception() is not None:
+            log_event(
+                Event.TASK_FAILED,
+                f'the poll of {server!r} raised {task.exception()!r}',
+                level=logging.ERROR,
+            )
+
+    async def _poll_once(self, server: ServerName) -> None:
+        pool = self._pools[server]
+        response = await pool.exchange(STATUS_REQUEST, self._timeout_s)
+        if self._pools.get(server) is not pool:
+            return
+        if isinstance(response, ExchangeFailure):
+            self._unanswered(server, response)
+            return
+        self._timeouts[server] = 0
+        status = read_status(response)
+        if isinstance(status, Failure):
+            log_event(Event.SERVER_REPLY_REJECTED, status.reason)
+        else:
+            self._hooks.answered(server, status)
+
+    def _unanswered(self, server: ServerName, failure: ExchangeFailure) -> None:
+        if failure.kind == FailureKind.TIMEOUT and failure.sent:
+            log_event(
+                Event.CONNECTION_SILENT,
+                f'the poll connection to {server!r} is replaced',
+                server=server,
+            )
+        elif failure.kind == FailureKind.TIMEOUT:
+            self._timeouts[server] = self._timeouts.get(server, 0) + 1
+        no_handshake = self._timeouts.get(server, 0) >= _LOSING_TIMEOUTS
+        if no_handshake or failure.kind == FailureKind.REFUSED:
+            self._hooks.lost(server)
