Read the refusals and failed claims of the stand-in

Cause: the stand-in answers 503 with the reasons cancelled and deadline as well, and 500 with an outcome for a claim that ran and failed. Both were taken for shedding or an invalid reply, and shedding halves the limit.

Change: the reasons have their own codes, only served work moves the limit and the mean service time, and a failed claim is CLAIM_FAILED with its outcome. A claim that the server does not cancel may end up to 0.8 s after its deadline, as issuers wait for 1 s to record its outcome.

Conclusion: the dispatcher and the stand-in agree.

--- a/boragespool/controllers/backend.py
+++ b/boragespool/controllers/backend.py
@@ -6,6 +6,7 @@
 import logging
 import math
 from dataclasses import replace
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
 from boragespool.blackboard.topics import BLOCKED
@@ -22,6 +23,7 @@
     Job,
     interrupted,
     refusal,
+    was_served,
 )
 from boragespool.controllers.server_health import ServerHealth
 from boragespool.events import Event, log_event
@@ -37,9 +39,9 @@
     AttemptId,
     Incarnation,
     Rank,
-    RunState,
     Seconds,
     ServerName,
+    WorkKind,
 )
 
 if TYPE_CHECKING:
@@ -53,6 +55,11 @@
 _CANCEL_TIMEOUT_S: Final = 0.5
 #: Time for the cancelled exchange itself to end before its connection closes.
 _CANCEL_GRACE_S: Final = 0.2
+#: A claim that runs at its deadline may still end: its outcome is worth more
+#: than the slot. Issuers wait for 1 s beyond the deadline.
+_GRACE_S_BY_KIND: Final = MappingProxyType(
+    {WorkKind.QUERY: _CANCEL_GRACE_S, WorkKind.CLAIM: 0.8},
+)
 
 
 class Backend:
@@ -116,7 +123,7 @@
             return
         job = self.jobs_by_attempt.get(attempt_id)
         if job is not None:
-            self._hooks.spawn(self._cancel_running(job))
+            self._cancel_soon(job)
 
     def pump(self) -> None:
         """Start, refuse and pre-empt what the queue decides."""
@@ -154,7 +161,7 @@
             level=logging.DEBUG,
             rank=queued.rank,
         )
-        self._hooks.spawn(self._cancel_running(job))
+        self._cancel_soon(job)
 
     async def _run(self, job: Job) -> None:
         """Run one job that holds a slot."""
@@ -169,7 +176,7 @@
         self.queue.finish(
             job.work.attempt_id,
             self._context.timers.now_s(),
-            served=reply.run == RunState.RUN,
+            served=was_served(reply),
         )
         self._answer(job, reply)
 
@@ -182,7 +189,7 @@
         result = await self._exchange(job)
         in_flight = self.queue.running_count
         reply = read_reply(job.work, result)
-        if job.cancel_run is not None and reply.code != ResultCode.COMPLETE:
+        if job.cancel_run is not None and not was_served(reply):
             return interrupted(job, self._context.timers.now_s())
         if isinstance(result, ExchangeFailure):
             await self._failed(result, incarnation)
@@ -201,14 +208,17 @@
         request = work_to_http(job.work, left_s)
         timer = self._context.timers.after(
             left_s,
-            lambda: self._hooks.spawn(self._cancel_running(job)),
+            lambda: self._cancel_soon(job),
         )
-        limit_s = left_s + _CANCEL_GRACE_S
+        limit_s = left_s + _GRACE_S_BY_KIND[job.work.kind]
         try:
             return await self.pool.exchange(request, limit_s, connected)
         finally:
             timer.cancel()
 
+    def _cancel_soon(self, job: Job) -> None:
+        self._hooks.spawn(self._cancel_running(job))
+
     async def _cancel_running(self, job: Job) -> None:
         """Cancel running work at the server on another connection."""
         response = await self.pool.exchange(
--- a/boragespool/controllers/backend_protocol.py
+++ b/boragespool/controllers/backend_protocol.py
@@ -39,6 +39,15 @@
 )
 
 
+_CODE_BY_REASON: Final = MappingProxyType(
+    {
+        'draining': ResultCode.SERVER_DRAINING,
+        'cancelled': ResultCode.CANCELLED,
+        'deadline': ResultCode.DEADLINE_PASSED,
+    }
+)
+
+
 @dataclass(frozen=True, slots=True)
 class _WorkBody:
     attempt_id: str
@@ -166,10 +175,14 @@
         return _complete(work, body)
     if body.attempt_id not in {'', work.attempt_id}:
         return _invalid(work, f'attempt {body.attempt_id!r}')
+    code = _refusal_code(response.status, body)
+    if code == ResultCode.SERVER_REPLY_INVALID and _claim_ran(work, body):
+        code = ResultCode.CLAIM_FAILED
     return WorkReply(
         work.attempt_id,
-        int(_refusal_code(response.status, body)),
+        int(code),
         body.run,
+        outcome=body.outcome,
         reason=body.reason or f'status {response.status}',
         retry_after_s=body.retry_after_s,
     )
@@ -218,6 +231,15 @@
     )
 
 
+def _claim_ran(work: WorkRequest, body: _ReplyBody) -> bool:
+    """Whether the server says that it ran the claim and that it failed."""
+    return (
+        work.kind == WorkKind.CLAIM
+        and body.run == RunState.RUN
+        and body.attempt_id == work.attempt_id
+    )
+
+
 def _claim_outcome(work: WorkRequest, body: _ReplyBody) -> WorkReply:
     """Pass on the ``outcome`` of a claim, or its items without one."""
     outcome = body.outcome
@@ -233,10 +255,8 @@
 
 def _refusal_code(status: int, body: _ReplyBody) -> ResultCode:
     """Return the code of an answer other than 200."""
-    if status == _UNAVAILABLE and body.reason == 'draining':
-        return ResultCode.SERVER_DRAINING
     if status == _UNAVAILABLE:
-        return ResultCode.SERVER_SHED
+        return _CODE_BY_REASON.get(body.reason, ResultCode.SERVER_SHED)
     if status == _CONFLICT:
         return ResultCode.VERSION_NOT_HELD
     return ResultCode.SERVER_REPLY_INVALID
--- a/boragespool/controllers/dispatch.py
+++ b/boragespool/controllers/dispatch.py
@@ -5,8 +5,7 @@
 import asyncio
 import contextlib
 import itertools
-import logging
-from typing import TYPE_CHECKING, Any, Final, Self
+from typing import TYPE_CHECKING, Final, Self
 
 from boragespool.backends import CrashLedger
 from boragespool.blackboard.topics import (
@@ -21,7 +20,6 @@
 from boragespool.controllers.backend import Backend
 from boragespool.controllers.crash_watch import CrashWatch
 from boragespool.controllers.jobs import BLOCKED_FAILURE, BackendHooks, refusal
-from boragespool.events import Event, log_event
 from boragespool.messages import (
     CancelWork,
     ServerRecord,
@@ -31,10 +29,11 @@
 from boragespool.ranks import QueuedWork
 from boragespool.results import Failure, ResultCode
 from boragespool.settings import ServiceSettings, Settings
+from boragespool.tasks import TaskSet
 from boragespool.types import Seconds, ServerName, ServerState, WorkKind
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine, Iterable, Mapping
+    from collections.abc import Iterable, Mapping
 
     from boragespool.controllers.context import Context
     from boragespool.peers import Sender
@@ -64,11 +63,11 @@
         self._backends: dict[ServerName, Backend] = {}
         self._retired: list[Backend] = []
         self._answers = RecentAnswers()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = TaskSet()
         self._draining = False
         self._stack = contextlib.ExitStack()
         self._hooks = BackendHooks(
-            self._spawn,
+            self._tasks.spawn,
             self._crashes.lost,
             self._observed,
         )
@@ -91,9 +90,7 @@
     async def __aexit__(self, *exc_info: object) -> None:
         """Cancel what still runs and close all connections."""
         self._stack.close()
-        for task in tuple(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.close()
         for backend in self._all_backends():
             backend.pool.close()
 
@@ -263,20 +260,6 @@
                 retired.pool.close()
                 self._retired.remove(retired)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._finished)
-
-    def _finished(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log_event(
-                Event.TASK_FAILED,
-                f'dispatch raised {task.exception()!r}',
-                level=logging.ERROR,
-            )
-
 
 def _draining(server: ServerName) -> Failure:
     return Failure(
--- a/boragespool/controllers/jobs.py
+++ b/boragespool/controllers/jobs.py
@@ -64,11 +64,16 @@
         Called with the server and a new observation.
     """
 
-    spawn: Callable[[Coroutine[Any, Any, None]], None]
+    spawn: Callable[[Coroutine[Any, Any, None]], object]
     lost: Callable[[ServerName, Incarnation, tuple[int, ...]], None]
     observed: Callable[[ServerName, ServerObservation], None]
 
 
+def was_served(reply: WorkReply) -> bool:
+    """Whether the backend server ran the work to its end."""
+    return reply.code in {ResultCode.COMPLETE, ResultCode.CLAIM_FAILED}
+
+
 def refusal(work: WorkRequest, failure: Failure) -> WorkReply:
     """Return the reply to work that was not run."""
     return WorkReply(
--- a/boragespool/controllers/server_health.py
+++ b/boragespool/controllers/server_health.py
@@ -11,14 +11,13 @@
     STATUS_REQUEST,
     read_status,
 )
+from boragespool.controllers.jobs import BackendHooks, was_served
 from boragespool.events import Event, log_event
 from boragespool.results import Failure, ResultCode
-from boragespool.types import RunState
 
 if TYPE_CHECKING:
     from boragespool.controllers.connections import ConnectionPool
     from boragespool.controllers.context import Context
-    from boragespool.controllers.jobs import BackendHooks
     from boragespool.messages import WorkReply
     from boragespool.types import Incarnation, ServerName
 
@@ -76,7 +75,7 @@
     def note_reply(self, reply: WorkReply, in_flight: int) -> None:
         """Move the limit and note what a reply says about the server."""
         now_s = self._context.timers.now_s()
-        if reply.run == RunState.RUN:
+        if was_served(reply):
             self._set_limit(backends.after_reply(self._limit, in_flight))
         elif reply.code == ResultCode.SERVER_SHED:
             self._set_limit(backends.after_shed(self._limit, now_s))
--- a/tests/fake_backend.py
+++ b/tests/fake_backend.py
@@ -80,7 +80,7 @@
         self.attempts.append(attempt_id)
         self.deadlines.append(body['deadline_s'])
         mode = orders.get('mode')
-        if mode in {'shed', 'draining'}:
+        if mode in {'shed', 'draining', 'deadline'}:
             return json_response({'run': 'not_run', 'reason': mode}, 503)
         if mode == 'not_held':
             return json_response({'run': 'not_run', 'reason': mode}, 409)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -25,6 +25,8 @@
 )
 from boragespool.peers import PeerNetwork, PeerOptions
 from boragespool.results import ResultCode
+from boragespool.standins.backend import BackendServer, BackendSpec
+from boragespool.standins.switches import BackendSwitches
 from boragespool.timers import LoopTimers
 from boragespool.types import Rank, RunState, ServerState, WorkKind
 from tests.fake_backend import FakeBackend, daemon, document, work
@@ -96,6 +98,7 @@
     [
         ('shed', ResultCode.SERVER_SHED, RunState.NOT_RUN),
         ('draining', ResultCode.SERVER_DRAINING, RunState.NOT_RUN),
+        ('deadline', ResultCode.DEADLINE_PASSED, RunState.NOT_RUN),
         ('not_held', ResultCode.VERSION_NOT_HELD, RunState.NOT_RUN),
         ('wrong', ResultCode.SERVER_REPLY_INVALID, RunState.UNKNOWN),
         ('short', ResultCode.SERVER_REPLY_INVALID, RunState.UNKNOWN),
@@ -465,3 +468,36 @@
         assert setup.controller.status()['s']['connections'] == 1
 
     run(scenario)
+
+
+def test_stand_in_is_understood():
+    """The dispatcher and the stand-in must agree on the protocol."""
+
+    async def scenario():
+        spec = BackendSpec('s', 'v', switches=BackendSwitches(slots=5))
+        async with BackendServer(spec) as server:
+            async with daemon(document({'s': server.address})) as context:
+                async with DispatchController(context) as controller:
+                    setup = Setup(None, context, controller)
+                    query = work(version=1, end=2**32)
+                    reply = await setup.send(query)
+                    assert (reply.code, len(reply.items)) == (1000, 200)
+                    reply = await setup.send(work(version=2))
+                    assert reply.code == ResultCode.VERSION_NOT_HELD
+                    reply = await setup.send(work(**CLAIM))
+                    assert reply.outcome['runs'] == 1
+                    reply = await setup.send(work(body=b'{"fail":1}', **CLAIM))
+                    assert reply.code == ResultCode.CLAIM_FAILED
+                    assert reply.outcome['error']
+                    assert reply.run == RunState.RUN
+                    # A claim that has begun runs to its end.
+                    server.control({'service_time_s': 0.3})
+                    reply = await setup.send(work(deadline_s=0.1, **CLAIM))
+                    assert reply.code == ResultCode.COMPLETE
+                    query = work(version=1, end=9, deadline_s=0.1)
+                    reply = await setup.send(query)
+                    assert reply.code == ResultCode.DEADLINE_PASSED
+                    assert reply.run == RunState.RUN
+                    assert controller.status()['s']['connections'] == 2
+
+    asyncio.run(asyncio.wait_for(scenario(), 10))
