--- a/boragespool/peers/network.py
+++ b/boragespool/peers/network.py
@@ -76,6 +76,7 @@
         self._exchanges = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[Any]] = {}
         self._tasks = TaskSet()
+        self._closing = False
 
     async def __aenter__(self) -> Self:
         """Listen.
@@ -94,6 +95,7 @@
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Close all links."""
+        self._closing = True
         await self._tasks.close()
         for link in self._link_by_host.values():
             await link.__aexit__()
@@ -237,7 +239,8 @@
         return link.queue(envelope)
 
     async def _receive_frames(self) -> None:
-        while True:
+        # pynng drops a cancellation if a frame arrives at that moment.
+        while not self._closing:
             received = await self._socket.arecv()
             frame = decode_frame(received)
             if isinstance(frame, Failure):
