Carry out queries: pin, plan, hedge, retry, merge

Change: QueryController checks a request against the settings, refuses blocked, hopeless and unanswerable ones, and runs the rest in callbacks of the event loop: first attempts to all sub-ranges, hedges after the tracked quantile, retries on other replicas, one budget for both, cancellation of losers, a new plan of missing ranges, and one restart on a newer version. Suspect requests run solo and behind a canary. bench/fake_fleet.py stands in for dispatchers and bench/virtual_time.py makes their time virtual.

Conclusion: the query path keeps its invariants against fake dispatchers; it has not run against the real ones yet.

--- /dev/null
+++ b/boragespool/bench/fake_fleet.py
@@ -0,0 +1,270 @@
+"""In-process dispatchers and backend servers for measurements and tests."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING, Any, cast
+
+from boragespool.blackboard import Blackboard
+from boragespool.blackboard.topics import IN_FORCE, MEMBERS, SERVERS
+from boragespool.controllers.context import Context, Identity
+from boragespool.messages import (
+    CancelWork,
+    Holding,
+    Item,
+    MemberRecord,
+    ServerRecord,
+    WorkReply,
+    WorkRequest,
+)
+from boragespool.results import Failure, ResultCode
+from boragespool.revisions import RevisionDocument
+from boragespool.settings import (
+    HedgingSettings,
+    RouteSettings,
+    ServerSettings,
+    ServiceSettings,
+    Settings,
+)
+from boragespool.timers import LoopTimers
+from boragespool.types import (
+    KEY_SPACE_SIZE,
+    MemberStatus,
+    Rank,
+    RunState,
+    ServerState,
+    WorkKind,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from boragespool.peers import PeerNetwork
+    from boragespool.types import HostName, Seconds, ServerName
+
+
+@dataclass(frozen=True, slots=True)
+class FleetOptions:
+    """Shape of a fake fleet.
+
+    Attributes
+    ----------
+    slots : int
+        Requests that one backend server runs at the same time.
+    trip_s : float
+        One-way time of a message.
+    """
+
+    shards: int = 30
+    replicas: int = 3
+    hosts: int = 6
+    slots: int = 5
+    trip_s: Seconds = 0.0005
+    deadline_s: Seconds = 0.39
+    canary: bool = False
+    hedging: HedgingSettings = field(default_factory=HedgingSettings)
+
+
+class FakeFleet:
+    """Takes the place of the peer network of one merger.
+
+    Attributes
+    ----------
+    service_time_s : callable
+        Draws how long a backend server runs one request.
+    behaviour_by_server : dict
+        Servers that answer otherwise; a behaviour gets the request and
+        returns a reply, or None for none at all.
+    holds : callable
+        Whether a backend server holds the version and range of a request.
+    asked, started : Counter
+        Requests by server that dispatchers got and that servers began.
+    """
+
+    def __init__(self, options: FleetOptions, seed: int) -> None:
+        """Post a configuration, members and servers on a blackboard."""
+        self.options = options
+        self.draw = random.Random(seed)
+        self.service_time_s: Callable[[], Seconds] = lambda: 0.01
+        self.behaviour_by_server: dict[
+            ServerName,
+            Callable[[WorkRequest], WorkReply | Failure | None],
+        ] = {}
+        self.holds: Callable[[WorkRequest], bool] = lambda _: True
+        self.asked: Counter[ServerName] = Counter()
+        self.started: Counter[ServerName] = Counter()
+        self.requests: list[WorkRequest] = []
+        self.cancelled = 0
+        self._slots_by_server: dict[ServerName, asyncio.Semaphore] = {}
+        self._tasks_by_id: dict[str, asyncio.Task[Any]] = {}
+        self.board = Blackboard()
+        self.post()
+
+    def context(self) -> Context:
+        """Return the context of a merger in this fleet."""
+        return Context(
+            Identity('merger', 1, 'dc', 'region', '', ''),
+            self.board,
+            LoopTimers(),
+            cast('PeerNetwork', self),
+            self.draw.random,
+        )
+
+    def post(self) -> None:
+        """Post the whole fleet with version 1 held everywhere."""
+        hosts = [f'host{number}' for number in range(self.options.hosts)]
+        self.board.post(
+            MEMBERS,
+            {
+                host: MemberRecord(
+                    host, 1, 1, MemberStatus.ALIVE, 'dc', 'region', '', ''
+                )
+                for host in hosts
+            },
+        )
+        records = dict(map(self._record, self._names()))
+        self.board.post(SERVERS, records)
+        servers = {
+            name: ServerSettings('', 'dc', host=name) for name in records
+        }
+        settings = Settings(
+            services={
+                'search': ServiceSettings(self.options.slots, 40, servers),
+            },
+            routes={
+                'find': RouteSettings(
+                    'search',
+                    Rank.ROUTINE,
+                    WorkKind.QUERY,
+                    self.options.deadline_s * 1_000,
+                    canary=self.options.canary,
+                ),
+            },
+            hedging=self.options.hedging,
+        )
+        self.board.post(IN_FORCE, RevisionDocument(1, 'change', settings))
+
+    def announce(self, server: ServerName, **changes: Any) -> None:
+        """Post a changed record of one server."""
+        known = self.board.read(SERVERS)
+        changed = {server: replace(known[server], **changes)}
+        self.board.post(SERVERS, {**known, **changed})
+
+    async def request(
+        self,
+        host: HostName,
+        message: WorkRequest,
+        timeout_s: Seconds,
+    ) -> WorkReply | Failure:
+        """Answer like `PeerNetwork.request`."""
+        self.asked[message.server] += 1
+        self.requests.append(message)
+        task = asyncio.ensure_future(self._serve(message))
+        self._tasks_by_id[message.attempt_id] = task
+        task.add_done_callback(
+            lambda _: self._tasks_by_id.pop(message.attempt_id, None),
+        )
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await asyncio.shield(task)
+        except TimeoutError:
+            return Failure(
+                ResultCode.PEER_UNREACHABLE,
+                f'peer {host!r} did not answer',
+                RunState.UNKNOWN,
+            )
+
+    def send(self, host: HostName, message: object) -> bool:
+        """Deliver `CancelWork` after a trip."""
+        if isinstance(message, CancelWork):
+            self.cancelled += 1
+            asyncio.get_running_loop().call_later(
+                self.options.trip_s,
+                self._cancel,
+                message.attempt_id,
+            )
+        return True
+
+    def _cancel(self, attempt_id: str) -> None:
+        task = self._tasks_by_id.get(attempt_id)
+        if task is not None:
+            task.cancel()
+
+    async def _serve(self, message: WorkRequest) -> WorkReply | Failure:
+        await asyncio.sleep(self.options.trip_s)
+        behaviour = self.behaviour_by_server.get(message.server)
+        if behaviour is None:
+            reply: WorkReply | Failure | None = await self._run(message)
+        else:
+            reply = behaviour(message)
+        await asyncio.sleep(self.options.trip_s)
+        if reply is None:
+            await asyncio.sleep(60)
+        return reply or Failure(ResultCode.PEER_UNREACHABLE, 'silent')
+
+    async def _run(self, message: WorkRequest) -> WorkReply:
+        if not self.holds(message):
+            return refusal(ResultCode.VERSION_NOT_HELD)(message)
+        slots = self._slots_by_server.setdefault(
+            message.server,
+            asyncio.Semaphore(self.options.slots),
+        )
+        async with slots:
+            self.started[message.server] += 1
+            await asyncio.sleep(self.service_time_s())
+            return true_reply(message)
+
+    def _names(self) -> list[tuple[int, ServerName]]:
+        return [
+            (shard, f's{shard}r{replica}')
+            for shard in range(self.options.shards)
+            for replica in range(self.options.replicas)
+        ]
+
+    def _record(
+        self,
+        place: tuple[int, ServerName],
+    ) -> tuple[ServerName, ServerRecord]:
+        shard, name = place
+        held = (Holding(1, (shard_range(shard, self.options.shards),)),)
+        record = ServerRecord(
+            name, 'search', 'dc', '', 1, 1, 1, ServerState.SERVING, 5, held
+        )
+        return name, record
+
+
+def shard_range(shard: int, shards: int) -> tuple[int, int]:
+    """Return the key range of one of equal shards."""
+    start = KEY_SPACE_SIZE * shard // shards
+    return start, KEY_SPACE_SIZE * (shard + 1) // shards
+
+
+def true_reply(message: WorkRequest) -> WorkReply:
+    """Return a correct reply with one item that names its origin."""
+    origin = (
+        message.request_id,
+        message.version,
+        message.start,
+        message.end,
+    )
+    return WorkReply(
+        message.attempt_id,
+        int(ResultCode.COMPLETE),
+        RunState.RUN,
+        message.version,
+        message.start,
+        message.end,
+        (Item(message.start, origin),),
+        item_count=1,
+    )
+
+
+def refusal(
+    code: ResultCode,
+    run: RunState = RunState.NOT_RUN,
+) -> Callable[[WorkRequest], WorkReply]:
+    """Return a behaviour that refuses all work with one code."""
+    return lambda message: WorkReply(message.attempt_id, int(code), run)
--- /dev/null
+++ b/boragespool/controllers/hedge_timer.py
@@ -0,0 +1,84 @@
+"""The timer that finds overdue attempts of one query."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from boragespool.routing import hedge_delay_s
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from boragespool.controllers.attempts import AttemptSender
+    from boragespool.controllers.query_parts import Part, QueryWork
+    from boragespool.timers import Subscription
+    from boragespool.types import Seconds
+
+#: Attempts that are due within this time are hedged together.
+_SLACK_S: Final = 0.0005
+
+
+class HedgeTimer:
+    """Calls back for each part whose latest attempt is overdue.
+
+    Parameters
+    ----------
+    work : QueryWork
+        The query; its tracker gives the delay.
+    sender : AttemptSender
+        Open attempts.
+    hedge : callable
+        Sends a hedge if there is a replica and a token for it. A part is
+        tried again after another delay, because a hedge can be slow too.
+    """
+
+    def __init__(
+        self,
+        work: QueryWork,
+        sender: AttemptSender,
+        hedge: Callable[[Part], None],
+    ) -> None:
+        """Start without a timer."""
+        self._work = work
+        self._sender = sender
+        self._hedge = hedge
+        self._subscription: Subscription | None = None
+
+    def set(self, due_in_s: Seconds | None = None) -> None:
+        """Set the timer unless it is set or a hedge would be of no use."""
+        delay_s = hedge_delay_s(
+            self._work.tracker.quantile_s,
+            self._work.time_left_s(),
+            suspect=self._sender.careful,
+        )
+        if delay_s is not None and self._subscription is None:
+            self._subscription = self._work.merger.context.timers.after(
+                delay_s if due_in_s is None else due_in_s,
+                self._fire,
+            )
+
+    def stop(self) -> None:
+        """Cancel the timer."""
+        if self._subscription is not None:
+            self._subscription.cancel()
+
+    def _fire(self) -> None:
+        self._subscription = None
+        if self._sender.careful:
+            return
+        delay_s = self._work.tracker.quantile_s or 0
+        now_s = self._work.merger.context.timers.now_s()
+        # A part's latest attempt comes last.
+        started_by_part = {
+            attempt.part: attempt.started_s
+            for attempt in self._sender.open_by_id.values()
+        }
+        next_s = delay_s
+        for part, started_s in started_by_part.items():
+            left_s = started_s + delay_s - now_s
+            if left_s > _SLACK_S:
+                next_s = min(next_s, left_s)
+            else:
+                self._hedge(part)
+        if started_by_part:
+            self.set(next_s)
--- /dev/null
+++ b/boragespool/controllers/pinned.py
@@ -0,0 +1,100 @@
+"""The pinned snapshot of one query: merged state and missing ranges."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from boragespool.controllers.query_parts import Part
+from boragespool.snapshots import (
+    Denials,
+    MergeState,
+    plan_ranges,
+    reachable_keys,
+    restart_version,
+)
+from boragespool.snapshots.ranges import complement, intersection, union
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from boragespool.controllers.query_parts import QueryWork
+    from boragespool.snapshots import KeyRange, SubRange
+    from boragespool.types import IndexVersion
+
+
+class PinnedSnapshot:
+    """One index version, what was merged of it and who denied holding it."""
+
+    def __init__(self, work: QueryWork, version: IndexVersion) -> None:
+        """Start with nothing merged."""
+        self.version = version
+        self.state = MergeState(version)
+        self.denials = Denials()
+        self._work = work
+
+    def whole_plan(self) -> tuple[SubRange, ...]:
+        """Return the plan over the whole key space."""
+        return self._work.catalogue().plans_by_version[self.version]
+
+    def refresh(self, part: Part) -> bool:
+        """Take over the replicas that may get work now; False if none."""
+        for piece in self._plan(part):
+            if (piece.start, piece.end) == part.asked:
+                part.replicas = piece.replicas
+                return True
+        return False
+
+    def plan_again(self, part: Part) -> tuple[list[Part], list[Part]]:
+        """Cut what is missing of a part by the holdings known now.
+
+        Returns
+        -------
+        tuple of (list of Part, list of Part)
+            Parts with replicas, and parts of which no replica is left.
+        """
+        planned = self._plan(part)
+        covered = [(piece.start, piece.end) for piece in planned]
+        lost = [
+            Part(gap, ())
+            for missing in self.state.missing(part.asked)
+            for gap in complement(intersection(covered, (missing,)), missing)
+        ]
+        kept = [
+            Part((piece.start, piece.end), piece.replicas, part.tried.copy())
+            for piece in planned
+        ]
+        return kept, lost
+
+    def is_view_stale(self, parts: Iterable[Part]) -> bool:
+        """Whether servers are announced that denied holding some parts."""
+        return bool(
+            plan_ranges(
+                self._work.catalogue(),
+                self.version,
+                union(part.asked for part in parts),
+                lambda *asked: not self.denials.allows(*asked),
+            )
+        )
+
+    def newer_version(self, hoped: Iterable[KeyRange]) -> IndexVersion | None:
+        """Return a newer version that covers more than this one still can.
+
+        Parameters
+        ----------
+        hoped : iterable of (int, int)
+            Ranges that are in flight or still have a replica.
+        """
+        reachable = reachable_keys(self.state, hoped)
+        return restart_version(
+            self._work.catalogue(),
+            self.version,
+            reachable,
+        )
+
+    def _plan(self, part: Part) -> tuple[SubRange, ...]:
+        return plan_ranges(
+            self._work.catalogue(),
+            self.version,
+            self.state.missing(part.asked),
+            self.denials.allows,
+        )
--- /dev/null
+++ b/boragespool/controllers/query.py
@@ -0,0 +1,227 @@
+"""Carries out the queries of callers: checks, pins a version, merges."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final, Self
+
+from boragespool.blackboard.topics import IN_FORCE, SERVERS
+from boragespool.controllers.fleet_view import FleetView
+from boragespool.controllers.query_answers import blocked
+from boragespool.controllers.query_parts import KnownGood, Merger, QueryWork
+from boragespool.controllers.query_run import QueryRun
+from boragespool.results import Failure, ResultCode
+from boragespool.routing import (
+    LatencyTracker,
+    ServerObservations,
+    TokenBudget,
+    fingerprint_of,
+    refusal_wait_s,
+)
+from boragespool.settings import HedgingSettings
+from boragespool.snapshots import pin_version
+from boragespool.types import WorkKind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from boragespool.controllers.context import Context
+    from boragespool.controllers.requests import QueryAnswer, QueryRequest
+    from boragespool.revisions import RevisionDocument
+    from boragespool.settings import RouteSettings, ServiceSettings, Settings
+    from boragespool.types import IndexVersion, ServiceName
+
+#: 64-bit fingerprints; about 100 bytes each.
+_KNOWN_GOOD_LIMIT: Final = 8_192
+#: Part of the deadline that is kept for sending the answer.
+_MARGIN_SHARE: Final = 0.05
+_LARGEST_MARGIN_S: Final = 0.005
+_MS_PER_S: Final = 1_000
+
+
+class QueryController:
+    """Answers queries, an async context manager.
+
+    Parameters
+    ----------
+    context : Context
+        Shared parts of the daemon.
+    observations : ServerObservations, optional
+        What replicas are chosen by.
+    new_tracker : callable, optional
+        Makes the latency tracker of a service.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        observations: ServerObservations | None = None,
+        new_tracker: Callable[[float, object], LatencyTracker] = LatencyTracker,
+    ) -> None:
+        """Start without observations."""
+        self._context = context
+        self._new_tracker = new_tracker
+        self._merger = Merger(
+            context,
+            FleetView(context.board),
+            observations or ServerObservations(),
+            TokenBudget(HedgingSettings()),
+            KnownGood(_KNOWN_GOOD_LIMIT),
+        )
+        self._tracker_by_service: dict[ServiceName, LatencyTracker] = {}
+        self._runs: set[QueryRun] = set()
+        self._unsubscribe: list[Callable[[], None]] = []
+
+    async def __aenter__(self) -> Self:
+        """Follow the settings and the backend servers."""
+        board = self._context.board
+        self._unsubscribe = [
+            board.subscribe(SERVERS, self._on_servers),
+            board.subscribe(IN_FORCE, self._on_revision),
+        ]
+        self._on_revision(board.read(IN_FORCE))
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Follow nothing; running queries end by their deadline."""
+        for unsubscribe in self._unsubscribe:
+            unsubscribe()
+
+    @property
+    def in_flight(self) -> int:
+        """Queries that are not answered yet."""
+        return len(self._runs)
+
+    async def answer(self, request: QueryRequest) -> QueryAnswer | Failure:
+        """Answer a query.
+
+        Parameters
+        ----------
+        request : QueryRequest
+            Checked query.
+
+        Returns
+        -------
+        QueryAnswer or Failure
+            At the deadline at the latest. The answer comes from one index
+            version. A failure with run state ``NOT_RUN`` promises that no
+            backend server ran any part of the query.
+        """
+        work = self._accept(request)
+        if isinstance(work, Failure):
+            return work
+        version = self._admit(work)
+        if isinstance(version, Failure):
+            return version
+        run = QueryRun(work, version)
+        self._runs.add(run)
+        unseen = work.fingerprint not in self._merger.known_good
+        try:
+            return await run.answer(
+                canary=work.suspect or (work.route.canary and unseen),
+            )
+        finally:
+            self._runs.discard(run)
+
+    def _accept(self, request: QueryRequest) -> QueryWork | Failure:
+        """Check a request against the settings."""
+        document = self._context.board.read(IN_FORCE)
+        if document is None:
+            return Failure(
+                ResultCode.NOT_READY,
+                'this daemon has no configuration yet',
+            )
+        settings = document.settings
+        route = settings.routes.get(request.route)
+        if route is None or route.service not in settings.services:
+            return _unknown_route(request, settings)
+        if route.form is not WorkKind.QUERY:
+            return Failure(
+                ResultCode.WRONG_FORM,
+                f'route {request.route!r} takes claims, not queries',
+            )
+        deadline_s = min(request.deadline_s, route.deadline_ms / _MS_PER_S)
+        margin_s = min(deadline_s * _MARGIN_SHARE, _LARGEST_MARGIN_S)
+        if deadline_s <= 0:
+            return Failure(
+                ResultCode.DEADLINE_PASSED,
+                f'deadline {request.deadline_s!r} s is not above 0',
+            )
+        service = settings.services[route.service]
+        return QueryWork(
+            request,
+            route,
+            service,
+            fingerprint_of(request.route, request.body),
+            self._context.timers.now_s() + deadline_s - margin_s,
+            self._tracker(route, service, settings.hedging),
+            self._merger,
+        )
+
+    def _admit(self, work: QueryWork) -> IndexVersion | Failure:
+        """Pin a version, or refuse what cannot be answered."""
+        if work.blocked:
+            return blocked(work.fingerprint)
+        catalogue = work.catalogue()
+        version = pin_version(catalogue)
+        if version is None:
+            return Failure(
+                ResultCode.NO_SNAPSHOT,
+                'no backend server that may get work holds an index version',
+            )
+        wait_s = refusal_wait_s(
+            (
+                (part.end - part.start, part.replicas)
+                for part in catalogue.plans_by_version[version]
+            ),
+            self._merger.observations,
+            work.rank_index,
+            self._context.timers.now_s(),
+            work.time_left_s(),
+        )
+        if wait_s:
+            rank = work.route.rank
+            return Failure(
+                ResultCode.DEADLINE_UNREACHABLE,
+                f'work of rank {rank!r} waits longer than its deadline',
+                retry_after_s=wait_s,
+            )
+        return version
+
+    def _tracker(
+        self,
+        route: RouteSettings,
+        service: ServiceSettings,
+        hedging: HedgingSettings,
+    ) -> LatencyTracker:
+        """Return the tracker of a service; changed settings start anew."""
+        bounds = (service.slots, service.connections, hedging.quantile)
+        tracker = self._tracker_by_service.get(route.service)
+        if tracker is None or tracker.settings != bounds:
+            tracker = self._new_tracker(hedging.quantile, bounds)
+            self._tracker_by_service[route.service] = tracker
+        return tracker
+
+    def _on_servers(self, servers: object) -> None:
+        for run in tuple(self._runs):
+            run.view_changed()
+
+    def _on_revision(self, document: RevisionDocument | None) -> None:
+        """Take over the budget and forget servers that were removed."""
+        if document is None:
+            return
+        settings = document.settings
+        self._merger.budget.configure(settings.hedging)
+        self._merger.observations.keep_only(
+            frozenset(
+                server
+                for service in settings.services.values()
+                for server in service.servers
+            )
+        )
+
+
+def _unknown_route(request: QueryRequest, settings: Settings) -> Failure:
+    return Failure(
+        ResultCode.UNKNOWN_ROUTE,
+        f'route {request.route!r} is not one of {sorted(settings.routes)}',
+    )
--- /dev/null
+++ b/boragespool/controllers/query_answers.py
@@ -0,0 +1,136 @@
+"""Answers and refusals of queries, and their log events."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Final
+
+from boragespool.controllers.requests import QueryAnswer
+from boragespool.events import Event, log_event
+from boragespool.metrics import COVERAGE
+from boragespool.results import Failure, ResultCode
+from boragespool.types import RunState
+
+if TYPE_CHECKING:
+    from boragespool.controllers.query_parts import Attempt, QueryWork
+    from boragespool.messages import WorkReply
+    from boragespool.snapshots import MergeState
+    from boragespool.types import IndexVersion
+
+_CALLER_CODES: Final = MappingProxyType(
+    {
+        ResultCode.SERVER_SHED: ResultCode.QUEUE_FULL,
+        ResultCode.VERSION_NOT_HELD: ResultCode.NO_SNAPSHOT,
+    }
+)
+_FIRST_INTERNAL_CODE: Final = 3000
+
+
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """How a query ended.
+
+    Attributes
+    ----------
+    state : MergeState
+        The snapshot to answer with.
+    attempts : int
+        Requests sent.
+    last_refusal : WorkReply, Failure or None
+        Why the last failed attempt failed.
+    may_have_run : bool
+        Whether any attempt ran or may have run.
+    """
+
+    state: MergeState
+    attempts: int
+    last_refusal: WorkReply | Failure | None
+    may_have_run: bool
+
+
+def build_answer(work: QueryWork, ending: Ending) -> QueryAnswer | Failure:
+    """Return the answer with its true coverage, or a refusal.
+
+    Returns
+    -------
+    QueryAnswer or Failure
+        A refusal only if the request is blocked or nothing was merged and
+        no attempt could have run.
+    """
+    state = ending.state
+    if not state.coverage:
+        if work.blocked:
+            return blocked(work.fingerprint, may_have_run=ending.may_have_run)
+        if not ending.may_have_run:
+            return _refusal(ending.last_refusal)
+    COVERAGE.observe(state.coverage)
+    code = ResultCode.COMPLETE if state.complete else ResultCode.PARTIAL
+    missing = state.missing()
+    if missing:
+        log_event(
+            Event.QUERY_PARTIAL,
+            f'{len(missing)!r} key ranges were not searched',
+            request_id=work.request.request_id,
+            snapshot=state.version,
+            coverage=state.coverage,
+        )
+    return QueryAnswer(
+        request_id=work.request.request_id,
+        code=code,
+        snapshot=state.version,
+        coverage=state.coverage,
+        missing=missing,
+        rank=work.route.rank,
+        items=state.collect(),
+        attempts=ending.attempts,
+    )
+
+
+def blocked(fingerprint: int, *, may_have_run: bool = False) -> Failure:
+    """Return the refusal of a request that crashes backend servers."""
+    return Failure(
+        ResultCode.REQUEST_BLOCKED,
+        f'requests with fingerprint {fingerprint:#x} are blocked, because '
+        'backend servers were lost while they ran one',
+        RunState.UNKNOWN if may_have_run else RunState.NOT_RUN,
+    )
+
+
+def log_rejected(attempt: Attempt, failure: Failure) -> None:
+    """Log a reply that was not merged."""
+    log_event(
+        Event.SERVER_REPLY_REJECTED,
+        failure.reason,
+        attempt_id=attempt.attempt_id,
+        server=attempt.server,
+    )
+
+
+def log_restart(
+    work: QueryWork,
+    replaced: IndexVersion,
+    version: IndexVersion,
+) -> None:
+    """Log the restart of a query on a newer version."""
+    log_event(
+        Event.QUERY_RESTARTED,
+        f'version {replaced!r} is held too little; restarted on {version!r}',
+        request_id=work.request.request_id,
+    )
+
+
+def _refusal(last: WorkReply | Failure | None) -> Failure:
+    """Translate the reason of the last attempt into a code for callers."""
+    if last is None:
+        return Failure(ResultCode.NO_SERVER, 'no backend server may get work')
+    code = ResultCode(last.code)
+    if code >= _FIRST_INTERNAL_CODE:
+        code = _CALLER_CODES.get(code, ResultCode.NO_SERVER)
+    reason = last.reason or code.name
+    return Failure(
+        code,
+        f'no attempt was run: {reason}',
+        RunState.NOT_RUN,
+        last.retry_after_s,
+    )
--- a/boragespool/routing/__init__.py
+++ b/boragespool/routing/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from boragespool.routing.admission import refusal_wait_s
 from boragespool.routing.budget import TokenBudget
 from boragespool.routing.eligibility import eligible_holdings
 from boragespool.routing.fingerprints import fingerprint_of
@@ -20,4 +21,5 @@
     'fingerprint_of',
     'hedge_delay_s',
     'highest_weights',
+    'refusal_wait_s',
 )
--- a/boragespool/routing/hedging.py
+++ b/boragespool/routing/hedging.py
@@ -31,7 +31,11 @@
     Parameters
     ----------
     quantile : float
-        Share of attempts, 0 to 1, that answer within the tracked latency.
+        Share of attempts, 0 to 1, that answer within the tracked latency; 1
+        tracks nothing, so that nothing is hedged.
+    settings : object
+        Settings under which the latencies are measured; its owner replaces
+        the tracker when they change.
 
     Notes
     -----
@@ -40,8 +44,9 @@
     although the full latency is unknown.
     """
 
-    def __init__(self, quantile: float) -> None:
+    def __init__(self, quantile: float, settings: object = None) -> None:
         """Start without samples."""
+        self.settings = settings
         self.quantile = quantile
         self._current = _histogram()
         self._older: HdrHistogram | None = None
@@ -62,8 +67,10 @@
 
     def _refresh(self, count: int) -> None:
         """Read the newer histogram once it holds a quarter of a window."""
-        if count >= _WARM_COUNT and (
-            self._older is None or count >= _WINDOW_COUNT // 4
+        if (
+            self.quantile < 1
+            and count >= _WARM_COUNT
+            and (self._older is None or count >= _WINDOW_COUNT // 4)
         ):
             value_us = self._current.get_value_at_percentile(
                 self.quantile * _PER_CENT,
--- a/boragespool/routing/observations.py
+++ b/boragespool/routing/observations.py
@@ -45,6 +45,7 @@
         self._seen_by_server: defaultdict[ServerName, _Seen] = defaultdict(
             _Seen,
         )
+        self._waits_end_s: Seconds = 0
 
     def started(self, server: ServerName) -> None:
         """Count an attempt that was sent."""
@@ -94,6 +95,15 @@
         self._seen_by_server[server].waits_s = tuple(
             now_s + min(wait_s, _LONGEST_WAIT_S) for wait_s in waits_s
         )
+        self._waits_end_s = max(
+            self._waits_end_s,
+            *self._seen_by_server[server].waits_s,
+            0,
+        )
+
+    def longest_wait_s(self, now_s: Seconds) -> Seconds:
+        """Return a bound on what is left of all reported queueing times."""
+        return max(0, self._waits_end_s - now_s)
 
     def is_draining(self, server: ServerName, now_s: Seconds) -> bool:
         """Return whether a server said lately that it drains."""
--- a/boragespool/settings/schema.py
+++ b/boragespool/settings/schema.py
@@ -99,7 +99,8 @@
     Attributes
     ----------
     quantile : float
-        Share of replies, 0 to 1, after whose latency a hedge is sent.
+        Share of replies, 0 to 1, after whose latency a hedge is sent; 1
+        turns hedging off.
     budget_ratio : float
         Second attempts per first attempt.
     burst : float
--- a/boragespool/snapshots/catalogue.py
+++ b/boragespool/snapshots/catalogue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
 from dataclasses import dataclass
 from itertools import groupby, pairwise
 from operator import itemgetter
@@ -9,7 +10,6 @@
 
 from boragespool.snapshots.ranges import (
     KeyRange,
-    intersection,
     is_range,
     key_count,
 )
@@ -168,21 +168,28 @@
         Disjoint, inside `wanted`, in key order; ranges that nobody may be
         asked for are left out.
     """
+    plan = catalogue.plans_by_version.get(version, ())
     planned: list[SubRange] = []
-    for part in catalogue.plans_by_version.get(version, ()):
-        for start, end in intersection(((part.start, part.end),), wanted):
-            piece = _narrow(part, (start, end), may_ask)
+    for start, end in wanted:
+        index = bisect_right(plan, start, key=_end_of)
+        while index < len(plan) and plan[index].start < end:
+            piece = _narrow(plan[index], (start, end), may_ask)
+            index += 1
             if piece.replicas:
                 planned.append(piece)
     return tuple(planned)
 
 
+def _end_of(part: SubRange) -> int:
+    return part.end
+
+
 def _narrow(
     part: SubRange,
-    asked: KeyRange,
+    wanted: KeyRange,
     may_ask: Callable[[ServerName, int, int], bool],
 ) -> SubRange:
-    start, end = asked
+    start, end = max(part.start, wanted[0]), min(part.end, wanted[1])
     replicas = tuple(
         server for server in part.replicas if may_ask(server, start, end)
     )
--- /dev/null
+++ b/tests/query_cases.py
@@ -0,0 +1,52 @@
+"""Requests and fleets that the tests of the query controller share."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+from boragespool.bench.fake_fleet import FleetOptions
+from boragespool.bench.virtual_time import run_virtual
+from boragespool.controllers.query import QueryController
+from boragespool.controllers.requests import QueryRequest
+from boragespool.settings import HedgingSettings
+
+SMALL = FleetOptions(shards=4)
+NO_HEDGES = replace(SMALL, hedging=HedgingSettings(quantile=1))
+
+
+def query(name='q', deadline_s=1.0, body=b'{}'):
+    """Return a checked request."""
+    return QueryRequest(name, 'find', 'caller', body, deadline_s)
+
+
+def ask(fleet, *requests, warm=0):
+    """Answer requests one after the other; also return the time of each."""
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        results = []
+        async with QueryController(fleet.context()) as controller:
+            for number in range(warm):
+                await controller.answer(query(f'warm{number}'))
+            fleet.asked.clear()
+            fleet.requests.clear()
+            for request in requests:
+                began_s = loop.time()
+                answer = await controller.answer(request)
+                results.append((answer, loop.time() - began_s))
+            await asyncio.sleep(0.01)
+            assert controller.in_flight == 0
+        return results
+
+    return run_virtual(run())
+
+
+def replicas(shard):
+    """Return the names of the replicas of a shard."""
+    return [f's{shard}r{replica}' for replica in range(3)]
+
+
+def behave(fleet, servers, behaviour):
+    """Set the behaviour of some servers."""
+    fleet.behaviour_by_server.update(dict.fromkeys(servers, behaviour))
--- /dev/null
+++ b/tests/test_pinned.py
@@ -0,0 +1,97 @@
+"""Queries whose pinned version is lost or repartitioned."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+from boragespool.bench.fake_fleet import (
+    FakeFleet,
+    shard_range,
+    true_reply,
+)
+from boragespool.bench.virtual_time import run_virtual
+from boragespool.controllers.query import QueryController
+from boragespool.messages import Holding
+from tests.query_cases import SMALL, ask, behave, query, replicas
+
+
+def later(fleet, changes_by_server):
+    """Announce holdings 30 ms after the start of a query."""
+
+    def announce():
+        for server, holdings in changes_by_server.items():
+            fleet.announce(server, holdings=holdings)
+
+    asyncio.get_running_loop().call_later(0.03, announce)
+
+
+def ask_during_change(fleet, changes_by_server):
+    """Answer one query while holdings change."""
+
+    async def run():
+        later(fleet, changes_by_server)
+        async with QueryController(fleet.context()) as controller:
+            began_s = asyncio.get_running_loop().time()
+            answer = await controller.answer(query())
+            return answer, asyncio.get_running_loop().time() - began_s
+
+    return run_virtual(run())
+
+
+def test_lost_version_restarts_the_query_on_a_newer_one():
+    """A version that is dropped in a query must not lower the coverage."""
+    fleet = FakeFleet(SMALL, 1)
+    lost = shard_range(1, 4)
+    fleet.holds = lambda asked: asked.version == 2 or asked.start != lost[0]
+    newer = {
+        name: (Holding(2, (shard_range(shard, 4),)),)
+        for shard in range(4)
+        for name in replicas(shard)
+    }
+    answer, took_s = ask_during_change(fleet, newer)
+    assert (answer.snapshot, answer.coverage) == (2, 1)
+    assert {item.value[1] for item in answer.items} == {2}
+    assert took_s < 0.1
+    older = FakeFleet(SMALL, 1)
+    older.holds = fleet.holds
+    answer, took_s = ask_during_change(older, {})
+    assert (answer.snapshot, answer.missing) == (1, (lost,))
+    assert took_s < 0.2
+
+
+def test_repartitioned_shard_is_planned_again_for_the_same_version():
+    """A shard that is cut in two must not lower the coverage."""
+    fleet = FakeFleet(SMALL, 1)
+    start, end = shard_range(1, 4)
+    middle = (start + end) // 2
+    truth = {'s1r0': (start, middle), 's1r1': (middle, end)}
+    truth['s1r2'] = truth['s1r0']
+    fleet.holds = lambda asked: (
+        asked.server not in truth
+        or truth[asked.server][0] <= asked.start
+        and asked.end <= truth[asked.server][1]
+    )
+    halves = {name: (Holding(1, (held,)),) for name, held in truth.items()}
+    answer, _ = ask_during_change(fleet, halves)
+    assert (answer.snapshot, answer.coverage) == (1, 1)
+    assert len(answer.items) == 5
+
+
+def test_rest_of_a_narrower_reply_is_asked_again():
+    """A reply for half a range must not hide or lose the other half."""
+    fleet = FakeFleet(SMALL, 1)
+    start, end = shard_range(1, 4)
+    middle = (start + end) // 2
+    behave(
+        fleet,
+        replicas(1),
+        lambda asked: (
+            true_reply(replace(asked, end=min(asked.end, middle)))
+            if asked.start == start
+            else true_reply(asked)
+        ),
+    )
+    ((answer, _),) = ask(fleet, query())
+    assert answer.coverage == 1
+    assert [asked.start for asked in fleet.requests[4:]] == [middle]
--- /dev/null
+++ b/tests/test_query.py
@@ -0,0 +1,233 @@
+"""The query controller against in-process dispatchers in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from boragespool.bench.fake_fleet import (
+    FakeFleet,
+    refusal,
+    shard_range,
+    true_reply,
+)
+from boragespool.bench.virtual_time import run_virtual
+from boragespool.blackboard.topics import BLOCKED, SUSPECTS
+from boragespool.controllers.query import QueryController
+from boragespool.controllers.query_parts import KnownGood
+from boragespool.results import Failure, ResultCode
+from boragespool.routing import fingerprint_of
+from boragespool.settings import HedgingSettings
+from boragespool.types import RunState, ServerState
+from tests.query_cases import (
+    NO_HEDGES,
+    SMALL,
+    ask,
+    behave,
+    query,
+    replicas,
+)
+
+
+def test_whole_answer():
+    """Each shard must be asked once and every item must come back."""
+    fleet = FakeFleet(SMALL, 1)
+    ((answer, took_s),) = ask(fleet, query())
+    assert answer.code == ResultCode.COMPLETE
+    assert answer.coverage == 1
+    assert answer.missing == ()
+    assert [item.value[0] for item in answer.items] == ['q'] * 4
+    assert answer.attempts == sum(fleet.asked.values()) == 4
+    assert took_s < 0.02
+
+
+def test_silent_shard_gives_true_coverage_at_the_deadline():
+    """An answer must not wait beyond the deadline nor claim the shard."""
+    fleet = FakeFleet(SMALL, 1)
+    behave(fleet, replicas(2), lambda _: None)
+    ((answer, took_s),) = ask(fleet, query(deadline_s=0.2))
+    assert answer.code == ResultCode.PARTIAL
+    assert answer.coverage == 0.75
+    assert answer.missing == (shard_range(2, 4),)
+    assert 0.19 <= took_s <= 0.2
+    assert fleet.cancelled == 1
+
+
+def test_straggler_is_hedged_and_cancelled():
+    """One slow reply must not set the latency of the whole query."""
+    slowest_s = []
+    for options in (SMALL, NO_HEDGES):
+        fleet = FakeFleet(options, 1)
+        behave(
+            fleet,
+            ['s1r0', 's2r1'],
+            lambda asked: (
+                true_reply(asked) if 'warm' in asked.request_id else None
+            ),
+        )
+        results = ask(fleet, *[query(str(n)) for n in range(10)], warm=14)
+        slowest_s.append(max(took_s for _, took_s in results))
+        if options is SMALL:
+            assert all(answer.coverage == 1 for answer, _ in results)
+            assert fleet.cancelled > 0
+    assert slowest_s[0] < 0.05
+    assert slowest_s[1] > 0.3
+
+
+def test_refused_attempt_is_retried_elsewhere():
+    """A shed, draining or unreachable replica must not lower coverage."""
+    for code in (
+        ResultCode.SERVER_SHED,
+        ResultCode.SERVER_DRAINING,
+        ResultCode.SERVER_UNREACHABLE,
+        ResultCode.SERVER_REPLY_INVALID,
+    ):
+        fleet = FakeFleet(SMALL, 1)
+        behave(fleet, ['s0r0', 's0r1'], refusal(code))
+        ((answer, _),) = ask(fleet, query())
+        assert answer.coverage == 1, code
+
+
+def test_not_run_is_only_said_when_no_attempt_could_have_run():
+    """A caller relies on a refusal that says not_run."""
+    everywhere = [name for shard in range(4) for name in replicas(shard)]
+    for run, expected in (
+        (RunState.NOT_RUN, Failure),
+        (RunState.UNKNOWN, None),
+    ):
+        fleet = FakeFleet(SMALL, 1)
+        behave(fleet, everywhere, refusal(ResultCode.SERVER_SHED))
+        behave(fleet, replicas(3), refusal(ResultCode.SERVER_CLOSED, run))
+        ((answer, _),) = ask(fleet, query())
+        if expected is Failure:
+            assert isinstance(answer, Failure)
+            assert answer.run == RunState.NOT_RUN
+        else:
+            assert answer.code == ResultCode.PARTIAL
+            assert answer.coverage == 0
+    fleet = FakeFleet(SMALL, 1)
+    behave(fleet, everywhere, lambda _: None)
+    ((answer, _),) = ask(fleet, query())
+    assert not isinstance(answer, Failure)
+
+
+def test_hedge_avoids_servers_that_began_to_leave():
+    """A hedge is planned after the first attempts and must look again."""
+    fleet = FakeFleet(SMALL, 1)
+    behave(
+        fleet,
+        replicas(1),
+        lambda asked: true_reply(asked) if 'warm' in asked.request_id else None,
+    )
+
+    async def run():
+        async with QueryController(fleet.context()) as controller:
+            for number in range(14):
+                await controller.answer(query(f'warm{number}'))
+            fleet.asked.clear()
+            for name in replicas(1):
+                asyncio.get_running_loop().call_later(
+                    0.001,
+                    lambda name=name: fleet.announce(
+                        name,
+                        state=ServerState.DRAINING,
+                    ),
+                )
+            await controller.answer(query())
+
+    run_virtual(run())
+    assert sum(fleet.asked[name] for name in replicas(1)) == 1
+
+
+def test_blocked_and_suspect_requests():
+    """A request that crashes servers must not reach one per shard."""
+    fingerprint = fingerprint_of('find', b'{}')
+    fleet = FakeFleet(SMALL, 1)
+    fleet.board.post(BLOCKED, frozenset([fingerprint]))
+    ((answer, _),) = ask(fleet, query())
+    assert answer.code == ResultCode.REQUEST_BLOCKED
+    assert answer.run == RunState.NOT_RUN
+    assert not fleet.asked
+    fleet = FakeFleet(SMALL, 1)
+    fleet.board.post(SUSPECTS, frozenset([fingerprint]))
+    ((answer, _),) = ask(fleet, query())
+    assert answer.coverage == 1
+    assert all(asked.solo for asked in fleet.requests)
+    crash = refusal(ResultCode.SERVER_CLOSED, RunState.UNKNOWN)
+    behave(fleet, [f's0r{n}' for n in range(3)], crash)
+    fleet.asked.clear()
+
+    def block(message):
+        fleet.board.post(BLOCKED, frozenset([fingerprint]))
+        return crash(message)
+
+    behave(fleet, replicas(0), block)
+    ((answer, _),) = ask(fleet, query())
+    assert answer.code == ResultCode.REQUEST_BLOCKED
+    assert answer.run == RunState.UNKNOWN
+    assert sum(fleet.asked.values()) == 1
+
+
+def test_canary_runs_first_and_once_per_fingerprint():
+    """An unseen request must not crash one server of each shard."""
+    fleet = FakeFleet(replace(SMALL, canary=True), 1)
+    crash = refusal(ResultCode.SERVER_CLOSED, RunState.UNKNOWN)
+    everywhere = [name for shard in range(4) for name in replicas(shard)]
+    behave(fleet, everywhere, crash)
+    ask(fleet, query(body=b'bad'))
+    assert set(fleet.asked) <= set(replicas(0))
+    assert [asked.solo for asked in fleet.requests] == [False, True, True]
+    fleet.behaviour_by_server.clear()
+    (_, first_s), (_, second_s) = ask(fleet, query(), query())
+    assert second_s < first_s * 0.7
+    good = KnownGood(2)
+    for fingerprint in (1, 2, 1, 3):
+        good.add(fingerprint)
+    assert [number in good for number in (1, 2, 3)] == [True, False, True]
+
+
+def test_hopeless_query_is_refused_early_and_not_for_ever():
+    """Reported waits beyond the deadline must not cost the whole deadline."""
+    fleet = FakeFleet(SMALL, 1)
+    everywhere = [name for shard in range(4) for name in replicas(shard)]
+
+    def full(message):
+        refused = refusal(ResultCode.QUEUE_FULL)(message)
+        return replace(refused, waits_s=(0.0, 0.5, 0.5), retry_after_s=0.5)
+
+    behave(fleet, everywhere, full)
+
+    async def run():
+        async with QueryController(fleet.context()) as controller:
+            full_answer = await controller.answer(query())
+            sent = len(fleet.requests)
+            early = await controller.answer(query(deadline_s=0.3))
+            assert len(fleet.requests) == sent
+            fleet.behaviour_by_server.clear()
+            await asyncio.sleep(early.retry_after_s)
+            return full_answer, early, await controller.answer(query())
+
+    full_answer, early, after = run_virtual(run())
+    assert full_answer.code == ResultCode.QUEUE_FULL
+    assert early.code == ResultCode.DEADLINE_UNREACHABLE
+    assert early.run == RunState.NOT_RUN
+    assert 0 < early.retry_after_s < 0.5
+    assert after.coverage == 1
+
+
+@settings(derandomize=True, deadline=None, max_examples=30)
+@given(st.sampled_from([0, 0.045, 0.1]), st.integers(0, 30))
+def test_second_attempts_stay_within_the_budget(ratio, burst):
+    """An outage must not multiply the load on the servers that are left."""
+    hedging = HedgingSettings(budget_ratio=ratio, burst=burst)
+    fleet = FakeFleet(replace(SMALL, hedging=hedging), 1)
+    behave(fleet, replicas(0), lambda _: None)
+    shed = refusal(ResultCode.SERVER_SHED)
+    for shard in (1, 2):
+        behave(fleet, replicas(shard), shed)
+    results = ask(fleet, *[query(str(n), 0.1) for n in range(40)])
+    firsts = 4 * len(results)
+    assert firsts <= sum(fleet.asked.values()) <= firsts * (1 + ratio) + burst
