--- /dev/null
+++ b/boragespool/controllers/member_state.py
@@ -0,0 +1,174 @@
+"""The member table of one daemon and what follows from its changes.
+
+Owns the table; posts `MEMBERS`, keeps the addresses and links of the peers
+in step with it and logs status changes.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any
+
+from boragespool import membership
+from boragespool.blackboard.topics import MEMBERS
+from boragespool.events import Event, log_event
+from boragespool.messages import Gossip, MemberRecord
+from boragespool.types import MemberStatus
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from boragespool.controllers.context import Context
+    from boragespool.types import HostName
+
+
+class MemberState:
+    """Latest member table of one daemon."""
+
+    def __init__(
+        self,
+        context: Context,
+        options: membership.MembershipOptions,
+    ) -> None:
+        """Start with the own record alone."""
+        self.table = membership.MemberTable(_own_record(context))
+        self.options = options
+        self._context = context
+
+    @property
+    def own(self) -> MemberRecord:
+        """Record that this daemon publishes about itself."""
+        return self.table.own
+
+    @property
+    def now_s(self) -> float:
+        """Monotonic time."""
+        return self._context.timers.now_s()
+
+    def post(self) -> None:
+        """Post all records, the own one included."""
+        self._context.board.post(MEMBERS, membership.with_own(self.table))
+
+    def apply(self, table: membership.MemberTable) -> None:
+        """Keep a new table; post it at once if a status or address changed."""
+        before = self.table
+        self.table = table
+        changed = membership.is_change(before.own, table.own)
+        if before.members_by_host is not table.members_by_host:
+            changed |= self._note_changes(before)
+        if changed:
+            self.post()
+
+    def receive(
+        self,
+        records: tuple[MemberRecord, ...],
+        sender: HostName,
+    ) -> None:
+        """Merge the records of one message."""
+        self.apply(
+            membership.receive(
+                self.table,
+                records,
+                sender,
+                self.now_s,
+                self.options,
+                is_bulk=len(records) > self.options.record_count,
+            ),
+        )
+
+    def compose(self, host: HostName) -> tuple[MemberRecord, ...]:
+        """Choose the records of one message."""
+        composed = membership.compose(self.table, host, self.options)
+        self.table = composed[1]
+        return composed[0]
+
+    def change_own(self, **fields: Any) -> None:
+        """Raise the beat of the own record and tell many members at once."""
+        own = replace(self.own, beat=self.own.beat + 1, **fields)
+        self.apply(
+            membership.update_own(self.table, own, self.now_s, self.options),
+        )
+        self.tell(own, self.options.leave_count)
+
+    def tell(self, record: MemberRecord, count: int) -> None:
+        """Send one record to random members without waiting for a tick."""
+        hosts = membership.choose_hosts(
+            self.reachable(),
+            count,
+            self._context.draw,
+        )
+        self.send_record(hosts, record)
+
+    def send_record(
+        self,
+        hosts: Iterable[HostName],
+        record: MemberRecord,
+    ) -> None:
+        """Send one record to these hosts."""
+        for host in hosts:
+            self._context.peers.send(host, Gossip((record,)))
+
+    def send_view(self, host: HostName) -> None:
+        """Send the whole view to a daemon that has just started."""
+        members = tuple(self.table.members_by_host.values())
+        count = self.options.join_record_count
+        for start in range(0, len(members), count):
+            chunk = members[start : start + count]
+            self._context.peers.send(host, Gossip(chunk))
+
+    def reachable(self) -> frozenset[HostName]:
+        """Return the other members that are not dead."""
+        return frozenset(
+            host
+            for host, member in self.table.members_by_host.items()
+            if member.status != MemberStatus.DEAD
+        )
+
+    def _note_changes(self, before: membership.MemberTable) -> bool:
+        """Update links, log each status change; tell if there was one."""
+        changed = len(before.members_by_host) > len(self.table.members_by_host)
+        for host, member in self.table.members_by_host.items():
+            known = before.members_by_host.get(host)
+            if known is not member and membership.is_change(known, member):
+                changed = True
+                self._update_peer(known, member)
+        return changed
+
+    def _update_peer(
+        self,
+        known: MemberRecord | None,
+        member: MemberRecord,
+    ) -> None:
+        """Follow a change of one member in the peer network and the log."""
+        self._context.peers.set_address(member.host, member.peer_address)
+        if member.status == MemberStatus.DEAD:
+            self._context.peers.forget_link(member.host)
+        if known is None or known.status != member.status:
+            _log_status(self.own.host, member)
+
+
+def _own_record(context: Context) -> MemberRecord:
+    identity = context.identity
+    return MemberRecord(
+        host=identity.host,
+        incarnation=identity.incarnation,
+        beat=0,
+        status=MemberStatus.ALIVE,
+        data_centre=identity.data_centre,
+        region=identity.region,
+        peer_address=identity.peer_address,
+        caller_address=identity.caller_address,
+    )
+
+
+def _log_status(observer: HostName, member: MemberRecord) -> None:
+    status = member.status.value
+    log_event(
+        Event.MEMBER_STATUS_CHANGED,
+        f'member {member.host!r} is {status}',
+        observer=observer,
+        host=member.host,
+        status=status,
+        incarnation=member.incarnation,
+        beat=member.beat,
+    )
--- /dev/null
+++ b/boragespool/controllers/membership.py
@@ -0,0 +1,179 @@
+"""Carries membership out over the peer network and the timers."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from typing import TYPE_CHECKING, Final, Self
+
+from boragespool import membership
+from boragespool.blackboard.topics import IN_FORCE, LEAVING_HOSTS, LOAD
+from boragespool.controllers.member_state import MemberState
+from boragespool.controllers.pinging import Pinger
+from boragespool.messages import Ack, Gossip, MemberRecord, Ping, PingRequest
+from boragespool.types import MemberStatus
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from boragespool.controllers.context import Context
+    from boragespool.peers.network import Sender
+    from boragespool.revisions import RevisionDocument
+    from boragespool.types import Address, DataCentre, HostName
+
+#: Shortest time between two whole views sent, in seconds. It bounds the
+#: traffic when a whole fleet starts at the same time.
+_VIEW_INTERVAL_S: Final = 1
+#: Weight of the latest load in the smoothed one.
+_LOAD_WEIGHT: Final = 0.3
+#: Longest wait for the farewell to be sent, and the time after it, in seconds.
+_FLUSH_S: Final = 0.5
+_LINGER_S: Final = 0.05
+_OPTIONS: Final = membership.MembershipOptions()
+
+
+class MembershipController:
+    """Member records of one daemon, an async context manager.
+
+    Parameters
+    ----------
+    context : Context
+        Shared parts of the daemon.
+    seeds : callable
+        Returns peer addresses by host, from the peers option and the
+        platform's host list. This daemon may be among them.
+    options : MembershipOptions
+        Intervals and bounds.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        seeds: Callable[[], Mapping[HostName, Address]],
+        options: membership.MembershipOptions = _OPTIONS,
+    ) -> None:
+        """Create the own record; `__aenter__` starts to ping."""
+        self._context = context
+        self._state = MemberState(context, options)
+        self._pinger = Pinger(context, self._state, seeds)
+        self._tick_s = context.timers.now_s()
+        self._seed_tick_s = self._tick_s
+        self._view_sent_s = self._tick_s - _VIEW_INTERVAL_S
+        self._endings: tuple[Callable[[], None], ...] = ()
+
+    async def __aenter__(self) -> Self:
+        """Answer pings, post the own record and begin to ping."""
+        context = self._context
+        context.peers.on_request(Ping, self._answer_ping)
+        context.peers.on_request(PingRequest, self._answer_ping_request)
+        context.peers.on_message(Gossip, self._receive_gossip)
+        ticks = context.timers.every(
+            self._state.options.ping_interval_s,
+            self._tick,
+        )
+        self._endings = (
+            ticks.cancel,
+            context.board.subscribe(IN_FORCE, self._publish_revision),
+        )
+        self._publish_revision(context.board.read(IN_FORCE))
+        self._state.post()
+        self._pinger.join()
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Stop pinging; a daemon that left tells peers that it is gone."""
+        for end in self._endings:
+            end()
+        await self._pinger.close()
+        if self.own.status == MemberStatus.LEAVING:
+            gone = replace(self.own, status=MemberStatus.DEAD)
+            self._state.tell(gone, self._state.options.leave_count)
+            await self._context.peers.flush(_FLUSH_S)
+            # The links report an empty queue before the last frame is out.
+            await asyncio.sleep(_LINGER_S)
+
+    @property
+    def own(self) -> MemberRecord:
+        """Record that this daemon publishes about itself."""
+        return self._state.own
+
+    def addresses(
+        self,
+        data_centre: DataCentre,
+        count: int,
+    ) -> tuple[Address, ...]:
+        """Return addresses for a caller, nearest first.
+
+        Parameters
+        ----------
+        data_centre : str
+            Where the caller is; any text is accepted.
+        count : int
+            Addresses wanted.
+        """
+        return membership.choose_addresses(
+            membership.with_own(self._state.table).values(),
+            data_centre,
+            count,
+            self._context.draw,
+            self._context.board.read(LEAVING_HOSTS),
+        )
+
+    def leave(self) -> None:
+        """Publish that this daemon leaves and tell many members at once."""
+        self._state.change_own(status=MemberStatus.LEAVING)
+
+    def set_successor(self, host: HostName) -> None:
+        """Publish which host took over the witness records."""
+        self._state.change_own(successor=host)
+
+    def _tick(self) -> None:
+        """Ping one member, expire suspicions, and now and then ping a seed."""
+        now_s = self._state.now_s
+        options = self._state.options
+        table = self._state.table
+        if now_s - self._tick_s > 2 * options.ping_interval_s:
+            table = membership.forgive(table, now_s)
+        self._tick_s = now_s
+        own = replace(table.own, load=self._smoothed_load())
+        table = replace(table, own=own)
+        self._state.apply(membership.expire(table, now_s, options))
+        self._state.post()
+        self._pinger.join()
+        if now_s - self._seed_tick_s >= options.seed_interval_s:
+            self._seed_tick_s = now_s
+            self._pinger.ping_seeds(1)
+        self._pinger.ping_next()
+
+    def _smoothed_load(self) -> float:
+        before = self.own.load
+        latest = self._context.board.read(LOAD)
+        return round(before + _LOAD_WEIGHT * (latest - before), 2)
+
+    async def _answer_ping(self, sender: Sender, ping: Ping) -> Ack:
+        self._state.receive(ping.records, sender.host)
+        now_s = self._state.now_s
+        if ping.join and now_s - self._view_sent_s >= _VIEW_INTERVAL_S:
+            self._view_sent_s = now_s
+            self._state.send_view(sender.host)
+        return Ack(records=self._state.compose(sender.host))
+
+    async def _answer_ping_request(
+        self,
+        sender: Sender,
+        asked: PingRequest,
+    ) -> Ack:
+        reached = await self._pinger.ping(asked.target)
+        return Ack(reached, self._state.compose(sender.host))
+
+    def _receive_gossip(self, sender: Sender, gossip: Gossip) -> None:
+        self._state.receive(gossip.records, sender.host)
+
+    def _publish_revision(self, document: RevisionDocument | None) -> None:
+        """Tell a few members at once, so that a revision spreads fast."""
+        if document is None:
+            return
+        own = replace(self.own, revision=document.revision)
+        self._state.apply(replace(self._state.table, own=own))
+        self._state.post()
+        self._state.tell(own, self._state.options.revision_fanout)
--- /dev/null
+++ b/boragespool/controllers/pinging.py
@@ -0,0 +1,153 @@
+"""Pings of one daemon: failure detection, joining and seeds."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+from boragespool import membership
+from boragespool.messages import Ack, MemberRecord, Ping, PingRequest
+from boragespool.tasks import TaskSet
+from boragespool.types import MemberStatus
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from boragespool.controllers.context import Context
+    from boragespool.controllers.member_state import MemberState
+    from boragespool.types import Address, HostName
+
+#: Pings that ask for the whole view after the start.
+_JOIN_COUNT: Final = 3
+
+
+class Pinger:
+    """Pings members and judges them by their answers."""
+
+    def __init__(
+        self,
+        context: Context,
+        state: MemberState,
+        seeds: Callable[[], Mapping[HostName, Address]],
+    ) -> None:
+        """Start with an empty round."""
+        self._context = context
+        self._state = state
+        self._seeds = seeds
+        self._order = membership.PingOrder()
+        self._joins_left = _JOIN_COUNT
+        self._tasks = TaskSet()
+
+    async def close(self) -> None:
+        """Cancel the pings under way."""
+        await self._tasks.close()
+
+    def ping_next(self) -> None:
+        """Test the next member of the round."""
+        found = membership.next_target(
+            self._order,
+            self._state.reachable(),
+            self._context.draw,
+        )
+        self._order = found[1]
+        if found[0] is not None:
+            tested = self._state.table.members_by_host[found[0]]
+            self._tasks.spawn(self._test(tested))
+
+    def join(self) -> None:
+        """Ask a member of the own data centre, else seeds, for its view."""
+        if not self._joins_left:
+            return
+        state = self._state
+        local = [
+            host
+            for host in state.reachable()
+            if _centre_of(state, host) == state.own.data_centre
+        ]
+        if not local:
+            self.ping_seeds(_JOIN_COUNT)
+        for host in membership.choose_hosts(local, 1, self._context.draw):
+            self._tasks.spawn(self._ask_view(host))
+
+    def ping_seeds(self, count: int) -> None:
+        """Ping seeds that are not live members."""
+        present = self._state.reachable() | {self._state.own.host}
+        absent = {
+            host: address
+            for host, address in self._seeds().items()
+            if host not in present
+        }
+        for host in membership.choose_hosts(absent, count, self._context.draw):
+            self._context.peers.set_address(host, absent[host])
+            self._tasks.spawn(self._ask_view(host))
+
+    async def ping(self, host: HostName, *, join: bool = False) -> bool:
+        """Exchange records with a host; tell whether it answered."""
+        ack = await self._context.peers.request(
+            host,
+            Ping(self._state.compose(host), join),
+            self._state.options.ping_timeout_s,
+        )
+        if not isinstance(ack, Ack):
+            return False
+        self._state.receive(ack.records, host)
+        return True
+
+    async def _ask_view(self, host: HostName) -> None:
+        """Ping a host and ask for its whole view while joining."""
+        reached = await self.ping(host, join=self._joins_left > 0)
+        if reached and self._joins_left:
+            self._joins_left -= 1
+
+    async def _test(self, tested: MemberRecord) -> None:
+        """Ping one member, directly and through helpers, and judge it."""
+        state = self._state
+        host = tested.host
+        started_s = state.now_s
+        if await self.ping(host) or await self._ping_by_helpers(tested):
+            state.apply(membership.confirm(state.table, host))
+            return
+        # A longer time means that this daemon was paused or overloaded.
+        if state.now_s - started_s > 4 * state.options.ping_timeout_s:
+            return
+        state.apply(
+            membership.suspect(
+                state.table,
+                tested,
+                state.now_s,
+                state.options,
+            ),
+        )
+        member = state.table.members_by_host.get(host)
+        if member is not None and member.status == MemberStatus.SUSPECT:
+            state.send_record((host,), member)
+
+    async def _ping_by_helpers(self, tested: MemberRecord) -> bool:
+        """Ask members near the target, which all keep it, to ping it."""
+        others = self._state.reachable() - {tested.host}
+        near = {
+            host
+            for host in others
+            if _centre_of(self._state, host) == tested.data_centre
+        }
+        helpers = membership.choose_hosts(
+            near or others,
+            self._state.options.helper_count,
+            self._context.draw,
+        )
+        answers = await asyncio.gather(
+            *(self._ask_helper(helper, tested.host) for helper in helpers),
+        )
+        return any(answers)
+
+    async def _ask_helper(self, helper: HostName, target: HostName) -> bool:
+        answer = await self._context.peers.request(
+            helper,
+            PingRequest(target),
+            2 * self._state.options.ping_timeout_s,
+        )
+        return isinstance(answer, Ack) and answer.reached
+
+
+def _centre_of(state: MemberState, host: HostName) -> str:
+    return state.table.members_by_host[host].data_centre
--- a/boragespool/messages/membership.py
+++ b/boragespool/messages/membership.py
@@ -48,9 +48,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Ping:
-    """Asks a daemon for an `Ack`; carries records on the side."""
+    """Asks a daemon for an `Ack`; carries records on the side.
+
+    With `join` a daemon that has just started asks for the whole view.
+    """
 
     records: tuple[MemberRecord, ...] = ()
+    join: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragespool/peers/link.py
+++ b/boragespool/peers/link.py
@@ -19,6 +19,7 @@
     Envelope,
     Frame,
     Probe,
+    ProbeAnswer,
     encode_frame,
     encode_message,
 )
@@ -46,6 +47,7 @@
         self._timers = timers
         self._queue: deque[Envelope] = deque()
         self._wakeup = asyncio.Event()
+        self._closing = False
         self._probe_number = 0
         self._unanswered_since_s: Seconds | None = None
         self._used_since_probe = False
@@ -67,17 +69,21 @@
     async def __aexit__(self, *exc_info: object) -> None:
         """Close the socket; queued messages are dropped."""
         self._probing.cancel()
+        self._closing = True
+        # Cancelling a pynng send can wait for ever; closing ends it.
+        self._socket.close()
         self._sender.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await self._sender
-        self._socket.close()
 
     def queue(self, envelope: Envelope) -> bool:
         """Queue one message; False if the queue is full."""
         if len(self._queue) >= self._options.queue_count:
             return False
         self._queue.append(envelope)
-        self._used_since_probe = True
+        # Answers to probes must not cause probes, or they would never end.
+        if envelope.kind != ProbeAnswer.__name__:
+            self._used_since_probe = True
         self._wakeup.set()
         return True
 
@@ -130,11 +136,12 @@
 
     async def _send_frames(self) -> None:
         """Send what is queued, at most one frame per flush interval."""
-        while True:
+        # pynng drops a cancellation that coincides with a completed send.
+        while not self._closing:
             await self._wakeup.wait()
             await asyncio.sleep(self._options.flush_interval_s)
             self._wakeup.clear()
-            while self._queue:
+            while self._queue and not self._closing:
                 await self._send(encode_frame(self._take_frame()))
 
     async def _send(self, encoded: bytes) -> None:
--- a/boragespool/peers/network.py
+++ b/boragespool/peers/network.py
@@ -65,6 +65,7 @@
         """Keep the settings; `__aenter__` listens."""
         self.options = options
         self._timers = timers
+        self._closing = False
         self._stack = contextlib.AsyncExitStack()
         self._address_by_host: dict[HostName, Address] = {}
         self._link_by_host: dict[HostName, PeerLink] = {}
@@ -94,6 +95,9 @@
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Close all links."""
+        self._closing = True
+        # Cancelling a pynng receive can wait for ever; closing ends it.
+        self._socket.close()
         await self._tasks.close()
         for link in self._link_by_host.values():
             await link.__aexit__()
@@ -237,8 +241,12 @@
         return link.queue(envelope)
 
     async def _receive_frames(self) -> None:
-        while True:
-            received = await self._socket.arecv()
+        # pynng drops a cancellation that coincides with an arrival.
+        while not self._closing:
+            try:
+                received = await self._socket.arecv()
+            except pynng.Closed:
+                return
             frame = decode_frame(received)
             if isinstance(frame, Failure):
                 log_event(
--- /dev/null
+++ b/tests/test_membership_controller.py
@@ -0,0 +1,181 @@
+"""Membership over real links."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from contextlib import AsyncExitStack
+from dataclasses import replace
+
+from boragespool.blackboard import Blackboard
+from boragespool.blackboard.topics import IN_FORCE, MEMBERS
+from boragespool.controllers.context import Context, Identity
+from boragespool.controllers.membership import MembershipController
+from boragespool.membership import MembershipOptions
+from boragespool.peers import PeerNetwork, PeerOptions
+from boragespool.revisions import RevisionDocument
+from boragespool.settings import Settings
+from boragespool.timers import LoopTimers
+from boragespool.types import MemberStatus
+from tests.test_peers import free_address
+
+OPTIONS = MembershipOptions(
+    ping_interval_s=0.1,
+    ping_timeout_s=0.1,
+    suspicion_s=0.3,
+    seed_interval_s=0.3,
+)
+
+
+class Fleet:
+    """Daemons' membership parts in one event loop."""
+
+    def __init__(self, *hosts: str) -> None:
+        self.addresses = {host: free_address() for host in hosts}
+        self.controllers = {}
+        self.contexts = {}
+        self.stacks = {}
+
+    async def __aenter__(self):
+        for host in self.addresses:
+            await self.start(host, 1)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        for stack in self.stacks.values():
+            await stack.aclose()
+
+    async def start(self, host: str, incarnation: int) -> None:
+        stack = self.stacks[host] = AsyncExitStack()
+        address = self.addresses[host]
+        timers = LoopTimers()
+        network = await stack.enter_async_context(
+            PeerNetwork(PeerOptions(host, incarnation, address), timers),
+        )
+        context = self.contexts[host] = Context(
+            Identity(host, incarnation, 'north', 'east', address, address),
+            Blackboard(),
+            timers,
+            network,
+            random.Random(host).random,
+        )
+        seeds = {'a': self.addresses['a']}
+        self.controllers[host] = await stack.enter_async_context(
+            MembershipController(context, lambda: seeds, OPTIONS),
+        )
+
+    def member(self, observer: str, host: str):
+        return self.contexts[observer].board.read(MEMBERS).get(host)
+
+    async def until(self, condition, limit_s: float = 5) -> None:
+        async with asyncio.timeout(limit_s):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    async def together(self) -> None:
+        await self.until(
+            lambda: all(
+                (known := self.member(observer, host)) is not None
+                and known.status == MemberStatus.ALIVE
+                for observer in self.stacks
+                for host in self.stacks
+            ),
+        )
+
+
+def test_members_find_each_other_and_a_death():
+    """A crashed daemon must leave the address answers of its peers."""
+
+    async def run() -> None:
+        async with Fleet('a', 'b', 'c', 'd') as fleet:
+            await fleet.together()
+            await fleet.stacks.pop('d').aclose()
+            await fleet.until(
+                lambda: all(
+                    fleet.member(host, 'd').status == MemberStatus.DEAD
+                    for host in fleet.stacks
+                ),
+            )
+            await fleet.start('d', 2)
+            await fleet.together()
+            assert fleet.member('b', 'd').incarnation == 2
+
+    asyncio.run(run())
+
+
+def test_false_death_is_refuted():
+    """A live daemon that is called dead must return with a higher beat."""
+
+    async def run() -> None:
+        async with Fleet('a', 'b', 'c') as fleet:
+            await fleet.together()
+            dead = replace(fleet.member('a', 'b'), status=MemberStatus.DEAD)
+            for host in ('a', 'c'):
+                fleet.controllers[host]._state.receive((dead,), 'x')
+            assert fleet.member('a', 'b').status == MemberStatus.DEAD
+            await fleet.together()
+            assert fleet.member('a', 'b').beat == 1
+
+    asyncio.run(run())
+
+
+def test_leaving_daemon_is_in_no_answer():
+    """Callers must not be sent to a daemon that has told it leaves."""
+
+    async def run() -> None:
+        async with Fleet('a', 'b', 'c') as fleet:
+            await fleet.together()
+            fleet.controllers['c'].leave()
+            fleet.controllers['c'].set_successor('b')
+            await fleet.until(
+                lambda: all(
+                    fleet.member(host, 'c').successor == 'b' for host in 'ab'
+                ),
+                limit_s=0.09,
+            )
+            for controller in fleet.controllers.values():
+                answer = controller.addresses('north', 3)
+                assert fleet.addresses['c'] not in answer
+                assert len(answer) == 2
+            gone = fleet.stacks.pop('c')
+            closing = asyncio.create_task(gone.aclose())
+            await fleet.until(
+                lambda: fleet.member('a', 'c').status == MemberStatus.DEAD,
+                limit_s=0.3,
+            )
+            await closing
+            assert fleet.member('a', 'c').successor == 'b'
+
+    asyncio.run(run())
+
+
+def test_revision_is_told_at_once():
+    """Peers must learn of a new revision before the next ping."""
+
+    async def run() -> None:
+        async with Fleet('a', 'b') as fleet:
+            await fleet.together()
+            document = RevisionDocument(7, 'change', Settings())
+            fleet.contexts['b'].board.post(IN_FORCE, document)
+            await fleet.until(
+                lambda: fleet.member('a', 'b').revision == 7, 0.09
+            )
+
+    asyncio.run(run())
+
+
+def test_probes_of_an_unused_link_end():
+    """Probe answers that cause probes would use the control budget."""
+
+    async def run() -> None:
+        async with Fleet('a', 'b') as fleet:
+            await fleet.together()
+            for controller in fleet.controllers.values():
+                await controller.__aexit__()
+            await asyncio.sleep(1.5)
+            networks = [c.peers for c in fleet.contexts.values()]
+            before = [network.traffic() for network in networks]
+            await asyncio.sleep(1.2)
+            assert [network.traffic() for network in networks] == before
+
+    asyncio.run(run())
