Compose the daemon: settings, entry, graceful stop

Cause: the controllers need a process that builds, runs and stops them.

Entry composes one daemon without global state. Members without a revision in force are left out of address answers unless there is nobody else.

--- /dev/null
+++ b/boragespool/daemon/controllers.py
@@ -0,0 +1,74 @@
+"""Order in which the controllers of one daemon are started."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from boragespool.controllers.caller_ports import CallerPorts, QueryRunner
+from boragespool.controllers.callers import CallerApi
+from boragespool.controllers.claims import ClaimController
+from boragespool.controllers.configuration import ConfigurationController
+from boragespool.controllers.dispatch import DispatchController
+from boragespool.controllers.membership import MembershipController
+from boragespool.daemon.absent import AbsentQueries
+from boragespool.daemon.seeds import Seeds
+
+if TYPE_CHECKING:
+    from contextlib import AsyncExitStack
+
+    from boragespool.controllers.context import Context
+    from boragespool.daemon.options import EntryOptions
+    from boragespool.store import StoreClient
+
+
+@dataclass(frozen=True, slots=True)
+class Controllers:
+    """Controllers that the daemon itself calls."""
+
+    membership: MembershipController
+    claims: ClaimController
+    dispatch: DispatchController
+    api: CallerApi
+
+
+async def start_controllers(
+    stack: AsyncExitStack,
+    context: Context,
+    store: StoreClient,
+    options: EntryOptions,
+) -> Controllers:
+    """Start each controller after those that it calls.
+
+    Parameters
+    ----------
+    stack : AsyncExitStack
+        Ends the controllers in reverse order.
+    context : Context
+        Shared parts of the daemon.
+    store : StoreClient
+        Platform.
+    options : EntryOptions
+        Settings of the process.
+    """
+    seeds = await stack.enter_async_context(
+        Seeds(context, store, dict(options.peers)),
+    )
+    membership = await stack.enter_async_context(
+        MembershipController(context, seeds, options.membership),
+    )
+    await stack.enter_async_context(ConfigurationController(context, store))
+    dispatch = await stack.enter_async_context(DispatchController(context))
+    claims = await stack.enter_async_context(ClaimController(context))
+    queries = await _start_queries(stack, context)
+    ports = CallerPorts(queries, claims, membership, dispatch)
+    api = await stack.enter_async_context(CallerApi(context, ports))
+    return Controllers(membership, claims, dispatch, api)
+
+
+async def _start_queries(
+    stack: AsyncExitStack,
+    context: Context,
+) -> QueryRunner:
+    """Start the server and query controllers."""
+    return AbsentQueries()
--- /dev/null
+++ b/boragespool/daemon/options.py
@@ -0,0 +1,293 @@
+"""Settings of one daemon process and the flags that they come from."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Any, Final
+
+from boragespool.daemon import parsing
+from boragespool.http import HttpLimits
+from boragespool.membership import MembershipOptions
+from boragespool.results import Failure, ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from boragespool.types import (
+        Address,
+        DataCentre,
+        HostName,
+        Region,
+        Seconds,
+    )
+
+ENVIRONMENT_PREFIX: Final = 'BORAGESPOOL_'
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLimits:
+    """Bounds of the links to peers; see `boragespool.peers.PeerOptions`."""
+
+    flush_interval_s: Seconds = 0.001
+    frame_size_bytes: int = 262_144
+    queue_count: int = 20_000
+    probe_interval_s: Seconds = 0.5
+    silence_timeout_s: Seconds = 1.5
+
+
+@dataclass(frozen=True, slots=True)
+class EntryOptions:
+    """Checked settings of one daemon process.
+
+    Attributes
+    ----------
+    peers : tuple of (str, str)
+        Host and peer address of daemons to join, besides those of the
+        platform's host list.
+    store_timeout_s : float
+        Longest wait for one call to the platform.
+    stop_timeout_s : float
+        Longest duration of a graceful stop.
+    """
+
+    host: HostName
+    data_centre: DataCentre
+    region: Region
+    caller_address: Address
+    peer_address: Address
+    platform_address: Address
+    peers: tuple[tuple[HostName, Address], ...] = ()
+    log_level: str = 'INFO'
+    store_timeout_s: Seconds = 1
+    stop_timeout_s: Seconds = 60
+    http: HttpLimits = field(default_factory=HttpLimits)
+    links: PeerLimits = field(default_factory=PeerLimits)
+    membership: MembershipOptions = field(default_factory=MembershipOptions)
+
+
+@dataclass(frozen=True, slots=True)
+class Setting:
+    """One flag.
+
+    Attributes
+    ----------
+    default : str or None
+        Text used if neither the flag nor the environment sets it; None for
+        a setting that is required.
+    """
+
+    kind: parsing.Kind
+    default: str | None
+    explanation: str
+
+
+def _setting(kind: parsing.Kind, default: object, text: str) -> Setting:
+    return Setting(kind, str(default), text)
+
+
+_LINKS: Final = PeerLimits()
+_HTTP: Final = HttpLimits()
+_MEMBERSHIP: Final = MembershipOptions()
+
+_PROCESS_SETTINGS: Final = MappingProxyType(
+    {
+        'host': Setting(parsing.NAME, None, 'Name of this host.'),
+        'data_centre': Setting(parsing.NAME, None, 'Its data centre.'),
+        'region': Setting(parsing.NAME, None, 'Region of the data centre.'),
+        'caller_address': Setting(
+            parsing.ADDRESS,
+            None,
+            'Address for callers; it is published to them.',
+        ),
+        'peer_address': Setting(
+            parsing.ADDRESS,
+            None,
+            'Address for peers; it is published to them.',
+        ),
+        'platform_address': Setting(
+            parsing.ADDRESS,
+            None,
+            'Address of the platform (store and host list).',
+        ),
+        'peers': _setting(parsing.PEERS, '', 'Daemons to join.'),
+        'log_level': _setting(parsing.LEVEL, 'INFO', 'Least level logged.'),
+        'store_timeout_s': _setting(
+            parsing.number(0.05, 60),
+            1,
+            'Longest wait for one call to the platform, in seconds.',
+        ),
+        'stop_timeout_s': _setting(
+            parsing.number(0, 3_600),
+            60,
+            'Longest duration of a graceful stop, in seconds.',
+        ),
+    },
+)
+_HTTP_SETTINGS: Final = MappingProxyType(
+    {
+        'header_size_bytes': _setting(
+            parsing.integer(256, 1_048_576),
+            _HTTP.header_size_bytes,
+            'Largest request head of a caller, in bytes.',
+        ),
+        'body_size_bytes': _setting(
+            parsing.integer(1, 67_108_864),
+            _HTTP.body_size_bytes,
+            'Largest request body of a caller, in bytes.',
+        ),
+        'connection_count': _setting(
+            parsing.integer(1, 100_000),
+            _HTTP.connection_count,
+            'Connections of callers open at the same time.',
+        ),
+        'read_timeout_s': _setting(
+            parsing.number(0.05, 300),
+            _HTTP.read_timeout_s,
+            'Time from the first to the last byte of a request, in seconds.',
+        ),
+        'idle_timeout_s': _setting(
+            parsing.number(0.05, 3_600),
+            _HTTP.idle_timeout_s,
+            'Time that a connection may wait for a request, in seconds.',
+        ),
+    },
+)
+_LINK_SETTINGS: Final = MappingProxyType(
+    {
+        'flush_interval_s': _setting(
+            parsing.number(0, 1),
+            _LINKS.flush_interval_s,
+            'Shortest time between two frames to one peer, in seconds.',
+        ),
+        'frame_size_bytes': _setting(
+            parsing.integer(1_024, 16_777_216),
+            _LINKS.frame_size_bytes,
+            'Size at which a frame is closed, in bytes.',
+        ),
+        'queue_count': _setting(
+            parsing.integer(16, 1_000_000),
+            _LINKS.queue_count,
+            'Messages that may wait for one peer.',
+        ),
+        'probe_interval_s': _setting(
+            parsing.number(0.05, 60),
+            _LINKS.probe_interval_s,
+            'Time between two probes of a link in use, in seconds.',
+        ),
+        'silence_timeout_s': _setting(
+            parsing.number(0.1, 60),
+            _LINKS.silence_timeout_s,
+            'Time without an answer after which a link is dialled again.',
+        ),
+    },
+)
+_MEMBERSHIP_SETTINGS: Final = MappingProxyType(
+    {
+        'ping_interval_s': _setting(
+            parsing.number(0.05, 60),
+            _MEMBERSHIP.ping_interval_s,
+            'Time between two pings of this daemon, in seconds.',
+        ),
+        'ping_timeout_s': _setting(
+            parsing.number(0.02, 30),
+            _MEMBERSHIP.ping_timeout_s,
+            'Wait for the answer to a ping, in seconds.',
+        ),
+        'suspicion_s': _setting(
+            parsing.number(0.1, 300),
+            _MEMBERSHIP.suspicion_s,
+            'Time to refute a suspicion for up to ten members, in seconds.',
+        ),
+        'dead_keep_s': _setting(
+            parsing.number(5, 86_400),
+            _MEMBERSHIP.dead_keep_s,
+            'Time for which the record of a dead member is kept, in seconds.',
+        ),
+        'seed_interval_s': _setting(
+            parsing.number(0.1, 3_600),
+            _MEMBERSHIP.seed_interval_s,
+            'Time between two pings of absent seeds, in seconds.',
+        ),
+        'record_count': _setting(
+            parsing.integer(3, 64),
+            _MEMBERSHIP.record_count,
+            'Member records in one message.',
+        ),
+        'remote_count': _setting(
+            parsing.integer(1, 1_000),
+            _MEMBERSHIP.remote_count,
+            'Members kept of each other data centre.',
+        ),
+    },
+)
+
+#: Groups of settings, each with the prefix of its flags.
+GROUPS: Final = (
+    ('', _PROCESS_SETTINGS),
+    ('http_', _HTTP_SETTINGS),
+    ('link_', _LINK_SETTINGS),
+    ('member_', _MEMBERSHIP_SETTINGS),
+)
+
+
+def all_settings() -> Mapping[str, Setting]:
+    """Return every setting by the name of its flag."""
+    return {
+        prefix + name: setting
+        for prefix, group in GROUPS
+        for name, setting in group.items()
+    }
+
+
+def parse_options(given: Mapping[str, str]) -> EntryOptions | Failure:
+    """Check the texts of the settings.
+
+    Parameters
+    ----------
+    given : mapping of str to str
+        Texts by flag name; a missing one gets its default.
+
+    Returns
+    -------
+    EntryOptions or Failure
+        The failure names the first bad setting, its value and what is
+        allowed.
+    """
+    groups: list[dict[str, Any]] = []
+    for prefix, settings in GROUPS:
+        parsed = _parse_group(prefix, settings, given)
+        if isinstance(parsed, Failure):
+            return parsed
+        groups.append(parsed)
+    process, http, links, membership = groups
+    return EntryOptions(
+        **process,
+        http=HttpLimits(**http),
+        links=PeerLimits(**links),
+        membership=MembershipOptions(**membership),
+    )
+
+
+def _parse_group(
+    prefix: str,
+    settings: Mapping[str, Setting],
+    given: Mapping[str, str],
+) -> dict[str, Any] | Failure:
+    """Parse one group of settings."""
+    parsed: dict[str, Any] = {}
+    for name, setting in settings.items():
+        text = given.get(prefix + name, setting.default)
+        parsed[name] = None if text is None else setting.kind.parse(text)
+        if parsed[name] is None:
+            return _rejected(prefix + name, text, setting)
+    return parsed
+
+
+def _rejected(name: str, text: str | None, setting: Setting) -> Failure:
+    said = 'is not set' if text is None else f'is {text!r}'
+    allowed = setting.kind.allowed
+    return Failure(
+        ResultCode.INVALID_SETTING,
+        f'setting {name!r} {said}; allowed is {allowed}',
+    )
--- /dev/null
+++ b/boragespool/daemon/parsing.py
@@ -0,0 +1,107 @@
+"""Parsers of the process settings; each returns None for a bad value."""
+
+from __future__ import annotations
+
+import ipaddress
+import math
+import re
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+_NAME: Final = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
+_MAX_PORT: Final = 65_535
+_LEVELS: Final = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """Kind of a setting.
+
+    Attributes
+    ----------
+    allowed : str
+        What is allowed, for error messages and the help text.
+    parse : callable
+        Returns the value of a text, or None if it is not allowed.
+    """
+
+    allowed: str
+    parse: Callable[[str], Any]
+
+
+def parse_name(text: str) -> str | None:
+    """Return a name; bounded, so that member records are bounded."""
+    return text if _NAME.fullmatch(text) else None
+
+
+def parse_address(text: str) -> str | None:
+    """Return an ``ip:port`` that other processes can connect to."""
+    host, _, port = text.rpartition(':')
+    try:
+        ip = ipaddress.IPv4Address(host)
+    except ValueError:
+        return None
+    is_port = port.isascii() and port.isdigit() and len(port) <= 5
+    if not is_port or not 1 <= int(port) <= _MAX_PORT:
+        return None
+    return None if ip.is_unspecified or ip.is_multicast else text
+
+
+def parse_peers(text: str) -> tuple[tuple[str, str], ...] | None:
+    """Return (host, address) pairs of a list ``host=ip:port,...``."""
+    pairs = []
+    for part in filter(None, text.split(',')):
+        host, _, address = part.strip().partition('=')
+        if parse_name(host) is None or parse_address(address) is None:
+            return None
+        pairs.append((host, address))
+    return tuple(pairs)
+
+
+def parse_level(text: str) -> str | None:
+    """Return the name of a log level."""
+    return text.upper() if text.upper() in _LEVELS else None
+
+
+def number(low: float, high: float) -> Kind:
+    """Return the kind of numbers in ``[low, high]``."""
+
+    def parse(text: str) -> float | None:
+        try:
+            parsed = float(text)
+        except ValueError:
+            return None
+        is_allowed = math.isfinite(parsed) and low <= parsed <= high
+        return parsed if is_allowed else None
+
+    return Kind(f'a number from {low} to {high}', parse)
+
+
+def integer(low: int, high: int) -> Kind:
+    """Return the kind of integers in ``[low, high]``."""
+
+    def parse(text: str) -> int | None:
+        try:
+            parsed = int(text)
+        except ValueError:
+            return None
+        return parsed if low <= parsed <= high else None
+
+    return Kind(f'an integer from {low} to {high}', parse)
+
+
+NAME: Final = Kind(
+    '1 to 64 letters, digits, dots, hyphens or underscores, '
+    'a letter or digit first',
+    parse_name,
+)
+ADDRESS: Final = Kind(
+    'a numeric IPv4 address of this network and a port from 1 to 65535, '
+    'as in 10.0.0.1:7000',
+    parse_address,
+)
+PEERS: Final = Kind('a list as in host-a=10.0.0.1:7001,host-b=...', parse_peers)
+LEVEL: Final = Kind(f'one of {_LEVELS}', parse_level)
--- a/boragespool/membership/addresses.py
+++ b/boragespool/membership/addresses.py
@@ -25,7 +25,8 @@
     Parameters
     ----------
     members : iterable of MemberRecord
-        Members known; only alive ones are chosen.
+        Members known; only alive ones are chosen. Those without a revision
+        in force are not ready and are chosen only if there is nobody else.
     data_centre : str
         Where the caller is; it may be unknown.
     count : int
@@ -53,8 +54,9 @@
         member for member in members if member.status == MemberStatus.ALIVE
     ]
     usable = [member for member in alive if member.host not in excluded]
-    chosen = _from_nearest(usable or alive, data_centre, count, draw)
-    return tuple(member.caller_address for member in chosen)
+    ready = [member for member in usable if member.revision]
+    nearest = _from_nearest(ready or usable or alive, data_centre, count, draw)
+    return tuple(member.caller_address for member in nearest)
 
 
 def _from_nearest(
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -282,3 +282,12 @@
     doubted = record('a', MemberStatus.SUSPECT)
     assert membership.merge_records(doubted, left) == left
     assert membership.merge_records(left, doubted) == left
+
+
+def test_members_without_a_revision_are_not_ready():
+    """Callers must not be sent to a daemon that refuses them."""
+    known = [record('ready', revision=1, load=9), record('starting')]
+    for count in (1, 2):
+        assert membership.choose_addresses(
+            known, 'north', count, random.Random(1).random, frozenset()
+        ) == ('ready',)
