Test daemons as real processes; wait for the spread of leaving

Cause: the daemon had no test over real processes. One run of the first version of the stop test showed a reset connection: its caller went on to connect after keep_s, when the listener closes. Callers may not do that, so the test's caller now caches addresses for keep_s as the design says; it still fails on any request that is cut.

A leaving daemon serves two ping intervals longer than keep_s, because members that are not told directly may give its address meanwhile.

Conclusion: a planned stop cuts no request of callers that keep to keep_s.

--- a/boragespool/daemon/shutdown.py
+++ b/boragespool/daemon/shutdown.py
@@ -17,6 +17,9 @@
 _POLL_S: Final = 0.02
 #: Nothing may have been in flight for this time before connections close.
 _QUIET_S: Final = 0.1
+#: Ping intervals in which members that are not told directly hear that this
+#: daemon leaves; until then they may still give its address to callers.
+_SPREAD_INTERVALS: Final = 2
 #: Longest wait for the last messages to peers.
 _FLUSH_S: Final = 0.5
 
@@ -66,7 +69,8 @@
     )
     entry.context.board.post(PHASE, Phase.LEAVING)
     entry.parts.membership.leave()
-    await asyncio.sleep(keep_s)
+    spread_s = _SPREAD_INTERVALS * entry.options.membership.ping_interval_s
+    await asyncio.sleep(keep_s + spread_s)
     log_event(
         Event.STOP_LEFT_ADDRESSES,
         'no caller should know this daemon any more',
--- /dev/null
+++ b/tests/test_daemon.py
@@ -0,0 +1,272 @@
+"""The daemon as a real process."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import signal
+import socket
+import threading
+import time
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from boragespool.daemon.main import read_settings
+from boragespool.daemon.options import EntryOptions, all_settings
+from boragespool.results import Failure
+from boragespool.settings import AddressSettings, Settings
+from tests.processes import (
+    Processes,
+    fetch,
+    free_address,
+    put_revision,
+    stop_signals,
+    until,
+)
+
+KEEP_S = 1
+REQUIRED = {
+    'host': 'a',
+    'data_centre': 'north',
+    'region': 'east',
+    'caller_address': '127.0.0.1:7001',
+    'peer_address': '127.0.0.1:7002',
+    'platform_address': '127.0.0.1:7003',
+}
+BAD = {
+    'caller_address': '127.0.0.1',
+    'peer_address': '0.0.0.0:7000',
+    'platform_address': '127.0.0.1:70000',
+    'host': 'a b',
+    'peers': 'b=nowhere',
+    'log_level': 'LOUD',
+    'http_connection_count': '0',
+    'member_ping_interval_s': 'nan',
+    'stop_timeout_s': '-1',
+}
+
+
+def arguments(**changed: str) -> list[str]:
+    """A command line with the required settings."""
+    return ['entry', *(f'--{n}={v}' for n, v in (REQUIRED | changed).items())]
+
+
+@pytest.mark.parametrize('name', BAD)
+def test_bad_setting_is_named(name):
+    """An operator must see which setting is wrong, and what is allowed."""
+    failure = read_settings(arguments(**{name: BAD[name]}), {})
+    assert isinstance(failure, Failure)
+    for part in (repr(name), repr(BAD[name]), 'allowed'):
+        assert part in failure.reason
+    assert '\n' not in failure.reason
+
+
+def test_missing_and_unknown_settings_are_refused():
+    """A misspelt flag must not be ignored."""
+    assert "'host' is not set" in read_settings(['entry'], {}).reason
+    assert isinstance(read_settings([*arguments(), '--hots=a'], {}), Failure)
+    assert isinstance(read_settings([*arguments(), 'stray'], {}), Failure)
+
+
+def test_flag_precedes_the_environment():
+    """A flag on the command line must override the host's environment."""
+    environment = {
+        'BORAGESPOOL_HOST': 'from-environment',
+        'BORAGESPOOL_HTTP_IDLE_TIMEOUT_S': '7',
+        'BORAGESPOOL_MEMBER_RECORD_COUNT': '9',
+        'BORAGESPOOL_PEERS': 'b=127.0.0.1:7,c=127.0.0.1:8',
+    }
+    options = read_settings(
+        arguments(member_record_count='5'),
+        environment,
+    )
+    assert isinstance(options, EntryOptions)
+    assert options.host == 'a'
+    assert options.http.idle_timeout_s == 7
+    assert options.membership.record_count == 5
+    assert options.peers == (('b', '127.0.0.1:7'), ('c', '127.0.0.1:8'))
+
+
+@settings(derandomize=True)
+@given(st.sampled_from(sorted(all_settings())), st.text(max_size=30))
+def test_any_text_is_parsed_or_refused(name, text):
+    """No setting may raise a traceback at the operator."""
+    read = read_settings(['entry'], {'BORAGESPOOL_' + name.upper(): text})
+    assert isinstance(read, Failure)
+
+
+@pytest.fixture
+def processes():
+    with Processes() as started:
+        yield started
+
+
+@pytest.fixture
+def platform(processes):
+    """Address of a platform with a configuration that is kept for 1 s."""
+    address = processes.start_platform().address
+    put_revision(address, 1, Settings(addresses=AddressSettings(keep_s=KEEP_S)))
+    return address
+
+
+def members_of(entry) -> dict[str, dict]:
+    """What one daemon knows about its members."""
+    listed = fetch(entry.address, '/v1/status')[1]['members']
+    return {member['host']: member for member in listed}
+
+
+def start_three(processes, platform, *flags: str):
+    """Three daemons that know each other; b and c join through a."""
+    first = processes.start_entry('a', platform, *flags)
+    for host in 'bc':
+        processes.start_entry(
+            host, platform, f'--peers=a={first.peer_address}', *flags
+        )
+    entries = [processes.entries[host] for host in 'abc']
+    for entry in entries:
+        entry.wait_for_event(101)
+    until(lambda: all(len(members_of(entry)) == 3 for entry in entries))
+    return entries
+
+
+def test_bad_setting_ends_the_process(processes):
+    """The process must not listen with settings it cannot use."""
+    entry = processes.start_entry('a', 'nowhere')
+    assert entry.wait() == 2
+    assert entry.event_numbers() == [107]
+
+
+def test_address_in_use_ends_the_process(processes, platform):
+    """A second daemon on one address must end with its own exit code."""
+    with socket.socket() as taken:
+        taken.bind(('127.0.0.1', 0))
+        taken.listen()
+        address = f'127.0.0.1:{taken.getsockname()[1]}'
+        for flag in ('caller_address', 'peer_address'):
+            entry = processes.start_entry('a', platform, **{flag: address})
+            assert entry.wait() == 3
+            assert 109 in entry.event_numbers()
+
+
+def test_daemons_join_through_the_platform_list(processes):
+    """A fleet without a peers option must find itself."""
+    addresses = {host: free_address() for host in 'ab'}
+    platform = processes.start_platform(
+        [
+            {
+                'host': host,
+                'state': 'live',
+                'data_centre': 'north',
+                'address': address,
+            }
+            for host, address in addresses.items()
+        ]
+    ).address
+    put_revision(platform, 1, Settings())
+    for host, address in addresses.items():
+        processes.start_entry(host, platform, peer_address=address)
+    for entry in processes.entries.values():
+        entry.wait_for_event(101)
+        until(lambda entry=entry: set(members_of(entry)) == {'a', 'b'})
+
+
+def test_killed_and_paused_daemons(processes, platform):
+    """Peers must drop a dead daemon in seconds and take a paused one back."""
+    first, second, third = start_three(processes, platform)
+
+    def is_status(host: str, status: str) -> bool:
+        return members_of(first)[host]['status'] == status
+
+    third.signal(signal.SIGKILL)
+    second.signal(signal.SIGSTOP)
+    until(lambda: is_status('c', 'dead'), 10, 'killed daemon is dead')
+    until(lambda: is_status('b', 'dead'), 10, 'paused daemon is dead')
+    listed = fetch(first.address, '/v1/addresses?count=3')[1]['addresses']
+    assert listed == [first.address]
+    second.signal(signal.SIGCONT)
+    until(lambda: is_status('b', 'alive'), 10, 'paused daemon returns')
+    assert members_of(first)['b']['beat'] > 0
+    until(lambda: members_of(second)['a']['status'] == 'alive')
+
+
+class Caller(threading.Thread):
+    """Keeps asking one daemon; caches addresses as long as it is told."""
+
+    def __init__(self, address: str) -> None:
+        super().__init__()
+        self.address = address
+        self.cached_at_s = time.monotonic()
+        self.cut: list[str] = []
+        self.answered_by: dict[str, int] = {}
+        self.stopping = False
+        self.connection = None
+
+    def run(self) -> None:
+        while not self.stopping:
+            try:
+                if time.monotonic() - self.cached_at_s >= KEEP_S:
+                    listed = self.ask('/v1/addresses')['addresses']
+                    self.cached_at_s = time.monotonic()
+                    if self.address not in listed:
+                        self.address, self.connection = listed[0], None
+                self.ask('/v1/health')
+            except (OSError, http.client.HTTPException) as error:
+                self.cut.append(repr(error))
+                self.connection = None
+
+    def ask(self, path: str) -> dict:
+        if self.connection is None:
+            self.connection = http.client.HTTPConnection(
+                self.address, timeout=5
+            )
+        self.connection.request('GET', path)
+        response = self.connection.getresponse()
+        body = json.load(response)
+        assert response.status == 200
+        counts = self.answered_by
+        counts[self.address] = counts.get(self.address, 0) + 1
+        if response.getheader('connection') == 'close':
+            self.connection = None
+        return body
+
+
+@pytest.mark.parametrize('first_signal', stop_signals())
+def test_graceful_stop_cuts_no_request(processes, platform, first_signal):
+    """A planned stop under load must answer every request in flight."""
+    entries = start_three(processes, platform)
+    leaving = entries[2]
+    callers = [Caller(leaving.address) for _ in range(8)]
+    for caller in callers:
+        caller.start()
+    try:
+        time.sleep(0.5)
+        leaving.signal(first_signal)
+        leaving.wait_for_event(102)
+        until(lambda: members_of(entries[0])['c']['status'] == 'leaving', 0.5)
+        listed = fetch(entries[0].address, '/v1/addresses?count=3')[1]
+        assert leaving.address not in listed['addresses']
+        for number in stop_signals():
+            leaving.signal(number)
+        assert leaving.wait(15) == 0
+    finally:
+        for caller in callers:
+            caller.stopping = True
+        for caller in callers:
+            caller.join()
+    assert [caller.cut for caller in callers] == [[]] * len(callers)
+    for caller in callers:
+        assert caller.answered_by[leaving.address] > 5
+        assert len(caller.answered_by) > 1
+    stop_events = [n for n in leaving.event_numbers() if 102 <= n <= 106]
+    assert stop_events == [102, 103, 104, 105, 106]
+
+
+def test_stop_is_bounded(processes, platform):
+    """A stop that cannot finish must end and say so in its exit code."""
+    entry = processes.start_entry('a', platform, '--stop_timeout_s=0.2')
+    entry.wait_for_event(101)
+    entry.signal(signal.SIGTERM)
+    assert entry.wait(3) == 4
+    assert not entry.events()[-1]['complete']
