--- a/boragespool/peers/link.py
+++ b/boragespool/peers/link.py
@@ -19,6 +19,7 @@
     Envelope,
     Frame,
     Probe,
+    ProbeAnswer,
     encode_frame,
     encode_message,
 )
@@ -46,10 +47,10 @@
         self._timers = timers
         self._queue: deque[Envelope] = deque()
         self._wakeup = asyncio.Event()
+        self._closing = False
         self._probe_number = 0
         self._unanswered_since_s: Seconds | None = None
         self._used_since_probe = False
-        self._closing = False
 
     async def __aenter__(self) -> Self:
         """Start the link."""
@@ -67,19 +68,22 @@
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Close the socket; queued messages are dropped."""
-        self._closing = True
         self._probing.cancel()
+        self._closing = True
+        # Cancelling a pynng send can wait for ever; closing ends it.
+        self._socket.close()
         self._sender.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await self._sender
-        self._socket.close()
 
     def queue(self, envelope: Envelope) -> bool:
         """Queue one message; False if the queue is full."""
         if len(self._queue) >= self._options.queue_count:
             return False
         self._queue.append(envelope)
-        self._used_since_probe = True
+        # Answers to probes must not cause probes, or they would never end.
+        if envelope.kind != ProbeAnswer.__name__:
+            self._used_since_probe = True
         self._wakeup.set()
         return True
 
@@ -131,11 +135,8 @@
         self._used_since_probe = False
 
     async def _send_frames(self) -> None:
-        """Send what is queued, at most one frame per flush interval.
-
-        pynng drops a cancellation if the frame is sent at that moment, so
-        the loop looks at the flag as well.
-        """
+        """Send what is queued, at most one frame per flush interval."""
+        # pynng drops a cancellation that coincides with a completed send.
         while not self._closing:
             await self._wakeup.wait()
             await asyncio.sleep(self._options.flush_interval_s)
--- a/boragespool/peers/network.py
+++ b/boragespool/peers/network.py
@@ -65,6 +65,7 @@
         """Keep the settings; `__aenter__` listens."""
         self.options = options
         self._timers = timers
+        self._closing = False
         self._stack = contextlib.AsyncExitStack()
         self._address_by_host: dict[HostName, Address] = {}
         self._link_by_host: dict[HostName, PeerLink] = {}
@@ -76,7 +77,6 @@
         self._exchanges = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[Any]] = {}
         self._tasks = TaskSet()
-        self._closing = False
 
     async def __aenter__(self) -> Self:
         """Listen.
@@ -96,6 +96,8 @@
     async def __aexit__(self, *exc_info: object) -> None:
         """Close all links."""
         self._closing = True
+        # Cancelling a pynng receive can wait for ever; closing ends it.
+        self._socket.close()
         await self._tasks.close()
         for link in self._link_by_host.values():
             await link.__aexit__()
@@ -239,9 +241,12 @@
         return link.queue(envelope)
 
     async def _receive_frames(self) -> None:
-        # pynng drops a cancellation if a frame arrives at that moment.
+        # pynng drops a cancellation that coincides with an arrival.
         while not self._closing:
-            received = await self._socket.arecv()
+            try:
+                received = await self._socket.arecv()
+            except pynng.Closed:
+                return
             frame = decode_frame(received)
             if isinstance(frame, Failure):
                 log_event(
