--- /dev/null
+++ b/boragespool/bench/deployment.py
@@ -0,0 +1,228 @@
+"""A whole deployment inside one process, over real sockets.
+
+Used by the demo and by measurements of a few daemons.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final, Self
+
+import msgspec
+
+from boragespool.bench.shapes import DeploymentShape, ServiceShape
+from boragespool.blackboard.topics import MEMBERS, PHASE, SERVERS
+from boragespool.client import Client, ClientOptions
+from boragespool.daemon.entry import Entry
+from boragespool.daemon.options import EntryOptions
+from boragespool.revisions import RevisionDocument
+from boragespool.settings import ServerSettings, ServiceSettings, Settings
+from boragespool.standins.backend import BackendSpec
+from boragespool.standins.backend_host import BackendHost
+from boragespool.standins.items import shard_range
+from boragespool.standins.platform import Platform
+from boragespool.standins.switches import BackendSwitches
+from boragespool.store import StoreClient
+from boragespool.types import MemberStatus, Phase
+
+if TYPE_CHECKING:
+    from boragespool.types import (
+        Address,
+        DataCentre,
+        IndexVersion,
+        ServerName,
+        ServiceName,
+    )
+
+FIRST_VERSION: Final[IndexVersion] = 1
+_POLL_S: Final = 0.05
+_START_TIMEOUT_S: Final = 30
+_STORE_TIMEOUT_S: Final = 2
+_MS_PER_S: Final = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class _PlacedServer:
+    """One backend server of a shape and where it stands."""
+
+    spec: BackendSpec
+    data_centre: DataCentre
+
+
+@dataclass(slots=True)
+class Deployment:
+    """Platform, backend servers and daemons, an async context manager.
+
+    Parameters
+    ----------
+    shape : DeploymentShape
+        What to start.
+    """
+
+    shape: DeploymentShape
+    entries: list[Entry] = field(default_factory=list)
+    _stack: AsyncExitStack = field(default_factory=AsyncExitStack)
+
+    platform: Platform = field(init=False)
+    backends: BackendHost = field(init=False)
+    settings: Settings = field(init=False)
+
+    async def __aenter__(self) -> Self:
+        """Start everything and wait until every daemon can serve."""
+        async with AsyncExitStack() as stack:
+            await self._start(stack)
+            self._stack = stack.pop_all()
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Stop everything at once."""
+        await self._stack.aclose()
+
+    def client(self, caller: str) -> Client:
+        """Return a client that knows all daemons."""
+        addresses = tuple(entry.http.address for entry in self.entries)
+        return Client(ClientOptions(caller, addresses))
+
+    async def apply(self, settings: Settings, revision: int) -> None:
+        """Write a revision to the platform's store.
+
+        Raises
+        ------
+        RuntimeError
+            If the store did not accept it.
+        """
+        document = RevisionDocument(revision, f'change-{revision}', settings)
+        async with StoreClient(self.platform.address, _STORE_TIMEOUT_S) as kv:
+            written = await kv.put(
+                'config/current',
+                msgspec.json.encode(document).decode(),
+                revision - 1,
+            )
+        if written != revision:
+            raise RuntimeError(f'store answered {written!r}')
+
+    async def _start(self, stack: AsyncExitStack) -> None:
+        self.platform = await stack.enter_async_context(Platform())
+        placed = _place_servers(self.shape)
+        self.backends = await stack.enter_async_context(
+            BackendHost(server.spec for server in placed),
+        )
+        addresses = {
+            name: server.address
+            for name, server in self.backends.servers_by_name.items()
+        }
+        self.settings = _settings(self.shape, placed, addresses)
+        await self.apply(self.settings, 1)
+        for options in _entry_options(self.shape, self.platform.address):
+            entry = await stack.enter_async_context(Entry(options))
+            self.entries.append(entry)
+        await self._until_ready(len(placed))
+
+    async def _until_ready(self, server_count: int) -> None:
+        """Wait until all daemons know each other and all servers."""
+        async with asyncio.timeout(_START_TIMEOUT_S):
+            while not all(
+                _is_ready(entry, len(self.entries), server_count)
+                for entry in self.entries
+            ):
+                await asyncio.sleep(_POLL_S)
+
+
+def free_address() -> Address:
+    """Return a loopback address that nobody uses at the moment."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        port = probe.getsockname()[1]
+    return f'127.0.0.1:{port}'
+
+
+def _is_ready(entry: Entry, entry_count: int, server_count: int) -> bool:
+    board = entry.context.board
+    alive = [
+        member
+        for member in board.read(MEMBERS).values()
+        if member.status is MemberStatus.ALIVE
+    ]
+    return (
+        board.read(PHASE) is Phase.READY
+        and len(alive) == entry_count
+        and len(board.read(SERVERS)) == server_count
+    )
+
+
+def _place_servers(shape: DeploymentShape) -> tuple[_PlacedServer, ...]:
+    """Spread the replicas of each shard over the data centres."""
+    placed: list[_PlacedServer] = []
+    for service in shape.services:
+        for number in range(service.shards * service.replicas):
+            shard, replica = divmod(number, service.replicas)
+            site = shape.data_centres[replica % len(shape.data_centres)]
+            name = f'{service.name}-{shard + 1:02}-{replica + 1}'
+            placed.append(
+                _PlacedServer(_spec(service, name, shard), site),
+            )
+    return tuple(placed)
+
+
+def _spec(service: ServiceShape, name: ServerName, shard: int) -> BackendSpec:
+    return BackendSpec(
+        name=name,
+        service=service.name,
+        connections=service.connections,
+        seed=shard,
+        switches=BackendSwitches(
+            slots=service.slots,
+            connection_cost_s=service.connection_cost_ms / _MS_PER_S,
+            holdings={FIRST_VERSION: (shard_range(shard, service.shards),)},
+            service_time_s=service.service_time_s,
+        ),
+    )
+
+
+def _settings(
+    shape: DeploymentShape,
+    placed: tuple[_PlacedServer, ...],
+    addresses: dict[ServerName, Address],
+) -> Settings:
+    servers: dict[ServiceName, dict[ServerName, ServerSettings]] = {}
+    for server in placed:
+        name = server.spec.name
+        servers.setdefault(server.spec.service, {})[name] = ServerSettings(
+            addresses[name],
+            server.data_centre,
+            server.data_centre,
+        )
+    services = {
+        service.name: ServiceSettings(
+            service.slots,
+            service.connections,
+            servers[service.name],
+            service.connection_cost_ms,
+        )
+        for service in shape.services
+    }
+    return Settings(services=services, routes=dict(shape.routes))
+
+
+def _entry_options(
+    shape: DeploymentShape,
+    platform_address: Address,
+) -> tuple[EntryOptions, ...]:
+    hosts = [f'entry-{number + 1}' for number in range(shape.entry_count)]
+    peers = tuple((host, free_address()) for host in hosts)
+    sites = shape.data_centres
+    return tuple(
+        EntryOptions(
+            host=host,
+            data_centre=sites[number % len(sites)],
+            region=sites[number % len(sites)],
+            caller_address=free_address(),
+            peer_address=peer_address,
+            platform_address=platform_address,
+            peers=peers,
+        )
+        for number, (host, peer_address) in enumerate(peers)
+    )
--- /dev/null
+++ b/boragespool/bench/slopes.py
@@ -0,0 +1,78 @@
+"""Straight lines through measured points."""
+
+from __future__ import annotations
+
+import statistics
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+@dataclass(frozen=True, slots=True)
+class Point:
+    """One measurement: a size and the values of repeated runs."""
+
+    size: float
+    values: tuple[float, ...]
+
+    @property
+    def median(self) -> float:
+        """Median of the runs."""
+        return statistics.median(self.values)
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """Least-squares line through the medians.
+
+    Attributes
+    ----------
+    slope : float
+        Growth per unit of size.
+    intercept : float
+        Value at size 0.
+    spread : float
+        Largest distance of a run from the line, relative to the line.
+    """
+
+    slope: float
+    intercept: float
+    spread: float
+
+    def at(self, size: float) -> float:
+        """Return the value of the line at a size."""
+        return self.intercept + self.slope * size
+
+
+def fit_line(points: Sequence[Point]) -> Line:
+    """Fit a line through at least two sizes.
+
+    Parameters
+    ----------
+    points : sequence of Point
+        Measurements at different sizes.
+
+    Returns
+    -------
+    Line
+        Fit through the medians.
+
+    Raises
+    ------
+    statistics.StatisticsError
+        If there are fewer than two different sizes.
+    """
+    fitted = statistics.linear_regression(
+        [point.size for point in points],
+        [point.median for point in points],
+    )
+    line = Line(fitted.slope, fitted.intercept, 0)
+    spread = max(
+        abs(measured - line.at(point.size))
+        / max(abs(line.at(point.size)), 1e-12)
+        for point in points
+        for measured in point.values
+    )
+    return Line(fitted.slope, fitted.intercept, spread)
--- a/boragespool/controllers/server_polls.py
+++ b/boragespool/controllers/server_polls.py
@@ -107,7 +107,9 @@
             )
 
     async def _poll_once(self, server: ServerName) -> None:
-        pool = self._pools[server]
+        pool = self._pools.get(server)
+        if pool is None:
+            return
         response = await pool.exchange(STATUS_REQUEST, self._timeout_s)
         if self._pools.get(server) is not pool:
             return
