Cut slow readers and refuse a second answer; test HTTP failures

Cause: failure tests of the HTTP layer found two faults. A caller that does not read its response kept its connection and its request in flight for ever, which also held up a graceful stop. A server that sent two responses to one request had the second one taken for the answer to the next request on that connection.

Change: `HttpLimits.write_timeout_s` (10 s) bounds the time in which the peer must take a response; then the connection is reset. A client connection with bytes left after a response is closed. New tests cover late, cancelled, cut and crossed answers, slow senders, pipelining, idle connections closed by the server, and claims over a silent or cut link.

Conclusion: an answer in a later packet, after the next request was sent, is still only caught by the request id of the client library.

--- a/boragespool/http/client.py
+++ b/boragespool/http/client.py
@@ -181,7 +181,9 @@
     def _finish_cycle(self) -> None:
         done = h11.DONE
         states = (self._protocol.our_state, self._protocol.their_state)
-        if states == (done, done):
+        # Bytes after the response would be read as the next response.
+        is_clean = not self._protocol.trailing_data[0]
+        if states == (done, done) and is_clean:
             self._protocol.start_next_cycle()
         else:
             self.close()
--- a/boragespool/http/exchange.py
+++ b/boragespool/http/exchange.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from boragespool.http.limits import HttpLimits
     from boragespool.http.messages import HttpResponse
+    from boragespool.types import Seconds
 
 _READ_SIZE_BYTES: Final = 65_536
 _HEADERS_TOO_LARGE_STATUS: Final = 431
@@ -55,8 +56,18 @@
         except h11.RemoteProtocolError as error:
             return _protocol_failure(error, limits)
 
-    async def respond(self, response: HttpResponse, *, close: bool) -> bool:
-        """Write a response; tell whether the connection can go on."""
+    async def respond(
+        self,
+        response: HttpResponse,
+        write_timeout_s: Seconds,
+        *,
+        close: bool,
+    ) -> bool:
+        """Write a response; tell whether the connection can go on.
+
+        A peer that does not take the response in time is cut, so that it
+        cannot hold up a graceful stop.
+        """
         headers = [
             ('content-type', response.content_type),
             ('content-length', str(len(response.body))),
@@ -72,7 +83,12 @@
             )
         except h11.LocalProtocolError:
             return False
-        await self._writer.drain()
+        try:
+            async with asyncio.timeout(write_timeout_s):
+                await self._writer.drain()
+        except TimeoutError:
+            self._writer.transport.abort()
+            return False
         if self._protocol.our_state is not h11.DONE:
             return False
         if self._protocol.their_state is not h11.DONE:
--- a/boragespool/http/limits.py
+++ b/boragespool/http/limits.py
@@ -17,6 +17,8 @@
         Connections open at the same time.
     read_timeout_s : float
         Longest time from the first byte of a request to its last.
+    write_timeout_s : float
+        Longest time for the peer to take a response.
     idle_timeout_s : float
         Longest time that a connection may wait for its next request.
     """
@@ -25,4 +27,5 @@
     body_size_bytes: int = 1_048_576
     connection_count: int = 2_000
     read_timeout_s: float = 5
+    write_timeout_s: float = 10
     idle_timeout_s: float = 60
--- a/boragespool/http/server.py
+++ b/boragespool/http/server.py
@@ -142,7 +142,11 @@
     async def _serve_requests(self, exchange: ServerExchange) -> None:
         """Serve requests until one side wants to close."""
         if len(self._tasks) > self._limits.connection_count:
-            await exchange.respond(_too_many(self._limits), close=True)
+            await self._respond(
+                exchange,
+                _too_many(self._limits),
+                close=True,
+            )
             return
         while await self._wait_for_request(exchange):
             self._in_flight += 1
@@ -183,11 +187,28 @@
                 level=logging.DEBUG,
                 code=int(received.code),
             )
-            await exchange.respond(failure_response(received), close=True)
+            await self._respond(
+                exchange,
+                failure_response(received),
+                close=True,
+            )
             return False
         response = await self._handle(received)
         close = response.close or self._draining
-        return await exchange.respond(response, close=close)
+        return await self._respond(exchange, response, close=close)
+
+    async def _respond(
+        self,
+        exchange: ServerExchange,
+        response: HttpResponse,
+        *,
+        close: bool,
+    ) -> bool:
+        return await exchange.respond(
+            response,
+            self._limits.write_timeout_s,
+            close=close,
+        )
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         """Call the handler; an exception must not show its traceback."""
--- /dev/null
+++ b/tests/test_http_failures.py
@@ -0,0 +1,299 @@
+"""HTTP listener, connection and pool when the other end fails."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from contextlib import asynccontextmanager
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from boragespool.client import ClaimResult, Client, ClientOptions
+from boragespool.http import (
+    ConnectionPool,
+    ExchangeFailure,
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    open_connection,
+)
+from boragespool.types import RunState
+from tests.client_world import World
+from tests.relay import Relay
+
+LIMITS = HttpLimits(
+    connection_count=64,
+    read_timeout_s=0.3,
+    write_timeout_s=0.3,
+    idle_timeout_s=0.5,
+)
+LARGE_BYTES = 20_000_000
+ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n'
+
+
+async def answer(request: HttpRequest) -> HttpResponse:
+    """Echo the body after the delay that the path names in milliseconds."""
+    if request.path == '/large':
+        return HttpResponse(200, b'x' * LARGE_BYTES)
+    await asyncio.sleep(float(request.path[1:] or 0) / 1_000)
+    return HttpResponse(200, request.body)
+
+
+def with_server(scenario):
+    """Run a scenario with a listener."""
+
+    async def run():
+        async with HttpServer('127.0.0.1:0', LIMITS, answer) as server:
+            return await scenario(server)
+
+    return asyncio.run(run())
+
+
+@asynccontextmanager
+async def raw_server(*answers: bytes, close=True):
+    """Answer each received chunk with the next raw bytes, then close."""
+
+    async def serve(reader, writer):
+        for raw in answers:
+            if not await reader.read(65_536):
+                break
+            writer.write(raw)
+            await writer.drain()
+        if close:
+            writer.close()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    async with server:
+        yield f'{host}:{port}'
+
+
+PLANS = st.lists(
+    st.tuples(
+        st.sampled_from([0, 5, 30]),
+        st.sampled_from([0.015, 1]),
+        st.booleans(),
+    ),
+    min_size=1,
+    max_size=12,
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=25)
+@given(plans=PLANS, seed=st.integers(0, 9))
+def test_late_and_cancelled_exchanges_never_cross(plans, seed):
+    """A reused connection must not deliver the answer to another request."""
+
+    async def scenario(server):
+        draw = random.Random(seed)
+
+        async def exchange(pool, number, delay_ms, timeout_s, is_cancelled):
+            request = HttpRequest('POST', f'/{delay_ms}', b'%d' % number)
+            task = asyncio.create_task(
+                pool.exchange(server.address, request, timeout_s),
+            )
+            await asyncio.sleep(draw.random() * 0.01)
+            if is_cancelled:
+                task.cancel()
+            (response,) = await asyncio.gather(task, return_exceptions=True)
+            if isinstance(response, HttpResponse):
+                assert response.body == request.body
+            elif timeout_s == 1 and not is_cancelled:
+                raise AssertionError(response)
+
+        async with ConnectionPool(3) as pool:
+            await asyncio.gather(
+                *(
+                    exchange(pool, number, *plan)
+                    for number, plan in enumerate(plans)
+                ),
+            )
+
+    with_server(scenario)
+
+
+@pytest.mark.parametrize(
+    ('raw', 'kind'),
+    [
+        (b'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf', 'closed'),
+        (b'HTTP/1.1 200', 'closed'),
+        (b'nonsense\r\n\r\n', 'malformed'),
+        (b'', 'closed'),
+    ],
+)
+def test_answers_cut_short_count_as_sent(raw, kind):
+    """A request whose answer was cut may have been executed."""
+
+    async def run():
+        async with (
+            raw_server(raw) as address,
+            await open_connection(address, 1) as connection,
+        ):
+            failure = await connection.exchange(HttpRequest('GET', '/'), 1)
+            assert isinstance(failure, ExchangeFailure)
+            assert failure.sent
+            assert failure.kind == kind
+            assert not connection.usable
+
+    asyncio.run(run())
+
+
+def test_second_answer_is_not_taken_for_the_next_request():
+    """A server that answers twice must not shift all later answers."""
+
+    async def run():
+        twice = ANSWER + b'a1' + ANSWER + b'a2'
+        async with (
+            raw_server(twice, ANSWER + b'b1', close=False) as address,
+            ConnectionPool(1) as pool,
+        ):
+            first = await pool.exchange(address, HttpRequest('GET', '/a'), 1)
+            second = await pool.exchange(address, HttpRequest('GET', '/b'), 1)
+            assert first.body == b'a1'
+            assert not isinstance(second, HttpResponse) or (
+                second.body != b'a2'
+            )
+
+    asyncio.run(run())
+
+
+def test_idle_connection_closed_by_the_server_is_replaced():
+    """A claim must not be lost to a connection that was closed while idle."""
+
+    async def scenario(server):
+        async with ConnectionPool(1) as pool:
+            for body in (b'1', b'2'):
+                response = await pool.exchange(
+                    server.address,
+                    HttpRequest('POST', '/', body),
+                    1,
+                )
+                assert response.body == body
+                await asyncio.sleep(0.8)
+            assert server.connection_count == 0
+
+    with_server(scenario)
+
+
+def test_slow_sender_is_cut_and_does_not_delay_others():
+    """Senders of single bytes must not hold connections for ever."""
+
+    async def scenario(server):
+        host, port = server.address.split(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+
+        async def drip():
+            for byte in b'POST / HTTP/1.1\r\nhost: x\r\n' * 9:
+                writer.write(bytes([byte]))
+                await asyncio.sleep(0.02)
+
+        dripping = asyncio.create_task(drip())
+        async with ConnectionPool(1) as pool:
+            response = await pool.exchange(
+                server.address,
+                HttpRequest('POST', '/', b'quick'),
+                0.2,
+            )
+            assert response.body == b'quick'
+        received = await asyncio.wait_for(reader.read(), 2)
+        dripping.cancel()
+        writer.close()
+        assert b' 408 ' in received
+
+    with_server(scenario)
+
+
+def test_slow_reader_is_cut():
+    """A caller that does not read must not hold up a graceful stop."""
+
+    async def scenario(server):
+        host, port = server.address.split(':')
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b'GET /large HTTP/1.1\r\nhost: x\r\n\r\n')
+        await asyncio.sleep(0.1)
+        assert server.in_flight == 1
+        assert await server.drain(2)
+        assert server.in_flight == 0
+        writer.close()
+
+    with_server(scenario)
+
+
+def test_pipelined_requests_are_answered_in_order():
+    """Two requests in one packet must each get their own answer."""
+
+    async def scenario(server):
+        host, port = server.address.split(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        for body in (b'a1', b'b2'):
+            head = b'POST /5 HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\n'
+            writer.write(head + body)
+        received = await asyncio.wait_for(reader.read(), 2)
+        writer.close()
+        assert 0 < received.index(b'a1') < received.index(b'b2')
+        assert received.count(b'HTTP/1.1 200') == 2
+
+    with_server(scenario)
+
+
+def test_cancelled_exchange_closes_its_connection():
+    """The late answer to a cancelled request must have no way to arrive."""
+
+    async def scenario(server):
+        connection = await open_connection(server.address, 1)
+        exchange = connection.exchange(HttpRequest('GET', '/50'), 1)
+        running = asyncio.create_task(exchange)
+        await asyncio.sleep(0.02)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        assert not connection.usable
+        late = await connection.exchange(HttpRequest('GET', '/'), 1)
+        assert not late.sent
+
+    with_server(scenario)
+
+
+def test_pool_bounds_exchanges_and_tells_that_nothing_was_sent():
+    """Waiting for a connection must not count as a sent request."""
+
+    async def scenario(server):
+        async with ConnectionPool(1) as pool:
+            running = asyncio.create_task(
+                pool.exchange(server.address, HttpRequest('GET', '/200'), 1),
+            )
+            await asyncio.sleep(0.05)
+            late = await pool.exchange(
+                server.address,
+                HttpRequest('GET', '/0'),
+                0.05,
+            )
+            assert not late.sent
+            assert (await running).status == 200
+
+    with_server(scenario)
+
+
+@pytest.mark.parametrize('fault', ['silence', 'cut'])
+def test_claim_over_a_link_that_fails_after_the_start(fault):
+    """A claim on a silent or cut link must be resent under its ticket."""
+
+    async def run():
+        async with World(2) as world:
+            # The first daemon is reached through the relay only.
+            direct = world.daemons[1].server.address
+            async with Relay(world.daemons[0].server.address) as relay:
+                world.daemons[0].addresses = lambda *_: (relay.address, direct)
+                options = ClientOptions('till', (relay.address,))
+                async with Client(options, lambda: 0.0) as client:
+                    await client.query('lookup', {}, 1)
+                    getattr(relay, fault)()
+                    settled = await client.claim('unlock', {'name': 'a'}, 1)
+                    assert isinstance(settled, ClaimResult)
+        assert settled.run is RunState.RUN
+        assert world.runs_by_name == {'a': 1}
+        assert len(world.sent_tickets) == 1
+
+    asyncio.run(run())
