--- a/boragespool/bench/fake_fleet.py
+++ b/boragespool/bench/fake_fleet.py
@@ -40,7 +40,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from boragespool.peers import PeerNetwork
     from boragespool.types import HostName, Seconds, ServerName
@@ -115,15 +115,8 @@
 
     def post(self) -> None:
         """Post the whole fleet with version 1 held everywhere."""
-        hosts = [f'host{number}' for number in range(self.options.hosts)]
-        self.board.post(
-            MEMBERS,
-            {
-                host: MemberRecord(
-                    host, 1, 1, MemberStatus.ALIVE, 'dc', 'region', '', ''
-                )
-                for host in hosts
-            },
+        self.post_members(
+            [f'host{number}' for number in range(self.options.hosts)],
         )
         records = dict(map(self._record, self._names()))
         self.board.post(SERVERS, records)
@@ -147,6 +140,16 @@
         )
         self.board.post(IN_FORCE, RevisionDocument(1, 'change', settings))
 
+    def post_members(self, hosts: Iterable[HostName]) -> None:
+        """Post daemons that dispatch."""
+        members = {
+            host: MemberRecord(
+                host, 1, 1, MemberStatus.ALIVE, 'dc', 'region', '', ''
+            )
+            for host in hosts
+        }
+        self.board.post(MEMBERS, members)
+
     def announce(self, server: ServerName, **changes: Any) -> None:
         """Post a changed record of one server."""
         known = self.board.read(SERVERS)
--- a/boragespool/controllers/attempts.py
+++ b/boragespool/controllers/attempts.py
@@ -63,6 +63,7 @@
         self._work = work
         self._receive = receive
         self._solo = False
+        self._overdue_ids: set[AttemptId] = set()
         self._tasks_by_id: dict[AttemptId, asyncio.Task[Any]] = {}
 
     @property
@@ -137,14 +138,20 @@
         self._tasks_by_id.pop(attempt.attempt_id).cancel()
         context = self._work.merger.context
         context.peers.send(attempt.host, CancelWork(attempt.attempt_id))
-        now_s = context.timers.now_s()
-        waited_s = now_s - attempt.started_s
-        if waited_s < (self._work.tracker.quantile_s or 0):
-            self._work.merger.observations.refused(attempt.server)
-        else:
-            self._work.merger.observations.unanswered(attempt.server, now_s)
+        waited_s = context.timers.now_s() - attempt.started_s
+        self._work.merger.observations.refused(attempt.server)
+        if waited_s >= (self._work.tracker.quantile_s or 0):
+            self.note_overdue(attempt)
             self._work.tracker.record(waited_s)
 
+    def note_overdue(self, attempt: Attempt) -> None:
+        """Tell the observations once that an attempt is slower than most."""
+        if attempt.attempt_id in self._overdue_ids:
+            return
+        self._overdue_ids.add(attempt.attempt_id)
+        now_s = self._work.merger.context.timers.now_s()
+        self._work.merger.observations.overdue(attempt.server, now_s)
+
     def _message(self, attempt: Attempt, version: IndexVersion) -> WorkRequest:
         request = self._work.request
         start, end = attempt.part.asked
--- a/boragespool/controllers/hedge_timer.py
+++ b/boragespool/controllers/hedge_timer.py
@@ -16,6 +16,8 @@
 
 #: Attempts that are due within this time are hedged together.
 _SLACK_S: Final = 0.0005
+#: Share of the delay after which a part without a hedge is looked at again.
+_STARVED_SHARE: Final = 0.25
 
 
 class HedgeTimer:
@@ -28,15 +30,16 @@
     sender : AttemptSender
         Open attempts.
     hedge : callable
-        Sends a hedge if there is a replica and a token for it. A part is
-        tried again after another delay, because a hedge can be slow too.
+        Sends a hedge if there is a replica and a token for it; says whether
+        it did. A part is hedged again after another delay, because a hedge
+        can be slow too.
     """
 
     def __init__(
         self,
         work: QueryWork,
         sender: AttemptSender,
-        hedge: Callable[[Part], None],
+        hedge: Callable[[Part], bool],
     ) -> None:
         """Start without a timer."""
         self._work = work
@@ -69,16 +72,18 @@
         delay_s = self._work.tracker.quantile_s or 0
         now_s = self._work.merger.context.timers.now_s()
         # A part's latest attempt comes last.
-        started_by_part = {
-            attempt.part: attempt.started_s
+        latest_by_part = {
+            attempt.part: attempt
             for attempt in self._sender.open_by_id.values()
         }
         next_s = delay_s
-        for part, started_s in started_by_part.items():
-            left_s = started_s + delay_s - now_s
-            if left_s > _SLACK_S:
-                next_s = min(next_s, left_s)
-            else:
-                self._hedge(part)
-        if started_by_part:
+        for part, attempt in latest_by_part.items():
+            left_s = attempt.started_s + delay_s - now_s
+            if left_s <= _SLACK_S:
+                self._sender.note_overdue(attempt)
+                left_s = delay_s
+                if not self._hedge(part):
+                    left_s *= _STARVED_SHARE
+            next_s = min(next_s, left_s)
+        if latest_by_part:
             self.set(next_s)
--- a/boragespool/controllers/query_run.py
+++ b/boragespool/controllers/query_run.py
@@ -15,24 +15,19 @@
     log_restart,
 )
 from boragespool.controllers.query_parts import Attempt, Part
+from boragespool.controllers.query_waits import QueryWaits
 from boragespool.messages import WorkReply
 from boragespool.results import Failure, ResultCode
 from boragespool.snapshots import better_state
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Iterable
 
     from boragespool.controllers.query_parts import QueryWork
     from boragespool.controllers.requests import QueryAnswer
     from boragespool.snapshots import SubRange
-    from boragespool.timers import Subscription
-    from boragespool.types import IndexVersion, Seconds
-
-#: Holdings change at a dispatcher's poll; a range that was just repartitioned
-#: is usually announced within this time.
-_VIEW_WAIT_S: Final = 0.1
-#: Share of the time left that a query waits for changed holdings.
-_VIEW_WAIT_SHARE: Final = 0.25
+    from boragespool.types import IndexVersion
+
 #: A restart needs the time of one sub-request and of its hedge.
 _RESTART_ROUNDS: Final = 2
 _SECOND_ATTEMPTS: Final = frozenset(('hedge', 'retry'))
@@ -64,10 +59,8 @@
         self._stranded: list[Part] = []
         #: Whether stranded parts or holdings changed since the last look.
         self._unresolved = False
-        self._view_wait: Subscription | None = None
-        self._may_wait_for_view = True
+        self._waits = QueryWaits(work, self._end_wait)
         self._last_refusal: WorkReply | Failure | None = None
-        self._timers: list[Subscription] = []
         self._done = asyncio.Event()
 
     async def answer(self, *, canary: bool) -> QueryAnswer | Failure:
@@ -84,12 +77,16 @@
             At the deadline at the latest.
         """
         plan = self._pinned.whole_plan()
+        deadline = self._work.merger.context.timers.after(
+            self._work.time_left_s(),
+            self._done.set,
+        )
         try:
-            self._after(self._work.time_left_s(), self._done.set)
             self._held = plan[1:] if canary else ()
             self._launch_first(plan[:1] if canary else plan)
             await self._done.wait()
         finally:
+            deadline.cancel()
             self._stop()
         replaced = self._replaced or self._pinned
         ending = Ending(
@@ -132,9 +129,8 @@
         self._pinned.state.expect(attempt.attempt_id, part.asked)
         return True
 
-    def _hedge(self, part: Part) -> None:
-        if self._pinned.refresh(part):
-            self._attempt(part, 'hedge')
+    def _hedge(self, part: Part) -> bool:
+        return self._pinned.refresh(part) and self._attempt(part, 'hedge')
 
     def _receive(self, attempt: Attempt, result: WorkReply | Failure) -> None:
         """Merge the result of an attempt or prepare another one."""
@@ -190,12 +186,19 @@
         if self._unresolved:
             self._unresolved = False
             self._resolve_stranded()
-        if not self._sender.open_by_id and not self._waits_for_view:
+        if not self._sender.open_by_id and not self._may_wait():
             self._done.set()
 
-    @property
-    def _waits_for_view(self) -> bool:
-        return bool(self._stranded) and self._view_wait is not None
+    def _may_wait(self) -> bool:
+        """Whether holdings or tokens may still arrive."""
+        if self._stranded and self._waits.for_view:
+            return True
+        return bool(self._pending) and self._waits.wait_for_token()
+
+    def _end_wait(self) -> None:
+        self._unresolved = bool(self._stranded)
+        if not self._done.is_set():
+            self._advance()
 
     def _strand(self, *parts: Part) -> None:
         self._stranded.extend(parts)
@@ -224,7 +227,7 @@
         self._held = ()
         if self._pinned.state.coverage:
             self._launch_first(held)
-        elif self._sender.open_by_id or self._waits_for_view:
+        elif self._sender.open_by_id or self._may_wait():
             self._held = held
         elif not self._sender.may_have_run:
             self._held = held[1:]
@@ -233,21 +236,10 @@
     def _resolve_stranded(self) -> None:
         """Wait for announced holdings, restart, or accept lower coverage."""
         stale = self._pinned.is_view_stale(self._stranded)
-        if not stale or not self._may_wait_for_view:
+        if stale and self._waits.may_wait_for_view:
+            self._waits.wait_for_view()
+        else:
             self._restart()
-        elif self._view_wait is None:
-            wait_s = self._work.time_left_s() * _VIEW_WAIT_SHARE
-            self._view_wait = self._after(
-                min(wait_s, _VIEW_WAIT_S),
-                self._end_view_wait,
-            )
-
-    def _end_view_wait(self) -> None:
-        self._view_wait = None
-        self._may_wait_for_view = False
-        self._unresolved = bool(self._stranded)
-        if not self._done.is_set():
-            self._advance()
 
     def _restart(self) -> None:
         """Restart once, on a newer version that covers more, if there is one.
@@ -279,21 +271,10 @@
         self._held = plan[1:] if canary else ()
         self._launch(plan[:1] if canary else plan, 'restart')
 
-    def _after(
-        self,
-        delay_s: Seconds,
-        callback: Callable[[], None],
-    ) -> Subscription:
-        timers = self._work.merger.context.timers
-        subscription = timers.after(delay_s, callback)
-        self._timers.append(subscription)
-        return subscription
-
     def _stop(self) -> None:
         """Cancel what is open."""
         self._done.set()
         self._hedge_timer.stop()
-        for timer in self._timers:
-            timer.cancel()
+        self._waits.stop()
         for attempt in tuple(self._sender.open_by_id.values()):
             self._withdraw(attempt)
--- a/boragespool/metrics.py
+++ b/boragespool/metrics.py
@@ -38,7 +38,7 @@
 )
 ATTEMPTS: Final = Counter(
     'boragespool_attempts_total',
-    'Requests sent to backend servers: first, hedge, retry.',
+    'Requests sent to dispatchers: first, hedge, retry, restart.',
     ('kind',),
 )
 REVISION: Final = Gauge(
--- a/boragespool/routing/observations.py
+++ b/boragespool/routing/observations.py
@@ -14,8 +14,8 @@
 _LARGEST_STEP: Final = 4
 _FIRST_SUSPICION_S: Final = 0.5
 _LONGEST_SUSPICION_S: Final = 8
-#: Stragglers are about 1 in 100, so three in a row mean a lost replica.
-_UNANSWERED_LIMIT: Final = 3
+#: Stragglers are about 1 in 100, so two in a row mean a lost replica.
+_OVERDUE_LIMIT: Final = 2
 #: Bridges the time until the dispatcher has announced the draining state.
 _DRAINING_S: Final = 5
 #: A misleading report must not keep work away for longer.
@@ -28,7 +28,7 @@
     latency_s: Seconds = 0
     answered_at_s: Seconds = 0
     failures: int = 0
-    unanswered: int = 0
+    overdue: int = 0
     suspect_until_s: Seconds = 0
     draining_until_s: Seconds = 0
     waits_s: tuple[Seconds, ...] = ()
@@ -60,25 +60,25 @@
         """Note a useful answer."""
         seen = self._finish(server)
         seen.failures = 0
-        seen.unanswered = 0
+        seen.overdue = 0
         seen.answered_at_s = now_s
         known_s = seen.latency_s or latency_s
         step_s = min(latency_s, known_s * _LARGEST_STEP) - known_s
         seen.latency_s = known_s + _SMOOTHING * step_s
 
     def refused(self, server: ServerName) -> None:
-        """Note an answer that says nothing about health, such as shedding."""
+        """Note an end that says nothing about health, such as shedding."""
         self._finish(server)
 
     def failed(self, server: ServerName, now_s: Seconds) -> None:
         """Note a lost attempt; the server is suspect for a growing time."""
         self._suspect(self._finish(server), now_s)
 
-    def unanswered(self, server: ServerName, now_s: Seconds) -> None:
-        """Note an attempt that was cancelled before it was answered."""
-        seen = self._finish(server)
-        seen.unanswered += 1
-        if seen.unanswered >= _UNANSWERED_LIMIT:
+    def overdue(self, server: ServerName, now_s: Seconds) -> None:
+        """Note that an attempt, still in flight, is slower than most."""
+        seen = self._seen_by_server[server]
+        seen.overdue += 1
+        if seen.overdue >= _OVERDUE_LIMIT:
             self._suspect(seen, now_s)
 
     def draining(self, server: ServerName, now_s: Seconds) -> None:
--- a/tests/test_query.py
+++ b/tests/test_query.py
@@ -91,6 +91,33 @@
         assert answer.coverage == 1, code
 
 
+def test_retry_waits_a_little_for_a_token():
+    """The first queries after the loss of a replica used up the tokens."""
+    hedging = HedgingSettings(quantile=1, budget_ratio=0.25, burst=1)
+    fleet = FakeFleet(replace(SMALL, hedging=hedging), 1)
+    for shard in (0, 1):
+        refused = refusal(ResultCode.SERVER_SHED)
+        behave(
+            fleet,
+            replicas(shard),
+            lambda asked, seen=set(): (
+                true_reply(asked)
+                if asked.request_id == 'b' or asked.start in seen
+                else seen.add(asked.start) or refused(asked)
+            ),
+        )
+
+    async def run():
+        async with QueryController(fleet.context()) as controller:
+            first = asyncio.create_task(controller.answer(query('a')))
+            await asyncio.sleep(0.03)
+            assert not first.done()
+            await controller.answer(query('b'))
+            return await first
+
+    assert run_virtual(run()).coverage == 1
+
+
 def test_not_run_is_only_said_when_no_attempt_could_have_run():
     """A caller relies on a refusal that says not_run."""
     everywhere = [name for shard in range(4) for name in replicas(shard)]
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -162,10 +162,11 @@
 def test_silent_server_becomes_suspect_and_one_straggler_does_not():
     """A dispatcher that died answers nothing; a straggler is normal."""
     observations = ServerObservations()
-    observations.unanswered('a', 0)
-    observations.unanswered('a', 0)
+    observations.overdue('a', 0)
+    observations.answered('a', 0.01, 0)
+    observations.overdue('a', 0)
     assert not observations.is_suspect('a', 0)
-    observations.unanswered('a', 0)
+    observations.overdue('a', 0)
     assert observations.is_suspect('a', 0)
 
 
