Describe the daemon for operators; probe only links in use

Cause: flags, exit codes and the replacement of hosts were undocumented. Each link kept a timer for as long as it existed.

A link arms its probe timer when it is used.

--- a/boragespool/daemon/main.py
+++ b/boragespool/daemon/main.py
@@ -52,7 +52,7 @@
     if extra:
         return Failure(
             ResultCode.UNKNOWN_SETTING,
-            f'argument {extra[0]!r} is not a flag; --helpfull lists the flags',
+            f'argument {extra[0]!r} is not a flag; --help lists the flags',
         )
     given: dict[str, str] = {}
     for name in all_settings():
@@ -106,6 +106,9 @@
 
 def run() -> None:
     """Run the program and exit with its code."""
+    if '--help' in sys.argv:
+        sys.stdout.write(_define_flags().get_help())
+        sys.exit(0)
     options = read_settings(sys.argv, os.environ)
     if isinstance(options, Failure):
         configure_logging('INFO')
--- a/boragespool/peers/link.py
+++ b/boragespool/peers/link.py
@@ -26,7 +26,7 @@
 
 if TYPE_CHECKING:
     from boragespool.peers.options import PeerOptions
-    from boragespool.timers import TimerService
+    from boragespool.timers import Subscription, TimerService
     from boragespool.types import Address, Seconds
 
 
@@ -48,6 +48,7 @@
         self._queue: deque[Envelope] = deque()
         self._wakeup = asyncio.Event()
         self._closing = False
+        self._probing: Subscription | None = None
         self._probe_number = 0
         self._unanswered_since_s: Seconds | None = None
         self._used_since_probe = False
@@ -61,14 +62,11 @@
         """Dial without waiting for the peer."""
         self._dial()
         self._sender = asyncio.create_task(self._send_frames())
-        self._probing = self._timers.every(
-            self._options.probe_interval_s,
-            self._probe,
-        )
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Close the socket; queued messages are dropped."""
-        self._probing.cancel()
+        if self._probing is not None:
+            self._probing.cancel()
         self._closing = True
         # Cancelling a pynng send can wait for ever; closing ends it.
         self._socket.close()
@@ -84,6 +82,7 @@
         # Answers to probes must not cause probes, or they would never end.
         if envelope.kind != ProbeAnswer.__name__:
             self._used_since_probe = True
+            self._arm_probe()
         self._wakeup.set()
         return True
 
@@ -111,8 +110,21 @@
         self._unanswered_since_s = None
         self._dial()
 
+    def _arm_probe(self) -> None:
+        """Probe later; an unused link has no timer.
+
+        Otherwise the timers of the links that a daemon keeps to hundreds of
+        peers would use processor time without any traffic.
+        """
+        if self._probing is None:
+            self._probing = self._timers.after(
+                self._options.probe_interval_s,
+                self._probe,
+            )
+
     def _probe(self) -> None:
         """Probe a link in use; dial again after a silence."""
+        self._probing = None
         now_s = self._timers.now_s()
         since_s = self._unanswered_since_s
         if since_s is None:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -18,6 +18,7 @@
 from boragespool.results import Failure
 from boragespool.settings import AddressSettings, Settings
 from tests.processes import (
+    ROOT,
     Processes,
     fetch,
     free_address,
@@ -270,3 +271,13 @@
     entry.signal(signal.SIGTERM)
     assert entry.wait(3) == 4
     assert not entry.events()[-1]['complete']
+
+
+def test_operators_page_lists_every_setting():
+    """A flag that the page does not list would be found by nobody."""
+    page = (ROOT / 'docs/operators-daemon.md').read_text(encoding='utf-8')
+    for name, setting in all_settings().items():
+        row = next(x for x in page.splitlines() if f'`--{name}`' in x)
+        assert f'`BORAGESPOOL_{name.upper()}`' in row
+        assert setting.kind.allowed in row
+        assert setting.default is None or setting.default in row
