Announce own servers to daemons that join; reassign only on new candidates

Cause: a daemon that joined learned the servers of its peers only with the next full announcement, and before its first revision it dropped what it received. Every gossip round also recomputed all dispatchers.

Change: a newcomer gets the own records at once; records that arrive before the first revision are kept until the revision says which are configured; dispatchers are computed only when the set of candidate members changes.

--- a/boragespool/controllers/server_records.py
+++ b/boragespool/controllers/server_records.py
@@ -11,7 +11,7 @@
 from boragespool.types import ServerState
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Mapping
 
     from boragespool.blackboard.topics import ServerObservation
     from boragespool.controllers.backend_protocol import BackendStatus
@@ -55,6 +55,14 @@
             self.by_server[server] = incoming
             self._heard_s[server] = now_s
 
+    def owned(self, servers: Iterable[ServerName]) -> tuple[ServerRecord, ...]:
+        """Return the known records of some servers, ordered by name."""
+        return tuple(
+            self.by_server[server]
+            for server in sorted(servers)
+            if server in self.by_server
+        )
+
     def keep_only(self, servers: Mapping[ServerName, ServerSettings]) -> None:
         """Forget servers that are no longer in the settings."""
         for server in self.by_server.keys() - servers.keys():
--- a/boragespool/controllers/servers.py
+++ b/boragespool/controllers/servers.py
@@ -6,7 +6,7 @@
 import itertools
 import math
 from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING, Final, Self
+from typing import TYPE_CHECKING, Final, Self, TypeAlias
 
 from boragespool.blackboard.topics import (
     IN_FORCE,
@@ -27,7 +27,14 @@
 from boragespool.messages import ServerAnnouncement, ServerRecord
 from boragespool.routing import dispatcher_of
 from boragespool.settings import Settings
-from boragespool.types import MemberStatus, ServerName, ServerState
+from boragespool.types import (
+    DataCentre,
+    HostName,
+    Incarnation,
+    MemberStatus,
+    ServerName,
+    ServerState,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -36,12 +43,17 @@
     from boragespool.controllers.backend_protocol import BackendStatus
     from boragespool.controllers.context import Context
     from boragespool.peers import Sender
-    from boragespool.types import HostName, Seconds
+    from boragespool.messages import MemberRecord
+    from boragespool.types import Seconds
 
 #: Changes within this time share one post and one announcement.
 _GATHER_S: Final = 0.01
 #: Announcements that may be lost before a record counts as unconfirmed.
 _MISSED_ANNOUNCEMENTS: Final = 2.5
+_CANDIDATE_STATUSES: Final = frozenset(
+    (MemberStatus.ALIVE, MemberStatus.SUSPECT),
+)
+_Candidate: TypeAlias = tuple[HostName, Incarnation, DataCentre]
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +96,7 @@
         self._dispatcher_by_server: dict[ServerName, HostName | None] = {}
         self._refused_at_s: dict[ServerName, Seconds] = {}
         self._changed: set[ServerName] = set()
+        self._candidates: frozenset[_Candidate] = frozenset()
         self._sequences = itertools.count(1)
         self._post_is_due = False
         self._stack = contextlib.ExitStack()
@@ -93,7 +106,7 @@
         context = self._context
         context.peers.on_message(ServerAnnouncement, self._receive)
         for subscription in (
-            context.board.subscribe(MEMBERS, self._assign),
+            context.board.subscribe(MEMBERS, self._follow_members),
             context.board.subscribe(IN_FORCE, self._assign),
             context.board.subscribe(OBSERVATIONS, self._observed),
             context.board.subscribe(LEAVING_HOSTS, self._post_soon),
@@ -117,19 +130,40 @@
         document = self._context.board.read(IN_FORCE)
         return Settings() if document is None else document.settings
 
+    def _follow_members(
+        self,
+        members_by_host: Mapping[HostName, MemberRecord],
+    ) -> None:
+        """Tell newcomers the own records; reassign if candidates changed."""
+        candidates = frozenset(
+            (member.host, member.incarnation, member.data_centre)
+            for member in members_by_host.values()
+            if member.status in _CANDIDATE_STATUSES
+        )
+        if candidates == self._candidates:
+            return
+        newcomers = {host for host, _, _ in candidates - self._candidates}
+        self._candidates = candidates
+        self._assign()
+        records = self._table.owned(self._polls.servers)
+        for host in newcomers - {self._context.identity.host}:
+            if records:
+                self._context.peers.send(host, ServerAnnouncement(records))
+
     def _assign(self, _posted: object = None) -> None:
         """Find the dispatcher of each server; poll what became ours."""
         members = {
             host: member
             for host, member in self._context.board.read(MEMBERS).items()
-            if member.status in {MemberStatus.ALIVE, MemberStatus.SUSPECT}
+            if member.status in _CANDIDATE_STATUSES
         }
         servers = servers_of(self._settings())
         self._dispatcher_by_server = {
             name: dispatcher_of(name, server.data_centre, members)
             for name, server in servers.items()
         }
-        self._table.keep_only(servers)
+        if self._context.board.read(IN_FORCE) is not None:
+            self._table.keep_only(servers)
         own = self._context.identity.host
         for name, dispatcher in self._dispatcher_by_server.items():
             if dispatcher == own:
@@ -227,14 +261,12 @@
 
     def _receive(self, _sender: Sender, message: ServerAnnouncement) -> None:
         now_s = self._context.timers.now_s()
-        known = [
-            record
-            for record in message.records
-            if record.server in self._dispatcher_by_server
-        ]
-        for record in known:
-            current = self._dispatcher_by_server[record.server]
-            self._table.merge(record, current, now_s)
+        # Before the first revision any server may turn out to be configured.
+        has_settings = self._context.board.read(IN_FORCE) is not None
+        for record in message.records:
+            if not has_settings or record.server in self._dispatcher_by_server:
+                current = self._dispatcher_by_server.get(record.server)
+                self._table.merge(record, current, now_s)
         self._post_soon()
 
     def _announce_all(self) -> None:
@@ -264,11 +296,7 @@
 
     def _announce(self) -> None:
         owned = self._polls.servers
-        records = tuple(
-            self._table.by_server[server]
-            for server in sorted(self._changed.intersection(owned))
-            if server in self._table.by_server
-        )
+        records = self._table.owned(self._changed.intersection(owned))
         self._changed.clear()
         if not records:
             return
