Let wide queries use the tokens that they earn

Cause: a query to 1,900 shards earns 85 tokens at once, and the burst of 20 dropped most of them. The first wide query had no hedges at all, because the latency was unknown when it was sent.

Change: the bucket holds the burst or the tokens of one query, whichever is more. Replies that make the latency known set the timer for hedges.

--- a/boragespool/controllers/hedge_timer.py
+++ b/boragespool/controllers/hedge_timer.py
@@ -60,6 +60,14 @@
                 self._fire,
             )
 
+    def set_soon(self) -> None:
+        """Set the timer if replies have made the latency known.
+
+        The first wide query of a daemon gets enough samples while it runs.
+        """
+        if self._subscription is None:
+            self.set(_SLACK_S)
+
     def stop(self) -> None:
         """Cancel the timer."""
         if self._subscription is not None:
--- a/boragespool/controllers/query_run.py
+++ b/boragespool/controllers/query_run.py
@@ -138,6 +138,7 @@
             return
         if result.code == ResultCode.COMPLETE and isinstance(result, WorkReply):
             self._merge(attempt, result)
+            self._hedge_timer.set_soon()
         else:
             self._note_refusal(attempt, result)
         part = attempt.part
--- a/boragespool/routing/budget.py
+++ b/boragespool/routing/budget.py
@@ -11,8 +11,9 @@
 class TokenBudget:
     """Token bucket that first attempts fill and second attempts empty.
 
-    Over any period the second attempts are at most ``burst + budget_ratio *
-    first attempts``.
+    Since the start the second attempts are at most ``burst + budget_ratio *
+    first attempts``. Over a later period they may also use what was saved
+    up: `burst`, or the tokens of one query if these are more.
 
     Parameters
     ----------
@@ -37,9 +38,14 @@
         self._tokens = min(self._tokens, hedging.burst)
 
     def earn(self, first_attempts: int) -> None:
-        """Add the tokens of some first attempts."""
+        """Add the tokens of the first attempts of one query.
+
+        A query that is sent to 1,900 shards earns 85 tokens at once; a limit
+        of `burst` would take most of them away.
+        """
         gained = first_attempts * self._hedging.budget_ratio
-        self._tokens = min(self._hedging.burst, self._tokens + gained)
+        limit = max(self._hedging.burst, gained)
+        self._tokens = min(limit, self._tokens + gained)
 
     def spend(self) -> bool:
         """Take the token of one second attempt; False if there is none."""
