--- a/boragespool/results.py
+++ b/boragespool/results.py
@@ -39,6 +39,7 @@
     BAD_TICKET = 1115
     TICKET_REUSED = 1116
     WRONG_FORM = 1117
+    MALFORMED_PARAMETER = 1118
     QUEUE_FULL = 1200
     DEADLINE_UNREACHABLE = 1201
     NO_SNAPSHOT = 1202
@@ -66,6 +67,7 @@
     VERSION_NOT_HELD = 3103
     SERVER_REPLY_INVALID = 3104
     SERVER_CLOSED = 3105
+    SERVER_SILENT = 3106
 
 
 _HTTP_STATUS: Final = MappingProxyType(
@@ -79,6 +81,7 @@
         ResultCode.HEADERS_TOO_LARGE: 431,
         ResultCode.BODY_TOO_LARGE: 413,
         ResultCode.REQUEST_TIMEOUT: 408,
+        ResultCode.TOO_MANY_CONNECTIONS: 503,
         ResultCode.UNKNOWN_PATH: 404,
         ResultCode.WRONG_METHOD: 405,
         ResultCode.UNKNOWN_ROUTE: 404,
