Fill the query and server slots of the daemon

Change: the daemon starts them in the order of their calls. MEMBERS is not posted any more for changes of loads alone, because the server controller assigns all backend servers anew at each post. Process tests send queries and claims through three daemons and six backend servers.

--- a/boragespool/controllers/member_state.py
+++ b/boragespool/controllers/member_state.py
@@ -50,10 +50,14 @@
         self._context.board.post(MEMBERS, membership.with_own(self.table))
 
     def apply(self, table: membership.MemberTable) -> None:
-        """Keep a new table; post it at once if a status or address changed."""
+        """Keep a new table; post it if more than loads changed.
+
+        Subscribers assign backend servers anew at each post, which costs too
+        much for every change of a load.
+        """
         before = self.table
         self.table = table
-        changed = membership.is_change(before.own, table.own)
+        changed = _is_worth_posting(before.own, table.own)
         if before.members_by_host is not table.members_by_host:
             changed |= self._note_changes(before)
         if changed:
@@ -129,7 +133,7 @@
         changed = len(before.members_by_host) > len(self.table.members_by_host)
         for host, member in self.table.members_by_host.items():
             known = before.members_by_host.get(host)
-            if known is not member and membership.is_change(known, member):
+            if known is not member and _is_worth_posting(known, member):
                 changed = True
                 self._update_peer(known, member)
         return changed
@@ -147,6 +151,17 @@
             _log_status(self.own.host, member)
 
 
+def _is_worth_posting(
+    known: MemberRecord | None,
+    member: MemberRecord,
+) -> bool:
+    return (
+        known is None
+        or membership.is_change(known, member)
+        or known.revision != member.revision
+    )
+
+
 def _own_record(context: Context) -> MemberRecord:
     identity = context.identity
     return MemberRecord(
--- a/boragespool/controllers/membership.py
+++ b/boragespool/controllers/membership.py
@@ -138,7 +138,6 @@
         own = replace(table.own, load=self._smoothed_load())
         table = replace(table, own=own)
         self._state.apply(membership.expire(table, now_s, options))
-        self._state.post()
         self._pinger.join()
         if now_s - self._seed_tick_s >= options.seed_interval_s:
             self._seed_tick_s = now_s
@@ -175,5 +174,4 @@
             return
         own = replace(self.own, revision=document.revision)
         self._state.apply(replace(self._state.table, own=own))
-        self._state.post()
         self._state.tell(own, self._state.options.revision_fanout)
--- a/boragespool/daemon/controllers.py
+++ b/boragespool/daemon/controllers.py
@@ -5,13 +5,14 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from boragespool.controllers.caller_ports import CallerPorts, QueryRunner
+from boragespool.controllers.caller_ports import CallerPorts
 from boragespool.controllers.callers import CallerApi
 from boragespool.controllers.claims import ClaimController
 from boragespool.controllers.configuration import ConfigurationController
 from boragespool.controllers.dispatch import DispatchController
 from boragespool.controllers.membership import MembershipController
-from boragespool.daemon.absent import AbsentQueries
+from boragespool.controllers.query import QueryController
+from boragespool.controllers.servers import ServerController
 from boragespool.daemon.seeds import Seeds
 
 if TYPE_CHECKING:
@@ -58,17 +59,10 @@
         MembershipController(context, seeds, options.membership),
     )
     await stack.enter_async_context(ConfigurationController(context, store))
+    await stack.enter_async_context(ServerController(context))
     dispatch = await stack.enter_async_context(DispatchController(context))
     claims = await stack.enter_async_context(ClaimController(context))
-    queries = await _start_queries(stack, context)
+    queries = await stack.enter_async_context(QueryController(context))
     ports = CallerPorts(queries, claims, membership, dispatch)
     api = await stack.enter_async_context(CallerApi(context, ports))
     return Controllers(membership, claims, dispatch, api)
-
-
-async def _start_queries(
-    stack: AsyncExitStack,
-    context: Context,
-) -> QueryRunner:
-    """Start the server and query controllers."""
-    return AbsentQueries()
--- /dev/null
+++ b/tests/test_daemon_path.py
@@ -0,0 +1,165 @@
+"""Queries and claims through real daemons and backend server stand-ins."""
+
+from __future__ import annotations
+
+import signal
+import threading
+import time
+
+import pytest
+
+from boragespool.settings import (
+    AddressSettings,
+    RouteSettings,
+    ServerSettings,
+    ServiceSettings,
+    Settings,
+)
+from boragespool.types import Rank, WorkKind
+from tests.processes import Processes, fetch, free_address, put_revision, until
+
+SERVERS = {f'{service}-{n}': service for service in ('s', 'l') for n in '012'}
+
+
+def settings_for(address_by_server: dict[str, str]) -> Settings:
+    """A search service in three shards and a ledger."""
+    services = {
+        service: ServiceSettings(
+            slots=5,
+            connections=40,
+            servers={
+                name: ServerSettings(address, 'north')
+                for name, address in address_by_server.items()
+                if SERVERS[name] == service
+            },
+        )
+        for service in ('s', 'l')
+    }
+    routes = {
+        'search': RouteSettings('s', Rank.ROUTINE, WorkKind.QUERY, 2_000),
+        'claim': RouteSettings('l', Rank.URGENT, WorkKind.CLAIM, 2_000),
+    }
+    return Settings(services, routes, addresses=AddressSettings(keep_s=1))
+
+
+@pytest.fixture
+def fleet():
+    """Three ready daemons in front of six backend servers."""
+    with Processes() as processes:
+        platform = processes.start_platform().address
+        addresses = {name: free_address() for name in SERVERS}
+        processes.start_backends(
+            [
+                {
+                    'name': name,
+                    'service': service,
+                    'address': addresses[name],
+                    **({'shard': 0, 'shards': 1} if service == 'l' else {}),
+                }
+                for name, service in SERVERS.items()
+            ],
+            '--shards=3',
+            '--service_time_ms=20',
+        )
+        put_revision(platform, 1, settings_for(addresses))
+        first = processes.start_entry('a', platform)
+        for host in 'bc':
+            processes.start_entry(
+                host, platform, f'--peers=a={first.peer_address}'
+            )
+        entries = [processes.entries[host] for host in 'abc']
+        for entry in entries:
+            entry.wait_for_event(101)
+            until(lambda entry=entry: is_settled(entry.address))
+        yield entries
+
+
+def is_settled(address: str) -> bool:
+    """Whether a daemon knows all members and backend servers."""
+    status = fetch(address, '/v1/status')[1]
+    return len(status['members']) == 3 and len(status['servers']) == len(
+        SERVERS
+    )
+
+
+def query(address: str):
+    """Send one query."""
+    body = {'route': 'search', 'caller': 'till', 'body': {'text': 'rice'}}
+    return fetch(address, '/v1/query', body, 'POST')
+
+
+def claim(address: str, ticket: str):
+    """Send one claim under a ticket."""
+    body = {
+        'route': 'claim',
+        'caller': 'till',
+        'ticket': ticket,
+        'body': {'lot': 7},
+    }
+    return fetch(address, '/v1/claim', body, 'POST')
+
+
+def test_query_and_claim_travel_the_whole_path(fleet):
+    """A part that is not wired in would leave its requests unanswered."""
+    for entry in fleet:
+        status, answer = query(entry.address)
+        assert (status, answer['coverage']) == (200, 1), answer
+    listed = fetch(fleet[1].address, '/v1/addresses?tickets=1')[1]
+    ticket = listed['tickets'][0]
+    answers = [claim(entry.address, ticket) for entry in fleet]
+    assert [status for status, _ in answers] == [200] * 3, answers
+    assert len({str(answer['outcome']) for _, answer in answers}) == 1
+
+
+class WorkingCaller(threading.Thread):
+    """Sends queries and claims, and keeps addresses as long as told."""
+
+    def __init__(self, address: str, duration_s: float) -> None:
+        super().__init__()
+        self.address = address
+        self.stop_at_s = time.monotonic() + duration_s
+        self.failures: list[object] = []
+        self.count_by_address: dict[str, int] = {}
+
+    def run(self) -> None:
+        while time.monotonic() < self.stop_at_s:
+            try:
+                self.work_until_stale()
+            except OSError as error:
+                self.failures.append(repr(error))
+
+    def work_until_stale(self) -> None:
+        """Ask for addresses and work as long as they are valid."""
+        listed = fetch(self.address, '/v1/addresses?tickets=60')[1]
+        stale_at_s = time.monotonic() + listed['keep_s']
+        if self.address not in listed['addresses']:
+            self.address = listed['addresses'][0]
+        for ticket in listed['tickets']:
+            if time.monotonic() >= stale_at_s:
+                return
+            for status, answer in (
+                query(self.address),
+                claim(self.address, ticket),
+            ):
+                if status != 200 or answer.get('coverage', 1) != 1:
+                    self.failures.append(answer)
+            counts = self.count_by_address
+            counts[self.address] = counts.get(self.address, 0) + 1
+
+
+def test_graceful_stop_keeps_queries_and_claims(fleet):
+    """Work in flight at a planned stop must be answered, not cut."""
+    leaving = fleet[2]
+    callers = [WorkingCaller(leaving.address, 6) for _ in range(4)]
+    for caller in callers:
+        caller.start()
+    time.sleep(1)
+    leaving.signal(signal.SIGTERM)
+    code = leaving.wait(20)
+    for caller in callers:
+        caller.join()
+    assert code == 0
+    assert [caller.failures for caller in callers] == [[]] * len(callers)
+    for caller in callers:
+        assert caller.count_by_address[leaving.address] > 5
+        assert len(caller.count_by_address) > 1
