Keep hedging a query that meets a lost server

Cause: one closed connection made a query send solo and unhedged.

Change: a query is treated as a possible crasher once more than half as many attempts lost a server as were answered. A request that crashes servers loses most of them, and a canary that is lost has no answer at all.

Figures: with the old rule the new test fails; without any rule the test of the canary fails.

Conclusion: a lost server no longer costs the other shards their hedges.

--- a/boragespool/controllers/attempts.py
+++ b/boragespool/controllers/attempts.py
@@ -62,14 +62,19 @@
         self.open_by_id: dict[AttemptId, Attempt] = {}
         self._work = work
         self._receive = receive
-        self._solo = False
+        self._crashes = 0
+        self._answered = 0
         self._overdue_ids: set[AttemptId] = set()
         self._tasks_by_id: dict[AttemptId, asyncio.Task[Any]] = {}
 
     @property
     def careful(self) -> bool:
-        """Whether the request may have crashed a backend server."""
-        return self._solo or self._work.suspect
+        """Whether the request may have crashed a backend server.
+
+        One lost server is ordinary. A crashing request loses most of the
+        servers that it was sent to.
+        """
+        return self._work.suspect or self._crashes * 2 > self._answered
 
     def choose(self, part: Part) -> ServerName | None:
         """Choose a replica that was not tried for a part.
@@ -181,7 +186,7 @@
         if _may_have_run(result):
             self.may_have_run = True
             if result.code in _CRASH_CODES:
-                self._solo = True
+                self._crashes += 1
         self._observe(attempt, result)
         self._receive(attempt, result)
 
@@ -197,6 +202,7 @@
         if isinstance(result, WorkReply):
             observations.report_waits(attempt.server, result.waits_s, now_s)
         if result.code == ResultCode.COMPLETE:
+            self._answered += 1
             observations.answered(attempt.server, latency_s, now_s)
             self._work.tracker.record(latency_s)
         elif result.code == ResultCode.SERVER_DRAINING:
--- a/tests/test_query.py
+++ b/tests/test_query.py
@@ -118,6 +118,28 @@
     assert run_virtual(run()).coverage == 1
 
 
+def test_one_lost_server_does_not_stop_hedging():
+    """A query that meets a lost server must not wait for its stragglers."""
+    fleet = FakeFleet(SMALL, 1)
+    crash = refusal(ResultCode.SERVER_CLOSED, RunState.UNKNOWN)
+    behave(
+        fleet,
+        ['s1r0', 's1r1', 's1r2'],
+        lambda asked: true_reply(asked) if 'warm' in asked.request_id else None,
+    )
+    behave(
+        fleet,
+        replicas(2),
+        lambda asked: (
+            true_reply(asked)
+            if 'warm' in asked.request_id or asked.solo
+            else crash(asked)
+        ),
+    )
+    ask(fleet, query(), warm=14)
+    assert sum(fleet.asked[name] for name in replicas(1)) == 3
+
+
 def test_not_run_is_only_said_when_no_attempt_could_have_run():
     """A caller relies on a refusal that says not_run."""
     everywhere = [name for shard in range(4) for name in replicas(shard)]
