Choose servers for claims as queries do; let callers lower a claim's rank

Cause: claims took any usable server at random, had a fingerprint function of their own that differed from the dispatchers' one, so that a blocked claim was not recognised, and ignored a lowered rank.

Change: claims and queries share observations, the power of two choices, the eligibility rule, the fingerprint and the way results are observed; a forwarded claim carries its rank.

--- a/boragespool/claims/__init__.py
+++ b/boragespool/claims/__init__.py
@@ -13,7 +13,6 @@
 from boragespool.claims.records import RecordTable
 from boragespool.claims.tickets import (
     Ticket,
-    claim_hash,
     format_ticket,
     parse_ticket,
 )
@@ -25,7 +24,6 @@
     'Ticket',
     'begin',
     'choose_witness',
-    'claim_hash',
     'forgotten',
     'format_ticket',
     'issue_ticket',
--- a/boragespool/claims/tickets.py
+++ b/boragespool/claims/tickets.py
@@ -9,10 +9,9 @@
 from typing import Final
 
 import msgspec
-import xxhash
 
 from boragespool.results import Failure, ResultCode
-from boragespool.types import HostName, Incarnation, RouteName, Seconds
+from boragespool.types import HostName, Incarnation, Seconds
 
 _SIGNATURE_SIZE: Final = 12
 _DIGEST: Final = 'sha256'
@@ -101,8 +100,3 @@
             ResultCode.BAD_TICKET,
             f'{text!r} is not a ticket from GET /v1/addresses',
         )
-
-
-def claim_hash(route: RouteName, body: bytes) -> int:
-    """Identify the claim that a ticket is bound to."""
-    return xxhash.xxh64_intdigest(b'\n'.join((route.encode(), body)))
--- a/boragespool/cli/demo.py
+++ b/boragespool/cli/demo.py
@@ -31,7 +31,7 @@
     3,
     (
         ServiceShape('lot-finder', 10, 3, 5, 40, 6),
-        ServiceShape('member-ledger', 1, 3, 2, 100, 1, 0.04),
+        ServiceShape('member-ledger', 1, 3, 2, 100, 1, 0.1),
     ),
     {
         'lots': RouteSettings(
@@ -46,8 +46,8 @@
     },
 )
 _RUSH_S: Final = 3
-_URGENT_PER_S: Final = 20
-_DEFERRABLE_PER_S: Final = 250
+_URGENT_PER_S: Final = 10
+_DEFERRABLE_PER_S: Final = 120
 _TIMEOUT_S: Final = 2
 _MS_PER_S: Final = 1_000
 
--- a/boragespool/controllers/attempts.py
+++ b/boragespool/controllers/attempts.py
@@ -7,6 +7,7 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any, Final
 
+from boragespool.controllers.observing import observe_result
 from boragespool.controllers.query_parts import Attempt, Part
 from boragespool.messages import CancelWork, WorkReply, WorkRequest
 from boragespool.metrics import ATTEMPTS
@@ -20,19 +21,6 @@
     from boragespool.controllers.query_parts import QueryWork
     from boragespool.types import AttemptId, IndexVersion, ServerName
 
-#: Answers that say nothing about whether a server or its link works.
-_HEALTHY_CODES: Final = frozenset(
-    (
-        ResultCode.COMPLETE,
-        ResultCode.QUEUE_FULL,
-        ResultCode.DEADLINE_UNREACHABLE,
-        ResultCode.REQUEST_BLOCKED,
-        ResultCode.CANCELLED,
-        ResultCode.SERVER_SHED,
-        ResultCode.VERSION_NOT_HELD,
-        ResultCode.SERVER_REPLY_INVALID,
-    )
-)
 _CRASH_CODES: Final = frozenset(
     (ResultCode.SERVER_CLOSED, ResultCode.SERVER_UNREACHABLE)
 )
@@ -196,21 +184,18 @@
 
     def _observe(self, attempt: Attempt, result: WorkReply | Failure) -> None:
         """Tell the observations how an attempt ended."""
-        observations = self._work.merger.observations
         now_s = self._work.merger.context.timers.now_s()
         latency_s = now_s - attempt.started_s
-        if isinstance(result, WorkReply):
-            observations.report_waits(attempt.server, result.waits_s, now_s)
+        observe_result(
+            self._work.merger.observations,
+            attempt.server,
+            result,
+            latency_s,
+            now_s,
+        )
         if result.code == ResultCode.COMPLETE:
             self._answered += 1
-            observations.answered(attempt.server, latency_s, now_s)
             self._work.tracker.record(latency_s)
-        elif result.code == ResultCode.SERVER_DRAINING:
-            observations.draining(attempt.server, now_s)
-        elif result.code in _HEALTHY_CODES:
-            observations.refused(attempt.server)
-        else:
-            observations.failed(attempt.server, now_s)
 
 
 def _result_of(task: asyncio.Task[Any]) -> WorkReply | Failure:
--- a/boragespool/controllers/claim_attempts.py
+++ b/boragespool/controllers/claim_attempts.py
@@ -11,26 +11,31 @@
 from boragespool.blackboard.topics import (
     IN_FORCE,
     LEAVING_HOSTS,
-    MEMBERS,
     SERVERS,
     SUSPECTS,
 )
-from boragespool.claims import claim_hash
+from boragespool.controllers.fleet_view import FleetView
+from boragespool.controllers.observing import observe_result
 from boragespool.messages import ForwardClaim, WorkReply, WorkRequest
 from boragespool.results import Failure, ResultCode
-from boragespool.routing import dispatcher_of
-from boragespool.types import RunState, ServerState, WorkKind
+from boragespool.routing import (
+    choose_replica,
+    eligible_holdings,
+    fingerprint_of,
+)
+from boragespool.types import Rank, RunState, WorkKind
 
 if TYPE_CHECKING:
     from boragespool.controllers.context import Context
-    from boragespool.settings import RouteSettings, ServerSettings
+    from boragespool.routing import ServerObservations
+    from boragespool.settings import RouteSettings, ServiceSettings
     from boragespool.types import HostName, Seconds, ServerName
 
 #: Each attempt is an extra request to the fleet, so few are made.
 MAX_ATTEMPTS: Final = 3
 #: Time beyond the caller's deadline in which a result is still recorded.
 GRACE_S: Final = 1.0
-_USABLE: Final = frozenset((ServerState.SERVING, ServerState.COLD))
+_RANKS: Final = tuple(Rank)
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,113 +44,162 @@
     dispatcher: HostName
 
 
-async def attempt_claim(
-    context: Context,
-    ticket_id: str,
-    claim: ForwardClaim,
-    deadline_s: Seconds,
-) -> WorkReply | Failure:
-    """Run a claim at one backend server of its route's service.
+@dataclass(frozen=True, slots=True)
+class StartedClaim:
+    """A claim whose start was recorded.
 
-    Parameters
+    Attributes
     ----------
-    context : Context
-        Shared parts of the daemon.
-    ticket_id : str
-        Ticket whose start was recorded.
-    claim : ForwardClaim
-        The claim.
     deadline_s : float
         Monotonic time of the deadline, in seconds.
+    """
+
+    ticket_id: str
+    claim: ForwardClaim
+    route: RouteSettings
+    service: ServiceSettings
+    deadline_s: Seconds
 
-    Returns
-    -------
-    WorkReply or Failure
-        Result of the last attempt.
+    @property
+    def rank(self) -> Rank:
+        """Rank of the route, unless the caller lowered it."""
+        return self.claim.rank or self.route.rank
+
+
+class ClaimSender:
+    """Sends claims to the dispatchers of backend servers.
+
+    Parameters
+    ----------
+    context : Context
+        Shared parts of the daemon.
+    observations : ServerObservations
+        What this daemon saw of backend servers, shared with queries.
     """
-    route = _route(context, claim)
-    if isinstance(route, Failure):
-        return route
-    tried: set[ServerName] = set()
-    result: WorkReply | Failure = Failure(
-        ResultCode.NO_SERVER,
-        f'no backend server of service {route.service!r} is in use',
-    )
-    for number in range(MAX_ATTEMPTS):
-        target = _choose_server(context, route, tried)
-        if target is None or deadline_s <= context.timers.now_s():
-            break
-        tried.add(target.server)
-        request = WorkRequest(
-            attempt_id=f'{ticket_id}#{number}',
-            request_id=ticket_id,
-            kind=WorkKind.CLAIM,
-            route=claim.route,
-            server=target.server,
-            rank=route.rank,
-            caller=claim.caller,
-            deadline_s=deadline_s - context.timers.now_s(),
-            body=claim.body,
-            fingerprint=claim_hash(claim.route, claim.body),
-            solo=_is_suspect(context, claim),
+
+    def __init__(
+        self,
+        context: Context,
+        observations: ServerObservations,
+    ) -> None:
+        """Start with nothing in flight."""
+        self._context = context
+        self._observations = observations
+        self._fleet = FleetView(context.board)
+
+    def prepare(
+        self,
+        ticket_id: str,
+        claim: ForwardClaim,
+        deadline_s: Seconds,
+    ) -> StartedClaim | Failure:
+        """Look up the route of a claim in the revision in force."""
+        document = self._context.board.read(IN_FORCE)
+        settings = document.settings if document else None
+        route = settings.routes.get(claim.route) if settings else None
+        if settings is None or route is None:
+            return Failure(
+                ResultCode.UNKNOWN_ROUTE,
+                f'route {claim.route!r} is not in the revision in force',
+            )
+        service = settings.services[route.service]
+        return StartedClaim(ticket_id, claim, route, service, deadline_s)
+
+    async def run(self, started: StartedClaim) -> WorkReply | Failure:
+        """Run a claim at one backend server of its route's service.
+
+        Returns
+        -------
+        WorkReply or Failure
+            Result of the last attempt.
+        """
+        tried: set[ServerName] = set()
+        result: WorkReply | Failure = Failure(
+            ResultCode.NO_SERVER,
+            'no backend server of the service is in use',
+        )
+        for number in range(MAX_ATTEMPTS):
+            target = self._choose(started, tried)
+            if target is None or self._left_s(started) <= 0:
+                break
+            tried.add(target.server)
+            result = await self._send(started, target, number)
+            if result.run is not RunState.NOT_RUN:
+                break
+        return result
+
+    def _choose(
+        self,
+        started: StartedClaim,
+        tried: set[ServerName],
+    ) -> _Target | None:
+        """Choose a server that was not tried, and its dispatcher."""
+        board = self._context.board
+        leaving = board.read(LEAVING_HOSTS)
+        usable = eligible_holdings(
+            started.service,
+            board.read(SERVERS),
+            leaving,
+        )
+        server = choose_replica(
+            tuple(usable),
+            tried,
+            self._observations,
+            (self._context.draw(), self._context.draw()),
+            self._context.timers.now_s(),
+            _RANKS.index(started.rank),
         )
-        result = await context.peers.request(
+        if server is None:
+            return None
+        dispatcher = self._fleet.dispatcher(server)
+        return _Target(server, dispatcher) if dispatcher else None
+
+    async def _send(
+        self,
+        started: StartedClaim,
+        target: _Target,
+        number: int,
+    ) -> WorkReply | Failure:
+        sent_s = self._context.timers.now_s()
+        request = self._request(started, target.server, number)
+        self._observations.started(target.server)
+        result: WorkReply | Failure = await self._context.peers.request(
             target.dispatcher,
             request,
             request.deadline_s + GRACE_S,
         )
-        if result.run is not RunState.NOT_RUN:
-            break
-    return result
-
-
-def _route(context: Context, claim: ForwardClaim) -> RouteSettings | Failure:
-    document = context.board.read(IN_FORCE)
-    route = document.settings.routes.get(claim.route) if document else None
-    return route or Failure(
-        ResultCode.UNKNOWN_ROUTE,
-        f'route {claim.route!r} is not in the revision in force',
-    )
-
-
-def _choose_server(
-    context: Context,
-    route: RouteSettings,
-    tried: set[ServerName],
-) -> _Target | None:
-    """Choose a usable server that was not tried, and its dispatcher."""
-    members = context.board.read(MEMBERS)
-    targets = []
-    for server, place in _usable_servers(context, route).items():
-        dispatcher = dispatcher_of(server, place.data_centre, members)
-        if server not in tried and dispatcher is not None:
-            targets.append(_Target(server, dispatcher))
-    if not targets:
-        return None
-    return targets[int(context.draw() * len(targets))]
-
-
-def _usable_servers(
-    context: Context,
-    route: RouteSettings,
-) -> dict[ServerName, ServerSettings]:
-    """Return the servers of the route's service that take new work."""
-    document = context.board.read(IN_FORCE)
-    if document is None:
-        return {}
-    leaving = context.board.read(LEAVING_HOSTS)
-    records = context.board.read(SERVERS)
-    configured = document.settings.services[route.service].servers
-    return {
-        server: place
-        for server, place in configured.items()
-        if not place.drained
-        and place.host not in leaving
-        and server in records
-        and records[server].state in _USABLE
-    }
-
-
-def _is_suspect(context: Context, claim: ForwardClaim) -> bool:
-    suspects = context.board.read(SUSPECTS)
-    return claim_hash(claim.route, claim.body) in suspects
+        now_s = self._context.timers.now_s()
+        observe_result(
+            self._observations,
+            target.server,
+            result,
+            now_s - sent_s,
+            now_s,
+        )
+        return result
+
+    def _request(
+        self,
+        started: StartedClaim,
+        server: ServerName,
+        number: int,
+    ) -> WorkRequest:
+        claim = started.claim
+        fingerprint = fingerprint_of(claim.route, claim.body)
+        suspects = self._context.board.read(SUSPECTS)
+        return WorkRequest(
+            attempt_id=f'{started.ticket_id}#{number}',
+            request_id=started.ticket_id,
+            kind=WorkKind.CLAIM,
+            route=claim.route,
+            server=server,
+            rank=started.rank,
+            caller=claim.caller,
+            deadline_s=self._left_s(started),
+            body=claim.body,
+            fingerprint=fingerprint,
+            solo=fingerprint in suspects,
+        )
+
+    def _left_s(self, started: StartedClaim) -> Seconds:
+        return started.deadline_s - self._context.timers.now_s()
--- a/boragespool/controllers/claim_runs.py
+++ b/boragespool/controllers/claim_runs.py
@@ -16,9 +16,7 @@
     RecordTable,
     Ticket,
     begin,
-    claim_hash,
 )
-from boragespool.controllers.claim_attempts import attempt_claim
 from boragespool.events import Event, log_event
 from boragespool.messages import (
     ClaimRecord,
@@ -30,11 +28,13 @@
     WorkReply,
 )
 from boragespool.results import Failure, ResultCode
+from boragespool.routing import fingerprint_of
 from boragespool.settings import ClaimSettings
 from boragespool.tasks import TaskSet
 from boragespool.types import RunState
 
 if TYPE_CHECKING:
+    from boragespool.controllers.claim_attempts import ClaimSender
     from boragespool.controllers.context import Context
     from boragespool.controllers.witnesses import WitnessController
     from boragespool.types import Seconds
@@ -51,11 +51,13 @@
         context: Context,
         issuer: Issuer,
         witnesses: WitnessController,
+        sender: ClaimSender,
     ) -> None:
         """Start with no records."""
         self._context = context
         self._issuer = issuer
         self._witnesses = witnesses
+        self._sender = sender
         self._table = RecordTable()
         self._run_by_ticket: dict[str, asyncio.Task[None]] = {}
         self._runs = TaskSet()
@@ -93,7 +95,7 @@
             that is not final means that the claim is still running.
         """
         body_hash = (
-            0 if claim.outcome_only else claim_hash(claim.route, claim.body)
+            0 if claim.outcome_only else fingerprint_of(claim.route, claim.body)
         )
         record = begin(
             self._table,
@@ -162,24 +164,17 @@
     ) -> None:
         """Start the ticket at its witness, run the claim, tell the witness."""
         deadline_s = self._now_s() + claim.deadline_s
-        blocked = self._context.board.read(BLOCKED)
-        if record.body_hash in blocked:
-            self._put(
-                _sealed(
-                    record,
-                    ResultCode.REQUEST_BLOCKED,
-                    'this request crashed backend servers',
-                ),
-            )
+        started = self._sender.prepare(ticket.ticket_id, claim, deadline_s)
+        if isinstance(started, Failure):
+            self._put(_sealed(record, started.code, started.reason))
+            return
+        if record.body_hash in self._context.board.read(BLOCKED):
+            reason = 'this request crashed backend servers'
+            self._put(_sealed(record, ResultCode.REQUEST_BLOCKED, reason))
             return
         if not await self._start(ticket, record):
             return
-        reply = await attempt_claim(
-            self._context,
-            ticket.ticket_id,
-            claim,
-            deadline_s,
-        )
+        reply = await self._sender.run(started)
         final = _final_record(record, reply)
         self._put(final)
         self._reports.spawn(self._report(ticket, final))
--- a/boragespool/controllers/claims.py
+++ b/boragespool/controllers/claims.py
@@ -16,13 +16,13 @@
     Issuer,
     Ticket,
     choose_witness,
-    claim_hash,
     forgotten,
     format_ticket,
     issue_ticket,
     new_record,
     parse_ticket,
 )
+from boragespool.controllers.claim_attempts import ClaimSender
 from boragespool.controllers.claim_runs import ClaimRunner, is_final
 from boragespool.controllers.requests import ClaimAnswer
 from boragespool.controllers.witnesses import (
@@ -39,6 +39,7 @@
     WitnessVerdict,
 )
 from boragespool.results import Failure, ResultCode
+from boragespool.routing import ServerObservations, fingerprint_of
 from boragespool.types import MemberStatus, Rank, RunState
 
 if TYPE_CHECKING:
@@ -57,7 +58,11 @@
 class ClaimController:
     """Claims at one daemon, an async context manager."""
 
-    def __init__(self, context: Context) -> None:
+    def __init__(
+        self,
+        context: Context,
+        observations: ServerObservations | None = None,
+    ) -> None:
         """Prepare an issuer with a new key."""
         identity = context.identity
         self._context = context
@@ -69,7 +74,12 @@
         )
         self._sequence = itertools.count(1)
         self._witnesses = WitnessController(context)
-        self._runner = ClaimRunner(context, self._issuer, self._witnesses)
+        self._runner = ClaimRunner(
+            context,
+            self._issuer,
+            self._witnesses,
+            ClaimSender(context, observations or ServerObservations()),
+        )
         self._expiry: Subscription | None = None
 
     async def __aenter__(self) -> Self:
@@ -139,6 +149,7 @@
             caller=request.caller,
             body=request.body,
             deadline_s=request.deadline_s,
+            rank=request.rank,
         )
         return await self._answer(claim, request.request_id)
 
@@ -244,7 +255,7 @@
     ) -> ClaimRecord | Failure:
         """Have the witness seal the ticket or tell what it knows."""
         body_hash = (
-            0 if claim.outcome_only else claim_hash(claim.route, claim.body)
+            0 if claim.outcome_only else fingerprint_of(claim.route, claim.body)
         )
         reply = await self._witnesses.ask(
             SealTicket(
@@ -297,6 +308,8 @@
     def _rank(self, claim: ForwardClaim) -> Rank:
         document = self._context.board.read(IN_FORCE)
         route = document.settings.routes.get(claim.route) if document else None
+        if claim.rank is not None:
+            return claim.rank
         return route.rank if route else Rank.URGENT
 
 
--- /dev/null
+++ b/boragespool/controllers/observing.py
@@ -0,0 +1,60 @@
+"""Tells the observations of a daemon how an attempt ended."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from boragespool.messages import WorkReply
+from boragespool.results import Failure, ResultCode
+
+if TYPE_CHECKING:
+    from boragespool.routing import ServerObservations
+    from boragespool.types import Seconds, ServerName
+
+#: Answers that say nothing about whether a server or its link works.
+_HEALTHY_CODES: Final = frozenset(
+    (
+        ResultCode.COMPLETE,
+        ResultCode.QUEUE_FULL,
+        ResultCode.DEADLINE_UNREACHABLE,
+        ResultCode.REQUEST_BLOCKED,
+        ResultCode.CANCELLED,
+        ResultCode.SERVER_SHED,
+        ResultCode.VERSION_NOT_HELD,
+        ResultCode.SERVER_REPLY_INVALID,
+    )
+)
+
+
+def observe_result(
+    observations: ServerObservations,
+    server: ServerName,
+    result: WorkReply | Failure,
+    latency_s: Seconds,
+    now_s: Seconds,
+) -> None:
+    """Note the end of an attempt that `observations.started` counted.
+
+    Parameters
+    ----------
+    observations : ServerObservations
+        What this daemon saw.
+    server : str
+        Where the attempt was sent.
+    result : WorkReply or Failure
+        How it ended.
+    latency_s : float
+        Time since it was sent, in seconds.
+    now_s : float
+        Monotonic time, in seconds.
+    """
+    if isinstance(result, WorkReply):
+        observations.report_waits(server, result.waits_s, now_s)
+    if result.code == ResultCode.COMPLETE:
+        observations.answered(server, latency_s, now_s)
+    elif result.code == ResultCode.SERVER_DRAINING:
+        observations.draining(server, now_s)
+    elif result.code in _HEALTHY_CODES:
+        observations.refused(server)
+    else:
+        observations.failed(server, now_s)
--- a/boragespool/daemon/controllers.py
+++ b/boragespool/daemon/controllers.py
@@ -14,6 +14,7 @@
 from boragespool.controllers.query import QueryController
 from boragespool.controllers.servers import ServerController
 from boragespool.daemon.seeds import Seeds
+from boragespool.routing import ServerObservations
 
 if TYPE_CHECKING:
     from contextlib import AsyncExitStack
@@ -61,8 +62,13 @@
     await stack.enter_async_context(ConfigurationController(context, store))
     await stack.enter_async_context(ServerController(context))
     dispatch = await stack.enter_async_context(DispatchController(context))
-    claims = await stack.enter_async_context(ClaimController(context))
-    queries = await stack.enter_async_context(QueryController(context))
+    observations = ServerObservations()
+    claims = await stack.enter_async_context(
+        ClaimController(context, observations),
+    )
+    queries = await stack.enter_async_context(
+        QueryController(context, observations=observations)
+    )
     ports = CallerPorts(queries, claims, membership, dispatch)
     api = await stack.enter_async_context(CallerApi(context, ports))
     return Controllers(membership, claims, dispatch, api)
--- a/boragespool/messages/claims.py
+++ b/boragespool/messages/claims.py
@@ -10,6 +10,7 @@
     CallerName,
     HostName,
     Incarnation,
+    Rank,
     RouteName,
     RunState,
     Seconds,
@@ -81,7 +82,8 @@
 class ForwardClaim:
     """Hands a claim to the issuer of its ticket.
 
-    With `outcome_only` the issuer seals a ticket that has not started.
+    A rank lowers that of the route. With `outcome_only` the issuer seals a
+    ticket that has not started.
     """
 
     ticket: str
@@ -89,6 +91,7 @@
     caller: CallerName
     body: bytes
     deadline_s: Seconds
+    rank: Rank | None = None
     outcome_only: bool = False
 
 
