--- a/boragespool/bench/slopes.py
+++ b/boragespool/bench/slopes.py
@@ -34,7 +34,7 @@
     intercept : float
         Value at size 0.
     spread : float
-        Largest distance of a run from the line, relative to the line.
+        Largest distance of a run from the line, relative to the run.
     """
 
     slope: float
@@ -70,9 +70,9 @@
     )
     line = Line(fitted.slope, fitted.intercept, 0)
     spread = max(
-        abs(measured - line.at(point.size))
-        / max(abs(line.at(point.size)), 1e-12)
+        abs(measured - line.at(point.size)) / measured
         for point in points
         for measured in point.values
+        if measured
     )
     return Line(fitted.slope, fitted.intercept, spread)
