--- a/tests/test_backend_standin.py
+++ b/tests/test_backend_standin.py
@@ -277,7 +277,11 @@
             assert [report[name]['listening'] for name in 'ab'] == [False, True]
             assert not (await send(host.servers_by_name['a'])).sent
             await control(servers=['a'], restart=True)
-            assert (await send(host.servers_by_name['a']))[0] == 200
+            claim = {'kind': 'claim', 'body': {'ticket': 't1'}}
+            assert (await send(host.servers_by_name['a'], **claim))[0] == 200
+            _, report = await control()
+            runs = report['a']['counters']['claims_run_by_id']
+            assert runs == {'t1': 1}
             assert (await control(servers=['c']))[0] == 400
             assert (await control(slot=1))[0] == 400
 
