--- a/boragespool/daemon/controllers.py
+++ b/boragespool/daemon/controllers.py
@@ -59,9 +59,9 @@
         MembershipController(context, seeds, options.membership),
     )
     await stack.enter_async_context(ConfigurationController(context, store))
+    await stack.enter_async_context(ServerController(context))
     dispatch = await stack.enter_async_context(DispatchController(context))
     claims = await stack.enter_async_context(ClaimController(context))
-    await stack.enter_async_context(ServerController(context))
     queries = await stack.enter_async_context(QueryController(context))
     ports = CallerPorts(queries, claims, membership, dispatch)
     api = await stack.enter_async_context(CallerApi(context, ports))
