Close links to peers that are idle

Cause: a daemon pings every member in turn and kept a link to each.

Change: PeerNetwork closes a link after link_idle_timeout_s (10 s) without a message; the next message dials again. Traffic counts include closed links. The measuring script gives each member an IP address of its own, because free ports of 127.0.0.1 collided with ports of the links.

The test of idle links fails without the check.

Conclusion: links, like bytes, no longer grow with the view. Why more than a thousand pynng sockets in one process stall was not found out.

--- a/boragespool/bench/membership.py
+++ b/boragespool/bench/membership.py
@@ -26,13 +26,10 @@
 from boragespool.timers import LoopTimers
 from boragespool.types import MemberStatus
 
-#: Each pair of members holds four descriptors; a process may open 20,000.
-_SIZES: Final = (10, 20, 40, 60)
+#: 100 members in one process use most of its one thread.
+_SIZES: Final = (10, 30, 60, 100)
 _SHORT_SIZES: Final = (5, 10)
-#: Time to settle, at least and per member: a member pings one other per
-#: second, and opens its link then.
-_SETTLE_S: Final = 8.0
-_SETTLE_PER_MEMBER_S: Final = 1.0
+_SETTLE_S: Final = 15.0
 _MEASURE_S: Final = 8.0
 _DETECT_LIMIT_S: Final = 30.0
 _POLL_S: Final = 0.05
@@ -71,7 +68,7 @@
     def __init__(self, size: int) -> None:
         """Choose the addresses; the first member is the seed of the rest."""
         self._addresses = {
-            f'entry-{number}': _free_address() for number in range(size)
+            f'entry-{member}': _free_address(member) for member in range(size)
         }
         self._stack = contextlib.AsyncExitStack()
         self._stacks: dict[str, contextlib.AsyncExitStack] = {}
@@ -169,11 +166,17 @@
     return member is None or member.status == MemberStatus.DEAD
 
 
-def _free_address() -> str:
+def _free_address(number: int) -> str:
+    """Return a free address on an IP address of the member's own.
+
+    The links of all members use ports of 127.0.0.1.
+    """
+    octet = number + 1
+    ip = f'127.0.1.{octet}'
     with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        ip, port = probe.getsockname()
-        return f'{ip}:{port}'
+        probe.bind((ip, 0))
+        port = probe.getsockname()[1]
+    return f'{ip}:{port}'
 
 
 def main(*, is_short: bool = False) -> None:
@@ -182,11 +185,7 @@
     costs = []
     for size in _SHORT_SIZES if is_short else _SIZES:
         cost = asyncio.run(
-            measure(
-                size,
-                max(_SETTLE_S, _SETTLE_PER_MEMBER_S * size),
-                _MEASURE_S,
-            ),
+            measure(size, _SETTLE_S, _MEASURE_S),
         )
         costs.append(cost)
         print(_ROW.format(**{name: getattr(cost, name) for name in _fields()}))
--- a/boragespool/daemon/options.py
+++ b/boragespool/daemon/options.py
@@ -34,6 +34,7 @@
     queue_count: int = 20_000
     probe_interval_s: Seconds = 0.5
     silence_timeout_s: Seconds = 1.5
+    idle_timeout_s: Seconds = 10
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,6 +181,11 @@
             _LINKS.silence_timeout_s,
             'Time without an answer after which a link is dialled again.',
         ),
+        'idle_timeout_s': _setting(
+            parsing.number(1, 3_600),
+            _LINKS.idle_timeout_s,
+            'Time without a message after which a link is closed.',
+        ),
     },
 )
 _MEMBERSHIP_SETTINGS: Final = MappingProxyType(
--- a/boragespool/peers/link.py
+++ b/boragespool/peers/link.py
@@ -9,7 +9,7 @@
 import asyncio
 import contextlib
 from collections import deque
-from typing import TYPE_CHECKING, Self
+from typing import TYPE_CHECKING, Final, Self
 
 import pynng
 
@@ -30,6 +30,9 @@
     from boragespool.types import Address, Seconds
 
 
+_PROBE_KINDS: Final = frozenset((Probe.__name__, ProbeAnswer.__name__))
+
+
 class PeerLink:
     """Queues messages for one peer and sends them in frames."""
 
@@ -43,6 +46,7 @@
         self.address = address
         self.frames_sent = 0
         self.bytes_sent = 0
+        self.used_at_s = timers.now_s()
         self._options = options
         self._timers = timers
         self._queue: deque[Envelope] = deque()
@@ -83,6 +87,8 @@
         if envelope.kind != ProbeAnswer.__name__:
             self._used_since_probe = True
             self._arm_probe()
+        if envelope.kind not in _PROBE_KINDS:
+            self.used_at_s = self._timers.now_s()
         self._wakeup.set()
         return True
 
--- a/boragespool/peers/network.py
+++ b/boragespool/peers/network.py
@@ -66,6 +66,8 @@
         self.options = options
         self._timers = timers
         self._closing = False
+        self._closed_frames = 0
+        self._closed_bytes = 0
         self._stack = contextlib.AsyncExitStack()
         self._address_by_host: dict[HostName, Address] = {}
         self._link_by_host: dict[HostName, PeerLink] = {}
@@ -91,6 +93,11 @@
         listen_address = self.options.listen_address
         self._socket.listen(f'tcp://{listen_address}')
         self._tasks.spawn(self._receive_frames())
+        idle_check = self._timers.every(
+            self.options.idle_timeout_s / 2,
+            self._close_idle_links,
+        )
+        self._stack.callback(idle_check.cancel)
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
@@ -114,6 +121,8 @@
         """Close the link to a peer; the next message dials again."""
         link = self._link_by_host.pop(host, None)
         if link is not None:
+            self._closed_frames += link.frames_sent
+            self._closed_bytes += link.bytes_sent
             self._tasks.spawn(link.__aexit__())
 
     def on_message(
@@ -188,11 +197,11 @@
             del self._waiting[exchange]
 
     def traffic(self) -> tuple[int, int]:
-        """Return frames and bytes sent on the links that are open."""
+        """Return frames and bytes sent since the start."""
         links = tuple(self._link_by_host.values())
         return (
-            sum(link.frames_sent for link in links),
-            sum(link.bytes_sent for link in links),
+            self._closed_frames + sum(link.frames_sent for link in links),
+            self._closed_bytes + sum(link.bytes_sent for link in links),
         )
 
     async def flush(self, timeout_s: Seconds) -> None:
@@ -229,6 +238,12 @@
             return _no_answer(self.options.host, timeout_s)
         return task.result()
 
+    def _close_idle_links(self) -> None:
+        limit_s = self._timers.now_s() - self.options.idle_timeout_s
+        for host, link in tuple(self._link_by_host.items()):
+            if link.used_at_s < limit_s and link.idle:
+                self.forget_link(host)
+
     def _queue(self, host: HostName, envelope: Envelope) -> bool:
         address = self._address_by_host.get(host)
         if address is None:
--- a/boragespool/peers/options.py
+++ b/boragespool/peers/options.py
@@ -25,6 +25,10 @@
     probe_interval_s, silence_timeout_s : float
         How often a link in use is probed, and after how long without an
         answer it is closed and dialled again.
+    idle_timeout_s : float
+        Time without a message after which a link is closed; the next message
+        dials again. It bounds the links of a daemon that pings hundreds of
+        peers in turn.
     """
 
     host: HostName
@@ -35,3 +39,4 @@
     queue_count: int = 20_000
     probe_interval_s: Seconds = 0.5
     silence_timeout_s: Seconds = 1.5
+    idle_timeout_s: Seconds = 10
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -32,7 +32,7 @@
 
 
 @asynccontextmanager
-async def pair():
+async def pair(idle_timeout_s: float = 10):
     """Two networks that know each other."""
     options = [
         PeerOptions(
@@ -41,6 +41,7 @@
             free_address(),
             probe_interval_s=0.05,
             silence_timeout_s=0.2,
+            idle_timeout_s=idle_timeout_s,
         )
         for host in ('a', 'b')
     ]
@@ -177,3 +178,24 @@
     started_s = time.monotonic()
     asyncio.run(asyncio.wait_for(run(), 3))
     assert time.monotonic() - started_s < 2
+
+
+def test_idle_link_is_closed_and_dialled_again():
+    """A daemon that pings hundreds of peers must not keep all their links."""
+
+    async def run() -> None:
+        async with pair(idle_timeout_s=0.3) as (first, second):
+            received = []
+            second.on_message(Gossip, lambda _, m: received.append(m))
+            first.send('b', Gossip(()))
+            while not received:
+                await asyncio.sleep(0.01)
+            sent = first.traffic()
+            await asyncio.sleep(0.7)
+            assert not first._link_by_host
+            assert first.traffic() >= sent
+            first.send('b', Gossip(()))
+            while len(received) < 2:
+                await asyncio.sleep(0.01)
+
+    asyncio.run(run())
