Let a revision clear crash verdicts; let callers lower a query's rank

Cause: `boragespool clear` wrote a revision that no daemon acted on, and a query ran at its route's rank even if its caller had lowered it.

Change: every daemon ends the verdicts that a revision clears when it puts it in force; the rank of a query is the caller's if that is lower.

--- a/boragespool/controllers/attempts.py
+++ b/boragespool/controllers/attempts.py
@@ -154,7 +154,7 @@
             kind=WorkKind.QUERY,
             route=request.route,
             server=attempt.server,
-            rank=self._work.route.rank,
+            rank=self._work.rank,
             caller=request.caller,
             deadline_s=self._work.time_left_s(),
             body=request.body,
--- a/boragespool/controllers/crash_watch.py
+++ b/boragespool/controllers/crash_watch.py
@@ -5,15 +5,17 @@
 from typing import TYPE_CHECKING, Final
 
 from boragespool.backends import CrashLedger
-from boragespool.blackboard.topics import BLOCKED, MEMBERS, SUSPECTS
+from boragespool.blackboard.topics import BLOCKED, IN_FORCE, MEMBERS, SUSPECTS
 from boragespool.events import Event, log_event
 from boragespool.messages import SuspectNotice
+from boragespool.revisions import newly_cleared
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from boragespool.controllers.context import Context
     from boragespool.peers import Sender
+    from boragespool.revisions import RevisionDocument
     from boragespool.types import Incarnation, ServerName
 
 #: Messages between daemons can be lost, so each notice is sent twice.
@@ -27,6 +29,7 @@
         """Register for the notices of peers."""
         self._context = context
         self._ledger = ledger
+        self._document = context.board.read(IN_FORCE)
         context.peers.on_message(SuspectNotice, self.receive)
 
     def lost(
@@ -58,6 +61,19 @@
             self._ledger.note(notice.fingerprint, notice.loss_id, now_s)
         self.post()
 
+    def follow_revision(self, document: RevisionDocument | None) -> None:
+        """End the verdicts that an operator cleared by a revision.
+
+        Every daemon puts the revision in force, so no notice is sent.
+        """
+        if document is None:
+            return
+        now_s = self._context.timers.now_s()
+        for fingerprint in newly_cleared(self._document, document):
+            self._ledger.clear(fingerprint, now_s)
+        self._document = document
+        self.post()
+
     def clear(self, fingerprint: int) -> bool:
         """End a verdict here and at all peers.
 
--- a/boragespool/controllers/dispatch.py
+++ b/boragespool/controllers/dispatch.py
@@ -85,6 +85,9 @@
         self._stack.callback(
             context.board.subscribe(IN_FORCE, self._settings_changed),
         )
+        self._stack.callback(
+            context.board.subscribe(IN_FORCE, self._crashes.follow_revision),
+        )
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
--- a/boragespool/controllers/query.py
+++ b/boragespool/controllers/query.py
@@ -179,7 +179,7 @@
             work.time_left_s(),
         )
         if wait_s:
-            rank = work.route.rank
+            rank = work.rank
             return Failure(
                 ResultCode.DEADLINE_UNREACHABLE,
                 f'work of rank {rank!r} waits longer than its deadline',
--- a/boragespool/controllers/query_answers.py
+++ b/boragespool/controllers/query_answers.py
@@ -81,7 +81,7 @@
         snapshot=state.version,
         coverage=state.coverage,
         missing=missing,
-        rank=work.route.rank,
+        rank=work.rank,
         items=state.collect(),
         attempts=ending.attempts,
     )
--- a/boragespool/controllers/query_parts.py
+++ b/boragespool/controllers/query_parts.py
@@ -81,10 +81,15 @@
     tracker: LatencyTracker
     merger: Merger
 
+    @property
+    def rank(self) -> Rank:
+        """Rank of the route, unless the caller lowered it."""
+        return self.request.rank or self.route.rank
+
     @property
     def rank_index(self) -> int:
         """Position of the rank, most important first."""
-        return _RANKS.index(self.route.rank)
+        return _RANKS.index(self.rank)
 
     @property
     def suspect(self) -> bool:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -5,11 +5,13 @@
 import asyncio
 import logging
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import pytest
 
 from boragespool.blackboard.topics import (
     BLOCKED,
+    IN_FORCE,
     MEMBERS,
     OBSERVATIONS,
     SERVERS,
@@ -25,6 +27,7 @@
 )
 from boragespool.peers import PeerNetwork, PeerOptions
 from boragespool.results import ResultCode
+from boragespool.revisions.document import Clearance
 from boragespool.standins.backend import BackendServer, BackendSpec
 from boragespool.standins.switches import BackendSwitches
 from boragespool.timers import LoopTimers
@@ -407,6 +410,26 @@
     run(scenario)
 
 
+def test_revision_clears_a_false_verdict():
+    """An operator's clearance must reach every daemon with the revision."""
+
+    async def scenario(setup):
+        board, receive = setup.context.board, setup.context.peers.send
+        receive('a', SuspectNotice(9, 'x@1'))
+        receive('a', SuspectNotice(9, 'y@1'))
+        await asyncio.sleep(0.01)
+        assert board.read(BLOCKED) == {9}
+        base = board.read(IN_FORCE)
+        cleared = (Clearance(9, base.revision + 1),)
+        board.post(
+            IN_FORCE,
+            replace(base, revision=base.revision + 1, cleared=cleared),
+        )
+        assert not board.read(BLOCKED)
+
+    run(scenario)
+
+
 def test_draining_server_gets_no_new_work():
     """Queued work must not be sent to a server that leaves."""
 
