Watch all deadlines of a backend server with one timer

Cause: each request set and cancelled its own timer for its deadline.

Change: the timer that expires queued work also cancels running work.

--- a/boragespool/controllers/backend.py
+++ b/boragespool/controllers/backend.py
@@ -141,7 +141,10 @@
         self._wake_at(self.queue.next_expiry_s, now_s)
 
     def _wake_at(self, at_s: Seconds, now_s: Seconds) -> None:
-        """Look at the queue again when the next work expires."""
+        """Look at all work again at the earliest deadline.
+
+        One timer for all work costs less than one for each request.
+        """
         if at_s >= self._wakeup_at_s or math.isinf(at_s):
             return
         if self._wakeup is not None:
@@ -150,7 +153,17 @@
         self._wakeup = self._context.timers.after(at_s - now_s, self._woken)
 
     def _woken(self) -> None:
+        """Cancel running work at its deadline; expire queued work."""
         self._wakeup_at_s = math.inf
+        now_s = self._context.timers.now_s()
+        for job in tuple(self.jobs_by_attempt.values()):
+            if job.started_s > now_s:
+                continue
+            if job.queued.deadline_at_s > now_s:
+                self._wake_at(job.queued.deadline_at_s, now_s)
+            elif not job.is_overdue:
+                job.is_overdue = True
+                self._cancel_soon(job)
         self.pump()
 
     def _preempt(self, queued: QueuedWork) -> None:
@@ -208,15 +221,9 @@
         now_s = self._context.timers.now_s()
         left_s = max(0, job.queued.deadline_at_s - now_s)
         request = work_to_http(job.work, left_s)
-        timer = self._context.timers.after(
-            left_s,
-            lambda: self._cancel_soon(job),
-        )
+        self._wake_at(job.queued.deadline_at_s, now_s)
         limit_s = left_s + _GRACE_S_BY_KIND[job.work.kind]
-        try:
-            return await self.pool.exchange(request, limit_s, connected)
-        finally:
-            timer.cancel()
+        return await self.pool.exchange(request, limit_s, connected)
 
     def _cancel_soon(self, job: Job) -> None:
         self._hooks.spawn(self._cancel_running(job))
--- a/boragespool/controllers/jobs.py
+++ b/boragespool/controllers/jobs.py
@@ -39,6 +39,8 @@
         Connection that carries the work.
     cancel_run : RunState or None
         What the server said about execution when it cancelled the work.
+    is_overdue : bool
+        Whether it was cancelled because its deadline passed.
     """
 
     work: WorkRequest
@@ -48,6 +50,7 @@
     started_s: Seconds = math.inf
     connection: HttpConnection | None = None
     cancel_run: RunState | None = None
+    is_overdue: bool = False
 
 
 @dataclass(frozen=True, slots=True)
