--- a/boragespool/peers/link.py
+++ b/boragespool/peers/link.py
@@ -9,7 +9,7 @@
 import asyncio
 import contextlib
 from collections import deque
-from typing import TYPE_CHECKING, Self
+from typing import TYPE_CHECKING, Final, Self
 
 import pynng
 
@@ -19,16 +19,20 @@
     Envelope,
     Frame,
     Probe,
+    ProbeAnswer,
     encode_frame,
     encode_message,
 )
 
 if TYPE_CHECKING:
     from boragespool.peers.options import PeerOptions
-    from boragespool.timers import TimerService
+    from boragespool.timers import Subscription, TimerService
     from boragespool.types import Address, Seconds
 
 
+_PROBE_KINDS: Final = frozenset((Probe.__name__, ProbeAnswer.__name__))
+
+
 class PeerLink:
     """Queues messages for one peer and sends them in frames."""
 
@@ -42,14 +46,16 @@
         self.address = address
         self.frames_sent = 0
         self.bytes_sent = 0
+        self.used_at_s = timers.now_s()
         self._options = options
         self._timers = timers
         self._queue: deque[Envelope] = deque()
         self._wakeup = asyncio.Event()
+        self._closing = False
+        self._probing: Subscription | None = None
         self._probe_number = 0
         self._unanswered_since_s: Seconds | None = None
         self._used_since_probe = False
-        self._closing = False
 
     async def __aenter__(self) -> Self:
         """Start the link."""
@@ -60,26 +66,29 @@
         """Dial without waiting for the peer."""
         self._dial()
         self._sender = asyncio.create_task(self._send_frames())
-        self._probing = self._timers.every(
-            self._options.probe_interval_s,
-            self._probe,
-        )
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Close the socket; queued messages are dropped."""
+        if self._probing is not None:
+            self._probing.cancel()
         self._closing = True
-        self._probing.cancel()
+        # Cancelling a pynng send can wait for ever; closing ends it.
+        self._socket.close()
         self._sender.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await self._sender
-        self._socket.close()
 
     def queue(self, envelope: Envelope) -> bool:
         """Queue one message; False if the queue is full."""
         if len(self._queue) >= self._options.queue_count:
             return False
         self._queue.append(envelope)
-        self._used_since_probe = True
+        # Answers to probes must not cause probes, or they would never end.
+        if envelope.kind != ProbeAnswer.__name__:
+            self._used_since_probe = True
+            self._arm_probe()
+        if envelope.kind not in _PROBE_KINDS:
+            self.used_at_s = self._timers.now_s()
         self._wakeup.set()
         return True
 
@@ -107,8 +116,21 @@
         self._unanswered_since_s = None
         self._dial()
 
+    def _arm_probe(self) -> None:
+        """Probe later; an unused link has no timer.
+
+        Otherwise the timers of the links that a daemon keeps to hundreds of
+        peers would use processor time without any traffic.
+        """
+        if self._probing is None:
+            self._probing = self._timers.after(
+                self._options.probe_interval_s,
+                self._probe,
+            )
+
     def _probe(self) -> None:
         """Probe a link in use; dial again after a silence."""
+        self._probing = None
         now_s = self._timers.now_s()
         since_s = self._unanswered_since_s
         if since_s is None:
@@ -131,11 +153,8 @@
         self._used_since_probe = False
 
     async def _send_frames(self) -> None:
-        """Send what is queued, at most one frame per flush interval.
-
-        pynng drops a cancellation if the frame is sent at that moment, so
-        the loop looks at the flag as well.
-        """
+        """Send what is queued, at most one frame per flush interval."""
+        # pynng drops a cancellation that coincides with a completed send.
         while not self._closing:
             await self._wakeup.wait()
             await asyncio.sleep(self._options.flush_interval_s)
--- a/boragespool/peers/network.py
+++ b/boragespool/peers/network.py
@@ -65,6 +65,9 @@
         """Keep the settings; `__aenter__` listens."""
         self.options = options
         self._timers = timers
+        self._closing = False
+        self._closed_frames = 0
+        self._closed_bytes = 0
         self._stack = contextlib.AsyncExitStack()
         self._address_by_host: dict[HostName, Address] = {}
         self._link_by_host: dict[HostName, PeerLink] = {}
@@ -76,7 +79,6 @@
         self._exchanges = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[Any]] = {}
         self._tasks = TaskSet()
-        self._closing = False
 
     async def __aenter__(self) -> Self:
         """Listen.
@@ -91,11 +93,18 @@
         listen_address = self.options.listen_address
         self._socket.listen(f'tcp://{listen_address}')
         self._tasks.spawn(self._receive_frames())
+        idle_check = self._timers.every(
+            self.options.idle_timeout_s / 2,
+            self._close_idle_links,
+        )
+        self._stack.callback(idle_check.cancel)
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Close all links."""
         self._closing = True
+        # Cancelling a pynng receive can wait for ever; closing ends it.
+        self._socket.close()
         await self._tasks.close()
         for link in self._link_by_host.values():
             await link.__aexit__()
@@ -112,6 +121,8 @@
         """Close the link to a peer; the next message dials again."""
         link = self._link_by_host.pop(host, None)
         if link is not None:
+            self._closed_frames += link.frames_sent
+            self._closed_bytes += link.bytes_sent
             self._tasks.spawn(link.__aexit__())
 
     def on_message(
@@ -186,11 +197,11 @@
             del self._waiting[exchange]
 
     def traffic(self) -> tuple[int, int]:
-        """Return frames and bytes sent on the links that are open."""
+        """Return frames and bytes sent since the start."""
         links = tuple(self._link_by_host.values())
         return (
-            sum(link.frames_sent for link in links),
-            sum(link.bytes_sent for link in links),
+            self._closed_frames + sum(link.frames_sent for link in links),
+            self._closed_bytes + sum(link.bytes_sent for link in links),
         )
 
     async def flush(self, timeout_s: Seconds) -> None:
@@ -227,6 +238,12 @@
             return _no_answer(self.options.host, timeout_s)
         return task.result()
 
+    def _close_idle_links(self) -> None:
+        limit_s = self._timers.now_s() - self.options.idle_timeout_s
+        for host, link in tuple(self._link_by_host.items()):
+            if link.used_at_s < limit_s and link.idle:
+                self.forget_link(host)
+
     def _queue(self, host: HostName, envelope: Envelope) -> bool:
         address = self._address_by_host.get(host)
         if address is None:
@@ -239,9 +256,12 @@
         return link.queue(envelope)
 
     async def _receive_frames(self) -> None:
-        # pynng drops a cancellation if a frame arrives at that moment.
+        # pynng drops a cancellation that coincides with an arrival.
         while not self._closing:
-            received = await self._socket.arecv()
+            try:
+                received = await self._socket.arecv()
+            except pynng.Closed:
+                return
             frame = decode_frame(received)
             if isinstance(frame, Failure):
                 log_event(
