Close the peer network while links fall idle

Change: the idle check does nothing while the network closes, and no new link is opened then.

Figures: the new test fails without the change and passes with it.

Conclusion: the network closes under traffic.

--- a/boragespool/peers/network.py
+++ b/boragespool/peers/network.py
@@ -106,7 +106,7 @@
         # Cancelling a pynng receive can wait for ever; closing ends it.
         self._socket.close()
         await self._tasks.close()
-        for link in self._link_by_host.values():
+        for link in tuple(self._link_by_host.values()):
             await link.__aexit__()
         await self._stack.aclose()
 
@@ -239,6 +239,8 @@
         return task.result()
 
     def _close_idle_links(self) -> None:
+        if self._closing:
+            return
         limit_s = self._timers.now_s() - self.options.idle_timeout_s
         for host, link in tuple(self._link_by_host.items()):
             if link.used_at_s < limit_s and link.idle:
@@ -246,7 +248,7 @@
 
     def _queue(self, host: HostName, envelope: Envelope) -> bool:
         address = self._address_by_host.get(host)
-        if address is None:
+        if address is None or self._closing:
             return False
         link = self._link_by_host.get(host)
         if link is None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -199,3 +199,29 @@
                 await asyncio.sleep(0.01)
 
     asyncio.run(run())
+
+
+def test_links_may_fall_idle_while_the_network_closes():
+    """The idle check must not disturb the closing of the other links."""
+
+    async def run() -> None:
+        async with pair() as (first, _):
+            first.set_address('c', free_address())
+            for host in 'bc':
+                first.send(host, Gossip(()))
+            links = tuple(first._link_by_host.values())
+            while not all(link.idle for link in links):
+                await asyncio.sleep(0.002)
+            close_first = links[0].__aexit__
+
+            async def close_with_idle_check() -> None:
+                for link in links:
+                    link.used_at_s = -99
+                assert all(link.idle for link in links)
+                first._close_idle_links()
+                await close_first()
+
+            links[0].__aexit__ = close_with_idle_check
+            await first.__aexit__()
+
+    asyncio.run(run())
