Stop a forgotten link at once

Cause: a task that closes a link and is cancelled before it starts left the link's sender running ("Task was destroyed but it is pending" when 60 members closed).

Change: forget_link stops the link itself; the task only waits for it.

Conclusion: no sender outlives its network.

--- a/boragespool/peers/link.py
+++ b/boragespool/peers/link.py
@@ -69,14 +69,18 @@
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Close the socket; queued messages are dropped."""
+        self.stop()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._sender
+
+    def stop(self) -> None:
+        """Close the socket and cancel the sender without waiting for it."""
         if self._probing is not None:
             self._probing.cancel()
         self._closing = True
         # Cancelling a pynng send can wait for ever; closing ends it.
         self._socket.close()
         self._sender.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self._sender
 
     def queue(self, envelope: Envelope) -> bool:
         """Queue one message; False if the queue is full."""
--- a/boragespool/peers/network.py
+++ b/boragespool/peers/network.py
@@ -123,6 +123,8 @@
         if link is not None:
             self._closed_frames += link.frames_sent
             self._closed_bytes += link.bytes_sent
+            # A task that is cancelled before it starts would stop nothing.
+            link.stop()
             self._tasks.spawn(link.__aexit__())
 
     def on_message(
