--- a/boragespool/bench/deployment.py
+++ b/boragespool/bench/deployment.py
@@ -6,50 +6,36 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final, Self
 
 import msgspec
 
-from boragespool.bench.shapes import DeploymentShape, ServiceShape
+from boragespool.bench.placement import (
+    deployment_settings,
+    free_address,
+    place_entries,
+    place_servers,
+)
 from boragespool.blackboard.topics import MEMBERS, PHASE, SERVERS
 from boragespool.client import Client, ClientOptions
 from boragespool.daemon.entry import Entry
 from boragespool.daemon.options import EntryOptions
 from boragespool.revisions import RevisionDocument
-from boragespool.settings import ServerSettings, ServiceSettings, Settings
-from boragespool.standins.backend import BackendSpec
 from boragespool.standins.backend_host import BackendHost
-from boragespool.standins.items import shard_range
 from boragespool.standins.platform import Platform
-from boragespool.standins.switches import BackendSwitches
 from boragespool.store import StoreClient
 from boragespool.types import MemberStatus, Phase
 
 if TYPE_CHECKING:
-    from boragespool.types import (
-        Address,
-        DataCentre,
-        IndexVersion,
-        ServerName,
-        ServiceName,
-    )
+    from boragespool.bench.shapes import DeploymentShape
+    from boragespool.settings import Settings
+    from boragespool.types import Address
 
-FIRST_VERSION: Final[IndexVersion] = 1
 _POLL_S: Final = 0.05
 _START_TIMEOUT_S: Final = 30
 _STORE_TIMEOUT_S: Final = 2
-_MS_PER_S: Final = 1_000
-
-
-@dataclass(frozen=True, slots=True)
-class _PlacedServer:
-    """One backend server of a shape and where it stands."""
-
-    spec: BackendSpec
-    data_centre: DataCentre
 
 
 @dataclass(slots=True)
@@ -106,7 +92,7 @@
 
     async def _start(self, stack: AsyncExitStack) -> None:
         self.platform = await stack.enter_async_context(Platform())
-        placed = _place_servers(self.shape)
+        placed = place_servers(self.shape)
         self.backends = await stack.enter_async_context(
             BackendHost(server.spec for server in placed),
         )
@@ -114,7 +100,7 @@
             name: server.address
             for name, server in self.backends.servers_by_name.items()
         }
-        self.settings = _settings(self.shape, placed, addresses)
+        self.settings = deployment_settings(self.shape, placed, addresses)
         await self.apply(self.settings, 1)
         for options in _entry_options(self.shape, self.platform.address):
             entry = await stack.enter_async_context(Entry(options))
@@ -131,14 +117,6 @@
                 await asyncio.sleep(_POLL_S)
 
 
-def free_address() -> Address:
-    """Return a loopback address that nobody uses at the moment."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        port = probe.getsockname()[1]
-    return f'127.0.0.1:{port}'
-
-
 def _is_ready(entry: Entry, entry_count: int, server_count: int) -> bool:
     board = entry.context.board
     alive = [
@@ -153,76 +131,21 @@
     )
 
 
-def _place_servers(shape: DeploymentShape) -> tuple[_PlacedServer, ...]:
-    """Spread the replicas of each shard over the data centres."""
-    placed: list[_PlacedServer] = []
-    for service in shape.services:
-        for number in range(service.shards * service.replicas):
-            shard, replica = divmod(number, service.replicas)
-            site = shape.data_centres[replica % len(shape.data_centres)]
-            name = f'{service.name}-{shard + 1:02}-{replica + 1}'
-            placed.append(
-                _PlacedServer(_spec(service, name, shard), site),
-            )
-    return tuple(placed)
-
-
-def _spec(service: ServiceShape, name: ServerName, shard: int) -> BackendSpec:
-    return BackendSpec(
-        name=name,
-        service=service.name,
-        connections=service.connections,
-        seed=shard,
-        switches=BackendSwitches(
-            slots=service.slots,
-            connection_cost_s=service.connection_cost_ms / _MS_PER_S,
-            holdings={FIRST_VERSION: (shard_range(shard, service.shards),)},
-            service_time_s=service.service_time_s,
-        ),
-    )
-
-
-def _settings(
-    shape: DeploymentShape,
-    placed: tuple[_PlacedServer, ...],
-    addresses: dict[ServerName, Address],
-) -> Settings:
-    servers: dict[ServiceName, dict[ServerName, ServerSettings]] = {}
-    for server in placed:
-        name = server.spec.name
-        servers.setdefault(server.spec.service, {})[name] = ServerSettings(
-            addresses[name],
-            server.data_centre,
-            server.data_centre,
-        )
-    services = {
-        service.name: ServiceSettings(
-            service.slots,
-            service.connections,
-            servers[service.name],
-            service.connection_cost_ms,
-        )
-        for service in shape.services
-    }
-    return Settings(services=services, routes=dict(shape.routes))
-
-
 def _entry_options(
     shape: DeploymentShape,
     platform_address: Address,
 ) -> tuple[EntryOptions, ...]:
-    hosts = [f'entry-{number + 1}' for number in range(shape.entry_count)]
-    peers = tuple((host, free_address()) for host in hosts)
-    sites = shape.data_centres
+    placed = place_entries(shape)
+    peers = tuple((entry.host, free_address()) for entry in placed)
     return tuple(
         EntryOptions(
-            host=host,
-            data_centre=sites[number % len(sites)],
-            region=sites[number % len(sites)],
+            host=entry.host,
+            data_centre=entry.data_centre,
+            region=entry.data_centre,
             caller_address=free_address(),
             peer_address=peer_address,
             platform_address=platform_address,
             peers=peers,
         )
-        for number, (host, peer_address) in enumerate(peers)
+        for entry, (_, peer_address) in zip(placed, peers, strict=True)
     )
--- /dev/null
+++ b/boragespool/bench/placement.py
@@ -0,0 +1,130 @@
+"""Where the backend servers and daemons of a shape stand."""
+
+from __future__ import annotations
+
+import socket
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from boragespool.settings import ServerSettings, ServiceSettings, Settings
+from boragespool.standins.backend import BackendSpec
+from boragespool.standins.items import shard_range
+from boragespool.standins.switches import BackendSwitches
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from boragespool.bench.shapes import DeploymentShape, ServiceShape
+    from boragespool.types import (
+        Address,
+        DataCentre,
+        HostName,
+        IndexVersion,
+        ServerName,
+        ServiceName,
+    )
+
+FIRST_VERSION: Final[IndexVersion] = 1
+_MS_PER_S: Final = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class PlacedServer:
+    """One backend server of a shape and where it stands."""
+
+    spec: BackendSpec
+    data_centre: DataCentre
+    shard: int
+    shards: int
+    replica: int
+
+
+@dataclass(frozen=True, slots=True)
+class PlacedEntry:
+    """One daemon of a shape and where it stands."""
+
+    host: HostName
+    data_centre: DataCentre
+
+
+def free_address(ip: str = '127.0.0.1') -> Address:
+    """Return an address of the loopback network that nobody uses now."""
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        port = probe.getsockname()[1]
+    return f'{ip}:{port}'
+
+
+def place_servers(shape: DeploymentShape) -> tuple[PlacedServer, ...]:
+    """Spread the replicas of each shard over the data centres."""
+    return tuple(
+        _place_server(shape, service, *divmod(number, service.replicas))
+        for service in shape.services
+        for number in range(service.shards * service.replicas)
+    )
+
+
+def place_entries(shape: DeploymentShape) -> tuple[PlacedEntry, ...]:
+    """Spread the daemons over the data centres."""
+    sites = shape.data_centres
+    return tuple(
+        PlacedEntry(f'entry-{number + 1}', sites[number % len(sites)])
+        for number in range(shape.entry_count)
+    )
+
+
+def deployment_settings(
+    shape: DeploymentShape,
+    placed: Iterable[PlacedServer],
+    address_by_server: Mapping[ServerName, Address],
+) -> Settings:
+    """Return the settings that name all servers and routes of a shape."""
+    servers: dict[ServiceName, dict[ServerName, ServerSettings]] = {}
+    for server in placed:
+        name = server.spec.name
+        servers.setdefault(server.spec.service, {})[name] = ServerSettings(
+            address_by_server[name],
+            server.data_centre,
+            server.data_centre,
+        )
+    services = {
+        service.name: ServiceSettings(
+            service.slots,
+            service.connections,
+            servers[service.name],
+            service.connection_cost_ms,
+        )
+        for service in shape.services
+    }
+    return Settings(services=services, routes=dict(shape.routes))
+
+
+def _place_server(
+    shape: DeploymentShape,
+    service: ServiceShape,
+    shard: int,
+    replica: int,
+) -> PlacedServer:
+    name = f'{service.name}-{shard + 1:02}-{replica + 1}'
+    return PlacedServer(
+        _spec(service, name, shard),
+        shape.data_centres[replica % len(shape.data_centres)],
+        shard,
+        service.shards,
+        replica,
+    )
+
+
+def _spec(service: ServiceShape, name: ServerName, shard: int) -> BackendSpec:
+    return BackendSpec(
+        name=name,
+        service=service.name,
+        connections=service.connections,
+        seed=shard,
+        switches=BackendSwitches(
+            slots=service.slots,
+            connection_cost_s=service.connection_cost_ms / _MS_PER_S,
+            holdings={FIRST_VERSION: (shard_range(shard, service.shards),)},
+            service_time_s=service.service_time_s,
+        ),
+    )
