--- a/boragespool/bench/process_fleet.py
+++ b/boragespool/bench/process_fleet.py
@@ -137,10 +137,19 @@
         fetch(self.platform.address, _CONTROL, changes, _POST)
 
     def reports(self) -> dict[ServerName, Any]:
-        """Return the report of each backend server."""
+        """Return the report of each backend server.
+
+        Raises
+        ------
+        RuntimeError
+            If the process of some of them refuses.
+        """
         merged: dict[ServerName, Any] = {}
         for process in self.backends:
-            merged |= fetch(process.address, _CONTROL)[1]
+            status, answer = fetch(process.address, _CONTROL)
+            if status != _OK:
+                raise RuntimeError(f'{process.address!r} answered {answer!r}')
+            merged |= answer
         return merged
 
     def start_entry(
--- a/boragespool/standins/backend.py
+++ b/boragespool/standins/backend.py
@@ -182,7 +182,7 @@
             'listening': self.is_listening,
             'in_flight': self._workload.in_flight,
             'connections': listener.connection_count if listener else 0,
-            'counters': asdict(self.counters),
+            'counters': msgspec.to_builtins(self.counters),
             'switches': asdict(self.switches),
         }
 
--- a/tests/test_backend_standin.py
+++ b/tests/test_backend_standin.py
@@ -307,3 +307,17 @@
     if program == 'backend_main':
         assert report['a']['switches']['slots'] == 9
         assert list(report['a']['switches']['holdings']) == ['3']
+
+
+def test_report_after_work_is_json():
+    """Counters by rank must not fail the report once work has run."""
+
+    async def scenario(server):
+        status, _ = await send(server)
+        assert status == 200
+        status, report = await call(server.address, 'GET', '/v1/control')
+        assert status == 200
+        assert report['counters']['work_run'] == 1
+        assert sum(report['counters']['work_run_by_rank'].values()) == 1
+
+    with_server(scenario)
