--- /dev/null
+++ b/tests/test_flood.py
@@ -0,0 +1,31 @@
+"""Goals of section 4.3 in virtual time, with a short flood."""
+
+from __future__ import annotations
+
+from boragespool.bench.flood import measure, rush, urgent_flood
+from boragespool.bench.flood_simulation import Load
+
+
+def shortened(load):
+    """Shorten a load to a flood of three seconds."""
+    return Load(load.base, load.flood, begin_s=2, end_s=5, stop_s=8)
+
+
+def test_closing_rush_does_not_hurt_urgent_work():
+    """Deferrable work must neither delay urgent work nor waste slots."""
+    load = shortened(rush(10))
+    result = measure('ranks', load)
+    assert result.urgent_success >= 0.999
+    assert result.urgent_p99_ratio <= 1.5
+    assert result.useful >= 0.9
+    assert result.recovery_s <= 5
+    assert measure('fifo', load).urgent_success < 0.5
+
+
+def test_urgent_flood_leaves_the_floors():
+    """Urgent work must not take the floors, nor waste slots on late work."""
+    result = measure('ranks', shortened(urgent_flood(10)))
+    assert 0.18 <= result.shares[1] <= 0.22
+    assert 0.09 <= result.shares[2] <= 0.11
+    assert result.useful >= 0.9
+    assert result.recovery_s <= 5
