Report the counters of the stand-in without changing them

Cause: `POST` and `GET /v1/control` of the backend stand-in answered with status 500 as soon as a server had run work. `dataclasses.asdict` of Python 3.11 rebuilds a Counter from its pairs and thereby counts the pairs, whose tuple keys JSON refuses.

Change: the report takes the counters from `msgspec.to_builtins`.

Conclusion: tests outside the process can read what really ran.

--- a/boragespool/standins/backend.py
+++ b/boragespool/standins/backend.py
@@ -182,7 +182,8 @@
             'listening': self.is_listening,
             'in_flight': self._workload.in_flight,
             'connections': listener.connection_count if listener else 0,
-            'counters': asdict(self.counters),
+            # `asdict` of Python 3.11 would count the pairs of a Counter.
+            'counters': msgspec.to_builtins(self.counters),
             'switches': asdict(self.switches),
         }
 
--- a/tests/test_backend_standin.py
+++ b/tests/test_backend_standin.py
@@ -307,3 +307,16 @@
     if program == 'backend_main':
         assert report['a']['switches']['slots'] == 9
         assert list(report['a']['switches']['holdings']) == ['3']
+
+
+def test_control_reports_the_runs_by_name():
+    """A test that counts runs from outside needs an answer it can read."""
+
+    async def scenario(server):
+        await send(server, rank='urgent', kind='claim', body={'claim_id': 'x'})
+        status, body = await call(server.address, 'GET', '/v1/control')
+        assert status == 200
+        assert body['counters']['work_run_by_rank'] == {'urgent': 1}
+        assert body['counters']['claims_run_by_id'] == {'x': 1}
+
+    with_server(scenario)
