--- /dev/null
+++ b/features/callers.py
@@ -0,0 +1,149 @@
+"""Callers that keep sending requests from a thread of their own."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+import time
+from dataclasses import dataclass
+
+from boragespool.client import Client
+from boragespool.client.options import ClientOptions
+from boragespool.types import RunState
+
+ITEM_COUNT = 200
+
+
+@dataclass(frozen=True)
+class Sent:
+    """One request and the answer that its caller got."""
+
+    name: str
+    body: dict
+    answer: object
+    began_s: float
+    took_s: float
+
+    @property
+    def run(self) -> RunState | None:
+        """Run state of a claim or of a refusal."""
+        return getattr(self.answer, 'run', None)
+
+
+class Load(threading.Thread):
+    """Sends requests until it is stopped.
+
+    Parameters
+    ----------
+    addresses : tuple of str
+        Daemons.
+    send : callable
+        Coroutine function of client, name and body.
+    make_body : callable
+        Returns the body of the request with a number.
+    workers : int
+        Requests at the same time; with `per_s` the rate counts instead.
+    """
+
+    def __init__(
+        self,
+        name,
+        addresses,
+        send,
+        make_body,
+        workers=8,
+        pause_s=0.02,
+        per_s=0,
+        **options,
+    ) -> None:
+        super().__init__(name=name)
+        self.sent: list[Sent] = []
+        self.fault: Exception | None = None
+        self._options = ClientOptions(name, tuple(addresses), **options)
+        self._send = send
+        self._make_body = make_body
+        self._workers = workers
+        self._pause_s = pause_s
+        self._per_s = per_s
+        self._number = 0
+        self._is_stopping = threading.Event()
+
+    def run(self) -> None:
+        try:
+            asyncio.run(self._main())
+        except Exception as error:
+            self.fault = error
+
+    def stop(self) -> list[Sent]:
+        """Stop after the open requests; return all of them."""
+        self._is_stopping.set()
+        if self.ident is not None:
+            self.join()
+        if self.fault is not None:
+            raise self.fault
+        return self.sent
+
+    async def _main(self) -> None:
+        async with Client(self._options) as client:
+            if self._per_s:
+                await self._keep_rate(client)
+                return
+            workers = (self._keep_sending(client) for _ in range(self._workers))
+            await asyncio.gather(*workers)
+
+    async def _keep_sending(self, client: Client) -> None:
+        while not self._is_stopping.is_set():
+            await self._send_one(client)
+            await asyncio.sleep(self._pause_s)
+
+    async def _keep_rate(self, client: Client) -> None:
+        began_s = time.monotonic()
+        tasks = []
+        while not self._is_stopping.is_set():
+            due = int((time.monotonic() - began_s) * self._per_s)
+            while len(tasks) < due:
+                tasks.append(asyncio.create_task(self._send_one(client)))
+            await asyncio.sleep(0.01)
+        await asyncio.gather(*tasks)
+
+    async def _send_one(self, client: Client) -> None:
+        self._number += 1
+        name = f'{self.name}-{self._number}'
+        body = self._make_body(self._number, name)
+        began_s = time.monotonic()
+        answer = await self._send(client, body)
+        took_s = time.monotonic() - began_s
+        self.sent.append(Sent(name, body, answer, began_s, took_s))
+
+
+def claim_body(number: int, name: str) -> dict:
+    """Return a body that the counters of the servers know by its name."""
+    return {'claim_id': name}
+
+
+def any_query(number: int, name: str) -> dict:
+    """Return a body that matches all items."""
+    return {}
+
+
+def own_query(number: int, name: str) -> dict:
+    """Return a body that matches one item, another one for each request."""
+    return {'match': f'item-{number % ITEM_COUNT:06d}'}
+
+
+def claiming(route: str, deadline_s: float):
+    """Return a sender of claims."""
+
+    async def send(client: Client, body: dict):
+        return await client.claim(route, body, deadline_s)
+
+    return send
+
+
+def querying(route: str, deadline_s: float):
+    """Return a sender of queries."""
+
+    async def send(client: Client, body: dict):
+        return await client.query(route, body, deadline_s)
+
+    return send
--- /dev/null
+++ b/features/fleet.py
@@ -0,0 +1,237 @@
+"""A small deployment of real processes for one scenario."""
+
+from __future__ import annotations
+
+import http.client
+import json
+
+from boragespool.settings import Settings
+from boragespool.settings.schema import (
+    AddressSettings,
+    RouteSettings,
+    ServerSettings,
+    ServiceSettings,
+)
+from boragespool.standins.items import shard_range
+from boragespool.types import Rank, WorkKind
+from tests.processes import Processes, fetch, free_address, put_revision, until
+
+#: Peers need about 2 s to declare a silent daemon dead; machines of a build
+#: farm can be slower.
+DEAD_LIMIT_S = 15
+READY_LIMIT_S = 20
+KEEP_S = 1
+SITES = ('north', 'south')
+UNREACHABLE = (OSError, http.client.HTTPException, json.JSONDecodeError)
+
+ROUTES = {
+    'find': RouteSettings('lots', Rank.ROUTINE, WorkKind.QUERY, 2_000),
+    'claim': RouteSettings('ledger', Rank.URGENT, WorkKind.CLAIM, 3_000),
+    'look-up': RouteSettings('ledger', Rank.ROUTINE, WorkKind.CLAIM, 2_000),
+    'upload': RouteSettings('ledger', Rank.DEFERRABLE, WorkKind.CLAIM, 2_000),
+    'report': RouteSettings('ledger', Rank.ROUTINE, WorkKind.QUERY, 2_000),
+}
+
+
+class Fleet:
+    """Platform, backend servers and daemons of one scenario.
+
+    The service ``lots`` has shards with replicas and answers queries; the
+    service ``ledger`` has servers that hold everything and run claims.
+    """
+
+    def __init__(self, processes: Processes) -> None:
+        self.processes = processes
+        self.specs: list[dict] = []
+        self.settings = Settings()
+        self.platform = None
+        self.backends = None
+        self.via: dict[str, str] = {}
+
+    @property
+    def entries(self):
+        """Daemons by host; a restarted one replaces its predecessor."""
+        return self.processes.entries
+
+    def addresses(self) -> tuple[str, ...]:
+        """Return the addresses for callers."""
+        return tuple(entry.address for entry in self.entries.values())
+
+    def add_servers(self, service, shards, replicas, **switches) -> None:
+        """Describe the servers of a service; `start` starts them."""
+        for number in range(shards * replicas):
+            shard, replica = divmod(number, replicas)
+            self.specs.append(
+                {
+                    'name': f'{service}-{shard}-{replica}',
+                    'service': service,
+                    'address': free_address(),
+                    'shard': shard,
+                    'shards': shards,
+                    'switches': switches,
+                }
+            )
+
+    def start(self, daemon_count: int) -> None:
+        """Start everything and wait until it serves."""
+        self.backends = self.processes.start_backends(self.specs)
+        self.settings = self._settings()
+        self.platform = self.processes.start_platform(self.host_list())
+        put_revision(self.platform.address, 1, self.settings)
+        for host in 'abcd'[:daemon_count]:
+            self.start_daemon(host)
+        self.wait_ready()
+
+    def start_daemon(self, host: str) -> None:
+        """Start a daemon, or start it again with the same addresses."""
+        before = self.entries.get(host)
+        peers = [
+            f'{name}={entry.peer_address}'
+            for name, entry in self.entries.items()
+            if name != host
+        ]
+        self.processes.start_entry(
+            host,
+            self.platform.address,
+            f'--peers={",".join(peers)}',
+            data_centre=SITES['abcd'.index(host) % 2],
+            caller_address=before.address if before else '',
+            peer_address=before.peer_address if before else '',
+        )
+
+    def host_list(self, *leaving: str) -> list[dict]:
+        """Return the platform's host list; each server has its own host."""
+        return [
+            {
+                'host': f'host-{spec["name"]}',
+                'state': 'leaving' if spec['name'] in leaving else 'live',
+                'data_centre': 'north',
+                'address': spec['address'],
+            }
+            for spec in self.specs
+        ]
+
+    def status(self, host: str) -> dict:
+        """Return what a daemon reports about itself and its view."""
+        return fetch(self.entries[host].address, '/v1/status')[1]
+
+    def member_status(self, observer: str, host: str) -> str:
+        """Return the status that one daemon gives another one."""
+        members = self.status(observer)['members']
+        return {m['host']: m['status'] for m in members}.get(host, '')
+
+    def wait_member(self, host: str, status: str) -> None:
+        """Wait until all other running daemons give a daemon this status."""
+        for observer, entry in self.entries.items():
+            if observer == host or entry.process.poll() is not None:
+                continue
+            until(
+                lambda seen=observer: self.member_status(seen, host) == status,
+                DEAD_LIMIT_S,
+                f'{observer} sees {host} {status}',
+            )
+
+    def wait_ready(self) -> None:
+        """Wait until all daemons see all members and all servers."""
+        for host, entry in self.entries.items():
+            entry.wait_for_event(101)
+            until(
+                lambda host=host: self._is_ready(host),
+                READY_LIMIT_S,
+                f'{host} is ready',
+            )
+
+    def revision(self, host: str) -> int | None:
+        """Return the revision in force; None if the daemon is silent."""
+        try:
+            return self.status(host)['revision']
+        except UNREACHABLE:
+            return None
+
+    def control_servers(self, *names: str, **switches) -> None:
+        """Change switches of some backend servers, or of all."""
+        body = switches | ({'servers': names} if names else {})
+        answer = fetch(self.backends.address, '/v1/control', body, 'POST')
+        assert answer[0] == 200, answer
+
+    def control_platform(self, **switches) -> None:
+        """Change switches of the platform."""
+        answer = fetch(self.platform.address, '/v1/control', switches, 'POST')
+        assert answer[0] == 200, answer
+
+    def report(self) -> dict[str, dict]:
+        """Return the reports of the backend servers by name."""
+        return fetch(self.backends.address, '/v1/control')[1]
+
+    def counters(self) -> dict[str, dict]:
+        """Return the counters of the backend servers by name."""
+        return {name: r['counters'] for name, r in self.report().items()}
+
+    def claim_runs(self) -> dict[str, int]:
+        """Return how often each claim really ran, over all servers."""
+        runs: dict[str, int] = {}
+        for counters in self.counters().values():
+            for claim_id, count in counters['claims_run_by_id'].items():
+                runs[claim_id] = runs.get(claim_id, 0) + count
+        return runs
+
+    def wait_idle(self) -> None:
+        """Wait until no daemon and no backend server works any more."""
+        until(lambda: not any(self._in_flight()), 10, 'nothing in flight')
+
+    def print_logs(self) -> None:
+        """Print the ends of all logs, for a failed scenario."""
+        for running in self.processes.started:
+            log = running.log_path.read_text(encoding='utf-8')
+            print(f'--- {running.log_path.name}\n{log[-1_500:]}')
+
+    def _in_flight(self):
+        for report in self.report().values():
+            yield report['in_flight']
+        for host, entry in self.entries.items():
+            if entry.process.poll() is None:
+                yield self.status(host)['in_flight']
+
+    def _is_ready(self, host: str) -> bool:
+        report = self.status(host)
+        alive = [m for m in report['members'] if m['status'] == 'alive']
+        states = [server['state'] for server in report['servers']]
+        return (
+            len(alive) == len(self.entries)
+            and len(states) == len(self.specs)
+            and set(states) <= {'serving'}
+        )
+
+    def _settings(self) -> Settings:
+        servers: dict[str, dict[str, ServerSettings]] = {}
+        for number, spec in enumerate(self.specs):
+            name = spec['name']
+            servers.setdefault(spec['service'], {})[name] = ServerSettings(
+                self.via.get(name, spec['address']),
+                SITES[number % 2],
+                host=f'host-{name}',
+            )
+        return Settings(
+            services={
+                name: ServiceSettings(
+                    self.slots(name), 40, members, connection_cost_ms=1
+                )
+                for name, members in servers.items()
+            },
+            routes={
+                name: route
+                for name, route in ROUTES.items()
+                if route.service in servers
+            },
+            addresses=AddressSettings(keep_s=KEEP_S, count=4),
+        )
+
+    def slots(self, service: str) -> int:
+        """Return the slots of each server of a service."""
+        spec = next(s for s in self.specs if s['service'] == service)
+        return spec['switches'].get('slots', 5)
+
+
+def shard_of(shard: int, shards: int) -> list[int]:
+    """Return the key range of a shard as JSON has it."""
+    return list(shard_range(shard, shards))
--- /dev/null
+++ b/features/relays.py
@@ -0,0 +1,63 @@
+"""Relays that run on an event loop of their own thread."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+from typing import Self
+
+from tests.relay import Relay
+
+
+class RelayThread:
+    """Relays connections to some addresses, a context manager.
+
+    Attributes
+    ----------
+    relays : list of Relay
+        One for each address, in the same order.
+    """
+
+    def __init__(self, targets) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever)
+        self.relays = [Relay(target) for target in targets]
+
+    def __enter__(self) -> Self:
+        self._thread.start()
+        for relay in self.relays:
+            self._call(relay.__aenter__())
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        for relay in self.relays:
+            self._call(relay.__aexit__())
+        self._call(self._cancel_rest())
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
+        self._loop.close()
+
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """Addresses to connect to."""
+        return tuple(relay.address for relay in self.relays)
+
+    def cut(self) -> None:
+        """Reset all open connections."""
+        for relay in self.relays:
+            self._loop.call_soon_threadsafe(relay.cut)
+
+    def silence(self) -> None:
+        """Stop all data of the open connections."""
+        for relay in self.relays:
+            self._loop.call_soon_threadsafe(relay.silence)
+
+    def _call(self, coroutine):
+        future = asyncio.run_coroutine_threadsafe(coroutine, self._loop)
+        return future.result(10)
+
+    async def _cancel_rest(self) -> None:
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/features/steps/claim_steps.py
@@ -0,0 +1,154 @@
+"""Steps about claims and what really ran."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import signal
+from urllib.parse import quote
+
+from behave import given, then, when
+
+from boragespool.types import RunState
+from features.fleet import UNREACHABLE
+from features.steps.fleet_steps import post
+from tests.processes import fetch, until
+
+
+def ticket_of(context, host):
+    address = context.fleet.entries[host].address
+    return fetch(address, '/v1/addresses?tickets=1')[1]['tickets'][0]
+
+
+@given('a ticket from daemon {host}')
+def take_ticket(context, host):
+    context.ticket = ticket_of(context, host)
+    context.claim_id = 'the-claim'
+    context.answers = []
+
+
+def send_claim(context, host, **extra):
+    body = {
+        'route': 'claim',
+        'body': {'claim_id': context.claim_id} | extra,
+        'ticket': context.ticket,
+    }
+    try:
+        answer = post(context.fleet.entries[host], '/v1/claim', body)[1]
+    except UNREACHABLE:
+        return {'run': 'no answer'}
+    return answer
+
+
+@when('the claim is sent to daemons {hosts} {times:d} times at once')
+def send_many(context, hosts, times):
+    with concurrent.futures.ThreadPoolExecutor(16) as pool:
+        calls = [
+            pool.submit(send_claim, context, host)
+            for _ in range(times)
+            for host in hosts.split(',')
+        ]
+        context.answers.extend(call.result() for call in calls)
+
+
+@when('the claim is sent to daemon {host}')
+def send_once(context, host):
+    context.answers.append(send_claim(context, host))
+
+
+@when('a claim that crashes its server is sent to daemon {host}')
+def send_crashing(context, host):
+    context.answers.append(send_claim(context, host, crash=True))
+
+
+@when('the outcome is asked for at daemon {host}')
+def ask_outcome(context, host):
+    address = context.fleet.entries[host].address
+    path = f'/v1/claim/{quote(context.ticket, safe="")}'
+    context.answers.append(fetch(address, path)[1])
+
+
+@when('a claim sent to daemon {host} is running on its server')
+def claim_running(context, host):
+    pool = concurrent.futures.ThreadPoolExecutor(1)
+    context.stack.callback(pool.shutdown)
+    context.open_claim = pool.submit(send_claim, context, host)
+    until(
+        lambda: context.claim_id in context.fleet.claim_runs(),
+        10,
+        'the claim runs',
+    )
+
+
+@when('daemon {host} is paused while the claim waits there')
+def pause_with_claim(context, host):
+    """The claim reaches the kernel of the paused daemon, which keeps it."""
+    context.fleet.entries[host].signal(signal.SIGSTOP)
+    pool = concurrent.futures.ThreadPoolExecutor(1)
+    context.stack.callback(pool.shutdown)
+    context.open_claim = pool.submit(send_claim, context, host)
+
+
+@when('the first answer to the claim has come or its connection broke')
+def collect_open(context):
+    context.answers.append(context.open_claim.result(30))
+
+
+@then('the claim ran {count:d} times')
+@then('the claim ran {count:d} time')
+def claim_ran(context, count):
+    context.fleet.wait_idle()
+    runs = context.fleet.claim_runs().get(context.claim_id, 0)
+    assert runs == count, (runs, context.answers)
+
+
+@then('every answer says {states}')
+def every_answer(context, states):
+    allowed = set(states.split(' or '))
+    said = {answer['run'] for answer in context.answers}
+    assert said, 'no answer'
+    assert said <= allowed, context.answers
+
+
+@then('the last answer says {state}')
+def last_answer(context, state):
+    assert context.answers[-1]['run'] == state, context.answers
+
+
+def claims_of(context):
+    return context.loads['claims'].stop()
+
+
+@then('no claim ran twice')
+def none_twice(context):
+    claims_of(context)
+    context.fleet.wait_idle()
+    runs = context.fleet.claim_runs()
+    assert runs, 'no claim ran'
+    assert max(runs.values()) == 1, {k: v for k, v in runs.items() if v > 1}
+
+
+@then('no claim that was answered not_run ran')
+def not_run_is_true(context):
+    sent = claims_of(context)
+    context.fleet.wait_idle()
+    runs = context.fleet.claim_runs()
+    false = [
+        claim
+        for claim in sent
+        if claim.run is RunState.NOT_RUN and claim.name in runs
+    ]
+    assert not false, false[:5]
+
+
+@then('at least {count:d} claims were answered {state}')
+def count_answers(context, count, state):
+    states = [claim.run for claim in claims_of(context)]
+    assert states.count(RunState(state)) >= count, states.count(RunState(state))
+
+
+@then('every claim that was answered run ran once')
+def run_is_true(context):
+    runs = context.fleet.claim_runs()
+    ran = [c for c in claims_of(context) if c.run is RunState.RUN]
+    assert ran, 'no claim was answered run'
+    assert all(runs.get(claim.name) == 1 for claim in ran)
--- /dev/null
+++ b/features/steps/relay_steps.py
@@ -0,0 +1,64 @@
+"""Steps about callers whose connections pass a relay."""
+
+from __future__ import annotations
+
+import itertools
+
+from behave import given, then, when
+
+from features.raw_callers import RawCaller
+from features.relays import RelayThread
+from tests.processes import until
+
+
+class Group:
+    """Raw callers that are treated as one load."""
+
+    def __init__(self, callers) -> None:
+        self.name = callers[0].name
+        self.callers = callers
+
+    @property
+    def sent(self):
+        """Answers of all callers."""
+        return list(itertools.chain.from_iterable(c.sent for c in self.callers))
+
+    def stop(self):
+        """Stop all callers."""
+        for caller in self.callers:
+            caller.stop()
+        return self.sent
+
+
+def begin_raw(context, callers):
+    group = Group(callers)
+    context.loads['queries'] = group
+    for caller in callers:
+        caller.start()
+    until(lambda: len(group.sent) >= 20, 15, 'first answers')
+
+
+@given('callers behind a relay that keep sending a different query')
+def relayed_callers(context):
+    relays = RelayThread(context.fleet.addresses())
+    context.relays = context.stack.enter_context(relays)
+    begin_raw(
+        context,
+        [RawCaller(f'till-{n}', relays.addresses) for n in range(6)],
+    )
+
+
+@when('the connections of the callers are cut')
+def cut(context):
+    context.relays.cut()
+
+
+@when('the connections of the callers go silent')
+def silence(context):
+    context.relays.silence()
+
+
+@then('the callers saw broken connections')
+def saw_broken(context):
+    """Guards against a scenario in which nothing was broken."""
+    assert any(c.broken for c in context.loads['queries'].callers)
