--- /dev/null
+++ b/boragespool/bench/control.py
@@ -0,0 +1,114 @@
+"""Control cost of idle daemons by fleet size, with real processes.
+
+``python -m boragespool.bench.control`` prints processor time and memory of
+one daemon, calls on the store, and the time until a revision is in force.
+"""
+
+from __future__ import annotations
+
+import pathlib
+import statistics
+import time
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, Any, Final
+
+from boragespool.bench.process_fleet import ProcessFleet
+from boragespool.bench.processes import fetch
+from boragespool.bench.shapes import COOPERATIVE
+from boragespool.bench.slopes import Point, fit_line
+
+if TYPE_CHECKING:
+    from boragespool.bench.processes import RunningProcess
+    from boragespool.types import Seconds
+
+_SIZES: Final = (3, 7, 14, 28)
+_SETTLE_S: Final = 6
+_SAMPLES: Final = 3
+_SAMPLE_S: Final = 5
+_REVISIONS: Final = 3
+
+
+@dataclass(frozen=True, slots=True)
+class _Cost:
+    """Measurements of one fleet."""
+
+    core_shares: tuple[float, ...]
+    memory_mb: float
+    store_calls_per_s: float
+    in_force_s: tuple[Seconds, ...]
+
+
+def main(*, short: bool = False) -> None:
+    """Measure fleets of several sizes over the same backend servers."""
+    sizes = _SIZES[:2] if short else _SIZES
+    costs = {size: _measure(size) for size in sizes}
+    for size, cost in costs.items():
+        share = statistics.median(cost.core_shares)
+        print(
+            f'{size:3} daemons: {share:.2%} of a core, '
+            f'{cost.memory_mb:.0f} MB each; '
+            f'{cost.store_calls_per_s:.1f} store calls/s in all; '
+            f'revision in force everywhere in '
+            f'{max(cost.in_force_s):.2f} s',
+        )
+    line = fit_line(
+        [Point(size, cost.core_shares) for size, cost in costs.items()],
+    )
+    print(
+        f'line: {line.intercept:.3%} of a core + '
+        f'{line.slope:.4%} per daemon in the fleet, '
+        f'spread {line.spread:.0%}',
+    )
+
+
+def _measure(size: int) -> _Cost:
+    shape = replace(COOPERATIVE, entry_count=size)
+    with ProcessFleet(shape) as fleet:
+        time.sleep(_SETTLE_S)
+        entries = tuple(fleet.entry_by_host.values())
+        calls_before = _store_calls(fleet)
+        shares: list[float] = []
+        for _ in range(_SAMPLES):
+            shares.extend(_core_shares(entries))
+        calls = _store_calls(fleet) - calls_before
+        return _Cost(
+            tuple(shares),
+            statistics.median(_memory_mb(entry) for entry in entries),
+            calls / (_SAMPLES * _SAMPLE_S),
+            tuple(_apply_s(fleet) for _ in range(_REVISIONS)),
+        )
+
+
+def _core_shares(entries: tuple[RunningProcess, ...]) -> list[float]:
+    """Return the share of a core that each daemon used in one sample."""
+    before = [entry.processor_s() for entry in entries]
+    time.sleep(_SAMPLE_S)
+    return [
+        (entry.processor_s() - used_s) / _SAMPLE_S
+        for entry, used_s in zip(entries, before, strict=True)
+    ]
+
+
+def _memory_mb(entry: RunningProcess) -> float:
+    """Return the resident memory of a process."""
+    status = pathlib.Path(f'/proc/{entry.process.pid}/status').read_text(
+        encoding='ascii',
+    )
+    resident = status.partition('VmRSS:')[2].split()[0]
+    return int(resident) / 1_024
+
+
+def _store_calls(fleet: ProcessFleet) -> int:
+    answer: Any = fetch(fleet.platform.address, '/v1/control')[1]
+    return sum(answer['calls'].values())
+
+
+def _apply_s(fleet: ProcessFleet) -> Seconds:
+    """Apply a revision; return the time until all daemons have it."""
+    started_s = time.monotonic()
+    fleet.apply(fleet.settings)
+    return time.monotonic() - started_s
+
+
+if __name__ == '__main__':
+    main()
