Let a refused sender finish, so that no reset destroys the refusal

Cause: a full test run failed once in test_slow_sender_is_cut with ConnectionResetError. The server closed a refused connection while the peer was still sending, and the kernel answers unread bytes with a reset.

Change: after a refusal the server sends its end of stream and discards what arrives for at most 0.5 s or one body size.

Result: the new test fails with BrokenPipeError without the change and passes with it.

--- a/boragespool/bench/control.py
+++ b/boragespool/bench/control.py
@@ -52,7 +52,7 @@
             f'{max(cost.in_force_s):.2f} s',
         )
     line = fit_line(
-        [Point(size, cost.core_shares) for size, cost in costs.items()],
+        [Point(count, costs[count].core_shares) for count in sizes],
     )
     print(
         f'line: {line.intercept:.3%} of a core + '
--- a/boragespool/http/exchange.py
+++ b/boragespool/http/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING, Final
 
 import h11
@@ -16,6 +17,8 @@
     from boragespool.types import Seconds
 
 _READ_SIZE_BYTES: Final = 65_536
+#: Time in which a refused peer may still send, in seconds.
+_LINGER_S: Final = 0.5
 _HEADERS_TOO_LARGE_STATUS: Final = 431
 
 
@@ -96,6 +99,25 @@
         self._protocol.start_next_cycle()
         return True
 
+    async def finish(self, limits: HttpLimits) -> None:
+        """Discard what the peer still sends, until it closes.
+
+        Closing a socket with unread bytes resets the connection, and the
+        reset can destroy a refusal before the peer has read it.
+        """
+        with contextlib.suppress(OSError, TimeoutError):
+            self._writer.write_eof()
+            async with asyncio.timeout(_LINGER_S):
+                await self._discard(limits.body_size_bytes)
+
+    async def _discard(self, limit_bytes: int) -> None:
+        """Read until the peer closes or has sent too much."""
+        while limit_bytes >= 0:
+            received = await self._reader.read(_READ_SIZE_BYTES)
+            if not received:
+                break
+            limit_bytes -= len(received)
+
     async def _read_request(self, limits: HttpLimits) -> HttpRequest | Failure:
         head = await self._next_event(limits.header_size_bytes)
         if not isinstance(head, h11.Request):
--- a/boragespool/http/server.py
+++ b/boragespool/http/server.py
@@ -147,6 +147,7 @@
                 _too_many(self._limits),
                 close=True,
             )
+            await exchange.finish(self._limits)
             return
         while await self._wait_for_request(exchange):
             self._in_flight += 1
@@ -192,6 +193,7 @@
                 failure_response(received),
                 close=True,
             )
+            await exchange.finish(self._limits)
             return False
         response = await self._handle(received)
         close = response.close or self._draining
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -85,6 +85,24 @@
     asyncio.run(run())
 
 
+def test_refusal_reaches_a_sender_that_goes_on():
+    """A reset of the connection must not destroy the refusal."""
+
+    async def run() -> None:
+        async with listening() as server:
+            host, port = server.address.split(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b'nonsense\r\n\r\n')
+            for _ in range(10):
+                writer.write(b'x' * 100)
+                await asyncio.sleep(0.01)
+            received = await asyncio.wait_for(reader.read(), 3)
+            writer.close()
+        assert b' 400 ' in received
+
+    asyncio.run(run())
+
+
 def test_handler_exception_is_hidden():
     """A fault inside must not leak its traceback or promise `not_run`."""
 
