--- a/boragespool/standins/backend.py
+++ b/boragespool/standins/backend.py
@@ -182,6 +182,7 @@
             'listening': self.is_listening,
             'in_flight': self._workload.in_flight,
             'connections': listener.connection_count if listener else 0,
+            # `asdict` of Python 3.11 would count the pairs of a Counter.
             'counters': msgspec.to_builtins(self.counters),
             'switches': asdict(self.switches),
         }
--- a/tests/test_backend_standin.py
+++ b/tests/test_backend_standin.py
@@ -325,3 +325,16 @@
         assert sum(report['counters']['work_run_by_rank'].values()) == 1
 
     with_server(scenario)
+
+
+def test_control_reports_the_runs_by_name():
+    """A test that counts runs from outside needs an answer it can read."""
+
+    async def scenario(server):
+        await send(server, rank='urgent', kind='claim', body={'claim_id': 'x'})
+        status, body = await call(server.address, 'GET', '/v1/control')
+        assert status == 200
+        assert body['counters']['work_run_by_rank'] == {'urgent': 1}
+        assert body['counters']['claims_run_by_id'] == {'x': 1}
+
+    with_server(scenario)
