Run scenarios at the sizes of today and all benchmarks with one command

Nine scenarios run on both deployments as real processes, each against a baseline of the same run: the load without the fault, hedging off, or one rank for all.

--- /dev/null
+++ b/tests/test_bench.py
@@ -0,0 +1,102 @@
+"""The benchmark program and its scenarios."""
+
+from __future__ import annotations
+
+import pathlib
+from dataclasses import replace
+
+import pytest
+
+from boragespool.bench import __main__ as program
+from boragespool.bench import loads, scenarios
+from boragespool.bench.placement import deployment_settings, place_servers
+from boragespool.types import Rank
+
+
+def test_every_module_with_a_main_is_a_benchmark():
+    """Guards against a measurement that `make bench` leaves out."""
+    folder = pathlib.Path(program.__file__).parent
+    expected = {
+        path.stem
+        for path in folder.glob('*.py')
+        if '\ndef main(' in path.read_text(encoding='utf-8')
+    } - {'__main__'}
+    names = program.module_names()
+    assert set(names) == expected
+    assert names[-1] == 'scenarios'
+
+
+@pytest.mark.parametrize('name', program.module_names())
+def test_short_arguments_fit_the_module(name):
+    """A renamed parameter must not break `--short` at its end."""
+    module = program._module(name)
+    given = module.main.__code__.co_varnames
+    assert set(program.short_arguments(name)) <= set(given)
+
+
+def test_refuses_unknown_arguments(capsys):
+    """A misspelt flag must not start the long run."""
+    assert program.main(('--shrt',)) == 2
+    assert '--short' in capsys.readouterr().err
+
+
+def test_a_failed_module_is_reported_and_others_run(monkeypatch, capsys):
+    """One failed measurement must not hide the others, nor pass."""
+
+    class Module:
+        ran = 0
+
+        @classmethod
+        def main(cls):
+            cls.ran += 1
+            if cls.ran == 1:
+                raise RuntimeError('no fleet')
+
+    monkeypatch.setattr(program, 'module_names', lambda: ('a', 'b'))
+    monkeypatch.setattr(program, '_module', lambda name: Module)
+    assert program.main() == 1
+    assert Module.ran == 2
+    assert "goals missed or failed: ['a']" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize('place', loads.WORKPLACES.values())
+def test_mixes_use_routes_of_the_shape(place):
+    """Guards against load that is refused for a wrong route or form."""
+    mixes = (place.ordinary, loads.flood_mix(place, 0.3, 10, (2, 6)))
+    for shape in (place.shape, loads.flood_shape(place)):
+        for flow in (flow for mix in mixes for flow in mix):
+            route = shape.routes[flow.route]
+            assert (route.form, route.rank) == (flow.kind, flow.rank)
+
+
+@pytest.mark.parametrize('place', loads.WORKPLACES.values())
+def test_flooded_service_has_the_stated_capacity(place):
+    """The size of a flood is stated relative to this capacity."""
+    service = next(
+        one
+        for one in loads.flood_shape(place).services
+        if one.name == place.flooded
+    )
+    slots = service.slots * service.replicas * service.shards
+    capacity = slots / service.service_time_s
+    assert capacity == pytest.approx(loads.FLOOD_CAPACITY_PER_S)
+
+
+def test_baselines_change_what_they_name():
+    """A baseline that changes nothing would make each ratio 1."""
+    place = loads.WORKPLACES['cooperative']
+    placed = place_servers(place.shape)
+    addresses = {one.spec.name: '127.0.0.1:1' for one in placed}
+    settings = deployment_settings(place.shape, placed, addresses)
+    flat = loads.without_ranks(settings)
+    assert {route.rank for route in flat.routes.values()} == {Rank.ROUTINE}
+    assert flat.ranks[Rank.ROUTINE].cap == 1
+    unhedged = loads.without_hedging(settings)
+    assert unhedged.hedging.quantile == 1
+    assert replace(unhedged, hedging=settings.hedging) == settings
+
+
+def test_both_deployments_have_all_scenarios():
+    """The scenarios that the results page lists."""
+    assert set(loads.WORKPLACES) == {'cooperative', 'mwangaza'}
+    assert len(scenarios.SCENARIOS) == 9
