Run the operators' command as a module

Cause: `python -m boragespool.cli.main apply` ended with exit code 0 and did nothing, because the module lacked the guard that the other programs have. Four racing operators all seemed to win.

Change: the guard is added.

Conclusion: scripts that name the module no longer report changes that were never written.

--- a/boragespool/cli/main.py
+++ b/boragespool/cli/main.py
@@ -126,3 +126,7 @@
         for name, text in command.arguments.items():
             subparser.add_argument(name, help=text)
     return parser
+
+
+if __name__ == '__main__':
+    run()
