--- a/boragespool/controllers/attempts.py
+++ b/boragespool/controllers/attempts.py
@@ -7,6 +7,7 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any, Final
 
+from boragespool.controllers.observing import observe_result
 from boragespool.controllers.query_parts import Attempt, Part
 from boragespool.messages import CancelWork, WorkReply, WorkRequest
 from boragespool.metrics import ATTEMPTS
@@ -20,19 +21,6 @@
     from boragespool.controllers.query_parts import QueryWork
     from boragespool.types import AttemptId, IndexVersion, ServerName
 
-#: Answers that say nothing about whether a server or its link works.
-_HEALTHY_CODES: Final = frozenset(
-    (
-        ResultCode.COMPLETE,
-        ResultCode.QUEUE_FULL,
-        ResultCode.DEADLINE_UNREACHABLE,
-        ResultCode.REQUEST_BLOCKED,
-        ResultCode.CANCELLED,
-        ResultCode.SERVER_SHED,
-        ResultCode.VERSION_NOT_HELD,
-        ResultCode.SERVER_REPLY_INVALID,
-    )
-)
 _CRASH_CODES: Final = frozenset(
     (ResultCode.SERVER_CLOSED, ResultCode.SERVER_UNREACHABLE)
 )
@@ -62,14 +50,19 @@
         self.open_by_id: dict[AttemptId, Attempt] = {}
         self._work = work
         self._receive = receive
-        self._solo = False
+        self._crashes = 0
+        self._answered = 0
         self._overdue_ids: set[AttemptId] = set()
         self._tasks_by_id: dict[AttemptId, asyncio.Task[Any]] = {}
 
     @property
     def careful(self) -> bool:
-        """Whether the request may have crashed a backend server."""
-        return self._solo or self._work.suspect
+        """Whether the request may have crashed a backend server.
+
+        One lost server is ordinary. A crashing request loses most of the
+        servers that it was sent to.
+        """
+        return self._work.suspect or self._crashes * 2 > self._answered
 
     def choose(self, part: Part) -> ServerName | None:
         """Choose a replica that was not tried for a part.
@@ -161,7 +154,7 @@
             kind=WorkKind.QUERY,
             route=request.route,
             server=attempt.server,
-            rank=self._work.route.rank,
+            rank=self._work.rank,
             caller=request.caller,
             deadline_s=self._work.time_left_s(),
             body=request.body,
@@ -181,7 +174,7 @@
         if _may_have_run(result):
             self.may_have_run = True
             if result.code in _CRASH_CODES:
-                self._solo = True
+                self._crashes += 1
         self._observe(attempt, result)
         self._receive(attempt, result)
 
@@ -191,20 +184,18 @@
 
     def _observe(self, attempt: Attempt, result: WorkReply | Failure) -> None:
         """Tell the observations how an attempt ended."""
-        observations = self._work.merger.observations
         now_s = self._work.merger.context.timers.now_s()
         latency_s = now_s - attempt.started_s
-        if isinstance(result, WorkReply):
-            observations.report_waits(attempt.server, result.waits_s, now_s)
+        observe_result(
+            self._work.merger.observations,
+            attempt.server,
+            result,
+            latency_s,
+            now_s,
+        )
         if result.code == ResultCode.COMPLETE:
-            observations.answered(attempt.server, latency_s, now_s)
+            self._answered += 1
             self._work.tracker.record(latency_s)
-        elif result.code == ResultCode.SERVER_DRAINING:
-            observations.draining(attempt.server, now_s)
-        elif result.code in _HEALTHY_CODES:
-            observations.refused(attempt.server)
-        else:
-            observations.failed(attempt.server, now_s)
 
 
 def _result_of(task: asyncio.Task[Any]) -> WorkReply | Failure:
