--- /dev/null
+++ b/features/crashing_request.feature
@@ -0,0 +1,35 @@
+Feature: A request that crashes servers is stopped
+  Now and then a request crashes every server that runs it, and its caller
+  sends it again. On a route that goes to one server it takes down two servers
+  at most; from then on it is refused at every daemon, and all other requests
+  are served.
+
+  Scenario: A crashing query is sent again and again, to all daemons
+    Given 4 servers that run claims
+    And 3 daemons
+    When a crashing query is sent 12 times to daemons a,b,c in turn
+    Then at most 2 servers crashed
+    And the last 6 answers refuse it as blocked and not run
+    And other queries are served at a,b,c
+
+  @known_red
+  Scenario: Two servers fail at once while a healthy query runs on both
+    Given 4 shards with 2 replicas each
+    And 3 daemons
+    And callers that keep sending the same query
+    When all replicas of shard 1 break down
+    And server lots-1-0 starts again
+    And this moment is noted
+    And the callers have got 100 more answers
+    And the callers stop
+    Then no query was refused as blocked
+
+  Scenario: The daemon that saw the first crash is killed
+    Given 4 servers that run claims
+    And 3 daemons
+    When a crashing query is sent to daemon a
+    And daemon a is killed
+    And a crashing query is sent 8 times to daemons b,c in turn
+    Then at most 2 servers crashed
+    And the last 4 answers refuse it as blocked and not run
+    And other queries are served at b,c
--- a/features/fleet.py
+++ b/features/fleet.py
@@ -142,11 +142,12 @@
             )
 
     def revision(self, host: str) -> int | None:
-        """Return the revision in force; None if the daemon is silent."""
+        """Return the revision in force; None if silent or starting."""
         try:
-            return self.status(host)['revision']
+            report = self.status(host)
         except UNREACHABLE:
             return None
+        return None if report['phase'] == 'starting' else report['revision']
 
     def control_servers(self, *names: str, **switches) -> None:
         """Change switches of some backend servers, or of all."""
--- /dev/null
+++ b/features/steps/stop_steps.py
@@ -0,0 +1,70 @@
+"""Steps about graceful stops."""
+
+from __future__ import annotations
+
+import signal
+
+from behave import given, then, when
+
+from features.fleet import KEEP_S
+from features.raw_callers import RawCaller
+from features.steps.relay_steps import begin_raw
+
+STOP_LIMIT_S = 20
+
+
+@given('callers without a library that follow the address answers')
+def protocol_callers(context):
+    addresses = context.fleet.addresses()
+    callers = [
+        RawCaller(
+            f'till-{number}',
+            addresses[number % len(addresses) :]
+            + addresses[: number % len(addresses)],
+            KEEP_S,
+            claims=True,
+        )
+        for number in range(9)
+    ]
+    begin_raw(context, callers)
+
+
+def stop_together(context, hosts):
+    entries = [context.fleet.entries[host] for host in hosts]
+    for entry in entries:
+        entry.signal(signal.SIGTERM)
+    for entry in entries:
+        code = entry.wait(STOP_LIMIT_S)
+        assert code == 0, (code, entry.events()[-3:])
+
+
+@when('daemons {hosts} stop and start again one after the other')
+def rolling_stop(context, hosts):
+    for host in hosts.split(','):
+        stop_together(context, [host])
+        context.fleet.start_daemon(host)
+        context.fleet.wait_ready()
+
+
+@when('daemons {hosts} stop at the same time')
+def stop_some(context, hosts):
+    stop_together(context, hosts.split(','))
+
+
+@then('no request was interrupted or refused')
+def none_interrupted(context):
+    group = context.loads['queries']
+    group.stop()
+    broken = [b for caller in group.callers for b in caller.broken]
+    refused = [r for caller in group.callers for r in caller.refused]
+    print(f'{len(group.sent)} queries were answered')
+    assert not broken, broken[:5]
+    assert not refused, refused[:5]
+
+
+@then('no claim of these callers ran twice')
+def none_twice(context):
+    context.fleet.wait_idle()
+    runs = context.fleet.claim_runs()
+    assert runs, 'no claim ran'
+    assert max(runs.values()) == 1
