--- a/boragespool/bench/__main__.py
+++ b/boragespool/bench/__main__.py
@@ -12,7 +12,7 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, Final
 
-from boragespool.bench import scenarios
+from boragespool.bench.processes import end_on_sigterm
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -110,5 +110,5 @@
 
 
 if __name__ == _MAIN:
-    scenarios.end_on_sigterm()
+    end_on_sigterm()
     sys.exit(main(tuple(sys.argv[1:])))
--- a/boragespool/bench/load.py
+++ b/boragespool/bench/load.py
@@ -20,14 +20,14 @@
     new_histogram,
     run_caller,
 )
-from boragespool.types import WorkKind
+from boragespool.types import Rank, Seconds, WorkKind
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
     from concurrent.futures import Future
 
     from boragespool.bench.process_fleet import ProcessFleet
-    from boragespool.types import Rank, RouteName, Seconds
+    from boragespool.types import RouteName
 
     #: Fault or change at a time of the run, in seconds from its start.
     Action = tuple[Seconds, Callable[[], object]]
@@ -71,9 +71,9 @@
     p50_s: Seconds
     p99_s: Seconds
     coverage: float
-    offered_by_s: Counter[int]
-    answered_by_s: Counter[int]
-    codes: Counter[int]
+    offered_by_s: dict[int, int]
+    answered_by_s: dict[int, int]
+    codes: dict[int, int]
 
     @property
     def answered_share(self) -> float:
@@ -127,10 +127,7 @@
             multiprocessing.get_context('spawn'),
         )
         # A sleep keeps each process busy until all others have started.
-        started = [
-            self._pool.submit(_import_all) for _ in range(self.caller_count)
-        ]
-        wait(started)
+        wait([self._pool.submit(_import_all) for _ in range(self.caller_count)])
         return self
 
     def __exit__(self, *exc_info: object) -> None:
@@ -238,6 +235,10 @@
     }
 
 
+def _added(counters: Iterable[Counter[int]]) -> dict[int, int]:
+    return dict(sum(counters, Counter()))
+
+
 def _merged(encoded: Iterable[bytes]) -> HdrHistogram:
     histogram = new_histogram()
     for one in encoded:
@@ -288,7 +289,7 @@
         _quantile_s(histogram, _P50),
         _quantile_s(histogram, _P99),
         covered / answered if answered else 0,
-        sum((tally.offered_by_s for tally in tallies), Counter()),
-        sum((tally.answered_by_s for tally in tallies), Counter()),
-        sum((tally.codes for tally in tallies), Counter()),
+        _added(tally.offered_by_s for tally in tallies),
+        _added(tally.answered_by_s for tally in tallies),
+        _added(tally.codes for tally in tallies),
     )
--- a/boragespool/bench/loads.py
+++ b/boragespool/bench/loads.py
@@ -164,8 +164,9 @@
 
 
 def without_hedging(settings: Settings) -> Settings:
-    """Turn hedges off; retries after failures stay."""
-    return replace(settings, hedging=HedgingSettings(quantile=1))
+    """Turn second attempts off; daemons refuse a quantile of 1."""
+    hedging = HedgingSettings(budget_ratio=0, burst=0)
+    return replace(settings, hedging=hedging)
 
 
 def without_ranks(settings: Settings) -> Settings:
--- a/boragespool/bench/placement.py
+++ b/boragespool/bench/placement.py
@@ -4,7 +4,7 @@
 
 import socket
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 from boragespool.settings import ServerSettings, ServiceSettings, Settings
 from boragespool.standins.backend import BackendSpec
@@ -12,7 +12,7 @@
 from boragespool.standins.switches import BackendSwitches
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterable, Iterator, Mapping
 
     from boragespool.bench.shapes import DeploymentShape, ServiceShape
     from boragespool.types import (
@@ -99,6 +99,28 @@
     return Settings(services=services, routes=dict(shape.routes))
 
 
+def describe_servers(
+    placed: Iterable[PlacedServer],
+) -> Iterator[dict[str, Any]]:
+    """Yield the backend servers as the stand-in program reads them."""
+    for server in placed:
+        switches = server.spec.switches
+        yield {
+            'name': server.spec.name,
+            'service': server.spec.service,
+            'address': '127.0.0.1:0',
+            'shard': server.shard,
+            'shards': server.shards,
+            'connections': server.spec.connections,
+            'seed': server.spec.seed,
+            'switches': {
+                'slots': switches.slots,
+                'connection_cost_s': switches.connection_cost_s,
+                'service_time_s': switches.service_time_s,
+            },
+        }
+
+
 def _place_server(
     shape: DeploymentShape,
     service: ServiceShape,
--- a/boragespool/bench/process_fleet.py
+++ b/boragespool/bench/process_fleet.py
@@ -14,6 +14,7 @@
 from boragespool.bench.placement import (
     PlacedEntry,
     deployment_settings,
+    describe_servers,
     free_address,
     place_entries,
     place_servers,
@@ -23,7 +24,7 @@
 from boragespool.revisions import RevisionDocument
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Iterable
 
     from boragespool.bench.placement import PlacedServer
     from boragespool.bench.processes import RunningProcess
@@ -210,7 +211,7 @@
         self,
         placed: Iterable[PlacedServer],
     ) -> RunningProcess:
-        described = list(_describe(placed))
+        described = list(describe_servers(placed))
         process = self._processes.start(
             'boragespool.standins.backend_main',
             f'--servers={json.dumps(described)}',
@@ -288,22 +289,3 @@
 
 def _entry_ip(number: int) -> str:
     return f'127.0.0.{_FIRST_ENTRY_IP + number}'
-
-
-def _describe(placed: Iterable[PlacedServer]) -> Iterator[dict[str, Any]]:
-    for server in placed:
-        switches = server.spec.switches
-        yield {
-            'name': server.spec.name,
-            'service': server.spec.service,
-            'address': '127.0.0.1:0',
-            'shard': server.shard,
-            'shards': server.shards,
-            'connections': server.spec.connections,
-            'seed': server.spec.seed,
-            'switches': {
-                'slots': switches.slots,
-                'connection_cost_s': switches.connection_cost_s,
-                'service_time_s': switches.service_time_s,
-            },
-        }
--- a/boragespool/bench/processes.py
+++ b/boragespool/bench/processes.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import signal
 import subprocess
 import sys
 import tempfile
@@ -24,6 +25,8 @@
 ROOT: Final = pathlib.Path(__file__).resolve().parent.parent.parent
 _POLL_S: Final = 0.05
 _FETCH_S: Final = 5
+#: Exit code of a process that a signal ended is this plus its number.
+_SIGNAL_EXIT: Final = 128
 _LOG_TAIL: Final = 2_000
 
 
@@ -47,6 +50,15 @@
     return time.monotonic() - began_s
 
 
+def end_on_sigterm() -> None:
+    """Let SIGTERM, which ``timeout`` sends, end what was started too."""
+    signal.signal(signal.SIGTERM, _exit)
+
+
+def _exit(number: int, frame: object) -> None:
+    sys.exit(_SIGNAL_EXIT + number)
+
+
 def fetch(
     address: Address,
     path: str,
--- a/boragespool/bench/scenarios.py
+++ b/boragespool/bench/scenarios.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import pathlib
-import signal
 import sys
 from dataclasses import dataclass
 from functools import partial
@@ -25,6 +24,7 @@
     without_ranks,
 )
 from boragespool.bench.process_fleet import ProcessFleet
+from boragespool.bench.processes import end_on_sigterm
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
@@ -46,8 +46,6 @@
 _REPLACE_RUN_S: Final = 13
 _REPLACED: Final = ('entry-2',)
 _STRAGGLER_FACTOR: Final = 20
-#: Exit code of a process that a signal ended is this plus its number.
-_SIGNAL_EXIT: Final = 128
 
 
 @dataclass(frozen=True, slots=True)
@@ -292,15 +290,6 @@
         raise RuntimeError(f'{host!r} stopped with exit code {exit_code!r}')
 
 
-def end_on_sigterm() -> None:
-    """Let SIGTERM, which ``timeout`` sends, end what was started too."""
-    signal.signal(signal.SIGTERM, _exit)
-
-
-def _exit(number: int, frame: object) -> None:
-    sys.exit(_SIGNAL_EXIT + number)
-
-
 if __name__ == '__main__':
     end_on_sigterm()
     main(sys.argv[1:])
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -10,6 +10,7 @@
 from boragespool.bench import __main__ as program
 from boragespool.bench import loads, scenarios
 from boragespool.bench.placement import deployment_settings, place_servers
+from boragespool.settings import validate
 from boragespool.types import Rank
 
 
@@ -86,13 +87,19 @@
     """A baseline that changes nothing would make each ratio 1."""
     place = loads.WORKPLACES['cooperative']
     placed = place_servers(place.shape)
-    addresses = {one.spec.name: '127.0.0.1:1' for one in placed}
+    addresses = {
+        one.spec.name: f'127.0.0.1:{port}' for port, one in enumerate(placed, 1)
+    }
     settings = deployment_settings(place.shape, placed, addresses)
     flat = loads.without_ranks(settings)
+    # Daemons ignore a revision with problems, and the run would never start.
+    assert not validate(settings)
+    assert not validate(flat)
+    assert not validate(loads.without_hedging(settings))
     assert {route.rank for route in flat.routes.values()} == {Rank.ROUTINE}
     assert flat.ranks[Rank.ROUTINE].cap == 1
     unhedged = loads.without_hedging(settings)
-    assert unhedged.hedging.quantile == 1
+    assert (unhedged.hedging.budget_ratio, unhedged.hedging.burst) == (0, 0)
     assert replace(unhedged, hedging=settings.hedging) == settings
 
 
