--- a/boragespool/bench/process_fleet.py
+++ b/boragespool/bench/process_fleet.py
@@ -32,6 +32,8 @@
     from boragespool.settings import Settings
     from boragespool.types import Address, HostName, ServerName
 
+_ENTRY: Final = 'boragespool.daemon.main'
+_PROFILED_ENTRY: Final = 'boragespool.bench.profiled_entry'
 _READY_S: Final = 40
 _OK: Final = 200
 _CONTROL: Final = '/v1/control'
@@ -50,6 +52,8 @@
         What to start.
     backend_process_count : int
         Processes over which the backend servers are spread.
+    profile_path_by_host : dict
+        Daemons to run under cProfile and the files that they write.
 
     Attributes
     ----------
@@ -61,6 +65,7 @@
 
     shape: DeploymentShape
     backend_process_count: int = 3
+    profile_path_by_host: dict[HostName, str] = field(default_factory=dict)
     entry_by_host: dict[HostName, RunningProcess] = field(default_factory=dict)
     placed: tuple[PlacedServer, ...] = ()
     revision: int = 0
@@ -236,8 +241,9 @@
         caller_address = free_address(_entry_ip(number))
         peer_address = peer_address or free_address(_entry_ip(number))
         joined = ','.join(f'{host}={peers[host]}' for host in peers)
+        profile_path = self.profile_path_by_host.get(placed.host)
         entry = self._processes.start(
-            'boragespool.daemon.main',
+            _PROFILED_ENTRY if profile_path else _ENTRY,
             f'--host={placed.host}',
             f'--data_centre={placed.data_centre}',
             f'--region={placed.data_centre}',
@@ -245,6 +251,7 @@
             f'--peer_address={peer_address}',
             f'--platform_address={self.platform.address}',
             f'--peers={joined}',
+            PROFILE_PATH=profile_path or '',
         )
         entry.address = caller_address
         entry.peer_address = peer_address
--- /dev/null
+++ b/boragespool/bench/profiling.py
@@ -0,0 +1,56 @@
+"""Largest costs of one daemon under load, by cProfile.
+
+``python -m boragespool.bench.profiling``
+"""
+
+from __future__ import annotations
+
+import pathlib
+import pstats
+import signal
+import tempfile
+from typing import Final
+
+from boragespool.bench.load import LoadDriver
+from boragespool.bench.loads import WORKPLACES, scaled
+from boragespool.bench.process_fleet import ProcessFleet
+
+_HOST: Final = 'entry-1'
+_RUN_S: Final = 10
+#: The ordinary load, times this, is about half of what a machine carried.
+_FACTOR: Final = 4
+_ROWS: Final = 25
+#: Functions of one concept each; their cumulative times overlap.
+_CONCEPTS: Final = 'boragespool|pynng|h11|_run$'
+
+
+def main() -> None:
+    """Print the functions of one daemon with the largest times."""
+    place = WORKPLACES['cooperative']
+    with tempfile.TemporaryDirectory() as directory:
+        path = pathlib.Path(directory) / 'profile'
+        with (
+            LoadDriver() as driver,
+            ProcessFleet(
+                place.shape,
+                profile_path_by_host={_HOST: str(path)},
+            ) as fleet,
+        ):
+            run = driver.run(
+                fleet,
+                scaled(place.ordinary, _FACTOR),
+                _RUN_S,
+            )
+            profiled = fleet.entry_by_host[_HOST]
+            profiled.signal(signal.SIGTERM)
+            profiled.wait(60)
+        print(f'{run.received} backend requests by all daemons')
+        profile = pstats.Stats(str(path))
+        profile.strip_dirs()
+        profile.sort_stats('tottime').print_stats(_ROWS)
+        unstripped = pstats.Stats(str(path))
+        unstripped.sort_stats('cumtime').print_stats(_CONCEPTS, _ROWS)
+
+
+if __name__ == '__main__':
+    main()
