Block a request only if it ran alone in one of two losses

Cause: two servers that failed together blocked every request that was in flight on both; a behave scenario with a healthy query and two replicas lost at once showed 103 of 128 queries refused with 1204. A failed rack would have blocked the most common queries for 15 minutes.

Change: a loss counts as evidence for a block only if the request was known as a suspect and ran alone; the notice between daemons says so. Two losses at one moment make a suspect. A request that is sent again after its first crash still costs two servers.

--- a/boragespool/controllers/backend.py
+++ b/boragespool/controllers/backend.py
@@ -20,6 +20,7 @@
 from boragespool.controllers.jobs import (
     BLOCKED_FAILURE,
     BackendHooks,
+    WorkInFlight,
     Job,
     interrupted,
     refusal,
@@ -260,14 +261,18 @@
             await self.health.check_loss(
                 self.pool,
                 incarnation,
-                self._fingerprints_in_flight(),
+                self._work_in_flight(),
             )
 
-    def _fingerprints_in_flight(self) -> tuple[int, ...]:
-        return tuple(
-            job.work.fingerprint
+    def _work_in_flight(self) -> WorkInFlight:
+        jobs = [
+            job
             for job in self.jobs_by_attempt.values()
             if job.connection is not None and job.work.fingerprint
+        ]
+        return WorkInFlight(
+            tuple(job.work.fingerprint for job in jobs),
+            alone=any(job.queued.solo for job in jobs),
         )
 
     def _log_silent(self, reason: str) -> None:
--- a/boragespool/controllers/crash_watch.py
+++ b/boragespool/controllers/crash_watch.py
@@ -11,12 +11,11 @@
 from boragespool.revisions import newly_cleared
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from boragespool.controllers.context import Context
+    from boragespool.controllers.jobs import WorkInFlight
     from boragespool.peers import Sender
     from boragespool.revisions import RevisionDocument
-    from boragespool.types import Incarnation, ServerName
+    from boragespool.types import Incarnation, Seconds, ServerName
 
 #: Messages between daemons can be lost, so each notice is sent twice.
 _REPEAT_S: Final = 1
@@ -36,14 +35,19 @@
         self,
         server: ServerName,
         incarnation: Incarnation,
-        fingerprints: Iterable[int],
+        in_flight: WorkInFlight,
     ) -> None:
         """Record the loss of a server with this work in flight."""
         loss_id = f'{server}@{incarnation}'
         now_s = self._context.timers.now_s()
-        for fingerprint in sorted(set(fingerprints)):
-            if self._ledger.note(fingerprint, loss_id, now_s):
-                self._spread(SuspectNotice(fingerprint, loss_id))
+        for fingerprint in sorted(set(in_flight.fingerprints)):
+            notice = SuspectNotice(
+                fingerprint,
+                loss_id,
+                alone=in_flight.alone,
+            )
+            if self._note(notice, now_s):
+                self._spread(notice)
                 log_event(
                     Event.SERVER_CRASH_SUSPECTED,
                     f'{server!r} was lost with {hex(fingerprint)} in flight',
@@ -58,7 +62,7 @@
         if notice.cleared:
             self._ledger.clear(notice.fingerprint, now_s)
         else:
-            self._ledger.note(notice.fingerprint, notice.loss_id, now_s)
+            self._note(notice, now_s)
         self.post()
 
     def follow_revision(self, document: RevisionDocument | None) -> None:
@@ -108,6 +112,14 @@
                 fingerprint=ended,
             )
 
+    def _note(self, notice: SuspectNotice, now_s: Seconds) -> bool:
+        return self._ledger.note(
+            notice.fingerprint,
+            notice.loss_id,
+            now_s,
+            alone=notice.alone,
+        )
+
     def _spread(self, notice: SuspectNotice) -> None:
         self._send(notice)
         self._context.timers.after(_REPEAT_S, lambda: self._send(notice))
--- a/boragespool/controllers/jobs.py
+++ b/boragespool/controllers/jobs.py
@@ -53,6 +53,20 @@
     is_overdue: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class WorkInFlight:
+    """Work on a server at the moment when it was lost.
+
+    Attributes
+    ----------
+    alone : bool
+        Whether it was a suspect that ran alone.
+    """
+
+    fingerprints: tuple[int, ...]
+    alone: bool
+
+
 @dataclass(frozen=True, slots=True)
 class BackendHooks:
     """What a backend server needs from its controller.
@@ -62,13 +76,13 @@
     spawn : callable
         Runs a coroutine that ends with the controller.
     lost : callable
-        Called with server, incarnation and fingerprints after a loss.
+        Called with server, incarnation and work in flight after a loss.
     observed : callable
         Called with the server and a new observation.
     """
 
     spawn: Callable[[Coroutine[Any, Any, None]], object]
-    lost: Callable[[ServerName, Incarnation, tuple[int, ...]], None]
+    lost: Callable[[ServerName, Incarnation, WorkInFlight], None]
     observed: Callable[[ServerName, ServerObservation], None]
 
 
--- a/boragespool/controllers/server_health.py
+++ b/boragespool/controllers/server_health.py
@@ -11,7 +11,11 @@
     STATUS_REQUEST,
     read_status,
 )
-from boragespool.controllers.jobs import BackendHooks, was_served
+from boragespool.controllers.jobs import (
+    BackendHooks,
+    WorkInFlight,
+    was_served,
+)
 from boragespool.events import Event, log_event
 from boragespool.results import Failure, ResultCode
 
@@ -95,7 +99,7 @@
         self,
         pool: ConnectionPool,
         incarnation: Incarnation,
-        fingerprints: tuple[int, ...],
+        in_flight: WorkInFlight,
     ) -> None:
         """After a lost connection, find out whether the server was lost.
 
@@ -106,7 +110,7 @@
         incarnation : int
             Incarnation to which the work was sent; 0 if unknown, and then
             no loss is reported, as it could be counted twice.
-        fingerprints : tuple of int
+        in_flight : WorkInFlight
             Work in flight when the connection was lost.
         """
         pool.close_idle()
@@ -120,7 +124,7 @@
             lost = status.incarnation != incarnation
             self.restarted(status.incarnation)
         if lost and incarnation:
-            self._hooks.lost(self._server, incarnation, fingerprints)
+            self._hooks.lost(self._server, incarnation, in_flight)
 
     def _set_limit(self, limit: backends.LimitState) -> None:
         before = self._limit.limit
--- a/boragespool/messages/servers.py
+++ b/boragespool/messages/servers.py
@@ -65,8 +65,11 @@
         ``server@incarnation``.
     cleared : bool
         True if an operator cleared the fingerprint.
+    alone : bool
+        Whether the work ran alone on the server as a suspect.
     """
 
     fingerprint: int
     loss_id: str
     cleared: bool = False
+    alone: bool = False
