--- a/features/graceful_stop.feature
+++ b/features/graceful_stop.feature
@@ -20,10 +20,10 @@
     Given 3 shards with 2 replicas each
     And 2 servers that run claims
     And 4 daemons
-    And callers without a library that follow the address answers
+    And callers that send rarely and follow the address answers
     When the platform is down
     And daemons b,c stop at the same time
-    And the callers have got 50 more answers
+    And the callers have got 10 more answers
     And the callers stop
     Then no request was interrupted or refused
     And every answer has exactly the items of its snapshot and coverage
--- a/features/raw_callers.py
+++ b/features/raw_callers.py
@@ -28,9 +28,13 @@
         that were given.
     claims : bool
         Whether each second request is a claim.
+    pause_s : float
+        Time between two requests.
     """
 
-    def __init__(self, name, addresses, keep_s=0, *, claims=False) -> None:
+    def __init__(
+        self, name, addresses, keep_s=0, *, claims=False, pause_s=0.01
+    ) -> None:
         super().__init__(name=name)
         self.sent: list[Sent] = []
         self.broken: list[str] = []
@@ -38,13 +42,14 @@
         self._addresses = list(addresses)
         self._keep_s = keep_s
         self._claims = claims
+        self._pause_s = pause_s
         self._refresh_s = time.monotonic() + keep_s
         self._connection = None
         self._number = 0
         self._is_stopping = threading.Event()
 
     def run(self) -> None:
-        while not self._is_stopping.wait(0.01):
+        while not self._is_stopping.wait(self._pause_s):
             try:
                 self._send_next()
             except UNREACHABLE as error:
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -13,22 +13,27 @@
 STOP_LIMIT_S = 20
 
 
-@given('callers without a library that follow the address answers')
-def protocol_callers(context):
+def protocol_callers(context, count, **options):
     addresses = context.fleet.addresses()
-    callers = [
-        RawCaller(
-            f'till-{number}',
-            addresses[number % len(addresses) :]
-            + addresses[: number % len(addresses)],
-            KEEP_S,
-            claims=True,
-        )
-        for number in range(9)
-    ]
+    callers = []
+    for number in range(count):
+        first = number % len(addresses)
+        ordered = addresses[first:] + addresses[:first]
+        callers.append(RawCaller(f'till-{number}', ordered, KEEP_S, **options))
     begin_raw(context, callers)
 
 
+@given('callers without a library that follow the address answers')
+def busy_callers(context):
+    protocol_callers(context, 9, claims=True)
+
+
+@given('callers that send rarely and follow the address answers')
+def rare_callers(context):
+    """A daemon that looks idle must still wait for them."""
+    protocol_callers(context, 4, pause_s=0.4)
+
+
 def stop_together(context, hosts):
     entries = [context.fleet.entries[host] for host in hosts]
     for entry in entries:
