--- /dev/null
+++ b/boragespool/controllers/claim_outcomes.py
@@ -0,0 +1,112 @@
+"""Records, replies and refusals that stand for the outcome of a claim."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Final
+
+from boragespool.messages import (
+    ClaimRecord,
+    ClaimReply,
+    ClaimState,
+    WorkReply,
+)
+from boragespool.results import Failure, ResultCode
+from boragespool.types import RunState
+
+if TYPE_CHECKING:
+    from boragespool.claims import Ticket
+
+_FINAL_STATES: Final = frozenset((ClaimState.OUTCOME, ClaimState.SEALED))
+_REASONS: Final = MappingProxyType(
+    {
+        RunState.NOT_RUN: 'the ticket is sealed; the claim was not run',
+        RunState.UNKNOWN: 'the outcome of the claim is not known',
+    }
+)
+
+
+def is_final(record: ClaimRecord) -> bool:
+    """Tell whether the record of a ticket no longer changes."""
+    return record.state in _FINAL_STATES
+
+
+def sealed_record(
+    record: ClaimRecord,
+    code: ResultCode,
+    reason: str,
+) -> ClaimRecord:
+    """Return the record of a ticket that never runs."""
+    return replace(
+        record,
+        state=ClaimState.SEALED,
+        code=int(code),
+        run=RunState.NOT_RUN,
+        reason=reason,
+    )
+
+
+def final_record(
+    record: ClaimRecord,
+    reply: WorkReply | Failure,
+) -> ClaimRecord:
+    """Return the record for the last attempt's result."""
+    if reply.run is RunState.NOT_RUN:
+        return sealed_record(record, ResultCode(reply.code), reply.reason)
+    if reply.run is RunState.UNKNOWN or isinstance(reply, Failure):
+        return replace(
+            record,
+            state=ClaimState.OUTCOME,
+            code=int(ResultCode.OUTCOME_UNKNOWN),
+            run=RunState.UNKNOWN,
+            reason=reply.reason,
+        )
+    completed = reply.code == ResultCode.COMPLETE
+    code = ResultCode.CLAIM_RUN if completed else ResultCode.CLAIM_FAILED
+    return replace(
+        record,
+        state=ClaimState.OUTCOME,
+        code=int(code),
+        run=RunState.RUN,
+        outcome=reply.outcome,
+        reason=reply.reason,
+    )
+
+
+def refusal_of(record: ClaimRecord) -> Failure | None:
+    """Return the refusal that a final record stands for, if any."""
+    if record.run is RunState.RUN:
+        return None
+    code = ResultCode(record.code or ResultCode.OUTCOME_UNKNOWN)
+    return Failure(code, record.reason or _REASONS[record.run], record.run)
+
+
+def record_from_reply(
+    ticket: Ticket,
+    reply: ClaimReply,
+) -> ClaimRecord | Failure:
+    """Turn the issuer's reply into a record or a refusal."""
+    if reply.run is not RunState.RUN:
+        return Failure(ResultCode(reply.code), reply.reason, reply.run)
+    return ClaimRecord(
+        ticket_id=ticket.ticket_id,
+        issuer=ticket.issuer,
+        issuer_incarnation=ticket.issuer_incarnation,
+        sequence=ticket.sequence,
+        state=ClaimState.OUTCOME,
+        code=reply.code,
+        run=reply.run,
+        outcome=reply.outcome,
+        reason=reply.reason,
+    )
+
+
+def still_running(ticket: Ticket) -> Failure:
+    """Return the refusal for a claim that runs past the caller's deadline."""
+    return Failure(
+        ResultCode.OUTCOME_UNKNOWN,
+        f'ticket {ticket.ticket_id!r} is still running; ask for its outcome',
+        RunState.UNKNOWN,
+        retry_after_s=1,
+    )
--- a/boragespool/controllers/claim_runs.py
+++ b/boragespool/controllers/claim_runs.py
@@ -17,6 +17,7 @@
     Ticket,
     begin,
 )
+from boragespool.controllers.claim_outcomes import final_record, sealed_record
 from boragespool.events import Event, log_event
 from boragespool.messages import (
     ClaimRecord,
@@ -25,13 +26,11 @@
     RecordOutcome,
     RecordStart,
     WitnessVerdict,
-    WorkReply,
 )
 from boragespool.results import Failure, ResultCode
 from boragespool.routing import fingerprint_of
 from boragespool.settings import ClaimSettings
 from boragespool.tasks import TaskSet
-from boragespool.types import RunState
 
 if TYPE_CHECKING:
     from boragespool.controllers.claim_attempts import ClaimSender
@@ -40,7 +39,6 @@
     from boragespool.types import Seconds
 
 _OUTCOME_TRIES: Final = 3
-_FINAL_STATES: Final = frozenset((ClaimState.OUTCOME, ClaimState.SEALED))
 
 
 class ClaimRunner:
@@ -138,7 +136,7 @@
     ) -> None:
         """Enter a new record; begin to run it unless it is sealed."""
         if claim.outcome_only and record.state is ClaimState.STARTING:
-            record = _sealed(
+            record = sealed_record(
                 record,
                 ResultCode.NOT_RUN_SEALED,
                 'its outcome was asked for before it started',
@@ -166,16 +164,16 @@
         deadline_s = self._now_s() + claim.deadline_s
         started = self._sender.prepare(ticket.ticket_id, claim, deadline_s)
         if isinstance(started, Failure):
-            self._put(_sealed(record, started.code, started.reason))
+            self._put(sealed_record(record, started.code, started.reason))
             return
         if record.body_hash in self._context.board.read(BLOCKED):
             reason = 'this request crashed backend servers'
-            self._put(_sealed(record, ResultCode.REQUEST_BLOCKED, reason))
+            self._put(sealed_record(record, ResultCode.REQUEST_BLOCKED, reason))
             return
         if not await self._start(ticket, record):
             return
         reply = await self._sender.run(started)
-        final = _final_record(record, reply)
+        final = final_record(record, reply)
         self._put(final)
         self._reports.spawn(self._report(ticket, final))
 
@@ -203,7 +201,7 @@
         verdict: WitnessVerdict,
     ) -> None:
         reason = f'witness {ticket.witness!r} answered {verdict.value!r}'
-        self._put(_sealed(record, ResultCode.NO_WITNESS, reason))
+        self._put(sealed_record(record, ResultCode.NO_WITNESS, reason))
         log_event(
             Event.CLAIM_SEALED,
             reason,
@@ -233,49 +231,3 @@
 
     def _now_s(self) -> Seconds:
         return self._context.timers.now_s()
-
-
-def is_final(record: ClaimRecord) -> bool:
-    """Tell whether the record of a ticket no longer changes."""
-    return record.state in _FINAL_STATES
-
-
-def _sealed(
-    record: ClaimRecord,
-    code: ResultCode,
-    reason: str,
-) -> ClaimRecord:
-    return replace(
-        record,
-        state=ClaimState.SEALED,
-        code=int(code),
-        run=RunState.NOT_RUN,
-        reason=reason,
-    )
-
-
-def _final_record(
-    record: ClaimRecord,
-    reply: WorkReply | Failure,
-) -> ClaimRecord:
-    """Return the record for the last attempt's result."""
-    if reply.run is RunState.NOT_RUN:
-        return _sealed(record, ResultCode(reply.code), reply.reason)
-    if reply.run is RunState.UNKNOWN or isinstance(reply, Failure):
-        return replace(
-            record,
-            state=ClaimState.OUTCOME,
-            code=int(ResultCode.OUTCOME_UNKNOWN),
-            run=RunState.UNKNOWN,
-            reason=reply.reason,
-        )
-    completed = reply.code == ResultCode.COMPLETE
-    code = ResultCode.CLAIM_RUN if completed else ResultCode.CLAIM_FAILED
-    return replace(
-        record,
-        state=ClaimState.OUTCOME,
-        code=int(code),
-        run=RunState.RUN,
-        outcome=reply.outcome,
-        reason=reply.reason,
-    )
--- a/boragespool/controllers/claims.py
+++ b/boragespool/controllers/claims.py
@@ -23,24 +23,26 @@
     parse_ticket,
 )
 from boragespool.controllers.claim_attempts import ClaimSender
-from boragespool.controllers.claim_runs import ClaimRunner, is_final
-from boragespool.controllers.requests import ClaimAnswer
-from boragespool.controllers.witnesses import (
-    WitnessController,
-    reply_from_record,
+from boragespool.controllers.claim_outcomes import (
+    is_final,
+    record_from_reply,
+    refusal_of,
+    still_running,
 )
+from boragespool.controllers.claim_runs import ClaimRunner
+from boragespool.controllers.requests import ClaimAnswer
+from boragespool.controllers.witnesses import WitnessController
 from boragespool.events import Event, log_event
 from boragespool.messages import (
     ClaimRecord,
     ClaimReply,
-    ClaimState,
     ForwardClaim,
     SealTicket,
     WitnessVerdict,
 )
 from boragespool.results import Failure, ResultCode
 from boragespool.routing import ServerObservations, fingerprint_of
-from boragespool.types import MemberStatus, Rank, RunState
+from boragespool.types import MemberStatus, Rank
 
 if TYPE_CHECKING:
     from boragespool.controllers.context import Context
@@ -189,9 +191,7 @@
         if isinstance(record, Failure):
             return record
         refusal = (
-            reply_from_record(record)
-            if is_final(record)
-            else _still_running(ticket)
+            refusal_of(record) if is_final(record) else still_running(ticket)
         )
         if refusal is not None:
             return refusal
@@ -218,7 +218,7 @@
                 self._forward_timeout_s(claim),
             )
             if isinstance(reply, ClaimReply):
-                return _record_from_reply(ticket, reply)
+                return record_from_reply(ticket, reply)
         return await self._seal(ticket, claim)
 
     async def _serve_forwarded(
@@ -239,7 +239,7 @@
         if isinstance(record, Failure):
             return ClaimReply(int(record.code), record.run, None, record.reason)
         if not is_final(record):
-            failure = _still_running(ticket)
+            failure = still_running(ticket)
             return ClaimReply(int(failure.code), failure.run)
         return ClaimReply(
             record.code,
@@ -311,32 +311,3 @@
         if claim.rank is not None:
             return claim.rank
         return route.rank if route else Rank.URGENT
-
-
-def _record_from_reply(
-    ticket: Ticket,
-    reply: ClaimReply,
-) -> ClaimRecord | Failure:
-    """Turn the issuer's reply into a record or a refusal."""
-    if reply.run is not RunState.RUN:
-        return Failure(ResultCode(reply.code), reply.reason, reply.run)
-    return ClaimRecord(
-        ticket_id=ticket.ticket_id,
-        issuer=ticket.issuer,
-        issuer_incarnation=ticket.issuer_incarnation,
-        sequence=ticket.sequence,
-        state=ClaimState.OUTCOME,
-        code=reply.code,
-        run=reply.run,
-        outcome=reply.outcome,
-        reason=reply.reason,
-    )
-
-
-def _still_running(ticket: Ticket) -> Failure:
-    return Failure(
-        ResultCode.OUTCOME_UNKNOWN,
-        f'ticket {ticket.ticket_id!r} is still running; ask for its outcome',
-        RunState.UNKNOWN,
-        retry_after_s=1,
-    )
--- a/boragespool/controllers/witnesses.py
+++ b/boragespool/controllers/witnesses.py
@@ -8,14 +8,12 @@
 
 import asyncio
 import logging
-from types import MappingProxyType
 from typing import TYPE_CHECKING, Final, Self, TypeAlias
 
 from boragespool.blackboard.topics import IN_FORCE, MEMBERS
 from boragespool.claims import RecordTable, record_outcome, record_start, seal
 from boragespool.events import Event, log_event
 from boragespool.messages import (
-    ClaimRecord,
     HandOver,
     HandOverAck,
     MemberRecord,
@@ -25,9 +23,9 @@
     WitnessReply,
     WitnessVerdict,
 )
-from boragespool.results import Failure, ResultCode
+from boragespool.results import Failure
 from boragespool.settings import ClaimSettings
-from boragespool.types import HostName, Incarnation, MemberStatus, RunState
+from boragespool.types import HostName, Incarnation, MemberStatus
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -46,12 +44,6 @@
 _HAND_OVER_TRIES: Final = 3
 _SUCCESSOR_COUNT: Final = 20_000
 _SUCCESSOR_HOPS: Final = 8
-_REASONS: Final = MappingProxyType(
-    {
-        RunState.NOT_RUN: 'the ticket is sealed; the claim was not run',
-        RunState.UNKNOWN: 'the outcome of the claim is not known',
-    }
-)
 
 
 class WitnessController:
@@ -271,11 +263,3 @@
     def _settings(self) -> ClaimSettings:
         document = self._context.board.read(IN_FORCE)
         return document.settings.claims if document else ClaimSettings()
-
-
-def reply_from_record(record: ClaimRecord) -> Failure | None:
-    """Return the refusal that a final record stands for, if any."""
-    if record.run is RunState.RUN:
-        return None
-    code = ResultCode(record.code or ResultCode.OUTCOME_UNKNOWN)
-    return Failure(code, record.reason or _REASONS[record.run], record.run)
