--- a/boragespool/peers/network.py
+++ b/boragespool/peers/network.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import contextlib
-import itertools
 import logging
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Self, TypeVar
@@ -16,6 +15,12 @@
 import pynng
 
 from boragespool.events import Event, log_event
+from boragespool.peers.exchanges import (
+    Exchanges,
+    no_answer,
+    not_sent,
+    not_served,
+)
 from boragespool.peers.frames import (
     Envelope,
     Frame,
@@ -27,9 +32,9 @@
     encode_message,
 )
 from boragespool.peers.link import PeerLink
-from boragespool.results import Failure, ResultCode
+from boragespool.results import Failure
 from boragespool.tasks import TaskSet
-from boragespool.types import Address, HostName, Incarnation, RunState
+from boragespool.types import Address, HostName, Incarnation
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -76,8 +81,7 @@
             str,
             Callable[[Sender, Any], Awaitable[Any]],
         ] = {}
-        self._exchanges = itertools.count(1)
-        self._waiting: dict[int, asyncio.Future[Any]] = {}
+        self._exchanges = Exchanges()
         self._tasks = TaskSet()
 
     async def __aenter__(self) -> Self:
@@ -182,21 +186,14 @@
         """
         if host == self.options.host:
             return await self._request_self(message, timeout_s)
-        exchange = next(self._exchanges)
-        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
-        self._waiting[exchange] = future
-        try:
-            if not self._queue(host, encode_message(message, exchange)):
-                return Failure(
-                    ResultCode.PEER_UNREACHABLE,
-                    f'peer {host!r} has no address or a full queue',
-                )
-            async with asyncio.timeout(timeout_s):
-                return await future
-        except TimeoutError:
-            return _no_answer(host, timeout_s)
-        finally:
-            del self._waiting[exchange]
+        with self._exchanges.open() as (number, reply):
+            if not self._queue(host, encode_message(message, number)):
+                return not_sent(host)
+            try:
+                async with asyncio.timeout(timeout_s):
+                    return await reply
+            except TimeoutError:
+                return no_answer(host, timeout_s)
 
     def traffic(self) -> tuple[int, int]:
         """Return frames and bytes sent since the start."""
@@ -230,14 +227,14 @@
         """Call the own handler directly."""
         handler = self._request_handlers.get(type(message).__name__)
         if handler is None:
-            return _no_handler(type(message).__name__)
+            return not_served(type(message).__name__)
         # Like a remote handler, it goes on after a timeout.
         task = self._tasks.spawn(
             _call(handler, self._self_sender(), message),
         )
         done, _ = await asyncio.wait((task,), timeout=timeout_s)
         if not done or task.cancelled() or task.exception() is not None:
-            return _no_answer(self.options.host, timeout_s)
+            return no_answer(self.options.host, timeout_s)
         return task.result()
 
     def _close_idle_links(self) -> None:
@@ -283,25 +280,12 @@
         for envelope in frame.envelopes:
             message = decode_message(envelope)
             if envelope.reply:
-                self._resolve(envelope.exchange, message)
+                self._exchanges.resolve(envelope.exchange, message)
             elif envelope.exchange:
                 self._tasks.spawn(self._answer(sender, envelope, message))
             else:
                 self._deliver(sender, message)
 
-    def _resolve(self, exchange: int, message: object) -> None:
-        """Give a reply to the request that waits; a late one is dropped."""
-        future = self._waiting.get(exchange)
-        if future is None or future.done():
-            return
-        if isinstance(message, Refusal):
-            message = Failure(
-                ResultCode(message.code),
-                message.reason,
-                message.run,
-            )
-        future.set_result(message)
-
     def _deliver(self, sender: Sender, message: object) -> None:
         if isinstance(message, Probe):
             self.send(sender.host, ProbeAnswer(message.number))
@@ -326,7 +310,7 @@
         if isinstance(message, Failure):
             result: object = message
         elif handler is None:
-            result = _no_handler(envelope.kind)
+            result = not_served(envelope.kind)
         else:
             result = await handler(sender, message)
         if isinstance(result, Failure):
@@ -347,18 +331,3 @@
     message: object,
 ) -> Any:
     return await handler(sender, message)
-
-
-def _no_answer(host: HostName, timeout_s: Seconds) -> Failure:
-    return Failure(
-        ResultCode.PEER_UNREACHABLE,
-        f'peer {host!r} did not answer within {timeout_s!r} s',
-        RunState.UNKNOWN,
-    )
-
-
-def _no_handler(kind: str) -> Failure:
-    return Failure(
-        ResultCode.PEER_REFUSED,
-        f'requests of kind {kind!r} are not served here',
-    )
