--- a/boragespool/bench/__main__.py
+++ b/boragespool/bench/__main__.py
@@ -29,7 +29,9 @@
     },
 )
 #: Several fleets, or one for long, take more time than a short run may.
-_NOT_SHORT: Final = frozenset(('control', 'exchange', 'profiling'))
+_NOT_SHORT: Final = frozenset(
+    ('added_latency', 'control', 'exchange', 'profiling'),
+)
 _SHORT_SCENARIOS: Final = ('cooperative', 'stragglers')
 #: Name of the parameter of a `main` that shortens its run.
 _SHORT_PARAMETERS: Final = ('short', 'is_short')
