--- a/boragespool/controllers/crash_watch.py
+++ b/boragespool/controllers/crash_watch.py
@@ -22,7 +22,7 @@
 
 
 class CrashWatch:
-    """Posts `SUSPECTS` and `BLOCKED` from own and from told losses."""
+    """Posts `SUSPECTS` and `BLOCKED` from own losses and the notices of peers."""
 
     def __init__(self, context: Context, ledger: CrashLedger) -> None:
         """Register for the notices of peers."""
--- a/boragespool/membership/options.py
+++ b/boragespool/membership/options.py
@@ -40,7 +40,7 @@
     leave_count : int
         Members that a leaving daemon tells at once.
     revision_fanout : int
-        Members told at once about a new revision in force.
+        Members that get a notice of a new revision in force at once.
     """
 
     ping_interval_s: Seconds = 1
--- a/boragespool/messages/servers.py
+++ b/boragespool/messages/servers.py
@@ -61,7 +61,7 @@
     Attributes
     ----------
     loss_id : str
-        Names the loss, so that one loss told twice counts once:
+        Names the loss, so that a loss reported twice counts once:
         ``server@incarnation``.
     cleared : bool
         True if an operator cleared the fingerprint.
--- a/boragespool/revisions/document.py
+++ b/boragespool/revisions/document.py
@@ -17,7 +17,7 @@
     at_s : float
         Wall time of the operator's command, in seconds since 1970.
     author : str
-        Operator, as the command was told.
+        Operator who ran the command.
     action : str
         ``apply``, ``rollback``, ``drain``, ``undrain`` or ``clear``.
     base : int
