Fit and place members with the shared functions of the bench package

Cause: bench.membership had its own line fit and its own search for a free address beside slopes.fit_line and placement.free_address.

Change: it calls those two. The printed lines keep their form.

Result: a trial with 3 and 5 members prints both lines as before; formatter, linter, types and contracts pass.

--- a/boragespool/bench/membership.py
+++ b/boragespool/bench/membership.py
@@ -10,13 +10,14 @@
 import contextlib
 import random
 import resource
-import socket
 import statistics
 import sys
 import time
 from dataclasses import dataclass
 from typing import Final
 
+from boragespool.bench.placement import free_address
+from boragespool.bench.slopes import Point, fit_line
 from boragespool.blackboard import Blackboard
 from boragespool.blackboard.topics import MEMBERS
 from boragespool.controllers.context import Context, Identity
@@ -174,11 +175,7 @@
     The links of all members use ports of 127.0.0.1.
     """
     octet = number + 1
-    ip = f'127.0.1.{octet}'
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        port = probe.getsockname()[1]
-    return f'{ip}:{port}'
+    return free_address(f'127.0.1.{octet}')
 
 
 def main(*, is_short: bool = False) -> None:
@@ -190,11 +187,9 @@
             measure(size, _SETTLE_S, _MEASURE_S),
         )
         costs.append(cost)
-    sizes = [cost.members for cost in costs]
     for name in ('bytes_per_s', 'cpu_percent'):
-        fit = statistics.linear_regression(
-            sizes,
-            [getattr(cost, name) for cost in costs],
+        fit = fit_line(
+            [Point(cost.members, (getattr(cost, name),)) for cost in costs],
         )
         line = '{}: {:.3f} + {:.5f} per member'
         print(line.format(name, fit.intercept, fit.slope))
