--- a/boragespool/controllers/claims.py
+++ b/boragespool/controllers/claims.py
@@ -42,7 +42,7 @@
 )
 from boragespool.results import Failure, ResultCode
 from boragespool.routing import ServerObservations, fingerprint_of
-from boragespool.types import MemberStatus, Rank
+from boragespool.types import MemberStatus, Rank, RunState
 
 if TYPE_CHECKING:
     from boragespool.controllers.context import Context
@@ -188,6 +188,23 @@
         if isinstance(ticket, Failure):
             return ticket
         record = await self._resolve(ticket, claim)
+        answer = self._to_answer(ticket, claim, record, request_id)
+        if isinstance(answer, Failure) and answer.run is RunState.UNKNOWN:
+            log_event(
+                Event.CLAIM_UNKNOWN,
+                answer.reason,
+                ticket=ticket.ticket_id,
+                request_id=request_id,
+            )
+        return answer
+
+    def _to_answer(
+        self,
+        ticket: Ticket,
+        claim: ForwardClaim,
+        record: ClaimRecord | Failure,
+        request_id: RequestId,
+    ) -> ClaimAnswer | Failure:
         if isinstance(record, Failure):
             return record
         refusal = (
--- a/boragespool/controllers/server_health.py
+++ b/boragespool/controllers/server_health.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any, Final
 
@@ -130,6 +131,14 @@
         before = self._limit.limit
         self._limit = limit
         if limit.limit != before:
+            log_event(
+                Event.SERVER_LIMIT_CHANGED,
+                f'the limit of {self._server!r} is {limit.limit}',
+                level=logging.DEBUG,
+                server=self._server,
+                limit=limit.limit,
+                before=before,
+            )
             self._observe(limit=limit.limit)
 
     def _observe(self, **changes: Any) -> None:
