--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -55,7 +55,8 @@
             run_suite(
                 'behave',
                 '--no-capture',
-                '--format=progress',
+                '--format=plain',
+                '--no-skipped',
                 '--tags=not known_red',
                 'features',
             ),
