Let floors give way unless a higher rank floods

Cause: with urgent demand at 0.79 of the capacity in a rush of deferrable work, 0.9888 of the urgent work met its deadline (goal 0.999 below 0.8). The floors of the other ranks add up to 0.3 of the slots and were served before urgent work at all times.

Change: the highest rank that waits goes first until its queue has not been empty for 0.5 s and 10 mean service times; only then are lower ranks served up to their floors. The estimated wait leaves out floors that are not owed. A first try took the demand over 2 s as the sign of a flood; callers that wait for each answer keep the queue full below that demand, and nine cases of test_floors_hold_in_a_flood_of_urgent_work failed (routine 0.13 of 0.2), so it was dropped.

The new test fails without the change.

--- a/boragespool/ranks/account.py
+++ b/boragespool/ranks/account.py
@@ -21,6 +21,10 @@
 #: Weight of one service time in the mean.
 _MEAN_WEIGHT: Final = 0.05
 _USAGE_WINDOW_S: Final = 1
+#: A queue that is not empty for `_MEMORY_S` and this many service times is a
+#: flood. At a demand of 0.79 of 5 slots it empties after a fifth of a service
+#: time in the mean.
+_FLOOD_SERVICE_TIMES: Final = 10
 
 
 @dataclass(slots=True)
@@ -41,6 +45,7 @@
         self.mean_service_s: Seconds = 0
         self._credit_slot_s: float = 0
         self._usage_slot_s: float = 0
+        self._waiting_since_s: Seconds = 0
         self._at_s: Seconds = 0
 
     @property
@@ -67,12 +72,20 @@
         decay = max(0, 1 - elapsed_s / _USAGE_WINDOW_S)
         used_slot_s = elapsed_s * self.running_count
         self._usage_slot_s = self._usage_slot_s * decay + used_slot_s
+        if not waiting:
+            self._waiting_since_s = self._at_s
 
     @property
     def usage_slots(self) -> float:
         """Slots held on average in the last second."""
         return self._usage_slot_s / _USAGE_WINDOW_S
 
+    @property
+    def floods(self) -> bool:
+        """Whether the queue has not been empty for so long that it grows."""
+        limit_s = _MEMORY_S + _FLOOD_SERVICE_TIMES * self.mean_service_s
+        return self._at_s - self._waiting_since_s > limit_s
+
     def below_floor(self, now_s: Seconds) -> bool:
         """Whether the rank is owed slot time, running work deducted."""
         charged = sum(
--- a/boragespool/ranks/queue.py
+++ b/boragespool/ranks/queue.py
@@ -175,8 +175,13 @@
         if self._free_slots and not self.waiting_count:
             return 0
         loads = self._loads(caller)
-        position = _RANKS.index(rank)
-        return wait_s(loads, position, self.slots, self._free_slots)
+        return wait_s(
+            loads,
+            _RANKS.index(rank),
+            self.slots,
+            self._free_slots,
+            owes_floors=self._accounts[rank].floods,
+        )
 
     @property
     def waits_s(self) -> tuple[Seconds, ...]:
@@ -186,8 +191,14 @@
         loads = self._loads('')
         free_slots = self._free_slots
         return tuple(
-            wait_s(loads, position, self.slots, free_slots)
-            for position in range(len(loads))
+            wait_s(
+                loads,
+                position,
+                self.slots,
+                free_slots,
+                owes_floors=self._accounts[rank].floods,
+            )
+            for position, rank in enumerate(Rank)
         )
 
     @property
@@ -256,13 +267,20 @@
         )
 
     def _next_rank(self, now_s: Seconds) -> Rank | None:
-        """Return the rank that the next free slot goes to."""
+        """Return the rank that the next free slot goes to.
+
+        The highest rank that waits goes first. While it floods, ranks below
+        their floor go before it. A floor that held at all times would make
+        urgent work late at a demand that leaves room for it.
+        """
         waiting = [rank for rank in Rank if self._lanes[rank].count]
         within_cap = [
             rank
             for rank in waiting
             if self._accounts[rank].running_count < self._cap_slots(rank)
         ]
+        if within_cap and not self._accounts[within_cap[0]].floods:
+            return within_cap[0]
         owed = (
             rank
             for rank in within_cap
--- a/boragespool/ranks/waits.py
+++ b/boragespool/ranks/waits.py
@@ -47,6 +47,8 @@
     position: int,
     slots: int,
     free_slots: int,
+    *,
+    owes_floors: bool = True,
 ) -> Seconds:
     """Estimate how long new work of a rank waits for a slot.
 
@@ -58,6 +60,8 @@
         Index of the rank of the new work.
     slots, free_slots : int
         Slots in use or usable, and those of them that are idle.
+    owes_floors : bool
+        Whether lower ranks are served up to their floors before the rank.
 
     Returns
     -------
@@ -76,7 +80,9 @@
     higher_slot_s = sum(load.waiting * load.mean_service_s for load in higher)
     used_share = sum(load.usage_slots for load in higher) / slots
     owed_share = sum(
-        load.floor for load in loads[position + 1 :] if load.waiting
+        load.floor
+        for load in loads[position + 1 :]
+        if load.waiting and owes_floors
     )
     left_share = max(1 - used_share - owed_share, own.floor, _LEAST_SHARE)
     return min(
--- a/tests/test_flood.py
+++ b/tests/test_flood.py
@@ -22,6 +22,14 @@
     assert measure('fifo', load).urgent_success < 0.5
 
 
+def test_floors_do_not_delay_urgent_work_below_its_goal():
+    """Floors must give way while urgent demand is below 0.8."""
+    result = measure('ranks', rush(10, 0.79))
+    assert result.urgent_success >= 0.999
+    assert result.urgent_p99_ratio <= 1.5
+    assert result.useful >= 0.9
+
+
 def test_urgent_flood_leaves_the_floors():
     """Urgent work must not take the floors, nor waste slots on late work."""
     result = measure('ranks', shortened(urgent_flood(10)))
