Add a scenario for a region that is cut off

A relay in front of each daemon reads the sender of each frame and drops the frames that cross the cut, without a sign to either end. The daemon publishes the relay's address and listens on another one; that needs no change of the daemon, only a launcher of the features. The cut also resets the far side's connections to the platform. Alternatives: a flag for another listen address (more surface for a test) and SIGSTOP (stops serving as well).

Relays now end by themselves for up to 1 s before their tasks are cancelled, which had written tracebacks to the log at the end of a scenario.

--- a/features/fleet.py
+++ b/features/fleet.py
@@ -14,6 +14,7 @@
 )
 from boragespool.standins.items import shard_range
 from boragespool.types import Rank, WorkKind
+from features.partition import Partition
 from tests.processes import Processes, fetch, free_address, put_revision, until
 
 #: Peers need about 2 s to declare a silent daemon dead; machines of a build
@@ -21,6 +22,7 @@
 DEAD_LIMIT_S = 15
 READY_LIMIT_S = 20
 KEEP_S = 1
+HOSTS = 'abcdef'
 SITES = ('north', 'south')
 UNREACHABLE = (OSError, http.client.HTTPException, json.JSONDecodeError)
 
@@ -47,6 +49,7 @@
         self.platform = None
         self.backends = None
         self.via: dict[str, str] = {}
+        self.partition: Partition | None = None
 
     @property
     def entries(self):
@@ -78,7 +81,7 @@
         self.settings = self._settings()
         self.platform = self.processes.start_platform(self.host_list())
         put_revision(self.platform.address, 1, self.settings)
-        for host in 'abcd'[:daemon_count]:
+        for host in HOSTS[:daemon_count]:
             self.start_daemon(host)
         self.wait_ready()
 
@@ -90,13 +93,20 @@
             for name, entry in self.entries.items()
             if name != host
         ]
+        addresses = {
+            'caller_address': before.address if before else '',
+            'peer_address': before.peer_address if before else '',
+        }
+        platform = self.platform.address
+        if self.partition is not None:
+            platform = self.partition.reach_platform(host, platform)
+            addresses |= self.partition.place(host)
         self.processes.start_entry(
             host,
-            self.platform.address,
+            platform,
             f'--peers={",".join(peers)}',
-            data_centre=SITES['abcd'.index(host) % 2],
-            caller_address=before.address if before else '',
-            peer_address=before.peer_address if before else '',
+            data_centre=SITES[HOSTS.index(host) % 2],
+            **addresses,
         )
 
     def host_list(self, *leaving: str) -> list[dict]:
--- /dev/null
+++ b/features/relayed_entry.py
@@ -0,0 +1,25 @@
+"""A daemon that peers reach through a relay.
+
+The daemon publishes the address of the relay and listens on another one.
+"""
+
+from __future__ import annotations
+
+import os
+
+import pynng
+
+from boragespool.daemon.main import run
+
+
+class _RelayedPull(pynng.Pull0):
+    """Listens where the relay connects to."""
+
+    def listen(self, address, *options, **named):
+        listen_address = os.environ['PEER_LISTEN_ADDRESS']
+        return super().listen(f'tcp://{listen_address}', *options, **named)
+
+
+if __name__ == '__main__':
+    pynng.Pull0 = _RelayedPull
+    run()
--- a/features/relays.py
+++ b/features/relays.py
@@ -18,7 +18,7 @@
         One for each address, in the same order.
     """
 
-    def __init__(self, targets) -> None:
+    def __init__(self, targets=()) -> None:
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever)
         self.relays = [Relay(target) for target in targets]
@@ -37,14 +37,20 @@
         self._thread.join()
         self._loop.close()
 
+    def add(self, relay: Relay) -> str:
+        """Start one more relay; return its address."""
+        self.relays.append(relay)
+        self._call(relay.__aenter__())
+        return relay.address
+
     @property
     def addresses(self) -> tuple[str, ...]:
         """Addresses to connect to."""
         return tuple(relay.address for relay in self.relays)
 
-    def cut(self) -> None:
-        """Reset all open connections."""
-        for relay in self.relays:
+    def cut(self, *some: Relay) -> None:
+        """Reset all open connections, or those of some relays."""
+        for relay in some or self.relays:
             self._loop.call_soon_threadsafe(relay.cut)
 
     def silence(self) -> None:
@@ -58,6 +64,9 @@
 
     async def _cancel_rest(self) -> None:
         tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        if tasks:
+            # Relays whose connections were reset end by themselves.
+            await asyncio.wait(tasks, timeout=1)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/features/steps/partition_steps.py
@@ -0,0 +1,63 @@
+"""Steps about a network that is cut between two groups of daemons."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+
+from features.callers import Load, own_query, querying
+from features.fleet import DEAD_LIMIT_S, SITES
+from features.partition import Partition
+from features.steps.fleet_steps import QUERY_DEADLINE_S, begin
+from tests.processes import until
+
+
+@given('a network that can be cut between daemons {hosts} and the rest')
+def add_partition(context, hosts):
+    partition = Partition(hosts.replace(',', ''))
+    context.fleet.partition = context.stack.enter_context(partition)
+
+
+@given('callers of each side that keep sending queries')
+def query_each_side(context):
+    addresses = context.fleet.addresses()
+    for number, site in enumerate(SITES):
+        load = Load(
+            f'queries-{site}',
+            addresses[number :: len(SITES)],
+            querying('find', QUERY_DEADLINE_S),
+            own_query,
+            workers=4,
+            data_centre=site,
+        )
+        begin(context, load)
+
+
+@when('the network is cut')
+def cut(context):
+    context.fleet.partition.cut()
+
+
+@when('the network is whole again')
+def heal(context):
+    context.fleet.partition.heal()
+
+
+@when('the sides {near} and {far} take each other for dead')
+def sides_dead(context, near, far):
+    sides = (near.split(','), far.split(','))
+    for here, there in (sides, sides[::-1]):
+        for observer in here:
+            until(
+                lambda observer=observer, there=there: all(
+                    context.fleet.member_status(observer, host) == 'dead'
+                    for host in there
+                ),
+                DEAD_LIMIT_S,
+                f'{observer} sees {there} dead',
+            )
+
+
+@then('all daemons know each other again')
+def joined(context):
+    for host in context.fleet.entries:
+        context.fleet.wait_member(host, 'alive')
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -65,13 +65,15 @@
         data_centre: str = 'north',
         caller_address: str = '',
         peer_address: str = '',
+        module: str = 'boragespool.daemon.main',
+        **variables: str,
     ) -> RunningProcess:
         """Start a daemon on an address of its own; don't wait for it."""
         ip = f'127.0.0.{10 + len(self.started)}'
         caller_address = caller_address or free_address(ip)
         peer_address = peer_address or free_address(ip)
         entry = self.start(
-            'boragespool.daemon.main',
+            module,
             f'--host={host}',
             f'--data_centre={data_centre}',
             '--region=east',
@@ -79,6 +81,7 @@
             f'--peer_address={peer_address}',
             f'--platform_address={platform}',
             *arguments,
+            **variables,
         )
         entry.address = caller_address
         entry.peer_address = peer_address
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -8,11 +8,18 @@
 
 
 class Relay:
-    """Forwards connections to one address, an async context manager."""
+    """Forwards connections to one address, an async context manager.
+
+    Attributes
+    ----------
+    refuses : bool
+        Whether new connections are reset.
+    """
 
     def __init__(self, target: str) -> None:
         self.target = target
         self.accepted = 0
+        self.refuses = False
         self._silent: set[asyncio.StreamWriter] = set()
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -46,6 +53,9 @@
     ) -> None:
         self.accepted += 1
         host, port = self.target.split(':')
+        if self.refuses:
+            writer.transport.abort()
+            return
         try:
             far = await asyncio.open_connection(host, int(port))
         except OSError:
@@ -53,10 +63,18 @@
             return
         self._writers |= {writer, far[1]}
         await asyncio.gather(
-            self._pump(reader, far[1]),
+            self.forward(reader, far[1]),
             self._pump(far[0], writer),
         )
 
+    async def forward(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Pass on what the side that connected sends."""
+        await self._pump(reader, writer)
+
     async def _pump(
         self,
         reader: asyncio.StreamReader,
