Give callers restarted hosts that a stale list calls leaving

The address answer left out every host that the platform's list calls leaving, for as long as the list said so. The list lags by minutes. After a rolling restart of a and b of three daemons, callers were given c alone: the new scenario waited 10 s in vain for an answer with all three addresses.

Listed hosts are now left out only while they are at most half of the alive members, as for backend servers. Weighed: tying an entry to an incarnation, so that a restarted daemon is no longer meant. It fails when the sign arrives after the restart, and a daemon that leaves tells its peers itself anyway.

The test of the half fails without the rule.

--- a/boragespool/membership/addresses.py
+++ b/boragespool/membership/addresses.py
@@ -34,8 +34,9 @@
     draw : callable
         Returns a random number in ``[0, 1)``.
     excluded : frozenset of str
-        Hosts that the platform reports as leaving. They are chosen only if
-        nothing else is alive, because the platform's list can be wrong.
+        Hosts that the platform reports as leaving. They are chosen if they
+        are more than half of the alive members, because the platform's list
+        lags: it can still name hosts that were restarted since.
 
     Returns
     -------
@@ -54,8 +55,10 @@
         member for member in members if member.status == MemberStatus.ALIVE
     ]
     usable = [member for member in alive if member.host not in excluded]
+    if 2 * len(usable) < len(alive):
+        usable = alive
     ready = [member for member in usable if member.revision]
-    nearest = _from_nearest(ready or usable or alive, data_centre, count, draw)
+    nearest = _from_nearest(ready or usable, data_centre, count, draw)
     return tuple(member.caller_address for member in nearest)
 
 
--- /dev/null
+++ b/features/stale_host_list.feature
@@ -0,0 +1,39 @@
+Feature: A stale host list sends no caller to a daemon that is gone
+  The platform's host list lags by minutes: it still has the hosts that were
+  replaced, as live or as leaving, and not those that replaced them. Callers
+  must be given addresses of live daemons only, each for as long as they may
+  keep it, and no request may be interrupted.
+
+  Scenario: All hosts are replaced by others while the list stays the same
+    Given 2 shards with 2 replicas each
+    And 2 servers that run claims
+    And 3 daemons
+    And the platform lists daemons a,b,c as live and never changes its list
+    And callers without a library that follow the address answers
+    And an observer of the address answers
+    When daemon a is replaced by daemon d
+    And daemon b is replaced by daemon e
+    And daemon c is replaced by daemon f
+    And the callers have got 50 more answers
+    And the callers stop
+    Then every address was served for as long as it could be kept
+    And callers are given the addresses of d,e,f
+    And no request was interrupted or refused
+    And every answer has exactly the items of its snapshot and coverage
+    And no claim of these callers ran twice
+
+  Scenario: Restarted hosts are still listed as leaving
+    Given 2 shards with 2 replicas each
+    And 2 servers that run claims
+    And 3 daemons
+    And the platform lists daemons a,b as leaving and never changes its list
+    And callers without a library that follow the address answers
+    And an observer of the address answers
+    When daemons a,b stop and start again one after the other
+    And the callers have got 50 more answers
+    And the callers stop
+    Then every address was served for as long as it could be kept
+    And callers are given the addresses of a,b,c
+    And no request was interrupted or refused
+    And every answer has exactly the items of its snapshot and coverage
+    And no claim of these callers ran twice
--- /dev/null
+++ b/features/steps/host_list_steps.py
@@ -0,0 +1,103 @@
+"""Steps about a host list that lags behind."""
+
+from __future__ import annotations
+
+import threading
+import time
+
+from behave import given, then, when
+
+from features.fleet import KEEP_S, UNREACHABLE
+from features.steps.stop_steps import stop_together
+from tests.processes import fetch, until
+
+GIVEN_LIMIT_S = 10
+
+
+class AddressObserver(threading.Thread):
+    """Asks all daemons for addresses again and again."""
+
+    def __init__(self, fleet) -> None:
+        super().__init__(name='address-observer')
+        self.given: list[tuple[float, tuple[str, ...]]] = []
+        self._fleet = fleet
+        self._is_stopping = threading.Event()
+
+    def run(self) -> None:
+        while not self._is_stopping.wait(0.02):
+            for address in self._fleet.addresses():
+                addresses = given_by(address)
+                if addresses:
+                    self.given.append((time.monotonic(), addresses))
+
+    def stop(self) -> None:
+        self._is_stopping.set()
+        if self.ident is not None:
+            self.join()
+
+
+def given_by(address):
+    """Return an address answer; empty if the daemon does not answer."""
+    try:
+        status, answer = fetch(address, '/v1/addresses?count=8')
+    except UNREACHABLE:
+        return ()
+    return tuple(answer['addresses']) if status == 200 else ()
+
+
+@given(
+    'the platform lists daemons {hosts} as {state} and never changes its list'
+)
+def list_daemons(context, hosts, state):
+    listed = [
+        {
+            'host': host,
+            'state': state,
+            'data_centre': 'north',
+            'address': context.fleet.entries[host].peer_address,
+        }
+        for host in hosts.split(',')
+    ]
+    context.fleet.control_platform(hosts=context.fleet.host_list() + listed)
+
+
+@given('an observer of the address answers')
+def observe_addresses(context):
+    observer = AddressObserver(context.fleet)
+    context.address_observer = observer
+    context.stack.callback(observer.stop)
+    context.gone_s_by_address = {}
+    observer.start()
+
+
+@when('daemon {host} is replaced by daemon {successor}')
+def replace(context, host, successor):
+    address = context.fleet.entries[host].address
+    stop_together(context, [host])
+    context.gone_s_by_address[address] = time.monotonic()
+    del context.fleet.entries[host]
+    context.fleet.start_daemon(successor)
+    context.fleet.wait_ready()
+
+
+@then('every address was served for as long as it could be kept')
+def served_long_enough(context):
+    context.address_observer.stop()
+    given = context.address_observer.given
+    assert len(given) > 100, len(given)
+    for given_s, addresses in given:
+        for address in addresses:
+            gone_s = context.gone_s_by_address.get(address, float('inf'))
+            assert given_s + KEEP_S <= gone_s, (address, gone_s - given_s)
+
+
+@then('callers are given the addresses of {hosts}')
+def all_given(context, hosts):
+    entries = context.fleet.entries
+    wanted = {entries[host].address for host in hosts.split(',')}
+    for entry in entries.values():
+        until(
+            lambda entry=entry: set(given_by(entry.address)) == wanted,
+            GIVEN_LIMIT_S,
+            f'{entry.address} gives {wanted}',
+        )
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -291,3 +291,17 @@
         assert membership.choose_addresses(
             known, 'north', count, random.Random(1).random, frozenset()
         ) == ('ready',)
+
+
+def test_a_stale_list_keeps_at_most_half_of_the_members_from_callers():
+    """Hosts that restarted stay listed; the rest must not get all callers."""
+    known = [record(f'h{number}') for number in range(4)]
+    for listed, expected in ((2, 2), (3, 4), (4, 4)):
+        chosen = membership.choose_addresses(
+            known,
+            'north',
+            4,
+            random.Random(1).random,
+            frozenset(f'h{number}' for number in range(listed)),
+        )
+        assert len(chosen) == expected
