Spread server records by bounded gossip and digests

Each daemon sent all records of its own servers to all members every 10 s, which is 135 KB/s at the target, 12 times the budget. Which of two records was kept depended on the view of the members, so that daemons with different views could keep different records for ever, and a digest would never agree.

Records now have one order for all daemons: the sequence number of the server, which a new dispatcher continues, then the dispatcher. A change goes to 4 members at once and is passed on at a bounded rate. Every 3 s a daemon compares a digest of grouped hashes with one random member, and both send what the other lacks. A daemon that starts fetches all records in pages.

The rule that the current dispatcher wins becomes: the newest record is kept in any order of arrival, and a new dispatcher always announces a newer one. A record whose periodic copy stops no longer ages, as there is no periodic copy; the record of a gone dispatcher gives way because its successor announces a newer one.

--- a/boragespool/controllers/server_records.py
+++ b/boragespool/controllers/server_records.py
@@ -1,75 +1,27 @@
-"""Records of backend servers: merged, aged, and adjusted for all signs."""
+"""Records of backend servers, adjusted for all signs."""
 
 from __future__ import annotations
 
-import math
 from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
-from boragespool.backends import ServerSigns, prefer, states_of
+from boragespool.backends import ServerSigns, states_of
+from boragespool.events import Event, log_event
 from boragespool.messages import Holding, ServerRecord
 from boragespool.types import ServerState
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Mapping
 
     from boragespool.blackboard.topics import ServerObservation
     from boragespool.controllers.backend_protocol import BackendStatus
     from boragespool.settings import ServerSettings, Settings
-    from boragespool.types import HostName, Seconds, ServerName
+    from boragespool.types import Seconds, ServerName
 
 #: A reply ``draining`` counts until the polls must have confirmed it.
 _REPLY_AGE_S: Final = 5
 
 
-class RecordTable:
-    """Records of all servers, with the time of their last confirmation.
-
-    Parameters
-    ----------
-    record_age_s : float
-        Time without confirmation after which any other record replaces one.
-        A daemon that sees only a sample of the members may not know that a
-        dispatcher is gone.
-    """
-
-    def __init__(self, record_age_s: Seconds) -> None:
-        """Start empty."""
-        self.by_server: dict[ServerName, ServerRecord] = {}
-        self._heard_s: dict[ServerName, Seconds] = {}
-        self._record_age_s = record_age_s
-
-    def merge(
-        self,
-        incoming: ServerRecord,
-        current: HostName | None,
-        now_s: Seconds,
-    ) -> None:
-        """Keep the incoming record if it is preferred to the known one."""
-        server = incoming.server
-        known = self.by_server.get(server)
-        silent_s = now_s - self._heard_s.get(server, -math.inf)
-        is_stale = silent_s > self._record_age_s
-        kept = prefer(None if is_stale else known, incoming, current)
-        if kept == incoming:
-            self.by_server[server] = incoming
-            self._heard_s[server] = now_s
-
-    def owned(self, servers: Iterable[ServerName]) -> tuple[ServerRecord, ...]:
-        """Return the known records of some servers, ordered by name."""
-        return tuple(
-            self.by_server[server]
-            for server in sorted(servers)
-            if server in self.by_server
-        )
-
-    def keep_only(self, servers: Mapping[ServerName, ServerSettings]) -> None:
-        """Forget servers that are no longer in the settings."""
-        for server in self.by_server.keys() - servers.keys():
-            self.by_server.pop(server)
-            self._heard_s.pop(server)
-
-
 def servers_of(settings: Settings) -> dict[ServerName, ServerSettings]:
     """Return the backend servers of all services."""
     return {
@@ -144,6 +96,23 @@
     return now_s - observation.draining_at_s < _REPLY_AGE_S
 
 
+def log_changes(
+    before: Mapping[ServerName, ServerRecord],
+    view: Mapping[ServerName, ServerRecord],
+) -> None:
+    """Log each state that differs."""
+    for server, record in view.items():
+        state_before = before[server].state if server in before else None
+        if state_before != record.state:
+            log_event(
+                Event.SERVER_STATE_CHANGED,
+                f'the state of server {server!r} changed',
+                server=server,
+                state=record.state,
+                before=state_before,
+            )
+
+
 def _signs(
     server: ServerSettings,
     record: ServerRecord | None,
--- a/boragespool/controllers/servers.py
+++ b/boragespool/controllers/servers.py
@@ -1,13 +1,13 @@
-"""Polls backend servers, announces their records and merges those of peers."""
+"""Polls backend servers, and posts their records and those of peers."""
 
 from __future__ import annotations
 
 import contextlib
-import itertools
 import math
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING, Final, Self, TypeAlias
 
+from boragespool.backends import RecordTable, next_version
 from boragespool.blackboard.topics import (
     IN_FORCE,
     LEAVING_HOSTS,
@@ -15,16 +15,20 @@
     OBSERVATIONS,
     SERVERS,
 )
+from boragespool.controllers.record_exchange import (
+    ExchangeHooks,
+    ExchangeOptions,
+    RecordExchange,
+)
 from boragespool.controllers.server_polls import PollHooks, ServerPolls
 from boragespool.controllers.server_records import (
-    RecordTable,
     holdings_of,
+    log_changes,
     recently_draining,
     servers_of,
     view_of,
 )
-from boragespool.events import Event, log_event
-from boragespool.messages import ServerAnnouncement, ServerRecord
+from boragespool.messages import ServerRecord
 from boragespool.routing import DispatcherAssignment
 from boragespool.settings import Settings
 from boragespool.types import (
@@ -42,14 +46,11 @@
     from boragespool.blackboard.topics import ServerObservation
     from boragespool.controllers.backend_protocol import BackendStatus
     from boragespool.controllers.context import Context
-    from boragespool.peers import Sender
     from boragespool.messages import MemberRecord
     from boragespool.types import Seconds
 
-#: Changes within this time share one post and one announcement.
+#: Changes within this time share one post.
 _GATHER_S: Final = 0.01
-#: Announcements that may be lost before a record counts as unconfirmed.
-_MISSED_ANNOUNCEMENTS: Final = 2.5
 _CANDIDATE_STATUSES: Final = frozenset(
     (MemberStatus.ALIVE, MemberStatus.SUSPECT),
 )
@@ -64,14 +65,13 @@
     ----------
     poll_interval_s, poll_timeout_s : float
         A sign of leaving is seen after at most the sum of both.
-    announce_interval_s : float
-        Time between two announcements of all own records, as messages can
-        be lost.
+    exchange : ExchangeOptions
+        Times and bounds of the exchange of records with peers.
     """
 
     poll_interval_s: Seconds = 1
     poll_timeout_s: Seconds = 0.8
-    announce_interval_s: Seconds = 10
+    exchange: ExchangeOptions = field(default_factory=ExchangeOptions)
 
 
 class ServerController:
@@ -85,8 +85,16 @@
         """Keep the parts; `__aenter__` begins to poll."""
         self._context = context
         self._options = options or PollOptions()
-        self._table = RecordTable(
-            _MISSED_ANNOUNCEMENTS * self._options.announce_interval_s,
+        self._table = RecordTable()
+        self._exchange = RecordExchange(
+            context,
+            self._table,
+            self._options.exchange,
+            ExchangeHooks(
+                self._accepts,
+                lambda: self._assignment.server_count,
+                self._post_soon,
+            ),
         )
         self._polls = ServerPolls(
             context.timers,
@@ -95,16 +103,14 @@
         )
         self._assignment = DispatcherAssignment()
         self._refused_at_s: dict[ServerName, Seconds] = {}
-        self._changed: set[ServerName] = set()
+        self._claimed_at_s: dict[ServerName, Seconds] = {}
         self._candidates: frozenset[_Candidate] = frozenset()
-        self._sequences = itertools.count(1)
         self._post_is_due = False
-        self._stack = contextlib.ExitStack()
+        self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Self:
-        """Poll and listen to announcements from now on."""
+        """Poll and exchange records from now on."""
         context = self._context
-        context.peers.on_message(ServerAnnouncement, self._receive)
         for subscription in (
             context.board.subscribe(MEMBERS, self._follow_members),
             context.board.subscribe(IN_FORCE, self._assign),
@@ -112,19 +118,19 @@
             context.board.subscribe(LEAVING_HOSTS, self._post_soon),
         ):
             self._stack.callback(subscription)
-        for interval_s, tick in (
-            (self._options.poll_interval_s, self._poll_all),
-            (self._options.announce_interval_s, self._announce_all),
-        ):
-            timer = context.timers.every(interval_s, tick)
-            self._stack.callback(timer.cancel)
+        timer = context.timers.every(
+            self._options.poll_interval_s,
+            self._poll_all,
+        )
+        self._stack.callback(timer.cancel)
         self._follow_members(context.board.read(MEMBERS))
         self._assign()
+        await self._stack.enter_async_context(self._exchange)
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Stop polling and close the connections."""
-        self._stack.close()
+        await self._stack.aclose()
         await self._polls.close()
 
     def _settings(self) -> Settings:
@@ -135,21 +141,15 @@
         self,
         members_by_host: Mapping[HostName, MemberRecord],
     ) -> None:
-        """Tell newcomers the own records; reassign if candidates changed."""
+        """Reassign the servers if the candidates changed."""
         candidates = frozenset(
             (member.host, member.incarnation, member.data_centre)
             for member in members_by_host.values()
             if member.status in _CANDIDATE_STATUSES
         )
-        if candidates == self._candidates:
-            return
-        newcomers = {host for host, _, _ in candidates - self._candidates}
-        self._candidates = candidates
-        self._assign()
-        records = self._table.owned(self._polls.servers)
-        for host in newcomers - {self._context.identity.host}:
-            if records:
-                self._context.peers.send(host, ServerAnnouncement(records))
+        if candidates != self._candidates:
+            self._candidates = candidates
+            self._assign()
 
     def _assign(self, _posted: object = None) -> None:
         """Find the dispatcher of each server; poll what became ours."""
@@ -219,21 +219,32 @@
         )
         self._update(server, record)
 
-    def _update(self, server: ServerName, record: ServerRecord) -> None:
-        """Keep an own record; a change gets the next sequence number."""
+    def _update(self, server: ServerName, seen: ServerRecord) -> None:
+        """Announce what was observed if it changes the record."""
         identity = self._context.identity
+        now_s = self._context.timers.now_s()
         known = self._table.by_server.get(server)
-        record = replace(
-            record,
-            dispatcher=identity.host,
-            dispatcher_incarnation=identity.incarnation,
-            sequence=0 if known is None else known.sequence,
+        record = next_version(
+            known,
+            replace(
+                seen,
+                dispatcher=identity.host,
+                dispatcher_incarnation=identity.incarnation,
+            ),
+            now_s - self._claimed_at_s.get(server, -math.inf),
+            rival_is_live=known is not None and self._is_live(known),
         )
-        if record != known:
-            record = replace(record, sequence=next(self._sequences))
-            self._changed.add(server)
-            self._post_soon()
-        self._table.merge(record, identity.host, self._context.timers.now_s())
+        if record is None:
+            return
+        if known is None or known.dispatcher != identity.host:
+            self._claimed_at_s[server] = now_s
+        self._table.merge(record)
+        self._exchange.announce(record)
+        self._post_soon()
+
+    def _is_live(self, record: ServerRecord) -> bool:
+        author = (record.dispatcher, record.dispatcher_incarnation)
+        return any(author == candidate[:2] for candidate in self._candidates)
 
     def _observed(
         self,
@@ -257,19 +268,10 @@
                 self._polls.poll(server)
         self._post_soon()
 
-    def _receive(self, _sender: Sender, message: ServerAnnouncement) -> None:
-        now_s = self._context.timers.now_s()
+    def _accepts(self, server: ServerName) -> bool:
         # Before the first revision any server may turn out to be configured.
         has_settings = self._context.board.read(IN_FORCE) is not None
-        for record in message.records:
-            if not has_settings or record.server in self._assignment:
-                current = self._assignment.dispatcher(record.server)
-                self._table.merge(record, current, now_s)
-        self._post_soon()
-
-    def _announce_all(self) -> None:
-        self._changed.update(self._polls.servers)
-        self._post_soon()
+        return not has_settings or server in self._assignment
 
     def _post_soon(self, _posted: object = None) -> None:
         if not self._post_is_due:
@@ -277,7 +279,7 @@
             self._context.timers.after(_GATHER_S, self._post)
 
     def _post(self) -> None:
-        """Post the view and announce the own records that changed."""
+        """Post the view."""
         self._post_is_due = False
         board = self._context.board
         before = board.read(SERVERS)
@@ -289,31 +291,4 @@
             self._context.timers.now_s(),
         )
         board.post(SERVERS, view)
-        _log_changes(before, view)
-        self._announce()
-
-    def _announce(self) -> None:
-        owned = self._polls.servers
-        records = self._table.owned(self._changed.intersection(owned))
-        self._changed.clear()
-        if not records:
-            return
-        for host in self._context.board.read(MEMBERS):
-            if host != self._context.identity.host:
-                self._context.peers.send(host, ServerAnnouncement(records))
-
-
-def _log_changes(
-    before: Mapping[ServerName, ServerRecord],
-    view: Mapping[ServerName, ServerRecord],
-) -> None:
-    for server, record in view.items():
-        state_before = before[server].state if server in before else None
-        if state_before != record.state:
-            log_event(
-                Event.SERVER_STATE_CHANGED,
-                f'the state of server {server!r} changed',
-                server=server,
-                state=record.state,
-                before=state_before,
-            )
+        log_changes(before, view)
--- a/boragespool/messages/__init__.py
+++ b/boragespool/messages/__init__.py
@@ -28,7 +28,12 @@
 from boragespool.messages.servers import (
     Holding,
     ServerAnnouncement,
+    ServerDigest,
+    ServerPage,
+    ServerPageRequest,
     ServerRecord,
+    ServersWanted,
+    ServerVersions,
     SuspectNotice,
 )
 from boragespool.messages.work import (
@@ -62,7 +67,12 @@
     'RevisionRequest',
     'SealTicket',
     'ServerAnnouncement',
+    'ServerDigest',
+    'ServerPage',
+    'ServerPageRequest',
     'ServerRecord',
+    'ServerVersions',
+    'ServersWanted',
     'SuspectNotice',
     'WitnessReply',
     'WitnessVerdict',
--- a/boragespool/messages/servers.py
+++ b/boragespool/messages/servers.py
@@ -30,7 +30,8 @@
     Attributes
     ----------
     sequence : int
-        Counts changes within one dispatcher incarnation.
+        Counts the changes of this server's record. A dispatcher that takes
+        the server over continues above the record that it knows.
     limit : int
         Requests that the dispatcher would run at the same time.
     """
@@ -49,9 +50,80 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerAnnouncement:
-    """Spreads server records to peers."""
+    """Spreads server records to peers.
+
+    Attributes
+    ----------
+    is_repair : bool
+        Whether the records were sent after a comparison of digests. They
+        are not passed on, as most daemons have them.
+    """
+
+    records: tuple[ServerRecord, ...]
+    is_repair: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ServerDigest:
+    """Asks a peer to compare the records of all servers.
+
+    Attributes
+    ----------
+    hashes : bytes
+        Four bytes for each group of servers.
+    """
+
+    hashes: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ServerVersions:
+    """Answer to a digest: versions in some groups that differ.
+
+    Attributes
+    ----------
+    groups : tuple of int
+        Groups of the digest that were compared; empty if all agree.
+    versions : bytes
+        Sixteen bytes for each record in these groups.
+    """
+
+    groups: tuple[int, ...]
+    versions: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ServersWanted:
+    """Asks a peer for the records of some servers, given by their keys."""
+
+    keys: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ServerPageRequest:
+    """Asks a peer for the records of the groups from one on.
+
+    Attributes
+    ----------
+    group : int
+        First group.
+    """
+
+    group: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServerPage:
+    """Records of some groups.
+
+    Attributes
+    ----------
+    next_group : int
+        First group that is not in this page; the number of groups at the end.
+    """
 
     records: tuple[ServerRecord, ...]
+    next_group: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragespool/routing/assignment.py
+++ b/boragespool/routing/assignment.py
@@ -29,6 +29,11 @@
         self._site_by_host: dict[HostName, DataCentre] = {}
         self._best_by_server: dict[ServerName, _Claim] = {}
 
+    @property
+    def server_count(self) -> int:
+        """Servers that are known."""
+        return len(self._site_by_server)
+
     def dispatcher(self, server: ServerName) -> HostName | None:
         """Return the dispatcher of a server; None without a candidate."""
         best = self._best_by_server.get(server)
--- /dev/null
+++ b/tests/test_record_exchange.py
@@ -0,0 +1,273 @@
+"""Decisions that spread server records: digests, comparisons, changes."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from boragespool import backends
+from boragespool.messages import Holding, ServerRecord
+from boragespool.types import ServerState
+
+DAEMONS = 4
+SERVERS = tuple(f's{number}' for number in range(12))
+#: Small, so that one exchange does not carry everything.
+LIMITS = backends.ExchangeLimits(1, 2, 500)
+FEW = settings(derandomize=True, max_examples=150, deadline=None)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(('observe', 'exchange', 'deliver', 'repeat', 'lose')),
+        st.integers(0, DAEMONS - 1),
+        st.sampled_from(SERVERS),
+        st.sampled_from(ServerState),
+    ),
+    max_size=80,
+)
+
+
+def record(server, dispatcher='a', **fields):
+    """Build a record."""
+    base = ServerRecord(
+        server, 'v', 'north', dispatcher, 1, 1, 1, ServerState.SERVING, 1
+    )
+    return replace(base, **fields)
+
+
+def order(known):
+    """Return what orders the versions of a server."""
+    return known.sequence, known.dispatcher_incarnation, known.dispatcher
+
+
+class Daemons:
+    """Tables of several daemons and the announcements on their way."""
+
+    def __init__(self, seed):
+        self.source = random.Random(seed)
+        self.tables = [backends.RecordTable() for _ in range(DAEMONS)]
+        self.bag = []
+        self.newest = {}
+
+    def observe(self, daemon, server, state):
+        """Let any daemon believe that it dispatches to the server."""
+        table = self.tables[daemon]
+        announced = backends.next_version(
+            table.by_server.get(server),
+            record(server, f'd{daemon}', state=state),
+            100,
+            rival_is_live=True,
+        )
+        if announced is None:
+            return
+        table.merge(announced)
+        self.newest[server] = max(
+            self.newest.get(server, announced), announced, key=order
+        )
+        for target in range(DAEMONS):
+            self.bag.append((target, (announced,)))
+
+    def exchange(self, first, second):
+        """Compare two tables; the records go into the bag."""
+        own, other = self.tables[first], self.tables[second]
+        count = backends.group_count(len(own.by_server))
+        groups = backends.differing_groups(
+            other.digest(count),
+            own.digest(count),
+            LIMITS,
+            self.source.random,
+        )
+        versions = backends.versions_of(other, groups, count)
+        compared = backends.compare(own, groups, count, versions)
+        for target, records in (
+            (second, compared.to_send),
+            (first, other.find(compared.wanted)),
+        ):
+            self.bag.append(
+                (target, backends.bounded(records, LIMITS.size_bytes))
+            )
+
+    def carry(self, *, keep):
+        """Deliver a random message; an older record must not win."""
+        if not self.bag:
+            return
+        place = self.source.randrange(len(self.bag))
+        target, records = self.bag[place] if keep else self.bag.pop(place)
+        table = self.tables[target]
+        before = dict(table.by_server)
+        for each in records:
+            table.merge(each)
+        for server, known in before.items():
+            assert order(table.by_server[server]) >= order(known)
+
+    def step(self, kind, daemon, server, state):
+        """Make one step of the history."""
+        if kind == 'observe':
+            self.observe(daemon, server, state)
+        elif kind == 'exchange':
+            self.exchange(daemon, self.source.randrange(DAEMONS))
+        elif kind == 'lose' and self.bag:
+            self.bag.pop(self.source.randrange(len(self.bag)))
+        else:
+            self.carry(keep=kind == 'repeat')
+
+
+@FEW
+@given(STEPS, st.integers(0, 999))
+def test_all_daemons_converge_to_the_newest_records(steps, seed):
+    """Guards against records that a lost or late message leaves behind."""
+    daemons = Daemons(seed)
+    for step in steps:
+        daemons.step(*step)
+    daemons.bag.clear()
+    for _ in range(40):
+        for first in range(DAEMONS):
+            daemons.exchange(first, (first + 1) % DAEMONS)
+        while daemons.bag:
+            daemons.carry(keep=False)
+    for table in daemons.tables:
+        assert table.by_server == daemons.newest
+        assert table.digest(1) == daemons.tables[0].digest(1)
+
+
+@FEW
+@given(
+    st.sets(st.integers(0, 2_000), max_size=300),
+    st.sets(st.integers(0, 2_000), max_size=300),
+    st.integers(0, 9),
+)
+def test_digests_show_each_difference_at_any_size(first, second, power):
+    """A hash that misses a change would never be repaired."""
+    tables = []
+    for numbers in (first, second):
+        table = backends.RecordTable()
+        for number in numbers | {2_001}:
+            # The hashes must not depend on the versions seen before.
+            if numbers is first:
+                table.merge(record(f's{number}'))
+            table.merge(record(f's{number}', sequence=2))
+        table.keep_only({f's{number}' for number in numbers})
+        tables.append(table)
+    count = 2**power
+    digests = [table.digest(count) for table in tables]
+    assert (digests[0] == digests[1]) == (first == second)
+    sent, wanted = set(), set()
+    for group in range(count):
+        versions = backends.versions_of(tables[1], (group,), count)
+        compared = backends.compare(tables[0], (group,), count, versions)
+        sent |= {each.server for each in compared.to_send}
+        wanted |= {each.server for each in tables[1].find(compared.wanted)}
+    assert sent == {f's{number}' for number in first - second}
+    assert wanted == {f's{number}' for number in second - first}
+
+
+def test_far_behind_tables_compare_more_groups():
+    """A fleet that starts must not need hours to exchange its records."""
+    full, empty = backends.RecordTable(), backends.RecordTable()
+    for number in range(5_000):
+        full.merge(record(f's{number}'))
+    limits = backends.ExchangeLimits()
+    count = backends.group_count(5_000)
+    groups = backends.differing_groups(
+        full.digest(count), empty.digest(count), limits, lambda: 0.9
+    )
+    assert len(groups) == limits.catch_up_groups
+    full.merge(record('s1', sequence=2))
+    nearly = backends.RecordTable()
+    for number in range(5_000):
+        nearly.merge(record(f's{number}'))
+    groups = backends.differing_groups(
+        full.digest(count), nearly.digest(count), limits, lambda: 0.9
+    )
+    assert len(groups) == 1
+
+
+@FEW
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(SERVERS),
+            st.booleans(),
+            st.integers(0, 3),
+            st.floats(0, 2),
+        ),
+        max_size=60,
+    ),
+)
+def test_changes_stay_within_rate_and_sends(steps):
+    """Any number of changes at once must not exceed the bytes."""
+    limits = backends.SpreadLimits(
+        bytes_per_s=600, burst_bytes=2_000, queue_count=5
+    )
+    queue = backends.SpreadQueue(limits, 0)
+    now_s = sent_bytes = 0
+    sends = {}
+    for number, (server, is_urgent, targets, wait_s) in enumerate(steps):
+        now_s += wait_s
+        queue.note(record(server, sequence=number), is_urgent=is_urgent)
+        taken = queue.take(targets, now_s, urgent_only=False)
+        for each in taken:
+            sent_bytes += targets * backends.record_size_bytes(each)
+            key = each.server, each.sequence
+            sends[key] = sends.get(key, 0) + 1
+            assert sends[key] <= limits.sends
+        assert sent_bytes <= limits.burst_bytes + limits.bytes_per_s * now_s
+    for _ in range(limits.sends * limits.queue_count):
+        now_s += 1
+        queue.take(1, now_s, urgent_only=False)
+    assert not queue.take(1, now_s + 1, urgent_only=False)
+
+
+def test_urgent_changes_go_first():
+    """A lost server must not wait behind changes of limits."""
+    limits = backends.SpreadLimits(bytes_per_s=0, burst_bytes=300)
+    queue = backends.SpreadQueue(limits, 0)
+    for server in SERVERS:
+        queue.note(record(server), is_urgent=server == 's9')
+    (first,) = queue.take(1, 0, urgent_only=False)
+    assert first.server == 's9'
+    several = [record(server) for server in SERVERS]
+    several[7] = replace(several[7], state=ServerState.LOST)
+    assert backends.bounded(several, 300) == (several[7],)
+
+
+@FEW
+@given(st.integers(0, 5), st.integers(0, 5), st.text('abc', max_size=40))
+def test_size_of_a_record_is_not_underestimated(versions, ranges, name):
+    """The bounds count estimated bytes."""
+    holdings = tuple(
+        Holding(2**30 + version, ((2**31, 2**32),) * ranges)
+        for version in range(versions)
+    )
+    built = record(
+        name, dispatcher_incarnation=2**41, incarnation=2**41, holdings=holdings
+    )
+    size_bytes = len(msgspec.msgpack.encode(built))
+    assert size_bytes <= backends.record_size_bytes(built) <= 2 * size_bytes
+
+
+@FEW
+@given(st.integers(0, 9), st.integers(0, 12), st.floats(0, 0.999))
+def test_targets_are_different_hosts(count, host_count, drawn):
+    """A message sent twice to a host would miss another."""
+    hosts = SERVERS[:host_count]
+    targets = backends.choose_targets(hosts, count, lambda: drawn)
+    assert len(set(targets)) == len(targets) == min(count, host_count)
+
+
+def test_two_dispatchers_do_not_replace_each_other_at_each_poll():
+    """Two views of the members must not cause an announcement per poll."""
+    theirs = record('s', 'b', sequence=7, limit=4)
+    own = record('s', 'a')
+
+    def version(since_s, *, seen=own, live=True):
+        return backends.next_version(theirs, seen, since_s, rival_is_live=live)
+
+    assert version(5) is None
+    assert version(11) == replace(own, sequence=8)
+    assert version(5, live=False) == replace(own, sequence=8)
+    lost = replace(own, state=ServerState.LOST)
+    assert version(5, seen=lost) == replace(lost, sequence=8)
+    assert backends.next_version(own, own, 99, rival_is_live=True) is None
