Bound the bytes of repairs while most groups of servers differ

Larger comparisons now come from an allowance of 24 MB, enough for all records and their versions once, that is refilled at 1 KB/s.

The repair of records moves into a class of its own. The new test was seen to fail in a scratch copy without each of the two uses of the allowance.

--- a/boragespool/backends/__init__.py
+++ b/boragespool/backends/__init__.py
@@ -31,6 +31,7 @@
 from boragespool.backends.service_states import ServiceStates
 from boragespool.backends.signs import ServerSigns
 from boragespool.backends.spreading import (
+    ByteAllowance,
     SpreadLimits,
     SpreadQueue,
     choose_targets,
@@ -40,6 +41,7 @@
     'GROUP_COUNT',
     'HASH_BYTES',
     'OUT_OF_USE',
+    'ByteAllowance',
     'Comparison',
     'CrashLedger',
     'ExchangeLimits',
--- a/boragespool/backends/digests.py
+++ b/boragespool/backends/digests.py
@@ -49,11 +49,17 @@
         the whole fleet.
     size_bytes : int
         Records sent for each compared group, in bytes.
+    catch_up_bytes_per_s, catch_up_burst_bytes : int
+        Rate of what is sent while more groups are compared. The burst
+        carries all records of a fleet that starts, 16 MB, and half as much
+        again for their versions.
     """
 
     groups: int = 2
     catch_up_groups: int = 16
     size_bytes: int = 4_096
+    catch_up_bytes_per_s: int = 1_000
+    catch_up_burst_bytes: int = 24_000_000
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragespool/backends/spreading.py
+++ b/boragespool/backends/spreading.py
@@ -52,6 +52,35 @@
     sends_left: int
 
 
+class ByteAllowance:
+    """Bytes that may be sent: a rate with bursts."""
+
+    def __init__(
+        self,
+        bytes_per_s: int,
+        burst_bytes: int,
+        now_s: Seconds,
+    ) -> None:
+        """Start with the whole burst available."""
+        self._bytes_per_s = bytes_per_s
+        self._burst_bytes = burst_bytes
+        self._allowed_bytes: float = burst_bytes
+        self._refilled_at_s = now_s
+
+    def take(self, size_bytes: int, now_s: Seconds) -> bool:
+        """Take some bytes, or none if fewer are left."""
+        elapsed_s = now_s - self._refilled_at_s
+        self._refilled_at_s = now_s
+        self._allowed_bytes = min(
+            self._burst_bytes,
+            self._allowed_bytes + elapsed_s * self._bytes_per_s,
+        )
+        is_allowed = size_bytes <= self._allowed_bytes
+        if is_allowed:
+            self._allowed_bytes -= size_bytes
+        return is_allowed
+
+
 class SpreadQueue:
     """Changes that wait to be passed on, the latest of each server."""
 
@@ -59,8 +88,11 @@
         """Start empty, with the whole burst available."""
         self.limits = limits
         self._rumours: dict[ServerName, _Rumour] = {}
-        self._allowed_bytes: float = limits.burst_bytes
-        self._refilled_at_s = now_s
+        self._allowance = ByteAllowance(
+            limits.bytes_per_s,
+            limits.burst_bytes,
+            now_s,
+        )
 
     def note(self, record: ServerRecord, *, is_urgent: bool) -> None:
         """Replace what waits about a server."""
@@ -94,13 +126,11 @@
         """
         if not targets:
             return ()
-        self._refill(now_s)
         chosen: list[ServerRecord] = []
         for rumour in self._ordered(urgent_only=urgent_only):
             cost = targets * record_size_bytes(rumour.record)
-            if cost > self._allowed_bytes:
+            if not self._allowance.take(cost, now_s):
                 break
-            self._allowed_bytes -= cost
             chosen.append(rumour.record)
             self._sent(rumour, targets)
         return tuple(chosen)
@@ -124,14 +154,6 @@
         else:
             self._rumours.pop(server)
 
-    def _refill(self, now_s: Seconds) -> None:
-        elapsed_s = now_s - self._refilled_at_s
-        self._refilled_at_s = now_s
-        self._allowed_bytes = min(
-            self.limits.burst_bytes,
-            self._allowed_bytes + elapsed_s * self.limits.bytes_per_s,
-        )
-
 
 def choose_targets(
     hosts: Sequence[HostName],
--- a/boragespool/bench/announcements.py
+++ b/boragespool/bench/announcements.py
@@ -181,10 +181,12 @@
     groups = backends.differing_groups(
         other.digest(count), digest, options.exchange, source.random
     )
+    # The allowance for catching up lasts for hours, not for ever.
+    groups = groups[: options.exchange.groups]
     versions = backends.versions_of(other, groups, count)
     compared = backends.compare(table, groups, count, versions)
-    limit = max(1, len(groups)) * options.exchange.size_bytes
-    sent = backends.bounded(compared.to_send, limit)
+    limits = options.exchange
+    sent = backends.bounded(compared.to_send, limits.groups * limits.size_bytes)
     sent_bytes = (
         _size_bytes(ServerDigest(digest))
         + _size_bytes(ServerVersions(groups, versions), reply=True)
--- a/boragespool/controllers/record_exchange.py
+++ b/boragespool/controllers/record_exchange.py
@@ -13,16 +13,8 @@
 
 from boragespool import backends
 from boragespool.blackboard.topics import MEMBERS
-from boragespool.messages import (
-    ServerAnnouncement,
-    ServerDigest,
-    ServerPage,
-    ServerPageRequest,
-    ServerRecord,
-    ServersWanted,
-    ServerVersions,
-)
-from boragespool.results import Failure, ResultCode
+from boragespool.controllers.record_repair import RecordRepair
+from boragespool.messages import ServerAnnouncement, ServerRecord
 from boragespool.tasks import TaskSet
 from boragespool.types import MemberStatus
 
@@ -36,15 +28,9 @@
 
 #: Urgent changes within this time share one message.
 _GATHER_S: Final = 0.01
-_TIMEOUT_S: Final = 1
 #: Members asked for all records before a new daemon relies on digests, and
 #: members that it compares digests with at once after that.
 _JOIN_ATTEMPTS: Final = 3
-#: Records in one page, in bytes; below the size of a peer frame.
-_PAGE_BYTES: Final = 131_072
-#: A digest of a daemon with fewer records may have this many times fewer
-#: groups. The versions of larger groups would exceed the bytes of a period.
-_LARGEST_GROUP_RATIO: Final = 4
 _LIVE: Final = frozenset((MemberStatus.ALIVE, MemberStatus.SUSPECT))
 
 
@@ -113,6 +99,13 @@
             options.spread,
             context.timers.now_s(),
         )
+        self._repair = RecordRepair(
+            context,
+            table,
+            options.exchange,
+            hooks.server_count,
+            self._merge,
+        )
         self._tasks = TaskSet()
         self._stack = contextlib.ExitStack()
 
@@ -120,9 +113,7 @@
         """Answer peers, and exchange with them from now on."""
         context = self._context
         context.peers.on_message(ServerAnnouncement, self._receive)
-        context.peers.on_message(ServersWanted, self._send_wanted)
-        context.peers.on_request(ServerDigest, self._answer_digest)
-        context.peers.on_request(ServerPageRequest, self._answer_page)
+        self._repair.serve()
         unsubscribe = context.board.subscribe(MEMBERS, self._follow_members)
         self._stack.callback(unsubscribe)
         for interval_s, tick in (
@@ -161,107 +152,14 @@
     async def _join(self) -> None:
         """Fetch all records of one member, then compare with others."""
         for host in self._choose(_JOIN_ATTEMPTS):
-            if await self._fetch_all(host):
+            if await self._repair.fetch_all(host):
                 break
         for other in self._choose(_JOIN_ATTEMPTS):
-            await self._compare_with(other)
-
-    async def _fetch_all(self, host: HostName) -> bool:
-        """Fetch the records page by page; tell whether all were answered."""
-        group = 0
-        while group < backends.GROUP_COUNT:
-            page = await self._context.peers.request(
-                host,
-                ServerPageRequest(group),
-                _TIMEOUT_S,
-            )
-            if not isinstance(page, ServerPage) or page.next_group <= group:
-                return False
-            self._merge(page.records)
-            group = page.next_group
-        return True
-
-    async def _answer_page(
-        self,
-        _sender: Sender,
-        asked: ServerPageRequest,
-    ) -> ServerPage:
-        records: list[ServerRecord] = []
-        size_bytes = 0
-        group = max(0, asked.group)
-        while group < backends.GROUP_COUNT and size_bytes < _PAGE_BYTES:
-            found = self._table.group(group, backends.GROUP_COUNT).values()
-            records.extend(found)
-            size_bytes += sum(map(backends.record_size_bytes, found))
-            group += 1
-        return ServerPage(tuple(records), group)
+            await self._repair.compare_with(other)
 
     def _compare_with_one(self) -> None:
         for host in self._choose(1):
-            self._tasks.spawn(self._compare_with(host))
-
-    async def _compare_with(self, host: HostName) -> None:
-        """Compare digests; send what the peer lacks and ask for the rest."""
-        count = backends.group_count(
-            max(len(self._table.by_server), self._hooks.server_count()),
-        )
-        answer = await self._context.peers.request(
-            host,
-            ServerDigest(self._table.digest(count)),
-            _TIMEOUT_S,
-        )
-        if not isinstance(answer, ServerVersions) or not answer.groups:
-            return
-        compared = backends.compare(
-            self._table,
-            answer.groups,
-            count,
-            answer.versions,
-        )
-        if compared.wanted:
-            self._context.peers.send(host, ServersWanted(compared.wanted))
-        self._repair(host, compared.to_send, len(answer.groups))
-
-    async def _answer_digest(
-        self,
-        _sender: Sender,
-        digest: ServerDigest,
-    ) -> ServerVersions | Failure:
-        count, rest = divmod(len(digest.hashes), backends.HASH_BYTES)
-        lowest = backends.group_count(
-            len(self._table.by_server) // _LARGEST_GROUP_RATIO,
-        )
-        if rest or not backends.is_group_count(count) or count < lowest:
-            size = len(digest.hashes)
-            return Failure(
-                ResultCode.PEER_REFUSED,
-                f'digest of {size!r} bytes is not 4 bytes for each of '
-                f'{lowest} to {backends.GROUP_COUNT} groups, a power of two',
-            )
-        groups = backends.differing_groups(
-            self._table.digest(count),
-            digest.hashes,
-            self._options.exchange,
-            self._context.draw,
-        )
-        versions = backends.versions_of(self._table, groups, count)
-        return ServerVersions(groups, versions)
-
-    def _send_wanted(self, sender: Sender, message: ServersWanted) -> None:
-        limit = self._options.exchange.catch_up_groups
-        self._repair(sender.host, self._table.find(message.keys), limit)
-
-    def _repair(
-        self,
-        host: HostName,
-        records: tuple[ServerRecord, ...],
-        group_count: int,
-    ) -> None:
-        size_bytes = group_count * self._options.exchange.size_bytes
-        chosen = backends.bounded(records, size_bytes)
-        if chosen:
-            message = ServerAnnouncement(chosen, is_repair=True)
-            self._context.peers.send(host, message)
+            self._tasks.spawn(self._repair.compare_with(host))
 
     def _receive(self, _sender: Sender, message: ServerAnnouncement) -> None:
         for record in self._merge(message.records):
--- /dev/null
+++ b/boragespool/controllers/record_repair.py
@@ -0,0 +1,183 @@
+"""Repairs the records that the spreading of changes missed.
+
+A daemon compares digests with others, and fetches all records when it starts.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from boragespool import backends
+from boragespool.messages import (
+    ServerAnnouncement,
+    ServerDigest,
+    ServerPage,
+    ServerPageRequest,
+    ServerRecord,
+    ServersWanted,
+    ServerVersions,
+)
+from boragespool.results import Failure, ResultCode
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from boragespool.controllers.context import Context
+    from boragespool.peers import Sender
+    from boragespool.types import HostName
+
+_TIMEOUT_S: Final = 1
+#: Records in one page, in bytes; below the size of a peer frame.
+_PAGE_BYTES: Final = 131_072
+#: A digest of a daemon with fewer records may have this many times fewer
+#: groups. The versions of larger groups would exceed the bytes of a period.
+_LARGEST_GROUP_RATIO: Final = 4
+
+
+class RecordRepair:
+    """Compares and fetches records.
+
+    Parameters
+    ----------
+    context : Context
+        Shared parts of the daemon.
+    table : RecordTable
+        Records of this daemon.
+    limits : ExchangeLimits
+        Bounds on what is sent.
+    server_count : callable
+        Returns the number of configured servers.
+    merge : callable
+        Keeps the newer ones of some records.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        table: backends.RecordTable,
+        limits: backends.ExchangeLimits,
+        server_count: Callable[[], int],
+        merge: Callable[[Iterable[ServerRecord]], object],
+    ) -> None:
+        """Keep the parts; `serve` begins to answer."""
+        self._context = context
+        self._table = table
+        self._limits = limits
+        self._server_count = server_count
+        self._merge = merge
+        self._allowance = backends.ByteAllowance(
+            limits.catch_up_bytes_per_s,
+            limits.catch_up_burst_bytes,
+            context.timers.now_s(),
+        )
+
+    def serve(self) -> None:
+        """Answer peers from now on."""
+        peers = self._context.peers
+        peers.on_message(ServersWanted, self._send_wanted)
+        peers.on_request(ServerDigest, self._answer_digest)
+        peers.on_request(ServerPageRequest, self._answer_page)
+
+    async def fetch_all(self, host: HostName) -> bool:
+        """Fetch the records page by page; tell whether all were answered."""
+        group = 0
+        while group < backends.GROUP_COUNT:
+            page = await self._context.peers.request(
+                host,
+                ServerPageRequest(group),
+                _TIMEOUT_S,
+            )
+            if not isinstance(page, ServerPage) or page.next_group <= group:
+                return False
+            self._merge(page.records)
+            group = page.next_group
+        return True
+
+    async def compare_with(self, host: HostName) -> None:
+        """Compare digests; send what the peer lacks and ask for the rest."""
+        count = backends.group_count(
+            max(len(self._table.by_server), self._server_count()),
+        )
+        answer = await self._context.peers.request(
+            host,
+            ServerDigest(self._table.digest(count)),
+            _TIMEOUT_S,
+        )
+        if not isinstance(answer, ServerVersions) or not answer.groups:
+            return
+        compared = backends.compare(
+            self._table,
+            answer.groups,
+            count,
+            answer.versions,
+        )
+        if compared.wanted:
+            self._context.peers.send(host, ServersWanted(compared.wanted))
+        self._repair(host, compared.to_send)
+
+    async def _answer_page(
+        self,
+        _sender: Sender,
+        asked: ServerPageRequest,
+    ) -> ServerPage:
+        records: list[ServerRecord] = []
+        size_bytes = 0
+        group = max(0, asked.group)
+        while group < backends.GROUP_COUNT and size_bytes < _PAGE_BYTES:
+            found = self._table.group(group, backends.GROUP_COUNT).values()
+            records.extend(found)
+            size_bytes += sum(map(backends.record_size_bytes, found))
+            group += 1
+        return ServerPage(tuple(records), group)
+
+    async def _answer_digest(
+        self,
+        _sender: Sender,
+        digest: ServerDigest,
+    ) -> ServerVersions | Failure:
+        count, rest = divmod(len(digest.hashes), backends.HASH_BYTES)
+        lowest = backends.group_count(
+            len(self._table.by_server) // _LARGEST_GROUP_RATIO,
+        )
+        if rest or not backends.is_group_count(count) or count < lowest:
+            size = len(digest.hashes)
+            return Failure(
+                ResultCode.PEER_REFUSED,
+                f'digest of {size!r} bytes is not 4 bytes for each of '
+                f'{lowest} to {backends.GROUP_COUNT} groups, a power of two',
+            )
+        limits = self._limits
+        groups = backends.differing_groups(
+            self._table.digest(count),
+            digest.hashes,
+            limits,
+            self._context.draw,
+        )
+        versions = backends.versions_of(self._table, groups, count)
+        if len(groups) > limits.groups and not self._may_send(len(versions)):
+            groups = groups[: limits.groups]
+            versions = backends.versions_of(self._table, groups, count)
+        return ServerVersions(groups, versions)
+
+    def _send_wanted(self, sender: Sender, message: ServersWanted) -> None:
+        self._repair(sender.host, self._table.find(message.keys))
+
+    def _repair(
+        self,
+        host: HostName,
+        records: tuple[ServerRecord, ...],
+    ) -> None:
+        limits = self._limits
+        size_bytes = limits.groups * limits.size_bytes
+        needed = sum(map(backends.record_size_bytes, records))
+        largest = min(needed, limits.catch_up_groups * limits.size_bytes)
+        if needed > size_bytes and self._may_send(largest):
+            size_bytes = largest
+        chosen = backends.bounded(records, size_bytes)
+        if chosen:
+            message = ServerAnnouncement(chosen, is_repair=True)
+            self._context.peers.send(host, message)
+
+    def _may_send(self, size_bytes: int) -> bool:
+        """Take bytes from what is left for catching up."""
+        return self._allowance.take(size_bytes, self._context.timers.now_s())
--- a/tests/test_record_exchange.py
+++ b/tests/test_record_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from dataclasses import replace
 
@@ -10,7 +11,17 @@
 from hypothesis import strategies as st
 
 from boragespool import backends
-from boragespool.messages import Holding, ServerRecord
+from boragespool.backends.record_table import server_key
+from boragespool.controllers.context import Context
+from boragespool.controllers.record_repair import RecordRepair
+from boragespool.messages import (
+    Holding,
+    ServerDigest,
+    ServerRecord,
+    ServersWanted,
+)
+from boragespool.peers import Sender
+from boragespool.timers import VirtualTimers
 from boragespool.types import ServerState
 
 DAEMONS = 4
@@ -184,6 +195,45 @@
     assert len(groups) == 1
 
 
+class FakePeers(dict):
+    """Keeps handlers and what is sent."""
+
+    def __init__(self):
+        super().__init__()
+        self.sent = []
+        self.on_message = self.on_request = self.__setitem__
+
+    def send(self, host, message):
+        self.sent.append(message)
+
+
+def test_catching_up_stays_within_its_allowance():
+    """Changes of most groups all the time must not exceed the budget."""
+    table = backends.RecordTable()
+    for number in range(5_000):
+        table.merge(record(f's{number}'))
+    limits = backends.ExchangeLimits(
+        catch_up_bytes_per_s=0, catch_up_burst_bytes=100_000
+    )
+    peers = FakePeers()
+    context = Context(None, None, VirtualTimers(), peers, lambda: 0)
+    RecordRepair(context, table, limits, lambda: 5_000, table.merge).serve()
+    empty = ServerDigest(backends.RecordTable().digest(128))
+    sender = Sender('b', 1, '')
+    wanted = ServersWanted(tuple(map(server_key, table.by_server)))
+    sizes = []
+    for _ in range(20):
+        answer = asyncio.run(peers[ServerDigest](sender, empty))
+        peers[ServersWanted](sender, wanted)
+        records = peers.sent.pop().records
+        size_bytes = sum(map(backends.record_size_bytes, records))
+        sizes.append((len(answer.groups), size_bytes))
+    assert sizes[0][0] == limits.catch_up_groups
+    assert sizes[0][1] > limits.groups * limits.size_bytes
+    assert sizes[-1][0] == limits.groups
+    assert sizes[-1][1] <= limits.groups * limits.size_bytes
+
+
 @FEW
 @given(
     st.lists(
