--- /dev/null
+++ b/boragespool/controllers/record_exchange.py
@@ -0,0 +1,208 @@
+"""Spreads server records between the daemons.
+
+A change goes to a few members at once, and they pass it on. In addition each
+daemon compares a digest of all records with a random member now and then,
+which repairs what was lost. A daemon that starts fetches all records.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final, Self
+
+from boragespool import backends
+from boragespool.blackboard.topics import MEMBERS
+from boragespool.controllers.record_repair import RecordRepair
+from boragespool.messages import ServerAnnouncement, ServerRecord
+from boragespool.tasks import TaskSet
+from boragespool.types import MemberStatus
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Mapping
+
+    from boragespool.controllers.context import Context
+    from boragespool.messages import MemberRecord
+    from boragespool.peers import Sender
+    from boragespool.types import HostName, Seconds, ServerName
+
+#: Urgent changes within this time share one message.
+_GATHER_S: Final = 0.01
+#: Members asked for all records before a new daemon relies on digests, and
+#: members that it compares digests with at once after that.
+_JOIN_ATTEMPTS: Final = 3
+_LIVE: Final = frozenset((MemberStatus.ALIVE, MemberStatus.SUSPECT))
+
+
+@dataclass(frozen=True, slots=True)
+class ExchangeOptions:
+    """Times and bounds of the exchange of records.
+
+    Attributes
+    ----------
+    spread_interval_s : float
+        Time between two messages with changes of others.
+    digest_interval_s : float
+        Time between two comparisons with a random member.
+    spread, exchange : SpreadLimits, ExchangeLimits
+        Bounds on what is sent.
+    """
+
+    spread_interval_s: Seconds = 1
+    digest_interval_s: Seconds = 3
+    spread: backends.SpreadLimits = field(
+        default_factory=backends.SpreadLimits,
+    )
+    exchange: backends.ExchangeLimits = field(
+        default_factory=backends.ExchangeLimits,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class ExchangeHooks:
+    """What the exchange asks and tells its owner.
+
+    Attributes
+    ----------
+    accepts : callable
+        Whether records of a server are kept.
+    server_count : callable
+        Returns the number of configured servers.
+    changed : callable
+        Called with each record of a peer that was newer.
+    """
+
+    accepts: Callable[[ServerName], bool]
+    server_count: Callable[[], int]
+    changed: Callable[[ServerRecord], None]
+
+
+class RecordExchange:
+    """Sends and receives server records, an async context manager."""
+
+    def __init__(
+        self,
+        context: Context,
+        table: backends.RecordTable,
+        options: ExchangeOptions,
+        hooks: ExchangeHooks,
+    ) -> None:
+        """Keep the parts; `__aenter__` begins to exchange."""
+        self._context = context
+        self._table = table
+        self._options = options
+        self._hooks = hooks
+        self._hosts: tuple[HostName, ...] = ()
+        self._has_joined = False
+        self._flush_is_due = False
+        self._queue = backends.SpreadQueue(
+            options.spread,
+            context.timers.now_s(),
+        )
+        self._repair = RecordRepair(
+            context,
+            table,
+            options.exchange,
+            hooks.server_count,
+            self._merge,
+        )
+        self._tasks = TaskSet()
+        self._stack = contextlib.ExitStack()
+
+    async def __aenter__(self) -> Self:
+        """Answer peers, and exchange with them from now on."""
+        context = self._context
+        context.peers.on_message(ServerAnnouncement, self._receive)
+        self._repair.serve()
+        unsubscribe = context.board.subscribe(MEMBERS, self._follow_members)
+        self._stack.callback(unsubscribe)
+        for interval_s, tick in (
+            (self._options.spread_interval_s, self._spread),
+            (self._options.digest_interval_s, self._compare_with_one),
+        ):
+            timer = context.timers.every(interval_s, tick)
+            self._stack.callback(timer.cancel)
+        self._follow_members(context.board.read(MEMBERS))
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Stop the exchange."""
+        self._stack.close()
+        await self._tasks.close()
+
+    def announce(self, record: ServerRecord) -> None:
+        """Send an own record that changed to a few members at once."""
+        self._note(record, is_urgent=True)
+
+    def _follow_members(
+        self,
+        members_by_host: Mapping[HostName, MemberRecord],
+    ) -> None:
+        """Keep the hosts to exchange with; fetch all records at the start."""
+        own = self._context.identity.host
+        self._hosts = tuple(
+            host
+            for host, member in members_by_host.items()
+            if host != own and member.status in _LIVE
+        )
+        if self._hosts and not self._has_joined:
+            self._has_joined = True
+            self._tasks.spawn(self._join())
+
+    async def _join(self) -> None:
+        """Fetch all records of one member, then compare with others."""
+        for host in self._choose(_JOIN_ATTEMPTS):
+            if await self._repair.fetch_all(host):
+                break
+        for other in self._choose(_JOIN_ATTEMPTS):
+            await self._repair.compare_with(other)
+
+    def _compare_with_one(self) -> None:
+        for host in self._choose(1):
+            self._tasks.spawn(self._repair.compare_with(host))
+
+    def _receive(self, _sender: Sender, message: ServerAnnouncement) -> None:
+        for record in self._merge(message.records):
+            if not message.is_repair:
+                is_urgent = record.state in backends.OUT_OF_USE
+                self._note(record, is_urgent=is_urgent)
+
+    def _merge(self, records: Iterable[ServerRecord]) -> list[ServerRecord]:
+        """Keep and return the newer records."""
+        kept = [
+            record
+            for record in records
+            if self._hooks.accepts(record.server) and self._table.merge(record)
+        ]
+        for record in kept:
+            self._queue.forget(record.server)
+            self._hooks.changed(record)
+        return kept
+
+    def _note(self, record: ServerRecord, *, is_urgent: bool) -> None:
+        self._queue.note(record, is_urgent=is_urgent)
+        if is_urgent and not self._flush_is_due:
+            self._flush_is_due = True
+            self._context.timers.after(_GATHER_S, self._spread_urgent)
+
+    def _spread_urgent(self) -> None:
+        self._flush_is_due = False
+        self._send_changes(self._options.spread.sends, urgent_only=True)
+
+    def _spread(self) -> None:
+        self._send_changes(self._options.spread.targets, urgent_only=False)
+
+    def _send_changes(self, targets: int, *, urgent_only: bool) -> None:
+        if not self._hosts:
+            return
+        records = self._queue.take(
+            targets,
+            self._context.timers.now_s(),
+            urgent_only=urgent_only,
+        )
+        if records:
+            for host in self._choose(targets):
+                self._context.peers.send(host, ServerAnnouncement(records))
+
+    def _choose(self, count: int) -> tuple[HostName, ...]:
+        return backends.choose_targets(self._hosts, count, self._context.draw)
