Split a revision into content-addressed parts

A revision is one document of 136 bytes per backend server, 9.1 MB at 67,000 servers, nine times what the store holds in one value.

The decisions for another form are added; nothing uses them yet. A revision is a manifest that names indexes, which name parts of at most 48 servers or routes, each stored under the XXH128 of its text. Names are grouped by extendible hashing, so that one server more or less changes one part; chunks of a fixed size would all shift. Joining a revision to the one before decodes and validates only the parts that differ, and checks that names and addresses are unique only when a change brings new ones.

--- a/boragespool/revisions/encoding.py
+++ b/boragespool/revisions/encoding.py
@@ -24,6 +24,11 @@
     return f'config/revision/{revision}'
 
 
+def part_key(part: str) -> str:
+    """Return the store key of a part, an index or a history."""
+    return f'config/part/{part}'
+
+
 def encode_document(document: RevisionDocument) -> bytes | Failure:
     """Return the JSON of a document.
 
--- /dev/null
+++ b/boragespool/revisions/manifest.py
@@ -0,0 +1,256 @@
+"""The value under `CURRENT_KEY`: what a revision consists of."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from boragespool.results import Failure, ResultCode
+from boragespool.revisions.buckets import buckets
+from boragespool.revisions.document import (
+    AuditEntry,
+    Clearance,
+    RevisionDocument,
+)
+from boragespool.revisions.encoding import VALUE_LIMIT_BYTES, decode_document
+from boragespool.revisions.parts import PartHash, part_hash, split
+from boragespool.types import Revision
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+#: Parts that one index names. The manifest names indexes only, because the
+#: names of all parts have 140 KB at 67,000 backend servers.
+INDEX_LIMIT: Final = 64
+
+#: Entries of the audit trail that the manifest itself holds; earlier ones
+#: are in the history, which daemons do not read.
+RECENT_ENTRIES: Final = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Manifest:
+    """A revision without its settings.
+
+    Attributes
+    ----------
+    indexes : dict
+        Hashes of the indexes by bucket. An index is the JSON object of the
+        hashes of its parts by name.
+    audit : tuple of AuditEntry
+        Newest `RECENT_ENTRIES`, newest last; empty in a manifest that a
+        peer sends.
+    history : str
+        Hash of the `History`; empty if there is none.
+    """
+
+    revision: Revision
+    change_id: str
+    indexes: dict[str, PartHash]
+    audit: tuple[AuditEntry, ...] = ()
+    cleared: tuple[Clearance, ...] = ()
+    history: PartHash = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Replaced:
+    """A part to which revision `revision` was the last to refer."""
+
+    part: PartHash
+    revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class Retired:
+    """A part that may be emptied while the store holds this version of it."""
+
+    part: PartHash
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class History:
+    """What only operators read.
+
+    Attributes
+    ----------
+    audit : tuple of AuditEntry
+        Entries before those of the manifest, newest last.
+    replaced : tuple of Replaced
+        Parts that only kept revisions refer to, oldest first.
+    retired : tuple of Retired
+        Parts that no kept revision refers to any more.
+    dropped : tuple of int
+        Revisions that this one ceases to keep.
+    kept_from : int
+        Lowest revision that can be rolled back to.
+    """
+
+    audit: tuple[AuditEntry, ...] = ()
+    replaced: tuple[Replaced, ...] = ()
+    retired: tuple[Retired, ...] = ()
+    dropped: tuple[Revision, ...] = ()
+    kept_from: Revision = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Packed:
+    """A revision as the values to store.
+
+    Attributes
+    ----------
+    encoded : bytes
+        Text of the manifest.
+    parts : dict
+        Texts of all indexes, parts and the history by hash.
+    """
+
+    manifest: Manifest
+    encoded: bytes
+    parts: dict[PartHash, bytes]
+
+
+_ENCODER: Final = msgspec.json.Encoder()
+_MANIFEST_DECODER: Final = msgspec.json.Decoder(Manifest)
+_HISTORY_DECODER: Final = msgspec.json.Decoder(History)
+_INDEX_DECODER: Final = msgspec.json.Decoder(dict[str, PartHash])
+_RAW_DECODER: Final = msgspec.json.Decoder(dict[str, msgspec.Raw])
+
+
+def indexed(
+    settings_parts: Mapping[str, bytes],
+) -> tuple[dict[str, PartHash], dict[PartHash, bytes]]:
+    """Group encoded parts under indexes.
+
+    Parameters
+    ----------
+    settings_parts : mapping of str to bytes
+        Result of `split`.
+
+    Returns
+    -------
+    tuple
+        Hashes of the indexes by bucket, and the texts of parts and indexes
+        by hash.
+    """
+    hash_by_name = {
+        name: part_hash(encoded) for name, encoded in settings_parts.items()
+    }
+    texts = {hash_by_name[name]: settings_parts[name] for name in hash_by_name}
+    indexes = {}
+    for bucket, names in buckets(hash_by_name, INDEX_LIMIT).items():
+        encoded = _ENCODER.encode({name: hash_by_name[name] for name in names})
+        indexes[bucket] = part_hash(encoded)
+        texts[indexes[bucket]] = encoded
+    return indexes, texts
+
+
+def pack(
+    document: RevisionDocument,
+    history: History | None = None,
+) -> Packed | Failure:
+    """Encode a document as a manifest with its parts.
+
+    Parameters
+    ----------
+    document : RevisionDocument
+        Revision to write.
+    history : History, optional
+        What may be removed; its audit trail is that of `document`.
+
+    Returns
+    -------
+    Packed or Failure
+        ``VALUE_TOO_LARGE`` if a value exceeds the limit of the store.
+    """
+    indexes, texts = indexed(split(document.settings))
+    earlier = _ENCODER.encode(
+        replace(history or History(), audit=document.audit[:-RECENT_ENTRIES]),
+    )
+    texts[part_hash(earlier)] = earlier
+    manifest = Manifest(
+        document.revision,
+        document.change_id,
+        indexes,
+        document.audit[-RECENT_ENTRIES:],
+        document.cleared,
+        part_hash(earlier),
+    )
+    encoded = _ENCODER.encode(manifest)
+    largest = max(map(len, (encoded, *texts.values())))
+    if largest > VALUE_LIMIT_BYTES:
+        return Failure(
+            ResultCode.VALUE_TOO_LARGE,
+            f'a value of the revision has {largest!r} bytes; at most '
+            f'{VALUE_LIMIT_BYTES!r} are allowed',
+        )
+    return Packed(manifest, encoded, texts)
+
+
+def decode_value(
+    encoded: str | bytes,
+) -> Manifest | RevisionDocument | Failure:
+    """Decode a value of `CURRENT_KEY` or of a kept revision.
+
+    Parameters
+    ----------
+    encoded : str or bytes
+        Manifest, or the whole document that earlier releases wrote.
+
+    Returns
+    -------
+    Manifest or RevisionDocument or Failure
+        ``INVALID_SETTING`` for a value that is neither.
+    """
+    try:
+        manifest = _MANIFEST_DECODER.decode(encoded)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return decode_document(encoded)
+    if manifest.revision < 1:
+        return Failure(
+            ResultCode.INVALID_SETTING,
+            f'revision {manifest.revision!r} is not allowed; allowed: 1 and '
+            'above',
+        )
+    return manifest
+
+
+def decode_index(encoded: bytes) -> dict[str, PartHash] | Failure:
+    """Decode the hashes of parts by name."""
+    try:
+        return _INDEX_DECODER.decode(encoded)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return _invalid('index', error)
+
+
+def decode_history(encoded: bytes) -> History | Failure:
+    """Decode the history of a revision."""
+    try:
+        return _HISTORY_DECODER.decode(encoded)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return _invalid('history', error)
+
+
+def without_audit(encoded: bytes) -> bytes:
+    """Return a manifest for peers, with the keys of newer releases."""
+    fields = _RAW_DECODER.decode(encoded)
+    return _ENCODER.encode(
+        {key: text for key, text in fields.items() if key != 'audit'},
+    )
+
+
+def missing(
+    wanted: Iterable[PartHash],
+    held: Mapping[PartHash, bytes],
+) -> tuple[PartHash, ...]:
+    """Return the wanted hashes that are not held, each once."""
+    return tuple(dict.fromkeys(one for one in wanted if one not in held))
+
+
+def _invalid(what: str, error: Exception) -> Failure:
+    return Failure(
+        ResultCode.INVALID_SETTING,
+        f'the {what} of a revision is invalid: {error}',
+    )
--- a/boragespool/settings/__init__.py
+++ b/boragespool/settings/__init__.py
@@ -14,7 +14,7 @@
     ServiceSettings,
     Settings,
 )
-from boragespool.settings.validation import check, validate
+from boragespool.settings.validation import check, validate, validate_change
 
 __all__ = (
     'AddressSettings',
@@ -31,4 +31,5 @@
     'load_folder',
     'problems_or_settings',
     'validate',
+    'validate_change',
 )
--- a/boragespool/settings/cross_checks.py
+++ b/boragespool/settings/cross_checks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING, Final
 
 from boragespool.settings.problems import Problem
@@ -16,13 +17,19 @@
 _ROUNDING: Final = 1e-9
 
 
-def cross_problems(settings: Settings) -> Iterator[Problem]:
+def cross_problems(
+    settings: Settings,
+    *,
+    is_unique: bool = False,
+) -> Iterator[Problem]:
     """Yield every conflict between options.
 
     Parameters
     ----------
     settings : Settings
         Settings whose single values follow their rules.
+    is_unique : bool, optional
+        Whether the names and addresses of servers are known to be unique.
 
     Yields
     ------
@@ -32,7 +39,8 @@
     yield from _route_problems(settings)
     yield from _rank_problems(settings)
     yield from _service_problems(settings)
-    yield from _duplicate_problems(settings)
+    if not is_unique and _has_duplicates(settings):
+        yield from _duplicate_problems(settings)
     claims = settings.claims
     if claims.record_age_s < claims.ticket_validity_s:
         yield Problem(
@@ -44,6 +52,37 @@
         )
 
 
+def brings_new(removed: Settings, added: Settings) -> bool:
+    """Tell whether a change brings a server name or address of its own.
+
+    Parameters
+    ----------
+    removed, added : Settings
+        Servers that a change takes away and brings.
+
+    Returns
+    -------
+    bool
+        False if each name and address that it brings replaces an equal one,
+        so that names and addresses stay unique.
+    """
+    before = Counter(_identities(removed))
+    return bool(Counter(_identities(added)) - before)
+
+
+def _identities(settings: Settings) -> Iterator[tuple[str, str]]:
+    """Yield what must be unique, with its kind."""
+    for service in settings.services.values():
+        for name, server in service.servers.items():
+            yield 'name', name
+            yield 'address', server.address
+
+
+def _has_duplicates(settings: Settings) -> bool:
+    identities = tuple(_identities(settings))
+    return len(set(identities)) < len(identities)
+
+
 def _route_problems(settings: Settings) -> Iterator[Problem]:
     names = ', '.join(map(repr, sorted(settings.services))) or 'none'
     for name, route in settings.routes.items():
--- a/boragespool/settings/validation.py
+++ b/boragespool/settings/validation.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from boragespool.results import Failure, ResultCode
-from boragespool.settings.cross_checks import cross_problems
+from boragespool.settings.cross_checks import brings_new, cross_problems
 from boragespool.settings.merge import Leaf, Table, compose, file_of, plain
 from boragespool.settings.merge import layer as make_layer
 from boragespool.settings.merge import settle
@@ -85,6 +85,38 @@
     return as_failure(problems) if problems else None
 
 
+def validate_change(
+    settings: Settings,
+    removed: Settings,
+    added: Settings,
+) -> Failure | None:
+    """Return a failure if a change of valid settings breaks a rule.
+
+    Parameters
+    ----------
+    settings : Settings
+        After the change.
+    removed, added : Settings
+        Servers and routes that the change took away and brought, each in
+        its service; their other options are those of `settings`.
+
+    Returns
+    -------
+    Failure or None
+        ``INVALID_SETTING``, as from `validate`. The values of servers and
+        routes that the change did not bring were accepted before.
+
+    Notes
+    -----
+    That names and addresses are unique is checked over all servers only if
+    the change brings a name or an address that it did not take away.
+    """
+    problems = tuple(_value_problems(added, '')) or tuple(
+        cross_problems(settings, is_unique=not brings_new(removed, added)),
+    )
+    return as_failure(problems) if problems else None
+
+
 def _value_problems(options: Any, path: str) -> Iterator[Problem]:
     """Apply the rules of one data class and of those below it."""
     for name, rule in RULES[type(options)].items():
