Let daemons fetch the parts of a revision that they lack

Every daemon fetched the whole document from a peer at each revision, and each daemon that started without peers read the store in its first second.

A daemon now takes a manifest from a peer, asks for the indexes and parts that it lacks, checks each against its hash, and puts the revision in force only when it is complete. The whole form is still read, and is served to daemons that do not ask for a manifest.

--- a/boragespool/controllers/configuration.py
+++ b/boragespool/controllers/configuration.py
@@ -9,26 +9,17 @@
 import asyncio
 import contextlib
 import logging
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Self
 
-from boragespool.blackboard.topics import IN_FORCE, MEMBERS
+from boragespool.blackboard.topics import MEMBERS
+from boragespool.controllers.configuration_options import ConfigurationOptions
 from boragespool.controllers.configuration_store import Stored
-from boragespool.controllers.host_list import (
-    HostList,
-    HostListOptions,
-)
+from boragespool.controllers.host_list import HostList
 from boragespool.controllers.pauses import backoff_s, pause
+from boragespool.controllers.revision_keeping import RevisionKeeper
 from boragespool.events import Event, log_event
-from boragespool.messages import RevisionReply, RevisionRequest
 from boragespool.results import Failure
-from boragespool.revisions import (
-    CURRENT_KEY,
-    RevisionDocument,
-    adopt,
-    newest_holders,
-    watchers,
-)
+from boragespool.revisions import CURRENT_KEY, newest_holders, watchers
 from boragespool.routing import highest_weights
 
 if TYPE_CHECKING:
@@ -38,40 +29,8 @@
         ConfigurationStore,
     )
     from boragespool.controllers.context import Context
-    from boragespool.peers import Sender
-    from boragespool.types import Revision, Seconds
 
-
-@dataclass(frozen=True, slots=True)
-class ConfigurationOptions:
-    """Pace of the controller.
-
-    Attributes
-    ----------
-    watch_wait_s : float
-        Longest wait of one watch at the store.
-    watch_pause_s : float
-        Shortest time between two watches without news, so that a store that
-        answers at once is not called in a tight loop.
-    review_delay_s : float
-        Member records that change within this time are looked at together.
-    peer_timeout_s : float
-        Longest wait for the document of a peer.
-    backoff_first_s, backoff_limit_s : float
-        Delays after failed calls.
-    holders_asked : int
-        Newest holders among which one is drawn, so that not all daemons
-        fetch from the same peer.
-    """
-
-    watch_wait_s: Seconds = 10
-    watch_pause_s: Seconds = 0.5
-    review_delay_s: Seconds = 0.05
-    peer_timeout_s: Seconds = 1
-    backoff_first_s: Seconds = 0.1
-    backoff_limit_s: Seconds = 3
-    holders_asked: int = 8
-    host_list: HostListOptions = field(default_factory=HostListOptions)
+__all__ = ('ConfigurationController', 'ConfigurationOptions')
 
 
 class ConfigurationController:
@@ -101,13 +60,15 @@
         self._watching = asyncio.Event()
         self._behind = asyncio.Event()
         self._review_due = False
-        self._encoded: bytes = b''
+        self._may_read = False
+        self._keeper = RevisionKeeper(context, store, self._options)
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Self:
         """Serve peers and start to watch and fetch."""
-        self._context.peers.on_request(RevisionRequest, self._serve)
+        self._keeper.register()
         self._host_list.register()
+        self._delay_first_read()
         unsubscribe = self._context.board.subscribe(
             MEMBERS,
             lambda _: self._schedule_review(),
@@ -171,13 +132,33 @@
         self._review_due = False
         members_by_host = self._context.board.read(MEMBERS)
         own_host = self._context.identity.host
-        if own_host in watchers(members_by_host, own_host, highest_weights):
+        is_chosen = own_host in watchers(
+            members_by_host,
+            own_host,
+            highest_weights,
+        )
+        holders = newest_holders(members_by_host, self._keeper.revision)
+        if is_chosen and (self._may_read or holders):
             self._watching.set()
-        else:
+        elif not is_chosen:
             self._watching.clear()
-        if newest_holders(members_by_host, self._revision()):
+        if holders:
             self._behind.set()
 
+    def _delay_first_read(self) -> None:
+        window_s = self._options.first_read_window_s
+        delay_s = self._context.draw() * window_s if window_s else 0
+        if not delay_s:
+            self._may_read = True
+            return
+
+        def allow() -> None:
+            self._may_read = True
+            self._review()
+
+        subscription = self._context.timers.after(delay_s, allow)
+        self._stack.callback(subscription.cancel)
+
     async def _watch(self) -> None:
         """Follow the store while this daemon is a watcher."""
         version = 0
@@ -194,14 +175,19 @@
                 failures += 1
                 await self._back_off(failures)
                 continue
-            failures = 0
-            version = answer.version
-            if isinstance(answer, Stored):
-                self._consider(answer.value.encode(), 'the store')
-            else:
+            if not isinstance(answer, Stored):
+                failures = 0
+                version = answer.version
                 passed_s = self._context.timers.now_s() - began_s
                 rest_s = max(0, self._options.watch_pause_s - passed_s)
                 await pause(self._context.timers, rest_s)
+            elif await self._keeper.read_value(answer.value.encode()):
+                failures = 0
+                version = answer.version
+            else:
+                # Parts could not be read; the same version is read again.
+                failures += 1
+                await self._back_off(failures)
 
     async def _fetch(self) -> None:
         """Get the document from a peer whenever one holds a newer one."""
@@ -210,30 +196,19 @@
             await self._behind.wait()
             holders = newest_holders(
                 self._context.board.read(MEMBERS),
-                self._revision(),
+                self._keeper.revision,
             )[: self._options.holders_asked]
             if not holders:
                 self._behind.clear()
                 failures = 0
                 continue
             host = holders[int(self._context.draw() * len(holders))]
-            if await self._fetch_from(host):
+            if await self._keeper.fetch_from(host):
                 failures = 0
             else:
                 failures += 1
                 await self._back_off(failures)
 
-    async def _fetch_from(self, host: str) -> bool:
-        """Tell whether a peer's document was put in force."""
-        reply = await self._context.peers.request(
-            host,
-            RevisionRequest(self._revision()),
-            self._options.peer_timeout_s,
-        )
-        if not isinstance(reply, RevisionReply) or not reply.document:
-            return False
-        return self._consider(reply.document, f'peer {host!r}')
-
     async def _back_off(self, failures: int) -> None:
         delay_s = backoff_s(
             failures,
@@ -242,39 +217,3 @@
             self._context.draw(),
         )
         await pause(self._context.timers, delay_s)
-
-    def _consider(self, encoded: bytes, origin: str) -> bool:
-        """Put a received document in force if it is valid and newer."""
-        document = adopt(self._context.board.read(IN_FORCE), encoded)
-        if isinstance(document, Failure):
-            log_event(
-                Event.REVISION_REJECTED,
-                f'a revision from {origin} is invalid; revision '
-                f'{self._revision()!r} stays in force: {document.reason}',
-                level=logging.ERROR,
-                code=int(document.code),
-            )
-        if not isinstance(document, RevisionDocument):
-            return False
-        # Passed on as received: a newer release may have added keys.
-        self._encoded = encoded
-        self._context.board.post(IN_FORCE, document)
-        log_event(
-            Event.REVISION_IN_FORCE,
-            f'revision {document.revision!r} from {origin} is in force',
-            revision=document.revision,
-            change_id=document.change_id,
-        )
-        return True
-
-    async def _serve(
-        self, _: Sender, request: RevisionRequest
-    ) -> RevisionReply:
-        revision = self._revision()
-        if revision <= request.have:
-            return RevisionReply(revision)
-        return RevisionReply(revision, self._encoded)
-
-    def _revision(self) -> Revision:
-        document = self._context.board.read(IN_FORCE)
-        return document.revision if document else 0
--- a/boragespool/controllers/configuration_store.py
+++ b/boragespool/controllers/configuration_store.py
@@ -53,7 +53,15 @@
         ...
 
 
-class ConfigurationStore(HostListSource, Protocol):
+class ValueSource(Protocol):
+    """What reads values of the store."""
+
+    async def get(self, key: str) -> Stored | object:
+        """Return the value of a key, or anything else if there is none."""
+        ...
+
+
+class ConfigurationStore(HostListSource, ValueSource, Protocol):
     """What watches the store."""
 
     async def watch(
--- /dev/null
+++ b/boragespool/controllers/held_revision.py
@@ -0,0 +1,168 @@
+"""The revision that this daemon has in force, and the parts that it holds."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING, Final
+
+from boragespool.messages import PartsReply, RevisionReply
+from boragespool.results import Failure
+from boragespool.revisions import (
+    Assembly,
+    Manifest,
+    RevisionDocument,
+    assemble,
+    encode_document,
+    indexed,
+    lacking,
+    part_hash,
+    referenced,
+    split,
+    without_audit,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from boragespool.messages import PartsRequest, RevisionRequest
+    from boragespool.revisions import PartHash
+
+#: Texts in one reply, in bytes; a frame holds about as many.
+_REPLY_BYTES: Final = 200_000
+
+#: Parts of earlier revisions, kept for peers that are still fetching them.
+_FORMER_COUNT: Final = 128
+
+
+class HeldRevision:
+    """Texts of parts by hash, and the revision that is made of them.
+
+    Attributes
+    ----------
+    document : RevisionDocument or None
+        Highest complete revision.
+    """
+
+    def __init__(self) -> None:
+        """Start without a revision."""
+        self.document: RevisionDocument | None = None
+        self._texts: dict[PartHash, bytes] = {}
+        self._former: dict[PartHash, bytes] = {}
+        self._assembly: Assembly | None = None
+        self._wanted: Manifest | None = None
+        self._encoded = b''
+        self._whole: bytes | None = b''
+
+    @property
+    def revision(self) -> int:
+        """Revision of the document; 0 for none."""
+        return self.document.revision if self.document else 0
+
+    def want(self, manifest: Manifest) -> None:
+        """Keep the parts of a manifest while it is being fetched."""
+        if self._wanted is None or manifest.revision > self._wanted.revision:
+            self._wanted = manifest
+
+    def lacks(self, manifest: Manifest) -> tuple[PartHash, ...] | Failure:
+        """Return the hashes to fetch next; empty when it is complete."""
+        return lacking(manifest, self._texts)
+
+    def add(
+        self,
+        lacked: Iterable[PartHash],
+        texts: Iterable[bytes],
+    ) -> bool:
+        """Keep those texts that were lacked; tell whether there were any."""
+        wanted = set(lacked)
+        hashed = {part_hash(text): text for text in texts}
+        matching = {
+            part: text for part, text in hashed.items() if part in wanted
+        }
+        self._texts.update(matching)
+        return bool(matching)
+
+    def adopt(
+        self,
+        value: Manifest | RevisionDocument,
+        encoded: bytes,
+    ) -> RevisionDocument | Failure | None:
+        """Hold a revision as a whole if it is higher and valid.
+
+        Parameters
+        ----------
+        value : Manifest or RevisionDocument
+            Manifest of which `lacks` is empty, or a valid whole document.
+        encoded : bytes
+            Its text. It is passed on as received, because a newer release
+            may have added keys.
+
+        Returns
+        -------
+        RevisionDocument or Failure or None
+            None if the revision is not higher than the one held.
+        """
+        if value.revision <= self.revision:
+            return None
+        if isinstance(value, Manifest):
+            return self._adopt_parts(value, encoded)
+        self.document = value
+        self._assembly = None
+        self._encoded = b''
+        self._whole = encoded
+        # The next manifest probably refers to most of these.
+        self._texts.update(indexed(split(value.settings))[1])
+        return value
+
+    def answer(self, request: RevisionRequest) -> RevisionReply:
+        """Answer a peer in the form that it knows."""
+        if self.document is None or self.revision <= request.have:
+            return RevisionReply(self.revision)
+        if request.takes_manifest and self._encoded:
+            return RevisionReply(self.revision, manifest=self._encoded)
+        if self._whole is None:
+            encoded = encode_document(self.document)
+            self._whole = b'' if isinstance(encoded, Failure) else encoded
+        return RevisionReply(self.revision, self._whole)
+
+    def answer_parts(self, request: PartsRequest) -> PartsReply:
+        """Answer a peer with the parts that fit in one reply."""
+        texts: list[bytes] = []
+        size_bytes = 0
+        for part in request.parts:
+            text = self._texts.get(part) or self._former.get(part)
+            if text is None:
+                continue
+            size_bytes += len(text)
+            if texts and size_bytes > _REPLY_BYTES:
+                break
+            texts.append(text)
+        return PartsReply(tuple(texts))
+
+    def _adopt_parts(
+        self,
+        manifest: Manifest,
+        encoded: bytes,
+    ) -> RevisionDocument | Failure:
+        assembly = assemble(manifest, self._texts, self._assembly)
+        if isinstance(assembly, Failure):
+            return assembly
+        self.document = assembly.document
+        self._assembly = assembly
+        self._encoded = without_audit(encoded)
+        self._whole = None
+        self._prune(manifest)
+        return self.document
+
+    def _prune(self, manifest: Manifest) -> None:
+        """Drop what neither this revision nor the wanted one refers to."""
+        kept = referenced(manifest, self._texts)
+        if self._wanted is not None:
+            kept |= referenced(self._wanted, self._texts)
+        former = {
+            part: text for part, text in self._texts.items() if part not in kept
+        }
+        for part in former:
+            del self._texts[part]
+        everything = self._former | former
+        surplus = max(0, len(everything) - _FORMER_COUNT)
+        self._former = dict(itertools.islice(everything.items(), surplus, None))
--- /dev/null
+++ b/boragespool/controllers/part_reading.py
@@ -0,0 +1,69 @@
+"""Reads many parts of a revision from the store at a bounded rate."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from typing import TYPE_CHECKING, Final
+
+from boragespool.controllers.configuration_store import Stored
+from boragespool.controllers.pauses import pause
+from boragespool.results import Failure
+from boragespool.revisions import part_hash, part_key
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from boragespool.controllers.configuration_store import ValueSource
+    from boragespool.revisions import PartHash
+    from boragespool.timers import TimerService
+
+#: Parts in a batch and the time between two batches: at most 400 calls per
+#: second, so that three watchers that start without any part stay below the
+#: 2,000 reads per second of the store.
+BATCH_SIZE: Final = 20
+BATCH_INTERVAL_S: Final = 0.05
+
+
+async def read_parts(
+    store: ValueSource,
+    parts: Iterable[PartHash],
+    timers: TimerService,
+) -> tuple[dict[PartHash, bytes], Failure | None]:
+    """Read parts until a call fails.
+
+    Parameters
+    ----------
+    store : ValueSource
+        Platform client.
+    parts : iterable of str
+        Hashes of the parts.
+    timers : TimerService
+        Clock.
+
+    Returns
+    -------
+    tuple
+        Texts by their hash, and the first failure. Parts that the store does
+        not hold, or that were emptied, are left out.
+    """
+    found: dict[PartHash, bytes] = {}
+    waiting = iter(parts)
+    batch = tuple(itertools.islice(waiting, BATCH_SIZE))
+    while batch:
+        answers = await asyncio.gather(
+            *(store.get(part_key(part)) for part in batch),
+        )
+        texts = map(_text, answers)
+        found.update((part_hash(text), text) for text in texts)
+        for answer in answers:
+            if isinstance(answer, Failure):
+                return found, answer
+        batch = tuple(itertools.islice(waiting, BATCH_SIZE))
+        if batch:
+            await pause(timers, BATCH_INTERVAL_S)
+    return found, None
+
+
+def _text(answer: object) -> bytes:
+    return answer.value.encode() if isinstance(answer, Stored) else b''
--- /dev/null
+++ b/boragespool/controllers/revision_fetching.py
@@ -0,0 +1,95 @@
+"""Gathers the parts of a revision from peers and from the store."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from boragespool.controllers.part_reading import read_parts
+from boragespool.messages import PartsReply, PartsRequest
+from boragespool.results import Failure
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Iterable
+
+    from boragespool.controllers.configuration_store import ValueSource
+    from boragespool.controllers.context import Context
+    from boragespool.controllers.held_revision import HeldRevision
+    from boragespool.revisions import Manifest, PartHash
+    from boragespool.types import HostName, Seconds
+
+    Source = Callable[[tuple[PartHash, ...]], Awaitable[Iterable[bytes]]]
+
+#: Parts in one request; their hashes have 17 KB.
+_REQUEST_COUNT: Final = 500
+
+
+@dataclass(frozen=True, slots=True)
+class RevisionFetcher:
+    """Sources of parts.
+
+    Attributes
+    ----------
+    timeout_s : float
+        Longest wait for a peer, in seconds.
+    """
+
+    context: Context
+    store: ValueSource
+    held: HeldRevision
+    timeout_s: Seconds
+
+    def peer(self, host: HostName) -> Source:
+        """Return the source that asks a peer."""
+
+        async def ask(parts: tuple[PartHash, ...]) -> Iterable[bytes]:
+            reply = await self.context.peers.request(
+                host,
+                PartsRequest(parts[:_REQUEST_COUNT]),
+                self.timeout_s,
+            )
+            return reply.texts if isinstance(reply, PartsReply) else ()
+
+        return ask
+
+    async def read(self, parts: tuple[PartHash, ...]) -> Iterable[bytes]:
+        """Read from the store."""
+        found, _ = await read_parts(self.store, parts, self.context.timers)
+        return found.values()
+
+    async def gather(
+        self,
+        manifest: Manifest,
+        sources: Iterable[Source],
+    ) -> Failure | bool:
+        """Fetch what a manifest lacks, from one source after the other.
+
+        Parameters
+        ----------
+        manifest : Manifest
+            Revision to complete.
+        sources : iterable of callable
+            Each is asked until it brings nothing new.
+
+        Returns
+        -------
+        Failure or bool
+            Whether nothing is lacking any more; a failure if an index is
+            invalid. What was fetched is kept for the next attempt.
+        """
+        self.held.want(manifest)
+        for source in sources:
+            is_helpful = True
+            while is_helpful:
+                is_helpful = await self._ask(manifest, source)
+        lacked = self.held.lacks(manifest)
+        return lacked if isinstance(lacked, Failure) else not lacked
+
+    async def _ask(self, manifest: Manifest, source: Source) -> bool:
+        """Tell whether a source brought something and may bring more."""
+        if manifest.revision <= self.held.revision:
+            return False
+        lacked = self.held.lacks(manifest)
+        if isinstance(lacked, Failure) or not lacked:
+            return False
+        return self.held.add(lacked, await source(lacked))
--- a/boragespool/daemon/controllers.py
+++ b/boragespool/daemon/controllers.py
@@ -8,7 +8,10 @@
 from boragespool.controllers.caller_ports import CallerPorts
 from boragespool.controllers.callers import CallerApi
 from boragespool.controllers.claims import ClaimController
-from boragespool.controllers.configuration import ConfigurationController
+from boragespool.controllers.configuration import (
+    ConfigurationController,
+    ConfigurationOptions,
+)
 from boragespool.controllers.dispatch import DispatchController
 from boragespool.controllers.membership import MembershipController
 from boragespool.controllers.query import QueryController
@@ -54,12 +57,22 @@
         Settings of the process.
     """
     seeds = await stack.enter_async_context(
-        Seeds(context, store, dict(options.peers)),
+        Seeds(
+            context,
+            store,
+            dict(options.peers),
+            options.first_read_window_s,
+        ),
     )
     membership = await stack.enter_async_context(
         MembershipController(context, seeds, options.membership),
     )
-    await stack.enter_async_context(ConfigurationController(context, store))
+    pace = ConfigurationOptions(
+        first_read_window_s=options.first_read_window_s,
+    )
+    await stack.enter_async_context(
+        ConfigurationController(context, store, pace),
+    )
     await stack.enter_async_context(ServerController(context))
     dispatch = await stack.enter_async_context(DispatchController(context))
     observations = ServerObservations()
--- a/boragespool/daemon/options.py
+++ b/boragespool/daemon/options.py
@@ -48,6 +48,9 @@
         platform's host list.
     store_timeout_s : float
         Longest wait for one call to the platform.
+    first_read_window_s : float
+        While no peer has a revision, the first reads of the platform wait for
+        a random part of this time.
     stop_timeout_s : float
         Longest duration of a graceful stop.
     """
@@ -61,6 +64,7 @@
     peers: tuple[tuple[HostName, Address], ...] = ()
     log_level: str = 'INFO'
     store_timeout_s: Seconds = 1
+    first_read_window_s: Seconds = 1
     stop_timeout_s: Seconds = 60
     http: HttpLimits = field(default_factory=HttpLimits)
     links: PeerLimits = field(default_factory=PeerLimits)
@@ -118,6 +122,11 @@
             1,
             'Longest wait for one call to the platform, in seconds.',
         ),
+        'first_read_window_s': _setting(
+            parsing.number(0, 60),
+            1,
+            'Time over which first reads of the store are spread, in seconds.',
+        ),
         'stop_timeout_s': _setting(
             parsing.number(0, 3_600),
             60,
--- a/boragespool/daemon/seeds.py
+++ b/boragespool/daemon/seeds.py
@@ -15,7 +15,7 @@
 
     from boragespool.controllers.context import Context
     from boragespool.store import StoreClient
-    from boragespool.types import Address, HostName
+    from boragespool.types import Address, HostName, Seconds
 
 #: Time between two reads of the host list, unless this daemon knows no peer
 #: and reads every second. 7,000 daemons then read 12 times per second in total,
@@ -35,6 +35,9 @@
         Source of the host list.
     peers : mapping of str to str
         Addresses that are always seeds.
+    first_read_window_s : float
+        The first read waits for a random part of this time, so that daemons
+        that start at the same moment do not read the platform together.
     """
 
     def __init__(
@@ -42,8 +45,10 @@
         context: Context,
         store: StoreClient,
         peers: Mapping[HostName, Address],
+        first_read_window_s: Seconds = 0,
     ) -> None:
         """Start with the peers option."""
+        self._first_read_window_s = first_read_window_s
         self._context = context
         self._store = store
         self._peers = peers
@@ -64,6 +69,7 @@
         await self._tasks.close()
 
     async def _read_always(self) -> None:
+        await asyncio.sleep(self._context.draw() * self._first_read_window_s)
         while True:
             await self._read()
             # The random factor spreads the reads of daemons that were
--- a/boragespool/messages/__init__.py
+++ b/boragespool/messages/__init__.py
@@ -24,7 +24,12 @@
     Ping,
     PingRequest,
 )
-from boragespool.messages.revisions import RevisionReply, RevisionRequest
+from boragespool.messages.revisions import (
+    PartsReply,
+    PartsRequest,
+    RevisionReply,
+    RevisionRequest,
+)
 from boragespool.messages.servers import (
     Holding,
     ServerAnnouncement,
@@ -54,6 +59,8 @@
     'LeavingHosts',
     'LeavingHostsRequest',
     'MemberRecord',
+    'PartsReply',
+    'PartsRequest',
     'Ping',
     'PingRequest',
     'RecordOutcome',
--- a/tests/configuration_fleet.py
+++ b/tests/configuration_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 from contextlib import AsyncExitStack
 from types import SimpleNamespace
@@ -14,6 +15,8 @@
 from boragespool.controllers.pauses import pause
 from boragespool.messages import MemberRecord
 from boragespool.results import Failure, ResultCode
+from boragespool.revisions import part_key
+from boragespool.store import Missing, StoredValue
 from boragespool.timers import VirtualTimers
 from boragespool.types import MemberStatus
 
@@ -30,7 +33,8 @@
         self.version = 0
         self.down = False
         self.leaving = ()
-        self.calls = {'watch': 0, 'hosts': 0}
+        self.parts = {}
+        self.calls = {'watch': 0, 'hosts': 0, 'get': 0}
         self.watchers = set()
 
     def put(self, value):
@@ -38,6 +42,22 @@
         self.value = value
         self.version += 1
 
+    def put_parts(self, packed):
+        """Store a revision in parts, as the operator command does."""
+        for part, text in packed.parts.items():
+            self.parts[part_key(part)] = text.decode()
+        self.put(packed.encoded.decode())
+
+    async def read_part(self, host, key):
+        """Answer a read of a part."""
+        self.watchers.add(host)
+        self.calls['get'] += 1
+        if self.down:
+            return DOWN
+        if key not in self.parts:
+            return Missing(key)
+        return StoredValue(key, self.parts[key], 1)
+
     def client(self, host):
         """Return the client of one daemon."""
 
@@ -67,7 +87,8 @@
                 for name in self.leaving
             )
 
-        return SimpleNamespace(watch=watch, hosts=hosts)
+        get = functools.partial(self.read_part, host)
+        return SimpleNamespace(watch=watch, hosts=hosts, get=get)
 
 
 class FakePeers:
