Write a revision as a manifest with content-addressed parts

`apply` wrote the whole document of 136 bytes per backend server in one value, which exceeds 1 MB at about 7,700 servers.

It now writes the parts that the base lacks, then the manifest with the one compare-and-swap. What no kept revision needs is emptied by the change after the one that retires it, at versions that were read before the retiring manifest was written; a part that is used again is written again, which raises its version. A base in the whole form is still read. `audit` and the check of a lost answer read the manifest and its history only.

--- a/boragespool/cli/applying.py
+++ b/boragespool/cli/applying.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
-from boragespool.cli.store_access import Base, read_base
-from boragespool.controllers.pauses import backoff_s
+from boragespool.cli.part_writing import pause_after, write_parts
+from boragespool.cli.store_access import Base, read_base, read_trail
 from boragespool.results import Failure, ResultCode
 from boragespool.revisions import (
     CURRENT_KEY,
@@ -17,8 +16,8 @@
     WriteAnswer,
     after_read,
     after_write,
-    encode_document,
-    revision_key,
+    indexed,
+    split,
 )
 from boragespool.types import RunState
 
@@ -26,11 +25,10 @@
     from collections.abc import Callable
 
     from boragespool.cli.store_access import Store
+    from boragespool.revisions.manifest import IndexedTexts
+    from boragespool.settings import Settings
     from boragespool.types import Revision, Seconds
 
-_FIRST_PAUSE_S: Final = 0.1
-_LONGEST_PAUSE_S: Final = 1
-
 
 @dataclass(frozen=True, slots=True)
 class Applied:
@@ -61,6 +59,7 @@
     build: Callable[[RevisionDocument | None], RevisionDocument | Failure],
     patience_s: Seconds,
     wanted_base: Revision | None = None,
+    settings: Settings | None = None,
 ) -> Applied | Refused | Failure:
     """Read the base, build the next document and write it.
 
@@ -75,14 +74,17 @@
     wanted_base : int, optional
         Revision that the change was prepared for; nothing is written if the
         store holds another one.
+    settings : Settings, optional
+        Settings that the change probably sets; their parts are not read.
 
     Returns
     -------
     Applied or Refused or Failure
-        ``STORE_UNAVAILABLE`` promises that nothing was written;
+        ``STORE_UNAVAILABLE`` promises that nothing will be in force;
         ``APPLY_UNCONFIRMED`` says that this is not known.
     """
-    base = await read_base(store)
+    given = indexed(split(settings)) if settings else ({}, {})
+    base = await read_base(store, given[1])
     if isinstance(base, Failure):
         return base
     wanted = build(base.document)
@@ -90,13 +92,11 @@
         return wanted
     if wanted_base not in {None, wanted.revision - 1}:
         return _refuse(base, wanted, wanted_base)
-    encoded = encode_document(wanted)
-    if isinstance(encoded, Failure):
-        return encoded
-    writer = _Writer(store, base, wanted, encoded.decode())
+    if wanted.settings is not settings:
+        given = indexed(split(wanted.settings))
+    writer = _Writer(store, base, wanted, given)
     try:
         async with asyncio.timeout(patience_s):
-            await _keep_replaced(store, base)
             return await writer.settle()
     except TimeoutError:
         return writer.give_up()
@@ -116,18 +116,6 @@
     )
 
 
-async def _keep_replaced(store: Store, base: Base) -> None:
-    """Keep the base under its own key before it is replaced."""
-    if base.document is None:
-        return
-    key = revision_key(base.document.revision)
-    failures = 0
-    # A conflict means that the same immutable value is there already.
-    while isinstance(await store.put(key, base.text, 0), Failure):
-        failures += 1
-        await _pause(failures)
-
-
 class _Writer:
     """One compare-and-swap and what is known about it."""
 
@@ -136,34 +124,51 @@
         store: Store,
         base: Base,
         wanted: RevisionDocument,
-        text: str,
+        settings_texts: IndexedTexts,
     ) -> None:
         self._store = store
         self._base = base
         self._wanted = wanted
-        self._text = text
+        self._settings_texts = settings_texts
+        self._text = ''
         self._may_take_effect = False
-        self._found: RevisionDocument | None = None
+        self._has_lost = False
         self._refusal: Failure | None = None
 
     async def settle(self) -> Applied | Refused | Failure:
         """Write and read back until the outcome is known."""
+        packed = await write_parts(
+            self._store,
+            self._base,
+            self._wanted,
+            self._settings_texts,
+        )
+        if isinstance(packed, Failure):
+            return packed
+        self._text = packed.encoded.decode()
         step = await self._run_steps()
         if self._refusal is not None:
             return self._refusal
         if step is Step.APPLIED:
             return Applied(self._base.document, self._wanted)
-        if step is Step.CONFLICT and self._found is not None:
-            return Refused(self._found, self._wanted)
+        if step is Step.CONFLICT:
+            return await self._read_winner()
         return self._unconfirmed()
 
     def give_up(self) -> Failure:
         """Return what is known after `settle` was cancelled."""
         if self._may_take_effect:
             return self._unconfirmed()
+        if self._has_lost:
+            return Failure(
+                ResultCode.REVISION_CONFLICT,
+                'another revision was accepted first, which the store did '
+                'not show; nothing of this change is in force',
+            )
         return Failure(
             ResultCode.STORE_UNAVAILABLE,
-            'the store accepted no call in time; nothing was written',
+            'the store accepted no call in time; nothing of the change is in '
+            'force',
         )
 
     async def _run_steps(self) -> Step:
@@ -171,7 +176,7 @@
         failures = 0
         while step in {Step.WRITE, Step.READ_BACK} and not self._refusal:
             if failures:
-                await _pause(failures)
+                await pause_after(failures)
             failures += 1
             if step is Step.WRITE:
                 step = after_write(await self._write())
@@ -200,11 +205,22 @@
         return WriteAnswer.NOT_SENT
 
     async def _read_back(self) -> Step:
-        stored = await read_base(self._store)
-        if isinstance(stored, Failure):
+        found = await read_trail(self._store)
+        if isinstance(found, Failure):
             return Step.READ_BACK
-        self._found = stored.document
-        return after_read(self._wanted, stored.document)
+        return after_read(self._wanted, found)
+
+    async def _read_winner(self) -> Refused | Failure:
+        """Read the revision that won; the own one is never in force."""
+        self._may_take_effect = False
+        self._has_lost = True
+        failures = 0
+        while True:
+            stored = await read_base(self._store, self._settings_texts[1])
+            if not isinstance(stored, Failure) and stored.document:
+                return Refused(stored.document, self._wanted)
+            failures += 1
+            await pause_after(failures)
 
     def _unconfirmed(self) -> Failure:
         change_id = self._wanted.change_id
@@ -214,13 +230,3 @@
             "effect; 'boragespool audit' shows it if it did",
             RunState.UNKNOWN,
         )
-
-
-async def _pause(failures: int) -> None:
-    delay_s = backoff_s(
-        failures,
-        _FIRST_PAUSE_S,
-        _LONGEST_PAUSE_S,
-        random.random(),
-    )
-    await asyncio.sleep(delay_s)
--- a/boragespool/cli/change_commands.py
+++ b/boragespool/cli/change_commands.py
@@ -137,6 +137,7 @@
             build_on,
             call.flags['patience_s'],
             call.flags['base'],
+            first,
         )
     if isinstance(result, Failure):
         return result
--- a/boragespool/cli/main.py
+++ b/boragespool/cli/main.py
@@ -30,7 +30,7 @@
   1  the settings, or an argument, are not allowed
   2  wrong usage
   3  conflict: another revision was written first
-  4  the store is unavailable; nothing was written
+  4  the store is unavailable; nothing of the change is in force
   5  not known whether the change, or the claim, took effect
   6  accepted, but not in force everywhere within --wait_s
   7  a daemon refused or did not answer
--- /dev/null
+++ b/boragespool/cli/part_writing.py
@@ -0,0 +1,186 @@
+"""Writes the parts of a revision, and empties those that are retired."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from functools import partial
+from typing import TYPE_CHECKING, Final
+
+from boragespool.controllers.pauses import backoff_s
+from boragespool.results import Failure
+from boragespool.revisions import (
+    History,
+    Retired,
+    pack,
+    part_key,
+    retain,
+    revision_key,
+)
+from boragespool.store import Missing
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Iterable
+
+    from boragespool.cli.store_access import Base, Store
+    from boragespool.revisions import (
+        Packed,
+        PartHash,
+        Retention,
+        RevisionDocument,
+    )
+    from boragespool.revisions.manifest import IndexedTexts
+
+_FIRST_PAUSE_S: Final = 0.1
+_LONGEST_PAUSE_S: Final = 1
+
+#: Calls in a batch and the time between two batches: at most 200 calls per
+#: second, the store's goal for writes.
+_BATCH_SIZE: Final = 20
+_BATCH_INTERVAL_S: Final = 0.1
+
+
+async def pause_after(failures: int) -> None:
+    """Wait before another call after some that failed."""
+    delay_s = backoff_s(
+        failures,
+        _FIRST_PAUSE_S,
+        _LONGEST_PAUSE_S,
+        random.random(),
+    )
+    await asyncio.sleep(delay_s)
+
+
+async def write_parts(
+    store: Store,
+    base: Base,
+    wanted: RevisionDocument,
+    settings_texts: IndexedTexts,
+) -> Packed | Failure:
+    """Prepare the store for the manifest of a revision.
+
+    Parameters
+    ----------
+    store : Store
+        Platform client.
+    base : Base
+        Revision to replace. It is kept under its own key.
+    wanted : RevisionDocument
+        Next revision.
+    settings_texts : tuple
+        Indexes and texts of the settings of `wanted`.
+
+    Returns
+    -------
+    Packed or Failure
+        The manifest to write; each part that it refers to is in the store
+        and stays there if the manifest is accepted. Calls that fail are
+        repeated for ever.
+    """
+    kept = retain(
+        base.history,
+        wanted.revision - 1,
+        base.parts,
+        frozenset(settings_texts[1]),
+    )
+    await _keep_replaced(store, base)
+    packed = pack(
+        wanted,
+        await _next_history(store, base.history, kept),
+        settings_texts,
+    )
+    if isinstance(packed, Failure):
+        return packed
+    await _empty(store, base.history)
+    await _all(
+        partial(_overwrite, store, part, packed.parts[part])
+        for part in packed.parts.keys() - base.parts
+    )
+    return packed
+
+
+async def _next_history(
+    store: Store,
+    history: History,
+    kept: Retention,
+) -> History:
+    """Read the versions of the parts to retire.
+
+    This comes before the manifest that retires them is written.
+    """
+    retired: list[Retired] = []
+
+    async def read(part: PartHash) -> None:
+        failures = 0
+        answer = await store.get(part_key(part))
+        while isinstance(answer, Failure):
+            failures += 1
+            await pause_after(failures)
+            answer = await store.get(part_key(part))
+        if not isinstance(answer, Missing) and answer.value:
+            retired.append(Retired(part, answer.version))
+
+    await _all(partial(read, part) for part in kept.due)
+    return History(
+        replaced=kept.replaced,
+        retired=tuple(retired),
+        dropped=tuple(range(history.kept_from, kept.kept_from)),
+        kept_from=kept.kept_from,
+    )
+
+
+async def _empty(store: Store, history: History) -> None:
+    """Empty what the revision that is to be replaced has retired.
+
+    A conflict means that the value is empty already, or was written again.
+    """
+    keys = [(part_key(one.part), one.version) for one in history.retired]
+    # A kept revision is written once and never changed.
+    keys.extend((revision_key(revision), 1) for revision in history.dropped)
+    await _all(partial(_put, store, key, '', version) for key, version in keys)
+
+
+async def _keep_replaced(store: Store, base: Base) -> None:
+    """Keep the base under its own key before it is replaced."""
+    if base.document is not None:
+        # A conflict means that the same immutable value is there already.
+        key = revision_key(base.document.revision)
+        await _put(store, key, base.text, 0)
+
+
+async def _overwrite(store: Store, part: PartHash, text: bytes) -> None:
+    """Write a part, also if it is there already.
+
+    Its version rises above each one at which it may be emptied.
+    """
+    expected: int | None = 0
+    while expected is not None:
+        expected = await _put(store, part_key(part), text.decode(), expected)
+
+
+async def _put(
+    store: Store,
+    key: str,
+    text: str,
+    expected_version: int,
+) -> int | None:
+    """Write until the store answers; return the version of a conflict."""
+    failures = 0
+    answer = await store.put(key, text, expected_version)
+    while isinstance(answer, Failure):
+        failures += 1
+        await pause_after(failures)
+        answer = await store.put(key, text, expected_version)
+    return None if isinstance(answer, int) else answer.version
+
+
+async def _all(calls: Iterable[Callable[[], Awaitable[object]]]) -> None:
+    """Make calls in batches, at a bounded rate."""
+    waiting = iter(calls)
+    batch = tuple(itertools.islice(waiting, _BATCH_SIZE))
+    while batch:
+        await asyncio.gather(*(call() for call in batch))
+        batch = tuple(itertools.islice(waiting, _BATCH_SIZE))
+        if batch:
+            await asyncio.sleep(_BATCH_INTERVAL_S)
--- a/boragespool/cli/settings_commands.py
+++ b/boragespool/cli/settings_commands.py
@@ -9,9 +9,14 @@
 import msgspec
 
 from boragespool.cli.outcome import ExitCode, Outcome, error_line
-from boragespool.cli.store_access import read_base, read_current
+from boragespool.cli.store_access import (
+    no_revision,
+    read_base,
+    read_current,
+    read_trail,
+)
 from boragespool.results import Failure
-from boragespool.revisions import difference
+from boragespool.revisions import difference, indexed, split
 from boragespool.settings import (
     Settings,
     describe,
@@ -65,7 +70,7 @@
     if isinstance(settings, Failure):
         return settings
     async with open_store(call) as store:
-        base = await read_base(store)
+        base = await read_base(store, indexed(split(settings))[1])
     if isinstance(base, Failure):
         return base
     revision = base.document.revision if base.document else 0
@@ -106,7 +111,9 @@
 async def audit(call: Invocation) -> Outcome | Failure:
     """List the changes of the audit trail, newest first."""
     async with open_store(call) as store:
-        document = await read_current(store)
+        document = await read_trail(store)
+    if document is None:
+        return no_revision()
     if isinstance(document, Failure):
         return document
     entries = tuple(reversed(document.audit))
--- a/boragespool/cli/store_access.py
+++ b/boragespool/cli/store_access.py
@@ -2,22 +2,38 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol
+from dataclasses import dataclass, replace
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Final, Protocol
 
+from boragespool.controllers.part_reading import read_parts
 from boragespool.results import Failure, ResultCode
 from boragespool.revisions import (
     CURRENT_KEY,
+    History,
+    Manifest,
+    PartHash,
     RevisionDocument,
-    decode_document,
+    assemble,
+    decode_history,
+    decode_value,
+    lacking,
+    missing,
+    referenced,
     revision_key,
 )
+from boragespool.settings import Settings
 from boragespool.store import Missing
+from boragespool.timers import LoopTimers
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from boragespool.store import Conflict, StoredValue
     from boragespool.types import Revision
 
+_NOTHING: Final[Mapping[PartHash, bytes]] = MappingProxyType({})
+
 
 class Store(Protocol):
     """The part of the store client that the commands call."""
@@ -48,16 +64,32 @@
         Version of the key, for compare-and-swap.
     text : str
         Value as stored.
+    parts : frozenset of str
+        Hashes to which the revision refers; empty for a whole document.
+    history : History
+        What earlier revisions left to remove.
     """
 
     document: RevisionDocument | None = None
     version: int = 0
     text: str = ''
+    parts: frozenset[PartHash] = frozenset()
+    history: History = History()
 
 
-async def read_base(store: Store) -> Base | Failure:
+async def read_base(
+    store: Store,
+    known: Mapping[PartHash, bytes] = _NOTHING,
+) -> Base | Failure:
     """Read the current revision.
 
+    Parameters
+    ----------
+    store : Store
+        Platform client.
+    known : mapping of str to bytes, optional
+        Texts of parts that need not be read.
+
     Returns
     -------
     Base or Failure
@@ -69,10 +101,42 @@
         return answer
     if isinstance(answer, Missing):
         return Base()
-    document = decode_document(answer.value)
-    if isinstance(document, Failure):
-        return document
-    return Base(document, answer.version, answer.value)
+    base = await _read(store, answer.value, known)
+    if isinstance(base, Failure):
+        return base
+    return replace(base, version=answer.version)
+
+
+async def read_trail(store: Store) -> RevisionDocument | Failure | None:
+    """Read the current revision without its settings.
+
+    Returns
+    -------
+    RevisionDocument or Failure or None
+        With the whole audit trail; None if there is no revision.
+    """
+    answer = await store.get(CURRENT_KEY)
+    if isinstance(answer, Failure):
+        return answer
+    if isinstance(answer, Missing):
+        return None
+    value = decode_value(answer.value)
+    if not isinstance(value, Manifest):
+        return value
+    bare = Manifest(value.revision, value.change_id, {}, history=value.history)
+    texts = await _read_lacking(store, bare, _NOTHING)
+    if isinstance(texts, Failure):
+        return texts
+    history = _history(bare, texts)
+    if isinstance(history, Failure):
+        return history
+    return RevisionDocument(
+        value.revision,
+        value.change_id,
+        Settings(),
+        history.audit + value.audit,
+        value.cleared,
+    )
 
 
 async def read_current(store: Store) -> RevisionDocument | Failure:
@@ -80,7 +144,12 @@
     base = await read_base(store)
     if isinstance(base, Failure):
         return base
-    return base.document or Failure(
+    return base.document or no_revision()
+
+
+def no_revision() -> Failure:
+    """Return the failure for a store without a revision."""
+    return Failure(
         ResultCode.REVISION_UNKNOWN,
         'the store holds no revision yet; put one in force with '
         "'boragespool apply FOLDER'",
@@ -95,10 +164,77 @@
     answer = await store.get(revision_key(revision))
     if isinstance(answer, Failure):
         return answer
-    if isinstance(answer, Missing):
+    # A revision that is not kept any more has an empty value.
+    if isinstance(answer, Missing) or not answer.value:
         return Failure(
             ResultCode.REVISION_UNKNOWN,
             f'the store keeps no revision {revision!r}; allowed are replaced '
             "revisions, which 'boragespool audit' lists",
         )
-    return decode_document(answer.value)
+    base = await _read(store, answer.value, _NOTHING)
+    if isinstance(base, Failure):
+        return base
+    return base.document or no_revision()
+
+
+async def _read(
+    store: Store,
+    text: str,
+    known: Mapping[PartHash, bytes],
+) -> Base | Failure:
+    """Read the parts of a value of the store."""
+    manifest = decode_value(text)
+    if isinstance(manifest, Failure):
+        return manifest
+    if isinstance(manifest, RevisionDocument):
+        # Earlier releases kept every revision; those values stay.
+        history = History(kept_from=manifest.revision)
+        return Base(manifest, text=text, history=history)
+    texts = await _read_lacking(store, manifest, known)
+    if isinstance(texts, Failure):
+        return texts
+    assembly = assemble(manifest, texts)
+    if isinstance(assembly, Failure):
+        return assembly
+    earlier = _history(manifest, texts)
+    if isinstance(earlier, Failure):
+        return earlier
+    document = replace(
+        assembly.document,
+        audit=earlier.audit + manifest.audit,
+    )
+    parts = referenced(manifest, texts) | {manifest.history}
+    return Base(document, text=text, parts=parts, history=earlier)
+
+
+async def _read_lacking(
+    store: Store,
+    manifest: Manifest,
+    known: Mapping[PartHash, bytes],
+) -> dict[PartHash, bytes] | Failure:
+    """Return the known texts and all others that a manifest needs."""
+    texts = dict(known)
+    while True:
+        named = lacking(manifest, texts)
+        if isinstance(named, Failure):
+            return named
+        lacked = named + missing([manifest.history], texts)
+        if not lacked:
+            return texts
+        found, failure = await read_parts(store, lacked, LoopTimers())
+        if failure is not None:
+            return failure
+        if missing(lacked, found):
+            return Failure(
+                ResultCode.REVISION_UNKNOWN,
+                f'the store holds revision {manifest.revision!r} only in '
+                'part; it may have been replaced meanwhile',
+            )
+        texts.update(found)
+
+
+def _history(
+    manifest: Manifest,
+    texts: Mapping[PartHash, bytes],
+) -> History | Failure:
+    return decode_history(texts[manifest.history])
--- a/boragespool/revisions/__init__.py
+++ b/boragespool/revisions/__init__.py
@@ -50,7 +50,7 @@
     after_write,
 )
 from boragespool.revisions.parts import PartHash, part_hash, split
-from boragespool.revisions.retention import Retention, retention
+from boragespool.revisions.retention import Retention, retain
 from boragespool.revisions.watching import newest_holders, watchers
 
 __all__ = (
@@ -91,7 +91,7 @@
     'part_hash',
     'part_key',
     'referenced',
-    'retention',
+    'retain',
     'revision_key',
     'split',
     'undrained',
--- a/boragespool/revisions/manifest.py
+++ b/boragespool/revisions/manifest.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, TypeAlias
 
 import msgspec
 
@@ -30,6 +30,9 @@
 RECENT_ENTRIES: Final = 8
 
 
+IndexedTexts: TypeAlias = tuple[dict[str, PartHash], dict[PartHash, bytes]]
+
+
 @dataclass(frozen=True, slots=True)
 class Manifest:
     """A revision without its settings.
@@ -121,7 +124,7 @@
 
 def indexed(
     settings_parts: Mapping[str, bytes],
-) -> tuple[dict[str, PartHash], dict[PartHash, bytes]]:
+) -> IndexedTexts:
     """Group encoded parts under indexes.
 
     Parameters
@@ -150,6 +153,7 @@
 def pack(
     document: RevisionDocument,
     history: History | None = None,
+    settings_texts: IndexedTexts | None = None,
 ) -> Packed | Failure:
     """Encode a document as a manifest with its parts.
 
@@ -159,17 +163,19 @@
         Revision to write.
     history : History, optional
         What may be removed; its audit trail is that of `document`.
+    settings_texts : tuple, optional
+        Result of `indexed` for the settings of the document.
 
     Returns
     -------
     Packed or Failure
         ``VALUE_TOO_LARGE`` if a value exceeds the limit of the store.
     """
-    indexes, texts = indexed(split(document.settings))
+    indexes, texts = settings_texts or indexed(split(document.settings))
     earlier = _ENCODER.encode(
         replace(history or History(), audit=document.audit[:-RECENT_ENTRIES]),
     )
-    texts[part_hash(earlier)] = earlier
+    texts = texts | {part_hash(earlier): earlier}
     manifest = Manifest(
         document.revision,
         document.change_id,
--- a/boragespool/revisions/retention.py
+++ b/boragespool/revisions/retention.py
@@ -52,7 +52,7 @@
     kept_from: Revision
 
 
-def retention(
+def retain(
     history: History,
     base: Revision,
     held: AbstractSet[PartHash],
--- a/tests/test_revision_parts.py
+++ b/tests/test_revision_parts.py
@@ -22,7 +22,7 @@
     pack,
     part_hash,
     referenced,
-    retention,
+    retain,
     without_audit,
 )
 from boragespool.revisions.buckets import buckets
@@ -250,7 +250,7 @@
     emptied = {}
     for base in range(1, 260):
         wanted = frozenset(draw.sample(names, width))
-        kept = retention(history, base, revisions[base], wanted)
+        kept = retain(history, base, revisions[base], wanted)
         revisions[base + 1] = wanted
         in_use = set().union(
             *(revisions[one] for one in range(kept.kept_from, base + 2))
@@ -271,9 +271,9 @@
     history = History()
     for base in range(1, 6):
         held = frozenset(f'{base}-{number}' for number in range(3_000))
-        kept = retention(history, base, held, frozenset())
+        kept = retain(history, base, held, frozenset())
         assert len(kept.replaced) <= 8_000
         history = History(replaced=kept.replaced, kept_from=kept.kept_from)
     assert history.kept_from == 4
     alone = frozenset(map(str, range(9_000)))
-    assert retention(history, 6, alone, frozenset()).kept_from == 6
+    assert retain(history, 6, alone, frozenset()).kept_from == 6
