Send and receive frames without waiting in pynng

Cause: each frame was sent and received with an awaited pynng operation, which ends in a callback from one of pynng's threads, and each sub-request of a query cost a task, a timer and a context manager at the merger and a task and a shielded future at the dispatcher.

Change: a link sends a frame at once where the send buffer takes it and awaits only a frame that it does not; the listener watches pynng's descriptor. The first message on a link that was quiet for one flush interval leaves after the current turn of the loop. `PeerNetwork.call` and `on_call` pass replies through callbacks; the deadline timer of a query ends all its waits. A handler that raises is answered with run state `unknown`, and no longer costs the rest of its frame.

--- a/boragespool/bench/fake_fleet.py
+++ b/boragespool/bench/fake_fleet.py
@@ -6,7 +6,7 @@
 import random
 from collections import Counter
 from dataclasses import dataclass, field, replace
-from typing import TYPE_CHECKING, Any, cast
+from typing import TYPE_CHECKING, Any, Final, cast
 
 from boragespool.blackboard import Blackboard
 from boragespool.blackboard.topics import IN_FORCE, MEMBERS, SERVERS
@@ -45,6 +45,9 @@
     from boragespool.peers import PeerNetwork
     from boragespool.types import HostName, Seconds, ServerName
 
+#: Longer than any query.
+_LONG_S: Final = 600
+
 
 @dataclass(frozen=True, slots=True)
 class FleetOptions:
@@ -180,6 +183,22 @@
                 RunState.UNKNOWN,
             )
 
+    def call(
+        self,
+        host: HostName,
+        message: WorkRequest,
+        on_result: Callable[[WorkReply | Failure], None],
+    ) -> Callable[[], object]:
+        """Answer like `PeerNetwork.call`; it waits as long as it takes."""
+
+        def finish(done: asyncio.Task[WorkReply | Failure]) -> None:
+            if not done.cancelled():
+                on_result(done.result())
+
+        task = asyncio.ensure_future(self.request(host, message, _LONG_S))
+        task.add_done_callback(finish)
+        return task.cancel
+
     def send(self, host: HostName, message: object) -> bool:
         """Deliver `CancelWork` after a trip."""
         if isinstance(message, CancelWork):
--- a/boragespool/controllers/attempts.py
+++ b/boragespool/controllers/attempts.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import asyncio
 import itertools
 from functools import partial
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Final
 
 from boragespool.controllers.observing import observe_result
 from boragespool.controllers.query_parts import Attempt, Part
@@ -53,7 +52,7 @@
         self._crashes = 0
         self._answered = 0
         self._overdue_ids: set[AttemptId] = set()
-        self._tasks_by_id: dict[AttemptId, asyncio.Task[Any]] = {}
+        self._abandon_by_id: dict[AttemptId, Callable[[], None]] = {}
 
     @property
     def careful(self) -> bool:
@@ -113,22 +112,19 @@
         self.sent += 1
         ATTEMPTS.labels(kind).inc()
         merger.observations.started(server)
-        task = asyncio.ensure_future(
-            merger.context.peers.request(
-                attempt.host,
-                self._message(attempt, version),
-                self._work.time_left_s(),
-            ),
+        # The deadline of the query ends the wait for a reply.
+        self._abandon_by_id[attempt.attempt_id] = merger.context.peers.call(
+            attempt.host,
+            self._message(attempt, version),
+            partial(self._finish, attempt),
         )
-        self._tasks_by_id[attempt.attempt_id] = task
-        task.add_done_callback(partial(self._finish, attempt))
         return attempt
 
     def cancel(self, attempt: Attempt) -> None:
         """Withdraw an attempt whose result is of no more use."""
         self.may_have_run = True
         self._forget(attempt)
-        self._tasks_by_id.pop(attempt.attempt_id).cancel()
+        self._abandon_by_id.pop(attempt.attempt_id)()
         context = self._work.merger.context
         context.peers.send(attempt.host, CancelWork(attempt.attempt_id))
         waited_s = context.timers.now_s() - attempt.started_s
@@ -165,12 +161,12 @@
             solo=self.careful,
         )
 
-    def _finish(self, attempt: Attempt, task: asyncio.Task[Any]) -> None:
+    def _finish(self, attempt: Attempt, reply: object) -> None:
         """Take the result of an attempt that was not cancelled."""
-        if self._tasks_by_id.pop(attempt.attempt_id, None) is None:
+        if self._abandon_by_id.pop(attempt.attempt_id, None) is None:
             return
         self._forget(attempt)
-        result = _result_of(task)
+        result = _result_of(reply)
         if _may_have_run(result):
             self.may_have_run = True
             if result.code in _CRASH_CODES:
@@ -198,16 +194,11 @@
             self._work.tracker.record(latency_s)
 
 
-def _result_of(task: asyncio.Task[Any]) -> WorkReply | Failure:
-    """Return a reply or a failure, whatever the exchange ended with."""
-    if task.cancelled():
-        return _unusable('the exchange was cancelled')
-    if task.exception() is not None:
-        return _unusable(f'the exchange raised {task.exception()!r}')
-    result = task.result()
-    if isinstance(result, (WorkReply, Failure)):
-        return result
-    return _unusable(f'{type(result).__name__!r} is not a work reply')
+def _result_of(reply: object) -> WorkReply | Failure:
+    """Return a reply or a failure, whatever the peer answered."""
+    if isinstance(reply, (WorkReply, Failure)):
+        return reply
+    return _unusable(f'{type(reply).__name__!r} is not a work reply')
 
 
 def _may_have_run(result: WorkReply | Failure) -> bool:
--- a/boragespool/controllers/dispatch.py
+++ b/boragespool/controllers/dispatch.py
@@ -33,7 +33,7 @@
 from boragespool.types import Seconds, ServerName, ServerState, WorkKind
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from boragespool.controllers.context import Context
     from boragespool.peers import Sender
@@ -75,7 +75,7 @@
     async def __aenter__(self) -> Self:
         """Serve work from now on."""
         context = self._context
-        context.peers.on_request(WorkRequest, self.serve)
+        context.peers.on_call(WorkRequest, self._serve)
         context.peers.on_message(CancelWork, self._cancel)
         upkeep = context.timers.every(_UPKEEP_S, self._upkeep)
         self._stack.callback(upkeep.cancel)
@@ -146,18 +146,25 @@
             await asyncio.wait(waiting, timeout=timeout_s)
         return not self.in_flight
 
-    async def serve(self, _sender: Sender, work: WorkRequest) -> WorkReply:
+    def _serve(
+        self,
+        _sender: Sender,
+        work: WorkRequest,
+        reply: Callable[[WorkReply], None],
+    ) -> None:
         """Run one attempt; a repeated attempt gets the reply of the first."""
         answer = self._answers.find(work)
         if answer is None:
             target = self._admit(work)
             if isinstance(target, Failure):
-                return refusal(work, target)
+                reply(refusal(work, target))
+                return
             answer = target.accept(work, self._to_queued(work)).answer
             self._answers.begin(work, answer)
         if isinstance(answer, WorkReply):
-            return answer
-        return await asyncio.shield(answer)
+            reply(answer)
+        else:
+            answer.add_done_callback(lambda done: reply(done.result()))
 
     def _all_backends(self) -> Iterable[Backend]:
         return itertools.chain(self._backends.values(), self._retired)
--- a/boragespool/peers/exchanges.py
+++ b/boragespool/peers/exchanges.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-import contextlib
 import itertools
 from typing import TYPE_CHECKING, Any
 
@@ -12,7 +10,7 @@
 from boragespool.types import RunState
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable
 
     from boragespool.types import HostName, Seconds
 
@@ -23,23 +21,28 @@
     def __init__(self) -> None:
         """Start with nothing open."""
         self._numbers = itertools.count(1)
-        self._reply_by_number: dict[int, asyncio.Future[Any]] = {}
+        self._on_result_by_number: dict[int, Callable[[Any], None]] = {}
 
-    @contextlib.contextmanager
-    def open(self) -> Iterator[tuple[int, asyncio.Future[Any]]]:
-        """Return the number of a new exchange and its future reply."""
+    def open(self, on_result: Callable[[Any], None]) -> int:
+        """Return the number of a new exchange.
+
+        Parameters
+        ----------
+        on_result : callable
+            Called at most once, with the reply or a failure.
+        """
         number = next(self._numbers)
-        reply: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
-        self._reply_by_number[number] = reply
-        try:
-            yield number, reply
-        finally:
-            del self._reply_by_number[number]
+        self._on_result_by_number[number] = on_result
+        return number
+
+    def close(self, number: int) -> None:
+        """Wait for a reply no longer; a late one is dropped."""
+        self._on_result_by_number.pop(number, None)
 
     def resolve(self, number: int, message: object) -> None:
         """Give a reply to the request that waits; a late one is dropped."""
-        reply = self._reply_by_number.get(number)
-        if reply is None or reply.done():
+        on_result = self._on_result_by_number.pop(number, None)
+        if on_result is None:
             return
         if isinstance(message, Refusal):
             message = Failure(
@@ -47,7 +50,7 @@
                 message.reason,
                 message.run,
             )
-        reply.set_result(message)
+        on_result(message)
 
 
 def no_answer(host: HostName, timeout_s: Seconds) -> Failure:
@@ -73,3 +76,12 @@
         ResultCode.PEER_REFUSED,
         f'requests of kind {kind!r} are not served here',
     )
+
+
+def handler_failed(kind: str) -> Failure:
+    """Return the failure of a request whose handler raised an exception."""
+    return Failure(
+        ResultCode.PEER_UNREACHABLE,
+        f'the handler of requests of kind {kind!r} failed',
+        RunState.UNKNOWN,
+    )
--- a/boragespool/peers/link.py
+++ b/boragespool/peers/link.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
+import math
 from collections import deque
 from typing import TYPE_CHECKING, Final, Self
 
@@ -23,6 +23,7 @@
     encode_frame,
     encode_message,
 )
+from boragespool.tasks import TaskSet
 
 if TYPE_CHECKING:
     from boragespool.peers.options import PeerOptions
@@ -50,7 +51,9 @@
         self._options = options
         self._timers = timers
         self._queue: deque[Envelope] = deque()
-        self._wakeup = asyncio.Event()
+        self._blocked = TaskSet()
+        self._flush_is_due = False
+        self._flushed_at_s = -math.inf
         self._closing = False
         self._probing: Subscription | None = None
         self._probe_number = 0
@@ -65,22 +68,19 @@
     def start(self) -> None:
         """Dial without waiting for the peer."""
         self._dial()
-        self._sender = asyncio.create_task(self._send_frames())
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Close the socket; queued messages are dropped."""
         self.stop()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self._sender
+        await self._blocked.close()
 
     def stop(self) -> None:
-        """Close the socket and cancel the sender without waiting for it."""
+        """Close the socket without waiting for a blocked frame."""
         if self._probing is not None:
             self._probing.cancel()
         self._closing = True
         # Cancelling a pynng send can wait for ever; closing ends it.
         self._socket.close()
-        self._sender.cancel()
 
     def queue(self, envelope: Envelope) -> bool:
         """Queue one message; False if the queue is full."""
@@ -93,7 +93,7 @@
             self._arm_probe()
         if envelope.kind not in _PROBE_KINDS:
             self.used_at_s = self._timers.now_s()
-        self._wakeup.set()
+        self._flush_soon()
         return True
 
     def probe_answered(self) -> None:
@@ -156,22 +156,50 @@
         self.queue(encode_message(Probe(self._probe_number)))
         self._used_since_probe = False
 
-    async def _send_frames(self) -> None:
-        """Send what is queued, at most one frame per flush interval."""
-        # pynng drops a cancellation that coincides with a completed send.
-        while not self._closing:
-            await self._wakeup.wait()
-            await asyncio.sleep(self._options.flush_interval_s)
-            self._wakeup.clear()
-            while self._queue and not self._closing:
-                await self._send(encode_frame(self._take_frame()))
-
-    async def _send(self, encoded: bytes) -> None:
+    def _flush_soon(self) -> None:
+        """Flush after this turn of the loop, or when the interval is over."""
+        if self._flush_is_due or self._blocked or self._closing:
+            return
+        self._flush_is_due = True
+        since_s = self._timers.now_s() - self._flushed_at_s
+        self._timers.after(
+            max(0, self._options.flush_interval_s - since_s),
+            self._flush,
+        )
+
+    def _flush(self) -> None:
+        """Send what is queued, as far as the socket takes it at once.
+
+        A send that does not wait needs no callback from a thread of pynng,
+        which costs more than the send itself.
+        """
+        self._flush_is_due = False
+        self._flushed_at_s = self._timers.now_s()
+        while self._queue and not self._closing:
+            encoded = encode_frame(self._take_frame())
+            try:
+                self._socket.send(encoded, block=False)
+            except pynng.TryAgain:
+                blocked = self._blocked.spawn(self._send_blocked(encoded))
+                blocked.add_done_callback(self._unblocked)
+                return
+            except pynng.NNGException:
+                continue
+            self._count(encoded)
+
+    async def _send_blocked(self, encoded: bytes) -> None:
         """Send one frame; it is lost if the connection stays blocked."""
         with contextlib.suppress(pynng.NNGException):
             await self._socket.asend(encoded)
-            self.frames_sent += 1
-            self.bytes_sent += len(encoded)
+            self._count(encoded)
+
+    def _unblocked(self, _sent: object) -> None:
+        if self._queue:
+            self._flush_soon()
+
+    def _count(self, encoded: bytes) -> None:
+        self.frames_sent += 1
+        self.bytes_sent += len(encoded)
 
     def _take_frame(self) -> Frame:
         envelopes: list[Envelope] = []
--- a/boragespool/peers/network.py
+++ b/boragespool/peers/network.py
@@ -1,7 +1,6 @@
 """Messages and requests between the daemons.
 
-Owns one Pull0 listener, the links to peers, and the requests that wait for a
-reply.
+Owns the listener, the links to peers, and the requests that wait for a reply.
 """
 
 from __future__ import annotations
@@ -9,17 +8,14 @@
 import asyncio
 import contextlib
 import logging
-from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING, Any, Self, TypeVar
 
-import pynng
-
 from boragespool.events import Event, log_event
 from boragespool.peers.exchanges import (
     Exchanges,
     no_answer,
     not_sent,
-    not_served,
 )
 from boragespool.peers.frames import (
     Envelope,
@@ -27,34 +23,26 @@
     Probe,
     ProbeAnswer,
     Refusal,
-    decode_frame,
     decode_message,
     encode_message,
 )
+from boragespool.peers.handlers import Handlers, Sender
 from boragespool.peers.link import PeerLink
+from boragespool.peers.listener import FrameListener
 from boragespool.results import Failure
 from boragespool.tasks import TaskSet
-from boragespool.types import Address, HostName, Incarnation
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from boragespool.peers.handlers import Reply
     from boragespool.peers.options import PeerOptions
     from boragespool.timers import TimerService
-    from boragespool.types import Seconds
+    from boragespool.types import Address, HostName, Seconds
 
 _MessageT = TypeVar('_MessageT')
 
 
-@dataclass(frozen=True, slots=True)
-class Sender:
-    """The daemon that a message came from."""
-
-    host: HostName
-    incarnation: Incarnation
-    address: Address
-
-
 class PeerNetwork:
     """All links of one daemon, an async context manager.
 
@@ -76,13 +64,14 @@
         self._stack = contextlib.AsyncExitStack()
         self._address_by_host: dict[HostName, Address] = {}
         self._link_by_host: dict[HostName, PeerLink] = {}
-        self._message_handlers: dict[str, Callable[[Sender, Any], None]] = {}
-        self._request_handlers: dict[
-            str,
-            Callable[[Sender, Any], Awaitable[Any]],
-        ] = {}
         self._exchanges = Exchanges()
         self._tasks = TaskSet()
+        self._handlers = Handlers(self._tasks)
+        self._own_sender = Sender(
+            options.host,
+            options.incarnation,
+            options.listen_address,
+        )
 
     async def __aenter__(self) -> Self:
         """Listen.
@@ -92,11 +81,9 @@
         pynng.NNGException
             If the address is in use or is not local.
         """
-        self._socket = pynng.Pull0(recv_buffer_size=256)
-        self._stack.callback(self._socket.close)
-        listen_address = self.options.listen_address
-        self._socket.listen(f'tcp://{listen_address}')
-        self._tasks.spawn(self._receive_frames())
+        self._stack.enter_context(
+            FrameListener(self.options.listen_address, self._receive),
+        )
         idle_check = self._timers.every(
             self.options.idle_timeout_s / 2,
             self._close_idle_links,
@@ -105,14 +92,12 @@
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        """Close all links."""
+        """Receive nothing more and close all links."""
         self._closing = True
-        # Cancelling a pynng receive can wait for ever; closing ends it.
-        self._socket.close()
+        await self._stack.aclose()
         await self._tasks.close()
         for link in tuple(self._link_by_host.values()):
             await link.__aexit__()
-        await self._stack.aclose()
 
     def set_address(self, host: HostName, address: Address) -> None:
         """Set where a peer listens; a changed address closes the old link."""
@@ -137,7 +122,7 @@
         handler: Callable[[Sender, _MessageT], None],
     ) -> None:
         """Call a handler with each message of a kind."""
-        self._message_handlers[kind.__name__] = handler
+        self._handlers.on_message(kind, handler)
 
     def on_request(
         self,
@@ -145,7 +130,18 @@
         handler: Callable[[Sender, _MessageT], Awaitable[Any]],
     ) -> None:
         """Answer each request of a kind with the handler's result."""
-        self._request_handlers[kind.__name__] = handler
+        self._handlers.on_request(kind, handler)
+
+    def on_call(
+        self,
+        kind: type[_MessageT],
+        handler: Callable[[Sender, _MessageT, Reply], None],
+    ) -> None:
+        """Answer each request of a kind with what the handler replies.
+
+        It costs no task, unlike a handler of `on_request`.
+        """
+        self._handlers.on_call(kind, handler)
 
     def send(self, host: HostName, message: object) -> bool:
         """Queue a message; False if the peer has no address or a full queue.
@@ -155,12 +151,51 @@
         if host == self.options.host:
             asyncio.get_running_loop().call_soon(
                 self._deliver,
-                self._self_sender(),
+                self._own_sender,
                 message,
             )
             return True
         return self._queue(host, encode_message(message))
 
+    def call(
+        self,
+        host: HostName,
+        message: object,
+        on_result: Callable[[Any], None],
+    ) -> Callable[[], None]:
+        """Send a request whose reply is passed to a callback.
+
+        Parameters
+        ----------
+        host : str
+            Peer, or this daemon itself, whose handler gets the message
+            without any encoding.
+        message : object
+            Message for which the peer registered a request handler.
+        on_result : callable
+            Called later, at most once, with the reply or a failure. A
+            failure has run state ``NOT_RUN`` if nothing was sent or the peer
+            refused, else ``UNKNOWN``.
+
+        Returns
+        -------
+        callable
+            Call it to wait no longer. Nothing else ends the wait for a
+            reply that does not come.
+        """
+        number = self._exchanges.open(on_result)
+        resolve = partial(self._exchanges.resolve, number)
+        if host == self.options.host:
+            asyncio.get_running_loop().call_soon(
+                self._handlers.serve,
+                self._own_sender,
+                message,
+                resolve,
+            )
+        elif not self._queue(host, encode_message(message, number)):
+            asyncio.get_running_loop().call_soon(resolve, not_sent(host))
+        return partial(self._exchanges.close, number)
+
     async def request(
         self,
         host: HostName,
@@ -171,10 +206,8 @@
 
         Parameters
         ----------
-        host : str
-            Peer, or this daemon itself.
-        message : object
-            Message for which the peer registered a request handler.
+        host, message
+            As for `call`.
         timeout_s : float
             Longest wait, in seconds.
 
@@ -184,16 +217,16 @@
             The reply. A failure has run state ``NOT_RUN`` if nothing was
             sent or the peer refused, else ``UNKNOWN``.
         """
-        if host == self.options.host:
-            return await self._request_self(message, timeout_s)
-        with self._exchanges.open() as (number, reply):
-            if not self._queue(host, encode_message(message, number)):
-                return not_sent(host)
-            try:
-                async with asyncio.timeout(timeout_s):
-                    return await reply
-            except TimeoutError:
-                return no_answer(host, timeout_s)
+        loop = asyncio.get_running_loop()
+        reply: asyncio.Future[Any] = loop.create_future()
+        settle = partial(_settle, reply)
+        close = self.call(host, message, settle)
+        timer = loop.call_later(timeout_s, settle, no_answer(host, timeout_s))
+        try:
+            return await reply
+        finally:
+            timer.cancel()
+            close()
 
     def traffic(self) -> tuple[int, int]:
         """Return frames and bytes sent since the start."""
@@ -212,31 +245,6 @@
                 ):
                     await asyncio.sleep(self.options.flush_interval_s)
 
-    def _self_sender(self) -> Sender:
-        return Sender(
-            self.options.host,
-            self.options.incarnation,
-            self.options.listen_address,
-        )
-
-    async def _request_self(
-        self,
-        message: object,
-        timeout_s: Seconds,
-    ) -> Any | Failure:
-        """Call the own handler directly."""
-        handler = self._request_handlers.get(type(message).__name__)
-        if handler is None:
-            return not_served(type(message).__name__)
-        # Like a remote handler, it goes on after a timeout.
-        task = self._tasks.spawn(
-            _call(handler, self._self_sender(), message),
-        )
-        done, _ = await asyncio.wait((task,), timeout=timeout_s)
-        if not done or task.cancelled() or task.exception() is not None:
-            return no_answer(self.options.host, timeout_s)
-        return task.result()
-
     def _close_idle_links(self) -> None:
         if self._closing:
             return
@@ -256,35 +264,37 @@
             link.start()
         return link.queue(envelope)
 
-    async def _receive_frames(self) -> None:
-        # pynng drops a cancellation that coincides with an arrival.
-        while not self._closing:
-            try:
-                received = await self._socket.arecv()
-            except pynng.Closed:
-                return
-            frame = decode_frame(received)
-            if isinstance(frame, Failure):
-                log_event(
-                    Event.PEER_FRAME_REJECTED,
-                    frame.reason,
-                    level=logging.WARNING,
-                    code=int(frame.code),
-                )
-            else:
-                self._receive(frame)
-
     def _receive(self, frame: Frame) -> None:
         sender = Sender(frame.sender, frame.incarnation, frame.address)
         self._address_by_host.setdefault(frame.sender, frame.address)
         for envelope in frame.envelopes:
             message = decode_message(envelope)
-            if envelope.reply:
-                self._exchanges.resolve(envelope.exchange, message)
-            elif envelope.exchange:
-                self._tasks.spawn(self._answer(sender, envelope, message))
-            else:
-                self._deliver(sender, message)
+            try:
+                self._accept(sender, envelope, message)
+            except Exception as error:
+                # One faulty handler must not cost the rest of the frame.
+                log_event(
+                    Event.TASK_FAILED,
+                    f'a message of kind {envelope.kind!r} raised {error!r}',
+                    level=logging.ERROR,
+                )
+
+    def _accept(
+        self,
+        sender: Sender,
+        envelope: Envelope,
+        message: object,
+    ) -> None:
+        if envelope.reply:
+            self._exchanges.resolve(envelope.exchange, message)
+        elif envelope.exchange:
+            self._handlers.serve(
+                sender,
+                message,
+                partial(self._reply, sender.host, envelope.exchange),
+            )
+        else:
+            self._deliver(sender, message)
 
     def _deliver(self, sender: Sender, message: object) -> None:
         if isinstance(message, Probe):
@@ -295,39 +305,19 @@
             if link is not None:
                 link.probe_answered()
             return
-        handler = self._message_handlers.get(type(message).__name__)
-        if handler is not None:
-            handler(sender, message)
+        self._handlers.deliver(sender, message)
 
-    async def _answer(
-        self,
-        sender: Sender,
-        envelope: Envelope,
-        message: object,
-    ) -> None:
-        """Run the request handler and send its result."""
-        handler = self._request_handlers.get(envelope.kind)
-        if isinstance(message, Failure):
-            result: object = message
-        elif handler is None:
-            result = not_served(envelope.kind)
-        else:
-            result = await handler(sender, message)
+    def _reply(self, host: HostName, exchange: int, result: object) -> None:
+        """Send the result of a request handler."""
         if isinstance(result, Failure):
             result = Refusal(
                 int(result.code),
                 result.reason,
                 result.run,
             )
-        self._queue(
-            sender.host,
-            encode_message(result, envelope.exchange, reply=True),
-        )
+        self._queue(host, encode_message(result, exchange, reply=True))
 
 
-async def _call(
-    handler: Callable[[Sender, Any], Awaitable[Any]],
-    sender: Sender,
-    message: object,
-) -> Any:
-    return await handler(sender, message)
+def _settle(reply: asyncio.Future[Any], result: object) -> None:
+    if not reply.done():
+        reply.set_result(result)
