Parse HTTP responses in the callback of the transport

Cause: a client connection read through a stream, so each exchange passed a timeout context, several coroutines and a stream buffer before h11 saw the bytes.

Change: `HttpConnection` is an asyncio protocol that gives the bytes to h11 as they arrive and settles one future; its timeout is one timer. Bytes that arrive between two exchanges now end the connection at once, while the stream kept them for the next exchange.

--- a/boragespool/http/client.py
+++ b/boragespool/http/client.py
@@ -9,7 +9,8 @@
 import asyncio
 import enum
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Final, Self
+from functools import partial
+from typing import TYPE_CHECKING, Self, cast
 
 import h11
 
@@ -19,8 +20,6 @@
     from boragespool.http.messages import HttpRequest
     from boragespool.types import Address, Seconds
 
-_READ_SIZE_BYTES: Final = 65_536
-
 
 class FailureKind(enum.StrEnum):
     """How an exchange failed."""
@@ -50,22 +49,24 @@
     reason: str
 
 
-class HttpConnection:
-    """One client connection; open it with `open_connection`."""
+class HttpConnection(asyncio.Protocol):
+    """One client connection; open it with `open_connection`.
 
-    def __init__(
-        self,
-        address: Address,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        """Take over both stream ends."""
+    The bytes that arrive are parsed in the callback of the transport, which
+    takes less time than a stream that a coroutine reads.
+    """
+
+    def __init__(self, address: Address) -> None:
+        """Start without a transport."""
         self.address = address
-        self._reader = reader
-        self._writer = writer
+        self._transport: asyncio.Transport | None = None
         self._protocol = h11.Connection(h11.CLIENT)
-        self._usable = True
+        self._usable = False
         self._peer_closed = False
+        self._result: asyncio.Future[HttpResponse | ExchangeFailure] | None
+        self._result = None
+        self._status = 0
+        self._parts: list[bytes] = []
 
     async def __aenter__(self) -> Self:
         """Return the open connection."""
@@ -78,16 +79,44 @@
     @property
     def usable(self) -> bool:
         """Whether another exchange may begin."""
-        return (
-            self._usable
-            and not self._reader.at_eof()
-            and not self._writer.is_closing()
-        )
+        return self._usable
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Use the transport."""
+        self._transport = cast('asyncio.Transport', transport)
+        self._usable = True
+
+    def data_received(self, received: bytes) -> None:
+        """Parse a part of the response.
+
+        Bytes that nobody asked for would be read as the next response, so
+        they end the connection.
+        """
+        if self._result is None or self._result.done():
+            self.close()
+            return
+        self._protocol.receive_data(received)
+        self._parse()
+
+    def eof_received(self) -> None:
+        """Finish a response that the end of the connection delimits."""
+        self._usable = False
+        self._peer_closed = True
+        if self._result is not None and not self._result.done():
+            self._protocol.receive_data(b'')
+            self._parse()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Fail the exchange under way."""
+        self._usable = False
+        reason = 'the connection closed' if error is None else str(error)
+        self._settle(self._failure(FailureKind.CLOSED, reason))
 
     def close(self) -> None:
         """Close at once; an exchange under way fails as closed."""
         self._usable = False
-        self._writer.transport.abort()
+        if self._transport is not None:
+            self._transport.abort()
 
     async def exchange(
         self,
@@ -120,35 +149,19 @@
                 sent=False,
                 reason=f'{self.address!r} closed the idle connection',
             )
+        loop = asyncio.get_running_loop()
+        self._parts = []
+        self._result = loop.create_future()
+        timer = loop.call_later(timeout_s, self._time_out, timeout_s)
         try:
-            async with asyncio.timeout(timeout_s):
-                return await self._exchange(request)
-        except TimeoutError:
-            return self._fail(FailureKind.TIMEOUT, f'{timeout_s!r} s passed')
-        except (OSError, h11.RemoteProtocolError) as error:
-            return self._fail(self._failure_kind(error), str(error))
+            self._send(request)
+            return await self._result
         except asyncio.CancelledError:
             self.close()
             raise
-
-    async def _exchange(
-        self,
-        request: HttpRequest,
-    ) -> HttpResponse | ExchangeFailure:
-        self._send(request)
-        head = await self._next_event()
-        if not isinstance(head, h11.Response):
-            return self._fail(FailureKind.CLOSED, 'no response arrived')
-        parts: list[bytes] = []
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.EndOfMessage):
-                break
-            if not isinstance(event, h11.Data):
-                return self._fail(FailureKind.CLOSED, 'response cut short')
-            parts.append(bytes(event.data))
-        self._finish_cycle()
-        return HttpResponse(head.status_code, b''.join(parts))
+        finally:
+            timer.cancel()
+            self._result = None
 
     def _send(self, request: HttpRequest) -> None:
         headers = [
@@ -165,18 +178,51 @@
         if request.body:
             sent += self._protocol.send(h11.Data(data=request.body)) or b''
         sent += self._protocol.send(h11.EndOfMessage()) or b''
-        self._writer.write(sent)
+        if self._transport is not None:
+            self._transport.write(sent)
 
-    async def _next_event(self) -> object:
-        """Return the next event, skipping informational responses."""
+    def _parse(self) -> None:
+        """Parse what has arrived; settle the exchange if that is all."""
+        try:
+            result = self._parsed()
+        except h11.RemoteProtocolError as error:
+            # h11 also rejects a close before the end of the response.
+            closed = self._peer_closed
+            kind = FailureKind.CLOSED if closed else FailureKind.MALFORMED
+            result = self._failure(kind, str(error))
+        if result is not None:
+            self._settle(result)
+
+    def _parsed(self) -> HttpResponse | ExchangeFailure | None:
+        """Return the response, or None until it is complete."""
         while True:
             event = self._protocol.next_event()
-            if event is h11.NEED_DATA:
-                received = await self._reader.read(_READ_SIZE_BYTES)
-                self._peer_closed = not received
-                self._protocol.receive_data(received)
+            if isinstance(event, h11.Data):
+                self._parts.append(bytes(event.data))
+            elif isinstance(event, h11.Response):
+                self._status = event.status_code
             elif not isinstance(event, h11.InformationalResponse):
-                return event
+                return self._ended(event)
+
+    def _ended(self, event: object) -> HttpResponse | ExchangeFailure | None:
+        """Return what the last of the events that have arrived means."""
+        if event is h11.NEED_DATA:
+            return None
+        if isinstance(event, h11.EndOfMessage):
+            self._finish_cycle()
+            return HttpResponse(self._status, b''.join(self._parts))
+        return self._failure(FailureKind.CLOSED, 'no response arrived')
+
+    def _settle(self, result: HttpResponse | ExchangeFailure) -> None:
+        if isinstance(result, ExchangeFailure):
+            self.close()
+        if self._result is not None and not self._result.done():
+            self._result.set_result(result)
+
+    def _time_out(self, timeout_s: Seconds) -> None:
+        self._settle(
+            self._failure(FailureKind.TIMEOUT, f'{timeout_s!r} s passed'),
+        )
 
     def _finish_cycle(self) -> None:
         done = h11.DONE
@@ -188,20 +234,13 @@
         else:
             self.close()
 
-    def _fail(self, kind: FailureKind, reason: str) -> ExchangeFailure:
-        self.close()
+    def _failure(self, kind: FailureKind, reason: str) -> ExchangeFailure:
         return ExchangeFailure(
             kind,
             sent=True,
             reason=f'exchange with {self.address!r} failed: {reason}',
         )
 
-    def _failure_kind(self, error: Exception) -> FailureKind:
-        """Tell a close before the response, which h11 rejects, from noise."""
-        if isinstance(error, OSError) or self._peer_closed:
-            return FailureKind.CLOSED
-        return FailureKind.MALFORMED
-
 
 async def open_connection(
     address: Address,
@@ -224,7 +263,11 @@
     host, _, port = address.rpartition(':')
     try:
         async with asyncio.timeout(timeout_s):
-            reader, writer = await asyncio.open_connection(host, int(port))
+            _, connection = await asyncio.get_running_loop().create_connection(
+                partial(HttpConnection, address),
+                host,
+                int(port),
+            )
     except TimeoutError:
         return ExchangeFailure(
             FailureKind.TIMEOUT,
@@ -237,4 +280,4 @@
             sent=False,
             reason=f'{address!r} refused the connection: {error}',
         )
-    return HttpConnection(address, reader, writer)
+    return connection
--- a/tests/test_http_failures.py
+++ b/tests/test_http_failures.py
@@ -141,6 +141,31 @@
     asyncio.run(run())
 
 
+def test_bytes_between_exchanges_end_the_connection():
+    """A late second answer must not be read as that of the next request."""
+
+    async def run():
+        async def serve(reader, writer):
+            await reader.read(65_536)
+            writer.write(ANSWER + b'a1')
+            await asyncio.sleep(0.05)
+            writer.write(ANSWER + b'a2')
+            await reader.read(65_536)
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        async with server:
+            connection = await open_connection(f'{host}:{port}', 1)
+            first = await connection.exchange(HttpRequest('GET', '/'), 1)
+            assert first.body == b'a1'
+            await asyncio.sleep(0.1)
+            second = await connection.exchange(HttpRequest('GET', '/'), 1)
+            assert isinstance(second, ExchangeFailure)
+            assert not second.sent
+
+    asyncio.run(run())
+
+
 def test_second_answer_is_not_taken_for_the_next_request():
     """A server that answers twice must not shift all later answers."""
 
