Handle control messages between daemons before work

Under a flood, pings and witness requests waited behind all work messages of the same link, and a witness that did not answer was reported with the verdict of one that restarted ("forgotten").

A link now fills each frame with control messages first. A witness that does not answer gets the verdict SILENT; the issuer seals the ticket itself as before and answers not_run.

With the class of all messages set to control, the two tests of the order fail; with SILENT replaced by FORGOTTEN, the test of the verdict fails; with replies counted against the limit, the test of the backlog fails.

--- a/boragespool/controllers/membership.py
+++ b/boragespool/controllers/membership.py
@@ -17,7 +17,7 @@
     from collections.abc import Callable, Mapping
 
     from boragespool.controllers.context import Context
-    from boragespool.peers.network import Sender
+    from boragespool.peers import Sender
     from boragespool.revisions import RevisionDocument
     from boragespool.types import Address, DataCentre, HostName
 
--- a/boragespool/controllers/witnesses.py
+++ b/boragespool/controllers/witnesses.py
@@ -23,7 +23,7 @@
     WitnessReply,
     WitnessVerdict,
 )
-from boragespool.results import Failure
+from boragespool.results import Failure, ResultCode
 from boragespool.settings import ClaimSettings
 from boragespool.types import HostName, Incarnation, MemberStatus
 
@@ -98,15 +98,15 @@
         Returns
         -------
         WitnessReply
-            ``FORGOTTEN`` if there is no witness or it does not answer.
+            ``FORGOTTEN`` if there is no witness or it refuses the message,
+            ``SILENT`` if it does not answer within `timeout_s` seconds.
         """
         host = self._current_host(message)
         if not host:
             return WitnessReply(WitnessVerdict.FORGOTTEN)
-        reply = await self._context.peers.request(host, message, timeout_s)
-        if isinstance(reply, WitnessReply):
-            return reply
-        return WitnessReply(WitnessVerdict.FORGOTTEN)
+        return _to_reply(
+            await self._context.peers.request(host, message, timeout_s),
+        )
 
     async def hand_over(self) -> HostName | None:
         """Move all records to a member that stays.
@@ -161,14 +161,9 @@
         successor = handed_over.result() if done else None
         if successor is None:
             return WitnessReply(WitnessVerdict.FORGOTTEN)
-        reply = await self._context.peers.request(
-            successor,
-            message,
-            timeout_s,
+        return _to_reply(
+            await self._context.peers.request(successor, message, timeout_s),
         )
-        if isinstance(reply, WitnessReply):
-            return reply
-        return WitnessReply(WitnessVerdict.FORGOTTEN)
 
     async def _adopt(self, sender: Sender, message: HandOver) -> HandOverAck:
         if self._handed_over is not None:
@@ -263,3 +258,13 @@
     def _settings(self) -> ClaimSettings:
         document = self._context.board.read(IN_FORCE)
         return document.settings.claims if document else ClaimSettings()
+
+
+def _to_reply(answer: object) -> WitnessReply:
+    """Return the reply of a witness, or the verdict on a missing one."""
+    if isinstance(answer, WitnessReply):
+        return answer
+    if isinstance(answer, Failure):
+        if answer.code is ResultCode.PEER_UNREACHABLE:
+            return WitnessReply(WitnessVerdict.SILENT)
+    return WitnessReply(WitnessVerdict.FORGOTTEN)
--- a/boragespool/messages/claims.py
+++ b/boragespool/messages/claims.py
@@ -31,7 +31,8 @@
 
     ``RECORDED``: the record is kept. ``SEALED``: the ticket never runs.
     ``STARTED``: a start without outcome. ``OUTCOME``: the outcome is known.
-    ``FORGOTTEN``: the witness cannot vouch for the ticket.
+    ``FORGOTTEN``: the witness cannot vouch for the ticket. ``SILENT``: the
+    witness did not answer in time; it may still record what it was asked.
     """
 
     RECORDED = 'recorded'
@@ -39,6 +40,7 @@
     STARTED = 'started'
     OUTCOME = 'outcome'
     FORGOTTEN = 'forgotten'
+    SILENT = 'silent'
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragespool/peers/__init__.py
+++ b/boragespool/peers/__init__.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from boragespool.peers.network import PeerNetwork, Sender
+from boragespool.peers.backlog import Sender
+from boragespool.peers.network import PeerNetwork
 from boragespool.peers.options import PeerOptions
 
 __all__ = ('PeerNetwork', 'PeerOptions', 'Sender')
--- a/boragespool/peers/frames.py
+++ b/boragespool/peers/frames.py
@@ -59,6 +59,11 @@
     exchange: int = 0
     reply: bool = False
 
+    @property
+    def is_bulk(self) -> bool:
+        """Whether control messages are sent and handled before this one."""
+        return self.kind in _BULK_KINDS
+
 
 @dataclass(frozen=True, slots=True)
 class Frame:
@@ -93,6 +98,21 @@
     }
 )
 
+#: Messages of callers' work, and large ones. All others are control messages.
+#: Cancellations belong to the bulk, so that none overtakes its work.
+_BULK_KINDS: Final = frozenset(
+    kind.__name__
+    for kind in (
+        messages.WorkRequest,
+        messages.WorkReply,
+        messages.CancelWork,
+        messages.ForwardClaim,
+        messages.ClaimReply,
+        messages.HandOver,
+        messages.RevisionReply,
+    )
+)
+
 
 def encode_message(
     message: object,
--- a/boragespool/peers/link.py
+++ b/boragespool/peers/link.py
@@ -49,7 +49,8 @@
         self.used_at_s = timers.now_s()
         self._options = options
         self._timers = timers
-        self._queue: deque[Envelope] = deque()
+        self._control: deque[Envelope] = deque()
+        self._bulk: deque[Envelope] = deque()
         self._wakeup = asyncio.Event()
         self._closing = False
         self._probing: Subscription | None = None
@@ -83,10 +84,11 @@
         self._sender.cancel()
 
     def queue(self, envelope: Envelope) -> bool:
-        """Queue one message; False if the queue is full."""
-        if len(self._queue) >= self._options.queue_count:
+        """Queue one message; False if the queue of its class is full."""
+        waiting = self._bulk if envelope.is_bulk else self._control
+        if len(waiting) >= self._options.queue_count:
             return False
-        self._queue.append(envelope)
+        waiting.append(envelope)
         # Answers to probes must not cause probes, or they would never end.
         if envelope.kind != ProbeAnswer.__name__:
             self._used_since_probe = True
@@ -103,7 +105,7 @@
     @property
     def idle(self) -> bool:
         """Whether nothing waits to be sent."""
-        return not self._queue
+        return not self._control and not self._bulk
 
     def _dial(self) -> None:
         self._socket = pynng.Push0(
@@ -163,7 +165,7 @@
             await self._wakeup.wait()
             await asyncio.sleep(self._options.flush_interval_s)
             self._wakeup.clear()
-            while self._queue and not self._closing:
+            while not self.idle and not self._closing:
                 await self._send(encode_frame(self._take_frame()))
 
     async def _send(self, encoded: bytes) -> None:
@@ -174,10 +176,11 @@
             self.bytes_sent += len(encoded)
 
     def _take_frame(self) -> Frame:
+        """Fill a frame with the control messages first."""
         envelopes: list[Envelope] = []
         size_bytes = 0
-        while self._queue and size_bytes < self._options.frame_size_bytes:
-            envelope = self._queue.popleft()
+        while not self.idle and size_bytes < self._options.frame_size_bytes:
+            envelope = (self._control or self._bulk).popleft()
             size_bytes += len(bytes(envelope.body))
             envelopes.append(envelope)
         return Frame(
--- a/boragespool/peers/network.py
+++ b/boragespool/peers/network.py
@@ -9,12 +9,12 @@
 import asyncio
 import contextlib
 import logging
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, Self, TypeVar
 
 import pynng
 
 from boragespool.events import Event, log_event
+from boragespool.peers.backlog import Backlog, Sender
 from boragespool.peers.exchanges import (
     Exchanges,
     no_answer,
@@ -32,29 +32,19 @@
     encode_message,
 )
 from boragespool.peers.link import PeerLink
-from boragespool.results import Failure
+from boragespool.results import Failure, ResultCode
 from boragespool.tasks import TaskSet
-from boragespool.types import Address, HostName, Incarnation
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from boragespool.peers.options import PeerOptions
     from boragespool.timers import TimerService
-    from boragespool.types import Seconds
+    from boragespool.types import Address, HostName, Seconds
 
 _MessageT = TypeVar('_MessageT')
 
 
-@dataclass(frozen=True, slots=True)
-class Sender:
-    """The daemon that a message came from."""
-
-    host: HostName
-    incarnation: Incarnation
-    address: Address
-
-
 class PeerNetwork:
     """All links of one daemon, an async context manager.
 
@@ -83,6 +73,7 @@
         ] = {}
         self._exchanges = Exchanges()
         self._tasks = TaskSet()
+        self._backlog = Backlog(options.queue_count, self._handle)
 
     async def __aenter__(self) -> Self:
         """Listen.
@@ -107,6 +98,7 @@
     async def __aexit__(self, *exc_info: object) -> None:
         """Close all links."""
         self._closing = True
+        self._backlog.close()
         # Cancelling a pynng receive can wait for ever; closing ends it.
         self._socket.close()
         await self._tasks.close()
@@ -275,16 +267,36 @@
                 self._receive(frame)
 
     def _receive(self, frame: Frame) -> None:
+        """Handle control messages now, and bulk work later in order."""
         sender = Sender(frame.sender, frame.incarnation, frame.address)
         self._address_by_host.setdefault(frame.sender, frame.address)
         for envelope in frame.envelopes:
-            message = decode_message(envelope)
-            if envelope.reply:
-                self._exchanges.resolve(envelope.exchange, message)
-            elif envelope.exchange:
-                self._tasks.spawn(self._answer(sender, envelope, message))
-            else:
-                self._deliver(sender, message)
+            if not envelope.is_bulk:
+                self._handle(sender, envelope)
+            elif not self._backlog.add(sender, envelope):
+                self._refuse(sender, envelope)
+
+    def _handle(self, sender: Sender, envelope: Envelope) -> None:
+        message = decode_message(envelope)
+        if envelope.reply:
+            self._exchanges.resolve(envelope.exchange, message)
+        elif envelope.exchange:
+            self._tasks.spawn(self._answer(sender, envelope, message))
+        else:
+            self._deliver(sender, message)
+
+    def _refuse(self, sender: Sender, envelope: Envelope) -> None:
+        """Refuse a request for which the backlog has no room."""
+        limit = self.options.queue_count
+        refusal = Refusal(
+            int(ResultCode.OVERLOADED),
+            f'{limit} messages wait at this daemon',
+        )
+        if envelope.exchange:
+            self._queue(
+                sender.host,
+                encode_message(refusal, envelope.exchange, reply=True),
+            )
 
     def _deliver(self, sender: Sender, message: object) -> None:
         if isinstance(message, Probe):
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -15,9 +17,10 @@
     seal,
 )
 from boragespool.claims.tickets import Ticket, format_ticket
-from boragespool.messages import WitnessVerdict
+from boragespool.controllers.requests import ClaimRequest
+from boragespool.messages import WitnessReply, WitnessVerdict
 from boragespool.results import Failure, ResultCode
-from tests.claim_network import explore
+from tests.claim_network import HOSTS, World, explore
 
 CI_SEEDS = 1_500
 
@@ -97,3 +100,39 @@
     assert isinstance(refused, Failure)
     assert refused.code == ResultCode.BAD_TICKET
     assert isinstance(parse_ticket(format_ticket(ticket(1))), Ticket)
+
+
+@pytest.mark.parametrize(
+    ('answer', 'verdict'),
+    [
+        (Failure(ResultCode.PEER_UNREACHABLE, ''), 'silent'),
+        (Failure(ResultCode.PEER_REFUSED, ''), 'forgotten'),
+        (WitnessReply(WitnessVerdict.FORGOTTEN), 'forgotten'),
+    ],
+)
+def test_silent_witness_seals_the_ticket(answer, verdict):
+    """A witness that is only slow must not look like one that restarted."""
+
+    async def run():
+        world = World(1, 0)
+        for host in HOSTS:
+            await world.start(host)
+
+        async def no_witness(host, message, timeout_s):
+            return answer
+
+        issuer = world.controllers['a']
+        (text,) = issuer.issue(1)
+        world.peers['a'].request = no_witness
+        request = ClaimRequest('r', 'claim', 'caller', text, b'1', 1)
+        refusals = [await issuer.run(request) for _ in '12']
+        for controller in world.controllers.values():
+            await controller.__aexit__()
+        return refusals, world.runs
+
+    refusals, runs = asyncio.run(run())
+    for refusal in refusals:
+        assert refusal.code == ResultCode.NO_WITNESS
+        assert refusal.run == 'not_run'
+        assert refusal.reason.endswith(f'answered {verdict!r}')
+    assert not runs
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -10,8 +10,9 @@
 
 import msgspec
 
-from boragespool.messages import Ack, Gossip, Ping, PingRequest
+from boragespool.messages import Ack, CancelWork, Gossip, Ping, PingRequest
 from boragespool.peers import PeerNetwork, PeerOptions
+from boragespool.peers.backlog import Backlog
 from boragespool.peers.frames import (
     FRAME_VERSION,
     Frame,
@@ -225,3 +226,69 @@
             await first.__aexit__()
 
     asyncio.run(run())
+
+
+def test_control_messages_go_first():
+    """Pings behind a flood of work would make peers take each other for dead."""
+
+    async def run() -> None:
+        async with pair() as (first, second):
+            handled = []
+            second.on_message(Gossip, lambda _, m: handled.append('control'))
+            second.on_message(CancelWork, lambda _, m: handled.append('bulk'))
+            for number in range(200):
+                first.send('b', CancelWork(f'{number}'))
+            first.send('b', Gossip(()))
+            link = first._link_by_host['b']
+            assert link._take_frame().envelopes[0].kind == 'Gossip'
+            link.queue(encode_message(Gossip(())))
+            for _ in range(200):
+                link.queue(encode_message(CancelWork('x')))
+            while len(handled) < 201:
+                await asyncio.sleep(0.001)
+            assert handled[0] == 'control'
+
+    asyncio.run(run())
+
+
+def frame_of(*envelopes) -> Frame:
+    return Frame(FRAME_VERSION, 'a', 1, '127.0.0.1:1', envelopes)
+
+
+def test_received_control_messages_overtake_a_backlog():
+    """A backlog of work must not hold up witnesses and the failure detector."""
+
+    async def run() -> None:
+        async with pair() as (_, second):
+            handled = []
+            second.on_message(Gossip, lambda _, m: handled.append('control'))
+            second.on_message(
+                CancelWork, lambda _, m: handled.append(int(m.attempt_id))
+            )
+            works = [encode_message(CancelWork(f'{n}')) for n in range(100)]
+            second._receive(frame_of(*works))
+            await asyncio.sleep(0)
+            second._receive(frame_of(encode_message(Gossip(()))))
+            assert handled.index('control') < 50
+            while len(handled) < 101:
+                await asyncio.sleep(0)
+            handled.remove('control')
+            assert handled == list(range(100))
+
+    asyncio.run(run())
+
+
+def test_full_backlog_refuses_requests_and_keeps_replies():
+    """A dropped request must be `not_run`; a dropped reply would be lost."""
+
+    async def run() -> None:
+        handled = []
+        backlog = Backlog(2, lambda _, envelope: handled.append(envelope))
+        request = encode_message(CancelWork('x'), 1)
+        reply = encode_message(CancelWork('x'), 1, reply=True)
+        assert [backlog.add(None, request) for _ in '123'] == [1, 1, 0]
+        assert backlog.add(None, reply)
+        await asyncio.sleep(0)
+        assert handled == [request, request, reply]
+
+    asyncio.run(run())
