--- a/boragespool/peers/link.py
+++ b/boragespool/peers/link.py
@@ -58,7 +58,8 @@
         self.used_at_s = timers.now_s()
         self._options = options
         self._timers = timers
-        self._queue: deque[Envelope] = deque()
+        self._control: deque[Envelope] = deque()
+        self._bulk: deque[Envelope] = deque()
         self._blocked = TaskSet()
         self._flush_is_due = False
         self._flushed_at_s = -math.inf
@@ -92,10 +93,11 @@
         self._socket.close()
 
     def queue(self, envelope: Envelope) -> bool:
-        """Queue one message; False if the queue is full."""
-        if len(self._queue) >= self._options.queue_count:
+        """Queue one message; False if the queue of its class is full."""
+        waiting = self._bulk if envelope.is_bulk else self._control
+        if len(waiting) >= self._options.queue_count:
             return False
-        self._queue.append(envelope)
+        waiting.append(envelope)
         if _needs_probe(envelope):
             self._used_since_probe = True
             self._last_exchange = 0 if envelope.reply else envelope.exchange
@@ -117,7 +119,7 @@
     @property
     def idle(self) -> bool:
         """Whether nothing waits to be sent."""
-        return not self._queue
+        return not self._control and not self._bulk
 
     def _dial(self) -> None:
         self._socket = pynng.Push0(
@@ -189,7 +191,7 @@
         """
         self._flush_is_due = False
         self._flushed_at_s = self._timers.now_s()
-        while self._queue and not self._closing:
+        while not self.idle and not self._closing:
             encoded = encode_frame(self._take_frame())
             try:
                 self._socket.send(encoded, block=False)
@@ -208,7 +210,7 @@
             self._count(encoded)
 
     def _unblocked(self, _sent: object) -> None:
-        if self._queue:
+        if not self.idle:
             self._flush_soon()
 
     def _count(self, encoded: bytes) -> None:
@@ -218,10 +220,11 @@
         PEER_BYTES.inc(len(encoded))
 
     def _take_frame(self) -> Frame:
+        """Fill a frame with the control messages first."""
         envelopes: list[Envelope] = []
         size_bytes = 0
-        while self._queue and size_bytes < self._options.frame_size_bytes:
-            envelope = self._queue.popleft()
+        while not self.idle and size_bytes < self._options.frame_size_bytes:
+            envelope = (self._control or self._bulk).popleft()
             size_bytes += len(bytes(envelope.body))
             envelopes.append(envelope)
         return Frame(
--- a/boragespool/peers/network.py
+++ b/boragespool/peers/network.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Any, Self, TypeVar
 
 from boragespool.events import Event, log_event
+from boragespool.peers.backlog import Backlog
 from boragespool.peers.exchanges import (
     Exchanges,
     no_answer,
@@ -29,7 +30,7 @@
 from boragespool.peers.handlers import Handlers, Sender
 from boragespool.peers.link import PeerLink
 from boragespool.peers.listener import FrameListener
-from boragespool.results import Failure
+from boragespool.results import Failure, ResultCode
 from boragespool.tasks import TaskSet
 
 if TYPE_CHECKING:
@@ -72,6 +73,7 @@
             options.incarnation,
             options.listen_address,
         )
+        self._backlog = Backlog(options.queue_count, self._handle)
 
     async def __aenter__(self) -> Self:
         """Listen.
@@ -95,6 +97,7 @@
         """Receive nothing more and close all links."""
         self._closing = True
         await self._stack.aclose()
+        self._backlog.close()
         await self._tasks.close()
         for link in tuple(self._link_by_host.values()):
             await link.__aexit__()
@@ -265,19 +268,36 @@
         return link.queue(envelope)
 
     def _receive(self, frame: Frame) -> None:
+        """Handle control messages now, and bulk work later in order."""
         sender = Sender(frame.sender, frame.incarnation, frame.address)
         self._address_by_host.setdefault(frame.sender, frame.address)
         for envelope in frame.envelopes:
-            message = decode_message(envelope)
-            try:
-                self._accept(sender, envelope, message)
-            except Exception as error:
-                # One faulty handler must not cost the rest of the frame.
-                log_event(
-                    Event.TASK_FAILED,
-                    f'a message of kind {envelope.kind!r} raised {error!r}',
-                    level=logging.ERROR,
-                )
+            if not envelope.is_bulk:
+                self._handle(sender, envelope)
+            elif not self._backlog.add(sender, envelope):
+                self._refuse(sender, envelope)
+
+    def _handle(self, sender: Sender, envelope: Envelope) -> None:
+        try:
+            self._accept(sender, envelope, decode_message(envelope))
+        except Exception as error:
+            # One faulty handler must not cost the rest of the frame.
+            log_event(
+                Event.TASK_FAILED,
+                f'a message of kind {envelope.kind!r} raised {error!r}',
+                level=logging.ERROR,
+            )
+
+    def _refuse(self, sender: Sender, envelope: Envelope) -> None:
+        """Refuse a request for which the backlog has no room."""
+        if not envelope.exchange:
+            return
+        limit = self.options.queue_count
+        failure = Failure(
+            ResultCode.OVERLOADED,
+            f'{limit} messages wait at this daemon',
+        )
+        self._reply(sender.host, envelope.exchange, failure)
 
     def _accept(
         self,
