Take several frames in one turn also from the descriptor

A Pull0 socket of nng holds one frame for each peer and fetches the next in a thread, so that a receive that does not wait finds one frame per turn.

Change: the listener measures the turns of the loop.

--- a/boragespool/peers/listener.py
+++ b/boragespool/peers/listener.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import select
 from typing import TYPE_CHECKING, Final, Self
 
 import pynng
@@ -17,10 +18,15 @@
     from collections.abc import Callable
 
     from boragespool.peers.frames import Frame
-    from boragespool.types import Address
+    from boragespool.types import Address, Seconds
 
 #: Other callbacks of the loop run between two series of this many frames.
 _FRAMES_AT_ONCE: Final = 16
+#: A Pull0 socket holds one frame for each peer and fetches the next one in a
+#: thread. With turns of the loop longer than this, one frame per turn leaves
+#: control messages behind all earlier frames, so the next one is awaited.
+_LONG_TURN_S: Final = 0.002
+_NEXT_FRAME_S: Final = 0.0002
 
 
 class FrameListener:
@@ -47,6 +53,7 @@
         self._address = address
         self._on_frame = on_frame
         self._stack = contextlib.ExitStack()
+        self._turn_s: Seconds = 0
 
     def __enter__(self) -> Self:
         """Listen.
@@ -75,14 +82,26 @@
             try:
                 received = self._socket.recv(block=False)
             except pynng.NNGException:
-                return
-            frame = decode_frame(received)
-            if isinstance(frame, Failure):
-                log_event(
-                    Event.PEER_FRAME_REJECTED,
-                    frame.reason,
-                    level=logging.WARNING,
-                    code=int(frame.code),
-                )
-            else:
-                self._on_frame(frame)
+                break
+            self._decode(received)
+            if self._turn_s > _LONG_TURN_S:
+                descriptor = self._socket.recv_fd
+                select.select((descriptor,), (), (), _NEXT_FRAME_S)
+        loop = asyncio.get_running_loop()
+        loop.call_soon(self._note_turn, loop.time())
+
+    def _note_turn(self, began_s: Seconds) -> None:
+        """Measure how long the callbacks of one turn of the loop take."""
+        self._turn_s = asyncio.get_running_loop().time() - began_s
+
+    def _decode(self, received: bytes) -> None:
+        frame = decode_frame(received)
+        if isinstance(frame, Failure):
+            log_event(
+                Event.PEER_FRAME_REJECTED,
+                frame.reason,
+                level=logging.WARNING,
+                code=int(frame.code),
+            )
+        else:
+            self._on_frame(frame)
