Lengthen the detection times of daemons that are slow themselves

Detection times were fixed. A daemon that is paused or overloaded misses answers and refutations and calls live members dead.

Each daemon keeps a health score, the local health multiplier of Lifeguard (Dadgar, Phillips, Currey 2018).

The test of the controller fails with the rise after a suspicion switched off.

ProcessFleet passes environment variables to its daemons and replaces several daemons at once.

--- a/boragespool/bench/__main__.py
+++ b/boragespool/bench/__main__.py
@@ -1,4 +1,4 @@
-"""All benchmarks: ``python -m boragespool.bench [--short]``."""
+"""Benchmarks: ``python -m boragespool.bench [--short] [NAME ...]``."""
 
 from __future__ import annotations
 
@@ -30,7 +30,14 @@
 )
 #: Several fleets, or one for long, take more time than a short run may.
 _NOT_SHORT: Final = frozenset(
-    ('added_latency', 'control', 'exchange', 'profiling'),
+    (
+        'added_latency',
+        'control',
+        'exchange',
+        'profiling',
+        'replacement',
+        'slow_members',
+    ),
 )
 _SHORT_SCENARIOS: Final = ('cooperative', 'stragglers')
 #: Name of the parameter of a `main` that shortens its run.
@@ -60,25 +67,28 @@
 
 
 def main(arguments: tuple[str, ...] = ()) -> int:
-    """Run all benchmarks; a failed one does not keep others from running.
+    """Run benchmarks; a failed one does not keep others from running.
 
     Parameters
     ----------
     arguments : tuple of str
-        ``--short`` runs a subset.
+        Names of modules, all by default. ``--short`` shortens the runs, and
+        leaves some modules out unless they are named.
 
     Returns
     -------
     int
         0 if all modules ran and met the goals that they check, else 1.
     """
-    unknown = [given for given in arguments if given != _SHORT_FLAG]
+    allowed = (_SHORT_FLAG, *module_names())
+    unknown = [given for given in arguments if given not in allowed]
     if unknown:
-        sys.stderr.write(f'{unknown!r} not known; allowed: {_SHORT_FLAG}\n')
+        listed = ', '.join(allowed)
+        sys.stderr.write(f'{unknown!r} not known; allowed: {listed}\n')
         return 2
     is_short = _SHORT_FLAG in arguments
     print(f'{os.cpu_count()} cores, Python {platform.python_version()}')
-    names = [
+    names = [given for given in arguments if given != _SHORT_FLAG] or [
         name for name in module_names() if not (is_short and name in _NOT_SHORT)
     ]
     failed = [name for name in names if not _run(name, is_short)]
--- a/boragespool/bench/process_fleet.py
+++ b/boragespool/bench/process_fleet.py
@@ -35,6 +35,7 @@
 _ENTRY: Final = 'boragespool.daemon.main'
 _PROFILED_ENTRY: Final = 'boragespool.bench.profiled_entry'
 _READY_S: Final = 40
+_STOP_S: Final = 60
 _OK: Final = 200
 _CONTROL: Final = '/v1/control'
 _POST: Final = 'POST'
@@ -54,6 +55,8 @@
         Processes over which the backend servers are spread.
     profile_path_by_host : dict
         Daemons to run under cProfile and the files that they write.
+    variables : dict
+        Further environment variables of the daemons.
 
     Attributes
     ----------
@@ -66,6 +69,7 @@
     shape: DeploymentShape
     backend_process_count: int = 3
     profile_path_by_host: dict[HostName, str] = field(default_factory=dict)
+    variables: dict[str, str] = field(default_factory=dict)
     entry_by_host: dict[HostName, RunningProcess] = field(default_factory=dict)
     placed: tuple[PlacedServer, ...] = ()
     revision: int = 0
@@ -105,15 +109,12 @@
         """
         revision = self.revision + 1
         document = RevisionDocument(revision, f'change-{revision}', settings)
-        written, answer = fetch(
-            self.platform.address,
-            '/v1/kv/config/current',
-            {
-                'value': msgspec.json.encode(document).decode(),
-                'expected_version': self.revision,
-            },
-            'PUT',
-        )
+        body = {
+            'value': msgspec.json.encode(document).decode(),
+            'expected_version': self.revision,
+        }
+        path = '/v1/kv/config/current'
+        written, answer = fetch(self.platform.address, path, body, 'PUT')
         if written != _OK:
             raise RuntimeError(f'store answered {written!r}: {answer!r}')
         self.settings = settings
@@ -167,20 +168,21 @@
         placed = {entry.host: entry for entry in place_entries(self.shape)}
         return self._start_entry(placed[host], peer_address)
 
-    def replace_entry(self, host: HostName, stop_limit_s: float = 60) -> int:
-        """Stop a daemon gracefully and start its replacement.
-
-        Returns
-        -------
-        int
-            Exit code of the daemon that was stopped.
-        """
-        stopped = self.entry_by_host[host]
-        stopped.signal(signal.SIGTERM)
-        exit_code = stopped.wait(stop_limit_s)
-        self.start_entry(host)
-        self._wait_until_ready(host)
-        return exit_code
+    def replace_entries(
+        self,
+        hosts: Iterable[HostName],
+        number: int = signal.SIGTERM,
+    ) -> tuple[int, ...]:
+        """Stop daemons at once, start others; return the exit codes."""
+        stopped = {host: self.entry_by_host[host] for host in hosts}
+        for entry in stopped.values():
+            entry.signal(number)
+        exit_codes = tuple(one.wait(_STOP_S) for one in stopped.values())
+        for host in stopped:
+            self.start_entry(host)
+        for started in stopped:
+            self._wait_until_ready(started)
+        return exit_codes
 
     def _start(self) -> None:
         self.platform = self._processes.start(
@@ -252,6 +254,7 @@
             f'--platform_address={self.platform.address}',
             f'--peers={joined}',
             PROFILE_PATH=profile_path or '',
+            **self.variables,
         )
         entry.address = caller_address
         entry.peer_address = peer_address
@@ -263,10 +266,9 @@
 
     def _status(self, host: HostName) -> dict[str, Any]:
         """Return the status of a daemon; empty while it does not answer."""
+        address = self.entry_by_host[host].address
         try:
-            return dict(
-                fetch(self.entry_by_host[host].address, '/v1/status')[1]
-            )
+            return dict(fetch(address, '/v1/status')[1])
         except OSError:
             return {}
 
--- a/boragespool/bench/scenarios.py
+++ b/boragespool/bench/scenarios.py
@@ -285,9 +285,9 @@
 
 
 def _replace_entry(fleet: ProcessFleet, host: str) -> None:
-    exit_code = fleet.replace_entry(host)
-    if exit_code:
-        raise RuntimeError(f'{host!r} stopped with exit code {exit_code!r}')
+    exit_codes = fleet.replace_entries((host,))
+    if any(exit_codes):
+        raise RuntimeError(f'{host!r} stopped with exit codes {exit_codes!r}')
 
 
 if __name__ == '__main__':
--- a/boragespool/controllers/member_state.py
+++ b/boragespool/controllers/member_state.py
@@ -33,6 +33,8 @@
         """Start with the own record alone."""
         self.table = membership.MemberTable(_own_record(context))
         self.options = options
+        #: Health score, see `boragespool.membership.health`.
+        self.health = 0
         self._context = context
 
     @property
@@ -40,6 +42,11 @@
         """Record that this daemon publishes about itself."""
         return self.table.own
 
+    @property
+    def slowed_options(self) -> membership.MembershipOptions:
+        """Options with the times of failure detection at this health."""
+        return membership.slowed(self.options, self.health)
+
     @property
     def now_s(self) -> float:
         """Monotonic time."""
@@ -69,6 +76,7 @@
         sender: HostName,
     ) -> None:
         """Merge the records of one message."""
+        beat = self.own.beat
         self.apply(
             membership.receive(
                 self.table,
@@ -79,6 +87,11 @@
                 is_bulk=len(records) > self.options.record_count,
             ),
         )
+        if self.own.beat > beat:
+            self.health = membership.after_suspicion(
+                self.health,
+                self.options.health_limit,
+            )
 
     def compose(self, host: HostName) -> tuple[MemberRecord, ...]:
         """Choose the records of one message."""
--- a/boragespool/controllers/membership.py
+++ b/boragespool/controllers/membership.py
@@ -132,12 +132,19 @@
         now_s = self._state.now_s
         options = self._state.options
         table = self._state.table
-        if now_s - self._tick_s > 2 * options.ping_interval_s:
+        since_s = now_s - self._tick_s
+        if since_s > 2 * options.ping_interval_s:
             table = membership.forgive(table, now_s)
+        self._state.health = membership.after_lateness(
+            self._state.health,
+            max(0, since_s - options.ping_interval_s),
+            options,
+        )
         self._tick_s = now_s
         own = replace(table.own, load=self._smoothed_load())
         table = replace(table, own=own)
-        self._state.apply(membership.expire(table, now_s, options))
+        slowed = self._state.slowed_options
+        self._state.apply(membership.expire(table, now_s, slowed))
         self._pinger.join()
         if now_s - self._seed_tick_s >= options.seed_interval_s:
             self._seed_tick_s = now_s
@@ -162,7 +169,10 @@
         sender: Sender,
         asked: PingRequest,
     ) -> Ack:
-        reached = await self._pinger.ping(asked.target)
+        reached = await self._pinger.ping(
+            asked.target,
+            self._state.options.ping_timeout_s,
+        )
         return Ack(reached, self._state.compose(sender.host))
 
     def _receive_gossip(self, sender: Sender, gossip: Gossip) -> None:
--- a/boragespool/controllers/pinging.py
+++ b/boragespool/controllers/pinging.py
@@ -15,7 +15,7 @@
 
     from boragespool.controllers.context import Context
     from boragespool.controllers.member_state import MemberState
-    from boragespool.types import Address, HostName
+    from boragespool.types import Address, HostName, Seconds
 
 #: Pings that ask for the whole view after the start.
 _JOIN_COUNT: Final = 3
@@ -81,12 +81,18 @@
             self._context.peers.set_address(host, absent[host])
             self._tasks.spawn(self._ask_view(host))
 
-    async def ping(self, host: HostName, *, join: bool = False) -> bool:
+    async def ping(
+        self,
+        host: HostName,
+        timeout_s: Seconds,
+        *,
+        join: bool = False,
+    ) -> bool:
         """Exchange records with a host; tell whether it answered."""
         ack = await self._context.peers.request(
             host,
             Ping(self._state.compose(host), join),
-            self._state.options.ping_timeout_s,
+            timeout_s,
         )
         if not isinstance(ack, Ack):
             return False
@@ -95,7 +101,8 @@
 
     async def _ask_view(self, host: HostName) -> None:
         """Ping a host and ask for its whole view while joining."""
-        reached = await self.ping(host, join=self._joins_left > 0)
+        timeout_s = self._state.options.ping_timeout_s
+        reached = await self.ping(host, timeout_s, join=self._joins_left > 0)
         if reached and self._joins_left:
             self._joins_left -= 1
 
@@ -104,11 +111,16 @@
         state = self._state
         host = tested.host
         started_s = state.now_s
-        if await self.ping(host) or await self._ping_by_helpers(tested):
+        timeout_s = state.slowed_options.ping_timeout_s
+        if await self.ping(host, timeout_s) or await self._ping_by_helpers(
+            tested,
+            timeout_s,
+        ):
+            state.health = membership.after_answer(state.health)
             state.apply(membership.confirm(state.table, host))
             return
         # A longer time means that this daemon was paused or overloaded.
-        if state.now_s - started_s > 4 * state.options.ping_timeout_s:
+        if state.now_s - started_s > 4 * timeout_s:
             return
         state.apply(
             membership.suspect(
@@ -122,7 +134,11 @@
         if member is not None and member.status == MemberStatus.SUSPECT:
             state.send_record((host,), member)
 
-    async def _ping_by_helpers(self, tested: MemberRecord) -> bool:
+    async def _ping_by_helpers(
+        self,
+        tested: MemberRecord,
+        timeout_s: Seconds,
+    ) -> bool:
         """Ask members near the target, which all keep it, to ping it."""
         others = self._state.reachable() - {tested.host}
         near = {
@@ -135,18 +151,26 @@
             self._state.options.helper_count,
             self._context.draw,
         )
-        answers = await asyncio.gather(
-            *(self._ask_helper(helper, tested.host) for helper in helpers),
+        replies = await asyncio.gather(
+            *(
+                self._context.peers.request(
+                    helper,
+                    PingRequest(tested.host),
+                    2 * timeout_s,
+                )
+                for helper in helpers
+            ),
         )
-        return any(answers)
-
-    async def _ask_helper(self, helper: HostName, target: HostName) -> bool:
-        answer = await self._context.peers.request(
-            helper,
-            PingRequest(target),
-            2 * self._state.options.ping_timeout_s,
+        answers = [reply for reply in replies if isinstance(reply, Ack)]
+        if any(answer.reached for answer in answers):
+            return True
+        self._state.health = membership.after_silence(
+            self._state.health,
+            len(helpers),
+            len(answers),
+            self._state.options.health_limit,
         )
-        return isinstance(answer, Ack) and answer.reached
+        return False
 
 
 def _centre_of(state: MemberState, host: HostName) -> str:
--- a/boragespool/daemon/options.py
+++ b/boragespool/daemon/options.py
@@ -67,24 +67,8 @@
     membership: MembershipOptions = field(default_factory=MembershipOptions)
 
 
-@dataclass(frozen=True, slots=True)
-class Setting:
-    """One flag.
-
-    Attributes
-    ----------
-    default : str or None
-        Text used if neither the flag nor the environment sets it; None for
-        a setting that is required.
-    """
-
-    kind: parsing.Kind
-    default: str | None
-    explanation: str
-
-
-def _setting(kind: parsing.Kind, default: object, text: str) -> Setting:
-    return Setting(kind, str(default), text)
+def _setting(kind: parsing.Kind, default: object, text: str) -> parsing.Setting:
+    return parsing.Setting(kind, str(default), text)
 
 
 _LINKS: Final = PeerLimits()
@@ -93,20 +77,22 @@
 
 _PROCESS_SETTINGS: Final = MappingProxyType(
     {
-        'host': Setting(parsing.NAME, None, 'Name of this host.'),
-        'data_centre': Setting(parsing.NAME, None, 'Its data centre.'),
-        'region': Setting(parsing.NAME, None, 'Region of the data centre.'),
-        'caller_address': Setting(
+        'host': parsing.Setting(parsing.NAME, None, 'Name of this host.'),
+        'data_centre': parsing.Setting(parsing.NAME, None, 'Its data centre.'),
+        'region': parsing.Setting(
+            parsing.NAME, None, 'Region of the data centre.'
+        ),
+        'caller_address': parsing.Setting(
             parsing.ADDRESS,
             None,
             'Address for callers; it is published to them.',
         ),
-        'peer_address': Setting(
+        'peer_address': parsing.Setting(
             parsing.ADDRESS,
             None,
             'Address for peers; it is published to them.',
         ),
-        'platform_address': Setting(
+        'platform_address': parsing.Setting(
             parsing.ADDRESS,
             None,
             'Address of the platform (store and host list).',
@@ -225,6 +211,11 @@
             _MEMBERSHIP.remote_count,
             'Members kept of each other data centre.',
         ),
+        'health_limit': _setting(
+            parsing.integer(0, 100),
+            _MEMBERSHIP.health_limit,
+            'Highest health score; 0 keeps detection times fixed.',
+        ),
     },
 )
 
@@ -237,7 +228,7 @@
 )
 
 
-def all_settings() -> Mapping[str, Setting]:
+def all_settings() -> Mapping[str, parsing.Setting]:
     """Return every setting by the name of its flag."""
     return {
         prefix + name: setting
@@ -277,7 +268,7 @@
 
 def _parse_group(
     prefix: str,
-    settings: Mapping[str, Setting],
+    settings: Mapping[str, parsing.Setting],
     given: Mapping[str, str],
 ) -> dict[str, Any] | Failure:
     """Parse one group of settings."""
@@ -290,7 +281,7 @@
     return parsed
 
 
-def _rejected(name: str, text: str | None, setting: Setting) -> Failure:
+def _rejected(name: str, text: str | None, setting: parsing.Setting) -> Failure:
     said = 'is not set' if text is None else f'is {text!r}'
     allowed = setting.kind.allowed
     return Failure(
--- a/boragespool/daemon/parsing.py
+++ b/boragespool/daemon/parsing.py
@@ -32,6 +32,22 @@
     parse: Callable[[str], Any]
 
 
+@dataclass(frozen=True, slots=True)
+class Setting:
+    """One flag.
+
+    Attributes
+    ----------
+    default : str or None
+        Text used if neither the flag nor the environment sets it; None for
+        a setting that is required.
+    """
+
+    kind: Kind
+    default: str | None
+    explanation: str
+
+
 def parse_name(text: str) -> str | None:
     """Return a name; bounded, so that member records are bounded."""
     return text if _NAME.fullmatch(text) else None
--- a/boragespool/membership/__init__.py
+++ b/boragespool/membership/__init__.py
@@ -10,6 +10,13 @@
     next_target,
     suspicion_time_s,
 )
+from boragespool.membership.health import (
+    after_answer,
+    after_lateness,
+    after_silence,
+    after_suspicion,
+    slowed,
+)
 from boragespool.membership.merging import (
     is_change,
     merge_records,
@@ -35,6 +42,10 @@
     'MembershipOptions',
     'PingOrder',
     'Rumour',
+    'after_answer',
+    'after_lateness',
+    'after_silence',
+    'after_suspicion',
     'choose_addresses',
     'choose_hosts',
     'choose_records',
@@ -50,6 +61,7 @@
     'receive',
     'refute',
     'send_count',
+    'slowed',
     'suspect',
     'suspicion_time_s',
     'update_own',
--- a/boragespool/membership/options.py
+++ b/boragespool/membership/options.py
@@ -41,6 +41,10 @@
         Members that a leaving daemon tells at once.
     revision_fanout : int
         Members that get a notice of a new revision in force at once.
+    health_limit : int
+        Highest health score of this daemon. A daemon with a score waits that
+        many times longer for answers and refutations than a healthy one, in
+        addition; 0 keeps these times fixed.
     """
 
     ping_interval_s: Seconds = 1
@@ -55,3 +59,4 @@
     remote_count: int = 16
     leave_count: int = 64
     revision_fanout: int = 4
+    health_limit: int = 8
--- a/tests/test_membership_controller.py
+++ b/tests/test_membership_controller.py
@@ -32,6 +32,7 @@
 
     def __init__(self, *hosts: str) -> None:
         self.addresses = {host: free_address() for host in hosts}
+        self.seeds = {'a': self.addresses['a']}
         self.controllers = {}
         self.contexts = {}
         self.stacks = {}
@@ -59,9 +60,8 @@
             network,
             random.Random(host).random,
         )
-        seeds = {'a': self.addresses['a']}
         self.controllers[host] = await stack.enter_async_context(
-            MembershipController(context, lambda: seeds, OPTIONS),
+            MembershipController(context, lambda: self.seeds, OPTIONS),
         )
 
     def member(self, observer: str, host: str):
@@ -119,6 +119,21 @@
     asyncio.run(run())
 
 
+def test_a_suspected_daemon_doubts_its_own_judgement():
+    """A daemon that others find slow must not call them dead as fast."""
+
+    async def run() -> None:
+        async with Fleet('a', 'b') as fleet:
+            await fleet.together()
+            state = fleet.controllers['a']._state
+            state.health = 0
+            doubted = replace(state.own, status=MemberStatus.SUSPECT)
+            state.receive((doubted,), 'b')
+            assert state.slowed_options.suspicion_s == 2 * OPTIONS.suspicion_s
+
+    asyncio.run(run())
+
+
 def test_leaving_daemon_is_in_no_answer():
     """Callers must not be sent to a daemon that has told it leaves."""
 
