Ping dead members, so that sides of a partition join without seeds

After a partition a daemon pinged one absent seed every 5 s. The seeds are the peers option of the start and the platform's list; both can name hosts that were replaced since, and daemons that were started first have no seeds.

Each daemon now also pings one dead member at each seed interval. The ping carries what is said about its receiver, which refutes it. The new test fails without the pings.

The host list of the features named the addresses of backend servers, which the list does not have (HostEntry.address is that of a daemon); daemons pinged them as seeds.

--- a/boragespool/controllers/membership.py
+++ b/boragespool/controllers/membership.py
@@ -149,6 +149,7 @@
         if now_s - self._seed_tick_s >= options.seed_interval_s:
             self._seed_tick_s = now_s
             self._pinger.ping_seeds(1)
+            self._pinger.ping_dead()
         self._pinger.ping_next()
 
     def _smoothed_load(self) -> float:
--- a/boragespool/controllers/pinging.py
+++ b/boragespool/controllers/pinging.py
@@ -81,6 +81,16 @@
             self._context.peers.set_address(host, absent[host])
             self._tasks.spawn(self._ask_view(host))
 
+    def ping_dead(self) -> None:
+        """Ping one dead member; it may be behind a partition that ended."""
+        dead = [
+            host
+            for host, member in self._state.table.members_by_host.items()
+            if member.status == MemberStatus.DEAD
+        ]
+        for host in membership.choose_hosts(dead, 1, self._context.draw):
+            self._tasks.spawn(self._ask_view(host))
+
     async def ping(
         self,
         host: HostName,
--- a/features/fleet.py
+++ b/features/fleet.py
@@ -116,7 +116,6 @@
                 'host': f'host-{spec["name"]}',
                 'state': 'leaving' if spec['name'] in leaving else 'live',
                 'data_centre': 'north',
-                'address': spec['address'],
             }
             for spec in self.specs
         ]
--- a/tests/test_membership_controller.py
+++ b/tests/test_membership_controller.py
@@ -119,6 +119,23 @@
     asyncio.run(run())
 
 
+def test_sides_of_a_partition_join_without_seeds():
+    """Seeds can all be gone by the end of a partition."""
+
+    async def run() -> None:
+        async with Fleet('a', 'b') as fleet:
+            await fleet.together()
+            fleet.seeds.clear()
+            for observer, host in (('a', 'b'), ('b', 'a')):
+                known = fleet.member(observer, host)
+                dead = replace(known, status=MemberStatus.DEAD)
+                fleet.controllers[observer]._state.receive((dead,), 'x')
+                assert fleet.member(observer, host) == dead
+            await fleet.together()
+
+    asyncio.run(run())
+
+
 def test_a_suspected_daemon_doubts_its_own_judgement():
     """A daemon that others find slow must not call them dead as fast."""
 
