Keep a starting daemon from claiming servers that others serve

A daemon that starts sees few members at first and takes itself for the dispatcher of many servers. It announced all of them, each true dispatcher replaced these records again, and the burst of 96 KB was used up: in a fleet of 7 daemons the changes of the start were still being passed on 12 s later.

A dispatcher now waits 10 s before it replaces a record of a live daemon that agrees with what it sees, also right after it got the server, and of two records with the same sequence number the one of the older daemon is kept. Servers of dead daemons and contradicting records are still claimed at once.

The new test was seen to fail in a scratch copy without each of the two rules.

--- a/boragespool/backends/records.py
+++ b/boragespool/backends/records.py
@@ -27,10 +27,11 @@
     Returns
     -------
     ServerRecord
-        The one with the higher sequence number, then of the higher
+        The one with the higher sequence number, then of the lower
         dispatcher incarnation, then of the higher host name. The order does
         not depend on the view of the members, so that daemons with different
-        views keep the same record.
+        views keep the same record. A daemon that starts, and announces a
+        server before it has the records of others, replaces none of them.
     """
     if known is None or _order(incoming) > _order(known):
         return incoming
@@ -53,7 +54,9 @@
     seen : ServerRecord
         What the dispatcher observed; its sequence number is ignored.
     since_claim_s : float
-        Time since the dispatcher last replaced a record of another one.
+        Time since the dispatcher got the server, or since it last replaced
+        a record of another one. A daemon that starts sees few members and
+        takes itself for the dispatcher of many servers.
     rival_is_live : bool
         Whether the dispatcher in the known record is a live member.
 
@@ -75,7 +78,7 @@
 
 
 def _order(record: ServerRecord) -> tuple[int, int, str]:
-    return record.sequence, record.dispatcher_incarnation, record.dispatcher
+    return record.sequence, -record.dispatcher_incarnation, record.dispatcher
 
 
 def _author(record: ServerRecord) -> tuple[str, int]:
--- a/boragespool/controllers/servers.py
+++ b/boragespool/controllers/servers.py
@@ -167,12 +167,15 @@
         if self._context.board.read(IN_FORCE) is not None:
             self._table.keep_only(servers)
         own = self._context.identity.host
+        now_s = self._context.timers.now_s()
         for name, server in servers.items():
             if self._assignment.dispatcher(name) == own:
+                self._claimed_at_s.setdefault(name, now_s)
                 self._polls.add(name, server.address)
         for polled in self._polls.servers:
             if self._assignment.dispatcher(polled) != own:
                 self._polls.remove(polled)
+                self._claimed_at_s.pop(polled)
         self._post_soon()
 
     def _poll_all(self) -> None:
@@ -220,7 +223,7 @@
                 dispatcher=identity.host,
                 dispatcher_incarnation=identity.incarnation,
             ),
-            now_s - self._claimed_at_s.get(server, -math.inf),
+            now_s - self._claimed_at_s[server],
             rival_is_live=known is not None and self._is_live(known),
         )
         if record is None:
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -350,6 +350,28 @@
     run(scenario, SLOW)
 
 
+def test_new_daemon_does_not_claim_what_others_serve():
+    """A start with few members known must not announce the whole fleet."""
+
+    async def scenario(_backends, both):
+        first, second = both
+        known = first.board.read(SERVERS)
+        async with daemon(first.board.read(IN_FORCE), 'c', 2) as third:
+            for context in both:
+                host = context.identity.host
+                third.peers.set_address(host, context.identity.peer_address)
+            third.board.post(MEMBERS, members(third))
+            async with ServerController(third, FAST):
+                await until(lambda: len(third.board.read(SERVERS)) == 3)
+                third.board.post(MEMBERS, members(*both, third))
+                await until(lambda: third.board.read(SERVERS) == known)
+                await asyncio.sleep(0.5)
+                assert third.board.read(SERVERS) == known
+                assert first.board.read(SERVERS) == known
+
+    run(scenario)
+
+
 def test_invalid_digest_is_refused():
     """A digest of another version must not end the handler."""
 
