Refuse callers' requests by rank while the event loop is late

A daemon had queues by rank at the backend servers and nothing in front of its own event loop: in a flood every request was parsed and checked, and pings, witness requests and urgent claims waited with the rest.

ranks.overload decides from the lateness of the loop and the arrivals by rank which share of each rank is admitted (DAGOR, Zhou et al. 2018): the floors of the settings first, the rest in the order of the ranks. controllers.overload measures, posts ADMISSION, and logs each change of the shares as event 202. The caller API decodes four fields, refuses with OVERLOADED before any other check, and seals the ticket of a refused claim; for the ticket of another daemon the refusal says unknown. A request whose deadline passed while it waited is refused too, and its wait now counts against its deadline.

--- a/boragespool/blackboard/topics.py
+++ b/boragespool/blackboard/topics.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Final
 
 from boragespool.blackboard.board import Topic
+from boragespool.ranks import Admission
 from boragespool.types import Phase
 
 if TYPE_CHECKING:
@@ -54,6 +55,8 @@
 )
 #: Requests of callers in flight at this daemon; posted by the caller API.
 LOAD: Final[Topic[float]] = Topic('load', 0)
+#: What the daemon admits of callers; posted by the overload controller.
+ADMISSION: Final[Topic[Admission]] = Topic('admission', Admission())
 #: Posted by dispatch.
 OBSERVATIONS: Final[Topic[Mapping[ServerName, ServerObservation]]] = Topic(
     'observations',
--- a/boragespool/client/claims.py
+++ b/boragespool/client/claims.py
@@ -34,6 +34,7 @@
         ResultCode.LEAVING,
         ResultCode.NO_WITNESS,
         ResultCode.CANCELLED,
+        ResultCode.OVERLOADED,
         ResultCode.PEER_UNREACHABLE,
         ResultCode.SERVER_UNREACHABLE,
         ResultCode.SERVER_SHED,
--- /dev/null
+++ b/boragespool/controllers/caller_admission.py
@@ -0,0 +1,149 @@
+"""Early refusal of callers' requests, before they are checked."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from boragespool.blackboard.topics import IN_FORCE
+from boragespool.controllers.caller_input import (
+    NO_CONFIGURATION,
+    CheckedBody,
+    check_body,
+)
+from boragespool.http import failure_response
+from boragespool.metrics import REQUESTS
+from boragespool.results import Failure, ResultCode
+from boragespool.types import Rank, RouteName, WorkKind
+
+if TYPE_CHECKING:
+    from boragespool.blackboard import Blackboard
+    from boragespool.controllers.caller_ports import CallerPorts
+    from boragespool.http import HttpRequest, HttpResponse
+    from boragespool.settings import Settings
+
+_MS_PER_S: Final = 1_000
+_RANKS: Final = tuple(Rank)
+
+
+@dataclass(frozen=True, slots=True)
+class _Head:
+    """Fields that decide about an early refusal."""
+
+    route: RouteName = ''
+    rank: str | None = None
+    deadline_ms: float | None = None
+    ticket: str = ''
+
+
+_DECODER: Final = msgspec.json.Decoder(_Head)
+_UNREADABLE: Final = _Head()
+
+
+class CallerAdmission:
+    """Decides which requests of callers go on to the checks.
+
+    Parameters
+    ----------
+    board : Blackboard
+        Settings in force.
+    ports : CallerPorts
+        The admitter decides by rank. The claim controller seals the tickets
+        of refused claims, so that ``NOT_RUN`` holds for ever.
+    """
+
+    def __init__(self, board: Blackboard, ports: CallerPorts) -> None:
+        """Keep the controllers."""
+        self._board = board
+        self._ports = ports
+
+    def check(
+        self,
+        request: HttpRequest,
+        form: WorkKind,
+    ) -> CheckedBody | HttpResponse:
+        """Return a checked body, or the response that refuses the request.
+
+        Parameters
+        ----------
+        request : HttpRequest
+            Request with the time that it waited.
+        form : WorkKind
+            Form that the path stands for.
+        """
+        document = self._board.read(IN_FORCE)
+        if document is None:
+            return failure_response(NO_CONFIGURATION)
+        settings = document.settings
+        refused = self._refuse(request, form, settings)
+        if refused is not None:
+            return refused
+        checked = check_body(request.body, form, settings)
+        if isinstance(checked, Failure):
+            return failure_response(checked)
+        left_s = max(0, checked.deadline_s - request.waited_s)
+        return replace(checked, deadline_s=left_s)
+
+    def _refuse(
+        self,
+        request: HttpRequest,
+        form: WorkKind,
+        settings: Settings,
+    ) -> HttpResponse | None:
+        """Return a refusal, or None for a request that goes on."""
+        head = _peek(request.body)
+        rank = _rank(head, settings)
+        if not request.deferred:
+            self._ports.overload.note_wait(request.waited_s)
+        failure = _check_deadline(head, request, settings)
+        failure = failure or self._ports.overload.refuse(rank)
+        if failure is not None and form is WorkKind.CLAIM:
+            failure = self._ports.claims.refuse(head.ticket, failure)
+        if failure is None:
+            return None
+        REQUESTS.labels(form.value, rank.value, int(failure.code)).inc()
+        return replace(failure_response(failure), defer_next=True)
+
+
+def _peek(raw: bytes) -> _Head:
+    """Decode the deciding fields only; what is invalid has none."""
+    try:
+        return _DECODER.decode(raw)
+    except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
+        return _UNREADABLE
+
+
+def _rank(head: _Head, settings: Settings) -> Rank:
+    """Return the rank, the lowest one for a request that is not valid."""
+    route = settings.routes.get(head.route)
+    if route is None:
+        return Rank.DEFERRABLE
+    if head.rank in _RANKS:
+        return max(route.rank, Rank(head.rank), key=_RANKS.index)
+    return route.rank
+
+
+def _check_deadline(
+    head: _Head,
+    request: HttpRequest,
+    settings: Settings,
+) -> Failure | None:
+    """Refuse a request that waited until its deadline."""
+    route = settings.routes.get(head.route)
+    if route is None:
+        return None
+    deadline_ms = route.deadline_ms
+    if head.deadline_ms is not None:
+        deadline_ms = min(deadline_ms, head.deadline_ms)
+    # A deadline of zero or less is the fault of the caller; the check of
+    # the body says so.
+    if deadline_ms <= 0 or request.waited_s * _MS_PER_S < deadline_ms:
+        return None
+    return Failure(
+        ResultCode.OVERLOADED,
+        f'the request waited {request.waited_s:.3f} s in the daemon and its '
+        f'deadline was {deadline_ms!r} ms',
+        retry_after_s=1,
+    )
--- a/boragespool/controllers/caller_input.py
+++ b/boragespool/controllers/caller_input.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -21,16 +22,37 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from boragespool.http import HttpRequest
     from boragespool.settings import RouteSettings, Settings
 
+CLAIM_PREFIX: Final = '/v1/claim/'
 NAME_LENGTH: Final = 128
+_SHOWN_LENGTH: Final = 64
 TICKET_LENGTH: Final = 512
 _MS_PER_S: Final = 1_000
 _RANKS: Final = tuple(Rank)
+_METHODS_BY_PATH: Final = MappingProxyType(
+    {
+        '/v1/addresses': 'GET',
+        '/v1/query': 'POST',
+        '/v1/claim': 'POST',
+        CLAIM_PREFIX: 'GET',
+        '/v1/health': 'GET',
+        '/v1/ready': 'GET',
+        '/v1/status': 'GET',
+        '/metrics': 'GET',
+    },
+)
 _ALLOWED_FIELDS: Final = frozenset(
     ('route', 'caller', 'body', 'deadline_ms', 'rank', 'request_id', 'ticket'),
 )
 
+NO_CONFIGURATION: Final = Failure(
+    ResultCode.NOT_READY,
+    'the daemon has no configuration yet',
+    retry_after_s=1,
+)
+
 
 @dataclass(frozen=True, slots=True)
 class CallerBody:
@@ -105,6 +127,25 @@
     return CheckedBody(given, rank, lowered, deadline_s)
 
 
+def check_method(path: str, request: HttpRequest) -> Failure | None:
+    """Refuse a path or a method that is not part of the API."""
+    method = _METHODS_BY_PATH.get(path)
+    if method is None:
+        shown = path[:_SHOWN_LENGTH]
+        allowed = sorted(_METHODS_BY_PATH)
+        return Failure(
+            ResultCode.UNKNOWN_PATH,
+            f'path {shown!r} does not exist; allowed are {allowed!r}',
+        )
+    if method != request.method:
+        return Failure(
+            ResultCode.WRONG_METHOD,
+            f'method {request.method!r} is not allowed at {path!r}; '
+            f'allowed is {method!r}',
+        )
+    return None
+
+
 def check_ticket(ticket: str) -> Failure | None:
     """Refuse a ticket that no daemon can have issued."""
     is_plain = ticket.isascii() and ticket.isprintable() and ' ' not in ticket
--- a/boragespool/controllers/caller_ports.py
+++ b/boragespool/controllers/caller_ports.py
@@ -13,7 +13,13 @@
         QueryRequest,
     )
     from boragespool.results import Failure
-    from boragespool.types import Address, DataCentre, RequestId
+    from boragespool.types import (
+        Address,
+        DataCentre,
+        Rank,
+        RequestId,
+        Seconds,
+    )
 
 
 class QueryRunner(Protocol):
@@ -31,6 +37,10 @@
         """Return new tickets."""
         ...
 
+    def refuse(self, ticket: str, refusal: Failure) -> Failure | None:
+        """Seal a ticket without a check; None if its claim is known here."""
+        ...
+
     async def run(self, request: ClaimRequest) -> ClaimAnswer | Failure:
         """Run a claim at most once for its ticket."""
         ...
@@ -44,6 +54,18 @@
         ...
 
 
+class Admitter(Protocol):
+    """Decides which requests of callers are admitted."""
+
+    def note_wait(self, waited_s: Seconds) -> None:
+        """Note how long a request waited for the event loop."""
+        ...
+
+    def refuse(self, rank: Rank) -> Failure | None:
+        """Return a refusal unless the request is admitted."""
+        ...
+
+
 class AddressSource(Protocol):
     """Knows the daemons that take new callers."""
 
@@ -72,3 +94,4 @@
     claims: ClaimRunner
     members: AddressSource
     dispatch: QueueReporter
+    overload: Admitter
--- a/boragespool/controllers/caller_status.py
+++ b/boragespool/controllers/caller_status.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from boragespool.blackboard.topics import (
+    ADMISSION,
     BLOCKED,
     IN_FORCE,
     LEAVING_HOSTS,
@@ -83,6 +84,7 @@
         'members': _sorted_values(board.read(MEMBERS)),
         'servers': _sorted_values(board.read(SERVERS)),
         'queues': queues,
+        'admitted': board.read(ADMISSION).share_by_rank,
         'leaving_hosts': sorted(leaving),
         'blocked': sorted(blocked),
         'suspects': sorted(suspects),
--- a/boragespool/controllers/callers.py
+++ b/boragespool/controllers/callers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import itertools
-from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, Final, Self, TypeVar
 from urllib.parse import unquote
 
@@ -11,9 +10,10 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from boragespool.blackboard.topics import IN_FORCE, LOAD, PHASE
+from boragespool.controllers.caller_admission import CallerAdmission
 from boragespool.controllers.caller_input import (
-    CheckedBody,
-    check_body,
+    CLAIM_PREFIX,
+    check_method,
     check_parameter,
     check_ticket,
 )
@@ -41,19 +41,6 @@
     _AnswerT = TypeVar('_AnswerT', QueryAnswer, ClaimAnswer)
 
 _LARGEST_COUNT: Final = 64
-_CLAIM_PREFIX: Final = '/v1/claim/'
-_METHODS_BY_PATH: Final = MappingProxyType(
-    {
-        '/v1/addresses': 'GET',
-        '/v1/query': 'POST',
-        '/v1/claim': 'POST',
-        _CLAIM_PREFIX: 'GET',
-        '/v1/health': 'GET',
-        '/v1/ready': 'GET',
-        '/v1/status': 'GET',
-        '/metrics': 'GET',
-    },
-)
 
 
 class CallerApi:
@@ -71,6 +58,7 @@
         """Start without requests."""
         self._context = context
         self._ports = ports
+        self._admission = CallerAdmission(context.board, ports)
         self._in_flight = 0
         self._numbers = itertools.count(1)
 
@@ -90,9 +78,9 @@
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one HTTP request; bad input gets a numbered refusal."""
         path = request.path
-        if path.startswith(_CLAIM_PREFIX):
-            path = _CLAIM_PREFIX
-        refused = _check_method(path, request)
+        if path.startswith(CLAIM_PREFIX):
+            path = CLAIM_PREFIX
+        refused = check_method(path, request)
         if refused is not None:
             return failure_response(refused)
         match path:
@@ -167,9 +155,9 @@
         return ()
 
     async def _serve_query(self, request: HttpRequest) -> HttpResponse:
-        checked = self._check(request.body, WorkKind.QUERY)
-        if isinstance(checked, Failure):
-            return failure_response(checked)
+        checked = self._admission.check(request, WorkKind.QUERY)
+        if isinstance(checked, HttpResponse):
+            return checked
         given = checked.given
         query = QueryRequest(
             given.request_id or self._new_request_id(),
@@ -186,9 +174,9 @@
         )
 
     async def _serve_claim(self, request: HttpRequest) -> HttpResponse:
-        checked = self._check(request.body, WorkKind.CLAIM)
-        if isinstance(checked, Failure):
-            return failure_response(checked)
+        checked = self._admission.check(request, WorkKind.CLAIM)
+        if isinstance(checked, HttpResponse):
+            return checked
         given = checked.given
         claim = ClaimRequest(
             given.request_id or self._new_request_id(),
@@ -206,7 +194,7 @@
         )
 
     async def _serve_outcome(self, request: HttpRequest) -> HttpResponse:
-        ticket = unquote(request.path.removeprefix(_CLAIM_PREFIX))
+        ticket = unquote(request.path.removeprefix(CLAIM_PREFIX))
         failure = check_ticket(ticket)
         if failure is not None:
             return failure_response(failure)
@@ -217,16 +205,6 @@
             self._ports.claims.outcome(ticket, request_id),
         )
 
-    def _check(self, raw: bytes, form: WorkKind) -> CheckedBody | Failure:
-        document = self._context.board.read(IN_FORCE)
-        if document is None:
-            return Failure(
-                ResultCode.NOT_READY,
-                'the daemon has no configuration yet',
-                retry_after_s=1,
-            )
-        return check_body(raw, form, document.settings)
-
     def _new_request_id(self) -> RequestId:
         identity = self._context.identity
         number = next(self._numbers)
@@ -261,24 +239,6 @@
         self._context.board.post(LOAD, self._in_flight)
 
 
-def _check_method(path: str, request: HttpRequest) -> Failure | None:
-    method = _METHODS_BY_PATH.get(path)
-    if method is None:
-        shown = path[:_LARGEST_COUNT]
-        allowed = sorted(_METHODS_BY_PATH)
-        return Failure(
-            ResultCode.UNKNOWN_PATH,
-            f'path {shown!r} does not exist; allowed are {allowed!r}',
-        )
-    if method != request.method:
-        return Failure(
-            ResultCode.WRONG_METHOD,
-            f'method {request.method!r} is not allowed at {path!r}; '
-            f'allowed is {method!r}',
-        )
-    return None
-
-
 def _crossed(request_id: RequestId, other: RequestId) -> Failure:
     """Refuse the answer to another request."""
     return Failure(
--- a/boragespool/controllers/claim_runs.py
+++ b/boragespool/controllers/claim_runs.py
@@ -16,6 +16,7 @@
     RecordTable,
     Ticket,
     begin,
+    parse_ticket,
 )
 from boragespool.controllers.claim_outcomes import final_record, sealed_record
 from boragespool.events import Event, log_event
@@ -31,6 +32,7 @@
 from boragespool.routing import fingerprint_of
 from boragespool.settings import ClaimSettings
 from boragespool.tasks import TaskSet
+from boragespool.types import RunState
 
 if TYPE_CHECKING:
     from boragespool.controllers.claim_attempts import ClaimSender
@@ -109,6 +111,30 @@
         await self._wait_for(ticket.ticket_id, claim.deadline_s)
         return self._table.get(ticket.ticket_id) or record
 
+    def refuse(self, text: str, refusal: Failure) -> Failure | None:
+        """Seal an own ticket; None if its claim was begun here."""
+        ticket = parse_ticket(text)
+        if isinstance(ticket, Failure):
+            return refusal
+        if (ticket.issuer, ticket.issuer_incarnation) != (
+            self._issuer.host,
+            self._issuer.incarnation,
+        ):
+            return replace(refusal, run=RunState.UNKNOWN)
+        if self._table.get(ticket.ticket_id) is not None:
+            return None
+        record = begin(
+            self._table,
+            ticket,
+            0,
+            issuer=self._issuer,
+            oldest_s=self._now_s() - self.settings().ticket_validity_s,
+        )
+        if isinstance(record, Failure):
+            return record
+        self._put(sealed_record(record, refusal.code, refusal.reason))
+        return refusal
+
     def expire(self) -> None:
         """Drop old records."""
         settings = self.settings()
--- a/boragespool/controllers/claims.py
+++ b/boragespool/controllers/claims.py
@@ -155,6 +155,26 @@
         )
         return await self._answer(claim, request.request_id)
 
+    def refuse(self, ticket: str, refusal: Failure) -> Failure | None:
+        """Refuse a claim before it is checked.
+
+        Parameters
+        ----------
+        ticket : str
+            Text that the caller sent.
+        refusal : Failure
+            Reason, with run state ``NOT_RUN``.
+
+        Returns
+        -------
+        Failure or None
+            The refusal, after an own ticket was sealed; None if the claim of
+            the ticket was begun here and its result must be told. The
+            refusal of another daemon's ticket has run state ``UNKNOWN``, as
+            that daemon may be running it.
+        """
+        return self._runner.refuse(ticket, refusal)
+
     async def outcome(
         self,
         ticket: str,
--- /dev/null
+++ b/boragespool/controllers/overload.py
@@ -0,0 +1,165 @@
+"""Measures how late the event loop is and what the daemon admits.
+
+Owns the admission state; posts it on the blackboard.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from typing import TYPE_CHECKING, Final, Self
+
+from boragespool.blackboard.topics import ADMISSION, IN_FORCE
+from boragespool.events import Event, log_event
+from boragespool.metrics import ADMITTED, LATENESS
+from boragespool.ranks import Admission, LoopWindow, Thinning, next_admission
+from boragespool.results import Failure, ResultCode
+from boragespool.settings import Settings
+from boragespool.types import Rank
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from boragespool.controllers.context import Context
+    from boragespool.timers import Subscription
+    from boragespool.types import Seconds
+
+#: A timer of 40 calls per second costs about 0.1% of a core.
+_TICK_S: Final = 0.025
+_WINDOW_S: Final = 0.25
+#: Shortest time between two log events of one overload.
+_LOG_INTERVAL_S: Final = 1
+#: A refused caller comes again when the cut of a flood has taken effect.
+_RETRY_AFTER_S: Final = 1
+
+
+class OverloadController:
+    """Admission of callers' requests, a context manager."""
+
+    def __init__(self, context: Context) -> None:
+        """Admit everything; `__enter__` begins to measure."""
+        self._context = context
+        self._admission = Admission()
+        self._thinning_by_rank = {rank: Thinning() for rank in Rank}
+        self._failure_by_rank: dict[Rank, Failure] = {}
+        self._subscription: Subscription | None = None
+        self._arrived: Counter[Rank] = Counter()
+        self._admitted: Counter[Rank] = Counter()
+        self._late_s: list[Seconds] = []
+        self._waits_s: list[Seconds] = []
+        self._ticked_s: Seconds = 0
+        self._began_s: Seconds = 0
+        self._logged_s = float('-inf')
+
+    def __enter__(self) -> Self:
+        """Begin to measure."""
+        timers = self._context.timers
+        self._ticked_s = timers.now_s()
+        self._began_s = self._ticked_s
+        self._subscription = timers.every(_TICK_S, self._tick)
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Stop measuring."""
+        if self._subscription is not None:
+            self._subscription.cancel()
+
+    def note_wait(self, waited_s: Seconds) -> None:
+        """Note how long a request waited for the event loop."""
+        self._waits_s.append(waited_s)
+
+    def refuse(self, rank: Rank) -> Failure | None:
+        """Count a request; return a refusal unless it is admitted."""
+        self._arrived[rank] += 1
+        share = self._admission.share_by_rank[rank]
+        if share >= 1 or self._thinning_by_rank[rank].admit(share):
+            self._admitted[rank] += 1
+            return None
+        return self._failure_by_rank[rank]
+
+    def _tick(self) -> None:
+        now_s = self._context.timers.now_s()
+        self._late_s.append(max(0, now_s - self._ticked_s - _TICK_S))
+        self._ticked_s = now_s
+        if now_s - self._began_s >= _WINDOW_S:
+            self._end_window(now_s)
+
+    def _end_window(self, now_s: Seconds) -> None:
+        window = LoopWindow(
+            now_s - self._began_s,
+            max(_mean(self._late_s), _mean(self._waits_s)),
+            self._arrived,
+            self._admitted,
+        )
+        before = self._admission
+        after = next_admission(before, window, self._floors())
+        self._began_s = now_s
+        self._arrived = Counter()
+        self._admitted = Counter()
+        self._late_s.clear()
+        self._waits_s.clear()
+        self._admission = after
+        self._failure_by_rank = {
+            rank: _overloaded(rank, share)
+            for rank, share in after.share_by_rank.items()
+        }
+        self._publish(before, after, now_s)
+
+    def _publish(
+        self,
+        before: Admission,
+        after: Admission,
+        now_s: Seconds,
+    ) -> None:
+        self._context.board.post(ADMISSION, after)
+        LATENESS.set(after.lateness_s)
+        for rank, share in after.share_by_rank.items():
+            ADMITTED.labels(rank.value).set(share)
+        is_due = now_s - self._logged_s >= _LOG_INTERVAL_S
+        if before.is_limited != after.is_limited or (
+            is_due and before.share_by_rank != after.share_by_rank
+        ):
+            self._logged_s = now_s
+            _log_change(before, after)
+
+    def _floors(self) -> Mapping[Rank, float]:
+        document = self._context.board.read(IN_FORCE)
+        settings = document.settings if document else Settings()
+        return {rank: given.floor for rank, given in settings.ranks.items()}
+
+
+def _mean(measured_s: list[Seconds]) -> Seconds:
+    return sum(measured_s) / len(measured_s) if measured_s else 0
+
+
+def _overloaded(rank: Rank, share: float) -> Failure:
+    return Failure(
+        ResultCode.OVERLOADED,
+        f'the daemon is overloaded and admits {share:.2f} of the '
+        f'{rank.value!r} requests',
+        retry_after_s=_RETRY_AFTER_S,
+    )
+
+
+def _log_change(before: Admission, after: Admission) -> None:
+    shares = _rounded(after)
+    log_event(
+        Event.ADMISSION_CHANGED,
+        f'admitted shares by rank are {shares!r}',
+        level=logging.WARNING if after.is_limited else logging.INFO,
+        shares_before=_rounded(before),
+        shares=shares,
+        limit_per_s=after.limit_per_s if after.is_limited else None,
+        lateness_s=round(after.lateness_s, 4),
+        wanted_per_s={
+            rank.value: round(wanted, 1)
+            for rank, wanted in after.wanted_per_s_by_rank.items()
+        },
+    )
+
+
+def _rounded(admission: Admission) -> dict[str, float]:
+    return {
+        rank.value: round(share, 3)
+        for rank, share in admission.share_by_rank.items()
+    }
--- a/boragespool/daemon/controllers.py
+++ b/boragespool/daemon/controllers.py
@@ -11,6 +11,7 @@
 from boragespool.controllers.configuration import ConfigurationController
 from boragespool.controllers.dispatch import DispatchController
 from boragespool.controllers.membership import MembershipController
+from boragespool.controllers.overload import OverloadController
 from boragespool.controllers.query import QueryController
 from boragespool.controllers.servers import ServerController
 from boragespool.daemon.seeds import Seeds
@@ -69,6 +70,7 @@
     queries = await stack.enter_async_context(
         QueryController(context, observations=observations)
     )
-    ports = CallerPorts(queries, claims, membership, dispatch)
+    overload = stack.enter_context(OverloadController(context))
+    ports = CallerPorts(queries, claims, membership, dispatch, overload)
     api = await stack.enter_async_context(CallerApi(context, ports))
     return Controllers(membership, claims, dispatch, api)
--- a/boragespool/http/exchange.py
+++ b/boragespool/http/exchange.py
@@ -36,17 +36,25 @@
         self._protocol = h11.Connection(h11.SERVER)
         peer = writer.get_extra_info('peername') or ('',)
         self._peer_ip = str(peer[0])
+        self._arrived_s: Seconds = 0
+        self._waited_s: Seconds = 0
+        # Whether the last request was refused for overload.
+        self.deferred = False
 
     async def wait_for_bytes(self) -> bool:
         """Wait until a request begins; False when the peer closed."""
         if self._protocol.trailing_data[0]:
+            self._arrived_s = asyncio.get_running_loop().time()
             return True
         received = await self._reader.read(_READ_SIZE_BYTES)
+        self._arrived_s = asyncio.get_running_loop().time()
         self._protocol.receive_data(received)
         return bool(received)
 
     async def read_request(self, limits: HttpLimits) -> HttpRequest | Failure:
         """Read one request within the limits."""
+        now_s = asyncio.get_running_loop().time()
+        self._waited_s = now_s - self._arrived_s
         try:
             async with asyncio.timeout(limits.read_timeout_s):
                 return await self._read_request(limits)
@@ -141,6 +149,8 @@
             body,
             headers,
             self._peer_ip,
+            self._waited_s,
+            self.deferred,
         )
 
     async def _read_body(self, limits: HttpLimits) -> bytes | Failure:
--- a/boragespool/http/messages.py
+++ b/boragespool/http/messages.py
@@ -19,13 +19,23 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """One complete request; header names are lower case."""
+    """One complete request; header names are lower case.
+
+    Attributes
+    ----------
+    waited_s : float
+        Time between its first bytes and its turn to be read, in seconds.
+    deferred : bool
+        Whether it waited because its connection was deferred.
+    """
 
     method: str
     target: str
     body: bytes = b''
     headers: Mapping[str, str] = field(default_factory=dict)
     peer_ip: str = ''
+    waited_s: float = 0
+    deferred: bool = False
 
     @property
     def path(self) -> str:
@@ -41,12 +51,19 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
-    """One complete response."""
+    """One complete response.
+
+    Attributes
+    ----------
+    defer_next : bool
+        Whether other connections go before the next request on this one.
+    """
 
     status: int
     body: bytes = b''
     content_type: str = _JSON_TYPE
     close: bool = False
+    defer_next: bool = False
 
 
 def _split(target: str) -> SplitResult:
--- a/boragespool/http/server.py
+++ b/boragespool/http/server.py
@@ -12,6 +12,7 @@
 
 from boragespool.events import Event, log_event
 from boragespool.http.exchange import ServerExchange
+from boragespool.http.gate import ReadGate
 from boragespool.http.messages import HttpResponse, failure_response
 from boragespool.results import Failure, ResultCode
 from boragespool.types import RunState
@@ -55,6 +56,7 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._in_flight = 0
+        self._gate = ReadGate()
 
     async def __aenter__(self) -> Self:
         """Listen.
@@ -79,6 +81,7 @@
         for task in tuple(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._gate.close()
 
     @property
     def address(self) -> Address:
@@ -152,6 +155,7 @@
         while await self._wait_for_request(exchange):
             self._in_flight += 1
             try:
+                await self._gate.enter(deferred=exchange.deferred)
                 keep_open = await self._serve_one(exchange)
             finally:
                 self._in_flight -= 1
@@ -196,6 +200,7 @@
             await exchange.finish(self._limits)
             return False
         response = await self._handle(received)
+        exchange.deferred = response.defer_next
         close = response.close or self._draining
         return await self._respond(exchange, response, close=close)
 
--- a/boragespool/metrics.py
+++ b/boragespool/metrics.py
@@ -41,6 +41,15 @@
     'Requests sent to dispatchers: first, hedge, retry, restart.',
     ('kind',),
 )
+ADMITTED: Final = Gauge(
+    'boragespool_admitted_ratio',
+    'Share of the requests of callers that the daemon admits, by rank.',
+    ('rank',),
+)
+LATENESS: Final = Gauge(
+    'boragespool_loop_lateness_seconds',
+    'Mean time that work waited for the event loop in the last window.',
+)
 REVISION: Final = Gauge(
     'boragespool_revision_in_force',
     'Configuration revision in force.',
--- a/tests/caller_fakes.py
+++ b/tests/caller_fakes.py
@@ -51,10 +51,19 @@
     delay_s: float = 0
     issued: int = 0
     wrong_id: str = ''
+    refusal: Failure | None = None
+    waits_s: list = field(default_factory=list)
 
     def addresses(self, data_centre, count):
         return tuple(self.addresses_given[:count])
 
+    def note_wait(self, waited_s):
+        self.waits_s.append(waited_s)
+
+    def refuse(self, *given):
+        """Refuse by rank as an admitter, or by ticket as a claim runner."""
+        return self.refusal if len(given) == 1 else given[1]
+
     def status(self):
         return {'lots-0': {'urgent': 3}}
 
@@ -114,4 +123,4 @@
         board.post(IN_FORCE, RevisionDocument(3, 'c3', settings))
     identity = Identity('h1', 5, 'north', 'r', '127.0.0.1:1', '127.0.0.1:2')
     context = Context(identity, board, VirtualTimers(), None, lambda: 0.5)
-    return CallerApi(context, CallerPorts(tier, tier, tier, tier)), board
+    return CallerApi(context, CallerPorts(*[tier] * 5)), board
--- a/tests/claim_network.py
+++ b/tests/claim_network.py
@@ -98,8 +98,11 @@
 class World:
     """Daemons, backend servers and the faults between them."""
 
-    def __init__(self, seed: int, fault_rate: float) -> None:
+    def __init__(
+        self, seed: int, fault_rate: float, refusal_rate: float = 0
+    ) -> None:
         self.random = random.Random(seed)
+        self.refusal_rate = refusal_rate
         self.fault_rate = fault_rate
         self.runs: Counter[str] = Counter()
         self.answers: dict[str, list] = {}
@@ -233,7 +236,12 @@
         if not peers.alive:
             return
         await peers.running.wait()
-        if self.chance(0.2):
+        answer = None
+        if self.refusal_rate and self.chance(self.refusal_rate):
+            answer = controller.refuse(ticket, OVERLOADED)
+        if answer is not None:
+            pass
+        elif self.chance(0.2):
             answer = await controller.outcome(ticket, 'r')
         else:
             answer = await controller.run(
@@ -316,6 +324,9 @@
         return found
 
 
+OVERLOADED = Failure(ResultCode.OVERLOADED, 'overloaded')
+
+
 def no_answer() -> Failure:
     return Failure(
         ResultCode.PEER_UNREACHABLE,
@@ -324,12 +335,14 @@
     )
 
 
-def explore(seeds, fault_rate: float) -> tuple[Counter, list[str]]:
+def explore(
+    seeds, fault_rate: float, refusal_rate: float = 0
+) -> tuple[Counter, list[str]]:
     """Run many worlds; return run states of answers and violations."""
     states: Counter = Counter()
     violations = []
     for seed in seeds:
-        world = World(seed, fault_rate)
+        world = World(seed, fault_rate, refusal_rate)
         asyncio.run(world.run())
         violations += [f'seed {seed}: {text}' for text in world.violations()]
         for answers in world.answers.values():
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -261,3 +261,39 @@
     send(api, 'POST', '/v1/query', QUERY)
     response = asyncio.run(api.handle(HttpRequest('GET', '/metrics')))
     assert b'boragespool_requests_total{code="1001"' in response.body
+
+
+OVERLOADED = Failure(ResultCode.OVERLOADED, 'overloaded', retry_after_s=1)
+
+
+@pytest.mark.parametrize(
+    ('path', 'body'), [('/v1/query', QUERY), ('/v1/claim', CLAIM)]
+)
+def test_refused_request_reaches_no_controller(path, body):
+    """A refusal for overload must cost less than an answer."""
+    tier = FakeTier(refusal=OVERLOADED)
+    api, _ = make_api(tier)
+    response = asyncio.run(
+        api.handle(HttpRequest('POST', path, encoded(body), waited_s=0.1))
+    )
+    status, refusal = decoded(response)
+    assert (status, refusal['code']) == (503, ResultCode.OVERLOADED)
+    assert (refusal['run'], refusal['retry_after_s']) == ('not_run', 1)
+    assert response.defer_next
+    assert tier.waits_s == [0.1]
+    assert not tier.requests
+
+
+@pytest.mark.parametrize(
+    ('waited_s', 'code'), [(0.49, 1001), (0.5, 1209), (0.7, 1209)]
+)
+def test_wait_in_the_daemon_counts_against_the_deadline(waited_s, code):
+    """Work whose caller has given up must not be run."""
+    tier = FakeTier()
+    body = encoded(QUERY | {'deadline_ms': 500})
+    request = HttpRequest('POST', '/v1/query', body, waited_s=waited_s)
+    _, answer = decoded(asyncio.run(make_api(tier)[0].handle(request)))
+    assert answer['code'] == code
+    assert [r.deadline_s for r in tier.requests] == [
+        pytest.approx(0.01) for _ in range(code == 1001)
+    ]
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -34,6 +34,13 @@
     assert states['not_run']
 
 
+def test_refusals_for_overload_are_true():
+    """A claim that was refused early must not run, nor hide a run."""
+    states, violations = explore(range(1_000), 0.1, refusal_rate=0.3)
+    assert not violations
+    assert states['run']
+
+
 def test_no_outcome_is_unknown_without_faults():
     """`unknown` is allowed only where information was lost."""
     states, violations = explore(range(500), 0)
