--- a/boragespool/daemon/controllers.py
+++ b/boragespool/daemon/controllers.py
@@ -68,11 +68,14 @@
     membership = await stack.enter_async_context(
         MembershipController(context, seeds, options.membership),
     )
-    pace = ConfigurationOptions(
-        first_read_window_s=options.first_read_window_s,
-    )
     await stack.enter_async_context(
-        ConfigurationController(context, store, pace),
+        ConfigurationController(
+            context,
+            store,
+            ConfigurationOptions(
+                first_read_window_s=options.first_read_window_s,
+            ),
+        ),
     )
     await stack.enter_async_context(ServerController(context))
     dispatch = await stack.enter_async_context(DispatchController(context))
