Start the patience of an apply again with each part that is written

A first apply of 67,000 backend servers writes 2,195 values at up to 200 calls per second; in a trial at load average 65 it took 20.5 s, more than the default patience of 20 s, and would have been given up while the store answered every call. The patience now counts from the last answer while parts are written; the manifest still has it once.

--- a/boragespool/cli/applying.py
+++ b/boragespool/cli/applying.py
@@ -4,9 +4,14 @@
 
 import asyncio
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
-from boragespool.cli.part_writing import pause_after, write_parts
+from boragespool.cli.part_writing import (
+    AnsweringStore,
+    pause_after,
+    write_parts,
+)
 from boragespool.cli.store_access import Base, read_base, read_trail
 from boragespool.results import Failure, ResultCode
 from boragespool.revisions import (
@@ -70,7 +75,8 @@
     build : callable
         Returns the next document for a base, or why there is none.
     patience_s : float
-        Time for calls that the store does not answer, in seconds.
+        Time without an answer while parts are written, and then for writing
+        the manifest, in seconds.
     wanted_base : int, optional
         Revision that the change was prepared for; nothing is written if the
         store holds another one.
@@ -96,12 +102,20 @@
         given = indexed(split(wanted.settings))
     writer = _Writer(store, base, wanted, given)
     try:
-        async with asyncio.timeout(patience_s):
-            return await writer.settle()
+        async with asyncio.timeout(patience_s) as limit:
+            answering = AnsweringStore(
+                store, partial(_extend, limit, patience_s)
+            )
+            return await writer.settle(answering)
     except TimeoutError:
         return writer.give_up()
 
 
+def _extend(limit: asyncio.Timeout, patience_s: Seconds) -> None:
+    """Start the patience again: a first apply has thousands of parts."""
+    limit.reschedule(asyncio.get_running_loop().time() + patience_s)
+
+
 def _refuse(
     base: Base,
     wanted: RevisionDocument,
@@ -135,10 +149,10 @@
         self._has_lost = False
         self._refusal: Failure | None = None
 
-    async def settle(self) -> Applied | Refused | Failure:
+    async def settle(self, part_store: Store) -> Applied | Refused | Failure:
         """Write and read back until the outcome is known."""
         packed = await write_parts(
-            self._store,
+            part_store,
             self._base,
             self._wanted,
             self._settings_texts,
--- a/boragespool/cli/part_writing.py
+++ b/boragespool/cli/part_writing.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import random
+from dataclasses import dataclass
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
@@ -31,6 +32,7 @@
         RevisionDocument,
     )
     from boragespool.revisions.manifest import IndexedTexts
+    from boragespool.store import Conflict, StoredValue
 
 _FIRST_PAUSE_S: Final = 0.1
 _LONGEST_PAUSE_S: Final = 1
@@ -52,6 +54,39 @@
     await asyncio.sleep(delay_s)
 
 
+@dataclass(frozen=True, slots=True)
+class AnsweringStore:
+    """A store that reports each answer.
+
+    Attributes
+    ----------
+    on_answer : callable
+        Called after each call that did not fail.
+    """
+
+    store: Store
+    on_answer: Callable[[], None]
+
+    async def get(self, key: str) -> StoredValue | Missing | Failure:
+        """Read one key."""
+        answer = await self.store.get(key)
+        if not isinstance(answer, Failure):
+            self.on_answer()
+        return answer
+
+    async def put(
+        self,
+        key: str,
+        value: str,
+        expected_version: int,
+    ) -> int | Conflict | Failure:
+        """Write one key if its version is the expected one."""
+        answer = await self.store.put(key, value, expected_version)
+        if not isinstance(answer, Failure):
+            self.on_answer()
+        return answer
+
+
 async def write_parts(
     store: Store,
     base: Base,
--- a/tests/test_apply_races.py
+++ b/tests/test_apply_races.py
@@ -224,6 +224,16 @@
     assert store.calls['put'] <= 12
 
 
+def test_patience_does_not_end_a_long_first_apply():
+    """Thousands of parts take longer than the patience for one answer."""
+    store = FaultyStore(1, 0)
+    wanted = many_servers(2_000)
+    apply = apply_change(store, build_from(wanted, 'a'), 0.25, settings=wanted)
+    assert isinstance(asyncio.run(apply), Applied)
+    # Batches of 20 calls and 0.1 s between two of them.
+    assert store.calls['put'] > 60
+
+
 def test_retention_is_patched_for_these_tests():
     """Guards the other tests against keeping everything."""
     history = History()
