Bound the parts of revisions that never complete

A daemon kept the parts of each manifest that it could not complete until one was in force, without a bound. It now drops those that neither the revision in force nor the wanted one refers to once there are more than 1,000 beyond twice the wanted ones. The new test fails without the bound.

`revisions.adopt` had no caller left. The test that a lower or invalid document never replaces a higher one now holds HeldRevision to the same rule, which is what daemons use; it fails without the comparison.

--- a/boragespool/controllers/held_revision.py
+++ b/boragespool/controllers/held_revision.py
@@ -33,6 +33,10 @@
 #: Parts of earlier revisions, kept for peers that are still fetching them.
 _FORMER_COUNT: Final = 128
 
+#: Texts beyond twice those of the wanted revision that are kept. Some of them
+#: are parts whose index is still to be fetched.
+_SURPLUS_COUNT: Final = 1_000
+
 
 class HeldRevision:
     """Texts of parts by hash, and the revision that is made of them.
@@ -50,6 +54,7 @@
         self._former: dict[PartHash, bytes] = {}
         self._assembly: Assembly | None = None
         self._wanted: Manifest | None = None
+        self._manifest: Manifest | None = None
         self._encoded = b''
         self._whole: bytes | None = b''
 
@@ -62,6 +67,11 @@
         """Keep the parts of a manifest while it is being fetched."""
         if self._wanted is None or manifest.revision > self._wanted.revision:
             self._wanted = manifest
+            wanted = referenced(manifest, self._texts)
+            # Pieces of manifests that were never completed pile up if the
+            # parts of each of them are lost.
+            if len(self._texts) > 2 * len(wanted) + _SURPLUS_COUNT:
+                self._prune()
 
     def lacks(self, manifest: Manifest) -> tuple[PartHash, ...] | Failure:
         """Return the hashes to fetch next; empty when it is complete."""
@@ -106,6 +116,7 @@
         if isinstance(value, Manifest):
             return self._adopt_parts(value, encoded)
         self.document = value
+        self._manifest = None
         self._assembly = None
         self._encoded = b''
         self._whole = encoded
@@ -150,14 +161,16 @@
         self._assembly = assembly
         self._encoded = without_audit(encoded)
         self._whole = None
-        self._prune(manifest)
+        self._manifest = manifest
+        self._prune()
         return self.document
 
-    def _prune(self, manifest: Manifest) -> None:
+    def _prune(self) -> None:
         """Drop what neither this revision nor the wanted one refers to."""
-        kept = referenced(manifest, self._texts)
-        if self._wanted is not None:
-            kept |= referenced(self._wanted, self._texts)
+        kept: set[PartHash] = set()
+        for manifest in (self._manifest, self._wanted):
+            if manifest is not None:
+                kept |= referenced(manifest, self._texts)
         former = {
             part: text for part, text in self._texts.items() if part not in kept
         }
--- a/boragespool/revisions/__init__.py
+++ b/boragespool/revisions/__init__.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from boragespool.revisions.adoption import adopt, is_newer
 from boragespool.revisions.assembly import (
     Assembly,
     assemble,
@@ -69,7 +68,6 @@
     'RevisionDocument',
     'Step',
     'WriteAnswer',
-    'adopt',
     'after_read',
     'after_write',
     'assemble',
@@ -81,7 +79,6 @@
     'difference',
     'encode_document',
     'indexed',
-    'is_newer',
     'lacking',
     'missing',
     'newest_holders',
--- a/tests/test_configuration_parts.py
+++ b/tests/test_configuration_parts.py
@@ -213,6 +213,28 @@
     asyncio.run(run())
 
 
+def test_parts_of_revisions_that_never_complete_do_not_pile_up():
+    """Parts lost one revision after the other must not fill the memory."""
+    held = HeldRevision()
+    for number in range(1, 40):
+        given_settings = many_servers(2_000, number)
+        service = given_settings.services['a']
+        servers = {
+            f'{number}-{name}': one for name, one in service.servers.items()
+        }
+        service = dataclasses.replace(service, servers=servers)
+        given_settings = dataclasses.replace(
+            given_settings, services={'a': service}
+        )
+        packed = pack(RevisionDocument(number, 'c', given_settings))
+        held.want(packed.manifest)
+        lacked = held.lacks(packed.manifest)
+        held.add(lacked, [packed.parts[one] for one in lacked])
+        lacked = held.lacks(packed.manifest)
+        held.add(lacked, [packed.parts[one] for one in lacked[1:]])
+    assert len(held._texts) < 1_300
+
+
 PACKED = [pack(document) for document in revisions(5, 120)]
 
 
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -9,17 +9,17 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from boragespool.controllers.held_revision import HeldRevision
 from boragespool.messages import MemberRecord
 from boragespool.results import Failure, ResultCode
 from boragespool.revisions import (
     Change,
-    RevisionDocument,
     Step,
-    adopt,
     after_read,
     check_change,
     cleared_document,
     decode_document,
+    decode_value,
     difference,
     encode_document,
     newest_holders,
@@ -60,7 +60,7 @@
 def test_highest_valid_revision_stays_in_force(order, data):
     """A late, repeated or invalid document must not revert a newer one."""
     documents = chain(7)
-    current = None
+    held = HeldRevision()
     highest = 0
     for index in order:
         encoded = encode_document(documents[index])
@@ -68,12 +68,12 @@
             encoded = encoded.replace(b'"keep_s":5', b'"keep_s":-5')
         else:
             highest = max(highest, index + 1)
-        adopted = adopt(current, encoded)
-        if isinstance(adopted, RevisionDocument):
-            current = adopted
-        elif b'-5' in encoded:
-            assert adopted.code == ResultCode.INVALID_SETTING
-    assert (current.revision if current else 0) == highest
+        value = decode_value(encoded)
+        if b'-5' in encoded:
+            assert value.code == ResultCode.INVALID_SETTING
+        else:
+            held.adopt(value, encoded)
+    assert held.revision == highest
 
 
 def test_document_survives_the_store():
