Decide faster about queues in which nothing waits

Cause: each request looks at the queue of its server about ten times, and each look counted the waiting work of all ranks; the accounts of ranks without work were brought up to date as well.

Change: the queue asks whether any lane has work instead of counting it, returns at once from `take` while nothing waits, and an account without running work, waiting work, credit or usage only notes the time. The decisions are the same.

--- a/boragespool/ranks/account.py
+++ b/boragespool/ranks/account.py
@@ -58,6 +58,8 @@
         """Let the floor accrue up to now; unused floor is not saved."""
         elapsed_s = max(0, now_s - self._at_s)
         self._at_s = max(now_s, self._at_s)
+        if not (waiting or self.running_by_attempt or self._has_history):
+            return
         bound = _MEMORY_S * floor_slots
         bound += self.mean_service_s * (floor_slots + 1)
         self._credit_slot_s = min(
@@ -106,3 +108,8 @@
             weight = _MEAN_WEIGHT if self.mean_service_s else 1
             self.mean_service_s += weight * (service_s - self.mean_service_s)
         return True
+
+    @property
+    def _has_history(self) -> bool:
+        """Whether credit or usage differ from those of an unused rank."""
+        return self._credit_slot_s != 0 or self._usage_slot_s != 0
--- a/boragespool/ranks/lane.py
+++ b/boragespool/ranks/lane.py
@@ -7,8 +7,10 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from boragespool.ranks.work import QueuedWork
-    from boragespool.types import AttemptId, CallerName, Seconds
+    from boragespool.types import AttemptId, CallerName, Rank, Seconds
 
 
 class Lane:
@@ -141,3 +143,11 @@
     def _forget(self, work: QueuedWork) -> None:
         self._caller_by_attempt.pop(work.attempt_id)
         self.count -= 1
+
+
+def any_waits(lanes: Mapping[Rank, Lane]) -> bool:
+    """Return whether any work is queued, without counting it."""
+    for lane in lanes.values():
+        if lane.count:
+            return True
+    return False
--- a/boragespool/ranks/queue.py
+++ b/boragespool/ranks/queue.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, Final
 
 from boragespool.ranks.account import Account
-from boragespool.ranks.lane import Lane
+from boragespool.ranks.lane import Lane, any_waits
 from boragespool.ranks.preemption import all_running, victims
 from boragespool.ranks.refusals import queue_full, unreachable
 from boragespool.ranks.waits import RankLoad, wait_s
@@ -38,6 +38,7 @@
 _ACCOUNTING_S: Final = 0.0005
 _LOWEST_FIRST: Final = tuple(reversed(Rank))
 _ABSENT: Final = RankSettings()
+_NOTHING: Final = Grants()
 
 
 class ServerQueue:
@@ -87,6 +88,8 @@
     @property
     def next_expiry_s(self) -> Seconds:
         """Earliest time at which queued work may expire, or infinity."""
+        if not any_waits(self._lanes):
+            return math.inf
         return min(lane.earliest_deadline_s for lane in self._lanes.values())
 
     def offer(
@@ -126,6 +129,8 @@
     def take(self, now_s: Seconds) -> Grants:
         """Expire late work, fill free slots, choose work to pre-empt."""
         self._advance(now_s)
+        if not any_waits(self._lanes):
+            return _NOTHING
         refused: tuple[RefusedWork, ...] = ()
         if self.next_expiry_s <= now_s:
             refused = tuple(self._expire(now_s))
@@ -172,7 +177,7 @@
 
     def wait_s(self, rank: Rank, caller: CallerName = '') -> Seconds:
         """Estimate the queueing time of new work of a caller, in seconds."""
-        if self._free_slots and not self.waiting_count:
+        if self._free_slots and not any_waits(self._lanes):
             return 0
         loads = self._loads(caller)
         position = _RANKS.index(rank)
@@ -181,7 +186,7 @@
     @property
     def waits_s(self) -> tuple[Seconds, ...]:
         """Estimated queueing time of a new caller by rank, in seconds."""
-        if self._free_slots and not self.waiting_count:
+        if self._free_slots and not any_waits(self._lanes):
             return _NO_WAITS_S
         loads = self._loads('')
         free_slots = self._free_slots
@@ -236,7 +241,7 @@
 
     def _fill(self, now_s: Seconds) -> Iterator[QueuedWork]:
         """Start work until no slot is free or nothing may start."""
-        while self.waiting_count and self._free_slots:
+        while any_waits(self._lanes) and self._free_slots:
             if self._runs_solo():
                 return
             rank = self._next_rank(now_s)
@@ -272,7 +277,7 @@
 
     def _preempt(self, now_s: Seconds) -> Iterator[QueuedWork]:
         """Choose running work above a cap while entitled work waits."""
-        if not self.waiting_count or self._free_slots or self._runs_solo():
+        if not any_waits(self._lanes) or self._free_slots or self._runs_solo():
             return
         wanted = self._entitled_count() - sum(
             entry.preempted for entry in all_running(self._accounts.values())
