--- a/boragespool/controllers/membership.py
+++ b/boragespool/controllers/membership.py
@@ -135,7 +135,7 @@
         since_s = now_s - self._tick_s
         if since_s > 2 * options.ping_interval_s:
             table = membership.forgive(table, now_s)
-        self._state.health = membership.after_lateness(
+        self._state.health = membership.after_tick(
             self._state.health,
             max(0, since_s - options.ping_interval_s),
             options,
--- a/boragespool/controllers/pinging.py
+++ b/boragespool/controllers/pinging.py
@@ -126,7 +126,6 @@
             tested,
             timeout_s,
         ):
-            state.health = membership.after_answer(state.health)
             state.apply(membership.confirm(state.table, host))
             return
         # A longer time means that this daemon was paused or overloaded.
@@ -171,16 +170,9 @@
                 for helper in helpers
             ),
         )
-        answers = [reply for reply in replies if isinstance(reply, Ack)]
-        if any(answer.reached for answer in answers):
-            return True
-        self._state.health = membership.after_silence(
-            self._state.health,
-            len(helpers),
-            len(answers),
-            self._state.options.health_limit,
+        return any(
+            isinstance(reply, Ack) and reply.reached for reply in replies
         )
-        return False
 
 
 def _centre_of(state: MemberState, host: HostName) -> str:
--- a/boragespool/membership/__init__.py
+++ b/boragespool/membership/__init__.py
@@ -11,9 +11,7 @@
     suspicion_time_s,
 )
 from boragespool.membership.health import (
-    after_answer,
-    after_lateness,
-    after_silence,
+    after_tick,
     after_suspicion,
     slowed,
 )
@@ -42,9 +40,7 @@
     'MembershipOptions',
     'PingOrder',
     'Rumour',
-    'after_answer',
-    'after_lateness',
-    'after_silence',
+    'after_tick',
     'after_suspicion',
     'choose_addresses',
     'choose_hosts',
--- a/boragespool/membership/health.py
+++ b/boragespool/membership/health.py
@@ -14,42 +14,12 @@
     from boragespool.types import Seconds
 
 
-def after_answer(score: int) -> int:
-    """Return the health score after a ping that was answered."""
-    return max(0, score - 1)
-
-
-def after_silence(score: int, asked: int, answered: int, limit: int) -> int:
-    """Return the health score after a ping without an answer.
-
-    Parameters
-    ----------
-    score : int
-        Score before; 0 is a healthy daemon.
-    asked : int
-        Helpers that were asked to ping the member.
-    answered : int
-        Helpers that answered, even if only that they did not reach it.
-    limit : int
-        Highest score; 0 keeps the score at 0.
-
-    Returns
-    -------
-    int
-        Unchanged if all helpers answered, because then the member is silent
-        and the own links work. Higher by one for each silent helper, or by
-        one if there was no helper to tell the two cases apart.
-    """
-    silent = asked - answered if asked else 1
-    return min(limit, score + silent)
-
-
-def after_lateness(
+def after_tick(
     score: int,
     late_s: Seconds,
     options: MembershipOptions,
 ) -> int:
-    """Return the health score after a tick that came late.
+    """Return the health score after a tick.
 
     Parameters
     ----------
@@ -64,9 +34,12 @@
     -------
     int
         Higher by one for each half interval of delay: a daemon that was
-        paused has not read the answers and refutations that arrived.
+        paused has not read the answers and refutations that arrived. Lower
+        by one after a tick in time, also if no member is left to answer.
     """
     half_intervals = int(2 * late_s / options.ping_interval_s)
+    if not half_intervals:
+        return max(0, score - 1)
     return min(options.health_limit, score + half_intervals)
 
 
