Drop unused tickets of an issuer that is gone

The client keeps unused tickets for up to 30 s. When their issuer had been replaced, it sent a claim under such a ticket to another daemon, which had to seal it at its witness.

A ticket that was never sent is now dropped when its issuer accepts no connection. No daemon has seen it, so a new ticket cannot run the claim twice.

The new test fails without the rule: the other daemon seals the ticket.

--- a/boragespool/client/claims.py
+++ b/boragespool/client/claims.py
@@ -116,14 +116,12 @@
                 body,
                 self._attempt_s(),
             )
-            if not isinstance(reply, Reply):
-                self._is_open = self._is_open or reply.sent
-                self._book.avoid(address)
-                continue
-            settled = self._settle(reply, is_outcome=False)
-            if settled is not None:
-                return settled
-            return await self.ask()
+            if isinstance(reply, Reply):
+                return self._settle(reply, is_outcome=False) or await self.ask()
+            self._is_open = self._is_open or reply.sent
+            self._book.avoid(address)
+            if not self._is_open and address == self._ticket.issuer:
+                return self._abandon()
         return self._give_up()
 
     async def ask(self) -> ClaimResult | ClaimFailure:
@@ -189,6 +187,19 @@
             return True
         return is_outcome and refusal.code not in _EXCHANGE_CODES
 
+    def _abandon(self) -> ClaimFailure:
+        """Drop a ticket that was never sent and whose issuer is gone.
+
+        Other daemons could only seal it at its witness, and would answer
+        `unknown` if the witness is gone too.
+        """
+        issuer = self._ticket.issuer
+        return ClaimFailure(
+            ResultCode.PEER_UNREACHABLE,
+            f'the issuer {issuer!r} of the ticket accepts no connection',
+            ticket=self._ticket.text,
+        )
+
     def _give_up(self) -> ClaimFailure:
         if self._is_open:
             return ClaimFailure(
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -250,6 +250,25 @@
     asyncio.run(run())
 
 
+def test_unused_ticket_of_a_stopped_issuer_is_dropped():
+    """Its witness can have stopped too; others then answer `unknown`."""
+
+    async def run() -> None:
+        async with World(2) as world, world.client() as client:
+            first = await client.claim('unlock', {'name': 'a'}, 1)
+            assert isinstance(first, ClaimResult)
+            stopped = world.daemons[0]
+            await stopped.server.__aexit__()
+            world.dead.add(stopped)
+            # The idle connection has to be seen closed.
+            await asyncio.sleep(0.05)
+            second = await client.claim('unlock', {'name': 'b'}, 1)
+            assert isinstance(second, ClaimResult)
+            assert not world.sealed
+
+    asyncio.run(run())
+
+
 def test_all_daemons_down():
     """Without a daemon a claim was not run, and the call must end in time."""
 
