--- a/boragespool/controllers/overload.py
+++ b/boragespool/controllers/overload.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections import Counter
 from typing import TYPE_CHECKING, Final, Self
 
@@ -18,7 +19,7 @@
 from boragespool.types import Rank
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
     from boragespool.controllers.context import Context
     from boragespool.timers import Subscription
@@ -34,10 +35,24 @@
 
 
 class OverloadController:
-    """Admission of callers' requests, a context manager."""
+    """Admission of callers' requests, a context manager.
 
-    def __init__(self, context: Context) -> None:
+    Parameters
+    ----------
+    context : Context
+        Shared parts of the daemon.
+    processor_s : callable, optional
+        Returns the processor time of the event loop's thread, in seconds.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        processor_s: Callable[[], Seconds] = time.thread_time,
+    ) -> None:
         """Admit everything; `__enter__` begins to measure."""
+        self._processor_s = processor_s
+        self._worked_s: Seconds = 0
         self._context = context
         self._admission = Admission()
         self._thinning_by_rank = {rank: Thinning() for rank in Rank}
@@ -56,6 +71,7 @@
         timers = self._context.timers
         self._ticked_s = timers.now_s()
         self._began_s = self._ticked_s
+        self._worked_s = self._processor_s()
         self._subscription = timers.every(_TICK_S, self._tick)
         return self
 
@@ -85,12 +101,16 @@
             self._end_window(now_s)
 
     def _end_window(self, now_s: Seconds) -> None:
+        worked_s = self._processor_s()
+        duration_s = now_s - self._began_s
         window = LoopWindow(
-            now_s - self._began_s,
+            duration_s,
             max(_mean(self._late_s), _mean(self._waits_s)),
             self._arrived,
             self._admitted,
+            (worked_s - self._worked_s) / duration_s,
         )
+        self._worked_s = worked_s
         before = self._admission
         after = next_admission(before, window, self._floors())
         self._began_s = now_s
--- a/boragespool/metrics.py
+++ b/boragespool/metrics.py
@@ -48,7 +48,7 @@
 )
 LATENESS: Final = Gauge(
     'boragespool_loop_lateness_seconds',
-    'Mean time that work waited for the event loop in the last window.',
+    'Mean time that work waited for the event loop because of own work.',
 )
 REVISION: Final = Gauge(
     'boragespool_revision_in_force',
--- a/boragespool/ranks/overload.py
+++ b/boragespool/ranks/overload.py
@@ -19,7 +19,7 @@
 
     from boragespool.types import Seconds
 
-#: Mean queueing time that tells overload; the value of DAGOR.
+#: Mean queueing time by own work that tells overload; the value of DAGOR.
 TARGET_S: Final = 0.02
 #: Admitted requests per second below which the limit never falls. A daemon
 #: on a busy machine is late without being flooded, and can do this much.
@@ -55,12 +55,24 @@
         Mean time that work waited for the event loop, in seconds.
     arrived_by_rank, admitted_by_rank : mapping of Rank to int
         Requests of callers; a missing rank counts as 0.
+    busy : float
+        Share of the window, 0 to 1, in which the loop itself had a processor.
     """
 
     duration_s: Seconds
     lateness_s: Seconds
     arrived_by_rank: Mapping[Rank, int]
     admitted_by_rank: Mapping[Rank, int]
+    busy: float = 1
+
+    @property
+    def own_lateness_s(self) -> Seconds:
+        """Part of the lateness that the daemon's own work causes.
+
+        On a host that is busy with other processes the loop is late however
+        little it does, and refusals would not help.
+        """
+        return self.lateness_s * min(1, self.busy)
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +88,7 @@
     wanted_per_s_by_rank : mapping of Rank to float
         Requests per second that are expected in the next window.
     lateness_s : float
-        Queueing time in the last window, in seconds.
+        Lateness in the last window that own work caused, in seconds.
     calm_windows : int
         Windows in a row in which the limit refused nothing.
     """
@@ -118,7 +130,9 @@
     limit_per_s = _next_limit(before, window)
     wanted_per_s = _expect(before, window)
     share_by_rank = _shares(wanted_per_s, limit_per_s, floor_by_rank)
-    is_calm = window.lateness_s <= TARGET_S and min(share_by_rank.values()) == 1
+    is_calm = (
+        window.own_lateness_s <= TARGET_S and min(share_by_rank.values()) == 1
+    )
     calm_windows = before.calm_windows + 1 if is_calm else 0
     if calm_windows >= _CALM_WINDOWS:
         limit_per_s = math.inf
@@ -126,7 +140,7 @@
         limit_per_s,
         share_by_rank,
         wanted_per_s,
-        window.lateness_s,
+        window.own_lateness_s,
         calm_windows,
     )
 
@@ -152,14 +166,15 @@
     While the queueing time falls by itself the limit stays, as the requests
     of an earlier window are still waiting.
     """
-    if window.lateness_s <= TARGET_S:
+    lateness_s = window.own_lateness_s
+    if lateness_s <= TARGET_S:
         return before.limit_per_s * _GROWTH
-    if window.lateness_s < before.lateness_s * _FALLING:
+    if lateness_s < before.lateness_s * _FALLING:
         return before.limit_per_s
     admitted_per_s = sum(window.admitted_by_rank.values()) / window.duration_s
     cut = min(
         _SMALLEST_CUT,
-        max(_LARGEST_CUT, TARGET_S / window.lateness_s),
+        max(_LARGEST_CUT, TARGET_S / lateness_s),
     )
     return max(LEAST_PER_S, cut * min(before.limit_per_s, admitted_per_s))
 
