Read no parts from the store before daemons know each other

A delay of the first read alone does not bound a cold start: until gossip has shown other members, each daemon takes itself for a watcher, and one that has read the manifest would read all parts, 2,194 values at 67,000 backend servers.

The changed test models such daemons (before, they knew each other at once) and fails without either delay.

--- a/boragespool/controllers/configuration.py
+++ b/boragespool/controllers/configuration.py
@@ -61,6 +61,7 @@
         self._behind = asyncio.Event()
         self._review_due = False
         self._may_read = False
+        self._window_over = asyncio.Event()
         self._keeper = RevisionKeeper(context, store, self._options)
         self._stack = contextlib.AsyncExitStack()
 
@@ -147,17 +148,19 @@
 
     def _delay_first_read(self) -> None:
         window_s = self._options.first_read_window_s
-        delay_s = self._context.draw() * window_s if window_s else 0
-        if not delay_s:
+        delay_s = self._context.draw() * window_s
+        if not window_s:
             self._may_read = True
+            self._window_over.set()
             return
 
         def allow() -> None:
             self._may_read = True
             self._review()
 
-        subscription = self._context.timers.after(delay_s, allow)
-        self._stack.callback(subscription.cancel)
+        after = self._context.timers.after
+        self._stack.callback(after(delay_s, allow).cancel)
+        self._stack.callback(after(window_s, self._window_over.set).cancel)
 
     async def _watch(self) -> None:
         """Follow the store while this daemon is a watcher."""
@@ -181,7 +184,7 @@
                 passed_s = self._context.timers.now_s() - began_s
                 rest_s = max(0, self._options.watch_pause_s - passed_s)
                 await pause(self._context.timers, rest_s)
-            elif await self._keeper.read_value(answer.value.encode()):
+            elif await self._take(answer.value.encode()):
                 failures = 0
                 version = answer.version
             else:
@@ -189,6 +192,17 @@
                 failures += 1
                 await self._back_off(failures)
 
+    async def _take(self, encoded: bytes) -> bool:
+        """Tell whether nothing is left to read of a value of the store.
+
+        Until the daemons know each other, each of them may take itself for
+        a watcher; then none may read all parts.
+        """
+        if self._window_over.is_set() or not self._keeper.lacks_many(encoded):
+            return await self._keeper.read_value(encoded)
+        await self._window_over.wait()
+        return False
+
     async def _fetch(self) -> None:
         """Get the document from a peer whenever one holds a newer one."""
         failures = 0
--- a/boragespool/controllers/revision_keeping.py
+++ b/boragespool/controllers/revision_keeping.py
@@ -28,7 +28,7 @@
     from boragespool.controllers.context import Context
     from boragespool.controllers.revision_fetching import Source
     from boragespool.peers import Sender
-    from boragespool.revisions import PartHash, RevisionDocument
+    from boragespool.revisions import RevisionDocument
     from boragespool.types import HostName, Revision
 
 #: Peers asked for parts besides the one that announced the revision.
@@ -96,17 +96,22 @@
     async def read_value(self, encoded: bytes) -> bool:
         """Tell whether nothing is left to read of a value of the store."""
         sources: list[Source] = []
-        if len(self._lacked(encoded)) > self._options.parts_read:
+        if self.lacks_many(encoded):
             sources.extend(map(self._fetcher.peer, self._holders(0)))
         sources.append(self._fetcher.read)
         return await self._consider(encoded, 'the store', sources)
 
-    def _lacked(self, encoded: bytes) -> tuple[PartHash, ...]:
+    def lacks_many(self, encoded: bytes) -> bool:
+        """Tell whether a value has more parts to read than a usual change."""
         value = decode_value(encoded)
         if not isinstance(value, Manifest):
-            return ()
+            return False
+        if self.revision == 0:
+            return True
         lacked = self._held.lacks(value)
-        return () if isinstance(lacked, Failure) else lacked
+        if isinstance(lacked, Failure):
+            return False
+        return len(lacked) > self._options.parts_read
 
     def _holders(self, have: Revision) -> list[HostName]:
         """Draw peers whose revision is higher than one."""
--- a/tests/test_configuration_parts.py
+++ b/tests/test_configuration_parts.py
@@ -192,23 +192,38 @@
     asyncio.run(run())
 
 
+class StrangersFleet(Fleet):
+    """Daemons that know nobody for their first two seconds."""
+
+    def gossip(self):
+        """Post member records once the daemons have met."""
+        if self.timers.now_s() >= 2:
+            super().gossip()
+
+
 def test_first_reads_of_a_cold_start_are_spread():
     """7,000 daemons that start together must not read the store at once."""
 
-    async def calls_in_first_second(window_s):
+    async def cold_start(window_s):
         options = ConfigurationOptions(first_read_window_s=window_s)
-        async with Fleet(60, options) as fleet:
-            fleet.platform.put_parts(pack(revisions(1, 100)[0]))
+        async with StrangersFleet(60, options) as fleet:
+            packed = pack(revisions(1)[0])
+            fleet.platform.put_parts(packed)
             await fleet.advance(1)
-            calls = sum(fleet.platform.calls.values())
-            await fleet.advance(window_s + 3)
+            calls = dict(fleet.platform.calls)
+            await fleet.advance(window_s + 4)
             assert fleet.revisions() == {1}
-            return calls
+            return calls, fleet.platform.calls['get'], len(packed.parts)
 
     async def run() -> None:
-        at_once = await calls_in_first_second(0)
-        spread = await calls_in_first_second(5)
-        assert spread * 4 < at_once, (spread, at_once)
+        at_once, _, _ = await cold_start(0)
+        spread, parts_read, part_count = await cold_start(6)
+        assert at_once['watch'] >= 60
+        assert spread['watch'] * 3 <= at_once['watch']
+        # Nobody reads all parts before the daemons have met.
+        assert at_once['get'] >= 60 * (part_count - 1)
+        assert spread['get'] == 0
+        assert parts_read <= 3 * part_count
 
     asyncio.run(run())
 
