Wait for requests without a task per request

Cause: the HTTP server started a task and an `asyncio.wait` for the first byte of each request, and a timeout context for a response that the kernel had already taken.

Change: the task of the connection waits itself, with a timeout for each look at the drain flag, and a response waits for the peer only while bytes of it are left in the buffer of the transport.

--- a/boragespool/http/exchange.py
+++ b/boragespool/http/exchange.py
@@ -86,11 +86,7 @@
             )
         except h11.LocalProtocolError:
             return False
-        try:
-            async with asyncio.timeout(write_timeout_s):
-                await self._writer.drain()
-        except TimeoutError:
-            self._writer.transport.abort()
+        if not await self._drain(write_timeout_s):
             return False
         if self._protocol.our_state is not h11.DONE:
             return False
@@ -110,6 +106,18 @@
             async with asyncio.timeout(_LINGER_S):
                 await self._discard(limits.body_size_bytes)
 
+    async def _drain(self, timeout_s: Seconds) -> bool:
+        """Wait until the peer has taken what the kernel did not take."""
+        if not self._writer.transport.get_write_buffer_size():
+            return True
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._writer.drain()
+        except TimeoutError:
+            self._writer.transport.abort()
+            return False
+        return True
+
     async def _discard(self, limit_bytes: int) -> None:
         """Read until the peer closes or has sent too much."""
         while limit_bytes >= 0:
--- a/boragespool/http/server.py
+++ b/boragespool/http/server.py
@@ -160,17 +160,14 @@
 
     async def _wait_for_request(self, exchange: ServerExchange) -> bool:
         """Wait for the first byte of a request; stop early when draining."""
-        waiting = asyncio.ensure_future(exchange.wait_for_bytes())
-        idle_until_s = (
-            asyncio.get_running_loop().time() + self._limits.idle_timeout_s
-        )
-        while not waiting.done():
-            await asyncio.wait((waiting,), timeout=self._idle_slice_s())
-            is_late = asyncio.get_running_loop().time() >= idle_until_s
-            if not waiting.done() and (self._draining or is_late):
-                waiting.cancel()
+        loop = asyncio.get_running_loop()
+        idle_until_s = loop.time() + self._limits.idle_timeout_s
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._idle_slice_s()):
+                    return await exchange.wait_for_bytes()
+            if self._draining or loop.time() >= idle_until_s:
                 return False
-        return waiting.result()
 
     def _idle_slice_s(self) -> float:
         """Return how long to sleep between two looks at the drain flag."""
