Make the tests of probes and polls independent of the machine's speed

The test that answered requests need no probes failed twice under a load average of 30 and more, when a reply took longer than the probe interval of 50 ms and a probe was right. It and the tests of silent links now run on virtual timers and hold the reply back by an event. The test of steady polls counted polls in real time; it now counts ticks, and a second test checks that a change or a failure ends the steady state.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -21,7 +21,7 @@
 )
 from boragespool.peers.link import PeerLink
 from boragespool.results import Failure, ResultCode
-from boragespool.timers import LoopTimers
+from boragespool.timers import LoopTimers, VirtualTimers
 from tests.relay import Relay
 
 
@@ -33,7 +33,7 @@
 
 
 @asynccontextmanager
-async def pair(idle_timeout_s: float = 10):
+async def pair(idle_timeout_s: float = 10, new_timers=LoopTimers):
     """Two networks that know each other."""
     options = [
         PeerOptions(
@@ -47,8 +47,8 @@
         for host in ('a', 'b')
     ]
     async with (
-        PeerNetwork(options[0], LoopTimers()) as first,
-        PeerNetwork(options[1], LoopTimers()) as second,
+        PeerNetwork(options[0], new_timers()) as first,
+        PeerNetwork(options[1], new_timers()) as second,
     ):
         first.set_address('b', options[1].listen_address)
         second.set_address('a', options[0].listen_address)
@@ -147,17 +147,19 @@
 
 def test_answered_requests_need_no_probes():
     """Probes of pings and their answers were two thirds of all frames."""
+    timers = VirtualTimers()
 
     async def run() -> None:
-        async with pair() as (first, second):
+        async with pair(new_timers=lambda: timers) as (first, second):
 
             async def answer(_sender, _message):
                 return Ack()
 
             second.on_request(Ping, answer)
             for _ in range(3):
-                assert await first.request('b', Ping(), 2) == Ack()
-                await asyncio.sleep(0.15)
+                assert await first.request('b', Ping(), 5) == Ack()
+                timers.advance(first.options.probe_interval_s * 2)
+                await asyncio.sleep(0.1)
             assert first.traffic()[0] == second.traffic()[0] == 3
 
     asyncio.run(run())
@@ -166,32 +168,37 @@
 @pytest.mark.parametrize('sends', ['request', 'message and request'])
 def test_silent_link_of_requests_is_dialled_again(sends):
     """A reply must not hide that what followed its request was lost."""
+    timers = VirtualTimers()
 
     async def run() -> None:
-        async with pair() as (first, second):
+        async with pair(new_timers=lambda: timers) as (first, second):
+            may_answer = asyncio.Event()
+            asked = asyncio.Event()
 
             async def answer(_sender, _message):
-                await asyncio.sleep(0.02)
+                asked.set()
+                await may_answer.wait()
                 return Ack()
 
             second.on_request(Ping, answer)
             async with Relay(second.options.listen_address) as relay:
                 first.set_address('b', relay.address)
-                assert await first.request('b', Ping(), 2) == Ack()
-                await asyncio.sleep(0.1)
+                reply = asyncio.ensure_future(first.request('b', Ping(), 5))
+                await asked.wait()
+                relay.silence()
                 if sends == 'request':
-                    relay.silence()
+                    may_answer.set()
+                    assert await reply == Ack()
                     await first.request('b', Ping(), 0.1)
                 else:
-                    asked = asyncio.ensure_future(first.request('b', Ping(), 2))
-                    await asyncio.sleep(0.01)
-                    relay.silence()
                     first.send('b', Gossip(()))
-                    assert await asked == Ack()
-                await asyncio.sleep(0.6)
-                assert relay.accepted == 2
+                    may_answer.set()
+                    assert await reply == Ack()
+                while relay.accepted < 2:
+                    await asyncio.sleep(0.05)
+                    timers.advance(first.options.probe_interval_s)
 
-    asyncio.run(run())
+    asyncio.run(asyncio.wait_for(run(), 5))
 
 
 class SwallowingSocket:
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -17,6 +17,8 @@
 from boragespool.controllers.dispatch import DispatchController
 from boragespool.controllers.record_exchange import ExchangeOptions
 from boragespool.controllers.server_polls import (
+    PollHooks,
+    ServerPolls,
     STEADY_INTERVAL_TICKS,
     STEADY_TICKS,
 )
@@ -27,6 +29,7 @@
     ServerAnnouncement,
 )
 from boragespool.results import ResultCode
+from boragespool.timers import VirtualTimers
 from boragespool.types import MemberStatus, ServerState
 from tests.fake_backend import FakeBackend, daemon, document, work
 from tests.relay import Relay
@@ -315,17 +318,44 @@
     usual = PollOptions()
     longest_s = usual.poll_interval_s * STEADY_INTERVAL_TICKS
     assert longest_s + usual.poll_timeout_s < 3
+    polls = ServerPolls(VirtualTimers(), 1, PollHooks(None, None))
+    polled = []
+    polls.poll = polled.append
+    polls.add('x', 'a:1')
 
-    async def scenario(backends, both):
-        await asyncio.sleep(0.05 * STEADY_TICKS * 1.5)
-        polls = backends['x'].polls
-        await asyncio.sleep(0.5)
-        assert 2 <= backends['x'].polls - polls <= 6
-        backends['x'].state = 'draining'
-        for context in both:
-            await until(lambda c=context: states(c)['x'] == DRAINING, 0.3)
-        polls = backends['x'].polls
-        await asyncio.sleep(0.4)
-        assert backends['x'].polls - polls >= 6
+    def polls_in(ticks):
+        polled.clear()
+        for _ in range(ticks):
+            polls.tick()
+        return len(polled)
 
-    run(scenario)
+    assert polls_in(STEADY_TICKS - 1) == STEADY_TICKS - 1
+    assert polls_in(6 * STEADY_INTERVAL_TICKS) == 6
+    polls.changed('x')
+    assert polls_in(STEADY_TICKS - 1) == STEADY_TICKS - 1
+    polls.remove('x')
+    assert not polls_in(1)
+
+
+def test_change_and_failure_of_a_steady_server_are_polled_fast():
+    """Otherwise a lost server would be noticed twice as late."""
+
+    async def scenario():
+        async with FakeBackend('x') as backend:
+            async with daemon(document({'x': backend.address})) as context:
+                context.board.post(MEMBERS, members(context))
+                async with ServerController(context, FAST) as controller:
+                    await until(lambda: states(context) == {'x': SERVING})
+                    ticks = controller._polls._steady_ticks
+                    ticks['x'] = 1_000
+                    backend.incarnation = 2
+                    await until(lambda: ticks['x'] < 1_000)
+                    ticks['x'] = 1_000
+                    await backend.__aexit__()
+                    await until(lambda: ticks['x'] < 1_000)
+                    await until(lambda: states(context) == {'x': LOST})
+                    # A lost server that stays lost does not change.
+                    ticks['x'] = 1_000
+                    await until(lambda: ticks['x'] < 1_000)
+
+    asyncio.run(asyncio.wait_for(scenario(), 20))
