Call a queue a flood after 0.5 s and 2 service times

Cause: with services of 200 ms, 10 service times were 2.5 s in which the floors did not hold.

Change: 2 service times.

--- a/boragespool/ranks/account.py
+++ b/boragespool/ranks/account.py
@@ -24,7 +24,7 @@
 #: A queue that is not empty for `_MEMORY_S` and this many service times is a
 #: flood. At a demand of 0.79 of 5 slots it empties after a fifth of a service
 #: time in the mean.
-_FLOOD_SERVICE_TIMES: Final = 10
+_FLOOD_SERVICE_TIMES: Final = 2
 
 
 @dataclass(slots=True)
