--- a/boragespool/membership/health.py
+++ b/boragespool/membership/health.py
@@ -36,11 +36,11 @@
     Returns
     -------
     int
-        Unchanged if all helpers answered, because then the member is silent
-        and the own links work. Higher by one for each silent helper, or by
-        one if there was no helper to tell the two cases apart.
+        Higher by one for each silent helper. Unchanged if no helper
+        answered: members that died together or are behind a partition must
+        not delay the detection of each other.
     """
-    silent = asked - answered if asked else 1
+    silent = asked - answered if answered else 0
     return min(limit, score + silent)
 
 
