--- /dev/null
+++ b/boragespool/controllers/claim_forwarding.py
@@ -0,0 +1,128 @@
+"""Claims under tickets of other daemons: forwarding and sealing."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from boragespool.blackboard.topics import MEMBERS
+from boragespool.claims import Ticket, forgotten, new_record
+from boragespool.controllers.claim_outcomes import record_from_reply
+from boragespool.events import Event, log_event
+from boragespool.messages import (
+    ClaimRecord,
+    ClaimReply,
+    ForwardClaim,
+    SealTicket,
+    WitnessVerdict,
+)
+from boragespool.results import Failure, ResultCode
+from boragespool.routing import fingerprint_of
+from boragespool.types import MemberStatus
+
+if TYPE_CHECKING:
+    from boragespool.controllers.claim_runs import ClaimRunner
+    from boragespool.controllers.context import Context
+    from boragespool.controllers.witnesses import WitnessController
+    from boragespool.types import Seconds
+
+
+class ClaimForwarder:
+    """Finds the record of any ticket.
+
+    Parameters
+    ----------
+    context : Context
+        Shared parts of the daemon.
+    runner : ClaimRunner
+        Runs the claims of this daemon's own tickets.
+    witnesses : WitnessController
+        Asks witnesses.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        runner: ClaimRunner,
+        witnesses: WitnessController,
+    ) -> None:
+        """Keep the parts."""
+        self._context = context
+        self._runner = runner
+        self._witnesses = witnesses
+
+    async def resolve(
+        self,
+        ticket: Ticket,
+        claim: ForwardClaim,
+    ) -> ClaimRecord | Failure:
+        """Get the record of a ticket from its issuer or its witness."""
+        if self.is_own(ticket):
+            return await self._runner.run(ticket, claim)
+        if self._issuer_may_answer(ticket):
+            reply = await self._context.peers.request(
+                ticket.issuer,
+                claim,
+                self._forward_timeout_s(claim),
+            )
+            if isinstance(reply, ClaimReply):
+                return record_from_reply(ticket, reply)
+        return await self._seal(ticket, claim)
+
+    def is_own(self, ticket: Ticket) -> bool:
+        """Whether this incarnation of this daemon issued a ticket."""
+        identity = self._context.identity
+        return (ticket.issuer, ticket.issuer_incarnation) == (
+            identity.host,
+            identity.incarnation,
+        )
+
+    async def _seal(
+        self,
+        ticket: Ticket,
+        claim: ForwardClaim,
+    ) -> ClaimRecord | Failure:
+        """Have the witness seal the ticket or tell what it knows."""
+        body_hash = (
+            0 if claim.outcome_only else fingerprint_of(claim.route, claim.body)
+        )
+        reply = await self._witnesses.ask(
+            SealTicket(
+                new_record(ticket, body_hash),
+                ticket.witness,
+                ticket.witness_incarnation,
+            ),
+            self._runner.settings().witness_timeout_s,
+        )
+        verdict = reply.verdict.value
+        log_event(
+            Event.CLAIM_SEALED,
+            f'the witness answered {verdict!r}',
+            level=logging.DEBUG,
+            ticket=ticket.ticket_id,
+        )
+        known = reply.record
+        if known is None or reply.verdict is WitnessVerdict.STARTED:
+            return forgotten(ticket)
+        if body_hash and known.body_hash not in {0, body_hash}:
+            return Failure(
+                ResultCode.TICKET_REUSED,
+                f'ticket {ticket.ticket_id!r} is bound to another claim',
+            )
+        return known
+
+    def _issuer_may_answer(self, ticket: Ticket) -> bool:
+        """Tell whether the issuer's incarnation may still be running."""
+        member = self._context.board.read(MEMBERS).get(ticket.issuer)
+        if member is None:
+            return False
+        same = member.incarnation == ticket.issuer_incarnation
+        return same and member.status is not MemberStatus.DEAD
+
+    def _forward_timeout_s(self, claim: ForwardClaim) -> Seconds:
+        """Leave time to ask the witness before the caller's deadline."""
+        witness_timeout_s = self._runner.settings().witness_timeout_s
+        return max(
+            claim.deadline_s - witness_timeout_s,
+            claim.deadline_s / 2,
+        )
--- a/boragespool/controllers/claims.py
+++ b/boragespool/controllers/claims.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import itertools
-import logging
 import secrets
 from typing import TYPE_CHECKING, Final, Self
 
@@ -16,16 +15,14 @@
     Issuer,
     Ticket,
     choose_witness,
-    forgotten,
     format_ticket,
     issue_ticket,
-    new_record,
     parse_ticket,
 )
 from boragespool.controllers.claim_attempts import ClaimSender
+from boragespool.controllers.claim_forwarding import ClaimForwarder
 from boragespool.controllers.claim_outcomes import (
     is_final,
-    record_from_reply,
     refusal_of,
     still_running,
 )
@@ -37,19 +34,17 @@
     ClaimRecord,
     ClaimReply,
     ForwardClaim,
-    SealTicket,
-    WitnessVerdict,
 )
 from boragespool.results import Failure, ResultCode
-from boragespool.routing import ServerObservations, fingerprint_of
-from boragespool.types import MemberStatus, Rank, RunState
+from boragespool.routing import ServerObservations
+from boragespool.types import Rank, RunState
 
 if TYPE_CHECKING:
     from boragespool.controllers.context import Context
     from boragespool.controllers.requests import ClaimRequest
     from boragespool.peers import Sender
     from boragespool.timers import Subscription
-    from boragespool.types import HostName, RequestId, Seconds
+    from boragespool.types import HostName, RequestId
 
 _EXPIRE_INTERVAL_S: Final = 5
 _KEY_SIZE_BYTES: Final = 32
@@ -82,6 +77,11 @@
             self._witnesses,
             ClaimSender(context, observations or ServerObservations()),
         )
+        self._forwarder = ClaimForwarder(
+            context,
+            self._runner,
+            self._witnesses,
+        )
         self._expiry: Subscription | None = None
 
     async def __aenter__(self) -> Self:
@@ -207,7 +207,7 @@
         ticket = parse_ticket(claim.ticket)
         if isinstance(ticket, Failure):
             return ticket
-        record = await self._resolve(ticket, claim)
+        record = await self._forwarder.resolve(ticket, claim)
         answer = self._to_answer(ticket, claim, record, request_id)
         if isinstance(answer, Failure) and answer.run is RunState.UNKNOWN:
             log_event(
@@ -240,24 +240,6 @@
             record.outcome,
         )
 
-    async def _resolve(
-        self,
-        ticket: Ticket,
-        claim: ForwardClaim,
-    ) -> ClaimRecord | Failure:
-        """Get the record of a ticket from its issuer or its witness."""
-        if self._is_own(ticket):
-            return await self._runner.run(ticket, claim)
-        if self._issuer_may_answer(ticket):
-            reply = await self._context.peers.request(
-                ticket.issuer,
-                claim,
-                self._forward_timeout_s(claim),
-            )
-            if isinstance(reply, ClaimReply):
-                return record_from_reply(ticket, reply)
-        return await self._seal(ticket, claim)
-
     async def _serve_forwarded(
         self,
         sender: Sender,
@@ -267,7 +249,7 @@
         ticket = parse_ticket(claim.ticket)
         if isinstance(ticket, Failure):
             return ticket
-        if not self._is_own(ticket):
+        if not self._forwarder.is_own(ticket):
             return Failure(
                 ResultCode.PEER_REFUSED,
                 f'this daemon did not issue {claim.ticket!r}',
@@ -285,63 +267,6 @@
             record.reason,
         )
 
-    async def _seal(
-        self,
-        ticket: Ticket,
-        claim: ForwardClaim,
-    ) -> ClaimRecord | Failure:
-        """Have the witness seal the ticket or tell what it knows."""
-        body_hash = (
-            0 if claim.outcome_only else fingerprint_of(claim.route, claim.body)
-        )
-        reply = await self._witnesses.ask(
-            SealTicket(
-                new_record(ticket, body_hash),
-                ticket.witness,
-                ticket.witness_incarnation,
-            ),
-            self._runner.settings().witness_timeout_s,
-        )
-        verdict = reply.verdict.value
-        log_event(
-            Event.CLAIM_SEALED,
-            f'the witness answered {verdict!r}',
-            level=logging.DEBUG,
-            ticket=ticket.ticket_id,
-        )
-        known = reply.record
-        if known is None or reply.verdict is WitnessVerdict.STARTED:
-            return forgotten(ticket)
-        if body_hash and known.body_hash not in {0, body_hash}:
-            return Failure(
-                ResultCode.TICKET_REUSED,
-                f'ticket {ticket.ticket_id!r} is bound to another claim',
-            )
-        return known
-
-    def _is_own(self, ticket: Ticket) -> bool:
-        identity = self._context.identity
-        return (ticket.issuer, ticket.issuer_incarnation) == (
-            identity.host,
-            identity.incarnation,
-        )
-
-    def _issuer_may_answer(self, ticket: Ticket) -> bool:
-        """Tell whether the issuer's incarnation may still be running."""
-        member = self._context.board.read(MEMBERS).get(ticket.issuer)
-        if member is None:
-            return False
-        same = member.incarnation == ticket.issuer_incarnation
-        return same and member.status is not MemberStatus.DEAD
-
-    def _forward_timeout_s(self, claim: ForwardClaim) -> Seconds:
-        """Leave time to ask the witness before the caller's deadline."""
-        witness_timeout_s = self._runner.settings().witness_timeout_s
-        return max(
-            claim.deadline_s - witness_timeout_s,
-            claim.deadline_s / 2,
-        )
-
     def _rank(self, claim: ForwardClaim) -> Rank:
         document = self._context.board.read(IN_FORCE)
         route = document.settings.routes.get(claim.route) if document else None
