Keep a rank's flood going while its queue is empty for a moment

Cause: Account ended a flood at the first empty moment of the queue. Callers that were refused need a moment to send their next request, so the floors of the lower ranks gave way again and again during a flood of urgent claims. Change: a flood ends when the queue was empty for a quarter of a service time.

--- a/boragespool/ranks/account.py
+++ b/boragespool/ranks/account.py
@@ -25,6 +25,9 @@
 #: flood. At a demand of 0.79 of 5 slots it empties after a fifth of a service
 #: time in the mean.
 _FLOOD_SERVICE_TIMES: Final = 2
+#: A flood goes on while the queue is empty for less than this many service
+#: times: refused callers need a moment to send their next request.
+_CALM_SERVICE_TIMES: Final = 0.25
 
 
 @dataclass(slots=True)
@@ -46,6 +49,7 @@
         self._credit_slot_s: float = 0
         self._usage_slot_s: float = 0
         self._waiting_since_s: Seconds = 0
+        self._waited_at_s: Seconds = 0
         self._at_s: Seconds = 0
 
     @property
@@ -74,7 +78,9 @@
         decay = max(0, 1 - elapsed_s / _USAGE_WINDOW_S)
         used_slot_s = elapsed_s * self.running_count
         self._usage_slot_s = self._usage_slot_s * decay + used_slot_s
-        if not waiting:
+        if waiting:
+            self._waited_at_s = self._at_s
+        elif self._at_s - self._waited_at_s >= self._calm_s:
             self._waiting_since_s = self._at_s
 
     @property
@@ -126,3 +132,7 @@
     def _has_history(self) -> bool:
         """Whether credit or usage differ from those of an unused rank."""
         return self._credit_slot_s != 0 or self._usage_slot_s != 0
+
+    @property
+    def _calm_s(self) -> Seconds:
+        return _CALM_SERVICE_TIMES * self.mean_service_s
