Let HTTP handlers end with their caller and skip stale responses

Forwarding needs header fields on both sides, a handler that is cancelled when its caller closes the connection, and a client that discards a response to an earlier request by a header field that servers repeat. Existing callers of the server and the client behave as before.

--- a/boragespool/http/client.py
+++ b/boragespool/http/client.py
@@ -65,8 +65,12 @@
         self._peer_closed = False
         self._result: asyncio.Future[HttpResponse | ExchangeFailure] | None
         self._result = None
-        self._status = 0
+        self._echo: tuple[str, str] | None = None
+        self._request: h11.Request | None = None
+        self._body = b''
+        self._head: h11.Response | None = None
         self._parts: list[bytes] = []
+        self.answered_count = 0
 
     async def __aenter__(self) -> Self:
         """Return the open connection."""
@@ -142,44 +146,85 @@
         A cancelled call closes the connection, so that a late response cannot
         reach the next request.
         """
+        result = self.start(request, timeout_s)
+        try:
+            return await result
+        except asyncio.CancelledError:
+            self.close()
+            raise
+
+    def start(
+        self,
+        request: HttpRequest,
+        timeout_s: Seconds,
+        echo: tuple[str, str] | None = None,
+    ) -> asyncio.Future[HttpResponse | ExchangeFailure]:
+        """Send one request; the future gets its response.
+
+        Parameters
+        ----------
+        request : HttpRequest
+            Request; its body is sent with a Content-Length.
+        timeout_s : float
+            Longest time for the whole exchange, in seconds.
+        echo : tuple of str, optional
+            Name in lower case and value of a header field that the server
+            repeats. A response with another value answers an earlier request
+            and is discarded.
+
+        Returns
+        -------
+        asyncio.Future
+            Never fails; see `exchange`. Call `close` to give up.
+        """
+        loop = asyncio.get_running_loop()
+        result: asyncio.Future[HttpResponse | ExchangeFailure]
+        result = loop.create_future()
         if not self.usable:
             self.close()
-            return ExchangeFailure(
-                FailureKind.CLOSED,
-                sent=False,
-                reason=f'{self.address!r} closed the idle connection',
+            result.set_result(
+                ExchangeFailure(
+                    FailureKind.CLOSED,
+                    sent=False,
+                    reason=f'{self.address!r} closed the idle connection',
+                ),
             )
-        loop = asyncio.get_running_loop()
+            return result
         self._parts = []
-        self._result = loop.create_future()
+        self._echo = echo
+        self._result = result
         timer = loop.call_later(timeout_s, self._time_out, timeout_s)
-        try:
-            self._send(request)
-            return await self._result
-        except asyncio.CancelledError:
-            self.close()
-            raise
-        finally:
+
+        def finish(_: object) -> None:
             timer.cancel()
-            self._result = None
+            if self._result is result:
+                self._result = None
+
+        result.add_done_callback(finish)
+        self._send(request)
+        return result
 
     def _send(self, request: HttpRequest) -> None:
-        headers = [
-            ('host', self.address),
-            ('content-length', str(len(request.body))),
-            *request.headers.items(),
-        ]
+        headers = [*request.fields, *request.headers.items()]
+        if not any(name == 'host' for name, _ in headers):
+            headers.insert(0, ('host', self.address))
+        if request.body or not request.fields:
+            headers.append(('content-length', str(len(request.body))))
         head = h11.Request(
             method=request.method,
             target=request.target,
             headers=headers,
         )
-        sent = self._protocol.send(head) or b''
-        if request.body:
-            sent += self._protocol.send(h11.Data(data=request.body)) or b''
-        sent += self._protocol.send(h11.EndOfMessage()) or b''
+        self._request = head
+        self._body = request.body
         if self._transport is not None:
-            self._transport.write(sent)
+            self._transport.write(self._encode(head, request.body))
+
+    def _encode(self, head: h11.Request, body: bytes) -> bytes:
+        encoded = self._protocol.send(head) or b''
+        if body:
+            encoded += self._protocol.send(h11.Data(data=body)) or b''
+        return encoded + (self._protocol.send(h11.EndOfMessage()) or b'')
 
     def _parse(self) -> None:
         """Parse what has arrived; settle the exchange if that is all."""
@@ -200,7 +245,7 @@
             if isinstance(event, h11.Data):
                 self._parts.append(bytes(event.data))
             elif isinstance(event, h11.Response):
-                self._status = event.status_code
+                self._head = event
             elif not isinstance(event, h11.InformationalResponse):
                 return self._ended(event)
 
@@ -208,11 +253,35 @@
         """Return what the last of the events that have arrived means."""
         if event is h11.NEED_DATA:
             return None
-        if isinstance(event, h11.EndOfMessage):
+        if isinstance(event, h11.EndOfMessage) and self._head is not None:
+            response = _response(self._head, b''.join(self._parts))
+            if self._is_stale(response):
+                return self._skip()
+            self.answered_count += 1
             self._finish_cycle()
-            return HttpResponse(self._status, b''.join(self._parts))
+            return response
         return self._failure(FailureKind.CLOSED, 'no response arrived')
 
+    def _is_stale(self, response: HttpResponse) -> bool:
+        """Whether the response answers an earlier request."""
+        if self._echo is None:
+            return False
+        name, expected = self._echo
+        return response.field(name) not in {None, expected}
+
+    def _skip(self) -> HttpResponse | ExchangeFailure | None:
+        """Discard a stale response and parse what follows it."""
+        received, is_closed = self._protocol.trailing_data
+        if is_closed or self._request is None:
+            return self._failure(FailureKind.CLOSED, 'only a stale response')
+        self._protocol = h11.Connection(h11.CLIENT)
+        self._encode(self._request, self._body)
+        self._parts = []
+        if not received:
+            return None
+        self._protocol.receive_data(received)
+        return self._parsed()
+
     def _settle(self, result: HttpResponse | ExchangeFailure) -> None:
         if isinstance(result, ExchangeFailure):
             self.close()
@@ -242,6 +311,14 @@
         )
 
 
+def _response(head: h11.Response, body: bytes) -> HttpResponse:
+    fields = tuple(
+        (name.decode('ascii'), text.decode('latin-1'))
+        for name, text in head.headers
+    )
+    return HttpResponse(head.status_code, body, fields=fields)
+
+
 async def open_connection(
     address: Address,
     timeout_s: Seconds,
--- a/boragespool/http/exchange.py
+++ b/boragespool/http/exchange.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from boragespool.http.limits import HttpLimits
     from boragespool.http.messages import HttpResponse
+    from boragespool.http.streams import CallerStream
     from boragespool.types import Seconds
 
 _READ_SIZE_BYTES: Final = 65_536
@@ -27,11 +28,11 @@
 
     def __init__(
         self,
-        reader: asyncio.StreamReader,
+        reader: CallerStream,
         writer: asyncio.StreamWriter,
     ) -> None:
         """Take over both stream ends."""
-        self._reader = reader
+        self.reader = reader
         self._writer = writer
         self._protocol = h11.Connection(h11.SERVER)
         peer = writer.get_extra_info('peername') or ('',)
@@ -46,7 +47,7 @@
         if self._protocol.trailing_data[0]:
             self._arrived_s = asyncio.get_running_loop().time()
             return True
-        received = await self._reader.read(_READ_SIZE_BYTES)
+        received = await self.reader.read(_READ_SIZE_BYTES)
         self._arrived_s = asyncio.get_running_loop().time()
         self._protocol.receive_data(received)
         return bool(received)
@@ -80,9 +81,11 @@
         cannot hold up a graceful stop.
         """
         headers = [
-            ('content-type', response.content_type),
+            *response.fields,
             ('content-length', str(len(response.body))),
         ]
+        if response.field('content-type') is None and response.content_type:
+            headers.append(('content-type', response.content_type))
         if close:
             headers.append(('connection', 'close'))
         head = h11.Response(status_code=response.status, headers=headers)
@@ -129,7 +132,7 @@
     async def _discard(self, limit_bytes: int) -> None:
         """Read until the peer closes or has sent too much."""
         while limit_bytes >= 0:
-            received = await self._reader.read(_READ_SIZE_BYTES)
+            received = await self.reader.read(_READ_SIZE_BYTES)
             if not received:
                 break
             limit_bytes -= len(received)
@@ -141,10 +144,11 @@
                 ResultCode.MALFORMED_HTTP,
                 'the connection closed before a request was complete',
             )
-        headers = {
-            name.decode('ascii'): text.decode('latin-1')
+        fields = tuple(
+            (name.decode('ascii'), text.decode('latin-1'))
             for name, text in head.headers
-        }
+        )
+        headers = dict(fields)
         refusal = _check_length(headers, limits)
         if refusal is not None:
             return refusal
@@ -159,6 +163,7 @@
             self._peer_ip,
             self._waited_s,
             self.deferred,
+            fields,
         )
 
     async def _read_body(self, limits: HttpLimits) -> bytes | Failure:
@@ -191,7 +196,7 @@
                     headers=[],
                 )
                 self._writer.write(self._protocol.send(go_ahead) or b'')
-            received = await self._reader.read(_READ_SIZE_BYTES)
+            received = await self.reader.read(_READ_SIZE_BYTES)
             self._protocol.receive_data(received)
 
     def _check_head_size(self, limit_bytes: int | None) -> None:
--- a/boragespool/http/messages.py
+++ b/boragespool/http/messages.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Any, Final, TypeAlias
 from urllib.parse import SplitResult, parse_qs, urlsplit
 
 import msgspec
@@ -13,6 +13,9 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+#: Names in lower case with their values.
+HeaderFields: TypeAlias = tuple[tuple[str, str], ...]
+
 _JSON_TYPE: Final = 'application/json'
 _ENCODER: Final = msgspec.json.Encoder()
 
@@ -27,6 +30,9 @@
         Time between its first bytes and its turn to be read, in seconds.
     deferred : bool
         Whether it waited because its connection was deferred.
+    fields : tuple of tuple of str
+        All header fields in order, names in lower case; `headers` holds the
+        last value of each.
     """
 
     method: str
@@ -36,6 +42,7 @@
     peer_ip: str = ''
     waited_s: float = 0
     deferred: bool = False
+    fields: HeaderFields = ()
 
     @property
     def path(self) -> str:
@@ -57,6 +64,9 @@
     ----------
     defer_next : bool
         Whether other connections go before the next request on this one.
+    fields : tuple of tuple of str
+        Further header fields, names in lower case. They may contain a
+        ``content-type``, which then replaces `content_type`.
     """
 
     status: int
@@ -64,6 +74,20 @@
     content_type: str = _JSON_TYPE
     close: bool = False
     defer_next: bool = False
+    fields: HeaderFields = ()
+
+    def field(self, name: str) -> str | None:
+        """Return the first value of a header field, None without it.
+
+        Parameters
+        ----------
+        name : str
+            Name in lower case.
+        """
+        for known, text in self.fields:
+            if known == name:
+                return text
+        return None
 
 
 def _split(target: str) -> SplitResult:
--- a/boragespool/http/server.py
+++ b/boragespool/http/server.py
@@ -8,17 +8,18 @@
 import asyncio
 import contextlib
 import logging
-from typing import TYPE_CHECKING, Final, Self
+from typing import TYPE_CHECKING, Any, Final, Self, cast
 
 from boragespool.events import Event, log_event
 from boragespool.http.exchange import ServerExchange
 from boragespool.http.gate import ReadGate
 from boragespool.http.messages import HttpResponse, failure_response
+from boragespool.http.streams import CallerStream
 from boragespool.results import Failure, ResultCode
 from boragespool.types import RunState
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Callable, Coroutine
 
     from boragespool.http.limits import HttpLimits
     from boragespool.http.messages import HttpRequest
@@ -40,18 +41,30 @@
     handler : callable
         Turns one request into one response. An exception becomes a response
         with `ResultCode.INTERNAL_ERROR`.
+    cancel_on_close : bool, optional
+        Whether the handler is cancelled when the caller closes the
+        connection before it has the response.
+
+    Attributes
+    ----------
+    limits : HttpLimits
+        May be replaced at any time; a request that is being read keeps the
+        limits with which it began.
     """
 
     def __init__(
         self,
         address: Address,
         limits: HttpLimits,
-        handler: Callable[[HttpRequest], Awaitable[HttpResponse]],
+        handler: Callable[[HttpRequest], Coroutine[Any, Any, HttpResponse]],
+        *,
+        cancel_on_close: bool = False,
     ) -> None:
         """Keep the settings; `__aenter__` listens."""
+        self.limits = limits
         self._address = address
-        self._limits = limits
         self._handler = handler
+        self._cancel_on_close = cancel_on_close
         self._draining = False
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -67,8 +80,8 @@
             If the address is in use or is not local.
         """
         host, _, port = self._address.rpartition(':')
-        self._server = await asyncio.start_server(
-            self._serve_connection,
+        self._server = await asyncio.get_running_loop().create_server(
+            self._new_protocol,
             host,
             int(port),
             backlog=_BACKLOG,
@@ -123,6 +136,10 @@
             await asyncio.sleep(_POLL_S)
         return not self._tasks
 
+    def _new_protocol(self) -> asyncio.StreamReaderProtocol:
+        reader = CallerStream()
+        return asyncio.StreamReaderProtocol(reader, self._serve_connection)
+
     async def _serve_connection(
         self,
         reader: asyncio.StreamReader,
@@ -134,7 +151,9 @@
             return
         self._tasks.add(task)
         try:
-            await self._serve_requests(ServerExchange(reader, writer))
+            await self._serve_requests(
+                ServerExchange(cast('CallerStream', reader), writer)
+            )
         except (OSError, asyncio.CancelledError):
             writer.transport.abort()
         finally:
@@ -144,13 +163,13 @@
 
     async def _serve_requests(self, exchange: ServerExchange) -> None:
         """Serve requests until one side wants to close."""
-        if len(self._tasks) > self._limits.connection_count:
+        if len(self._tasks) > self.limits.connection_count:
             await self._respond(
                 exchange,
-                _too_many(self._limits),
+                _too_many(self.limits),
                 close=True,
             )
-            await exchange.finish(self._limits)
+            await exchange.finish(self.limits)
             return
         while await self._wait_for_request(exchange):
             self._in_flight += 1
@@ -165,7 +184,7 @@
     async def _wait_for_request(self, exchange: ServerExchange) -> bool:
         """Wait for the first byte of a request; stop early when draining."""
         loop = asyncio.get_running_loop()
-        idle_until_s = loop.time() + self._limits.idle_timeout_s
+        idle_until_s = loop.time() + self.limits.idle_timeout_s
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(self._idle_slice_s()):
@@ -175,13 +194,11 @@
 
     def _idle_slice_s(self) -> float:
         """Return how long to sleep between two looks at the drain flag."""
-        return (
-            _POLL_S if self._draining else min(1, self._limits.idle_timeout_s)
-        )
+        return _POLL_S if self._draining else min(1, self.limits.idle_timeout_s)
 
     async def _serve_one(self, exchange: ServerExchange) -> bool:
         """Read, handle and answer one request; tell whether to go on."""
-        received = await exchange.read_request(self._limits)
+        received = await exchange.read_request(self.limits)
         if isinstance(received, Failure):
             log_event(
                 Event.CALLER_REJECTED,
@@ -194,9 +211,11 @@
                 failure_response(received),
                 close=True,
             )
-            await exchange.finish(self._limits)
+            await exchange.finish(self.limits)
+            return False
+        response = await self._handle_for(exchange, received)
+        if response is None:
             return False
-        response = await self._handle(received)
         exchange.deferred = response.defer_next
         close = response.close or self._draining
         return await self._respond(exchange, response, close=close)
@@ -210,10 +229,32 @@
     ) -> bool:
         return await exchange.respond(
             response,
-            self._limits.write_timeout_s,
+            self.limits.write_timeout_s,
             close=close,
         )
 
+    async def _handle_for(
+        self,
+        exchange: ServerExchange,
+        request: HttpRequest,
+    ) -> HttpResponse | None:
+        """Return the response; None if the caller left before it was ready."""
+        if not self._cancel_on_close:
+            return await self._handle(request)
+        if exchange.reader.ended:
+            return None
+        handling = asyncio.create_task(self._handle(request))
+        exchange.reader.on_end = handling.cancel
+        try:
+            return await handling
+        except asyncio.CancelledError:
+            handling.cancel()
+            if exchange.reader.ended:
+                return None
+            raise
+        finally:
+            exchange.reader.on_end = None
+
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         """Call the handler; an exception must not show its traceback."""
         try:
