--- /dev/null
+++ b/boragespool/controllers/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers that pass requests on to backend servers."""
--- /dev/null
+++ b/boragespool/controllers/forwarding/mirror.py
@@ -0,0 +1,219 @@
+"""Copy of the keys with one prefix of the store, kept up to date."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final, Self
+
+from boragespool.events import Event, log_event
+from boragespool.results import Failure
+from boragespool.store import HistoryLost, Item
+from boragespool.tasks import TaskSet
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from boragespool.store import ItemStore
+    from boragespool.timers import TimerService
+    from boragespool.types import Seconds
+
+#: Delays between attempts while the store fails, in seconds; the longest one
+#: is well below the time in which a change must be in force.
+_FIRST_RETRY_S: Final = 0.1
+_LONGEST_RETRY_S: Final = 0.5
+#: A failure that lasts shorter is no outage: leases do not lapse in it.
+_OUTAGE_S: Final = 1
+
+
+@dataclass(frozen=True, slots=True)
+class MirrorOptions:
+    """What is copied, and how often the store is asked.
+
+    Attributes
+    ----------
+    prefix : str
+        Begin of the keys.
+    pace_s : float
+        Shortest time between two watches, in seconds. Keys that change all
+        the time would otherwise cost one call for each change.
+    wait_s : float
+        Longest wait of a watch for a change, in seconds. A connection that
+        went silent is noticed after this time.
+    """
+
+    prefix: str
+    pace_s: Seconds
+    wait_s: Seconds
+
+
+@dataclass(frozen=True, slots=True)
+class MirrorState:
+    """The keys at one point in time.
+
+    Attributes
+    ----------
+    changed_keys : frozenset of str
+        Keys that differ from the state before.
+    revision : int
+        Revision of the store.
+    returned_at_s : float
+        Time at which the store last returned from an outage; ``-inf`` if
+        there was none.
+    """
+
+    items_by_key: Mapping[str, Item]
+    changed_keys: frozenset[str]
+    revision: int
+    returned_at_s: Seconds
+
+
+class PrefixMirror:
+    """Follows one prefix, an async context manager.
+
+    Parameters
+    ----------
+    store : ItemStore
+        Source.
+    timers : TimerService
+        Clock.
+    options : MirrorOptions
+        Prefix and pace.
+    on_state : callable
+        Called after each successful call to the store.
+    """
+
+    def __init__(
+        self,
+        store: ItemStore,
+        timers: TimerService,
+        options: MirrorOptions,
+        on_state: Callable[[MirrorState], None],
+    ) -> None:
+        """Start without keys; `__aenter__` begins to read."""
+        self.updated_at_s: Seconds = -math.inf
+        self._store = store
+        self._timers = timers
+        self._options = options
+        self._on_state = on_state
+        self._items_by_key: dict[str, Item] = {}
+        self._revision: int | None = None
+        self._failing_since_s: Seconds | None = None
+        self._returned_at_s: Seconds = -math.inf
+        self._tasks = TaskSet()
+
+    async def __aenter__(self) -> Self:
+        """Begin to follow."""
+        self._tasks.spawn(self._follow())
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Stop following."""
+        await self._tasks.close()
+
+    async def _follow(self) -> None:
+        retry_s = _FIRST_RETRY_S
+        while True:
+            began_s = self._timers.now_s()
+            failure = await self._advance()
+            if failure is None:
+                retry_s = _FIRST_RETRY_S
+                spent_s = self._timers.now_s() - began_s
+                await asyncio.sleep(max(0, self._options.pace_s - spent_s))
+            else:
+                self._note_failure(failure)
+                await asyncio.sleep(retry_s)
+                retry_s = min(_LONGEST_RETRY_S, 2 * retry_s)
+
+    async def _advance(self) -> Failure | None:
+        """Read all keys, or the changes since the last call."""
+        if self._revision is None:
+            return await self._read_all()
+        answer = await self._store.watch(
+            self._options.prefix,
+            self._revision,
+            self._options.wait_s,
+        )
+        if isinstance(answer, Failure):
+            return answer
+        if isinstance(answer, HistoryLost):
+            log_event(
+                Event.STORE_HISTORY_LOST,
+                f'the store dropped changes of {self._options.prefix!r}',
+                prefix=self._options.prefix,
+                revision=self._revision,
+            )
+            self._revision = None
+            return await self._read_all()
+        changed: set[str] = set()
+        for event in answer.events:
+            known = self._items_by_key.get(event.key)
+            if known is not None and known.revision >= event.revision:
+                continue
+            changed.add(event.key)
+            if isinstance(event, Item):
+                self._items_by_key[event.key] = event
+            else:
+                self._items_by_key.pop(event.key, None)
+        self._publish(changed, answer.revision)
+        return None
+
+    async def _read_all(self) -> Failure | None:
+        found: dict[str, Item] = {}
+        revision: int | None = None
+        after = ''
+        while True:
+            page = await self._store.read_page(self._options.prefix, after)
+            if isinstance(page, Failure):
+                return page
+            # Pages are no snapshot: changes since the first one follow.
+            revision = page.revision if revision is None else revision
+            found.update((item.key, item) for item in page.items)
+            if not (page.truncated and page.items):
+                break
+            after = page.items[-1].key
+        known = self._items_by_key
+        changed = {key for key in found.keys() | known.keys() if (
+            found.get(key) != known.get(key)
+        )}
+        self._items_by_key = found
+        self._publish(changed, revision)
+        return None
+
+    def _publish(self, changed: set[str], revision: int) -> None:
+        now_s = self._timers.now_s()
+        if self._failing_since_s is not None:
+            lasted_s = now_s - self._failing_since_s
+            if lasted_s >= _OUTAGE_S:
+                self._returned_at_s = now_s
+            log_event(
+                Event.STORE_AVAILABLE,
+                f'{self._options.prefix!r} can be read again',
+                prefix=self._options.prefix,
+                outage_s=round(lasted_s, 3),
+            )
+            self._failing_since_s = None
+        self._revision = revision
+        self.updated_at_s = now_s
+        self._on_state(
+            MirrorState(
+                self._items_by_key,
+                frozenset(changed),
+                revision,
+                self._returned_at_s,
+            ),
+        )
+
+    def _note_failure(self, failure: Failure) -> None:
+        if self._failing_since_s is not None:
+            return
+        self._failing_since_s = self._timers.now_s()
+        log_event(
+            Event.STORE_UNAVAILABLE,
+            f'{self._options.prefix!r} cannot be read: {failure.reason}',
+            level=logging.WARNING,
+            prefix=self._options.prefix,
+            revision=self._revision,
+        )
--- /dev/null
+++ b/boragespool/controllers/forwarding/versions.py
@@ -0,0 +1,71 @@
+"""Configuration in force: follows the operators' newest version."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from boragespool.events import Event, log_event
+from boragespool.forwarding import index_routes
+from boragespool.metrics import REVISION
+from boragespool.results import Failure
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from boragespool.controllers.forwarding.dialect import Dialect
+    from boragespool.controllers.forwarding.mirror import MirrorState
+    from boragespool.forwarding import RouteTable
+    from boragespool.store import Item
+
+
+class ConfigurationFollower:
+    """Takes over each newer version and never goes back.
+
+    Parameters
+    ----------
+    dialect : Dialect
+        Decodes the configuration.
+    on_version : callable
+        Called with the routes of each newer version.
+    """
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        on_version: Callable[[RouteTable], None],
+    ) -> None:
+        """Start without a configuration."""
+        self.version: int | None = None
+        self._dialect = dialect
+        self._on_version = on_version
+
+    def take_state(self, state: MirrorState) -> None:
+        """Take over the configuration if it changed."""
+        for key in state.changed_keys:
+            item = state.items_by_key.get(key)
+            if item is not None:
+                self._take(item)
+
+    def _take(self, item: Item) -> None:
+        configuration = self._dialect.read_configuration(item)
+        if isinstance(configuration, Failure):
+            log_event(
+                Event.REVISION_REJECTED,
+                configuration.reason,
+                key=item.key,
+                revision=item.revision,
+            )
+            return
+        if self.version is not None and configuration.version <= self.version:
+            return
+        log_event(
+            Event.REVISION_IN_FORCE,
+            f'configuration {configuration.version} is in force',
+            version=configuration.version,
+            previous=self.version,
+            revision=item.revision,
+            routes=len(configuration.routes),
+        )
+        self.version = configuration.version
+        REVISION.set(configuration.version)
+        self._on_version(index_routes(configuration))
--- /dev/null
+++ b/boragespool/forwarding/loads.py
@@ -0,0 +1,151 @@
+"""What a daemon observed of one backend server, and its expected latency."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from boragespool.types import Seconds
+
+#: Weight of one sample in the means.
+_SMOOTHING: Final = 0.2
+#: Largest factor between a sample and the mean, so that one pause of a server
+#: does not keep work away from it for long.
+_LARGEST_STEP: Final = 6
+#: Time in which half of an observed slowness is forgotten without new
+#: samples, in seconds; slow phases last some seconds.
+_HALF_LIFE_S: Final = 1.5
+#: Time without an answer after which a server with work counts as stalled, as
+#: a multiple of the usual service time.
+_STALL_FACTOR: Final = 2.5
+#: Shortest such time, in seconds.
+_LEAST_STALL_S: Final = 0.05
+#: Slowness of a server that has just started.
+_COLD_FACTOR: Final = 1.6
+_FIRST_SUSPICION_S: Final = 0.25
+_LONGEST_SUSPICION_S: Final = 4
+
+
+@dataclass(slots=True)
+class ServerLoad:
+    """Work under way at one backend server and its recent speed.
+
+    Attributes
+    ----------
+    slots : int
+        Requests that it runs at the same time.
+    distance_s : float
+        Round trip to it, in seconds.
+    warm_at_s : float
+        Time from which it is as fast as others.
+    """
+
+    slots: int
+    distance_s: Seconds = 0
+    warm_at_s: Seconds = -math.inf
+    slowness: float = 1
+    measured_at_s: Seconds = 0
+    suspect_until_s: Seconds = -math.inf
+    failure_count: int = 0
+    failure_share: float = 0
+    started_s_by_attempt: dict[int, Seconds] | None = None
+    answered_at_s: Seconds = -math.inf
+
+    def __post_init__(self) -> None:
+        """Start without work."""
+        self.started_s_by_attempt = {}
+
+    @property
+    def in_flight(self) -> int:
+        """Attempts of this daemon that wait for an answer."""
+        return len(self.started_s_by_attempt or ())
+
+    def begin(self, attempt: int, now_s: Seconds) -> None:
+        """Note an attempt that was sent."""
+        if self.started_s_by_attempt is not None:
+            self.started_s_by_attempt[attempt] = now_s
+
+    def answered(
+        self,
+        attempt: int,
+        usual_s: Seconds,
+        now_s: Seconds,
+    ) -> Seconds | None:
+        """Note an answer; return its latency without the distance.
+
+        Parameters
+        ----------
+        usual_s : float
+            Usual service time of such a request, in seconds.
+        """
+        began_s = self._end(attempt)
+        if began_s is None:
+            return None
+        self.answered_at_s = now_s
+        self.failure_count = 0
+        self.failure_share *= 1 - _SMOOTHING
+        self.suspect_until_s = -math.inf
+        service_s = max(0, now_s - began_s - self.distance_s)
+        if usual_s > 0:
+            present = self.present_slowness(now_s)
+            sample = min(service_s / usual_s, present * _LARGEST_STEP)
+            self.slowness = present + _SMOOTHING * (sample - present)
+            self.measured_at_s = now_s
+        return service_s
+
+    def failed(self, attempt: int, now_s: Seconds, *, refused: bool) -> None:
+        """Note an attempt without a useful answer.
+
+        Parameters
+        ----------
+        refused : bool
+            Whether the server itself cannot be used: no connection, or the
+            connection broke.
+        """
+        self._end(attempt)
+        self.failure_share += _SMOOTHING * (1 - self.failure_share)
+        if refused:
+            pause_s = _FIRST_SUSPICION_S * 2**self.failure_count
+            self.failure_count += 1
+            self.suspect_until_s = now_s + min(_LONGEST_SUSPICION_S, pause_s)
+
+    def abandoned(self, attempt: int, usual_s: Seconds, now_s: Seconds) -> None:
+        """Note an attempt that was given up; its latency is a lower bound."""
+        began_s = self._end(attempt)
+        if began_s is None or usual_s <= 0:
+            return
+        present = self.present_slowness(now_s)
+        waited = max(0, now_s - began_s - self.distance_s) / usual_s
+        if waited > present:
+            sample = min(waited, present * _LARGEST_STEP)
+            self.slowness = present + _SMOOTHING * (sample - present)
+            self.measured_at_s = now_s
+
+    def present_slowness(self, now_s: Seconds) -> float:
+        """Return the factor to the usual service time; old samples fade."""
+        age_s = max(0, now_s - self.measured_at_s)
+        fading = 0.5 ** (age_s / _HALF_LIFE_S)
+        return max(0.1, 1 + (self.slowness - 1) * fading)
+
+    def stalled_s(self, usual_s: Seconds, now_s: Seconds) -> Seconds:
+        """Return for how long the oldest attempt is overdue, in seconds."""
+        if not self.started_s_by_attempt:
+            return 0
+        oldest_s = next(iter(self.started_s_by_attempt.values()))
+        limit_s = max(_LEAST_STALL_S, _STALL_FACTOR * usual_s)
+        return max(0, now_s - oldest_s - self.distance_s - limit_s)
+
+    def expected_s(self, usual_s: Seconds, now_s: Seconds) -> Seconds:
+        """Return the expected latency of one more request, in seconds."""
+        factor = self.present_slowness(now_s)
+        if now_s < self.warm_at_s:
+            factor = max(factor, _COLD_FACTOR)
+        rounds = 1 + max(0, self.in_flight + 1 - self.slots) / self.slots
+        return self.distance_s + usual_s * factor * rounds
+
+    def _end(self, attempt: int) -> Seconds | None:
+        if self.started_s_by_attempt is None:
+            return None
+        return self.started_s_by_attempt.pop(attempt, None)
--- /dev/null
+++ b/boragespool/forwarding/selection.py
@@ -0,0 +1,95 @@
+"""Choice of a backend server among the replicas of one service.
+
+Answers the load of pauses, slow phases and failures of single servers: work
+goes where it is expected back first, and bytes stay in the data centre unless
+another one gains more than they cost.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from boragespool.forwarding.loads import ServerLoad
+    from boragespool.types import Seconds, ServerName
+
+#: Expected wait at a server whose oldest work is overdue, in seconds: half of
+#: a usual pause (300 ms on the sites of the milestone).
+_STALL_COST_S: Final = 0.15
+#: Latency that a server in the own data centre may cost more, in seconds.
+#: Traffic between regions is dear.
+_REMOTE_COST_S: Final = 0.02
+#: Cost of a failure that is certain, in seconds: the time of a retry.
+_FAILURE_COST_S: Final = 0.5
+_SUSPECT_COST_S: Final = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """One backend server that may get the request.
+
+    Attributes
+    ----------
+    is_local : bool
+        Whether it runs in the daemon's own data centre.
+    has_room : bool
+        Whether a connection to it is free or may be opened.
+    """
+
+    server: ServerName
+    load: ServerLoad
+    is_local: bool
+    has_room: bool
+
+
+def choose_server(
+    candidates: Iterable[Candidate],
+    usual_s: Seconds,
+    now_s: Seconds,
+    draw: float,
+) -> Candidate | None:
+    """Return the candidate with the least expected cost.
+
+    Parameters
+    ----------
+    candidates : iterable of Candidate
+        Servers that the request has not been sent to.
+    usual_s : float
+        Usual service time of such a request, in seconds.
+    draw : float
+        Random number in ``[0, 1)``; it spreads daemons over equal servers.
+    """
+    ranked = [
+        (cost_s(candidate, usual_s, now_s), number, candidate)
+        for number, candidate in enumerate(candidates)
+        if candidate.has_room
+    ]
+    if not ranked:
+        return None
+    least_s = min(ranked)[0]
+    # Costs within a tenth of the usual time are not told apart.
+    equal = [
+        entry[2] for entry in ranked if entry[0] <= least_s + usual_s / 10
+    ]
+    return equal[int(draw * len(equal))]
+
+
+def cost_s(
+    candidate: Candidate,
+    usual_s: Seconds,
+    now_s: Seconds,
+) -> Seconds:
+    """Return the expected latency with the cost of risks, in seconds."""
+    load = candidate.load
+    cost = load.expected_s(usual_s, now_s)
+    cost += _FAILURE_COST_S * load.failure_share
+    if load.stalled_s(usual_s, now_s) > 0:
+        cost += _STALL_COST_S
+    if now_s < load.suspect_until_s:
+        cost += _SUSPECT_COST_S
+    if not candidate.is_local:
+        cost += _REMOTE_COST_S
+    return cost
--- a/boragespool/metrics.py
+++ b/boragespool/metrics.py
@@ -31,6 +31,17 @@
     ('form', 'rank'),
     buckets=_LATENCY_BUCKETS_S,
 )
+FORWARDED: Final = Counter(
+    'boragespool_forwarded_total',
+    'Forwarded requests by priority and outcome.',
+    ('priority', 'outcome'),
+)
+FORWARD_LATENCY: Final = Histogram(
+    'boragespool_forward_seconds',
+    'Time from a complete request to its final answer, by priority.',
+    ('priority',),
+    buckets=_LATENCY_BUCKETS_S,
+)
 COVERAGE: Final = Histogram(
     'boragespool_coverage_ratio',
     'Coverage of answered queries.',
--- /dev/null
+++ b/boragespool/store/items.py
@@ -0,0 +1,130 @@
+"""Interface to a key-value store with prefixes, revisions and leases."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol, TypeAlias
+
+if TYPE_CHECKING:
+    from boragespool.results import Failure
+    from boragespool.types import Seconds
+
+LeaseId: TypeAlias = int
+
+
+@dataclass(frozen=True, slots=True)
+class Item:
+    """A key with its value.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the store at the last write of the key.
+    """
+
+    key: str
+    value: bytes
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Removal:
+    """A key that was removed at a revision."""
+
+    key: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ItemPage:
+    """A page of the keys with one prefix.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the store when it was read.
+    truncated : bool
+        Whether more keys follow the last one.
+    """
+
+    items: tuple[Item, ...]
+    revision: int
+    truncated: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ItemEvents:
+    """Changes of the keys with one prefix.
+
+    Attributes
+    ----------
+    revision : int
+        Revision up to which the changes are complete.
+    """
+
+    events: tuple[Item | Removal, ...]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryLost:
+    """Sentinel for a watch whose changes the store no longer keeps."""
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseEnded:
+    """Sentinel for a lease that the store does not know."""
+
+
+@dataclass(frozen=True, slots=True)
+class GrantedLease:
+    """A lease with the time for which it holds."""
+
+    lease: LeaseId
+    ttl_s: Seconds
+
+
+class ItemStore(Protocol):
+    """Calls to the store; a `Failure` has the run state of a write."""
+
+    async def read_page(
+        self,
+        prefix: str,
+        after: str = '',
+    ) -> ItemPage | Failure:
+        """Read the keys with a prefix that follow a key."""
+        ...
+
+    async def watch(
+        self,
+        prefix: str,
+        after_revision: int,
+        wait_s: Seconds,
+    ) -> ItemEvents | HistoryLost | Failure:
+        """Wait until there is a change after a revision, or `wait_s` passed."""
+        ...
+
+    async def put(
+        self,
+        key: str,
+        value: bytes,
+        lease: LeaseId,
+    ) -> int | LeaseEnded | Failure:
+        """Write a key under a lease; return the revision."""
+        ...
+
+    async def delete(self, key: str) -> int | Failure:
+        """Remove a key; return the revision."""
+        ...
+
+    async def grant(self, ttl_s: Seconds) -> GrantedLease | Failure:
+        """Begin a lease."""
+        ...
+
+    async def renew(self, lease: LeaseId) -> Seconds | LeaseEnded | Failure:
+        """Renew a lease; return the time for which it holds."""
+        ...
+
+    async def end(self, lease: LeaseId) -> None:
+        """End a lease; its keys are removed."""
+        ...
