Follow the daemons in the store and survive faults in callbacks

Cause: the host record named its types only for type checkers, so that decoding raised and the mirror's task ended; each daemon counted itself as the only one and spent the whole retry allowance. Change: runtime imports; a fault in a callback is logged and the mirror goes on.

--- a/boragespool/controllers/forwarding/hosts.py
+++ b/boragespool/controllers/forwarding/hosts.py
@@ -18,6 +18,8 @@
 from boragespool.results import Failure
 from boragespool.store import LeaseEnded
 from boragespool.tasks import TaskSet
+# msgspec resolves the annotations of `HostRecord` at run time.
+from boragespool.types import Address, DataCentre, HostName, Region  # noqa: TC001
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,7 +28,7 @@
     from boragespool.controllers.forwarding.options import ForwardingOptions
     from boragespool.store import GrantedLease, ItemStore
     from boragespool.timers import TimerService
-    from boragespool.types import Address, DataCentre, HostName, Region, Seconds
+    from boragespool.types import Seconds
 
 #: A lease is renewed three times before it could end.
 _RENEWALS_PER_TTL: Final = 3
--- a/boragespool/controllers/forwarding/mirror.py
+++ b/boragespool/controllers/forwarding/mirror.py
@@ -197,14 +197,23 @@
             self._failing_since_s = None
         self._revision = revision
         self.updated_at_s = now_s
-        self._on_state(
-            MirrorState(
-                self._items_by_key,
-                frozenset(changed),
-                revision,
-                self._returned_at_s,
-            ),
+        state = MirrorState(
+            self._items_by_key,
+            frozenset(changed),
+            revision,
+            self._returned_at_s,
         )
+        try:
+            self._on_state(state)
+        except Exception as error:
+            # The loop has to outlive a fault in what follows a change.
+            log_event(
+                Event.TASK_FAILED,
+                f'taking over {self._options.prefix!r} raised {error!r}',
+                level=logging.ERROR,
+                prefix=self._options.prefix,
+                revision=revision,
+            )
 
     def _note_failure(self, failure: Failure) -> None:
         if self._failing_since_s is not None:
