Read the store through one daemon of each data centre

Change: the daemon with the first name of a data centre reads; the others wait for changes at its control address, and turn to the store if it does not answer within 0.4 s or has not read for longer than a watch lasts.

--- a/boragespool/controllers/forwarding/fleet.py
+++ b/boragespool/controllers/forwarding/fleet.py
@@ -6,6 +6,7 @@
 from collections import defaultdict
 from typing import TYPE_CHECKING, Final, Self
 
+from boragespool.controllers.forwarding.feed import ChangeFeed
 from boragespool.controllers.forwarding.links import ServerLink
 from boragespool.events import Event, log_event
 from boragespool.forwarding import (
@@ -25,6 +26,7 @@
     from boragespool.controllers.forwarding.mirror import MirrorState
     from boragespool.controllers.forwarding.options import ForwardingOptions
     from boragespool.forwarding import Registration, RegistryChange
+    from boragespool.store import Item
     from boragespool.timers import Subscription, TimerService
     from boragespool.types import DataCentre, RouteName, Seconds, ServiceName
 
@@ -83,6 +85,8 @@
         self._dialect = dialect
         self._draw = draw
         self._table = RegistrationTable(options.return_grace_s)
+        self.feed = ChangeFeed(timers)
+        self._told_by_key: dict[str, Registration] = {}
         self._listed: dict[str, Registration] = {}
         self._servers_by_service: defaultdict[
             ServiceName, dict[str, Server]
@@ -135,6 +139,9 @@
         """Take over what the store lists."""
         for key in state.changed_keys:
             self._read(key, state)
+        keys_by_server = {
+            entry.server: key for key, entry in self._listed.items()
+        }
         change = self._table.update(
             {entry.server: entry for entry in self._listed.values()},
             self.timers.now_s(),
@@ -142,6 +149,7 @@
         )
         self.is_known = True
         self._apply(change, state.revision)
+        self._publish(change, keys_by_server, state)
 
     def choose(
         self,
@@ -232,6 +240,29 @@
         self._servers_by_service[server.registration.service].pop(name, None)
         server.link.close()
 
+    def _publish(
+        self,
+        change: RegistryChange,
+        keys_by_server: Mapping[str, str],
+        state: MirrorState,
+    ) -> None:
+        """Tell other daemons what changed, but not each heartbeat."""
+        changes_by_key: dict[str, Item | None] = {}
+        for registration in change.added + change.changed:
+            key = keys_by_server[registration.server]
+            if self._told_by_key.get(key) != registration.without_sequence:
+                self._told_by_key[key] = registration.without_sequence
+                changes_by_key[key] = state.items_by_key[key]
+        for key in tuple(self._told_by_key):
+            if self._told_by_key[key].server not in self._table.by_server:
+                del self._told_by_key[key]
+                changes_by_key[key] = None
+        self.feed.publish(
+            changes_by_key,
+            state.revision,
+            state.returned_at_s,
+        )
+
     def _read(self, key: str, state: MirrorState) -> None:
         item = state.items_by_key.get(key)
         if item is None:
--- a/boragespool/controllers/forwarding/hosts.py
+++ b/boragespool/controllers/forwarding/hosts.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from boragespool.controllers.forwarding.feed import ChangeFeed
 from boragespool.controllers.forwarding.mirror import (
     MirrorOptions,
     PrefixMirror,
@@ -45,7 +46,7 @@
     data_centre: DataCentre
     region: Region
     caller_address: Address
-    leaving: bool = False
+    control_address: Address = ''
 
 
 class HostRegistry:
@@ -80,7 +81,9 @@
             options.data_centre,
             options.region,
             options.caller_address,
+            options.control_address,
         )
+        self.feed = ChangeFeed(timers)
         self._records_by_key: dict[str, HostRecord] = {}
         self._lapsed_at_s_by_key: dict[str, Seconds] = {}
         self._lease: GrantedLease | None = None
@@ -125,6 +128,26 @@
         """Return how many daemons serve in each data centre."""
         return Counter(record.data_centre for record in self._serving_records())
 
+    def reader(self) -> Address | None:
+        """Return the daemon that reads the store for this data centre.
+
+        Returns
+        -------
+        str or None
+            Its control address; None if it is this daemon, which includes
+            that it is not listed.
+        """
+        own = self._own
+        if not self._serving or self._lease is None:
+            return None
+        near = [
+            record
+            for record in self._serving_records()
+            if record.data_centre == own.data_centre and record.control_address
+        ]
+        first = min(near, key=_host_of, default=own)
+        return None if first.host == own.host else first.control_address
+
     def addresses(
         self,
         data_centre: DataCentre,
@@ -146,7 +169,6 @@
         by_host = {
             record.host: record
             for record in self._records_by_key.values()
-            if not record.leaving
         }
         by_host.pop(self._own.host, None)
         if self._serving:
@@ -156,6 +178,11 @@
     def _take_state(self, state: MirrorState) -> None:
         """Take over the records; some lapse while the store is away."""
         now_s = self._timers.now_s()
+        self.feed.publish(
+            {key: state.items_by_key.get(key) for key in state.changed_keys},
+            state.revision,
+            state.returned_at_s,
+        )
         for key in state.changed_keys:
             item = state.items_by_key.get(key)
             if item is None:
@@ -244,3 +271,7 @@
             await self.leave()
             return math.inf
         return granted.ttl_s / _RENEWALS_PER_TTL
+
+
+def _host_of(record: HostRecord) -> HostName:
+    return record.host
--- a/boragespool/controllers/forwarding/mirror.py
+++ b/boragespool/controllers/forwarding/mirror.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, Final, Self
 
 from boragespool.events import Event, log_event
-from boragespool.results import Failure
+from boragespool.results import Failure, ResultCode
 from boragespool.store import HistoryLost, Item
 from boragespool.tasks import TaskSet
 
@@ -117,7 +117,7 @@
         retry_s = _FIRST_RETRY_S
         while True:
             began_s = self._timers.now_s()
-            failure = await self._advance()
+            failure = await self._try_to_advance()
             if failure is None:
                 retry_s = _FIRST_RETRY_S
                 spent_s = self._timers.now_s() - began_s
@@ -127,6 +127,20 @@
                 await asyncio.sleep(retry_s)
                 retry_s = min(_LONGEST_RETRY_S, 2 * retry_s)
 
+    async def _try_to_advance(self) -> Failure | None:
+        """Advance; the loop has to outlive a fault in a read."""
+        try:
+            return await self._advance()
+        except Exception as error:
+            log_event(
+                Event.TASK_FAILED,
+                f'reading {self._options.prefix!r} raised {error!r}',
+                level=logging.ERROR,
+                prefix=self._options.prefix,
+                revision=self._revision,
+            )
+            return Failure(ResultCode.INTERNAL_ERROR, repr(error))
+
     async def _advance(self) -> Failure | None:
         """Read all keys, or the changes since the last call."""
         if self._revision is None:
@@ -147,6 +161,7 @@
             )
             self._revision = None
             return await self._read_all()
+        self._note_return(answer.returned_ago_s)
         changed: set[str] = set()
         for event in answer.events:
             known = self._items_by_key.get(event.key)
@@ -170,6 +185,7 @@
                 return page
             # Pages are no snapshot: changes since the first one follow.
             revision = page.revision if revision is None else revision
+            self._note_return(page.returned_ago_s)
             found.update((item.key, item) for item in page.items)
             if not (page.truncated and page.items):
                 break
@@ -203,17 +219,13 @@
             revision,
             self._returned_at_s,
         )
-        try:
-            self._on_state(state)
-        except Exception as error:
-            # The loop has to outlive a fault in what follows a change.
-            log_event(
-                Event.TASK_FAILED,
-                f'taking over {self._options.prefix!r} raised {error!r}',
-                level=logging.ERROR,
-                prefix=self._options.prefix,
-                revision=revision,
-            )
+        self._on_state(state)
+
+    def _note_return(self, returned_ago_s: Seconds | None) -> None:
+        """Learn of an outage from a daemon that read the store."""
+        if returned_ago_s is not None:
+            returned_at_s = self._timers.now_s() - returned_ago_s
+            self._returned_at_s = max(self._returned_at_s, returned_at_s)
 
     def _note_failure(self, failure: Failure) -> None:
         if self._failing_since_s is not None:
--- a/boragespool/controllers/forwarding/options.py
+++ b/boragespool/controllers/forwarding/options.py
@@ -20,7 +20,9 @@
         ``ip:port`` for callers, for callers that ask for addresses, and for
         readiness checks.
     control_address : str
-        ``ip:port`` for metrics.
+        ``ip:port`` for metrics and for other daemons.
+    seeds : tuple of str
+        Control addresses of some daemons, which may be stale.
     regions_by_data_centre : tuple of tuple of str
         Data centres with their regions.
     host_prefix, configuration_prefix, registration_prefix : str
@@ -36,8 +38,8 @@
         Time after an outage of the store in which lapsed registrations come
         back, in seconds.
     registration_pace_s : float
-        Time between two reads of the registrations, in seconds; a part of the
-        time in which a draining server must be left alone.
+        Shortest time between two reads of the registrations, in seconds, so
+        that many servers that change at once cost one call.
     watch_wait_s : float
         Longest wait of a watch, in seconds; with it a silent connection to
         the store is noticed before a change must be in force.
@@ -53,6 +55,7 @@
     directory_address: Address
     readiness_address: Address
     control_address: Address
+    seeds: tuple[Address, ...]
     host_prefix: str
     configuration_prefix: str
     registration_prefix: str
@@ -62,7 +65,7 @@
     lease_ttl_s: Seconds = 3
     address_keep_s: Seconds = 2
     return_grace_s: Seconds = 2.5
-    registration_pace_s: Seconds = 1
+    registration_pace_s: Seconds = 0.2
     watch_wait_s: Seconds = 4
     hedge_quantile: float = 0.9
 
--- /dev/null
+++ b/boragespool/controllers/forwarding/relay.py
@@ -0,0 +1,243 @@
+"""Reads the store through another daemon of the same data centre."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final, Self
+from urllib.parse import urlencode
+
+import msgspec
+
+from boragespool.controllers.forwarding.feed import FeedPart
+from boragespool.events import Event, log_event
+from boragespool.http import (
+    ConnectionPool,
+    ExchangeFailure,
+    HttpRequest,
+    HttpResponse,
+)
+from boragespool.results import Failure
+from boragespool.store import HistoryLost, ItemEvents, ItemPage
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from boragespool.controllers.forwarding.feed import ChangeFeed
+    from boragespool.store import GrantedLease, ItemStore, LeaseEnded, LeaseId
+    from boragespool.types import Address, Seconds
+
+FEED_PATH: Final = '/v1/feed'
+_OK: Final = 200
+_GONE: Final = 410
+#: Longest time beyond the wait until the other daemon is passed over, in
+#: seconds; a paused daemon must not delay changes.
+_TIMEOUT_S: Final = 0.4
+#: Longest wait at another daemon, in seconds.
+_WAIT_S: Final = 1
+#: Time for which a daemon that failed is passed over, in seconds.
+_PASS_OVER_S: Final = 2
+_CONNECTION_COUNT: Final = 8
+
+
+@dataclass(frozen=True, slots=True)
+class RelayOptions:
+    """Which daemons are asked instead of the store.
+
+    Attributes
+    ----------
+    reader : callable
+        Control address of the daemon that reads the store for this one; None
+        if this one reads it itself.
+    seeds : tuple of str
+        Control addresses of daemons that are asked while the store does not
+        answer and nothing is known yet.
+    oldest_s : float
+        Oldest read of the store that a reader may answer from, in seconds.
+    """
+
+    reader: Callable[[], Address | None]
+    seeds: tuple[Address, ...]
+    oldest_s: Seconds
+
+
+class RelayedStore:
+    """The store, read through other daemons where that saves calls.
+
+    Parameters
+    ----------
+    store : ItemStore
+        The store itself; it takes all writes.
+    options : RelayOptions
+        Other daemons.
+    """
+
+    def __init__(self, store: ItemStore, options: RelayOptions) -> None:
+        """Open nothing yet."""
+        self._store = store
+        self._options = options
+        self._pool = ConnectionPool(_CONNECTION_COUNT, _TIMEOUT_S)
+        self._passed_over_until_s_by_address: dict[Address, Seconds] = {}
+
+    async def __aenter__(self) -> Self:
+        """Return the client."""
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        """Close the idle connections."""
+        await self._pool.__aexit__(*exc_info)
+
+    async def read_page(
+        self,
+        prefix: str,
+        after: str = '',
+    ) -> ItemPage | Failure:
+        """Read from the reader, the store, or the seeds, in this order."""
+        if after:
+            return await self._store.read_page(prefix, after)
+        reader = self._reader()
+        if reader is not None:
+            part = await self._ask(reader, prefix, None)
+            if isinstance(part, FeedPart):
+                return _page(part)
+        page = await self._store.read_page(prefix)
+        if not isinstance(page, Failure):
+            return page
+        for seed in self._options.seeds:
+            part = await self._ask(seed, prefix, None)
+            if isinstance(part, FeedPart):
+                return _page(part)
+        return page
+
+    async def watch(
+        self,
+        prefix: str,
+        after_revision: int,
+        wait_s: Seconds,
+    ) -> ItemEvents | HistoryLost | Failure:
+        """Wait for changes at the reader, or at the store without one."""
+        reader = self._reader()
+        if reader is not None:
+            part = await self._ask(reader, prefix, after_revision)
+            if isinstance(part, FeedPart):
+                return ItemEvents(
+                    part.items + part.removals,
+                    part.revision,
+                    part.returned_ago_s,
+                )
+        return await self._store.watch(prefix, after_revision, wait_s)
+
+    async def put(
+        self,
+        key: str,
+        value: bytes,
+        lease: LeaseId,
+    ) -> int | LeaseEnded | Failure:
+        """Write to the store."""
+        return await self._store.put(key, value, lease)
+
+    async def delete(self, key: str) -> int | Failure:
+        """Remove a key of the store."""
+        return await self._store.delete(key)
+
+    async def grant(self, ttl_s: Seconds) -> GrantedLease | Failure:
+        """Begin a lease at the store."""
+        return await self._store.grant(ttl_s)
+
+    async def renew(self, lease: LeaseId) -> Seconds | LeaseEnded | Failure:
+        """Renew a lease at the store."""
+        return await self._store.renew(lease)
+
+    async def end(self, lease: LeaseId) -> None:
+        """End a lease at the store."""
+        await self._store.end(lease)
+
+    def _reader(self) -> Address | None:
+        """Return the reader's address unless it failed just now."""
+        reader = self._options.reader()
+        if reader is None:
+            return None
+        until_s = self._passed_over_until_s_by_address.get(reader, 0)
+        is_passed_over = asyncio.get_running_loop().time() < until_s
+        return None if is_passed_over else reader
+
+    async def _ask(
+        self,
+        address: Address,
+        prefix: str,
+        after_revision: int | None,
+    ) -> FeedPart | None:
+        """Ask another daemon; None if it cannot tell."""
+        wait_s = 0 if after_revision is None else _WAIT_S
+        query: dict[str, object] = {'prefix': prefix, 'wait_s': wait_s}
+        if after_revision is not None:
+            query['after'] = after_revision
+        answer = await self._pool.exchange(
+            address,
+            HttpRequest('GET', f'{FEED_PATH}?{urlencode(query)}'),
+            wait_s + _TIMEOUT_S,
+        )
+        part = _decoded(answer)
+        if isinstance(part, FeedPart) and (
+            part.age_s <= self._options.oldest_s or after_revision is None
+        ):
+            return part
+        reason = part if isinstance(part, str) else f'{part.age_s:.1f} s old'
+        now_s = asyncio.get_running_loop().time()
+        self._passed_over_until_s_by_address[address] = now_s + _PASS_OVER_S
+        log_event(
+            Event.FEED_UNUSABLE,
+            f'daemon at {address!r} cannot tell about {prefix!r}: {reason}',
+            address=address,
+            prefix=prefix,
+            after=after_revision,
+        )
+        return None
+
+
+async def answer_feed(
+    feeds_by_prefix: Mapping[str, ChangeFeed],
+    request: HttpRequest,
+) -> HttpResponse:
+    """Answer another daemon that reads through this one."""
+    query = request.query
+    feed = feeds_by_prefix.get(query.get('prefix', ''))
+    after = query.get('after')
+    if feed is None:
+        return HttpResponse(404)
+    try:
+        part = await feed.read(
+            None if after is None else int(after),
+            min(_WAIT_S, float(query.get('wait_s', 0))),
+        )
+    except ValueError:
+        return HttpResponse(400)
+    if isinstance(part, HistoryLost):
+        return HttpResponse(_GONE)
+    return HttpResponse(
+        _OK,
+        msgspec.msgpack.encode(part),
+        'application/msgpack',
+    )
+
+
+def _page(part: FeedPart) -> ItemPage:
+    return ItemPage(
+        part.items,
+        part.revision,
+        truncated=False,
+        returned_ago_s=part.returned_ago_s,
+    )
+
+
+def _decoded(answer: HttpResponse | ExchangeFailure) -> FeedPart | str:
+    """Return the changes, or why there are none."""
+    if isinstance(answer, ExchangeFailure):
+        return answer.reason
+    if answer.status != _OK:
+        return f'status {answer.status}'
+    try:
+        return msgspec.msgpack.decode(answer.body, type=FeedPart)
+    except msgspec.MsgspecError as error:
+        return f'invalid answer: {error}'
+
--- a/boragespool/controllers/forwarding/versions.py
+++ b/boragespool/controllers/forwarding/versions.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from boragespool.controllers.forwarding.feed import ChangeFeed
 from boragespool.events import Event, log_event
 from boragespool.forwarding import index_routes
 from boragespool.metrics import REVISION
@@ -16,6 +17,7 @@
     from boragespool.controllers.forwarding.mirror import MirrorState
     from boragespool.forwarding import RouteTable
     from boragespool.store import Item
+    from boragespool.timers import TimerService
 
 
 class ConfigurationFollower:
@@ -23,6 +25,8 @@
 
     Parameters
     ----------
+    timers : TimerService
+        Clock.
     dialect : Dialect
         Decodes the configuration.
     on_version : callable
@@ -31,16 +35,23 @@
 
     def __init__(
         self,
+        timers: TimerService,
         dialect: Dialect,
         on_version: Callable[[RouteTable], None],
     ) -> None:
         """Start without a configuration."""
         self.version: int | None = None
+        self.feed = ChangeFeed(timers)
         self._dialect = dialect
         self._on_version = on_version
 
     def take_state(self, state: MirrorState) -> None:
         """Take over the configuration if it changed."""
+        self.feed.publish(
+            {key: state.items_by_key.get(key) for key in state.changed_keys},
+            state.revision,
+            state.returned_at_s,
+        )
         for key in state.changed_keys:
             item = state.items_by_key.get(key)
             if item is not None:
--- a/boragespool/daemon/forwarder.py
+++ b/boragespool/daemon/forwarder.py
@@ -20,6 +20,12 @@
     MirrorOptions,
     PrefixMirror,
 )
+from boragespool.controllers.forwarding.relay import (
+    FEED_PATH,
+    RelayedStore,
+    RelayOptions,
+    answer_feed,
+)
 from boragespool.controllers.forwarding.versions import ConfigurationFollower
 from boragespool.events import Event, log_event
 from boragespool.http import HttpLimits, HttpResponse, HttpServer
@@ -39,6 +45,9 @@
 #: Time after the request to stop in which new requests are served, in
 #: seconds, beyond the time for which callers keep addresses.
 _LISTEN_ON_S: Final = 0.5
+#: Time that a watch may take beyond its wait before those that read through
+#: this daemon turn to the store, in seconds.
+_READ_S: Final = 1
 
 
 class Forwarder:
@@ -73,16 +82,37 @@
             random.Random().random,
         )
         self.gateway = Gateway(self.fleet, dialect)
-        self._hosts = HostRegistry(
+        self._store = RelayedStore(
             store,
+            RelayOptions(
+                self._reader,
+                tuple(
+                    seed
+                    for seed in options.seeds
+                    if seed != options.control_address
+                ),
+                options.watch_wait_s + _READ_S,
+            ),
+        )
+        self._hosts = HostRegistry(
+            self._store,
             self._timers,
             options,
             self._take_hosts,
         )
-        follower = ConfigurationFollower(dialect, self._take_routes)
+        follower = ConfigurationFollower(
+            self._timers,
+            dialect,
+            self._take_routes,
+        )
+        self._feeds_by_prefix = {
+            options.host_prefix: self._hosts.feed,
+            options.configuration_prefix: follower.feed,
+            options.registration_prefix: self.fleet.feed,
+        }
         self._mirrors = (
             PrefixMirror(
-                store,
+                self._store,
                 self._timers,
                 MirrorOptions(
                     options.configuration_prefix,
@@ -92,7 +122,7 @@
                 follower.take_state,
             ),
             PrefixMirror(
-                store,
+                self._store,
                 self._timers,
                 MirrorOptions(
                     options.registration_prefix,
@@ -191,13 +221,19 @@
             self.options.address_keep_s,
         )
 
-    async def answer_control(self, _: HttpRequest) -> HttpResponse:
-        """Serve the metrics."""
+    async def answer_control(self, request: HttpRequest) -> HttpResponse:
+        """Serve the metrics, and other daemons that read through this one."""
+        if request.path == FEED_PATH:
+            return await answer_feed(self._feeds_by_prefix, request)
         return HttpResponse(200, generate_latest(), CONTENT_TYPE_LATEST)
 
+    def _reader(self) -> str | None:
+        return None if self._leaving else self._hosts.reader()
+
     async def _start(self, stack: AsyncExitStack) -> None:
         options = self.options
         stack.enter_context(self.fleet)
+        await stack.enter_async_context(self._store)
         await stack.enter_async_context(self._hosts)
         for mirror in self._mirrors:
             await stack.enter_async_context(mirror)
--- a/boragespool/events.py
+++ b/boragespool/events.py
@@ -60,6 +60,7 @@
     STORE_HISTORY_LOST = 803
     LEASE_HELD = 804
     LEASE_LOST = 805
+    FEED_UNUSABLE = 806
 
 
 _LOGGER = logging.getLogger('boragespool')
--- a/boragespool/forwarding/registrations.py
+++ b/boragespool/forwarding/registrations.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
@@ -58,6 +58,11 @@
         """Order of the registrations of one server."""
         return (self.born_ms, self.sequence)
 
+    @property
+    def without_sequence(self) -> Registration:
+        """The registration without what every heartbeat changes."""
+        return replace(self, sequence=0, warm_up_s=0)
+
 
 @dataclass(frozen=True, slots=True)
 class RegistryChange:
--- a/boragespool/store/items.py
+++ b/boragespool/store/items.py
@@ -45,11 +45,15 @@
         Revision of the store when it was read.
     truncated : bool
         Whether more keys follow the last one.
+    returned_ago_s : float or None
+        Time since the store returned from an outage, in seconds, if somebody
+        else read it; None if it did not fail.
     """
 
     items: tuple[Item, ...]
     revision: int
     truncated: bool
+    returned_ago_s: Seconds | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,10 +64,13 @@
     ----------
     revision : int
         Revision up to which the changes are complete.
+    returned_ago_s : float or None
+        As in `ItemPage`.
     """
 
     events: tuple[Item | Removal, ...]
     revision: int
+    returned_ago_s: Seconds | None = None
 
 
 @dataclass(frozen=True, slots=True)
