Test the forwarding path against stand-ins of the users' platform

Found on the way: a daemon had no retries in its first seconds, as its allowance began at zero; it now begins with 0.3 of it.

--- a/boragespool/forwarding/retry_budget.py
+++ b/boragespool/forwarding/retry_budget.py
@@ -19,6 +19,8 @@
 #: Part of the fixed allowance that is used. The daemons do not know at the
 #: same moment how many of them share it.
 _ALLOWANCE_USE: Final = 0.8
+#: Part of the allowance that a daemon has at its start.
+_FIRST_SHARE: Final = 0.3
 #: Part of the ratio that is used, as daemons slice their windows differently.
 _RATIO_USE: Final = 0.95
 #: Part of what may be sent in a window that hedges leave to retries: a retry
@@ -106,10 +108,11 @@
     def _allowed(self, now_s: Seconds, daemon_count: int) -> float:
         """Return how many second attempts the present window may hold."""
         limits = self._limits
-        age = (now_s - self._started_at_s) / limits.window_s
+        age = min(1, (now_s - self._started_at_s) / limits.window_s)
+        grown = _FIRST_SHARE + (1 - _FIRST_SHARE) * age
         allowance = _ALLOWANCE_USE * limits.allowance / max(1, daemon_count)
         ratio = _RATIO_USE * limits.ratio
-        return allowance * min(1, age) + ratio * self._requests
+        return allowance * grown + ratio * self._requests
 
     def _current(self, now_s: Seconds) -> _Slice:
         """Drop old slices and return the one that now belongs to."""
--- /dev/null
+++ b/tests/platform_standins/server.py
@@ -0,0 +1,185 @@
+"""Stand-in for a backend server of the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+import h11
+
+SIGNED = 'response-signature'
+
+
+class ServerStandin:
+    """Answers requests as `modes` says; the last mode stays.
+
+    Modes: ``ok``, ``error`` (500), ``shed`` (503, not executed), ``other``
+    (421), ``reset`` (runs, then resets), ``truncated``, ``garbage``,
+    ``unframed``, ``unframed-reset``, ``stale`` (an answer to another request
+    first), ``doubled``, ``encoded``, ``silent``, ``chunked``, ``closing``.
+    """
+
+    def __init__(self, name, address='127.0.0.1:0', body=b'', delay_s=0):
+        self.name, self.address, self.body = name, address, body
+        self.modes = ['ok']
+        self.delay_s = delay_s
+        self.runs = []
+        self.requests = []
+        self.cut_count = 0
+        self.connection_count = 0
+        self._writers = set()
+
+    async def __aenter__(self):
+        host, _, port = self.address.rpartition(':')
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f'{host}:{port}'
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self._server.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    def registration(self, service, **fields):
+        """Return what the backend server writes about itself."""
+        return {
+            'service': service,
+            'address': self.address,
+            'zone': 'here',
+            'version': 'v1',
+            'concurrency': 5,
+            'state': 'ready',
+            'warmup_left_ms': 0,
+            'sequence': 1,
+        } | fields
+
+    async def _serve(self, reader, writer):
+        self.connection_count += 1
+        self._writers.add(writer)
+        protocol = h11.Connection(h11.SERVER)
+        with contextlib.suppress(OSError, h11.ProtocolError):
+            while await self._serve_one(protocol, reader, writer):
+                protocol.start_next_cycle()
+        self._writers.discard(writer)
+        writer.close()
+
+    async def _serve_one(self, protocol, reader, writer):
+        head, body = None, b''
+        while True:
+            event = protocol.next_event()
+            if event is h11.NEED_DATA:
+                protocol.receive_data(await reader.read(65_536))
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            else:
+                return False
+        fields = {n.decode(): v.decode() for n, v in head.headers}
+        target = head.target.decode()
+        self.requests.append((head.method.decode(), target, fields, body))
+        mode = self.modes.pop(0) if len(self.modes) > 1 else self.modes[0]
+        request_id = fields.get('request-id', '')
+        if mode == 'shed':
+            writer.write(_refusal(503, b'Not-Executed: 1\r\n'))
+            protocol.send(h11.Response(status_code=503, headers=[]))
+            protocol.send(h11.EndOfMessage())
+            return True
+        if mode == 'other' or fields.get('target-instance') != self.name:
+            writer.write(_refusal(421, b'Instance-Id: i-other\r\n'))
+            return False
+        self.runs.append(request_id)
+        if self.delay_s and not await self._work(reader):
+            self.cut_count += 1
+            return False
+        if mode == 'silent':
+            await asyncio.sleep(3600)
+        return self._answer(mode, request_id, protocol, writer)
+
+    async def _work(self, reader):
+        """Wait for the delay; False if the caller closes meanwhile."""
+        gone = asyncio.ensure_future(reader.read(1))
+        done, _ = await asyncio.wait({gone}, timeout=self.delay_s)
+        gone.cancel()
+        return not done
+
+    def _answer(self, mode, request_id, protocol, writer):
+        whole = self._response(request_id)
+        if mode == 'reset':
+            _reset(writer)
+            return False
+        if mode == 'truncated':
+            writer.write(whole[:-3])
+            return False
+        if mode == 'garbage':
+            writer.write(b'\x00\xff not http\r\n\r\n')
+            return False
+        if mode in {'unframed', 'unframed-reset'}:
+            writer.write(self._response(request_id, framed=False))
+            if mode == 'unframed-reset':
+                _reset(writer)
+            return False
+        if mode == 'stale':
+            writer.write(self._response('another', b'x' * 32) + whole)
+        elif mode == 'doubled':
+            writer.write(whole + self._response(request_id))
+        elif mode == 'encoded':
+            writer.write(
+                self._response(request_id, extra=b'Content-Encoding: br\r\n'),
+            )
+        elif mode == 'error':
+            writer.write(self._response(request_id, status=500))
+        elif mode == 'chunked':
+            writer.write(self._chunked(request_id))
+        elif mode == 'closing':
+            writer.write(
+                self._response(request_id, extra=b'Connection: close\r\n'),
+            )
+            return False
+        else:
+            writer.write(whole)
+        protocol.send(h11.Response(status_code=200, headers=[]))
+        protocol.send(h11.EndOfMessage())
+        return True
+
+    def _head(self, request_id, status=200, extra=b''):
+        return (
+            f'HTTP/1.1 {status} x\r\nRequest-Id: {request_id}\r\n'
+            f'Response-Signature: {self.name}.{request_id}\r\n'
+        ).encode() + extra
+
+    def _response(
+        self, request_id, body=None, status=200, *, framed=True, extra=b''
+    ):
+        body = self.body if body is None else body
+        head = self._head(request_id, status, extra)
+        if framed:
+            head += f'Content-Length: {len(body)}\r\n'.encode()
+        return head + b'\r\n' + body
+
+    def _chunked(self, request_id):
+        head = self._head(request_id, extra=b'Transfer-Encoding: chunked\r\n')
+        size = f'{len(self.body):x}'.encode()
+        return head + b'\r\n' + size + b'\r\n' + self.body + b'\r\n0\r\n\r\n'
+
+
+def _reset(writer):
+    """Close with a reset; a plain close of a socket would end it cleanly."""
+    linger = struct.pack('ii', 1, 0)
+    writer.get_extra_info('socket').setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, linger
+    )
+    writer.transport.abort()
+
+
+def _refusal(status, extra):
+    return (
+        f'HTTP/1.1 {status} x\r\nContent-Length: 0\r\n'.encode()
+        + extra
+        + b'\r\n'
+    )
--- /dev/null
+++ b/tests/platform_standins/world.py
@@ -0,0 +1,165 @@
+"""Store, backend servers and daemons of the platform in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import msgspec
+from boragespool_platform.messages import DIALECT
+from boragespool_platform.settings import Boot, options_of
+from boragespool_platform.store import KeyValueStore
+
+from boragespool.daemon.forwarder import Forwarder
+from boragespool.http import HttpRequest, open_connection
+from tests.platform_standins.server import ServerStandin
+from tests.platform_standins.store import StoreStandin
+from tests.test_peers import free_address
+
+DOMAIN = 'shop.example'
+
+
+def record(number):
+    """Return a record that sorts by its number."""
+    return number.to_bytes(16, 'big')
+
+
+def route(**fields):
+    """Return a route as the operators write it."""
+    return {
+        'name': 'r-0',
+        'host': DOMAIN,
+        'prefix': '/find/',
+        'type': 'idempotent',
+        'timeout_ms': 2000,
+        'target_latency_ms': 400,
+        'attempts': 2,
+        'priority': 0,
+    } | fields
+
+
+def gather_route(shards, **fields):
+    """Return a route over shards."""
+    return route(gather=shards, top_k=3, min_coverage=0.5, **fields)
+
+
+def limits(**fields):
+    return {
+        'max_header_bytes': 16_384,
+        'max_body_bytes': 262_144,
+        'header_timeout_ms': 3000,
+        'idle_timeout_ms': 15_000,
+    } | fields
+
+
+async def until(condition, timeout_s=5):
+    """Wait until a condition holds."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+class World:
+    """Everything that one test needs."""
+
+    def __init__(self):
+        self.stack = contextlib.AsyncExitStack()
+        self.version = 1
+        self.servers = {}
+        self.daemons = []
+
+    async def __aenter__(self):
+        self.store = await self.stack.enter_async_context(StoreStandin())
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self.stack.aclose()
+
+    def configure(self, *routes, services=(), **fields):
+        """Write a newer configuration."""
+        self.version += 1
+        document = {
+            'version': self.version,
+            'routes': list(routes),
+            'services': list(services),
+            'limits': limits(),
+        }
+        self.store.put('op/config', document | fields)
+
+    async def serve(self, service, name, **fields):
+        """Start a backend server and register it."""
+        registered = fields.pop('registration', {})
+        server = ServerStandin(name, **fields)
+        await self.stack.enter_async_context(server)
+        self.servers[name] = server
+        self.register(service, name, **registered)
+        return server
+
+    def register(self, service, name, **fields):
+        """Write what a backend server says of itself."""
+        registration = self.servers[name].registration(service, **fields)
+        self.store.put(f'servers/{name}', registration)
+
+    def boot(self, name, zone='here', **fields):
+        """Return the settings file of a daemon."""
+        addresses = {
+            use: free_address()
+            for use in ('front', 'readiness', 'control', 'directory')
+        }
+        return msgspec.convert(
+            {
+                'node': name,
+                'zone': zone,
+                'region': f'{zone}-region',
+                'zones': {'here': 'here-region', 'there': 'there-region'},
+                'listen_addrs': addresses,
+                'platform': {'address': self.store.address},
+                'bounds': {'grace_s': 3, 'budget_slack': 40},
+            }
+            | fields,
+            Boot,
+        )
+
+    async def start(self, name='host-1', *, ready=True, **fields):
+        """Start a daemon; wait until it is ready."""
+        boot = self.boot(name, **fields)
+        store = KeyValueStore(boot.platform.address)
+        await self.stack.enter_async_context(store)
+        daemon = Forwarder(options_of(boot), DIALECT, store)
+        await self.stack.enter_async_context(daemon)
+        self.daemons.append(daemon)
+        if ready:
+            await until(lambda: daemon.is_ready)
+            await until(lambda: f'hosts/{name}' in self.store.items)
+        return daemon
+
+
+async def send(
+    daemon,
+    target='/find/x',
+    method='GET',
+    body=b'',
+    timeout_s=5,
+    **fields,
+):
+    """Send one request of a caller on a new connection."""
+    connection = await open_connection(daemon.options.caller_address, 1)
+    headers = [('host', DOMAIN)]
+    headers += [(n.replace('_', '-'), str(v)) for n, v in fields.items()]
+    if body:
+        headers.append(('content-length', str(len(body))))
+    async with connection:
+        return await connection.exchange(
+            HttpRequest(method, target, body, fields=tuple(headers)),
+            timeout_s,
+        )
+
+
+def run(scenario):
+    """Run a coroutine function that takes a world."""
+
+    async def main():
+        async with World() as world:
+            await scenario(world)
+
+    asyncio.run(main())
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,230 @@
+"""Changes that one daemon reads for others, and when they are believed."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+
+import pytest
+
+from boragespool.controllers.forwarding.feed import ChangeFeed, FeedPart
+from boragespool.controllers.forwarding.mirror import (
+    MirrorOptions,
+    MirrorState,
+    PrefixMirror,
+)
+from boragespool.controllers.forwarding.relay import (
+    FEED_PATH,
+    RelayedStore,
+    RelayOptions,
+    answer_feed,
+)
+from boragespool.http import HttpLimits, HttpServer
+from boragespool.results import Failure, ResultCode
+from boragespool.store import (
+    HistoryLost,
+    Item,
+    ItemEvents,
+    ItemPage,
+    Removal,
+)
+from boragespool.timers import LoopTimers, VirtualTimers
+
+AWAY = Failure(ResultCode.STORE_UNAVAILABLE, 'away')
+
+
+def state(revision, read_at_s=0, returned_at_s=-math.inf):
+    return MirrorState({}, frozenset(), revision, returned_at_s, read_at_s)
+
+
+def item(key, revision):
+    return Item(key, b'v', revision)
+
+
+def test_feed_returns_what_changed_after_a_revision():
+    """A daemon that reads on must miss no change and no removal."""
+
+    async def scenario():
+        feed = ChangeFeed(VirtualTimers())
+        assert isinstance(await feed.read(None, 0), HistoryLost)
+        first, second = item('a', 3), item('b', 5)
+        feed.publish({'a': first}, state(3))
+        feed.publish({'b': second}, state(5))
+        feed.publish({'a': None}, state(7))
+        feed.publish({}, state(9))
+        everything = await feed.read(None, 0)
+        assert (everything.items, everything.revision) == ((second,), 9)
+        part = await feed.read(3, 0)
+        assert part.items == (second,)
+        assert part.removals == (Removal('a', 7),)
+        nothing = await feed.read(9, 0)
+        assert not nothing.items + nothing.removals
+
+    asyncio.run(scenario())
+
+
+def test_feed_tells_the_age_of_the_read():
+    """Daemons that read from each other must not renew an old state."""
+
+    async def scenario():
+        timers = VirtualTimers()
+        feed = ChangeFeed(timers)
+        feed.publish({}, state(3, read_at_s=0))
+        timers.advance(4)
+        part = await feed.read(None, 0)
+        assert part.age_s == 4
+        other = ChangeFeed(timers)
+        other.publish({}, state(3, read_at_s=timers.now_s() - part.age_s))
+        timers.advance(3)
+        assert (await other.read(None, 0)).age_s == 7
+
+    asyncio.run(scenario())
+
+
+def test_feed_forgets_old_removals_openly():
+    """A daemon that is too far behind has to read everything."""
+
+    async def scenario():
+        feed = ChangeFeed(VirtualTimers())
+        for revision in range(2, 2_100):
+            feed.publish({str(revision): None}, state(revision))
+        assert isinstance(await feed.read(2, 0), HistoryLost)
+        assert isinstance(await feed.read(2_090, 0), FeedPart)
+
+    asyncio.run(scenario())
+
+
+class FakeStore:
+    """Store whose answers a test sets."""
+
+    def __init__(self):
+        self.page = AWAY
+        self.events = AWAY
+        self.calls = 0
+
+    async def read_page(self, prefix, after=''):
+        self.calls += 1
+        return self.page
+
+    async def watch(self, prefix, after_revision, wait_s):
+        self.calls += 1
+        return self.events
+
+
+class Peer:
+    """Another daemon that serves one feed."""
+
+    def __init__(self, feed):
+        self.feed = feed
+        self.address = '127.0.0.1:0'
+        self.asked = 0
+
+    async def __aenter__(self):
+        self._server = HttpServer(self.address, HttpLimits(), self._handle)
+        await self._server.__aenter__()
+        self.address = self._server.address
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self._server.__aexit__()
+
+    async def _handle(self, request):
+        assert request.path == FEED_PATH
+        self.asked += 1
+        return await answer_feed({'p/': self.feed}, request)
+
+
+def relayed(store, *, reader=None, others=(), oldest_s=1.0):
+    options = RelayOptions(
+        lambda: reader, lambda: tuple(others), oldest_s, oldest_s
+    )
+    return RelayedStore(store, options)
+
+
+@pytest.mark.parametrize('age_s', [0, 5])
+def test_reader_is_used_unless_its_state_is_old(age_s):
+    """Changes must not stay hidden behind a reader that the store cut off."""
+
+    async def scenario():
+        timers = LoopTimers()
+        feed = ChangeFeed(timers)
+        feed.publish({'p/a': item('p/a', 4)}, state(4, timers.now_s() - age_s))
+        store = FakeStore()
+        store.events = ItemEvents((item('p/b', 6),), 6)
+        async with Peer(feed) as peer:
+            async with relayed(store, reader=peer.address) as source:
+                answer = await source.watch('p/', 3, 1)
+        keys = [event.key for event in answer.events]
+        assert keys == (['p/b'] if age_s else ['p/a'])
+        assert store.calls == (1 if age_s else 0)
+
+    asyncio.run(scenario())
+
+
+def test_silent_reader_is_passed_over():
+    """A paused reader delays a change by less than a second and a half."""
+
+    async def scenario():
+        store = FakeStore()
+        store.events = ItemEvents((item('p/b', 6),), 6)
+
+        async def hang(reader, writer):
+            await asyncio.sleep(3600)
+
+        server = await asyncio.start_server(hang, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        loop = asyncio.get_running_loop()
+        async with relayed(store, reader=f'{host}:{port}') as source:
+            for longest_s in (1.5, 0.1):
+                began_s = loop.time()
+                answer = await source.watch('p/', 3, 1)
+                assert answer.revision == 6
+                assert loop.time() - began_s < longest_s
+        server.close()
+
+    asyncio.run(scenario())
+
+
+def test_others_are_asked_only_while_the_store_is_away():
+    """A daemon that the store turns away learns from its peers."""
+
+    async def scenario():
+        timers = LoopTimers()
+        feed = ChangeFeed(timers)
+        feed.publish({'p/a': item('p/a', 4)}, state(4, timers.now_s()))
+        store = FakeStore()
+        async with Peer(feed) as peer:
+            others = ['127.0.0.1:9', peer.address]
+            async with relayed(store, others=others) as source:
+                page = await source.read_page('p/')
+                assert [entry.key for entry in page.items] == ['p/a']
+                store.page = ItemPage((), 9, truncated=False)
+                asked = peer.asked
+                assert (await source.read_page('p/')).revision == 9
+                assert peer.asked == asked
+
+    asyncio.run(scenario())
+
+
+def test_mirror_survives_a_fault_in_its_callback():
+    """A fault in one change must not end the reading of later ones."""
+
+    async def scenario():
+        store = FakeStore()
+        store.page = ItemPage((item('p/a', 2),), 2, truncated=False)
+        store.events = ItemEvents((item('p/b', 3),), 3)
+        seen = []
+
+        def take(taken):
+            seen.append(set(taken.items_by_key))
+            if len(seen) == 1:
+                raise ValueError('fault')
+
+        options = MirrorOptions('p/', 0.01, lambda: 0.01)
+        async with PrefixMirror(store, LoopTimers(), options, take):
+            async with asyncio.timeout(2):
+                while len(seen) < 2:
+                    await asyncio.sleep(0.01)
+        assert seen[1] == {'p/a', 'p/b'}
+
+    asyncio.run(scenario())
