Bound the log and never wait for its reader

A line is dropped and counted when there are more than 300 a second or the reader of standard output does not keep up; the next line that passes follows a count of what is missing. tests/test_log_output.py fails with the plain stream handler: the write blocks at 64 KiB.

--- a/boragespool/events.py
+++ b/boragespool/events.py
@@ -9,6 +9,8 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from boragespool.log_output import BoundedHandler, BoundedOutput
+
 
 class Event(enum.IntEnum):
     """Number of a log event; ``docs/events.md`` is the catalogue.
@@ -29,6 +31,7 @@
     TASK_FAILED = 108
     ADDRESS_UNUSABLE = 109
     SETTINGS_RELOADED = 110
+    LINES_OMITTED = 111
     CALLER_REJECTED = 200
     HANDLER_FAILED = 201
     ADMISSION_CHANGED = 202
@@ -76,7 +79,44 @@
     stream : TextIO, optional
         Destination; standard error by default.
     """
-    handler = logging.StreamHandler(stream or sys.stderr)
+    _use_handler(logging.StreamHandler(stream or sys.stderr), level)
+
+
+def configure_bounded_logging(level: str, descriptor: int) -> None:
+    """Send events to a descriptor without ever waiting for its reader.
+
+    Parameters
+    ----------
+    level : str
+        Name of a `logging` level.
+    descriptor : int
+        File descriptor, such as that of standard output.
+    """
+    _use_handler(
+        BoundedHandler(BoundedOutput(descriptor), _omission_record),
+        level,
+    )
+
+
+def _omission_record(count: int) -> logging.LogRecord:
+    return _LOGGER.makeRecord(
+        _LOGGER.name,
+        logging.WARNING,
+        __file__,
+        0,
+        f'{count} lines were omitted',
+        (),
+        None,
+        extra={
+            'event': int(Event.LINES_OMITTED),
+            'event_name': Event.LINES_OMITTED.name,
+            'omitted': count,
+        },
+    )
+
+
+def _use_handler(handler: logging.Handler, level: str) -> None:
+    """Replace all handlers of the product's logger."""
     handler.setFormatter(
         JsonFormatter('%(asctime)s %(levelname)s %(message)s'),
     )
