--- a/tests/platform_standins/server.py
+++ b/tests/platform_standins/server.py
@@ -67,19 +67,10 @@
         writer.close()
 
     async def _serve_one(self, protocol, reader, writer):
-        head, body = None, b''
-        while True:
-            event = protocol.next_event()
-            if event is h11.NEED_DATA:
-                protocol.receive_data(await reader.read(65_536))
-            elif isinstance(event, h11.Request):
-                head = event
-            elif isinstance(event, h11.Data):
-                body += bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                break
-            else:
-                return False
+        received = await _read_request(protocol, reader)
+        if received is None:
+            return False
+        head, body = received
         fields = {n.decode(): v.decode() for n, v in head.headers}
         target = head.target.decode()
         self.requests.append((head.method.decode(), target, fields, body))
@@ -87,9 +78,7 @@
         request_id = fields.get('request-id', '')
         if mode == 'shed':
             writer.write(_refusal(503, b'Not-Executed: 1\r\n'))
-            protocol.send(h11.Response(status_code=503, headers=[]))
-            protocol.send(h11.EndOfMessage())
-            return True
+            return _end_response(protocol)
         if mode == 'other' or fields.get('target-instance') != self.name:
             writer.write(_refusal(421, b'Instance-Id: i-other\r\n'))
             return False
@@ -99,7 +88,9 @@
             return False
         if mode == 'silent':
             await asyncio.sleep(3600)
-        return self._answer(mode, request_id, protocol, writer)
+        if self._answer(mode, request_id, writer):
+            return _end_response(protocol)
+        return False
 
     async def _work(self, reader):
         """Wait for the delay; False if the caller closes meanwhile."""
@@ -108,43 +99,34 @@
         gone.cancel()
         return not done
 
-    def _answer(self, mode, request_id, protocol, writer):
-        whole = self._response(request_id)
-        if mode == 'reset':
-            _reset(writer)
-            return False
-        if mode == 'truncated':
-            writer.write(whole[:-3])
-            return False
-        if mode == 'garbage':
-            writer.write(b'\x00\xff not http\r\n\r\n')
-            return False
-        if mode in {'unframed', 'unframed-reset'}:
-            writer.write(self._response(request_id, framed=False))
-            if mode == 'unframed-reset':
+    def _answer(self, mode, request_id, writer):
+        """Write the answer; tell whether the connection goes on."""
+        sent = {
+            'reset': b'',
+            'truncated': self._response(request_id)[:-3],
+            'garbage': b'\x00\xff not http\r\n\r\n',
+            'unframed': self._response(request_id, framed=False),
+            'unframed-reset': self._response(request_id, framed=False),
+            'closing': self._response(
+                request_id, extra=b'Connection: close\r\n'
+            ),
+        }
+        if mode in sent:
+            writer.write(sent[mode])
+            if mode.endswith('reset'):
                 _reset(writer)
             return False
-        if mode == 'stale':
-            writer.write(self._response('another', b'x' * 32) + whole)
-        elif mode == 'doubled':
-            writer.write(whole + self._response(request_id))
-        elif mode == 'encoded':
-            writer.write(
-                self._response(request_id, extra=b'Content-Encoding: br\r\n'),
-            )
-        elif mode == 'error':
-            writer.write(self._response(request_id, status=500))
-        elif mode == 'chunked':
-            writer.write(self._chunked(request_id))
-        elif mode == 'closing':
-            writer.write(
-                self._response(request_id, extra=b'Connection: close\r\n'),
-            )
-            return False
-        else:
-            writer.write(whole)
-        protocol.send(h11.Response(status_code=200, headers=[]))
-        protocol.send(h11.EndOfMessage())
+        whole = self._response(request_id)
+        usual = {
+            'stale': self._response('another', b'x' * 32) + whole,
+            'doubled': whole + whole,
+            'encoded': self._response(
+                request_id, extra=b'Content-Encoding: br\r\n'
+            ),
+            'error': self._response(request_id, status=500),
+            'chunked': self._chunked(request_id),
+        }
+        writer.write(usual.get(mode, whole))
         return True
 
     def _head(self, request_id, status=200, extra=b''):
@@ -168,6 +150,29 @@
         return head + b'\r\n' + size + b'\r\n' + self.body + b'\r\n0\r\n\r\n'
 
 
+async def _read_request(protocol, reader):
+    """Return the head and the body; None at the end of the stream."""
+    head, body = None, b''
+    while True:
+        event = protocol.next_event()
+        if event is h11.NEED_DATA:
+            protocol.receive_data(await reader.read(65_536))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        else:
+            is_whole = isinstance(event, h11.EndOfMessage)
+            return (head, body) if is_whole else None
+
+
+def _end_response(protocol):
+    """Let the protocol begin its next cycle."""
+    protocol.send(h11.Response(status_code=200, headers=[]))
+    protocol.send(h11.EndOfMessage())
+    return True
+
+
 def _reset(writer):
     """Close with a reset; a plain close of a socket would end it cleanly."""
     linger = struct.pack('ii', 1, 0)
--- a/tests/platform_standins/store.py
+++ b/tests/platform_standins/store.py
@@ -109,24 +109,26 @@
             await asyncio.sleep(self.delay_s)
         if self.down:
             return HttpResponse(503)
-        path = request.path
-        if path == '/v1/kv-range':
-            return self._range(request.query)
-        if path == '/v1/kv-watch':
+        if request.path == '/v1/kv-watch':
             return await self._watch(request.query)
-        if path == '/v1/kv-txn':
-            response = self._txn(msgspec.json.decode(request.body))
-            if self.lose_writes:
-                await asyncio.sleep(3600)
-            return response
-        if path == '/v1/kv-lease':
-            return self._grant(msgspec.json.decode(request.body))
-        if path.startswith('/v1/kv-keep/'):
-            return self._keep(int(path.rpartition('/')[2]))
-        if path.startswith('/v1/kv-lease-end/'):
-            self._end(int(path.rpartition('/')[2]))
+        response = self._answer(request)
+        if self.lose_writes and request.path == '/v1/kv-txn':
+            await asyncio.sleep(3600)
+        return response
+
+    def _answer(self, request):
+        path, _, name = request.path.rpartition('/')
+        if request.path == '/v1/kv-range':
+            return self._range(request.query)
+        if path == '/v1/kv-keep':
+            return self._keep(int(name))
+        if path == '/v1/kv-lease-end':
+            self._end(int(name))
             return json_response({})
-        return HttpResponse(404)
+        answers = {'/v1/kv-txn': self._txn, '/v1/kv-lease': self._grant}
+        if request.path not in answers:
+            return HttpResponse(404)
+        return answers[request.path](msgspec.json.decode(request.body))
 
     def _range(self, query):
         keys = sorted(
