--- a/boragespool/controllers/forwarding/gateway.py
+++ b/boragespool/controllers/forwarding/gateway.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from boragespool.controllers.forwarding.calls import Job, ServiceCall
 from boragespool.controllers.forwarding.dialect import Gathered
@@ -26,7 +26,9 @@
     from boragespool.http import HttpRequest, HttpResponse
     from boragespool.types import RouteName, ServiceName
 
-_BACKOFF_S = 0.5
+#: A daemon that knows nothing yet waits for the store, whose outages last some
+#: seconds; callers have few retries.
+_NOT_READY_S: Final = 2
 
 
 class Gateway:
@@ -74,7 +76,7 @@
             failure = Failure(
                 ResultCode.NOT_READY,
                 'the daemon has no configuration yet',
-                retry_after_s=_BACKOFF_S,
+                retry_after_s=_NOT_READY_S,
             )
             _log_refusal(request.request_id, failure, None)
             return self._dialect.write_failure(failure)
--- a/boragespool/controllers/forwarding/gathers.py
+++ b/boragespool/controllers/forwarding/gathers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from boragespool.controllers.forwarding.calls import ServiceCall
 from boragespool.controllers.forwarding.dialect import Gathered
@@ -24,7 +24,11 @@
     from boragespool.controllers.forwarding.fleet import ServerFleet
     from boragespool.timers import Subscription
 
-_BACKOFF_S = 0.5
+#: Backend servers that were lost are replaced, or their entries are back, in
+#: some seconds.
+_NO_SERVER_S: Final = 1
+#: Servers that refused have room again sooner.
+_BACKOFF_S: Final = 0.5
 
 
 class Gather:
@@ -71,7 +75,7 @@
                     ResultCode.NO_SERVER,
                     f'only {possible} of {len(self.calls)} shards have a '
                     'backend server',
-                    retry_after_s=_BACKOFF_S,
+                    retry_after_s=_NO_SERVER_S,
                 ),
             )
             return
--- a/boragespool/controllers/forwarding/hosts.py
+++ b/boragespool/controllers/forwarding/hosts.py
@@ -37,9 +37,8 @@
 _RETRY_S: Final = 0.3
 #: Addresses that one answer holds at most.
 _ADDRESS_COUNT: Final = 64
-#: Daemons of one data centre from which on one reads the store for all; for
-#: fewer the detour saves next to nothing.
-_LEAST_RELAYED: Final = 5
+#: Daemons of one data centre from which on one reads the store for all.
+_LEAST_RELAYED: Final = 2
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragespool/controllers/forwarding/links.py
+++ b/boragespool/controllers/forwarding/links.py
@@ -29,9 +29,10 @@
 #: Idle time up to which a connection serves a request that must not run
 #: twice, in seconds: such a request is lost if the server is just closing.
 _FRESH_S: Final = 0.5
-#: Longest TCP handshake, in seconds. An opening packet that was dropped is
-#: sent again after one second.
-_CONNECT_S: Final = 0.9
+#: Longest TCP handshake, in seconds: some round trips between regions. An
+#: opening packet that was dropped is sent again only after one second, and
+#: another server can be asked meanwhile.
+_CONNECT_S: Final = 0.35
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(r'timeout=(\d+)')
 
 
--- a/boragespool/forwarding/retry_budget.py
+++ b/boragespool/forwarding/retry_budget.py
@@ -25,7 +25,7 @@
 _RATIO_USE: Final = 0.95
 #: Part of what may be sent in a window that hedges leave to retries: a retry
 #: replaces an attempt that has failed, a hedge one that is only late.
-_RETRY_RESERVE: Final = 0.25
+_RETRY_RESERVE: Final = 0.4
 
 
 @dataclass(frozen=True, slots=True)
