--- a/boragespool/controllers/forwarding/feed.py
+++ b/boragespool/controllers/forwarding/feed.py
@@ -75,7 +75,7 @@
     ) -> None:
         """Take over what was read; None stands for a removed key."""
         revision = state.revision
-        self._read_at_s = state.read_at_s
+        self._read_at_s = max(self._read_at_s, state.read_at_s)
         self._returned_at_s = state.returned_at_s
         self._revision = revision
         for key, item in changes_by_key.items():
--- a/boragespool/controllers/forwarding/registry.py
+++ b/boragespool/controllers/forwarding/registry.py
@@ -54,7 +54,9 @@
         self.is_known = False
         self._timers = timers
         self._dialect = dialect
+        self._grace_s = options.return_grace_s
         self._on_change = on_change
+        self._state: MirrorState | None = None
         self._table = RegistrationTable(options.return_grace_s)
         self._listed_by_key: dict[str, Registration] = {}
         self._told_by_key: dict[str, Registration] = {}
@@ -63,13 +65,28 @@
         """Take over what the store lists."""
         for key in state.changed_keys:
             self._read(key, state.items_by_key.get(key))
+        self.is_known = True
+        self._state = state
+        self._update(state)
+        self._publish(state)
+        grace_left_s = self._grace_s - (
+            self._timers.now_s() - state.returned_at_s
+        )
+        if grace_left_s > 0:
+            # A watch may stay silent for longer than the grace lasts.
+            self._timers.after(grace_left_s, self._update_again)
+
+    def _update_again(self) -> None:
+        if self._state is not None:
+            self._update(self._state)
+
+    def _update(self, state: MirrorState) -> None:
+        """Bring the table up to date."""
         change = self._table.update(
             {entry.server: entry for entry in self._listed_by_key.values()},
             self._timers.now_s(),
             state.returned_at_s,
         )
-        self.is_known = True
-        self._publish(change, state)
         self._on_change(change, state.revision)
 
     def _read(self, key: str, item: Item | None) -> None:
@@ -88,21 +105,22 @@
             revision=item.revision,
         )
 
-    def _publish(self, change: RegistryChange, state: MirrorState) -> None:
-        """Tell other daemons what changed, but not each heartbeat."""
-        keys_by_server = {
-            entry.server: key for key, entry in self._listed_by_key.items()
-        }
+    def _publish(self, state: MirrorState) -> None:
+        """Tell other daemons what is listed, but not each heartbeat.
+
+        Entries that lapse are told at once: others wait for their return
+        themselves, from the time at which the store came back.
+        """
         changes_by_key: dict[str, Item | None] = {}
-        for registration in change.added + change.changed:
-            key = keys_by_server[registration.server]
-            if self._told_by_key.get(key) != registration.without_sequence:
-                self._told_by_key[key] = registration.without_sequence
+        for key, listed in self._listed_by_key.items():
+            is_accepted = self._table.by_server.get(listed.server) == listed
+            told = listed.without_sequence
+            if is_accepted and self._told_by_key.get(key) != told:
+                self._told_by_key[key] = told
                 changes_by_key[key] = state.items_by_key[key]
-        for told_key, told in tuple(self._told_by_key.items()):
-            if told.server not in self._table.by_server:
-                del self._told_by_key[told_key]
-                changes_by_key[told_key] = None
+        for gone_key in self._told_by_key.keys() - self._listed_by_key.keys():
+            del self._told_by_key[gone_key]
+            changes_by_key[gone_key] = None
         self.feed.publish(
             changes_by_key,
             state,
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -5,7 +5,10 @@
 import asyncio
 import math
 
+import msgspec
 import pytest
+from boragespool_platform.messages import DIALECT
+from boragespool_platform.settings import Boot, options_of
 
 from boragespool.controllers.forwarding.feed import ChangeFeed, FeedPart
 from boragespool.controllers.forwarding.mirror import (
@@ -13,6 +16,7 @@
     MirrorState,
     PrefixMirror,
 )
+from boragespool.controllers.forwarding.registry import ServerRegistry
 from boragespool.controllers.forwarding.relay import (
     FEED_PATH,
     RelayedStore,
@@ -230,3 +234,61 @@
         assert seen[1] == {'p/a', 'p/b'}
 
     asyncio.run(scenario())
+
+
+def entry_item(revision, **fields):
+    value = {'service': 'one', 'address': '10.0.0.1:80', 'zone': 'here'}
+    value |= {'version': 'v1', 'concurrency': 5, 'state': 'ready'}
+    value |= {'warmup_left_ms': 0, 'sequence': revision}
+    return Item('servers/i-a', msgspec.json.encode(value | fields), revision)
+
+
+def registry_state(item, revision, read_at_s, returned_at_s=-math.inf):
+    items = {} if item is None else {item.key: item}
+    keys = frozenset(('servers/i-a',))
+    return MirrorState(items, keys, revision, returned_at_s, read_at_s)
+
+
+def test_lapsed_entries_are_told_at_once_and_told_again():
+    """Daemons that read through this one must learn of every lapse.
+
+    A lapse that is told only after the grace would carry a revision that the
+    others have already seen, and would be missed.
+    """
+
+    async def scenario():
+        timers = VirtualTimers()
+        boot = msgspec.convert(
+            {
+                'node': 'h',
+                'zone': 'here',
+                'region': 'r',
+                'zones': {'here': 'r'},
+                'listen_addrs': {},
+                'platform': {'address': '127.0.0.1:9'},
+            },
+            Boot,
+        )
+        changes = []
+        registry = ServerRegistry(
+            timers,
+            options_of(boot),
+            DIALECT,
+            lambda change, _: changes.append(change),
+        )
+        registry.take_state(registry_state(entry_item(3), 3, 0))
+        first = await registry.feed.read(None, 0)
+        assert [item.key for item in first.items] == ['servers/i-a']
+        timers.advance(10)
+        registry.take_state(registry_state(None, 8, 10, 10))
+        lapsed = await registry.feed.read(3, 0)
+        assert lapsed.removals == (Removal('servers/i-a', 8),)
+        assert not changes[-1].removed
+        registry.take_state(registry_state(entry_item(9), 9, 10, 10))
+        back = await registry.feed.read(8, 0)
+        assert [item.key for item in back.items] == ['servers/i-a']
+        registry.take_state(registry_state(None, 11, 10, 10))
+        timers.advance(3)
+        assert [gone.server for gone in changes[-1].removed] == ['i-a']
+
+    asyncio.run(scenario())
