Restart watches when the store answers again after silence

Cause: a watch that was sent while the store was silent is never answered and was missed only 6.8 s later; hosts count as stable 5 s after the store is back. The new test fails without the restart.

--- a/boragespool/controllers/forwarding/hosts.py
+++ b/boragespool/controllers/forwarding/hosts.py
@@ -66,7 +66,8 @@
     on_change : callable
         Called when the daemons that serve have changed.
     on_contact : callable
-        Called when the store has renewed the lease.
+        Called when the store has renewed the lease, with whether it failed
+        to do so before.
 
     Attributes
     ----------
@@ -82,7 +83,7 @@
         timers: TimerService,
         options: ForwardingOptions,
         on_change: Callable[[], None],
-        on_contact: Callable[[], None],
+        on_contact: Callable[[bool], None],
     ) -> None:
         """Know only this daemon."""
         self._store = store
@@ -103,6 +104,7 @@
         self._lease: GrantedLease | None = None
         self._is_published = False
         self._serving = False
+        self._is_away = False
         self._wake = asyncio.Event()
         self._tasks = TaskSet()
         self.mirror = PrefixMirror(
@@ -288,8 +290,10 @@
             self._lease = None
             return 0
         if isinstance(answer, Failure):
+            self._is_away = True
             return _RETRY_S
-        self._on_contact()
+        self._on_contact(self._is_away)
+        self._is_away = False
         renewal_s = answer / _RENEWALS_PER_TTL
         if self.is_reader:
             renewal_s = min(renewal_s, self._options.relay_wait_s)
--- a/boragespool/controllers/forwarding/mirror.py
+++ b/boragespool/controllers/forwarding/mirror.py
@@ -105,16 +105,27 @@
         self._failing_since_s: Seconds | None = None
         self._returned_at_s: Seconds = -math.inf
         self._tasks = TaskSet()
+        self._following: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> Self:
         """Begin to follow."""
-        self._tasks.spawn(self._follow())
+        self._following = self._tasks.spawn(self._follow())
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Stop following."""
         await self._tasks.close()
 
+    def restart(self) -> None:
+        """Ask the store anew instead of waiting for a watch to fail.
+
+        A watch that was sent while the store was silent is never answered.
+        """
+        following = self._following
+        if following is not None:
+            following.cancel()
+            self._following = self._tasks.spawn(self._follow())
+
     @property
     def is_failing(self) -> bool:
         """Whether the last read failed."""
--- a/boragespool/daemon/forwarder.py
+++ b/boragespool/daemon/forwarder.py
@@ -287,8 +287,12 @@
         self.fleet.set_daemons(self._hosts.counts_by_data_centre())
         self._review_readiness()
 
-    def _note_contact(self) -> None:
+    def _note_contact(self, has_returned: bool) -> None:
         """Tell those that read through this daemon that it is up to date."""
+        if has_returned:
+            for waiting in self._mirrors_by_prefix.values():
+                waiting.restart()
+            return
         if not self._hosts.is_reader:
             return
         for prefix, mirror in self._mirrors_by_prefix.items():
--- a/tests/platform_standins/store.py
+++ b/tests/platform_standins/store.py
@@ -155,6 +155,8 @@
                     if self._events(prefix, after) or self.down:
                         break
                     await self._changed.wait()
+        if self.silent:
+            await asyncio.sleep(3600)
         if self.down:
             return HttpResponse(503)
         return json_response(
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -269,6 +269,23 @@
     run(scenario)
 
 
+def test_change_after_a_silent_outage_is_in_force_soon():
+    """A watch that the store never answers must not delay a change."""
+
+    async def scenario(world):
+        await world.serve('one', 'i-a', body=b'answer')
+        world.configure(route(service='one'))
+        daemon = await world.start()
+        world.store.silent = True
+        await asyncio.sleep(2)
+        world.configure(route(service='one', prefix='/other/'))
+        await asyncio.sleep(0.2)
+        world.store.silent = False
+        await until(lambda: daemon.gateway.routes.version == world.version, 3)
+
+    run(scenario)
+
+
 def test_compacted_history_is_read_again():
     """A change in a gap of the history must not be missed."""
 
