--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -281,7 +281,7 @@
         world.configure(route(service='one', prefix='/other/'))
         await asyncio.sleep(0.2)
         world.store.silent = False
-        await until(lambda: daemon.gateway.routes.version == world.version, 3)
+        await until(lambda: daemon.gateway.routes.version == world.version, 1.5)
 
     run(scenario)
 
