--- a/tests/platform_standins/server.py
+++ b/tests/platform_standins/server.py
@@ -97,6 +97,8 @@
         gone = asyncio.ensure_future(reader.read(1))
         done, _ = await asyncio.wait({gone}, timeout=self.delay_s)
         gone.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await gone
         return not done
 
     def _answer(self, mode, request_id, writer):
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak: real daemons, faults from outside, promises checked."""
