--- a/features/one_snapshot.feature
+++ b/features/one_snapshot.feature
@@ -31,7 +31,6 @@
     And every answer has exactly the items of its snapshot and coverage
     And the last answer is complete and comes from snapshot 2
 
-  @known_red
   Scenario: A version change while a daemon is paused and another is killed
     Given 3 shards with 2 replicas each
     And 4 daemons
