Begin from a stale read and let the watch bring the rest

Change: the first read may be stale, at a tenth of the price; the watch from its revision brings what it lacks. After lost history nothing stale is read.

--- a/boragespool/controllers/forwarding/mirror.py
+++ b/boragespool/controllers/forwarding/mirror.py
@@ -102,6 +102,8 @@
         self._on_state = on_state
         self._items_by_key: dict[str, Item] = {}
         self._revision: int | None = None
+        # Whether the history since a stale read may be lost.
+        self._is_behind = False
         self._failing_since_s: Seconds | None = None
         self._returned_at_s: Seconds = -math.inf
         self._tasks = TaskSet()
@@ -163,7 +165,8 @@
     async def _advance(self) -> Failure | None:
         """Read all keys, or the changes since the last call."""
         if self._revision is None:
-            return await self._read_all()
+            # The watch that follows brings what a stale read lacks.
+            return await self._read_all(may_be_stale=not self._is_behind)
         answer = await self._store.watch(
             self._options.prefix,
             self._revision,
@@ -180,7 +183,8 @@
                 revision=self._revision,
             )
             self._revision = None
-            return await self._read_all()
+            self._is_behind = True
+            return await self._read_all(may_be_stale=False)
         self._note_return(answer.returned_ago_s)
         changed: set[str] = set()
         for event in answer.events:
@@ -195,13 +199,17 @@
         self._publish(changed, answer.revision, answer.age_s)
         return None
 
-    async def _read_all(self) -> Failure | None:
+    async def _read_all(self, *, may_be_stale: bool) -> Failure | None:
         found: dict[str, Item] = {}
         revision: int | None = None
         age_s: Seconds = 0
         after = ''
         while True:
-            page = await self._store.read_page(self._options.prefix, after)
+            page = await self._store.read_page(
+                self._options.prefix,
+                after,
+                may_be_stale=may_be_stale,
+            )
             if isinstance(page, Failure):
                 return page
             # Pages are no snapshot: changes since the first one follow.
--- a/boragespool/controllers/forwarding/relay.py
+++ b/boragespool/controllers/forwarding/relay.py
@@ -97,10 +97,16 @@
         self,
         prefix: str,
         after: str = '',
+        *,
+        may_be_stale: bool = False,
     ) -> ItemPage | Failure:
         """Read from the reader, the store, or others, in this order."""
         if after:
-            return await self._store.read_page(prefix, after)
+            return await self._store.read_page(
+                prefix,
+                after,
+                may_be_stale=may_be_stale,
+            )
         reader = self._reader()
         if reader is not None:
             part = await self._ask(
@@ -111,7 +117,10 @@
             )
             if part is not None:
                 return _page(part)
-        page = await self._store.read_page(prefix)
+        page = await self._store.read_page(
+            prefix,
+            may_be_stale=may_be_stale,
+        )
         if not isinstance(page, Failure):
             return page
         part = await self._ask_others(prefix, None)
--- a/boragespool/store/items.py
+++ b/boragespool/store/items.py
@@ -102,8 +102,14 @@
         self,
         prefix: str,
         after: str = '',
+        *,
+        may_be_stale: bool = False,
     ) -> ItemPage | Failure:
-        """Read the keys with a prefix that follow a key."""
+        """Read the keys with a prefix that follow a key.
+
+        A stale page is seconds old and costs less; a watch from its revision
+        brings what is missing.
+        """
         ...
 
     async def watch(
--- a/tests/platform_standins/store.py
+++ b/tests/platform_standins/store.py
@@ -33,6 +33,7 @@
         self.delay_s = 0
         self.lose_writes = False
         self.page_size = 500
+        self.stale_page = None
         self.calls = []
         self._numbers = itertools.count(100)
         self._changed = asyncio.Event()
@@ -130,18 +131,25 @@
             return HttpResponse(404)
         return answers[request.path](msgspec.json.decode(request.body))
 
+    def freeze_stale_reads(self):
+        """Let stale reads return the present state from now on."""
+        self.stale_page = (dict(self.items), self.revision)
+
     def _range(self, query):
+        items, revision = self.items, self.revision
+        if query.get('stale_ok') == '1' and self.stale_page:
+            items, revision = self.stale_page
         keys = sorted(
             key
-            for key in self.items
+            for key in items
             if key.startswith(query['prefix']) and key > query.get('after', '')
         )
         page = keys[: self.page_size]
         return json_response(
             {
-                'items': [self.items[key] for key in page],
+                'items': [items[key] for key in page],
                 'truncated': len(keys) > len(page),
-                'current_rev': self.revision,
+                'current_rev': revision,
             },
         )
 
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -286,6 +286,28 @@
     run(scenario)
 
 
+def test_stale_first_read_is_brought_up_to_date():
+    """A daemon that starts from an old copy must not serve it for long."""
+
+    async def scenario(world):
+        await world.serve('one', 'i-a', body=b'answer')
+        world.configure(route(service='one'))
+        world.store.freeze_stale_reads()
+        await world.serve('one', 'i-b', body=b'answer')
+        world.store.remove('servers/i-a')
+        world.configure(route(service='one', prefix='/other/'))
+        daemon = await world.start()
+        await until(
+            lambda: (
+                daemon.gateway.routes.version == world.version
+                and list(daemon.fleet.servers_of('one')) == ['i-b']
+            ),
+            1,
+        )
+
+    run(scenario)
+
+
 def test_compacted_history_is_read_again():
     """A change in a gap of the history must not be missed."""
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -107,9 +107,11 @@
         self.page = AWAY
         self.events = AWAY
         self.calls = 0
+        self.stale = []
 
-    async def read_page(self, prefix, after=''):
+    async def read_page(self, prefix, after='', *, may_be_stale=False):
         self.calls += 1
+        self.stale.append(may_be_stale)
         return self.page
 
     async def watch(self, prefix, after_revision, wait_s):
@@ -293,3 +295,26 @@
         assert [entry.server for entry in gone] == ['i-a']
 
     asyncio.run(scenario())
+
+
+def test_lost_history_is_not_read_from_a_stale_copy():
+    """After a gap a stale page could hide the changes in the gap."""
+
+    async def scenario():
+        store = FakeStore()
+        store.page = ItemPage((item('p/a', 2),), 2, truncated=False)
+        store.events = HistoryLost()
+        seen = asyncio.Event()
+        options = MirrorOptions('p/', 0.01, 0.01)
+
+        def take(_):
+            if len(store.stale) > 2:
+                seen.set()
+
+        async with PrefixMirror(store, LoopTimers(), options, take):
+            async with asyncio.timeout(2):
+                await seen.wait()
+        assert store.stale[0]
+        assert not any(store.stale[1:])
+
+    asyncio.run(scenario())
