--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -151,6 +151,8 @@
         entry = server.registration(server.service, zone=zone)
         entry |= {'address': server.link.address} | fields
         server.sequence = entry['sequence'] = getattr(server, 'sequence', 0) + 1
+        if entry['state'] == 'ready':
+            self.promises.draining_since_s.pop(server.name, None)
         self.store.put(f'servers/{server.name}', entry)
 
     def _configure(self):
@@ -238,10 +240,12 @@
         """Excuse late news while daemons or the store are disturbed."""
         self._harm_count += 1
         self.store_sound_since_s = math.inf
-        yield
-        self._harm_count -= 1
-        if not self._harm_count:
-            self.store_sound_since_s = self._now_s() + STABLE_S
+        try:
+            yield
+        finally:
+            self._harm_count -= 1
+            if not self._harm_count:
+                self.store_sound_since_s = self._now_s() + STABLE_S
 
     def _note(self, text):
         self.injected.append((round(self._now_s(), 2), text))
@@ -307,7 +311,6 @@
         self._register(server, state='draining')
         self.promises.draining_since_s[server.name] = self._now_s()
         await asyncio.sleep(3 + 2 * self.random.random())
-        self.promises.draining_since_s.pop(server.name)
         self._register(server)
 
     async def _harm_server(self):
@@ -374,6 +377,7 @@
         {
             'outcomes': {str(k): v for k, v in soak.promises.outcomes.items()},
             'faults': len(soak.injected),
-            'broken': soak.promises.broken,
+            'broken': len(soak.promises.broken),
+            'first': soak.promises.broken[:5],
         }
     ).decode()
