--- a/boragespool/forwarding/loads.py
+++ b/boragespool/forwarding/loads.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
@@ -53,22 +53,16 @@
     suspect_until_s: Seconds = -math.inf
     failure_count: int = 0
     failure_share: float = 0
-    started_s_by_attempt: dict[int, Seconds] | None = None
-    answered_at_s: Seconds = -math.inf
-
-    def __post_init__(self) -> None:
-        """Start without work."""
-        self.started_s_by_attempt = {}
+    started_s_by_attempt: dict[int, Seconds] = field(default_factory=dict)
 
     @property
     def in_flight(self) -> int:
         """Attempts of this daemon that wait for an answer."""
-        return len(self.started_s_by_attempt or ())
+        return len(self.started_s_by_attempt)
 
     def begin(self, attempt: int, now_s: Seconds) -> None:
         """Note an attempt that was sent."""
-        if self.started_s_by_attempt is not None:
-            self.started_s_by_attempt[attempt] = now_s
+        self.started_s_by_attempt[attempt] = now_s
 
     def answered(
         self,
@@ -83,10 +77,9 @@
         usual_s : float
             Usual service time of such a request, in seconds.
         """
-        began_s = self._end(attempt)
+        began_s = self.started_s_by_attempt.pop(attempt, None)
         if began_s is None:
             return None
-        self.answered_at_s = now_s
         self.failure_count = 0
         self.failure_share *= 1 - _SMOOTHING
         self.suspect_until_s = -math.inf
@@ -107,7 +100,7 @@
             Whether the server itself cannot be used: no connection, or the
             connection broke.
         """
-        self._end(attempt)
+        self.started_s_by_attempt.pop(attempt, None)
         self.failure_share += _SMOOTHING * (1 - self.failure_share)
         if refused:
             pause_s = _FIRST_SUSPICION_S * 2**self.failure_count
@@ -116,7 +109,7 @@
 
     def abandoned(self, attempt: int, usual_s: Seconds, now_s: Seconds) -> None:
         """Note an attempt that was given up; its latency is a lower bound."""
-        began_s = self._end(attempt)
+        began_s = self.started_s_by_attempt.pop(attempt, None)
         if began_s is None or usual_s <= 0:
             return
         present = self.present_slowness(now_s)
@@ -147,8 +140,3 @@
             factor = max(factor, _COLD_FACTOR)
         rounds = 1 + max(0, self.in_flight + 1 - self.slots) / self.slots
         return self.distance_s + usual_s * factor * rounds
-
-    def _end(self, attempt: int) -> Seconds | None:
-        if self.started_s_by_attempt is None:
-            return None
-        return self.started_s_by_attempt.pop(attempt, None)
