--- a/boragespool/controllers/forwarding/calls.py
+++ b/boragespool/controllers/forwarding/calls.py
@@ -30,6 +30,8 @@
 _ABANDON_S: Final = 0.25
 #: Least time left in which another attempt may still succeed, in seconds.
 _LEAST_LEFT_S: Final = 0.02
+#: Time after which refused callers may return, in seconds: about two usual
+#: service times of the slowest route.
 _BACKOFF_S: Final = 0.5
 
 
--- a/boragespool/controllers/forwarding/fleet.py
+++ b/boragespool/controllers/forwarding/fleet.py
@@ -40,8 +40,13 @@
 #: Part of the connections that is used at all, so that connections that are
 #: just being closed do not count against the limit.
 _LIMIT_USE: Final = 0.9
+#: Connections that a daemon may open at least, so that a request and its
+#: hedge fit in the largest fleets.
 _LEAST_LIMIT: Final = 2
+#: Connections of a server whose service states no limit, as on the sites.
 _DEFAULT_CONNECTIONS: Final = 40
+#: Idle connections are looked at this often, in seconds; their limits are
+#: whole seconds.
 _TRIM_INTERVAL_S: Final = 1
 
 
--- a/boragespool/controllers/forwarding/hosts.py
+++ b/boragespool/controllers/forwarding/hosts.py
@@ -34,8 +34,10 @@
 
 #: A lease is renewed three times before it could end.
 _RENEWALS_PER_TTL: Final = 3
+#: Time between attempts while the store fails, in seconds; several fit into
+#: the lease.
 _RETRY_S: Final = 0.3
-#: Addresses that one answer holds at most.
+#: Addresses that one answer holds at most; callers keep no more.
 _ADDRESS_COUNT: Final = 64
 
 
--- a/boragespool/forwarding/loads.py
+++ b/boragespool/forwarding/loads.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from boragespool.types import Seconds
 
-#: Weight of one sample in the means.
+#: Weight of one sample in the means: five samples change most of a mean.
 _SMOOTHING: Final = 0.2
 #: Largest factor between a sample and the mean, so that one pause of a server
 #: does not keep work away from it for long.
@@ -22,12 +22,14 @@
 _STALL_FACTOR: Final = 2.5
 #: Shortest such time, in seconds.
 _LEAST_STALL_S: Final = 0.05
-#: Slowness of a server that has just started.
+#: Slowness of a server that has just started, as on the sites.
 _COLD_FACTOR: Final = 1.6
+#: Least factor to the usual service time; below it noise would decide.
 _LEAST_SLOWNESS: Final = 0.1
 #: Time for which a server is avoided after its first failure, in seconds; it
 #: doubles with each further one.
 _FIRST_SUSPICION_S: Final = 0.25
+#: Longest such time, in seconds; crashed servers are back after some seconds.
 _LONGEST_SUSPICION_S: Final = 4
 
 
--- a/boragespool/forwarding/retry_budget.py
+++ b/boragespool/forwarding/retry_budget.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from boragespool.types import Seconds
 
-#: Counts of a window are kept in this many slices.
+#: Counts of a window are kept in this many slices, half a second each.
 _SLICES: Final = 20
 #: Part of the fixed allowance that is used. The daemons do not know at the
 #: same moment how many of them share it.
--- a/boragespool/forwarding/selection.py
+++ b/boragespool/forwarding/selection.py
@@ -27,6 +27,8 @@
 _DATA_CENTRE_COST_S: Final = 0.005
 #: Cost of a failure that is certain, in seconds: the time of a retry.
 _FAILURE_COST_S: Final = 0.5
+#: Cost of a server that broke connections just now, in seconds: more than any
+#: other replica costs.
 _SUSPECT_COST_S: Final = 2
 
 
