Remove what nothing reads, and ask a feed for news without a scan

Read again as a whole, the change kept counters that nobody reads (responses of a connection, connections opened, whether a call was hedged) and a call to remove keys that nothing makes: leases remove them. A feed looked through all its keys for each daemon that waits; the revision of its last change tells the same. Behaviour is unchanged.

--- a/boragespool/controllers/forwarding/calls.py
+++ b/boragespool/controllers/forwarding/calls.py
@@ -79,7 +79,6 @@
         """Send nothing yet."""
         self.service = service
         self.sent_count = 0
-        self.hedged = False
         self._fleet = fleet
         self._dialect = dialect
         self._job = job
@@ -178,7 +177,7 @@
             return
         others = self._fleet.servers_of(self.service).keys() - self._tried
         if others and self._fleet.may_repeat(self.service, is_hedge=True):
-            self.hedged = self._send() or self.hedged
+            self._send()
 
     def _stop_hedging(self) -> None:
         if self._hedge is not None:
--- a/boragespool/controllers/forwarding/feed.py
+++ b/boragespool/controllers/forwarding/feed.py
@@ -63,6 +63,7 @@
         self._published_at_by_key: dict[str, int] = {}
         self._removed_at_by_key: dict[str, int] = {}
         self._floor = 0
+        self._changed_at = 0
         self._revision: int | None = None
         self._read_at_s: Seconds = -math.inf
         self._returned_at_s: Seconds = -math.inf
@@ -91,6 +92,7 @@
             oldest = next(iter(self._removed_at_by_key))
             self._floor = self._removed_at_by_key.pop(oldest)
         if changes_by_key:
+            self._changed_at = max(self._changed_at, revision)
             self._changed.set()
             self._changed = asyncio.Event()
 
@@ -114,19 +116,12 @@
             return self._part(-1)
         if after_revision < self._floor or self._revision is None:
             return HistoryLost()
-        if not self._has_news(after_revision) and wait_s > 0:
+        if after_revision >= self._changed_at and wait_s > 0:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
                     await self._changed.wait()
         return self._part(after_revision)
 
-    def _has_news(self, after: int) -> bool:
-        return any(
-            revision > after for revision in self._published_at_by_key.values()
-        ) or any(
-            revision > after for revision in self._removed_at_by_key.values()
-        )
-
     def _part(self, after: int) -> FeedPart | HistoryLost:
         if self._revision is None:
             return HistoryLost()
--- a/boragespool/controllers/forwarding/links.py
+++ b/boragespool/controllers/forwarding/links.py
@@ -108,7 +108,6 @@
         self.address = address
         self.limit = 1
         self.handshake_s: Seconds | None = None
-        self.opened_count = 0
         self._timers = timers
         self._idle: list[tuple[Seconds, Seconds, HttpConnection]] = []
         self._busy_count = 0
@@ -164,7 +163,6 @@
             exchange.finish(connection)
             return
         took_s = self._timers.now_s() - began_s
-        self.opened_count += 1
         self.handshake_s = min(took_s, self.handshake_s or took_s)
         self._use(exchange, connection, outgoing)
 
--- a/boragespool/controllers/forwarding/relay.py
+++ b/boragespool/controllers/forwarding/relay.py
@@ -158,10 +158,6 @@
         """Write to the store."""
         return await self._store.put(key, value, lease)
 
-    async def delete(self, key: str) -> int | Failure:
-        """Remove a key of the store."""
-        return await self._store.delete(key)
-
     async def grant(self, ttl_s: Seconds) -> GrantedLease | Failure:
         """Begin a lease at the store."""
         return await self._store.grant(ttl_s)
--- a/boragespool/http/client.py
+++ b/boragespool/http/client.py
@@ -70,7 +70,6 @@
         self._body = b''
         self._head: h11.Response | None = None
         self._parts: list[bytes] = []
-        self.answered_count = 0
 
     async def __aenter__(self) -> Self:
         """Return the open connection."""
@@ -257,7 +256,6 @@
             response = _response(self._head, b''.join(self._parts))
             if self._is_stale(response):
                 return self._skip()
-            self.answered_count += 1
             self._finish_cycle()
             return response
         return self._failure(FailureKind.CLOSED, 'no response arrived')
--- a/boragespool/store/items.py
+++ b/boragespool/store/items.py
@@ -130,10 +130,6 @@
         """Write a key under a lease; return the revision."""
         ...
 
-    async def delete(self, key: str) -> int | Failure:
-        """Remove a key; return the revision."""
-        ...
-
     async def grant(self, ttl_s: Seconds) -> GrantedLease | Failure:
         """Begin a lease."""
         ...
