Part the controllers into packages by concern

Cause: boragespool/controllers held 50 modules side by side, and boragespool.bench imported the writer of revisions from boragespool.cli. Only moves and imports. Conclusion: behaviour unchanged.

--- a/boragespool/bench/announcements.py
+++ b/boragespool/bench/announcements.py
@@ -12,7 +12,9 @@
 from typing import Any, Final
 
 from boragespool import backends
-from boragespool.controllers.record_exchange import ExchangeOptions
+from boragespool.controllers.backend_servers.record_exchange import (
+    ExchangeOptions,
+)
 from boragespool.messages import (
     Holding,
     ServerAnnouncement,
--- a/boragespool/bench/configuration_parts.py
+++ b/boragespool/bench/configuration_parts.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from boragespool.cli.applying import Applied, apply_change
-from boragespool.controllers.held_revision import HeldRevision
+from boragespool.controllers.configuration.applying import Applied, apply_change
+from boragespool.controllers.configuration.held_revision import HeldRevision
 from boragespool.messages import PartsRequest, RevisionReply, RevisionRequest
 from boragespool.results import Failure
 from boragespool.revisions import (
--- a/boragespool/bench/membership.py
+++ b/boragespool/bench/membership.py
@@ -21,7 +21,7 @@
 from boragespool.blackboard import Blackboard
 from boragespool.blackboard.topics import MEMBERS
 from boragespool.controllers.context import Context, Identity
-from boragespool.controllers.membership import MembershipController
+from boragespool.controllers.membership.membership import MembershipController
 from boragespool.events import configure_logging
 from boragespool.peers import PeerNetwork, PeerOptions
 from boragespool.timers import LoopTimers
--- a/boragespool/bench/tail.py
+++ b/boragespool/bench/tail.py
@@ -24,7 +24,7 @@
     tracker_maker,
 )
 from boragespool.bench.virtual_time import run_virtual
-from boragespool.controllers.query import QueryController
+from boragespool.controllers.queries.query import QueryController
 from boragespool.controllers.requests import QueryRequest
 from boragespool.results import Failure
 from boragespool.settings import HedgingSettings
--- a/boragespool/cli/settings_commands.py
+++ b/boragespool/cli/settings_commands.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from boragespool.cli.outcome import ExitCode, Outcome, error_line
-from boragespool.cli.store_access import (
+from boragespool.controllers.configuration.store_access import (
     no_revision,
     read_base,
     read_current,
--- /dev/null
+++ b/boragespool/controllers/backend_servers/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers of backend servers: dispatch, connections and records."""
--- a/boragespool/controllers/answers.py
+++ b/boragespool/controllers/backend_servers/answers.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING, Final
 
-from boragespool.controllers.jobs import refusal
+from boragespool.controllers.backend_servers.jobs import refusal
 from boragespool.results import Failure, ResultCode
 from boragespool.types import RunState, WorkKind
 
--- a/boragespool/controllers/backend.py
+++ b/boragespool/controllers/backend_servers/backend.py
@@ -10,14 +10,14 @@
 from typing import TYPE_CHECKING, Final
 
 from boragespool.blackboard.topics import BLOCKED
-from boragespool.controllers.backend_protocol import (
+from boragespool.controllers.backend_servers.backend_protocol import (
     cancel_to_http,
     read_cancel,
     read_reply,
     work_to_http,
 )
-from boragespool.controllers.connections import ConnectionPool
-from boragespool.controllers.jobs import (
+from boragespool.controllers.backend_servers.connections import ConnectionPool
+from boragespool.controllers.backend_servers.jobs import (
     BLOCKED_FAILURE,
     BackendHooks,
     WorkInFlight,
@@ -26,7 +26,7 @@
     refusal,
     was_served,
 )
-from boragespool.controllers.server_health import ServerHealth
+from boragespool.controllers.backend_servers.server_health import ServerHealth
 from boragespool.events import Event, log_event
 from boragespool.http import (
     ExchangeFailure,
--- a/boragespool/controllers/crash_watch.py
+++ b/boragespool/controllers/backend_servers/crash_watch.py
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     from boragespool.controllers.context import Context
-    from boragespool.controllers.jobs import WorkInFlight
+    from boragespool.controllers.backend_servers.jobs import WorkInFlight
     from boragespool.peers import Sender
     from boragespool.revisions import RevisionDocument
     from boragespool.types import HostName, Incarnation, Seconds, ServerName
--- a/boragespool/controllers/dispatch.py
+++ b/boragespool/controllers/backend_servers/dispatch.py
@@ -16,10 +16,14 @@
     SUSPECTS,
     ServerObservation,
 )
-from boragespool.controllers.answers import RecentAnswers
-from boragespool.controllers.backend import Backend
-from boragespool.controllers.crash_watch import CrashWatch
-from boragespool.controllers.jobs import BLOCKED_FAILURE, BackendHooks, refusal
+from boragespool.controllers.backend_servers.answers import RecentAnswers
+from boragespool.controllers.backend_servers.backend import Backend
+from boragespool.controllers.backend_servers.crash_watch import CrashWatch
+from boragespool.controllers.backend_servers.jobs import (
+    BLOCKED_FAILURE,
+    BackendHooks,
+    refusal,
+)
 from boragespool.messages import (
     CancelWork,
     ServerRecord,
--- a/boragespool/controllers/record_exchange.py
+++ b/boragespool/controllers/backend_servers/record_exchange.py
@@ -13,7 +13,7 @@
 
 from boragespool import backends
 from boragespool.blackboard.topics import MEMBERS
-from boragespool.controllers.record_repair import RecordRepair
+from boragespool.controllers.backend_servers.record_repair import RecordRepair
 from boragespool.messages import ServerAnnouncement, ServerRecord
 from boragespool.tasks import TaskSet
 from boragespool.types import MemberStatus
--- a/boragespool/controllers/server_health.py
+++ b/boragespool/controllers/backend_servers/server_health.py
@@ -8,11 +8,11 @@
 
 from boragespool import backends
 from boragespool.blackboard.topics import ServerObservation
-from boragespool.controllers.backend_protocol import (
+from boragespool.controllers.backend_servers.backend_protocol import (
     STATUS_REQUEST,
     read_status,
 )
-from boragespool.controllers.jobs import (
+from boragespool.controllers.backend_servers.jobs import (
     BackendHooks,
     WorkInFlight,
     was_served,
@@ -21,7 +21,9 @@
 from boragespool.results import Failure, ResultCode
 
 if TYPE_CHECKING:
-    from boragespool.controllers.connections import ConnectionPool
+    from boragespool.controllers.backend_servers.connections import (
+        ConnectionPool,
+    )
     from boragespool.controllers.context import Context
     from boragespool.messages import WorkReply
     from boragespool.types import Incarnation, ServerName
--- a/boragespool/controllers/server_polls.py
+++ b/boragespool/controllers/backend_servers/server_polls.py
@@ -7,12 +7,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from boragespool.controllers.backend_protocol import (
+from boragespool.controllers.backend_servers.backend_protocol import (
     STATUS_REQUEST,
     BackendStatus,
     read_status,
 )
-from boragespool.controllers.connections import ConnectionPool
+from boragespool.controllers.backend_servers.connections import ConnectionPool
 from boragespool.events import Event, log_event
 from boragespool.http import ExchangeFailure, FailureKind
 from boragespool.results import Failure
--- a/boragespool/controllers/server_records.py
+++ b/boragespool/controllers/backend_servers/server_records.py
@@ -12,7 +12,9 @@
     from collections.abc import Mapping
 
     from boragespool.blackboard.topics import ServerObservation
-    from boragespool.controllers.backend_protocol import BackendStatus
+    from boragespool.controllers.backend_servers.backend_protocol import (
+        BackendStatus,
+    )
     from boragespool.settings import ServerSettings, Settings
     from boragespool.types import Seconds, ServerName
 
--- a/boragespool/controllers/server_view.py
+++ b/boragespool/controllers/backend_servers/server_view.py
@@ -7,7 +7,9 @@
 
 from boragespool.backends import ServerSigns, ServiceStates
 from boragespool.blackboard import ShardedMapping
-from boragespool.controllers.server_records import recently_draining
+from boragespool.controllers.backend_servers.server_records import (
+    recently_draining,
+)
 from boragespool.settings import Settings
 from boragespool.types import ServerState
 
--- a/boragespool/controllers/servers.py
+++ b/boragespool/controllers/backend_servers/servers.py
@@ -15,20 +15,26 @@
     OBSERVATIONS,
     SERVERS,
 )
-from boragespool.controllers.record_exchange import (
+from boragespool.controllers.backend_servers.record_exchange import (
     ExchangeHooks,
     ExchangeOptions,
     RecordExchange,
 )
-from boragespool.controllers.server_polls import PollHooks, ServerPolls
-from boragespool.controllers.server_records import (
+from boragespool.controllers.backend_servers.server_polls import (
+    PollHooks,
+    ServerPolls,
+)
+from boragespool.controllers.backend_servers.server_records import (
     holdings_of,
     log_changes,
     new_record,
     recently_draining,
     servers_of,
 )
-from boragespool.controllers.server_view import ServerView, ViewSources
+from boragespool.controllers.backend_servers.server_view import (
+    ServerView,
+    ViewSources,
+)
 from boragespool.messages import ServerRecord
 from boragespool.routing import DispatcherAssignment
 from boragespool.settings import Settings
@@ -45,7 +51,9 @@
     from collections.abc import Mapping
 
     from boragespool.blackboard.topics import ServerObservation
-    from boragespool.controllers.backend_protocol import BackendStatus
+    from boragespool.controllers.backend_servers.backend_protocol import (
+        BackendStatus,
+    )
     from boragespool.controllers.context import Context
     from boragespool.messages import MemberRecord
     from boragespool.types import Seconds
--- /dev/null
+++ b/boragespool/controllers/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers of the HTTP API for callers."""
--- a/boragespool/controllers/caller_admission.py
+++ b/boragespool/controllers/callers/caller_admission.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from boragespool.blackboard.topics import IN_FORCE
-from boragespool.controllers.caller_input import (
+from boragespool.controllers.callers.caller_input import (
     NO_CONFIGURATION,
     CheckedBody,
     check_body,
@@ -20,7 +20,7 @@
 
 if TYPE_CHECKING:
     from boragespool.blackboard import Blackboard
-    from boragespool.controllers.caller_ports import CallerPorts
+    from boragespool.controllers.callers.caller_ports import CallerPorts
     from boragespool.http import HttpRequest, HttpResponse
     from boragespool.settings import Settings
 
--- a/boragespool/controllers/caller_input.py
+++ b/boragespool/controllers/callers/caller_input.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from boragespool.controllers.strict_json import decode_object
+from boragespool.controllers.callers.strict_json import decode_object
 from boragespool.results import Failure, ResultCode
 from boragespool.types import (
     CallerName,
--- a/boragespool/controllers/callers.py
+++ b/boragespool/controllers/callers/callers.py
@@ -10,14 +10,14 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from boragespool.blackboard.topics import IN_FORCE, LOAD, PHASE
-from boragespool.controllers.caller_admission import CallerAdmission
-from boragespool.controllers.caller_input import (
+from boragespool.controllers.callers.caller_admission import CallerAdmission
+from boragespool.controllers.callers.caller_input import (
     CLAIM_PREFIX,
     check_method,
     check_parameter,
     check_ticket,
 )
-from boragespool.controllers.caller_status import (
+from boragespool.controllers.callers.caller_status import (
     check_ready,
     describe_health,
     describe_status,
@@ -32,7 +32,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
 
-    from boragespool.controllers.caller_ports import CallerPorts
+    from boragespool.controllers.callers.caller_ports import CallerPorts
     from boragespool.controllers.context import Context
     from boragespool.controllers.requests import ClaimAnswer, QueryAnswer
     from boragespool.http import HttpRequest
--- /dev/null
+++ b/boragespool/controllers/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers of claims: issue, attempts, witnesses and outcomes."""
--- a/boragespool/controllers/claim_attempts.py
+++ b/boragespool/controllers/claims/claim_attempts.py
@@ -14,8 +14,8 @@
     SERVERS,
     SUSPECTS,
 )
-from boragespool.controllers.fleet_view import FleetView
-from boragespool.controllers.observing import observe_result
+from boragespool.controllers.queries.fleet_view import FleetView
+from boragespool.controllers.queries.observing import observe_result
 from boragespool.messages import ForwardClaim, WorkReply, WorkRequest
 from boragespool.results import Failure, ResultCode
 from boragespool.routing import (
--- a/boragespool/controllers/claim_forwarding.py
+++ b/boragespool/controllers/claims/claim_forwarding.py
@@ -7,7 +7,7 @@
 
 from boragespool.blackboard.topics import MEMBERS
 from boragespool.claims import Ticket, forgotten, new_record
-from boragespool.controllers.claim_outcomes import record_from_reply
+from boragespool.controllers.claims.claim_outcomes import record_from_reply
 from boragespool.events import Event, log_event
 from boragespool.messages import (
     ClaimRecord,
@@ -21,9 +21,9 @@
 from boragespool.types import MemberStatus
 
 if TYPE_CHECKING:
-    from boragespool.controllers.claim_runs import ClaimRunner
+    from boragespool.controllers.claims.claim_runs import ClaimRunner
     from boragespool.controllers.context import Context
-    from boragespool.controllers.witnesses import WitnessController
+    from boragespool.controllers.claims.witnesses import WitnessController
     from boragespool.types import Seconds
 
 
--- a/boragespool/controllers/claim_runs.py
+++ b/boragespool/controllers/claims/claim_runs.py
@@ -18,7 +18,10 @@
     begin,
     parse_ticket,
 )
-from boragespool.controllers.claim_outcomes import final_record, sealed_record
+from boragespool.controllers.claims.claim_outcomes import (
+    final_record,
+    sealed_record,
+)
 from boragespool.events import Event, log_event
 from boragespool.messages import (
     ClaimRecord,
@@ -35,9 +38,9 @@
 from boragespool.types import RunState
 
 if TYPE_CHECKING:
-    from boragespool.controllers.claim_attempts import ClaimSender
+    from boragespool.controllers.claims.claim_attempts import ClaimSender
     from boragespool.controllers.context import Context
-    from boragespool.controllers.witnesses import WitnessController
+    from boragespool.controllers.claims.witnesses import WitnessController
     from boragespool.types import Seconds
 
 _OUTCOME_TRIES: Final = 3
--- a/boragespool/controllers/claims.py
+++ b/boragespool/controllers/claims/claims.py
@@ -19,16 +19,16 @@
     issue_ticket,
     parse_ticket,
 )
-from boragespool.controllers.claim_attempts import ClaimSender
-from boragespool.controllers.claim_forwarding import ClaimForwarder
-from boragespool.controllers.claim_outcomes import (
+from boragespool.controllers.claims.claim_attempts import ClaimSender
+from boragespool.controllers.claims.claim_forwarding import ClaimForwarder
+from boragespool.controllers.claims.claim_outcomes import (
     is_final,
     refusal_of,
     still_running,
 )
-from boragespool.controllers.claim_runs import ClaimRunner
+from boragespool.controllers.claims.claim_runs import ClaimRunner
 from boragespool.controllers.requests import ClaimAnswer
-from boragespool.controllers.witnesses import WitnessController
+from boragespool.controllers.claims.witnesses import WitnessController
 from boragespool.events import Event, log_event
 from boragespool.messages import (
     ClaimRecord,
--- /dev/null
+++ b/boragespool/controllers/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers of the configuration: revisions and the host list."""
--- a/boragespool/cli/applying.py
+++ b/boragespool/controllers/configuration/applying.py
@@ -7,12 +7,16 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from boragespool.cli.part_writing import (
+from boragespool.controllers.configuration.part_writing import (
     AnsweringStore,
     pause_after,
     write_parts,
 )
-from boragespool.cli.store_access import Base, read_base, read_trail
+from boragespool.controllers.configuration.store_access import (
+    Base,
+    read_base,
+    read_trail,
+)
 from boragespool.results import Failure, ResultCode
 from boragespool.revisions import (
     CURRENT_KEY,
@@ -29,7 +33,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from boragespool.cli.store_access import Store
+    from boragespool.controllers.configuration.store_access import Store
     from boragespool.revisions.manifest import IndexedTexts
     from boragespool.settings import Settings
     from boragespool.types import Revision, Seconds
--- a/boragespool/controllers/configuration.py
+++ b/boragespool/controllers/configuration/configuration.py
@@ -12,11 +12,15 @@
 from typing import TYPE_CHECKING, Self
 
 from boragespool.blackboard.topics import MEMBERS
-from boragespool.controllers.configuration_options import ConfigurationOptions
-from boragespool.controllers.configuration_store import Stored
-from boragespool.controllers.host_list import HostList
+from boragespool.controllers.configuration.configuration_options import (
+    ConfigurationOptions,
+)
+from boragespool.controllers.configuration.configuration_store import Stored
+from boragespool.controllers.configuration.host_list import HostList
 from boragespool.controllers.pauses import backoff_s, pause
-from boragespool.controllers.revision_keeping import RevisionKeeper
+from boragespool.controllers.configuration.revision_keeping import (
+    RevisionKeeper,
+)
 from boragespool.events import Event, log_event
 from boragespool.results import Failure
 from boragespool.revisions import CURRENT_KEY, newest_holders, watchers
@@ -25,7 +29,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from boragespool.controllers.configuration_store import (
+    from boragespool.controllers.configuration.configuration_store import (
         ConfigurationStore,
     )
     from boragespool.controllers.context import Context
--- a/boragespool/controllers/configuration_options.py
+++ b/boragespool/controllers/configuration/configuration_options.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from boragespool.controllers.host_list import HostListOptions
+from boragespool.controllers.configuration.host_list import HostListOptions
 from boragespool.types import Seconds
 
 
--- a/boragespool/controllers/host_list.py
+++ b/boragespool/controllers/configuration/host_list.py
@@ -16,7 +16,9 @@
 if TYPE_CHECKING:
     import asyncio
 
-    from boragespool.controllers.configuration_store import HostListSource
+    from boragespool.controllers.configuration.configuration_store import (
+        HostListSource,
+    )
     from boragespool.controllers.context import Context
     from boragespool.peers import Sender
     from boragespool.types import HostName, Seconds
--- a/boragespool/controllers/part_reading.py
+++ b/boragespool/controllers/configuration/part_reading.py
@@ -6,7 +6,7 @@
 import itertools
 from typing import TYPE_CHECKING, Final
 
-from boragespool.controllers.configuration_store import Stored
+from boragespool.controllers.configuration.configuration_store import Stored
 from boragespool.controllers.pauses import pause
 from boragespool.results import Failure
 from boragespool.revisions import part_hash, part_key
@@ -14,7 +14,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from boragespool.controllers.configuration_store import ValueSource
+    from boragespool.controllers.configuration.configuration_store import (
+        ValueSource,
+    )
     from boragespool.revisions import PartHash
     from boragespool.timers import TimerService
 
--- a/boragespool/cli/part_writing.py
+++ b/boragespool/controllers/configuration/part_writing.py
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
 
-    from boragespool.cli.store_access import Base, Store
+    from boragespool.controllers.configuration.store_access import Base, Store
     from boragespool.revisions import (
         Packed,
         PartHash,
--- a/boragespool/controllers/revision_fetching.py
+++ b/boragespool/controllers/configuration/revision_fetching.py
@@ -5,16 +5,18 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from boragespool.controllers.part_reading import read_parts
+from boragespool.controllers.configuration.part_reading import read_parts
 from boragespool.messages import PartsReply, PartsRequest
 from boragespool.results import Failure
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
 
-    from boragespool.controllers.configuration_store import ValueSource
+    from boragespool.controllers.configuration.configuration_store import (
+        ValueSource,
+    )
     from boragespool.controllers.context import Context
-    from boragespool.controllers.held_revision import HeldRevision
+    from boragespool.controllers.configuration.held_revision import HeldRevision
     from boragespool.revisions import Manifest, PartHash
     from boragespool.types import HostName, Seconds
 
--- a/boragespool/controllers/revision_keeping.py
+++ b/boragespool/controllers/configuration/revision_keeping.py
@@ -6,8 +6,10 @@
 from typing import TYPE_CHECKING, Final
 
 from boragespool.blackboard.topics import IN_FORCE, MEMBERS
-from boragespool.controllers.held_revision import HeldRevision
-from boragespool.controllers.revision_fetching import RevisionFetcher
+from boragespool.controllers.configuration.held_revision import HeldRevision
+from boragespool.controllers.configuration.revision_fetching import (
+    RevisionFetcher,
+)
 from boragespool.events import Event, log_event
 from boragespool.messages import (
     PartsReply,
@@ -21,12 +23,14 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from boragespool.controllers.configuration_options import (
+    from boragespool.controllers.configuration.configuration_options import (
         ConfigurationOptions,
     )
-    from boragespool.controllers.configuration_store import ValueSource
+    from boragespool.controllers.configuration.configuration_store import (
+        ValueSource,
+    )
     from boragespool.controllers.context import Context
-    from boragespool.controllers.revision_fetching import Source
+    from boragespool.controllers.configuration.revision_fetching import Source
     from boragespool.peers import Sender
     from boragespool.revisions import RevisionDocument
     from boragespool.types import HostName, Revision
--- a/boragespool/cli/store_access.py
+++ b/boragespool/controllers/configuration/store_access.py
@@ -6,7 +6,7 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Final, Protocol
 
-from boragespool.controllers.part_reading import read_parts
+from boragespool.controllers.configuration.part_reading import read_parts
 from boragespool.results import Failure, ResultCode
 from boragespool.revisions import (
     CURRENT_KEY,
--- /dev/null
+++ b/boragespool/controllers/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers of membership: the state of members and pings."""
--- a/boragespool/controllers/membership.py
+++ b/boragespool/controllers/membership/membership.py
@@ -8,8 +8,8 @@
 
 from boragespool import membership
 from boragespool.blackboard.topics import IN_FORCE, LEAVING_HOSTS, LOAD
-from boragespool.controllers.member_state import MemberState
-from boragespool.controllers.pinging import Pinger
+from boragespool.controllers.membership.member_state import MemberState
+from boragespool.controllers.membership.pinging import Pinger
 from boragespool.messages import Ack, Gossip, MemberRecord, Ping, PingRequest
 from boragespool.types import MemberStatus
 
--- a/boragespool/controllers/pinging.py
+++ b/boragespool/controllers/membership/pinging.py
@@ -14,7 +14,7 @@
     from collections.abc import Callable, Mapping
 
     from boragespool.controllers.context import Context
-    from boragespool.controllers.member_state import MemberState
+    from boragespool.controllers.membership.member_state import MemberState
     from boragespool.types import Address, HostName, Seconds
 
 #: Pings that ask for the whole view after the start.
--- /dev/null
+++ b/boragespool/controllers/queries/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers of queries: parts, attempts, hedges and answers."""
--- a/boragespool/controllers/attempts.py
+++ b/boragespool/controllers/queries/attempts.py
@@ -6,8 +6,8 @@
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
-from boragespool.controllers.observing import observe_result
-from boragespool.controllers.query_parts import Attempt, Part
+from boragespool.controllers.queries.observing import observe_result
+from boragespool.controllers.queries.query_parts import Attempt, Part
 from boragespool.messages import CancelWork, WorkReply, WorkRequest
 from boragespool.metrics import ATTEMPTS
 from boragespool.results import Failure, ResultCode
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from boragespool.controllers.query_parts import QueryWork
+    from boragespool.controllers.queries.query_parts import QueryWork
     from boragespool.types import AttemptId, IndexVersion, ServerName
 
 _CRASH_CODES: Final = frozenset(
--- a/boragespool/controllers/hedge_timer.py
+++ b/boragespool/controllers/queries/hedge_timer.py
@@ -9,8 +9,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from boragespool.controllers.attempts import AttemptSender
-    from boragespool.controllers.query_parts import Part, QueryWork
+    from boragespool.controllers.queries.attempts import AttemptSender
+    from boragespool.controllers.queries.query_parts import Part, QueryWork
     from boragespool.timers import Subscription
     from boragespool.types import Seconds
 
--- a/boragespool/controllers/pinned.py
+++ b/boragespool/controllers/queries/pinned.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from boragespool.controllers.query_parts import Part
+from boragespool.controllers.queries.query_parts import Part
 from boragespool.snapshots import (
     Denials,
     MergeState,
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from boragespool.controllers.query_parts import QueryWork
+    from boragespool.controllers.queries.query_parts import QueryWork
     from boragespool.snapshots import KeyRange, SubRange
     from boragespool.types import IndexVersion
 
--- a/boragespool/controllers/query.py
+++ b/boragespool/controllers/queries/query.py
@@ -5,10 +5,14 @@
 from typing import TYPE_CHECKING, Final, Self
 
 from boragespool.blackboard.topics import IN_FORCE, SERVERS
-from boragespool.controllers.fleet_view import FleetView
-from boragespool.controllers.query_answers import blocked
-from boragespool.controllers.query_parts import KnownGood, Merger, QueryWork
-from boragespool.controllers.query_run import QueryRun
+from boragespool.controllers.queries.fleet_view import FleetView
+from boragespool.controllers.queries.query_answers import blocked
+from boragespool.controllers.queries.query_parts import (
+    KnownGood,
+    Merger,
+    QueryWork,
+)
+from boragespool.controllers.queries.query_run import QueryRun
 from boragespool.results import Failure, ResultCode
 from boragespool.routing import (
     LatencyTracker,
--- a/boragespool/controllers/query_answers.py
+++ b/boragespool/controllers/queries/query_answers.py
@@ -13,7 +13,7 @@
 from boragespool.types import RunState
 
 if TYPE_CHECKING:
-    from boragespool.controllers.query_parts import Attempt, QueryWork
+    from boragespool.controllers.queries.query_parts import Attempt, QueryWork
     from boragespool.messages import WorkReply
     from boragespool.snapshots import MergeState
     from boragespool.types import IndexVersion
--- a/boragespool/controllers/query_parts.py
+++ b/boragespool/controllers/queries/query_parts.py
@@ -11,7 +11,7 @@
 
 if TYPE_CHECKING:
     from boragespool.controllers.context import Context
-    from boragespool.controllers.fleet_view import FleetView
+    from boragespool.controllers.queries.fleet_view import FleetView
     from boragespool.controllers.requests import QueryRequest
     from boragespool.routing import (
         LatencyTracker,
--- a/boragespool/controllers/query_run.py
+++ b/boragespool/controllers/queries/query_run.py
@@ -5,17 +5,17 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
-from boragespool.controllers.attempts import AttemptSender
-from boragespool.controllers.hedge_timer import HedgeTimer
-from boragespool.controllers.pinned import PinnedSnapshot
-from boragespool.controllers.query_answers import (
+from boragespool.controllers.queries.attempts import AttemptSender
+from boragespool.controllers.queries.hedge_timer import HedgeTimer
+from boragespool.controllers.queries.pinned import PinnedSnapshot
+from boragespool.controllers.queries.query_answers import (
     Ending,
     build_answer,
     log_rejected,
     log_restart,
 )
-from boragespool.controllers.query_parts import Attempt, Part
-from boragespool.controllers.query_waits import QueryWaits
+from boragespool.controllers.queries.query_parts import Attempt, Part
+from boragespool.controllers.queries.query_waits import QueryWaits
 from boragespool.messages import WorkReply
 from boragespool.results import Failure, ResultCode
 from boragespool.snapshots import better_state
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from boragespool.controllers.query_parts import QueryWork
+    from boragespool.controllers.queries.query_parts import QueryWork
     from boragespool.controllers.requests import QueryAnswer
     from boragespool.snapshots import SubRange
     from boragespool.types import IndexVersion
--- a/boragespool/controllers/query_waits.py
+++ b/boragespool/controllers/queries/query_waits.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from boragespool.controllers.query_parts import QueryWork
+    from boragespool.controllers.queries.query_parts import QueryWork
     from boragespool.timers import Subscription
     from boragespool.types import Seconds
 
--- a/tests/caller_fakes.py
+++ b/tests/caller_fakes.py
@@ -7,8 +7,8 @@
 
 from boragespool.blackboard import Blackboard
 from boragespool.blackboard.topics import IN_FORCE, PHASE
-from boragespool.controllers.caller_ports import CallerPorts
-from boragespool.controllers.callers import CallerApi
+from boragespool.controllers.callers.caller_ports import CallerPorts
+from boragespool.controllers.callers.callers import CallerApi
 from boragespool.controllers.context import Context, Identity
 from boragespool.controllers.requests import ClaimAnswer, QueryAnswer
 from boragespool.results import Failure, ResultCode
--- a/tests/claim_network.py
+++ b/tests/claim_network.py
@@ -13,7 +13,7 @@
 from boragespool.blackboard import Blackboard
 from boragespool.blackboard.topics import IN_FORCE, MEMBERS, SERVERS
 from boragespool.claims import parse_ticket
-from boragespool.controllers.claims import ClaimController
+from boragespool.controllers.claims.claims import ClaimController
 from boragespool.controllers.context import Context, Identity
 from boragespool.controllers.requests import ClaimRequest
 from boragespool.messages import (
--- a/tests/configuration_fleet.py
+++ b/tests/configuration_fleet.py
@@ -10,7 +10,9 @@
 
 from boragespool.blackboard import Blackboard
 from boragespool.blackboard.topics import IN_FORCE, LEAVING_HOSTS, MEMBERS
-from boragespool.controllers.configuration import ConfigurationController
+from boragespool.controllers.configuration.configuration import (
+    ConfigurationController,
+)
 from boragespool.controllers.context import Context, Identity
 from boragespool.controllers.pauses import pause
 from boragespool.messages import MemberRecord
--- a/tests/query_cases.py
+++ b/tests/query_cases.py
@@ -7,7 +7,7 @@
 
 from boragespool.bench.fake_fleet import FleetOptions
 from boragespool.bench.virtual_time import run_virtual
-from boragespool.controllers.query import QueryController
+from boragespool.controllers.queries.query import QueryController
 from boragespool.controllers.requests import QueryRequest
 from boragespool.settings import HedgingSettings
 
--- a/tests/test_apply_races.py
+++ b/tests/test_apply_races.py
@@ -9,9 +9,17 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from boragespool.cli import applying, part_writing
-from boragespool.cli.applying import Applied, Refused, apply_change
-from boragespool.cli.store_access import read_base, read_revision, read_trail
+from boragespool.controllers.configuration import applying, part_writing
+from boragespool.controllers.configuration.applying import (
+    Applied,
+    Refused,
+    apply_change,
+)
+from boragespool.controllers.configuration.store_access import (
+    read_base,
+    read_revision,
+    read_trail,
+)
 from boragespool.results import Failure, ResultCode
 from boragespool.revisions import (
     CURRENT_KEY,
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -8,7 +8,11 @@
 import msgspec
 import pytest
 
-from boragespool.cli.applying import Applied, Refused, apply_change
+from boragespool.controllers.configuration.applying import (
+    Applied,
+    Refused,
+    apply_change,
+)
 from boragespool.cli.commands import COMMANDS
 from boragespool.cli.fleet_status import read_report, revision_by_live_host
 from boragespool.cli.main import main
--- a/tests/test_configuration_links.py
+++ b/tests/test_configuration_links.py
@@ -7,7 +7,9 @@
 
 from boragespool.blackboard import Blackboard
 from boragespool.blackboard.topics import IN_FORCE, LEAVING_HOSTS, MEMBERS
-from boragespool.controllers.configuration import ConfigurationController
+from boragespool.controllers.configuration.configuration import (
+    ConfigurationController,
+)
 from boragespool.controllers.context import Context, Identity
 from boragespool.messages import MemberRecord
 from boragespool.peers import PeerNetwork, PeerOptions
--- a/tests/test_configuration_parts.py
+++ b/tests/test_configuration_parts.py
@@ -11,8 +11,10 @@
 from hypothesis import strategies as st
 
 from boragespool.blackboard.topics import IN_FORCE
-from boragespool.controllers.configuration import ConfigurationOptions
-from boragespool.controllers.held_revision import HeldRevision
+from boragespool.controllers.configuration.configuration import (
+    ConfigurationOptions,
+)
+from boragespool.controllers.configuration.held_revision import HeldRevision
 from boragespool.messages import (
     PartsReply,
     PartsRequest,
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -17,7 +17,7 @@
     SERVERS,
     SUSPECTS,
 )
-from boragespool.controllers.dispatch import DispatchController
+from boragespool.controllers.backend_servers.dispatch import DispatchController
 from boragespool.events import Event
 from boragespool.messages import (
     CancelWork,
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -9,7 +9,7 @@
 
 from boragespool.bench.fake_fleet import FakeFleet, FleetOptions
 from boragespool.blackboard.topics import IN_FORCE, MEMBERS, SERVERS
-from boragespool.controllers.fleet_view import FleetView
+from boragespool.controllers.queries.fleet_view import FleetView
 from boragespool.routing import dispatcher_of
 from boragespool.types import MemberStatus, ServerState
 
--- a/tests/test_membership_controller.py
+++ b/tests/test_membership_controller.py
@@ -10,7 +10,7 @@
 from boragespool.blackboard import Blackboard
 from boragespool.blackboard.topics import IN_FORCE, MEMBERS
 from boragespool.controllers.context import Context, Identity
-from boragespool.controllers.membership import MembershipController
+from boragespool.controllers.membership.membership import MembershipController
 from boragespool.membership import MembershipOptions
 from boragespool.peers import PeerNetwork, PeerOptions
 from boragespool.revisions import RevisionDocument
--- a/tests/test_pinned.py
+++ b/tests/test_pinned.py
@@ -11,7 +11,7 @@
     true_reply,
 )
 from boragespool.bench.virtual_time import run_virtual
-from boragespool.controllers.query import QueryController
+from boragespool.controllers.queries.query import QueryController
 from boragespool.messages import Holding
 from tests.query_cases import SMALL, ask, behave, query, replicas
 
--- a/tests/test_query.py
+++ b/tests/test_query.py
@@ -16,8 +16,8 @@
 )
 from boragespool.bench.virtual_time import run_virtual
 from boragespool.blackboard.topics import BLOCKED, SUSPECTS
-from boragespool.controllers.query import QueryController
-from boragespool.controllers.query_parts import KnownGood
+from boragespool.controllers.queries.query import QueryController
+from boragespool.controllers.queries.query_parts import KnownGood
 from boragespool.results import Failure, ResultCode
 from boragespool.routing import fingerprint_of
 from boragespool.settings import HedgingSettings
--- a/tests/test_query_peers.py
+++ b/tests/test_query_peers.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 from boragespool.bench.fake_fleet import FakeFleet, refusal, true_reply
-from boragespool.controllers.query import QueryController
+from boragespool.controllers.queries.query import QueryController
 from boragespool.messages import CancelWork, WorkRequest
 from boragespool.results import Failure, ResultCode
 from boragespool.types import RunState
--- a/tests/test_query_storm.py
+++ b/tests/test_query_storm.py
@@ -16,7 +16,7 @@
     true_reply,
 )
 from boragespool.bench.virtual_time import run_virtual
-from boragespool.controllers.query import QueryController
+from boragespool.controllers.queries.query import QueryController
 from boragespool.messages import Holding
 from boragespool.results import Failure, ResultCode
 from boragespool.types import KEY_SPACE_SIZE, RunState, ServerState
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from boragespool.controllers.held_revision import HeldRevision
+from boragespool.controllers.configuration.held_revision import HeldRevision
 from boragespool.messages import MemberRecord
 from boragespool.results import Failure, ResultCode
 from boragespool.revisions import (
--- a/tests/test_server_exchange.py
+++ b/tests/test_server_exchange.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from boragespool.blackboard.topics import IN_FORCE, MEMBERS, SERVERS
-from boragespool.controllers.servers import ServerController
+from boragespool.controllers.backend_servers.servers import ServerController
 from boragespool.messages import ServerAnnouncement, ServerDigest
 from boragespool.results import ResultCode
 from boragespool.types import MemberStatus
--- a/tests/test_server_view.py
+++ b/tests/test_server_view.py
@@ -8,7 +8,10 @@
 from hypothesis import strategies as st
 
 from boragespool.blackboard.topics import ServerObservation
-from boragespool.controllers.server_view import ServerView, ViewSources
+from boragespool.controllers.backend_servers.server_view import (
+    ServerView,
+    ViewSources,
+)
 from boragespool.messages import ServerRecord
 from boragespool.types import ServerState
 from tests.fake_backend import document
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -14,15 +14,20 @@
     SERVERS,
     ServerObservation,
 )
-from boragespool.controllers.dispatch import DispatchController
-from boragespool.controllers.record_exchange import ExchangeOptions
-from boragespool.controllers.server_polls import (
+from boragespool.controllers.backend_servers.dispatch import DispatchController
+from boragespool.controllers.backend_servers.record_exchange import (
+    ExchangeOptions,
+)
+from boragespool.controllers.backend_servers.server_polls import (
     PollHooks,
     ServerPolls,
     STEADY_INTERVAL_TICKS,
     STEADY_TICKS,
 )
-from boragespool.controllers.servers import PollOptions, ServerController
+from boragespool.controllers.backend_servers.servers import (
+    PollOptions,
+    ServerController,
+)
 from boragespool.messages import (
     Holding,
     MemberRecord,
