Load less at the start of a forwarding daemon

The blackboard's topics imported ranks and settings, the store package its own client, and a forwarding daemon uses neither. Change: the topics of forwarding daemons have a module of their own, and the interface of a store with leases stands beside the store's client as boragespool.item_store. No behaviour changes.

--- a/boragespool/bench/dispatching.py
+++ b/boragespool/bench/dispatching.py
@@ -19,8 +19,8 @@
 
 from boragespool.blackboard import Blackboard
 from boragespool.blackboard.topics import IN_FORCE
-from boragespool.controllers.context import Context, Identity
 from boragespool.controllers.backend_servers.dispatch import DispatchController
+from boragespool.controllers.context import Context, Identity
 from boragespool.http import (
     HttpLimits,
     HttpRequest,
--- a/boragespool/bench/processes.py
+++ b/boragespool/bench/processes.py
@@ -10,8 +10,6 @@
 import sys
 import tempfile
 import time
-
-
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Final, Self
 from urllib.error import HTTPError
--- /dev/null
+++ b/boragespool/blackboard/forwarding_topics.py
@@ -0,0 +1,27 @@
+"""Topics of daemons that forward requests, and the parts that post them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from boragespool.blackboard.board import Topic
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from boragespool.forwarding import HostRecord, Registration, RouteTable
+    from boragespool.types import ServerName
+
+#: Routes in force; posted by the configuration follower.
+ROUTES: Final[Topic[RouteTable | None]] = Topic('routes', None)
+#: Registrations of backend servers in force; None until the store was read.
+#: Posted by the server registry.
+REGISTERED: Final[Topic[Mapping[ServerName, Registration] | None]] = Topic(
+    'registered',
+    None,
+)
+#: Daemons that serve, this one included; posted by the host registry.
+SERVING_HOSTS: Final[Topic[tuple[HostRecord, ...]]] = Topic(
+    'serving_hosts',
+    (),
+)
--- a/boragespool/blackboard/topics.py
+++ b/boragespool/blackboard/topics.py
@@ -13,7 +13,6 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from boragespool.forwarding import HostRecord, Registration, RouteTable
     from boragespool.messages import MemberRecord, ServerRecord
     from boragespool.revisions import RevisionDocument
     from boragespool.types import HostName, Seconds, ServerName
@@ -63,16 +62,3 @@
     'observations',
     {},
 )
-#: Routes in force; posted by the configuration follower.
-ROUTES: Final[Topic[RouteTable | None]] = Topic('routes', None)
-#: Registrations of backend servers in force; None until the store was read.
-#: Posted by the server registry.
-REGISTERED: Final[Topic[Mapping[ServerName, Registration] | None]] = Topic(
-    'registered',
-    None,
-)
-#: Daemons that serve, this one included; posted by the host registry.
-SERVING_HOSTS: Final[Topic[tuple[HostRecord, ...]]] = Topic(
-    'serving_hosts',
-    (),
-)
--- a/boragespool/cli/change_commands.py
+++ b/boragespool/cli/change_commands.py
@@ -8,15 +8,15 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
+from boragespool.cli.outcome import ExitCode, Outcome, describe_failure
+from boragespool.cli.settings_commands import difference_rows, open_store
+from boragespool.cli.waiting import wait_in_force
 from boragespool.controllers.configuration.applying import (
     Applied,
     Refused,
     apply_change,
 )
-from boragespool.cli.outcome import ExitCode, Outcome, describe_failure
-from boragespool.cli.settings_commands import difference_rows, open_store
 from boragespool.controllers.configuration.store_access import read_revision
-from boragespool.cli.waiting import wait_in_force
 from boragespool.results import Failure, ResultCode
 from boragespool.revisions import (
     Change,
--- a/boragespool/controllers/backend_servers/backend.py
+++ b/boragespool/controllers/backend_servers/backend.py
@@ -20,8 +20,8 @@
 from boragespool.controllers.backend_servers.jobs import (
     BLOCKED_FAILURE,
     BackendHooks,
-    WorkInFlight,
     Job,
+    WorkInFlight,
     interrupted,
     refusal,
     was_served,
--- a/boragespool/controllers/backend_servers/crash_watch.py
+++ b/boragespool/controllers/backend_servers/crash_watch.py
@@ -13,8 +13,8 @@
 from boragespool.types import MemberStatus
 
 if TYPE_CHECKING:
-    from boragespool.controllers.context import Context
     from boragespool.controllers.backend_servers.jobs import WorkInFlight
+    from boragespool.controllers.context import Context
     from boragespool.peers import Sender
     from boragespool.revisions import RevisionDocument
     from boragespool.types import HostName, Incarnation, Seconds, ServerName
--- a/boragespool/controllers/claims/claim_forwarding.py
+++ b/boragespool/controllers/claims/claim_forwarding.py
@@ -22,8 +22,8 @@
 
 if TYPE_CHECKING:
     from boragespool.controllers.claims.claim_runs import ClaimRunner
-    from boragespool.controllers.context import Context
     from boragespool.controllers.claims.witnesses import WitnessController
+    from boragespool.controllers.context import Context
     from boragespool.types import Seconds
 
 
--- a/boragespool/controllers/claims/claim_runs.py
+++ b/boragespool/controllers/claims/claim_runs.py
@@ -39,8 +39,8 @@
 
 if TYPE_CHECKING:
     from boragespool.controllers.claims.claim_attempts import ClaimSender
-    from boragespool.controllers.context import Context
     from boragespool.controllers.claims.witnesses import WitnessController
+    from boragespool.controllers.context import Context
     from boragespool.types import Seconds
 
 _OUTCOME_TRIES: Final = 3
--- a/boragespool/controllers/claims/claims.py
+++ b/boragespool/controllers/claims/claims.py
@@ -27,8 +27,8 @@
     still_running,
 )
 from boragespool.controllers.claims.claim_runs import ClaimRunner
-from boragespool.controllers.requests import ClaimAnswer
 from boragespool.controllers.claims.witnesses import WitnessController
+from boragespool.controllers.requests import ClaimAnswer
 from boragespool.events import Event, log_event
 from boragespool.messages import (
     ClaimRecord,
--- a/boragespool/controllers/configuration/configuration.py
+++ b/boragespool/controllers/configuration/configuration.py
@@ -17,10 +17,10 @@
 )
 from boragespool.controllers.configuration.configuration_store import Stored
 from boragespool.controllers.configuration.host_list import HostList
-from boragespool.controllers.pauses import backoff_s, pause
 from boragespool.controllers.configuration.revision_keeping import (
     RevisionKeeper,
 )
+from boragespool.controllers.pauses import backoff_s, pause
 from boragespool.events import Event, log_event
 from boragespool.results import Failure
 from boragespool.revisions import CURRENT_KEY, newest_holders, watchers
--- a/boragespool/controllers/configuration/revision_fetching.py
+++ b/boragespool/controllers/configuration/revision_fetching.py
@@ -15,8 +15,8 @@
     from boragespool.controllers.configuration.configuration_store import (
         ValueSource,
     )
-    from boragespool.controllers.context import Context
     from boragespool.controllers.configuration.held_revision import HeldRevision
+    from boragespool.controllers.context import Context
     from boragespool.revisions import Manifest, PartHash
     from boragespool.types import HostName, Seconds
 
--- a/boragespool/controllers/configuration/revision_keeping.py
+++ b/boragespool/controllers/configuration/revision_keeping.py
@@ -29,8 +29,8 @@
     from boragespool.controllers.configuration.configuration_store import (
         ValueSource,
     )
-    from boragespool.controllers.context import Context
     from boragespool.controllers.configuration.revision_fetching import Source
+    from boragespool.controllers.context import Context
     from boragespool.peers import Sender
     from boragespool.revisions import RevisionDocument
     from boragespool.types import HostName, Revision
--- a/boragespool/controllers/forwarding/dialect.py
+++ b/boragespool/controllers/forwarding/dialect.py
@@ -15,8 +15,8 @@
         Reply,
     )
     from boragespool.http import HttpRequest, HttpResponse
+    from boragespool.item_store import Item
     from boragespool.results import Failure
-    from boragespool.store import Item
     from boragespool.types import Address, Seconds, ServerName
 
 
--- a/boragespool/controllers/forwarding/feed.py
+++ b/boragespool/controllers/forwarding/feed.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from boragespool.store import HistoryLost, Item, Removal
+from boragespool.item_store import HistoryLost, Item, Removal
 
 # msgspec resolves the annotations of `FeedPart` at run time.
 from boragespool.types import Seconds  # noqa: TC001
--- a/boragespool/controllers/forwarding/fleet.py
+++ b/boragespool/controllers/forwarding/fleet.py
@@ -6,7 +6,11 @@
 from collections import Counter, defaultdict
 from typing import TYPE_CHECKING, Final, Self
 
-from boragespool.blackboard.topics import REGISTERED, ROUTES, SERVING_HOSTS
+from boragespool.blackboard.forwarding_topics import (
+    REGISTERED,
+    ROUTES,
+    SERVING_HOSTS,
+)
 from boragespool.controllers.forwarding.links import ServerLink
 from boragespool.controllers.forwarding.route_times import RouteTimes
 from boragespool.events import Event, log_event
--- a/boragespool/controllers/forwarding/hosts.py
+++ b/boragespool/controllers/forwarding/hosts.py
@@ -8,7 +8,9 @@
 
 import msgspec
 
-from boragespool.blackboard.topics import SERVING_HOSTS
+from boragespool.blackboard.forwarding_topics import (
+    SERVING_HOSTS,
+)
 from boragespool.controllers.forwarding.feed import ChangeFeed
 from boragespool.events import Event, log_event
 from boragespool.forwarding import (
@@ -18,8 +20,8 @@
     nearest_records,
     reader_of,
 )
+from boragespool.item_store import LeaseEnded
 from boragespool.results import Failure
-from boragespool.store import LeaseEnded
 from boragespool.tasks import TaskSet
 
 if TYPE_CHECKING:
@@ -28,7 +30,7 @@
     from boragespool.blackboard import Blackboard
     from boragespool.controllers.forwarding.mirror import MirrorState
     from boragespool.controllers.forwarding.options import ForwardingOptions
-    from boragespool.store import GrantedLease, Item, ItemStore
+    from boragespool.item_store import GrantedLease, Item, ItemStore
     from boragespool.timers import TimerService
     from boragespool.types import Address, DataCentre, Region, Seconds
 
--- a/boragespool/controllers/forwarding/mirror.py
+++ b/boragespool/controllers/forwarding/mirror.py
@@ -9,14 +9,14 @@
 from typing import TYPE_CHECKING, Final, Self
 
 from boragespool.events import Event, log_event
+from boragespool.item_store import HistoryLost, Item
 from boragespool.results import Failure, ResultCode
-from boragespool.store import HistoryLost, Item
 from boragespool.tasks import TaskSet
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from boragespool.store import ItemStore
+    from boragespool.item_store import ItemStore
     from boragespool.timers import TimerService
     from boragespool.types import Seconds
 
--- a/boragespool/controllers/forwarding/reading.py
+++ b/boragespool/controllers/forwarding/reading.py
@@ -21,7 +21,7 @@
     from boragespool.blackboard import Blackboard
     from boragespool.controllers.forwarding.dialect import Dialect
     from boragespool.controllers.forwarding.options import ForwardingOptions
-    from boragespool.store import ItemStore
+    from boragespool.item_store import ItemStore
     from boragespool.timers import TimerService
     from boragespool.types import Address
 
--- a/boragespool/controllers/forwarding/registry.py
+++ b/boragespool/controllers/forwarding/registry.py
@@ -4,7 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from boragespool.blackboard.topics import REGISTERED
+from boragespool.blackboard.forwarding_topics import (
+    REGISTERED,
+)
 from boragespool.controllers.forwarding.feed import ChangeFeed
 from boragespool.events import Event, log_event
 from boragespool.forwarding import RegistrationTable
@@ -16,7 +18,7 @@
     from boragespool.controllers.forwarding.mirror import MirrorState
     from boragespool.controllers.forwarding.options import ForwardingOptions
     from boragespool.forwarding import Registration
-    from boragespool.store import Item
+    from boragespool.item_store import Item
     from boragespool.timers import TimerService
 
 
--- a/boragespool/controllers/forwarding/relay.py
+++ b/boragespool/controllers/forwarding/relay.py
@@ -19,14 +19,19 @@
     HttpRequest,
     HttpResponse,
 )
+from boragespool.item_store import HistoryLost, ItemEvents, ItemPage
 from boragespool.results import Failure
-from boragespool.store import HistoryLost, ItemEvents, ItemPage
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
     from boragespool.controllers.forwarding.feed import ChangeFeed
-    from boragespool.store import GrantedLease, ItemStore, LeaseEnded, LeaseId
+    from boragespool.item_store import (
+        GrantedLease,
+        ItemStore,
+        LeaseEnded,
+        LeaseId,
+    )
     from boragespool.types import Address, Seconds
 
 FEED_PATH: Final = '/v1/feed'
--- a/boragespool/controllers/forwarding/versions.py
+++ b/boragespool/controllers/forwarding/versions.py
@@ -4,7 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from boragespool.blackboard.topics import ROUTES
+from boragespool.blackboard.forwarding_topics import (
+    ROUTES,
+)
 from boragespool.controllers.forwarding.feed import ChangeFeed
 from boragespool.events import Event, log_event
 from boragespool.forwarding import index_routes
@@ -15,7 +17,7 @@
     from boragespool.blackboard import Blackboard
     from boragespool.controllers.forwarding.dialect import Dialect
     from boragespool.controllers.forwarding.mirror import MirrorState
-    from boragespool.store import Item
+    from boragespool.item_store import Item
     from boragespool.timers import TimerService
 
 
--- a/boragespool/daemon/controllers.py
+++ b/boragespool/daemon/controllers.py
@@ -5,18 +5,18 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from boragespool.controllers.backend_servers.dispatch import DispatchController
+from boragespool.controllers.backend_servers.servers import ServerController
 from boragespool.controllers.callers.caller_ports import CallerPorts
 from boragespool.controllers.callers.callers import CallerApi
+from boragespool.controllers.callers.overload import OverloadController
 from boragespool.controllers.claims.claims import ClaimController
 from boragespool.controllers.configuration.configuration import (
     ConfigurationController,
     ConfigurationOptions,
 )
-from boragespool.controllers.backend_servers.dispatch import DispatchController
 from boragespool.controllers.membership.membership import MembershipController
-from boragespool.controllers.callers.overload import OverloadController
 from boragespool.controllers.queries.query import QueryController
-from boragespool.controllers.backend_servers.servers import ServerController
 from boragespool.daemon.seeds import Seeds
 from boragespool.routing import ServerObservations
 
--- a/boragespool/daemon/forwarder.py
+++ b/boragespool/daemon/forwarder.py
@@ -14,7 +14,10 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from boragespool.blackboard import Blackboard
-from boragespool.blackboard.topics import REGISTERED, ROUTES
+from boragespool.blackboard.forwarding_topics import (
+    REGISTERED,
+    ROUTES,
+)
 from boragespool.controllers.forwarding.fleet import ServerFleet
 from boragespool.controllers.forwarding.gateway import Gateway
 from boragespool.controllers.forwarding.reading import StoreReading
@@ -29,7 +32,7 @@
     from boragespool.controllers.forwarding.options import ForwardingOptions
     from boragespool.forwarding import RouteTable
     from boragespool.http import HttpRequest
-    from boragespool.store import ItemStore
+    from boragespool.item_store import ItemStore
 
 #: Time before the end of the stop in which all answers are out, in seconds.
 _STOP_MARGIN_S: Final = 0.5
--- a/boragespool/membership/__init__.py
+++ b/boragespool/membership/__init__.py
@@ -11,8 +11,8 @@
     suspicion_time_s,
 )
 from boragespool.membership.health import (
-    after_tick,
     after_suspicion,
+    after_tick,
     slowed,
 )
 from boragespool.membership.merging import (
--- a/boragespool/messages/__init__.py
+++ b/boragespool/messages/__init__.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from boragespool.messages.claims import (
-    ClaimReply,
     ClaimRecord,
+    ClaimReply,
     ClaimState,
     DroppedMark,
     ForwardClaim,
--- a/boragespool/settings/folder.py
+++ b/boragespool/settings/folder.py
@@ -8,9 +8,8 @@
 import msgspec
 
 from boragespool.results import ResultCode
-from boragespool.settings.merge import EMPTY, Table, compose, find
+from boragespool.settings.merge import EMPTY, Table, compose, find, settle
 from boragespool.settings.merge import layer as make_layer
-from boragespool.settings.merge import settle
 from boragespool.settings.problems import Problem, as_failure
 from boragespool.settings.validation import convert
 
--- a/boragespool/settings/validation.py
+++ b/boragespool/settings/validation.py
@@ -16,9 +16,15 @@
 
 from boragespool.results import Failure, ResultCode
 from boragespool.settings.cross_checks import cross_problems, new_identities
-from boragespool.settings.merge import Leaf, Table, compose, file_of, plain
+from boragespool.settings.merge import (
+    Leaf,
+    Table,
+    compose,
+    file_of,
+    plain,
+    settle,
+)
 from boragespool.settings.merge import layer as make_layer
-from boragespool.settings.merge import settle
 from boragespool.settings.problems import MISSING, Problem, as_failure
 from boragespool.settings.rules import RULES, Rule
 from boragespool.settings.schema import Settings
--- a/boragespool/store/__init__.py
+++ b/boragespool/store/__init__.py
@@ -3,17 +3,6 @@
 from __future__ import annotations
 
 from boragespool.store.client import StoreClient
-from boragespool.store.items import (
-    GrantedLease,
-    HistoryLost,
-    Item,
-    ItemEvents,
-    ItemPage,
-    ItemStore,
-    LeaseEnded,
-    LeaseId,
-    Removal,
-)
 from boragespool.store.values import (
     Conflict,
     HostEntry,
@@ -27,20 +16,11 @@
 
 __all__ = (
     'Conflict',
-    'GrantedLease',
-    'HistoryLost',
     'HostEntry',
     'HostState',
-    'Item',
-    'ItemEvents',
-    'ItemPage',
-    'ItemStore',
     'Lease',
-    'LeaseEnded',
-    'LeaseId',
     'LeaseHeld',
     'Missing',
-    'Removal',
     'StoreClient',
     'StoredValue',
     'Unchanged',
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -8,14 +8,14 @@
 import msgspec
 import pytest
 
+from boragespool.cli.commands import COMMANDS
+from boragespool.cli.fleet_status import read_report, revision_by_live_host
+from boragespool.cli.main import main
 from boragespool.controllers.configuration.applying import (
     Applied,
     Refused,
     apply_change,
 )
-from boragespool.cli.commands import COMMANDS
-from boragespool.cli.fleet_status import read_report, revision_by_live_host
-from boragespool.cli.main import main
 from boragespool.results import Failure, ResultCode
 from boragespool.revisions import CURRENT_KEY, Change, next_document
 from boragespool.settings import Settings
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -6,7 +6,9 @@
 
 import pytest
 
-from boragespool.blackboard.topics import ROUTES
+from boragespool.blackboard.forwarding_topics import (
+    ROUTES,
+)
 from boragespool.http import ExchangeFailure, HttpRequest, open_connection
 from tests.platform_standins.world import (
     DOMAIN,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from boragespool import membership
-from boragespool.membership import MemberTable, MembershipOptions
+from boragespool.membership import MembershipOptions, MemberTable
 from boragespool.types import MemberStatus
 from tests.member_records import record
 
--- a/tests/test_membership_machine.py
+++ b/tests/test_membership_machine.py
@@ -15,7 +15,7 @@
 )
 
 from boragespool import membership
-from boragespool.membership import MemberTable, MembershipOptions, PingOrder
+from boragespool.membership import MembershipOptions, MemberTable, PingOrder
 from boragespool.types import MemberStatus
 from tests.member_records import record
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -18,8 +18,8 @@
 
 from boragespool.blackboard import Blackboard
 from boragespool.blackboard.topics import ADMISSION
-from boragespool.controllers.context import Context, Identity
 from boragespool.controllers.callers.overload import OverloadController
+from boragespool.controllers.context import Context, Identity
 from boragespool.http.gate import DEFERRED_PER_S, ReadGate
 from boragespool.ranks.overload import (
     LEAST_PER_S,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -26,8 +26,8 @@
 
 from boragespool.forwarding import Registration
 from boragespool.http import HttpRequest, HttpResponse
+from boragespool.item_store import HistoryLost, Item, LeaseEnded
 from boragespool.results import Failure, ResultCode
-from boragespool.store import HistoryLost, Item, LeaseEnded
 from boragespool.types import RunState
 from tests.platform_standins.store import StoreStandin
 
--- a/tests/test_record_exchange.py
+++ b/tests/test_record_exchange.py
@@ -12,8 +12,8 @@
 
 from boragespool import backends
 from boragespool.backends.record_table import server_key
-from boragespool.controllers.context import Context
 from boragespool.controllers.backend_servers.record_repair import RecordRepair
+from boragespool.controllers.context import Context
 from boragespool.messages import (
     Holding,
     ServerDigest,
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -11,7 +11,9 @@
 from boragespool_platform.settings import Boot, options_of
 
 from boragespool.blackboard import Blackboard
-from boragespool.blackboard.topics import REGISTERED
+from boragespool.blackboard.forwarding_topics import (
+    REGISTERED,
+)
 from boragespool.controllers.forwarding.feed import ChangeFeed, FeedPart
 from boragespool.controllers.forwarding.mirror import (
     MirrorOptions,
@@ -26,14 +28,14 @@
     answer_feed,
 )
 from boragespool.http import HttpLimits, HttpServer
-from boragespool.results import Failure, ResultCode
-from boragespool.store import (
+from boragespool.item_store import (
     HistoryLost,
     Item,
     ItemEvents,
     ItemPage,
     Removal,
 )
+from boragespool.results import Failure, ResultCode
 from boragespool.timers import LoopTimers, VirtualTimers
 
 AWAY = Failure(ResultCode.STORE_UNAVAILABLE, 'away')
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -19,10 +19,10 @@
     ExchangeOptions,
 )
 from boragespool.controllers.backend_servers.server_polls import (
-    PollHooks,
-    ServerPolls,
     STEADY_INTERVAL_TICKS,
     STEADY_TICKS,
+    PollHooks,
+    ServerPolls,
 )
 from boragespool.controllers.backend_servers.servers import (
     PollOptions,
