Let calls wait by rank for room at backend servers

Hedges were taken from the budget although no server had room. Change: a call without room waits in a queue of its service. Calls that can still meet their target go first, by priority; late ones get what is left; each eighth grant goes to the one that has waited longest. A call whose turn would come after its end is refused at once with the expected wait as Retry-After. A request that was never sent is refused with 503 at its end.

--- a/boragespool/controllers/forwarding/calls.py
+++ b/boragespool/controllers/forwarding/calls.py
@@ -6,7 +6,14 @@
 from typing import TYPE_CHECKING, Final
 
 from boragespool.controllers.forwarding.links import Outgoing
-from boragespool.forwarding import Reply, Verdict, hedge_after_s, judge
+from boragespool.controllers.forwarding.waiting import Turn
+from boragespool.forwarding import (
+    Reply,
+    Verdict,
+    WaitingCall,
+    hedge_after_s,
+    judge,
+)
 from boragespool.http import ExchangeFailure, HttpResponse
 from boragespool.results import Failure, ResultCode
 from boragespool.types import RunState
@@ -79,6 +86,7 @@
         """Send nothing yet."""
         self.service = service
         self.sent_count = 0
+        self.has_waited = False
         self._fleet = fleet
         self._dialect = dialect
         self._job = job
@@ -90,32 +98,73 @@
         self._tried: set[str] = set()
         self._open_by_attempt: dict[int, _Attempt] = {}
         self._hedge: Subscription | None = None
+        self._waiting: int | None = None
 
     @property
     def is_possible(self) -> bool:
-        """Whether a backend server is there to ask."""
-        return bool(self._fleet.servers_of(self.service))
+        """Whether a backend server is there and will have room in time."""
+        if not self._fleet.servers_of(self.service):
+            return False
+        now_s = self._fleet.timers.now_s()
+        return now_s + self._wait_s() < self._job.deadlines.end_at_s
+
+    @property
+    def run_state(self) -> RunState:
+        """Whether a backend server may have run the request."""
+        is_sent = self._may_have_run or bool(self._open_by_attempt)
+        return RunState.UNKNOWN if is_sent else RunState.NOT_RUN
 
     def start(self) -> None:
         """Send the first attempt."""
         now_s = self._fleet.timers.now_s()
         self._fleet.budget(self.service).note_request(now_s)
-        if not self._send():
+        if not self._send() and not self._wait():
             self._finish(self._failure())
 
     def cancel(self) -> None:
         """Close the connections of all attempts at once."""
-        self._ended = True
-        self._stop_hedging()
+        self._end()
         self._close_attempts()
 
     def abandon(self) -> None:
         """Let attempts finish for a moment, as nobody waits for them."""
-        self._ended = True
-        self._stop_hedging()
+        self._end()
         if self._open_by_attempt:
             self._fleet.timers.after(_ABANDON_S, self._close_attempts)
 
+    def _end(self) -> None:
+        self._ended = True
+        self._stop_hedging()
+        if self._waiting is not None:
+            self._fleet.waiting.leave(self.service, self._waiting)
+            self._waiting = None
+
+    def _wait_s(self) -> Seconds:
+        """Return the expected wait for room at a server, in seconds."""
+        priority = self._job.route.priority
+        return self._fleet.waiting.wait_s(self.service, priority)
+
+    def _wait(self) -> bool:
+        """Wait for room at a server; False if that cannot help in time."""
+        if self.sent_count >= self._job.route.attempt_count:
+            return False
+        if not self._fleet.servers_of(self.service).keys() - self._tried:
+            return False
+        deadlines = self._job.deadlines
+        number = self._fleet.next_attempt()
+        call = WaitingCall(
+            number,
+            self._job.route.priority,
+            deadlines.target_at_s,
+            deadlines.end_at_s,
+        )
+        if not self._fleet.waiting.join(self.service, Turn(call, self._send)):
+            self._reason = 'its backend servers have no room in time'
+            return False
+        self._waiting = number
+        self.has_waited = True
+        return True
+
     def _close_attempts(self) -> None:
         now_s = self._fleet.timers.now_s()
         usual_s = self._fleet.times.usual_s(self._job.route.name)
@@ -137,6 +186,7 @@
         server = self._fleet.choose(self.service, route.name, self._tried)
         if server is None:
             return False
+        self._waiting = None
         name = server.registration.server
         self._tried.add(name)
         self.sent_count += 1
@@ -175,8 +225,8 @@
     def _try_hedge(self) -> None:
         if self._ended or not self._open_by_attempt:
             return
-        others = self._fleet.servers_of(self.service).keys() - self._tried
-        if others and self._fleet.may_repeat(self.service, is_hedge=True):
+        has_room = self._fleet.has_room(self.service, self._tried)
+        if has_room and self._fleet.may_repeat(self.service, is_hedge=True):
             self._send()
 
     def _stop_hedging(self) -> None:
@@ -245,8 +295,9 @@
         if self._ended:
             return
         may_send = self._job.route.idempotent or not_run
-        if may_send and self._may_retry(counts=counts) and self._send():
-            return
+        if may_send and self._may_retry(counts=counts):
+            if self._send() or self._wait():
+                return
         if self._open_by_attempt:
             return
         self._finish(self._error_reply or self._failure())
@@ -267,7 +318,7 @@
         return Failure(
             ResultCode.NO_SERVER,
             f'{self.service!r}: {self._reason}',
-            retry_after_s=_BACKOFF_S,
+            retry_after_s=max(_BACKOFF_S, self._wait_s()),
         )
 
     def _finish(self, outcome: Reply | Failure) -> None:
--- a/boragespool/controllers/forwarding/fleet.py
+++ b/boragespool/controllers/forwarding/fleet.py
@@ -4,6 +4,7 @@
 
 import itertools
 from collections import Counter, defaultdict
+from functools import partial
 from typing import TYPE_CHECKING, Final, Self
 
 from boragespool.blackboard.forwarding_topics import (
@@ -13,6 +14,7 @@
 )
 from boragespool.controllers.forwarding.links import ServerLink
 from boragespool.controllers.forwarding.route_times import RouteTimes
+from boragespool.controllers.forwarding.waiting import WaitingCalls
 from boragespool.events import Event, log_event
 from boragespool.forwarding import (
     Candidate,
@@ -91,6 +93,7 @@
         self.timers = timers
         self.options = options
         self.times = RouteTimes(options.hedge_quantile)
+        self.waiting = WaitingCalls(timers)
         self._known: Mapping[ServerName, Registration] = {}
         self._daemons_by_data_centre: Counter[DataCentre] = Counter()
         self._draw = draw
@@ -165,6 +168,18 @@
         )
         return None if chosen is None else servers[chosen.server]
 
+    def has_room(
+        self,
+        service: ServiceName,
+        tried: Collection[str],
+    ) -> bool:
+        """Whether a server that was not tried can take a request now."""
+        return any(
+            server.link.has_room
+            for name, server in self.servers_of(service).items()
+            if name not in tried
+        )
+
     def budget(self, service: ServiceName) -> WindowBudget:
         """Return the budget of second attempts to a service."""
         budget = self._budgets_by_service.get(service)
@@ -231,7 +246,11 @@
                 known.registration = registration
                 return
             known.link.close()
-        link = ServerLink(registration.address, self.timers)
+        link = ServerLink(
+            registration.address,
+            self.timers,
+            partial(self.waiting.serve, registration.service),
+        )
         server = Server(registration, link)
         server.load.distance_s = self._distance_s_by_data_centre.get(
             registration.data_centre,
@@ -270,6 +289,7 @@
                 place = server.registration.data_centre
                 share = allowed * self._share_of(place)
                 server.link.limit = max(_LEAST_LIMIT, int(share))
+        self.waiting.serve_all()
 
     def _share_of(self, place: DataCentre) -> float:
         """Return this daemon's part of the connections in a data centre."""
--- a/boragespool/controllers/forwarding/gateway.py
+++ b/boragespool/controllers/forwarding/gateway.py
@@ -144,12 +144,13 @@
 
         def give_up() -> None:
             if not result.done():
+                run = call.run_state
                 call.abandon()
                 result.set_result(
                     Failure(
                         ResultCode.DEADLINE_PASSED,
                         f'{call.service!r} did not answer in time',
-                        RunState.UNKNOWN,
+                        run,
                     ),
                 )
 
@@ -215,6 +216,7 @@
                 for call in calls
                 if call.sent_count != 1
             },
+            waited=[call.service for call in calls if call.has_waited],
         )
 
 
--- a/boragespool/controllers/forwarding/links.py
+++ b/boragespool/controllers/forwarding/links.py
@@ -94,6 +94,8 @@
         ``ip:port``.
     timers : TimerService
         Clock.
+    on_room : callable
+        Called when another request can be sent.
 
     Attributes
     ----------
@@ -103,12 +105,18 @@
         Shortest TCP handshake, in seconds; None before the first one.
     """
 
-    def __init__(self, address: Address, timers: TimerService) -> None:
+    def __init__(
+        self,
+        address: Address,
+        timers: TimerService,
+        on_room: Callable[[], None],
+    ) -> None:
         """Open nothing yet."""
         self.address = address
         self.limit = 1
         self.handshake_s: Seconds | None = None
         self._timers = timers
+        self._on_room = on_room
         self._idle: list[tuple[Seconds, Seconds, HttpConnection]] = []
         self._busy_count = 0
         self._tasks = TaskSet()
@@ -161,6 +169,7 @@
         if isinstance(connection, ExchangeFailure):
             self._busy_count -= 1
             exchange.finish(connection)
+            self._on_room()
             return
         took_s = self._timers.now_s() - began_s
         self.handshake_s = min(took_s, self.handshake_s or took_s)
@@ -169,6 +178,7 @@
     def _release_cancelled(self, task: asyncio.Task[None]) -> None:
         if task.cancelled():
             self._busy_count -= 1
+            self._on_room()
 
     def _use(
         self,
@@ -200,6 +210,7 @@
         else:
             connection.close()
         exchange.finish(result)
+        self._on_room()
 
     def _take_idle(self, fresh_s: Seconds | None) -> HttpConnection | None:
         """Return the connection that was used last."""
--- a/boragespool/forwarding/__init__.py
+++ b/boragespool/forwarding/__init__.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from boragespool.forwarding.call_queue import CallQueue, WaitingCall
 from boragespool.forwarding.hosts import (
     HostRecord,
     HostTable,
@@ -50,6 +51,7 @@
 )
 
 __all__ = (
+    'CallQueue',
     'CallerLimits',
     'Candidate',
     'Deadlines',
@@ -68,6 +70,7 @@
     'ServerLoad',
     'SplitTurns',
     'Verdict',
+    'WaitingCall',
     'WeightedService',
     'WindowBudget',
     'choose_server',
--- a/boragespool/metrics.py
+++ b/boragespool/metrics.py
@@ -42,6 +42,11 @@
     ('priority',),
     buckets=_LATENCY_BUCKETS_S,
 )
+FORWARD_WAITS: Final = Counter(
+    'boragespool_forward_waits_total',
+    'Calls without room at a backend server, by priority and outcome.',
+    ('priority', 'outcome'),
+)
 COVERAGE: Final = Histogram(
     'boragespool_coverage_ratio',
     'Coverage of answered queries.',
