End abandoned attempts at once while other calls wait

Cause: attempts that nobody waits for any more went on for 0.25 s to keep their connections, also at servers whose queues were full. Change: they end at once if a call to the same service waits for room.

--- a/boragespool/controllers/forwarding/calls.py
+++ b/boragespool/controllers/forwarding/calls.py
@@ -129,7 +129,11 @@
     def abandon(self) -> None:
         """Let attempts finish for a moment, as nobody waits for them."""
         self._end()
-        if self._open_by_attempt:
+        if not self._open_by_attempt:
+            return
+        if self._fleet.waiting.is_waiting(self.service):
+            self._close_attempts()
+        else:
             self._fleet.timers.after(_ABANDON_S, self._close_attempts)
 
     def _end(self) -> None:
--- a/boragespool/controllers/forwarding/waiting.py
+++ b/boragespool/controllers/forwarding/waiting.py
@@ -68,6 +68,10 @@
         if self._turns_by_number.pop(number, None) is not None:
             self._queues_by_service[service].leave(number)
 
+    def is_waiting(self, service: ServiceName) -> bool:
+        """Whether a call to the service waits."""
+        return bool(self._queues_by_service.get(service))
+
     def wait_s(self, service: ServiceName, priority: int) -> Seconds:
         """Return how long one more call would wait, in seconds."""
         queue = self._queues_by_service.get(service)
