Judge the wait of a call by the present period only

Cause: the expected wait came from a mean of intervals that outlived an outage, so that a few calls later could be refused although servers were quick again. A waiting call could be sent a few milliseconds before its end, when its place was freed by the end of another one: its caller then got 504 in place of a refusal. Change: the wait is estimated from the grants since the queue was last empty, once there are eight; an attempt needs 20 ms until the final answer is due. The test of the refusal states its load anew: 20 grants in 3 s and ten calls ahead are 1.5 s.

--- a/boragespool/controllers/forwarding/calls.py
+++ b/boragespool/controllers/forwarding/calls.py
@@ -36,7 +36,8 @@
 #: Time for which an attempt that is no longer needed may still finish, in
 #: seconds. Closing its connection would cost a new one; a pause lasts 0.3 s.
 _ABANDON_S: Final = 0.25
-#: Least time left in which another attempt may still succeed, in seconds.
+#: Least time until the final answer in which another attempt may still
+#: succeed, in seconds.
 _LEAST_LEFT_S: Final = 0.02
 #: Time after which refused callers may return, in seconds: about two usual
 #: service times of the slowest route.
@@ -183,14 +184,13 @@
                 attempt.exchange.cancel()
         self._open_by_attempt.clear()
 
-    def _left_s(self) -> Seconds:
-        return self._job.deadlines.caller_at_s - self._fleet.timers.now_s()
-
     def _send(self) -> bool:
         """Send one more attempt; False if no server can take it."""
         route = self._job.route
-        left_s = self._left_s()
-        if self.sent_count >= route.attempt_count or left_s < _LEAST_LEFT_S:
+        now_s = self._fleet.timers.now_s()
+        deadlines = self._job.deadlines
+        has_time = deadlines.end_at_s - now_s >= _LEAST_LEFT_S
+        if self.sent_count >= route.attempt_count or not has_time:
             return False
         server = self._fleet.choose(self.service, route.name, self._tried)
         if server is None:
@@ -202,8 +202,9 @@
         number = self._fleet.next_attempt()
         attempt = _Attempt(server)
         self._open_by_attempt[number] = attempt
-        server.load.begin(number, self._fleet.timers.now_s())
+        server.load.begin(number, now_s)
         request = self._job.request
+        left_s = deadlines.caller_at_s - now_s
         echo = None
         if request.request_id is not None:
             echo = (self._dialect.echo_field, request.request_id)
--- a/boragespool/forwarding/call_queue.py
+++ b/boragespool/forwarding/call_queue.py
@@ -20,11 +20,12 @@
 #: priority starves: an eighth is half of the share of requests that must be
 #: served of each kind.
 _OLDEST_EVERY: Final = 8
-#: Weight of one interval between grants in their mean.
-_SMOOTHING: Final = 0.1
-#: Longest interval between grants that counts, in seconds: a queue that was
-#: empty tells nothing.
-_LONGEST_INTERVAL_S: Final = 1
+#: Grants of one period without an empty queue that tell the rate: fewer ones
+#: depend on single slow requests.
+_LEAST_GRANTS: Final = 8
+#: Grants after which the older half of a period stops to count, so that the
+#: rate follows a change within some seconds.
+_MOST_GRANTS: Final = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,8 +56,8 @@
         """Start without calls."""
         self._waiting_by_number: dict[int, WaitingCall] = {}
         self._grant_count = 0
-        self._granted_at_s: Seconds | None = None
-        self._interval_s: Seconds = 0
+        self._period_began_s: Seconds = 0
+        self._period_grants: float = 0
 
     def __len__(self) -> int:
         """Return how many calls wait."""
@@ -65,7 +66,8 @@
     def join(self, call: WaitingCall, now_s: Seconds) -> bool:
         """Add a call; False if its turn would come after its end."""
         if not self._waiting_by_number:
-            self._granted_at_s = now_s
+            self._period_began_s = now_s
+            self._period_grants = 0
         if now_s + self.wait_s(call.priority, now_s) >= call.end_at_s:
             return False
         self._waiting_by_number[call.number] = call
@@ -96,15 +98,21 @@
         if self._waiting_by_number.pop(number, None) is None:
             return
         self._grant_count += 1
-        if self._granted_at_s is not None:
-            interval_s = min(_LONGEST_INTERVAL_S, now_s - self._granted_at_s)
-            self._interval_s += _SMOOTHING * (interval_s - self._interval_s)
-        self._granted_at_s = now_s
+        self._period_grants += 1
+        if self._period_grants >= _MOST_GRANTS:
+            self._period_grants /= 2
+            self._period_began_s = (self._period_began_s + now_s) / 2
 
     def wait_s(self, priority: int, now_s: Seconds) -> Seconds:
-        """Return how long one more call would wait, in seconds."""
+        """Return how long one more call would wait, in seconds.
+
+        It is 0 while too few grants tell how fast the servers are.
+        """
+        if self._period_grants < _LEAST_GRANTS:
+            return 0
         ahead = sum(
             call.priority <= priority and call.start_by_s > now_s
             for call in self._waiting_by_number.values()
         )
-        return ahead * self._interval_s
+        period_s = now_s - self._period_began_s
+        return ahead * period_s / self._period_grants
--- a/tests/test_call_queue.py
+++ b/tests/test_call_queue.py
@@ -68,12 +68,26 @@
     queue = CallQueue()
     for number in range(30):
         assert queue.join(WaitingCall(number, 0, 90, 99), number / 10)
-        if number >= 20:
-            queue.grant(number - 20, number / 10)
-    wait_s = queue.wait_s(0, 3)
-    assert 0.5 < wait_s < 3
-    assert not queue.join(WaitingCall(50, 0, 4, 3 + wait_s / 2), 3)
-    assert queue.join(WaitingCall(51, 0, 4, 3 + 2 * wait_s), 3)
+        if number >= 10:
+            queue.grant(number - 10, number / 10)
+    # Ten calls wait, and 20 were granted in 3 s.
+    assert queue.wait_s(0, 3) == pytest.approx(1.5)
+    assert queue.wait_s(1, 3) == pytest.approx(1.5)
+    assert not queue.join(WaitingCall(50, 0, 4, 4.4), 3)
+    assert queue.join(WaitingCall(51, 0, 4, 4.6), 3)
+
+
+def test_slow_period_does_not_refuse_later_calls():
+    """An outage that is over must not make the daemon refuse work."""
+    queue = CallQueue()
+    for number in range(20):
+        queue.join(WaitingCall(number, 0, 90, 99), 0)
+    for number in range(20):
+        queue.grant(number, number)
+    assert not len(queue)
+    for number in range(100, 110):
+        assert queue.join(WaitingCall(number, 0, 31, 30.5), 30)
+    assert queue.wait_s(0, 30) == 0
 
 
 class Link:
