--- a/boragespool/controllers/forwarding/calls.py
+++ b/boragespool/controllers/forwarding/calls.py
@@ -31,7 +31,7 @@
         ForwardRoute,
     )
     from boragespool.timers import Subscription
-    from boragespool.types import Seconds, ServiceName
+    from boragespool.types import Seconds, ServerName, ServiceName
 
 #: Time for which an attempt that is no longer needed may still finish, in
 #: seconds. Closing its connection would cost a new one; a pause lasts 0.3 s.
@@ -184,15 +184,17 @@
                 attempt.exchange.cancel()
         self._open_by_attempt.clear()
 
+    def _choose(self) -> Server | None:
+        """Choose a server for one more attempt; None if there is none."""
+        left_s = self._job.deadlines.end_at_s - self._fleet.timers.now_s()
+        route = self._job.route
+        if self.sent_count >= route.attempt_count or left_s < _LEAST_LEFT_S:
+            return None
+        return self._fleet.choose(self.service, route.name, self._tried)
+
     def _send(self) -> bool:
         """Send one more attempt; False if no server can take it."""
-        route = self._job.route
-        now_s = self._fleet.timers.now_s()
-        deadlines = self._job.deadlines
-        has_time = deadlines.end_at_s - now_s >= _LEAST_LEFT_S
-        if self.sent_count >= route.attempt_count or not has_time:
-            return False
-        server = self._fleet.choose(self.service, route.name, self._tried)
+        server = self._choose()
         if server is None:
             return False
         self._waiting = None
@@ -202,19 +204,11 @@
         number = self._fleet.next_attempt()
         attempt = _Attempt(server)
         self._open_by_attempt[number] = attempt
+        now_s = self._fleet.timers.now_s()
         server.load.begin(number, now_s)
-        request = self._job.request
-        left_s = deadlines.caller_at_s - now_s
-        echo = None
-        if request.request_id is not None:
-            echo = (self._dialect.echo_field, request.request_id)
+        left_s = self._job.deadlines.caller_at_s - now_s
         attempt.exchange = server.link.send(
-            Outgoing(
-                self._dialect.write_request(request, name, left_s),
-                left_s,
-                echo,
-                fresh_only=not route.idempotent,
-            ),
+            _outgoing(self._job, self._dialect, name, left_s),
             lambda result: self._take(number, result),
         )
         self._plan_hedge(server)
@@ -337,3 +331,21 @@
             return
         self.abandon()
         self._on_end(self, outcome)
+
+
+def _outgoing(
+    job: Job,
+    dialect: Dialect,
+    server: ServerName,
+    left_s: Seconds,
+) -> Outgoing:
+    """Return the request as it is sent to one server."""
+    echo = None
+    if job.request.request_id is not None:
+        echo = (dialect.echo_field, job.request.request_id)
+    return Outgoing(
+        dialect.write_request(job.request, server, left_s),
+        left_s,
+        echo,
+        fresh_only=not job.route.idempotent,
+    )
