Let a call wait once, and end its wait when it is sent otherwise

Cause: a call whose second attempt failed while it waited joined the queue again, and one that was hedged while it waited stayed in it; its turn came after its end. Change: a call holds one place, which it leaves when it is sent or ends. Found while reading the change.

--- a/boragespool/controllers/forwarding/calls.py
+++ b/boragespool/controllers/forwarding/calls.py
@@ -108,7 +108,9 @@
         if not self._fleet.servers_of(self.service):
             return False
         now_s = self._fleet.timers.now_s()
-        return now_s + self._wait_s() < self._job.deadlines.end_at_s
+        priority = self._job.route.priority
+        wait_s = self._fleet.waiting.wait_s(self.service, priority)
+        return now_s + wait_s < self._job.deadlines.end_at_s
 
     @property
     def run_state(self) -> RunState:
@@ -141,17 +143,17 @@
     def _end(self) -> None:
         self._ended = True
         self._stop_hedging()
+        self._stop_waiting()
+
+    def _stop_waiting(self) -> None:
         if self._waiting is not None:
             self._fleet.waiting.leave(self.service, self._waiting)
             self._waiting = None
 
-    def _wait_s(self) -> Seconds:
-        """Return the expected wait for room at a server, in seconds."""
-        priority = self._job.route.priority
-        return self._fleet.waiting.wait_s(self.service, priority)
-
     def _wait(self) -> bool:
         """Wait for room at a server; False if that cannot help in time."""
+        if self._waiting is not None:
+            return True
         if self.sent_count >= self._job.route.attempt_count:
             return False
         if not self._fleet.servers_of(self.service).keys() - self._tried:
@@ -165,7 +167,7 @@
             deadlines.target_at_s - usual_s,
             deadlines.end_at_s,
         )
-        if not self._fleet.waiting.join(self.service, Turn(call, self._send)):
+        if not self._fleet.waiting.join(self.service, Turn(call, self._resume)):
             self._reason = 'its backend servers have no room in time'
             return False
         self._waiting = number
@@ -184,6 +186,15 @@
                 attempt.exchange.cancel()
         self._open_by_attempt.clear()
 
+    def _resume(self) -> bool:
+        """Send when it is this call's turn; False if no server has room."""
+        number = self._waiting
+        self._waiting = None
+        if self._send():
+            return True
+        self._waiting = number
+        return False
+
     def _choose(self) -> Server | None:
         """Choose a server for one more attempt; None if there is none."""
         left_s = self._job.deadlines.end_at_s - self._fleet.timers.now_s()
@@ -197,7 +208,7 @@
         server = self._choose()
         if server is None:
             return False
-        self._waiting = None
+        self._stop_waiting()
         name = server.registration.server
         self._tried.add(name)
         self.sent_count += 1
@@ -296,23 +307,25 @@
         self._go_on(not_run=not failure.sent, counts=failure.sent)
 
     def _go_on(self, *, not_run: bool, counts: bool = True) -> None:
-        """Send again if that is allowed, or wait for the other attempts."""
+        """Send again if that is allowed, or wait for the other attempts.
+
+        Parameters
+        ----------
+        counts : bool
+            Whether a server got the attempt that failed, so that another one
+            is taken from the budget.
+        """
         if self._ended:
             return
         may_send = self._job.route.idempotent or not_run
-        if may_send and self._may_retry(counts=counts):
-            if self._send() or self._wait():
-                return
+        if may_send and counts:
+            may_send = self._fleet.may_repeat(self.service, is_hedge=False)
+        if may_send and (self._send() or self._wait()):
+            return
         if self._open_by_attempt:
             return
         self._finish(self._error_reply or self._failure())
 
-    def _may_retry(self, *, counts: bool) -> bool:
-        """Take a retry from the budget if the attempt reached a server."""
-        if not counts:
-            return True
-        return self._fleet.may_repeat(self.service, is_hedge=False)
-
     def _failure(self) -> Failure:
         if self._may_have_run:
             return Failure(
@@ -320,10 +333,12 @@
                 f'{self.service!r}: {self._reason}',
                 RunState.UNKNOWN,
             )
+        priority = self._job.route.priority
+        wait_s = self._fleet.waiting.wait_s(self.service, priority)
         return Failure(
             ResultCode.NO_SERVER,
             f'{self.service!r}: {self._reason}',
-            retry_after_s=max(_BACKOFF_S, self._wait_s()),
+            retry_after_s=max(_BACKOFF_S, wait_s),
         )
 
     def _finish(self, outcome: Reply | Failure) -> None:
--- a/boragespool/controllers/forwarding/gathers.py
+++ b/boragespool/controllers/forwarding/gathers.py
@@ -74,7 +74,7 @@
                 Failure(
                     ResultCode.NO_SERVER,
                     f'only {possible} of {len(self.calls)} shards have a '
-                    'backend server',
+                    'backend server with room in time',
                     retry_after_s=_NO_SERVER_S,
                 ),
             )
