End a watch whose answer lacks its part

Cause: a watch at another daemon waited for ever if the answer held fewer parts than were asked for. Change: such an answer counts as unusable. Figures: tests/test_relay.py has the case; before, the read raised KeyError and the watch did not end.

--- a/boragespool/controllers/forwarding/feed_rounds.py
+++ b/boragespool/controllers/forwarding/feed_rounds.py
@@ -37,6 +37,7 @@
 #: Least wait that is worth an exchange of its own, in seconds.
 _LEAST_WAIT_S: Final = 0.1
 _CONNECTION_COUNT: Final = 8
+_INCOMPLETE: Final = 'its answer is incomplete'
 
 #: What another daemon knows of one prefix; None if its history is lost.
 _Parts = tuple[FeedPart | None, ...]
@@ -76,7 +77,8 @@
 
     async def read(self, address: Address, prefix: str) -> FeedPart | str:
         """Return all items, or why the other daemon cannot tell."""
-        return (await self._exchange(address, {prefix: None}, 0))[prefix]
+        parts_by_prefix = await self._exchange(address, {prefix: None}, 0)
+        return parts_by_prefix.get(prefix, _INCOMPLETE)
 
     async def watch(
         self,
@@ -106,7 +108,7 @@
         )
         for prefix, answer in joined.answers_by_prefix.items():
             if not answer.done():
-                answer.set_result(parts_by_prefix[prefix])
+                answer.set_result(parts_by_prefix.get(prefix, _INCOMPLETE))
 
     def _wait_until_next_end_s(self, address: Address) -> Seconds:
         """Return a wait that ends with the one under way, if there is one.
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -27,7 +27,12 @@
 )
 from boragespool.controllers.forwarding.registry import ServerRegistry
 from boragespool.controllers.forwarding.relay import RelayedStore, RelayOptions
-from boragespool.http import HttpLimits, HttpRequest, HttpServer
+from boragespool.http import (
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
 from boragespool.item_store import (
     HistoryLost,
     Item,
@@ -237,6 +242,25 @@
     asyncio.run(scenario())
 
 
+def test_incomplete_answer_ends_the_watch():
+    """A watch must not wait for ever for a part that does not come."""
+
+    async def scenario():
+        async def answer(request):
+            return HttpResponse(200, msgspec.msgpack.encode([]))
+
+        async with HttpServer('127.0.0.1:0', HttpLimits(), answer) as server:
+            rounds = FeedRounds(wait_s=0.2)
+            async with asyncio.timeout(2):
+                part = await rounds.watch(server.address, 'p/', 4)
+                assert isinstance(part, str)
+                part = await rounds.read(server.address, 'p/')
+                assert isinstance(part, str)
+            await rounds.__aexit__()
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize(
     'query', ['prefix=x&after=1', 'prefix=p/&after=z', 'prefix=p/&after=1,2']
 )
