--- a/tests/platform_standins/world.py
+++ b/tests/platform_standins/world.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 
 import msgspec
 from boragespool_platform.messages import DIALECT
@@ -120,13 +121,23 @@
             Boot,
         )
 
-    async def start(self, name='host-1', *, ready=True, **fields):
-        """Start a daemon; wait until it is ready."""
-        boot = self.boot(name, **fields)
+    async def _listen(self, boot):
+        """Start a daemon; None if a free port was taken meanwhile."""
         store = KeyValueStore(boot.platform.address)
         await self.stack.enter_async_context(store)
         daemon = Forwarder(options_of(boot), DIALECT, store)
-        await self.stack.enter_async_context(daemon)
+        try:
+            return await self.stack.enter_async_context(daemon)
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise
+            return None
+
+    async def start(self, name='host-1', *, ready=True, **fields):
+        """Start a daemon; wait until it is ready."""
+        daemon = None
+        while daemon is None:
+            daemon = await self._listen(self.boot(name, **fields))
         self.daemons.append(daemon)
         if ready:
             await until(lambda: daemon.is_ready)
