Serve repeated logic of the forwarding path by one piece

- A feed waits and reads in two calls.
The answer to another daemon read each prefix twice, once for its wait, and scanned all keys both times.
- RelayedStore passed four writes on unchanged.
The interface of the store is parted into reads (ItemSource) and writes, the relay becomes RelayedSource, and the host registry writes to the store itself.
- MirrorState gives its changes by key; three followers derived them.
- WaitingCalls keeps what resumes a call; the class that held the call a second time goes.
The expected wait of a call is looked up in one place.
- HeaderFields stands once, in boragespool.types.
A leaving daemon marks its response by dataclasses.replace in place of a copy field by field.
A flag of the host registry that nothing read goes.
- Tests: one opening, one settings document for the world and the soak, one registration.
Assertions are the same; ChangeFeed.read is called without a wait and without await.

--- a/boragespool/controllers/forwarding/calls.py
+++ b/boragespool/controllers/forwarding/calls.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING, Final
 
 from boragespool.controllers.forwarding.links import Outgoing
-from boragespool.controllers.forwarding.waiting import Turn
 from boragespool.forwarding import (
     Reply,
     Verdict,
@@ -108,8 +107,7 @@
         if not self._fleet.servers_of(self.service):
             return False
         now_s = self._fleet.timers.now_s()
-        priority = self._job.route.priority
-        wait_s = self._fleet.waiting.wait_s(self.service, priority)
+        wait_s = _wait_s(self._fleet, self.service, self._job.route)
         return now_s + wait_s < self._job.deadlines.end_at_s
 
     @property
@@ -167,7 +165,7 @@
             deadlines.target_at_s - usual_s,
             deadlines.end_at_s,
         )
-        if not self._fleet.waiting.join(self.service, Turn(call, self._resume)):
+        if not self._fleet.waiting.join(self.service, call, self._resume):
             self._reason = 'its backend servers have no room in time'
             return False
         self._waiting = number
@@ -333,8 +331,7 @@
                 f'{self.service!r}: {self._reason}',
                 RunState.UNKNOWN,
             )
-        priority = self._job.route.priority
-        wait_s = self._fleet.waiting.wait_s(self.service, priority)
+        wait_s = _wait_s(self._fleet, self.service, self._job.route)
         return Failure(
             ResultCode.NO_SERVER,
             f'{self.service!r}: {self._reason}',
@@ -348,6 +345,15 @@
         self._on_end(self, outcome)
 
 
+def _wait_s(
+    fleet: ServerFleet,
+    service: ServiceName,
+    route: ForwardRoute,
+) -> Seconds:
+    """Return the expected wait for room at a server, in seconds."""
+    return fleet.waiting.wait_s(service, route.priority)
+
+
 def _outgoing(
     job: Job,
     dialect: Dialect,
--- a/boragespool/controllers/forwarding/feed.py
+++ b/boragespool/controllers/forwarding/feed.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
@@ -100,28 +99,24 @@
         """Note that the store was reached, while a watch waits there."""
         self._read_at_s = self._timers.now_s()
 
-    async def read(
-        self,
-        after_revision: int | None,
-        wait_s: Seconds,
-    ) -> FeedPart | HistoryLost:
-        """Return the changes after a revision, or all items without one.
-
-        Parameters
-        ----------
-        wait_s : float
-            Longest wait for a change, in seconds.
-        """
+    async def wait(self, after_revision: int | None) -> None:
+        """Wait until `read` has something to tell."""
+        if after_revision is None or self._is_lost(after_revision):
+            return
+        if after_revision >= self._changed_at:
+            await self._changed.wait()
+
+    def read(self, after_revision: int | None) -> FeedPart | HistoryLost:
+        """Return the changes after a revision, or all items without one."""
         if after_revision is None:
             return self._part(-1)
-        if after_revision < self._floor or self._revision is None:
+        if self._is_lost(after_revision):
             return HistoryLost()
-        if after_revision >= self._changed_at and wait_s > 0:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(wait_s):
-                    await self._changed.wait()
         return self._part(after_revision)
 
+    def _is_lost(self, revision: int) -> bool:
+        return revision < self._floor or self._revision is None
+
     def _part(self, after: int) -> FeedPart | HistoryLost:
         if self._revision is None:
             return HistoryLost()
--- a/boragespool/controllers/forwarding/feed_rounds.py
+++ b/boragespool/controllers/forwarding/feed_rounds.py
@@ -176,10 +176,8 @@
     feeds = [feeds_by_prefix[prefix] for prefix in prefixes]
     asked = list(zip(feeds, afters, strict=True))
     if wait_s > 0:
-        await _first(
-            [feed.read(after, wait_s) for feed, after in asked],
-        )
-    parts = [await feed.read(after, 0) for feed, after in asked]
+        await _first([feed.wait(after) for feed, after in asked], wait_s)
+    parts = [feed.read(after) for feed, after in asked]
     return HttpResponse(
         _OK,
         msgspec.msgpack.encode(
@@ -189,11 +187,18 @@
     )
 
 
-async def _first(waits: Sequence[Awaitable[object]]) -> None:
-    """Return when the first one is done, and end the others."""
+async def _first(
+    waits: Sequence[Awaitable[object]],
+    timeout_s: Seconds,
+) -> None:
+    """Return when the first one is done or the time is over; end them."""
     tasks = [asyncio.ensure_future(wait) for wait in waits]
     try:
-        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.wait(
+            tasks,
+            timeout=timeout_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
     finally:
         for task in tasks:
             task.cancel()
--- a/boragespool/controllers/forwarding/gateway.py
+++ b/boragespool/controllers/forwarding/gateway.py
@@ -6,10 +6,7 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
-from boragespool.blackboard.forwarding_topics import (
-    REGISTERED,
-    ROUTES,
-)
+from boragespool.blackboard.forwarding_topics import REGISTERED, ROUTES
 from boragespool.controllers.forwarding.calls import Job, ServiceCall
 from boragespool.controllers.forwarding.dialect import Gathered
 from boragespool.controllers.forwarding.gathers import Gather
--- a/boragespool/controllers/forwarding/hosts.py
+++ b/boragespool/controllers/forwarding/hosts.py
@@ -8,9 +8,7 @@
 
 import msgspec
 
-from boragespool.blackboard.forwarding_topics import (
-    SERVING_HOSTS,
-)
+from boragespool.blackboard.forwarding_topics import SERVING_HOSTS
 from boragespool.controllers.forwarding.feed import ChangeFeed
 from boragespool.events import Event, log_event
 from boragespool.forwarding import (
@@ -90,7 +88,6 @@
         self.feed = ChangeFeed(timers)
         self._table = HostTable()
         self._lease: GrantedLease | None = None
-        self._is_published = False
         self._is_serving = False
         self._is_away = False
         self._wake = asyncio.Event()
@@ -159,12 +156,10 @@
 
     def take_state(self, state: MirrorState) -> None:
         """Take over the records; some lapse while the store is away."""
-        self.feed.publish(
-            {key: state.items_by_key.get(key) for key in state.changed_keys},
-            state,
-        )
-        for key in state.changed_keys:
-            self._read(key, state.items_by_key.get(key))
+        changes_by_key = state.changes_by_key
+        self.feed.publish(changes_by_key, state)
+        for key, item in changes_by_key.items():
+            self._read(key, item)
         now_s = self._timers.now_s()
         grace_end_s = state.returned_at_s + self._options.return_grace_s
         if now_s >= grace_end_s:
--- a/boragespool/controllers/forwarding/mirror.py
+++ b/boragespool/controllers/forwarding/mirror.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from boragespool.item_store import ItemStore
+    from boragespool.item_store import ItemSource
     from boragespool.timers import TimerService
     from boragespool.types import Seconds
 
@@ -72,13 +72,18 @@
     returned_at_s: Seconds
     read_at_s: Seconds
 
+    @property
+    def changes_by_key(self) -> dict[str, Item | None]:
+        """Items of the keys that differ; None stands for a removed key."""
+        return {key: self.items_by_key.get(key) for key in self.changed_keys}
+
 
 class PrefixMirror:
     """Follows one prefix, an async context manager.
 
     Parameters
     ----------
-    store : ItemStore
+    store : ItemSource
         Source.
     timers : TimerService
         Clock.
@@ -90,7 +95,7 @@
 
     def __init__(
         self,
-        store: ItemStore,
+        store: ItemSource,
         timers: TimerService,
         options: MirrorOptions,
         on_state: Callable[[MirrorState], None],
--- a/boragespool/controllers/forwarding/reading.py
+++ b/boragespool/controllers/forwarding/reading.py
@@ -12,7 +12,7 @@
 )
 from boragespool.controllers.forwarding.registry import ServerRegistry
 from boragespool.controllers.forwarding.relay import (
-    RelayedStore,
+    RelayedSource,
     RelayOptions,
 )
 from boragespool.controllers.forwarding.versions import ConfigurationFollower
@@ -64,7 +64,7 @@
     ) -> None:
         """Read nothing yet."""
         self._stack = AsyncExitStack()
-        self._store = RelayedStore(
+        self._source = RelayedSource(
             store,
             RelayOptions(
                 self._reader,
@@ -76,7 +76,7 @@
         )
         self.hosts = HostRegistry(
             board,
-            self._store,
+            store,
             timers,
             options,
             self._note_contact,
@@ -95,7 +95,7 @@
         }
         self._mirrors_by_prefix = {
             prefix: PrefixMirror(
-                self._store,
+                self._source,
                 timers,
                 MirrorOptions(
                     prefix,
@@ -110,7 +110,7 @@
     async def __aenter__(self) -> Self:
         """Begin to read, and to publish this daemon once it serves."""
         async with AsyncExitStack() as stack:
-            await stack.enter_async_context(self._store)
+            await stack.enter_async_context(self._source)
             for mirror in self._mirrors_by_prefix.values():
                 await stack.enter_async_context(mirror)
             await stack.enter_async_context(self.hosts)
--- a/boragespool/controllers/forwarding/registry.py
+++ b/boragespool/controllers/forwarding/registry.py
@@ -4,9 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from boragespool.blackboard.forwarding_topics import (
-    REGISTERED,
-)
+from boragespool.blackboard.forwarding_topics import REGISTERED
 from boragespool.controllers.forwarding.feed import ChangeFeed
 from boragespool.events import Event, log_event
 from boragespool.forwarding import RegistrationTable
@@ -62,8 +60,8 @@
 
     def take_state(self, state: MirrorState) -> None:
         """Take over what the store lists."""
-        for key in state.changed_keys:
-            self._read(key, state.items_by_key.get(key))
+        for key, item in state.changes_by_key.items():
+            self._read(key, item)
         self._state = state
         self._update(state)
         self._publish(state)
--- a/boragespool/controllers/forwarding/relay.py
+++ b/boragespool/controllers/forwarding/relay.py
@@ -17,12 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from boragespool.item_store import (
-        GrantedLease,
-        ItemStore,
-        LeaseEnded,
-        LeaseId,
-    )
+    from boragespool.item_store import ItemSource
     from boragespool.types import Address, Seconds
 
 #: Time for which a daemon that failed is passed over, in seconds.
@@ -57,18 +52,18 @@
     wait_s: Seconds
 
 
-class RelayedStore:
-    """The store, read through other daemons where that saves calls.
+class RelayedSource:
+    """Reads the store, through other daemons where that saves calls.
 
     Parameters
     ----------
-    store : ItemStore
-        The store itself; it takes all writes.
+    store : ItemSource
+        The store itself.
     options : RelayOptions
         Other daemons.
     """
 
-    def __init__(self, store: ItemStore, options: RelayOptions) -> None:
+    def __init__(self, store: ItemSource, options: RelayOptions) -> None:
         """Open nothing yet."""
         self._store = store
         self._options = options
@@ -139,27 +134,6 @@
         part = await self._ask_others(prefix, after_revision)
         return answer if part is None else _events(part)
 
-    async def put(
-        self,
-        key: str,
-        value: bytes,
-        lease: LeaseId,
-    ) -> int | LeaseEnded | Failure:
-        """Write to the store."""
-        return await self._store.put(key, value, lease)
-
-    async def grant(self, ttl_s: Seconds) -> GrantedLease | Failure:
-        """Begin a lease at the store."""
-        return await self._store.grant(ttl_s)
-
-    async def renew(self, lease: LeaseId) -> Seconds | LeaseEnded | Failure:
-        """Renew a lease at the store."""
-        return await self._store.renew(lease)
-
-    async def end(self, lease: LeaseId) -> None:
-        """End a lease at the store."""
-        await self._store.end(lease)
-
     def _reader(self) -> Address | None:
         """Return the reader's address unless it failed just now."""
         reader = self._options.reader()
--- a/boragespool/controllers/forwarding/versions.py
+++ b/boragespool/controllers/forwarding/versions.py
@@ -4,9 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from boragespool.blackboard.forwarding_topics import (
-    ROUTES,
-)
+from boragespool.blackboard.forwarding_topics import ROUTES
 from boragespool.controllers.forwarding.feed import ChangeFeed
 from boragespool.events import Event, log_event
 from boragespool.forwarding import index_routes
@@ -48,12 +46,9 @@
 
     def take_state(self, state: MirrorState) -> None:
         """Take over the configuration if it changed."""
-        self.feed.publish(
-            {key: state.items_by_key.get(key) for key in state.changed_keys},
-            state,
-        )
-        for key in state.changed_keys:
-            item = state.items_by_key.get(key)
+        changes_by_key = state.changes_by_key
+        self.feed.publish(changes_by_key, state)
+        for item in changes_by_key.values():
             if item is not None:
                 self._take(item)
 
--- a/boragespool/controllers/forwarding/waiting.py
+++ b/boragespool/controllers/forwarding/waiting.py
@@ -4,15 +4,15 @@
 
 import itertools
 from collections import defaultdict
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from boragespool.forwarding import CallQueue, WaitingCall
+from boragespool.forwarding import CallQueue
 from boragespool.metrics import FORWARD_WAITS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from boragespool.forwarding import WaitingCall
     from boragespool.timers import TimerService
     from boragespool.types import Seconds, ServiceName
 
@@ -21,20 +21,6 @@
 _LOOK_AHEAD: Final = 4
 
 
-@dataclass(frozen=True, slots=True)
-class Turn:
-    """What a call needs for its turn.
-
-    Attributes
-    ----------
-    resume : callable
-        Sends the call; False if no server that it may use has room.
-    """
-
-    call: WaitingCall
-    resume: Callable[[], bool]
-
-
 class WaitingCalls:
     """One queue for each service.
 
@@ -49,23 +35,34 @@
         self._timers = timers
         self._queues_by_service: defaultdict[ServiceName, CallQueue]
         self._queues_by_service = defaultdict(CallQueue)
-        self._turns_by_number: dict[int, Turn] = {}
-
-    def join(self, service: ServiceName, turn: Turn) -> bool:
-        """Let a call wait; False if its turn would come too late."""
+        self._resume_by_number: dict[int, Callable[[], bool]] = {}
+
+    def join(
+        self,
+        service: ServiceName,
+        call: WaitingCall,
+        resume: Callable[[], bool],
+    ) -> bool:
+        """Let a call wait; False if its turn would come too late.
+
+        Parameters
+        ----------
+        resume : callable
+            Sends the call; False if no server that it may use has room.
+        """
         queue = self._queues_by_service[service]
-        is_waiting = queue.join(turn.call, self._timers.now_s())
+        is_waiting = queue.join(call, self._timers.now_s())
         FORWARD_WAITS.labels(
-            str(turn.call.priority),
+            str(call.priority),
             'waits' if is_waiting else 'refused',
         ).inc()
         if is_waiting:
-            self._turns_by_number[turn.call.number] = turn
+            self._resume_by_number[call.number] = resume
         return is_waiting
 
     def leave(self, service: ServiceName, number: int) -> None:
         """Forget a call that has ended."""
-        if self._turns_by_number.pop(number, None) is not None:
+        if self._resume_by_number.pop(number, None) is not None:
             self._queues_by_service[service].leave(number)
 
     def is_waiting(self, service: ServiceName) -> bool:
@@ -93,8 +90,8 @@
     def _serve_one(self, queue: CallQueue) -> bool:
         now_s = self._timers.now_s()
         for number in itertools.islice(queue.order(now_s), _LOOK_AHEAD):
-            if self._turns_by_number[number].resume():
-                self._turns_by_number.pop(number, None)
+            if self._resume_by_number[number]():
+                self._resume_by_number.pop(number, None)
                 queue.grant(number, now_s)
                 return True
         return False
--- a/boragespool/daemon/forwarder.py
+++ b/boragespool/daemon/forwarder.py
@@ -9,15 +9,13 @@
 import asyncio
 import random
 from contextlib import AsyncExitStack
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final, Self
 
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from boragespool.blackboard import Blackboard
-from boragespool.blackboard.forwarding_topics import (
-    REGISTERED,
-    ROUTES,
-)
+from boragespool.blackboard.forwarding_topics import REGISTERED, ROUTES
 from boragespool.controllers.forwarding.feed_rounds import (
     FEED_PATH,
     answer_feed,
@@ -146,13 +144,7 @@
         response = await self.gateway.handle(request)
         if not self._leaving:
             return response
-        return HttpResponse(
-            response.status,
-            response.body,
-            response.content_type,
-            close=True,
-            fields=response.fields,
-        )
+        return replace(response, close=True)
 
     async def answer_readiness(self, _: HttpRequest) -> HttpResponse:
         """Answer a readiness check."""
--- a/boragespool/forwarding/replies.py
+++ b/boragespool/forwarding/replies.py
@@ -7,13 +7,11 @@
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
-    from boragespool.types import RequestId, Seconds
+    from boragespool.types import HeaderFields, RequestId, Seconds
 
 _FIRST_SUCCESS: Final = 200
 _FIRST_REDIRECT: Final = 300
 
-Fields = tuple[tuple[str, str], ...]
-
 
 @dataclass(frozen=True, slots=True)
 class ForwardRequest:
@@ -36,7 +34,7 @@
     target: str
     path: str
     body: bytes
-    fields: Fields
+    fields: HeaderFields
     request_id: RequestId | None
     timeout_s: Seconds | None
 
@@ -59,7 +57,7 @@
 
     status: int
     body: bytes
-    fields: Fields
+    fields: HeaderFields
     signature: str | None
     not_run: bool
     is_other_server: bool = False
--- a/boragespool/http/messages.py
+++ b/boragespool/http/messages.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any, Final, TypeAlias
+from typing import TYPE_CHECKING, Any, Final
 from urllib.parse import SplitResult, parse_qs, urlsplit
 
 import msgspec
@@ -13,8 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-#: Names in lower case with their values.
-HeaderFields: TypeAlias = tuple[tuple[str, str], ...]
+    from boragespool.types import HeaderFields
 
 _JSON_TYPE: Final = 'application/json'
 _ENCODER: Final = msgspec.json.Encoder()
--- a/boragespool/item_store.py
+++ b/boragespool/item_store.py
@@ -95,8 +95,8 @@
     ttl_s: Seconds
 
 
-class ItemStore(Protocol):
-    """Calls to the store; a `Failure` has the run state of a write."""
+class ItemSource(Protocol):
+    """Reads of the store."""
 
     async def read_page(
         self,
@@ -121,6 +121,10 @@
         """Wait until there is a change after a revision, or `wait_s` passed."""
         ...
 
+
+class ItemStore(ItemSource, Protocol):
+    """Calls to the store; a `Failure` has the run state of a write."""
+
     async def put(
         self,
         key: str,
--- a/boragespool/types.py
+++ b/boragespool/types.py
@@ -8,6 +8,8 @@
 HostName: TypeAlias = str
 DataCentre: TypeAlias = str
 Region: TypeAlias = str
+#: Names in lower case with their values, in order.
+HeaderFields: TypeAlias = tuple[tuple[str, str], ...]
 CallerName: TypeAlias = str
 ServerName: TypeAlias = str
 ServiceName: TypeAlias = str
--- a/tests/platform_standins/world.py
+++ b/tests/platform_standins/world.py
@@ -53,6 +53,21 @@
     } | fields
 
 
+def settings_document(name, zone, store_address):
+    """Return the settings file of a daemon, with free addresses."""
+    return {
+        'node': name,
+        'zone': zone,
+        'region': f'{zone}-region',
+        'zones': {'here': 'here-region', 'there': 'there-region'},
+        'listen_addrs': {
+            use: free_address()
+            for use in ('front', 'readiness', 'control', 'directory')
+        },
+        'platform': {'address': store_address},
+    }
+
+
 async def until(condition, timeout_s=5):
     """Wait until a condition holds."""
     async with asyncio.timeout(timeout_s):
@@ -103,23 +118,9 @@
 
     def boot(self, name, zone='here', **fields):
         """Return the settings file of a daemon."""
-        addresses = {
-            use: free_address()
-            for use in ('front', 'readiness', 'control', 'directory')
-        }
-        return msgspec.convert(
-            {
-                'node': name,
-                'zone': zone,
-                'region': f'{zone}-region',
-                'zones': {'here': 'here-region', 'there': 'there-region'},
-                'listen_addrs': addresses,
-                'platform': {'address': self.store.address},
-                'bounds': {'grace_s': 3, 'budget_slack': 40},
-            }
-            | fields,
-            Boot,
-        )
+        bounds = {'bounds': {'grace_s': 3, 'budget_slack': 40}}
+        document = settings_document(name, zone, self.store.address)
+        return msgspec.convert(document | bounds | fields, Boot)
 
     async def _listen(self, boot):
         """Start a daemon; None if a free port was taken meanwhile."""
--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from tests.test_peers import free_address
+from tests.platform_standins.world import settings_document
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 GRACE_S = 4
@@ -31,17 +31,8 @@
 
     def __init__(self, name, zone, store_address, seeds, folder, bounds):
         self.name = name
-        self.boot = {
-            'node': name,
-            'zone': zone,
-            'region': f'{zone}-region',
-            'zones': {'here': 'here-region', 'there': 'there-region'},
-            'listen_addrs': {
-                use: free_address()
-                for use in ('front', 'readiness', 'control', 'directory')
-            },
+        self.boot = settings_document(name, zone, store_address) | {
             'seeds': seeds,
-            'platform': {'address': store_address},
             'bounds': bounds | {'grace_s': GRACE_S},
         }
         self.path = pathlib.Path(folder) / f'{name}.json'
--- a/tests/test_call_queue.py
+++ b/tests/test_call_queue.py
@@ -12,20 +12,10 @@
 from hypothesis import strategies as st
 
 from boragespool.controllers.forwarding.server import Server
-from boragespool.forwarding import CallQueue, Registration, WaitingCall
+from boragespool.forwarding import CallQueue, WaitingCall
 from tests.platform_standins.world import route, run, send
+from tests.test_registrations import FIRST
 
-REGISTRATION = Registration(
-    server='i',
-    service='one',
-    address='127.0.0.1:1',
-    data_centre='here',
-    slots=5,
-    draining=False,
-    warm_up_s=0,
-    born_ms=1,
-    sequence=1,
-)
 TIMES = st.floats(0, 2)
 WAITING = st.tuples(st.integers(0, 2), TIMES, TIMES)
 
@@ -111,7 +101,7 @@
         self.draw = random.Random(seed)
         self.waits_here = waits_here
         self.slowness = slowness
-        self.server = Server(REGISTRATION, Link())
+        self.server = Server(FIRST, Link())
         self.server.share(30, 5)
         self.queue = CallQueue()
         self.events, self.order = [], itertools.count()
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -6,9 +6,7 @@
 
 import pytest
 
-from boragespool.blackboard.forwarding_topics import (
-    ROUTES,
-)
+from boragespool.blackboard.forwarding_topics import ROUTES
 from boragespool.http import ExchangeFailure, HttpRequest, open_connection
 from tests.platform_standins.world import (
     DOMAIN,
@@ -23,6 +21,13 @@
 SHARDS = ['s-0', 's-1', 's-2']
 
 
+async def one_server(world):
+    """Serve one backend server behind one route; return a daemon."""
+    await world.serve('one', 'i-a', body=b'answer')
+    world.configure(route(service='one'))
+    return await world.start()
+
+
 async def three_shards(world, replicas=1, **fields):
     """Serve three shards with one record each and a route over them."""
     for number, shard in enumerate(SHARDS):
@@ -257,9 +262,7 @@
     """A route of a newer version is served; an older version is ignored."""
 
     async def scenario(world):
-        await world.serve('one', 'i-a', body=b'answer')
-        world.configure(route(service='one'))
-        daemon = await world.start()
+        daemon = await one_server(world)
         world.configure(route(service='one', prefix='/other/'))
         await until(
             lambda: daemon.board.read(ROUTES).version == world.version, 1
@@ -278,9 +281,7 @@
     """A watch that the store never answers must not delay a change."""
 
     async def scenario(world):
-        await world.serve('one', 'i-a', body=b'answer')
-        world.configure(route(service='one'))
-        daemon = await world.start()
+        daemon = await one_server(world)
         world.store.silent = True
         await asyncio.sleep(2)
         world.configure(route(service='one', prefix='/other/'))
@@ -405,9 +406,7 @@
     """Registrations that lapse with the store are back within seconds."""
 
     async def scenario(world):
-        await world.serve('one', 'i-a', body=b'answer')
-        world.configure(route(service='one'))
-        daemon = await world.start()
+        daemon = await one_server(world)
         world.store.down = True
         await asyncio.sleep(1.5)
         world.store.remove('servers/i-a')
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -11,9 +11,7 @@
 from boragespool_platform.settings import Boot, options_of
 
 from boragespool.blackboard import Blackboard
-from boragespool.blackboard.forwarding_topics import (
-    REGISTERED,
-)
+from boragespool.blackboard.forwarding_topics import REGISTERED
 from boragespool.controllers.forwarding.feed import ChangeFeed, FeedPart
 from boragespool.controllers.forwarding.feed_rounds import (
     FEED_PATH,
@@ -26,7 +24,7 @@
     PrefixMirror,
 )
 from boragespool.controllers.forwarding.registry import ServerRegistry
-from boragespool.controllers.forwarding.relay import RelayedStore, RelayOptions
+from boragespool.controllers.forwarding.relay import RelayedSource, RelayOptions
 from boragespool.http import (
     HttpLimits,
     HttpRequest,
@@ -59,18 +57,18 @@
 
     async def scenario():
         feed = ChangeFeed(VirtualTimers())
-        assert isinstance(await feed.read(None, 0), HistoryLost)
+        assert isinstance(feed.read(None), HistoryLost)
         first, second = item('a', 3), item('b', 5)
         feed.publish({'a': first}, state(3))
         feed.publish({'b': second}, state(5))
         feed.publish({'a': None}, state(7))
         feed.publish({}, state(9))
-        everything = await feed.read(None, 0)
+        everything = feed.read(None)
         assert (everything.items, everything.revision) == ((second,), 9)
-        part = await feed.read(3, 0)
+        part = feed.read(3)
         assert part.items == (second,)
         assert part.removals == (Removal('a', 7),)
-        nothing = await feed.read(9, 0)
+        nothing = feed.read(9)
         assert not nothing.items + nothing.removals
 
     asyncio.run(scenario())
@@ -84,14 +82,14 @@
         feed = ChangeFeed(timers)
         feed.publish({}, state(3, read_at_s=0))
         timers.advance(4)
-        part = await feed.read(None, 0)
+        part = feed.read(None)
         assert part.age_s == 4
         other = ChangeFeed(timers)
         other.publish({}, state(3, read_at_s=timers.now_s() - part.age_s))
         timers.advance(3)
-        assert (await other.read(None, 0)).age_s == 7
+        assert other.read(None).age_s == 7
         feed.confirm()
-        assert (await feed.read(None, 0)).age_s == 0
+        assert feed.read(None).age_s == 0
 
     asyncio.run(scenario())
 
@@ -103,8 +101,8 @@
         feed = ChangeFeed(VirtualTimers())
         for revision in range(2, 2_100):
             feed.publish({str(revision): None}, state(revision))
-        assert isinstance(await feed.read(2, 0), HistoryLost)
-        assert isinstance(await feed.read(2_090, 0), FeedPart)
+        assert isinstance(feed.read(2), HistoryLost)
+        assert isinstance(feed.read(2_090), FeedPart)
 
     asyncio.run(scenario())
 
@@ -155,7 +153,7 @@
     options = RelayOptions(
         lambda: reader, lambda: tuple(others), oldest_s, oldest_s, 1
     )
-    return RelayedStore(store, options)
+    return RelayedSource(store, options)
 
 
 @pytest.mark.parametrize('age_s', [0, 5])
@@ -358,15 +356,15 @@
         board.subscribe(REGISTERED, posted.append)
         registry = ServerRegistry(board, timers, options_of(boot), DIALECT)
         registry.take_state(registry_state(entry_item(3), 3, 0))
-        first = await registry.feed.read(None, 0)
+        first = registry.feed.read(None)
         assert [item.key for item in first.items] == ['servers/i-a']
         timers.advance(10)
         registry.take_state(registry_state(None, 8, 10, 10))
-        lapsed = await registry.feed.read(3, 0)
+        lapsed = registry.feed.read(3)
         assert lapsed.removals == (Removal('servers/i-a', 8),)
         assert 'i-a' in board.read(REGISTERED)
         registry.take_state(registry_state(entry_item(9), 9, 10, 10))
-        back = await registry.feed.read(8, 0)
+        back = registry.feed.read(8)
         assert [item.key for item in back.items] == ['servers/i-a']
         registry.take_state(registry_state(None, 11, 10, 10))
         timers.advance(3)
