Rename the public names of the forwarding controllers

Names such as Dialect, Job, FeedRounds and WaitingCalls were figurative or vague. They become MessageCodec, RoutedRequest, FeedClient and ServiceQueues; the modules follow. Renames only; service call, call queue, relay and platform adapter tests pass.

--- a/boragespool/blackboard/forwarding_topics.py
+++ b/boragespool/blackboard/forwarding_topics.py
@@ -16,7 +16,7 @@
 ROUTES: Final[Topic[RouteTable | None]] = Topic('routes', None)
 #: Registrations of backend servers in force; None until the store was read.
 #: Posted by the server registry.
-REGISTERED: Final[Topic[Mapping[ServerName, Registration] | None]] = Topic(
+REGISTRATIONS: Final[Topic[Mapping[ServerName, Registration] | None]] = Topic(
     'registered',
     None,
 )
--- a/boragespool/controllers/forwarding/calls.py
+++ b/boragespool/controllers/forwarding/calls.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from boragespool.controllers.forwarding.links import Outgoing
+from boragespool.controllers.forwarding.server_connections import Outgoing
 from boragespool.forwarding import (
     Reply,
     Verdict,
@@ -20,9 +20,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from boragespool.controllers.forwarding.dialect import Dialect
+    from boragespool.controllers.forwarding.codec import MessageCodec
     from boragespool.controllers.forwarding.fleet import ServerFleet
-    from boragespool.controllers.forwarding.links import Exchange
+    from boragespool.controllers.forwarding.server_connections import Exchange
     from boragespool.controllers.forwarding.server import Server
     from boragespool.forwarding import (
         Deadlines,
@@ -44,7 +44,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Job:
+class RoutedRequest:
     """A request on its route with its deadlines."""
 
     request: ForwardRequest
@@ -79,8 +79,8 @@
     def __init__(
         self,
         fleet: ServerFleet,
-        dialect: Dialect,
-        job: Job,
+        dialect: MessageCodec,
+        job: RoutedRequest,
         service: ServiceName,
         on_end: Callable[[ServiceCall, Reply | Failure], None],
     ) -> None:
@@ -119,7 +119,7 @@
     def start(self) -> None:
         """Send the first attempt."""
         now_s = self._fleet.timers.now_s()
-        self._fleet.budget(self.service).note_request(now_s)
+        self._fleet.retry_budget(self.service).note_request(now_s)
         if not self._send() and not self._wait():
             self._finish(self._failure())
 
@@ -133,7 +133,7 @@
         self._end()
         if not self._open_by_attempt:
             return
-        if self._fleet.waiting.is_waiting(self.service):
+        if self._fleet.queues.has_waiting(self.service):
             self._close_attempts()
         else:
             self._fleet.timers.after(_ABANDON_S, self._close_attempts)
@@ -145,7 +145,7 @@
 
     def _stop_waiting(self) -> None:
         if self._waiting is not None:
-            self._fleet.waiting.leave(self.service, self._waiting)
+            self._fleet.queues.leave(self.service, self._waiting)
             self._waiting = None
 
     def _wait(self) -> bool:
@@ -157,15 +157,15 @@
         if not self._fleet.servers_of(self.service).keys() - self._tried:
             return False
         deadlines = self._job.deadlines
-        usual_s = self._fleet.times.usual_s(self._job.route.name)
-        number = self._fleet.next_attempt()
+        usual_s = self._fleet.route_times.usual_s(self._job.route.name)
+        number = self._fleet.next_attempt_number()
         call = WaitingCall(
             number,
             self._job.route.priority,
             deadlines.target_at_s - usual_s,
             deadlines.end_at_s,
         )
-        if not self._fleet.waiting.join(self.service, call, self._resume):
+        if not self._fleet.queues.join(self.service, call, self._resume):
             self._reason = 'its backend servers have no room in time'
             return False
         self._waiting = number
@@ -175,11 +175,11 @@
     def _close_attempts(self) -> None:
         now_s = self._fleet.timers.now_s()
         route = self._job.route.name
-        usual_s = self._fleet.times.usual_s(route)
-        unloaded_s = self._fleet.times.unloaded_s(route)
+        usual_s = self._fleet.route_times.usual_s(route)
+        unloaded_s = self._fleet.route_times.unloaded_s(route)
         for number, attempt in self._open_by_attempt.items():
             waited_s = attempt.server.load.abandoned(number, usual_s, now_s)
-            attempt.server.note_abandoned(waited_s, unloaded_s, now_s)
+            attempt.server.record_abandoned(waited_s, unloaded_s, now_s)
             if attempt.exchange is not None:
                 attempt.exchange.cancel()
         self._open_by_attempt.clear()
@@ -210,13 +210,13 @@
         name = server.registration.server
         self._tried.add(name)
         self.sent_count += 1
-        number = self._fleet.next_attempt()
+        number = self._fleet.next_attempt_number()
         attempt = _Attempt(server)
         self._open_by_attempt[number] = attempt
         now_s = self._fleet.timers.now_s()
         server.load.begin(number, now_s)
         left_s = self._job.deadlines.caller_at_s - now_s
-        attempt.exchange = server.link.send(
+        attempt.exchange = server.connections.send(
             _outgoing(self._job, self._dialect, name, left_s),
             lambda result: self._take(number, result),
         )
@@ -230,7 +230,7 @@
             return
         delay_s = hedge_after_s(
             route,
-            self._fleet.times.quantile_s(route.name),
+            self._fleet.route_times.quantile_s(route.name),
             server.load.distance_s,
         )
         self._hedge = self._fleet.timers.after(delay_s, self._try_hedge)
@@ -239,7 +239,9 @@
         if self._ended or not self._open_by_attempt:
             return
         has_room = self._fleet.has_room(self.service, self._tried)
-        if has_room and self._fleet.may_repeat(self.service, is_hedge=True):
+        if has_room and self._fleet.spend_retry_budget(
+            self.service, is_hedge=True
+        ):
             self._send()
 
     def _stop_hedging(self) -> None:
@@ -257,7 +259,7 @@
         if isinstance(result, ExchangeFailure):
             self._take_failure(number, attempt.server, result)
             return
-        self._fleet.note_handshake(attempt.server)
+        self._fleet.update_distance(attempt.server)
         reply = self._dialect.read_reply(result)
         verdict = judge(reply)
         if verdict is Verdict.SUCCESS:
@@ -266,7 +268,7 @@
         now_s = self._fleet.timers.now_s()
         attempt.server.load.failed(number, now_s, refused=False)
         if verdict is Verdict.NOT_RUN:
-            attempt.server.note_refusal(now_s)
+            attempt.server.record_failure(now_s)
         if reply.is_other_server:
             self._fleet.drop(attempt.server)
         if verdict is not Verdict.NOT_RUN:
@@ -278,13 +280,15 @@
         self._go_on(not_run=verdict is Verdict.NOT_RUN)
 
     def _take_success(self, number: int, server: Server, reply: Reply) -> None:
-        times = self._fleet.times
+        route_times = self._fleet.route_times
         route = self._job.route.name
         now_s = self._fleet.timers.now_s()
-        service_s = server.load.answered(number, times.usual_s(route), now_s)
+        service_s = server.load.answered(
+            number, route_times.usual_s(route), now_s
+        )
         if service_s is not None:
-            times.record(route, service_s)
-            server.note_answer(service_s, times.unloaded_s(route), now_s)
+            route_times.record(route, service_s)
+            server.record_reply(service_s, route_times.unloaded_s(route), now_s)
         self._finish(reply)
 
     def _take_failure(
@@ -295,7 +299,7 @@
     ) -> None:
         now_s = self._fleet.timers.now_s()
         server.load.failed(number, now_s, refused=True)
-        server.note_refusal(now_s)
+        server.record_failure(now_s)
         self._reason = failure.reason
         if failure.sent:
             self._may_have_run = True
@@ -317,7 +321,9 @@
             return
         may_send = self._job.route.idempotent or not_run
         if may_send and counts:
-            may_send = self._fleet.may_repeat(self.service, is_hedge=False)
+            may_send = self._fleet.spend_retry_budget(
+                self.service, is_hedge=False
+            )
         if may_send and (self._send() or self._wait()):
             return
         if self._open_by_attempt:
@@ -351,19 +357,19 @@
     route: ForwardRoute,
 ) -> Seconds:
     """Return the expected wait for room at a server, in seconds."""
-    return fleet.waiting.wait_s(service, route.priority)
+    return fleet.queues.wait_s(service, route.priority)
 
 
 def _outgoing(
-    job: Job,
-    dialect: Dialect,
+    job: RoutedRequest,
+    dialect: MessageCodec,
     server: ServerName,
     left_s: Seconds,
 ) -> Outgoing:
     """Return the request as it is sent to one server."""
     echo = None
     if job.request.request_id is not None:
-        echo = (dialect.echo_field, job.request.request_id)
+        echo = (dialect.echo_header, job.request.request_id)
     return Outgoing(
         dialect.write_request(job.request, server, left_s),
         left_s,
--- a/boragespool/controllers/forwarding/dialect.py
+++ b/boragespool/controllers/forwarding/codec.py
@@ -21,7 +21,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Gathered:
+class MergedReply:
     """Answer that was merged from the replies of several shards.
 
     Attributes
@@ -40,7 +40,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AddressQuestion:
+class AddressQuery:
     """Question of a caller for addresses."""
 
     region: str
@@ -48,21 +48,21 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Dialect:
+class MessageCodec:
     """Translations between messages of the product and those on the wire.
 
     Attributes
     ----------
-    read_request, read_reply, read_question : callable
+    read_request, read_reply, read_address_query : callable
         Decode a request of a caller, a reply of a backend server and a
         question for addresses; a `Failure` says what is wrong.
     write_request : callable
         Encodes a request for one backend server with the time left.
-    write_reply, write_gathered, write_failure : callable
+    write_reply, write_merged_reply, write_failure : callable
         Encode a final answer to a caller.
     write_addresses : callable
         Encodes addresses and the time for which they may be kept.
-    echo_field : str
+    echo_header : str
         Header field in which a backend server repeats the request id.
     read_configuration, read_registration : callable
         Decode items of the store.
@@ -72,10 +72,10 @@
     write_request: Callable[[ForwardRequest, ServerName, Seconds], HttpRequest]
     read_reply: Callable[[HttpResponse], Reply]
     write_reply: Callable[[Reply], HttpResponse]
-    write_gathered: Callable[[Gathered], HttpResponse]
+    write_merged_reply: Callable[[MergedReply], HttpResponse]
     write_failure: Callable[[Failure], HttpResponse]
-    read_question: Callable[[HttpRequest], AddressQuestion | Failure]
+    read_address_query: Callable[[HttpRequest], AddressQuery | Failure]
     write_addresses: Callable[[tuple[Address, ...], Seconds], HttpResponse]
-    echo_field: str
+    echo_header: str
     read_configuration: Callable[[Item], ForwardConfiguration | Failure]
     read_registration: Callable[[Item], Registration | Failure]
--- a/boragespool/controllers/forwarding/versions.py
+++ b/boragespool/controllers/forwarding/configuration_follower.py
@@ -13,7 +13,7 @@
 
 if TYPE_CHECKING:
     from boragespool.blackboard import Blackboard
-    from boragespool.controllers.forwarding.dialect import Dialect
+    from boragespool.controllers.forwarding.codec import MessageCodec
     from boragespool.controllers.forwarding.mirror import MirrorState
     from boragespool.item_store import Item
     from boragespool.timers import TimerService
@@ -36,7 +36,7 @@
         self,
         board: Blackboard,
         timers: TimerService,
-        dialect: Dialect,
+        dialect: MessageCodec,
     ) -> None:
         """Start without a configuration."""
         self.version: int | None = None
@@ -44,7 +44,7 @@
         self._dialect = dialect
         self._board = board
 
-    def take_state(self, state: MirrorState) -> None:
+    def apply_state(self, state: MirrorState) -> None:
         """Take over the configuration if it changed."""
         changes_by_key = state.changes_by_key
         self.feed.publish(changes_by_key, state)
--- a/boragespool/controllers/forwarding/feed.py
+++ b/boragespool/controllers/forwarding/feed.py
@@ -13,7 +13,7 @@
 
 from boragespool.item_store import HistoryLost, Item, Removal
 
-# msgspec resolves the annotations of `FeedPart` at run time.
+# msgspec resolves the annotations of `PrefixChanges` at run time.
 from boragespool.types import Seconds  # noqa: TC001
 
 if TYPE_CHECKING:
@@ -27,7 +27,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FeedPart:
+class PrefixChanges:
     """Changes of one prefix up to a revision of the store.
 
     Attributes
@@ -95,7 +95,7 @@
             self._changed.set()
             self._changed = asyncio.Event()
 
-    def confirm(self) -> None:
+    def mark_read(self) -> None:
         """Note that the store was reached, while a watch waits there."""
         self._read_at_s = self._timers.now_s()
 
@@ -106,7 +106,7 @@
         if after_revision >= self._changed_at:
             await self._changed.wait()
 
-    def read(self, after_revision: int | None) -> FeedPart | HistoryLost:
+    def read(self, after_revision: int | None) -> PrefixChanges | HistoryLost:
         """Return the changes after a revision, or all items without one."""
         if after_revision is None:
             return self._part(-1)
@@ -117,12 +117,12 @@
     def _is_lost(self, revision: int) -> bool:
         return revision < self._floor or self._revision is None
 
-    def _part(self, after: int) -> FeedPart | HistoryLost:
+    def _part(self, after: int) -> PrefixChanges | HistoryLost:
         if self._revision is None:
             return HistoryLost()
         now_s = self._timers.now_s()
         returned_ago_s = now_s - self._returned_at_s
-        return FeedPart(
+        return PrefixChanges(
             tuple(
                 self._items_by_key[key]
                 for key, revision in self._published_at_by_key.items()
--- a/boragespool/controllers/forwarding/feed_rounds.py
+++ b/boragespool/controllers/forwarding/feed_http.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from boragespool.controllers.forwarding.feed import FeedPart
+from boragespool.controllers.forwarding.feed import PrefixChanges
 from boragespool.http import (
     ConnectionPool,
     ExchangeFailure,
@@ -40,7 +40,7 @@
 _INCOMPLETE: Final = 'its answer is incomplete'
 
 #: What another daemon knows of one prefix; None if its history is lost.
-_Parts = tuple[FeedPart | None, ...]
+_Parts = tuple[PrefixChanges | None, ...]
 
 
 @dataclass(slots=True)
@@ -48,12 +48,12 @@
     """Watches that are asked in one exchange."""
 
     after_by_prefix: dict[str, int] = field(default_factory=dict)
-    answers_by_prefix: dict[str, asyncio.Future[FeedPart | str]] = field(
+    answers_by_prefix: dict[str, asyncio.Future[PrefixChanges | str]] = field(
         default_factory=dict,
     )
 
 
-class FeedRounds:
+class FeedClient:
     """Asks other daemons what changed, an async context manager.
 
     Parameters
@@ -75,7 +75,7 @@
         await self._tasks.close()
         await self._pool.__aexit__(*exc_info)
 
-    async def read(self, address: Address, prefix: str) -> FeedPart | str:
+    async def read(self, address: Address, prefix: str) -> PrefixChanges | str:
         """Return all items, or why the other daemon cannot tell."""
         parts_by_prefix = await self._exchange(address, {prefix: None}, 0)
         return parts_by_prefix.get(prefix, _INCOMPLETE)
@@ -85,14 +85,14 @@
         address: Address,
         prefix: str,
         after_revision: int,
-    ) -> FeedPart | str:
+    ) -> PrefixChanges | str:
         """Wait for changes; watches of other prefixes share the exchange."""
         joined = self._joining_by_address.get(address)
         if joined is None:
             joined = _Round()
             self._joining_by_address[address] = joined
             self._tasks.spawn(self._run(address, joined))
-        answer: asyncio.Future[FeedPart | str]
+        answer: asyncio.Future[PrefixChanges | str]
         answer = asyncio.get_running_loop().create_future()
         joined.after_by_prefix[prefix] = after_revision
         joined.answers_by_prefix[prefix] = answer
@@ -127,7 +127,7 @@
         address: Address,
         after_by_prefix: Mapping[str, int | None],
         wait_s: Seconds,
-    ) -> dict[str, FeedPart | str]:
+    ) -> dict[str, PrefixChanges | str]:
         query = {
             'prefix': _SEPARATOR.join(after_by_prefix),
             'after': _SEPARATOR.join(
@@ -150,7 +150,7 @@
         }
 
 
-async def answer_feed(
+async def handle_feed_request(
     feeds_by_prefix: Mapping[str, ChangeFeed],
     request: HttpRequest,
     longest_wait_s: Seconds,
--- a/boragespool/controllers/forwarding/fleet.py
+++ b/boragespool/controllers/forwarding/fleet.py
@@ -9,14 +9,14 @@
 from typing import TYPE_CHECKING, Final, Self
 
 from boragespool.blackboard.forwarding_topics import (
-    REGISTERED,
+    REGISTRATIONS,
     ROUTES,
     SERVING_HOSTS,
 )
-from boragespool.controllers.forwarding.links import ServerLink
+from boragespool.controllers.forwarding.server_connections import ServerLink
 from boragespool.controllers.forwarding.route_times import RouteTimes
 from boragespool.controllers.forwarding.server import Server
-from boragespool.controllers.forwarding.waiting import WaitingCalls
+from boragespool.controllers.forwarding.service_queues import ServiceQueues
 from boragespool.events import Event, log_event
 from boragespool.forwarding import (
     Candidate,
@@ -86,8 +86,8 @@
         self.board = board
         self.timers = timers
         self.options = options
-        self.times = RouteTimes(options.hedge_quantile)
-        self.waiting = WaitingCalls(timers)
+        self.route_times = RouteTimes(options.hedge_quantile)
+        self.queues = ServiceQueues(timers)
         self._known: Mapping[ServerName, Registration] = {}
         self._daemons_by_data_centre: Counter[DataCentre] = Counter()
         self._draw = draw
@@ -106,7 +106,7 @@
         """Follow the blackboard and begin to trim idle connections."""
         self._trimming = self.timers.every(_TRIM_INTERVAL_S, self._trim)
         self._unsubscribe = (
-            self.board.subscribe(REGISTERED, self._take_servers),
+            self.board.subscribe(REGISTRATIONS, self._take_servers),
             self.board.subscribe(SERVING_HOSTS, self._take_hosts),
             self.board.subscribe(ROUTES, self._share_connections),
         )
@@ -120,14 +120,14 @@
             unsubscribe()
         for servers in self._servers_by_service.values():
             for server in servers.values():
-                server.link.close()
+                server.connections.close()
 
     @property
     def daemon_count(self) -> int:
         """Daemons that are known to serve, at least this one."""
         return max(1, self._daemons_by_data_centre.total())
 
-    def next_attempt(self) -> int:
+    def next_attempt_number(self) -> int:
         """Return a number for an attempt that this process never used."""
         return next(self._attempts)
 
@@ -144,7 +144,7 @@
         """Choose a server for a request; None if none has room."""
         now_s = self.timers.now_s()
         servers = self.servers_of(service)
-        usual_s = self.times.usual_s(route)
+        usual_s = self.route_times.usual_s(route)
         chosen = choose_server(
             (
                 Candidate(
@@ -174,25 +174,29 @@
             if name not in tried
         )
 
-    def budget(self, service: ServiceName) -> WindowBudget:
+    def retry_budget(self, service: ServiceName) -> WindowBudget:
         """Return the budget of second attempts to a service."""
-        budget = self._budgets_by_service.get(service)
-        if budget is None:
-            budget = WindowBudget(self.options.retries, self._started_at_s)
-            self._budgets_by_service[service] = budget
-        return budget
+        retry_budget = self._budgets_by_service.get(service)
+        if retry_budget is None:
+            retry_budget = WindowBudget(
+                self.options.retry_limits, self._started_at_s
+            )
+            self._budgets_by_service[service] = retry_budget
+        return retry_budget
 
-    def may_repeat(self, service: ServiceName, *, is_hedge: bool) -> bool:
+    def spend_retry_budget(
+        self, service: ServiceName, *, is_hedge: bool
+    ) -> bool:
         """Take one second attempt from the budget of a service."""
-        return self.budget(service).spend(
+        return self.retry_budget(service).spend(
             self.timers.now_s(),
             self.daemon_count,
             is_hedge=is_hedge,
         )
 
-    def note_handshake(self, server: Server) -> None:
+    def update_distance(self, server: Server) -> None:
         """Learn the distance of a data centre from the shortest handshake."""
-        took_s = server.link.handshake_s
+        took_s = server.connections.handshake_s
         if took_s is None:
             return
         place = server.registration.data_centre
@@ -207,7 +211,7 @@
         """Stop using a server whose address another one has taken over."""
         name = server.registration.server
         self._servers_by_service[server.registration.service].pop(name, None)
-        server.link.close()
+        server.connections.close()
 
     def _take_servers(
         self,
@@ -239,13 +243,13 @@
             if _is_same_start(known.registration, registration):
                 known.registration = registration
                 return
-            known.link.close()
-        link = ServerLink(
+            known.connections.close()
+        connections = ServerLink(
             registration.address,
             self.timers,
-            partial(self.waiting.serve, registration.service),
+            partial(self.queues.serve, registration.service),
         )
-        server = Server(registration, link)
+        server = Server(registration, connections)
         server.load.distance_s = self._distance_s_by_data_centre.get(
             registration.data_centre,
             0,
@@ -258,7 +262,7 @@
         servers = self._servers_by_service[registration.service]
         known = servers.pop(registration.server, None)
         if known is not None:
-            known.link.close()
+            known.connections.close()
             _log_server(registration, state)
 
     def _place_of(self, data_centre: DataCentre) -> Place:
@@ -282,11 +286,11 @@
             for server in servers.values():
                 place = server.registration.data_centre
                 share = allowed * self._share_of(place)
-                server.share(
+                server.set_limits(
                     max(_LEAST_LIMIT, int(share)),
                     self._least_window(server.registration),
                 )
-        self.waiting.serve_all()
+        self.queues.dispatch_all()
 
     def _share_of(self, place: DataCentre) -> float:
         """Return this daemon's part of the connections in a data centre."""
@@ -307,7 +311,7 @@
     def _trim(self) -> None:
         for servers in self._servers_by_service.values():
             for server in servers.values():
-                server.link.trim()
+                server.connections.trim()
 
 
 def _note_distance(server: Server, place: str, distance_s: Seconds) -> None:
--- a/boragespool/controllers/forwarding/gateway.py
+++ b/boragespool/controllers/forwarding/gateway.py
@@ -6,10 +6,10 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
-from boragespool.blackboard.forwarding_topics import REGISTERED, ROUTES
-from boragespool.controllers.forwarding.calls import Job, ServiceCall
-from boragespool.controllers.forwarding.dialect import Gathered
-from boragespool.controllers.forwarding.gathers import Gather
+from boragespool.blackboard.forwarding_topics import REGISTRATIONS, ROUTES
+from boragespool.controllers.forwarding.calls import RoutedRequest, ServiceCall
+from boragespool.controllers.forwarding.codec import MergedReply
+from boragespool.controllers.forwarding.scatter_gather import Gather
 from boragespool.events import Event, log_event
 from boragespool.forwarding import Reply, SplitTurns, plan_deadlines
 from boragespool.metrics import FORWARD_LATENCY, FORWARDED
@@ -17,7 +17,7 @@
 from boragespool.types import RunState
 
 if TYPE_CHECKING:
-    from boragespool.controllers.forwarding.dialect import Dialect
+    from boragespool.controllers.forwarding.codec import MessageCodec
     from boragespool.controllers.forwarding.fleet import ServerFleet
     from boragespool.forwarding import (
         ForwardRequest,
@@ -47,7 +47,7 @@
         Requests that are not answered yet.
     """
 
-    def __init__(self, fleet: ServerFleet, dialect: Dialect) -> None:
+    def __init__(self, fleet: ServerFleet, dialect: MessageCodec) -> None:
         """Start without requests."""
         self.in_flight = 0
         self._fleet = fleet
@@ -69,7 +69,7 @@
             return self._dialect.write_failure(request)
         board = self._fleet.board
         routes = board.read(ROUTES)
-        if routes is None or board.read(REGISTERED) is None:
+        if routes is None or board.read(REGISTRATIONS) is None:
             failure = Failure(
                 ResultCode.NOT_READY,
                 'the daemon has no configuration yet',
@@ -95,29 +95,29 @@
         version: int,
     ) -> HttpResponse:
         began_s = self._fleet.timers.now_s()
-        self._fleet.times.expect(route.name, route.target_latency_s)
-        job = Job(
+        self._fleet.route_times.expect(route.name, route.target_latency_s)
+        job = RoutedRequest(
             request,
             route,
             plan_deadlines(route, request.timeout_s, began_s),
         )
-        outcome: Gathered | Reply | Failure
+        outcome: MergedReply | Reply | Failure
         if route.shards:
             outcome, calls = await self._gather(job)
         else:
             outcome, calls = await self._relay(job)
         self._log(job, outcome, calls, version, began_s)
-        if isinstance(outcome, Gathered):
-            return self._dialect.write_gathered(outcome)
+        if isinstance(outcome, MergedReply):
+            return self._dialect.write_merged_reply(outcome)
         if isinstance(outcome, Reply):
             return self._dialect.write_reply(outcome)
         return self._dialect.write_failure(outcome)
 
     async def _gather(
         self,
-        job: Job,
-    ) -> tuple[Gathered | Failure, tuple[ServiceCall, ...]]:
-        result: asyncio.Future[Gathered | Failure]
+        job: RoutedRequest,
+    ) -> tuple[MergedReply | Failure, tuple[ServiceCall, ...]]:
+        result: asyncio.Future[MergedReply | Failure]
         result = asyncio.get_running_loop().create_future()
         gather = Gather(self._fleet, self._dialect, job, result)
         gather.start()
@@ -130,7 +130,7 @@
 
     async def _relay(
         self,
-        job: Job,
+        job: RoutedRequest,
     ) -> tuple[Reply | Failure, tuple[ServiceCall, ...]]:
         result: asyncio.Future[Reply | Failure]
         result = asyncio.get_running_loop().create_future()
@@ -185,8 +185,8 @@
 
     def _log(
         self,
-        job: Job,
-        outcome: Gathered | Reply | Failure,
+        job: RoutedRequest,
+        outcome: MergedReply | Reply | Failure,
         calls: tuple[ServiceCall, ...],
         version: int,
         began_s: float,
@@ -217,18 +217,18 @@
         )
 
 
-def _kind_of(outcome: Gathered | Reply | Failure) -> str:
+def _kind_of(outcome: MergedReply | Reply | Failure) -> str:
     if isinstance(outcome, Failure):
         return 'refused' if outcome.run is RunState.NOT_RUN else 'failed'
-    if isinstance(outcome, Gathered) and outcome.missing_count:
+    if isinstance(outcome, MergedReply) and outcome.missing_count:
         return 'partial'
     return 'complete'
 
 
-def _reason_of(outcome: Gathered | Reply | Failure) -> str:
+def _reason_of(outcome: MergedReply | Reply | Failure) -> str:
     if isinstance(outcome, Failure):
         return outcome.reason
-    if isinstance(outcome, Gathered):
+    if isinstance(outcome, MergedReply):
         return f'answered without {outcome.missing_count} shards'
     return f'answered with status {outcome.status}'
 
@@ -249,7 +249,7 @@
     )
 
 
-def _log_gone(job: Job) -> None:
+def _log_gone(job: RoutedRequest) -> None:
     FORWARDED.labels(str(job.route.priority), 'abandoned').inc()
     log_event(
         Event.REQUEST_FORWARDED,
--- a/boragespool/controllers/forwarding/hosts.py
+++ b/boragespool/controllers/forwarding/hosts.py
@@ -102,7 +102,7 @@
         """Stop; `leave` or the end of the lease removes the record."""
         await self._tasks.close()
 
-    def serve(self) -> None:
+    def publish(self) -> None:
         """Publish this daemon from now on."""
         if not self._is_serving:
             self._is_serving = True
@@ -154,7 +154,7 @@
             record.caller_address for record in nearest[:_ADDRESS_COUNT]
         )
 
-    def take_state(self, state: MirrorState) -> None:
+    def apply_state(self, state: MirrorState) -> None:
         """Take over the records; some lapse while the store is away."""
         changes_by_key = state.changes_by_key
         self.feed.publish(changes_by_key, state)
--- a/boragespool/controllers/forwarding/options.py
+++ b/boragespool/controllers/forwarding/options.py
@@ -32,7 +32,7 @@
         Time after which a silent daemon leaves the addresses, in seconds.
     address_keep_s : float
         Time for which callers may keep addresses, in seconds.
-    stop_s : float
+    stop_timeout_s : float
         Time for a graceful stop, in seconds.
     return_grace_s : float
         Time after an outage of the store in which lapsed registrations come
@@ -66,8 +66,8 @@
     host_prefix: str
     configuration_prefix: str
     registration_prefix: str
-    retries: RetryLimits
-    stop_s: Seconds
+    retry_limits: RetryLimits
+    stop_timeout_s: Seconds
     connection_count: int = 1500
     lease_ttl_s: Seconds = 3
     address_keep_s: Seconds = 2
--- a/boragespool/controllers/forwarding/registry.py
+++ b/boragespool/controllers/forwarding/registry.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from boragespool.blackboard.forwarding_topics import REGISTERED
+from boragespool.blackboard.forwarding_topics import REGISTRATIONS
 from boragespool.controllers.forwarding.feed import ChangeFeed
 from boragespool.events import Event, log_event
 from boragespool.forwarding import RegistrationTable
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from boragespool.blackboard import Blackboard
-    from boragespool.controllers.forwarding.dialect import Dialect
+    from boragespool.controllers.forwarding.codec import MessageCodec
     from boragespool.controllers.forwarding.mirror import MirrorState
     from boragespool.controllers.forwarding.options import ForwardingOptions
     from boragespool.forwarding import Registration
@@ -45,7 +45,7 @@
         board: Blackboard,
         timers: TimerService,
         options: ForwardingOptions,
-        dialect: Dialect,
+        dialect: MessageCodec,
     ) -> None:
         """Start without registrations."""
         self.feed = ChangeFeed(timers)
@@ -58,7 +58,7 @@
         self._listed_by_key: dict[str, Registration] = {}
         self._told_by_key: dict[str, Registration] = {}
 
-    def take_state(self, state: MirrorState) -> None:
+    def apply_state(self, state: MirrorState) -> None:
         """Take over what the store lists."""
         for key, item in state.changes_by_key.items():
             self._read(key, item)
@@ -83,7 +83,7 @@
             self._timers.now_s(),
             state.returned_at_s,
         )
-        self._board.post(REGISTERED, dict(self._table.by_server))
+        self._board.post(REGISTRATIONS, dict(self._table.by_server))
 
     def _read(self, key: str, item: Item | None) -> None:
         """Keep a readable registration; others name no server."""
--- a/boragespool/controllers/forwarding/relay.py
+++ b/boragespool/controllers/forwarding/relay.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, Self
 
-from boragespool.controllers.forwarding.feed import FeedPart
-from boragespool.controllers.forwarding.feed_rounds import FeedRounds
+from boragespool.controllers.forwarding.feed import PrefixChanges
+from boragespool.controllers.forwarding.feed_http import FeedClient
 from boragespool.events import Event, log_event
 from boragespool.item_store import HistoryLost, ItemEvents, ItemPage
 from boragespool.results import Failure
@@ -67,7 +67,7 @@
         """Open nothing yet."""
         self._store = store
         self._options = options
-        self._rounds = FeedRounds(options.wait_s)
+        self._rounds = FeedClient(options.wait_s)
         self._passed_over_until_s_by_address: dict[Address, Seconds] = {}
 
     async def __aenter__(self) -> Self:
@@ -147,7 +147,7 @@
         self,
         prefix: str,
         after_revision: int | None,
-    ) -> FeedPart | None:
+    ) -> PrefixChanges | None:
         """Ask a few other daemons, of which some may be gone."""
         # Without any state an old one is better than none.
         oldest_s = self._options.oldest_other_s
@@ -171,13 +171,13 @@
         prefix: str,
         after_revision: int | None,
         oldest_s: Seconds,
-    ) -> FeedPart | None:
+    ) -> PrefixChanges | None:
         """Ask another daemon; None if it cannot tell."""
         if after_revision is None:
             part = await self._rounds.read(address, prefix)
         else:
             part = await self._rounds.watch(address, prefix, after_revision)
-        if isinstance(part, FeedPart) and part.age_s <= oldest_s:
+        if isinstance(part, PrefixChanges) and part.age_s <= oldest_s:
             return part
         reason = part if isinstance(part, str) else f'{part.age_s:.1f} s old'
         now_s = asyncio.get_running_loop().time()
@@ -192,7 +192,7 @@
         return None
 
 
-def _events(part: FeedPart) -> ItemEvents:
+def _events(part: PrefixChanges) -> ItemEvents:
     return ItemEvents(
         part.items + part.removals,
         part.revision,
@@ -201,7 +201,7 @@
     )
 
 
-def _page(part: FeedPart) -> ItemPage:
+def _page(part: PrefixChanges) -> ItemPage:
     return ItemPage(
         part.items,
         part.revision,
--- a/boragespool/controllers/forwarding/gathers.py
+++ b/boragespool/controllers/forwarding/scatter_gather.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from boragespool.controllers.forwarding.calls import ServiceCall
-from boragespool.controllers.forwarding.dialect import Gathered
+from boragespool.controllers.forwarding.codec import MergedReply
 from boragespool.forwarding import (
     Reply,
     Verdict,
@@ -19,8 +19,8 @@
 if TYPE_CHECKING:
     import asyncio
 
-    from boragespool.controllers.forwarding.calls import Job
-    from boragespool.controllers.forwarding.dialect import Dialect
+    from boragespool.controllers.forwarding.calls import RoutedRequest
+    from boragespool.controllers.forwarding.codec import MessageCodec
     from boragespool.controllers.forwarding.fleet import ServerFleet
     from boragespool.timers import Subscription
 
@@ -49,9 +49,9 @@
     def __init__(
         self,
         fleet: ServerFleet,
-        dialect: Dialect,
-        job: Job,
-        result: asyncio.Future[Gathered | Failure],
+        dialect: MessageCodec,
+        job: RoutedRequest,
+        result: asyncio.Future[MergedReply | Failure],
     ) -> None:
         """Plan one call for each shard."""
         self.calls = tuple(
@@ -140,7 +140,7 @@
     def _answer(self) -> None:
         count = self._job.route.record_count
         self._finish(
-            Gathered(
+            MergedReply(
                 greatest_records(
                     (reply.body for reply in self._replies), count
                 ),
@@ -158,7 +158,7 @@
         run = RunState.UNKNOWN if has_run or is_open else RunState.NOT_RUN
         return Failure(last.code, last.reason, run, _BACKOFF_S)
 
-    def _finish(self, outcome: Gathered | Failure) -> None:
+    def _finish(self, outcome: MergedReply | Failure) -> None:
         if self._result.done():
             return
         self._stop_waiting()
--- a/boragespool/controllers/forwarding/server.py
+++ b/boragespool/controllers/forwarding/server.py
@@ -8,7 +8,7 @@
 from boragespool.forwarding import ServerLoad
 
 if TYPE_CHECKING:
-    from boragespool.controllers.forwarding.links import ServerLink
+    from boragespool.controllers.forwarding.server_connections import ServerLink
     from boragespool.forwarding import Registration
     from boragespool.types import Seconds
 
@@ -31,23 +31,25 @@
         Requests that are sent at the same time however slow the server is.
     """
 
-    def __init__(self, registration: Registration, link: ServerLink) -> None:
+    def __init__(
+        self, registration: Registration, connections: ServerLink
+    ) -> None:
         """Start with a window as large as the link."""
         self.registration = registration
-        self.link = link
+        self.connections = connections
         self.load = ServerLoad(registration.slots)
         self.least_window = 1
-        self._window = LimitState(link.limit, link.limit)
+        self._window = LimitState(connections.limit, connections.limit)
 
     @property
     def has_room(self) -> bool:
         """Whether another request can be sent now."""
         window = max(self.least_window, self._window.limit)
-        return self.link.has_room and self.load.in_flight < window
+        return self.connections.has_room and self.load.in_flight < window
 
-    def share(self, limit: int, least_window: int) -> None:
+    def set_limits(self, limit: int, least_window: int) -> None:
         """Take this daemon's part of the connections and slots."""
-        self.link.limit = limit
+        self.connections.limit = limit
         self.least_window = least_window
         window = self._window
         if window.slots != limit:
@@ -55,7 +57,7 @@
             allowed = limit if is_full else min(limit, window.allowed)
             self._window = LimitState(limit, allowed, window.reduced_at_s)
 
-    def note_answer(
+    def record_reply(
         self,
         service_s: Seconds,
         unloaded_s: Seconds,
@@ -71,12 +73,12 @@
             Time that such a request takes without a queue, in seconds.
         """
         if service_s > _STRETCH * unloaded_s:
-            self.note_refusal(now_s)
+            self.record_failure(now_s)
         else:
             in_flight = self.load.in_flight + 1
             self._window = after_reply(self._window, in_flight)
 
-    def note_abandoned(
+    def record_abandoned(
         self,
         waited_s: Seconds,
         unloaded_s: Seconds,
@@ -84,8 +86,8 @@
     ) -> None:
         """Shrink the window if a request was given up after a long time."""
         if waited_s > _STRETCH * unloaded_s:
-            self.note_refusal(now_s)
+            self.record_failure(now_s)
 
-    def note_refusal(self, now_s: Seconds) -> None:
+    def record_failure(self, now_s: Seconds) -> None:
         """Shrink the window, as the server refused or broke a connection."""
         self._window = after_shed(self._window, now_s)
--- a/boragespool/controllers/forwarding/waiting.py
+++ b/boragespool/controllers/forwarding/service_queues.py
@@ -21,7 +21,7 @@
 _LOOK_AHEAD: Final = 4
 
 
-class WaitingCalls:
+class ServiceQueues:
     """One queue for each service.
 
     Parameters
@@ -51,21 +51,21 @@
             Sends the call; False if no server that it may use has room.
         """
         queue = self._queues_by_service[service]
-        is_waiting = queue.join(call, self._timers.now_s())
+        has_waiting = queue.join(call, self._timers.now_s())
         FORWARD_WAITS.labels(
             str(call.priority),
-            'waits' if is_waiting else 'refused',
+            'waits' if has_waiting else 'refused',
         ).inc()
-        if is_waiting:
+        if has_waiting:
             self._resume_by_number[call.number] = resume
-        return is_waiting
+        return has_waiting
 
     def leave(self, service: ServiceName, number: int) -> None:
         """Forget a call that has ended."""
         if self._resume_by_number.pop(number, None) is not None:
             self._queues_by_service[service].leave(number)
 
-    def is_waiting(self, service: ServiceName) -> bool:
+    def has_waiting(self, service: ServiceName) -> bool:
         """Whether a call to the service waits."""
         return bool(self._queues_by_service.get(service))
 
@@ -82,7 +82,7 @@
         while queue and self._serve_one(queue):
             pass
 
-    def serve_all(self) -> None:
+    def dispatch_all(self) -> None:
         """Send calls of all services."""
         for service in tuple(self._queues_by_service):
             self.serve(service)
--- a/boragespool/controllers/forwarding/reading.py
+++ b/boragespool/controllers/forwarding/store_mirrors.py
@@ -15,11 +15,13 @@
     RelayedSource,
     RelayOptions,
 )
-from boragespool.controllers.forwarding.versions import ConfigurationFollower
+from boragespool.controllers.forwarding.configuration_follower import (
+    ConfigurationFollower,
+)
 
 if TYPE_CHECKING:
     from boragespool.blackboard import Blackboard
-    from boragespool.controllers.forwarding.dialect import Dialect
+    from boragespool.controllers.forwarding.codec import MessageCodec
     from boragespool.controllers.forwarding.options import ForwardingOptions
     from boragespool.item_store import ItemStore
     from boragespool.timers import TimerService
@@ -30,7 +32,7 @@
 _READ_S: Final = 0.6
 
 
-class StoreReading:
+class StoreMirrors:
     """Registries that follow the store, an async context manager.
 
     Parameters
@@ -59,7 +61,7 @@
         board: Blackboard,
         timers: TimerService,
         options: ForwardingOptions,
-        dialect: Dialect,
+        dialect: MessageCodec,
         store: ItemStore,
     ) -> None:
         """Read nothing yet."""
@@ -89,9 +91,9 @@
             options.registration_prefix: servers.feed,
         }
         take_state_by_prefix = {
-            options.host_prefix: self.hosts.take_state,
-            options.configuration_prefix: versions.take_state,
-            options.registration_prefix: servers.take_state,
+            options.host_prefix: self.hosts.apply_state,
+            options.configuration_prefix: versions.apply_state,
+            options.registration_prefix: servers.apply_state,
         }
         self._mirrors_by_prefix = {
             prefix: PrefixMirror(
@@ -102,9 +104,9 @@
                     options.pace_s_of(prefix),
                     options.watch_wait_s,
                 ),
-                take_state,
+                apply_state,
             )
-            for prefix, take_state in take_state_by_prefix.items()
+            for prefix, apply_state in take_state_by_prefix.items()
         }
 
     async def __aenter__(self) -> Self:
@@ -142,4 +144,4 @@
         elif self.hosts.is_reader:
             for prefix, mirror in self._mirrors_by_prefix.items():
                 if not mirror.is_failing:
-                    self.feeds_by_prefix[prefix].confirm()
+                    self.feeds_by_prefix[prefix].mark_read()
--- a/boragespool/daemon/forwarder.py
+++ b/boragespool/daemon/forwarder.py
@@ -15,21 +15,21 @@
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
 from boragespool.blackboard import Blackboard
-from boragespool.blackboard.forwarding_topics import REGISTERED, ROUTES
-from boragespool.controllers.forwarding.feed_rounds import (
+from boragespool.blackboard.forwarding_topics import REGISTRATIONS, ROUTES
+from boragespool.controllers.forwarding.feed_http import (
     FEED_PATH,
-    answer_feed,
+    handle_feed_request,
 )
 from boragespool.controllers.forwarding.fleet import ServerFleet
 from boragespool.controllers.forwarding.gateway import Gateway
-from boragespool.controllers.forwarding.reading import StoreReading
+from boragespool.controllers.forwarding.store_mirrors import StoreMirrors
 from boragespool.events import Event, log_event
 from boragespool.http import HttpLimits, HttpResponse, HttpServer
 from boragespool.results import Failure, ResultCode
 from boragespool.timers import LoopTimers
 
 if TYPE_CHECKING:
-    from boragespool.controllers.forwarding.dialect import Dialect
+    from boragespool.controllers.forwarding.codec import MessageCodec
     from boragespool.controllers.forwarding.options import ForwardingOptions
     from boragespool.forwarding import RouteTable
     from boragespool.http import HttpRequest
@@ -58,7 +58,7 @@
     def __init__(
         self,
         options: ForwardingOptions,
-        dialect: Dialect,
+        dialect: MessageCodec,
         store: ItemStore,
     ) -> None:
         """Keep the parts; `__aenter__` listens."""
@@ -75,7 +75,7 @@
             random.Random().random,
         )
         self.gateway = Gateway(self.fleet, dialect)
-        self._reading = StoreReading(
+        self._reading = StoreMirrors(
             self.board,
             self._timers,
             options,
@@ -111,14 +111,14 @@
     def is_ready(self) -> bool:
         """Whether callers may be sent here."""
         has_routes = self.board.read(ROUTES) is not None
-        has_servers = self.board.read(REGISTERED) is not None
+        has_servers = self.board.read(REGISTRATIONS) is not None
         return has_routes and has_servers and not self._leaving
 
     async def stop(self) -> None:
         """Leave the addresses, finish what is in flight, then return."""
         host = self.options.host
         began_s = self._timers.now_s()
-        end_s = began_s + self.options.stop_s - _STOP_MARGIN_S
+        end_s = began_s + self.options.stop_timeout_s - _STOP_MARGIN_S
         self._leaving = True
         log_event(
             Event.STOP_REQUESTED,
@@ -128,7 +128,7 @@
         )
         leaving = asyncio.create_task(self._hosts.leave())
         listen_s = self.options.address_keep_s + _LISTEN_ON_S
-        await asyncio.sleep(min(listen_s, self.options.stop_s / 2))
+        await asyncio.sleep(min(listen_s, self.options.stop_timeout_s / 2))
         self._callers.stop_listening()
         await self._callers.drain(end_s - self._timers.now_s())
         leaving.cancel()
@@ -152,7 +152,7 @@
 
     async def answer_question(self, request: HttpRequest) -> HttpResponse:
         """Answer a caller that asks for addresses."""
-        question = self._dialect.read_question(request)
+        question = self._dialect.read_address_query(request)
         if isinstance(question, Failure):
             return self._dialect.write_failure(question)
         addresses = self._hosts.addresses(
@@ -171,7 +171,7 @@
     async def answer_control(self, request: HttpRequest) -> HttpResponse:
         """Serve the metrics, and other daemons that read through this one."""
         if request.path == FEED_PATH:
-            return await answer_feed(
+            return await handle_feed_request(
                 self._reading.feeds_by_prefix,
                 request,
                 self.options.relay_wait_s,
@@ -182,7 +182,7 @@
         options = self.options
         stack.enter_context(self.fleet)
         stack.callback(self.board.subscribe(ROUTES, self._take_routes))
-        stack.callback(self.board.subscribe(REGISTERED, self._review))
+        stack.callback(self.board.subscribe(REGISTRATIONS, self._review))
         await stack.enter_async_context(self._reading)
         await stack.enter_async_context(self._callers)
         for address, handler in (
@@ -217,4 +217,4 @@
     def _review(self, _: object) -> None:
         """Offer this daemon to callers once it knows enough."""
         if self.is_ready:
-            self._hosts.serve()
+            self._hosts.publish()
--- a/tests/test_call_queue.py
+++ b/tests/test_call_queue.py
@@ -102,7 +102,7 @@
         self.waits_here = waits_here
         self.slowness = slowness
         self.server = Server(FIRST, Link())
-        self.server.share(30, 5)
+        self.server.set_limits(30, 5)
         self.queue = CallQueue()
         self.events, self.order = [], itertools.count()
         self.free_at_s = [0.0] * 5
@@ -159,7 +159,7 @@
         call = self.calls[number]
         unloaded_s = self.SERVICE_S[call.priority]
         service_s = self.server.load.answered(number, unloaded_s, now_s)
-        self.server.note_answer(service_s, unloaded_s, now_s)
+        self.server.record_reply(service_s, unloaded_s, now_s)
         self.answered_s[number] = now_s
         while self.server.has_room and len(self.queue):
             turn = self.queue.order(now_s)[0]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -248,7 +248,7 @@
     path.write_bytes(msgspec.json.encode(boot))
     options = options_of(read_boot({PATH_VARIABLE: str(path)}))
     assert (options.host, options.data_centre) == ('front-1', 'here')
-    assert (options.stop_s, options.directory_address) == (8, '')
+    assert (options.stop_timeout_s, options.directory_address) == (8, '')
     path.write_text('{')
     assert read_boot({PATH_VARIABLE: str(path)}).code == (
         ResultCode.INVALID_SETTING
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -11,12 +11,12 @@
 from boragespool_platform.settings import Boot, options_of
 
 from boragespool.blackboard import Blackboard
-from boragespool.blackboard.forwarding_topics import REGISTERED
-from boragespool.controllers.forwarding.feed import ChangeFeed, FeedPart
-from boragespool.controllers.forwarding.feed_rounds import (
+from boragespool.blackboard.forwarding_topics import REGISTRATIONS
+from boragespool.controllers.forwarding.feed import ChangeFeed, PrefixChanges
+from boragespool.controllers.forwarding.feed_http import (
     FEED_PATH,
-    FeedRounds,
-    answer_feed,
+    FeedClient,
+    handle_feed_request,
 )
 from boragespool.controllers.forwarding.mirror import (
     MirrorOptions,
@@ -88,7 +88,7 @@
         other.publish({}, state(3, read_at_s=timers.now_s() - part.age_s))
         timers.advance(3)
         assert other.read(None).age_s == 7
-        feed.confirm()
+        feed.mark_read()
         assert feed.read(None).age_s == 0
 
     asyncio.run(scenario())
@@ -102,7 +102,7 @@
         for revision in range(2, 2_100):
             feed.publish({str(revision): None}, state(revision))
         assert isinstance(feed.read(2), HistoryLost)
-        assert isinstance(feed.read(2_090), FeedPart)
+        assert isinstance(feed.read(2_090), PrefixChanges)
 
     asyncio.run(scenario())
 
@@ -146,7 +146,7 @@
     async def _handle(self, request):
         assert request.path == FEED_PATH
         self.asked += 1
-        return await answer_feed(self.feeds_by_prefix, request, 1)
+        return await handle_feed_request(self.feeds_by_prefix, request, 1)
 
 
 def relayed(store, *, reader=None, others=(), oldest_s=1.0):
@@ -211,7 +211,7 @@
         p_feed = feeds_by_prefix.pop('p')
         loop = asyncio.get_running_loop()
         async with Peer(p_feed, **feeds_by_prefix) as peer:
-            rounds = FeedRounds(wait_s=0.5)
+            rounds = FeedClient(wait_s=0.5)
             watches = [
                 asyncio.ensure_future(rounds.watch(peer.address, name, 4))
                 for name in ('p/', 'q', 'r')
@@ -248,7 +248,7 @@
             return HttpResponse(200, msgspec.msgpack.encode([]))
 
         async with HttpServer('127.0.0.1:0', HttpLimits(), answer) as server:
-            rounds = FeedRounds(wait_s=0.2)
+            rounds = FeedClient(wait_s=0.2)
             async with asyncio.timeout(2):
                 part = await rounds.watch(server.address, 'p/', 4)
                 assert isinstance(part, str)
@@ -268,7 +268,7 @@
     async def scenario():
         feeds = {'p/': ChangeFeed(LoopTimers())}
         request = HttpRequest('GET', f'{FEED_PATH}?{query}')
-        return (await answer_feed(feeds, request, 1)).status
+        return (await handle_feed_request(feeds, request, 1)).status
 
     assert asyncio.run(scenario()) in {400, 404}
 
@@ -353,20 +353,20 @@
         )
         board = Blackboard()
         posted = []
-        board.subscribe(REGISTERED, posted.append)
+        board.subscribe(REGISTRATIONS, posted.append)
         registry = ServerRegistry(board, timers, options_of(boot), DIALECT)
-        registry.take_state(registry_state(entry_item(3), 3, 0))
+        registry.apply_state(registry_state(entry_item(3), 3, 0))
         first = registry.feed.read(None)
         assert [item.key for item in first.items] == ['servers/i-a']
         timers.advance(10)
-        registry.take_state(registry_state(None, 8, 10, 10))
+        registry.apply_state(registry_state(None, 8, 10, 10))
         lapsed = registry.feed.read(3)
         assert lapsed.removals == (Removal('servers/i-a', 8),)
-        assert 'i-a' in board.read(REGISTERED)
-        registry.take_state(registry_state(entry_item(9), 9, 10, 10))
+        assert 'i-a' in board.read(REGISTRATIONS)
+        registry.apply_state(registry_state(entry_item(9), 9, 10, 10))
         back = registry.feed.read(8)
         assert [item.key for item in back.items] == ['servers/i-a']
-        registry.take_state(registry_state(None, 11, 10, 10))
+        registry.apply_state(registry_state(None, 11, 10, 10))
         timers.advance(3)
         assert ['i-a' in known for known in posted] == [True, True, False]
 
--- a/tests/test_service_call.py
+++ b/tests/test_service_call.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from boragespool.controllers.forwarding.calls import Job, ServiceCall
+from boragespool.controllers.forwarding.calls import RoutedRequest, ServiceCall
 from boragespool.controllers.forwarding.route_times import RouteTimes
-from boragespool.controllers.forwarding.waiting import WaitingCalls
+from boragespool.controllers.forwarding.service_queues import ServiceQueues
 from boragespool.forwarding import (
     Deadlines,
     ForwardRequest,
@@ -51,7 +51,7 @@
     def __init__(self, name):
         self.registration = SimpleNamespace(server=name)
         self.load = ServerLoad(5)
-        self.link = self
+        self.connections = self
         self.has_room = True
         self.sent = []
 
@@ -59,10 +59,10 @@
         self.sent.append(on_end)
         return SimpleNamespace(cancel=lambda: None)
 
-    def note_answer(self, *args):
+    def record_reply(self, *args):
         """Keep no window."""
 
-    note_abandoned = note_refusal = note_answer
+    record_abandoned = record_failure = record_reply
 
 
 class FakeFleet:
@@ -70,8 +70,8 @@
 
     def __init__(self):
         self.timers = VirtualTimers()
-        self.times = RouteTimes(0.9)
-        self.waiting = WaitingCalls(self.timers)
+        self.route_times = RouteTimes(0.9)
+        self.queues = ServiceQueues(self.timers)
         self.servers = {name: FakeServer(name) for name in 'abc'}
         self.numbers = itertools.count()
 
@@ -87,16 +87,16 @@
     def has_room(self, service, tried):
         return self.choose(service, 'r', tried) is not None
 
-    def budget(self, service):
+    def retry_budget(self, service):
         return SimpleNamespace(note_request=lambda now_s: None)
 
-    def may_repeat(self, service, *, is_hedge):
+    def spend_retry_budget(self, service, *, is_hedge):
         return True
 
-    def next_attempt(self):
+    def next_attempt_number(self):
         return next(self.numbers)
 
-    def note_handshake(self, server):
+    def update_distance(self, server):
         """Learn no distance."""
 
 
@@ -104,7 +104,7 @@
 def world():
     fleet = FakeFleet()
     dialect = SimpleNamespace(
-        echo_field='request-id',
+        echo_header='request-id',
         write_request=lambda *args: None,
         read_reply=lambda response: response,
     )
@@ -112,7 +112,7 @@
     call = ServiceCall(
         fleet,
         dialect,
-        Job(REQUEST, ROUTE, Deadlines(0.4, 1.9, 2)),
+        RoutedRequest(REQUEST, ROUTE, Deadlines(0.4, 1.9, 2)),
         'one',
         lambda ended, outcome: ends.append(outcome),
     )
@@ -135,11 +135,11 @@
         fleet.servers[name].sent[0](BROKEN)
     assert not world.ends
     fleet.servers['c'].has_room = True
-    fleet.waiting.serve_all()
+    fleet.queues.dispatch_all()
     assert sent_names(world) == ['a', 'b', 'c']
     fleet.servers['c'].sent[0](BROKEN)
     assert [end.run for end in world.ends] == [RunState.UNKNOWN]
-    assert not fleet.waiting.is_waiting('one')
+    assert not fleet.queues.has_waiting('one')
 
 
 def test_call_that_is_hedged_waits_no_more(world):
@@ -148,12 +148,12 @@
     fleet.servers['b'].has_room = fleet.servers['c'].has_room = False
     world.call.start()
     fleet.servers['a'].sent[0](BROKEN)
-    assert fleet.waiting.is_waiting('one')
+    assert fleet.queues.has_waiting('one')
     world.call.cancel()
     fleet.servers['b'].has_room = True
-    fleet.waiting.serve_all()
+    fleet.queues.dispatch_all()
     assert sent_names(world) == ['a']
-    assert not fleet.waiting.is_waiting('one')
+    assert not fleet.queues.has_waiting('one')
 
 
 def test_ended_call_sends_nothing(world):
@@ -166,7 +166,7 @@
     world.call.abandon()
     for server in fleet.servers.values():
         server.has_room = True
-    fleet.waiting.serve_all()
+    fleet.queues.dispatch_all()
     assert not sent_names(world)
 
 
@@ -177,9 +177,9 @@
     world.call.start()
     fleet.timers.advance(0.25)
     fleet.servers['a'].sent[0](BROKEN)
-    assert fleet.waiting.is_waiting('one')
+    assert fleet.queues.has_waiting('one')
     reply = Reply(200, b'', (), 's', not_run=False)
     fleet.servers['b'].sent[0](reply)
     assert world.ends == [reply]
     assert not isinstance(world.ends[0], Failure)
-    assert not fleet.waiting.is_waiting('one')
+    assert not fleet.queues.has_waiting('one')
