Clarify docstrings of feeds, pools and options of the forwarders

Some docstrings left open what a limit counts and when a callback is skipped. They now say it; three private attributes are named by their key or content.

--- a/boragespool/controllers/forwarding/codec.py
+++ b/boragespool/controllers/forwarding/codec.py
@@ -1,7 +1,8 @@
 """Interface to the message formats of a platform.
 
-The forwarding controllers work with messages of the product; a codec encodes
-and decodes the platform's HTTP messages and store items.
+The forwarding controllers use message types that are independent of the
+platform; a codec translates them to and from its HTTP messages and decodes
+its store items.
 """
 
 from __future__ import annotations
@@ -59,7 +60,7 @@
     ----------
     read_request, read_reply, read_address_query : callable
         Decode a request of a caller, a reply of a backend server and a query
-        for addresses; a returned `Failure` tells what is invalid.
+        for addresses; a returned `Failure` describes what is invalid.
     write_request : callable
         Encode a request for one backend server, with the time left until the
         deadline of the caller, in seconds.
@@ -72,7 +73,8 @@
         Name of the header field in which a backend server repeats the request
         id.
     read_configuration, read_registration : callable
-        Decode items of the store; a returned `Failure` tells what is invalid.
+        Decode items of the store; a returned `Failure` describes what is
+        invalid.
     """
 
     read_request: Callable[[HttpRequest], ForwardRequest | Failure]
--- a/boragespool/controllers/forwarding/feed.py
+++ b/boragespool/controllers/forwarding/feed.py
@@ -68,8 +68,8 @@
         """Set up an empty feed; reads fail until the first `publish`."""
         self._timers = timers
         self._items_by_key: dict[str, Item] = {}
-        self._change_revision_by_key: dict[str, int] = {}
-        self._removal_revision_by_key: dict[str, int] = {}
+        self._change_revisions_by_key: dict[str, int] = {}
+        self._removal_revisions_by_key: dict[str, int] = {}
         self._oldest_revision = 0
         self._last_change_revision = 0
         self._revision: int | None = None
@@ -98,15 +98,15 @@
         for key, item in changes_by_key.items():
             if item is None:
                 self._items_by_key.pop(key, None)
-                self._change_revision_by_key.pop(key, None)
-                self._removal_revision_by_key[key] = revision
+                self._change_revisions_by_key.pop(key, None)
+                self._removal_revisions_by_key[key] = revision
             else:
                 self._items_by_key[key] = item
-                self._change_revision_by_key[key] = revision
-                self._removal_revision_by_key.pop(key, None)
-        while len(self._removal_revision_by_key) > _MAX_REMOVAL_COUNT:
-            oldest_key = next(iter(self._removal_revision_by_key))
-            self._oldest_revision = self._removal_revision_by_key.pop(
+                self._change_revisions_by_key[key] = revision
+                self._removal_revisions_by_key.pop(key, None)
+        while len(self._removal_revisions_by_key) > _MAX_REMOVAL_COUNT:
+            oldest_key = next(iter(self._removal_revisions_by_key))
+            self._oldest_revision = self._removal_revisions_by_key.pop(
                 oldest_key
             )
         if changes_by_key:
@@ -124,7 +124,7 @@
         self._read_at_s = self._timers.now_s()
 
     async def wait(self, after_revision: int | None) -> None:
-        """Wait until `read` returns a change or that history is lost."""
+        """Wait until `read` would return changes or `HistoryLost`."""
         if after_revision is None or self._lacks_history(after_revision):
             return
         if after_revision >= self._last_change_revision:
@@ -156,12 +156,12 @@
         return PrefixChanges(
             tuple(
                 self._items_by_key[key]
-                for key, revision in self._change_revision_by_key.items()
+                for key, revision in self._change_revisions_by_key.items()
                 if revision > after
             ),
             tuple(
                 Removal(key, revision)
-                for key, revision in self._removal_revision_by_key.items()
+                for key, revision in self._removal_revisions_by_key.items()
                 if 0 <= after < revision
             ),
             max(after, self._revision),
--- a/boragespool/controllers/forwarding/feed_http.py
+++ b/boragespool/controllers/forwarding/feed_http.py
@@ -63,7 +63,7 @@
 class FeedClient:
     """Client for the change feeds of other daemons.
 
-    Closed by `__aexit__`.
+    It has no `__aenter__`; `__aexit__` closes it.
 
     Parameters
     ----------
--- a/boragespool/controllers/forwarding/fleet.py
+++ b/boragespool/controllers/forwarding/fleet.py
@@ -118,14 +118,14 @@
         self._started_at_s = timers.now_s()
         self._attempt_numbers = itertools.count()
         self._idle_check: Subscription | None = None
-        self._unsubscribe: tuple[Callable[[], None], ...] = ()
+        self._unsubscribe_callbacks: tuple[Callable[[], None], ...] = ()
 
     def __enter__(self) -> Self:
         """Subscribe to the blackboard and start closing idle connections."""
         self._idle_check = self.timers.every(
             _IDLE_CHECK_INTERVAL_S, self._close_expired_connections
         )
-        self._unsubscribe = (
+        self._unsubscribe_callbacks = (
             self.board.subscribe(REGISTRATIONS, self._apply_registrations),
             self.board.subscribe(SERVING_HOSTS, self._apply_hosts),
             self.board.subscribe(ROUTES, self._update_limits),
@@ -136,7 +136,7 @@
         """Unsubscribe and close all idle connections."""
         if self._idle_check is not None:
             self._idle_check.cancel()
-        for unsubscribe in self._unsubscribe:
+        for unsubscribe in self._unsubscribe_callbacks:
             unsubscribe()
         for servers in self._servers_by_service.values():
             for server in servers.values():
--- a/boragespool/controllers/forwarding/hosts.py
+++ b/boragespool/controllers/forwarding/hosts.py
@@ -101,7 +101,7 @@
         self._tasks = TaskSet()
 
     async def __aenter__(self) -> Self:
-        """Start the task that publishes this daemon once `publish` asks."""
+        """Start the task that publishes this daemon after `publish`."""
         self._tasks.spawn(self._keep_published())
         return self
 
--- a/boragespool/controllers/forwarding/scatter_gather.py
+++ b/boragespool/controllers/forwarding/scatter_gather.py
@@ -42,7 +42,7 @@
     Parameters
     ----------
     fleet : ServerFleet
-        Backend servers.
+        Backend servers by service.
     codec : MessageCodec
         Encodes requests and decodes replies.
     routed_request : RoutedRequest
--- a/boragespool/controllers/forwarding/server.py
+++ b/boragespool/controllers/forwarding/server.py
@@ -68,8 +68,8 @@
         Parameters
         ----------
         connection_limit : int
-            Maximum number of open connections, which is also the upper bound
-            of the concurrency limit.
+            Maximum number of connections in use, which is also the upper
+            bound of the concurrency limit.
         min_concurrency : int
             Lower bound of the concurrency limit.
         """
--- a/boragespool/controllers/forwarding/server_connections.py
+++ b/boragespool/controllers/forwarding/server_connections.py
@@ -99,7 +99,7 @@
             self.task.cancel()
 
     def finish(self, result: HttpResponse | ExchangeFailure) -> None:
-        """Call `on_end` with the result, unless it was called before."""
+        """Call `on_end` with the result, unless the exchange has ended."""
         callback = self.on_end
         self.on_end = None
         if callback is not None:
@@ -112,7 +112,7 @@
     Parameters
     ----------
     address : str
-        ``ip:port``.
+        Address of the server, as ``ip:port``.
     timers : TimerService
         Clock.
     on_room_available : callable
@@ -121,8 +121,8 @@
     Attributes
     ----------
     limit : int
-        Maximum number of requests in flight, each on its own connection; 0
-        once the pool is closed.
+        Maximum number of connections in use at the same time; 0 once the
+        pool is closed.
     min_handshake_s : float or None
         Shortest TCP handshake so far, in seconds; None before the first one.
     """
--- a/boragespool/controllers/forwarding/store_mirrors.py
+++ b/boragespool/controllers/forwarding/store_mirrors.py
@@ -115,7 +115,7 @@
         }
 
     async def __aenter__(self) -> Self:
-        """Start reading, and publishing this daemon once that is asked for."""
+        """Start the mirrors and the task that publishes this daemon."""
         async with AsyncExitStack() as stack:
             await stack.enter_async_context(self._source)
             for mirror in self._mirrors_by_prefix.values():
