--- a/boragespool/controllers/forwarding/server.py
+++ b/boragespool/controllers/forwarding/server.py
@@ -128,5 +128,5 @@
             self.record_failure(now_s)
 
     def record_failure(self, now_s: Seconds) -> None:
-        """Lower the concurrency limit after a refusal or a broken connection."""
+        """Lower the concurrency limit after a refusal or connection failure."""
         self._concurrency = after_shed(self._concurrency, now_s)
