--- a/boragespool/controllers/forwarding/dialect.py
+++ b/boragespool/controllers/forwarding/codec.py
@@ -1,4 +1,9 @@
-"""How requests and replies are written on the wire."""
+"""Interface to the message formats of a platform.
+
+The forwarding controllers use message types that are independent of the
+platform; a codec translates them to and from its HTTP messages and decodes
+its store items.
+"""
 
 from __future__ import annotations
 
@@ -21,17 +26,17 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Gathered:
-    """Answer that was merged from the replies of several shards.
+class MergedReply:
+    """Reply that was merged from the replies of several shards.
 
     Attributes
     ----------
     body : bytes
-        Greatest records, greatest first.
+        Greatest records of all replies, in descending order.
     signatures : tuple of str
-        Signatures of the replies that were merged.
+        Signatures of the merged replies.
     missing_count : int
-        Shards without a reply.
+        Number of shards without a reply.
     """
 
     body: bytes
@@ -40,42 +45,46 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AddressQuestion:
-    """Question of a caller for addresses."""
+class AddressQuery:
+    """Query of a caller for addresses of daemons near a location."""
 
     region: str
     data_centre: str
 
 
 @dataclass(frozen=True, slots=True)
-class Dialect:
-    """Translations between messages of the product and those on the wire.
+class MessageCodec:
+    """Functions that encode and decode the messages of a platform.
 
     Attributes
     ----------
-    read_request, read_reply, read_question : callable
-        Decode a request of a caller, a reply of a backend server and a
-        question for addresses; a `Failure` says what is wrong.
+    read_request, read_reply, read_address_query : callable
+        Decode a request of a caller, a reply of a backend server and a query
+        for addresses; a returned `Failure` describes what is invalid.
     write_request : callable
-        Encodes a request for one backend server with the time left.
-    write_reply, write_gathered, write_failure : callable
-        Encode a final answer to a caller.
+        Encode a request for one backend server, with the time left until the
+        deadline of the caller, in seconds.
+    write_reply, write_merged_reply, write_failure : callable
+        Encode a final response to a caller.
     write_addresses : callable
-        Encodes addresses and the time for which they may be kept.
-    echo_field : str
-        Header field in which a backend server repeats the request id.
+        Encode addresses and the time for which callers may cache them, in
+        seconds.
+    echo_header : str
+        Name of the header field in which a backend server repeats the request
+        id.
     read_configuration, read_registration : callable
-        Decode items of the store.
+        Decode items of the store; a returned `Failure` describes what is
+        invalid.
     """
 
     read_request: Callable[[HttpRequest], ForwardRequest | Failure]
     write_request: Callable[[ForwardRequest, ServerName, Seconds], HttpRequest]
     read_reply: Callable[[HttpResponse], Reply]
     write_reply: Callable[[Reply], HttpResponse]
-    write_gathered: Callable[[Gathered], HttpResponse]
+    write_merged_reply: Callable[[MergedReply], HttpResponse]
     write_failure: Callable[[Failure], HttpResponse]
-    read_question: Callable[[HttpRequest], AddressQuestion | Failure]
+    read_address_query: Callable[[HttpRequest], AddressQuery | Failure]
     write_addresses: Callable[[tuple[Address, ...], Seconds], HttpResponse]
-    echo_field: str
+    echo_header: str
     read_configuration: Callable[[Item], ForwardConfiguration | Failure]
     read_registration: Callable[[Item], Registration | Failure]
