--- a/boragespool/bench/flood_baselines.py
+++ b/boragespool/bench/flood_baselines.py
@@ -5,7 +5,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, Final
 
-from boragespool.ranks import Grants, QueuedWork, RefusedWork
+from boragespool.ranks import QueuedWork, RefusedWork, ScheduleResult
 from boragespool.results import Failure, ResultCode
 from boragespool.types import Rank
 
@@ -42,14 +42,14 @@
         self._waiting.append(work)
         return ()
 
-    def take(self, _now_s: Seconds) -> Grants:
+    def take(self, _now_s: Seconds) -> ScheduleResult:
         """Fill free slots in order of arrival."""
         started = []
         while self._waiting and len(self._running) < self._slots:
             work = self._waiting.popleft()
             self._running.add(work.attempt_id)
             started.append(work)
-        return Grants(tuple(started))
+        return ScheduleResult(tuple(started))
 
     def finish(
         self,
@@ -104,7 +104,7 @@
         lane.append((tag, work))
         return ()
 
-    def take(self, now_s: Seconds) -> Grants:
+    def take(self, now_s: Seconds) -> ScheduleResult:
         """Fill free slots in order of virtual finish times."""
         started: list[QueuedWork] = []
         refused: list[RefusedWork] = []
@@ -120,7 +120,7 @@
             else:
                 self._running.add(work.attempt_id)
                 started.append(work)
-        return Grants(tuple(started), tuple(refused))
+        return ScheduleResult(tuple(started), tuple(refused))
 
     def finish(
         self,
--- a/boragespool/bench/flood_simulation.py
+++ b/boragespool/bench/flood_simulation.py
@@ -9,7 +9,7 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, Final, Protocol
 
-from boragespool.ranks import Grants, QueuedWork, RefusedWork
+from boragespool.ranks import QueuedWork, RefusedWork, ScheduleResult
 from boragespool.types import Rank
 
 if TYPE_CHECKING:
@@ -44,7 +44,7 @@
         """Queue work or refuse it."""
         ...
 
-    def take(self, now_s: Seconds, /) -> Grants:
+    def take(self, now_s: Seconds, /) -> ScheduleResult:
         """Decide what starts and what is cancelled."""
         ...
 
--- a/boragespool/controllers/callers/overload.py
+++ b/boragespool/controllers/callers/overload.py
@@ -13,7 +13,12 @@
 from boragespool.blackboard.topics import ADMISSION, IN_FORCE
 from boragespool.events import Event, log_event
 from boragespool.metrics import ADMITTED, LATENESS
-from boragespool.ranks import Admission, LoopWindow, Thinning, next_admission
+from boragespool.ranks import (
+    Admission,
+    LoopWindow,
+    RequestSampler,
+    next_admission,
+)
 from boragespool.results import Failure, ResultCode
 from boragespool.settings import Settings
 from boragespool.types import Rank
@@ -55,7 +60,7 @@
         self._worked_s: Seconds = 0
         self._context = context
         self._admission = Admission()
-        self._thinning_by_rank = {rank: Thinning() for rank in Rank}
+        self._thinning_by_rank = {rank: RequestSampler() for rank in Rank}
         self._failure_by_rank: dict[Rank, Failure] = {}
         self._subscription: Subscription | None = None
         self._arrived: Counter[Rank] = Counter()
@@ -173,7 +178,7 @@
         lateness_s=round(after.lateness_s, 4),
         wanted_per_s={
             rank.value: round(wanted, 1)
-            for rank, wanted in after.wanted_per_s_by_rank.items()
+            for rank, wanted in after.expected_per_s_by_rank.items()
         },
     )
 
--- a/boragespool/ranks/__init__.py
+++ b/boragespool/ranks/__init__.py
@@ -5,19 +5,19 @@
 from boragespool.ranks.overload import (
     Admission,
     LoopWindow,
-    Thinning,
+    RequestSampler,
     next_admission,
 )
 from boragespool.ranks.queue import ServerQueue
-from boragespool.ranks.work import Grants, QueuedWork, RefusedWork
+from boragespool.ranks.work import QueuedWork, RefusedWork, ScheduleResult
 
 __all__ = (
     'Admission',
-    'Grants',
     'LoopWindow',
     'QueuedWork',
     'RefusedWork',
+    'RequestSampler',
+    'ScheduleResult',
     'ServerQueue',
-    'Thinning',
     'next_admission',
 )
--- a/boragespool/ranks/account.py
+++ b/boragespool/ranks/account.py
@@ -39,7 +39,7 @@
     preempted: bool = False
 
 
-class Account:
+class SlotAccount:
     """Running work, floor credit and service times of one rank."""
 
     def __init__(self) -> None:
@@ -89,7 +89,7 @@
         return self._usage_slot_s / _USAGE_WINDOW_S
 
     @property
-    def floods(self) -> bool:
+    def is_flooded(self) -> bool:
         """Whether the queue has not been empty for so long that it grows."""
         limit_s = _MEMORY_S + _FLOOD_SERVICE_TIMES * self.mean_service_s
         return self._at_s - self._waiting_since_s > limit_s
--- a/boragespool/ranks/overload.py
+++ b/boragespool/ranks/overload.py
@@ -20,15 +20,15 @@
     from boragespool.types import Seconds
 
 #: Mean queueing time by own work that tells overload; the value of DAGOR.
-TARGET_S: Final = 0.02
+TARGET_LATENESS_S: Final = 0.02
 #: Admitted requests per second below which the limit never falls. A daemon
 #: on a busy machine is late without being flooded, and can do this much.
-LEAST_PER_S: Final = 40.0
+MIN_LIMIT_PER_S: Final = 40.0
 #: Bounds of one decrease. DAGOR decreases by 5% in each second; a flood of
 #: five times the capacity must be cut within about a second here.
 _SMALLEST_CUT: Final = 0.95
 _LARGEST_CUT: Final = 0.7
-#: Increase per window without overload. From `LEAST_PER_S` the limit passes
+#: Increase per window without overload. From `MIN_LIMIT_PER_S` the limit passes
 #: 1,500 requests per second, more than a daemon can do, in 20 windows (5 s).
 _GROWTH: Final = 1.2
 #: Queueing time relative to the window before that counts as falling.
@@ -85,7 +85,7 @@
         Requests per second of all ranks; infinity without overload.
     share_by_rank : mapping of Rank to float
         Admitted share of the requests, 0 to 1.
-    wanted_per_s_by_rank : mapping of Rank to float
+    expected_per_s_by_rank : mapping of Rank to float
         Requests per second that are expected in the next window.
     lateness_s : float
         Lateness in the last window that own work caused, in seconds.
@@ -95,7 +95,7 @@
 
     limit_per_s: float = math.inf
     share_by_rank: Mapping[Rank, float] = field(default_factory=_admit_all)
-    wanted_per_s_by_rank: Mapping[Rank, float] = field(default_factory=dict)
+    expected_per_s_by_rank: Mapping[Rank, float] = field(default_factory=dict)
     lateness_s: Seconds = 0
     calm_windows: int = 0
 
@@ -124,14 +124,15 @@
     Returns
     -------
     Admission
-        The limit is cut while the queueing time is above `TARGET_S`, and
+        The limit is cut while the queueing time is above `TARGET_LATENESS_S`, and
         grows otherwise. It is lifted after one second without a refusal.
     """
     limit_per_s = _next_limit(before, window)
     wanted_per_s = _expect(before, window)
     share_by_rank = _shares(wanted_per_s, limit_per_s, floor_by_rank)
     is_calm = (
-        window.own_lateness_s <= TARGET_S and min(share_by_rank.values()) == 1
+        window.own_lateness_s <= TARGET_LATENESS_S
+        and min(share_by_rank.values()) == 1
     )
     calm_windows = before.calm_windows + 1 if is_calm else 0
     if calm_windows >= _CALM_WINDOWS:
@@ -154,7 +155,7 @@
     wanted_per_s = {}
     for rank in Rank:
         arrived_per_s = window.arrived_by_rank.get(rank, 0) / window.duration_s
-        earlier_per_s = before.wanted_per_s_by_rank.get(rank, 0)
+        earlier_per_s = before.expected_per_s_by_rank.get(rank, 0)
         change_per_s = _WEIGHT * (arrived_per_s - earlier_per_s)
         wanted_per_s[rank] = earlier_per_s + change_per_s
     return wanted_per_s
@@ -167,16 +168,16 @@
     of an earlier window are still waiting.
     """
     lateness_s = window.own_lateness_s
-    if lateness_s <= TARGET_S:
+    if lateness_s <= TARGET_LATENESS_S:
         return before.limit_per_s * _GROWTH
     if lateness_s < before.lateness_s * _FALLING:
         return before.limit_per_s
     admitted_per_s = sum(window.admitted_by_rank.values()) / window.duration_s
     cut = min(
         _SMALLEST_CUT,
-        max(_LARGEST_CUT, TARGET_S / lateness_s),
+        max(_LARGEST_CUT, TARGET_LATENESS_S / lateness_s),
     )
-    return max(LEAST_PER_S, cut * min(before.limit_per_s, admitted_per_s))
+    return max(MIN_LIMIT_PER_S, cut * min(before.limit_per_s, admitted_per_s))
 
 
 def _shares(
@@ -202,7 +203,7 @@
     }
 
 
-class Thinning:
+class RequestSampler:
     """Admits a share of a sequence of requests, evenly spread.
 
     A running sum of the share gives exact counts without random numbers.
--- a/boragespool/ranks/preemption.py
+++ b/boragespool/ranks/preemption.py
@@ -7,10 +7,10 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Sequence
 
-    from boragespool.ranks.account import Account, Running
+    from boragespool.ranks.account import SlotAccount, Running
 
 
-def all_running(accounts: Iterable[Account]) -> Iterator[Running]:
+def all_running(accounts: Iterable[SlotAccount]) -> Iterator[Running]:
     """Yield the work that holds slots, of all ranks."""
     for account in accounts:
         yield from account.running_by_attempt.values()
--- a/boragespool/ranks/queue.py
+++ b/boragespool/ranks/queue.py
@@ -7,16 +7,16 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
-from boragespool.ranks.account import Account
-from boragespool.ranks.lane import Lane, any_waits
+from boragespool.ranks.account import SlotAccount
+from boragespool.ranks.rank_queue import RankQueue, any_waiting
 from boragespool.ranks.preemption import all_running, victims
 from boragespool.ranks.refusals import queue_full, unreachable
 from boragespool.ranks.waits import RankLoad, wait_s
 from boragespool.ranks.work import (
-    Grants,
     QueuedWork,
     RankCounts,
     RefusedWork,
+    ScheduleResult,
 )
 from boragespool.settings import RankSettings
 from boragespool.types import Rank
@@ -38,7 +38,7 @@
 _ACCOUNTING_S: Final = 0.0005
 _LOWEST_FIRST: Final = tuple(reversed(Rank))
 _ABSENT: Final = RankSettings()
-_NOTHING: Final = Grants()
+_NOTHING: Final = ScheduleResult()
 
 
 class ServerQueue:
@@ -62,8 +62,10 @@
         """Start empty and idle."""
         self.slots = slots
         self.settings_by_rank = settings_by_rank
-        self._lanes = MappingProxyType({rank: Lane() for rank in Rank})
-        self._accounts = MappingProxyType({rank: Account() for rank in Rank})
+        self._lanes = MappingProxyType({rank: RankQueue() for rank in Rank})
+        self._accounts = MappingProxyType(
+            {rank: SlotAccount() for rank in Rank}
+        )
         self._rank_by_attempt: dict[AttemptId, Rank] = {}
         self._advanced_s: Seconds = -math.inf
 
@@ -88,7 +90,7 @@
     @property
     def next_expiry_s(self) -> Seconds:
         """Earliest time at which queued work may expire, or infinity."""
-        if not any_waits(self._lanes):
+        if not any_waiting(self._lanes):
             return math.inf
         return min(lane.earliest_deadline_s for lane in self._lanes.values())
 
@@ -126,16 +128,16 @@
             else (queue_full(displaced, limit, expected_s),)
         )
 
-    def take(self, now_s: Seconds) -> Grants:
+    def take(self, now_s: Seconds) -> ScheduleResult:
         """Expire late work, fill free slots, choose work to pre-empt."""
         self._advance(now_s)
-        if not any_waits(self._lanes):
+        if not any_waiting(self._lanes):
             return _NOTHING
         refused: tuple[RefusedWork, ...] = ()
         if self.next_expiry_s <= now_s:
             refused = tuple(self._expire(now_s))
         started = tuple(self._fill(now_s))
-        return Grants(started, refused, tuple(self._preempt(now_s)))
+        return ScheduleResult(started, refused, tuple(self._preempt(now_s)))
 
     def finish(
         self,
@@ -177,7 +179,7 @@
 
     def wait_s(self, rank: Rank, caller: CallerName = '') -> Seconds:
         """Estimate the queueing time of new work of a caller, in seconds."""
-        if self._free_slots and not any_waits(self._lanes):
+        if self._free_slots and not any_waiting(self._lanes):
             return 0
         loads = self._loads(caller)
         return wait_s(
@@ -185,13 +187,13 @@
             _RANKS.index(rank),
             self.slots,
             self._free_slots,
-            owes_floors=self._accounts[rank].floods,
+            owes_floors=self._accounts[rank].is_flooded,
         )
 
     @property
     def waits_s(self) -> tuple[Seconds, ...]:
         """Estimated queueing time of a new caller by rank, in seconds."""
-        if self._free_slots and not any_waits(self._lanes):
+        if self._free_slots and not any_waiting(self._lanes):
             return _NO_WAITS_S
         loads = self._loads('')
         free_slots = self._free_slots
@@ -201,7 +203,7 @@
                 position,
                 self.slots,
                 free_slots,
-                owes_floors=self._accounts[rank].floods,
+                owes_floors=self._accounts[rank].is_flooded,
             )
             for position, rank in enumerate(Rank)
         )
@@ -252,7 +254,7 @@
 
     def _fill(self, now_s: Seconds) -> Iterator[QueuedWork]:
         """Start work until no slot is free or nothing may start."""
-        while any_waits(self._lanes) and self._free_slots:
+        while any_waiting(self._lanes) and self._free_slots:
             if self._runs_solo():
                 return
             rank = self._next_rank(now_s)
@@ -284,7 +286,7 @@
             for rank in waiting
             if self._accounts[rank].running_count < self._cap_slots(rank)
         ]
-        if within_cap and not self._accounts[within_cap[0]].floods:
+        if within_cap and not self._accounts[within_cap[0]].is_flooded:
             return within_cap[0]
         owed = (
             rank
@@ -295,7 +297,11 @@
 
     def _preempt(self, now_s: Seconds) -> Iterator[QueuedWork]:
         """Choose running work above a cap while entitled work waits."""
-        if not any_waits(self._lanes) or self._free_slots or self._runs_solo():
+        if (
+            not any_waiting(self._lanes)
+            or self._free_slots
+            or self._runs_solo()
+        ):
             return
         wanted = self._entitled_count() - sum(
             entry.preempted for entry in all_running(self._accounts.values())
--- a/boragespool/ranks/lane.py
+++ b/boragespool/ranks/rank_queue.py
@@ -13,7 +13,7 @@
     from boragespool.types import AttemptId, CallerName, Rank, Seconds
 
 
-class Lane:
+class RankQueue:
     """Waiting work of one rank by caller, in order of the next turn."""
 
     def __init__(self) -> None:
@@ -145,7 +145,7 @@
         self.count -= 1
 
 
-def any_waits(lanes: Mapping[Rank, Lane]) -> bool:
+def any_waiting(lanes: Mapping[Rank, RankQueue]) -> bool:
     """Return whether any work is queued, without counting it."""
     for lane in lanes.values():
         if lane.count:
--- a/boragespool/ranks/work.py
+++ b/boragespool/ranks/work.py
@@ -47,7 +47,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Grants:
+class ScheduleResult:
     """Result of one look at the queue.
 
     Attributes
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -22,11 +22,11 @@
 from boragespool.controllers.context import Context, Identity
 from boragespool.http.gate import DEFERRED_PER_S, ReadGate
 from boragespool.ranks.overload import (
-    LEAST_PER_S,
-    TARGET_S,
+    MIN_LIMIT_PER_S,
+    TARGET_LATENESS_S,
     Admission,
     LoopWindow,
-    Thinning,
+    RequestSampler,
     next_admission,
 )
 from boragespool.results import ResultCode
@@ -60,7 +60,7 @@
         self.demand = Counter()
         self.gate_credit = 0.0
         self.busy_s = 0.0
-        self.thinnings = {rank: Thinning() for rank in Rank}
+        self.thinnings = {rank: RequestSampler() for rank in Rank}
         self.now_s = 0.0
         self.random = random.Random(1)
 
@@ -155,7 +155,7 @@
 
 def test_late_loop_without_a_flood_refuses_nothing():
     """A pause of the host must not refuse the few requests that came."""
-    arrived = {Rank.DEFERRABLE: int(LEAST_PER_S * WINDOW_S)}
+    arrived = {Rank.DEFERRABLE: int(MIN_LIMIT_PER_S * WINDOW_S)}
     admission = Admission()
     for _ in range(20):
         window = LoopWindow(WINDOW_S, 2, arrived, arrived)
@@ -166,14 +166,14 @@
 @settings(derandomize=True, max_examples=300)
 @given(
     arrived=COUNTS,
-    limit_per_s=st.floats(LEAST_PER_S, 5_000),
+    limit_per_s=st.floats(MIN_LIMIT_PER_S, 5_000),
     lateness_s=st.floats(0, 5),
 )
 def test_shares_keep_floors_and_order(arrived, limit_per_s, lateness_s):
     """Floors are kept, nothing is idle, and lower ranks are refused first."""
     window = LoopWindow(WINDOW_S, lateness_s, arrived, arrived)
     steady = {rank: count / WINDOW_S for rank, count in arrived.items()}
-    before = Admission(limit_per_s, wanted_per_s_by_rank=steady)
+    before = Admission(limit_per_s, expected_per_s_by_rank=steady)
     after = next_admission(before, window, FLOORS)
     limit = after.limit_per_s * WINDOW_S
     admitted = {r: arrived[r] * after.share_by_rank[r] for r in Rank}
@@ -187,16 +187,16 @@
     for higher, lower in zip(ranks, ranks[1:], strict=False):
         if admitted[lower] > FLOORS[lower] * limit * 1.001:
             assert after.share_by_rank[higher] == pytest.approx(1)
-    assert after.limit_per_s >= LEAST_PER_S
-    if lateness_s > TARGET_S and total > limit:
-        assert after.limit_per_s <= max(LEAST_PER_S, limit_per_s)
+    assert after.limit_per_s >= MIN_LIMIT_PER_S
+    if lateness_s > TARGET_LATENESS_S and total > limit:
+        assert after.limit_per_s <= max(MIN_LIMIT_PER_S, limit_per_s)
 
 
 @settings(derandomize=True)
 @given(share=st.floats(0, 1), count=st.integers(1, 400))
 def test_thinning_admits_the_share(share, count):
     """Rounding must not turn a floor into nothing."""
-    thinning = Thinning()
+    thinning = RequestSampler()
     admitted = sum(thinning.admit(share) for _ in range(count))
     assert share * count - 1e-6 - 1 <= admitted <= share * count + 2
 
