Name the methods that record attempts as verbs

observations.draining() and is_draining() looked alike, and highest_weights returned hosts. The methods are record_sent, record_answer and so on now, and the function is highest_weight_hosts. check with the tests of routing passes.

--- a/boragespool/bench/planning.py
+++ b/boragespool/bench/planning.py
@@ -103,8 +103,8 @@
     built_s = time.process_time() - began_s
     observations = ServerObservations()
     for server in holdings:
-        observations.started(server)
-        observations.answered(server, 0.01, 0)
+        observations.record_sent(server)
+        observations.record_answer(server, 0.01, 0)
     # Replies arrive in another order than they were asked for.
     replies = _replies(catalogue)
     arrivals = sorted(
--- a/boragespool/controllers/claims/claim_attempts.py
+++ b/boragespool/controllers/claims/claim_attempts.py
@@ -162,7 +162,7 @@
     ) -> WorkReply | Failure:
         sent_s = self._context.timers.now_s()
         request = self._request(started, target.server, number)
-        self._observations.started(target.server)
+        self._observations.record_sent(target.server)
         result: WorkReply | Failure = await self._context.peers.request(
             target.dispatcher,
             request,
--- a/boragespool/controllers/configuration/configuration.py
+++ b/boragespool/controllers/configuration/configuration.py
@@ -24,7 +24,7 @@
 from boragespool.events import Event, log_event
 from boragespool.results import Failure
 from boragespool.revisions import CURRENT_KEY, newest_holders, watchers
-from boragespool.routing import highest_weights
+from boragespool.routing import highest_weight_hosts
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -140,7 +140,7 @@
         is_chosen = own_host in watchers(
             members_by_host,
             own_host,
-            highest_weights,
+            highest_weight_hosts,
         )
         holders = newest_holders(members_by_host, self._keeper.revision)
         if is_chosen and (self._may_read or holders):
--- a/boragespool/controllers/queries/attempts.py
+++ b/boragespool/controllers/queries/attempts.py
@@ -111,7 +111,7 @@
         self.open_by_id[attempt.attempt_id] = attempt
         self.sent += 1
         ATTEMPTS.labels(kind).inc()
-        merger.observations.started(server)
+        merger.observations.record_sent(server)
         # The deadline of the query ends the wait for a reply.
         self._abandon_by_id[attempt.attempt_id] = merger.context.peers.call(
             attempt.host,
@@ -128,7 +128,7 @@
         context = self._work.merger.context
         context.peers.send(attempt.host, CancelWork(attempt.attempt_id))
         waited_s = context.timers.now_s() - attempt.started_s
-        self._work.merger.observations.refused(attempt.server)
+        self._work.merger.observations.record_refusal(attempt.server)
         if waited_s >= (self._work.tracker.quantile_s or 0):
             self.note_overdue(attempt)
             self._work.tracker.record(waited_s)
@@ -139,7 +139,7 @@
             return
         self._overdue_ids.add(attempt.attempt_id)
         now_s = self._work.merger.context.timers.now_s()
-        self._work.merger.observations.overdue(attempt.server, now_s)
+        self._work.merger.observations.record_overdue(attempt.server, now_s)
 
     def _message(self, attempt: Attempt, version: IndexVersion) -> WorkRequest:
         request = self._work.request
--- a/boragespool/controllers/queries/observing.py
+++ b/boragespool/controllers/queries/observing.py
@@ -33,7 +33,7 @@
     latency_s: Seconds,
     now_s: Seconds,
 ) -> None:
-    """Note the end of an attempt that `observations.started` counted.
+    """Note the end of an attempt that `observations.record_sent` counted.
 
     Parameters
     ----------
@@ -49,12 +49,12 @@
         Monotonic time, in seconds.
     """
     if isinstance(result, WorkReply):
-        observations.report_waits(server, result.waits_s, now_s)
+        observations.record_waits(server, result.waits_s, now_s)
     if result.code == ResultCode.COMPLETE:
-        observations.answered(server, latency_s, now_s)
+        observations.record_answer(server, latency_s, now_s)
     elif result.code == ResultCode.SERVER_DRAINING:
-        observations.draining(server, now_s)
+        observations.record_draining(server, now_s)
     elif result.code in _HEALTHY_CODES:
-        observations.refused(server)
+        observations.record_refusal(server)
     else:
-        observations.failed(server, now_s)
+        observations.record_failure(server, now_s)
--- a/boragespool/membership/view.py
+++ b/boragespool/membership/view.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from boragespool.routing import highest_weights
+from boragespool.routing import highest_weight_hosts
 from boragespool.types import MemberStatus
 
 if TYPE_CHECKING:
@@ -44,7 +44,7 @@
         if member.data_centre == data_centre
         and member.status != MemberStatus.DEAD
     )
-    return frozenset(highest_weights(own_host, hosts, remote_count))
+    return frozenset(highest_weight_hosts(own_host, hosts, remote_count))
 
 
 def is_kept(
--- a/boragespool/routing/__init__.py
+++ b/boragespool/routing/__init__.py
@@ -9,7 +9,7 @@
 from boragespool.routing.fingerprints import fingerprint_of
 from boragespool.routing.hedging import LatencyTracker, hedge_delay_s
 from boragespool.routing.observations import ServerObservations
-from boragespool.routing.rendezvous import dispatcher_of, highest_weights
+from boragespool.routing.rendezvous import dispatcher_of, highest_weight_hosts
 from boragespool.routing.replicas import choose_replica
 
 __all__ = (
@@ -22,6 +22,6 @@
     'eligible_holdings',
     'fingerprint_of',
     'hedge_delay_s',
-    'highest_weights',
+    'highest_weight_hosts',
     'refusal_wait_s',
 )
--- a/boragespool/routing/observations.py
+++ b/boragespool/routing/observations.py
@@ -47,11 +47,11 @@
         )
         self._waits_end_s: Seconds = 0
 
-    def started(self, server: ServerName) -> None:
+    def record_sent(self, server: ServerName) -> None:
         """Count an attempt that was sent."""
         self._seen_by_server[server].in_flight += 1
 
-    def answered(
+    def record_answer(
         self,
         server: ServerName,
         latency_s: Seconds,
@@ -66,26 +66,26 @@
         step_s = min(latency_s, known_s * _LARGEST_STEP) - known_s
         seen.latency_s = known_s + _SMOOTHING * step_s
 
-    def refused(self, server: ServerName) -> None:
+    def record_refusal(self, server: ServerName) -> None:
         """Note an end that says nothing about health, such as shedding."""
         self._finish(server)
 
-    def failed(self, server: ServerName, now_s: Seconds) -> None:
+    def record_failure(self, server: ServerName, now_s: Seconds) -> None:
         """Note a lost attempt; the server is suspect for a growing time."""
         self._suspect(self._finish(server), now_s)
 
-    def overdue(self, server: ServerName, now_s: Seconds) -> None:
+    def record_overdue(self, server: ServerName, now_s: Seconds) -> None:
         """Note that an attempt, still in flight, is slower than most."""
         seen = self._seen_by_server[server]
         seen.overdue += 1
         if seen.overdue >= _OVERDUE_LIMIT:
             self._suspect(seen, now_s)
 
-    def draining(self, server: ServerName, now_s: Seconds) -> None:
+    def record_draining(self, server: ServerName, now_s: Seconds) -> None:
         """Note that a server said that it drains."""
         self._finish(server).draining_until_s = now_s + _DRAINING_S
 
-    def report_waits(
+    def record_waits(
         self,
         server: ServerName,
         waits_s: tuple[Seconds, ...],
--- a/boragespool/routing/rendezvous.py
+++ b/boragespool/routing/rendezvous.py
@@ -20,7 +20,7 @@
     from boragespool.types import DataCentre, HostName, ServerName
 
 
-def highest_weights(
+def highest_weight_hosts(
     name: str,
     hosts: Iterable[HostName],
     count: int,
@@ -84,7 +84,7 @@
     local = [
         member for member in candidates if member.data_centre == data_centre
     ]
-    chosen = highest_weights(
+    chosen = highest_weight_hosts(
         server,
         (member.host for member in local or candidates),
         count=1,
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -30,7 +30,7 @@
     with_host_drained,
 )
 from boragespool.revisions.building import AUDIT_LIMIT
-from boragespool.routing import highest_weights
+from boragespool.routing import highest_weight_hosts
 from boragespool.settings import Settings, load_folder
 from boragespool.settings.schema import AddressSettings
 from boragespool.types import MemberStatus
@@ -160,13 +160,13 @@
     members_by_host = {
         f'h{number}': member(f'h{number}') for number in range(40)
     }
-    chosen = watchers(members_by_host, 'h0', highest_weights)
+    chosen = watchers(members_by_host, 'h0', highest_weight_hosts)
     assert len(set(chosen)) == 3
     members_by_host[chosen[0]] = member(chosen[0], MemberStatus.DEAD)
-    replaced = watchers(members_by_host, 'h0', highest_weights)
+    replaced = watchers(members_by_host, 'h0', highest_weight_hosts)
     assert chosen[0] not in replaced
     assert set(chosen[1:]) < set(replaced)
-    assert watchers({}, 'alone', highest_weights) == ('alone',)
+    assert watchers({}, 'alone', highest_weight_hosts) == ('alone',)
     members_by_host['h1'] = member('h1', revision=4)
     members_by_host['h2'] = member('h2', revision=5)
     members_by_host['h3'] = member('h3', MemberStatus.DEAD, revision=6)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -102,9 +102,9 @@
     replicas = tuple(eligible_holdings(service(NAMES, drained), records, hosts))
     observations = ServerObservations()
     for name in suspect:
-        observations.failed(name, 0)
+        observations.record_failure(name, 0)
     for name in said:
-        observations.draining(name, 0)
+        observations.record_draining(name, 0)
     closed = {
         name
         for name, state in zip(NAMES, states, strict=True)
@@ -135,9 +135,9 @@
 def test_all_replicas_are_used_when_most_are_suspect():
     """A fault of the merger's own link must not close a whole service."""
     observations = ServerObservations()
-    observations.failed('a', 0)
+    observations.record_failure('a', 0)
     assert spread(observations)['a'] == 0
-    observations.failed('b', 0)
+    observations.record_failure('b', 0)
     assert min(spread(observations).values()) > 0
 
 
@@ -145,13 +145,13 @@
     """A false report must not keep all work away from a server."""
     observations = ServerObservations()
     for name in NAMES[:3]:
-        observations.started(name)
-        observations.answered(name, 0.01, 0)
-    observations.report_waits('a', (1e9,), 0)
+        observations.record_sent(name)
+        observations.record_answer(name, 0.01, 0)
+    observations.record_waits('a', (1e9,), 0)
     assert spread(observations)['a'] == 0
     for name in ('b', 'c'):
-        observations.started(name)
-        observations.started(name)
+        observations.record_sent(name)
+        observations.record_sent(name)
     assert spread(observations)['a'] > 150
     assert observations.wait_s('a', 0, 1) == 1
     assert observations.wait_s('a', 0, 3) == 0
@@ -160,24 +160,24 @@
 def test_lost_server_is_tried_by_one_attempt_at_a_time():
     """All queries at once must not test whether a server is back."""
     observations = ServerObservations()
-    observations.started('a')
-    observations.failed('a', 0)
+    observations.record_sent('a')
+    observations.record_failure('a', 0)
     assert observations.is_suspect('a', 0.4)
     assert not observations.is_suspect('a', 0.6)
-    observations.started('a')
+    observations.record_sent('a')
     assert observations.is_suspect('a', 0.6)
-    observations.answered('a', 0.01, 0.7)
+    observations.record_answer('a', 0.01, 0.7)
     assert not observations.is_suspect('a', 0.7)
 
 
 def test_silent_server_becomes_suspect_and_one_straggler_does_not():
     """A dispatcher that died answers nothing; a straggler is normal."""
     observations = ServerObservations()
-    observations.overdue('a', 0)
-    observations.answered('a', 0.01, 0)
-    observations.overdue('a', 0)
+    observations.record_overdue('a', 0)
+    observations.record_answer('a', 0.01, 0)
+    observations.record_overdue('a', 0)
     assert not observations.is_suspect('a', 0)
-    observations.overdue('a', 0)
+    observations.record_overdue('a', 0)
     assert observations.is_suspect('a', 0)
 
 
@@ -185,8 +185,8 @@
     """A reply 20 times slower would take a server out of use for long."""
     observations = ServerObservations()
     for latency_s in (0.01, 0.2):
-        observations.started('a')
-        observations.answered('a', latency_s, 0)
+        observations.record_sent('a')
+        observations.record_answer('a', latency_s, 0)
     assert observations.latency_s('a', 0) == pytest.approx(0.013)
 
 
