Use usual terms for limits, signals and record exchange

CrashLedger.note, prefer, compare, bounded and configured did not say what they act on; signs are called signals in health checking. Renames only; check with the tests of backends, spreading and record exchange passes.

--- a/boragespool/backends/__init__.py
+++ b/boragespool/backends/__init__.py
@@ -2,24 +2,24 @@
 
 from __future__ import annotations
 
-from boragespool.backends.crashes import CrashLedger
+from boragespool.backends.crashes import CrashTracker
 from boragespool.backends.digests import (
-    OUT_OF_USE,
+    OUT_OF_SERVICE,
     Comparison,
     ExchangeLimits,
-    bounded,
-    compare,
+    compare_versions,
     differing_groups,
-    is_group_count,
+    is_valid_group_count,
+    limit_total_size,
+    pack_versions,
     record_size_bytes,
-    versions_of,
 )
 from boragespool.backends.limit import (
     LimitState,
     after_reply,
     after_shed,
-    cold_start,
-    configured,
+    initial_limit,
+    with_slots,
 )
 from boragespool.backends.record_table import (
     GROUP_COUNT,
@@ -27,11 +27,11 @@
     RecordTable,
     group_count,
 )
-from boragespool.backends.records import next_version, prefer
+from boragespool.backends.records import newer_record, next_version
 from boragespool.backends.service_states import ServiceStates
-from boragespool.backends.signs import ServerSigns
+from boragespool.backends.signals import ServerSignals
 from boragespool.backends.spreading import (
-    ByteAllowance,
+    ByteRateLimiter,
     SpreadLimits,
     SpreadQueue,
     choose_targets,
@@ -40,29 +40,29 @@
 __all__ = (
     'GROUP_COUNT',
     'HASH_BYTES',
-    'OUT_OF_USE',
-    'ByteAllowance',
+    'OUT_OF_SERVICE',
+    'ByteRateLimiter',
     'Comparison',
-    'CrashLedger',
+    'CrashTracker',
     'ExchangeLimits',
     'LimitState',
     'RecordTable',
-    'ServerSigns',
+    'ServerSignals',
     'ServiceStates',
     'SpreadLimits',
     'SpreadQueue',
     'after_reply',
     'after_shed',
-    'bounded',
     'choose_targets',
-    'cold_start',
-    'compare',
-    'configured',
+    'compare_versions',
     'differing_groups',
     'group_count',
-    'is_group_count',
+    'initial_limit',
+    'is_valid_group_count',
+    'limit_total_size',
+    'newer_record',
     'next_version',
-    'prefer',
+    'pack_versions',
     'record_size_bytes',
-    'versions_of',
+    'with_slots',
 )
--- a/boragespool/backends/crashes.py
+++ b/boragespool/backends/crashes.py
@@ -14,7 +14,7 @@
 _CAPACITY: Final = 10_000
 
 
-class CrashLedger:
+class CrashTracker:
     """Losses of backend servers by the fingerprints that were in flight.
 
     A fingerprint in a loss is a suspect. It is blocked after a second loss
@@ -39,7 +39,7 @@
         self._cleared_by_fingerprint: dict[int, dict[str, Seconds]] = {}
         self._lost_alone: set[int] = set()
 
-    def note(
+    def record_loss(
         self,
         fingerprint: int,
         loss_id: str,
--- a/boragespool/backends/digests.py
+++ b/boragespool/backends/digests.py
@@ -25,7 +25,7 @@
     from boragespool.backends.record_table import RecordTable
     from boragespool.messages import ServerRecord
 
-OUT_OF_USE: Final = frozenset((ServerState.DRAINING, ServerState.LOST))
+OUT_OF_SERVICE: Final = frozenset((ServerState.DRAINING, ServerState.LOST))
 #: Server key, sequence number and record hash.
 _VERSION: Final = struct.Struct('<QII')
 _VERSION_LIMIT: Final = 2**32
@@ -78,7 +78,7 @@
     wanted: tuple[int, ...] = ()
 
 
-def is_group_count(count: int) -> bool:
+def is_valid_group_count(count: int) -> bool:
     """Tell whether a digest may have this number of groups."""
     return 0 < count <= GROUP_COUNT and count.bit_count() == 1
 
@@ -113,7 +113,7 @@
     return tuple((differing[first:] + differing[:first])[:limit])
 
 
-def versions_of(
+def pack_versions(
     table: RecordTable,
     groups: Iterable[int],
     count: int,
@@ -128,7 +128,7 @@
     )
 
 
-def compare(
+def compare_versions(
     table: RecordTable,
     groups: Iterable[int],
     count: int,
@@ -145,7 +145,7 @@
     count : int
         Groups of the digest.
     versions : bytes
-        Result of `versions_of` at the other daemon.
+        Result of `pack_versions` at the other daemon.
 
     Returns
     -------
@@ -182,13 +182,15 @@
     )
 
 
-def bounded(
+def limit_total_size(
     records: Iterable[ServerRecord],
     size_bytes: int,
 ) -> tuple[ServerRecord, ...]:
     """Return the records that fit, at least one; those out of use first."""
     chosen: list[ServerRecord] = []
-    ordered = sorted(records, key=lambda record: record.state not in OUT_OF_USE)
+    ordered = sorted(
+        records, key=lambda record: record.state not in OUT_OF_SERVICE
+    )
     for record in ordered:
         size_bytes -= record_size_bytes(record)
         if chosen and size_bytes < 0:
--- a/boragespool/backends/limit.py
+++ b/boragespool/backends/limit.py
@@ -35,13 +35,13 @@
     """
 
     slots: int
-    allowed: float = 1
+    fractional_limit: float = 1
     reduced_at_s: Seconds = -math.inf
 
     @property
     def limit(self) -> int:
         """Requests that may run at the same time, at least one."""
-        return max(1, int(self.allowed))
+        return max(1, int(self.fractional_limit))
 
     @property
     def cold(self) -> bool:
@@ -49,7 +49,7 @@
         return self.limit < self.slots
 
 
-def cold_start(slots: int) -> LimitState:
+def initial_limit(slots: int) -> LimitState:
     """Return the limit of a server that just started: one slot."""
     return LimitState(slots)
 
@@ -66,7 +66,9 @@
     """
     if in_flight < state.limit or state.limit >= state.slots:
         return state
-    return replace(state, allowed=state.allowed + 1 / state.limit)
+    return replace(
+        state, fractional_limit=state.fractional_limit + 1 / state.limit
+    )
 
 
 def after_shed(state: LimitState, now_s: Seconds) -> LimitState:
@@ -77,6 +79,8 @@
     return LimitState(state.slots, lowered, now_s)
 
 
-def configured(state: LimitState, slots: int) -> LimitState:
+def with_slots(state: LimitState, slots: int) -> LimitState:
     """Follow a change of the configured slots; more slots are ramped up."""
-    return replace(state, slots=slots, allowed=min(state.allowed, slots))
+    return replace(
+        state, slots=slots, fractional_limit=min(state.fractional_limit, slots)
+    )
--- a/boragespool/backends/record_table.py
+++ b/boragespool/backends/record_table.py
@@ -12,7 +12,7 @@
 
 import xxhash
 
-from boragespool.backends.records import prefer
+from boragespool.backends.records import newer_record
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
@@ -55,7 +55,7 @@
         """
         server = incoming.server
         known = self.by_server.get(server)
-        if prefer(known, incoming) is known:
+        if newer_record(known, incoming) is known:
             return False
         key = server_key(server)
         group = key % GROUP_COUNT
--- a/boragespool/backends/records.py
+++ b/boragespool/backends/records.py
@@ -14,7 +14,9 @@
 _RECLAIM_S: Final = 10
 
 
-def prefer(known: ServerRecord | None, incoming: ServerRecord) -> ServerRecord:
+def newer_record(
+    known: ServerRecord | None, incoming: ServerRecord
+) -> ServerRecord:
     """Choose the newer of the known and an incoming record.
 
     Parameters
@@ -43,7 +45,7 @@
     seen: ServerRecord,
     since_claim_s: Seconds,
     *,
-    rival_is_live: bool,
+    known_dispatcher_is_live: bool,
 ) -> ServerRecord | None:
     """Return the record that a dispatcher announces after an observation.
 
@@ -57,7 +59,7 @@
         Time since the dispatcher got the server, or since it last replaced
         a record of another one. A daemon that starts sees few members and
         takes itself for the dispatcher of many servers.
-    rival_is_live : bool
+    known_dispatcher_is_live : bool
         Whether the dispatcher in the known record is a live member.
 
     Returns
@@ -72,7 +74,7 @@
         is_due = replace(seen, sequence=known.sequence) != known
     else:
         agrees = _observed(known) == _observed(seen)
-        is_waiting = rival_is_live and since_claim_s < _RECLAIM_S
+        is_waiting = known_dispatcher_is_live and since_claim_s < _RECLAIM_S
         is_due = not (agrees and is_waiting)
     return replace(seen, sequence=known.sequence + 1) if is_due else None
 
--- a/boragespool/backends/signals.py
+++ b/boragespool/backends/signals.py
@@ -12,7 +12,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ServerSigns:
+class ServerSignals:
     """What is known about one backend server.
 
     Attributes
@@ -36,12 +36,12 @@
     unreachable: bool = False
 
 
-def is_lost(signs: ServerSigns) -> bool:
+def is_lost(signs: ServerSignals) -> bool:
     """Tell whether the server cannot be reached."""
     return signs.unreachable or signs.announced == ServerState.LOST
 
 
-def reports_leaving(signs: ServerSigns) -> bool:
+def reports_leaving(signs: ServerSignals) -> bool:
     """Tell whether a report calls the server leaving."""
     return (
         signs.host_leaving
@@ -50,12 +50,12 @@
     )
 
 
-def state_of(signs: ServerSigns, *, reported: bool) -> ServerState:
+def state_of(signs: ServerSignals, *, reported: bool) -> ServerState:
     """Return the state of one server.
 
     Parameters
     ----------
-    signs : ServerSigns
+    signs : ServerSignals
         What is known about it.
     reported : bool
         Whether a report that it leaves counts.
--- a/boragespool/backends/spreading.py
+++ b/boragespool/backends/spreading.py
@@ -52,7 +52,7 @@
     sends_left: int
 
 
-class ByteAllowance:
+class ByteRateLimiter:
     """Bytes that may be sent: a rate with bursts."""
 
     def __init__(
@@ -88,13 +88,13 @@
         """Start empty, with the whole burst available."""
         self.limits = limits
         self._rumours: dict[ServerName, _Rumour] = {}
-        self._allowance = ByteAllowance(
+        self._allowance = ByteRateLimiter(
             limits.bytes_per_s,
             limits.burst_bytes,
             now_s,
         )
 
-    def note(self, record: ServerRecord, *, is_urgent: bool) -> None:
+    def enqueue(self, record: ServerRecord, *, is_urgent: bool) -> None:
         """Replace what waits about a server."""
         self._rumours.pop(record.server, None)
         self._rumours[record.server] = _Rumour(
--- a/boragespool/bench/announcements.py
+++ b/boragespool/bench/announcements.py
@@ -138,8 +138,8 @@
     limits = queue.limits
     for record in news:
         table.merge(record)
-        is_urgent = record.state in backends.OUT_OF_USE
-        queue.note(record, is_urgent=is_urgent)
+        is_urgent = record.state in backends.OUT_OF_SERVICE
+        queue.enqueue(record, is_urgent=is_urgent)
         if is_urgent:
             records = queue.take(limits.sends, now_s, urgent_only=True)
             sent_bytes += _sent_bytes(records, limits.sends, hosts, source)
@@ -185,10 +185,12 @@
     )
     # The allowance for catching up lasts for hours, not for ever.
     groups = groups[: options.exchange.groups]
-    versions = backends.versions_of(other, groups, count)
-    compared = backends.compare(table, groups, count, versions)
+    versions = backends.pack_versions(other, groups, count)
+    compared = backends.compare_versions(table, groups, count, versions)
     limits = options.exchange
-    sent = backends.bounded(compared.to_send, limits.groups * limits.size_bytes)
+    sent = backends.limit_total_size(
+        compared.to_send, limits.groups * limits.size_bytes
+    )
     sent_bytes = (
         _size_bytes(ServerDigest(digest))
         + _size_bytes(ServerVersions(groups, versions), reply=True)
--- a/boragespool/controllers/backend_servers/crash_watch.py
+++ b/boragespool/controllers/backend_servers/crash_watch.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
-from boragespool.backends import CrashLedger
+from boragespool.backends import CrashTracker
 from boragespool.blackboard.topics import BLOCKED, IN_FORCE, MEMBERS, SUSPECTS
 from boragespool.events import Event, log_event
 from boragespool.messages import SuspectNotice, SuspectNoticeAck
@@ -28,7 +28,7 @@
 class CrashWatch:
     """Posts `SUSPECTS` and `BLOCKED` from own losses and the notices of peers."""
 
-    def __init__(self, context: Context, ledger: CrashLedger) -> None:
+    def __init__(self, context: Context, ledger: CrashTracker) -> None:
         """Register for the notices of peers."""
         self._context = context
         self._ledger = ledger
@@ -125,7 +125,7 @@
             )
 
     def _note(self, notice: SuspectNotice, now_s: Seconds) -> bool:
-        return self._ledger.note(
+        return self._ledger.record_loss(
             notice.fingerprint,
             notice.loss_id,
             now_s,
--- a/boragespool/controllers/backend_servers/dispatch.py
+++ b/boragespool/controllers/backend_servers/dispatch.py
@@ -7,7 +7,7 @@
 import itertools
 from typing import TYPE_CHECKING, Final, Self
 
-from boragespool.backends import CrashLedger
+from boragespool.backends import CrashTracker
 from boragespool.blackboard.topics import (
     BLOCKED,
     IN_FORCE,
@@ -52,18 +52,18 @@
 
     Parameters
     ----------
-    ledger : CrashLedger, optional
+    ledger : CrashTracker, optional
         Crash verdicts; by default an empty one with the usual ages.
     """
 
     def __init__(
         self,
         context: Context,
-        ledger: CrashLedger | None = None,
+        ledger: CrashTracker | None = None,
     ) -> None:
         """Keep the parts; `__aenter__` registers the handlers."""
         self._context = context
-        self._crashes = CrashWatch(context, ledger or CrashLedger())
+        self._crashes = CrashWatch(context, ledger or CrashTracker())
         self._backends: dict[ServerName, Backend] = {}
         self._retired: list[Backend] = []
         self._answers = RecentAnswers()
--- a/boragespool/controllers/backend_servers/record_exchange.py
+++ b/boragespool/controllers/backend_servers/record_exchange.py
@@ -164,7 +164,7 @@
     def _receive(self, _sender: Sender, message: ServerAnnouncement) -> None:
         for record in self._merge(message.records):
             if not message.is_repair:
-                is_urgent = record.state in backends.OUT_OF_USE
+                is_urgent = record.state in backends.OUT_OF_SERVICE
                 self._note(record, is_urgent=is_urgent)
 
     def _merge(self, records: Iterable[ServerRecord]) -> list[ServerRecord]:
@@ -180,7 +180,7 @@
         return kept
 
     def _note(self, record: ServerRecord, *, is_urgent: bool) -> None:
-        self._queue.note(record, is_urgent=is_urgent)
+        self._queue.enqueue(record, is_urgent=is_urgent)
         if is_urgent and not self._flush_is_due:
             self._flush_is_due = True
             self._context.timers.after(_GATHER_S, self._spread_urgent)
--- a/boragespool/controllers/backend_servers/record_repair.py
+++ b/boragespool/controllers/backend_servers/record_repair.py
@@ -65,7 +65,7 @@
         self._limits = limits
         self._server_count = server_count
         self._merge = merge
-        self._allowance = backends.ByteAllowance(
+        self._allowance = backends.ByteRateLimiter(
             limits.catch_up_bytes_per_s,
             limits.catch_up_burst_bytes,
             context.timers.now_s(),
@@ -105,7 +105,7 @@
         )
         if not isinstance(answer, ServerVersions) or not answer.groups:
             return
-        compared = backends.compare(
+        compared = backends.compare_versions(
             self._table,
             answer.groups,
             count,
@@ -139,7 +139,7 @@
         lowest = backends.group_count(
             len(self._table.by_server) // _LARGEST_GROUP_RATIO,
         )
-        if rest or not backends.is_group_count(count) or count < lowest:
+        if rest or not backends.is_valid_group_count(count) or count < lowest:
             size = len(digest.hashes)
             return Failure(
                 ResultCode.PEER_REFUSED,
@@ -153,10 +153,10 @@
             limits,
             self._context.draw,
         )
-        versions = backends.versions_of(self._table, groups, count)
+        versions = backends.pack_versions(self._table, groups, count)
         if len(groups) > limits.groups and not self._may_send(len(versions)):
             groups = groups[: limits.groups]
-            versions = backends.versions_of(self._table, groups, count)
+            versions = backends.pack_versions(self._table, groups, count)
         return ServerVersions(groups, versions)
 
     def _send_wanted(self, sender: Sender, message: ServersWanted) -> None:
@@ -173,7 +173,7 @@
         largest = min(needed, limits.catch_up_groups * limits.size_bytes)
         if needed > size_bytes and self._may_send(largest):
             size_bytes = largest
-        chosen = backends.bounded(records, size_bytes)
+        chosen = backends.limit_total_size(records, size_bytes)
         if chosen:
             message = ServerAnnouncement(chosen, is_repair=True)
             self._context.peers.send(host, message)
--- a/boragespool/controllers/backend_servers/server_health.py
+++ b/boragespool/controllers/backend_servers/server_health.py
@@ -50,7 +50,7 @@
         """Start with the limit of a cold start."""
         self.incarnation: Incarnation = 0
         self._server = server
-        self._limit = backends.cold_start(slots)
+        self._limit = backends.initial_limit(slots)
         self._observation = ServerObservation(self._limit.limit)
         self._context = context
         self._hooks = hooks
@@ -63,20 +63,20 @@
     def configure(self, slots: int) -> None:
         """Follow a change of the configured slots."""
         if slots != self._limit.slots:
-            self._set_limit(backends.configured(self._limit, slots))
+            self._set_limit(backends.with_slots(self._limit, slots))
 
     def restarted(self, incarnation: Incarnation) -> None:
         """Treat a higher incarnation as a cold start."""
         if incarnation <= self.incarnation:
             return
         if self.incarnation:
-            self._set_limit(backends.cold_start(self._limit.slots))
+            self._set_limit(backends.initial_limit(self._limit.slots))
         self.incarnation = incarnation
 
     def refused(self) -> None:
         """Note that the server does not accept connections."""
         self.incarnation = 0
-        self._set_limit(backends.cold_start(self._limit.slots))
+        self._set_limit(backends.initial_limit(self._limit.slots))
         self._observe(refused_at_s=self._context.timers.now_s())
 
     def note_reply(self, reply: WorkReply, in_flight: int) -> None:
--- a/boragespool/controllers/backend_servers/server_view.py
+++ b/boragespool/controllers/backend_servers/server_view.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from boragespool.backends import ServerSigns, ServiceStates
+from boragespool.backends import ServerSignals, ServiceStates
 from boragespool.blackboard import ShardedMapping
 from boragespool.controllers.backend_servers.server_records import (
     recently_draining,
@@ -94,7 +94,7 @@
         for changed_server in tuple(stale & self._service_by_server.keys()):
             service = self._service_by_server[changed_server]
             states = self._states_by_service[service]
-            if states.set_signs(changed_server, self._signs(changed_server)):
+            if states.set_signals(changed_server, self._signs(changed_server)):
                 stale.update(states.servers)
         updates = {
             server: record
@@ -145,7 +145,7 @@
         empty: ShardedMapping[ServerRecord] = ShardedMapping()
         self.by_server = empty.updated(kept)
 
-    def _signs(self, server: ServerName) -> ServerSigns:
+    def _signs(self, server: ServerName) -> ServerSignals:
         sources = self._sources
         configured = _configured(
             sources,
@@ -153,7 +153,7 @@
             server,
         )
         record = sources.records.get(server)
-        return ServerSigns(
+        return ServerSignals(
             ServerState.SERVING if record is None else record.state,
             drained=configured.drained,
             host_leaving=bool(configured.host)
--- a/boragespool/controllers/backend_servers/servers.py
+++ b/boragespool/controllers/backend_servers/servers.py
@@ -232,7 +232,7 @@
                 dispatcher_incarnation=identity.incarnation,
             ),
             now_s - self._claimed_at_s[server],
-            rival_is_live=known is not None and self._is_live(known),
+            known_dispatcher_is_live=known is not None and self._is_live(known),
         )
         if record is None:
             return
--- a/boragespool/controllers/forwarding/server.py
+++ b/boragespool/controllers/forwarding/server.py
@@ -52,8 +52,12 @@
         window = self._window
         if window.slots != limit:
             is_full = window.limit >= window.slots
-            allowed = limit if is_full else min(limit, window.allowed)
-            self._window = LimitState(limit, allowed, window.reduced_at_s)
+            fractional_limit = (
+                limit if is_full else min(limit, window.fractional_limit)
+            )
+            self._window = LimitState(
+                limit, fractional_limit, window.reduced_at_s
+            )
 
     def note_answer(
         self,
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -8,23 +8,23 @@
 from hypothesis import strategies as st
 
 from boragespool.backends import (
-    CrashLedger,
-    ServerSigns,
+    CrashTracker,
+    ServerSignals,
     ServiceStates,
     after_reply,
     after_shed,
-    cold_start,
-    configured,
+    initial_limit,
+    newer_record,
     next_version,
-    prefer,
+    with_slots,
 )
 from boragespool.messages import ServerRecord
 from boragespool.types import ServerState
 
 DETERMINISTIC = settings(derandomize=True, max_examples=200, deadline=None)
-OUT_OF_USE = {ServerState.DRAINING, ServerState.LOST}
+OUT_OF_SERVICE = {ServerState.DRAINING, ServerState.LOST}
 SIGNS = st.builds(
-    ServerSigns,
+    ServerSignals,
     announced=st.sampled_from(ServerState),
     drained=st.booleans(),
     host_leaving=st.booleans(),
@@ -32,7 +32,7 @@
     unreachable=st.booleans(),
 )
 REPORTS = st.builds(
-    ServerSigns,
+    ServerSignals,
     announced=st.sampled_from(
         [ServerState.SERVING, ServerState.COLD, ServerState.DRAINING],
     ),
@@ -57,7 +57,7 @@
     """Return the states of all servers of a service."""
     states = ServiceStates()
     for server, signs in signs_by_server.items():
-        states.set_signs(server, signs)
+        states.set_signals(server, signs)
     return {server: states.state(server) for server in states.servers}
 
 
@@ -68,7 +68,7 @@
 )
 def test_limit_stays_between_one_and_the_slots(slots, events):
     """A limit of 0 would never recover; one above the slots only sheds."""
-    state = cold_start(slots)
+    state = initial_limit(slots)
     assert state.limit == 1
     for at_s, event in enumerate(events):
         before = state
@@ -83,20 +83,20 @@
 
 def test_limit_ramps_up_and_halves():
     """A cold server must not get all slots at once, nor stay cold."""
-    state = cold_start(5)
+    state = initial_limit(5)
     limits = []
     for _ in range(15):
         state = after_reply(state, state.limit)
         limits.append(state.limit)
     assert limits[:5] == [2, 2, 3, 3, 3]
     assert limits[-1] == 5
-    assert after_reply(cold_start(5), 0).limit == 1
+    assert after_reply(initial_limit(5), 0).limit == 1
     shed = after_shed(state, 10)
     assert shed.limit == 2
     assert after_shed(shed, 10.05) == shed
     assert after_shed(shed, 10.2).limit == 1
-    assert configured(state, 3).limit == 3
-    assert configured(state, 9).limit == 5
+    assert with_slots(state, 3).limit == 3
+    assert with_slots(state, 9).limit == 5
 
 
 @DETERMINISTIC
@@ -104,7 +104,7 @@
 def test_reports_take_out_at_most_half(signs):
     """A wave of false reports must not stop a service."""
     states = states_of({str(place): each for place, each in enumerate(signs)})
-    out = [state for state in states.values() if state in OUT_OF_USE]
+    out = [state for state in states.values() if state in OUT_OF_SERVICE]
     assert len(out) <= len(signs) // 2
 
 
@@ -130,9 +130,9 @@
         {'reply_draining': True},
     ):
         by_server = {
-            'leaving': ServerSigns(**sign),
-            'b': ServerSigns(),
-            'c': ServerSigns(announced=ServerState.COLD),
+            'leaving': ServerSignals(**sign),
+            'b': ServerSignals(),
+            'c': ServerSignals(announced=ServerState.COLD),
         }
         assert states_of(by_server) == {
             'leaving': ServerState.DRAINING,
@@ -157,9 +157,9 @@
     """One loss told twice, or a failed rack, must not block a request."""
     shuffled = list(notices)
     shuffle.shuffle(shuffled)
-    ledger = CrashLedger()
+    ledger = CrashTracker()
     for at_s, (fingerprint, loss_id, alone) in enumerate(shuffled):
-        ledger.note(fingerprint, loss_id, at_s, alone=alone)
+        ledger.record_loss(fingerprint, loss_id, at_s, alone=alone)
     losses, ran_alone = {}, set()
     for fingerprint, loss_id, alone in notices:
         losses.setdefault(fingerprint, set()).add(loss_id)
@@ -177,10 +177,10 @@
 
 def test_verdicts_expire():
     """A false verdict must not last for ever."""
-    ledger = CrashLedger(suspect_age_s=10, block_age_s=30)
-    ledger.note(1, 'x@1', 0)
-    ledger.note(2, 'x@1', 0)
-    ledger.note(2, 'y@1', 5, alone=True)
+    ledger = CrashTracker(suspect_age_s=10, block_age_s=30)
+    ledger.record_loss(1, 'x@1', 0)
+    ledger.record_loss(2, 'x@1', 0)
+    ledger.record_loss(2, 'y@1', 5, alone=True)
     assert ledger.suspects(9.9) == {1}
     assert not ledger.suspects(10)
     assert ledger.blocked(34.9) == {2}
@@ -189,22 +189,22 @@
 
 def test_cleared_losses_do_not_come_back():
     """A late notice must not undo an operator's decision."""
-    ledger = CrashLedger()
-    ledger.note(1, 'x@1', 0)
-    ledger.note(1, 'y@1', 0, alone=True)
+    ledger = CrashTracker()
+    ledger.record_loss(1, 'x@1', 0)
+    ledger.record_loss(1, 'y@1', 0, alone=True)
     assert ledger.clear(1, 1)
-    assert not ledger.note(1, 'x@1', 2)
+    assert not ledger.record_loss(1, 'x@1', 2)
     assert not ledger.blocked(2) | ledger.suspects(2)
-    assert ledger.note(1, 'x@2', 3)
+    assert ledger.record_loss(1, 'x@2', 3)
     assert ledger.suspects(3) == {1}
 
 
 def test_ledger_is_bounded(monkeypatch):
     """A crash loop of distinct requests must not fill the memory."""
     monkeypatch.setattr('boragespool.backends.crashes._CAPACITY', 5)
-    ledger = CrashLedger()
+    ledger = CrashTracker()
     for fingerprint in range(20):
-        ledger.note(fingerprint, 'x@1', fingerprint)
+        ledger.record_loss(fingerprint, 'x@1', fingerprint)
     assert ledger.suspects(20) == set(range(15, 20))
 
 
@@ -214,7 +214,7 @@
     """Late announcements must not bring an old state back."""
     kept = None
     for place in order:
-        kept = prefer(kept, records[place])
+        kept = newer_record(kept, records[place])
     newest = max(
         (each.sequence, -each.dispatcher_incarnation, each.dispatcher)
         for each in records
@@ -227,8 +227,8 @@
 @given(RECORDS, RECORDS)
 def test_new_dispatcher_replaces_the_record_of_a_gone_one(known, seen):
     """Views of any members must follow a dispatcher that takes over."""
-    taken = next_version(known, seen, 0, rival_is_live=False)
+    taken = next_version(known, seen, 0, known_dispatcher_is_live=False)
     if taken is None:
         assert dataclasses.replace(seen, sequence=known.sequence) == known
     else:
-        assert prefer(known, taken) == prefer(taken, known) == taken
+        assert newer_record(known, taken) == newer_record(taken, known) == taken
--- a/tests/test_record_exchange.py
+++ b/tests/test_record_exchange.py
@@ -69,7 +69,7 @@
             table.by_server.get(server),
             record(server, f'd{daemon}', state=state),
             100,
-            rival_is_live=True,
+            known_dispatcher_is_live=True,
         )
         if announced is None:
             return
@@ -90,14 +90,14 @@
             LIMITS,
             self.source.random,
         )
-        versions = backends.versions_of(other, groups, count)
-        compared = backends.compare(own, groups, count, versions)
+        versions = backends.pack_versions(other, groups, count)
+        compared = backends.compare_versions(own, groups, count, versions)
         for target, records in (
             (second, compared.to_send),
             (first, other.find(compared.wanted)),
         ):
             self.bag.append(
-                (target, backends.bounded(records, LIMITS.size_bytes))
+                (target, backends.limit_total_size(records, LIMITS.size_bytes))
             )
 
     def carry(self, *, keep):
@@ -166,8 +166,10 @@
     assert (digests[0] == digests[1]) == (first == second)
     sent, wanted = set(), set()
     for group in range(count):
-        versions = backends.versions_of(tables[1], (group,), count)
-        compared = backends.compare(tables[0], (group,), count, versions)
+        versions = backends.pack_versions(tables[1], (group,), count)
+        compared = backends.compare_versions(
+            tables[0], (group,), count, versions
+        )
         sent |= {each.server for each in compared.to_send}
         wanted |= {each.server for each in tables[1].find(compared.wanted)}
     assert sent == {f's{number}' for number in first - second}
@@ -255,11 +257,16 @@
     own = record('s', 'a')
 
     def version(since_s, *, seen=own, live=True):
-        return backends.next_version(theirs, seen, since_s, rival_is_live=live)
+        return backends.next_version(
+            theirs, seen, since_s, known_dispatcher_is_live=live
+        )
 
     assert version(5) is None
     assert version(11) == replace(own, sequence=8)
     assert version(5, live=False) == replace(own, sequence=8)
     lost = replace(own, state=ServerState.LOST)
     assert version(5, seen=lost) == replace(lost, sequence=8)
-    assert backends.next_version(own, own, 99, rival_is_live=True) is None
+    assert (
+        backends.next_version(own, own, 99, known_dispatcher_is_live=True)
+        is None
+    )
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -34,7 +34,7 @@
     sends = {}
     for number, (server, is_urgent, targets, wait_s) in enumerate(steps):
         now_s += wait_s
-        queue.note(record(server, sequence=number), is_urgent=is_urgent)
+        queue.enqueue(record(server, sequence=number), is_urgent=is_urgent)
         taken = queue.take(targets, now_s, urgent_only=False)
         for each in taken:
             sent_bytes += targets * backends.record_size_bytes(each)
@@ -53,12 +53,12 @@
     limits = backends.SpreadLimits(bytes_per_s=0, burst_bytes=300)
     queue = backends.SpreadQueue(limits, 0)
     for server in SERVERS:
-        queue.note(record(server), is_urgent=server == 's9')
+        queue.enqueue(record(server), is_urgent=server == 's9')
     (first,) = queue.take(1, 0, urgent_only=False)
     assert first.server == 's9'
     several = [record(server) for server in SERVERS]
     several[7] = replace(several[7], state=ServerState.LOST)
-    assert backends.bounded(several, 300) == (several[7],)
+    assert backends.limit_total_size(several, 300) == (several[7],)
 
 
 @FEW
