Describe the scheduling by rank in the terms of queues

Comments spoke of what is owed, remembered or wanted, and private names were as vague. Docstrings state units, floors, caps and floods now; private names follow. check with the tests of account, overload, ranks and dispatch passes.

--- a/boragespool/ranks/__init__.py
+++ b/boragespool/ranks/__init__.py
@@ -1,4 +1,8 @@
-"""Decisions by rank: what a backend server runs, what a daemon admits."""
+"""Scheduling and admission control by rank.
+
+Decides which queued work runs on a backend server, and which share of the
+callers' requests a daemon admits while it is overloaded.
+"""
 
 from __future__ import annotations
 
--- a/boragespool/ranks/account.py
+++ b/boragespool/ranks/account.py
@@ -1,9 +1,10 @@
-"""Slot time of one rank against its floor.
+"""Slot time that a rank used at one backend server, compared with its floor.
 
-A deficit counter (Shreedhar and Varghese, "Efficient fair queueing using
-deficit round robin", SIGCOMM 1995) in slot seconds: it grows with time by the
-floor while work of the rank waits, and is charged for the slots that the rank
-holds.
+The floor is the share of the slots that a rank is guaranteed. The balance is a
+deficit counter (Shreedhar and Varghese, "Efficient fair queueing using deficit
+round robin", SIGCOMM 1995) in slot seconds, that is slots times seconds: it
+grows at the rate of the floor while work of the rank waits, and is charged for
+the slot time that the rank's work used.
 """
 
 from __future__ import annotations
@@ -15,24 +16,35 @@
     from boragespool.ranks.work import QueuedWork
     from boragespool.types import AttemptId, Seconds
 
-#: Slot time above the floor is forgotten after this time, so that a rank that
-#: borrowed idle slots gets its floor back soon after a flood begins.
-_MEMORY_S: Final = 0.5
-#: Weight of one service time in the mean.
+#: Credit and debt are bounded by the slot time that the floor gives in this
+#: period, so that a rank that borrowed idle slots gets its floor back soon
+#: after a flood begins.
+_CREDIT_WINDOW_S: Final = 0.5
+#: Weight of the latest service time in the moving average.
 _MEAN_WEIGHT: Final = 0.05
 _USAGE_WINDOW_S: Final = 1
-#: A queue that is not empty for `_MEMORY_S` and this many service times is a
-#: flood. At a demand of 0.79 of 5 slots it empties after a fifth of a service
-#: time in the mean.
-_FLOOD_SERVICE_TIMES: Final = 2
-#: A flood goes on while the queue is empty for less than this many service
-#: times: refused callers need a moment to send their next request.
-_CALM_SERVICE_TIMES: Final = 0.25
+#: A rank counts as flooded once its queue has not been empty for
+#: `_CREDIT_WINDOW_S` plus this many mean service times. Without a flood, at a
+#: demand of 0.79 of 5 slots, a queue empties after a fifth of a service time on
+#: average.
+_FLOOD_START_SERVICE_TIMES: Final = 2
+#: A flood ends once the queue has been empty for this many mean service times.
+#: Shorter gaps do not count, as refused callers take a moment to send their
+#: next request.
+_FLOOD_END_SERVICE_TIMES: Final = 0.25
 
 
 @dataclass(slots=True)
-class Running:
-    """Work that holds a slot."""
+class RunningWork:
+    """Work that holds a slot.
+
+    Attributes
+    ----------
+    started_s : float
+        Time at which it got the slot, in seconds.
+    preempted : bool
+        Whether it is being cancelled to free the slot.
+    """
 
     work: QueuedWork
     started_s: Seconds
@@ -40,21 +52,32 @@
 
 
 class SlotAccount:
-    """Running work, floor credit and service times of one rank."""
+    """Running work, floor credit and service times of one rank.
+
+    Times are passed in, in seconds on the clock of the queue.
+
+    Attributes
+    ----------
+    running_by_attempt : dict of str to RunningWork
+        Work that holds a slot.
+    mean_service_s : float
+        Moving average of the service time in seconds; 0 before the first
+        work was served.
+    """
 
     def __init__(self) -> None:
-        """Start with nothing owed and no service time known."""
-        self.running_by_attempt: dict[AttemptId, Running] = {}
+        """Set up an empty account: no running work, credit or service time."""
+        self.running_by_attempt: dict[AttemptId, RunningWork] = {}
         self.mean_service_s: Seconds = 0
         self._credit_slot_s: float = 0
         self._usage_slot_s: float = 0
         self._waiting_since_s: Seconds = 0
-        self._waited_at_s: Seconds = 0
-        self._at_s: Seconds = 0
+        self._last_waiting_at_s: Seconds = 0
+        self._advanced_at_s: Seconds = 0
 
     @property
     def running_count(self) -> int:
-        """Slots held."""
+        """Number of slots that the rank holds."""
         return len(self.running_by_attempt)
 
     def advance(
@@ -64,38 +87,59 @@
         *,
         waiting: bool,
     ) -> None:
-        """Let the floor accrue up to now; unused floor is not saved."""
-        elapsed_s = max(0, now_s - self._at_s)
-        self._at_s = max(now_s, self._at_s)
+        """Accrue floor credit and slot usage up to `now_s`.
+
+        Parameters
+        ----------
+        now_s : float
+            Present time in seconds.
+        floor_slots : float
+            Guaranteed number of slots.
+        waiting : bool
+            Whether work of the rank is queued. Credit is not saved up while
+            nothing waits.
+        """
+        elapsed_s = max(0, now_s - self._advanced_at_s)
+        self._advanced_at_s = max(now_s, self._advanced_at_s)
         if not (waiting or self.running_by_attempt or self._has_history):
             return
-        bound = _MEMORY_S * floor_slots
-        bound += self.mean_service_s * (floor_slots + 1)
+        credit_limit_slot_s = _CREDIT_WINDOW_S * floor_slots
+        credit_limit_slot_s += self.mean_service_s * (floor_slots + 1)
         self._credit_slot_s = min(
-            bound if waiting else 0,
-            max(-bound, self._credit_slot_s) + elapsed_s * floor_slots,
+            credit_limit_slot_s if waiting else 0,
+            max(-credit_limit_slot_s, self._credit_slot_s)
+            + elapsed_s * floor_slots,
         )
         decay = max(0, 1 - elapsed_s / _USAGE_WINDOW_S)
         used_slot_s = elapsed_s * self.running_count
         self._usage_slot_s = self._usage_slot_s * decay + used_slot_s
         if waiting:
-            self._waited_at_s = self._at_s
-        elif self._at_s - self._waited_at_s >= self._calm_s:
-            self._waiting_since_s = self._at_s
+            self._last_waiting_at_s = self._advanced_at_s
+        elif self._advanced_at_s - self._last_waiting_at_s >= self._flood_end_s:
+            self._waiting_since_s = self._advanced_at_s
 
     @property
     def usage_slots(self) -> float:
-        """Slots held on average in the last second."""
+        """Number of slots held, averaged over about the last second."""
         return self._usage_slot_s / _USAGE_WINDOW_S
 
     @property
     def is_flooded(self) -> bool:
-        """Whether the queue has not been empty for so long that it grows."""
-        limit_s = _MEMORY_S + _FLOOD_SERVICE_TIMES * self.mean_service_s
-        return self._at_s - self._waiting_since_s > limit_s
+        """Whether work has waited for so long that the queue must be growing.
+
+        Short gaps in which nothing waits are not counted.
+        """
+        limit_s = (
+            _CREDIT_WINDOW_S + _FLOOD_START_SERVICE_TIMES * self.mean_service_s
+        )
+        return self._advanced_at_s - self._waiting_since_s > limit_s
+
+    def is_below_floor(self, now_s: Seconds) -> bool:
+        """Whether the rank got less slot time than its floor.
 
-    def below_floor(self, now_s: Seconds) -> bool:
-        """Whether the rank is owed slot time, running work deducted."""
+        Running work is charged with its time so far, and with at least one
+        mean service time.
+        """
         charged = sum(
             max(self.mean_service_s, now_s - entry.started_s)
             for entry in self.running_by_attempt.values()
@@ -103,8 +147,8 @@
         return self._credit_slot_s > charged
 
     def start(self, work: QueuedWork, now_s: Seconds) -> None:
-        """Note that work holds a slot."""
-        self.running_by_attempt[work.attempt_id] = Running(work, now_s)
+        """Record that work got a slot."""
+        self.running_by_attempt[work.attempt_id] = RunningWork(work, now_s)
 
     def finish(
         self,
@@ -113,10 +157,22 @@
         *,
         served: bool,
     ) -> bool:
-        """Release a slot and charge it.
-
-        Slot time of cancelled or refused work is neither charged nor counted
-        in the mean service time.
+        """Release the slot of an attempt and charge its slot time.
+
+        Parameters
+        ----------
+        attempt_id : str
+            Attempt that ended.
+        now_s : float
+            Present time in seconds.
+        served : bool
+            Whether the work ran to its end. Slot time of cancelled or refused
+            work is neither charged nor counted in the mean service time.
+
+        Returns
+        -------
+        bool
+            Whether the attempt held a slot.
         """
         entry = self.running_by_attempt.pop(attempt_id, None)
         if entry is None:
@@ -130,9 +186,9 @@
 
     @property
     def _has_history(self) -> bool:
-        """Whether credit or usage differ from those of an unused rank."""
+        """Whether credit or usage differ from 0."""
         return self._credit_slot_s != 0 or self._usage_slot_s != 0
 
     @property
-    def _calm_s(self) -> Seconds:
-        return _CALM_SERVICE_TIMES * self.mean_service_s
+    def _flood_end_s(self) -> Seconds:
+        return _FLOOD_END_SERVICE_TIMES * self.mean_service_s
--- a/boragespool/ranks/queue.py
+++ b/boragespool/ranks/queue.py
@@ -1,4 +1,9 @@
-"""The queue of one backend server: ranks, floors, caps and borrowing."""
+"""Scheduler of the slots of one backend server.
+
+Each rank has a queue, a floor (guaranteed share of the slots) and a cap (share
+that it may hold while other ranks wait). A rank may borrow idle slots above its
+cap; they are taken back by pre-emption.
+"""
 
 from __future__ import annotations
 
@@ -9,9 +14,9 @@
 
 from boragespool.ranks.account import SlotAccount
 from boragespool.ranks.rank_queue import RankQueue, any_waiting
-from boragespool.ranks.preemption import all_running, victims
-from boragespool.ranks.refusals import queue_full, unreachable
-from boragespool.ranks.waits import RankLoad, wait_s
+from boragespool.ranks.preemption import all_running, choose_victims
+from boragespool.ranks.refusals import refuse_queue_full, refuse_unreachable
+from boragespool.ranks.waits import RankLoad, estimate_wait_s
 from boragespool.ranks.work import (
     QueuedWork,
     RankCounts,
@@ -26,32 +31,33 @@
 
     from boragespool.types import AttemptId, CallerName, Seconds
 
-#: Absorbs the rounding of products such as ``0.6 * 5``.
-_ROUNDING: Final = 1e-9
-#: Without margins, 10 in 100 slots went to urgent work that ended just after
-#: its deadline in a flood of 50 times the capacity.
-_WAIT_MARGIN: Final = 1.15
-_SERVICE_MARGIN: Final = 2
+#: Added before rounding down, as products such as ``0.6 * 5`` are inexact.
+_ROUNDING_EPSILON: Final = 1e-9
+#: Factors of the estimated wait and of the mean service time that must fit
+#: before the deadline. Without these margins, 10 in 100 slots went to urgent
+#: work that ended just after its deadline in a flood of 50 times the capacity.
+_WAIT_MARGIN_FACTOR: Final = 1.15
+_SERVICE_MARGIN_FACTOR: Final = 2
 _RANKS: Final = tuple(Rank)
 _NO_WAITS_S: Final = (0,) * len(_RANKS)
-#: Accounts are brought up to date at most this often, to save time.
-_ACCOUNTING_S: Final = 0.0005
+#: Shortest time between two updates of the accounts; saves processor time.
+_ACCOUNTING_INTERVAL_S: Final = 0.0005
 _LOWEST_FIRST: Final = tuple(reversed(Rank))
-_ABSENT: Final = RankSettings()
-_NOTHING: Final = ScheduleResult()
+_DEFAULT_SETTINGS: Final = RankSettings()
+_NO_CHANGES: Final = ScheduleResult()
 
 
 class ServerQueue:
-    """Decides which work holds the slots of one backend server.
+    """Queue of one backend server; decides which work gets its slots.
 
-    Time is passed to every call in seconds and never goes back.
+    Times are passed in as seconds on one clock that never goes back.
 
     Parameters
     ----------
     slots : int
-        Slots that may be held at the same time.
+        Number of slots, that is of pieces of work that run at the same time.
     settings_by_rank : mapping of Rank to RankSettings
-        Floors, caps and queue limits. A missing rank has the defaults.
+        Floors, caps and queue limits. A missing rank has the default ones.
     """
 
     def __init__(
@@ -59,80 +65,98 @@
         slots: int,
         settings_by_rank: Mapping[Rank, RankSettings],
     ) -> None:
-        """Start empty and idle."""
+        """Set up an empty queue with all slots idle."""
         self.slots = slots
         self.settings_by_rank = settings_by_rank
-        self._lanes = MappingProxyType({rank: RankQueue() for rank in Rank})
-        self._accounts = MappingProxyType(
+        self._queues_by_rank = MappingProxyType(
+            {rank: RankQueue() for rank in Rank}
+        )
+        self._accounts_by_rank = MappingProxyType(
             {rank: SlotAccount() for rank in Rank}
         )
         self._rank_by_attempt: dict[AttemptId, Rank] = {}
-        self._advanced_s: Seconds = -math.inf
+        self._advanced_at_s: Seconds = -math.inf
 
     @property
     def running_count(self) -> int:
-        """Slots held."""
+        """Number of slots that are held."""
         return len(self._rank_by_attempt)
 
     @property
     def counts_by_rank(self) -> Mapping[Rank, RankCounts]:
-        """Queued work and held slots by rank."""
+        """Number of queued and of running pieces of work by rank."""
         return {
-            rank: RankCounts(lane.count, self._accounts[rank].running_count)
-            for rank, lane in self._lanes.items()
+            rank: RankCounts(
+                queue.count, self._accounts_by_rank[rank].running_count
+            )
+            for rank, queue in self._queues_by_rank.items()
         }
 
     @property
     def waiting_count(self) -> int:
-        """Queued work of all ranks."""
-        return sum([lane.count for lane in self._lanes.values()])
+        """Number of queued pieces of work of all ranks."""
+        return sum([queue.count for queue in self._queues_by_rank.values()])
 
     @property
     def next_expiry_s(self) -> Seconds:
-        """Earliest time at which queued work may expire, or infinity."""
-        if not any_waiting(self._lanes):
+        """Earliest time at which queued work may expire, in seconds.
+
+        Infinity if nothing waits.
+        """
+        if not any_waiting(self._queues_by_rank):
             return math.inf
-        return min(lane.earliest_deadline_s for lane in self._lanes.values())
+        return min(
+            queue.earliest_deadline_s for queue in self._queues_by_rank.values()
+        )
 
     def offer(
         self,
         work: QueuedWork,
         now_s: Seconds,
     ) -> tuple[RefusedWork, ...]:
-        """Queue new work.
+        """Queue new work, or refuse it.
 
         Returns
         -------
         tuple of RefusedWork
-            The new work if it is refused: ``DEADLINE_UNREACHABLE`` or
-            ``QUEUE_FULL``. In a full queue, work of a caller above its fair
-            share makes room and is refused instead.
+            Empty if the work was queued and no other was removed. New work is
+            refused with ``DEADLINE_UNREACHABLE`` or ``QUEUE_FULL``. If the
+            queue is full and another caller exceeds its fair share, the newest
+            work of that caller is removed and refused instead.
         """
         self._advance(now_s)
         expected_s = self.wait_s(work.rank, work.caller)
-        mean_s = self._accounts[work.rank].mean_service_s if expected_s else 0
-        needed_s = expected_s * _WAIT_MARGIN + mean_s * _SERVICE_MARGIN
+        mean_s = (
+            self._accounts_by_rank[work.rank].mean_service_s
+            if expected_s
+            else 0
+        )
+        needed_s = (
+            expected_s * _WAIT_MARGIN_FACTOR + mean_s * _SERVICE_MARGIN_FACTOR
+        )
         if now_s + needed_s >= work.deadline_at_s:
-            return (unreachable(work, now_s, expected_s),)
-        lane = self._lanes[work.rank]
-        limit = self.settings_by_rank.get(work.rank, _ABSENT).queue_limit
-        displaced = None
-        if lane.count >= limit:
-            displaced = lane.displace(work.caller, limit)
-            if displaced is None:
-                return (queue_full(work, limit, expected_s),)
-        lane.push(work)
+            return (refuse_unreachable(work, now_s, expected_s),)
+        queue = self._queues_by_rank[work.rank]
+        limit = self.settings_by_rank.get(
+            work.rank, _DEFAULT_SETTINGS
+        ).queue_limit
+        evicted = None
+        if queue.count >= limit:
+            evicted = queue.evict(work.caller, limit)
+            if evicted is None:
+                return (refuse_queue_full(work, limit, expected_s),)
+        queue.push(work)
         return (
             ()
-            if displaced is None
-            else (queue_full(displaced, limit, expected_s),)
+            if evicted is None
+            else (refuse_queue_full(evicted, limit, expected_s),)
         )
 
     def take(self, now_s: Seconds) -> ScheduleResult:
-        """Expire late work, fill free slots, choose work to pre-empt."""
+        """Remove expired work, fill free slots and choose work to pre-empt."""
         self._advance(now_s)
-        if not any_waiting(self._lanes):
-            return _NOTHING
+        if not any_waiting(self._queues_by_rank):
+            return _NO_CHANGES
         refused: tuple[RefusedWork, ...] = ()
         if self.next_expiry_s <= now_s:
             refused = tuple(self._expire(now_s))
@@ -146,12 +170,12 @@
         *,
         served: bool = True,
     ) -> bool:
-        """Release the slot of an attempt.
+        """Release the slot of an attempt that ended.
 
         Parameters
         ----------
         served : bool
-            False if the backend server did not run the work to its end.
+            Whether the backend server ran the work to its end.
 
         Returns
         -------
@@ -162,48 +186,55 @@
         rank = self._rank_by_attempt.pop(attempt_id, None)
         if rank is None:
             return False
-        return self._accounts[rank].finish(attempt_id, now_s, served=served)
+        return self._accounts_by_rank[rank].finish(
+            attempt_id, now_s, served=served
+        )
 
     def withdraw(self, attempt_id: AttemptId) -> QueuedWork | None:
-        """Take waiting work out of the queue; None if it does not wait."""
-        for lane in self._lanes.values():
-            work = lane.remove(attempt_id)
+        """Remove and return the queued work of an attempt.
+
+        Returns None if the attempt is not queued.
+        """
+        for queue in self._queues_by_rank.values():
+            work = queue.remove(attempt_id)
             if work is not None:
                 return work
         return None
 
     def clear(self) -> tuple[QueuedWork, ...]:
-        """Take all waiting work out of the queue."""
-        cleared = (lane.expire(math.inf) for lane in self._lanes.values())
+        """Remove and return all queued work."""
+        cleared = (
+            queue.expire(math.inf) for queue in self._queues_by_rank.values()
+        )
         return tuple(itertools.chain.from_iterable(cleared))
 
     def wait_s(self, rank: Rank, caller: CallerName = '') -> Seconds:
-        """Estimate the queueing time of new work of a caller, in seconds."""
-        if self._free_slots and not any_waiting(self._lanes):
+        """Return the estimated queueing time of new work of a caller."""
+        if self._free_slots and not any_waiting(self._queues_by_rank):
             return 0
-        loads = self._loads(caller)
-        return wait_s(
+        loads = self._rank_loads(caller)
+        return estimate_wait_s(
             loads,
             _RANKS.index(rank),
             self.slots,
             self._free_slots,
-            owes_floors=self._accounts[rank].is_flooded,
+            lower_floors_first=self._accounts_by_rank[rank].is_flooded,
         )
 
     @property
     def waits_s(self) -> tuple[Seconds, ...]:
-        """Estimated queueing time of a new caller by rank, in seconds."""
-        if self._free_slots and not any_waiting(self._lanes):
+        """Estimated queueing time in seconds by rank, for a new caller."""
+        if self._free_slots and not any_waiting(self._queues_by_rank):
             return _NO_WAITS_S
-        loads = self._loads('')
+        loads = self._rank_loads('')
         free_slots = self._free_slots
         return tuple(
-            wait_s(
+            estimate_wait_s(
                 loads,
                 position,
                 self.slots,
                 free_slots,
-                owes_floors=self._accounts[rank].is_flooded,
+                lower_floors_first=self._accounts_by_rank[rank].is_flooded,
             )
             for position, rank in enumerate(Rank)
         )
@@ -213,113 +244,124 @@
         return max(0, self.slots - self.running_count)
 
     def _cap_slots(self, rank: Rank) -> int:
-        """Slots that a rank may hold while others wait, at least one."""
+        """Return the slots a rank may hold while others wait, at least 1."""
         return max(
             1,
             int(
-                self.settings_by_rank.get(rank, _ABSENT).cap * self.slots
-                + _ROUNDING
+                self.settings_by_rank.get(rank, _DEFAULT_SETTINGS).cap
+                * self.slots
+                + _ROUNDING_EPSILON
             ),
         )
 
-    def _loads(self, caller: CallerName) -> tuple[RankLoad, ...]:
+    def _rank_loads(self, caller: CallerName) -> tuple[RankLoad, ...]:
         return tuple(
             RankLoad(
-                lane.count,
-                lane.ahead_of(caller),
-                self._accounts[rank].mean_service_s,
-                self._accounts[rank].usage_slots,
-                self.settings_by_rank.get(rank, _ABSENT).floor,
+                queue.count,
+                queue.count_ahead(caller),
+                self._accounts_by_rank[rank].mean_service_s,
+                self._accounts_by_rank[rank].usage_slots,
+                self.settings_by_rank.get(rank, _DEFAULT_SETTINGS).floor,
             )
-            for rank, lane in self._lanes.items()
+            for rank, queue in self._queues_by_rank.items()
         )
 
     def _advance(self, now_s: Seconds) -> None:
-        if now_s - self._advanced_s < _ACCOUNTING_S:
+        if now_s - self._advanced_at_s < _ACCOUNTING_INTERVAL_S:
             return
-        self._advanced_s = now_s
-        for rank, account in self._accounts.items():
+        self._advanced_at_s = now_s
+        for rank, account in self._accounts_by_rank.items():
             floor_slots = (
-                self.settings_by_rank.get(rank, _ABSENT).floor * self.slots
+                self.settings_by_rank.get(rank, _DEFAULT_SETTINGS).floor
+                * self.slots
             )
-            waiting = bool(self._lanes[rank].count)
+            waiting = bool(self._queues_by_rank[rank].count)
             account.advance(now_s, floor_slots, waiting=waiting)
 
     def _expire(self, now_s: Seconds) -> Iterator[RefusedWork]:
-        for rank, lane in self._lanes.items():
-            if lane.earliest_deadline_s > now_s:
+        for rank, queue in self._queues_by_rank.items():
+            if queue.earliest_deadline_s > now_s:
                 continue
-            for work in lane.expire(now_s):
-                yield unreachable(work, now_s, self.wait_s(rank))
+            for work in queue.expire(now_s):
+                yield refuse_unreachable(work, now_s, self.wait_s(rank))
 
     def _fill(self, now_s: Seconds) -> Iterator[QueuedWork]:
-        """Start work until no slot is free or nothing may start."""
-        while any_waiting(self._lanes) and self._free_slots:
-            if self._runs_solo():
+        """Start queued work until no slot is free or nothing may start."""
+        while any_waiting(self._queues_by_rank) and self._free_slots:
+            if self._is_running_solo():
                 return
             rank = self._next_rank(now_s)
-            head = None if rank is None else self._lanes[rank].head()
+            head = None if rank is None else self._queues_by_rank[rank].head()
             if head is None or (head.solo and self.running_count):
                 return
-            work = self._lanes[head.rank].pop()
-            self._accounts[head.rank].start(work, now_s)
+            work = self._queues_by_rank[head.rank].pop()
+            self._accounts_by_rank[head.rank].start(work, now_s)
             self._rank_by_attempt[work.attempt_id] = head.rank
             yield work
 
-    def _runs_solo(self) -> bool:
+    def _is_running_solo(self) -> bool:
         if self.running_count != 1:
             return False
         return any(
-            entry.work.solo for entry in all_running(self._accounts.values())
+            entry.work.solo
+            for entry in all_running(self._accounts_by_rank.values())
         )
 
     def _next_rank(self, now_s: Seconds) -> Rank | None:
         """Return the rank that the next free slot goes to.
 
-        The highest rank that waits goes first. While it floods, ranks below
-        their floor go before it. A floor that held at all times would make
-        urgent work late at a demand that leaves room for it.
+        That is the highest waiting rank below its cap, or the highest waiting
+        one if all are at their caps. Only while this rank is flooded, ranks
+        below their floor go before it: floors that applied at all times would
+        delay urgent work at a demand that leaves enough slots for it.
         """
-        waiting = [rank for rank in Rank if self._lanes[rank].count]
+        waiting = [rank for rank in Rank if self._queues_by_rank[rank].count]
         within_cap = [
             rank
             for rank in waiting
-            if self._accounts[rank].running_count < self._cap_slots(rank)
+            if self._accounts_by_rank[rank].running_count
+            < self._cap_slots(rank)
         ]
-        if within_cap and not self._accounts[within_cap[0]].is_flooded:
+        if within_cap and not self._accounts_by_rank[within_cap[0]].is_flooded:
             return within_cap[0]
-        owed = (
+        ranks_below_floor = (
             rank
             for rank in within_cap
-            if self._accounts[rank].below_floor(now_s)
+            if self._accounts_by_rank[rank].is_below_floor(now_s)
+        )
+        return next(
+            itertools.chain(ranks_below_floor, within_cap, waiting), None
         )
-        return next(itertools.chain(owed, within_cap, waiting), None)
 
     def _preempt(self, now_s: Seconds) -> Iterator[QueuedWork]:
-        """Choose running work above a cap while entitled work waits."""
+        """Mark and yield running work of ranks above their cap.
+
+        At most as much as waiting work of ranks below their cap needs.
+        """
         if (
-            not any_waiting(self._lanes)
+            not any_waiting(self._queues_by_rank)
             or self._free_slots
-            or self._runs_solo()
+            or self._is_running_solo()
         ):
             return
-        wanted = self._entitled_count() - sum(
-            entry.preempted for entry in all_running(self._accounts.values())
+        wanted_slots = self._waiting_below_caps_count() - sum(
+            entry.preempted
+            for entry in all_running(self._accounts_by_rank.values())
         )
         for rank in _LOWEST_FIRST:
-            account = self._accounts[rank]
-            chosen = victims(
+            account = self._accounts_by_rank[rank]
+            chosen = choose_victims(
                 account.running_by_attempt.values(),
                 account.running_count - self._cap_slots(rank),
-                wanted,
+                wanted_slots,
             )
-            wanted -= len(chosen)
+            wanted_slots -= len(chosen)
             for entry in chosen:
                 entry.preempted = True
                 yield entry.work
 
-    def _entitled_count(self) -> int:
-        """Return how much waiting work fits below the caps."""
+    def _waiting_below_caps_count(self) -> int:
+        """Return how many waiting pieces of work fit below the caps."""
         return sum(
             max(0, min(counts.waiting, self._cap_slots(rank) - counts.running))
             for rank, counts in self.counts_by_rank.items()
--- a/boragespool/ranks/rank_queue.py
+++ b/boragespool/ranks/rank_queue.py
@@ -1,4 +1,4 @@
-"""The waiting work of one rank: round-robin over callers, bounded."""
+"""Queue of the waiting work of one rank, round-robin over callers."""
 
 from __future__ import annotations
 
@@ -14,10 +14,19 @@
 
 
 class RankQueue:
-    """Waiting work of one rank by caller, in order of the next turn."""
+    """Waiting work of one rank, served round-robin over the callers.
+
+    Each caller has a first-in-first-out queue. Times are seconds on the clock
+    of the server's queue.
+
+    Attributes
+    ----------
+    count : int
+        Number of waiting pieces of work.
+    """
 
     def __init__(self) -> None:
-        """Start empty."""
+        """Set up an empty queue."""
         self.count = 0
         self._queues_by_caller: dict[CallerName, deque[QueuedWork]] = {}
         self._caller_by_attempt: dict[AttemptId, CallerName] = {}
@@ -25,7 +34,7 @@
 
     @property
     def earliest_deadline_s(self) -> Seconds:
-        """Lower bound of all deadlines; infinity if nothing waits."""
+        """Lower bound of all deadlines, in seconds; infinity if empty."""
         return self._earliest_deadline_s if self.count else math.inf
 
     def push(self, work: QueuedWork) -> None:
@@ -40,13 +49,13 @@
         self.count += 1
 
     def head(self) -> QueuedWork | None:
-        """Return the work whose turn is next."""
+        """Return the work that `pop` would return; None if nothing waits."""
         for queue in self._queues_by_caller.values():
             return queue[0]
         return None
 
     def pop(self) -> QueuedWork:
-        """Take the next work and move its caller to the end of the turns.
+        """Remove and return the next work; its caller gets the last turn.
 
         Raises
         ------
@@ -58,11 +67,11 @@
         work = queue.popleft()
         if queue:
             self._queues_by_caller[caller] = queue
-        self._forget(work)
+        self._unindex(work)
         return work
 
     def remove(self, attempt_id: AttemptId) -> QueuedWork | None:
-        """Take one attempt out of the queue, or None if it does not wait."""
+        """Remove and return the work of an attempt; None if not queued."""
         caller = self._caller_by_attempt.get(attempt_id)
         if caller is None:
             return None
@@ -72,12 +81,12 @@
         return found
 
     def expire(self, now_s: Seconds) -> list[QueuedWork]:
-        """Take out all work whose deadline is not after `now_s`."""
+        """Remove and return all work whose deadline is not after `now_s`."""
         waiting = [
             work for queue in self._queues_by_caller.values() for work in queue
         ]
-        late = [work for work in waiting if work.deadline_at_s <= now_s]
-        for expired in late:
+        expired_work = [work for work in waiting if work.deadline_at_s <= now_s]
+        for expired in expired_work:
             self._discard(expired)
         self._earliest_deadline_s = min(
             (
@@ -87,49 +96,52 @@
             ),
             default=math.inf,
         )
-        return late
+        return expired_work
 
     def fair_share(self, caller: CallerName, limit: int) -> int:
-        """Return how much work one caller may have waiting.
+        """Return how many pieces of work one caller may have waiting.
 
-        The whole limit while no other caller waits, else an equal part of it
-        and at least one.
+        The limit is divided equally among the callers that wait, `caller`
+        included; each may have at least one.
         """
         callers = len(self._queues_by_caller.keys() | {caller})
         return max(1, limit // callers)
 
-    def waiting_of(self, caller: CallerName) -> int:
-        """Return how much work of a caller waits."""
+    def waiting_count_of(self, caller: CallerName) -> int:
+        """Return the number of waiting pieces of work of a caller."""
         return len(self._queues_by_caller.get(caller, ()))
 
-    def ahead_of(self, caller: CallerName) -> int:
-        """Return how much work is served before new work of a caller."""
-        own = self.waiting_of(caller)
+    def count_ahead(self, caller: CallerName) -> int:
+        """Return how many pieces of work precede new work of a caller."""
+        own = self.waiting_count_of(caller)
         return own + sum(
             min(len(queue), own + 1)
             for other, queue in self._queues_by_caller.items()
             if other != caller
         )
 
-    def displace(self, caller: CallerName, limit: int) -> QueuedWork | None:
-        """Take out the newest work of the caller that exceeds its share most.
+    def evict(self, caller: CallerName, limit: int) -> QueuedWork | None:
+        """Remove the newest work of the caller with the longest queue.
+
+        Makes room for new work of `caller` in a queue of `limit` pieces.
 
         Returns
         -------
         QueuedWork or None
-            None if no other caller has more than its fair share.
+            The removed work. None if no caller exceeds its fair share, or if
+            `caller` has used up its own.
         """
         share = self.fair_share(caller, limit)
-        greedy = max(
+        longest = max(
             self._queues_by_caller.values(),
             key=len,
             default=None,
         )
-        if greedy is None or len(greedy) <= share:
+        if longest is None or len(longest) <= share:
             return None
-        if self.waiting_of(caller) >= share:
+        if self.waiting_count_of(caller) >= share:
             return None
-        work = greedy[-1]
+        work = longest[-1]
         self._discard(work)
         return work
 
@@ -138,16 +150,16 @@
         queue.remove(work)
         if not queue:
             self._queues_by_caller.pop(work.caller)
-        self._forget(work)
+        self._unindex(work)
 
-    def _forget(self, work: QueuedWork) -> None:
+    def _unindex(self, work: QueuedWork) -> None:
         self._caller_by_attempt.pop(work.attempt_id)
         self.count -= 1
 
 
-def any_waiting(lanes: Mapping[Rank, RankQueue]) -> bool:
-    """Return whether any work is queued, without counting it."""
-    for lane in lanes.values():
-        if lane.count:
+def any_waiting(queues_by_rank: Mapping[Rank, RankQueue]) -> bool:
+    """Return whether any rank has queued work."""
+    for queue in queues_by_rank.values():
+        if queue.count:
             return True
     return False
--- a/boragespool/ranks/refusals.py
+++ b/boragespool/ranks/refusals.py
@@ -1,4 +1,4 @@
-"""Refusals of a queue; each promises that the work was not run."""
+"""Refusals of queued work; each states that the work was not run."""
 
 from __future__ import annotations
 
@@ -11,16 +11,16 @@
     from boragespool.ranks.work import QueuedWork
     from boragespool.types import Seconds
 
-#: Reported in place of an unknown or longer wait.
-_LONGEST_WAIT_S: Final = 60
+#: Upper bound of the reported ``retry_after_s``; also used for an unknown wait.
+_MAX_RETRY_AFTER_S: Final = 60
 
 
-def unreachable(
+def refuse_unreachable(
     work: QueuedWork,
     now_s: Seconds,
     expected_s: Seconds,
 ) -> RefusedWork:
-    """Refuse work that cannot meet its deadline, or missed it."""
+    """Return the refusal of work that cannot meet its deadline or missed it."""
     left_s = work.deadline_at_s - now_s
     rank = work.rank.value
     reason = (
@@ -30,12 +30,12 @@
     return _refuse(work, ResultCode.DEADLINE_UNREACHABLE, reason, expected_s)
 
 
-def queue_full(
+def refuse_queue_full(
     work: QueuedWork,
     limit: int,
     expected_s: Seconds,
 ) -> RefusedWork:
-    """Refuse work of a caller that has its fair share of a queue."""
+    """Return the refusal of work whose caller has its share of a full queue."""
     rank = work.rank.value
     reason = (
         f'caller {work.caller!r} has its fair share of the {limit} {rank!r} '
@@ -50,7 +50,7 @@
     reason: str,
     expected_s: Seconds,
 ) -> RefusedWork:
-    retry_after_s = min(expected_s, _LONGEST_WAIT_S)
+    retry_after_s = min(expected_s, _MAX_RETRY_AFTER_S)
     return RefusedWork(
         work,
         Failure(code, reason, retry_after_s=retry_after_s),
--- a/boragespool/ranks/waits.py
+++ b/boragespool/ranks/waits.py
@@ -12,25 +12,25 @@
     from boragespool.types import Seconds
 
 
-#: Assumed for a rank without a floor while higher ranks use all slots, as
-#: their demand may end.
-_LEAST_SHARE: Final = 0.02
+#: Share of the slots assumed for a rank without a floor while higher ranks use
+#: all slots. The estimate stays finite because their demand may end.
+_MIN_SHARE: Final = 0.02
 
 
 @dataclass(frozen=True, slots=True)
 class RankLoad:
-    """What one rank holds and waits for.
+    """Queue length and slot usage of one rank.
 
     Attributes
     ----------
     waiting : int
-        Queued work.
+        Number of queued pieces of work.
     ahead : int
-        Queued work of the rank that is served before the new work.
+        Number of those that are served before the new work.
     mean_service_s : float
-        Mean slot time of one piece of work.
+        Mean service time in seconds.
     usage_slots : float
-        Slots held on average in the last second.
+        Number of slots held, averaged over about the last second.
     floor : float
         Guaranteed share of the slots, 0 to 1.
     """
@@ -42,33 +42,35 @@
     floor: float
 
 
-def wait_s(
+def estimate_wait_s(
     loads: Sequence[RankLoad],
     position: int,
     slots: int,
     free_slots: int,
     *,
-    owes_floors: bool = True,
+    lower_floors_first: bool = True,
 ) -> Seconds:
     """Estimate how long new work of a rank waits for a slot.
 
     Parameters
     ----------
     loads : sequence of RankLoad
-        Most important rank first.
+        Load by rank, most important rank first.
     position : int
         Index of the rank of the new work.
     slots, free_slots : int
-        Slots in use or usable, and those of them that are idle.
-    owes_floors : bool
-        Whether lower ranks are served up to their floors before the rank.
+        Number of slots that are in use or usable, and how many of them
+        are idle.
+    lower_floors_first : bool
+        Whether lower ranks below their floors are served before the rank.
 
     Returns
     -------
     float
-        Seconds; the shorter of two paths: by priority, after all queued work
-        of higher ranks and with the slots that these leave; and by the floor,
-        after the queued work of the own rank alone.
+        Seconds; infinity without slots. The shorter of two estimates: by
+        priority, the work waits for all queued work of higher ranks and uses
+        the slots that they leave; by the floor, it waits for the queued work
+        of its own rank alone and uses the guaranteed slots.
     """
     own = loads[position]
     higher = loads[:position]
@@ -79,19 +81,19 @@
     own_slot_s = (own.ahead + 1) * own.mean_service_s
     higher_slot_s = sum(load.waiting * load.mean_service_s for load in higher)
     used_share = sum(load.usage_slots for load in higher) / slots
-    owed_share = sum(
+    lower_floors_share = sum(
         load.floor
         for load in loads[position + 1 :]
-        if load.waiting and owes_floors
+        if load.waiting and lower_floors_first
     )
-    left_share = max(1 - used_share - owed_share, own.floor, _LEAST_SHARE)
+    left_share = max(1 - used_share - lower_floors_share, own.floor, _MIN_SHARE)
     return min(
-        _quotient(higher_slot_s + own_slot_s, left_share * slots),
-        _quotient(own_slot_s, own.floor * slots),
+        _drain_time_s(higher_slot_s + own_slot_s, left_share * slots),
+        _drain_time_s(own_slot_s, own.floor * slots),
     )
 
 
-def _quotient(slot_s: float, slots: float) -> Seconds:
+def _drain_time_s(slot_s: float, slots: float) -> Seconds:
     if not slot_s:
         return 0
     return slot_s / slots if slots > 0 else math.inf
--- a/boragespool/ranks/work.py
+++ b/boragespool/ranks/work.py
@@ -1,4 +1,4 @@
-"""Work as a queue sees it, and what a queue decided."""
+"""Work in the queue of a backend server, and the decisions of the queue."""
 
 from __future__ import annotations
 
@@ -15,11 +15,12 @@
     Attributes
     ----------
     deadline_at_s : float
-        Time at which the answer is useless, on the clock of the queue.
+        Time from which the answer is useless, in seconds on the clock of the
+        queue.
     cancellable : bool
-        Whether it may be pre-empted after it started.
+        Whether it may be cancelled after it started.
     solo : bool
-        Runs only while nothing else runs on the server.
+        Whether it runs only while nothing else runs on the server.
     """
 
     attempt_id: AttemptId
@@ -32,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RefusedWork:
-    """Work that leaves the queue without having run."""
+    """Work that left the queue without being run, with the reason."""
 
     work: QueuedWork
     failure: Failure
@@ -40,7 +41,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RankCounts:
-    """Queued work and held slots of one rank."""
+    """Number of queued and of running pieces of work of one rank."""
 
     waiting: int
     running: int
@@ -48,16 +49,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ScheduleResult:
-    """Result of one look at the queue.
+    """Result of one scheduling pass over the queue.
 
     Attributes
     ----------
     started : tuple of QueuedWork
-        Work that holds a slot from now on.
+        Work that got a slot and is to be sent.
     refused : tuple of RefusedWork
-        Queued work whose deadline passed.
+        Queued work that was removed because its deadline passed.
     preempted : tuple of QueuedWork
-        Running work to cancel. It holds its slot until it is finished.
+        Running work to cancel. It keeps its slot until `ServerQueue.finish`
+        is called for it.
     """
 
     started: tuple[QueuedWork, ...] = ()
