Describe routing and second attempts in the usual terms

Private names such as site, claim (which is something else in this project), hopeless and seen had to be looked up, and units were missing. Docstrings state them now; private names follow. check with the tests of routing, assignment, query and revisions passes.

--- a/boragespool/routing/__init__.py
+++ b/boragespool/routing/__init__.py
@@ -1,4 +1,4 @@
-"""Decisions about where work goes and when it is attempted again."""
+"""Choice of servers for work, early refusal, and limits on second attempts."""
 
 from __future__ import annotations
 
--- a/boragespool/routing/admission.py
+++ b/boragespool/routing/admission.py
@@ -1,4 +1,4 @@
-"""Early refusal of queries that cannot meet their deadline."""
+"""Early refusal of queries that are not expected to meet their deadline."""
 
 from __future__ import annotations
 
@@ -10,8 +10,9 @@
     from boragespool.routing.observations import ServerObservations
     from boragespool.types import Seconds, ServerName
 
-#: A query that can still cover half of the keys in time is worth running.
-_HOPELESS_SHARE: Final = 0.5
+#: Share of the keys that may be late. A query that can still cover half of the
+#: keys in time is worth running.
+_MAX_LATE_SHARE: Final = 0.5
 
 
 def refusal_wait_s(
@@ -21,48 +22,52 @@
     now_s: Seconds,
     time_left_s: Seconds,
 ) -> Seconds:
-    """Return when a query that is refused now could be sent again.
+    """Return how long a caller should wait before it sends a query again.
 
     Parameters
     ----------
     shards : iterable of (int, tuple of str)
-        Number of keys and replicas of each sub-range.
+        Number of keys and replicas of each range of keys.
     observations : ServerObservations
-        Queueing times that dispatchers reported. They run down with time, so
+        Queueing times that dispatchers reported. They decrease with time, so
         that a refusal never lasts longer than the reported wait.
     rank_index : int
         Position of the rank, most important first.
     now_s, time_left_s : float
-        Monotonic time and time to the deadline.
+        Monotonic time and time to the deadline, in seconds.
 
     Returns
     -------
     float
-        0 if the query should run; else the shortest time in seconds after
-        which a sub-range could be answered within the same deadline.
+        0 if the query should run. Else the query should be refused; the value
+        is the shortest time in seconds after which one more range could be
+        answered within the same time to the deadline.
     """
     if observations.longest_wait_s(now_s) < time_left_s:
         return 0
-    hopeless, total = 0, 0
+    late_keys, total_keys = 0, 0
     shortest_s = float('inf')
-    expected_s = _estimator(observations, rank_index, now_s)
+    expected_s = _answer_time_estimator(observations, rank_index, now_s)
     for keys, replicas in shards:
-        total += keys
+        total_keys += keys
         best_s = min(map(expected_s, replicas))
         if best_s >= time_left_s:
-            hopeless += keys
+            late_keys += keys
             shortest_s = min(shortest_s, best_s - time_left_s)
-    if hopeless <= total * _HOPELESS_SHARE:
+    if late_keys <= total_keys * _MAX_LATE_SHARE:
         return 0
     return max(shortest_s, 0.001)
 
 
-def _estimator(
+def _answer_time_estimator(
     observations: ServerObservations,
     rank_index: int,
     now_s: Seconds,
 ) -> Callable[[ServerName], Seconds]:
-    """Return the expected time of new work at a server."""
+    """Return a function that gives the expected time of new work at a server.
+
+    That is the queueing time plus the latency, in seconds.
+    """
 
     def expected_s(server: ServerName) -> Seconds:
         wait_s = observations.wait_s(server, rank_index, now_s)
--- a/boragespool/routing/assignment.py
+++ b/boragespool/routing/assignment.py
@@ -1,8 +1,9 @@
-"""Dispatchers of all backend servers, kept up to date step by step.
+"""Assignment of a dispatcher to each backend server, updated incrementally.
 
-A full computation hashes every server with every candidate. A join compares
-one hash per server, and a leave hashes only the servers of the host that
-left.
+The dispatcher is the daemon that sends all work to a server; rendezvous hashing
+chooses it. A full computation hashes every server with every candidate host.
+When a host joins, one hash per server is compared; when a host leaves, only its
+servers are hashed again.
 """
 
 from __future__ import annotations
@@ -16,79 +17,88 @@
 
     from boragespool.types import DataCentre, HostName, ServerName
 
-#: Whether the host is in the server's data centre, its weight, and the host.
-_Claim: TypeAlias = tuple[bool, int, 'HostName']
+#: Whether the host is in the server's data centre, the weight of the host, and
+#: the host. The highest tuple is the dispatcher.
+_Candidate: TypeAlias = tuple[bool, int, 'HostName']
 
 
 class DispatcherAssignment:
-    """Dispatcher of each backend server, the same as `dispatcher_of`."""
+    """Dispatcher of each backend server; gives the same as `dispatcher_of`."""
 
     def __init__(self) -> None:
-        """Start without servers and candidates."""
-        self._site_by_server: dict[ServerName, DataCentre] = {}
-        self._site_by_host: dict[HostName, DataCentre] = {}
-        self._best_by_server: dict[ServerName, _Claim] = {}
+        """Set up an assignment without servers and candidate hosts."""
+        self._data_centre_by_server: dict[ServerName, DataCentre] = {}
+        self._data_centre_by_host: dict[HostName, DataCentre] = {}
+        self._best_by_server: dict[ServerName, _Candidate] = {}
 
     @property
     def server_count(self) -> int:
-        """Servers that are known."""
-        return len(self._site_by_server)
+        """Number of servers."""
+        return len(self._data_centre_by_server)
 
     def dispatcher(self, server: ServerName) -> HostName | None:
-        """Return the dispatcher of a server; None without a candidate."""
+        """Return the dispatcher of a server; None without candidate hosts."""
         best = self._best_by_server.get(server)
         return best[2] if best else None
 
     def __contains__(self, server: ServerName) -> bool:
-        """Return whether a server is known."""
-        return server in self._site_by_server
+        """Return whether a server was passed to `set_servers`."""
+        return server in self._data_centre_by_server
 
     def set_servers(
-        self, site_by_server: Mapping[ServerName, DataCentre]
+        self, data_centre_by_server: Mapping[ServerName, DataCentre]
     ) -> None:
         """Replace the servers; only new or moved ones are computed."""
-        for gone in self._site_by_server.keys() - site_by_server.keys():
-            self._best_by_server.pop(gone, None)
+        for removed in (
+            self._data_centre_by_server.keys() - data_centre_by_server.keys()
+        ):
+            self._best_by_server.pop(removed, None)
         changed = [
             server
-            for server, site in site_by_server.items()
-            if self._site_by_server.get(server) != site
+            for server, data_centre in data_centre_by_server.items()
+            if self._data_centre_by_server.get(server) != data_centre
         ]
-        self._site_by_server = dict(site_by_server)
+        self._data_centre_by_server = dict(data_centre_by_server)
         for server in changed:
-            self._compute(server)
+            self._assign(server)
 
     def set_candidates(
         self,
-        site_by_host: Mapping[HostName, DataCentre],
+        data_centre_by_host: Mapping[HostName, DataCentre],
     ) -> None:
-        """Replace the candidates; moves as few servers as possible."""
-        changed = site_by_host.items() ^ self._site_by_host.items()
-        joined = site_by_host.items() - self._site_by_host.items()
-        hosts = {host for host, _ in changed}
-        self._site_by_host = dict(site_by_host)
+        """Replace the candidate hosts; reassigns as few servers as possible."""
+        changed = (
+            data_centre_by_host.items() ^ self._data_centre_by_host.items()
+        )
+        joined = data_centre_by_host.items() - self._data_centre_by_host.items()
+        changed_hosts = {host for host, _ in changed}
+        self._data_centre_by_host = dict(data_centre_by_host)
         for server, best in tuple(self._best_by_server.items()):
-            if best[2] in hosts:
-                self._compute(server)
-        for host, site in joined:
-            self._join(host, site)
-
-    def _join(self, host: HostName, site: DataCentre) -> None:
-        """Give a host the servers for which its weight is the highest."""
-        for server, server_site in self._site_by_server.items():
-            claim = (site == server_site, host_weight(server, host), host)
+            if best[2] in changed_hosts:
+                self._assign(server)
+        for host, data_centre in joined:
+            self._add_candidate(host, data_centre)
+
+    def _add_candidate(self, host: HostName, data_centre: DataCentre) -> None:
+        """Assign the servers to a new host for which it ranks highest."""
+        for server, server_data_centre in self._data_centre_by_server.items():
+            candidate = (
+                data_centre == server_data_centre,
+                host_weight(server, host),
+                host,
+            )
             best = self._best_by_server.get(server)
-            if best is None or claim > best:
-                self._best_by_server[server] = claim
-
-    def _compute(self, server: ServerName) -> None:
-        """Compare all candidates for one server."""
-        server_site = self._site_by_server[server]
-        claims = (
-            (site == server_site, host_weight(server, host), host)
-            for host, site in self._site_by_host.items()
+            if best is None or candidate > best:
+                self._best_by_server[server] = candidate
+
+    def _assign(self, server: ServerName) -> None:
+        """Compute the dispatcher of one server from all candidate hosts."""
+        server_data_centre = self._data_centre_by_server[server]
+        candidates = (
+            (data_centre == server_data_centre, host_weight(server, host), host)
+            for host, data_centre in self._data_centre_by_host.items()
         )
-        best = max(claims, default=None)
+        best = max(candidates, default=None)
         if best is None:
             self._best_by_server.pop(server, None)
         else:
--- a/boragespool/routing/eligibility.py
+++ b/boragespool/routing/eligibility.py
@@ -1,4 +1,4 @@
-"""Which backend servers of a service may get new work."""
+"""Selection of the backend servers of a service that may get new work."""
 
 from __future__ import annotations
 
@@ -21,23 +21,25 @@
     records_by_server: Mapping[ServerName, ServerRecord],
     leaving_hosts: Collection[HostName],
 ) -> dict[ServerName, tuple[Holding, ...]]:
-    """Return the holdings of the servers that may get new work.
+    """Return what the servers that may get new work hold.
+
+    A holding is an index version with the key ranges that a server has of it.
 
     Parameters
     ----------
     service : ServiceSettings
-        Servers that are configured; one that is not listed or is drained by
-        the operator gets no work.
+        Settings of the service. A server that is not listed, or that the
+        operator drained, gets no work.
     records_by_server : mapping of str to ServerRecord
-        State as dispatchers announced it; draining and lost servers get no
-        work.
+        Records that dispatchers announced. A server without a record, or that
+        is draining or lost, gets no work.
     leaving_hosts : collection of str
-        Hosts that leave according to the platform.
+        Hosts that the platform reports as leaving; their servers get no work.
 
     Returns
     -------
     dict of str to tuple of Holding
-        By server name.
+        Holdings by server name.
     """
     holdings: dict[ServerName, tuple[Holding, ...]] = {}
     for server, configured in service.servers.items():
--- a/boragespool/routing/fingerprints.py
+++ b/boragespool/routing/fingerprints.py
@@ -1,4 +1,4 @@
-"""The fingerprint that names a caller's request in crash detection."""
+"""Fingerprints of requests, by which crash detection recognises them."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 def fingerprint_of(route: RouteName, body: bytes) -> int:
-    """Return the xxhash of a route and a body.
+    """Return the fingerprint of a request: the xxhash of route and body.
 
     Parameters
     ----------
@@ -23,7 +23,7 @@
     Returns
     -------
     int
-        64 bits. Equal requests have equal fingerprints at every daemon.
+        Hash of 64 bits. Equal requests have equal fingerprints at every daemon.
     """
     digest = xxhash.xxh64(route.encode())
     digest.update(b'\0')
--- a/boragespool/routing/observations.py
+++ b/boragespool/routing/observations.py
@@ -1,4 +1,4 @@
-"""What a merger observed itself about backend servers."""
+"""Observations about backend servers that a daemon made while sending work."""
 
 from __future__ import annotations
 
@@ -9,47 +9,54 @@
 if TYPE_CHECKING:
     from boragespool.types import Seconds, ServerName
 
-_SMOOTHING: Final = 0.1
-#: One reply of a straggler, 20 times slower, must not shut a replica out.
-_LARGEST_STEP: Final = 4
-_FIRST_SUSPICION_S: Final = 0.5
-_LONGEST_SUSPICION_S: Final = 8
-#: Stragglers are about 1 in 100, so two in a row mean a lost replica.
+_LATENCY_WEIGHT: Final = 0.1
+#: Bounds one latency, as a multiple of the average, before it is averaged. One
+#: slow reply, such as of a straggler that takes 20 times longer, must not keep
+#: new work away from a replica.
+_MAX_LATENCY_RATIO: Final = 4
+_MIN_SUSPECT_S: Final = 0.5
+_MAX_SUSPECT_S: Final = 8
+#: Overdue attempts in a row after which a server is suspect. Stragglers are
+#: about 1 in 100, so two in a row mean a lost replica.
 _OVERDUE_LIMIT: Final = 2
-#: Bridges the time until the dispatcher has announced the draining state.
-_DRAINING_S: Final = 5
-#: A misleading report must not keep work away for longer.
-_LONGEST_WAIT_S: Final = 2
+#: A reply that the server is draining holds until the dispatcher has announced
+#: this state.
+_DRAINING_HOLD_S: Final = 5
+#: Upper bound of a reported queueing time, so that a wrong report keeps work
+#: away no longer.
+_MAX_WAIT_S: Final = 2
 
 
 @dataclass(slots=True)
-class _Seen:
+class _ServerStats:
     in_flight: int = 0
     latency_s: Seconds = 0
     answered_at_s: Seconds = 0
-    failures: int = 0
-    overdue: int = 0
+    failure_count: int = 0
+    overdue_count: int = 0
     suspect_until_s: Seconds = 0
     draining_until_s: Seconds = 0
-    waits_s: tuple[Seconds, ...] = ()
+    wait_ends_s: tuple[Seconds, ...] = ()
 
 
 class ServerObservations:
-    """In flight, latency, failures and reported waits by backend server.
+    """Attempts in flight, latencies, failures and reported waits by server.
 
-    Times are monotonic seconds that the caller passes in.
+    Holds what this daemon saw itself. Times are passed in as monotonic seconds.
     """
 
     def __init__(self) -> None:
-        """Start without observations."""
-        self._seen_by_server: defaultdict[ServerName, _Seen] = defaultdict(
-            _Seen,
+        """Set up the state without observations."""
+        self._stats_by_server: defaultdict[ServerName, _ServerStats] = (
+            defaultdict(
+                _ServerStats,
+            )
         )
-        self._waits_end_s: Seconds = 0
+        self._last_wait_end_s: Seconds = 0
 
     def record_sent(self, server: ServerName) -> None:
-        """Count an attempt that was sent."""
-        self._seen_by_server[server].in_flight += 1
+        """Record that an attempt was sent to a server."""
+        self._stats_by_server[server].in_flight += 1
 
     def record_answer(
         self,
@@ -57,33 +64,36 @@
         latency_s: Seconds,
         now_s: Seconds,
     ) -> None:
-        """Note a useful answer."""
-        seen = self._finish(server)
-        seen.failures = 0
-        seen.overdue = 0
-        seen.answered_at_s = now_s
-        known_s = seen.latency_s or latency_s
-        step_s = min(latency_s, known_s * _LARGEST_STEP) - known_s
-        seen.latency_s = known_s + _SMOOTHING * step_s
+        """Record a useful answer and the latency of its attempt, in seconds."""
+        stats = self._finish(server)
+        stats.failure_count = 0
+        stats.overdue_count = 0
+        stats.answered_at_s = now_s
+        known_s = stats.latency_s or latency_s
+        step_s = min(latency_s, known_s * _MAX_LATENCY_RATIO) - known_s
+        stats.latency_s = known_s + _LATENCY_WEIGHT * step_s
 
     def record_refusal(self, server: ServerName) -> None:
-        """Note an end that says nothing about health, such as shedding."""
+        """Record an end that says nothing about health, such as shedding."""
         self._finish(server)
 
     def record_failure(self, server: ServerName, now_s: Seconds) -> None:
-        """Note a lost attempt; the server is suspect for a growing time."""
-        self._suspect(self._finish(server), now_s)
+        """Record a lost attempt.
+
+        The server is suspect for a time that doubles with each loss in a row.
+        """
+        self._mark_suspect(self._finish(server), now_s)
 
     def record_overdue(self, server: ServerName, now_s: Seconds) -> None:
-        """Note that an attempt, still in flight, is slower than most."""
-        seen = self._seen_by_server[server]
-        seen.overdue += 1
-        if seen.overdue >= _OVERDUE_LIMIT:
-            self._suspect(seen, now_s)
+        """Record that an attempt in flight takes longer than most."""
+        stats = self._stats_by_server[server]
+        stats.overdue_count += 1
+        if stats.overdue_count >= _OVERDUE_LIMIT:
+            self._mark_suspect(stats, now_s)
 
     def record_draining(self, server: ServerName, now_s: Seconds) -> None:
-        """Note that a server said that it drains."""
-        self._finish(server).draining_until_s = now_s + _DRAINING_S
+        """Record an answer which says that the server is draining."""
+        self._finish(server).draining_until_s = now_s + _DRAINING_HOLD_S
 
     def record_waits(
         self,
@@ -91,34 +101,34 @@
         waits_s: tuple[Seconds, ...],
         now_s: Seconds,
     ) -> None:
-        """Note the queueing times by rank that a dispatcher reported."""
-        self._seen_by_server[server].waits_s = tuple(
-            now_s + min(wait_s, _LONGEST_WAIT_S) for wait_s in waits_s
+        """Record the queueing times by rank, in seconds, of a dispatcher."""
+        self._stats_by_server[server].wait_ends_s = tuple(
+            now_s + min(wait_s, _MAX_WAIT_S) for wait_s in waits_s
         )
-        self._waits_end_s = max(
-            self._waits_end_s,
-            *self._seen_by_server[server].waits_s,
+        self._last_wait_end_s = max(
+            self._last_wait_end_s,
+            *self._stats_by_server[server].wait_ends_s,
             0,
         )
 
     def longest_wait_s(self, now_s: Seconds) -> Seconds:
-        """Return a bound on what is left of all reported queueing times."""
-        return max(0, self._waits_end_s - now_s)
+        """Return an upper bound of what is left of all reported waits."""
+        return max(0, self._last_wait_end_s - now_s)
 
     def is_draining(self, server: ServerName, now_s: Seconds) -> bool:
-        """Return whether a server said lately that it drains."""
-        return now_s < self._seen_by_server[server].draining_until_s
+        """Return whether a server answered lately that it is draining."""
+        return now_s < self._stats_by_server[server].draining_until_s
 
     def is_suspect(self, server: ServerName, now_s: Seconds) -> bool:
-        """Return whether a server's last attempts were lost.
+        """Return whether a server's latest attempts were lost.
 
-        When the time of suspicion is over, one attempt at a time tries the
-        server, until one is answered.
+        When that time is over, the server gets one attempt at a time, until one
+        of them is answered.
         """
-        seen = self._seen_by_server[server]
-        if not seen.failures:
+        stats = self._stats_by_server[server]
+        if not stats.failure_count:
             return False
-        return now_s < seen.suspect_until_s or seen.in_flight > 0
+        return now_s < stats.suspect_until_s or stats.in_flight > 0
 
     def wait_s(
         self,
@@ -126,37 +136,37 @@
         rank_index: int,
         now_s: Seconds,
     ) -> Seconds:
-        """Return what is left of a reported queueing time; 0 if unknown."""
-        waits_s = self._seen_by_server[server].waits_s
-        if rank_index >= len(waits_s):
+        """Return what is left of a reported wait in seconds; 0 if unknown."""
+        wait_ends_s = self._stats_by_server[server].wait_ends_s
+        if rank_index >= len(wait_ends_s):
             return 0
-        return max(0, waits_s[rank_index] - now_s)
+        return max(0, wait_ends_s[rank_index] - now_s)
 
-    def load(self, server: ServerName) -> int:
-        """Return the attempts in flight from here."""
-        return self._seen_by_server[server].in_flight
+    def in_flight_count(self, server: ServerName) -> int:
+        """Return the number of attempts of this daemon in flight."""
+        return self._stats_by_server[server].in_flight
 
     def latency_s(self, server: ServerName, now_s: Seconds) -> Seconds:
-        """Return the smoothed latency, 0 if unknown.
+        """Return the smoothed latency in seconds; 0 if unknown.
 
-        It falls with the time since the last answer, so that a server that
-        was slow is tried again.
+        It decreases with the time since the last answer, so that a server that
+        was slow gets work again.
         """
-        seen = self._seen_by_server[server]
-        return seen.latency_s / (1 + max(0, now_s - seen.answered_at_s))
+        stats = self._stats_by_server[server]
+        return stats.latency_s / (1 + max(0, now_s - stats.answered_at_s))
 
     def keep_only(self, servers: frozenset[ServerName]) -> None:
-        """Forget servers that are not configured any more."""
-        for server in self._seen_by_server.keys() - servers:
-            if not self._seen_by_server[server].in_flight:
-                del self._seen_by_server[server]
-
-    def _finish(self, server: ServerName) -> _Seen:
-        seen = self._seen_by_server[server]
-        seen.in_flight = max(0, seen.in_flight - 1)
-        return seen
-
-    def _suspect(self, seen: _Seen, now_s: Seconds) -> None:
-        doubled_s = _FIRST_SUSPICION_S * 2 ** min(seen.failures, 8)
-        seen.suspect_until_s = now_s + min(doubled_s, _LONGEST_SUSPICION_S)
-        seen.failures += 1
+        """Remove idle servers that are not configured any more."""
+        for server in self._stats_by_server.keys() - servers:
+            if not self._stats_by_server[server].in_flight:
+                del self._stats_by_server[server]
+
+    def _finish(self, server: ServerName) -> _ServerStats:
+        stats = self._stats_by_server[server]
+        stats.in_flight = max(0, stats.in_flight - 1)
+        return stats
+
+    def _mark_suspect(self, stats: _ServerStats, now_s: Seconds) -> None:
+        doubled_s = _MIN_SUSPECT_S * 2 ** min(stats.failure_count, 8)
+        stats.suspect_until_s = now_s + min(doubled_s, _MAX_SUSPECT_S)
+        stats.failure_count += 1
--- a/boragespool/routing/rendezvous.py
+++ b/boragespool/routing/rendezvous.py
@@ -2,7 +2,7 @@
 
 Thaler and Ravishankar, "Using name-based mappings to increase hit rates",
 IEEE/ACM Transactions on Networking, 1998. When a member leaves, only the
-names that it owned move.
+names that were assigned to it move.
 """
 
 from __future__ import annotations
@@ -30,11 +30,11 @@
     Parameters
     ----------
     name : str
-        What is assigned.
+        Name to assign, such as that of a server.
     hosts : iterable of str
         Candidates.
     count : int
-        Hosts wanted.
+        Number of hosts to return.
 
     Returns
     -------
@@ -50,7 +50,7 @@
 
 
 def host_weight(name: str, host: HostName) -> int:
-    """Return the weight of a host for a name, 64 bits."""
+    """Return the 64-bit weight of a host for a name."""
     return xxhash.xxh64_intdigest(f'{name}|{host}'.encode())
 
 
@@ -66,15 +66,15 @@
     server : str
         Backend server.
     data_centre : str
-        Its data centre; members there are preferred.
+        Data centre of the server; members there are preferred.
     members_by_host : mapping of str to MemberRecord
-        Members known. Only alive ones, and suspect ones that may still
-        refute, are candidates.
+        Known members. Only members that are alive, or suspect and may still
+        refute that they failed, are candidates.
 
     Returns
     -------
     str or None
-        None if there is no candidate.
+        Host of the daemon; None if there is no candidate.
     """
     candidates = [
         member
--- a/boragespool/routing/replicas.py
+++ b/boragespool/routing/replicas.py
@@ -14,7 +14,7 @@
     from boragespool.routing.observations import ServerObservations
     from boragespool.types import Seconds, ServerName
 
-#: Stands in while no latency of either candidate is known, in seconds.
+#: Assumed while the latency of no candidate is known.
 _DEFAULT_LATENCY_S: Final = 0.01
 
 
@@ -26,28 +26,29 @@
     now_s: Seconds,
     rank_index: int,
 ) -> ServerName | None:
-    """Choose where an attempt is sent.
+    """Return the replica that an attempt is sent to.
 
     Parameters
     ----------
     replicas : sequence of str
-        Backend servers that may get new work and hold the range.
+        Backend servers that may get new work and hold the range of keys.
     tried : collection of str
-        Replicas that were asked before and are left out.
+        Replicas that had an attempt before; they are left out.
     observations : ServerObservations
-        What this merger saw.
+        Observations of this daemon.
     draws : (float, float)
         Two random numbers in ``[0, 1)``.
     now_s : float
-        Monotonic time.
+        Monotonic time in seconds.
     rank_index : int
         Position of the rank, most important first.
 
     Returns
     -------
     str or None
-        None if no replica is left. Suspect replicas are left out unless most
-        replicas are suspect or no other is left.
+        The better of two random replicas; None if no replica is left. Suspect
+        replicas are left out unless most replicas are suspect or no other one
+        is left.
     """
     open_replicas = [
         server
@@ -62,7 +63,7 @@
         return pool[0] if pool else None
     return min(
         _draw_two(pool, draws),
-        key=_scorer(observations, now_s, rank_index, pool),
+        key=_expected_time_estimator(observations, now_s, rank_index, pool),
     )
 
 
@@ -89,21 +90,28 @@
     return pool[first], pool[(first + offset) % len(pool)]
 
 
-def _scorer(
+def _expected_time_estimator(
     observations: ServerObservations,
     now_s: Seconds,
     rank_index: int,
     pool: list[ServerName],
 ) -> Callable[[ServerName], Seconds]:
-    """Return the expected time at a server; own observations come first."""
+    """Return a function that gives the expected time at a server, in seconds.
+
+    The own observations outweigh the queueing times that dispatchers report.
+    """
     slowest_s = max(observations.latency_s(server, now_s) for server in pool)
     unknown_s = slowest_s or _DEFAULT_LATENCY_S
 
-    def score(server: ServerName) -> Seconds:
+    def expected_s(server: ServerName) -> Seconds:
         latency_s = observations.latency_s(server, now_s) or unknown_s
-        # The report may be late or wrong; it counts at most as one more
-        # request in flight.
-        hint_s = min(latency_s, observations.wait_s(server, rank_index, now_s))
-        return (observations.load(server) + 1) * latency_s + hint_s
-
-    return score
+        # The reported queueing time may be late or wrong, so it counts at most
+        # as much as one more request in flight.
+        queueing_s = min(
+            latency_s, observations.wait_s(server, rank_index, now_s)
+        )
+        return (
+            observations.in_flight_count(server) + 1
+        ) * latency_s + queueing_s
+
+    return expected_s
