--- a/boragespool/bench/flood_baselines.py
+++ b/boragespool/bench/flood_baselines.py
@@ -42,7 +42,7 @@
         self._waiting.append(work)
         return ()
 
-    def take(self, _now_s: Seconds) -> ScheduleResult:
+    def schedule(self, _now_s: Seconds) -> ScheduleResult:
         """Fill free slots in order of arrival."""
         started = []
         while self._waiting and len(self._running) < self._slots:
@@ -104,7 +104,7 @@
         lane.append((tag, work))
         return ()
 
-    def take(self, now_s: Seconds) -> ScheduleResult:
+    def schedule(self, now_s: Seconds) -> ScheduleResult:
         """Fill free slots in order of virtual finish times."""
         started: list[QueuedWork] = []
         refused: list[RefusedWork] = []
--- a/boragespool/bench/flood_simulation.py
+++ b/boragespool/bench/flood_simulation.py
@@ -44,7 +44,7 @@
         """Queue work or refuse it."""
         ...
 
-    def take(self, now_s: Seconds, /) -> ScheduleResult:
+    def schedule(self, now_s: Seconds, /) -> ScheduleResult:
         """Decide what starts and what is cancelled."""
         ...
 
@@ -197,7 +197,7 @@
             outcome.done_s = now_s
 
     def _apply(self, now_s: Seconds, server: int) -> None:
-        grants = self._run.policies[server].take(now_s)
+        grants = self._run.policies[server].schedule(now_s)
         for started in grants.started:
             attempt_id = started.attempt_id
             self._server_by_attempt[attempt_id] = server
--- a/boragespool/controllers/backend_servers/backend.py
+++ b/boragespool/controllers/backend_servers/backend.py
@@ -130,7 +130,7 @@
         """Start, refuse and pre-empt what the queue decides."""
         now_s = self._context.timers.now_s()
         self.queue.slots = self.health.limit
-        grants = self.queue.take(now_s)
+        grants = self.queue.schedule(now_s)
         for refused in grants.refused:
             self._refuse(refused.work, refused.failure)
         for started in grants.started:
--- a/boragespool/ranks/queue.py
+++ b/boragespool/ranks/queue.py
@@ -152,7 +152,7 @@
             else (refuse_queue_full(evicted, limit, expected_s),)
         )
 
-    def take(self, now_s: Seconds) -> ScheduleResult:
+    def schedule(self, now_s: Seconds) -> ScheduleResult:
         """Remove expired work, fill free slots and choose work to pre-empt."""
         self._advance(now_s)
         if not any_waiting(self._queues_by_rank):
--- a/tests/test_ranks.py
+++ b/tests/test_ranks.py
@@ -78,7 +78,7 @@
         held = sum(w.rank == rank for w in self.running)
         return held < max(1, int(NO_FLOORS[rank].cap * self.slots + 1e-9))
 
-    def take(self):
+    def schedule(self):
         started = []
         while len(self.running) < self.slots:
             ranks = [rank for rank in Rank if self.waiting[rank]]
@@ -127,7 +127,7 @@
                 gone = lane[first % len(lane)]
                 assert queue.withdraw(gone.attempt_id) == gone
                 oracle.remove(gone)
-        assert list(queue.take(now_s).started) == oracle.take()
+        assert list(queue.schedule(now_s).started) == oracle.schedule()
         for rank, counts in queue.counts_by_rank.items():
             assert counts.waiting == len(oracle.waiting[rank]) <= 6
 
@@ -142,7 +142,7 @@
             while queue.counts_by_rank[rank].waiting < 10:
                 if queue.offer(work(rank, cancellable=False), now_s):
                     break
-        for new in queue.take(now_s).started:
+        for new in queue.schedule(now_s).started:
             cost = service_s()
             heapq.heappush(finishes, (now_s + cost, new.attempt_id))
             served[new.rank] += cost
@@ -173,14 +173,14 @@
     """Idle slots must not be wasted, nor kept from entitled work."""
     queue = ServerQueue(5, FLOORS)
     deferrable = offer_all(queue, DEFERRABLE, 6)
-    assert len(queue.take(0).started) == 5
+    assert len(queue.schedule(0).started) == 5
     urgent = offer_all(queue, URGENT, 4, now_s=1)
-    preempted = queue.take(1).preempted
+    preempted = queue.schedule(1).preempted
     assert len(preempted) == 3
-    assert not queue.take(1).preempted
+    assert not queue.schedule(1).preempted
     for each in preempted:
         queue.finish(each.attempt_id, 1.01, served=False)
-    assert queue.take(1.01).started == tuple(urgent[:3])
+    assert queue.schedule(1.01).started == tuple(urgent[:3])
     assert deferrable[5] not in preempted
 
 
@@ -189,37 +189,37 @@
     queue = ServerQueue(5, FLOORS)
     offer_all(queue, DEFERRABLE, 4, cancellable=False)
     newest = offer_all(queue, DEFERRABLE, 1)
-    queue.take(0)
+    queue.schedule(0)
     offer_all(queue, URGENT, 4, now_s=1)
-    assert queue.take(1).preempted == tuple(newest)
+    assert queue.schedule(1).preempted == tuple(newest)
 
 
 def test_solo_work_runs_alone():
     """A suspect must not take other work with it, nor wait for ever."""
     queue = ServerQueue(3, FLOORS)
     first = offer_all(queue, URGENT, 1)
-    queue.take(0)
+    queue.schedule(0)
     (solo,) = offer_all(queue, URGENT, 1, solo=True)
     (later,) = offer_all(queue, URGENT, 1)
-    assert not queue.take(0).started
+    assert not queue.schedule(0).started
     queue.finish(first[0].attempt_id, 1)
-    assert queue.take(1).started == (solo,)
-    assert not queue.take(1).started
+    assert queue.schedule(1).started == (solo,)
+    assert not queue.schedule(1).started
     queue.finish(solo.attempt_id, 2)
-    assert queue.take(2).started == (later,)
+    assert queue.schedule(2).started == (later,)
 
 
 def test_late_work_expires_before_it_is_started():
     """A slot must not go to work whose deadline passed."""
     queue = ServerQueue(1, FLOORS)
     offer_all(queue, URGENT, 1)
-    queue.take(0)
+    queue.schedule(0)
     late = work(URGENT, deadline_at_s=1)
     in_time = work(URGENT, deadline_at_s=3)
     assert not queue.offer(late, 0)
     assert not queue.offer(in_time, 0)
     assert queue.next_expiry_s == 1
-    (refused,) = queue.take(1).refused
+    (refused,) = queue.schedule(1).refused
     assert refused.work == late
     assert refused.failure.code == ResultCode.DEADLINE_UNREACHABLE
     assert queue.next_expiry_s == 3
@@ -229,10 +229,10 @@
     """Work that will miss its deadline must not take queue space."""
     queue = ServerQueue(1, FLOORS)
     (first,) = offer_all(queue, URGENT, 1)
-    queue.take(0)
+    queue.schedule(0)
     queue.finish(first.attempt_id, 1)
     offer_all(queue, URGENT, 4, now_s=1)
-    queue.take(1)
+    queue.schedule(1)
     (refused,) = queue.offer(work(URGENT, deadline_at_s=4), 1)
     assert refused.failure.code == ResultCode.DEADLINE_UNREACHABLE
     assert refused.failure.retry_after_s > 3
@@ -243,7 +243,7 @@
     """A slow past must not refuse all work, as no new sample would follow."""
     queue = ServerQueue(1, FLOORS)
     (slow,) = offer_all(queue, URGENT, 1)
-    queue.take(0)
+    queue.schedule(0)
     queue.finish(slow.attempt_id, 100)
     assert not queue.offer(work(URGENT, deadline_at_s=100.1), 100)
 
@@ -252,7 +252,7 @@
     """A greedy caller must leave room for others, even if it came first."""
     queue = ServerQueue(1, NO_FLOORS)
     offer_all(queue, URGENT, 1, caller='first')
-    queue.take(0)
+    queue.schedule(0)
     greedy = offer_all(queue, URGENT, 6, caller='greedy')
     assert queue.offer(work(URGENT, 'greedy'), 0)
     (displaced,) = queue.offer(work(URGENT, 'modest'), 0)
@@ -268,11 +268,11 @@
     """A wrong estimate refuses good work or admits hopeless work."""
     queue = ServerQueue(slots, NO_FLOORS)
     first = offer_all(queue, URGENT, slots)
-    queue.take(0)
+    queue.schedule(0)
     for each in first:
         queue.finish(each.attempt_id, 1)
     offer_all(queue, URGENT, slots, now_s=1)
-    queue.take(1)
+    queue.schedule(1)
     offer_all(queue, URGENT, queued, now_s=1)
     expected_s = queue.wait_s(URGENT, 'c')
     # All slots free up each second, so the true wait is a whole number.
@@ -284,10 +284,10 @@
     """Work behind a busy higher rank must not be admitted in vain."""
     queue = ServerQueue(5, NO_FLOORS)
     (first,) = offer_all(queue, ROUTINE, 1)
-    queue.take(0)
+    queue.schedule(0)
     queue.finish(first.attempt_id, 1)
     offer_all(queue, URGENT, 5, now_s=1)
-    queue.take(1)
+    queue.schedule(1)
     assert not queue.offer(work(ROUTINE, deadline_at_s=5), 1)
     (refused,) = queue.offer(work(ROUTINE, deadline_at_s=6), 2)
     assert refused.failure.code == ResultCode.DEADLINE_UNREACHABLE
