Describe limits, health signals and record exchange plainly

Texts such as 'what names a version' or 'call the servers leaving' had to be read twice, and several units were missing. Docstrings and private names use the usual terms of gossip and health checks. check with the tests of backends, spreading, servers and record exchange passes.

--- a/boragespool/backends/__init__.py
+++ b/boragespool/backends/__init__.py
@@ -1,12 +1,16 @@
-"""Decisions about backend servers: limits, states, crashing requests."""
+"""State of backend servers: limits, health, records and crashing requests.
+
+Holds data structures and decisions without any input or output; controllers
+send and receive the messages.
+"""
 
 from __future__ import annotations
 
 from boragespool.backends.crashes import CrashTracker
 from boragespool.backends.digests import (
     OUT_OF_SERVICE,
-    Comparison,
     ExchangeLimits,
+    VersionComparison,
     compare_versions,
     differing_groups,
     is_valid_group_count,
@@ -42,7 +46,6 @@
     'HASH_BYTES',
     'OUT_OF_SERVICE',
     'ByteRateLimiter',
-    'Comparison',
     'CrashTracker',
     'ExchangeLimits',
     'LimitState',
@@ -51,6 +54,7 @@
     'ServiceStates',
     'SpreadLimits',
     'SpreadQueue',
+    'VersionComparison',
     'after_reply',
     'after_shed',
     'choose_targets',
--- a/boragespool/backends/crashes.py
+++ b/boragespool/backends/crashes.py
@@ -1,4 +1,4 @@
-"""Requests that crash the backend servers which run them."""
+"""Detection of requests that crash the backend servers which run them."""
 
 from __future__ import annotations
 
@@ -9,22 +9,25 @@
 
     from boragespool.types import Seconds
 
-_BLOCKING_LOSSES: Final = 2
-#: Bounds the memory; a loss names at most the slots of one server.
+_BLOCKING_LOSS_COUNT: Final = 2
+#: Number of fingerprints that are kept, which bounds the memory. One loss adds
+#: at most as many as a server has slots.
 _CAPACITY: Final = 10_000
 
 
 class CrashTracker:
-    """Losses of backend servers by the fingerprints that were in flight.
+    """Losses of backend servers by the fingerprints of requests in flight.
 
-    A fingerprint in a loss is a suspect. It is blocked after a second loss
-    if it ran alone in one of them. Servers that fail together, as in a rack,
-    would otherwise block every request that was in flight on two of them.
+    A fingerprint that was in flight when a server was lost is a suspect. It is
+    blocked after a second loss if it ran alone on the server in one of them.
+    Without this condition, servers that fail together, as in a rack, would
+    block every request that was in flight on two of them.
 
     Parameters
     ----------
     suspect_age_s, block_age_s : float
-        Time after the latest loss at which a suspicion and a block end.
+        Time after the latest loss at which a suspicion and a block end, in
+        seconds.
     """
 
     def __init__(
@@ -32,12 +35,12 @@
         suspect_age_s: Seconds = 300,
         block_age_s: Seconds = 900,
     ) -> None:
-        """Start without suspects."""
+        """Set up a tracker without losses."""
         self._suspect_age_s = suspect_age_s
         self._block_age_s = block_age_s
         self._losses_by_fingerprint: dict[int, dict[str, Seconds]] = {}
         self._cleared_by_fingerprint: dict[int, dict[str, Seconds]] = {}
-        self._lost_alone: set[int] = set()
+        self._fingerprints_lost_alone: set[int] = set()
 
     def record_loss(
         self,
@@ -52,18 +55,20 @@
         Parameters
         ----------
         fingerprint : int
-            xxhash of route and body.
+            Fingerprint of the request: the xxhash of route and body.
         loss_id : str
-            Names the loss.
+            Identifier of the loss.
         now_s : float
             Monotonic time, in seconds.
         alone : bool
-            Whether it was known as a suspect and ran alone on the server.
+            Whether the request was a suspect already and ran alone on the
+            server.
 
         Returns
         -------
         bool
-            False if the loss was known, or was cleared by an operator.
+            Whether the loss is new; False if it was recorded before or was
+            cleared by an operator.
         """
         self._expire(now_s)
         if loss_id in self._cleared_by_fingerprint.get(fingerprint, ()):
@@ -73,14 +78,14 @@
         losses.setdefault(loss_id, now_s)
         self._losses_by_fingerprint[fingerprint] = losses
         if alone:
-            self._lost_alone.add(fingerprint)
+            self._fingerprints_lost_alone.add(fingerprint)
         if len(self._losses_by_fingerprint) > _CAPACITY:
             oldest = next(iter(self._losses_by_fingerprint))
-            self._forget(oldest)
+            self._remove(oldest)
         return is_new
 
     def clear(self, fingerprint: int, now_s: Seconds) -> bool:
-        """End a suspicion or a block; its losses do not count again.
+        """End a suspicion or a block; the losses until now do not count again.
 
         Returns
         -------
@@ -88,7 +93,7 @@
             Whether the fingerprint was a suspect or blocked.
         """
         self._expire(now_s)
-        losses = self._forget(fingerprint)
+        losses = self._remove(fingerprint)
         if losses:
             known = self._cleared_by_fingerprint.get(fingerprint, {})
             cleared = dict.fromkeys((*known, *losses), now_s)
@@ -96,7 +101,7 @@
         return bool(losses)
 
     def suspects(self, now_s: Seconds) -> frozenset[int]:
-        """Return the fingerprints in a loss that are not blocked."""
+        """Return the fingerprints that are suspect and not blocked."""
         self._expire(now_s)
         return frozenset(
             fingerprint
@@ -110,7 +115,7 @@
         return frozenset(self._losses_by_fingerprint) - suspects
 
     def losses(self) -> Iterable[tuple[int, str]]:
-        """Return all pairs of fingerprint and loss that count."""
+        """Return all recorded pairs of fingerprint and loss identifier."""
         return tuple(
             (fingerprint, loss_id)
             for fingerprint, losses in self._losses_by_fingerprint.items()
@@ -119,11 +124,11 @@
 
     def _is_blocked(self, fingerprint: int) -> bool:
         losses = self._losses_by_fingerprint[fingerprint]
-        was_alone = fingerprint in self._lost_alone
-        return was_alone and len(losses) >= _BLOCKING_LOSSES
+        was_alone = fingerprint in self._fingerprints_lost_alone
+        return was_alone and len(losses) >= _BLOCKING_LOSS_COUNT
 
-    def _forget(self, fingerprint: int) -> dict[str, Seconds]:
-        self._lost_alone.discard(fingerprint)
+    def _remove(self, fingerprint: int) -> dict[str, Seconds]:
+        self._fingerprints_lost_alone.discard(fingerprint)
         return self._losses_by_fingerprint.pop(fingerprint, {})
 
     def _expire(self, now_s: Seconds) -> None:
@@ -131,7 +136,7 @@
             is_blocked = self._is_blocked(fingerprint)
             age_s = self._block_age_s if is_blocked else self._suspect_age_s
             if now_s - max(losses.values()) >= age_s:
-                self._forget(fingerprint)
+                self._remove(fingerprint)
         for cleared, losses in tuple(self._cleared_by_fingerprint.items()):
             if now_s - max(losses.values()) >= self._block_age_s:
                 self._cleared_by_fingerprint.pop(cleared)
--- a/boragespool/backends/digests.py
+++ b/boragespool/backends/digests.py
@@ -1,9 +1,9 @@
-"""Which records two daemons exchange after comparing digests.
+"""Anti-entropy between the record tables of two daemons.
 
-Anti-entropy (Demers et al., "Epidemic algorithms for replicated database
-maintenance", PODC 1987): a daemon sends the hashes of its groups, the other
-answers with the versions of a few groups that differ, and each gets the
-records that it lacks.
+After Demers et al., "Epidemic algorithms for replicated database maintenance",
+PODC 1987. The records are divided into groups. A daemon sends a digest, that
+is a hash of each group. The other daemon answers with the versions of the
+records in a few groups that differ, and each gets the records that it lacks.
 """
 
 from __future__ import annotations
@@ -26,33 +26,33 @@
     from boragespool.messages import ServerRecord
 
 OUT_OF_SERVICE: Final = frozenset((ServerState.DRAINING, ServerState.LOST))
-#: Server key, sequence number and record hash.
-_VERSION: Final = struct.Struct('<QII')
-_VERSION_LIMIT: Final = 2**32
-#: Sequence number and hash in place of those of a record that is not known.
-_ABSENT: Final = (-1, -1)
-#: Encoded bytes of a record without its texts and ranges, and of one range.
+#: Version of a record: key of the server, sequence number and record hash.
+_VERSION_STRUCT: Final = struct.Struct('<QII')
+_SEQUENCE_MODULUS: Final = 2**32
+#: Sequence number and hash that stand for an unknown record.
+_UNKNOWN_VERSION: Final = (-1, -1)
+#: Encoded size of a record without its texts and ranges, and of one range.
 _RECORD_BYTES: Final = 190
 _RANGE_BYTES: Final = 24
 
 
 @dataclass(frozen=True, slots=True)
 class ExchangeLimits:
-    """Bounds of one exchange.
+    """Bounds of one exchange of records.
 
     Attributes
     ----------
     groups : int
-        Groups compared when few differ.
+        Number of groups compared when few differ.
     catch_up_groups : int
-        Groups compared when more than a quarter differ, as after a start of
-        the whole fleet.
+        Number of groups compared when more than a quarter differ, as after a
+        start of the whole fleet.
     size_bytes : int
-        Records sent for each compared group, in bytes.
+        Size of the records sent for each compared group, in bytes.
     catch_up_bytes_per_s, catch_up_burst_bytes : int
-        Rate of what is sent while more groups are compared. The burst
-        carries all records of a fleet that starts, 16 MB, and half as much
-        again for their versions.
+        Rate limit of what is sent while more groups are compared. The burst
+        has room for all records of a fleet that starts, 16 MB, and half as
+        much again for their versions.
     """
 
     groups: int = 2
@@ -63,15 +63,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Comparison:
-    """Result of comparing versions with a table.
+class VersionComparison:
+    """Result of comparing the versions of another daemon with a table.
 
     Attributes
     ----------
     to_send : tuple of ServerRecord
-        Records that are newer here.
+        Own records that are newer.
     wanted : tuple of int
-        Keys of servers whose records may be newer there.
+        Keys of servers whose records may be newer at the other daemon.
     """
 
     to_send: tuple[ServerRecord, ...] = ()
@@ -79,7 +79,7 @@
 
 
 def is_valid_group_count(count: int) -> bool:
-    """Tell whether a digest may have this number of groups."""
+    """Return whether a digest may have this number of groups."""
     return 0 < count <= GROUP_COUNT and count.bit_count() == 1
 
 
@@ -89,7 +89,7 @@
     limits: ExchangeLimits,
     draw: Callable[[], float],
 ) -> tuple[int, ...]:
-    """Return the groups to compare, beginning at a random one.
+    """Return the groups whose records are compared, from a random one on.
 
     Parameters
     ----------
@@ -98,8 +98,9 @@
     limits : ExchangeLimits
         Bounds of the exchange.
     draw : callable
-        Returns a random number in ``[0, 1)``. A group that differs for long
-        must not keep the others from being compared.
+        Returns a random number in ``[0, 1)``. The first group is random so
+        that a group which differs for long does not keep the others from being
+        compared.
     """
     differing = [
         start // HASH_BYTES
@@ -118,10 +119,10 @@
     groups: Iterable[int],
     count: int,
 ) -> bytes:
-    """Return the versions of all records in some of `count` groups."""
+    """Return the encoded versions of the records in some of `count` groups."""
     return b''.join(
-        _VERSION.pack(
-            key, record.sequence % _VERSION_LIMIT, record_hash(record)
+        _VERSION_STRUCT.pack(
+            key, record.sequence % _SEQUENCE_MODULUS, record_hash(record)
         )
         for group in groups
         for key, record in table.group(group, count).items()
@@ -133,7 +134,7 @@
     groups: Iterable[int],
     count: int,
     versions: bytes,
-) -> Comparison:
+) -> VersionComparison:
     """Compare the versions of another daemon with a table.
 
     Parameters
@@ -141,42 +142,43 @@
     table : RecordTable
         Own records.
     groups : iterable of int
-        Groups that were compared, of `count`.
+        Groups to compare, of `count` groups.
     count : int
-        Groups of the digest.
+        Number of groups in the digest.
     versions : bytes
         Result of `pack_versions` at the other daemon.
 
     Returns
     -------
     Comparison
-        Versions with the same sequence number and different hashes are sent
-        and wanted, as only the records show which is newer.
+        Records with the same sequence number and different hashes are both
+        sent and wanted, as only the whole records show which one is newer.
     """
-    there = {
-        key: (sequence, seen_hash)
-        for key, sequence, seen_hash in _VERSION.iter_unpack(versions)
+    other_versions = {
+        key: (sequence, other_hash)
+        for key, sequence, other_hash in _VERSION_STRUCT.iter_unpack(versions)
     }
-    here: dict[int, ServerRecord] = {}
+    own_records: dict[int, ServerRecord] = {}
     for group in groups:
-        here |= table.group(group, count)
+        own_records |= table.group(group, count)
     differing = {
         key: record
-        for key, record in here.items()
-        if there.get(key, _ABSENT)[1] != record_hash(record)
+        for key, record in own_records.items()
+        if other_versions.get(key, _UNKNOWN_VERSION)[1] != record_hash(record)
     }
-    return Comparison(
+    return VersionComparison(
         tuple(
             record
             for key, record in differing.items()
-            if record.sequence >= there.get(key, _ABSENT)[0]
+            if record.sequence >= other_versions.get(key, _UNKNOWN_VERSION)[0]
         ),
         (
-            *(key for key in there if key not in here),
+            *(key for key in other_versions if key not in own_records),
             *(
                 key
                 for key, record in differing.items()
-                if record.sequence <= there.get(key, _ABSENT)[0]
+                if record.sequence
+                <= other_versions.get(key, _UNKNOWN_VERSION)[0]
             ),
         ),
     )
@@ -186,7 +188,10 @@
     records: Iterable[ServerRecord],
     size_bytes: int,
 ) -> tuple[ServerRecord, ...]:
-    """Return the records that fit, at least one; those out of use first."""
+    """Return the records that fit into a size, at least one.
+
+    Records of servers that are out of service go first.
+    """
     chosen: list[ServerRecord] = []
     ordered = sorted(
         records, key=lambda record: record.state not in OUT_OF_SERVICE
@@ -200,7 +205,7 @@
 
 
 def record_size_bytes(record: ServerRecord) -> int:
-    """Return about how many bytes a record has in a message."""
+    """Return the approximate encoded size of a record, in bytes."""
     texts = (
         record.server,
         record.service,
--- a/boragespool/backends/limit.py
+++ b/boragespool/backends/limit.py
@@ -2,8 +2,8 @@
 
 Additive increase, multiplicative decrease (Chiu and Jain, "Analysis of the
 increase and decrease algorithms for congestion avoidance in computer
-networks", 1989). Only replies and shedding move the limit; reports of the
-backend server do not.
+networks", 1989). Only replies and shed requests change the limit; load that
+the backend server reports does not.
 """
 
 from __future__ import annotations
@@ -15,21 +15,22 @@
 if TYPE_CHECKING:
     from boragespool.types import Seconds
 
-_DECREASE: Final = 0.5
-#: Shedding within this time of a decrease is answered by that decrease.
-_DECREASE_INTERVAL_S: Final = 0.1
+_DECREASE_FACTOR: Final = 0.5
+#: Shed requests within this time after a decrease do not cause another one.
+_MIN_DECREASE_INTERVAL_S: Final = 0.1
 
 
 @dataclass(frozen=True, slots=True)
 class LimitState:
-    """Limit of one backend server.
+    """Concurrency limit of one backend server.
 
     Attributes
     ----------
     slots : int
-        Configured slots, the upper bound.
+        Configured number of slots, the upper bound of the limit.
     allowed : float
-        Requests that may run at the same time, before rounding down.
+        Number of requests that may run at the same time, before rounding
+        down.
     reduced_at_s : float
         Time of the last decrease, in seconds.
     """
@@ -40,7 +41,7 @@
 
     @property
     def limit(self) -> int:
-        """Requests that may run at the same time, at least one."""
+        """Number of requests that may run at the same time, at least one."""
         return max(1, int(self.fractional_limit))
 
     @property
@@ -50,19 +51,19 @@
 
 
 def initial_limit(slots: int) -> LimitState:
-    """Return the limit of a server that just started: one slot."""
+    """Return the limit of a server that just started: one request."""
     return LimitState(slots)
 
 
 def after_reply(state: LimitState, in_flight: int) -> LimitState:
-    """Raise the limit by one per round of replies, if it was in use.
+    """Raise the limit by one per round of replies, if it was used up.
 
     Parameters
     ----------
     state : LimitState
         Limit before the reply.
     in_flight : int
-        Requests that ran at the server, the answered one included.
+        Number of requests at the server, the answered one included.
     """
     if in_flight < state.limit or state.limit >= state.slots:
         return state
@@ -72,15 +73,18 @@
 
 
 def after_shed(state: LimitState, now_s: Seconds) -> LimitState:
-    """Halve the limit, once for one burst of shed requests."""
-    if now_s - state.reduced_at_s < _DECREASE_INTERVAL_S:
+    """Halve the limit, once per burst of shed requests."""
+    if now_s - state.reduced_at_s < _MIN_DECREASE_INTERVAL_S:
         return state
-    lowered = max(1, state.limit * _DECREASE)
-    return LimitState(state.slots, lowered, now_s)
+    reduced = max(1, state.limit * _DECREASE_FACTOR)
+    return LimitState(state.slots, reduced, now_s)
 
 
 def with_slots(state: LimitState, slots: int) -> LimitState:
-    """Follow a change of the configured slots; more slots are ramped up."""
+    """Return the limit after a change of the configured slots.
+
+    Fewer slots lower the limit at once; more slots only raise its upper bound.
+    """
     return replace(
         state, slots=slots, fractional_limit=min(state.fractional_limit, slots)
     )
--- a/boragespool/backends/signals.py
+++ b/boragespool/backends/signals.py
@@ -1,7 +1,8 @@
-"""State of backend servers from several signs.
+"""State of a backend server, derived from several health signals.
 
-The first sign that a server leaves stops new work to it. Reports can be
-false or stale, so they never take more than half of a service out of use.
+The first signal that a server is leaving stops new work to it. Reports can be
+wrong or outdated, so `ServiceStates` never lets them take more than half of the
+servers out of service.
 """
 
 from __future__ import annotations
@@ -13,20 +14,20 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerSignals:
-    """What is known about one backend server.
+    """Health signals of one backend server.
 
     Attributes
     ----------
     announced : ServerState
         State in the record of its dispatcher.
     drained : bool
-        An operator drained it in the settings.
+        Whether an operator drained it in the settings.
     host_leaving : bool
-        The platform lists its host as leaving.
+        Whether the platform lists its host as leaving.
     reply_draining : bool
-        It answered work with ``draining`` in its present incarnation.
+        Whether it answered work with ``draining`` in its present incarnation.
     unreachable : bool
-        It refused the latest connection of this daemon.
+        Whether it refused the latest connection of this daemon.
     """
 
     announced: ServerState = ServerState.SERVING
@@ -36,34 +37,34 @@
     unreachable: bool = False
 
 
-def is_lost(signs: ServerSignals) -> bool:
-    """Tell whether the server cannot be reached."""
-    return signs.unreachable or signs.announced == ServerState.LOST
+def is_lost(signals: ServerSignals) -> bool:
+    """Return whether the server cannot be reached."""
+    return signals.unreachable or signals.announced == ServerState.LOST
 
 
-def reports_leaving(signs: ServerSignals) -> bool:
-    """Tell whether a report calls the server leaving."""
+def is_reported_leaving(signals: ServerSignals) -> bool:
+    """Return whether any report says that the server is leaving."""
     return (
-        signs.host_leaving
-        or signs.reply_draining
-        or signs.announced == ServerState.DRAINING
+        signals.host_leaving
+        or signals.reply_draining
+        or signals.announced == ServerState.DRAINING
     )
 
 
-def state_of(signs: ServerSignals, *, reported: bool) -> ServerState:
+def state_of(signals: ServerSignals, *, reported: bool) -> ServerState:
     """Return the state of one server.
 
     Parameters
     ----------
-    signs : ServerSignals
-        What is known about it.
+    signals : ServerSignals
+        Health signals of the server.
     reported : bool
-        Whether a report that it leaves counts.
+        Whether reports say that it is leaving and are not ignored.
     """
-    if is_lost(signs):
+    if is_lost(signals):
         return ServerState.LOST
-    if signs.drained or reported:
+    if signals.drained or reported:
         return ServerState.DRAINING
-    if signs.announced == ServerState.DRAINING:
+    if signals.announced == ServerState.DRAINING:
         return ServerState.SERVING
-    return signs.announced
+    return signals.announced
--- a/boragespool/backends/spreading.py
+++ b/boragespool/backends/spreading.py
@@ -1,8 +1,9 @@
-"""Which changed records a daemon passes on, and to whom.
+"""Gossip of changed server records between daemons.
 
 Rumour mongering (Demers et al., "Epidemic algorithms for replicated database
-maintenance", PODC 1987) with a bounded number of sends for each record and a
-bounded number of bytes. What it misses is repaired by `digests`.
+maintenance", PODC 1987): each daemon sends a changed record to a bounded number
+of members, within a limit of bytes per second. Changes that do not reach a
+daemon are repaired by the comparison in `digests`.
 """
 
 from __future__ import annotations
@@ -21,21 +22,21 @@
 
 @dataclass(frozen=True, slots=True)
 class SpreadLimits:
-    """Bounds of passing on changes.
+    """Bounds on the gossip of changed records.
 
     Attributes
     ----------
     sends : int
-        Members that each daemon sends a change to. With 4 a change misses
-        about 2 in 100 daemons, which the exchange of digests repairs.
+        Number of members that each daemon sends a change to. With 4 a change
+        misses about 2 in 100 daemons, which the exchange of digests repairs.
     targets : int
-        Members that get a message at each tick.
+        Number of members that get a message in each interval.
     bytes_per_s, burst_bytes : int
-        Rate of sending, and what may be sent at once. A burst carries the
+        Rate limit of the messages. A burst has room for the records of the
         400 servers of a lost rack to one member.
     queue_count : int
-        Changes that wait; the oldest ones beyond it are left to the exchange
-        of digests.
+        Number of changes that may wait. The oldest ones beyond it are dropped
+        and left to the exchange of digests.
     """
 
     sends: int = 4
@@ -46,14 +47,22 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Rumour:
+class _PendingRecord:
     record: ServerRecord
     is_urgent: bool
     sends_left: int
 
 
 class ByteRateLimiter:
-    """Bytes that may be sent: a rate with bursts."""
+    """Token bucket that limits the bytes sent.
+
+    Parameters
+    ----------
+    bytes_per_s, burst_bytes : int
+        Rate at which the bucket is filled, and its size.
+    now_s : float
+        Present time in seconds.
+    """
 
     def __init__(
         self,
@@ -61,53 +70,59 @@
         burst_bytes: int,
         now_s: Seconds,
     ) -> None:
-        """Start with the whole burst available."""
+        """Set up a full bucket."""
         self._bytes_per_s = bytes_per_s
         self._burst_bytes = burst_bytes
-        self._allowed_bytes: float = burst_bytes
+        self._available_bytes: float = burst_bytes
         self._refilled_at_s = now_s
 
     def take(self, size_bytes: int, now_s: Seconds) -> bool:
-        """Take some bytes, or none if fewer are left."""
+        """Take `size_bytes` if as many are left; return whether they were."""
         elapsed_s = now_s - self._refilled_at_s
         self._refilled_at_s = now_s
-        self._allowed_bytes = min(
+        self._available_bytes = min(
             self._burst_bytes,
-            self._allowed_bytes + elapsed_s * self._bytes_per_s,
+            self._available_bytes + elapsed_s * self._bytes_per_s,
         )
-        is_allowed = size_bytes <= self._allowed_bytes
+        is_allowed = size_bytes <= self._available_bytes
         if is_allowed:
-            self._allowed_bytes -= size_bytes
+            self._available_bytes -= size_bytes
         return is_allowed
 
 
 class SpreadQueue:
-    """Changes that wait to be passed on, the latest of each server."""
+    """Changed records that wait to be sent, the latest of each server.
+
+    Attributes
+    ----------
+    limits : SpreadLimits
+        Bounds on what is sent and kept.
+    """
 
     def __init__(self, limits: SpreadLimits, now_s: Seconds) -> None:
-        """Start empty, with the whole burst available."""
+        """Set up an empty queue with the whole burst available."""
         self.limits = limits
-        self._rumours: dict[ServerName, _Rumour] = {}
-        self._allowance = ByteRateLimiter(
+        self._pending_by_server: dict[ServerName, _PendingRecord] = {}
+        self._rate_limiter = ByteRateLimiter(
             limits.bytes_per_s,
             limits.burst_bytes,
             now_s,
         )
 
     def enqueue(self, record: ServerRecord, *, is_urgent: bool) -> None:
-        """Replace what waits about a server."""
-        self._rumours.pop(record.server, None)
-        self._rumours[record.server] = _Rumour(
+        """Add a changed record; replaces a waiting one of the same server."""
+        self._pending_by_server.pop(record.server, None)
+        self._pending_by_server[record.server] = _PendingRecord(
             record,
             is_urgent,
             self.limits.sends,
         )
-        if len(self._rumours) > self.limits.queue_count:
-            self._rumours.pop(next(iter(self._rumours)))
+        if len(self._pending_by_server) > self.limits.queue_count:
+            self._pending_by_server.pop(next(iter(self._pending_by_server)))
 
     def forget(self, server: ServerName) -> None:
-        """Pass nothing on about a server."""
-        self._rumours.pop(server, None)
+        """Remove the waiting record of a server, if any."""
+        self._pending_by_server.pop(server, None)
 
     def take(
         self,
@@ -118,41 +133,54 @@
     ) -> tuple[ServerRecord, ...]:
         """Return the records of one message that goes to `targets` members.
 
+        The sends are counted; a record that was sent often enough is removed.
+
+        Parameters
+        ----------
+        targets : int
+            Number of members that get the message.
+        now_s : float
+            Present time in seconds.
+        urgent_only : bool
+            Whether only urgent records are sent.
+
         Returns
         -------
         tuple of ServerRecord
-            Urgent ones first, then those that were sent least; at most as
-            many as the rate allows.
+            Urgent records first, then those that were sent least often; at
+            most as many as the rate limit allows.
         """
         if not targets:
             return ()
         chosen: list[ServerRecord] = []
-        for rumour in self._ordered(urgent_only=urgent_only):
-            cost = targets * record_size_bytes(rumour.record)
-            if not self._allowance.take(cost, now_s):
+        for pending in self._ordered(urgent_only=urgent_only):
+            cost_bytes = targets * record_size_bytes(pending.record)
+            if not self._rate_limiter.take(cost_bytes, now_s):
                 break
-            chosen.append(rumour.record)
-            self._sent(rumour, targets)
+            chosen.append(pending.record)
+            self._count_sends(pending, targets)
         return tuple(chosen)
 
-    def _ordered(self, *, urgent_only: bool) -> list[_Rumour]:
+    def _ordered(self, *, urgent_only: bool) -> list[_PendingRecord]:
         waiting = (
-            rumour
-            for rumour in self._rumours.values()
-            if rumour.is_urgent or not urgent_only
+            pending
+            for pending in self._pending_by_server.values()
+            if pending.is_urgent or not urgent_only
         )
         return sorted(
             waiting,
-            key=lambda rumour: (not rumour.is_urgent, -rumour.sends_left),
+            key=lambda pending: (not pending.is_urgent, -pending.sends_left),
         )
 
-    def _sent(self, rumour: _Rumour, targets: int) -> None:
-        left = rumour.sends_left - targets
-        server = rumour.record.server
-        if left > 0:
-            self._rumours[server] = replace(rumour, sends_left=left)
+    def _count_sends(self, pending: _PendingRecord, targets: int) -> None:
+        sends_left = pending.sends_left - targets
+        server = pending.record.server
+        if sends_left > 0:
+            self._pending_by_server[server] = replace(
+                pending, sends_left=sends_left
+            )
         else:
-            self._rumours.pop(server)
+            self._pending_by_server.pop(server)
 
 
 def choose_targets(
@@ -162,15 +190,15 @@
 ) -> tuple[HostName, ...]:
     """Return at most `count` different random hosts.
 
-    Unlike sorting by random numbers, the cost does not grow with the number
-    of hosts.
+    Unlike with sorting by random numbers, the cost does not grow with the
+    number of hosts.
     """
     if count >= len(hosts):
         return tuple(hosts)
-    places: set[int] = set()
+    positions: set[int] = set()
     for _ in range(count):
-        place = int(draw() * len(hosts))
-        while place in places:
-            place = (place + 1) % len(hosts)
-        places.add(place)
-    return tuple(hosts[place] for place in sorted(places))
+        position = int(draw() * len(hosts))
+        while position in positions:
+            position = (position + 1) % len(hosts)
+        positions.add(position)
+    return tuple(hosts[position] for position in sorted(positions))
--- a/boragespool/routing/observations.py
+++ b/boragespool/routing/observations.py
@@ -122,8 +122,8 @@
     def is_suspect(self, server: ServerName, now_s: Seconds) -> bool:
         """Return whether a server's latest attempts were lost.
 
-        When that time is over, the server gets one attempt at a time, until one
-        of them is answered.
+        When the time of suspicion is over, the server gets one attempt at a
+        time, until one of them is answered.
         """
         stats = self._stats_by_server[server]
         if not stats.failure_count:
