--- a/boragespool/ranks/overload.py
+++ b/boragespool/ranks/overload.py
@@ -107,7 +107,7 @@
 
     @property
     def is_limited(self) -> bool:
-        """Whether some requests of any rank are refused."""
+        """Whether a part of the requests of any rank is refused."""
         return min(self.share_by_rank.values()) < 1
 
 
--- a/boragespool/routing/hedging.py
+++ b/boragespool/routing/hedging.py
@@ -17,7 +17,7 @@
 _MICROSECONDS_PER_S: Final = 1_000_000
 _MAX_LATENCY_S: Final = 60
 _SIGNIFICANT_DIGITS: Final = 2
-#: Samples in one histogram; a new one is begun then.
+#: Number of samples after which a new histogram is begun.
 _WINDOW_SAMPLE_COUNT: Final = 4_096
 #: Fewer samples give no usable 0.97 quantile.
 _MIN_SAMPLE_COUNT: Final = 48
