Name the counts in the limits of record exchange as counts

groups, sends and targets read like collections but are numbers. They are group_count, catch_up_group_count, send_count and target_count now. check with the tests of spreading, record exchange and servers passes.

--- a/boragespool/backends/digests.py
+++ b/boragespool/backends/digests.py
@@ -42,9 +42,9 @@
 
     Attributes
     ----------
-    groups : int
+    group_count : int
         Number of groups compared when few differ.
-    catch_up_groups : int
+    catch_up_group_count : int
         Number of groups compared when more than a quarter differ, as after a
         start of the whole fleet.
     size_bytes : int
@@ -55,8 +55,8 @@
         much again for their versions.
     """
 
-    groups: int = 2
-    catch_up_groups: int = 16
+    group_count: int = 2
+    catch_up_group_count: int = 16
     size_bytes: int = 4_096
     catch_up_bytes_per_s: int = 1_000
     catch_up_burst_bytes: int = 24_000_000
@@ -107,9 +107,9 @@
         for start in range(0, len(own), HASH_BYTES)
         if own[start : start + HASH_BYTES] != other[start : start + HASH_BYTES]
     ]
-    limit = limits.groups
+    limit = limits.group_count
     if 4 * len(differing) * HASH_BYTES > len(own):
-        limit = limits.catch_up_groups
+        limit = limits.catch_up_group_count
     first = int(draw() * len(differing))
     return tuple((differing[first:] + differing[:first])[:limit])
 
--- a/boragespool/backends/spreading.py
+++ b/boragespool/backends/spreading.py
@@ -26,10 +26,10 @@
 
     Attributes
     ----------
-    sends : int
+    send_count : int
         Number of members that each daemon sends a change to. With 4 a change
         misses about 2 in 100 daemons, which the exchange of digests repairs.
-    targets : int
+    target_count : int
         Number of members that get a message in each interval.
     bytes_per_s, burst_bytes : int
         Rate limit of the messages. A burst has room for the records of the
@@ -39,8 +39,8 @@
         and left to the exchange of digests.
     """
 
-    sends: int = 4
-    targets: int = 2
+    send_count: int = 4
+    target_count: int = 2
     bytes_per_s: int = 3_000
     burst_bytes: int = 96_000
     queue_count: int = 2_000
@@ -115,7 +115,7 @@
         self._pending_by_server[record.server] = _PendingRecord(
             record,
             is_urgent,
-            self.limits.sends,
+            self.limits.send_count,
         )
         if len(self._pending_by_server) > self.limits.queue_count:
             self._pending_by_server.pop(next(iter(self._pending_by_server)))
@@ -126,18 +126,18 @@
 
     def take(
         self,
-        targets: int,
+        target_count: int,
         now_s: Seconds,
         *,
         urgent_only: bool,
     ) -> tuple[ServerRecord, ...]:
-        """Return the records of one message that goes to `targets` members.
+        """Return the records of one message to `target_count` members.
 
         The sends are counted; a record that was sent often enough is removed.
 
         Parameters
         ----------
-        targets : int
+        target_count : int
             Number of members that get the message.
         now_s : float
             Present time in seconds.
@@ -150,15 +150,15 @@
             Urgent records first, then those that were sent least often; at
             most as many as the rate limit allows.
         """
-        if not targets:
+        if not target_count:
             return ()
         chosen: list[ServerRecord] = []
         for pending in self._ordered(urgent_only=urgent_only):
-            cost_bytes = targets * record_size_bytes(pending.record)
+            cost_bytes = target_count * record_size_bytes(pending.record)
             if not self._rate_limiter.take(cost_bytes, now_s):
                 break
             chosen.append(pending.record)
-            self._count_sends(pending, targets)
+            self._count_sends(pending, target_count)
         return tuple(chosen)
 
     def _ordered(self, *, urgent_only: bool) -> list[_PendingRecord]:
@@ -172,8 +172,8 @@
             key=lambda pending: (not pending.is_urgent, -pending.sends_left),
         )
 
-    def _count_sends(self, pending: _PendingRecord, targets: int) -> None:
-        sends_left = pending.sends_left - targets
+    def _count_sends(self, pending: _PendingRecord, target_count: int) -> None:
+        sends_left = pending.sends_left - target_count
         server = pending.record.server
         if sends_left > 0:
             self._pending_by_server[server] = replace(
--- a/boragespool/bench/announcements.py
+++ b/boragespool/bench/announcements.py
@@ -141,10 +141,10 @@
         is_urgent = record.state in backends.OUT_OF_SERVICE
         queue.enqueue(record, is_urgent=is_urgent)
         if is_urgent:
-            records = queue.take(limits.sends, now_s, urgent_only=True)
-            sent_bytes += _sent_bytes(records, limits.sends, hosts, source)
-    records = queue.take(limits.targets, now_s, urgent_only=False)
-    return sent_bytes + _sent_bytes(records, limits.targets, hosts, source)
+            records = queue.take(limits.send_count, now_s, urgent_only=True)
+            sent_bytes += _sent_bytes(records, limits.send_count, hosts, source)
+    records = queue.take(limits.target_count, now_s, urgent_only=False)
+    return sent_bytes + _sent_bytes(records, limits.target_count, hosts, source)
 
 
 def _sent_bytes(
@@ -184,12 +184,12 @@
         other.digest(count), digest, options.exchange, source.random
     )
     # The allowance for catching up lasts for hours, not for ever.
-    groups = groups[: options.exchange.groups]
+    groups = groups[: options.exchange.group_count]
     versions = backends.pack_versions(other, groups, count)
     compared = backends.compare_versions(table, groups, count, versions)
     limits = options.exchange
     sent = backends.limit_total_size(
-        compared.to_send, limits.groups * limits.size_bytes
+        compared.to_send, limits.group_count * limits.size_bytes
     )
     sent_bytes = (
         _size_bytes(ServerDigest(digest))
--- a/boragespool/controllers/backend_servers/record_exchange.py
+++ b/boragespool/controllers/backend_servers/record_exchange.py
@@ -187,10 +187,10 @@
 
     def _spread_urgent(self) -> None:
         self._flush_is_due = False
-        self._send_changes(self._options.spread.sends, urgent_only=True)
+        self._send_changes(self._options.spread.send_count, urgent_only=True)
 
     def _spread(self) -> None:
-        self._send_changes(self._options.spread.targets, urgent_only=False)
+        self._send_changes(self._options.spread.target_count, urgent_only=False)
 
     def _send_changes(self, targets: int, *, urgent_only: bool) -> None:
         if not self._hosts:
--- a/boragespool/controllers/backend_servers/record_repair.py
+++ b/boragespool/controllers/backend_servers/record_repair.py
@@ -154,8 +154,10 @@
             self._context.draw,
         )
         versions = backends.pack_versions(self._table, groups, count)
-        if len(groups) > limits.groups and not self._may_send(len(versions)):
-            groups = groups[: limits.groups]
+        if len(groups) > limits.group_count and not self._may_send(
+            len(versions)
+        ):
+            groups = groups[: limits.group_count]
             versions = backends.pack_versions(self._table, groups, count)
         return ServerVersions(groups, versions)
 
@@ -168,9 +170,9 @@
         records: tuple[ServerRecord, ...],
     ) -> None:
         limits = self._limits
-        size_bytes = limits.groups * limits.size_bytes
+        size_bytes = limits.group_count * limits.size_bytes
         needed = sum(map(backends.record_size_bytes, records))
-        largest = min(needed, limits.catch_up_groups * limits.size_bytes)
+        largest = min(needed, limits.catch_up_group_count * limits.size_bytes)
         if needed > size_bytes and self._may_send(largest):
             size_bytes = largest
         chosen = backends.limit_total_size(records, size_bytes)
--- a/tests/test_record_exchange.py
+++ b/tests/test_record_exchange.py
@@ -186,7 +186,7 @@
     groups = backends.differing_groups(
         full.digest(count), empty.digest(count), limits, lambda: 0.9
     )
-    assert len(groups) == limits.catch_up_groups
+    assert len(groups) == limits.catch_up_group_count
     full.merge(record('s1', sequence=2))
     nearly = backends.RecordTable()
     for number in range(5_000):
@@ -230,10 +230,10 @@
         records = peers.sent.pop().records
         size_bytes = sum(map(backends.record_size_bytes, records))
         sizes.append((len(answer.groups), size_bytes))
-    assert sizes[0][0] == limits.catch_up_groups
-    assert sizes[0][1] > limits.groups * limits.size_bytes
-    assert sizes[-1][0] == limits.groups
-    assert sizes[-1][1] <= limits.groups * limits.size_bytes
+    assert sizes[0][0] == limits.catch_up_group_count
+    assert sizes[0][1] > limits.group_count * limits.size_bytes
+    assert sizes[-1][0] == limits.group_count
+    assert sizes[-1][1] <= limits.group_count * limits.size_bytes
 
 
 @FEW
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -40,9 +40,9 @@
             sent_bytes += targets * backends.record_size_bytes(each)
             key = each.server, each.sequence
             sends[key] = sends.get(key, 0) + 1
-            assert sends[key] <= limits.sends
+            assert sends[key] <= limits.send_count
         assert sent_bytes <= limits.burst_bytes + limits.bytes_per_s * now_s
-    for _ in range(limits.sends * limits.queue_count):
+    for _ in range(limits.send_count * limits.queue_count):
         now_s += 1
         queue.take(1, now_s, urgent_only=False)
     assert not queue.take(1, now_s + 1, urgent_only=False)
