--- a/boragespool/controllers/backend_servers/record_exchange.py
+++ b/boragespool/controllers/backend_servers/record_exchange.py
@@ -164,7 +164,7 @@
     def _receive(self, _sender: Sender, message: ServerAnnouncement) -> None:
         for record in self._merge(message.records):
             if not message.is_repair:
-                is_urgent = record.state in backends.OUT_OF_USE
+                is_urgent = record.state in backends.OUT_OF_SERVICE
                 self._note(record, is_urgent=is_urgent)
 
     def _merge(self, records: Iterable[ServerRecord]) -> list[ServerRecord]:
@@ -180,17 +180,17 @@
         return kept
 
     def _note(self, record: ServerRecord, *, is_urgent: bool) -> None:
-        self._queue.note(record, is_urgent=is_urgent)
+        self._queue.enqueue(record, is_urgent=is_urgent)
         if is_urgent and not self._flush_is_due:
             self._flush_is_due = True
             self._context.timers.after(_GATHER_S, self._spread_urgent)
 
     def _spread_urgent(self) -> None:
         self._flush_is_due = False
-        self._send_changes(self._options.spread.sends, urgent_only=True)
+        self._send_changes(self._options.spread.send_count, urgent_only=True)
 
     def _spread(self) -> None:
-        self._send_changes(self._options.spread.targets, urgent_only=False)
+        self._send_changes(self._options.spread.target_count, urgent_only=False)
 
     def _send_changes(self, targets: int, *, urgent_only: bool) -> None:
         if not self._hosts:
--- a/boragespool/controllers/forwarding/server.py
+++ b/boragespool/controllers/forwarding/server.py
@@ -81,7 +81,7 @@
             allowed = (
                 connection_limit
                 if is_full
-                else min(connection_limit, state.allowed)
+                else min(connection_limit, state.fractional_limit)
             )
             self._concurrency = LimitState(
                 connection_limit, allowed, state.reduced_at_s
--- a/boragespool/ranks/__init__.py
+++ b/boragespool/ranks/__init__.py
@@ -1,23 +1,27 @@
-"""Decisions by rank: what a backend server runs, what a daemon admits."""
+"""Scheduling and admission control by rank.
+
+Decides which queued work runs on a backend server, and which share of the
+callers' requests a daemon admits while it is overloaded.
+"""
 
 from __future__ import annotations
 
 from boragespool.ranks.overload import (
     Admission,
     LoopWindow,
-    Thinning,
+    RequestSampler,
     next_admission,
 )
 from boragespool.ranks.queue import ServerQueue
-from boragespool.ranks.work import Grants, QueuedWork, RefusedWork
+from boragespool.ranks.work import QueuedWork, RefusedWork, ScheduleResult
 
 __all__ = (
     'Admission',
-    'Grants',
     'LoopWindow',
     'QueuedWork',
     'RefusedWork',
+    'RequestSampler',
+    'ScheduleResult',
     'ServerQueue',
-    'Thinning',
     'next_admission',
 )
