--- a/boragespool/bench/deployment.py
+++ b/boragespool/bench/deployment.py
@@ -20,7 +20,7 @@
 )
 from boragespool.blackboard.topics import MEMBERS, PHASE, SERVERS
 from boragespool.client import Client, ClientOptions
-from boragespool.daemon.entry import Entry
+from boragespool.daemon.entry import EntryDaemon
 from boragespool.daemon.options import EntryOptions
 from boragespool.revisions import RevisionDocument
 from boragespool.standins.backend_host import BackendHost
@@ -49,7 +49,7 @@
     """
 
     shape: DeploymentShape
-    entries: list[Entry] = field(default_factory=list)
+    entries: list[EntryDaemon] = field(default_factory=list)
     _stack: AsyncExitStack = field(default_factory=AsyncExitStack)
 
     platform: Platform = field(init=False)
@@ -103,7 +103,7 @@
         self.settings = deployment_settings(self.shape, placed, addresses)
         await self.apply(self.settings, 1)
         for options in _entry_options(self.shape, self.platform.address):
-            entry = await stack.enter_async_context(Entry(options))
+            entry = await stack.enter_async_context(EntryDaemon(options))
             self.entries.append(entry)
         await self._until_ready(len(placed))
 
@@ -117,7 +117,7 @@
                 await asyncio.sleep(_POLL_S)
 
 
-def _is_ready(entry: Entry, entry_count: int, server_count: int) -> bool:
+def _is_ready(entry: EntryDaemon, entry_count: int, server_count: int) -> bool:
     board = entry.context.board
     alive = [
         member
--- a/boragespool/controllers/forwarding/calls.py
+++ b/boragespool/controllers/forwarding/calls.py
@@ -10,8 +10,8 @@
     Reply,
     Verdict,
     WaitingCall,
-    hedge_after_s,
-    judge,
+    classify_reply,
+    hedge_delay_s,
 )
 from boragespool.http import ExchangeFailure, HttpResponse
 from boragespool.results import Failure, ResultCode
@@ -108,7 +108,7 @@
             return False
         now_s = self._fleet.timers.now_s()
         wait_s = _wait_s(self._fleet, self.service, self._job.route)
-        return now_s + wait_s < self._job.deadlines.end_at_s
+        return now_s + wait_s < self._job.deadlines.deadline_at_s
 
     @property
     def run_state(self) -> RunState:
@@ -119,7 +119,7 @@
     def start(self) -> None:
         """Send the first attempt."""
         now_s = self._fleet.timers.now_s()
-        self._fleet.budget(self.service).note_request(now_s)
+        self._fleet.budget(self.service).record_request(now_s)
         if not self._send() and not self._wait():
             self._finish(self._failure())
 
@@ -152,7 +152,7 @@
         """Wait for room at a server; False if that cannot help in time."""
         if self._waiting is not None:
             return True
-        if self.sent_count >= self._job.route.attempt_count:
+        if self.sent_count >= self._job.route.max_attempt_count:
             return False
         if not self._fleet.servers_of(self.service).keys() - self._tried:
             return False
@@ -163,7 +163,7 @@
             number,
             self._job.route.priority,
             deadlines.target_at_s - usual_s,
-            deadlines.end_at_s,
+            deadlines.deadline_at_s,
         )
         if not self._fleet.waiting.join(self.service, call, self._resume):
             self._reason = 'its backend servers have no room in time'
@@ -178,7 +178,9 @@
         usual_s = self._fleet.times.usual_s(route)
         unloaded_s = self._fleet.times.unloaded_s(route)
         for number, attempt in self._open_by_attempt.items():
-            waited_s = attempt.server.load.abandoned(number, usual_s, now_s)
+            waited_s = attempt.server.load.abandon_attempt(
+                number, usual_s, now_s
+            )
             attempt.server.note_abandoned(waited_s, unloaded_s, now_s)
             if attempt.exchange is not None:
                 attempt.exchange.cancel()
@@ -195,9 +197,9 @@
 
     def _choose(self) -> Server | None:
         """Choose a server for one more attempt; None if there is none."""
-        left_s = self._job.deadlines.end_at_s - self._fleet.timers.now_s()
+        left_s = self._job.deadlines.deadline_at_s - self._fleet.timers.now_s()
         route = self._job.route
-        if self.sent_count >= route.attempt_count or left_s < _LEAST_LEFT_S:
+        if self.sent_count >= route.max_attempt_count or left_s < _LEAST_LEFT_S:
             return None
         return self._fleet.choose(self.service, route.name, self._tried)
 
@@ -214,8 +216,8 @@
         attempt = _Attempt(server)
         self._open_by_attempt[number] = attempt
         now_s = self._fleet.timers.now_s()
-        server.load.begin(number, now_s)
-        left_s = self._job.deadlines.caller_at_s - now_s
+        server.load.start_attempt(number, now_s)
+        left_s = self._job.deadlines.caller_deadline_at_s - now_s
         attempt.exchange = server.link.send(
             _outgoing(self._job, self._dialect, name, left_s),
             lambda result: self._take(number, result),
@@ -226,12 +228,12 @@
     def _plan_hedge(self, server: Server) -> None:
         route = self._job.route
         self._stop_hedging()
-        if not route.idempotent or self.sent_count >= route.attempt_count:
+        if not route.idempotent or self.sent_count >= route.max_attempt_count:
             return
-        delay_s = hedge_after_s(
+        delay_s = hedge_delay_s(
             route,
             self._fleet.times.quantile_s(route.name),
-            server.load.distance_s,
+            server.load.round_trip_s,
         )
         self._hedge = self._fleet.timers.after(delay_s, self._try_hedge)
 
@@ -259,12 +261,12 @@
             return
         self._fleet.note_handshake(attempt.server)
         reply = self._dialect.read_reply(result)
-        verdict = judge(reply)
+        verdict = classify_reply(reply)
         if verdict is Verdict.SUCCESS:
             self._take_success(number, attempt.server, reply)
             return
         now_s = self._fleet.timers.now_s()
-        attempt.server.load.failed(number, now_s, refused=False)
+        attempt.server.load.fail_attempt(number, now_s, refused=False)
         if verdict is Verdict.NOT_RUN:
             attempt.server.note_refusal(now_s)
         if reply.is_other_server:
@@ -281,7 +283,9 @@
         times = self._fleet.times
         route = self._job.route.name
         now_s = self._fleet.timers.now_s()
-        service_s = server.load.answered(number, times.usual_s(route), now_s)
+        service_s = server.load.complete_attempt(
+            number, times.usual_s(route), now_s
+        )
         if service_s is not None:
             times.record(route, service_s)
             server.note_answer(service_s, times.unloaded_s(route), now_s)
@@ -294,7 +298,7 @@
         failure: ExchangeFailure,
     ) -> None:
         now_s = self._fleet.timers.now_s()
-        server.load.failed(number, now_s, refused=True)
+        server.load.fail_attempt(number, now_s, refused=True)
         server.note_refusal(now_s)
         self._reason = failure.reason
         if failure.sent:
--- a/boragespool/controllers/forwarding/fleet.py
+++ b/boragespool/controllers/forwarding/fleet.py
@@ -21,9 +21,9 @@
 from boragespool.forwarding import (
     Candidate,
     Place,
-    WindowBudget,
+    RetryBudget,
     choose_server,
-    registry_change,
+    diff_registrations,
 )
 
 if TYPE_CHECKING:
@@ -94,7 +94,7 @@
         self._servers_by_service: defaultdict[
             ServiceName, dict[str, Server]
         ] = defaultdict(dict)
-        self._budgets_by_service: dict[ServiceName, WindowBudget] = {}
+        self._budgets_by_service: dict[ServiceName, RetryBudget] = {}
         self._distance_s_by_data_centre: dict[DataCentre, Seconds] = {}
         self._region_by_data_centre = dict(options.regions_by_data_centre)
         self._started_at_s = timers.now_s()
@@ -174,11 +174,11 @@
             if name not in tried
         )
 
-    def budget(self, service: ServiceName) -> WindowBudget:
+    def budget(self, service: ServiceName) -> RetryBudget:
         """Return the budget of second attempts to a service."""
         budget = self._budgets_by_service.get(service)
         if budget is None:
-            budget = WindowBudget(self.options.retries, self._started_at_s)
+            budget = RetryBudget(self.options.retries, self._started_at_s)
             self._budgets_by_service[service] = budget
         return budget
 
@@ -213,7 +213,7 @@
         self,
         registered: Mapping[ServerName, Registration] | None,
     ) -> None:
-        change = registry_change(self._known, registered or {})
+        change = diff_registrations(self._known, registered or {})
         self._known = registered or {}
         for registration in change.added + change.changed:
             self._place(registration)
@@ -246,7 +246,7 @@
             partial(self.waiting.serve, registration.service),
         )
         server = Server(registration, link)
-        server.load.distance_s = self._distance_s_by_data_centre.get(
+        server.load.round_trip_s = self._distance_s_by_data_centre.get(
             registration.data_centre,
             0,
         )
@@ -310,13 +310,16 @@
                 server.link.trim()
 
 
-def _note_distance(server: Server, place: str, distance_s: Seconds) -> None:
+def _note_distance(server: Server, place: str, round_trip_s: Seconds) -> None:
     if server.registration.data_centre == place:
-        server.load.distance_s = distance_s
+        server.load.round_trip_s = round_trip_s
 
 
 def _is_same_start(first: Registration, second: Registration) -> bool:
-    return (first.address, first.born_ms) == (second.address, second.born_ms)
+    return (first.address, first.started_at_ms) == (
+        second.address,
+        second.started_at_ms,
+    )
 
 
 def _log_server(registration: Registration, state: str) -> None:
--- a/boragespool/controllers/forwarding/gateway.py
+++ b/boragespool/controllers/forwarding/gateway.py
@@ -11,7 +11,7 @@
 from boragespool.controllers.forwarding.dialect import Gathered
 from boragespool.controllers.forwarding.gathers import Gather
 from boragespool.events import Event, log_event
-from boragespool.forwarding import Reply, SplitTurns, plan_deadlines
+from boragespool.forwarding import Reply, WeightedRoundRobin, plan_deadlines
 from boragespool.metrics import FORWARD_LATENCY, FORWARDED
 from boragespool.results import Failure, ResultCode
 from boragespool.types import RunState
@@ -52,7 +52,7 @@
         self.in_flight = 0
         self._fleet = fleet
         self._dialect = dialect
-        self._splits_by_route: dict[RouteName, SplitTurns] = {}
+        self._splits_by_route: dict[RouteName, WeightedRoundRobin] = {}
 
     async def handle(self, message: HttpRequest) -> HttpResponse:
         """Answer one request of a caller."""
@@ -160,7 +160,7 @@
         )
         now_s = self._fleet.timers.now_s()
         wait = self._fleet.timers.after(
-            max(0, job.deadlines.end_at_s - now_s),
+            max(0, job.deadlines.deadline_at_s - now_s),
             give_up,
         )
         call.start()
@@ -178,10 +178,10 @@
         if len(route.services) == 1:
             return route.services[0].service
         turns = self._splits_by_route.get(route.name)
-        if turns is None or turns.parts != route.services:
-            turns = SplitTurns(route.services)
+        if turns is None or turns.services != route.services:
+            turns = WeightedRoundRobin(route.services)
             self._splits_by_route[route.name] = turns
-        return turns.take()
+        return turns.next_service()
 
     def _log(
         self,
--- a/boragespool/controllers/forwarding/gathers.py
+++ b/boragespool/controllers/forwarding/gathers.py
@@ -9,9 +9,9 @@
 from boragespool.forwarding import (
     Reply,
     Verdict,
-    covers,
-    greatest_records,
-    judge,
+    classify_reply,
+    meets_coverage,
+    top_records,
 )
 from boragespool.results import Failure, ResultCode
 from boragespool.types import RunState
@@ -69,7 +69,7 @@
     def start(self) -> None:
         """Ask all shards, unless too few of them can answer."""
         possible = sum(call.is_possible for call in self.calls)
-        if not covers(self._job.route, possible, len(self.calls)):
+        if not meets_coverage(self._job.route, possible, len(self.calls)):
             self._finish(
                 Failure(
                     ResultCode.NO_SERVER,
@@ -84,7 +84,7 @@
         self._waits = (
             self._timers.after(deadlines.target_at_s - now_s, self._at_target),
             self._timers.after(
-                max(0, deadlines.end_at_s - now_s),
+                max(0, deadlines.deadline_at_s - now_s),
                 self._at_end,
             ),
         )
@@ -100,7 +100,7 @@
     def _take(self, _: ServiceCall, outcome: Reply | Failure) -> None:
         if isinstance(outcome, Failure):
             self._failures.append(outcome)
-        elif judge(outcome) is Verdict.SUCCESS:
+        elif classify_reply(outcome) is Verdict.SUCCESS:
             self._replies.append(outcome)
         else:
             self._failures.append(
@@ -117,10 +117,10 @@
         total = len(self.calls)
         answered = len(self._replies)
         failed = len(self._failures)
-        is_covered = covers(self._job.route, answered, total)
+        is_covered = meets_coverage(self._job.route, answered, total)
         if is_covered and (self._is_late or answered + failed == total):
             self._answer()
-        elif not covers(self._job.route, total - failed, total):
+        elif not meets_coverage(self._job.route, total - failed, total):
             self._finish(self._failure())
 
     def _at_target(self) -> None:
@@ -141,9 +141,7 @@
         count = self._job.route.record_count
         self._finish(
             Gathered(
-                greatest_records(
-                    (reply.body for reply in self._replies), count
-                ),
+                top_records((reply.body for reply in self._replies), count),
                 tuple(reply.signature or '' for reply in self._replies),
                 len(self.calls) - len(self._replies),
             ),
--- a/boragespool/controllers/forwarding/hosts.py
+++ b/boragespool/controllers/forwarding/hosts.py
@@ -15,8 +15,8 @@
     HostRecord,
     HostTable,
     control_addresses,
-    nearest_records,
-    reader_of,
+    elect_store_reader,
+    nearest_hosts,
 )
 from boragespool.item_store import LeaseEnded
 from boragespool.results import Failure
@@ -149,7 +149,7 @@
         region: Region,
     ) -> tuple[Address, ...]:
         """Return the nearest daemons that serve, for a caller in a place."""
-        nearest = nearest_records(self._serving(), data_centre, region)
+        nearest = nearest_hosts(self._serving(), data_centre, region)
         return tuple(
             record.caller_address for record in nearest[:_ADDRESS_COUNT]
         )
@@ -163,7 +163,7 @@
         now_s = self._timers.now_s()
         grace_end_s = state.returned_at_s + self._options.return_grace_s
         if now_s >= grace_end_s:
-            self._table.drop_lapsed()
+            self._table.drop_removed()
         else:
             self._timers.after(grace_end_s - now_s, self._drop_lapsed)
         if state.changed_keys:
@@ -179,7 +179,7 @@
     def _reader(self) -> HostRecord | None:
         if self._lease is None:
             return None
-        return reader_of(self._serving(), self._own)
+        return elect_store_reader(self._serving(), self._own)
 
     def _serving(self) -> tuple[HostRecord, ...]:
         """Return the daemons that serve, this one only while it does."""
@@ -195,7 +195,7 @@
 
     def _read(self, key: str, item: Item | None) -> None:
         if item is None:
-            self._table.lapse(key)
+            self._table.mark_removed(key)
             return
         try:
             record = msgspec.json.decode(item.value, type=HostRecord)
@@ -210,7 +210,7 @@
             self._table.put(key, record)
 
     def _drop_lapsed(self) -> None:
-        if self._table.drop_lapsed():
+        if self._table.drop_removed():
             self._post()
 
     async def _publish(self) -> None:
--- a/boragespool/controllers/forwarding/registry.py
+++ b/boragespool/controllers/forwarding/registry.py
@@ -83,7 +83,7 @@
             self._timers.now_s(),
             state.returned_at_s,
         )
-        self._board.post(REGISTERED, dict(self._table.by_server))
+        self._board.post(REGISTERED, dict(self._table.registrations_by_server))
 
     def _read(self, key: str, item: Item | None) -> None:
         """Keep a readable registration; others name no server."""
@@ -109,8 +109,10 @@
         """
         changes_by_key: dict[str, Item | None] = {}
         for key, listed in self._listed_by_key.items():
-            is_accepted = self._table.by_server.get(listed.server) == listed
-            told = listed.without_sequence
+            is_accepted = (
+                self._table.registrations_by_server.get(listed.server) == listed
+            )
+            told = listed.without_heartbeat_fields
             if is_accepted and self._told_by_key.get(key) != told:
                 self._told_by_key[key] = told
                 changes_by_key[key] = state.items_by_key[key]
--- a/boragespool/controllers/forwarding/waiting.py
+++ b/boragespool/controllers/forwarding/waiting.py
@@ -51,7 +51,7 @@
             Sends the call; False if no server that it may use has room.
         """
         queue = self._queues_by_service[service]
-        is_waiting = queue.join(call, self._timers.now_s())
+        is_waiting = queue.add(call, self._timers.now_s())
         FORWARD_WAITS.labels(
             str(call.priority),
             'waits' if is_waiting else 'refused',
@@ -63,7 +63,7 @@
     def leave(self, service: ServiceName, number: int) -> None:
         """Forget a call that has ended."""
         if self._resume_by_number.pop(number, None) is not None:
-            self._queues_by_service[service].leave(number)
+            self._queues_by_service[service].remove(number)
 
     def is_waiting(self, service: ServiceName) -> bool:
         """Whether a call to the service waits."""
--- a/boragespool/daemon/entry.py
+++ b/boragespool/daemon/entry.py
@@ -31,7 +31,7 @@
 _MS_PER_S = 1_000
 
 
-class Entry:
+class EntryDaemon:
     """One daemon, an async context manager.
 
     Parameters
@@ -43,7 +43,7 @@
     """
 
     context: Context
-    parts: Controllers
+    controllers: Controllers
     http: HttpServer
 
     def __init__(
@@ -81,8 +81,8 @@
         """Requests of callers and dispatched work that are not finished."""
         return (
             self.http.in_flight
-            + self.parts.api.in_flight
-            + self.parts.dispatch.in_flight
+            + self.controllers.api.in_flight
+            + self.controllers.dispatch.in_flight
         )
 
     async def _start(self, stack: AsyncExitStack) -> None:
@@ -101,7 +101,7 @@
         store = await stack.enter_async_context(
             StoreClient(options.platform_address, options.store_timeout_s),
         )
-        self.parts = await start_controllers(
+        self.controllers = await start_controllers(
             stack, self.context, store, options
         )
         self.http = await stack.enter_async_context(
@@ -159,7 +159,7 @@
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         """Answer a caller; a leaving daemon asks it to connect elsewhere."""
-        response = await self.parts.api.handle(request)
+        response = await self.controllers.api.handle(request)
         if self.context.board.read(PHASE) is Phase.LEAVING:
             return replace(response, close=True)
         return response
--- a/boragespool/daemon/main.py
+++ b/boragespool/daemon/main.py
@@ -12,7 +12,7 @@
 import pynng
 from absl import flags
 
-from boragespool.daemon.entry import Entry
+from boragespool.daemon.entry import EntryDaemon
 from boragespool.daemon.options import (
     ENVIRONMENT_PREFIX,
     EntryOptions,
@@ -88,7 +88,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop_requested.set)
-    entry = Entry(options)
+    entry = EntryDaemon(options)
     try:
         await entry.__aenter__()
     except (OSError, pynng.NNGException) as error:
--- a/boragespool/daemon/shutdown.py
+++ b/boragespool/daemon/shutdown.py
@@ -12,7 +12,7 @@
 from boragespool.types import Phase
 
 if TYPE_CHECKING:
-    from boragespool.daemon.entry import Entry
+    from boragespool.daemon.entry import EntryDaemon
 
 _POLL_S: Final = 0.02
 #: Nothing may have been in flight for this time before connections close.
@@ -24,7 +24,7 @@
 _FLUSH_S: Final = 0.5
 
 
-async def stop_gracefully(entry: Entry) -> bool:
+async def stop_gracefully(entry: EntryDaemon) -> bool:
     """Leave, serve until nothing is in flight, hand over and close.
 
     Parameters
@@ -58,7 +58,7 @@
     return is_complete
 
 
-async def _finish_phases(entry: Entry) -> None:
+async def _finish_phases(entry: EntryDaemon) -> None:
     host = entry.options.host
     keep_s = _keep_s(entry)
     log_event(
@@ -68,7 +68,7 @@
         keep_s=keep_s,
     )
     entry.context.board.post(PHASE, Phase.LEAVING)
-    entry.parts.membership.leave()
+    entry.controllers.membership.leave()
     spread_s = _SPREAD_INTERVALS * entry.options.membership.ping_interval_s
     await asyncio.sleep(keep_s + spread_s)
     log_event(
@@ -79,10 +79,10 @@
     )
     await _wait_until_quiet(entry)
     log_event(Event.STOP_DRAINED, 'nothing is in flight', host=host)
-    await entry.parts.dispatch.drain(entry.options.stop_timeout_s)
-    successor = await entry.parts.claims.hand_over()
+    await entry.controllers.dispatch.drain(entry.options.stop_timeout_s)
+    successor = await entry.controllers.claims.hand_over()
     if successor is not None:
-        entry.parts.membership.set_successor(successor)
+        entry.controllers.membership.set_successor(successor)
     log_event(
         Event.STOP_HANDED_OVER,
         f'claim records are at {successor!r}',
@@ -93,16 +93,16 @@
     await entry.context.peers.flush(_FLUSH_S)
 
 
-async def _wait_until_quiet(entry: Entry) -> None:
+async def _wait_until_quiet(entry: EntryDaemon) -> None:
     """Wait until nothing was in flight for a moment."""
     quiet_s: float = 0
     while quiet_s < _QUIET_S:
         await asyncio.sleep(_POLL_S)
-        is_busy = entry.in_flight or not entry.parts.claims.idle
+        is_busy = entry.in_flight or not entry.controllers.claims.idle
         quiet_s = 0 if is_busy else quiet_s + _POLL_S
 
 
-def _keep_s(entry: Entry) -> float:
+def _keep_s(entry: EntryDaemon) -> float:
     document = entry.context.board.read(IN_FORCE)
     settings = document.settings if document else Settings()
     return settings.addresses.keep_s
--- a/boragespool/forwarding/__init__.py
+++ b/boragespool/forwarding/__init__.py
@@ -11,24 +11,24 @@
     HostRecord,
     HostTable,
     control_addresses,
-    nearest_records,
-    reader_of,
+    elect_store_reader,
+    nearest_hosts,
 )
 from boragespool.forwarding.loads import ServerLoad
-from boragespool.forwarding.records import greatest_records
+from boragespool.forwarding.records import top_records
 from boragespool.forwarding.registrations import (
     Registration,
+    RegistrationChanges,
     RegistrationTable,
-    RegistryChange,
-    registry_change,
+    diff_registrations,
 )
 from boragespool.forwarding.replies import (
     ForwardRequest,
     Reply,
     Verdict,
-    judge,
+    classify_reply,
 )
-from boragespool.forwarding.retry_budget import RetryLimits, WindowBudget
+from boragespool.forwarding.retry_budget import RetryBudget, RetryLimits
 from boragespool.forwarding.routes import (
     CallerLimits,
     ForwardConfiguration,
@@ -42,11 +42,11 @@
     Place,
     choose_server,
 )
-from boragespool.forwarding.splits import SplitTurns
+from boragespool.forwarding.splits import WeightedRoundRobin
 from boragespool.forwarding.timing import (
     Deadlines,
-    covers,
-    hedge_after_s,
+    hedge_delay_s,
+    meets_coverage,
     plan_deadlines,
 )
 
@@ -62,26 +62,26 @@
     'HostTable',
     'Place',
     'Registration',
+    'RegistrationChanges',
     'RegistrationTable',
-    'RegistryChange',
     'Reply',
+    'RetryBudget',
     'RetryLimits',
     'RouteTable',
     'ServerLoad',
-    'SplitTurns',
     'Verdict',
     'WaitingCall',
+    'WeightedRoundRobin',
     'WeightedService',
-    'WindowBudget',
     'choose_server',
+    'classify_reply',
     'control_addresses',
-    'covers',
-    'greatest_records',
-    'hedge_after_s',
+    'diff_registrations',
+    'elect_store_reader',
+    'hedge_delay_s',
     'index_routes',
-    'judge',
-    'nearest_records',
+    'meets_coverage',
+    'nearest_hosts',
     'plan_deadlines',
-    'reader_of',
-    'registry_change',
+    'top_records',
 )
--- a/boragespool/forwarding/call_queue.py
+++ b/boragespool/forwarding/call_queue.py
@@ -39,14 +39,14 @@
     start_by_s : float
         Time until which it must be sent to be answered while that is worth
         most to the caller.
-    end_at_s : float
+    deadline_at_s : float
         Latest answer.
     """
 
     number: int
     priority: int
     start_by_s: Seconds
-    end_at_s: Seconds
+    deadline_at_s: Seconds
 
 
 class CallQueue:
@@ -63,17 +63,17 @@
         """Return how many calls wait."""
         return len(self._waiting_by_number)
 
-    def join(self, call: WaitingCall, now_s: Seconds) -> bool:
+    def add(self, call: WaitingCall, now_s: Seconds) -> bool:
         """Add a call; False if its turn would come after its end."""
         if not self._waiting_by_number:
             self._period_began_s = now_s
             self._period_grants = 0
-        if now_s + self.wait_s(call.priority, now_s) >= call.end_at_s:
+        if now_s + self.wait_s(call.priority, now_s) >= call.deadline_at_s:
             return False
         self._waiting_by_number[call.number] = call
         return True
 
-    def leave(self, number: int) -> None:
+    def remove(self, number: int) -> None:
         """Remove a call that does not wait any more."""
         self._waiting_by_number.pop(number, None)
 
--- a/boragespool/forwarding/hosts.py
+++ b/boragespool/forwarding/hosts.py
@@ -37,7 +37,7 @@
     def __init__(self) -> None:
         """Start without daemons."""
         self._records_by_key: dict[str, HostRecord] = {}
-        self._lapsed_keys: set[str] = set()
+        self._removed_keys: set[str] = set()
 
     @property
     def records(self) -> tuple[HostRecord, ...]:
@@ -47,22 +47,22 @@
     def put(self, key: str, record: HostRecord) -> None:
         """Take over a record."""
         self._records_by_key[key] = record
-        self._lapsed_keys.discard(key)
+        self._removed_keys.discard(key)
 
-    def lapse(self, key: str) -> None:
+    def mark_removed(self, key: str) -> None:
         """Note that a record is no longer in the store."""
-        self._lapsed_keys.add(key)
+        self._removed_keys.add(key)
 
-    def drop_lapsed(self) -> bool:
+    def drop_removed(self) -> bool:
         """Drop the lapsed records; tell whether there were any."""
-        dropped = self._lapsed_keys & self._records_by_key.keys()
-        self._lapsed_keys.clear()
+        dropped = self._removed_keys & self._records_by_key.keys()
+        self._removed_keys.clear()
         for key in dropped:
             del self._records_by_key[key]
         return bool(dropped)
 
 
-def nearest_records(
+def nearest_hosts(
     records: tuple[HostRecord, ...],
     data_centre: DataCentre,
     region: Region,
@@ -76,7 +76,7 @@
     return next((group for group in groups if group), ())
 
 
-def reader_of(
+def elect_store_reader(
     records: Iterable[HostRecord],
     own: HostRecord,
 ) -> HostRecord | None:
--- a/boragespool/forwarding/loads.py
+++ b/boragespool/forwarding/loads.py
@@ -41,20 +41,20 @@
     ----------
     slots : int
         Requests that it runs at the same time.
-    distance_s : float
+    round_trip_s : float
         Round trip to it, in seconds.
     warm_at_s : float
         Time from which it is as fast as others.
     """
 
     slots: int
-    distance_s: Seconds = 0
+    round_trip_s: Seconds = 0
     warm_at_s: Seconds = -math.inf
     slowness: float = 1
     measured_at_s: Seconds = 0
     suspect_until_s: Seconds = -math.inf
     failure_count: int = 0
-    failure_share: float = 0
+    failure_ratio: float = 0
     started_s_by_attempt: dict[int, Seconds] = field(default_factory=dict)
 
     @property
@@ -62,11 +62,11 @@
         """Attempts of this daemon that wait for an answer."""
         return len(self.started_s_by_attempt)
 
-    def begin(self, attempt: int, now_s: Seconds) -> None:
+    def start_attempt(self, attempt: int, now_s: Seconds) -> None:
         """Note an attempt that was sent."""
         self.started_s_by_attempt[attempt] = now_s
 
-    def answered(
+    def complete_attempt(
         self,
         attempt: int,
         usual_s: Seconds,
@@ -83,9 +83,9 @@
         if began_s is None:
             return None
         self.failure_count = 0
-        self.failure_share *= 1 - _SMOOTHING
+        self.failure_ratio *= 1 - _SMOOTHING
         self.suspect_until_s = -math.inf
-        service_s = max(0, now_s - began_s - self.distance_s)
+        service_s = max(0, now_s - began_s - self.round_trip_s)
         if usual_s > 0:
             present = self.present_slowness(now_s)
             sample = min(service_s / usual_s, present * _LARGEST_STEP)
@@ -93,7 +93,9 @@
             self.measured_at_s = now_s
         return service_s
 
-    def failed(self, attempt: int, now_s: Seconds, *, refused: bool) -> None:
+    def fail_attempt(
+        self, attempt: int, now_s: Seconds, *, refused: bool
+    ) -> None:
         """Note an attempt without a useful answer.
 
         Parameters
@@ -103,13 +105,13 @@
             connection broke.
         """
         self.started_s_by_attempt.pop(attempt, None)
-        self.failure_share += _SMOOTHING * (1 - self.failure_share)
+        self.failure_ratio += _SMOOTHING * (1 - self.failure_ratio)
         if refused:
             pause_s = _FIRST_SUSPICION_S * 2**self.failure_count
             self.failure_count += 1
             self.suspect_until_s = now_s + min(_LONGEST_SUSPICION_S, pause_s)
 
-    def abandoned(
+    def abandon_attempt(
         self,
         attempt: int,
         usual_s: Seconds,
@@ -123,7 +125,7 @@
         if began_s is None or usual_s <= 0:
             return 0
         present = self.present_slowness(now_s)
-        waited_s = max(0, now_s - began_s - self.distance_s)
+        waited_s = max(0, now_s - began_s - self.round_trip_s)
         waited = waited_s / usual_s
         if waited > present:
             sample = min(waited, present * _LARGEST_STEP)
@@ -143,7 +145,7 @@
             return 0
         oldest_s = next(iter(self.started_s_by_attempt.values()))
         limit_s = max(_LEAST_STALL_S, _STALL_FACTOR * usual_s)
-        return max(0, now_s - oldest_s - self.distance_s - limit_s)
+        return max(0, now_s - oldest_s - self.round_trip_s - limit_s)
 
     def expected_s(self, usual_s: Seconds, now_s: Seconds) -> Seconds:
         """Return the expected latency of one more request, in seconds."""
@@ -151,4 +153,4 @@
         if now_s < self.warm_at_s:
             factor = max(factor, _COLD_FACTOR)
         rounds = 1 + max(0, self.in_flight + 1 - self.slots) / self.slots
-        return self.distance_s + usual_s * factor * rounds
+        return self.round_trip_s + usual_s * factor * rounds
--- a/boragespool/forwarding/records.py
+++ b/boragespool/forwarding/records.py
@@ -12,7 +12,7 @@
 RECORD_SIZE_BYTES: Final = 16
 
 
-def greatest_records(bodies: Iterable[bytes], count: int) -> bytes:
+def top_records(bodies: Iterable[bytes], count: int) -> bytes:
     """Return the greatest records of several bodies, greatest first.
 
     Parameters
--- a/boragespool/forwarding/registrations.py
+++ b/boragespool/forwarding/registrations.py
@@ -37,7 +37,7 @@
         Whether it takes no new work because it is about to stop.
     warm_up_s : float
         Time for which it is still slow after its start, in seconds.
-    born_ms : int
+    started_at_ms : int
         Wall time of its start; 0 if it does not say.
     sequence : int
         Counts its registrations since its start.
@@ -50,22 +50,22 @@
     slots: int
     draining: bool
     warm_up_s: Seconds
-    born_ms: int
+    started_at_ms: int
     sequence: int
 
     @property
-    def age_key(self) -> tuple[int, int]:
+    def order_key(self) -> tuple[int, int]:
         """Order of the registrations of one server."""
-        return (self.born_ms, self.sequence)
+        return (self.started_at_ms, self.sequence)
 
     @property
-    def without_sequence(self) -> Registration:
+    def without_heartbeat_fields(self) -> Registration:
         """The registration without what every heartbeat changes."""
         return replace(self, sequence=0, warm_up_s=0)
 
 
 @dataclass(frozen=True, slots=True)
-class RegistryChange:
+class RegistrationChanges:
     """Difference between two states of the table."""
 
     added: tuple[Registration, ...] = ()
@@ -85,7 +85,7 @@
 
     def __init__(self, return_grace_s: Seconds) -> None:
         """Start without servers."""
-        self.by_server: dict[ServerName, Registration] = {}
+        self.registrations_by_server: dict[ServerName, Registration] = {}
         self._return_grace_s = return_grace_s
         self._newest_by_server: dict[
             ServerName, tuple[tuple[int, int], Seconds]
@@ -110,9 +110,9 @@
         grace_end_s = returned_at_s + self._return_grace_s
         for server, listed in listed_by_server.items():
             self._accept(server, listed, now_s)
-        for server in tuple(self.by_server):
+        for server in tuple(self.registrations_by_server):
             if server not in listed_by_server and now_s >= grace_end_s:
-                del self.by_server[server]
+                del self.registrations_by_server[server]
         self._forget(now_s)
 
     def _accept(
@@ -123,28 +123,28 @@
     ) -> None:
         newest = self._newest_by_server.get(server)
         if newest is not None:
-            if listed.age_key < newest[0]:
+            if listed.order_key < newest[0]:
                 return
-            is_late_copy = listed.age_key == newest[0]
-            if is_late_copy and server not in self.by_server:
+            is_late_copy = listed.order_key == newest[0]
+            if is_late_copy and server not in self.registrations_by_server:
                 return
-        self._newest_by_server[server] = (listed.age_key, now_s)
-        self.by_server[server] = listed
+        self._newest_by_server[server] = (listed.order_key, now_s)
+        self.registrations_by_server[server] = listed
 
     def _forget(self, now_s: Seconds) -> None:
         """Drop the numbers of servers that are gone for long."""
         oldest_s = now_s - _MEMORY_S
         for server, (_, seen_s) in tuple(self._newest_by_server.items()):
-            if server not in self.by_server and seen_s < oldest_s:
+            if server not in self.registrations_by_server and seen_s < oldest_s:
                 del self._newest_by_server[server]
 
 
-def registry_change(
+def diff_registrations(
     before: Mapping[ServerName, Registration],
     after: Mapping[ServerName, Registration],
-) -> RegistryChange:
+) -> RegistrationChanges:
     """Return the difference between two states, by server."""
-    return RegistryChange(
+    return RegistrationChanges(
         tuple(after[name] for name in after if name not in before),
         tuple(
             after[name]
--- a/boragespool/forwarding/replies.py
+++ b/boragespool/forwarding/replies.py
@@ -75,7 +75,7 @@
     UNUSABLE = 'unusable'
 
 
-def judge(reply: Reply) -> Verdict:
+def classify_reply(reply: Reply) -> Verdict:
     """Return what a reply means."""
     if reply.not_run or reply.is_other_server:
         return Verdict.NOT_RUN
--- a/boragespool/forwarding/retry_budget.py
+++ b/boragespool/forwarding/retry_budget.py
@@ -54,7 +54,7 @@
     repeats: int = 0
 
 
-class WindowBudget:
+class RetryBudget:
     """Second attempts of one daemon to one service.
 
     Parameters
@@ -74,7 +74,7 @@
         self._requests = 0
         self._repeats = 0
 
-    def note_request(self, now_s: Seconds) -> None:
+    def record_request(self, now_s: Seconds) -> None:
         """Count the first attempt of a request."""
         self._current(now_s).requests += 1
         self._requests += 1
--- a/boragespool/forwarding/routes.py
+++ b/boragespool/forwarding/routes.py
@@ -34,7 +34,7 @@
         Begin of the paths; it begins and ends with a slash.
     idempotent : bool
         Whether a request may run more than once.
-    attempt_count : int
+    max_attempt_count : int
         Backend servers, for each shard, that one request may be sent to.
     timeout_s : float
         Longest time that a caller is kept waiting, in seconds.
@@ -48,7 +48,7 @@
         Services that each hold one shard of the index.
     record_count : int
         Greatest records that an answer from shards holds.
-    least_coverage : float
+    required_coverage : float
         Share of the shards, 0 to 1, that an answer needs.
     """
 
@@ -56,14 +56,14 @@
     domain: str
     prefix: str
     idempotent: bool
-    attempt_count: int
+    max_attempt_count: int
     timeout_s: Seconds
     target_latency_s: Seconds
     priority: int
     services: tuple[WeightedService, ...] = ()
     shards: tuple[ServiceName, ...] = ()
     record_count: int = 0
-    least_coverage: float = 1
+    required_coverage: float = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragespool/forwarding/selection.py
+++ b/boragespool/forwarding/selection.py
@@ -105,7 +105,7 @@
     """Return the expected latency with the cost of risks, in seconds."""
     load = candidate.load
     cost = load.expected_s(usual_s, now_s)
-    cost += _FAILURE_COST_S * load.failure_share
+    cost += _FAILURE_COST_S * load.failure_ratio
     if load.stalled_s(usual_s, now_s) > 0:
         cost += _STALL_COST_S
     if now_s < load.suspect_until_s:
--- a/boragespool/forwarding/splits.py
+++ b/boragespool/forwarding/splits.py
@@ -13,18 +13,18 @@
     from boragespool.types import ServiceName
 
 
-class SplitTurns:
+class WeightedRoundRobin:
     """Balances of the parts of one split."""
 
-    def __init__(self, parts: tuple[WeightedService, ...]) -> None:
+    def __init__(self, services: tuple[WeightedService, ...]) -> None:
         """Start with equal balances."""
-        self.parts = parts
-        self._balance_by_service = {part.service: float(0) for part in parts}
-        self._total = sum(part.weight for part in parts)
+        self.services = services
+        self._balance_by_service = {part.service: float(0) for part in services}
+        self._total = sum(part.weight for part in services)
 
-    def take(self) -> ServiceName:
+    def next_service(self) -> ServiceName:
         """Return the service whose turn it is."""
-        for part in self.parts:
+        for part in self.services:
             self._balance_by_service[part.service] += part.weight
         chosen = max(
             self._balance_by_service,
--- a/boragespool/forwarding/timing.py
+++ b/boragespool/forwarding/timing.py
@@ -32,15 +32,15 @@
     target_at_s : float
         An answer that leaves by then reaches the caller while it is worth
         most.
-    end_at_s : float
+    deadline_at_s : float
         Latest final answer.
-    caller_at_s : float
+    caller_deadline_at_s : float
         End of the caller's patience, which backend servers are told.
     """
 
     target_at_s: Seconds
-    end_at_s: Seconds
-    caller_at_s: Seconds
+    deadline_at_s: Seconds
+    caller_deadline_at_s: Seconds
 
 
 def plan_deadlines(
@@ -69,10 +69,10 @@
     )
 
 
-def hedge_after_s(
+def hedge_delay_s(
     route: ForwardRoute,
     quantile_s: Seconds | None,
-    distance_s: Seconds,
+    round_trip_s: Seconds,
 ) -> Seconds:
     """Return after how long an unanswered attempt is hedged, in seconds.
 
@@ -81,18 +81,18 @@
     quantile_s : float or None
         Latency, without the distance, that few attempts exceed; None while
         it is unknown.
-    distance_s : float
+    round_trip_s : float
         Round trip to the server of the first attempt.
     """
     least_s = route.target_latency_s * _LEAST_HEDGE_SHARE
     if quantile_s is None:
         return route.target_latency_s / 2
-    return max(least_s, quantile_s) + distance_s
+    return max(least_s, quantile_s) + round_trip_s
 
 
-def covers(route: ForwardRoute, answered: int, total: int) -> bool:
+def meets_coverage(route: ForwardRoute, answered: int, total: int) -> bool:
     """Whether the answers of some shards make up an answer."""
     if total == 0:
         return False
-    needed = math.ceil(route.least_coverage * total - 1e-9)
+    needed = math.ceil(route.required_coverage * total - 1e-9)
     return answered >= max(1, needed)
--- a/tests/test_call_queue.py
+++ b/tests/test_call_queue.py
@@ -23,9 +23,9 @@
 def queue_of(entries):
     queue = CallQueue()
     for number, (priority, target_at_s, left_s) in enumerate(entries):
-        end_at_s = target_at_s + left_s + 0.1
-        call = WaitingCall(number, priority, target_at_s, end_at_s)
-        assert queue.join(call, 0)
+        deadline_at_s = target_at_s + left_s + 0.1
+        call = WaitingCall(number, priority, target_at_s, deadline_at_s)
+        assert queue.add(call, 0)
     return queue
 
 
@@ -45,7 +45,7 @@
     """A flood of urgent calls must not keep another call waiting for ever."""
     queue = queue_of([(2, 5, 5)])
     for number in range(1, 40):
-        queue.join(WaitingCall(number, 0, 3, 9), 0)
+        queue.add(WaitingCall(number, 0, 3, 9), 0)
     turns = []
     for _ in range(12):
         turns.append(queue.order(1)[0])
@@ -57,26 +57,26 @@
     """A caller must learn at once that it cannot be served in time."""
     queue = CallQueue()
     for number in range(30):
-        assert queue.join(WaitingCall(number, 0, 90, 99), number / 10)
+        assert queue.add(WaitingCall(number, 0, 90, 99), number / 10)
         if number >= 10:
             queue.grant(number - 10, number / 10)
     # Ten calls wait, and 20 were granted in 3 s.
     assert queue.wait_s(0, 3) == pytest.approx(1.5)
     assert queue.wait_s(1, 3) == pytest.approx(1.5)
-    assert not queue.join(WaitingCall(50, 0, 4, 4.4), 3)
-    assert queue.join(WaitingCall(51, 0, 4, 4.6), 3)
+    assert not queue.add(WaitingCall(50, 0, 4, 4.4), 3)
+    assert queue.add(WaitingCall(51, 0, 4, 4.6), 3)
 
 
 def test_slow_period_does_not_refuse_later_calls():
     """An outage that is over must not make the daemon refuse work."""
     queue = CallQueue()
     for number in range(20):
-        queue.join(WaitingCall(number, 0, 90, 99), 0)
+        queue.add(WaitingCall(number, 0, 90, 99), 0)
     for number in range(20):
         queue.grant(number, number)
     assert not len(queue)
     for number in range(100, 110):
-        assert queue.join(WaitingCall(number, 0, 31, 30.5), 30)
+        assert queue.add(WaitingCall(number, 0, 31, 30.5), 30)
     assert queue.wait_s(0, 30) == 0
 
 
@@ -143,11 +143,11 @@
         if not self.waits_here or self.server.has_room:
             self.send(number, now_s)
         else:
-            self.queue.join(self.calls[number], now_s)
+            self.queue.add(self.calls[number], now_s)
 
     def send(self, number, now_s):
         """Queue a call at the server, which serves in order of arrival."""
-        self.server.load.begin(number, now_s)
+        self.server.load.start_attempt(number, now_s)
         priority = self.calls[number].priority
         mean_s = self.service_s(priority)
         began_s = max(now_s, heapq.heappop(self.free_at_s))
@@ -158,13 +158,13 @@
     def answer(self, number, now_s):
         call = self.calls[number]
         unloaded_s = self.SERVICE_S[call.priority]
-        service_s = self.server.load.answered(number, unloaded_s, now_s)
+        service_s = self.server.load.complete_attempt(number, unloaded_s, now_s)
         self.server.note_answer(service_s, unloaded_s, now_s)
         self.answered_s[number] = now_s
         while self.server.has_room and len(self.queue):
             turn = self.queue.order(now_s)[0]
             self.queue.grant(turn, now_s)
-            if self.calls[turn].end_at_s > now_s:
+            if self.calls[turn].deadline_at_s > now_s:
                 self.send(turn, now_s)
 
     def in_time(self, priority):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -15,16 +15,16 @@
     Place,
     Reply,
     ServerLoad,
-    SplitTurns,
     Verdict,
+    WeightedRoundRobin,
     WeightedService,
     choose_server,
-    covers,
-    greatest_records,
-    hedge_after_s,
+    classify_reply,
+    hedge_delay_s,
     index_routes,
-    judge,
+    meets_coverage,
     plan_deadlines,
+    top_records,
 )
 
 DETERMINISTIC = settings(derandomize=True, max_examples=200, deadline=None)
@@ -34,13 +34,13 @@
     domain='shop.example',
     prefix='/a/',
     idempotent=True,
-    attempt_count=2,
+    max_attempt_count=2,
     timeout_s=1.5,
     target_latency_s=0.3,
     priority=0,
     shards=('s-0', 's-1', 's-2', 's-3'),
     record_count=2,
-    least_coverage=0.75,
+    required_coverage=0.75,
 )
 
 
@@ -92,8 +92,8 @@
     parts = tuple(
         WeightedService(f's-{n}', weight) for n, weight in enumerate(weights)
     )
-    turns = SplitTurns(parts)
-    taken = [turns.take() for _ in range(3 * sum(weights))]
+    turns = WeightedRoundRobin(parts)
+    taken = [turns.next_service() for _ in range(3 * sum(weights))]
     assert [taken.count(p.service) for p in parts] == [3 * w for w in weights]
 
 
@@ -107,7 +107,7 @@
     """The answer holds the greatest records, and no remainder of a body."""
     joined = [b''.join(body) + rest for body in bodies]
     everything = sorted((r for body in bodies for r in body), reverse=True)
-    assert greatest_records(joined, count) == b''.join(everything[:count])
+    assert top_records(joined, count) == b''.join(everything[:count])
 
 
 @pytest.mark.parametrize(
@@ -125,7 +125,7 @@
 def test_only_an_explicit_refusal_proves_that_nothing_ran(fields, expected):
     """A status alone must not let a claim be sent again."""
     reply = Reply(200, b'', (), 'signed', not_run=False)
-    assert judge(replace(reply, **fields)) is expected
+    assert classify_reply(replace(reply, **fields)) is expected
 
 
 def candidate(name, *, place=Place.DATA_CENTRE, **fields):
@@ -139,7 +139,7 @@
 
 def test_own_data_centre_comes_first():
     """Bytes between regions are dear."""
-    far = candidate('far', place=Place.ELSEWHERE, distance_s=0.024)
+    far = candidate('far', place=Place.ELSEWHERE, round_trip_s=0.024)
     beside = candidate('beside', place=Place.REGION)
     assert chosen(far, beside, candidate('near')) == 'near'
     assert chosen(far, beside) == 'beside'
@@ -148,21 +148,21 @@
 def test_stalled_server_is_passed_over():
     """A pause of one server must not hold up every query that follows."""
     near = candidate('near')
-    far = candidate('far', place=Place.ELSEWHERE, distance_s=0.024)
-    near.load.begin(1, 0)
+    far = candidate('far', place=Place.ELSEWHERE, round_trip_s=0.024)
+    near.load.start_attempt(1, 0)
     assert chosen(near, far, now_s=0.02) == 'near'
     assert chosen(near, far, now_s=0.2) == 'far'
-    near.load.answered(1, USUAL_S, 0.3)
+    near.load.complete_attempt(1, USUAL_S, 0.3)
     assert near.load.stalled_s(USUAL_S, 0.3) == 0
 
 
 def test_slow_server_is_left_and_tried_again():
     """A server that was slow gets work again after a while."""
     near = candidate('near')
-    far = candidate('far', place=Place.ELSEWHERE, distance_s=0.024)
+    far = candidate('far', place=Place.ELSEWHERE, round_trip_s=0.024)
     for number in range(6):
-        near.load.begin(number, number)
-        near.load.answered(number, USUAL_S, number + 10 * USUAL_S)
+        near.load.start_attempt(number, number)
+        near.load.complete_attempt(number, USUAL_S, number + 10 * USUAL_S)
     assert chosen(near, far, now_s=6) == 'far'
     assert chosen(near, far, now_s=16) == 'near'
 
@@ -171,17 +171,17 @@
     """A server whose slots are taken costs more than a free one."""
     busy, free = candidate('busy'), candidate('free')
     for number in range(8):
-        busy.load.begin(number, 0)
+        busy.load.start_attempt(number, 0)
     assert chosen(busy, free) == 'free'
 
 
 def test_refusing_server_is_avoided_for_longer_each_time():
     """A crashed server must not get every first attempt."""
-    gone, other = candidate('gone'), candidate('other', distance_s=0.1)
-    gone.load.failed(1, 0, refused=True)
+    gone, other = candidate('gone'), candidate('other', round_trip_s=0.1)
+    gone.load.fail_attempt(1, 0, refused=True)
     assert chosen(gone, other, now_s=0.1) == 'other'
     first_s = gone.load.suspect_until_s
-    gone.load.failed(2, first_s, refused=True)
+    gone.load.fail_attempt(2, first_s, refused=True)
     assert gone.load.suspect_until_s - first_s > first_s
 
 
@@ -212,22 +212,22 @@
     route = replace(ROUTE, timeout_s=route_s, target_latency_s=target_s)
     deadlines = plan_deadlines(route, timeout_s, 100)
     patience_s = route_s if timeout_s is None else min(route_s, timeout_s)
-    assert deadlines.caller_at_s == pytest.approx(100 + patience_s)
-    assert 100 <= deadlines.end_at_s <= deadlines.caller_at_s
+    assert deadlines.caller_deadline_at_s == pytest.approx(100 + patience_s)
+    assert 100 <= deadlines.deadline_at_s <= deadlines.caller_deadline_at_s
     assert 100 < deadlines.target_at_s < 100 + target_s
 
 
 def test_hedges_wait_for_the_way_to_the_server():
     """A distant server is not late while its answer is on its way."""
-    near_s = hedge_after_s(ROUTE, 0.06, 0)
-    assert hedge_after_s(ROUTE, 0.06, 0.024) == pytest.approx(near_s + 0.024)
+    near_s = hedge_delay_s(ROUTE, 0.06, 0)
+    assert hedge_delay_s(ROUTE, 0.06, 0.024) == pytest.approx(near_s + 0.024)
 
 
 @DETERMINISTIC
 @given(st.integers(0, 40), st.integers(0, 40), st.floats(0, 1))
 def test_coverage_is_never_rounded_up(answered, total, least):
     """An answer below the least coverage is no success."""
-    route = replace(ROUTE, least_coverage=least)
-    if covers(route, answered, total):
+    route = replace(ROUTE, required_coverage=least)
+    if meets_coverage(route, answered, total):
         assert 0 < answered
         assert answered / total >= least - 1e-6
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -19,7 +19,11 @@
     write_reply,
     write_request,
 )
-from boragespool_platform.settings import PATH_VARIABLE, options_of, read_boot
+from boragespool_platform.settings import (
+    PATH_VARIABLE,
+    forwarding_options,
+    read_boot,
+)
 from boragespool_platform.store import KeyValueStore
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -74,7 +78,7 @@
         slots=5,
         draining=False,
         warm_up_s=1.5,
-        born_ms=1_700_000_000_000,
+        started_at_ms=1_700_000_000_000,
         sequence=4,
     )
 
@@ -246,7 +250,7 @@
     }
     path = tmp_path / 'boot.json'
     path.write_bytes(msgspec.json.encode(boot))
-    options = options_of(read_boot({PATH_VARIABLE: str(path)}))
+    options = forwarding_options(read_boot({PATH_VARIABLE: str(path)}))
     assert (options.host, options.data_centre) == ('front-1', 'here')
     assert (options.stop_s, options.directory_address) == (8, '')
     path.write_text('{')
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -8,7 +8,7 @@
 from boragespool.forwarding import (
     Registration,
     RegistrationTable,
-    registry_change,
+    diff_registrations,
 )
 
 GRACE_S = 2.5
@@ -20,16 +20,16 @@
     slots=5,
     draining=False,
     warm_up_s=0,
-    born_ms=100,
+    started_at_ms=100,
     sequence=7,
 )
 
 
 def update(table, *listed, now_s=0, returned_at_s=-math.inf):
-    before = dict(table.by_server)
-    by_server = {entry.server: entry for entry in listed}
-    table.update(by_server, now_s, returned_at_s)
-    return registry_change(before, table.by_server)
+    before = dict(table.registrations_by_server)
+    registrations_by_server = {entry.server: entry for entry in listed}
+    table.update(registrations_by_server, now_s, returned_at_s)
+    return diff_registrations(before, table.registrations_by_server)
 
 
 def test_older_copy_is_ignored():
@@ -37,7 +37,7 @@
     table = RegistrationTable(GRACE_S)
     update(table, replace(FIRST, draining=True, sequence=9))
     update(table, FIRST)
-    assert table.by_server['i-a'].draining
+    assert table.registrations_by_server['i-a'].draining
 
 
 def test_removed_server_stays_gone():
@@ -53,9 +53,9 @@
     """A restarted server counts from the start and is used again."""
     table = RegistrationTable(GRACE_S)
     update(table, replace(FIRST, draining=True))
-    reborn = replace(FIRST, born_ms=200, sequence=1)
+    reborn = replace(FIRST, started_at_ms=200, sequence=1)
     update(table, reborn)
-    assert table.by_server['i-a'] == reborn
+    assert table.registrations_by_server['i-a'] == reborn
 
 
 def test_lapsed_entries_hold_until_the_grace_ends():
@@ -63,8 +63,8 @@
     table = RegistrationTable(GRACE_S)
     update(table, FIRST, now_s=0)
     update(table, now_s=10, returned_at_s=10)
-    assert 'i-a' in table.by_server
+    assert 'i-a' in table.registrations_by_server
     update(table, now_s=12.4, returned_at_s=10)
-    assert 'i-a' in table.by_server
+    assert 'i-a' in table.registrations_by_server
     update(table, now_s=12.6, returned_at_s=10)
-    assert 'i-a' not in table.by_server
+    assert 'i-a' not in table.registrations_by_server
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 from boragespool_platform.messages import DIALECT
-from boragespool_platform.settings import Boot, options_of
+from boragespool_platform.settings import Boot, forwarding_options
 
 from boragespool.blackboard import Blackboard
 from boragespool.blackboard.forwarding_topics import REGISTERED
@@ -354,7 +354,9 @@
         board = Blackboard()
         posted = []
         board.subscribe(REGISTERED, posted.append)
-        registry = ServerRegistry(board, timers, options_of(boot), DIALECT)
+        registry = ServerRegistry(
+            board, timers, forwarding_options(boot), DIALECT
+        )
         registry.take_state(registry_state(entry_item(3), 3, 0))
         first = registry.feed.read(None)
         assert [item.key for item in first.items] == ['servers/i-a']
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from boragespool.forwarding import RetryLimits, WindowBudget
+from boragespool.forwarding import RetryBudget, RetryLimits
 
 DETERMINISTIC = settings(derandomize=True, max_examples=40, deadline=None)
 LIMITS = RetryLimits(ratio=0.2, window_s=10, allowance=52)
@@ -20,13 +20,13 @@
 @given(st.lists(st.integers(0, 12), min_size=1, max_size=6), st.integers(0, 9))
 def test_sum_over_daemons_stays_below_the_limit(rates, burst):
     """Daemons that all use their budgets must not break the common limit."""
-    budgets = [WindowBudget(LIMITS, started_at_s=-60) for _ in rates]
+    budgets = [RetryBudget(LIMITS, started_at_s=-60) for _ in rates]
     requests, repeats = [], []
     for step in range(300):
         now_s = step * STEP_S
         for budget, rate in zip(budgets, rates, strict=True):
             for _ in range(rate + burst * (step % 50 == 0)):
-                budget.note_request(now_s)
+                budget.record_request(now_s)
                 requests.append(now_s)
                 if budget.spend(now_s, len(rates), is_hedge=False):
                     repeats.append(now_s)
@@ -37,14 +37,14 @@
 
 def test_restarted_daemons_have_little_at_once():
     """A restart must not grant the whole allowance again."""
-    fresh = WindowBudget(LIMITS, started_at_s=0)
+    fresh = RetryBudget(LIMITS, started_at_s=0)
     spent = sum(fresh.spend(0, 1, is_hedge=False) for _ in range(100))
     assert 0 < spent <= 0.3 * 52
 
 
 def test_hedges_leave_retries_their_part():
     """Attempts that failed are repeated although hedges used their part."""
-    budget = WindowBudget(LIMITS, started_at_s=-60)
+    budget = RetryBudget(LIMITS, started_at_s=-60)
     while budget.spend(0, 1, is_hedge=True):
         pass
     assert sum(budget.spend(0, 1, is_hedge=False) for _ in range(100)) >= 5
@@ -52,7 +52,7 @@
 
 def test_budget_returns_with_time():
     """A window that has passed no longer counts."""
-    budget = WindowBudget(LIMITS, started_at_s=-60)
+    budget = RetryBudget(LIMITS, started_at_s=-60)
     while budget.spend(0, 1, is_hedge=False):
         pass
     assert not budget.spend(5, 1, is_hedge=False)
--- a/tests/test_service_call.py
+++ b/tests/test_service_call.py
@@ -28,7 +28,7 @@
     domain='shop.example',
     prefix='/a/',
     idempotent=True,
-    attempt_count=3,
+    max_attempt_count=3,
     timeout_s=2,
     target_latency_s=0.4,
     priority=0,
@@ -88,7 +88,7 @@
         return self.choose(service, 'r', tried) is not None
 
     def budget(self, service):
-        return SimpleNamespace(note_request=lambda now_s: None)
+        return SimpleNamespace(record_request=lambda now_s: None)
 
     def may_repeat(self, service, *, is_hedge):
         return True
