--- a/boragespool/controllers/forwarding/waiting.py
+++ b/boragespool/controllers/forwarding/waiting.py
@@ -92,6 +92,6 @@
         for number in itertools.islice(queue.order(now_s), _LOOK_AHEAD):
             if self._resume_by_number[number]():
                 self._resume_by_number.pop(number, None)
-                queue.grant(number, now_s)
+                queue.mark_dispatched(number, now_s)
                 return True
         return False
--- a/boragespool/forwarding/__init__.py
+++ b/boragespool/forwarding/__init__.py
@@ -1,7 +1,8 @@
-"""Decisions about requests that backend servers answer unchanged.
+"""Decision logic of request forwarding, without I/O.
 
-A request is passed on to one backend server of a service, or to one of each
-shard; routes come from the operators' configuration.
+A request is forwarded to one backend server of a service, or to one backend
+server of each shard. The routes come from the operators' configuration, and
+the reply of a backend server is passed on to the caller unchanged.
 """
 
 from __future__ import annotations
--- a/boragespool/forwarding/call_queue.py
+++ b/boragespool/forwarding/call_queue.py
@@ -1,11 +1,13 @@
-"""Order in which calls wait for room at the backend servers of one service.
-
-Answers the load of bursts and of shards whose servers are all slow: there is
-no room for all, and an answer after its target is worth little to the caller.
-Calls that can still meet their target go first, the most urgent before the
-others and then those with most time left: with the least time first, all of
-them are answered just too late once there is no room for all. Calls that are
-late get what is left.
+"""Queue of calls that wait for a free backend server of one service.
+
+Calls wait here during bursts, and while all servers of a shard are slow. Not
+every call can then be answered by its target latency, after which an answer
+is worth little to the caller.
+
+Calls that can still meet their target are dispatched first, by priority and
+then by remaining time, longest first. With the shortest remaining time first,
+an overload would make every call just miss its target. Calls that can no
+longer meet their target are dispatched last.
 """
 
 from __future__ import annotations
@@ -16,31 +18,35 @@
 if TYPE_CHECKING:
     from boragespool.types import Seconds
 
-#: Each such grant goes to the call that has waited longest, so that no
-#: priority starves: an eighth is half of the share of requests that must be
-#: served of each kind.
-_OLDEST_EVERY: Final = 8
-#: Grants of one period without an empty queue that tell the rate: fewer ones
-#: depend on single slow requests.
-_LEAST_GRANTS: Final = 8
-#: Grants after which the older half of a period stops to count, so that the
-#: rate follows a change within some seconds.
-_MOST_GRANTS: Final = 64
+#: Every n-th dispatch takes the call that has waited longest, so that no
+#: priority starves. An eighth is half of the share of requests that must be
+#: served at each priority.
+_OLDEST_CALL_INTERVAL: Final = 8
+#: Least number of dispatches since the queue was last empty from which the
+#: dispatch rate is estimated; with fewer, one slow request distorts the rate.
+_MIN_RATE_SAMPLES: Final = 8
+#: Number of dispatches after which the older half is dropped from the
+#: estimate, so that the rate follows a change within a few seconds.
+_MAX_RATE_SAMPLES: Final = 64
 
 
 @dataclass(frozen=True, slots=True)
 class WaitingCall:
-    """A call that no backend server has room for.
+    """A call that waits for a free backend server.
+
+    Times are on the clock of the timer service, in seconds.
 
     Attributes
     ----------
+    number : int
+        Identifies the call within the daemon.
     priority : int
         0 is the most urgent.
     start_by_s : float
-        Time until which it must be sent to be answered while that is worth
-        most to the caller.
+        Latest time at which the call can be sent and still be answered
+        within the target latency.
     deadline_at_s : float
-        Latest answer.
+        Time by which the caller must have a final answer.
     """
 
     number: int
@@ -50,35 +56,41 @@
 
 
 class CallQueue:
-    """Calls that wait for the backend servers of one service."""
+    """Waiting calls of one service, with an estimate of the dispatch rate."""
 
     def __init__(self) -> None:
-        """Start without calls."""
+        """Create an empty queue."""
         self._waiting_by_number: dict[int, WaitingCall] = {}
-        self._grant_count = 0
-        self._period_began_s: Seconds = 0
-        self._period_grants: float = 0
+        self._dispatched_count = 0
+        self._period_start_s: Seconds = 0
+        self._period_dispatches: float = 0
 
     def __len__(self) -> int:
-        """Return how many calls wait."""
+        """Return the number of waiting calls."""
         return len(self._waiting_by_number)
 
     def add(self, call: WaitingCall, now_s: Seconds) -> bool:
-        """Add a call; False if its turn would come after its end."""
+        """Add a call unless it is expected to wait past its deadline.
+
+        Returns
+        -------
+        bool
+            Whether the call was added.
+        """
         if not self._waiting_by_number:
-            self._period_began_s = now_s
-            self._period_grants = 0
+            self._period_start_s = now_s
+            self._period_dispatches = 0
         if now_s + self.wait_s(call.priority, now_s) >= call.deadline_at_s:
             return False
         self._waiting_by_number[call.number] = call
         return True
 
     def remove(self, number: int) -> None:
-        """Remove a call that does not wait any more."""
+        """Remove a call that no longer waits; unknown numbers are ignored."""
         self._waiting_by_number.pop(number, None)
 
     def order(self, now_s: Seconds) -> tuple[int, ...]:
-        """Return the calls in the order of their turns."""
+        """Return the numbers of the calls in dispatch order."""
         waiting = self._waiting_by_number
         ordered = sorted(
             waiting.values(),
@@ -89,30 +101,34 @@
             ),
         )
         numbers = [call.number for call in ordered]
-        if numbers and self._grant_count % _OLDEST_EVERY == _OLDEST_EVERY - 1:
+        if (
+            numbers
+            and self._dispatched_count % _OLDEST_CALL_INTERVAL
+            == _OLDEST_CALL_INTERVAL - 1
+        ):
             numbers.insert(0, next(iter(waiting)))
         return tuple(dict.fromkeys(numbers))
 
-    def grant(self, number: int, now_s: Seconds) -> None:
-        """Note that a call got room."""
+    def mark_dispatched(self, number: int, now_s: Seconds) -> None:
+        """Remove a call that was sent, and count it in the dispatch rate."""
         if self._waiting_by_number.pop(number, None) is None:
             return
-        self._grant_count += 1
-        self._period_grants += 1
-        if self._period_grants >= _MOST_GRANTS:
-            self._period_grants /= 2
-            self._period_began_s = (self._period_began_s + now_s) / 2
+        self._dispatched_count += 1
+        self._period_dispatches += 1
+        if self._period_dispatches >= _MAX_RATE_SAMPLES:
+            self._period_dispatches /= 2
+            self._period_start_s = (self._period_start_s + now_s) / 2
 
     def wait_s(self, priority: int, now_s: Seconds) -> Seconds:
-        """Return how long one more call would wait, in seconds.
+        """Return the expected wait of a new call, in seconds.
 
-        It is 0 while too few grants tell how fast the servers are.
+        It is 0 until enough calls were dispatched to estimate the rate.
         """
-        if self._period_grants < _LEAST_GRANTS:
+        if self._period_dispatches < _MIN_RATE_SAMPLES:
             return 0
         ahead = sum(
             call.priority <= priority and call.start_by_s > now_s
             for call in self._waiting_by_number.values()
         )
-        period_s = now_s - self._period_began_s
-        return ahead * period_s / self._period_grants
+        period_s = now_s - self._period_start_s
+        return ahead * period_s / self._period_dispatches
--- a/boragespool/forwarding/hosts.py
+++ b/boragespool/forwarding/hosts.py
@@ -1,4 +1,8 @@
-"""Daemons that serve: which of them callers and other daemons are given."""
+"""Records of the serving daemons, and selection among them.
+
+Callers are given the daemons nearest to them; daemons use the records to find
+the one that reads the store for their data centre.
+"""
 
 from __future__ import annotations
 
@@ -16,13 +20,22 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-#: Daemons of one data centre from which on one reads the store for all.
-_LEAST_RELAYED: Final = 2
+#: Minimum number of serving daemons in a data centre for which one daemon
+#: reads the store on behalf of the others.
+_MIN_RELAY_HOST_COUNT: Final = 2
 
 
 @dataclass(frozen=True, slots=True)
 class HostRecord:
-    """Daemon that serves callers, as it is written to the store."""
+    """Record in the store of a daemon that serves callers.
+
+    Attributes
+    ----------
+    caller_address : str
+        ``ip:port`` that callers send their requests to.
+    control_address : str
+        ``ip:port`` for metrics and for other daemons; empty if there is none.
+    """
 
     host: HostName
     data_centre: DataCentre
@@ -32,29 +45,34 @@
 
 
 class HostTable:
-    """Records by key; those that lapse stay until they are dropped."""
+    """Host records by store key.
+
+    A record that was removed from the store is only marked, and stays in use
+    until `drop_removed` is called: the leases of healthy daemons also expire
+    while the store is unavailable.
+    """
 
     def __init__(self) -> None:
-        """Start without daemons."""
+        """Create an empty table."""
         self._records_by_key: dict[str, HostRecord] = {}
         self._removed_keys: set[str] = set()
 
     @property
     def records(self) -> tuple[HostRecord, ...]:
-        """All records, lapsed ones included."""
+        """All records, including those that are marked as removed."""
         return tuple(self._records_by_key.values())
 
     def put(self, key: str, record: HostRecord) -> None:
-        """Take over a record."""
+        """Add or replace the record of a key."""
         self._records_by_key[key] = record
         self._removed_keys.discard(key)
 
     def mark_removed(self, key: str) -> None:
-        """Note that a record is no longer in the store."""
+        """Mark the record of a key as removed from the store."""
         self._removed_keys.add(key)
 
     def drop_removed(self) -> bool:
-        """Drop the lapsed records; tell whether there were any."""
+        """Drop the records marked as removed; return whether any existed."""
         dropped = self._removed_keys & self._records_by_key.keys()
         self._removed_keys.clear()
         for key in dropped:
@@ -67,7 +85,11 @@
     data_centre: DataCentre,
     region: Region,
 ) -> tuple[HostRecord, ...]:
-    """Return the daemons of a data centre, else of its region, else all."""
+    """Return the nearest non-empty group of daemons.
+
+    These are the daemons in the data centre, else those in the region, else
+    all of them.
+    """
     groups = (
         tuple(r for r in records if r.data_centre == data_centre),
         tuple(r for r in records if r.region == region),
@@ -80,23 +102,26 @@
     records: Iterable[HostRecord],
     own: HostRecord,
 ) -> HostRecord | None:
-    """Return the daemon that reads the store for a data centre.
+    """Return the daemon that reads the store for this daemon's data centre.
+
+    All daemons with the same records elect the same one.
 
     Parameters
     ----------
     records : iterable of HostRecord
-        Daemons that serve.
+        Serving daemons.
     own : HostRecord
-        Daemon that asks; it counts only if it is among them.
+        Record of this daemon, which may be missing from `records`.
 
     Returns
     -------
     HostRecord or None
-        The one with the first name; None if too few serve or the one that
-        asks does not.
+        The daemon whose host name sorts first. None if the data centre has
+        fewer than two serving daemons or this daemon does not serve; each
+        daemon then reads the store itself.
     """
     near = [r for r in records if r.data_centre == own.data_centre]
-    if own not in near or len(near) < _LEAST_RELAYED:
+    if own not in near or len(near) < _MIN_RELAY_HOST_COUNT:
         return None
     return min(near, key=_host_of)
 
@@ -106,12 +131,17 @@
     own: HostRecord,
     seeds: tuple[Address, ...],
 ) -> tuple[Address, ...]:
-    """Return the control addresses of other daemons, nearest first.
+    """Return the control addresses of the other daemons, nearest first.
 
     Parameters
     ----------
+    records : iterable of HostRecord
+        Known daemons.
+    own : HostRecord
+        Record of this daemon, which is left out.
     seeds : tuple of str
-        Addresses that may be stale; they follow those that are known.
+        Configured control addresses, which may be stale. Those that are not
+        in `records` are appended to the result.
     """
     others = sorted(
         (record for record in records if record.host != own.host),
--- a/boragespool/forwarding/loads.py
+++ b/boragespool/forwarding/loads.py
@@ -1,4 +1,4 @@
-"""What a daemon observed of one backend server, and its expected latency."""
+"""Load and recent speed of one backend server, as one daemon observes them."""
 
 from __future__ import annotations
 
@@ -9,62 +9,81 @@
 if TYPE_CHECKING:
     from boragespool.types import Seconds
 
-#: Weight of one sample in the means: five samples change most of a mean.
-_SMOOTHING: Final = 0.2
-#: Largest factor between a sample and the mean, so that one pause of a server
-#: does not keep work away from it for long.
-_LARGEST_STEP: Final = 6
-#: Time in which half of an observed slowness is forgotten without new
-#: samples, in seconds; slow phases last some seconds.
-_HALF_LIFE_S: Final = 1.5
-#: Time without an answer after which a server with work counts as stalled, as
-#: a multiple of the usual service time.
+#: Weight of one sample in the moving averages; five samples determine most of
+#: an average.
+_SAMPLE_WEIGHT: Final = 0.2
+#: Samples are capped at this multiple of the average, so that one pause of a
+#: server does not keep requests away from it for long.
+_MAX_SAMPLE_RATIO: Final = 6
+#: Half-life of an observed slowdown without new samples, in seconds. Slow
+#: phases of a server last a few seconds.
+_SLOWDOWN_HALF_LIFE_S: Final = 1.5
+#: Age of the oldest unanswered attempt from which a server counts as stalled,
+#: as a multiple of the usual service time.
 _STALL_FACTOR: Final = 2.5
-#: Shortest such time, in seconds.
-_LEAST_STALL_S: Final = 0.05
-#: Slowness of a server that has just started, as on the sites.
-_COLD_FACTOR: Final = 1.6
-#: Least factor to the usual service time; below it noise would decide.
-_LEAST_SLOWNESS: Final = 0.1
-#: Time for which a server is avoided after its first failure, in seconds; it
-#: doubles with each further one.
-_FIRST_SUSPICION_S: Final = 0.25
-#: Longest such time, in seconds; crashed servers are back after some seconds.
-_LONGEST_SUSPICION_S: Final = 4
+#: Lower bound of that age, in seconds.
+_MIN_STALL_S: Final = 0.05
+#: Least slowdown assumed for a server that has just started, as observed on
+#: the sites.
+_COLD_SLOWDOWN: Final = 1.6
+#: Lower bound of the slowdown; below it, the choice between servers would
+#: depend on noise.
+_MIN_SLOWDOWN: Final = 0.1
+#: Time for which a server is avoided after its first connection failure, in
+#: seconds. It doubles with each consecutive failure.
+_MIN_SUSPICION_S: Final = 0.25
+#: Upper bound of that time, in seconds; crashed servers are back within a few
+#: seconds.
+_MAX_SUSPICION_S: Final = 4
 
 
 @dataclass(slots=True)
 class ServerLoad:
-    """Work under way at one backend server and its recent speed.
+    """Attempts in flight at one backend server, and its recent speed.
+
+    Times are on the clock of the timer service, in seconds.
 
     Attributes
     ----------
     slots : int
-        Requests that it runs at the same time.
+        Number of requests that the server runs concurrently.
     round_trip_s : float
-        Round trip to it, in seconds.
+        Network round trip time to the server.
     warm_at_s : float
-        Time from which it is as fast as others.
+        Time from which the server is no longer slow after its start.
+    slowdown : float
+        Moving average of the ratio of service time to usual service time.
+    measured_at_s : float
+        Time of the last change of `slowdown`.
+    suspect_until_s : float
+        Time until which the server is avoided because connections to it
+        failed.
+    failure_count : int
+        Consecutive connection failures.
+    failure_ratio : float
+        Moving average of the share of failed attempts, 0 to 1.
+    started_at_s_by_attempt : dict of int to float
+        Send times of the attempts in flight, oldest first.
     """
 
     slots: int
     round_trip_s: Seconds = 0
     warm_at_s: Seconds = -math.inf
-    slowness: float = 1
+    slowdown: float = 1
     measured_at_s: Seconds = 0
     suspect_until_s: Seconds = -math.inf
     failure_count: int = 0
     failure_ratio: float = 0
-    started_s_by_attempt: dict[int, Seconds] = field(default_factory=dict)
+    started_at_s_by_attempt: dict[int, Seconds] = field(default_factory=dict)
 
     @property
     def in_flight(self) -> int:
-        """Attempts of this daemon that wait for an answer."""
-        return len(self.started_s_by_attempt)
+        """Number of unanswered attempts of this daemon."""
+        return len(self.started_at_s_by_attempt)
 
     def start_attempt(self, attempt: int, now_s: Seconds) -> None:
-        """Note an attempt that was sent."""
-        self.started_s_by_attempt[attempt] = now_s
+        """Record that an attempt was sent."""
+        self.started_at_s_by_attempt[attempt] = now_s
 
     def complete_attempt(
         self,
@@ -72,44 +91,58 @@
         usual_s: Seconds,
         now_s: Seconds,
     ) -> Seconds | None:
-        """Note an answer; return its latency without the distance.
+        """Record a successful reply.
 
         Parameters
         ----------
+        attempt : int
+            Number of the attempt.
         usual_s : float
             Usual service time of such a request, in seconds.
+        now_s : float
+            Time of the reply.
+
+        Returns
+        -------
+        float or None
+            Latency without the network round trip, in seconds; None if the
+            attempt is not in flight.
         """
-        began_s = self.started_s_by_attempt.pop(attempt, None)
-        if began_s is None:
+        started_at_s = self.started_at_s_by_attempt.pop(attempt, None)
+        if started_at_s is None:
             return None
         self.failure_count = 0
-        self.failure_ratio *= 1 - _SMOOTHING
+        self.failure_ratio *= 1 - _SAMPLE_WEIGHT
         self.suspect_until_s = -math.inf
-        service_s = max(0, now_s - began_s - self.round_trip_s)
+        service_s = max(0, now_s - started_at_s - self.round_trip_s)
         if usual_s > 0:
-            present = self.present_slowness(now_s)
-            sample = min(service_s / usual_s, present * _LARGEST_STEP)
-            self.slowness = present + _SMOOTHING * (sample - present)
+            current = self.current_slowdown(now_s)
+            sample = min(service_s / usual_s, current * _MAX_SAMPLE_RATIO)
+            self.slowdown = current + _SAMPLE_WEIGHT * (sample - current)
             self.measured_at_s = now_s
         return service_s
 
     def fail_attempt(
         self, attempt: int, now_s: Seconds, *, refused: bool
     ) -> None:
-        """Note an attempt without a useful answer.
+        """Record an attempt that failed.
 
         Parameters
         ----------
+        attempt : int
+            Number of the attempt.
+        now_s : float
+            Time of the failure.
         refused : bool
-            Whether the server itself cannot be used: no connection, or the
-            connection broke.
+            Whether the connection was refused or broke, so that the server
+            is avoided for a while.
         """
-        self.started_s_by_attempt.pop(attempt, None)
-        self.failure_ratio += _SMOOTHING * (1 - self.failure_ratio)
+        self.started_at_s_by_attempt.pop(attempt, None)
+        self.failure_ratio += _SAMPLE_WEIGHT * (1 - self.failure_ratio)
         if refused:
-            pause_s = _FIRST_SUSPICION_S * 2**self.failure_count
+            suspicion_s = _MIN_SUSPICION_S * 2**self.failure_count
             self.failure_count += 1
-            self.suspect_until_s = now_s + min(_LONGEST_SUSPICION_S, pause_s)
+            self.suspect_until_s = now_s + min(_MAX_SUSPICION_S, suspicion_s)
 
     def abandon_attempt(
         self,
@@ -117,40 +150,57 @@
         usual_s: Seconds,
         now_s: Seconds,
     ) -> Seconds:
-        """Note an attempt that was given up after the time returned.
+        """Record an attempt that was abandoned before its reply.
 
-        That time, in seconds, is a lower bound of its service time.
+        Parameters
+        ----------
+        attempt : int
+            Number of the attempt.
+        usual_s : float
+            Usual service time of such a request, in seconds.
+        now_s : float
+            Time at which the attempt was abandoned.
+
+        Returns
+        -------
+        float
+            Time for which the attempt was in flight, without the network
+            round trip, in seconds. It is a lower bound of the service time.
+            0 if the attempt is not in flight or `usual_s` is not positive.
         """
-        began_s = self.started_s_by_attempt.pop(attempt, None)
-        if began_s is None or usual_s <= 0:
+        started_at_s = self.started_at_s_by_attempt.pop(attempt, None)
+        if started_at_s is None or usual_s <= 0:
             return 0
-        present = self.present_slowness(now_s)
-        waited_s = max(0, now_s - began_s - self.round_trip_s)
-        waited = waited_s / usual_s
-        if waited > present:
-            sample = min(waited, present * _LARGEST_STEP)
-            self.slowness = present + _SMOOTHING * (sample - present)
+        current = self.current_slowdown(now_s)
+        waited_s = max(0, now_s - started_at_s - self.round_trip_s)
+        min_sample = waited_s / usual_s
+        if min_sample > current:
+            sample = min(min_sample, current * _MAX_SAMPLE_RATIO)
+            self.slowdown = current + _SAMPLE_WEIGHT * (sample - current)
             self.measured_at_s = now_s
         return waited_s
 
-    def present_slowness(self, now_s: Seconds) -> float:
-        """Return the factor to the usual service time; old samples fade."""
+    def current_slowdown(self, now_s: Seconds) -> float:
+        """Return the slowdown, which decays to 1 without new samples."""
         age_s = max(0, now_s - self.measured_at_s)
-        fading: float = 0.5 ** (age_s / _HALF_LIFE_S)
-        return max(_LEAST_SLOWNESS, 1 + (self.slowness - 1) * fading)
+        decay: float = 0.5 ** (age_s / _SLOWDOWN_HALF_LIFE_S)
+        return max(_MIN_SLOWDOWN, 1 + (self.slowdown - 1) * decay)
 
     def stalled_s(self, usual_s: Seconds, now_s: Seconds) -> Seconds:
-        """Return for how long the oldest attempt is overdue, in seconds."""
-        if not self.started_s_by_attempt:
+        """Return how long the oldest attempt is overdue, in seconds.
+
+        0 if the server does not count as stalled.
+        """
+        if not self.started_at_s_by_attempt:
             return 0
-        oldest_s = next(iter(self.started_s_by_attempt.values()))
-        limit_s = max(_LEAST_STALL_S, _STALL_FACTOR * usual_s)
-        return max(0, now_s - oldest_s - self.round_trip_s - limit_s)
+        oldest_started_at_s = next(iter(self.started_at_s_by_attempt.values()))
+        limit_s = max(_MIN_STALL_S, _STALL_FACTOR * usual_s)
+        return max(0, now_s - oldest_started_at_s - self.round_trip_s - limit_s)
 
     def expected_s(self, usual_s: Seconds, now_s: Seconds) -> Seconds:
         """Return the expected latency of one more request, in seconds."""
-        factor = self.present_slowness(now_s)
+        factor = self.current_slowdown(now_s)
         if now_s < self.warm_at_s:
-            factor = max(factor, _COLD_FACTOR)
+            factor = max(factor, _COLD_SLOWDOWN)
         rounds = 1 + max(0, self.in_flight + 1 - self.slots) / self.slots
         return self.round_trip_s + usual_s * factor * rounds
--- a/boragespool/forwarding/records.py
+++ b/boragespool/forwarding/records.py
@@ -1,4 +1,4 @@
-"""Merge of the records that shards answer with."""
+"""Merging of the records in the replies of several shards."""
 
 from __future__ import annotations
 
@@ -8,20 +8,22 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-#: Size of a record, in bytes, in the shards' answers.
+#: Size of one record in the reply of a shard, in bytes.
 RECORD_SIZE_BYTES: Final = 16
 
 
 def top_records(bodies: Iterable[bytes], count: int) -> bytes:
     """Return the greatest records of several bodies, greatest first.
 
+    Records are compared as byte strings.
+
     Parameters
     ----------
     bodies : iterable of bytes
-        Records of `RECORD_SIZE_BYTES` in any order; a shorter remainder is no
-        record.
+        Concatenated records of `RECORD_SIZE_BYTES` each, in any order. An
+        incomplete record at the end of a body is ignored.
     count : int
-        Records to return at most. Equal records all count.
+        Maximum number of records to return. Duplicates are kept and counted.
     """
     size = RECORD_SIZE_BYTES
     records = [
--- a/boragespool/forwarding/registrations.py
+++ b/boragespool/forwarding/registrations.py
@@ -1,7 +1,8 @@
-"""What backend servers say of themselves, and when it is believed.
+"""Registrations of the backend servers, as they are read from the registry.
 
-A registration may be overtaken by an older one of the same server, and may
-lapse while the registry is unavailable.
+An older registration of a server may arrive after a newer one, and is
+ignored. Registrations that expire while the registry is unavailable stay in
+use for a grace period after its return.
 """
 
 from __future__ import annotations
@@ -20,9 +21,9 @@
         ServiceName,
     )
 
-#: Time for which the last number of a removed registration is kept, in
-#: seconds; late copies of it arrive within a few heartbeats.
-_MEMORY_S: Final = 120
+#: Time for which the order key of a removed registration is kept, in seconds,
+#: to recognise late copies of it, which arrive within a few heartbeats.
+_REMOVED_RETENTION_S: Final = 120
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,15 +33,16 @@
     Attributes
     ----------
     slots : int
-        Requests that it runs at the same time.
+        Number of requests that the server runs concurrently.
     draining : bool
-        Whether it takes no new work because it is about to stop.
+        Whether the server takes no new requests because it is about to stop.
     warm_up_s : float
-        Time for which it is still slow after its start, in seconds.
+        Remaining time for which the server is slow after its start, in
+        seconds.
     started_at_ms : int
-        Wall time of its start; 0 if it does not say.
+        Unix time of the server's start, in milliseconds; 0 if unknown.
     sequence : int
-        Counts its registrations since its start.
+        Number of the registration since the server's start.
     """
 
     server: ServerName
@@ -55,18 +57,18 @@
 
     @property
     def order_key(self) -> tuple[int, int]:
-        """Order of the registrations of one server."""
+        """Sort key that orders the registrations of one server by age."""
         return (self.started_at_ms, self.sequence)
 
     @property
     def without_heartbeat_fields(self) -> Registration:
-        """The registration without what every heartbeat changes."""
+        """Copy in which the fields that each heartbeat changes are 0."""
         return replace(self, sequence=0, warm_up_s=0)
 
 
 @dataclass(frozen=True, slots=True)
 class RegistrationChanges:
-    """Difference between two states of the table."""
+    """Registrations that differ between two states of the table."""
 
     added: tuple[Registration, ...] = ()
     changed: tuple[Registration, ...] = ()
@@ -74,17 +76,23 @@
 
 
 class RegistrationTable:
-    """Registrations in force, by server.
+    """Valid registrations by server.
 
     Parameters
     ----------
     return_grace_s : float
-        Time after the return of the registry in which lapsed registrations
-        are renewed, in seconds.
+        Grace period after the registry has become available again, in
+        seconds. Backend servers renew their expired registrations in this
+        time, so that none is removed before its end.
+
+    Attributes
+    ----------
+    registrations_by_server : dict of str to Registration
+        Valid registrations.
     """
 
     def __init__(self, return_grace_s: Seconds) -> None:
-        """Start without servers."""
+        """Create an empty table."""
         self.registrations_by_server: dict[ServerName, Registration] = {}
         self._return_grace_s = return_grace_s
         self._newest_by_server: dict[
@@ -97,25 +105,27 @@
         now_s: Seconds,
         returned_at_s: Seconds,
     ) -> None:
-        """Take over the registry's present list.
+        """Update the table from the current contents of the registry.
 
         Parameters
         ----------
         listed_by_server : mapping of str to Registration
-            Readable registrations.
+            Registrations in the registry that could be decoded.
+        now_s : float
+            Present time on the clock of the timer service.
         returned_at_s : float
             Time at which the registry last became available again, on the
-            clock of `now_s`; ``-inf`` if it never was unavailable.
+            same clock; ``-inf`` if it was never unavailable.
         """
         grace_end_s = returned_at_s + self._return_grace_s
         for server, listed in listed_by_server.items():
-            self._accept(server, listed, now_s)
+            self._accept_newer(server, listed, now_s)
         for server in tuple(self.registrations_by_server):
             if server not in listed_by_server and now_s >= grace_end_s:
                 del self.registrations_by_server[server]
-        self._forget(now_s)
+        self._forget_removed(now_s)
 
-    def _accept(
+    def _accept_newer(
         self,
         server: ServerName,
         listed: Registration,
@@ -125,15 +135,15 @@
         if newest is not None:
             if listed.order_key < newest[0]:
                 return
-            is_late_copy = listed.order_key == newest[0]
-            if is_late_copy and server not in self.registrations_by_server:
+            is_repeated = listed.order_key == newest[0]
+            if is_repeated and server not in self.registrations_by_server:
                 return
         self._newest_by_server[server] = (listed.order_key, now_s)
         self.registrations_by_server[server] = listed
 
-    def _forget(self, now_s: Seconds) -> None:
-        """Drop the numbers of servers that are gone for long."""
-        oldest_s = now_s - _MEMORY_S
+    def _forget_removed(self, now_s: Seconds) -> None:
+        """Drop the order keys of servers that were removed long ago."""
+        oldest_s = now_s - _REMOVED_RETENTION_S
         for server, (_, seen_s) in tuple(self._newest_by_server.items()):
             if server not in self.registrations_by_server and seen_s < oldest_s:
                 del self._newest_by_server[server]
@@ -143,7 +153,7 @@
     before: Mapping[ServerName, Registration],
     after: Mapping[ServerName, Registration],
 ) -> RegistrationChanges:
-    """Return the difference between two states, by server."""
+    """Return the registrations that were added, changed and removed."""
     return RegistrationChanges(
         tuple(after[name] for name in after if name not in before),
         tuple(
--- a/boragespool/forwarding/replies.py
+++ b/boragespool/forwarding/replies.py
@@ -1,4 +1,4 @@
-"""Requests, replies of backend servers and what a reply means."""
+"""Forwarded requests, replies of backend servers and their classification."""
 
 from __future__ import annotations
 
@@ -9,24 +9,31 @@
 if TYPE_CHECKING:
     from boragespool.types import HeaderFields, RequestId, Seconds
 
-_FIRST_SUCCESS: Final = 200
-_FIRST_REDIRECT: Final = 300
+_MIN_SUCCESS_STATUS: Final = 200
+_MIN_REDIRECT_STATUS: Final = 300
 
 
 @dataclass(frozen=True, slots=True)
 class ForwardRequest:
-    """Request of a caller as it is passed on.
+    """Request of a caller in the form in which it is forwarded.
 
     Attributes
     ----------
+    domain : str
+        Value of the ``Host`` header.
     target : str
         Path and query string, unchanged.
+    path : str
+        Path without the query string.
     fields : tuple of tuple of str
-        Header fields that are passed on, names in lower case.
+        Header fields that are forwarded, as pairs of a lower case name and a
+        value.
     request_id : str or None
-        Name of this attempt of the caller.
+        Identifier that the caller gave to this attempt; None if there is
+        none.
     timeout_s : float or None
-        Time for which the caller waits, in seconds; None if it does not say.
+        Time for which the caller waits for the answer, in seconds; None if
+        the request does not state it.
     """
 
     domain: str
@@ -45,14 +52,16 @@
 
     Attributes
     ----------
+    fields : tuple of tuple of str
+        Header fields, as pairs of a lower case name and a value.
     signature : str or None
-        Proof that a backend server answered this request.
+        Proof that a backend server answered this request; None if missing.
     not_run : bool
-        Whether the backend server says that it did not run the request.
+        Whether the backend server states that it did not run the request.
     is_other_server : bool
-        Whether another backend server has taken over the address.
+        Whether a different backend server has taken over the address.
     is_encoded : bool
-        Whether something on the way has encoded the body.
+        Whether an intermediary has applied a content encoding to the body.
     """
 
     status: int
@@ -65,22 +74,24 @@
 
 
 class Verdict(enum.Enum):
-    """What a reply means for the request."""
+    """Classification of a reply."""
 
     SUCCESS = 'success'
+    #: No backend server ran the request.
     NOT_RUN = 'not_run'
-    #: The backend server ran the request and answers with an error.
+    #: The backend server ran the request and returned an error.
     ERROR = 'error'
-    #: The reply proves nothing; the request may have run.
+    #: The reply is not proven to come from the backend server unchanged; the
+    #: request may have run.
     UNUSABLE = 'unusable'
 
 
 def classify_reply(reply: Reply) -> Verdict:
-    """Return what a reply means."""
+    """Classify a reply by whether the request ran and whether it succeeded."""
     if reply.not_run or reply.is_other_server:
         return Verdict.NOT_RUN
     if reply.signature is None or reply.is_encoded:
         return Verdict.UNUSABLE
-    if _FIRST_SUCCESS <= reply.status < _FIRST_REDIRECT:
+    if _MIN_SUCCESS_STATUS <= reply.status < _MIN_REDIRECT_STATUS:
         return Verdict.SUCCESS
     return Verdict.ERROR
--- a/boragespool/forwarding/retry_budget.py
+++ b/boragespool/forwarding/retry_budget.py
@@ -1,8 +1,9 @@
-"""Limit on the second attempts that all daemons send to one service.
+"""Budget of repeated attempts (retries and hedges) to one service.
 
-Each daemon may add its share of a fixed allowance and a ratio of its own
-first attempts within a sliding window, so that the sum over all daemons stays
-within the limit without any message between them.
+The limit holds for all daemons together. Within a sliding window, each daemon
+may send its share of a fixed allowance, plus a ratio of the requests that it
+received itself. The sum over all daemons then stays within the limit without
+any coordination between them.
 """
 
 from __future__ import annotations
@@ -14,32 +15,33 @@
 if TYPE_CHECKING:
     from boragespool.types import Seconds
 
-#: Counts of a window are kept in this many slices, half a second each.
-_SLICES: Final = 20
-#: Part of the fixed allowance that is used. The daemons do not know at the
-#: same moment how many of them share it.
-_ALLOWANCE_USE: Final = 0.8
-#: Part of the allowance that a daemon has at its start.
-_FIRST_SHARE: Final = 0.3
-#: Part of the ratio that is used, as daemons slice their windows differently.
-_RATIO_USE: Final = 0.95
-#: Part of what may be sent in a window that hedges leave to retries: a retry
-#: replaces an attempt that has failed, a hedge one that is only late.
-_RETRY_RESERVE: Final = 0.4
+#: Number of slices of the window; half a second each with a window of 10 s.
+_SLICE_COUNT: Final = 20
+#: Fraction of the fixed allowance that is used. The rest covers the time in
+#: which the daemons disagree on how many of them share it.
+_ALLOWANCE_UTILISATION: Final = 0.8
+#: Fraction of its allowance that a daemon may use right after its start.
+_INITIAL_ALLOWANCE_RATIO: Final = 0.3
+#: Fraction of the ratio that is used, as the slices of different daemons are
+#: not aligned.
+_RATIO_UTILISATION: Final = 0.95
+#: Fraction of the budget that is reserved for retries. A retry replaces an
+#: attempt that has failed, a hedge only one that is late.
+_RETRY_RESERVE_RATIO: Final = 0.4
 
 
 @dataclass(frozen=True, slots=True)
 class RetryLimits:
-    """Limit on second attempts, for each service and over all daemons.
+    """Limit on the repeated attempts of all daemons to each service.
 
     Attributes
     ----------
     ratio : float
-        Second attempts per request.
+        Repeated attempts allowed per request in the window.
     window_s : float
         Length of the sliding window, in seconds.
     allowance : float
-        Second attempts in a window besides the ratio.
+        Repeated attempts allowed in a window in addition to the ratio.
     """
 
     ratio: float
@@ -49,35 +51,36 @@
 
 @dataclass(slots=True)
 class _Slice:
-    begin_s: Seconds
-    requests: int = 0
-    repeats: int = 0
+    start_s: Seconds
+    request_count: int = 0
+    repeat_count: int = 0
 
 
 class RetryBudget:
-    """Second attempts of one daemon to one service.
+    """Budget of one daemon for repeated attempts to one service.
 
     Parameters
     ----------
     limits : RetryLimits
         Limit over all daemons.
     started_at_s : float
-        Start of the daemon. Its predecessor may have used the allowance, so
-        that it grows over the first window.
+        Start of the daemon on the clock of the timer service. The allowance
+        grows to its full size over the first window, because the process
+        that ran before on this host may have used it.
     """
 
     def __init__(self, limits: RetryLimits, started_at_s: Seconds) -> None:
-        """Start with an empty window."""
+        """Create a budget with an empty window."""
         self._limits = limits
         self._started_at_s = started_at_s
         self._slices: deque[_Slice] = deque()
-        self._requests = 0
-        self._repeats = 0
+        self._request_count = 0
+        self._repeat_count = 0
 
     def record_request(self, now_s: Seconds) -> None:
         """Count the first attempt of a request."""
-        self._current(now_s).requests += 1
-        self._requests += 1
+        self._current_slice(now_s).request_count += 1
+        self._request_count += 1
 
     def spend(
         self,
@@ -86,43 +89,55 @@
         *,
         is_hedge: bool,
     ) -> bool:
-        """Take one second attempt; False if none is left.
+        """Take one repeated attempt from the budget.
 
         Parameters
         ----------
+        now_s : float
+            Present time on the clock of the timer service.
         daemon_count : int
-            Daemons that share the allowance, at least 1.
+            Number of daemons that share the allowance, at least 1.
         is_hedge : bool
-            Whether the first attempt may still be answered.
+            Whether the attempt is a hedge, sent while an earlier attempt may
+            still be answered, and not a retry.
+
+        Returns
+        -------
+        bool
+            Whether the attempt may be sent.
         """
-        current = self._current(now_s)
-        allowed = self._allowed(now_s, daemon_count)
+        current = self._current_slice(now_s)
+        allowed = self._allowed_count(now_s, daemon_count)
         if is_hedge:
-            allowed *= 1 - _RETRY_RESERVE
-        if allowed - self._repeats < 1:
+            allowed *= 1 - _RETRY_RESERVE_RATIO
+        if allowed - self._repeat_count < 1:
             return False
-        current.repeats += 1
-        self._repeats += 1
+        current.repeat_count += 1
+        self._repeat_count += 1
         return True
 
-    def _allowed(self, now_s: Seconds, daemon_count: int) -> float:
-        """Return how many second attempts the present window may hold."""
+    def _allowed_count(self, now_s: Seconds, daemon_count: int) -> float:
+        """Return the number of repeated attempts allowed in the window."""
         limits = self._limits
         age = min(1, (now_s - self._started_at_s) / limits.window_s)
-        grown = _FIRST_SHARE + (1 - _FIRST_SHARE) * age
-        allowance = _ALLOWANCE_USE * limits.allowance / max(1, daemon_count)
-        ratio = _RATIO_USE * limits.ratio
-        return allowance * grown + ratio * self._requests
-
-    def _current(self, now_s: Seconds) -> _Slice:
-        """Drop old slices and return the one that now belongs to."""
+        ramp_ratio = (
+            _INITIAL_ALLOWANCE_RATIO + (1 - _INITIAL_ALLOWANCE_RATIO) * age
+        )
+        allowance = (
+            _ALLOWANCE_UTILISATION * limits.allowance / max(1, daemon_count)
+        )
+        ratio = _RATIO_UTILISATION * limits.ratio
+        return allowance * ramp_ratio + ratio * self._request_count
+
+    def _current_slice(self, now_s: Seconds) -> _Slice:
+        """Drop expired slices and return the slice that contains `now_s`."""
         slices = self._slices
-        slice_s = self._limits.window_s / _SLICES
+        slice_s = self._limits.window_s / _SLICE_COUNT
         oldest_s = now_s - self._limits.window_s - slice_s
-        while slices and slices[0].begin_s < oldest_s:
+        while slices and slices[0].start_s < oldest_s:
             dropped = slices.popleft()
-            self._requests -= dropped.requests
-            self._repeats -= dropped.repeats
-        if not slices or now_s - slices[-1].begin_s >= slice_s:
+            self._request_count -= dropped.request_count
+            self._repeat_count -= dropped.repeat_count
+        if not slices or now_s - slices[-1].start_s >= slice_s:
             slices.append(_Slice(now_s))
         return slices[-1]
--- a/boragespool/forwarding/routes.py
+++ b/boragespool/forwarding/routes.py
@@ -1,4 +1,4 @@
-"""Routes by domain and path prefix, and the shards or services behind them."""
+"""Routing table: domain and path prefix to the services or shards behind."""
 
 from __future__ import annotations
 
@@ -16,7 +16,13 @@
 
 @dataclass(frozen=True, slots=True)
 class WeightedService:
-    """One part of a split."""
+    """A service of a traffic split, with its share of the requests.
+
+    Attributes
+    ----------
+    weight : float
+        Share of the requests relative to the other services of the split.
+    """
 
     service: ServiceName
     weight: float
@@ -24,32 +30,36 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardRoute:
-    """Which backend servers answer a kind of request, and within what time.
+    """Route of requests to services or shards, with its limits.
 
     Attributes
     ----------
     domain : str
         Value of the callers' ``Host`` header, in lower case.
     prefix : str
-        Begin of the paths; it begins and ends with a slash.
+        Prefix of the paths; it begins and ends with a slash.
     idempotent : bool
         Whether a request may run more than once.
     max_attempt_count : int
-        Backend servers, for each shard, that one request may be sent to.
+        Maximum number of backend servers that one request may be sent to,
+        for each shard.
     timeout_s : float
-        Longest time that a caller is kept waiting, in seconds.
+        Maximum time until a caller gets an answer, in seconds.
     target_latency_s : float
-        Time in which an answer is worth most to the caller, in seconds.
+        Latency up to which an answer has its full value to the caller, in
+        seconds.
     priority : int
         0 is the most urgent.
     services : tuple of WeightedService
-        One of them answers; empty if `shards` answer together.
+        Services of which one answers each request; empty if the route has
+        `shards`.
     shards : tuple of str
-        Services that each hold one shard of the index.
+        Services that each hold one shard of the index. Their replies are
+        merged into one answer.
     record_count : int
-        Greatest records that an answer from shards holds.
+        Maximum number of records in a merged answer; the greatest are kept.
     required_coverage : float
-        Share of the shards, 0 to 1, that an answer needs.
+        Fraction of the shards, 0 to 1, that must have answered.
     """
 
     name: RouteName
@@ -68,14 +78,14 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """What a caller may send, and how slowly.
+    """Limits on the requests and connections of callers.
 
     Attributes
     ----------
     header_size_bytes, body_size_bytes : int
-        Largest request head and body.
+        Maximum size of the request head and body.
     read_timeout_s, idle_timeout_s : float
-        Longest time for a request to arrive and for a connection to stay
+        Maximum time for a request to arrive and for a connection to stay
         idle, in seconds.
     """
 
@@ -92,8 +102,10 @@
     Attributes
     ----------
     connections_by_service : mapping of str to int
-        Connections that one backend server of the service accepts from all
-        daemons together.
+        Maximum number of connections that one backend server of the service
+        accepts from all daemons together.
+    limits : CallerLimits or None
+        Limits for callers; None if the configuration does not set them.
     """
 
     version: int
@@ -104,7 +116,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RouteTable:
-    """Index of the routes of one configuration."""
+    """Routes of one configuration, indexed for lookup by longest prefix."""
 
     configuration: ForwardConfiguration
     _routes_by_prefix_by_domain: Mapping[str, Mapping[str, ForwardRoute]] = (
@@ -117,7 +129,7 @@
         return self.configuration.version
 
     def find(self, domain: str, path: str) -> ForwardRoute | None:
-        """Return the route with the longest prefix of a path.
+        """Return the route with the longest matching prefix, or None.
 
         Parameters
         ----------
@@ -140,7 +152,7 @@
 
 
 def index_routes(configuration: ForwardConfiguration) -> RouteTable:
-    """Index a configuration for `RouteTable.find`."""
+    """Build the routing table of a configuration."""
     routes_by_domain: defaultdict[str, dict[str, ForwardRoute]]
     routes_by_domain = defaultdict(dict)
     for route in configuration.routes:
--- a/boragespool/forwarding/selection.py
+++ b/boragespool/forwarding/selection.py
@@ -1,8 +1,9 @@
-"""Choice of a backend server among the replicas of one service.
+"""Load balancing between the replicas of one service.
 
-Answers the load of pauses, slow phases and failures of single servers: work
-goes where it is expected back first, and bytes stay in the data centre unless
-another one gains more than they cost.
+A request goes to the replica with the lowest expected latency, so that it
+avoids servers that pause, are slow or fail. Replicas outside the daemon's data
+centre are charged extra for their traffic, and are chosen only if the gain in
+latency exceeds that cost.
 """
 
 from __future__ import annotations
@@ -18,24 +19,28 @@
     from boragespool.forwarding.loads import ServerLoad
     from boragespool.types import Seconds, ServerName
 
-#: Expected wait at a server whose oldest work is overdue, in seconds: half of
-#: a usual pause (300 ms on the sites of the milestone).
+#: Expected extra wait at a server whose oldest attempt is overdue, in seconds:
+#: half of a typical pause, which lasted 300 ms on the milestone's sites.
 _STALL_COST_S: Final = 0.15
-#: Latency that a nearer server may cost more, in seconds. Traffic between
-#: regions costs four times that between data centres of one region.
+#: Cost of traffic that leaves the region or the data centre, as the extra
+#: latency, in seconds, that is accepted from a nearer server to avoid it.
+#: Traffic between regions is four times as expensive as between data centres
+#: of one region.
 _REGION_COST_S: Final = 0.02
 _DATA_CENTRE_COST_S: Final = 0.005
-#: Cost of a failure that is certain, in seconds: the time of a retry.
+#: Cost of an attempt that is certain to fail, in seconds: the time that a
+#: retry takes. It is scaled by the failure ratio of the server.
 _FAILURE_COST_S: Final = 0.5
-#: Cost of a server that broke connections just now, in seconds: more than any
-#: other replica costs.
+#: Cost of a server that recently refused or broke a connection, in seconds:
+#: higher than that of any other replica, so that it is the last choice.
 _SUSPECT_COST_S: Final = 2
 
 
 class Place(enum.Enum):
-    """Where a backend server runs, seen from a daemon."""
+    """Locality of a backend server relative to the daemon."""
 
     DATA_CENTRE = 'data_centre'
+    #: In another data centre of the daemon's region.
     REGION = 'region'
     ELSEWHERE = 'elsewhere'
 
@@ -51,14 +56,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """One backend server that may get the request.
+    """A backend server that may be chosen for a request.
 
     Attributes
     ----------
     place : Place
-        Where it runs, seen from the daemon.
+        Locality of the server relative to the daemon.
     has_room : bool
-        Whether a connection to it is free or may be opened.
+        Whether the server can take another request of this daemon now.
     """
 
     server: ServerName
@@ -71,18 +76,26 @@
     candidates: Iterable[Candidate],
     usual_s: Seconds,
     now_s: Seconds,
-    draw: float,
+    random_fraction: float,
 ) -> Candidate | None:
-    """Return the candidate with the least expected cost.
+    """Return the candidate with the lowest expected cost.
 
     Parameters
     ----------
     candidates : iterable of Candidate
-        Servers that the request has not been sent to.
+        Servers that the request has not been sent to yet.
     usual_s : float
         Usual service time of such a request, in seconds.
+    now_s : float
+        Present time on the clock of the timer service.
     draw : float
-        Random number in ``[0, 1)``; it spreads daemons over equal servers.
+        Random number in ``[0, 1)`` that selects among servers of about equal
+        cost, so that the daemons do not all choose the same one.
+
+    Returns
+    -------
+    Candidate or None
+        None if no candidate has room.
     """
     ranked = [
         (cost_s(candidate, usual_s, now_s), number, candidate)
@@ -91,10 +104,13 @@
     ]
     if not ranked:
         return None
-    least_s = min(ranked)[0]
-    # Costs within a tenth of the usual time are not told apart.
-    equal = [entry[2] for entry in ranked if entry[0] <= least_s + usual_s / 10]
-    return equal[int(draw * len(equal))]
+    min_cost_s = min(ranked)[0]
+    # Costs that differ by at most a tenth of the usual service time are
+    # treated as equal.
+    equal = [
+        entry[2] for entry in ranked if entry[0] <= min_cost_s + usual_s / 10
+    ]
+    return equal[int(random_fraction * len(equal))]
 
 
 def cost_s(
@@ -102,7 +118,11 @@
     usual_s: Seconds,
     now_s: Seconds,
 ) -> Seconds:
-    """Return the expected latency with the cost of risks, in seconds."""
+    """Return the expected latency of a candidate plus penalties, in seconds.
+
+    Penalties are added for failures, overdue attempts, recently broken
+    connections and traffic that leaves the data centre.
+    """
     load = candidate.load
     cost = load.expected_s(usual_s, now_s)
     cost += _FAILURE_COST_S * load.failure_ratio
--- a/boragespool/forwarding/splits.py
+++ b/boragespool/forwarding/splits.py
@@ -1,7 +1,8 @@
-"""Choice of the service of a split in proportion to weights.
+"""Weighted traffic split between the services of a route.
 
-Smooth weighted round robin: each part earns its weight at every turn, and the
-part with the highest balance pays the total.
+Implements smooth weighted round robin: at each request, every service's
+current weight grows by its configured weight; the service with the highest
+current weight is chosen, and its current weight is reduced by the total.
 """
 
 from __future__ import annotations
@@ -14,21 +15,29 @@
 
 
 class WeightedRoundRobin:
-    """Balances of the parts of one split."""
+    """Weighted round robin over the services of one route.
+
+    Attributes
+    ----------
+    services : tuple of WeightedService
+        Services and weights of the split.
+    """
 
     def __init__(self, services: tuple[WeightedService, ...]) -> None:
-        """Start with equal balances."""
+        """Set all current weights to 0."""
         self.services = services
-        self._balance_by_service = {part.service: float(0) for part in services}
-        self._total = sum(part.weight for part in services)
+        self._current_weight_by_service = {
+            part.service: float(0) for part in services
+        }
+        self._total_weight = sum(part.weight for part in services)
 
     def next_service(self) -> ServiceName:
-        """Return the service whose turn it is."""
+        """Return the service for the next request."""
         for part in self.services:
-            self._balance_by_service[part.service] += part.weight
+            self._current_weight_by_service[part.service] += part.weight
         chosen = max(
-            self._balance_by_service,
-            key=self._balance_by_service.__getitem__,
+            self._current_weight_by_service,
+            key=self._current_weight_by_service.__getitem__,
         )
-        self._balance_by_service[chosen] -= self._total
+        self._current_weight_by_service[chosen] -= self._total_weight
         return chosen
--- a/boragespool/forwarding/timing.py
+++ b/boragespool/forwarding/timing.py
@@ -1,4 +1,4 @@
-"""When a request is hedged, answered in part, or given up."""
+"""Deadlines, hedging delay and required coverage of a request."""
 
 from __future__ import annotations
 
@@ -10,32 +10,34 @@
     from boragespool.forwarding.routes import ForwardRoute
     from boragespool.types import Seconds
 
-#: Part of the target latency that a caller's handshake, the way there and back
-#: and the loop take, in seconds: 12 ms of network and the rest measured as the
-#: lateness of answers that were due 20 ms before the target.
-_RETURN_S: Final = 0.034
-#: Least part of the target latency that is left to the backend servers.
-_LEAST_TARGET_SHARE: Final = 0.5
-#: Time that a final answer needs before the caller's own deadline.
-_FINAL_S: Final = 0.03
-#: Part of the target latency after which one backend server that has not
-#: answered is hedged, if the quantile says less.
-_LEAST_HEDGE_SHARE: Final = 0.12
+#: Part of the target latency that passes outside the forwarding itself, in
+#: seconds: the caller's handshake, the network round trip and the delay of the
+#: event loop. 12 ms are network time; the rest is the lateness of answers that
+#: were due 20 ms before the target.
+_CALLER_OVERHEAD_S: Final = 0.034
+#: Least fraction of the target latency that is left to the backend servers.
+_MIN_TARGET_RATIO: Final = 0.5
+#: Time before the caller's timeout at which the final answer must be sent, in
+#: seconds.
+_FINAL_ANSWER_MARGIN_S: Final = 0.03
+#: Lower bound of the hedging delay, as a fraction of the target latency.
+_MIN_HEDGE_DELAY_RATIO: Final = 0.12
 
 
 @dataclass(frozen=True, slots=True)
 class Deadlines:
-    """Points in time of one request, on the clock of the timer service.
+    """Deadlines of one request, in seconds on the clock of the timer service.
 
     Attributes
     ----------
     target_at_s : float
-        An answer that leaves by then reaches the caller while it is worth
-        most.
+        Time by which an answer must be sent to reach the caller within the
+        target latency.
     deadline_at_s : float
-        Latest final answer.
+        Time by which the final answer must be sent.
     caller_deadline_at_s : float
-        End of the caller's patience, which backend servers are told.
+        Time at which the caller stops waiting. It is passed on to backend
+        servers.
     """
 
     target_at_s: Seconds
@@ -48,24 +50,29 @@
     timeout_s: Seconds | None,
     arrived_at_s: Seconds,
 ) -> Deadlines:
-    """Return the points in time of a request that arrived just now.
+    """Return the deadlines of a request.
 
     Parameters
     ----------
+    route : ForwardRoute
+        Route of the request, with its target latency and timeout.
     timeout_s : float or None
-        Time for which the caller waits; None if it does not say.
+        Time for which the caller waits, in seconds; None if the request does
+        not state it.
+    arrived_at_s : float
+        Arrival of the request on the clock of the timer service.
     """
-    patience_s = route.timeout_s
+    caller_timeout_s = route.timeout_s
     if timeout_s is not None:
-        patience_s = min(patience_s, timeout_s)
+        caller_timeout_s = min(caller_timeout_s, timeout_s)
     target_s = max(
-        route.target_latency_s - _RETURN_S,
-        route.target_latency_s * _LEAST_TARGET_SHARE,
+        route.target_latency_s - _CALLER_OVERHEAD_S,
+        route.target_latency_s * _MIN_TARGET_RATIO,
     )
     return Deadlines(
         arrived_at_s + target_s,
-        arrived_at_s + max(0, patience_s - _FINAL_S),
-        arrived_at_s + patience_s,
+        arrived_at_s + max(0, caller_timeout_s - _FINAL_ANSWER_MARGIN_S),
+        arrived_at_s + caller_timeout_s,
     )
 
 
@@ -74,25 +81,30 @@
     quantile_s: Seconds | None,
     round_trip_s: Seconds,
 ) -> Seconds:
-    """Return after how long an unanswered attempt is hedged, in seconds.
+    """Return the delay after which an unanswered attempt is hedged, in seconds.
 
     Parameters
     ----------
+    route : ForwardRoute
+        Route of the request, with its target latency.
     quantile_s : float or None
-        Latency, without the distance, that few attempts exceed; None while
-        it is unknown.
+        High quantile of the latency without the network round trip, in
+        seconds; None while it is unknown.
     round_trip_s : float
-        Round trip to the server of the first attempt.
+        Network round trip time to the server of the first attempt, in
+        seconds.
     """
-    least_s = route.target_latency_s * _LEAST_HEDGE_SHARE
+    min_delay_s = route.target_latency_s * _MIN_HEDGE_DELAY_RATIO
     if quantile_s is None:
         return route.target_latency_s / 2
-    return max(least_s, quantile_s) + round_trip_s
+    return max(min_delay_s, quantile_s) + round_trip_s
 
 
-def meets_coverage(route: ForwardRoute, answered: int, total: int) -> bool:
-    """Whether the answers of some shards make up an answer."""
-    if total == 0:
+def meets_coverage(
+    route: ForwardRoute, answered_count: int, total_count: int
+) -> bool:
+    """Return whether enough shards have answered for a valid answer."""
+    if total_count == 0:
         return False
-    needed = math.ceil(route.required_coverage * total - 1e-9)
-    return answered >= max(1, needed)
+    required_count = math.ceil(route.required_coverage * total_count - 1e-9)
+    return answered_count >= max(1, required_count)
--- a/tests/test_call_queue.py
+++ b/tests/test_call_queue.py
@@ -49,7 +49,7 @@
     turns = []
     for _ in range(12):
         turns.append(queue.order(1)[0])
-        queue.grant(turns[-1], 1)
+        queue.mark_dispatched(turns[-1], 1)
     assert 0 in turns
 
 
@@ -59,7 +59,7 @@
     for number in range(30):
         assert queue.add(WaitingCall(number, 0, 90, 99), number / 10)
         if number >= 10:
-            queue.grant(number - 10, number / 10)
+            queue.mark_dispatched(number - 10, number / 10)
     # Ten calls wait, and 20 were granted in 3 s.
     assert queue.wait_s(0, 3) == pytest.approx(1.5)
     assert queue.wait_s(1, 3) == pytest.approx(1.5)
@@ -73,7 +73,7 @@
     for number in range(20):
         queue.add(WaitingCall(number, 0, 90, 99), 0)
     for number in range(20):
-        queue.grant(number, number)
+        queue.mark_dispatched(number, number)
     assert not len(queue)
     for number in range(100, 110):
         assert queue.add(WaitingCall(number, 0, 31, 30.5), 30)
@@ -163,7 +163,7 @@
         self.answered_s[number] = now_s
         while self.server.has_room and len(self.queue):
             turn = self.queue.order(now_s)[0]
-            self.queue.grant(turn, now_s)
+            self.queue.mark_dispatched(turn, now_s)
             if self.calls[turn].deadline_at_s > now_s:
                 self.send(turn, now_s)
 
