Describe the settings and the start and stop of a daemon plainly

Texts such as 'no caller should know this daemon any more' did not say what happens. Docstrings, log lines and help texts now do, with units; private names and the exit codes follow. The check passes; the tests of the daemon, the forwarder and the platform adapter pass.

--- a/boragespool/daemon/__init__.py
+++ b/boragespool/daemon/__init__.py
@@ -1,3 +1,3 @@
-"""The entry daemon."""
+"""Daemon processes: settings, start, composition and graceful stop."""
 
 from __future__ import annotations
--- a/boragespool/daemon/controllers.py
+++ b/boragespool/daemon/controllers.py
@@ -1,4 +1,4 @@
-"""Order in which the controllers of one daemon are started."""
+"""Creation and start order of the controllers of one daemon."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Controllers:
-    """Controllers that the daemon itself calls."""
+    """Controllers that `EntryDaemon` and the graceful stop call directly."""
 
     membership: MembershipController
     claims: ClaimController
@@ -44,16 +44,16 @@
     store: StoreClient,
     options: EntryOptions,
 ) -> Controllers:
-    """Start each controller after those that it calls.
+    """Start the controllers, each one after those that it depends on.
 
     Parameters
     ----------
     stack : AsyncExitStack
-        Ends the controllers in reverse order.
+        Stops the controllers in reverse order.
     context : Context
         Shared parts of the daemon.
     store : StoreClient
-        Platform.
+        Client of the platform's store and host list.
     options : EntryOptions
         Settings of the process.
     """
--- a/boragespool/daemon/entry.py
+++ b/boragespool/daemon/entry.py
@@ -1,7 +1,7 @@
-"""Composition of one daemon.
+"""Entry daemon: creates, starts and stops its parts.
 
-Several daemons can run in one process: all state belongs to an `Entry`,
-except metrics and logging.
+Several daemons can run in one process. All state belongs to the `EntryDaemon`
+instance, except metrics and logging, which are shared by the process.
 """
 
 from __future__ import annotations
@@ -32,14 +32,24 @@
 
 
 class EntryDaemon:
-    """One daemon, an async context manager.
+    """Entry daemon, an async context manager.
 
     Parameters
     ----------
     options : EntryOptions
-        Checked settings.
+        Validated settings.
     incarnation : int, optional
-        Wall time at the start in milliseconds; by default the present.
+        Unix time of the daemon's start in milliseconds; the present time by
+        default.
+
+    Attributes
+    ----------
+    context : Context
+        Shared parts of the daemon; set by `__aenter__`.
+    controllers : Controllers
+        Controllers that are called directly; set by `__aenter__`.
+    http : HttpServer
+        Listener for callers; set by `__aenter__`.
     """
 
     context: Context
@@ -51,20 +61,20 @@
         options: EntryOptions,
         incarnation: Incarnation | None = None,
     ) -> None:
-        """Keep the settings; `__aenter__` listens."""
+        """Keep the settings; `__aenter__` starts the daemon."""
         self.options = options
         self._incarnation = incarnation or int(time.time() * _MS_PER_S)
         self._stack = AsyncExitStack()
 
     async def __aenter__(self) -> Self:
-        """Start all parts; the caller address listens last.
+        """Start all parts, the listener for callers last.
 
         Raises
         ------
         OSError
-            If the caller address is in use or is not local.
+            If the caller address is in use or not local.
         pynng.NNGException
-            If the peer address is in use or is not local.
+            If the peer address is in use or not local.
         """
         async with AsyncExitStack() as stack:
             await self._start(stack)
@@ -72,13 +82,17 @@
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        """Stop all parts at once, in reverse order."""
+        """Stop all parts immediately, in reverse order of their start.
+
+        `boragespool.daemon.shutdown.stop_gracefully` does so without
+        interrupting requests.
+        """
         await self._stack.aclose()
         self.context.board.post(PHASE, Phase.STOPPED)
 
     @property
     def in_flight(self) -> int:
-        """Requests of callers and dispatched work that are not finished."""
+        """Number of unfinished caller requests and dispatched work items."""
         return (
             self.http.in_flight
             + self.controllers.api.in_flight
@@ -109,13 +123,13 @@
         )
         log_event(
             Event.PROCESS_STARTED,
-            f'daemon {options.host!r} listens',
+            f'daemon {options.host!r} is listening',
             host=options.host,
             incarnation=self._incarnation,
             caller_address=options.caller_address,
             peer_address=options.peer_address,
         )
-        self._follow_readiness(stack)
+        self._become_ready_on_first_revision(stack)
 
     def _identity(self) -> Identity:
         options = self.options
@@ -137,12 +151,12 @@
             **asdict(options.links),
         )
 
-    def _follow_readiness(self, stack: AsyncExitStack) -> None:
-        """Become ready with the first revision in force."""
+    def _become_ready_on_first_revision(self, stack: AsyncExitStack) -> None:
+        """Enter the ready phase when the first revision is in force."""
         board = self.context.board
         host = self.options.host
 
-        def review(_: object) -> None:
+        def update_phase(_: object) -> None:
             is_starting = board.read(PHASE) is Phase.STARTING
             document = board.read(IN_FORCE)
             if is_starting and document is not None:
@@ -154,11 +168,15 @@
                     revision=document.revision,
                 )
 
-        stack.callback(board.subscribe(IN_FORCE, review))
-        review(None)
+        stack.callback(board.subscribe(IN_FORCE, update_phase))
+        update_phase(None)
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
-        """Answer a caller; a leaving daemon asks it to connect elsewhere."""
+        """Handle a request of a caller.
+
+        While the daemon is leaving, responses close the connection, so that
+        the caller connects to another daemon.
+        """
         response = await self.controllers.api.handle(request)
         if self.context.board.read(PHASE) is Phase.LEAVING:
             return replace(response, close=True)
--- a/boragespool/daemon/forwarder.py
+++ b/boragespool/daemon/forwarder.py
@@ -1,7 +1,7 @@
-"""Composition of a daemon that forwards requests to backend servers.
+"""Daemon that forwards requests of callers to backend servers.
 
-It keeps nothing: daemons, backend servers and the configuration are read from
-the store.
+It has no persistent state: the other daemons, the backend servers and the
+configuration are read from the store.
 """
 
 from __future__ import annotations
@@ -35,24 +35,34 @@
     from boragespool.http import HttpRequest
     from boragespool.item_store import ItemStore
 
-#: Time before the end of the stop in which all answers are out, in seconds.
+#: Time before the end of the graceful stop by which all answers must have
+#: been sent, in seconds.
 _STOP_MARGIN_S: Final = 0.5
-#: Time after the request to stop in which new requests are served, in
-#: seconds, beyond the time for which callers keep addresses.
-_LISTEN_ON_S: Final = 0.5
+#: Time for which new connections are still accepted during a graceful stop,
+#: in seconds, in addition to the time for which callers keep addresses.
+_LISTEN_MARGIN_S: Final = 0.5
 
 
 class Forwarder:
-    """One daemon, an async context manager.
+    """Forwarding daemon, an async context manager.
 
     Parameters
     ----------
     options : ForwardingOptions
         Settings.
     dialect : Dialect
-        Translations of messages.
+        Conversion between internal messages and the platform's format.
     store : ItemStore
         The platform's store.
+
+    Attributes
+    ----------
+    board : Blackboard
+        State that the parts of the daemon share.
+    fleet : ServerFleet
+        Backend servers.
+    gateway : Gateway
+        Handler of the callers' requests.
     """
 
     def __init__(
@@ -61,10 +71,10 @@
         dialect: Dialect,
         store: ItemStore,
     ) -> None:
-        """Keep the parts; `__aenter__` listens."""
+        """Create the parts of the daemon; `__aenter__` starts them."""
         self.options = options
         self._dialect = dialect
-        self._leaving = False
+        self._is_leaving = False
         self.board = Blackboard()
         self._timers = LoopTimers()
         self._stack = AsyncExitStack()
@@ -83,7 +93,7 @@
             store,
         )
         self._hosts = self._reading.hosts
-        self._callers = HttpServer(
+        self._caller_server = HttpServer(
             options.caller_address,
             HttpLimits(connection_count=options.connection_count),
             self.handle,
@@ -91,12 +101,12 @@
         )
 
     async def __aenter__(self) -> Self:
-        """Listen and begin to read the store.
+        """Start to listen and to read the store.
 
         Raises
         ------
         OSError
-            If an address is in use or is not local.
+            If an address is in use or not local.
         """
         async with AsyncExitStack() as stack:
             await self._start(stack)
@@ -104,34 +114,42 @@
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        """Stop all parts at once."""
+        """Stop all parts immediately; `stop` stops gracefully."""
         await self._stack.aclose()
 
     @property
     def is_ready(self) -> bool:
-        """Whether callers may be sent here."""
+        """Whether the daemon can serve callers.
+
+        It needs routes and registrations of backend servers, and must not be
+        stopping.
+        """
         has_routes = self.board.read(ROUTES) is not None
         has_servers = self.board.read(REGISTERED) is not None
-        return has_routes and has_servers and not self._leaving
+        return has_routes and has_servers and not self._is_leaving
 
     async def stop(self) -> None:
-        """Leave the addresses, finish what is in flight, then return."""
+        """Withdraw this daemon's address and finish all requests in flight.
+
+        New requests are served while callers may still have the address, but
+        for at most half of the stop time.
+        """
         host = self.options.host
-        began_s = self._timers.now_s()
-        end_s = began_s + self.options.stop_s - _STOP_MARGIN_S
-        self._leaving = True
+        stop_started_at_s = self._timers.now_s()
+        drain_end_s = stop_started_at_s + self.options.stop_s - _STOP_MARGIN_S
+        self._is_leaving = True
         log_event(
             Event.STOP_REQUESTED,
-            f'daemon {host!r} leaves',
+            f'daemon {host!r} is stopping',
             host=host,
             in_flight=self.gateway.in_flight,
         )
-        leaving = asyncio.create_task(self._hosts.leave())
-        listen_s = self.options.address_keep_s + _LISTEN_ON_S
+        leave_task = asyncio.create_task(self._hosts.leave())
+        listen_s = self.options.address_keep_s + _LISTEN_MARGIN_S
         await asyncio.sleep(min(listen_s, self.options.stop_s / 2))
-        self._callers.stop_listening()
-        await self._callers.drain(end_s - self._timers.now_s())
-        leaving.cancel()
+        self._caller_server.stop_listening()
+        await self._caller_server.drain(drain_end_s - self._timers.now_s())
+        leave_task.cancel()
         log_event(
             Event.PROCESS_STOPPED,
             f'daemon {host!r} stopped',
@@ -140,18 +158,24 @@
         )
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Answer a caller; a leaving daemon asks it to connect elsewhere."""
+        """Forward a request of a caller.
+
+        While the daemon stops, responses close the connection, so that the
+        caller connects to another daemon.
+        """
         response = await self.gateway.handle(request)
-        if not self._leaving:
+        if not self._is_leaving:
             return response
         return replace(response, close=True)
 
-    async def answer_readiness(self, _: HttpRequest) -> HttpResponse:
-        """Answer a readiness check."""
+    async def handle_readiness(self, _: HttpRequest) -> HttpResponse:
+        """Respond to a readiness check with status 200 or 503."""
         return HttpResponse(200 if self.is_ready else 503)
 
-    async def answer_question(self, request: HttpRequest) -> HttpResponse:
-        """Answer a caller that asks for addresses."""
+    async def handle_address_request(
+        self, request: HttpRequest
+    ) -> HttpResponse:
+        """Respond to a caller with the addresses of the nearest daemons."""
         question = self._dialect.read_question(request)
         if isinstance(question, Failure):
             return self._dialect.write_failure(question)
@@ -168,8 +192,11 @@
             self.options.address_keep_s,
         )
 
-    async def answer_control(self, request: HttpRequest) -> HttpResponse:
-        """Serve the metrics, and other daemons that read through this one."""
+    async def handle_control(self, request: HttpRequest) -> HttpResponse:
+        """Serve the metrics, and store data to other daemons.
+
+        Other daemons of the data centre may read the store through this one.
+        """
         if request.path == FEED_PATH:
             return await answer_feed(
                 self._reading.feeds_by_prefix,
@@ -181,14 +208,14 @@
     async def _start(self, stack: AsyncExitStack) -> None:
         options = self.options
         stack.enter_context(self.fleet)
-        stack.callback(self.board.subscribe(ROUTES, self._take_routes))
-        stack.callback(self.board.subscribe(REGISTERED, self._review))
+        stack.callback(self.board.subscribe(ROUTES, self._apply_caller_limits))
+        stack.callback(self.board.subscribe(REGISTERED, self._serve_if_ready))
         await stack.enter_async_context(self._reading)
-        await stack.enter_async_context(self._callers)
+        await stack.enter_async_context(self._caller_server)
         for address, handler in (
-            (options.directory_address, self.answer_question),
-            (options.readiness_address, self.answer_readiness),
-            (options.control_address, self.answer_control),
+            (options.directory_address, self.handle_address_request),
+            (options.readiness_address, self.handle_readiness),
+            (options.control_address, self.handle_control),
         ):
             if address:
                 await stack.enter_async_context(
@@ -196,25 +223,25 @@
                 )
         log_event(
             Event.PROCESS_STARTED,
-            f'daemon {options.host!r} listens',
+            f'daemon {options.host!r} is listening',
             host=options.host,
             data_centre=options.data_centre,
             caller_address=options.caller_address,
         )
 
-    def _take_routes(self, routes: RouteTable | None) -> None:
+    def _apply_caller_limits(self, routes: RouteTable | None) -> None:
         limits = None if routes is None else routes.configuration.limits
         if limits is not None:
-            self._callers.limits = HttpLimits(
+            self._caller_server.limits = HttpLimits(
                 limits.header_size_bytes,
                 limits.body_size_bytes,
                 self.options.connection_count,
                 limits.read_timeout_s,
                 idle_timeout_s=limits.idle_timeout_s,
             )
-        self._review(routes)
+        self._serve_if_ready(routes)
 
-    def _review(self, _: object) -> None:
-        """Offer this daemon to callers once it knows enough."""
+    def _serve_if_ready(self, _: object) -> None:
+        """Publish this daemon's address once it is ready."""
         if self.is_ready:
             self._hosts.serve()
--- a/boragespool/daemon/main.py
+++ b/boragespool/daemon/main.py
@@ -1,4 +1,4 @@
-"""Program ``boragespool-entry``: one daemon per process."""
+"""Program ``boragespool-entry``, which runs one daemon."""
 
 from __future__ import annotations
 
@@ -27,32 +27,39 @@
     from collections.abc import Mapping, Sequence
 
 EXIT_BAD_SETTING: Final = 2
-EXIT_ADDRESS: Final = 3
-EXIT_STOP_CUT: Final = 4
+EXIT_ADDRESS_UNUSABLE: Final = 3
+EXIT_STOP_TIMED_OUT: Final = 4
 
 
 def read_settings(
     arguments: Sequence[str],
     environment: Mapping[str, str],
 ) -> EntryOptions | Failure:
-    """Read flags and environment variables; flags take precedence.
+    """Read the settings from flags and environment variables.
+
+    A flag takes precedence over the environment variable of the same setting.
 
     Parameters
     ----------
     arguments : sequence of str
         Command line, program name first.
     environment : mapping of str to str
-        ``BORAGESPOOL_<FLAG>`` variables; others are ignored.
+        ``BORAGESPOOL_<FLAG>`` variables; other variables are ignored.
+
+    Returns
+    -------
+    EntryOptions or Failure
+        The failure names the first flag or setting that is invalid.
     """
     flag_values = _define_flags()
     try:
-        extra = flag_values(arguments)[1:]
+        positional = flag_values(arguments)[1:]
     except flags.Error as error:
         return Failure(ResultCode.UNKNOWN_SETTING, str(error))
-    if extra:
+    if positional:
         return Failure(
             ResultCode.UNKNOWN_SETTING,
-            f'argument {extra[0]!r} is not a flag; --help lists the flags',
+            f'argument {positional[0]!r} is not a flag; --help lists the flags',
         )
     given: dict[str, str] = {}
     for name in all_settings():
@@ -65,7 +72,7 @@
 
 
 def _define_flags() -> flags.FlagValues:
-    """Define one text flag for each setting; None means that it is unset."""
+    """Define a string flag for each setting, None by default."""
     untyped: Any = flags.FlagValues
     flag_values: flags.FlagValues = untyped()
     for name, setting in all_settings().items():
@@ -73,7 +80,7 @@
         flags.DEFINE_string(
             name,
             None,
-            f'{setting.explanation} Allowed: {allowed}.',
+            f'{setting.help_text} Allowed: {allowed}.',
             flag_values=flag_values,
         )
     return flag_values
@@ -82,7 +89,7 @@
 async def serve(options: EntryOptions) -> int:
     """Run one daemon until SIGTERM or SIGINT; return the exit code.
 
-    Further signals don't shorten the graceful stop.
+    Signals that arrive during the graceful stop are ignored.
     """
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -94,18 +101,18 @@
     except (OSError, pynng.NNGException) as error:
         log_event(
             Event.ADDRESS_UNUSABLE,
-            f'cannot listen on caller_address {options.caller_address!r} and '
+            f'cannot listen on caller_address {options.caller_address!r} or '
             f'peer_address {options.peer_address!r}: {error}',
             level=logging.ERROR,
         )
-        return EXIT_ADDRESS
+        return EXIT_ADDRESS_UNUSABLE
     await stop_requested.wait()
     is_complete = await stop_gracefully(entry)
-    return 0 if is_complete else EXIT_STOP_CUT
+    return 0 if is_complete else EXIT_STOP_TIMED_OUT
 
 
 def run() -> None:
-    """Run the program and exit with its code."""
+    """Run the program and exit with its exit code."""
     if '--help' in sys.argv:
         sys.stdout.write(_define_flags().get_help())
         sys.exit(0)
--- a/boragespool/daemon/options.py
+++ b/boragespool/daemon/options.py
@@ -1,4 +1,4 @@
-"""Settings of one daemon process and the flags that they come from."""
+"""Settings of a daemon process, and the flags that define them."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerLimits:
-    """Bounds of the links to peers; see `boragespool.peers.PeerOptions`."""
+    """Limits of the links to peers; see `boragespool.peers.PeerOptions`."""
 
     flush_interval_s: Seconds = 0.001
     frame_size_bytes: int = 262_144
@@ -39,20 +39,24 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryOptions:
-    """Checked settings of one daemon process.
+    """Validated settings of one daemon process.
 
     Attributes
     ----------
+    caller_address, peer_address : str
+        ``ip:port`` on which the daemon listens for callers and for peers.
+    platform_address : str
+        ``ip:port`` of the platform's store and host list.
     peers : tuple of (str, str)
-        Host and peer address of daemons to join, besides those of the
+        Host and peer address of daemons to join, in addition to those in the
         platform's host list.
     store_timeout_s : float
-        Longest wait for one call to the platform.
+        Timeout of one call to the platform, in seconds.
     first_read_window_s : float
-        While no peer has a revision, the first reads of the platform wait for
-        a random part of this time.
+        While no peer has a revision, the first reads of the platform are
+        delayed by a random part of this time, in seconds.
     stop_timeout_s : float
-        Longest duration of a graceful stop.
+        Maximum duration of a graceful stop, in seconds.
     """
 
     host: HostName
@@ -82,31 +86,37 @@
 _PROCESS_SETTINGS: Final = MappingProxyType(
     {
         'host': parsing.Setting(parsing.NAME, None, 'Name of this host.'),
-        'data_centre': parsing.Setting(parsing.NAME, None, 'Its data centre.'),
+        'data_centre': parsing.Setting(
+            parsing.NAME, None, 'Data centre of this host.'
+        ),
         'region': parsing.Setting(
             parsing.NAME, None, 'Region of the data centre.'
         ),
         'caller_address': parsing.Setting(
             parsing.ADDRESS,
             None,
-            'Address for callers; it is published to them.',
+            'Address to listen on for callers; it is published to them.',
         ),
         'peer_address': parsing.Setting(
             parsing.ADDRESS,
             None,
-            'Address for peers; it is published to them.',
+            'Address to listen on for peers; it is published to them.',
         ),
         'platform_address': parsing.Setting(
             parsing.ADDRESS,
             None,
-            'Address of the platform (store and host list).',
+            "Address of the platform's store and host list.",
+        ),
+        'peers': _setting(
+            parsing.PEERS, '', 'Host and peer address of daemons to join.'
+        ),
+        'log_level': _setting(
+            parsing.LEVEL, 'INFO', 'Minimum level of log messages.'
         ),
-        'peers': _setting(parsing.PEERS, '', 'Daemons to join.'),
-        'log_level': _setting(parsing.LEVEL, 'INFO', 'Least level logged.'),
         'store_timeout_s': _setting(
             parsing.number(0.05, 60),
             1,
-            'Longest wait for one call to the platform, in seconds.',
+            'Timeout of one call to the platform, in seconds.',
         ),
         'first_read_window_s': _setting(
             parsing.number(0, 60),
@@ -116,7 +126,7 @@
         'stop_timeout_s': _setting(
             parsing.number(0, 3_600),
             60,
-            'Longest duration of a graceful stop, in seconds.',
+            'Maximum duration of a graceful stop, in seconds.',
         ),
     },
 )
@@ -125,27 +135,28 @@
         'header_size_bytes': _setting(
             parsing.integer(256, 1_048_576),
             _HTTP.header_size_bytes,
-            'Largest request head of a caller, in bytes.',
+            'Maximum size of the head of a caller request, in bytes.',
         ),
         'body_size_bytes': _setting(
             parsing.integer(1, 67_108_864),
             _HTTP.body_size_bytes,
-            'Largest request body of a caller, in bytes.',
+            'Maximum size of the body of a caller request, in bytes.',
         ),
         'connection_count': _setting(
             parsing.integer(1, 100_000),
             _HTTP.connection_count,
-            'Connections of callers open at the same time.',
+            'Maximum number of open connections of callers.',
         ),
         'read_timeout_s': _setting(
             parsing.number(0.05, 300),
             _HTTP.read_timeout_s,
-            'Time from the first to the last byte of a request, in seconds.',
+            'Maximum time from the first to the last byte of a request, in '
+            'seconds.',
         ),
         'idle_timeout_s': _setting(
             parsing.number(0.05, 3_600),
             _HTTP.idle_timeout_s,
-            'Time that a connection may wait for a request, in seconds.',
+            'Maximum time that a connection waits for a request, in seconds.',
         ),
     },
 )
@@ -154,17 +165,18 @@
         'flush_interval_s': _setting(
             parsing.number(0, 1),
             _LINKS.flush_interval_s,
-            'Shortest time between two frames to one peer, in seconds.',
+            'Minimum time between two frames to one peer, in seconds.',
         ),
         'frame_size_bytes': _setting(
             parsing.integer(1_024, 16_777_216),
             _LINKS.frame_size_bytes,
-            'Size at which a frame is closed, in bytes.',
+            'Size at which a frame is closed and the next one is started, in '
+            'bytes.',
         ),
         'queue_count': _setting(
             parsing.integer(16, 1_000_000),
             _LINKS.queue_count,
-            'Messages that may wait for one peer.',
+            'Maximum number of messages that wait for one peer.',
         ),
         'probe_interval_s': _setting(
             parsing.number(0.05, 60),
@@ -174,12 +186,13 @@
         'silence_timeout_s': _setting(
             parsing.number(0.1, 60),
             _LINKS.silence_timeout_s,
-            'Time without an answer after which a link is dialled again.',
+            'Time without an answer after which a link is reconnected, in '
+            'seconds.',
         ),
         'idle_timeout_s': _setting(
             parsing.number(1, 3_600),
             _LINKS.idle_timeout_s,
-            'Time without a message after which a link is closed.',
+            'Time without a message after which a link is closed, in seconds.',
         ),
     },
 )
@@ -193,12 +206,13 @@
         'ping_timeout_s': _setting(
             parsing.number(0.02, 30),
             _MEMBERSHIP.ping_timeout_s,
-            'Wait for the answer to a ping, in seconds.',
+            'Timeout of a ping, in seconds.',
         ),
         'suspicion_s': _setting(
             parsing.number(0.1, 300),
             _MEMBERSHIP.suspicion_s,
-            'Time to refute a suspicion for up to ten members, in seconds.',
+            'Time in which a suspected member can refute the suspicion, for '
+            'up to ten members, in seconds.',
         ),
         'dead_keep_s': _setting(
             parsing.number(5, 86_400),
@@ -208,27 +222,29 @@
         'seed_interval_s': _setting(
             parsing.number(0.1, 3_600),
             _MEMBERSHIP.seed_interval_s,
-            'Time between two pings of absent seeds, in seconds.',
+            'Time between two pings of seeds that are not live members, in '
+            'seconds.',
         ),
         'record_count': _setting(
             parsing.integer(3, 64),
             _MEMBERSHIP.record_count,
-            'Member records in one message.',
+            'Maximum number of member records in one message.',
         ),
         'remote_count': _setting(
             parsing.integer(1, 1_000),
             _MEMBERSHIP.remote_count,
-            'Members kept of each other data centre.',
+            'Number of members known of each other data centre.',
         ),
         'health_limit': _setting(
             parsing.integer(0, 100),
             _MEMBERSHIP.health_limit,
-            'Highest health score; 0 keeps detection times fixed.',
+            'Maximum health score; a higher score makes a slow daemon wait '
+            'longer before it suspects members, and 0 keeps the wait fixed.',
         ),
     },
 )
 
-#: Groups of settings, each with the prefix of its flags.
+#: Groups of settings with the prefix of their flags.
 GROUPS: Final = (
     ('', _PROCESS_SETTINGS),
     ('http_', _HTTP_SETTINGS),
@@ -238,7 +254,7 @@
 
 
 def all_settings() -> Mapping[str, parsing.Setting]:
-    """Return every setting by the name of its flag."""
+    """Return all settings by flag name."""
     return {
         prefix + name: setting
         for prefix, group in GROUPS
@@ -247,18 +263,18 @@
 
 
 def parse_options(given: Mapping[str, str]) -> EntryOptions | Failure:
-    """Check the texts of the settings.
+    """Parse and validate the settings.
 
     Parameters
     ----------
     given : mapping of str to str
-        Texts by flag name; a missing one gets its default.
+        Texts by flag name; a missing setting gets its default.
 
     Returns
     -------
     EntryOptions or Failure
-        The failure names the first bad setting, its value and what is
-        allowed.
+        The failure names the first invalid setting, its value and the
+        allowed values.
     """
     groups: list[dict[str, Any]] = []
     for prefix, settings in GROUPS:
@@ -280,20 +296,21 @@
     settings: Mapping[str, parsing.Setting],
     given: Mapping[str, str],
 ) -> dict[str, Any] | Failure:
-    """Parse one group of settings."""
     parsed: dict[str, Any] = {}
     for name, setting in settings.items():
         text = given.get(prefix + name, setting.default)
         parsed[name] = None if text is None else setting.kind.parse(text)
         if parsed[name] is None:
-            return _rejected(prefix + name, text, setting)
+            return _invalid_setting(prefix + name, text, setting)
     return parsed
 
 
-def _rejected(name: str, text: str | None, setting: parsing.Setting) -> Failure:
-    said = 'is not set' if text is None else f'is {text!r}'
+def _invalid_setting(
+    name: str, text: str | None, setting: parsing.Setting
+) -> Failure:
+    problem = 'is not set' if text is None else f'is {text!r}'
     allowed = setting.kind.allowed
     return Failure(
         ResultCode.INVALID_SETTING,
-        f'setting {name!r} {said}; allowed is {allowed}',
+        f'setting {name!r} {problem}; allowed: {allowed}',
     )
--- a/boragespool/daemon/parsing.py
+++ b/boragespool/daemon/parsing.py
@@ -1,4 +1,4 @@
-"""Parsers of the process settings; each returns None for a bad value."""
+"""Parsers of the process settings; each returns None for an invalid value."""
 
 from __future__ import annotations
 
@@ -11,21 +11,22 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-_NAME: Final = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
+_NAME_PATTERN: Final = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,63}')
 _MAX_PORT: Final = 65_535
-_LEVELS: Final = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
+_LOG_LEVELS: Final = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
 
 
 @dataclass(frozen=True, slots=True)
 class Kind:
-    """Kind of a setting.
+    """Type of the value of a setting.
 
     Attributes
     ----------
     allowed : str
-        What is allowed, for error messages and the help text.
+        Description of the allowed values, for error messages and the help.
     parse : callable
-        Returns the value of a text, or None if it is not allowed.
+        Converts the text of a setting to its value; returns None if the text
+        is not allowed.
     """
 
     allowed: str
@@ -34,27 +35,31 @@
 
 @dataclass(frozen=True, slots=True)
 class Setting:
-    """One flag.
+    """Definition of a setting and its flag.
 
     Attributes
     ----------
     default : str or None
-        Text used if neither the flag nor the environment sets it; None for
-        a setting that is required.
+        Text used if neither the flag nor the environment variable is set;
+        None if the setting is required.
     """
 
     kind: Kind
     default: str | None
-    explanation: str
+    help_text: str
 
 
 def parse_name(text: str) -> str | None:
-    """Return a name; bounded, so that member records are bounded."""
-    return text if _NAME.fullmatch(text) else None
+    """Return the text if it is a valid name.
+
+    The length of names is limited because they are part of member records,
+    whose size must stay bounded.
+    """
+    return text if _NAME_PATTERN.fullmatch(text) else None
 
 
 def parse_address(text: str) -> str | None:
-    """Return an ``ip:port`` that other processes can connect to."""
+    """Return the text if it is an ``ip:port`` that clients can connect to."""
     host, _, port = text.rpartition(':')
     try:
         ip = ipaddress.IPv4Address(host)
@@ -67,7 +72,7 @@
 
 
 def parse_peers(text: str) -> tuple[tuple[str, str], ...] | None:
-    """Return (host, address) pairs of a list ``host=ip:port,...``."""
+    """Parse a list ``host=ip:port,...`` into (host, address) pairs."""
     pairs = []
     for part in filter(None, text.split(',')):
         host, _, address = part.strip().partition('=')
@@ -78,12 +83,12 @@
 
 
 def parse_level(text: str) -> str | None:
-    """Return the name of a log level."""
-    return text.upper() if text.upper() in _LEVELS else None
+    """Return the name of a log level in upper case."""
+    return text.upper() if text.upper() in _LOG_LEVELS else None
 
 
 def number(low: float, high: float) -> Kind:
-    """Return the kind of numbers in ``[low, high]``."""
+    """Return a setting type for finite numbers in ``[low, high]``."""
 
     def parse(text: str) -> float | None:
         try:
@@ -97,7 +102,7 @@
 
 
 def integer(low: int, high: int) -> Kind:
-    """Return the kind of integers in ``[low, high]``."""
+    """Return a setting type for integers in ``[low, high]``."""
 
     def parse(text: str) -> int | None:
         try:
@@ -120,4 +125,4 @@
     parse_address,
 )
 PEERS: Final = Kind('a list as in host-a=10.0.0.1:7001,host-b=...', parse_peers)
-LEVEL: Final = Kind(f'one of {_LEVELS}', parse_level)
+LEVEL: Final = Kind(f'one of {_LOG_LEVELS}', parse_level)
--- a/boragespool/daemon/seeds.py
+++ b/boragespool/daemon/seeds.py
@@ -1,4 +1,7 @@
-"""Daemons to join: the peers option and the platform's host list."""
+"""Seed addresses for joining the membership.
+
+They come from the ``peers`` setting and from the platform's host list.
+"""
 
 from __future__ import annotations
 
@@ -17,15 +20,18 @@
     from boragespool.store import StoreClient
     from boragespool.types import Address, HostName, Seconds
 
-#: Time between two reads of the host list, unless this daemon knows no peer
-#: and reads every second. 7,000 daemons then read 12 times per second in total,
-#: of the 1,000 reads that the store's goal leaves.
-_INTERVAL_S: Final = 600.0
-_SLICE_S: Final = 1.0
+#: Mean interval between two reads of the host list, in seconds. A daemon that
+#: knows no live peer reads every second instead. With 7,000 daemons, this
+#: makes 12 reads per second in total, of the 1,000 that the store's load
+#: target leaves.
+_READ_INTERVAL_S: Final = 600.0
+_MEMBER_CHECK_INTERVAL_S: Final = 1.0
 
 
 class Seeds:
-    """Peer addresses by host, an async context manager.
+    """Peer addresses of seeds by host, an async context manager.
+
+    A background task reads the host list while the context is entered.
 
     Parameters
     ----------
@@ -34,10 +40,10 @@
     store : StoreClient
         Source of the host list.
     peers : mapping of str to str
-        Addresses that are always seeds.
+        Configured peer addresses by host, which are always seeds.
     first_read_window_s : float
-        The first read waits for a random part of this time, so that daemons
-        that start at the same moment do not read the platform together.
+        The first read is delayed by a random part of this time, in seconds,
+        so that daemons that start together do not all read at the same time.
     """
 
     def __init__(
@@ -47,49 +53,54 @@
         peers: Mapping[HostName, Address],
         first_read_window_s: Seconds = 0,
     ) -> None:
-        """Start with the peers option."""
+        """Keep the configured seeds; `__aenter__` starts reading."""
         self._first_read_window_s = first_read_window_s
         self._context = context
         self._store = store
-        self._peers = peers
-        self._listed: dict[HostName, Address] = {}
+        self._configured_addresses_by_host = peers
+        self._listed_addresses_by_host: dict[HostName, Address] = {}
         self._tasks = TaskSet()
 
     def __call__(self) -> dict[HostName, Address]:
-        """Return all seeds; the peers option takes precedence."""
-        return {**self._listed, **self._peers}
+        """Return the peer addresses of all seeds by host.
+
+        The configured address of a host takes precedence over the listed one.
+        """
+        return {
+            **self._listed_addresses_by_host,
+            **self._configured_addresses_by_host,
+        }
 
     async def __aenter__(self) -> Self:
-        """Begin to read the host list."""
-        self._tasks.spawn(self._read_always())
+        """Start to read the host list in the background."""
+        self._tasks.spawn(self._poll_host_list())
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Stop reading."""
         await self._tasks.close()
 
-    async def _read_always(self) -> None:
+    async def _poll_host_list(self) -> None:
         await asyncio.sleep(self._context.draw() * self._first_read_window_s)
         while True:
-            await self._read()
-            # The random factor spreads the reads of daemons that were
-            # started at the same time.
-            wait_s = _INTERVAL_S * (0.5 + self._context.draw())
+            await self._read_host_list()
+            # Jitter spreads the reads of daemons that started together.
+            wait_s = _READ_INTERVAL_S * (0.5 + self._context.draw())
             while wait_s > 0:
-                await asyncio.sleep(_SLICE_S)
-                wait_s -= _SLICE_S
-                if self._is_alone():
+                await asyncio.sleep(_MEMBER_CHECK_INTERVAL_S)
+                wait_s -= _MEMBER_CHECK_INTERVAL_S
+                if self._has_no_live_peer():
                     break
 
-    async def _read(self) -> None:
+    async def _read_host_list(self) -> None:
         entries = await self._store.hosts()
         if isinstance(entries, Failure):
             return
-        self._listed = {
+        self._listed_addresses_by_host = {
             entry.host: entry.address for entry in entries if entry.address
         }
 
-    def _is_alone(self) -> bool:
+    def _has_no_live_peer(self) -> bool:
         return not any(
             member.status != MemberStatus.DEAD
             and member.host != self._context.identity.host
--- a/boragespool/daemon/shutdown.py
+++ b/boragespool/daemon/shutdown.py
@@ -1,4 +1,4 @@
-"""Graceful stop: no request in flight is interrupted."""
+"""Graceful stop of a daemon, which lets requests in flight finish."""
 
 from __future__ import annotations
 
@@ -14,35 +14,40 @@
 if TYPE_CHECKING:
     from boragespool.daemon.entry import EntryDaemon
 
-_POLL_S: Final = 0.02
-#: Nothing may have been in flight for this time before connections close.
-_QUIET_S: Final = 0.1
-#: Ping intervals in which members that are not told directly hear that this
-#: daemon leaves; until then they may still give its address to callers.
-_SPREAD_INTERVALS: Final = 2
-#: Longest wait for the last messages to peers.
-_FLUSH_S: Final = 0.5
+_IDLE_POLL_INTERVAL_S: Final = 0.02
+#: Time without anything in flight that is required before connections are
+#: closed, in seconds.
+_MIN_IDLE_S: Final = 0.1
+#: Number of ping intervals in which gossip reaches the members that are not
+#: notified directly that this daemon is leaving. Until then they may still
+#: give its address to callers.
+_LEAVE_SPREAD_INTERVALS: Final = 2
+#: Timeout for sending the last messages to peers, in seconds.
+_FLUSH_TIMEOUT_S: Final = 0.5
 
 
 async def stop_gracefully(entry: EntryDaemon) -> bool:
-    """Leave, serve until nothing is in flight, hand over and close.
+    """Stop a daemon without interrupting requests, and close it.
+
+    The daemon announces that it leaves, serves until nothing is in flight,
+    and hands its claim records over to another daemon.
 
     Parameters
     ----------
-    entry : Entry
+    entry : EntryDaemon
         Running daemon; it is closed afterwards.
 
     Returns
     -------
     bool
-        False if ``stop_timeout_s`` passed before all phases were done, in
-        which case work may have been interrupted.
+        Whether all phases were finished within ``stop_timeout_s``. If not,
+        requests may have been interrupted.
     """
     host = entry.options.host
     is_complete = True
     try:
         async with asyncio.timeout(entry.options.stop_timeout_s):
-            await _finish_phases(entry)
+            await _run_stop_phases(entry)
     except TimeoutError:
         is_complete = False
     in_flight = entry.in_flight
@@ -58,51 +63,54 @@
     return is_complete
 
 
-async def _finish_phases(entry: EntryDaemon) -> None:
+async def _run_stop_phases(entry: EntryDaemon) -> None:
     host = entry.options.host
-    keep_s = _keep_s(entry)
+    keep_s = _address_keep_s(entry)
     log_event(
         Event.STOP_REQUESTED,
-        f'daemon {host!r} leaves; callers may use it for {keep_s!r} s more',
+        f'daemon {host!r} is stopping; callers may use its address for '
+        f'another {keep_s!r} s',
         host=host,
         keep_s=keep_s,
     )
     entry.context.board.post(PHASE, Phase.LEAVING)
     entry.controllers.membership.leave()
-    spread_s = _SPREAD_INTERVALS * entry.options.membership.ping_interval_s
+    spread_s = (
+        _LEAVE_SPREAD_INTERVALS * entry.options.membership.ping_interval_s
+    )
     await asyncio.sleep(keep_s + spread_s)
     log_event(
         Event.STOP_LEFT_ADDRESSES,
-        'no caller should know this daemon any more',
+        'the address of this daemon has expired at all callers',
         host=host,
         in_flight=entry.in_flight,
     )
-    await _wait_until_quiet(entry)
-    log_event(Event.STOP_DRAINED, 'nothing is in flight', host=host)
+    await _wait_until_idle(entry)
+    log_event(Event.STOP_DRAINED, 'no requests are in flight', host=host)
     await entry.controllers.dispatch.drain(entry.options.stop_timeout_s)
     successor = await entry.controllers.claims.hand_over()
     if successor is not None:
         entry.controllers.membership.set_successor(successor)
     log_event(
         Event.STOP_HANDED_OVER,
-        f'claim records are at {successor!r}',
+        f'handover of claim records finished; successor is {successor!r}',
         host=host,
         successor=successor,
     )
     await entry.http.drain(entry.options.stop_timeout_s)
-    await entry.context.peers.flush(_FLUSH_S)
+    await entry.context.peers.flush(_FLUSH_TIMEOUT_S)
 
 
-async def _wait_until_quiet(entry: EntryDaemon) -> None:
-    """Wait until nothing was in flight for a moment."""
-    quiet_s: float = 0
-    while quiet_s < _QUIET_S:
-        await asyncio.sleep(_POLL_S)
+async def _wait_until_idle(entry: EntryDaemon) -> None:
+    """Wait until nothing has been in flight for `_MIN_IDLE_S`."""
+    idle_s: float = 0
+    while idle_s < _MIN_IDLE_S:
+        await asyncio.sleep(_IDLE_POLL_INTERVAL_S)
         is_busy = entry.in_flight or not entry.controllers.claims.idle
-        quiet_s = 0 if is_busy else quiet_s + _POLL_S
+        idle_s = 0 if is_busy else idle_s + _IDLE_POLL_INTERVAL_S
 
 
-def _keep_s(entry: EntryDaemon) -> float:
+def _address_keep_s(entry: EntryDaemon) -> float:
     document = entry.context.board.read(IN_FORCE)
     settings = document.settings if document else Settings()
     return settings.addresses.keep_s
