--- a/boragespool/forwarding/loads.py
+++ b/boragespool/forwarding/loads.py
@@ -197,7 +197,7 @@
         limit_s = max(_MIN_STALL_S, _STALL_FACTOR * usual_s)
         return max(0, now_s - oldest_started_at_s - self.round_trip_s - limit_s)
 
-    def expected_s(self, usual_s: Seconds, now_s: Seconds) -> Seconds:
+    def expected_latency_s(self, usual_s: Seconds, now_s: Seconds) -> Seconds:
         """Return the expected latency of one more request, in seconds."""
         factor = self.current_slowdown(now_s)
         if now_s < self.warm_at_s:
--- a/boragespool/forwarding/retry_budget.py
+++ b/boragespool/forwarding/retry_budget.py
@@ -119,9 +119,10 @@
     def _allowed_count(self, now_s: Seconds, daemon_count: int) -> float:
         """Return the number of repeated attempts allowed in the window."""
         limits = self._limits
-        age = min(1, (now_s - self._started_at_s) / limits.window_s)
+        age_ratio = min(1, (now_s - self._started_at_s) / limits.window_s)
         ramp_ratio = (
-            _INITIAL_ALLOWANCE_RATIO + (1 - _INITIAL_ALLOWANCE_RATIO) * age
+            _INITIAL_ALLOWANCE_RATIO
+            + (1 - _INITIAL_ALLOWANCE_RATIO) * age_ratio
         )
         allowance = (
             _ALLOWANCE_UTILISATION * limits.allowance / max(1, daemon_count)
--- a/boragespool/forwarding/selection.py
+++ b/boragespool/forwarding/selection.py
@@ -88,7 +88,7 @@
         Usual service time of such a request, in seconds.
     now_s : float
         Present time on the clock of the timer service.
-    draw : float
+    random_fraction : float
         Random number in ``[0, 1)`` that selects among servers of about equal
         cost, so that the daemons do not all choose the same one.
 
@@ -124,7 +124,7 @@
     connections and traffic that leaves the data centre.
     """
     load = candidate.load
-    cost = load.expected_s(usual_s, now_s)
+    cost = load.expected_latency_s(usual_s, now_s)
     cost += _FAILURE_COST_S * load.failure_ratio
     if load.stalled_s(usual_s, now_s) > 0:
         cost += _STALL_COST_S
