Name the value types of settings

Kind did not say of what. It becomes ValueType, the field value_type; the test of the operators' page follows.

--- a/boragespool/daemon/main.py
+++ b/boragespool/daemon/main.py
@@ -76,7 +76,7 @@
     untyped: Any = flags.FlagValues
     flag_values: flags.FlagValues = untyped()
     for name, setting in all_settings().items():
-        allowed = setting.kind.allowed
+        allowed = setting.value_type.allowed
         flags.DEFINE_string(
             name,
             None,
--- a/boragespool/daemon/options.py
+++ b/boragespool/daemon/options.py
@@ -75,8 +75,10 @@
     membership: MembershipOptions = field(default_factory=MembershipOptions)
 
 
-def _setting(kind: parsing.Kind, default: object, text: str) -> parsing.Setting:
-    return parsing.Setting(kind, str(default), text)
+def _setting(
+    value_type: parsing.ValueType, default: object, text: str
+) -> parsing.Setting:
+    return parsing.Setting(value_type, str(default), text)
 
 
 _LINKS: Final = PeerLimits()
@@ -299,7 +301,7 @@
     parsed: dict[str, Any] = {}
     for name, setting in settings.items():
         text = given.get(prefix + name, setting.default)
-        parsed[name] = None if text is None else setting.kind.parse(text)
+        parsed[name] = None if text is None else setting.value_type.parse(text)
         if parsed[name] is None:
             return _invalid_setting(prefix + name, text, setting)
     return parsed
@@ -309,7 +311,7 @@
     name: str, text: str | None, setting: parsing.Setting
 ) -> Failure:
     problem = 'is not set' if text is None else f'is {text!r}'
-    allowed = setting.kind.allowed
+    allowed = setting.value_type.allowed
     return Failure(
         ResultCode.INVALID_SETTING,
         f'setting {name!r} {problem}; allowed: {allowed}',
--- a/boragespool/daemon/parsing.py
+++ b/boragespool/daemon/parsing.py
@@ -17,7 +17,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Kind:
+class ValueType:
     """Type of the value of a setting.
 
     Attributes
@@ -44,7 +44,7 @@
         None if the setting is required.
     """
 
-    kind: Kind
+    value_type: ValueType
     default: str | None
     help_text: str
 
@@ -87,8 +87,8 @@
     return text.upper() if text.upper() in _LOG_LEVELS else None
 
 
-def number(low: float, high: float) -> Kind:
-    """Return a setting type for finite numbers in ``[low, high]``."""
+def number(low: float, high: float) -> ValueType:
+    """Return a value type for finite numbers in ``[low, high]``."""
 
     def parse(text: str) -> float | None:
         try:
@@ -98,11 +98,11 @@
         is_allowed = math.isfinite(parsed) and low <= parsed <= high
         return parsed if is_allowed else None
 
-    return Kind(f'a number from {low} to {high}', parse)
+    return ValueType(f'a number from {low} to {high}', parse)
 
 
-def integer(low: int, high: int) -> Kind:
-    """Return a setting type for integers in ``[low, high]``."""
+def integer(low: int, high: int) -> ValueType:
+    """Return a value type for integers in ``[low, high]``."""
 
     def parse(text: str) -> int | None:
         try:
@@ -111,18 +111,20 @@
             return None
         return parsed if low <= parsed <= high else None
 
-    return Kind(f'an integer from {low} to {high}', parse)
+    return ValueType(f'an integer from {low} to {high}', parse)
 
 
-NAME: Final = Kind(
+NAME: Final = ValueType(
     '1 to 64 letters, digits, dots, hyphens or underscores, '
     'a letter or digit first',
     parse_name,
 )
-ADDRESS: Final = Kind(
+ADDRESS: Final = ValueType(
     'a numeric IPv4 address of this network and a port from 1 to 65535, '
     'as in 10.0.0.1:7000',
     parse_address,
 )
-PEERS: Final = Kind('a list as in host-a=10.0.0.1:7001,host-b=...', parse_peers)
-LEVEL: Final = Kind(f'one of {_LOG_LEVELS}', parse_level)
+PEERS: Final = ValueType(
+    'a list as in host-a=10.0.0.1:7001,host-b=...', parse_peers
+)
+LEVEL: Final = ValueType(f'one of {_LOG_LEVELS}', parse_level)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -279,5 +279,5 @@
     for name, setting in all_settings().items():
         row = next(x for x in page.splitlines() if f'`--{name}`' in x)
         assert f'`BORAGESPOOL_{name.upper()}`' in row
-        assert setting.kind.allowed in row
+        assert setting.value_type.allowed in row
         assert setting.default is None or setting.default in row
