Merge the wording of forwarding, daemon and platform

Cause: their names and sentences were private to the project. Change: comments, messages and names only.

--- a/boragespool/controllers/forwarding/calls.py
+++ b/boragespool/controllers/forwarding/calls.py
@@ -16,8 +16,8 @@
     Reply,
     Verdict,
     WaitingCall,
-    hedge_after_s,
-    judge,
+    classify_reply,
+    hedge_delay_s,
 )
 from boragespool.http import ExchangeFailure, HttpResponse
 from boragespool.results import Failure, ResultCode
@@ -130,7 +130,7 @@
         wait_s = _expected_wait_s(
             self._fleet, self.service, self._routed_request.route
         )
-        return now_s + wait_s < self._routed_request.deadlines.end_at_s
+        return now_s + wait_s < self._routed_request.deadlines.deadline_at_s
 
     @property
     def run_state(self) -> RunState:
@@ -141,7 +141,7 @@
     def start(self) -> None:
         """Send the first attempt, or queue the call if no server has room."""
         now_s = self._fleet.timers.now_s()
-        self._fleet.retry_budget(self.service).note_request(now_s)
+        self._fleet.retry_budget(self.service).record_request(now_s)
         if not self._send() and not self._enqueue():
             self._finish(self._failure())
 
@@ -184,7 +184,7 @@
         """
         if self._queue_number is not None:
             return True
-        if self.sent_count >= self._routed_request.route.attempt_count:
+        if self.sent_count >= self._routed_request.route.max_attempt_count:
             return False
         if not self._fleet.servers_of(self.service).keys() - self._tried:
             return False
@@ -197,7 +197,7 @@
             number,
             self._routed_request.route.priority,
             deadlines.target_at_s - usual_s,
-            deadlines.end_at_s,
+            deadlines.deadline_at_s,
         )
         if not self._fleet.queues.enqueue(
             self.service, call, self._send_from_queue
@@ -216,7 +216,9 @@
         usual_s = self._fleet.route_times.usual_s(route)
         unloaded_s = self._fleet.route_times.unloaded_s(route)
         for number, attempt in self._attempts_by_number.items():
-            waited_s = attempt.server.load.abandoned(number, usual_s, now_s)
+            waited_s = attempt.server.load.abandon_attempt(
+                number, usual_s, now_s
+            )
             attempt.server.record_abandoned(waited_s, unloaded_s, now_s)
             if attempt.exchange is not None:
                 attempt.exchange.cancel()
@@ -241,10 +243,14 @@
             time of the request are used up.
         """
         left_s = (
-            self._routed_request.deadlines.end_at_s - self._fleet.timers.now_s()
+            self._routed_request.deadlines.deadline_at_s
+            - self._fleet.timers.now_s()
         )
         route = self._routed_request.route
-        if self.sent_count >= route.attempt_count or left_s < _MIN_TIME_LEFT_S:
+        if (
+            self.sent_count >= route.max_attempt_count
+            or left_s < _MIN_TIME_LEFT_S
+        ):
             return None
         return self._fleet.choose(self.service, route.name, self._tried)
 
@@ -261,8 +267,8 @@
         attempt = _Attempt(server)
         self._attempts_by_number[number] = attempt
         now_s = self._fleet.timers.now_s()
-        server.load.begin(number, now_s)
-        left_s = self._routed_request.deadlines.caller_at_s - now_s
+        server.load.start_attempt(number, now_s)
+        left_s = self._routed_request.deadlines.caller_deadline_at_s - now_s
         attempt.exchange = server.connections.send(
             _outgoing_request(self._routed_request, self._codec, name, left_s),
             lambda result: self._handle_result(number, result),
@@ -273,12 +279,12 @@
     def _schedule_hedge(self, server: Server) -> None:
         route = self._routed_request.route
         self._cancel_hedge()
-        if not route.idempotent or self.sent_count >= route.attempt_count:
+        if not route.idempotent or self.sent_count >= route.max_attempt_count:
             return
-        delay_s = hedge_after_s(
+        delay_s = hedge_delay_s(
             route,
             self._fleet.route_times.quantile_s(route.name),
-            server.load.distance_s,
+            server.load.round_trip_s,
         )
         self._hedge_timer = self._fleet.timers.after(delay_s, self._send_hedge)
 
@@ -308,12 +314,12 @@
             return
         self._fleet.update_distance(attempt.server)
         reply = self._codec.read_reply(result)
-        verdict = judge(reply)
+        verdict = classify_reply(reply)
         if verdict is Verdict.SUCCESS:
             self._handle_success(number, attempt.server, reply)
             return
         now_s = self._fleet.timers.now_s()
-        attempt.server.load.failed(number, now_s, refused=False)
+        attempt.server.load.fail_attempt(number, now_s, refused=False)
         if verdict is Verdict.NOT_RUN:
             attempt.server.record_failure(now_s)
         if reply.is_other_server:
@@ -335,7 +341,7 @@
         route_times = self._fleet.route_times
         route = self._routed_request.route.name
         now_s = self._fleet.timers.now_s()
-        service_s = server.load.answered(
+        service_s = server.load.complete_attempt(
             number, route_times.usual_s(route), now_s
         )
         if service_s is not None:
@@ -350,7 +356,7 @@
         failure: ExchangeFailure,
     ) -> None:
         now_s = self._fleet.timers.now_s()
-        server.load.failed(number, now_s, refused=True)
+        server.load.fail_attempt(number, now_s, refused=True)
         server.record_failure(now_s)
         self._failure_reason = failure.reason
         if failure.sent:
--- a/boragespool/controllers/forwarding/fleet.py
+++ b/boragespool/controllers/forwarding/fleet.py
@@ -28,9 +28,9 @@
 from boragespool.forwarding import (
     Candidate,
     Place,
-    WindowBudget,
+    RetryBudget,
     choose_server,
-    registry_change,
+    diff_registrations,
 )
 
 if TYPE_CHECKING:
@@ -112,7 +112,7 @@
         self._servers_by_service: defaultdict[
             ServiceName, dict[str, Server]
         ] = defaultdict(dict)
-        self._budgets_by_service: dict[ServiceName, WindowBudget] = {}
+        self._budgets_by_service: dict[ServiceName, RetryBudget] = {}
         self._distance_s_by_data_centre: dict[DataCentre, Seconds] = {}
         self._region_by_data_centre = dict(options.regions_by_data_centre)
         self._started_at_s = timers.now_s()
@@ -200,11 +200,11 @@
             if name not in tried
         )
 
-    def retry_budget(self, service: ServiceName) -> WindowBudget:
+    def retry_budget(self, service: ServiceName) -> RetryBudget:
         """Return the budget for retries and hedges to a service."""
         retry_budget = self._budgets_by_service.get(service)
         if retry_budget is None:
-            retry_budget = WindowBudget(
+            retry_budget = RetryBudget(
                 self.options.retry_limits, self._started_at_s
             )
             self._budgets_by_service[service] = retry_budget
@@ -253,7 +253,9 @@
         self,
         registered: Mapping[ServerName, Registration] | None,
     ) -> None:
-        change = registry_change(self._registrations_by_name, registered or {})
+        change = diff_registrations(
+            self._registrations_by_name, registered or {}
+        )
         self._registrations_by_name = registered or {}
         for registration in change.added + change.changed:
             self._add_or_update(registration)
@@ -286,7 +288,7 @@
             partial(self.queues.dispatch, registration.service),
         )
         server = Server(registration, connections)
-        server.load.distance_s = self._distance_s_by_data_centre.get(
+        server.load.round_trip_s = self._distance_s_by_data_centre.get(
             registration.data_centre,
             0,
         )
@@ -358,14 +360,17 @@
 
 
 def _set_distance(
-    server: Server, data_centre: str, distance_s: Seconds
+    server: Server, data_centre: str, round_trip_s: Seconds
 ) -> None:
     if server.registration.data_centre == data_centre:
-        server.load.distance_s = distance_s
+        server.load.round_trip_s = round_trip_s
 
 
 def _is_same_process(first: Registration, second: Registration) -> bool:
-    return (first.address, first.born_ms) == (second.address, second.born_ms)
+    return (first.address, first.started_at_ms) == (
+        second.address,
+        second.started_at_ms,
+    )
 
 
 def _log_server_state(registration: Registration, state: str) -> None:
--- a/boragespool/controllers/forwarding/hosts.py
+++ b/boragespool/controllers/forwarding/hosts.py
@@ -19,8 +19,8 @@
     HostRecord,
     HostTable,
     control_addresses,
-    nearest_records,
-    reader_of,
+    elect_store_reader,
+    nearest_hosts,
 )
 from boragespool.item_store import LeaseEnded
 from boragespool.results import Failure
@@ -162,7 +162,7 @@
         data_centre, region : str
             Location of the caller.
         """
-        nearest = nearest_records(self._serving_records(), data_centre, region)
+        nearest = nearest_hosts(self._serving_records(), data_centre, region)
         return tuple(
             record.caller_address for record in nearest[:_MAX_ADDRESS_COUNT]
         )
@@ -181,7 +181,7 @@
         now_s = self._timers.now_s()
         grace_end_s = state.returned_at_s + self._options.return_grace_s
         if now_s >= grace_end_s:
-            self._table.drop_lapsed()
+            self._table.drop_removed()
         else:
             self._timers.after(grace_end_s - now_s, self._drop_lapsed)
         if state.changed_keys:
@@ -197,7 +197,7 @@
     def _reader_record(self) -> HostRecord | None:
         if self._lease is None:
             return None
-        return reader_of(self._serving_records(), self._own_record)
+        return elect_store_reader(self._serving_records(), self._own_record)
 
     def _serving_records(self) -> tuple[HostRecord, ...]:
         """Return the records of all daemons that accept requests.
@@ -216,7 +216,7 @@
 
     def _apply_item(self, key: str, item: Item | None) -> None:
         if item is None:
-            self._table.lapse(key)
+            self._table.mark_removed(key)
             return
         try:
             record = msgspec.json.decode(item.value, type=HostRecord)
@@ -231,7 +231,7 @@
             self._table.put(key, record)
 
     def _drop_lapsed(self) -> None:
-        if self._table.drop_lapsed():
+        if self._table.drop_removed():
             self._post_hosts()
 
     async def _keep_published(self) -> None:
--- a/boragespool/controllers/forwarding/registry.py
+++ b/boragespool/controllers/forwarding/registry.py
@@ -88,7 +88,9 @@
             self._timers.now_s(),
             state.returned_at_s,
         )
-        self._board.post(REGISTRATIONS, dict(self._table.by_server))
+        self._board.post(
+            REGISTRATIONS, dict(self._table.registrations_by_server)
+        )
 
     def _apply_item(self, key: str, item: Item | None) -> None:
         """Store a registration that can be decoded, and drop any other."""
@@ -114,8 +116,10 @@
         """
         changes_by_key: dict[str, Item | None] = {}
         for key, listed in self._listed_by_key.items():
-            is_accepted = self._table.by_server.get(listed.server) == listed
-            published = listed.without_sequence
+            is_accepted = (
+                self._table.registrations_by_server.get(listed.server) == listed
+            )
+            published = listed.without_heartbeat_fields
             if is_accepted and self._published_by_key.get(key) != published:
                 self._published_by_key[key] = published
                 changes_by_key[key] = state.items_by_key[key]
--- a/boragespool/controllers/forwarding/scatter_gather.py
+++ b/boragespool/controllers/forwarding/scatter_gather.py
@@ -9,9 +9,9 @@
 from boragespool.forwarding import (
     Reply,
     Verdict,
-    covers,
-    greatest_records,
-    judge,
+    meets_coverage,
+    top_records,
+    classify_reply,
 )
 from boragespool.results import Failure, ResultCode
 from boragespool.types import RunState
@@ -81,7 +81,7 @@
     def start(self) -> None:
         """Send to all shards; fail at once if too few can reply in time."""
         usable_count = sum(call.may_succeed for call in self.calls)
-        if not covers(
+        if not meets_coverage(
             self._routed_request.route, usable_count, len(self.calls)
         ):
             self._finish(
@@ -98,7 +98,7 @@
         self._deadline_timers = (
             self._timers.after(deadlines.target_at_s - now_s, self._on_target),
             self._timers.after(
-                max(0, deadlines.end_at_s - now_s),
+                max(0, deadlines.deadline_at_s - now_s),
                 self._on_deadline,
             ),
         )
@@ -114,7 +114,7 @@
     def _record_outcome(self, _: ServiceCall, outcome: Reply | Failure) -> None:
         if isinstance(outcome, Failure):
             self._failures.append(outcome)
-        elif judge(outcome) is Verdict.SUCCESS:
+        elif classify_reply(outcome) is Verdict.SUCCESS:
             self._replies.append(outcome)
         else:
             self._failures.append(
@@ -131,14 +131,14 @@
         shard_count = len(self.calls)
         reply_count = len(self._replies)
         failure_count = len(self._failures)
-        is_covered = covers(
+        is_covered = meets_coverage(
             self._routed_request.route, reply_count, shard_count
         )
         if is_covered and (
             self._is_past_target or reply_count + failure_count == shard_count
         ):
             self._finish_with_replies()
-        elif not covers(
+        elif not meets_coverage(
             self._routed_request.route, shard_count - failure_count, shard_count
         ):
             self._finish(self._failure())
@@ -161,9 +161,7 @@
         count = self._routed_request.route.record_count
         self._finish(
             MergedReply(
-                greatest_records(
-                    (reply.body for reply in self._replies), count
-                ),
+                top_records((reply.body for reply in self._replies), count),
                 tuple(reply.signature or '' for reply in self._replies),
                 len(self.calls) - len(self._replies),
             ),
--- a/boragespool/controllers/forwarding/service_queues.py
+++ b/boragespool/controllers/forwarding/service_queues.py
@@ -58,7 +58,7 @@
             deadline.
         """
         queue = self._queues_by_service[service]
-        is_queued = queue.join(call, self._timers.now_s())
+        is_queued = queue.add(call, self._timers.now_s())
         FORWARD_WAITS.labels(
             str(call.priority),
             'waits' if is_queued else 'refused',
@@ -70,7 +70,7 @@
     def remove(self, service: ServiceName, number: int) -> None:
         """Remove a call from the queue of a service, if it is queued."""
         if self._send_by_number.pop(number, None) is not None:
-            self._queues_by_service[service].leave(number)
+            self._queues_by_service[service].remove(number)
 
     def has_waiting(self, service: ServiceName) -> bool:
         """Whether any call to the service is queued."""
@@ -99,6 +99,6 @@
         for number in itertools.islice(queue.order(now_s), _MAX_TRIED_CALLS):
             if self._send_by_number[number]():
                 self._send_by_number.pop(number, None)
-                queue.grant(number, now_s)
+                queue.mark_dispatched(number, now_s)
                 return True
         return False
--- a/boragespool/forwarding/splits.py
+++ b/boragespool/forwarding/splits.py
@@ -1,7 +1,8 @@
-"""Choice of the service of a split in proportion to weights.
+"""Weighted traffic split between the services of a route.
 
-Smooth weighted round robin: each part earns its weight at every turn, and the
-part with the highest balance pays the total.
+Implements smooth weighted round robin: at each request, every service's
+current weight grows by its configured weight; the service with the highest
+current weight is chosen, and its current weight is reduced by the total.
 """
 
 from __future__ import annotations
@@ -13,22 +14,30 @@
     from boragespool.types import ServiceName
 
 
-class SplitTurns:
-    """Balances of the parts of one split."""
+class WeightedRoundRobin:
+    """Weighted round robin over the services of one route.
 
-    def __init__(self, parts: tuple[WeightedService, ...]) -> None:
-        """Start with equal balances."""
-        self.parts = parts
-        self._balance_by_service = {part.service: float(0) for part in parts}
-        self._total = sum(part.weight for part in parts)
+    Attributes
+    ----------
+    services : tuple of WeightedService
+        Services and weights of the split.
+    """
 
-    def take(self) -> ServiceName:
-        """Return the service whose turn it is."""
-        for part in self.parts:
-            self._balance_by_service[part.service] += part.weight
+    def __init__(self, services: tuple[WeightedService, ...]) -> None:
+        """Set all current weights to 0."""
+        self.services = services
+        self._current_weight_by_service = {
+            part.service: float(0) for part in services
+        }
+        self._total_weight = sum(part.weight for part in services)
+
+    def next_service(self) -> ServiceName:
+        """Return the service for the next request."""
+        for part in self.services:
+            self._current_weight_by_service[part.service] += part.weight
         chosen = max(
-            self._balance_by_service,
-            key=self._balance_by_service.__getitem__,
+            self._current_weight_by_service,
+            key=self._current_weight_by_service.__getitem__,
         )
-        self._balance_by_service[chosen] -= self._total
+        self._current_weight_by_service[chosen] -= self._total_weight
         return chosen
