Rename the membership functions to terms of gossip membership

Names such as forgive, confirm, slowed and with_own hid what the functions do; confirm means the opposite in SWIM. Renames only, in all uses. Checks pass; test_membership, _machine, _controller and test_health pass.

--- a/boragespool/controllers/membership/member_state.py
+++ b/boragespool/controllers/membership/member_state.py
@@ -45,7 +45,7 @@
     @property
     def slowed_options(self) -> membership.MembershipOptions:
         """Options with the times of failure detection at this health."""
-        return membership.slowed(self.options, self.health)
+        return membership.scale_timeouts(self.options, self.health)
 
     @property
     def now_s(self) -> float:
@@ -54,7 +54,9 @@
 
     def post(self) -> None:
         """Post all records, the own one included."""
-        self._context.board.post(MEMBERS, membership.with_own(self.table))
+        self._context.board.post(
+            MEMBERS, membership.all_records_by_host(self.table)
+        )
 
     def apply(self, table: membership.MemberTable) -> None:
         """Keep a new table; post it if more than loads changed.
@@ -78,7 +80,7 @@
         """Merge the records of one message."""
         beat = self.own.beat
         self.apply(
-            membership.receive(
+            membership.merge_message(
                 self.table,
                 records,
                 sender,
@@ -88,14 +90,14 @@
             ),
         )
         if self.own.beat > beat:
-            self.health = membership.after_suspicion(
+            self.health = membership.score_after_suspicion(
                 self.health,
                 self.options.health_limit,
             )
 
     def compose(self, host: HostName) -> tuple[MemberRecord, ...]:
         """Choose the records of one message."""
-        composed = membership.compose(self.table, host, self.options)
+        composed = membership.compose_message(self.table, host, self.options)
         self.table = composed[1]
         return composed[0]
 
@@ -103,13 +105,15 @@
         """Raise the beat of the own record and tell many members at once."""
         own = replace(self.own, beat=self.own.beat + 1, **fields)
         self.apply(
-            membership.update_own(self.table, own, self.now_s, self.options),
+            membership.update_own_record(
+                self.table, own, self.now_s, self.options
+            ),
         )
         self.tell(own, self.options.leave_count)
 
     def tell(self, record: MemberRecord, count: int) -> None:
         """Send one record to random members without waiting for a tick."""
-        hosts = membership.choose_hosts(
+        hosts = membership.choose_random_hosts(
             self.reachable(),
             count,
             self._context.draw,
@@ -170,7 +174,7 @@
 ) -> bool:
     return (
         known is None
-        or membership.is_change(known, member)
+        or membership.precedence_changed(known, member)
         or known.revision != member.revision
     )
 
--- a/boragespool/controllers/membership/membership.py
+++ b/boragespool/controllers/membership/membership.py
@@ -112,7 +112,7 @@
             Addresses wanted.
         """
         return membership.choose_addresses(
-            membership.with_own(self._state.table).values(),
+            membership.all_records_by_host(self._state.table).values(),
             data_centre,
             count,
             self._context.draw,
@@ -134,8 +134,8 @@
         table = self._state.table
         since_s = now_s - self._tick_s
         if since_s > 2 * options.ping_interval_s:
-            table = membership.forgive(table, now_s)
-        self._state.health = membership.after_tick(
+            table = membership.restart_suspicion_timers(table, now_s)
+        self._state.health = membership.score_after_tick(
             self._state.health,
             max(0, since_s - options.ping_interval_s),
             options,
@@ -144,7 +144,7 @@
         own = replace(table.own, load=self._smoothed_load())
         table = replace(table, own=own)
         slowed = self._state.slowed_options
-        self._state.apply(membership.expire(table, now_s, slowed))
+        self._state.apply(membership.expire_members(table, now_s, slowed))
         self._pinger.join()
         if now_s - self._seed_tick_s >= options.seed_interval_s:
             self._seed_tick_s = now_s
--- a/boragespool/controllers/membership/pinging.py
+++ b/boragespool/controllers/membership/pinging.py
@@ -34,7 +34,7 @@
         self._context = context
         self._state = state
         self._seeds = seeds
-        self._order = membership.PingOrder()
+        self._order = membership.PingRound()
         self._joins_left = _JOIN_COUNT
         self._tasks = TaskSet()
 
@@ -66,7 +66,9 @@
         ]
         if not local:
             self.ping_seeds(_JOIN_COUNT)
-        for host in membership.choose_hosts(local, 1, self._context.draw):
+        for host in membership.choose_random_hosts(
+            local, 1, self._context.draw
+        ):
             self._tasks.spawn(self._ask_view(host))
 
     def ping_seeds(self, count: int) -> None:
@@ -77,7 +79,9 @@
             for host, address in self._seeds().items()
             if host not in present
         }
-        for host in membership.choose_hosts(absent, count, self._context.draw):
+        for host in membership.choose_random_hosts(
+            absent, count, self._context.draw
+        ):
             self._context.peers.set_address(host, absent[host])
             self._tasks.spawn(self._ask_view(host))
 
@@ -88,7 +92,7 @@
             for host, member in self._state.table.members_by_host.items()
             if member.status == MemberStatus.DEAD
         ]
-        for host in membership.choose_hosts(dead, 1, self._context.draw):
+        for host in membership.choose_random_hosts(dead, 1, self._context.draw):
             self._tasks.spawn(self._ask_view(host))
 
     async def ping(
@@ -126,7 +130,7 @@
             tested,
             timeout_s,
         ):
-            state.apply(membership.confirm(state.table, host))
+            state.apply(membership.clear_leaving_suspicion(state.table, host))
             return
         # A longer time means that this daemon was paused or overloaded.
         if state.now_s - started_s > 4 * timeout_s:
@@ -155,7 +159,7 @@
             for host in others
             if _centre_of(self._state, host) == tested.data_centre
         }
-        helpers = membership.choose_hosts(
+        helpers = membership.choose_random_hosts(
             near or others,
             self._state.options.helper_count,
             self._context.draw,
--- a/boragespool/membership/composing.py
+++ b/boragespool/membership/composing.py
@@ -18,7 +18,7 @@
     from boragespool.types import HostName
 
 
-def compose(
+def compose_message(
     table: MemberTable,
     target: HostName,
     options: MembershipOptions,
--- a/boragespool/membership/detection.py
+++ b/boragespool/membership/detection.py
@@ -19,7 +19,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PingOrder:
+class PingRound:
     """One round of pings.
 
     Attributes
@@ -35,15 +35,15 @@
 
 
 def next_target(
-    order: PingOrder,
+    order: PingRound,
     candidates: frozenset[HostName],
     draw: Callable[[], float],
-) -> tuple[HostName | None, PingOrder]:
+) -> tuple[HostName | None, PingRound]:
     """Return the next host to ping and the order after it.
 
     Parameters
     ----------
-    order : PingOrder
+    order : PingRound
         Round under way.
     candidates : frozenset of str
         Members that may be pinged.
@@ -52,7 +52,7 @@
 
     Returns
     -------
-    str or None, PingOrder
+    str or None, PingRound
         None if there is no candidate.
 
     Notes
@@ -65,13 +65,13 @@
         remaining.insert(int(draw() * (len(remaining) + 1)), host)
     round_hosts = order.round_hosts | candidates
     if not remaining:
-        remaining = list(choose_hosts(candidates, len(candidates), draw))
+        remaining = list(choose_random_hosts(candidates, len(candidates), draw))
         round_hosts = candidates
     target = remaining.pop() if remaining else None
-    return target, PingOrder(tuple(remaining), round_hosts)
+    return target, PingRound(tuple(remaining), round_hosts)
 
 
-def choose_hosts(
+def choose_random_hosts(
     hosts: Iterable[HostName],
     count: int,
     draw: Callable[[], float],
--- a/boragespool/membership/health.py
+++ b/boragespool/membership/health.py
@@ -14,7 +14,7 @@
     from boragespool.types import Seconds
 
 
-def after_tick(
+def score_after_tick(
     score: int,
     late_s: Seconds,
     options: MembershipOptions,
@@ -43,12 +43,12 @@
     return min(options.health_limit, score + half_intervals)
 
 
-def after_suspicion(score: int, limit: int) -> int:
+def score_after_suspicion(score: int, limit: int) -> int:
     """Return the health score after others suspected this daemon."""
     return min(limit, score + 1)
 
 
-def slowed(options: MembershipOptions, score: int) -> MembershipOptions:
+def scale_timeouts(options: MembershipOptions, score: int) -> MembershipOptions:
     """Lengthen the times of failure detection in step with the score.
 
     Parameters
--- a/boragespool/membership/merging.py
+++ b/boragespool/membership/merging.py
@@ -71,7 +71,9 @@
     return replace(known, load=load, revision=revision)
 
 
-def is_change(known: MemberRecord | None, merged: MemberRecord) -> bool:
+def precedence_changed(
+    known: MemberRecord | None, merged: MemberRecord
+) -> bool:
     """Tell whether a merged record is worth spreading at once."""
     return known is None or precedence(known) != precedence(merged)
 
--- a/boragespool/membership/receiving.py
+++ b/boragespool/membership/receiving.py
@@ -5,13 +5,17 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from boragespool.membership.merging import is_change, merge_records, refute
+from boragespool.membership.merging import (
+    precedence_changed,
+    merge_records,
+    refute,
+)
 from boragespool.membership.spreading import Rumour
 from boragespool.membership.table import (
     drop_member,
     spread_record,
     store_record,
-    update_own,
+    update_own_record,
 )
 from boragespool.membership.view import is_kept, kept_hosts
 from boragespool.types import MemberStatus
@@ -25,7 +29,7 @@
     from boragespool.types import HostName, Seconds
 
 
-def receive(
+def merge_message(
     table: MemberTable,
     records: Iterable[MemberRecord],
     sender: HostName,
@@ -61,7 +65,7 @@
     for record in records:
         if record.host == table.own.host:
             own = refute(table.own, record)
-            table = update_own(table, own, now_s, options)
+            table = update_own_record(table, own, now_s, options)
         else:
             table = _receive_one(
                 table,
@@ -87,7 +91,7 @@
     merged = merge_records(known, record, is_direct=is_direct)
     if merged is known:
         return table
-    if is_change(known, merged):
+    if precedence_changed(known, merged):
         return store_record(table, merged, now_s, options)
     members = {**table.members_by_host, record.host: merged}
     return replace(table, members_by_host=members)
@@ -103,7 +107,7 @@
     rumour = table.rumours_by_host.get(record.host)
     if rumour is not None:
         merged = merge_records(rumour.record, record)
-        if not is_change(rumour.record, merged):
+        if not precedence_changed(rumour.record, merged):
             return table
     is_dead = record.status == MemberStatus.DEAD
     if not is_dead and is_kept(
--- a/boragespool/membership/table.py
+++ b/boragespool/membership/table.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from boragespool.membership.detection import suspicion_time_s
-from boragespool.membership.merging import is_change
+from boragespool.membership.merging import precedence_changed
 from boragespool.membership.spreading import Rumour, send_count
 from boragespool.types import MemberStatus
 
@@ -45,19 +45,19 @@
     position: int = 0
 
 
-def with_own(table: MemberTable) -> dict[HostName, MemberRecord]:
+def all_records_by_host(table: MemberTable) -> dict[HostName, MemberRecord]:
     """Return all records, the own one included."""
     return {**table.members_by_host, table.own.host: table.own}
 
 
-def update_own(
+def update_own_record(
     table: MemberTable,
     own: MemberRecord,
     now_s: Seconds,
     options: MembershipOptions,
 ) -> MemberTable:
     """Replace the own record; spread it if its precedence rose."""
-    changed = is_change(table.own, own)
+    changed = precedence_changed(table.own, own)
     table = replace(table, own=own)
     return spread_record(table, own, now_s, options) if changed else table
 
@@ -77,7 +77,7 @@
         arrived since then.
     """
     known = table.members_by_host.get(tested.host)
-    if known is None or is_change(known, tested):
+    if known is None or precedence_changed(known, tested):
         return table
     marked = {tested.host: now_s, **table.marked_s_by_host}
     table = replace(table, marked_s_by_host=marked)
@@ -91,7 +91,7 @@
     )
 
 
-def confirm(table: MemberTable, host: HostName) -> MemberTable:
+def clear_leaving_suspicion(table: MemberTable, host: HostName) -> MemberTable:
     """Clear the doubt about a leaving member that answered.
 
     A suspect has to refute by a higher beat, so that all peers learn it.
@@ -102,7 +102,7 @@
     return unmark(table, host)
 
 
-def expire(
+def expire_members(
     table: MemberTable,
     now_s: Seconds,
     options: MembershipOptions,
@@ -124,7 +124,7 @@
     return replace(table, rumours_by_host=_live_rumours(table, now_s))
 
 
-def forgive(table: MemberTable, now_s: Seconds) -> MemberTable:
+def restart_suspicion_timers(table: MemberTable, now_s: Seconds) -> MemberTable:
     """Restart the time of all suspicions.
 
     For a daemon that was paused itself: answers and refutations wait unread
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -10,20 +10,20 @@
 
 def test_score_falls_with_each_tick_in_time():
     """A daemon whose peers are all dead must still find that out fast."""
-    assert membership.after_tick(2, 0.4, OPTIONS) == 1
-    assert membership.after_tick(0, 0, OPTIONS) == 0
+    assert membership.score_after_tick(2, 0.4, OPTIONS) == 1
+    assert membership.score_after_tick(0, 0, OPTIONS) == 0
 
 
 def test_late_ticks_raise_the_score():
     """A paused daemon has not read the answers that wait in its sockets."""
-    assert membership.after_tick(1, 1.2, OPTIONS) == 3
-    assert membership.after_tick(0, 60, OPTIONS) == 8
+    assert membership.score_after_tick(1, 1.2, OPTIONS) == 3
+    assert membership.score_after_tick(0, 60, OPTIONS) == 8
 
 
 def test_detection_times_grow_with_the_score():
     """Without the factor a slow daemon calls live members dead."""
-    assert membership.slowed(OPTIONS, 0) == OPTIONS
-    slowed = membership.slowed(OPTIONS, 3)
+    assert membership.scale_timeouts(OPTIONS, 0) == OPTIONS
+    slowed = membership.scale_timeouts(OPTIONS, 3)
     assert slowed.ping_timeout_s == 4 * OPTIONS.ping_timeout_s
     assert slowed.suspicion_s == 4 * OPTIONS.suspicion_s
 
@@ -31,5 +31,5 @@
 def test_limit_of_0_keeps_times_fixed():
     """Operators must be able to turn the score off."""
     off = MembershipOptions(health_limit=0)
-    assert membership.after_tick(0, 9, off) == 0
-    assert membership.after_suspicion(0, 0) == 0
+    assert membership.score_after_tick(0, 9, off) == 0
+    assert membership.score_after_suspicion(0, 0) == 0
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -32,7 +32,7 @@
 
 def table_of(count: int, data_centre: str = 'north') -> MemberTable:
     """A table that received `count` alive members."""
-    return membership.receive(
+    return membership.merge_message(
         MemberTable(record('own')),
         [record(f'h{n}', data_centre=data_centre) for n in range(count)],
         'h0',
@@ -76,7 +76,7 @@
 def test_a_round_pings_every_member_once(count, joined_after, random_source):
     """A member that is never pinged would never be found dead."""
     hosts = frozenset(f'h{n}' for n in range(count))
-    order = membership.PingOrder()
+    order = membership.PingRound()
     pinged = []
     for step in range(count + 1):
         joined = {'new'} if step > joined_after else set()
@@ -92,10 +92,10 @@
 def test_no_target_without_members():
     """A daemon that knows nobody must not fail."""
     assert membership.next_target(
-        membership.PingOrder(),
+        membership.PingRound(),
         frozenset(),
         random.Random(1).random,
-    ) == (None, membership.PingOrder())
+    ) == (None, membership.PingRound())
 
 
 @settings(derandomize=True, deadline=None)
@@ -104,7 +104,7 @@
     """Bytes per message must not grow with the fleet."""
     table = table_of(count)
     for _ in range(5):
-        sent, table = membership.compose(table, 'h0', OPTIONS)
+        sent, table = membership.compose_message(table, 'h0', OPTIONS)
         assert len(sent) <= OPTIONS.record_count
         assert len({each.host for each in sent}) == len(sent)
         assert sent[0] == table.own
@@ -114,11 +114,13 @@
     """A death must not wait for the sample, nor be repeated for ever."""
     table = table_of(60)
     for _ in range(200):
-        _, table = membership.compose(table, 'h0', OPTIONS)
-    table = membership.receive(table, [record('h9', DEAD)], 'h0', 0, OPTIONS)
+        _, table = membership.compose_message(table, 'h0', OPTIONS)
+    table = membership.merge_message(
+        table, [record('h9', DEAD)], 'h0', 0, OPTIONS
+    )
     carried = []
     for _ in range(40):
-        sent, table = membership.compose(table, 'h0', OPTIONS)
+        sent, table = membership.compose_message(table, 'h0', OPTIONS)
         carried.append(any(each.status == DEAD for each in sent))
     expected = membership.send_count(60, OPTIONS.send_factor)
     assert carried == [True] * expected + [False] * (40 - expected)
@@ -129,10 +131,10 @@
     table = table_of(50)
     sent_hosts = set()
     for _ in range(400):
-        sent, table = membership.compose(table, 'h0', OPTIONS)
+        sent, table = membership.compose_message(table, 'h0', OPTIONS)
         sent_hosts |= {each.host for each in sent}
     for _ in range(60):
-        sent, table = membership.compose(table, 'h0', OPTIONS)
+        sent, table = membership.compose_message(table, 'h0', OPTIONS)
         sent_hosts -= {each.host for each in sent}
     assert not sent_hosts
 
@@ -140,7 +142,7 @@
 def test_whole_view_is_not_spread_again():
     """Joining daemons must not fill messages with what all others know."""
     records = [record(f'h{n}') for n in range(50)]
-    table = membership.receive(
+    table = membership.merge_message(
         MemberTable(record('own')),
         records,
         'h0',
@@ -156,7 +158,7 @@
     """Memory and pings must not grow with the other data centres."""
     table = table_of(100, 'south')
     assert len(table.members_by_host) == OPTIONS.remote_count
-    other = membership.receive(
+    other = membership.merge_message(
         MemberTable(record('other')),
         [record(f'h{n}', data_centre='south') for n in range(100)],
         'h0',
@@ -174,13 +176,13 @@
         f'h{n}' for n in range(100) if f'h{n}' not in table.members_by_host
     )
     dead = record(unkept, DEAD, 'south')
-    table = membership.receive(table, [dead], 'h0', 1, OPTIONS)
-    sent, table = membership.compose(table, 'h1', OPTIONS)
+    table = membership.merge_message(table, [dead], 'h0', 1, OPTIONS)
+    sent, table = membership.compose_message(table, 'h1', OPTIONS)
     assert dead in sent
     for _ in range(30):
-        _, table = membership.compose(table, 'h1', OPTIONS)
-    again = membership.receive(table, [dead], 'h0', 1, OPTIONS)
-    assert dead not in membership.compose(again, 'h1', OPTIONS)[0]
+        _, table = membership.compose_message(table, 'h1', OPTIONS)
+    again = membership.merge_message(table, [dead], 'h0', 1, OPTIONS)
+    assert dead not in membership.compose_message(again, 'h1', OPTIONS)[0]
 
 
 def test_suspect_dies_after_its_time_and_is_dropped():
@@ -189,31 +191,38 @@
     tested = table.members_by_host['h1']
     table = membership.suspect(table, tested, 10, OPTIONS)
     assert table.members_by_host['h1'].status == MemberStatus.SUSPECT
-    early = membership.expire(table, 10 + OPTIONS.suspicion_s / 2, OPTIONS)
+    early = membership.expire_members(
+        table, 10 + OPTIONS.suspicion_s / 2, OPTIONS
+    )
     assert early.members_by_host['h1'].status == MemberStatus.SUSPECT
-    late = membership.expire(table, 10 + OPTIONS.suspicion_s, OPTIONS)
+    late = membership.expire_members(table, 10 + OPTIONS.suspicion_s, OPTIONS)
     assert late.members_by_host['h1'].status == DEAD
     end_s = 20 + OPTIONS.dead_keep_s
-    assert 'h1' not in membership.expire(late, end_s, OPTIONS).members_by_host
+    assert (
+        'h1'
+        not in membership.expire_members(late, end_s, OPTIONS).members_by_host
+    )
 
 
 def test_suspicion_about_an_older_record_is_void():
     """A slow ping must not accuse a member that has refuted meanwhile."""
     table = table_of(3)
     tested = table.members_by_host['h1']
-    table = membership.receive(table, [record('h1', beat=1)], 'h1', 0, OPTIONS)
+    table = membership.merge_message(
+        table, [record('h1', beat=1)], 'h1', 0, OPTIONS
+    )
     assert membership.suspect(table, tested, 1, OPTIONS) == table
 
 
 def test_leaving_member_that_stopped_is_found_dead():
     """The leaving status must not protect a member from being removed."""
     left = record('h1', MemberStatus.LEAVING, beat=1)
-    table = membership.receive(table_of(3), [left], 'h1', 0, OPTIONS)
+    table = membership.merge_message(table_of(3), [left], 'h1', 0, OPTIONS)
     doubted = membership.suspect(table, left, 1, OPTIONS)
     assert doubted.members_by_host['h1'] == left
-    answered = membership.confirm(doubted, 'h1')
-    assert membership.expire(answered, 9, OPTIONS) == answered
-    expired = membership.expire(doubted, 9, OPTIONS)
+    answered = membership.clear_leaving_suspicion(doubted, 'h1')
+    assert membership.expire_members(answered, 9, OPTIONS) == answered
+    expired = membership.expire_members(doubted, 9, OPTIONS)
     assert expired.members_by_host['h1'].status == DEAD
 
 
--- a/tests/test_membership_machine.py
+++ b/tests/test_membership_machine.py
@@ -15,7 +15,7 @@
 )
 
 from boragespool import membership
-from boragespool.membership import MembershipOptions, MemberTable, PingOrder
+from boragespool.membership import MembershipOptions, MemberTable, PingRound
 from boragespool.types import MemberStatus
 from tests.member_records import record
 
@@ -31,7 +31,7 @@
     """One simulated daemon."""
 
     table: MemberTable
-    order: PingOrder = PingOrder()
+    order: PingRound = PingRound()
     is_paused: bool = False
     #: What was pinged and is unanswered: record and number of attempts.
     probes: dict = field(default_factory=dict)
@@ -78,7 +78,9 @@
             return
         node.is_paused = not node.is_paused
         if not node.is_paused:
-            node.table = membership.forgive(node.table, self.now_s)
+            node.table = membership.restart_suspicion_timers(
+                node.table, self.now_s
+            )
             node.probes.clear()
 
     @rule(host=hosts)
@@ -89,7 +91,7 @@
         self.leaving.add(host)
         own = node.table.own
         left = replace(own, status=MemberStatus.LEAVING, beat=own.beat + 1)
-        node.table = membership.update_own(
+        node.table = membership.update_own_record(
             node.table, left, self.now_s, OPTIONS
         )
 
@@ -104,7 +106,9 @@
         for node in self.nodes.values():
             if node.is_paused:
                 node.is_paused = False
-                node.table = membership.forgive(node.table, self.now_s)
+                node.table = membership.restart_suspicion_timers(
+                    node.table, self.now_s
+                )
                 node.probes.clear()
         for _ in range(DETECTION_S):
             self.step(loss=0, late=0)
@@ -150,7 +154,7 @@
 
     def deliver(self, node, message):
         _, sender, target, kind, records = message
-        node.table = membership.receive(
+        node.table = membership.merge_message(
             node.table, records, sender, self.now_s, OPTIONS
         )
         self.told_leaving |= {
@@ -162,10 +166,12 @@
             self.send(node, target, sender, 'ack')
         else:
             node.probes.pop(sender, None)
-            node.table = membership.confirm(node.table, sender)
+            node.table = membership.clear_leaving_suspicion(node.table, sender)
 
     def send(self, node, sender, target, kind):
-        records, node.table = membership.compose(node.table, target, OPTIONS)
+        records, node.table = membership.compose_message(
+            node.table, target, OPTIONS
+        )
         self.bag.append((self.now_s, sender, target, kind, records))
 
     def tick(self, host, node):
@@ -178,7 +184,7 @@
             else:
                 node.probes[target] = (tested, attempts + 1)
             self.send(node, host, target, 'ping')
-        node.table = membership.expire(node.table, self.now_s, OPTIONS)
+        node.table = membership.expire_members(node.table, self.now_s, OPTIONS)
         live = frozenset(
             other
             for other, known in node.table.members_by_host.items()
@@ -207,7 +213,7 @@
     @invariant()
     def leaving_member_is_in_no_address_answer(self):
         for host, node in getattr(self, 'nodes', {}).items():
-            everyone = membership.with_own(node.table)
+            everyone = membership.all_records_by_host(node.table)
             answer = membership.choose_addresses(
                 everyone.values(),
                 'north',
