Name the settings merge and validation functions after their effect

compose, settle, plain, find and check said little and stood for other things elsewhere. Renames only; the exported names are in order again. Checks pass; test_settings_merge, _validation, test_cli and examples pass.

--- a/boragespool/cli/settings_commands.py
+++ b/boragespool/cli/settings_commands.py
@@ -19,9 +19,9 @@
 from boragespool.revisions import difference, indexed, split
 from boragespool.settings import (
     Settings,
-    describe,
+    describe_problem,
     load_folder,
-    problems_or_settings,
+    load_folder_or_problems,
 )
 from boragespool.store import StoreClient
 
@@ -39,7 +39,7 @@
 
 async def check(call: Invocation) -> Outcome | Failure:
     """Check a folder and list every problem."""
-    loaded = problems_or_settings(pathlib.Path(call.arguments['FOLDER']))
+    loaded = load_folder_or_problems(pathlib.Path(call.arguments['FOLDER']))
     if isinstance(loaded, Settings):
         servers = sum(
             len(service.servers) for service in loaded.services.values()
@@ -58,7 +58,8 @@
     return Outcome(
         {'valid': False, 'problems': loaded},
         notes=tuple(
-            error_line(problem.code, describe(problem)) for problem in loaded
+            error_line(problem.code, describe_problem(problem))
+            for problem in loaded
         ),
         exit_code=ExitCode.REJECTED,
     )
--- a/boragespool/membership/__init__.py
+++ b/boragespool/membership/__init__.py
@@ -11,14 +11,14 @@
     suspicion_time_s,
 )
 from boragespool.membership.health import (
+    scale_timeouts,
     score_after_suspicion,
     score_after_tick,
-    scale_timeouts,
 )
 from boragespool.membership.merging import (
-    precedence_changed,
     merge_records,
     precedence,
+    precedence_changed,
     refute,
 )
 from boragespool.membership.options import MembershipOptions
@@ -26,12 +26,12 @@
 from boragespool.membership.spreading import Rumour, choose_records, send_count
 from boragespool.membership.table import (
     MemberTable,
+    all_records_by_host,
     clear_leaving_suspicion,
     expire_members,
     restart_suspicion_timers,
     suspect,
     update_own_record,
-    all_records_by_host,
 )
 from boragespool.membership.view import is_kept
 
@@ -40,26 +40,26 @@
     'MembershipOptions',
     'PingRound',
     'Rumour',
-    'score_after_tick',
-    'score_after_suspicion',
+    'all_records_by_host',
     'choose_addresses',
     'choose_random_hosts',
     'choose_records',
-    'compose_message',
     'clear_leaving_suspicion',
+    'compose_message',
     'expire_members',
-    'restart_suspicion_timers',
-    'precedence_changed',
     'is_kept',
+    'merge_message',
     'merge_records',
     'next_target',
     'precedence',
-    'merge_message',
+    'precedence_changed',
     'refute',
-    'send_count',
+    'restart_suspicion_timers',
     'scale_timeouts',
+    'score_after_suspicion',
+    'score_after_tick',
+    'send_count',
     'suspect',
     'suspicion_time_s',
     'update_own_record',
-    'all_records_by_host',
 )
--- a/boragespool/settings/__init__.py
+++ b/boragespool/settings/__init__.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from boragespool.settings.folder import load_folder, problems_or_settings
-from boragespool.settings.problems import Problem, describe
+from boragespool.settings.folder import load_folder, load_folder_or_problems
+from boragespool.settings.problems import Problem, describe_problem
 from boragespool.settings.schema import (
     AddressSettings,
     ClaimSettings,
@@ -14,7 +14,11 @@
     ServiceSettings,
     Settings,
 )
-from boragespool.settings.validation import check, validate, validate_change
+from boragespool.settings.validation import (
+    find_problems,
+    validate,
+    validate_change,
+)
 
 __all__ = (
     'AddressSettings',
@@ -26,10 +30,10 @@
     'ServerSettings',
     'ServiceSettings',
     'Settings',
-    'check',
-    'describe',
+    'describe_problem',
+    'find_problems',
     'load_folder',
-    'problems_or_settings',
+    'load_folder_or_problems',
     'validate',
     'validate_change',
 )
--- a/boragespool/settings/folder.py
+++ b/boragespool/settings/folder.py
@@ -8,8 +8,14 @@
 import msgspec
 
 from boragespool.results import ResultCode
-from boragespool.settings.merge import EMPTY, Table, compose, find, settle
-from boragespool.settings.merge import layer as make_layer
+from boragespool.settings.merge import (
+    EMPTY_LAYER,
+    Table,
+    find_node,
+    make_layer,
+    merge_pair,
+    resolve_removals,
+)
 from boragespool.settings.problems import Problem, as_failure
 from boragespool.settings.validation import convert
 
@@ -72,12 +78,12 @@
     Settings or tuple of Problem
         Problems with file names.
     """
-    merged = EMPTY
+    merged = EMPTY_LAYER
     problems: list[Problem] = []
     for file in files:
         added = _layer_of(file, merged)
         if isinstance(added, Table):
-            merged = compose(merged, added)
+            merged = merge_pair(merged, added)
         else:
             problems.extend(added)
     return tuple(problems) or convert(merged)
@@ -96,11 +102,11 @@
     Settings or Failure
         The reason of a failure lists all problems.
     """
-    loaded = problems_or_settings(folder)
+    loaded = load_folder_or_problems(folder)
     return as_failure(loaded) if isinstance(loaded, tuple) else loaded
 
 
-def problems_or_settings(folder: Path) -> Settings | tuple[Problem, ...]:
+def load_folder_or_problems(folder: Path) -> Settings | tuple[Problem, ...]:
     """Read, merge and convert a folder; return problems one by one."""
     files = read_folder(folder)
     return (files,) if isinstance(files, Problem) else load_files(files)
@@ -125,7 +131,7 @@
                 file.name,
             ),
         )
-    earlier = settle(merged)
+    earlier = resolve_removals(merged)
     missing = tuple(
         Problem(
             'remove',
@@ -134,7 +140,7 @@
             file.name,
         )
         for path in removed
-        if find(earlier, path) is None
+        if find_node(earlier, path) is None
     )
     return missing or make_layer(file.name, content, removed)
 
--- a/boragespool/settings/merge.py
+++ b/boragespool/settings/merge.py
@@ -53,10 +53,10 @@
 
 Node: TypeAlias = Table | Leaf | Removal
 
-EMPTY: Final = Table({})
+EMPTY_LAYER: Final = Table({})
 
 
-def layer(
+def make_layer(
     file: str,
     content: Mapping[str, Any],
     removed: Iterable[str] = (),
@@ -78,10 +78,10 @@
         Root of the layer.
     """
     removals = (_removal(file, path) for path in removed)
-    return merge((*removals, _table(file, content)))
+    return merge_layers((*removals, _table(file, content)))
 
 
-def compose(earlier: Table, later: Table) -> Table:
+def merge_pair(earlier: Table, later: Table) -> Table:
     """Return the layer with the effect of two layers in order.
 
     Parameters
@@ -104,32 +104,32 @@
         later.file or earlier.file,
         creates=earlier.creates or later.creates,
     )
-    return settle(composed) if earlier.replaces else composed
+    return resolve_removals(composed) if earlier.replaces else composed
 
 
-def merge(layers: Iterable[Table]) -> Table:
+def merge_layers(layers: Iterable[Table]) -> Table:
     """Compose layers in order, starting from an empty one."""
-    return functools.reduce(compose, layers, EMPTY)
+    return functools.reduce(merge_pair, layers, EMPTY_LAYER)
 
 
-def settle(table: Table) -> Table:
+def resolve_removals(table: Table) -> Table:
     """Return a table with nothing before it: its removals are done."""
     entries = {
-        key: settle(node) if isinstance(node, Table) else node
+        key: resolve_removals(node) if isinstance(node, Table) else node
         for key, node in table.entries.items()
         if _has_content(node)
     }
     return Table(entries, table.file, replaces=True)
 
 
-def plain(node: Node) -> Any:
+def as_builtins(node: Node) -> Any:
     """Return the values of a settled node as built-in types."""
     if isinstance(node, Table):
-        return {key: plain(entry) for key, entry in node.entries.items()}
+        return {key: as_builtins(entry) for key, entry in node.entries.items()}
     return node.value
 
 
-def find(root: Table, path: str) -> Node | None:
+def find_node(root: Table, path: str) -> Node | None:
     """Return the node at a dotted path; None if there is none."""
     node: Node | None = root
     for key in path.split('.'):
@@ -139,21 +139,21 @@
     return node
 
 
-def file_of(root: Table, path: str) -> str:
+def source_file(root: Table, path: str) -> str:
     """Return the file that last set a path, or its nearest table."""
-    node = find(root, path)
+    node = find_node(root, path)
     if isinstance(node, Table | Leaf):
         return node.file
     parent = path.rpartition('.')[0]
-    return file_of(root, parent) if parent else root.file
+    return source_file(root, parent) if parent else root.file
 
 
 def _compose_entry(earlier: Node | None, later: Node) -> Node:
     if earlier is None or not isinstance(later, Table):
         return later
     if isinstance(earlier, Table):
-        return compose(earlier, later)
-    return settle(later) if later.creates else earlier
+        return merge_pair(earlier, later)
+    return resolve_removals(later) if later.creates else earlier
 
 
 def _has_content(node: Node) -> bool:
--- a/boragespool/settings/problems.py
+++ b/boragespool/settings/problems.py
@@ -36,7 +36,7 @@
     code: ResultCode = ResultCode.INVALID_SETTING
 
 
-def describe(problem: Problem) -> str:
+def describe_problem(problem: Problem) -> str:
     """Return a problem as one sentence."""
     file = f'{problem.file}: ' if problem.file else ''
     return (
@@ -49,5 +49,5 @@
     """Return one failure for all problems, with the code of the first."""
     return Failure(
         problems[0].code,
-        '; '.join(describe(problem) for problem in problems),
+        '; '.join(describe_problem(problem) for problem in problems),
     )
--- a/boragespool/settings/validation.py
+++ b/boragespool/settings/validation.py
@@ -19,12 +19,12 @@
 from boragespool.settings.merge import (
     Leaf,
     Table,
-    compose,
-    file_of,
-    plain,
-    settle,
+    as_builtins,
+    make_layer,
+    merge_pair,
+    resolve_removals,
+    source_file,
 )
-from boragespool.settings.merge import layer as make_layer
 from boragespool.settings.problems import MISSING, Problem, as_failure
 from boragespool.settings.rules import RULES, Rule
 from boragespool.settings.schema import Settings
@@ -55,19 +55,19 @@
         All problems of the first stage that has any: structure and types,
         then single values, then checks between options.
     """
-    root = settle(compose(DEFAULTS, merged))
+    root = resolve_removals(merge_pair(DEFAULTS, merged))
     problems = tuple(_structure_problems(root, Settings, ''))
     if problems:
         return problems
-    settings = msgspec.convert(plain(root), Settings)
+    settings = msgspec.convert(as_builtins(root), Settings)
     problems = tuple(
-        dataclasses.replace(problem, file=file_of(root, problem.key))
-        for problem in check(settings)
+        dataclasses.replace(problem, file=source_file(root, problem.key))
+        for problem in find_problems(settings)
     )
     return problems or settings
 
 
-def check(settings: Settings) -> tuple[Problem, ...]:
+def find_problems(settings: Settings) -> tuple[Problem, ...]:
     """Return what is wrong with the values of converted settings."""
     return tuple(_value_problems(settings, '')) or tuple(
         cross_problems(settings),
@@ -87,7 +87,7 @@
     Failure or None
         ``INVALID_SETTING`` with all problems in its reason.
     """
-    problems = check(settings)
+    problems = find_problems(settings)
     return as_failure(problems) if problems else None
 
 
@@ -177,7 +177,7 @@
     if not is_map and not dataclasses.is_dataclass(kind):
         yield from _leaf_problems(node, kind, key, rule)
     elif not isinstance(node, Table):
-        yield Problem(key, repr(plain(node)), 'a table', _file(node))
+        yield Problem(key, repr(as_builtins(node)), 'a table', _file(node))
     elif is_map:
         name_kind, entry_kind = get_args(kind)
         for name, entry in node.entries.items():
@@ -199,7 +199,7 @@
     key: str,
     rule: Rule,
 ) -> Iterator[Problem]:
-    value = plain(node)
+    value = as_builtins(node)
     try:
         msgspec.convert(value, kind)
     except msgspec.ValidationError:
@@ -216,7 +216,7 @@
     names = ', '.join(sorted(known))
     return Problem(
         f'{path}{name}',
-        repr(plain(entry)),
+        repr(as_builtins(entry)),
         f'only the keys {names}',
         _file(entry),
         ResultCode.UNKNOWN_SETTING,
--- a/tests/test_settings_merge.py
+++ b/tests/test_settings_merge.py
@@ -6,14 +6,14 @@
 from hypothesis import strategies as st
 
 from boragespool.settings.merge import (
-    EMPTY,
-    compose,
-    file_of,
-    find,
-    layer,
-    merge,
-    plain,
-    settle,
+    EMPTY_LAYER,
+    as_builtins,
+    find_node,
+    make_layer,
+    merge_layers,
+    merge_pair,
+    resolve_removals,
+    source_file,
 )
 
 KEYS = st.sampled_from('abc')
@@ -25,7 +25,7 @@
 )
 PATHS = st.lists(KEYS, min_size=1, max_size=3).map('.'.join)
 LAYERS = st.builds(
-    layer,
+    make_layer,
     st.sampled_from(('1.toml', '2.toml', '3.toml')),
     TABLES,
     st.lists(PATHS, max_size=2),
@@ -73,17 +73,17 @@
 @given(LAYERS, LAYERS, LAYERS)
 def test_compose_is_associative(first, second, third):
     """Grouping of files must not change the outcome."""
-    left = compose(compose(first, second), third)
-    assert left == compose(first, compose(second, third))
-    assert compose(EMPTY, first).entries == first.entries
+    left = merge_pair(merge_pair(first, second), third)
+    assert left == merge_pair(first, merge_pair(second, third))
+    assert merge_pair(EMPTY_LAYER, first).entries == first.entries
 
 
 @settings(derandomize=True, max_examples=500, deadline=None)
 @given(st.lists(st.tuples(TABLES, st.lists(PATHS, max_size=2)), max_size=4))
 def test_merge_follows_the_rule(files):
     """A removal or a change of type must not keep or drop other keys."""
-    layers = [layer('f', content, removed) for content, removed in files]
-    assert plain(settle(merge(layers))) == oracle(files)
+    layers = [make_layer('f', content, removed) for content, removed in files]
+    assert as_builtins(resolve_removals(merge_layers(layers))) == oracle(files)
 
 
 @settings(derandomize=True, max_examples=300, deadline=None)
@@ -91,7 +91,7 @@
 def test_later_file_wins_and_nothing_is_lost(contents):
     """Each value survives unless a later file sets its path."""
     names = [f'{number}.toml' for number in range(len(contents))]
-    merged = settle(merge(map(layer, names, contents)))
+    merged = resolve_removals(merge_layers(map(make_layer, names, contents)))
     for number, content in enumerate(contents):
         for path, value in leaves(content):
             later = [
@@ -105,22 +105,22 @@
                 for one in later
             )
             replaced_by_table = any(
-                isinstance(find(layer('', other), path), type(merged))
+                isinstance(find_node(make_layer('', other), path), type(merged))
                 for other in contents[number + 1 :]
             )
             if not related and not replaced_by_table:
-                assert plain(find(merged, path)) == value
-                assert file_of(merged, path) == names[number]
+                assert as_builtins(find_node(merged, path)) == value
+                assert source_file(merged, path) == names[number]
     for path, value in leaves(contents[-1]):
-        assert plain(find(merged, path)) == value
+        assert as_builtins(find_node(merged, path)) == value
 
 
 def test_removal_acts_before_the_same_file():
     """A file must be able to replace a table as a whole."""
-    merged = merge(
+    merged = merge_layers(
         (
-            layer('1', {'a': {'old': 1, 'kept': 2}}),
-            layer('2', {'a': {'new': 3}}, ('a', 'a.old')),
+            make_layer('1', {'a': {'old': 1, 'kept': 2}}),
+            make_layer('2', {'a': {'new': 3}}, ('a', 'a.old')),
         ),
     )
-    assert plain(settle(merged)) == {'a': {'new': 3}}
+    assert as_builtins(resolve_removals(merged)) == {'a': {'new': 3}}
--- a/tests/test_settings_validation.py
+++ b/tests/test_settings_validation.py
@@ -11,11 +11,15 @@
 import pytest
 
 from boragespool.results import ResultCode
-from boragespool.settings import describe, load_folder, problems_or_settings
+from boragespool.settings import (
+    describe_problem,
+    load_folder,
+    load_folder_or_problems,
+)
 from boragespool.settings.folder import SettingsFile, load_files
 from boragespool.settings.rules import RULES, is_address
 from boragespool.settings.schema import RankSettings, Settings
-from boragespool.settings.validation import check, validate
+from boragespool.settings.validation import find_problems, validate
 from boragespool.types import Rank
 
 BASE = b"""
@@ -83,7 +87,7 @@
     """An error must name file, key, offending value and what is allowed."""
     (problem,) = load(content)
     assert problem.key == key
-    text = describe(problem)
+    text = describe_problem(problem)
     assert found in problem.found
     assert allowed in problem.allowed
     assert all(part in text for part in (key, problem.found, problem.allowed))
@@ -110,7 +114,7 @@
     (problem,) = load(content)
     assert problem.code == code
     assert problem.file == '1.toml'
-    assert part in describe(problem)
+    assert part in describe_problem(problem)
 
 
 def test_removal_reaches_the_settings():
@@ -127,7 +131,7 @@
     (tmp_path / '99.txt').write_text('not toml')
     assert load_folder(tmp_path).addresses.count == 9
     (tmp_path / '95.toml').write_bytes(b'a = "\xff"')
-    (problem,) = problems_or_settings(tmp_path)
+    (problem,) = load_folder_or_problems(tmp_path)
     assert problem.file == '95.toml'
 
 
@@ -148,7 +152,9 @@
     assert validate(Settings(ranks=shares)).code == ResultCode.INVALID_SETTING
     assert (
         'all three'
-        in check(Settings(ranks={Rank.URGENT: RankSettings()}))[0].allowed
+        in find_problems(Settings(ranks={Rank.URGENT: RankSettings()}))[
+            0
+        ].allowed
     )
     encoded = msgspec.json.encode(load())
     assert msgspec.json.decode(encoded, type=Settings) == load()
