Name the HTTP read limiter and connection methods in usual terms

Gate, enter, finish, forget and start left open what happens; the module is read_limiter and the methods say close, acquire and start_exchange. Renames only.

--- a/boragespool/client/channel.py
+++ b/boragespool/client/channel.py
@@ -150,7 +150,7 @@
         reply = _decode(response, request_id)
         if isinstance(reply, ExchangeFailure):
             # Bytes on these connections can no longer be trusted.
-            self._pool.forget(address)
+            self._pool.close_idle(address)
         return reply
 
 
--- a/boragespool/controllers/forwarding/links.py
+++ b/boragespool/controllers/forwarding/links.py
@@ -187,7 +187,7 @@
         outgoing: Outgoing,
     ) -> None:
         exchange.connection = connection
-        result = connection.start(
+        result = connection.start_exchange(
             outgoing.request,
             outgoing.timeout_s,
             outgoing.echo,
--- a/boragespool/http/client.py
+++ b/boragespool/http/client.py
@@ -145,14 +145,14 @@
         A cancelled call closes the connection, so that a late response cannot
         reach the next request.
         """
-        result = self.start(request, timeout_s)
+        result = self.start_exchange(request, timeout_s)
         try:
             return await result
         except asyncio.CancelledError:
             self.close()
             raise
 
-    def start(
+    def start_exchange(
         self,
         request: HttpRequest,
         timeout_s: Seconds,
--- a/boragespool/http/exchange.py
+++ b/boragespool/http/exchange.py
@@ -106,7 +106,7 @@
         self._protocol.start_next_cycle()
         return True
 
-    async def finish(self, limits: HttpLimits) -> None:
+    async def lingering_close(self, limits: HttpLimits) -> None:
         """Discard what the peer still sends, until it closes.
 
         Closing a socket with unread bytes resets the connection, and the
--- a/boragespool/http/pool.py
+++ b/boragespool/http/pool.py
@@ -52,9 +52,9 @@
     async def __aexit__(self, *exc_info: object) -> None:
         """Close the idle connections."""
         for address in tuple(self._idle_by_address):
-            self.forget(address)
+            self.close_idle(address)
 
-    def forget(self, address: Address) -> None:
+    def close_idle(self, address: Address) -> None:
         """Close the idle connections to one address."""
         for _, connection in self._idle_by_address.pop(address, ()):
             connection.close()
--- a/boragespool/http/gate.py
+++ b/boragespool/http/read_limiter.py
@@ -19,11 +19,11 @@
 #: Requests per second on connections whose last request was refused for
 #: overload. They would otherwise take all turns in a large flood; at 1 ms each
 #: they take a quarter of a core.
-DEFERRED_PER_S: Final = 250
+DEFERRED_REQUESTS_PER_S: Final = 250
 _DEFERRED_BURST: Final = 8
 
 
-class ReadGate:
+class ReadLimiter:
     """Lets connections read their next request, in order of arrival.
 
     Deferred ones go newest first, as the oldest may have missed their
@@ -39,13 +39,13 @@
         self._credit_at_s: float = 0
         self._turn: asyncio.Handle | None = None
 
-    async def enter(self, *, deferred: bool) -> None:
+    async def acquire(self, *, deferred: bool) -> None:
         """Wait for a turn.
 
         Parameters
         ----------
         deferred : bool
-            Whether other connections go first and `DEFERRED_PER_S` applies.
+            Whether other connections go first and `DEFERRED_REQUESTS_PER_S` applies.
         """
         if not deferred and self._free and not self._waiting:
             self._free -= 1
@@ -77,7 +77,7 @@
         )
         self._free = _TURN_COUNT - passed
         now_s = asyncio.get_running_loop().time()
-        earned = (now_s - self._credit_at_s) * DEFERRED_PER_S
+        earned = (now_s - self._credit_at_s) * DEFERRED_REQUESTS_PER_S
         credit = min(_DEFERRED_BURST, self._deferred_credit + earned)
         credit -= _release(
             self._deferred.pop,
@@ -89,7 +89,7 @@
         if self._waiting or self._free < _TURN_COUNT:
             self._plan_turn(0)
         elif self._deferred:
-            self._plan_turn(1 / DEFERRED_PER_S)
+            self._plan_turn(1 / DEFERRED_REQUESTS_PER_S)
 
 
 def _release(
--- a/boragespool/http/server.py
+++ b/boragespool/http/server.py
@@ -12,7 +12,7 @@
 
 from boragespool.events import Event, log_event
 from boragespool.http.exchange import ServerExchange
-from boragespool.http.gate import ReadGate
+from boragespool.http.read_limiter import ReadLimiter
 from boragespool.http.messages import HttpResponse, failure_response
 from boragespool.http.streams import CallerStream
 from boragespool.results import Failure, ResultCode
@@ -69,7 +69,7 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._in_flight = 0
-        self._gate = ReadGate()
+        self._gate = ReadLimiter()
 
     async def __aenter__(self) -> Self:
         """Listen.
@@ -169,12 +169,12 @@
                 _too_many(self.limits),
                 close=True,
             )
-            await exchange.finish(self.limits)
+            await exchange.lingering_close(self.limits)
             return
         while await self._wait_for_request(exchange):
             self._in_flight += 1
             try:
-                await self._gate.enter(deferred=exchange.deferred)
+                await self._gate.acquire(deferred=exchange.deferred)
                 keep_open = await self._serve_one(exchange)
             finally:
                 self._in_flight -= 1
@@ -211,7 +211,7 @@
                 failure_response(received),
                 close=True,
             )
-            await exchange.finish(self.limits)
+            await exchange.lingering_close(self.limits)
             return False
         response = await self._handle_for(exchange, received)
         if response is None:
@@ -241,19 +241,19 @@
         """Return the response; None if the caller left before it was ready."""
         if not self._cancel_on_close:
             return await self._handle(request)
-        if exchange.reader.ended:
+        if exchange.reader.peer_closed:
             return None
         handling = asyncio.create_task(self._handle(request))
-        exchange.reader.on_end = handling.cancel
+        exchange.reader.on_peer_close = handling.cancel
         try:
             return await handling
         except asyncio.CancelledError:
             handling.cancel()
-            if exchange.reader.ended:
+            if exchange.reader.peer_closed:
                 return None
             raise
         finally:
-            exchange.reader.on_end = None
+            exchange.reader.on_peer_close = None
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         """Call the handler; an exception must not show its traceback."""
--- a/boragespool/http/streams.py
+++ b/boragespool/http/streams.py
@@ -16,7 +16,7 @@
 
     Attributes
     ----------
-    on_end : callable or None
+    on_peer_close : callable or None
         Called once when the peer closes or resets the connection.
     ended : bool
         Whether it has done so.
@@ -25,8 +25,8 @@
     def __init__(self) -> None:
         """Start with an open stream."""
         super().__init__()
-        self.on_end: Callable[[], object] | None = None
-        self.ended = False
+        self.on_peer_close: Callable[[], object] | None = None
+        self.peer_closed = False
 
     def feed_eof(self) -> None:
         """Note the end of the stream."""
@@ -39,8 +39,8 @@
         self._end()
 
     def _end(self) -> None:
-        self.ended = True
-        callback = self.on_end
-        self.on_end = None
+        self.peer_closed = True
+        callback = self.on_peer_close
+        self.on_peer_close = None
         if callback is not None:
             callback()
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -228,7 +228,7 @@
             '/find/x',
             fields=(('host', DOMAIN), ('request-id', 'q1')),
         )
-        connection.start(request, 5)
+        connection.start_exchange(request, 5)
         await until(lambda: server.runs)
         connection.close()
         await until(lambda: server.cut_count == 1, 0.5)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -20,7 +20,7 @@
 from boragespool.blackboard.topics import ADMISSION
 from boragespool.controllers.callers.overload import OverloadController
 from boragespool.controllers.context import Context, Identity
-from boragespool.http.gate import DEFERRED_PER_S, ReadGate
+from boragespool.http.read_limiter import DEFERRED_REQUESTS_PER_S, ReadLimiter
 from boragespool.ranks.overload import (
     LEAST_PER_S,
     TARGET_S,
@@ -92,7 +92,9 @@
             deferred += [(self.now_s, rank)] * again
         self.random.shuffle(deferred)
         self.deferred += deferred
-        self.gate_credit = min(8, self.gate_credit + DEFERRED_PER_S * STEP_S)
+        self.gate_credit = min(
+            8, self.gate_credit + DEFERRED_REQUESTS_PER_S * STEP_S
+        )
         while self.deferred and self.gate_credit >= 1:
             self.gate_credit -= 1
             since_s, rank = self.deferred.pop()
@@ -271,10 +273,10 @@
     """A burst of requests must not hold the loop until all are parsed."""
 
     async def run() -> None:
-        gate, turns, passed = ReadGate(), [0], []
+        gate, turns, passed = ReadLimiter(), [0], []
 
         async def enter(number: int) -> None:
-            await gate.enter(deferred=False)
+            await gate.acquire(deferred=False)
             passed.append((number, turns[0]))
 
         tasks = [asyncio.create_task(enter(n)) for n in range(80)]
@@ -293,15 +295,18 @@
     """Refusals must not use up the loop when a large flood goes on."""
 
     async def run() -> None:
-        gate, passed = ReadGate(), []
+        gate, passed = ReadLimiter(), []
 
         async def enter(number: int) -> None:
-            await gate.enter(deferred=number < 60)
+            await gate.acquire(deferred=number < 60)
             passed.append(number)
 
         began_s = time.monotonic()
         await asyncio.gather(*map(enter, range(90)))
-        assert time.monotonic() - began_s >= (60 - 8) / DEFERRED_PER_S * 0.9
+        assert (
+            time.monotonic() - began_s
+            >= (60 - 8) / DEFERRED_REQUESTS_PER_S * 0.9
+        )
         refused = [number for number in passed if number < 60]
         # The newest go first, as the oldest may have missed their deadlines.
         assert refused == list(reversed(range(60)))
