Describe the settings modules in plain terms

Docstrings such as 'What an option accepts' or 'its removals are done' needed the code to be understood; private names now say what they hold. Every attribute of the schema has a description with its unit.

--- a/boragespool/settings/__init__.py
+++ b/boragespool/settings/__init__.py
@@ -1,4 +1,4 @@
-"""The operators' settings: schema, merging and validation."""
+"""Operator settings: schema, loading, merging and validation."""
 
 from __future__ import annotations
 
--- a/boragespool/settings/cross_checks.py
+++ b/boragespool/settings/cross_checks.py
@@ -1,4 +1,4 @@
-"""Checks that concern more than one option."""
+"""Validation rules that involve more than one option."""
 
 from __future__ import annotations
 
@@ -14,33 +14,34 @@
 
     from boragespool.settings.schema import ServiceSettings, Settings
 
-# Decimal shares such as 0.1 + 0.2 + 0.7 exceed 1 by a rounding error.
-_ROUNDING: Final = 1e-9
+# Floors such as 0.1 + 0.2 + 0.7 can add up to slightly more than 1 in floating
+# point.
+_FLOOR_SUM_TOLERANCE: Final = 1e-9
 
-#: Each new name is looked up in every service; with more names than this,
-#: comparing all names at once takes less time (67,000 names in 1,100
-#: services took 18 s one by one).
-_LOOKED_UP_NAMES: Final = 100
+#: Up to this many new server names, each one is looked up in every service.
+#: For more, all names are compared in one pass instead, which is faster:
+#: looking up 67,000 names in 1,100 services took 18 s.
+_MAX_NAME_LOOKUPS: Final = 100
 
 
-def cross_problems(
+def cross_option_problems(
     settings: Settings,
-    identities: Identities | None = None,
+    identities: ServerIdentities | None = None,
 ) -> Iterator[Problem]:
-    """Yield every conflict between options.
+    """Yield a problem for each rule between options that is broken.
 
     Parameters
     ----------
     settings : Settings
-        Settings whose single values follow their rules.
-    identities : Identities, optional
-        Names and addresses of servers that may not be unique; all of them
-        if it is left out.
+        Settings in which each single value is valid.
+    identities : ServerIdentities, optional
+        Server names and addresses to check for duplicates. By default all
+        are checked.
 
     Yields
     ------
     Problem
-        Without file name.
+        Its `file` is empty.
     """
     yield from _route_problems(settings)
     yield from _rank_problems(settings)
@@ -59,48 +60,57 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Identities:
-    """What must be unique over the servers of all services."""
+class ServerIdentities:
+    """Server names and addresses, each unique across all services."""
 
     names: frozenset[str]
     addresses: frozenset[str]
 
 
-def new_identities(removed: Settings, added: Settings) -> Identities:
-    """Return the names and addresses that a change does not just keep.
+def added_server_identities(
+    removed: Settings, added: Settings
+) -> ServerIdentities:
+    """Return the server names and addresses that a change introduces.
 
     Parameters
     ----------
     removed, added : Settings
-        Servers that a change takes away and brings.
+        The servers that the change removes and adds.
 
     Returns
     -------
-    Identities
-        Those that it brings more often than it takes them away. All others
-        are as unique as before.
+    ServerIdentities
+        Those that occur more often in `added` than in `removed`. The change
+        can't make any other name or address a duplicate.
     """
-    names = Counter(_names(added)) - Counter(_names(removed))
-    addresses = Counter(_addresses(added)) - Counter(_addresses(removed))
-    return Identities(frozenset(names), frozenset(addresses))
+    names = Counter(_server_names(added)) - Counter(_server_names(removed))
+    addresses = Counter(_server_addresses(added)) - Counter(
+        _server_addresses(removed),
+    )
+    return ServerIdentities(frozenset(names), frozenset(addresses))
 
 
-def _names(settings: Settings) -> Iterator[str]:
+def _server_names(settings: Settings) -> Iterator[str]:
     for service in settings.services.values():
         yield from service.servers
 
 
-def _addresses(settings: Settings) -> Iterator[str]:
+def _server_addresses(settings: Settings) -> Iterator[str]:
     for service in settings.services.values():
         for server in service.servers.values():
             yield server.address
 
 
-def _has_duplicates(settings: Settings, identities: Identities | None) -> bool:
-    if identities is None or len(identities.names) > _LOOKED_UP_NAMES:
+def _has_duplicates(
+    settings: Settings, identities: ServerIdentities | None
+) -> bool:
+    if identities is None or len(identities.names) > _MAX_NAME_LOOKUPS:
         return any(
             len(set(values)) < len(values)
-            for values in (list(_names(settings)), list(_addresses(settings)))
+            for values in (
+                list(_server_names(settings)),
+                list(_server_addresses(settings)),
+            )
         )
     names = (
         name
@@ -108,32 +118,32 @@
         for service in settings.services.values()
         if name in service.servers
     )
-    if _exceeds(names, len(identities.names)):
+    if _has_more_than(names, len(identities.names)):
         return True
-    new = identities.addresses
-    if not new:
+    new_addresses = identities.addresses
+    if not new_addresses:
         return False
     addresses = (
         server.address
         for service in settings.services.values()
         for server in service.servers.values()
-        if server.address in new
+        if server.address in new_addresses
     )
-    return _exceeds(addresses, len(new))
+    return _has_more_than(addresses, len(new_addresses))
 
 
-def _exceeds(values: Iterable[str], count: int) -> bool:
+def _has_more_than(values: Iterable[str], count: int) -> bool:
     return sum(1 for _ in values) > count
 
 
 def _route_problems(settings: Settings) -> Iterator[Problem]:
-    names = ', '.join(map(repr, sorted(settings.services))) or 'none'
+    service_names = ', '.join(map(repr, sorted(settings.services))) or 'none'
     for name, route in settings.routes.items():
         if route.service not in settings.services:
             yield Problem(
                 f'routes.{name}.service',
                 repr(route.service),
-                f'a configured service: {names}',
+                f'a configured service: {service_names}',
             )
 
 
@@ -148,11 +158,13 @@
                 repr(shares.floor),
                 f'at most the cap of the rank ({shares.cap!r})',
             )
-    total = sum(rank_shares.floor for rank_shares in settings.ranks.values())
-    if total > 1 + _ROUNDING:
+    floor_sum = sum(
+        rank_shares.floor for rank_shares in settings.ranks.values()
+    )
+    if floor_sum > 1 + _FLOOR_SUM_TOLERANCE:
         yield Problem(
             'ranks',
-            f'a sum of floors of {total!r}',
+            f'a sum of floors of {floor_sum!r}',
             'a sum of at most 1',
         )
 
@@ -178,20 +190,20 @@
 
 
 def _duplicate_problems(settings: Settings) -> Iterator[Problem]:
-    """Server names and addresses are unique over all services."""
+    """Yield a problem for each server name or address used before."""
     servers = [
         (f'services.{service_name}.servers.{name}', name, server.address)
         for service_name, service in settings.services.items()
         for name, server in service.servers.items()
     ]
-    yield from _repeated((path, name) for path, name, _ in servers)
-    yield from _repeated(
+    yield from _repeated_values((path, name) for path, name, _ in servers)
+    yield from _repeated_values(
         (f'{path}.address', address) for path, _, address in servers
     )
 
 
-def _repeated(values: Iterable[tuple[str, str]]) -> Iterator[Problem]:
-    """Yield the second and further paths that have the same value."""
+def _repeated_values(values: Iterable[tuple[str, str]]) -> Iterator[Problem]:
+    """Yield a problem for each path whose value an earlier path has too."""
     first_path_by_value: dict[str, str] = {}
     for path, value in values:
         first_path = first_path_by_value.setdefault(value, path)
--- a/boragespool/settings/folder.py
+++ b/boragespool/settings/folder.py
@@ -1,4 +1,4 @@
-"""Reading a settings folder; the only settings module that opens files."""
+"""Reads a settings folder; the only settings module that opens files."""
 
 from __future__ import annotations
 
@@ -16,8 +16,8 @@
     merge_pair,
     resolve_removals,
 )
-from boragespool.settings.problems import Problem, as_failure
-from boragespool.settings.validation import convert
+from boragespool.settings.problems import Problem, failure_from_problems
+from boragespool.settings.validation import convert_layers
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -29,26 +29,26 @@
 
 @dataclass(frozen=True, slots=True)
 class SettingsFile:
-    """Name and bytes of one file."""
+    """Name and raw content of one TOML file."""
 
     name: str
     content: bytes
 
 
 def read_folder(folder: Path) -> tuple[SettingsFile, ...] | Problem:
-    """Read the TOML files of a folder in the order of their names.
+    """Read the TOML files of a folder, sorted by name.
 
     Parameters
     ----------
     folder : Path
-        Folder; files without the suffix ``.toml`` and hidden files are
-        ignored.
+        Settings folder. Hidden files and files without the suffix ``.toml``
+        are ignored.
 
     Returns
     -------
     tuple of SettingsFile or Problem
-        A problem if the folder or a file cannot be read, or if there is no
-        file.
+        A problem if the folder or a file cannot be read, or if the folder has
+        no TOML file.
     """
     try:
         files = tuple(
@@ -57,40 +57,40 @@
             if path.suffix == '.toml' and not path.name.startswith('.')
         )
     except OSError as error:
-        return _unreadable(str(folder), str(error))
+        return _unreadable_problem(str(folder), str(error))
     if not files:
-        return _unreadable(str(folder), 'no file that ends in .toml')
+        return _unreadable_problem(str(folder), 'no file that ends in .toml')
     return files
 
 
 def load_files(
     files: Iterable[SettingsFile],
 ) -> Settings | tuple[Problem, ...]:
-    """Merge and convert files that were read.
+    """Merge the contents of settings files and convert them to `Settings`.
 
     Parameters
     ----------
     files : iterable of SettingsFile
-        In merge order.
+        The files in merge order; later ones override earlier ones.
 
     Returns
     -------
     Settings or tuple of Problem
-        Problems with file names.
+        All problems found, each with the name of the file that caused it.
     """
     merged = EMPTY_LAYER
     problems: list[Problem] = []
     for file in files:
-        added = _layer_of(file, merged)
+        added = _decode_layer(file, merged)
         if isinstance(added, Table):
             merged = merge_pair(merged, added)
         else:
             problems.extend(added)
-    return tuple(problems) or convert(merged)
+    return tuple(problems) or convert_layers(merged)
 
 
 def load_folder(folder: Path) -> Settings | Failure:
-    """Read, merge and convert a folder.
+    """Load the settings from a folder.
 
     Parameters
     ----------
@@ -100,27 +100,29 @@
     Returns
     -------
     Settings or Failure
-        The reason of a failure lists all problems.
+        A failure whose reason lists all problems if there are any.
     """
     loaded = load_folder_or_problems(folder)
-    return as_failure(loaded) if isinstance(loaded, tuple) else loaded
+    return (
+        failure_from_problems(loaded) if isinstance(loaded, tuple) else loaded
+    )
 
 
 def load_folder_or_problems(folder: Path) -> Settings | tuple[Problem, ...]:
-    """Read, merge and convert a folder; return problems one by one."""
+    """Load the settings from a folder, or return all its problems."""
     files = read_folder(folder)
     return (files,) if isinstance(files, Problem) else load_files(files)
 
 
-def _layer_of(
+def _decode_layer(
     file: SettingsFile,
     merged: Table,
 ) -> Table | tuple[Problem, ...]:
-    """Decode a file and check its removals against the files before it."""
+    """Decode a file and check that its removals name paths set before it."""
     try:
         content: dict[str, Any] = msgspec.toml.decode(file.content)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return (_unreadable(file.name, str(error)),)
+        return (_unreadable_problem(file.name, str(error)),)
     removed = content.pop('remove', [])
     if not _is_path_list(removed):
         return (
@@ -145,13 +147,13 @@
     return missing or make_layer(file.name, content, removed)
 
 
-def _is_path_list(removed: Any) -> bool:
-    return isinstance(removed, list) and all(
-        isinstance(path, str) and all(path.split('.')) for path in removed
+def _is_path_list(value: Any) -> bool:
+    return isinstance(value, list) and all(
+        isinstance(path, str) and all(path.split('.')) for path in value
     )
 
 
-def _unreadable(name: str, reason: str) -> Problem:
+def _unreadable_problem(name: str, reason: str) -> Problem:
     return Problem(
         'file',
         repr(reason),
--- a/boragespool/settings/merge.py
+++ b/boragespool/settings/merge.py
@@ -1,8 +1,9 @@
-"""The merge rule of the settings folder.
+"""Merges the files of a settings folder.
 
-A file becomes a layer: a tree of tables, leaves and removals. Composing two
-layers yields the layer that has the same effect as both in order, so that
-composition is associative and files can be grouped in any way.
+Each file is converted to a layer: a tree of tables, leaves and removals.
+Merging two layers returns a single layer with the same effect as applying
+both in order. Merging is therefore associative: files can be grouped in any
+way.
 """
 
 from __future__ import annotations
@@ -17,14 +18,14 @@
 
 
 class Removal(enum.Enum):
-    """Marks a key that a layer removes from the layers before it."""
+    """Marks a key that a layer removes from earlier layers."""
 
     REMOVED = 'removed'
 
 
 @dataclass(frozen=True, slots=True)
 class Leaf:
-    """A scalar or a list with the name of the file that sets it."""
+    """A scalar or list, and the name of the file that sets it."""
 
     value: Any
     file: str = ''
@@ -32,17 +33,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Table:
-    """A table of a layer.
+    """A TOML table within a layer.
 
     Attributes
     ----------
+    entries : mapping of str to Node
+        Content of the table by key.
     file : str
-        Last file that mentions the table.
+        Name of the last file that mentions the table.
     replaces : bool
-        Whether earlier content of the table is dropped instead of merged.
+        Whether the table replaces the table of earlier layers instead of
+        being merged into it.
     creates : bool
-        False for a table that only holds removals: it has no effect on a
-        scalar and does not create a missing table.
+        Whether the table is created if it is missing, and replaces a scalar
+        of the same key. False for a table that holds only removals.
     """
 
     entries: Mapping[str, Node]
@@ -61,76 +65,80 @@
     content: Mapping[str, Any],
     removed: Iterable[str] = (),
 ) -> Table:
-    """Return the layer of one file.
+    """Convert the content of one file to a layer.
 
     Parameters
     ----------
     file : str
-        Name for error messages.
+        File name for error messages.
     content : mapping
         Decoded TOML without the key ``remove``.
     removed : iterable of str
-        Dotted paths; they act before `content`.
+        Dotted paths to remove before `content` is applied.
 
     Returns
     -------
     Table
-        Root of the layer.
+        Root table of the layer.
     """
-    removals = (_removal(file, path) for path in removed)
-    return merge_layers((*removals, _table(file, content)))
+    removals = (_removal_layer(file, path) for path in removed)
+    return merge_layers((*removals, _content_layer(file, content)))
 
 
 def merge_pair(earlier: Table, later: Table) -> Table:
-    """Return the layer with the effect of two layers in order.
+    """Merge two layers into one.
 
     Parameters
     ----------
     earlier, later : Table
-        Layers; where both set a key, `later` decides.
+        Layers to merge; where both set a key, `later` wins.
 
     Returns
     -------
     Table
-        Tables are merged by key, scalars and lists are replaced.
+        Layer in which tables are merged by key; scalars and lists are
+        replaced as a whole.
     """
     if later.replaces:
         return later
     entries = dict(earlier.entries)
     for key, node in later.entries.items():
-        entries[key] = _compose_entry(entries.get(key), node)
-    composed = Table(
+        entries[key] = _merge_entry(entries.get(key), node)
+    merged = Table(
         entries,
         later.file or earlier.file,
         creates=earlier.creates or later.creates,
     )
-    return resolve_removals(composed) if earlier.replaces else composed
+    return resolve_removals(merged) if earlier.replaces else merged
 
 
 def merge_layers(layers: Iterable[Table]) -> Table:
-    """Compose layers in order, starting from an empty one."""
+    """Merge any number of layers in order into one."""
     return functools.reduce(merge_pair, layers, EMPTY_LAYER)
 
 
 def resolve_removals(table: Table) -> Table:
-    """Return a table with nothing before it: its removals are done."""
+    """Return a table as it is when no earlier layer exists.
+
+    Removals and tables that hold only removals are dropped.
+    """
     entries = {
         key: resolve_removals(node) if isinstance(node, Table) else node
         for key, node in table.entries.items()
-        if _has_content(node)
+        if _has_effect_alone(node)
     }
     return Table(entries, table.file, replaces=True)
 
 
 def as_builtins(node: Node) -> Any:
-    """Return the values of a settled node as built-in types."""
+    """Convert a node without removals to dictionaries and plain values."""
     if isinstance(node, Table):
         return {key: as_builtins(entry) for key, entry in node.entries.items()}
     return node.value
 
 
 def find_node(root: Table, path: str) -> Node | None:
-    """Return the node at a dotted path; None if there is none."""
+    """Return the node at a dotted path, or None if there is none."""
     node: Node | None = root
     for key in path.split('.'):
         if not isinstance(node, Table):
@@ -140,7 +148,10 @@
 
 
 def source_file(root: Table, path: str) -> str:
-    """Return the file that last set a path, or its nearest table."""
+    """Return the name of the file that last set a path.
+
+    If the path doesn't exist, return the file of its nearest existing table.
+    """
     node = find_node(root, path)
     if isinstance(node, Table | Leaf):
         return node.file
@@ -148,7 +159,7 @@
     return source_file(root, parent) if parent else root.file
 
 
-def _compose_entry(earlier: Node | None, later: Node) -> Node:
+def _merge_entry(earlier: Node | None, later: Node) -> Node:
     if earlier is None or not isinstance(later, Table):
         return later
     if isinstance(earlier, Table):
@@ -156,15 +167,15 @@
     return resolve_removals(later) if later.creates else earlier
 
 
-def _has_content(node: Node) -> bool:
+def _has_effect_alone(node: Node) -> bool:
     if isinstance(node, Table):
         return node.creates
     return isinstance(node, Leaf)
 
 
-def _table(file: str, content: Mapping[str, Any]) -> Table:
+def _content_layer(file: str, content: Mapping[str, Any]) -> Table:
     entries: dict[str, Node] = {
-        key: _table(file, value)
+        key: _content_layer(file, value)
         if isinstance(value, dict)
         else Leaf(value, file)
         for key, value in content.items()
@@ -172,8 +183,8 @@
     return Table(entries, file)
 
 
-def _removal(file: str, path: str) -> Table:
+def _removal_layer(file: str, path: str) -> Table:
     head, _, rest = path.partition('.')
     if rest:
-        return Table({head: _removal(file, rest)}, file, creates=False)
+        return Table({head: _removal_layer(file, rest)}, file, creates=False)
     return Table({head: Removal.REMOVED}, file, creates=False)
--- a/boragespool/settings/problems.py
+++ b/boragespool/settings/problems.py
@@ -1,4 +1,4 @@
-"""What is wrong with a setting, and where."""
+"""Validation problems of settings and their error messages."""
 
 from __future__ import annotations
 
@@ -10,23 +10,26 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-MISSING: Final = 'no value'
+NO_VALUE: Final = 'no value'
 
 
 @dataclass(frozen=True, slots=True)
 class Problem:
-    """One rejected setting.
+    """One invalid setting.
 
     Attributes
     ----------
     key : str
-        Dotted path.
+        Dotted path of the setting.
     found : str
-        The offending value as ``repr`` prints it.
+        ``repr`` of the invalid value, or a description of what is missing.
     allowed : str
-        What is allowed.
+        Description of the allowed values.
     file : str
-        File that set the value; empty for a revision document.
+        Name of the file that set the value; empty if the settings come from a
+        revision document.
+    code : ResultCode
+        Code to report for the problem.
     """
 
     key: str
@@ -37,7 +40,7 @@
 
 
 def describe_problem(problem: Problem) -> str:
-    """Return a problem as one sentence."""
+    """Return the error message for a problem."""
     file = f'{problem.file}: ' if problem.file else ''
     return (
         f'{file}{problem.key}: {problem.found} is not allowed; '
@@ -45,8 +48,8 @@
     )
 
 
-def as_failure(problems: Sequence[Problem]) -> Failure:
-    """Return one failure for all problems, with the code of the first."""
+def failure_from_problems(problems: Sequence[Problem]) -> Failure:
+    """Combine problems into one failure with the code of the first."""
     return Failure(
         problems[0].code,
         '; '.join(describe_problem(problem) for problem in problems),
--- a/boragespool/settings/rules.py
+++ b/boragespool/settings/rules.py
@@ -1,4 +1,4 @@
-"""The rule of every option: its unit and the values that are allowed."""
+"""Allowed values and units of all settings."""
 
 from __future__ import annotations
 
@@ -26,17 +26,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Rule:
-    """What an option accepts.
+    """Allowed values of one option.
 
     Attributes
     ----------
     accepts : callable
-        Tells whether a value of the right type is allowed. For a table of
-        named entries it is called with each name.
+        Returns whether a value of the right type is allowed. For a table of
+        named entries it is called with the name of each entry.
     allowed : str
-        The same for people.
+        Description of the allowed values for error messages.
     unit : str
-        Unit of the value; empty for names and switches.
+        Unit of the value; empty for names and booleans.
     """
 
     accepts: Callable[[Any], bool]
@@ -44,8 +44,8 @@
     unit: str = ''
 
 
-_NAME: Final = re.compile('[A-Za-z0-9][A-Za-z0-9_-]{0,62}')
-_HOST: Final = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,252}')
+_NAME_PATTERN: Final = re.compile('[A-Za-z0-9][A-Za-z0-9_-]{0,62}')
+_HOST_PATTERN: Final = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,252}')
 _PORT_COUNT: Final = 65_536
 _MILLISECONDS: Final = 'ms'
 _SECONDS: Final = 's'
@@ -53,7 +53,7 @@
 
 
 def _is_name(value: str) -> bool:
-    return _NAME.fullmatch(value) is not None
+    return _NAME_PATTERN.fullmatch(value) is not None
 
 
 def _is_optional_name(value: str) -> bool:
@@ -61,21 +61,21 @@
 
 
 def _is_host(value: str) -> bool:
-    return not value or _HOST.fullmatch(value) is not None
+    return not value or _HOST_PATTERN.fullmatch(value) is not None
 
 
 def is_address(value: str) -> bool:
-    """Tell whether a text is ``ip:port`` with a numeric IP address.
+    """Return whether a string is ``ip:port`` with a numeric IP address.
 
     Parameters
     ----------
     value : str
-        For example ``'127.0.0.1:9000'`` or ``'[::1]:9000'``.
+        String such as ``'127.0.0.1:9000'`` or ``'[::1]:9000'``.
 
     Returns
     -------
     bool
-        False also for host names and for port 0.
+        False for host names and for port 0.
     """
     ip, _, port = value.rpartition(':')
     if not re.fullmatch('[1-9][0-9]{0,4}', port):
@@ -92,7 +92,7 @@
 
 
 def _between(low: float, high: float, unit: str = '') -> Rule:
-    """Accept both ends; a NaN compares false and is refused."""
+    """Return a rule for a closed interval; it rejects NaN."""
     return Rule(
         lambda number: low <= number <= high,
         f'{low:,} to {high:,}',
@@ -108,13 +108,13 @@
     )
 
 
-def _one_of(kind: type[Rank | WorkKind]) -> Rule:
-    names = ', '.join(repr(str(member)) for member in kind)
-    return Rule(lambda value: value in set(kind), f'one of {names}')
+def _one_of(enum_type: type[Rank | WorkKind]) -> Rule:
+    names = ', '.join(repr(str(member)) for member in enum_type)
+    return Rule(lambda value: value in set(enum_type), f'one of {names}')
 
 
-def _each_named(what: str) -> Rule:
-    return Rule(_is_name, f'{what} with {_NAME_RULE.allowed}')
+def _entry_names(table: str) -> Rule:
+    return Rule(_is_name, f'{table} with {_NAME_RULE.allowed}')
 
 
 _NAME_RULE: Final = Rule(
@@ -122,13 +122,13 @@
     'a name of 1 to 63 of the characters A-Z, a-z, 0-9, - and _, '
     'the first a letter or digit',
 )
-_SWITCH: Final = Rule(
+_BOOLEAN: Final = Rule(
     lambda value: isinstance(value, bool),
     'true or false',
 )
-_TABLE: Final = Rule(lambda _: True, 'a table')
+_ANY_TABLE: Final = Rule(lambda _: True, 'a table')
 
-#: Rules by data class and field name; a test holds the table complete.
+#: Rules by data class and field name. A test checks that each field has one.
 RULES: Final[Mapping[type, Mapping[str, Rule]]] = MappingProxyType(
     {
         ServerSettings: {
@@ -146,12 +146,12 @@
                 'empty, or a host name of 1 to 253 of the characters A-Z, '
                 'a-z, 0-9, ., - and _',
             ),
-            'drained': _SWITCH,
+            'drained': _BOOLEAN,
         },
         ServiceSettings: {
             'slots': _between(1, 10_000, 'requests'),
             'connections': _between(1, 100_000, 'connections'),
-            'servers': _each_named('a table of backend servers'),
+            'servers': _entry_names('a table of backend servers'),
             'connection_cost_ms': _between(0, 60_000, _MILLISECONDS),
         },
         RouteSettings: {
@@ -159,8 +159,8 @@
             'rank': _one_of(Rank),
             'form': _one_of(WorkKind),
             'deadline_ms': _above_zero(600_000, _MILLISECONDS),
-            'canary': _SWITCH,
-            'cancellable': _SWITCH,
+            'canary': _BOOLEAN,
+            'cancellable': _BOOLEAN,
         },
         RankSettings: {
             'floor': _between(0, 1, 'share of the slots'),
@@ -173,7 +173,7 @@
                 'more than 0, less than 1',
                 'share of replies',
             ),
-            # The load goal is at most 1.10 requests per shard.
+            # Hedging may raise the load to at most 1.10 requests per shard.
             'budget_ratio': _between(0, 0.1, 'attempts per first attempt'),
             'burst': _between(0, 10_000, 'attempts'),
         },
@@ -188,12 +188,12 @@
             'count': _between(1, 64, 'addresses'),
         },
         Settings: {
-            'services': _each_named('a table of services'),
-            'routes': _each_named('a table of routes'),
+            'services': _entry_names('a table of services'),
+            'routes': _entry_names('a table of routes'),
             'ranks': _one_of(Rank),
-            'hedging': _TABLE,
-            'claims': _TABLE,
-            'addresses': _TABLE,
+            'hedging': _ANY_TABLE,
+            'claims': _ANY_TABLE,
+            'addresses': _ANY_TABLE,
         },
     }
 )
--- a/boragespool/settings/schema.py
+++ b/boragespool/settings/schema.py
@@ -1,4 +1,4 @@
-"""Frozen data classes of the merged settings."""
+"""Schema of the operator settings as frozen data classes."""
 
 from __future__ import annotations
 
@@ -18,14 +18,18 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerSettings:
-    """Where one backend server listens.
+    """Address and location of one backend server.
 
     Attributes
     ----------
+    address : str
+        ``ip:port`` on which the server listens.
+    data_centre, region : str
+        Location of the server.
     host : str
-        Name of its host in the platform's host list.
+        Name of the server's host in the platform's host list.
     drained : bool
-        Set by ``boragespool drain``: no new work.
+        Whether the server gets no new work; set by ``boragespool drain``.
     """
 
     address: Address
@@ -37,14 +41,18 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceSettings:
-    """One service and the limits that its backend servers share.
+    """Backend servers of one service and the limits of each of them.
 
     Attributes
     ----------
     slots : int
-        Requests that one backend server runs at the same time.
+        Maximum number of requests that one backend server runs concurrently.
     connections : int
-        Connections that one backend server accepts.
+        Maximum number of connections that one backend server accepts.
+    servers : dict of str to ServerSettings
+        Backend servers by name.
+    connection_cost_ms : float
+        Extra time of the first request on a new connection, in milliseconds.
     """
 
     slots: int
@@ -55,16 +63,23 @@
 
 @dataclass(frozen=True, slots=True)
 class RouteSettings:
-    """Which service answers a kind of request, at which rank.
+    """Service, rank and deadline for the requests of one route.
 
     Attributes
     ----------
+    service : str
+        Name of the service that answers the requests.
+    rank : Rank
+        Highest rank of the requests; callers may ask for a lower one.
+    form : WorkKind
+        Whether the requests are queries or claims.
     deadline_ms : float
-        Longest and default time for an answer.
+        Default and longest time for an answer, in milliseconds.
     canary : bool
-        Send a request with an unseen fingerprint to one shard first.
+        Whether a query with an unseen fingerprint is first sent to a single
+        shard.
     cancellable : bool
-        Whether running work may be cancelled to make room.
+        Whether running queries may be cancelled to free their slots.
     """
 
     service: ServiceName
@@ -77,14 +92,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RankSettings:
-    """Shares of one rank.
+    """Limits of one rank.
 
     Attributes
     ----------
     floor, cap : float
         Guaranteed and largest share of the slots, 0 to 1.
     queue_limit : int
-        Waiting requests per backend server.
+        Maximum number of queued requests per backend server.
     """
 
     floor: float = 0
@@ -94,17 +109,17 @@
 
 @dataclass(frozen=True, slots=True)
 class HedgingSettings:
-    """When and how often a merger sends a second attempt.
+    """When and how often a query sends a hedged second attempt.
 
     Attributes
     ----------
     quantile : float
-        Share of replies, 0 to 1, after whose latency a hedge is sent; 1
-        turns hedging off.
+        Latency quantile, 0 to 1, after which a second attempt is sent; 1
+        disables hedging.
     budget_ratio : float
-        Second attempts per first attempt.
+        Maximum number of second attempts per first attempt.
     burst : float
-        Second attempts that may be saved up.
+        Number of unused second attempts that may accumulate in the budget.
     """
 
     quantile: float = 0.97
@@ -114,18 +129,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimSettings:
-    """Bounds of claim records.
+    """Retention limits and timeouts of claims.
 
     Attributes
     ----------
     ticket_validity_s : float
-        Time in which a ticket may start.
+        Time after the issue of a ticket in which its claim may start, in
+        seconds.
     record_age_s : float
-        Time for which records are kept.
+        Time for which claim records are kept, in seconds.
     record_count : int
-        Records that one daemon keeps.
+        Maximum number of claim records that one daemon keeps.
     witness_timeout_s : float
-        Time for one exchange with a witness.
+        Timeout of one exchange with a witness, in seconds.
     """
 
     ticket_validity_s: float = 120
@@ -136,14 +152,14 @@
 
 @dataclass(frozen=True, slots=True)
 class AddressSettings:
-    """The answer to callers that ask for addresses.
+    """Content of the answer to callers that ask for daemon addresses.
 
     Attributes
     ----------
     keep_s : float
-        Time for which callers may cache the answer.
+        Time for which callers may cache the answer, in seconds.
     count : int
-        Addresses in one answer.
+        Maximum number of addresses in one answer.
     """
 
     keep_s: float = 5
@@ -160,7 +176,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """The whole merged configuration of one deployment."""
+    """All settings of one deployment, merged from its files."""
 
     services: dict[ServiceName, ServiceSettings] = field(default_factory=dict)
     routes: dict[RouteName, RouteSettings] = field(default_factory=dict)
--- a/boragespool/settings/validation.py
+++ b/boragespool/settings/validation.py
@@ -1,4 +1,4 @@
-"""Strict conversion of merged tables into `Settings`."""
+"""Converts merged layers to `Settings` and validates the settings."""
 
 from __future__ import annotations
 
@@ -15,7 +15,10 @@
 import msgspec
 
 from boragespool.results import Failure, ResultCode
-from boragespool.settings.cross_checks import cross_problems, new_identities
+from boragespool.settings.cross_checks import (
+    cross_option_problems,
+    added_server_identities,
+)
 from boragespool.settings.merge import (
     Leaf,
     Table,
@@ -25,7 +28,11 @@
     resolve_removals,
     source_file,
 )
-from boragespool.settings.problems import MISSING, Problem, as_failure
+from boragespool.settings.problems import (
+    NO_VALUE,
+    Problem,
+    failure_from_problems,
+)
 from boragespool.settings.rules import RULES, Rule
 from boragespool.settings.schema import Settings
 
@@ -34,26 +41,26 @@
 
     from boragespool.settings.merge import Node
 
-#: Ranks that a folder leaves out, or sets in part, keep these values.
+#: Values of the ranks that a folder does not set, or sets only in part.
 DEFAULTS: Final = make_layer(
     'defaults',
     {'ranks': msgspec.to_builtins(Settings().ranks)},
 )
 
 
-def convert(merged: Table) -> Settings | tuple[Problem, ...]:
-    """Convert the merged layers of a folder.
+def convert_layers(merged: Table) -> Settings | tuple[Problem, ...]:
+    """Convert the merged layers of a folder to settings and validate them.
 
     Parameters
     ----------
     merged : Table
-        Composition of the layers of all files.
+        Layer that results from merging all files.
 
     Returns
     -------
     Settings or tuple of Problem
-        All problems of the first stage that has any: structure and types,
-        then single values, then checks between options.
+        All problems of the first stage that finds any: keys and types, then
+        single values, then rules between options.
     """
     root = resolve_removals(merge_pair(DEFAULTS, merged))
     problems = tuple(_structure_problems(root, Settings, ''))
@@ -68,27 +75,30 @@
 
 
 def find_problems(settings: Settings) -> tuple[Problem, ...]:
-    """Return what is wrong with the values of converted settings."""
+    """Return the problems with the values of settings.
+
+    Rules between options are checked only if each single value is valid.
+    """
     return tuple(_value_problems(settings, '')) or tuple(
-        cross_problems(settings),
+        cross_option_problems(settings),
     )
 
 
 def validate(settings: Settings) -> Failure | None:
-    """Return a failure for settings that break a rule, else None.
+    """Return a failure if settings are invalid, else None.
 
     Parameters
     ----------
     settings : Settings
-        For example those of a received revision document.
+        Settings to check, such as those of a received revision document.
 
     Returns
     -------
     Failure or None
-        ``INVALID_SETTING`` with all problems in its reason.
+        Failure with code ``INVALID_SETTING`` whose reason lists all problems.
     """
     problems = find_problems(settings)
-    return as_failure(problems) if problems else None
+    return failure_from_problems(problems) if problems else None
 
 
 def validate_change(
@@ -96,35 +106,38 @@
     removed: Settings,
     added: Settings,
 ) -> Failure | None:
-    """Return a failure if a change of valid settings breaks a rule.
+    """Return a failure if a change makes valid settings invalid, else None.
 
     Parameters
     ----------
     settings : Settings
-        After the change.
+        Settings after the change.
     removed, added : Settings
-        Servers and routes that the change took away and brought, each in
-        its service; their other options are those of `settings`.
+        Servers and routes that the change removed and added, each within its
+        service. All other options equal those of `settings`.
 
     Returns
     -------
     Failure or None
-        ``INVALID_SETTING``, as from `validate`. The values of servers and
-        routes that the change did not bring were accepted before.
+        Failure with code ``INVALID_SETTING``, as returned by `validate`. The
+        values of servers and routes that are not in `added` are not checked
+        again.
 
     Notes
     -----
-    Only names and addresses that the change brings and did not take away
-    are compared with those of all servers.
+    Only server names and addresses that are in `added` and not in `removed`
+    are checked for duplicates among all servers.
     """
     problems = tuple(_value_problems(added, '')) or tuple(
-        cross_problems(settings, new_identities(removed, added)),
+        cross_option_problems(
+            settings, added_server_identities(removed, added)
+        ),
     )
-    return as_failure(problems) if problems else None
+    return failure_from_problems(problems) if problems else None
 
 
 def _value_problems(options: Any, path: str) -> Iterator[Problem]:
-    """Apply the rules of one data class and of those below it."""
+    """Check a data class and all nested ones against `RULES`."""
     for name, rule in RULES[type(options)].items():
         option = getattr(options, name)
         key = f'{path}{name}'
@@ -149,81 +162,81 @@
 
 def _structure_problems(
     node: Table,
-    kind: type,
+    expected_type: type,
     path: str,
 ) -> Iterator[Problem]:
-    """Compare the keys and types of a table with a data class."""
-    kinds_by_name = get_type_hints(kind)
-    for name in node.entries.keys() - kinds_by_name.keys():
-        yield _unknown(node, name, path, kinds_by_name)
-    for option in dataclasses.fields(kind):
+    """Check the keys and value types of a table against a data class."""
+    types_by_name = get_type_hints(expected_type)
+    for name in node.entries.keys() - types_by_name.keys():
+        yield _unknown_key_problem(node, name, path, types_by_name)
+    for option in dataclasses.fields(expected_type):
         entry = node.entries.get(option.name)
         key = f'{path}{option.name}'
-        rule = RULES[kind][option.name]
+        rule = RULES[expected_type][option.name]
         if entry is not None:
-            option_kind = kinds_by_name[option.name]
-            yield from _entry_structure(entry, option_kind, key, rule)
+            option_type = types_by_name[option.name]
+            yield from _entry_structure(entry, option_type, key, rule)
         elif _is_required(option):
-            yield Problem(key, MISSING, rule.allowed, node.file)
+            yield Problem(key, NO_VALUE, rule.allowed, node.file)
 
 
 def _entry_structure(
     node: Node,
-    kind: Any,
+    expected_type: Any,
     key: str,
     rule: Rule,
 ) -> Iterator[Problem]:
-    is_map = get_origin(kind) is dict
-    if not is_map and not dataclasses.is_dataclass(kind):
-        yield from _leaf_problems(node, kind, key, rule)
+    is_map = get_origin(expected_type) is dict
+    if not is_map and not dataclasses.is_dataclass(expected_type):
+        yield from _leaf_problems(node, expected_type, key, rule)
     elif not isinstance(node, Table):
-        yield Problem(key, repr(as_builtins(node)), 'a table', _file(node))
+        yield Problem(key, repr(as_builtins(node)), 'a table', _node_file(node))
     elif is_map:
-        name_kind, entry_kind = get_args(kind)
+        name_type, entry_type = get_args(expected_type)
         for name, entry in node.entries.items():
             path = f'{key}.{name}'
             yield from _leaf_problems(
-                Leaf(name, _file(entry)),
-                name_kind,
+                Leaf(name, _node_file(entry)),
+                name_type,
                 path,
                 rule,
             )
-            yield from _entry_structure(entry, entry_kind, path, rule)
+            yield from _entry_structure(entry, entry_type, path, rule)
     else:
-        yield from _structure_problems(node, kind, f'{key}.')
+        yield from _structure_problems(node, expected_type, f'{key}.')
 
 
 def _leaf_problems(
     node: Node,
-    kind: Any,
+    expected_type: Any,
     key: str,
     rule: Rule,
 ) -> Iterator[Problem]:
     value = as_builtins(node)
     try:
-        msgspec.convert(value, kind)
+        msgspec.convert(value, expected_type)
     except msgspec.ValidationError:
-        yield Problem(key, repr(value), rule.allowed, _file(node))
+        yield Problem(key, repr(value), rule.allowed, _node_file(node))
 
 
-def _unknown(
+def _unknown_key_problem(
     node: Table,
     name: str,
     path: str,
-    known: dict[str, Any],
+    types_by_name: dict[str, Any],
 ) -> Problem:
     entry = node.entries[name]
-    names = ', '.join(sorted(known))
+    names = ', '.join(sorted(types_by_name))
     return Problem(
         f'{path}{name}',
         repr(as_builtins(entry)),
         f'only the keys {names}',
-        _file(entry),
+        _node_file(entry),
         ResultCode.UNKNOWN_SETTING,
     )
 
 
-def _file(node: Node) -> str:
+def _node_file(node: Node) -> str:
     return node.file if isinstance(node, Table | Leaf) else ''
 
 
--- a/tests/test_revision_parts.py
+++ b/tests/test_revision_parts.py
@@ -32,7 +32,7 @@
     ServerSettings,
     ServiceSettings,
     Settings,
-    check,
+    find_problems,
 )
 from boragespool.types import Rank, WorkKind
 
@@ -83,7 +83,7 @@
     """A piece lost or altered on its way would change the configuration."""
     done = packed(given_settings)
     joined = assemble(done.manifest, done.parts)
-    if check(given_settings):
+    if find_problems(given_settings):
         assert joined.code is ResultCode.INVALID_SETTING
     else:
         assert joined.document.settings == given_settings
@@ -98,7 +98,7 @@
         done = packed(wanted, number)
         whole = assemble(done.manifest, done.parts)
         step = assemble(done.manifest, done.parts, before)
-        assert isinstance(step, Failure) == bool(check(wanted)), step
+        assert isinstance(step, Failure) == bool(find_problems(wanted)), step
         if isinstance(step, Assembly):
             assert step == whole
             before = step
