Describe gossip membership in terms of SWIM and rumour mongering

Docstrings spoke of marks, doubt and giving up on members; they now say which records are merged, spread and dropped, in which units, and private names follow. Checks pass; test_membership, _machine, _controller, test_health pass.

--- a/boragespool/membership/__init__.py
+++ b/boragespool/membership/__init__.py
@@ -1,4 +1,8 @@
-"""Decisions about members: merging, failure detection, spread, addresses."""
+"""Gossip membership of the daemons, as pure functions without I/O.
+
+Covers the member table, merging of received records, failure detection,
+dissemination of changes and the choice of daemon addresses for callers.
+"""
 
 from __future__ import annotations
 
--- a/boragespool/membership/addresses.py
+++ b/boragespool/membership/addresses.py
@@ -1,4 +1,4 @@
-"""The answer to callers that ask for addresses."""
+"""Chooses daemon addresses for callers by location and load."""
 
 from __future__ import annotations
 
@@ -20,35 +20,38 @@
     draw: Callable[[], float],
     excluded: frozenset[HostName],
 ) -> tuple[Address, ...]:
-    """Return caller addresses, the caller's data centre first.
+    """Return daemon addresses for a caller, its own data centre first.
 
     Parameters
     ----------
     members : iterable of MemberRecord
-        Members known; only alive ones are chosen. Those without a revision
-        in force are not ready and are chosen only if there is nobody else.
+        Known members; only alive ones are chosen. Members without a settings
+        revision in force are not ready; they are chosen only if no member
+        is ready.
     data_centre : str
-        Where the caller is; it may be unknown.
+        Data centre of the caller; it may be one without members.
     count : int
-        Addresses wanted.
+        Maximum number of addresses.
     draw : callable
         Returns a random number in ``[0, 1)``.
     excluded : frozenset of str
-        Hosts that the platform reports as leaving. They are chosen if they
-        are more than half of the alive members, because the platform's list
-        lags: it can still name hosts that were restarted since.
+        Hosts that the platform reports as leaving; they are not chosen. The
+        exclusion is ignored if it covers more than half of the alive
+        members, because the platform's list lags: it can still name hosts
+        that have been restarted since.
 
     Returns
     -------
     tuple of str
-        At most `count` different addresses. With two or more addresses the
-        last one is in another data centre if there is one, so that callers
-        keep a usable address when they lose their own data centre.
+        At most `count` different addresses. If `count` is 2 or more and
+        another data centre has members, the last address is in another data
+        centre, so that callers keep a usable address when their own data
+        centre fails.
 
     Notes
     -----
-    Inside one group each address is the less loaded of two random ones:
-    Mitzenmacher, "The power of two choices in randomized load balancing",
+    Within a data centre, region or the rest, each address is the less loaded
+    of two random ones (power of two choices): Mitzenmacher, "The power of two choices in randomized load balancing",
     IEEE Transactions on Parallel and Distributed Systems, 2001.
     """
     alive = [
@@ -58,45 +61,47 @@
     if 2 * len(usable) < len(alive):
         usable = alive
     ready = [member for member in usable if member.revision]
-    nearest = _from_nearest(ready or usable, data_centre, count, draw)
+    nearest = _choose_by_distance(ready or usable, data_centre, count, draw)
     return tuple(member.caller_address for member in nearest)
 
 
-def _from_nearest(
+def _choose_by_distance(
     alive: list[MemberRecord],
     data_centre: DataCentre,
     count: int,
     draw: Callable[[], float],
 ) -> list[MemberRecord]:
-    """Choose from the own data centre, then its region, then the rest."""
+    """Choose from the caller's data centre, its region, then elsewhere."""
     local = [member for member in alive if member.data_centre == data_centre]
     regions = {member.region for member in local}
-    near: list[MemberRecord] = []
-    far: list[MemberRecord] = []
+    same_region: list[MemberRecord] = []
+    other_regions: list[MemberRecord] = []
     for member in alive:
         if member.data_centre != data_centre:
-            (near if member.region in regions else far).append(member)
+            (same_region if member.region in regions else other_regions).append(
+                member
+            )
     remote = [
-        *_less_loaded(near, count, draw),
-        *_less_loaded(far, count, draw),
+        *_choose_less_loaded(same_region, count, draw),
+        *_choose_less_loaded(other_regions, count, draw),
     ]
-    reserved = 1 if remote and count > 1 else 0
-    chosen = _less_loaded(local, count - reserved, draw)
+    remote_count = 1 if remote and count > 1 else 0
+    chosen = _choose_less_loaded(local, count - remote_count, draw)
     return chosen + remote[: count - len(chosen)]
 
 
-def _less_loaded(
+def _choose_less_loaded(
     members: list[MemberRecord],
     count: int,
     draw: Callable[[], float],
 ) -> list[MemberRecord]:
-    """Take the less loaded of two random members, `count` times."""
-    left = sorted(members, key=lambda member: member.host)
+    """Choose the less loaded of two random members, `count` times."""
+    candidates = sorted(members, key=lambda member: member.host)
     chosen: list[MemberRecord] = []
-    while left and len(chosen) < count:
-        first = left[int(draw() * len(left))]
-        second = left[int(draw() * len(left))]
+    while candidates and len(chosen) < count:
+        first = candidates[int(draw() * len(candidates))]
+        second = candidates[int(draw() * len(candidates))]
         better = min(first, second, key=lambda member: member.load)
-        left.remove(better)
+        candidates.remove(better)
         chosen.append(better)
     return chosen
--- a/boragespool/membership/composing.py
+++ b/boragespool/membership/composing.py
@@ -1,4 +1,4 @@
-"""Which records a daemon sends to a member."""
+"""Chooses the member records that one outgoing message carries."""
 
 from __future__ import annotations
 
@@ -23,47 +23,62 @@
     target: HostName,
     options: MembershipOptions,
 ) -> tuple[tuple[MemberRecord, ...], MemberTable]:
-    """Choose the records of one message to a member.
+    """Choose the records of a message to a member.
+
+    Parameters
+    ----------
+    table : MemberTable
+        Table before the message.
+    target : str
+        Host that gets the message.
+    options : MembershipOptions
+        Maximum number of records.
 
     Returns
     -------
     tuple of MemberRecord, MemberTable
-        At most ``options.record_count`` records: the own one; what is said
-        about the target, if it has to refute it; changes; a sample.
+        At most ``options.record_count`` records, and the table with the sends
+        counted. The records are this daemon's own one, the target's one
+        unless it is alive (so that the target can refute it), changes, and a
+        rotating sample of the other members.
     """
     first = [table.own]
-    about = table.members_by_host.get(target)
-    if about is not None and about.status != MemberStatus.ALIVE:
-        first.append(about)
-    named = {record.host for record in first}
-    chosen, position = choose_records(
+    target_record = table.members_by_host.get(target)
+    if target_record is not None and target_record.status != MemberStatus.ALIVE:
+        first.append(target_record)
+    first_hosts = {record.host for record in first}
+    chosen, sample_position = choose_records(
         {
             host: rumour
             for host, rumour in table.rumours_by_host.items()
-            if host not in named
+            if host not in first_hosts
         },
-        _sample(table, named),
-        table.position,
+        _sample_records(table, first_hosts),
+        table.sample_position,
         options.record_count - len(first),
     )
     sent = (*first, *chosen)
     return sent, replace(
         table,
-        position=position,
+        sample_position=sample_position,
         rumours_by_host=_count_sends(table, sent),
     )
 
 
-def _sample(table: MemberTable, named: set[HostName]) -> list[MemberRecord]:
-    """Return the records of the rotating sample.
+def _sample_records(
+    table: MemberTable,
+    excluded: set[HostName],
+) -> list[MemberRecord]:
+    """Return the records from which the rotating sample is taken.
 
-    Dead records are spread as changes only: in the sample they would return
-    from daemons that learned of the death late.
+    Dead members are excluded and sent as changes only. Otherwise daemons that
+    learned of a death late would send the record to those that have already
+    dropped it.
     """
     return [
         record
         for host, record in table.members_by_host.items()
-        if host not in named and record.status != MemberStatus.DEAD
+        if host not in excluded and record.status != MemberStatus.DEAD
     ]
 
 
--- a/boragespool/membership/detection.py
+++ b/boragespool/membership/detection.py
@@ -1,7 +1,7 @@
-"""Whom to ping and when to give up on a member.
+"""Failure detection: order of pings and timeout of suspicions.
 
-Das, Gupta and Motivala, "SWIM: scalable weakly-consistent infection-style
-process group membership protocol", DSN 2002.
+Follows SWIM: Das, Gupta and Motivala, "SWIM: scalable weakly-consistent
+infection-style process group membership protocol", DSN 2002.
 """
 
 from __future__ import annotations
@@ -15,60 +15,64 @@
 
     from boragespool.types import HostName, Seconds
 
-_BASE: int = 10
+_SUSPICION_LOG_BASE: int = 10
 
 
 @dataclass(frozen=True, slots=True)
 class PingRound:
-    """One round of pings.
+    """State of a round in which each member is pinged once.
 
     Attributes
     ----------
-    remaining : tuple of str
-        Hosts still to ping in this round, next one last.
+    remaining_hosts : tuple of str
+        Hosts still to ping in this round; the last one is the next target.
     round_hosts : frozenset of str
-        Hosts that were placed in this round.
+        All hosts that were given a position in this round.
     """
 
-    remaining: tuple[HostName, ...] = ()
+    remaining_hosts: tuple[HostName, ...] = ()
     round_hosts: frozenset[HostName] = frozenset()
 
 
 def next_target(
-    order: PingRound,
+    ping_round: PingRound,
     candidates: frozenset[HostName],
     draw: Callable[[], float],
 ) -> tuple[HostName | None, PingRound]:
-    """Return the next host to ping and the order after it.
+    """Return the next host to ping and the state of the round after it.
 
     Parameters
     ----------
-    order : PingRound
-        Round under way.
+    ping_round : PingRound
+        Current round.
     candidates : frozenset of str
-        Members that may be pinged.
+        Members to ping; hosts that are missing here are skipped.
     draw : callable
         Returns a random number in ``[0, 1)``.
 
     Returns
     -------
     str or None, PingRound
-        None if there is no candidate.
+        The host is None if there are no candidates.
 
     Notes
     -----
-    A new member is placed at a random position of the running round, so that
-    it is pinged as soon as the others on average.
+    A new member is inserted at a random position of the current round, so
+    that on average it is pinged as soon as the others.
     """
-    remaining = [host for host in order.remaining if host in candidates]
-    for host in sorted(candidates - order.round_hosts):
-        remaining.insert(int(draw() * (len(remaining) + 1)), host)
-    round_hosts = order.round_hosts | candidates
-    if not remaining:
-        remaining = list(choose_random_hosts(candidates, len(candidates), draw))
+    remaining_hosts = [
+        host for host in ping_round.remaining_hosts if host in candidates
+    ]
+    for host in sorted(candidates - ping_round.round_hosts):
+        remaining_hosts.insert(int(draw() * (len(remaining_hosts) + 1)), host)
+    round_hosts = ping_round.round_hosts | candidates
+    if not remaining_hosts:
+        remaining_hosts = list(
+            choose_random_hosts(candidates, len(candidates), draw)
+        )
         round_hosts = candidates
-    target = remaining.pop() if remaining else None
-    return target, PingRound(tuple(remaining), round_hosts)
+    target = remaining_hosts.pop() if remaining_hosts else None
+    return target, PingRound(tuple(remaining_hosts), round_hosts)
 
 
 def choose_random_hosts(
@@ -82,9 +86,11 @@
 
 
 def suspicion_time_s(suspicion_s: Seconds, member_count: int) -> Seconds:
-    """Return how long a suspect may refute, in seconds.
+    """Return how long a suspected member has to refute, in seconds.
 
-    The time that a suspicion and its refutation need to spread grows with
-    the logarithm of the member count.
+    The timeout grows with the logarithm of the member count, as does the time
+    in which a suspicion and its refutation spread.
     """
-    return suspicion_s * max(1, math.log(max(1, member_count), _BASE))
+    return suspicion_s * max(
+        1, math.log(max(1, member_count), _SUSPICION_LOG_BASE)
+    )
--- a/boragespool/membership/health.py
+++ b/boragespool/membership/health.py
@@ -1,7 +1,9 @@
-"""How much a daemon trusts its own judgement of others.
+"""Local health score that lengthens the timeouts of failure detection.
 
-Dadgar, Phillips and Currey, "Lifeguard: local health awareness for more
-accurate failure detection", DSN workshops 2018.
+A daemon that is itself slow or suspected waits longer before it suspects
+others. Follows Lifeguard: Dadgar, Phillips and Currey, "Lifeguard:
+local health awareness for more accurate failure detection", DSN workshops
+2018.
 """
 
 from __future__ import annotations
@@ -19,23 +21,24 @@
     late_s: Seconds,
     options: MembershipOptions,
 ) -> int:
-    """Return the health score after a tick.
+    """Return the health score after a tick of the ping timer.
 
     Parameters
     ----------
     score : int
-        Score before.
+        Score before the tick; 0 is healthy.
     late_s : float
-        Delay of the tick, in seconds.
+        How late the tick is, in seconds.
     options : MembershipOptions
-        Time between two ticks and highest score.
+        Interval of the ticks and maximum score.
 
     Returns
     -------
     int
-        Higher by one for each half interval of delay: a daemon that was
-        paused has not read the answers and refutations that arrived. Lower
-        by one after a tick in time, also if no member is left to answer.
+        The score, raised by one for each half interval of delay, because a
+        daemon that was paused has not read the answers and refutations that
+        arrived meanwhile. It falls by one after a tick without such a delay,
+        also if there is no other member to answer pings.
     """
     half_intervals = int(2 * late_s / options.ping_interval_s)
     if not half_intervals:
@@ -44,19 +47,24 @@
 
 
 def score_after_suspicion(score: int, limit: int) -> int:
-    """Return the health score after others suspected this daemon."""
+    """Return the health score after another member suspected this daemon."""
     return min(limit, score + 1)
 
 
 def scale_timeouts(options: MembershipOptions, score: int) -> MembershipOptions:
-    """Lengthen the times of failure detection in step with the score.
+    """Multiply the timeouts of failure detection by ``1 + score``.
 
     Parameters
     ----------
     options : MembershipOptions
-        Times of a healthy daemon.
+        Options with the timeouts of a healthy daemon.
     score : int
-        Health score.
+        Health score; 0 is healthy.
+
+    Returns
+    -------
+    MembershipOptions
+        Options with `ping_timeout_s` and `suspicion_s` scaled.
     """
     factor = 1 + score
     return replace(
--- a/boragespool/membership/merging.py
+++ b/boragespool/membership/merging.py
@@ -1,4 +1,4 @@
-"""Which of two records about one member is the newer one."""
+"""Precedence of the records about one member, and their refutation."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from boragespool.messages import MemberRecord
 
-_SEVERITY: Final = MappingProxyType(
+_STATUS_ORDER: Final = MappingProxyType(
     {
         MemberStatus.ALIVE: 0,
         MemberStatus.SUSPECT: 1,
@@ -23,14 +23,14 @@
 
 
 def precedence(record: MemberRecord) -> tuple[int, int, int]:
-    """Return the order of records about one member; the highest wins.
+    """Return the sort key of records about one member; the highest wins.
 
     Notes
     -----
-    Leaving ranks above suspect, so that a suspicion never hides that a
-    member leaves.
+    The key is the incarnation, the beat and the status. Leaving ranks above
+    suspect, so that a suspicion does not hide that a member is leaving.
     """
-    return (record.incarnation, record.beat, _SEVERITY[record.status])
+    return (record.incarnation, record.beat, _STATUS_ORDER[record.status])
 
 
 def merge_records(
@@ -39,26 +39,27 @@
     *,
     is_direct: bool = False,
 ) -> MemberRecord:
-    """Return the newer of two records about one member.
+    """Return the record with the higher precedence of two about one member.
 
     Parameters
     ----------
     known, received : MemberRecord
         Records with the same host.
     is_direct : bool
-        Whether `received` came from the member itself.
+        Whether `received` was sent by the member itself.
 
     Returns
     -------
     MemberRecord
-        The record with the higher precedence. Between equals the higher
-        revision is kept, and the load of a direct record.
+        The record with the higher precedence. If both are equal, `known` with
+        the higher revision of the two, and with the load of `received` if
+        that is direct.
 
     Notes
     -----
-    Load and revision do not raise the beat: a suspicion has to carry the
-    member's latest beat to be believed, and would be outdated at once if
-    every change of the load raised it.
+    A change of load or revision does not raise the beat. A suspicion is only
+    accepted if it carries the latest beat of the member, so it would be
+    outdated at once if every change of the load raised the beat.
     """
     if precedence(received) < precedence(known):
         return known
@@ -74,29 +75,32 @@
 def precedence_changed(
     known: MemberRecord | None, merged: MemberRecord
 ) -> bool:
-    """Tell whether a merged record is worth spreading at once."""
+    """Return whether a merged record is new or has another precedence.
+
+    Such a change is spread to other members at once.
+    """
     return known is None or precedence(known) != precedence(merged)
 
 
 def refute(own: MemberRecord, received: MemberRecord) -> MemberRecord:
-    """Return the own record, with a higher beat if it has to contradict.
+    """Return this daemon's own record, raised to refute a received one.
 
     Parameters
     ----------
     own : MemberRecord
         Record that this daemon publishes about itself.
     received : MemberRecord
-        What a peer says about this daemon.
+        Record about this daemon that was received from a peer.
 
     Returns
     -------
     MemberRecord
-        With a beat above the received one if that suspects this incarnation
-        or calls it dead.
+        The own record. Its beat is one above the received beat if `received`
+        marks this incarnation as suspect or dead and is not outdated.
     """
-    contradicted = (
+    must_refute = (
         received.incarnation == own.incarnation
         and received.status in _REFUTABLE
         and received.beat >= own.beat
     )
-    return replace(own, beat=received.beat + 1) if contradicted else own
+    return replace(own, beat=received.beat + 1) if must_refute else own
--- a/boragespool/membership/options.py
+++ b/boragespool/membership/options.py
@@ -1,4 +1,4 @@
-"""Intervals and bounds of membership."""
+"""Options of gossip membership."""
 
 from __future__ import annotations
 
@@ -9,42 +9,47 @@
 
 @dataclass(frozen=True, slots=True)
 class MembershipOptions:
-    """Intervals and bounds; the daemon's flags set them.
+    """Intervals, timeouts and limits of membership, set by daemon flags.
 
     Attributes
     ----------
     ping_interval_s : float
-        Time between two pings of this daemon.
+        Time between two pings that this daemon sends, in seconds.
     ping_timeout_s : float
-        Wait for an answer, direct and then again through helpers.
+        Timeout of a direct ping, in seconds. The indirect pings through
+        helpers that follow have the same timeout again.
     helper_count : int
-        Members asked to ping a member that did not answer.
+        Number of members that are asked to ping a member that did not
+        answer.
     suspicion_s : float
-        Time in which a suspect may refute, for up to ten members; it grows
-        with the decimal logarithm of the member count.
+        Time that a suspected member has to refute, in seconds, with up to ten
+        members. With more members it is multiplied by the decimal logarithm
+        of their count.
     dead_keep_s : float
-        Time for which a dead record is kept. It exceeds the validity of
-        tickets, so that the successor of a departed witness stays known.
+        Time for which the record of a dead member is kept, in seconds. It
+        exceeds the validity of tickets, so that the successor of a witness
+        that left stays known.
     seed_interval_s : float
-        Time between two pings of a seed that is not a live member. They
-        join the sides of a healed partition.
+        Time between two pings of a seed that is not a live member, in
+        seconds. These pings reconnect the sides of a partition that ended.
     record_count : int
-        Records in one ping, answer or gossip message.
+        Maximum number of records in one ping, answer or gossip message.
     join_record_count : int
-        Records in each message of the whole view sent to a new daemon.
+        Maximum number of records in each message that sends the whole member
+        table to a new daemon.
     send_factor : float
-        A change is sent this many times the binary logarithm of the member
-        count.
+        Factor of the number of times that a change is sent: it is multiplied
+        by the binary logarithm of the member count.
     remote_count : int
-        Members kept of each other data centre.
+        Number of members of each other data centre that a daemon keeps.
     leave_count : int
-        Members that a leaving daemon tells at once.
+        Number of members that a leaving daemon notifies at once.
     revision_fanout : int
-        Members that get a notice of a new revision in force at once.
+        Number of members that are notified of a new revision in force at
+        once.
     health_limit : int
-        Highest health score of this daemon. A daemon with a score waits that
-        many times longer for answers and refutations than a healthy one, in
-        addition; 0 keeps these times fixed.
+        Maximum health score of this daemon. The timeouts for answers and
+        refutations are multiplied by one plus the score; 0 keeps them fixed.
     """
 
     ping_interval_s: Seconds = 1
--- a/boragespool/membership/receiving.py
+++ b/boragespool/membership/receiving.py
@@ -1,4 +1,4 @@
-"""How received records change the members that a daemon knows."""
+"""Merges received records into the member table."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 from boragespool.membership.spreading import Rumour
 from boragespool.membership.table import (
     drop_member,
-    spread_record,
+    queue_rumour,
     store_record,
     update_own_record,
 )
@@ -38,23 +38,24 @@
     *,
     is_bulk: bool = False,
 ) -> MemberTable:
-    """Merge the records of one message.
+    """Merge the records of one message into the member table.
 
     Parameters
     ----------
     table : MemberTable
         Table before the message.
     records : iterable of MemberRecord
-        Records that the message carries.
+        Records of the message.
     sender : str
-        Host that sent it.
+        Host that sent the message.
     now_s : float
         Monotonic time in seconds.
     options : MembershipOptions
-        Bounds.
+        Limits and timeouts.
     is_bulk : bool
-        Whether the message is part of a whole view sent to a new daemon.
-        Members in it are known to others and are not spread again.
+        Whether the message is part of the whole member table that a new
+        daemon gets. The other daemons know these records already, so they are
+        not spread again.
 
     Returns
     -------
@@ -67,7 +68,7 @@
             own = refute(table.own, record)
             table = update_own_record(table, own, now_s, options)
         else:
-            table = _receive_one(
+            table = _merge_received(
                 table,
                 record,
                 now_s,
@@ -77,7 +78,7 @@
     return replace(table, rumours_by_host=rumours) if is_bulk else table
 
 
-def _receive_one(
+def _merge_received(
     table: MemberTable,
     record: MemberRecord,
     now_s: Seconds,
@@ -87,7 +88,7 @@
 ) -> MemberTable:
     known = table.members_by_host.get(record.host)
     if known is None:
-        return _receive_unknown(table, record, now_s, options)
+        return _merge_unknown(table, record, now_s, options)
     merged = merge_records(known, record, is_direct=is_direct)
     if merged is known:
         return table
@@ -97,13 +98,13 @@
     return replace(table, members_by_host=members)
 
 
-def _receive_unknown(
+def _merge_unknown(
     table: MemberTable,
     record: MemberRecord,
     now_s: Seconds,
     options: MembershipOptions,
 ) -> MemberTable:
-    """Keep a new member, or only pass on that it is leaving or dead."""
+    """Add a new member, or only pass on that it is leaving or dead."""
     rumour = table.rumours_by_host.get(record.host)
     if rumour is not None:
         merged = merge_records(rumour.record, record)
@@ -116,24 +117,24 @@
         table.members_by_host,
         options.remote_count,
     ):
-        return _evict(
+        return _evict_excess_members(
             store_record(table, record, now_s, options),
             record,
             now_s,
             options,
         )
     if is_dead or record.status == MemberStatus.LEAVING:
-        return spread_record(table, record, now_s, options)
+        return queue_rumour(table, record, now_s, options)
     return table
 
 
-def _evict(
+def _evict_excess_members(
     table: MemberTable,
     record: MemberRecord,
     now_s: Seconds,
     options: MembershipOptions,
 ) -> MemberTable:
-    """Drop members of the record's data centre above the bound."""
+    """Drop members of the record's data centre beyond `remote_count`."""
     if record.data_centre == table.own.data_centre:
         return table
     kept = kept_hosts(
@@ -158,11 +159,11 @@
     now_s: Seconds,
     options: MembershipOptions,
 ) -> MemberTable:
-    """Drop a member; older records are ignored if it is leaving."""
+    """Drop a member. If it is leaving, remember that to ignore older records."""
     rumours = dict(table.rumours_by_host)
     if member.status == MemberStatus.LEAVING:
-        seen = Rumour(member, 0, now_s + options.dead_keep_s)
-        rumours.setdefault(member.host, seen)
+        handled = Rumour(member, 0, now_s + options.dead_keep_s)
+        rumours.setdefault(member.host, handled)
     else:
         rumours.pop(member.host, None)
     table = replace(table, rumours_by_host=rumours)
--- a/boragespool/membership/spreading.py
+++ b/boragespool/membership/spreading.py
@@ -1,4 +1,9 @@
-"""Which records a message carries."""
+"""Selects changed records (rumours) and sampled records for messages.
+
+Rumour mongering after Demers et al., "Epidemic algorithms for replicated
+database maintenance", PODC 1987: each daemon sends a change a bounded number
+of times.
+"""
 
 from __future__ import annotations
 
@@ -15,15 +20,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Rumour:
-    """A change that is being spread.
+    """A changed record that is being spread to other members.
 
     Attributes
     ----------
+    record : MemberRecord
+        Record that changed.
     sends_left : int
-        Messages that still carry it. At 0 the entry only remembers that the
-        change is known.
+        Number of further messages that will carry the record. At 0 the entry
+        only records that the change is known.
     until_s : float
-        Monotonic time at which the entry is dropped.
+        Monotonic time at which the entry is dropped, in seconds.
     """
 
     record: MemberRecord
@@ -32,14 +39,14 @@
 
 
 def send_count(member_count: int, send_factor: float) -> int:
-    """Return how often one daemon sends a change."""
+    """Return the number of messages in which one daemon sends a change."""
     return max(1, math.ceil(send_factor * math.log2(member_count + 2)))
 
 
 def choose_records(
     rumours_by_host: Mapping[HostName, Rumour],
     sample: Sequence[MemberRecord],
-    position: int,
+    sample_position: int,
     count: int,
 ) -> tuple[tuple[MemberRecord, ...], int]:
     """Return the records for one message and the next sample position.
@@ -47,19 +54,20 @@
     Parameters
     ----------
     rumours_by_host : mapping of str to Rumour
-        Changes; those that were sent least often come first, then the
-        latest.
+        Changes to send. Those with the most sends left come first, and of
+        these the latest ones.
     sample : sequence of MemberRecord
-        Records to fill the message with, in a stable order.
-    position : int
-        Where the rotating sample continues.
+        Records that fill the rest of the message, in a stable order.
+    sample_position : int
+        Index in `sample` at which to continue.
     count : int
-        Largest number of records.
+        Maximum number of records.
 
     Returns
     -------
     tuple of MemberRecord, int
-        At most `count` records with different hosts.
+        At most `count` records with different hosts, and the index in
+        `sample` for the next message.
     """
     active = sorted(
         (rumour for rumour in rumours_by_host.values() if rumour.sends_left),
@@ -68,7 +76,7 @@
     chosen = {rumour.record.host: rumour.record for rumour in active[:count]}
     steps = min(count - len(chosen), len(sample))
     for offset in range(steps):
-        record = sample[(position + offset) % len(sample)]
+        record = sample[(sample_position + offset) % len(sample)]
         chosen.setdefault(record.host, record)
-    advanced = (position + steps) % len(sample) if sample else 0
+    advanced = (sample_position + steps) % len(sample) if sample else 0
     return tuple(chosen.values()), advanced
--- a/boragespool/membership/table.py
+++ b/boragespool/membership/table.py
@@ -1,4 +1,7 @@
-"""The members that one daemon knows, and how each event changes them."""
+"""Member table of one daemon and its changes by events.
+
+Tables are immutable: each function returns a new one.
+"""
 
 from __future__ import annotations
 
@@ -20,20 +23,22 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberTable:
-    """What one daemon knows; a new table replaces it at each event.
+    """All that one daemon knows about the members; immutable.
 
     Attributes
     ----------
     own : MemberRecord
         Record that this daemon publishes about itself.
     members_by_host : mapping of str to MemberRecord
-        Other members.
+        Records of the other members that this daemon keeps.
     rumours_by_host : mapping of str to Rumour
-        Changes that are being spread, also of members that are not kept.
-    marked_s_by_host : mapping of str to float
-        Monotonic time since which a member is suspected or dead.
-    position : int
-        Where the rotating sample continues.
+        Changes that are being spread, including those of members that this
+        daemon does not keep.
+    unreachable_since_s_by_host : mapping of str to float
+        Monotonic time since which a member is suspected or dead, or did not
+        answer while leaving, in seconds.
+    sample_position : int
+        Index at which the rotating sample of records continues.
     """
 
     own: MemberRecord
@@ -41,12 +46,14 @@
         default_factory=dict,
     )
     rumours_by_host: Mapping[HostName, Rumour] = field(default_factory=dict)
-    marked_s_by_host: Mapping[HostName, Seconds] = field(default_factory=dict)
-    position: int = 0
+    unreachable_since_s_by_host: Mapping[HostName, Seconds] = field(
+        default_factory=dict
+    )
+    sample_position: int = 0
 
 
 def all_records_by_host(table: MemberTable) -> dict[HostName, MemberRecord]:
-    """Return all records, the own one included."""
+    """Return the records of all members, this daemon included."""
     return {**table.members_by_host, table.own.host: table.own}
 
 
@@ -56,10 +63,10 @@
     now_s: Seconds,
     options: MembershipOptions,
 ) -> MemberTable:
-    """Replace the own record; spread it if its precedence rose."""
+    """Replace this daemon's record and spread it if its precedence changed."""
     changed = precedence_changed(table.own, own)
     table = replace(table, own=own)
-    return spread_record(table, own, now_s, options) if changed else table
+    return queue_rumour(table, own, now_s, options) if changed else table
 
 
 def suspect(
@@ -68,19 +75,31 @@
     now_s: Seconds,
     options: MembershipOptions,
 ) -> MemberTable:
-    """Suspect a member that answered neither directly nor to helpers.
+    """Mark a member as suspect that answered no direct or indirect ping.
 
     Parameters
     ----------
+    table : MemberTable
+        Table before the change.
     tested : MemberRecord
-        Record at the time of the ping. Nothing happens if a newer one
-        arrived since then.
+        Record of the member when the ping was sent. If a newer record has
+        arrived since, the table is returned unchanged.
+    now_s : float
+        Monotonic time in seconds.
+    options : MembershipOptions
+        Limits of spreading the suspicion.
+
+    Returns
+    -------
+    MemberTable
+        Table after the change. A leaving member keeps its status; only the
+        time of the failed ping is recorded.
     """
     known = table.members_by_host.get(tested.host)
     if known is None or precedence_changed(known, tested):
         return table
-    marked = {tested.host: now_s, **table.marked_s_by_host}
-    table = replace(table, marked_s_by_host=marked)
+    since_s_by_host = {tested.host: now_s, **table.unreachable_since_s_by_host}
+    table = replace(table, unreachable_since_s_by_host=since_s_by_host)
     if known.status != MemberStatus.ALIVE:
         return table
     return store_record(
@@ -92,14 +111,15 @@
 
 
 def clear_leaving_suspicion(table: MemberTable, host: HostName) -> MemberTable:
-    """Clear the doubt about a leaving member that answered.
+    """Clear the suspicion of a leaving member that answered a ping.
 
-    A suspect has to refute by a higher beat, so that all peers learn it.
+    A member with the status suspect has to refute with a higher beat instead,
+    so that all peers learn of it.
     """
     member = table.members_by_host.get(host)
     if member is None or member.status != MemberStatus.LEAVING:
         return table
-    return unmark(table, host)
+    return clear_unreachable(table, host)
 
 
 def expire_members(
@@ -107,31 +127,36 @@
     now_s: Seconds,
     options: MembershipOptions,
 ) -> MemberTable:
-    """Call members dead that did not refute in time; drop old dead ones."""
-    limit_s = suspicion_time_s(
+    """Mark members dead that did not refute in time, and drop old entries.
+
+    Dead members and rumours are dropped after ``options.dead_keep_s``.
+    """
+    suspicion_timeout_s = suspicion_time_s(
         options.suspicion_s,
         len(table.members_by_host),
     )
-    for host, marked_s in tuple(table.marked_s_by_host.items()):
+    for host, unreachable_since_s in tuple(
+        table.unreachable_since_s_by_host.items()
+    ):
         member = table.members_by_host[host]
-        age_s = now_s - marked_s
+        age_s = now_s - unreachable_since_s
         if member.status == MemberStatus.DEAD:
             if age_s >= options.dead_keep_s:
                 table = drop_member(table, host)
-        elif age_s >= limit_s:
+        elif age_s >= suspicion_timeout_s:
             dead = replace(member, status=MemberStatus.DEAD)
             table = store_record(table, dead, now_s, options)
-    return replace(table, rumours_by_host=_live_rumours(table, now_s))
+    return replace(table, rumours_by_host=_unexpired_rumours(table, now_s))
 
 
 def restart_suspicion_timers(table: MemberTable, now_s: Seconds) -> MemberTable:
-    """Restart the time of all suspicions.
+    """Restart the timeouts of all suspicions.
 
-    For a daemon that was paused itself: answers and refutations wait unread
-    in its sockets.
+    Used after this daemon itself was paused, when answers and refutations may
+    still be unread in its sockets.
     """
-    marked = dict.fromkeys(table.marked_s_by_host, now_s)
-    return replace(table, marked_s_by_host=marked)
+    since_s_by_host = dict.fromkeys(table.unreachable_since_s_by_host, now_s)
+    return replace(table, unreachable_since_s_by_host=since_s_by_host)
 
 
 def store_record(
@@ -140,48 +165,56 @@
     now_s: Seconds,
     options: MembershipOptions,
 ) -> MemberTable:
-    """Replace a member's record by one of higher precedence."""
+    """Store a member's record of higher precedence and spread it."""
     members = {**table.members_by_host, record.host: record}
-    marked = dict(table.marked_s_by_host)
-    marked.pop(record.host, None)
+    since_s_by_host = dict(table.unreachable_since_s_by_host)
+    since_s_by_host.pop(record.host, None)
     if record.status in {MemberStatus.SUSPECT, MemberStatus.DEAD}:
-        marked[record.host] = now_s
-    table = replace(table, members_by_host=members, marked_s_by_host=marked)
-    return spread_record(table, record, now_s, options)
+        since_s_by_host[record.host] = now_s
+    table = replace(
+        table,
+        members_by_host=members,
+        unreachable_since_s_by_host=since_s_by_host,
+    )
+    return queue_rumour(table, record, now_s, options)
 
 
-def spread_record(
+def queue_rumour(
     table: MemberTable,
     record: MemberRecord,
     now_s: Seconds,
     options: MembershipOptions,
 ) -> MemberTable:
-    """Send a record with the next messages, changes first."""
+    """Queue a record for the next messages, which carry changes first."""
     sends = send_count(len(table.members_by_host), options.send_factor)
     rumour = Rumour(record, sends, now_s + options.dead_keep_s)
     rumours = {**table.rumours_by_host, record.host: rumour}
     return replace(table, rumours_by_host=rumours)
 
 
-def unmark(table: MemberTable, host: HostName) -> MemberTable:
-    """Clear the suspicion of a member."""
-    marked = dict(table.marked_s_by_host)
-    marked.pop(host, None)
-    return replace(table, marked_s_by_host=marked)
+def clear_unreachable(table: MemberTable, host: HostName) -> MemberTable:
+    """Forget since when a member has been unreachable."""
+    since_s_by_host = dict(table.unreachable_since_s_by_host)
+    since_s_by_host.pop(host, None)
+    return replace(table, unreachable_since_s_by_host=since_s_by_host)
 
 
 def drop_member(table: MemberTable, host: HostName) -> MemberTable:
-    """Forget a member."""
+    """Remove a member from the table."""
     members = dict(table.members_by_host)
     members.pop(host, None)
-    return unmark(replace(table, members_by_host=members), host)
+    return clear_unreachable(replace(table, members_by_host=members), host)
 
 
-def _live_rumours(
+def _unexpired_rumours(
     table: MemberTable,
     now_s: Seconds,
 ) -> dict[HostName, Rumour]:
-    """Keep what is still sent, and what no member record remembers."""
+    """Return the rumours that are still needed.
+
+    These are the ones still to be sent, and until they expire those of hosts
+    that are not in the table, as they record that the change is known.
+    """
     return {
         host: rumour
         for host, rumour in table.rumours_by_host.items()
--- a/boragespool/membership/view.py
+++ b/boragespool/membership/view.py
@@ -1,4 +1,4 @@
-"""Bound on the members that one daemon keeps."""
+"""Partial view: which members of other data centres a daemon keeps."""
 
 from __future__ import annotations
 
@@ -20,18 +20,21 @@
     members_by_host: Mapping[HostName, MemberRecord],
     remote_count: int,
 ) -> frozenset[HostName]:
-    """Return the hosts of one other data centre that a daemon keeps.
+    """Return the hosts of another data centre that a daemon keeps.
+
+    The choice is by rendezvous hashing, so that different daemons keep
+    different hosts.
 
     Parameters
     ----------
     own_host : str
-        The daemon that keeps them. Different daemons keep different ones.
+        Host of the daemon that keeps them.
     data_centre : str
-        The other data centre.
+        Name of the other data centre.
     members_by_host : mapping of str to MemberRecord
-        Members known. Dead ones are no candidates.
+        Known members; dead ones are not chosen.
     remote_count : int
-        Hosts to keep.
+        Maximum number of hosts to keep.
 
     Returns
     -------
@@ -53,7 +56,10 @@
     members_by_host: Mapping[HostName, MemberRecord],
     remote_count: int,
 ) -> bool:
-    """Tell whether a daemon keeps a member that it did not know before."""
+    """Return whether a daemon keeps a member that it did not know before.
+
+    All members of its own data centre are kept.
+    """
     if member.data_centre == own.data_centre:
         return True
     candidates = {**members_by_host, member.host: member}
