Describe the HTTP server, client and read limiter in usual terms

Comments spoke of turns, peers that are cut and listeners; private names such as _skip, _ended and _settle did not say what they do. Failure reasons of the client name what was missing.

--- a/boragespool/http/__init__.py
+++ b/boragespool/http/__init__.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 server and client on h11 and asyncio streams."""
+"""HTTP/1.1 server and client, based on h11 and asyncio."""
 
 from __future__ import annotations
 
--- a/boragespool/http/client.py
+++ b/boragespool/http/client.py
@@ -1,7 +1,7 @@
-"""HTTP/1.1 client connection for one exchange at a time.
+"""HTTP/1.1 client connection that runs one exchange at a time.
 
-Reports whether any byte of a request was sent, which decides whether a claim
-may be attempted again.
+A failure states whether any byte of the request was sent, because that
+decides whether a claim may be attempted again.
 """
 
 from __future__ import annotations
@@ -32,16 +32,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ExchangeFailure:
-    """Sentinel for an exchange without a response.
+    """Result of an exchange that ended without a response.
 
     Attributes
     ----------
     kind : FailureKind
         How it failed.
     sent : bool
-        False only if no byte of the request left this process.
+        Whether any byte of the request may have left this process.
     reason : str
-        One sentence.
+        Error message of one sentence.
     """
 
     kind: FailureKind
@@ -50,73 +50,78 @@
 
 
 class HttpConnection(asyncio.Protocol):
-    """One client connection; open it with `open_connection`.
+    """One client connection; use `open_connection` to create it.
 
-    The bytes that arrive are parsed in the callback of the transport, which
-    takes less time than a stream that a coroutine reads.
+    Received bytes are parsed in the callback of the transport, which takes
+    less time than reading a stream in a coroutine.
     """
 
     def __init__(self, address: Address) -> None:
-        """Start without a transport."""
+        """Set up a connection whose transport is not yet connected."""
         self.address = address
         self._transport: asyncio.Transport | None = None
         self._protocol = h11.Connection(h11.CLIENT)
         self._usable = False
         self._peer_closed = False
-        self._result: asyncio.Future[HttpResponse | ExchangeFailure] | None
-        self._result = None
-        self._echo: tuple[str, str] | None = None
+        self._response_future: (
+            asyncio.Future[HttpResponse | ExchangeFailure] | None
+        )
+        self._response_future = None
+        self._echo_header: tuple[str, str] | None = None
         self._request: h11.Request | None = None
-        self._body = b''
-        self._head: h11.Response | None = None
-        self._parts: list[bytes] = []
+        self._request_body = b''
+        self._response_head: h11.Response | None = None
+        self._body_parts: list[bytes] = []
 
     async def __aenter__(self) -> Self:
         """Return the open connection."""
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        """Close it."""
+        """Close the connection."""
         self.close()
 
     @property
     def usable(self) -> bool:
-        """Whether another exchange may begin."""
+        """Whether the connection is open for another exchange."""
         return self._usable
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Use the transport."""
+        """Store the connected transport."""
         self._transport = cast('asyncio.Transport', transport)
         self._usable = True
 
     def data_received(self, received: bytes) -> None:
-        """Parse a part of the response.
+        """Parse received bytes of the response.
 
-        Bytes that nobody asked for would be read as the next response, so
-        they end the connection.
+        If no exchange is running, the connection is closed, because the bytes
+        would be taken for the next response.
         """
-        if self._result is None or self._result.done():
+        if self._response_future is None or self._response_future.done():
             self.close()
             return
         self._protocol.receive_data(received)
         self._parse()
 
     def eof_received(self) -> None:
-        """Finish a response that the end of the connection delimits."""
+        """Complete a response whose body ends with the connection."""
         self._usable = False
         self._peer_closed = True
-        if self._result is not None and not self._result.done():
+        if (
+            self._response_future is not None
+            and not self._response_future.done()
+        ):
             self._protocol.receive_data(b'')
             self._parse()
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Fail the exchange under way."""
+        """Fail the running exchange."""
         self._usable = False
         reason = 'the connection closed' if error is None else str(error)
-        self._settle(self._failure(FailureKind.CLOSED, reason))
+        self._set_result(self._failure(FailureKind.CLOSED, reason))
 
     def close(self) -> None:
-        """Close at once; an exchange under way fails as closed."""
+        """Abort the connection; a running exchange fails as closed."""
         self._usable = False
         if self._transport is not None:
             self._transport.abort()
@@ -142,8 +147,8 @@
 
         Notes
         -----
-        A cancelled call closes the connection, so that a late response cannot
-        reach the next request.
+        If the call is cancelled, the connection is closed, so that a late
+        response is not taken for the response to the next request.
         """
         result = self.start_exchange(request, timeout_s)
         try:
@@ -156,9 +161,9 @@
         self,
         request: HttpRequest,
         timeout_s: Seconds,
-        echo: tuple[str, str] | None = None,
+        echo_header: tuple[str, str] | None = None,
     ) -> asyncio.Future[HttpResponse | ExchangeFailure]:
-        """Send one request; the future gets its response.
+        """Send one request and return a future of its response.
 
         Parameters
         ----------
@@ -166,15 +171,16 @@
             Request; its body is sent with a Content-Length.
         timeout_s : float
             Longest time for the whole exchange, in seconds.
-        echo : tuple of str, optional
-            Name in lower case and value of a header field that the server
-            repeats. A response with another value answers an earlier request
-            and is discarded.
+        echo_header : tuple of str, optional
+            Name in lower case and value of a header field of the request that
+            the server repeats in its response. A response with another value
+            belongs to an earlier request and is discarded.
 
         Returns
         -------
         asyncio.Future
-            Never fails; see `exchange`. Call `close` to give up.
+            Future of the result as in `exchange`; it has no exception. Call
+            `close` to abandon the exchange.
         """
         loop = asyncio.get_running_loop()
         result: asyncio.Future[HttpResponse | ExchangeFailure]
@@ -189,17 +195,17 @@
                 ),
             )
             return result
-        self._parts = []
-        self._echo = echo
-        self._result = result
-        timer = loop.call_later(timeout_s, self._time_out, timeout_s)
+        self._body_parts = []
+        self._echo_header = echo_header
+        self._response_future = result
+        timer = loop.call_later(timeout_s, self._fail_with_timeout, timeout_s)
 
-        def finish(_: object) -> None:
+        def on_done(_: object) -> None:
             timer.cancel()
-            if self._result is result:
-                self._result = None
+            if self._response_future is result:
+                self._response_future = None
 
-        result.add_done_callback(finish)
+        result.add_done_callback(on_done)
         self._send(request)
         return result
 
@@ -215,7 +221,7 @@
             headers=headers,
         )
         self._request = head
-        self._body = request.body
+        self._request_body = request.body
         if self._transport is not None:
             self._transport.write(self._encode(head, request.body))
 
@@ -226,77 +232,99 @@
         return encoded + (self._protocol.send(h11.EndOfMessage()) or b'')
 
     def _parse(self) -> None:
-        """Parse what has arrived; settle the exchange if that is all."""
+        """Parse the received bytes; set the result if they complete it."""
         try:
-            result = self._parsed()
+            result = self._next_response()
         except h11.RemoteProtocolError as error:
-            # h11 also rejects a close before the end of the response.
+            # h11 raises this also if the peer closes within a response.
             closed = self._peer_closed
             kind = FailureKind.CLOSED if closed else FailureKind.MALFORMED
             result = self._failure(kind, str(error))
         if result is not None:
-            self._settle(result)
+            self._set_result(result)
 
-    def _parsed(self) -> HttpResponse | ExchangeFailure | None:
-        """Return the response, or None until it is complete."""
+    def _next_response(self) -> HttpResponse | ExchangeFailure | None:
+        """Return the response, or None if it is not complete yet."""
         while True:
             event = self._protocol.next_event()
             if isinstance(event, h11.Data):
-                self._parts.append(bytes(event.data))
+                self._body_parts.append(bytes(event.data))
             elif isinstance(event, h11.Response):
-                self._head = event
+                self._response_head = event
             elif not isinstance(event, h11.InformationalResponse):
-                return self._ended(event)
+                return self._handle_last_event(event)
+
+    def _handle_last_event(
+        self, event: object
+    ) -> HttpResponse | ExchangeFailure | None:
+        """Return the result after an event that follows the body.
 
-    def _ended(self, event: object) -> HttpResponse | ExchangeFailure | None:
-        """Return what the last of the events that have arrived means."""
+        Return None if the response is not complete yet.
+        """
         if event is h11.NEED_DATA:
             return None
-        if isinstance(event, h11.EndOfMessage) and self._head is not None:
-            response = _response(self._head, b''.join(self._parts))
-            if self._is_stale(response):
-                return self._skip()
-            self._finish_cycle()
+        if (
+            isinstance(event, h11.EndOfMessage)
+            and self._response_head is not None
+        ):
+            response = _to_http_response(
+                self._response_head, b''.join(self._body_parts)
+            )
+            if self._is_stale_response(response):
+                return self._skip_stale_response()
+            self._start_next_cycle()
             return response
-        return self._failure(FailureKind.CLOSED, 'no response arrived')
+        return self._failure(
+            FailureKind.CLOSED,
+            'the peer closed the connection without a response',
+        )
 
-    def _is_stale(self, response: HttpResponse) -> bool:
-        """Whether the response answers an earlier request."""
-        if self._echo is None:
+    def _is_stale_response(self, response: HttpResponse) -> bool:
+        """Return whether the response belongs to an earlier request."""
+        if self._echo_header is None:
             return False
-        name, expected = self._echo
+        name, expected = self._echo_header
         return response.field(name) not in {None, expected}
 
-    def _skip(self) -> HttpResponse | ExchangeFailure | None:
-        """Discard a stale response and parse what follows it."""
+    def _skip_stale_response(self) -> HttpResponse | ExchangeFailure | None:
+        """Discard a stale response and parse the bytes that follow it."""
         received, is_closed = self._protocol.trailing_data
         if is_closed or self._request is None:
-            return self._failure(FailureKind.CLOSED, 'only a stale response')
+            return self._failure(
+                FailureKind.CLOSED,
+                'only the response to an earlier request arrived',
+            )
         self._protocol = h11.Connection(h11.CLIENT)
-        self._encode(self._request, self._body)
-        self._parts = []
+        self._encode(self._request, self._request_body)
+        self._body_parts = []
         if not received:
             return None
         self._protocol.receive_data(received)
-        return self._parsed()
+        return self._next_response()
 
-    def _settle(self, result: HttpResponse | ExchangeFailure) -> None:
+    def _set_result(self, result: HttpResponse | ExchangeFailure) -> None:
         if isinstance(result, ExchangeFailure):
             self.close()
-        if self._result is not None and not self._result.done():
-            self._result.set_result(result)
-
-    def _time_out(self, timeout_s: Seconds) -> None:
-        self._settle(
-            self._failure(FailureKind.TIMEOUT, f'{timeout_s!r} s passed'),
+        if (
+            self._response_future is not None
+            and not self._response_future.done()
+        ):
+            self._response_future.set_result(result)
+
+    def _fail_with_timeout(self, timeout_s: Seconds) -> None:
+        self._set_result(
+            self._failure(
+                FailureKind.TIMEOUT,
+                f'{timeout_s!r} s passed without a response',
+            ),
         )
 
-    def _finish_cycle(self) -> None:
+    def _start_next_cycle(self) -> None:
         done = h11.DONE
         states = (self._protocol.our_state, self._protocol.their_state)
-        # Bytes after the response would be read as the next response.
-        is_clean = not self._protocol.trailing_data[0]
-        if states == (done, done) and is_clean:
+        # Bytes after the response would be taken for the next response.
+        has_no_extra_bytes = not self._protocol.trailing_data[0]
+        if states == (done, done) and has_no_extra_bytes:
             self._protocol.start_next_cycle()
         else:
             self.close()
@@ -309,7 +337,7 @@
         )
 
 
-def _response(head: h11.Response, body: bytes) -> HttpResponse:
+def _to_http_response(head: h11.Response, body: bytes) -> HttpResponse:
     fields = tuple(
         (name.decode('ascii'), text.decode('latin-1'))
         for name, text in head.headers
@@ -333,7 +361,7 @@
     Returns
     -------
     HttpConnection or ExchangeFailure
-        A failure of kind ``REFUSED`` or ``TIMEOUT`` with ``sent=False``.
+        A failure has the kind ``REFUSED`` or ``TIMEOUT`` and ``sent=False``.
     """
     host, _, port = address.rpartition(':')
     try:
--- a/boragespool/http/exchange.py
+++ b/boragespool/http/exchange.py
@@ -1,4 +1,4 @@
-"""One server-side connection: reads requests, writes responses."""
+"""Reads requests from and writes responses to one accepted connection."""
 
 from __future__ import annotations
 
@@ -18,44 +18,45 @@
     from boragespool.types import Seconds
 
 _READ_SIZE_BYTES: Final = 65_536
-#: Time in which a refused peer may still send, in seconds.
-_LINGER_S: Final = 0.5
+#: Time for which the input of a refused peer is discarded before the
+#: connection is closed, in seconds.
+_LINGERING_CLOSE_S: Final = 0.5
 _HEADERS_TOO_LARGE_STATUS: Final = 431
 
 
 class ServerExchange:
-    """Protocol state of one connection."""
+    """HTTP/1.1 protocol state of one accepted connection."""
 
     def __init__(
         self,
         reader: CallerStream,
         writer: asyncio.StreamWriter,
     ) -> None:
-        """Take over both stream ends."""
+        """Set up the exchange on the streams of a connection."""
         self.reader = reader
         self._writer = writer
         self._protocol = h11.Connection(h11.SERVER)
         peer = writer.get_extra_info('peername') or ('',)
         self._peer_ip = str(peer[0])
-        self._arrived_s: Seconds = 0
+        self._first_bytes_at_s: Seconds = 0
         self._waited_s: Seconds = 0
-        # Whether the last request was refused for overload.
+        #: Whether the last request was refused for overload.
         self.deferred = False
 
     async def wait_for_bytes(self) -> bool:
-        """Wait until a request begins; False when the peer closed."""
+        """Wait until a request begins; return False if the peer closed."""
         if self._protocol.trailing_data[0]:
-            self._arrived_s = asyncio.get_running_loop().time()
+            self._first_bytes_at_s = asyncio.get_running_loop().time()
             return True
         received = await self.reader.read(_READ_SIZE_BYTES)
-        self._arrived_s = asyncio.get_running_loop().time()
+        self._first_bytes_at_s = asyncio.get_running_loop().time()
         self._protocol.receive_data(received)
         return bool(received)
 
     async def read_request(self, limits: HttpLimits) -> HttpRequest | Failure:
         """Read one request within the limits."""
         now_s = asyncio.get_running_loop().time()
-        self._waited_s = now_s - self._arrived_s
+        self._waited_s = now_s - self._first_bytes_at_s
         try:
             async with asyncio.timeout(limits.read_timeout_s):
                 return await self._read_request(limits)
@@ -75,10 +76,10 @@
         *,
         close: bool,
     ) -> bool:
-        """Write a response; tell whether the connection can go on.
+        """Write a response; return whether the connection can be reused.
 
-        A peer that does not take the response in time is cut, so that it
-        cannot hold up a graceful stop.
+        The connection is aborted if the peer does not receive the response
+        within `write_timeout_s`, so that it cannot delay a graceful stop.
         """
         headers = [
             *response.fields,
@@ -97,7 +98,7 @@
             )
         except h11.LocalProtocolError:
             return False
-        if not await self._drain(write_timeout_s):
+        if not await self._drain_writer(write_timeout_s):
             return False
         if self._protocol.our_state is not h11.DONE:
             return False
@@ -107,18 +108,18 @@
         return True
 
     async def lingering_close(self, limits: HttpLimits) -> None:
-        """Discard what the peer still sends, until it closes.
+        """Close the write side and discard input until the peer closes.
 
-        Closing a socket with unread bytes resets the connection, and the
-        reset can destroy a refusal before the peer has read it.
+        Closing a socket with unread bytes resets the connection, which can
+        discard a failure response before the peer has read it.
         """
         with contextlib.suppress(OSError, TimeoutError):
             self._writer.write_eof()
-            async with asyncio.timeout(_LINGER_S):
-                await self._discard(limits.body_size_bytes)
+            async with asyncio.timeout(_LINGERING_CLOSE_S):
+                await self._discard_input(limits.body_size_bytes)
 
-    async def _drain(self, timeout_s: Seconds) -> bool:
-        """Wait until the peer has taken what the kernel did not take."""
+    async def _drain_writer(self, timeout_s: Seconds) -> bool:
+        """Wait until the write buffer of the transport is empty."""
         if not self._writer.transport.get_write_buffer_size():
             return True
         try:
@@ -129,8 +130,8 @@
             return False
         return True
 
-    async def _discard(self, limit_bytes: int) -> None:
-        """Read until the peer closes or has sent too much."""
+    async def _discard_input(self, limit_bytes: int) -> None:
+        """Read until the peer closes or has sent more than `limit_bytes`."""
         while limit_bytes >= 0:
             received = await self.reader.read(_READ_SIZE_BYTES)
             if not received:
@@ -149,9 +150,9 @@
             for name, text in head.headers
         )
         headers = dict(fields)
-        refusal = _check_length(headers, limits)
-        if refusal is not None:
-            return refusal
+        failure = _check_framing(headers, limits)
+        if failure is not None:
+            return failure
         body = await self._read_body(limits)
         if isinstance(body, Failure):
             return body
@@ -184,18 +185,20 @@
             parts.append(bytes(event.data))
 
     async def _next_event(self, head_limit_bytes: int | None) -> object:
-        """Return the next protocol event, reading as often as needed."""
+        """Return the next h11 event, reading from the stream as needed."""
         while True:
             event = self._protocol.next_event()
             if event is not h11.NEED_DATA:
                 return event
             self._check_head_size(head_limit_bytes)
             if self._protocol.they_are_waiting_for_100_continue:
-                go_ahead = h11.InformationalResponse(
+                continue_response = h11.InformationalResponse(
                     status_code=100,
                     headers=[],
                 )
-                self._writer.write(self._protocol.send(go_ahead) or b'')
+                self._writer.write(
+                    self._protocol.send(continue_response) or b''
+                )
             received = await self.reader.read(_READ_SIZE_BYTES)
             self._protocol.receive_data(received)
 
@@ -208,11 +211,14 @@
             )
 
 
-def _check_length(
+def _check_framing(
     headers: dict[str, str],
     limits: HttpLimits,
 ) -> Failure | None:
-    """Refuse ambiguous framing, the base of request smuggling."""
+    """Return a failure for ambiguous framing or a body that is too large.
+
+    Ambiguous framing would allow request smuggling.
+    """
     if 'content-length' in headers and 'transfer-encoding' in headers:
         return Failure(
             ResultCode.AMBIGUOUS_LENGTH,
--- a/boragespool/http/limits.py
+++ b/boragespool/http/limits.py
@@ -1,4 +1,4 @@
-"""Limits of one HTTP listener."""
+"""Size, connection and time limits of an HTTP server."""
 
 from __future__ import annotations
 
@@ -7,20 +7,22 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpLimits:
-    """What one listener accepts.
+    """Limits of one HTTP server.
 
     Attributes
     ----------
     header_size_bytes, body_size_bytes : int
-        Largest request head and body.
+        Maximum size of a request head and of a request body, in bytes.
     connection_count : int
-        Connections open at the same time.
+        Maximum number of open connections.
     read_timeout_s : float
-        Longest time from the first byte of a request to its last.
+        Longest time to receive a request once reading it has begun, in
+        seconds.
     write_timeout_s : float
-        Longest time for the peer to take a response.
+        Longest time for the peer to receive a response, in seconds.
     idle_timeout_s : float
-        Longest time that a connection may wait for its next request.
+        Longest time that a connection may wait for its next request, in
+        seconds.
     """
 
     header_size_bytes: int = 16_384
--- a/boragespool/http/messages.py
+++ b/boragespool/http/messages.py
@@ -1,4 +1,4 @@
-"""Requests and responses as the rest of the program sees them."""
+"""HTTP requests and responses, independent of the transport."""
 
 from __future__ import annotations
 
@@ -21,17 +21,24 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpRequest:
-    """One complete request; header names are lower case.
+    """One complete request.
 
     Attributes
     ----------
+    target : str
+        Path and query string as sent.
+    headers : mapping of str to str
+        Last value of each header field by name in lower case.
+    peer_ip : str
+        IP address of the peer; empty if unknown.
     waited_s : float
-        Time between its first bytes and its turn to be read, in seconds.
+        Time between the arrival of its first bytes and the start of reading
+        it, in seconds.
     deferred : bool
-        Whether it waited because its connection was deferred.
+        Whether its connection was deferred because the request before it was
+        refused for overload.
     fields : tuple of tuple of str
-        All header fields in order, names in lower case; `headers` holds the
-        last value of each.
+        All header fields in order, with names in lower case.
     """
 
     method: str
@@ -45,14 +52,14 @@
 
     @property
     def path(self) -> str:
-        """Path without the query string."""
+        """Path of the target without the query string."""
         return _split(self.target).path
 
     @property
     def query(self) -> Mapping[str, str]:
         """Last value of each query string parameter."""
         parsed = parse_qs(_split(self.target).query)
-        return {name: given[-1] for name, given in parsed.items()}
+        return {name: values[-1] for name, values in parsed.items()}
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,11 +68,14 @@
 
     Attributes
     ----------
+    close : bool
+        Whether the server closes the connection after the response.
     defer_next : bool
-        Whether other connections go before the next request on this one.
+        Whether other connections are served before the next request on this
+        connection.
     fields : tuple of tuple of str
-        Further header fields, names in lower case. They may contain a
-        ``content-type``, which then replaces `content_type`.
+        Further header fields, with names in lower case. A ``content-type``
+        among them replaces `content_type`.
     """
 
     status: int
@@ -76,21 +86,21 @@
     fields: HeaderFields = ()
 
     def field(self, name: str) -> str | None:
-        """Return the first value of a header field, None without it.
+        """Return the first value of a header field, or None if it is missing.
 
         Parameters
         ----------
         name : str
             Name in lower case.
         """
-        for known, text in self.fields:
-            if known == name:
-                return text
+        for field_name, value in self.fields:
+            if field_name == name:
+                return value
         return None
 
 
 def _split(target: str) -> SplitResult:
-    """Split a target; one that is not a URL, such as ``//[``, has no path."""
+    """Split a target. An invalid one, such as ``//[``, has an empty path."""
     try:
         return urlsplit(target)
     except ValueError:
@@ -98,12 +108,12 @@
 
 
 def json_response(body: Any, status: int = 200) -> HttpResponse:
-    """Encode a body that msgspec can encode as JSON."""
+    """Return a response with a body that msgspec encodes as JSON."""
     return HttpResponse(status, _ENCODER.encode(body))
 
 
 def failure_response(failure: Failure) -> HttpResponse:
-    """Encode a refusal with its code, reason and run state."""
+    """Return the JSON response for a failure, with its code and reason."""
     body = {
         'code': int(failure.code),
         'name': failure.code.name.lower(),
--- a/boragespool/http/pool.py
+++ b/boragespool/http/pool.py
@@ -1,4 +1,4 @@
-"""Idle client connections, kept for the next exchange."""
+"""Pool of HTTP client connections with keep-alive."""
 
 from __future__ import annotations
 
@@ -17,18 +17,18 @@
     from boragespool.http.messages import HttpRequest, HttpResponse
     from boragespool.types import Address, Seconds
 
-# Half of the listener's idle timeout, so that a connection is rarely reused
-# at the moment at which its other end closes it.
-_IDLE_LIMIT_S: Final = 30
+# Half of the server's idle timeout, so that a connection is rarely reused at
+# the moment at which the server closes it.
+_MAX_IDLE_S: Final = 30
 
 
 class ConnectionPool:
-    """Connections to any number of addresses, an async context manager.
+    """Pool of connections to any number of addresses; async context manager.
 
     Parameters
     ----------
     connection_count : int
-        Exchanges at the same time; further ones wait.
+        Maximum number of concurrent exchanges; further ones wait.
     connect_timeout_s : float, optional
         Longest time for a TCP handshake, in seconds.
     """
@@ -38,8 +38,8 @@
         connection_count: int,
         connect_timeout_s: Seconds = math.inf,
     ) -> None:
-        """Start without connections."""
-        self._slots = asyncio.Semaphore(connection_count)
+        """Create an empty pool."""
+        self._exchange_slots = asyncio.Semaphore(connection_count)
         self._connect_timeout_s = connect_timeout_s
         self._idle_by_address: dict[
             Address, list[tuple[Seconds, HttpConnection]]
@@ -72,21 +72,21 @@
         address : str
             ``ip:port``.
         request : HttpRequest
-            Request to send once.
+            Request; it is not sent again after a failure.
         timeout_s : float
-            Longest time, in seconds, for the wait, the TCP handshake and the
-            exchange together.
+            Longest time for waiting, TCP handshake and exchange together, in
+            seconds.
 
         Returns
         -------
         HttpResponse or ExchangeFailure
-            `ExchangeFailure.sent` is false if no byte was sent.
+            `ExchangeFailure.sent` is False if no byte was sent.
         """
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + timeout_s
         try:
             async with asyncio.timeout(timeout_s):
-                await self._slots.acquire()
+                await self._exchange_slots.acquire()
         except TimeoutError:
             return ExchangeFailure(
                 FailureKind.TIMEOUT,
@@ -96,7 +96,7 @@
         try:
             return await self._exchange(address, request, deadline_s)
         finally:
-            self._slots.release()
+            self._exchange_slots.release()
 
     async def _exchange(
         self,
@@ -118,9 +118,9 @@
         return response
 
     def _take_idle(self, address: Address) -> HttpConnection | None:
-        """Return the connection that was used last, closing old ones."""
+        """Return the idle connection used last; close unusable ones."""
         idle = self._idle_by_address.get(address, [])
-        oldest_s = asyncio.get_running_loop().time() - _IDLE_LIMIT_S
+        oldest_s = asyncio.get_running_loop().time() - _MAX_IDLE_S
         while idle:
             used_s, connection = idle.pop()
             if used_s >= oldest_s and connection.usable:
--- a/boragespool/http/read_limiter.py
+++ b/boragespool/http/read_limiter.py
@@ -1,7 +1,8 @@
-"""Bounds how many requests one turn of the event loop parses.
+"""Limits the number of requests parsed in one iteration of the event loop.
 
-Parsing costs about as much as refusing, so that a flood would fill the turns
-of the loop before any of its requests could be refused.
+Parsing a request costs about as much as refusing it. Without a limit, a flood
+of requests would fill whole iterations of the event loop with parsing before
+any of them could be refused.
 """
 
 from __future__ import annotations
@@ -13,83 +14,87 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-#: Requests parsed in one turn. One that is refused costs about 1 ms, so that
-#: timers and messages of peers wait about 8 ms for them.
-_TURN_COUNT: Final = 8
-#: Requests per second on connections whose last request was refused for
-#: overload. They would otherwise take all turns in a large flood; at 1 ms each
-#: they take a quarter of a core.
+#: Requests parsed in one iteration of the event loop. A refused request takes
+#: about 1 ms, so timers and messages of peers wait about 8 ms for all of them.
+_READS_PER_ITERATION: Final = 8
+#: Rate limit of requests on deferred connections, which are those whose last
+#: request was refused for overload. In a large flood they would otherwise use
+#: all iterations; at 1 ms each they use a quarter of a core.
 DEFERRED_REQUESTS_PER_S: Final = 250
-_DEFERRED_BURST: Final = 8
+_DEFERRED_BURST_COUNT: Final = 8
 
 
 class ReadLimiter:
-    """Lets connections read their next request, in order of arrival.
+    """Grants connections permission to read their next request.
 
-    Deferred ones go newest first, as the oldest may have missed their
+    Connections are served in order of arrival. Deferred connections are served
+    after all others, limited to `DEFERRED_REQUESTS_PER_S` by a token bucket,
+    and newest first, as the oldest may have missed their
     deadlines (adaptive LIFO; Maurer, "Fail at scale", ACM Queue 2015).
     """
 
     def __init__(self) -> None:
-        """Start open."""
-        self._free = _TURN_COUNT
+        """Start without waiting connections."""
+        self._reads_left = _READS_PER_ITERATION
         self._waiting: deque[asyncio.Future[None]] = deque()
         self._deferred: deque[asyncio.Future[None]] = deque()
-        self._deferred_credit: float = _DEFERRED_BURST
-        self._credit_at_s: float = 0
-        self._turn: asyncio.Handle | None = None
+        self._deferred_tokens: float = _DEFERRED_BURST_COUNT
+        self._tokens_updated_s: float = 0
+        self._scheduled_run: asyncio.Handle | None = None
 
     async def acquire(self, *, deferred: bool) -> None:
-        """Wait for a turn.
+        """Wait until the connection may read its next request.
 
         Parameters
         ----------
         deferred : bool
-            Whether other connections go first and `DEFERRED_REQUESTS_PER_S` applies.
+            Whether the last request of the connection was refused for
+            overload. Other connections then go first, and
+            `DEFERRED_REQUESTS_PER_S` applies.
         """
-        if not deferred and self._free and not self._waiting:
-            self._free -= 1
-            self._plan_turn(0)
+        if not deferred and self._reads_left and not self._waiting:
+            self._reads_left -= 1
+            self._schedule_run(0)
             return
         entry = asyncio.get_running_loop().create_future()
         (self._deferred if deferred else self._waiting).append(entry)
-        self._plan_turn(0)
+        self._schedule_run(0)
         await entry
 
     def close(self) -> None:
-        """Plan no further turn; used when the connections are cancelled."""
-        if self._turn is not None:
-            self._turn.cancel()
+        """Cancel the scheduled callback once all connections are cancelled."""
+        if self._scheduled_run is not None:
+            self._scheduled_run.cancel()
 
-    def _plan_turn(self, delay_s: float) -> None:
-        if self._turn is not None:
+    def _schedule_run(self, delay_s: float) -> None:
+        if self._scheduled_run is not None:
             return
         loop = asyncio.get_running_loop()
         if delay_s:
-            self._turn = loop.call_later(delay_s, self._take_turn)
+            self._scheduled_run = loop.call_later(delay_s, self._release_next)
         else:
-            self._turn = loop.call_soon(self._take_turn)
+            self._scheduled_run = loop.call_soon(self._release_next)
 
-    def _take_turn(self) -> None:
-        self._turn = None
+    def _release_next(self) -> None:
+        self._scheduled_run = None
         passed = _release(
-            self._waiting.popleft, len(self._waiting), _TURN_COUNT
+            self._waiting.popleft, len(self._waiting), _READS_PER_ITERATION
         )
-        self._free = _TURN_COUNT - passed
+        self._reads_left = _READS_PER_ITERATION - passed
         now_s = asyncio.get_running_loop().time()
-        earned = (now_s - self._credit_at_s) * DEFERRED_REQUESTS_PER_S
-        credit = min(_DEFERRED_BURST, self._deferred_credit + earned)
-        credit -= _release(
+        new_tokens = (now_s - self._tokens_updated_s) * DEFERRED_REQUESTS_PER_S
+        tokens = min(_DEFERRED_BURST_COUNT, self._deferred_tokens + new_tokens)
+        tokens -= _release(
             self._deferred.pop,
             len(self._deferred),
-            min(self._free, int(credit)),
+            min(self._reads_left, int(tokens)),
         )
-        self._deferred_credit = credit
-        self._credit_at_s = now_s
-        if self._waiting or self._free < _TURN_COUNT:
-            self._plan_turn(0)
+        self._deferred_tokens = tokens
+        self._tokens_updated_s = now_s
+        if self._waiting or self._reads_left < _READS_PER_ITERATION:
+            self._schedule_run(0)
         elif self._deferred:
-            self._plan_turn(1 / DEFERRED_REQUESTS_PER_S)
+            self._schedule_run(1 / DEFERRED_REQUESTS_PER_S)
 
 
 def _release(
@@ -97,13 +102,13 @@
     waiting: int,
     count: int,
 ) -> int:
-    """Let up to `count` of the waiting entries pass; return how many did."""
+    """Release up to `count` waiters and return how many were released."""
     released = 0
     for _ in range(waiting):
         if released == count:
             break
         entry = take()
-        # A connection that was cancelled takes no turn.
+        # The future of a cancelled connection is done already and not counted.
         if not entry.done():
             entry.set_result(None)
             released += 1
--- a/boragespool/http/server.py
+++ b/boragespool/http/server.py
@@ -1,6 +1,6 @@
-"""HTTP/1.1 listener that hands complete requests to one handler.
+"""HTTP/1.1 server that passes complete requests to one handler.
 
-Owns the listening socket and the caller connections.
+Owns the listening socket and the connections that it accepted.
 """
 
 from __future__ import annotations
@@ -25,31 +25,32 @@
     from boragespool.http.messages import HttpRequest
     from boragespool.types import Address
 
-_POLL_S: Final = 0.02
-_BACKLOG: Final = 1024
+#: Interval of the checks whether a drain began or has ended, in seconds.
+_DRAIN_POLL_S: Final = 0.02
+_LISTEN_BACKLOG: Final = 1024
 
 
 class HttpServer:
-    """Listener of one process, an async context manager.
+    """HTTP server with one listening socket, an async context manager.
 
     Parameters
     ----------
     address : str
-        ``ip:port`` to listen on; port 0 picks a free one.
+        ``ip:port`` to listen on; port 0 selects a free port.
     limits : HttpLimits
-        Bounds on sizes, connections and times.
+        Limits of sizes, connections and times.
     handler : callable
-        Turns one request into one response. An exception becomes a response
-        with `ResultCode.INTERNAL_ERROR`.
+        Coroutine function that returns the response to a request. If it
+        raises, the response is a failure with `ResultCode.INTERNAL_ERROR`.
     cancel_on_close : bool, optional
         Whether the handler is cancelled when the caller closes the
-        connection before it has the response.
+        connection before the response is ready.
 
     Attributes
     ----------
     limits : HttpLimits
-        May be replaced at any time; a request that is being read keeps the
-        limits with which it began.
+        Limits in use. They may be replaced at any time; a request that is
+        being read keeps the limits with which reading began.
     """
 
     def __init__(
@@ -60,7 +61,7 @@
         *,
         cancel_on_close: bool = False,
     ) -> None:
-        """Keep the settings; `__aenter__` listens."""
+        """Set up a server that does not listen before `__aenter__`."""
         self.limits = limits
         self._address = address
         self._handler = handler
@@ -69,10 +70,10 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._in_flight = 0
-        self._gate = ReadLimiter()
+        self._read_limiter = ReadLimiter()
 
     async def __aenter__(self) -> Self:
-        """Listen.
+        """Start to listen.
 
         Raises
         ------
@@ -84,21 +85,21 @@
             self._new_protocol,
             host,
             int(port),
-            backlog=_BACKLOG,
+            backlog=_LISTEN_BACKLOG,
         )
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        """Stop listening and drop the remaining connections."""
+        """Stop listening and abort the remaining connections."""
         self.stop_listening()
         for task in tuple(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        self._gate.close()
+        self._read_limiter.close()
 
     @property
     def address(self) -> Address:
-        """Address in use, with the chosen port."""
+        """``ip:port`` on which the server listens."""
         if self._server is None or not self._server.sockets:
             return self._address
         host, port = self._server.sockets[0].getsockname()[:2]
@@ -106,23 +107,23 @@
 
     @property
     def in_flight(self) -> int:
-        """Requests that have begun to arrive and are not yet answered."""
+        """Number of requests that began to arrive and are not yet answered."""
         return self._in_flight
 
     @property
     def connection_count(self) -> int:
-        """Open connections."""
+        """Number of open connections."""
         return len(self._tasks)
 
     def stop_listening(self) -> None:
-        """Refuse new connections; open ones go on."""
+        """Stop accepting connections; open ones stay open."""
         if self._server is not None:
             self._server.close()
 
     async def drain(self, timeout_s: float) -> bool:
-        """Answer what is in flight, then close every connection.
+        """Finish the requests in flight, then close every connection.
 
-        Each response from now on carries ``Connection: close``.
+        From now on each response has the header ``Connection: close``.
 
         Returns
         -------
@@ -133,7 +134,7 @@
         self._draining = True
         deadline_s = asyncio.get_running_loop().time() + timeout_s
         while self._tasks and asyncio.get_running_loop().time() < deadline_s:
-            await asyncio.sleep(_POLL_S)
+            await asyncio.sleep(_DRAIN_POLL_S)
         return not self._tasks
 
     def _new_protocol(self) -> asyncio.StreamReaderProtocol:
@@ -145,7 +146,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        """Serve one connection in its own task."""
+        """Serve one connection; asyncio runs this in a task of its own."""
         task = asyncio.current_task()
         if task is None:
             return
@@ -162,11 +163,11 @@
                 writer.close()
 
     async def _serve_requests(self, exchange: ServerExchange) -> None:
-        """Serve requests until one side wants to close."""
+        """Serve requests until the connection is to be closed."""
         if len(self._tasks) > self.limits.connection_count:
             await self._respond(
                 exchange,
-                _too_many(self.limits),
+                _too_many_connections(self.limits),
                 close=True,
             )
             await exchange.lingering_close(self.limits)
@@ -174,7 +175,7 @@
         while await self._wait_for_request(exchange):
             self._in_flight += 1
             try:
-                await self._gate.acquire(deferred=exchange.deferred)
+                await self._read_limiter.acquire(deferred=exchange.deferred)
                 keep_open = await self._serve_one(exchange)
             finally:
                 self._in_flight -= 1
@@ -182,22 +183,30 @@
                 return
 
     async def _wait_for_request(self, exchange: ServerExchange) -> bool:
-        """Wait for the first byte of a request; stop early when draining."""
+        """Wait for the first byte of a request.
+
+        Return False if the connection is idle for too long, closed by the
+        peer, or idle during a drain.
+        """
         loop = asyncio.get_running_loop()
         idle_until_s = loop.time() + self.limits.idle_timeout_s
         while True:
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self._idle_slice_s()):
+                async with asyncio.timeout(self._idle_poll_s()):
                     return await exchange.wait_for_bytes()
             if self._draining or loop.time() >= idle_until_s:
                 return False
 
-    def _idle_slice_s(self) -> float:
-        """Return how long to sleep between two looks at the drain flag."""
-        return _POLL_S if self._draining else min(1, self.limits.idle_timeout_s)
+    def _idle_poll_s(self) -> float:
+        """Return the interval for checking whether a drain began."""
+        return (
+            _DRAIN_POLL_S
+            if self._draining
+            else min(1, self.limits.idle_timeout_s)
+        )
 
     async def _serve_one(self, exchange: ServerExchange) -> bool:
-        """Read, handle and answer one request; tell whether to go on."""
+        """Serve one request; return whether the connection stays open."""
         received = await exchange.read_request(self.limits)
         if isinstance(received, Failure):
             log_event(
@@ -213,7 +222,7 @@
             )
             await exchange.lingering_close(self.limits)
             return False
-        response = await self._handle_for(exchange, received)
+        response = await self._handle_while_connected(exchange, received)
         if response is None:
             return False
         exchange.deferred = response.defer_next
@@ -233,22 +242,22 @@
             close=close,
         )
 
-    async def _handle_for(
+    async def _handle_while_connected(
         self,
         exchange: ServerExchange,
         request: HttpRequest,
     ) -> HttpResponse | None:
-        """Return the response; None if the caller left before it was ready."""
+        """Return the response, or None if the caller closed before that."""
         if not self._cancel_on_close:
             return await self._handle(request)
         if exchange.reader.peer_closed:
             return None
-        handling = asyncio.create_task(self._handle(request))
-        exchange.reader.on_peer_close = handling.cancel
+        handler_task = asyncio.create_task(self._handle(request))
+        exchange.reader.on_peer_close = handler_task.cancel
         try:
-            return await handling
+            return await handler_task
         except asyncio.CancelledError:
-            handling.cancel()
+            handler_task.cancel()
             if exchange.reader.peer_closed:
                 return None
             raise
@@ -256,7 +265,10 @@
             exchange.reader.on_peer_close = None
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
-        """Call the handler; an exception must not show its traceback."""
+        """Call the handler; log an exception and answer with a failure.
+
+        The response does not contain the traceback.
+        """
         try:
             return await self._handler(request)
         except Exception as error:
@@ -274,7 +286,7 @@
             )
 
 
-def _too_many(limits: HttpLimits) -> HttpResponse:
+def _too_many_connections(limits: HttpLimits) -> HttpResponse:
     return failure_response(
         Failure(
             ResultCode.TOO_MANY_CONNECTIONS,
--- a/boragespool/http/streams.py
+++ b/boragespool/http/streams.py
@@ -1,4 +1,4 @@
-"""Stream that tells at once when its peer is gone."""
+"""Stream reader that reports at once when its peer closes."""
 
 from __future__ import annotations
 
@@ -10,35 +10,37 @@
 
 
 class CallerStream(asyncio.StreamReader):
-    """Reader that reports the end of the stream without being read.
+    """Stream reader that reports the end of the stream without a read.
 
-    Bytes of a next request stay in the buffer meanwhile.
+    Bytes that were received before, such as a pipelined request, stay in the
+    buffer.
 
     Attributes
     ----------
     on_peer_close : callable or None
-        Called once when the peer closes or resets the connection.
-    ended : bool
-        Whether it has done so.
+        Callback for when the peer closes or resets the connection; called at
+        most once.
+    peer_closed : bool
+        Whether the peer has closed or reset the connection.
     """
 
     def __init__(self) -> None:
-        """Start with an open stream."""
+        """Create a reader of an open stream."""
         super().__init__()
         self.on_peer_close: Callable[[], object] | None = None
         self.peer_closed = False
 
     def feed_eof(self) -> None:
-        """Note the end of the stream."""
+        """Report that the peer closed the stream."""
         super().feed_eof()
-        self._end()
+        self._set_peer_closed()
 
     def set_exception(self, exc: Exception) -> None:
-        """Note the loss of the connection."""
+        """Report that the connection was lost."""
         super().set_exception(exc)
-        self._end()
+        self._set_peer_closed()
 
-    def _end(self) -> None:
+    def _set_peer_closed(self) -> None:
         self.peer_closed = True
         callback = self.on_peer_close
         self.on_peer_close = None
--- a/boragespool/membership/addresses.py
+++ b/boragespool/membership/addresses.py
@@ -50,9 +50,9 @@
 
     Notes
     -----
-    Within a data centre, region or the rest, each address is the less loaded
-    of two random ones (power of two choices): Mitzenmacher, "The power of two choices in randomized load balancing",
-    IEEE Transactions on Parallel and Distributed Systems, 2001.
+    Among the members of the same distance, each address is the less loaded of
+    two random ones: Mitzenmacher, "The power of two choices in randomized load
+    balancing", IEEE Transactions on Parallel and Distributed Systems, 2001.
     """
     alive = [
         member for member in members if member.status == MemberStatus.ALIVE
--- a/boragespool/membership/receiving.py
+++ b/boragespool/membership/receiving.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 from boragespool.membership.merging import (
-    precedence_changed,
     merge_records,
+    precedence_changed,
     refute,
 )
 from boragespool.membership.spreading import Rumour
@@ -159,7 +159,10 @@
     now_s: Seconds,
     options: MembershipOptions,
 ) -> MemberTable:
-    """Drop a member. If it is leaving, remember that to ignore older records."""
+    """Drop a member from the table.
+
+    For a leaving one a rumour is kept, so that older records are ignored.
+    """
     rumours = dict(table.rumours_by_host)
     if member.status == MemberStatus.LEAVING:
         handled = Rumour(member, 0, now_s + options.dead_keep_s)
--- a/boragespool/membership/spreading.py
+++ b/boragespool/membership/spreading.py
@@ -27,8 +27,9 @@
     record : MemberRecord
         Record that changed.
     sends_left : int
-        Number of further messages that will carry the record. At 0 the entry
-        only records that the change is known.
+        Number of further messages that will carry the record. An entry with
+        0 is kept so that the change is not spread again when it is received
+        again.
     until_s : float
         Monotonic time at which the entry is dropped, in seconds.
     """
--- a/boragespool/membership/table.py
+++ b/boragespool/membership/table.py
@@ -212,8 +212,9 @@
 ) -> dict[HostName, Rumour]:
     """Return the rumours that are still needed.
 
-    These are the ones still to be sent, and until they expire those of hosts
-    that are not in the table, as they record that the change is known.
+    These are the ones still to be sent. Those of hosts that are not in the
+    table are kept until they expire, so that the same change is not spread
+    again.
     """
     return {
         host: rumour
