Polish wording and import order in settings, membership and http

Left over: a few parameter descriptions, a comment on the drain interval and a local that was named like an option. No code change besides that name. Checks pass; the tests of http, overload, membership, settings, cli, flood, store, daemon pass.

--- a/boragespool/http/read_limiter.py
+++ b/boragespool/http/read_limiter.py
@@ -28,8 +28,8 @@
     """Grants connections permission to read their next request.
 
     Connections are served in order of arrival. Deferred connections are served
-    after all others, limited to `DEFERRED_REQUESTS_PER_S` by a token bucket,
-    and newest first, as the oldest may have missed their
+    after all others, limited to `DEFERRED_REQUESTS_PER_S` by a token bucket.
+    The newest of them go first, as the oldest may have missed their
     deadlines (adaptive LIFO; Maurer, "Fail at scale", ACM Queue 2015).
     """
 
--- a/boragespool/http/server.py
+++ b/boragespool/http/server.py
@@ -12,8 +12,8 @@
 
 from boragespool.events import Event, log_event
 from boragespool.http.exchange import ServerExchange
-from boragespool.http.read_limiter import ReadLimiter
 from boragespool.http.messages import HttpResponse, failure_response
+from boragespool.http.read_limiter import ReadLimiter
 from boragespool.http.streams import CallerStream
 from boragespool.results import Failure, ResultCode
 from boragespool.types import RunState
@@ -25,7 +25,7 @@
     from boragespool.http.messages import HttpRequest
     from boragespool.types import Address
 
-#: Interval of the checks whether a drain began or has ended, in seconds.
+#: Polling interval during a drain, in seconds.
 _DRAIN_POLL_S: Final = 0.02
 _LISTEN_BACKLOG: Final = 1024
 
--- a/boragespool/membership/addresses.py
+++ b/boragespool/membership/addresses.py
@@ -85,8 +85,8 @@
         *_choose_less_loaded(same_region, count, draw),
         *_choose_less_loaded(other_regions, count, draw),
     ]
-    remote_count = 1 if remote and count > 1 else 0
-    chosen = _choose_less_loaded(local, count - remote_count, draw)
+    reserved_count = 1 if remote and count > 1 else 0
+    chosen = _choose_less_loaded(local, count - reserved_count, draw)
     return chosen + remote[: count - len(chosen)]
 
 
--- a/boragespool/membership/health.py
+++ b/boragespool/membership/health.py
@@ -1,9 +1,8 @@
 """Local health score that lengthens the timeouts of failure detection.
 
 A daemon that is itself slow or suspected waits longer before it suspects
-others. Follows Lifeguard: Dadgar, Phillips and Currey, "Lifeguard:
-local health awareness for more accurate failure detection", DSN workshops
-2018.
+others. Follows Lifeguard: Dadgar, Phillips and Currey, "Lifeguard: local
+health awareness for more accurate failure detection", DSN workshops 2018.
 """
 
 from __future__ import annotations
--- a/boragespool/membership/table.py
+++ b/boragespool/membership/table.py
@@ -87,7 +87,7 @@
     now_s : float
         Monotonic time in seconds.
     options : MembershipOptions
-        Limits of spreading the suspicion.
+        Limits and timeouts.
 
     Returns
     -------
@@ -150,7 +150,7 @@
 
 
 def restart_suspicion_timers(table: MemberTable, now_s: Seconds) -> MemberTable:
-    """Restart the timeouts of all suspicions.
+    """Restart the timeouts of all suspected and dead members.
 
     Used after this daemon itself was paused, when answers and refutations may
     still be unread in its sockets.
--- a/boragespool/settings/validation.py
+++ b/boragespool/settings/validation.py
@@ -16,8 +16,8 @@
 
 from boragespool.results import Failure, ResultCode
 from boragespool.settings.cross_checks import (
-    cross_option_problems,
     added_server_identities,
+    cross_option_problems,
 )
 from boragespool.settings.merge import (
     Leaf,
