--- a/boragespool/controllers/forwarding/server_connections.py
+++ b/boragespool/controllers/forwarding/server_connections.py
@@ -215,7 +215,7 @@
         outgoing: OutgoingRequest,
     ) -> None:
         exchange.connection = connection
-        result = connection.start(
+        result = connection.start_exchange(
             outgoing.request,
             outgoing.timeout_s,
             outgoing.echo_header,
--- a/boragespool/membership/__init__.py
+++ b/boragespool/membership/__init__.py
@@ -1,65 +1,69 @@
-"""Decisions about members: merging, failure detection, spread, addresses."""
+"""Gossip membership of the daemons, as pure functions without I/O.
+
+Covers the member table, merging of received records, failure detection,
+dissemination of changes and the choice of daemon addresses for callers.
+"""
 
 from __future__ import annotations
 
 from boragespool.membership.addresses import choose_addresses
-from boragespool.membership.composing import compose
+from boragespool.membership.composing import compose_message
 from boragespool.membership.detection import (
-    PingOrder,
-    choose_hosts,
+    PingRound,
+    choose_random_hosts,
     next_target,
     suspicion_time_s,
 )
 from boragespool.membership.health import (
-    after_suspicion,
-    after_tick,
-    slowed,
+    scale_timeouts,
+    score_after_suspicion,
+    score_after_tick,
 )
 from boragespool.membership.merging import (
-    is_change,
     merge_records,
     precedence,
+    precedence_changed,
     refute,
 )
 from boragespool.membership.options import MembershipOptions
-from boragespool.membership.receiving import receive
+from boragespool.membership.receiving import merge_message
 from boragespool.membership.spreading import Rumour, choose_records, send_count
 from boragespool.membership.table import (
     MemberTable,
-    confirm,
-    expire,
-    forgive,
+    all_records_by_host,
+    clear_leaving_suspicion,
+    expire_members,
+    restart_suspicion_timers,
     suspect,
-    update_own,
-    with_own,
+    update_own_record,
 )
 from boragespool.membership.view import is_kept
 
 __all__ = (
     'MemberTable',
     'MembershipOptions',
-    'PingOrder',
+    'PingRound',
     'Rumour',
-    'after_tick',
-    'after_suspicion',
+    'all_records_by_host',
     'choose_addresses',
-    'choose_hosts',
+    'choose_random_hosts',
     'choose_records',
-    'compose',
-    'confirm',
-    'expire',
-    'forgive',
-    'is_change',
+    'clear_leaving_suspicion',
+    'compose_message',
+    'expire_members',
     'is_kept',
+    'merge_message',
     'merge_records',
     'next_target',
     'precedence',
-    'receive',
+    'precedence_changed',
     'refute',
+    'restart_suspicion_timers',
+    'scale_timeouts',
+    'score_after_suspicion',
+    'score_after_tick',
     'send_count',
-    'slowed',
     'suspect',
     'suspicion_time_s',
-    'update_own',
-    'with_own',
+    'update_own_record',
 )
--- a/boragespool/membership/receiving.py
+++ b/boragespool/membership/receiving.py
@@ -1,17 +1,21 @@
-"""How received records change the members that a daemon knows."""
+"""Merges received records into the member table."""
 
 from __future__ import annotations
 
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from boragespool.membership.merging import is_change, merge_records, refute
+from boragespool.membership.merging import (
+    merge_records,
+    precedence_changed,
+    refute,
+)
 from boragespool.membership.spreading import Rumour
 from boragespool.membership.table import (
     drop_member,
-    spread_record,
+    queue_rumour,
     store_record,
-    update_own,
+    update_own_record,
 )
 from boragespool.membership.view import is_kept, kept_hosts
 from boragespool.types import MemberStatus
@@ -25,7 +29,7 @@
     from boragespool.types import HostName, Seconds
 
 
-def receive(
+def merge_message(
     table: MemberTable,
     records: Iterable[MemberRecord],
     sender: HostName,
@@ -34,23 +38,24 @@
     *,
     is_bulk: bool = False,
 ) -> MemberTable:
-    """Merge the records of one message.
+    """Merge the records of one message into the member table.
 
     Parameters
     ----------
     table : MemberTable
         Table before the message.
     records : iterable of MemberRecord
-        Records that the message carries.
+        Records of the message.
     sender : str
-        Host that sent it.
+        Host that sent the message.
     now_s : float
         Monotonic time in seconds.
     options : MembershipOptions
-        Bounds.
+        Limits and timeouts.
     is_bulk : bool
-        Whether the message is part of a whole view sent to a new daemon.
-        Members in it are known to others and are not spread again.
+        Whether the message is part of the whole member table that a new
+        daemon gets. The other daemons know these records already, so they are
+        not spread again.
 
     Returns
     -------
@@ -61,9 +66,9 @@
     for record in records:
         if record.host == table.own.host:
             own = refute(table.own, record)
-            table = update_own(table, own, now_s, options)
+            table = update_own_record(table, own, now_s, options)
         else:
-            table = _receive_one(
+            table = _merge_received(
                 table,
                 record,
                 now_s,
@@ -73,7 +78,7 @@
     return replace(table, rumours_by_host=rumours) if is_bulk else table
 
 
-def _receive_one(
+def _merge_received(
     table: MemberTable,
     record: MemberRecord,
     now_s: Seconds,
@@ -83,27 +88,27 @@
 ) -> MemberTable:
     known = table.members_by_host.get(record.host)
     if known is None:
-        return _receive_unknown(table, record, now_s, options)
+        return _merge_unknown(table, record, now_s, options)
     merged = merge_records(known, record, is_direct=is_direct)
     if merged is known:
         return table
-    if is_change(known, merged):
+    if precedence_changed(known, merged):
         return store_record(table, merged, now_s, options)
     members = {**table.members_by_host, record.host: merged}
     return replace(table, members_by_host=members)
 
 
-def _receive_unknown(
+def _merge_unknown(
     table: MemberTable,
     record: MemberRecord,
     now_s: Seconds,
     options: MembershipOptions,
 ) -> MemberTable:
-    """Keep a new member, or only pass on that it is leaving or dead."""
+    """Add a new member, or only pass on that it is leaving or dead."""
     rumour = table.rumours_by_host.get(record.host)
     if rumour is not None:
         merged = merge_records(rumour.record, record)
-        if not is_change(rumour.record, merged):
+        if not precedence_changed(rumour.record, merged):
             return table
     is_dead = record.status == MemberStatus.DEAD
     if not is_dead and is_kept(
@@ -112,24 +117,24 @@
         table.members_by_host,
         options.remote_count,
     ):
-        return _evict(
+        return _evict_excess_members(
             store_record(table, record, now_s, options),
             record,
             now_s,
             options,
         )
     if is_dead or record.status == MemberStatus.LEAVING:
-        return spread_record(table, record, now_s, options)
+        return queue_rumour(table, record, now_s, options)
     return table
 
 
-def _evict(
+def _evict_excess_members(
     table: MemberTable,
     record: MemberRecord,
     now_s: Seconds,
     options: MembershipOptions,
 ) -> MemberTable:
-    """Drop members of the record's data centre above the bound."""
+    """Drop members of the record's data centre beyond `remote_count`."""
     if record.data_centre == table.own.data_centre:
         return table
     kept = kept_hosts(
@@ -154,11 +159,14 @@
     now_s: Seconds,
     options: MembershipOptions,
 ) -> MemberTable:
-    """Drop a member; older records are ignored if it is leaving."""
+    """Drop a member from the table.
+
+    For a leaving one a rumour is kept, so that older records are ignored.
+    """
     rumours = dict(table.rumours_by_host)
     if member.status == MemberStatus.LEAVING:
-        seen = Rumour(member, 0, now_s + options.dead_keep_s)
-        rumours.setdefault(member.host, seen)
+        handled = Rumour(member, 0, now_s + options.dead_keep_s)
+        rumours.setdefault(member.host, handled)
     else:
         rumours.pop(member.host, None)
     table = replace(table, rumours_by_host=rumours)
