Rename functions and classes of boragespool.claims

Names such as begin, forgotten, vouches_for and adopt did not say what they return or change; Issuer and RecordTable were used for other things as well. Renames only.

--- a/boragespool/bench/claims.py
+++ b/boragespool/bench/claims.py
@@ -11,19 +11,21 @@
 
 from boragespool.bench.slopes import Point, fit_line
 from boragespool.claims import (
-    Issuer,
-    RecordTable,
+    ClaimRecordTable,
+    IssuerIdentity,
     format_ticket,
     issue_ticket,
-    new_record,
     parse_ticket,
     record_outcome,
     record_start,
+    starting_record,
 )
 
 _SIZES: Final = (1_000, 5_000, 20_000, 50_000)
 _RUNS: Final = 3
-_ISSUER: Final = Issuer('entry-1', 1_700_000_000_000, 'north', b'k' * 32)
+_ISSUER: Final = IssuerIdentity(
+    'entry-1', 1_700_000_000_000, 'north', b'k' * 32
+)
 
 
 def main(*, short: bool = False) -> None:
@@ -72,11 +74,11 @@
     return time.process_time() - started_s
 
 
-def _filled_table(count: int) -> RecordTable:
-    table = RecordTable()
+def _filled_table(count: int) -> ClaimRecordTable:
+    table = ClaimRecordTable()
     for sequence in range(count):
         ticket = issue_ticket(_ISSUER, sequence, None, 0)
-        record = new_record(ticket, sequence)
+        record = starting_record(ticket, sequence)
         record_start(table, record, 0)
         record_outcome(table, record, 0)
     return table
--- a/boragespool/claims/__init__.py
+++ b/boragespool/claims/__init__.py
@@ -3,33 +3,33 @@
 from __future__ import annotations
 
 from boragespool.claims.issuer import (
-    Issuer,
-    begin,
+    IssuerIdentity,
     choose_witness,
-    forgotten,
+    find_or_create_record,
     issue_ticket,
-    new_record,
+    starting_record,
+    unknown_outcome_failure,
 )
-from boragespool.claims.records import RecordTable
+from boragespool.claims.records import ClaimRecordTable
 from boragespool.claims.tickets import (
     Ticket,
     format_ticket,
     parse_ticket,
 )
-from boragespool.claims.witness import record_outcome, record_start, seal
+from boragespool.claims.witness import record_outcome, record_start, seal_ticket
 
 __all__ = (
-    'Issuer',
-    'RecordTable',
+    'ClaimRecordTable',
+    'IssuerIdentity',
     'Ticket',
-    'begin',
     'choose_witness',
-    'forgotten',
+    'find_or_create_record',
     'format_ticket',
     'issue_ticket',
-    'new_record',
     'parse_ticket',
     'record_outcome',
     'record_start',
-    'seal',
+    'seal_ticket',
+    'starting_record',
+    'unknown_outcome_failure',
 )
--- a/boragespool/claims/issuer.py
+++ b/boragespool/claims/issuer.py
@@ -17,28 +17,28 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from boragespool.claims.records import RecordTable
+    from boragespool.claims.records import ClaimRecordTable
     from boragespool.types import DataCentre, HostName, Incarnation, Seconds
 
 
 @dataclass(frozen=True, slots=True)
-class Issuer:
+class IssuerIdentity:
     """Identity of an issuer.
 
     Attributes
     ----------
-    key : bytes
+    signing_key : bytes
         Secret of this incarnation that signs its tickets.
     """
 
     host: HostName
     incarnation: Incarnation
     data_centre: DataCentre
-    key: bytes
+    signing_key: bytes
 
 
 def issue_ticket(
-    issuer: Issuer,
+    issuer: IssuerIdentity,
     sequence: int,
     witness: MemberRecord | None,
     now_s: Seconds,
@@ -64,11 +64,11 @@
         witness=witness.host if witness else '',
         witness_incarnation=witness.incarnation if witness else 0,
     )
-    return sign_ticket(unsigned, issuer.key)
+    return sign_ticket(unsigned, issuer.signing_key)
 
 
 def choose_witness(
-    issuer: Issuer,
+    issuer: IssuerIdentity,
     members: Iterable[MemberRecord],
     draw: float,
 ) -> MemberRecord | None:
@@ -102,19 +102,19 @@
     return candidates[int(draw * len(candidates))]
 
 
-def begin(
-    table: RecordTable,
+def find_or_create_record(
+    table: ClaimRecordTable,
     ticket: Ticket,
     body_hash: int,
     *,
-    issuer: Issuer,
-    oldest_s: Seconds,
+    issuer: IssuerIdentity,
+    min_issued_at_s: Seconds,
 ) -> ClaimRecord | Failure:
     """Decide what the issuer does with a claim under one of its tickets.
 
     Parameters
     ----------
-    table : RecordTable
+    table : ClaimRecordTable
         Records of the issuer.
     ticket : Ticket
         Ticket that names this issuer and incarnation.
@@ -122,7 +122,7 @@
         Identity of the claim.
     issuer : Issuer
         This issuer.
-    oldest_s : float
+    min_issued_at_s : float
         Issue time before which a ticket no longer starts, in seconds.
 
     Returns
@@ -131,18 +131,18 @@
         A new record in state ``STARTING``, which the caller puts into the
         table before anything else; or the known record; or a refusal.
     """
-    fresh = new_record(ticket, body_hash)
+    fresh = starting_record(ticket, body_hash)
     known = table.get(ticket.ticket_id)
     if known is not None:
         return _same_claim(known, body_hash)
-    if not has_valid_signature(ticket, issuer.key):
+    if not has_valid_signature(ticket, issuer.signing_key):
         return Failure(
             ResultCode.BAD_TICKET,
             f'ticket {ticket.ticket_id!r} was not signed by its issuer',
         )
-    if not table.vouches_for(fresh):
-        return forgotten(ticket)
-    if ticket.issued_at_s < oldest_s:
+    if not table.was_never_recorded(fresh):
+        return unknown_outcome_failure(ticket)
+    if ticket.issued_at_s < min_issued_at_s:
         return replace(
             fresh,
             state=ClaimState.SEALED,
@@ -152,7 +152,7 @@
     return fresh
 
 
-def new_record(ticket: Ticket, body_hash: int) -> ClaimRecord:
+def starting_record(ticket: Ticket, body_hash: int) -> ClaimRecord:
     """Return the record of a ticket that is about to start."""
     return ClaimRecord(
         ticket_id=ticket.ticket_id,
@@ -164,7 +164,7 @@
     )
 
 
-def forgotten(ticket: Ticket) -> Failure:
+def unknown_outcome_failure(ticket: Ticket) -> Failure:
     """Return the refusal for a ticket of which nothing certain is known."""
     return Failure(
         ResultCode.OUTCOME_UNKNOWN,
--- a/boragespool/claims/records.py
+++ b/boragespool/claims/records.py
@@ -18,10 +18,10 @@
     from boragespool.types import HostName, Incarnation, Seconds
 
 #: A mark takes about 200 bytes; 11,000 restarts a day make 7 days of marks.
-MARK_COUNT: Final = 80_000
+DROPPED_MARK_LIMIT: Final = 80_000
 
 
-class RecordTable:
+class ClaimRecordTable:
     """Records by ticket, oldest first, with marks of what was dropped."""
 
     def __init__(self) -> None:
@@ -48,7 +48,7 @@
         first_s = entry[0] if entry else now_s
         self._record_by_ticket[record.ticket_id] = (first_s, record)
 
-    def vouches_for(self, record: ClaimRecord) -> bool:
+    def was_never_recorded(self, record: ClaimRecord) -> bool:
         """Tell whether a missing record means that none was ever made."""
         issuer = (record.issuer, record.issuer_incarnation)
         mark = self._mark_by_issuer.get(issuer)
@@ -56,14 +56,14 @@
             return record.issuer_incarnation > self._forgotten_incarnation
         return record.sequence > mark
 
-    def expire(self, now_s: Seconds, age_s: Seconds, count: int) -> int:
+    def expire(self, now_s: Seconds, max_age_s: Seconds, max_count: int) -> int:
         """Drop records that are too old or too many, oldest first.
 
         Parameters
         ----------
         now_s : float
             Current time, in seconds.
-        age_s : float
+        max_age_s : float
             Age from which records are dropped, in seconds.
         count : int
             Records to keep at most.
@@ -76,7 +76,7 @@
         dropped = 0
         while self._record_by_ticket:
             first_s, record = next(iter(self._record_by_ticket.values()))
-            if len(self) <= count and now_s - first_s < age_s:
+            if len(self) <= max_count and now_s - first_s < max_age_s:
                 break
             self._record_by_ticket.popitem(last=False)
             self._mark(
@@ -94,7 +94,7 @@
         """Return all records, oldest first."""
         return tuple(entry[1] for entry in self._record_by_ticket.values())
 
-    def marks(self) -> tuple[DroppedMark, ...]:
+    def dropped_marks(self) -> tuple[DroppedMark, ...]:
         """Return what was dropped.
 
         A mark with an empty issuer stands for all issuers up to its
@@ -106,7 +106,7 @@
         )
         return (*own, DroppedMark('', self._forgotten_incarnation, 0))
 
-    def adopt(
+    def import_records(
         self,
         records: Iterable[ClaimRecord],
         marks: Iterable[DroppedMark],
@@ -131,7 +131,7 @@
 
     def _bound_marks(self) -> None:
         """Replace the marks of the oldest incarnations by one for all."""
-        excess = len(self._mark_by_issuer) - MARK_COUNT
+        excess = len(self._mark_by_issuer) - DROPPED_MARK_LIMIT
         if excess <= 0:
             return
         oldest = sorted(self._mark_by_issuer, key=lambda issuer: issuer[1])
--- a/boragespool/claims/witness.py
+++ b/boragespool/claims/witness.py
@@ -19,12 +19,12 @@
 from boragespool.types import RunState
 
 if TYPE_CHECKING:
-    from boragespool.claims.records import RecordTable
+    from boragespool.claims.records import ClaimRecordTable
     from boragespool.types import Seconds
 
 
 def record_start(
-    table: RecordTable,
+    table: ClaimRecordTable,
     record: ClaimRecord,
     now_s: Seconds,
 ) -> WitnessReply:
@@ -32,7 +32,7 @@
 
     Parameters
     ----------
-    table : RecordTable
+    table : ClaimRecordTable
         Records of the witness.
     record : ClaimRecord
         Record of the issuer.
@@ -47,14 +47,14 @@
     known = table.get(record.ticket_id)
     if known is not None:
         return _reply(known)
-    if not table.vouches_for(record):
+    if not table.was_never_recorded(record):
         return WitnessReply(WitnessVerdict.FORGOTTEN)
     table.put(replace(record, state=ClaimState.STARTED), now_s)
     return WitnessReply(WitnessVerdict.RECORDED)
 
 
 def record_outcome(
-    table: RecordTable,
+    table: ClaimRecordTable,
     record: ClaimRecord,
     now_s: Seconds,
 ) -> WitnessReply:
@@ -67,8 +67,8 @@
     return WitnessReply(WitnessVerdict.RECORDED)
 
 
-def seal(
-    table: RecordTable,
+def seal_ticket(
+    table: ClaimRecordTable,
     record: ClaimRecord,
     now_s: Seconds,
 ) -> WitnessReply:
@@ -76,7 +76,7 @@
     known = table.get(record.ticket_id)
     if known is not None:
         return _reply(known)
-    if not table.vouches_for(record):
+    if not table.was_never_recorded(record):
         return WitnessReply(WitnessVerdict.FORGOTTEN)
     sealed = replace(
         record,
--- a/boragespool/controllers/claims/claim_forwarding.py
+++ b/boragespool/controllers/claims/claim_forwarding.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from boragespool.blackboard.topics import MEMBERS
-from boragespool.claims import Ticket, forgotten, new_record
+from boragespool.claims import Ticket, starting_record, unknown_outcome_failure
 from boragespool.controllers.claims.claim_outcomes import record_from_reply
 from boragespool.events import Event, log_event
 from boragespool.messages import (
@@ -88,7 +88,7 @@
         )
         reply = await self._witnesses.ask(
             SealTicket(
-                new_record(ticket, body_hash),
+                starting_record(ticket, body_hash),
                 ticket.witness,
                 ticket.witness_incarnation,
             ),
@@ -103,7 +103,7 @@
         )
         known = reply.record
         if known is None or reply.verdict is WitnessVerdict.STARTED:
-            return forgotten(ticket)
+            return unknown_outcome_failure(ticket)
         if body_hash and known.body_hash not in {0, body_hash}:
             return Failure(
                 ResultCode.TICKET_REUSED,
--- a/boragespool/controllers/claims/claim_runs.py
+++ b/boragespool/controllers/claims/claim_runs.py
@@ -12,10 +12,10 @@
 
 from boragespool.blackboard.topics import BLOCKED, IN_FORCE
 from boragespool.claims import (
-    Issuer,
-    RecordTable,
+    ClaimRecordTable,
+    IssuerIdentity,
     Ticket,
-    begin,
+    find_or_create_record,
     parse_ticket,
 )
 from boragespool.controllers.claims.claim_outcomes import (
@@ -52,7 +52,7 @@
     def __init__(
         self,
         context: Context,
-        issuer: Issuer,
+        issuer: IssuerIdentity,
         witnesses: WitnessController,
         sender: ClaimSender,
     ) -> None:
@@ -61,7 +61,7 @@
         self._issuer = issuer
         self._witnesses = witnesses
         self._sender = sender
-        self._table = RecordTable()
+        self._table = ClaimRecordTable()
         self._run_by_ticket: dict[str, asyncio.Task[None]] = {}
         self._runs = TaskSet()
         self._reports = TaskSet()
@@ -100,12 +100,12 @@
         body_hash = (
             0 if claim.outcome_only else fingerprint_of(claim.route, claim.body)
         )
-        record = begin(
+        record = find_or_create_record(
             self._table,
             ticket,
             body_hash,
             issuer=self._issuer,
-            oldest_s=self._now_s() - self.settings().ticket_validity_s,
+            min_issued_at_s=self._now_s() - self.settings().ticket_validity_s,
         )
         if isinstance(record, Failure):
             return record
@@ -126,12 +126,12 @@
             return replace(refusal, run=RunState.UNKNOWN)
         if self._table.get(ticket.ticket_id) is not None:
             return None
-        record = begin(
+        record = find_or_create_record(
             self._table,
             ticket,
             0,
             issuer=self._issuer,
-            oldest_s=self._now_s() - self.settings().ticket_validity_s,
+            min_issued_at_s=self._now_s() - self.settings().ticket_validity_s,
         )
         if isinstance(record, Failure):
             return record
--- a/boragespool/controllers/claims/claims.py
+++ b/boragespool/controllers/claims/claims.py
@@ -12,7 +12,7 @@
 
 from boragespool.blackboard.topics import IN_FORCE, MEMBERS
 from boragespool.claims import (
-    Issuer,
+    IssuerIdentity,
     Ticket,
     choose_witness,
     format_ticket,
@@ -63,7 +63,7 @@
         """Prepare an issuer with a new key."""
         identity = context.identity
         self._context = context
-        self._issuer = Issuer(
+        self._issuer = IssuerIdentity(
             identity.host,
             identity.incarnation,
             identity.data_centre,
--- a/boragespool/controllers/claims/witnesses.py
+++ b/boragespool/controllers/claims/witnesses.py
@@ -11,7 +11,12 @@
 from typing import TYPE_CHECKING, Final, Self, TypeAlias
 
 from boragespool.blackboard.topics import IN_FORCE, MEMBERS
-from boragespool.claims import RecordTable, record_outcome, record_start, seal
+from boragespool.claims import (
+    ClaimRecordTable,
+    record_outcome,
+    record_start,
+    seal_ticket,
+)
 from boragespool.events import Event, log_event
 from boragespool.messages import (
     HandOver,
@@ -54,7 +59,7 @@
         self._context = context
         own = (context.identity.host, context.identity.incarnation)
         self._identities: set[_Identity] = {own}
-        self._table = RecordTable()
+        self._table = ClaimRecordTable()
         self._successor_by_witness: dict[_Identity, HostName] = {}
         self._handed_over: asyncio.Future[HostName | None] | None = None
         self._subscriptions: list[Subscription] = []
@@ -146,7 +151,7 @@
             return record_start(self._table, message.record, now_s)
         if isinstance(message, RecordOutcome):
             return record_outcome(self._table, message.record, now_s)
-        return seal(self._table, message.record, now_s)
+        return seal_ticket(self._table, message.record, now_s)
 
     async def _pass_on(
         self,
@@ -168,7 +173,7 @@
     async def _adopt(self, sender: Sender, message: HandOver) -> HandOverAck:
         if self._handed_over is not None:
             return HandOverAck(accepted=False)
-        self._table.adopt(
+        self._table.import_records(
             message.records,
             message.dropped,
             self._context.timers.now_s(),
@@ -180,7 +185,7 @@
     async def _send_records(self, candidate: HostName) -> bool:
         """Send all records in chunks; tell whether all were accepted."""
         records = self._table.records()
-        marks = self._table.marks()
+        marks = self._table.dropped_marks()
         starts = range(0, max(1, len(records)), _HAND_OVER_CHUNK)
         for start in starts:
             message = HandOver(
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -9,12 +9,12 @@
 from hypothesis import strategies as st
 
 from boragespool.claims import (
-    RecordTable,
-    new_record,
+    ClaimRecordTable,
     parse_ticket,
     record_outcome,
     record_start,
-    seal,
+    seal_ticket,
+    starting_record,
 )
 from boragespool.claims.tickets import Ticket, format_ticket
 from boragespool.controllers.requests import ClaimRequest
@@ -65,10 +65,10 @@
 )
 def test_witness_never_allows_start_after_seal(steps):
     """A bounded table must not forget that it sealed or started a ticket."""
-    table = RecordTable()
+    table = ClaimRecordTable()
     started, sealed = set(), set()
     for now_s, (action, sequence) in enumerate(steps):
-        record = new_record(ticket(sequence), 1)
+        record = starting_record(ticket(sequence), 1)
         if action == 'start':
             reply = record_start(table, record, now_s)
             if reply.verdict is WitnessVerdict.RECORDED:
@@ -77,26 +77,26 @@
         elif action == 'outcome':
             record_outcome(table, record, now_s)
         elif action == 'seal':
-            reply = seal(table, record, now_s)
+            reply = seal_ticket(table, record, now_s)
             if reply.verdict is WitnessVerdict.SEALED:
                 assert sequence not in started
                 sealed.add(sequence)
         else:
-            table.expire(now_s, age_s=1_000, count=2)
+            table.expire(now_s, max_age_s=1_000, max_count=2)
             assert len(table) <= 2
 
 
 def test_adopted_records_keep_marks():
     """A successor must not vouch for what its predecessor dropped."""
-    old, successor = RecordTable(), RecordTable()
+    old, successor = ClaimRecordTable(), ClaimRecordTable()
     for sequence in range(1, 5):
-        record_start(old, new_record(ticket(sequence), 1), 0)
-    old.expire(0, age_s=10, count=1)
-    successor.adopt(old.records(), old.marks(), 0)
+        record_start(old, starting_record(ticket(sequence), 1), 0)
+    old.expire(0, max_age_s=10, max_count=1)
+    successor.import_records(old.records(), old.dropped_marks(), 0)
     for sequence in range(1, 4):
-        reply = seal(successor, new_record(ticket(sequence), 1), 1)
+        reply = seal_ticket(successor, starting_record(ticket(sequence), 1), 1)
         assert reply.verdict is WitnessVerdict.FORGOTTEN
-    reply = seal(successor, new_record(ticket(4), 1), 1)
+    reply = seal_ticket(successor, starting_record(ticket(4), 1), 1)
     assert reply.verdict is WitnessVerdict.STARTED
 
 
