--- a/boragespool/bench/planning.py
+++ b/boragespool/bench/planning.py
@@ -18,7 +18,7 @@
     Catalogue,
     MergeState,
     build_catalogue,
-    pin_version,
+    choose_version,
 )
 from boragespool.types import RunState
 
@@ -66,7 +66,7 @@
     arrivals: Sequence[WorkReply],
 ) -> None:
     """Pin, choose replicas, validate and merge one query."""
-    version = pin_version(catalogue) or 0
+    version = choose_version(catalogue) or 0
     state = MergeState(version)
     for part, reply in zip(
         catalogue.plans_by_version[version],
@@ -74,10 +74,10 @@
         strict=True,
     ):
         choose_replica(part.replicas, (), observations, (0.3, 0.7), 0, 1)
-        state.expect(reply.attempt_id, (part.start, part.end))
+        state.open_attempt(reply.attempt_id, (part.start, part.end))
     for answered in arrivals:
         state.merge(answered.attempt_id, answered)
-    if not state.complete or len(state.collect()) != _ITEMS * len(replies):
+    if not state.complete or len(state.merged_items()) != _ITEMS * len(replies):
         raise RuntimeError(f'coverage is {state.coverage!r}, not 1')
 
 
--- a/boragespool/controllers/queries/pinned.py
+++ b/boragespool/controllers/queries/pinned.py
@@ -6,11 +6,11 @@
 
 from boragespool.controllers.queries.query_parts import Part
 from boragespool.snapshots import (
-    Denials,
     MergeState,
+    NotHeldRanges,
+    choose_restart_version,
     plan_ranges,
-    reachable_keys,
-    restart_version,
+    reachable_key_count,
 )
 from boragespool.snapshots.ranges import complement, intersection, union
 
@@ -29,7 +29,7 @@
         """Start with nothing merged."""
         self.version = version
         self.state = MergeState(version)
-        self.denials = Denials()
+        self.denials = NotHeldRanges()
         self._work = work
 
     def whole_plan(self) -> tuple[SubRange, ...]:
@@ -72,7 +72,7 @@
                 self._work.catalogue(),
                 self.version,
                 union(part.asked for part in parts),
-                lambda *asked: not self.denials.allows(*asked),
+                lambda *asked: not self.denials.may_ask(*asked),
             )
         )
 
@@ -84,8 +84,8 @@
         hoped : iterable of (int, int)
             Ranges that are in flight or still have a replica.
         """
-        reachable = reachable_keys(self.state, hoped)
-        return restart_version(
+        reachable = reachable_key_count(self.state, hoped)
+        return choose_restart_version(
             self._work.catalogue(),
             self.version,
             reachable,
@@ -96,5 +96,5 @@
             self._work.catalogue(),
             self.version,
             self.state.missing(part.asked),
-            self.denials.allows,
+            self.denials.may_ask,
         )
--- a/boragespool/controllers/queries/query.py
+++ b/boragespool/controllers/queries/query.py
@@ -22,7 +22,7 @@
     refusal_wait_s,
 )
 from boragespool.settings import HedgingSettings
-from boragespool.snapshots import pin_version
+from boragespool.snapshots import choose_version
 from boragespool.types import WorkKind
 
 if TYPE_CHECKING:
@@ -166,7 +166,7 @@
         if work.blocked:
             return blocked(work.fingerprint)
         catalogue = work.catalogue()
-        version = pin_version(catalogue)
+        version = choose_version(catalogue)
         if version is None:
             return Failure(
                 ResultCode.NO_SNAPSHOT,
--- a/boragespool/controllers/queries/query_answers.py
+++ b/boragespool/controllers/queries/query_answers.py
@@ -82,7 +82,7 @@
         coverage=state.coverage,
         missing=missing,
         rank=work.rank,
-        items=state.collect(),
+        items=state.merged_items(),
         attempts=ending.attempts,
     )
 
--- a/boragespool/controllers/queries/query_run.py
+++ b/boragespool/controllers/queries/query_run.py
@@ -18,7 +18,7 @@
 from boragespool.controllers.queries.query_waits import QueryWaits
 from boragespool.messages import WorkReply
 from boragespool.results import Failure, ResultCode
-from boragespool.snapshots import better_state
+from boragespool.snapshots import state_with_more_coverage
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -90,7 +90,7 @@
             self._stop()
         replaced = self._replaced or self._pinned
         ending = Ending(
-            better_state(replaced.state, self._pinned.state),
+            state_with_more_coverage(replaced.state, self._pinned.state),
             self._sender.sent,
             self._last_refusal,
             may_have_run=self._sender.may_have_run,
@@ -126,7 +126,7 @@
         if kind in _SECOND_ATTEMPTS and not self._work.merger.budget.spend():
             return False
         attempt = self._sender.send(part, server, self._pinned.version, kind)
-        self._pinned.state.expect(attempt.attempt_id, part.asked)
+        self._pinned.state.open_attempt(attempt.attempt_id, part.asked)
         return True
 
     def _hedge(self, part: Part) -> bool:
@@ -165,7 +165,7 @@
         attempt: Attempt,
         refusal: WorkReply | Failure,
     ) -> None:
-        self._pinned.state.close(attempt.attempt_id)
+        self._pinned.state.close_attempt(attempt.attempt_id)
         self._last_refusal = refusal
         if refusal.code == ResultCode.VERSION_NOT_HELD:
             # Excludes the server for this range, not for a narrower one.
@@ -173,7 +173,7 @@
             attempt.part.tried.remove(attempt.server)
 
     def _withdraw(self, attempt: Attempt) -> None:
-        self._pinned.state.close(attempt.attempt_id)
+        self._pinned.state.close_attempt(attempt.attempt_id)
         self._sender.cancel(attempt)
 
     def _advance(self) -> None:
--- a/boragespool/snapshots/__init__.py
+++ b/boragespool/snapshots/__init__.py
@@ -6,29 +6,29 @@
     Catalogue,
     SubRange,
     build_catalogue,
-    pin_version,
+    choose_version,
     plan_ranges,
 )
 from boragespool.snapshots.merging import MergeState
 from boragespool.snapshots.ranges import WHOLE_KEY_SPACE, KeyRange
 from boragespool.snapshots.replanning import (
-    Denials,
-    better_state,
-    reachable_keys,
-    restart_version,
+    NotHeldRanges,
+    choose_restart_version,
+    reachable_key_count,
+    state_with_more_coverage,
 )
 
 __all__ = (
     'WHOLE_KEY_SPACE',
     'Catalogue',
-    'Denials',
     'KeyRange',
     'MergeState',
+    'NotHeldRanges',
     'SubRange',
-    'better_state',
     'build_catalogue',
-    'pin_version',
+    'choose_restart_version',
+    'choose_version',
     'plan_ranges',
-    'reachable_keys',
-    'restart_version',
+    'reachable_key_count',
+    'state_with_more_coverage',
 )
--- a/boragespool/snapshots/catalogue.py
+++ b/boragespool/snapshots/catalogue.py
@@ -116,7 +116,7 @@
     return key_count((part.start, part.end) for part in plan)
 
 
-def pin_version(catalogue: Catalogue) -> IndexVersion | None:
+def choose_version(catalogue: Catalogue) -> IndexVersion | None:
     """Choose the index version that a new query is computed from.
 
     Parameters
--- a/boragespool/snapshots/merging.py
+++ b/boragespool/snapshots/merging.py
@@ -57,7 +57,7 @@
         )
         return complement(merged, within)
 
-    def collect(self) -> tuple[Item, ...]:
+    def merged_items(self) -> tuple[Item, ...]:
         """Return the merged items, ordered by the ranges they came in."""
         return tuple(
             item
@@ -65,11 +65,11 @@
             for item in self._items_by_start[start]
         )
 
-    def expect(self, attempt_id: AttemptId, asked: KeyRange) -> None:
+    def open_attempt(self, attempt_id: AttemptId, asked: KeyRange) -> None:
         """Open an attempt; only open attempts can be merged."""
         self._asked_by_attempt[attempt_id] = asked
 
-    def close(self, attempt_id: AttemptId) -> None:
+    def close_attempt(self, attempt_id: AttemptId) -> None:
         """Close an attempt that failed or was cancelled."""
         self._asked_by_attempt.pop(attempt_id, None)
 
--- a/boragespool/snapshots/replanning.py
+++ b/boragespool/snapshots/replanning.py
@@ -16,7 +16,7 @@
     from boragespool.types import IndexVersion, ServerName
 
 
-class Denials:
+class NotHeldRanges:
     """Ranges of the pinned version that backend servers said they lack.
 
     Holdings are announced with a delay, so the announced ones alone would
@@ -31,12 +31,12 @@
         """Note that a server does not hold a range that it was asked for."""
         self._asked.add((server, *asked))
 
-    def allows(self, server: ServerName, start: int, end: int) -> bool:
+    def may_ask(self, server: ServerName, start: int, end: int) -> bool:
         """Return whether a server may be asked for ``[start, end)``."""
         return (server, start, end) not in self._asked
 
 
-def reachable_keys(state: MergeState, hoped: Iterable[KeyRange]) -> int:
+def reachable_key_count(state: MergeState, hoped: Iterable[KeyRange]) -> int:
     """Return how many keys the pinned version can still cover.
 
     Parameters
@@ -56,7 +56,7 @@
     return KEY_SPACE_SIZE - lost
 
 
-def restart_version(
+def choose_restart_version(
     catalogue: Catalogue,
     pinned: IndexVersion,
     reachable: int,
@@ -86,7 +86,9 @@
     return max(newer)[1] if newer else None
 
 
-def better_state(first: MergeState, second: MergeState) -> MergeState:
+def state_with_more_coverage(
+    first: MergeState, second: MergeState
+) -> MergeState:
     """Return the state to answer with: more coverage, ties to the newer."""
     return max(
         (first, second),
--- a/tests/snapshot_world.py
+++ b/tests/snapshot_world.py
@@ -11,13 +11,13 @@
 from boragespool.messages import Holding, Item, WorkReply
 from boragespool.results import Failure, ResultCode
 from boragespool.snapshots import (
-    Denials,
     MergeState,
+    NotHeldRanges,
     build_catalogue,
-    pin_version,
+    choose_restart_version,
+    choose_version,
     plan_ranges,
-    reachable_keys,
-    restart_version,
+    reachable_key_count,
 )
 from boragespool.types import KEY_SPACE_SIZE, RunState
 
@@ -160,12 +160,12 @@
 
     def pin(self):
         """Pin the best version that is announced."""
-        self.begin(pin_version(self.world.catalogue) or 0)
+        self.begin(choose_version(self.world.catalogue) or 0)
 
     def begin(self, version):
         """Start with an empty state."""
         self.state = MergeState(version)
-        self.denials = Denials()
+        self.denials = NotHeldRanges()
         self.open = {}
 
     def act(self):
@@ -176,11 +176,11 @@
             catalogue,
             self.state.version,
             self.state.missing(),
-            self.denials.allows,
+            self.denials.may_ask,
         )
         hoped = [*asked, *((part.start, part.end) for part in plan)]
-        reachable = reachable_keys(self.state, hoped)
-        newer = restart_version(catalogue, self.state.version, reachable)
+        reachable = reachable_key_count(self.state, hoped)
+        newer = choose_restart_version(catalogue, self.state.version, reachable)
         if newer is not None and not self.restarts:
             self.restarts += 1
             self.begin(newer)
@@ -197,14 +197,14 @@
                 self.state.version,
                 asked,
             )
-            self.state.expect(name, asked)
+            self.state.open_attempt(name, asked)
 
     def deliver(self, attempt, reply):
         """Give a reply to the exchange of an attempt; check the state."""
         before = self.state.coverage
         if reply.code != COMPLETE:
             self.denials.add(attempt[2], attempt[4])
-            self.state.close(attempt[0])
+            self.state.close_attempt(attempt[0])
         else:
             merged = self.state.merge(attempt[0], reply)
             if isinstance(merged, Failure):
@@ -221,7 +221,7 @@
         }
         covered = [cell for cell in range(CELLS) if cell not in missing]
         truth = items_for(self.request, self.state.version, covered)
-        assert self.state.collect() == truth
+        assert self.state.merged_items() == truth
         assert self.state.coverage == len(covered) / CELLS
         assert self.state.complete == (not missing)
 
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -8,14 +8,14 @@
 from boragespool.messages import Holding, Item, WorkReply
 from boragespool.results import Failure, ResultCode
 from boragespool.snapshots import (
-    Denials,
     MergeState,
+    NotHeldRanges,
     SubRange,
-    better_state,
     build_catalogue,
-    pin_version,
+    choose_restart_version,
+    choose_version,
     plan_ranges,
-    restart_version,
+    state_with_more_coverage,
 )
 from boragespool.snapshots.ranges import (
     complement,
@@ -81,12 +81,12 @@
     """A version that is still being loaded must not lower the coverage."""
     whole, half = (0, KEY_SPACE_SIZE), (0, HALF)
     loading = {'a': (Holding(1, (whole,)), Holding(2, (half,)))}
-    assert pin_version(build_catalogue(loading)) == 1
+    assert choose_version(build_catalogue(loading)) == 1
     loaded = loading | {'b': held((HALF, KEY_SPACE_SIZE), version=2)}
-    assert pin_version(build_catalogue(loaded)) == 2
+    assert choose_version(build_catalogue(loaded)) == 2
     parts = {'a': held(half), 'b': held(half, version=2)}
-    assert pin_version(build_catalogue(parts)) == 2
-    assert pin_version(build_catalogue({'a': held((5, 5), (-1, 3))})) is None
+    assert choose_version(build_catalogue(parts)) == 2
+    assert choose_version(build_catalogue({'a': held((5, 5), (-1, 3))})) is None
 
 
 def test_plan_is_cut_at_the_edges_of_all_holders():
@@ -104,9 +104,9 @@
         (60, 70, ('a', 'c')),
         (70, 100, ('a',)),
     ]
-    denials = Denials()
+    denials = NotHeldRanges()
     denials.add('a', (80, 90))
-    assert plan_ranges(catalogue, 1, [(65, 70), (80, 90)], denials.allows) == (
+    assert plan_ranges(catalogue, 1, [(65, 70), (80, 90)], denials.may_ask) == (
         SubRange(65, 70, ('a', 'c')),
     )
 
@@ -116,19 +116,19 @@
     catalogue = build_catalogue(
         {'a': held((0, HALF), version=2), 'b': held((0, HALF + 1), version=3)}
     )
-    assert restart_version(catalogue, 1, HALF) == 3
-    assert restart_version(catalogue, 1, HALF + 1) is None
-    assert restart_version(catalogue, 3, 0) is None
+    assert choose_restart_version(catalogue, 1, HALF) == 3
+    assert choose_restart_version(catalogue, 1, HALF + 1) is None
+    assert choose_restart_version(catalogue, 3, 0) is None
 
 
 def test_answer_uses_the_better_of_two_snapshots():
     """A restart that reached less must not replace what was merged."""
     old, new = MergeState(1), MergeState(2)
-    assert better_state(old, new) is new
-    old.expect('x', (0, 10))
+    assert state_with_more_coverage(old, new) is new
+    old.open_attempt('x', (0, 10))
     reply = WorkReply('x', 1000, RunState.RUN, 1, 0, 10, (Item(3, 'v'),))
     assert old.merge('x', reply) == (0, 10)
-    assert better_state(old, new) is old
+    assert state_with_more_coverage(old, new) is old
     refused = old.merge('x', reply)
     assert isinstance(refused, Failure)
     assert refused.code == ResultCode.SERVER_REPLY_INVALID
