Rename functions and classes of boragespool.revisions

Names such as lacking, indexed, pack, retain, publishable and Step did not say what they return or belong to. Renames only; due became parts_to_retire, a field that is not encoded. Check clean; the tests of revisions, apply races, configuration and command line pass.

--- a/boragespool/bench/configuration_parts.py
+++ b/boragespool/bench/configuration_parts.py
@@ -20,15 +20,15 @@
     Change,
     History,
     Manifest,
-    Retired,
+    RetiredPart,
     RevisionDocument,
     decode_document,
-    decode_value,
+    decode_revision,
+    encode_revision,
     next_document,
-    pack,
     part_key,
 )
-from boragespool.revisions.manifest import Replaced
+from boragespool.revisions.manifest import ReplacedPart
 from boragespool.store import Conflict, Missing, StoredValue
 
 if TYPE_CHECKING:
@@ -124,7 +124,7 @@
 def first_adoption(settings: Settings) -> str:
     """Describe decoding and validating all parts."""
     held = HeldRevision()
-    packed = pack(RevisionDocument(1, 'first', settings))
+    packed = encode_revision(RevisionDocument(1, 'first', settings))
     assert not isinstance(packed, Failure)
     held.want(packed.manifest)
     _fill(held, packed.manifest, packed.parts)
@@ -157,13 +157,15 @@
     base = replace(base, audit=base.audit[-_KEPT:])
     # Three parts are replaced by each change: a part, an index, a history.
     replaced = tuple(
-        Replaced(f'{revision:030x}{part:02x}', revision)
+        ReplacedPart(f'{revision:030x}{part:02x}', revision)
         for revision in range(base.revision - _KEPT, base.revision)
         for part in range(3)
     )
-    retired = tuple(Retired(f'{part:032x}', 1) for part in range(3))
+    retired = tuple(RetiredPart(f'{part:032x}', 1) for part in range(3))
     kept_from = base.revision - _KEPT
-    packed = pack(base, History((), replaced, retired, (1,), kept_from))
+    packed = encode_revision(
+        base, History((), replaced, retired, (1,), kept_from)
+    )
     assert not isinstance(packed, Failure)
     texts = dict(packed.parts)
     texts.update((one.part, b'{}') for one in replaced)
@@ -187,7 +189,7 @@
         for key, stored in store.stored.items()
         if key != CURRENT_KEY
     }
-    manifest = decode_value(encoded)
+    manifest = decode_revision(encoded)
     assert isinstance(manifest, Manifest)
     peer = HeldRevision()
     _fill(peer, manifest, texts)
@@ -222,7 +224,7 @@
     size_bytes = _size(request) + _size(reply)
     part_bytes = 0
     started_s = time.process_time()
-    manifest = decode_value(reply.manifest)
+    manifest = decode_revision(reply.manifest)
     assert isinstance(manifest, Manifest)
     while lacked := held.lacks(manifest):
         assert not isinstance(lacked, Failure)
--- a/boragespool/cli/change_commands.py
+++ b/boragespool/cli/change_commands.py
@@ -22,10 +22,10 @@
     Change,
     RevisionDocument,
     check_change,
-    cleared_document,
+    clear_fingerprint,
     difference,
     next_document,
-    undrained,
+    undrained_servers,
     with_host_drained,
 )
 from boragespool.settings import Settings, load_folder
@@ -84,7 +84,7 @@
         return fingerprint
     return await _change(
         call,
-        lambda base, change: cleared_document(fingerprint, base, change),
+        lambda base, change: clear_fingerprint(fingerprint, base, change),
     )
 
 
@@ -96,7 +96,7 @@
         base: RevisionDocument,
         change: Change,
     ) -> RevisionDocument | Failure:
-        names = undrained(base.settings, settings)
+        names = undrained_servers(base.settings, settings)
         if names and not call.flags['undrain']:
             return Failure(
                 ResultCode.INVALID_SETTING,
--- a/boragespool/cli/settings_commands.py
+++ b/boragespool/cli/settings_commands.py
@@ -16,7 +16,7 @@
     read_trail,
 )
 from boragespool.results import Failure
-from boragespool.revisions import difference, indexed, split
+from boragespool.revisions import build_indexes, difference, split_settings
 from boragespool.settings import (
     Settings,
     describe,
@@ -70,7 +70,9 @@
     if isinstance(settings, Failure):
         return settings
     async with open_store(call) as store:
-        base = await read_base(store, indexed(split(settings))[1])
+        base = await read_base(
+            store, build_indexes(split_settings(settings))[1]
+        )
     if isinstance(base, Failure):
         return base
     revision = base.document.revision if base.document else 0
--- a/boragespool/controllers/backend_servers/crash_watch.py
+++ b/boragespool/controllers/backend_servers/crash_watch.py
@@ -9,7 +9,7 @@
 from boragespool.blackboard.topics import BLOCKED, IN_FORCE, MEMBERS, SUSPECTS
 from boragespool.events import Event, log_event
 from boragespool.messages import SuspectNotice, SuspectNoticeAck
-from boragespool.revisions import newly_cleared
+from boragespool.revisions import newly_cleared_fingerprints
 from boragespool.types import MemberStatus
 
 if TYPE_CHECKING:
@@ -85,7 +85,7 @@
         if document is None:
             return
         now_s = self._context.timers.now_s()
-        for fingerprint in newly_cleared(self._document, document):
+        for fingerprint in newly_cleared_fingerprints(self._document, document):
             self._ledger.clear(fingerprint, now_s)
         self._document = document
         self.post()
--- a/boragespool/controllers/configuration/applying.py
+++ b/boragespool/controllers/configuration/applying.py
@@ -21,12 +21,12 @@
 from boragespool.revisions import (
     CURRENT_KEY,
     RevisionDocument,
-    Step,
     WriteAnswer,
-    after_read,
-    after_write,
-    indexed,
-    split,
+    WriteStep,
+    build_indexes,
+    next_step_after_read,
+    next_step_after_write,
+    split_settings,
 )
 from boragespool.types import RunState
 
@@ -93,7 +93,7 @@
         ``STORE_UNAVAILABLE`` promises that nothing will be in force;
         ``APPLY_UNCONFIRMED`` says that this is not known.
     """
-    given = indexed(split(settings)) if settings else ({}, {})
+    given = build_indexes(split_settings(settings)) if settings else ({}, {})
     base = await read_base(store, given[1])
     if isinstance(base, Failure):
         return base
@@ -103,7 +103,7 @@
     if wanted_base not in {None, wanted.revision - 1}:
         return _refuse(base, wanted, wanted_base)
     if wanted.settings is not settings:
-        given = indexed(split(wanted.settings))
+        given = build_indexes(split_settings(wanted.settings))
     writer = _Writer(store, base, wanted, given)
     try:
         async with asyncio.timeout(patience_s) as limit:
@@ -167,9 +167,9 @@
         step = await self._run_steps()
         if self._refusal is not None:
             return self._refusal
-        if step is Step.APPLIED:
+        if step is WriteStep.APPLIED:
             return Applied(self._base.document, self._wanted)
-        if step is Step.CONFLICT:
+        if step is WriteStep.CONFLICT:
             return await self._read_winner()
         return self._unconfirmed()
 
@@ -189,15 +189,17 @@
             'force',
         )
 
-    async def _run_steps(self) -> Step:
-        step = Step.WRITE
+    async def _run_steps(self) -> WriteStep:
+        step = WriteStep.WRITE
         failures = 0
-        while step in {Step.WRITE, Step.READ_BACK} and not self._refusal:
+        while (
+            step in {WriteStep.WRITE, WriteStep.READ_BACK} and not self._refusal
+        ):
             if failures:
                 await pause_after(failures)
             failures += 1
-            if step is Step.WRITE:
-                step = after_write(await self._write())
+            if step is WriteStep.WRITE:
+                step = next_step_after_write(await self._write())
             else:
                 step = await self._read_back()
         return step
@@ -222,11 +224,11 @@
             self._refusal = answer
         return WriteAnswer.NOT_SENT
 
-    async def _read_back(self) -> Step:
+    async def _read_back(self) -> WriteStep:
         found = await read_trail(self._store)
         if isinstance(found, Failure):
-            return Step.READ_BACK
-        return after_read(self._wanted, found)
+            return WriteStep.READ_BACK
+        return next_step_after_read(self._wanted, found)
 
     async def _read_winner(self) -> Refused | Failure:
         """Read the revision that won; the own one is never in force."""
--- a/boragespool/controllers/configuration/configuration.py
+++ b/boragespool/controllers/configuration/configuration.py
@@ -23,7 +23,11 @@
 from boragespool.controllers.pauses import backoff_s, pause
 from boragespool.events import Event, log_event
 from boragespool.results import Failure
-from boragespool.revisions import CURRENT_KEY, newest_holders, watchers
+from boragespool.revisions import (
+    CURRENT_KEY,
+    choose_watchers,
+    hosts_with_newer_revision,
+)
 from boragespool.routing import highest_weights
 
 if TYPE_CHECKING:
@@ -137,12 +141,14 @@
         self._review_due = False
         members_by_host = self._context.board.read(MEMBERS)
         own_host = self._context.identity.host
-        is_chosen = own_host in watchers(
+        is_chosen = own_host in choose_watchers(
             members_by_host,
             own_host,
             highest_weights,
         )
-        holders = newest_holders(members_by_host, self._keeper.revision)
+        holders = hosts_with_newer_revision(
+            members_by_host, self._keeper.revision
+        )
         if is_chosen and (self._may_read or holders):
             self._watching.set()
         elif not is_chosen:
@@ -212,7 +218,7 @@
         failures = 0
         while True:
             await self._behind.wait()
-            holders = newest_holders(
+            holders = hosts_with_newer_revision(
                 self._context.board.read(MEMBERS),
                 self._keeper.revision,
             )[: self._options.holders_asked]
--- a/boragespool/controllers/configuration/held_revision.py
+++ b/boragespool/controllers/configuration/held_revision.py
@@ -8,16 +8,16 @@
 from boragespool.messages import PartsReply, RevisionReply
 from boragespool.results import Failure
 from boragespool.revisions import (
-    Assembly,
+    AssembledRevision,
     Manifest,
     RevisionDocument,
     assemble,
+    build_indexes,
     encode_document,
-    indexed,
-    lacking,
+    hashes_to_fetch,
     part_hash,
-    referenced,
-    split,
+    referenced_hashes,
+    split_settings,
     without_audit,
 )
 
@@ -52,7 +52,7 @@
         self.document: RevisionDocument | None = None
         self._texts: dict[PartHash, bytes] = {}
         self._former: dict[PartHash, bytes] = {}
-        self._assembly: Assembly | None = None
+        self._assembly: AssembledRevision | None = None
         self._wanted: Manifest | None = None
         self._manifest: Manifest | None = None
         self._encoded = b''
@@ -67,7 +67,7 @@
         """Keep the parts of a manifest while it is being fetched."""
         if self._wanted is None or manifest.revision > self._wanted.revision:
             self._wanted = manifest
-            wanted = referenced(manifest, self._texts)
+            wanted = referenced_hashes(manifest, self._texts)
             # Pieces of manifests that were never completed pile up if the
             # parts of each of them are lost.
             if len(self._texts) > 2 * len(wanted) + _SURPLUS_COUNT:
@@ -75,7 +75,7 @@
 
     def lacks(self, manifest: Manifest) -> tuple[PartHash, ...] | Failure:
         """Return the hashes to fetch next; empty when it is complete."""
-        return lacking(manifest, self._texts)
+        return hashes_to_fetch(manifest, self._texts)
 
     def add(
         self,
@@ -121,7 +121,7 @@
         self._encoded = b''
         self._whole = encoded
         # The next manifest probably refers to most of these.
-        self._texts.update(indexed(split(value.settings))[1])
+        self._texts.update(build_indexes(split_settings(value.settings))[1])
         return value
 
     def answer(self, request: RevisionRequest) -> RevisionReply:
@@ -170,7 +170,7 @@
         kept: set[PartHash] = set()
         for manifest in (self._manifest, self._wanted):
             if manifest is not None:
-                kept |= referenced(manifest, self._texts)
+                kept |= referenced_hashes(manifest, self._texts)
         former = {
             part: text for part, text in self._texts.items() if part not in kept
         }
--- a/boragespool/controllers/configuration/host_list.py
+++ b/boragespool/controllers/configuration/host_list.py
@@ -10,7 +10,11 @@
 from boragespool.events import Event, log_event
 from boragespool.messages import LeavingHosts, LeavingHostsRequest
 from boragespool.results import Failure
-from boragespool.revisions.host_list import NO_LIST, publishable, supersedes
+from boragespool.revisions.host_list import (
+    EMPTY_HOST_LIST,
+    next_host_list,
+    supersedes,
+)
 from boragespool.types import MemberStatus
 
 if TYPE_CHECKING:
@@ -76,7 +80,7 @@
         self._context = context
         self._source = source
         self._options = options
-        self._newest = NO_LIST
+        self._newest = EMPTY_HOST_LIST
         # None until two answers in a row can be compared.
         self._observed: frozenset[HostName] | None = None
         self._failures = 0
@@ -121,7 +125,7 @@
             # The answer may be older than the list that arrived meanwhile.
             return
         own_host = self._context.identity.host
-        published = publishable(known, observed, before, own_host)
+        published = next_host_list(known, observed, before, own_host)
         if published is not None:
             self._take(published)
 
@@ -153,7 +157,9 @@
         request: LeavingHostsRequest,
     ) -> LeavingHosts:
         known = LeavingHosts(request.sequence, request.watcher)
-        return self._newest if supersedes(known, self._newest) else NO_LIST
+        return (
+            self._newest if supersedes(known, self._newest) else EMPTY_HOST_LIST
+        )
 
     def _consider(self, received: LeavingHosts) -> None:
         if supersedes(self._newest, received):
--- a/boragespool/controllers/configuration/part_writing.py
+++ b/boragespool/controllers/configuration/part_writing.py
@@ -13,10 +13,10 @@
 from boragespool.results import Failure
 from boragespool.revisions import (
     History,
-    Retired,
-    pack,
+    RetiredPart,
+    encode_revision,
     part_key,
-    retain,
+    plan_retention,
     revision_key,
 )
 from boragespool.store import Missing
@@ -26,9 +26,9 @@
 
     from boragespool.controllers.configuration.store_access import Base, Store
     from boragespool.revisions import (
-        Packed,
+        EncodedRevision,
         PartHash,
-        Retention,
+        RetentionPlan,
         RevisionDocument,
     )
     from boragespool.revisions.manifest import IndexedTexts
@@ -92,7 +92,7 @@
     base: Base,
     wanted: RevisionDocument,
     settings_texts: IndexedTexts,
-) -> Packed | Failure:
+) -> EncodedRevision | Failure:
     """Prepare the store for the manifest of a revision.
 
     Parameters
@@ -113,14 +113,14 @@
         and stays there if the manifest is accepted. Calls that fail are
         repeated for ever.
     """
-    kept = retain(
+    kept = plan_retention(
         base.history,
         wanted.revision - 1,
         base.parts,
         frozenset(settings_texts[1]),
     )
     await _keep_replaced(store, base)
-    packed = pack(
+    packed = encode_revision(
         wanted,
         await _next_history(store, base.history, kept),
         settings_texts,
@@ -138,13 +138,13 @@
 async def _next_history(
     store: Store,
     history: History,
-    kept: Retention,
+    kept: RetentionPlan,
 ) -> History:
     """Read the versions of the parts to retire.
 
     This comes before the manifest that retires them is written.
     """
-    retired: list[Retired] = []
+    retired: list[RetiredPart] = []
 
     async def read(part: PartHash) -> None:
         failures = 0
@@ -154,9 +154,9 @@
             await pause_after(failures)
             answer = await store.get(part_key(part))
         if not isinstance(answer, Missing) and answer.value:
-            retired.append(Retired(part, answer.version))
+            retired.append(RetiredPart(part, answer.version))
 
-    await _all(partial(read, part) for part in kept.due)
+    await _all(partial(read, part) for part in kept.parts_to_retire)
     return History(
         replaced=kept.replaced,
         retired=tuple(retired),
--- a/boragespool/controllers/configuration/revision_keeping.py
+++ b/boragespool/controllers/configuration/revision_keeping.py
@@ -18,7 +18,11 @@
     RevisionRequest,
 )
 from boragespool.results import Failure
-from boragespool.revisions import Manifest, decode_value, newest_holders
+from boragespool.revisions import (
+    Manifest,
+    decode_revision,
+    hosts_with_newer_revision,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -107,7 +111,7 @@
 
     def lacks_many(self, encoded: bytes) -> bool:
         """Tell whether a value has more parts to read than a usual change."""
-        value = decode_value(encoded)
+        value = decode_revision(encoded)
         if not isinstance(value, Manifest):
             return False
         if self.revision == 0:
@@ -119,7 +123,9 @@
 
     def _holders(self, have: Revision) -> list[HostName]:
         """Draw peers whose revision is higher than one."""
-        hosts = list(newest_holders(self._context.board.read(MEMBERS), have))
+        hosts = list(
+            hosts_with_newer_revision(self._context.board.read(MEMBERS), have)
+        )
         own_host = self._context.identity.host
         hosts = [host for host in hosts if host != own_host]
         hosts = hosts[: self._options.holders_asked]
@@ -139,7 +145,7 @@
 
         Only False calls for another attempt with the same value.
         """
-        value = decode_value(encoded)
+        value = decode_revision(encoded)
         if isinstance(value, Failure):
             self._reject(value, origin)
             return True
--- a/boragespool/controllers/configuration/store_access.py
+++ b/boragespool/controllers/configuration/store_access.py
@@ -16,10 +16,10 @@
     RevisionDocument,
     assemble,
     decode_history,
-    decode_value,
-    lacking,
-    missing,
-    referenced,
+    decode_revision,
+    hashes_to_fetch,
+    missing_hashes,
+    referenced_hashes,
     revision_key,
 )
 from boragespool.settings import Settings
@@ -120,7 +120,7 @@
         return answer
     if isinstance(answer, Missing):
         return None
-    value = decode_value(answer.value)
+    value = decode_revision(answer.value)
     if not isinstance(value, Manifest):
         return value
     bare = Manifest(value.revision, value.change_id, {}, history=value.history)
@@ -183,7 +183,7 @@
     known: Mapping[PartHash, bytes],
 ) -> Base | Failure:
     """Read the parts of a value of the store."""
-    manifest = decode_value(text)
+    manifest = decode_revision(text)
     if isinstance(manifest, Failure):
         return manifest
     if isinstance(manifest, RevisionDocument):
@@ -203,7 +203,7 @@
         assembly.document,
         audit=earlier.audit + manifest.audit,
     )
-    parts = referenced(manifest, texts) | {manifest.history}
+    parts = referenced_hashes(manifest, texts) | {manifest.history}
     return Base(document, text=text, parts=parts, history=earlier)
 
 
@@ -215,16 +215,16 @@
     """Return the known texts and all others that a manifest needs."""
     texts = dict(known)
     while True:
-        named = lacking(manifest, texts)
+        named = hashes_to_fetch(manifest, texts)
         if isinstance(named, Failure):
             return named
-        lacked = named + missing([manifest.history], texts)
+        lacked = named + missing_hashes([manifest.history], texts)
         if not lacked:
             return texts
         found, failure = await read_parts(store, lacked, LoopTimers())
         if failure is not None:
             return failure
-        if missing(lacked, found):
+        if missing_hashes(lacked, found):
             return Failure(
                 ResultCode.REVISION_UNKNOWN,
                 f'the store holds revision {manifest.revision!r} only in '
--- a/boragespool/revisions/assembly.py
+++ b/boragespool/revisions/assembly.py
@@ -8,7 +8,11 @@
 from boragespool.results import Failure
 from boragespool.revisions.document import RevisionDocument
 from boragespool.revisions.joining import NOTHING, fragment, join
-from boragespool.revisions.manifest import Manifest, decode_index, missing
+from boragespool.revisions.manifest import (
+    Manifest,
+    decode_index,
+    missing_hashes,
+)
 from boragespool.revisions.parts import Part, PartHash, decode_part
 from boragespool.settings import validate_change
 
@@ -19,7 +23,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Assembly:
+class AssembledRevision:
     """A complete revision with its decoded parts.
 
     Attributes
@@ -32,7 +36,7 @@
     parts: dict[PartHash, Part]
 
 
-def lacking(
+def hashes_to_fetch(
     manifest: Manifest,
     held: Mapping[PartHash, bytes],
 ) -> tuple[PartHash, ...] | Failure:
@@ -50,14 +54,14 @@
     tuple of str or Failure
         Indexes first, then the parts that they name; empty when complete.
     """
-    indexes = missing(manifest.indexes.values(), held)
+    indexes = missing_hashes(manifest.indexes.values(), held)
     if indexes:
         return indexes
     named = _named(manifest, held)
-    return named if isinstance(named, Failure) else missing(named, held)
+    return named if isinstance(named, Failure) else missing_hashes(named, held)
 
 
-def referenced(
+def referenced_hashes(
     manifest: Manifest,
     held: Mapping[PartHash, bytes],
 ) -> frozenset[PartHash]:
@@ -74,8 +78,8 @@
 def assemble(
     manifest: Manifest,
     held: Mapping[PartHash, bytes],
-    before: Assembly | None = None,
-) -> Assembly | Failure:
+    before: AssembledRevision | None = None,
+) -> AssembledRevision | Failure:
     """Join and validate the parts of a revision.
 
     Parameters
@@ -113,7 +117,7 @@
         manifest.audit,
         manifest.cleared,
     )
-    return Assembly(document, parts)
+    return AssembledRevision(document, parts)
 
 
 def _named(
@@ -132,7 +136,7 @@
 
 def _settings(
     parts: Mapping[PartHash, Part],
-    before: Assembly | None,
+    before: AssembledRevision | None,
 ) -> Settings | Failure:
     """Join parts and validate those that `before` lacks."""
     known = before.parts if before else {}
--- a/boragespool/revisions/building.py
+++ b/boragespool/revisions/building.py
@@ -16,8 +16,8 @@
     from boragespool.settings import ServiceSettings, Settings
     from boragespool.types import HostName, Seconds
 
-AUDIT_LIMIT: Final = 100
-#: Characters; together with `AUDIT_LIMIT` they bound the trail to about a
+AUDIT_ENTRY_LIMIT: Final = 100
+#: Characters; together with `AUDIT_ENTRY_LIMIT` they bound the trail to about a
 #: quarter of the 1 MB that a value may have.
 AUTHOR_LIMIT: Final = 100
 NOTE_LIMIT: Final = 400
@@ -65,7 +65,7 @@
     -------
     RevisionDocument
         With the next revision; the oldest audit entries beyond
-        `AUDIT_LIMIT` are dropped.
+        `AUDIT_ENTRY_LIMIT` are dropped.
     """
     base_revision = base.revision if base else 0
     entry = AuditEntry(
@@ -82,7 +82,7 @@
         base_revision + 1,
         change.change_id,
         settings,
-        trail[-AUDIT_LIMIT:],
+        trail[-AUDIT_ENTRY_LIMIT:],
         base.cleared if base else (),
     )
 
@@ -102,7 +102,7 @@
     return None
 
 
-def cleared_document(
+def clear_fingerprint(
     fingerprint: int,
     base: RevisionDocument,
     change: Change,
@@ -119,7 +119,7 @@
     return replace(following, cleared=cleared)
 
 
-def newly_cleared(
+def newly_cleared_fingerprints(
     previous: RevisionDocument | None,
     adopted: RevisionDocument,
 ) -> frozenset[int]:
@@ -176,7 +176,7 @@
     return replace(settings, services=services)
 
 
-def undrained(before: Settings, after: Settings) -> tuple[str, ...]:
+def undrained_servers(before: Settings, after: Settings) -> tuple[str, ...]:
     """Return the drained servers of `before` that `after` puts to work."""
     return tuple(
         name
--- a/boragespool/revisions/host_list.py
+++ b/boragespool/revisions/host_list.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from boragespool.types import HostName
 
-NO_LIST: Final = LeavingHosts(0, '')
+EMPTY_HOST_LIST: Final = LeavingHosts(0, '')
 
 
 def supersedes(current: LeavingHosts, candidate: LeavingHosts) -> bool:
@@ -25,7 +25,7 @@
     )
 
 
-def publishable(
+def next_host_list(
     current: LeavingHosts,
     observed: frozenset[HostName],
     observed_before: frozenset[HostName],
--- a/boragespool/revisions/manifest.py
+++ b/boragespool/revisions/manifest.py
@@ -17,7 +17,7 @@
     RevisionDocument,
 )
 from boragespool.revisions.encoding import VALUE_LIMIT_BYTES, decode_document
-from boragespool.revisions.parts import PartHash, part_hash, split
+from boragespool.revisions.parts import PartHash, part_hash, split_settings
 from boragespool.types import Revision
 
 if TYPE_CHECKING:
@@ -65,7 +65,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Replaced:
+class ReplacedPart:
     """A part to which revision `revision` was the last to refer."""
 
     part: PartHash
@@ -73,7 +73,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Retired:
+class RetiredPart:
     """A part that may be emptied while the store holds this version of it."""
 
     part: PartHash
@@ -99,14 +99,14 @@
     """
 
     audit: tuple[AuditEntry, ...] = ()
-    replaced: tuple[Replaced, ...] = ()
-    retired: tuple[Retired, ...] = ()
+    replaced: tuple[ReplacedPart, ...] = ()
+    retired: tuple[RetiredPart, ...] = ()
     dropped: tuple[Revision, ...] = ()
     kept_from: Revision = 1
 
 
 @dataclass(frozen=True, slots=True)
-class Packed:
+class EncodedRevision:
     """A revision as the values to store.
 
     Attributes
@@ -129,7 +129,7 @@
 _RAW_DECODER: Final = msgspec.json.Decoder(dict[str, msgspec.Raw])
 
 
-def indexed(
+def build_indexes(
     settings_parts: Mapping[str, bytes],
 ) -> IndexedTexts:
     """Group encoded parts under indexes.
@@ -157,11 +157,11 @@
     return indexes, texts
 
 
-def pack(
+def encode_revision(
     document: RevisionDocument,
     history: History | None = None,
     settings_texts: IndexedTexts | None = None,
-) -> Packed | Failure:
+) -> EncodedRevision | Failure:
     """Encode a document as a manifest with its parts.
 
     Parameters
@@ -178,7 +178,9 @@
     Packed or Failure
         ``VALUE_TOO_LARGE`` if a value exceeds the limit of the store.
     """
-    indexes, texts = settings_texts or indexed(split(document.settings))
+    indexes, texts = settings_texts or build_indexes(
+        split_settings(document.settings)
+    )
     earlier = _ENCODER.encode(
         replace(history or History(), audit=document.audit[:-RECENT_ENTRIES]),
     )
@@ -199,10 +201,10 @@
             f'a value of the revision has {largest!r} bytes; at most '
             f'{VALUE_LIMIT_BYTES!r} are allowed',
         )
-    return Packed(manifest, encoded, texts)
+    return EncodedRevision(manifest, encoded, texts)
 
 
-def decode_value(
+def decode_revision(
     encoded: str | bytes,
 ) -> Manifest | RevisionDocument | Failure:
     """Decode a value of `CURRENT_KEY` or of a kept revision.
@@ -255,7 +257,7 @@
     )
 
 
-def missing(
+def missing_hashes(
     wanted: Iterable[PartHash],
     held: Mapping[PartHash, bytes],
 ) -> tuple[PartHash, ...]:
--- a/boragespool/revisions/outcome.py
+++ b/boragespool/revisions/outcome.py
@@ -23,7 +23,7 @@
     LOST = 'lost'
 
 
-class Step(enum.Enum):
+class WriteStep(enum.Enum):
     """What the writer does next, or how the write ended."""
 
     APPLIED = 'applied'
@@ -33,7 +33,7 @@
     READ_BACK = 'read back'
 
 
-def after_write(answer: WriteAnswer) -> Step:
+def next_step_after_write(answer: WriteAnswer) -> WriteStep:
     """Return the step that follows an answer to a write.
 
     Parameters
@@ -47,16 +47,16 @@
         ``APPLIED`` only for an explicit success.
     """
     if answer is WriteAnswer.WRITTEN:
-        return Step.APPLIED
+        return WriteStep.APPLIED
     if answer is WriteAnswer.NOT_SENT:
-        return Step.WRITE
-    return Step.READ_BACK
+        return WriteStep.WRITE
+    return WriteStep.READ_BACK
 
 
-def after_read(
+def next_step_after_read(
     sent: RevisionDocument,
     found: RevisionDocument | None,
-) -> Step:
+) -> WriteStep:
     """Return the step that follows reading the stored document.
 
     Parameters
@@ -76,9 +76,9 @@
         revision that was written.
     """
     if found is None or found.revision < sent.revision:
-        return Step.WRITE
+        return WriteStep.WRITE
     for entry in found.audit:
         if entry.revision == sent.revision:
             is_own = entry.change_id == sent.change_id
-            return Step.APPLIED if is_own else Step.CONFLICT
-    return Step.UNCONFIRMED
+            return WriteStep.APPLIED if is_own else WriteStep.CONFLICT
+    return WriteStep.UNCONFIRMED
--- a/boragespool/revisions/parts.py
+++ b/boragespool/revisions/parts.py
@@ -83,7 +83,7 @@
     return xxhash.xxh3_128_hexdigest(encoded)
 
 
-def split(settings: Settings) -> dict[str, bytes]:
+def split_settings(settings: Settings) -> dict[str, bytes]:
     """Encode settings as parts.
 
     Parameters
--- a/boragespool/revisions/retention.py
+++ b/boragespool/revisions/retention.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from boragespool.revisions.manifest import History, Replaced
+from boragespool.revisions.manifest import History, ReplacedPart
 
 if TYPE_CHECKING:
     from collections.abc import Set as AbstractSet
@@ -34,7 +34,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Retention:
+class RetentionPlan:
     """What the next revision keeps and gives up.
 
     Attributes
@@ -47,17 +47,17 @@
         Lowest revision that can be rolled back to.
     """
 
-    replaced: tuple[Replaced, ...]
-    due: tuple[PartHash, ...]
+    replaced: tuple[ReplacedPart, ...]
+    parts_to_retire: tuple[PartHash, ...]
     kept_from: Revision
 
 
-def retain(
+def plan_retention(
     history: History,
     base: Revision,
     held: AbstractSet[PartHash],
     wanted: AbstractSet[PartHash],
-) -> Retention:
+) -> RetentionPlan:
     """Decide what may be removed after the next revision.
 
     Parameters
@@ -76,12 +76,12 @@
         replaced revision itself is always kept.
     """
     replaced = [one for one in history.replaced if one.part not in wanted]
-    replaced.extend(Replaced(part, base) for part in sorted(held - wanted))
+    replaced.extend(ReplacedPart(part, base) for part in sorted(held - wanted))
     kept_from = max(history.kept_from, base + 1 - KEPT_REVISIONS)
     if len(replaced) > REPLACED_LIMIT:
         first_kept = replaced[-REPLACED_LIMIT]
         kept_from = max(kept_from, min(base, first_kept.revision + 1))
-    return Retention(
+    return RetentionPlan(
         tuple(one for one in replaced if one.revision >= kept_from),
         tuple(one.part for one in replaced if one.revision < kept_from),
         kept_from,
--- a/boragespool/revisions/watching.py
+++ b/boragespool/revisions/watching.py
@@ -18,7 +18,7 @@
 _CANDIDATES: Final = frozenset((MemberStatus.ALIVE, MemberStatus.SUSPECT))
 
 
-def watchers(
+def choose_watchers(
     members_by_host: Mapping[HostName, MemberRecord],
     own_host: HostName,
     highest_weights: Callable[
@@ -53,7 +53,7 @@
     return highest_weights(_NAME, hosts, WATCHER_COUNT)
 
 
-def newest_holders(
+def hosts_with_newer_revision(
     members_by_host: Mapping[HostName, MemberRecord],
     have: Revision,
 ) -> tuple[HostName, ...]:
--- a/tests/test_apply_races.py
+++ b/tests/test_apply_races.py
@@ -26,12 +26,12 @@
     Change,
     History,
     decode_history,
-    decode_value,
-    lacking,
+    decode_revision,
+    hashes_to_fetch,
     next_document,
     part_hash,
     part_key,
-    retain,
+    plan_retention,
     retention,
     revision_key,
 )
@@ -121,12 +121,12 @@
 
     def check_kept(self):
         """Each kept revision has all its parts."""
-        manifest = decode_value(self.accepted[-1])
+        manifest = decode_revision(self.accepted[-1])
         history = decode_history(self.text(manifest.history))
         for value in self.accepted[history.kept_from - 1 :]:
-            kept = decode_value(value)
+            kept = decode_revision(value)
             texts = {}
-            while lacked := lacking(kept, texts):
+            while lacked := hashes_to_fetch(kept, texts):
                 texts |= {part: self.text(part) for part in lacked}
 
 
@@ -189,7 +189,7 @@
     store.fault_rate = 0
     # A late manifest would be accepted between the reads that are compared.
     store.deliver_late()
-    manifests = [decode_value(value) for value in store.accepted]
+    manifests = [decode_revision(value) for value in store.accepted]
     ids = [manifest.change_id for manifest in manifests]
     assert [one.revision for one in manifests] == list(range(1, len(ids) + 1))
     assert len(set(ids)) == len(ids)
@@ -254,4 +254,4 @@
     """Guards the other tests against keeping everything."""
     history = History()
 
-    assert retain(history, 50, frozenset(), frozenset()).kept_from == 48
+    assert plan_retention(history, 50, frozenset(), frozenset()).kept_from == 48
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -10,7 +10,7 @@
 from boragespool.controllers.pauses import backoff_s
 from boragespool.messages import LeavingHosts
 from boragespool.revisions import Change, encode_document, next_document
-from boragespool.revisions.host_list import publishable, supersedes
+from boragespool.revisions.host_list import next_host_list, supersedes
 from boragespool.settings import Settings
 from tests.configuration_fleet import Fleet
 
@@ -209,12 +209,12 @@
     assert not supersedes(current, LeavingHosts(3, 'w9'))
     both = frozenset('ab')
     only_a = frozenset('a')
-    assert publishable(current, both, both, 'w2') is None
-    assert publishable(current, only_a, both, 'w2') is None
-    assert publishable(current, only_a, only_a, 'w2') == LeavingHosts(
+    assert next_host_list(current, both, both, 'w2') is None
+    assert next_host_list(current, only_a, both, 'w2') is None
+    assert next_host_list(current, only_a, only_a, 'w2') == LeavingHosts(
         5, 'w2', ('a',)
     )
-    assert publishable(current, both | {'c'}, only_a, 'w2').hosts == (
+    assert next_host_list(current, both | {'c'}, only_a, 'w2').hosts == (
         'a',
         'b',
         'c',
--- a/tests/test_configuration_parts.py
+++ b/tests/test_configuration_parts.py
@@ -22,7 +22,11 @@
     RevisionRequest,
 )
 from boragespool.results import Failure
-from boragespool.revisions import RevisionDocument, decode_document, pack
+from boragespool.revisions import (
+    RevisionDocument,
+    decode_document,
+    encode_revision,
+)
 from tests.configuration_fleet import Fleet
 from tests.test_revision_parts import many_servers
 
@@ -82,7 +86,7 @@
 
     async def run() -> None:
         async with Fleet(12) as fleet:
-            first, second = map(pack, revisions(2))
+            first, second = map(encode_revision, revisions(2))
             fleet.platform.put_parts(first)
             await fleet.advance(3)
             assert fleet.revisions() == {1}
@@ -109,7 +113,7 @@
 
     async def run() -> None:
         async with Fleet(8) as fleet:
-            first, second = map(pack, revisions(2))
+            first, second = map(encode_revision, revisions(2))
             fleet.platform.put_parts(first)
             await fleet.advance(3)
 
@@ -134,7 +138,7 @@
 
     async def run() -> None:
         async with Fleet(5) as fleet:
-            first, second = map(pack, revisions(2))
+            first, second = map(encode_revision, revisions(2))
             fleet.platform.put_parts(first)
             await fleet.advance(3)
             fleet.platform.put_parts(second)
@@ -164,7 +168,7 @@
             fleet.platform.put(msgspec.json.encode(first).decode())
             await fleet.advance(3)
             assert fleet.revisions() == {1}
-            fleet.platform.put_parts(pack(second))
+            fleet.platform.put_parts(encode_revision(second))
             await fleet.advance(3)
             assert fleet.revisions() == {2}
             # A daemon of the earlier release asks without the new field.
@@ -187,7 +191,7 @@
             fleet.boards['h0'].post(IN_FORCE, third)
             await fleet.advance(3)
             assert fleet.revisions() == {3}
-            fleet.platform.put_parts(pack(fourth))
+            fleet.platform.put_parts(encode_revision(fourth))
             await fleet.advance(5)
             assert fleet.revisions() == {4}
 
@@ -209,7 +213,7 @@
     async def cold_start(window_s):
         options = ConfigurationOptions(first_read_window_s=window_s)
         async with StrangersFleet(60, options) as fleet:
-            packed = pack(revisions(1)[0])
+            packed = encode_revision(revisions(1)[0])
             fleet.platform.put_parts(packed)
             await fleet.advance(1)
             calls = dict(fleet.platform.calls)
@@ -243,7 +247,7 @@
         given_settings = dataclasses.replace(
             given_settings, services={'a': service}
         )
-        packed = pack(RevisionDocument(number, 'c', given_settings))
+        packed = encode_revision(RevisionDocument(number, 'c', given_settings))
         held.want(packed.manifest)
         lacked = held.lacks(packed.manifest)
         held.add(lacked, [packed.parts[one] for one in lacked])
@@ -252,7 +256,7 @@
     assert len(held._texts) < 1_300
 
 
-PACKED = [pack(document) for document in revisions(5, 120)]
+PACKED = [encode_revision(document) for document in revisions(5, 120)]
 
 
 def adopt_parts(held, packed, dropped):
--- a/tests/test_revision_parts.py
+++ b/tests/test_revision_parts.py
@@ -10,19 +10,19 @@
 
 from boragespool.results import Failure, ResultCode
 from boragespool.revisions import (
-    Assembly,
+    AssembledRevision,
     Change,
     History,
     RevisionDocument,
     assemble,
-    decode_value,
+    decode_revision,
     encode_document,
-    lacking,
+    encode_revision,
+    hashes_to_fetch,
     next_document,
-    pack,
     part_hash,
-    referenced,
-    retain,
+    plan_retention,
+    referenced_hashes,
     without_audit,
 )
 from boragespool.revisions.buckets import buckets
@@ -74,7 +74,7 @@
 
 def packed(given, revision=1):
     """Pack settings as one revision."""
-    return pack(RevisionDocument(revision, str(revision), given))
+    return encode_revision(RevisionDocument(revision, str(revision), given))
 
 
 @PROFILE
@@ -99,7 +99,7 @@
         whole = assemble(done.manifest, done.parts)
         step = assemble(done.manifest, done.parts, before)
         assert isinstance(step, Failure) == bool(check(wanted)), step
-        if isinstance(step, Assembly):
+        if isinstance(step, AssembledRevision):
             assert step == whole
             before = step
 
@@ -124,7 +124,7 @@
     before = assemble(first.manifest, first.parts)
     swapped = changed(n3=7, n7=3)
     assert isinstance(
-        assemble(swapped.manifest, swapped.parts, before), Assembly
+        assemble(swapped.manifest, swapped.parts, before), AssembledRevision
     )
     doubled = changed(n3=7)
     assert 'has it' in assemble(doubled.manifest, doubled.parts, before).reason
@@ -169,12 +169,14 @@
     """Servers beyond some thousands exceed the store's 1 MB in one value."""
     first = next_document(many_servers(12_000), None, CHANGE)
     assert encode_document(first).code is ResultCode.VALUE_TOO_LARGE
-    before = pack(first)
+    before = encode_revision(first)
     largest = max(map(len, before.parts.values()))
     assert max(largest, len(before.encoded)) < VALUE_LIMIT_BYTES / 20
-    after = pack(next_document(many_servers(12_001), first, CHANGE))
+    after = encode_revision(next_document(many_servers(12_001), first, CHANGE))
     assert len(after.parts.keys() - before.parts.keys()) <= 4
-    limits = pack(next_document(many_servers(12_000, 6), first, CHANGE))
+    limits = encode_revision(
+        next_document(many_servers(12_000, 6), first, CHANGE)
+    )
     assert len(limits.parts.keys() - before.parts.keys()) == 2
 
 
@@ -187,13 +189,13 @@
     done = packed(given_settings)
     held = {}
     while True:
-        wanted = lacking(done.manifest, held)
+        wanted = hashes_to_fetch(done.manifest, held)
         assert not set(wanted) & held.keys()
         if not wanted:
             break
         for one in draw.sample(wanted, draw.randint(1, len(wanted))):
             held[one] = done.parts[one]
-    assert held.keys() == referenced(done.manifest, held)
+    assert held.keys() == referenced_hashes(done.manifest, held)
     assert held.keys() == done.parts.keys() - {done.manifest.history}
 
 
@@ -204,7 +206,7 @@
     for wrong in (b'{', b'\xff', b'[]', b'{"a":1}'):
         failure = assemble(done.manifest, done.parts | {index: wrong})
         assert failure.code is ResultCode.INVALID_SETTING
-        assert decode_value(wrong).code is ResultCode.INVALID_SETTING
+        assert decode_revision(wrong).code is ResultCode.INVALID_SETTING
     leaves = [
         one
         for one, text in done.parts.items()
@@ -232,11 +234,11 @@
 
 def test_peers_get_no_audit_trail_but_newer_keys():
     """The trail would use up the bytes that a daemon may spend."""
-    done = pack(next_document(Settings(), None, CHANGE))
+    done = encode_revision(next_document(Settings(), None, CHANGE))
     newer = done.encoded[:-1] + b',"added_later":[1]}'
     sent = without_audit(newer)
     assert b'"added_later":[1]' in sent
-    assert decode_value(sent) == dataclasses.replace(done.manifest, audit=())
+    assert decode_revision(sent) == dataclasses.replace(done.manifest, audit=())
 
 
 @PROFILE
@@ -250,14 +252,14 @@
     emptied = {}
     for base in range(1, 260):
         wanted = frozenset(draw.sample(names, width))
-        kept = retain(history, base, revisions[base], wanted)
+        kept = plan_retention(history, base, revisions[base], wanted)
         revisions[base + 1] = wanted
         in_use = set().union(
             *(revisions[one] for one in range(kept.kept_from, base + 2))
         )
-        assert not in_use & set(kept.due)
+        assert not in_use & set(kept.parts_to_retire)
         assert base + 1 - kept.kept_from <= 100
-        emptied = {one: base for one in (*emptied, *kept.due)}
+        emptied = {one: base for one in (*emptied, *kept.parts_to_retire)}
         # Nothing is forgotten: what is not in use is due now or earlier.
         seen = set().union(*revisions.values())
         assert seen - in_use <= emptied.keys() | {
@@ -271,9 +273,9 @@
     history = History()
     for base in range(1, 6):
         held = frozenset(f'{base}-{number}' for number in range(3_000))
-        kept = retain(history, base, held, frozenset())
+        kept = plan_retention(history, base, held, frozenset())
         assert len(kept.replaced) <= 8_000
         history = History(replaced=kept.replaced, kept_from=kept.kept_from)
     assert history.kept_from == 4
     alone = frozenset(map(str, range(9_000)))
-    assert retain(history, 6, alone, frozenset()).kept_from == 6
+    assert plan_retention(history, 6, alone, frozenset()).kept_from == 6
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -14,22 +14,22 @@
 from boragespool.results import Failure, ResultCode
 from boragespool.revisions import (
     Change,
-    Step,
-    after_read,
+    WriteStep,
     check_change,
-    cleared_document,
+    choose_watchers,
+    clear_fingerprint,
     decode_document,
-    decode_value,
+    decode_revision,
     difference,
     encode_document,
-    newest_holders,
-    newly_cleared,
+    hosts_with_newer_revision,
+    newly_cleared_fingerprints,
     next_document,
-    undrained,
-    watchers,
+    next_step_after_read,
+    undrained_servers,
     with_host_drained,
 )
-from boragespool.revisions.building import AUDIT_LIMIT
+from boragespool.revisions.building import AUDIT_ENTRY_LIMIT
 from boragespool.routing import highest_weights
 from boragespool.settings import Settings, load_folder
 from boragespool.settings.schema import AddressSettings
@@ -68,7 +68,7 @@
             encoded = encoded.replace(b'"keep_s":5', b'"keep_s":-5')
         else:
             highest = max(highest, index + 1)
-        value = decode_value(encoded)
+        value = decode_revision(encoded)
         if b'-5' in encoded:
             assert value.code == ResultCode.INVALID_SETTING
         else:
@@ -96,9 +96,9 @@
 
 def test_audit_trail_is_bounded():
     """An unbounded trail would exceed the size of a store value."""
-    trail = chain(AUDIT_LIMIT + 5)[-1].audit
+    trail = chain(AUDIT_ENTRY_LIMIT + 5)[-1].audit
     assert [entry.revision for entry in trail] == list(
-        range(6, AUDIT_LIMIT + 6)
+        range(6, AUDIT_ENTRY_LIMIT + 6)
     )
     assert all(entry.base == entry.revision - 1 for entry in trail)
     long = dataclasses.replace(CHANGE, note='x' * 401)
@@ -135,8 +135,8 @@
         if server.drained
     ]
     assert marked == [host] * 3
-    assert len(undrained(drained, EXAMPLE)) == 3
-    assert undrained(EXAMPLE, drained) == ()
+    assert len(undrained_servers(drained, EXAMPLE)) == 3
+    assert undrained_servers(EXAMPLE, drained) == ()
     assert with_host_drained(drained, host, drained=False) == EXAMPLE
     unknown = with_host_drained(EXAMPLE, 'nowhere', drained=True)
     assert "'nowhere'" in unknown.reason
@@ -145,14 +145,14 @@
 def test_clearance_acts_once():
     """A fingerprint that crashes servers again must stay blocked."""
     base = chain(1)[0]
-    cleared = cleared_document(7, base, CHANGE)
+    cleared = clear_fingerprint(7, base, CHANGE)
     following = next_document(Settings(), cleared, CHANGE)
-    assert newly_cleared(base, cleared) == {7}
-    assert newly_cleared(base, following) == {7}
-    assert newly_cleared(cleared, following) == frozenset()
-    assert newly_cleared(None, cleared) == frozenset()
-    again = cleared_document(7, following, CHANGE)
-    assert newly_cleared(cleared, again) == {7}
+    assert newly_cleared_fingerprints(base, cleared) == {7}
+    assert newly_cleared_fingerprints(base, following) == {7}
+    assert newly_cleared_fingerprints(cleared, following) == frozenset()
+    assert newly_cleared_fingerprints(None, cleared) == frozenset()
+    again = clear_fingerprint(7, following, CHANGE)
+    assert newly_cleared_fingerprints(cleared, again) == {7}
 
 
 def test_three_watchers_for_the_whole_fleet():
@@ -160,22 +160,27 @@
     members_by_host = {
         f'h{number}': member(f'h{number}') for number in range(40)
     }
-    chosen = watchers(members_by_host, 'h0', highest_weights)
+    chosen = choose_watchers(members_by_host, 'h0', highest_weights)
     assert len(set(chosen)) == 3
     members_by_host[chosen[0]] = member(chosen[0], MemberStatus.DEAD)
-    replaced = watchers(members_by_host, 'h0', highest_weights)
+    replaced = choose_watchers(members_by_host, 'h0', highest_weights)
     assert chosen[0] not in replaced
     assert set(chosen[1:]) < set(replaced)
-    assert watchers({}, 'alone', highest_weights) == ('alone',)
+    assert choose_watchers({}, 'alone', highest_weights) == ('alone',)
     members_by_host['h1'] = member('h1', revision=4)
     members_by_host['h2'] = member('h2', revision=5)
     members_by_host['h3'] = member('h3', MemberStatus.DEAD, revision=6)
-    assert newest_holders(members_by_host, 3) == ('h2', 'h1')
-    assert newest_holders(members_by_host, 4) == ('h2',)
+    assert hosts_with_newer_revision(members_by_host, 3) == ('h2', 'h1')
+    assert hosts_with_newer_revision(members_by_host, 4) == ('h2',)
 
 
 def test_dropped_audit_entry_leaves_the_outcome_open():
     """Without its entry, a write is neither applied nor in conflict."""
-    documents = chain(AUDIT_LIMIT + 2)
-    assert after_read(documents[1], documents[-1]) is Step.UNCONFIRMED
-    assert after_read(documents[2], documents[-1]) is Step.APPLIED
+    documents = chain(AUDIT_ENTRY_LIMIT + 2)
+    assert (
+        next_step_after_read(documents[1], documents[-1])
+        is WriteStep.UNCONFIRMED
+    )
+    assert (
+        next_step_after_read(documents[2], documents[-1]) is WriteStep.APPLIED
+    )
--- a/tests/test_revisions_machine.py
+++ b/tests/test_revisions_machine.py
@@ -13,13 +13,13 @@
 
 from boragespool.revisions import (
     Change,
-    Step,
     WriteAnswer,
-    after_read,
-    after_write,
+    WriteStep,
     decode_document,
     encode_document,
     next_document,
+    next_step_after_read,
+    next_step_after_write,
 )
 from boragespool.settings import Settings
 
@@ -68,7 +68,7 @@
         self.count += 1
         change = Change(f'c{self.count}', 'apply', str(operator), self.count)
         sent = next_document(Settings(), base, change)
-        self.writes[operator] = (sent, version, Step.WRITE)
+        self.writes[operator] = (sent, version, WriteStep.WRITE)
 
     @rule(
         operator=OPERATORS,
@@ -81,12 +81,16 @@
         if operator not in self.writes:
             return
         sent, version, step = self.writes[operator]
-        if step is Step.WRITE:
-            step = after_write(self.write(sent, version, fault))
+        if step is WriteStep.WRITE:
+            step = next_step_after_write(self.write(sent, version, fault))
         elif fault == 'none':
-            step = after_read(sent, self.store.read()[0])
+            step = next_step_after_read(sent, self.store.read()[0])
         self.writes[operator] = (sent, version, step)
-        if step in {Step.APPLIED, Step.CONFLICT, Step.UNCONFIRMED}:
+        if step in {
+            WriteStep.APPLIED,
+            WriteStep.CONFLICT,
+            WriteStep.UNCONFIRMED,
+        }:
             self.results[sent.change_id] = step
             del self.writes[operator]
 
@@ -126,7 +130,7 @@
         if documents:
             assert [entry.change_id for entry in documents[-1].audit] == ids
         for change_id, step in self.results.items():
-            assert (change_id in ids) == (step is Step.APPLIED)
+            assert (change_id in ids) == (step is WriteStep.APPLIED)
 
 
 TestRacingOperators = RacingOperators.TestCase
