--- a/boragespool/claims/__init__.py
+++ b/boragespool/claims/__init__.py
@@ -1,4 +1,9 @@
-"""Tickets, issuers and witnesses: claims run at most once."""
+"""Tickets, issuers and witnesses, which run each claim at most once.
+
+A ticket is the idempotency key of a claim. The daemon that issued it is the
+only one that may run the claim; a second daemon, the witness, records the
+start, so that the ticket can be sealed if the issuer fails.
+"""
 
 from __future__ import annotations
 
--- a/boragespool/claims/issuer.py
+++ b/boragespool/claims/issuer.py
@@ -1,4 +1,7 @@
-"""Decisions of an issuer about its own tickets."""
+"""Ticket creation, and checks by the issuer before it runs a claim.
+
+The functions are pure: the caller stores the records and sends messages.
+"""
 
 from __future__ import annotations
 
@@ -23,12 +26,12 @@
 
 @dataclass(frozen=True, slots=True)
 class IssuerIdentity:
-    """Identity of an issuer.
+    """Identity of a daemon that issues tickets.
 
     Attributes
     ----------
     signing_key : bytes
-        Secret of this incarnation that signs its tickets.
+        Secret key that signs the tickets of this incarnation.
     """
 
     host: HostName
@@ -43,16 +46,16 @@
     witness: MemberRecord | None,
     now_s: Seconds,
 ) -> Ticket:
-    """Return a signed ticket.
+    """Return a new signed ticket.
 
     Parameters
     ----------
-    issuer : Issuer
-        Who may run the ticket.
+    issuer : IssuerIdentity
+        Daemon that issues the ticket and may run its claim.
     sequence : int
-        Number that no other ticket of the issuer has.
+        Sequence number, unique among the tickets of this incarnation.
     witness : MemberRecord or None
-        Who records the start.
+        Member that records the start; None for a ticket without a witness.
     now_s : float
         Monotonic time of the issuer, in seconds.
     """
@@ -72,16 +75,18 @@
     members: Iterable[MemberRecord],
     draw: float,
 ) -> MemberRecord | None:
-    """Choose an alive member, in another data centre if there is one.
+    """Choose the witness of a ticket among the alive members.
+
+    Members in other data centres are preferred.
 
     Parameters
     ----------
-    issuer : Issuer
-        Who issues the ticket; it is never its own witness.
+    issuer : IssuerIdentity
+        Daemon that issues the ticket; it is never its own witness.
     members : iterable of MemberRecord
-        Members known.
+        Known members.
     draw : float
-        Random number in ``[0, 1)``.
+        Random number in ``[0, 1)`` that selects the member.
 
     Returns
     -------
@@ -93,10 +98,10 @@
         for member in members
         if member.status is MemberStatus.ALIVE and member.host != issuer.host
     ]
-    remote = [
+    in_other_data_centres = [
         member for member in alive if member.data_centre != issuer.data_centre
     ]
-    candidates = remote or alive
+    candidates = in_other_data_centres or alive
     if not candidates:
         return None
     return candidates[int(draw * len(candidates))]
@@ -110,7 +115,9 @@
     issuer: IssuerIdentity,
     min_issued_at_s: Seconds,
 ) -> ClaimRecord | Failure:
-    """Decide what the issuer does with a claim under one of its tickets.
+    """Return the issuer's record for a claim with one of its tickets.
+
+    The table is not changed.
 
     Parameters
     ----------
@@ -119,41 +126,47 @@
     ticket : Ticket
         Ticket that names this issuer and incarnation.
     body_hash : int
-        Identity of the claim.
-    issuer : Issuer
-        This issuer.
+        Hash of route and body, which identifies the claim; 0 to accept any
+        claim.
+    issuer : IssuerIdentity
+        Identity of this daemon.
     min_issued_at_s : float
-        Issue time before which a ticket no longer starts, in seconds.
+        Oldest issue time of a ticket that may still start, on the issuer's
+        monotonic clock, in seconds.
 
     Returns
     -------
     ClaimRecord or Failure
-        A new record in state ``STARTING``, which the caller puts into the
-        table before anything else; or the known record; or a refusal.
+        The record in the table if there is one. Otherwise a new record,
+        which the caller must put into the table before it does anything
+        else: in state ``STARTING``, or ``SEALED`` if the ticket is too old.
+        A failure for an invalid signature, for a ticket that is bound to
+        another claim, or for one whose record may have been dropped.
     """
-    fresh = starting_record(ticket, body_hash)
-    known = table.get(ticket.ticket_id)
-    if known is not None:
-        return _same_claim(known, body_hash)
+    new_record = starting_record(ticket, body_hash)
+    existing = table.get(ticket.ticket_id)
+    if existing is not None:
+        return _record_if_same_claim(existing, body_hash)
     if not has_valid_signature(ticket, issuer.signing_key):
         return Failure(
             ResultCode.BAD_TICKET,
-            f'ticket {ticket.ticket_id!r} was not signed by its issuer',
+            f'the signature of ticket {ticket.ticket_id!r} is invalid; only '
+            'tickets signed by this issuer are allowed',
         )
-    if not table.was_never_recorded(fresh):
+    if not table.was_never_recorded(new_record):
         return unknown_outcome_failure(ticket)
     if ticket.issued_at_s < min_issued_at_s:
         return replace(
-            fresh,
+            new_record,
             state=ClaimState.SEALED,
             code=int(ResultCode.NOT_RUN_SEALED),
             run=RunState.NOT_RUN,
         )
-    return fresh
+    return new_record
 
 
 def starting_record(ticket: Ticket, body_hash: int) -> ClaimRecord:
-    """Return the record of a ticket that is about to start."""
+    """Return a new record in state ``STARTING`` for a ticket."""
     return ClaimRecord(
         ticket_id=ticket.ticket_id,
         issuer=ticket.issuer,
@@ -165,20 +178,22 @@
 
 
 def unknown_outcome_failure(ticket: Ticket) -> Failure:
-    """Return the refusal for a ticket of which nothing certain is known."""
+    """Return the failure for a ticket whose claim may or may not have run."""
     return Failure(
         ResultCode.OUTCOME_UNKNOWN,
-        f'nothing certain is known about ticket {ticket.ticket_id!r}; '
-        'it is not run again',
+        f'the outcome of ticket {ticket.ticket_id!r} is unknown; its claim '
+        'is not run again',
         RunState.UNKNOWN,
     )
 
 
-def _same_claim(known: ClaimRecord, body_hash: int) -> ClaimRecord | Failure:
-    """Refuse a second claim under a ticket that is bound to another one."""
-    if body_hash and known.body_hash and body_hash != known.body_hash:
+def _record_if_same_claim(
+    existing: ClaimRecord, body_hash: int
+) -> ClaimRecord | Failure:
+    """Return the record, or a failure if it belongs to another claim."""
+    if body_hash and existing.body_hash and body_hash != existing.body_hash:
         return Failure(
             ResultCode.TICKET_REUSED,
-            f'ticket {known.ticket_id!r} is bound to another claim',
+            f'ticket {existing.ticket_id!r} is bound to another claim',
         )
-    return known
+    return existing
--- a/boragespool/claims/tickets.py
+++ b/boragespool/claims/tickets.py
@@ -1,4 +1,4 @@
-"""Tickets: the idempotency keys of claims."""
+"""Tickets, the signed idempotency keys of claims, and their encoding."""
 
 from __future__ import annotations
 
@@ -13,8 +13,8 @@
 from boragespool.results import Failure, ResultCode
 from boragespool.types import HostName, Incarnation, Seconds
 
-_SIGNATURE_SIZE: Final = 12
-_DIGEST: Final = 'sha256'
+_SIGNATURE_HEX_DIGITS: Final = 12
+_HASH_NAME: Final = 'sha256'
 _ENCODER: Final = msgspec.json.Encoder()
 
 
@@ -25,15 +25,16 @@
     Attributes
     ----------
     issuer, issuer_incarnation
-        The only process that may run the ticket.
+        The only daemon process that may run the claim.
     sequence : int
-        Counts the issuer's tickets from 1.
+        Number of the ticket among those of the issuer's incarnation, from 1.
     issued_at_s : float
-        Time on the issuer's own monotonic clock, in seconds.
+        Issue time on the issuer's monotonic clock, in seconds.
     witness, witness_incarnation
-        The process that records the start; an empty host for none.
+        Daemon process that records the start; the host is empty for a ticket
+        without a witness.
     signature : str
-        Keyed digest of the other fields. Only the issuer can check it.
+        Truncated HMAC of the other fields. Only the issuer can verify it.
     """
 
     issuer: HostName
@@ -46,10 +47,10 @@
 
     @property
     def ticket_id(self) -> str:
-        """Key of the ticket's records.
+        """Key of the ticket's claim records.
 
-        The signature is part of it, so that a forged ticket cannot seal a
-        real one at its witness.
+        It includes the signature, so that a forged ticket cannot seal a
+        genuine one at its witness.
         """
         return (
             f'{self.issuer}/{self.issuer_incarnation}/{self.sequence}'
@@ -61,14 +62,14 @@
 
 
 def sign_ticket(ticket: Ticket, key: bytes) -> Ticket:
-    """Return the ticket with its signature under the issuer's key."""
+    """Return the ticket with a signature made with the issuer's key."""
     unsigned = _ENCODER.encode(replace(ticket, signature=''))
-    digest = hmac.new(key, unsigned, _DIGEST).hexdigest()
-    return replace(ticket, signature=digest[:_SIGNATURE_SIZE])
+    digest = hmac.new(key, unsigned, _HASH_NAME).hexdigest()
+    return replace(ticket, signature=digest[:_SIGNATURE_HEX_DIGITS])
 
 
 def has_valid_signature(ticket: Ticket, key: bytes) -> bool:
-    """Tell whether the ticket was signed with the key."""
+    """Return whether the ticket was signed with the given key."""
     return hmac.compare_digest(
         sign_ticket(ticket, key).signature,
         ticket.signature,
@@ -76,27 +77,29 @@
 
 
 def format_ticket(ticket: Ticket) -> str:
-    """Return the text that callers are given."""
+    """Return the encoded ticket as callers receive and send it."""
     return base64.urlsafe_b64encode(_ENCODER.encode(ticket)).decode('ascii')
 
 
 def parse_ticket(text: str) -> Ticket | Failure:
-    """Read the text that a caller sent.
+    """Decode a ticket that a caller sent.
 
     Parameters
     ----------
     text : str
-        Text from `format_ticket`.
+        Ticket as encoded by `format_ticket`.
 
     Returns
     -------
     Ticket or Failure
-        A failure with `ResultCode.BAD_TICKET` for any other text.
+        A failure with `ResultCode.BAD_TICKET` if the text cannot be decoded.
+        The signature is not verified.
     """
     try:
         return _DECODER.decode(base64.urlsafe_b64decode(text.encode()))
     except (binascii.Error, msgspec.DecodeError, ValueError):
         return Failure(
             ResultCode.BAD_TICKET,
-            f'{text!r} is not a ticket from GET /v1/addresses',
+            f'{text!r} is not a valid ticket; tickets are obtained from GET '
+            '/v1/addresses',
         )
--- a/boragespool/claims/witness.py
+++ b/boragespool/claims/witness.py
@@ -1,7 +1,8 @@
-"""Decisions of a witness.
+"""Replies of a witness, which records the starts and outcomes of tickets.
 
-Sealing fences a ticket: once sealed it can never start. This is the rule of
-fencing, that a failed peer is in a safe state before its work is given up.
+Sealing a ticket is a form of fencing: once it is sealed, the issuer can no
+longer start it. A claim whose issuer seems to have failed is reported as not
+run only after its ticket was sealed.
 """
 
 from __future__ import annotations
@@ -28,25 +29,26 @@
     record: ClaimRecord,
     now_s: Seconds,
 ) -> WitnessReply:
-    """Record that the issuer starts a ticket, unless it is sealed.
+    """Record that the issuer starts the claim of a ticket.
 
     Parameters
     ----------
     table : ClaimRecordTable
         Records of the witness.
     record : ClaimRecord
-        Record of the issuer.
+        Record that the issuer sent.
     now_s : float
         Current time, in seconds.
 
     Returns
     -------
     WitnessReply
-        ``RECORDED``, or why the ticket must not start.
+        ``RECORDED`` if the claim may start. Otherwise the verdict that
+        forbids it, with the existing record if there is one.
     """
-    known = table.get(record.ticket_id)
-    if known is not None:
-        return _reply(known)
+    existing = table.get(record.ticket_id)
+    if existing is not None:
+        return _reply_from_record(existing)
     if not table.was_never_recorded(record):
         return WitnessReply(WitnessVerdict.FORGOTTEN)
     table.put(replace(record, state=ClaimState.STARTED), now_s)
@@ -58,11 +60,27 @@
     record: ClaimRecord,
     now_s: Seconds,
 ) -> WitnessReply:
-    """Record the outcome that the issuer learned."""
-    known = table.get(record.ticket_id)
-    if known is None:
+    """Record the outcome of a claim, unless its ticket is sealed.
+
+    Parameters
+    ----------
+    table : ClaimRecordTable
+        Records of the witness.
+    record : ClaimRecord
+        Record that the issuer sent, with the outcome.
+    now_s : float
+        Current time, in seconds.
+
+    Returns
+    -------
+    WitnessReply
+        ``RECORDED``, also for a sealed ticket, or ``FORGOTTEN`` if the
+        witness has no record of the ticket.
+    """
+    existing = table.get(record.ticket_id)
+    if existing is None:
         return WitnessReply(WitnessVerdict.FORGOTTEN)
-    if known.state is not ClaimState.SEALED:
+    if existing.state is not ClaimState.SEALED:
         table.put(record, now_s)
     return WitnessReply(WitnessVerdict.RECORDED)
 
@@ -72,10 +90,26 @@
     record: ClaimRecord,
     now_s: Seconds,
 ) -> WitnessReply:
-    """Seal a ticket that has not started, or tell what is known of it."""
-    known = table.get(record.ticket_id)
-    if known is not None:
-        return _reply(known)
+    """Seal a ticket whose claim has not started.
+
+    Parameters
+    ----------
+    table : ClaimRecordTable
+        Records of the witness.
+    record : ClaimRecord
+        New record of the ticket.
+    now_s : float
+        Current time, in seconds.
+
+    Returns
+    -------
+    WitnessReply
+        ``SEALED``, the verdict that follows from the existing record, or
+        ``FORGOTTEN`` if a record of the ticket may have been dropped.
+    """
+    existing = table.get(record.ticket_id)
+    if existing is not None:
+        return _reply_from_record(existing)
     if not table.was_never_recorded(record):
         return WitnessReply(WitnessVerdict.FORGOTTEN)
     sealed = replace(
@@ -85,13 +119,13 @@
         run=RunState.NOT_RUN,
     )
     table.put(sealed, now_s)
-    return _reply(sealed)
+    return _reply_from_record(sealed)
 
 
-def _reply(known: ClaimRecord) -> WitnessReply:
-    verdicts = {
+def _reply_from_record(existing: ClaimRecord) -> WitnessReply:
+    verdict_by_state = {
         ClaimState.SEALED: WitnessVerdict.SEALED,
         ClaimState.OUTCOME: WitnessVerdict.OUTCOME,
     }
-    verdict = verdicts.get(known.state, WitnessVerdict.STARTED)
-    return WitnessReply(verdict, known)
+    verdict = verdict_by_state.get(existing.state, WitnessVerdict.STARTED)
+    return WitnessReply(verdict, existing)
