--- a/boragespool/claims/records.py
+++ b/boragespool/claims/records.py
@@ -26,7 +26,8 @@
     """Claim records by ticket, oldest first, and marks of dropped records.
 
     A mark is the highest sequence number of an issuer incarnation whose
-    record was dropped.
+    record was dropped. Marks beyond `DROPPED_MARK_LIMIT` are replaced by one
+    incarnation number, up to which all incarnations count as dropped.
     """
 
     def __init__(self) -> None:
--- a/boragespool/snapshots/__init__.py
+++ b/boragespool/snapshots/__init__.py
@@ -1,4 +1,9 @@
-"""Index versions, key ranges and coverage."""
+"""Planning and merging of queries over the snapshots of an index.
+
+A query is computed from one pinned index version. Its plan divides the key
+space into sub-ranges for the backend servers that hold them; the replies are
+merged until the whole key space is covered.
+"""
 
 from __future__ import annotations
 
--- a/boragespool/snapshots/catalogue.py
+++ b/boragespool/snapshots/catalogue.py
@@ -1,4 +1,8 @@
-"""Which backend servers can answer which key range of which index version."""
+"""Query plans: the backend servers that hold each key range of an index.
+
+A plan divides the key space into sub-ranges, with the replicas of each. There
+is one plan for each index version that the backend servers hold.
+"""
 
 from __future__ import annotations
 
@@ -23,12 +27,12 @@
 
 @dataclass(frozen=True, slots=True)
 class SubRange:
-    """A key range ``[start, end)`` for one sub-request.
+    """A key range ``[start, end)`` that one sub-request can cover.
 
     Attributes
     ----------
     replicas : tuple of str
-        Backend servers that hold the whole range, by name.
+        Backend servers that hold the whole range, sorted by name.
     """
 
     start: int
@@ -38,107 +42,113 @@
 
 @dataclass(frozen=True, slots=True)
 class Catalogue:
-    """Plans for the whole key space, by index version.
+    """The plan and the coverage of each index version.
 
     Attributes
     ----------
     plans_by_version : mapping of int to tuple of SubRange
-        Disjoint sub-ranges in key order; newest version first.
-    keys_by_version : mapping of int to int
-        Number of keys that each plan covers.
+        Disjoint sub-ranges in key order. The newest version comes first.
+    key_count_by_version : mapping of int to int
+        Number of keys that the plan covers.
     """
 
     plans_by_version: Mapping[IndexVersion, tuple[SubRange, ...]]
-    keys_by_version: Mapping[IndexVersion, int]
+    key_count_by_version: Mapping[IndexVersion, int]
 
 
 def build_catalogue(
     holdings_by_server: Mapping[ServerName, Iterable[Holding]],
 ) -> Catalogue:
-    """Plan every index version that the given backend servers hold.
+    """Build a plan for each index version that backend servers hold.
 
     Parameters
     ----------
     holdings_by_server : mapping of str to iterable of Holding
-        Only the backend servers that may get work. Reported ranges that are
-        empty or outside the key space are left out.
+        Reported holdings of those backend servers that may receive work.
+        Ranges that are empty or outside the key space are ignored.
 
     Returns
     -------
     Catalogue
-        A plan is cut wherever a holder's range starts or ends, so that each
-        sub-range lies inside one reported range of each of its replicas.
+        The sub-ranges of a plan are divided wherever a reported range starts
+        or ends, so that each lies inside one reported range of each of its
+        replicas.
     """
     edges_by_version: dict[IndexVersion, list[_Edge]] = {}
     for server, holdings in holdings_by_server.items():
         for holding in holdings:
             edges = edges_by_version.setdefault(holding.version, [])
-            for held in filter(is_range, holding.ranges):
-                edges.extend(((held[0], 1, server), (held[1], -1, server)))
+            for key_range in filter(is_range, holding.ranges):
+                edges.extend(
+                    ((key_range[0], 1, server), (key_range[1], -1, server))
+                )
     plans = {
         version: _sweep(edges_by_version[version])
         for version in sorted(edges_by_version, reverse=True)
     }
     return Catalogue(
         plans,
-        {version: _plan_keys(plan) for version, plan in plans.items()},
+        {version: _plan_key_count(plan) for version, plan in plans.items()},
     )
 
 
+#: Key, 1 for the start or -1 for the end of a range, and its server.
 _Edge = tuple[int, int, 'ServerName']
 
 
 def _sweep(edges: list[_Edge]) -> tuple[SubRange, ...]:
-    """Cut the key space at all edges; keep the pieces that have a holder."""
+    """Divide the key space at all edges; omit ranges without a replica."""
     edges.sort()
-    depth_by_server: dict[ServerName, int] = {}
-    stops: list[tuple[int, tuple[ServerName, ...]]] = []
-    for position, group in groupby(edges, key=itemgetter(0)):
+    open_count_by_server: dict[ServerName, int] = {}
+    boundaries: list[tuple[int, tuple[ServerName, ...]]] = []
+    for edge_key, group in groupby(edges, key=itemgetter(0)):
         for edge in group:
-            _apply(edge, depth_by_server)
-        stops.append((position, tuple(sorted(depth_by_server))))
+            _update_open_count(edge, open_count_by_server)
+        boundaries.append((edge_key, tuple(sorted(open_count_by_server))))
     return tuple(
         SubRange(start, end, replicas)
-        for (start, replicas), (end, _) in pairwise(stops)
+        for (start, replicas), (end, _) in pairwise(boundaries)
         if replicas
     )
 
 
-def _apply(edge: _Edge, depth_by_server: dict[ServerName, int]) -> None:
-    """Count the ranges that are open per server; ranges may overlap."""
+def _update_open_count(
+    edge: _Edge, open_count_by_server: dict[ServerName, int]
+) -> None:
+    """Update the number of overlapping ranges of the edge's server."""
     _, change, server = edge
-    depth = depth_by_server.pop(server, 0) + change
-    if depth:
-        depth_by_server[server] = depth
+    open_count = open_count_by_server.pop(server, 0) + change
+    if open_count:
+        open_count_by_server[server] = open_count
 
 
-def _plan_keys(plan: Iterable[SubRange]) -> int:
+def _plan_key_count(plan: Iterable[SubRange]) -> int:
     return key_count((part.start, part.end) for part in plan)
 
 
 def choose_version(catalogue: Catalogue) -> IndexVersion | None:
-    """Choose the index version that a new query is computed from.
+    """Choose the index version to pin for a new query.
 
     Parameters
     ----------
     catalogue : Catalogue
-        Holdings of the backend servers that may get work.
+        Plans of the backend servers that may receive work.
 
     Returns
     -------
     int or None
-        The version with the largest coverage, ties to the newer one. The
-        newest version that covers the whole key space therefore comes first.
-        None if nothing is held.
+        The version with the highest coverage, or the newest of these. If any
+        version covers the whole key space, this is the newest that does.
+        None if no backend server holds a key.
     """
-    held = {
-        version: keys
-        for version, keys in catalogue.keys_by_version.items()
-        if keys
+    key_counts = {
+        version: count
+        for version, count in catalogue.key_count_by_version.items()
+        if count
     }
     return max(
-        held,
-        key=lambda version: (held[version], version),
+        key_counts,
+        key=lambda version: (key_counts[version], version),
         default=None,
     )
 
@@ -149,42 +159,43 @@
     wanted: Sequence[KeyRange],
     may_ask: Callable[[ServerName, int, int], bool],
 ) -> tuple[SubRange, ...]:
-    """Plan some key ranges of one index version again.
+    """Return the parts of a plan that cover the given key ranges.
 
     Parameters
     ----------
     catalogue : Catalogue
-        Holdings as they are known now.
+        Plans from the holdings that are currently known.
     version : int
-        Pinned version.
+        Pinned index version.
     wanted : sequence of (int, int)
-        Disjoint ranges that are still missing.
+        Disjoint key ranges to cover.
     may_ask : callable
-        Whether a backend server may be asked for ``start, end``.
+        Called with server, start and end; returns whether a sub-request for
+        ``[start, end)`` may be sent to the backend server.
 
     Returns
     -------
     tuple of SubRange
-        Disjoint, inside `wanted`, in key order; ranges that nobody may be
-        asked for are left out.
+        Disjoint sub-ranges inside `wanted`, in the order of `wanted`. Keys
+        for which no replica may be asked are omitted.
     """
     plan = catalogue.plans_by_version.get(version, ())
     planned: list[SubRange] = []
     for start, end in wanted:
-        index = bisect_right(plan, start, key=_end_of)
+        index = bisect_right(plan, start, key=_end_key)
         while index < len(plan) and plan[index].start < end:
-            piece = _narrow(plan[index], (start, end), may_ask)
+            piece = _clip(plan[index], (start, end), may_ask)
             index += 1
             if piece.replicas:
                 planned.append(piece)
     return tuple(planned)
 
 
-def _end_of(part: SubRange) -> int:
+def _end_key(part: SubRange) -> int:
     return part.end
 
 
-def _narrow(
+def _clip(
     part: SubRange,
     wanted: KeyRange,
     may_ask: Callable[[ServerName, int, int], bool],
--- a/boragespool/snapshots/ranges.py
+++ b/boragespool/snapshots/ranges.py
@@ -1,4 +1,4 @@
-"""Arithmetic on half-open key ranges ``[start, end)``."""
+"""Set operations on half-open key ranges ``[start, end)``."""
 
 from __future__ import annotations
 
@@ -17,13 +17,13 @@
 
 
 def is_range(candidate: KeyRange) -> bool:
-    """Return whether a pair is a non-empty range inside the key space."""
+    """Return whether the candidate is non-empty and inside the key space."""
     start, end = candidate
     return start < end and start >= 0 and end <= KEY_SPACE_SIZE
 
 
 def union(ranges: Iterable[KeyRange]) -> tuple[KeyRange, ...]:
-    """Return disjoint ranges with the same keys, in order.
+    """Return sorted disjoint ranges that cover the same keys.
 
     Parameters
     ----------
@@ -33,7 +33,7 @@
     Returns
     -------
     tuple of (int, int)
-        Sorted; ranges that overlap or touch are joined.
+        Ranges that overlap or are adjacent are joined.
     """
     joined: list[KeyRange] = []
     for start, end in sorted(ranges):
@@ -49,7 +49,20 @@
     ranges: Iterable[KeyRange],
     within: KeyRange = WHOLE_KEY_SPACE,
 ) -> tuple[KeyRange, ...]:
-    """Return the ranges of `within` that the given ranges leave out."""
+    """Return the ranges inside `within` that the given ranges do not cover.
+
+    Parameters
+    ----------
+    ranges : iterable of (int, int)
+        Ranges in any order; they may overlap.
+    within : (int, int), optional
+        Range to which the result is limited.
+
+    Returns
+    -------
+    tuple of (int, int)
+        Disjoint ranges in order.
+    """
     gaps: list[KeyRange] = []
     position = within[0]
     for start, end in union(ranges):
@@ -65,7 +78,7 @@
     first: Iterable[KeyRange],
     second: Iterable[KeyRange],
 ) -> tuple[KeyRange, ...]:
-    """Return the keys that are in both collections of ranges.
+    """Return the ranges of keys that both collections of ranges cover.
 
     Parameters
     ----------
@@ -84,8 +97,8 @@
         end = min(left[0][1], right[0][1])
         if start < end:
             shared.append((start, end))
-        shorter = left if left[0][1] == end else right
-        shorter.popleft()
+        exhausted = left if left[0][1] == end else right
+        exhausted.popleft()
     return tuple(shared)
 
 
--- a/boragespool/snapshots/replanning.py
+++ b/boragespool/snapshots/replanning.py
@@ -1,4 +1,8 @@
-"""What a query does about ranges for which it has no replica left."""
+"""Replanning of a query when some key ranges have no replica left.
+
+A query may restart on a newer index version that covers more keys than the
+pinned version still can.
+"""
 
 from __future__ import annotations
 
@@ -17,43 +21,43 @@
 
 
 class NotHeldRanges:
-    """Ranges of the pinned version that backend servers said they lack.
+    """Ranges of the pinned version that backend servers refused as not held.
 
-    Holdings are announced with a delay, so the announced ones alone would
-    send the same request to the same server again.
+    Holdings are announced with a delay. A plan that relied on them alone
+    would send the same sub-request to the same backend server again.
     """
 
     def __init__(self) -> None:
-        """Start without denials."""
-        self._asked: set[tuple[ServerName, int, int]] = set()
+        """Initialize an empty collection."""
+        self._refused: set[tuple[ServerName, int, int]] = set()
 
     def add(self, server: ServerName, asked: KeyRange) -> None:
-        """Note that a server does not hold a range that it was asked for."""
-        self._asked.add((server, *asked))
+        """Record that a server does not hold a range that it was asked for."""
+        self._refused.add((server, *asked))
 
     def may_ask(self, server: ServerName, start: int, end: int) -> bool:
         """Return whether a server may be asked for ``[start, end)``."""
-        return (server, start, end) not in self._asked
+        return (server, start, end) not in self._refused
 
 
-def reachable_key_count(state: MergeState, hoped: Iterable[KeyRange]) -> int:
-    """Return how many keys the pinned version can still cover.
+def reachable_key_count(state: MergeState, pending: Iterable[KeyRange]) -> int:
+    """Return the number of keys that the pinned version can still cover.
 
     Parameters
     ----------
     state : MergeState
-        What was merged.
-    hoped : iterable of (int, int)
-        Ranges of open attempts and of sub-ranges that have a replica.
+        Replies that were merged so far.
+    pending : iterable of (int, int)
+        Ranges of open attempts, and ranges that still have a replica.
 
     Returns
     -------
     int
-        Merged keys plus missing keys that are in `hoped`.
+        Number of merged keys plus that of the missing keys in `pending`.
     """
     missing = state.missing()
-    lost = key_count(missing) - key_count(intersection(missing, hoped))
-    return KEY_SPACE_SIZE - lost
+    lost_count = key_count(missing) - key_count(intersection(missing, pending))
+    return KEY_SPACE_SIZE - lost_count
 
 
 def choose_restart_version(
@@ -61,27 +65,28 @@
     pinned: IndexVersion,
     reachable: int,
 ) -> IndexVersion | None:
-    """Choose the version that a query restarts on.
+    """Choose the index version on which a query restarts.
 
     Parameters
     ----------
     catalogue : Catalogue
-        Holdings as they are known now.
+        Plans from the holdings that are currently known.
     pinned : int
-        Version pinned so far.
+        Version that the query has pinned.
     reachable : int
-        Keys that the pinned version can still cover.
+        Number of keys that the pinned version can still cover.
 
     Returns
     -------
     int or None
-        The newer version that covers most keys, if these are more than
-        `reachable`; ties go to the newest.
+        Among the newer versions that cover more than `reachable` keys, the
+        one that covers the most, or the newest of these; None if there is
+        no such version.
     """
     newer = [
-        (keys, version)
-        for version, keys in catalogue.keys_by_version.items()
-        if version > pinned and keys > reachable
+        (count, version)
+        for version, count in catalogue.key_count_by_version.items()
+        if version > pinned and count > reachable
     ]
     return max(newer)[1] if newer else None
 
@@ -89,7 +94,7 @@
 def state_with_more_coverage(
     first: MergeState, second: MergeState
 ) -> MergeState:
-    """Return the state to answer with: more coverage, ties to the newer."""
+    """Return the state with more coverage, or the newer version if equal."""
     return max(
         (first, second),
         key=lambda state: (state.coverage, state.version),
