--- a/boragespool/controllers/configuration/part_writing.py
+++ b/boragespool/controllers/configuration/part_writing.py
@@ -108,7 +108,7 @@
 
     Returns
     -------
-    Packed or Failure
+    EncodedRevision or Failure
         The manifest to write; each part that it refers to is in the store
         and stays there if the manifest is accepted. Calls that fail are
         repeated for ever.
--- a/boragespool/revisions/__init__.py
+++ b/boragespool/revisions/__init__.py
@@ -1,4 +1,9 @@
-"""Configuration revisions: documents, adoption, audit trail."""
+"""Configuration revisions and how they are built, stored and retained.
+
+A revision is the whole configuration of the fleet at a time. It is stored as
+a manifest, which refers to indexes, parts of the settings and a history by
+the hash of their text, so that a change rewrites only a few small values.
+"""
 
 from __future__ import annotations
 
--- a/boragespool/revisions/assembly.py
+++ b/boragespool/revisions/assembly.py
@@ -1,4 +1,4 @@
-"""Putting a revision together from its parts."""
+"""Assembly of a revision from its manifest, indexes and parts."""
 
 from __future__ import annotations
 
@@ -7,7 +7,11 @@
 
 from boragespool.results import Failure
 from boragespool.revisions.document import RevisionDocument
-from boragespool.revisions.joining import NOTHING, fragment, join
+from boragespool.revisions.joining import (
+    EMPTY_SETTINGS,
+    subset_of_settings,
+    replace_parts,
+)
 from boragespool.revisions.manifest import (
     Manifest,
     decode_index,
@@ -24,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AssembledRevision:
-    """A complete revision with its decoded parts.
+    """A complete and valid revision with its decoded parts.
 
     Attributes
     ----------
@@ -38,76 +42,93 @@
 
 def hashes_to_fetch(
     manifest: Manifest,
-    held: Mapping[PartHash, bytes],
+    texts_by_hash: Mapping[PartHash, bytes],
 ) -> tuple[PartHash, ...] | Failure:
-    """Return the next hashes to fetch for a manifest.
+    """Return the hashes of the texts to fetch next for a manifest.
 
     Parameters
     ----------
     manifest : Manifest
         Revision to assemble.
-    held : mapping of str to bytes
-        Texts that match their hash.
+    texts_by_hash : mapping of str to bytes
+        Available texts by their verified hash.
 
     Returns
     -------
     tuple of str or Failure
-        Indexes first, then the parts that they name; empty when complete.
+        Hashes of missing indexes; if there are none, those of missing parts;
+        empty if all texts are available. ``INVALID_SETTING`` for an index
+        that cannot be decoded.
     """
-    indexes = missing_hashes(manifest.indexes.values(), held)
+    indexes = missing_hashes(manifest.indexes.values(), texts_by_hash)
     if indexes:
         return indexes
-    named = _named(manifest, held)
-    return named if isinstance(named, Failure) else missing_hashes(named, held)
+    part_hashes = _part_hashes(manifest, texts_by_hash)
+    return (
+        part_hashes
+        if isinstance(part_hashes, Failure)
+        else missing_hashes(part_hashes, texts_by_hash)
+    )
 
 
 def referenced_hashes(
     manifest: Manifest,
-    held: Mapping[PartHash, bytes],
+    texts_by_hash: Mapping[PartHash, bytes],
 ) -> frozenset[PartHash]:
-    """Return all hashes that a manifest refers to, as far as they are known.
+    """Return the hashes of the indexes and parts of a manifest.
+
+    Parts of indexes that are not available are omitted, and so is the history.
+    If an available index cannot be decoded, all parts are omitted.
 
-    The history is left out.
+    Parameters
+    ----------
+    manifest : Manifest
+        Revision that refers to them.
+    texts_by_hash : mapping of str to bytes
+        Available texts by hash.
     """
-    named = _named(manifest, held)
+    part_hashes = _part_hashes(manifest, texts_by_hash)
     return frozenset(manifest.indexes.values()).union(
-        () if isinstance(named, Failure) else named,
+        () if isinstance(part_hashes, Failure) else part_hashes,
     )
 
 
 def assemble(
     manifest: Manifest,
-    held: Mapping[PartHash, bytes],
-    before: AssembledRevision | None = None,
+    texts_by_hash: Mapping[PartHash, bytes],
+    previous: AssembledRevision | None = None,
 ) -> AssembledRevision | Failure:
-    """Join and validate the parts of a revision.
+    """Combine and validate the parts of a revision.
 
     Parameters
     ----------
     manifest : Manifest
         Revision to assemble.
-    held : mapping of str to bytes
-        At least the texts for which `lacking` asks.
-    before : Assembly, optional
-        Valid revision; only what differs from it is decoded and validated.
+    texts_by_hash : mapping of str to bytes
+        Texts by hash; `hashes_to_fetch` must return none for them.
+    previous : AssembledRevision, optional
+        Earlier valid revision. Only parts that are not in it are decoded, and
+        only the difference is validated.
 
     Returns
     -------
-    Assembly or Failure
-        ``INVALID_SETTING`` for parts that do not fit together or settings
-        that break a rule.
+    AssembledRevision or Failure
+        ``INVALID_SETTING`` for parts that are missing or contradict each
+        other, or for settings that are not valid.
     """
-    named = _named(manifest, held)
-    if isinstance(named, Failure):
-        return named
-    known = before.parts if before else {}
+    part_hashes = _part_hashes(manifest, texts_by_hash)
+    if isinstance(part_hashes, Failure):
+        return part_hashes
+    known_parts = previous.parts if previous else {}
     parts: dict[PartHash, Part] = {}
-    for one in named:
-        part = known.get(one) or decode_part(held[one])
+    for part_hash in part_hashes:
+        part = known_parts.get(part_hash) or decode_part(
+            texts_by_hash[part_hash]
+        )
         if isinstance(part, Failure):
             return part
-        parts[one] = part
-    settings = _settings(parts, before)
+        parts[part_hash] = part
+    settings = _assemble_settings(parts, previous)
     if isinstance(settings, Failure):
         return settings
     document = RevisionDocument(
@@ -120,38 +141,46 @@
     return AssembledRevision(document, parts)
 
 
-def _named(
+def _part_hashes(
     manifest: Manifest,
-    held: Mapping[PartHash, bytes],
+    texts_by_hash: Mapping[PartHash, bytes],
 ) -> tuple[PartHash, ...] | Failure:
-    """Return the hashes of the parts of the settings."""
-    named: list[PartHash] = []
-    for one in manifest.indexes.values():
-        index = decode_index(held.get(one, b'{}'))
+    """Return the hashes of the parts that the available indexes list."""
+    part_hashes: list[PartHash] = []
+    for index_hash in manifest.indexes.values():
+        index = decode_index(texts_by_hash.get(index_hash, b'{}'))
         if isinstance(index, Failure):
             return index
-        named.extend(index.values())
-    return tuple(dict.fromkeys(named))
+        part_hashes.extend(index.values())
+    return tuple(dict.fromkeys(part_hashes))
 
 
-def _settings(
+def _assemble_settings(
     parts: Mapping[PartHash, Part],
-    before: AssembledRevision | None,
+    previous: AssembledRevision | None,
 ) -> Settings | Failure:
-    """Join parts and validate those that `before` lacks."""
-    known = before.parts if before else {}
-    added = [part for one, part in parts.items() if one not in known]
-    removed = [part for one, part in known.items() if one not in parts]
-    joined = join(
-        before.document.settings if before else NOTHING,
+    """Apply the added and removed parts to the previous settings."""
+    known_parts = previous.parts if previous else {}
+    added = [
+        part
+        for part_hash, part in parts.items()
+        if part_hash not in known_parts
+    ]
+    removed = [
+        part
+        for part_hash, part in known_parts.items()
+        if part_hash not in parts
+    ]
+    settings = replace_parts(
+        previous.document.settings if previous else EMPTY_SETTINGS,
         removed,
         added,
     )
-    if isinstance(joined, Failure):
-        return joined
+    if isinstance(settings, Failure):
+        return settings
     failure = validate_change(
-        joined,
-        fragment(joined, removed),
-        fragment(joined, added),
+        settings,
+        subset_of_settings(settings, removed),
+        subset_of_settings(settings, added),
     )
-    return failure or joined
+    return failure or settings
--- a/boragespool/revisions/buckets.py
+++ b/boragespool/revisions/buckets.py
@@ -1,4 +1,4 @@
-"""Grouping of named entries into bounded buckets by the hash of the name."""
+"""Grouping of names into buckets of limited size by their hash."""
 
 from __future__ import annotations
 
@@ -16,38 +16,39 @@
     names: Iterable[str],
     limit: int,
 ) -> dict[str, tuple[str, ...]]:
-    """Group names so that no group is larger than a limit.
+    """Group names into buckets that are not larger than a limit.
 
     Parameters
     ----------
     names : iterable of str
-        Different names.
+        Names without duplicates.
     limit : int
-        Largest number of names in a group, at least 1.
+        Maximum number of names in a bucket, at least 1.
 
     Returns
     -------
     dict of str to tuple of str
-        Sorted names by the leading bits of their hash that they share.
+        Sorted names of each bucket, by the hash prefix that they share, as a
+        string of bits.
 
     Notes
     -----
-    A group that exceeds the limit is divided by the next bit, as in
-    extendible hashing (Fagin, Nievergelt, Pippenger, Strong 1979). A name
-    that is added or removed changes its own group, which it may divide or
-    unite with its neighbour, and no other one. Chunks of a fixed size would
-    all shift after it.
+    A bucket that exceeds the limit is split by the next bit of the hash, as
+    in extendible hashing (Fagin, Nievergelt, Pippenger, Strong 1979). Adding
+    or removing a name changes only its own bucket, which may be split or
+    merged with its sibling. With chunks of a fixed size, all chunks after the
+    name would change.
     """
-    bits_by_name = {name: _bits(name) for name in sorted(names)}
-    return dict(_divide(bits_by_name, '', limit))
+    bits_by_name = {name: _hash_bits(name) for name in sorted(names)}
+    return dict(_split_bucket(bits_by_name, '', limit))
 
 
-def _bits(name: str) -> str:
+def _hash_bits(name: str) -> str:
     digest = xxhash.xxh64_intdigest(name.encode())
     return format(digest, 'b').zfill(_HASH_BITS)
 
 
-def _divide(
+def _split_bucket(
     bits_by_name: dict[str, str],
     prefix: str,
     limit: int,
@@ -58,9 +59,9 @@
             yield prefix, tuple(bits_by_name)
         return
     for bit in '01':
-        part = {
+        half = {
             name: bits
             for name, bits in bits_by_name.items()
             if bits[depth] == bit
         }
-        yield from _divide(part, prefix + bit, limit)
+        yield from _split_bucket(half, prefix + bit, limit)
--- a/boragespool/revisions/building.py
+++ b/boragespool/revisions/building.py
@@ -1,4 +1,4 @@
-"""Building the next revision document."""
+"""Construction of the next revision document from an operator's command."""
 
 from __future__ import annotations
 
@@ -16,26 +16,33 @@
     from boragespool.settings import ServiceSettings, Settings
     from boragespool.types import HostName, Seconds
 
+#: Entries of the audit trail that a document keeps.
 AUDIT_ENTRY_LIMIT: Final = 100
-#: Characters; together with `AUDIT_ENTRY_LIMIT` they bound the trail to about a
-#: quarter of the 1 MB that a value may have.
-AUTHOR_LIMIT: Final = 100
-NOTE_LIMIT: Final = 400
-CLEARED_LIMIT: Final = 32
+#: Characters in the author and the note of an audit entry. With
+#: `AUDIT_ENTRY_LIMIT` they limit the audit trail to about a quarter of the
+#: store's 1 MB per value.
+AUTHOR_LIMIT_CHARS: Final = 100
+NOTE_LIMIT_CHARS: Final = 400
+#: Cleared fingerprints that a document keeps.
+CLEARANCE_LIMIT: Final = 32
 
 
 @dataclass(frozen=True, slots=True)
 class Change:
-    """One command of an operator.
+    """A command of an operator that changes the configuration.
 
     Attributes
     ----------
     change_id : str
-        Random identifier.
+        Random unique identifier.
     action : str
         ``apply``, ``rollback``, ``drain``, ``undrain`` or ``clear``.
+    author : str
+        Operator who ran the command.
     at_s : float
-        Wall time in seconds since 1970.
+        Wall time of the command, in seconds since 1970.
+    note : str
+        Comment of the operator.
     """
 
     change_id: str
@@ -50,22 +57,22 @@
     base: RevisionDocument | None,
     change: Change,
 ) -> RevisionDocument:
-    """Build the document that follows a base.
+    """Build the document of the revision that follows a base.
 
     Parameters
     ----------
     settings : Settings
         Whole validated configuration.
     base : RevisionDocument or None
-        Document that the change starts from; None for the first one.
+        Document that the change replaces; None for the first revision.
     change : Change
-        What goes into the audit trail.
+        Command to record in the audit trail.
 
     Returns
     -------
     RevisionDocument
-        With the next revision; the oldest audit entries beyond
-        `AUDIT_ENTRY_LIMIT` are dropped.
+        Document with the next revision number. The oldest audit entries
+        beyond `AUDIT_ENTRY_LIMIT` are dropped.
     """
     base_revision = base.revision if base else 0
     entry = AuditEntry(
@@ -90,8 +97,8 @@
 def check_change(change: Change) -> Failure | None:
     """Return a failure for an author or a note that is too long."""
     for name, text, limit in (
-        ('author', change.author, AUTHOR_LIMIT),
-        ('note', change.note, NOTE_LIMIT),
+        ('author', change.author, AUTHOR_LIMIT_CHARS),
+        ('note', change.note, NOTE_LIMIT_CHARS),
     ):
         if len(text) > limit:
             return Failure(
@@ -107,25 +114,42 @@
     base: RevisionDocument,
     change: Change,
 ) -> RevisionDocument:
-    """Build the document that clears a blocked fingerprint."""
-    following = next_document(base.settings, base, change)
-    clearance = Clearance(fingerprint, following.revision)
+    """Build the next document, which clears a blocked fingerprint.
+
+    Parameters
+    ----------
+    fingerprint : int
+        Fingerprint of the request to unblock.
+    base : RevisionDocument
+        Document that the change replaces; its settings are kept.
+    change : Change
+        Command to record in the audit trail.
+
+    Returns
+    -------
+    RevisionDocument
+        Document with the next revision number. The oldest cleared
+        fingerprints beyond `CLEARANCE_LIMIT` are dropped.
+    """
+    document = next_document(base.settings, base, change)
+    clearance = Clearance(fingerprint, document.revision)
     others = tuple(
         earlier
         for earlier in base.cleared
         if earlier.fingerprint != fingerprint
     )
-    cleared = (*others, clearance)[-CLEARED_LIMIT:]
-    return replace(following, cleared=cleared)
+    cleared = (*others, clearance)[-CLEARANCE_LIMIT:]
+    return replace(document, cleared=cleared)
 
 
 def newly_cleared_fingerprints(
     previous: RevisionDocument | None,
     adopted: RevisionDocument,
 ) -> frozenset[int]:
-    """Return the fingerprints to clear when a document comes into force.
+    """Return the fingerprints to unblock when a document comes into force.
 
-    A daemon without a previous document has nothing to clear.
+    The result is empty without a previous document, because such a daemon has
+    nothing to unblock.
     """
     if previous is None:
         return frozenset()
@@ -142,16 +166,16 @@
     *,
     drained: bool,
 ) -> Settings | Failure:
-    """Mark all backend servers on a host.
+    """Return settings with all backend servers of a host drained or not.
 
     Parameters
     ----------
     settings : Settings
-        Configuration to start from.
+        Settings to change.
     host : str
-        Name of the host in the settings of its backend servers.
+        Host name as in the settings of its backend servers.
     drained : bool
-        False puts the servers back to work.
+        Whether the servers are drained; False puts them back into service.
 
     Returns
     -------
@@ -170,14 +194,17 @@
     if host not in hosts:
         return Failure(
             ResultCode.INVALID_SETTING,
-            f'no backend server is on host {host!r}; allowed: '
+            f'no backend server is on host {host!r}; allowed hosts: '
             f'{sorted(hosts)!r}',
         )
     return replace(settings, services=services)
 
 
 def undrained_servers(before: Settings, after: Settings) -> tuple[str, ...]:
-    """Return the drained servers of `before` that `after` puts to work."""
+    """Return the names of the servers that a change puts back into service.
+
+    These are drained in `before`, and exist without being drained in `after`.
+    """
     return tuple(
         name
         for service_name, service in before.services.items()
--- a/boragespool/revisions/difference.py
+++ b/boragespool/revisions/difference.py
@@ -1,4 +1,4 @@
-"""Difference between two configurations."""
+"""Comparison of two configurations, setting by setting."""
 
 from __future__ import annotations
 
@@ -15,15 +15,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Difference:
-    """One setting that differs.
+    """A setting that differs between two configurations.
 
     Attributes
     ----------
     path : str
-        Dotted path.
+        Dotted path of the setting.
     old, new : Any
-        Values as built-in types; None where the setting does not exist. No
-        setting has the value None.
+        Values as built-in types; None if the setting does not exist. This is
+        unambiguous, because no setting has the value None.
     """
 
     path: str
@@ -32,7 +32,7 @@
 
 
 def difference(old: Settings, new: Settings) -> tuple[Difference, ...]:
-    """Return the settings that differ, in the order of their paths.
+    """Return the settings that differ, sorted by path.
 
     Parameters
     ----------
--- a/boragespool/revisions/document.py
+++ b/boragespool/revisions/document.py
@@ -1,4 +1,4 @@
-"""The value that the platform's store holds for the configuration."""
+"""Revision document: the configuration with its audit trail."""
 
 from __future__ import annotations
 
@@ -20,8 +20,14 @@
         Operator who ran the command.
     action : str
         ``apply``, ``rollback``, ``drain``, ``undrain`` or ``clear``.
+    revision : int
+        Revision that the change created.
     base : int
-        Revision that the change started from.
+        Revision that the change replaced; 0 for the first one.
+    change_id : str
+        Random identifier of the change.
+    note : str
+        Comment of the operator.
     """
 
     at_s: float
@@ -35,15 +41,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Clearance:
-    """A fingerprint that an operator cleared.
+    """A blocked request fingerprint that an operator cleared.
 
     Attributes
     ----------
     fingerprint : int
-        xxhash of route and body.
+        xxhash of route and body of the request.
     revision : int
-        Revision that cleared it. A daemon acts once, when it replaces an
-        older revision, so that the fingerprint can be blocked again later.
+        Revision that cleared it. A daemon unblocks the fingerprint only when
+        this or a later revision replaces an older one, so that it can be
+        blocked again afterwards.
     """
 
     fingerprint: int
@@ -52,16 +59,19 @@
 
 @dataclass(frozen=True, slots=True)
 class RevisionDocument:
-    """A whole merged configuration with its audit trail.
+    """A revision with the whole configuration and its audit trail.
 
     Attributes
     ----------
     change_id : str
-        Random identifier of the change; settles a lost answer.
+        Random identifier of the change. If the store's response to the write
+        was lost, it tells whether the write took effect.
+    settings : Settings
+        Whole configuration, merged from the operator's files.
     audit : tuple of AuditEntry
-        Bounded trail, newest last; it includes this revision's entry.
+        Latest changes up to and including this revision, newest last.
     cleared : tuple of Clearance
-        Bounded, newest last.
+        Latest cleared fingerprints, newest last.
     """
 
     revision: Revision
--- a/boragespool/revisions/encoding.py
+++ b/boragespool/revisions/encoding.py
@@ -1,4 +1,4 @@
-"""Documents as the JSON text that the store and peers hold."""
+"""Store keys of revisions, and JSON encoding of whole documents."""
 
 from __future__ import annotations
 
@@ -10,9 +10,10 @@
 from boragespool.revisions.document import RevisionDocument
 from boragespool.settings import validate
 
-#: Largest value of the platform's store.
+#: Largest value that the platform's store accepts.
 VALUE_LIMIT_BYTES: Final = 1_000_000
 
+#: Store key of the current revision.
 CURRENT_KEY: Final = 'config/current'
 
 _ENCODER: Final = msgspec.json.Encoder()
@@ -20,7 +21,7 @@
 
 
 def revision_key(revision: int) -> str:
-    """Return the store key that keeps a replaced revision."""
+    """Return the store key under which a replaced revision is kept."""
     return f'config/revision/{revision}'
 
 
@@ -30,17 +31,17 @@
 
 
 def encode_document(document: RevisionDocument) -> bytes | Failure:
-    """Return the JSON of a document.
+    """Encode a whole document as JSON.
 
     Parameters
     ----------
     document : RevisionDocument
-        Document to store.
+        Document to encode.
 
     Returns
     -------
     bytes or Failure
-        ``VALUE_TOO_LARGE`` above `VALUE_LIMIT_BYTES`.
+        ``VALUE_TOO_LARGE`` if the text exceeds `VALUE_LIMIT_BYTES`.
     """
     encoded = _ENCODER.encode(document)
     if len(encoded) > VALUE_LIMIT_BYTES:
@@ -53,19 +54,19 @@
 
 
 def decode_document(encoded: str | bytes) -> RevisionDocument | Failure:
-    """Return the validated document in a JSON text.
+    """Decode and validate a whole document.
 
     Parameters
     ----------
     encoded : str or bytes
-        Value of the store, or the body of a `RevisionReply`.
+        JSON from the store, or the document of a `RevisionReply`.
 
     Returns
     -------
     RevisionDocument or Failure
         ``INVALID_SETTING`` for invalid JSON, a wrong type, a revision below
-        1 or settings that break a rule. Unknown keys are ignored, because a
-        newer release may write them.
+        1 or invalid settings. Unknown keys are ignored, because a newer
+        release may have written them.
     """
     try:
         document = _DECODER.decode(encoded)
--- a/boragespool/revisions/host_list.py
+++ b/boragespool/revisions/host_list.py
@@ -1,8 +1,8 @@
-"""Which list of leaving hosts is the newest one.
+"""Versioning of the list of leaving hosts.
 
-The platform's list has no version. A watcher numbers the lists that it
-publishes with one more than the highest number that it knows, so that the
-order does not depend on clocks.
+The platform's host list has no version. A watcher therefore publishes a new
+list with a sequence number one higher than the highest that it knows, so that
+the order of lists does not depend on clocks.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 
 
 def supersedes(current: LeavingHosts, candidate: LeavingHosts) -> bool:
-    """Tell whether a candidate is newer than the list in use."""
+    """Return whether a candidate is newer than the list in use."""
     return (candidate.sequence, candidate.watcher) > (
         current.sequence,
         current.watcher,
@@ -36,18 +36,20 @@
     Parameters
     ----------
     current : LeavingHosts
-        List in use; it did not change while the platform was asked.
+        List in use. The caller ensures that it did not change while the
+        platform's list was read.
     observed, observed_before : frozenset of str
-        Leaving hosts in this answer and in the answer before it.
+        Leaving hosts in the latest response of the platform and in the
+        response before it.
     watcher : str
-        This daemon.
+        Host name of this daemon.
 
     Returns
     -------
     LeavingHosts or None
-        None if the list in use is right. A host that appears is taken at
-        once; one that disappears only when two answers agree, because copies
-        of the platform's list lag differently.
+        None if the list in use is still correct. A new host is added at once.
+        A host is removed only if two consecutive responses lack it, because
+        the replicas of the platform's list lag by different times.
     """
     listed = frozenset(current.hosts)
     leaving = observed | (listed & observed_before)
--- a/boragespool/revisions/joining.py
+++ b/boragespool/revisions/joining.py
@@ -1,4 +1,8 @@
-"""Settings from the parts that were removed from and added to others."""
+"""Replacement of parts of the settings.
+
+A new revision usually shares most parts with the previous one. Its settings
+are made from the previous settings and the parts that were removed and added.
+"""
 
 from __future__ import annotations
 
@@ -18,66 +22,68 @@
 
 _EntryT = TypeVar('_EntryT')
 
-#: What the first parts are joined to.
-NOTHING: Final = Settings(ranks={})
+#: Initial settings, to which the first parts are added.
+EMPTY_SETTINGS: Final = Settings(ranks={})
 
 
-def join(
-    before: Settings,
+def replace_parts(
+    previous: Settings,
     removed: Iterable[Part],
     added: Iterable[Part],
 ) -> Settings | Failure:
-    """Exchange parts of settings.
+    """Return settings in which some parts are replaced by others.
 
     Parameters
     ----------
-    before : Settings
-        Settings that consist of the removed parts and those that stay;
-        `NOTHING` for the first parts.
+    previous : Settings
+        Settings that contain the removed parts; `EMPTY_SETTINGS` if there are
+        none yet.
     removed, added : iterable of Part
-        What differs.
+        Parts to remove and parts to add.
 
     Returns
     -------
     Settings or Failure
-        ``INVALID_SETTING`` if a piece is missing or occurs twice. Tables
-        that no part concerns are those of `before`.
+        New settings; services without removed or added parts are the same
+        objects as in `previous`. ``INVALID_SETTING`` if a server or a route
+        occurs twice, or if the limits of a service or the remaining options
+        are missing or occur twice.
     """
     removed, added = tuple(removed), tuple(added)
-    services = _services(before, removed, added)
+    services = _replace_in_services(previous, removed, added)
     if isinstance(services, Failure):
         return services
-    routes = _exchange(
-        before.routes,
+    routes = _replace_entries(
+        previous.routes,
         [part.routes for part in removed],
         [part.routes for part in added],
     )
     if isinstance(routes, Failure):
         return routes
-    rest = _remaining(
-        None if before is NOTHING else before,
+    rest = _remaining_values(
+        None if previous is EMPTY_SETTINGS else previous,
         [part.rest for part in removed],
         [part.rest for part in added],
     )
     if len(rest) != 1:
-        return _unfit(f'{len(rest)!r} parts with ranks and other options')
+        return _failure(f'{len(rest)!r} parts with ranks and other options')
     return replace(rest[0], services=services, routes=routes)
 
 
-def fragment(joined: Settings, parts: Iterable[Part]) -> Settings:
-    """Return settings with the servers and routes of some parts only.
+def subset_of_settings(settings: Settings, parts: Iterable[Part]) -> Settings:
+    """Return settings with only the servers and routes of some parts.
 
     Parameters
     ----------
-    joined : Settings
-        Source of everything that is not a server or a route.
+    settings : Settings
+        Settings that provide the limits of services and all other options.
     parts : iterable of Part
-        Parts of `joined` or of settings before it.
+        Parts of these settings or of earlier ones.
 
     Returns
     -------
     Settings
-        Limits of services that `joined` lacks are left at 1.
+        Services that do not exist in `settings` have limits of 1.
     """
     servers_by_service: dict[ServiceName, dict[ServerName, ServerSettings]] = {}
     routes = {}
@@ -86,27 +92,27 @@
         if part.service:
             servers = servers_by_service.setdefault(part.service, {})
             servers.update(part.servers)
-    unknown = ServiceSettings(1, 1, {})
+    default = ServiceSettings(1, 1, {})
     services = {
-        name: replace(joined.services.get(name, unknown), servers=servers)
+        name: replace(settings.services.get(name, default), servers=servers)
         for name, servers in servers_by_service.items()
     }
-    return replace(joined, services=services, routes=routes)
+    return replace(settings, services=services, routes=routes)
 
 
-def _services(
-    before: Settings,
+def _replace_in_services(
+    previous: Settings,
     removed: tuple[Part, ...],
     added: tuple[Part, ...],
 ) -> dict[ServiceName, ServiceSettings] | Failure:
-    removed_by_name = _by_service(removed)
-    added_by_name = _by_service(added)
-    services = dict(before.services)
-    for name in removed_by_name.keys() | added_by_name.keys():
-        service = _service(
+    removed_by_service = _group_by_service(removed)
+    added_by_service = _group_by_service(added)
+    services = dict(previous.services)
+    for name in removed_by_service.keys() | added_by_service.keys():
+        service = _replace_in_service(
             services.pop(name, None),
-            removed_by_name.get(name, []),
-            added_by_name.get(name, []),
+            removed_by_service.get(name, []),
+            added_by_service.get(name, []),
         )
         if isinstance(service, Failure):
             return service
@@ -115,36 +121,36 @@
     return services
 
 
-def _by_service(parts: Iterable[Part]) -> dict[ServiceName, list[Part]]:
-    grouped: dict[ServiceName, list[Part]] = {}
+def _group_by_service(parts: Iterable[Part]) -> dict[ServiceName, list[Part]]:
+    parts_by_service: dict[ServiceName, list[Part]] = {}
     for part in parts:
         if part.service:
-            grouped.setdefault(part.service, []).append(part)
-    return grouped
+            parts_by_service.setdefault(part.service, []).append(part)
+    return parts_by_service
 
 
-def _service(
-    before: ServiceSettings | None,
+def _replace_in_service(
+    previous: ServiceSettings | None,
     removed: list[Part],
     added: list[Part],
 ) -> ServiceSettings | Failure | None:
-    """Return None for a service of which nothing is left."""
-    servers = _exchange(
-        before.servers if before else {},
+    """Return the changed service, or None if no part of it remains."""
+    servers = _replace_entries(
+        previous.servers if previous else {},
         [part.servers for part in removed],
         [part.servers for part in added],
     )
     if isinstance(servers, Failure):
         return servers
-    limits = _remaining(
-        _limits(before) if before else None,
+    limits = _remaining_values(
+        _limits_of(previous) if previous else None,
         [part.limits for part in removed],
         [part.limits for part in added],
     )
     if not limits and not servers:
         return None
     if len(limits) != 1:
-        return _unfit(f'{len(limits)!r} parts with limits of a service')
+        return _failure(f'{len(limits)!r} parts with limits of a service')
     return ServiceSettings(
         limits[0].slots,
         limits[0].connections,
@@ -153,7 +159,7 @@
     )
 
 
-def _limits(service: ServiceSettings) -> ServiceLimits:
+def _limits_of(service: ServiceSettings) -> ServiceLimits:
     return ServiceLimits(
         service.slots,
         service.connections,
@@ -161,37 +167,42 @@
     )
 
 
-def _remaining(
-    held: _EntryT | None,
+def _remaining_values(
+    current: _EntryT | None,
     removed: Iterable[_EntryT | None],
     added: Iterable[_EntryT | None],
 ) -> list[_EntryT]:
-    """Return what several parts say about something that only one may."""
+    """Return the values that parts set for a field after the change.
+
+    The settings are valid only if exactly one part sets the field.
+    """
     if any(entry is not None for entry in removed):
-        held = None
-    return [entry for entry in (held, *added) if entry is not None]
+        current = None
+    return [entry for entry in (current, *added) if entry is not None]
 
 
-def _exchange(
-    before: dict[str, _EntryT],
+def _replace_entries(
+    previous: dict[str, _EntryT],
     removed: Iterable[dict[str, _EntryT]],
     added: Iterable[dict[str, _EntryT]],
 ) -> dict[str, _EntryT] | Failure:
-    """Exchange entries of a table; an entry must not occur twice."""
-    table = dict(before)
-    for former in removed:
-        for name in former:
+    """Remove and add entries; fail if an added entry exists already."""
+    table = dict(previous)
+    for entries in removed:
+        for name in entries:
             table.pop(name, None)
     for entries in added:
         size = len(table) + len(entries)
         table.update(entries)
         if len(table) < size:
-            return _unfit(f'an entry of {sorted(entries)!r} that occurs twice')
+            return _failure(
+                f'entries {sorted(entries)!r}, at least one of them twice',
+            )
     return table
 
 
-def _unfit(found: str) -> Failure:
+def _failure(found: str) -> Failure:
     return Failure(
         ResultCode.INVALID_SETTING,
-        f'the parts of a revision have {found}; allowed is exactly one',
+        f'a revision contains {found}; exactly one is allowed',
     )
--- a/boragespool/revisions/manifest.py
+++ b/boragespool/revisions/manifest.py
@@ -1,4 +1,9 @@
-"""The value under `CURRENT_KEY`: what a revision consists of."""
+"""Manifests, which list the indexes and parts that a revision consists of.
+
+The store holds the manifest of the current revision under `CURRENT_KEY`.
+Indexes, parts of the settings and the history are separate values, stored
+under the hash of their text.
+"""
 
 from __future__ import annotations
 
@@ -23,37 +28,40 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-#: Parts that one index names. The manifest names indexes only, because the
-#: names of all parts have 140 KB at 67,000 backend servers.
-INDEX_LIMIT: Final = 64
+#: Maximum number of parts in an index. The manifest lists only the indexes,
+#: because the names of all parts take 140 KB with 67,000 backend servers.
+PARTS_PER_INDEX: Final = 64
 
-#: Entries of the audit trail that the manifest itself holds; earlier ones
-#: are in the history, which daemons do not read.
-RECENT_ENTRIES: Final = 8
+#: Audit entries in the manifest. Earlier ones are in the history, which
+#: daemons do not read.
+RECENT_AUDIT_ENTRY_COUNT: Final = 8
 
 
+#: Hashes of the indexes by bucket; texts of indexes and parts by hash.
 IndexedTexts: TypeAlias = tuple[dict[str, PartHash], dict[PartHash, bytes]]
 
 
-#: Decoded indexes that are kept; 67,000 backend servers have about 50, and
-#: each revision changes one or two.
-_INDEX_CACHE: Final = 256
+#: Number of decoded indexes to cache. A configuration of 67,000 backend
+#: servers has about 50, and each revision changes one or two of them.
+_CACHED_INDEX_COUNT: Final = 256
 
 
 @dataclass(frozen=True, slots=True)
 class Manifest:
-    """A revision without its settings.
+    """A revision with references to its settings and its history.
 
     Attributes
     ----------
     indexes : dict
-        Hashes of the indexes by bucket. An index is the JSON object of the
-        hashes of its parts by name.
+        Hash of each index by its bucket. An index is a JSON object with the
+        hashes of some parts by part name.
     audit : tuple of AuditEntry
-        Newest `RECENT_ENTRIES`, newest last; empty in a manifest that a
-        peer sends.
+        The latest `RECENT_AUDIT_ENTRY_COUNT` entries, newest last; empty in a
+        manifest that a peer sent.
+    cleared : tuple of Clearance
+        Latest cleared fingerprints, newest last.
     history : str
-        Hash of the `History`; empty if there is none.
+        Hash of the encoded `History`; empty if there is none.
     """
 
     revision: Revision
@@ -66,7 +74,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplacedPart:
-    """A part to which revision `revision` was the last to refer."""
+    """A part, index or history and the last revision that refers to it."""
 
     part: PartHash
     revision: Revision
@@ -74,7 +82,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RetiredPart:
-    """A part that may be emptied while the store holds this version of it."""
+    """A value that may be emptied if the store still holds this version."""
 
     part: PartHash
     version: int
@@ -82,18 +90,20 @@
 
 @dataclass(frozen=True, slots=True)
 class History:
-    """What only operators read.
+    """Audit trail and retention state, read by operators' commands only.
+
+    The parts listed here include indexes and histories.
 
     Attributes
     ----------
     audit : tuple of AuditEntry
-        Entries before those of the manifest, newest last.
-    replaced : tuple of Replaced
-        Parts that only kept revisions refer to, oldest first.
-    retired : tuple of Retired
-        Parts that no kept revision refers to any more.
+        Entries older than those in the manifest, newest last.
+    replaced : tuple of ReplacedPart
+        Parts that only replaced revisions refer to, oldest first.
+    retired : tuple of RetiredPart
+        Parts that no kept revision refers to, which the next writer empties.
     dropped : tuple of int
-        Revisions that this one ceases to keep.
+        Revisions that the previous revision kept and this one does not.
     kept_from : int
         Lowest revision that can be rolled back to.
     """
@@ -107,14 +117,14 @@
 
 @dataclass(frozen=True, slots=True)
 class EncodedRevision:
-    """A revision as the values to store.
+    """A revision encoded as values for the store.
 
     Attributes
     ----------
     encoded : bytes
-        Text of the manifest.
+        JSON of the manifest.
     parts : dict
-        Texts of all indexes, parts and the history by hash.
+        JSON of all indexes, parts and the history, by hash.
     """
 
     manifest: Manifest
@@ -132,12 +142,12 @@
 def build_indexes(
     settings_parts: Mapping[str, bytes],
 ) -> IndexedTexts:
-    """Group encoded parts under indexes.
+    """Build the indexes of encoded parts.
 
     Parameters
     ----------
     settings_parts : mapping of str to bytes
-        Result of `split`.
+        Encoded parts by name, as `split_settings` returns them.
 
     Returns
     -------
@@ -150,7 +160,7 @@
     }
     texts = {hash_by_name[name]: settings_parts[name] for name in hash_by_name}
     indexes = {}
-    for bucket, names in buckets(hash_by_name, INDEX_LIMIT).items():
+    for bucket, names in buckets(hash_by_name, PARTS_PER_INDEX).items():
         encoded = _ENCODER.encode({name: hash_by_name[name] for name in names})
         indexes[bucket] = part_hash(encoded)
         texts[indexes[bucket]] = encoded
@@ -162,43 +172,47 @@
     history: History | None = None,
     settings_texts: IndexedTexts | None = None,
 ) -> EncodedRevision | Failure:
-    """Encode a document as a manifest with its parts.
+    """Encode a document as a manifest, indexes, parts and a history.
 
     Parameters
     ----------
     document : RevisionDocument
-        Revision to write.
+        Revision to encode.
     history : History, optional
-        What may be removed; its audit trail is that of `document`.
+        Retention state; its audit trail is replaced by that of `document`.
     settings_texts : tuple, optional
-        Result of `indexed` for the settings of the document.
+        Result of `build_indexes` for the settings of the document, to avoid
+        encoding them again.
 
     Returns
     -------
-    Packed or Failure
-        ``VALUE_TOO_LARGE`` if a value exceeds the limit of the store.
+    EncodedRevision or Failure
+        ``VALUE_TOO_LARGE`` if a value exceeds `VALUE_LIMIT_BYTES`.
     """
     indexes, texts = settings_texts or build_indexes(
         split_settings(document.settings)
     )
-    earlier = _ENCODER.encode(
-        replace(history or History(), audit=document.audit[:-RECENT_ENTRIES]),
+    encoded_history = _ENCODER.encode(
+        replace(
+            history or History(),
+            audit=document.audit[:-RECENT_AUDIT_ENTRY_COUNT],
+        ),
     )
-    texts = texts | {part_hash(earlier): earlier}
+    texts = texts | {part_hash(encoded_history): encoded_history}
     manifest = Manifest(
         document.revision,
         document.change_id,
         indexes,
-        document.audit[-RECENT_ENTRIES:],
+        document.audit[-RECENT_AUDIT_ENTRY_COUNT:],
         document.cleared,
-        part_hash(earlier),
+        part_hash(encoded_history),
     )
     encoded = _ENCODER.encode(manifest)
-    largest = max(map(len, (encoded, *texts.values())))
-    if largest > VALUE_LIMIT_BYTES:
+    largest_bytes = max(map(len, (encoded, *texts.values())))
+    if largest_bytes > VALUE_LIMIT_BYTES:
         return Failure(
             ResultCode.VALUE_TOO_LARGE,
-            f'a value of the revision has {largest!r} bytes; at most '
+            f'a value of the revision has {largest_bytes!r} bytes; at most '
             f'{VALUE_LIMIT_BYTES!r} are allowed',
         )
     return EncodedRevision(manifest, encoded, texts)
@@ -207,17 +221,18 @@
 def decode_revision(
     encoded: str | bytes,
 ) -> Manifest | RevisionDocument | Failure:
-    """Decode a value of `CURRENT_KEY` or of a kept revision.
+    """Decode a revision from the store or from a peer.
 
     Parameters
     ----------
     encoded : str or bytes
-        Manifest, or the whole document that earlier releases wrote.
+        JSON of a manifest, or of a whole document as earlier releases write
+        it.
 
     Returns
     -------
     Manifest or RevisionDocument or Failure
-        ``INVALID_SETTING`` for a value that is neither.
+        ``INVALID_SETTING`` if it is neither or its revision is below 1.
     """
     try:
         manifest = _MANIFEST_DECODER.decode(encoded)
@@ -232,13 +247,13 @@
     return manifest
 
 
-@functools.lru_cache(maxsize=_INDEX_CACHE)
+@functools.lru_cache(maxsize=_CACHED_INDEX_COUNT)
 def decode_index(encoded: bytes) -> Mapping[str, PartHash] | Failure:
-    """Decode the hashes of parts by name."""
+    """Decode an index: the hashes of parts by name."""
     try:
         return MappingProxyType(_INDEX_DECODER.decode(encoded))
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return _invalid('index', error)
+        return _failure('index', error)
 
 
 def decode_history(encoded: bytes) -> History | Failure:
@@ -246,11 +261,14 @@
     try:
         return _HISTORY_DECODER.decode(encoded)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return _invalid('history', error)
+        return _failure('history', error)
 
 
 def without_audit(encoded: bytes) -> bytes:
-    """Return a manifest for peers, with the keys of newer releases."""
+    """Return an encoded manifest without its audit trail, for peers.
+
+    Keys that only newer releases know are kept.
+    """
     fields = _RAW_DECODER.decode(encoded)
     return _ENCODER.encode(
         {key: text for key, text in fields.items() if key != 'audit'},
@@ -259,13 +277,17 @@
 
 def missing_hashes(
     wanted: Iterable[PartHash],
-    held: Mapping[PartHash, bytes],
+    texts_by_hash: Mapping[PartHash, bytes],
 ) -> tuple[PartHash, ...]:
-    """Return the wanted hashes that are not held, each once."""
-    return tuple(dict.fromkeys(one for one in wanted if one not in held))
+    """Return the hashes whose text is not available, without duplicates."""
+    return tuple(
+        dict.fromkeys(
+            text_hash for text_hash in wanted if text_hash not in texts_by_hash
+        ),
+    )
 
 
-def _invalid(what: str, error: Exception) -> Failure:
+def _failure(what: str, error: Exception) -> Failure:
     return Failure(
         ResultCode.INVALID_SETTING,
         f'the {what} of a revision is invalid: {error}',
--- a/boragespool/revisions/outcome.py
+++ b/boragespool/revisions/outcome.py
@@ -1,8 +1,9 @@
-"""What became of a write whose answer may have been lost.
+"""Steps of a compare-and-swap write when responses may be lost.
 
-A write carries its own change id. A conflict or a lost answer is never taken
-at face value: an earlier attempt of the same write may have taken effect, so
-the stored document is read back and its change id decides.
+A conflict or a lost response does not tell whether the write took effect: an
+earlier attempt of the same write may have succeeded. The stored document is
+therefore read back, and the change id in its audit trail tells whether the
+write was applied.
 """
 
 from __future__ import annotations
@@ -15,7 +16,11 @@
 
 
 class WriteAnswer(enum.Enum):
-    """What the store said to a compare-and-swap."""
+    """Response of the store to a compare-and-swap, or why there is none.
+
+    ``NOT_SENT``: the call failed and certainly had no effect. ``LOST``: no
+    response arrived; the write may have taken effect.
+    """
 
     WRITTEN = 'written'
     CONFLICT = 'conflict'
@@ -24,7 +29,10 @@
 
 
 class WriteStep(enum.Enum):
-    """What the writer does next, or how the write ended."""
+    """Next step of a writer, or the final state of its write.
+
+    ``WRITE`` and ``READ_BACK`` are steps, the others are final.
+    """
 
     APPLIED = 'applied'
     CONFLICT = 'conflict'
@@ -34,17 +42,18 @@
 
 
 def next_step_after_write(answer: WriteAnswer) -> WriteStep:
-    """Return the step that follows an answer to a write.
+    """Return the step that follows an attempt to write.
 
     Parameters
     ----------
     answer : WriteAnswer
-        Answer of the store, or its absence.
+        Response of the store, or why there is none.
 
     Returns
     -------
-    Step
-        ``APPLIED`` only for an explicit success.
+    WriteStep
+        ``APPLIED`` if the store confirmed the write, ``WRITE`` if the call
+        had no effect, ``READ_BACK`` after a conflict or a lost response.
     """
     if answer is WriteAnswer.WRITTEN:
         return WriteStep.APPLIED
@@ -57,23 +66,23 @@
     sent: RevisionDocument,
     found: RevisionDocument | None,
 ) -> WriteStep:
-    """Return the step that follows reading the stored document.
+    """Return the step that follows reading back the stored document.
 
     Parameters
     ----------
     sent : RevisionDocument
-        Document that was written, possibly without effect.
+        Document of the write, which may not have taken effect.
     found : RevisionDocument or None
-        Document that the store holds; None if it holds none.
+        Document in the store; None if there is none.
 
     Returns
     -------
-    Step
-        ``WRITE`` sends the same document again with the same expected
-        version. This is safe: the compare-and-swap lets it take effect at
-        most once, also if the first attempt is only delayed.
-        ``UNCONFIRMED`` if the audit trail no longer reaches back to the
-        revision that was written.
+    WriteStep
+        ``WRITE`` if the store holds an older revision. The same document is
+        then written again with the same expected version; the compare-and-swap
+        ensures that it takes effect at most once, even if an earlier attempt
+        is only delayed. ``APPLIED`` or ``CONFLICT`` if the audit trail lists
+        the revision, ``UNCONFIRMED`` if it does not go back far enough.
     """
     if found is None or found.revision < sent.revision:
         return WriteStep.WRITE
--- a/boragespool/revisions/parts.py
+++ b/boragespool/revisions/parts.py
@@ -1,4 +1,4 @@
-"""Settings as parts that are stored under the hash of their text."""
+"""Parts: settings split into small values, stored under their hash."""
 
 from __future__ import annotations
 
@@ -19,22 +19,23 @@
 
     from boragespool.settings import ServiceSettings
 
-#: Servers or routes in a part. Twice as many would halve the store calls of
-#: a first apply, but a change of one service would then exceed the 17 KB
-#: that 54,000 changes a day leave of 11 KB/s.
-ENTRY_LIMIT: Final = 48
+#: Maximum number of servers or routes in a part. Twice as many would halve the
+#: store calls of a first apply, but a change of one service would then exceed
+#: 17 KB, the size per change at 54,000 changes a day and 11 KB/s.
+ENTRIES_PER_PART: Final = 48
 
-#: Kinds of parts, the first word of a part's name.
+#: Kinds of parts. The name of a part starts with its kind.
 _REST: Final = 'rest'
 _ROUTES: Final = 'routes'
 _SERVICE: Final = 'service'
 
+#: Hash of the text of a part, an index or a history; see `part_hash`.
 PartHash = str
 
 
 @dataclass(frozen=True, slots=True)
 class ServiceLimits:
-    """What the backend servers of a service share."""
+    """Settings of a service that apply to all its backend servers."""
 
     slots: int
     connections: int
@@ -43,16 +44,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Part:
-    """A bounded piece of the settings.
+    """A part of the settings with a limited number of entries.
 
     Attributes
     ----------
     service : str
-        Service of `limits` and `servers`; empty in other parts.
+        Name of the service of `limits` and `servers`; empty if the part has
+        neither.
     limits : ServiceLimits or None
-        In exactly one part of each service.
+        Limits of the service; set in exactly one part of each service.
     rest : Settings or None
-        Everything but services and routes, in exactly one part.
+        All settings except services and routes; set in exactly one part.
     """
 
     service: ServiceName = ''
@@ -67,24 +69,24 @@
 
 
 def part_hash(encoded: bytes) -> PartHash:
-    """Return the name under which an encoded part is stored.
+    """Return the hash under which an encoded part is stored.
 
     Parameters
     ----------
     encoded : bytes
-        Text of the part in UTF-8.
+        JSON of a part, an index or a history in UTF-8.
 
     Returns
     -------
     str
-        XXH128 in hexadecimal. Equal parts have equal names; different parts
-        share one with a probability of 2**-128 for each pair.
+        XXH128 in hexadecimal. Equal texts have equal hashes; two different
+        texts have the same one with a probability of 2**-128.
     """
     return xxhash.xxh3_128_hexdigest(encoded)
 
 
 def split_settings(settings: Settings) -> dict[str, bytes]:
-    """Encode settings as parts.
+    """Split settings into encoded parts.
 
     Parameters
     ----------
@@ -94,12 +96,12 @@
     Returns
     -------
     dict of str to bytes
-        JSON of the parts by name. Equal settings yield equal parts, whatever
-        the order of their tables.
+        JSON of the parts by name. Equal settings yield equal parts, in
+        whatever order their tables are.
     """
     parts: dict[str, dict[str, Any]] = {}
     parts[_REST] = {_REST: replace(settings, services={}, routes={})}
-    for prefix, names in buckets(settings.routes, ENTRY_LIMIT).items():
+    for prefix, names in buckets(settings.routes, ENTRIES_PER_PART).items():
         routes = {route: settings.routes[route] for route in names}
         parts[f'{_ROUTES}:{prefix}'] = {_ROUTES: routes}
     for service_name, service in settings.services.items():
@@ -108,12 +110,12 @@
 
 
 def decode_part(encoded: bytes) -> Part | Failure:
-    """Decode a part; unknown keys are ignored.
+    """Decode a part, ignoring unknown keys.
 
     Returns
     -------
     Part or Failure
-        ``INVALID_SETTING`` for invalid JSON or a wrong type.
+        ``INVALID_SETTING`` for invalid JSON or a value of a wrong type.
     """
     try:
         return _DECODER.decode(encoded)
@@ -136,11 +138,12 @@
             service.connection_cost_ms,
         ),
     }
-    groups = buckets(service.servers, ENTRY_LIMIT)
+    groups = buckets(service.servers, ENTRIES_PER_PART)
     if len(groups) == 1:
         yield f'{_SERVICE}:{name}', limits | {'servers': service.servers}
         return
-    # The limits are apart, so that changing them rewrites one part.
+    # The limits get a part of their own, so that changing them rewrites only
+    # that part.
     yield f'{_SERVICE}:{name}', limits
     for prefix, names in groups.items():
         servers = {server: service.servers[server] for server in names}
--- a/boragespool/revisions/retention.py
+++ b/boragespool/revisions/retention.py
@@ -1,14 +1,15 @@
-"""Which stored values may be removed.
-
-The store has no call that removes a key; a value is removed by writing an
-empty one. Three rules make this safe without a lock:
-
-* A part is emptied only by a compare-and-swap on a version of it that was
-  read before a manifest that retires it was accepted.
-* A writer relies on a part only if the manifest that it replaces refers to
-  it, or if the writer has written it itself, which raises its version.
-* A manifest is accepted only in place of the one that its writer read, so
-  that a writer knows of every part that was retired before.
+"""Retention of replaced revisions, and removal of unused parts.
+
+The store has no call that deletes a key; a part is removed by writing an empty
+value. Three rules make this safe without a lock:
+
+* A part is emptied only by a compare-and-swap. The expected version was read
+  before the manifest that retires the part was written.
+* A writer relies on a part in the store only if the manifest that it replaces
+  refers to the part. It writes all other parts itself, which increments their
+  version.
+* A manifest is written by a compare-and-swap on the manifest that its writer
+  read. A writer therefore knows all parts that were retired before.
 """
 
 from __future__ import annotations
@@ -24,25 +25,26 @@
     from boragespool.revisions.parts import PartHash
     from boragespool.types import Revision
 
-#: Replaced revisions that can be rolled back to: those that the audit trail
-#: lists.
+#: Maximum number of replaced revisions that can be rolled back to. The audit
+#: trail lists as many.
 KEPT_REVISIONS: Final = 100
 
-#: Replaced parts that the history lists, about 0.5 MB of the 1 MB that a
-#: value may have. Large changes shorten the row of kept revisions.
-REPLACED_LIMIT: Final = 8_000
+#: Maximum number of replaced parts in the history. They take about 0.5 MB of
+#: the store's 1 MB per value. After large changes, fewer revisions are kept.
+REPLACED_PART_LIMIT: Final = 8_000
 
 
 @dataclass(frozen=True, slots=True)
 class RetentionPlan:
-    """What the next revision keeps and gives up.
+    """Replaced parts that the next revision keeps, and those that it retires.
 
     Attributes
     ----------
-    replaced : tuple of Replaced
-        Parts that kept revisions need, oldest first.
-    due : tuple of str
-        Parts to retire.
+    replaced : tuple of ReplacedPart
+        Parts that only replaced revisions that are kept refer to, oldest
+        first.
+    parts_to_retire : tuple of str
+        Hashes of the parts that no kept revision refers to.
     kept_from : int
         Lowest revision that can be rolled back to.
     """
@@ -55,34 +57,38 @@
 def plan_retention(
     history: History,
     base: Revision,
-    held: AbstractSet[PartHash],
-    wanted: AbstractSet[PartHash],
+    base_hashes: AbstractSet[PartHash],
+    next_hashes: AbstractSet[PartHash],
 ) -> RetentionPlan:
-    """Decide what may be removed after the next revision.
+    """Decide which parts to keep and to retire with the next revision.
 
     Parameters
     ----------
     history : History
         History of the replaced revision.
     base : int
-        Replaced revision.
-    held, wanted : set of str
-        Hashes to which the replaced and the next revision refer.
+        Number of the replaced revision.
+    base_hashes, next_hashes : set of str
+        Hashes that the replaced and the next revision refer to.
 
     Returns
     -------
-    Retention
-        A part is due if no revision from `kept_from` on refers to it. The
+    RetentionPlan
+        A part is retired if no revision from `kept_from` on refers to it. The
         replaced revision itself is always kept.
     """
-    replaced = [one for one in history.replaced if one.part not in wanted]
-    replaced.extend(ReplacedPart(part, base) for part in sorted(held - wanted))
+    replaced = [
+        entry for entry in history.replaced if entry.part not in next_hashes
+    ]
+    replaced.extend(
+        ReplacedPart(part, base) for part in sorted(base_hashes - next_hashes)
+    )
     kept_from = max(history.kept_from, base + 1 - KEPT_REVISIONS)
-    if len(replaced) > REPLACED_LIMIT:
-        first_kept = replaced[-REPLACED_LIMIT]
+    if len(replaced) > REPLACED_PART_LIMIT:
+        first_kept = replaced[-REPLACED_PART_LIMIT]
         kept_from = max(kept_from, min(base, first_kept.revision + 1))
     return RetentionPlan(
-        tuple(one for one in replaced if one.revision >= kept_from),
-        tuple(one.part for one in replaced if one.revision < kept_from),
+        tuple(entry for entry in replaced if entry.revision >= kept_from),
+        tuple(entry.part for entry in replaced if entry.revision < kept_from),
         kept_from,
     )
--- a/boragespool/revisions/watching.py
+++ b/boragespool/revisions/watching.py
@@ -1,4 +1,4 @@
-"""Which daemons watch the store."""
+"""Choice of the daemons that watch the store, and of peers to fetch from."""
 
 from __future__ import annotations
 
@@ -12,10 +12,13 @@
     from boragespool.messages import MemberRecord
     from boragespool.types import HostName, Revision
 
-#: Watchers of the whole fleet; two of them may fail at the same moment.
+#: Number of watchers in the whole fleet. Two of them may fail at the same time.
 WATCHER_COUNT: Final = 3
-_NAME: Final = 'configuration'
-_CANDIDATES: Final = frozenset((MemberStatus.ALIVE, MemberStatus.SUSPECT))
+#: Name for which the hosts are ranked by rendezvous hashing.
+_HASHED_NAME: Final = 'configuration'
+_CANDIDATE_STATUSES: Final = frozenset(
+    (MemberStatus.ALIVE, MemberStatus.SUSPECT)
+)
 
 
 def choose_watchers(
@@ -26,55 +29,59 @@
         tuple[HostName, ...],
     ],
 ) -> tuple[HostName, ...]:
-    """Choose the daemons that watch the store.
+    """Choose the daemons that watch the store for new revisions.
 
     Parameters
     ----------
     members_by_host : mapping of str to MemberRecord
         Members known to this daemon.
     own_host : str
-        This daemon; it is a candidate before its record is posted.
+        Host of this daemon, a candidate even if it is not among the members
+        yet.
     highest_weights : callable
-        Rendezvous hashing: name, hosts, count.
+        Rendezvous hashing; called with a name, the hosts and a count, returns
+        the hosts with the highest weights for the name.
 
     Returns
     -------
     tuple of str
-        At most `WATCHER_COUNT` hosts. Daemons with different views may
-        choose different hosts; this costs store calls and nothing else.
+        At most `WATCHER_COUNT` hosts. Daemons with different views of the
+        members may choose different hosts, which only causes additional
+        store calls.
     """
     hosts = {
         member.host
         for member in members_by_host.values()
-        if member.status in _CANDIDATES
+        if member.status in _CANDIDATE_STATUSES
     }
     if own_host not in members_by_host:
         hosts.add(own_host)
-    return highest_weights(_NAME, hosts, WATCHER_COUNT)
+    return highest_weights(_HASHED_NAME, hosts, WATCHER_COUNT)
 
 
 def hosts_with_newer_revision(
     members_by_host: Mapping[HostName, MemberRecord],
-    have: Revision,
+    own_revision: Revision,
 ) -> tuple[HostName, ...]:
-    """Return the members that hold a newer revision, newest first.
+    """Return the members that have a newer revision, newest first.
 
     Parameters
     ----------
     members_by_host : mapping of str to MemberRecord
         Members known to this daemon.
-    have : int
-        Revision in force here; 0 for none.
+    own_revision : int
+        Revision in force at this daemon; 0 for none.
 
     Returns
     -------
     tuple of str
-        Dead members are left out.
+        Hosts of the members; dead members are omitted.
     """
     holders = [
         member
         for member in members_by_host.values()
-        if member.revision > have and member.status is not MemberStatus.DEAD
+        if member.revision > own_revision
+        and member.status is not MemberStatus.DEAD
     ]
     holders.sort(key=lambda member: member.revision, reverse=True)
     return tuple(member.host for member in holders)
