--- a/boragespool/revisions/parts.py
+++ b/boragespool/revisions/parts.py
@@ -21,7 +21,7 @@
 
 #: Maximum number of servers or routes in a part. Twice as many would halve the
 #: store calls of a first apply, but a change of one service would then exceed
-#: 17 KB, the size per change at 54,000 changes a day and 11 KB/s.
+#: 17 KB, the size that is left for each if 54,000 changes a day share 11 KB/s.
 ENTRIES_PER_PART: Final = 48
 
 #: Kinds of parts. The name of a part starts with its kind.
--- a/boragespool/revisions/retention.py
+++ b/boragespool/revisions/retention.py
@@ -41,8 +41,7 @@
     Attributes
     ----------
     replaced : tuple of ReplacedPart
-        Parts that only replaced revisions that are kept refer to, oldest
-        first.
+        Parts needed only by replaced revisions that are kept, oldest first.
     parts_to_retire : tuple of str
         Hashes of the parts that no kept revision refers to.
     kept_from : int
--- a/boragespool/snapshots/catalogue.py
+++ b/boragespool/snapshots/catalogue.py
@@ -42,7 +42,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Catalogue:
-    """The plan and the coverage of each index version.
+    """Plan and coverage of each index version that backend servers hold.
 
     Attributes
     ----------
--- a/boragespool/snapshots/merging.py
+++ b/boragespool/snapshots/merging.py
@@ -130,8 +130,8 @@
     ) -> str | None:
         if reply.attempt_id != attempt_id:
             return (
-                f'attempt {reply.attempt_id!r} is named in the reply to '
-                f'attempt {attempt_id!r}'
+                f'the reply names attempt {reply.attempt_id!r} instead of '
+                f'{attempt_id!r}'
             )
         if reply.version != self.version:
             return (
