--- a/boragespool/claims/issuer.py
+++ b/boragespool/claims/issuer.py
@@ -143,7 +143,7 @@
         A failure for an invalid signature, for a ticket that is bound to
         another claim, or for one whose record may have been dropped.
     """
-    new_record = starting_record(ticket, body_hash)
+    candidate = starting_record(ticket, body_hash)
     existing = table.get(ticket.ticket_id)
     if existing is not None:
         return _record_if_same_claim(existing, body_hash)
@@ -153,16 +153,16 @@
             f'the signature of ticket {ticket.ticket_id!r} is invalid; only '
             'tickets signed by this issuer are allowed',
         )
-    if not table.was_never_recorded(new_record):
+    if not table.was_never_recorded(candidate):
         return unknown_outcome_failure(ticket)
     if ticket.issued_at_s < min_issued_at_s:
         return replace(
-            new_record,
+            candidate,
             state=ClaimState.SEALED,
             code=int(ResultCode.NOT_RUN_SEALED),
             run=RunState.NOT_RUN,
         )
-    return new_record
+    return candidate
 
 
 def starting_record(ticket: Ticket, body_hash: int) -> ClaimRecord:
