--- a/boragespool/claims/__init__.py
+++ b/boragespool/claims/__init__.py
@@ -1,35 +1,40 @@
-"""Tickets, issuers and witnesses: claims run at most once."""
+"""Tickets, issuers and witnesses, which run each claim at most once.
+
+A ticket is the idempotency key of a claim. The daemon that issued it is the
+only one that may run the claim; a second daemon, the witness, records the
+start, so that the ticket can be sealed if the issuer fails.
+"""
 
 from __future__ import annotations
 
 from boragespool.claims.issuer import (
-    Issuer,
-    begin,
+    IssuerIdentity,
     choose_witness,
-    forgotten,
+    find_or_create_record,
     issue_ticket,
-    new_record,
+    starting_record,
+    unknown_outcome_failure,
 )
-from boragespool.claims.records import RecordTable
+from boragespool.claims.records import ClaimRecordTable
 from boragespool.claims.tickets import (
     Ticket,
     format_ticket,
     parse_ticket,
 )
-from boragespool.claims.witness import record_outcome, record_start, seal
+from boragespool.claims.witness import record_outcome, record_start, seal_ticket
 
 __all__ = (
-    'Issuer',
-    'RecordTable',
+    'ClaimRecordTable',
+    'IssuerIdentity',
     'Ticket',
-    'begin',
     'choose_witness',
-    'forgotten',
+    'find_or_create_record',
     'format_ticket',
     'issue_ticket',
-    'new_record',
     'parse_ticket',
     'record_outcome',
     'record_start',
-    'seal',
+    'seal_ticket',
+    'starting_record',
+    'unknown_outcome_failure',
 )
--- a/boragespool/controllers/forwarding/scatter_gather.py
+++ b/boragespool/controllers/forwarding/scatter_gather.py
@@ -9,9 +9,9 @@
 from boragespool.forwarding import (
     Reply,
     Verdict,
+    classify_reply,
     meets_coverage,
     top_records,
-    classify_reply,
 )
 from boragespool.results import Failure, ResultCode
 from boragespool.types import RunState
--- a/boragespool/ranks/queue.py
+++ b/boragespool/ranks/queue.py
@@ -13,8 +13,8 @@
 from typing import TYPE_CHECKING, Final
 
 from boragespool.ranks.account import SlotAccount
-from boragespool.ranks.rank_queue import RankQueue, any_waiting
 from boragespool.ranks.preemption import all_running, choose_victims
+from boragespool.ranks.rank_queue import RankQueue, any_waiting
 from boragespool.ranks.refusals import refuse_queue_full, refuse_unreachable
 from boragespool.ranks.waits import RankLoad, estimate_wait_s
 from boragespool.ranks.work import (
--- a/boragespool/revisions/__init__.py
+++ b/boragespool/revisions/__init__.py
@@ -1,20 +1,25 @@
-"""Configuration revisions: documents, adoption, audit trail."""
+"""Configuration revisions and how they are built, stored and retained.
+
+A revision is the whole configuration of the fleet at a time. It is stored as
+a manifest, which refers to indexes, parts of the settings and a history by
+the hash of their text, so that a change rewrites only a few small values.
+"""
 
 from __future__ import annotations
 
 from boragespool.revisions.assembly import (
-    Assembly,
+    AssembledRevision,
     assemble,
-    lacking,
-    referenced,
+    hashes_to_fetch,
+    referenced_hashes,
 )
 from boragespool.revisions.building import (
     Change,
     check_change,
-    cleared_document,
-    newly_cleared,
+    clear_fingerprint,
+    newly_cleared_fingerprints,
     next_document,
-    undrained,
+    undrained_servers,
     with_host_drained,
 )
 from boragespool.revisions.difference import Difference, difference
@@ -31,68 +36,71 @@
     revision_key,
 )
 from boragespool.revisions.manifest import (
+    EncodedRevision,
     History,
     Manifest,
-    Packed,
-    Retired,
+    RetiredPart,
+    build_indexes,
     decode_history,
-    decode_value,
-    indexed,
-    missing,
-    pack,
+    decode_revision,
+    encode_revision,
+    missing_hashes,
     without_audit,
 )
 from boragespool.revisions.outcome import (
-    Step,
     WriteAnswer,
-    after_read,
-    after_write,
+    WriteStep,
+    next_step_after_read,
+    next_step_after_write,
+)
+from boragespool.revisions.parts import PartHash, part_hash, split_settings
+from boragespool.revisions.retention import RetentionPlan, plan_retention
+from boragespool.revisions.watching import (
+    choose_watchers,
+    hosts_with_newer_revision,
 )
-from boragespool.revisions.parts import PartHash, part_hash, split
-from boragespool.revisions.retention import Retention, retain
-from boragespool.revisions.watching import newest_holders, watchers
 
 __all__ = (
     'CURRENT_KEY',
-    'Assembly',
+    'AssembledRevision',
     'AuditEntry',
     'Change',
     'Clearance',
     'Difference',
+    'EncodedRevision',
     'History',
     'Manifest',
-    'Packed',
     'PartHash',
-    'Retention',
-    'Retired',
+    'RetentionPlan',
+    'RetiredPart',
     'RevisionDocument',
-    'Step',
     'WriteAnswer',
-    'after_read',
-    'after_write',
+    'WriteStep',
     'assemble',
+    'build_indexes',
     'check_change',
-    'cleared_document',
+    'choose_watchers',
+    'clear_fingerprint',
     'decode_document',
     'decode_history',
-    'decode_value',
+    'decode_revision',
     'difference',
     'encode_document',
-    'indexed',
-    'lacking',
-    'missing',
-    'newest_holders',
-    'newly_cleared',
+    'encode_revision',
+    'hashes_to_fetch',
+    'hosts_with_newer_revision',
+    'missing_hashes',
+    'newly_cleared_fingerprints',
     'next_document',
-    'pack',
+    'next_step_after_read',
+    'next_step_after_write',
     'part_hash',
     'part_key',
-    'referenced',
-    'retain',
+    'plan_retention',
+    'referenced_hashes',
     'revision_key',
-    'split',
-    'undrained',
-    'watchers',
+    'split_settings',
+    'undrained_servers',
     'with_host_drained',
     'without_audit',
 )
