--- a/boragespool/controllers/backend_servers/backend.py
+++ b/boragespool/controllers/backend_servers/backend.py
@@ -51,7 +51,7 @@
     from boragespool.controllers.context import Context
     from boragespool.messages import WorkReply, WorkRequest
     from boragespool.settings import RankSettings, ServiceSettings
-    from boragespool.timers import Subscription
+    from boragespool.timers import TimerHandle
 
 _CANCEL_TIMEOUT_S: Final = 0.5
 #: Time for the cancelled exchange itself to end before its connection closes.
@@ -86,7 +86,7 @@
         )
         self._context = context
         self._hooks = hooks
-        self._wakeup: Subscription | None = None
+        self._wakeup: TimerHandle | None = None
         self._wakeup_at_s = math.inf
 
     def configure(
--- a/boragespool/controllers/callers/overload.py
+++ b/boragespool/controllers/callers/overload.py
@@ -22,7 +22,7 @@
     from collections.abc import Callable, Mapping
 
     from boragespool.controllers.context import Context
-    from boragespool.timers import Subscription
+    from boragespool.timers import TimerHandle
     from boragespool.types import Seconds
 
 #: A timer of 40 calls per second costs about 0.1% of a core.
@@ -57,7 +57,7 @@
         self._admission = Admission()
         self._thinning_by_rank = {rank: Thinning() for rank in Rank}
         self._failure_by_rank: dict[Rank, Failure] = {}
-        self._subscription: Subscription | None = None
+        self._subscription: TimerHandle | None = None
         self._arrived: Counter[Rank] = Counter()
         self._admitted: Counter[Rank] = Counter()
         self._late_s: list[Seconds] = []
--- a/boragespool/controllers/claims/claims.py
+++ b/boragespool/controllers/claims/claims.py
@@ -43,7 +43,7 @@
     from boragespool.controllers.context import Context
     from boragespool.controllers.requests import ClaimRequest
     from boragespool.peers import Sender
-    from boragespool.timers import Subscription
+    from boragespool.timers import TimerHandle
     from boragespool.types import HostName, RequestId
 
 _EXPIRE_INTERVAL_S: Final = 5
@@ -82,7 +82,7 @@
             self._runner,
             self._witnesses,
         )
-        self._expiry: Subscription | None = None
+        self._expiry: TimerHandle | None = None
 
     async def __aenter__(self) -> Self:
         """Serve forwarded claims and witness messages."""
--- a/boragespool/controllers/claims/witnesses.py
+++ b/boragespool/controllers/claims/witnesses.py
@@ -32,7 +32,7 @@
 
     from boragespool.controllers.context import Context
     from boragespool.peers import Sender
-    from boragespool.timers import Subscription
+    from boragespool.timers import TimerHandle
     from boragespool.types import Seconds
 
 WitnessMessage: TypeAlias = RecordStart | RecordOutcome | SealTicket
@@ -57,7 +57,7 @@
         self._table = RecordTable()
         self._successor_by_witness: dict[_Identity, HostName] = {}
         self._handed_over: asyncio.Future[HostName | None] | None = None
-        self._subscriptions: list[Subscription] = []
+        self._subscriptions: list[TimerHandle] = []
         self._unsubscribe: Callable[[], None] | None = None
 
     async def __aenter__(self) -> Self:
--- a/boragespool/controllers/forwarding/calls.py
+++ b/boragespool/controllers/forwarding/calls.py
@@ -35,7 +35,7 @@
         ForwardRequest,
         ForwardRoute,
     )
-    from boragespool.timers import Subscription
+    from boragespool.timers import TimerHandle
     from boragespool.types import Seconds, ServerName, ServiceName
 
 #: Time for which an attempt whose result is no longer needed may still finish,
@@ -118,7 +118,7 @@
         self._failure_reason = 'no backend server accepts requests'
         self._tried: set[str] = set()
         self._attempts_by_number: dict[int, _Attempt] = {}
-        self._hedge_timer: Subscription | None = None
+        self._hedge_timer: TimerHandle | None = None
         self._queue_number: int | None = None
 
     @property
--- a/boragespool/controllers/forwarding/fleet.py
+++ b/boragespool/controllers/forwarding/fleet.py
@@ -39,7 +39,7 @@
     from boragespool.blackboard import Blackboard
     from boragespool.controllers.forwarding.options import ForwardingOptions
     from boragespool.forwarding import HostRecord, Registration
-    from boragespool.timers import Subscription, TimerService
+    from boragespool.timers import TimerHandle, TimerService
     from boragespool.types import (
         DataCentre,
         RouteName,
@@ -117,7 +117,7 @@
         self._region_by_data_centre = dict(options.regions_by_data_centre)
         self._started_at_s = timers.now_s()
         self._attempt_numbers = itertools.count()
-        self._idle_check: Subscription | None = None
+        self._idle_check: TimerHandle | None = None
         self._unsubscribe_callbacks: tuple[Callable[[], None], ...] = ()
 
     def __enter__(self) -> Self:
--- a/boragespool/controllers/forwarding/scatter_gather.py
+++ b/boragespool/controllers/forwarding/scatter_gather.py
@@ -22,7 +22,7 @@
     from boragespool.controllers.forwarding.calls import RoutedRequest
     from boragespool.controllers.forwarding.codec import MessageCodec
     from boragespool.controllers.forwarding.fleet import ServerFleet
-    from boragespool.timers import Subscription
+    from boragespool.timers import TimerHandle
 
 #: Retry-After value if too few shards have a usable server, in seconds. Lost
 #: servers are replaced, or registered again, within a few seconds.
@@ -75,7 +75,7 @@
         self._result = result
         self._replies: list[Reply] = []
         self._failures: list[Failure] = []
-        self._deadline_timers: tuple[Subscription, ...] = ()
+        self._deadline_timers: tuple[TimerHandle, ...] = ()
         self._is_past_target = False
 
     def start(self) -> None:
--- a/boragespool/controllers/queries/hedge_timer.py
+++ b/boragespool/controllers/queries/hedge_timer.py
@@ -11,7 +11,7 @@
 
     from boragespool.controllers.queries.attempts import AttemptSender
     from boragespool.controllers.queries.query_parts import Part, QueryWork
-    from boragespool.timers import Subscription
+    from boragespool.timers import TimerHandle
     from boragespool.types import Seconds
 
 #: Attempts that are due within this time are hedged together.
@@ -45,7 +45,7 @@
         self._work = work
         self._sender = sender
         self._hedge = hedge
-        self._subscription: Subscription | None = None
+        self._subscription: TimerHandle | None = None
 
     def set(self, due_in_s: Seconds | None = None) -> None:
         """Set the timer unless it is set or a hedge would be of no use."""
--- a/boragespool/controllers/queries/query_waits.py
+++ b/boragespool/controllers/queries/query_waits.py
@@ -8,7 +8,7 @@
     from collections.abc import Callable
 
     from boragespool.controllers.queries.query_parts import QueryWork
-    from boragespool.timers import Subscription
+    from boragespool.timers import TimerHandle
     from boragespool.types import Seconds
 
 #: Holdings change at a dispatcher's poll; a range that was just repartitioned
@@ -37,8 +37,8 @@
         """Start without a wait."""
         self._work = work
         self._advance = advance
-        self._view_wait: Subscription | None = None
-        self._token_wait: Subscription | None = None
+        self._view_wait: TimerHandle | None = None
+        self._token_wait: TimerHandle | None = None
         self._token_waits_left = _TOKEN_WAIT_LIMIT
         self.may_wait_for_view = True
 
@@ -85,5 +85,5 @@
         self,
         delay_s: Seconds,
         callback: Callable[[], None],
-    ) -> Subscription:
+    ) -> TimerHandle:
         return self._work.merger.context.timers.after(delay_s, callback)
--- a/boragespool/peers/link.py
+++ b/boragespool/peers/link.py
@@ -29,7 +29,7 @@
 
 if TYPE_CHECKING:
     from boragespool.peers.options import PeerOptions
-    from boragespool.timers import Subscription, TimerService
+    from boragespool.timers import TimerHandle, TimerService
     from boragespool.types import Address, Seconds
 
 
@@ -64,7 +64,7 @@
         self._flush_is_due = False
         self._flushed_at_s = -math.inf
         self._closing = False
-        self._probing: Subscription | None = None
+        self._probing: TimerHandle | None = None
         self._probe_number = 0
         self._unanswered_since_s: Seconds | None = None
         self._used_since_probe = False
--- a/boragespool/timers/__init__.py
+++ b/boragespool/timers/__init__.py
@@ -4,7 +4,7 @@
 
 from boragespool.timers.service import (
     LoopTimers,
-    Subscription,
+    TimerHandle,
     TimerService,
     VirtualTimers,
 )
--- a/boragespool/timers/service.py
+++ b/boragespool/timers/service.py
@@ -15,7 +15,7 @@
 
 
 @dataclass(slots=True)
-class Subscription:
+class TimerHandle:
     """A timer that can be cancelled."""
 
     callback: Callable[[], None]
@@ -42,7 +42,7 @@
         self,
         delay_s: Seconds,
         callback: Callable[[], None],
-    ) -> Subscription:
+    ) -> TimerHandle:
         """Call back once."""
         ...
 
@@ -50,7 +50,7 @@
         self,
         interval_s: Seconds,
         callback: Callable[[], None],
-    ) -> Subscription:
+    ) -> TimerHandle:
         """Call back at each interval until cancelled."""
         ...
 
@@ -59,7 +59,7 @@
     timers: TimerService,
     interval_s: Seconds,
     callback: Callable[[], None],
-) -> Subscription:
+) -> TimerHandle:
     """Chain one-shot timers, so that a late tick delays the following ones."""
 
     def tick() -> None:
@@ -70,7 +70,7 @@
         if subscription.active:
             tick()
 
-    subscription = Subscription(tick_if_active)
+    subscription = TimerHandle(tick_if_active)
     timers.after(interval_s, subscription.fire)
     return subscription
 
@@ -86,9 +86,9 @@
         self,
         delay_s: Seconds,
         callback: Callable[[], None],
-    ) -> Subscription:
+    ) -> TimerHandle:
         """Call back once."""
-        subscription = Subscription(callback)
+        subscription = TimerHandle(callback)
         loop = asyncio.get_running_loop()
         loop.call_later(delay_s, subscription.fire)
         return subscription
@@ -97,7 +97,7 @@
         self,
         interval_s: Seconds,
         callback: Callable[[], None],
-    ) -> Subscription:
+    ) -> TimerHandle:
         """Call back at each interval until cancelled."""
         return _repeat(self, interval_s, callback)
 
@@ -109,7 +109,7 @@
         """Set the clock."""
         self._now_s = start_s
         self._order = itertools.count()
-        self._heap: list[tuple[Seconds, int, Subscription]] = []
+        self._heap: list[tuple[Seconds, int, TimerHandle]] = []
 
     def now_s(self) -> Seconds:
         """Return virtual time."""
@@ -119,9 +119,9 @@
         self,
         delay_s: Seconds,
         callback: Callable[[], None],
-    ) -> Subscription:
+    ) -> TimerHandle:
         """Call back once."""
-        subscription = Subscription(callback)
+        subscription = TimerHandle(callback)
         due_s = self._now_s + delay_s
         heapq.heappush(self._heap, (due_s, next(self._order), subscription))
         return subscription
@@ -130,7 +130,7 @@
         self,
         interval_s: Seconds,
         callback: Callable[[], None],
-    ) -> Subscription:
+    ) -> TimerHandle:
         """Call back at each interval until cancelled."""
         return _repeat(self, interval_s, callback)
 
