Name blackboard topics by what they hold

IN_FORCE, BLOCKED, SUSPECTS and OBSERVATIONS did not say what is in force, blocked, suspected or observed. The topic names stay. Renames only.

--- a/boragespool/bench/dispatching.py
+++ b/boragespool/bench/dispatching.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from boragespool.blackboard import Blackboard
-from boragespool.blackboard.topics import IN_FORCE
+from boragespool.blackboard.topics import DOCUMENT_IN_FORCE
 from boragespool.controllers.backend_servers.dispatch import DispatchController
 from boragespool.controllers.context import Context, Identity
 from boragespool.http import (
@@ -168,7 +168,7 @@
     service = ServiceSettings(_CONCURRENCY, 40, {'s': place})
     document = RevisionDocument(1, 'c', Settings(services={'v': service}))
     board = Blackboard()
-    board.post(IN_FORCE, document)
+    board.post(DOCUMENT_IN_FORCE, document)
     own = _free_address()
     timers = LoopTimers()
     async with PeerNetwork(PeerOptions('a', 1, own), timers) as peers:
--- a/boragespool/bench/fake_fleet.py
+++ b/boragespool/bench/fake_fleet.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, Any, Final, cast
 
 from boragespool.blackboard import Blackboard
-from boragespool.blackboard.topics import IN_FORCE, MEMBERS, SERVERS
+from boragespool.blackboard.topics import DOCUMENT_IN_FORCE, MEMBERS, SERVERS
 from boragespool.controllers.context import Context, Identity
 from boragespool.messages import (
     CancelWork,
@@ -141,7 +141,7 @@
             },
             hedging=self.options.hedging,
         )
-        self.board.post(IN_FORCE, RevisionDocument(1, 'change', settings))
+        self.board.post(DOCUMENT_IN_FORCE, RevisionDocument(1, 'change', settings))
 
     def post_members(self, hosts: Iterable[HostName]) -> None:
         """Post daemons that dispatch."""
--- a/boragespool/controllers/backend_servers/backend.py
+++ b/boragespool/controllers/backend_servers/backend.py
@@ -9,7 +9,7 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
-from boragespool.blackboard.topics import BLOCKED
+from boragespool.blackboard.topics import BLOCKED_FINGERPRINTS
 from boragespool.controllers.backend_servers.backend_protocol import (
     cancel_to_http,
     read_cancel,
@@ -197,7 +197,7 @@
         self._answer(job, reply)
 
     async def _attempt(self, job: Job) -> WorkReply:
-        if job.work.fingerprint in self._context.board.read(BLOCKED):
+        if job.work.fingerprint in self._context.board.read(BLOCKED_FINGERPRINTS):
             return refusal(job.work, BLOCKED_FAILURE)
         if not self.health.incarnation:
             await self.health.learn_incarnation(self.pool)
--- a/boragespool/controllers/backend_servers/crash_watch.py
+++ b/boragespool/controllers/backend_servers/crash_watch.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from boragespool.backends import CrashLedger
-from boragespool.blackboard.topics import BLOCKED, IN_FORCE, MEMBERS, SUSPECTS
+from boragespool.blackboard.topics import BLOCKED_FINGERPRINTS, DOCUMENT_IN_FORCE, MEMBERS, SUSPECT_FINGERPRINTS
 from boragespool.events import Event, log_event
 from boragespool.messages import SuspectNotice, SuspectNoticeAck
 from boragespool.revisions import newly_cleared
@@ -26,13 +26,13 @@
 
 
 class CrashWatch:
-    """Posts `SUSPECTS` and `BLOCKED` from own losses and the notices of peers."""
+    """Posts `SUSPECT_FINGERPRINTS` and `BLOCKED_FINGERPRINTS` from own losses and the notices of peers."""
 
     def __init__(self, context: Context, ledger: CrashLedger) -> None:
         """Register for the notices of peers."""
         self._context = context
         self._ledger = ledger
-        self._document = context.board.read(IN_FORCE)
+        self._document = context.board.read(DOCUMENT_IN_FORCE)
         context.peers.on_message(SuspectNotice, self.receive)
         context.peers.on_request(SuspectNotice, self._acknowledge)
 
@@ -107,10 +107,10 @@
         """Post the verdicts that hold now; logs what changed."""
         now_s = self._context.timers.now_s()
         board = self._context.board
-        before = board.read(BLOCKED)
+        before = board.read(BLOCKED_FINGERPRINTS)
         blocked = self._ledger.blocked(now_s)
-        board.post(SUSPECTS, self._ledger.suspects(now_s))
-        board.post(BLOCKED, blocked)
+        board.post(SUSPECT_FINGERPRINTS, self._ledger.suspects(now_s))
+        board.post(BLOCKED_FINGERPRINTS, blocked)
         for added in blocked - before:
             log_event(
                 Event.REQUEST_BLOCKED,
--- a/boragespool/controllers/backend_servers/dispatch.py
+++ b/boragespool/controllers/backend_servers/dispatch.py
@@ -9,11 +9,11 @@
 
 from boragespool.backends import CrashLedger
 from boragespool.blackboard.topics import (
-    BLOCKED,
-    IN_FORCE,
-    OBSERVATIONS,
+    BLOCKED_FINGERPRINTS,
+    DOCUMENT_IN_FORCE,
+    SERVER_OBSERVATIONS,
     SERVERS,
-    SUSPECTS,
+    SUSPECT_FINGERPRINTS,
     ServerObservation,
 )
 from boragespool.controllers.backend_servers.answers import RecentAnswers
@@ -87,10 +87,10 @@
             context.board.subscribe(SERVERS, self._servers_changed),
         )
         self._stack.callback(
-            context.board.subscribe(IN_FORCE, self._settings_changed),
+            context.board.subscribe(DOCUMENT_IN_FORCE, self._settings_changed),
         )
         self._stack.callback(
-            context.board.subscribe(IN_FORCE, self._crashes.follow_revision),
+            context.board.subscribe(DOCUMENT_IN_FORCE, self._crashes.follow_revision),
         )
         return self
 
@@ -177,7 +177,7 @@
         """Return the backend server, or why the work is not queued."""
         if self._draining:
             return _LEAVING
-        if work.fingerprint in self._context.board.read(BLOCKED):
+        if work.fingerprint in self._context.board.read(BLOCKED_FINGERPRINTS):
             return BLOCKED_FAILURE
         record = self._context.board.read(SERVERS).get(work.server)
         if record is not None and record.state == ServerState.DRAINING:
@@ -208,7 +208,7 @@
     def _to_queued(self, work: WorkRequest) -> QueuedWork:
         route = self._settings().routes.get(work.route)
         may_cancel = route is None or route.cancellable
-        suspects = self._context.board.read(SUSPECTS)
+        suspects = self._context.board.read(SUSPECT_FINGERPRINTS)
         return QueuedWork(
             work.attempt_id,
             work.rank,
@@ -219,7 +219,7 @@
         )
 
     def _settings(self) -> Settings:
-        document = self._context.board.read(IN_FORCE)
+        document = self._context.board.read(DOCUMENT_IN_FORCE)
         return Settings() if document is None else document.settings
 
     def _cancel(self, _sender: Sender, message: CancelWork) -> None:
@@ -233,9 +233,9 @@
         server: ServerName,
         observation: ServerObservation,
     ) -> None:
-        before = self._context.board.read(OBSERVATIONS)
+        before = self._context.board.read(SERVER_OBSERVATIONS)
         observations = {**before, server: observation}
-        self._context.board.post(OBSERVATIONS, observations)
+        self._context.board.post(SERVER_OBSERVATIONS, observations)
 
     def _servers_changed(
         self,
--- a/boragespool/controllers/backend_servers/servers.py
+++ b/boragespool/controllers/backend_servers/servers.py
@@ -9,10 +9,10 @@
 
 from boragespool.backends import RecordTable, next_version
 from boragespool.blackboard.topics import (
-    IN_FORCE,
+    DOCUMENT_IN_FORCE,
     LEAVING_HOSTS,
     MEMBERS,
-    OBSERVATIONS,
+    SERVER_OBSERVATIONS,
     SERVERS,
 )
 from boragespool.controllers.backend_servers.record_exchange import (
@@ -125,8 +125,8 @@
         context = self._context
         for subscription in (
             context.board.subscribe(MEMBERS, self._follow_members),
-            context.board.subscribe(IN_FORCE, self._assign),
-            context.board.subscribe(OBSERVATIONS, self._observed),
+            context.board.subscribe(DOCUMENT_IN_FORCE, self._assign),
+            context.board.subscribe(SERVER_OBSERVATIONS, self._observed),
             context.board.subscribe(LEAVING_HOSTS, self._post_soon),
         ):
             self._stack.callback(subscription)
@@ -146,7 +146,7 @@
         await self._polls.close()
 
     def _settings(self) -> Settings:
-        document = self._context.board.read(IN_FORCE)
+        document = self._context.board.read(DOCUMENT_IN_FORCE)
         return Settings() if document is None else document.settings
 
     def _follow_members(
@@ -172,7 +172,7 @@
         self._assignment.set_candidates(
             {host: site for host, _, site in self._candidates},
         )
-        if self._context.board.read(IN_FORCE) is not None:
+        if self._context.board.read(DOCUMENT_IN_FORCE) is not None:
             self._table.keep_only(servers)
         own = self._context.identity.host
         now_s = self._context.timers.now_s()
@@ -203,7 +203,7 @@
 
     def _answered(self, server: ServerName, status: BackendStatus) -> None:
         """Keep what a status says; only own observations set the limit."""
-        observation = self._context.board.read(OBSERVATIONS).get(server)
+        observation = self._context.board.read(SERVER_OBSERVATIONS).get(server)
         state = status.state
         if recently_draining(observation, self._context.timers.now_s()):
             state = ServerState.DRAINING
@@ -271,7 +271,7 @@
 
     def _accepts(self, server: ServerName) -> bool:
         # Before the first revision any server may turn out to be configured.
-        has_settings = self._context.board.read(IN_FORCE) is not None
+        has_settings = self._context.board.read(DOCUMENT_IN_FORCE) is not None
         return not has_settings or server in self._assignment
 
     def _changed(self, record: ServerRecord) -> None:
@@ -292,7 +292,7 @@
             ViewSources(
                 self._settings(),
                 self._table.by_server,
-                board.read(OBSERVATIONS),
+                board.read(SERVER_OBSERVATIONS),
                 board.read(LEAVING_HOSTS),
                 self._context.timers.now_s(),
             ),
--- a/boragespool/controllers/callers/caller_admission.py
+++ b/boragespool/controllers/callers/caller_admission.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from boragespool.blackboard.topics import IN_FORCE
+from boragespool.blackboard.topics import DOCUMENT_IN_FORCE
 from boragespool.controllers.callers.caller_input import (
     NO_CONFIGURATION,
     CheckedBody,
@@ -73,7 +73,7 @@
         form : WorkKind
             Form that the path stands for.
         """
-        document = self._board.read(IN_FORCE)
+        document = self._board.read(DOCUMENT_IN_FORCE)
         if document is None:
             return failure_response(NO_CONFIGURATION)
         settings = document.settings
--- a/boragespool/controllers/callers/caller_status.py
+++ b/boragespool/controllers/callers/caller_status.py
@@ -6,13 +6,13 @@
 
 from boragespool.blackboard.topics import (
     ADMISSION,
-    BLOCKED,
-    IN_FORCE,
+    BLOCKED_FINGERPRINTS,
+    DOCUMENT_IN_FORCE,
     LEAVING_HOSTS,
     MEMBERS,
     PHASE,
     SERVERS,
-    SUSPECTS,
+    SUSPECT_FINGERPRINTS,
 )
 from boragespool.results import Failure, ResultCode
 from boragespool.types import Phase
@@ -67,10 +67,10 @@
         Report of the dispatch controller, encodable as JSON.
     """
     board = context.board
-    document = board.read(IN_FORCE)
+    document = board.read(DOCUMENT_IN_FORCE)
     leaving = board.read(LEAVING_HOSTS)
-    blocked = board.read(BLOCKED)
-    suspects = board.read(SUSPECTS)
+    blocked = board.read(BLOCKED_FINGERPRINTS)
+    suspects = board.read(SUSPECT_FINGERPRINTS)
     if document is None:
         in_force: dict[str, Any] = {'revision': 0, 'change_id': ''}
     else:
--- a/boragespool/controllers/callers/callers.py
+++ b/boragespool/controllers/callers/callers.py
@@ -9,7 +9,7 @@
 import msgspec
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
-from boragespool.blackboard.topics import IN_FORCE, LOAD, PHASE
+from boragespool.blackboard.topics import DOCUMENT_IN_FORCE, LOAD, PHASE
 from boragespool.controllers.callers.caller_admission import CallerAdmission
 from boragespool.controllers.callers.caller_input import (
     CLAIM_PREFIX,
@@ -108,7 +108,7 @@
         return json_response(describe_health(self._context))
 
     def _serve_addresses(self, request: HttpRequest) -> HttpResponse:
-        document = self._context.board.read(IN_FORCE)
+        document = self._context.board.read(DOCUMENT_IN_FORCE)
         settings = (document.settings if document else Settings()).addresses
         given = request.query
         count = check_parameter(
--- a/boragespool/controllers/callers/overload.py
+++ b/boragespool/controllers/callers/overload.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Final, Self
 
-from boragespool.blackboard.topics import ADMISSION, IN_FORCE
+from boragespool.blackboard.topics import ADMISSION, DOCUMENT_IN_FORCE
 from boragespool.events import Event, log_event
 from boragespool.metrics import ADMITTED, LATENESS
 from boragespool.ranks import Admission, LoopWindow, Thinning, next_admission
@@ -143,7 +143,7 @@
             _log_change(before, after)
 
     def _floors(self) -> Mapping[Rank, float]:
-        document = self._context.board.read(IN_FORCE)
+        document = self._context.board.read(DOCUMENT_IN_FORCE)
         settings = document.settings if document else Settings()
         return {rank: given.floor for rank, given in settings.ranks.items()}
 
--- a/boragespool/controllers/claims/claim_attempts.py
+++ b/boragespool/controllers/claims/claim_attempts.py
@@ -9,10 +9,10 @@
 from typing import TYPE_CHECKING, Final
 
 from boragespool.blackboard.topics import (
-    IN_FORCE,
+    DOCUMENT_IN_FORCE,
     LEAVING_HOSTS,
     SERVERS,
-    SUSPECTS,
+    SUSPECT_FINGERPRINTS,
 )
 from boragespool.controllers.queries.fleet_view import FleetView
 from boragespool.controllers.queries.observing import observe_result
@@ -94,7 +94,7 @@
         deadline_s: Seconds,
     ) -> StartedClaim | Failure:
         """Look up the route of a claim in the revision in force."""
-        document = self._context.board.read(IN_FORCE)
+        document = self._context.board.read(DOCUMENT_IN_FORCE)
         settings = document.settings if document else None
         route = settings.routes.get(claim.route) if settings else None
         if settings is None or route is None:
@@ -186,7 +186,7 @@
     ) -> WorkRequest:
         claim = started.claim
         fingerprint = fingerprint_of(claim.route, claim.body)
-        suspects = self._context.board.read(SUSPECTS)
+        suspects = self._context.board.read(SUSPECT_FINGERPRINTS)
         return WorkRequest(
             attempt_id=f'{started.ticket_id}#{number}',
             request_id=started.ticket_id,
--- a/boragespool/controllers/claims/claim_runs.py
+++ b/boragespool/controllers/claims/claim_runs.py
@@ -10,7 +10,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
-from boragespool.blackboard.topics import BLOCKED, IN_FORCE
+from boragespool.blackboard.topics import BLOCKED_FINGERPRINTS, DOCUMENT_IN_FORCE
 from boragespool.claims import (
     Issuer,
     RecordTable,
@@ -154,7 +154,7 @@
 
     def settings(self) -> ClaimSettings:
         """Return the claim settings in force."""
-        document = self._context.board.read(IN_FORCE)
+        document = self._context.board.read(DOCUMENT_IN_FORCE)
         return document.settings.claims if document else ClaimSettings()
 
     def _accept(
@@ -195,7 +195,7 @@
         if isinstance(started, Failure):
             self._put(sealed_record(record, started.code, started.reason))
             return
-        if record.body_hash in self._context.board.read(BLOCKED):
+        if record.body_hash in self._context.board.read(BLOCKED_FINGERPRINTS):
             reason = 'this request crashed backend servers'
             self._put(sealed_record(record, ResultCode.REQUEST_BLOCKED, reason))
             return
--- a/boragespool/controllers/claims/claims.py
+++ b/boragespool/controllers/claims/claims.py
@@ -10,7 +10,7 @@
 import secrets
 from typing import TYPE_CHECKING, Final, Self
 
-from boragespool.blackboard.topics import IN_FORCE, MEMBERS
+from boragespool.blackboard.topics import DOCUMENT_IN_FORCE, MEMBERS
 from boragespool.claims import (
     Issuer,
     Ticket,
@@ -268,7 +268,7 @@
         )
 
     def _rank(self, claim: ForwardClaim) -> Rank:
-        document = self._context.board.read(IN_FORCE)
+        document = self._context.board.read(DOCUMENT_IN_FORCE)
         route = document.settings.routes.get(claim.route) if document else None
         if claim.rank is not None:
             return claim.rank
--- a/boragespool/controllers/claims/witnesses.py
+++ b/boragespool/controllers/claims/witnesses.py
@@ -10,7 +10,7 @@
 import logging
 from typing import TYPE_CHECKING, Final, Self, TypeAlias
 
-from boragespool.blackboard.topics import IN_FORCE, MEMBERS
+from boragespool.blackboard.topics import DOCUMENT_IN_FORCE, MEMBERS
 from boragespool.claims import RecordTable, record_outcome, record_start, seal
 from boragespool.events import Event, log_event
 from boragespool.messages import (
@@ -256,7 +256,7 @@
             )
 
     def _settings(self) -> ClaimSettings:
-        document = self._context.board.read(IN_FORCE)
+        document = self._context.board.read(DOCUMENT_IN_FORCE)
         return document.settings.claims if document else ClaimSettings()
 
 
--- a/boragespool/controllers/configuration/configuration.py
+++ b/boragespool/controllers/configuration/configuration.py
@@ -38,7 +38,7 @@
 
 
 class ConfigurationController:
-    """Posts `IN_FORCE` and `LEAVING_HOSTS`, an async context manager.
+    """Posts `DOCUMENT_IN_FORCE` and `LEAVING_HOSTS`, an async context manager.
 
     Parameters
     ----------
--- a/boragespool/controllers/configuration/revision_keeping.py
+++ b/boragespool/controllers/configuration/revision_keeping.py
@@ -5,7 +5,7 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
-from boragespool.blackboard.topics import IN_FORCE, MEMBERS
+from boragespool.blackboard.topics import DOCUMENT_IN_FORCE, MEMBERS
 from boragespool.controllers.configuration.held_revision import HeldRevision
 from boragespool.controllers.configuration.revision_fetching import (
     RevisionFetcher,
@@ -170,7 +170,7 @@
         )
 
     def _put_in_force(self, document: RevisionDocument, origin: str) -> None:
-        self._context.board.post(IN_FORCE, document)
+        self._context.board.post(DOCUMENT_IN_FORCE, document)
         log_event(
             Event.REVISION_IN_FORCE,
             f'revision {document.revision!r} from {origin} is in force',
--- a/boragespool/controllers/membership/membership.py
+++ b/boragespool/controllers/membership/membership.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING, Final, Self
 
 from boragespool import membership
-from boragespool.blackboard.topics import IN_FORCE, LEAVING_HOSTS, LOAD
+from boragespool.blackboard.topics import DOCUMENT_IN_FORCE, LEAVING_HOSTS, LOAD
 from boragespool.controllers.membership.member_state import MemberState
 from boragespool.controllers.membership.pinging import Pinger
 from boragespool.messages import Ack, Gossip, MemberRecord, Ping, PingRequest
@@ -73,9 +73,9 @@
         )
         self._endings = (
             ticks.cancel,
-            context.board.subscribe(IN_FORCE, self._publish_revision),
+            context.board.subscribe(DOCUMENT_IN_FORCE, self._publish_revision),
         )
-        self._publish_revision(context.board.read(IN_FORCE))
+        self._publish_revision(context.board.read(DOCUMENT_IN_FORCE))
         self._state.post()
         self._pinger.join()
         return self
--- a/boragespool/controllers/queries/query.py
+++ b/boragespool/controllers/queries/query.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Final, Self
 
-from boragespool.blackboard.topics import IN_FORCE, SERVERS
+from boragespool.blackboard.topics import DOCUMENT_IN_FORCE, SERVERS
 from boragespool.controllers.queries.fleet_view import FleetView
 from boragespool.controllers.queries.query_answers import blocked
 from boragespool.controllers.queries.query_parts import (
@@ -80,9 +80,9 @@
         board = self._context.board
         self._unsubscribe = [
             board.subscribe(SERVERS, self._on_servers),
-            board.subscribe(IN_FORCE, self._on_revision),
+            board.subscribe(DOCUMENT_IN_FORCE, self._on_revision),
         ]
-        self._on_revision(board.read(IN_FORCE))
+        self._on_revision(board.read(DOCUMENT_IN_FORCE))
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
@@ -128,7 +128,7 @@
 
     def _accept(self, request: QueryRequest) -> QueryWork | Failure:
         """Check a request against the settings."""
-        document = self._context.board.read(IN_FORCE)
+        document = self._context.board.read(DOCUMENT_IN_FORCE)
         if document is None:
             return Failure(
                 ResultCode.NOT_READY,
--- a/boragespool/daemon/entry.py
+++ b/boragespool/daemon/entry.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING, Self
 
 from boragespool.blackboard import Blackboard
-from boragespool.blackboard.topics import IN_FORCE, PHASE
+from boragespool.blackboard.topics import DOCUMENT_IN_FORCE, PHASE
 from boragespool.controllers.context import Context, Identity
 from boragespool.daemon.controllers import Controllers, start_controllers
 from boragespool.events import Event, log_event
@@ -144,7 +144,7 @@
 
         def review(_: object) -> None:
             is_starting = board.read(PHASE) is Phase.STARTING
-            document = board.read(IN_FORCE)
+            document = board.read(DOCUMENT_IN_FORCE)
             if is_starting and document is not None:
                 board.post(PHASE, Phase.READY)
                 log_event(
@@ -154,7 +154,7 @@
                     revision=document.revision,
                 )
 
-        stack.callback(board.subscribe(IN_FORCE, review))
+        stack.callback(board.subscribe(DOCUMENT_IN_FORCE, review))
         review(None)
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
--- a/boragespool/daemon/shutdown.py
+++ b/boragespool/daemon/shutdown.py
@@ -6,7 +6,7 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
-from boragespool.blackboard.topics import IN_FORCE, PHASE
+from boragespool.blackboard.topics import DOCUMENT_IN_FORCE, PHASE
 from boragespool.events import Event, log_event
 from boragespool.settings import Settings
 from boragespool.types import Phase
@@ -103,6 +103,6 @@
 
 
 def _keep_s(entry: Entry) -> float:
-    document = entry.context.board.read(IN_FORCE)
+    document = entry.context.board.read(DOCUMENT_IN_FORCE)
     settings = document.settings if document else Settings()
     return settings.addresses.keep_s
--- a/tests/caller_fakes.py
+++ b/tests/caller_fakes.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from boragespool.blackboard import Blackboard
-from boragespool.blackboard.topics import IN_FORCE, PHASE
+from boragespool.blackboard.topics import DOCUMENT_IN_FORCE, PHASE
 from boragespool.controllers.callers.caller_ports import CallerPorts
 from boragespool.controllers.callers.callers import CallerApi
 from boragespool.controllers.context import Context, Identity
@@ -120,7 +120,7 @@
     board = Blackboard()
     board.post(PHASE, phase)
     if settings is not None:
-        board.post(IN_FORCE, RevisionDocument(3, 'c3', settings))
+        board.post(DOCUMENT_IN_FORCE, RevisionDocument(3, 'c3', settings))
     identity = Identity('h1', 5, 'north', 'r', '127.0.0.1:1', '127.0.0.1:2')
     context = Context(identity, board, VirtualTimers(), None, lambda: 0.5)
     return CallerApi(context, CallerPorts(*[tier] * 5)), board
--- a/tests/claim_network.py
+++ b/tests/claim_network.py
@@ -11,7 +11,7 @@
 from collections import Counter
 
 from boragespool.blackboard import Blackboard
-from boragespool.blackboard.topics import IN_FORCE, MEMBERS, SERVERS
+from boragespool.blackboard.topics import DOCUMENT_IN_FORCE, MEMBERS, SERVERS
 from boragespool.claims import parse_ticket
 from boragespool.controllers.claims.claims import ClaimController
 from boragespool.controllers.context import Context, Identity
@@ -147,7 +147,7 @@
         self.peers[host] = FakePeers(self, host)
         self.boards[host] = Blackboard()
         self.boards[host].post(
-            IN_FORCE,
+            DOCUMENT_IN_FORCE,
             RevisionDocument(1, 'x', SETTINGS),
         )
         self.boards[host].post(SERVERS, self.server_records())
--- a/tests/configuration_fleet.py
+++ b/tests/configuration_fleet.py
@@ -9,7 +9,7 @@
 from types import SimpleNamespace
 
 from boragespool.blackboard import Blackboard
-from boragespool.blackboard.topics import IN_FORCE, LEAVING_HOSTS, MEMBERS
+from boragespool.blackboard.topics import DOCUMENT_IN_FORCE, LEAVING_HOSTS, MEMBERS
 from boragespool.controllers.configuration.configuration import (
     ConfigurationController,
 )
@@ -201,7 +201,7 @@
 
     def revision(self, host):
         """Return the revision in force at one daemon; 0 for none."""
-        document = self.boards[host].read(IN_FORCE)
+        document = self.boards[host].read(DOCUMENT_IN_FORCE)
         return document.revision if document else 0
 
     def revisions(self):
--- a/tests/fake_backend.py
+++ b/tests/fake_backend.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from boragespool.blackboard import Blackboard
-from boragespool.blackboard.topics import IN_FORCE
+from boragespool.blackboard.topics import DOCUMENT_IN_FORCE
 from boragespool.controllers.context import Context, Identity
 from boragespool.http import HttpLimits, HttpServer, json_response
 from boragespool.messages import WorkRequest
@@ -153,7 +153,7 @@
     address = free_address()
     identity = Identity(host, incarnation, 'north', 'r', address, 'x:1')
     board = Blackboard()
-    board.post(IN_FORCE, revision)
+    board.post(DOCUMENT_IN_FORCE, revision)
     timers = LoopTimers()
     options = PeerOptions(host, incarnation, address)
     async with PeerNetwork(options, timers) as peers:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from boragespool.blackboard.topics import IN_FORCE
+from boragespool.blackboard.topics import DOCUMENT_IN_FORCE
 from boragespool.controllers.pauses import backoff_s
 from boragespool.messages import LeavingHosts
 from boragespool.revisions import Change, encode_document, next_document
@@ -166,7 +166,7 @@
                 if document.revision == 1:
                     raise ValueError(document)
 
-            fleet.boards['h0'].subscribe(IN_FORCE, fail)
+            fleet.boards['h0'].subscribe(DOCUMENT_IN_FORCE, fail)
             fleet.platform.put(first)
             await fleet.advance(1)
             fleet.platform.put(second)
--- a/tests/test_configuration_links.py
+++ b/tests/test_configuration_links.py
@@ -6,7 +6,7 @@
 from contextlib import AsyncExitStack
 
 from boragespool.blackboard import Blackboard
-from boragespool.blackboard.topics import IN_FORCE, LEAVING_HOSTS, MEMBERS
+from boragespool.blackboard.topics import DOCUMENT_IN_FORCE, LEAVING_HOSTS, MEMBERS
 from boragespool.controllers.configuration.configuration import (
     ConfigurationController,
 )
@@ -25,7 +25,7 @@
 
 def record(host, board):
     """Build the member record that gossip would spread."""
-    document = board.read(IN_FORCE)
+    document = board.read(DOCUMENT_IN_FORCE)
     return MemberRecord(
         host, 1, 1, MemberStatus.ALIVE, 'north', 'north', '', '',
         revision=document.revision if document else 0,
--- a/tests/test_configuration_parts.py
+++ b/tests/test_configuration_parts.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from boragespool.blackboard.topics import IN_FORCE
+from boragespool.blackboard.topics import DOCUMENT_IN_FORCE
 from boragespool.controllers.configuration.configuration import (
     ConfigurationOptions,
 )
@@ -50,7 +50,7 @@
     """Return the distinct settings in force."""
     found = []
     for board in fleet.boards.values():
-        document = board.read(IN_FORCE)
+        document = board.read(DOCUMENT_IN_FORCE)
         if document.settings not in found:
             found.append(document.settings)
     return found
@@ -184,7 +184,7 @@
 
             fleet.peers['h0'].handlers[RevisionRequest] = answer
             fleet.peers['h0'].handlers[PartsRequest] = silent
-            fleet.boards['h0'].post(IN_FORCE, third)
+            fleet.boards['h0'].post(DOCUMENT_IN_FORCE, third)
             await fleet.advance(3)
             assert fleet.revisions() == {3}
             fleet.platform.put_parts(pack(fourth))
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -10,12 +10,12 @@
 import pytest
 
 from boragespool.blackboard.topics import (
-    BLOCKED,
-    IN_FORCE,
+    BLOCKED_FINGERPRINTS,
+    DOCUMENT_IN_FORCE,
     MEMBERS,
-    OBSERVATIONS,
+    SERVER_OBSERVATIONS,
     SERVERS,
-    SUSPECTS,
+    SUSPECT_FINGERPRINTS,
 )
 from boragespool.controllers.backend_servers.dispatch import DispatchController
 from boragespool.events import Event
@@ -122,7 +122,7 @@
     async def scenario(setup):
         reply = await setup.send(work(mode))
         assert (reply.code, reply.run) == (code, run_state)
-        observed = setup.context.board.read(OBSERVATIONS).get('s')
+        observed = setup.context.board.read(SERVER_OBSERVATIONS).get('s')
         is_draining = observed is not None and observed.draining_at_s > 0
         assert is_draining == (mode == 'draining')
 
@@ -324,7 +324,7 @@
                     assert reply.run == RunState.UNKNOWN
                     assert backend.attempts.count(claim.attempt_id) == 1
                     # The server itself is there, so nothing is suspected.
-                    assert not context.board.read(SUSPECTS)
+                    assert not context.board.read(SUSPECT_FINGERPRINTS)
 
     asyncio.run(asyncio.wait_for(scenario(), 10))
 
@@ -390,19 +390,19 @@
             first = work('crash', fingerprint=5)
             reply = await setup.send(first)
             assert (reply.code, reply.run) == (3105, RunState.UNKNOWN)
-            assert setup.context.board.read(SUSPECTS) == {5}
+            assert setup.context.board.read(SUSPECT_FINGERPRINTS) == {5}
             assert [each.loss_id for each in notices] == ['s@1']
             async with FakeBackend('s', 2, address):
                 reply = await setup.send(work('crash', fingerprint=5))
                 assert reply.code == ResultCode.SERVER_CLOSED
-                assert setup.context.board.read(BLOCKED) == {5}
+                assert setup.context.board.read(BLOCKED_FINGERPRINTS) == {5}
             async with FakeBackend('s', 3, address) as third:
                 reply = await setup.send(work('crash', fingerprint=5))
                 assert reply.code == ResultCode.REQUEST_BLOCKED
                 assert reply.run == RunState.NOT_RUN
                 assert not third.attempts
                 assert setup.controller.clear(5)
-                assert not setup.context.board.read(BLOCKED)
+                assert not setup.context.board.read(BLOCKED_FINGERPRINTS)
             await asyncio.sleep(1.1)
         told = [(each.loss_id, each.alone, each.cleared) for each in notices]
         first, second = ('s@1', False, False), ('s@2', True, False)
@@ -433,13 +433,13 @@
         receive('a', SuspectNotice(9, 'x@1'))
         receive('a', SuspectNotice(9, 'x@1'))
         await asyncio.sleep(0.01)
-        assert board.read(SUSPECTS) == {9}
+        assert board.read(SUSPECT_FINGERPRINTS) == {9}
         receive('a', SuspectNotice(9, 'y@1', alone=True))
         await asyncio.sleep(0.01)
-        assert board.read(BLOCKED) == {9}
+        assert board.read(BLOCKED_FINGERPRINTS) == {9}
         receive('a', SuspectNotice(9, '', cleared=True))
         await asyncio.sleep(0.01)
-        assert not board.read(BLOCKED)
+        assert not board.read(BLOCKED_FINGERPRINTS)
 
     run(scenario)
 
@@ -452,14 +452,14 @@
         receive('a', SuspectNotice(9, 'x@1'))
         receive('a', SuspectNotice(9, 'y@1', alone=True))
         await asyncio.sleep(0.01)
-        assert board.read(BLOCKED) == {9}
-        base = board.read(IN_FORCE)
+        assert board.read(BLOCKED_FINGERPRINTS) == {9}
+        base = board.read(DOCUMENT_IN_FORCE)
         cleared = (Clearance(9, base.revision + 1),)
         board.post(
-            IN_FORCE,
+            DOCUMENT_IN_FORCE,
             replace(base, revision=base.revision + 1, cleared=cleared),
         )
-        assert not board.read(BLOCKED)
+        assert not board.read(BLOCKED_FINGERPRINTS)
 
     run(scenario)
 
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from boragespool.bench.fake_fleet import FakeFleet, FleetOptions
-from boragespool.blackboard.topics import IN_FORCE, MEMBERS, SERVERS
+from boragespool.blackboard.topics import DOCUMENT_IN_FORCE, MEMBERS, SERVERS
 from boragespool.controllers.queries.fleet_view import FleetView
 from boragespool.routing import dispatcher_of
 from boragespool.types import MemberStatus, ServerState
@@ -46,7 +46,7 @@
     """Every announcement of a load would cost a plan of the whole fleet."""
     fleet = FakeFleet(FleetOptions(shards=4), 1)
     view = FleetView(fleet.board)
-    service = fleet.board.read(IN_FORCE).settings.services['search']
+    service = fleet.board.read(DOCUMENT_IN_FORCE).settings.services['search']
     first = view.catalogue('search', service)
     fleet.announce('s0r0', limit=1, sequence=2)
     assert view.catalogue('search', service) is first
--- a/tests/test_membership_controller.py
+++ b/tests/test_membership_controller.py
@@ -8,7 +8,7 @@
 from dataclasses import replace
 
 from boragespool.blackboard import Blackboard
-from boragespool.blackboard.topics import IN_FORCE, MEMBERS
+from boragespool.blackboard.topics import DOCUMENT_IN_FORCE, MEMBERS
 from boragespool.controllers.context import Context, Identity
 from boragespool.controllers.membership.membership import MembershipController
 from boragespool.membership import MembershipOptions
@@ -188,7 +188,7 @@
         async with Fleet('a', 'b') as fleet:
             await fleet.together()
             document = RevisionDocument(7, 'change', Settings())
-            fleet.contexts['b'].board.post(IN_FORCE, document)
+            fleet.contexts['b'].board.post(DOCUMENT_IN_FORCE, document)
             await fleet.until(
                 lambda: fleet.member('a', 'b').revision == 7, 0.09
             )
--- a/tests/test_query.py
+++ b/tests/test_query.py
@@ -15,7 +15,7 @@
     true_reply,
 )
 from boragespool.bench.virtual_time import run_virtual
-from boragespool.blackboard.topics import BLOCKED, SUSPECTS
+from boragespool.blackboard.topics import BLOCKED_FINGERPRINTS, SUSPECT_FINGERPRINTS
 from boragespool.controllers.queries.query import QueryController
 from boragespool.controllers.queries.query_parts import KnownGood
 from boragespool.results import Failure, ResultCode
@@ -195,13 +195,13 @@
     """A request that crashes servers must not reach one per shard."""
     fingerprint = fingerprint_of('find', b'{}')
     fleet = FakeFleet(SMALL, 1)
-    fleet.board.post(BLOCKED, frozenset([fingerprint]))
+    fleet.board.post(BLOCKED_FINGERPRINTS, frozenset([fingerprint]))
     ((answer, _),) = ask(fleet, query())
     assert answer.code == ResultCode.REQUEST_BLOCKED
     assert answer.run == RunState.NOT_RUN
     assert not fleet.asked
     fleet = FakeFleet(SMALL, 1)
-    fleet.board.post(SUSPECTS, frozenset([fingerprint]))
+    fleet.board.post(SUSPECT_FINGERPRINTS, frozenset([fingerprint]))
     ((answer, _),) = ask(fleet, query())
     assert answer.coverage == 1
     assert all(asked.solo for asked in fleet.requests)
@@ -210,7 +210,7 @@
     fleet.asked.clear()
 
     def block(message):
-        fleet.board.post(BLOCKED, frozenset([fingerprint]))
+        fleet.board.post(BLOCKED_FINGERPRINTS, frozenset([fingerprint]))
         return crash(message)
 
     behave(fleet, replicas(0), block)
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -7,10 +7,10 @@
 from contextlib import asynccontextmanager
 
 from boragespool.blackboard.topics import (
-    IN_FORCE,
+    DOCUMENT_IN_FORCE,
     LEAVING_HOSTS,
     MEMBERS,
-    OBSERVATIONS,
+    SERVER_OBSERVATIONS,
     SERVERS,
     ServerObservation,
 )
@@ -170,17 +170,17 @@
         await until(lambda: states(context)['y'] == DRAINING, 0.5)
         assert states(context)['x'] == SERVING
         context.board.post(LEAVING_HOSTS, frozenset())
-        revision = context.board.read(IN_FORCE)
+        revision = context.board.read(DOCUMENT_IN_FORCE)
         addresses = {
             name: server.address
             for name, server in revision.settings.services['v'].servers.items()
         }
-        context.board.post(IN_FORCE, document(addresses, z={'drained': True}))
+        context.board.post(DOCUMENT_IN_FORCE, document(addresses, z={'drained': True}))
         await until(lambda: states(context)['z'] == DRAINING, 0.5)
-        context.board.post(IN_FORCE, document({'x': addresses['x']}))
+        context.board.post(DOCUMENT_IN_FORCE, document({'x': addresses['x']}))
         await until(lambda: set(states(context)) == {'x'}, 0.5)
         for other in both:
-            other.board.post(IN_FORCE, document({'y': free_address()}))
+            other.board.post(DOCUMENT_IN_FORCE, document({'y': free_address()}))
         # A server that comes back must not have the holdings of before.
         await until(lambda: states(context) == {'y': LOST}, 0.5)
         assert not context.board.read(SERVERS)['y'].holdings
@@ -200,14 +200,14 @@
         )
         polls = backends['x'].polls
         seen = ServerObservation(3, draining_at_s=owner.timers.now_s())
-        owner.board.post(OBSERVATIONS, {'x': seen})
+        owner.board.post(SERVER_OBSERVATIONS, {'x': seen})
         for context in both:
             await until(lambda c=context: states(c)['x'] == DRAINING, 1)
         assert backends['x'].polls == polls
         await backends['y'].__aexit__()
         seen = ServerObservation(1, refused_at_s=1)
         for context in both:
-            context.board.post(OBSERVATIONS, {'y': seen})
+            context.board.post(SERVER_OBSERVATIONS, {'y': seen})
         for context in both:
             await until(lambda c=context: states(c)['y'] == LOST, 1)
 
@@ -219,7 +219,7 @@
 
     async def scenario(_backends, both):
         for context in both:
-            context.board.post(OBSERVATIONS, {'x': ServerObservation(3)})
+            context.board.post(SERVER_OBSERVATIONS, {'x': ServerObservation(3)})
         for context in both:
             await until(
                 lambda c=context: c.board.read(SERVERS)['x'].limit == 3,
