Rename members of the peer network, the log output and the metrics

Names such as call, on_call, forget_link, LATENCY and LATENESS did not say what they do or measure. Metric names stay.

--- a/boragespool/bench/fake_fleet.py
+++ b/boragespool/bench/fake_fleet.py
@@ -141,7 +141,9 @@
             },
             hedging=self.options.hedging,
         )
-        self.board.post(DOCUMENT_IN_FORCE, RevisionDocument(1, 'change', settings))
+        self.board.post(
+            DOCUMENT_IN_FORCE, RevisionDocument(1, 'change', settings)
+        )
 
     def post_members(self, hosts: Iterable[HostName]) -> None:
         """Post daemons that dispatch."""
@@ -183,13 +185,13 @@
                 RunState.UNKNOWN,
             )
 
-    def call(
+    def request_with_callback(
         self,
         host: HostName,
         message: WorkRequest,
         on_result: Callable[[WorkReply | Failure], None],
     ) -> Callable[[], object]:
-        """Answer like `PeerNetwork.call`; it waits as long as it takes."""
+        """Answer like `PeerNetwork.request_with_callback`, without a limit."""
 
         def finish(done: asyncio.Task[WorkReply | Failure]) -> None:
             if not done.cancelled():
--- a/boragespool/blackboard/topics.py
+++ b/boragespool/blackboard/topics.py
@@ -41,13 +41,19 @@
 #: Posted by the server controller from own polls and from announcements.
 SERVERS: Final[Topic[Mapping[ServerName, ServerRecord]]] = Topic('servers', {})
 #: Posted by the configuration controller.
-DOCUMENT_IN_FORCE: Final[Topic[RevisionDocument | None]] = Topic('in_force', None)
+DOCUMENT_IN_FORCE: Final[Topic[RevisionDocument | None]] = Topic(
+    'in_force', None
+)
 #: Posted by the daemon.
 PHASE: Final[Topic[Phase]] = Topic('phase', Phase.STARTING)
 #: Fingerprints of requests that crash backend servers; posted by dispatch.
-BLOCKED_FINGERPRINTS: Final[Topic[frozenset[int]]] = Topic('blocked', frozenset())
+BLOCKED_FINGERPRINTS: Final[Topic[frozenset[int]]] = Topic(
+    'blocked', frozenset()
+)
 #: Fingerprints seen in the loss of one server; posted by dispatch.
-SUSPECT_FINGERPRINTS: Final[Topic[frozenset[int]]] = Topic('suspects', frozenset())
+SUSPECT_FINGERPRINTS: Final[Topic[frozenset[int]]] = Topic(
+    'suspects', frozenset()
+)
 #: Hosts of the platform's list that are leaving; posted by configuration.
 LEAVING_HOSTS: Final[Topic[frozenset[str]]] = Topic(
     'leaving_hosts',
@@ -58,7 +64,9 @@
 #: What the daemon admits of callers; posted by the overload controller.
 ADMISSION: Final[Topic[Admission]] = Topic('admission', Admission())
 #: Posted by dispatch.
-SERVER_OBSERVATIONS: Final[Topic[Mapping[ServerName, ServerObservation]]] = Topic(
-    'observations',
-    {},
+SERVER_OBSERVATIONS: Final[Topic[Mapping[ServerName, ServerObservation]]] = (
+    Topic(
+        'observations',
+        {},
+    )
 )
--- a/boragespool/controllers/backend_servers/backend.py
+++ b/boragespool/controllers/backend_servers/backend.py
@@ -197,7 +197,9 @@
         self._answer(job, reply)
 
     async def _attempt(self, job: Job) -> WorkReply:
-        if job.work.fingerprint in self._context.board.read(BLOCKED_FINGERPRINTS):
+        if job.work.fingerprint in self._context.board.read(
+            BLOCKED_FINGERPRINTS
+        ):
             return refusal(job.work, BLOCKED_FAILURE)
         if not self.health.incarnation:
             await self.health.learn_incarnation(self.pool)
--- a/boragespool/controllers/backend_servers/crash_watch.py
+++ b/boragespool/controllers/backend_servers/crash_watch.py
@@ -6,7 +6,12 @@
 from typing import TYPE_CHECKING, Final
 
 from boragespool.backends import CrashLedger
-from boragespool.blackboard.topics import BLOCKED_FINGERPRINTS, DOCUMENT_IN_FORCE, MEMBERS, SUSPECT_FINGERPRINTS
+from boragespool.blackboard.topics import (
+    BLOCKED_FINGERPRINTS,
+    DOCUMENT_IN_FORCE,
+    MEMBERS,
+    SUSPECT_FINGERPRINTS,
+)
 from boragespool.events import Event, log_event
 from boragespool.messages import SuspectNotice, SuspectNoticeAck
 from boragespool.revisions import newly_cleared
--- a/boragespool/controllers/backend_servers/dispatch.py
+++ b/boragespool/controllers/backend_servers/dispatch.py
@@ -79,7 +79,7 @@
     async def __aenter__(self) -> Self:
         """Serve work from now on."""
         context = self._context
-        context.peers.on_call(WorkRequest, self._serve)
+        context.peers.on_request_with_callback(WorkRequest, self._serve)
         context.peers.on_message(CancelWork, self._cancel)
         upkeep = context.timers.every(_UPKEEP_S, self._upkeep)
         self._stack.callback(upkeep.cancel)
@@ -90,7 +90,9 @@
             context.board.subscribe(DOCUMENT_IN_FORCE, self._settings_changed),
         )
         self._stack.callback(
-            context.board.subscribe(DOCUMENT_IN_FORCE, self._crashes.follow_revision),
+            context.board.subscribe(
+                DOCUMENT_IN_FORCE, self._crashes.follow_revision
+            ),
         )
         return self
 
--- a/boragespool/controllers/callers/callers.py
+++ b/boragespool/controllers/callers/callers.py
@@ -24,7 +24,7 @@
 )
 from boragespool.controllers.requests import ClaimRequest, QueryRequest
 from boragespool.http import HttpResponse, failure_response, json_response
-from boragespool.metrics import LATENCY, REQUESTS
+from boragespool.metrics import REQUEST_LATENCY, REQUESTS
 from boragespool.results import Failure, ResultCode, http_status
 from boragespool.settings import Settings
 from boragespool.types import Phase, RunState, WorkKind
@@ -224,7 +224,7 @@
         finally:
             self._count_in_flight(-1)
         taken_s = self._context.timers.now_s() - started_s
-        LATENCY.labels(*labels).observe(taken_s)
+        REQUEST_LATENCY.labels(*labels).observe(taken_s)
         if not isinstance(answer, Failure) and answer.request_id != request_id:
             answer = _crossed(request_id, answer.request_id)
         REQUESTS.labels(*labels, int(answer.code)).inc()
--- a/boragespool/controllers/callers/overload.py
+++ b/boragespool/controllers/callers/overload.py
@@ -12,7 +12,7 @@
 
 from boragespool.blackboard.topics import ADMISSION, DOCUMENT_IN_FORCE
 from boragespool.events import Event, log_event
-from boragespool.metrics import ADMITTED, LATENESS
+from boragespool.metrics import ADMITTED_RATIO, LOOP_LATENESS
 from boragespool.ranks import Admission, LoopWindow, Thinning, next_admission
 from boragespool.results import Failure, ResultCode
 from boragespool.settings import Settings
@@ -132,9 +132,9 @@
         now_s: Seconds,
     ) -> None:
         self._context.board.post(ADMISSION, after)
-        LATENESS.set(after.lateness_s)
+        LOOP_LATENESS.set(after.lateness_s)
         for rank, share in after.share_by_rank.items():
-            ADMITTED.labels(rank.value).set(share)
+            ADMITTED_RATIO.labels(rank.value).set(share)
         is_due = now_s - self._logged_s >= _LOG_INTERVAL_S
         if before.is_limited != after.is_limited or (
             is_due and before.share_by_rank != after.share_by_rank
--- a/boragespool/controllers/claims/claim_runs.py
+++ b/boragespool/controllers/claims/claim_runs.py
@@ -10,7 +10,10 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
-from boragespool.blackboard.topics import BLOCKED_FINGERPRINTS, DOCUMENT_IN_FORCE
+from boragespool.blackboard.topics import (
+    BLOCKED_FINGERPRINTS,
+    DOCUMENT_IN_FORCE,
+)
 from boragespool.claims import (
     Issuer,
     RecordTable,
--- a/boragespool/controllers/membership/member_state.py
+++ b/boragespool/controllers/membership/member_state.py
@@ -159,7 +159,7 @@
         """Follow a change of one member in the peer network and the log."""
         self._context.peers.set_address(member.host, member.peer_address)
         if member.status == MemberStatus.DEAD:
-            self._context.peers.forget_link(member.host)
+            self._context.peers.close_link(member.host)
         if known is None or known.status != member.status:
             _log_status(self.own.host, member)
 
--- a/boragespool/controllers/queries/attempts.py
+++ b/boragespool/controllers/queries/attempts.py
@@ -113,10 +113,12 @@
         ATTEMPTS.labels(kind).inc()
         merger.observations.started(server)
         # The deadline of the query ends the wait for a reply.
-        self._abandon_by_id[attempt.attempt_id] = merger.context.peers.call(
-            attempt.host,
-            self._message(attempt, version),
-            partial(self._finish, attempt),
+        self._abandon_by_id[attempt.attempt_id] = (
+            merger.context.peers.request_with_callback(
+                attempt.host,
+                self._message(attempt, version),
+                partial(self._finish, attempt),
+            )
         )
         return attempt
 
--- a/boragespool/controllers/queries/query_parts.py
+++ b/boragespool/controllers/queries/query_parts.py
@@ -6,7 +6,10 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
-from boragespool.blackboard.topics import BLOCKED_FINGERPRINTS, SUSPECT_FINGERPRINTS
+from boragespool.blackboard.topics import (
+    BLOCKED_FINGERPRINTS,
+    SUSPECT_FINGERPRINTS,
+)
 from boragespool.types import Rank
 
 if TYPE_CHECKING:
@@ -94,12 +97,16 @@
     @property
     def suspect(self) -> bool:
         """Whether the request is suspected of crashing backend servers."""
-        return self.fingerprint in self.merger.context.board.read(SUSPECT_FINGERPRINTS)
+        return self.fingerprint in self.merger.context.board.read(
+            SUSPECT_FINGERPRINTS
+        )
 
     @property
     def blocked(self) -> bool:
         """Whether the request must not be sent any more."""
-        return self.fingerprint in self.merger.context.board.read(BLOCKED_FINGERPRINTS)
+        return self.fingerprint in self.merger.context.board.read(
+            BLOCKED_FINGERPRINTS
+        )
 
     def catalogue(self) -> Catalogue:
         """Return the plans over the servers that may get work now."""
--- a/boragespool/log_output.py
+++ b/boragespool/log_output.py
@@ -32,7 +32,7 @@
     Attributes
     ----------
     omitted_count : int
-        Lines dropped since `take_omitted` was last called.
+        Lines dropped since `pop_omitted_count` was last called.
     """
 
     def __init__(
@@ -58,7 +58,7 @@
         self._flush()
         return True
 
-    def take_omitted(self) -> int:
+    def pop_omitted_count(self) -> int:
         """Return how many lines were dropped, and count anew."""
         omitted = self.omitted_count
         self.omitted_count = 0
@@ -112,7 +112,7 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write a record, after a count of those that were omitted."""
-        omitted = self._output.take_omitted()
+        omitted = self._output.pop_omitted_count()
         if omitted and not self._output.write(
             self.format(self._report(omitted)),
         ):
--- a/boragespool/metrics.py
+++ b/boragespool/metrics.py
@@ -25,7 +25,7 @@
     'Requests of callers by form, rank and result code.',
     ('form', 'rank', 'code'),
 )
-LATENCY: Final = Histogram(
+REQUEST_LATENCY: Final = Histogram(
     'boragespool_request_seconds',
     'Time from a complete request to its answer.',
     ('form', 'rank'),
@@ -57,12 +57,12 @@
     'Requests sent to dispatchers: first, hedge, retry, restart.',
     ('kind',),
 )
-ADMITTED: Final = Gauge(
+ADMITTED_RATIO: Final = Gauge(
     'boragespool_admitted_ratio',
     'Share of the requests of callers that the daemon admits, by rank.',
     ('rank',),
 )
-LATENESS: Final = Gauge(
+LOOP_LATENESS: Final = Gauge(
     'boragespool_loop_lateness_seconds',
     'Mean time that work waited for the event loop because of own work.',
 )
--- a/boragespool/peers/handlers.py
+++ b/boragespool/peers/handlers.py
@@ -66,7 +66,7 @@
         """Answer each request of a kind with the handler's result."""
         self._call_handlers[kind.__name__] = partial(self._run, handler)
 
-    def on_call(
+    def on_request_with_callback(
         self,
         kind: type[_MessageT],
         handler: Callable[[Sender, _MessageT, Reply], None],
--- a/boragespool/peers/link.py
+++ b/boragespool/peers/link.py
@@ -55,12 +55,12 @@
         self.address = address
         self.frames_sent = 0
         self.bytes_sent = 0
-        self.used_at_s = timers.now_s()
+        self.last_used_at_s = timers.now_s()
         self._options = options
         self._timers = timers
         self._control: deque[Envelope] = deque()
         self._bulk: deque[Envelope] = deque()
-        self._blocked = TaskSet()
+        self._blocked_sends = TaskSet()
         self._flush_is_due = False
         self._flushed_at_s = -math.inf
         self._closing = False
@@ -82,7 +82,7 @@
     async def __aexit__(self, *exc_info: object) -> None:
         """Close the socket; queued messages are dropped."""
         self.stop()
-        await self._blocked.close()
+        await self._blocked_sends.close()
 
     def stop(self) -> None:
         """Close the socket without waiting for a blocked frame."""
@@ -103,7 +103,7 @@
             self._last_exchange = 0 if envelope.reply else envelope.exchange
             self._arm_probe()
         if envelope.kind not in _PROBE_KINDS:
-            self.used_at_s = self._timers.now_s()
+            self.last_used_at_s = self._timers.now_s()
         self._flush_soon()
         return True
 
@@ -174,7 +174,7 @@
 
     def _flush_soon(self) -> None:
         """Flush after this turn of the loop, or when the interval is over."""
-        if self._flush_is_due or self._blocked or self._closing:
+        if self._flush_is_due or self._blocked_sends or self._closing:
             return
         self._flush_is_due = True
         since_s = self._timers.now_s() - self._flushed_at_s
@@ -192,11 +192,11 @@
         self._flush_is_due = False
         self._flushed_at_s = self._timers.now_s()
         while not self.idle and not self._closing:
-            encoded = encode_frame(self._take_frame())
+            encoded = encode_frame(self._next_frame())
             try:
                 self._socket.send(encoded, block=False)
             except pynng.TryAgain:
-                blocked = self._blocked.spawn(self._send_blocked(encoded))
+                blocked = self._blocked_sends.spawn(self._send_blocked(encoded))
                 blocked.add_done_callback(self._unblocked)
                 return
             except pynng.NNGException:
@@ -219,7 +219,7 @@
         PEER_FRAMES.inc()
         PEER_BYTES.inc(len(encoded))
 
-    def _take_frame(self) -> Frame:
+    def _next_frame(self) -> Frame:
         """Fill a frame with the control messages first."""
         envelopes: list[Envelope] = []
         size_bytes = 0
--- a/boragespool/peers/network.py
+++ b/boragespool/peers/network.py
@@ -107,9 +107,9 @@
         if self._address_by_host.get(host) == address:
             return
         self._address_by_host[host] = address
-        self.forget_link(host)
+        self.close_link(host)
 
-    def forget_link(self, host: HostName) -> None:
+    def close_link(self, host: HostName) -> None:
         """Close the link to a peer; the next message dials again."""
         link = self._link_by_host.pop(host, None)
         if link is not None:
@@ -135,7 +135,7 @@
         """Answer each request of a kind with the handler's result."""
         self._handlers.on_request(kind, handler)
 
-    def on_call(
+    def on_request_with_callback(
         self,
         kind: type[_MessageT],
         handler: Callable[[Sender, _MessageT, Reply], None],
@@ -144,7 +144,7 @@
 
         It costs no task, unlike a handler of `on_request`.
         """
-        self._handlers.on_call(kind, handler)
+        self._handlers.on_request_with_callback(kind, handler)
 
     def send(self, host: HostName, message: object) -> bool:
         """Queue a message; False if the peer has no address or a full queue.
@@ -160,7 +160,7 @@
             return True
         return self._queue(host, encode_message(message))
 
-    def call(
+    def request_with_callback(
         self,
         host: HostName,
         message: object,
@@ -210,7 +210,7 @@
         Parameters
         ----------
         host, message
-            As for `call`.
+            As for `request_with_callback`.
         timeout_s : float
             Longest wait, in seconds.
 
@@ -223,7 +223,7 @@
         loop = asyncio.get_running_loop()
         reply: asyncio.Future[Any] = loop.create_future()
         settle = partial(_settle, reply)
-        close = self.call(host, message, settle)
+        close = self.request_with_callback(host, message, settle)
         timer = loop.call_later(timeout_s, settle, no_answer(host, timeout_s))
         try:
             return await reply
@@ -253,8 +253,8 @@
             return
         limit_s = self._timers.now_s() - self.options.idle_timeout_s
         for host, link in tuple(self._link_by_host.items()):
-            if link.used_at_s < limit_s and link.idle:
-                self.forget_link(host)
+            if link.last_used_at_s < limit_s and link.idle:
+                self.close_link(host)
 
     def _queue(self, host: HostName, envelope: Envelope) -> bool:
         address = self._address_by_host.get(host)
--- a/boragespool/store/client.py
+++ b/boragespool/store/client.py
@@ -89,7 +89,7 @@
         await self._watch_pool.__aexit__(*exc_info)
 
     @property
-    def calls(self) -> int:
+    def call_count(self) -> int:
         """Number of calls of all kinds."""
         return self.calls_by_kind.total()
 
--- a/boragespool/timers/__init__.py
+++ b/boragespool/timers/__init__.py
@@ -9,4 +9,4 @@
     VirtualTimers,
 )
 
-__all__ = ('LoopTimers', 'Subscription', 'TimerService', 'VirtualTimers')
+__all__ = ('LoopTimers', 'TimerHandle', 'TimerService', 'VirtualTimers')
--- a/tests/configuration_fleet.py
+++ b/tests/configuration_fleet.py
@@ -9,7 +9,11 @@
 from types import SimpleNamespace
 
 from boragespool.blackboard import Blackboard
-from boragespool.blackboard.topics import DOCUMENT_IN_FORCE, LEAVING_HOSTS, MEMBERS
+from boragespool.blackboard.topics import (
+    DOCUMENT_IN_FORCE,
+    LEAVING_HOSTS,
+    MEMBERS,
+)
 from boragespool.controllers.configuration.configuration import (
     ConfigurationController,
 )
--- a/tests/test_configuration_links.py
+++ b/tests/test_configuration_links.py
@@ -6,7 +6,11 @@
 from contextlib import AsyncExitStack
 
 from boragespool.blackboard import Blackboard
-from boragespool.blackboard.topics import DOCUMENT_IN_FORCE, LEAVING_HOSTS, MEMBERS
+from boragespool.blackboard.topics import (
+    DOCUMENT_IN_FORCE,
+    LEAVING_HOSTS,
+    MEMBERS,
+)
 from boragespool.controllers.configuration.configuration import (
     ConfigurationController,
 )
--- a/tests/test_log_output.py
+++ b/tests/test_log_output.py
@@ -75,7 +75,7 @@
     output = BoundedOutput(writing, clock)
     written = sum(output.write('x') for _ in range(BURST_LINES + 50))
     assert written == BURST_LINES
-    assert output.take_omitted() == 50
+    assert output.pop_omitted_count() == 50
     clock.now_s = 1.0
     written = sum(output.write('x') for _ in range(2 * LINES_PER_S))
     assert written == LINES_PER_S
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -132,10 +132,12 @@
     async def run() -> None:
         async with pair() as (first, second):
             replies = []
-            second.on_call(Ping, lambda _, __, reply: replies.append(reply))
+            second.on_request_with_callback(
+                Ping, lambda _, __, reply: replies.append(reply)
+            )
             got = []
-            abandon = first.call('b', Ping(), got.append)
-            first.call('b', Ping(), got.append)
+            abandon = first.request_with_callback('b', Ping(), got.append)
+            first.request_with_callback('b', Ping(), got.append)
             while len(replies) < 2:
                 await asyncio.sleep(0.01)
             abandon()
@@ -162,7 +164,7 @@
 
             for network in (first, second):
                 network.on_request(PingRequest, fail_later)
-                network.on_call(Ping, fail_now)
+                network.on_request_with_callback(Ping, fail_now)
             calls = [
                 first.request(host, message, 2)
                 for host in ('a', 'b')
@@ -309,8 +311,8 @@
                 other._socket = SwallowingSocket()
                 other.queue(encode_message(Gossip(())))
                 await asyncio.sleep(0.05)
-                assert other._blocked
-            assert link._blocked
+                assert other._blocked_sends
+            assert link._blocked_sends
 
     started_s = time.monotonic()
     asyncio.run(asyncio.wait_for(run(), 3))
@@ -353,7 +355,7 @@
 
             async def close_with_idle_check() -> None:
                 for link in links:
-                    link.used_at_s = -99
+                    link.last_used_at_s = -99
                 assert all(link.idle for link in links)
                 first._close_idle_links()
                 await close_first()
@@ -376,7 +378,7 @@
                 first.send('b', CancelWork(f'{number}'))
             first.send('b', Gossip(()))
             link = first._link_by_host['b']
-            assert link._take_frame().envelopes[0].kind == 'Gossip'
+            assert link._next_frame().envelopes[0].kind == 'Gossip'
             link.queue(encode_message(Gossip(())))
             for _ in range(200):
                 link.queue(encode_message(CancelWork('x')))
--- a/tests/test_query.py
+++ b/tests/test_query.py
@@ -15,7 +15,10 @@
     true_reply,
 )
 from boragespool.bench.virtual_time import run_virtual
-from boragespool.blackboard.topics import BLOCKED_FINGERPRINTS, SUSPECT_FINGERPRINTS
+from boragespool.blackboard.topics import (
+    BLOCKED_FINGERPRINTS,
+    SUSPECT_FINGERPRINTS,
+)
 from boragespool.controllers.queries.query import QueryController
 from boragespool.controllers.queries.query_parts import KnownGood
 from boragespool.results import Failure, ResultCode
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -175,7 +175,9 @@
             name: server.address
             for name, server in revision.settings.services['v'].servers.items()
         }
-        context.board.post(DOCUMENT_IN_FORCE, document(addresses, z={'drained': True}))
+        context.board.post(
+            DOCUMENT_IN_FORCE, document(addresses, z={'drained': True})
+        )
         await until(lambda: states(context)['z'] == DRAINING, 0.5)
         context.board.post(DOCUMENT_IN_FORCE, document({'x': addresses['x']}))
         await until(lambda: set(states(context)) == {'x'}, 0.5)
