--- a/boragespool/peers/__init__.py
+++ b/boragespool/peers/__init__.py
@@ -1,4 +1,4 @@
-"""Links between daemons: pynng sockets with batched MessagePack frames."""
+"""Messaging between daemons: MessagePack frames over pynng sockets."""
 
 from __future__ import annotations
 
--- a/boragespool/peers/backlog.py
+++ b/boragespool/peers/backlog.py
@@ -1,4 +1,4 @@
-"""Received bulk work that waits while control messages are handled."""
+"""Queue of received bulk messages; control messages do not pass through it."""
 
 from __future__ import annotations
 
@@ -12,21 +12,25 @@
     from boragespool.peers.frames import Envelope
     from boragespool.peers.handlers import Sender
 
-#: Messages handled in one turn of the event loop. One message costs about
-#: 0.1 ms, so that a turn stays far below the 20 ms at which a daemon refuses.
-_TURN_COUNT: Final = 16
+#: A message takes about 0.1 ms to handle, so a batch stays far below the event
+#: loop delay of 20 ms at which a daemon starts to refuse requests.
+_MESSAGES_PER_ITERATION: Final = 16
 
 
 class Backlog:
-    """Bulk messages in order of arrival, handled a few per turn of the loop.
+    """FIFO queue of bulk messages, handled in batches on the event loop.
+
+    One batch is handled per iteration of the event loop, so that control
+    messages and other callbacks run in between.
 
     Parameters
     ----------
     limit : int
-        Requests that may wait. Replies always find room, because a lost one
-        would leave its request without a known outcome.
+        Number of queued messages from which on requests are rejected. Replies
+        are always queued, because the outcome of a request whose reply is
+        dropped would stay unknown.
     handle : callable
-        Handles one message.
+        Called with the sender and the envelope of each message.
     """
 
     def __init__(
@@ -34,34 +38,37 @@
         limit: int,
         handle: Callable[[Sender, Envelope], None],
     ) -> None:
-        """Start empty."""
+        """Create an empty queue."""
         self._limit = limit
         self._handle = handle
         self._waiting: deque[tuple[Sender, Envelope]] = deque()
-        self._turn: asyncio.Handle | None = None
+        self._scheduled_batch: asyncio.Handle | None = None
 
     def add(self, sender: Sender, envelope: Envelope) -> bool:
-        """Queue one message; False if it is a request and there is no room."""
+        """Queue a message; return False for a request if the queue is full."""
         if len(self._waiting) >= self._limit and not envelope.reply:
             return False
         self._waiting.append((sender, envelope))
-        if self._turn is None:
-            self._turn = asyncio.get_running_loop().call_soon(self._take_turn)
+        if self._scheduled_batch is None:
+            self._scheduled_batch = asyncio.get_running_loop().call_soon(
+                self._handle_batch
+            )
         return True
 
     def close(self) -> None:
-        """Drop what waits."""
+        """Drop all queued messages."""
         self._waiting.clear()
-        if self._turn is not None:
-            self._turn.cancel()
+        if self._scheduled_batch is not None:
+            self._scheduled_batch.cancel()
 
-    def _take_turn(self) -> None:
-        self._turn = None
+    def _handle_batch(self) -> None:
+        self._scheduled_batch = None
         try:
-            for _ in range(min(_TURN_COUNT, len(self._waiting))):
+            for _ in range(min(_MESSAGES_PER_ITERATION, len(self._waiting))):
                 self._handle(*self._waiting.popleft())
         finally:
-            # Also after an exception, or what waits would stay for ever.
-            if self._waiting and self._turn is None:
+            # Also after an exception; otherwise the remaining messages would
+            # not be handled until the next one arrives.
+            if self._waiting and self._scheduled_batch is None:
                 loop = asyncio.get_running_loop()
-                self._turn = loop.call_soon(self._take_turn)
+                self._scheduled_batch = loop.call_soon(self._handle_batch)
--- a/boragespool/peers/frames.py
+++ b/boragespool/peers/frames.py
@@ -1,7 +1,8 @@
-"""Frames: how messages are encoded between daemons.
+"""Encoding of messages between daemons as MessagePack frames.
 
-Unknown kinds and unknown fields are ignored, so that two releases can run
-side by side. A frame of another version is refused with a result code.
+Unknown fields are ignored and messages of an unknown kind are rejected one by
+one, so that two releases can run side by side. A frame of another version is
+rejected as a whole, with a result code.
 """
 
 from __future__ import annotations
@@ -21,7 +22,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
-    """Tells the sender of a request that it is not served."""
+    """Reply in place of a result: the request was refused or failed."""
 
     code: int
     reason: str
@@ -30,26 +31,31 @@
 
 @dataclass(frozen=True, slots=True)
 class Probe:
-    """Asks the peer to confirm that the link delivers."""
+    """Request for a `ProbeAnswer`, which shows that the link is alive."""
 
     number: int
 
 
 @dataclass(frozen=True, slots=True)
 class ProbeAnswer:
-    """Confirms a `Probe` on the link in the other direction."""
+    """Answer to a `Probe`, sent on the peer's own link to the prober."""
 
     number: int
 
 
 @dataclass(frozen=True, slots=True)
 class Envelope:
-    """One message with its kind.
+    """One encoded message.
 
     Attributes
     ----------
+    kind : str
+        Class name of the message.
+    body : msgspec.Raw
+        Message in MessagePack.
     exchange : int
-        Pairs a request with its reply; 0 for neither.
+        Number that a request and its reply share; 0 for a message without a
+        reply.
     reply : bool
         Whether this is the reply.
     """
@@ -61,13 +67,21 @@
 
     @property
     def is_bulk(self) -> bool:
-        """Whether control messages are sent and handled before this one."""
+        """Whether control messages have priority over this one."""
         return self.kind in _BULK_KINDS
 
 
 @dataclass(frozen=True, slots=True)
 class Frame:
-    """All messages that one daemon sends to another at one moment."""
+    """Batch of messages from one daemon to another.
+
+    Attributes
+    ----------
+    version : int
+        `FRAME_VERSION` of the sender.
+    address : str
+        ``ip:port`` on which the sender listens for peers.
+    """
 
     version: int
     sender: HostName
@@ -83,8 +97,8 @@
 
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _FRAME_DECODER: Final = msgspec.msgpack.Decoder(Frame)
-_HEAD_DECODER: Final = msgspec.msgpack.Decoder(_FrameHead)
-_KINDS: Final = (
+_VERSION_DECODER: Final = msgspec.msgpack.Decoder(_FrameHead)
+_MESSAGE_CLASSES: Final = (
     Refusal,
     Probe,
     ProbeAnswer,
@@ -93,13 +107,14 @@
 _DECODER_BY_KIND: Final = MappingProxyType(
     {
         kind.__name__: msgspec.msgpack.Decoder(kind)
-        for kind in _KINDS
+        for kind in _MESSAGE_CLASSES
         if not issubclass(kind, str)
     }
 )
 
-#: Messages of callers' work, and large ones. All others are control messages.
-#: Cancellations belong to the bulk, so that none overtakes its work.
+#: Messages that carry callers' work, and large ones. All others are control
+#: messages. Cancellations are bulk messages, so that none overtakes the work
+#: request that it cancels.
 _BULK_KINDS: Final = frozenset(
     kind.__name__
     for kind in (
@@ -122,18 +137,28 @@
     *,
     reply: bool = False,
 ) -> Envelope:
-    """Wrap one message of `boragespool.messages`."""
+    """Return the envelope of a message.
+
+    Parameters
+    ----------
+    message : object
+        Message of `boragespool.messages` or of this module.
+    exchange : int, optional
+        Exchange number of a request or a reply.
+    reply : bool, optional
+        Whether the message is a reply.
+    """
     body = msgspec.Raw(_ENCODER.encode(message))
     return Envelope(type(message).__name__, body, exchange, reply)
 
 
 def decode_message(envelope: Envelope) -> Any | Failure:
-    """Return the message in an envelope, or a failure for an unknown kind."""
+    """Return the message, or a failure for an unknown kind or invalid body."""
     decoder = _DECODER_BY_KIND.get(envelope.kind)
     if decoder is None:
         return Failure(
             ResultCode.PEER_REFUSED,
-            f'message kind {envelope.kind!r} is not one of '
+            f'unknown message kind {envelope.kind!r}; allowed are '
             f'{sorted(_DECODER_BY_KIND)}',
         )
     try:
@@ -146,20 +171,21 @@
 
 
 def encode_frame(frame: Frame) -> bytes:
-    """Return the bytes of a frame."""
+    """Return a frame in MessagePack."""
     return _ENCODER.encode(frame)
 
 
 def decode_frame(received: bytes) -> Frame | Failure:
     """Return a frame, or a failure for another version or invalid bytes."""
     try:
-        version = _HEAD_DECODER.decode(received).version
+        version = _VERSION_DECODER.decode(received).version
     except msgspec.DecodeError as error:
         return Failure(ResultCode.PEER_REFUSED, f'frame is invalid: {error}')
     if version != FRAME_VERSION:
         return Failure(
             ResultCode.PEER_VERSION,
-            f'frame version {version!r} is not {FRAME_VERSION!r}',
+            f'unsupported frame version {version!r}; this daemon accepts '
+            f'{FRAME_VERSION!r}',
         )
     try:
         return _FRAME_DECODER.decode(received)
--- a/boragespool/peers/handlers.py
+++ b/boragespool/peers/handlers.py
@@ -1,4 +1,7 @@
-"""Handlers of the messages and requests that a daemon receives."""
+"""Registry of handlers for the messages and requests that a daemon receives.
+
+A message is one-way; a request is answered with a reply.
+"""
 
 from __future__ import annotations
 
@@ -8,7 +11,10 @@
 from typing import TYPE_CHECKING, Any, TypeAlias, TypeVar
 
 from boragespool.events import Event, log_event
-from boragespool.peers.exchanges import handler_failed, not_served
+from boragespool.peers.pending_requests import (
+    handler_failure,
+    no_handler_failure,
+)
 from boragespool.results import Failure
 from boragespool.types import Address, HostName, Incarnation
 
@@ -23,7 +29,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Sender:
-    """The daemon that a message came from."""
+    """Daemon that sent a message.
+
+    Attributes
+    ----------
+    address : str
+        ``ip:port`` on which it listens for peers.
+    """
 
     host: HostName
     incarnation: Incarnation
@@ -31,12 +43,12 @@
 
 
 if TYPE_CHECKING:
-    Reply: TypeAlias = Callable[[Any], None]
-    Call: TypeAlias = Callable[[Sender, Any, Reply], None]
+    ReplyCallback: TypeAlias = Callable[[Any], None]
+    RequestHandler: TypeAlias = Callable[[Sender, Any, ReplyCallback], None]
 
 
 class Handlers:
-    """Handlers by kind of message.
+    """Handlers by message class, at most one for each class.
 
     Parameters
     ----------
@@ -45,85 +57,98 @@
     """
 
     def __init__(self, tasks: TaskSet) -> None:
-        """Start without handlers."""
+        """Create an empty registry."""
         self._tasks = tasks
-        self._message_handlers: dict[str, Callable[[Sender, Any], None]] = {}
-        self._call_handlers: dict[str, Call] = {}
+        self._message_handlers_by_kind: dict[
+            str, Callable[[Sender, Any], None]
+        ] = {}
+        self._request_handlers_by_kind: dict[str, RequestHandler] = {}
 
     def on_message(
         self,
         kind: type[_MessageT],
         handler: Callable[[Sender, _MessageT], None],
     ) -> None:
-        """Call a handler with each message of a kind."""
-        self._message_handlers[kind.__name__] = handler
+        """Register the handler of one-way messages of a class."""
+        self._message_handlers_by_kind[kind.__name__] = handler
 
     def on_request(
         self,
         kind: type[_MessageT],
         handler: Callable[[Sender, _MessageT], Awaitable[Any]],
     ) -> None:
-        """Answer each request of a kind with the handler's result."""
-        self._call_handlers[kind.__name__] = partial(self._run, handler)
+        """Register a coroutine whose result is the reply to a request."""
+        self._request_handlers_by_kind[kind.__name__] = partial(
+            self._run_coroutine, handler
+        )
 
     def on_request_with_callback(
         self,
         kind: type[_MessageT],
-        handler: Callable[[Sender, _MessageT, Reply], None],
+        handler: Callable[[Sender, _MessageT, ReplyCallback], None],
     ) -> None:
-        """Answer each request of a kind with what the handler replies."""
-        self._call_handlers[kind.__name__] = handler
+        """Register a handler that passes its reply to a callback."""
+        self._request_handlers_by_kind[kind.__name__] = handler
 
-    def deliver(self, sender: Sender, message: object) -> None:
-        """Hand a message to its handler; one without is dropped."""
-        handler = self._message_handlers.get(type(message).__name__)
+    def handle_message(self, sender: Sender, message: object) -> None:
+        """Call the handler of a message; drop the message if there is none."""
+        handler = self._message_handlers_by_kind.get(type(message).__name__)
         if handler is not None:
             handler(sender, message)
 
-    def serve(self, sender: Sender, message: object, reply: Reply) -> None:
-        """Hand a request to its handler.
+    def handle_request(
+        self, sender: Sender, message: object, reply: ReplyCallback
+    ) -> None:
+        """Call the handler of a request.
 
         Parameters
         ----------
+        sender : Sender
+            Daemon that sent the request.
         message : object
-            Message, or the failure to decode it.
+            Request, or the failure to decode it.
         reply : callable
-            Called once with the reply or a failure. A handler that raises
-            is answered with run state ``UNKNOWN``.
+            Called with the reply or a failure. If the handler raises, the
+            failure has run state ``UNKNOWN``.
         """
         if isinstance(message, Failure):
             reply(message)
             return
         kind = type(message).__name__
-        handler = self._call_handlers.get(kind)
+        handler = self._request_handlers_by_kind.get(kind)
         if handler is None:
-            reply(not_served(kind))
+            reply(no_handler_failure(kind))
             return
         try:
             handler(sender, message, reply)
         except Exception as error:
             log_event(
                 Event.TASK_FAILED,
-                f'the handler of {kind!r} raised {error!r}',
+                f'the handler of requests of kind {kind!r} raised {error!r}',
                 level=logging.ERROR,
             )
-            reply(handler_failed(kind))
+            reply(handler_failure(kind))
 
-    def _run(
+    def _run_coroutine(
         self,
         handler: Callable[[Sender, Any], Any],
         sender: Sender,
         message: object,
-        reply: Reply,
+        reply: ReplyCallback,
     ) -> None:
-        """Run a coroutine; it goes on when nobody waits for it any more."""
+        """Run a coroutine handler in a task of its own.
+
+        The task is not cancelled when the sender stops waiting for the reply.
+        """
         task = self._tasks.spawn(handler(sender, message))
         kind = type(message).__name__
-        task.add_done_callback(partial(_reply_with, kind, reply))
+        task.add_done_callback(partial(_reply_with_task_result, kind, reply))
 
 
-def _reply_with(kind: str, reply: Reply, task: asyncio.Task[Any]) -> None:
+def _reply_with_task_result(
+    kind: str, reply: ReplyCallback, task: asyncio.Task[Any]
+) -> None:
     if task.cancelled():
         return
     failed = task.exception() is not None
-    reply(handler_failed(kind) if failed else task.result())
+    reply(handler_failure(kind) if failed else task.result())
--- a/boragespool/peers/link.py
+++ b/boragespool/peers/link.py
@@ -1,7 +1,8 @@
-"""The sending side of one link to one peer.
+"""Sending side of the link to one peer.
 
-Owns a Push0 socket. The transport reports neither a lost frame nor a silent
-connection, so the link probes the peer and dials again without an answer.
+Owns a Push0 socket. The transport reports neither a lost frame nor a
+connection that has gone silent, so the link sends probes and reconnects if
+they are not answered.
 """
 
 from __future__ import annotations
@@ -34,16 +35,35 @@
 
 
 _PROBE_KINDS: Final = frozenset((Probe.__name__, ProbeAnswer.__name__))
-#: Replies that need no probe: whoever asks for them asks again without one,
-#: and every daemon also sends pings of its own, which show a silent link.
-#: With pings alone, probes were two thirds of the frames.
-_REPEATED_REPLIES: Final = frozenset(
+#: Replies that are sent without a probe: the requester repeats its request if
+#: the reply is lost, and the pings of every daemon reveal a silent link. When
+#: these replies were probed, two thirds of the frames of a cluster that sent
+#: only pings were probes.
+_UNPROBED_REPLY_KINDS: Final = frozenset(
     kind.__name__ for kind in (Ack, LeavingHosts, ServerPage, ServerVersions)
 )
 
 
 class PeerLink:
-    """Queues messages for one peer and sends them in frames."""
+    """Queues messages for one peer and sends them in frames.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` on which the peer listens.
+    options : PeerOptions
+        Identity of this daemon and limits of its links.
+    timers : TimerService
+        Clock and timers of flushes and probes.
+
+    Attributes
+    ----------
+    frames_sent, bytes_sent : int
+        Frames passed to the socket, and their size in bytes.
+    last_used_at_s : float
+        Time at which a message other than a probe was last queued, on the
+        clock of the timer service.
+    """
 
     def __init__(
         self,
@@ -51,75 +71,82 @@
         options: PeerOptions,
         timers: TimerService,
     ) -> None:
-        """Keep the settings; `start` dials."""
+        """Create a link that is not connected; `start` connects."""
         self.address = address
         self.frames_sent = 0
         self.bytes_sent = 0
         self.last_used_at_s = timers.now_s()
         self._options = options
         self._timers = timers
-        self._control: deque[Envelope] = deque()
-        self._bulk: deque[Envelope] = deque()
+        self._control_queue: deque[Envelope] = deque()
+        self._bulk_queue: deque[Envelope] = deque()
         self._blocked_sends = TaskSet()
-        self._flush_is_due = False
+        self._flush_scheduled = False
         self._flushed_at_s = -math.inf
         self._closing = False
-        self._probing: TimerHandle | None = None
+        self._probe_timer: TimerHandle | None = None
         self._probe_number = 0
-        self._unanswered_since_s: Seconds | None = None
-        self._used_since_probe = False
+        self._probe_unanswered_since_s: Seconds | None = None
+        self._has_unconfirmed_messages = False
         self._last_exchange = 0
 
     async def __aenter__(self) -> Self:
-        """Start the link."""
+        """Connect."""
         self.start()
         return self
 
     def start(self) -> None:
-        """Dial without waiting for the peer."""
+        """Start to connect in the background."""
         self._dial()
 
     async def __aexit__(self, *exc_info: object) -> None:
-        """Close the socket; queued messages are dropped."""
+        """Close the socket and drop the queued messages."""
         self.stop()
         await self._blocked_sends.close()
 
     def stop(self) -> None:
-        """Close the socket without waiting for a blocked frame."""
-        if self._probing is not None:
-            self._probing.cancel()
+        """Close the socket without waiting for a blocked send."""
+        if self._probe_timer is not None:
+            self._probe_timer.cancel()
         self._closing = True
-        # Cancelling a pynng send can wait for ever; closing ends it.
+        # Cancelling a pynng send can hang; closing the socket ends the send.
         self._socket.close()
 
     def queue(self, envelope: Envelope) -> bool:
-        """Queue one message; False if the queue of its class is full."""
-        waiting = self._bulk if envelope.is_bulk else self._control
+        """Queue a message; return False if its queue is full.
+
+        Control messages and bulk messages have separate queues.
+        """
+        waiting = self._bulk_queue if envelope.is_bulk else self._control_queue
         if len(waiting) >= self._options.queue_count:
             return False
         waiting.append(envelope)
         if _needs_probe(envelope):
-            self._used_since_probe = True
+            self._has_unconfirmed_messages = True
             self._last_exchange = 0 if envelope.reply else envelope.exchange
-            self._arm_probe()
+            self._schedule_probe()
         if envelope.kind not in _PROBE_KINDS:
             self.last_used_at_s = self._timers.now_s()
-        self._flush_soon()
+        self._schedule_flush()
         return True
 
-    def probe_answered(self) -> None:
-        """Note that the peer answered a probe."""
-        self._unanswered_since_s = None
+    def record_probe_answer(self) -> None:
+        """Record that the peer answered a probe."""
+        self._probe_unanswered_since_s = None
+
+    def record_reply(self, exchange: int) -> None:
+        """Record a reply; no probe is needed if its request was queued last.
 
-    def request_answered(self, exchange: int) -> None:
-        """Note a reply, which proves all that was sent before its request."""
+        Such a reply confirms that the request and all earlier messages were
+        delivered.
+        """
         if exchange == self._last_exchange:
-            self._used_since_probe = False
+            self._has_unconfirmed_messages = False
 
     @property
     def idle(self) -> bool:
-        """Whether nothing waits to be sent."""
-        return not self._control and not self._bulk
+        """Whether both queues are empty."""
+        return not self._control_queue and not self._bulk_queue
 
     def _dial(self) -> None:
         self._socket = pynng.Push0(
@@ -131,37 +158,37 @@
         self._socket.dial(f'tcp://{self.address}', block=False)
 
     def _redial(self) -> None:
-        """Replace the connection."""
+        """Reconnect with a new socket."""
         self._socket.close()
-        self._unanswered_since_s = None
+        self._probe_unanswered_since_s = None
         self._dial()
 
-    def _arm_probe(self) -> None:
-        """Probe later; an unused link has no timer.
+    def _schedule_probe(self) -> None:
+        """Schedule a probe unless one is scheduled.
 
-        Otherwise the timers of the links that a daemon keeps to hundreds of
-        peers would use processor time without any traffic.
+        A link without traffic has no timer. A daemon has links to hundreds of
+        peers, and their timers would use CPU time without any traffic.
         """
-        if self._probing is None:
-            self._probing = self._timers.after(
+        if self._probe_timer is None:
+            self._probe_timer = self._timers.after(
                 self._options.probe_interval_s,
                 self._probe,
             )
 
     def _probe(self) -> None:
-        """Probe a link in use; dial again after a silence."""
-        self._probing = None
+        """Send a probe if needed; reconnect if the last one timed out."""
+        self._probe_timer = None
         now_s = self._timers.now_s()
-        since_s = self._unanswered_since_s
+        since_s = self._probe_unanswered_since_s
         if since_s is None:
-            if self._used_since_probe:
-                self._unanswered_since_s = now_s
+            if self._has_unconfirmed_messages:
+                self._probe_unanswered_since_s = now_s
                 self._queue_probe()
             return
         if now_s - since_s >= self._options.silence_timeout_s:
             log_event(
                 Event.PEER_LINK_SILENT,
-                f'no answer from {self.address!r}; dialling again',
+                f'peer {self.address!r} did not answer a probe; reconnecting',
                 address=self.address,
             )
             self._redial()
@@ -170,13 +197,17 @@
     def _queue_probe(self) -> None:
         self._probe_number += 1
         self.queue(encode_message(Probe(self._probe_number)))
-        self._used_since_probe = False
+        self._has_unconfirmed_messages = False
+
+    def _schedule_flush(self) -> None:
+        """Schedule a flush unless one is scheduled or a send is blocked.
 
-    def _flush_soon(self) -> None:
-        """Flush after this turn of the loop, or when the interval is over."""
-        if self._flush_is_due or self._blocked_sends or self._closing:
+        It runs in a later iteration of the event loop, and not before
+        `flush_interval_s` has passed since the last flush.
+        """
+        if self._flush_scheduled or self._blocked_sends or self._closing:
             return
-        self._flush_is_due = True
+        self._flush_scheduled = True
         since_s = self._timers.now_s() - self._flushed_at_s
         self._timers.after(
             max(0, self._options.flush_interval_s - since_s),
@@ -184,12 +215,13 @@
         )
 
     def _flush(self) -> None:
-        """Send what is queued, as far as the socket takes it at once.
+        """Send the queued messages until the send buffer is full.
 
-        A send that does not wait needs no callback from a thread of pynng,
-        which costs more than the send itself.
+        A non-blocking send needs no callback from a pynng thread, which costs
+        more than the send itself. Only a frame that would block is sent
+        asynchronously.
         """
-        self._flush_is_due = False
+        self._flush_scheduled = False
         self._flushed_at_s = self._timers.now_s()
         while not self.idle and not self._closing:
             encoded = encode_frame(self._next_frame())
@@ -197,34 +229,34 @@
                 self._socket.send(encoded, block=False)
             except pynng.TryAgain:
                 blocked = self._blocked_sends.spawn(self._send_blocked(encoded))
-                blocked.add_done_callback(self._unblocked)
+                blocked.add_done_callback(self._on_blocked_send_done)
                 return
             except pynng.NNGException:
                 continue
-            self._count(encoded)
+            self._count_frame(encoded)
 
     async def _send_blocked(self, encoded: bytes) -> None:
-        """Send one frame; it is lost if the connection stays blocked."""
+        """Send a frame; it is lost if the send times out."""
         with contextlib.suppress(pynng.NNGException):
             await self._socket.asend(encoded)
-            self._count(encoded)
+            self._count_frame(encoded)
 
-    def _unblocked(self, _sent: object) -> None:
+    def _on_blocked_send_done(self, _sent: object) -> None:
         if not self.idle:
-            self._flush_soon()
+            self._schedule_flush()
 
-    def _count(self, encoded: bytes) -> None:
+    def _count_frame(self, encoded: bytes) -> None:
         self.frames_sent += 1
         self.bytes_sent += len(encoded)
         PEER_FRAMES.inc()
         PEER_BYTES.inc(len(encoded))
 
     def _next_frame(self) -> Frame:
-        """Fill a frame with the control messages first."""
+        """Remove messages from the queues, control messages first."""
         envelopes: list[Envelope] = []
         size_bytes = 0
         while not self.idle and size_bytes < self._options.frame_size_bytes:
-            envelope = (self._control or self._bulk).popleft()
+            envelope = (self._control_queue or self._bulk_queue).popleft()
             size_bytes += len(bytes(envelope.body))
             envelopes.append(envelope)
         return Frame(
@@ -237,7 +269,8 @@
 
 
 def _needs_probe(envelope: Envelope) -> bool:
-    # Answers to probes must not cause probes, or they would never end.
+    # A probe answer must not be probed, or two links would exchange probes
+    # for ever.
     if envelope.kind == ProbeAnswer.__name__:
         return False
-    return not (envelope.reply and envelope.kind in _REPEATED_REPLIES)
+    return not (envelope.reply and envelope.kind in _UNPROBED_REPLY_KINDS)
--- a/boragespool/peers/listener.py
+++ b/boragespool/peers/listener.py
@@ -1,4 +1,4 @@
-"""The receiving side of the links of one daemon."""
+"""Receiving side of the links of one daemon."""
 
 from __future__ import annotations
 
@@ -20,28 +20,29 @@
     from boragespool.peers.frames import Frame
     from boragespool.types import Address, Seconds
 
-#: Other callbacks of the loop run between two series of this many frames.
-_FRAMES_AT_ONCE: Final = 16
-#: A Pull0 socket holds one frame for each peer and fetches the next one in a
-#: thread. With turns of the loop longer than this, one frame per turn leaves
-#: control messages behind all earlier frames, so the next one is awaited.
-_LONG_TURN_S: Final = 0.002
-_NEXT_FRAME_S: Final = 0.0002
+#: Bounds the time for which other callbacks of the event loop wait.
+_FRAMES_PER_ITERATION: Final = 16
+#: A Pull0 socket holds one received frame for each peer, and a pynng thread
+#: fetches the next one. In long iterations of the event loop, reading a single
+#: frame in each would delay control messages behind all earlier frames, so
+#: from this duration on the listener waits for the next frame.
+_LONG_ITERATION_S: Final = 0.002
+_NEXT_FRAME_WAIT_S: Final = 0.0002
 
 
 class FrameListener:
-    """Owns the Pull0 socket, a context manager.
+    """Receives frames on a Pull0 socket, a context manager.
 
-    The loop watches the descriptor that pynng makes readable when a frame
-    has arrived. An awaited receive costs a callback from a thread of pynng
-    for each frame, and its cancellation can be lost.
+    The event loop watches the file descriptor that pynng makes readable when
+    a frame has arrived. `pynng.Socket.arecv` would cost a callback from a
+    pynng thread for each frame, and its cancellation can be lost.
 
     Parameters
     ----------
     address : str
         ``ip:port`` on which peers reach this daemon.
     on_frame : callable
-        Called with each frame of this version.
+        Called with each valid frame; others are logged and dropped.
     """
 
     def __init__(
@@ -49,11 +50,11 @@
         address: Address,
         on_frame: Callable[[Frame], None],
     ) -> None:
-        """Keep the settings; `__enter__` listens."""
+        """Create a listener without a socket; `__enter__` listens."""
         self._address = address
         self._on_frame = on_frame
         self._stack = contextlib.ExitStack()
-        self._turn_s: Seconds = 0
+        self._loop_iteration_s: Seconds = 0
 
     def __enter__(self) -> Self:
         """Listen.
@@ -77,22 +78,24 @@
         self._stack.close()
 
     def _receive(self) -> None:
-        """Receive the frames that are there, at most a bounded number."""
-        for _ in range(_FRAMES_AT_ONCE):
+        """Receive up to `_FRAMES_PER_ITERATION` frames without blocking."""
+        for _ in range(_FRAMES_PER_ITERATION):
             try:
                 received = self._socket.recv(block=False)
             except pynng.NNGException:
                 break
             self._decode(received)
-            if self._turn_s > _LONG_TURN_S:
+            if self._loop_iteration_s > _LONG_ITERATION_S:
                 descriptor = self._socket.recv_fd
-                select.select((descriptor,), (), (), _NEXT_FRAME_S)
+                select.select((descriptor,), (), (), _NEXT_FRAME_WAIT_S)
         loop = asyncio.get_running_loop()
-        loop.call_soon(self._note_turn, loop.time())
+        loop.call_soon(self._measure_iteration, loop.time())
 
-    def _note_turn(self, began_s: Seconds) -> None:
-        """Measure how long the callbacks of one turn of the loop take."""
-        self._turn_s = asyncio.get_running_loop().time() - began_s
+    def _measure_iteration(self, started_at_s: Seconds) -> None:
+        """Set the duration of the current event loop iteration."""
+        self._loop_iteration_s = (
+            asyncio.get_running_loop().time() - started_at_s
+        )
 
     def _decode(self, received: bytes) -> None:
         frame = decode_frame(received)
--- a/boragespool/peers/network.py
+++ b/boragespool/peers/network.py
@@ -1,6 +1,7 @@
-"""Messages and requests between the daemons.
+"""Messages and requests between daemons.
 
-Owns the listener, the links to peers, and the requests that wait for a reply.
+Owns the listener, the links to peers, the queue of received bulk messages and
+the requests whose reply is outstanding.
 """
 
 from __future__ import annotations
@@ -13,10 +14,10 @@
 
 from boragespool.events import Event, log_event
 from boragespool.peers.backlog import Backlog
-from boragespool.peers.exchanges import (
-    Exchanges,
-    no_answer,
-    not_sent,
+from boragespool.peers.pending_requests import (
+    PendingRequests,
+    no_reply_failure,
+    not_sent_failure,
 )
 from boragespool.peers.frames import (
     Envelope,
@@ -36,7 +37,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from boragespool.peers.handlers import Reply
+    from boragespool.peers.handlers import ReplyCallback
     from boragespool.peers.options import PeerOptions
     from boragespool.timers import TimerService
     from boragespool.types import Address, HostName, Seconds
@@ -45,27 +46,27 @@
 
 
 class PeerNetwork:
-    """All links of one daemon, an async context manager.
+    """Messaging endpoint of one daemon, an async context manager.
 
     Parameters
     ----------
     options : PeerOptions
-        Identity and bounds.
+        Identity of the daemon and limits of its links.
     timers : TimerService
-        Clock of the probes.
+        Clock and timers of the links.
     """
 
     def __init__(self, options: PeerOptions, timers: TimerService) -> None:
-        """Keep the settings; `__aenter__` listens."""
+        """Create an endpoint without links; `__aenter__` listens."""
         self.options = options
         self._timers = timers
         self._closing = False
-        self._closed_frames = 0
-        self._closed_bytes = 0
+        self._closed_links_frame_count = 0
+        self._closed_links_byte_count = 0
         self._stack = contextlib.AsyncExitStack()
         self._address_by_host: dict[HostName, Address] = {}
         self._link_by_host: dict[HostName, PeerLink] = {}
-        self._exchanges = Exchanges()
+        self._pending_requests = PendingRequests()
         self._tasks = TaskSet()
         self._handlers = Handlers(self._tasks)
         self._own_sender = Sender(
@@ -76,7 +77,7 @@
         self._backlog = Backlog(options.queue_count, self._handle)
 
     async def __aenter__(self) -> Self:
-        """Listen.
+        """Start to listen for peers.
 
         Raises
         ------
@@ -94,7 +95,7 @@
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        """Receive nothing more and close all links."""
+        """Stop listening, cancel running handlers and close all links."""
         self._closing = True
         await self._stack.aclose()
         self._backlog.close()
@@ -103,19 +104,28 @@
             await link.__aexit__()
 
     def set_address(self, host: HostName, address: Address) -> None:
-        """Set where a peer listens; a changed address closes the old link."""
+        """Set the address of a peer; a change closes the link to the old one.
+
+        Parameters
+        ----------
+        host : str
+            Peer.
+        address : str
+            ``ip:port`` on which the peer listens.
+        """
         if self._address_by_host.get(host) == address:
             return
         self._address_by_host[host] = address
         self.close_link(host)
 
     def close_link(self, host: HostName) -> None:
-        """Close the link to a peer; the next message dials again."""
+        """Close the link to a peer; the next message opens a new one."""
         link = self._link_by_host.pop(host, None)
         if link is not None:
-            self._closed_frames += link.frames_sent
-            self._closed_bytes += link.bytes_sent
-            # A task that is cancelled before it starts would stop nothing.
+            self._closed_links_frame_count += link.frames_sent
+            self._closed_links_byte_count += link.bytes_sent
+            # Stopped here as well: a task that is cancelled before its first
+            # step would leave the link open.
             link.stop()
             self._tasks.spawn(link.__aexit__())
 
@@ -124,7 +134,7 @@
         kind: type[_MessageT],
         handler: Callable[[Sender, _MessageT], None],
     ) -> None:
-        """Call a handler with each message of a kind."""
+        """Register the handler of one-way messages of a class."""
         self._handlers.on_message(kind, handler)
 
     def on_request(
@@ -132,24 +142,28 @@
         kind: type[_MessageT],
         handler: Callable[[Sender, _MessageT], Awaitable[Any]],
     ) -> None:
-        """Answer each request of a kind with the handler's result."""
+        """Register a coroutine whose result is the reply to a request."""
         self._handlers.on_request(kind, handler)
 
     def on_request_with_callback(
         self,
         kind: type[_MessageT],
-        handler: Callable[[Sender, _MessageT, Reply], None],
+        handler: Callable[[Sender, _MessageT, ReplyCallback], None],
     ) -> None:
-        """Answer each request of a kind with what the handler replies.
+        """Register a handler that passes its reply to a callback.
 
-        It costs no task, unlike a handler of `on_request`.
+        No task is created for a request, unlike with `on_request`.
         """
         self._handlers.on_request_with_callback(kind, handler)
 
     def send(self, host: HostName, message: object) -> bool:
-        """Queue a message; False if the peer has no address or a full queue.
+        """Queue a one-way message; delivery is at most once.
 
-        Messages can be lost. They arrive at most once.
+        Returns
+        -------
+        bool
+            False if the address of the peer is unknown, its send queue is
+            full, or the network is closing.
         """
         if host == self.options.host:
             asyncio.get_running_loop().call_soon(
@@ -172,32 +186,34 @@
         ----------
         host : str
             Peer, or this daemon itself, whose handler gets the message
-            without any encoding.
+            without encoding.
         message : object
             Message for which the peer registered a request handler.
         on_result : callable
-            Called later, at most once, with the reply or a failure. A
-            failure has run state ``NOT_RUN`` if nothing was sent or the peer
-            refused, else ``UNKNOWN``.
+            Called at most once, and not before this method returns, with the
+            reply or a failure. A failure has run state ``NOT_RUN`` if the
+            request was not sent or the peer refused it, else ``UNKNOWN``.
 
         Returns
         -------
         callable
-            Call it to wait no longer. Nothing else ends the wait for a
-            reply that does not come.
+            Stops waiting for the reply. There is no timeout: a caller must
+            call it if no reply arrives.
         """
-        number = self._exchanges.open(on_result)
-        resolve = partial(self._exchanges.resolve, number)
+        exchange = self._pending_requests.add(on_result)
+        resolve = partial(self._pending_requests.resolve, exchange)
         if host == self.options.host:
             asyncio.get_running_loop().call_soon(
-                self._handlers.serve,
+                self._handlers.handle_request,
                 self._own_sender,
                 message,
                 resolve,
             )
-        elif not self._queue(host, encode_message(message, number)):
-            asyncio.get_running_loop().call_soon(resolve, not_sent(host))
-        return partial(self._exchanges.close, number)
+        elif not self._queue(host, encode_message(message, exchange)):
+            asyncio.get_running_loop().call_soon(
+                resolve, not_sent_failure(host)
+            )
+        return partial(self._pending_requests.remove, exchange)
 
     async def request(
         self,
@@ -212,35 +228,39 @@
         host, message
             As for `request_with_callback`.
         timeout_s : float
-            Longest wait, in seconds.
+            Longest wait for the reply, in seconds.
 
         Returns
         -------
         object or Failure
-            The reply. A failure has run state ``NOT_RUN`` if nothing was
-            sent or the peer refused, else ``UNKNOWN``.
+            The reply. A failure has run state ``NOT_RUN`` if the request was
+            not sent or the peer refused it, else ``UNKNOWN``.
         """
         loop = asyncio.get_running_loop()
         reply: asyncio.Future[Any] = loop.create_future()
-        settle = partial(_settle, reply)
-        close = self.request_with_callback(host, message, settle)
-        timer = loop.call_later(timeout_s, settle, no_answer(host, timeout_s))
+        set_result = partial(_set_result, reply)
+        stop_waiting = self.request_with_callback(host, message, set_result)
+        timer = loop.call_later(
+            timeout_s, set_result, no_reply_failure(host, timeout_s)
+        )
         try:
             return await reply
         finally:
             timer.cancel()
-            close()
+            stop_waiting()
 
     def traffic(self) -> tuple[int, int]:
-        """Return frames and bytes sent since the start."""
+        """Return the numbers of frames and of bytes sent since the start."""
         links = tuple(self._link_by_host.values())
         return (
-            self._closed_frames + sum(link.frames_sent for link in links),
-            self._closed_bytes + sum(link.bytes_sent for link in links),
+            self._closed_links_frame_count
+            + sum(link.frames_sent for link in links),
+            self._closed_links_byte_count
+            + sum(link.bytes_sent for link in links),
         )
 
     async def flush(self, timeout_s: Seconds) -> None:
-        """Wait until the queues are empty, at most `timeout_s` seconds."""
+        """Wait until the send queues are empty, at most `timeout_s` seconds."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
                 while not all(
@@ -251,9 +271,9 @@
     def _close_idle_links(self) -> None:
         if self._closing:
             return
-        limit_s = self._timers.now_s() - self.options.idle_timeout_s
+        idle_before_s = self._timers.now_s() - self.options.idle_timeout_s
         for host, link in tuple(self._link_by_host.items()):
-            if link.last_used_at_s < limit_s and link.idle:
+            if link.last_used_at_s < idle_before_s and link.idle:
                 self.close_link(host)
 
     def _queue(self, host: HostName, envelope: Envelope) -> bool:
@@ -268,7 +288,7 @@
         return link.queue(envelope)
 
     def _receive(self, frame: Frame) -> None:
-        """Handle control messages now, and bulk work later in order."""
+        """Handle control messages at once and queue bulk messages."""
         sender = Sender(frame.sender, frame.incarnation, frame.address)
         self._address_by_host.setdefault(frame.sender, frame.address)
         for envelope in frame.envelopes:
@@ -279,37 +299,38 @@
 
     def _handle(self, sender: Sender, envelope: Envelope) -> None:
         try:
-            self._accept(sender, envelope, decode_message(envelope))
+            self._dispatch(sender, envelope, decode_message(envelope))
         except Exception as error:
-            # One faulty handler must not cost the rest of the frame.
+            # The remaining messages of the frame are handled all the same.
             log_event(
                 Event.TASK_FAILED,
-                f'a message of kind {envelope.kind!r} raised {error!r}',
+                f'handling a message of kind {envelope.kind!r} raised '
+                f'{error!r}',
                 level=logging.ERROR,
             )
 
     def _refuse(self, sender: Sender, envelope: Envelope) -> None:
-        """Refuse a request for which the backlog has no room."""
+        """Refuse a request because the backlog is full."""
         if not envelope.exchange:
             return
         limit = self.options.queue_count
         failure = Failure(
             ResultCode.OVERLOADED,
-            f'{limit} messages wait at this daemon',
+            f'{limit} messages are queued at this daemon; its backlog is full',
         )
         self._reply(sender.host, envelope.exchange, failure)
 
-    def _accept(
+    def _dispatch(
         self,
         sender: Sender,
         envelope: Envelope,
         message: object,
     ) -> None:
         if envelope.reply:
-            self._note_reply(sender.host, envelope.exchange)
-            self._exchanges.resolve(envelope.exchange, message)
+            self._record_reply(sender.host, envelope.exchange)
+            self._pending_requests.resolve(envelope.exchange, message)
         elif envelope.exchange:
-            self._handlers.serve(
+            self._handlers.handle_request(
                 sender,
                 message,
                 partial(self._reply, sender.host, envelope.exchange),
@@ -317,10 +338,10 @@
         else:
             self._deliver(sender, message)
 
-    def _note_reply(self, host: HostName, exchange: int) -> None:
+    def _record_reply(self, host: HostName, exchange: int) -> None:
         link = self._link_by_host.get(host)
         if link is not None:
-            link.request_answered(exchange)
+            link.record_reply(exchange)
 
     def _deliver(self, sender: Sender, message: object) -> None:
         if isinstance(message, Probe):
@@ -329,12 +350,12 @@
         if isinstance(message, ProbeAnswer):
             link = self._link_by_host.get(sender.host)
             if link is not None:
-                link.probe_answered()
+                link.record_probe_answer()
             return
-        self._handlers.deliver(sender, message)
+        self._handlers.handle_message(sender, message)
 
     def _reply(self, host: HostName, exchange: int, result: object) -> None:
-        """Send the result of a request handler."""
+        """Send the result of a request handler, a failure as a `Refusal`."""
         if isinstance(result, Failure):
             result = Refusal(
                 int(result.code),
@@ -344,6 +365,6 @@
         self._queue(host, encode_message(result, exchange, reply=True))
 
 
-def _settle(reply: asyncio.Future[Any], result: object) -> None:
+def _set_result(reply: asyncio.Future[Any], result: object) -> None:
     if not reply.done():
         reply.set_result(result)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -63,7 +63,11 @@
                 assert written == Conflict(key, version)
             latest = await store.get(key)
             assert latest == expected_by_key.get(key, Missing(key))
-        assert store.call_count == platform.calls_by_kind.total() == 2 * len(writes)
+        assert (
+            store.call_count
+            == platform.calls_by_kind.total()
+            == 2 * len(writes)
+        )
 
     with_store(scenario)
 
