--- a/boragespool/controllers/forwarding/configuration_follower.py
+++ b/boragespool/controllers/forwarding/configuration_follower.py
@@ -8,7 +8,7 @@
 from boragespool.controllers.forwarding.feed import ChangeFeed
 from boragespool.events import Event, log_event
 from boragespool.forwarding import index_routes
-from boragespool.metrics import REVISION
+from boragespool.metrics import CONFIGURATION_REVISION
 from boragespool.results import Failure
 
 if TYPE_CHECKING:
@@ -80,5 +80,5 @@
             routes=len(configuration.routes),
         )
         self.version = configuration.version
-        REVISION.set(configuration.version)
+        CONFIGURATION_REVISION.set(configuration.version)
         self._board.post(ROUTES, index_routes(configuration))
--- a/boragespool/controllers/forwarding/gateway.py
+++ b/boragespool/controllers/forwarding/gateway.py
@@ -16,7 +16,7 @@
 from boragespool.controllers.forwarding.scatter_gather import ScatterGather
 from boragespool.events import Event, log_event
 from boragespool.forwarding import Reply, SplitTurns, plan_deadlines
-from boragespool.metrics import FORWARD_LATENCY, FORWARDED
+from boragespool.metrics import FORWARD_LATENCY, FORWARDED_REQUESTS
 from boragespool.results import Failure, ResultCode
 from boragespool.types import RunState
 
@@ -201,7 +201,7 @@
         took_s = self._fleet.timers.now_s() - began_s
         outcome_label = _outcome_label(outcome)
         priority = str(routed_request.route.priority)
-        FORWARDED.labels(priority, outcome_label).inc()
+        FORWARDED_REQUESTS.labels(priority, outcome_label).inc()
         FORWARD_LATENCY.labels(priority).observe(took_s)
         is_ordinary = outcome_label == 'complete' and not any(
             call.sent_count > 1 for call in calls
@@ -245,7 +245,7 @@
     failure: Failure,
     version: int | None,
 ) -> None:
-    FORWARDED.labels('', 'refused').inc()
+    FORWARDED_REQUESTS.labels('', 'refused').inc()
     log_event(
         Event.REQUEST_FORWARDED,
         failure.reason,
@@ -257,7 +257,7 @@
 
 
 def _log_abandoned(routed_request: RoutedRequest) -> None:
-    FORWARDED.labels(str(routed_request.route.priority), 'abandoned').inc()
+    FORWARDED_REQUESTS.labels(str(routed_request.route.priority), 'abandoned').inc()
     log_event(
         Event.REQUEST_FORWARDED,
         'the caller closed the connection before the response was sent',
--- a/boragespool/metrics.py
+++ b/boragespool/metrics.py
@@ -31,7 +31,7 @@
     ('form', 'rank'),
     buckets=_LATENCY_BUCKETS_S,
 )
-FORWARDED: Final = Counter(
+FORWARDED_REQUESTS: Final = Counter(
     'boragespool_forwarded_total',
     'Forwarded requests by priority and outcome.',
     ('priority', 'outcome'),
@@ -66,7 +66,7 @@
     'boragespool_loop_lateness_seconds',
     'Mean time that work waited for the event loop because of own work.',
 )
-REVISION: Final = Gauge(
+CONFIGURATION_REVISION: Final = Gauge(
     'boragespool_revision_in_force',
     'Configuration revision in force.',
 )
