Reword boragespool/store in plain terms

Docstrings called result classes sentinels and said that a lease is taken or given back. They now say what each result means, and a lease is acquired and released. tests/test_store.py passes.

--- a/boragespool/store/__init__.py
+++ b/boragespool/store/__init__.py
@@ -1,4 +1,4 @@
-"""Client of the platform's key-value store and host list."""
+"""Client of the platform's key-value store, leases and host list."""
 
 from __future__ import annotations
 
--- a/boragespool/store/client.py
+++ b/boragespool/store/client.py
@@ -1,4 +1,4 @@
-"""Client of the platform's key-value service over HTTP and JSON."""
+"""HTTP client of the platform's key-value store, leases and host list."""
 
 from __future__ import annotations
 
@@ -38,30 +38,29 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Version:
-    """Answer to a write, and to a watch without news."""
+class _VersionAnswer:
+    """Version in the body of the answer to a write or to a watch."""
 
     version: int
 
 
 class StoreClient:
-    """Calls of one process to the store, an async context manager.
+    """Client of the store, an async context manager.
 
     Parameters
     ----------
     address : str
         ``ip:port`` of the platform.
     timeout_s : float
-        Longest time for one call, in seconds; a watch may wait `wait_s`
-        longer.
+        Timeout of a call, in seconds; `wait_s` is added for a watch.
     connection_count : int, optional
-        Calls at the same time, and watches at the same time.
+        Maximum number of concurrent calls, and of concurrent watches.
 
     Attributes
     ----------
     calls_by_kind : Counter of str
-        Calls that were sent or attempted: ``get``, ``put``, ``watch``,
-        ``lease``, ``hosts``.
+        Number of calls, failed ones included, by kind: ``get``, ``put``,
+        ``watch``, ``lease``, ``hosts``.
     """
 
     def __init__(
@@ -70,12 +69,13 @@
         timeout_s: Seconds,
         connection_count: int = _CONNECTION_COUNT,
     ) -> None:
-        """Keep the settings; connections open at the first call."""
+        """Create a client without connections; the first call opens one."""
         self.calls_by_kind: Counter[str] = Counter()
         self._address = address
         self._timeout_s = timeout_s
         self._pool = ConnectionPool(connection_count)
-        # A watch holds its connection for long; it must not delay calls.
+        # A watch occupies its connection while it waits. Watches have a pool
+        # of their own, so that they do not delay calls.
         self._watch_pool = ConnectionPool(connection_count)
         self._available = True
 
@@ -90,7 +90,7 @@
 
     @property
     def call_count(self) -> int:
-        """Number of calls of all kinds."""
+        """Number of calls of all kinds, failed ones included."""
         return self.calls_by_kind.total()
 
     async def get(self, key: str) -> StoredValue | Missing | Failure:
@@ -104,14 +104,15 @@
         Returns
         -------
         StoredValue or Missing or Failure
-            ``STORE_UNAVAILABLE`` if no valid answer arrived in time.
+            A failure has code ``STORE_UNAVAILABLE``: no valid answer arrived
+            within the timeout.
         """
-        response = await self._call('get', HttpRequest('GET', _target(key)))
+        response = await self._call('get', HttpRequest('GET', _key_target(key)))
         if isinstance(response, Failure):
             return response
         if response.status == _NOT_FOUND:
             return Missing(key)
-        return _decoded(response, StoredValue)
+        return _decode(response, StoredValue)
 
     async def put(
         self,
@@ -119,7 +120,7 @@
         value: str,
         expected_version: int,
     ) -> int | Conflict | Failure:
-        """Write one key if its version is the expected one.
+        """Write one key if its version is the expected one (compare-and-swap).
 
         Parameters
         ----------
@@ -128,27 +129,29 @@
         value : str
             New value, at most 1 MB in UTF-8.
         expected_version : int
-            Version that the writer read; 0 if the key must not exist.
+            Version that the caller read; 0 if the key must not exist.
 
         Returns
         -------
         int or Conflict or Failure
-            The new version. A failure with run state ``NOT_RUN`` promises
+            The new version. A failure with run state ``NOT_RUN`` guarantees
             that nothing was written; with ``UNKNOWN`` the answer was lost,
             and the write may still take effect.
         """
         body = {'value': value, 'expected_version': expected_version}
-        request = HttpRequest('PUT', _target(key), msgspec.json.encode(body))
+        request = HttpRequest(
+            'PUT', _key_target(key), msgspec.json.encode(body)
+        )
         response = await self._call('put', request)
         if isinstance(response, Failure):
             return response
         if response.status == _TOO_LARGE:
             return Failure(
                 ResultCode.VALUE_TOO_LARGE,
-                f'the store refused {len(value)} characters for {key!r}; '
-                'at most 1 MB is allowed',
+                f'the value of {len(value)} characters for key {key!r} is too '
+                'large for the store; at most 1 MB in UTF-8 is allowed',
             )
-        answer = _decoded(response, _Version, RunState.UNKNOWN)
+        answer = _decode(response, _VersionAnswer, RunState.UNKNOWN)
         if isinstance(answer, Failure):
             return answer
         if response.status == _CONFLICT:
@@ -161,21 +164,22 @@
         after_version: int,
         wait_s: Seconds,
     ) -> StoredValue | Unchanged | Failure:
-        """Wait for a version that is higher than one already known.
+        """Wait until a key has a newer version (long poll).
 
         Parameters
         ----------
         key : str
             Path such as ``config/current``.
         after_version : int
-            Known version; 0 if the key is not known.
+            Version that the caller knows; 0 if it knows none.
         wait_s : float
-            Longest wait at the store, in seconds.
+            Maximum time that the store waits for a write, in seconds.
 
         Returns
         -------
         StoredValue or Unchanged or Failure
-            The newest version, or `Unchanged` after `wait_s`.
+            The latest version, or `Unchanged` if there was none within
+            `wait_s`.
         """
         path = quote(key, safe='/')
         target = f'/v1/watch/{path}?after={after_version}&wait_s={wait_s}'
@@ -188,12 +192,12 @@
             return response
         if response.status == _NOT_FOUND:
             return Unchanged(key, 0)
-        answer = _decoded(response, _Version)
+        answer = _decode(response, _VersionAnswer)
         if isinstance(answer, Failure):
             return answer
         if answer.version <= after_version:
             return Unchanged(key, answer.version)
-        return _decoded(response, StoredValue)
+        return _decode(response, StoredValue)
 
     async def lease(
         self,
@@ -201,12 +205,21 @@
         holder: str,
         ttl_s: Seconds,
     ) -> Lease | LeaseHeld | Failure:
-        """Take or renew a lease; `ttl_s` of 0 gives it back.
+        """Acquire or renew a lease.
+
+        Parameters
+        ----------
+        name : str
+            Lease.
+        holder : str
+            Who acquires it.
+        ttl_s : float
+            Time until the lease expires, in seconds; 0 releases it.
 
         Returns
         -------
         Lease or LeaseHeld or Failure
-            A failure with run state ``UNKNOWN`` may have taken the lease.
+            After a failure with run state ``UNKNOWN`` the lease may be held.
         """
         body = {'name': name, 'holder': holder, 'ttl_s': ttl_s}
         request = HttpRequest('POST', '/v1/leases', msgspec.json.encode(body))
@@ -214,15 +227,15 @@
         if isinstance(response, Failure):
             return response
         if response.status == _CONFLICT:
-            return _decoded(response, LeaseHeld, RunState.UNKNOWN)
-        return _decoded(response, Lease, RunState.UNKNOWN)
+            return _decode(response, LeaseHeld, RunState.UNKNOWN)
+        return _decode(response, Lease, RunState.UNKNOWN)
 
     async def hosts(self) -> tuple[HostEntry, ...] | Failure:
-        """Read the list of live and leaving hosts, which lags."""
+        """Read the platform's list of hosts, which may be out of date."""
         response = await self._call('hosts', HttpRequest('GET', '/v1/hosts'))
         if isinstance(response, Failure):
             return response
-        return _decoded(response, tuple[HostEntry, ...])
+        return _decode(response, tuple[HostEntry, ...])
 
     async def _call(
         self,
@@ -230,7 +243,11 @@
         request: HttpRequest,
         wait_s: Seconds = 0,
     ) -> HttpResponse | Failure:
-        """Exchange once; answers that settle nothing become failures."""
+        """Send a request once; return a failure for an unexpected status.
+
+        A failed read has run state ``NOT_RUN``. So has a write of which no
+        byte was sent; after any other failed write it is ``UNKNOWN``.
+        """
         self.calls_by_kind[kind] += 1
         pool = self._watch_pool if wait_s else self._pool
         response = await pool.exchange(
@@ -240,30 +257,35 @@
         )
         is_read = request.method == 'GET'
         if isinstance(response, ExchangeFailure):
-            is_unsent = is_read or not response.sent
-            return self._fail(kind, response.reason, known=is_unsent)
+            had_no_effect = is_read or not response.sent
+            return self._mark_unavailable(
+                kind, response.reason, had_no_effect=had_no_effect
+            )
         if response.status not in {_OK, _NOT_FOUND, _CONFLICT, _TOO_LARGE}:
-            reason = f'answered with status {response.status}'
-            return self._fail(kind, reason, known=is_read)
-        self._note(available=True)
+            reason = f'unexpected HTTP status {response.status}'
+            return self._mark_unavailable(kind, reason, had_no_effect=is_read)
+        self._set_available(available=True)
         return response
 
-    def _fail(self, kind: str, reason: str, *, known: bool) -> Failure:
-        self._note(available=False, reason=reason)
+    def _mark_unavailable(
+        self, kind: str, reason: str, *, had_no_effect: bool
+    ) -> Failure:
+        """Record that the store is unavailable and return the failure."""
+        self._set_available(available=False, reason=reason)
         return Failure(
             ResultCode.STORE_UNAVAILABLE,
-            f'the store gave no answer to a {kind!r} call: {reason}',
-            RunState.NOT_RUN if known else RunState.UNKNOWN,
+            f'the call {kind!r} to the store failed: {reason}',
+            RunState.NOT_RUN if had_no_effect else RunState.UNKNOWN,
             retry_after_s=1,
         )
 
-    def _note(self, *, available: bool, reason: str = '') -> None:
-        """Log when the store becomes unavailable and available again."""
+    def _set_available(self, *, available: bool, reason: str = '') -> None:
+        """Record whether the store is available, and log a change of that."""
         if available == self._available:
             return
         self._available = available
         if available:
-            log_event(Event.STORE_AVAILABLE, 'the store answers again')
+            log_event(Event.STORE_AVAILABLE, 'the store is available again')
         else:
             log_event(
                 Event.STORE_UNAVAILABLE,
@@ -272,24 +294,24 @@
             )
 
 
-def _target(key: str) -> str:
+def _key_target(key: str) -> str:
     path = quote(key, safe='/')
     return f'/v1/kv/{path}'
 
 
-def _decoded(
+def _decode(
     response: HttpResponse,
-    kind: type[_ResultT],
+    answer_type: type[_ResultT],
     run: RunState = RunState.NOT_RUN,
 ) -> _ResultT | Failure:
-    """Decode the body; an invalid one settles nothing."""
-    decoder: msgspec.json.Decoder[Any] = msgspec.json.Decoder(kind)
+    """Decode the JSON body; return a failure with `run` if it is invalid."""
+    decoder: msgspec.json.Decoder[Any] = msgspec.json.Decoder(answer_type)
     try:
         decoded: _ResultT = decoder.decode(response.body)
     except msgspec.MsgspecError as error:
         return Failure(
             ResultCode.STORE_UNAVAILABLE,
-            f'the store sent an invalid answer: {error}',
+            f'the answer of the store is invalid: {error}',
             run,
         )
     return decoded
--- a/boragespool/store/values.py
+++ b/boragespool/store/values.py
@@ -1,4 +1,4 @@
-"""Answers of the platform's store."""
+"""Values that the store client returns."""
 
 from __future__ import annotations
 
@@ -10,14 +10,16 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredValue:
-    """A key with its value.
+    """Key of the store with its value.
 
     Attributes
     ----------
+    key : str
+        Path such as ``config/current``.
     value : str
         Text, at most 1 MB in UTF-8.
     version : int
-        Counts the writes of the key, from 1.
+        Number of writes of the key; 1 after the first.
     """
 
     key: str
@@ -27,14 +29,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Missing:
-    """Sentinel for a key that has never been written."""
+    """Result of reading a key that has never been written."""
 
     key: str
 
 
 @dataclass(frozen=True, slots=True)
 class Unchanged:
-    """Sentinel for a watch that ended without a newer version."""
+    """Result of a watch that ended without a newer version.
+
+    Attributes
+    ----------
+    version : int
+        Version in the store; 0 if the key has never been written.
+    """
 
     key: str
     version: int
@@ -42,7 +50,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Conflict:
-    """Sentinel for a write that lost; `version` is the one in the store."""
+    """Result of a write whose expected version is not the one in the store.
+
+    Attributes
+    ----------
+    version : int
+        Version in the store.
+    """
 
     key: str
     version: int
@@ -50,7 +64,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Lease:
-    """A lease that this process holds for `ttl_s` more seconds."""
+    """Lease that the caller holds.
+
+    Attributes
+    ----------
+    ttl_s : float
+        Time until it expires, in seconds.
+    """
 
     name: str
     holder: str
@@ -59,7 +79,15 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseHeld:
-    """Sentinel for a lease that somebody else holds."""
+    """Result of acquiring a lease that another holder has.
+
+    Attributes
+    ----------
+    holder : str
+        Current holder.
+    ttl_s : float
+        Time until it expires, in seconds.
+    """
 
     name: str
     holder: str
@@ -75,12 +103,12 @@
 
 @dataclass(frozen=True, slots=True)
 class HostEntry:
-    """One host of the platform's list.
+    """Entry of the platform's host list.
 
     Attributes
     ----------
     address : str
-        ``ip:port`` of the daemon on it; empty for other hosts.
+        ``ip:port`` of the daemon on the host; empty if it runs none.
     """
 
     host: HostName
