--- a/boragespool/blackboard/__init__.py
+++ b/boragespool/blackboard/__init__.py
@@ -1,4 +1,4 @@
-"""State that the controllers of one daemon share."""
+"""State shared by the controllers of one daemon (blackboard pattern)."""
 
 from __future__ import annotations
 
--- a/boragespool/blackboard/board.py
+++ b/boragespool/blackboard/board.py
@@ -1,4 +1,4 @@
-"""A typed blackboard: the latest value of each topic, with subscribers."""
+"""Typed blackboard: holds the latest value of each topic for subscribers."""
 
 from __future__ import annotations
 
@@ -13,21 +13,29 @@
 
 @dataclass(frozen=True, slots=True)
 class Topic(Generic[_ValueT]):
-    """Name of a slot on the blackboard and the value before the first post."""
+    """Key of a value on the blackboard.
+
+    Attributes
+    ----------
+    name : str
+        Unique name.
+    default : object
+        Value until the first post.
+    """
 
     name: str
     default: _ValueT
 
 
 class Blackboard:
-    """Holds one value per topic and tells subscribers about new ones.
+    """Holds one value per topic and calls subscribers when it changes.
 
-    All calls come from the event loop's thread. Values are immutable or are
-    treated as such.
+    It must be used in the thread of the event loop only. Values must not be
+    modified after they are posted.
     """
 
     def __init__(self) -> None:
-        """Start with the default of every topic."""
+        """Create a blackboard on which every topic has its default."""
         self._values_by_topic: dict[str, Any] = {}
         self._callbacks_by_topic: dict[str, list[Callable[[Any], None]]] = {}
 
@@ -49,12 +57,12 @@
         topic: Topic[_ValueT],
         callback: Callable[[_ValueT], None],
     ) -> Callable[[], None]:
-        """Call back with each later value.
+        """Call a function with each value that is posted from now on.
 
         Returns
         -------
-        Callable
-            Call it to end the subscription.
+        callable
+            Ends the subscription.
         """
         callbacks = self._callbacks_by_topic.setdefault(topic.name, [])
         callbacks.append(callback)
--- a/boragespool/blackboard/forwarding_topics.py
+++ b/boragespool/blackboard/forwarding_topics.py
@@ -12,17 +12,17 @@
     from boragespool.forwarding import HostRecord, Registration, RouteTable
     from boragespool.types import ServerName
 
-#: Routes in force; None until a configuration was read. Posted by the
-#: configuration follower.
+#: Routes of the configuration in force; None until a configuration was read.
+#: Posted by the configuration follower.
 ROUTES: Final[Topic[RouteTable | None]] = Topic('routes', None)
-#: Registrations of backend servers in force, by server; None until the store
-#: was read. Posted by the server registry.
+#: Current registrations of backend servers by server; None until the store was
+#: read. Posted by the server registry.
 REGISTRATIONS: Final[Topic[Mapping[ServerName, Registration] | None]] = Topic(
     'registered',
     None,
 )
-#: Daemons that accept requests, this one included while it does. Posted by the
-#: host registry.
+#: Daemons that accept requests, including this one while it accepts them.
+#: Posted by the host registry.
 SERVING_HOSTS: Final[Topic[tuple[HostRecord, ...]]] = Topic(
     'serving_hosts',
     (),
--- a/boragespool/blackboard/sharded.py
+++ b/boragespool/blackboard/sharded.py
@@ -1,4 +1,4 @@
-"""An immutable mapping of which a changed copy is cheap."""
+"""Immutable mapping with cheap modified copies (structural sharing)."""
 
 from __future__ import annotations
 
@@ -7,22 +7,24 @@
 from typing import Any, Final, Self, TypeVar
 
 _ValueT = TypeVar('_ValueT')
-#: A power of two. With 67,000 entries a shard has 131.
+#: Must be a power of two. With 67,000 entries a shard has 131.
 _SHARD_COUNT: Final = 512
 _SHARD_MASK: Final = _SHARD_COUNT - 1
 
 
 class ShardedMapping(Mapping[str, _ValueT]):
-    """Mapping that shares the unchanged shards with its changed copies.
+    """Immutable mapping, split by key hash into shards.
 
-    Copying a dictionary of 67,000 servers and comparing it with the one
-    before takes longer than 8 ms for each change.
+    A modified copy shares all unchanged shards with the original, which makes
+    copying and comparing cheap. With a plain dictionary of 67,000 servers, a
+    copy and a comparison with the previous one take more than 8 ms for each
+    change.
     """
 
     __slots__ = ('_shards',)
 
     def __init__(self) -> None:
-        """Start empty."""
+        """Create an empty mapping."""
         empty: dict[str, _ValueT] = {}
         self._shards = tuple(empty for _ in range(_SHARD_COUNT))
 
@@ -39,7 +41,10 @@
         return sum(map(len, self._shards))
 
     def __eq__(self, other: object) -> bool:
-        """Compare the shards that are not shared."""
+        """Return whether the items are equal.
+
+        Shards that both mappings share are not compared item by item.
+        """
         if isinstance(other, ShardedMapping):
             return self._shards == other._shards
         return super().__eq__(other)
@@ -51,15 +56,15 @@
         return self._shards[hash(key) & _SHARD_MASK].get(key, default)
 
     def updated(self, changes: Mapping[str, _ValueT]) -> Self:
-        """Return a copy with some values replaced or added."""
+        """Return a copy with the given items added or replaced."""
         shards = list(self._shards)
         copied: set[int] = set()
         for key, new_value in changes.items():
-            place = hash(key) & _SHARD_MASK
-            if place not in copied:
-                copied.add(place)
-                shards[place] = dict(shards[place])
-            shards[place][key] = new_value
+            shard_index = hash(key) & _SHARD_MASK
+            if shard_index not in copied:
+                copied.add(shard_index)
+                shards[shard_index] = dict(shards[shard_index])
+            shards[shard_index][key] = new_value
         copy = object.__new__(type(self))
         copy._shards = tuple(shards)
         return copy
--- a/boragespool/blackboard/topics.py
+++ b/boragespool/blackboard/topics.py
@@ -1,4 +1,7 @@
-"""Topics on the blackboard and the parts that post them."""
+"""Blackboard topics of daemons that run queries and claims.
+
+The comment on each topic names the component that posts it.
+"""
 
 from __future__ import annotations
 
@@ -20,15 +23,18 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerObservation:
-    """What this daemon saw of a backend server while it sent work there.
+    """State of a backend server as observed by sending work to it.
 
     Attributes
     ----------
     limit : int
-        Requests that it would run there at the same time.
-    draining_at_s, refused_at_s : float
-        Time of the latest reply ``draining`` and of the latest refused
-        connection, on the clock of the timer service.
+        Maximum number of requests that this daemon runs on the server at the
+        same time.
+    draining_at_s : float
+        Time of the latest reply ``draining``, on the clock of the timer
+        service; negative infinity if there was none.
+    refused_at_s : float
+        Time of the latest refused connection, on the same clock.
     """
 
     limit: int
@@ -36,34 +42,43 @@
     refused_at_s: Seconds = -math.inf
 
 
-#: Posted by the membership controller; includes this daemon's own record.
+#: Member records of all known daemons, including this one. Posted by the
+#: membership controller.
 MEMBERS: Final[Topic[Mapping[HostName, MemberRecord]]] = Topic('members', {})
-#: Posted by the server controller from own polls and from announcements.
+#: Records of all known backend servers, from this daemon's polls and from
+#: announcements of peers. Posted by the server controller.
 SERVERS: Final[Topic[Mapping[ServerName, ServerRecord]]] = Topic('servers', {})
-#: Posted by the configuration controller.
+#: Configuration revision in force; None until there is one. Posted by the
+#: configuration controller.
 DOCUMENT_IN_FORCE: Final[Topic[RevisionDocument | None]] = Topic(
     'in_force', None
 )
-#: Posted by the daemon.
+#: Life-cycle phase of this daemon. Posted by the daemon.
 PHASE: Final[Topic[Phase]] = Topic('phase', Phase.STARTING)
-#: Fingerprints of requests that crash backend servers; posted by dispatch.
+#: Fingerprints of requests that must not run because they crash backend
+#: servers. Posted by dispatch.
 BLOCKED_FINGERPRINTS: Final[Topic[frozenset[int]]] = Topic(
     'blocked', frozenset()
 )
-#: Fingerprints seen in the loss of one server; posted by dispatch.
+#: Fingerprints of requests that were in flight when a backend server was lost
+#: and that are not blocked. Posted by dispatch.
 SUSPECT_FINGERPRINTS: Final[Topic[frozenset[int]]] = Topic(
     'suspects', frozenset()
 )
-#: Hosts of the platform's list that are leaving; posted by configuration.
+#: Hosts that the platform lists as leaving. Posted by the configuration
+#: controller.
 LEAVING_HOSTS: Final[Topic[frozenset[str]]] = Topic(
     'leaving_hosts',
     frozenset(),
 )
-#: Requests of callers in flight at this daemon; posted by the caller API.
+#: Number of callers' requests in flight at this daemon. Posted by the caller
+#: API.
 LOAD: Final[Topic[float]] = Topic('load', 0)
-#: What the daemon admits of callers; posted by the overload controller.
+#: Shares of callers' requests that the daemon admits. Posted by the overload
+#: controller.
 ADMISSION: Final[Topic[Admission]] = Topic('admission', Admission())
-#: Posted by dispatch.
+#: Observations of the backend servers to which this daemon sends work. Posted
+#: by dispatch.
 SERVER_OBSERVATIONS: Final[Topic[Mapping[ServerName, ServerObservation]]] = (
     Topic(
         'observations',
--- a/boragespool/timers/__init__.py
+++ b/boragespool/timers/__init__.py
@@ -1,4 +1,4 @@
-"""The timer service that all parts subscribe to."""
+"""Timer service: the clock and the timers that the controllers use."""
 
 from __future__ import annotations
 
--- a/boragespool/timers/service.py
+++ b/boragespool/timers/service.py
@@ -1,4 +1,4 @@
-"""Timers on the event loop's clock or on a virtual clock."""
+"""Timers on the clock of the event loop or on a virtual clock."""
 
 from __future__ import annotations
 
@@ -16,26 +16,32 @@
 
 @dataclass(slots=True)
 class TimerHandle:
-    """A timer that can be cancelled."""
+    """Handle of a scheduled callback, with which it can be cancelled.
+
+    Attributes
+    ----------
+    active : bool
+        Whether it was not cancelled.
+    """
 
     callback: Callable[[], None]
     active: bool = True
 
     def cancel(self) -> None:
-        """Prevent further calls."""
+        """Cancel the timer; its callback is not called any more."""
         self.active = False
 
     def fire(self) -> None:
-        """Call back unless cancelled."""
+        """Call the callback unless the timer was cancelled."""
         if self.active:
             self.callback()
 
 
 class TimerService(Protocol):
-    """Monotonic time and callbacks, in seconds."""
+    """Interface to a monotonic clock and its timers; times are in seconds."""
 
     def now_s(self) -> Seconds:
-        """Return monotonic time."""
+        """Return the monotonic time, in seconds."""
         ...
 
     def after(
@@ -43,7 +49,7 @@
         delay_s: Seconds,
         callback: Callable[[], None],
     ) -> TimerHandle:
-        """Call back once."""
+        """Call a function once, after a delay in seconds."""
         ...
 
     def every(
@@ -51,35 +57,39 @@
         interval_s: Seconds,
         callback: Callable[[], None],
     ) -> TimerHandle:
-        """Call back at each interval until cancelled."""
+        """Call a function at each interval, in seconds, until cancelled."""
         ...
 
 
-def _repeat(
+def _schedule_repeating(
     timers: TimerService,
     interval_s: Seconds,
     callback: Callable[[], None],
 ) -> TimerHandle:
-    """Chain one-shot timers, so that a late tick delays the following ones."""
+    """Schedule a callback repeatedly with a chain of one-shot timers.
+
+    The next call is due one interval after the last one began, so that a late
+    call delays the following ones and none is made up for.
+    """
 
-    def tick() -> None:
-        timers.after(interval_s, subscription.fire)
+    def reschedule_and_call() -> None:
+        timers.after(interval_s, handle.fire)
         callback()
 
-    def tick_if_active() -> None:
-        if subscription.active:
-            tick()
+    def call_if_active() -> None:
+        if handle.active:
+            reschedule_and_call()
 
-    subscription = TimerHandle(tick_if_active)
-    timers.after(interval_s, subscription.fire)
-    return subscription
+    handle = TimerHandle(call_if_active)
+    timers.after(interval_s, handle.fire)
+    return handle
 
 
 class LoopTimers:
-    """Timers on the running asyncio loop."""
+    """Timers on the running asyncio event loop."""
 
     def now_s(self) -> Seconds:
-        """Return the loop's monotonic time."""
+        """Return the monotonic time of the event loop, in seconds."""
         return asyncio.get_running_loop().time()
 
     def after(
@@ -87,32 +97,38 @@
         delay_s: Seconds,
         callback: Callable[[], None],
     ) -> TimerHandle:
-        """Call back once."""
-        subscription = TimerHandle(callback)
+        """Call a function once, after a delay in seconds."""
+        handle = TimerHandle(callback)
         loop = asyncio.get_running_loop()
-        loop.call_later(delay_s, subscription.fire)
-        return subscription
+        loop.call_later(delay_s, handle.fire)
+        return handle
 
     def every(
         self,
         interval_s: Seconds,
         callback: Callable[[], None],
     ) -> TimerHandle:
-        """Call back at each interval until cancelled."""
-        return _repeat(self, interval_s, callback)
+        """Call a function at each interval, in seconds, until cancelled."""
+        return _schedule_repeating(self, interval_s, callback)
 
 
 class VirtualTimers:
-    """Timers on a clock that only `advance` moves."""
+    """Timers on a virtual clock that only `advance` moves, for tests.
+
+    Parameters
+    ----------
+    start_s : float, optional
+        Initial time, in seconds.
+    """
 
     def __init__(self, start_s: Seconds = 0) -> None:
-        """Set the clock."""
+        """Set the clock; no timer is scheduled."""
         self._now_s = start_s
         self._order = itertools.count()
         self._heap: list[tuple[Seconds, int, TimerHandle]] = []
 
     def now_s(self) -> Seconds:
-        """Return virtual time."""
+        """Return the virtual time, in seconds."""
         return self._now_s
 
     def after(
@@ -120,25 +136,31 @@
         delay_s: Seconds,
         callback: Callable[[], None],
     ) -> TimerHandle:
-        """Call back once."""
-        subscription = TimerHandle(callback)
+        """Call a function once, after a delay in seconds."""
+        handle = TimerHandle(callback)
         due_s = self._now_s + delay_s
-        heapq.heappush(self._heap, (due_s, next(self._order), subscription))
-        return subscription
+        heapq.heappush(self._heap, (due_s, next(self._order), handle))
+        return handle
 
     def every(
         self,
         interval_s: Seconds,
         callback: Callable[[], None],
     ) -> TimerHandle:
-        """Call back at each interval until cancelled."""
-        return _repeat(self, interval_s, callback)
+        """Call a function at each interval, in seconds, until cancelled."""
+        return _schedule_repeating(self, interval_s, callback)
 
     def advance(self, duration_s: Seconds) -> None:
-        """Move the clock and fire what falls due, in order of time."""
+        """Move the clock and fire the timers that fall due, in order of time.
+
+        Parameters
+        ----------
+        duration_s : float
+            Time by which the clock moves, in seconds.
+        """
         end_s = self._now_s + duration_s
         while self._heap and self._heap[0][0] <= end_s:
-            due_s, _, subscription = heapq.heappop(self._heap)
+            due_s, _, handle = heapq.heappop(self._heap)
             self._now_s = due_s
-            subscription.fire()
+            handle.fire()
         self._now_s = end_s
