Reword the docstrings of the messages between daemons

They told stories of asking and telling, and left out most fields. They now name requests, replies and notices, and describe the fields that a newcomer cannot guess. Class and field names stay.

--- a/boragespool/messages/__init__.py
+++ b/boragespool/messages/__init__.py
@@ -1,4 +1,7 @@
-"""Frozen data classes that daemons send to each other."""
+"""Messages between daemons, as frozen data classes.
+
+Class names and field names are part of the wire format.
+"""
 
 from __future__ import annotations
 
--- a/boragespool/messages/claims.py
+++ b/boragespool/messages/claims.py
@@ -1,4 +1,8 @@
-"""Claims between the receiving daemon, the issuer and the witness."""
+"""Messages about claims between receiving daemon, ticket issuer and witness.
+
+The issuer of a ticket runs its claim. The witness is another daemon, which
+records the start and the outcome and can seal a ticket, so that it never runs.
+"""
 
 from __future__ import annotations
 
@@ -18,7 +22,12 @@
 
 
 class ClaimState(enum.StrEnum):
-    """State of a ticket at its issuer or its witness."""
+    """State of a ticket at its issuer or its witness.
+
+    ``STARTING``: the issuer asks the witness to record the start.
+    ``STARTED``: the claim may have run. ``OUTCOME``: the outcome is known.
+    ``SEALED``: the claim never runs.
+    """
 
     STARTING = 'starting'
     STARTED = 'started'
@@ -27,12 +36,13 @@
 
 
 class WitnessVerdict(enum.StrEnum):
-    """Answer of a witness.
+    """Result of a request to a witness.
 
-    ``RECORDED``: the record is kept. ``SEALED``: the ticket never runs.
-    ``STARTED``: a start without outcome. ``OUTCOME``: the outcome is known.
-    ``FORGOTTEN``: the witness cannot vouch for the ticket. ``SILENT``: the
-    witness did not answer in time; it may still record what it was asked.
+    ``RECORDED``: the record was stored. ``SEALED``: the ticket never runs.
+    ``STARTED``: a start is recorded, but no outcome. ``OUTCOME``: the outcome
+    is known. ``FORGOTTEN``: there is no record, and the witness cannot tell
+    whether there was one. ``SILENT``: the witness did not answer in time; it
+    may still have processed the request.
     """
 
     RECORDED = 'recorded'
@@ -45,16 +55,20 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimRecord:
-    """State of one ticket.
+    """State of one ticket and the outcome of its claim.
 
     Attributes
     ----------
+    sequence : int
+        Number of the ticket within the incarnation of its issuer.
     body_hash : int
-        xxhash of route and body; a ticket is bound to one claim.
+        xxhash of route and body, which binds the ticket to one claim.
     code : int
         Result code of the outcome.
+    run : RunState
+        Whether the claim was executed.
     outcome : Any
-        JSON value of the backend server.
+        JSON value that the backend server returned.
     reason : str
         Why the claim was not run or failed.
     """
@@ -73,7 +87,10 @@
 
 @dataclass(frozen=True, slots=True)
 class DroppedMark:
-    """Highest sequence number of an issuer whose record was dropped."""
+    """Highest sequence number of an issuer whose record was dropped.
+
+    An empty issuer stands for all issuers up to `issuer_incarnation`.
+    """
 
     issuer: HostName
     issuer_incarnation: Incarnation
@@ -82,10 +99,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardClaim:
-    """Hands a claim to the issuer of its ticket.
+    """Request to the issuer of a ticket to run its claim.
 
-    A rank lowers that of the route. With `outcome_only` the issuer seals a
-    ticket that has not started.
+    Attributes
+    ----------
+    body : bytes
+        JSON of the caller's request.
+    deadline_s : float
+        Time left when the message was sent, in seconds.
+    rank : Rank or None
+        Rank that the caller asked for; it can only lower that of the route.
+    outcome_only : bool
+        Whether to return the outcome without running the claim; a ticket that
+        has not started is sealed.
     """
 
     ticket: str
@@ -99,7 +125,21 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimReply:
-    """Result of a claim."""
+    """Result of a claim.
+
+    Attributes
+    ----------
+    code : int
+        Result code.
+    run : RunState
+        Whether the claim was executed.
+    outcome : Any
+        JSON value that the backend server returned.
+    reason : str
+        Why the claim was not run or failed.
+    retry_after_s : float
+        Earliest useful time of another attempt, in seconds; 0 if unknown.
+    """
 
     code: int
     run: RunState
@@ -110,7 +150,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordStart:
-    """Asks the witness to record that a ticket starts."""
+    """Request to the witness to record that a claim starts.
+
+    Attributes
+    ----------
+    witness, witness_incarnation : str, int
+        Witness that the ticket names. A successor that took over its records
+        answers in its place.
+    """
 
     record: ClaimRecord
     witness: HostName
@@ -119,7 +166,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordOutcome:
-    """Tells the witness the outcome of a ticket."""
+    """Request to the witness to record the outcome of a claim."""
 
     record: ClaimRecord
     witness: HostName
@@ -128,7 +175,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SealTicket:
-    """Asks the witness to seal a ticket that has not started."""
+    """Request to the witness to seal a ticket that has not started."""
 
     record: ClaimRecord
     witness: HostName
@@ -137,7 +184,13 @@
 
 @dataclass(frozen=True, slots=True)
 class WitnessReply:
-    """Answers `RecordStart`, `RecordOutcome` and `SealTicket`."""
+    """Reply to `RecordStart`, `RecordOutcome` and `SealTicket`.
+
+    Attributes
+    ----------
+    record : ClaimRecord or None
+        What the witness has recorded, if that decided the verdict.
+    """
 
     verdict: WitnessVerdict
     record: ClaimRecord | None = None
@@ -145,14 +198,21 @@
 
 @dataclass(frozen=True, slots=True)
 class HandOver:
-    """Moves the witness records of a leaving daemon.
+    """Request to take over the witness records of a leaving daemon.
+
+    The records are sent in several messages.
 
     Attributes
     ----------
     identities : tuple of (str, int)
-        Hosts and incarnations for which the sender was the witness.
+        Hosts and incarnations for which the sender answers as the witness.
+    records : tuple of ClaimRecord
+        Part of the records.
+    dropped : tuple of DroppedMark
+        Marks of the records that the sender has dropped.
     last : bool
-        Whether the receiver now stands for the identities.
+        Whether this is the last message, after which the receiver answers for
+        `identities`.
     """
 
     identities: tuple[tuple[HostName, Incarnation], ...]
@@ -163,6 +223,6 @@
 
 @dataclass(frozen=True, slots=True)
 class HandOverAck:
-    """Confirms one `HandOver`."""
+    """Reply to `HandOver`."""
 
     accepted: bool
--- a/boragespool/messages/hosts.py
+++ b/boragespool/messages/hosts.py
@@ -1,4 +1,4 @@
-"""Spread of the platform's list of leaving hosts between daemons."""
+"""Messages that distribute the platform's list of leaving hosts."""
 
 from __future__ import annotations
 
@@ -9,15 +9,15 @@
 
 @dataclass(frozen=True, slots=True)
 class LeavingHosts:
-    """Hosts that the platform lists as leaving.
+    """List of the hosts that are leaving, as read from the platform.
 
     Attributes
     ----------
     sequence : int
-        One more than the highest sequence that the watcher knew; 0 if no
-        list is known.
+        Version of the list: one more than the highest that the watcher knew;
+        0 if no list is known.
     watcher : str
-        Daemon that read the list; orders lists of the same sequence.
+        Daemon that read the list; decides between lists of the same sequence.
     """
 
     sequence: int
@@ -27,7 +27,13 @@
 
 @dataclass(frozen=True, slots=True)
 class LeavingHostsRequest:
-    """Asks for the list unless the receiver has the same or an older one."""
+    """Request for a list newer than the one that the sender has.
+
+    Attributes
+    ----------
+    sequence, watcher : int, str
+        Version of the sender's list, as in `LeavingHosts`.
+    """
 
     sequence: int
     watcher: HostName
--- a/boragespool/messages/membership.py
+++ b/boragespool/messages/membership.py
@@ -1,4 +1,4 @@
-"""Gossip and failure detection."""
+"""Messages of the membership gossip and the failure detector."""
 
 from __future__ import annotations
 
@@ -17,20 +17,24 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberRecord:
-    """What is known about one daemon.
+    """State of one daemon as known to its peers.
 
     Attributes
     ----------
     incarnation : int
-        Wall time at process start in milliseconds.
+        Wall-clock time at process start, in milliseconds.
     beat : int
-        Counts changes of the record within one incarnation.
+        Version of the record within one incarnation. Changes of `load` and
+        `revision` do not raise it.
+    peer_address, caller_address : str
+        ``ip:port`` on which the daemon listens for peers and for callers.
     load : float
-        Requests in flight at the daemon, smoothed.
+        Smoothed number of requests in flight at the daemon.
     revision : int
-        Revision in force; 0 for none.
+        Configuration revision in force; 0 for none.
     successor : str
-        Host that took over the witness records of a leaving daemon.
+        Host that took over the witness records of a leaving daemon; empty if
+        none did.
     """
 
     host: HostName
@@ -48,9 +52,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Ping:
-    """Asks a daemon for an `Ack`; carries records on the side.
+    """Request for an `Ack`, sent by the failure detector.
 
-    With `join` a daemon that has just started asks for the whole view.
+    Attributes
+    ----------
+    records : tuple of MemberRecord
+        Gossip that is piggybacked on the ping.
+    join : bool
+        Whether the sender has just started and asks for all member records.
     """
 
     records: tuple[MemberRecord, ...] = ()
@@ -59,7 +68,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Ack:
-    """Answers a `Ping` or a `PingRequest`."""
+    """Reply to a `Ping` or a `PingRequest`.
+
+    Attributes
+    ----------
+    reached : bool
+        Whether the target of a `PingRequest` answered.
+    records : tuple of MemberRecord
+        Gossip that is piggybacked on the reply.
+    """
 
     reached: bool = True
     records: tuple[MemberRecord, ...] = ()
@@ -67,13 +84,13 @@
 
 @dataclass(frozen=True, slots=True)
 class PingRequest:
-    """Asks a daemon to ping another one."""
+    """Request to ping a third daemon (indirect ping)."""
 
     target: HostName
 
 
 @dataclass(frozen=True, slots=True)
 class Gossip:
-    """Spreads member records without an answer."""
+    """One-way message with member records."""
 
     records: tuple[MemberRecord, ...]
--- a/boragespool/messages/revisions.py
+++ b/boragespool/messages/revisions.py
@@ -1,4 +1,4 @@
-"""Spread of configuration revisions between daemons."""
+"""Messages that distribute configuration revisions."""
 
 from __future__ import annotations
 
@@ -9,12 +9,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RevisionRequest:
-    """Asks for the revision if it is newer than `have`.
+    """Request for the revision in force at a peer, if it is newer.
 
     Attributes
     ----------
+    have : int
+        Revision that the sender has.
     takes_manifest : bool
-        False from releases that know whole documents only.
+        Whether the sender accepts a manifest; False from older releases,
+        which know only whole documents.
     """
 
     have: Revision
@@ -23,12 +26,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RevisionReply:
-    """Answers with the revision, or with nothing newer.
+    """Reply to `RevisionRequest`.
+
+    Document and manifest are both empty if the peer has no newer revision.
 
     Attributes
     ----------
     document : bytes
-        JSON of the whole document; empty if `manifest` is not.
+        JSON of the whole document; empty if `manifest` is given.
     manifest : bytes
         JSON of the manifest without its audit trail.
     """
@@ -40,13 +45,25 @@
 
 @dataclass(frozen=True, slots=True)
 class PartsRequest:
-    """Asks for the texts of parts and indexes by their hashes."""
+    """Request for the texts of parts and indexes.
+
+    Attributes
+    ----------
+    parts : tuple of str
+        Hashes of the texts.
+    """
 
     parts: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class PartsReply:
-    """Answers with those texts that the peer has, up to a size."""
+    """Reply to `PartsRequest`.
+
+    Attributes
+    ----------
+    texts : tuple of bytes
+        Requested texts that the peer has, up to a limit of their total size.
+    """
 
     texts: tuple[bytes, ...] = ()
--- a/boragespool/messages/servers.py
+++ b/boragespool/messages/servers.py
@@ -1,4 +1,9 @@
-"""What dispatchers tell their peers about backend servers."""
+"""Messages about backend servers.
+
+The daemon that sends work to a backend server is the server's dispatcher. It
+announces the record of the server, and daemons repair missed announcements by
+an exchange of digests.
+"""
 
 from __future__ import annotations
 
@@ -17,7 +22,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Holding:
-    """Key ranges ``[start, end)`` of one index version on one server."""
+    """Key ranges of one index version that a server holds.
+
+    Attributes
+    ----------
+    ranges : tuple of (int, int)
+        Ranges ``[start, end)`` of hashed keys.
+    """
 
     version: IndexVersion
     ranges: tuple[tuple[int, int], ...]
@@ -25,15 +36,20 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerRecord:
-    """A backend server as its dispatcher last saw it.
+    """State of a backend server as last seen by its dispatcher.
 
     Attributes
     ----------
     sequence : int
-        Counts the changes of this server's record. A dispatcher that takes
-        the server over continues above the record that it knows.
+        Version of the record, increased by each change. A daemon that becomes
+        the dispatcher continues above the highest version that it knows.
+    incarnation : int
+        Incarnation of the backend server.
     limit : int
-        Requests that the dispatcher would run at the same time.
+        Maximum number of requests that the dispatcher runs on the server at
+        the same time.
+    holdings : tuple of Holding
+        Index versions and key ranges that the server holds.
     """
 
     server: ServerName
@@ -50,13 +66,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerAnnouncement:
-    """Spreads server records to peers.
+    """One-way message with server records.
 
     Attributes
     ----------
     is_repair : bool
-        Whether the records were sent after a comparison of digests. They
-        are not passed on, as most daemons have them.
+        Whether the records were sent after a comparison of digests. The
+        receiver does not forward such records, because most daemons have
+        them.
     """
 
     records: tuple[ServerRecord, ...]
@@ -65,12 +82,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerDigest:
-    """Asks a peer to compare the records of all servers.
+    """Request to compare the records of all servers.
 
     Attributes
     ----------
     hashes : bytes
-        Four bytes for each group of servers.
+        Hash of the records of each group of servers, 4 bytes per group.
     """
 
     hashes: bytes
@@ -78,14 +95,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerVersions:
-    """Answer to a digest: versions in some groups that differ.
+    """Reply to `ServerDigest`: record versions of groups that differ.
 
     Attributes
     ----------
     groups : tuple of int
-        Groups of the digest that were compared; empty if all agree.
+        Groups whose hash differs, or some of them; empty if all are equal.
     versions : bytes
-        Sixteen bytes for each record in these groups.
+        Versions of the records in these groups, 16 bytes per record.
     """
 
     groups: tuple[int, ...]
@@ -94,19 +111,27 @@
 
 @dataclass(frozen=True, slots=True)
 class ServersWanted:
-    """Asks a peer for the records of some servers, given by their keys."""
+    """Request for the records of some servers.
+
+    The peer sends them in a `ServerAnnouncement`.
+
+    Attributes
+    ----------
+    keys : tuple of int
+        Hashed names of the servers.
+    """
 
     keys: tuple[int, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class ServerPageRequest:
-    """Asks a peer for the records of the groups from one on.
+    """Request for a page of the records of all servers.
 
     Attributes
     ----------
     group : int
-        First group.
+        Group with which the page begins.
     """
 
     group: int
@@ -114,12 +139,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerPage:
-    """Records of some groups.
+    """Reply to `ServerPageRequest` with the records of consecutive groups.
 
     Attributes
     ----------
     next_group : int
-        First group that is not in this page; the number of groups at the end.
+        Group with which the next page begins; the number of groups if this is
+        the last page.
     """
 
     records: tuple[ServerRecord, ...]
@@ -128,17 +154,19 @@
 
 @dataclass(frozen=True, slots=True)
 class SuspectNotice:
-    """Tells peers that a backend server was lost with this work in flight.
+    """Notice that a backend server was lost while it ran a request.
 
     Attributes
     ----------
+    fingerprint : int
+        xxhash of route and body of the request.
     loss_id : str
-        Names the loss, so that a loss reported twice counts once:
-        ``server@incarnation``.
+        Identifies the loss as ``server@incarnation``, so that a loss reported
+        twice counts once.
     cleared : bool
-        True if an operator cleared the fingerprint.
+        Whether an operator cleared the fingerprint.
     alone : bool
-        Whether the work ran alone on the server as a suspect.
+        Whether the request was already a suspect and ran alone on the server.
     """
 
     fingerprint: int
@@ -149,4 +177,4 @@
 
 @dataclass(frozen=True, slots=True)
 class SuspectNoticeAck:
-    """Tells the sender of a notice that this daemon knows the loss."""
+    """Reply to `SuspectNotice`: the loss is recorded."""
--- a/boragespool/messages/work.py
+++ b/boragespool/messages/work.py
@@ -1,4 +1,7 @@
-"""Work that a merger or a claim issuer gives to a dispatcher."""
+"""Messages about work that a daemon sends to the dispatcher of a server.
+
+The sender is the merger of a query or the issuer of a claim's ticket.
+"""
 
 from __future__ import annotations
 
@@ -21,7 +24,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Item:
-    """One result of a query; `key` is the hashed key."""
+    """One result of a query.
+
+    Attributes
+    ----------
+    key : int
+        Hashed key.
+    value : Any
+        JSON value.
+    """
 
     key: int
     value: Any
@@ -29,20 +40,22 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkRequest:
-    """One attempt at one backend server.
+    """Request to run work once on one backend server.
 
     Attributes
     ----------
     version, start, end : int
-        Pinned index version and key range ``[start, end)``; 0 for a claim.
+        Pinned index version and range ``[start, end)`` of hashed keys; 0 for
+        a claim.
     body : bytes
         JSON of the caller's request.
     deadline_s : float
         Time left when the message was sent, in seconds.
     fingerprint : int
-        Identifies the caller's request in crash detection.
+        xxhash of route and body, by which crash detection recognises the
+        caller's request.
     solo : bool
-        Run only while nothing else runs on the server.
+        Whether to run it only while nothing else runs on the server.
     """
 
     attempt_id: AttemptId
@@ -63,22 +76,30 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkReply:
-    """Result of one attempt.
+    """Reply to `WorkRequest`.
 
     Attributes
     ----------
     code : int
         `ResultCode.COMPLETE` or the code of the failure.
+    run : RunState
+        Whether the work was executed.
+    version, start, end : int
+        Index version and key range that the items cover.
     items : tuple of Item
         Results of a query.
     outcome : Any
-        JSON value that the backend server answered to a claim.
+        JSON value that the backend server returned for a claim.
+    service_time_s, queue_time_s : float
+        Time that the work ran and that it was queued before, in seconds.
+    retry_after_s : float
+        Earliest useful time of another attempt, in seconds; 0 if unknown.
     waits_s : tuple of float
-        Estimated queueing time for new work at the server by rank, most
+        Estimated queueing time of new work at the server by rank, most
         important first, in seconds.
     item_count : int or None
-        Number of items that the backend server counted; None if the
-        dispatcher checked it and does not pass it on.
+        Number of items that the backend server stated; None if the
+        dispatcher has checked it and does not pass it on.
     """
 
     attempt_id: AttemptId
@@ -99,6 +120,6 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelWork:
-    """Withdraws an attempt; the dispatcher cancels it where it can."""
+    """Request to cancel an attempt; the dispatcher cancels it if it can."""
 
     attempt_id: AttemptId
