--- a/boragespool/__init__.py
+++ b/boragespool/__init__.py
@@ -1,4 +1,8 @@
-"""A query tier with consistent answers, at-most-once claims and ranks."""
+"""Query tier with snapshot-consistent answers and at-most-once claims.
+
+Daemons between callers and the backend servers that hold the shards of an
+index. Each request has a rank, which decides what is refused in overload.
+"""
 
 from __future__ import annotations
 
--- a/boragespool/controllers/forwarding/gateway.py
+++ b/boragespool/controllers/forwarding/gateway.py
@@ -257,7 +257,9 @@
 
 
 def _log_abandoned(routed_request: RoutedRequest) -> None:
-    FORWARDED_REQUESTS.labels(str(routed_request.route.priority), 'abandoned').inc()
+    FORWARDED_REQUESTS.labels(
+        str(routed_request.route.priority), 'abandoned'
+    ).inc()
     log_event(
         Event.REQUEST_FORWARDED,
         'the caller closed the connection before the response was sent',
--- a/boragespool/events.py
+++ b/boragespool/events.py
@@ -1,4 +1,4 @@
-"""Numbered log events and the JSON logger."""
+"""Numbered log events and the configuration of the JSON logger."""
 
 from __future__ import annotations
 
@@ -13,11 +13,11 @@
 
 
 class Event(enum.IntEnum):
-    """Number of a log event; ``docs/events.md`` is the catalogue.
+    """Number of a log event; ``docs/events.md`` describes each event.
 
-    100s: life cycle; 200s: callers; 300s: queries and dispatch; 400s: backend
-    servers; 500s: claims; 600s: membership and peers; 700s: configuration;
-    800s: platform.
+    100s: process life cycle; 200s: callers; 300s: queries and dispatch; 400s:
+    backend servers; 500s: claims; 600s: membership and links between daemons;
+    700s: configuration; 800s: platform and its store.
     """
 
     PROCESS_STARTED = 100
@@ -70,20 +70,22 @@
 
 
 def configure_logging(level: str, stream: TextIO | None = None) -> None:
-    """Send events as one JSON object per line to a stream.
+    """Log events to a stream, one JSON object per line.
 
     Parameters
     ----------
     level : str
         Name of a `logging` level, such as ``'INFO'``.
     stream : TextIO, optional
-        Destination; standard error by default.
+        Stream to write to; standard error by default.
     """
-    _use_handler(logging.StreamHandler(stream or sys.stderr), level)
+    _replace_handlers(logging.StreamHandler(stream or sys.stderr), level)
 
 
 def configure_bounded_logging(level: str, descriptor: int) -> None:
-    """Send events to a descriptor without ever waiting for its reader.
+    """Log events to a file descriptor with a rate limit and without blocking.
+
+    Lines that exceed the limits of `BoundedOutput` are dropped and counted.
 
     Parameters
     ----------
@@ -92,13 +94,13 @@
     descriptor : int
         File descriptor, such as that of standard output.
     """
-    _use_handler(
-        BoundedHandler(BoundedOutput(descriptor), _omission_record),
+    _replace_handlers(
+        BoundedHandler(BoundedOutput(descriptor), _make_omission_record),
         level,
     )
 
 
-def _omission_record(count: int) -> logging.LogRecord:
+def _make_omission_record(count: int) -> logging.LogRecord:
     return _LOGGER.makeRecord(
         _LOGGER.name,
         logging.WARNING,
@@ -115,8 +117,8 @@
     )
 
 
-def _use_handler(handler: logging.Handler, level: str) -> None:
-    """Replace all handlers of the product's logger."""
+def _replace_handlers(handler: logging.Handler, level: str) -> None:
+    """Make a handler the only one of the ``boragespool`` logger."""
     handler.setFormatter(
         JsonFormatter('%(asctime)s %(levelname)s %(message)s'),
     )
@@ -139,14 +141,14 @@
     Parameters
     ----------
     event : Event
-        Number from the catalogue.
+        Number of the event.
     message : str
-        One sentence.
+        One sentence for the reader of the log.
     level : int
         `logging` level.
     **fields
-        Further keys of the JSON object.
+        Additional keys of the JSON object.
     """
     if _LOGGER.isEnabledFor(level):
-        numbered = {'event': int(event), 'event_name': event.name}
-        _LOGGER.log(level, message, extra=numbered | fields)
+        event_fields = {'event': int(event), 'event_name': event.name}
+        _LOGGER.log(level, message, extra=event_fields | fields)
--- a/boragespool/item_store.py
+++ b/boragespool/item_store.py
@@ -1,4 +1,4 @@
-"""Interface to a key-value store with prefixes, revisions and leases."""
+"""Interface to a revisioned key-value store with prefix watches and leases."""
 
 from __future__ import annotations
 
@@ -14,12 +14,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Item:
-    """A key with its value.
+    """Key of the store with its value.
 
     Attributes
     ----------
     revision : int
-        Revision of the store at the last write of the key.
+        Revision of the store in which the key was last written.
     """
 
     key: str
@@ -29,7 +29,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Removal:
-    """A key that was removed at a revision."""
+    """Removal of a key.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of the store in which the key was removed.
+    """
 
     key: str
     revision: int
@@ -37,19 +43,21 @@
 
 @dataclass(frozen=True, slots=True)
 class ItemPage:
-    """A page of the keys with one prefix.
+    """Page of the items whose keys have one prefix.
 
     Attributes
     ----------
+    items : tuple of Item
+        Items in the order of their keys.
     revision : int
-        Revision of the store when it was read.
+        Revision of the store when the page was read.
     truncated : bool
         Whether more keys follow the last one.
     returned_ago_s : float or None
-        Time since the store returned from an outage, in seconds, if somebody
-        else read it; None if it did not fail.
+        If another daemon read the store: time since the store was reachable
+        again after an outage, in seconds. None if there was no outage.
     age_s : float
-        Time since it was read from the store, in seconds.
+        Time since the page was read from the store, in seconds.
     """
 
     items: tuple[Item, ...]
@@ -61,12 +69,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ItemEvents:
-    """Changes of the keys with one prefix.
+    """Changes of the items whose keys have one prefix.
 
     Attributes
     ----------
+    events : tuple of Item or Removal
+        Written items and removals.
     revision : int
-        Revision up to which the changes are complete.
+        Revision of the store up to which the changes are complete.
     returned_ago_s, age_s : float
         As in `ItemPage`.
     """
@@ -79,24 +89,30 @@
 
 @dataclass(frozen=True, slots=True)
 class HistoryLost:
-    """Sentinel for a watch whose changes the store no longer keeps."""
+    """Result of a watch from a revision that the store no longer keeps."""
 
 
 @dataclass(frozen=True, slots=True)
 class LeaseEnded:
-    """Sentinel for a lease that the store does not know."""
+    """Result of using a lease that the store does not know, as after expiry."""
 
 
 @dataclass(frozen=True, slots=True)
 class GrantedLease:
-    """A lease with the time for which it holds."""
+    """Lease with its time to live.
+
+    Attributes
+    ----------
+    ttl_s : float
+        Time until it expires unless renewed, in seconds.
+    """
 
     lease: LeaseId
     ttl_s: Seconds
 
 
 class ItemSource(Protocol):
-    """Reads of the store."""
+    """Interface for reading items."""
 
     async def read_page(
         self,
@@ -105,10 +121,18 @@
         *,
         may_be_stale: bool = False,
     ) -> ItemPage | Failure:
-        """Read the keys with a prefix that follow a key.
-
-        A stale page is seconds old and costs less; a watch from its revision
-        brings what is missing.
+        """Read a page of the items whose keys have a prefix.
+
+        Parameters
+        ----------
+        prefix : str
+            Prefix of the keys.
+        after : str, optional
+            Key after which the page begins.
+        may_be_stale : bool, optional
+            Whether a page that is some seconds old is accepted. It costs the
+            store less, and a watch from its revision returns the changes
+            since.
         """
         ...
 
@@ -118,12 +142,15 @@
         after_revision: int,
         wait_s: Seconds,
     ) -> ItemEvents | HistoryLost | Failure:
-        """Wait until there is a change after a revision, or `wait_s` passed."""
+        """Wait for changes after a revision, at most `wait_s` seconds."""
         ...
 
 
 class ItemStore(ItemSource, Protocol):
-    """Calls to the store; a `Failure` has the run state of a write."""
+    """Interface for reading and writing items and for holding leases.
+
+    The run state of a `Failure` tells whether a write took effect.
+    """
 
     async def put(
         self,
@@ -131,17 +158,17 @@
         value: bytes,
         lease: LeaseId,
     ) -> int | LeaseEnded | Failure:
-        """Write a key under a lease; return the revision."""
+        """Write a key under a lease; return the new revision of the store."""
         ...
 
     async def grant(self, ttl_s: Seconds) -> GrantedLease | Failure:
-        """Begin a lease."""
+        """Create a lease that expires after `ttl_s` seconds."""
         ...
 
     async def renew(self, lease: LeaseId) -> Seconds | LeaseEnded | Failure:
-        """Renew a lease; return the time for which it holds."""
+        """Renew a lease; return its time to live, in seconds."""
         ...
 
     async def end(self, lease: LeaseId) -> None:
-        """End a lease; its keys are removed."""
+        """End a lease; the store removes its keys."""
         ...
--- a/boragespool/metrics.py
+++ b/boragespool/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of a daemon, served at ``/metrics`` by prometheus_client."""
+"""Prometheus metrics of a daemon, served at ``/metrics``."""
 
 from __future__ import annotations
 
@@ -22,12 +22,12 @@
 
 REQUESTS: Final = Counter(
     'boragespool_requests_total',
-    'Requests of callers by form, rank and result code.',
+    'Requests of callers by form (query or claim), rank and result code.',
     ('form', 'rank', 'code'),
 )
 REQUEST_LATENCY: Final = Histogram(
     'boragespool_request_seconds',
-    'Time from a complete request to its answer.',
+    'Time from the receipt of a complete request to its answer.',
     ('form', 'rank'),
     buckets=_LATENCY_BUCKETS_S,
 )
@@ -38,13 +38,15 @@
 )
 FORWARD_LATENCY: Final = Histogram(
     'boragespool_forward_seconds',
-    'Time from a complete request to its final answer, by priority.',
+    'Time from the receipt of a complete request to its final answer, by '
+    'priority.',
     ('priority',),
     buckets=_LATENCY_BUCKETS_S,
 )
 FORWARD_WAITS: Final = Counter(
     'boragespool_forward_waits_total',
-    'Calls without room at a backend server, by priority and outcome.',
+    'Calls for which no backend server had a free slot, by priority and '
+    'outcome.',
     ('priority', 'outcome'),
 )
 COVERAGE: Final = Histogram(
@@ -54,7 +56,7 @@
 )
 ATTEMPTS: Final = Counter(
     'boragespool_attempts_total',
-    'Requests sent to dispatchers: first, hedge, retry, restart.',
+    'Attempts sent to dispatchers by kind: first, hedge, retry, restart.',
     ('kind',),
 )
 ADMITTED_RATIO: Final = Gauge(
@@ -64,7 +66,7 @@
 )
 LOOP_LATENESS: Final = Gauge(
     'boragespool_loop_lateness_seconds',
-    'Mean time that work waited for the event loop because of own work.',
+    'Mean event loop delay that the work of the daemon itself caused.',
 )
 CONFIGURATION_REVISION: Final = Gauge(
     'boragespool_revision_in_force',
--- a/boragespool/peers/link.py
+++ b/boragespool/peers/link.py
@@ -36,8 +36,8 @@
 
 _PROBE_KINDS: Final = frozenset((Probe.__name__, ProbeAnswer.__name__))
 #: Replies that are sent without a probe: the requester repeats its request if
-#: the reply is lost, and the pings of every daemon reveal a silent link. When
-#: these replies were probed, two thirds of the frames of a cluster that sent
+#: the reply is lost, and the pings of every daemon reveal a silent link. With
+#: probes of these replies, two thirds of all frames between daemons that sent
 #: only pings were probes.
 _UNPROBED_REPLY_KINDS: Final = frozenset(
     kind.__name__ for kind in (Ack, LeavingHosts, ServerPage, ServerVersions)
--- a/boragespool/peers/listener.py
+++ b/boragespool/peers/listener.py
@@ -92,7 +92,7 @@
         loop.call_soon(self._measure_iteration, loop.time())
 
     def _measure_iteration(self, started_at_s: Seconds) -> None:
-        """Set the duration of the current event loop iteration."""
+        """Measure how long the callbacks of one event loop iteration take."""
         self._loop_iteration_s = (
             asyncio.get_running_loop().time() - started_at_s
         )
--- a/boragespool/results.py
+++ b/boragespool/results.py
@@ -1,4 +1,4 @@
-"""Numbered result codes and the sentinel value that carries them."""
+"""Numbered result codes and the `Failure` that functions return with one."""
 
 from __future__ import annotations
 
@@ -11,10 +11,11 @@
 
 
 class ResultCode(enum.IntEnum):
-    """Outcome of a request; ``docs/result-codes.md`` explains each number.
+    """Outcome of an operation; ``docs/result-codes.md`` explains each code.
 
-    Codes 1000 to 1999 answer callers, 2000 to 2999 are about settings and
-    revisions, 3000 to 3999 are between daemons and towards other systems.
+    Codes 1000 to 1999 are answers to callers, 2000 to 2999 concern settings
+    and revisions, and 3000 to 3999 concern requests to other daemons and to
+    backend servers.
     """
 
     COMPLETE = 1000
@@ -71,7 +72,7 @@
     SERVER_SILENT = 3106
 
 
-_HTTP_STATUS: Final = MappingProxyType(
+_HTTP_STATUS_BY_CODE: Final = MappingProxyType(
     {
         ResultCode.COMPLETE: 200,
         ResultCode.PARTIAL: 200,
@@ -93,7 +94,7 @@
         ResultCode.QUEUE_FULL: 429,
     }
 )
-_FIRST_UNAVAILABLE: Final = 1200
+_FIRST_UNAVAILABLE_CODE: Final = 1200
 _BAD_REQUEST: Final = 400
 _UNAVAILABLE: Final = 503
 
@@ -111,24 +112,25 @@
     int
         The listed status; otherwise 400 for codes below 1200, else 503.
     """
-    default = _BAD_REQUEST if code < _FIRST_UNAVAILABLE else _UNAVAILABLE
-    return _HTTP_STATUS.get(code, default)
+    default = _BAD_REQUEST if code < _FIRST_UNAVAILABLE_CODE else _UNAVAILABLE
+    return _HTTP_STATUS_BY_CODE.get(code, default)
 
 
 @dataclass(frozen=True, slots=True)
 class Failure:
-    """Sentinel returned in place of a result, with the reason.
+    """Returned in place of a result by an operation that failed.
 
     Attributes
     ----------
     code : ResultCode
-        Number of the failure.
+        Kind of failure.
     reason : str
-        One sentence that names the offending value and what is allowed.
+        Error message: one sentence that names the invalid value and what is
+        allowed.
     run : RunState
-        Whether the work was executed. ``NOT_RUN`` is a promise.
+        Whether the work was executed. ``NOT_RUN`` guarantees that it was not.
     retry_after_s : float
-        Earliest useful time of another attempt, in seconds; 0 if unknown.
+        Time after which a retry can be useful, in seconds; 0 if unknown.
     """
 
     code: ResultCode
--- a/boragespool/tasks.py
+++ b/boragespool/tasks.py
@@ -1,4 +1,4 @@
-"""Background tasks that end with their owner."""
+"""Sets of background tasks that are cancelled together."""
 
 from __future__ import annotations
 
@@ -13,21 +13,21 @@
 
 
 class TaskSet:
-    """Tasks of one owner; a task that fails is logged."""
+    """Background tasks of one owner; exceptions are logged."""
 
     def __init__(self) -> None:
-        """Start with no tasks."""
+        """Create an empty set."""
         self._tasks: set[asyncio.Task[Any]] = set()
 
     def __len__(self) -> int:
         """Return the number of running tasks."""
         return len(self._tasks)
 
-    def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
-        """Run a coroutine in the background."""
-        task = asyncio.create_task(work)
+    def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Run a coroutine in a background task."""
+        task = asyncio.create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._finish)
+        task.add_done_callback(self._on_done)
         return task
 
     async def close(self) -> None:
@@ -37,7 +37,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _finish(self, task: asyncio.Task[Any]) -> None:
+    def _on_done(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
             return
--- a/boragespool/types.py
+++ b/boragespool/types.py
@@ -1,4 +1,4 @@
-"""Aliases and enumerations shared by all packages."""
+"""Type aliases and enumerations shared by all packages."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 HostName: TypeAlias = str
 DataCentre: TypeAlias = str
 Region: TypeAlias = str
-#: Names in lower case with their values, in order.
+#: HTTP header fields in order, as pairs of lower-case name and value.
 HeaderFields: TypeAlias = tuple[tuple[str, str], ...]
 CallerName: TypeAlias = str
 ServerName: TypeAlias = str
@@ -23,12 +23,12 @@
 #: ``host:port`` with a numeric IP address.
 Address: TypeAlias = str
 
-#: Keys are hashed to ``[0, KEY_SPACE_SIZE)``.
+#: Keys of an index are hashed to ``[0, KEY_SPACE_SIZE)``.
 KEY_SPACE_SIZE: Final = 2**32
 
 
 class Rank(enum.StrEnum):
-    """Importance of a piece of work, most important first."""
+    """Priority of work, highest first."""
 
     URGENT = 'urgent'
     ROUTINE = 'routine'
@@ -36,14 +36,14 @@
 
 
 class WorkKind(enum.StrEnum):
-    """Whether work may run more than once."""
+    """Kind of work: a query may run more than once, a claim must not."""
 
     QUERY = 'query'
     CLAIM = 'claim'
 
 
 class RunState(enum.StrEnum):
-    """What is known about the execution of a piece of work."""
+    """Whether work was executed; ``UNKNOWN`` if it may have been."""
 
     NOT_RUN = 'not_run'
     RUN = 'run'
@@ -51,7 +51,7 @@
 
 
 class ServerState(enum.StrEnum):
-    """State of a backend server as its dispatcher sees it."""
+    """State of a backend server according to its dispatcher."""
 
     SERVING = 'serving'
     COLD = 'cold'
@@ -60,7 +60,7 @@
 
 
 class MemberStatus(enum.StrEnum):
-    """State of a daemon as its peers see it."""
+    """Status of a daemon according to its peers."""
 
     ALIVE = 'alive'
     SUSPECT = 'suspect'
@@ -69,7 +69,7 @@
 
 
 class Phase(enum.StrEnum):
-    """Life cycle of a daemon."""
+    """Life-cycle phase of a daemon."""
 
     STARTING = 'starting'
     READY = 'ready'
