Clarify texts of peers, the log handler and the type aliases

The listener's docstring said that it never blocks, though it waits for the next frame in long loop iterations; probes and incarnations were not explained.

--- a/boragespool/controllers/backend_servers/crash_watch.py
+++ b/boragespool/controllers/backend_servers/crash_watch.py
@@ -31,7 +31,10 @@
 
 
 class CrashWatch:
-    """Posts `SUSPECT_FINGERPRINTS` and `BLOCKED_FINGERPRINTS` from own losses and the notices of peers."""
+    """Posts `SUSPECT_FINGERPRINTS` and `BLOCKED_FINGERPRINTS`.
+
+    They follow from own losses and the notices of peers.
+    """
 
     def __init__(self, context: Context, ledger: CrashLedger) -> None:
         """Register for the notices of peers."""
--- a/boragespool/log_output.py
+++ b/boragespool/log_output.py
@@ -110,7 +110,7 @@
         output: BoundedOutput,
         make_omission_record: Callable[[int], logging.LogRecord],
     ) -> None:
-        """Set up a handler for all levels."""
+        """Create a handler that accepts records of all levels."""
         super().__init__()
         self._output = output
         self._make_omission_record = make_omission_record
--- a/boragespool/messages/claims.py
+++ b/boragespool/messages/claims.py
@@ -138,7 +138,7 @@
     reason : str
         Why the claim was not run or failed.
     retry_after_s : float
-        Earliest useful time of another attempt, in seconds; 0 if unknown.
+        Time after which a retry can be useful, in seconds; 0 if unknown.
     """
 
     code: int
--- a/boragespool/messages/work.py
+++ b/boragespool/messages/work.py
@@ -93,7 +93,7 @@
     service_time_s, queue_time_s : float
         Time that the work ran and that it was queued before, in seconds.
     retry_after_s : float
-        Earliest useful time of another attempt, in seconds; 0 if unknown.
+        Time after which a retry can be useful, in seconds; 0 if unknown.
     waits_s : tuple of float
         Estimated queueing time of new work at the server by rank, most
         important first, in seconds.
--- a/boragespool/peers/backlog.py
+++ b/boragespool/peers/backlog.py
@@ -41,14 +41,14 @@
         """Create an empty queue."""
         self._limit = limit
         self._handle = handle
-        self._waiting: deque[tuple[Sender, Envelope]] = deque()
+        self._queue: deque[tuple[Sender, Envelope]] = deque()
         self._scheduled_batch: asyncio.Handle | None = None
 
     def add(self, sender: Sender, envelope: Envelope) -> bool:
         """Queue a message; return False for a request if the queue is full."""
-        if len(self._waiting) >= self._limit and not envelope.reply:
+        if len(self._queue) >= self._limit and not envelope.reply:
             return False
-        self._waiting.append((sender, envelope))
+        self._queue.append((sender, envelope))
         if self._scheduled_batch is None:
             self._scheduled_batch = asyncio.get_running_loop().call_soon(
                 self._handle_batch
@@ -57,18 +57,18 @@
 
     def close(self) -> None:
         """Drop all queued messages."""
-        self._waiting.clear()
+        self._queue.clear()
         if self._scheduled_batch is not None:
             self._scheduled_batch.cancel()
 
     def _handle_batch(self) -> None:
         self._scheduled_batch = None
         try:
-            for _ in range(min(_MESSAGES_PER_ITERATION, len(self._waiting))):
-                self._handle(*self._waiting.popleft())
+            for _ in range(min(_MESSAGES_PER_ITERATION, len(self._queue))):
+                self._handle(*self._queue.popleft())
         finally:
             # Also after an exception; otherwise the remaining messages would
             # not be handled until the next one arrives.
-            if self._waiting and self._scheduled_batch is None:
+            if self._queue and self._scheduled_batch is None:
                 loop = asyncio.get_running_loop()
                 self._scheduled_batch = loop.call_soon(self._handle_batch)
--- a/boragespool/peers/link.py
+++ b/boragespool/peers/link.py
@@ -117,10 +117,12 @@
 
         Control messages and bulk messages have separate queues.
         """
-        waiting = self._bulk_queue if envelope.is_bulk else self._control_queue
-        if len(waiting) >= self._options.queue_count:
+        selected_queue = (
+            self._bulk_queue if envelope.is_bulk else self._control_queue
+        )
+        if len(selected_queue) >= self._options.queue_count:
             return False
-        waiting.append(envelope)
+        selected_queue.append(envelope)
         if _needs_probe(envelope):
             self._has_unconfirmed_messages = True
             self._last_exchange = 0 if envelope.reply else envelope.exchange
@@ -176,7 +178,10 @@
             )
 
     def _probe(self) -> None:
-        """Send a probe if needed; reconnect if the last one timed out."""
+        """Send a probe if messages or an earlier probe are unconfirmed.
+
+        Reconnects first if no probe was answered for `silence_timeout_s`.
+        """
         self._probe_timer = None
         now_s = self._timers.now_s()
         since_s = self._probe_unanswered_since_s
@@ -208,9 +213,9 @@
         if self._flush_scheduled or self._blocked_sends or self._closing:
             return
         self._flush_scheduled = True
-        since_s = self._timers.now_s() - self._flushed_at_s
+        elapsed_s = self._timers.now_s() - self._flushed_at_s
         self._timers.after(
-            max(0, self._options.flush_interval_s - since_s),
+            max(0, self._options.flush_interval_s - elapsed_s),
             self._flush,
         )
 
--- a/boragespool/peers/listener.py
+++ b/boragespool/peers/listener.py
@@ -57,7 +57,7 @@
         self._loop_iteration_s: Seconds = 0
 
     def __enter__(self) -> Self:
-        """Listen.
+        """Open the socket and listen.
 
         Raises
         ------
@@ -78,13 +78,17 @@
         self._stack.close()
 
     def _receive(self) -> None:
-        """Receive up to `_FRAMES_PER_ITERATION` frames without blocking."""
+        """Receive at most `_FRAMES_PER_ITERATION` frames.
+
+        After a long iteration of the event loop, it blocks for up to
+        `_NEXT_FRAME_WAIT_S` to wait for each next frame.
+        """
         for _ in range(_FRAMES_PER_ITERATION):
             try:
                 received = self._socket.recv(block=False)
             except pynng.NNGException:
                 break
-            self._decode(received)
+            self._handle_frame(received)
             if self._loop_iteration_s > _LONG_ITERATION_S:
                 descriptor = self._socket.recv_fd
                 select.select((descriptor,), (), (), _NEXT_FRAME_WAIT_S)
@@ -97,7 +101,7 @@
             asyncio.get_running_loop().time() - started_at_s
         )
 
-    def _decode(self, received: bytes) -> None:
+    def _handle_frame(self, received: bytes) -> None:
         frame = decode_frame(received)
         if isinstance(frame, Failure):
             log_event(
--- a/boragespool/peers/network.py
+++ b/boragespool/peers/network.py
@@ -14,11 +14,6 @@
 
 from boragespool.events import Event, log_event
 from boragespool.peers.backlog import Backlog
-from boragespool.peers.pending_requests import (
-    PendingRequests,
-    no_reply_failure,
-    not_sent_failure,
-)
 from boragespool.peers.frames import (
     Envelope,
     Frame,
@@ -31,6 +26,11 @@
 from boragespool.peers.handlers import Handlers, Sender
 from boragespool.peers.link import PeerLink
 from boragespool.peers.listener import FrameListener
+from boragespool.peers.pending_requests import (
+    PendingRequests,
+    no_reply_failure,
+    not_sent_failure,
+)
 from boragespool.results import Failure, ResultCode
 from boragespool.tasks import TaskSet
 
@@ -277,6 +277,7 @@
                 self.close_link(host)
 
     def _queue(self, host: HostName, envelope: Envelope) -> bool:
+        """Queue a message on the link to a peer, which is opened if needed."""
         address = self._address_by_host.get(host)
         if address is None or self._closing:
             return False
@@ -344,6 +345,7 @@
             link.record_reply(exchange)
 
     def _deliver(self, sender: Sender, message: object) -> None:
+        """Process a probe or its answer, or call the handler of a message."""
         if isinstance(message, Probe):
             self.send(sender.host, ProbeAnswer(message.number))
             return
--- a/boragespool/types.py
+++ b/boragespool/types.py
@@ -17,7 +17,9 @@
 RequestId: TypeAlias = str
 AttemptId: TypeAlias = str
 IndexVersion: TypeAlias = int
+#: Identifies one run of a process, so that a restart can be recognised.
 Incarnation: TypeAlias = int
+#: Number of a configuration revision.
 Revision: TypeAlias = int
 Seconds: TypeAlias = float
 #: ``host:port`` with a numeric IP address.
