--- a/boragespool/controllers/backend_servers/backend.py
+++ b/boragespool/controllers/backend_servers/backend.py
@@ -9,7 +9,7 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
-from boragespool.blackboard.topics import BLOCKED
+from boragespool.blackboard.topics import BLOCKED_FINGERPRINTS
 from boragespool.controllers.backend_servers.backend_protocol import (
     cancel_to_http,
     read_cancel,
@@ -51,7 +51,7 @@
     from boragespool.controllers.context import Context
     from boragespool.messages import WorkReply, WorkRequest
     from boragespool.settings import RankSettings, ServiceSettings
-    from boragespool.timers import Subscription
+    from boragespool.timers import TimerHandle
 
 _CANCEL_TIMEOUT_S: Final = 0.5
 #: Time for the cancelled exchange itself to end before its connection closes.
@@ -86,7 +86,7 @@
         )
         self._context = context
         self._hooks = hooks
-        self._wakeup: Subscription | None = None
+        self._wakeup: TimerHandle | None = None
         self._wakeup_at_s = math.inf
 
     def configure(
@@ -197,7 +197,9 @@
         self._answer(job, reply)
 
     async def _attempt(self, job: Job) -> WorkReply:
-        if job.work.fingerprint in self._context.board.read(BLOCKED):
+        if job.work.fingerprint in self._context.board.read(
+            BLOCKED_FINGERPRINTS
+        ):
             return refusal(job.work, BLOCKED_FAILURE)
         if not self.health.incarnation:
             await self.health.learn_incarnation(self.pool)
--- a/boragespool/controllers/callers/overload.py
+++ b/boragespool/controllers/callers/overload.py
@@ -10,9 +10,9 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Final, Self
 
-from boragespool.blackboard.topics import ADMISSION, IN_FORCE
+from boragespool.blackboard.topics import ADMISSION, DOCUMENT_IN_FORCE
 from boragespool.events import Event, log_event
-from boragespool.metrics import ADMITTED, LATENESS
+from boragespool.metrics import ADMITTED_RATIO, LOOP_LATENESS
 from boragespool.ranks import (
     Admission,
     LoopWindow,
@@ -27,7 +27,7 @@
     from collections.abc import Callable, Mapping
 
     from boragespool.controllers.context import Context
-    from boragespool.timers import Subscription
+    from boragespool.timers import TimerHandle
     from boragespool.types import Seconds
 
 #: A timer of 40 calls per second costs about 0.1% of a core.
@@ -62,7 +62,7 @@
         self._admission = Admission()
         self._thinning_by_rank = {rank: RequestSampler() for rank in Rank}
         self._failure_by_rank: dict[Rank, Failure] = {}
-        self._subscription: Subscription | None = None
+        self._subscription: TimerHandle | None = None
         self._arrived: Counter[Rank] = Counter()
         self._admitted: Counter[Rank] = Counter()
         self._late_s: list[Seconds] = []
@@ -137,9 +137,9 @@
         now_s: Seconds,
     ) -> None:
         self._context.board.post(ADMISSION, after)
-        LATENESS.set(after.lateness_s)
+        LOOP_LATENESS.set(after.lateness_s)
         for rank, share in after.share_by_rank.items():
-            ADMITTED.labels(rank.value).set(share)
+            ADMITTED_RATIO.labels(rank.value).set(share)
         is_due = now_s - self._logged_s >= _LOG_INTERVAL_S
         if before.is_limited != after.is_limited or (
             is_due and before.share_by_rank != after.share_by_rank
@@ -148,7 +148,7 @@
             _log_change(before, after)
 
     def _floors(self) -> Mapping[Rank, float]:
-        document = self._context.board.read(IN_FORCE)
+        document = self._context.board.read(DOCUMENT_IN_FORCE)
         settings = document.settings if document else Settings()
         return {rank: given.floor for rank, given in settings.ranks.items()}
 
--- a/boragespool/controllers/claims/claims.py
+++ b/boragespool/controllers/claims/claims.py
@@ -10,7 +10,7 @@
 import secrets
 from typing import TYPE_CHECKING, Final, Self
 
-from boragespool.blackboard.topics import IN_FORCE, MEMBERS
+from boragespool.blackboard.topics import DOCUMENT_IN_FORCE, MEMBERS
 from boragespool.claims import (
     IssuerIdentity,
     Ticket,
@@ -43,7 +43,7 @@
     from boragespool.controllers.context import Context
     from boragespool.controllers.requests import ClaimRequest
     from boragespool.peers import Sender
-    from boragespool.timers import Subscription
+    from boragespool.timers import TimerHandle
     from boragespool.types import HostName, RequestId
 
 _EXPIRE_INTERVAL_S: Final = 5
@@ -82,7 +82,7 @@
             self._runner,
             self._witnesses,
         )
-        self._expiry: Subscription | None = None
+        self._expiry: TimerHandle | None = None
 
     async def __aenter__(self) -> Self:
         """Serve forwarded claims and witness messages."""
@@ -268,7 +268,7 @@
         )
 
     def _rank(self, claim: ForwardClaim) -> Rank:
-        document = self._context.board.read(IN_FORCE)
+        document = self._context.board.read(DOCUMENT_IN_FORCE)
         route = document.settings.routes.get(claim.route) if document else None
         if claim.rank is not None:
             return claim.rank
--- a/boragespool/controllers/claims/witnesses.py
+++ b/boragespool/controllers/claims/witnesses.py
@@ -10,7 +10,7 @@
 import logging
 from typing import TYPE_CHECKING, Final, Self, TypeAlias
 
-from boragespool.blackboard.topics import IN_FORCE, MEMBERS
+from boragespool.blackboard.topics import DOCUMENT_IN_FORCE, MEMBERS
 from boragespool.claims import (
     ClaimRecordTable,
     record_outcome,
@@ -37,7 +37,7 @@
 
     from boragespool.controllers.context import Context
     from boragespool.peers import Sender
-    from boragespool.timers import Subscription
+    from boragespool.timers import TimerHandle
     from boragespool.types import Seconds
 
 WitnessMessage: TypeAlias = RecordStart | RecordOutcome | SealTicket
@@ -62,7 +62,7 @@
         self._table = ClaimRecordTable()
         self._successor_by_witness: dict[_Identity, HostName] = {}
         self._handed_over: asyncio.Future[HostName | None] | None = None
-        self._subscriptions: list[Subscription] = []
+        self._subscriptions: list[TimerHandle] = []
         self._unsubscribe: Callable[[], None] | None = None
 
     async def __aenter__(self) -> Self:
@@ -261,7 +261,7 @@
             )
 
     def _settings(self) -> ClaimSettings:
-        document = self._context.board.read(IN_FORCE)
+        document = self._context.board.read(DOCUMENT_IN_FORCE)
         return document.settings.claims if document else ClaimSettings()
 
 
--- a/boragespool/timers/__init__.py
+++ b/boragespool/timers/__init__.py
@@ -1,12 +1,12 @@
-"""The timer service that all parts subscribe to."""
+"""Timer service: the clock and the timers that the controllers use."""
 
 from __future__ import annotations
 
 from boragespool.timers.service import (
     LoopTimers,
-    Subscription,
+    TimerHandle,
     TimerService,
     VirtualTimers,
 )
 
-__all__ = ('LoopTimers', 'Subscription', 'TimerService', 'VirtualTimers')
+__all__ = ('LoopTimers', 'TimerHandle', 'TimerService', 'VirtualTimers')
