Rename names of backend_servers that other folders use

ExchangeOptions.spread and .exchange, ServerPolls.changed, STEADY_TICKS and RecordRepair.serve did not say what they hold or do. They are now spread_limits, exchange_limits, reset_interval, TICKS_UNTIL_STEADY and register_handlers. The check and tests/test_servers.py and tests/test_record_exchange.py pass.

--- a/boragespool/bench/announcements.py
+++ b/boragespool/bench/announcements.py
@@ -109,7 +109,7 @@
     source: random.Random,
 ) -> tuple[float, float, int]:
     """Pass on all changes; return bytes/s, core share, largest second."""
-    limits = ExchangeOptions().spread
+    limits = ExchangeOptions().spread_limits
     queue = backends.SpreadQueue(limits, 0)
     hosts = tuple(f'entry-{number:04}' for number in range(_VIEW))
     waiting: float = 0
@@ -181,13 +181,13 @@
     count = backends.group_count(len(table.by_server))
     digest = table.digest(count)
     groups = backends.differing_groups(
-        other.digest(count), digest, options.exchange, source.random
+        other.digest(count), digest, options.exchange_limits, source.random
     )
     # The allowance for catching up lasts for hours, not for ever.
-    groups = groups[: options.exchange.group_count]
+    groups = groups[: options.exchange_limits.group_count]
     versions = backends.pack_versions(other, groups, count)
     compared = backends.compare_versions(table, groups, count, versions)
-    limits = options.exchange
+    limits = options.exchange_limits
     sent = backends.limit_total_size(
         compared.to_send, limits.group_count * limits.size_bytes
     )
--- a/boragespool/controllers/backend_servers/record_exchange.py
+++ b/boragespool/controllers/backend_servers/record_exchange.py
@@ -44,16 +44,16 @@
         Time between two messages with changes of others.
     digest_interval_s : float
         Time between two comparisons with a random member.
-    spread, exchange : SpreadLimits, ExchangeLimits
+    spread_limits, exchange_limits : SpreadLimits, ExchangeLimits
         Bounds on what is sent.
     """
 
     spread_interval_s: Seconds = 1
     digest_interval_s: Seconds = 3
-    spread: backends.SpreadLimits = field(
+    spread_limits: backends.SpreadLimits = field(
         default_factory=backends.SpreadLimits,
     )
-    exchange: backends.ExchangeLimits = field(
+    exchange_limits: backends.ExchangeLimits = field(
         default_factory=backends.ExchangeLimits,
     )
 
@@ -96,13 +96,13 @@
         self._has_joined = False
         self._flush_is_due = False
         self._queue = backends.SpreadQueue(
-            options.spread,
+            options.spread_limits,
             context.timers.now_s(),
         )
         self._repair = RecordRepair(
             context,
             table,
-            options.exchange,
+            options.exchange_limits,
             hooks.server_count,
             self._merge,
         )
@@ -113,7 +113,7 @@
         """Answer peers, and exchange with them from now on."""
         context = self._context
         context.peers.on_message(ServerAnnouncement, self._receive)
-        self._repair.serve()
+        self._repair.register_handlers()
         unsubscribe = context.board.subscribe(MEMBERS, self._follow_members)
         self._stack.callback(unsubscribe)
         for interval_s, tick in (
@@ -187,10 +187,14 @@
 
     def _spread_urgent(self) -> None:
         self._flush_is_due = False
-        self._send_changes(self._options.spread.send_count, urgent_only=True)
+        self._send_changes(
+            self._options.spread_limits.send_count, urgent_only=True
+        )
 
     def _spread(self) -> None:
-        self._send_changes(self._options.spread.target_count, urgent_only=False)
+        self._send_changes(
+            self._options.spread_limits.target_count, urgent_only=False
+        )
 
     def _send_changes(self, targets: int, *, urgent_only: bool) -> None:
         if not self._hosts:
--- a/boragespool/controllers/backend_servers/record_repair.py
+++ b/boragespool/controllers/backend_servers/record_repair.py
@@ -59,7 +59,7 @@
         server_count: Callable[[], int],
         merge: Callable[[Iterable[ServerRecord]], object],
     ) -> None:
-        """Keep the parts; `serve` begins to answer."""
+        """Keep the parts; `register_handlers` begins to answer."""
         self._context = context
         self._table = table
         self._limits = limits
@@ -71,7 +71,7 @@
             context.timers.now_s(),
         )
 
-    def serve(self) -> None:
+    def register_handlers(self) -> None:
         """Answer peers from now on."""
         peers = self._context.peers
         peers.on_message(ServersWanted, self._send_wanted)
--- a/boragespool/controllers/backend_servers/server_polls.py
+++ b/boragespool/controllers/backend_servers/server_polls.py
@@ -28,7 +28,7 @@
 #: Ticks without a change or failure after which a server is polled at every
 #: second tick. With 1 s ticks and 0.8 s for a poll, a server that leaves is
 #: noticed within 2.8 s; the goal is 3 s.
-STEADY_TICKS: Final = 10
+TICKS_UNTIL_STEADY: Final = 10
 STEADY_INTERVAL_TICKS: Final = 2
 
 
@@ -65,7 +65,7 @@
         self._pools: dict[ServerName, ConnectionPool] = {}
         self._tasks: dict[ServerName, asyncio.Task[None]] = {}
         self._timeouts: dict[ServerName, int] = {}
-        self._steady_ticks: dict[ServerName, int] = {}
+        self._steady_ticks_by_server: dict[ServerName, int] = {}
 
     @property
     def servers(self) -> Iterable[ServerName]:
@@ -87,7 +87,7 @@
         if pool is None or pool.address != address:
             self.remove(server)
             self._pools[server] = ConnectionPool(address, 1, self._timers)
-            self.changed(server)
+            self.reset_interval(server)
             self.poll(server)
 
     def remove(self, server: ServerName) -> None:
@@ -95,19 +95,19 @@
         pool = self._pools.pop(server, None)
         if pool is not None:
             pool.close()
-            self._steady_ticks.pop(server)
+            self._steady_ticks_by_server.pop(server)
 
     def tick(self) -> None:
         """Poll the servers that are due."""
         for server in self._pools:
-            ticks = self._steady_ticks[server] + 1
-            self._steady_ticks[server] = ticks
-            if ticks < STEADY_TICKS or not ticks % STEADY_INTERVAL_TICKS:
+            ticks = self._steady_ticks_by_server[server] + 1
+            self._steady_ticks_by_server[server] = ticks
+            if ticks < TICKS_UNTIL_STEADY or not ticks % STEADY_INTERVAL_TICKS:
                 self.poll(server)
 
-    def changed(self, server: ServerName) -> None:
+    def reset_interval(self, server: ServerName) -> None:
         """Poll a server at each tick for a while."""
-        self._steady_ticks[server] = 0
+        self._steady_ticks_by_server[server] = 0
 
     def poll(self, server: ServerName) -> None:
         """Poll one server unless a poll is under way."""
@@ -144,7 +144,7 @@
             self._hooks.answered(server, status)
 
     def _unanswered(self, server: ServerName, failure: ExchangeFailure) -> None:
-        self.changed(server)
+        self.reset_interval(server)
         if failure.kind == FailureKind.TIMEOUT and failure.sent:
             log_event(
                 Event.CONNECTION_SILENT,
--- a/boragespool/controllers/backend_servers/servers.py
+++ b/boragespool/controllers/backend_servers/servers.py
@@ -240,7 +240,7 @@
             self._claimed_at_s[server] = now_s
         self._table.merge(record)
         self._exchange.announce(record)
-        self._polls.changed(server)
+        self._polls.reset_interval(server)
         self._changed(record)
 
     def _is_live(self, record: ServerRecord) -> bool:
--- a/tests/test_record_exchange.py
+++ b/tests/test_record_exchange.py
@@ -219,7 +219,9 @@
     )
     peers = FakePeers()
     context = Context(None, None, VirtualTimers(), peers, lambda: 0)
-    RecordRepair(context, table, limits, lambda: 5_000, table.merge).serve()
+    RecordRepair(
+        context, table, limits, lambda: 5_000, table.merge
+    ).register_handlers()
     empty = ServerDigest(backends.RecordTable().digest(128))
     sender = Sender('b', 1, '')
     wanted = ServersWanted(tuple(map(server_key, table.by_server)))
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -20,7 +20,7 @@
 )
 from boragespool.controllers.backend_servers.server_polls import (
     STEADY_INTERVAL_TICKS,
-    STEADY_TICKS,
+    TICKS_UNTIL_STEADY,
     PollHooks,
     ServerPolls,
 )
@@ -334,10 +334,10 @@
             polls.tick()
         return len(polled)
 
-    assert polls_in(STEADY_TICKS - 1) == STEADY_TICKS - 1
+    assert polls_in(TICKS_UNTIL_STEADY - 1) == TICKS_UNTIL_STEADY - 1
     assert polls_in(6 * STEADY_INTERVAL_TICKS) == 6
-    polls.changed('x')
-    assert polls_in(STEADY_TICKS - 1) == STEADY_TICKS - 1
+    polls.reset_interval('x')
+    assert polls_in(TICKS_UNTIL_STEADY - 1) == TICKS_UNTIL_STEADY - 1
     polls.remove('x')
     assert not polls_in(1)
 
@@ -351,7 +351,7 @@
                 context.board.post(MEMBERS, members(context))
                 async with ServerController(context, FAST) as controller:
                     await until(lambda: states(context) == {'x': SERVING})
-                    ticks = controller._polls._steady_ticks
+                    ticks = controller._polls._steady_ticks_by_server
                     ticks['x'] = 1_000
                     backend.incarnation = 2
                     await until(lambda: ticks['x'] < 1_000)
