--- a/boragespool/controllers/backend_servers/backend.py
+++ b/boragespool/controllers/backend_servers/backend.py
@@ -11,20 +11,22 @@
 
 from boragespool.blackboard.topics import BLOCKED
 from boragespool.controllers.backend_servers.backend_protocol import (
-    cancel_to_http,
-    read_cancel,
-    read_reply,
-    work_to_http,
+    build_cancel_request,
+    build_work_request,
+    decode_cancel,
+    decode_reply,
+)
+from boragespool.controllers.backend_servers.connections import (
+    BackendConnectionPool,
 )
-from boragespool.controllers.backend_servers.connections import ConnectionPool
 from boragespool.controllers.backend_servers.jobs import (
     BLOCKED_FAILURE,
     BackendHooks,
     Job,
     WorkInFlight,
-    interrupted,
-    refusal,
-    was_served,
+    cancellation_reply,
+    ran_to_completion,
+    refusal_reply,
 )
 from boragespool.controllers.backend_servers.server_health import ServerHealth
 from boragespool.events import Event, log_event
@@ -58,7 +60,7 @@
 _CANCEL_GRACE_S: Final = 0.2
 #: A claim that runs at its deadline may still end: its outcome is worth more
 #: than the slot. Issuers wait for 1 s beyond the deadline.
-_GRACE_S_BY_KIND: Final = MappingProxyType(
+_DEADLINE_GRACE_S_BY_KIND: Final = MappingProxyType(
     {WorkKind.QUERY: _CANCEL_GRACE_S, WorkKind.CLAIM: 0.8},
 )
 
@@ -79,14 +81,14 @@
         self.jobs_by_attempt: dict[AttemptId, Job] = {}
         self.queue = ServerQueue(1, ranks)
         self.health = ServerHealth(server, service.slots, context, hooks)
-        self.pool = ConnectionPool(
+        self.pool = BackendConnectionPool(
             service.servers[server].address,
             service.connections,
             context.timers,
         )
         self._context = context
         self._hooks = hooks
-        self._wakeup: Subscription | None = None
+        self._wakeup_timer: Subscription | None = None
         self._wakeup_at_s = math.inf
 
     def configure(
@@ -106,10 +108,10 @@
         self.jobs_by_attempt[work.attempt_id] = job
         for refused in self.queue.offer(queued, now_s):
             self._refuse(refused.work, refused.failure)
-        self.pump()
+        self.schedule()
         return job
 
-    def refuse_waiting(self, failure: Failure) -> None:
+    def refuse_queued(self, failure: Failure) -> None:
         """Answer all queued work with a refusal."""
         for queued in self.queue.clear():
             self._refuse(queued, failure)
@@ -120,13 +122,13 @@
         if queued is not None:
             reason = 'cancelled while it waited'
             self._refuse(queued, Failure(ResultCode.CANCELLED, reason))
-            self.pump()
+            self.schedule()
             return
         job = self.jobs_by_attempt.get(attempt_id)
         if job is not None:
-            self._cancel_soon(job)
+            self._spawn_cancel(job)
 
-    def pump(self) -> None:
+    def schedule(self) -> None:
         """Start, refuse and pre-empt what the queue decides."""
         now_s = self._context.timers.now_s()
         self.queue.slots = self.health.limit
@@ -136,24 +138,26 @@
         for started in grants.started:
             job = self.jobs_by_attempt[started.attempt_id]
             job.started_s = now_s
-            self._hooks.spawn(self._run(job))
+            self._hooks.spawn(self._run_job(job))
         for preempted in grants.preempted:
             self._preempt(preempted)
-        self._wake_at(self.queue.next_expiry_s, now_s)
+        self._set_wakeup(self.queue.next_expiry_s, now_s)
 
-    def _wake_at(self, at_s: Seconds, now_s: Seconds) -> None:
+    def _set_wakeup(self, at_s: Seconds, now_s: Seconds) -> None:
         """Look at all work again at the earliest deadline.
 
         One timer for all work costs less than one for each request.
         """
         if at_s >= self._wakeup_at_s or math.isinf(at_s):
             return
-        if self._wakeup is not None:
-            self._wakeup.cancel()
+        if self._wakeup_timer is not None:
+            self._wakeup_timer.cancel()
         self._wakeup_at_s = at_s
-        self._wakeup = self._context.timers.after(at_s - now_s, self._woken)
+        self._wakeup_timer = self._context.timers.after(
+            at_s - now_s, self._on_wakeup
+        )
 
-    def _woken(self) -> None:
+    def _on_wakeup(self) -> None:
         """Cancel running work at its deadline; expire queued work."""
         self._wakeup_at_s = math.inf
         now_s = self._context.timers.now_s()
@@ -161,11 +165,11 @@
             if job.started_s > now_s:
                 continue
             if job.queued.deadline_at_s > now_s:
-                self._wake_at(job.queued.deadline_at_s, now_s)
-            elif not job.is_overdue:
-                job.is_overdue = True
-                self._cancel_soon(job)
-        self.pump()
+                self._set_wakeup(job.queued.deadline_at_s, now_s)
+            elif not job.has_passed_deadline:
+                job.has_passed_deadline = True
+                self._spawn_cancel(job)
+        self.schedule()
 
     def _preempt(self, queued: QueuedWork) -> None:
         job = self.jobs_by_attempt[queued.attempt_id]
@@ -175,45 +179,45 @@
             level=logging.DEBUG,
             rank=queued.rank,
         )
-        self._cancel_soon(job)
+        self._spawn_cancel(job)
 
-    async def _run(self, job: Job) -> None:
+    async def _run_job(self, job: Job) -> None:
         """Run one job that holds a slot."""
         reply: WorkReply | None = None
         try:
-            reply = await self._attempt(job)
+            reply = await self._run_attempt(job)
         finally:
-            self._release(job, reply)
-        self.pump()
+            self._finish_job(job, reply)
+        self.schedule()
 
-    def _release(self, job: Job, reply: WorkReply | None) -> None:
+    def _finish_job(self, job: Job, reply: WorkReply | None) -> None:
         """Free the slot and answer; without a reply the job was cancelled."""
-        reply = reply or interrupted(job, job.started_s)
+        reply = reply or cancellation_reply(job, job.started_s)
         self.queue.finish(
             job.work.attempt_id,
             self._context.timers.now_s(),
-            served=was_served(reply),
+            served=ran_to_completion(reply),
         )
-        self._answer(job, reply)
+        self._complete_job(job, reply)
 
-    async def _attempt(self, job: Job) -> WorkReply:
+    async def _run_attempt(self, job: Job) -> WorkReply:
         if job.work.fingerprint in self._context.board.read(BLOCKED):
-            return refusal(job.work, BLOCKED_FAILURE)
+            return refusal_reply(job.work, BLOCKED_FAILURE)
         if not self.health.incarnation:
-            await self.health.learn_incarnation(self.pool)
+            await self.health.fetch_incarnation(self.pool)
         incarnation = self.health.incarnation
-        result = await self._exchange(job)
+        result = await self._send_work(job)
         in_flight = self.queue.running_count
-        reply = read_reply(job.work, result)
-        if job.cancel_run is not None and not was_served(reply):
-            return interrupted(job, self._context.timers.now_s())
+        reply = decode_reply(job.work, result)
+        if job.run_state_at_cancel is not None and not ran_to_completion(reply):
+            return cancellation_reply(job, self._context.timers.now_s())
         if isinstance(result, ExchangeFailure):
-            await self._failed(job, result, incarnation)
+            await self._handle_exchange_failure(job, result, incarnation)
         else:
             self.health.note_reply(reply, in_flight)
         return reply
 
-    async def _exchange(self, job: Job) -> HttpResponse | ExchangeFailure:
+    async def _send_work(self, job: Job) -> HttpResponse | ExchangeFailure:
         """Send the work; at its deadline cancel it at the server."""
 
         def connected(connection: HttpConnection) -> None:
@@ -221,30 +225,30 @@
 
         now_s = self._context.timers.now_s()
         left_s = max(0, job.queued.deadline_at_s - now_s)
-        request = work_to_http(job.work, left_s)
-        self._wake_at(job.queued.deadline_at_s, now_s)
-        limit_s = left_s + _GRACE_S_BY_KIND[job.work.kind]
+        request = build_work_request(job.work, left_s)
+        self._set_wakeup(job.queued.deadline_at_s, now_s)
+        limit_s = left_s + _DEADLINE_GRACE_S_BY_KIND[job.work.kind]
         return await self.pool.exchange(request, limit_s, connected)
 
-    def _cancel_soon(self, job: Job) -> None:
+    def _spawn_cancel(self, job: Job) -> None:
         self._hooks.spawn(self._cancel_running(job))
 
     async def _cancel_running(self, job: Job) -> None:
         """Cancel running work at the server on another connection."""
         response = await self.pool.exchange(
-            cancel_to_http(job.work.attempt_id),
+            build_cancel_request(job.work.attempt_id),
             _CANCEL_TIMEOUT_S,
         )
-        reply = read_cancel(response)
-        if job.answer.done() or not reply.cancelled:
+        reply = decode_cancel(response)
+        if job.reply_future.done() or not reply.cancelled:
             return
-        job.cancel_run = reply.run
-        await asyncio.wait((job.answer,), timeout=_CANCEL_GRACE_S)
-        if not job.answer.done() and job.connection is not None:
-            self._log_silent('the cancelled exchange did not end')
+        job.run_state_at_cancel = reply.run
+        await asyncio.wait((job.reply_future,), timeout=_CANCEL_GRACE_S)
+        if not job.reply_future.done() and job.connection is not None:
+            self._log_replaced_connection('the cancelled exchange did not end')
             job.connection.close()
 
-    async def _failed(
+    async def _handle_exchange_failure(
         self,
         job: Job,
         failure: ExchangeFailure,
@@ -252,12 +256,12 @@
     ) -> None:
         """Find out whether the connection or the server was lost."""
         if failure.kind == FailureKind.REFUSED:
-            self.health.refused()
+            self.health.note_refused_connection()
         elif not failure.sent:
             return
         elif failure.kind == FailureKind.TIMEOUT:
             self.pool.close_idle()
-            self._log_silent(failure.reason)
+            self._log_replaced_connection(failure.reason)
         elif failure.kind == FailureKind.CLOSED:
             in_flight = self._work_in_flight()
             # The next incarnation may be lost before this job is answered.
@@ -275,7 +279,7 @@
             alone=any(job.queued.solo for job in jobs),
         )
 
-    def _log_silent(self, reason: str) -> None:
+    def _log_replaced_connection(self, reason: str) -> None:
         log_event(
             Event.CONNECTION_SILENT,
             f'a connection to {self.server!r} is replaced: {reason}',
@@ -291,9 +295,9 @@
             code=int(failure.code),
             rank=queued.rank,
         )
-        self._answer(job, refusal(job.work, failure))
+        self._complete_job(job, refusal_reply(job.work, failure))
 
-    def _answer(self, job: Job, reply: WorkReply) -> None:
+    def _complete_job(self, job: Job, reply: WorkReply) -> None:
         """Complete a reply with times and backpressure and give it out."""
         self.jobs_by_attempt.pop(job.work.attempt_id, None)
         now_s = self._context.timers.now_s()
@@ -304,5 +308,5 @@
             service_time_s=now_s - started_s,
             waits_s=self.queue.waits_s,
         )
-        if not job.answer.done():
-            job.answer.set_result(timed)
+        if not job.reply_future.done():
+            job.reply_future.set_result(timed)
--- a/boragespool/controllers/backend_servers/backend_protocol.py
+++ b/boragespool/controllers/backend_servers/backend_protocol.py
@@ -25,9 +25,9 @@
     from boragespool.messages import WorkRequest
     from boragespool.types import AttemptId
 
-_OK: Final = 200
-_CONFLICT: Final = 409
-_UNAVAILABLE: Final = 503
+_HTTP_OK: Final = 200
+_HTTP_CONFLICT: Final = 409
+_HTTP_SERVICE_UNAVAILABLE: Final = 503
 _JSON_HEADERS: Final = MappingProxyType({'content-type': 'application/json'})
 _CODE_BY_FAILURE: Final = MappingProxyType(
     {
@@ -109,7 +109,7 @@
 STATUS_REQUEST: Final = HttpRequest('GET', '/v1/status')
 
 
-def work_to_http(work: WorkRequest, deadline_s: Seconds) -> HttpRequest:
+def build_work_request(work: WorkRequest, deadline_s: Seconds) -> HttpRequest:
     """Build ``POST /v1/work`` with the time left in seconds."""
     body = _WorkBody(
         attempt_id=work.attempt_id,
@@ -125,12 +125,12 @@
     return _post('/v1/work', body)
 
 
-def cancel_to_http(attempt_id: AttemptId) -> HttpRequest:
+def build_cancel_request(attempt_id: AttemptId) -> HttpRequest:
     """Build ``POST /v1/cancel``."""
     return _post('/v1/cancel', {'attempt_id': attempt_id})
 
 
-def read_status(
+def decode_status(
     response: HttpResponse | ExchangeFailure,
 ) -> BackendStatus | Failure:
     """Decode the answer to ``GET /v1/status``."""
@@ -142,7 +142,7 @@
         return Failure(ResultCode.SERVER_REPLY_INVALID, f'status: {error}')
 
 
-def read_cancel(response: HttpResponse | ExchangeFailure) -> CancelReply:
+def decode_cancel(response: HttpResponse | ExchangeFailure) -> CancelReply:
     """Decode the answer to a cancellation; doubt counts as not cancelled."""
     if isinstance(response, ExchangeFailure):
         return CancelReply()
@@ -152,7 +152,7 @@
         return CancelReply()
 
 
-def read_reply(
+def decode_reply(
     work: WorkRequest,
     response: HttpResponse | ExchangeFailure,
 ) -> WorkReply:
@@ -166,17 +166,17 @@
         or if no byte was sent.
     """
     if isinstance(response, ExchangeFailure):
-        return _unanswered(work, response)
+        return _failed_exchange_reply(work, response)
     try:
         body = _REPLY_DECODER.decode(response.body)
     except msgspec.DecodeError as error:
-        return _invalid(work, f'status {response.status}, {error}')
-    if response.status == _OK:
-        return _complete(work, body)
+        return _invalid_reply(work, f'status {response.status}, {error}')
+    if response.status == _HTTP_OK:
+        return _completed_reply(work, body)
     if body.attempt_id not in {'', work.attempt_id}:
-        return _invalid(work, f'attempt {body.attempt_id!r}')
+        return _invalid_reply(work, f'attempt {body.attempt_id!r}')
     code = _refusal_code(response.status, body)
-    if code == ResultCode.SERVER_REPLY_INVALID and _claim_ran(work, body):
+    if code == ResultCode.SERVER_REPLY_INVALID and _is_failed_claim(work, body):
         code = ResultCode.CLAIM_FAILED
     return WorkReply(
         work.attempt_id,
@@ -192,7 +192,9 @@
     return HttpRequest('POST', path, _ENCODER.encode(body), _JSON_HEADERS)
 
 
-def _unanswered(work: WorkRequest, failure: ExchangeFailure) -> WorkReply:
+def _failed_exchange_reply(
+    work: WorkRequest, failure: ExchangeFailure
+) -> WorkReply:
     code = ResultCode.SERVER_UNREACHABLE
     run = RunState.NOT_RUN
     if failure.sent:
@@ -201,25 +203,27 @@
     return WorkReply(work.attempt_id, int(code), run, reason=failure.reason)
 
 
-def _invalid(work: WorkRequest, found: str) -> WorkReply:
+def _invalid_reply(work: WorkRequest, problem: str) -> WorkReply:
     return WorkReply(
         work.attempt_id,
         int(ResultCode.SERVER_REPLY_INVALID),
         RunState.UNKNOWN,
-        reason=f'reply of {work.server!r} to {work.attempt_id!r}: {found}',
+        reason=f'reply of {work.server!r} to {work.attempt_id!r}: {problem}',
     )
 
 
-def _complete(work: WorkRequest, body: _ReplyBody) -> WorkReply:
+def _completed_reply(work: WorkRequest, body: _ReplyBody) -> WorkReply:
     if body.attempt_id != work.attempt_id:
-        return _invalid(work, f'attempt {body.attempt_id!r}')
+        return _invalid_reply(work, f'attempt {body.attempt_id!r}')
     if work.kind == WorkKind.CLAIM:
-        return _claim_outcome(work, body)
+        return _claim_reply(work, body)
     searched = (body.version, body.start, body.end)
     if searched != (work.version, work.start, work.end):
-        return _invalid(work, f'version and range {searched!r}')
+        return _invalid_reply(work, f'version and range {searched!r}')
     if body.item_count != len(body.items):
-        return _invalid(work, f'{len(body.items)} of {body.item_count} items')
+        return _invalid_reply(
+            work, f'{len(body.items)} of {body.item_count} items'
+        )
     return WorkReply(
         work.attempt_id,
         int(ResultCode.COMPLETE),
@@ -231,7 +235,7 @@
     )
 
 
-def _claim_ran(work: WorkRequest, body: _ReplyBody) -> bool:
+def _is_failed_claim(work: WorkRequest, body: _ReplyBody) -> bool:
     """Whether the server says that it ran the claim and that it failed."""
     return (
         work.kind == WorkKind.CLAIM
@@ -240,7 +244,7 @@
     )
 
 
-def _claim_outcome(work: WorkRequest, body: _ReplyBody) -> WorkReply:
+def _claim_reply(work: WorkRequest, body: _ReplyBody) -> WorkReply:
     """Pass on the ``outcome`` of a claim, or its items without one."""
     outcome = body.outcome
     if outcome is None and body.items:
@@ -255,8 +259,8 @@
 
 def _refusal_code(status: int, body: _ReplyBody) -> ResultCode:
     """Return the code of an answer other than 200."""
-    if status == _UNAVAILABLE:
+    if status == _HTTP_SERVICE_UNAVAILABLE:
         return _CODE_BY_REASON.get(body.reason, ResultCode.SERVER_SHED)
-    if status == _CONFLICT:
+    if status == _HTTP_CONFLICT:
         return ResultCode.VERSION_NOT_HELD
     return ResultCode.SERVER_REPLY_INVALID
--- a/boragespool/controllers/backend_servers/crash_watch.py
+++ b/boragespool/controllers/backend_servers/crash_watch.py
@@ -20,7 +20,7 @@
     from boragespool.types import HostName, Incarnation, Seconds, ServerName
 
 #: Messages between daemons can be lost, so a notice is sent again.
-_REPEAT_S: Final = 1
+_RESEND_DELAY_S: Final = 1
 #: The answer to the work that was lost waits for the peers at most this long.
 _ACK_TIMEOUT_S: Final = 0.5
 
@@ -28,15 +28,15 @@
 class CrashWatch:
     """Posts `SUSPECTS` and `BLOCKED` from own losses and the notices of peers."""
 
-    def __init__(self, context: Context, ledger: CrashTracker) -> None:
+    def __init__(self, context: Context, tracker: CrashTracker) -> None:
         """Register for the notices of peers."""
         self._context = context
-        self._ledger = ledger
+        self._tracker = tracker
         self._document = context.board.read(IN_FORCE)
-        context.peers.on_message(SuspectNotice, self.receive)
-        context.peers.on_request(SuspectNotice, self._acknowledge)
+        context.peers.on_message(SuspectNotice, self.handle_notice)
+        context.peers.on_request(SuspectNotice, self._handle_notice_request)
 
-    async def lost(
+    async def report_loss(
         self,
         server: ServerName,
         incarnation: Incarnation,
@@ -50,34 +50,34 @@
         """
         loss_id = f'{server}@{incarnation}'
         now_s = self._context.timers.now_s()
-        told: list[SuspectNotice] = []
+        notices: list[SuspectNotice] = []
         for fingerprint in sorted(set(in_flight.fingerprints)):
             notice = SuspectNotice(
                 fingerprint,
                 loss_id,
                 alone=in_flight.alone,
             )
-            if self._note(notice, now_s):
-                told.extend(self._known_losses(fingerprint, notice))
+            if self._record_loss(notice, now_s):
+                notices.extend(self._notices_of_all_losses(fingerprint, notice))
                 log_event(
                     Event.SERVER_CRASH_SUSPECTED,
                     f'{server!r} was lost with {hex(fingerprint)} in flight',
                     loss_id=loss_id,
                     fingerprint=fingerprint,
                 )
-        self.post()
-        await self._tell_peers(told)
+        self.post_verdicts()
+        await self._notify_peers(notices)
 
-    def receive(self, _sender: Sender, notice: SuspectNotice) -> None:
+    def handle_notice(self, _sender: Sender, notice: SuspectNotice) -> None:
         """Treat the notice of a peer."""
         now_s = self._context.timers.now_s()
         if notice.cleared:
-            self._ledger.clear(notice.fingerprint, now_s)
+            self._tracker.clear(notice.fingerprint, now_s)
         else:
-            self._note(notice, now_s)
-        self.post()
+            self._record_loss(notice, now_s)
+        self.post_verdicts()
 
-    def follow_revision(self, document: RevisionDocument | None) -> None:
+    def on_revision(self, document: RevisionDocument | None) -> None:
         """End the verdicts that an operator cleared by a revision.
 
         Every daemon puts the revision in force, so no notice is sent.
@@ -86,9 +86,9 @@
             return
         now_s = self._context.timers.now_s()
         for fingerprint in newly_cleared_fingerprints(self._document, document):
-            self._ledger.clear(fingerprint, now_s)
+            self._tracker.clear(fingerprint, now_s)
         self._document = document
-        self.post()
+        self.post_verdicts()
 
     def clear(self, fingerprint: int) -> bool:
         """End a verdict here and at all peers.
@@ -98,18 +98,18 @@
         bool
             Whether the fingerprint was a suspect or blocked here.
         """
-        known = self._ledger.clear(fingerprint, self._context.timers.now_s())
-        self._spread(SuspectNotice(fingerprint, '', cleared=True))
-        self.post()
+        known = self._tracker.clear(fingerprint, self._context.timers.now_s())
+        self._broadcast(SuspectNotice(fingerprint, '', cleared=True))
+        self.post_verdicts()
         return known
 
-    def post(self) -> None:
+    def post_verdicts(self) -> None:
         """Post the verdicts that hold now; logs what changed."""
         now_s = self._context.timers.now_s()
         board = self._context.board
         before = board.read(BLOCKED)
-        blocked = self._ledger.blocked(now_s)
-        board.post(SUSPECTS, self._ledger.suspects(now_s))
+        blocked = self._tracker.blocked(now_s)
+        board.post(SUSPECTS, self._tracker.suspects(now_s))
         board.post(BLOCKED, blocked)
         for added in blocked - before:
             log_event(
@@ -124,15 +124,15 @@
                 fingerprint=ended,
             )
 
-    def _note(self, notice: SuspectNotice, now_s: Seconds) -> bool:
-        return self._ledger.record_loss(
+    def _record_loss(self, notice: SuspectNotice, now_s: Seconds) -> bool:
+        return self._tracker.record_loss(
             notice.fingerprint,
             notice.loss_id,
             now_s,
             alone=notice.alone,
         )
 
-    def _known_losses(
+    def _notices_of_all_losses(
         self,
         fingerprint: int,
         latest: SuspectNotice,
@@ -144,43 +144,45 @@
         """
         earlier = (
             SuspectNotice(fingerprint, loss_id)
-            for known, loss_id in self._ledger.losses()
+            for known, loss_id in self._tracker.losses()
             if known == fingerprint and loss_id != latest.loss_id
         )
         return (*earlier, latest)
 
-    async def _acknowledge(
+    async def _handle_notice_request(
         self,
         sender: Sender,
         notice: SuspectNotice,
     ) -> SuspectNoticeAck:
-        self.receive(sender, notice)
+        self.handle_notice(sender, notice)
         return SuspectNoticeAck()
 
-    async def _tell_peers(self, notices: list[SuspectNotice]) -> None:
+    async def _notify_peers(self, notices: list[SuspectNotice]) -> None:
         """Tell each peer; repeat what a peer does not acknowledge."""
         await asyncio.gather(
             *(
-                self._tell(host, notice)
+                self._notify_peer(host, notice)
                 for notice in notices
                 for host in self._peer_hosts()
             ),
         )
 
-    async def _tell(self, host: HostName, notice: SuspectNotice) -> None:
+    async def _notify_peer(self, host: HostName, notice: SuspectNotice) -> None:
         peers = self._context.peers
         reply = await peers.request(host, notice, _ACK_TIMEOUT_S)
         if not isinstance(reply, SuspectNoticeAck):
             self._context.timers.after(
-                _REPEAT_S,
-                lambda: self._send(notice, host),
+                _RESEND_DELAY_S,
+                lambda: self._send_to(notice, host),
             )
 
-    def _spread(self, notice: SuspectNotice) -> None:
-        self._send(notice)
-        self._context.timers.after(_REPEAT_S, lambda: self._send(notice))
+    def _broadcast(self, notice: SuspectNotice) -> None:
+        self._send_to(notice)
+        self._context.timers.after(
+            _RESEND_DELAY_S, lambda: self._send_to(notice)
+        )
 
-    def _send(self, notice: SuspectNotice, *hosts: HostName) -> None:
+    def _send_to(self, notice: SuspectNotice, *hosts: HostName) -> None:
         for host in hosts or self._peer_hosts():
             self._context.peers.send(host, notice)
 
--- a/boragespool/controllers/backend_servers/dispatch.py
+++ b/boragespool/controllers/backend_servers/dispatch.py
@@ -16,14 +16,14 @@
     SUSPECTS,
     ServerObservation,
 )
-from boragespool.controllers.backend_servers.answers import RecentAnswers
 from boragespool.controllers.backend_servers.backend import Backend
 from boragespool.controllers.backend_servers.crash_watch import CrashWatch
 from boragespool.controllers.backend_servers.jobs import (
     BLOCKED_FAILURE,
     BackendHooks,
-    refusal,
+    refusal_reply,
 )
+from boragespool.controllers.backend_servers.recent_replies import RecentReplies
 from boragespool.messages import (
     CancelWork,
     ServerRecord,
@@ -43,8 +43,8 @@
     from boragespool.peers import Sender
     from boragespool.revisions import RevisionDocument
 
-_UPKEEP_S: Final = 1
-_LEAVING: Final = Failure(ResultCode.LEAVING, 'this daemon is leaving')
+_MAINTENANCE_INTERVAL_S: Final = 1
+_LEAVING_FAILURE: Final = Failure(ResultCode.LEAVING, 'this daemon is leaving')
 
 
 class DispatchController:
@@ -59,38 +59,40 @@
     def __init__(
         self,
         context: Context,
-        ledger: CrashTracker | None = None,
+        crash_tracker: CrashTracker | None = None,
     ) -> None:
         """Keep the parts; `__aenter__` registers the handlers."""
         self._context = context
-        self._crashes = CrashWatch(context, ledger or CrashTracker())
-        self._backends: dict[ServerName, Backend] = {}
-        self._retired: list[Backend] = []
-        self._answers = RecentAnswers()
+        self._crash_watch = CrashWatch(context, crash_tracker or CrashTracker())
+        self._backends_by_server: dict[ServerName, Backend] = {}
+        self._retired_backends: list[Backend] = []
+        self._recent_replies = RecentReplies()
         self._tasks = TaskSet()
-        self._draining = False
+        self._draining_failure = False
         self._stack = contextlib.ExitStack()
         self._hooks = BackendHooks(
             self._tasks.spawn,
-            self._crashes.lost,
-            self._observed,
+            self._crash_watch.report_loss,
+            self._on_observation,
         )
 
     async def __aenter__(self) -> Self:
         """Serve work from now on."""
         context = self._context
-        context.peers.on_call(WorkRequest, self._serve)
-        context.peers.on_message(CancelWork, self._cancel)
-        upkeep = context.timers.every(_UPKEEP_S, self._upkeep)
+        context.peers.on_call(WorkRequest, self._handle_work_request)
+        context.peers.on_message(CancelWork, self._handle_cancel)
+        upkeep = context.timers.every(
+            _MAINTENANCE_INTERVAL_S, self._run_maintenance
+        )
         self._stack.callback(upkeep.cancel)
         self._stack.callback(
-            context.board.subscribe(SERVERS, self._servers_changed),
+            context.board.subscribe(SERVERS, self._on_servers),
         )
         self._stack.callback(
-            context.board.subscribe(IN_FORCE, self._settings_changed),
+            context.board.subscribe(IN_FORCE, self._on_revision),
         )
         self._stack.callback(
-            context.board.subscribe(IN_FORCE, self._crashes.follow_revision),
+            context.board.subscribe(IN_FORCE, self._crash_watch.on_revision),
         )
         return self
 
@@ -117,7 +119,7 @@
                 'waits_s': backend.queue.waits_s,
                 'ranks': backend.queue.counts_by_rank,
             }
-            for server, backend in self._backends.items()
+            for server, backend in self._backends_by_server.items()
         }
 
     def clear(self, fingerprint: int) -> bool:
@@ -128,7 +130,7 @@
         bool
             Whether the fingerprint was a suspect or blocked here.
         """
-        return self._crashes.clear(fingerprint)
+        return self._crash_watch.clear(fingerprint)
 
     async def drain(self, timeout_s: Seconds) -> bool:
         """Answer queued work and finish running work.
@@ -138,11 +140,11 @@
         bool
             Whether nothing was in flight within `timeout_s` seconds.
         """
-        self._draining = True
+        self._draining_failure = True
         for backend in self._all_backends():
-            backend.refuse_waiting(_LEAVING)
+            backend.refuse_queued(_LEAVING_FAILURE)
         waiting = [
-            job.answer
+            job.reply_future
             for running in self._all_backends()
             for job in running.jobs_by_attempt.values()
         ]
@@ -150,46 +152,50 @@
             await asyncio.wait(waiting, timeout=timeout_s)
         return not self.in_flight
 
-    def _serve(
+    def _handle_work_request(
         self,
         _sender: Sender,
         work: WorkRequest,
         reply: Callable[[WorkReply], None],
     ) -> None:
         """Run one attempt; a repeated attempt gets the reply of the first."""
-        answer = self._answers.find(work)
-        if answer is None:
+        reply_or_future = self._recent_replies.find(work)
+        if reply_or_future is None:
             target = self._admit(work)
             if isinstance(target, Failure):
-                reply(refusal(work, target))
+                reply(refusal_reply(work, target))
                 return
-            answer = target.accept(work, self._to_queued(work)).answer
-            self._answers.begin(work, answer)
-        if isinstance(answer, WorkReply):
-            reply(answer)
+            reply_or_future = target.accept(
+                work, self._to_queued(work)
+            ).reply_future
+            self._recent_replies.add(work, reply_or_future)
+        if isinstance(reply_or_future, WorkReply):
+            reply(reply_or_future)
         else:
-            answer.add_done_callback(lambda done: reply(done.result()))
+            reply_or_future.add_done_callback(lambda done: reply(done.result()))
 
     def _all_backends(self) -> Iterable[Backend]:
-        return itertools.chain(self._backends.values(), self._retired)
+        return itertools.chain(
+            self._backends_by_server.values(), self._retired_backends
+        )
 
     def _admit(self, work: WorkRequest) -> Backend | Failure:
         """Return the backend server, or why the work is not queued."""
-        if self._draining:
-            return _LEAVING
+        if self._draining_failure:
+            return _LEAVING_FAILURE
         if work.fingerprint in self._context.board.read(BLOCKED):
             return BLOCKED_FAILURE
         record = self._context.board.read(SERVERS).get(work.server)
         if record is not None and record.state == ServerState.DRAINING:
-            return _draining(work.server)
-        return self._backend(work.server)
+            return _draining_failure(work.server)
+        return self._get_or_create_backend(work.server)
 
-    def _backend(self, server: ServerName) -> Backend | Failure:
-        known = self._backends.get(server)
+    def _get_or_create_backend(self, server: ServerName) -> Backend | Failure:
+        known = self._backends_by_server.get(server)
         if known is not None:
             return known
         settings = self._settings()
-        service = _service_of(settings, server)
+        service = _find_service(settings, server)
         if service is None:
             return Failure(
                 ResultCode.NO_SERVER,
@@ -202,7 +208,7 @@
             self._context,
             self._hooks,
         )
-        self._backends[server] = created
+        self._backends_by_server[server] = created
         return created
 
     def _to_queued(self, work: WorkRequest) -> QueuedWork:
@@ -222,13 +228,13 @@
         document = self._context.board.read(IN_FORCE)
         return Settings() if document is None else document.settings
 
-    def _cancel(self, _sender: Sender, message: CancelWork) -> None:
+    def _handle_cancel(self, _sender: Sender, message: CancelWork) -> None:
         for backend in self._all_backends():
             if message.attempt_id in backend.jobs_by_attempt:
                 backend.cancel(message.attempt_id)
                 return
 
-    def _observed(
+    def _on_observation(
         self,
         server: ServerName,
         observation: ServerObservation,
@@ -237,52 +243,52 @@
         observations = {**before, server: observation}
         self._context.board.post(OBSERVATIONS, observations)
 
-    def _servers_changed(
+    def _on_servers(
         self,
         records: Mapping[ServerName, ServerRecord],
     ) -> None:
-        for server, backend in self._backends.items():
+        for server, backend in self._backends_by_server.items():
             record = records.get(server)
             if record is None:
                 continue
             if record.state == ServerState.DRAINING:
-                backend.refuse_waiting(_draining(server))
+                backend.refuse_queued(_draining_failure(server))
             # An unknown incarnation is learned from the server itself, as
             # the record may be older than the loss that was seen here.
             if backend.health.incarnation:
-                backend.health.restarted(record.incarnation)
+                backend.health.note_incarnation(record.incarnation)
 
-    def _settings_changed(self, _document: RevisionDocument | None) -> None:
+    def _on_revision(self, _document: RevisionDocument | None) -> None:
         settings = self._settings()
-        for server, backend in tuple(self._backends.items()):
-            service = _service_of(settings, server)
+        for server, backend in tuple(self._backends_by_server.items()):
+            service = _find_service(settings, server)
             if service is not None and (
                 service.servers[server].address == backend.pool.address
             ):
                 backend.configure(service, settings.ranks)
-                backend.pump()
+                backend.schedule()
                 continue
-            self._retired.append(self._backends.pop(server))
-            backend.refuse_waiting(_draining(server))
-
-    def _upkeep(self) -> None:
-        self._crashes.post()
-        for backend in self._backends.values():
-            backend.pool.trim()
-        for retired in tuple(self._retired):
+            self._retired_backends.append(self._backends_by_server.pop(server))
+            backend.refuse_queued(_draining_failure(server))
+
+    def _run_maintenance(self) -> None:
+        self._crash_watch.post_verdicts()
+        for backend in self._backends_by_server.values():
+            backend.pool.close_expired()
+        for retired in tuple(self._retired_backends):
             if not retired.jobs_by_attempt:
                 retired.pool.close()
-                self._retired.remove(retired)
+                self._retired_backends.remove(retired)
 
 
-def _draining(server: ServerName) -> Failure:
+def _draining_failure(server: ServerName) -> Failure:
     return Failure(
         ResultCode.SERVER_DRAINING,
         f'server {server!r} gets no new work',
     )
 
 
-def _service_of(
+def _find_service(
     settings: Settings,
     server: ServerName,
 ) -> ServiceSettings | None:
--- a/boragespool/controllers/backend_servers/jobs.py
+++ b/boragespool/controllers/backend_servers/jobs.py
@@ -37,20 +37,20 @@
         Times on the clock of the timer service; infinity before the start.
     connection : HttpConnection or None
         Connection that carries the work.
-    cancel_run : RunState or None
+    run_state_at_cancel : RunState or None
         What the server said about execution when it cancelled the work.
-    is_overdue : bool
+    has_passed_deadline : bool
         Whether it was cancelled because its deadline passed.
     """
 
     work: WorkRequest
     queued: QueuedWork
     received_s: Seconds
-    answer: asyncio.Future[WorkReply]
+    reply_future: asyncio.Future[WorkReply]
     started_s: Seconds = math.inf
     connection: HttpConnection | None = None
-    cancel_run: RunState | None = None
-    is_overdue: bool = False
+    run_state_at_cancel: RunState | None = None
+    has_passed_deadline: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,27 +75,27 @@
     ----------
     spawn : callable
         Runs a coroutine that ends with the controller.
-    lost : callable
+    on_loss : callable
         Called with server, incarnation and work in flight after a loss;
         returns when the peers know of it.
-    observed : callable
+    on_observation : callable
         Called with the server and a new observation.
     """
 
     spawn: Callable[[Coroutine[Any, Any, None]], object]
-    lost: Callable[
+    on_loss: Callable[
         [ServerName, Incarnation, WorkInFlight],
         Coroutine[Any, Any, None],
     ]
-    observed: Callable[[ServerName, ServerObservation], None]
+    on_observation: Callable[[ServerName, ServerObservation], None]
 
 
-def was_served(reply: WorkReply) -> bool:
+def ran_to_completion(reply: WorkReply) -> bool:
     """Whether the backend server ran the work to its end."""
     return reply.code in {ResultCode.COMPLETE, ResultCode.CLAIM_FAILED}
 
 
-def refusal(work: WorkRequest, failure: Failure) -> WorkReply:
+def refusal_reply(work: WorkRequest, failure: Failure) -> WorkReply:
     """Return the reply to work that was not run."""
     return WorkReply(
         work.attempt_id,
@@ -106,13 +106,13 @@
     )
 
 
-def interrupted(job: Job, now_s: Seconds) -> WorkReply:
+def cancellation_reply(job: Job, now_s: Seconds) -> WorkReply:
     """Return the reply to work that was cancelled while it ran."""
     is_late = now_s >= job.queued.deadline_at_s
     code = ResultCode.DEADLINE_PASSED if is_late else ResultCode.CANCELLED
     return WorkReply(
         job.work.attempt_id,
         int(code),
-        job.cancel_run or RunState.UNKNOWN,
+        job.run_state_at_cancel or RunState.UNKNOWN,
         reason='cancelled while it ran',
     )
--- a/boragespool/controllers/backend_servers/record_exchange.py
+++ b/boragespool/controllers/backend_servers/record_exchange.py
@@ -27,11 +27,11 @@
     from boragespool.types import HostName, Seconds, ServerName
 
 #: Urgent changes within this time share one message.
-_GATHER_S: Final = 0.01
+_URGENT_DELAY_S: Final = 0.01
 #: Members asked for all records before a new daemon relies on digests, and
 #: members that it compares digests with at once after that.
-_JOIN_ATTEMPTS: Final = 3
-_LIVE: Final = frozenset((MemberStatus.ALIVE, MemberStatus.SUSPECT))
+_JOIN_HOST_COUNT: Final = 3
+_LIVE_STATUSES: Final = frozenset((MemberStatus.ALIVE, MemberStatus.SUSPECT))
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,13 +68,13 @@
         Whether records of a server are kept.
     server_count : callable
         Returns the number of configured servers.
-    changed : callable
+    on_changed : callable
         Called with each record of a peer that was newer.
     """
 
     accepts: Callable[[ServerName], bool]
     server_count: Callable[[], int]
-    changed: Callable[[ServerRecord], None]
+    on_changed: Callable[[ServerRecord], None]
 
 
 class RecordExchange:
@@ -92,9 +92,9 @@
         self._table = table
         self._options = options
         self._hooks = hooks
-        self._hosts: tuple[HostName, ...] = ()
+        self._peer_hosts: tuple[HostName, ...] = ()
         self._has_joined = False
-        self._flush_is_due = False
+        self._is_urgent_send_scheduled = False
         self._queue = backends.SpreadQueue(
             options.spread_limits,
             context.timers.now_s(),
@@ -112,17 +112,17 @@
     async def __aenter__(self) -> Self:
         """Answer peers, and exchange with them from now on."""
         context = self._context
-        context.peers.on_message(ServerAnnouncement, self._receive)
+        context.peers.on_message(ServerAnnouncement, self._handle_announcement)
         self._repair.register_handlers()
-        unsubscribe = context.board.subscribe(MEMBERS, self._follow_members)
+        unsubscribe = context.board.subscribe(MEMBERS, self._on_members)
         self._stack.callback(unsubscribe)
         for interval_s, tick in (
-            (self._options.spread_interval_s, self._spread),
-            (self._options.digest_interval_s, self._compare_with_one),
+            (self._options.spread_interval_s, self._send_all_changes),
+            (self._options.digest_interval_s, self._compare_with_random_peer),
         ):
             timer = context.timers.every(interval_s, tick)
             self._stack.callback(timer.cancel)
-        self._follow_members(context.board.read(MEMBERS))
+        self._on_members(context.board.read(MEMBERS))
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
@@ -132,40 +132,42 @@
 
     def announce(self, record: ServerRecord) -> None:
         """Send an own record that changed to a few members at once."""
-        self._note(record, is_urgent=True)
+        self._enqueue(record, is_urgent=True)
 
-    def _follow_members(
+    def _on_members(
         self,
         members_by_host: Mapping[HostName, MemberRecord],
     ) -> None:
         """Keep the hosts to exchange with; fetch all records at the start."""
-        own = self._context.identity.host
-        self._hosts = tuple(
+        own_host = self._context.identity.host
+        self._peer_hosts = tuple(
             host
             for host, member in members_by_host.items()
-            if host != own and member.status in _LIVE
+            if host != own_host and member.status in _LIVE_STATUSES
         )
-        if self._hosts and not self._has_joined:
+        if self._peer_hosts and not self._has_joined:
             self._has_joined = True
-            self._tasks.spawn(self._join())
+            self._tasks.spawn(self._fetch_and_compare())
 
-    async def _join(self) -> None:
+    async def _fetch_and_compare(self) -> None:
         """Fetch all records of one member, then compare with others."""
-        for host in self._choose(_JOIN_ATTEMPTS):
+        for host in self._choose_peers(_JOIN_HOST_COUNT):
             if await self._repair.fetch_all(host):
                 break
-        for other in self._choose(_JOIN_ATTEMPTS):
+        for other in self._choose_peers(_JOIN_HOST_COUNT):
             await self._repair.compare_with(other)
 
-    def _compare_with_one(self) -> None:
-        for host in self._choose(1):
+    def _compare_with_random_peer(self) -> None:
+        for host in self._choose_peers(1):
             self._tasks.spawn(self._repair.compare_with(host))
 
-    def _receive(self, _sender: Sender, message: ServerAnnouncement) -> None:
+    def _handle_announcement(
+        self, _sender: Sender, message: ServerAnnouncement
+    ) -> None:
         for record in self._merge(message.records):
             if not message.is_repair:
                 is_urgent = record.state in backends.OUT_OF_SERVICE
-                self._note(record, is_urgent=is_urgent)
+                self._enqueue(record, is_urgent=is_urgent)
 
     def _merge(self, records: Iterable[ServerRecord]) -> list[ServerRecord]:
         """Keep and return the newer records."""
@@ -176,28 +178,28 @@
         ]
         for record in kept:
             self._queue.forget(record.server)
-            self._hooks.changed(record)
+            self._hooks.on_changed(record)
         return kept
 
-    def _note(self, record: ServerRecord, *, is_urgent: bool) -> None:
+    def _enqueue(self, record: ServerRecord, *, is_urgent: bool) -> None:
         self._queue.enqueue(record, is_urgent=is_urgent)
-        if is_urgent and not self._flush_is_due:
-            self._flush_is_due = True
-            self._context.timers.after(_GATHER_S, self._spread_urgent)
+        if is_urgent and not self._is_urgent_send_scheduled:
+            self._is_urgent_send_scheduled = True
+            self._context.timers.after(_URGENT_DELAY_S, self._send_urgent)
 
-    def _spread_urgent(self) -> None:
-        self._flush_is_due = False
+    def _send_urgent(self) -> None:
+        self._is_urgent_send_scheduled = False
         self._send_changes(
             self._options.spread_limits.send_count, urgent_only=True
         )
 
-    def _spread(self) -> None:
+    def _send_all_changes(self) -> None:
         self._send_changes(
             self._options.spread_limits.target_count, urgent_only=False
         )
 
     def _send_changes(self, targets: int, *, urgent_only: bool) -> None:
-        if not self._hosts:
+        if not self._peer_hosts:
             return
         records = self._queue.take(
             targets,
@@ -205,8 +207,10 @@
             urgent_only=urgent_only,
         )
         if records:
-            for host in self._choose(targets):
+            for host in self._choose_peers(targets):
                 self._context.peers.send(host, ServerAnnouncement(records))
 
-    def _choose(self, count: int) -> tuple[HostName, ...]:
-        return backends.choose_targets(self._hosts, count, self._context.draw)
+    def _choose_peers(self, count: int) -> tuple[HostName, ...]:
+        return backends.choose_targets(
+            self._peer_hosts, count, self._context.draw
+        )
--- a/boragespool/controllers/backend_servers/record_repair.py
+++ b/boragespool/controllers/backend_servers/record_repair.py
@@ -26,12 +26,12 @@
     from boragespool.peers import Sender
     from boragespool.types import HostName
 
-_TIMEOUT_S: Final = 1
+_REQUEST_TIMEOUT_S: Final = 1
 #: Records in one page, in bytes; below the size of a peer frame.
 _PAGE_BYTES: Final = 131_072
 #: A digest of a daemon with fewer records may have this many times fewer
 #: groups. The versions of larger groups would exceed the bytes of a period.
-_LARGEST_GROUP_RATIO: Final = 4
+_MAX_GROUP_SIZE_RATIO: Final = 4
 
 
 class RecordRepair:
@@ -65,7 +65,7 @@
         self._limits = limits
         self._server_count = server_count
         self._merge = merge
-        self._allowance = backends.ByteRateLimiter(
+        self._rate_limiter = backends.ByteRateLimiter(
             limits.catch_up_bytes_per_s,
             limits.catch_up_burst_bytes,
             context.timers.now_s(),
@@ -85,7 +85,7 @@
             page = await self._context.peers.request(
                 host,
                 ServerPageRequest(group),
-                _TIMEOUT_S,
+                _REQUEST_TIMEOUT_S,
             )
             if not isinstance(page, ServerPage) or page.next_group <= group:
                 return False
@@ -101,7 +101,7 @@
         answer = await self._context.peers.request(
             host,
             ServerDigest(self._table.digest(count)),
-            _TIMEOUT_S,
+            _REQUEST_TIMEOUT_S,
         )
         if not isinstance(answer, ServerVersions) or not answer.groups:
             return
@@ -113,16 +113,16 @@
         )
         if compared.wanted:
             self._context.peers.send(host, ServersWanted(compared.wanted))
-        self._repair(host, compared.to_send)
+        self._send_records(host, compared.to_send)
 
     async def _answer_page(
         self,
         _sender: Sender,
-        asked: ServerPageRequest,
+        request: ServerPageRequest,
     ) -> ServerPage:
         records: list[ServerRecord] = []
         size_bytes = 0
-        group = max(0, asked.group)
+        group = max(0, request.group)
         while group < backends.GROUP_COUNT and size_bytes < _PAGE_BYTES:
             found = self._table.group(group, backends.GROUP_COUNT).values()
             records.extend(found)
@@ -135,16 +135,20 @@
         _sender: Sender,
         digest: ServerDigest,
     ) -> ServerVersions | Failure:
-        count, rest = divmod(len(digest.hashes), backends.HASH_BYTES)
-        lowest = backends.group_count(
-            len(self._table.by_server) // _LARGEST_GROUP_RATIO,
+        count, remainder = divmod(len(digest.hashes), backends.HASH_BYTES)
+        min_count = backends.group_count(
+            len(self._table.by_server) // _MAX_GROUP_SIZE_RATIO,
         )
-        if rest or not backends.is_valid_group_count(count) or count < lowest:
+        if (
+            remainder
+            or not backends.is_valid_group_count(count)
+            or count < min_count
+        ):
             size = len(digest.hashes)
             return Failure(
                 ResultCode.PEER_REFUSED,
                 f'digest of {size!r} bytes is not 4 bytes for each of '
-                f'{lowest} to {backends.GROUP_COUNT} groups, a power of two',
+                f'{min_count} to {backends.GROUP_COUNT} groups, a power of two',
             )
         limits = self._limits
         groups = backends.differing_groups(
@@ -154,7 +158,7 @@
             self._context.draw,
         )
         versions = backends.pack_versions(self._table, groups, count)
-        if len(groups) > limits.group_count and not self._may_send(
+        if len(groups) > limits.group_count and not self._take_catch_up_bytes(
             len(versions)
         ):
             groups = groups[: limits.group_count]
@@ -162,24 +166,28 @@
         return ServerVersions(groups, versions)
 
     def _send_wanted(self, sender: Sender, message: ServersWanted) -> None:
-        self._repair(sender.host, self._table.find(message.keys))
+        self._send_records(sender.host, self._table.find(message.keys))
 
-    def _repair(
+    def _send_records(
         self,
         host: HostName,
         records: tuple[ServerRecord, ...],
     ) -> None:
         limits = self._limits
         size_bytes = limits.group_count * limits.size_bytes
-        needed = sum(map(backends.record_size_bytes, records))
-        largest = min(needed, limits.catch_up_group_count * limits.size_bytes)
-        if needed > size_bytes and self._may_send(largest):
-            size_bytes = largest
+        needed_bytes = sum(map(backends.record_size_bytes, records))
+        catch_up_bytes = min(
+            needed_bytes, limits.catch_up_group_count * limits.size_bytes
+        )
+        if needed_bytes > size_bytes and self._take_catch_up_bytes(
+            catch_up_bytes
+        ):
+            size_bytes = catch_up_bytes
         chosen = backends.limit_total_size(records, size_bytes)
         if chosen:
             message = ServerAnnouncement(chosen, is_repair=True)
             self._context.peers.send(host, message)
 
-    def _may_send(self, size_bytes: int) -> bool:
+    def _take_catch_up_bytes(self, size_bytes: int) -> bool:
         """Take bytes from what is left for catching up."""
-        return self._allowance.take(size_bytes, self._context.timers.now_s())
+        return self._rate_limiter.take(size_bytes, self._context.timers.now_s())
--- a/boragespool/controllers/backend_servers/server_health.py
+++ b/boragespool/controllers/backend_servers/server_health.py
@@ -10,19 +10,19 @@
 from boragespool.blackboard.topics import ServerObservation
 from boragespool.controllers.backend_servers.backend_protocol import (
     STATUS_REQUEST,
-    read_status,
+    decode_status,
 )
 from boragespool.controllers.backend_servers.jobs import (
     BackendHooks,
     WorkInFlight,
-    was_served,
+    ran_to_completion,
 )
 from boragespool.events import Event, log_event
 from boragespool.results import Failure, ResultCode
 
 if TYPE_CHECKING:
     from boragespool.controllers.backend_servers.connections import (
-        ConnectionPool,
+        BackendConnectionPool,
     )
     from boragespool.controllers.context import Context
     from boragespool.messages import WorkReply
@@ -65,7 +65,7 @@
         if slots != self._limit.slots:
             self._set_limit(backends.with_slots(self._limit, slots))
 
-    def restarted(self, incarnation: Incarnation) -> None:
+    def note_incarnation(self, incarnation: Incarnation) -> None:
         """Treat a higher incarnation as a cold start."""
         if incarnation <= self.incarnation:
             return
@@ -73,34 +73,34 @@
             self._set_limit(backends.initial_limit(self._limit.slots))
         self.incarnation = incarnation
 
-    def refused(self) -> None:
+    def note_refused_connection(self) -> None:
         """Note that the server does not accept connections."""
         self.incarnation = 0
         self._set_limit(backends.initial_limit(self._limit.slots))
-        self._observe(refused_at_s=self._context.timers.now_s())
+        self._update_observation(refused_at_s=self._context.timers.now_s())
 
     def note_reply(self, reply: WorkReply, in_flight: int) -> None:
         """Move the limit and note what a reply says about the server."""
         now_s = self._context.timers.now_s()
-        if was_served(reply):
+        if ran_to_completion(reply):
             self._set_limit(backends.after_reply(self._limit, in_flight))
         elif reply.code == ResultCode.SERVER_SHED:
             self._set_limit(backends.after_shed(self._limit, now_s))
         elif reply.code == ResultCode.SERVER_DRAINING:
-            self._observe(draining_at_s=now_s)
+            self._update_observation(draining_at_s=now_s)
         elif reply.code == ResultCode.SERVER_REPLY_INVALID:
             log_event(Event.SERVER_REPLY_REJECTED, reply.reason)
 
-    async def learn_incarnation(self, pool: ConnectionPool) -> None:
+    async def fetch_incarnation(self, pool: BackendConnectionPool) -> None:
         """Ask the server for its incarnation."""
         response = await pool.exchange(STATUS_REQUEST, _STATUS_TIMEOUT_S)
-        status = read_status(response)
+        status = decode_status(response)
         if not isinstance(status, Failure):
-            self.restarted(status.incarnation)
+            self.note_incarnation(status.incarnation)
 
     async def check_loss(
         self,
-        pool: ConnectionPool,
+        pool: BackendConnectionPool,
         incarnation: Incarnation,
         in_flight: WorkInFlight,
     ) -> None:
@@ -108,7 +108,7 @@
 
         Parameters
         ----------
-        pool : ConnectionPool
+        pool : BackendConnectionPool
             Connections to the server; idle ones are closed.
         incarnation : int
             Incarnation to which the work was sent; 0 if unknown, and then
@@ -118,16 +118,16 @@
         """
         pool.close_idle()
         response = await pool.exchange(STATUS_REQUEST, _STATUS_TIMEOUT_S)
-        status = read_status(response)
+        status = decode_status(response)
         if isinstance(status, Failure):
             lost = status.code == ResultCode.SERVER_UNREACHABLE
             if lost:
-                self.refused()
+                self.note_refused_connection()
         else:
             lost = status.incarnation != incarnation
-            self.restarted(status.incarnation)
+            self.note_incarnation(status.incarnation)
         if lost and incarnation:
-            await self._hooks.lost(self._server, incarnation, in_flight)
+            await self._hooks.on_loss(self._server, incarnation, in_flight)
 
     def _set_limit(self, limit: backends.LimitState) -> None:
         before = self._limit.limit
@@ -141,8 +141,8 @@
                 limit=limit.limit,
                 before=before,
             )
-            self._observe(limit=limit.limit)
+            self._update_observation(limit=limit.limit)
 
-    def _observe(self, **changes: Any) -> None:
+    def _update_observation(self, **changes: Any) -> None:
         self._observation = replace(self._observation, **changes)
-        self._hooks.observed(self._server, self._observation)
+        self._hooks.on_observation(self._server, self._observation)
--- a/boragespool/controllers/backend_servers/server_polls.py
+++ b/boragespool/controllers/backend_servers/server_polls.py
@@ -10,9 +10,11 @@
 from boragespool.controllers.backend_servers.backend_protocol import (
     STATUS_REQUEST,
     BackendStatus,
-    read_status,
+    decode_status,
+)
+from boragespool.controllers.backend_servers.connections import (
+    BackendConnectionPool,
 )
-from boragespool.controllers.backend_servers.connections import ConnectionPool
 from boragespool.events import Event, log_event
 from boragespool.http import ExchangeFailure, FailureKind
 from boragespool.results import Failure
@@ -24,7 +26,7 @@
     from boragespool.types import Address, Seconds, ServerName
 
 #: Connections that time out one after the other before a server is lost.
-_LOSING_TIMEOUTS: Final = 3
+_CONNECT_TIMEOUTS_UNTIL_LOST: Final = 3
 #: Ticks without a change or failure after which a server is polled at every
 #: second tick. With 1 s ticks and 0.8 s for a poll, a server that leaves is
 #: noticed within 2.8 s; the goal is 3 s.
@@ -38,15 +40,15 @@
 
     Attributes
     ----------
-    answered : callable
+    on_status : callable
         Called with each status.
-    lost : callable
+    on_lost : callable
         Called after a poll of a server that takes no connections. A server
         that is slow to answer is not lost.
     """
 
-    answered: Callable[[ServerName, BackendStatus], None]
-    lost: Callable[[ServerName], None]
+    on_status: Callable[[ServerName, BackendStatus], None]
+    on_lost: Callable[[ServerName], None]
 
 
 class ServerPolls:
@@ -62,44 +64,46 @@
         self._timers = timers
         self._timeout_s = timeout_s
         self._hooks = hooks
-        self._pools: dict[ServerName, ConnectionPool] = {}
-        self._tasks: dict[ServerName, asyncio.Task[None]] = {}
-        self._timeouts: dict[ServerName, int] = {}
+        self._pools_by_server: dict[ServerName, BackendConnectionPool] = {}
+        self._tasks_by_server: dict[ServerName, asyncio.Task[None]] = {}
+        self._connect_timeouts_by_server: dict[ServerName, int] = {}
         self._steady_ticks_by_server: dict[ServerName, int] = {}
 
     @property
     def servers(self) -> Iterable[ServerName]:
         """Servers that are polled."""
-        return tuple(self._pools)
+        return tuple(self._pools_by_server)
 
     async def close(self) -> None:
         """Stop polling and close the connections."""
         for server in self.servers:
             self.remove(server)
-        tasks = tuple(self._tasks.values())
+        tasks = tuple(self._tasks_by_server.values())
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def add(self, server: ServerName, address: Address) -> None:
         """Poll a server at once and from now on."""
-        pool = self._pools.get(server)
+        pool = self._pools_by_server.get(server)
         if pool is None or pool.address != address:
             self.remove(server)
-            self._pools[server] = ConnectionPool(address, 1, self._timers)
+            self._pools_by_server[server] = BackendConnectionPool(
+                address, 1, self._timers
+            )
             self.reset_interval(server)
             self.poll(server)
 
     def remove(self, server: ServerName) -> None:
         """Stop polling a server."""
-        pool = self._pools.pop(server, None)
+        pool = self._pools_by_server.pop(server, None)
         if pool is not None:
             pool.close()
             self._steady_ticks_by_server.pop(server)
 
     def tick(self) -> None:
         """Poll the servers that are due."""
-        for server in self._pools:
+        for server in self._pools_by_server:
             ticks = self._steady_ticks_by_server[server] + 1
             self._steady_ticks_by_server[server] = ticks
             if ticks < TICKS_UNTIL_STEADY or not ticks % STEADY_INTERVAL_TICKS:
@@ -111,14 +115,16 @@
 
     def poll(self, server: ServerName) -> None:
         """Poll one server unless a poll is under way."""
-        if server in self._tasks:
+        if server in self._tasks_by_server:
             return
         task = asyncio.ensure_future(self._poll_once(server))
-        self._tasks[server] = task
-        task.add_done_callback(lambda done: self._finished(server, done))
+        self._tasks_by_server[server] = task
+        task.add_done_callback(lambda done: self._on_poll_done(server, done))
 
-    def _finished(self, server: ServerName, task: asyncio.Task[None]) -> None:
-        self._tasks.pop(server, None)
+    def _on_poll_done(
+        self, server: ServerName, task: asyncio.Task[None]
+    ) -> None:
+        self._tasks_by_server.pop(server, None)
         if not task.cancelled() and task.exception() is not None:
             log_event(
                 Event.TASK_FAILED,
@@ -127,23 +133,25 @@
             )
 
     async def _poll_once(self, server: ServerName) -> None:
-        pool = self._pools.get(server)
+        pool = self._pools_by_server.get(server)
         if pool is None:
             return
         response = await pool.exchange(STATUS_REQUEST, self._timeout_s)
-        if self._pools.get(server) is not pool:
+        if self._pools_by_server.get(server) is not pool:
             return
         if isinstance(response, ExchangeFailure):
-            self._unanswered(server, response)
+            self._handle_failed_poll(server, response)
             return
-        self._timeouts[server] = 0
-        status = read_status(response)
+        self._connect_timeouts_by_server[server] = 0
+        status = decode_status(response)
         if isinstance(status, Failure):
             log_event(Event.SERVER_REPLY_REJECTED, status.reason)
         else:
-            self._hooks.answered(server, status)
+            self._hooks.on_status(server, status)
 
-    def _unanswered(self, server: ServerName, failure: ExchangeFailure) -> None:
+    def _handle_failed_poll(
+        self, server: ServerName, failure: ExchangeFailure
+    ) -> None:
         self.reset_interval(server)
         if failure.kind == FailureKind.TIMEOUT and failure.sent:
             log_event(
@@ -152,7 +160,12 @@
                 server=server,
             )
         elif failure.kind == FailureKind.TIMEOUT:
-            self._timeouts[server] = self._timeouts.get(server, 0) + 1
-        no_handshake = self._timeouts.get(server, 0) >= _LOSING_TIMEOUTS
-        if no_handshake or failure.kind == FailureKind.REFUSED:
-            self._hooks.lost(server)
+            self._connect_timeouts_by_server[server] = (
+                self._connect_timeouts_by_server.get(server, 0) + 1
+            )
+        cannot_connect = (
+            self._connect_timeouts_by_server.get(server, 0)
+            >= _CONNECT_TIMEOUTS_UNTIL_LOST
+        )
+        if cannot_connect or failure.kind == FailureKind.REFUSED:
+            self._hooks.on_lost(server)
--- a/boragespool/controllers/backend_servers/server_records.py
+++ b/boragespool/controllers/backend_servers/server_records.py
@@ -19,10 +19,10 @@
     from boragespool.types import Seconds, ServerName
 
 #: A reply ``draining`` counts until the polls must have confirmed it.
-_REPLY_AGE_S: Final = 5
+_DRAINING_REPLY_AGE_S: Final = 5
 
 
-def servers_of(settings: Settings) -> dict[ServerName, ServerSettings]:
+def configured_servers(settings: Settings) -> dict[ServerName, ServerSettings]:
     """Return the backend servers of all services."""
     return {
         name: server
@@ -31,9 +31,9 @@
     }
 
 
-def new_record(settings: Settings, server: ServerName) -> ServerRecord:
+def initial_record(settings: Settings, server: ServerName) -> ServerRecord:
     """Return the record of a configured server of which nothing is known."""
-    service, where = next(
+    service, server_settings = next(
         (name, service.servers[server])
         for name, service in settings.services.items()
         if server in service.servers
@@ -41,7 +41,7 @@
     return ServerRecord(
         server=server,
         service=service,
-        data_centre=where.data_centre,
+        data_centre=server_settings.data_centre,
         dispatcher='',
         dispatcher_incarnation=0,
         sequence=0,
@@ -51,7 +51,7 @@
     )
 
 
-def holdings_of(status: BackendStatus) -> tuple[Holding, ...]:
+def holdings_from_status(status: BackendStatus) -> tuple[Holding, ...]:
     """Return the index versions of a status, oldest first."""
     return tuple(
         sorted(
@@ -72,10 +72,10 @@
     """Whether the server refused work as draining a moment ago."""
     if observation is None:
         return False
-    return now_s - observation.draining_at_s < _REPLY_AGE_S
+    return now_s - observation.draining_at_s < _DRAINING_REPLY_AGE_S
 
 
-def log_changes(
+def log_state_changes(
     before: Mapping[ServerName, ServerRecord],
     updates: Mapping[ServerName, ServerRecord],
 ) -> None:
--- a/boragespool/controllers/backend_servers/server_view.py
+++ b/boragespool/controllers/backend_servers/server_view.py
@@ -62,12 +62,12 @@
         self._sources = ViewSources(Settings(), {}, {}, frozenset(), 0)
         self._service_by_server: dict[ServerName, ServiceName] = {}
         self._states_by_service: dict[ServiceName, ServiceStates] = {}
-        self._draining: frozenset[ServerName] = frozenset()
+        self._recently_draining: frozenset[ServerName] = frozenset()
 
     @property
-    def expires(self) -> bool:
+    def has_expiring_state(self) -> bool:
         """Whether a state changes after some time without any event."""
-        return bool(self._draining)
+        return bool(self._recently_draining)
 
     def refresh(
         self,
@@ -94,11 +94,13 @@
         for changed_server in tuple(stale & self._service_by_server.keys()):
             service = self._service_by_server[changed_server]
             states = self._states_by_service[service]
-            if states.set_signals(changed_server, self._signs(changed_server)):
+            if states.set_signals(
+                changed_server, self._signals(changed_server)
+            ):
                 stale.update(states.servers)
         updates = {
             server: record
-            for server, record in self._present(stale)
+            for server, record in self._current_records(stale)
             if record != self.by_server.get(server)
         }
         if updates:
@@ -110,24 +112,25 @@
         before = self._sources
         recent = frozenset(
             server
-            for server, seen in sources.observations.items()
-            if recently_draining(seen, sources.now_s)
+            for server, observation in sources.observations.items()
+            if recently_draining(observation, sources.now_s)
         )
-        found = set(recent ^ self._draining)
-        self._draining = recent
+        found = set(recent ^ self._recently_draining)
+        self._recently_draining = recent
         if sources.settings is not before.settings:
-            self._start(sources.settings)
+            self._reset(sources.settings)
             return set(self._service_by_server)
-        moved = sources.leaving_hosts ^ before.leaving_hosts
-        if moved:
+        changed_hosts = sources.leaving_hosts ^ before.leaving_hosts
+        if changed_hosts:
             found.update(
                 server
                 for server, service in self._service_by_server.items()
-                if _configured(sources, service, server).host in moved
+                if _server_settings(sources, service, server).host
+                in changed_hosts
             )
         return found
 
-    def _start(self, settings: Settings) -> None:
+    def _reset(self, settings: Settings) -> None:
         """Forget what followed from other settings."""
         self._service_by_server = {
             server: name
@@ -145,9 +148,9 @@
         empty: ShardedMapping[ServerRecord] = ShardedMapping()
         self.by_server = empty.updated(kept)
 
-    def _signs(self, server: ServerName) -> ServerSignals:
+    def _signals(self, server: ServerName) -> ServerSignals:
         sources = self._sources
-        configured = _configured(
+        configured = _server_settings(
             sources,
             self._service_by_server[server],
             server,
@@ -158,10 +161,10 @@
             drained=configured.drained,
             host_leaving=bool(configured.host)
             and configured.host in sources.leaving_hosts,
-            reply_draining=server in self._draining,
+            reply_draining=server in self._recently_draining,
         )
 
-    def _present(
+    def _current_records(
         self,
         servers: Iterable[ServerName],
     ) -> Iterable[tuple[ServerName, ServerRecord]]:
@@ -178,7 +181,7 @@
                 yield server, replace(record, state=state)
 
 
-def _configured(
+def _server_settings(
     sources: ViewSources,
     service: ServiceName,
     server: ServerName,
--- a/boragespool/controllers/backend_servers/servers.py
+++ b/boragespool/controllers/backend_servers/servers.py
@@ -25,11 +25,11 @@
     ServerPolls,
 )
 from boragespool.controllers.backend_servers.server_records import (
-    holdings_of,
-    log_changes,
-    new_record,
+    configured_servers,
+    holdings_from_status,
+    initial_record,
+    log_state_changes,
     recently_draining,
-    servers_of,
 )
 from boragespool.controllers.backend_servers.server_view import (
     ServerView,
@@ -59,7 +59,7 @@
     from boragespool.types import Seconds
 
 #: Changes within this time share one post.
-_GATHER_S: Final = 0.01
+_POST_DELAY_S: Final = 0.01
 _CANDIDATE_STATUSES: Final = frozenset(
     (MemberStatus.ALIVE, MemberStatus.SUSPECT),
 )
@@ -73,7 +73,7 @@
     Attributes
     ----------
     poll_interval_s, poll_timeout_s : float
-        A sign of leaving is seen after at most twice the interval and the
+        A sign of leaving is observed after at most twice the interval and the
         timeout.
     exchange : ExchangeOptions
         Times and bounds of the exchange of records with peers.
@@ -101,33 +101,33 @@
             self._table,
             self._options.exchange,
             ExchangeHooks(
-                self._accepts,
+                self._accepts_server,
                 lambda: self._assignment.server_count,
-                self._changed,
+                self._on_record_changed,
             ),
         )
         self._polls = ServerPolls(
             context.timers,
             self._options.poll_timeout_s,
-            PollHooks(self._answered, self._lose),
+            PollHooks(self._on_status, self._on_lost),
         )
         self._assignment = DispatcherAssignment()
-        self._refused_at_s: dict[ServerName, Seconds] = {}
-        self._claimed_at_s: dict[ServerName, Seconds] = {}
+        self._refused_at_s_by_server: dict[ServerName, Seconds] = {}
+        self._takeover_at_s_by_server: dict[ServerName, Seconds] = {}
         self._candidates: frozenset[_Candidate] = frozenset()
         self._view = ServerView()
-        self._stale: set[ServerName] = set()
-        self._post_is_due = False
+        self._changed_servers: set[ServerName] = set()
+        self._is_post_scheduled = False
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Self:
         """Poll and exchange records from now on."""
         context = self._context
         for subscription in (
-            context.board.subscribe(MEMBERS, self._follow_members),
-            context.board.subscribe(IN_FORCE, self._assign),
-            context.board.subscribe(OBSERVATIONS, self._observed),
-            context.board.subscribe(LEAVING_HOSTS, self._post_soon),
+            context.board.subscribe(MEMBERS, self._on_members),
+            context.board.subscribe(IN_FORCE, self._assign_dispatchers),
+            context.board.subscribe(OBSERVATIONS, self._on_observations),
+            context.board.subscribe(LEAVING_HOSTS, self._schedule_post),
         ):
             self._stack.callback(subscription)
         timer = context.timers.every(
@@ -135,8 +135,8 @@
             self._poll_all,
         )
         self._stack.callback(timer.cancel)
-        self._follow_members(context.board.read(MEMBERS))
-        self._assign()
+        self._on_members(context.board.read(MEMBERS))
+        self._assign_dispatchers()
         await self._stack.enter_async_context(self._exchange)
         return self
 
@@ -149,7 +149,7 @@
         document = self._context.board.read(IN_FORCE)
         return Settings() if document is None else document.settings
 
-    def _follow_members(
+    def _on_members(
         self,
         members_by_host: Mapping[HostName, MemberRecord],
     ) -> None:
@@ -161,11 +161,11 @@
         )
         if candidates != self._candidates:
             self._candidates = candidates
-            self._assign()
+            self._assign_dispatchers()
 
-    def _assign(self, _posted: object = None) -> None:
+    def _assign_dispatchers(self, _posted: object = None) -> None:
         """Find the dispatcher of each server; poll what became ours."""
-        servers = servers_of(self._settings())
+        servers = configured_servers(self._settings())
         self._assignment.set_servers(
             {name: server.data_centre for name, server in servers.items()},
         )
@@ -178,30 +178,30 @@
         now_s = self._context.timers.now_s()
         for name, server in servers.items():
             if self._assignment.dispatcher(name) == own:
-                self._claimed_at_s.setdefault(name, now_s)
+                self._takeover_at_s_by_server.setdefault(name, now_s)
                 self._polls.add(name, server.address)
         for polled in self._polls.servers:
             if self._assignment.dispatcher(polled) != own:
                 self._polls.remove(polled)
-                self._claimed_at_s.pop(polled)
-        self._post_soon()
+                self._takeover_at_s_by_server.pop(polled)
+        self._schedule_post()
 
     def _poll_all(self) -> None:
         self._polls.tick()
-        if self._view.expires:
-            self._post_soon()
+        if self._view.has_expiring_state:
+            self._schedule_post()
 
-    def _lose(self, server: ServerName) -> None:
-        record = self._known_or_new(server)
+    def _on_lost(self, server: ServerName) -> None:
+        record = self._known_or_new_record(server)
         self._update(server, replace(record, state=ServerState.LOST))
 
-    def _known_or_new(self, server: ServerName) -> ServerRecord:
+    def _known_or_new_record(self, server: ServerName) -> ServerRecord:
         known = self._table.by_server.get(server)
         if known is not None:
             return known
-        return new_record(self._settings(), server)
+        return initial_record(self._settings(), server)
 
-    def _answered(self, server: ServerName, status: BackendStatus) -> None:
+    def _on_status(self, server: ServerName, status: BackendStatus) -> None:
         """Keep what a status says; only own observations set the limit."""
         observation = self._context.board.read(OBSERVATIONS).get(server)
         state = status.state
@@ -211,15 +211,15 @@
             # A server that answers is there, whatever it reports.
             state = ServerState.SERVING
         record = replace(
-            self._known_or_new(server),
+            self._known_or_new_record(server),
             incarnation=status.incarnation,
             state=state,
             limit=1 if observation is None else observation.limit,
-            holdings=holdings_of(status),
+            holdings=holdings_from_status(status),
         )
         self._update(server, record)
 
-    def _update(self, server: ServerName, seen: ServerRecord) -> None:
+    def _update(self, server: ServerName, observed: ServerRecord) -> None:
         """Announce what was observed if it changes the record."""
         identity = self._context.identity
         now_s = self._context.timers.now_s()
@@ -227,27 +227,30 @@
         record = next_version(
             known,
             replace(
-                seen,
+                observed,
                 dispatcher=identity.host,
                 dispatcher_incarnation=identity.incarnation,
             ),
-            now_s - self._claimed_at_s[server],
-            known_dispatcher_is_live=known is not None and self._is_live(known),
+            now_s - self._takeover_at_s_by_server[server],
+            known_dispatcher_is_live=known is not None
+            and self._is_dispatcher_live(known),
         )
         if record is None:
             return
         if known is None or known.dispatcher != identity.host:
-            self._claimed_at_s[server] = now_s
+            self._takeover_at_s_by_server[server] = now_s
         self._table.merge(record)
         self._exchange.announce(record)
         self._polls.reset_interval(server)
-        self._changed(record)
+        self._on_record_changed(record)
 
-    def _is_live(self, record: ServerRecord) -> bool:
-        author = (record.dispatcher, record.dispatcher_incarnation)
-        return any(author == candidate[:2] for candidate in self._candidates)
+    def _is_dispatcher_live(self, record: ServerRecord) -> bool:
+        dispatcher = (record.dispatcher, record.dispatcher_incarnation)
+        return any(
+            dispatcher == candidate[:2] for candidate in self._candidates
+        )
 
-    def _observed(
+    def _on_observations(
         self,
         observations: Mapping[ServerName, ServerObservation],
     ) -> None:
@@ -261,31 +264,31 @@
             if record is not None and recently_draining(observation, now_s):
                 state = ServerState.DRAINING
                 self._update(server, replace(record, state=state))
-            if observation.refused_at_s > self._refused_at_s.get(
+            if observation.refused_at_s > self._refused_at_s_by_server.get(
                 server,
                 -math.inf,
             ):
-                self._refused_at_s[server] = observation.refused_at_s
+                self._refused_at_s_by_server[server] = observation.refused_at_s
                 self._polls.poll(server)
-        self._post_soon()
+        self._schedule_post()
 
-    def _accepts(self, server: ServerName) -> bool:
+    def _accepts_server(self, server: ServerName) -> bool:
         # Before the first revision any server may turn out to be configured.
         has_settings = self._context.board.read(IN_FORCE) is not None
         return not has_settings or server in self._assignment
 
-    def _changed(self, record: ServerRecord) -> None:
-        self._stale.add(record.server)
-        self._post_soon()
+    def _on_record_changed(self, record: ServerRecord) -> None:
+        self._changed_servers.add(record.server)
+        self._schedule_post()
 
-    def _post_soon(self, _posted: object = None) -> None:
-        if not self._post_is_due:
-            self._post_is_due = True
-            self._context.timers.after(_GATHER_S, self._post)
+    def _schedule_post(self, _posted: object = None) -> None:
+        if not self._is_post_scheduled:
+            self._is_post_scheduled = True
+            self._context.timers.after(_POST_DELAY_S, self._post)
 
     def _post(self) -> None:
         """Post the view if it differs."""
-        self._post_is_due = False
+        self._is_post_scheduled = False
         board = self._context.board
         before = self._view.by_server
         updates = self._view.refresh(
@@ -296,9 +299,9 @@
                 board.read(LEAVING_HOSTS),
                 self._context.timers.now_s(),
             ),
-            self._stale,
+            self._changed_servers,
         )
-        self._stale.clear()
+        self._changed_servers.clear()
         if self._view.by_server is not before:
             board.post(SERVERS, self._view.by_server)
-            log_changes(before, updates)
+            log_state_changes(before, updates)
