--- a/boragespool/controllers/backend_servers/__init__.py
+++ b/boragespool/controllers/backend_servers/__init__.py
@@ -1,1 +1,1 @@
-"""Controllers of backend servers: dispatch, connections and records."""
+"""Controllers of backend servers: dispatch of work, and server records."""
--- a/boragespool/controllers/backend_servers/backend.py
+++ b/boragespool/controllers/backend_servers/backend.py
@@ -1,4 +1,4 @@
-"""One backend server at its dispatcher: queue, limit, connections, work."""
+"""One backend server at its dispatcher: queue, connections and running work."""
 
 from __future__ import annotations
 
@@ -56,17 +56,33 @@
     from boragespool.timers import Subscription
 
 _CANCEL_TIMEOUT_S: Final = 0.5
-#: Time for the cancelled exchange itself to end before its connection closes.
+#: After a cancellation, time for the exchange of the cancelled work to end
+#: before its connection is closed.
 _CANCEL_GRACE_S: Final = 0.2
-#: A claim that runs at its deadline may still end: its outcome is worth more
-#: than the slot. Issuers wait for 1 s beyond the deadline.
+#: Time after the deadline at which the exchange times out. Claims get more
+#: time, as their outcome is worth more than the slot; claim issuers wait until
+#: 1 s after the deadline.
 _DEADLINE_GRACE_S_BY_KIND: Final = MappingProxyType(
     {WorkKind.QUERY: _CANCEL_GRACE_S, WorkKind.CLAIM: 0.8},
 )
 
 
 class Backend:
-    """Serves the work of one backend server."""
+    """Queues the work of one backend server and runs it there.
+
+    Attributes
+    ----------
+    server : str
+        Name of the backend server.
+    jobs_by_attempt : dict of str to Job
+        Queued and running attempts.
+    queue : ServerQueue
+        Decides which work gets the slots.
+    health : ServerHealth
+        Incarnation and concurrency limit of the server.
+    pool : BackendConnectionPool
+        Connections to the server.
+    """
 
     def __init__(
         self,
@@ -76,7 +92,7 @@
         context: Context,
         hooks: BackendHooks,
     ) -> None:
-        """Start with an empty queue and the limit of a cold start."""
+        """Set up an empty queue and the concurrency limit of a cold start."""
         self.server = server
         self.jobs_by_attempt: dict[AttemptId, Job] = {}
         self.queue = ServerQueue(1, ranks)
@@ -96,12 +112,12 @@
         service: ServiceSettings,
         ranks: Mapping[Rank, RankSettings],
     ) -> None:
-        """Follow new settings."""
+        """Apply changed settings."""
         self.queue.settings_by_rank = ranks
         self.health.configure(service.slots)
 
     def accept(self, work: WorkRequest, queued: QueuedWork) -> Job:
-        """Queue work; its job is answered in any case."""
+        """Queue work, or refuse it; either way its job gets a reply."""
         now_s = self._context.timers.now_s()
         loop = asyncio.get_running_loop()
         job = Job(work, queued, now_s, loop.create_future())
@@ -112,15 +128,15 @@
         return job
 
     def refuse_queued(self, failure: Failure) -> None:
-        """Answer all queued work with a refusal."""
+        """Refuse all queued work."""
         for queued in self.queue.clear():
             self._refuse(queued, failure)
 
     def cancel(self, attempt_id: AttemptId) -> None:
-        """Withdraw queued work, or cancel running work at the server."""
+        """Remove an attempt from the queue, or cancel it at the server."""
         queued = self.queue.withdraw(attempt_id)
         if queued is not None:
-            reason = 'cancelled while it waited'
+            reason = 'cancelled while it was queued'
             self._refuse(queued, Failure(ResultCode.CANCELLED, reason))
             self.schedule()
             return
@@ -129,7 +145,7 @@
             self._spawn_cancel(job)
 
     def schedule(self) -> None:
-        """Start, refuse and pre-empt what the queue decides."""
+        """Start, refuse and pre-empt work as the queue decides."""
         now_s = self._context.timers.now_s()
         self.queue.slots = self.health.limit
         grants = self.queue.schedule(now_s)
@@ -144,9 +160,10 @@
         self._set_wakeup(self.queue.next_expiry_s, now_s)
 
     def _set_wakeup(self, at_s: Seconds, now_s: Seconds) -> None:
-        """Look at all work again at the earliest deadline.
+        """Set the timer to `at_s`, unless it is set to an earlier time.
 
-        One timer for all work costs less than one for each request.
+        The timer is set to the earliest deadline of all work, as one timer for
+        each request would cost more.
         """
         if at_s >= self._wakeup_at_s or math.isinf(at_s):
             return
@@ -158,7 +175,7 @@
         )
 
     def _on_wakeup(self) -> None:
-        """Cancel running work at its deadline; expire queued work."""
+        """Cancel running work whose deadline passed, and expire queued work."""
         self._wakeup_at_s = math.inf
         now_s = self._context.timers.now_s()
         for job in tuple(self.jobs_by_attempt.values()):
@@ -166,8 +183,8 @@
                 continue
             if job.queued.deadline_at_s > now_s:
                 self._set_wakeup(job.queued.deadline_at_s, now_s)
-            elif not job.has_passed_deadline:
-                job.has_passed_deadline = True
+            elif not job.was_cancelled_at_deadline:
+                job.was_cancelled_at_deadline = True
                 self._spawn_cancel(job)
         self.schedule()
 
@@ -175,14 +192,14 @@
         job = self.jobs_by_attempt[queued.attempt_id]
         log_event(
             Event.WORK_PREEMPTED,
-            f'{queued.attempt_id!r} makes room at {self.server!r}',
+            f'{queued.attempt_id!r} is pre-empted at {self.server!r}',
             level=logging.DEBUG,
             rank=queued.rank,
         )
         self._spawn_cancel(job)
 
     async def _run_job(self, job: Job) -> None:
-        """Run one job that holds a slot."""
+        """Run a job that holds a slot, and schedule the next ones."""
         reply: WorkReply | None = None
         try:
             reply = await self._run_attempt(job)
@@ -191,14 +208,17 @@
         self.schedule()
 
     def _finish_job(self, job: Job, reply: WorkReply | None) -> None:
-        """Free the slot and answer; without a reply the job was cancelled."""
+        """Release the slot of a job and set its reply.
+
+        `reply` is None if the task of the job was cancelled or failed.
+        """
         reply = reply or cancellation_reply(job, job.started_s)
         self.queue.finish(
             job.work.attempt_id,
             self._context.timers.now_s(),
             served=ran_to_completion(reply),
         )
-        self._complete_job(job, reply)
+        self._set_reply(job, reply)
 
     async def _run_attempt(self, job: Job) -> WorkReply:
         if job.work.fingerprint in self._context.board.read(BLOCKED):
@@ -218,23 +238,26 @@
         return reply
 
     async def _send_work(self, job: Job) -> HttpResponse | ExchangeFailure:
-        """Send the work; at its deadline cancel it at the server."""
+        """Send the work, and set the timer that cancels it at its deadline.
+
+        The exchange itself times out a grace time after the deadline.
+        """
 
-        def connected(connection: HttpConnection) -> None:
+        def store_connection(connection: HttpConnection) -> None:
             job.connection = connection
 
         now_s = self._context.timers.now_s()
         left_s = max(0, job.queued.deadline_at_s - now_s)
         request = build_work_request(job.work, left_s)
         self._set_wakeup(job.queued.deadline_at_s, now_s)
-        limit_s = left_s + _DEADLINE_GRACE_S_BY_KIND[job.work.kind]
-        return await self.pool.exchange(request, limit_s, connected)
+        timeout_s = left_s + _DEADLINE_GRACE_S_BY_KIND[job.work.kind]
+        return await self.pool.exchange(request, timeout_s, store_connection)
 
     def _spawn_cancel(self, job: Job) -> None:
         self._hooks.spawn(self._cancel_running(job))
 
     async def _cancel_running(self, job: Job) -> None:
-        """Cancel running work at the server on another connection."""
+        """Cancel running work at the server, through another connection."""
         response = await self.pool.exchange(
             build_cancel_request(job.work.attempt_id),
             _CANCEL_TIMEOUT_S,
@@ -245,7 +268,9 @@
         job.run_state_at_cancel = reply.run
         await asyncio.wait((job.reply_future,), timeout=_CANCEL_GRACE_S)
         if not job.reply_future.done() and job.connection is not None:
-            self._log_replaced_connection('the cancelled exchange did not end')
+            self._log_replaced_connection(
+                'the exchange of cancelled work did not end'
+            )
             job.connection.close()
 
     async def _handle_exchange_failure(
@@ -254,7 +279,7 @@
         failure: ExchangeFailure,
         incarnation: Incarnation,
     ) -> None:
-        """Find out whether the connection or the server was lost."""
+        """Close silent connections, and detect the loss of the server."""
         if failure.kind == FailureKind.REFUSED:
             self.health.note_refused_connection()
         elif not failure.sent:
@@ -264,7 +289,8 @@
             self._log_replaced_connection(failure.reason)
         elif failure.kind == FailureKind.CLOSED:
             in_flight = self._work_in_flight()
-            # The next incarnation may be lost before this job is answered.
+            # Without its connection the job no longer counts as in flight, in
+            # case the next incarnation is lost before this job has a reply.
             job.connection = None
             await self.health.check_loss(self.pool, incarnation, in_flight)
 
@@ -282,7 +308,7 @@
     def _log_replaced_connection(self, reason: str) -> None:
         log_event(
             Event.CONNECTION_SILENT,
-            f'a connection to {self.server!r} is replaced: {reason}',
+            f'closed a silent connection to server {self.server!r}: {reason}',
             server=self.server,
         )
 
@@ -295,10 +321,10 @@
             code=int(failure.code),
             rank=queued.rank,
         )
-        self._complete_job(job, refusal_reply(job.work, failure))
+        self._set_reply(job, refusal_reply(job.work, failure))
 
-    def _complete_job(self, job: Job, reply: WorkReply) -> None:
-        """Complete a reply with times and backpressure and give it out."""
+    def _set_reply(self, job: Job, reply: WorkReply) -> None:
+        """Set the reply of a job, with its times and the waits of the queue."""
         self.jobs_by_attempt.pop(job.work.attempt_id, None)
         now_s = self._context.timers.now_s()
         started_s = min(job.started_s, now_s)
--- a/boragespool/controllers/backend_servers/backend_protocol.py
+++ b/boragespool/controllers/backend_servers/backend_protocol.py
@@ -1,4 +1,4 @@
-"""Work and its replies as backend servers write them in HTTP and JSON."""
+"""Protocol of the backend servers: requests and replies in HTTP and JSON."""
 
 from __future__ import annotations
 
@@ -110,7 +110,10 @@
 
 
 def build_work_request(work: WorkRequest, deadline_s: Seconds) -> HttpRequest:
-    """Build ``POST /v1/work`` with the time left in seconds."""
+    """Build ``POST /v1/work``.
+
+    `deadline_s` is the time that is left until the deadline, in seconds.
+    """
     body = _WorkBody(
         attempt_id=work.attempt_id,
         request_id=work.request_id,
@@ -143,7 +146,10 @@
 
 
 def decode_cancel(response: HttpResponse | ExchangeFailure) -> CancelReply:
-    """Decode the answer to a cancellation; doubt counts as not cancelled."""
+    """Decode the answer to a cancellation.
+
+    A failed exchange or an invalid answer counts as not cancelled.
+    """
     if isinstance(response, ExchangeFailure):
         return CancelReply()
     try:
@@ -156,14 +162,15 @@
     work: WorkRequest,
     response: HttpResponse | ExchangeFailure,
 ) -> WorkReply:
-    """Check the answer to work and translate it.
+    """Validate the answer to work and convert it to a reply.
 
     Returns
     -------
     WorkReply
-        ``COMPLETE`` only if attempt, version, range and number of items are
-        those of the request. ``NOT_RUN`` only if the backend server said so,
-        or if no byte was sent.
+        The code of a query is ``COMPLETE`` only if the attempt, version and
+        range are those of the request, and the number of items is the stated
+        one. The run state is ``NOT_RUN`` only if the backend server said so or
+        if no byte was sent.
     """
     if isinstance(response, ExchangeFailure):
         return _failed_exchange_reply(work, response)
@@ -236,7 +243,7 @@
 
 
 def _is_failed_claim(work: WorkRequest, body: _ReplyBody) -> bool:
-    """Whether the server says that it ran the claim and that it failed."""
+    """Return whether the server states that the claim ran and failed."""
     return (
         work.kind == WorkKind.CLAIM
         and body.run == RunState.RUN
@@ -245,7 +252,10 @@
 
 
 def _claim_reply(work: WorkRequest, body: _ReplyBody) -> WorkReply:
-    """Pass on the ``outcome`` of a claim, or its items without one."""
+    """Return the reply to a claim that ended.
+
+    Without an ``outcome`` the items become the outcome.
+    """
     outcome = body.outcome
     if outcome is None and body.items:
         outcome = msgspec.to_builtins(body.items)
@@ -258,7 +268,7 @@
 
 
 def _refusal_code(status: int, body: _ReplyBody) -> ResultCode:
-    """Return the code of an answer other than 200."""
+    """Return the result code for an HTTP status other than 200."""
     if status == _HTTP_SERVICE_UNAVAILABLE:
         return _CODE_BY_REASON.get(body.reason, ResultCode.SERVER_SHED)
     if status == _HTTP_CONFLICT:
--- a/boragespool/controllers/backend_servers/connections.py
+++ b/boragespool/controllers/backend_servers/connections.py
@@ -1,4 +1,4 @@
-"""Connections to one backend server: bounded, opened on demand, reused."""
+"""Bounded pool of HTTP connections to one backend server."""
 
 from __future__ import annotations
 
@@ -15,24 +15,25 @@
     from boragespool.timers import TimerService
     from boragespool.types import Address, Seconds
 
-#: Shorter than the idle timeout of usual HTTP servers, so that a request
-#: rarely meets a connection that is being closed.
+#: Shorter than the idle timeout of usual HTTP servers, so that requests are
+#: rarely sent on a connection that the server is closing.
 _IDLE_TIMEOUT_S: Final = 20
-#: The first connection, and one more if no byte was sent on it.
+#: The second try uses a new connection, if the first was closed before any
+#: byte was sent on it.
 _MAX_TRIES: Final = 2
 
 
 class BackendConnectionPool:
-    """Owns all connections to one address, an async context manager.
+    """Opens connections to one address on demand and reuses idle ones.
 
     Parameters
     ----------
     address : str
         ``ip:port`` of the backend server.
     connection_count : int
-        Connections that may be open at the same time.
+        Largest number of connections that are open at the same time.
     timers : TimerService
-        Clock of the idle connections.
+        Clock for timeouts and for the age of idle connections.
     """
 
     def __init__(
@@ -41,7 +42,7 @@
         connection_count: int,
         timers: TimerService,
     ) -> None:
-        """Open nothing yet."""
+        """Set up a pool without open connections."""
         self.address = address
         self._timers = timers
         self._permits = asyncio.Semaphore(max(1, connection_count))
@@ -50,17 +51,17 @@
 
     @property
     def open_count(self) -> int:
-        """Connections in use and idle."""
+        """Number of open connections, in use or idle."""
         return len(self._idle) + len(self._in_use)
 
     def close(self) -> None:
-        """Close all connections; exchanges under way fail as closed."""
+        """Close all connections; running exchanges fail with ``CLOSED``."""
         self.close_idle()
         for connection in self._in_use:
             connection.close()
 
     def close_idle(self, older_than_s: Seconds = 0) -> None:
-        """Close the connections that were idle for at least this time."""
+        """Close the connections that were idle for at least `older_than_s`."""
         cutoff_s = self._timers.now_s() - older_than_s
         for idle_since_s, connection in self._idle:
             if idle_since_s <= cutoff_s:
@@ -68,7 +69,7 @@
         self._idle = [entry for entry in self._idle if entry[0] > cutoff_s]
 
     def close_expired(self) -> None:
-        """Close connections that nobody used for a while."""
+        """Close the connections that were idle for the idle timeout."""
         self.close_idle(_IDLE_TIMEOUT_S)
 
     async def exchange(
@@ -79,18 +80,22 @@
     ) -> HttpResponse | ExchangeFailure:
         """Send one request on an idle or a new connection.
 
+        A connection that was closed before any byte was sent is replaced once.
+
         Parameters
         ----------
+        request : HttpRequest
+            Request to send.
         timeout_s : float
-            Longest time for connecting and for the exchange, in seconds.
+            Longest time to wait for a free connection, to connect and to
+            exchange, in seconds.
         on_connected : callable, optional
             Called with the connection before the request is sent.
 
         Returns
         -------
         HttpResponse or ExchangeFailure
-            A connection that was closed before any byte was sent is replaced
-            once.
+            Response of the server, or why there is none.
         """
         deadline_at_s = self._timers.now_s() + timeout_s
         if not await self._acquire_permit(timeout_s):
@@ -101,7 +106,7 @@
             self._permits.release()
 
     async def _acquire_permit(self, timeout_s: Seconds) -> bool:
-        """Wait until fewer connections are in use than allowed."""
+        """Wait until a connection may be used; False after the timeout."""
         if not self._permits.locked():
             return await self._permits.acquire()
         try:
@@ -147,7 +152,7 @@
                 self._idle.append((self._timers.now_s(), connection))
 
     def _pop_idle(self) -> HttpConnection | None:
-        """Return the connection used last; None if none is idle."""
+        """Return the most recently used idle connection, or None."""
         with contextlib.suppress(IndexError):
             return self._idle.pop()[1]
         return None
--- a/boragespool/controllers/backend_servers/crash_watch.py
+++ b/boragespool/controllers/backend_servers/crash_watch.py
@@ -1,4 +1,7 @@
-"""Verdicts about requests that crash backend servers, shared by all peers."""
+"""Detection of requests that crash backend servers, shared with all peers.
+
+Posts the fingerprints of such requests as `SUSPECTS` and `BLOCKED`.
+"""
 
 from __future__ import annotations
 
@@ -19,17 +22,25 @@
     from boragespool.revisions import RevisionDocument
     from boragespool.types import HostName, Incarnation, Seconds, ServerName
 
-#: Messages between daemons can be lost, so a notice is sent again.
+#: Notices are sent again after this time, as messages can be lost.
 _RESEND_DELAY_S: Final = 1
-#: The answer to the work that was lost waits for the peers at most this long.
+#: Longest time that the reply to lost work waits for the peers.
 _ACK_TIMEOUT_S: Final = 0.5
 
 
 class CrashWatch:
-    """Posts `SUSPECTS` and `BLOCKED` from own losses and the notices of peers."""
+    """Suspect and blocked requests, from own losses and notices of peers.
+
+    Parameters
+    ----------
+    context : Context
+        Shared parts of the daemon.
+    tracker : CrashTracker
+        Losses of backend servers by fingerprint.
+    """
 
     def __init__(self, context: Context, tracker: CrashTracker) -> None:
-        """Register for the notices of peers."""
+        """Register the handlers for notices of peers."""
         self._context = context
         self._tracker = tracker
         self._document = context.board.read(IN_FORCE)
@@ -44,9 +55,9 @@
     ) -> None:
         """Record the loss of a server with this work in flight.
 
-        Returns after the peers know of it, or after a time limit. The work is
-        answered then: once its caller can send it again, a failure of this
-        daemon must not make the others forget the loss.
+        Returns when the peers have acknowledged the loss, or after a timeout.
+        The reply to the work is sent only then: its caller may send it again,
+        and by then the peers must know the loss, in case this daemon fails.
         """
         loss_id = f'{server}@{incarnation}'
         now_s = self._context.timers.now_s()
@@ -69,7 +80,7 @@
         await self._notify_peers(notices)
 
     def handle_notice(self, _sender: Sender, notice: SuspectNotice) -> None:
-        """Treat the notice of a peer."""
+        """Apply the notice of a peer."""
         now_s = self._context.timers.now_s()
         if notice.cleared:
             self._tracker.clear(notice.fingerprint, now_s)
@@ -78,9 +89,9 @@
         self.post_verdicts()
 
     def on_revision(self, document: RevisionDocument | None) -> None:
-        """End the verdicts that an operator cleared by a revision.
+        """Remove the suspicions and blocks that a revision clears.
 
-        Every daemon puts the revision in force, so no notice is sent.
+        No notice is sent, as every daemon puts the revision in force.
         """
         if document is None:
             return
@@ -91,7 +102,7 @@
         self.post_verdicts()
 
     def clear(self, fingerprint: int) -> bool:
-        """End a verdict here and at all peers.
+        """Remove the suspicion or block of a fingerprint, here and at all peers.
 
         Returns
         -------
@@ -104,7 +115,7 @@
         return known
 
     def post_verdicts(self) -> None:
-        """Post the verdicts that hold now; logs what changed."""
+        """Post the current suspects and blocks; log changes of the blocks."""
         now_s = self._context.timers.now_s()
         board = self._context.board
         before = board.read(BLOCKED)
@@ -120,7 +131,7 @@
         for ended in before - blocked:
             log_event(
                 Event.REQUEST_UNBLOCKED,
-                f'requests with fingerprint {hex(ended)} run again',
+                f'requests with fingerprint {hex(ended)} are no longer blocked',
                 fingerprint=ended,
             )
 
@@ -139,8 +150,8 @@
     ) -> tuple[SuspectNotice, ...]:
         """Return the notices of all losses of a fingerprint.
 
-        A peer may have missed the notice of an earlier loss, if the daemon
-        that saw it has failed since.
+        The notices of earlier losses are included, as a peer may have missed
+        one whose sender has failed since.
         """
         earlier = (
             SuspectNotice(fingerprint, loss_id)
@@ -158,7 +169,7 @@
         return SuspectNoticeAck()
 
     async def _notify_peers(self, notices: list[SuspectNotice]) -> None:
-        """Tell each peer; repeat what a peer does not acknowledge."""
+        """Send notices to all peers; resend those without acknowledgement."""
         await asyncio.gather(
             *(
                 self._notify_peer(host, notice)
--- a/boragespool/controllers/backend_servers/dispatch.py
+++ b/boragespool/controllers/backend_servers/dispatch.py
@@ -1,4 +1,8 @@
-"""Serves the work that mergers and claim issuers give to this daemon."""
+"""Runs the work that mergers and claim issuers send to this dispatcher.
+
+Owns a `Backend` for each backend server that work was sent to, and the
+detection of requests that crash backend servers.
+"""
 
 from __future__ import annotations
 
@@ -48,12 +52,15 @@
 
 
 class DispatchController:
-    """Queues and runs work at backend servers, an async context manager.
+    """Queues work and runs it at backend servers, an async context manager.
 
     Parameters
     ----------
-    ledger : CrashTracker, optional
-        Crash verdicts; by default an empty one with the usual ages.
+    context : Context
+        Shared parts of the daemon.
+    crash_tracker : CrashTracker, optional
+        Losses of backend servers by fingerprint; by default an empty tracker
+        with the default ages.
     """
 
     def __init__(
@@ -61,14 +68,14 @@
         context: Context,
         crash_tracker: CrashTracker | None = None,
     ) -> None:
-        """Keep the parts; `__aenter__` registers the handlers."""
+        """Set up without backends; `__aenter__` registers the handlers."""
         self._context = context
         self._crash_watch = CrashWatch(context, crash_tracker or CrashTracker())
         self._backends_by_server: dict[ServerName, Backend] = {}
         self._retired_backends: list[Backend] = []
         self._recent_replies = RecentReplies()
         self._tasks = TaskSet()
-        self._draining_failure = False
+        self._is_draining = False
         self._stack = contextlib.ExitStack()
         self._hooks = BackendHooks(
             self._tasks.spawn,
@@ -77,14 +84,14 @@
         )
 
     async def __aenter__(self) -> Self:
-        """Serve work from now on."""
+        """Register the handlers and subscriptions; start the maintenance."""
         context = self._context
         context.peers.on_call(WorkRequest, self._handle_work_request)
         context.peers.on_message(CancelWork, self._handle_cancel)
-        upkeep = context.timers.every(
+        maintenance = context.timers.every(
             _MAINTENANCE_INTERVAL_S, self._run_maintenance
         )
-        self._stack.callback(upkeep.cancel)
+        self._stack.callback(maintenance.cancel)
         self._stack.callback(
             context.board.subscribe(SERVERS, self._on_servers),
         )
@@ -97,7 +104,7 @@
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        """Cancel what still runs and close all connections."""
+        """Cancel the running jobs and close all connections."""
         self._stack.close()
         await self._tasks.close()
         for backend in self._all_backends():
@@ -105,7 +112,7 @@
 
     @property
     def in_flight(self) -> int:
-        """Attempts that wait or run."""
+        """Number of attempts that are queued or run."""
         return sum(
             len(backend.jobs_by_attempt) for backend in self._all_backends()
         )
@@ -123,7 +130,7 @@
         }
 
     def clear(self, fingerprint: int) -> bool:
-        """End the verdict on a fingerprint at all daemons.
+        """Remove the suspicion or block of a fingerprint at all daemons.
 
         Returns
         -------
@@ -133,14 +140,19 @@
         return self._crash_watch.clear(fingerprint)
 
     async def drain(self, timeout_s: Seconds) -> bool:
-        """Answer queued work and finish running work.
+        """Refuse new and queued work, and wait for running work to end.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Longest wait for running work, in seconds.
 
         Returns
         -------
         bool
             Whether nothing was in flight within `timeout_s` seconds.
         """
-        self._draining_failure = True
+        self._is_draining = True
         for backend in self._all_backends():
             backend.refuse_queued(_LEAVING_FAILURE)
         waiting = [
@@ -158,7 +170,11 @@
         work: WorkRequest,
         reply: Callable[[WorkReply], None],
     ) -> None:
-        """Run one attempt; a repeated attempt gets the reply of the first."""
+        """Run one attempt, and call `reply` with its reply.
+
+        A request with the identifier of an earlier attempt is not run again;
+        it gets the reply of that attempt.
+        """
         reply_or_future = self._recent_replies.find(work)
         if reply_or_future is None:
             target = self._admit(work)
@@ -180,8 +196,8 @@
         )
 
     def _admit(self, work: WorkRequest) -> Backend | Failure:
-        """Return the backend server, or why the work is not queued."""
-        if self._draining_failure:
+        """Return the backend that runs the work, or the reason to refuse it."""
+        if self._is_draining:
             return _LEAVING_FAILURE
         if work.fingerprint in self._context.board.read(BLOCKED):
             return BLOCKED_FAILURE
@@ -253,8 +269,8 @@
                 continue
             if record.state == ServerState.DRAINING:
                 backend.refuse_queued(_draining_failure(server))
-            # An unknown incarnation is learned from the server itself, as
-            # the record may be older than the loss that was seen here.
+            # While the incarnation is unknown, it is fetched from the server:
+            # the record may be older than a loss that this daemon detected.
             if backend.health.incarnation:
                 backend.health.note_incarnation(record.incarnation)
 
--- a/boragespool/controllers/backend_servers/jobs.py
+++ b/boragespool/controllers/backend_servers/jobs.py
@@ -1,4 +1,4 @@
-"""Attempts at a dispatcher from their arrival to their reply."""
+"""Jobs of a dispatcher: attempts from their arrival to their reply."""
 
 from __future__ import annotations
 
@@ -29,18 +29,28 @@
 
 @dataclass(slots=True)
 class Job:
-    """One attempt.
+    """State of one attempt at its dispatcher.
 
     Attributes
     ----------
-    received_s, started_s : float
-        Times on the clock of the timer service; infinity before the start.
+    work : WorkRequest
+        Request of the merger or claim issuer.
+    queued : QueuedWork
+        Entry of the attempt in the queue of the server.
+    received_s : float
+        Time of the arrival, in seconds on the clock of the timer service.
+    reply_future : Future of WorkReply
+        Completed with the reply.
+    started_s : float
+        Time at which the attempt got a slot, on the same clock; infinity
+        before.
     connection : HttpConnection or None
-        Connection that carries the work.
+        Connection on which the work was sent.
     run_state_at_cancel : RunState or None
-        What the server said about execution when it cancelled the work.
-    has_passed_deadline : bool
-        Whether it was cancelled because its deadline passed.
+        Run state in the server's answer to a cancellation; None if it did not
+        cancel the work.
+    was_cancelled_at_deadline : bool
+        Whether a cancellation was sent because the deadline passed.
     """
 
     work: WorkRequest
@@ -50,17 +60,19 @@
     started_s: Seconds = math.inf
     connection: HttpConnection | None = None
     run_state_at_cancel: RunState | None = None
-    has_passed_deadline: bool = False
+    was_cancelled_at_deadline: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class WorkInFlight:
-    """Work on a server at the moment when it was lost.
+    """Work that was in flight on a server when a connection was lost.
 
     Attributes
     ----------
+    fingerprints : tuple of int
+        Fingerprints of the requests.
     alone : bool
-        Whether it was a suspect that ran alone.
+        Whether a request ran alone on the server, as suspects do.
     """
 
     fingerprints: tuple[int, ...]
@@ -69,17 +81,17 @@
 
 @dataclass(frozen=True, slots=True)
 class BackendHooks:
-    """What a backend server needs from its controller.
+    """Callbacks of a `Backend` to its controller.
 
     Attributes
     ----------
     spawn : callable
-        Runs a coroutine that ends with the controller.
+        Starts a task that is cancelled when the controller is closed.
     on_loss : callable
-        Called with server, incarnation and work in flight after a loss;
-        returns when the peers know of it.
+        Called with the server, its incarnation and the work in flight when
+        the server was lost; returns when the peers were notified.
     on_observation : callable
-        Called with the server and a new observation.
+        Called with the server and its changed observation.
     """
 
     spawn: Callable[[Coroutine[Any, Any, None]], object]
@@ -91,7 +103,7 @@
 
 
 def ran_to_completion(reply: WorkReply) -> bool:
-    """Whether the backend server ran the work to its end."""
+    """Return whether the backend server ran the work to its end."""
     return reply.code in {ResultCode.COMPLETE, ResultCode.CLAIM_FAILED}
 
 
--- a/boragespool/controllers/backend_servers/recent_replies.py
+++ b/boragespool/controllers/backend_servers/recent_replies.py
@@ -1,4 +1,4 @@
-"""Replies to recent attempts, so that no attempt runs twice."""
+"""Deduplication of repeated attempts at a dispatcher."""
 
 from __future__ import annotations
 
@@ -18,16 +18,20 @@
 _CAPACITY: Final = 10_000
 _ALREADY_ANSWERED: Final = Failure(
     ResultCode.CANCELLED,
-    'this attempt was answered before and is not run again',
+    'this attempt was answered already and is not run again',
     RunState.UNKNOWN,
 )
 
 
 class RecentReplies:
-    """Bounded table of attempts and their replies."""
+    """Pending attempts and a bounded number of answered ones.
+
+    A repeated request gets the reply of the first one, so that no attempt runs
+    twice.
+    """
 
     def __init__(self) -> None:
-        """Start empty."""
+        """Set up an empty table."""
         self._pending_by_attempt: dict[
             AttemptId, asyncio.Future[WorkReply]
         ] = {}
@@ -39,7 +43,15 @@
         self,
         work: WorkRequest,
     ) -> asyncio.Future[WorkReply] | WorkReply | None:
-        """Return the reply of an earlier request with the same attempt."""
+        """Return the reply to an earlier request of the same attempt.
+
+        Returns
+        -------
+        Future, WorkReply or None
+            Future of a pending reply, or the reply; None if the attempt is
+            unknown. The reply to an answered query is a refusal, as its items
+            were not kept.
+        """
         kept = self._replies_by_attempt.get(work.attempt_id)
         if isinstance(kept, Failure):
             return refusal_reply(work, kept)
@@ -50,10 +62,10 @@
         work: WorkRequest,
         reply_future: asyncio.Future[WorkReply],
     ) -> None:
-        """Keep an attempt until its reply is known, and the reply after it.
+        """Add a pending attempt; its reply is kept when it is known.
 
-        Only the reply of a claim is kept whole, as the items of many queries
-        would fill the memory.
+        Of queries only the attempt is kept, because the items in their replies
+        would take too much memory.
         """
         self._pending_by_attempt[work.attempt_id] = reply_future
 
--- a/boragespool/controllers/backend_servers/record_exchange.py
+++ b/boragespool/controllers/backend_servers/record_exchange.py
@@ -1,8 +1,9 @@
-"""Spreads server records between the daemons.
+"""Replicates server records between the daemons.
 
-A change goes to a few members at once, and they pass it on. In addition each
-daemon compares a digest of all records with a random member now and then,
-which repairs what was lost. A daemon that starts fetches all records.
+A daemon sends a changed record to a few members, which forward it. In addition
+each daemon periodically compares a digest of all records with a random member,
+which repairs the changes that it missed. A daemon that starts fetches all
+records.
 """
 
 from __future__ import annotations
@@ -26,26 +27,28 @@
     from boragespool.peers import Sender
     from boragespool.types import HostName, Seconds, ServerName
 
-#: Urgent changes within this time share one message.
+#: Urgent changes within this time are sent in one message.
 _URGENT_DELAY_S: Final = 0.01
-#: Members asked for all records before a new daemon relies on digests, and
-#: members that it compares digests with at once after that.
+#: Largest number of members that a starting daemon asks for all records, until
+#: one has sent them, and number of members that it compares digests with after
+#: that.
 _JOIN_HOST_COUNT: Final = 3
 _LIVE_STATUSES: Final = frozenset((MemberStatus.ALIVE, MemberStatus.SUSPECT))
 
 
 @dataclass(frozen=True, slots=True)
 class ExchangeOptions:
-    """Times and bounds of the exchange of records.
+    """Intervals and bounds of the exchange of records.
 
     Attributes
     ----------
     spread_interval_s : float
-        Time between two messages with changes of others.
+        Time between two messages with all pending changes, in seconds. Urgent
+        changes do not wait for it.
     digest_interval_s : float
-        Time between two comparisons with a random member.
+        Time between two comparisons with a random member, in seconds.
     spread_limits, exchange_limits : SpreadLimits, ExchangeLimits
-        Bounds on what is sent.
+        Bounds on the gossip of changes, and on one comparison.
     """
 
     spread_interval_s: Seconds = 1
@@ -60,16 +63,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ExchangeHooks:
-    """What the exchange asks and tells its owner.
+    """Callbacks of the exchange to its owner.
 
     Attributes
     ----------
     accepts : callable
-        Whether records of a server are kept.
+        Returns whether records of a server are stored.
     server_count : callable
         Returns the number of configured servers.
     on_changed : callable
-        Called with each record of a peer that was newer.
+        Called with each newer record from a peer.
     """
 
     accepts: Callable[[ServerName], bool]
@@ -78,7 +81,19 @@
 
 
 class RecordExchange:
-    """Sends and receives server records, an async context manager."""
+    """Sends and receives server records, an async context manager.
+
+    Parameters
+    ----------
+    context : Context
+        Shared parts of the daemon.
+    table : RecordTable
+        Records of this daemon; newer records of peers are merged into it.
+    options : ExchangeOptions
+        Intervals and bounds.
+    hooks : ExchangeHooks
+        Callbacks to the owner.
+    """
 
     def __init__(
         self,
@@ -87,7 +102,7 @@
         options: ExchangeOptions,
         hooks: ExchangeHooks,
     ) -> None:
-        """Keep the parts; `__aenter__` begins to exchange."""
+        """Set up without peers; `__aenter__` starts the exchange."""
         self._context = context
         self._table = table
         self._options = options
@@ -110,7 +125,7 @@
         self._stack = contextlib.ExitStack()
 
     async def __aenter__(self) -> Self:
-        """Answer peers, and exchange with them from now on."""
+        """Register the handlers and start the timers."""
         context = self._context
         context.peers.on_message(ServerAnnouncement, self._handle_announcement)
         self._repair.register_handlers()
@@ -126,19 +141,19 @@
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        """Stop the exchange."""
+        """Stop the timers and the running comparisons."""
         self._stack.close()
         await self._tasks.close()
 
     def announce(self, record: ServerRecord) -> None:
-        """Send an own record that changed to a few members at once."""
+        """Send a changed record of this daemon to a few members without delay."""
         self._enqueue(record, is_urgent=True)
 
     def _on_members(
         self,
         members_by_host: Mapping[HostName, MemberRecord],
     ) -> None:
-        """Keep the hosts to exchange with; fetch all records at the start."""
+        """Update the peers; fetch all records when the first peers are known."""
         own_host = self._context.identity.host
         self._peer_hosts = tuple(
             host
@@ -150,7 +165,7 @@
             self._tasks.spawn(self._fetch_and_compare())
 
     async def _fetch_and_compare(self) -> None:
-        """Fetch all records of one member, then compare with others."""
+        """Fetch all records from one member, then compare with a few members."""
         for host in self._choose_peers(_JOIN_HOST_COUNT):
             if await self._repair.fetch_all(host):
                 break
@@ -170,7 +185,7 @@
                 self._enqueue(record, is_urgent=is_urgent)
 
     def _merge(self, records: Iterable[ServerRecord]) -> list[ServerRecord]:
-        """Keep and return the newer records."""
+        """Store the newer ones of some records and return them."""
         kept = [
             record
             for record in records
--- a/boragespool/controllers/backend_servers/record_repair.py
+++ b/boragespool/controllers/backend_servers/record_repair.py
@@ -1,6 +1,7 @@
-"""Repairs the records that the spreading of changes missed.
+"""Anti-entropy of server records: repairs what the gossip of changes missed.
 
-A daemon compares digests with others, and fetches all records when it starts.
+A daemon compares digests with its peers, and fetches all records page by page
+when it starts.
 """
 
 from __future__ import annotations
@@ -27,28 +28,30 @@
     from boragespool.types import HostName
 
 _REQUEST_TIMEOUT_S: Final = 1
-#: Records in one page, in bytes; below the size of a peer frame.
+#: Size of the records in a page at which no further group is added, in bytes;
+#: below the size of a peer frame.
 _PAGE_BYTES: Final = 131_072
-#: A digest of a daemon with fewer records may have this many times fewer
-#: groups. The versions of larger groups would exceed the bytes of a period.
+#: A digest may have this many times fewer groups than fit the records of this
+#: daemon, as the peer may have fewer records. The versions of larger groups
+#: would exceed the bytes allowed in one interval.
 _MAX_GROUP_SIZE_RATIO: Final = 4
 
 
 class RecordRepair:
-    """Compares and fetches records.
+    """Compares records with peers, and fetches and sends missing ones.
 
     Parameters
     ----------
     context : Context
         Shared parts of the daemon.
     table : RecordTable
-        Records of this daemon.
+        Records of this daemon, only read here.
     limits : ExchangeLimits
-        Bounds on what is sent.
+        Bounds on one comparison, and the rate limit for catching up.
     server_count : callable
         Returns the number of configured servers.
     merge : callable
-        Keeps the newer ones of some records.
+        Stores the newer ones of some records.
     """
 
     def __init__(
@@ -59,7 +62,7 @@
         server_count: Callable[[], int],
         merge: Callable[[Iterable[ServerRecord]], object],
     ) -> None:
-        """Keep the parts; `register_handlers` begins to answer."""
+        """Set up the rate limiter with a full burst."""
         self._context = context
         self._table = table
         self._limits = limits
@@ -72,14 +75,20 @@
         )
 
     def register_handlers(self) -> None:
-        """Answer peers from now on."""
+        """Register the handlers for messages and requests of peers."""
         peers = self._context.peers
         peers.on_message(ServersWanted, self._send_wanted)
         peers.on_request(ServerDigest, self._answer_digest)
         peers.on_request(ServerPageRequest, self._answer_page)
 
     async def fetch_all(self, host: HostName) -> bool:
-        """Fetch the records page by page; tell whether all were answered."""
+        """Fetch all records of a peer page by page.
+
+        Returns
+        -------
+        bool
+            Whether all pages were received.
+        """
         group = 0
         while group < backends.GROUP_COUNT:
             page = await self._context.peers.request(
@@ -94,7 +103,7 @@
         return True
 
     async def compare_with(self, host: HostName) -> None:
-        """Compare digests; send what the peer lacks and ask for the rest."""
+        """Compare with a peer; send it newer records and request its newer ones."""
         count = backends.group_count(
             max(len(self._table.by_server), self._server_count()),
         )
@@ -189,5 +198,5 @@
             self._context.peers.send(host, message)
 
     def _take_catch_up_bytes(self, size_bytes: int) -> bool:
-        """Take bytes from what is left for catching up."""
+        """Take bytes from the rate limiter; False if too few are left."""
         return self._rate_limiter.take(size_bytes, self._context.timers.now_s())
--- a/boragespool/controllers/backend_servers/server_health.py
+++ b/boragespool/controllers/backend_servers/server_health.py
@@ -1,4 +1,7 @@
-"""What a dispatcher learns about one backend server from its exchanges."""
+"""Incarnation and concurrency limit of one backend server.
+
+Both follow from the exchanges of its dispatcher with the server.
+"""
 
 from __future__ import annotations
 
@@ -32,12 +35,12 @@
 
 
 class ServerHealth:
-    """Incarnation, limit and signs of one backend server.
+    """Incarnation, concurrency limit and observations of one backend server.
 
     Attributes
     ----------
     incarnation : int
-        Incarnation that answers now; 0 while it is unknown.
+        Incarnation of the running server; 0 while it is unknown.
     """
 
     def __init__(
@@ -47,7 +50,7 @@
         context: Context,
         hooks: BackendHooks,
     ) -> None:
-        """Start with the limit of a cold start."""
+        """Set up the limit of a cold start and an unknown incarnation."""
         self.incarnation: Incarnation = 0
         self._server = server
         self._limit = backends.initial_limit(slots)
@@ -57,16 +60,16 @@
 
     @property
     def limit(self) -> int:
-        """Requests that may run at the same time."""
+        """Number of requests that may run at the same time."""
         return self._limit.limit
 
     def configure(self, slots: int) -> None:
-        """Follow a change of the configured slots."""
+        """Apply a change of the configured slots."""
         if slots != self._limit.slots:
             self._set_limit(backends.with_slots(self._limit, slots))
 
     def note_incarnation(self, incarnation: Incarnation) -> None:
-        """Treat a higher incarnation as a cold start."""
+        """Store a higher incarnation; if one was known, reset the limit."""
         if incarnation <= self.incarnation:
             return
         if self.incarnation:
@@ -74,13 +77,13 @@
         self.incarnation = incarnation
 
     def note_refused_connection(self) -> None:
-        """Note that the server does not accept connections."""
+        """Reset incarnation and limit after a refused connection."""
         self.incarnation = 0
         self._set_limit(backends.initial_limit(self._limit.slots))
         self._update_observation(refused_at_s=self._context.timers.now_s())
 
     def note_reply(self, reply: WorkReply, in_flight: int) -> None:
-        """Move the limit and note what a reply says about the server."""
+        """Adjust the limit and update the observation after a reply."""
         now_s = self._context.timers.now_s()
         if ran_to_completion(reply):
             self._set_limit(backends.after_reply(self._limit, in_flight))
@@ -92,7 +95,7 @@
             log_event(Event.SERVER_REPLY_REJECTED, reply.reason)
 
     async def fetch_incarnation(self, pool: BackendConnectionPool) -> None:
-        """Ask the server for its incarnation."""
+        """Request the status of the server and store its incarnation."""
         response = await pool.exchange(STATUS_REQUEST, _STATUS_TIMEOUT_S)
         status = decode_status(response)
         if not isinstance(status, Failure):
@@ -104,15 +107,15 @@
         incarnation: Incarnation,
         in_flight: WorkInFlight,
     ) -> None:
-        """After a lost connection, find out whether the server was lost.
+        """Check whether the server was lost, after a connection was closed.
 
         Parameters
         ----------
         pool : BackendConnectionPool
             Connections to the server; idle ones are closed.
         incarnation : int
-            Incarnation to which the work was sent; 0 if unknown, and then
-            no loss is reported, as it could be counted twice.
+            Incarnation to which the work was sent; 0 if unknown, and then no
+            loss is reported, because it could be counted twice.
         in_flight : WorkInFlight
             Work in flight when the connection was lost.
         """
@@ -135,7 +138,7 @@
         if limit.limit != before:
             log_event(
                 Event.SERVER_LIMIT_CHANGED,
-                f'the limit of {self._server!r} is {limit.limit}',
+                f'the concurrency limit of {self._server!r} is now {limit.limit}',
                 level=logging.DEBUG,
                 server=self._server,
                 limit=limit.limit,
--- a/boragespool/controllers/backend_servers/server_polls.py
+++ b/boragespool/controllers/backend_servers/server_polls.py
@@ -1,4 +1,4 @@
-"""Polls of ``GET /v1/status`` at the backend servers of one dispatcher."""
+"""Polls ``GET /v1/status`` of the backend servers of one dispatcher."""
 
 from __future__ import annotations
 
@@ -25,26 +25,27 @@
     from boragespool.timers import TimerService
     from boragespool.types import Address, Seconds, ServerName
 
-#: Connections that time out one after the other before a server is lost.
+#: Number of connection attempts in a row that time out before a server counts
+#: as lost.
 _CONNECT_TIMEOUTS_UNTIL_LOST: Final = 3
-#: Ticks without a change or failure after which a server is polled at every
-#: second tick. With 1 s ticks and 0.8 s for a poll, a server that leaves is
-#: noticed within 2.8 s; the goal is 3 s.
+#: Number of ticks without a change or failure after which a server is polled at
+#: every second tick only. With ticks of 1 s and a poll timeout of 0.8 s, a
+#: leaving server is noticed within 2.8 s; the goal is 3 s.
 TICKS_UNTIL_STEADY: Final = 10
 STEADY_INTERVAL_TICKS: Final = 2
 
 
 @dataclass(frozen=True, slots=True)
 class PollHooks:
-    """Results of polls.
+    """Callbacks for the results of polls.
 
     Attributes
     ----------
     on_status : callable
-        Called with each status.
+        Called with the server and each status that it returns.
     on_lost : callable
-        Called after a poll of a server that takes no connections. A server
-        that is slow to answer is not lost.
+        Called after each poll of a server that accepts no connections. A
+        server that accepts one but answers too late is not lost.
     """
 
     on_status: Callable[[ServerName, BackendStatus], None]
@@ -52,7 +53,17 @@
 
 
 class ServerPolls:
-    """Owns one connection to each polled server."""
+    """Polls servers, on one connection to each.
+
+    Parameters
+    ----------
+    timers : TimerService
+        Clock of the connections.
+    timeout_s : float
+        Longest time for one poll, in seconds.
+    hooks : PollHooks
+        Callbacks for the results.
+    """
 
     def __init__(
         self,
@@ -60,7 +71,7 @@
         timeout_s: Seconds,
         hooks: PollHooks,
     ) -> None:
-        """Poll nothing yet."""
+        """Set up without polled servers."""
         self._timers = timers
         self._timeout_s = timeout_s
         self._hooks = hooks
@@ -71,7 +82,7 @@
 
     @property
     def servers(self) -> Iterable[ServerName]:
-        """Servers that are polled."""
+        """Names of the polled servers."""
         return tuple(self._pools_by_server)
 
     async def close(self) -> None:
@@ -84,7 +95,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def add(self, server: ServerName, address: Address) -> None:
-        """Poll a server at once and from now on."""
+        """Start to poll a server, with the first poll at once."""
         pool = self._pools_by_server.get(server)
         if pool is None or pool.address != address:
             self.remove(server)
@@ -102,7 +113,7 @@
             self._steady_ticks_by_server.pop(server)
 
     def tick(self) -> None:
-        """Poll the servers that are due."""
+        """Poll the servers that are due at this tick."""
         for server in self._pools_by_server:
             ticks = self._steady_ticks_by_server[server] + 1
             self._steady_ticks_by_server[server] = ticks
@@ -110,11 +121,11 @@
                 self.poll(server)
 
     def reset_interval(self, server: ServerName) -> None:
-        """Poll a server at each tick for a while."""
+        """Poll a server at each tick until it is steady again."""
         self._steady_ticks_by_server[server] = 0
 
     def poll(self, server: ServerName) -> None:
-        """Poll one server unless a poll is under way."""
+        """Poll one server, unless a poll of it is running."""
         if server in self._tasks_by_server:
             return
         task = asyncio.ensure_future(self._poll_once(server))
@@ -156,7 +167,7 @@
         if failure.kind == FailureKind.TIMEOUT and failure.sent:
             log_event(
                 Event.CONNECTION_SILENT,
-                f'the poll connection to {server!r} is replaced',
+                f'the poll connection to server {server!r} was silent and is closed',
                 server=server,
             )
         elif failure.kind == FailureKind.TIMEOUT:
--- a/boragespool/controllers/backend_servers/server_records.py
+++ b/boragespool/controllers/backend_servers/server_records.py
@@ -1,4 +1,4 @@
-"""What server records are made of, and the log of their states."""
+"""Contents of server records, and log events for changes of their states."""
 
 from __future__ import annotations
 
@@ -18,12 +18,13 @@
     from boragespool.settings import ServerSettings, Settings
     from boragespool.types import Seconds, ServerName
 
-#: A reply ``draining`` counts until the polls must have confirmed it.
+#: Time during which a reply ``draining`` counts; by its end a poll has found
+#: the state of the server.
 _DRAINING_REPLY_AGE_S: Final = 5
 
 
 def configured_servers(settings: Settings) -> dict[ServerName, ServerSettings]:
-    """Return the backend servers of all services."""
+    """Return the settings of the backend servers of all services, by name."""
     return {
         name: server
         for service in settings.services.values()
@@ -32,7 +33,7 @@
 
 
 def initial_record(settings: Settings, server: ServerName) -> ServerRecord:
-    """Return the record of a configured server of which nothing is known."""
+    """Return a record of a configured server without any observation."""
     service, server_settings = next(
         (name, service.servers[server])
         for name, service in settings.services.items()
@@ -52,7 +53,7 @@
 
 
 def holdings_from_status(status: BackendStatus) -> tuple[Holding, ...]:
-    """Return the index versions of a status, oldest first."""
+    """Return the held index versions in a status, oldest first."""
     return tuple(
         sorted(
             (
@@ -69,7 +70,7 @@
     observation: ServerObservation | None,
     now_s: Seconds,
 ) -> bool:
-    """Whether the server refused work as draining a moment ago."""
+    """Return whether the server replied ``draining`` a short time ago."""
     if observation is None:
         return False
     return now_s - observation.draining_at_s < _DRAINING_REPLY_AGE_S
@@ -79,7 +80,7 @@
     before: Mapping[ServerName, ServerRecord],
     updates: Mapping[ServerName, ServerRecord],
 ) -> None:
-    """Log each state that differs from the view before."""
+    """Log the servers in `updates` whose state differs from `before`."""
     for server, record in updates.items():
         state_before = before[server].state if server in before else None
         if state_before != record.state:
--- a/boragespool/controllers/backend_servers/server_view.py
+++ b/boragespool/controllers/backend_servers/server_view.py
@@ -1,4 +1,4 @@
-"""Records of all backend servers with the states that hold at one daemon."""
+"""Records of all backend servers with their effective states at one daemon."""
 
 from __future__ import annotations
 
@@ -24,18 +24,18 @@
 
 @dataclass(frozen=True, slots=True)
 class ViewSources:
-    """What the states follow from.
+    """Inputs from which the effective states are derived.
 
     Attributes
     ----------
     settings : Settings
-        Settings in force; they name all servers and the drained ones.
+        Settings in force, with all servers and which of them are drained.
     records : mapping of str to ServerRecord
-        Records by the servers' dispatchers.
+        Records by server, as announced by the dispatchers.
     observations : mapping of str to ServerObservation
-        What this daemon saw while it sent work.
+        What this daemon observed by server while it sent work.
     leaving_hosts : frozenset of str
-        Hosts that leave according to the platform.
+        Hosts that the platform lists as leaving.
     now_s : float
         Time on the clock of the observations, in seconds.
     """
@@ -48,16 +48,17 @@
 
 
 class ServerView:
-    """View of all servers, updated step by step.
+    """Effective records of all servers, updated incrementally.
 
     Attributes
     ----------
     by_server : ShardedMapping of str to ServerRecord
-        Never changed; a refresh replaces it if a record differs.
+        Records by server. The mapping is immutable; `refresh` replaces it if a
+        record changed.
     """
 
     def __init__(self) -> None:
-        """Start empty."""
+        """Set up an empty view."""
         self.by_server: ShardedMapping[ServerRecord] = ShardedMapping()
         self._sources = ViewSources(Settings(), {}, {}, frozenset(), 0)
         self._service_by_server: dict[ServerName, ServiceName] = {}
@@ -66,7 +67,7 @@
 
     @property
     def has_expiring_state(self) -> bool:
-        """Whether a state changes after some time without any event."""
+        """Whether a state may change by the passage of time alone."""
         return bool(self._recently_draining)
 
     def refresh(
@@ -74,20 +75,20 @@
         sources: ViewSources,
         changed: Iterable[ServerName],
     ) -> Mapping[ServerName, ServerRecord]:
-        """Follow a change.
+        """Update the view after a change of the sources.
 
         Parameters
         ----------
         sources : ViewSources
-            Present sources.
+            Current sources.
         changed : iterable of str
-            Servers whose record differs from that at the last refresh. Other
-            differences of the sources are found here.
+            Servers whose record in the sources changed since the last refresh.
+            Changes of the other sources are found by comparison.
 
         Returns
         -------
         mapping of str to ServerRecord
-            Records that differ from the view before.
+            Changed records by server.
         """
         stale = {*changed, *self._find_changes(sources)}
         self._sources = sources
@@ -108,7 +109,7 @@
         return updates
 
     def _find_changes(self, sources: ViewSources) -> set[ServerName]:
-        """Return the servers whose signs differ apart from the records."""
+        """Return the servers affected by changes of sources except records."""
         before = self._sources
         recent = frozenset(
             server
@@ -131,7 +132,7 @@
         return found
 
     def _reset(self, settings: Settings) -> None:
-        """Forget what followed from other settings."""
+        """Drop the states of other settings and the servers they removed."""
         self._service_by_server = {
             server: name
             for name, service in settings.services.items()
@@ -168,7 +169,7 @@
         self,
         servers: Iterable[ServerName],
     ) -> Iterable[tuple[ServerName, ServerRecord]]:
-        """Return the records of some servers with the states that hold."""
+        """Return the records of some servers with their effective states."""
         for server in servers:
             service = self._service_by_server.get(server)
             record = self._sources.records.get(server)
--- a/boragespool/controllers/backend_servers/servers.py
+++ b/boragespool/controllers/backend_servers/servers.py
@@ -1,4 +1,8 @@
-"""Polls backend servers, and posts their records and those of peers."""
+"""Maintains the records of all backend servers and posts them as `SERVERS`.
+
+A daemon polls the servers whose dispatcher it is, announces their records to
+its peers, and gets the records of all other servers from them.
+"""
 
 from __future__ import annotations
 
@@ -58,7 +62,7 @@
     from boragespool.messages import MemberRecord
     from boragespool.types import Seconds
 
-#: Changes within this time share one post.
+#: Changes within this time are posted together.
 _POST_DELAY_S: Final = 0.01
 _CANDIDATE_STATUSES: Final = frozenset(
     (MemberStatus.ALIVE, MemberStatus.SUSPECT),
@@ -68,15 +72,16 @@
 
 @dataclass(frozen=True, slots=True)
 class PollOptions:
-    """Times of the server controller, in seconds.
+    """Polling intervals and options of the exchange of records.
 
     Attributes
     ----------
     poll_interval_s, poll_timeout_s : float
-        A sign of leaving is observed after at most twice the interval and the
-        timeout.
+        Time between polls and longest time for one poll, in seconds. A poll
+        finds that a server is leaving after at most twice the interval plus
+        the timeout.
     exchange : ExchangeOptions
-        Times and bounds of the exchange of records with peers.
+        Intervals and bounds of the exchange of records with peers.
     """
 
     poll_interval_s: Seconds = 1
@@ -85,14 +90,22 @@
 
 
 class ServerController:
-    """Posts `SERVERS`, an async context manager."""
+    """Records of all backend servers, an async context manager.
+
+    Parameters
+    ----------
+    context : Context
+        Shared parts of the daemon.
+    options : PollOptions, optional
+        Intervals and bounds; by default those of `PollOptions`.
+    """
 
     def __init__(
         self,
         context: Context,
         options: PollOptions | None = None,
     ) -> None:
-        """Keep the parts; `__aenter__` begins to poll."""
+        """Set up an empty table of records; `__aenter__` starts the polls."""
         self._context = context
         self._options = options or PollOptions()
         self._table = RecordTable()
@@ -121,7 +134,7 @@
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Self:
-        """Poll and exchange records from now on."""
+        """Start to poll servers and to exchange records."""
         context = self._context
         for subscription in (
             context.board.subscribe(MEMBERS, self._on_members),
@@ -153,7 +166,7 @@
         self,
         members_by_host: Mapping[HostName, MemberRecord],
     ) -> None:
-        """Reassign the servers if the candidates changed."""
+        """Reassign the servers if the candidate dispatchers changed."""
         candidates = frozenset(
             (member.host, member.incarnation, member.data_centre)
             for member in members_by_host.values()
@@ -164,7 +177,7 @@
             self._assign_dispatchers()
 
     def _assign_dispatchers(self, _posted: object = None) -> None:
-        """Find the dispatcher of each server; poll what became ours."""
+        """Assign the dispatchers, and poll the servers of this daemon only."""
         servers = configured_servers(self._settings())
         self._assignment.set_servers(
             {name: server.data_centre for name, server in servers.items()},
@@ -202,13 +215,17 @@
         return initial_record(self._settings(), server)
 
     def _on_status(self, server: ServerName, status: BackendStatus) -> None:
-        """Keep what a status says; only own observations set the limit."""
+        """Update a record from a status.
+
+        The limit comes from the replies that this daemon observed, not from
+        the status.
+        """
         observation = self._context.board.read(OBSERVATIONS).get(server)
         state = status.state
         if recently_draining(observation, self._context.timers.now_s()):
             state = ServerState.DRAINING
         elif state == ServerState.LOST:
-            # A server that answers is there, whatever it reports.
+            # A server that answers is not lost, whatever state it reports.
             state = ServerState.SERVING
         record = replace(
             self._known_or_new_record(server),
@@ -220,7 +237,7 @@
         self._update(server, record)
 
     def _update(self, server: ServerName, observed: ServerRecord) -> None:
-        """Announce what was observed if it changes the record."""
+        """Store and announce an observed record if a new version is due."""
         identity = self._context.identity
         now_s = self._context.timers.now_s()
         known = self._table.by_server.get(server)
@@ -254,7 +271,10 @@
         self,
         observations: Mapping[ServerName, ServerObservation],
     ) -> None:
-        """Treat draining replies and refused connections at once."""
+        """Handle draining replies and refused connections without delay.
+
+        A draining reply updates the record; a refused connection starts a poll.
+        """
         now_s = self._context.timers.now_s()
         for server in self._polls.servers:
             observation = observations.get(server)
@@ -273,7 +293,7 @@
         self._schedule_post()
 
     def _accepts_server(self, server: ServerName) -> bool:
-        # Before the first revision any server may turn out to be configured.
+        # Before the first revision it is not known which servers are configured.
         has_settings = self._context.board.read(IN_FORCE) is not None
         return not has_settings or server in self._assignment
 
@@ -287,7 +307,7 @@
             self._context.timers.after(_POST_DELAY_S, self._post)
 
     def _post(self) -> None:
-        """Post the view if it differs."""
+        """Refresh the view; post and log it if it changed."""
         self._is_post_scheduled = False
         board = self._context.board
         before = self._view.by_server
