--- a/boragespool/controllers/backend_servers/backend.py
+++ b/boragespool/controllers/backend_servers/backend.py
@@ -148,14 +148,14 @@
         """Start, refuse and pre-empt work as the queue decides."""
         now_s = self._context.timers.now_s()
         self.queue.slots = self.health.limit
-        grants = self.queue.schedule(now_s)
-        for refused in grants.refused:
+        scheduled = self.queue.schedule(now_s)
+        for refused in scheduled.refused:
             self._refuse(refused.work, refused.failure)
-        for started in grants.started:
+        for started in scheduled.started:
             job = self.jobs_by_attempt[started.attempt_id]
             job.started_s = now_s
             self._hooks.spawn(self._run_job(job))
-        for preempted in grants.preempted:
+        for preempted in scheduled.preempted:
             self._preempt(preempted)
         self._set_wakeup(self.queue.next_expiry_s, now_s)
 
@@ -268,7 +268,7 @@
         job.run_state_at_cancel = reply.run
         await asyncio.wait((job.reply_future,), timeout=_CANCEL_GRACE_S)
         if not job.reply_future.done() and job.connection is not None:
-            self._log_replaced_connection(
+            self._log_closed_connection(
                 'the exchange of cancelled work did not end'
             )
             job.connection.close()
@@ -286,7 +286,7 @@
             return
         elif failure.kind == FailureKind.TIMEOUT:
             self.pool.close_idle()
-            self._log_replaced_connection(failure.reason)
+            self._log_closed_connection(failure.reason)
         elif failure.kind == FailureKind.CLOSED:
             in_flight = self._work_in_flight()
             # Without its connection the job no longer counts as in flight, in
@@ -305,7 +305,7 @@
             alone=any(job.queued.solo for job in jobs),
         )
 
-    def _log_replaced_connection(self, reason: str) -> None:
+    def _log_closed_connection(self, reason: str) -> None:
         log_event(
             Event.CONNECTION_SILENT,
             f'closed a silent connection to server {self.server!r}: {reason}',
--- a/boragespool/controllers/backend_servers/backend_protocol.py
+++ b/boragespool/controllers/backend_servers/backend_protocol.py
@@ -77,7 +77,15 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelReply:
-    """Answer of a backend server to a cancellation."""
+    """Answer of a backend server to a cancellation.
+
+    Attributes
+    ----------
+    cancelled : bool
+        Whether the server cancelled the work.
+    run : RunState
+        Whether the work had run.
+    """
 
     cancelled: bool = False
     run: RunState = RunState.UNKNOWN
@@ -89,8 +97,16 @@
 
     Attributes
     ----------
+    server : str
+        Name of the backend server.
+    incarnation : int
+        Incarnation of the backend server.
+    service : str
+        Service that the server belongs to.
+    state : ServerState
+        State that the server reports.
     holdings : dict of str to tuple
-        Key ranges ``[start, end)`` by index version.
+        Held key ranges ``[start, end)`` by index version.
     """
 
     server: str
@@ -167,10 +183,10 @@
     Returns
     -------
     WorkReply
-        The code of a query is ``COMPLETE`` only if the attempt, version and
-        range are those of the request, and the number of items is the stated
-        one. The run state is ``NOT_RUN`` only if the backend server said so or
-        if no byte was sent.
+        The code is ``COMPLETE`` only if the attempt is that of the request and,
+        for a query, also the version, the range and the number of items are
+        right. The run state is ``NOT_RUN`` only if the backend server said so
+        or if no byte was sent.
     """
     if isinstance(response, ExchangeFailure):
         return _failed_exchange_reply(work, response)
--- a/boragespool/controllers/backend_servers/connections.py
+++ b/boragespool/controllers/backend_servers/connections.py
@@ -99,7 +99,7 @@
         """
         deadline_at_s = self._timers.now_s() + timeout_s
         if not await self._acquire_permit(timeout_s):
-            return self._no_free_connection(timeout_s)
+            return self._pool_exhausted_failure(timeout_s)
         try:
             return await self._exchange(request, deadline_at_s, on_connected)
         finally:
@@ -157,7 +157,7 @@
             return self._idle.pop()[1]
         return None
 
-    def _no_free_connection(self, timeout_s: Seconds) -> ExchangeFailure:
+    def _pool_exhausted_failure(self, timeout_s: Seconds) -> ExchangeFailure:
         return ExchangeFailure(
             FailureKind.TIMEOUT,
             sent=False,
--- a/boragespool/controllers/backend_servers/crash_watch.py
+++ b/boragespool/controllers/backend_servers/crash_watch.py
@@ -56,8 +56,9 @@
         """Record the loss of a server with this work in flight.
 
         Returns when the peers have acknowledged the loss, or after a timeout.
-        The reply to the work is sent only then: its caller may send it again,
-        and by then the peers must know the loss, in case this daemon fails.
+        The reply to the work is sent only after that. Its caller may then send
+        the work again, and the peers must know the loss even if this daemon
+        fails.
         """
         loss_id = f'{server}@{incarnation}'
         now_s = self._context.timers.now_s()
@@ -102,7 +103,7 @@
         self.post_verdicts()
 
     def clear(self, fingerprint: int) -> bool:
-        """Remove the suspicion or block of a fingerprint, here and at all peers.
+        """Remove the suspicion or block of a fingerprint here and at all peers.
 
         Returns
         -------
@@ -184,16 +185,15 @@
         if not isinstance(reply, SuspectNoticeAck):
             self._context.timers.after(
                 _RESEND_DELAY_S,
-                lambda: self._send_to(notice, host),
+                lambda: self._send(notice, host),
             )
 
     def _broadcast(self, notice: SuspectNotice) -> None:
-        self._send_to(notice)
-        self._context.timers.after(
-            _RESEND_DELAY_S, lambda: self._send_to(notice)
-        )
+        self._send(notice)
+        self._context.timers.after(_RESEND_DELAY_S, lambda: self._send(notice))
 
-    def _send_to(self, notice: SuspectNotice, *hosts: HostName) -> None:
+    def _send(self, notice: SuspectNotice, *hosts: HostName) -> None:
+        """Send a notice to the given hosts, or to all peers without any."""
         for host in hosts or self._peer_hosts():
             self._context.peers.send(host, notice)
 
--- a/boragespool/controllers/backend_servers/dispatch.py
+++ b/boragespool/controllers/backend_servers/dispatch.py
@@ -155,13 +155,13 @@
         self._is_draining = True
         for backend in self._all_backends():
             backend.refuse_queued(_LEAVING_FAILURE)
-        waiting = [
+        reply_futures = [
             job.reply_future
             for running in self._all_backends()
             for job in running.jobs_by_attempt.values()
         ]
-        if waiting:
-            await asyncio.wait(waiting, timeout=timeout_s)
+        if reply_futures:
+            await asyncio.wait(reply_futures, timeout=timeout_s)
         return not self.in_flight
 
     def _handle_work_request(
@@ -275,6 +275,10 @@
                 backend.health.note_incarnation(record.incarnation)
 
     def _on_revision(self, _document: RevisionDocument | None) -> None:
+        """Apply settings; retire backends that were removed or have moved.
+
+        A retired backend finishes its running work and is then closed.
+        """
         settings = self._settings()
         for server, backend in tuple(self._backends_by_server.items()):
             service = _find_service(settings, server)
--- a/boragespool/controllers/backend_servers/jobs.py
+++ b/boragespool/controllers/backend_servers/jobs.py
@@ -23,7 +23,7 @@
 
 BLOCKED_FAILURE: Final = Failure(
     ResultCode.REQUEST_BLOCKED,
-    'requests like this one crashed backend servers',
+    'requests with the same fingerprint crashed backend servers',
 )
 
 
--- a/boragespool/controllers/backend_servers/record_exchange.py
+++ b/boragespool/controllers/backend_servers/record_exchange.py
@@ -146,14 +146,14 @@
         await self._tasks.close()
 
     def announce(self, record: ServerRecord) -> None:
-        """Send a changed record of this daemon to a few members without delay."""
+        """Send a changed record of this daemon to a few members at once."""
         self._enqueue(record, is_urgent=True)
 
     def _on_members(
         self,
         members_by_host: Mapping[HostName, MemberRecord],
     ) -> None:
-        """Update the peers; fetch all records when the first peers are known."""
+        """Update the peers; fetch all records once the first ones are known."""
         own_host = self._context.identity.host
         self._peer_hosts = tuple(
             host
@@ -165,7 +165,7 @@
             self._tasks.spawn(self._fetch_and_compare())
 
     async def _fetch_and_compare(self) -> None:
-        """Fetch all records from one member, then compare with a few members."""
+        """Fetch all records from one peer, then compare with a few peers."""
         for host in self._choose_peers(_JOIN_HOST_COUNT):
             if await self._repair.fetch_all(host):
                 break
@@ -213,16 +213,16 @@
             self._options.spread_limits.target_count, urgent_only=False
         )
 
-    def _send_changes(self, targets: int, *, urgent_only: bool) -> None:
+    def _send_changes(self, target_count: int, *, urgent_only: bool) -> None:
         if not self._peer_hosts:
             return
         records = self._queue.take(
-            targets,
+            target_count,
             self._context.timers.now_s(),
             urgent_only=urgent_only,
         )
         if records:
-            for host in self._choose_peers(targets):
+            for host in self._choose_peers(target_count):
                 self._context.peers.send(host, ServerAnnouncement(records))
 
     def _choose_peers(self, count: int) -> tuple[HostName, ...]:
--- a/boragespool/controllers/backend_servers/record_repair.py
+++ b/boragespool/controllers/backend_servers/record_repair.py
@@ -31,9 +31,9 @@
 #: Size of the records in a page at which no further group is added, in bytes;
 #: below the size of a peer frame.
 _PAGE_BYTES: Final = 131_072
-#: A digest may have this many times fewer groups than fit the records of this
-#: daemon, as the peer may have fewer records. The versions of larger groups
-#: would exceed the bytes allowed in one interval.
+#: A peer with fewer records may send a digest with up to this many times fewer
+#: groups. The versions of larger groups would exceed the bytes that may be sent
+#: in one interval.
 _MAX_GROUP_SIZE_RATIO: Final = 4
 
 
@@ -103,7 +103,7 @@
         return True
 
     async def compare_with(self, host: HostName) -> None:
-        """Compare with a peer; send it newer records and request its newer ones."""
+        """Compare records with a peer, and exchange the newer ones."""
         count = backends.group_count(
             max(len(self._table.by_server), self._server_count()),
         )
@@ -156,7 +156,7 @@
             size = len(digest.hashes)
             return Failure(
                 ResultCode.PEER_REFUSED,
-                f'digest of {size!r} bytes is not 4 bytes for each of '
+                f'digest has {size!r} bytes; must have 4 for each group, and '
                 f'{min_count} to {backends.GROUP_COUNT} groups, a power of two',
             )
         limits = self._limits
--- a/boragespool/controllers/backend_servers/server_health.py
+++ b/boragespool/controllers/backend_servers/server_health.py
@@ -138,7 +138,7 @@
         if limit.limit != before:
             log_event(
                 Event.SERVER_LIMIT_CHANGED,
-                f'the concurrency limit of {self._server!r} is now {limit.limit}',
+                f'concurrency limit of {self._server!r} is now {limit.limit}',
                 level=logging.DEBUG,
                 server=self._server,
                 limit=limit.limit,
--- a/boragespool/controllers/backend_servers/server_polls.py
+++ b/boragespool/controllers/backend_servers/server_polls.py
@@ -167,7 +167,7 @@
         if failure.kind == FailureKind.TIMEOUT and failure.sent:
             log_event(
                 Event.CONNECTION_SILENT,
-                f'the poll connection to server {server!r} was silent and is closed',
+                f'the poll connection to {server!r} was silent and is closed',
                 server=server,
             )
         elif failure.kind == FailureKind.TIMEOUT:
--- a/boragespool/controllers/backend_servers/servers.py
+++ b/boragespool/controllers/backend_servers/servers.py
@@ -145,7 +145,7 @@
             self._stack.callback(subscription)
         timer = context.timers.every(
             self._options.poll_interval_s,
-            self._poll_all,
+            self._poll_due,
         )
         self._stack.callback(timer.cancel)
         self._on_members(context.board.read(MEMBERS))
@@ -183,23 +183,23 @@
             {name: server.data_centre for name, server in servers.items()},
         )
         self._assignment.set_candidates(
-            {host: site for host, _, site in self._candidates},
+            {host: data_centre for host, _, data_centre in self._candidates},
         )
         if self._context.board.read(IN_FORCE) is not None:
             self._table.keep_only(servers)
-        own = self._context.identity.host
+        own_host = self._context.identity.host
         now_s = self._context.timers.now_s()
         for name, server in servers.items():
-            if self._assignment.dispatcher(name) == own:
+            if self._assignment.dispatcher(name) == own_host:
                 self._takeover_at_s_by_server.setdefault(name, now_s)
                 self._polls.add(name, server.address)
         for polled in self._polls.servers:
-            if self._assignment.dispatcher(polled) != own:
+            if self._assignment.dispatcher(polled) != own_host:
                 self._polls.remove(polled)
                 self._takeover_at_s_by_server.pop(polled)
         self._schedule_post()
 
-    def _poll_all(self) -> None:
+    def _poll_due(self) -> None:
         self._polls.tick()
         if self._view.has_expiring_state:
             self._schedule_post()
@@ -293,7 +293,7 @@
         self._schedule_post()
 
     def _accepts_server(self, server: ServerName) -> bool:
-        # Before the first revision it is not known which servers are configured.
+        # The configured servers are unknown before the first revision.
         has_settings = self._context.board.read(IN_FORCE) is not None
         return not has_settings or server in self._assignment
 
