--- a/boragespool/controllers/backend_servers/backend_protocol.py
+++ b/boragespool/controllers/backend_servers/backend_protocol.py
@@ -1,4 +1,4 @@
-"""Work and its replies as backend servers write them in HTTP and JSON."""
+"""Protocol of the backend servers: requests and replies in HTTP and JSON."""
 
 from __future__ import annotations
 
@@ -25,9 +25,9 @@
     from boragespool.messages import WorkRequest
     from boragespool.types import AttemptId
 
-_OK: Final = 200
-_CONFLICT: Final = 409
-_UNAVAILABLE: Final = 503
+_HTTP_OK: Final = 200
+_HTTP_CONFLICT: Final = 409
+_HTTP_SERVICE_UNAVAILABLE: Final = 503
 _JSON_HEADERS: Final = MappingProxyType({'content-type': 'application/json'})
 _CODE_BY_FAILURE: Final = MappingProxyType(
     {
@@ -77,7 +77,15 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelReply:
-    """Answer of a backend server to a cancellation."""
+    """Answer of a backend server to a cancellation.
+
+    Attributes
+    ----------
+    cancelled : bool
+        Whether the server cancelled the work.
+    run : RunState
+        Whether the work had run.
+    """
 
     cancelled: bool = False
     run: RunState = RunState.UNKNOWN
@@ -89,8 +97,16 @@
 
     Attributes
     ----------
+    server : str
+        Name of the backend server.
+    incarnation : int
+        Incarnation of the backend server.
+    service : str
+        Service that the server belongs to.
+    state : ServerState
+        State that the server reports.
     holdings : dict of str to tuple
-        Key ranges ``[start, end)`` by index version.
+        Held key ranges ``[start, end)`` by index version.
     """
 
     server: str
@@ -109,8 +125,11 @@
 STATUS_REQUEST: Final = HttpRequest('GET', '/v1/status')
 
 
-def work_to_http(work: WorkRequest, deadline_s: Seconds) -> HttpRequest:
-    """Build ``POST /v1/work`` with the time left in seconds."""
+def build_work_request(work: WorkRequest, deadline_s: Seconds) -> HttpRequest:
+    """Build ``POST /v1/work``.
+
+    `deadline_s` is the time that is left until the deadline, in seconds.
+    """
     body = _WorkBody(
         attempt_id=work.attempt_id,
         request_id=work.request_id,
@@ -125,12 +144,12 @@
     return _post('/v1/work', body)
 
 
-def cancel_to_http(attempt_id: AttemptId) -> HttpRequest:
+def build_cancel_request(attempt_id: AttemptId) -> HttpRequest:
     """Build ``POST /v1/cancel``."""
     return _post('/v1/cancel', {'attempt_id': attempt_id})
 
 
-def read_status(
+def decode_status(
     response: HttpResponse | ExchangeFailure,
 ) -> BackendStatus | Failure:
     """Decode the answer to ``GET /v1/status``."""
@@ -142,8 +161,11 @@
         return Failure(ResultCode.SERVER_REPLY_INVALID, f'status: {error}')
 
 
-def read_cancel(response: HttpResponse | ExchangeFailure) -> CancelReply:
-    """Decode the answer to a cancellation; doubt counts as not cancelled."""
+def decode_cancel(response: HttpResponse | ExchangeFailure) -> CancelReply:
+    """Decode the answer to a cancellation.
+
+    A failed exchange or an invalid answer counts as not cancelled.
+    """
     if isinstance(response, ExchangeFailure):
         return CancelReply()
     try:
@@ -152,31 +174,32 @@
         return CancelReply()
 
 
-def read_reply(
+def decode_reply(
     work: WorkRequest,
     response: HttpResponse | ExchangeFailure,
 ) -> WorkReply:
-    """Check the answer to work and translate it.
+    """Validate the answer to work and convert it to a reply.
 
     Returns
     -------
     WorkReply
-        ``COMPLETE`` only if attempt, version, range and number of items are
-        those of the request. ``NOT_RUN`` only if the backend server said so,
+        The code is ``COMPLETE`` only if the attempt is that of the request and,
+        for a query, also the version, the range and the number of items are
+        right. The run state is ``NOT_RUN`` only if the backend server said so
         or if no byte was sent.
     """
     if isinstance(response, ExchangeFailure):
-        return _unanswered(work, response)
+        return _failed_exchange_reply(work, response)
     try:
         body = _REPLY_DECODER.decode(response.body)
     except msgspec.DecodeError as error:
-        return _invalid(work, f'status {response.status}, {error}')
-    if response.status == _OK:
-        return _complete(work, body)
+        return _invalid_reply(work, f'status {response.status}, {error}')
+    if response.status == _HTTP_OK:
+        return _completed_reply(work, body)
     if body.attempt_id not in {'', work.attempt_id}:
-        return _invalid(work, f'attempt {body.attempt_id!r}')
+        return _invalid_reply(work, f'attempt {body.attempt_id!r}')
     code = _refusal_code(response.status, body)
-    if code == ResultCode.SERVER_REPLY_INVALID and _claim_ran(work, body):
+    if code == ResultCode.SERVER_REPLY_INVALID and _is_failed_claim(work, body):
         code = ResultCode.CLAIM_FAILED
     return WorkReply(
         work.attempt_id,
@@ -192,7 +215,9 @@
     return HttpRequest('POST', path, _ENCODER.encode(body), _JSON_HEADERS)
 
 
-def _unanswered(work: WorkRequest, failure: ExchangeFailure) -> WorkReply:
+def _failed_exchange_reply(
+    work: WorkRequest, failure: ExchangeFailure
+) -> WorkReply:
     code = ResultCode.SERVER_UNREACHABLE
     run = RunState.NOT_RUN
     if failure.sent:
@@ -201,25 +226,27 @@
     return WorkReply(work.attempt_id, int(code), run, reason=failure.reason)
 
 
-def _invalid(work: WorkRequest, found: str) -> WorkReply:
+def _invalid_reply(work: WorkRequest, problem: str) -> WorkReply:
     return WorkReply(
         work.attempt_id,
         int(ResultCode.SERVER_REPLY_INVALID),
         RunState.UNKNOWN,
-        reason=f'reply of {work.server!r} to {work.attempt_id!r}: {found}',
+        reason=f'reply of {work.server!r} to {work.attempt_id!r}: {problem}',
     )
 
 
-def _complete(work: WorkRequest, body: _ReplyBody) -> WorkReply:
+def _completed_reply(work: WorkRequest, body: _ReplyBody) -> WorkReply:
     if body.attempt_id != work.attempt_id:
-        return _invalid(work, f'attempt {body.attempt_id!r}')
+        return _invalid_reply(work, f'attempt {body.attempt_id!r}')
     if work.kind == WorkKind.CLAIM:
-        return _claim_outcome(work, body)
+        return _claim_reply(work, body)
     searched = (body.version, body.start, body.end)
     if searched != (work.version, work.start, work.end):
-        return _invalid(work, f'version and range {searched!r}')
+        return _invalid_reply(work, f'version and range {searched!r}')
     if body.item_count != len(body.items):
-        return _invalid(work, f'{len(body.items)} of {body.item_count} items')
+        return _invalid_reply(
+            work, f'{len(body.items)} of {body.item_count} items'
+        )
     return WorkReply(
         work.attempt_id,
         int(ResultCode.COMPLETE),
@@ -231,8 +258,8 @@
     )
 
 
-def _claim_ran(work: WorkRequest, body: _ReplyBody) -> bool:
-    """Whether the server says that it ran the claim and that it failed."""
+def _is_failed_claim(work: WorkRequest, body: _ReplyBody) -> bool:
+    """Return whether the server states that the claim ran and failed."""
     return (
         work.kind == WorkKind.CLAIM
         and body.run == RunState.RUN
@@ -240,8 +267,11 @@
     )
 
 
-def _claim_outcome(work: WorkRequest, body: _ReplyBody) -> WorkReply:
-    """Pass on the ``outcome`` of a claim, or its items without one."""
+def _claim_reply(work: WorkRequest, body: _ReplyBody) -> WorkReply:
+    """Return the reply to a claim that ended.
+
+    Without an ``outcome`` the items become the outcome.
+    """
     outcome = body.outcome
     if outcome is None and body.items:
         outcome = msgspec.to_builtins(body.items)
@@ -254,9 +284,9 @@
 
 
 def _refusal_code(status: int, body: _ReplyBody) -> ResultCode:
-    """Return the code of an answer other than 200."""
-    if status == _UNAVAILABLE:
+    """Return the result code for an HTTP status other than 200."""
+    if status == _HTTP_SERVICE_UNAVAILABLE:
         return _CODE_BY_REASON.get(body.reason, ResultCode.SERVER_SHED)
-    if status == _CONFLICT:
+    if status == _HTTP_CONFLICT:
         return ResultCode.VERSION_NOT_HELD
     return ResultCode.SERVER_REPLY_INVALID
--- a/boragespool/controllers/backend_servers/connections.py
+++ b/boragespool/controllers/backend_servers/connections.py
@@ -1,4 +1,4 @@
-"""Connections to one backend server: bounded, opened on demand, reused."""
+"""Bounded pool of HTTP connections to one backend server."""
 
 from __future__ import annotations
 
@@ -15,61 +15,62 @@
     from boragespool.timers import TimerService
     from boragespool.types import Address, Seconds
 
-#: Shorter than the idle timeout of usual HTTP servers, so that a request
-#: rarely meets a connection that is being closed.
-_IDLE_AGE_S: Final = 20
-#: The first connection, and one more if no byte was sent on it.
-_TRIES: Final = 2
+#: Shorter than the idle timeout of usual HTTP servers, so that requests are
+#: rarely sent on a connection that the server is closing.
+_IDLE_TIMEOUT_S: Final = 20
+#: The second try uses a new connection, if the first was closed before any
+#: byte was sent on it.
+_MAX_TRIES: Final = 2
 
 
-class ConnectionPool:
-    """Owns all connections to one address, an async context manager.
+class BackendConnectionPool:
+    """Opens connections to one address on demand and reuses idle ones.
 
     Parameters
     ----------
     address : str
         ``ip:port`` of the backend server.
-    count : int
-        Connections that may be open at the same time.
+    connection_count : int
+        Largest number of connections that are open at the same time.
     timers : TimerService
-        Clock of the idle connections.
+        Clock for timeouts and for the age of idle connections.
     """
 
     def __init__(
         self,
         address: Address,
-        count: int,
+        connection_count: int,
         timers: TimerService,
     ) -> None:
-        """Open nothing yet."""
+        """Set up a pool without open connections."""
         self.address = address
         self._timers = timers
-        self._turns = asyncio.Semaphore(max(1, count))
+        self._permits = asyncio.Semaphore(max(1, connection_count))
         self._idle: list[tuple[Seconds, HttpConnection]] = []
-        self._busy: set[HttpConnection] = set()
+        self._in_use: set[HttpConnection] = set()
 
     @property
     def open_count(self) -> int:
-        """Connections in use and idle."""
-        return len(self._idle) + len(self._busy)
+        """Number of open connections, in use or idle."""
+        return len(self._idle) + len(self._in_use)
 
     def close(self) -> None:
-        """Close all connections; exchanges under way fail as closed."""
+        """Close all connections; running exchanges fail with ``CLOSED``."""
         self.close_idle()
-        for connection in self._busy:
+        for connection in self._in_use:
             connection.close()
 
     def close_idle(self, older_than_s: Seconds = 0) -> None:
-        """Close the connections that were idle for at least this time."""
-        limit_s = self._timers.now_s() - older_than_s
-        for since_s, connection in self._idle:
-            if since_s <= limit_s:
+        """Close the connections that were idle for at least `older_than_s`."""
+        cutoff_s = self._timers.now_s() - older_than_s
+        for idle_since_s, connection in self._idle:
+            if idle_since_s <= cutoff_s:
                 connection.close()
-        self._idle = [entry for entry in self._idle if entry[0] > limit_s]
+        self._idle = [entry for entry in self._idle if entry[0] > cutoff_s]
 
-    def trim(self) -> None:
-        """Close connections that nobody used for a while."""
-        self.close_idle(_IDLE_AGE_S)
+    def close_expired(self) -> None:
+        """Close the connections that were idle for the idle timeout."""
+        self.close_idle(_IDLE_TIMEOUT_S)
 
     async def exchange(
         self,
@@ -79,80 +80,84 @@
     ) -> HttpResponse | ExchangeFailure:
         """Send one request on an idle or a new connection.
 
+        A connection that was closed before any byte was sent is replaced once.
+
         Parameters
         ----------
+        request : HttpRequest
+            Request to send.
         timeout_s : float
-            Longest time for connecting and for the exchange, in seconds.
+            Longest time to wait for a free connection, to connect and to
+            exchange, in seconds.
         on_connected : callable, optional
             Called with the connection before the request is sent.
 
         Returns
         -------
         HttpResponse or ExchangeFailure
-            A connection that was closed before any byte was sent is replaced
-            once.
+            Response of the server, or why there is none.
         """
-        end_s = self._timers.now_s() + timeout_s
-        if not await self._take_turn(timeout_s):
-            return self._no_turn(timeout_s)
+        deadline_at_s = self._timers.now_s() + timeout_s
+        if not await self._acquire_permit(timeout_s):
+            return self._pool_exhausted_failure(timeout_s)
         try:
-            return await self._exchange(request, end_s, on_connected)
+            return await self._exchange(request, deadline_at_s, on_connected)
         finally:
-            self._turns.release()
+            self._permits.release()
 
-    async def _take_turn(self, timeout_s: Seconds) -> bool:
-        """Wait until fewer connections are in use than allowed."""
-        if not self._turns.locked():
-            return await self._turns.acquire()
+    async def _acquire_permit(self, timeout_s: Seconds) -> bool:
+        """Wait until a connection may be used; False after the timeout."""
+        if not self._permits.locked():
+            return await self._permits.acquire()
         try:
             async with asyncio.timeout(timeout_s):
-                return await self._turns.acquire()
+                return await self._permits.acquire()
         except TimeoutError:
             return False
 
     async def _exchange(
         self,
         request: HttpRequest,
-        end_s: Seconds,
+        deadline_at_s: Seconds,
         on_connected: Callable[[HttpConnection], None] | None,
     ) -> HttpResponse | ExchangeFailure:
-        connection: HttpConnection | ExchangeFailure | None = self._take_idle()
-        for _ in range(_TRIES):
+        connection: HttpConnection | ExchangeFailure | None = self._pop_idle()
+        for _ in range(_MAX_TRIES):
             if connection is None:
-                left_s = max(0, end_s - self._timers.now_s())
+                left_s = max(0, deadline_at_s - self._timers.now_s())
                 connection = await open_connection(self.address, left_s)
             if isinstance(connection, ExchangeFailure):
                 return connection
             if on_connected is not None:
                 on_connected(connection)
-            left_s = max(0, end_s - self._timers.now_s())
-            result = await self._use(connection, request, left_s)
-            if not _replaceable(result):
+            left_s = max(0, deadline_at_s - self._timers.now_s())
+            result = await self._exchange_on(connection, request, left_s)
+            if not _may_retry(result):
                 break
             connection = None
         return result
 
-    async def _use(
+    async def _exchange_on(
         self,
         connection: HttpConnection,
         request: HttpRequest,
         timeout_s: Seconds,
     ) -> HttpResponse | ExchangeFailure:
-        self._busy.add(connection)
+        self._in_use.add(connection)
         try:
             return await connection.exchange(request, timeout_s)
         finally:
-            self._busy.discard(connection)
+            self._in_use.discard(connection)
             if connection.usable:
                 self._idle.append((self._timers.now_s(), connection))
 
-    def _take_idle(self) -> HttpConnection | None:
-        """Return the connection used last; None if none is idle."""
+    def _pop_idle(self) -> HttpConnection | None:
+        """Return the most recently used idle connection, or None."""
         with contextlib.suppress(IndexError):
             return self._idle.pop()[1]
         return None
 
-    def _no_turn(self, timeout_s: Seconds) -> ExchangeFailure:
+    def _pool_exhausted_failure(self, timeout_s: Seconds) -> ExchangeFailure:
         return ExchangeFailure(
             FailureKind.TIMEOUT,
             sent=False,
@@ -161,7 +166,7 @@
         )
 
 
-def _replaceable(result: HttpResponse | ExchangeFailure) -> bool:
+def _may_retry(result: HttpResponse | ExchangeFailure) -> bool:
     if not isinstance(result, ExchangeFailure):
         return False
     return result.kind == FailureKind.CLOSED and not result.sent
--- a/boragespool/controllers/backend_servers/crash_watch.py
+++ b/boragespool/controllers/backend_servers/crash_watch.py
@@ -1,4 +1,8 @@
-"""Verdicts about requests that crash backend servers, shared by all peers."""
+"""Detection of requests that crash backend servers, shared with all peers.
+
+Posts the fingerprints of such requests as `SUSPECT_FINGERPRINTS` and
+`BLOCKED_FINGERPRINTS`.
+"""
 
 from __future__ import annotations
 
@@ -24,27 +28,32 @@
     from boragespool.revisions import RevisionDocument
     from boragespool.types import HostName, Incarnation, Seconds, ServerName
 
-#: Messages between daemons can be lost, so a notice is sent again.
-_REPEAT_S: Final = 1
-#: The answer to the work that was lost waits for the peers at most this long.
+#: Notices are sent again after this time, as messages can be lost.
+_RESEND_DELAY_S: Final = 1
+#: Longest time that the reply to lost work waits for the peers.
 _ACK_TIMEOUT_S: Final = 0.5
 
 
 class CrashWatch:
-    """Posts `SUSPECT_FINGERPRINTS` and `BLOCKED_FINGERPRINTS`.
-
-    They follow from own losses and the notices of peers.
+    """Suspect and blocked requests, from own losses and notices of peers.
+
+    Parameters
+    ----------
+    context : Context
+        Shared parts of the daemon.
+    tracker : CrashTracker
+        Losses of backend servers by fingerprint.
     """
 
-    def __init__(self, context: Context, ledger: CrashTracker) -> None:
-        """Register for the notices of peers."""
+    def __init__(self, context: Context, tracker: CrashTracker) -> None:
+        """Register the handlers for notices of peers."""
         self._context = context
-        self._ledger = ledger
+        self._tracker = tracker
         self._document = context.board.read(DOCUMENT_IN_FORCE)
-        context.peers.on_message(SuspectNotice, self.receive)
-        context.peers.on_request(SuspectNotice, self._acknowledge)
+        context.peers.on_message(SuspectNotice, self.handle_notice)
+        context.peers.on_request(SuspectNotice, self._handle_notice_request)
 
-    async def lost(
+    async def report_loss(
         self,
         server: ServerName,
         incarnation: Incarnation,
@@ -52,72 +61,73 @@
     ) -> None:
         """Record the loss of a server with this work in flight.
 
-        Returns after the peers know of it, or after a time limit. The work is
-        answered then: once its caller can send it again, a failure of this
-        daemon must not make the others forget the loss.
+        Returns when the peers have acknowledged the loss, or after a timeout.
+        The reply to the work is sent only after that. Its caller may then send
+        the work again, and the peers must know the loss even if this daemon
+        fails.
         """
         loss_id = f'{server}@{incarnation}'
         now_s = self._context.timers.now_s()
-        told: list[SuspectNotice] = []
+        notices: list[SuspectNotice] = []
         for fingerprint in sorted(set(in_flight.fingerprints)):
             notice = SuspectNotice(
                 fingerprint,
                 loss_id,
                 alone=in_flight.alone,
             )
-            if self._note(notice, now_s):
-                told.extend(self._known_losses(fingerprint, notice))
+            if self._record_loss(notice, now_s):
+                notices.extend(self._notices_of_all_losses(fingerprint, notice))
                 log_event(
                     Event.SERVER_CRASH_SUSPECTED,
                     f'{server!r} was lost with {hex(fingerprint)} in flight',
                     loss_id=loss_id,
                     fingerprint=fingerprint,
                 )
-        self.post()
-        await self._tell_peers(told)
+        self.post_verdicts()
+        await self._notify_peers(notices)
 
-    def receive(self, _sender: Sender, notice: SuspectNotice) -> None:
-        """Treat the notice of a peer."""
+    def handle_notice(self, _sender: Sender, notice: SuspectNotice) -> None:
+        """Apply the notice of a peer."""
         now_s = self._context.timers.now_s()
         if notice.cleared:
-            self._ledger.clear(notice.fingerprint, now_s)
+            self._tracker.clear(notice.fingerprint, now_s)
         else:
-            self._note(notice, now_s)
-        self.post()
+            self._record_loss(notice, now_s)
+        self.post_verdicts()
 
-    def follow_revision(self, document: RevisionDocument | None) -> None:
-        """End the verdicts that an operator cleared by a revision.
+    def on_revision(self, document: RevisionDocument | None) -> None:
+        """Remove the suspicions and blocks that a revision clears.
 
-        Every daemon puts the revision in force, so no notice is sent.
+        No notice is sent, as every daemon puts the revision in force.
         """
         if document is None:
             return
         now_s = self._context.timers.now_s()
         for fingerprint in newly_cleared_fingerprints(self._document, document):
-            self._ledger.clear(fingerprint, now_s)
+            self._tracker.clear(fingerprint, now_s)
         self._document = document
-        self.post()
+        self.post_verdicts()
 
     def clear(self, fingerprint: int) -> bool:
-        """End a verdict here and at all peers.
+        """Remove the suspicion or block of a fingerprint here and at all peers.
 
         Returns
         -------
         bool
             Whether the fingerprint was a suspect or blocked here.
         """
-        known = self._ledger.clear(fingerprint, self._context.timers.now_s())
-        self._spread(SuspectNotice(fingerprint, '', cleared=True))
-        self.post()
+        known = self._tracker.clear(fingerprint, self._context.timers.now_s())
+        self._broadcast(SuspectNotice(fingerprint, '', cleared=True))
+        self.post_verdicts()
         return known
 
-    def post(self) -> None:
-        """Post the verdicts that hold now; logs what changed."""
+    def post_verdicts(self) -> None:
+        """Post the current suspects and blocks; log changes of the blocks."""
         now_s = self._context.timers.now_s()
         board = self._context.board
         before = board.read(BLOCKED_FINGERPRINTS)
-        blocked = self._ledger.blocked(now_s)
-        board.post(SUSPECT_FINGERPRINTS, self._ledger.suspects(now_s))
+        blocked = self._tracker.blocked(now_s)
+        board.post(SUSPECT_FINGERPRINTS, self._tracker.suspects(now_s))
         board.post(BLOCKED_FINGERPRINTS, blocked)
         for added in blocked - before:
             log_event(
@@ -128,67 +138,68 @@
         for ended in before - blocked:
             log_event(
                 Event.REQUEST_UNBLOCKED,
-                f'requests with fingerprint {hex(ended)} run again',
+                f'requests with fingerprint {hex(ended)} are no longer blocked',
                 fingerprint=ended,
             )
 
-    def _note(self, notice: SuspectNotice, now_s: Seconds) -> bool:
-        return self._ledger.record_loss(
+    def _record_loss(self, notice: SuspectNotice, now_s: Seconds) -> bool:
+        return self._tracker.record_loss(
             notice.fingerprint,
             notice.loss_id,
             now_s,
             alone=notice.alone,
         )
 
-    def _known_losses(
+    def _notices_of_all_losses(
         self,
         fingerprint: int,
         latest: SuspectNotice,
     ) -> tuple[SuspectNotice, ...]:
         """Return the notices of all losses of a fingerprint.
 
-        A peer may have missed the notice of an earlier loss, if the daemon
-        that saw it has failed since.
+        The notices of earlier losses are included, as a peer may have missed
+        one whose sender has failed since.
         """
         earlier = (
             SuspectNotice(fingerprint, loss_id)
-            for known, loss_id in self._ledger.losses()
+            for known, loss_id in self._tracker.losses()
             if known == fingerprint and loss_id != latest.loss_id
         )
         return (*earlier, latest)
 
-    async def _acknowledge(
+    async def _handle_notice_request(
         self,
         sender: Sender,
         notice: SuspectNotice,
     ) -> SuspectNoticeAck:
-        self.receive(sender, notice)
+        self.handle_notice(sender, notice)
         return SuspectNoticeAck()
 
-    async def _tell_peers(self, notices: list[SuspectNotice]) -> None:
-        """Tell each peer; repeat what a peer does not acknowledge."""
+    async def _notify_peers(self, notices: list[SuspectNotice]) -> None:
+        """Send notices to all peers; resend those without acknowledgement."""
         await asyncio.gather(
             *(
-                self._tell(host, notice)
+                self._notify_peer(host, notice)
                 for notice in notices
                 for host in self._peer_hosts()
             ),
         )
 
-    async def _tell(self, host: HostName, notice: SuspectNotice) -> None:
+    async def _notify_peer(self, host: HostName, notice: SuspectNotice) -> None:
         peers = self._context.peers
         reply = await peers.request(host, notice, _ACK_TIMEOUT_S)
         if not isinstance(reply, SuspectNoticeAck):
             self._context.timers.after(
-                _REPEAT_S,
+                _RESEND_DELAY_S,
                 lambda: self._send(notice, host),
             )
 
-    def _spread(self, notice: SuspectNotice) -> None:
+    def _broadcast(self, notice: SuspectNotice) -> None:
         self._send(notice)
-        self._context.timers.after(_REPEAT_S, lambda: self._send(notice))
+        self._context.timers.after(_RESEND_DELAY_S, lambda: self._send(notice))
 
     def _send(self, notice: SuspectNotice, *hosts: HostName) -> None:
+        """Send a notice to the given hosts, or to all peers without any."""
         for host in hosts or self._peer_hosts():
             self._context.peers.send(host, notice)
 
--- a/boragespool/controllers/backend_servers/jobs.py
+++ b/boragespool/controllers/backend_servers/jobs.py
@@ -1,4 +1,4 @@
-"""Attempts at a dispatcher from their arrival to their reply."""
+"""Jobs of a dispatcher: attempts from their arrival to their reply."""
 
 from __future__ import annotations
 
@@ -23,44 +23,56 @@
 
 BLOCKED_FAILURE: Final = Failure(
     ResultCode.REQUEST_BLOCKED,
-    'requests like this one crashed backend servers',
+    'requests with the same fingerprint crashed backend servers',
 )
 
 
 @dataclass(slots=True)
 class Job:
-    """One attempt.
+    """State of one attempt at its dispatcher.
 
     Attributes
     ----------
-    received_s, started_s : float
-        Times on the clock of the timer service; infinity before the start.
+    work : WorkRequest
+        Request of the merger or claim issuer.
+    queued : QueuedWork
+        Entry of the attempt in the queue of the server.
+    received_s : float
+        Time of the arrival, in seconds on the clock of the timer service.
+    reply_future : Future of WorkReply
+        Completed with the reply.
+    started_s : float
+        Time at which the attempt got a slot, on the same clock; infinity
+        before.
     connection : HttpConnection or None
-        Connection that carries the work.
-    cancel_run : RunState or None
-        What the server said about execution when it cancelled the work.
-    is_overdue : bool
-        Whether it was cancelled because its deadline passed.
+        Connection on which the work was sent.
+    run_state_at_cancel : RunState or None
+        Run state in the server's answer to a cancellation; None if it did not
+        cancel the work.
+    was_cancelled_at_deadline : bool
+        Whether a cancellation was sent because the deadline passed.
     """
 
     work: WorkRequest
     queued: QueuedWork
     received_s: Seconds
-    answer: asyncio.Future[WorkReply]
+    reply_future: asyncio.Future[WorkReply]
     started_s: Seconds = math.inf
     connection: HttpConnection | None = None
-    cancel_run: RunState | None = None
-    is_overdue: bool = False
+    run_state_at_cancel: RunState | None = None
+    was_cancelled_at_deadline: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class WorkInFlight:
-    """Work on a server at the moment when it was lost.
+    """Work that was in flight on a server when a connection was lost.
 
     Attributes
     ----------
+    fingerprints : tuple of int
+        Fingerprints of the requests.
     alone : bool
-        Whether it was a suspect that ran alone.
+        Whether a request ran alone on the server, as suspects do.
     """
 
     fingerprints: tuple[int, ...]
@@ -69,33 +81,33 @@
 
 @dataclass(frozen=True, slots=True)
 class BackendHooks:
-    """What a backend server needs from its controller.
+    """Callbacks of a `Backend` to its controller.
 
     Attributes
     ----------
     spawn : callable
-        Runs a coroutine that ends with the controller.
-    lost : callable
-        Called with server, incarnation and work in flight after a loss;
-        returns when the peers know of it.
-    observed : callable
-        Called with the server and a new observation.
+        Starts a task that is cancelled when the controller is closed.
+    on_loss : callable
+        Called with the server, its incarnation and the work in flight when
+        the server was lost; returns when the peers were notified.
+    on_observation : callable
+        Called with the server and its changed observation.
     """
 
     spawn: Callable[[Coroutine[Any, Any, None]], object]
-    lost: Callable[
+    on_loss: Callable[
         [ServerName, Incarnation, WorkInFlight],
         Coroutine[Any, Any, None],
     ]
-    observed: Callable[[ServerName, ServerObservation], None]
+    on_observation: Callable[[ServerName, ServerObservation], None]
 
 
-def was_served(reply: WorkReply) -> bool:
-    """Whether the backend server ran the work to its end."""
+def ran_to_completion(reply: WorkReply) -> bool:
+    """Return whether the backend server ran the work to its end."""
     return reply.code in {ResultCode.COMPLETE, ResultCode.CLAIM_FAILED}
 
 
-def refusal(work: WorkRequest, failure: Failure) -> WorkReply:
+def refusal_reply(work: WorkRequest, failure: Failure) -> WorkReply:
     """Return the reply to work that was not run."""
     return WorkReply(
         work.attempt_id,
@@ -106,13 +118,13 @@
     )
 
 
-def interrupted(job: Job, now_s: Seconds) -> WorkReply:
+def cancellation_reply(job: Job, now_s: Seconds) -> WorkReply:
     """Return the reply to work that was cancelled while it ran."""
     is_late = now_s >= job.queued.deadline_at_s
     code = ResultCode.DEADLINE_PASSED if is_late else ResultCode.CANCELLED
     return WorkReply(
         job.work.attempt_id,
         int(code),
-        job.cancel_run or RunState.UNKNOWN,
+        job.run_state_at_cancel or RunState.UNKNOWN,
         reason='cancelled while it ran',
     )
--- a/boragespool/controllers/backend_servers/record_exchange.py
+++ b/boragespool/controllers/backend_servers/record_exchange.py
@@ -1,8 +1,9 @@
-"""Spreads server records between the daemons.
+"""Replicates server records between the daemons.
 
-A change goes to a few members at once, and they pass it on. In addition each
-daemon compares a digest of all records with a random member now and then,
-which repairs what was lost. A daemon that starts fetches all records.
+A daemon sends a changed record to a few members, which forward it. In addition
+each daemon periodically compares a digest of all records with a random member,
+which repairs the changes that it missed. A daemon that starts fetches all
+records.
 """
 
 from __future__ import annotations
@@ -26,59 +27,73 @@
     from boragespool.peers import Sender
     from boragespool.types import HostName, Seconds, ServerName
 
-#: Urgent changes within this time share one message.
-_GATHER_S: Final = 0.01
-#: Members asked for all records before a new daemon relies on digests, and
-#: members that it compares digests with at once after that.
-_JOIN_ATTEMPTS: Final = 3
-_LIVE: Final = frozenset((MemberStatus.ALIVE, MemberStatus.SUSPECT))
+#: Urgent changes within this time are sent in one message.
+_URGENT_DELAY_S: Final = 0.01
+#: Largest number of members that a starting daemon asks for all records, until
+#: one has sent them, and number of members that it compares digests with after
+#: that.
+_JOIN_HOST_COUNT: Final = 3
+_LIVE_STATUSES: Final = frozenset((MemberStatus.ALIVE, MemberStatus.SUSPECT))
 
 
 @dataclass(frozen=True, slots=True)
 class ExchangeOptions:
-    """Times and bounds of the exchange of records.
+    """Intervals and bounds of the exchange of records.
 
     Attributes
     ----------
     spread_interval_s : float
-        Time between two messages with changes of others.
+        Time between two messages with all pending changes, in seconds. Urgent
+        changes do not wait for it.
     digest_interval_s : float
-        Time between two comparisons with a random member.
-    spread, exchange : SpreadLimits, ExchangeLimits
-        Bounds on what is sent.
+        Time between two comparisons with a random member, in seconds.
+    spread_limits, exchange_limits : SpreadLimits, ExchangeLimits
+        Bounds on the gossip of changes, and on one comparison.
     """
 
     spread_interval_s: Seconds = 1
     digest_interval_s: Seconds = 3
-    spread: backends.SpreadLimits = field(
+    spread_limits: backends.SpreadLimits = field(
         default_factory=backends.SpreadLimits,
     )
-    exchange: backends.ExchangeLimits = field(
+    exchange_limits: backends.ExchangeLimits = field(
         default_factory=backends.ExchangeLimits,
     )
 
 
 @dataclass(frozen=True, slots=True)
 class ExchangeHooks:
-    """What the exchange asks and tells its owner.
+    """Callbacks of the exchange to its owner.
 
     Attributes
     ----------
     accepts : callable
-        Whether records of a server are kept.
+        Returns whether records of a server are stored.
     server_count : callable
         Returns the number of configured servers.
-    changed : callable
-        Called with each record of a peer that was newer.
+    on_changed : callable
+        Called with each newer record from a peer.
     """
 
     accepts: Callable[[ServerName], bool]
     server_count: Callable[[], int]
-    changed: Callable[[ServerRecord], None]
+    on_changed: Callable[[ServerRecord], None]
 
 
 class RecordExchange:
-    """Sends and receives server records, an async context manager."""
+    """Sends and receives server records, an async context manager.
+
+    Parameters
+    ----------
+    context : Context
+        Shared parts of the daemon.
+    table : RecordTable
+        Records of this daemon; newer records of peers are merged into it.
+    options : ExchangeOptions
+        Intervals and bounds.
+    hooks : ExchangeHooks
+        Callbacks to the owner.
+    """
 
     def __init__(
         self,
@@ -87,22 +102,22 @@
         options: ExchangeOptions,
         hooks: ExchangeHooks,
     ) -> None:
-        """Keep the parts; `__aenter__` begins to exchange."""
+        """Set up without peers; `__aenter__` starts the exchange."""
         self._context = context
         self._table = table
         self._options = options
         self._hooks = hooks
-        self._hosts: tuple[HostName, ...] = ()
+        self._peer_hosts: tuple[HostName, ...] = ()
         self._has_joined = False
-        self._flush_is_due = False
+        self._is_urgent_send_scheduled = False
         self._queue = backends.SpreadQueue(
-            options.spread,
+            options.spread_limits,
             context.timers.now_s(),
         )
         self._repair = RecordRepair(
             context,
             table,
-            options.exchange,
+            options.exchange_limits,
             hooks.server_count,
             self._merge,
         )
@@ -110,65 +125,67 @@
         self._stack = contextlib.ExitStack()
 
     async def __aenter__(self) -> Self:
-        """Answer peers, and exchange with them from now on."""
+        """Register the handlers and start the timers."""
         context = self._context
-        context.peers.on_message(ServerAnnouncement, self._receive)
-        self._repair.serve()
-        unsubscribe = context.board.subscribe(MEMBERS, self._follow_members)
+        context.peers.on_message(ServerAnnouncement, self._handle_announcement)
+        self._repair.register_handlers()
+        unsubscribe = context.board.subscribe(MEMBERS, self._on_members)
         self._stack.callback(unsubscribe)
         for interval_s, tick in (
-            (self._options.spread_interval_s, self._spread),
-            (self._options.digest_interval_s, self._compare_with_one),
+            (self._options.spread_interval_s, self._send_all_changes),
+            (self._options.digest_interval_s, self._compare_with_random_peer),
         ):
             timer = context.timers.every(interval_s, tick)
             self._stack.callback(timer.cancel)
-        self._follow_members(context.board.read(MEMBERS))
+        self._on_members(context.board.read(MEMBERS))
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        """Stop the exchange."""
+        """Stop the timers and the running comparisons."""
         self._stack.close()
         await self._tasks.close()
 
     def announce(self, record: ServerRecord) -> None:
-        """Send an own record that changed to a few members at once."""
-        self._note(record, is_urgent=True)
+        """Send a changed record of this daemon to a few members at once."""
+        self._enqueue(record, is_urgent=True)
 
-    def _follow_members(
+    def _on_members(
         self,
         members_by_host: Mapping[HostName, MemberRecord],
     ) -> None:
-        """Keep the hosts to exchange with; fetch all records at the start."""
-        own = self._context.identity.host
-        self._hosts = tuple(
+        """Update the peers; fetch all records once the first ones are known."""
+        own_host = self._context.identity.host
+        self._peer_hosts = tuple(
             host
             for host, member in members_by_host.items()
-            if host != own and member.status in _LIVE
+            if host != own_host and member.status in _LIVE_STATUSES
         )
-        if self._hosts and not self._has_joined:
+        if self._peer_hosts and not self._has_joined:
             self._has_joined = True
-            self._tasks.spawn(self._join())
+            self._tasks.spawn(self._fetch_and_compare())
 
-    async def _join(self) -> None:
-        """Fetch all records of one member, then compare with others."""
-        for host in self._choose(_JOIN_ATTEMPTS):
+    async def _fetch_and_compare(self) -> None:
+        """Fetch all records from one peer, then compare with a few peers."""
+        for host in self._choose_peers(_JOIN_HOST_COUNT):
             if await self._repair.fetch_all(host):
                 break
-        for other in self._choose(_JOIN_ATTEMPTS):
+        for other in self._choose_peers(_JOIN_HOST_COUNT):
             await self._repair.compare_with(other)
 
-    def _compare_with_one(self) -> None:
-        for host in self._choose(1):
+    def _compare_with_random_peer(self) -> None:
+        for host in self._choose_peers(1):
             self._tasks.spawn(self._repair.compare_with(host))
 
-    def _receive(self, _sender: Sender, message: ServerAnnouncement) -> None:
+    def _handle_announcement(
+        self, _sender: Sender, message: ServerAnnouncement
+    ) -> None:
         for record in self._merge(message.records):
             if not message.is_repair:
                 is_urgent = record.state in backends.OUT_OF_SERVICE
-                self._note(record, is_urgent=is_urgent)
+                self._enqueue(record, is_urgent=is_urgent)
 
     def _merge(self, records: Iterable[ServerRecord]) -> list[ServerRecord]:
-        """Keep and return the newer records."""
+        """Store the newer ones of some records and return them."""
         kept = [
             record
             for record in records
@@ -176,33 +193,39 @@
         ]
         for record in kept:
             self._queue.forget(record.server)
-            self._hooks.changed(record)
+            self._hooks.on_changed(record)
         return kept
 
-    def _note(self, record: ServerRecord, *, is_urgent: bool) -> None:
+    def _enqueue(self, record: ServerRecord, *, is_urgent: bool) -> None:
         self._queue.enqueue(record, is_urgent=is_urgent)
-        if is_urgent and not self._flush_is_due:
-            self._flush_is_due = True
-            self._context.timers.after(_GATHER_S, self._spread_urgent)
-
-    def _spread_urgent(self) -> None:
-        self._flush_is_due = False
-        self._send_changes(self._options.spread.send_count, urgent_only=True)
+        if is_urgent and not self._is_urgent_send_scheduled:
+            self._is_urgent_send_scheduled = True
+            self._context.timers.after(_URGENT_DELAY_S, self._send_urgent)
+
+    def _send_urgent(self) -> None:
+        self._is_urgent_send_scheduled = False
+        self._send_changes(
+            self._options.spread_limits.send_count, urgent_only=True
+        )
 
-    def _spread(self) -> None:
-        self._send_changes(self._options.spread.target_count, urgent_only=False)
+    def _send_all_changes(self) -> None:
+        self._send_changes(
+            self._options.spread_limits.target_count, urgent_only=False
+        )
 
-    def _send_changes(self, targets: int, *, urgent_only: bool) -> None:
-        if not self._hosts:
+    def _send_changes(self, target_count: int, *, urgent_only: bool) -> None:
+        if not self._peer_hosts:
             return
         records = self._queue.take(
-            targets,
+            target_count,
             self._context.timers.now_s(),
             urgent_only=urgent_only,
         )
         if records:
-            for host in self._choose(targets):
+            for host in self._choose_peers(target_count):
                 self._context.peers.send(host, ServerAnnouncement(records))
 
-    def _choose(self, count: int) -> tuple[HostName, ...]:
-        return backends.choose_targets(self._hosts, count, self._context.draw)
+    def _choose_peers(self, count: int) -> tuple[HostName, ...]:
+        return backends.choose_targets(
+            self._peer_hosts, count, self._context.draw
+        )
--- a/boragespool/controllers/backend_servers/server_health.py
+++ b/boragespool/controllers/backend_servers/server_health.py
@@ -1,4 +1,7 @@
-"""What a dispatcher learns about one backend server from its exchanges."""
+"""Incarnation and concurrency limit of one backend server.
+
+Both follow from the exchanges of its dispatcher with the server.
+"""
 
 from __future__ import annotations
 
@@ -10,19 +13,19 @@
 from boragespool.blackboard.topics import ServerObservation
 from boragespool.controllers.backend_servers.backend_protocol import (
     STATUS_REQUEST,
-    read_status,
+    decode_status,
 )
 from boragespool.controllers.backend_servers.jobs import (
     BackendHooks,
     WorkInFlight,
-    was_served,
+    ran_to_completion,
 )
 from boragespool.events import Event, log_event
 from boragespool.results import Failure, ResultCode
 
 if TYPE_CHECKING:
     from boragespool.controllers.backend_servers.connections import (
-        ConnectionPool,
+        BackendConnectionPool,
     )
     from boragespool.controllers.context import Context
     from boragespool.messages import WorkReply
@@ -32,12 +35,12 @@
 
 
 class ServerHealth:
-    """Incarnation, limit and signs of one backend server.
+    """Incarnation, concurrency limit and observations of one backend server.
 
     Attributes
     ----------
     incarnation : int
-        Incarnation that answers now; 0 while it is unknown.
+        Incarnation of the running server; 0 while it is unknown.
     """
 
     def __init__(
@@ -47,7 +50,7 @@
         context: Context,
         hooks: BackendHooks,
     ) -> None:
-        """Start with the limit of a cold start."""
+        """Set up the limit of a cold start and an unknown incarnation."""
         self.incarnation: Incarnation = 0
         self._server = server
         self._limit = backends.initial_limit(slots)
@@ -57,77 +60,77 @@
 
     @property
     def limit(self) -> int:
-        """Requests that may run at the same time."""
+        """Number of requests that may run at the same time."""
         return self._limit.limit
 
     def configure(self, slots: int) -> None:
-        """Follow a change of the configured slots."""
+        """Apply a change of the configured slots."""
         if slots != self._limit.slots:
             self._set_limit(backends.with_slots(self._limit, slots))
 
-    def restarted(self, incarnation: Incarnation) -> None:
-        """Treat a higher incarnation as a cold start."""
+    def note_incarnation(self, incarnation: Incarnation) -> None:
+        """Store a higher incarnation; if one was known, reset the limit."""
         if incarnation <= self.incarnation:
             return
         if self.incarnation:
             self._set_limit(backends.initial_limit(self._limit.slots))
         self.incarnation = incarnation
 
-    def refused(self) -> None:
-        """Note that the server does not accept connections."""
+    def note_refused_connection(self) -> None:
+        """Reset incarnation and limit after a refused connection."""
         self.incarnation = 0
         self._set_limit(backends.initial_limit(self._limit.slots))
-        self._observe(refused_at_s=self._context.timers.now_s())
+        self._update_observation(refused_at_s=self._context.timers.now_s())
 
     def note_reply(self, reply: WorkReply, in_flight: int) -> None:
-        """Move the limit and note what a reply says about the server."""
+        """Adjust the limit and update the observation after a reply."""
         now_s = self._context.timers.now_s()
-        if was_served(reply):
+        if ran_to_completion(reply):
             self._set_limit(backends.after_reply(self._limit, in_flight))
         elif reply.code == ResultCode.SERVER_SHED:
             self._set_limit(backends.after_shed(self._limit, now_s))
         elif reply.code == ResultCode.SERVER_DRAINING:
-            self._observe(draining_at_s=now_s)
+            self._update_observation(draining_at_s=now_s)
         elif reply.code == ResultCode.SERVER_REPLY_INVALID:
             log_event(Event.SERVER_REPLY_REJECTED, reply.reason)
 
-    async def learn_incarnation(self, pool: ConnectionPool) -> None:
-        """Ask the server for its incarnation."""
+    async def fetch_incarnation(self, pool: BackendConnectionPool) -> None:
+        """Request the status of the server and store its incarnation."""
         response = await pool.exchange(STATUS_REQUEST, _STATUS_TIMEOUT_S)
-        status = read_status(response)
+        status = decode_status(response)
         if not isinstance(status, Failure):
-            self.restarted(status.incarnation)
+            self.note_incarnation(status.incarnation)
 
     async def check_loss(
         self,
-        pool: ConnectionPool,
+        pool: BackendConnectionPool,
         incarnation: Incarnation,
         in_flight: WorkInFlight,
     ) -> None:
-        """After a lost connection, find out whether the server was lost.
+        """Check whether the server was lost, after a connection was closed.
 
         Parameters
         ----------
-        pool : ConnectionPool
+        pool : BackendConnectionPool
             Connections to the server; idle ones are closed.
         incarnation : int
-            Incarnation to which the work was sent; 0 if unknown, and then
-            no loss is reported, as it could be counted twice.
+            Incarnation to which the work was sent; 0 if unknown, and then no
+            loss is reported, because it could be counted twice.
         in_flight : WorkInFlight
             Work in flight when the connection was lost.
         """
         pool.close_idle()
         response = await pool.exchange(STATUS_REQUEST, _STATUS_TIMEOUT_S)
-        status = read_status(response)
+        status = decode_status(response)
         if isinstance(status, Failure):
             lost = status.code == ResultCode.SERVER_UNREACHABLE
             if lost:
-                self.refused()
+                self.note_refused_connection()
         else:
             lost = status.incarnation != incarnation
-            self.restarted(status.incarnation)
+            self.note_incarnation(status.incarnation)
         if lost and incarnation:
-            await self._hooks.lost(self._server, incarnation, in_flight)
+            await self._hooks.on_loss(self._server, incarnation, in_flight)
 
     def _set_limit(self, limit: backends.LimitState) -> None:
         before = self._limit.limit
@@ -135,14 +138,14 @@
         if limit.limit != before:
             log_event(
                 Event.SERVER_LIMIT_CHANGED,
-                f'the limit of {self._server!r} is {limit.limit}',
+                f'concurrency limit of {self._server!r} is now {limit.limit}',
                 level=logging.DEBUG,
                 server=self._server,
                 limit=limit.limit,
                 before=before,
             )
-            self._observe(limit=limit.limit)
+            self._update_observation(limit=limit.limit)
 
-    def _observe(self, **changes: Any) -> None:
+    def _update_observation(self, **changes: Any) -> None:
         self._observation = replace(self._observation, **changes)
-        self._hooks.observed(self._server, self._observation)
+        self._hooks.on_observation(self._server, self._observation)
--- a/boragespool/controllers/backend_servers/server_view.py
+++ b/boragespool/controllers/backend_servers/server_view.py
@@ -1,4 +1,4 @@
-"""Records of all backend servers with the states that hold at one daemon."""
+"""Records of all backend servers with their effective states at one daemon."""
 
 from __future__ import annotations
 
@@ -24,18 +24,18 @@
 
 @dataclass(frozen=True, slots=True)
 class ViewSources:
-    """What the states follow from.
+    """Inputs from which the effective states are derived.
 
     Attributes
     ----------
     settings : Settings
-        Settings in force; they name all servers and the drained ones.
+        Settings in force, with all servers and which of them are drained.
     records : mapping of str to ServerRecord
-        Records by the servers' dispatchers.
+        Records by server, as announced by the dispatchers.
     observations : mapping of str to ServerObservation
-        What this daemon saw while it sent work.
+        What this daemon observed by server while it sent work.
     leaving_hosts : frozenset of str
-        Hosts that leave according to the platform.
+        Hosts that the platform lists as leaving.
     now_s : float
         Time on the clock of the observations, in seconds.
     """
@@ -48,57 +48,60 @@
 
 
 class ServerView:
-    """View of all servers, updated step by step.
+    """Effective records of all servers, updated incrementally.
 
     Attributes
     ----------
     by_server : ShardedMapping of str to ServerRecord
-        Never changed; a refresh replaces it if a record differs.
+        Records by server. The mapping is immutable; `refresh` replaces it if a
+        record changed.
     """
 
     def __init__(self) -> None:
-        """Start empty."""
+        """Set up an empty view."""
         self.by_server: ShardedMapping[ServerRecord] = ShardedMapping()
         self._sources = ViewSources(Settings(), {}, {}, frozenset(), 0)
         self._service_by_server: dict[ServerName, ServiceName] = {}
         self._states_by_service: dict[ServiceName, ServiceStates] = {}
-        self._draining: frozenset[ServerName] = frozenset()
+        self._recently_draining: frozenset[ServerName] = frozenset()
 
     @property
-    def expires(self) -> bool:
-        """Whether a state changes after some time without any event."""
-        return bool(self._draining)
+    def has_expiring_state(self) -> bool:
+        """Whether a state may change by the passage of time alone."""
+        return bool(self._recently_draining)
 
     def refresh(
         self,
         sources: ViewSources,
         changed: Iterable[ServerName],
     ) -> Mapping[ServerName, ServerRecord]:
-        """Follow a change.
+        """Update the view after a change of the sources.
 
         Parameters
         ----------
         sources : ViewSources
-            Present sources.
+            Current sources.
         changed : iterable of str
-            Servers whose record differs from that at the last refresh. Other
-            differences of the sources are found here.
+            Servers whose record in the sources changed since the last refresh.
+            Changes of the other sources are found by comparison.
 
         Returns
         -------
         mapping of str to ServerRecord
-            Records that differ from the view before.
+            Changed records by server.
         """
         stale = {*changed, *self._find_changes(sources)}
         self._sources = sources
         for changed_server in tuple(stale & self._service_by_server.keys()):
             service = self._service_by_server[changed_server]
             states = self._states_by_service[service]
-            if states.set_signals(changed_server, self._signs(changed_server)):
+            if states.set_signals(
+                changed_server, self._signals(changed_server)
+            ):
                 stale.update(states.servers)
         updates = {
             server: record
-            for server, record in self._present(stale)
+            for server, record in self._current_records(stale)
             if record != self.by_server.get(server)
         }
         if updates:
@@ -106,29 +109,30 @@
         return updates
 
     def _find_changes(self, sources: ViewSources) -> set[ServerName]:
-        """Return the servers whose signs differ apart from the records."""
+        """Return the servers affected by changes of sources except records."""
         before = self._sources
         recent = frozenset(
             server
-            for server, seen in sources.observations.items()
-            if recently_draining(seen, sources.now_s)
+            for server, observation in sources.observations.items()
+            if recently_draining(observation, sources.now_s)
         )
-        found = set(recent ^ self._draining)
-        self._draining = recent
+        found = set(recent ^ self._recently_draining)
+        self._recently_draining = recent
         if sources.settings is not before.settings:
-            self._start(sources.settings)
+            self._reset(sources.settings)
             return set(self._service_by_server)
-        moved = sources.leaving_hosts ^ before.leaving_hosts
-        if moved:
+        changed_hosts = sources.leaving_hosts ^ before.leaving_hosts
+        if changed_hosts:
             found.update(
                 server
                 for server, service in self._service_by_server.items()
-                if _configured(sources, service, server).host in moved
+                if _server_settings(sources, service, server).host
+                in changed_hosts
             )
         return found
 
-    def _start(self, settings: Settings) -> None:
-        """Forget what followed from other settings."""
+    def _reset(self, settings: Settings) -> None:
+        """Drop the states of other settings and the servers they removed."""
         self._service_by_server = {
             server: name
             for name, service in settings.services.items()
@@ -145,9 +149,9 @@
         empty: ShardedMapping[ServerRecord] = ShardedMapping()
         self.by_server = empty.updated(kept)
 
-    def _signs(self, server: ServerName) -> ServerSignals:
+    def _signals(self, server: ServerName) -> ServerSignals:
         sources = self._sources
-        configured = _configured(
+        configured = _server_settings(
             sources,
             self._service_by_server[server],
             server,
@@ -158,14 +162,14 @@
             drained=configured.drained,
             host_leaving=bool(configured.host)
             and configured.host in sources.leaving_hosts,
-            reply_draining=server in self._draining,
+            reply_draining=server in self._recently_draining,
         )
 
-    def _present(
+    def _current_records(
         self,
         servers: Iterable[ServerName],
     ) -> Iterable[tuple[ServerName, ServerRecord]]:
-        """Return the records of some servers with the states that hold."""
+        """Return the records of some servers with their effective states."""
         for server in servers:
             service = self._service_by_server.get(server)
             record = self._sources.records.get(server)
@@ -178,7 +182,7 @@
                 yield server, replace(record, state=state)
 
 
-def _configured(
+def _server_settings(
     sources: ViewSources,
     service: ServiceName,
     server: ServerName,
--- a/boragespool/controllers/backend_servers/servers.py
+++ b/boragespool/controllers/backend_servers/servers.py
@@ -1,4 +1,8 @@
-"""Polls backend servers, and posts their records and those of peers."""
+"""Maintains the records of all backend servers and posts them as `SERVERS`.
+
+A daemon polls the servers whose dispatcher it is, announces their records to
+its peers, and gets the records of all other servers from them.
+"""
 
 from __future__ import annotations
 
@@ -25,11 +29,11 @@
     ServerPolls,
 )
 from boragespool.controllers.backend_servers.server_records import (
-    holdings_of,
-    log_changes,
-    new_record,
+    configured_servers,
+    holdings_from_status,
+    initial_record,
+    log_state_changes,
     recently_draining,
-    servers_of,
 )
 from boragespool.controllers.backend_servers.server_view import (
     ServerView,
@@ -58,8 +62,8 @@
     from boragespool.messages import MemberRecord
     from boragespool.types import Seconds
 
-#: Changes within this time share one post.
-_GATHER_S: Final = 0.01
+#: Changes within this time are posted together.
+_POST_DELAY_S: Final = 0.01
 _CANDIDATE_STATUSES: Final = frozenset(
     (MemberStatus.ALIVE, MemberStatus.SUSPECT),
 )
@@ -68,15 +72,16 @@
 
 @dataclass(frozen=True, slots=True)
 class PollOptions:
-    """Times of the server controller, in seconds.
+    """Polling intervals and options of the exchange of records.
 
     Attributes
     ----------
     poll_interval_s, poll_timeout_s : float
-        A sign of leaving is seen after at most twice the interval and the
-        timeout.
+        Time between polls and longest time for one poll, in seconds. A poll
+        finds that a server is leaving after at most twice the interval plus
+        the timeout.
     exchange : ExchangeOptions
-        Times and bounds of the exchange of records with peers.
+        Intervals and bounds of the exchange of records with peers.
     """
 
     poll_interval_s: Seconds = 1
@@ -85,14 +90,22 @@
 
 
 class ServerController:
-    """Posts `SERVERS`, an async context manager."""
+    """Records of all backend servers, an async context manager.
+
+    Parameters
+    ----------
+    context : Context
+        Shared parts of the daemon.
+    options : PollOptions, optional
+        Intervals and bounds; by default those of `PollOptions`.
+    """
 
     def __init__(
         self,
         context: Context,
         options: PollOptions | None = None,
     ) -> None:
-        """Keep the parts; `__aenter__` begins to poll."""
+        """Set up an empty table of records; `__aenter__` starts the polls."""
         self._context = context
         self._options = options or PollOptions()
         self._table = RecordTable()
@@ -101,42 +114,44 @@
             self._table,
             self._options.exchange,
             ExchangeHooks(
-                self._accepts,
+                self._accepts_server,
                 lambda: self._assignment.server_count,
-                self._changed,
+                self._on_record_changed,
             ),
         )
         self._polls = ServerPolls(
             context.timers,
             self._options.poll_timeout_s,
-            PollHooks(self._answered, self._lose),
+            PollHooks(self._on_status, self._on_lost),
         )
         self._assignment = DispatcherAssignment()
-        self._refused_at_s: dict[ServerName, Seconds] = {}
-        self._claimed_at_s: dict[ServerName, Seconds] = {}
+        self._refused_at_s_by_server: dict[ServerName, Seconds] = {}
+        self._takeover_at_s_by_server: dict[ServerName, Seconds] = {}
         self._candidates: frozenset[_Candidate] = frozenset()
         self._view = ServerView()
-        self._stale: set[ServerName] = set()
-        self._post_is_due = False
+        self._changed_servers: set[ServerName] = set()
+        self._is_post_scheduled = False
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Self:
-        """Poll and exchange records from now on."""
+        """Start to poll servers and to exchange records."""
         context = self._context
         for subscription in (
-            context.board.subscribe(MEMBERS, self._follow_members),
-            context.board.subscribe(DOCUMENT_IN_FORCE, self._assign),
-            context.board.subscribe(SERVER_OBSERVATIONS, self._observed),
-            context.board.subscribe(LEAVING_HOSTS, self._post_soon),
+            context.board.subscribe(MEMBERS, self._on_members),
+            context.board.subscribe(
+                DOCUMENT_IN_FORCE, self._assign_dispatchers
+            ),
+            context.board.subscribe(SERVER_OBSERVATIONS, self._on_observations),
+            context.board.subscribe(LEAVING_HOSTS, self._schedule_post),
         ):
             self._stack.callback(subscription)
         timer = context.timers.every(
             self._options.poll_interval_s,
-            self._poll_all,
+            self._poll_due,
         )
         self._stack.callback(timer.cancel)
-        self._follow_members(context.board.read(MEMBERS))
-        self._assign()
+        self._on_members(context.board.read(MEMBERS))
+        self._assign_dispatchers()
         await self._stack.enter_async_context(self._exchange)
         return self
 
@@ -149,11 +164,11 @@
         document = self._context.board.read(DOCUMENT_IN_FORCE)
         return Settings() if document is None else document.settings
 
-    def _follow_members(
+    def _on_members(
         self,
         members_by_host: Mapping[HostName, MemberRecord],
     ) -> None:
-        """Reassign the servers if the candidates changed."""
+        """Reassign the servers if the candidate dispatchers changed."""
         candidates = frozenset(
             (member.host, member.incarnation, member.data_centre)
             for member in members_by_host.values()
@@ -161,97 +176,107 @@
         )
         if candidates != self._candidates:
             self._candidates = candidates
-            self._assign()
+            self._assign_dispatchers()
 
-    def _assign(self, _posted: object = None) -> None:
-        """Find the dispatcher of each server; poll what became ours."""
-        servers = servers_of(self._settings())
+    def _assign_dispatchers(self, _posted: object = None) -> None:
+        """Assign the dispatchers, and poll the servers of this daemon only."""
+        servers = configured_servers(self._settings())
         self._assignment.set_servers(
             {name: server.data_centre for name, server in servers.items()},
         )
         self._assignment.set_candidates(
-            {host: site for host, _, site in self._candidates},
+            {host: data_centre for host, _, data_centre in self._candidates},
         )
         if self._context.board.read(DOCUMENT_IN_FORCE) is not None:
             self._table.keep_only(servers)
-        own = self._context.identity.host
+        own_host = self._context.identity.host
         now_s = self._context.timers.now_s()
         for name, server in servers.items():
-            if self._assignment.dispatcher(name) == own:
-                self._claimed_at_s.setdefault(name, now_s)
+            if self._assignment.dispatcher(name) == own_host:
+                self._takeover_at_s_by_server.setdefault(name, now_s)
                 self._polls.add(name, server.address)
         for polled in self._polls.servers:
-            if self._assignment.dispatcher(polled) != own:
+            if self._assignment.dispatcher(polled) != own_host:
                 self._polls.remove(polled)
-                self._claimed_at_s.pop(polled)
-        self._post_soon()
+                self._takeover_at_s_by_server.pop(polled)
+        self._schedule_post()
 
-    def _poll_all(self) -> None:
+    def _poll_due(self) -> None:
         self._polls.tick()
-        if self._view.expires:
-            self._post_soon()
+        if self._view.has_expiring_state:
+            self._schedule_post()
 
-    def _lose(self, server: ServerName) -> None:
-        record = self._known_or_new(server)
+    def _on_lost(self, server: ServerName) -> None:
+        record = self._known_or_new_record(server)
         self._update(server, replace(record, state=ServerState.LOST))
 
-    def _known_or_new(self, server: ServerName) -> ServerRecord:
+    def _known_or_new_record(self, server: ServerName) -> ServerRecord:
         known = self._table.by_server.get(server)
         if known is not None:
             return known
-        return new_record(self._settings(), server)
+        return initial_record(self._settings(), server)
+
+    def _on_status(self, server: ServerName, status: BackendStatus) -> None:
+        """Update a record from a status.
 
-    def _answered(self, server: ServerName, status: BackendStatus) -> None:
-        """Keep what a status says; only own observations set the limit."""
+        The limit comes from the replies that this daemon observed, not from
+        the status.
+        """
         observation = self._context.board.read(SERVER_OBSERVATIONS).get(server)
         state = status.state
         if recently_draining(observation, self._context.timers.now_s()):
             state = ServerState.DRAINING
         elif state == ServerState.LOST:
-            # A server that answers is there, whatever it reports.
+            # A server that answers is not lost, whatever state it reports.
             state = ServerState.SERVING
         record = replace(
-            self._known_or_new(server),
+            self._known_or_new_record(server),
             incarnation=status.incarnation,
             state=state,
             limit=1 if observation is None else observation.limit,
-            holdings=holdings_of(status),
+            holdings=holdings_from_status(status),
         )
         self._update(server, record)
 
-    def _update(self, server: ServerName, seen: ServerRecord) -> None:
-        """Announce what was observed if it changes the record."""
+    def _update(self, server: ServerName, observed: ServerRecord) -> None:
+        """Store and announce an observed record if a new version is due."""
         identity = self._context.identity
         now_s = self._context.timers.now_s()
         known = self._table.by_server.get(server)
         record = next_version(
             known,
             replace(
-                seen,
+                observed,
                 dispatcher=identity.host,
                 dispatcher_incarnation=identity.incarnation,
             ),
-            now_s - self._claimed_at_s[server],
-            known_dispatcher_is_live=known is not None and self._is_live(known),
+            now_s - self._takeover_at_s_by_server[server],
+            known_dispatcher_is_live=known is not None
+            and self._is_dispatcher_live(known),
         )
         if record is None:
             return
         if known is None or known.dispatcher != identity.host:
-            self._claimed_at_s[server] = now_s
+            self._takeover_at_s_by_server[server] = now_s
         self._table.merge(record)
         self._exchange.announce(record)
-        self._polls.changed(server)
-        self._changed(record)
+        self._polls.reset_interval(server)
+        self._on_record_changed(record)
 
-    def _is_live(self, record: ServerRecord) -> bool:
-        author = (record.dispatcher, record.dispatcher_incarnation)
-        return any(author == candidate[:2] for candidate in self._candidates)
+    def _is_dispatcher_live(self, record: ServerRecord) -> bool:
+        dispatcher = (record.dispatcher, record.dispatcher_incarnation)
+        return any(
+            dispatcher == candidate[:2] for candidate in self._candidates
+        )
 
-    def _observed(
+    def _on_observations(
         self,
         observations: Mapping[ServerName, ServerObservation],
     ) -> None:
-        """Treat draining replies and refused connections at once."""
+        """Handle draining replies and refused connections without delay.
+
+        A draining reply updates the record; a refused connection starts a poll.
+        """
         now_s = self._context.timers.now_s()
         for server in self._polls.servers:
             observation = observations.get(server)
@@ -261,31 +286,31 @@
             if record is not None and recently_draining(observation, now_s):
                 state = ServerState.DRAINING
                 self._update(server, replace(record, state=state))
-            if observation.refused_at_s > self._refused_at_s.get(
+            if observation.refused_at_s > self._refused_at_s_by_server.get(
                 server,
                 -math.inf,
             ):
-                self._refused_at_s[server] = observation.refused_at_s
+                self._refused_at_s_by_server[server] = observation.refused_at_s
                 self._polls.poll(server)
-        self._post_soon()
+        self._schedule_post()
 
-    def _accepts(self, server: ServerName) -> bool:
-        # Before the first revision any server may turn out to be configured.
+    def _accepts_server(self, server: ServerName) -> bool:
+        # The configured servers are unknown before the first revision.
         has_settings = self._context.board.read(DOCUMENT_IN_FORCE) is not None
         return not has_settings or server in self._assignment
 
-    def _changed(self, record: ServerRecord) -> None:
-        self._stale.add(record.server)
-        self._post_soon()
+    def _on_record_changed(self, record: ServerRecord) -> None:
+        self._changed_servers.add(record.server)
+        self._schedule_post()
 
-    def _post_soon(self, _posted: object = None) -> None:
-        if not self._post_is_due:
-            self._post_is_due = True
-            self._context.timers.after(_GATHER_S, self._post)
+    def _schedule_post(self, _posted: object = None) -> None:
+        if not self._is_post_scheduled:
+            self._is_post_scheduled = True
+            self._context.timers.after(_POST_DELAY_S, self._post)
 
     def _post(self) -> None:
-        """Post the view if it differs."""
-        self._post_is_due = False
+        """Refresh the view; post and log it if it changed."""
+        self._is_post_scheduled = False
         board = self._context.board
         before = self._view.by_server
         updates = self._view.refresh(
@@ -296,9 +321,9 @@
                 board.read(LEAVING_HOSTS),
                 self._context.timers.now_s(),
             ),
-            self._stale,
+            self._changed_servers,
         )
-        self._stale.clear()
+        self._changed_servers.clear()
         if self._view.by_server is not before:
             board.post(SERVERS, self._view.by_server)
-            log_changes(before, updates)
+            log_state_changes(before, updates)
