Call the message codec and the store mirrors by their class names

Cause: dialect and _reading were left over from former names of MessageCodec and StoreMirrors. Change: dialect, _dialect and DIALECT are codec, _codec and CODEC; _reading is _store_mirrors; broken_by_kind of the client library is failures_after_send_by_kind and read_report of the command line parse_status.

--- a/boragespool/bench/replacement_load.py
+++ b/boragespool/bench/replacement_load.py
@@ -156,7 +156,7 @@
             ]
             await self._keep_rate(clients)
             for client in clients:
-                self.service.broken.update(client.broken_by_kind)
+                self.service.broken.update(client.failures_after_send_by_kind)
 
     async def _keep_rate(self, clients: list[Client]) -> None:
         """Start requests at their times; return after the last answer."""
--- a/boragespool/cli/entry_commands.py
+++ b/boragespool/cli/entry_commands.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from boragespool.cli.entries import Reply, call_entry, call_first
-from boragespool.cli.fleet_status import read_report
+from boragespool.cli.fleet_status import parse_status
 from boragespool.cli.outcome import (
     ExitCode,
     Outcome,
@@ -46,7 +46,7 @@
             notes.append(error_line(reply.code, reply.reason))
         else:
             bodies[entry] = reply.body
-            rows.append((entry, *astuple(read_report(reply.body))))
+            rows.append((entry, *astuple(parse_status(reply.body))))
     return Outcome(
         bodies,
         ('entry', 'host', 'phase', 'revision', 'live members', 'servers',
--- a/boragespool/cli/fleet_status.py
+++ b/boragespool/cli/fleet_status.py
@@ -36,7 +36,7 @@
     blocked: str
 
 
-def read_report(body: Any) -> DaemonReport:
+def parse_status(body: Any) -> DaemonReport:
     """Pick the known fields of a status; missing ones are empty or 0."""
     fields = body if isinstance(body, dict) else {}
     return DaemonReport(
--- a/boragespool/client/channel.py
+++ b/boragespool/client/channel.py
@@ -61,14 +61,14 @@
     ----------
     in_flight_by_address : Counter of str
         Requests that wait for an answer.
-    broken_by_kind : Counter of FailureKind
+    failures_after_send_by_kind : Counter of FailureKind
         Exchanges that failed after a byte was sent.
     """
 
     def __init__(self, options: ClientOptions) -> None:
         """Start without connections."""
         self.in_flight_by_address: Counter[Address] = Counter()
-        self.broken_by_kind: Counter[FailureKind] = Counter()
+        self.failures_after_send_by_kind: Counter[FailureKind] = Counter()
         self._options = options
         self._name = uuid.uuid4().hex
         self._sent_count = 0
@@ -145,7 +145,7 @@
             self.in_flight_by_address[address] -= 1
         if isinstance(response, ExchangeFailure):
             if response.sent:
-                self.broken_by_kind[response.kind] += 1
+                self.failures_after_send_by_kind[response.kind] += 1
             return response
         reply = _decode(response, request_id)
         if isinstance(reply, ExchangeFailure):
--- a/boragespool/client/client.py
+++ b/boragespool/client/client.py
@@ -73,9 +73,9 @@
         await self._channel.__aexit__(*exc_info)
 
     @property
-    def broken_by_kind(self) -> Mapping[FailureKind, int]:
+    def failures_after_send_by_kind(self) -> Mapping[FailureKind, int]:
         """Exchanges that failed after a byte was sent, resends included."""
-        return self._channel.broken_by_kind
+        return self._channel.failures_after_send_by_kind
 
     async def query(
         self,
--- a/boragespool/daemon/forwarder.py
+++ b/boragespool/daemon/forwarder.py
@@ -50,7 +50,7 @@
     ----------
     options : ForwardingOptions
         Settings.
-    dialect : MessageCodec
+    codec : MessageCodec
         Conversion between internal messages and the platform's format.
     store : ItemStore
         The platform's store.
@@ -68,12 +68,12 @@
     def __init__(
         self,
         options: ForwardingOptions,
-        dialect: MessageCodec,
+        codec: MessageCodec,
         store: ItemStore,
     ) -> None:
         """Create the parts of the daemon; `__aenter__` starts them."""
         self.options = options
-        self._dialect = dialect
+        self._codec = codec
         self._is_leaving = False
         self.board = Blackboard()
         self._timers = LoopTimers()
@@ -84,15 +84,15 @@
             options,
             random.Random().random,
         )
-        self.gateway = Gateway(self.fleet, dialect)
-        self._reading = StoreMirrors(
+        self.gateway = Gateway(self.fleet, codec)
+        self._store_mirrors = StoreMirrors(
             self.board,
             self._timers,
             options,
-            dialect,
+            codec,
             store,
         )
-        self._hosts = self._reading.hosts
+        self._hosts = self._store_mirrors.hosts
         self._caller_server = HttpServer(
             options.caller_address,
             HttpLimits(connection_count=options.connection_count),
@@ -178,18 +178,18 @@
         self, request: HttpRequest
     ) -> HttpResponse:
         """Respond to a caller with the addresses of the nearest daemons."""
-        question = self._dialect.read_address_query(request)
+        question = self._codec.read_address_query(request)
         if isinstance(question, Failure):
-            return self._dialect.write_failure(question)
+            return self._codec.write_failure(question)
         addresses = self._hosts.addresses(
             question.data_centre,
             question.region,
         )
         if not addresses:
-            return self._dialect.write_failure(
+            return self._codec.write_failure(
                 Failure(ResultCode.NOT_READY, 'no daemon is ready'),
             )
-        return self._dialect.write_addresses(
+        return self._codec.write_addresses(
             addresses,
             self.options.address_keep_s,
         )
@@ -201,7 +201,7 @@
         """
         if request.path == FEED_PATH:
             return await handle_feed_request(
-                self._reading.feeds_by_prefix,
+                self._store_mirrors.feeds_by_prefix,
                 request,
                 self.options.relay_wait_s,
             )
@@ -214,7 +214,7 @@
         stack.callback(
             self.board.subscribe(REGISTRATIONS, self._serve_if_ready)
         )
-        await stack.enter_async_context(self._reading)
+        await stack.enter_async_context(self._store_mirrors)
         await stack.enter_async_context(self._caller_server)
         for address, handler in (
             (options.directory_address, self.handle_address_request),
--- a/tests/platform_standins/world.py
+++ b/tests/platform_standins/world.py
@@ -7,7 +7,7 @@
 import errno
 
 import msgspec
-from boragespool_platform.messages import DIALECT
+from boragespool_platform.messages import CODEC
 from boragespool_platform.settings import Boot, forwarding_options
 from boragespool_platform.store import KeyValueStore
 
@@ -126,7 +126,7 @@
         """Start a daemon; None if a free port was taken meanwhile."""
         store = KeyValueStore(boot.platform.address)
         await self.stack.enter_async_context(store)
-        daemon = Forwarder(forwarding_options(boot), DIALECT, store)
+        daemon = Forwarder(forwarding_options(boot), CODEC, store)
         try:
             return await self.stack.enter_async_context(daemon)
         except OSError as error:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -9,7 +9,7 @@
 import pytest
 
 from boragespool.cli.commands import COMMANDS
-from boragespool.cli.fleet_status import read_report, revision_by_live_host
+from boragespool.cli.fleet_status import parse_status, revision_by_live_host
 from boragespool.cli.main import main
 from boragespool.controllers.configuration.applying import (
     Applied,
@@ -243,7 +243,7 @@
         assert shown[entry.address]['host'] == 'h1'
         both = f'{entry.address},127.0.0.1:1'
         assert operator('status', '--entry', both)[0] == 7
-    assert read_report([]).revision == 0
+    assert parse_status([]).revision == 0
     odd = {'members': {'a': {'host': 'a', 'status': 'alive'}, 'b': 4}}
     assert revision_by_live_host([odd, None, {}]) == {'a': 0}
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,7 +7,7 @@
 
 import msgspec
 import pytest
-from boragespool_platform.messages import DIALECT
+from boragespool_platform.messages import CODEC
 from boragespool_platform.settings import Boot, forwarding_options
 
 from boragespool.blackboard import Blackboard
@@ -355,7 +355,7 @@
         posted = []
         board.subscribe(REGISTRATIONS, posted.append)
         registry = ServerRegistry(
-            board, timers, forwarding_options(boot), DIALECT
+            board, timers, forwarding_options(boot), CODEC
         )
         registry.apply_state(registry_state(entry_item(3), 3, 0))
         first = registry.feed.read(None)
--- a/tests/test_service_call.py
+++ b/tests/test_service_call.py
@@ -103,7 +103,7 @@
 @pytest.fixture
 def world():
     fleet = FakeFleet()
-    dialect = SimpleNamespace(
+    codec = SimpleNamespace(
         echo_header='request-id',
         write_request=lambda *args: None,
         read_reply=lambda response: response,
@@ -111,7 +111,7 @@
     ends = []
     call = ServiceCall(
         fleet,
-        dialect,
+        codec,
         RoutedRequest(REQUEST, ROUTE, Deadlines(0.4, 1.9, 2)),
         'one',
         lambda ended, outcome: ends.append(outcome),
