Name the read limiter in the tests of overload

Cause: gate was a former name of ReadLimiter. Change: the local names, a field and two test names follow the class.

--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -48,7 +48,7 @@
     """An event loop with callers that keep a bounded number of connections.
 
     A request waits for the loop, then costs `COST_S` if it is admitted or
-    `REFUSAL_S`. A connection that was refused waits as in the read gate.
+    `REFUSAL_S`. A refused connection is deferred as by `ReadLimiter`.
     """
 
     def __init__(self) -> None:
@@ -58,7 +58,7 @@
         self.fresh = dict.fromkeys(Rank, CONNECTIONS)
         self.refused = Counter()
         self.demand = Counter()
-        self.gate_credit = 0.0
+        self.deferred_tokens = 0.0
         self.busy_s = 0.0
         self.thinnings = {rank: RequestSampler() for rank in Rank}
         self.now_s = 0.0
@@ -92,13 +92,13 @@
             deferred += [(self.now_s, rank)] * again
         self.random.shuffle(deferred)
         self.deferred += deferred
-        self.gate_credit = min(
-            8, self.gate_credit + DEFERRED_REQUESTS_PER_S * STEP_S
+        self.deferred_tokens = min(
+            8, self.deferred_tokens + DEFERRED_REQUESTS_PER_S * STEP_S
         )
-        while self.deferred and self.gate_credit >= 1:
-            self.gate_credit -= 1
+        while self.deferred and self.deferred_tokens >= 1:
+            self.deferred_tokens -= 1
             since_s, rank = self.deferred.pop()
-            # The wait in the gate is no sign of overload.
+            # Waiting for the read limiter does not count as loop lateness.
             if self.now_s - since_s < DEADLINE_S:
                 self.waiting.append((self.now_s, rank))
             else:
@@ -269,14 +269,14 @@
     assert board.read(ADMISSION).is_limited is (busy > 0.2)
 
 
-def test_gate_lets_timers_and_peers_go_between():
+def test_read_limiter_yields_to_timers_and_peers():
     """A burst of requests must not hold the loop until all are parsed."""
 
     async def run() -> None:
-        gate, turns, passed = ReadLimiter(), [0], []
+        limiter, turns, passed = ReadLimiter(), [0], []
 
         async def enter(number: int) -> None:
-            await gate.acquire(deferred=False)
+            await limiter.acquire(deferred=False)
             passed.append((number, turns[0]))
 
         tasks = [asyncio.create_task(enter(n)) for n in range(80)]
@@ -291,14 +291,14 @@
     asyncio.run(run())
 
 
-def test_gate_defers_connections_that_were_refused():
+def test_read_limiter_defers_connections_that_were_refused():
     """Refusals must not use up the loop when a large flood goes on."""
 
     async def run() -> None:
-        gate, passed = ReadLimiter(), []
+        limiter, passed = ReadLimiter(), []
 
         async def enter(number: int) -> None:
-            await gate.acquire(deferred=number < 60)
+            await limiter.acquire(deferred=number < 60)
             passed.append(number)
 
         began_s = time.monotonic()
