Reword the client library in terms of caches, retries and backoff

Cause: courses, books, settled claims and open tickets were private words. Change: ClaimCourse is ClaimSubmission, AddressBook AddressCache; docstrings name units, arguments and the reason for each retry rule.

--- a/boragespool/client/__init__.py
+++ b/boragespool/client/__init__.py
@@ -1,4 +1,8 @@
-"""Library for callers: addresses, tickets, deadlines and resends."""
+"""Client library for callers of the query tier.
+
+It finds the daemons, fetches tickets for claims, keeps deadlines and resends
+requests that failed.
+"""
 
 from __future__ import annotations
 
--- a/boragespool/client/addresses.py
+++ b/boragespool/client/addresses.py
@@ -1,4 +1,7 @@
-"""Addresses and tickets that a client holds."""
+"""Cache of daemon addresses and unused tickets of a client.
+
+Both are returned by ``GET /v1/addresses``.
+"""
 
 from __future__ import annotations
 
@@ -23,28 +26,39 @@
 
     _ChoiceT = TypeVar('_ChoiceT')
 
-# After a failed refresh the old addresses are used this long.
-_RETRY_S: Final = 0.2
+#: Time between two attempts to refresh the cache, in seconds. The addresses
+#: known before are used in between.
+_REFRESH_RETRY_S: Final = 0.2
 
 
 @dataclass(frozen=True, slots=True)
 class Ticket:
-    """A ticket that was not used yet; `issuer` is the daemon's address."""
+    """An unused ticket for one claim.
+
+    Attributes
+    ----------
+    text : str
+        Ticket as the daemon encoded it.
+    issuer : str
+        Address of the daemon that issued it; empty if unknown.
+    taken_s : float
+        Time of the event loop's clock at which it was received.
+    """
 
     text: str
     issuer: Address
     taken_s: Seconds
 
 
-class AddressBook:
-    """The cached address answer of one client.
+class AddressCache:
+    """Cache of the daemon addresses and unused tickets of one client.
 
     Parameters
     ----------
     options : ClientOptions
-        First addresses and bounds.
+        Initial addresses, timeouts and limits.
     channel : Channel
-        Connections.
+        Connections to the daemons.
     draw : callable
         Returns a random number in ``[0, 1)``.
     """
@@ -55,62 +69,76 @@
         channel: Channel,
         draw: Callable[[], float],
     ) -> None:
-        """Start with the addresses of the options."""
+        """Start with the initial addresses and without tickets."""
         self._options = options
         self._channel = channel
         self._draw = draw
         self._addresses = options.addresses
-        self._keep_until_s = float('-inf')
+        self._addresses_valid_until_s = float('-inf')
         self._avoid_until_by_address: dict[Address, Seconds] = {}
         self._tickets: deque[Ticket] = deque(maxlen=options.ticket_limit)
-        self._fetching = asyncio.Lock()
+        self._fetch_lock = asyncio.Lock()
 
     def avoid(self, address: Address) -> None:
-        """Prefer other addresses for a while; drop tickets from there."""
-        until_s = asyncio.get_running_loop().time() + self._options.avoid_s
-        self._avoid_until_by_address[address] = until_s
+        """Avoid an address after a failure and drop the tickets it issued.
+
+        It is used for `ClientOptions.avoid_s` only if all other addresses are
+        avoided too or were tried by the same request.
+        """
+        avoid_until_s = (
+            asyncio.get_running_loop().time() + self._options.avoid_s
+        )
+        self._avoid_until_by_address[address] = avoid_until_s
         for ticket in tuple(self._tickets):
             if ticket.issuer == address:
                 self._tickets.remove(ticket)
 
-    async def pick(
+    async def choose_address(
         self,
         tried: Collection[Address],
         deadline_s: Seconds,
     ) -> Address:
-        """Return the less loaded of two random addresses.
+        """Return one of two random addresses.
+
+        The one with fewer requests in flight from this client is chosen (power
+        of two choices).
 
         Parameters
         ----------
         tried : collection of str
-            Addresses that this request used already; used again only when
-            no other is known.
+            Addresses to which this request was sent already. They are used
+            again only if no other address is known.
         deadline_s : float
-            Time on the clock of the event loop at which to stop waiting for
-            a new address answer.
+            Time of the event loop's clock at which to stop waiting for a
+            refresh of the addresses.
         """
-        if time_left_s(self._keep_until_s) <= 0:
+        if time_left_s(self._addresses_valid_until_s) <= 0:
             await self._refresh(deadline_s)
-        candidates = self._prefer(self._addresses, tried)
+        candidates = self._preferred_addresses(self._addresses, tried)
         if all(address in tried for address in candidates):
-            candidates = self._prefer(
+            candidates = self._preferred_addresses(
                 self._addresses + self._options.addresses,
                 tried,
             )
         loads = self._channel.in_flight_by_address
         return min(
-            self._choose(candidates),
-            self._choose(candidates),
+            self._choose_random(candidates),
+            self._choose_random(candidates),
             key=lambda address: loads[address],
         )
 
     async def take_ticket(self, deadline_s: Seconds) -> Ticket | Failure:
-        """Return an unused ticket, fetching new ones if there is none.
+        """Remove and return an unused ticket; fetch new ones if none is left.
+
+        Parameters
+        ----------
+        deadline_s : float
+            Time of the event loop's clock at which to give up.
 
         Returns
         -------
         Ticket or Failure
-            ``NOT_READY`` if no daemon gave a ticket before the deadline.
+            ``NOT_READY`` if no daemon issued a ticket before the deadline.
         """
         while True:
             ticket = self._pop_ticket()
@@ -120,24 +148,31 @@
             if left_s <= 0:
                 return Failure(
                     ResultCode.NOT_READY,
-                    'no daemon gave a ticket before the deadline',
+                    'no daemon issued a ticket before the deadline',
                 )
-            if not await self._refresh(deadline_s, for_ticket=True):
-                await asyncio.sleep(min(_RETRY_S, left_s))
+            if not await self._refresh(deadline_s, needs_ticket=True):
+                await asyncio.sleep(min(_REFRESH_RETRY_S, left_s))
 
     async def _refresh(
         self,
         deadline_s: Seconds,
         *,
-        for_ticket: bool = False,
+        needs_ticket: bool = False,
     ) -> bool:
-        """Fetch once for all requests that wait; tell whether it worked."""
+        """Refresh the cache, once for all concurrent requests.
+
+        Returns
+        -------
+        bool
+            Whether tickets were fetched. If another request refreshed the
+            cache meanwhile, whether it holds what is needed now.
+        """
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout_at(deadline_s), self._fetching:
-                is_done = time_left_s(self._keep_until_s) > 0
-                if for_ticket:
-                    is_done = bool(self._tickets)
-                if is_done:
+            async with asyncio.timeout_at(deadline_s), self._fetch_lock:
+                is_fresh = time_left_s(self._addresses_valid_until_s) > 0
+                if needs_ticket:
+                    is_fresh = bool(self._tickets)
+                if is_fresh:
                     return True
                 return await self._fetch(deadline_s)
         return False
@@ -152,29 +187,38 @@
         return None
 
     async def _fetch(self, deadline_s: Seconds) -> bool:
-        """Ask one address after another; tell whether tickets came."""
-        self._keep_until_s = asyncio.get_running_loop().time() + _RETRY_S
+        """Try one address after another; return whether tickets came."""
+        self._addresses_valid_until_s = (
+            asyncio.get_running_loop().time() + _REFRESH_RETRY_S
+        )
         tried: set[Address] = set()
-        known = self._addresses + self._options.addresses
-        while len(tried) < len(set(known)) and time_left_s(deadline_s) > 0:
-            address = self._choose(self._prefer(known, tried))
+        known_addresses = self._addresses + self._options.addresses
+        while (
+            len(tried) < len(set(known_addresses))
+            and time_left_s(deadline_s) > 0
+        ):
+            address = self._choose_random(
+                self._preferred_addresses(known_addresses, tried)
+            )
             tried.add(address)
-            answer = await self._ask(address, time_left_s(deadline_s))
+            answer = await self._request_addresses(
+                address, time_left_s(deadline_s)
+            )
             if answer is not None:
-                self._keep(address, answer)
+                self._store_answer(address, answer)
                 if answer.tickets:
                     return True
         return False
 
-    async def _ask(
+    async def _request_addresses(
         self,
         address: Address,
         left_s: Seconds,
     ) -> AddressAnswer | None:
-        asked = {'tickets': str(self._options.ticket_count)}
+        query_parameters = {'tickets': str(self._options.ticket_count)}
         if self._options.data_centre:
-            asked['data_centre'] = self._options.data_centre
-        parameters = urlencode(asked)
+            query_parameters['data_centre'] = self._options.data_centre
+        parameters = urlencode(query_parameters)
         reply = await self._channel.get(
             address,
             f'/v1/addresses?{parameters}',
@@ -189,21 +233,25 @@
             self.avoid(address)
             return None
 
-    def _keep(self, address: Address, answer: AddressAnswer) -> None:
+    def _store_answer(self, address: Address, answer: AddressAnswer) -> None:
         now_s = asyncio.get_running_loop().time()
         if answer.addresses:
             self._addresses = answer.addresses
-            self._keep_until_s = now_s + answer.keep_s
+            self._addresses_valid_until_s = now_s + answer.keep_s
         self._tickets.extend(
             Ticket(text, address, now_s) for text in answer.tickets
         )
 
-    def _prefer(
+    def _preferred_addresses(
         self,
         addresses: tuple[Address, ...],
         tried: Collection[Address],
     ) -> tuple[Address, ...]:
-        """Return the untried addresses, those that work first."""
+        """Return the best candidates for the next attempt.
+
+        These are the addresses neither tried nor avoided, else those not
+        tried, else all.
+        """
         now_s = asyncio.get_running_loop().time()
         untried = tuple(
             address for address in addresses if address not in tried
@@ -215,5 +263,5 @@
         )
         return working or untried or addresses
 
-    def _choose(self, choices: tuple[_ChoiceT, ...]) -> _ChoiceT:
+    def _choose_random(self, choices: tuple[_ChoiceT, ...]) -> _ChoiceT:
         return choices[int(self._draw() * len(choices))]
--- a/boragespool/client/answers.py
+++ b/boragespool/client/answers.py
@@ -1,4 +1,4 @@
-"""Answers as callers get them."""
+"""Results that the client library returns to callers."""
 
 from __future__ import annotations
 
@@ -19,12 +19,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AddressAnswer:
-    """Answer to ``GET /v1/addresses``.
+    """Response to ``GET /v1/addresses``.
 
     Attributes
     ----------
+    addresses : tuple of str
+        ``ip:port`` of daemons that the caller should use.
     keep_s : float
-        Time for which the answer may be used, in seconds.
+        Time for which the addresses may be cached, in seconds.
+    tickets : tuple of str
+        New tickets of the daemon, each for one claim.
     """
 
     addresses: tuple[Address, ...]
@@ -34,18 +38,22 @@
 
 @dataclass(frozen=True, slots=True)
 class QueryResult:
-    """Merged results of one snapshot.
+    """Merged items of a query, all from one snapshot.
 
     Attributes
     ----------
     code : ResultCode
         ``COMPLETE`` or ``PARTIAL``.
     snapshot : int
-        Index version that all items come from.
+        Version of the index from which all items are.
     coverage : float
         Fraction of the key space that was searched, 0 to 1.
     missing : tuple of (int, int)
         Key ranges ``[start, end)`` that were not searched.
+    rank : Rank
+        Rank with which the query ran.
+    items : tuple of Item
+        Items found.
     """
 
     request_id: RequestId
@@ -59,17 +67,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimResult:
-    """A claim that was executed.
+    """Result of a claim that a backend server executed.
 
     Attributes
     ----------
     code : ResultCode
-        ``CLAIM_RUN``, or ``CLAIM_FAILED`` if the backend server ran it and
-        answered with an error.
+        ``CLAIM_RUN``, or ``CLAIM_FAILED`` if the backend server executed the
+        claim and returned an error.
     ticket : str
-        Ticket under which it ran.
+        Ticket with which the claim was sent.
+    rank : Rank
+        Rank with which the claim ran.
     outcome : Any
-        JSON value of the backend server.
+        JSON value that the backend server returned.
     """
 
     code: ResultCode
@@ -81,20 +91,20 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimFailure(Failure):
-    """A claim without a result.
+    """Failure of a claim.
 
     Attributes
     ----------
     ticket : str
-        Last ticket. If `run` is ``UNKNOWN``, ask `Client.outcome` about it
-        and never send the claim again.
+        Last ticket with which the claim was sent. If `run` is ``UNKNOWN``,
+        pass it to `Client.outcome` and never send the claim again.
     """
 
     ticket: str = ''
 
 
-def claim_failure(failure: Failure, ticket: str) -> ClaimFailure:
-    """Add the ticket to a failure."""
+def to_claim_failure(failure: Failure, ticket: str) -> ClaimFailure:
+    """Return the failure of a claim that was sent with a ticket."""
     return ClaimFailure(
         failure.code,
         failure.reason,
--- a/boragespool/client/channel.py
+++ b/boragespool/client/channel.py
@@ -1,4 +1,7 @@
-"""One exchange with one daemon, checked against crossed answers."""
+"""HTTP requests of a client to daemons.
+
+A response is accepted only if it carries the id of its request.
+"""
 
 from __future__ import annotations
 
@@ -25,13 +28,13 @@
     from boragespool.types import Address, Seconds
 
 _MS_PER_S: Final = 1_000
-_SHORTEST_DEADLINE_MS: Final = 1
+_MIN_DEADLINE_MS: Final = 1
 _FIRST_ERROR_STATUS: Final = 400
 
 
 @dataclass(frozen=True, slots=True)
 class _Head:
-    """Fields that a refusal and an answer share."""
+    """Fields that results and refusals have in common."""
 
     code: int = 0
     reason: str = ''
@@ -42,12 +45,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """A complete answer of a daemon; `body` is its JSON.
+    """Complete response of a daemon.
 
     Attributes
     ----------
+    body : bytes
+        JSON document.
     refusal : Failure or None
-        The refusal if it is one.
+        Decoded body if the HTTP status is an error, else None.
     """
 
     body: bytes
@@ -55,23 +60,28 @@
 
 
 class Channel:
-    """Connections of one client, an async context manager.
+    """HTTP connections of one client to daemons, an async context manager.
+
+    Parameters
+    ----------
+    options : ClientOptions
+        Name of the caller, timeouts and limits.
 
     Attributes
     ----------
     in_flight_by_address : Counter of str
-        Requests that wait for an answer.
+        Requests without a response yet.
     failures_after_send_by_kind : Counter of FailureKind
-        Exchanges that failed after a byte was sent.
+        Requests that failed after a byte was sent.
     """
 
     def __init__(self, options: ClientOptions) -> None:
-        """Start without connections."""
+        """Set up an empty connection pool."""
         self.in_flight_by_address: Counter[Address] = Counter()
         self.failures_after_send_by_kind: Counter[FailureKind] = Counter()
         self._options = options
-        self._name = uuid.uuid4().hex
-        self._sent_count = 0
+        self._client_id = uuid.uuid4().hex
+        self._request_count = 0
         self._pool = ConnectionPool(
             options.connection_count,
             options.connect_timeout_s,
@@ -91,7 +101,17 @@
         target: str,
         timeout_s: Seconds,
     ) -> Reply | ExchangeFailure:
-        """Send a request without a body."""
+        """Send a GET request.
+
+        Parameters
+        ----------
+        address : str
+            ``ip:port`` of the daemon.
+        target : str
+            Path with query string.
+        timeout_s : float
+            Longest time for the request, in seconds.
+        """
         request = HttpRequest('GET', target)
         return await self._exchange(address, request, '', timeout_s)
 
@@ -102,7 +122,7 @@
         fields: dict[str, Any],
         timeout_s: Seconds,
     ) -> Reply | ExchangeFailure:
-        """Send a query or a claim under a request id of its own.
+        """Send a query or a claim with a new request id.
 
         Parameters
         ----------
@@ -113,20 +133,20 @@
         fields : dict
             Body; ``caller``, ``request_id`` and ``deadline_ms`` are added.
         timeout_s : float
-            Longest time for the exchange, in seconds.
+            Longest time for the request, in seconds.
 
         Returns
         -------
         Reply or ExchangeFailure
-            The answer to another request is a ``MALFORMED`` failure.
+            The response to another request is a ``MALFORMED`` failure.
         """
-        self._sent_count += 1
-        request_id = f'{self._name}.{self._sent_count}'
+        self._request_count += 1
+        request_id = f'{self._client_id}.{self._request_count}'
         left_s = timeout_s - self._options.network_margin_s
         body = fields | {
             'caller': self._options.caller,
             'request_id': request_id,
-            'deadline_ms': max(_SHORTEST_DEADLINE_MS, left_s * _MS_PER_S),
+            'deadline_ms': max(_MIN_DEADLINE_MS, left_s * _MS_PER_S),
         }
         request = HttpRequest('POST', target, msgspec.json.encode(body))
         return await self._exchange(address, request, request_id, timeout_s)
@@ -147,36 +167,36 @@
             if response.sent:
                 self.failures_after_send_by_kind[response.kind] += 1
             return response
-        reply = _decode(response, request_id)
+        reply = _decode_response(response, request_id)
         if isinstance(reply, ExchangeFailure):
-            # Bytes on these connections can no longer be trusted.
+            # Responses may be out of step on other connections too.
             self._pool.close_idle(address)
         return reply
 
 
 def time_left_s(deadline_s: Seconds) -> Seconds:
-    """Return the time until a deadline on the clock of the event loop."""
+    """Return the time left until a time of the event loop's clock."""
     return deadline_s - asyncio.get_running_loop().time()
 
 
-def _decode(
+def _decode_response(
     response: HttpResponse,
     request_id: RequestId,
 ) -> Reply | ExchangeFailure:
     try:
         head = msgspec.json.decode(response.body, type=_Head)
     except msgspec.MsgspecError as error:
-        return _malformed(f'the answer is not valid: {error}')
+        return _malformed_failure(f'the response is not valid: {error}')
     is_refusal = response.status >= _FIRST_ERROR_STATUS
-    # Refusals of input that was not decoded carry no request id.
+    # A daemon that could not decode the request refuses it without its id.
     if head.request_id != request_id and (head.request_id or not is_refusal):
         if request_id:
-            return _malformed('the answer belongs to another request')
+            return _malformed_failure('the response belongs to another request')
     if not is_refusal:
         return Reply(response.body, None)
-    is_known = head.code in set(ResultCode)
+    is_known_code = head.code in set(ResultCode)
     failure = Failure(
-        ResultCode(head.code) if is_known else ResultCode.INTERNAL_ERROR,
+        ResultCode(head.code) if is_known_code else ResultCode.INTERNAL_ERROR,
         head.reason,
         head.run,
         head.retry_after_s,
@@ -184,5 +204,5 @@
     return Reply(response.body, failure)
 
 
-def _malformed(reason: str) -> ExchangeFailure:
+def _malformed_failure(reason: str) -> ExchangeFailure:
     return ExchangeFailure(FailureKind.MALFORMED, sent=True, reason=reason)
--- a/boragespool/client/claims.py
+++ b/boragespool/client/claims.py
@@ -1,4 +1,8 @@
-"""The course of one claim under one ticket."""
+"""Submission of a claim with one ticket, including resends.
+
+A ticket is executed at most once, so the claim may be resent with the same
+ticket to any daemon until its outcome is known.
+"""
 
 from __future__ import annotations
 
@@ -11,18 +15,19 @@
 from boragespool.client.answers import (
     ClaimFailure,
     ClaimResult,
-    claim_failure,
+    to_claim_failure,
 )
 from boragespool.client.channel import Channel, Reply, time_left_s
 from boragespool.results import Failure, ResultCode
 from boragespool.types import RunState
 
 if TYPE_CHECKING:
-    from boragespool.client.addresses import AddressBook, Ticket
+    from boragespool.client.addresses import AddressCache, Ticket
     from boragespool.client.options import ClientOptions
     from boragespool.types import Address, Seconds
 
-#: Refusals with `not_run` after which a new ticket may succeed.
+#: Codes of refusals with run state `not_run` after which the claim may succeed
+#: with a new ticket.
 NEW_TICKET_CODES: Final = frozenset(
     (
         ResultCode.NOT_RUN_SEALED,
@@ -41,62 +46,67 @@
         ResultCode.SERVER_DRAINING,
     ),
 )
-#: Refusals that only concern one HTTP exchange. They say nothing about an
-#: earlier exchange with the same ticket that is still under way.
-_EXCHANGE_CODES: Final = frozenset(
+#: Codes of refusals that concern a single HTTP request. They say nothing about
+#: an earlier request with the same ticket that is still in progress.
+_EXCHANGE_ONLY_CODES: Final = frozenset(
     code
     for code in ResultCode
     if ResultCode.MALFORMED_HTTP <= code < ResultCode.QUEUE_FULL
     or code
     in {ResultCode.LEAVING, ResultCode.NOT_READY, ResultCode.INTERNAL_ERROR}
 )
-_FIRST_PAUSE_S: Final = 0.03
+_INITIAL_BACKOFF_S: Final = 0.03
+
 
+class ClaimSubmission:
+    """Sends a claim with one ticket until its outcome is known.
 
-class ClaimCourse:
-    """Sends one ticket until its outcome is known or the deadline passes.
+    It gives up when the deadline passes.
 
     Parameters
     ----------
     options : ClientOptions
-        Bounds.
+        Timeouts and limits.
     channel : Channel
-        Connections.
-    book : AddressBook
-        Addresses.
+        Connections to the daemons.
+    book : AddressCache
+        Source of daemon addresses.
     ticket : Ticket
         Ticket of the claim.
     deadline_s : float
-        Deadline on the clock of the event loop.
+        Deadline on the event loop's clock.
     """
 
     def __init__(
         self,
         options: ClientOptions,
         channel: Channel,
-        book: AddressBook,
+        address_cache: AddressCache,
         ticket: Ticket,
         deadline_s: Seconds,
     ) -> None:
-        """Start with a ticket that was never sent."""
+        """Set up the state; the ticket was not sent yet."""
         self._options = options
         self._channel = channel
-        self._book = book
+        self._address_cache = address_cache
         self._ticket = ticket
         self._deadline_s = deadline_s
         self._tried: set[Address] = set()
-        # Whether an exchange with this ticket may still run the claim.
-        self._is_open = False
-        self._said_unknown = False
-        self._pause_s = _FIRST_PAUSE_S
+        # Whether a request with this ticket may still cause the claim to run.
+        self._may_still_run = False
+        self._received_unknown = False
+        self._backoff_s = _INITIAL_BACKOFF_S
 
     @property
-    def said_unknown(self) -> bool:
-        """Whether a daemon answered `unknown` at any time."""
-        return self._said_unknown
+    def received_unknown(self) -> bool:
+        """Whether a daemon replied with run state `unknown` at any time."""
+        return self._received_unknown
 
     async def run(self, fields: dict[str, Any]) -> ClaimResult | ClaimFailure:
-        """Send the claim, and resend it with the same ticket.
+        """Send the claim and poll for its outcome if necessary.
+
+        After a connection failure or timeout it is resent to other daemons
+        with the same ticket.
 
         Parameters
         ----------
@@ -106,93 +116,110 @@
         Returns
         -------
         ClaimResult or ClaimFailure
-            ``NOT_RUN`` only if no exchange with the ticket can still run it.
+            Run state ``NOT_RUN`` only if no request with the ticket can still
+            run the claim.
         """
         body = fields | {'ticket': self._ticket.text}
         while time_left_s(self._deadline_s) > 0:
-            address = await self._pick()
+            address = await self._next_address()
             reply = await self._channel.post(
                 address,
                 '/v1/claim',
                 body,
-                self._attempt_s(),
+                self._attempt_timeout_s(),
             )
             if isinstance(reply, Reply):
-                return self._settle(reply, is_outcome=False) or await self.ask()
-            self._is_open = self._is_open or reply.sent
-            self._book.avoid(address)
-            if not self._is_open and address == self._ticket.issuer:
-                return self._abandon()
-        return self._give_up()
-
-    async def ask(self) -> ClaimResult | ClaimFailure:
-        """Ask for the outcome until it is known or the deadline passes."""
-        quoted = quote(self._ticket.text, safe='')
-        target = f'/v1/claim/{quoted}'
-        self._is_open = True
+                return (
+                    self._final_result(reply, is_outcome_reply=False)
+                    or await self.poll_outcome()
+                )
+            self._may_still_run = self._may_still_run or reply.sent
+            self._address_cache.avoid(address)
+            if not self._may_still_run and address == self._ticket.issuer:
+                return self._issuer_unreachable_failure()
+        return self._deadline_failure()
+
+    async def poll_outcome(self) -> ClaimResult | ClaimFailure:
+        """Poll for the outcome until it is known or the deadline passes.
+
+        A daemon seals a ticket whose claim never started, so that it can never
+        run.
+        """
+        quoted_ticket = quote(self._ticket.text, safe='')
+        target = f'/v1/claim/{quoted_ticket}'
+        self._may_still_run = True
         while time_left_s(self._deadline_s) > 0:
-            address = await self._pick()
-            reply = await self._channel.get(address, target, self._attempt_s())
+            address = await self._next_address()
+            reply = await self._channel.get(
+                address, target, self._attempt_timeout_s()
+            )
             if isinstance(reply, Reply):
-                settled = self._settle(reply, is_outcome=True)
-                if settled is not None:
-                    return settled
+                result = self._final_result(reply, is_outcome_reply=True)
+                if result is not None:
+                    return result
             else:
-                self._book.avoid(address)
-            await self._pause()
-        return self._give_up()
+                self._address_cache.avoid(address)
+            await self._back_off()
+        return self._deadline_failure()
+
+    async def _next_address(self) -> Address:
+        """Return the issuer of the ticket first, then other daemons.
 
-    async def _pick(self) -> Address:
-        """Return the issuer first: it runs the claim without a forward."""
+        Other daemons have to forward the claim to the issuer.
+        """
         address = self._ticket.issuer
         if not address or address in self._tried:
-            address = await self._book.pick(self._tried, self._deadline_s)
+            address = await self._address_cache.choose_address(
+                self._tried, self._deadline_s
+            )
             if address in self._tried:
-                await self._pause()
+                await self._back_off()
         self._tried.add(address)
         return address
 
-    async def _pause(self) -> None:
-        """Wait twice as long as the last time."""
+    async def _back_off(self) -> None:
+        """Wait twice as long as the previous time."""
         left_s = time_left_s(self._deadline_s)
-        await asyncio.sleep(max(0, min(self._pause_s, left_s)))
-        self._pause_s *= 2
+        await asyncio.sleep(max(0, min(self._backoff_s, left_s)))
+        self._backoff_s *= 2
 
-    def _attempt_s(self) -> Seconds:
+    def _attempt_timeout_s(self) -> Seconds:
         left_s = max(0, time_left_s(self._deadline_s))
         return left_s * self._options.attempt_share
 
-    def _settle(
+    def _final_result(
         self,
         reply: Reply,
         *,
-        is_outcome: bool,
+        is_outcome_reply: bool,
     ) -> ClaimResult | ClaimFailure | None:
-        """Return what is final about the ticket; None if nothing is."""
+        """Return the result that a reply proves; None if it proves none."""
         refusal = reply.refusal
         if refusal is None:
-            return _decode(reply.body, self._ticket.text)
+            return _decode_claim_result(reply.body, self._ticket.text)
         if refusal.run is RunState.UNKNOWN:
-            self._said_unknown = True
+            self._received_unknown = True
             return None
-        if refusal.run is RunState.NOT_RUN and not self._is_final(
+        if refusal.run is RunState.NOT_RUN and not self._is_final_for_ticket(
             refusal,
-            is_outcome=is_outcome,
+            is_outcome_reply=is_outcome_reply,
         ):
             return None
-        return claim_failure(refusal, self._ticket.text)
+        return to_claim_failure(refusal, self._ticket.text)
 
-    def _is_final(self, refusal: Failure, *, is_outcome: bool) -> bool:
-        """Tell whether `not_run` covers all exchanges with the ticket."""
-        if refusal.code is ResultCode.NOT_RUN_SEALED or not self._is_open:
+    def _is_final_for_ticket(
+        self, refusal: Failure, *, is_outcome_reply: bool
+    ) -> bool:
+        """Return whether `not_run` holds for all requests with the ticket."""
+        if refusal.code is ResultCode.NOT_RUN_SEALED or not self._may_still_run:
             return True
-        return is_outcome and refusal.code not in _EXCHANGE_CODES
+        return is_outcome_reply and refusal.code not in _EXCHANGE_ONLY_CODES
 
-    def _abandon(self) -> ClaimFailure:
-        """Drop a ticket that was never sent and whose issuer is gone.
+    def _issuer_unreachable_failure(self) -> ClaimFailure:
+        """Return the failure of a claim whose ticket was not sent yet.
 
-        Other daemons could only seal it at its witness, and would answer
-        `unknown` if the witness is gone too.
+        Its issuer is unreachable. Other daemons could only seal the ticket at
+        its witness, and would reply `unknown` if that is unreachable too.
         """
         issuer = self._ticket.issuer
         return ClaimFailure(
@@ -201,8 +228,8 @@
             ticket=self._ticket.text,
         )
 
-    def _give_up(self) -> ClaimFailure:
-        if self._is_open:
+    def _deadline_failure(self) -> ClaimFailure:
+        if self._may_still_run:
             return ClaimFailure(
                 ResultCode.OUTCOME_UNKNOWN,
                 'the deadline passed before the outcome was known',
@@ -216,14 +243,16 @@
         )
 
 
-def _decode(body: bytes, ticket: str) -> ClaimResult | ClaimFailure:
+def _decode_claim_result(
+    body: bytes, ticket: str
+) -> ClaimResult | ClaimFailure:
     fields = msgspec.json.decode(body)
     try:
         return msgspec.convert(fields | {'ticket': ticket}, ClaimResult)
     except msgspec.ValidationError as error:
         return ClaimFailure(
             ResultCode.OUTCOME_UNKNOWN,
-            f'the answer to the claim is not valid: {error}',
+            f'the reply to the claim is not valid: {error}',
             RunState.UNKNOWN,
             ticket=ticket,
         )
--- a/boragespool/client/client.py
+++ b/boragespool/client/client.py
@@ -1,4 +1,4 @@
-"""The client that callers use."""
+"""Client for queries and claims."""
 
 from __future__ import annotations
 
@@ -8,15 +8,15 @@
 
 import msgspec
 
-from boragespool.client.addresses import AddressBook, Ticket
+from boragespool.client.addresses import AddressCache, Ticket
 from boragespool.client.answers import (
     ClaimFailure,
     ClaimResult,
     QueryResult,
-    claim_failure,
+    to_claim_failure,
 )
 from boragespool.client.channel import Channel, Reply, time_left_s
-from boragespool.client.claims import NEW_TICKET_CODES, ClaimCourse
+from boragespool.client.claims import NEW_TICKET_CODES, ClaimSubmission
 from boragespool.results import Failure, ResultCode
 from boragespool.types import RunState
 
@@ -28,8 +28,9 @@
     from boragespool.http.client import FailureKind
     from boragespool.types import Address, Rank, RouteName, Seconds
 
-#: Refusals of one daemon that another daemon may not share. Refusals that
-#: tell of overload are not among them, so that resends add no load to it.
+#: Codes of refusals after which a query is resent to another daemon, which may
+#: accept it. Refusals for overload are not among them, because resends would
+#: add to the load.
 _RESEND_CODES: Final = frozenset(
     (
         ResultCode.TOO_MANY_CONNECTIONS,
@@ -39,16 +40,16 @@
         ResultCode.NO_SNAPSHOT,
     ),
 )
-_FIRST_PAUSE_S: Final = 0.02
+_INITIAL_BACKOFF_S: Final = 0.02
 
 
 class Client:
-    """Sends queries and claims to the tier, an async context manager.
+    """Sends queries and claims to daemons, an async context manager.
 
     Parameters
     ----------
     options : ClientOptions
-        Name of the caller, first addresses, bounds.
+        Name of the caller, initial addresses, timeouts and limits.
     draw : callable, optional
         Returns a random number in ``[0, 1)``.
     """
@@ -58,11 +59,11 @@
         options: ClientOptions,
         draw: Callable[[], float] = random.random,
     ) -> None:
-        """Keep the settings; connections open at the first request."""
+        """Set up the client; connections are opened by the first requests."""
         self._options = options
         self._draw = draw
         self._channel = Channel(options)
-        self._book = AddressBook(options, self._channel, draw)
+        self._address_cache = AddressCache(options, self._channel, draw)
 
     async def __aenter__(self) -> Self:
         """Return the client."""
@@ -74,7 +75,7 @@
 
     @property
     def failures_after_send_by_kind(self) -> Mapping[FailureKind, int]:
-        """Exchanges that failed after a byte was sent, resends included."""
+        """Requests that failed after a byte was sent, resends included."""
         return self._channel.failures_after_send_by_kind
 
     async def query(
@@ -84,7 +85,7 @@
         deadline_s: Seconds,
         rank: Rank | None = None,
     ) -> QueryResult | Failure:
-        """Send a query, to another address if one fails.
+        """Send a query; resend it to another daemon if one fails.
 
         Parameters
         ----------
@@ -100,23 +101,26 @@
         Returns
         -------
         QueryResult or Failure
-            The last refusal, or ``DEADLINE_PASSED`` with `unknown`.
+            The last refusal, or ``DEADLINE_PASSED`` with run state `unknown`
+            if no daemon responded.
         """
-        until_s = asyncio.get_running_loop().time() + deadline_s
-        fields = _fields(route, body, rank)
+        deadline_at_s = asyncio.get_running_loop().time() + deadline_s
+        fields = _request_fields(route, body, rank)
         tried: set[Address] = set()
-        last: QueryResult | Failure = Failure(
+        last_answer: QueryResult | Failure = Failure(
             ResultCode.DEADLINE_PASSED,
             f'no daemon answered within {deadline_s!r} s',
             RunState.UNKNOWN,
         )
         for _ in range(self._options.query_attempts):
-            answer = await self._query_next(fields, tried, until_s)
+            answer = await self._query_next_address(
+                fields, tried, deadline_at_s
+            )
             if answer is not None:
-                last = answer
+                last_answer = answer
                 if not _may_resend(answer):
                     break
-        return last
+        return last_answer
 
     async def claim(
         self,
@@ -141,29 +145,34 @@
         Returns
         -------
         ClaimResult or ClaimFailure
-            With run state ``NOT_RUN`` the caller may claim again. With
-            ``UNKNOWN`` it must not; `outcome` may tell more later.
+            With run state ``NOT_RUN`` the caller may send the claim again.
+            With ``UNKNOWN`` it must not, but may call `outcome` later.
         """
-        until_s = asyncio.get_running_loop().time() + deadline_s
-        fields = _fields(route, body, rank)
-        settled: ClaimResult | ClaimFailure = ClaimFailure(
+        deadline_at_s = asyncio.get_running_loop().time() + deadline_s
+        fields = _request_fields(route, body, rank)
+        result: ClaimResult | ClaimFailure = ClaimFailure(
             ResultCode.NOT_READY,
-            'no ticket was asked for',
+            'no ticket was requested; tickets_per_claim must be at least 1',
         )
-        for number in range(self._options.tickets_per_claim):
-            settled, may_claim_again = await self._claim_once(fields, until_s)
+        for attempt_number in range(self._options.tickets_per_claim):
+            result, may_claim_again = await self._claim_once(
+                fields, deadline_at_s
+            )
             if not may_claim_again:
                 break
-            if not await self._pause(number, settled, until_s):
+            if not await self._back_off(attempt_number, result, deadline_at_s):
                 break
-        return settled
+        return result
 
     async def outcome(
         self,
         ticket: str,
         deadline_s: Seconds,
     ) -> ClaimResult | ClaimFailure:
-        """Ask for the outcome of a ticket; one that never started is sealed.
+        """Return the outcome of an earlier claim.
+
+        A ticket whose claim never started is sealed, so that the claim can
+        never run with it.
 
         Parameters
         ----------
@@ -172,27 +181,37 @@
         deadline_s : float
             Longest time for the answer, in seconds.
         """
-        until_s = asyncio.get_running_loop().time() + deadline_s
-        return await self._course(Ticket(ticket, '', 0), until_s).ask()
-
-    def _course(self, ticket: Ticket, until_s: Seconds) -> ClaimCourse:
-        return ClaimCourse(
+        deadline_at_s = asyncio.get_running_loop().time() + deadline_s
+        return await self._new_submission(
+            Ticket(ticket, '', 0), deadline_at_s
+        ).poll_outcome()
+
+    def _new_submission(
+        self, ticket: Ticket, deadline_at_s: Seconds
+    ) -> ClaimSubmission:
+        return ClaimSubmission(
             self._options,
             self._channel,
-            self._book,
+            self._address_cache,
             ticket,
-            until_s,
+            deadline_at_s,
         )
 
-    async def _query_next(
+    async def _query_next_address(
         self,
         fields: dict[str, Any],
         tried: set[Address],
-        until_s: Seconds,
+        deadline_at_s: Seconds,
     ) -> QueryResult | Failure | None:
-        """Send a query to one more address; None if no valid answer came."""
-        address = await self._book.pick(tried, until_s)
-        left_s = time_left_s(until_s)
+        """Send a query to an untried address.
+
+        Returns
+        -------
+        QueryResult or Failure or None
+            None if no address or time is left or no valid response came.
+        """
+        address = await self._address_cache.choose_address(tried, deadline_at_s)
+        left_s = time_left_s(deadline_at_s)
         if address in tried or left_s <= 0:
             return None
         tried.add(address)
@@ -202,43 +221,51 @@
             fields,
             left_s * self._options.attempt_share,
         )
-        answer = _decode(reply)
+        answer = _decode_query_result(reply)
         if answer is None or _may_resend(answer):
-            self._book.avoid(address)
+            self._address_cache.avoid(address)
         return answer
 
     async def _claim_once(
         self,
         fields: dict[str, Any],
-        until_s: Seconds,
+        deadline_at_s: Seconds,
     ) -> tuple[ClaimResult | ClaimFailure, bool]:
-        """Claim under one ticket; tell whether another one may be used."""
-        ticket = await self._book.take_ticket(until_s)
+        """Send a claim with a new ticket.
+
+        Returns
+        -------
+        tuple
+            Result, and whether the claim may be sent with another ticket.
+        """
+        ticket = await self._address_cache.take_ticket(deadline_at_s)
         if isinstance(ticket, Failure):
-            return claim_failure(ticket, ''), False
-        course = self._course(ticket, until_s)
-        settled = await course.run(fields)
-        if isinstance(settled, ClaimResult):
-            return settled, False
-        is_not_run = settled.run is RunState.NOT_RUN
-        may_claim_again = is_not_run and not course.said_unknown
-        return settled, may_claim_again and settled.code in NEW_TICKET_CODES
-
-    async def _pause(
+            return to_claim_failure(ticket, ''), False
+        submission = self._new_submission(ticket, deadline_at_s)
+        result = await submission.run(fields)
+        if isinstance(result, ClaimResult):
+            return result, False
+        is_not_run = result.run is RunState.NOT_RUN
+        may_claim_again = is_not_run and not submission.received_unknown
+        return result, may_claim_again and result.code in NEW_TICKET_CODES
+
+    async def _back_off(
         self,
-        number: int,
-        settled: ClaimResult | ClaimFailure,
-        until_s: Seconds,
+        attempt_number: int,
+        result: ClaimResult | ClaimFailure,
+        deadline_at_s: Seconds,
     ) -> bool:
-        """Wait before the next ticket; False if the deadline is nearer."""
-        # Jitter between half and all of a pause that doubles each time.
-        backoff_s = _FIRST_PAUSE_S * 2**number * (1 + self._draw()) / 2
-        pause_s = backoff_s
-        if isinstance(settled, ClaimFailure):
-            pause_s = max(backoff_s, settled.retry_after_s)
-        if time_left_s(until_s) <= pause_s:
+        """Wait before the next ticket; return False if the deadline is nearer."""
+        # Exponential backoff with a random factor from 0.5 to 1.
+        backoff_s = (
+            _INITIAL_BACKOFF_S * 2**attempt_number * (1 + self._draw()) / 2
+        )
+        delay_s = backoff_s
+        if isinstance(result, ClaimFailure):
+            delay_s = max(backoff_s, result.retry_after_s)
+        if time_left_s(deadline_at_s) <= delay_s:
             return False
-        await asyncio.sleep(pause_s)
+        await asyncio.sleep(delay_s)
         return True
 
 
@@ -246,7 +273,9 @@
     return isinstance(answer, Failure) and answer.code in _RESEND_CODES
 
 
-def _decode(reply: Reply | ExchangeFailure) -> QueryResult | Failure | None:
+def _decode_query_result(
+    reply: Reply | ExchangeFailure,
+) -> QueryResult | Failure | None:
     if not isinstance(reply, Reply):
         return None
     if reply.refusal is not None:
@@ -257,7 +286,7 @@
         return None
 
 
-def _fields(
+def _request_fields(
     route: RouteName,
     body: Any,
     rank: Rank | None,
--- a/boragespool/client/options.py
+++ b/boragespool/client/options.py
@@ -1,4 +1,4 @@
-"""Settings of the library for callers."""
+"""Options of the client library."""
 
 from __future__ import annotations
 
@@ -11,39 +11,39 @@
 
 @dataclass(frozen=True, slots=True)
 class ClientOptions:
-    """What one `Client` needs to know.
+    """Options of a `Client`.
 
     Attributes
     ----------
     caller : str
-        Name under which the tier gives this caller its fair share.
+        Name of the caller, by which daemons share capacity fairly.
     addresses : tuple of str
-        ``ip:port`` of some daemons, asked for current addresses.
+        ``ip:port`` of some daemons, used to fetch the current addresses.
     data_centre : str
         Data centre of the caller; empty to let the daemon choose.
     connection_count : int
-        Requests at the same time.
+        Maximum number of concurrent requests.
     connect_timeout_s : float
         Longest time for a TCP handshake, in seconds.
     address_timeout_s : float
-        Longest time for one address answer, in seconds.
+        Longest time for one request of addresses, in seconds.
     attempt_share : float
-        Share of the time left, 0 to 1, that one attempt may use. The rest is
-        kept for a resend after a timeout.
+        Fraction of the time left, 0 to 1, that one attempt may use. The rest
+        is reserved for a resend after a timeout.
     network_margin_s : float
-        Time for both directions of the network, in seconds; an attempt asks
-        the daemon for its answer this much earlier.
+        Round-trip time of the network, in seconds. The deadline sent to the
+        daemon is this much earlier than the timeout of the attempt.
     query_attempts : int
-        Addresses to which one query is sent at most.
+        Maximum number of addresses to which a query is sent.
     ticket_count : int
-        Tickets fetched at a time.
+        Number of tickets requested at a time.
     ticket_limit : int
-        Unused tickets kept at most.
+        Maximum number of unused tickets kept.
     ticket_age_s : float
-        Age at which an unused ticket is thrown away, in seconds.
+        Age after which an unused ticket is discarded, in seconds.
     tickets_per_claim : int
-        Tickets under which one claim is sent, one after another, each after
-        a `not_run` for the one before.
+        Maximum number of tickets with which a claim is sent. The next one is
+        used only after run state `not_run` for the one before.
     avoid_s : float
         Time for which an address is avoided after a failure, in seconds.
     """
