--- a/boragespool/client/answers.py
+++ b/boragespool/client/answers.py
@@ -103,7 +103,7 @@
     ticket: str = ''
 
 
-def to_claim_failure(failure: Failure, ticket: str) -> ClaimFailure:
+def failure_with_ticket(failure: Failure, ticket: str) -> ClaimFailure:
     """Return the failure of a claim that was sent with a ticket."""
     return ClaimFailure(
         failure.code,
--- a/boragespool/client/claims.py
+++ b/boragespool/client/claims.py
@@ -15,7 +15,7 @@
 from boragespool.client.answers import (
     ClaimFailure,
     ClaimResult,
-    to_claim_failure,
+    failure_with_ticket,
 )
 from boragespool.client.channel import Channel, Reply, time_left_s
 from boragespool.results import Failure, ResultCode
@@ -69,7 +69,7 @@
         Timeouts and limits.
     channel : Channel
         Connections to the daemons.
-    book : AddressCache
+    address_cache : AddressCache
         Source of daemon addresses.
     ticket : Ticket
         Ticket of the claim.
@@ -205,7 +205,7 @@
             is_outcome_reply=is_outcome_reply,
         ):
             return None
-        return to_claim_failure(refusal, self._ticket.text)
+        return failure_with_ticket(refusal, self._ticket.text)
 
     def _is_final_for_ticket(
         self, refusal: Failure, *, is_outcome_reply: bool
--- a/boragespool/client/client.py
+++ b/boragespool/client/client.py
@@ -13,7 +13,7 @@
     ClaimFailure,
     ClaimResult,
     QueryResult,
-    to_claim_failure,
+    failure_with_ticket,
 )
 from boragespool.client.channel import Channel, Reply, time_left_s
 from boragespool.client.claims import NEW_TICKET_CODES, ClaimSubmission
@@ -90,13 +90,13 @@
         Parameters
         ----------
         route : str
-            Route from the settings of the tier.
+            Name of a route in the settings of the daemons.
         body : Any
             JSON value for the backend servers.
         deadline_s : float
             Longest time for the answer, in seconds.
         rank : Rank, optional
-            Rank below that of the route.
+            Rank of the request if lower than that of its route.
 
         Returns
         -------
@@ -134,13 +134,13 @@
         Parameters
         ----------
         route : str
-            Route from the settings of the tier.
+            Name of a route in the settings of the daemons.
         body : Any
             JSON value for the backend server.
         deadline_s : float
             Longest time for the answer, in seconds.
         rank : Rank, optional
-            Rank below that of the route.
+            Rank of the request if lower than that of its route.
 
         Returns
         -------
@@ -240,7 +240,7 @@
         """
         ticket = await self._address_cache.take_ticket(deadline_at_s)
         if isinstance(ticket, Failure):
-            return to_claim_failure(ticket, ''), False
+            return failure_with_ticket(ticket, ''), False
         submission = self._new_submission(ticket, deadline_at_s)
         result = await submission.run(fields)
         if isinstance(result, ClaimResult):
@@ -255,7 +255,7 @@
         result: ClaimResult | ClaimFailure,
         deadline_at_s: Seconds,
     ) -> bool:
-        """Wait before the next ticket; return False if the deadline is nearer."""
+        """Wait before the next ticket; return False if no time is left."""
         # Exponential backoff with a random factor from 0.5 to 1.
         backoff_s = (
             _INITIAL_BACKOFF_S * 2**attempt_number * (1 + self._draw()) / 2
