Reword the command line in terms of daemons, requests and flags

Cause: calls, entries, looks and rushes were private words for invocations, daemon addresses, polls and overload. Change: entries is daemon_client and entry_commands daemon_commands; constants name what they hold; docstrings list all attributes; unclear help texts too.

--- a/boragespool/cli/__init__.py
+++ b/boragespool/cli/__init__.py
@@ -1,3 +1,3 @@
-"""The operators' command."""
+"""Command line program ``boragespool`` for operators."""
 
 from __future__ import annotations
--- a/boragespool/cli/change_commands.py
+++ b/boragespool/cli/change_commands.py
@@ -1,4 +1,4 @@
-"""Commands that write a revision."""
+"""Commands that write a new revision of the settings to the store."""
 
 from __future__ import annotations
 
@@ -35,123 +35,138 @@
 
     from boragespool.cli.invocation import Invocation
 
-    _Build = Callable[[RevisionDocument, Change], RevisionDocument | Failure]
+    _BuildDocument = Callable[
+        [RevisionDocument, Change], RevisionDocument | Failure
+    ]
 
 
-async def apply(call: Invocation) -> Outcome | Failure:
-    """Put a folder in force."""
-    settings = load_folder(pathlib.Path(call.arguments['FOLDER']))
+async def apply(invocation: Invocation) -> Outcome | Failure:
+    """Write the settings of a folder as a new revision."""
+    settings = load_folder(pathlib.Path(invocation.arguments['FOLDER']))
     if isinstance(settings, Failure):
         return settings
-    return await _replace_settings(call, settings)
+    return await _replace_settings(invocation, settings)
 
 
-async def rollback(call: Invocation) -> Outcome | Failure:
-    """Put the settings of a replaced revision in force again."""
-    revision = _whole_number(call.arguments['REVISION'], 'revision')
+async def rollback(invocation: Invocation) -> Outcome | Failure:
+    """Write the settings of a replaced revision as a new one."""
+    revision = _parse_whole_number(invocation.arguments['REVISION'], 'revision')
     if isinstance(revision, Failure):
         return revision
-    async with open_store(call) as store:
-        kept = await read_revision(store, revision)
-    if isinstance(kept, Failure):
-        return kept
-    return await _replace_settings(call, kept.settings)
+    async with open_store(invocation) as store:
+        replaced_document = await read_revision(store, revision)
+    if isinstance(replaced_document, Failure):
+        return replaced_document
+    return await _replace_settings(invocation, replaced_document.settings)
 
 
-async def drain(call: Invocation) -> Outcome | Failure:
-    """Drain, or put to work, the backend servers of a host."""
+async def drain(invocation: Invocation) -> Outcome | Failure:
+    """Mark the backend servers of a host as drained or not drained."""
 
     def build(
         base: RevisionDocument,
         change: Change,
     ) -> RevisionDocument | Failure:
-        marked = with_host_drained(
+        new_settings = with_host_drained(
             base.settings,
-            call.arguments['HOST'],
-            drained=call.command == 'drain',
+            invocation.arguments['HOST'],
+            drained=invocation.command == 'drain',
         )
-        if isinstance(marked, Failure):
-            return marked
-        return next_document(marked, base, change)
+        if isinstance(new_settings, Failure):
+            return new_settings
+        return next_document(new_settings, base, change)
 
-    return await _change(call, build)
+    return await _write_revision(invocation, build)
 
 
-async def clear(call: Invocation) -> Outcome | Failure:
-    """Clear a blocked fingerprint at every daemon."""
-    fingerprint = _whole_number(call.arguments['FINGERPRINT'], 'fingerprint')
+async def clear(invocation: Invocation) -> Outcome | Failure:
+    """Write a revision that unblocks a fingerprint at every daemon."""
+    fingerprint = _parse_whole_number(
+        invocation.arguments['FINGERPRINT'], 'fingerprint'
+    )
     if isinstance(fingerprint, Failure):
         return fingerprint
-    return await _change(
-        call,
+    return await _write_revision(
+        invocation,
         lambda base, change: clear_fingerprint(fingerprint, base, change),
     )
 
 
 async def _replace_settings(
-    call: Invocation,
+    invocation: Invocation,
     settings: Settings,
 ) -> Outcome | Failure:
     def build(
         base: RevisionDocument,
         change: Change,
     ) -> RevisionDocument | Failure:
-        names = undrained_servers(base.settings, settings)
-        if names and not call.flags['undrain']:
+        drained_names = undrained_servers(base.settings, settings)
+        if drained_names and not invocation.flags['undrain']:
             return Failure(
                 ResultCode.INVALID_SETTING,
-                f'the change would put drained backend servers {names!r} to '
-                'work; set drained = true for them or pass --undrain',
+                'the change would put drained backend servers '
+                f'{drained_names!r} to work; set drained = true for them or '
+                'pass --undrain',
             )
         return next_document(settings, base, change)
 
-    return await _change(call, build, settings)
+    return await _write_revision(invocation, build, settings)
 
 
-async def _change(
-    call: Invocation,
-    build: _Build,
-    first: Settings | None = None,
+async def _write_revision(
+    invocation: Invocation,
+    build: _BuildDocument,
+    initial_settings: Settings | None = None,
 ) -> Outcome | Failure:
-    """Write one revision and wait for it if that is asked for."""
+    """Write a new revision; with ``--wait``, wait until it is in force.
+
+    Parameters
+    ----------
+    invocation : Invocation
+        Parsed command line.
+    build : callable
+        Returns the new document for the document in the store.
+    initial_settings : Settings, optional
+        Settings of the first revision if the store holds none.
+    """
     change = Change(
         uuid.uuid4().hex,
-        call.command,
-        call.flags['author'],
+        invocation.command,
+        invocation.flags['author'],
         time.time(),
-        call.flags['note'],
+        invocation.flags['note'],
     )
-    refused = check_change(change)
-    if refused is not None:
-        return refused
+    change_failure = check_change(change)
+    if change_failure is not None:
+        return change_failure
 
     def build_on(base: RevisionDocument | None) -> RevisionDocument | Failure:
         if base is not None:
             return build(base, change)
-        if first is None:
+        if initial_settings is None:
             return Failure(
                 ResultCode.REVISION_UNKNOWN,
-                'the store holds no revision yet',
+                'the store holds no revision yet; apply writes the first one',
             )
-        return next_document(first, None, change)
+        return next_document(initial_settings, None, change)
 
-    async with open_store(call) as store:
+    async with open_store(invocation) as store:
         result = await apply_change(
             store,
             build_on,
-            call.flags['patience_s'],
-            call.flags['base'],
-            first,
+            invocation.flags['patience_s'],
+            invocation.flags['base'],
+            initial_settings,
         )
     if isinstance(result, Failure):
         return result
     if isinstance(result, Refused):
         return _describe_refusal(result)
-    return await _describe_applied(call, result)
+    return await _describe_applied(invocation, result)
 
 
 def _describe_refusal(refused: Refused) -> Outcome:
-    """Show the winner and how it differs from what was wanted."""
+    """Show the conflicting revision and its difference from this change."""
     found = refused.found
     author = found.audit[-1].author if found.audit else ''
     differences = difference(found.settings, refused.wanted.settings)
@@ -174,7 +189,9 @@
     )
 
 
-async def _describe_applied(call: Invocation, applied: Applied) -> Outcome:
+async def _describe_applied(
+    invocation: Invocation, applied: Applied
+) -> Outcome:
     document = applied.document
     before = applied.before.settings if applied.before else Settings()
     differences = difference(before, document.settings)
@@ -185,17 +202,17 @@
     }
     notes = [f'revision {document.revision} is accepted']
     exit_code = ExitCode.DONE
-    if call.flags['wait']:
-        waited = await wait_in_force(
+    if invocation.flags['wait']:
+        wait_result = await wait_in_force(
             document.revision,
-            tuple(call.flags['entry']),
-            call.flags['wait_s'],
-            call.flags['timeout_s'],
+            tuple(invocation.flags['entry']),
+            invocation.flags['wait_s'],
+            invocation.flags['timeout_s'],
         )
-        body['lagging'] = waited.lagging
-        body['in_force_at'] = waited.in_force
-        notes.append(waited.text)
-        exit_code = ExitCode.DONE if waited.done else ExitCode.LAGGING
+        body['lagging'] = wait_result.lagging
+        body['in_force_at'] = wait_result.in_force
+        notes.append(wait_result.summary)
+        exit_code = ExitCode.DONE if wait_result.is_done else ExitCode.LAGGING
     return Outcome(
         body,
         ('setting', 'before', 'now'),
@@ -205,8 +222,8 @@
     )
 
 
-def _whole_number(text: str, name: str) -> int | Failure:
-    """Read a decimal number, or a hexadecimal one with 0x."""
+def _parse_whole_number(text: str, name: str) -> int | Failure:
+    """Parse a decimal number, or a hexadecimal one with the prefix 0x."""
     try:
         number = int(text, 0)
     except ValueError:
--- a/boragespool/cli/commands.py
+++ b/boragespool/cli/commands.py
@@ -1,4 +1,4 @@
-"""The commands with their arguments, flags and examples."""
+"""Table of the commands with their arguments, flags and examples."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 from boragespool.cli import (
     change_commands,
-    entry_commands,
+    daemon_commands,
     settings_commands,
 )
 from boragespool.cli.invocation import Command
@@ -20,9 +20,9 @@
     from boragespool.cli.invocation import Invocation
     from boragespool.cli.outcome import Outcome
 
-_STORE: Final = ('store', 'timeout_s')
-_CHANGE: Final = (
-    *_STORE,
+_STORE_FLAGS: Final = ('store', 'timeout_s')
+_CHANGE_FLAGS: Final = (
+    *_STORE_FLAGS,
     'patience_s',
     'author',
     'note',
@@ -31,23 +31,23 @@
     'wait_s',
     'entry',
 )
-_ENTRY: Final = ('entry', 'timeout_s')
-_REQUEST: Final = (*_ENTRY, 'caller', 'rank', 'deadline_ms')
-_FOLDER: Final = MappingProxyType({'FOLDER': 'Settings folder.'})
-_HOST: Final = MappingProxyType(
+_DAEMON_FLAGS: Final = ('entry', 'timeout_s')
+_REQUEST_FLAGS: Final = (*_DAEMON_FLAGS, 'caller', 'rank', 'deadline_ms')
+_FOLDER_ARGUMENT: Final = MappingProxyType({'FOLDER': 'Settings folder.'})
+_HOST_ARGUMENT: Final = MappingProxyType(
     {'HOST': 'Host, as in the settings of its backend servers.'},
 )
-_WORK: Final = MappingProxyType(
+_REQUEST_ARGUMENTS: Final = MappingProxyType(
     {
         'ROUTE': 'Name of a route.',
         'BODY': 'JSON, or @FILE for a file with JSON.',
     },
 )
-_NOTHING: Final[Mapping[str, str]] = MappingProxyType({})
+_NO_ARGUMENTS: Final[Mapping[str, str]] = MappingProxyType({})
 
 
-async def _demo(_: Invocation) -> Outcome | Failure:
-    """Run the demo, which is a module of its own."""
+async def _run_demo(_: Invocation) -> Outcome | Failure:
+    """Run the demo; it is optional, so its module is imported here."""
     try:
         module = importlib.import_module('boragespool.cli.demo')
     except ModuleNotFoundError as error:
@@ -64,7 +64,7 @@
         'check',
         'Check a settings folder and list every problem.',
         'boragespool check examples/cooperative',
-        _FOLDER,
+        _FOLDER_ARGUMENT,
         (),
         settings_commands.check,
     ),
@@ -72,97 +72,97 @@
         'diff',
         'Compare a settings folder with the revision in the store.',
         'boragespool diff examples/cooperative --store 127.0.0.1:8500',
-        _FOLDER,
-        _STORE,
+        _FOLDER_ARGUMENT,
+        _STORE_FLAGS,
         settings_commands.diff,
     ),
     Command(
         'apply',
-        'Put a settings folder in force as a new revision.',
+        'Apply a settings folder as a new revision.',
         'boragespool apply examples/cooperative --base 7 --wait '
         "--note 'more slots for lot-finder'",
-        _FOLDER,
-        (*_CHANGE, 'undrain'),
+        _FOLDER_ARGUMENT,
+        (*_CHANGE_FLAGS, 'undrain'),
         change_commands.apply,
     ),
     Command(
         'show',
         'Show the revision in the store with its settings.',
         'boragespool show --output json',
-        _NOTHING,
-        _STORE,
+        _NO_ARGUMENTS,
+        _STORE_FLAGS,
         settings_commands.show,
     ),
     Command(
         'status',
         'Show the status of daemons.',
         'boragespool status --entry 127.0.0.1:8000,127.0.0.2:8000',
-        _NOTHING,
-        _ENTRY,
-        entry_commands.status,
+        _NO_ARGUMENTS,
+        _DAEMON_FLAGS,
+        daemon_commands.status,
     ),
     Command(
         'audit',
         'List the last changes, newest first.',
         'boragespool audit',
-        _NOTHING,
-        _STORE,
+        _NO_ARGUMENTS,
+        _STORE_FLAGS,
         settings_commands.audit,
     ),
     Command(
         'rollback',
-        'Put the settings of a replaced revision in force again.',
+        'Apply the settings of a replaced revision again.',
         "boragespool rollback 6 --note 'revision 7 was too slow'",
         {'REVISION': 'Number of a replaced revision.'},
-        (*_CHANGE, 'undrain'),
+        (*_CHANGE_FLAGS, 'undrain'),
         change_commands.rollback,
     ),
     Command(
         'drain',
         'Give no new work to the backend servers of a host.',
         'boragespool drain north-member-ledger --wait',
-        _HOST,
-        _CHANGE,
+        _HOST_ARGUMENT,
+        _CHANGE_FLAGS,
         change_commands.drain,
     ),
     Command(
         'undrain',
         'Give work to the backend servers of a host again.',
         'boragespool undrain north-member-ledger --wait',
-        _HOST,
-        _CHANGE,
+        _HOST_ARGUMENT,
+        _CHANGE_FLAGS,
         change_commands.drain,
     ),
     Command(
         'clear',
-        'Let requests with a blocked fingerprint run again.',
+        'Unblock requests with a fingerprint that daemons have blocked.',
         'boragespool clear 0x9a3f6c21d0e47b58',
         {'FINGERPRINT': 'Fingerprint, as status shows it.'},
-        _CHANGE,
+        _CHANGE_FLAGS,
         change_commands.clear,
     ),
     Command(
         'query',
         'Send one query and print the answer.',
         'boragespool query find-lots \'{"text": "pine"}\'',
-        _WORK,
-        _REQUEST,
-        entry_commands.query,
+        _REQUEST_ARGUMENTS,
+        _REQUEST_FLAGS,
+        daemon_commands.query,
     ),
     Command(
         'claim',
         'Send one claim, at most once, and print the answer.',
         'boragespool claim claim-lot \'{"lot": 17}\' --caller till-4',
-        _WORK,
-        (*_REQUEST, 'ticket'),
-        entry_commands.claim,
+        _REQUEST_ARGUMENTS,
+        (*_REQUEST_FLAGS, 'ticket'),
+        daemon_commands.claim,
     ),
     Command(
         'demo',
         'Start a small system on this machine and send requests to it.',
         'boragespool demo',
-        _NOTHING,
+        _NO_ARGUMENTS,
         (),
-        _demo,
+        _run_demo,
     ),
 )
--- a/boragespool/cli/daemon_client.py
+++ b/boragespool/cli/daemon_client.py
@@ -1,4 +1,4 @@
-"""HTTP calls to daemons."""
+"""HTTP requests of the command line to daemons."""
 
 from __future__ import annotations
 
@@ -22,84 +22,88 @@
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """A JSON answer of a daemon.
+    """JSON response of a daemon.
 
     Attributes
     ----------
+    address : str
+        ``ip:port`` of the daemon.
+    status : int
+        HTTP status.
     body : Any
         Decoded JSON.
     """
 
-    entry: Address
+    address: Address
     status: int
     body: Any
 
 
-async def call_entry(
-    entry: Address,
+async def request_daemon(
+    address: Address,
     target: str,
     timeout_s: Seconds,
-    content: Any = None,
+    json_body: Any = None,
 ) -> Reply | Failure:
-    """Exchange one request with a daemon.
+    """Send one request to a daemon and return its response.
 
     Parameters
     ----------
-    entry : str
+    address : str
         ``ip:port`` of the daemon.
     target : str
         Path with query string.
     timeout_s : float
-        Longest time for connecting and for the exchange, in seconds.
-    content : Any, optional
-        JSON body of a POST; a GET is sent without it.
+        Longest time for connecting, and again for the exchange, in seconds.
+    json_body : Any, optional
+        Body of a POST request; without it a GET request is sent.
 
     Returns
     -------
     Reply or Failure
         ``PEER_UNREACHABLE``, with run state ``UNKNOWN`` if bytes were sent.
     """
-    connection = await open_connection(entry, timeout_s)
+    connection = await open_connection(address, timeout_s)
     if isinstance(connection, ExchangeFailure):
-        return _unreachable(entry, connection)
+        return _unreachable_failure(address, connection)
     async with connection:
         response = await connection.exchange(
-            _request(target, content),
+            _build_request(target, json_body),
             timeout_s,
         )
     if isinstance(response, ExchangeFailure):
-        return _unreachable(entry, response)
+        return _unreachable_failure(address, response)
     try:
         body = msgspec.json.decode(response.body)
     except msgspec.DecodeError as error:
         return Failure(
             ResultCode.PEER_UNREACHABLE,
-            f'{entry!r} answered {target!r} without JSON: {error}',
+            f'{address!r} did not respond to {target!r} with JSON: {error}',
             RunState.UNKNOWN,
         )
-    return Reply(entry, response.status, body)
+    return Reply(address, response.status, body)
 
 
-async def call_first(
-    entries: tuple[Address, ...],
+async def request_first_available(
+    addresses: tuple[Address, ...],
     target: str,
     timeout_s: Seconds,
-    content: Any = None,
+    json_body: Any = None,
 ) -> Reply | Failure:
-    """Ask entries in order until one answers; for idempotent requests.
+    """Send an idempotent request to daemons in order until one responds.
 
     Returns
     -------
     Reply or Failure
-        The failure has run state ``UNKNOWN`` if any entry may have got the
-        request.
+        The failure has run state ``UNKNOWN`` if any daemon may have received
+        the request.
     """
     failure = Failure(
         ResultCode.PEER_UNREACHABLE,
-        'no daemon is named; --entry takes one or more ip:port',
+        'no daemon is given; --entry takes one or more ip:port',
     )
-    for entry in entries:
-        reply = await call_entry(entry, target, timeout_s, content)
+    for address in addresses:
+        reply = await request_daemon(address, target, timeout_s, json_body)
         if isinstance(reply, Reply):
             return reply
         if failure.run is not RunState.UNKNOWN:
@@ -107,17 +111,17 @@
     return failure
 
 
-def _request(target: str, content: Any) -> HttpRequest:
-    if content is None:
+def _build_request(target: str, json_body: Any) -> HttpRequest:
+    if json_body is None:
         return HttpRequest('GET', target)
-    encoded = msgspec.json.encode(content)
+    encoded = msgspec.json.encode(json_body)
     return HttpRequest('POST', target, encoded, _JSON_HEADERS)
 
 
-def _unreachable(entry: Address, failure: ExchangeFailure) -> Failure:
+def _unreachable_failure(address: Address, failure: ExchangeFailure) -> Failure:
     run = RunState.UNKNOWN if failure.sent else RunState.NOT_RUN
     return Failure(
         ResultCode.PEER_UNREACHABLE,
-        f'daemon {entry!r} did not answer: {failure.reason}',
+        f'daemon {address!r} did not answer: {failure.reason}',
         run,
     )
--- a/boragespool/cli/demo.py
+++ b/boragespool/cli/demo.py
@@ -1,6 +1,7 @@
-"""The demo: real queries and claims against embedded stand-ins.
+"""Command ``demo``: queries and claims against a small deployment.
 
-Everything runs in one process over real sockets on 127.0.0.1.
+Daemons and stand-ins for the platform and the backend servers run in this
+process and communicate over sockets on 127.0.0.1.
 """
 
 from __future__ import annotations
@@ -45,7 +46,7 @@
         ),
     },
 )
-_RUSH_S: Final = 3
+_OVERLOAD_DURATION_S: Final = 3
 _URGENT_PER_S: Final = 10
 _DEFERRABLE_PER_S: Final = 120
 _TIMEOUT_S: Final = 2
@@ -53,20 +54,20 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Sample:
-    """One claim of the rush: whether it ran, and how long it took."""
+class _ClaimTiming:
+    """Whether a claim was run, and the time until its result."""
 
-    ran: bool
-    took_s: Seconds
+    was_run: bool
+    duration_s: Seconds
 
 
 async def demo() -> Outcome:
-    """Start a small deployment, use it, and summarize what happened.
+    """Start a small deployment, send requests to it and show the results.
 
     Returns
     -------
     Outcome
-        Rows of topic and result.
+        Table rows of topic and result.
     """
     configure_logging('ERROR')
     async with Deployment(_SHAPE) as deployment:
@@ -74,7 +75,7 @@
             rows = (
                 *(await _show_query(client)),
                 *(await _show_claim(deployment)),
-                *(await _show_rush(client)),
+                *(await _show_overload(client)),
             )
     return Outcome(dict(rows), ('what', 'result'), rows)
 
@@ -98,7 +99,7 @@
 
 
 async def _show_claim(deployment: Deployment) -> tuple[tuple[str, str], ...]:
-    """Send one claim twice under one ticket, to two daemons."""
+    """Send one claim with one ticket to two daemons."""
     first, second = (entry.http.address for entry in deployment.entries[:2])
     request = await _claim_request(first)
     answers = await asyncio.gather(
@@ -137,47 +138,47 @@
     return msgspec.json.decode(response.body)
 
 
-async def _show_rush(client: Client) -> tuple[tuple[str, str], ...]:
-    """Load the ledger with more deferrable claims than it can run."""
+async def _show_overload(client: Client) -> tuple[tuple[str, str], ...]:
+    """Send more deferrable claims than the backend servers can run."""
     urgent, deferrable = await asyncio.gather(
-        _load(client, 'claim-lot', _URGENT_PER_S),
-        _load(client, 'report', _DEFERRABLE_PER_S),
+        _send_at_fixed_rate(client, 'claim-lot', _URGENT_PER_S),
+        _send_at_fixed_rate(client, 'report', _DEFERRABLE_PER_S),
     )
     return (
-        ('closing rush: urgent claims', _describe(urgent)),
-        ('closing rush: deferrable claims', _describe(deferrable)),
+        ('closing rush: urgent claims', _summarize(urgent)),
+        ('closing rush: deferrable claims', _summarize(deferrable)),
     )
 
 
-async def _load(
+async def _send_at_fixed_rate(
     client: Client,
     route: RouteName,
     per_s: int,
-) -> list[_Sample]:
-    """Send claims at a fixed rate, whatever the answers take."""
+) -> list[_ClaimTiming]:
+    """Send claims at a fixed rate, independent of response times."""
     tasks = []
-    for _ in range(_RUSH_S * per_s):
-        tasks.append(asyncio.create_task(_sample(client, route)))
+    for _ in range(_OVERLOAD_DURATION_S * per_s):
+        tasks.append(asyncio.create_task(_time_claim(client, route)))
         await asyncio.sleep(1 / per_s)
     return await asyncio.gather(*tasks)
 
 
-async def _sample(client: Client, route: RouteName) -> _Sample:
+async def _time_claim(client: Client, route: RouteName) -> _ClaimTiming:
     started_s = time.monotonic()
     answer = await client.claim(route, {'at': started_s}, _TIMEOUT_S)
-    return _Sample(
+    return _ClaimTiming(
         not isinstance(answer, Failure),
         time.monotonic() - started_s,
     )
 
 
-def _describe(samples: list[_Sample]) -> str:
-    times_s = sorted(sample.took_s for sample in samples if sample.ran)
+def _summarize(timings: list[_ClaimTiming]) -> str:
+    times_s = sorted(timing.duration_s for timing in timings if timing.was_run)
     if not times_s:
-        return f'0 of {len(samples)} ran'
+        return f'0 of {len(timings)} ran'
     median_ms = times_s[len(times_s) // 2] * _MS_PER_S
     slowest_ms = times_s[-1] * _MS_PER_S
     return (
-        f'{len(times_s)} of {len(samples)} ran, median {median_ms:.0f} ms, '
+        f'{len(times_s)} of {len(timings)} ran, median {median_ms:.0f} ms, '
         f'slowest {slowest_ms:.0f} ms'
     )
--- a/boragespool/cli/flags.py
+++ b/boragespool/cli/flags.py
@@ -1,4 +1,7 @@
-"""Flags of the commands; each can be set by an environment variable."""
+"""Flags of the commands.
+
+Each flag can also be set by an environment variable.
+"""
 
 from __future__ import annotations
 
@@ -15,135 +18,140 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
 
-PREFIX: Final = 'BORAGESPOOL_'
+ENVIRONMENT_PREFIX: Final = 'BORAGESPOOL_'
 _ADDRESS_FLAGS: Final = frozenset(('store', 'entry'))
 
 
 @dataclass(frozen=True, slots=True)
 class FlagSpec:
-    """One flag.
+    """Definition of a flag.
 
     Attributes
     ----------
     define : callable
-        ``absl.flags.DEFINE_...`` function.
+        ``absl.flags.DEFINE_...`` function of its type.
+    default : Any
+        Default value.
+    help_text : str
+        Description for ``--help``.
     limits : mapping
-        Further arguments of `define`.
+        Further keyword arguments of `define`.
     """
 
     define: Callable[..., Any]
     default: Any
-    text: str
-    limits: Mapping[str, Any]
+    help_text: str
+    define_arguments: Mapping[str, Any]
 
 
-def _are_addresses(given: str | list[str]) -> bool:
-    """Check ``store`` and ``entry``."""
-    addresses = [given] if isinstance(given, str) else given
+def _all_addresses_valid(flag_value: str | list[str]) -> bool:
+    """Return whether a flag value holds valid addresses only."""
+    addresses = [flag_value] if isinstance(flag_value, str) else flag_value
     return all(map(is_address, addresses))
 
 
-def _author() -> str:
+def _default_author() -> str:
     try:
         return getpass.getuser()
     except (KeyError, OSError):
         return ''
 
 
-def _spec(
+def _flag_spec(
     define: Callable[..., Any],
     default: Any,
-    text: str,
-    **limits: Any,
+    help_text: str,
+    **define_arguments: Any,
 ) -> FlagSpec:
-    return FlagSpec(define, default, text, limits)
+    return FlagSpec(define, default, help_text, define_arguments)
 
 
 FLAGS: Final = MappingProxyType(
     {
-        'output': _spec(
+        'output': _flag_spec(
             flags.DEFINE_enum,
             'table',
-            'Form of the output: json or table.',
+            'Output format: json or table.',
             enum_values=['json', 'table'],
         ),
-        'store': _spec(
+        'store': _flag_spec(
             flags.DEFINE_string,
             '127.0.0.1:8500',
             'ip:port of the platform, which holds the configuration.',
         ),
-        'timeout_s': _spec(
+        'timeout_s': _flag_spec(
             flags.DEFINE_float,
             2,
-            'Longest time for one call, in seconds.',
+            'Timeout of one request to the store or a daemon, in seconds.',
             lower_bound=0.01,
         ),
-        'patience_s': _spec(
+        'patience_s': _flag_spec(
             flags.DEFINE_float,
             20,
-            'Time after which a change that the store neither accepts nor '
-            'refuses is given up, in seconds.',
+            'Longest time to retry a change that the store neither accepts '
+            'nor refuses, in seconds.',
             lower_bound=0,
         ),
-        'entry': _spec(
+        'entry': _flag_spec(
             flags.DEFINE_list,
             ['127.0.0.1:8000'],
             'ip:port of one or more daemons, separated by commas.',
         ),
-        'author': _spec(
+        'author': _flag_spec(
             flags.DEFINE_string,
-            _author(),
-            'Name for the audit trail, at most 100 characters.',
+            _default_author(),
+            'Name of the author in the audit trail, at most 100 characters.',
         ),
-        'note': _spec(
+        'note': _flag_spec(
             flags.DEFINE_string,
             '',
-            'Reason for the audit trail, at most 400 characters.',
+            'Reason of the change in the audit trail, at most 400 characters.',
         ),
-        'base': _spec(
+        'base': _flag_spec(
             flags.DEFINE_integer,
             None,
-            'Revision that the change was prepared for; another one in '
-            'force is a conflict.',
+            'Revision on which the change is based; if the store holds '
+            'another one, the change is refused as a conflict.',
             lower_bound=0,
         ),
-        'undrain': _spec(
+        'undrain': _flag_spec(
             flags.DEFINE_boolean,
             default=False,
-            text='Allow the change to put drained backend servers to work.',
+            help_text='Allow the change to end the drain of backend servers.',
         ),
-        'wait': _spec(
+        'wait': _flag_spec(
             flags.DEFINE_boolean,
             default=False,
-            text='Wait until every live daemon has the revision in force.',
+            help_text='Wait until every live daemon has the revision in force.',
         ),
-        'wait_s': _spec(
+        'wait_s': _flag_spec(
             flags.DEFINE_float,
             15,
             'Longest wait of --wait, in seconds.',
             lower_bound=0,
         ),
-        'caller': _spec(
+        'caller': _flag_spec(
             flags.DEFINE_string,
             'operator',
             'Name of the caller of the request.',
         ),
-        'rank': _spec(
+        'rank': _flag_spec(
             flags.DEFINE_string,
             None,
             'Rank of the request; by default the rank of the route.',
         ),
-        'deadline_ms': _spec(
+        'deadline_ms': _flag_spec(
             flags.DEFINE_float,
             None,
             'Time for the answer, in milliseconds; by default and at most '
             'the deadline of the route.',
             lower_bound=1,
         ),
-        'ticket': _spec(
+        'ticket': _flag_spec(
             flags.DEFINE_string,
             '',
-            'Ticket of an earlier attempt, whose claim is not run again.',
+            'Ticket of an earlier attempt at the same claim; the claim does '
+            'not run again if it ran then.',
         ),
     },
 )
@@ -153,14 +161,14 @@
     names: Iterable[str],
     environment: Mapping[str, str],
 ) -> flags.FlagValues:
-    """Define flags and set those that the environment names.
+    """Define flags and set them from environment variables.
 
     Parameters
     ----------
     names : iterable of str
         Keys of `FLAGS`.
     environment : mapping
-        ``BORAGESPOOL_<FLAG>`` variables; the command line goes first.
+        ``BORAGESPOOL_<FLAG>`` variables; the command line overrides them.
 
     Returns
     -------
@@ -170,33 +178,33 @@
     Raises
     ------
     absl.flags.IllegalFlagValueError
-        If a variable has a value that its flag refuses.
+        If the value of a variable is not allowed for its flag.
     """
-    # absl has no complete annotations on these two.
+    # absl annotates these two incompletely.
     make_values: Callable[[], flags.FlagValues] = flags.FlagValues
     values = make_values()
     register: Callable[..., None] = flags.register_validator
     for name in names:
         spec = FLAGS[name]
-        variable = f'{PREFIX}{name.upper()}'
+        variable = f'{ENVIRONMENT_PREFIX}{name.upper()}'
         spec.define(
             name,
             default=spec.default,
-            help=f'{spec.text} Environment: {variable}.',
+            help=f'{spec.help_text} Environment: {variable}.',
             flag_values=values,
-            **spec.limits,
+            **spec.define_arguments,
         )
         # argparse_flags shows the flags of the main module only.
         values.register_key_flag_for_module(sys.argv[0], values[name])
         if name in _ADDRESS_FLAGS:
             register(
                 name,
-                _are_addresses,
+                _all_addresses_valid,
                 'allowed: ip:port with a numeric IP address',
                 values,
             )
-        given = environment.get(variable)
-        if given is not None:
-            values[name].parse(given)
+        env_value = environment.get(variable)
+        if env_value is not None:
+            values[name].parse(env_value)
             values[name].using_default_value = False
     return values
--- a/boragespool/cli/invocation.py
+++ b/boragespool/cli/invocation.py
@@ -1,4 +1,4 @@
-"""One call of a command."""
+"""Definition of a command, and its parsed command line."""
 
 from __future__ import annotations
 
@@ -14,12 +14,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Invocation:
-    """Parsed command line.
+    """Parsed command line of a command.
 
     Attributes
     ----------
+    command : str
+        Name of the command.
     arguments : mapping
-        Positional arguments by name.
+        Values of the positional arguments by name.
     flags : mapping
         Values of the flags of the command by name.
     """
@@ -31,20 +33,26 @@
 
 @dataclass(frozen=True, slots=True)
 class Command:
-    """One command.
+    """Definition of a command.
 
     Attributes
     ----------
+    name : str
+        Name on the command line.
+    help_text : str
+        One sentence that says what it does.
+    example : str
+        Command line shown by ``--help``.
     arguments : mapping
         Help texts of the positional arguments by name.
     flags : tuple of str
-        Names of the flags that it takes besides ``output``.
-    example : str
-        Shown by ``--help``.
+        Names of its flags besides ``output``.
+    action : callable
+        Coroutine function that runs the command.
     """
 
     name: str
-    text: str
+    help_text: str
     example: str
     arguments: Mapping[str, str]
     flags: tuple[str, ...]
--- a/boragespool/cli/main.py
+++ b/boragespool/cli/main.py
@@ -1,4 +1,4 @@
-"""Program ``boragespool``, the operators' command."""
+"""Entry point of the command line program ``boragespool``."""
 
 from __future__ import annotations
 
@@ -38,7 +38,7 @@
 
 
 def run() -> None:
-    """Run the command line of this process and exit."""
+    """Run the program with the arguments of this process and exit."""
     sys.exit(main(sys.argv[1:], os.environ))
 
 
@@ -48,7 +48,7 @@
     Parameters
     ----------
     arguments : sequence of str
-        Command line without the program.
+        Command line without the program name.
     environment : mapping
         ``BORAGESPOOL_<FLAG>`` variables.
 
@@ -63,7 +63,7 @@
         With code 0 for ``--help`` and 2 for wrong usage.
     """
     try:
-        values_by_command = {
+        flag_values_by_command = {
             command.name: define_flags(
                 ('output', *command.flags),
                 environment,
@@ -72,23 +72,23 @@
         }
     except flags.Error as error:
         return _usage_error(error)
-    parser = _parser(values_by_command)
+    parser = _build_parser(flag_values_by_command)
     try:
         parsed = vars(parser.parse_args(list(arguments)))
     except flags.Error as error:
         return _usage_error(error)
     command: Command = parsed.pop('command')
-    values = values_by_command[command.name].flag_values_dict()
+    values = flag_values_by_command[command.name].flag_values_dict()
     configure_logging('ERROR')
     invocation = Invocation(command.name, parsed, values)
-    outcome = asyncio.run(_act(command, invocation))
+    outcome = asyncio.run(_run_command(command, invocation))
     if isinstance(outcome, Failure):
         outcome = describe_failure(outcome)
     print(render(outcome, values['output']))
     return outcome.exit_code
 
 
-async def _act(
+async def _run_command(
     command: Command,
     invocation: Invocation,
 ) -> Outcome | Failure:
@@ -100,10 +100,10 @@
     return ExitCode.USAGE
 
 
-def _parser(
-    values_by_command: Mapping[str, flags.FlagValues],
+def _build_parser(
+    flag_values_by_command: Mapping[str, flags.FlagValues],
 ) -> argparse.ArgumentParser:
-    # absl has no annotation on this constructor.
+    # absl does not annotate this constructor.
     make_parser: Callable[..., argparse.ArgumentParser] = ArgumentParser
     parser = make_parser(
         prog='boragespool',
@@ -116,15 +116,15 @@
     for command in COMMANDS:
         subparser = subparsers.add_parser(
             command.name,
-            help=command.text,
-            description=command.text,
+            help=command.help_text,
+            description=command.help_text,
             epilog=f'example:\n  {command.example}\n\n{_EXIT_CODES}',
             formatter_class=argparse.RawDescriptionHelpFormatter,
-            inherited_absl_flags=values_by_command[command.name],
+            inherited_absl_flags=flag_values_by_command[command.name],
         )
         subparser.set_defaults(command=command)
-        for name, text in command.arguments.items():
-            subparser.add_argument(name, help=text)
+        for name, help_text in command.arguments.items():
+            subparser.add_argument(name, help=help_text)
     return parser
 
 
--- a/boragespool/cli/outcome.py
+++ b/boragespool/cli/outcome.py
@@ -1,4 +1,4 @@
-"""What a command returns, and the exit codes."""
+"""Results of commands and their exit codes."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class ExitCode(enum.IntEnum):
-    """Exit codes; ``docs/operators.md`` explains them."""
+    """Exit codes of the program, explained in ``docs/operators.md``."""
 
     DONE = 0
     REJECTED = 1
@@ -26,16 +26,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    """Result of a command.
+    """Output and exit code of a command.
 
     Attributes
     ----------
     body : Any
-        What ``--output json`` prints.
+        Value printed by ``--output json``.
     headings, rows : tuple
-        What ``--output table`` prints.
+        Table printed by ``--output table``.
     notes : tuple of str
-        Lines after the table.
+        Lines printed after the table.
+    exit_code : ExitCode
+        Exit code of the program.
     """
 
     body: Any
@@ -60,20 +62,20 @@
 
 
 def exit_code_of(failure: Failure) -> ExitCode:
-    """Return the exit code of a command that failed."""
+    """Return the exit code for a failure."""
     if failure.run is RunState.UNKNOWN:
         return ExitCode.UNKNOWN
     return _EXIT_CODES.get(failure.code, ExitCode.REFUSED)
 
 
 def error_line(code: ResultCode, reason: str) -> str:
-    """Return one line about an error."""
+    """Return a line with the number, name and reason of an error."""
     name = code.name.lower()
     return f'error {int(code)} {name}: {reason}'
 
 
 def describe_failure(failure: Failure) -> Outcome:
-    """Return the output of a command that failed."""
+    """Return the output and exit code for a failure."""
     body = {
         'code': int(failure.code),
         'name': failure.code.name.lower(),
--- a/boragespool/cli/output.py
+++ b/boragespool/cli/output.py
@@ -1,4 +1,4 @@
-"""Printing the outcome of a command."""
+"""Formatting of command results as JSON or as a table."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 def render(outcome: Outcome, output: str) -> str:
-    """Return the text of an outcome.
+    """Return the text to print for a command result.
 
     Parameters
     ----------
@@ -25,21 +25,28 @@
     Returns
     -------
     str
-        Without trailing newline.
+        Text without a trailing newline.
     """
     if output == 'json':
         encoded = msgspec.json.encode(outcome.body)
         return msgspec.json.format(encoded, indent=2).decode()
-    lines = _table(outcome.headings, outcome.rows) if outcome.headings else []
+    lines = (
+        _format_table(outcome.headings, outcome.rows)
+        if outcome.headings
+        else []
+    )
     return '\n'.join((*lines, *outcome.notes))
 
 
-def _table(
+def _format_table(
     headings: Sequence[str],
     rows: Sequence[Sequence[Any]],
 ) -> list[str]:
-    """Align the columns to their widest cell."""
-    cells = [list(headings), *([_cell(value) for value in row] for row in rows)]
+    """Return the lines of a table with aligned columns."""
+    cells = [
+        list(headings),
+        *([_format_cell(value) for value in row] for row in rows),
+    ]
     widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
     return [
         '  '.join(
@@ -49,5 +56,5 @@
     ]
 
 
-def _cell(value: Any) -> str:
+def _format_cell(value: Any) -> str:
     return '-' if value is None else str(value)
--- a/boragespool/cli/settings_commands.py
+++ b/boragespool/cli/settings_commands.py
@@ -1,4 +1,4 @@
-"""Commands that read settings and revisions."""
+"""Commands that read settings and revisions without changing them."""
 
 from __future__ import annotations
 
@@ -32,14 +32,16 @@
     from boragespool.revisions import Difference
 
 
-def open_store(call: Invocation) -> StoreClient:
-    """Return a client of the platform that the flags name."""
-    return StoreClient(call.flags['store'], call.flags['timeout_s'])
+def open_store(invocation: Invocation) -> StoreClient:
+    """Return a client of the store at the address of ``--store``."""
+    return StoreClient(invocation.flags['store'], invocation.flags['timeout_s'])
 
 
-async def check(call: Invocation) -> Outcome | Failure:
-    """Check a folder and list every problem."""
-    loaded = load_folder_or_problems(pathlib.Path(call.arguments['FOLDER']))
+async def check(invocation: Invocation) -> Outcome | Failure:
+    """Validate a settings folder and list every problem."""
+    loaded = load_folder_or_problems(
+        pathlib.Path(invocation.arguments['FOLDER'])
+    )
     if isinstance(loaded, Settings):
         servers = sum(
             len(service.servers) for service in loaded.services.values()
@@ -65,12 +67,12 @@
     )
 
 
-async def diff(call: Invocation) -> Outcome | Failure:
-    """Compare a folder with the revision in the store."""
-    settings = load_folder(pathlib.Path(call.arguments['FOLDER']))
+async def diff(invocation: Invocation) -> Outcome | Failure:
+    """Compare a settings folder with the revision in the store."""
+    settings = load_folder(pathlib.Path(invocation.arguments['FOLDER']))
     if isinstance(settings, Failure):
         return settings
-    async with open_store(call) as store:
+    async with open_store(invocation) as store:
         base = await read_base(
             store, build_indexes(split_settings(settings))[1]
         )
@@ -90,13 +92,13 @@
     )
 
 
-async def show(call: Invocation) -> Outcome | Failure:
-    """Show the revision in the store with all settings."""
-    async with open_store(call) as store:
+async def show(invocation: Invocation) -> Outcome | Failure:
+    """Show the revision in the store and its non-default settings."""
+    async with open_store(invocation) as store:
         document = await read_current(store)
     if isinstance(document, Failure):
         return document
-    leaves = difference(Settings(ranks={}), document.settings)
+    changed_settings = difference(Settings(ranks={}), document.settings)
     return Outcome(
         {
             'revision': document.revision,
@@ -105,15 +107,15 @@
             'cleared': document.cleared,
         },
         ('setting', 'value'),
-        tuple((leaf.path, leaf.new) for leaf in leaves),
+        tuple((setting.path, setting.new) for setting in changed_settings),
         (f'revision {document.revision}; settings at their default are '
          'left out',),
     )  # fmt: skip
 
 
-async def audit(call: Invocation) -> Outcome | Failure:
+async def audit(invocation: Invocation) -> Outcome | Failure:
     """List the changes of the audit trail, newest first."""
-    async with open_store(call) as store:
+    async with open_store(invocation) as store:
         document = await read_trail(store)
     if document is None:
         return no_revision()
@@ -127,7 +129,7 @@
             (
                 entry.revision,
                 entry.base,
-                _utc(entry.at_s),
+                _format_utc(entry.at_s),
                 entry.author,
                 entry.action,
                 entry.note,
@@ -141,10 +143,10 @@
 def difference_rows(
     differences: Iterable[Difference],
 ) -> tuple[tuple[Any, ...], ...]:
-    """Return table rows of path, old and new value."""
-    return tuple((one.path, one.old, one.new) for one in differences)
+    """Return table rows of setting path, old and new value."""
+    return tuple((entry.path, entry.old, entry.new) for entry in differences)
 
 
-def _utc(at_s: float) -> str:
+def _format_utc(at_s: float) -> str:
     moment = datetime.datetime.fromtimestamp(at_s, datetime.UTC)
     return moment.isoformat(timespec='seconds')
--- a/boragespool/cli/waiting.py
+++ b/boragespool/cli/waiting.py
@@ -1,4 +1,4 @@
-"""Waiting until a revision is in force at every live daemon."""
+"""Polling until a revision is in force at every live daemon."""
 
 from __future__ import annotations
 
@@ -6,23 +6,26 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from boragespool.cli.entries import Reply, call_entry
+from boragespool.cli.daemon_client import Reply, request_daemon
 from boragespool.cli.fleet_status import revision_by_live_host
 
 if TYPE_CHECKING:
     from boragespool.types import Address, HostName, Revision, Seconds
 
-_INTERVAL_S: Final = 0.2
+_POLL_INTERVAL_S: Final = 0.2
 
 
 @dataclass(frozen=True, slots=True)
-class Waited:
-    """What the daemons showed at the end of the wait.
+class WaitResult:
+    """Revisions of the daemons at the end of the wait.
 
     Attributes
     ----------
+    revision : int
+        Revision that was waited for.
     in_force, lagging : tuple of str
-        Live daemons that have, and do not have, the revision in force.
+        Hosts of the live daemons with the revision, or a higher one, in
+        force, and of those with a lower one.
     """
 
     revision: Revision
@@ -30,71 +33,86 @@
     lagging: tuple[HostName, ...]
 
     @property
-    def done(self) -> bool:
-        """Whether at least one daemon is known and none lags."""
+    def is_done(self) -> bool:
+        """Whether there is a live daemon and all of them have the revision."""
         return bool(self.in_force) and not self.lagging
 
     @property
-    def text(self) -> str:
-        """One sentence for operators."""
+    def summary(self) -> str:
+        """Sentence for operators."""
         if not self.in_force and not self.lagging:
             return 'no daemon answered; --entry takes one or more ip:port'
-        text = (
+        summary = (
             f'revision {self.revision} is in force at {len(self.in_force)} '
             'live daemons'
         )
         if self.lagging:
             names = ', '.join(self.lagging)
-            return f'{text}, but not at: {names}'
-        return text
+            return f'{summary}, but not at: {names}'
+        return summary
 
 
 async def wait_in_force(
     revision: Revision,
-    entries: tuple[Address, ...],
+    addresses: tuple[Address, ...],
     wait_s: Seconds,
     timeout_s: Seconds,
-) -> Waited:
-    """Ask daemons for their status until all live ones have a revision.
+) -> WaitResult:
+    """Poll daemons until a revision is in force at all live ones.
 
     Parameters
     ----------
     revision : int
-        A higher revision in force counts as well.
-    entries : tuple of str
-        ``ip:port`` of daemons; each reports itself and its members.
+        Revision to wait for; a higher one in force counts as well.
+    addresses : tuple of str
+        ``ip:port`` of daemons; each reports itself and the other members.
     wait_s : float
         Longest wait, in seconds.
     timeout_s : float
-        Longest time for one call, in seconds.
+        Timeout of one request, in seconds.
 
     Returns
     -------
-    Waited
-        State at the last look.
+    WaitResult
+        Result of the last poll.
     """
     loop = asyncio.get_running_loop()
-    end_s = loop.time() + wait_s
+    wait_until_s = loop.time() + wait_s
     while True:
-        waited = await _look(revision, entries, timeout_s)
-        if waited.done or loop.time() >= end_s:
-            return waited
-        await asyncio.sleep(_INTERVAL_S)
+        wait_result = await _poll_daemons(revision, addresses, timeout_s)
+        if wait_result.is_done or loop.time() >= wait_until_s:
+            return wait_result
+        await asyncio.sleep(_POLL_INTERVAL_S)
 
 
-async def _look(
+async def _poll_daemons(
     revision: Revision,
-    entries: tuple[Address, ...],
+    addresses: tuple[Address, ...],
     timeout_s: Seconds,
-) -> Waited:
+) -> WaitResult:
     replies = await asyncio.gather(
-        *(call_entry(entry, '/v1/status', timeout_s) for entry in entries),
+        *(
+            request_daemon(address, '/v1/status', timeout_s)
+            for address in addresses
+        ),
     )
     revisions = revision_by_live_host(
         reply.body for reply in replies if isinstance(reply, Reply)
     )
-    return Waited(
+    return WaitResult(
         revision,
-        tuple(sorted(h for h, held in revisions.items() if held >= revision)),
-        tuple(sorted(h for h, held in revisions.items() if held < revision)),
+        tuple(
+            sorted(
+                host
+                for host, in_force_revision in revisions.items()
+                if in_force_revision >= revision
+            )
+        ),
+        tuple(
+            sorted(
+                host
+                for host, in_force_revision in revisions.items()
+                if in_force_revision < revision
+            )
+        ),
     )
