State what cache refreshes return and which settings a change replaces

Cause: initial_settings named one use only; two docstrings left results open. Change: it is replacement_settings; docstrings give the returned values.

--- a/boragespool/cli/change_commands.py
+++ b/boragespool/cli/change_commands.py
@@ -116,7 +116,7 @@
 async def _write_revision(
     invocation: Invocation,
     build: _BuildDocument,
-    initial_settings: Settings | None = None,
+    replacement_settings: Settings | None = None,
 ) -> Outcome | Failure:
     """Write a new revision; with ``--wait``, wait until it is in force.
 
@@ -126,8 +126,10 @@
         Parsed command line.
     build : callable
         Returns the new document for the document in the store.
-    initial_settings : Settings, optional
-        Settings of the first revision if the store holds none.
+    replacement_settings : Settings, optional
+        All settings of the new revision, if the change replaces them. They
+        are the first revision if the store holds none, and their parts need
+        not be read from the store.
     """
     change = Change(
         uuid.uuid4().hex,
@@ -143,12 +145,12 @@
     def build_on(base: RevisionDocument | None) -> RevisionDocument | Failure:
         if base is not None:
             return build(base, change)
-        if initial_settings is None:
+        if replacement_settings is None:
             return Failure(
                 ResultCode.REVISION_UNKNOWN,
                 'the store holds no revision yet; apply writes the first one',
             )
-        return next_document(initial_settings, None, change)
+        return next_document(replacement_settings, None, change)
 
     async with open_store(invocation) as store:
         result = await apply_change(
@@ -156,7 +158,7 @@
             build_on,
             invocation.flags['patience_s'],
             invocation.flags['base'],
-            initial_settings,
+            replacement_settings,
         )
     if isinstance(result, Failure):
         return result
--- a/boragespool/cli/flags.py
+++ b/boragespool/cli/flags.py
@@ -88,8 +88,8 @@
         'patience_s': _flag_spec(
             flags.DEFINE_float,
             20,
-            'Longest time to retry a change that the store neither accepts '
-            'nor refuses, in seconds.',
+            'Time after which a change that the store neither accepts nor '
+            'refuses is given up, in seconds.',
             lower_bound=0,
         ),
         'entry': _flag_spec(
--- a/boragespool/client/addresses.py
+++ b/boragespool/client/addresses.py
@@ -164,8 +164,8 @@
         Returns
         -------
         bool
-            Whether tickets were fetched. If another request refreshed the
-            cache meanwhile, whether it holds what is needed now.
+            Whether the cache already held what is needed, or tickets were
+            fetched; False if the deadline passed.
         """
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(deadline_s), self._fetch_lock:
@@ -187,7 +187,13 @@
         return None
 
     async def _fetch(self, deadline_s: Seconds) -> bool:
-        """Try one address after another; return whether tickets came."""
+        """Request addresses and tickets from one daemon after another.
+
+        Returns
+        -------
+        bool
+            Whether a daemon sent tickets.
+        """
         self._addresses_valid_until_s = (
             asyncio.get_running_loop().time() + _REFRESH_RETRY_S
         )
@@ -218,10 +224,10 @@
         query_parameters = {'tickets': str(self._options.ticket_count)}
         if self._options.data_centre:
             query_parameters['data_centre'] = self._options.data_centre
-        parameters = urlencode(query_parameters)
+        query_string = urlencode(query_parameters)
         reply = await self._channel.get(
             address,
-            f'/v1/addresses?{parameters}',
+            f'/v1/addresses?{query_string}',
             min(left_s, self._options.address_timeout_s),
         )
         if not isinstance(reply, Reply) or reply.refusal is not None:
--- a/boragespool/client/answers.py
+++ b/boragespool/client/answers.py
@@ -42,6 +42,8 @@
 
     Attributes
     ----------
+    request_id : str
+        Id of the request, chosen by the client.
     code : ResultCode
         ``COMPLETE`` or ``PARTIAL``.
     snapshot : int
@@ -97,7 +99,8 @@
     ----------
     ticket : str
         Last ticket with which the claim was sent. If `run` is ``UNKNOWN``,
-        pass it to `Client.outcome` and never send the claim again.
+        pass it to `Client.outcome` and never send the claim again. Empty if
+        no ticket was received.
     """
 
     ticket: str = ''
