Rename names of configuration, callers and membership used elsewhere

Names such as HeldRevision, CallerPorts, want, lacks and pause_after were vague or private to the project. They become LocalRevision, CallerControllers, set_target, parts_to_fetch and sleep_with_backoff; the test that patches pause_after by name follows.

--- a/boragespool/bench/configuration_parts.py
+++ b/boragespool/bench/configuration_parts.py
@@ -10,8 +10,11 @@
 
 import msgspec
 
-from boragespool.controllers.configuration.applying import Applied, apply_change
-from boragespool.controllers.configuration.held_revision import HeldRevision
+from boragespool.controllers.configuration.applying import (
+    AppliedChange,
+    apply_change,
+)
+from boragespool.controllers.configuration.local_revision import LocalRevision
 from boragespool.messages import PartsRequest, RevisionReply, RevisionRequest
 from boragespool.results import Failure
 from boragespool.revisions import (
@@ -123,10 +126,10 @@
 
 def first_adoption(settings: Settings) -> str:
     """Describe decoding and validating all parts."""
-    held = HeldRevision()
+    held = LocalRevision()
     packed = encode_revision(RevisionDocument(1, 'first', settings))
     assert not isinstance(packed, Failure)
-    held.want(packed.manifest)
+    held.set_target(packed.manifest)
     _fill(held, packed.manifest, packed.parts)
     started_s = time.process_time()
     adopted = held.adopt(packed.manifest, packed.encoded)
@@ -178,11 +181,11 @@
         packed.encoded.decode(),
         1,
     )
-    held = HeldRevision()
+    held = LocalRevision()
     _fill(held, packed.manifest, packed.parts)
     held.adopt(packed.manifest, packed.encoded)
     applied = asyncio.run(_apply(store, after))
-    assert isinstance(applied, Applied), applied
+    assert isinstance(applied, AppliedChange), applied
     encoded = store.stored[CURRENT_KEY].value.encode()
     texts = {
         key.rpartition('/')[2]: stored.value.encode()
@@ -191,7 +194,7 @@
     }
     manifest = decode_revision(encoded)
     assert isinstance(manifest, Manifest)
-    peer = HeldRevision()
+    peer = LocalRevision()
     _fill(peer, manifest, texts)
     peer.adopt(manifest, encoded)
     fetched_bytes, part_bytes, adopted_ms = _fetch(held, peer)
@@ -217,7 +220,7 @@
     )
 
 
-def _fetch(held: HeldRevision, peer: HeldRevision) -> tuple[int, int, float]:
+def _fetch(held: LocalRevision, peer: LocalRevision) -> tuple[int, int, float]:
     """Fetch a revision as a daemon does; return bytes, parts, time."""
     request = RevisionRequest(held.revision, takes_manifest=True)
     reply = peer.answer(request)
@@ -226,7 +229,7 @@
     started_s = time.process_time()
     manifest = decode_revision(reply.manifest)
     assert isinstance(manifest, Manifest)
-    while lacked := held.lacks(manifest):
+    while lacked := held.parts_to_fetch(manifest):
         assert not isinstance(lacked, Failure)
         parts = PartsRequest(lacked)
         texts = peer.answer_parts(parts)
@@ -240,11 +243,11 @@
 
 
 def _fill(
-    held: HeldRevision,
+    held: LocalRevision,
     manifest: Manifest,
     texts: dict[str, bytes],
 ) -> None:
-    while lacked := held.lacks(manifest):
+    while lacked := held.parts_to_fetch(manifest):
         assert not isinstance(lacked, Failure)
         held.add(lacked, [texts[part] for part in lacked])
 
--- a/boragespool/cli/change_commands.py
+++ b/boragespool/cli/change_commands.py
@@ -12,8 +12,8 @@
 from boragespool.cli.settings_commands import difference_rows, open_store
 from boragespool.cli.waiting import wait_in_force
 from boragespool.controllers.configuration.applying import (
-    Applied,
-    Refused,
+    AppliedChange,
+    RevisionConflict,
     apply_change,
 )
 from boragespool.controllers.configuration.store_access import read_revision
@@ -145,12 +145,12 @@
         )
     if isinstance(result, Failure):
         return result
-    if isinstance(result, Refused):
+    if isinstance(result, RevisionConflict):
         return _describe_refusal(result)
     return await _describe_applied(call, result)
 
 
-def _describe_refusal(refused: Refused) -> Outcome:
+def _describe_refusal(refused: RevisionConflict) -> Outcome:
     """Show the winner and how it differs from what was wanted."""
     found = refused.found
     author = found.audit[-1].author if found.audit else ''
@@ -174,7 +174,9 @@
     )
 
 
-async def _describe_applied(call: Invocation, applied: Applied) -> Outcome:
+async def _describe_applied(
+    call: Invocation, applied: AppliedChange
+) -> Outcome:
     document = applied.document
     before = applied.before.settings if applied.before else Settings()
     differences = difference(before, document.settings)
--- a/boragespool/cli/settings_commands.py
+++ b/boragespool/cli/settings_commands.py
@@ -10,10 +10,10 @@
 
 from boragespool.cli.outcome import ExitCode, Outcome, error_line
 from boragespool.controllers.configuration.store_access import (
-    no_revision,
+    no_revision_failure,
+    read_audit_trail,
     read_base,
     read_current,
-    read_trail,
 )
 from boragespool.results import Failure
 from boragespool.revisions import build_indexes, difference, split_settings
@@ -114,9 +114,9 @@
 async def audit(call: Invocation) -> Outcome | Failure:
     """List the changes of the audit trail, newest first."""
     async with open_store(call) as store:
-        document = await read_trail(store)
+        document = await read_audit_trail(store)
     if document is None:
-        return no_revision()
+        return no_revision_failure()
     if isinstance(document, Failure):
         return document
     entries = tuple(reversed(document.audit))
--- a/boragespool/controllers/callers/caller_admission.py
+++ b/boragespool/controllers/callers/caller_admission.py
@@ -20,7 +20,9 @@
 
 if TYPE_CHECKING:
     from boragespool.blackboard import Blackboard
-    from boragespool.controllers.callers.caller_ports import CallerPorts
+    from boragespool.controllers.callers.caller_controllers import (
+        CallerControllers,
+    )
     from boragespool.http import HttpRequest, HttpResponse
     from boragespool.settings import Settings
 
@@ -49,12 +51,12 @@
     ----------
     board : Blackboard
         Settings in force.
-    ports : CallerPorts
+    ports : CallerControllers
         The admitter decides by rank. The claim controller seals the tickets
         of refused claims, so that ``NOT_RUN`` holds for ever.
     """
 
-    def __init__(self, board: Blackboard, ports: CallerPorts) -> None:
+    def __init__(self, board: Blackboard, ports: CallerControllers) -> None:
         """Keep the controllers."""
         self._board = board
         self._ports = ports
@@ -96,7 +98,7 @@
         head = _peek(request.body)
         rank = _rank(head, settings)
         if not request.deferred:
-            self._ports.overload.note_wait(request.waited_s)
+            self._ports.overload.record_wait(request.waited_s)
         failure = _check_deadline(head, request, settings)
         failure = failure or self._ports.overload.refuse(rank)
         if failure is not None and form is WorkKind.CLAIM:
--- a/boragespool/controllers/callers/caller_ports.py
+++ b/boragespool/controllers/callers/caller_controllers.py
@@ -57,7 +57,7 @@
 class Admitter(Protocol):
     """Decides which requests of callers are admitted."""
 
-    def note_wait(self, waited_s: Seconds) -> None:
+    def record_wait(self, waited_s: Seconds) -> None:
         """Note how long a request waited for the event loop."""
         ...
 
@@ -87,7 +87,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CallerPorts:
+class CallerControllers:
     """Controllers behind the API towards callers."""
 
     query: QueryRunner
--- a/boragespool/controllers/callers/callers.py
+++ b/boragespool/controllers/callers/callers.py
@@ -32,7 +32,9 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
 
-    from boragespool.controllers.callers.caller_ports import CallerPorts
+    from boragespool.controllers.callers.caller_controllers import (
+        CallerControllers,
+    )
     from boragespool.controllers.context import Context
     from boragespool.controllers.requests import ClaimAnswer, QueryAnswer
     from boragespool.http import HttpRequest
@@ -50,11 +52,11 @@
     ----------
     context : Context
         Shared parts of the daemon.
-    ports : CallerPorts
+    ports : CallerControllers
         Controllers that answer.
     """
 
-    def __init__(self, context: Context, ports: CallerPorts) -> None:
+    def __init__(self, context: Context, ports: CallerControllers) -> None:
         """Start without requests."""
         self._context = context
         self._ports = ports
--- a/boragespool/controllers/callers/overload.py
+++ b/boragespool/controllers/callers/overload.py
@@ -46,17 +46,17 @@
     ----------
     context : Context
         Shared parts of the daemon.
-    processor_s : callable, optional
+    cpu_time_s : callable, optional
         Returns the processor time of the event loop's thread, in seconds.
     """
 
     def __init__(
         self,
         context: Context,
-        processor_s: Callable[[], Seconds] = time.thread_time,
+        cpu_time_s: Callable[[], Seconds] = time.thread_time,
     ) -> None:
         """Admit everything; `__enter__` begins to measure."""
-        self._processor_s = processor_s
+        self._cpu_time_s = cpu_time_s
         self._worked_s: Seconds = 0
         self._context = context
         self._admission = Admission()
@@ -76,7 +76,7 @@
         timers = self._context.timers
         self._ticked_s = timers.now_s()
         self._began_s = self._ticked_s
-        self._worked_s = self._processor_s()
+        self._worked_s = self._cpu_time_s()
         self._subscription = timers.every(_TICK_S, self._tick)
         return self
 
@@ -85,7 +85,7 @@
         if self._subscription is not None:
             self._subscription.cancel()
 
-    def note_wait(self, waited_s: Seconds) -> None:
+    def record_wait(self, waited_s: Seconds) -> None:
         """Note how long a request waited for the event loop."""
         self._waits_s.append(waited_s)
 
@@ -106,7 +106,7 @@
             self._end_window(now_s)
 
     def _end_window(self, now_s: Seconds) -> None:
-        worked_s = self._processor_s()
+        worked_s = self._cpu_time_s()
         duration_s = now_s - self._began_s
         window = LoopWindow(
             duration_s,
--- a/boragespool/controllers/configuration/applying.py
+++ b/boragespool/controllers/configuration/applying.py
@@ -9,13 +9,13 @@
 
 from boragespool.controllers.configuration.part_writing import (
     AnsweringStore,
-    pause_after,
+    sleep_with_backoff,
     write_parts,
 )
 from boragespool.controllers.configuration.store_access import (
     Base,
+    read_audit_trail,
     read_base,
-    read_trail,
 )
 from boragespool.results import Failure, ResultCode
 from boragespool.revisions import (
@@ -40,7 +40,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Applied:
+class AppliedChange:
     """A change that the store accepted."""
 
     before: RevisionDocument | None
@@ -48,7 +48,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Refused:
+class RevisionConflict:
     """A change that lost against another one, or was built for another base.
 
     Attributes
@@ -69,7 +69,7 @@
     patience_s: Seconds,
     wanted_base: Revision | None = None,
     settings: Settings | None = None,
-) -> Applied | Refused | Failure:
+) -> AppliedChange | RevisionConflict | Failure:
     """Read the base, build the next document and write it.
 
     Parameters
@@ -124,9 +124,9 @@
     base: Base,
     wanted: RevisionDocument,
     wanted_base: Revision | None,
-) -> Refused | Failure:
+) -> RevisionConflict | Failure:
     if base.document is not None:
-        return Refused(base.document, wanted)
+        return RevisionConflict(base.document, wanted)
     return Failure(
         ResultCode.REVISION_CONFLICT,
         f'the change was prepared for revision {wanted_base!r}, but the store '
@@ -153,7 +153,9 @@
         self._has_lost = False
         self._refusal: Failure | None = None
 
-    async def settle(self, part_store: Store) -> Applied | Refused | Failure:
+    async def settle(
+        self, part_store: Store
+    ) -> AppliedChange | RevisionConflict | Failure:
         """Write and read back until the outcome is known."""
         packed = await write_parts(
             part_store,
@@ -168,7 +170,7 @@
         if self._refusal is not None:
             return self._refusal
         if step is WriteStep.APPLIED:
-            return Applied(self._base.document, self._wanted)
+            return AppliedChange(self._base.document, self._wanted)
         if step is WriteStep.CONFLICT:
             return await self._read_winner()
         return self._unconfirmed()
@@ -196,7 +198,7 @@
             step in {WriteStep.WRITE, WriteStep.READ_BACK} and not self._refusal
         ):
             if failures:
-                await pause_after(failures)
+                await sleep_with_backoff(failures)
             failures += 1
             if step is WriteStep.WRITE:
                 step = next_step_after_write(await self._write())
@@ -225,12 +227,12 @@
         return WriteAnswer.NOT_SENT
 
     async def _read_back(self) -> WriteStep:
-        found = await read_trail(self._store)
+        found = await read_audit_trail(self._store)
         if isinstance(found, Failure):
             return WriteStep.READ_BACK
         return next_step_after_read(self._wanted, found)
 
-    async def _read_winner(self) -> Refused | Failure:
+    async def _read_winner(self) -> RevisionConflict | Failure:
         """Read the revision that won; the own one is never in force."""
         self._may_take_effect = False
         self._has_lost = True
@@ -238,9 +240,9 @@
         while True:
             stored = await read_base(self._store, self._settings_texts[1])
             if not isinstance(stored, Failure) and stored.document:
-                return Refused(stored.document, self._wanted)
+                return RevisionConflict(stored.document, self._wanted)
             failures += 1
-            await pause_after(failures)
+            await sleep_with_backoff(failures)
 
     def _unconfirmed(self) -> Failure:
         change_id = self._wanted.change_id
--- a/boragespool/controllers/configuration/configuration.py
+++ b/boragespool/controllers/configuration/configuration.py
@@ -17,7 +17,7 @@
 )
 from boragespool.controllers.configuration.configuration_store import Stored
 from boragespool.controllers.configuration.host_list import HostList
-from boragespool.controllers.configuration.revision_keeping import (
+from boragespool.controllers.configuration.revision_updating import (
     RevisionKeeper,
 )
 from boragespool.controllers.pauses import backoff_s, pause
--- a/boragespool/controllers/configuration/held_revision.py
+++ b/boragespool/controllers/configuration/local_revision.py
@@ -38,7 +38,7 @@
 _SURPLUS_COUNT: Final = 1_000
 
 
-class HeldRevision:
+class LocalRevision:
     """Texts of parts by hash, and the revision that is made of them.
 
     Attributes
@@ -63,7 +63,7 @@
         """Revision of the document; 0 for none."""
         return self.document.revision if self.document else 0
 
-    def want(self, manifest: Manifest) -> None:
+    def set_target(self, manifest: Manifest) -> None:
         """Keep the parts of a manifest while it is being fetched."""
         if self._wanted is None or manifest.revision > self._wanted.revision:
             self._wanted = manifest
@@ -73,7 +73,9 @@
             if len(self._texts) > 2 * len(wanted) + _SURPLUS_COUNT:
                 self._prune()
 
-    def lacks(self, manifest: Manifest) -> tuple[PartHash, ...] | Failure:
+    def parts_to_fetch(
+        self, manifest: Manifest
+    ) -> tuple[PartHash, ...] | Failure:
         """Return the hashes to fetch next; empty when it is complete."""
         return hashes_to_fetch(manifest, self._texts)
 
--- a/boragespool/controllers/configuration/part_writing.py
+++ b/boragespool/controllers/configuration/part_writing.py
@@ -43,7 +43,7 @@
 _BATCH_INTERVAL_S: Final = 0.1
 
 
-async def pause_after(failures: int) -> None:
+async def sleep_with_backoff(failures: int) -> None:
     """Wait before another call after some that failed."""
     delay_s = backoff_s(
         failures,
@@ -151,7 +151,7 @@
         answer = await store.get(part_key(part))
         while isinstance(answer, Failure):
             failures += 1
-            await pause_after(failures)
+            await sleep_with_backoff(failures)
             answer = await store.get(part_key(part))
         if not isinstance(answer, Missing) and answer.value:
             retired.append(RetiredPart(part, answer.version))
@@ -205,7 +205,7 @@
     answer = await store.put(key, text, expected_version)
     while isinstance(answer, Failure):
         failures += 1
-        await pause_after(failures)
+        await sleep_with_backoff(failures)
         answer = await store.put(key, text, expected_version)
     return None if isinstance(answer, int) else answer.version
 
--- a/boragespool/controllers/configuration/revision_fetching.py
+++ b/boragespool/controllers/configuration/revision_fetching.py
@@ -15,7 +15,9 @@
     from boragespool.controllers.configuration.configuration_store import (
         ValueSource,
     )
-    from boragespool.controllers.configuration.held_revision import HeldRevision
+    from boragespool.controllers.configuration.local_revision import (
+        LocalRevision,
+    )
     from boragespool.controllers.context import Context
     from boragespool.revisions import Manifest, PartHash
     from boragespool.types import HostName, Seconds
@@ -38,7 +40,7 @@
 
     context: Context
     store: ValueSource
-    held: HeldRevision
+    held: LocalRevision
     timeout_s: Seconds
 
     def peer(self, host: HostName) -> Source:
@@ -79,19 +81,19 @@
             Whether nothing is lacking any more; a failure if an index is
             invalid. What was fetched is kept for the next attempt.
         """
-        self.held.want(manifest)
+        self.held.set_target(manifest)
         for source in sources:
             is_helpful = True
             while is_helpful:
                 is_helpful = await self._ask(manifest, source)
-        lacked = self.held.lacks(manifest)
+        lacked = self.held.parts_to_fetch(manifest)
         return lacked if isinstance(lacked, Failure) else not lacked
 
     async def _ask(self, manifest: Manifest, source: Source) -> bool:
         """Tell whether a source brought something and may bring more."""
         if manifest.revision <= self.held.revision:
             return False
-        lacked = self.held.lacks(manifest)
+        lacked = self.held.parts_to_fetch(manifest)
         if isinstance(lacked, Failure) or not lacked:
             return False
         return self.held.add(lacked, await source(lacked))
--- a/boragespool/controllers/configuration/revision_keeping.py
+++ b/boragespool/controllers/configuration/revision_updating.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from boragespool.blackboard.topics import IN_FORCE, MEMBERS
-from boragespool.controllers.configuration.held_revision import HeldRevision
+from boragespool.controllers.configuration.local_revision import LocalRevision
 from boragespool.controllers.configuration.revision_fetching import (
     RevisionFetcher,
 )
@@ -65,7 +65,7 @@
         """Start without a revision."""
         self._context = context
         self._options = options
-        self._held = HeldRevision()
+        self._held = LocalRevision()
         self._fetcher = RevisionFetcher(
             context,
             store,
@@ -116,7 +116,7 @@
             return False
         if self.revision == 0:
             return True
-        lacked = self._held.lacks(value)
+        lacked = self._held.parts_to_fetch(value)
         if isinstance(lacked, Failure):
             return False
         return len(lacked) > self._options.parts_read
--- a/boragespool/controllers/configuration/store_access.py
+++ b/boragespool/controllers/configuration/store_access.py
@@ -107,7 +107,7 @@
     return replace(base, version=answer.version)
 
 
-async def read_trail(store: Store) -> RevisionDocument | Failure | None:
+async def read_audit_trail(store: Store) -> RevisionDocument | Failure | None:
     """Read the current revision without its settings.
 
     Returns
@@ -144,10 +144,10 @@
     base = await read_base(store)
     if isinstance(base, Failure):
         return base
-    return base.document or no_revision()
+    return base.document or no_revision_failure()
 
 
-def no_revision() -> Failure:
+def no_revision_failure() -> Failure:
     """Return the failure for a store without a revision."""
     return Failure(
         ResultCode.REVISION_UNKNOWN,
@@ -174,7 +174,7 @@
     base = await _read(store, answer.value, _NOTHING)
     if isinstance(base, Failure):
         return base
-    return base.document or no_revision()
+    return base.document or no_revision_failure()
 
 
 async def _read(
--- a/boragespool/controllers/membership/member_state.py
+++ b/boragespool/controllers/membership/member_state.py
@@ -43,7 +43,7 @@
         return self.table.own
 
     @property
-    def slowed_options(self) -> membership.MembershipOptions:
+    def scaled_options(self) -> membership.MembershipOptions:
         """Options with the times of failure detection at this health."""
         return membership.scale_timeouts(self.options, self.health)
 
--- a/boragespool/controllers/membership/membership.py
+++ b/boragespool/controllers/membership/membership.py
@@ -143,7 +143,7 @@
         self._tick_s = now_s
         own = replace(table.own, load=self._smoothed_load())
         table = replace(table, own=own)
-        slowed = self._state.slowed_options
+        slowed = self._state.scaled_options
         self._state.apply(membership.expire_members(table, now_s, slowed))
         self._pinger.join()
         if now_s - self._seed_tick_s >= options.seed_interval_s:
--- a/boragespool/controllers/membership/pinging.py
+++ b/boragespool/controllers/membership/pinging.py
@@ -125,7 +125,7 @@
         state = self._state
         host = tested.host
         started_s = state.now_s
-        timeout_s = state.slowed_options.ping_timeout_s
+        timeout_s = state.scaled_options.ping_timeout_s
         if await self.ping(host, timeout_s) or await self._ping_by_helpers(
             tested,
             timeout_s,
--- a/boragespool/daemon/controllers.py
+++ b/boragespool/daemon/controllers.py
@@ -7,7 +7,7 @@
 
 from boragespool.controllers.backend_servers.dispatch import DispatchController
 from boragespool.controllers.backend_servers.servers import ServerController
-from boragespool.controllers.callers.caller_ports import CallerPorts
+from boragespool.controllers.callers.caller_controllers import CallerControllers
 from boragespool.controllers.callers.callers import CallerApi
 from boragespool.controllers.callers.overload import OverloadController
 from boragespool.controllers.claims.claims import ClaimController
@@ -87,6 +87,6 @@
         QueryController(context, observations=observations)
     )
     overload = stack.enter_context(OverloadController(context))
-    ports = CallerPorts(queries, claims, membership, dispatch, overload)
+    ports = CallerControllers(queries, claims, membership, dispatch, overload)
     api = await stack.enter_async_context(CallerApi(context, ports))
     return Controllers(membership, claims, dispatch, api)
--- a/tests/caller_fakes.py
+++ b/tests/caller_fakes.py
@@ -7,7 +7,7 @@
 
 from boragespool.blackboard import Blackboard
 from boragespool.blackboard.topics import IN_FORCE, PHASE
-from boragespool.controllers.callers.caller_ports import CallerPorts
+from boragespool.controllers.callers.caller_controllers import CallerControllers
 from boragespool.controllers.callers.callers import CallerApi
 from boragespool.controllers.context import Context, Identity
 from boragespool.controllers.requests import ClaimAnswer, QueryAnswer
@@ -57,7 +57,7 @@
     def addresses(self, data_centre, count):
         return tuple(self.addresses_given[:count])
 
-    def note_wait(self, waited_s):
+    def record_wait(self, waited_s):
         self.waits_s.append(waited_s)
 
     def refuse(self, *given):
@@ -123,4 +123,4 @@
         board.post(IN_FORCE, RevisionDocument(3, 'c3', settings))
     identity = Identity('h1', 5, 'north', 'r', '127.0.0.1:1', '127.0.0.1:2')
     context = Context(identity, board, VirtualTimers(), None, lambda: 0.5)
-    return CallerApi(context, CallerPorts(*[tier] * 5)), board
+    return CallerApi(context, CallerControllers(*[tier] * 5)), board
--- a/tests/test_apply_races.py
+++ b/tests/test_apply_races.py
@@ -11,14 +11,14 @@
 
 from boragespool.controllers.configuration import applying, part_writing
 from boragespool.controllers.configuration.applying import (
-    Applied,
-    Refused,
+    AppliedChange,
+    RevisionConflict,
     apply_change,
 )
 from boragespool.controllers.configuration.store_access import (
+    read_audit_trail,
     read_base,
     read_revision,
-    read_trail,
 )
 from boragespool.results import Failure, ResultCode
 from boragespool.revisions import (
@@ -174,8 +174,8 @@
         await asyncio.sleep(0)
 
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(part_writing, 'pause_after', again)
-        patch.setattr(applying, 'pause_after', again)
+        patch.setattr(part_writing, 'sleep_with_backoff', again)
+        patch.setattr(applying, 'sleep_with_backoff', again)
         patch.setattr(retention, 'KEPT_REVISIONS', KEPT)
         yield
 
@@ -194,15 +194,15 @@
     assert [one.revision for one in manifests] == list(range(1, len(ids) + 1))
     assert len(set(ids)) == len(ids)
     for change_id, result in results.items():
-        if isinstance(result, Applied):
+        if isinstance(result, AppliedChange):
             assert change_id in ids
-        elif isinstance(result, Refused):
+        elif isinstance(result, RevisionConflict):
             assert change_id not in ids
         else:
             assert result.code is not ResultCode.APPLY_UNCONFIRMED
             assert change_id not in ids
     if ids:
-        trail = asyncio.run(read_trail(store))
+        trail = asyncio.run(read_audit_trail(store))
         assert [entry.change_id for entry in trail.audit] == ids
         assert asyncio.run(read_base(store)).document.audit == trail.audit
 
@@ -220,7 +220,7 @@
                 5,
                 settings=wanted,
             )
-            assert isinstance(done, Applied)
+            assert isinstance(done, AppliedChange)
 
     asyncio.run(apply_all(30))
     filled = [key for key, one in store.stored.items() if one.value]
@@ -245,7 +245,7 @@
     store = FaultyStore(1, 0)
     wanted = many_servers(2_000)
     apply = apply_change(store, build_from(wanted, 'a'), 0.25, settings=wanted)
-    assert isinstance(asyncio.run(apply), Applied)
+    assert isinstance(asyncio.run(apply), AppliedChange)
     # Batches of 20 calls and 0.1 s between two of them.
     assert store.calls['put'] > 60
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -12,8 +12,8 @@
 from boragespool.cli.fleet_status import read_report, revision_by_live_host
 from boragespool.cli.main import main
 from boragespool.controllers.configuration.applying import (
-    Applied,
-    Refused,
+    AppliedChange,
+    RevisionConflict,
     apply_change,
 )
 from boragespool.results import Failure, ResultCode
@@ -108,7 +108,7 @@
     """A change must not be reported as failed, or be applied twice."""
     store = FakeStore(*faults)
     result = run_change(store, patience_s=5)
-    assert isinstance(result, Applied)
+    assert isinstance(result, AppliedChange)
     assert store.stored[CURRENT_KEY].version == 1
 
 
@@ -133,10 +133,10 @@
         )
 
     applied, refused = sorted(
-        asyncio.run(race()), key=lambda one: isinstance(one, Refused)
+        asyncio.run(race()), key=lambda one: isinstance(one, RevisionConflict)
     )
-    assert isinstance(applied, Applied)
-    assert isinstance(refused, Refused)
+    assert isinstance(applied, AppliedChange)
+    assert isinstance(refused, RevisionConflict)
     assert refused.found == applied.document
     assert refused.wanted.settings != refused.found.settings
 
--- a/tests/test_configuration_parts.py
+++ b/tests/test_configuration_parts.py
@@ -14,7 +14,7 @@
 from boragespool.controllers.configuration.configuration import (
     ConfigurationOptions,
 )
-from boragespool.controllers.configuration.held_revision import HeldRevision
+from boragespool.controllers.configuration.local_revision import LocalRevision
 from boragespool.messages import (
     PartsReply,
     PartsRequest,
@@ -236,7 +236,7 @@
 
 def test_parts_of_revisions_that_never_complete_do_not_pile_up():
     """Parts lost one revision after the other must not fill the memory."""
-    held = HeldRevision()
+    held = LocalRevision()
     for number in range(1, 40):
         given_settings = many_servers(2_000, number)
         service = given_settings.services['a']
@@ -248,10 +248,10 @@
             given_settings, services={'a': service}
         )
         packed = encode_revision(RevisionDocument(number, 'c', given_settings))
-        held.want(packed.manifest)
-        lacked = held.lacks(packed.manifest)
+        held.set_target(packed.manifest)
+        lacked = held.parts_to_fetch(packed.manifest)
         held.add(lacked, [packed.parts[one] for one in lacked])
-        lacked = held.lacks(packed.manifest)
+        lacked = held.parts_to_fetch(packed.manifest)
         held.add(lacked, [packed.parts[one] for one in lacked[1:]])
     assert len(held._texts) < 1_300
 
@@ -261,13 +261,13 @@
 
 def adopt_parts(held, packed, dropped):
     """Offer a revision of whose parts some may never arrive."""
-    held.want(packed.manifest)
-    lacked = held.lacks(packed.manifest)
+    held.set_target(packed.manifest)
+    lacked = held.parts_to_fetch(packed.manifest)
     while lacked:
         texts = [packed.parts[one] for one in lacked[dropped:]]
         if not held.add(lacked, [*texts, b'{}']):
             return None
-        lacked = held.lacks(packed.manifest)
+        lacked = held.parts_to_fetch(packed.manifest)
     return held.adopt(packed.manifest, packed.encoded)
 
 
@@ -280,7 +280,7 @@
 )
 def test_held_revision_is_whole_and_never_lower(steps):
     """Parts that arrive in any order must not make or revert a revision."""
-    held = HeldRevision()
+    held = LocalRevision()
     highest = 0
     for index, is_whole, dropped in steps:
         document = revisions(5, 120)[index]
--- a/tests/test_membership_controller.py
+++ b/tests/test_membership_controller.py
@@ -146,7 +146,7 @@
             state.health = 0
             doubted = replace(state.own, status=MemberStatus.SUSPECT)
             state.receive((doubted,), 'b')
-            assert state.slowed_options.suspicion_s == 2 * OPTIONS.suspicion_s
+            assert state.scaled_options.suspicion_s == 2 * OPTIONS.suspicion_s
 
     asyncio.run(run())
 
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -229,7 +229,7 @@
                     and failure.run == 'not_run'
                     and failure.retry_after_s > 0
                 )
-            controller.note_wait(0.3 if step < 20 else 0)
+            controller.record_wait(0.3 if step < 20 else 0)
             timers.advance(0.05)
         assert refused[Rank.URGENT] == 0
         assert refused[Rank.DEFERRABLE] > 100
@@ -259,7 +259,7 @@
     timers = LateTimers()
     controller, _, board = make_controller()
     controller._context = replace(controller._context, timers=timers)
-    controller._processor_s = lambda: busy * timers.now_s()
+    controller._cpu_time_s = lambda: busy * timers.now_s()
     with controller:
         for _ in range(20):
             for _ in range(40):
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from boragespool.controllers.configuration.held_revision import HeldRevision
+from boragespool.controllers.configuration.local_revision import LocalRevision
 from boragespool.messages import MemberRecord
 from boragespool.results import Failure, ResultCode
 from boragespool.revisions import (
@@ -60,7 +60,7 @@
 def test_highest_valid_revision_stays_in_force(order, data):
     """A late, repeated or invalid document must not revert a newer one."""
     documents = chain(7)
-    held = HeldRevision()
+    held = LocalRevision()
     highest = 0
     for index in order:
         encoded = encode_document(documents[index])
