--- a/boragespool/controllers/callers/caller_admission.py
+++ b/boragespool/controllers/callers/caller_admission.py
@@ -56,10 +56,12 @@
         of refused claims, so that ``NOT_RUN`` holds for ever.
     """
 
-    def __init__(self, board: Blackboard, ports: CallerControllers) -> None:
+    def __init__(
+        self, board: Blackboard, controllers: CallerControllers
+    ) -> None:
         """Keep the controllers."""
         self._board = board
-        self._ports = ports
+        self._controllers = controllers
 
     def check(
         self,
@@ -95,21 +97,21 @@
         settings: Settings,
     ) -> HttpResponse | None:
         """Return a refusal, or None for a request that goes on."""
-        head = _peek(request.body)
-        rank = _rank(head, settings)
+        head = _decode_head(request.body)
+        rank = _admission_rank(head, settings)
         if not request.deferred:
-            self._ports.overload.record_wait(request.waited_s)
+            self._controllers.overload.record_wait(request.waited_s)
         failure = _check_deadline(head, request, settings)
-        failure = failure or self._ports.overload.refuse(rank)
+        failure = failure or self._controllers.overload.refuse(rank)
         if failure is not None and form is WorkKind.CLAIM:
-            failure = self._ports.claims.refuse(head.ticket, failure)
+            failure = self._controllers.claims.refuse(head.ticket, failure)
         if failure is None:
             return None
         REQUESTS.labels(form.value, rank.value, int(failure.code)).inc()
         return replace(failure_response(failure), defer_next=True)
 
 
-def _peek(raw: bytes) -> _Head:
+def _decode_head(raw: bytes) -> _Head:
     """Decode the deciding fields only; what is invalid has none."""
     try:
         return _DECODER.decode(raw)
@@ -117,7 +119,7 @@
         return _UNREADABLE
 
 
-def _rank(head: _Head, settings: Settings) -> Rank:
+def _admission_rank(head: _Head, settings: Settings) -> Rank:
     """Return the rank, the lowest one for a request that is not valid."""
     route = settings.routes.get(head.route)
     if route is None:
--- a/boragespool/controllers/callers/caller_controllers.py
+++ b/boragespool/controllers/callers/caller_controllers.py
@@ -54,7 +54,7 @@
         ...
 
 
-class Admitter(Protocol):
+class AdmissionControl(Protocol):
     """Decides which requests of callers are admitted."""
 
     def record_wait(self, waited_s: Seconds) -> None:
@@ -94,4 +94,4 @@
     claims: ClaimRunner
     members: AddressSource
     dispatch: QueueReporter
-    overload: Admitter
+    overload: AdmissionControl
--- a/boragespool/controllers/callers/caller_input.py
+++ b/boragespool/controllers/callers/caller_input.py
@@ -26,9 +26,9 @@
     from boragespool.settings import RouteSettings, Settings
 
 CLAIM_PREFIX: Final = '/v1/claim/'
-NAME_LENGTH: Final = 128
-_SHOWN_LENGTH: Final = 64
-TICKET_LENGTH: Final = 512
+MAX_NAME_LENGTH: Final = 128
+_MAX_SHOWN_LENGTH: Final = 64
+MAX_TICKET_LENGTH: Final = 512
 _MS_PER_S: Final = 1_000
 _RANKS: Final = tuple(Rank)
 _METHODS_BY_PATH: Final = MappingProxyType(
@@ -114,7 +114,7 @@
     route = _find_route(given.route, form, settings.routes)
     if isinstance(route, Failure):
         return route
-    rank = _lower_rank(given.rank, route.rank)
+    rank = _effective_rank(given.rank, route.rank)
     if isinstance(rank, Failure):
         return rank
     deadline_s = _deadline_s(given.deadline_ms, route)
@@ -131,7 +131,7 @@
     """Refuse a path or a method that is not part of the API."""
     method = _METHODS_BY_PATH.get(path)
     if method is None:
-        shown = path[:_SHOWN_LENGTH]
+        shown = path[:_MAX_SHOWN_LENGTH]
         allowed = sorted(_METHODS_BY_PATH)
         return Failure(
             ResultCode.UNKNOWN_PATH,
@@ -149,9 +149,9 @@
 def check_ticket(ticket: str) -> Failure | None:
     """Refuse a ticket that no daemon can have issued."""
     is_plain = ticket.isascii() and ticket.isprintable() and ' ' not in ticket
-    if ticket and is_plain and len(ticket) <= TICKET_LENGTH:
+    if ticket and is_plain and len(ticket) <= MAX_TICKET_LENGTH:
         return None
-    shown = ticket[:NAME_LENGTH]
+    shown = ticket[:MAX_NAME_LENGTH]
     return Failure(
         ResultCode.BAD_TICKET,
         f'ticket {shown!r} is not one that GET /v1/addresses hands out',
@@ -174,10 +174,12 @@
     if text is None:
         return default
     # The length keeps int() away from numbers with thousands of digits.
-    is_number = text.isascii() and text.isdigit() and len(text) < NAME_LENGTH
+    is_number = (
+        text.isascii() and text.isdigit() and len(text) < MAX_NAME_LENGTH
+    )
     if is_number and int(text) <= highest:
         return int(text)
-    shown = text[:NAME_LENGTH]
+    shown = text[:MAX_NAME_LENGTH]
     return Failure(
         ResultCode.MALFORMED_PARAMETER,
         f'parameter {name!r} is {shown!r}; allowed are whole numbers from 0 '
@@ -191,20 +193,20 @@
         return members
     unknown = sorted(members.keys() - _ALLOWED_FIELDS)
     if unknown:
-        shown = unknown[0][:NAME_LENGTH]
+        shown = unknown[0][:MAX_NAME_LENGTH]
         allowed = sorted(_ALLOWED_FIELDS)
         return _malformed(f'unknown field {shown!r}; allowed are {allowed!r}')
     try:
         given = msgspec.json.decode(raw, type=CallerBody)
     except msgspec.ValidationError as error:
         return _malformed(f'a field is missing or has a wrong type: {error}')
-    if not 0 < len(given.caller) <= NAME_LENGTH:
+    if not 0 < len(given.caller) <= MAX_NAME_LENGTH:
         return _malformed(
-            f'field caller must have 1 to {NAME_LENGTH} characters',
+            f'field caller must have 1 to {MAX_NAME_LENGTH} characters',
         )
-    if len(given.request_id) > NAME_LENGTH:
+    if len(given.request_id) > MAX_NAME_LENGTH:
         return _malformed(
-            f'field request_id must have at most {NAME_LENGTH} characters',
+            f'field request_id must have at most {MAX_NAME_LENGTH} characters',
         )
     return given
 
@@ -216,7 +218,7 @@
 ) -> RouteSettings | Failure:
     route = routes.get(name)
     if route is None:
-        shown = name[:NAME_LENGTH]
+        shown = name[:MAX_NAME_LENGTH]
         allowed = sorted(routes)
         return Failure(
             ResultCode.UNKNOWN_ROUTE,
@@ -230,11 +232,11 @@
     return route
 
 
-def _lower_rank(text: str | None, highest: Rank) -> Rank | Failure:
+def _effective_rank(text: str | None, highest: Rank) -> Rank | Failure:
     if text is None:
         return highest
     if text not in _RANKS:
-        shown = text[:NAME_LENGTH]
+        shown = text[:MAX_NAME_LENGTH]
         allowed = [rank.value for rank in _RANKS]
         return Failure(
             ResultCode.UNKNOWN_RANK,
--- a/boragespool/controllers/callers/callers.py
+++ b/boragespool/controllers/callers/callers.py
@@ -42,7 +42,7 @@
 
     _AnswerT = TypeVar('_AnswerT', QueryAnswer, ClaimAnswer)
 
-_LARGEST_COUNT: Final = 64
+_MAX_COUNT: Final = 64
 
 
 class CallerApi:
@@ -56,13 +56,15 @@
         Controllers that answer.
     """
 
-    def __init__(self, context: Context, ports: CallerControllers) -> None:
+    def __init__(
+        self, context: Context, controllers: CallerControllers
+    ) -> None:
         """Start without requests."""
         self._context = context
-        self._ports = ports
-        self._admission = CallerAdmission(context.board, ports)
+        self._controllers = controllers
+        self._admission = CallerAdmission(context.board, controllers)
         self._in_flight = 0
-        self._numbers = itertools.count(1)
+        self._request_numbers = itertools.count(1)
 
     async def __aenter__(self) -> Self:
         """Return the API."""
@@ -100,7 +102,7 @@
         if path == '/metrics':
             return HttpResponse(200, generate_latest(), CONTENT_TYPE_LATEST)
         if path == '/v1/status':
-            queues = self._ports.dispatch.status()
+            queues = self._controllers.dispatch.status()
             return json_response(
                 describe_status(self._context, self._in_flight, queues),
             )
@@ -117,13 +119,13 @@
             'count',
             given.get('count'),
             settings.count,
-            _LARGEST_COUNT,
+            _MAX_COUNT,
         )
         tickets = check_parameter(
             'tickets',
             given.get('tickets'),
             0,
-            _LARGEST_COUNT,
+            _MAX_COUNT,
         )
         if isinstance(count, Failure):
             return failure_response(count)
@@ -133,7 +135,9 @@
             'data_centre',
             self._context.identity.data_centre,
         )
-        addresses = self._ports.members.addresses(data_centre, max(1, count))
+        addresses = self._controllers.members.addresses(
+            data_centre, max(1, count)
+        )
         if not addresses:
             return failure_response(
                 Failure(
@@ -146,14 +150,14 @@
             {
                 'addresses': addresses,
                 'keep_s': settings.keep_s,
-                'tickets': self._issue(tickets),
+                'tickets': self._issue_tickets(tickets),
             },
         )
 
-    def _issue(self, count: int) -> tuple[str, ...]:
+    def _issue_tickets(self, count: int) -> tuple[str, ...]:
         """Issue tickets, but not for the time after this daemon has left."""
         if count and self._context.board.read(PHASE) is not Phase.LEAVING:
-            return self._ports.claims.issue(count)
+            return self._controllers.claims.issue(count)
         return ()
 
     async def _serve_query(self, request: HttpRequest) -> HttpResponse:
@@ -172,7 +176,7 @@
         return await self._answer(
             query.request_id,
             (WorkKind.QUERY, checked.rank),
-            self._ports.query.answer(query),
+            self._controllers.query.answer(query),
         )
 
     async def _serve_claim(self, request: HttpRequest) -> HttpResponse:
@@ -192,7 +196,7 @@
         return await self._answer(
             claim.request_id,
             (WorkKind.CLAIM, checked.rank),
-            self._ports.claims.run(claim),
+            self._controllers.claims.run(claim),
         )
 
     async def _serve_outcome(self, request: HttpRequest) -> HttpResponse:
@@ -204,34 +208,34 @@
         return await self._answer(
             request_id,
             ('outcome', ''),
-            self._ports.claims.outcome(ticket, request_id),
+            self._controllers.claims.outcome(ticket, request_id),
         )
 
     def _new_request_id(self) -> RequestId:
         identity = self._context.identity
-        number = next(self._numbers)
+        number = next(self._request_numbers)
         return f'{identity.host}.{identity.incarnation}.{number}'
 
     async def _answer(
         self,
         request_id: RequestId,
         labels: tuple[str, str],
-        answering: Awaitable[_AnswerT | Failure],
+        pending_answer: Awaitable[_AnswerT | Failure],
     ) -> HttpResponse:
         """Await one controller and encode its answer."""
         started_s = self._context.timers.now_s()
         self._count_in_flight(1)
         try:
-            answer = await answering
+            answer = await pending_answer
         finally:
             self._count_in_flight(-1)
-        taken_s = self._context.timers.now_s() - started_s
-        LATENCY.labels(*labels).observe(taken_s)
+        elapsed_s = self._context.timers.now_s() - started_s
+        LATENCY.labels(*labels).observe(elapsed_s)
         if not isinstance(answer, Failure) and answer.request_id != request_id:
-            answer = _crossed(request_id, answer.request_id)
+            answer = _mismatched_answer(request_id, answer.request_id)
         REQUESTS.labels(*labels, int(answer.code)).inc()
         if isinstance(answer, Failure):
-            return _refuse(answer, request_id)
+            return _refusal_response(answer, request_id)
         body: dict[str, Any] = msgspec.to_builtins(answer)
         body['name'] = answer.code.name.lower()
         return json_response(body, http_status(answer.code))
@@ -241,7 +245,7 @@
         self._context.board.post(LOAD, self._in_flight)
 
 
-def _crossed(request_id: RequestId, other: RequestId) -> Failure:
+def _mismatched_answer(request_id: RequestId, other: RequestId) -> Failure:
     """Refuse the answer to another request."""
     return Failure(
         ResultCode.INTERNAL_ERROR,
@@ -250,7 +254,7 @@
     )
 
 
-def _refuse(failure: Failure, request_id: RequestId) -> HttpResponse:
+def _refusal_response(failure: Failure, request_id: RequestId) -> HttpResponse:
     refused = failure_response(failure)
     body: dict[str, Any] = msgspec.json.decode(refused.body)
     return json_response(body | {'request_id': request_id}, refused.status)
--- a/boragespool/controllers/callers/overload.py
+++ b/boragespool/controllers/callers/overload.py
@@ -31,7 +31,7 @@
     from boragespool.types import Seconds
 
 #: A timer of 40 calls per second costs about 0.1% of a core.
-_TICK_S: Final = 0.025
+_TICK_INTERVAL_S: Final = 0.025
 _WINDOW_S: Final = 0.25
 #: Shortest time between two log events of one overload.
 _LOG_INTERVAL_S: Final = 1
@@ -57,27 +57,27 @@
     ) -> None:
         """Admit everything; `__enter__` begins to measure."""
         self._cpu_time_s = cpu_time_s
-        self._worked_s: Seconds = 0
+        self._window_start_cpu_s: Seconds = 0
         self._context = context
         self._admission = Admission()
-        self._thinning_by_rank = {rank: RequestSampler() for rank in Rank}
-        self._failure_by_rank: dict[Rank, Failure] = {}
+        self._sampler_by_rank = {rank: RequestSampler() for rank in Rank}
+        self._refusal_by_rank: dict[Rank, Failure] = {}
         self._subscription: Subscription | None = None
-        self._arrived: Counter[Rank] = Counter()
-        self._admitted: Counter[Rank] = Counter()
-        self._late_s: list[Seconds] = []
-        self._waits_s: list[Seconds] = []
-        self._ticked_s: Seconds = 0
-        self._began_s: Seconds = 0
-        self._logged_s = float('-inf')
+        self._arrived_by_rank: Counter[Rank] = Counter()
+        self._admitted_by_rank: Counter[Rank] = Counter()
+        self._timer_delays_s: list[Seconds] = []
+        self._request_waits_s: list[Seconds] = []
+        self._last_tick_at_s: Seconds = 0
+        self._window_started_at_s: Seconds = 0
+        self._last_logged_at_s = float('-inf')
 
     def __enter__(self) -> Self:
         """Begin to measure."""
         timers = self._context.timers
-        self._ticked_s = timers.now_s()
-        self._began_s = self._ticked_s
-        self._worked_s = self._cpu_time_s()
-        self._subscription = timers.every(_TICK_S, self._tick)
+        self._last_tick_at_s = timers.now_s()
+        self._window_started_at_s = self._last_tick_at_s
+        self._window_start_cpu_s = self._cpu_time_s()
+        self._subscription = timers.every(_TICK_INTERVAL_S, self._tick)
         return self
 
     def __exit__(self, *exc_info: object) -> None:
@@ -87,45 +87,47 @@
 
     def record_wait(self, waited_s: Seconds) -> None:
         """Note how long a request waited for the event loop."""
-        self._waits_s.append(waited_s)
+        self._request_waits_s.append(waited_s)
 
     def refuse(self, rank: Rank) -> Failure | None:
         """Count a request; return a refusal unless it is admitted."""
-        self._arrived[rank] += 1
+        self._arrived_by_rank[rank] += 1
         share = self._admission.share_by_rank[rank]
-        if share >= 1 or self._thinning_by_rank[rank].admit(share):
-            self._admitted[rank] += 1
+        if share >= 1 or self._sampler_by_rank[rank].admit(share):
+            self._admitted_by_rank[rank] += 1
             return None
-        return self._failure_by_rank[rank]
+        return self._refusal_by_rank[rank]
 
     def _tick(self) -> None:
         now_s = self._context.timers.now_s()
-        self._late_s.append(max(0, now_s - self._ticked_s - _TICK_S))
-        self._ticked_s = now_s
-        if now_s - self._began_s >= _WINDOW_S:
+        self._timer_delays_s.append(
+            max(0, now_s - self._last_tick_at_s - _TICK_INTERVAL_S)
+        )
+        self._last_tick_at_s = now_s
+        if now_s - self._window_started_at_s >= _WINDOW_S:
             self._end_window(now_s)
 
     def _end_window(self, now_s: Seconds) -> None:
-        worked_s = self._cpu_time_s()
-        duration_s = now_s - self._began_s
+        cpu_s = self._cpu_time_s()
+        duration_s = now_s - self._window_started_at_s
         window = LoopWindow(
             duration_s,
-            max(_mean(self._late_s), _mean(self._waits_s)),
-            self._arrived,
-            self._admitted,
-            (worked_s - self._worked_s) / duration_s,
+            max(_mean(self._timer_delays_s), _mean(self._request_waits_s)),
+            self._arrived_by_rank,
+            self._admitted_by_rank,
+            (cpu_s - self._window_start_cpu_s) / duration_s,
         )
-        self._worked_s = worked_s
+        self._window_start_cpu_s = cpu_s
         before = self._admission
         after = next_admission(before, window, self._floors())
-        self._began_s = now_s
-        self._arrived = Counter()
-        self._admitted = Counter()
-        self._late_s.clear()
-        self._waits_s.clear()
+        self._window_started_at_s = now_s
+        self._arrived_by_rank = Counter()
+        self._admitted_by_rank = Counter()
+        self._timer_delays_s.clear()
+        self._request_waits_s.clear()
         self._admission = after
-        self._failure_by_rank = {
-            rank: _overloaded(rank, share)
+        self._refusal_by_rank = {
+            rank: _overload_refusal(rank, share)
             for rank, share in after.share_by_rank.items()
         }
         self._publish(before, after, now_s)
@@ -140,24 +142,27 @@
         LATENESS.set(after.lateness_s)
         for rank, share in after.share_by_rank.items():
             ADMITTED.labels(rank.value).set(share)
-        is_due = now_s - self._logged_s >= _LOG_INTERVAL_S
+        is_due = now_s - self._last_logged_at_s >= _LOG_INTERVAL_S
         if before.is_limited != after.is_limited or (
             is_due and before.share_by_rank != after.share_by_rank
         ):
-            self._logged_s = now_s
+            self._last_logged_at_s = now_s
             _log_change(before, after)
 
     def _floors(self) -> Mapping[Rank, float]:
         document = self._context.board.read(IN_FORCE)
         settings = document.settings if document else Settings()
-        return {rank: given.floor for rank, given in settings.ranks.items()}
+        return {
+            rank: rank_settings.floor
+            for rank, rank_settings in settings.ranks.items()
+        }
 
 
-def _mean(measured_s: list[Seconds]) -> Seconds:
-    return sum(measured_s) / len(measured_s) if measured_s else 0
+def _mean(samples_s: list[Seconds]) -> Seconds:
+    return sum(samples_s) / len(samples_s) if samples_s else 0
 
 
-def _overloaded(rank: Rank, share: float) -> Failure:
+def _overload_refusal(rank: Rank, share: float) -> Failure:
     return Failure(
         ResultCode.OVERLOADED,
         f'the daemon is overloaded and admits {share:.2f} of the '
@@ -167,23 +172,23 @@
 
 
 def _log_change(before: Admission, after: Admission) -> None:
-    shares = _rounded(after)
+    shares = _rounded_shares(after)
     log_event(
         Event.ADMISSION_CHANGED,
         f'admitted shares by rank are {shares!r}',
         level=logging.WARNING if after.is_limited else logging.INFO,
-        shares_before=_rounded(before),
+        shares_before=_rounded_shares(before),
         shares=shares,
         limit_per_s=after.limit_per_s if after.is_limited else None,
         lateness_s=round(after.lateness_s, 4),
         wanted_per_s={
-            rank.value: round(wanted, 1)
-            for rank, wanted in after.expected_per_s_by_rank.items()
+            rank.value: round(expected_per_s, 1)
+            for rank, expected_per_s in after.expected_per_s_by_rank.items()
         },
     )
 
 
-def _rounded(admission: Admission) -> dict[str, float]:
+def _rounded_shares(admission: Admission) -> dict[str, float]:
     return {
         rank.value: round(share, 3)
         for rank, share in admission.share_by_rank.items()
--- a/boragespool/controllers/configuration/applying.py
+++ b/boragespool/controllers/configuration/applying.py
@@ -8,12 +8,12 @@
 from typing import TYPE_CHECKING
 
 from boragespool.controllers.configuration.part_writing import (
-    AnsweringStore,
+    ProgressReportingStore,
     sleep_with_backoff,
     write_parts,
 )
 from boragespool.controllers.configuration.store_access import (
-    Base,
+    StoredBase,
     read_audit_trail,
     read_base,
 )
@@ -66,8 +66,8 @@
 async def apply_change(
     store: Store,
     build: Callable[[RevisionDocument | None], RevisionDocument | Failure],
-    patience_s: Seconds,
-    wanted_base: Revision | None = None,
+    answer_timeout_s: Seconds,
+    expected_base: Revision | None = None,
     settings: Settings | None = None,
 ) -> AppliedChange | RevisionConflict | Failure:
     """Read the base, build the next document and write it.
@@ -78,10 +78,10 @@
         Platform client.
     build : callable
         Returns the next document for a base, or why there is none.
-    patience_s : float
+    answer_timeout_s : float
         Time without an answer while parts are written, and then for writing
         the manifest, in seconds.
-    wanted_base : int, optional
+    expected_base : int, optional
         Revision that the change was prepared for; nothing is written if the
         store holds another one.
     settings : Settings, optional
@@ -93,43 +93,47 @@
         ``STORE_UNAVAILABLE`` promises that nothing will be in force;
         ``APPLY_UNCONFIRMED`` says that this is not known.
     """
-    given = build_indexes(split_settings(settings)) if settings else ({}, {})
-    base = await read_base(store, given[1])
+    indexed_texts = (
+        build_indexes(split_settings(settings)) if settings else ({}, {})
+    )
+    base = await read_base(store, indexed_texts[1])
     if isinstance(base, Failure):
         return base
     wanted = build(base.document)
     if isinstance(wanted, Failure):
         return wanted
-    if wanted_base not in {None, wanted.revision - 1}:
-        return _refuse(base, wanted, wanted_base)
+    if expected_base not in {None, wanted.revision - 1}:
+        return _base_conflict(base, wanted, expected_base)
     if wanted.settings is not settings:
-        given = build_indexes(split_settings(wanted.settings))
-    writer = _Writer(store, base, wanted, given)
+        indexed_texts = build_indexes(split_settings(wanted.settings))
+    writer = _Writer(store, base, wanted, indexed_texts)
     try:
-        async with asyncio.timeout(patience_s) as limit:
-            answering = AnsweringStore(
-                store, partial(_extend, limit, patience_s)
+        async with asyncio.timeout(answer_timeout_s) as timeout:
+            reporting_store = ProgressReportingStore(
+                store, partial(_restart_timeout, timeout, answer_timeout_s)
             )
-            return await writer.settle(answering)
+            return await writer.write(reporting_store)
     except TimeoutError:
-        return writer.give_up()
+        return writer.timeout_outcome()
 
 
-def _extend(limit: asyncio.Timeout, patience_s: Seconds) -> None:
+def _restart_timeout(
+    timeout: asyncio.Timeout, answer_timeout_s: Seconds
+) -> None:
     """Start the patience again: a first apply has thousands of parts."""
-    limit.reschedule(asyncio.get_running_loop().time() + patience_s)
+    timeout.reschedule(asyncio.get_running_loop().time() + answer_timeout_s)
 
 
-def _refuse(
-    base: Base,
+def _base_conflict(
+    base: StoredBase,
     wanted: RevisionDocument,
-    wanted_base: Revision | None,
+    expected_base: Revision | None,
 ) -> RevisionConflict | Failure:
     if base.document is not None:
         return RevisionConflict(base.document, wanted)
     return Failure(
         ResultCode.REVISION_CONFLICT,
-        f'the change was prepared for revision {wanted_base!r}, but the store '
+        f'the change was prepared for revision {expected_base!r}, but the store '
         'holds none',
     )
 
@@ -140,7 +144,7 @@
     def __init__(
         self,
         store: Store,
-        base: Base,
+        base: StoredBase,
         wanted: RevisionDocument,
         settings_texts: IndexedTexts,
     ) -> None:
@@ -148,12 +152,12 @@
         self._base = base
         self._wanted = wanted
         self._settings_texts = settings_texts
-        self._text = ''
+        self._manifest_text = ''
         self._may_take_effect = False
-        self._has_lost = False
-        self._refusal: Failure | None = None
+        self._lost_race = False
+        self._store_refusal: Failure | None = None
 
-    async def settle(
+    async def write(
         self, part_store: Store
     ) -> AppliedChange | RevisionConflict | Failure:
         """Write and read back until the outcome is known."""
@@ -165,21 +169,21 @@
         )
         if isinstance(packed, Failure):
             return packed
-        self._text = packed.encoded.decode()
+        self._manifest_text = packed.encoded.decode()
         step = await self._run_steps()
-        if self._refusal is not None:
-            return self._refusal
+        if self._store_refusal is not None:
+            return self._store_refusal
         if step is WriteStep.APPLIED:
             return AppliedChange(self._base.document, self._wanted)
         if step is WriteStep.CONFLICT:
             return await self._read_winner()
         return self._unconfirmed()
 
-    def give_up(self) -> Failure:
+    def timeout_outcome(self) -> Failure:
         """Return what is known after `settle` was cancelled."""
         if self._may_take_effect:
             return self._unconfirmed()
-        if self._has_lost:
+        if self._lost_race:
             return Failure(
                 ResultCode.REVISION_CONFLICT,
                 'another revision was accepted first, which the store did '
@@ -195,35 +199,36 @@
         step = WriteStep.WRITE
         failures = 0
         while (
-            step in {WriteStep.WRITE, WriteStep.READ_BACK} and not self._refusal
+            step in {WriteStep.WRITE, WriteStep.READ_BACK}
+            and not self._store_refusal
         ):
             if failures:
                 await sleep_with_backoff(failures)
             failures += 1
             if step is WriteStep.WRITE:
-                step = next_step_after_write(await self._write())
+                step = next_step_after_write(await self._write_manifest())
             else:
                 step = await self._read_back()
         return step
 
-    async def _write(self) -> WriteAnswer:
-        may_have = self._may_take_effect
+    async def _write_manifest(self) -> WriteAnswer:
+        may_already_take_effect = self._may_take_effect
         # A cancelled call may still reach the store.
         self._may_take_effect = True
         answer = await self._store.put(
             CURRENT_KEY,
-            self._text,
+            self._manifest_text,
             self._base.version,
         )
         if isinstance(answer, int):
             return WriteAnswer.WRITTEN
         if isinstance(answer, Failure) and answer.run is RunState.UNKNOWN:
             return WriteAnswer.LOST
-        self._may_take_effect = may_have
+        self._may_take_effect = may_already_take_effect
         if not isinstance(answer, Failure):
             return WriteAnswer.CONFLICT
         if answer.code is ResultCode.VALUE_TOO_LARGE:
-            self._refusal = answer
+            self._store_refusal = answer
         return WriteAnswer.NOT_SENT
 
     async def _read_back(self) -> WriteStep:
@@ -235,7 +240,7 @@
     async def _read_winner(self) -> RevisionConflict | Failure:
         """Read the revision that won; the own one is never in force."""
         self._may_take_effect = False
-        self._has_lost = True
+        self._lost_race = True
         failures = 0
         while True:
             stored = await read_base(self._store, self._settings_texts[1])
--- a/boragespool/controllers/configuration/configuration.py
+++ b/boragespool/controllers/configuration/configuration.py
@@ -15,10 +15,12 @@
 from boragespool.controllers.configuration.configuration_options import (
     ConfigurationOptions,
 )
-from boragespool.controllers.configuration.configuration_store import Stored
+from boragespool.controllers.configuration.configuration_store import (
+    StoredAnswer,
+)
 from boragespool.controllers.configuration.host_list import HostList
 from boragespool.controllers.configuration.revision_updating import (
-    RevisionKeeper,
+    RevisionUpdater,
 )
 from boragespool.controllers.pauses import backoff_s, pause
 from boragespool.events import Event, log_event
@@ -65,57 +67,61 @@
         self._store = store
         self._options = options or ConfigurationOptions()
         self._host_list = HostList(context, store, self._options.host_list)
-        self._watching = asyncio.Event()
-        self._behind = asyncio.Event()
-        self._review_due = False
-        self._may_read = False
-        self._window_over = asyncio.Event()
-        self._keeper = RevisionKeeper(context, store, self._options)
-        self._stack = contextlib.AsyncExitStack()
+        self._watch_enabled = asyncio.Event()
+        self._newer_revision_known = asyncio.Event()
+        self._role_update_scheduled = False
+        self._first_read_allowed = False
+        self._first_read_window_over = asyncio.Event()
+        self._updater = RevisionUpdater(context, store, self._options)
+        self._exit_stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Self:
         """Serve peers and start to watch and fetch."""
-        self._keeper.register()
+        self._updater.register()
         self._host_list.register()
         self._delay_first_read()
         unsubscribe = self._context.board.subscribe(
             MEMBERS,
-            lambda _: self._schedule_review(),
+            lambda _: self._schedule_role_update(),
         )
-        self._stack.callback(unsubscribe)
-        self._review()
-        for work in (
-            self._watch,
-            self._fetch,
-            self._read_hosts,
-            self._host_list.exchange,
+        self._exit_stack.callback(unsubscribe)
+        self._update_roles()
+        for coroutine_function in (
+            self._watch_store,
+            self._fetch_from_peers,
+            self._poll_host_list,
+            self._host_list.poll_peers,
         ):
-            self._start(work)
+            self._start_task(coroutine_function)
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Stop the tasks; the revision in force stays on the blackboard."""
-        await self._stack.aclose()
+        await self._exit_stack.aclose()
 
     @property
     def is_watcher(self) -> bool:
         """Whether this daemon is one of those that watch the store."""
-        return self._watching.is_set()
+        return self._watch_enabled.is_set()
 
-    def _start(self, work: Callable[[], Awaitable[None]]) -> None:
-        task = asyncio.ensure_future(self._keep_running(work))
+    def _start_task(
+        self, coroutine_function: Callable[[], Awaitable[None]]
+    ) -> None:
+        task = asyncio.ensure_future(self._run_forever(coroutine_function))
 
         async def stop() -> None:
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
 
-        self._stack.push_async_callback(stop)
+        self._exit_stack.push_async_callback(stop)
 
-    async def _keep_running(self, work: Callable[[], Awaitable[None]]) -> None:
+    async def _run_forever(
+        self, coroutine_function: Callable[[], Awaitable[None]]
+    ) -> None:
         """Begin work again if it raises, for example in a subscriber."""
         while True:
             try:
-                await work()
+                await coroutine_function()
             except Exception as error:
                 log_event(
                     Event.TASK_FAILED,
@@ -124,21 +130,21 @@
                 )
             await pause(self._context.timers, self._options.backoff_limit_s)
 
-    async def _read_hosts(self) -> None:
-        await self._host_list.read_while(self._watching)
+    async def _poll_host_list(self) -> None:
+        await self._host_list.poll_while(self._watch_enabled)
 
-    def _schedule_review(self) -> None:
+    def _schedule_role_update(self) -> None:
         """Look at the member records once for many changes."""
-        if not self._review_due:
-            self._review_due = True
+        if not self._role_update_scheduled:
+            self._role_update_scheduled = True
             self._context.timers.after(
-                self._options.review_delay_s,
-                self._review,
+                self._options.role_update_delay_s,
+                self._update_roles,
             )
 
-    def _review(self) -> None:
+    def _update_roles(self) -> None:
         """Decide from the member records whether to watch and to fetch."""
-        self._review_due = False
+        self._role_update_scheduled = False
         members_by_host = self._context.board.read(MEMBERS)
         own_host = self._context.identity.host
         is_chosen = own_host in choose_watchers(
@@ -146,39 +152,41 @@
             own_host,
             highest_weight_hosts,
         )
-        holders = hosts_with_newer_revision(
-            members_by_host, self._keeper.revision
+        newer_hosts = hosts_with_newer_revision(
+            members_by_host, self._updater.revision
         )
-        if is_chosen and (self._may_read or holders):
-            self._watching.set()
+        if is_chosen and (self._first_read_allowed or newer_hosts):
+            self._watch_enabled.set()
         elif not is_chosen:
-            self._watching.clear()
-        if holders:
-            self._behind.set()
+            self._watch_enabled.clear()
+        if newer_hosts:
+            self._newer_revision_known.set()
 
     def _delay_first_read(self) -> None:
         window_s = self._options.first_read_window_s
         delay_s = self._context.draw() * window_s
         if not window_s:
-            self._may_read = True
-            self._window_over.set()
+            self._first_read_allowed = True
+            self._first_read_window_over.set()
             return
 
-        def allow() -> None:
-            self._may_read = True
-            self._review()
+        def allow_first_read() -> None:
+            self._first_read_allowed = True
+            self._update_roles()
 
         after = self._context.timers.after
-        self._stack.callback(after(delay_s, allow).cancel)
-        self._stack.callback(after(window_s, self._window_over.set).cancel)
+        self._exit_stack.callback(after(delay_s, allow_first_read).cancel)
+        self._exit_stack.callback(
+            after(window_s, self._first_read_window_over.set).cancel
+        )
 
-    async def _watch(self) -> None:
+    async def _watch_store(self) -> None:
         """Follow the store while this daemon is a watcher."""
         version = 0
         failures = 0
         while True:
-            await self._watching.wait()
-            began_s = self._context.timers.now_s()
+            await self._watch_enabled.wait()
+            started_at_s = self._context.timers.now_s()
             answer = await self._store.watch(
                 CURRENT_KEY,
                 version,
@@ -188,13 +196,15 @@
                 failures += 1
                 await self._back_off(failures)
                 continue
-            if not isinstance(answer, Stored):
+            if not isinstance(answer, StoredAnswer):
                 failures = 0
                 version = answer.version
-                passed_s = self._context.timers.now_s() - began_s
-                rest_s = max(0, self._options.watch_pause_s - passed_s)
-                await pause(self._context.timers, rest_s)
-            elif await self._take(answer.value.encode()):
+                elapsed_s = self._context.timers.now_s() - started_at_s
+                remaining_s = max(
+                    0, self._options.min_watch_interval_s - elapsed_s
+                )
+                await pause(self._context.timers, remaining_s)
+            elif await self._apply_stored_value(answer.value.encode()):
                 failures = 0
                 version = answer.version
             else:
@@ -202,32 +212,35 @@
                 failures += 1
                 await self._back_off(failures)
 
-    async def _take(self, encoded: bytes) -> bool:
+    async def _apply_stored_value(self, encoded: bytes) -> bool:
         """Tell whether nothing is left to read of a value of the store.
 
         Until the daemons know each other, each of them may take itself for
         a watcher; then none may read all parts.
         """
-        if self._window_over.is_set() or not self._keeper.lacks_many(encoded):
-            return await self._keeper.read_value(encoded)
-        await self._window_over.wait()
+        if (
+            self._first_read_window_over.is_set()
+            or not self._updater.needs_many_parts(encoded)
+        ):
+            return await self._updater.apply_stored_value(encoded)
+        await self._first_read_window_over.wait()
         return False
 
-    async def _fetch(self) -> None:
+    async def _fetch_from_peers(self) -> None:
         """Get the document from a peer whenever one holds a newer one."""
         failures = 0
         while True:
-            await self._behind.wait()
-            holders = hosts_with_newer_revision(
+            await self._newer_revision_known.wait()
+            newer_hosts = hosts_with_newer_revision(
                 self._context.board.read(MEMBERS),
-                self._keeper.revision,
-            )[: self._options.holders_asked]
-            if not holders:
-                self._behind.clear()
+                self._updater.revision,
+            )[: self._options.fetch_candidate_count]
+            if not newer_hosts:
+                self._newer_revision_known.clear()
                 failures = 0
                 continue
-            host = holders[int(self._context.draw() * len(holders))]
-            if await self._keeper.fetch_from(host):
+            host = newer_hosts[int(self._context.draw() * len(newer_hosts))]
+            if await self._updater.fetch_from_peer(host):
                 failures = 0
             else:
                 failures += 1
--- a/boragespool/controllers/configuration/configuration_options.py
+++ b/boragespool/controllers/configuration/configuration_options.py
@@ -16,19 +16,19 @@
     ----------
     watch_wait_s : float
         Longest wait of one watch at the store.
-    parts_read : int
+    max_store_part_count : int
         Most parts that a watcher reads from the store before it asks peers.
         A usual change has fewer, which peers do not have yet.
-    watch_pause_s : float
+    min_watch_interval_s : float
         Shortest time between two watches without news, so that a store that
         answers at once is not called in a tight loop.
-    review_delay_s : float
+    role_update_delay_s : float
         Member records that change within this time are looked at together.
     peer_timeout_s : float
         Longest wait for the document of a peer.
     backoff_first_s, backoff_limit_s : float
         Delays after failed calls.
-    holders_asked : int
+    fetch_candidate_count : int
         Newest holders among which one is drawn, so that not all daemons
         fetch from the same peer.
     first_read_window_s : float
@@ -38,12 +38,12 @@
     """
 
     watch_wait_s: Seconds = 10
-    watch_pause_s: Seconds = 0.5
-    review_delay_s: Seconds = 0.05
+    min_watch_interval_s: Seconds = 0.5
+    role_update_delay_s: Seconds = 0.05
     peer_timeout_s: Seconds = 1
     backoff_first_s: Seconds = 0.1
     backoff_limit_s: Seconds = 3
-    holders_asked: int = 8
+    fetch_candidate_count: int = 8
     first_read_window_s: Seconds = 0
-    parts_read: int = 8
+    max_store_part_count: int = 8
     host_list: HostListOptions = field(default_factory=HostListOptions)
--- a/boragespool/controllers/configuration/configuration_store.py
+++ b/boragespool/controllers/configuration/configuration_store.py
@@ -12,7 +12,7 @@
     from boragespool.types import HostName, Seconds
 
 
-class Versioned(Protocol):
+class VersionedAnswer(Protocol):
     """Answer to a watch that ended without news."""
 
     @property
@@ -22,7 +22,7 @@
 
 
 @runtime_checkable
-class Stored(Versioned, Protocol):
+class StoredAnswer(VersionedAnswer, Protocol):
     """Answer with a value."""
 
     @property
@@ -56,7 +56,7 @@
 class ValueSource(Protocol):
     """What reads values of the store."""
 
-    async def get(self, key: str) -> Stored | object:
+    async def get(self, key: str) -> StoredAnswer | object:
         """Return the value of a key, or anything else if there is none."""
         ...
 
@@ -69,6 +69,6 @@
         key: str,
         after_version: int,
         wait_s: Seconds,
-    ) -> Stored | Versioned | Failure:
+    ) -> StoredAnswer | VersionedAnswer | Failure:
         """Wait for a newer version of a key."""
         ...
--- a/boragespool/controllers/configuration/host_list.py
+++ b/boragespool/controllers/configuration/host_list.py
@@ -45,7 +45,7 @@
         Longest wait for a peer.
     backoff_first_s, backoff_limit_s : float
         Delays after failed reads.
-    fan_out : int
+    fanout : int
         Peers to which a daemon passes a new list on.
     """
 
@@ -54,7 +54,7 @@
     timeout_s: Seconds = 1
     backoff_first_s: Seconds = 0.5
     backoff_limit_s: Seconds = 5
-    fan_out: int = 4
+    fanout: int = 4
 
 
 class HostList:
@@ -82,7 +82,7 @@
         self._options = options
         self._newest = EMPTY_HOST_LIST
         # None until two answers in a row can be compared.
-        self._observed: frozenset[HostName] | None = None
+        self._last_leaving_hosts: frozenset[HostName] | None = None
         self._failures = 0
 
     def register(self) -> None:
@@ -90,7 +90,7 @@
         self._context.peers.on_message(LeavingHosts, self._receive)
         self._context.peers.on_request(LeavingHostsRequest, self._answer)
 
-    async def read_while(self, watching: asyncio.Event) -> None:
+    async def poll_while(self, watch_enabled: asyncio.Event) -> None:
         """Read the platform's list for ever, whenever this daemon watches.
 
         Parameters
@@ -99,9 +99,9 @@
             Set while this daemon is one of the watchers.
         """
         while True:
-            if not watching.is_set():
-                self._observed = None
-                await watching.wait()
+            if not watch_enabled.is_set():
+                self._last_leaving_hosts = None
+                await watch_enabled.wait()
             await self.read()
             await pause(self._context.timers, self._read_delay_s())
 
@@ -111,25 +111,25 @@
         entries = await self._source.hosts()
         if isinstance(entries, Failure):
             self._failures += 1
-            self._observed = None
+            self._last_leaving_hosts = None
             return
         self._failures = 0
-        observed = frozenset(
+        leaving_hosts = frozenset(
             entry.host for entry in entries if entry.state == _LEAVING
         )
-        before = self._observed
+        before = self._last_leaving_hosts
         if before is None:
             before = frozenset(known.hosts)
-        self._observed = observed
+        self._last_leaving_hosts = leaving_hosts
         if self._newest is not known:
             # The answer may be older than the list that arrived meanwhile.
             return
         own_host = self._context.identity.host
-        published = next_host_list(known, observed, before, own_host)
-        if published is not None:
-            self._take(published)
+        updated = next_host_list(known, leaving_hosts, before, own_host)
+        if updated is not None:
+            self._apply(updated)
 
-    async def exchange(self) -> None:
+    async def poll_peers(self) -> None:
         """Ask one random peer after the other for a newer list, for ever."""
         while True:
             await pause(
@@ -146,10 +146,10 @@
                     self._options.timeout_s,
                 )
                 if isinstance(reply, LeavingHosts):
-                    self._consider(reply)
+                    self._merge_received(reply)
 
     def _receive(self, _: Sender, received: LeavingHosts) -> None:
-        self._consider(received)
+        self._merge_received(received)
 
     async def _answer(
         self,
@@ -161,11 +161,11 @@
             self._newest if supersedes(known, self._newest) else EMPTY_HOST_LIST
         )
 
-    def _consider(self, received: LeavingHosts) -> None:
+    def _merge_received(self, received: LeavingHosts) -> None:
         if supersedes(self._newest, received):
-            self._take(received)
+            self._apply(received)
 
-    def _take(self, newest: LeavingHosts) -> None:
+    def _apply(self, newest: LeavingHosts) -> None:
         """Use a newer list and pass it on once."""
         self._newest = newest
         hosts = frozenset(newest.hosts)
@@ -177,7 +177,7 @@
                 watcher=newest.watcher,
             )
         self._context.board.post(LEAVING_HOSTS, hosts)
-        for host in self._random_peers(self._options.fan_out):
+        for host in self._random_peers(self._options.fanout):
             self._context.peers.send(host, newest)
 
     def _random_peers(self, count: int) -> list[HostName]:
--- a/boragespool/controllers/configuration/local_revision.py
+++ b/boragespool/controllers/configuration/local_revision.py
@@ -28,14 +28,14 @@
     from boragespool.revisions import PartHash
 
 #: Texts in one reply, in bytes; a frame holds about as many.
-_REPLY_BYTES: Final = 200_000
+_MAX_REPLY_BYTES: Final = 200_000
 
 #: Parts of earlier revisions, kept for peers that are still fetching them.
-_FORMER_COUNT: Final = 128
+_RETAINED_PART_COUNT: Final = 128
 
 #: Texts beyond twice those of the wanted revision that are kept. Some of them
 #: are parts whose index is still to be fetched.
-_SURPLUS_COUNT: Final = 1_000
+_MAX_SURPLUS_COUNT: Final = 1_000
 
 
 class LocalRevision:
@@ -51,12 +51,12 @@
         """Start without a revision."""
         self.document: RevisionDocument | None = None
         self._texts: dict[PartHash, bytes] = {}
-        self._former: dict[PartHash, bytes] = {}
+        self._retained_texts: dict[PartHash, bytes] = {}
         self._assembly: AssembledRevision | None = None
-        self._wanted: Manifest | None = None
+        self._target_manifest: Manifest | None = None
         self._manifest: Manifest | None = None
-        self._encoded = b''
-        self._whole: bytes | None = b''
+        self._encoded_manifest = b''
+        self._encoded_document: bytes | None = b''
 
     @property
     def revision(self) -> int:
@@ -65,12 +65,15 @@
 
     def set_target(self, manifest: Manifest) -> None:
         """Keep the parts of a manifest while it is being fetched."""
-        if self._wanted is None or manifest.revision > self._wanted.revision:
-            self._wanted = manifest
+        if (
+            self._target_manifest is None
+            or manifest.revision > self._target_manifest.revision
+        ):
+            self._target_manifest = manifest
             wanted = referenced_hashes(manifest, self._texts)
             # Pieces of manifests that were never completed pile up if the
             # parts of each of them are lost.
-            if len(self._texts) > 2 * len(wanted) + _SURPLUS_COUNT:
+            if len(self._texts) > 2 * len(wanted) + _MAX_SURPLUS_COUNT:
                 self._prune()
 
     def parts_to_fetch(
@@ -120,8 +123,8 @@
         self.document = value
         self._manifest = None
         self._assembly = None
-        self._encoded = b''
-        self._whole = encoded
+        self._encoded_manifest = b''
+        self._encoded_document = encoded
         # The next manifest probably refers to most of these.
         self._texts.update(build_indexes(split_settings(value.settings))[1])
         return value
@@ -130,23 +133,25 @@
         """Answer a peer in the form that it knows."""
         if self.document is None or self.revision <= request.have:
             return RevisionReply(self.revision)
-        if request.takes_manifest and self._encoded:
-            return RevisionReply(self.revision, manifest=self._encoded)
-        if self._whole is None:
+        if request.takes_manifest and self._encoded_manifest:
+            return RevisionReply(self.revision, manifest=self._encoded_manifest)
+        if self._encoded_document is None:
             encoded = encode_document(self.document)
-            self._whole = b'' if isinstance(encoded, Failure) else encoded
-        return RevisionReply(self.revision, self._whole)
+            self._encoded_document = (
+                b'' if isinstance(encoded, Failure) else encoded
+            )
+        return RevisionReply(self.revision, self._encoded_document)
 
     def answer_parts(self, request: PartsRequest) -> PartsReply:
         """Answer a peer with the parts that fit in one reply."""
         texts: list[bytes] = []
         size_bytes = 0
         for part in request.parts:
-            text = self._texts.get(part) or self._former.get(part)
+            text = self._texts.get(part) or self._retained_texts.get(part)
             if text is None:
                 continue
             size_bytes += len(text)
-            if texts and size_bytes > _REPLY_BYTES:
+            if texts and size_bytes > _MAX_REPLY_BYTES:
                 break
             texts.append(text)
         return PartsReply(tuple(texts))
@@ -161,8 +166,8 @@
             return assembly
         self.document = assembly.document
         self._assembly = assembly
-        self._encoded = without_audit(encoded)
-        self._whole = None
+        self._encoded_manifest = without_audit(encoded)
+        self._encoded_document = None
         self._manifest = manifest
         self._prune()
         return self.document
@@ -170,7 +175,7 @@
     def _prune(self) -> None:
         """Drop what neither this revision nor the wanted one refers to."""
         kept: set[PartHash] = set()
-        for manifest in (self._manifest, self._wanted):
+        for manifest in (self._manifest, self._target_manifest):
             if manifest is not None:
                 kept |= referenced_hashes(manifest, self._texts)
         former = {
@@ -178,6 +183,8 @@
         }
         for part in former:
             del self._texts[part]
-        everything = self._former | former
-        surplus = max(0, len(everything) - _FORMER_COUNT)
-        self._former = dict(itertools.islice(everything.items(), surplus, None))
+        retained_texts = self._retained_texts | former
+        surplus = max(0, len(retained_texts) - _RETAINED_PART_COUNT)
+        self._retained_texts = dict(
+            itertools.islice(retained_texts.items(), surplus, None)
+        )
--- a/boragespool/controllers/configuration/part_reading.py
+++ b/boragespool/controllers/configuration/part_reading.py
@@ -6,7 +6,9 @@
 import itertools
 from typing import TYPE_CHECKING, Final
 
-from boragespool.controllers.configuration.configuration_store import Stored
+from boragespool.controllers.configuration.configuration_store import (
+    StoredAnswer,
+)
 from boragespool.controllers.pauses import pause
 from boragespool.results import Failure
 from boragespool.revisions import part_hash, part_key
@@ -50,22 +52,22 @@
         not hold, or that were emptied, are left out.
     """
     found: dict[PartHash, bytes] = {}
-    waiting = iter(parts)
-    batch = tuple(itertools.islice(waiting, BATCH_SIZE))
+    remaining = iter(parts)
+    batch = tuple(itertools.islice(remaining, BATCH_SIZE))
     while batch:
         answers = await asyncio.gather(
             *(store.get(part_key(part)) for part in batch),
         )
-        texts = map(_text, answers)
+        texts = map(_part_text, answers)
         found.update((part_hash(text), text) for text in texts)
         for answer in answers:
             if isinstance(answer, Failure):
                 return found, answer
-        batch = tuple(itertools.islice(waiting, BATCH_SIZE))
+        batch = tuple(itertools.islice(remaining, BATCH_SIZE))
         if batch:
             await pause(timers, BATCH_INTERVAL_S)
     return found, None
 
 
-def _text(answer: object) -> bytes:
-    return answer.value.encode() if isinstance(answer, Stored) else b''
+def _part_text(answer: object) -> bytes:
+    return answer.value.encode() if isinstance(answer, StoredAnswer) else b''
--- a/boragespool/controllers/configuration/part_writing.py
+++ b/boragespool/controllers/configuration/part_writing.py
@@ -24,7 +24,10 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
 
-    from boragespool.controllers.configuration.store_access import Base, Store
+    from boragespool.controllers.configuration.store_access import (
+        Store,
+        StoredBase,
+    )
     from boragespool.revisions import (
         EncodedRevision,
         PartHash,
@@ -34,8 +37,8 @@
     from boragespool.revisions.manifest import IndexedTexts
     from boragespool.store import Conflict, StoredValue
 
-_FIRST_PAUSE_S: Final = 0.1
-_LONGEST_PAUSE_S: Final = 1
+_BACKOFF_FIRST_S: Final = 0.1
+_BACKOFF_LIMIT_S: Final = 1
 
 #: Calls in a batch and the time between two batches: at most 200 calls per
 #: second, the store's goal for writes.
@@ -47,15 +50,15 @@
     """Wait before another call after some that failed."""
     delay_s = backoff_s(
         failures,
-        _FIRST_PAUSE_S,
-        _LONGEST_PAUSE_S,
+        _BACKOFF_FIRST_S,
+        _BACKOFF_LIMIT_S,
         random.random(),
     )
     await asyncio.sleep(delay_s)
 
 
 @dataclass(frozen=True, slots=True)
-class AnsweringStore:
+class ProgressReportingStore:
     """A store that reports each answer.
 
     Attributes
@@ -89,7 +92,7 @@
 
 async def write_parts(
     store: Store,
-    base: Base,
+    base: StoredBase,
     wanted: RevisionDocument,
     settings_texts: IndexedTexts,
 ) -> EncodedRevision | Failure:
@@ -113,23 +116,23 @@
         and stays there if the manifest is accepted. Calls that fail are
         repeated for ever.
     """
-    kept = plan_retention(
+    plan = plan_retention(
         base.history,
         wanted.revision - 1,
         base.parts,
         frozenset(settings_texts[1]),
     )
-    await _keep_replaced(store, base)
+    await _archive_base(store, base)
     packed = encode_revision(
         wanted,
-        await _next_history(store, base.history, kept),
+        await _next_history(store, base.history, plan),
         settings_texts,
     )
     if isinstance(packed, Failure):
         return packed
-    await _empty(store, base.history)
-    await _all(
-        partial(_overwrite, store, part, packed.parts[part])
+    await _clear_removed_values(store, base.history)
+    await _run_batched(
+        partial(_write_part, store, part, packed.parts[part])
         for part in packed.parts.keys() - base.parts
     )
     return packed
@@ -138,7 +141,7 @@
 async def _next_history(
     store: Store,
     history: History,
-    kept: RetentionPlan,
+    plan: RetentionPlan,
 ) -> History:
     """Read the versions of the parts to retire.
 
@@ -156,45 +159,53 @@
         if not isinstance(answer, Missing) and answer.value:
             retired.append(RetiredPart(part, answer.version))
 
-    await _all(partial(read, part) for part in kept.parts_to_retire)
+    await _run_batched(partial(read, part) for part in plan.parts_to_retire)
     return History(
-        replaced=kept.replaced,
+        replaced=plan.replaced,
         retired=tuple(retired),
-        dropped=tuple(range(history.kept_from, kept.kept_from)),
-        kept_from=kept.kept_from,
+        dropped=tuple(range(history.kept_from, plan.kept_from)),
+        kept_from=plan.kept_from,
     )
 
 
-async def _empty(store: Store, history: History) -> None:
+async def _clear_removed_values(store: Store, history: History) -> None:
     """Empty what the revision that is to be replaced has retired.
 
     A conflict means that the value is empty already, or was written again.
     """
-    keys = [(part_key(one.part), one.version) for one in history.retired]
+    keys = [
+        (part_key(retired_part.part), retired_part.version)
+        for retired_part in history.retired
+    ]
     # A kept revision is written once and never changed.
     keys.extend((revision_key(revision), 1) for revision in history.dropped)
-    await _all(partial(_put, store, key, '', version) for key, version in keys)
+    await _run_batched(
+        partial(_put_with_retries, store, key, '', version)
+        for key, version in keys
+    )
 
 
-async def _keep_replaced(store: Store, base: Base) -> None:
+async def _archive_base(store: Store, base: StoredBase) -> None:
     """Keep the base under its own key before it is replaced."""
     if base.document is not None:
         # A conflict means that the same immutable value is there already.
         key = revision_key(base.document.revision)
-        await _put(store, key, base.text, 0)
+        await _put_with_retries(store, key, base.text, 0)
 
 
-async def _overwrite(store: Store, part: PartHash, text: bytes) -> None:
+async def _write_part(store: Store, part: PartHash, text: bytes) -> None:
     """Write a part, also if it is there already.
 
     Its version rises above each one at which it may be emptied.
     """
     expected: int | None = 0
     while expected is not None:
-        expected = await _put(store, part_key(part), text.decode(), expected)
+        expected = await _put_with_retries(
+            store, part_key(part), text.decode(), expected
+        )
 
 
-async def _put(
+async def _put_with_retries(
     store: Store,
     key: str,
     text: str,
@@ -210,12 +221,14 @@
     return None if isinstance(answer, int) else answer.version
 
 
-async def _all(calls: Iterable[Callable[[], Awaitable[object]]]) -> None:
+async def _run_batched(
+    calls: Iterable[Callable[[], Awaitable[object]]],
+) -> None:
     """Make calls in batches, at a bounded rate."""
-    waiting = iter(calls)
-    batch = tuple(itertools.islice(waiting, _BATCH_SIZE))
+    remaining = iter(calls)
+    batch = tuple(itertools.islice(remaining, _BATCH_SIZE))
     while batch:
         await asyncio.gather(*(call() for call in batch))
-        batch = tuple(itertools.islice(waiting, _BATCH_SIZE))
+        batch = tuple(itertools.islice(remaining, _BATCH_SIZE))
         if batch:
             await asyncio.sleep(_BATCH_INTERVAL_S)
--- a/boragespool/controllers/configuration/revision_fetching.py
+++ b/boragespool/controllers/configuration/revision_fetching.py
@@ -22,10 +22,10 @@
     from boragespool.revisions import Manifest, PartHash
     from boragespool.types import HostName, Seconds
 
-    Source = Callable[[tuple[PartHash, ...]], Awaitable[Iterable[bytes]]]
+    PartSource = Callable[[tuple[PartHash, ...]], Awaitable[Iterable[bytes]]]
 
 #: Parts in one request; their hashes have 17 KB.
-_REQUEST_COUNT: Final = 500
+_PARTS_PER_REQUEST: Final = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,31 +40,33 @@
 
     context: Context
     store: ValueSource
-    held: LocalRevision
+    local_revision: LocalRevision
     timeout_s: Seconds
 
-    def peer(self, host: HostName) -> Source:
+    def peer_source(self, host: HostName) -> PartSource:
         """Return the source that asks a peer."""
 
-        async def ask(parts: tuple[PartHash, ...]) -> Iterable[bytes]:
+        async def request_parts(parts: tuple[PartHash, ...]) -> Iterable[bytes]:
             reply = await self.context.peers.request(
                 host,
-                PartsRequest(parts[:_REQUEST_COUNT]),
+                PartsRequest(parts[:_PARTS_PER_REQUEST]),
                 self.timeout_s,
             )
             return reply.texts if isinstance(reply, PartsReply) else ()
 
-        return ask
+        return request_parts
 
-    async def read(self, parts: tuple[PartHash, ...]) -> Iterable[bytes]:
+    async def read_from_store(
+        self, parts: tuple[PartHash, ...]
+    ) -> Iterable[bytes]:
         """Read from the store."""
         found, _ = await read_parts(self.store, parts, self.context.timers)
         return found.values()
 
-    async def gather(
+    async def fetch_parts(
         self,
         manifest: Manifest,
-        sources: Iterable[Source],
+        sources: Iterable[PartSource],
     ) -> Failure | bool:
         """Fetch what a manifest lacks, from one source after the other.
 
@@ -81,19 +83,19 @@
             Whether nothing is lacking any more; a failure if an index is
             invalid. What was fetched is kept for the next attempt.
         """
-        self.held.set_target(manifest)
+        self.local_revision.set_target(manifest)
         for source in sources:
-            is_helpful = True
-            while is_helpful:
-                is_helpful = await self._ask(manifest, source)
-        lacked = self.held.parts_to_fetch(manifest)
+            made_progress = True
+            while made_progress:
+                made_progress = await self._fetch_once(manifest, source)
+        lacked = self.local_revision.parts_to_fetch(manifest)
         return lacked if isinstance(lacked, Failure) else not lacked
 
-    async def _ask(self, manifest: Manifest, source: Source) -> bool:
+    async def _fetch_once(self, manifest: Manifest, source: PartSource) -> bool:
         """Tell whether a source brought something and may bring more."""
-        if manifest.revision <= self.held.revision:
+        if manifest.revision <= self.local_revision.revision:
             return False
-        lacked = self.held.parts_to_fetch(manifest)
+        lacked = self.local_revision.parts_to_fetch(manifest)
         if isinstance(lacked, Failure) or not lacked:
             return False
-        return self.held.add(lacked, await source(lacked))
+        return self.local_revision.add(lacked, await source(lacked))
--- a/boragespool/controllers/configuration/revision_updating.py
+++ b/boragespool/controllers/configuration/revision_updating.py
@@ -33,17 +33,19 @@
     from boragespool.controllers.configuration.configuration_store import (
         ValueSource,
     )
-    from boragespool.controllers.configuration.revision_fetching import Source
+    from boragespool.controllers.configuration.revision_fetching import (
+        PartSource,
+    )
     from boragespool.controllers.context import Context
     from boragespool.peers import Sender
     from boragespool.revisions import RevisionDocument
     from boragespool.types import HostName, Revision
 
 #: Peers asked for parts besides the one that announced the revision.
-_OTHER_PEERS: Final = 2
+_ADDITIONAL_PEER_COUNT: Final = 2
 
 
-class RevisionKeeper:
+class RevisionUpdater:
     """The revision in force at this daemon.
 
     Parameters
@@ -65,27 +67,29 @@
         """Start without a revision."""
         self._context = context
         self._options = options
-        self._held = LocalRevision()
+        self._local_revision = LocalRevision()
         self._fetcher = RevisionFetcher(
             context,
             store,
-            self._held,
+            self._local_revision,
             options.peer_timeout_s,
         )
 
     @property
     def revision(self) -> Revision:
         """Revision in force; 0 for none."""
-        return self._held.revision
+        return self._local_revision.revision
 
     def register(self) -> None:
         """Serve peers."""
-        self._context.peers.on_request(RevisionRequest, self._serve)
-        self._context.peers.on_request(PartsRequest, self._serve_parts)
+        self._context.peers.on_request(
+            RevisionRequest, self._handle_revision_request
+        )
+        self._context.peers.on_request(PartsRequest, self._handle_parts_request)
 
-    async def fetch_from(self, host: HostName) -> bool:
+    async def fetch_from_peer(self, host: HostName) -> bool:
         """Tell whether a revision of a peer was put in force."""
-        before = self._held.revision
+        before = self._local_revision.revision
         reply = await self._context.peers.request(
             host,
             RevisionRequest(before, takes_manifest=True),
@@ -96,50 +100,54 @@
         encoded = reply.manifest or reply.document
         if encoded:
             # A peer can lack parts that it has replaced meanwhile.
-            others = self._holders(before)
-            sources = [self._fetcher.peer(one) for one in (host, *others)]
-            await self._consider(encoded, f'peer {host!r}', sources)
-        return self._held.revision > before
-
-    async def read_value(self, encoded: bytes) -> bool:
+            others = self._choose_newer_peers(before)
+            sources = [
+                self._fetcher.peer_source(one) for one in (host, *others)
+            ]
+            await self._apply_encoded(encoded, f'peer {host!r}', sources)
+        return self._local_revision.revision > before
+
+    async def apply_stored_value(self, encoded: bytes) -> bool:
         """Tell whether nothing is left to read of a value of the store."""
-        sources: list[Source] = []
-        if self.lacks_many(encoded):
-            sources.extend(map(self._fetcher.peer, self._holders(0)))
-        sources.append(self._fetcher.read)
-        return await self._consider(encoded, 'the store', sources)
-
-    def lacks_many(self, encoded: bytes) -> bool:
+        sources: list[PartSource] = []
+        if self.needs_many_parts(encoded):
+            sources.extend(
+                map(self._fetcher.peer_source, self._choose_newer_peers(0))
+            )
+        sources.append(self._fetcher.read_from_store)
+        return await self._apply_encoded(encoded, 'the store', sources)
+
+    def needs_many_parts(self, encoded: bytes) -> bool:
         """Tell whether a value has more parts to read than a usual change."""
         value = decode_revision(encoded)
         if not isinstance(value, Manifest):
             return False
         if self.revision == 0:
             return True
-        lacked = self._held.parts_to_fetch(value)
+        lacked = self._local_revision.parts_to_fetch(value)
         if isinstance(lacked, Failure):
             return False
-        return len(lacked) > self._options.parts_read
+        return len(lacked) > self._options.max_store_part_count
 
-    def _holders(self, have: Revision) -> list[HostName]:
+    def _choose_newer_peers(self, have: Revision) -> list[HostName]:
         """Draw peers whose revision is higher than one."""
         hosts = list(
             hosts_with_newer_revision(self._context.board.read(MEMBERS), have)
         )
         own_host = self._context.identity.host
         hosts = [host for host in hosts if host != own_host]
-        hosts = hosts[: self._options.holders_asked]
+        hosts = hosts[: self._options.fetch_candidate_count]
         chosen: list[HostName] = []
-        while hosts and len(chosen) < _OTHER_PEERS:
+        while hosts and len(chosen) < _ADDITIONAL_PEER_COUNT:
             index = int(self._context.draw() * len(hosts))
             chosen.append(hosts.pop(index))
         return chosen
 
-    async def _consider(
+    async def _apply_encoded(
         self,
         encoded: bytes,
         origin: str,
-        sources: Iterable[Source],
+        sources: Iterable[PartSource],
     ) -> bool:
         """Put a received value in force if it is valid, newer and complete.
 
@@ -149,16 +157,16 @@
         if isinstance(value, Failure):
             self._reject(value, origin)
             return True
-        if value.revision <= self._held.revision:
+        if value.revision <= self._local_revision.revision:
             return True
         if isinstance(value, Manifest):
-            is_complete = await self._fetcher.gather(value, sources)
+            is_complete = await self._fetcher.fetch_parts(value, sources)
             if isinstance(is_complete, Failure):
                 self._reject(is_complete, origin)
                 return True
             if not is_complete:
-                return value.revision <= self._held.revision
-        adopted = self._held.adopt(value, encoded)
+                return value.revision <= self._local_revision.revision
+        adopted = self._local_revision.adopt(value, encoded)
         if isinstance(adopted, Failure):
             self._reject(adopted, origin)
         elif adopted is not None:
@@ -166,7 +174,7 @@
         return True
 
     def _reject(self, failure: Failure, origin: str) -> None:
-        revision = self._held.revision
+        revision = self._local_revision.revision
         log_event(
             Event.REVISION_REJECTED,
             f'a revision from {origin} is invalid; revision '
@@ -184,12 +192,12 @@
             change_id=document.change_id,
         )
 
-    async def _serve(
+    async def _handle_revision_request(
         self, _: Sender, request: RevisionRequest
     ) -> RevisionReply:
-        return self._held.answer(request)
+        return self._local_revision.answer(request)
 
-    async def _serve_parts(
+    async def _handle_parts_request(
         self, _: Sender, request: PartsRequest
     ) -> PartsReply:
-        return self._held.answer_parts(request)
+        return self._local_revision.answer_parts(request)
--- a/boragespool/controllers/configuration/store_access.py
+++ b/boragespool/controllers/configuration/store_access.py
@@ -32,7 +32,7 @@
     from boragespool.store import Conflict, StoredValue
     from boragespool.types import Revision
 
-_NOTHING: Final[Mapping[PartHash, bytes]] = MappingProxyType({})
+_NO_TEXTS: Final[Mapping[PartHash, bytes]] = MappingProxyType({})
 
 
 class Store(Protocol):
@@ -53,7 +53,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Base:
+class StoredBase:
     """What the store holds for the configuration.
 
     Attributes
@@ -79,8 +79,8 @@
 
 async def read_base(
     store: Store,
-    known: Mapping[PartHash, bytes] = _NOTHING,
-) -> Base | Failure:
+    known: Mapping[PartHash, bytes] = _NO_TEXTS,
+) -> StoredBase | Failure:
     """Read the current revision.
 
     Parameters
@@ -100,8 +100,8 @@
     if isinstance(answer, Failure):
         return answer
     if isinstance(answer, Missing):
-        return Base()
-    base = await _read(store, answer.value, known)
+        return StoredBase()
+    base = await _decode_base(store, answer.value, known)
     if isinstance(base, Failure):
         return base
     return replace(base, version=answer.version)
@@ -123,11 +123,13 @@
     value = decode_revision(answer.value)
     if not isinstance(value, Manifest):
         return value
-    bare = Manifest(value.revision, value.change_id, {}, history=value.history)
-    texts = await _read_lacking(store, bare, _NOTHING)
+    history_manifest = Manifest(
+        value.revision, value.change_id, {}, history=value.history
+    )
+    texts = await _read_missing_parts(store, history_manifest, _NO_TEXTS)
     if isinstance(texts, Failure):
         return texts
-    history = _history(bare, texts)
+    history = _history(history_manifest, texts)
     if isinstance(history, Failure):
         return history
     return RevisionDocument(
@@ -171,17 +173,17 @@
             f'the store keeps no revision {revision!r}; allowed are replaced '
             "revisions, which 'boragespool audit' lists",
         )
-    base = await _read(store, answer.value, _NOTHING)
+    base = await _decode_base(store, answer.value, _NO_TEXTS)
     if isinstance(base, Failure):
         return base
     return base.document or no_revision_failure()
 
 
-async def _read(
+async def _decode_base(
     store: Store,
     text: str,
     known: Mapping[PartHash, bytes],
-) -> Base | Failure:
+) -> StoredBase | Failure:
     """Read the parts of a value of the store."""
     manifest = decode_revision(text)
     if isinstance(manifest, Failure):
@@ -189,8 +191,8 @@
     if isinstance(manifest, RevisionDocument):
         # Earlier releases kept every revision; those values stay.
         history = History(kept_from=manifest.revision)
-        return Base(manifest, text=text, history=history)
-    texts = await _read_lacking(store, manifest, known)
+        return StoredBase(manifest, text=text, history=history)
+    texts = await _read_missing_parts(store, manifest, known)
     if isinstance(texts, Failure):
         return texts
     assembly = assemble(manifest, texts)
@@ -204,10 +206,10 @@
         audit=earlier.audit + manifest.audit,
     )
     parts = referenced_hashes(manifest, texts) | {manifest.history}
-    return Base(document, text=text, parts=parts, history=earlier)
+    return StoredBase(document, text=text, parts=parts, history=earlier)
 
 
-async def _read_lacking(
+async def _read_missing_parts(
     store: Store,
     manifest: Manifest,
     known: Mapping[PartHash, bytes],
@@ -215,16 +217,16 @@
     """Return the known texts and all others that a manifest needs."""
     texts = dict(known)
     while True:
-        named = hashes_to_fetch(manifest, texts)
-        if isinstance(named, Failure):
-            return named
-        lacked = named + missing_hashes([manifest.history], texts)
-        if not lacked:
+        fetchable = hashes_to_fetch(manifest, texts)
+        if isinstance(fetchable, Failure):
+            return fetchable
+        missing = fetchable + missing_hashes([manifest.history], texts)
+        if not missing:
             return texts
-        found, failure = await read_parts(store, lacked, LoopTimers())
+        found, failure = await read_parts(store, missing, LoopTimers())
         if failure is not None:
             return failure
-        if missing_hashes(lacked, found):
+        if missing_hashes(missing, found):
             return Failure(
                 ResultCode.REVISION_UNKNOWN,
                 f'the store holds revision {manifest.revision!r} only in '
--- a/boragespool/controllers/membership/member_state.py
+++ b/boragespool/controllers/membership/member_state.py
@@ -66,9 +66,9 @@
         """
         before = self.table
         self.table = table
-        changed = _is_worth_posting(before.own, table.own)
+        changed = _must_post(before.own, table.own)
         if before.members_by_host is not table.members_by_host:
-            changed |= self._note_changes(before)
+            changed |= self._apply_changes_to_peers(before)
         if changed:
             self.post()
 
@@ -95,13 +95,15 @@
                 self.options.health_limit,
             )
 
-    def compose(self, host: HostName) -> tuple[MemberRecord, ...]:
+    def compose_records(self, host: HostName) -> tuple[MemberRecord, ...]:
         """Choose the records of one message."""
-        composed = membership.compose_message(self.table, host, self.options)
-        self.table = composed[1]
-        return composed[0]
+        records_and_table = membership.compose_message(
+            self.table, host, self.options
+        )
+        self.table = records_and_table[1]
+        return records_and_table[0]
 
-    def change_own(self, **fields: Any) -> None:
+    def update_own(self, **fields: Any) -> None:
         """Raise the beat of the own record and tell many members at once."""
         own = replace(self.own, beat=self.own.beat + 1, **fields)
         self.apply(
@@ -109,9 +111,9 @@
                 self.table, own, self.now_s, self.options
             ),
         )
-        self.tell(own, self.options.leave_count)
+        self.send_to_random(own, self.options.leave_count)
 
-    def tell(self, record: MemberRecord, count: int) -> None:
+    def send_to_random(self, record: MemberRecord, count: int) -> None:
         """Send one record to random members without waiting for a tick."""
         hosts = membership.choose_random_hosts(
             self.reachable(),
@@ -129,7 +131,7 @@
         for host in hosts:
             self._context.peers.send(host, Gossip((record,)))
 
-    def send_view(self, host: HostName) -> None:
+    def send_member_table(self, host: HostName) -> None:
         """Send the whole view to a daemon that has just started."""
         members = tuple(self.table.members_by_host.values())
         count = self.options.join_record_count
@@ -145,37 +147,37 @@
             if member.status != MemberStatus.DEAD
         )
 
-    def _note_changes(self, before: membership.MemberTable) -> bool:
+    def _apply_changes_to_peers(self, before: membership.MemberTable) -> bool:
         """Update links, log each status change; tell if there was one."""
         changed = len(before.members_by_host) > len(self.table.members_by_host)
         for host, member in self.table.members_by_host.items():
-            known = before.members_by_host.get(host)
-            if known is not member and _is_worth_posting(known, member):
+            previous = before.members_by_host.get(host)
+            if previous is not member and _must_post(previous, member):
                 changed = True
-                self._update_peer(known, member)
+                self._update_peer(previous, member)
         return changed
 
     def _update_peer(
         self,
-        known: MemberRecord | None,
+        previous: MemberRecord | None,
         member: MemberRecord,
     ) -> None:
         """Follow a change of one member in the peer network and the log."""
         self._context.peers.set_address(member.host, member.peer_address)
         if member.status == MemberStatus.DEAD:
             self._context.peers.forget_link(member.host)
-        if known is None or known.status != member.status:
+        if previous is None or previous.status != member.status:
             _log_status(self.own.host, member)
 
 
-def _is_worth_posting(
-    known: MemberRecord | None,
+def _must_post(
+    previous: MemberRecord | None,
     member: MemberRecord,
 ) -> bool:
     return (
-        known is None
-        or membership.precedence_changed(known, member)
-        or known.revision != member.revision
+        previous is None
+        or membership.precedence_changed(previous, member)
+        or previous.revision != member.revision
     )
 
 
--- a/boragespool/controllers/membership/membership.py
+++ b/boragespool/controllers/membership/membership.py
@@ -23,13 +23,13 @@
 
 #: Shortest time between two whole views sent, in seconds. It bounds the
 #: traffic when a whole fleet starts at the same time.
-_VIEW_INTERVAL_S: Final = 1
+_MIN_TABLE_INTERVAL_S: Final = 1
 #: Weight of the latest load in the smoothed one.
 _LOAD_WEIGHT: Final = 0.3
 #: Longest wait for the farewell to be sent, and the time after it, in seconds.
-_FLUSH_S: Final = 0.5
-_LINGER_S: Final = 0.05
-_OPTIONS: Final = membership.MembershipOptions()
+_FLUSH_TIMEOUT_S: Final = 0.5
+_FLUSH_MARGIN_S: Final = 0.05
+_DEFAULT_OPTIONS: Final = membership.MembershipOptions()
 
 
 class MembershipController:
@@ -50,16 +50,16 @@
         self,
         context: Context,
         seeds: Callable[[], Mapping[HostName, Address]],
-        options: membership.MembershipOptions = _OPTIONS,
+        options: membership.MembershipOptions = _DEFAULT_OPTIONS,
     ) -> None:
         """Create the own record; `__aenter__` starts to ping."""
         self._context = context
         self._state = MemberState(context, options)
         self._pinger = Pinger(context, self._state, seeds)
-        self._tick_s = context.timers.now_s()
-        self._seed_tick_s = self._tick_s
-        self._view_sent_s = self._tick_s - _VIEW_INTERVAL_S
-        self._endings: tuple[Callable[[], None], ...] = ()
+        self._last_tick_at_s = context.timers.now_s()
+        self._last_seed_ping_at_s = self._last_tick_at_s
+        self._table_sent_at_s = self._last_tick_at_s - _MIN_TABLE_INTERVAL_S
+        self._cleanup_callbacks: tuple[Callable[[], None], ...] = ()
 
     async def __aenter__(self) -> Self:
         """Answer pings, post the own record and begin to ping."""
@@ -71,7 +71,7 @@
             self._state.options.ping_interval_s,
             self._tick,
         )
-        self._endings = (
+        self._cleanup_callbacks = (
             ticks.cancel,
             context.board.subscribe(IN_FORCE, self._publish_revision),
         )
@@ -82,15 +82,15 @@
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Stop pinging; a daemon that left tells peers that it is gone."""
-        for end in self._endings:
+        for end in self._cleanup_callbacks:
             end()
         await self._pinger.close()
         if self.own.status == MemberStatus.LEAVING:
             gone = replace(self.own, status=MemberStatus.DEAD)
-            self._state.tell(gone, self._state.options.leave_count)
-            await self._context.peers.flush(_FLUSH_S)
+            self._state.send_to_random(gone, self._state.options.leave_count)
+            await self._context.peers.flush(_FLUSH_TIMEOUT_S)
             # The links report an empty queue before the last frame is out.
-            await asyncio.sleep(_LINGER_S)
+            await asyncio.sleep(_FLUSH_MARGIN_S)
 
     @property
     def own(self) -> MemberRecord:
@@ -121,35 +121,37 @@
 
     def leave(self) -> None:
         """Publish that this daemon leaves and tell many members at once."""
-        self._state.change_own(status=MemberStatus.LEAVING)
+        self._state.update_own(status=MemberStatus.LEAVING)
 
     def set_successor(self, host: HostName) -> None:
         """Publish which host took over the witness records."""
-        self._state.change_own(successor=host)
+        self._state.update_own(successor=host)
 
     def _tick(self) -> None:
         """Ping one member, expire suspicions, and now and then ping a seed."""
         now_s = self._state.now_s
         options = self._state.options
         table = self._state.table
-        since_s = now_s - self._tick_s
-        if since_s > 2 * options.ping_interval_s:
+        elapsed_s = now_s - self._last_tick_at_s
+        if elapsed_s > 2 * options.ping_interval_s:
             table = membership.restart_suspicion_timers(table, now_s)
         self._state.health = membership.score_after_tick(
             self._state.health,
-            max(0, since_s - options.ping_interval_s),
+            max(0, elapsed_s - options.ping_interval_s),
             options,
         )
-        self._tick_s = now_s
+        self._last_tick_at_s = now_s
         own = replace(table.own, load=self._smoothed_load())
         table = replace(table, own=own)
-        slowed = self._state.scaled_options
-        self._state.apply(membership.expire_members(table, now_s, slowed))
+        scaled_options = self._state.scaled_options
+        self._state.apply(
+            membership.expire_members(table, now_s, scaled_options)
+        )
         self._pinger.join()
-        if now_s - self._seed_tick_s >= options.seed_interval_s:
-            self._seed_tick_s = now_s
+        if now_s - self._last_seed_ping_at_s >= options.seed_interval_s:
+            self._last_seed_ping_at_s = now_s
             self._pinger.ping_seeds(1)
-            self._pinger.ping_dead()
+            self._pinger.ping_dead_member()
         self._pinger.ping_next()
 
     def _smoothed_load(self) -> float:
@@ -160,21 +162,21 @@
     async def _answer_ping(self, sender: Sender, ping: Ping) -> Ack:
         self._state.receive(ping.records, sender.host)
         now_s = self._state.now_s
-        if ping.join and now_s - self._view_sent_s >= _VIEW_INTERVAL_S:
-            self._view_sent_s = now_s
-            self._state.send_view(sender.host)
-        return Ack(records=self._state.compose(sender.host))
+        if ping.join and now_s - self._table_sent_at_s >= _MIN_TABLE_INTERVAL_S:
+            self._table_sent_at_s = now_s
+            self._state.send_member_table(sender.host)
+        return Ack(records=self._state.compose_records(sender.host))
 
     async def _answer_ping_request(
         self,
         sender: Sender,
-        asked: PingRequest,
+        request: PingRequest,
     ) -> Ack:
         reached = await self._pinger.ping(
-            asked.target,
+            request.target,
             self._state.options.ping_timeout_s,
         )
-        return Ack(reached, self._state.compose(sender.host))
+        return Ack(reached, self._state.compose_records(sender.host))
 
     def _receive_gossip(self, sender: Sender, gossip: Gossip) -> None:
         self._state.receive(gossip.records, sender.host)
@@ -185,4 +187,4 @@
             return
         own = replace(self.own, revision=document.revision)
         self._state.apply(replace(self._state.table, own=own))
-        self._state.tell(own, self._state.options.revision_fanout)
+        self._state.send_to_random(own, self._state.options.revision_fanout)
--- a/boragespool/controllers/membership/pinging.py
+++ b/boragespool/controllers/membership/pinging.py
@@ -18,7 +18,7 @@
     from boragespool.types import Address, HostName, Seconds
 
 #: Pings that ask for the whole view after the start.
-_JOIN_COUNT: Final = 3
+_JOIN_PING_COUNT: Final = 3
 
 
 class Pinger:
@@ -34,8 +34,8 @@
         self._context = context
         self._state = state
         self._seeds = seeds
-        self._order = membership.PingRound()
-        self._joins_left = _JOIN_COUNT
+        self._ping_round = membership.PingRound()
+        self._join_pings_left = _JOIN_PING_COUNT
         self._tasks = TaskSet()
 
     async def close(self) -> None:
@@ -44,32 +44,32 @@
 
     def ping_next(self) -> None:
         """Test the next member of the round."""
-        found = membership.next_target(
-            self._order,
+        host_and_round = membership.next_target(
+            self._ping_round,
             self._state.reachable(),
             self._context.draw,
         )
-        self._order = found[1]
-        if found[0] is not None:
-            tested = self._state.table.members_by_host[found[0]]
-            self._tasks.spawn(self._test(tested))
+        self._ping_round = host_and_round[1]
+        if host_and_round[0] is not None:
+            target = self._state.table.members_by_host[host_and_round[0]]
+            self._tasks.spawn(self._probe(target))
 
     def join(self) -> None:
         """Ask a member of the own data centre, else seeds, for its view."""
-        if not self._joins_left:
+        if not self._join_pings_left:
             return
         state = self._state
         local = [
             host
             for host in state.reachable()
-            if _centre_of(state, host) == state.own.data_centre
+            if _data_centre_of(state, host) == state.own.data_centre
         ]
         if not local:
-            self.ping_seeds(_JOIN_COUNT)
+            self.ping_seeds(_JOIN_PING_COUNT)
         for host in membership.choose_random_hosts(
             local, 1, self._context.draw
         ):
-            self._tasks.spawn(self._ask_view(host))
+            self._tasks.spawn(self._ping_to_join(host))
 
     def ping_seeds(self, count: int) -> None:
         """Ping seeds that are not live members."""
@@ -83,9 +83,9 @@
             absent, count, self._context.draw
         ):
             self._context.peers.set_address(host, absent[host])
-            self._tasks.spawn(self._ask_view(host))
+            self._tasks.spawn(self._ping_to_join(host))
 
-    def ping_dead(self) -> None:
+    def ping_dead_member(self) -> None:
         """Ping one dead member; it may be behind a partition that ended."""
         dead = [
             host
@@ -93,7 +93,7 @@
             if member.status == MemberStatus.DEAD
         ]
         for host in membership.choose_random_hosts(dead, 1, self._context.draw):
-            self._tasks.spawn(self._ask_view(host))
+            self._tasks.spawn(self._ping_to_join(host))
 
     async def ping(
         self,
@@ -105,7 +105,7 @@
         """Exchange records with a host; tell whether it answered."""
         ack = await self._context.peers.request(
             host,
-            Ping(self._state.compose(host), join),
+            Ping(self._state.compose_records(host), join),
             timeout_s,
         )
         if not isinstance(ack, Ack):
@@ -113,21 +113,23 @@
         self._state.receive(ack.records, host)
         return True
 
-    async def _ask_view(self, host: HostName) -> None:
+    async def _ping_to_join(self, host: HostName) -> None:
         """Ping a host and ask for its whole view while joining."""
         timeout_s = self._state.options.ping_timeout_s
-        reached = await self.ping(host, timeout_s, join=self._joins_left > 0)
-        if reached and self._joins_left:
-            self._joins_left -= 1
+        reached = await self.ping(
+            host, timeout_s, join=self._join_pings_left > 0
+        )
+        if reached and self._join_pings_left:
+            self._join_pings_left -= 1
 
-    async def _test(self, tested: MemberRecord) -> None:
+    async def _probe(self, target: MemberRecord) -> None:
         """Ping one member, directly and through helpers, and judge it."""
         state = self._state
-        host = tested.host
+        host = target.host
         started_s = state.now_s
         timeout_s = state.scaled_options.ping_timeout_s
         if await self.ping(host, timeout_s) or await self._ping_by_helpers(
-            tested,
+            target,
             timeout_s,
         ):
             state.apply(membership.clear_leaving_suspicion(state.table, host))
@@ -138,7 +140,7 @@
         state.apply(
             membership.suspect(
                 state.table,
-                tested,
+                target,
                 state.now_s,
                 state.options,
             ),
@@ -149,15 +151,15 @@
 
     async def _ping_by_helpers(
         self,
-        tested: MemberRecord,
+        target: MemberRecord,
         timeout_s: Seconds,
     ) -> bool:
         """Ask members near the target, which all keep it, to ping it."""
-        others = self._state.reachable() - {tested.host}
+        others = self._state.reachable() - {target.host}
         near = {
             host
             for host in others
-            if _centre_of(self._state, host) == tested.data_centre
+            if _data_centre_of(self._state, host) == target.data_centre
         }
         helpers = membership.choose_random_hosts(
             near or others,
@@ -168,7 +170,7 @@
             *(
                 self._context.peers.request(
                     helper,
-                    PingRequest(tested.host),
+                    PingRequest(target.host),
                     2 * timeout_s,
                 )
                 for helper in helpers
@@ -179,5 +181,5 @@
         )
 
 
-def _centre_of(state: MemberState, host: HostName) -> str:
+def _data_centre_of(state: MemberState, host: HostName) -> str:
     return state.table.members_by_host[host].data_centre
--- a/boragespool/controllers/pauses.py
+++ b/boragespool/controllers/pauses.py
@@ -21,16 +21,16 @@
     delay_s : float
         Length of the pause, in seconds.
     """
-    over = asyncio.Event()
-    subscription = timers.after(delay_s, over.set)
+    elapsed = asyncio.Event()
+    handle = timers.after(delay_s, elapsed.set)
     try:
-        await over.wait()
+        await elapsed.wait()
     finally:
-        subscription.cancel()
+        handle.cancel()
 
 
 def backoff_s(
-    failures: int,
+    failure_count: int,
     first_s: Seconds,
     limit_s: Seconds,
     draw: float,
@@ -52,6 +52,6 @@
         Between half of the doubled delay and all of it, in seconds.
     """
     # 2**20 times the first delay exceeds every limit in use.
-    doublings = min(failures - 1, 20)
+    doublings = min(failure_count - 1, 20)
     full_s = min(limit_s, math.ldexp(first_s, doublings))
     return full_s * (1 + draw) / 2
