--- a/boragespool/controllers/callers/__init__.py
+++ b/boragespool/controllers/callers/__init__.py
@@ -1,1 +1,1 @@
-"""Controllers of the HTTP API for callers."""
+"""Controllers of the HTTP API for callers, and overload control."""
--- a/boragespool/controllers/callers/caller_admission.py
+++ b/boragespool/controllers/callers/caller_admission.py
@@ -1,4 +1,8 @@
-"""Early refusal of callers' requests, before they are checked."""
+"""Refuses requests of callers before the full check of their bodies.
+
+Only the fields that decide about admission are decoded, so that a refusal
+costs little under overload.
+"""
 
 from __future__ import annotations
 
@@ -32,7 +36,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Head:
-    """Fields that decide about an early refusal."""
+    """Fields of the body that are needed to decide about admission."""
 
     route: RouteName = ''
     rank: str | None = None
@@ -45,21 +49,22 @@
 
 
 class CallerAdmission:
-    """Decides which requests of callers go on to the checks.
+    """Admits or refuses requests of callers, and checks the admitted ones.
 
     Parameters
     ----------
     board : Blackboard
-        Settings in force.
-    ports : CallerControllers
-        The admitter decides by rank. The claim controller seals the tickets
-        of refused claims, so that ``NOT_RUN`` holds for ever.
+        Blackboard from which the settings in force are read.
+    controllers : CallerControllers
+        The overload controller decides by rank. The claim controller seals
+        the tickets of refused claims, so that these claims can never run
+        after the caller was told that they did not (``NOT_RUN``).
     """
 
     def __init__(
         self, board: Blackboard, controllers: CallerControllers
     ) -> None:
-        """Keep the controllers."""
+        """Set up the admission check."""
         self._board = board
         self._controllers = controllers
 
@@ -73,9 +78,9 @@
         Parameters
         ----------
         request : HttpRequest
-            Request with the time that it waited.
+            HTTP request, with the time that it waited in this daemon.
         form : WorkKind
-            Form that the path stands for.
+            Kind of request that the path accepts.
         """
         document = self._board.read(IN_FORCE)
         if document is None:
@@ -96,7 +101,7 @@
         form: WorkKind,
         settings: Settings,
     ) -> HttpResponse | None:
-        """Return a refusal, or None for a request that goes on."""
+        """Return a refusal, or None if the request is admitted."""
         head = _decode_head(request.body)
         rank = _admission_rank(head, settings)
         if not request.deferred:
@@ -112,7 +117,7 @@
 
 
 def _decode_head(raw: bytes) -> _Head:
-    """Decode the deciding fields only; what is invalid has none."""
+    """Decode only the fields that decide; an invalid body has none."""
     try:
         return _DECODER.decode(raw)
     except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
@@ -120,7 +125,7 @@
 
 
 def _admission_rank(head: _Head, settings: Settings) -> Rank:
-    """Return the rank, the lowest one for a request that is not valid."""
+    """Return the rank, or the lowest one if the route does not exist."""
     route = settings.routes.get(head.route)
     if route is None:
         return Rank.DEFERRABLE
@@ -134,15 +139,15 @@
     request: HttpRequest,
     settings: Settings,
 ) -> Failure | None:
-    """Refuse a request that waited until its deadline."""
+    """Refuse a request whose deadline passed while it waited."""
     route = settings.routes.get(head.route)
     if route is None:
         return None
     deadline_ms = route.deadline_ms
     if head.deadline_ms is not None:
         deadline_ms = min(deadline_ms, head.deadline_ms)
-    # A deadline of zero or less is the fault of the caller; the check of
-    # the body says so.
+    # A deadline of zero or less is an error of the caller, which the check
+    # of the body reports.
     if deadline_ms <= 0 or request.waited_s * _MS_PER_S < deadline_ms:
         return None
     return Failure(
--- a/boragespool/controllers/callers/caller_controllers.py
+++ b/boragespool/controllers/callers/caller_controllers.py
@@ -1,4 +1,4 @@
-"""Calls that the API towards callers makes to other controllers."""
+"""Protocols of the controllers that the API for callers uses."""
 
 from __future__ import annotations
 
@@ -23,22 +23,26 @@
 
 
 class QueryRunner(Protocol):
-    """Answers queries."""
+    """Controller that answers queries."""
 
     async def answer(self, request: QueryRequest) -> QueryAnswer | Failure:
-        """Answer within the deadline of the request."""
+        """Return the answer within the deadline of the request."""
         ...
 
 
 class ClaimRunner(Protocol):
-    """Runs claims and remembers their outcomes."""
+    """Controller that runs claims and records their outcomes."""
 
     def issue(self, count: int) -> tuple[str, ...]:
         """Return new tickets."""
         ...
 
     def refuse(self, ticket: str, refusal: Failure) -> Failure | None:
-        """Seal a ticket without a check; None if its claim is known here."""
+        """Seal the ticket of a claim that is refused before it is checked.
+
+        Return the refusal, or None if this daemon has already started the
+        claim, so that the request has to be answered with its outcome.
+        """
         ...
 
     async def run(self, request: ClaimRequest) -> ClaimAnswer | Failure:
@@ -50,45 +54,48 @@
         ticket: str,
         request_id: RequestId,
     ) -> ClaimAnswer | Failure:
-        """Return the outcome, sealing a ticket that has not started."""
+        """Return the outcome of a claim; seal the ticket if it has none.
+
+        A sealed ticket cannot be used to start a claim any more.
+        """
         ...
 
 
 class AdmissionControl(Protocol):
-    """Decides which requests of callers are admitted."""
+    """Controller that admits requests by rank under overload."""
 
     def record_wait(self, waited_s: Seconds) -> None:
-        """Note how long a request waited for the event loop."""
+        """Record how long a request waited for the event loop."""
         ...
 
     def refuse(self, rank: Rank) -> Failure | None:
-        """Return a refusal unless the request is admitted."""
+        """Count a request; return a failure if it is not admitted."""
         ...
 
 
 class AddressSource(Protocol):
-    """Knows the daemons that take new callers."""
+    """Controller that knows the daemons that accept new callers."""
 
     def addresses(
         self,
         data_centre: DataCentre,
         count: int,
     ) -> tuple[Address, ...]:
-        """Return addresses for callers of a data centre, best first."""
+        """Return addresses for callers of a data centre, nearest first."""
         ...
 
 
 class QueueReporter(Protocol):
-    """Knows the queues in front of backend servers."""
+    """Controller of the queues in front of the backend servers."""
 
     def status(self) -> object:
-        """Return queue lengths and limits by server and rank."""
+        """Return queue lengths and limits by server, encodable as JSON."""
         ...
 
 
 @dataclass(frozen=True, slots=True)
 class CallerControllers:
-    """Controllers behind the API towards callers."""
+    """Controllers that the API for callers uses."""
 
     query: QueryRunner
     claims: ClaimRunner
--- a/boragespool/controllers/callers/caller_input.py
+++ b/boragespool/controllers/callers/caller_input.py
@@ -1,4 +1,4 @@
-"""Checks of what callers send."""
+"""Checks of the path, parameters and body of requests of callers."""
 
 from __future__ import annotations
 
@@ -69,14 +69,16 @@
 
 @dataclass(frozen=True, slots=True)
 class CheckedBody:
-    """A body that agrees with the settings in force.
+    """A body that is valid under the settings in force.
 
     Attributes
     ----------
+    given : CallerBody
+        Body as the caller sent it.
     rank : Rank
         Rank of the request, never above the rank of its route.
     lowered : Rank or None
-        `rank` if the caller lowered it.
+        `rank` if the caller asked for a lower one than that of the route.
     deadline_s : float
         Time left for the answer, in seconds.
     """
@@ -92,14 +94,14 @@
     form: WorkKind,
     settings: Settings,
 ) -> CheckedBody | Failure:
-    """Decode a query or a claim and compare it with the settings.
+    """Decode a query or a claim and check it against the settings.
 
     Parameters
     ----------
     raw : bytes
         Body of the HTTP request.
     form : WorkKind
-        Form that the path stands for.
+        Kind of request that the path accepts.
     settings : Settings
         Settings in force.
 
@@ -128,7 +130,7 @@
 
 
 def check_method(path: str, request: HttpRequest) -> Failure | None:
-    """Refuse a path or a method that is not part of the API."""
+    """Return a failure unless the API has this path with this method."""
     method = _METHODS_BY_PATH.get(path)
     if method is None:
         shown = path[:_MAX_SHOWN_LENGTH]
@@ -147,7 +149,7 @@
 
 
 def check_ticket(ticket: str) -> Failure | None:
-    """Refuse a ticket that no daemon can have issued."""
+    """Return a failure if no daemon can have issued the ticket."""
     is_plain = ticket.isascii() and ticket.isprintable() and ' ' not in ticket
     if ticket and is_plain and len(ticket) <= MAX_TICKET_LENGTH:
         return None
@@ -164,7 +166,18 @@
     default: int,
     highest: int,
 ) -> int | Failure:
-    """Read a whole number from the query string.
+    """Parse a parameter of the query string as a whole number.
+
+    Parameters
+    ----------
+    name : str
+        Name of the parameter, for the error message.
+    text : str or None
+        Value as sent; None if the parameter is missing.
+    default : int
+        Number to return if the parameter is missing.
+    highest : int
+        Highest number that is allowed.
 
     Returns
     -------
@@ -173,7 +186,7 @@
     """
     if text is None:
         return default
-    # The length keeps int() away from numbers with thousands of digits.
+    # The limit of the length avoids calling int() with thousands of digits.
     is_number = (
         text.isascii() and text.isdigit() and len(text) < MAX_NAME_LENGTH
     )
--- a/boragespool/controllers/callers/caller_status.py
+++ b/boragespool/controllers/callers/caller_status.py
@@ -1,4 +1,4 @@
-"""Reports of a daemon about itself."""
+"""Bodies of the health, readiness and status reports of a daemon."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 def describe_health(context: Context) -> dict[str, Any]:
-    """Return who answers and in which phase."""
+    """Return the identity and the phase of this daemon."""
     return {
         'host': context.identity.host,
         'incarnation': context.identity.incarnation,
@@ -33,7 +33,7 @@
 
 
 def check_ready(context: Context) -> Failure | None:
-    """Tell why new callers should use another daemon."""
+    """Return a failure if new callers should use another daemon."""
     phase = context.board.read(PHASE)
     if phase is Phase.READY:
         return None
@@ -45,7 +45,7 @@
         )
     return Failure(
         ResultCode.LEAVING,
-        f'the daemon is in phase {phase.value!r} and takes no new callers',
+        f'the daemon is in phase {phase.value!r} and accepts no new callers',
         retry_after_s=1,
     )
 
@@ -62,7 +62,7 @@
     context : Context
         Identity and blackboard.
     in_flight : int
-        Requests of callers in flight.
+        Number of requests of callers in flight.
     queues : object
         Report of the dispatch controller, encodable as JSON.
     """
--- a/boragespool/controllers/callers/callers.py
+++ b/boragespool/controllers/callers/callers.py
@@ -1,4 +1,4 @@
-"""HTTP API towards callers; docs/api.md describes it."""
+"""HTTP API for callers, described in docs/api.md."""
 
 from __future__ import annotations
 
@@ -46,20 +46,23 @@
 
 
 class CallerApi:
-    """Turns requests of callers into calls of other controllers.
+    """Routes HTTP requests of callers to the controllers that answer them.
+
+    It is an async context manager and posts the number of requests in flight
+    as `LOAD`.
 
     Parameters
     ----------
     context : Context
-        Shared parts of the daemon.
-    ports : CallerControllers
-        Controllers that answer.
+        Identity, blackboard and timers of the daemon.
+    controllers : CallerControllers
+        Controllers that answer the requests.
     """
 
     def __init__(
         self, context: Context, controllers: CallerControllers
     ) -> None:
-        """Start without requests."""
+        """Start without requests in flight."""
         self._context = context
         self._controllers = controllers
         self._admission = CallerAdmission(context.board, controllers)
@@ -71,16 +74,19 @@
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        """Post that nothing is in flight."""
+        """Post a load of 0."""
         self._context.board.post(LOAD, 0)
 
     @property
     def in_flight(self) -> int:
-        """Queries and claims that are not answered yet."""
+        """Number of queries and claims that are not answered yet."""
         return self._in_flight
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Answer one HTTP request; bad input gets a numbered refusal."""
+        """Return the response to one request.
+
+        The response to invalid input has a result code in its body.
+        """
         path = request.path
         if path.startswith(CLAIM_PREFIX):
             path = CLAIM_PREFIX
@@ -142,7 +148,7 @@
             return failure_response(
                 Failure(
                     ResultCode.NOT_READY,
-                    'the daemon knows no daemon that takes callers',
+                    'no known daemon accepts new callers',
                     retry_after_s=1,
                 ),
             )
@@ -155,7 +161,10 @@
         )
 
     def _issue_tickets(self, count: int) -> tuple[str, ...]:
-        """Issue tickets, but not for the time after this daemon has left."""
+        """Issue tickets, unless this daemon is leaving.
+
+        It could not be asked for the outcome of their claims any more.
+        """
         if count and self._context.board.read(PHASE) is not Phase.LEAVING:
             return self._controllers.claims.issue(count)
         return ()
@@ -222,7 +231,7 @@
         labels: tuple[str, str],
         pending_answer: Awaitable[_AnswerT | Failure],
     ) -> HttpResponse:
-        """Await one controller and encode its answer."""
+        """Await the answer of a controller and encode it as a response."""
         started_s = self._context.timers.now_s()
         self._count_in_flight(1)
         try:
@@ -246,7 +255,7 @@
 
 
 def _mismatched_answer(request_id: RequestId, other: RequestId) -> Failure:
-    """Refuse the answer to another request."""
+    """Return the failure for an answer that belongs to another request."""
     return Failure(
         ResultCode.INTERNAL_ERROR,
         f'request {request_id!r} got the answer to request {other!r}',
--- a/boragespool/controllers/callers/overload.py
+++ b/boragespool/controllers/callers/overload.py
@@ -1,6 +1,7 @@
-"""Measures how late the event loop is and what the daemon admits.
+"""Overload control: limits the requests admitted when the event loop is late.
 
-Owns the admission state; posts it on the blackboard.
+Measures the lateness of the event loop in windows, decides the share of
+requests to admit by rank, and posts it as `ADMISSION`.
 """
 
 from __future__ import annotations
@@ -30,24 +31,27 @@
     from boragespool.timers import Subscription
     from boragespool.types import Seconds
 
-#: A timer of 40 calls per second costs about 0.1% of a core.
+#: Interval of the timer that measures the lateness, in seconds. Its 40 calls
+#: per second cost about 0.1% of a core.
 _TICK_INTERVAL_S: Final = 0.025
+#: Length of a measuring window, in seconds; each one ends with a decision.
 _WINDOW_S: Final = 0.25
-#: Shortest time between two log events of one overload.
+#: Minimum time between two log events during one overload, in seconds.
 _LOG_INTERVAL_S: Final = 1
-#: A refused caller comes again when the cut of a flood has taken effect.
+#: Time after which refused callers may retry, in seconds. By then the lower
+#: limit on admissions has reduced the load.
 _RETRY_AFTER_S: Final = 1
 
 
 class OverloadController:
-    """Admission of callers' requests, a context manager.
+    """Admits or refuses requests of callers by rank; a context manager.
 
     Parameters
     ----------
     context : Context
-        Shared parts of the daemon.
+        Blackboard and timers of the daemon.
     cpu_time_s : callable, optional
-        Returns the processor time of the event loop's thread, in seconds.
+        Returns the CPU time used by the event loop's thread, in seconds.
     """
 
     def __init__(
@@ -55,7 +59,7 @@
         context: Context,
         cpu_time_s: Callable[[], Seconds] = time.thread_time,
     ) -> None:
-        """Admit everything; `__enter__` begins to measure."""
+        """Admit all requests; `__enter__` starts to measure."""
         self._cpu_time_s = cpu_time_s
         self._window_start_cpu_s: Seconds = 0
         self._context = context
@@ -72,7 +76,7 @@
         self._last_logged_at_s = float('-inf')
 
     def __enter__(self) -> Self:
-        """Begin to measure."""
+        """Start the first window and the timer."""
         timers = self._context.timers
         self._last_tick_at_s = timers.now_s()
         self._window_started_at_s = self._last_tick_at_s
@@ -81,16 +85,16 @@
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        """Stop measuring."""
+        """Stop the timer; the last decision remains."""
         if self._subscription is not None:
             self._subscription.cancel()
 
     def record_wait(self, waited_s: Seconds) -> None:
-        """Note how long a request waited for the event loop."""
+        """Record how long a request waited for the event loop."""
         self._request_waits_s.append(waited_s)
 
     def refuse(self, rank: Rank) -> Failure | None:
-        """Count a request; return a refusal unless it is admitted."""
+        """Count a request; return a failure if it is not admitted."""
         self._arrived_by_rank[rank] += 1
         share = self._admission.share_by_rank[rank]
         if share >= 1 or self._sampler_by_rank[rank].admit(share):
@@ -175,7 +179,7 @@
     shares = _rounded_shares(after)
     log_event(
         Event.ADMISSION_CHANGED,
-        f'admitted shares by rank are {shares!r}',
+        f'admitted shares of requests by rank changed to {shares!r}',
         level=logging.WARNING if after.is_limited else logging.INFO,
         shares_before=_rounded_shares(before),
         shares=shares,
--- a/boragespool/controllers/callers/strict_json.py
+++ b/boragespool/controllers/callers/strict_json.py
@@ -1,4 +1,4 @@
-"""JSON of callers, with the checks that msgspec does not make."""
+"""Decodes JSON of callers, with checks that msgspec does not make."""
 
 from __future__ import annotations
 
@@ -11,11 +11,11 @@
 
 
 class _DuplicateKeyError(ValueError):
-    """A JSON object names one key twice."""
+    """Raised if a JSON object has a key twice."""
 
 
 def decode_object(raw: bytes) -> dict[str, Any] | Failure:
-    """Decode one JSON object, refusing what parsers read differently.
+    """Decode one JSON object; refuse input that parsers interpret differently.
 
     Parameters
     ----------
@@ -25,26 +25,26 @@
     Returns
     -------
     dict or Failure
-        ``DUPLICATE_KEY`` if an object at any depth names a key twice,
+        ``DUPLICATE_KEY`` if an object at any depth has a key twice,
         ``MALFORMED_BODY`` if the text is not an object in JSON (RFC 8259).
 
     Notes
     -----
-    msgspec keeps the last of two equal keys; a backend server with another
-    parser could keep the first one and run another request.
+    msgspec keeps the last of two equal keys. The parser of a backend server
+    could keep the first one and therefore run a different request.
     """
     try:
-        # msgspec refuses what the json module lets pass, such as NaN.
+        # msgspec refuses input that the json module accepts, such as NaN.
         msgspec.json.decode(raw)
         decoded = json.loads(raw, object_pairs_hook=_unique_keys)
     except _DuplicateKeyError as duplicate:
         return Failure(ResultCode.DUPLICATE_KEY, str(duplicate))
     except RecursionError:
-        return _malformed('it is nested too deeply')
+        return _malformed('its values are nested too deeply')
     except (msgspec.MsgspecError, ValueError) as error:
         return _malformed(str(error))
     if not isinstance(decoded, dict):
-        return _malformed('it is not an object')
+        return _malformed('it is a value of another type')
     return decoded
 
 
--- a/boragespool/controllers/configuration/__init__.py
+++ b/boragespool/controllers/configuration/__init__.py
@@ -1,1 +1,1 @@
-"""Controllers of the configuration: revisions and the host list."""
+"""Controllers that distribute configuration revisions and the host list."""
--- a/boragespool/controllers/configuration/applying.py
+++ b/boragespool/controllers/configuration/applying.py
@@ -1,4 +1,8 @@
-"""Writing a change to the store, through lost answers and races."""
+"""Writes a configuration change to the store by compare-and-swap.
+
+Handles calls without an answer, and changes by several operators at the same
+time. Runs in the commands of the operator, not in the daemons.
+"""
 
 from __future__ import annotations
 
@@ -41,7 +45,15 @@
 
 @dataclass(frozen=True, slots=True)
 class AppliedChange:
-    """A change that the store accepted."""
+    """A change that the store accepted.
+
+    Attributes
+    ----------
+    before : RevisionDocument or None
+        Replaced revision; None if this is the first one.
+    document : RevisionDocument
+        Revision that was written.
+    """
 
     before: RevisionDocument | None
     document: RevisionDocument
@@ -49,12 +61,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RevisionConflict:
-    """A change that lost against another one, or was built for another base.
+    """A change that was not written because the base is not the expected one.
+
+    Another change was accepted first, or the change was prepared for another
+    revision than the one in the store.
 
     Attributes
     ----------
     found : RevisionDocument
-        Revision that is in the store.
+        Current revision in the store.
     wanted : RevisionDocument
         Revision that was not written.
     """
@@ -70,28 +85,30 @@
     expected_base: Revision | None = None,
     settings: Settings | None = None,
 ) -> AppliedChange | RevisionConflict | Failure:
-    """Read the base, build the next document and write it.
+    """Read the current revision, build the next one and write it.
 
     Parameters
     ----------
     store : Store
-        Platform client.
+        Client of the platform's store.
     build : callable
-        Returns the next document for a base, or why there is none.
+        Takes the current document, or None if the store holds none. Returns
+        the next document, or a failure if the change is not possible.
     answer_timeout_s : float
-        Time without an answer while parts are written, and then for writing
-        the manifest, in seconds.
+        Timeout in seconds. While parts are written it restarts with each
+        answer of the store; writing the manifest then has to end within it.
     expected_base : int, optional
-        Revision that the change was prepared for; nothing is written if the
+        Revision that the change was prepared for. Nothing is written if the
         store holds another one.
     settings : Settings, optional
-        Settings that the change probably sets; their parts are not read.
+        Settings that the change is expected to set. Their parts are known,
+        so that they are not read from the store.
 
     Returns
     -------
     Applied or Refused or Failure
-        ``STORE_UNAVAILABLE`` promises that nothing will be in force;
-        ``APPLY_UNCONFIRMED`` says that this is not known.
+        With ``STORE_UNAVAILABLE`` the change is not in force and never will
+        be. With ``APPLY_UNCONFIRMED`` it is unknown whether it is.
     """
     indexed_texts = (
         build_indexes(split_settings(settings)) if settings else ({}, {})
@@ -120,7 +137,11 @@
 def _restart_timeout(
     timeout: asyncio.Timeout, answer_timeout_s: Seconds
 ) -> None:
-    """Start the patience again: a first apply has thousands of parts."""
+    """Restart the timeout after an answer of the store.
+
+    The first revision of a fleet has thousands of parts, which take longer
+    than one timeout to write.
+    """
     timeout.reschedule(asyncio.get_running_loop().time() + answer_timeout_s)
 
 
@@ -133,13 +154,13 @@
         return RevisionConflict(base.document, wanted)
     return Failure(
         ResultCode.REVISION_CONFLICT,
-        f'the change was prepared for revision {expected_base!r}, but the store '
-        'holds none',
+        f'the change was prepared for revision {expected_base!r}, but the '
+        'store holds no revision',
     )
 
 
 class _Writer:
-    """One compare-and-swap and what is known about it."""
+    """Write of one revision by compare-and-swap, with its known outcome."""
 
     def __init__(
         self,
@@ -160,7 +181,7 @@
     async def write(
         self, part_store: Store
     ) -> AppliedChange | RevisionConflict | Failure:
-        """Write and read back until the outcome is known."""
+        """Write the parts, then the manifest, until the outcome is known."""
         packed = await write_parts(
             part_store,
             self._base,
@@ -180,31 +201,31 @@
         return self._unconfirmed()
 
     def timeout_outcome(self) -> Failure:
-        """Return what is known after `settle` was cancelled."""
+        """Return the outcome as far as it is known if `write` timed out."""
         if self._may_take_effect:
             return self._unconfirmed()
         if self._lost_race:
             return Failure(
                 ResultCode.REVISION_CONFLICT,
-                'another revision was accepted first, which the store did '
-                'not show; nothing of this change is in force',
+                'another revision was accepted first, which could not be '
+                'read from the store; nothing of this change is in force',
             )
         return Failure(
             ResultCode.STORE_UNAVAILABLE,
-            'the store accepted no call in time; nothing of the change is in '
-            'force',
+            'the store accepted no write within the timeout; nothing of the '
+            'change is in force',
         )
 
     async def _run_steps(self) -> WriteStep:
         step = WriteStep.WRITE
-        failures = 0
+        failure_count = 0
         while (
             step in {WriteStep.WRITE, WriteStep.READ_BACK}
             and not self._store_refusal
         ):
-            if failures:
-                await sleep_with_backoff(failures)
-            failures += 1
+            if failure_count:
+                await sleep_with_backoff(failure_count)
+            failure_count += 1
             if step is WriteStep.WRITE:
                 step = next_step_after_write(await self._write_manifest())
             else:
@@ -213,7 +234,8 @@
 
     async def _write_manifest(self) -> WriteAnswer:
         may_already_take_effect = self._may_take_effect
-        # A cancelled call may still reach the store.
+        # Set before the call: if it is cancelled, the request may still
+        # reach the store.
         self._may_take_effect = True
         answer = await self._store.put(
             CURRENT_KEY,
@@ -238,22 +260,25 @@
         return next_step_after_read(self._wanted, found)
 
     async def _read_winner(self) -> RevisionConflict | Failure:
-        """Read the revision that won; the own one is never in force."""
+        """Read the revision that was accepted instead of this one.
+
+        From here on, this change can not come into force any more.
+        """
         self._may_take_effect = False
         self._lost_race = True
-        failures = 0
+        failure_count = 0
         while True:
             stored = await read_base(self._store, self._settings_texts[1])
             if not isinstance(stored, Failure) and stored.document:
                 return RevisionConflict(stored.document, self._wanted)
-            failures += 1
-            await sleep_with_backoff(failures)
+            failure_count += 1
+            await sleep_with_backoff(failure_count)
 
     def _unconfirmed(self) -> Failure:
         change_id = self._wanted.change_id
         return Failure(
             ResultCode.APPLY_UNCONFIRMED,
-            f'the store did not tell whether change {change_id!r} took '
-            "effect; 'boragespool audit' shows it if it did",
+            'the store did not confirm whether it accepted change '
+            f"{change_id!r}; 'boragespool audit' lists the change if it did",
             RunState.UNKNOWN,
         )
--- a/boragespool/controllers/configuration/configuration.py
+++ b/boragespool/controllers/configuration/configuration.py
@@ -1,7 +1,8 @@
 """Keeps the newest configuration revision in force at this daemon.
 
-The chosen watchers learn revisions from the store, all daemons learn them
-from the member records of their peers.
+A few daemons of the fleet, the watchers, watch the store for new revisions.
+The others see from the member records that a peer has a newer revision, and
+fetch it from that peer.
 """
 
 from __future__ import annotations
@@ -44,16 +45,19 @@
 
 
 class ConfigurationController:
-    """Posts `IN_FORCE` and `LEAVING_HOSTS`, an async context manager.
+    """Runs the tasks that follow the configuration and the host list.
+
+    It is an async context manager. It posts `IN_FORCE` and `LEAVING_HOSTS` on
+    the blackboard.
 
     Parameters
     ----------
     context : Context
-        Shared parts of the daemon.
+        Identity, blackboard, timers and peers of the daemon.
     store : ConfigurationStore
-        Platform client.
+        Client of the platform's store and host list.
     options : ConfigurationOptions
-        Pace.
+        Intervals, timeouts and limits.
     """
 
     def __init__(
@@ -62,7 +66,7 @@
         store: ConfigurationStore,
         options: ConfigurationOptions | None = None,
     ) -> None:
-        """Keep the parts; `__aenter__` starts the tasks."""
+        """Set up the controller; `__aenter__` starts the tasks."""
         self._context = context
         self._store = store
         self._options = options or ConfigurationOptions()
@@ -76,7 +80,7 @@
         self._exit_stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Self:
-        """Serve peers and start to watch and fetch."""
+        """Register the handlers for peers and start the tasks."""
         self._updater.register()
         self._host_list.register()
         self._delay_first_read()
@@ -118,14 +122,14 @@
     async def _run_forever(
         self, coroutine_function: Callable[[], Awaitable[None]]
     ) -> None:
-        """Begin work again if it raises, for example in a subscriber."""
+        """Restart a task that raised, for example in a board subscriber."""
         while True:
             try:
                 await coroutine_function()
             except Exception as error:
                 log_event(
                     Event.TASK_FAILED,
-                    f'a configuration task raised {error!r}',
+                    f'restarting a configuration task that raised {error!r}',
                     level=logging.ERROR,
                 )
             await pause(self._context.timers, self._options.backoff_limit_s)
@@ -134,7 +138,7 @@
         await self._host_list.poll_while(self._watch_enabled)
 
     def _schedule_role_update(self) -> None:
-        """Look at the member records once for many changes."""
+        """Schedule one role update for all changes of member records."""
         if not self._role_update_scheduled:
             self._role_update_scheduled = True
             self._context.timers.after(
@@ -143,7 +147,7 @@
             )
 
     def _update_roles(self) -> None:
-        """Decide from the member records whether to watch and to fetch."""
+        """Decide whether this daemon watches the store and has to fetch."""
         self._role_update_scheduled = False
         members_by_host = self._context.board.read(MEMBERS)
         own_host = self._context.identity.host
@@ -181,9 +185,9 @@
         )
 
     async def _watch_store(self) -> None:
-        """Follow the store while this daemon is a watcher."""
+        """Watch the store for new revisions while this daemon is a watcher."""
         version = 0
-        failures = 0
+        failure_count = 0
         while True:
             await self._watch_enabled.wait()
             started_at_s = self._context.timers.now_s()
@@ -193,11 +197,11 @@
                 self._options.watch_wait_s,
             )
             if isinstance(answer, Failure):
-                failures += 1
-                await self._back_off(failures)
+                failure_count += 1
+                await self._back_off(failure_count)
                 continue
             if not isinstance(answer, StoredAnswer):
-                failures = 0
+                failure_count = 0
                 version = answer.version
                 elapsed_s = self._context.timers.now_s() - started_at_s
                 remaining_s = max(
@@ -205,18 +209,19 @@
                 )
                 await pause(self._context.timers, remaining_s)
             elif await self._apply_stored_value(answer.value.encode()):
-                failures = 0
+                failure_count = 0
                 version = answer.version
             else:
-                # Parts could not be read; the same version is read again.
-                failures += 1
-                await self._back_off(failures)
+                # Parts could not be read: watch for the same version again.
+                failure_count += 1
+                await self._back_off(failure_count)
 
     async def _apply_stored_value(self, encoded: bytes) -> bool:
-        """Tell whether nothing is left to read of a value of the store.
+        """Apply a value of the store; return whether it is complete.
 
-        Until the daemons know each other, each of them may take itself for
-        a watcher; then none may read all parts.
+        During the first read window the daemons do not know each other yet,
+        and each of them may consider itself a watcher. Therefore none of them
+        reads a large number of parts before the window is over.
         """
         if (
             self._first_read_window_over.is_set()
@@ -227,8 +232,8 @@
         return False
 
     async def _fetch_from_peers(self) -> None:
-        """Get the document from a peer whenever one holds a newer one."""
-        failures = 0
+        """Fetch the revision of a peer whenever one has a newer one."""
+        failure_count = 0
         while True:
             await self._newer_revision_known.wait()
             newer_hosts = hosts_with_newer_revision(
@@ -237,18 +242,18 @@
             )[: self._options.fetch_candidate_count]
             if not newer_hosts:
                 self._newer_revision_known.clear()
-                failures = 0
+                failure_count = 0
                 continue
             host = newer_hosts[int(self._context.draw() * len(newer_hosts))]
             if await self._updater.fetch_from_peer(host):
-                failures = 0
+                failure_count = 0
             else:
-                failures += 1
-                await self._back_off(failures)
+                failure_count += 1
+                await self._back_off(failure_count)
 
-    async def _back_off(self, failures: int) -> None:
+    async def _back_off(self, failure_count: int) -> None:
         delay_s = backoff_s(
-            failures,
+            failure_count,
             self._options.backoff_first_s,
             self._options.backoff_limit_s,
             self._context.draw(),
--- a/boragespool/controllers/configuration/configuration_options.py
+++ b/boragespool/controllers/configuration/configuration_options.py
@@ -1,4 +1,4 @@
-"""Pace of the configuration controller."""
+"""Options of the configuration controller."""
 
 from __future__ import annotations
 
@@ -10,31 +10,37 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationOptions:
-    """Pace of the controller.
+    """Intervals, timeouts and limits of the configuration controller.
 
     Attributes
     ----------
     watch_wait_s : float
-        Longest wait of one watch at the store.
-    max_store_part_count : int
-        Most parts that a watcher reads from the store before it asks peers.
-        A usual change has fewer, which peers do not have yet.
+        Timeout of one long-polling watch of the store, in seconds.
     min_watch_interval_s : float
-        Shortest time between two watches without news, so that a store that
-        answers at once is not called in a tight loop.
+        Minimum time between the starts of two watches without a change, in
+        seconds, so that a store that answers at once is not called in a tight
+        loop.
     role_update_delay_s : float
-        Member records that change within this time are looked at together.
+        Delay in seconds after a change of member records until the daemon
+        decides again whether to watch and to fetch. Changes within this time
+        are processed together.
     peer_timeout_s : float
-        Longest wait for the document of a peer.
+        Timeout of a request to a peer, in seconds.
     backoff_first_s, backoff_limit_s : float
-        Delays after failed calls.
+        Delay after the first failed call, and the maximum delay, in seconds.
     fetch_candidate_count : int
-        Newest holders among which one is drawn, so that not all daemons
-        fetch from the same peer.
+        Number of peers with the newest revisions from which one is chosen at
+        random, so that not all daemons fetch from the same peer.
     first_read_window_s : float
-        While no peer has a revision, the first reads wait for a random part
-        of this time, so that daemons that start at the same moment do not
-        read the store together.
+        While no peer has a revision, the first read of the store waits for a
+        random part of this time, in seconds, so that daemons that start at
+        the same moment do not read the store at the same time.
+    max_store_part_count : int
+        Maximum number of missing parts that a watcher reads from the store
+        without asking peers first. A usual change has fewer parts, and peers
+        do not have them yet.
+    host_list : HostListOptions
+        Intervals, timeouts and limits of the host list.
     """
 
     watch_wait_s: Seconds = 10
--- a/boragespool/controllers/configuration/configuration_store.py
+++ b/boragespool/controllers/configuration/configuration_store.py
@@ -1,6 +1,6 @@
-"""The part of the platform client that the configuration controller calls.
+"""Protocols of the platform client, as the configuration controller uses it.
 
-`boragespool.store.StoreClient` has these methods; tests use a fake.
+`boragespool.store.StoreClient` implements them; the tests have a fake.
 """
 
 from __future__ import annotations
@@ -13,17 +13,17 @@
 
 
 class VersionedAnswer(Protocol):
-    """Answer to a watch that ended without news."""
+    """Answer to a watch that timed out without a newer version."""
 
     @property
     def version(self) -> int:
-        """Version of the key in the store; 0 for none."""
+        """Version of the key in the store; 0 if it was never written."""
         ...
 
 
 @runtime_checkable
 class StoredAnswer(VersionedAnswer, Protocol):
-    """Answer with a value."""
+    """Answer that contains a value."""
 
     @property
     def value(self) -> str:
@@ -32,7 +32,7 @@
 
 
 class ListedHost(Protocol):
-    """One host of the platform's list."""
+    """One entry of the platform's host list."""
 
     @property
     def host(self) -> HostName:
@@ -46,7 +46,7 @@
 
 
 class HostListSource(Protocol):
-    """What reads the platform's host list."""
+    """Client that reads the platform's host list."""
 
     async def hosts(self) -> tuple[ListedHost, ...] | Failure:
         """Return the platform's host list."""
@@ -54,15 +54,15 @@
 
 
 class ValueSource(Protocol):
-    """What reads values of the store."""
+    """Client that reads values from the store."""
 
     async def get(self, key: str) -> StoredAnswer | object:
-        """Return the value of a key, or anything else if there is none."""
+        """Return the value of a key, or another object if there is none."""
         ...
 
 
 class ConfigurationStore(HostListSource, ValueSource, Protocol):
-    """What watches the store."""
+    """Client that also watches keys of the store."""
 
     async def watch(
         self,
@@ -70,5 +70,5 @@
         after_version: int,
         wait_s: Seconds,
     ) -> StoredAnswer | VersionedAnswer | Failure:
-        """Wait for a newer version of a key."""
+        """Wait up to `wait_s` for a version later than `after_version`."""
         ...
--- a/boragespool/controllers/configuration/host_list.py
+++ b/boragespool/controllers/configuration/host_list.py
@@ -1,4 +1,8 @@
-"""Reads the platform's host list and spreads the leaving hosts."""
+"""Distributes the list of leaving hosts to all daemons.
+
+Watchers read the platform's host list. Each daemon forwards a newer list to a
+few random peers, and asks random peers for one at intervals.
+"""
 
 from __future__ import annotations
 
@@ -32,21 +36,22 @@
 
 @dataclass(frozen=True, slots=True)
 class HostListOptions:
-    """Pace of the host list.
+    """Intervals, timeouts and limits of the host list.
 
     Attributes
     ----------
     read_interval_s : float
-        Time between two reads of a watcher.
+        Time between two reads of the platform's list by a watcher, in
+        seconds.
     exchange_interval_s : float
-        Time between two requests to a random peer, which repair lost
-        messages.
+        Time between two requests to a random peer, in seconds. They make up
+        for lost messages.
     timeout_s : float
-        Longest wait for a peer.
+        Timeout of a request to a peer, in seconds.
     backoff_first_s, backoff_limit_s : float
-        Delays after failed reads.
+        Delay after the first failed read, and the maximum delay, in seconds.
     fanout : int
-        Peers to which a daemon passes a new list on.
+        Number of peers to which a daemon forwards a newer list.
     """
 
     read_interval_s: Seconds = 0.5
@@ -58,16 +63,18 @@
 
 
 class HostList:
-    """The newest list of leaving hosts that this daemon knows.
+    """Newest list of leaving hosts that this daemon has received or read.
+
+    It is posted on the blackboard as `LEAVING_HOSTS`.
 
     Parameters
     ----------
     context : Context
-        Shared parts of the daemon.
+        Identity, blackboard, timers and peers of the daemon.
     source : HostListSource
-        Platform.
+        Client of the platform's host list.
     options : HostListOptions
-        Pace.
+        Intervals, timeouts and limits.
     """
 
     def __init__(
@@ -76,27 +83,30 @@
         source: HostListSource,
         options: HostListOptions,
     ) -> None:
-        """Start without a list."""
+        """Start with an empty list."""
         self._context = context
         self._source = source
         self._options = options
         self._newest = EMPTY_HOST_LIST
-        # None until two answers in a row can be compared.
+        # Leaving hosts in the previous answer of the platform. None at the
+        # start, after a failed read and after a time as no watcher.
         self._last_leaving_hosts: frozenset[HostName] | None = None
-        self._failures = 0
+        self._failure_count = 0
 
     def register(self) -> None:
-        """Receive lists of peers."""
+        """Register the handlers for messages of peers."""
         self._context.peers.on_message(LeavingHosts, self._receive)
         self._context.peers.on_request(LeavingHostsRequest, self._answer)
 
     async def poll_while(self, watch_enabled: asyncio.Event) -> None:
-        """Read the platform's list for ever, whenever this daemon watches.
+        """Read the platform's list at intervals while this daemon watches.
+
+        This does not return.
 
         Parameters
         ----------
         watching : asyncio.Event
-            Set while this daemon is one of the watchers.
+            Set while this daemon is a watcher.
         """
         while True:
             if not watch_enabled.is_set():
@@ -106,14 +116,14 @@
             await pause(self._context.timers, self._read_delay_s())
 
     async def read(self) -> None:
-        """Read the platform's list once and publish what changed."""
+        """Read the platform's list once and publish a new list if needed."""
         known = self._newest
         entries = await self._source.hosts()
         if isinstance(entries, Failure):
-            self._failures += 1
+            self._failure_count += 1
             self._last_leaving_hosts = None
             return
-        self._failures = 0
+        self._failure_count = 0
         leaving_hosts = frozenset(
             entry.host for entry in entries if entry.state == _LEAVING
         )
@@ -122,7 +132,8 @@
             before = frozenset(known.hosts)
         self._last_leaving_hosts = leaving_hosts
         if self._newest is not known:
-            # The answer may be older than the list that arrived meanwhile.
+            # A peer sent a newer list during the call, and the answer may
+            # be older than that list.
             return
         own_host = self._context.identity.host
         updated = next_host_list(known, leaving_hosts, before, own_host)
@@ -130,7 +141,7 @@
             self._apply(updated)
 
     async def poll_peers(self) -> None:
-        """Ask one random peer after the other for a newer list, for ever."""
+        """Ask a random peer for a newer list at intervals; never return."""
         while True:
             await pause(
                 self._context.timers,
@@ -166,7 +177,7 @@
             self._apply(received)
 
     def _apply(self, newest: LeavingHosts) -> None:
-        """Use a newer list and pass it on once."""
+        """Post a newer list and forward it once to a few random peers."""
         self._newest = newest
         hosts = frozenset(newest.hosts)
         if hosts != self._context.board.read(LEAVING_HOSTS):
@@ -195,10 +206,10 @@
         return chosen
 
     def _read_delay_s(self) -> Seconds:
-        if not self._failures:
+        if not self._failure_count:
             return self._options.read_interval_s
         return backoff_s(
-            self._failures,
+            self._failure_count,
             self._options.backoff_first_s,
             self._options.backoff_limit_s,
             self._context.draw(),
--- a/boragespool/controllers/configuration/local_revision.py
+++ b/boragespool/controllers/configuration/local_revision.py
@@ -1,4 +1,4 @@
-"""The revision that this daemon has in force, and the parts that it holds."""
+"""Revision in force at this daemon, and the parts that it holds."""
 
 from __future__ import annotations
 
@@ -27,24 +27,27 @@
     from boragespool.messages import PartsRequest, RevisionRequest
     from boragespool.revisions import PartHash
 
-#: Texts in one reply, in bytes; a frame holds about as many.
+#: Maximum size of the texts in one reply, in bytes; a frame has room for about
+#: as many.
 _MAX_REPLY_BYTES: Final = 200_000
 
-#: Parts of earlier revisions, kept for peers that are still fetching them.
+#: Number of parts of earlier revisions that are kept for peers that are still
+#: fetching them.
 _RETAINED_PART_COUNT: Final = 128
 
-#: Texts beyond twice those of the wanted revision that are kept. Some of them
-#: are parts whose index is still to be fetched.
+#: Number of texts, in excess of twice those of the target revision, at which
+#: unreferenced ones are dropped. Texts may be unreferenced only because the
+#: index that names them has not been fetched yet.
 _MAX_SURPLUS_COUNT: Final = 1_000
 
 
 class LocalRevision:
-    """Texts of parts by hash, and the revision that is made of them.
+    """Parts of revisions by hash, and the revision assembled from them.
 
     Attributes
     ----------
     document : RevisionDocument or None
-        Highest complete revision.
+        Highest complete revision; None before the first one.
     """
 
     def __init__(self) -> None:
@@ -60,35 +63,48 @@
 
     @property
     def revision(self) -> int:
-        """Revision of the document; 0 for none."""
+        """Number of the revision in force; 0 if there is none."""
         return self.document.revision if self.document else 0
 
     def set_target(self, manifest: Manifest) -> None:
-        """Keep the parts of a manifest while it is being fetched."""
+        """Set the manifest to complete; its parts are not dropped."""
         if (
             self._target_manifest is None
             or manifest.revision > self._target_manifest.revision
         ):
             self._target_manifest = manifest
             wanted = referenced_hashes(manifest, self._texts)
-            # Pieces of manifests that were never completed pile up if the
-            # parts of each of them are lost.
+            # Texts of manifests that are never completed would accumulate
+            # if each of these manifests has parts that cannot be fetched.
             if len(self._texts) > 2 * len(wanted) + _MAX_SURPLUS_COUNT:
                 self._prune()
 
     def parts_to_fetch(
         self, manifest: Manifest
     ) -> tuple[PartHash, ...] | Failure:
-        """Return the hashes to fetch next; empty when it is complete."""
+        """Return the hashes to fetch next; empty if none is missing."""
         return hashes_to_fetch(manifest, self._texts)
 
     def add(
         self,
-        lacked: Iterable[PartHash],
+        missing: Iterable[PartHash],
         texts: Iterable[bytes],
     ) -> bool:
-        """Keep those texts that were lacked; tell whether there were any."""
-        wanted = set(lacked)
+        """Add the texts whose hash is missing.
+
+        Parameters
+        ----------
+        missing : iterable of str
+            Hashes of the missing parts.
+        texts : iterable of bytes
+            Received texts; others than the missing ones are ignored.
+
+        Returns
+        -------
+        bool
+            Whether any text was added.
+        """
+        wanted = set(missing)
         hashed = {part_hash(text): text for text in texts}
         matching = {
             part: text for part, text in hashed.items() if part in wanted
@@ -101,20 +117,22 @@
         value: Manifest | RevisionDocument,
         encoded: bytes,
     ) -> RevisionDocument | Failure | None:
-        """Hold a revision as a whole if it is higher and valid.
+        """Replace the revision by a higher one, if that is valid.
 
         Parameters
         ----------
         value : Manifest or RevisionDocument
-            Manifest of which `lacks` is empty, or a valid whole document.
+            Manifest for which `parts_to_fetch` returns no hash, or a valid
+            whole document.
         encoded : bytes
-            Its text. It is passed on as received, because a newer release
-            may have added keys.
+            Its text. Peers get it as received, because a newer release may
+            have added keys.
 
         Returns
         -------
         RevisionDocument or Failure or None
-            None if the revision is not higher than the one held.
+            New document, a failure if its parts are invalid, or None if the
+            revision is not higher than the current one.
         """
         if value.revision <= self.revision:
             return None
@@ -125,12 +143,16 @@
         self._assembly = None
         self._encoded_manifest = b''
         self._encoded_document = encoded
-        # The next manifest probably refers to most of these.
+        # The next manifest probably refers to most of these parts.
         self._texts.update(build_indexes(split_settings(value.settings))[1])
         return value
 
     def answer(self, request: RevisionRequest) -> RevisionReply:
-        """Answer a peer in the form that it knows."""
+        """Return the reply to a peer, in a form that its release supports.
+
+        Without a revision above the one that the peer has, it names only the
+        number of the revision.
+        """
         if self.document is None or self.revision <= request.have:
             return RevisionReply(self.revision)
         if request.takes_manifest and self._encoded_manifest:
@@ -143,7 +165,7 @@
         return RevisionReply(self.revision, self._encoded_document)
 
     def answer_parts(self, request: PartsRequest) -> PartsReply:
-        """Answer a peer with the parts that fit in one reply."""
+        """Return the requested parts, as many as fit in one reply."""
         texts: list[bytes] = []
         size_bytes = 0
         for part in request.parts:
@@ -173,7 +195,10 @@
         return self.document
 
     def _prune(self) -> None:
-        """Drop what neither this revision nor the wanted one refers to."""
+        """Drop parts that neither this nor the target revision refers to.
+
+        The most recent of them are kept for peers.
+        """
         kept: set[PartHash] = set()
         for manifest in (self._manifest, self._target_manifest):
             if manifest is not None:
--- a/boragespool/controllers/configuration/part_reading.py
+++ b/boragespool/controllers/configuration/part_reading.py
@@ -1,4 +1,4 @@
-"""Reads many parts of a revision from the store at a bounded rate."""
+"""Reads the parts of a revision from the store at a limited rate."""
 
 from __future__ import annotations
 
@@ -22,9 +22,9 @@
     from boragespool.revisions import PartHash
     from boragespool.timers import TimerService
 
-#: Parts in a batch and the time between two batches: at most 400 calls per
-#: second, so that three watchers that start without any part stay below the
-#: 2,000 reads per second of the store.
+#: Number of parts in a batch, and the time between two batches in seconds:
+#: at most 400 calls per second. Three watchers that start without any part
+#: stay below the 2,000 reads per second that the store allows.
 BATCH_SIZE: Final = 20
 BATCH_INTERVAL_S: Final = 0.05
 
@@ -34,22 +34,22 @@
     parts: Iterable[PartHash],
     timers: TimerService,
 ) -> tuple[dict[PartHash, bytes], Failure | None]:
-    """Read parts until a call fails.
+    """Read parts in batches; stop after a batch with a failed call.
 
     Parameters
     ----------
     store : ValueSource
-        Platform client.
+        Client of the platform's store.
     parts : iterable of str
         Hashes of the parts.
     timers : TimerService
-        Clock.
+        Timers for the pauses between batches.
 
     Returns
     -------
     tuple
-        Texts by their hash, and the first failure. Parts that the store does
-        not hold, or that were emptied, are left out.
+        Texts by their hash, and the first failure or None. The texts lack
+        parts that the store does not hold or whose value is empty.
     """
     found: dict[PartHash, bytes] = {}
     remaining = iter(parts)
--- a/boragespool/controllers/configuration/part_writing.py
+++ b/boragespool/controllers/configuration/part_writing.py
@@ -1,4 +1,7 @@
-"""Writes the parts of a revision, and empties those that are retired."""
+"""Writes the parts of a revision to the store and empties retired parts.
+
+`boragespool.revisions.retention` explains why this is safe without a lock.
+"""
 
 from __future__ import annotations
 
@@ -40,16 +43,16 @@
 _BACKOFF_FIRST_S: Final = 0.1
 _BACKOFF_LIMIT_S: Final = 1
 
-#: Calls in a batch and the time between two batches: at most 200 calls per
-#: second, the store's goal for writes.
+#: Number of calls in a batch, and the time between two batches in seconds:
+#: at most 200 calls per second, the target rate of the store for writes.
 _BATCH_SIZE: Final = 20
 _BATCH_INTERVAL_S: Final = 0.1
 
 
-async def sleep_with_backoff(failures: int) -> None:
-    """Wait before another call after some that failed."""
+async def sleep_with_backoff(failure_count: int) -> None:
+    """Sleep before a retry, longer after each consecutive failure."""
     delay_s = backoff_s(
-        failures,
+        failure_count,
         _BACKOFF_FIRST_S,
         _BACKOFF_LIMIT_S,
         random.random(),
@@ -59,12 +62,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ProgressReportingStore:
-    """A store that reports each answer.
+    """Wrapper of a store that calls back after each answer.
 
     Attributes
     ----------
+    store : Store
+        Wrapped client.
     on_answer : callable
-        Called after each call that did not fail.
+        Called after each call that did not fail, so that the caller can
+        extend its timeout.
     """
 
     store: Store
@@ -96,14 +102,14 @@
     wanted: RevisionDocument,
     settings_texts: IndexedTexts,
 ) -> EncodedRevision | Failure:
-    """Prepare the store for the manifest of a revision.
+    """Write everything that the manifest of a revision refers to.
 
     Parameters
     ----------
     store : Store
-        Platform client.
-    base : Base
-        Revision to replace. It is kept under its own key.
+        Client of the platform's store.
+    base : StoredBase
+        Revision to replace. It is stored under its own key first.
     wanted : RevisionDocument
         Next revision.
     settings_texts : tuple
@@ -112,9 +118,9 @@
     Returns
     -------
     EncodedRevision or Failure
-        The manifest to write; each part that it refers to is in the store
-        and stays there if the manifest is accepted. Calls that fail are
-        repeated for ever.
+        Manifest to write next. Each part that it refers to is in the store,
+        and remains there if the manifest is accepted. Failed calls are
+        retried without a limit.
     """
     plan = plan_retention(
         base.history,
@@ -130,7 +136,7 @@
     )
     if isinstance(packed, Failure):
         return packed
-    await _clear_removed_values(store, base.history)
+    await _empty_removed_values(store, base.history)
     await _run_batched(
         partial(_write_part, store, part, packed.parts[part])
         for part in packed.parts.keys() - base.parts
@@ -143,18 +149,19 @@
     history: History,
     plan: RetentionPlan,
 ) -> History:
-    """Read the versions of the parts to retire.
+    """Return the next history, with the versions of the parts to retire.
 
-    This comes before the manifest that retires them is written.
+    The versions have to be read before the manifest that retires these parts
+    is written.
     """
     retired: list[RetiredPart] = []
 
     async def read(part: PartHash) -> None:
-        failures = 0
+        failure_count = 0
         answer = await store.get(part_key(part))
         while isinstance(answer, Failure):
-            failures += 1
-            await sleep_with_backoff(failures)
+            failure_count += 1
+            await sleep_with_backoff(failure_count)
             answer = await store.get(part_key(part))
         if not isinstance(answer, Missing) and answer.value:
             retired.append(RetiredPart(part, answer.version))
@@ -168,16 +175,17 @@
     )
 
 
-async def _clear_removed_values(store: Store, history: History) -> None:
-    """Empty what the revision that is to be replaced has retired.
+async def _empty_removed_values(store: Store, history: History) -> None:
+    """Empty the parts and revisions that the current history has removed.
 
-    A conflict means that the value is empty already, or was written again.
+    A conflict means that the value is already empty, or that it was written
+    again; both are correct.
     """
     keys = [
         (part_key(retired_part.part), retired_part.version)
         for retired_part in history.retired
     ]
-    # A kept revision is written once and never changed.
+    # A replaced revision is written only once, so its version is 1.
     keys.extend((revision_key(revision), 1) for revision in history.dropped)
     await _run_batched(
         partial(_put_with_retries, store, key, '', version)
@@ -186,17 +194,18 @@
 
 
 async def _archive_base(store: Store, base: StoredBase) -> None:
-    """Keep the base under its own key before it is replaced."""
+    """Store the base under its own key before it is replaced."""
     if base.document is not None:
-        # A conflict means that the same immutable value is there already.
+        # A conflict means that the key already holds the same value.
         key = revision_key(base.document.revision)
         await _put_with_retries(store, key, base.text, 0)
 
 
 async def _write_part(store: Store, part: PartHash, text: bytes) -> None:
-    """Write a part, also if it is there already.
+    """Write a part, even if the store already holds it.
 
-    Its version rises above each one at which it may be emptied.
+    This raises the version of the key, so that an earlier decision to empty
+    the part, which names an older version, has no effect.
     """
     expected: int | None = 0
     while expected is not None:
@@ -211,12 +220,16 @@
     text: str,
     expected_version: int,
 ) -> int | None:
-    """Write until the store answers; return the version of a conflict."""
-    failures = 0
+    """Retry a write until the store answers.
+
+    Return None if the value was written, or the current version of the key if
+    it was not the expected one.
+    """
+    failure_count = 0
     answer = await store.put(key, text, expected_version)
     while isinstance(answer, Failure):
-        failures += 1
-        await sleep_with_backoff(failures)
+        failure_count += 1
+        await sleep_with_backoff(failure_count)
         answer = await store.put(key, text, expected_version)
     return None if isinstance(answer, int) else answer.version
 
@@ -224,7 +237,7 @@
 async def _run_batched(
     calls: Iterable[Callable[[], Awaitable[object]]],
 ) -> None:
-    """Make calls in batches, at a bounded rate."""
+    """Make calls concurrently in batches, at a limited rate."""
     remaining = iter(calls)
     batch = tuple(itertools.islice(remaining, _BATCH_SIZE))
     while batch:
--- a/boragespool/controllers/configuration/revision_fetching.py
+++ b/boragespool/controllers/configuration/revision_fetching.py
@@ -1,4 +1,4 @@
-"""Gathers the parts of a revision from peers and from the store."""
+"""Fetches the parts of a revision from peers and from the store."""
 
 from __future__ import annotations
 
@@ -24,18 +24,24 @@
 
     PartSource = Callable[[tuple[PartHash, ...]], Awaitable[Iterable[bytes]]]
 
-#: Parts in one request; their hashes have 17 KB.
+#: Maximum number of parts in one request to a peer; their hashes have 17 KB.
 _PARTS_PER_REQUEST: Final = 500
 
 
 @dataclass(frozen=True, slots=True)
 class RevisionFetcher:
-    """Sources of parts.
+    """Fetches missing parts of a revision from several sources.
 
     Attributes
     ----------
+    context : Context
+        Timers and peers of the daemon.
+    store : ValueSource
+        Client of the platform's store.
+    local_revision : LocalRevision
+        Parts that this daemon has; fetched ones are added.
     timeout_s : float
-        Longest wait for a peer, in seconds.
+        Timeout of a request to a peer, in seconds.
     """
 
     context: Context
@@ -44,7 +50,7 @@
     timeout_s: Seconds
 
     def peer_source(self, host: HostName) -> PartSource:
-        """Return the source that asks a peer."""
+        """Return a source that requests parts from a peer."""
 
         async def request_parts(parts: tuple[PartHash, ...]) -> Iterable[bytes]:
             reply = await self.context.peers.request(
@@ -59,7 +65,7 @@
     async def read_from_store(
         self, parts: tuple[PartHash, ...]
     ) -> Iterable[bytes]:
-        """Read from the store."""
+        """Read parts from the store; a source like `peer_source`."""
         found, _ = await read_parts(self.store, parts, self.context.timers)
         return found.values()
 
@@ -68,34 +74,34 @@
         manifest: Manifest,
         sources: Iterable[PartSource],
     ) -> Failure | bool:
-        """Fetch what a manifest lacks, from one source after the other.
+        """Fetch the missing parts of a manifest from sources in order.
 
         Parameters
         ----------
         manifest : Manifest
             Revision to complete.
         sources : iterable of callable
-            Each is asked until it brings nothing new.
+            Each is called until it returns no part that is missing.
 
         Returns
         -------
         Failure or bool
-            Whether nothing is lacking any more; a failure if an index is
-            invalid. What was fetched is kept for the next attempt.
+            Whether all parts are present, or a failure if an index is
+            invalid. Fetched parts are kept for the next attempt.
         """
         self.local_revision.set_target(manifest)
         for source in sources:
             made_progress = True
             while made_progress:
                 made_progress = await self._fetch_once(manifest, source)
-        lacked = self.local_revision.parts_to_fetch(manifest)
-        return lacked if isinstance(lacked, Failure) else not lacked
+        missing = self.local_revision.parts_to_fetch(manifest)
+        return missing if isinstance(missing, Failure) else not missing
 
     async def _fetch_once(self, manifest: Manifest, source: PartSource) -> bool:
-        """Tell whether a source brought something and may bring more."""
+        """Call a source once; return whether it had a missing part."""
         if manifest.revision <= self.local_revision.revision:
             return False
-        lacked = self.local_revision.parts_to_fetch(manifest)
-        if isinstance(lacked, Failure) or not lacked:
+        missing = self.local_revision.parts_to_fetch(manifest)
+        if isinstance(missing, Failure) or not missing:
             return False
-        return self.local_revision.add(lacked, await source(lacked))
+        return self.local_revision.add(missing, await source(missing))
--- a/boragespool/controllers/configuration/revision_updating.py
+++ b/boragespool/controllers/configuration/revision_updating.py
@@ -1,4 +1,7 @@
-"""Takes revisions from the store and from peers and puts them in force."""
+"""Puts revisions from the store and from peers in force at this daemon.
+
+Posts `IN_FORCE` and answers requests of peers for revisions and their parts.
+"""
 
 from __future__ import annotations
 
@@ -41,21 +44,22 @@
     from boragespool.revisions import RevisionDocument
     from boragespool.types import HostName, Revision
 
-#: Peers asked for parts besides the one that announced the revision.
+#: Number of peers that are asked for parts, besides the one from which the
+#: revision came.
 _ADDITIONAL_PEER_COUNT: Final = 2
 
 
 class RevisionUpdater:
-    """The revision in force at this daemon.
+    """Completes, checks and posts newer revisions.
 
     Parameters
     ----------
     context : Context
-        Shared parts of the daemon.
+        Identity, blackboard, timers and peers of the daemon.
     store : ValueSource
-        Platform client.
+        Client of the platform's store.
     options : ConfigurationOptions
-        Pace.
+        Timeouts and limits.
     """
 
     def __init__(
@@ -81,14 +85,14 @@
         return self._local_revision.revision
 
     def register(self) -> None:
-        """Serve peers."""
+        """Register the handlers for requests of peers."""
         self._context.peers.on_request(
             RevisionRequest, self._handle_revision_request
         )
         self._context.peers.on_request(PartsRequest, self._handle_parts_request)
 
     async def fetch_from_peer(self, host: HostName) -> bool:
-        """Tell whether a revision of a peer was put in force."""
+        """Fetch the revision of a peer; return whether it was put in force."""
         before = self._local_revision.revision
         reply = await self._context.peers.request(
             host,
@@ -99,7 +103,8 @@
             return False
         encoded = reply.manifest or reply.document
         if encoded:
-            # A peer can lack parts that it has replaced meanwhile.
+            # The peer may have dropped parts because it has replaced the
+            # revision in the meantime, so other peers are asked as well.
             others = self._choose_newer_peers(before)
             sources = [
                 self._fetcher.peer_source(one) for one in (host, *others)
@@ -108,7 +113,19 @@
         return self._local_revision.revision > before
 
     async def apply_stored_value(self, encoded: bytes) -> bool:
-        """Tell whether nothing is left to read of a value of the store."""
+        """Apply a value of the store.
+
+        Parameters
+        ----------
+        encoded : bytes
+            Manifest or whole document.
+
+        Returns
+        -------
+        bool
+            False if parts could not be read and the same value has to be
+            tried again.
+        """
         sources: list[PartSource] = []
         if self.needs_many_parts(encoded):
             sources.extend(
@@ -118,19 +135,22 @@
         return await self._apply_encoded(encoded, 'the store', sources)
 
     def needs_many_parts(self, encoded: bytes) -> bool:
-        """Tell whether a value has more parts to read than a usual change."""
+        """Whether a value lacks more parts here than a usual change has.
+
+        This holds for each manifest while no revision is in force.
+        """
         value = decode_revision(encoded)
         if not isinstance(value, Manifest):
             return False
         if self.revision == 0:
             return True
-        lacked = self._local_revision.parts_to_fetch(value)
-        if isinstance(lacked, Failure):
+        missing = self._local_revision.parts_to_fetch(value)
+        if isinstance(missing, Failure):
             return False
-        return len(lacked) > self._options.max_store_part_count
+        return len(missing) > self._options.max_store_part_count
 
     def _choose_newer_peers(self, have: Revision) -> list[HostName]:
-        """Draw peers whose revision is higher than one."""
+        """Choose random peers whose revision is higher than `have`."""
         hosts = list(
             hosts_with_newer_revision(self._context.board.read(MEMBERS), have)
         )
@@ -151,7 +171,7 @@
     ) -> bool:
         """Put a received value in force if it is valid, newer and complete.
 
-        Only False calls for another attempt with the same value.
+        Return False only if another attempt with the same value can succeed.
         """
         value = decode_revision(encoded)
         if isinstance(value, Failure):
@@ -177,7 +197,7 @@
         revision = self._local_revision.revision
         log_event(
             Event.REVISION_REJECTED,
-            f'a revision from {origin} is invalid; revision '
+            f'rejected an invalid revision from {origin}; revision '
             f'{revision!r} stays in force: {failure.reason}',
             level=logging.ERROR,
             code=int(failure.code),
@@ -187,7 +207,7 @@
         self._context.board.post(IN_FORCE, document)
         log_event(
             Event.REVISION_IN_FORCE,
-            f'revision {document.revision!r} from {origin} is in force',
+            f'revision {document.revision!r} from {origin} is now in force',
             revision=document.revision,
             change_id=document.change_id,
         )
--- a/boragespool/controllers/configuration/store_access.py
+++ b/boragespool/controllers/configuration/store_access.py
@@ -1,4 +1,7 @@
-"""Reading revisions from the store."""
+"""Reads revisions and their history from the store.
+
+Used by the commands of the operator.
+"""
 
 from __future__ import annotations
 
@@ -36,10 +39,10 @@
 
 
 class Store(Protocol):
-    """The part of the store client that the commands call."""
+    """Methods of the store client that the commands call."""
 
     async def get(self, key: str) -> StoredValue | Missing | Failure:
-        """Read one key."""
+        """Return the value of a key."""
         ...
 
     async def put(
@@ -48,13 +51,13 @@
         value: str,
         expected_version: int,
     ) -> int | Conflict | Failure:
-        """Write one key if its version is the expected one."""
+        """Write a key if its version is the expected one."""
         ...
 
 
 @dataclass(frozen=True, slots=True)
 class StoredBase:
-    """What the store holds for the configuration.
+    """Current revision in the store, as the base of a change.
 
     Attributes
     ----------
@@ -65,9 +68,10 @@
     text : str
         Value as stored.
     parts : frozenset of str
-        Hashes to which the revision refers; empty for a whole document.
+        Hashes of the parts that the revision refers to; empty for a whole
+        document.
     history : History
-        What earlier revisions left to remove.
+        Audit trail, and the parts and revisions that are to be removed.
     """
 
     document: RevisionDocument | None = None
@@ -86,13 +90,13 @@
     Parameters
     ----------
     store : Store
-        Platform client.
+        Client of the platform's store.
     known : mapping of str to bytes, optional
-        Texts of parts that need not be read.
+        Texts by hash of parts that need not be read.
 
     Returns
     -------
-    Base or Failure
+    StoredBase or Failure
         ``STORE_UNAVAILABLE``, or ``INVALID_SETTING`` for a value that this
         release cannot read.
     """
@@ -108,12 +112,14 @@
 
 
 async def read_audit_trail(store: Store) -> RevisionDocument | Failure | None:
-    """Read the current revision without its settings.
+    """Read the current revision with its audit trail but without settings.
 
     Returns
     -------
     RevisionDocument or Failure or None
-        With the whole audit trail; None if there is no revision.
+        Document with default settings and the whole audit trail; None if the
+        store holds no revision. A value that is not split into parts is
+        returned with its settings.
     """
     answer = await store.get(CURRENT_KEY)
     if isinstance(answer, Failure):
@@ -142,7 +148,7 @@
 
 
 async def read_current(store: Store) -> RevisionDocument | Failure:
-    """Read the current revision; a failure if there is none yet."""
+    """Return the current revision, or a failure if there is none yet."""
     base = await read_base(store)
     if isinstance(base, Failure):
         return base
@@ -162,16 +168,16 @@
     store: Store,
     revision: Revision,
 ) -> RevisionDocument | Failure:
-    """Read a replaced revision."""
+    """Return a replaced revision."""
     answer = await store.get(revision_key(revision))
     if isinstance(answer, Failure):
         return answer
-    # A revision that is not kept any more has an empty value.
+    # The value of a revision that is no longer kept is empty.
     if isinstance(answer, Missing) or not answer.value:
         return Failure(
             ResultCode.REVISION_UNKNOWN,
-            f'the store keeps no revision {revision!r}; allowed are replaced '
-            "revisions, which 'boragespool audit' lists",
+            f'the store holds no replaced revision {revision!r}; allowed are '
+            "the replaced revisions that 'boragespool audit' lists",
         )
     base = await _decode_base(store, answer.value, _NO_TEXTS)
     if isinstance(base, Failure):
@@ -184,12 +190,13 @@
     text: str,
     known: Mapping[PartHash, bytes],
 ) -> StoredBase | Failure:
-    """Read the parts of a value of the store."""
+    """Decode a stored revision and read its parts."""
     manifest = decode_revision(text)
     if isinstance(manifest, Failure):
         return manifest
     if isinstance(manifest, RevisionDocument):
-        # Earlier releases kept every revision; those values stay.
+        # Earlier releases kept every revision as a whole document, and these
+        # are not removed.
         history = History(kept_from=manifest.revision)
         return StoredBase(manifest, text=text, history=history)
     texts = await _read_missing_parts(store, manifest, known)
@@ -214,7 +221,7 @@
     manifest: Manifest,
     known: Mapping[PartHash, bytes],
 ) -> dict[PartHash, bytes] | Failure:
-    """Return the known texts and all others that a manifest needs."""
+    """Return the known texts and all others that a manifest refers to."""
     texts = dict(known)
     while True:
         fetchable = hashes_to_fetch(manifest, texts)
@@ -229,8 +236,8 @@
         if missing_hashes(missing, found):
             return Failure(
                 ResultCode.REVISION_UNKNOWN,
-                f'the store holds revision {manifest.revision!r} only in '
-                'part; it may have been replaced meanwhile',
+                f'the store lacks parts of revision {manifest.revision!r}; '
+                'it may have been replaced in the meantime',
             )
         texts.update(found)
 
