Describe membership controllers and shared modules plainly

Sentences such as the farewell, the view and judging members were figurative or left out what the reader needs.

--- a/boragespool/controllers/callers/callers.py
+++ b/boragespool/controllers/callers/callers.py
@@ -163,7 +163,7 @@
     def _issue_tickets(self, count: int) -> tuple[str, ...]:
         """Issue tickets, unless this daemon is leaving.
 
-        It could not be asked for the outcome of their claims any more.
+        Callers would use the tickets after it has left.
         """
         if count and self._context.board.read(PHASE) is not Phase.LEAVING:
             return self._controllers.claims.issue(count)
--- a/boragespool/controllers/callers/overload.py
+++ b/boragespool/controllers/callers/overload.py
@@ -179,7 +179,7 @@
     shares = _rounded_shares(after)
     log_event(
         Event.ADMISSION_CHANGED,
-        f'admitted shares of requests by rank changed to {shares!r}',
+        f'admitted shares of requests by rank are {shares!r}',
         level=logging.WARNING if after.is_limited else logging.INFO,
         shares_before=_rounded_shares(before),
         shares=shares,
--- a/boragespool/controllers/context.py
+++ b/boragespool/controllers/context.py
@@ -1,4 +1,4 @@
-"""What every controller of one daemon is given."""
+"""Objects that all controllers of one daemon share."""
 
 from __future__ import annotations
 
@@ -22,14 +22,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Identity:
-    """Who a daemon is, from its settings.
+    """Identity of a daemon, from the settings of its process.
 
     Attributes
     ----------
+    host : str
+        Name of the host, unique among the daemons.
     incarnation : int
-        Wall time at process start in milliseconds.
+        Wall-clock time at process start, in milliseconds.
+    data_centre, region : str
+        Location of the host.
     peer_address, caller_address : str
-        ``ip:port`` for peers and for callers.
+        Addresses for peers and for callers, as ``ip:port``.
     """
 
     host: HostName
@@ -42,10 +46,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Context:
-    """Shared parts of one daemon.
+    """Objects that each controller of one daemon gets.
 
     Attributes
     ----------
+    identity : Identity
+        Name, location and addresses of the daemon.
+    board : Blackboard
+        Latest value of each topic, which the controllers post and read.
+    timers : TimerService
+        Clock and timers.
+    peers : PeerNetwork
+        Links to the other daemons.
     draw : callable
         Returns a random number in ``[0, 1)``.
     """
--- a/boragespool/controllers/membership/__init__.py
+++ b/boragespool/controllers/membership/__init__.py
@@ -1,1 +1,1 @@
-"""Controllers of membership: the state of members and pings."""
+"""Controllers of gossip membership: the member table and pings."""
--- a/boragespool/controllers/membership/member_state.py
+++ b/boragespool/controllers/membership/member_state.py
@@ -1,7 +1,7 @@
-"""The member table of one daemon and what follows from its changes.
+"""Member table of one daemon, and the effects of its changes.
 
-Owns the table; posts `MEMBERS`, keeps the addresses and links of the peers
-in step with it and logs status changes.
+Owns the table. On changes it posts `MEMBERS`, updates the addresses and links
+of the peers, and logs changes of status.
 """
 
 from __future__ import annotations
@@ -23,14 +23,22 @@
 
 
 class MemberState:
-    """Latest member table of one daemon."""
+    """Latest member table of one daemon.
+
+    Parameters
+    ----------
+    context : Context
+        Identity, blackboard, timers and peers of the daemon.
+    options : MembershipOptions
+        Intervals, timeouts and limits.
+    """
 
     def __init__(
         self,
         context: Context,
         options: membership.MembershipOptions,
     ) -> None:
-        """Start with the own record alone."""
+        """Start with only the record of this daemon."""
         self.table = membership.MemberTable(_own_record(context))
         self.options = options
         #: Health score, see `boragespool.membership.health`.
@@ -44,25 +52,25 @@
 
     @property
     def scaled_options(self) -> membership.MembershipOptions:
-        """Options with the times of failure detection at this health."""
+        """Options with timeouts scaled by the current health score."""
         return membership.scale_timeouts(self.options, self.health)
 
     @property
     def now_s(self) -> float:
-        """Monotonic time."""
+        """Current time of the monotonic clock, in seconds."""
         return self._context.timers.now_s()
 
     def post(self) -> None:
-        """Post all records, the own one included."""
+        """Post the records of all members, including this daemon."""
         self._context.board.post(
             MEMBERS, membership.all_records_by_host(self.table)
         )
 
     def apply(self, table: membership.MemberTable) -> None:
-        """Keep a new table; post it if more than loads changed.
+        """Replace the table; post it if more than loads changed.
 
-        Subscribers assign backend servers anew at each post, which costs too
-        much for every change of a load.
+        Subscribers recompute the assignment of backend servers at each post,
+        which is too expensive for every change of a load.
         """
         before = self.table
         self.table = table
@@ -77,7 +85,10 @@
         records: tuple[MemberRecord, ...],
         sender: HostName,
     ) -> None:
-        """Merge the records of one message."""
+        """Merge the records of a received message into the table.
+
+        The health score gets worse if this daemon had to refute a suspicion.
+        """
         beat = self.own.beat
         self.apply(
             membership.merge_message(
@@ -96,7 +107,7 @@
             )
 
     def compose_records(self, host: HostName) -> tuple[MemberRecord, ...]:
-        """Choose the records of one message."""
+        """Return the records to send to a host in one message."""
         records_and_table = membership.compose_message(
             self.table, host, self.options
         )
@@ -104,7 +115,10 @@
         return records_and_table[0]
 
     def update_own(self, **fields: Any) -> None:
-        """Raise the beat of the own record and tell many members at once."""
+        """Change fields of the own record and gossip it at once.
+
+        This increments the beat of the record.
+        """
         own = replace(self.own, beat=self.own.beat + 1, **fields)
         self.apply(
             membership.update_own_record(
@@ -114,7 +128,7 @@
         self.send_to_random(own, self.options.leave_count)
 
     def send_to_random(self, record: MemberRecord, count: int) -> None:
-        """Send one record to random members without waiting for a tick."""
+        """Send a record to `count` random members at once, between pings."""
         hosts = membership.choose_random_hosts(
             self.reachable(),
             count,
@@ -127,12 +141,12 @@
         hosts: Iterable[HostName],
         record: MemberRecord,
     ) -> None:
-        """Send one record to these hosts."""
+        """Send a record to the given hosts."""
         for host in hosts:
             self._context.peers.send(host, Gossip((record,)))
 
     def send_member_table(self, host: HostName) -> None:
-        """Send the whole view to a daemon that has just started."""
+        """Send all records to a daemon that has just started."""
         members = tuple(self.table.members_by_host.values())
         count = self.options.join_record_count
         for start in range(0, len(members), count):
@@ -140,7 +154,7 @@
             self._context.peers.send(host, Gossip(chunk))
 
     def reachable(self) -> frozenset[HostName]:
-        """Return the other members that are not dead."""
+        """Return the hosts of the other members that are not dead."""
         return frozenset(
             host
             for host, member in self.table.members_by_host.items()
@@ -148,7 +162,10 @@
         )
 
     def _apply_changes_to_peers(self, before: membership.MemberTable) -> bool:
-        """Update links, log each status change; tell if there was one."""
+        """Update the peer of each changed member, and log its status.
+
+        Return whether a change has to be posted.
+        """
         changed = len(before.members_by_host) > len(self.table.members_by_host)
         for host, member in self.table.members_by_host.items():
             previous = before.members_by_host.get(host)
@@ -162,7 +179,7 @@
         previous: MemberRecord | None,
         member: MemberRecord,
     ) -> None:
-        """Follow a change of one member in the peer network and the log."""
+        """Update the address and link of a changed member, and log it."""
         self._context.peers.set_address(member.host, member.peer_address)
         if member.status == MemberStatus.DEAD:
             self._context.peers.forget_link(member.host)
--- a/boragespool/controllers/membership/membership.py
+++ b/boragespool/controllers/membership/membership.py
@@ -1,4 +1,8 @@
-"""Carries membership out over the peer network and the timers."""
+"""Membership controller: runs the gossip protocol of one daemon.
+
+Answers and sends pings and gossip messages, and publishes the record of this
+daemon: its load, its revision and whether it leaves.
+"""
 
 from __future__ import annotations
 
@@ -21,29 +25,30 @@
     from boragespool.revisions import RevisionDocument
     from boragespool.types import Address, DataCentre, HostName
 
-#: Shortest time between two whole views sent, in seconds. It bounds the
-#: traffic when a whole fleet starts at the same time.
+#: Minimum time between two transfers of the whole member table, in seconds. It
+#: limits the traffic when a whole fleet starts at the same time.
 _MIN_TABLE_INTERVAL_S: Final = 1
-#: Weight of the latest load in the smoothed one.
+#: Weight of the latest load in the exponential moving average.
 _LOAD_WEIGHT: Final = 0.3
-#: Longest wait for the farewell to be sent, and the time after it, in seconds.
+#: Timeout for sending the last record of a daemon that left, and the time to
+#: wait after that, in seconds.
 _FLUSH_TIMEOUT_S: Final = 0.5
 _FLUSH_MARGIN_S: Final = 0.05
 _DEFAULT_OPTIONS: Final = membership.MembershipOptions()
 
 
 class MembershipController:
-    """Member records of one daemon, an async context manager.
+    """Takes part in the gossip membership; an async context manager.
 
     Parameters
     ----------
     context : Context
-        Shared parts of the daemon.
+        Identity, blackboard, timers and peers of the daemon.
     seeds : callable
         Returns peer addresses by host, from the peers option and the
         platform's host list. This daemon may be among them.
     options : MembershipOptions
-        Intervals and bounds.
+        Intervals, timeouts and limits.
     """
 
     def __init__(
@@ -52,7 +57,7 @@
         seeds: Callable[[], Mapping[HostName, Address]],
         options: membership.MembershipOptions = _DEFAULT_OPTIONS,
     ) -> None:
-        """Create the own record; `__aenter__` starts to ping."""
+        """Create the record of this daemon; `__aenter__` starts the pings."""
         self._context = context
         self._state = MemberState(context, options)
         self._pinger = Pinger(context, self._state, seeds)
@@ -62,7 +67,7 @@
         self._cleanup_callbacks: tuple[Callable[[], None], ...] = ()
 
     async def __aenter__(self) -> Self:
-        """Answer pings, post the own record and begin to ping."""
+        """Register the handlers, post the own record and start to ping."""
         context = self._context
         context.peers.on_request(Ping, self._answer_ping)
         context.peers.on_request(PingRequest, self._answer_ping_request)
@@ -81,7 +86,7 @@
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        """Stop pinging; a daemon that left tells peers that it is gone."""
+        """Stop pinging; after `leave`, gossip that this daemon is dead."""
         for end in self._cleanup_callbacks:
             end()
         await self._pinger.close()
@@ -89,7 +94,7 @@
             gone = replace(self.own, status=MemberStatus.DEAD)
             self._state.send_to_random(gone, self._state.options.leave_count)
             await self._context.peers.flush(_FLUSH_TIMEOUT_S)
-            # The links report an empty queue before the last frame is out.
+            # A link reports an empty queue before its last frame is sent.
             await asyncio.sleep(_FLUSH_MARGIN_S)
 
     @property
@@ -102,14 +107,14 @@
         data_centre: DataCentre,
         count: int,
     ) -> tuple[Address, ...]:
-        """Return addresses for a caller, nearest first.
+        """Return addresses of daemons for a caller, nearest first.
 
         Parameters
         ----------
         data_centre : str
-            Where the caller is; any text is accepted.
+            Data centre of the caller; an unknown one is accepted.
         count : int
-            Addresses wanted.
+            Maximum number of addresses.
         """
         return membership.choose_addresses(
             membership.all_records_by_host(self._state.table).values(),
@@ -120,15 +125,20 @@
         )
 
     def leave(self) -> None:
-        """Publish that this daemon leaves and tell many members at once."""
+        """Publish at once that this daemon is leaving."""
         self._state.update_own(status=MemberStatus.LEAVING)
 
     def set_successor(self, host: HostName) -> None:
-        """Publish which host took over the witness records."""
+        """Publish the host that took over the witness records."""
         self._state.update_own(successor=host)
 
     def _tick(self) -> None:
-        """Ping one member, expire suspicions, and now and then ping a seed."""
+        """Expire suspicions and ping the next member.
+
+        At longer intervals, ping a seed and a dead member as well. A very late
+        tick means that this daemon was paused. The suspicion timers then
+        restart, because refutations may still be unread in its sockets.
+        """
         now_s = self._state.now_s
         options = self._state.options
         table = self._state.table
@@ -182,7 +192,10 @@
         self._state.receive(gossip.records, sender.host)
 
     def _publish_revision(self, document: RevisionDocument | None) -> None:
-        """Tell a few members at once, so that a revision spreads fast."""
+        """Gossip a new revision to a few members at once.
+
+        Waiting for the next pings would delay its distribution.
+        """
         if document is None:
             return
         own = replace(self.own, revision=document.revision)
--- a/boragespool/controllers/membership/pinging.py
+++ b/boragespool/controllers/membership/pinging.py
@@ -1,4 +1,4 @@
-"""Pings of one daemon: failure detection, joining and seeds."""
+"""Sends the pings of one daemon: failure detection, joining and seeds."""
 
 from __future__ import annotations
 
@@ -17,12 +17,23 @@
     from boragespool.controllers.membership.member_state import MemberState
     from boragespool.types import Address, HostName, Seconds
 
-#: Pings that ask for the whole view after the start.
+#: Number of answered pings after the start that ask for the whole member
+#: table.
 _JOIN_PING_COUNT: Final = 3
 
 
 class Pinger:
-    """Pings members and judges them by their answers."""
+    """Pings members, and suspects those that do not answer.
+
+    Parameters
+    ----------
+    context : Context
+        Peers and random numbers of the daemon.
+    state : MemberState
+        Member table that is updated.
+    seeds : callable
+        Returns peer addresses by host, which are pinged to join.
+    """
 
     def __init__(
         self,
@@ -30,7 +41,7 @@
         state: MemberState,
         seeds: Callable[[], Mapping[HostName, Address]],
     ) -> None:
-        """Start with an empty round."""
+        """Start with an empty ping round and as a daemon that joins."""
         self._context = context
         self._state = state
         self._seeds = seeds
@@ -39,11 +50,11 @@
         self._tasks = TaskSet()
 
     async def close(self) -> None:
-        """Cancel the pings under way."""
+        """Cancel the pings that are waiting for an answer."""
         await self._tasks.close()
 
     def ping_next(self) -> None:
-        """Test the next member of the round."""
+        """Start to probe the next member of the ping round."""
         host_and_round = membership.next_target(
             self._ping_round,
             self._state.reachable(),
@@ -55,7 +66,10 @@
             self._tasks.spawn(self._probe(target))
 
     def join(self) -> None:
-        """Ask a member of the own data centre, else seeds, for its view."""
+        """Ask a member of the own data centre, else seeds, for its table.
+
+        Do nothing after `_JOIN_PING_COUNT` of these pings were answered.
+        """
         if not self._join_pings_left:
             return
         state = self._state
@@ -72,7 +86,7 @@
             self._tasks.spawn(self._ping_to_join(host))
 
     def ping_seeds(self, count: int) -> None:
-        """Ping seeds that are not live members."""
+        """Ping up to `count` random seeds that are not live members."""
         present = self._state.reachable() | {self._state.own.host}
         absent = {
             host: address
@@ -86,7 +100,7 @@
             self._tasks.spawn(self._ping_to_join(host))
 
     def ping_dead_member(self) -> None:
-        """Ping one dead member; it may be behind a partition that ended."""
+        """Ping a random dead member, in case a partition has ended."""
         dead = [
             host
             for host, member in self._state.table.members_by_host.items()
@@ -102,7 +116,7 @@
         *,
         join: bool = False,
     ) -> bool:
-        """Exchange records with a host; tell whether it answered."""
+        """Exchange records with a host; return whether it answered."""
         ack = await self._context.peers.request(
             host,
             Ping(self._state.compose_records(host), join),
@@ -114,7 +128,7 @@
         return True
 
     async def _ping_to_join(self, host: HostName) -> None:
-        """Ping a host and ask for its whole view while joining."""
+        """Ping a host; while joining, ask for its whole member table."""
         timeout_s = self._state.options.ping_timeout_s
         reached = await self.ping(
             host, timeout_s, join=self._join_pings_left > 0
@@ -123,7 +137,10 @@
             self._join_pings_left -= 1
 
     async def _probe(self, target: MemberRecord) -> None:
-        """Ping one member, directly and through helpers, and judge it."""
+        """Ping a member directly, then through helpers; suspect it if both fail.
+
+        A suspected member is sent its record, so that it can refute.
+        """
         state = self._state
         host = target.host
         started_s = state.now_s
@@ -134,7 +151,8 @@
         ):
             state.apply(membership.clear_leaving_suspicion(state.table, host))
             return
-        # A longer time means that this daemon was paused or overloaded.
+        # The timeouts add up to less. A longer time means that this daemon
+        # was paused or overloaded, so the missing answers prove nothing.
         if state.now_s - started_s > 4 * timeout_s:
             return
         state.apply(
@@ -154,7 +172,11 @@
         target: MemberRecord,
         timeout_s: Seconds,
     ) -> bool:
-        """Ask members near the target, which all keep it, to ping it."""
+        """Ask helpers to ping a member; return whether it answered one.
+
+        Helpers are members of its data centre, as all of them have its
+        record, or others if none is known there.
+        """
         others = self._state.reachable() - {target.host}
         near = {
             host
--- a/boragespool/controllers/pauses.py
+++ b/boragespool/controllers/pauses.py
@@ -1,4 +1,4 @@
-"""Pauses of tasks, and the delay before another attempt."""
+"""Sleeping on a timer service, and exponential backoff."""
 
 from __future__ import annotations
 
@@ -12,14 +12,14 @@
 
 
 async def pause(timers: TimerService, delay_s: Seconds) -> None:
-    """Wait on the timer service.
+    """Sleep for a time of the timer service, which tests can advance.
 
     Parameters
     ----------
     timers : TimerService
-        Clock.
+        Timers that end the pause.
     delay_s : float
-        Length of the pause, in seconds.
+        Duration of the pause, in seconds.
     """
     elapsed = asyncio.Event()
     handle = timers.after(delay_s, elapsed.set)
@@ -35,23 +35,25 @@
     limit_s: Seconds,
     draw: float,
 ) -> Seconds:
-    """Return the delay before the next attempt.
+    """Return the delay before a retry: exponential backoff with jitter.
 
     Parameters
     ----------
-    failures : int
-        Failed attempts in a row, from 1.
+    failure_count : int
+        Number of consecutive failed attempts, at least 1.
     first_s, limit_s : float
-        Delay after the first failure and the longest one, in seconds.
+        Delay after the first failure, and the maximum delay, in seconds,
+        both before the jitter.
     draw : float
-        Random number in ``[0, 1)``; it spreads callers that failed together.
+        Random number in ``[0, 1)`` for the jitter, which avoids that callers
+        whose attempts failed together retry together.
 
     Returns
     -------
     float
-        Between half of the doubled delay and all of it, in seconds.
+        Delay in seconds: between half of the exponential delay and all of it.
     """
-    # 2**20 times the first delay exceeds every limit in use.
+    # 2**20 times the first delay is more than any limit in use.
     doublings = min(failure_count - 1, 20)
     full_s = min(limit_s, math.ldexp(first_s, doublings))
     return full_s * (1 + draw) / 2
--- a/boragespool/controllers/requests.py
+++ b/boragespool/controllers/requests.py
@@ -1,4 +1,4 @@
-"""Requests of callers and their answers, between controllers."""
+"""Requests of callers and their answers, as passed between controllers."""
 
 from __future__ import annotations
 
@@ -21,16 +21,16 @@
 
 @dataclass(frozen=True, slots=True)
 class QueryRequest:
-    """A checked query.
+    """Query that has passed the checks of the HTTP API.
 
     Attributes
     ----------
     body : bytes
-        JSON of the query, passed to backend servers as it is.
+        JSON of the query, passed to backend servers unchanged.
     deadline_s : float
         Time left for the answer, in seconds.
     rank : Rank or None
-        Rank if it is lower than the rank of the route.
+        Rank that the caller asked for, if it is lower than that of the route.
     """
 
     request_id: RequestId
@@ -43,7 +43,7 @@
 
 @dataclass(frozen=True, slots=True)
 class QueryAnswer:
-    """Merged results of one snapshot.
+    """Merged results of a query, all from one snapshot.
 
     Attributes
     ----------
@@ -54,9 +54,11 @@
     coverage : float
         Fraction of the key space that was searched, 0 to 1.
     missing : tuple of (int, int)
-        Key ranges ``[start, end)`` that were not searched, in order.
+        Key ranges ``[start, end)`` that were not searched, in ascending
+        order.
     attempts : int
-        Requests sent to backend servers, hedges and retries included.
+        Number of requests sent to backend servers, including hedged requests
+        and retries.
     """
 
     request_id: RequestId
@@ -71,14 +73,18 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimRequest:
-    """A checked claim under a ticket.
+    """Claim that has passed the checks of the HTTP API.
 
     Attributes
     ----------
+    ticket : str
+        Ticket of the claim; a claim runs at most once for its ticket.
+    body : bytes
+        JSON of the claim.
     deadline_s : float
         Time left for the answer, in seconds.
     rank : Rank or None
-        Rank if it is lower than the rank of the route.
+        Rank that the caller asked for, if it is lower than that of the route.
     """
 
     request_id: RequestId
@@ -97,10 +103,10 @@
     Attributes
     ----------
     code : ResultCode
-        ``CLAIM_RUN``, or ``CLAIM_FAILED`` if the backend server ran it and
-        answered with an error.
+        ``CLAIM_RUN``, or ``CLAIM_FAILED`` if the backend server ran the claim
+        and answered with an error.
     outcome : Any
-        JSON value of the backend server.
+        JSON value with which the backend server answered.
     """
 
     request_id: RequestId
