Name locals of the membership and configuration controllers plainly

Locals such as packed, former, near, given and reachable hid what they hold, and a few docstrings still had old names. They are renamed and corrected. check passes with the membership, configuration, callers, overload and apply race test files.

--- a/boragespool/controllers/callers/callers.py
+++ b/boragespool/controllers/callers/callers.py
@@ -42,6 +42,7 @@
 
     _AnswerT = TypeVar('_AnswerT', QueryAnswer, ClaimAnswer)
 
+#: Maximum number of addresses, and of tickets, in one response.
 _MAX_COUNT: Final = 64
 
 
@@ -120,29 +121,29 @@
     def _serve_addresses(self, request: HttpRequest) -> HttpResponse:
         document = self._context.board.read(IN_FORCE)
         settings = (document.settings if document else Settings()).addresses
-        given = request.query
-        count = check_parameter(
+        parameters = request.query
+        address_count = check_parameter(
             'count',
-            given.get('count'),
+            parameters.get('count'),
             settings.count,
             _MAX_COUNT,
         )
-        tickets = check_parameter(
+        ticket_count = check_parameter(
             'tickets',
-            given.get('tickets'),
+            parameters.get('tickets'),
             0,
             _MAX_COUNT,
         )
-        if isinstance(count, Failure):
-            return failure_response(count)
-        if isinstance(tickets, Failure):
-            return failure_response(tickets)
-        data_centre = given.get(
+        if isinstance(address_count, Failure):
+            return failure_response(address_count)
+        if isinstance(ticket_count, Failure):
+            return failure_response(ticket_count)
+        data_centre = parameters.get(
             'data_centre',
             self._context.identity.data_centre,
         )
         addresses = self._controllers.members.addresses(
-            data_centre, max(1, count)
+            data_centre, max(1, address_count)
         )
         if not addresses:
             return failure_response(
@@ -156,7 +157,7 @@
             {
                 'addresses': addresses,
                 'keep_s': settings.keep_s,
-                'tickets': self._issue_tickets(tickets),
+                'tickets': self._issue_tickets(ticket_count),
             },
         )
 
--- a/boragespool/controllers/configuration/applying.py
+++ b/boragespool/controllers/configuration/applying.py
@@ -106,7 +106,7 @@
 
     Returns
     -------
-    Applied or Refused or Failure
+    AppliedChange or RevisionConflict or Failure
         With ``STORE_UNAVAILABLE`` the change is not in force and never will
         be. With ``APPLY_UNCONFIRMED`` it is unknown whether it is.
     """
@@ -182,15 +182,15 @@
         self, part_store: Store
     ) -> AppliedChange | RevisionConflict | Failure:
         """Write the parts, then the manifest, until the outcome is known."""
-        packed = await write_parts(
+        encoded_revision = await write_parts(
             part_store,
             self._base,
             self._wanted,
             self._settings_texts,
         )
-        if isinstance(packed, Failure):
-            return packed
-        self._manifest_text = packed.encoded.decode()
+        if isinstance(encoded_revision, Failure):
+            return encoded_revision
+        self._manifest_text = encoded_revision.encoded.decode()
         step = await self._run_steps()
         if self._store_refusal is not None:
             return self._store_refusal
@@ -262,7 +262,7 @@
     async def _read_winner(self) -> RevisionConflict | Failure:
         """Read the revision that was accepted instead of this one.
 
-        From here on, this change can not come into force any more.
+        From here on, this change cannot come into force any more.
         """
         self._may_take_effect = False
         self._lost_race = True
--- a/boragespool/controllers/configuration/host_list.py
+++ b/boragespool/controllers/configuration/host_list.py
@@ -88,8 +88,8 @@
         self._source = source
         self._options = options
         self._newest = EMPTY_HOST_LIST
-        # Leaving hosts in the previous answer of the platform. None at the
-        # start, after a failed read and after a time as no watcher.
+        # Leaving hosts in the previous answer of the platform. None if the
+        # previous read failed, or this daemon was no watcher at that time.
         self._last_leaving_hosts: frozenset[HostName] | None = None
         self._failure_count = 0
 
@@ -105,7 +105,7 @@
 
         Parameters
         ----------
-        watching : asyncio.Event
+        watch_enabled : asyncio.Event
             Set while this daemon is a watcher.
         """
         while True:
--- a/boragespool/controllers/configuration/local_revision.py
+++ b/boragespool/controllers/configuration/local_revision.py
@@ -31,8 +31,8 @@
 #: as many.
 _MAX_REPLY_BYTES: Final = 200_000
 
-#: Number of parts of earlier revisions that are kept for peers that are still
-#: fetching them.
+#: Maximum number of parts of earlier revisions that are kept for peers that are
+#: still fetching them.
 _RETAINED_PART_COUNT: Final = 128
 
 #: Number of texts, in excess of twice those of the target revision, at which
@@ -105,9 +105,9 @@
             Whether any text was added.
         """
         wanted = set(missing)
-        hashed = {part_hash(text): text for text in texts}
+        texts_by_hash = {part_hash(text): text for text in texts}
         matching = {
-            part: text for part, text in hashed.items() if part in wanted
+            part: text for part, text in texts_by_hash.items() if part in wanted
         }
         self._texts.update(matching)
         return bool(matching)
@@ -203,12 +203,12 @@
         for manifest in (self._manifest, self._target_manifest):
             if manifest is not None:
                 kept |= referenced_hashes(manifest, self._texts)
-        former = {
+        unreferenced = {
             part: text for part, text in self._texts.items() if part not in kept
         }
-        for part in former:
+        for part in unreferenced:
             del self._texts[part]
-        retained_texts = self._retained_texts | former
+        retained_texts = self._retained_texts | unreferenced
         surplus = max(0, len(retained_texts) - _RETAINED_PART_COUNT)
         self._retained_texts = dict(
             itertools.islice(retained_texts.items(), surplus, None)
--- a/boragespool/controllers/configuration/part_writing.py
+++ b/boragespool/controllers/configuration/part_writing.py
@@ -77,7 +77,7 @@
     on_answer: Callable[[], None]
 
     async def get(self, key: str) -> StoredValue | Missing | Failure:
-        """Read one key."""
+        """Return the value of a key."""
         answer = await self.store.get(key)
         if not isinstance(answer, Failure):
             self.on_answer()
@@ -89,7 +89,7 @@
         value: str,
         expected_version: int,
     ) -> int | Conflict | Failure:
-        """Write one key if its version is the expected one."""
+        """Write a key if its version is the expected one."""
         answer = await self.store.put(key, value, expected_version)
         if not isinstance(answer, Failure):
             self.on_answer()
@@ -104,16 +104,19 @@
 ) -> EncodedRevision | Failure:
     """Write everything that the manifest of a revision refers to.
 
+    This also stores the replaced revision under its own key, and empties the
+    values that the replaced revision has retired.
+
     Parameters
     ----------
     store : Store
         Client of the platform's store.
     base : StoredBase
-        Revision to replace. It is stored under its own key first.
+        Revision to replace.
     wanted : RevisionDocument
         Next revision.
     settings_texts : tuple
-        Indexes and texts of the settings of `wanted`.
+        Result of `build_indexes` for the settings of `wanted`.
 
     Returns
     -------
@@ -129,19 +132,19 @@
         frozenset(settings_texts[1]),
     )
     await _archive_base(store, base)
-    packed = encode_revision(
+    encoded_revision = encode_revision(
         wanted,
         await _next_history(store, base.history, plan),
         settings_texts,
     )
-    if isinstance(packed, Failure):
-        return packed
+    if isinstance(encoded_revision, Failure):
+        return encoded_revision
     await _empty_removed_values(store, base.history)
     await _run_batched(
-        partial(_write_part, store, part, packed.parts[part])
-        for part in packed.parts.keys() - base.parts
+        partial(_write_part, store, part, encoded_revision.parts[part])
+        for part in encoded_revision.parts.keys() - base.parts
     )
-    return packed
+    return encoded_revision
 
 
 async def _next_history(
@@ -156,7 +159,7 @@
     """
     retired: list[RetiredPart] = []
 
-    async def read(part: PartHash) -> None:
+    async def read_version(part: PartHash) -> None:
         failure_count = 0
         answer = await store.get(part_key(part))
         while isinstance(answer, Failure):
@@ -166,7 +169,9 @@
         if not isinstance(answer, Missing) and answer.value:
             retired.append(RetiredPart(part, answer.version))
 
-    await _run_batched(partial(read, part) for part in plan.parts_to_retire)
+    await _run_batched(
+        partial(read_version, part) for part in plan.parts_to_retire
+    )
     return History(
         replaced=plan.replaced,
         retired=tuple(retired),
--- a/boragespool/controllers/configuration/store_access.py
+++ b/boragespool/controllers/configuration/store_access.py
@@ -135,7 +135,7 @@
     texts = await _read_missing_parts(store, history_manifest, _NO_TEXTS)
     if isinstance(texts, Failure):
         return texts
-    history = _history(history_manifest, texts)
+    history = _manifest_history(history_manifest, texts)
     if isinstance(history, Failure):
         return history
     return RevisionDocument(
@@ -205,15 +205,15 @@
     assembly = assemble(manifest, texts)
     if isinstance(assembly, Failure):
         return assembly
-    earlier = _history(manifest, texts)
-    if isinstance(earlier, Failure):
-        return earlier
+    stored_history = _manifest_history(manifest, texts)
+    if isinstance(stored_history, Failure):
+        return stored_history
     document = replace(
         assembly.document,
-        audit=earlier.audit + manifest.audit,
+        audit=stored_history.audit + manifest.audit,
     )
     parts = referenced_hashes(manifest, texts) | {manifest.history}
-    return StoredBase(document, text=text, parts=parts, history=earlier)
+    return StoredBase(document, text=text, parts=parts, history=stored_history)
 
 
 async def _read_missing_parts(
@@ -242,7 +242,7 @@
         texts.update(found)
 
 
-def _history(
+def _manifest_history(
     manifest: Manifest,
     texts: Mapping[PartHash, bytes],
 ) -> History | Failure:
--- a/boragespool/controllers/membership/member_state.py
+++ b/boragespool/controllers/membership/member_state.py
@@ -130,7 +130,7 @@
     def send_to_random(self, record: MemberRecord, count: int) -> None:
         """Send a record to `count` random members at once, between pings."""
         hosts = membership.choose_random_hosts(
-            self.reachable(),
+            self.hosts_not_dead(),
             count,
             self._context.draw,
         )
@@ -153,7 +153,7 @@
             chunk = members[start : start + count]
             self._context.peers.send(host, Gossip(chunk))
 
-    def reachable(self) -> frozenset[HostName]:
+    def hosts_not_dead(self) -> frozenset[HostName]:
         """Return the hosts of the other members that are not dead."""
         return frozenset(
             host
--- a/boragespool/controllers/membership/membership.py
+++ b/boragespool/controllers/membership/membership.py
@@ -87,12 +87,14 @@
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Stop pinging; after `leave`, gossip that this daemon is dead."""
-        for end in self._cleanup_callbacks:
-            end()
+        for cleanup in self._cleanup_callbacks:
+            cleanup()
         await self._pinger.close()
         if self.own.status == MemberStatus.LEAVING:
-            gone = replace(self.own, status=MemberStatus.DEAD)
-            self._state.send_to_random(gone, self._state.options.leave_count)
+            dead_record = replace(self.own, status=MemberStatus.DEAD)
+            self._state.send_to_random(
+                dead_record, self._state.options.leave_count
+            )
             await self._context.peers.flush(_FLUSH_TIMEOUT_S)
             # A link reports an empty queue before its last frame is sent.
             await asyncio.sleep(_FLUSH_MARGIN_S)
--- a/boragespool/controllers/membership/pinging.py
+++ b/boragespool/controllers/membership/pinging.py
@@ -28,7 +28,7 @@
     Parameters
     ----------
     context : Context
-        Peers and random numbers of the daemon.
+        Peer network and random numbers of the daemon.
     state : MemberState
         Member table that is updated.
     seeds : callable
@@ -57,7 +57,7 @@
         """Start to probe the next member of the ping round."""
         host_and_round = membership.next_target(
             self._ping_round,
-            self._state.reachable(),
+            self._state.hosts_not_dead(),
             self._context.draw,
         )
         self._ping_round = host_and_round[1]
@@ -73,21 +73,21 @@
         if not self._join_pings_left:
             return
         state = self._state
-        local = [
+        local_hosts = [
             host
-            for host in state.reachable()
+            for host in state.hosts_not_dead()
             if _data_centre_of(state, host) == state.own.data_centre
         ]
-        if not local:
+        if not local_hosts:
             self.ping_seeds(_JOIN_PING_COUNT)
         for host in membership.choose_random_hosts(
-            local, 1, self._context.draw
+            local_hosts, 1, self._context.draw
         ):
             self._tasks.spawn(self._ping_to_join(host))
 
     def ping_seeds(self, count: int) -> None:
         """Ping up to `count` random seeds that are not live members."""
-        present = self._state.reachable() | {self._state.own.host}
+        present = self._state.hosts_not_dead() | {self._state.own.host}
         absent = {
             host: address
             for host, address in self._seeds().items()
@@ -101,12 +101,14 @@
 
     def ping_dead_member(self) -> None:
         """Ping a random dead member, in case a partition has ended."""
-        dead = [
+        dead_hosts = [
             host
             for host, member in self._state.table.members_by_host.items()
             if member.status == MemberStatus.DEAD
         ]
-        for host in membership.choose_random_hosts(dead, 1, self._context.draw):
+        for host in membership.choose_random_hosts(
+            dead_hosts, 1, self._context.draw
+        ):
             self._tasks.spawn(self._ping_to_join(host))
 
     async def ping(
@@ -145,7 +147,7 @@
         host = target.host
         started_s = state.now_s
         timeout_s = state.scaled_options.ping_timeout_s
-        if await self.ping(host, timeout_s) or await self._ping_by_helpers(
+        if await self.ping(host, timeout_s) or await self._ping_through_helpers(
             target,
             timeout_s,
         ):
@@ -167,24 +169,24 @@
         if member is not None and member.status == MemberStatus.SUSPECT:
             state.send_record((host,), member)
 
-    async def _ping_by_helpers(
+    async def _ping_through_helpers(
         self,
         target: MemberRecord,
         timeout_s: Seconds,
     ) -> bool:
-        """Ask helpers to ping a member; return whether it answered one.
+        """Ask helpers to ping a member; return whether it answered any of them.
 
-        Helpers are members of its data centre, as all of them have its
-        record, or others if none is known there.
+        The helpers are members of its data centre, which all have its record.
+        If none is known there, any members are asked.
         """
-        others = self._state.reachable() - {target.host}
-        near = {
+        others = self._state.hosts_not_dead() - {target.host}
+        near_hosts = {
             host
             for host in others
             if _data_centre_of(self._state, host) == target.data_centre
         }
         helpers = membership.choose_random_hosts(
-            near or others,
+            near_hosts or others,
             self._state.options.helper_count,
             self._context.draw,
         )
