--- a/boragespool/controllers/callers/caller_controllers.py
+++ b/boragespool/controllers/callers/caller_controllers.py
@@ -54,7 +54,7 @@
         ticket: str,
         request_id: RequestId,
     ) -> ClaimAnswer | Failure:
-        """Return the outcome of a claim; seal the ticket if it has none.
+        """Return the outcome of a claim; seal its ticket if it has not started.
 
         A sealed ticket cannot be used to start a claim any more.
         """
@@ -89,7 +89,10 @@
     """Controller of the queues in front of the backend servers."""
 
     def status(self) -> object:
-        """Return queue lengths and limits by server, encodable as JSON."""
+        """Return queue lengths and limits by server and rank.
+
+        The result can be encoded as JSON.
+        """
         ...
 
 
--- a/boragespool/controllers/callers/caller_input.py
+++ b/boragespool/controllers/callers/caller_input.py
@@ -26,8 +26,11 @@
     from boragespool.settings import RouteSettings, Settings
 
 CLAIM_PREFIX: Final = '/v1/claim/'
+#: Maximum length of names that callers send, in characters.
 MAX_NAME_LENGTH: Final = 128
+#: Maximum length of a path that is quoted in an error message, in characters.
 _MAX_SHOWN_LENGTH: Final = 64
+#: Maximum length of a ticket, in characters.
 MAX_TICKET_LENGTH: Final = 512
 _MS_PER_S: Final = 1_000
 _RANKS: Final = tuple(Rank)
@@ -156,7 +159,7 @@
     shown = ticket[:MAX_NAME_LENGTH]
     return Failure(
         ResultCode.BAD_TICKET,
-        f'ticket {shown!r} is not one that GET /v1/addresses hands out',
+        f'ticket {shown!r} is not one that GET /v1/addresses issues',
     )
 
 
--- a/boragespool/controllers/callers/overload.py
+++ b/boragespool/controllers/callers/overload.py
@@ -66,7 +66,7 @@
         self._admission = Admission()
         self._sampler_by_rank = {rank: RequestSampler() for rank in Rank}
         self._refusal_by_rank: dict[Rank, Failure] = {}
-        self._subscription: Subscription | None = None
+        self._timer_handle: Subscription | None = None
         self._arrived_by_rank: Counter[Rank] = Counter()
         self._admitted_by_rank: Counter[Rank] = Counter()
         self._timer_delays_s: list[Seconds] = []
@@ -81,13 +81,13 @@
         self._last_tick_at_s = timers.now_s()
         self._window_started_at_s = self._last_tick_at_s
         self._window_start_cpu_s = self._cpu_time_s()
-        self._subscription = timers.every(_TICK_INTERVAL_S, self._tick)
+        self._timer_handle = timers.every(_TICK_INTERVAL_S, self._tick)
         return self
 
     def __exit__(self, *exc_info: object) -> None:
         """Stop the timer; the last decision remains."""
-        if self._subscription is not None:
-            self._subscription.cancel()
+        if self._timer_handle is not None:
+            self._timer_handle.cancel()
 
     def record_wait(self, waited_s: Seconds) -> None:
         """Record how long a request waited for the event loop."""
--- a/boragespool/controllers/configuration/revision_fetching.py
+++ b/boragespool/controllers/configuration/revision_fetching.py
@@ -65,7 +65,7 @@
     async def read_from_store(
         self, parts: tuple[PartHash, ...]
     ) -> Iterable[bytes]:
-        """Read parts from the store; a source like `peer_source`."""
+        """Read parts from the store; usable as a source of `fetch_parts`."""
         found, _ = await read_parts(self.store, parts, self.context.timers)
         return found.values()
 
@@ -98,7 +98,7 @@
         return missing if isinstance(missing, Failure) else not missing
 
     async def _fetch_once(self, manifest: Manifest, source: PartSource) -> bool:
-        """Call a source once; return whether it had a missing part."""
+        """Request the missing parts once; return whether any was received."""
         if manifest.revision <= self.local_revision.revision:
             return False
         missing = self.local_revision.parts_to_fetch(manifest)
