--- a/boragespool/cli/change_commands.py
+++ b/boragespool/cli/change_commands.py
@@ -12,8 +12,8 @@
 from boragespool.cli.settings_commands import difference_rows, open_store
 from boragespool.cli.waiting import wait_in_force
 from boragespool.controllers.configuration.applying import (
-    Applied,
-    Refused,
+    AppliedChange,
+    RevisionConflict,
     apply_change,
 )
 from boragespool.controllers.configuration.store_access import read_revision
@@ -162,12 +162,12 @@
         )
     if isinstance(result, Failure):
         return result
-    if isinstance(result, Refused):
+    if isinstance(result, RevisionConflict):
         return _describe_refusal(result)
     return await _describe_applied(invocation, result)
 
 
-def _describe_refusal(refused: Refused) -> Outcome:
+def _describe_refusal(refused: RevisionConflict) -> Outcome:
     """Show the conflicting revision and its difference from this change."""
     found = refused.found
     author = found.audit[-1].author if found.audit else ''
@@ -192,7 +192,7 @@
 
 
 async def _describe_applied(
-    invocation: Invocation, applied: Applied
+    invocation: Invocation, applied: AppliedChange
 ) -> Outcome:
     document = applied.document
     before = applied.before.settings if applied.before else Settings()
--- a/boragespool/controllers/callers/caller_admission.py
+++ b/boragespool/controllers/callers/caller_admission.py
@@ -1,4 +1,8 @@
-"""Early refusal of callers' requests, before they are checked."""
+"""Refuses requests of callers before the full check of their bodies.
+
+Only the fields that decide about admission are decoded, so that a refusal
+costs little under overload.
+"""
 
 from __future__ import annotations
 
@@ -20,7 +24,9 @@
 
 if TYPE_CHECKING:
     from boragespool.blackboard import Blackboard
-    from boragespool.controllers.callers.caller_ports import CallerPorts
+    from boragespool.controllers.callers.caller_controllers import (
+        CallerControllers,
+    )
     from boragespool.http import HttpRequest, HttpResponse
     from boragespool.settings import Settings
 
@@ -30,7 +36,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _Head:
-    """Fields that decide about an early refusal."""
+    """Fields of the body that are needed to decide about admission."""
 
     route: RouteName = ''
     rank: str | None = None
@@ -43,21 +49,24 @@
 
 
 class CallerAdmission:
-    """Decides which requests of callers go on to the checks.
+    """Admits or refuses requests of callers, and checks the admitted ones.
 
     Parameters
     ----------
     board : Blackboard
-        Settings in force.
-    ports : CallerPorts
-        The admitter decides by rank. The claim controller seals the tickets
-        of refused claims, so that ``NOT_RUN`` holds for ever.
+        Blackboard from which the settings in force are read.
+    controllers : CallerControllers
+        The overload controller decides by rank. The claim controller seals
+        the tickets of refused claims, so that these claims can never run
+        after the caller was told that they did not (``NOT_RUN``).
     """
 
-    def __init__(self, board: Blackboard, ports: CallerPorts) -> None:
-        """Keep the controllers."""
+    def __init__(
+        self, board: Blackboard, controllers: CallerControllers
+    ) -> None:
+        """Set up the admission check."""
         self._board = board
-        self._ports = ports
+        self._controllers = controllers
 
     def check(
         self,
@@ -69,9 +78,9 @@
         Parameters
         ----------
         request : HttpRequest
-            Request with the time that it waited.
+            HTTP request, with the time that it waited in this daemon.
         form : WorkKind
-            Form that the path stands for.
+            Kind of request that the path accepts.
         """
         document = self._board.read(DOCUMENT_IN_FORCE)
         if document is None:
@@ -92,31 +101,31 @@
         form: WorkKind,
         settings: Settings,
     ) -> HttpResponse | None:
-        """Return a refusal, or None for a request that goes on."""
-        head = _peek(request.body)
-        rank = _rank(head, settings)
+        """Return a refusal, or None if the request is admitted."""
+        head = _decode_head(request.body)
+        rank = _admission_rank(head, settings)
         if not request.deferred:
-            self._ports.overload.note_wait(request.waited_s)
+            self._controllers.overload.record_wait(request.waited_s)
         failure = _check_deadline(head, request, settings)
-        failure = failure or self._ports.overload.refuse(rank)
+        failure = failure or self._controllers.overload.refuse(rank)
         if failure is not None and form is WorkKind.CLAIM:
-            failure = self._ports.claims.refuse(head.ticket, failure)
+            failure = self._controllers.claims.refuse(head.ticket, failure)
         if failure is None:
             return None
         REQUESTS.labels(form.value, rank.value, int(failure.code)).inc()
         return replace(failure_response(failure), defer_next=True)
 
 
-def _peek(raw: bytes) -> _Head:
-    """Decode the deciding fields only; what is invalid has none."""
+def _decode_head(raw: bytes) -> _Head:
+    """Decode only the fields that decide; an invalid body has none."""
     try:
         return _DECODER.decode(raw)
     except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
         return _UNREADABLE
 
 
-def _rank(head: _Head, settings: Settings) -> Rank:
-    """Return the rank, the lowest one for a request that is not valid."""
+def _admission_rank(head: _Head, settings: Settings) -> Rank:
+    """Return the rank, or the lowest one if the route does not exist."""
     route = settings.routes.get(head.route)
     if route is None:
         return Rank.DEFERRABLE
@@ -130,15 +139,15 @@
     request: HttpRequest,
     settings: Settings,
 ) -> Failure | None:
-    """Refuse a request that waited until its deadline."""
+    """Refuse a request whose deadline passed while it waited."""
     route = settings.routes.get(head.route)
     if route is None:
         return None
     deadline_ms = route.deadline_ms
     if head.deadline_ms is not None:
         deadline_ms = min(deadline_ms, head.deadline_ms)
-    # A deadline of zero or less is the fault of the caller; the check of
-    # the body says so.
+    # A deadline of zero or less is an error of the caller, which the check
+    # of the body reports.
     if deadline_ms <= 0 or request.waited_s * _MS_PER_S < deadline_ms:
         return None
     return Failure(
--- a/boragespool/controllers/callers/caller_input.py
+++ b/boragespool/controllers/callers/caller_input.py
@@ -1,4 +1,4 @@
-"""Checks of what callers send."""
+"""Checks of the path, parameters and body of requests of callers."""
 
 from __future__ import annotations
 
@@ -26,9 +26,12 @@
     from boragespool.settings import RouteSettings, Settings
 
 CLAIM_PREFIX: Final = '/v1/claim/'
-NAME_LENGTH: Final = 128
-_SHOWN_LENGTH: Final = 64
-TICKET_LENGTH: Final = 512
+#: Maximum length of names that callers send, in characters.
+MAX_NAME_LENGTH: Final = 128
+#: Maximum length of a path that is quoted in an error message, in characters.
+_MAX_SHOWN_LENGTH: Final = 64
+#: Maximum length of a ticket, in characters.
+MAX_TICKET_LENGTH: Final = 512
 _MS_PER_S: Final = 1_000
 _RANKS: Final = tuple(Rank)
 _METHODS_BY_PATH: Final = MappingProxyType(
@@ -69,14 +72,16 @@
 
 @dataclass(frozen=True, slots=True)
 class CheckedBody:
-    """A body that agrees with the settings in force.
+    """A body that is valid under the settings in force.
 
     Attributes
     ----------
+    given : CallerBody
+        Body as the caller sent it.
     rank : Rank
         Rank of the request, never above the rank of its route.
     lowered : Rank or None
-        `rank` if the caller lowered it.
+        `rank` if the caller asked for a lower one than that of the route.
     deadline_s : float
         Time left for the answer, in seconds.
     """
@@ -92,14 +97,14 @@
     form: WorkKind,
     settings: Settings,
 ) -> CheckedBody | Failure:
-    """Decode a query or a claim and compare it with the settings.
+    """Decode a query or a claim and check it against the settings.
 
     Parameters
     ----------
     raw : bytes
         Body of the HTTP request.
     form : WorkKind
-        Form that the path stands for.
+        Kind of request that the path accepts.
     settings : Settings
         Settings in force.
 
@@ -114,7 +119,7 @@
     route = _find_route(given.route, form, settings.routes)
     if isinstance(route, Failure):
         return route
-    rank = _lower_rank(given.rank, route.rank)
+    rank = _effective_rank(given.rank, route.rank)
     if isinstance(rank, Failure):
         return rank
     deadline_s = _deadline_s(given.deadline_ms, route)
@@ -128,10 +133,10 @@
 
 
 def check_method(path: str, request: HttpRequest) -> Failure | None:
-    """Refuse a path or a method that is not part of the API."""
+    """Return a failure unless the API has this path with this method."""
     method = _METHODS_BY_PATH.get(path)
     if method is None:
-        shown = path[:_SHOWN_LENGTH]
+        shown = path[:_MAX_SHOWN_LENGTH]
         allowed = sorted(_METHODS_BY_PATH)
         return Failure(
             ResultCode.UNKNOWN_PATH,
@@ -147,14 +152,14 @@
 
 
 def check_ticket(ticket: str) -> Failure | None:
-    """Refuse a ticket that no daemon can have issued."""
+    """Return a failure if no daemon can have issued the ticket."""
     is_plain = ticket.isascii() and ticket.isprintable() and ' ' not in ticket
-    if ticket and is_plain and len(ticket) <= TICKET_LENGTH:
+    if ticket and is_plain and len(ticket) <= MAX_TICKET_LENGTH:
         return None
-    shown = ticket[:NAME_LENGTH]
+    shown = ticket[:MAX_NAME_LENGTH]
     return Failure(
         ResultCode.BAD_TICKET,
-        f'ticket {shown!r} is not one that GET /v1/addresses hands out',
+        f'ticket {shown!r} is not one that GET /v1/addresses issues',
     )
 
 
@@ -164,7 +169,18 @@
     default: int,
     highest: int,
 ) -> int | Failure:
-    """Read a whole number from the query string.
+    """Parse a parameter of the query string as a whole number.
+
+    Parameters
+    ----------
+    name : str
+        Name of the parameter, for the error message.
+    text : str or None
+        Value as sent; None if the parameter is missing.
+    default : int
+        Number to return if the parameter is missing.
+    highest : int
+        Highest number that is allowed.
 
     Returns
     -------
@@ -173,11 +189,13 @@
     """
     if text is None:
         return default
-    # The length keeps int() away from numbers with thousands of digits.
-    is_number = text.isascii() and text.isdigit() and len(text) < NAME_LENGTH
+    # The limit of the length avoids calling int() with thousands of digits.
+    is_number = (
+        text.isascii() and text.isdigit() and len(text) < MAX_NAME_LENGTH
+    )
     if is_number and int(text) <= highest:
         return int(text)
-    shown = text[:NAME_LENGTH]
+    shown = text[:MAX_NAME_LENGTH]
     return Failure(
         ResultCode.MALFORMED_PARAMETER,
         f'parameter {name!r} is {shown!r}; allowed are whole numbers from 0 '
@@ -191,20 +209,20 @@
         return members
     unknown = sorted(members.keys() - _ALLOWED_FIELDS)
     if unknown:
-        shown = unknown[0][:NAME_LENGTH]
+        shown = unknown[0][:MAX_NAME_LENGTH]
         allowed = sorted(_ALLOWED_FIELDS)
         return _malformed(f'unknown field {shown!r}; allowed are {allowed!r}')
     try:
         given = msgspec.json.decode(raw, type=CallerBody)
     except msgspec.ValidationError as error:
         return _malformed(f'a field is missing or has a wrong type: {error}')
-    if not 0 < len(given.caller) <= NAME_LENGTH:
+    if not 0 < len(given.caller) <= MAX_NAME_LENGTH:
         return _malformed(
-            f'field caller must have 1 to {NAME_LENGTH} characters',
+            f'field caller must have 1 to {MAX_NAME_LENGTH} characters',
         )
-    if len(given.request_id) > NAME_LENGTH:
+    if len(given.request_id) > MAX_NAME_LENGTH:
         return _malformed(
-            f'field request_id must have at most {NAME_LENGTH} characters',
+            f'field request_id must have at most {MAX_NAME_LENGTH} characters',
         )
     return given
 
@@ -216,7 +234,7 @@
 ) -> RouteSettings | Failure:
     route = routes.get(name)
     if route is None:
-        shown = name[:NAME_LENGTH]
+        shown = name[:MAX_NAME_LENGTH]
         allowed = sorted(routes)
         return Failure(
             ResultCode.UNKNOWN_ROUTE,
@@ -230,11 +248,11 @@
     return route
 
 
-def _lower_rank(text: str | None, highest: Rank) -> Rank | Failure:
+def _effective_rank(text: str | None, highest: Rank) -> Rank | Failure:
     if text is None:
         return highest
     if text not in _RANKS:
-        shown = text[:NAME_LENGTH]
+        shown = text[:MAX_NAME_LENGTH]
         allowed = [rank.value for rank in _RANKS]
         return Failure(
             ResultCode.UNKNOWN_RANK,
--- a/boragespool/controllers/callers/callers.py
+++ b/boragespool/controllers/callers/callers.py
@@ -1,4 +1,4 @@
-"""HTTP API towards callers; docs/api.md describes it."""
+"""HTTP API for callers, described in docs/api.md."""
 
 from __future__ import annotations
 
@@ -32,7 +32,9 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
 
-    from boragespool.controllers.callers.caller_ports import CallerPorts
+    from boragespool.controllers.callers.caller_controllers import (
+        CallerControllers,
+    )
     from boragespool.controllers.context import Context
     from boragespool.controllers.requests import ClaimAnswer, QueryAnswer
     from boragespool.http import HttpRequest
@@ -40,43 +42,52 @@
 
     _AnswerT = TypeVar('_AnswerT', QueryAnswer, ClaimAnswer)
 
-_LARGEST_COUNT: Final = 64
+#: Maximum number of addresses, and of tickets, in one response.
+_MAX_COUNT: Final = 64
 
 
 class CallerApi:
-    """Turns requests of callers into calls of other controllers.
+    """Routes HTTP requests of callers to the controllers that answer them.
+
+    It is an async context manager and posts the number of requests in flight
+    as `LOAD`.
 
     Parameters
     ----------
     context : Context
-        Shared parts of the daemon.
-    ports : CallerPorts
-        Controllers that answer.
+        Identity, blackboard and timers of the daemon.
+    controllers : CallerControllers
+        Controllers that answer the requests.
     """
 
-    def __init__(self, context: Context, ports: CallerPorts) -> None:
-        """Start without requests."""
+    def __init__(
+        self, context: Context, controllers: CallerControllers
+    ) -> None:
+        """Start without requests in flight."""
         self._context = context
-        self._ports = ports
-        self._admission = CallerAdmission(context.board, ports)
+        self._controllers = controllers
+        self._admission = CallerAdmission(context.board, controllers)
         self._in_flight = 0
-        self._numbers = itertools.count(1)
+        self._request_numbers = itertools.count(1)
 
     async def __aenter__(self) -> Self:
         """Return the API."""
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        """Post that nothing is in flight."""
+        """Post a load of 0."""
         self._context.board.post(LOAD, 0)
 
     @property
     def in_flight(self) -> int:
-        """Queries and claims that are not answered yet."""
+        """Number of queries and claims that are not answered yet."""
         return self._in_flight
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Answer one HTTP request; bad input gets a numbered refusal."""
+        """Return the response to one request.
+
+        The response to invalid input has a result code in its body.
+        """
         path = request.path
         if path.startswith(CLAIM_PREFIX):
             path = CLAIM_PREFIX
@@ -98,7 +109,7 @@
         if path == '/metrics':
             return HttpResponse(200, generate_latest(), CONTENT_TYPE_LATEST)
         if path == '/v1/status':
-            queues = self._ports.dispatch.status()
+            queues = self._controllers.dispatch.status()
             return json_response(
                 describe_status(self._context, self._in_flight, queues),
             )
@@ -110,33 +121,35 @@
     def _serve_addresses(self, request: HttpRequest) -> HttpResponse:
         document = self._context.board.read(DOCUMENT_IN_FORCE)
         settings = (document.settings if document else Settings()).addresses
-        given = request.query
-        count = check_parameter(
+        parameters = request.query
+        address_count = check_parameter(
             'count',
-            given.get('count'),
+            parameters.get('count'),
             settings.count,
-            _LARGEST_COUNT,
+            _MAX_COUNT,
         )
-        tickets = check_parameter(
+        ticket_count = check_parameter(
             'tickets',
-            given.get('tickets'),
+            parameters.get('tickets'),
             0,
-            _LARGEST_COUNT,
+            _MAX_COUNT,
         )
-        if isinstance(count, Failure):
-            return failure_response(count)
-        if isinstance(tickets, Failure):
-            return failure_response(tickets)
-        data_centre = given.get(
+        if isinstance(address_count, Failure):
+            return failure_response(address_count)
+        if isinstance(ticket_count, Failure):
+            return failure_response(ticket_count)
+        data_centre = parameters.get(
             'data_centre',
             self._context.identity.data_centre,
         )
-        addresses = self._ports.members.addresses(data_centre, max(1, count))
+        addresses = self._controllers.members.addresses(
+            data_centre, max(1, address_count)
+        )
         if not addresses:
             return failure_response(
                 Failure(
                     ResultCode.NOT_READY,
-                    'the daemon knows no daemon that takes callers',
+                    'no known daemon accepts new callers',
                     retry_after_s=1,
                 ),
             )
@@ -144,14 +157,17 @@
             {
                 'addresses': addresses,
                 'keep_s': settings.keep_s,
-                'tickets': self._issue(tickets),
+                'tickets': self._issue_tickets(ticket_count),
             },
         )
 
-    def _issue(self, count: int) -> tuple[str, ...]:
-        """Issue tickets, but not for the time after this daemon has left."""
+    def _issue_tickets(self, count: int) -> tuple[str, ...]:
+        """Issue tickets, unless this daemon is leaving.
+
+        Callers would use the tickets after it has left.
+        """
         if count and self._context.board.read(PHASE) is not Phase.LEAVING:
-            return self._ports.claims.issue(count)
+            return self._controllers.claims.issue(count)
         return ()
 
     async def _serve_query(self, request: HttpRequest) -> HttpResponse:
@@ -170,7 +186,7 @@
         return await self._answer(
             query.request_id,
             (WorkKind.QUERY, checked.rank),
-            self._ports.query.answer(query),
+            self._controllers.query.answer(query),
         )
 
     async def _serve_claim(self, request: HttpRequest) -> HttpResponse:
@@ -190,7 +206,7 @@
         return await self._answer(
             claim.request_id,
             (WorkKind.CLAIM, checked.rank),
-            self._ports.claims.run(claim),
+            self._controllers.claims.run(claim),
         )
 
     async def _serve_outcome(self, request: HttpRequest) -> HttpResponse:
@@ -202,34 +218,34 @@
         return await self._answer(
             request_id,
             ('outcome', ''),
-            self._ports.claims.outcome(ticket, request_id),
+            self._controllers.claims.outcome(ticket, request_id),
         )
 
     def _new_request_id(self) -> RequestId:
         identity = self._context.identity
-        number = next(self._numbers)
+        number = next(self._request_numbers)
         return f'{identity.host}.{identity.incarnation}.{number}'
 
     async def _answer(
         self,
         request_id: RequestId,
         labels: tuple[str, str],
-        answering: Awaitable[_AnswerT | Failure],
+        pending_answer: Awaitable[_AnswerT | Failure],
     ) -> HttpResponse:
-        """Await one controller and encode its answer."""
+        """Await the answer of a controller and encode it as a response."""
         started_s = self._context.timers.now_s()
         self._count_in_flight(1)
         try:
-            answer = await answering
+            answer = await pending_answer
         finally:
             self._count_in_flight(-1)
-        taken_s = self._context.timers.now_s() - started_s
-        REQUEST_LATENCY.labels(*labels).observe(taken_s)
+        elapsed_s = self._context.timers.now_s() - started_s
+        REQUEST_LATENCY.labels(*labels).observe(elapsed_s)
         if not isinstance(answer, Failure) and answer.request_id != request_id:
-            answer = _crossed(request_id, answer.request_id)
+            answer = _mismatched_answer(request_id, answer.request_id)
         REQUESTS.labels(*labels, int(answer.code)).inc()
         if isinstance(answer, Failure):
-            return _refuse(answer, request_id)
+            return _refusal_response(answer, request_id)
         body: dict[str, Any] = msgspec.to_builtins(answer)
         body['name'] = answer.code.name.lower()
         return json_response(body, http_status(answer.code))
@@ -239,8 +255,8 @@
         self._context.board.post(LOAD, self._in_flight)
 
 
-def _crossed(request_id: RequestId, other: RequestId) -> Failure:
-    """Refuse the answer to another request."""
+def _mismatched_answer(request_id: RequestId, other: RequestId) -> Failure:
+    """Return the failure for an answer that belongs to another request."""
     return Failure(
         ResultCode.INTERNAL_ERROR,
         f'request {request_id!r} got the answer to request {other!r}',
@@ -248,7 +264,7 @@
     )
 
 
-def _refuse(failure: Failure, request_id: RequestId) -> HttpResponse:
+def _refusal_response(failure: Failure, request_id: RequestId) -> HttpResponse:
     refused = failure_response(failure)
     body: dict[str, Any] = msgspec.json.decode(refused.body)
     return json_response(body | {'request_id': request_id}, refused.status)
--- a/boragespool/controllers/configuration/configuration_store.py
+++ b/boragespool/controllers/configuration/configuration_store.py
@@ -1,6 +1,6 @@
-"""The part of the platform client that the configuration controller calls.
+"""Protocols of the platform client, as the configuration controller uses it.
 
-`boragespool.store.StoreClient` has these methods; tests use a fake.
+`boragespool.store.StoreClient` implements them; the tests have a fake.
 """
 
 from __future__ import annotations
@@ -12,18 +12,18 @@
     from boragespool.types import HostName, Seconds
 
 
-class Versioned(Protocol):
-    """Answer to a watch that ended without news."""
+class VersionedAnswer(Protocol):
+    """Answer to a watch that timed out without a newer version."""
 
     @property
     def version(self) -> int:
-        """Version of the key in the store; 0 for none."""
+        """Version of the key in the store; 0 if it was never written."""
         ...
 
 
 @runtime_checkable
-class Stored(Versioned, Protocol):
-    """Answer with a value."""
+class StoredAnswer(VersionedAnswer, Protocol):
+    """Answer that contains a value."""
 
     @property
     def value(self) -> str:
@@ -32,7 +32,7 @@
 
 
 class ListedHost(Protocol):
-    """One host of the platform's list."""
+    """One entry of the platform's host list."""
 
     @property
     def host(self) -> HostName:
@@ -46,7 +46,7 @@
 
 
 class HostListSource(Protocol):
-    """What reads the platform's host list."""
+    """Client that reads the platform's host list."""
 
     async def hosts(self) -> tuple[ListedHost, ...] | Failure:
         """Return the platform's host list."""
@@ -54,21 +54,21 @@
 
 
 class ValueSource(Protocol):
-    """What reads values of the store."""
+    """Client that reads values from the store."""
 
-    async def get(self, key: str) -> Stored | object:
-        """Return the value of a key, or anything else if there is none."""
+    async def get(self, key: str) -> StoredAnswer | object:
+        """Return the value of a key, or another object if there is none."""
         ...
 
 
 class ConfigurationStore(HostListSource, ValueSource, Protocol):
-    """What watches the store."""
+    """Client that also watches keys of the store."""
 
     async def watch(
         self,
         key: str,
         after_version: int,
         wait_s: Seconds,
-    ) -> Stored | Versioned | Failure:
-        """Wait for a newer version of a key."""
+    ) -> StoredAnswer | VersionedAnswer | Failure:
+        """Wait up to `wait_s` for a version later than `after_version`."""
         ...
--- a/boragespool/controllers/configuration/part_reading.py
+++ b/boragespool/controllers/configuration/part_reading.py
@@ -1,4 +1,4 @@
-"""Reads many parts of a revision from the store at a bounded rate."""
+"""Reads the parts of a revision from the store at a limited rate."""
 
 from __future__ import annotations
 
@@ -6,7 +6,9 @@
 import itertools
 from typing import TYPE_CHECKING, Final
 
-from boragespool.controllers.configuration.configuration_store import Stored
+from boragespool.controllers.configuration.configuration_store import (
+    StoredAnswer,
+)
 from boragespool.controllers.pauses import pause
 from boragespool.results import Failure
 from boragespool.revisions import part_hash, part_key
@@ -20,9 +22,9 @@
     from boragespool.revisions import PartHash
     from boragespool.timers import TimerService
 
-#: Parts in a batch and the time between two batches: at most 400 calls per
-#: second, so that three watchers that start without any part stay below the
-#: 2,000 reads per second of the store.
+#: Number of parts in a batch, and the time between two batches in seconds:
+#: at most 400 calls per second. Three watchers that start without any part
+#: stay below the 2,000 reads per second that the store allows.
 BATCH_SIZE: Final = 20
 BATCH_INTERVAL_S: Final = 0.05
 
@@ -32,40 +34,40 @@
     parts: Iterable[PartHash],
     timers: TimerService,
 ) -> tuple[dict[PartHash, bytes], Failure | None]:
-    """Read parts until a call fails.
+    """Read parts in batches; stop after a batch with a failed call.
 
     Parameters
     ----------
     store : ValueSource
-        Platform client.
+        Client of the platform's store.
     parts : iterable of str
         Hashes of the parts.
     timers : TimerService
-        Clock.
+        Timers for the pauses between batches.
 
     Returns
     -------
     tuple
-        Texts by their hash, and the first failure. Parts that the store does
-        not hold, or that were emptied, are left out.
+        Texts by their hash, and the first failure or None. The texts lack
+        parts that the store does not hold or whose value is empty.
     """
     found: dict[PartHash, bytes] = {}
-    waiting = iter(parts)
-    batch = tuple(itertools.islice(waiting, BATCH_SIZE))
+    remaining = iter(parts)
+    batch = tuple(itertools.islice(remaining, BATCH_SIZE))
     while batch:
         answers = await asyncio.gather(
             *(store.get(part_key(part)) for part in batch),
         )
-        texts = map(_text, answers)
+        texts = map(_part_text, answers)
         found.update((part_hash(text), text) for text in texts)
         for answer in answers:
             if isinstance(answer, Failure):
                 return found, answer
-        batch = tuple(itertools.islice(waiting, BATCH_SIZE))
+        batch = tuple(itertools.islice(remaining, BATCH_SIZE))
         if batch:
             await pause(timers, BATCH_INTERVAL_S)
     return found, None
 
 
-def _text(answer: object) -> bytes:
-    return answer.value.encode() if isinstance(answer, Stored) else b''
+def _part_text(answer: object) -> bytes:
+    return answer.value.encode() if isinstance(answer, StoredAnswer) else b''
--- a/boragespool/controllers/configuration/part_writing.py
+++ b/boragespool/controllers/configuration/part_writing.py
@@ -1,4 +1,7 @@
-"""Writes the parts of a revision, and empties those that are retired."""
+"""Writes the parts of a revision to the store and empties retired parts.
+
+`boragespool.revisions.retention` explains why this is safe without a lock.
+"""
 
 from __future__ import annotations
 
@@ -24,7 +27,10 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
 
-    from boragespool.controllers.configuration.store_access import Base, Store
+    from boragespool.controllers.configuration.store_access import (
+        Store,
+        StoredBase,
+    )
     from boragespool.revisions import (
         EncodedRevision,
         PartHash,
@@ -34,41 +40,44 @@
     from boragespool.revisions.manifest import IndexedTexts
     from boragespool.store import Conflict, StoredValue
 
-_FIRST_PAUSE_S: Final = 0.1
-_LONGEST_PAUSE_S: Final = 1
+_BACKOFF_FIRST_S: Final = 0.1
+_BACKOFF_LIMIT_S: Final = 1
 
-#: Calls in a batch and the time between two batches: at most 200 calls per
-#: second, the store's goal for writes.
+#: Number of calls in a batch, and the time between two batches in seconds:
+#: at most 200 calls per second, the target rate of the store for writes.
 _BATCH_SIZE: Final = 20
 _BATCH_INTERVAL_S: Final = 0.1
 
 
-async def pause_after(failures: int) -> None:
-    """Wait before another call after some that failed."""
+async def sleep_with_backoff(failure_count: int) -> None:
+    """Sleep before a retry, longer after each consecutive failure."""
     delay_s = backoff_s(
-        failures,
-        _FIRST_PAUSE_S,
-        _LONGEST_PAUSE_S,
+        failure_count,
+        _BACKOFF_FIRST_S,
+        _BACKOFF_LIMIT_S,
         random.random(),
     )
     await asyncio.sleep(delay_s)
 
 
 @dataclass(frozen=True, slots=True)
-class AnsweringStore:
-    """A store that reports each answer.
+class ProgressReportingStore:
+    """Wrapper of a store that calls back after each answer.
 
     Attributes
     ----------
+    store : Store
+        Wrapped client.
     on_answer : callable
-        Called after each call that did not fail.
+        Called after each call that did not fail, so that the caller can
+        extend its timeout.
     """
 
     store: Store
     on_answer: Callable[[], None]
 
     async def get(self, key: str) -> StoredValue | Missing | Failure:
-        """Read one key."""
+        """Return the value of a key."""
         answer = await self.store.get(key)
         if not isinstance(answer, Failure):
             self.on_answer()
@@ -80,7 +89,7 @@
         value: str,
         expected_version: int,
     ) -> int | Conflict | Failure:
-        """Write one key if its version is the expected one."""
+        """Write a key if its version is the expected one."""
         answer = await self.store.put(key, value, expected_version)
         if not isinstance(answer, Failure):
             self.on_answer()
@@ -89,133 +98,155 @@
 
 async def write_parts(
     store: Store,
-    base: Base,
+    base: StoredBase,
     wanted: RevisionDocument,
     settings_texts: IndexedTexts,
 ) -> EncodedRevision | Failure:
-    """Prepare the store for the manifest of a revision.
+    """Write everything that the manifest of a revision refers to.
+
+    This also stores the replaced revision under its own key, and empties the
+    values that the replaced revision has retired.
 
     Parameters
     ----------
     store : Store
-        Platform client.
-    base : Base
-        Revision to replace. It is kept under its own key.
+        Client of the platform's store.
+    base : StoredBase
+        Revision to replace.
     wanted : RevisionDocument
         Next revision.
     settings_texts : tuple
-        Indexes and texts of the settings of `wanted`.
+        Result of `build_indexes` for the settings of `wanted`.
 
     Returns
     -------
     EncodedRevision or Failure
-        The manifest to write; each part that it refers to is in the store
-        and stays there if the manifest is accepted. Calls that fail are
-        repeated for ever.
+        Manifest to write next. Each part that it refers to is in the store,
+        and remains there if the manifest is accepted. Failed calls are
+        retried without a limit.
     """
-    kept = plan_retention(
+    plan = plan_retention(
         base.history,
         wanted.revision - 1,
         base.parts,
         frozenset(settings_texts[1]),
     )
-    await _keep_replaced(store, base)
-    packed = encode_revision(
+    await _archive_base(store, base)
+    encoded_revision = encode_revision(
         wanted,
-        await _next_history(store, base.history, kept),
+        await _next_history(store, base.history, plan),
         settings_texts,
     )
-    if isinstance(packed, Failure):
-        return packed
-    await _empty(store, base.history)
-    await _all(
-        partial(_overwrite, store, part, packed.parts[part])
-        for part in packed.parts.keys() - base.parts
+    if isinstance(encoded_revision, Failure):
+        return encoded_revision
+    await _empty_removed_values(store, base.history)
+    await _run_batched(
+        partial(_write_part, store, part, encoded_revision.parts[part])
+        for part in encoded_revision.parts.keys() - base.parts
     )
-    return packed
+    return encoded_revision
 
 
 async def _next_history(
     store: Store,
     history: History,
-    kept: RetentionPlan,
+    plan: RetentionPlan,
 ) -> History:
-    """Read the versions of the parts to retire.
+    """Return the next history, with the versions of the parts to retire.
 
-    This comes before the manifest that retires them is written.
+    The versions have to be read before the manifest that retires these parts
+    is written.
     """
     retired: list[RetiredPart] = []
 
-    async def read(part: PartHash) -> None:
-        failures = 0
+    async def read_version(part: PartHash) -> None:
+        failure_count = 0
         answer = await store.get(part_key(part))
         while isinstance(answer, Failure):
-            failures += 1
-            await pause_after(failures)
+            failure_count += 1
+            await sleep_with_backoff(failure_count)
             answer = await store.get(part_key(part))
         if not isinstance(answer, Missing) and answer.value:
             retired.append(RetiredPart(part, answer.version))
 
-    await _all(partial(read, part) for part in kept.parts_to_retire)
+    await _run_batched(
+        partial(read_version, part) for part in plan.parts_to_retire
+    )
     return History(
-        replaced=kept.replaced,
+        replaced=plan.replaced,
         retired=tuple(retired),
-        dropped=tuple(range(history.kept_from, kept.kept_from)),
-        kept_from=kept.kept_from,
+        dropped=tuple(range(history.kept_from, plan.kept_from)),
+        kept_from=plan.kept_from,
     )
 
 
-async def _empty(store: Store, history: History) -> None:
-    """Empty what the revision that is to be replaced has retired.
+async def _empty_removed_values(store: Store, history: History) -> None:
+    """Empty the parts and revisions that the current history has removed.
 
-    A conflict means that the value is empty already, or was written again.
+    A conflict means that the value is already empty, or that it was written
+    again; both are correct.
     """
-    keys = [(part_key(one.part), one.version) for one in history.retired]
-    # A kept revision is written once and never changed.
+    keys = [
+        (part_key(retired_part.part), retired_part.version)
+        for retired_part in history.retired
+    ]
+    # A replaced revision is written only once, so its version is 1.
     keys.extend((revision_key(revision), 1) for revision in history.dropped)
-    await _all(partial(_put, store, key, '', version) for key, version in keys)
+    await _run_batched(
+        partial(_put_with_retries, store, key, '', version)
+        for key, version in keys
+    )
 
 
-async def _keep_replaced(store: Store, base: Base) -> None:
-    """Keep the base under its own key before it is replaced."""
+async def _archive_base(store: Store, base: StoredBase) -> None:
+    """Store the base under its own key before it is replaced."""
     if base.document is not None:
-        # A conflict means that the same immutable value is there already.
+        # A conflict means that the key already holds the same value.
         key = revision_key(base.document.revision)
-        await _put(store, key, base.text, 0)
+        await _put_with_retries(store, key, base.text, 0)
 
 
-async def _overwrite(store: Store, part: PartHash, text: bytes) -> None:
-    """Write a part, also if it is there already.
+async def _write_part(store: Store, part: PartHash, text: bytes) -> None:
+    """Write a part, even if the store already holds it.
 
-    Its version rises above each one at which it may be emptied.
+    This raises the version of the key, so that an earlier decision to empty
+    the part, which names an older version, has no effect.
     """
     expected: int | None = 0
     while expected is not None:
-        expected = await _put(store, part_key(part), text.decode(), expected)
+        expected = await _put_with_retries(
+            store, part_key(part), text.decode(), expected
+        )
 
 
-async def _put(
+async def _put_with_retries(
     store: Store,
     key: str,
     text: str,
     expected_version: int,
 ) -> int | None:
-    """Write until the store answers; return the version of a conflict."""
-    failures = 0
+    """Retry a write until the store answers.
+
+    Return None if the value was written, or the current version of the key if
+    it was not the expected one.
+    """
+    failure_count = 0
     answer = await store.put(key, text, expected_version)
     while isinstance(answer, Failure):
-        failures += 1
-        await pause_after(failures)
+        failure_count += 1
+        await sleep_with_backoff(failure_count)
         answer = await store.put(key, text, expected_version)
     return None if isinstance(answer, int) else answer.version
 
 
-async def _all(calls: Iterable[Callable[[], Awaitable[object]]]) -> None:
-    """Make calls in batches, at a bounded rate."""
-    waiting = iter(calls)
-    batch = tuple(itertools.islice(waiting, _BATCH_SIZE))
+async def _run_batched(
+    calls: Iterable[Callable[[], Awaitable[object]]],
+) -> None:
+    """Make calls concurrently in batches, at a limited rate."""
+    remaining = iter(calls)
+    batch = tuple(itertools.islice(remaining, _BATCH_SIZE))
     while batch:
         await asyncio.gather(*(call() for call in batch))
-        batch = tuple(itertools.islice(waiting, _BATCH_SIZE))
+        batch = tuple(itertools.islice(remaining, _BATCH_SIZE))
         if batch:
             await asyncio.sleep(_BATCH_INTERVAL_S)
--- a/boragespool/controllers/configuration/revision_fetching.py
+++ b/boragespool/controllers/configuration/revision_fetching.py
@@ -1,4 +1,4 @@
-"""Gathers the parts of a revision from peers and from the store."""
+"""Fetches the parts of a revision from peers and from the store."""
 
 from __future__ import annotations
 
@@ -15,83 +15,93 @@
     from boragespool.controllers.configuration.configuration_store import (
         ValueSource,
     )
-    from boragespool.controllers.configuration.held_revision import HeldRevision
+    from boragespool.controllers.configuration.local_revision import (
+        LocalRevision,
+    )
     from boragespool.controllers.context import Context
     from boragespool.revisions import Manifest, PartHash
     from boragespool.types import HostName, Seconds
 
-    Source = Callable[[tuple[PartHash, ...]], Awaitable[Iterable[bytes]]]
+    PartSource = Callable[[tuple[PartHash, ...]], Awaitable[Iterable[bytes]]]
 
-#: Parts in one request; their hashes have 17 KB.
-_REQUEST_COUNT: Final = 500
+#: Maximum number of parts in one request to a peer; their hashes have 17 KB.
+_PARTS_PER_REQUEST: Final = 500
 
 
 @dataclass(frozen=True, slots=True)
 class RevisionFetcher:
-    """Sources of parts.
+    """Fetches missing parts of a revision from several sources.
 
     Attributes
     ----------
+    context : Context
+        Timers and peers of the daemon.
+    store : ValueSource
+        Client of the platform's store.
+    local_revision : LocalRevision
+        Parts that this daemon has; fetched ones are added.
     timeout_s : float
-        Longest wait for a peer, in seconds.
+        Timeout of a request to a peer, in seconds.
     """
 
     context: Context
     store: ValueSource
-    held: HeldRevision
+    local_revision: LocalRevision
     timeout_s: Seconds
 
-    def peer(self, host: HostName) -> Source:
-        """Return the source that asks a peer."""
+    def peer_source(self, host: HostName) -> PartSource:
+        """Return a source that requests parts from a peer."""
 
-        async def ask(parts: tuple[PartHash, ...]) -> Iterable[bytes]:
+        async def request_parts(parts: tuple[PartHash, ...]) -> Iterable[bytes]:
             reply = await self.context.peers.request(
                 host,
-                PartsRequest(parts[:_REQUEST_COUNT]),
+                PartsRequest(parts[:_PARTS_PER_REQUEST]),
                 self.timeout_s,
             )
             return reply.texts if isinstance(reply, PartsReply) else ()
 
-        return ask
+        return request_parts
 
-    async def read(self, parts: tuple[PartHash, ...]) -> Iterable[bytes]:
-        """Read from the store."""
+    async def read_from_store(
+        self, parts: tuple[PartHash, ...]
+    ) -> Iterable[bytes]:
+        """Read parts from the store; usable as a source of `fetch_parts`."""
         found, _ = await read_parts(self.store, parts, self.context.timers)
         return found.values()
 
-    async def gather(
+    async def fetch_parts(
         self,
         manifest: Manifest,
-        sources: Iterable[Source],
+        sources: Iterable[PartSource],
     ) -> Failure | bool:
-        """Fetch what a manifest lacks, from one source after the other.
+        """Fetch the missing parts of a manifest from sources in order.
 
         Parameters
         ----------
         manifest : Manifest
             Revision to complete.
         sources : iterable of callable
-            Each is asked until it brings nothing new.
+            Each is called until it returns no part that is missing.
 
         Returns
         -------
         Failure or bool
-            Whether nothing is lacking any more; a failure if an index is
-            invalid. What was fetched is kept for the next attempt.
+            Whether all parts are present, or a failure if an index is
+            invalid. Fetched parts are kept for the next attempt.
         """
-        self.held.want(manifest)
+        self.local_revision.set_target(manifest)
         for source in sources:
-            is_helpful = True
-            while is_helpful:
-                is_helpful = await self._ask(manifest, source)
-        lacked = self.held.lacks(manifest)
-        return lacked if isinstance(lacked, Failure) else not lacked
-
-    async def _ask(self, manifest: Manifest, source: Source) -> bool:
-        """Tell whether a source brought something and may bring more."""
-        if manifest.revision <= self.held.revision:
+            made_progress = True
+            while made_progress:
+                made_progress = await self._fetch_once(manifest, source)
+        missing = self.local_revision.parts_to_fetch(manifest)
+        return missing if isinstance(missing, Failure) else not missing
+
+    async def _fetch_once(self, manifest: Manifest, source: PartSource) -> bool:
+        """Request the missing parts once; return whether any was received."""
+        if manifest.revision <= self.local_revision.revision:
             return False
-        lacked = self.held.lacks(manifest)
-        if isinstance(lacked, Failure) or not lacked:
+        missing = self.local_revision.parts_to_fetch(manifest)
+        if isinstance(missing, Failure) or not missing:
             return False
-        return self.held.add(lacked, await source(lacked))
+        return self.local_revision.add(missing, await source(missing))
--- a/boragespool/controllers/configuration/store_access.py
+++ b/boragespool/controllers/configuration/store_access.py
@@ -1,4 +1,7 @@
-"""Reading revisions from the store."""
+"""Reads revisions and their history from the store.
+
+Used by the commands of the operator.
+"""
 
 from __future__ import annotations
 
@@ -32,14 +35,14 @@
     from boragespool.store import Conflict, StoredValue
     from boragespool.types import Revision
 
-_NOTHING: Final[Mapping[PartHash, bytes]] = MappingProxyType({})
+_NO_TEXTS: Final[Mapping[PartHash, bytes]] = MappingProxyType({})
 
 
 class Store(Protocol):
-    """The part of the store client that the commands call."""
+    """Methods of the store client that the commands call."""
 
     async def get(self, key: str) -> StoredValue | Missing | Failure:
-        """Read one key."""
+        """Return the value of a key."""
         ...
 
     async def put(
@@ -48,13 +51,13 @@
         value: str,
         expected_version: int,
     ) -> int | Conflict | Failure:
-        """Write one key if its version is the expected one."""
+        """Write a key if its version is the expected one."""
         ...
 
 
 @dataclass(frozen=True, slots=True)
-class Base:
-    """What the store holds for the configuration.
+class StoredBase:
+    """Current revision in the store, as the base of a change.
 
     Attributes
     ----------
@@ -65,9 +68,10 @@
     text : str
         Value as stored.
     parts : frozenset of str
-        Hashes to which the revision refers; empty for a whole document.
+        Hashes of the parts that the revision refers to; empty for a whole
+        document.
     history : History
-        What earlier revisions left to remove.
+        Audit trail, and the parts and revisions that are to be removed.
     """
 
     document: RevisionDocument | None = None
@@ -79,20 +83,20 @@
 
 async def read_base(
     store: Store,
-    known: Mapping[PartHash, bytes] = _NOTHING,
-) -> Base | Failure:
+    known: Mapping[PartHash, bytes] = _NO_TEXTS,
+) -> StoredBase | Failure:
     """Read the current revision.
 
     Parameters
     ----------
     store : Store
-        Platform client.
+        Client of the platform's store.
     known : mapping of str to bytes, optional
-        Texts of parts that need not be read.
+        Texts by hash of parts that need not be read.
 
     Returns
     -------
-    Base or Failure
+    StoredBase or Failure
         ``STORE_UNAVAILABLE``, or ``INVALID_SETTING`` for a value that this
         release cannot read.
     """
@@ -100,20 +104,22 @@
     if isinstance(answer, Failure):
         return answer
     if isinstance(answer, Missing):
-        return Base()
-    base = await _read(store, answer.value, known)
+        return StoredBase()
+    base = await _decode_base(store, answer.value, known)
     if isinstance(base, Failure):
         return base
     return replace(base, version=answer.version)
 
 
-async def read_trail(store: Store) -> RevisionDocument | Failure | None:
-    """Read the current revision without its settings.
+async def read_audit_trail(store: Store) -> RevisionDocument | Failure | None:
+    """Read the current revision with its audit trail but without settings.
 
     Returns
     -------
     RevisionDocument or Failure or None
-        With the whole audit trail; None if there is no revision.
+        Document with default settings and the whole audit trail; None if the
+        store holds no revision. A value that is not split into parts is
+        returned with its settings.
     """
     answer = await store.get(CURRENT_KEY)
     if isinstance(answer, Failure):
@@ -123,11 +129,13 @@
     value = decode_revision(answer.value)
     if not isinstance(value, Manifest):
         return value
-    bare = Manifest(value.revision, value.change_id, {}, history=value.history)
-    texts = await _read_lacking(store, bare, _NOTHING)
+    history_manifest = Manifest(
+        value.revision, value.change_id, {}, history=value.history
+    )
+    texts = await _read_missing_parts(store, history_manifest, _NO_TEXTS)
     if isinstance(texts, Failure):
         return texts
-    history = _history(bare, texts)
+    history = _manifest_history(history_manifest, texts)
     if isinstance(history, Failure):
         return history
     return RevisionDocument(
@@ -140,14 +148,14 @@
 
 
 async def read_current(store: Store) -> RevisionDocument | Failure:
-    """Read the current revision; a failure if there is none yet."""
+    """Return the current revision, or a failure if there is none yet."""
     base = await read_base(store)
     if isinstance(base, Failure):
         return base
-    return base.document or no_revision()
+    return base.document or no_revision_failure()
 
 
-def no_revision() -> Failure:
+def no_revision_failure() -> Failure:
     """Return the failure for a store without a revision."""
     return Failure(
         ResultCode.REVISION_UNKNOWN,
@@ -160,80 +168,81 @@
     store: Store,
     revision: Revision,
 ) -> RevisionDocument | Failure:
-    """Read a replaced revision."""
+    """Return a replaced revision."""
     answer = await store.get(revision_key(revision))
     if isinstance(answer, Failure):
         return answer
-    # A revision that is not kept any more has an empty value.
+    # The value of a revision that is no longer kept is empty.
     if isinstance(answer, Missing) or not answer.value:
         return Failure(
             ResultCode.REVISION_UNKNOWN,
-            f'the store keeps no revision {revision!r}; allowed are replaced '
-            "revisions, which 'boragespool audit' lists",
+            f'the store holds no replaced revision {revision!r}; allowed are '
+            "the replaced revisions that 'boragespool audit' lists",
         )
-    base = await _read(store, answer.value, _NOTHING)
+    base = await _decode_base(store, answer.value, _NO_TEXTS)
     if isinstance(base, Failure):
         return base
-    return base.document or no_revision()
+    return base.document or no_revision_failure()
 
 
-async def _read(
+async def _decode_base(
     store: Store,
     text: str,
     known: Mapping[PartHash, bytes],
-) -> Base | Failure:
-    """Read the parts of a value of the store."""
+) -> StoredBase | Failure:
+    """Decode a stored revision and read its parts."""
     manifest = decode_revision(text)
     if isinstance(manifest, Failure):
         return manifest
     if isinstance(manifest, RevisionDocument):
-        # Earlier releases kept every revision; those values stay.
+        # Earlier releases kept every revision as a whole document, and these
+        # are not removed.
         history = History(kept_from=manifest.revision)
-        return Base(manifest, text=text, history=history)
-    texts = await _read_lacking(store, manifest, known)
+        return StoredBase(manifest, text=text, history=history)
+    texts = await _read_missing_parts(store, manifest, known)
     if isinstance(texts, Failure):
         return texts
     assembly = assemble(manifest, texts)
     if isinstance(assembly, Failure):
         return assembly
-    earlier = _history(manifest, texts)
-    if isinstance(earlier, Failure):
-        return earlier
+    stored_history = _manifest_history(manifest, texts)
+    if isinstance(stored_history, Failure):
+        return stored_history
     document = replace(
         assembly.document,
-        audit=earlier.audit + manifest.audit,
+        audit=stored_history.audit + manifest.audit,
     )
     parts = referenced_hashes(manifest, texts) | {manifest.history}
-    return Base(document, text=text, parts=parts, history=earlier)
+    return StoredBase(document, text=text, parts=parts, history=stored_history)
 
 
-async def _read_lacking(
+async def _read_missing_parts(
     store: Store,
     manifest: Manifest,
     known: Mapping[PartHash, bytes],
 ) -> dict[PartHash, bytes] | Failure:
-    """Return the known texts and all others that a manifest needs."""
+    """Return the known texts and all others that a manifest refers to."""
     texts = dict(known)
     while True:
-        named = hashes_to_fetch(manifest, texts)
-        if isinstance(named, Failure):
-            return named
-        lacked = named + missing_hashes([manifest.history], texts)
-        if not lacked:
+        fetchable = hashes_to_fetch(manifest, texts)
+        if isinstance(fetchable, Failure):
+            return fetchable
+        missing = fetchable + missing_hashes([manifest.history], texts)
+        if not missing:
             return texts
-        found, failure = await read_parts(store, lacked, LoopTimers())
+        found, failure = await read_parts(store, missing, LoopTimers())
         if failure is not None:
             return failure
-        if missing_hashes(lacked, found):
+        if missing_hashes(missing, found):
             return Failure(
                 ResultCode.REVISION_UNKNOWN,
-                f'the store holds revision {manifest.revision!r} only in '
-                'part; it may have been replaced meanwhile',
+                f'the store lacks parts of revision {manifest.revision!r}; '
+                'it may have been replaced in the meantime',
             )
         texts.update(found)
 
 
-def _history(
+def _manifest_history(
     manifest: Manifest,
     texts: Mapping[PartHash, bytes],
 ) -> History | Failure:
--- a/boragespool/controllers/membership/membership.py
+++ b/boragespool/controllers/membership/membership.py
@@ -1,4 +1,8 @@
-"""Carries membership out over the peer network and the timers."""
+"""Membership controller: runs the gossip protocol of one daemon.
+
+Answers and sends pings and gossip messages, and publishes the record of this
+daemon: its load, its revision and whether it leaves.
+"""
 
 from __future__ import annotations
 
@@ -21,48 +25,49 @@
     from boragespool.revisions import RevisionDocument
     from boragespool.types import Address, DataCentre, HostName
 
-#: Shortest time between two whole views sent, in seconds. It bounds the
-#: traffic when a whole fleet starts at the same time.
-_VIEW_INTERVAL_S: Final = 1
-#: Weight of the latest load in the smoothed one.
+#: Minimum time between two transfers of the whole member table, in seconds. It
+#: limits the traffic when a whole fleet starts at the same time.
+_MIN_TABLE_INTERVAL_S: Final = 1
+#: Weight of the latest load in the exponential moving average.
 _LOAD_WEIGHT: Final = 0.3
-#: Longest wait for the farewell to be sent, and the time after it, in seconds.
-_FLUSH_S: Final = 0.5
-_LINGER_S: Final = 0.05
-_OPTIONS: Final = membership.MembershipOptions()
+#: Timeout for sending the last record of a daemon that left, and the time to
+#: wait after that, in seconds.
+_FLUSH_TIMEOUT_S: Final = 0.5
+_FLUSH_MARGIN_S: Final = 0.05
+_DEFAULT_OPTIONS: Final = membership.MembershipOptions()
 
 
 class MembershipController:
-    """Member records of one daemon, an async context manager.
+    """Takes part in the gossip membership; an async context manager.
 
     Parameters
     ----------
     context : Context
-        Shared parts of the daemon.
+        Identity, blackboard, timers and peers of the daemon.
     seeds : callable
         Returns peer addresses by host, from the peers option and the
         platform's host list. This daemon may be among them.
     options : MembershipOptions
-        Intervals and bounds.
+        Intervals, timeouts and limits.
     """
 
     def __init__(
         self,
         context: Context,
         seeds: Callable[[], Mapping[HostName, Address]],
-        options: membership.MembershipOptions = _OPTIONS,
+        options: membership.MembershipOptions = _DEFAULT_OPTIONS,
     ) -> None:
-        """Create the own record; `__aenter__` starts to ping."""
+        """Create the record of this daemon; `__aenter__` starts the pings."""
         self._context = context
         self._state = MemberState(context, options)
         self._pinger = Pinger(context, self._state, seeds)
-        self._tick_s = context.timers.now_s()
-        self._seed_tick_s = self._tick_s
-        self._view_sent_s = self._tick_s - _VIEW_INTERVAL_S
-        self._endings: tuple[Callable[[], None], ...] = ()
+        self._last_tick_at_s = context.timers.now_s()
+        self._last_seed_ping_at_s = self._last_tick_at_s
+        self._table_sent_at_s = self._last_tick_at_s - _MIN_TABLE_INTERVAL_S
+        self._cleanup_callbacks: tuple[Callable[[], None], ...] = ()
 
     async def __aenter__(self) -> Self:
-        """Answer pings, post the own record and begin to ping."""
+        """Register the handlers, post the own record and start to ping."""
         context = self._context
         context.peers.on_request(Ping, self._answer_ping)
         context.peers.on_request(PingRequest, self._answer_ping_request)
@@ -71,7 +76,7 @@
             self._state.options.ping_interval_s,
             self._tick,
         )
-        self._endings = (
+        self._cleanup_callbacks = (
             ticks.cancel,
             context.board.subscribe(DOCUMENT_IN_FORCE, self._publish_revision),
         )
@@ -81,16 +86,18 @@
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        """Stop pinging; a daemon that left tells peers that it is gone."""
-        for end in self._endings:
-            end()
+        """Stop pinging; after `leave`, gossip that this daemon is dead."""
+        for cleanup in self._cleanup_callbacks:
+            cleanup()
         await self._pinger.close()
         if self.own.status == MemberStatus.LEAVING:
-            gone = replace(self.own, status=MemberStatus.DEAD)
-            self._state.tell(gone, self._state.options.leave_count)
-            await self._context.peers.flush(_FLUSH_S)
-            # The links report an empty queue before the last frame is out.
-            await asyncio.sleep(_LINGER_S)
+            dead_record = replace(self.own, status=MemberStatus.DEAD)
+            self._state.send_to_random(
+                dead_record, self._state.options.leave_count
+            )
+            await self._context.peers.flush(_FLUSH_TIMEOUT_S)
+            # A link reports an empty queue before its last frame is sent.
+            await asyncio.sleep(_FLUSH_MARGIN_S)
 
     @property
     def own(self) -> MemberRecord:
@@ -102,14 +109,14 @@
         data_centre: DataCentre,
         count: int,
     ) -> tuple[Address, ...]:
-        """Return addresses for a caller, nearest first.
+        """Return addresses of daemons for a caller, nearest first.
 
         Parameters
         ----------
         data_centre : str
-            Where the caller is; any text is accepted.
+            Data centre of the caller; an unknown one is accepted.
         count : int
-            Addresses wanted.
+            Maximum number of addresses.
         """
         return membership.choose_addresses(
             membership.all_records_by_host(self._state.table).values(),
@@ -120,36 +127,43 @@
         )
 
     def leave(self) -> None:
-        """Publish that this daemon leaves and tell many members at once."""
-        self._state.change_own(status=MemberStatus.LEAVING)
+        """Publish at once that this daemon is leaving."""
+        self._state.update_own(status=MemberStatus.LEAVING)
 
     def set_successor(self, host: HostName) -> None:
-        """Publish which host took over the witness records."""
-        self._state.change_own(successor=host)
+        """Publish the host that took over the witness records."""
+        self._state.update_own(successor=host)
 
     def _tick(self) -> None:
-        """Ping one member, expire suspicions, and now and then ping a seed."""
+        """Expire suspicions and ping the next member.
+
+        At longer intervals, ping a seed and a dead member as well. A very late
+        tick means that this daemon was paused. The suspicion timers then
+        restart, because refutations may still be unread in its sockets.
+        """
         now_s = self._state.now_s
         options = self._state.options
         table = self._state.table
-        since_s = now_s - self._tick_s
-        if since_s > 2 * options.ping_interval_s:
+        elapsed_s = now_s - self._last_tick_at_s
+        if elapsed_s > 2 * options.ping_interval_s:
             table = membership.restart_suspicion_timers(table, now_s)
         self._state.health = membership.score_after_tick(
             self._state.health,
-            max(0, since_s - options.ping_interval_s),
+            max(0, elapsed_s - options.ping_interval_s),
             options,
         )
-        self._tick_s = now_s
+        self._last_tick_at_s = now_s
         own = replace(table.own, load=self._smoothed_load())
         table = replace(table, own=own)
-        slowed = self._state.slowed_options
-        self._state.apply(membership.expire_members(table, now_s, slowed))
+        scaled_options = self._state.scaled_options
+        self._state.apply(
+            membership.expire_members(table, now_s, scaled_options)
+        )
         self._pinger.join()
-        if now_s - self._seed_tick_s >= options.seed_interval_s:
-            self._seed_tick_s = now_s
+        if now_s - self._last_seed_ping_at_s >= options.seed_interval_s:
+            self._last_seed_ping_at_s = now_s
             self._pinger.ping_seeds(1)
-            self._pinger.ping_dead()
+            self._pinger.ping_dead_member()
         self._pinger.ping_next()
 
     def _smoothed_load(self) -> float:
@@ -160,29 +174,32 @@
     async def _answer_ping(self, sender: Sender, ping: Ping) -> Ack:
         self._state.receive(ping.records, sender.host)
         now_s = self._state.now_s
-        if ping.join and now_s - self._view_sent_s >= _VIEW_INTERVAL_S:
-            self._view_sent_s = now_s
-            self._state.send_view(sender.host)
-        return Ack(records=self._state.compose(sender.host))
+        if ping.join and now_s - self._table_sent_at_s >= _MIN_TABLE_INTERVAL_S:
+            self._table_sent_at_s = now_s
+            self._state.send_member_table(sender.host)
+        return Ack(records=self._state.compose_records(sender.host))
 
     async def _answer_ping_request(
         self,
         sender: Sender,
-        asked: PingRequest,
+        request: PingRequest,
     ) -> Ack:
         reached = await self._pinger.ping(
-            asked.target,
+            request.target,
             self._state.options.ping_timeout_s,
         )
-        return Ack(reached, self._state.compose(sender.host))
+        return Ack(reached, self._state.compose_records(sender.host))
 
     def _receive_gossip(self, sender: Sender, gossip: Gossip) -> None:
         self._state.receive(gossip.records, sender.host)
 
     def _publish_revision(self, document: RevisionDocument | None) -> None:
-        """Tell a few members at once, so that a revision spreads fast."""
+        """Gossip a new revision to a few members at once.
+
+        Waiting for the next pings would delay its distribution.
+        """
         if document is None:
             return
         own = replace(self.own, revision=document.revision)
         self._state.apply(replace(self._state.table, own=own))
-        self._state.tell(own, self._state.options.revision_fanout)
+        self._state.send_to_random(own, self._state.options.revision_fanout)
--- a/boragespool/controllers/membership/pinging.py
+++ b/boragespool/controllers/membership/pinging.py
@@ -1,4 +1,4 @@
-"""Pings of one daemon: failure detection, joining and seeds."""
+"""Sends the pings of one daemon: failure detection, joining and seeds."""
 
 from __future__ import annotations
 
@@ -17,12 +17,23 @@
     from boragespool.controllers.membership.member_state import MemberState
     from boragespool.types import Address, HostName, Seconds
 
-#: Pings that ask for the whole view after the start.
-_JOIN_COUNT: Final = 3
+#: Number of answered pings after the start that ask for the whole member
+#: table.
+_JOIN_PING_COUNT: Final = 3
 
 
 class Pinger:
-    """Pings members and judges them by their answers."""
+    """Pings members, and suspects those that do not answer.
+
+    Parameters
+    ----------
+    context : Context
+        Peer network and random numbers of the daemon.
+    state : MemberState
+        Member table that is updated.
+    seeds : callable
+        Returns peer addresses by host, which are pinged to join.
+    """
 
     def __init__(
         self,
@@ -30,50 +41,53 @@
         state: MemberState,
         seeds: Callable[[], Mapping[HostName, Address]],
     ) -> None:
-        """Start with an empty round."""
+        """Start with an empty ping round and as a daemon that joins."""
         self._context = context
         self._state = state
         self._seeds = seeds
-        self._order = membership.PingRound()
-        self._joins_left = _JOIN_COUNT
+        self._ping_round = membership.PingRound()
+        self._join_pings_left = _JOIN_PING_COUNT
         self._tasks = TaskSet()
 
     async def close(self) -> None:
-        """Cancel the pings under way."""
+        """Cancel the pings that are waiting for an answer."""
         await self._tasks.close()
 
     def ping_next(self) -> None:
-        """Test the next member of the round."""
-        found = membership.next_target(
-            self._order,
-            self._state.reachable(),
+        """Start to probe the next member of the ping round."""
+        host_and_round = membership.next_target(
+            self._ping_round,
+            self._state.hosts_not_dead(),
             self._context.draw,
         )
-        self._order = found[1]
-        if found[0] is not None:
-            tested = self._state.table.members_by_host[found[0]]
-            self._tasks.spawn(self._test(tested))
+        self._ping_round = host_and_round[1]
+        if host_and_round[0] is not None:
+            target = self._state.table.members_by_host[host_and_round[0]]
+            self._tasks.spawn(self._probe(target))
 
     def join(self) -> None:
-        """Ask a member of the own data centre, else seeds, for its view."""
-        if not self._joins_left:
+        """Ask a member of the own data centre, else seeds, for its table.
+
+        Do nothing after `_JOIN_PING_COUNT` of these pings were answered.
+        """
+        if not self._join_pings_left:
             return
         state = self._state
-        local = [
+        local_hosts = [
             host
-            for host in state.reachable()
-            if _centre_of(state, host) == state.own.data_centre
+            for host in state.hosts_not_dead()
+            if _data_centre_of(state, host) == state.own.data_centre
         ]
-        if not local:
-            self.ping_seeds(_JOIN_COUNT)
+        if not local_hosts:
+            self.ping_seeds(_JOIN_PING_COUNT)
         for host in membership.choose_random_hosts(
-            local, 1, self._context.draw
+            local_hosts, 1, self._context.draw
         ):
-            self._tasks.spawn(self._ask_view(host))
+            self._tasks.spawn(self._ping_to_join(host))
 
     def ping_seeds(self, count: int) -> None:
-        """Ping seeds that are not live members."""
-        present = self._state.reachable() | {self._state.own.host}
+        """Ping up to `count` random seeds that are not live members."""
+        present = self._state.hosts_not_dead() | {self._state.own.host}
         absent = {
             host: address
             for host, address in self._seeds().items()
@@ -83,17 +97,19 @@
             absent, count, self._context.draw
         ):
             self._context.peers.set_address(host, absent[host])
-            self._tasks.spawn(self._ask_view(host))
+            self._tasks.spawn(self._ping_to_join(host))
 
-    def ping_dead(self) -> None:
-        """Ping one dead member; it may be behind a partition that ended."""
-        dead = [
+    def ping_dead_member(self) -> None:
+        """Ping a random dead member, in case a partition has ended."""
+        dead_hosts = [
             host
             for host, member in self._state.table.members_by_host.items()
             if member.status == MemberStatus.DEAD
         ]
-        for host in membership.choose_random_hosts(dead, 1, self._context.draw):
-            self._tasks.spawn(self._ask_view(host))
+        for host in membership.choose_random_hosts(
+            dead_hosts, 1, self._context.draw
+        ):
+            self._tasks.spawn(self._ping_to_join(host))
 
     async def ping(
         self,
@@ -102,10 +118,10 @@
         *,
         join: bool = False,
     ) -> bool:
-        """Exchange records with a host; tell whether it answered."""
+        """Exchange records with a host; return whether it answered."""
         ack = await self._context.peers.request(
             host,
-            Ping(self._state.compose(host), join),
+            Ping(self._state.compose_records(host), join),
             timeout_s,
         )
         if not isinstance(ack, Ack):
@@ -113,32 +129,38 @@
         self._state.receive(ack.records, host)
         return True
 
-    async def _ask_view(self, host: HostName) -> None:
-        """Ping a host and ask for its whole view while joining."""
+    async def _ping_to_join(self, host: HostName) -> None:
+        """Ping a host; while joining, ask for its whole member table."""
         timeout_s = self._state.options.ping_timeout_s
-        reached = await self.ping(host, timeout_s, join=self._joins_left > 0)
-        if reached and self._joins_left:
-            self._joins_left -= 1
+        reached = await self.ping(
+            host, timeout_s, join=self._join_pings_left > 0
+        )
+        if reached and self._join_pings_left:
+            self._join_pings_left -= 1
+
+    async def _probe(self, target: MemberRecord) -> None:
+        """Ping a member directly, then through helpers; suspect it if both fail.
 
-    async def _test(self, tested: MemberRecord) -> None:
-        """Ping one member, directly and through helpers, and judge it."""
+        A suspected member is sent its record, so that it can refute.
+        """
         state = self._state
-        host = tested.host
+        host = target.host
         started_s = state.now_s
-        timeout_s = state.slowed_options.ping_timeout_s
-        if await self.ping(host, timeout_s) or await self._ping_by_helpers(
-            tested,
+        timeout_s = state.scaled_options.ping_timeout_s
+        if await self.ping(host, timeout_s) or await self._ping_through_helpers(
+            target,
             timeout_s,
         ):
             state.apply(membership.clear_leaving_suspicion(state.table, host))
             return
-        # A longer time means that this daemon was paused or overloaded.
+        # The timeouts add up to less. A longer time means that this daemon
+        # was paused or overloaded, so the missing answers prove nothing.
         if state.now_s - started_s > 4 * timeout_s:
             return
         state.apply(
             membership.suspect(
                 state.table,
-                tested,
+                target,
                 state.now_s,
                 state.options,
             ),
@@ -147,20 +169,24 @@
         if member is not None and member.status == MemberStatus.SUSPECT:
             state.send_record((host,), member)
 
-    async def _ping_by_helpers(
+    async def _ping_through_helpers(
         self,
-        tested: MemberRecord,
+        target: MemberRecord,
         timeout_s: Seconds,
     ) -> bool:
-        """Ask members near the target, which all keep it, to ping it."""
-        others = self._state.reachable() - {tested.host}
-        near = {
+        """Ask helpers to ping a member; return whether it answered any of them.
+
+        The helpers are members of its data centre, which all have its record.
+        If none is known there, any members are asked.
+        """
+        others = self._state.hosts_not_dead() - {target.host}
+        near_hosts = {
             host
             for host in others
-            if _centre_of(self._state, host) == tested.data_centre
+            if _data_centre_of(self._state, host) == target.data_centre
         }
         helpers = membership.choose_random_hosts(
-            near or others,
+            near_hosts or others,
             self._state.options.helper_count,
             self._context.draw,
         )
@@ -168,7 +194,7 @@
             *(
                 self._context.peers.request(
                     helper,
-                    PingRequest(tested.host),
+                    PingRequest(target.host),
                     2 * timeout_s,
                 )
                 for helper in helpers
@@ -179,5 +205,5 @@
         )
 
 
-def _centre_of(state: MemberState, host: HostName) -> str:
+def _data_centre_of(state: MemberState, host: HostName) -> str:
     return state.table.members_by_host[host].data_centre
