Name the shared state and the modules of queries plainly

Merger, QueryWork, KnownGood and the modules query_parts, observing and pinned did not say what they hold.

--- a/boragespool/controllers/claims/claim_attempts.py
+++ b/boragespool/controllers/claims/claim_attempts.py
@@ -14,8 +14,10 @@
     SERVERS,
     SUSPECTS,
 )
+from boragespool.controllers.queries.attempt_results import (
+    record_attempt_result,
+)
 from boragespool.controllers.queries.fleet_view import FleetView
-from boragespool.controllers.queries.observing import observe_result
 from boragespool.messages import ForwardClaim, WorkReply, WorkRequest
 from boragespool.results import Failure, ResultCode
 from boragespool.routing import (
@@ -169,7 +171,7 @@
             request.deadline_s + GRACE_S,
         )
         now_s = self._context.timers.now_s()
-        observe_result(
+        record_attempt_result(
             self._observations,
             target.server,
             result,
--- a/boragespool/controllers/queries/observing.py
+++ b/boragespool/controllers/queries/attempt_results.py
@@ -26,7 +26,7 @@
 )
 
 
-def observe_result(
+def record_attempt_result(
     observations: ServerObservations,
     server: ServerName,
     result: WorkReply | Failure,
--- a/boragespool/controllers/queries/attempts.py
+++ b/boragespool/controllers/queries/attempts.py
@@ -6,8 +6,10 @@
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
-from boragespool.controllers.queries.observing import observe_result
-from boragespool.controllers.queries.query_parts import Attempt, Part
+from boragespool.controllers.queries.attempt_results import (
+    record_attempt_result,
+)
+from boragespool.controllers.queries.query_state import Attempt, Part
 from boragespool.messages import CancelWork, WorkReply, WorkRequest
 from boragespool.metrics import ATTEMPTS
 from boragespool.results import Failure, ResultCode
@@ -17,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from boragespool.controllers.queries.query_parts import QueryWork
+    from boragespool.controllers.queries.query_state import AcceptedQuery
     from boragespool.types import AttemptId, IndexVersion, ServerName
 
 _CRASH_CODES: Final = frozenset(
@@ -31,7 +33,7 @@
 
     Parameters
     ----------
-    work : QueryWork
+    work : AcceptedQuery
         The query.
     receive : callable
         Called with each attempt that ended by itself and its result.
@@ -39,15 +41,15 @@
 
     def __init__(
         self,
-        work: QueryWork,
+        query: AcceptedQuery,
         receive: Callable[[Attempt, WorkReply | Failure], None],
     ) -> None:
         """Start without attempts."""
         self.sent = 0
         #: Whether any attempt ran or may have run.
         self.may_have_run = False
-        self.open_by_id: dict[AttemptId, Attempt] = {}
-        self._work = work
+        self.open_attempt_by_id: dict[AttemptId, Attempt] = {}
+        self._query = query
         self._receive = receive
         self._crashes = 0
         self._answered = 0
@@ -55,13 +57,13 @@
         self._abandon_by_id: dict[AttemptId, Callable[[], None]] = {}
 
     @property
-    def careful(self) -> bool:
+    def crash_suspected(self) -> bool:
         """Whether the request may have crashed a backend server.
 
         One lost server is ordinary. A crashing request loses most of the
         servers that it was sent to.
         """
-        return self._work.suspect or self._crashes * 2 > self._answered
+        return self._query.suspect or self._crashes * 2 > self._answered
 
     def choose(self, part: Part) -> ServerName | None:
         """Choose a replica that was not tried for a part.
@@ -69,22 +71,24 @@
         A replica of another dispatcher is preferred, because a dispatcher
         that is lost or slow delays all its servers.
         """
-        context = self._work.merger.context
+        context = self._query.shared.context
         replicas = part.replicas
-        if part.tried:
-            hosts = set(map(self._work.merger.fleet.dispatcher, part.tried))
+        if part.tried_servers:
+            hosts = set(
+                map(self._query.shared.fleet.dispatcher, part.tried_servers)
+            )
             replicas = tuple(
                 server
                 for server in replicas
-                if self._work.merger.fleet.dispatcher(server) not in hosts
+                if self._query.shared.fleet.dispatcher(server) not in hosts
             )
         choose = partial(
             choose_replica,
-            tried=part.tried,
-            observations=self._work.merger.observations,
+            tried=part.tried_servers,
+            observations=self._query.shared.observations,
             draws=(context.draw(), context.draw()),
             now_s=context.timers.now_s(),
-            rank_index=self._work.rank_index,
+            rank_index=self._query.rank_index,
         )
         return choose(replicas) or choose(part.replicas)
 
@@ -96,24 +100,24 @@
         kind: str,
     ) -> Attempt:
         """Send one attempt; its result is received later."""
-        merger = self._work.merger
-        identity = merger.context.identity
+        shared = self._query.shared
+        identity = shared.context.identity
         number = next(_NUMBERS)
         attempt = Attempt(
             f'{identity.host}.{identity.incarnation:x}.{number:x}',
             server,
-            merger.fleet.dispatcher(server) or '',
+            shared.fleet.dispatcher(server) or '',
             part,
-            merger.context.timers.now_s(),
+            shared.context.timers.now_s(),
         )
-        part.tried.append(server)
+        part.tried_servers.append(server)
         part.open_attempts[attempt.attempt_id] = attempt
-        self.open_by_id[attempt.attempt_id] = attempt
+        self.open_attempt_by_id[attempt.attempt_id] = attempt
         self.sent += 1
         ATTEMPTS.labels(kind).inc()
-        merger.observations.record_sent(server)
+        shared.observations.record_sent(server)
         # The deadline of the query ends the wait for a reply.
-        self._abandon_by_id[attempt.attempt_id] = merger.context.peers.call(
+        self._abandon_by_id[attempt.attempt_id] = shared.context.peers.call(
             attempt.host,
             self._message(attempt, version),
             partial(self._finish, attempt),
@@ -125,24 +129,24 @@
         self.may_have_run = True
         self._forget(attempt)
         self._abandon_by_id.pop(attempt.attempt_id)()
-        context = self._work.merger.context
+        context = self._query.shared.context
         context.peers.send(attempt.host, CancelWork(attempt.attempt_id))
         waited_s = context.timers.now_s() - attempt.started_s
-        self._work.merger.observations.record_refusal(attempt.server)
-        if waited_s >= (self._work.tracker.quantile_s or 0):
-            self.note_overdue(attempt)
-            self._work.tracker.record(waited_s)
+        self._query.shared.observations.record_refusal(attempt.server)
+        if waited_s >= (self._query.tracker.quantile_s or 0):
+            self.record_overdue(attempt)
+            self._query.tracker.record(waited_s)
 
-    def note_overdue(self, attempt: Attempt) -> None:
+    def record_overdue(self, attempt: Attempt) -> None:
         """Tell the observations once that an attempt is slower than most."""
         if attempt.attempt_id in self._overdue_ids:
             return
         self._overdue_ids.add(attempt.attempt_id)
-        now_s = self._work.merger.context.timers.now_s()
-        self._work.merger.observations.record_overdue(attempt.server, now_s)
+        now_s = self._query.shared.context.timers.now_s()
+        self._query.shared.observations.record_overdue(attempt.server, now_s)
 
     def _message(self, attempt: Attempt, version: IndexVersion) -> WorkRequest:
-        request = self._work.request
+        request = self._query.request
         start, end = attempt.part.asked
         return WorkRequest(
             attempt_id=attempt.attempt_id,
@@ -150,15 +154,15 @@
             kind=WorkKind.QUERY,
             route=request.route,
             server=attempt.server,
-            rank=self._work.rank,
+            rank=self._query.rank,
             caller=request.caller,
-            deadline_s=self._work.time_left_s(),
+            deadline_s=self._query.time_left_s(),
             body=request.body,
-            fingerprint=self._work.fingerprint,
+            fingerprint=self._query.fingerprint,
             version=version,
             start=start,
             end=end,
-            solo=self.careful,
+            solo=self.crash_suspected,
         )
 
     def _finish(self, attempt: Attempt, reply: object) -> None:
@@ -175,15 +179,15 @@
         self._receive(attempt, result)
 
     def _forget(self, attempt: Attempt) -> None:
-        self.open_by_id.pop(attempt.attempt_id, None)
+        self.open_attempt_by_id.pop(attempt.attempt_id, None)
         attempt.part.open_attempts.pop(attempt.attempt_id, None)
 
     def _observe(self, attempt: Attempt, result: WorkReply | Failure) -> None:
         """Tell the observations how an attempt ended."""
-        now_s = self._work.merger.context.timers.now_s()
+        now_s = self._query.shared.context.timers.now_s()
         latency_s = now_s - attempt.started_s
-        observe_result(
-            self._work.merger.observations,
+        record_attempt_result(
+            self._query.shared.observations,
             attempt.server,
             result,
             latency_s,
@@ -191,7 +195,7 @@
         )
         if result.code == ResultCode.COMPLETE:
             self._answered += 1
-            self._work.tracker.record(latency_s)
+            self._query.tracker.record(latency_s)
 
 
 def _result_of(reply: object) -> WorkReply | Failure:
--- a/boragespool/controllers/queries/hedge_timer.py
+++ b/boragespool/controllers/queries/hedge_timer.py
@@ -10,7 +10,7 @@
     from collections.abc import Callable
 
     from boragespool.controllers.queries.attempts import AttemptSender
-    from boragespool.controllers.queries.query_parts import Part, QueryWork
+    from boragespool.controllers.queries.query_state import AcceptedQuery, Part
     from boragespool.timers import Subscription
     from boragespool.types import Seconds
 
@@ -25,7 +25,7 @@
 
     Parameters
     ----------
-    work : QueryWork
+    work : AcceptedQuery
         The query; its tracker gives the delay.
     sender : AttemptSender
         Open attempts.
@@ -37,12 +37,12 @@
 
     def __init__(
         self,
-        work: QueryWork,
+        query: AcceptedQuery,
         sender: AttemptSender,
         hedge: Callable[[Part], bool],
     ) -> None:
         """Start without a timer."""
-        self._work = work
+        self._query = query
         self._sender = sender
         self._hedge = hedge
         self._subscription: Subscription | None = None
@@ -50,17 +50,17 @@
     def set(self, due_in_s: Seconds | None = None) -> None:
         """Set the timer unless it is set or a hedge would be of no use."""
         delay_s = hedge_delay_s(
-            self._work.tracker.quantile_s,
-            self._work.time_left_s(),
-            suspect=self._sender.careful,
+            self._query.tracker.quantile_s,
+            self._query.time_left_s(),
+            suspect=self._sender.crash_suspected,
         )
         if delay_s is not None and self._subscription is None:
-            self._subscription = self._work.merger.context.timers.after(
+            self._subscription = self._query.shared.context.timers.after(
                 delay_s if due_in_s is None else due_in_s,
                 self._fire,
             )
 
-    def set_soon(self) -> None:
+    def schedule_soon(self) -> None:
         """Set the timer if replies have made the latency known.
 
         The first wide query of a daemon gets enough samples while it runs.
@@ -75,20 +75,20 @@
 
     def _fire(self) -> None:
         self._subscription = None
-        if self._sender.careful:
+        if self._sender.crash_suspected:
             return
-        delay_s = self._work.tracker.quantile_s or 0
-        now_s = self._work.merger.context.timers.now_s()
+        delay_s = self._query.tracker.quantile_s or 0
+        now_s = self._query.shared.context.timers.now_s()
         # A part's latest attempt comes last.
         latest_by_part = {
             attempt.part: attempt
-            for attempt in self._sender.open_by_id.values()
+            for attempt in self._sender.open_attempt_by_id.values()
         }
         next_s = delay_s
         for part, attempt in latest_by_part.items():
             left_s = attempt.started_s + delay_s - now_s
             if left_s <= _SLACK_S:
-                self._sender.note_overdue(attempt)
+                self._sender.record_overdue(attempt)
                 left_s = delay_s
                 if not self._hedge(part):
                     left_s *= _STARVED_SHARE
--- a/boragespool/controllers/queries/pinned.py
+++ b/boragespool/controllers/queries/pinned_snapshot.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from boragespool.controllers.queries.query_parts import Part
+from boragespool.controllers.queries.query_state import Part
 from boragespool.snapshots import (
     MergeState,
     NotHeldRanges,
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from boragespool.controllers.queries.query_parts import QueryWork
+    from boragespool.controllers.queries.query_state import AcceptedQuery
     from boragespool.snapshots import KeyRange, SubRange
     from boragespool.types import IndexVersion
 
@@ -25,16 +25,16 @@
 class PinnedSnapshot:
     """One index version, what was merged of it and who denied holding it."""
 
-    def __init__(self, work: QueryWork, version: IndexVersion) -> None:
+    def __init__(self, query: AcceptedQuery, version: IndexVersion) -> None:
         """Start with nothing merged."""
         self.version = version
         self.state = MergeState(version)
-        self.denials = NotHeldRanges()
-        self._work = work
+        self.not_held = NotHeldRanges()
+        self._query = query
 
-    def whole_plan(self) -> tuple[SubRange, ...]:
+    def full_plan(self) -> tuple[SubRange, ...]:
         """Return the plan over the whole key space."""
-        return self._work.catalogue().plans_by_version[self.version]
+        return self._query.catalogue().plans_by_version[self.version]
 
     def refresh(self, part: Part) -> bool:
         """Take over the replicas that may get work now; False if none."""
@@ -44,7 +44,7 @@
                 return True
         return False
 
-    def plan_again(self, part: Part) -> tuple[list[Part], list[Part]]:
+    def replan(self, part: Part) -> tuple[list[Part], list[Part]]:
         """Cut what is missing of a part by the holdings known now.
 
         Returns
@@ -60,23 +60,27 @@
             for gap in complement(intersection(covered, (missing,)), missing)
         ]
         kept = [
-            Part((piece.start, piece.end), piece.replicas, part.tried.copy())
+            Part(
+                (piece.start, piece.end),
+                piece.replicas,
+                part.tried_servers.copy(),
+            )
             for piece in planned
         ]
         return kept, lost
 
-    def is_view_stale(self, parts: Iterable[Part]) -> bool:
+    def are_holdings_stale(self, parts: Iterable[Part]) -> bool:
         """Whether servers are announced that denied holding some parts."""
         return bool(
             plan_ranges(
-                self._work.catalogue(),
+                self._query.catalogue(),
                 self.version,
                 union(part.asked for part in parts),
-                lambda *asked: not self.denials.may_ask(*asked),
+                lambda *asked: not self.not_held.may_ask(*asked),
             )
         )
 
-    def newer_version(self, hoped: Iterable[KeyRange]) -> IndexVersion | None:
+    def restart_version(self, hoped: Iterable[KeyRange]) -> IndexVersion | None:
         """Return a newer version that covers more than this one still can.
 
         Parameters
@@ -86,15 +90,15 @@
         """
         reachable = reachable_key_count(self.state, hoped)
         return choose_restart_version(
-            self._work.catalogue(),
+            self._query.catalogue(),
             self.version,
             reachable,
         )
 
     def _plan(self, part: Part) -> tuple[SubRange, ...]:
         return plan_ranges(
-            self._work.catalogue(),
+            self._query.catalogue(),
             self.version,
             self.state.missing(part.asked),
-            self.denials.may_ask,
+            self.not_held.may_ask,
         )
--- a/boragespool/controllers/queries/query.py
+++ b/boragespool/controllers/queries/query.py
@@ -7,12 +7,12 @@
 from boragespool.blackboard.topics import IN_FORCE, SERVERS
 from boragespool.controllers.queries.fleet_view import FleetView
 from boragespool.controllers.queries.query_answers import blocked
-from boragespool.controllers.queries.query_parts import (
-    KnownGood,
-    Merger,
-    QueryWork,
-)
 from boragespool.controllers.queries.query_run import QueryRun
+from boragespool.controllers.queries.query_state import (
+    AcceptedQuery,
+    KnownGoodFingerprints,
+    SharedQueryState,
+)
 from boragespool.results import Failure, ResultCode
 from boragespool.routing import (
     LatencyTracker,
@@ -51,7 +51,7 @@
         Shared parts of the daemon.
     observations : ServerObservations, optional
         What replicas are chosen by.
-    new_tracker : callable, optional
+    create_tracker : callable, optional
         Makes the latency tracker of a service.
     """
 
@@ -59,17 +59,19 @@
         self,
         context: Context,
         observations: ServerObservations | None = None,
-        new_tracker: Callable[[float, object], LatencyTracker] = LatencyTracker,
+        create_tracker: Callable[
+            [float, object], LatencyTracker
+        ] = LatencyTracker,
     ) -> None:
         """Start without observations."""
         self._context = context
-        self._new_tracker = new_tracker
-        self._merger = Merger(
+        self._new_tracker = create_tracker
+        self._shared = SharedQueryState(
             context,
             FleetView(context.board),
             observations or ServerObservations(),
             TokenBudget(HedgingSettings()),
-            KnownGood(_KNOWN_GOOD_LIMIT),
+            KnownGoodFingerprints(_KNOWN_GOOD_LIMIT),
         )
         self._tracker_by_service: dict[ServiceName, LatencyTracker] = {}
         self._runs: set[QueryRun] = set()
@@ -110,23 +112,23 @@
             version. A failure with run state ``NOT_RUN`` promises that no
             backend server ran any part of the query.
         """
-        work = self._accept(request)
-        if isinstance(work, Failure):
-            return work
-        version = self._admit(work)
+        query = self._accept(request)
+        if isinstance(query, Failure):
+            return query
+        version = self._admit(query)
         if isinstance(version, Failure):
             return version
-        run = QueryRun(work, version)
+        run = QueryRun(query, version)
         self._runs.add(run)
-        unseen = work.fingerprint not in self._merger.known_good
+        unseen = query.fingerprint not in self._shared.known_good
         try:
             return await run.answer(
-                canary=work.suspect or (work.route.canary and unseen),
+                canary=query.suspect or (query.route.canary and unseen),
             )
         finally:
             self._runs.discard(run)
 
-    def _accept(self, request: QueryRequest) -> QueryWork | Failure:
+    def _accept(self, request: QueryRequest) -> AcceptedQuery | Failure:
         """Check a request against the settings."""
         document = self._context.board.read(IN_FORCE)
         if document is None:
@@ -151,21 +153,21 @@
                 f'deadline {request.deadline_s!r} s is not above 0',
             )
         service = settings.services[route.service]
-        return QueryWork(
+        return AcceptedQuery(
             request,
             route,
             service,
             fingerprint_of(request.route, request.body),
             self._context.timers.now_s() + deadline_s - margin_s,
             self._tracker(route, service, settings.hedging),
-            self._merger,
+            self._shared,
         )
 
-    def _admit(self, work: QueryWork) -> IndexVersion | Failure:
+    def _admit(self, query: AcceptedQuery) -> IndexVersion | Failure:
         """Pin a version, or refuse what cannot be answered."""
-        if work.blocked:
-            return blocked(work.fingerprint)
-        catalogue = work.catalogue()
+        if query.blocked:
+            return blocked(query.fingerprint)
+        catalogue = query.catalogue()
         version = choose_version(catalogue)
         if version is None:
             return Failure(
@@ -177,13 +179,13 @@
                 (part.end - part.start, part.replicas)
                 for part in catalogue.plans_by_version[version]
             ),
-            self._merger.observations,
-            work.rank_index,
+            self._shared.observations,
+            query.rank_index,
             self._context.timers.now_s(),
-            work.time_left_s(),
+            query.time_left_s(),
         )
         if wait_s:
-            rank = work.rank
+            rank = query.rank
             return Failure(
                 ResultCode.DEADLINE_UNREACHABLE,
                 f'work of rank {rank!r} waits longer than its deadline',
@@ -207,15 +209,15 @@
 
     def _on_servers(self, servers: object) -> None:
         for run in tuple(self._runs):
-            run.view_changed()
+            run.on_holdings_changed()
 
     def _on_revision(self, document: RevisionDocument | None) -> None:
         """Take over the budget and forget servers that were removed."""
         if document is None:
             return
         settings = document.settings
-        self._merger.budget.configure(settings.hedging)
-        self._merger.observations.keep_only(
+        self._shared.budget.configure(settings.hedging)
+        self._shared.observations.keep_only(
             frozenset(
                 server
                 for service in settings.services.values()
--- a/boragespool/controllers/queries/query_answers.py
+++ b/boragespool/controllers/queries/query_answers.py
@@ -13,7 +13,10 @@
 from boragespool.types import RunState
 
 if TYPE_CHECKING:
-    from boragespool.controllers.queries.query_parts import Attempt, QueryWork
+    from boragespool.controllers.queries.query_state import (
+        AcceptedQuery,
+        Attempt,
+    )
     from boragespool.messages import WorkReply
     from boragespool.snapshots import MergeState
     from boragespool.types import IndexVersion
@@ -49,7 +52,7 @@
     may_have_run: bool
 
 
-def build_answer(work: QueryWork, ending: Ending) -> QueryAnswer | Failure:
+def build_answer(query: AcceptedQuery, ending: Ending) -> QueryAnswer | Failure:
     """Return the answer with its true coverage, or a refusal.
 
     Returns
@@ -60,8 +63,8 @@
     """
     state = ending.state
     if not state.coverage:
-        if work.blocked:
-            return blocked(work.fingerprint, may_have_run=ending.may_have_run)
+        if query.blocked:
+            return blocked(query.fingerprint, may_have_run=ending.may_have_run)
         if not ending.may_have_run:
             return _refusal(ending.last_refusal)
     COVERAGE.observe(state.coverage)
@@ -71,17 +74,17 @@
         log_event(
             Event.QUERY_PARTIAL,
             f'{len(missing)!r} key ranges were not searched',
-            request_id=work.request.request_id,
+            request_id=query.request.request_id,
             snapshot=state.version,
             coverage=state.coverage,
         )
     return QueryAnswer(
-        request_id=work.request.request_id,
+        request_id=query.request.request_id,
         code=code,
         snapshot=state.version,
         coverage=state.coverage,
         missing=missing,
-        rank=work.rank,
+        rank=query.rank,
         items=state.merged_items(),
         attempts=ending.attempts,
     )
@@ -97,7 +100,7 @@
     )
 
 
-def log_rejected(attempt: Attempt, failure: Failure) -> None:
+def log_rejected_reply(attempt: Attempt, failure: Failure) -> None:
     """Log a reply that was not merged."""
     log_event(
         Event.SERVER_REPLY_REJECTED,
@@ -108,7 +111,7 @@
 
 
 def log_restart(
-    work: QueryWork,
+    query: AcceptedQuery,
     replaced: IndexVersion,
     version: IndexVersion,
 ) -> None:
@@ -116,7 +119,7 @@
     log_event(
         Event.QUERY_RESTARTED,
         f'version {replaced!r} is held too little; restarted on {version!r}',
-        request_id=work.request.request_id,
+        request_id=query.request.request_id,
     )
 
 
--- a/boragespool/controllers/queries/query_run.py
+++ b/boragespool/controllers/queries/query_run.py
@@ -7,14 +7,14 @@
 
 from boragespool.controllers.queries.attempts import AttemptSender
 from boragespool.controllers.queries.hedge_timer import HedgeTimer
-from boragespool.controllers.queries.pinned import PinnedSnapshot
+from boragespool.controllers.queries.pinned_snapshot import PinnedSnapshot
 from boragespool.controllers.queries.query_answers import (
     Ending,
     build_answer,
-    log_rejected,
+    log_rejected_reply,
     log_restart,
 )
-from boragespool.controllers.queries.query_parts import Attempt, Part
+from boragespool.controllers.queries.query_state import Attempt, Part
 from boragespool.controllers.queries.query_waits import QueryWaits
 from boragespool.messages import WorkReply
 from boragespool.results import Failure, ResultCode
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from boragespool.controllers.queries.query_parts import QueryWork
+    from boragespool.controllers.queries.query_state import AcceptedQuery
     from boragespool.controllers.requests import QueryAnswer
     from boragespool.snapshots import SubRange
     from boragespool.types import IndexVersion
@@ -38,18 +38,18 @@
 
     Parameters
     ----------
-    work : QueryWork
+    work : AcceptedQuery
         The query.
     version : int
         Pinned index version.
     """
 
-    def __init__(self, work: QueryWork, version: IndexVersion) -> None:
+    def __init__(self, query: AcceptedQuery, version: IndexVersion) -> None:
         """Start with nothing sent."""
-        self._work = work
-        self._sender = AttemptSender(work, self._receive)
-        self._hedge_timer = HedgeTimer(work, self._sender, self._hedge)
-        self._pinned = PinnedSnapshot(work, version)
+        self._query = query
+        self._sender = AttemptSender(query, self._receive)
+        self._hedge_timer = HedgeTimer(query, self._sender, self._hedge)
+        self._pinned = PinnedSnapshot(query, version)
         self._replaced: PinnedSnapshot | None = None
         #: Sub-ranges that wait for the canary.
         self._held: tuple[SubRange, ...] = ()
@@ -59,7 +59,7 @@
         self._stranded: list[Part] = []
         #: Whether stranded parts or holdings changed since the last look.
         self._unresolved = False
-        self._waits = QueryWaits(work, self._end_wait)
+        self._waits = QueryWaits(query, self._end_wait)
         self._last_refusal: WorkReply | Failure | None = None
         self._done = asyncio.Event()
 
@@ -76,9 +76,9 @@
         QueryAnswer or Failure
             At the deadline at the latest.
         """
-        plan = self._pinned.whole_plan()
-        deadline = self._work.merger.context.timers.after(
-            self._work.time_left_s(),
+        plan = self._pinned.full_plan()
+        deadline = self._query.shared.context.timers.after(
+            self._query.time_left_s(),
             self._done.set,
         )
         try:
@@ -95,9 +95,9 @@
             self._last_refusal,
             may_have_run=self._sender.may_have_run,
         )
-        return build_answer(self._work, ending)
+        return build_answer(self._query, ending)
 
-    def view_changed(self) -> None:
+    def on_holdings_changed(self) -> None:
         """Plan ranges without a replica again when holdings change."""
         if self._stranded and not self._done.is_set():
             self._pending.extend(self._stranded)
@@ -106,7 +106,7 @@
 
     def _launch_first(self, plan: tuple[SubRange, ...]) -> None:
         """Send first attempts, which also fill the budget."""
-        self._work.merger.budget.earn(len(plan))
+        self._query.shared.budget.earn(len(plan))
         self._launch(plan, 'first')
 
     def _launch(self, plan: Iterable[SubRange], kind: str) -> None:
@@ -123,7 +123,7 @@
         server = self._sender.choose(part)
         if server is None:
             return False
-        if kind in _SECOND_ATTEMPTS and not self._work.merger.budget.spend():
+        if kind in _SECOND_ATTEMPTS and not self._query.shared.budget.spend():
             return False
         attempt = self._sender.send(part, server, self._pinned.version, kind)
         self._pinned.state.open_attempt(attempt.attempt_id, part.asked)
@@ -138,7 +138,7 @@
             return
         if result.code == ResultCode.COMPLETE and isinstance(result, WorkReply):
             self._merge(attempt, result)
-            self._hedge_timer.set_soon()
+            self._hedge_timer.schedule_soon()
         else:
             self._note_refusal(attempt, result)
         part = attempt.part
@@ -151,10 +151,10 @@
         merged = self._pinned.state.merge(attempt.attempt_id, reply)
         if isinstance(merged, Failure):
             self._last_refusal = merged
-            log_rejected(attempt, merged)
+            log_rejected_reply(attempt, merged)
             return
-        if not self._work.suspect:
-            self._work.merger.known_good.add(self._work.fingerprint)
+        if not self._query.suspect:
+            self._query.shared.known_good.add(self._query.fingerprint)
         part = attempt.part
         if not self._pinned.state.missing(part.asked):
             for loser in tuple(part.open_attempts.values()):
@@ -169,8 +169,8 @@
         self._last_refusal = refusal
         if refusal.code == ResultCode.VERSION_NOT_HELD:
             # Excludes the server for this range, not for a narrower one.
-            self._pinned.denials.add(attempt.server, attempt.part.asked)
-            attempt.part.tried.remove(attempt.server)
+            self._pinned.not_held.add(attempt.server, attempt.part.asked)
+            attempt.part.tried_servers.remove(attempt.server)
 
     def _withdraw(self, attempt: Attempt) -> None:
         self._pinned.state.close_attempt(attempt.attempt_id)
@@ -178,7 +178,7 @@
 
     def _advance(self) -> None:
         """Send what can be sent; end the query when nothing is left to do."""
-        if self._work.blocked:
+        if self._query.blocked:
             self._done.set()
             return
         self._retry_pending()
@@ -187,12 +187,12 @@
         if self._unresolved:
             self._unresolved = False
             self._resolve_stranded()
-        if not self._sender.open_by_id and not self._may_wait():
+        if not self._sender.open_attempt_by_id and not self._may_wait():
             self._done.set()
 
     def _may_wait(self) -> bool:
         """Whether holdings or tokens may still arrive."""
-        if self._stranded and self._waits.for_view:
+        if self._stranded and self._waits.is_waiting_for_holdings:
             return True
         return bool(self._pending) and self._waits.wait_for_token()
 
@@ -207,9 +207,9 @@
 
     def _retry_pending(self) -> None:
         """Ask other replicas while the budget lasts."""
-        budget = self._work.merger.budget
+        budget = self._query.shared.budget
         while self._pending and budget.tokens >= 1:
-            kept, lost = self._pinned.plan_again(self._pending.pop())
+            kept, lost = self._pinned.replan(self._pending.pop())
             self._strand(*lost)
             for part in kept:
                 self._retry(part)
@@ -217,7 +217,7 @@
     def _retry(self, part: Part) -> None:
         if self._attempt(part, 'retry'):
             return
-        if self._work.merger.budget.tokens < 1:
+        if self._query.shared.budget.tokens < 1:
             self._pending.append(part)
         else:
             self._strand(part)
@@ -228,7 +228,7 @@
         self._held = ()
         if self._pinned.state.coverage:
             self._launch_first(held)
-        elif self._sender.open_by_id or self._may_wait():
+        elif self._sender.open_attempt_by_id or self._may_wait():
             self._held = held
         elif not self._sender.may_have_run:
             self._held = held[1:]
@@ -236,9 +236,9 @@
 
     def _resolve_stranded(self) -> None:
         """Wait for announced holdings, restart, or accept lower coverage."""
-        stale = self._pinned.is_view_stale(self._stranded)
-        if stale and self._waits.may_wait_for_view:
-            self._waits.wait_for_view()
+        stale = self._pinned.are_holdings_stale(self._stranded)
+        if stale and self._waits.may_wait_for_holdings:
+            self._waits.wait_for_holdings()
         else:
             self._restart()
 
@@ -248,26 +248,26 @@
         Restarted attempts take no tokens. They are sent at most once per
         query and only when the pinned version was lost.
         """
-        open_attempts = tuple(self._sender.open_by_id.values())
-        version = self._pinned.newer_version(
+        open_attempts = tuple(self._sender.open_attempt_by_id.values())
+        version = self._pinned.restart_version(
             (
                 *(attempt.part.asked for attempt in open_attempts),
                 *(part.asked for part in self._pending),
                 *((held.start, held.end) for held in self._held),
             )
         )
-        needed_s = _RESTART_ROUNDS * (self._work.tracker.quantile_s or 0)
-        late = needed_s > self._work.time_left_s()
+        needed_s = _RESTART_ROUNDS * (self._query.tracker.quantile_s or 0)
+        late = needed_s > self._query.time_left_s()
         if version is None or late or self._replaced is not None:
             return
         for attempt in open_attempts:
             self._withdraw(attempt)
         self._replaced = self._pinned
-        self._pinned = PinnedSnapshot(self._work, version)
-        log_restart(self._work, self._replaced.version, version)
+        self._pinned = PinnedSnapshot(self._query, version)
+        log_restart(self._query, self._replaced.version, version)
         self._pending.clear()
         self._stranded.clear()
-        plan = self._pinned.whole_plan()
+        plan = self._pinned.full_plan()
         canary = bool(self._held)
         self._held = plan[1:] if canary else ()
         self._launch(plan[:1] if canary else plan, 'restart')
@@ -277,5 +277,5 @@
         self._done.set()
         self._hedge_timer.stop()
         self._waits.stop()
-        for attempt in tuple(self._sender.open_by_id.values()):
+        for attempt in tuple(self._sender.open_attempt_by_id.values()):
             self._withdraw(attempt)
--- a/boragespool/controllers/queries/query_parts.py
+++ b/boragespool/controllers/queries/query_state.py
@@ -30,7 +30,7 @@
 _RANKS: Final = tuple(Rank)
 
 
-class KnownGood:
+class KnownGoodFingerprints:
     """A bounded set of fingerprints that ran without harm, oldest dropped."""
 
     def __init__(self, limit: int) -> None:
@@ -51,23 +51,23 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Merger:
+class SharedQueryState:
     """State of the query controller that all queries of a daemon share."""
 
     context: Context
     fleet: FleetView
     observations: ServerObservations
     budget: TokenBudget
-    known_good: KnownGood
+    known_good: KnownGoodFingerprints
 
 
 @dataclass(frozen=True, slots=True)
-class QueryWork:
+class AcceptedQuery:
     """One accepted query.
 
     Attributes
     ----------
-    answer_at_s : float
+    answer_by_s : float
         Monotonic time at which the answer is given at the latest.
     tracker : LatencyTracker
         Attempt latencies of the route's service.
@@ -77,9 +77,9 @@
     route: RouteSettings
     service: ServiceSettings
     fingerprint: int
-    answer_at_s: Seconds
+    answer_by_s: Seconds
     tracker: LatencyTracker
-    merger: Merger
+    shared: SharedQueryState
 
     @property
     def rank(self) -> Rank:
@@ -94,20 +94,20 @@
     @property
     def suspect(self) -> bool:
         """Whether the request is suspected of crashing backend servers."""
-        return self.fingerprint in self.merger.context.board.read(SUSPECTS)
+        return self.fingerprint in self.shared.context.board.read(SUSPECTS)
 
     @property
     def blocked(self) -> bool:
         """Whether the request must not be sent any more."""
-        return self.fingerprint in self.merger.context.board.read(BLOCKED)
+        return self.fingerprint in self.shared.context.board.read(BLOCKED)
 
     def catalogue(self) -> Catalogue:
         """Return the plans over the servers that may get work now."""
-        return self.merger.fleet.catalogue(self.route.service, self.service)
+        return self.shared.fleet.catalogue(self.route.service, self.service)
 
     def time_left_s(self) -> Seconds:
         """Return the time until the answer is given at the latest."""
-        return self.answer_at_s - self.merger.context.timers.now_s()
+        return self.answer_by_s - self.shared.context.timers.now_s()
 
 
 @dataclass(slots=True, eq=False)
@@ -122,7 +122,7 @@
 
     asked: KeyRange
     replicas: tuple[ServerName, ...]
-    tried: list[ServerName] = field(default_factory=list)
+    tried_servers: list[ServerName] = field(default_factory=list)
     open_attempts: dict[AttemptId, Attempt] = field(default_factory=dict)
 
 
--- a/boragespool/controllers/queries/query_waits.py
+++ b/boragespool/controllers/queries/query_waits.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from boragespool.controllers.queries.query_parts import QueryWork
+    from boragespool.controllers.queries.query_state import AcceptedQuery
     from boragespool.timers import Subscription
     from boragespool.types import Seconds
 
@@ -27,30 +27,32 @@
 
     Parameters
     ----------
-    work : QueryWork
+    work : AcceptedQuery
         The query.
     advance : callable
         Called when a wait ended.
     """
 
-    def __init__(self, work: QueryWork, advance: Callable[[], None]) -> None:
+    def __init__(
+        self, query: AcceptedQuery, advance: Callable[[], None]
+    ) -> None:
         """Start without a wait."""
-        self._work = work
+        self._query = query
         self._advance = advance
         self._view_wait: Subscription | None = None
         self._token_wait: Subscription | None = None
         self._token_waits_left = _TOKEN_WAIT_LIMIT
-        self.may_wait_for_view = True
+        self.may_wait_for_holdings = True
 
     @property
-    def for_view(self) -> bool:
+    def is_waiting_for_holdings(self) -> bool:
         """Whether the query waits for changed holdings."""
         return self._view_wait is not None
 
-    def wait_for_view(self) -> None:
+    def wait_for_holdings(self) -> None:
         """Wait for changed holdings; once per query."""
         if self._view_wait is None:
-            left_s = self._work.time_left_s() * _VIEW_WAIT_SHARE
+            left_s = self._query.time_left_s() * _VIEW_WAIT_SHARE
             self._view_wait = self._after(
                 min(left_s, _VIEW_WAIT_S),
                 self._end_view_wait,
@@ -74,7 +76,7 @@
 
     def _end_view_wait(self) -> None:
         self._view_wait = None
-        self.may_wait_for_view = False
+        self.may_wait_for_holdings = False
         self._advance()
 
     def _end_token_wait(self) -> None:
@@ -86,4 +88,4 @@
         delay_s: Seconds,
         callback: Callable[[], None],
     ) -> Subscription:
-        return self._work.merger.context.timers.after(delay_s, callback)
+        return self._query.shared.context.timers.after(delay_s, callback)
--- a/tests/test_query.py
+++ b/tests/test_query.py
@@ -17,7 +17,7 @@
 from boragespool.bench.virtual_time import run_virtual
 from boragespool.blackboard.topics import BLOCKED, SUSPECTS
 from boragespool.controllers.queries.query import QueryController
-from boragespool.controllers.queries.query_parts import KnownGood
+from boragespool.controllers.queries.query_state import KnownGoodFingerprints
 from boragespool.results import Failure, ResultCode
 from boragespool.routing import fingerprint_of
 from boragespool.settings import HedgingSettings
@@ -232,7 +232,7 @@
     fleet.behaviour_by_server.clear()
     (_, first_s), (_, second_s) = ask(fleet, query(), query())
     assert second_s < first_s * 0.7
-    good = KnownGood(2)
+    good = KnownGoodFingerprints(2)
     for fingerprint in (1, 2, 1, 3):
         good.add(fingerprint)
     assert [number in good for number in (1, 2, 3)] == [True, False, True]
