--- a/boragespool/controllers/claims/claim_attempts.py
+++ b/boragespool/controllers/claims/claim_attempts.py
@@ -36,7 +36,7 @@
 #: Each attempt is an extra request to the fleet, so few are made.
 MAX_ATTEMPTS: Final = 3
 #: Time beyond the caller's deadline in which a result is still recorded.
-GRACE_S: Final = 1.0
+RESULT_GRACE_S: Final = 1.0
 _RANKS: Final = tuple(Rank)
 
 
@@ -47,7 +47,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StartedClaim:
+class PreparedClaim:
     """A claim whose start was recorded.
 
     Attributes
@@ -94,7 +94,7 @@
         ticket_id: str,
         claim: ForwardClaim,
         deadline_s: Seconds,
-    ) -> StartedClaim | Failure:
+    ) -> PreparedClaim | Failure:
         """Look up the route of a claim in the revision in force."""
         document = self._context.board.read(IN_FORCE)
         settings = document.settings if document else None
@@ -105,9 +105,9 @@
                 f'route {claim.route!r} is not in the revision in force',
             )
         service = settings.services[route.service]
-        return StartedClaim(ticket_id, claim, route, service, deadline_s)
+        return PreparedClaim(ticket_id, claim, route, service, deadline_s)
 
-    async def run(self, started: StartedClaim) -> WorkReply | Failure:
+    async def run(self, prepared: PreparedClaim) -> WorkReply | Failure:
         """Run a claim at one backend server of its route's service.
 
         Returns
@@ -115,41 +115,41 @@
         WorkReply or Failure
             Result of the last attempt.
         """
-        tried: set[ServerName] = set()
+        tried_servers: set[ServerName] = set()
         result: WorkReply | Failure = Failure(
             ResultCode.NO_SERVER,
             'no backend server of the service is in use',
         )
-        for number in range(MAX_ATTEMPTS):
-            target = self._choose(started, tried)
-            if target is None or self._left_s(started) <= 0:
+        for attempt_number in range(MAX_ATTEMPTS):
+            target = self._choose(prepared, tried_servers)
+            if target is None or self._time_left_s(prepared) <= 0:
                 break
-            tried.add(target.server)
-            result = await self._send(started, target, number)
+            tried_servers.add(target.server)
+            result = await self._send(prepared, target, attempt_number)
             if result.run is not RunState.NOT_RUN:
                 break
         return result
 
     def _choose(
         self,
-        started: StartedClaim,
-        tried: set[ServerName],
+        prepared: PreparedClaim,
+        tried_servers: set[ServerName],
     ) -> _Target | None:
         """Choose a server that was not tried, and its dispatcher."""
         board = self._context.board
         leaving = board.read(LEAVING_HOSTS)
-        usable = eligible_holdings(
-            started.service,
+        eligible = eligible_holdings(
+            prepared.service,
             board.read(SERVERS),
             leaving,
         )
         server = choose_replica(
-            tuple(usable),
-            tried,
+            tuple(eligible),
+            tried_servers,
             self._observations,
             (self._context.draw(), self._context.draw()),
             self._context.timers.now_s(),
-            _RANKS.index(started.rank),
+            _RANKS.index(prepared.rank),
         )
         if server is None:
             return None
@@ -158,17 +158,17 @@
 
     async def _send(
         self,
-        started: StartedClaim,
+        prepared: PreparedClaim,
         target: _Target,
-        number: int,
+        attempt_number: int,
     ) -> WorkReply | Failure:
         sent_s = self._context.timers.now_s()
-        request = self._request(started, target.server, number)
+        request = self._request(prepared, target.server, attempt_number)
         self._observations.record_sent(target.server)
         result: WorkReply | Failure = await self._context.peers.request(
             target.dispatcher,
             request,
-            request.deadline_s + GRACE_S,
+            request.deadline_s + RESULT_GRACE_S,
         )
         now_s = self._context.timers.now_s()
         record_attempt_result(
@@ -182,26 +182,26 @@
 
     def _request(
         self,
-        started: StartedClaim,
+        prepared: PreparedClaim,
         server: ServerName,
-        number: int,
+        attempt_number: int,
     ) -> WorkRequest:
-        claim = started.claim
+        claim = prepared.claim
         fingerprint = fingerprint_of(claim.route, claim.body)
         suspects = self._context.board.read(SUSPECTS)
         return WorkRequest(
-            attempt_id=f'{started.ticket_id}#{number}',
-            request_id=started.ticket_id,
+            attempt_id=f'{prepared.ticket_id}#{attempt_number}',
+            request_id=prepared.ticket_id,
             kind=WorkKind.CLAIM,
             route=claim.route,
             server=server,
-            rank=started.rank,
+            rank=prepared.rank,
             caller=claim.caller,
-            deadline_s=self._left_s(started),
+            deadline_s=self._time_left_s(prepared),
             body=claim.body,
             fingerprint=fingerprint,
             solo=fingerprint in suspects,
         )
 
-    def _left_s(self, started: StartedClaim) -> Seconds:
-        return started.deadline_s - self._context.timers.now_s()
+    def _time_left_s(self, prepared: PreparedClaim) -> Seconds:
+        return prepared.deadline_s - self._context.timers.now_s()
--- a/boragespool/controllers/claims/claim_forwarding.py
+++ b/boragespool/controllers/claims/claim_forwarding.py
@@ -59,7 +59,7 @@
         """Get the record of a ticket from its issuer or its witness."""
         if self.is_own(ticket):
             return await self._runner.run(ticket, claim)
-        if self._issuer_may_answer(ticket):
+        if self._issuer_may_be_running(ticket):
             reply = await self._context.peers.request(
                 ticket.issuer,
                 claim,
@@ -101,23 +101,23 @@
             level=logging.DEBUG,
             ticket=ticket.ticket_id,
         )
-        known = reply.record
-        if known is None or reply.verdict is WitnessVerdict.STARTED:
+        existing = reply.record
+        if existing is None or reply.verdict is WitnessVerdict.STARTED:
             return unknown_outcome_failure(ticket)
-        if body_hash and known.body_hash not in {0, body_hash}:
+        if body_hash and existing.body_hash not in {0, body_hash}:
             return Failure(
                 ResultCode.TICKET_REUSED,
                 f'ticket {ticket.ticket_id!r} is bound to another claim',
             )
-        return known
+        return existing
 
-    def _issuer_may_answer(self, ticket: Ticket) -> bool:
+    def _issuer_may_be_running(self, ticket: Ticket) -> bool:
         """Tell whether the issuer's incarnation may still be running."""
         member = self._context.board.read(MEMBERS).get(ticket.issuer)
         if member is None:
             return False
-        same = member.incarnation == ticket.issuer_incarnation
-        return same and member.status is not MemberStatus.DEAD
+        is_same_incarnation = member.incarnation == ticket.issuer_incarnation
+        return is_same_incarnation and member.status is not MemberStatus.DEAD
 
     def _forward_timeout_s(self, claim: ForwardClaim) -> Seconds:
         """Leave time to ask the witness before the caller's deadline."""
--- a/boragespool/controllers/claims/claim_outcomes.py
+++ b/boragespool/controllers/claims/claim_outcomes.py
@@ -19,7 +19,7 @@
     from boragespool.claims import Ticket
 
 _FINAL_STATES: Final = frozenset((ClaimState.OUTCOME, ClaimState.SEALED))
-_REASONS: Final = MappingProxyType(
+_REASON_BY_RUN_STATE: Final = MappingProxyType(
     {
         RunState.NOT_RUN: 'the ticket is sealed; the claim was not run',
         RunState.UNKNOWN: 'the outcome of the claim is not known',
@@ -74,12 +74,14 @@
     )
 
 
-def refusal_of(record: ClaimRecord) -> Failure | None:
+def failure_from_record(record: ClaimRecord) -> Failure | None:
     """Return the refusal that a final record stands for, if any."""
     if record.run is RunState.RUN:
         return None
     code = ResultCode(record.code or ResultCode.OUTCOME_UNKNOWN)
-    return Failure(code, record.reason or _REASONS[record.run], record.run)
+    return Failure(
+        code, record.reason or _REASON_BY_RUN_STATE[record.run], record.run
+    )
 
 
 def record_from_reply(
@@ -102,7 +104,7 @@
     )
 
 
-def still_running(ticket: Ticket) -> Failure:
+def still_running_failure(ticket: Ticket) -> Failure:
     """Return the refusal for a claim that runs past the caller's deadline."""
     return Failure(
         ResultCode.OUTCOME_UNKNOWN,
--- a/boragespool/controllers/claims/claim_runs.py
+++ b/boragespool/controllers/claims/claim_runs.py
@@ -43,7 +43,7 @@
     from boragespool.controllers.context import Context
     from boragespool.types import Seconds
 
-_OUTCOME_TRIES: Final = 3
+_MAX_OUTCOME_REPORTS: Final = 3
 
 
 class ClaimRunner:
@@ -62,14 +62,14 @@
         self._witnesses = witnesses
         self._sender = sender
         self._table = ClaimRecordTable()
-        self._run_by_ticket: dict[str, asyncio.Task[None]] = {}
-        self._runs = TaskSet()
-        self._reports = TaskSet()
+        self._task_by_ticket_id: dict[str, asyncio.Task[None]] = {}
+        self._claim_tasks = TaskSet()
+        self._report_tasks = TaskSet()
 
     @property
     def idle(self) -> bool:
         """Whether no claim runs and every outcome was reported."""
-        return not self._run_by_ticket and not self._reports
+        return not self._task_by_ticket_id and not self._report_tasks
 
     @property
     def record_count(self) -> int:
@@ -110,8 +110,8 @@
         if isinstance(record, Failure):
             return record
         if self._table.get(ticket.ticket_id) is None:
-            self._accept(ticket, record, claim)
-        await self._wait_for(ticket.ticket_id, claim.deadline_s)
+            self._add_record(ticket, record, claim)
+        await self._wait_until_run(ticket.ticket_id, claim.deadline_s)
         return self._table.get(ticket.ticket_id) or record
 
     def refuse(self, text: str, refusal: Failure) -> Failure | None:
@@ -135,7 +135,7 @@
         )
         if isinstance(record, Failure):
             return record
-        self._put(sealed_record(record, refusal.code, refusal.reason))
+        self._store_record(sealed_record(record, refusal.code, refusal.reason))
         return refusal
 
     def expire(self) -> None:
@@ -149,15 +149,15 @@
 
     async def stop(self) -> None:
         """Cancel what still runs; used when the daemon ends."""
-        await self._runs.close()
-        await self._reports.close()
+        await self._claim_tasks.close()
+        await self._report_tasks.close()
 
     def settings(self) -> ClaimSettings:
         """Return the claim settings in force."""
         document = self._context.board.read(IN_FORCE)
         return document.settings.claims if document else ClaimSettings()
 
-    def _accept(
+    def _add_record(
         self,
         ticket: Ticket,
         record: ClaimRecord,
@@ -170,16 +170,16 @@
                 ResultCode.NOT_RUN_SEALED,
                 'its outcome was asked for before it started',
             )
-        self._put(record)
+        self._store_record(record)
         if record.state is ClaimState.STARTING:
-            task = self._runs.spawn(self._execute(ticket, record, claim))
-            self._run_by_ticket[ticket.ticket_id] = task
+            task = self._claim_tasks.spawn(self._execute(ticket, record, claim))
+            self._task_by_ticket_id[ticket.ticket_id] = task
             task.add_done_callback(
-                lambda _: self._run_by_ticket.pop(ticket.ticket_id, None),
+                lambda _: self._task_by_ticket_id.pop(ticket.ticket_id, None),
             )
 
-    async def _wait_for(self, ticket_id: str, timeout_s: Seconds) -> None:
-        task = self._run_by_ticket.get(ticket_id)
+    async def _wait_until_run(self, ticket_id: str, timeout_s: Seconds) -> None:
+        task = self._task_by_ticket_id.get(ticket_id)
         if task is not None:
             await asyncio.wait((task,), timeout=timeout_s)
 
@@ -191,22 +191,26 @@
     ) -> None:
         """Start the ticket at its witness, run the claim, tell the witness."""
         deadline_s = self._now_s() + claim.deadline_s
-        started = self._sender.prepare(ticket.ticket_id, claim, deadline_s)
-        if isinstance(started, Failure):
-            self._put(sealed_record(record, started.code, started.reason))
+        prepared = self._sender.prepare(ticket.ticket_id, claim, deadline_s)
+        if isinstance(prepared, Failure):
+            self._store_record(
+                sealed_record(record, prepared.code, prepared.reason)
+            )
             return
         if record.body_hash in self._context.board.read(BLOCKED):
             reason = 'this request crashed backend servers'
-            self._put(sealed_record(record, ResultCode.REQUEST_BLOCKED, reason))
+            self._store_record(
+                sealed_record(record, ResultCode.REQUEST_BLOCKED, reason)
+            )
             return
-        if not await self._start(ticket, record):
+        if not await self._record_start(ticket, record):
             return
-        reply = await self._sender.run(started)
+        reply = await self._sender.run(prepared)
         final = final_record(record, reply)
-        self._put(final)
-        self._reports.spawn(self._report(ticket, final))
+        self._store_record(final)
+        self._report_tasks.spawn(self._report_outcome(ticket, final))
 
-    async def _start(self, ticket: Ticket, record: ClaimRecord) -> bool:
+    async def _record_start(self, ticket: Ticket, record: ClaimRecord) -> bool:
         """Record the start at the witness; seal the ticket otherwise."""
         if ticket.witness:
             reply = await self._witnesses.ask(
@@ -220,7 +224,7 @@
             if reply.verdict is not WitnessVerdict.RECORDED:
                 self._seal_unwitnessed(ticket, record, reply.verdict)
                 return False
-        self._put(replace(record, state=ClaimState.STARTED))
+        self._store_record(replace(record, state=ClaimState.STARTED))
         return True
 
     def _seal_unwitnessed(
@@ -230,7 +234,7 @@
         verdict: WitnessVerdict,
     ) -> None:
         reason = f'witness {ticket.witness!r} answered {verdict.value!r}'
-        self._put(sealed_record(record, ResultCode.NO_WITNESS, reason))
+        self._store_record(sealed_record(record, ResultCode.NO_WITNESS, reason))
         log_event(
             Event.CLAIM_SEALED,
             reason,
@@ -238,7 +242,9 @@
             ticket=ticket.ticket_id,
         )
 
-    async def _report(self, ticket: Ticket, record: ClaimRecord) -> None:
+    async def _report_outcome(
+        self, ticket: Ticket, record: ClaimRecord
+    ) -> None:
         """Tell the witness the outcome; it may be down or slow."""
         if not ticket.witness:
             return
@@ -247,7 +253,7 @@
             ticket.witness,
             ticket.witness_incarnation,
         )
-        for _ in range(_OUTCOME_TRIES):
+        for _ in range(_MAX_OUTCOME_REPORTS):
             reply = await self._witnesses.ask(
                 message,
                 self.settings().witness_timeout_s,
@@ -255,7 +261,7 @@
             if reply.verdict is WitnessVerdict.RECORDED:
                 return
 
-    def _put(self, record: ClaimRecord) -> None:
+    def _store_record(self, record: ClaimRecord) -> None:
         self._table.put(record, self._now_s())
 
     def _now_s(self) -> Seconds:
--- a/boragespool/controllers/claims/claims.py
+++ b/boragespool/controllers/claims/claims.py
@@ -22,9 +22,9 @@
 from boragespool.controllers.claims.claim_attempts import ClaimSender
 from boragespool.controllers.claims.claim_forwarding import ClaimForwarder
 from boragespool.controllers.claims.claim_outcomes import (
+    failure_from_record,
     is_final,
-    refusal_of,
-    still_running,
+    still_running_failure,
 )
 from boragespool.controllers.claims.claim_runs import ClaimRunner
 from boragespool.controllers.claims.witnesses import WitnessController
@@ -82,13 +82,13 @@
             self._runner,
             self._witnesses,
         )
-        self._expiry: Subscription | None = None
+        self._expire_timer: Subscription | None = None
 
     async def __aenter__(self) -> Self:
         """Serve forwarded claims and witness messages."""
         await self._witnesses.__aenter__()
         self._context.peers.on_request(ForwardClaim, self._serve_forwarded)
-        self._expiry = self._context.timers.every(
+        self._expire_timer = self._context.timers.every(
             _EXPIRE_INTERVAL_S,
             self._runner.expire,
         )
@@ -96,8 +96,8 @@
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Cancel running claims and timers."""
-        if self._expiry is not None:
-            self._expiry.cancel()
+        if self._expire_timer is not None:
+            self._expire_timer.cancel()
         await self._runner.stop()
         await self._witnesses.__aexit__(*exc_info)
 
@@ -208,7 +208,7 @@
         if isinstance(ticket, Failure):
             return ticket
         record = await self._forwarder.resolve(ticket, claim)
-        answer = self._to_answer(ticket, claim, record, request_id)
+        answer = self._answer_from_record(ticket, claim, record, request_id)
         if isinstance(answer, Failure) and answer.run is RunState.UNKNOWN:
             log_event(
                 Event.CLAIM_UNKNOWN,
@@ -218,7 +218,7 @@
             )
         return answer
 
-    def _to_answer(
+    def _answer_from_record(
         self,
         ticket: Ticket,
         claim: ForwardClaim,
@@ -228,7 +228,9 @@
         if isinstance(record, Failure):
             return record
         refusal = (
-            refusal_of(record) if is_final(record) else still_running(ticket)
+            failure_from_record(record)
+            if is_final(record)
+            else still_running_failure(ticket)
         )
         if refusal is not None:
             return refusal
@@ -258,7 +260,7 @@
         if isinstance(record, Failure):
             return ClaimReply(int(record.code), record.run, None, record.reason)
         if not is_final(record):
-            failure = still_running(ticket)
+            failure = still_running_failure(ticket)
             return ClaimReply(int(failure.code), failure.run)
         return ClaimReply(
             record.code,
--- a/boragespool/controllers/claims/witnesses.py
+++ b/boragespool/controllers/claims/witnesses.py
@@ -41,14 +41,14 @@
     from boragespool.types import Seconds
 
 WitnessMessage: TypeAlias = RecordStart | RecordOutcome | SealTicket
-_Identity: TypeAlias = tuple[HostName, Incarnation]
+_WitnessIdentity: TypeAlias = tuple[HostName, Incarnation]
 
 _EXPIRE_INTERVAL_S: Final = 5
-_HAND_OVER_CHUNK: Final = 1_000
+_HAND_OVER_CHUNK_SIZE: Final = 1_000
 _HAND_OVER_TIMEOUT_S: Final = 2
-_HAND_OVER_TRIES: Final = 3
-_SUCCESSOR_COUNT: Final = 20_000
-_SUCCESSOR_HOPS: Final = 8
+_MAX_HAND_OVER_CANDIDATES: Final = 3
+_MAX_SUCCESSORS: Final = 20_000
+_MAX_SUCCESSOR_HOPS: Final = 8
 
 
 class WitnessController:
@@ -57,13 +57,13 @@
     def __init__(self, context: Context) -> None:
         """Keep the shared parts; `__aenter__` begins to serve."""
         self._context = context
-        own = (context.identity.host, context.identity.incarnation)
-        self._identities: set[_Identity] = {own}
+        own_identity = (context.identity.host, context.identity.incarnation)
+        self._identities: set[_WitnessIdentity] = {own_identity}
         self._table = ClaimRecordTable()
-        self._successor_by_witness: dict[_Identity, HostName] = {}
-        self._handed_over: asyncio.Future[HostName | None] | None = None
-        self._subscriptions: list[Subscription] = []
-        self._unsubscribe: Callable[[], None] | None = None
+        self._successor_by_witness: dict[_WitnessIdentity, HostName] = {}
+        self._hand_over_result: asyncio.Future[HostName | None] | None = None
+        self._timers: list[Subscription] = []
+        self._unsubscribe_from_members: Callable[[], None] | None = None
 
     async def __aenter__(self) -> Self:
         """Serve witness messages."""
@@ -71,22 +71,22 @@
         peers.on_request(RecordStart, self._serve)
         peers.on_request(RecordOutcome, self._serve)
         peers.on_request(SealTicket, self._serve)
-        peers.on_request(HandOver, self._adopt)
-        self._unsubscribe = self._context.board.subscribe(
+        peers.on_request(HandOver, self._serve_hand_over)
+        self._unsubscribe_from_members = self._context.board.subscribe(
             MEMBERS,
-            self._note_successors,
+            self._record_successors,
         )
-        self._subscriptions.append(
+        self._timers.append(
             self._context.timers.every(_EXPIRE_INTERVAL_S, self._expire),
         )
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Stop the timers."""
-        for subscription in self._subscriptions:
+        for subscription in self._timers:
             subscription.cancel()
-        if self._unsubscribe is not None:
-            self._unsubscribe()
+        if self._unsubscribe_from_members is not None:
+            self._unsubscribe_from_members()
 
     @property
     def record_count(self) -> int:
@@ -121,13 +121,13 @@
         str or None
             The successor; None if no member took the records.
         """
-        self._handed_over = asyncio.get_running_loop().create_future()
+        self._hand_over_result = asyncio.get_running_loop().create_future()
         successor: HostName | None = None
         for candidate in self._successor_candidates():
             if await self._send_records(candidate):
                 successor = candidate
                 break
-        self._handed_over.set_result(successor)
+        self._hand_over_result.set_result(successor)
         log_event(
             Event.CLAIM_RECORDS_HANDED_OVER,
             f'{len(self._table)} witness records went to {successor!r}',
@@ -144,8 +144,8 @@
             self._identities
         ):
             return WitnessReply(WitnessVerdict.FORGOTTEN)
-        if self._handed_over is not None:
-            return await self._pass_on(message)
+        if self._hand_over_result is not None:
+            return await self._forward_to_successor(message)
         now_s = self._context.timers.now_s()
         if isinstance(message, RecordStart):
             return record_start(self._table, message.record, now_s)
@@ -153,13 +153,13 @@
             return record_outcome(self._table, message.record, now_s)
         return seal_ticket(self._table, message.record, now_s)
 
-    async def _pass_on(
+    async def _forward_to_successor(
         self,
         message: WitnessMessage,
     ) -> WitnessReply | Failure:
         """Answer from the successor while peers don't know it yet."""
         timeout_s = self._settings().witness_timeout_s
-        handed_over = self._handed_over
+        handed_over = self._hand_over_result
         if handed_over is None:
             return WitnessReply(WitnessVerdict.FORGOTTEN)
         done, _ = await asyncio.wait((handed_over,), timeout=timeout_s)
@@ -170,8 +170,10 @@
             await self._context.peers.request(successor, message, timeout_s),
         )
 
-    async def _adopt(self, sender: Sender, message: HandOver) -> HandOverAck:
-        if self._handed_over is not None:
+    async def _serve_hand_over(
+        self, sender: Sender, message: HandOver
+    ) -> HandOverAck:
+        if self._hand_over_result is not None:
             return HandOverAck(accepted=False)
         self._table.import_records(
             message.records,
@@ -186,11 +188,11 @@
         """Send all records in chunks; tell whether all were accepted."""
         records = self._table.records()
         marks = self._table.dropped_marks()
-        starts = range(0, max(1, len(records)), _HAND_OVER_CHUNK)
+        starts = range(0, max(1, len(records)), _HAND_OVER_CHUNK_SIZE)
         for start in starts:
             message = HandOver(
                 tuple(sorted(self._identities)),
-                records[start : start + _HAND_OVER_CHUNK],
+                records[start : start + _HAND_OVER_CHUNK_SIZE],
                 marks if start == 0 else (),
                 last=start == starts[-1],
             )
@@ -218,14 +220,16 @@
                 member.host,
             ),
         )
-        return tuple(member.host for member in members[:_HAND_OVER_TRIES])
+        return tuple(
+            member.host for member in members[:_MAX_HAND_OVER_CANDIDATES]
+        )
 
     def _current_host(self, message: WitnessMessage) -> HostName:
         """Follow the successors of a witness that left."""
         host = message.witness
         incarnation = message.witness_incarnation
         members = self._context.board.read(MEMBERS)
-        for _ in range(_SUCCESSOR_HOPS):
+        for _ in range(_MAX_SUCCESSOR_HOPS):
             successor = self._successor_by_witness.get((host, incarnation))
             if not successor:
                 break
@@ -234,17 +238,19 @@
             incarnation = member.incarnation if member else 0
         return host
 
-    def _note_successors(
+    def _record_successors(
         self,
         members: Mapping[HostName, MemberRecord],
     ) -> None:
         """Remember successors, as a restart replaces the member record."""
-        known = self._successor_by_witness
+        successor_by_witness = self._successor_by_witness
         for member in members.values():
             if member.successor:
-                known[member.host, member.incarnation] = member.successor
-        while len(known) > _SUCCESSOR_COUNT:
-            known.pop(next(iter(known)))
+                successor_by_witness[member.host, member.incarnation] = (
+                    member.successor
+                )
+        while len(successor_by_witness) > _MAX_SUCCESSORS:
+            successor_by_witness.pop(next(iter(successor_by_witness)))
 
     def _expire(self) -> None:
         settings = self._settings()
--- a/boragespool/controllers/queries/attempts.py
+++ b/boragespool/controllers/queries/attempts.py
@@ -25,7 +25,7 @@
 _CRASH_CODES: Final = frozenset(
     (ResultCode.SERVER_CLOSED, ResultCode.SERVER_UNREACHABLE)
 )
-_NUMBERS: Final = itertools.count(1)
+_ATTEMPT_NUMBERS: Final = itertools.count(1)
 
 
 class AttemptSender:
@@ -42,19 +42,19 @@
     def __init__(
         self,
         query: AcceptedQuery,
-        receive: Callable[[Attempt, WorkReply | Failure], None],
+        on_result: Callable[[Attempt, WorkReply | Failure], None],
     ) -> None:
         """Start without attempts."""
-        self.sent = 0
+        self.sent_count = 0
         #: Whether any attempt ran or may have run.
         self.may_have_run = False
         self.open_attempt_by_id: dict[AttemptId, Attempt] = {}
         self._query = query
-        self._receive = receive
-        self._crashes = 0
-        self._answered = 0
-        self._overdue_ids: set[AttemptId] = set()
-        self._abandon_by_id: dict[AttemptId, Callable[[], None]] = {}
+        self._on_result = on_result
+        self._crash_count = 0
+        self._completed_count = 0
+        self._overdue_attempt_ids: set[AttemptId] = set()
+        self._abandon_call_by_id: dict[AttemptId, Callable[[], None]] = {}
 
     @property
     def crash_suspected(self) -> bool:
@@ -63,9 +63,11 @@
         One lost server is ordinary. A crashing request loses most of the
         servers that it was sent to.
         """
-        return self._query.suspect or self._crashes * 2 > self._answered
+        return (
+            self._query.suspect or self._crash_count * 2 > self._completed_count
+        )
 
-    def choose(self, part: Part) -> ServerName | None:
+    def choose_server(self, part: Part) -> ServerName | None:
         """Choose a replica that was not tried for a part.
 
         A replica of another dispatcher is preferred, because a dispatcher
@@ -74,15 +76,16 @@
         context = self._query.shared.context
         replicas = part.replicas
         if part.tried_servers:
-            hosts = set(
+            tried_dispatchers = set(
                 map(self._query.shared.fleet.dispatcher, part.tried_servers)
             )
             replicas = tuple(
                 server
                 for server in replicas
-                if self._query.shared.fleet.dispatcher(server) not in hosts
+                if self._query.shared.fleet.dispatcher(server)
+                not in tried_dispatchers
             )
-        choose = partial(
+        choose_from = partial(
             choose_replica,
             tried=part.tried_servers,
             observations=self._query.shared.observations,
@@ -90,7 +93,7 @@
             now_s=context.timers.now_s(),
             rank_index=self._query.rank_index,
         )
-        return choose(replicas) or choose(part.replicas)
+        return choose_from(replicas) or choose_from(part.replicas)
 
     def send(
         self,
@@ -102,9 +105,9 @@
         """Send one attempt; its result is received later."""
         shared = self._query.shared
         identity = shared.context.identity
-        number = next(_NUMBERS)
+        attempt_number = next(_ATTEMPT_NUMBERS)
         attempt = Attempt(
-            f'{identity.host}.{identity.incarnation:x}.{number:x}',
+            f'{identity.host}.{identity.incarnation:x}.{attempt_number:x}',
             server,
             shared.fleet.dispatcher(server) or '',
             part,
@@ -113,25 +116,27 @@
         part.tried_servers.append(server)
         part.open_attempts[attempt.attempt_id] = attempt
         self.open_attempt_by_id[attempt.attempt_id] = attempt
-        self.sent += 1
+        self.sent_count += 1
         ATTEMPTS.labels(kind).inc()
         shared.observations.record_sent(server)
         # The deadline of the query ends the wait for a reply.
-        self._abandon_by_id[attempt.attempt_id] = shared.context.peers.call(
-            attempt.host,
-            self._message(attempt, version),
-            partial(self._finish, attempt),
+        self._abandon_call_by_id[attempt.attempt_id] = (
+            shared.context.peers.call(
+                attempt.dispatcher,
+                self._work_request(attempt, version),
+                partial(self._finish, attempt),
+            )
         )
         return attempt
 
     def cancel(self, attempt: Attempt) -> None:
         """Withdraw an attempt whose result is of no more use."""
         self.may_have_run = True
-        self._forget(attempt)
-        self._abandon_by_id.pop(attempt.attempt_id)()
+        self._remove_open_attempt(attempt)
+        self._abandon_call_by_id.pop(attempt.attempt_id)()
         context = self._query.shared.context
-        context.peers.send(attempt.host, CancelWork(attempt.attempt_id))
-        waited_s = context.timers.now_s() - attempt.started_s
+        context.peers.send(attempt.dispatcher, CancelWork(attempt.attempt_id))
+        waited_s = context.timers.now_s() - attempt.sent_at_s
         self._query.shared.observations.record_refusal(attempt.server)
         if waited_s >= (self._query.tracker.quantile_s or 0):
             self.record_overdue(attempt)
@@ -139,15 +144,17 @@
 
     def record_overdue(self, attempt: Attempt) -> None:
         """Tell the observations once that an attempt is slower than most."""
-        if attempt.attempt_id in self._overdue_ids:
+        if attempt.attempt_id in self._overdue_attempt_ids:
             return
-        self._overdue_ids.add(attempt.attempt_id)
+        self._overdue_attempt_ids.add(attempt.attempt_id)
         now_s = self._query.shared.context.timers.now_s()
         self._query.shared.observations.record_overdue(attempt.server, now_s)
 
-    def _message(self, attempt: Attempt, version: IndexVersion) -> WorkRequest:
+    def _work_request(
+        self, attempt: Attempt, version: IndexVersion
+    ) -> WorkRequest:
         request = self._query.request
-        start, end = attempt.part.asked
+        start, end = attempt.part.key_range
         return WorkRequest(
             attempt_id=attempt.attempt_id,
             request_id=request.request_id,
@@ -167,25 +174,27 @@
 
     def _finish(self, attempt: Attempt, reply: object) -> None:
         """Take the result of an attempt that was not cancelled."""
-        if self._abandon_by_id.pop(attempt.attempt_id, None) is None:
+        if self._abandon_call_by_id.pop(attempt.attempt_id, None) is None:
             return
-        self._forget(attempt)
-        result = _result_of(reply)
+        self._remove_open_attempt(attempt)
+        result = _to_result(reply)
         if _may_have_run(result):
             self.may_have_run = True
             if result.code in _CRASH_CODES:
-                self._crashes += 1
-        self._observe(attempt, result)
-        self._receive(attempt, result)
+                self._crash_count += 1
+        self._record_result(attempt, result)
+        self._on_result(attempt, result)
 
-    def _forget(self, attempt: Attempt) -> None:
+    def _remove_open_attempt(self, attempt: Attempt) -> None:
         self.open_attempt_by_id.pop(attempt.attempt_id, None)
         attempt.part.open_attempts.pop(attempt.attempt_id, None)
 
-    def _observe(self, attempt: Attempt, result: WorkReply | Failure) -> None:
+    def _record_result(
+        self, attempt: Attempt, result: WorkReply | Failure
+    ) -> None:
         """Tell the observations how an attempt ended."""
         now_s = self._query.shared.context.timers.now_s()
-        latency_s = now_s - attempt.started_s
+        latency_s = now_s - attempt.sent_at_s
         record_attempt_result(
             self._query.shared.observations,
             attempt.server,
@@ -194,15 +203,17 @@
             now_s,
         )
         if result.code == ResultCode.COMPLETE:
-            self._answered += 1
+            self._completed_count += 1
             self._query.tracker.record(latency_s)
 
 
-def _result_of(reply: object) -> WorkReply | Failure:
+def _to_result(reply: object) -> WorkReply | Failure:
     """Return a reply or a failure, whatever the peer answered."""
     if isinstance(reply, (WorkReply, Failure)):
         return reply
-    return _unusable(f'{type(reply).__name__!r} is not a work reply')
+    return _invalid_reply_failure(
+        f'{type(reply).__name__!r} is not a work reply'
+    )
 
 
 def _may_have_run(result: WorkReply | Failure) -> bool:
@@ -210,5 +221,5 @@
     return complete or result.run != RunState.NOT_RUN
 
 
-def _unusable(reason: str) -> Failure:
+def _invalid_reply_failure(reason: str) -> Failure:
     return Failure(ResultCode.PEER_REFUSED, reason, RunState.UNKNOWN)
--- a/boragespool/controllers/queries/fleet_view.py
+++ b/boragespool/controllers/queries/fleet_view.py
@@ -24,12 +24,14 @@
     )
 
 
-_DISPATCHING: Final = frozenset((MemberStatus.ALIVE, MemberStatus.SUSPECT))
+_DISPATCHING_STATUSES: Final = frozenset(
+    (MemberStatus.ALIVE, MemberStatus.SUSPECT)
+)
 
 
 @dataclass(frozen=True, slots=True)
-class _Cached:
-    sources: tuple[object, ...]
+class _CachedCatalogue:
+    inputs: tuple[object, ...]
     holdings: dict[ServerName, tuple[Holding, ...]]
     catalogue: Catalogue
 
@@ -44,11 +46,11 @@
     def __init__(self, board: Blackboard) -> None:
         """Start with nothing computed."""
         self._board = board
-        self._cached_by_service: dict[ServiceName, _Cached] = {}
+        self._cached_by_service: dict[ServiceName, _CachedCatalogue] = {}
         self._members: Mapping[HostName, MemberRecord] = {}
-        self._candidates: dict[HostName, DataCentre] = {}
+        self._data_centre_by_candidate: dict[HostName, DataCentre] = {}
         self._host_by_server: dict[ServerName, HostName] = {}
-        self._site_by_server: dict[ServerName, DataCentre] = {}
+        self._data_centre_by_server: dict[ServerName, DataCentre] = {}
 
     def catalogue(
         self,
@@ -58,29 +60,31 @@
         """Return the plans over the servers that may get new work."""
         servers = self._board.read(SERVERS)
         leaving = self._board.read(LEAVING_HOSTS)
-        sources = (service, servers, leaving)
+        inputs = (service, servers, leaving)
         cached = self._cached_by_service.get(name)
-        if cached is not None and _same(cached.sources, sources):
+        if cached is not None and _are_all_identical(cached.inputs, inputs):
             return cached.catalogue
         holdings = eligible_holdings(service, servers, leaving)
         if cached is not None and cached.holdings == holdings:
             catalogue = cached.catalogue
         else:
             catalogue = build_catalogue(holdings)
-        self._cached_by_service[name] = _Cached(sources, holdings, catalogue)
+        self._cached_by_service[name] = _CachedCatalogue(
+            inputs, holdings, catalogue
+        )
         return catalogue
 
     def dispatcher(self, server: ServerName) -> HostName | None:
         """Return the daemon that dispatches to a server, if there is one."""
         self._refresh_members()
-        known = self._host_by_server.get(server)
+        cached_host = self._host_by_server.get(server)
         record = self._board.read(SERVERS).get(server)
-        if known is not None or record is None:
-            return known
+        if cached_host is not None or record is None:
+            return cached_host
         host = dispatcher_of(server, record.data_centre, self._members)
         if host is not None:
             self._host_by_server[server] = host
-            self._site_by_server[server] = record.data_centre
+            self._data_centre_by_server[server] = record.data_centre
         return host
 
     def _refresh_members(self) -> None:
@@ -92,24 +96,36 @@
         members = self._board.read(MEMBERS)
         if members is self._members:
             return
-        before = self._candidates
+        previous = self._data_centre_by_candidate
         self._members = members
-        self._candidates = {
+        self._data_centre_by_candidate = {
             member.host: member.data_centre
             for member in members.values()
-            if member.status in _DISPATCHING
+            if member.status in _DISPATCHING_STATUSES
         }
-        changed = self._candidates.items() ^ before.items()
+        changed = self._data_centre_by_candidate.items() ^ previous.items()
         if not changed:
             return
-        hosts = {host for host, _ in changed}
-        sites = {site for _, site in self._candidates.items() - before.items()}
+        changed_hosts = {host for host, _ in changed}
+        gained_data_centres = {
+            data_centre
+            for _, data_centre in self._data_centre_by_candidate.items()
+            - previous.items()
+        }
         for server, host in tuple(self._host_by_server.items()):
-            site = self._site_by_server[server]
-            remote = bool(sites) and before.get(host) != site
-            if host in hosts or site in sites or remote:
+            data_centre = self._data_centre_by_server[server]
+            remote = (
+                bool(gained_data_centres) and previous.get(host) != data_centre
+            )
+            if (
+                host in changed_hosts
+                or data_centre in gained_data_centres
+                or remote
+            ):
                 del self._host_by_server[server]
 
 
-def _same(first: tuple[object, ...], second: tuple[object, ...]) -> bool:
+def _are_all_identical(
+    first: tuple[object, ...], second: tuple[object, ...]
+) -> bool:
     return all(one is two for one, two in zip(first, second, strict=True))
--- a/boragespool/controllers/queries/hedge_timer.py
+++ b/boragespool/controllers/queries/hedge_timer.py
@@ -15,9 +15,9 @@
     from boragespool.types import Seconds
 
 #: Attempts that are due within this time are hedged together.
-_SLACK_S: Final = 0.0005
+_COALESCING_WINDOW_S: Final = 0.0005
 #: Share of the delay after which a part without a hedge is looked at again.
-_STARVED_SHARE: Final = 0.25
+_RECHECK_RATIO: Final = 0.25
 
 
 class HedgeTimer:
@@ -57,7 +57,7 @@
         if delay_s is not None and self._subscription is None:
             self._subscription = self._query.shared.context.timers.after(
                 delay_s if due_in_s is None else due_in_s,
-                self._fire,
+                self._hedge_overdue_parts,
             )
 
     def schedule_soon(self) -> None:
@@ -66,14 +66,14 @@
         The first wide query of a daemon gets enough samples while it runs.
         """
         if self._subscription is None:
-            self.set(_SLACK_S)
+            self.set(_COALESCING_WINDOW_S)
 
     def stop(self) -> None:
         """Cancel the timer."""
         if self._subscription is not None:
             self._subscription.cancel()
 
-    def _fire(self) -> None:
+    def _hedge_overdue_parts(self) -> None:
         self._subscription = None
         if self._sender.crash_suspected:
             return
@@ -86,12 +86,12 @@
         }
         next_s = delay_s
         for part, attempt in latest_by_part.items():
-            left_s = attempt.started_s + delay_s - now_s
-            if left_s <= _SLACK_S:
+            left_s = attempt.sent_at_s + delay_s - now_s
+            if left_s <= _COALESCING_WINDOW_S:
                 self._sender.record_overdue(attempt)
                 left_s = delay_s
                 if not self._hedge(part):
-                    left_s *= _STARVED_SHARE
+                    left_s *= _RECHECK_RATIO
             next_s = min(next_s, left_s)
         if latest_by_part:
             self.set(next_s)
--- a/boragespool/controllers/queries/pinned_snapshot.py
+++ b/boragespool/controllers/queries/pinned_snapshot.py
@@ -38,9 +38,9 @@
 
     def refresh(self, part: Part) -> bool:
         """Take over the replicas that may get work now; False if none."""
-        for piece in self._plan(part):
-            if (piece.start, piece.end) == part.asked:
-                part.replicas = piece.replicas
+        for sub_range in self._plan(part):
+            if (sub_range.start, sub_range.end) == part.key_range:
+                part.replicas = sub_range.replicas
                 return True
         return False
 
@@ -52,22 +52,22 @@
         tuple of (list of Part, list of Part)
             Parts with replicas, and parts of which no replica is left.
         """
-        planned = self._plan(part)
-        covered = [(piece.start, piece.end) for piece in planned]
-        lost = [
+        sub_ranges = self._plan(part)
+        covered = [(sub_range.start, sub_range.end) for sub_range in sub_ranges]
+        unavailable = [
             Part(gap, ())
-            for missing in self.state.missing(part.asked)
+            for missing in self.state.missing(part.key_range)
             for gap in complement(intersection(covered, (missing,)), missing)
         ]
-        kept = [
+        available = [
             Part(
-                (piece.start, piece.end),
-                piece.replicas,
+                (sub_range.start, sub_range.end),
+                sub_range.replicas,
                 part.tried_servers.copy(),
             )
-            for piece in planned
+            for sub_range in sub_ranges
         ]
-        return kept, lost
+        return available, unavailable
 
     def are_holdings_stale(self, parts: Iterable[Part]) -> bool:
         """Whether servers are announced that denied holding some parts."""
@@ -75,12 +75,14 @@
             plan_ranges(
                 self._query.catalogue(),
                 self.version,
-                union(part.asked for part in parts),
-                lambda *asked: not self.not_held.may_ask(*asked),
+                union(part.key_range for part in parts),
+                lambda *request: not self.not_held.may_ask(*request),
             )
         )
 
-    def restart_version(self, hoped: Iterable[KeyRange]) -> IndexVersion | None:
+    def restart_version(
+        self, obtainable_ranges: Iterable[KeyRange]
+    ) -> IndexVersion | None:
         """Return a newer version that covers more than this one still can.
 
         Parameters
@@ -88,7 +90,7 @@
         hoped : iterable of (int, int)
             Ranges that are in flight or still have a replica.
         """
-        reachable = reachable_key_count(self.state, hoped)
+        reachable = reachable_key_count(self.state, obtainable_ranges)
         return choose_restart_version(
             self._query.catalogue(),
             self.version,
@@ -99,6 +101,6 @@
         return plan_ranges(
             self._query.catalogue(),
             self.version,
-            self.state.missing(part.asked),
+            self.state.missing(part.key_range),
             self.not_held.may_ask,
         )
--- a/boragespool/controllers/queries/query.py
+++ b/boragespool/controllers/queries/query.py
@@ -6,7 +6,7 @@
 
 from boragespool.blackboard.topics import IN_FORCE, SERVERS
 from boragespool.controllers.queries.fleet_view import FleetView
-from boragespool.controllers.queries.query_answers import blocked
+from boragespool.controllers.queries.query_answers import blocked_failure
 from boragespool.controllers.queries.query_run import QueryRun
 from boragespool.controllers.queries.query_state import (
     AcceptedQuery,
@@ -35,10 +35,10 @@
     from boragespool.types import IndexVersion, ServiceName
 
 #: 64-bit fingerprints; about 100 bytes each.
-_KNOWN_GOOD_LIMIT: Final = 8_192
+_MAX_KNOWN_GOOD: Final = 8_192
 #: Part of the deadline that is kept for sending the answer.
-_MARGIN_SHARE: Final = 0.05
-_LARGEST_MARGIN_S: Final = 0.005
+_REPLY_MARGIN_RATIO: Final = 0.05
+_MAX_REPLY_MARGIN_S: Final = 0.005
 _MS_PER_S: Final = 1_000
 
 
@@ -65,13 +65,13 @@
     ) -> None:
         """Start without observations."""
         self._context = context
-        self._new_tracker = create_tracker
+        self._create_tracker = create_tracker
         self._shared = SharedQueryState(
             context,
             FleetView(context.board),
             observations or ServerObservations(),
             TokenBudget(HedgingSettings()),
-            KnownGoodFingerprints(_KNOWN_GOOD_LIMIT),
+            KnownGoodFingerprints(_MAX_KNOWN_GOOD),
         )
         self._tracker_by_service: dict[ServiceName, LatencyTracker] = {}
         self._runs: set[QueryRun] = set()
@@ -81,10 +81,10 @@
         """Follow the settings and the backend servers."""
         board = self._context.board
         self._unsubscribe = [
-            board.subscribe(SERVERS, self._on_servers),
-            board.subscribe(IN_FORCE, self._on_revision),
+            board.subscribe(SERVERS, self._on_servers_changed),
+            board.subscribe(IN_FORCE, self._on_revision_changed),
         ]
-        self._on_revision(board.read(IN_FORCE))
+        self._on_revision_changed(board.read(IN_FORCE))
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
@@ -112,10 +112,10 @@
             version. A failure with run state ``NOT_RUN`` promises that no
             backend server ran any part of the query.
         """
-        query = self._accept(request)
+        query = self._check_request(request)
         if isinstance(query, Failure):
             return query
-        version = self._admit(query)
+        version = self._pin_version(query)
         if isinstance(version, Failure):
             return version
         run = QueryRun(query, version)
@@ -128,7 +128,7 @@
         finally:
             self._runs.discard(run)
 
-    def _accept(self, request: QueryRequest) -> AcceptedQuery | Failure:
+    def _check_request(self, request: QueryRequest) -> AcceptedQuery | Failure:
         """Check a request against the settings."""
         document = self._context.board.read(IN_FORCE)
         if document is None:
@@ -146,7 +146,7 @@
                 f'route {request.route!r} takes claims, not queries',
             )
         deadline_s = min(request.deadline_s, route.deadline_ms / _MS_PER_S)
-        margin_s = min(deadline_s * _MARGIN_SHARE, _LARGEST_MARGIN_S)
+        margin_s = min(deadline_s * _REPLY_MARGIN_RATIO, _MAX_REPLY_MARGIN_S)
         if deadline_s <= 0:
             return Failure(
                 ResultCode.DEADLINE_PASSED,
@@ -163,10 +163,10 @@
             self._shared,
         )
 
-    def _admit(self, query: AcceptedQuery) -> IndexVersion | Failure:
+    def _pin_version(self, query: AcceptedQuery) -> IndexVersion | Failure:
         """Pin a version, or refuse what cannot be answered."""
         if query.blocked:
-            return blocked(query.fingerprint)
+            return blocked_failure(query.fingerprint)
         catalogue = query.catalogue()
         version = choose_version(catalogue)
         if version is None:
@@ -203,15 +203,15 @@
         bounds = (service.slots, service.connections, hedging.quantile)
         tracker = self._tracker_by_service.get(route.service)
         if tracker is None or tracker.settings != bounds:
-            tracker = self._new_tracker(hedging.quantile, bounds)
+            tracker = self._create_tracker(hedging.quantile, bounds)
             self._tracker_by_service[route.service] = tracker
         return tracker
 
-    def _on_servers(self, servers: object) -> None:
+    def _on_servers_changed(self, servers: object) -> None:
         for run in tuple(self._runs):
             run.on_holdings_changed()
 
-    def _on_revision(self, document: RevisionDocument | None) -> None:
+    def _on_revision_changed(self, document: RevisionDocument | None) -> None:
         """Take over the budget and forget servers that were removed."""
         if document is None:
             return
--- a/boragespool/controllers/queries/query_answers.py
+++ b/boragespool/controllers/queries/query_answers.py
@@ -64,9 +64,11 @@
     state = ending.state
     if not state.coverage:
         if query.blocked:
-            return blocked(query.fingerprint, may_have_run=ending.may_have_run)
+            return blocked_failure(
+                query.fingerprint, may_have_run=ending.may_have_run
+            )
         if not ending.may_have_run:
-            return _refusal(ending.last_refusal)
+            return _refusal_for_caller(ending.last_refusal)
     COVERAGE.observe(state.coverage)
     code = ResultCode.COMPLETE if state.complete else ResultCode.PARTIAL
     missing = state.missing()
@@ -90,7 +92,7 @@
     )
 
 
-def blocked(fingerprint: int, *, may_have_run: bool = False) -> Failure:
+def blocked_failure(fingerprint: int, *, may_have_run: bool = False) -> Failure:
     """Return the refusal of a request that crashes backend servers."""
     return Failure(
         ResultCode.REQUEST_BLOCKED,
@@ -110,7 +112,7 @@
     )
 
 
-def log_restart(
+def log_restarted_query(
     query: AcceptedQuery,
     replaced: IndexVersion,
     version: IndexVersion,
@@ -123,7 +125,7 @@
     )
 
 
-def _refusal(last: WorkReply | Failure | None) -> Failure:
+def _refusal_for_caller(last: WorkReply | Failure | None) -> Failure:
     """Translate the reason of the last attempt into a code for callers."""
     if last is None:
         return Failure(ResultCode.NO_SERVER, 'no backend server may get work')
--- a/boragespool/controllers/queries/query_run.py
+++ b/boragespool/controllers/queries/query_run.py
@@ -12,7 +12,7 @@
     Ending,
     build_answer,
     log_rejected_reply,
-    log_restart,
+    log_restarted_query,
 )
 from boragespool.controllers.queries.query_state import Attempt, Part
 from boragespool.controllers.queries.query_waits import QueryWaits
@@ -29,8 +29,8 @@
     from boragespool.types import IndexVersion
 
 #: A restart needs the time of one sub-request and of its hedge.
-_RESTART_ROUNDS: Final = 2
-_SECOND_ATTEMPTS: Final = frozenset(('hedge', 'retry'))
+_RESTART_REQUEST_COUNT: Final = 2
+_BUDGETED_KINDS: Final = frozenset(('hedge', 'retry'))
 
 
 class QueryRun:
@@ -47,19 +47,19 @@
     def __init__(self, query: AcceptedQuery, version: IndexVersion) -> None:
         """Start with nothing sent."""
         self._query = query
-        self._sender = AttemptSender(query, self._receive)
+        self._sender = AttemptSender(query, self._on_result)
         self._hedge_timer = HedgeTimer(query, self._sender, self._hedge)
-        self._pinned = PinnedSnapshot(query, version)
-        self._replaced: PinnedSnapshot | None = None
+        self._snapshot = PinnedSnapshot(query, version)
+        self._replaced_snapshot: PinnedSnapshot | None = None
         #: Sub-ranges that wait for the canary.
-        self._held: tuple[SubRange, ...] = ()
+        self._ranges_after_canary: tuple[SubRange, ...] = ()
         #: Parts that need another attempt.
-        self._pending: list[Part] = []
+        self._parts_to_retry: list[Part] = []
         #: Parts of which no replica is left.
-        self._stranded: list[Part] = []
+        self._unavailable_parts: list[Part] = []
         #: Whether stranded parts or holdings changed since the last look.
-        self._unresolved = False
-        self._waits = QueryWaits(query, self._end_wait)
+        self._check_unavailable = False
+        self._waits = QueryWaits(query, self._on_wait_ended)
         self._last_refusal: WorkReply | Failure | None = None
         self._done = asyncio.Event()
 
@@ -76,22 +76,24 @@
         QueryAnswer or Failure
             At the deadline at the latest.
         """
-        plan = self._pinned.full_plan()
+        plan = self._snapshot.full_plan()
         deadline = self._query.shared.context.timers.after(
             self._query.time_left_s(),
             self._done.set,
         )
         try:
-            self._held = plan[1:] if canary else ()
-            self._launch_first(plan[:1] if canary else plan)
+            self._ranges_after_canary = plan[1:] if canary else ()
+            self._send_first_attempts(plan[:1] if canary else plan)
             await self._done.wait()
         finally:
             deadline.cancel()
-            self._stop()
-        replaced = self._replaced or self._pinned
+            self._cancel_all()
+        replaced_snapshot = self._replaced_snapshot or self._snapshot
         ending = Ending(
-            state_with_more_coverage(replaced.state, self._pinned.state),
-            self._sender.sent,
+            state_with_more_coverage(
+                replaced_snapshot.state, self._snapshot.state
+            ),
+            self._sender.sent_count,
             self._last_refusal,
             may_have_run=self._sender.may_have_run,
         )
@@ -99,56 +101,60 @@
 
     def on_holdings_changed(self) -> None:
         """Plan ranges without a replica again when holdings change."""
-        if self._stranded and not self._done.is_set():
-            self._pending.extend(self._stranded)
-            self._stranded.clear()
+        if self._unavailable_parts and not self._done.is_set():
+            self._parts_to_retry.extend(self._unavailable_parts)
+            self._unavailable_parts.clear()
             self._advance()
 
-    def _launch_first(self, plan: tuple[SubRange, ...]) -> None:
+    def _send_first_attempts(self, plan: tuple[SubRange, ...]) -> None:
         """Send first attempts, which also fill the budget."""
         self._query.shared.budget.earn(len(plan))
-        self._launch(plan, 'first')
+        self._send_attempts(plan, 'first')
 
-    def _launch(self, plan: Iterable[SubRange], kind: str) -> None:
+    def _send_attempts(self, plan: Iterable[SubRange], kind: str) -> None:
         """Send the attempts of new parts and set the time of their hedges."""
         for sub_range in plan:
             part = Part((sub_range.start, sub_range.end), sub_range.replicas)
-            if not self._attempt(part, kind):
-                self._strand(part)
+            if not self._send_attempt(part, kind):
+                self._add_unavailable(part)
         self._hedge_timer.set()
         self._advance()
 
-    def _attempt(self, part: Part, kind: str) -> bool:
+    def _send_attempt(self, part: Part, kind: str) -> bool:
         """Send an attempt of a part; False if it has no replica or token."""
-        server = self._sender.choose(part)
+        server = self._sender.choose_server(part)
         if server is None:
             return False
-        if kind in _SECOND_ATTEMPTS and not self._query.shared.budget.spend():
+        if kind in _BUDGETED_KINDS and not self._query.shared.budget.spend():
             return False
-        attempt = self._sender.send(part, server, self._pinned.version, kind)
-        self._pinned.state.open_attempt(attempt.attempt_id, part.asked)
+        attempt = self._sender.send(part, server, self._snapshot.version, kind)
+        self._snapshot.state.open_attempt(attempt.attempt_id, part.key_range)
         return True
 
     def _hedge(self, part: Part) -> bool:
-        return self._pinned.refresh(part) and self._attempt(part, 'hedge')
+        return self._snapshot.refresh(part) and self._send_attempt(
+            part, 'hedge'
+        )
 
-    def _receive(self, attempt: Attempt, result: WorkReply | Failure) -> None:
+    def _on_result(self, attempt: Attempt, result: WorkReply | Failure) -> None:
         """Merge the result of an attempt or prepare another one."""
         if self._done.is_set():
             return
         if result.code == ResultCode.COMPLETE and isinstance(result, WorkReply):
-            self._merge(attempt, result)
+            self._merge_reply(attempt, result)
             self._hedge_timer.schedule_soon()
         else:
-            self._note_refusal(attempt, result)
+            self._handle_failure(attempt, result)
         part = attempt.part
-        if not part.open_attempts and self._pinned.state.missing(part.asked):
-            self._pending.append(part)
+        if not part.open_attempts and self._snapshot.state.missing(
+            part.key_range
+        ):
+            self._parts_to_retry.append(part)
         self._advance()
 
-    def _merge(self, attempt: Attempt, reply: WorkReply) -> None:
+    def _merge_reply(self, attempt: Attempt, reply: WorkReply) -> None:
         """Merge a reply; cancel the other attempts of a complete part."""
-        merged = self._pinned.state.merge(attempt.attempt_id, reply)
+        merged = self._snapshot.state.merge(attempt.attempt_id, reply)
         if isinstance(merged, Failure):
             self._last_refusal = merged
             log_rejected_reply(attempt, merged)
@@ -156,24 +162,24 @@
         if not self._query.suspect:
             self._query.shared.known_good.add(self._query.fingerprint)
         part = attempt.part
-        if not self._pinned.state.missing(part.asked):
-            for loser in tuple(part.open_attempts.values()):
-                self._withdraw(loser)
+        if not self._snapshot.state.missing(part.key_range):
+            for other in tuple(part.open_attempts.values()):
+                self._cancel_attempt(other)
 
-    def _note_refusal(
+    def _handle_failure(
         self,
         attempt: Attempt,
         refusal: WorkReply | Failure,
     ) -> None:
-        self._pinned.state.close_attempt(attempt.attempt_id)
+        self._snapshot.state.close_attempt(attempt.attempt_id)
         self._last_refusal = refusal
         if refusal.code == ResultCode.VERSION_NOT_HELD:
             # Excludes the server for this range, not for a narrower one.
-            self._pinned.not_held.add(attempt.server, attempt.part.asked)
+            self._snapshot.not_held.add(attempt.server, attempt.part.key_range)
             attempt.part.tried_servers.remove(attempt.server)
 
-    def _withdraw(self, attempt: Attempt) -> None:
-        self._pinned.state.close_attempt(attempt.attempt_id)
+    def _cancel_attempt(self, attempt: Attempt) -> None:
+        self._snapshot.state.close_attempt(attempt.attempt_id)
         self._sender.cancel(attempt)
 
     def _advance(self) -> None:
@@ -181,63 +187,65 @@
         if self._query.blocked:
             self._done.set()
             return
-        self._retry_pending()
-        if self._held:
-            self._release_held()
-        if self._unresolved:
-            self._unresolved = False
-            self._resolve_stranded()
-        if not self._sender.open_attempt_by_id and not self._may_wait():
+        self._retry_parts()
+        if self._ranges_after_canary:
+            self._send_after_canary()
+        if self._check_unavailable:
+            self._check_unavailable = False
+            self._handle_unavailable()
+        if not self._sender.open_attempt_by_id and not self._wait_if_useful():
             self._done.set()
 
-    def _may_wait(self) -> bool:
+    def _wait_if_useful(self) -> bool:
         """Whether holdings or tokens may still arrive."""
-        if self._stranded and self._waits.is_waiting_for_holdings:
+        if self._unavailable_parts and self._waits.is_waiting_for_holdings:
             return True
-        return bool(self._pending) and self._waits.wait_for_token()
+        return bool(self._parts_to_retry) and self._waits.wait_for_token()
 
-    def _end_wait(self) -> None:
-        self._unresolved = bool(self._stranded)
+    def _on_wait_ended(self) -> None:
+        self._check_unavailable = bool(self._unavailable_parts)
         if not self._done.is_set():
             self._advance()
 
-    def _strand(self, *parts: Part) -> None:
-        self._stranded.extend(parts)
-        self._unresolved = self._unresolved or bool(parts)
+    def _add_unavailable(self, *parts: Part) -> None:
+        self._unavailable_parts.extend(parts)
+        self._check_unavailable = self._check_unavailable or bool(parts)
 
-    def _retry_pending(self) -> None:
+    def _retry_parts(self) -> None:
         """Ask other replicas while the budget lasts."""
         budget = self._query.shared.budget
-        while self._pending and budget.tokens >= 1:
-            kept, lost = self._pinned.replan(self._pending.pop())
-            self._strand(*lost)
-            for part in kept:
+        while self._parts_to_retry and budget.tokens >= 1:
+            available, unavailable = self._snapshot.replan(
+                self._parts_to_retry.pop()
+            )
+            self._add_unavailable(*unavailable)
+            for part in available:
                 self._retry(part)
 
     def _retry(self, part: Part) -> None:
-        if self._attempt(part, 'retry'):
+        if self._send_attempt(part, 'retry'):
             return
         if self._query.shared.budget.tokens < 1:
-            self._pending.append(part)
+            self._parts_to_retry.append(part)
         else:
-            self._strand(part)
+            self._add_unavailable(part)
 
-    def _release_held(self) -> None:
+    def _send_after_canary(self) -> None:
         """Send the other sub-ranges once the canary was answered."""
-        held = self._held
-        self._held = ()
-        if self._pinned.state.coverage:
-            self._launch_first(held)
-        elif self._sender.open_attempt_by_id or self._may_wait():
-            self._held = held
+        ranges_after_canary = self._ranges_after_canary
+        self._ranges_after_canary = ()
+        if self._snapshot.state.coverage:
+            self._send_first_attempts(ranges_after_canary)
+        elif self._sender.open_attempt_by_id or self._wait_if_useful():
+            self._ranges_after_canary = ranges_after_canary
         elif not self._sender.may_have_run:
-            self._held = held[1:]
-            self._launch_first(held[:1])
+            self._ranges_after_canary = ranges_after_canary[1:]
+            self._send_first_attempts(ranges_after_canary[:1])
 
-    def _resolve_stranded(self) -> None:
+    def _handle_unavailable(self) -> None:
         """Wait for announced holdings, restart, or accept lower coverage."""
-        stale = self._pinned.are_holdings_stale(self._stranded)
-        if stale and self._waits.may_wait_for_holdings:
+        are_stale = self._snapshot.are_holdings_stale(self._unavailable_parts)
+        if are_stale and self._waits.may_wait_for_holdings:
             self._waits.wait_for_holdings()
         else:
             self._restart()
@@ -249,33 +257,44 @@
         query and only when the pinned version was lost.
         """
         open_attempts = tuple(self._sender.open_attempt_by_id.values())
-        version = self._pinned.restart_version(
+        version = self._snapshot.restart_version(
             (
-                *(attempt.part.asked for attempt in open_attempts),
-                *(part.asked for part in self._pending),
-                *((held.start, held.end) for held in self._held),
+                *(attempt.part.key_range for attempt in open_attempts),
+                *(part.key_range for part in self._parts_to_retry),
+                *(
+                    (sub_range.start, sub_range.end)
+                    for sub_range in self._ranges_after_canary
+                ),
             )
         )
-        needed_s = _RESTART_ROUNDS * (self._query.tracker.quantile_s or 0)
-        late = needed_s > self._query.time_left_s()
-        if version is None or late or self._replaced is not None:
+        required_s = _RESTART_REQUEST_COUNT * (
+            self._query.tracker.quantile_s or 0
+        )
+        is_too_late = required_s > self._query.time_left_s()
+        if (
+            version is None
+            or is_too_late
+            or self._replaced_snapshot is not None
+        ):
             return
         for attempt in open_attempts:
-            self._withdraw(attempt)
-        self._replaced = self._pinned
-        self._pinned = PinnedSnapshot(self._query, version)
-        log_restart(self._query, self._replaced.version, version)
-        self._pending.clear()
-        self._stranded.clear()
-        plan = self._pinned.full_plan()
-        canary = bool(self._held)
-        self._held = plan[1:] if canary else ()
-        self._launch(plan[:1] if canary else plan, 'restart')
-
-    def _stop(self) -> None:
+            self._cancel_attempt(attempt)
+        self._replaced_snapshot = self._snapshot
+        self._snapshot = PinnedSnapshot(self._query, version)
+        log_restarted_query(
+            self._query, self._replaced_snapshot.version, version
+        )
+        self._parts_to_retry.clear()
+        self._unavailable_parts.clear()
+        plan = self._snapshot.full_plan()
+        canary = bool(self._ranges_after_canary)
+        self._ranges_after_canary = plan[1:] if canary else ()
+        self._send_attempts(plan[:1] if canary else plan, 'restart')
+
+    def _cancel_all(self) -> None:
         """Cancel what is open."""
         self._done.set()
         self._hedge_timer.stop()
         self._waits.stop()
         for attempt in tuple(self._sender.open_attempt_by_id.values()):
-            self._withdraw(attempt)
+            self._cancel_attempt(attempt)
--- a/boragespool/controllers/queries/query_state.py
+++ b/boragespool/controllers/queries/query_state.py
@@ -120,7 +120,7 @@
         Servers that were asked, losing attempts included.
     """
 
-    asked: KeyRange
+    key_range: KeyRange
     replicas: tuple[ServerName, ...]
     tried_servers: list[ServerName] = field(default_factory=list)
     open_attempts: dict[AttemptId, Attempt] = field(default_factory=dict)
@@ -132,6 +132,6 @@
 
     attempt_id: AttemptId
     server: ServerName
-    host: HostName
+    dispatcher: HostName
     part: Part
-    started_s: Seconds
+    sent_at_s: Seconds
--- a/boragespool/controllers/queries/query_waits.py
+++ b/boragespool/controllers/queries/query_waits.py
@@ -13,13 +13,13 @@
 
 #: Holdings change at a dispatcher's poll; a range that was just repartitioned
 #: is usually announced within this time.
-_VIEW_WAIT_S: Final = 0.1
+_HOLDINGS_WAIT_S: Final = 0.1
 #: Share of the time left that a query waits for changed holdings.
-_VIEW_WAIT_SHARE: Final = 0.25
+_HOLDINGS_WAIT_RATIO: Final = 0.25
 #: Without a wait for tokens one lost replica per shard lowered the coverage
 #: of the first queries; 0.1 s in all bounds the work that a flood holds.
 _TOKEN_WAIT_S: Final = 0.005
-_TOKEN_WAIT_LIMIT: Final = 20
+_MAX_TOKEN_WAITS: Final = 20
 
 
 class QueryWaits:
@@ -39,23 +39,23 @@
         """Start without a wait."""
         self._query = query
         self._advance = advance
-        self._view_wait: Subscription | None = None
+        self._holdings_wait: Subscription | None = None
         self._token_wait: Subscription | None = None
-        self._token_waits_left = _TOKEN_WAIT_LIMIT
+        self._token_waits_left = _MAX_TOKEN_WAITS
         self.may_wait_for_holdings = True
 
     @property
     def is_waiting_for_holdings(self) -> bool:
         """Whether the query waits for changed holdings."""
-        return self._view_wait is not None
+        return self._holdings_wait is not None
 
     def wait_for_holdings(self) -> None:
         """Wait for changed holdings; once per query."""
-        if self._view_wait is None:
-            left_s = self._query.time_left_s() * _VIEW_WAIT_SHARE
-            self._view_wait = self._after(
-                min(left_s, _VIEW_WAIT_S),
-                self._end_view_wait,
+        if self._holdings_wait is None:
+            left_s = self._query.time_left_s() * _HOLDINGS_WAIT_RATIO
+            self._holdings_wait = self._after(
+                min(left_s, _HOLDINGS_WAIT_S),
+                self._end_holdings_wait,
             )
 
     def wait_for_token(self) -> bool:
@@ -70,12 +70,12 @@
 
     def stop(self) -> None:
         """Cancel all waits."""
-        for wait in (self._view_wait, self._token_wait):
+        for wait in (self._holdings_wait, self._token_wait):
             if wait is not None:
                 wait.cancel()
 
-    def _end_view_wait(self) -> None:
-        self._view_wait = None
+    def _end_holdings_wait(self) -> None:
+        self._holdings_wait = None
         self.may_wait_for_holdings = False
         self._advance()
 
