Reword the comments and messages of queries

Docstrings and messages described states in figurative words and left out units and owners. They now say what the code does; reasons and numbers stay.

--- a/boragespool/controllers/queries/__init__.py
+++ b/boragespool/controllers/queries/__init__.py
@@ -1,1 +1,1 @@
-"""Controllers of queries: parts, attempts, hedges and answers."""
+"""Query controller: scatter, retries and hedges, and gathering of answers."""
--- a/boragespool/controllers/queries/attempt_results.py
+++ b/boragespool/controllers/queries/attempt_results.py
@@ -1,4 +1,4 @@
-"""Tells the observations of a daemon how an attempt ended."""
+"""Records results of attempts in the observations about backend servers."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
     from boragespool.routing import ServerObservations
     from boragespool.types import Seconds, ServerName
 
-#: Answers that say nothing about whether a server or its link works.
+#: Results that are no sign of a failed server or connection.
 _HEALTHY_CODES: Final = frozenset(
     (
         ResultCode.COMPLETE,
@@ -33,20 +33,20 @@
     latency_s: Seconds,
     now_s: Seconds,
 ) -> None:
-    """Note the end of an attempt that `observations.record_sent` counted.
+    """Record the result of an attempt after `observations.record_sent`.
 
     Parameters
     ----------
     observations : ServerObservations
-        What this daemon saw.
+        Observations of this daemon about backend servers.
     server : str
-        Where the attempt was sent.
+        Backend server that the attempt was sent to.
     result : WorkReply or Failure
-        How it ended.
+        Result of the attempt.
     latency_s : float
-        Time since it was sent, in seconds.
+        Time since the attempt was sent, in seconds.
     now_s : float
-        Monotonic time, in seconds.
+        Current monotonic time, in seconds.
     """
     if isinstance(result, WorkReply):
         observations.record_waits(server, result.waits_s, now_s)
--- a/boragespool/controllers/queries/attempts.py
+++ b/boragespool/controllers/queries/attempts.py
@@ -1,4 +1,4 @@
-"""Sends the attempts of one query and observes how they end."""
+"""Sends the attempts of one query and records their results."""
 
 from __future__ import annotations
 
@@ -22,6 +22,7 @@
     from boragespool.controllers.queries.query_state import AcceptedQuery
     from boragespool.types import AttemptId, IndexVersion, ServerName
 
+#: Results of attempts during which the backend server may have crashed.
 _CRASH_CODES: Final = frozenset(
     (ResultCode.SERVER_CLOSED, ResultCode.SERVER_UNREACHABLE)
 )
@@ -29,14 +30,24 @@
 
 
 class AttemptSender:
-    """All attempts of one query.
+    """Sends and cancels the attempts of one query, and keeps the open ones.
 
     Parameters
     ----------
-    work : AcceptedQuery
-        The query.
-    receive : callable
-        Called with each attempt that ended by itself and its result.
+    query : AcceptedQuery
+        Query that the attempts belong to.
+    on_result : callable
+        Called with an attempt and its result, unless the attempt was
+        cancelled.
+
+    Attributes
+    ----------
+    sent_count : int
+        Number of attempts sent so far.
+    may_have_run : bool
+        Whether any attempt ran or may have run.
+    open_attempt_by_id : dict of str to Attempt
+        Attempts without a result, in the order in which they were sent.
     """
 
     def __init__(
@@ -44,9 +55,8 @@
         query: AcceptedQuery,
         on_result: Callable[[Attempt, WorkReply | Failure], None],
     ) -> None:
-        """Start without attempts."""
+        """Set up the state without attempts."""
         self.sent_count = 0
-        #: Whether any attempt ran or may have run.
         self.may_have_run = False
         self.open_attempt_by_id: dict[AttemptId, Attempt] = {}
         self._query = query
@@ -58,20 +68,20 @@
 
     @property
     def crash_suspected(self) -> bool:
-        """Whether the request may have crashed a backend server.
+        """Whether the request is suspected of crashing backend servers.
 
-        One lost server is ordinary. A crashing request loses most of the
-        servers that it was sent to.
+        A single lost server is common. A request that crashes servers loses
+        most of the servers that it was sent to.
         """
         return (
             self._query.suspect or self._crash_count * 2 > self._completed_count
         )
 
     def choose_server(self, part: Part) -> ServerName | None:
-        """Choose a replica that was not tried for a part.
+        """Return a replica that was not tried for a part, or None.
 
-        A replica of another dispatcher is preferred, because a dispatcher
-        that is lost or slow delays all its servers.
+        Prefers replicas behind a dispatcher that was not tried either,
+        because a lost or slow dispatcher delays all its servers.
         """
         context = self._query.shared.context
         replicas = part.replicas
@@ -102,7 +112,25 @@
         version: IndexVersion,
         kind: str,
     ) -> Attempt:
-        """Send one attempt; its result is received later."""
+        """Send one attempt; `on_result` is called later with its result.
+
+        Parameters
+        ----------
+        part : Part
+            Part whose key range is requested.
+        server : str
+            Replica that the attempt is sent to.
+        version : int
+            Pinned index version.
+        kind : str
+            Label of the attempts metric: ``first``, ``hedge``, ``retry`` or
+            ``restart``.
+
+        Returns
+        -------
+        Attempt
+            The open attempt.
+        """
         shared = self._query.shared
         identity = shared.context.identity
         attempt_number = next(_ATTEMPT_NUMBERS)
@@ -119,7 +147,7 @@
         self.sent_count += 1
         ATTEMPTS.labels(kind).inc()
         shared.observations.record_sent(server)
-        # The deadline of the query ends the wait for a reply.
+        # Needs no timeout: open attempts are cancelled at the query deadline.
         self._abandon_call_by_id[attempt.attempt_id] = (
             shared.context.peers.call(
                 attempt.dispatcher,
@@ -130,7 +158,12 @@
         return attempt
 
     def cancel(self, attempt: Attempt) -> None:
-        """Withdraw an attempt whose result is of no more use."""
+        """Cancel an open attempt whose result is no longer needed.
+
+        A cancelled attempt counts as one that may have run. If it took at
+        least the tracked latency quantile, its time is recorded as a latency
+        sample and the server as slow.
+        """
         self.may_have_run = True
         self._remove_open_attempt(attempt)
         self._abandon_call_by_id.pop(attempt.attempt_id)()
@@ -143,7 +176,7 @@
             self._query.tracker.record(waited_s)
 
     def record_overdue(self, attempt: Attempt) -> None:
-        """Tell the observations once that an attempt is slower than most."""
+        """Record, once per attempt, that it takes longer than most."""
         if attempt.attempt_id in self._overdue_attempt_ids:
             return
         self._overdue_attempt_ids.add(attempt.attempt_id)
@@ -173,7 +206,7 @@
         )
 
     def _finish(self, attempt: Attempt, reply: object) -> None:
-        """Take the result of an attempt that was not cancelled."""
+        """Handle the result of an attempt unless it was cancelled."""
         if self._abandon_call_by_id.pop(attempt.attempt_id, None) is None:
             return
         self._remove_open_attempt(attempt)
@@ -192,7 +225,7 @@
     def _record_result(
         self, attempt: Attempt, result: WorkReply | Failure
     ) -> None:
-        """Tell the observations how an attempt ended."""
+        """Record the result for replica choice and for the latency quantile."""
         now_s = self._query.shared.context.timers.now_s()
         latency_s = now_s - attempt.sent_at_s
         record_attempt_result(
@@ -208,11 +241,11 @@
 
 
 def _to_result(reply: object) -> WorkReply | Failure:
-    """Return a reply or a failure, whatever the peer answered."""
+    """Return the reply, or a failure if it has an unexpected type."""
     if isinstance(reply, (WorkReply, Failure)):
         return reply
     return _invalid_reply_failure(
-        f'{type(reply).__name__!r} is not a work reply'
+        f'{type(reply).__name__!r} is not a WorkReply'
     )
 
 
--- a/boragespool/controllers/queries/fleet_view.py
+++ b/boragespool/controllers/queries/fleet_view.py
@@ -1,4 +1,4 @@
-"""What a merger derives from the blackboard, computed once per change."""
+"""Query plans and dispatchers, cached until their inputs change."""
 
 from __future__ import annotations
 
@@ -37,14 +37,20 @@
 
 
 class FleetView:
-    """Catalogues by service and dispatchers by backend server.
+    """Caches the catalogue of each service and the dispatcher of each server.
 
-    Records change far more often than holdings and membership do, so both
-    are kept until what they depend on differs.
+    Server records change far more often than holdings and membership do.
+    Cached results are therefore kept until the holdings or the members that
+    they were computed from change.
+
+    Parameters
+    ----------
+    board : Blackboard
+        Source of the server records, members and leaving hosts.
     """
 
     def __init__(self, board: Blackboard) -> None:
-        """Start with nothing computed."""
+        """Set up empty caches."""
         self._board = board
         self._cached_by_service: dict[ServiceName, _CachedCatalogue] = {}
         self._members: Mapping[HostName, MemberRecord] = {}
@@ -54,14 +60,27 @@
 
     def catalogue(
         self,
-        name: ServiceName,
+        service_name: ServiceName,
         service: ServiceSettings,
     ) -> Catalogue:
-        """Return the plans over the servers that may get new work."""
+        """Return the plans over the servers that may get new work.
+
+        Parameters
+        ----------
+        service_name : str
+            Name of the service.
+        service : ServiceSettings
+            Settings of the service.
+
+        Returns
+        -------
+        Catalogue
+            The cached object if the eligible holdings are unchanged.
+        """
         servers = self._board.read(SERVERS)
         leaving = self._board.read(LEAVING_HOSTS)
         inputs = (service, servers, leaving)
-        cached = self._cached_by_service.get(name)
+        cached = self._cached_by_service.get(service_name)
         if cached is not None and _are_all_identical(cached.inputs, inputs):
             return cached.catalogue
         holdings = eligible_holdings(service, servers, leaving)
@@ -69,14 +88,14 @@
             catalogue = cached.catalogue
         else:
             catalogue = build_catalogue(holdings)
-        self._cached_by_service[name] = _CachedCatalogue(
+        self._cached_by_service[service_name] = _CachedCatalogue(
             inputs, holdings, catalogue
         )
         return catalogue
 
     def dispatcher(self, server: ServerName) -> HostName | None:
-        """Return the daemon that dispatches to a server, if there is one."""
-        self._refresh_members()
+        """Return the host that dispatches to a server, or None."""
+        self._drop_outdated_dispatchers()
         cached_host = self._host_by_server.get(server)
         record = self._board.read(SERVERS).get(server)
         if cached_host is not None or record is None:
@@ -87,11 +106,12 @@
             self._data_centre_by_server[server] = record.data_centre
         return host
 
-    def _refresh_members(self) -> None:
-        """Forget the dispatchers that a change of the candidates can move.
+    def _drop_outdated_dispatchers(self) -> None:
+        """Drop cached dispatchers that a membership change may have replaced.
 
-        A host that leaves moves only its own servers. A new host can take
-        servers of its data centre, and those that another one serves.
+        A host that leaves affects only its own servers. A host that joins can
+        take over the servers of its data centre, and servers that are
+        dispatched from another data centre.
         """
         members = self._board.read(MEMBERS)
         if members is self._members:
@@ -114,13 +134,13 @@
         }
         for server, host in tuple(self._host_by_server.items()):
             data_centre = self._data_centre_by_server[server]
-            remote = (
+            is_dispatched_remotely = (
                 bool(gained_data_centres) and previous.get(host) != data_centre
             )
             if (
                 host in changed_hosts
                 or data_centre in gained_data_centres
-                or remote
+                or is_dispatched_remotely
             ):
                 del self._host_by_server[server]
 
--- a/boragespool/controllers/queries/hedge_timer.py
+++ b/boragespool/controllers/queries/hedge_timer.py
@@ -1,4 +1,4 @@
-"""The timer that finds overdue attempts of one query."""
+"""Timer that hedges the overdue attempts of one query."""
 
 from __future__ import annotations
 
@@ -14,25 +14,28 @@
     from boragespool.timers import Subscription
     from boragespool.types import Seconds
 
-#: Attempts that are due within this time are hedged together.
+#: Attempts that become overdue within this time are hedged together.
 _COALESCING_WINDOW_S: Final = 0.0005
-#: Share of the delay after which a part without a hedge is looked at again.
+#: Fraction of the hedge delay after which a hedge that could not be sent is
+#: tried again.
 _RECHECK_RATIO: Final = 0.25
 
 
 class HedgeTimer:
-    """Calls back for each part whose latest attempt is overdue.
+    """Sends a hedge for each part whose latest attempt is overdue.
+
+    A part is hedged again after another delay, because a hedge can be slow
+    too.
 
     Parameters
     ----------
-    work : AcceptedQuery
-        The query; its tracker gives the delay.
+    query : AcceptedQuery
+        Query whose latency tracker gives the hedge delay.
     sender : AttemptSender
-        Open attempts.
+        Holds the open attempts.
     hedge : callable
-        Sends a hedge if there is a replica and a token for it; says whether
-        it did. A part is hedged again after another delay, because a hedge
-        can be slow too.
+        Called with a part. Returns True if it sent a hedge, and False if the
+        part has no replica left or the budget has no token.
     """
 
     def __init__(
@@ -41,14 +44,23 @@
         sender: AttemptSender,
         hedge: Callable[[Part], bool],
     ) -> None:
-        """Start without a timer."""
+        """Set up the state without a scheduled timer."""
         self._query = query
         self._sender = sender
         self._hedge = hedge
         self._subscription: Subscription | None = None
 
-    def set(self, due_in_s: Seconds | None = None) -> None:
-        """Set the timer unless it is set or a hedge would be of no use."""
+    def schedule(self, due_in_s: Seconds | None = None) -> None:
+        """Schedule the next check for overdue attempts.
+
+        Does nothing if a check is scheduled already, or if `hedge_delay_s`
+        gives no delay.
+
+        Parameters
+        ----------
+        due_in_s : float, optional
+            Time to the check, in seconds. The default is the hedge delay.
+        """
         delay_s = hedge_delay_s(
             self._query.tracker.quantile_s,
             self._query.time_left_s(),
@@ -61,12 +73,13 @@
             )
 
     def schedule_soon(self) -> None:
-        """Set the timer if replies have made the latency known.
+        """Schedule a check at once if the latency quantile is now known.
 
-        The first wide query of a daemon gets enough samples while it runs.
+        The first query of a daemon to many shards collects enough latency
+        samples while it runs.
         """
         if self._subscription is None:
-            self.set(_COALESCING_WINDOW_S)
+            self.schedule(_COALESCING_WINDOW_S)
 
     def stop(self) -> None:
         """Cancel the timer."""
@@ -79,7 +92,8 @@
             return
         delay_s = self._query.tracker.quantile_s or 0
         now_s = self._query.shared.context.timers.now_s()
-        # A part's latest attempt comes last.
+        # The latest attempt of a part replaces the earlier ones in the dict,
+        # because the attempts are in sending order.
         latest_by_part = {
             attempt.part: attempt
             for attempt in self._sender.open_attempt_by_id.values()
@@ -94,4 +108,4 @@
                     left_s *= _RECHECK_RATIO
             next_s = min(next_s, left_s)
         if latest_by_part:
-            self.set(next_s)
+            self.schedule(next_s)
--- a/boragespool/controllers/queries/pinned_snapshot.py
+++ b/boragespool/controllers/queries/pinned_snapshot.py
@@ -1,4 +1,4 @@
-"""The pinned snapshot of one query: merged state and missing ranges."""
+"""Index version that a query is pinned to, with its merged replies."""
 
 from __future__ import annotations
 
@@ -23,21 +23,41 @@
 
 
 class PinnedSnapshot:
-    """One index version, what was merged of it and who denied holding it."""
+    """Pinned index version of a query, its merge state and its replanning.
+
+    Parameters
+    ----------
+    query : AcceptedQuery
+        Query that is pinned.
+    version : int
+        Pinned index version.
+
+    Attributes
+    ----------
+    version : int
+        Pinned index version.
+    state : MergeState
+        Replies that were merged so far.
+    not_held : NotHeldRanges
+        Ranges that backend servers refused as not held.
+    """
 
     def __init__(self, query: AcceptedQuery, version: IndexVersion) -> None:
-        """Start with nothing merged."""
+        """Set up the state without merged replies."""
         self.version = version
         self.state = MergeState(version)
         self.not_held = NotHeldRanges()
         self._query = query
 
     def full_plan(self) -> tuple[SubRange, ...]:
-        """Return the plan over the whole key space."""
+        """Return the plan for the whole key space."""
         return self._query.catalogue().plans_by_version[self.version]
 
-    def refresh(self, part: Part) -> bool:
-        """Take over the replicas that may get work now; False if none."""
+    def refresh_replicas(self, part: Part) -> bool:
+        """Update the replicas of a part.
+
+        Returns False if no replica may be asked for the whole part.
+        """
         for sub_range in self._plan(part):
             if (sub_range.start, sub_range.end) == part.key_range:
                 part.replicas = sub_range.replicas
@@ -45,12 +65,12 @@
         return False
 
     def replan(self, part: Part) -> tuple[list[Part], list[Part]]:
-        """Cut what is missing of a part by the holdings known now.
+        """Divide the missing ranges of a part by the current holdings.
 
         Returns
         -------
         tuple of (list of Part, list of Part)
-            Parts with replicas, and parts of which no replica is left.
+            Parts that have a replica, and parts that have none.
         """
         sub_ranges = self._plan(part)
         covered = [(sub_range.start, sub_range.end) for sub_range in sub_ranges]
@@ -70,7 +90,11 @@
         return available, unavailable
 
     def are_holdings_stale(self, parts: Iterable[Part]) -> bool:
-        """Whether servers are announced that denied holding some parts."""
+        """Return whether announced holdings contradict the servers.
+
+        True if a server is still announced as holding a range of `parts`
+        that it refused as not held.
+        """
         return bool(
             plan_ranges(
                 self._query.catalogue(),
@@ -89,6 +113,11 @@
         ----------
         hoped : iterable of (int, int)
             Ranges that are in flight or still have a replica.
+
+        Returns
+        -------
+        int or None
+            The version to restart on; None if there is none.
         """
         reachable = reachable_key_count(self.state, obtainable_ranges)
         return choose_restart_version(
--- a/boragespool/controllers/queries/query.py
+++ b/boragespool/controllers/queries/query.py
@@ -1,4 +1,4 @@
-"""Carries out the queries of callers: checks, pins a version, merges."""
+"""Controller that runs the queries of callers against the backend servers."""
 
 from __future__ import annotations
 
@@ -34,25 +34,26 @@
     from boragespool.settings import RouteSettings, ServiceSettings, Settings
     from boragespool.types import IndexVersion, ServiceName
 
-#: 64-bit fingerprints; about 100 bytes each.
-_MAX_KNOWN_GOOD: Final = 8_192
-#: Part of the deadline that is kept for sending the answer.
+#: An entry is a 64-bit fingerprint and takes about 100 bytes of memory.
+_MAX_KNOWN_GOOD_COUNT: Final = 8_192
+#: Fraction of the deadline that is reserved for sending the answer.
 _REPLY_MARGIN_RATIO: Final = 0.05
 _MAX_REPLY_MARGIN_S: Final = 0.005
 _MS_PER_S: Final = 1_000
 
 
 class QueryController:
-    """Answers queries, an async context manager.
+    """Checks and runs queries; an async context manager.
 
     Parameters
     ----------
     context : Context
-        Shared parts of the daemon.
+        Services that the controllers of the daemon share.
     observations : ServerObservations, optional
-        What replicas are chosen by.
+        Observations by which replicas are chosen.
     create_tracker : callable, optional
-        Makes the latency tracker of a service.
+        Called with the hedging quantile and the service settings that the
+        latencies depend on; returns the latency tracker of a service.
     """
 
     def __init__(
@@ -63,7 +64,7 @@
             [float, object], LatencyTracker
         ] = LatencyTracker,
     ) -> None:
-        """Start without observations."""
+        """Set up the state without running queries."""
         self._context = context
         self._create_tracker = create_tracker
         self._shared = SharedQueryState(
@@ -71,14 +72,14 @@
             FleetView(context.board),
             observations or ServerObservations(),
             TokenBudget(HedgingSettings()),
-            KnownGoodFingerprints(_MAX_KNOWN_GOOD),
+            KnownGoodFingerprints(_MAX_KNOWN_GOOD_COUNT),
         )
         self._tracker_by_service: dict[ServiceName, LatencyTracker] = {}
         self._runs: set[QueryRun] = set()
         self._unsubscribe: list[Callable[[], None]] = []
 
     async def __aenter__(self) -> Self:
-        """Follow the settings and the backend servers."""
+        """Subscribe to the settings and the backend server records."""
         board = self._context.board
         self._unsubscribe = [
             board.subscribe(SERVERS, self._on_servers_changed),
@@ -88,29 +89,29 @@
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        """Follow nothing; running queries end by their deadline."""
+        """Unsubscribe; running queries end by their deadline."""
         for unsubscribe in self._unsubscribe:
             unsubscribe()
 
     @property
     def in_flight(self) -> int:
-        """Queries that are not answered yet."""
+        """Number of queries that are not answered yet."""
         return len(self._runs)
 
     async def answer(self, request: QueryRequest) -> QueryAnswer | Failure:
-        """Answer a query.
+        """Run a query and return its answer.
 
         Parameters
         ----------
         request : QueryRequest
-            Checked query.
+            Query from the caller API.
 
         Returns
         -------
         QueryAnswer or Failure
-            At the deadline at the latest. The answer comes from one index
-            version. A failure with run state ``NOT_RUN`` promises that no
-            backend server ran any part of the query.
+            Returned at the deadline at the latest. All items of an answer
+            come from one index version. A failure with run state ``NOT_RUN``
+            guarantees that no backend server ran any part of the query.
         """
         query = self._check_request(request)
         if isinstance(query, Failure):
@@ -134,7 +135,7 @@
         if document is None:
             return Failure(
                 ResultCode.NOT_READY,
-                'this daemon has no configuration yet',
+                'this daemon has not received its configuration yet',
             )
         settings = document.settings
         route = settings.routes.get(request.route)
@@ -143,14 +144,14 @@
         if route.form is not WorkKind.QUERY:
             return Failure(
                 ResultCode.WRONG_FORM,
-                f'route {request.route!r} takes claims, not queries',
+                f'route {request.route!r} accepts claims, not queries',
             )
         deadline_s = min(request.deadline_s, route.deadline_ms / _MS_PER_S)
         margin_s = min(deadline_s * _REPLY_MARGIN_RATIO, _MAX_REPLY_MARGIN_S)
         if deadline_s <= 0:
             return Failure(
                 ResultCode.DEADLINE_PASSED,
-                f'deadline {request.deadline_s!r} s is not above 0',
+                f'deadline must be above 0 s, got {request.deadline_s!r} s',
             )
         service = settings.services[route.service]
         return AcceptedQuery(
@@ -164,7 +165,7 @@
         )
 
     def _pin_version(self, query: AcceptedQuery) -> IndexVersion | Failure:
-        """Pin a version, or refuse what cannot be answered."""
+        """Choose the index version, or refuse a query that cannot succeed."""
         if query.blocked:
             return blocked_failure(query.fingerprint)
         catalogue = query.catalogue()
@@ -172,7 +173,7 @@
         if version is None:
             return Failure(
                 ResultCode.NO_SNAPSHOT,
-                'no backend server that may get work holds an index version',
+                'no eligible backend server holds an index version',
             )
         wait_s = refusal_wait_s(
             (
@@ -188,7 +189,7 @@
             rank = query.rank
             return Failure(
                 ResultCode.DEADLINE_UNREACHABLE,
-                f'work of rank {rank!r} waits longer than its deadline',
+                f'expected queueing time of rank {rank!r} exceeds the deadline',
                 retry_after_s=wait_s,
             )
         return version
@@ -199,7 +200,10 @@
         service: ServiceSettings,
         hedging: HedgingSettings,
     ) -> LatencyTracker:
-        """Return the tracker of a service; changed settings start anew."""
+        """Return the latency tracker of a service.
+
+        Creates a new one when the settings that latencies depend on change.
+        """
         bounds = (service.slots, service.connections, hedging.quantile)
         tracker = self._tracker_by_service.get(route.service)
         if tracker is None or tracker.settings != bounds:
@@ -212,7 +216,7 @@
             run.on_holdings_changed()
 
     def _on_revision_changed(self, document: RevisionDocument | None) -> None:
-        """Take over the budget and forget servers that were removed."""
+        """Apply the hedging budget; drop observations of removed servers."""
         if document is None:
             return
         settings = document.settings
@@ -229,5 +233,6 @@
 def _unknown_route(request: QueryRequest, settings: Settings) -> Failure:
     return Failure(
         ResultCode.UNKNOWN_ROUTE,
-        f'route {request.route!r} is not one of {sorted(settings.routes)}',
+        f'unknown route {request.route!r}; expected one of '
+        f'{sorted(settings.routes)}',
     )
--- a/boragespool/controllers/queries/query_answers.py
+++ b/boragespool/controllers/queries/query_answers.py
@@ -1,4 +1,4 @@
-"""Answers and refusals of queries, and their log events."""
+"""Builds the answers and failures of queries and logs query events."""
 
 from __future__ import annotations
 
@@ -21,27 +21,29 @@
     from boragespool.snapshots import MergeState
     from boragespool.types import IndexVersion
 
+#: Result codes for callers by internal code.
 _CALLER_CODES: Final = MappingProxyType(
     {
         ResultCode.SERVER_SHED: ResultCode.QUEUE_FULL,
         ResultCode.VERSION_NOT_HELD: ResultCode.NO_SNAPSHOT,
     }
 )
+#: Codes from here on are used only between daemons and servers.
 _FIRST_INTERNAL_CODE: Final = 3000
 
 
 @dataclass(frozen=True, slots=True)
 class Ending:
-    """How a query ended.
+    """Final state of a query.
 
     Attributes
     ----------
     state : MergeState
-        The snapshot to answer with.
+        Merged replies to answer with.
     attempts : int
-        Requests sent.
+        Number of attempts that were sent.
     last_refusal : WorkReply, Failure or None
-        Why the last failed attempt failed.
+        Result of the last attempt that failed.
     may_have_run : bool
         Whether any attempt ran or may have run.
     """
@@ -53,13 +55,20 @@
 
 
 def build_answer(query: AcceptedQuery, ending: Ending) -> QueryAnswer | Failure:
-    """Return the answer with its true coverage, or a refusal.
+    """Return the answer with its coverage, or a failure.
+
+    Parameters
+    ----------
+    query : AcceptedQuery
+        Query to answer.
+    ending : Ending
+        Its final state.
 
     Returns
     -------
     QueryAnswer or Failure
-        A refusal only if the request is blocked or nothing was merged and
-        no attempt could have run.
+        A failure only if nothing was merged, and the request is blocked or
+        no attempt can have run.
     """
     state = ending.state
     if not state.coverage:
@@ -75,7 +84,7 @@
     if missing:
         log_event(
             Event.QUERY_PARTIAL,
-            f'{len(missing)!r} key ranges were not searched',
+            f'{len(missing)!r} key ranges are missing from the answer',
             request_id=query.request.request_id,
             snapshot=state.version,
             coverage=state.coverage,
@@ -93,17 +102,17 @@
 
 
 def blocked_failure(fingerprint: int, *, may_have_run: bool = False) -> Failure:
-    """Return the refusal of a request that crashes backend servers."""
+    """Return the failure for a request that crashes backend servers."""
     return Failure(
         ResultCode.REQUEST_BLOCKED,
-        f'requests with fingerprint {fingerprint:#x} are blocked, because '
-        'backend servers were lost while they ran one',
+        f'requests with fingerprint {fingerprint:#x} are blocked because '
+        'backend servers were lost while running one',
         RunState.UNKNOWN if may_have_run else RunState.NOT_RUN,
     )
 
 
 def log_rejected_reply(attempt: Attempt, failure: Failure) -> None:
-    """Log a reply that was not merged."""
+    """Log a reply that could not be merged."""
     log_event(
         Event.SERVER_REPLY_REJECTED,
         failure.reason,
@@ -117,25 +126,26 @@
     replaced: IndexVersion,
     version: IndexVersion,
 ) -> None:
-    """Log the restart of a query on a newer version."""
+    """Log the restart of a query on a newer index version."""
     log_event(
         Event.QUERY_RESTARTED,
-        f'version {replaced!r} is held too little; restarted on {version!r}',
+        f'query restarted on index version {version!r}: too few backend '
+        f'servers hold {replaced!r}',
         request_id=query.request.request_id,
     )
 
 
 def _refusal_for_caller(last: WorkReply | Failure | None) -> Failure:
-    """Translate the reason of the last attempt into a code for callers."""
+    """Return the failure for callers, from that of the last attempt."""
     if last is None:
-        return Failure(ResultCode.NO_SERVER, 'no backend server may get work')
+        return Failure(ResultCode.NO_SERVER, 'no eligible backend server')
     code = ResultCode(last.code)
     if code >= _FIRST_INTERNAL_CODE:
         code = _CALLER_CODES.get(code, ResultCode.NO_SERVER)
     reason = last.reason or code.name
     return Failure(
         code,
-        f'no attempt was run: {reason}',
+        f'no backend server ran the query: {reason}',
         RunState.NOT_RUN,
         last.retry_after_s,
     )
--- a/boragespool/controllers/queries/query_run.py
+++ b/boragespool/controllers/queries/query_run.py
@@ -1,4 +1,4 @@
-"""One query from the first attempt to the answer."""
+"""Runs one query from its first attempts to its answer."""
 
 from __future__ import annotations
 
@@ -28,53 +28,55 @@
     from boragespool.snapshots import SubRange
     from boragespool.types import IndexVersion
 
-#: A restart needs the time of one sub-request and of its hedge.
+#: A restart takes the time of one sub-request and its hedge.
 _RESTART_REQUEST_COUNT: Final = 2
+#: Kinds of attempts that take a token of the budget.
 _BUDGETED_KINDS: Final = frozenset(('hedge', 'retry'))
 
 
 class QueryRun:
-    """State of one query; everything happens in callbacks of the loop.
+    """Runs one query in callbacks of the event loop.
 
     Parameters
     ----------
-    work : AcceptedQuery
-        The query.
+    query : AcceptedQuery
+        Query to run.
     version : int
-        Pinned index version.
+        Index version that the query is pinned to.
     """
 
     def __init__(self, query: AcceptedQuery, version: IndexVersion) -> None:
-        """Start with nothing sent."""
+        """Set up the state without attempts."""
         self._query = query
         self._sender = AttemptSender(query, self._on_result)
         self._hedge_timer = HedgeTimer(query, self._sender, self._hedge)
         self._snapshot = PinnedSnapshot(query, version)
         self._replaced_snapshot: PinnedSnapshot | None = None
-        #: Sub-ranges that wait for the canary.
+        #: Sub-ranges that are sent only after the canary was answered.
         self._ranges_after_canary: tuple[SubRange, ...] = ()
         #: Parts that need another attempt.
         self._parts_to_retry: list[Part] = []
-        #: Parts of which no replica is left.
+        #: Parts for which no replica is left.
         self._unavailable_parts: list[Part] = []
-        #: Whether stranded parts or holdings changed since the last look.
+        #: Whether `_handle_unavailable` must run again.
         self._check_unavailable = False
         self._waits = QueryWaits(query, self._on_wait_ended)
         self._last_refusal: WorkReply | Failure | None = None
         self._done = asyncio.Event()
 
     async def answer(self, *, canary: bool) -> QueryAnswer | Failure:
-        """Run the query.
+        """Run the query and return its answer.
 
         Parameters
         ----------
         canary : bool
-            Send to one shard first and to the others after its answer.
+            Whether to send to one shard first, and to the others only after
+            it answered.
 
         Returns
         -------
         QueryAnswer or Failure
-            At the deadline at the latest.
+            Returned at the deadline at the latest.
         """
         plan = self._snapshot.full_plan()
         deadline = self._query.shared.context.timers.after(
@@ -100,28 +102,28 @@
         return build_answer(self._query, ending)
 
     def on_holdings_changed(self) -> None:
-        """Plan ranges without a replica again when holdings change."""
+        """Replan the parts without a replica after holdings changed."""
         if self._unavailable_parts and not self._done.is_set():
             self._parts_to_retry.extend(self._unavailable_parts)
             self._unavailable_parts.clear()
             self._advance()
 
     def _send_first_attempts(self, plan: tuple[SubRange, ...]) -> None:
-        """Send first attempts, which also fill the budget."""
+        """Send first attempts; these add tokens to the budget."""
         self._query.shared.budget.earn(len(plan))
         self._send_attempts(plan, 'first')
 
     def _send_attempts(self, plan: Iterable[SubRange], kind: str) -> None:
-        """Send the attempts of new parts and set the time of their hedges."""
+        """Send one attempt per sub-range and schedule the hedges."""
         for sub_range in plan:
             part = Part((sub_range.start, sub_range.end), sub_range.replicas)
             if not self._send_attempt(part, kind):
                 self._add_unavailable(part)
-        self._hedge_timer.set()
+        self._hedge_timer.schedule()
         self._advance()
 
     def _send_attempt(self, part: Part, kind: str) -> bool:
-        """Send an attempt of a part; False if it has no replica or token."""
+        """Send an attempt of a part; False without a replica or a token."""
         server = self._sender.choose_server(part)
         if server is None:
             return False
@@ -132,12 +134,12 @@
         return True
 
     def _hedge(self, part: Part) -> bool:
-        return self._snapshot.refresh(part) and self._send_attempt(
+        return self._snapshot.refresh_replicas(part) and self._send_attempt(
             part, 'hedge'
         )
 
     def _on_result(self, attempt: Attempt, result: WorkReply | Failure) -> None:
-        """Merge the result of an attempt or prepare another one."""
+        """Merge a reply, or queue the part for another attempt."""
         if self._done.is_set():
             return
         if result.code == ResultCode.COMPLETE and isinstance(result, WorkReply):
@@ -153,7 +155,7 @@
         self._advance()
 
     def _merge_reply(self, attempt: Attempt, reply: WorkReply) -> None:
-        """Merge a reply; cancel the other attempts of a complete part."""
+        """Merge a reply; if it completes the part, cancel other attempts."""
         merged = self._snapshot.state.merge(attempt.attempt_id, reply)
         if isinstance(merged, Failure):
             self._last_refusal = merged
@@ -174,7 +176,8 @@
         self._snapshot.state.close_attempt(attempt.attempt_id)
         self._last_refusal = refusal
         if refusal.code == ResultCode.VERSION_NOT_HELD:
-            # Excludes the server for this range, not for a narrower one.
+            # The server is excluded for this exact range. It may hold, and be
+            # asked for, a narrower one.
             self._snapshot.not_held.add(attempt.server, attempt.part.key_range)
             attempt.part.tried_servers.remove(attempt.server)
 
@@ -183,7 +186,7 @@
         self._sender.cancel(attempt)
 
     def _advance(self) -> None:
-        """Send what can be sent; end the query when nothing is left to do."""
+        """Send all attempts that are possible; finish if none is open."""
         if self._query.blocked:
             self._done.set()
             return
@@ -197,7 +200,7 @@
             self._done.set()
 
     def _wait_if_useful(self) -> bool:
-        """Whether holdings or tokens may still arrive."""
+        """Wait for holdings or tokens; False if neither wait is possible."""
         if self._unavailable_parts and self._waits.is_waiting_for_holdings:
             return True
         return bool(self._parts_to_retry) and self._waits.wait_for_token()
@@ -212,7 +215,7 @@
         self._check_unavailable = self._check_unavailable or bool(parts)
 
     def _retry_parts(self) -> None:
-        """Ask other replicas while the budget lasts."""
+        """Send attempts to other replicas while the budget has tokens."""
         budget = self._query.shared.budget
         while self._parts_to_retry and budget.tokens >= 1:
             available, unavailable = self._snapshot.replan(
@@ -231,7 +234,11 @@
             self._add_unavailable(part)
 
     def _send_after_canary(self) -> None:
-        """Send the other sub-ranges once the canary was answered."""
+        """Send the other sub-ranges once the canary was answered.
+
+        If the canary failed and cannot have run, the next sub-range becomes
+        the canary. If it may have run, the other sub-ranges are not sent.
+        """
         ranges_after_canary = self._ranges_after_canary
         self._ranges_after_canary = ()
         if self._snapshot.state.coverage:
@@ -243,7 +250,7 @@
             self._send_first_attempts(ranges_after_canary[:1])
 
     def _handle_unavailable(self) -> None:
-        """Wait for announced holdings, restart, or accept lower coverage."""
+        """Wait for newer holdings, restart, or accept a lower coverage."""
         are_stale = self._snapshot.are_holdings_stale(self._unavailable_parts)
         if are_stale and self._waits.may_wait_for_holdings:
             self._waits.wait_for_holdings()
@@ -251,10 +258,10 @@
             self._restart()
 
     def _restart(self) -> None:
-        """Restart once, on a newer version that covers more, if there is one.
+        """Restart, at most once, on a newer version that covers more keys.
 
-        Restarted attempts take no tokens. They are sent at most once per
-        query and only when the pinned version was lost.
+        The attempts of a restart take no tokens, because a query restarts at
+        most once and only if replicas of the pinned version were lost.
         """
         open_attempts = tuple(self._sender.open_attempt_by_id.values())
         version = self._snapshot.restart_version(
@@ -292,7 +299,7 @@
         self._send_attempts(plan[:1] if canary else plan, 'restart')
 
     def _cancel_all(self) -> None:
-        """Cancel what is open."""
+        """Cancel the timers and all open attempts."""
         self._done.set()
         self._hedge_timer.stop()
         self._waits.stop()
--- a/boragespool/controllers/queries/query_state.py
+++ b/boragespool/controllers/queries/query_state.py
@@ -1,4 +1,4 @@
-"""Data that the modules of the query controller share."""
+"""State of queries that the modules of the query controller share."""
 
 from __future__ import annotations
 
@@ -31,15 +31,24 @@
 
 
 class KnownGoodFingerprints:
-    """A bounded set of fingerprints that ran without harm, oldest dropped."""
+    """Bounded set of fingerprints of requests that did not crash a server.
+
+    These requests are sent without a canary, also on routes that use one,
+    unless they are suspected of crashing servers later.
+
+    Parameters
+    ----------
+    limit : int
+        Maximum number of fingerprints; the oldest is dropped first.
+    """
 
     def __init__(self, limit: int) -> None:
-        """Start empty."""
+        """Initialize an empty set."""
         self._limit = limit
         self._fingerprints: OrderedDict[int, None] = OrderedDict()
 
     def add(self, fingerprint: int) -> None:
-        """Add a fingerprint or make it the newest."""
+        """Add a fingerprint, or mark it as the newest."""
         self._fingerprints[fingerprint] = None
         self._fingerprints.move_to_end(fingerprint)
         if len(self._fingerprints) > self._limit:
@@ -52,7 +61,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SharedQueryState:
-    """State of the query controller that all queries of a daemon share."""
+    """State that all queries of a daemon share."""
 
     context: Context
     fleet: FleetView
@@ -63,14 +72,18 @@
 
 @dataclass(frozen=True, slots=True)
 class AcceptedQuery:
-    """One accepted query.
+    """Query that passed the checks, with the settings that apply to it.
 
     Attributes
     ----------
+    fingerprint : int
+        Identifies the route and body of the request in crash detection.
     answer_by_s : float
-        Monotonic time at which the answer is given at the latest.
+        Monotonic time by which the query must be answered, in seconds.
     tracker : LatencyTracker
-        Attempt latencies of the route's service.
+        Latencies of attempts at the service of the route.
+    shared : SharedQueryState
+        State that all queries share.
     """
 
     request: QueryRequest
@@ -88,7 +101,7 @@
 
     @property
     def rank_index(self) -> int:
-        """Position of the rank, most important first."""
+        """Position of the rank, where 0 is the most important one."""
         return _RANKS.index(self.rank)
 
     @property
@@ -98,26 +111,32 @@
 
     @property
     def blocked(self) -> bool:
-        """Whether the request must not be sent any more."""
+        """Whether the request must no longer be sent to backend servers."""
         return self.fingerprint in self.shared.context.board.read(BLOCKED)
 
     def catalogue(self) -> Catalogue:
-        """Return the plans over the servers that may get work now."""
+        """Return the plans over the servers that may get new work."""
         return self.shared.fleet.catalogue(self.route.service, self.service)
 
     def time_left_s(self) -> Seconds:
-        """Return the time until the answer is given at the latest."""
+        """Return the time until the query must be answered, in seconds."""
         return self.answer_by_s - self.shared.context.timers.now_s()
 
 
 @dataclass(slots=True, eq=False)
 class Part:
-    """A sub-range with the attempts to get it.
+    """Key range that one sub-request covers, with its attempts.
 
     Attributes
     ----------
-    tried : list of str
-        Servers that were asked, losing attempts included.
+    key_range : tuple of (int, int)
+        Range ``[start, end)`` to request.
+    replicas : tuple of str
+        Backend servers that hold the whole range.
+    tried_servers : list of str
+        Servers that an attempt was sent to, including cancelled attempts.
+    open_attempts : dict of str to Attempt
+        Attempts without a result, by attempt ID.
     """
 
     key_range: KeyRange
@@ -128,7 +147,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """One request to one backend server."""
+    """One request for a part, sent to one backend server.
+
+    Attributes
+    ----------
+    dispatcher : str
+        Host of the daemon that the request is sent to, which dispatches it to
+        the server; empty if there is none.
+    sent_at_s : float
+        Monotonic time at which the attempt was sent, in seconds.
+    """
 
     attempt_id: AttemptId
     server: ServerName
--- a/boragespool/controllers/queries/query_waits.py
+++ b/boragespool/controllers/queries/query_waits.py
@@ -1,4 +1,4 @@
-"""What a query without open attempts may still wait for."""
+"""Waits of a query that has no open attempts: for holdings and for tokens."""
 
 from __future__ import annotations
 
@@ -11,34 +11,40 @@
     from boragespool.timers import Subscription
     from boragespool.types import Seconds
 
-#: Holdings change at a dispatcher's poll; a range that was just repartitioned
-#: is usually announced within this time.
+#: Dispatchers notice changed holdings when they poll. The holdings of a
+#: repartitioned range are usually announced within this time.
 _HOLDINGS_WAIT_S: Final = 0.1
-#: Share of the time left that a query waits for changed holdings.
+#: Fraction of the remaining time that a query may wait for changed holdings.
 _HOLDINGS_WAIT_RATIO: Final = 0.25
-#: Without a wait for tokens one lost replica per shard lowered the coverage
-#: of the first queries; 0.1 s in all bounds the work that a flood holds.
+#: Without a wait for tokens, one lost replica per shard lowered the coverage
+#: of the first queries. The limit of 0.1 s in total bounds the number of
+#: queries that wait in a flood.
 _TOKEN_WAIT_S: Final = 0.005
 _MAX_TOKEN_WAITS: Final = 20
 
 
 class QueryWaits:
-    """Bounded waits of one query for holdings and for tokens.
+    """Limits how long one query waits for new holdings and budget tokens.
 
     Parameters
     ----------
-    work : AcceptedQuery
-        The query.
-    advance : callable
-        Called when a wait ended.
+    query : AcceptedQuery
+        Query that waits.
+    on_wait_ended : callable
+        Called when a wait has ended.
+
+    Attributes
+    ----------
+    may_wait_for_holdings : bool
+        False after the wait for holdings has ended.
     """
 
     def __init__(
-        self, query: AcceptedQuery, advance: Callable[[], None]
+        self, query: AcceptedQuery, on_wait_ended: Callable[[], None]
     ) -> None:
-        """Start without a wait."""
+        """Set up the state without a wait."""
         self._query = query
-        self._advance = advance
+        self._on_wait_ended = on_wait_ended
         self._holdings_wait: Subscription | None = None
         self._token_wait: Subscription | None = None
         self._token_waits_left = _MAX_TOKEN_WAITS
@@ -50,7 +56,7 @@
         return self._holdings_wait is not None
 
     def wait_for_holdings(self) -> None:
-        """Wait for changed holdings; once per query."""
+        """Start the only wait for changed holdings, unless it is running."""
         if self._holdings_wait is None:
             left_s = self._query.time_left_s() * _HOLDINGS_WAIT_RATIO
             self._holdings_wait = self._after(
@@ -59,7 +65,7 @@
             )
 
     def wait_for_token(self) -> bool:
-        """Wait a little for a token; False if that was done too often."""
+        """Start a wait for a token; False if the number of waits is used up."""
         if self._token_wait is None and self._token_waits_left:
             self._token_waits_left -= 1
             self._token_wait = self._after(
@@ -77,11 +83,11 @@
     def _end_holdings_wait(self) -> None:
         self._holdings_wait = None
         self.may_wait_for_holdings = False
-        self._advance()
+        self._on_wait_ended()
 
     def _end_token_wait(self) -> None:
         self._token_wait = None
-        self._advance()
+        self._on_wait_ended()
 
     def _after(
         self,
