Reword the comments and messages of claims

Docstrings spoke of records that were begun, told or kept, without naming what a class owns. They now say what the code does.

--- a/boragespool/controllers/claims/__init__.py
+++ b/boragespool/controllers/claims/__init__.py
@@ -1,1 +1,1 @@
-"""Controllers of claims: issue, attempts, witnesses and outcomes."""
+"""Claim controller: tickets, attempts, witness records and outcomes."""
--- a/boragespool/controllers/claims/claim_attempts.py
+++ b/boragespool/controllers/claims/claim_attempts.py
@@ -1,6 +1,7 @@
-"""Attempts of one claim at backend servers.
+"""Sends claims to backend servers.
 
-Another attempt follows only an explicit ``not_run``.
+A claim is sent to another server only if the previous attempt explicitly
+reported ``not_run``.
 """
 
 from __future__ import annotations
@@ -33,9 +34,9 @@
     from boragespool.settings import RouteSettings, ServiceSettings
     from boragespool.types import HostName, Seconds, ServerName
 
-#: Each attempt is an extra request to the fleet, so few are made.
+#: Limited because each attempt is an additional request to the servers.
 MAX_ATTEMPTS: Final = 3
-#: Time beyond the caller's deadline in which a result is still recorded.
+#: Time after the caller's deadline during which a result is still recorded.
 RESULT_GRACE_S: Final = 1.0
 _RANKS: Final = tuple(Rank)
 
@@ -48,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PreparedClaim:
-    """A claim whose start was recorded.
+    """Claim with the settings that apply to it, ready to be sent.
 
     Attributes
     ----------
@@ -69,14 +70,14 @@
 
 
 class ClaimSender:
-    """Sends claims to the dispatchers of backend servers.
+    """Sends claims to backend servers through their dispatchers.
 
     Parameters
     ----------
     context : Context
-        Shared parts of the daemon.
+        Services that the controllers of the daemon share.
     observations : ServerObservations
-        What this daemon saw of backend servers, shared with queries.
+        Observations about backend servers, shared with the queries.
     """
 
     def __init__(
@@ -84,7 +85,7 @@
         context: Context,
         observations: ServerObservations,
     ) -> None:
-        """Start with nothing in flight."""
+        """Set up the sender."""
         self._context = context
         self._observations = observations
         self._fleet = FleetView(context.board)
@@ -95,7 +96,22 @@
         claim: ForwardClaim,
         deadline_s: Seconds,
     ) -> PreparedClaim | Failure:
-        """Look up the route of a claim in the revision in force."""
+        """Look up the settings of a claim in the revision in force.
+
+        Parameters
+        ----------
+        ticket_id : str
+            Ticket of the claim.
+        claim : ForwardClaim
+            The claim.
+        deadline_s : float
+            Monotonic time of the deadline, in seconds.
+
+        Returns
+        -------
+        PreparedClaim or Failure
+            A failure if the route is unknown.
+        """
         document = self._context.board.read(IN_FORCE)
         settings = document.settings if document else None
         route = settings.routes.get(claim.route) if settings else None
@@ -108,7 +124,10 @@
         return PreparedClaim(ticket_id, claim, route, service, deadline_s)
 
     async def run(self, prepared: PreparedClaim) -> WorkReply | Failure:
-        """Run a claim at one backend server of its route's service.
+        """Run a claim on one backend server of its service.
+
+        Up to `MAX_ATTEMPTS` servers are tried, until the claim has run or may
+        have run, or the deadline has passed.
 
         Returns
         -------
@@ -118,7 +137,7 @@
         tried_servers: set[ServerName] = set()
         result: WorkReply | Failure = Failure(
             ResultCode.NO_SERVER,
-            'no backend server of the service is in use',
+            'no eligible backend server for the service',
         )
         for attempt_number in range(MAX_ATTEMPTS):
             target = self._choose(prepared, tried_servers)
@@ -135,7 +154,7 @@
         prepared: PreparedClaim,
         tried_servers: set[ServerName],
     ) -> _Target | None:
-        """Choose a server that was not tried, and its dispatcher."""
+        """Return a server that was not tried, and its dispatcher."""
         board = self._context.board
         leaving = board.read(LEAVING_HOSTS)
         eligible = eligible_holdings(
--- a/boragespool/controllers/claims/claim_forwarding.py
+++ b/boragespool/controllers/claims/claim_forwarding.py
@@ -1,4 +1,8 @@
-"""Claims under tickets of other daemons: forwarding and sealing."""
+"""Resolves claims whose ticket was issued by any daemon.
+
+Forwards a claim to the issuer of its ticket, or has the witness seal the
+ticket if the issuer does not answer.
+"""
 
 from __future__ import annotations
 
@@ -28,16 +32,16 @@
 
 
 class ClaimForwarder:
-    """Finds the record of any ticket.
+    """Gets claim records from this daemon, the issuer or the witness.
 
     Parameters
     ----------
     context : Context
-        Shared parts of the daemon.
+        Services that the controllers of the daemon share.
     runner : ClaimRunner
-        Runs the claims of this daemon's own tickets.
+        Runs the claims whose ticket this daemon issued.
     witnesses : WitnessController
-        Asks witnesses.
+        Sends messages to witnesses.
     """
 
     def __init__(
@@ -46,7 +50,7 @@
         runner: ClaimRunner,
         witnesses: WitnessController,
     ) -> None:
-        """Keep the parts."""
+        """Set up the forwarder."""
         self._context = context
         self._runner = runner
         self._witnesses = witnesses
@@ -56,7 +60,12 @@
         ticket: Ticket,
         claim: ForwardClaim,
     ) -> ClaimRecord | Failure:
-        """Get the record of a ticket from its issuer or its witness."""
+        """Return the claim record of a ticket.
+
+        Runs the claim if this daemon issued the ticket. Else forwards the
+        claim to the issuer, and asks the witness if the issuer does not
+        answer.
+        """
         if self.is_own(ticket):
             return await self._runner.run(ticket, claim)
         if self._issuer_may_be_running(ticket):
@@ -70,7 +79,7 @@
         return await self._seal(ticket, claim)
 
     def is_own(self, ticket: Ticket) -> bool:
-        """Whether this incarnation of this daemon issued a ticket."""
+        """Return whether this incarnation of this daemon issued a ticket."""
         identity = self._context.identity
         return (ticket.issuer, ticket.issuer_incarnation) == (
             identity.host,
@@ -82,7 +91,7 @@
         ticket: Ticket,
         claim: ForwardClaim,
     ) -> ClaimRecord | Failure:
-        """Have the witness seal the ticket or tell what it knows."""
+        """Have the witness seal the ticket, or return its existing record."""
         body_hash = (
             0 if claim.outcome_only else fingerprint_of(claim.route, claim.body)
         )
@@ -97,7 +106,7 @@
         verdict = reply.verdict.value
         log_event(
             Event.CLAIM_SEALED,
-            f'the witness answered {verdict!r}',
+            f'reply of the witness to the seal request: {verdict!r}',
             level=logging.DEBUG,
             ticket=ticket.ticket_id,
         )
@@ -107,12 +116,12 @@
         if body_hash and existing.body_hash not in {0, body_hash}:
             return Failure(
                 ResultCode.TICKET_REUSED,
-                f'ticket {ticket.ticket_id!r} is bound to another claim',
+                f'ticket {ticket.ticket_id!r} was used for another claim',
             )
         return existing
 
     def _issuer_may_be_running(self, ticket: Ticket) -> bool:
-        """Tell whether the issuer's incarnation may still be running."""
+        """Return whether the issuer's incarnation may still be running."""
         member = self._context.board.read(MEMBERS).get(ticket.issuer)
         if member is None:
             return False
@@ -120,7 +129,10 @@
         return is_same_incarnation and member.status is not MemberStatus.DEAD
 
     def _forward_timeout_s(self, claim: ForwardClaim) -> Seconds:
-        """Leave time to ask the witness before the caller's deadline."""
+        """Return a timeout, in seconds, that leaves time to ask the witness.
+
+        The issuer gets at least half of the time to the deadline.
+        """
         witness_timeout_s = self._runner.settings().witness_timeout_s
         return max(
             claim.deadline_s - witness_timeout_s,
--- a/boragespool/controllers/claims/claim_outcomes.py
+++ b/boragespool/controllers/claims/claim_outcomes.py
@@ -1,4 +1,4 @@
-"""Records, replies and refusals that stand for the outcome of a claim."""
+"""Conversion between claim records, replies and failures."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 
 
 def is_final(record: ClaimRecord) -> bool:
-    """Tell whether the record of a ticket no longer changes."""
+    """Return whether the record of a ticket no longer changes."""
     return record.state in _FINAL_STATES
 
 
@@ -37,7 +37,7 @@
     code: ResultCode,
     reason: str,
 ) -> ClaimRecord:
-    """Return the record of a ticket that never runs."""
+    """Return the record of a ticket whose claim will never run."""
     return replace(
         record,
         state=ClaimState.SEALED,
@@ -51,7 +51,7 @@
     record: ClaimRecord,
     reply: WorkReply | Failure,
 ) -> ClaimRecord:
-    """Return the record for the last attempt's result."""
+    """Return the final record for the result of the last attempt."""
     if reply.run is RunState.NOT_RUN:
         return sealed_record(record, ResultCode(reply.code), reply.reason)
     if reply.run is RunState.UNKNOWN or isinstance(reply, Failure):
@@ -75,7 +75,7 @@
 
 
 def failure_from_record(record: ClaimRecord) -> Failure | None:
-    """Return the refusal that a final record stands for, if any."""
+    """Return the failure for a final record; None if the claim ran."""
     if record.run is RunState.RUN:
         return None
     code = ResultCode(record.code or ResultCode.OUTCOME_UNKNOWN)
@@ -88,7 +88,7 @@
     ticket: Ticket,
     reply: ClaimReply,
 ) -> ClaimRecord | Failure:
-    """Turn the issuer's reply into a record or a refusal."""
+    """Return a record for the issuer's reply; a failure unless it ran."""
     if reply.run is not RunState.RUN:
         return Failure(ResultCode(reply.code), reply.reason, reply.run)
     return ClaimRecord(
@@ -105,10 +105,11 @@
 
 
 def still_running_failure(ticket: Ticket) -> Failure:
-    """Return the refusal for a claim that runs past the caller's deadline."""
+    """Return the failure for a claim still running at the deadline."""
     return Failure(
         ResultCode.OUTCOME_UNKNOWN,
-        f'ticket {ticket.ticket_id!r} is still running; ask for its outcome',
+        f'claim of ticket {ticket.ticket_id!r} is still running; request its '
+        'outcome later',
         RunState.UNKNOWN,
         retry_after_s=1,
     )
--- a/boragespool/controllers/claims/claim_runs.py
+++ b/boragespool/controllers/claims/claim_runs.py
@@ -1,6 +1,6 @@
-"""Runs the claims of this daemon's own tickets.
+"""Runs the claims whose tickets this daemon issued.
 
-Owns the issuer's records and the claims that are running.
+Owns the claim records of the issuer and the tasks of running claims.
 """
 
 from __future__ import annotations
@@ -47,7 +47,19 @@
 
 
 class ClaimRunner:
-    """Issuer side of claims."""
+    """Runs claims at most once, for the tickets that this daemon issued.
+
+    Parameters
+    ----------
+    context : Context
+        Services that the controllers of the daemon share.
+    issuer : IssuerIdentity
+        Identity of this daemon as an issuer.
+    witnesses : WitnessController
+        Sends messages to witnesses.
+    sender : ClaimSender
+        Sends claims to backend servers.
+    """
 
     def __init__(
         self,
@@ -56,7 +68,7 @@
         witnesses: WitnessController,
         sender: ClaimSender,
     ) -> None:
-        """Start with no records."""
+        """Set up the state without records."""
         self._context = context
         self._issuer = issuer
         self._witnesses = witnesses
@@ -68,12 +80,12 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no claim runs and every outcome was reported."""
+        """Whether no claim is running and no outcome report is pending."""
         return not self._task_by_ticket_id and not self._report_tasks
 
     @property
     def record_count(self) -> int:
-        """Records kept."""
+        """Number of records."""
         return len(self._table)
 
     async def run(
@@ -81,21 +93,21 @@
         ticket: Ticket,
         claim: ForwardClaim,
     ) -> ClaimRecord | Failure:
-        """Run a claim once, or return what is known of its ticket.
+        """Run a claim, or return the record of an earlier call.
 
         Parameters
         ----------
         ticket : Ticket
             Ticket of this issuer and incarnation.
         claim : ForwardClaim
-            The claim; with `outcome_only` a ticket that has not started is
-            sealed.
+            Claim to run. With `outcome_only`, a ticket that has not started
+            is sealed instead.
 
         Returns
         -------
         ClaimRecord or Failure
-            The record after at most `claim.deadline_s` seconds. A record
-            that is not final means that the claim is still running.
+            Returned after at most `claim.deadline_s` seconds. If the record
+            is not final, the claim is still running.
         """
         body_hash = (
             0 if claim.outcome_only else fingerprint_of(claim.route, claim.body)
@@ -115,7 +127,21 @@
         return self._table.get(ticket.ticket_id) or record
 
     def refuse(self, text: str, refusal: Failure) -> Failure | None:
-        """Seal an own ticket; None if its claim was begun here."""
+        """Refuse a claim and seal its ticket if this daemon issued it.
+
+        Parameters
+        ----------
+        text : str
+            Ticket that the caller sent.
+        refusal : Failure
+            Reason for the refusal.
+
+        Returns
+        -------
+        Failure or None
+            The failure for the caller; None if this daemon already has a
+            record of the ticket.
+        """
         ticket = parse_ticket(text)
         if isinstance(ticket, Failure):
             return refusal
@@ -139,7 +165,7 @@
         return refusal
 
     def expire(self) -> None:
-        """Drop old records."""
+        """Drop records that exceed the age or count limit."""
         settings = self.settings()
         self._table.expire(
             self._now_s(),
@@ -148,7 +174,7 @@
         )
 
     async def stop(self) -> None:
-        """Cancel what still runs; used when the daemon ends."""
+        """Cancel running claims and pending reports, when the daemon stops."""
         await self._claim_tasks.close()
         await self._report_tasks.close()
 
@@ -163,12 +189,12 @@
         record: ClaimRecord,
         claim: ForwardClaim,
     ) -> None:
-        """Enter a new record; begin to run it unless it is sealed."""
+        """Store a new record and run its claim unless it is sealed."""
         if claim.outcome_only and record.state is ClaimState.STARTING:
             record = sealed_record(
                 record,
                 ResultCode.NOT_RUN_SEALED,
-                'its outcome was asked for before it started',
+                'the outcome was requested before the claim started',
             )
         self._store_record(record)
         if record.state is ClaimState.STARTING:
@@ -189,7 +215,7 @@
         record: ClaimRecord,
         claim: ForwardClaim,
     ) -> None:
-        """Start the ticket at its witness, run the claim, tell the witness."""
+        """Record the start at the witness, run the claim, report the result."""
         deadline_s = self._now_s() + claim.deadline_s
         prepared = self._sender.prepare(ticket.ticket_id, claim, deadline_s)
         if isinstance(prepared, Failure):
@@ -198,7 +224,7 @@
             )
             return
         if record.body_hash in self._context.board.read(BLOCKED):
-            reason = 'this request crashed backend servers'
+            reason = 'request is blocked because it crashed backend servers'
             self._store_record(
                 sealed_record(record, ResultCode.REQUEST_BLOCKED, reason)
             )
@@ -211,7 +237,7 @@
         self._report_tasks.spawn(self._report_outcome(ticket, final))
 
     async def _record_start(self, ticket: Ticket, record: ClaimRecord) -> bool:
-        """Record the start at the witness; seal the ticket otherwise."""
+        """Record the start at the witness; if that fails, seal the ticket."""
         if ticket.witness:
             reply = await self._witnesses.ask(
                 RecordStart(
@@ -245,7 +271,7 @@
     async def _report_outcome(
         self, ticket: Ticket, record: ClaimRecord
     ) -> None:
-        """Tell the witness the outcome; it may be down or slow."""
+        """Send the outcome to the witness; retry if it is down or slow."""
         if not ticket.witness:
             return
         message = RecordOutcome(
--- a/boragespool/controllers/claims/claims.py
+++ b/boragespool/controllers/claims/claims.py
@@ -1,7 +1,7 @@
-"""Claims of callers: issues tickets and runs claims at most once.
+"""Controller that issues tickets and runs claims at most once.
 
 The issuer of a ticket runs its claim. Any other daemon forwards the claim to
-the issuer, and has the witness seal the ticket if the issuer is silent.
+the issuer, and has the witness seal the ticket if the issuer does not answer.
 """
 
 from __future__ import annotations
@@ -48,19 +48,27 @@
 
 _EXPIRE_INTERVAL_S: Final = 5
 _KEY_SIZE_BYTES: Final = 32
-#: Time for asking after the outcome of an earlier claim.
+#: Timeout for requests for the outcome of an earlier claim.
 _OUTCOME_TIMEOUT_S: Final = 2
 
 
 class ClaimController:
-    """Claims at one daemon, an async context manager."""
+    """Issues tickets and handles claims; an async context manager.
+
+    Parameters
+    ----------
+    context : Context
+        Services that the controllers of the daemon share.
+    observations : ServerObservations, optional
+        Observations about backend servers, shared with the queries.
+    """
 
     def __init__(
         self,
         context: Context,
         observations: ServerObservations | None = None,
     ) -> None:
-        """Prepare an issuer with a new key."""
+        """Set up an issuer with a new signing key."""
         identity = context.identity
         self._context = context
         self._issuer = IssuerIdentity(
@@ -95,7 +103,7 @@
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        """Cancel running claims and timers."""
+        """Cancel the timers and running claims."""
         if self._expire_timer is not None:
             self._expire_timer.cancel()
         await self._runner.stop()
@@ -103,7 +111,7 @@
 
     @property
     def idle(self) -> bool:
-        """Whether no own ticket runs and every outcome was reported."""
+        """Whether no claim is running and no outcome report is pending."""
         return self._runner.idle
 
     def status(self) -> dict[str, int]:
@@ -137,13 +145,14 @@
         Parameters
         ----------
         request : ClaimRequest
-            Claim under a ticket from any daemon.
+            Claim with a ticket that any daemon issued.
 
         Returns
         -------
         ClaimAnswer or Failure
-            A failure with run state ``NOT_RUN`` holds for ever. ``UNKNOWN``
-            means that the claim may have run or may still be running.
+            A failure with run state ``NOT_RUN`` is permanent: the claim will
+            never run. ``UNKNOWN`` means that the claim may have run or may
+            still be running.
         """
         claim = ForwardClaim(
             ticket=request.ticket,
@@ -161,17 +170,17 @@
         Parameters
         ----------
         ticket : str
-            Text that the caller sent.
+            Ticket that the caller sent.
         refusal : Failure
             Reason, with run state ``NOT_RUN``.
 
         Returns
         -------
         Failure or None
-            The refusal, after an own ticket was sealed; None if the claim of
-            the ticket was begun here and its result must be told. The
-            refusal of another daemon's ticket has run state ``UNKNOWN``, as
-            that daemon may be running it.
+            The refusal. A ticket that this daemon issued is sealed first.
+            None if this daemon already has a record of the ticket, whose
+            result must be returned instead. For a ticket of another daemon
+            the run state is ``UNKNOWN``, as that daemon may be running it.
         """
         return self._runner.refuse(ticket, refusal)
 
@@ -182,8 +191,8 @@
     ) -> ClaimAnswer | Failure:
         """Return the outcome of an earlier claim.
 
-        A ticket that has not started is sealed, so that the answer
-        ``NOT_RUN`` stays true.
+        A ticket that has not started is sealed, so that the claim cannot
+        run after the answer ``NOT_RUN``.
         """
         claim = ForwardClaim(
             ticket=ticket,
@@ -196,7 +205,13 @@
         return await self._answer(claim, request_id)
 
     async def hand_over(self) -> HostName | None:
-        """Move the witness records to a member that stays."""
+        """Move the witness records to another member before this one leaves.
+
+        Returns
+        -------
+        str or None
+            Host that took the records; None if no member did.
+        """
         return await self._witnesses.hand_over()
 
     async def _answer(
@@ -247,14 +262,14 @@
         sender: Sender,
         claim: ForwardClaim,
     ) -> ClaimReply | Failure:
-        """Run a claim for another daemon if the ticket is an own one."""
+        """Run a claim for another daemon if this daemon issued the ticket."""
         ticket = parse_ticket(claim.ticket)
         if isinstance(ticket, Failure):
             return ticket
         if not self._forwarder.is_own(ticket):
             return Failure(
                 ResultCode.PEER_REFUSED,
-                f'this daemon did not issue {claim.ticket!r}',
+                f'this daemon did not issue ticket {claim.ticket!r}',
             )
         record = await self._runner.run(ticket, claim)
         if isinstance(record, Failure):
--- a/boragespool/controllers/claims/witnesses.py
+++ b/boragespool/controllers/claims/witnesses.py
@@ -1,4 +1,4 @@
-"""Serves as a witness of claims and asks other witnesses.
+"""Witness of claims: serves witness messages and sends them to other daemons.
 
 Owns the witness records of this daemon and, after a hand-over, those of
 daemons that left.
@@ -52,21 +52,27 @@
 
 
 class WitnessController:
-    """Witness records of one daemon, an async context manager."""
+    """Keeps witness records and asks other witnesses; an async context manager.
+
+    Parameters
+    ----------
+    context : Context
+        Services that the controllers of the daemon share.
+    """
 
     def __init__(self, context: Context) -> None:
-        """Keep the shared parts; `__aenter__` begins to serve."""
+        """Set up the state without records."""
         self._context = context
         own_identity = (context.identity.host, context.identity.incarnation)
         self._identities: set[_WitnessIdentity] = {own_identity}
         self._table = ClaimRecordTable()
         self._successor_by_witness: dict[_WitnessIdentity, HostName] = {}
         self._hand_over_result: asyncio.Future[HostName | None] | None = None
-        self._timers: list[Subscription] = []
+        self._timer_subscriptions: list[Subscription] = []
         self._unsubscribe_from_members: Callable[[], None] | None = None
 
     async def __aenter__(self) -> Self:
-        """Serve witness messages."""
+        """Register the message handlers and start the expiry timer."""
         peers = self._context.peers
         peers.on_request(RecordStart, self._serve)
         peers.on_request(RecordOutcome, self._serve)
@@ -76,21 +82,21 @@
             MEMBERS,
             self._record_successors,
         )
-        self._timers.append(
+        self._timer_subscriptions.append(
             self._context.timers.every(_EXPIRE_INTERVAL_S, self._expire),
         )
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        """Stop the timers."""
-        for subscription in self._timers:
+        """Cancel the timers and the subscription to the members."""
+        for subscription in self._timer_subscriptions:
             subscription.cancel()
         if self._unsubscribe_from_members is not None:
             self._unsubscribe_from_members()
 
     @property
     def record_count(self) -> int:
-        """Records kept."""
+        """Number of records."""
         return len(self._table)
 
     async def ask(
@@ -98,7 +104,14 @@
         message: WitnessMessage,
         timeout_s: Seconds,
     ) -> WitnessReply:
-        """Ask the witness that a message names, or its successor.
+        """Send a message to the witness that it names, or to its successor.
+
+        Parameters
+        ----------
+        message : RecordStart, RecordOutcome or SealTicket
+            Message to send.
+        timeout_s : float
+            Longest wait for the reply, in seconds.
 
         Returns
         -------
@@ -114,7 +127,7 @@
         )
 
     async def hand_over(self) -> HostName | None:
-        """Move all records to a member that stays.
+        """Move all records to another alive member.
 
         Returns
         -------
@@ -130,7 +143,7 @@
         self._hand_over_result.set_result(successor)
         log_event(
             Event.CLAIM_RECORDS_HANDED_OVER,
-            f'{len(self._table)} witness records went to {successor!r}',
+            f'{len(self._table)} witness records handed over to {successor!r}',
             successor=successor,
         )
         return successor
@@ -157,13 +170,13 @@
         self,
         message: WitnessMessage,
     ) -> WitnessReply | Failure:
-        """Answer from the successor while peers don't know it yet."""
+        """Forward a message to the successor, as the sender may not know it."""
         timeout_s = self._settings().witness_timeout_s
-        handed_over = self._hand_over_result
-        if handed_over is None:
+        hand_over_result = self._hand_over_result
+        if hand_over_result is None:
             return WitnessReply(WitnessVerdict.FORGOTTEN)
-        done, _ = await asyncio.wait((handed_over,), timeout=timeout_s)
-        successor = handed_over.result() if done else None
+        done, _ = await asyncio.wait((hand_over_result,), timeout=timeout_s)
+        successor = hand_over_result.result() if done else None
         if successor is None:
             return WitnessReply(WitnessVerdict.FORGOTTEN)
         return _to_reply(
@@ -185,7 +198,7 @@
         return HandOverAck(accepted=True)
 
     async def _send_records(self, candidate: HostName) -> bool:
-        """Send all records in chunks; tell whether all were accepted."""
+        """Send all records in chunks; return whether all were accepted."""
         records = self._table.records()
         marks = self._table.dropped_marks()
         starts = range(0, max(1, len(records)), _HAND_OVER_CHUNK_SIZE)
@@ -206,7 +219,7 @@
         return True
 
     def _successor_candidates(self) -> tuple[HostName, ...]:
-        """Return alive members, those of the own data centre first."""
+        """Return alive members, those of the same data centre first."""
         identity = self._context.identity
         members = [
             member
@@ -225,7 +238,7 @@
         )
 
     def _current_host(self, message: WitnessMessage) -> HostName:
-        """Follow the successors of a witness that left."""
+        """Return the host that now holds the records of the witness."""
         host = message.witness
         incarnation = message.witness_incarnation
         members = self._context.board.read(MEMBERS)
@@ -242,7 +255,11 @@
         self,
         members: Mapping[HostName, MemberRecord],
     ) -> None:
-        """Remember successors, as a restart replaces the member record."""
+        """Store the successors of members that left.
+
+        They are kept here because the member record is replaced when the
+        daemon restarts.
+        """
         successor_by_witness = self._successor_by_witness
         for member in members.values():
             if member.successor:
@@ -272,7 +289,7 @@
 
 
 def _to_reply(answer: object) -> WitnessReply:
-    """Return the reply of a witness, or the verdict on a missing one."""
+    """Return the reply of a witness, or one that stands for a failure."""
     if isinstance(answer, WitnessReply):
         return answer
     if isinstance(answer, Failure):
