--- a/boragespool/controllers/claims/claim_attempts.py
+++ b/boragespool/controllers/claims/claim_attempts.py
@@ -1,6 +1,7 @@
-"""Attempts of one claim at backend servers.
+"""Sends claims to backend servers.
 
-Another attempt follows only an explicit ``not_run``.
+A claim is sent to another server only if the previous attempt explicitly
+reported ``not_run``.
 """
 
 from __future__ import annotations
@@ -14,8 +15,10 @@
     SERVERS,
     SUSPECT_FINGERPRINTS,
 )
+from boragespool.controllers.queries.attempt_results import (
+    record_attempt_result,
+)
 from boragespool.controllers.queries.fleet_view import FleetView
-from boragespool.controllers.queries.observing import observe_result
 from boragespool.messages import ForwardClaim, WorkReply, WorkRequest
 from boragespool.results import Failure, ResultCode
 from boragespool.routing import (
@@ -31,10 +34,10 @@
     from boragespool.settings import RouteSettings, ServiceSettings
     from boragespool.types import HostName, Seconds, ServerName
 
-#: Each attempt is an extra request to the fleet, so few are made.
+#: Limited because each attempt is an additional request to the servers.
 MAX_ATTEMPTS: Final = 3
-#: Time beyond the caller's deadline in which a result is still recorded.
-GRACE_S: Final = 1.0
+#: Time after the caller's deadline during which a result is still recorded.
+RESULT_GRACE_S: Final = 1.0
 _RANKS: Final = tuple(Rank)
 
 
@@ -45,8 +48,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StartedClaim:
-    """A claim whose start was recorded.
+class PreparedClaim:
+    """Claim with the settings that apply to it, ready to be sent.
 
     Attributes
     ----------
@@ -67,14 +70,14 @@
 
 
 class ClaimSender:
-    """Sends claims to the dispatchers of backend servers.
+    """Sends claims to backend servers through their dispatchers.
 
     Parameters
     ----------
     context : Context
-        Shared parts of the daemon.
+        Services that the controllers of the daemon share.
     observations : ServerObservations
-        What this daemon saw of backend servers, shared with queries.
+        Observations about backend servers, shared with the queries.
     """
 
     def __init__(
@@ -82,7 +85,7 @@
         context: Context,
         observations: ServerObservations,
     ) -> None:
-        """Start with nothing in flight."""
+        """Set up the sender."""
         self._context = context
         self._observations = observations
         self._fleet = FleetView(context.board)
@@ -92,8 +95,23 @@
         ticket_id: str,
         claim: ForwardClaim,
         deadline_s: Seconds,
-    ) -> StartedClaim | Failure:
-        """Look up the route of a claim in the revision in force."""
+    ) -> PreparedClaim | Failure:
+        """Look up the settings of a claim in the revision in force.
+
+        Parameters
+        ----------
+        ticket_id : str
+            Ticket of the claim.
+        claim : ForwardClaim
+            The claim.
+        deadline_s : float
+            Monotonic time of the deadline, in seconds.
+
+        Returns
+        -------
+        PreparedClaim or Failure
+            A failure if the route is unknown.
+        """
         document = self._context.board.read(DOCUMENT_IN_FORCE)
         settings = document.settings if document else None
         route = settings.routes.get(claim.route) if settings else None
@@ -103,51 +121,54 @@
                 f'route {claim.route!r} is not in the revision in force',
             )
         service = settings.services[route.service]
-        return StartedClaim(ticket_id, claim, route, service, deadline_s)
+        return PreparedClaim(ticket_id, claim, route, service, deadline_s)
+
+    async def run(self, prepared: PreparedClaim) -> WorkReply | Failure:
+        """Run a claim on one backend server of its service.
 
-    async def run(self, started: StartedClaim) -> WorkReply | Failure:
-        """Run a claim at one backend server of its route's service.
+        Up to `MAX_ATTEMPTS` servers are tried, until the claim has run or may
+        have run, or the deadline has passed.
 
         Returns
         -------
         WorkReply or Failure
             Result of the last attempt.
         """
-        tried: set[ServerName] = set()
+        tried_servers: set[ServerName] = set()
         result: WorkReply | Failure = Failure(
             ResultCode.NO_SERVER,
-            'no backend server of the service is in use',
+            'no eligible backend server for the service',
         )
-        for number in range(MAX_ATTEMPTS):
-            target = self._choose(started, tried)
-            if target is None or self._left_s(started) <= 0:
+        for attempt_number in range(MAX_ATTEMPTS):
+            target = self._choose(prepared, tried_servers)
+            if target is None or self._time_left_s(prepared) <= 0:
                 break
-            tried.add(target.server)
-            result = await self._send(started, target, number)
+            tried_servers.add(target.server)
+            result = await self._send(prepared, target, attempt_number)
             if result.run is not RunState.NOT_RUN:
                 break
         return result
 
     def _choose(
         self,
-        started: StartedClaim,
-        tried: set[ServerName],
+        prepared: PreparedClaim,
+        tried_servers: set[ServerName],
     ) -> _Target | None:
-        """Choose a server that was not tried, and its dispatcher."""
+        """Return a server that was not tried, and its dispatcher."""
         board = self._context.board
         leaving = board.read(LEAVING_HOSTS)
-        usable = eligible_holdings(
-            started.service,
+        eligible = eligible_holdings(
+            prepared.service,
             board.read(SERVERS),
             leaving,
         )
         server = choose_replica(
-            tuple(usable),
-            tried,
+            tuple(eligible),
+            tried_servers,
             self._observations,
             (self._context.draw(), self._context.draw()),
             self._context.timers.now_s(),
-            _RANKS.index(started.rank),
+            _RANKS.index(prepared.rank),
         )
         if server is None:
             return None
@@ -156,20 +177,20 @@
 
     async def _send(
         self,
-        started: StartedClaim,
+        prepared: PreparedClaim,
         target: _Target,
-        number: int,
+        attempt_number: int,
     ) -> WorkReply | Failure:
         sent_s = self._context.timers.now_s()
-        request = self._request(started, target.server, number)
+        request = self._request(prepared, target.server, attempt_number)
         self._observations.record_sent(target.server)
         result: WorkReply | Failure = await self._context.peers.request(
             target.dispatcher,
             request,
-            request.deadline_s + GRACE_S,
+            request.deadline_s + RESULT_GRACE_S,
         )
         now_s = self._context.timers.now_s()
-        observe_result(
+        record_attempt_result(
             self._observations,
             target.server,
             result,
@@ -180,26 +201,26 @@
 
     def _request(
         self,
-        started: StartedClaim,
+        prepared: PreparedClaim,
         server: ServerName,
-        number: int,
+        attempt_number: int,
     ) -> WorkRequest:
-        claim = started.claim
+        claim = prepared.claim
         fingerprint = fingerprint_of(claim.route, claim.body)
         suspects = self._context.board.read(SUSPECT_FINGERPRINTS)
         return WorkRequest(
-            attempt_id=f'{started.ticket_id}#{number}',
-            request_id=started.ticket_id,
+            attempt_id=f'{prepared.ticket_id}#{attempt_number}',
+            request_id=prepared.ticket_id,
             kind=WorkKind.CLAIM,
             route=claim.route,
             server=server,
-            rank=started.rank,
+            rank=prepared.rank,
             caller=claim.caller,
-            deadline_s=self._left_s(started),
+            deadline_s=self._time_left_s(prepared),
             body=claim.body,
             fingerprint=fingerprint,
             solo=fingerprint in suspects,
         )
 
-    def _left_s(self, started: StartedClaim) -> Seconds:
-        return started.deadline_s - self._context.timers.now_s()
+    def _time_left_s(self, prepared: PreparedClaim) -> Seconds:
+        return prepared.deadline_s - self._context.timers.now_s()
--- a/boragespool/controllers/claims/claim_outcomes.py
+++ b/boragespool/controllers/claims/claim_outcomes.py
@@ -1,4 +1,4 @@
-"""Records, replies and refusals that stand for the outcome of a claim."""
+"""Conversion between claim records, replies and failures."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
     from boragespool.claims import Ticket
 
 _FINAL_STATES: Final = frozenset((ClaimState.OUTCOME, ClaimState.SEALED))
-_REASONS: Final = MappingProxyType(
+_REASON_BY_RUN_STATE: Final = MappingProxyType(
     {
         RunState.NOT_RUN: 'the ticket is sealed; the claim was not run',
         RunState.UNKNOWN: 'the outcome of the claim is not known',
@@ -28,7 +28,7 @@
 
 
 def is_final(record: ClaimRecord) -> bool:
-    """Tell whether the record of a ticket no longer changes."""
+    """Return whether the record of a ticket no longer changes."""
     return record.state in _FINAL_STATES
 
 
@@ -37,7 +37,7 @@
     code: ResultCode,
     reason: str,
 ) -> ClaimRecord:
-    """Return the record of a ticket that never runs."""
+    """Return the record of a ticket whose claim will never run."""
     return replace(
         record,
         state=ClaimState.SEALED,
@@ -51,7 +51,7 @@
     record: ClaimRecord,
     reply: WorkReply | Failure,
 ) -> ClaimRecord:
-    """Return the record for the last attempt's result."""
+    """Return the final record for the result of the last attempt."""
     if reply.run is RunState.NOT_RUN:
         return sealed_record(record, ResultCode(reply.code), reply.reason)
     if reply.run is RunState.UNKNOWN or isinstance(reply, Failure):
@@ -74,19 +74,21 @@
     )
 
 
-def refusal_of(record: ClaimRecord) -> Failure | None:
-    """Return the refusal that a final record stands for, if any."""
+def failure_from_record(record: ClaimRecord) -> Failure | None:
+    """Return the failure for a final record; None if the claim ran."""
     if record.run is RunState.RUN:
         return None
     code = ResultCode(record.code or ResultCode.OUTCOME_UNKNOWN)
-    return Failure(code, record.reason or _REASONS[record.run], record.run)
+    return Failure(
+        code, record.reason or _REASON_BY_RUN_STATE[record.run], record.run
+    )
 
 
 def record_from_reply(
     ticket: Ticket,
     reply: ClaimReply,
 ) -> ClaimRecord | Failure:
-    """Turn the issuer's reply into a record or a refusal."""
+    """Return a record for the issuer's reply; a failure unless it ran."""
     if reply.run is not RunState.RUN:
         return Failure(ResultCode(reply.code), reply.reason, reply.run)
     return ClaimRecord(
@@ -102,11 +104,12 @@
     )
 
 
-def still_running(ticket: Ticket) -> Failure:
-    """Return the refusal for a claim that runs past the caller's deadline."""
+def still_running_failure(ticket: Ticket) -> Failure:
+    """Return the failure for a claim still running at the deadline."""
     return Failure(
         ResultCode.OUTCOME_UNKNOWN,
-        f'ticket {ticket.ticket_id!r} is still running; ask for its outcome',
+        f'claim of ticket {ticket.ticket_id!r} is still running; request its '
+        'outcome later',
         RunState.UNKNOWN,
         retry_after_s=1,
     )
--- a/boragespool/controllers/claims/claim_runs.py
+++ b/boragespool/controllers/claims/claim_runs.py
@@ -1,6 +1,6 @@
-"""Runs the claims of this daemon's own tickets.
+"""Runs the claims whose tickets this daemon issued.
 
-Owns the issuer's records and the claims that are running.
+Owns the claim records of the issuer and the tasks of running claims.
 """
 
 from __future__ import annotations
@@ -46,11 +46,23 @@
     from boragespool.controllers.context import Context
     from boragespool.types import Seconds
 
-_OUTCOME_TRIES: Final = 3
+_MAX_OUTCOME_REPORTS: Final = 3
 
 
 class ClaimRunner:
-    """Issuer side of claims."""
+    """Runs claims at most once, for the tickets that this daemon issued.
+
+    Parameters
+    ----------
+    context : Context
+        Services that the controllers of the daemon share.
+    issuer : IssuerIdentity
+        Identity of this daemon as an issuer.
+    witnesses : WitnessController
+        Sends messages to witnesses.
+    sender : ClaimSender
+        Sends claims to backend servers.
+    """
 
     def __init__(
         self,
@@ -59,24 +71,24 @@
         witnesses: WitnessController,
         sender: ClaimSender,
     ) -> None:
-        """Start with no records."""
+        """Set up the state without records."""
         self._context = context
         self._issuer = issuer
         self._witnesses = witnesses
         self._sender = sender
         self._table = ClaimRecordTable()
-        self._run_by_ticket: dict[str, asyncio.Task[None]] = {}
-        self._runs = TaskSet()
-        self._reports = TaskSet()
+        self._task_by_ticket_id: dict[str, asyncio.Task[None]] = {}
+        self._claim_tasks = TaskSet()
+        self._report_tasks = TaskSet()
 
     @property
     def idle(self) -> bool:
-        """Whether no claim runs and every outcome was reported."""
-        return not self._run_by_ticket and not self._reports
+        """Whether no claim is running and no outcome report is pending."""
+        return not self._task_by_ticket_id and not self._report_tasks
 
     @property
     def record_count(self) -> int:
-        """Records kept."""
+        """Number of records."""
         return len(self._table)
 
     async def run(
@@ -84,21 +96,21 @@
         ticket: Ticket,
         claim: ForwardClaim,
     ) -> ClaimRecord | Failure:
-        """Run a claim once, or return what is known of its ticket.
+        """Run a claim, or return the record of an earlier call.
 
         Parameters
         ----------
         ticket : Ticket
             Ticket of this issuer and incarnation.
         claim : ForwardClaim
-            The claim; with `outcome_only` a ticket that has not started is
-            sealed.
+            Claim to run. With `outcome_only`, a ticket that has not started
+            is sealed instead.
 
         Returns
         -------
         ClaimRecord or Failure
-            The record after at most `claim.deadline_s` seconds. A record
-            that is not final means that the claim is still running.
+            Returned after at most `claim.deadline_s` seconds. If the record
+            is not final, the claim is still running.
         """
         body_hash = (
             0 if claim.outcome_only else fingerprint_of(claim.route, claim.body)
@@ -113,12 +125,26 @@
         if isinstance(record, Failure):
             return record
         if self._table.get(ticket.ticket_id) is None:
-            self._accept(ticket, record, claim)
-        await self._wait_for(ticket.ticket_id, claim.deadline_s)
+            self._add_record(ticket, record, claim)
+        await self._wait_until_run(ticket.ticket_id, claim.deadline_s)
         return self._table.get(ticket.ticket_id) or record
 
     def refuse(self, text: str, refusal: Failure) -> Failure | None:
-        """Seal an own ticket; None if its claim was begun here."""
+        """Refuse a claim and seal its ticket if this daemon issued it.
+
+        Parameters
+        ----------
+        text : str
+            Ticket that the caller sent.
+        refusal : Failure
+            Reason for the refusal.
+
+        Returns
+        -------
+        Failure or None
+            The failure for the caller; None if this daemon already has a
+            record of the ticket.
+        """
         ticket = parse_ticket(text)
         if isinstance(ticket, Failure):
             return refusal
@@ -138,11 +164,11 @@
         )
         if isinstance(record, Failure):
             return record
-        self._put(sealed_record(record, refusal.code, refusal.reason))
+        self._store_record(sealed_record(record, refusal.code, refusal.reason))
         return refusal
 
     def expire(self) -> None:
-        """Drop old records."""
+        """Drop records that exceed the age or count limit."""
         settings = self.settings()
         self._table.expire(
             self._now_s(),
@@ -151,38 +177,38 @@
         )
 
     async def stop(self) -> None:
-        """Cancel what still runs; used when the daemon ends."""
-        await self._runs.close()
-        await self._reports.close()
+        """Cancel running claims and pending reports, when the daemon stops."""
+        await self._claim_tasks.close()
+        await self._report_tasks.close()
 
     def settings(self) -> ClaimSettings:
         """Return the claim settings in force."""
         document = self._context.board.read(DOCUMENT_IN_FORCE)
         return document.settings.claims if document else ClaimSettings()
 
-    def _accept(
+    def _add_record(
         self,
         ticket: Ticket,
         record: ClaimRecord,
         claim: ForwardClaim,
     ) -> None:
-        """Enter a new record; begin to run it unless it is sealed."""
+        """Store a new record and run its claim unless it is sealed."""
         if claim.outcome_only and record.state is ClaimState.STARTING:
             record = sealed_record(
                 record,
                 ResultCode.NOT_RUN_SEALED,
-                'its outcome was asked for before it started',
+                'the outcome was requested before the claim started',
             )
-        self._put(record)
+        self._store_record(record)
         if record.state is ClaimState.STARTING:
-            task = self._runs.spawn(self._execute(ticket, record, claim))
-            self._run_by_ticket[ticket.ticket_id] = task
+            task = self._claim_tasks.spawn(self._execute(ticket, record, claim))
+            self._task_by_ticket_id[ticket.ticket_id] = task
             task.add_done_callback(
-                lambda _: self._run_by_ticket.pop(ticket.ticket_id, None),
+                lambda _: self._task_by_ticket_id.pop(ticket.ticket_id, None),
             )
 
-    async def _wait_for(self, ticket_id: str, timeout_s: Seconds) -> None:
-        task = self._run_by_ticket.get(ticket_id)
+    async def _wait_until_run(self, ticket_id: str, timeout_s: Seconds) -> None:
+        task = self._task_by_ticket_id.get(ticket_id)
         if task is not None:
             await asyncio.wait((task,), timeout=timeout_s)
 
@@ -192,25 +218,29 @@
         record: ClaimRecord,
         claim: ForwardClaim,
     ) -> None:
-        """Start the ticket at its witness, run the claim, tell the witness."""
+        """Record the start at the witness, run the claim, report the result."""
         deadline_s = self._now_s() + claim.deadline_s
-        started = self._sender.prepare(ticket.ticket_id, claim, deadline_s)
-        if isinstance(started, Failure):
-            self._put(sealed_record(record, started.code, started.reason))
+        prepared = self._sender.prepare(ticket.ticket_id, claim, deadline_s)
+        if isinstance(prepared, Failure):
+            self._store_record(
+                sealed_record(record, prepared.code, prepared.reason)
+            )
             return
         if record.body_hash in self._context.board.read(BLOCKED_FINGERPRINTS):
-            reason = 'this request crashed backend servers'
-            self._put(sealed_record(record, ResultCode.REQUEST_BLOCKED, reason))
+            reason = 'request is blocked because it crashed backend servers'
+            self._store_record(
+                sealed_record(record, ResultCode.REQUEST_BLOCKED, reason)
+            )
             return
-        if not await self._start(ticket, record):
+        if not await self._record_start(ticket, record):
             return
-        reply = await self._sender.run(started)
+        reply = await self._sender.run(prepared)
         final = final_record(record, reply)
-        self._put(final)
-        self._reports.spawn(self._report(ticket, final))
+        self._store_record(final)
+        self._report_tasks.spawn(self._report_outcome(ticket, final))
 
-    async def _start(self, ticket: Ticket, record: ClaimRecord) -> bool:
-        """Record the start at the witness; seal the ticket otherwise."""
+    async def _record_start(self, ticket: Ticket, record: ClaimRecord) -> bool:
+        """Record the start at the witness; if that fails, seal the ticket."""
         if ticket.witness:
             reply = await self._witnesses.ask(
                 RecordStart(
@@ -223,7 +253,7 @@
             if reply.verdict is not WitnessVerdict.RECORDED:
                 self._seal_unwitnessed(ticket, record, reply.verdict)
                 return False
-        self._put(replace(record, state=ClaimState.STARTED))
+        self._store_record(replace(record, state=ClaimState.STARTED))
         return True
 
     def _seal_unwitnessed(
@@ -233,7 +263,7 @@
         verdict: WitnessVerdict,
     ) -> None:
         reason = f'witness {ticket.witness!r} answered {verdict.value!r}'
-        self._put(sealed_record(record, ResultCode.NO_WITNESS, reason))
+        self._store_record(sealed_record(record, ResultCode.NO_WITNESS, reason))
         log_event(
             Event.CLAIM_SEALED,
             reason,
@@ -241,8 +271,10 @@
             ticket=ticket.ticket_id,
         )
 
-    async def _report(self, ticket: Ticket, record: ClaimRecord) -> None:
-        """Tell the witness the outcome; it may be down or slow."""
+    async def _report_outcome(
+        self, ticket: Ticket, record: ClaimRecord
+    ) -> None:
+        """Send the outcome to the witness; retry if it is down or slow."""
         if not ticket.witness:
             return
         message = RecordOutcome(
@@ -250,7 +282,7 @@
             ticket.witness,
             ticket.witness_incarnation,
         )
-        for _ in range(_OUTCOME_TRIES):
+        for _ in range(_MAX_OUTCOME_REPORTS):
             reply = await self._witnesses.ask(
                 message,
                 self.settings().witness_timeout_s,
@@ -258,7 +290,7 @@
             if reply.verdict is WitnessVerdict.RECORDED:
                 return
 
-    def _put(self, record: ClaimRecord) -> None:
+    def _store_record(self, record: ClaimRecord) -> None:
         self._table.put(record, self._now_s())
 
     def _now_s(self) -> Seconds:
--- a/boragespool/controllers/queries/attempts.py
+++ b/boragespool/controllers/queries/attempts.py
@@ -1,4 +1,4 @@
-"""Sends the attempts of one query and observes how they end."""
+"""Sends the attempts of one query and records their results."""
 
 from __future__ import annotations
 
@@ -6,8 +6,10 @@
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
-from boragespool.controllers.queries.observing import observe_result
-from boragespool.controllers.queries.query_parts import Attempt, Part
+from boragespool.controllers.queries.attempt_results import (
+    record_attempt_result,
+)
+from boragespool.controllers.queries.query_state import Attempt, Part
 from boragespool.messages import CancelWork, WorkReply, WorkRequest
 from boragespool.metrics import ATTEMPTS
 from boragespool.results import Failure, ResultCode
@@ -17,76 +19,91 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from boragespool.controllers.queries.query_parts import QueryWork
+    from boragespool.controllers.queries.query_state import AcceptedQuery
     from boragespool.types import AttemptId, IndexVersion, ServerName
 
+#: Results of attempts during which the backend server may have crashed.
 _CRASH_CODES: Final = frozenset(
     (ResultCode.SERVER_CLOSED, ResultCode.SERVER_UNREACHABLE)
 )
-_NUMBERS: Final = itertools.count(1)
+_ATTEMPT_NUMBERS: Final = itertools.count(1)
 
 
 class AttemptSender:
-    """All attempts of one query.
+    """Sends and cancels the attempts of one query, and keeps the open ones.
 
     Parameters
     ----------
-    work : QueryWork
-        The query.
-    receive : callable
-        Called with each attempt that ended by itself and its result.
+    query : AcceptedQuery
+        Query that the attempts belong to.
+    on_result : callable
+        Called with an attempt and its result, unless the attempt was
+        cancelled.
+
+    Attributes
+    ----------
+    sent_count : int
+        Number of attempts sent so far.
+    may_have_run : bool
+        Whether any attempt ran or may have run.
+    open_attempt_by_id : dict of str to Attempt
+        Attempts without a result, in the order in which they were sent.
     """
 
     def __init__(
         self,
-        work: QueryWork,
-        receive: Callable[[Attempt, WorkReply | Failure], None],
+        query: AcceptedQuery,
+        on_result: Callable[[Attempt, WorkReply | Failure], None],
     ) -> None:
-        """Start without attempts."""
-        self.sent = 0
-        #: Whether any attempt ran or may have run.
+        """Set up the state without attempts."""
+        self.sent_count = 0
         self.may_have_run = False
-        self.open_by_id: dict[AttemptId, Attempt] = {}
-        self._work = work
-        self._receive = receive
-        self._crashes = 0
-        self._answered = 0
-        self._overdue_ids: set[AttemptId] = set()
-        self._abandon_by_id: dict[AttemptId, Callable[[], None]] = {}
+        self.open_attempt_by_id: dict[AttemptId, Attempt] = {}
+        self._query = query
+        self._on_result = on_result
+        self._crash_count = 0
+        self._completed_count = 0
+        self._overdue_attempt_ids: set[AttemptId] = set()
+        self._abandon_call_by_id: dict[AttemptId, Callable[[], None]] = {}
 
     @property
-    def careful(self) -> bool:
-        """Whether the request may have crashed a backend server.
+    def crash_suspected(self) -> bool:
+        """Whether the request is suspected of crashing backend servers.
 
-        One lost server is ordinary. A crashing request loses most of the
-        servers that it was sent to.
+        A single lost server is common. A request that crashes servers loses
+        most of the servers that it was sent to.
         """
-        return self._work.suspect or self._crashes * 2 > self._answered
+        return (
+            self._query.suspect or self._crash_count * 2 > self._completed_count
+        )
 
-    def choose(self, part: Part) -> ServerName | None:
-        """Choose a replica that was not tried for a part.
+    def choose_server(self, part: Part) -> ServerName | None:
+        """Return a replica that was not tried for a part, or None.
 
-        A replica of another dispatcher is preferred, because a dispatcher
-        that is lost or slow delays all its servers.
+        Prefers replicas behind a dispatcher that was not tried either,
+        because a lost or slow dispatcher delays all its servers.
         """
-        context = self._work.merger.context
+        context = self._query.shared.context
         replicas = part.replicas
-        if part.tried:
-            hosts = set(map(self._work.merger.fleet.dispatcher, part.tried))
+        if part.tried_servers:
+            tried_dispatchers = set(
+                map(self._query.shared.fleet.dispatcher, part.tried_servers)
+            )
             replicas = tuple(
                 server
                 for server in replicas
-                if self._work.merger.fleet.dispatcher(server) not in hosts
+                if self._query.shared.fleet.dispatcher(server)
+                not in tried_dispatchers
             )
-        choose = partial(
+        choose_from = partial(
             choose_replica,
-            tried=part.tried,
-            observations=self._work.merger.observations,
+            tried=part.tried_servers,
+            observations=self._query.shared.observations,
             draws=(context.draw(), context.draw()),
             now_s=context.timers.now_s(),
-            rank_index=self._work.rank_index,
+            rank_index=self._query.rank_index,
         )
-        return choose(replicas) or choose(part.replicas)
+        return choose_from(replicas) or choose_from(part.replicas)
 
     def send(
         self,
@@ -95,112 +112,141 @@
         version: IndexVersion,
         kind: str,
     ) -> Attempt:
-        """Send one attempt; its result is received later."""
-        merger = self._work.merger
-        identity = merger.context.identity
-        number = next(_NUMBERS)
+        """Send one attempt; `on_result` is called later with its result.
+
+        Parameters
+        ----------
+        part : Part
+            Part whose key range is requested.
+        server : str
+            Replica that the attempt is sent to.
+        version : int
+            Pinned index version.
+        kind : str
+            Label of the attempts metric: ``first``, ``hedge``, ``retry`` or
+            ``restart``.
+
+        Returns
+        -------
+        Attempt
+            The open attempt.
+        """
+        shared = self._query.shared
+        identity = shared.context.identity
+        attempt_number = next(_ATTEMPT_NUMBERS)
         attempt = Attempt(
-            f'{identity.host}.{identity.incarnation:x}.{number:x}',
+            f'{identity.host}.{identity.incarnation:x}.{attempt_number:x}',
             server,
-            merger.fleet.dispatcher(server) or '',
+            shared.fleet.dispatcher(server) or '',
             part,
-            merger.context.timers.now_s(),
+            shared.context.timers.now_s(),
         )
-        part.tried.append(server)
+        part.tried_servers.append(server)
         part.open_attempts[attempt.attempt_id] = attempt
-        self.open_by_id[attempt.attempt_id] = attempt
-        self.sent += 1
+        self.open_attempt_by_id[attempt.attempt_id] = attempt
+        self.sent_count += 1
         ATTEMPTS.labels(kind).inc()
-        merger.observations.record_sent(server)
-        # The deadline of the query ends the wait for a reply.
-        self._abandon_by_id[attempt.attempt_id] = (
-            merger.context.peers.request_with_callback(
-                attempt.host,
-                self._message(attempt, version),
+        shared.observations.record_sent(server)
+        # Needs no timeout: open attempts are cancelled at the query deadline.
+        self._abandon_call_by_id[attempt.attempt_id] = (
+            shared.context.peers.request_with_callback(
+                attempt.dispatcher,
+                self._work_request(attempt, version),
                 partial(self._finish, attempt),
             )
         )
         return attempt
 
     def cancel(self, attempt: Attempt) -> None:
-        """Withdraw an attempt whose result is of no more use."""
+        """Cancel an open attempt whose result is no longer needed.
+
+        A cancelled attempt counts as one that may have run. If it took at
+        least the tracked latency quantile, its time is recorded as a latency
+        sample and the server as slow.
+        """
         self.may_have_run = True
-        self._forget(attempt)
-        self._abandon_by_id.pop(attempt.attempt_id)()
-        context = self._work.merger.context
-        context.peers.send(attempt.host, CancelWork(attempt.attempt_id))
-        waited_s = context.timers.now_s() - attempt.started_s
-        self._work.merger.observations.record_refusal(attempt.server)
-        if waited_s >= (self._work.tracker.quantile_s or 0):
-            self.note_overdue(attempt)
-            self._work.tracker.record(waited_s)
-
-    def note_overdue(self, attempt: Attempt) -> None:
-        """Tell the observations once that an attempt is slower than most."""
-        if attempt.attempt_id in self._overdue_ids:
+        self._remove_open_attempt(attempt)
+        self._abandon_call_by_id.pop(attempt.attempt_id)()
+        context = self._query.shared.context
+        context.peers.send(attempt.dispatcher, CancelWork(attempt.attempt_id))
+        waited_s = context.timers.now_s() - attempt.sent_at_s
+        self._query.shared.observations.record_refusal(attempt.server)
+        if waited_s >= (self._query.tracker.quantile_s or 0):
+            self.record_overdue(attempt)
+            self._query.tracker.record(waited_s)
+
+    def record_overdue(self, attempt: Attempt) -> None:
+        """Record, once per attempt, that it takes longer than most."""
+        if attempt.attempt_id in self._overdue_attempt_ids:
             return
-        self._overdue_ids.add(attempt.attempt_id)
-        now_s = self._work.merger.context.timers.now_s()
-        self._work.merger.observations.record_overdue(attempt.server, now_s)
+        self._overdue_attempt_ids.add(attempt.attempt_id)
+        now_s = self._query.shared.context.timers.now_s()
+        self._query.shared.observations.record_overdue(attempt.server, now_s)
 
-    def _message(self, attempt: Attempt, version: IndexVersion) -> WorkRequest:
-        request = self._work.request
-        start, end = attempt.part.asked
+    def _work_request(
+        self, attempt: Attempt, version: IndexVersion
+    ) -> WorkRequest:
+        request = self._query.request
+        start, end = attempt.part.key_range
         return WorkRequest(
             attempt_id=attempt.attempt_id,
             request_id=request.request_id,
             kind=WorkKind.QUERY,
             route=request.route,
             server=attempt.server,
-            rank=self._work.rank,
+            rank=self._query.rank,
             caller=request.caller,
-            deadline_s=self._work.time_left_s(),
+            deadline_s=self._query.time_left_s(),
             body=request.body,
-            fingerprint=self._work.fingerprint,
+            fingerprint=self._query.fingerprint,
             version=version,
             start=start,
             end=end,
-            solo=self.careful,
+            solo=self.crash_suspected,
         )
 
     def _finish(self, attempt: Attempt, reply: object) -> None:
-        """Take the result of an attempt that was not cancelled."""
-        if self._abandon_by_id.pop(attempt.attempt_id, None) is None:
+        """Handle the result of an attempt unless it was cancelled."""
+        if self._abandon_call_by_id.pop(attempt.attempt_id, None) is None:
             return
-        self._forget(attempt)
-        result = _result_of(reply)
+        self._remove_open_attempt(attempt)
+        result = _to_result(reply)
         if _may_have_run(result):
             self.may_have_run = True
             if result.code in _CRASH_CODES:
-                self._crashes += 1
-        self._observe(attempt, result)
-        self._receive(attempt, result)
+                self._crash_count += 1
+        self._record_result(attempt, result)
+        self._on_result(attempt, result)
 
-    def _forget(self, attempt: Attempt) -> None:
-        self.open_by_id.pop(attempt.attempt_id, None)
+    def _remove_open_attempt(self, attempt: Attempt) -> None:
+        self.open_attempt_by_id.pop(attempt.attempt_id, None)
         attempt.part.open_attempts.pop(attempt.attempt_id, None)
 
-    def _observe(self, attempt: Attempt, result: WorkReply | Failure) -> None:
-        """Tell the observations how an attempt ended."""
-        now_s = self._work.merger.context.timers.now_s()
-        latency_s = now_s - attempt.started_s
-        observe_result(
-            self._work.merger.observations,
+    def _record_result(
+        self, attempt: Attempt, result: WorkReply | Failure
+    ) -> None:
+        """Record the result for replica choice and for the latency quantile."""
+        now_s = self._query.shared.context.timers.now_s()
+        latency_s = now_s - attempt.sent_at_s
+        record_attempt_result(
+            self._query.shared.observations,
             attempt.server,
             result,
             latency_s,
             now_s,
         )
         if result.code == ResultCode.COMPLETE:
-            self._answered += 1
-            self._work.tracker.record(latency_s)
+            self._completed_count += 1
+            self._query.tracker.record(latency_s)
 
 
-def _result_of(reply: object) -> WorkReply | Failure:
-    """Return a reply or a failure, whatever the peer answered."""
+def _to_result(reply: object) -> WorkReply | Failure:
+    """Return the reply, or a failure if it has an unexpected type."""
     if isinstance(reply, (WorkReply, Failure)):
         return reply
-    return _unusable(f'{type(reply).__name__!r} is not a work reply')
+    return _invalid_reply_failure(
+        f'{type(reply).__name__!r} is not a WorkReply'
+    )
 
 
 def _may_have_run(result: WorkReply | Failure) -> bool:
@@ -208,5 +254,5 @@
     return complete or result.run != RunState.NOT_RUN
 
 
-def _unusable(reason: str) -> Failure:
+def _invalid_reply_failure(reason: str) -> Failure:
     return Failure(ResultCode.PEER_REFUSED, reason, RunState.UNKNOWN)
--- a/boragespool/controllers/queries/query.py
+++ b/boragespool/controllers/queries/query.py
@@ -1,4 +1,4 @@
-"""Carries out the queries of callers: checks, pins a version, merges."""
+"""Controller that runs the queries of callers against the backend servers."""
 
 from __future__ import annotations
 
@@ -6,13 +6,13 @@
 
 from boragespool.blackboard.topics import DOCUMENT_IN_FORCE, SERVERS
 from boragespool.controllers.queries.fleet_view import FleetView
-from boragespool.controllers.queries.query_answers import blocked
-from boragespool.controllers.queries.query_parts import (
-    KnownGood,
-    Merger,
-    QueryWork,
-)
+from boragespool.controllers.queries.query_answers import blocked_failure
 from boragespool.controllers.queries.query_run import QueryRun
+from boragespool.controllers.queries.query_state import (
+    AcceptedQuery,
+    KnownGoodFingerprints,
+    SharedQueryState,
+)
 from boragespool.results import Failure, ResultCode
 from boragespool.routing import (
     LatencyTracker,
@@ -34,105 +34,108 @@
     from boragespool.settings import RouteSettings, ServiceSettings, Settings
     from boragespool.types import IndexVersion, ServiceName
 
-#: 64-bit fingerprints; about 100 bytes each.
-_KNOWN_GOOD_LIMIT: Final = 8_192
-#: Part of the deadline that is kept for sending the answer.
-_MARGIN_SHARE: Final = 0.05
-_LARGEST_MARGIN_S: Final = 0.005
+#: An entry is a 64-bit fingerprint and takes about 100 bytes of memory.
+_MAX_KNOWN_GOOD_COUNT: Final = 8_192
+#: Fraction of the deadline that is reserved for sending the answer.
+_REPLY_MARGIN_RATIO: Final = 0.05
+_MAX_REPLY_MARGIN_S: Final = 0.005
 _MS_PER_S: Final = 1_000
 
 
 class QueryController:
-    """Answers queries, an async context manager.
+    """Checks and runs queries; an async context manager.
 
     Parameters
     ----------
     context : Context
-        Shared parts of the daemon.
+        Services that the controllers of the daemon share.
     observations : ServerObservations, optional
-        What replicas are chosen by.
-    new_tracker : callable, optional
-        Makes the latency tracker of a service.
+        Observations by which replicas are chosen.
+    create_tracker : callable, optional
+        Called with the hedging quantile and the service settings that the
+        latencies depend on; returns the latency tracker of a service.
     """
 
     def __init__(
         self,
         context: Context,
         observations: ServerObservations | None = None,
-        new_tracker: Callable[[float, object], LatencyTracker] = LatencyTracker,
+        create_tracker: Callable[
+            [float, object], LatencyTracker
+        ] = LatencyTracker,
     ) -> None:
-        """Start without observations."""
+        """Set up the state without running queries."""
         self._context = context
-        self._new_tracker = new_tracker
-        self._merger = Merger(
+        self._create_tracker = create_tracker
+        self._shared = SharedQueryState(
             context,
             FleetView(context.board),
             observations or ServerObservations(),
             TokenBudget(HedgingSettings()),
-            KnownGood(_KNOWN_GOOD_LIMIT),
+            KnownGoodFingerprints(_MAX_KNOWN_GOOD_COUNT),
         )
         self._tracker_by_service: dict[ServiceName, LatencyTracker] = {}
         self._runs: set[QueryRun] = set()
         self._unsubscribe: list[Callable[[], None]] = []
 
     async def __aenter__(self) -> Self:
-        """Follow the settings and the backend servers."""
+        """Subscribe to the settings and the backend server records."""
         board = self._context.board
         self._unsubscribe = [
-            board.subscribe(SERVERS, self._on_servers),
-            board.subscribe(DOCUMENT_IN_FORCE, self._on_revision),
+            board.subscribe(SERVERS, self._on_servers_changed),
+            board.subscribe(DOCUMENT_IN_FORCE, self._on_revision_changed),
         ]
-        self._on_revision(board.read(DOCUMENT_IN_FORCE))
+        self._on_revision_changed(board.read(DOCUMENT_IN_FORCE))
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        """Follow nothing; running queries end by their deadline."""
+        """Unsubscribe; running queries end by their deadline."""
         for unsubscribe in self._unsubscribe:
             unsubscribe()
 
     @property
     def in_flight(self) -> int:
-        """Queries that are not answered yet."""
+        """Number of queries that are not answered yet."""
         return len(self._runs)
 
     async def answer(self, request: QueryRequest) -> QueryAnswer | Failure:
-        """Answer a query.
+        """Run a query and return its answer.
 
         Parameters
         ----------
         request : QueryRequest
-            Checked query.
+            Query from the caller API.
 
         Returns
         -------
         QueryAnswer or Failure
-            At the deadline at the latest. The answer comes from one index
-            version. A failure with run state ``NOT_RUN`` promises that no
-            backend server ran any part of the query.
+            Returned at the deadline at the latest. All items of an answer
+            come from one index version. A failure with run state ``NOT_RUN``
+            guarantees that no backend server ran any part of the query.
         """
-        work = self._accept(request)
-        if isinstance(work, Failure):
-            return work
-        version = self._admit(work)
+        query = self._check_request(request)
+        if isinstance(query, Failure):
+            return query
+        version = self._pin_version(query)
         if isinstance(version, Failure):
             return version
-        run = QueryRun(work, version)
+        run = QueryRun(query, version)
         self._runs.add(run)
-        unseen = work.fingerprint not in self._merger.known_good
+        unseen = query.fingerprint not in self._shared.known_good
         try:
             return await run.answer(
-                canary=work.suspect or (work.route.canary and unseen),
+                canary=query.suspect or (query.route.canary and unseen),
             )
         finally:
             self._runs.discard(run)
 
-    def _accept(self, request: QueryRequest) -> QueryWork | Failure:
+    def _check_request(self, request: QueryRequest) -> AcceptedQuery | Failure:
         """Check a request against the settings."""
         document = self._context.board.read(DOCUMENT_IN_FORCE)
         if document is None:
             return Failure(
                 ResultCode.NOT_READY,
-                'this daemon has no configuration yet',
+                'this daemon has not received its configuration yet',
             )
         settings = document.settings
         route = settings.routes.get(request.route)
@@ -141,52 +144,52 @@
         if route.form is not WorkKind.QUERY:
             return Failure(
                 ResultCode.WRONG_FORM,
-                f'route {request.route!r} takes claims, not queries',
+                f'route {request.route!r} accepts claims, not queries',
             )
         deadline_s = min(request.deadline_s, route.deadline_ms / _MS_PER_S)
-        margin_s = min(deadline_s * _MARGIN_SHARE, _LARGEST_MARGIN_S)
+        margin_s = min(deadline_s * _REPLY_MARGIN_RATIO, _MAX_REPLY_MARGIN_S)
         if deadline_s <= 0:
             return Failure(
                 ResultCode.DEADLINE_PASSED,
-                f'deadline {request.deadline_s!r} s is not above 0',
+                f'deadline must be above 0 s, got {request.deadline_s!r} s',
             )
         service = settings.services[route.service]
-        return QueryWork(
+        return AcceptedQuery(
             request,
             route,
             service,
             fingerprint_of(request.route, request.body),
             self._context.timers.now_s() + deadline_s - margin_s,
             self._tracker(route, service, settings.hedging),
-            self._merger,
+            self._shared,
         )
 
-    def _admit(self, work: QueryWork) -> IndexVersion | Failure:
-        """Pin a version, or refuse what cannot be answered."""
-        if work.blocked:
-            return blocked(work.fingerprint)
-        catalogue = work.catalogue()
+    def _pin_version(self, query: AcceptedQuery) -> IndexVersion | Failure:
+        """Choose the index version, or refuse a query that cannot succeed."""
+        if query.blocked:
+            return blocked_failure(query.fingerprint)
+        catalogue = query.catalogue()
         version = choose_version(catalogue)
         if version is None:
             return Failure(
                 ResultCode.NO_SNAPSHOT,
-                'no backend server that may get work holds an index version',
+                'no eligible backend server holds an index version',
             )
         wait_s = refusal_wait_s(
             (
                 (part.end - part.start, part.replicas)
                 for part in catalogue.plans_by_version[version]
             ),
-            self._merger.observations,
-            work.rank_index,
+            self._shared.observations,
+            query.rank_index,
             self._context.timers.now_s(),
-            work.time_left_s(),
+            query.time_left_s(),
         )
         if wait_s:
-            rank = work.rank
+            rank = query.rank
             return Failure(
                 ResultCode.DEADLINE_UNREACHABLE,
-                f'work of rank {rank!r} waits longer than its deadline',
+                f'expected queueing time of rank {rank!r} exceeds the deadline',
                 retry_after_s=wait_s,
             )
         return version
@@ -197,25 +200,28 @@
         service: ServiceSettings,
         hedging: HedgingSettings,
     ) -> LatencyTracker:
-        """Return the tracker of a service; changed settings start anew."""
+        """Return the latency tracker of a service.
+
+        Creates a new one when the settings that latencies depend on change.
+        """
         bounds = (service.slots, service.connections, hedging.quantile)
         tracker = self._tracker_by_service.get(route.service)
         if tracker is None or tracker.settings != bounds:
-            tracker = self._new_tracker(hedging.quantile, bounds)
+            tracker = self._create_tracker(hedging.quantile, bounds)
             self._tracker_by_service[route.service] = tracker
         return tracker
 
-    def _on_servers(self, servers: object) -> None:
+    def _on_servers_changed(self, servers: object) -> None:
         for run in tuple(self._runs):
-            run.view_changed()
+            run.on_holdings_changed()
 
-    def _on_revision(self, document: RevisionDocument | None) -> None:
-        """Take over the budget and forget servers that were removed."""
+    def _on_revision_changed(self, document: RevisionDocument | None) -> None:
+        """Apply the hedging budget; drop observations of removed servers."""
         if document is None:
             return
         settings = document.settings
-        self._merger.budget.configure(settings.hedging)
-        self._merger.observations.keep_only(
+        self._shared.budget.configure(settings.hedging)
+        self._shared.observations.keep_only(
             frozenset(
                 server
                 for service in settings.services.values()
@@ -227,5 +233,6 @@
 def _unknown_route(request: QueryRequest, settings: Settings) -> Failure:
     return Failure(
         ResultCode.UNKNOWN_ROUTE,
-        f'route {request.route!r} is not one of {sorted(settings.routes)}',
+        f'unknown route {request.route!r}; expected one of '
+        f'{sorted(settings.routes)}',
     )
--- a/boragespool/controllers/queries/query_run.py
+++ b/boragespool/controllers/queries/query_run.py
@@ -1,4 +1,4 @@
-"""One query from the first attempt to the answer."""
+"""Runs one query from its first attempts to its answer."""
 
 from __future__ import annotations
 
@@ -7,14 +7,14 @@
 
 from boragespool.controllers.queries.attempts import AttemptSender
 from boragespool.controllers.queries.hedge_timer import HedgeTimer
-from boragespool.controllers.queries.pinned import PinnedSnapshot
+from boragespool.controllers.queries.pinned_snapshot import PinnedSnapshot
 from boragespool.controllers.queries.query_answers import (
     Ending,
     build_answer,
-    log_rejected,
-    log_restart,
+    log_rejected_reply,
+    log_restarted_query,
 )
-from boragespool.controllers.queries.query_parts import Attempt, Part
+from boragespool.controllers.queries.query_state import Attempt, Part
 from boragespool.controllers.queries.query_waits import QueryWaits
 from boragespool.messages import WorkReply
 from boragespool.results import Failure, ResultCode
@@ -23,259 +23,285 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from boragespool.controllers.queries.query_parts import QueryWork
+    from boragespool.controllers.queries.query_state import AcceptedQuery
     from boragespool.controllers.requests import QueryAnswer
     from boragespool.snapshots import SubRange
     from boragespool.types import IndexVersion
 
-#: A restart needs the time of one sub-request and of its hedge.
-_RESTART_ROUNDS: Final = 2
-_SECOND_ATTEMPTS: Final = frozenset(('hedge', 'retry'))
+#: A restart takes the time of one sub-request and its hedge.
+_RESTART_REQUEST_COUNT: Final = 2
+#: Kinds of attempts that take a token of the budget.
+_BUDGETED_KINDS: Final = frozenset(('hedge', 'retry'))
 
 
 class QueryRun:
-    """State of one query; everything happens in callbacks of the loop.
+    """Runs one query in callbacks of the event loop.
 
     Parameters
     ----------
-    work : QueryWork
-        The query.
+    query : AcceptedQuery
+        Query to run.
     version : int
-        Pinned index version.
+        Index version that the query is pinned to.
     """
 
-    def __init__(self, work: QueryWork, version: IndexVersion) -> None:
-        """Start with nothing sent."""
-        self._work = work
-        self._sender = AttemptSender(work, self._receive)
-        self._hedge_timer = HedgeTimer(work, self._sender, self._hedge)
-        self._pinned = PinnedSnapshot(work, version)
-        self._replaced: PinnedSnapshot | None = None
-        #: Sub-ranges that wait for the canary.
-        self._held: tuple[SubRange, ...] = ()
+    def __init__(self, query: AcceptedQuery, version: IndexVersion) -> None:
+        """Set up the state without attempts."""
+        self._query = query
+        self._sender = AttemptSender(query, self._on_result)
+        self._hedge_timer = HedgeTimer(query, self._sender, self._hedge)
+        self._snapshot = PinnedSnapshot(query, version)
+        self._replaced_snapshot: PinnedSnapshot | None = None
+        #: Sub-ranges that are sent only after the canary was answered.
+        self._ranges_after_canary: tuple[SubRange, ...] = ()
         #: Parts that need another attempt.
-        self._pending: list[Part] = []
-        #: Parts of which no replica is left.
-        self._stranded: list[Part] = []
-        #: Whether stranded parts or holdings changed since the last look.
-        self._unresolved = False
-        self._waits = QueryWaits(work, self._end_wait)
+        self._parts_to_retry: list[Part] = []
+        #: Parts for which no replica is left.
+        self._unavailable_parts: list[Part] = []
+        #: Whether `_handle_unavailable` must run again.
+        self._check_unavailable = False
+        self._waits = QueryWaits(query, self._on_wait_ended)
         self._last_refusal: WorkReply | Failure | None = None
         self._done = asyncio.Event()
 
     async def answer(self, *, canary: bool) -> QueryAnswer | Failure:
-        """Run the query.
+        """Run the query and return its answer.
 
         Parameters
         ----------
         canary : bool
-            Send to one shard first and to the others after its answer.
+            Whether to send to one shard first, and to the others only after
+            it answered.
 
         Returns
         -------
         QueryAnswer or Failure
-            At the deadline at the latest.
+            Returned at the deadline at the latest.
         """
-        plan = self._pinned.whole_plan()
-        deadline = self._work.merger.context.timers.after(
-            self._work.time_left_s(),
+        plan = self._snapshot.full_plan()
+        deadline = self._query.shared.context.timers.after(
+            self._query.time_left_s(),
             self._done.set,
         )
         try:
-            self._held = plan[1:] if canary else ()
-            self._launch_first(plan[:1] if canary else plan)
+            self._ranges_after_canary = plan[1:] if canary else ()
+            self._send_first_attempts(plan[:1] if canary else plan)
             await self._done.wait()
         finally:
             deadline.cancel()
-            self._stop()
-        replaced = self._replaced or self._pinned
+            self._cancel_all()
+        replaced_snapshot = self._replaced_snapshot or self._snapshot
         ending = Ending(
-            state_with_more_coverage(replaced.state, self._pinned.state),
-            self._sender.sent,
+            state_with_more_coverage(
+                replaced_snapshot.state, self._snapshot.state
+            ),
+            self._sender.sent_count,
             self._last_refusal,
             may_have_run=self._sender.may_have_run,
         )
-        return build_answer(self._work, ending)
+        return build_answer(self._query, ending)
 
-    def view_changed(self) -> None:
-        """Plan ranges without a replica again when holdings change."""
-        if self._stranded and not self._done.is_set():
-            self._pending.extend(self._stranded)
-            self._stranded.clear()
+    def on_holdings_changed(self) -> None:
+        """Replan the parts without a replica after holdings changed."""
+        if self._unavailable_parts and not self._done.is_set():
+            self._parts_to_retry.extend(self._unavailable_parts)
+            self._unavailable_parts.clear()
             self._advance()
 
-    def _launch_first(self, plan: tuple[SubRange, ...]) -> None:
-        """Send first attempts, which also fill the budget."""
-        self._work.merger.budget.earn(len(plan))
-        self._launch(plan, 'first')
+    def _send_first_attempts(self, plan: tuple[SubRange, ...]) -> None:
+        """Send first attempts; these add tokens to the budget."""
+        self._query.shared.budget.earn(len(plan))
+        self._send_attempts(plan, 'first')
 
-    def _launch(self, plan: Iterable[SubRange], kind: str) -> None:
-        """Send the attempts of new parts and set the time of their hedges."""
+    def _send_attempts(self, plan: Iterable[SubRange], kind: str) -> None:
+        """Send one attempt per sub-range and schedule the hedges."""
         for sub_range in plan:
             part = Part((sub_range.start, sub_range.end), sub_range.replicas)
-            if not self._attempt(part, kind):
-                self._strand(part)
-        self._hedge_timer.set()
+            if not self._send_attempt(part, kind):
+                self._add_unavailable(part)
+        self._hedge_timer.schedule()
         self._advance()
 
-    def _attempt(self, part: Part, kind: str) -> bool:
-        """Send an attempt of a part; False if it has no replica or token."""
-        server = self._sender.choose(part)
+    def _send_attempt(self, part: Part, kind: str) -> bool:
+        """Send an attempt of a part; False without a replica or a token."""
+        server = self._sender.choose_server(part)
         if server is None:
             return False
-        if kind in _SECOND_ATTEMPTS and not self._work.merger.budget.spend():
+        if kind in _BUDGETED_KINDS and not self._query.shared.budget.spend():
             return False
-        attempt = self._sender.send(part, server, self._pinned.version, kind)
-        self._pinned.state.open_attempt(attempt.attempt_id, part.asked)
+        attempt = self._sender.send(part, server, self._snapshot.version, kind)
+        self._snapshot.state.open_attempt(attempt.attempt_id, part.key_range)
         return True
 
     def _hedge(self, part: Part) -> bool:
-        return self._pinned.refresh(part) and self._attempt(part, 'hedge')
+        return self._snapshot.refresh_replicas(part) and self._send_attempt(
+            part, 'hedge'
+        )
 
-    def _receive(self, attempt: Attempt, result: WorkReply | Failure) -> None:
-        """Merge the result of an attempt or prepare another one."""
+    def _on_result(self, attempt: Attempt, result: WorkReply | Failure) -> None:
+        """Merge a reply, or queue the part for another attempt."""
         if self._done.is_set():
             return
         if result.code == ResultCode.COMPLETE and isinstance(result, WorkReply):
-            self._merge(attempt, result)
-            self._hedge_timer.set_soon()
+            self._merge_reply(attempt, result)
+            self._hedge_timer.schedule_soon()
         else:
-            self._note_refusal(attempt, result)
+            self._handle_failure(attempt, result)
         part = attempt.part
-        if not part.open_attempts and self._pinned.state.missing(part.asked):
-            self._pending.append(part)
+        if not part.open_attempts and self._snapshot.state.missing(
+            part.key_range
+        ):
+            self._parts_to_retry.append(part)
         self._advance()
 
-    def _merge(self, attempt: Attempt, reply: WorkReply) -> None:
-        """Merge a reply; cancel the other attempts of a complete part."""
-        merged = self._pinned.state.merge(attempt.attempt_id, reply)
+    def _merge_reply(self, attempt: Attempt, reply: WorkReply) -> None:
+        """Merge a reply; if it completes the part, cancel other attempts."""
+        merged = self._snapshot.state.merge(attempt.attempt_id, reply)
         if isinstance(merged, Failure):
             self._last_refusal = merged
-            log_rejected(attempt, merged)
+            log_rejected_reply(attempt, merged)
             return
-        if not self._work.suspect:
-            self._work.merger.known_good.add(self._work.fingerprint)
+        if not self._query.suspect:
+            self._query.shared.known_good.add(self._query.fingerprint)
         part = attempt.part
-        if not self._pinned.state.missing(part.asked):
-            for loser in tuple(part.open_attempts.values()):
-                self._withdraw(loser)
+        if not self._snapshot.state.missing(part.key_range):
+            for other in tuple(part.open_attempts.values()):
+                self._cancel_attempt(other)
 
-    def _note_refusal(
+    def _handle_failure(
         self,
         attempt: Attempt,
         refusal: WorkReply | Failure,
     ) -> None:
-        self._pinned.state.close_attempt(attempt.attempt_id)
+        self._snapshot.state.close_attempt(attempt.attempt_id)
         self._last_refusal = refusal
         if refusal.code == ResultCode.VERSION_NOT_HELD:
-            # Excludes the server for this range, not for a narrower one.
-            self._pinned.denials.add(attempt.server, attempt.part.asked)
-            attempt.part.tried.remove(attempt.server)
+            # The server is excluded for this exact range. It may hold, and be
+            # asked for, a narrower one.
+            self._snapshot.not_held.add(attempt.server, attempt.part.key_range)
+            attempt.part.tried_servers.remove(attempt.server)
 
-    def _withdraw(self, attempt: Attempt) -> None:
-        self._pinned.state.close_attempt(attempt.attempt_id)
+    def _cancel_attempt(self, attempt: Attempt) -> None:
+        self._snapshot.state.close_attempt(attempt.attempt_id)
         self._sender.cancel(attempt)
 
     def _advance(self) -> None:
-        """Send what can be sent; end the query when nothing is left to do."""
-        if self._work.blocked:
+        """Send all attempts that are possible; finish if none is open."""
+        if self._query.blocked:
             self._done.set()
             return
-        self._retry_pending()
-        if self._held:
-            self._release_held()
-        if self._unresolved:
-            self._unresolved = False
-            self._resolve_stranded()
-        if not self._sender.open_by_id and not self._may_wait():
+        self._retry_parts()
+        if self._ranges_after_canary:
+            self._send_after_canary()
+        if self._check_unavailable:
+            self._check_unavailable = False
+            self._handle_unavailable()
+        if not self._sender.open_attempt_by_id and not self._wait_if_useful():
             self._done.set()
 
-    def _may_wait(self) -> bool:
-        """Whether holdings or tokens may still arrive."""
-        if self._stranded and self._waits.for_view:
+    def _wait_if_useful(self) -> bool:
+        """Wait for holdings or tokens; False if neither wait is possible."""
+        if self._unavailable_parts and self._waits.is_waiting_for_holdings:
             return True
-        return bool(self._pending) and self._waits.wait_for_token()
+        return bool(self._parts_to_retry) and self._waits.wait_for_token()
 
-    def _end_wait(self) -> None:
-        self._unresolved = bool(self._stranded)
+    def _on_wait_ended(self) -> None:
+        self._check_unavailable = bool(self._unavailable_parts)
         if not self._done.is_set():
             self._advance()
 
-    def _strand(self, *parts: Part) -> None:
-        self._stranded.extend(parts)
-        self._unresolved = self._unresolved or bool(parts)
-
-    def _retry_pending(self) -> None:
-        """Ask other replicas while the budget lasts."""
-        budget = self._work.merger.budget
-        while self._pending and budget.tokens >= 1:
-            kept, lost = self._pinned.plan_again(self._pending.pop())
-            self._strand(*lost)
-            for part in kept:
+    def _add_unavailable(self, *parts: Part) -> None:
+        self._unavailable_parts.extend(parts)
+        self._check_unavailable = self._check_unavailable or bool(parts)
+
+    def _retry_parts(self) -> None:
+        """Send attempts to other replicas while the budget has tokens."""
+        budget = self._query.shared.budget
+        while self._parts_to_retry and budget.tokens >= 1:
+            available, unavailable = self._snapshot.replan(
+                self._parts_to_retry.pop()
+            )
+            self._add_unavailable(*unavailable)
+            for part in available:
                 self._retry(part)
 
     def _retry(self, part: Part) -> None:
-        if self._attempt(part, 'retry'):
+        if self._send_attempt(part, 'retry'):
             return
-        if self._work.merger.budget.tokens < 1:
-            self._pending.append(part)
+        if self._query.shared.budget.tokens < 1:
+            self._parts_to_retry.append(part)
         else:
-            self._strand(part)
-
-    def _release_held(self) -> None:
-        """Send the other sub-ranges once the canary was answered."""
-        held = self._held
-        self._held = ()
-        if self._pinned.state.coverage:
-            self._launch_first(held)
-        elif self._sender.open_by_id or self._may_wait():
-            self._held = held
+            self._add_unavailable(part)
+
+    def _send_after_canary(self) -> None:
+        """Send the other sub-ranges once the canary was answered.
+
+        If the canary failed and cannot have run, the next sub-range becomes
+        the canary. If it may have run, the other sub-ranges are not sent.
+        """
+        ranges_after_canary = self._ranges_after_canary
+        self._ranges_after_canary = ()
+        if self._snapshot.state.coverage:
+            self._send_first_attempts(ranges_after_canary)
+        elif self._sender.open_attempt_by_id or self._wait_if_useful():
+            self._ranges_after_canary = ranges_after_canary
         elif not self._sender.may_have_run:
-            self._held = held[1:]
-            self._launch_first(held[:1])
-
-    def _resolve_stranded(self) -> None:
-        """Wait for announced holdings, restart, or accept lower coverage."""
-        stale = self._pinned.is_view_stale(self._stranded)
-        if stale and self._waits.may_wait_for_view:
-            self._waits.wait_for_view()
+            self._ranges_after_canary = ranges_after_canary[1:]
+            self._send_first_attempts(ranges_after_canary[:1])
+
+    def _handle_unavailable(self) -> None:
+        """Wait for newer holdings, restart, or accept a lower coverage."""
+        are_stale = self._snapshot.are_holdings_stale(self._unavailable_parts)
+        if are_stale and self._waits.may_wait_for_holdings:
+            self._waits.wait_for_holdings()
         else:
             self._restart()
 
     def _restart(self) -> None:
-        """Restart once, on a newer version that covers more, if there is one.
+        """Restart, at most once, on a newer version that covers more keys.
 
-        Restarted attempts take no tokens. They are sent at most once per
-        query and only when the pinned version was lost.
+        The attempts of a restart take no tokens, because a query restarts at
+        most once and only if replicas of the pinned version were lost.
         """
-        open_attempts = tuple(self._sender.open_by_id.values())
-        version = self._pinned.newer_version(
+        open_attempts = tuple(self._sender.open_attempt_by_id.values())
+        version = self._snapshot.restart_version(
             (
-                *(attempt.part.asked for attempt in open_attempts),
-                *(part.asked for part in self._pending),
-                *((held.start, held.end) for held in self._held),
+                *(attempt.part.key_range for attempt in open_attempts),
+                *(part.key_range for part in self._parts_to_retry),
+                *(
+                    (sub_range.start, sub_range.end)
+                    for sub_range in self._ranges_after_canary
+                ),
             )
         )
-        needed_s = _RESTART_ROUNDS * (self._work.tracker.quantile_s or 0)
-        late = needed_s > self._work.time_left_s()
-        if version is None or late or self._replaced is not None:
+        required_s = _RESTART_REQUEST_COUNT * (
+            self._query.tracker.quantile_s or 0
+        )
+        is_too_late = required_s > self._query.time_left_s()
+        if (
+            version is None
+            or is_too_late
+            or self._replaced_snapshot is not None
+        ):
             return
         for attempt in open_attempts:
-            self._withdraw(attempt)
-        self._replaced = self._pinned
-        self._pinned = PinnedSnapshot(self._work, version)
-        log_restart(self._work, self._replaced.version, version)
-        self._pending.clear()
-        self._stranded.clear()
-        plan = self._pinned.whole_plan()
-        canary = bool(self._held)
-        self._held = plan[1:] if canary else ()
-        self._launch(plan[:1] if canary else plan, 'restart')
-
-    def _stop(self) -> None:
-        """Cancel what is open."""
+            self._cancel_attempt(attempt)
+        self._replaced_snapshot = self._snapshot
+        self._snapshot = PinnedSnapshot(self._query, version)
+        log_restarted_query(
+            self._query, self._replaced_snapshot.version, version
+        )
+        self._parts_to_retry.clear()
+        self._unavailable_parts.clear()
+        plan = self._snapshot.full_plan()
+        canary = bool(self._ranges_after_canary)
+        self._ranges_after_canary = plan[1:] if canary else ()
+        self._send_attempts(plan[:1] if canary else plan, 'restart')
+
+    def _cancel_all(self) -> None:
+        """Cancel the timers and all open attempts."""
         self._done.set()
         self._hedge_timer.stop()
         self._waits.stop()
-        for attempt in tuple(self._sender.open_by_id.values()):
-            self._withdraw(attempt)
+        for attempt in tuple(self._sender.open_attempt_by_id.values()):
+            self._cancel_attempt(attempt)
--- a/boragespool/controllers/queries/query_parts.py
+++ b/boragespool/controllers/queries/query_state.py
@@ -1,4 +1,4 @@
-"""Data that the modules of the query controller share."""
+"""State of queries that the modules of the query controller share."""
 
 from __future__ import annotations
 
@@ -33,16 +33,25 @@
 _RANKS: Final = tuple(Rank)
 
 
-class KnownGood:
-    """A bounded set of fingerprints that ran without harm, oldest dropped."""
+class KnownGoodFingerprints:
+    """Bounded set of fingerprints of requests that did not crash a server.
+
+    These requests are sent without a canary, also on routes that use one,
+    unless they are suspected of crashing servers later.
+
+    Parameters
+    ----------
+    limit : int
+        Maximum number of fingerprints; the oldest is dropped first.
+    """
 
     def __init__(self, limit: int) -> None:
-        """Start empty."""
+        """Initialize an empty set."""
         self._limit = limit
         self._fingerprints: OrderedDict[int, None] = OrderedDict()
 
     def add(self, fingerprint: int) -> None:
-        """Add a fingerprint or make it the newest."""
+        """Add a fingerprint, or mark it as the newest."""
         self._fingerprints[fingerprint] = None
         self._fingerprints.move_to_end(fingerprint)
         if len(self._fingerprints) > self._limit:
@@ -54,35 +63,39 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Merger:
-    """State of the query controller that all queries of a daemon share."""
+class SharedQueryState:
+    """State that all queries of a daemon share."""
 
     context: Context
     fleet: FleetView
     observations: ServerObservations
     budget: TokenBudget
-    known_good: KnownGood
+    known_good: KnownGoodFingerprints
 
 
 @dataclass(frozen=True, slots=True)
-class QueryWork:
-    """One accepted query.
+class AcceptedQuery:
+    """Query that passed the checks, with the settings that apply to it.
 
     Attributes
     ----------
-    answer_at_s : float
-        Monotonic time at which the answer is given at the latest.
+    fingerprint : int
+        Identifies the route and body of the request in crash detection.
+    answer_by_s : float
+        Monotonic time by which the query must be answered, in seconds.
     tracker : LatencyTracker
-        Attempt latencies of the route's service.
+        Latencies of attempts at the service of the route.
+    shared : SharedQueryState
+        State that all queries share.
     """
 
     request: QueryRequest
     route: RouteSettings
     service: ServiceSettings
     fingerprint: int
-    answer_at_s: Seconds
+    answer_by_s: Seconds
     tracker: LatencyTracker
-    merger: Merger
+    shared: SharedQueryState
 
     @property
     def rank(self) -> Rank:
@@ -91,54 +104,69 @@
 
     @property
     def rank_index(self) -> int:
-        """Position of the rank, most important first."""
+        """Position of the rank, where 0 is the most important one."""
         return _RANKS.index(self.rank)
 
     @property
     def suspect(self) -> bool:
         """Whether the request is suspected of crashing backend servers."""
-        return self.fingerprint in self.merger.context.board.read(
+        return self.fingerprint in self.shared.context.board.read(
             SUSPECT_FINGERPRINTS
         )
 
     @property
     def blocked(self) -> bool:
-        """Whether the request must not be sent any more."""
-        return self.fingerprint in self.merger.context.board.read(
+        """Whether the request must no longer be sent to backend servers."""
+        return self.fingerprint in self.shared.context.board.read(
             BLOCKED_FINGERPRINTS
         )
 
     def catalogue(self) -> Catalogue:
-        """Return the plans over the servers that may get work now."""
-        return self.merger.fleet.catalogue(self.route.service, self.service)
+        """Return the plans over the servers that may get new work."""
+        return self.shared.fleet.catalogue(self.route.service, self.service)
 
     def time_left_s(self) -> Seconds:
-        """Return the time until the answer is given at the latest."""
-        return self.answer_at_s - self.merger.context.timers.now_s()
+        """Return the time until the query must be answered, in seconds."""
+        return self.answer_by_s - self.shared.context.timers.now_s()
 
 
 @dataclass(slots=True, eq=False)
 class Part:
-    """A sub-range with the attempts to get it.
+    """Key range that one sub-request covers, with its attempts.
 
     Attributes
     ----------
-    tried : list of str
-        Servers that were asked, losing attempts included.
+    key_range : tuple of (int, int)
+        Range ``[start, end)`` to request.
+    replicas : tuple of str
+        Backend servers that hold the whole range.
+    tried_servers : list of str
+        Servers that an attempt was sent to, including cancelled attempts.
+    open_attempts : dict of str to Attempt
+        Attempts without a result, by attempt ID.
     """
 
-    asked: KeyRange
+    key_range: KeyRange
     replicas: tuple[ServerName, ...]
-    tried: list[ServerName] = field(default_factory=list)
+    tried_servers: list[ServerName] = field(default_factory=list)
     open_attempts: dict[AttemptId, Attempt] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """One request to one backend server."""
+    """One request for a part, sent to one backend server.
+
+    Attributes
+    ----------
+    dispatcher : str
+        Host of the daemon that the request is sent to, which dispatches it to
+        the server; empty if there is none.
+    sent_at_s : float
+        Monotonic time at which the attempt was sent, in seconds.
+    """
 
     attempt_id: AttemptId
     server: ServerName
-    host: HostName
+    dispatcher: HostName
     part: Part
-    started_s: Seconds
+    sent_at_s: Seconds
