--- a/boragespool/bench/caller.py
+++ b/boragespool/bench/caller.py
@@ -102,7 +102,7 @@
     answered: int = 0
     refused: int = 0
     coverage_sum: float = 0
-    latency: bytes = b''
+    latency_histogram: bytes = b''
     offered_by_s: Counter[int] = field(default_factory=Counter)
     answered_by_s: Counter[int] = field(default_factory=Counter)
     codes: Counter[int] = field(default_factory=Counter)
@@ -122,7 +122,7 @@
     """
 
     tallies: tuple[FlowTally, ...]
-    lag: bytes
+    send_lag: bytes
     processor_s: Seconds
 
 
@@ -186,7 +186,7 @@
                 tasks.create_task(self._send(due_s, number))
         return CallerReport(
             tuple(
-                replace(tally, latency=histogram.encode())
+                replace(tally, latency_histogram=histogram.encode())
                 for tally, histogram in zip(
                     self._tallies,
                     self._histograms,
--- a/boragespool/bench/fake_fleet.py
+++ b/boragespool/bench/fake_fleet.py
@@ -57,15 +57,15 @@
     ----------
     slots : int
         Requests that one backend server runs at the same time.
-    trip_s : float
+    one_way_delay_s : float
         One-way time of a message.
     """
 
-    shards: int = 30
-    replicas: int = 3
-    hosts: int = 6
+    shard_count: int = 30
+    replica_count: int = 3
+    host_count: int = 6
     slots: int = 5
-    trip_s: Seconds = 0.0005
+    one_way_delay_s: Seconds = 0.0005
     deadline_s: Seconds = 0.39
     canary: bool = False
     hedging: HedgingSettings = field(default_factory=HedgingSettings)
@@ -83,7 +83,7 @@
         returns a reply, or None for none at all.
     holds : callable
         Whether a backend server holds the version and range of a request.
-    asked, started : Counter
+    requests_by_server, started_by_server : Counter
         Requests by server that dispatchers got and that servers began.
     """
 
@@ -97,8 +97,8 @@
             Callable[[WorkRequest], WorkReply | Failure | None],
         ] = {}
         self.holds: Callable[[WorkRequest], bool] = lambda _: True
-        self.asked: Counter[ServerName] = Counter()
-        self.started: Counter[ServerName] = Counter()
+        self.requests_by_server: Counter[ServerName] = Counter()
+        self.started_by_server: Counter[ServerName] = Counter()
         self.requests: list[WorkRequest] = []
         self.cancelled = 0
         self._slots_by_server: dict[ServerName, asyncio.Semaphore] = {}
@@ -119,7 +119,7 @@
     def post(self) -> None:
         """Post the whole fleet with version 1 held everywhere."""
         self.post_members(
-            [f'host{number}' for number in range(self.options.hosts)],
+            [f'host{number}' for number in range(self.options.host_count)],
         )
         records = dict(map(self._record, self._names()))
         self.board.post(SERVERS, records)
@@ -168,7 +168,7 @@
         timeout_s: Seconds,
     ) -> WorkReply | Failure:
         """Answer like `PeerNetwork.request`."""
-        self.asked[message.server] += 1
+        self.requests_by_server[message.server] += 1
         self.requests.append(message)
         task = asyncio.ensure_future(self._serve(message))
         self._tasks_by_id[message.attempt_id] = task
@@ -206,7 +206,7 @@
         if isinstance(message, CancelWork):
             self.cancelled += 1
             asyncio.get_running_loop().call_later(
-                self.options.trip_s,
+                self.options.one_way_delay_s,
                 self._cancel,
                 message.attempt_id,
             )
@@ -218,34 +218,34 @@
             task.cancel()
 
     async def _serve(self, message: WorkRequest) -> WorkReply | Failure:
-        await asyncio.sleep(self.options.trip_s)
+        await asyncio.sleep(self.options.one_way_delay_s)
         behaviour = self.behaviour_by_server.get(message.server)
         if behaviour is None:
             reply: WorkReply | Failure | None = await self._run(message)
         else:
             reply = behaviour(message)
-        await asyncio.sleep(self.options.trip_s)
+        await asyncio.sleep(self.options.one_way_delay_s)
         if reply is None:
             await asyncio.sleep(60)
         return reply or Failure(ResultCode.PEER_UNREACHABLE, 'silent')
 
     async def _run(self, message: WorkRequest) -> WorkReply:
         if not self.holds(message):
-            return refusal(ResultCode.VERSION_NOT_HELD)(message)
+            return refuse_with(ResultCode.VERSION_NOT_HELD)(message)
         slots = self._slots_by_server.setdefault(
             message.server,
             asyncio.Semaphore(self.options.slots),
         )
         async with slots:
-            self.started[message.server] += 1
+            self.started_by_server[message.server] += 1
             await asyncio.sleep(self.service_time_s())
-            return true_reply(message)
+            return correct_reply(message)
 
     def _names(self) -> list[tuple[int, ServerName]]:
         return [
             (shard, f's{shard}r{replica}')
-            for shard in range(self.options.shards)
-            for replica in range(self.options.replicas)
+            for shard in range(self.options.shard_count)
+            for replica in range(self.options.replica_count)
         ]
 
     def _record(
@@ -253,7 +253,7 @@
         place: tuple[int, ServerName],
     ) -> tuple[ServerName, ServerRecord]:
         shard, name = place
-        held = (Holding(1, (shard_range(shard, self.options.shards),)),)
+        held = (Holding(1, (shard_range(shard, self.options.shard_count),)),)
         record = ServerRecord(
             name, 'search', 'dc', '', 1, 1, 1, ServerState.SERVING, 5, held
         )
@@ -266,7 +266,7 @@
     return start, KEY_SPACE_SIZE * (shard + 1) // shards
 
 
-def true_reply(message: WorkRequest) -> WorkReply:
+def correct_reply(message: WorkRequest) -> WorkReply:
     """Return a correct reply with one item that names its origin."""
     origin = (
         message.request_id,
@@ -286,7 +286,7 @@
     )
 
 
-def refusal(
+def refuse_with(
     code: ResultCode,
     run: RunState = RunState.NOT_RUN,
 ) -> Callable[[WorkRequest], WorkReply]:
--- a/boragespool/bench/load.py
+++ b/boragespool/bench/load.py
@@ -271,7 +271,7 @@
         },
         needed,
         received,
-        _quantile_s(_merged(one.lag for one in reports), _P99),
+        _quantile_s(_merged(one.send_lag for one in reports), _P99),
         daemon_s,
         sum(one.processor_s for one in reports),
         duration_s,
@@ -279,7 +279,7 @@
 
 
 def _summarize_rank(tallies: Sequence[FlowTally]) -> RankSummary:
-    histogram = _merged(tally.latency for tally in tallies)
+    histogram = _merged(tally.latency_histogram for tally in tallies)
     answered = sum(tally.answered for tally in tallies)
     covered = sum(tally.coverage_sum for tally in tallies)
     return RankSummary(
--- a/boragespool/bench/tail.py
+++ b/boragespool/bench/tail.py
@@ -104,7 +104,7 @@
         Sub-requests per query.
     """
     options = FleetOptions(
-        shards=shards,
+        shard_count=shards,
         deadline_s=_DEADLINE_S,
         hedging=variant.hedging,
     )
@@ -121,9 +121,9 @@
         _percentile(times_s, 0.5),
         _percentile(times_s, 0.99),
         sum(sample.coverage for sample in measured) / len(measured),
-        sum(fleet.asked.values()) / requests,
+        sum(fleet.requests_by_server.values()) / requests,
         max(sum(sent) / len(sent) / shards for sent in by_second.values()),
-        sum(fleet.started.values()) / requests,
+        sum(fleet.started_by_server.values()) / requests,
     )
 
 
@@ -164,7 +164,7 @@
     outage: Callable[[WorkRequest], WorkReply | Failure | None],
 ) -> None:
     """Lose one replica of each shard; its loss is announced later."""
-    for shard in range(fleet.options.shards):
+    for shard in range(fleet.options.shard_count):
         server = f's{shard}r0'
         fleet.behaviour_by_server[server] = outage
         asyncio.get_running_loop().call_later(
--- a/boragespool/bench/tail_variants.py
+++ b/boragespool/bench/tail_variants.py
@@ -6,7 +6,7 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
-from boragespool.bench.fake_fleet import refusal
+from boragespool.bench.fake_fleet import refuse_with
 from boragespool.results import ResultCode
 from boragespool.routing import LatencyTracker, ServerObservations
 from boragespool.settings import HedgingSettings
@@ -80,11 +80,11 @@
 OUTAGES: Final = MappingProxyType(
     {
         'stragglers only': None,
-        'one replica of each shard refuses connections': refusal(
+        'one replica of each shard refuses connections': refuse_with(
             ResultCode.SERVER_UNREACHABLE,
         ),
         'one replica of each shard is silent': _silent,
-        'one replica of each shard closes connections': refusal(
+        'one replica of each shard closes connections': refuse_with(
             ResultCode.SERVER_CLOSED,
             RunState.UNKNOWN,
         ),
--- a/tests/query_cases.py
+++ b/tests/query_cases.py
@@ -11,7 +11,7 @@
 from boragespool.controllers.requests import QueryRequest
 from boragespool.settings import HedgingSettings
 
-SMALL = FleetOptions(shards=4)
+SMALL = FleetOptions(shard_count=4)
 NO_HEDGES = replace(SMALL, hedging=HedgingSettings(quantile=1))
 
 
@@ -29,7 +29,7 @@
         async with QueryController(fleet.context()) as controller:
             for number in range(warm):
                 await controller.answer(query(f'warm{number}'))
-            fleet.asked.clear()
+            fleet.requests_by_server.clear()
             fleet.requests.clear()
             for request in requests:
                 began_s = loop.time()
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -28,7 +28,7 @@
 @given(CHANGES)
 def test_dispatchers_are_never_stale(changes):
     """Work for a daemon that lost a server would wait for a timeout."""
-    fleet = FakeFleet(FleetOptions(shards=4), 1)
+    fleet = FakeFleet(FleetOptions(shard_count=4), 1)
     view = FleetView(fleet.board)
     for number, name in enumerate(fleet.board.read(SERVERS)):
         fleet.announce(name, data_centre='dc' if number % 2 else 'third')
@@ -44,7 +44,7 @@
 
 def test_catalogue_is_built_again_only_when_holdings_change():
     """Every announcement of a load would cost a plan of the whole fleet."""
-    fleet = FakeFleet(FleetOptions(shards=4), 1)
+    fleet = FakeFleet(FleetOptions(shard_count=4), 1)
     view = FleetView(fleet.board)
     service = fleet.board.read(DOCUMENT_IN_FORCE).settings.services['search']
     first = view.catalogue('search', service)
--- a/tests/test_pinned.py
+++ b/tests/test_pinned.py
@@ -7,8 +7,8 @@
 
 from boragespool.bench.fake_fleet import (
     FakeFleet,
+    correct_reply,
     shard_range,
-    true_reply,
 )
 from boragespool.bench.virtual_time import run_virtual
 from boragespool.controllers.queries.query import QueryController
@@ -87,9 +87,9 @@
         fleet,
         replicas(1),
         lambda asked: (
-            true_reply(replace(asked, end=min(asked.end, middle)))
+            correct_reply(replace(asked, end=min(asked.end, middle)))
             if asked.start == start
-            else true_reply(asked)
+            else correct_reply(asked)
         ),
     )
     ((answer, _),) = ask(fleet, query())
--- a/tests/test_query.py
+++ b/tests/test_query.py
@@ -10,9 +10,9 @@
 
 from boragespool.bench.fake_fleet import (
     FakeFleet,
-    refusal,
+    correct_reply,
+    refuse_with,
     shard_range,
-    true_reply,
 )
 from boragespool.bench.virtual_time import run_virtual
 from boragespool.blackboard.topics import (
@@ -43,7 +43,7 @@
     assert answer.coverage == 1
     assert answer.missing == ()
     assert [item.value[0] for item in answer.items] == ['q'] * 4
-    assert answer.attempts == sum(fleet.asked.values()) == 4
+    assert answer.attempts == sum(fleet.requests_by_server.values()) == 4
     assert took_s < 0.02
 
 
@@ -68,7 +68,7 @@
             fleet,
             ['s1r0', 's2r1'],
             lambda asked: (
-                true_reply(asked) if 'warm' in asked.request_id else None
+                correct_reply(asked) if 'warm' in asked.request_id else None
             ),
         )
         results = ask(fleet, *[query(str(n)) for n in range(10)], warm=14)
@@ -89,7 +89,7 @@
         ResultCode.SERVER_REPLY_INVALID,
     ):
         fleet = FakeFleet(SMALL, 1)
-        behave(fleet, ['s0r0', 's0r1'], refusal(code))
+        behave(fleet, ['s0r0', 's0r1'], refuse_with(code))
         ((answer, _),) = ask(fleet, query())
         assert answer.coverage == 1, code
 
@@ -99,12 +99,12 @@
     hedging = HedgingSettings(quantile=1, budget_ratio=0.25, burst=1)
     fleet = FakeFleet(replace(SMALL, hedging=hedging), 1)
     for shard in (0, 1):
-        refused = refusal(ResultCode.SERVER_SHED)
+        refused = refuse_with(ResultCode.SERVER_SHED)
         behave(
             fleet,
             replicas(shard),
             lambda asked, seen=set(): (
-                true_reply(asked)
+                correct_reply(asked)
                 if asked.request_id == 'b' or asked.start in seen
                 else seen.add(asked.start) or refused(asked)
             ),
@@ -124,23 +124,25 @@
 def test_one_lost_server_does_not_stop_hedging():
     """A query that meets a lost server must not wait for its stragglers."""
     fleet = FakeFleet(SMALL, 1)
-    crash = refusal(ResultCode.SERVER_CLOSED, RunState.UNKNOWN)
+    crash = refuse_with(ResultCode.SERVER_CLOSED, RunState.UNKNOWN)
     behave(
         fleet,
         ['s1r0', 's1r1', 's1r2'],
-        lambda asked: true_reply(asked) if 'warm' in asked.request_id else None,
+        lambda asked: (
+            correct_reply(asked) if 'warm' in asked.request_id else None
+        ),
     )
     behave(
         fleet,
         replicas(2),
         lambda asked: (
-            true_reply(asked)
+            correct_reply(asked)
             if 'warm' in asked.request_id or asked.solo
             else crash(asked)
         ),
     )
     ask(fleet, query(), warm=14)
-    assert sum(fleet.asked[name] for name in replicas(1)) == 3
+    assert sum(fleet.requests_by_server[name] for name in replicas(1)) == 3
 
 
 def test_not_run_is_only_said_when_no_attempt_could_have_run():
@@ -151,8 +153,8 @@
         (RunState.UNKNOWN, None),
     ):
         fleet = FakeFleet(SMALL, 1)
-        behave(fleet, everywhere, refusal(ResultCode.SERVER_SHED))
-        behave(fleet, replicas(3), refusal(ResultCode.SERVER_CLOSED, run))
+        behave(fleet, everywhere, refuse_with(ResultCode.SERVER_SHED))
+        behave(fleet, replicas(3), refuse_with(ResultCode.SERVER_CLOSED, run))
         ((answer, _),) = ask(fleet, query())
         if expected is Failure:
             assert isinstance(answer, Failure)
@@ -172,14 +174,16 @@
     behave(
         fleet,
         replicas(1),
-        lambda asked: true_reply(asked) if 'warm' in asked.request_id else None,
+        lambda asked: (
+            correct_reply(asked) if 'warm' in asked.request_id else None
+        ),
     )
 
     async def run():
         async with QueryController(fleet.context()) as controller:
             for number in range(14):
                 await controller.answer(query(f'warm{number}'))
-            fleet.asked.clear()
+            fleet.requests_by_server.clear()
             for name in replicas(1):
                 asyncio.get_running_loop().call_later(
                     0.001,
@@ -191,7 +195,7 @@
             await controller.answer(query())
 
     run_virtual(run())
-    assert sum(fleet.asked[name] for name in replicas(1)) == 1
+    assert sum(fleet.requests_by_server[name] for name in replicas(1)) == 1
 
 
 def test_blocked_and_suspect_requests():
@@ -202,15 +206,15 @@
     ((answer, _),) = ask(fleet, query())
     assert answer.code == ResultCode.REQUEST_BLOCKED
     assert answer.run == RunState.NOT_RUN
-    assert not fleet.asked
+    assert not fleet.requests_by_server
     fleet = FakeFleet(SMALL, 1)
     fleet.board.post(SUSPECT_FINGERPRINTS, frozenset([fingerprint]))
     ((answer, _),) = ask(fleet, query())
     assert answer.coverage == 1
     assert all(asked.solo for asked in fleet.requests)
-    crash = refusal(ResultCode.SERVER_CLOSED, RunState.UNKNOWN)
+    crash = refuse_with(ResultCode.SERVER_CLOSED, RunState.UNKNOWN)
     behave(fleet, [f's0r{n}' for n in range(3)], crash)
-    fleet.asked.clear()
+    fleet.requests_by_server.clear()
 
     def block(message):
         fleet.board.post(BLOCKED_FINGERPRINTS, frozenset([fingerprint]))
@@ -220,17 +224,17 @@
     ((answer, _),) = ask(fleet, query())
     assert answer.code == ResultCode.REQUEST_BLOCKED
     assert answer.run == RunState.UNKNOWN
-    assert sum(fleet.asked.values()) == 1
+    assert sum(fleet.requests_by_server.values()) == 1
 
 
 def test_canary_runs_first_and_once_per_fingerprint():
     """An unseen request must not crash one server of each shard."""
     fleet = FakeFleet(replace(SMALL, canary=True), 1)
-    crash = refusal(ResultCode.SERVER_CLOSED, RunState.UNKNOWN)
+    crash = refuse_with(ResultCode.SERVER_CLOSED, RunState.UNKNOWN)
     everywhere = [name for shard in range(4) for name in replicas(shard)]
     behave(fleet, everywhere, crash)
     ask(fleet, query(body=b'bad'))
-    assert set(fleet.asked) <= set(replicas(0))
+    assert set(fleet.requests_by_server) <= set(replicas(0))
     assert [asked.solo for asked in fleet.requests] == [False, True, True]
     fleet.behaviour_by_server.clear()
     (_, first_s), (_, second_s) = ask(fleet, query(), query())
@@ -247,7 +251,7 @@
     everywhere = [name for shard in range(4) for name in replicas(shard)]
 
     def full(message):
-        refused = refusal(ResultCode.QUEUE_FULL)(message)
+        refused = refuse_with(ResultCode.QUEUE_FULL)(message)
         return replace(refused, waits_s=(0.0, 0.5, 0.5), retry_after_s=0.5)
 
     behave(fleet, everywhere, full)
@@ -277,9 +281,13 @@
     hedging = HedgingSettings(budget_ratio=ratio, burst=burst)
     fleet = FakeFleet(replace(SMALL, hedging=hedging), 1)
     behave(fleet, replicas(0), lambda _: None)
-    shed = refusal(ResultCode.SERVER_SHED)
+    shed = refuse_with(ResultCode.SERVER_SHED)
     for shard in (1, 2):
         behave(fleet, replicas(shard), shed)
     results = ask(fleet, *[query(str(n), 0.1) for n in range(40)])
     firsts = 4 * len(results)
-    assert firsts <= sum(fleet.asked.values()) <= firsts * (1 + ratio) + burst
+    assert (
+        firsts
+        <= sum(fleet.requests_by_server.values())
+        <= firsts * (1 + ratio) + burst
+    )
--- a/tests/test_query_peers.py
+++ b/tests/test_query_peers.py
@@ -5,7 +5,7 @@
 import asyncio
 from dataclasses import replace
 
-from boragespool.bench.fake_fleet import FakeFleet, refusal, true_reply
+from boragespool.bench.fake_fleet import FakeFleet, correct_reply, refuse_with
 from boragespool.controllers.queries.query import QueryController
 from boragespool.messages import CancelWork, WorkRequest
 from boragespool.results import Failure, ResultCode
@@ -18,7 +18,7 @@
     """Messages that pass only in memory would fail between daemons."""
 
     async def run() -> None:
-        fleet = FakeFleet(replace(SMALL, hosts=0), 1)
+        fleet = FakeFleet(replace(SMALL, host_count=0), 1)
         async with pair() as (merger, dispatcher):
             fleet.post_members(['b'])
             context = replace(fleet.context(), peers=merger)
@@ -36,8 +36,8 @@
                     if message.request_id == 'silent':
                         await asyncio.sleep(1)
                     if message.server.startswith('s3'):
-                        return refusal(ResultCode.QUEUE_FULL)(message)
-                    return true_reply(message)
+                        return refuse_with(ResultCode.QUEUE_FULL)(message)
+                    return correct_reply(message)
 
                 dispatcher.on_request(WorkRequest, serve)
                 answer = await controller.answer(query())
--- a/tests/test_query_storm.py
+++ b/tests/test_query_storm.py
@@ -11,9 +11,9 @@
 
 from boragespool.bench.fake_fleet import (
     FakeFleet,
-    refusal,
+    correct_reply,
+    refuse_with,
     shard_range,
-    true_reply,
 )
 from boragespool.bench.virtual_time import run_virtual
 from boragespool.controllers.queries.query import QueryController
@@ -48,8 +48,8 @@
         """Answer truly, with a fault, or not at all."""
         assert asked.server not in self.closed
         if not self.holds(asked):
-            return refusal(ResultCode.VERSION_NOT_HELD)(asked)
-        reply = true_reply(asked)
+            return refuse_with(ResultCode.VERSION_NOT_HELD)(asked)
+        reply = correct_reply(asked)
         middle = (asked.start + asked.end) // 2
         crossed, self.previous = self.previous or reply, reply
         return self.draw.choice(
@@ -57,12 +57,12 @@
                 *[reply] * 12,
                 None,
                 crossed,
-                true_reply(replace(asked, version=asked.version + 1)),
-                true_reply(replace(asked, start=middle)),
+                correct_reply(replace(asked, version=asked.version + 1)),
+                correct_reply(replace(asked, start=middle)),
                 replace(reply, item_count=2),
                 replace(reply, end=asked.end + 1),
-                refusal(ResultCode.SERVER_SHED)(asked),
-                refusal(ResultCode.SERVER_CLOSED, RunState.UNKNOWN)(asked),
+                refuse_with(ResultCode.SERVER_SHED)(asked),
+                refuse_with(ResultCode.SERVER_CLOSED, RunState.UNKNOWN)(asked),
             ]
         )
 
@@ -81,7 +81,7 @@
             if self.draw.random() < 0.1:
                 self.fleet.announce(name, state=ServerState.DRAINING)
                 asyncio.get_running_loop().call_later(
-                    self.fleet.options.trip_s * 2,
+                    self.fleet.options.one_way_delay_s * 2,
                     self.closed.add,
                     name,
                 )
