Reword the stand-ins and rename their private names

Docstrings used figures such as lag, swallow or honest and gave no units. They now describe the fake servers, their switches and counters in plain terms.

--- a/boragespool/standins/backend.py
+++ b/boragespool/standins/backend.py
@@ -1,4 +1,7 @@
-"""Stand-in for one backend server: listener, crashes and switches."""
+"""Stand-in for one backend server: HTTP API, crashes and test switches.
+
+Owns the listener and its connections. `Workload` runs the work.
+"""
 
 from __future__ import annotations
 
@@ -32,20 +35,24 @@
 
     from boragespool.http import HttpRequest, HttpResponse
 
-_ACTIONS: Final = ('silence', 'crash', 'restart')
+_ACTION_NAMES: Final = ('silence', 'crash', 'restart')
 _MS_PER_S: Final = 1_000
 
 
 @dataclass(frozen=True, slots=True)
 class BackendSpec:
-    """One backend server of a stand-in process.
+    """Configuration of one stand-in backend server.
 
     Attributes
     ----------
+    address : str
+        ``ip:port`` to listen on; port 0 selects a free port.
     connections : int
-        Connections that its listener accepts.
+        Maximum number of connections that its listener accepts.
     seed : int
-        Seed of its stragglers, together with its name.
+        Seed of the random choice of stragglers, combined with the name.
+    switches : BackendSwitches
+        Initial values of the test switches.
     """
 
     name: ServerName
@@ -57,29 +64,41 @@
 
 
 class BackendServer:
-    """Listener with the backend server protocol, an async context manager.
+    """Server of the backend server protocol, an async context manager.
+
+    Parameters
+    ----------
+    spec : BackendSpec
+        Name, service, address and initial switches.
 
     Attributes
     ----------
     spec : BackendSpec
-        Its address is the one in use after the first start.
+        Configuration; after the first start its address has the port in use.
+    switches : BackendSwitches
+        Test switches in force.
     incarnation : int
-        Wall time of the last start in milliseconds, always increasing.
+        Wall time of the last start, in milliseconds; it increases with each
+        start.
+    counters : Counters
+        Counts of all starts together.
     """
 
     def __init__(self, spec: BackendSpec) -> None:
-        """Keep the settings; `__aenter__` listens."""
+        """Set up a server that does not listen before `__aenter__`."""
         self.spec = spec
         self.switches = spec.switches
         self.incarnation = 0
         self._listener: HttpServer | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        self._starting: asyncio.Task[None] | None = None
-        # Each connection is served by one task of the listener.
+        self._restart_task: asyncio.Task[None] | None = None
+        # One task of the listener serves each connection and identifies it.
         self._connections: weakref.WeakSet[asyncio.Task[Any]] = (
             weakref.WeakSet()
         )
-        self._silent: weakref.WeakSet[asyncio.Task[Any]] = weakref.WeakSet()
+        self._silenced_connections: weakref.WeakSet[asyncio.Task[Any]] = (
+            weakref.WeakSet()
+        )
         self._workload = Workload(
             spec.name,
             spec.service,
@@ -90,12 +109,12 @@
         self.counters = self._workload.counters
 
     async def __aenter__(self) -> Self:
-        """Listen."""
+        """Start to listen."""
         await self._start()
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        """Stop listening and drop the connections."""
+        """Stop listening and close the connections."""
         for task in tuple(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -103,64 +122,87 @@
 
     @property
     def address(self) -> Address:
-        """Address in use; a restart keeps it."""
+        """``ip:port`` of the server; a restart keeps it."""
         return self.spec.address
 
     @property
     def is_listening(self) -> bool:
-        """False between a crash and the restart."""
+        """Whether the listener is open; it is not between crash and restart."""
         return self._listener is not None
 
     def silence(self) -> None:
-        """Swallow all further data of the connections used so far."""
-        self._silent.update(self._connections)
+        """Stop answering on the connections used so far.
+
+        Requests on new connections are answered.
+        """
+        self._silenced_connections.update(self._connections)
         self.counters.silenced += 1
 
     def crash(self) -> None:
-        """Close the listener and all connections abruptly.
+        """Close the listener and abort all connections.
 
-        The server restarts after `BackendSwitches.restart_s`, or with
-        `restart` if that is None.
+        The server restarts after `BackendSwitches.restart_s` seconds. If that
+        is None, it stays down until `restart` is called.
         """
         listener = self._listener
         if listener is not None:
             self._listener = None
             self.counters.crashes += 1
-            self._spawn(self._crash(listener))
+            self._create_task(self._crash(listener))
 
     def restart(self) -> None:
-        """Start a new incarnation, after a crash if there was none."""
+        """Start a new incarnation; a running server crashes first."""
         self.crash()
-        self._starting = self._spawn(self._start())
+        self._restart_task = self._create_task(self._start())
 
-    async def settled(self) -> None:
-        """Wait until a restart that was asked for listens."""
-        if self._starting is not None:
-            await asyncio.wait((self._starting,))
+    async def wait_for_restart(self) -> None:
+        """Wait until the server listens after a call of `restart`, if any."""
+        if self._restart_task is not None:
+            await asyncio.wait((self._restart_task,))
 
     def control(self, changes: Mapping[str, Any]) -> Failure | None:
-        """Change switches; a true `silence`, `crash` or `restart` acts."""
+        """Change test switches and run actions.
+
+        Parameters
+        ----------
+        changes : mapping
+            New values of `BackendSwitches` by name. ``silence``, ``crash``
+            and ``restart`` set to true call the method of that name.
+
+        Returns
+        -------
+        Failure or None
+            ``MALFORMED_BODY`` if a switch is unknown or its value invalid;
+            then nothing changes.
+        """
         switches = with_changes(
             self.switches,
-            {name: changes[name] for name in changes if name not in _ACTIONS},
+            {
+                name: changes[name]
+                for name in changes
+                if name not in _ACTION_NAMES
+            },
         )
         if isinstance(switches, Failure):
             return switches
         self.switches = switches
-        for name in _ACTIONS:
+        for name in _ACTION_NAMES:
             if changes.get(name):
                 getattr(self, name)()
         return None
 
     def status(self) -> dict[str, Any]:
-        """Return the body of ``GET /v1/status``, false fields included."""
+        """Return the body of ``GET /v1/status``.
+
+        `BackendSwitches.reported` overrides the actual values.
+        """
         in_flight = self._workload.reported_in_flight()
         state = ServerState.SERVING
         if self._workload.is_cold:
             state = ServerState.COLD
         if self.switches.draining:
             state = ServerState.DRAINING
-        honest = {
+        actual = {
             'server': self.spec.name,
             'incarnation': self.incarnation,
             'service': self.spec.service,
@@ -170,10 +212,10 @@
             'load': in_flight / max(1, self.switches.slots),
             'holdings': self.switches.holdings,
         }
-        return honest | self.switches.reported
+        return actual | self.switches.reported
 
     def report(self) -> dict[str, Any]:
-        """Return the body of ``GET /v1/control``."""
+        """Return the body of ``GET /v1/control``: counters and switches."""
         listener = self._listener
         return {
             'name': self.spec.name,
@@ -182,7 +224,8 @@
             'listening': self.is_listening,
             'in_flight': self._workload.in_flight,
             'connections': listener.connection_count if listener else 0,
-            # `asdict` of Python 3.11 would count the pairs of a Counter.
+            # In Python 3.11, `asdict` rebuilds a Counter from its items and so
+            # counts the (key, value) pairs.
             'counters': msgspec.to_builtins(self.counters),
             'switches': asdict(self.switches),
         }
@@ -214,7 +257,7 @@
             await asyncio.sleep(self.switches.restart_s)
             await self._start()
 
-    def _spawn(self, coroutine: Any) -> asyncio.Task[None]:
+    def _create_task(self, coroutine: Any) -> asyncio.Task[None]:
         task: asyncio.Task[None] = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -226,16 +269,16 @@
             self._connections.add(connection)
             self.counters.connections_opened += 1
             await asyncio.sleep(self.switches.connection_cost_s)
-        await self._swallow_if_silent(connection)
+        await self._drop_if_silenced(connection)
         response = await self._serve(request)
-        await self._swallow_if_silent(connection)
+        await self._drop_if_silenced(connection)
         return response
 
-    async def _swallow_if_silent(
+    async def _drop_if_silenced(
         self,
         connection: asyncio.Task[Any] | None,
     ) -> None:
-        if connection in self._silent:
+        if connection in self._silenced_connections:
             await asyncio.sleep(self.switches.silent_hold_s)
             drop_connection()
 
@@ -262,15 +305,15 @@
         try:
             work = msgspec.json.decode(body, type=Work)
         except msgspec.MsgspecError as error:
-            return _malformed(error)
+            return _malformed_body_response(error)
         return await self._workload.run(work)
 
     def _serve_cancel(self, body: bytes) -> HttpResponse:
         try:
-            named = msgspec.json.decode(body, type=dict[str, str])
+            cancel_body = msgspec.json.decode(body, type=dict[str, str])
         except msgspec.MsgspecError as error:
-            return _malformed(error)
-        return self._workload.cancel(named.get('attempt_id', ''))
+            return _malformed_body_response(error)
+        return self._workload.cancel(cancel_body.get('attempt_id', ''))
 
     def _serve_control(self, body: bytes) -> HttpResponse:
         changes = decode_changes(body)
@@ -282,5 +325,5 @@
         return json_response(self.report())
 
 
-def _malformed(error: Exception) -> HttpResponse:
+def _malformed_body_response(error: Exception) -> HttpResponse:
     return failure_response(Failure(ResultCode.MALFORMED_BODY, str(error)))
--- a/boragespool/standins/backend_flags.py
+++ b/boragespool/standins/backend_flags.py
@@ -1,4 +1,4 @@
-"""Backend servers as the command line names them."""
+"""Parser of the flag ``--servers`` of the backend server stand-ins."""
 
 from __future__ import annotations
 
@@ -19,7 +19,7 @@
 
     from boragespool.types import ServiceName
 
-_PATTERN: Final = re.compile(
+_SERVER_PATTERN: Final = re.compile(
     r'(?P<name>[^=@/]+)=(?P<service>[^=@/]+)@(?P<address>[\d.]+:\d+)'
     r'(?:/(?P<shard>\d+))?',
 )
@@ -30,7 +30,7 @@
     template: BackendSpec,
     shards: int,
 ) -> tuple[BackendSpec, ...] | Failure:
-    """Return the backend servers that the flag ``--servers`` names.
+    """Parse the values of the flag ``--servers``.
 
     Parameters
     ----------
@@ -39,28 +39,30 @@
         of objects with ``name``, ``service``, ``address`` and optionally
         ``shard``, ``shards``, ``connections``, ``seed`` and ``switches``.
     template : BackendSpec
-        Settings of all servers that they do not state themselves; its
-        holdings name the index versions.
+        Defaults of all servers. The keys of its holdings are the index
+        versions that each server holds.
     shards : int
-        Equal parts of the key space. The server number ``i`` of a service,
-        counted from 0, holds part ``i mod shards`` unless it states another.
+        Number of equal shards of the key space. Server ``i`` of a service,
+        counted from 0, holds shard ``i mod shards`` unless its text gives
+        another one.
 
     Returns
     -------
     tuple of BackendSpec or Failure
-        ``INVALID_SETTING`` names the text that is wrong.
+        One per server in the given order, or ``INVALID_SETTING`` with the
+        first invalid text.
     """
     specs: list[BackendSpec] = []
     count_by_service: Counter[ServiceName] = Counter()
     for text in texts:
-        described = _describe(text)
-        if isinstance(described, Failure):
-            return described
-        for given in described:
-            number = count_by_service[given.get('service', '')]
-            count_by_service[given.get('service', '')] += 1
-            spec = _build(
-                {'shard': number, 'shards': shards} | given,
+        parsed = _parse_text(text)
+        if isinstance(parsed, Failure):
+            return parsed
+        for server_fields in parsed:
+            number = count_by_service[server_fields.get('service', '')]
+            count_by_service[server_fields.get('service', '')] += 1
+            spec = _build_spec(
+                {'shard': number, 'shards': shards} | server_fields,
                 template,
             )
             if isinstance(spec, Failure):
@@ -69,41 +71,53 @@
     return tuple(specs)
 
 
-def _describe(text: str) -> list[dict[str, Any]] | Failure:
+def _parse_text(text: str) -> list[dict[str, Any]] | Failure:
     if text.startswith('['):
         try:
             return msgspec.json.decode(text, type=list[dict[str, Any]])
         except msgspec.MsgspecError as error:
-            return _invalid(text, str(error))
-    matched = _PATTERN.fullmatch(text)
+            return _invalid_server(text, str(error))
+    matched = _SERVER_PATTERN.fullmatch(text)
     if matched is None:
-        return _invalid(text, 'allowed are name=service@ip:port[/shard], JSON')
-    given: dict[str, Any] = matched.groupdict()
-    shard = given.pop('shard')
-    return [given if shard is None else given | {'shard': int(shard)}]
-
-
-def _build(
-    given: dict[str, Any],
+        return _invalid_server(
+            text, 'allowed are name=service@ip:port[/shard] and a JSON list'
+        )
+    server_fields: dict[str, Any] = matched.groupdict()
+    shard = server_fields.pop('shard')
+    return [
+        server_fields
+        if shard is None
+        else server_fields | {'shard': int(shard)}
+    ]
+
+
+def _build_spec(
+    server_fields: dict[str, Any],
     template: BackendSpec,
 ) -> BackendSpec | Failure:
-    fields = dict(given)
-    shards = int(fields.pop('shards'))
-    held = (shard_range(int(fields.pop('shard')) % shards, shards),)
-    sharded = replace(
+    spec_fields = dict(server_fields)
+    shards = int(spec_fields.pop('shards'))
+    shard_ranges = (
+        shard_range(int(spec_fields.pop('shard')) % shards, shards),
+    )
+    switches_with_shard = replace(
         template.switches,
-        holdings={version: held for version in template.switches.holdings},
+        holdings={
+            version: shard_ranges for version in template.switches.holdings
+        },
+    )
+    switches = with_changes(
+        switches_with_shard, spec_fields.pop('switches', {})
     )
-    switches = with_changes(sharded, fields.pop('switches', {}))
     if isinstance(switches, Failure):
-        return _invalid(str(given), switches.reason)
+        return _invalid_server(str(server_fields), switches.reason)
     try:
-        return replace(template, switches=switches, **fields)
+        return replace(template, switches=switches, **spec_fields)
     except TypeError as error:
-        return _invalid(str(given), str(error))
+        return _invalid_server(str(server_fields), str(error))
 
 
-def _invalid(text: str, reason: str) -> Failure:
+def _invalid_server(text: str, reason: str) -> Failure:
     return Failure(
         ResultCode.INVALID_SETTING,
         f'{text!r} is not a backend server: {reason}',
--- a/boragespool/standins/backend_host.py
+++ b/boragespool/standins/backend_host.py
@@ -1,4 +1,7 @@
-"""Many stand-in backend servers in one process, with one control address."""
+"""Several stand-in backend servers in one process.
+
+They share one control listener, which is separate from theirs.
+"""
 
 from __future__ import annotations
 
@@ -26,20 +29,20 @@
 
 
 class BackendHost:
-    """Backend servers and their control listener, an async context manager.
+    """Runs backend servers and a control API, an async context manager.
 
     Parameters
     ----------
     specs : iterable of BackendSpec
-        One per backend server.
+        Configuration of each backend server.
     control_address : str, optional
-        ``ip:port`` that stays reachable while backend servers are crashed,
-        silent or out of connections.
+        ``ip:port`` of the control API. It stays reachable while backend
+        servers are down, silent or at their connection limit.
 
     Attributes
     ----------
-    servers_by_name : dict
-        The backend servers.
+    servers_by_name : dict of str to BackendServer
+        All backend servers, also those that are down.
     """
 
     def __init__(
@@ -47,7 +50,7 @@
         specs: Iterable[BackendSpec],
         control_address: Address = '127.0.0.1:0',
     ) -> None:
-        """Keep the settings; `__aenter__` listens."""
+        """Set up servers that do not listen before `__aenter__`."""
         self.servers_by_name: dict[ServerName, BackendServer] = {
             spec.name: BackendServer(spec) for spec in specs
         }
@@ -59,7 +62,7 @@
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Self:
-        """Listen on all addresses."""
+        """Start all listeners; stop those already started if one fails."""
         async with contextlib.AsyncExitStack() as stack:
             for server in self.servers_by_name.values():
                 await stack.enter_async_context(server)
@@ -68,22 +71,28 @@
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        """Stop all listeners."""
+        """Stop all listeners and close their connections."""
         await self._stack.aclose()
 
     @property
     def control_address(self) -> Address:
-        """Address of the control listener."""
+        """``ip:port`` of the control API."""
         return self._control.address
 
     def control(self, changes: Mapping[str, Any]) -> Failure | None:
-        """Change switches of some servers.
+        """Change switches of some or all servers.
 
         Parameters
         ----------
         changes : mapping
-            Switches of `BackendServer.control`; the key ``servers`` lists
-            names, and without it all servers are meant.
+            Changes for `BackendServer.control`. The key ``servers`` lists the
+            names of the servers to change; without it, all are changed.
+
+        Returns
+        -------
+        Failure or None
+            ``MALFORMED_BODY`` if a server or switch is unknown or a value is
+            invalid.
         """
         names = changes.get(_SERVERS_KEY, list(self.servers_by_name))
         unknown = [name for name in names if name not in self.servers_by_name]
@@ -102,7 +111,7 @@
         return None
 
     def report(self) -> dict[ServerName, Any]:
-        """Return the report of each server by its name."""
+        """Return `BackendServer.report` of each server by name."""
         return {
             name: server.report()
             for name, server in self.servers_by_name.items()
@@ -126,5 +135,5 @@
             if failure is not None:
                 return failure_response(failure)
             for server in self.servers_by_name.values():
-                await server.settled()
+                await server.wait_for_restart()
         return json_response(self.report())
--- a/boragespool/standins/backend_main.py
+++ b/boragespool/standins/backend_main.py
@@ -1,4 +1,4 @@
-"""Program ``boragespool-standin-backend``."""
+"""Command ``boragespool-standin-backend``: runs backend server stand-ins."""
 
 from __future__ import annotations
 
@@ -46,51 +46,57 @@
 flags.DEFINE_integer(
     'shards',
     1,
-    'Equal parts of the key space; server i of a service holds part i.',
+    'Number of equal shards of the key space; server i of a service holds '
+    'shard i modulo this number.',
     lower_bound=1,
     flag_values=_FLAGS,
 )
 flags.DEFINE_integer(
     'slots',
     5,
-    'Work that one server runs at the same time.',
+    'Number of requests that one server runs at the same time.',
     flag_values=_FLAGS,
 )
 flags.DEFINE_integer(
     'connections',
     40,
-    'Connections that one server accepts.',
+    'Maximum number of connections that one server accepts.',
     flag_values=_FLAGS,
 )
 flags.DEFINE_float(
     'connection_cost_ms',
     0,
-    'Delay of the first request of a connection, in milliseconds.',
+    'Extra delay of the first request of a connection, in milliseconds.',
     flag_values=_FLAGS,
 )
 flags.DEFINE_float(
     'service_time_ms',
     5,
-    'Time that a piece of work takes, in milliseconds.',
+    'Time to run one request, in milliseconds.',
     flag_values=_FLAGS,
 )
 flags.DEFINE_multi_integer(
     'version',
     [1],
-    'Index versions that each server holds at first.',
+    'Index version that each server holds at the start; may be repeated.',
+    flag_values=_FLAGS,
+)
+flags.DEFINE_integer(
+    'seed',
+    0,
+    'Seed of the random choice of stragglers.',
     flag_values=_FLAGS,
 )
-flags.DEFINE_integer('seed', 0, 'Seed of stragglers.', flag_values=_FLAGS)
 flags.DEFINE_string(
     'switches',
     '{}',
-    'Further test switches of all servers as JSON; see BackendSwitches.',
+    'Other test switches of all servers, as JSON; see BackendSwitches.',
     flag_values=_FLAGS,
 )
 
 
 def _template() -> BackendSpec | Failure:
-    """Return what the flags say about all servers."""
+    """Return the defaults that the flags set for all servers."""
     changes: dict[str, Any] = {
         'slots': _FLAGS.slots,
         'connection_cost_s': _FLAGS.connection_cost_ms / _MS_PER_S,
@@ -122,7 +128,7 @@
     async with BackendHost(specs, _FLAGS.control) as host:
         log_event(
             Event.PROCESS_READY,
-            f'{len(specs)} backend server stand-ins listen',
+            f'{len(specs)} backend server stand-ins are listening',
             address=host.control_address,
             servers={
                 name: server.address
@@ -133,7 +139,7 @@
 
 
 def run() -> None:
-    """Run the stand-ins until SIGTERM."""
+    """Run the stand-ins until SIGTERM or SIGINT."""
     parse_command_line(_FLAGS)
     run_until_signal(_serve)
 
--- a/boragespool/standins/items.py
+++ b/boragespool/standins/items.py
@@ -1,4 +1,7 @@
-"""Synthetic items of the stand-in backend servers, equal on all replicas."""
+"""Synthetic index items of the stand-in backend servers.
+
+They are computed from service and version, so all replicas hold the same ones.
+"""
 
 from __future__ import annotations
 
@@ -15,7 +18,7 @@
 if TYPE_CHECKING:
     from boragespool.types import IndexVersion, ServiceName
 
-_BY_KEY = attrgetter('key')
+_ITEM_KEY = attrgetter('key')
 
 
 @lru_cache(maxsize=128)
@@ -24,20 +27,20 @@
     version: IndexVersion,
     item_count: int,
 ) -> tuple[Item, ...]:
-    """Return the items of one index version in order of their keys.
+    """Return all items of one index version, sorted by key.
 
     Notes
     -----
-    The key of item number ``i`` is the 32-bit xxhash of service, version and
-    ``i``, so that two versions of a service have different keys.
+    The key of item ``i`` is the 32-bit xxHash of service, version and ``i``,
+    so two versions of a service have different keys.
     """
     items: list[Item] = []
     for number in range(item_count):
-        hashed = f'{service}:{version}:{number}'.encode()
+        seed_text = f'{service}:{version}:{number}'.encode()
         name = 'item-{0:06d}'.format(number)
-        named = {'name': name, 'version': version}
-        items.append(Item(xxhash.xxh32_intdigest(hashed), named))
-    return tuple(sorted(items, key=_BY_KEY))
+        value = {'name': name, 'version': version}
+        items.append(Item(xxhash.xxh32_intdigest(seed_text), value))
+    return tuple(sorted(items, key=_ITEM_KEY))
 
 
 def items_between(
@@ -46,20 +49,20 @@
     end: int = KEY_SPACE_SIZE,
     body: Any = None,
 ) -> tuple[Item, ...]:
-    """Return the items of a key range that match a query.
+    """Return the items in a key range that match a query.
 
     Parameters
     ----------
     items : tuple of Item
-        Items in order of their keys.
+        Items sorted by key.
     start, end : int
         Key range ``[start, end)``.
     body : Any
-        JSON value of the query; ``{"match": text}`` keeps the items whose
+        JSON body of the query; ``{"match": text}`` selects the items whose
         name contains the text.
     """
-    first = bisect.bisect_left(items, start, key=_BY_KEY)
-    last = bisect.bisect_left(items, end, key=_BY_KEY)
+    first = bisect.bisect_left(items, start, key=_ITEM_KEY)
+    last = bisect.bisect_left(items, end, key=_ITEM_KEY)
     match = body.get('match') if isinstance(body, dict) else None
     return tuple(
         item
@@ -68,7 +71,7 @@
     )
 
 
-def shard_range(shard: int, shards: int) -> tuple[int, int]:
-    """Return the key range ``[start, end)`` of one of `shards` equal parts."""
-    start = KEY_SPACE_SIZE * shard // shards
-    return start, KEY_SPACE_SIZE * (shard + 1) // shards
+def shard_range(shard: int, shard_count: int) -> tuple[int, int]:
+    """Return the key range ``[start, end)`` of one of several equal shards."""
+    start = KEY_SPACE_SIZE * shard // shard_count
+    return start, KEY_SPACE_SIZE * (shard + 1) // shard_count
--- a/boragespool/standins/leases.py
+++ b/boragespool/standins/leases.py
@@ -1,4 +1,4 @@
-"""Leases of the stand-in platform."""
+"""Leases of the stand-in platform: named locks that expire."""
 
 from __future__ import annotations
 
@@ -15,31 +15,44 @@
     from boragespool.http import HttpResponse
     from boragespool.types import Seconds
 
-_CONFLICT: Final = 409
+_CONFLICT_STATUS: Final = 409
 
 
 class LeaseTable:
-    """Who holds which lease, and until when."""
+    """Holder and expiry time of each lease, kept in memory."""
 
     def __init__(self) -> None:
-        """Start without leases."""
-        self._held_by_name: dict[str, tuple[str, Seconds]] = {}
+        """Create an empty table."""
+        self._holder_and_expiry_by_name: dict[str, tuple[str, Seconds]] = {}
 
     def serve(self, body: bytes) -> HttpResponse:
-        """Take, renew or give back the lease that a body names."""
+        """Grant or renew a lease, or refuse it with status 409.
+
+        Parameters
+        ----------
+        body : bytes
+            `Lease` as JSON. A `ttl_s` of 0 releases the lease.
+
+        Returns
+        -------
+        HttpResponse
+            The granted lease, or the current one if another holder has it.
+        """
         try:
-            wanted = msgspec.json.decode(body, type=Lease)
+            requested = msgspec.json.decode(body, type=Lease)
         except msgspec.MsgspecError as error:
             return failure_response(
                 Failure(ResultCode.MALFORMED_BODY, str(error)),
             )
         now_s = asyncio.get_running_loop().time()
-        holder, until_s = self._held_by_name.get(wanted.name, ('', 0))
-        if holder != wanted.holder and until_s > now_s:
-            held = Lease(wanted.name, holder, until_s - now_s)
-            return json_response(held, _CONFLICT)
-        self._held_by_name[wanted.name] = (
-            wanted.holder,
-            now_s + wanted.ttl_s,
+        holder, expires_at_s = self._holder_and_expiry_by_name.get(
+            requested.name, ('', 0)
         )
-        return json_response(wanted)
+        if holder != requested.holder and expires_at_s > now_s:
+            current = Lease(requested.name, holder, expires_at_s - now_s)
+            return json_response(current, _CONFLICT_STATUS)
+        self._holder_and_expiry_by_name[requested.name] = (
+            requested.holder,
+            now_s + requested.ttl_s,
+        )
+        return json_response(requested)
--- a/boragespool/standins/platform.py
+++ b/boragespool/standins/platform.py
@@ -1,4 +1,7 @@
-"""Stand-in for the platform: key-value store, leases and host list."""
+"""Stand-in for the platform: key-value store, leases and host list.
+
+All state is kept in memory and lost when the stand-in stops.
+"""
 
 from __future__ import annotations
 
@@ -34,12 +37,13 @@
     from boragespool.types import Address, Seconds
 
 VALUE_LIMIT_BYTES: Final = 1_000_000
-# A value may grow sixfold when its characters are escaped in JSON.
-_LIMITS: Final = HttpLimits(body_size_bytes=8_000_000)
-_NOT_FOUND: Final = 404
-_CONFLICT: Final = 409
-_TOO_LARGE: Final = 413
-_LONGEST_WAIT_S: Final = 60
+# JSON escapes such as \u0000 make a value up to six times longer, so a body
+# may be larger than `VALUE_LIMIT_BYTES`.
+_HTTP_LIMITS: Final = HttpLimits(body_size_bytes=8_000_000)
+_NOT_FOUND_STATUS: Final = 404
+_CONFLICT_STATUS: Final = 409
+_TOO_LARGE_STATUS: Final = 413
+_MAX_WATCH_WAIT_S: Final = 60
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,19 +53,22 @@
 
 
 class Platform:
-    """Listener with the platform's protocol, an async context manager.
+    """Server of the platform's protocol, an async context manager.
 
     Parameters
     ----------
     address : str
-        ``ip:port`` to listen on; port 0 picks a free one.
+        ``ip:port`` to listen on; port 0 selects a free port.
     hosts : tuple of HostEntry, optional
-        First host list.
+        Initial host list.
 
     Attributes
     ----------
+    switches : PlatformSwitches
+        Test switches in force.
     calls_by_kind : Counter of str
-        Calls that arrived: ``get``, ``put``, ``watch``, ``lease``, ``hosts``.
+        Number of calls received: ``get``, ``put``, ``watch``, ``lease``,
+        ``hosts`` and ``other``.
     """
 
     def __init__(
@@ -69,42 +76,58 @@
         address: Address = '127.0.0.1:0',
         hosts: tuple[HostEntry, ...] = (),
     ) -> None:
-        """Start with an empty store."""
+        """Set up an empty store that does not listen before `__aenter__`."""
         self.switches = PlatformSwitches()
         self.calls_by_kind: Counter[str] = Counter()
         self._stored_by_key: dict[str, StoredValue] = {}
-        self._changed = asyncio.Event()
+        self._store_changed = asyncio.Event()
         self._leases = LeaseTable()
-        # Lists of hosts with the time from which each one holds.
+        # Each host list with the loop time at which it was set.
         self._host_lists: list[tuple[Seconds, tuple[HostEntry, ...]]] = [
             (0, hosts),
         ]
-        self._server = HttpServer(address, _LIMITS, self._handle)
+        self._server = HttpServer(address, _HTTP_LIMITS, self._handle)
 
     async def __aenter__(self) -> Self:
-        """Listen."""
+        """Start to listen."""
         await self._server.__aenter__()
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        """Stop listening; the store is lost."""
+        """Stop listening and close the connections."""
         await self._server.__aexit__(*exc_info)
 
     @property
     def address(self) -> Address:
-        """Address in use."""
+        """``ip:port`` on which the server listens."""
         return self._server.address
 
     def set_hosts(self, hosts: tuple[HostEntry, ...]) -> None:
-        """Replace the host list; callers see it after the lag."""
+        """Replace the host list.
+
+        Clients get the new list after `PlatformSwitches.hosts_lag_s` seconds.
+        """
         now_s = asyncio.get_running_loop().time()
         self._host_lists.append((now_s, hosts))
 
     def control(self, changes: Mapping[str, Any]) -> Failure | None:
-        """Change switches; the key ``hosts`` replaces the host list."""
-        others = dict(changes)
-        given_hosts = others.pop('hosts', None)
-        switches = with_changes(self.switches, others)
+        """Change test switches.
+
+        Parameters
+        ----------
+        changes : mapping
+            New values of `PlatformSwitches` by name. The key ``hosts``
+            replaces the host list.
+
+        Returns
+        -------
+        Failure or None
+            ``MALFORMED_BODY`` if a name is unknown or a value is invalid;
+            then nothing changes.
+        """
+        switch_changes = dict(changes)
+        given_hosts = switch_changes.pop('hosts', None)
+        switches = with_changes(self.switches, switch_changes)
         if isinstance(switches, Failure):
             return switches
         if given_hosts is not None:
@@ -113,11 +136,11 @@
                 return hosts
             self.set_hosts(hosts)
         self.switches = switches
-        self._wake_watches()
+        self._notify_watches()
         return None
 
     def report(self) -> dict[str, Any]:
-        """Return counts of calls, switches and versions of all keys."""
+        """Return call counts, switches, and the version of each stored key."""
         return {
             'calls': dict(self.calls_by_kind),
             'switches': asdict(self.switches),
@@ -133,13 +156,13 @@
         kind, _, key = request.path.removeprefix('/v1/').partition('/')
         kind = _call_kind(request.method, kind)
         self.calls_by_kind[kind] += 1
-        await self._hold_up()
+        await self._apply_faults()
         key = unquote(key)
         if kind == 'watch':
             return await self._serve_watch(key, request.query)
-        return self._serve_at_once(kind, key, request)
+        return self._serve_without_wait(kind, key, request)
 
-    def _serve_at_once(
+    def _serve_without_wait(
         self,
         kind: str,
         key: str,
@@ -158,8 +181,8 @@
             Failure(ResultCode.UNKNOWN_PATH, f'no path {request.path!r}'),
         )
 
-    async def _hold_up(self) -> None:
-        """Apply the switches for slow and down."""
+    async def _apply_faults(self) -> None:
+        """Delay the call and drop its connection if the switches say so."""
         if self.switches.delay_s:
             await asyncio.sleep(self.switches.delay_s)
         if self.switches.down:
@@ -178,7 +201,7 @@
     def _serve_get(self, key: str) -> HttpResponse:
         stored = self._stored_by_key.get(key)
         if stored is None:
-            return json_response({'key': key, 'version': 0}, _NOT_FOUND)
+            return json_response({'key': key, 'version': 0}, _NOT_FOUND_STATUS)
         return json_response(stored)
 
     def _serve_put(self, key: str, body: bytes) -> HttpResponse:
@@ -189,17 +212,19 @@
                 Failure(ResultCode.MALFORMED_BODY, str(error)),
             )
         if len(write.value.encode()) > VALUE_LIMIT_BYTES:
-            return json_response({'limit': VALUE_LIMIT_BYTES}, _TOO_LARGE)
+            return json_response(
+                {'limit': VALUE_LIMIT_BYTES}, _TOO_LARGE_STATUS
+            )
         stored = self._stored_by_key.get(key)
         version = stored.version if stored else 0
         if version != write.expected_version:
-            return json_response({'version': version}, _CONFLICT)
+            return json_response({'version': version}, _CONFLICT_STATUS)
         written = StoredValue(key, write.value, version + 1)
         self._stored_by_key[key] = written
-        self._wake_watches()
+        self._notify_watches()
         if self.switches.lost_answers:
-            left = self.switches.lost_answers - 1
-            self.switches = replace(self.switches, lost_answers=left)
+            remaining = self.switches.lost_answers - 1
+            self.switches = replace(self.switches, lost_answers=remaining)
             drop_connection()
         return json_response({'version': written.version})
 
@@ -209,7 +234,7 @@
         query: Mapping[str, str],
     ) -> HttpResponse:
         loop = asyncio.get_running_loop()
-        wait_s = min(float(query.get('wait_s', 0)), _LONGEST_WAIT_S)
+        wait_s = min(float(query.get('wait_s', 0)), _MAX_WATCH_WAIT_S)
         deadline_s = loop.time() + wait_s
         after = int(query.get('after', 0))
         while True:
@@ -221,21 +246,24 @@
                 return json_response({'key': key, 'version': version})
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout_at(deadline_s):
-                    await self._changed.wait()
+                    await self._store_changed.wait()
             if self.switches.down:
                 drop_connection()
 
-    def _wake_watches(self) -> None:
-        self._changed.set()
-        self._changed = asyncio.Event()
+    def _notify_watches(self) -> None:
+        self._store_changed.set()
+        self._store_changed = asyncio.Event()
 
     def _visible_hosts(self) -> tuple[HostEntry, ...]:
-        """Return the newest list that is older than the lag."""
+        """Return the newest list that was set at least `hosts_lag_s` ago.
+
+        The initial list if there is no such list.
+        """
         now_s = asyncio.get_running_loop().time()
         visible = [
             hosts
-            for since_s, hosts in self._host_lists
-            if since_s <= now_s - self.switches.hosts_lag_s
+            for set_at_s, hosts in self._host_lists
+            if set_at_s <= now_s - self.switches.hosts_lag_s
         ]
         return visible[-1] if visible else self._host_lists[0][1]
 
@@ -248,12 +276,12 @@
 
 
 def _call_kind(method: str, resource: str) -> str:
-    """Name a call as it is counted."""
-    named = {
+    """Return the kind under which a call is handled and counted."""
+    kind_by_call = {
         ('GET', 'kv'): 'get',
         ('PUT', 'kv'): 'put',
         ('GET', 'watch'): 'watch',
         ('POST', 'leases'): 'lease',
         ('GET', 'hosts'): 'hosts',
     }
-    return named.get((method, resource), 'other')
+    return kind_by_call.get((method, resource), 'other')
--- a/boragespool/standins/platform_main.py
+++ b/boragespool/standins/platform_main.py
@@ -1,4 +1,4 @@
-"""Program ``boragespool-standin-platform``."""
+"""Command ``boragespool-standin-platform``: runs the platform stand-in."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 _ADDRESS: Final = flags.DEFINE_string(
     'address',
     '127.0.0.1:0',
-    'ip:port to listen on; port 0 picks a free one.',
+    'ip:port to listen on; port 0 selects a free port.',
     flag_values=_FLAGS,
 )
 _HOSTS: Final = flags.DEFINE_string(
@@ -36,7 +36,7 @@
 _HOSTS_LAG_S: Final = flags.DEFINE_float(
     'hosts_lag_s',
     0,
-    'Age of the host list that callers see, in seconds.',
+    'Delay before clients get a changed host list, in seconds.',
     lower_bound=0,
     flag_values=_FLAGS,
 )
@@ -51,14 +51,14 @@
         platform.control({'hosts_lag_s': _HOSTS_LAG_S.value})
         log_event(
             Event.PROCESS_READY,
-            f'the platform stand-in listens on {platform.address}',
+            f'platform stand-in is listening on {platform.address}',
             address=platform.address,
         )
         await stop.wait()
 
 
 def run() -> None:
-    """Run the stand-in until SIGTERM."""
+    """Run the stand-in until SIGTERM or SIGINT."""
     parse_command_line(_FLAGS)
     run_until_signal(_serve)
 
--- a/boragespool/standins/process.py
+++ b/boragespool/standins/process.py
@@ -1,4 +1,4 @@
-"""Command line and life cycle that both stand-in programs share."""
+"""Command line and signal handling shared by both stand-in programs."""
 
 from __future__ import annotations
 
@@ -17,19 +17,20 @@
 
 
 def new_flag_values() -> flags.FlagValues:
-    """Return a set of flags that other programs do not share."""
-    untyped: Any = flags.FlagValues
-    created: flags.FlagValues = untyped()
-    return created
+    """Return an empty flag registry, separate from the global one of absl."""
+    constructor: Any = flags.FlagValues
+    flag_values: flags.FlagValues = constructor()
+    return flag_values
 
 
 def parse_command_line(flag_values: flags.FlagValues) -> None:
-    """Set flags from the environment and then from the command line.
+    """Set flags from the environment, then from the command line.
 
     Parameters
     ----------
     flag_values : absl.flags.FlagValues
-        Flags of one program; ``BORAGESPOOL_<FLAG>`` sets a default.
+        Flags of one program. The environment variable
+        ``BORAGESPOOL_<FLAG>`` replaces the default of a flag.
 
     Raises
     ------
@@ -38,10 +39,11 @@
     """
     try:
         for name in flag_values:
-            from_environment = os.environ.get(f'BORAGESPOOL_{name.upper()}')
-            if from_environment is not None:
-                flag_values[name].parse(from_environment)
-                # A flag that may be repeated would extend the default.
+            environment_value = os.environ.get(f'BORAGESPOOL_{name.upper()}')
+            if environment_value is not None:
+                flag_values[name].parse(environment_value)
+                # Otherwise the command line would extend the value of a
+                # repeatable flag instead of replacing it.
                 flag_values[name].present = 0
         flag_values(sys.argv)
     except flags.Error as error:
@@ -49,13 +51,20 @@
 
 
 def run_until_signal(serve: Callable[[asyncio.Event], Awaitable[None]]) -> None:
-    """Run a service until SIGTERM or SIGINT sets its event."""
+    """Configure logging and run a program until it returns.
+
+    Parameters
+    ----------
+    serve : callable
+        Coroutine function of the program. SIGTERM and SIGINT set the event
+        that it gets, and it should then return.
+    """
 
     async def main() -> None:
         stop = asyncio.Event()
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stop.set)
+        for signal_number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signal_number, stop.set)
         await serve(stop)
 
     configure_logging('INFO')
--- a/boragespool/standins/switches.py
+++ b/boragespool/standins/switches.py
@@ -1,4 +1,7 @@
-"""Test switches of the stand-ins and their JSON form."""
+"""Test switches of the stand-ins: settings that change at run time.
+
+``POST /v1/control`` changes them; they inject faults and delays.
+"""
 
 from __future__ import annotations
 
@@ -26,18 +29,18 @@
 
 @dataclass(frozen=True, slots=True)
 class PlatformSwitches:
-    """How the platform behaves from now on.
+    """Current behaviour of the stand-in platform.
 
     Attributes
     ----------
     delay_s : float
-        Time added to each call, in seconds.
+        Delay of each call, in seconds.
     down : bool
-        Close each connection without an answer.
+        Whether calls get no response and their connections are closed.
     lost_answers : int
-        Number of next writes that take effect without an answer.
+        Number of upcoming writes that are stored but get no response.
     hosts_lag_s : float
-        Age of the host list that callers see, in seconds.
+        Delay before clients get a changed host list, in seconds.
     """
 
     delay_s: Seconds = 0
@@ -46,50 +49,53 @@
     hosts_lag_s: Seconds = 0
 
 
-def _whole_key_space() -> Holdings:
+def _default_holdings() -> Holdings:
     return {1: WHOLE_KEY_SPACE}
 
 
 @dataclass(frozen=True, slots=True)
 class BackendSwitches:
-    """How a backend server behaves from now on.
+    """Current behaviour of a stand-in backend server.
 
     Attributes
     ----------
     slots : int
-        Work run at the same time.
+        Number of requests that run at the same time.
     backlog : int
-        Work that may wait for a slot; further work is shed.
+        Number of requests that may wait for a slot; further ones are shed.
     connection_cost_s : float
-        Delay of the first request of each connection, in seconds.
+        Extra delay of the first request of each connection, in seconds.
     holdings : dict
         Key ranges ``[start, end)`` by index version.
     item_count : int
-        Synthetic items of each version in the whole key space.
+        Number of synthetic items of each version in the whole key space.
     service_time_s : float
-        Time that a piece of work takes, in seconds.
-    straggler_probability, straggler_factor : float
-        Share of work, 0 to 1, that takes so many times longer.
+        Time to run one request, in seconds.
+    straggler_probability : float
+        Probability, 0 to 1, that a request is a straggler.
+    straggler_factor : float
+        Factor on the service time of stragglers.
     cold_s, cold_factor : float
-        After a start, work takes `cold_factor` times longer; this falls
-        linearly to 1 within `cold_s` seconds.
+        After a start, the service time is multiplied by `cold_factor`. The
+        factor falls linearly to 1 within `cold_s` seconds.
     draining : bool
-        Refuse new work and say so in the status.
+        Whether the server refuses new work and reports that it drains.
     load_lag_s : float
         Age of the load that the status reports, in seconds.
     reported : dict
-        Fields of the status that are replaced by false ones.
+        Values that override fields of the reported status.
     restart_s : float or None
-        Time from a crash to the restart, in seconds; None waits for the
-        switch ``restart``.
+        Time from a crash to the restart, in seconds. None waits for the
+        action ``restart``.
     silent_hold_s : float
-        Time for which a silent connection stays open, in seconds.
+        Time for which a silenced connection stays open after a request, in
+        seconds.
     """
 
     slots: int = 5
     backlog: int = 0
     connection_cost_s: Seconds = 0
-    holdings: Holdings = field(default_factory=_whole_key_space)
+    holdings: Holdings = field(default_factory=_default_holdings)
     item_count: int = 200
     service_time_s: Seconds = 0.005
     straggler_probability: float = 0
@@ -107,12 +113,19 @@
     switches: _SwitchesT,
     changes: Mapping[str, Any],
 ) -> _SwitchesT | Failure:
-    """Return the switches with some of them changed.
+    """Return a copy of the switches with some of them changed.
+
+    Parameters
+    ----------
+    switches : PlatformSwitches or BackendSwitches
+        Switches in force.
+    changes : mapping
+        New values by name, as decoded from JSON.
 
     Returns
     -------
     dataclass or Failure
-        ``MALFORMED_BODY`` for an unknown switch or a value of a wrong type.
+        ``MALFORMED_BODY`` if a name is unknown or a value has the wrong type.
     """
     current = asdict(switches)
     unknown = sorted(changes.keys() - current.keys())
@@ -132,7 +145,7 @@
 
 
 def decode_changes(body: bytes) -> dict[str, Any] | Failure:
-    """Decode the body of ``POST /v1/control``."""
+    """Decode the body of ``POST /v1/control``, a JSON object."""
     try:
         return msgspec.json.decode(body, type=dict[str, Any])
     except msgspec.MsgspecError as error:
@@ -140,5 +153,13 @@
 
 
 def drop_connection() -> NoReturn:
-    """Leave a handler so that the listener resets the connection."""
+    """Abort the request handler, so that no response is sent.
+
+    `HttpServer` then resets the connection.
+
+    Raises
+    ------
+    asyncio.CancelledError
+        Always.
+    """
     raise asyncio.CancelledError
