--- a/boragespool/bench/claims.py
+++ b/boragespool/bench/claims.py
@@ -1,4 +1,4 @@
-"""Memory and processor time of claim records.
+"""Memory and processor time of claim records and tickets.
 
 ``python -m boragespool.bench.claims``
 """
@@ -21,38 +21,41 @@
     starting_record,
 )
 
-_SIZES: Final = (1_000, 5_000, 20_000, 50_000)
-_RUNS: Final = 3
+_RECORD_COUNTS: Final = (1_000, 5_000, 20_000, 50_000)
+_RUNS_PER_SIZE: Final = 3
 _ISSUER: Final = IssuerIdentity(
     'entry-1', 1_700_000_000_000, 'north', b'k' * 32
 )
 
 
 def main(*, short: bool = False) -> None:
-    """Print the slopes of memory and processor time over record counts."""
-    sizes = _SIZES[:3] if short else _SIZES
-    memory = [
-        Point(size, tuple(_table_bytes(size) for _ in range(_RUNS)))
+    """Print memory per record and processor time per record and ticket.
+
+    Each is the slope of a line fitted over several record counts.
+    """
+    sizes = _RECORD_COUNTS[:3] if short else _RECORD_COUNTS
+    memory_points = [
+        Point(size, tuple(_table_bytes(size) for _ in range(_RUNS_PER_SIZE)))
         for size in sizes
     ]
-    for point in memory:
+    for point in memory_points:
         print(f'{point.size:7.0f} records: {point.median / 1e6:8.2f} MB')
-    line = fit_line(memory)
+    line = fit_line(memory_points)
     print(f'line: {line.slope:.0f} bytes per record, spread {line.spread:.1%}')
-    processor = [
-        Point(size, tuple(_witness_cost_s(size) for _ in range(_RUNS)))
+    time_points = [
+        Point(size, tuple(_witness_cost_s(size) for _ in range(_RUNS_PER_SIZE)))
         for size in sizes
     ]
-    line = fit_line(processor)
+    line = fit_line(time_points)
     print(
         f'witness: {line.slope * 1e6:.1f} us for start and outcome, '
         f'spread {line.spread:.0%}',
     )
-    processor = [
-        Point(size, tuple(_ticket_cost_s(size) for _ in range(_RUNS)))
+    time_points = [
+        Point(size, tuple(_ticket_cost_s(size) for _ in range(_RUNS_PER_SIZE)))
         for size in sizes
     ]
-    line = fit_line(processor)
+    line = fit_line(time_points)
     print(
         f'ticket: {line.slope * 1e6:.1f} us to issue and parse, '
         f'spread {line.spread:.0%}',
@@ -62,7 +65,7 @@
 def _table_bytes(count: int) -> float:
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
-    table = _filled_table(count)
+    table = _fill_table(count)
     used = tracemalloc.get_traced_memory()[0] - before
     tracemalloc.stop()
     return used if len(table) == count else 0
@@ -70,11 +73,11 @@
 
 def _witness_cost_s(count: int) -> float:
     started_s = time.process_time()
-    _filled_table(count)
+    _fill_table(count)
     return time.process_time() - started_s
 
 
-def _filled_table(count: int) -> ClaimRecordTable:
+def _fill_table(count: int) -> ClaimRecordTable:
     table = ClaimRecordTable()
     for sequence in range(count):
         ticket = issue_ticket(_ISSUER, sequence, None, 0)
--- a/boragespool/bench/configuration.py
+++ b/boragespool/bench/configuration.py
@@ -1,4 +1,4 @@
-"""Size and processor time of a configuration by number of backend servers.
+"""Size and processor time of configuration changes by fleet size.
 
 ``python -m boragespool.bench.configuration``
 """
@@ -13,8 +13,8 @@
 
 from boragespool.bench.configuration_parts import (
     change_costs,
-    describe,
-    first_adoption,
+    describe_first_adoption,
+    format_cost,
 )
 from boragespool.bench.slopes import Line, Point, fit_line
 from boragespool.messages import MemberRecord
@@ -26,50 +26,52 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-_SIZES: Final = (100, 500, 2_000, 8_000)
-#: Backend servers, up to the number of the users' target.
-_CHANGE_SIZES: Final = (1_000, 4_000, 16_000, 67_000)
-#: Servers of a service; the rest of the servers are in one large service.
-_SMALL_SERVICE: Final = 30
-_RUNS: Final = 3
-_SITES: Final = 14
-_MEMBER_SIZES: Final = (25, 50, 100, 200, 500)
-_ASSIGNED_SERVERS: Final = 200
-_JOINED_MEMBERS: Final = 100
+_SERVER_COUNTS: Final = (100, 500, 2_000, 8_000)
+#: Backend servers for the cost of changes, up to the target fleet size.
+_CHANGE_SERVER_COUNTS: Final = (1_000, 4_000, 16_000, 67_000)
+#: Half of the servers are in services of this size, the others in one service.
+_SMALL_SERVICE_SERVER_COUNT: Final = 30
+_RUNS_PER_SIZE: Final = 3
+_DATA_CENTRE_COUNT: Final = 14
+_MEMBER_COUNTS: Final = (25, 50, 100, 200, 500)
+_ASSIGNED_SERVER_COUNT: Final = 200
+_MEMBER_COUNT_BEFORE_JOIN: Final = 100
 
 
 def main(*, short: bool = False) -> None:
-    """Print the slopes over the number of servers and of members."""
-    _print_changes(_CHANGE_SIZES[:2] if short else _CHANGE_SIZES)
-    sizes = _SIZES[:3] if short else _SIZES
+    """Print the cost of changes and the growth with servers and members."""
+    _print_changes(
+        _CHANGE_SERVER_COUNTS[:2] if short else _CHANGE_SERVER_COUNTS
+    )
+    sizes = _SERVER_COUNTS[:3] if short else _SERVER_COUNTS
     for name, unit, measure in (
         ('document', 'bytes', _encoded_bytes),
         ('decoding', 'us', _decoding_us),
         ('join', 'us', _join_us),
     ):
-        line = _print_line(name, unit, sizes, measure)
+        line = _print_fit(name, unit, sizes, measure)
         print(f'{name}: {line.slope:.1f} {unit} per backend server')
-    members = _MEMBER_SIZES[:3] if short else _MEMBER_SIZES
-    line = _print_line('assignment', 'us', members, _assignment_us)
+    members = _MEMBER_COUNTS[:3] if short else _MEMBER_COUNTS
+    line = _print_fit('assignment', 'us', members, _assignment_us)
     print(f'assignment: {line.slope:.2f} us per server and candidate')
 
 
 def _print_changes(sizes: tuple[int, ...]) -> None:
-    """Print what one change costs, in parts and as a whole document."""
+    """Print the cost of a change, written in parts and as one document."""
     for size in sizes:
-        before = _settings(size)
-        print(f'{size} servers: {first_adoption(before)}')
+        before = _mixed_settings(size)
+        print(f'{size} servers: {describe_first_adoption(before)}')
         changes = {
-            'address of a server': _with_server(before),
-            'slots of a service': _with_slots(before),
+            'address of a server': _with_moved_server(before),
+            'slots of a service': _with_changed_slots(before),
         }
         for name, after in changes.items():
             for cost in change_costs(before, after):
-                print(f'{size:6} {name:19} {describe(cost)}')
+                print(f'{size:6} {name:19} {format_cost(cost)}')
 
 
-def _settings(server_count: int) -> Settings:
-    """Half of the servers in one service, the others in small services."""
+def _mixed_settings(server_count: int) -> Settings:
+    """Return settings with one large service and many small ones."""
     servers = _document(server_count).settings.services['all'].servers
     names = list(servers)
     half = server_count // 2
@@ -80,17 +82,17 @@
             {name: servers[name] for name in names[:half]},
         ),
     }
-    for first in range(half, server_count, _SMALL_SERVICE):
-        chosen = names[first : first + _SMALL_SERVICE]
+    for first in range(half, server_count, _SMALL_SERVICE_SERVER_COUNT):
+        service_names = names[first : first + _SMALL_SERVICE_SERVER_COUNT]
         services[f'service-{first:06}'] = ServiceSettings(
             5,
             40,
-            {name: servers[name] for name in chosen},
+            {name: servers[name] for name in service_names},
         )
     return Settings(services=services)
 
 
-def _with_server(settings: Settings) -> Settings:
+def _with_moved_server(settings: Settings) -> Settings:
     service = settings.services['large']
     name, server = next(iter(service.servers.items()))
     moved = replace(server, address='10.255.0.1:9000')
@@ -101,20 +103,20 @@
     )
 
 
-def _with_slots(settings: Settings) -> Settings:
+def _with_changed_slots(settings: Settings) -> Settings:
     name = next(reversed(settings.services))
     changed = replace(settings.services[name], slots=6)
     return replace(settings, services=settings.services | {name: changed})
 
 
-def _print_line(
+def _print_fit(
     name: str,
     unit: str,
     sizes: tuple[int, ...],
     measure: Callable[[int], float],
 ) -> Line:
     points = [
-        Point(size, tuple(measure(size) for _ in range(_RUNS)))
+        Point(size, tuple(measure(size) for _ in range(_RUNS_PER_SIZE)))
         for size in sizes
     ]
     for point in points:
@@ -128,7 +130,7 @@
     servers = {
         f'service-{number // 30:04}-{number % 30:02}': ServerSettings(
             f'10.{number // 65_536}.{number // 256 % 256}.{number % 256}:9000',
-            f'data-centre-{number % _SITES:02}',
+            f'data-centre-{number % _DATA_CENTRE_COUNT:02}',
             f'region-{number % 5}',
             f'host-{number:06}',
         )
@@ -150,26 +152,26 @@
 
 
 def _join_us(server_count: int) -> float:
-    """Return the time to reassign all servers when one daemon joins."""
+    """Return the processor time to reassign all servers after a join."""
     assignment = DispatcherAssignment()
-    site_by_host = {
-        f'entry-{number:05}': f'data-centre-{number % _SITES:02}'
-        for number in range(_JOINED_MEMBERS)
+    data_centre_by_host = {
+        f'entry-{number:05}': f'data-centre-{number % _DATA_CENTRE_COUNT:02}'
+        for number in range(_MEMBER_COUNT_BEFORE_JOIN)
     }
-    assignment.set_candidates(site_by_host)
+    assignment.set_candidates(data_centre_by_host)
     assignment.set_servers(
         {
-            f'server-{number:06}': f'data-centre-{number % _SITES:02}'
+            f'server-{number:06}': f'data-centre-{number % _DATA_CENTRE_COUNT:02}'
             for number in range(server_count)
         },
     )
     started_s = time.process_time()
-    assignment.set_candidates(site_by_host | {'new': 'data-centre-00'})
+    assignment.set_candidates(data_centre_by_host | {'new': 'data-centre-00'})
     return (time.process_time() - started_s) * 1e6
 
 
 def _assignment_us(member_count: int) -> float:
-    """Return the time to find the dispatcher of one server."""
+    """Return the processor time to find the dispatcher of one server."""
     members = {
         f'entry-{number:05}': MemberRecord(
             f'entry-{number:05}',
@@ -184,9 +186,9 @@
         for number in range(member_count)
     }
     started_s = time.process_time()
-    for number in range(_ASSIGNED_SERVERS):
+    for number in range(_ASSIGNED_SERVER_COUNT):
         dispatcher_of(f'server-{number}', 'data-centre-00', members)
-    return (time.process_time() - started_s) * 1e6 / _ASSIGNED_SERVERS
+    return (time.process_time() - started_s) * 1e6 / _ASSIGNED_SERVER_COUNT
 
 
 if __name__ == '__main__':
--- a/boragespool/bench/configuration_parts.py
+++ b/boragespool/bench/configuration_parts.py
@@ -1,4 +1,7 @@
-"""One change of a configuration: in parts, and as a whole document."""
+"""Cost of one configuration change, stored in parts or as one document.
+
+Runs the real encoding, apply and fetch code against a store in memory.
+"""
 
 from __future__ import annotations
 
@@ -36,29 +39,35 @@
 
     from boragespool.settings import Settings
 
-_KEPT: Final = 100
-_PATIENCE_S: Final = 60
+#: Revisions in the audit trail and in the list of replaced parts.
+_HISTORY_LENGTH: Final = 100
+_APPLY_TIMEOUT_S: Final = 60
+#: 54,000 changes a day.
 _CHANGES_PER_S: Final = 54_000 / 86_400
 
 
 @dataclass(frozen=True, slots=True)
 class ChangeCost:
-    """What one change costs, in the form of its name.
+    """Cost of one change in one storage form.
 
     Attributes
     ----------
+    form : str
+        ``parts`` or ``whole``.
     written_bytes : int
-        Values that the operator's command writes.
+        Size of the values that the operator's command writes.
     fetched_bytes : int
-        Requests and replies of one daemon that does not watch the store.
+        Size of the requests and replies with which a daemon that does not
+        watch the store fetches the change from a peer.
     watched_bytes : int
-        Values that a watcher reads.
+        Size of the values that a daemon that watches the store reads.
     largest_bytes : int
-        Largest value in the store.
-    adopted_ms : float
-        Processor time to decode, validate and join the change.
+        Size of the largest value in the store.
+    adoption_ms : float
+        Processor time to decode, validate and join the parts, in
+        milliseconds.
     reads, writes : int
-        Calls of the operator's command to the store.
+        Number of store calls of the operator's command.
     """
 
     form: str
@@ -66,24 +75,34 @@
     fetched_bytes: int
     watched_bytes: int
     largest_bytes: int
-    adopted_ms: float
+    adoption_ms: float
     reads: int
     writes: int
 
 
 class CountingStore:
-    """Values in memory; counts calls and written bytes."""
+    """Key-value store in memory that counts its calls.
+
+    Attributes
+    ----------
+    values_by_key : dict of str to StoredValue
+        All stored values.
+    calls : Counter of str
+        Number of calls: ``get`` and ``put``.
+    written_bytes : int
+        Total length of the values written.
+    """
 
     def __init__(self) -> None:
-        """Start empty."""
-        self.stored: dict[str, StoredValue] = {}
+        """Create an empty store."""
+        self.values_by_key: dict[str, StoredValue] = {}
         self.calls: Counter[str] = Counter()
         self.written_bytes = 0
 
     async def get(self, key: str) -> StoredValue | Missing | Failure:
-        """Read one key."""
+        """Return the value of a key."""
         self.calls['get'] += 1
-        return self.stored.get(key) or Missing(key)
+        return self.values_by_key.get(key) or Missing(key)
 
     async def put(
         self,
@@ -91,56 +110,56 @@
         value: str,
         expected_version: int,
     ) -> int | Conflict | Failure:
-        """Write one key if its version is the expected one."""
+        """Write a key if its version is the expected one, and count it."""
         self.calls['put'] += 1
-        held = self.stored.get(key)
+        held = self.values_by_key.get(key)
         version = held.version if held else 0
         if version != expected_version:
             return Conflict(key, version)
-        self.stored[key] = StoredValue(key, value, version + 1)
+        self.values_by_key[key] = StoredValue(key, value, version + 1)
         self.written_bytes += len(value)
         return version + 1
 
 
 def change_costs(before: Settings, after: Settings) -> tuple[ChangeCost, ...]:
-    """Measure one change in both forms.
+    """Measure one change in both storage forms.
 
     Parameters
     ----------
     before, after : Settings
-        Valid settings.
+        Valid settings before and after the change.
 
     Returns
     -------
     tuple of ChangeCost
-        In parts, with a full audit trail and list of replaced parts, and as
-        a whole document.
+        Cost in parts, with a full audit trail and a full list of replaced
+        parts, and cost as one document.
     """
-    trail = tuple(_trail())
+    trail = tuple(_audit_entries())
     base = RevisionDocument(len(trail), 'base', before, trail)
-    return _parts_cost(base, after), _whole_cost(base, after)
+    return _cost_in_parts(base, after), _cost_as_document(base, after)
 
 
-def first_adoption(settings: Settings) -> str:
-    """Describe decoding and validating all parts."""
+def describe_first_adoption(settings: Settings) -> str:
+    """Measure and describe the first adoption of a whole configuration."""
     held = HeldRevision()
     packed = encode_revision(RevisionDocument(1, 'first', settings))
     assert not isinstance(packed, Failure)
     held.want(packed.manifest)
-    _fill(held, packed.manifest, packed.parts)
+    _add_missing_parts(held, packed.manifest, packed.parts)
     started_s = time.process_time()
     adopted = held.adopt(packed.manifest, packed.encoded)
     assert isinstance(adopted, RevisionDocument), adopted
-    adopted_ms = (time.process_time() - started_s) * 1e3
+    adoption_ms = (time.process_time() - started_s) * 1e3
     indexes = len(packed.manifest.indexes)
     return (
         f'{len(packed.parts)} values, {indexes} of them indexes; all decoded '
-        f'and valid after {adopted_ms:.0f} ms'
+        f'and valid after {adoption_ms:.0f} ms'
     )
 
 
-def _trail() -> Iterator[AuditEntry]:
-    for revision in range(1, 2 * _KEPT + 1):
+def _audit_entries() -> Iterator[AuditEntry]:
+    for revision in range(1, 2 * _HISTORY_LENGTH + 1):
         yield AuditEntry(
             1.8e9 + revision,
             'operator',
@@ -152,17 +171,17 @@
         )
 
 
-def _parts_cost(base: RevisionDocument, after: Settings) -> ChangeCost:
+def _cost_in_parts(base: RevisionDocument, after: Settings) -> ChangeCost:
     store = CountingStore()
-    base = replace(base, audit=base.audit[-_KEPT:])
-    # Three parts are replaced by each change: a part, an index, a history.
+    base = replace(base, audit=base.audit[-_HISTORY_LENGTH:])
+    # Each change replaces three values: a part, an index and the history.
     replaced = tuple(
         ReplacedPart(f'{revision:030x}{part:02x}', revision)
-        for revision in range(base.revision - _KEPT, base.revision)
+        for revision in range(base.revision - _HISTORY_LENGTH, base.revision)
         for part in range(3)
     )
     retired = tuple(RetiredPart(f'{part:032x}', 1) for part in range(3))
-    kept_from = base.revision - _KEPT
+    kept_from = base.revision - _HISTORY_LENGTH
     packed = encode_revision(
         base, History((), replaced, retired, (1,), kept_from)
     )
@@ -172,36 +191,36 @@
     texts.update((one.part, b'{}') for one in retired)
     for part, text in texts.items():
         key = part_key(part)
-        store.stored[key] = StoredValue(key, text.decode(), 1)
-    store.stored[CURRENT_KEY] = StoredValue(
+        store.values_by_key[key] = StoredValue(key, text.decode(), 1)
+    store.values_by_key[CURRENT_KEY] = StoredValue(
         CURRENT_KEY,
         packed.encoded.decode(),
         1,
     )
     held = HeldRevision()
-    _fill(held, packed.manifest, packed.parts)
+    _add_missing_parts(held, packed.manifest, packed.parts)
     held.adopt(packed.manifest, packed.encoded)
     applied = asyncio.run(_apply(store, after))
     assert isinstance(applied, Applied), applied
-    encoded = store.stored[CURRENT_KEY].value.encode()
+    encoded = store.values_by_key[CURRENT_KEY].value.encode()
     texts = {
         key.rpartition('/')[2]: stored.value.encode()
-        for key, stored in store.stored.items()
+        for key, stored in store.values_by_key.items()
         if key != CURRENT_KEY
     }
     manifest = decode_revision(encoded)
     assert isinstance(manifest, Manifest)
     peer = HeldRevision()
-    _fill(peer, manifest, texts)
+    _add_missing_parts(peer, manifest, texts)
     peer.adopt(manifest, encoded)
-    fetched_bytes, part_bytes, adopted_ms = _fetch(held, peer)
+    fetched_bytes, part_bytes, adoption_ms = _fetch(held, peer)
     return ChangeCost(
         'parts',
         store.written_bytes,
         fetched_bytes,
         len(encoded) + part_bytes,
-        max(len(stored.value) for stored in store.stored.values()),
-        adopted_ms,
+        max(len(stored.value) for stored in store.values_by_key.values()),
+        adoption_ms,
         store.calls['get'],
         store.calls['put'],
     )
@@ -212,70 +231,82 @@
     return await apply_change(
         store,
         lambda base: next_document(after, base, change),
-        _PATIENCE_S,
+        _APPLY_TIMEOUT_S,
         settings=after,
     )
 
 
 def _fetch(held: HeldRevision, peer: HeldRevision) -> tuple[int, int, float]:
-    """Fetch a revision as a daemon does; return bytes, parts, time."""
+    """Fetch a revision from a peer as a daemon does.
+
+    Returns
+    -------
+    tuple of int, int and float
+        Bytes of all messages, bytes of the parts in them, and processor time
+        in milliseconds.
+    """
     request = RevisionRequest(held.revision, takes_manifest=True)
     reply = peer.answer(request)
-    size_bytes = _size(request) + _size(reply)
+    size_bytes = _encoded_size_bytes(request) + _encoded_size_bytes(reply)
     part_bytes = 0
     started_s = time.process_time()
     manifest = decode_revision(reply.manifest)
     assert isinstance(manifest, Manifest)
-    while lacked := held.lacks(manifest):
-        assert not isinstance(lacked, Failure)
-        parts = PartsRequest(lacked)
+    while missing := held.lacks(manifest):
+        assert not isinstance(missing, Failure)
+        parts = PartsRequest(missing)
         texts = peer.answer_parts(parts)
-        size_bytes += _size(parts) + _size(texts)
+        size_bytes += _encoded_size_bytes(parts) + _encoded_size_bytes(texts)
         part_bytes += sum(map(len, texts.texts))
-        held.add(lacked, texts.texts)
+        held.add(missing, texts.texts)
     adopted = held.adopt(manifest, reply.manifest)
     assert isinstance(adopted, RevisionDocument), adopted
-    adopted_ms = (time.process_time() - started_s) * 1e3
-    return size_bytes, part_bytes, adopted_ms
+    adoption_ms = (time.process_time() - started_s) * 1e3
+    return size_bytes, part_bytes, adoption_ms
 
 
-def _fill(
+def _add_missing_parts(
     held: HeldRevision,
     manifest: Manifest,
     texts: dict[str, bytes],
 ) -> None:
-    while lacked := held.lacks(manifest):
-        assert not isinstance(lacked, Failure)
-        held.add(lacked, [texts[part] for part in lacked])
+    while missing := held.lacks(manifest):
+        assert not isinstance(missing, Failure)
+        held.add(missing, [texts[part] for part in missing])
 
 
-def _whole_cost(base: RevisionDocument, after: Settings) -> ChangeCost:
-    """Return the cost of the earlier form, whatever its size."""
-    base = replace(base, audit=base.audit[-_KEPT:])
+def _cost_as_document(base: RevisionDocument, after: Settings) -> ChangeCost:
+    """Return the cost of the older form, one document for all settings.
+
+    The size limit of store values is not applied.
+    """
+    base = replace(base, audit=base.audit[-_HISTORY_LENGTH:])
     change = Change('change', 'apply', 'operator', 1.9e9, 'one service')
     encoded = msgspec.json.encode(next_document(after, base, change))
     started_s = time.process_time()
     assert not isinstance(decode_document(encoded), Failure)
-    adopted_ms = (time.process_time() - started_s) * 1e3
-    fetched_bytes = _size(RevisionReply(base.revision + 1, encoded))
+    adoption_ms = (time.process_time() - started_s) * 1e3
+    fetched_bytes = _encoded_size_bytes(
+        RevisionReply(base.revision + 1, encoded)
+    )
     return ChangeCost(
         'whole',
         len(encoded) + len(msgspec.json.encode(base)),
-        fetched_bytes + _size(RevisionRequest(base.revision)),
+        fetched_bytes + _encoded_size_bytes(RevisionRequest(base.revision)),
         len(encoded),
         len(encoded),
-        adopted_ms,
+        adoption_ms,
         reads=1,
         writes=2,
     )
 
 
-def _size(message: object) -> int:
+def _encoded_size_bytes(message: object) -> int:
     return len(msgspec.msgpack.encode(message))
 
 
-def describe(cost: ChangeCost) -> str:
-    """Return one line; rates are for 54,000 changes a day."""
+def format_cost(cost: ChangeCost) -> str:
+    """Format a cost as one line; rates assume 54,000 changes a day."""
     fetched_kb = cost.fetched_bytes * _CHANGES_PER_S / 1e3
     watched_kb = cost.watched_bytes * _CHANGES_PER_S / 1e3
     return (
@@ -284,5 +315,5 @@
         f'{cost.fetched_bytes:9,} bytes fetched ({fetched_kb:.2f} KB/s), '
         f'{cost.watched_bytes:9,} by a watcher ({watched_kb:.2f} KB/s), '
         f'largest value {cost.largest_bytes:9,} bytes, '
-        f'{cost.adopted_ms:.1f} ms of processor time'
+        f'{cost.adoption_ms:.1f} ms of processor time'
     )
--- a/boragespool/bench/deployment.py
+++ b/boragespool/bench/deployment.py
@@ -1,6 +1,6 @@
-"""A whole deployment inside one process, over real sockets.
+"""Complete deployment in one process, connected by real sockets.
 
-Used by the demo and by measurements of a few daemons.
+Used by the demo and by benchmarks with few daemons.
 """
 
 from __future__ import annotations
@@ -33,19 +33,32 @@
     from boragespool.settings import Settings
     from boragespool.types import Address
 
-_POLL_S: Final = 0.05
+_POLL_INTERVAL_S: Final = 0.05
 _START_TIMEOUT_S: Final = 30
 _STORE_TIMEOUT_S: Final = 2
 
 
 @dataclass(slots=True)
 class Deployment:
-    """Platform, backend servers and daemons, an async context manager.
+    """Stand-in platform, backend servers and daemons.
+
+    An async context manager that starts and stops them together.
 
     Parameters
     ----------
     shape : DeploymentShape
-        What to start.
+        Numbers of daemons and servers, services and data centres.
+
+    Attributes
+    ----------
+    entries : list of EntryDaemon
+        Running daemons.
+    platform : Platform
+        Stand-in platform, which holds the store.
+    backends : BackendHost
+        Stand-in backend servers.
+    settings : Settings
+        Settings of the first revision.
     """
 
     shape: DeploymentShape
@@ -57,38 +70,40 @@
     settings: Settings = field(init=False)
 
     async def __aenter__(self) -> Self:
-        """Start everything and wait until every daemon can serve."""
+        """Start all parts and wait until every daemon can serve."""
         async with AsyncExitStack() as stack:
             await self._start(stack)
             self._stack = stack.pop_all()
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        """Stop everything at once."""
+        """Stop all parts in the reverse order of their start."""
         await self._stack.aclose()
 
     def client(self, caller: str) -> Client:
-        """Return a client that knows all daemons."""
+        """Return a client with the addresses of all daemons."""
         addresses = tuple(entry.http.address for entry in self.entries)
         return Client(ClientOptions(caller, addresses))
 
     async def apply(self, settings: Settings, revision: int) -> None:
-        """Write a revision to the platform's store.
+        """Write a revision of the settings to the platform's store.
 
         Raises
         ------
         RuntimeError
-            If the store did not accept it.
+            If the store rejects the write.
         """
         document = RevisionDocument(revision, f'change-{revision}', settings)
-        async with StoreClient(self.platform.address, _STORE_TIMEOUT_S) as kv:
-            written = await kv.put(
+        async with StoreClient(
+            self.platform.address, _STORE_TIMEOUT_S
+        ) as store:
+            written = await store.put(
                 'config/current',
                 msgspec.json.encode(document).decode(),
                 revision - 1,
             )
         if written != revision:
-            raise RuntimeError(f'store answered {written!r}')
+            raise RuntimeError(f'store rejected the revision: {written!r}')
 
     async def _start(self, stack: AsyncExitStack) -> None:
         self.platform = await stack.enter_async_context(Platform())
@@ -105,16 +120,16 @@
         for options in _entry_options(self.shape, self.platform.address):
             entry = await stack.enter_async_context(EntryDaemon(options))
             self.entries.append(entry)
-        await self._until_ready(len(placed))
+        await self._wait_until_ready(len(placed))
 
-    async def _until_ready(self, server_count: int) -> None:
-        """Wait until all daemons know each other and all servers."""
+    async def _wait_until_ready(self, server_count: int) -> None:
+        """Wait until all daemons are ready and know all peers and servers."""
         async with asyncio.timeout(_START_TIMEOUT_S):
             while not all(
                 _is_ready(entry, len(self.entries), server_count)
                 for entry in self.entries
             ):
-                await asyncio.sleep(_POLL_S)
+                await asyncio.sleep(_POLL_INTERVAL_S)
 
 
 def _is_ready(entry: EntryDaemon, entry_count: int, server_count: int) -> bool:
--- a/boragespool/bench/dispatching.py
+++ b/boragespool/bench/dispatching.py
@@ -1,7 +1,8 @@
 """Processor time of the dispatch controller per backend request.
 
-A bare h11 loop does the same exchanges with the same server in the same run.
-Only the time of this process counts; the server runs in a child process.
+The baseline is a plain h11 client that does the same exchanges with the same
+server in the same run. The server runs in a child process, so that its time is
+not counted.
 """
 
 from __future__ import annotations
@@ -39,15 +40,15 @@
     from collections.abc import AsyncIterator, Awaitable, Callable
 
 _CONCURRENCY: Final = 5
-_ROUNDS: Final = 6
+_ROUND_COUNT: Final = 6
 _READ_SIZE_BYTES: Final = 65_536
 _BODY: Final = msgspec.json.encode({'text': 'lot', 'limit': 20})
-_END: Final = 100
-_EXPECTED: Final = tuple(Item(key, f'lot {key}') for key in range(10))
+_KEY_RANGE_END: Final = 100
+_EXPECTED_ITEMS: Final = tuple(Item(key, f'lot {key}') for key in range(10))
 
 
-async def _answer(request: HttpRequest) -> HttpResponse:
-    """Answer as a backend server without any work."""
+async def _answer_request(request: HttpRequest) -> HttpResponse:
+    """Answer a request as a backend server would, with constant items."""
     if request.path == '/v1/status':
         return json_response({'server': 's', 'incarnation': 1, 'service': 'v'})
     work = msgspec.json.decode(request.body)
@@ -56,16 +57,16 @@
         {
             **echoed,
             'end': work['end'],
-            'items': _EXPECTED,
-            'item_count': len(_EXPECTED),
+            'items': _EXPECTED_ITEMS,
+            'item_count': len(_EXPECTED_ITEMS),
             'run': 'run',
         },
     )
 
 
-def _serve(address: Address) -> None:
+def _run_server(address: Address) -> None:
     async def serve() -> None:
-        async with HttpServer(address, HttpLimits(), _answer):
+        async with HttpServer(address, HttpLimits(), _answer_request):
             await asyncio.Event().wait()
 
     asyncio.run(serve())
@@ -78,8 +79,8 @@
     return f'127.0.0.1:{port}'
 
 
-class _BareLoop:
-    """Exchanges on plain streams with h11 and msgspec."""
+class _BareH11Client:
+    """Baseline: HTTP client of asyncio streams, h11 and msgspec only."""
 
     def __init__(self, address: Address) -> None:
         self._address = address
@@ -135,7 +136,7 @@
         'kind': 'query',
         'version': 1,
         'start': 0,
-        'end': _END,
+        'end': _KEY_RANGE_END,
         'body': msgspec.Raw(_BODY),
         'rank': 'routine',
         'deadline_s': 2.0,
@@ -155,30 +156,30 @@
         body=_BODY,
         fingerprint=1,
         version=1,
-        end=_END,
+        end=_KEY_RANGE_END,
     )
 
 
 @asynccontextmanager
-async def _dispatching(
+async def _dispatch_sender(
     address: Address,
 ) -> AsyncIterator[Callable[[int], Awaitable[None]]]:
-    """Give a function that sends one request through the controller."""
-    place = ServerSettings(address, 'north')
-    service = ServiceSettings(_CONCURRENCY, 40, {'s': place})
+    """Run a dispatch controller; yield a function that sends one request."""
+    server = ServerSettings(address, 'north')
+    service = ServiceSettings(_CONCURRENCY, 40, {'s': server})
     document = RevisionDocument(1, 'c', Settings(services={'v': service}))
     board = Blackboard()
     board.post(DOCUMENT_IN_FORCE, document)
-    own = _free_address()
+    own_address = _free_address()
     timers = LoopTimers()
-    async with PeerNetwork(PeerOptions('a', 1, own), timers) as peers:
-        identity = Identity('a', 1, 'north', 'r', own, own)
+    async with PeerNetwork(PeerOptions('a', 1, own_address), timers) as peers:
+        identity = Identity('a', 1, 'north', 'r', own_address, own_address)
         context = Context(identity, board, timers, peers, float)
         async with DispatchController(context):
 
             async def send(number: int) -> None:
                 reply = await peers.request('a', _work_request(number), 2)
-                if getattr(reply, 'items', ()) != _EXPECTED:
+                if getattr(reply, 'items', ()) != _EXPECTED_ITEMS:
                     raise ValueError(f'unexpected reply {reply!r}')
 
             yield send
@@ -186,11 +187,11 @@
 
 async def _cost_us(
     send: Callable[[int], Awaitable[None]],
-    begin: int,
+    first_number: int,
     count: int,
 ) -> float:
-    """Return processor time per request in microseconds."""
-    numbers = iter(range(begin, begin + count))
+    """Return the processor time per request in microseconds."""
+    numbers = iter(range(first_number, first_number + count))
 
     async def worker() -> None:
         for number in numbers:
@@ -202,26 +203,35 @@
 
 
 async def _measure(address: Address, count: int) -> tuple[float, float]:
-    """Return the lowest cost of the controller and of the bare loop."""
-    bare = _BareLoop(address)
+    """Return the lowest cost of the controller and of the baseline.
+
+    Both are processor times per request in microseconds.
+    """
+    h11_client = _BareH11Client(address)
     costs: list[tuple[float, float]] = []
-    async with _dispatching(address) as dispatch:
-        for turn in range(_ROUNDS + 1):
-            begin = turn * count
-            dispatch_us = await _cost_us(dispatch, begin, count)
-            costs.append((dispatch_us, await _cost_us(bare.send, begin, count)))
-    # The first round opens the connections and raises the limit.
+    async with _dispatch_sender(address) as dispatch:
+        for round_number in range(_ROUND_COUNT + 1):
+            first_number = round_number * count
+            dispatch_us = await _cost_us(dispatch, first_number, count)
+            costs.append(
+                (
+                    dispatch_us,
+                    await _cost_us(h11_client.send, first_number, count),
+                )
+            )
+    # Skip the first round: it opens the connections and raises the
+    # concurrency limit of the server.
     return min(cost[0] for cost in costs[1:]), min(
         cost[1] for cost in costs[1:]
     )
 
 
 def main() -> int:
-    """Print the cost of both and their ratio; goal: at most 2."""
+    """Print both costs and their ratio, which should be at most 2."""
     count = 500 if '--short' in sys.argv else 1_000
     address = _free_address()
     server = multiprocessing.get_context('spawn').Process(
-        target=_serve,
+        target=_run_server,
         args=(address,),
         daemon=True,
     )
--- a/boragespool/bench/exchange.py
+++ b/boragespool/bench/exchange.py
@@ -1,4 +1,4 @@
-"""Processor time of daemons per backend request, against bare h11.
+"""Processor time of daemons per backend request, compared with h11 alone.
 
 ``python -m boragespool.bench.exchange``
 """
@@ -15,10 +15,10 @@
 from boragespool.bench.loads import WORKPLACES, scaled
 from boragespool.bench.process_fleet import ProcessFleet
 
-_ROUNDS: Final = 2_000
+_EXCHANGE_COUNT: Final = 2_000
 _IDLE_S: Final = 4
 _RUN_S: Final = 8
-_FACTOR: Final = 4
+_HIGH_LOAD_FACTOR: Final = 4
 _HEADERS: Final = (
     ('Host', '127.0.0.1:8000'),
     ('Content-Type', 'application/json'),
@@ -45,18 +45,24 @@
 ).encode()
 
 
-def bare_exchange_s(rounds: int = _ROUNDS) -> float:
-    """Return processor seconds of one exchange for the client's h11 alone.
+def bare_exchange_s(exchange_count: int = _EXCHANGE_COUNT) -> float:
+    """Return the processor time of h11 on the client side of one exchange.
 
     Parameters
     ----------
-    rounds : int
-        Exchanges on one connection, without sockets.
+    exchange_count : int
+        Number of exchanges to average over. They use one connection and no
+        sockets.
+
+    Returns
+    -------
+    float
+        Processor time per exchange, in seconds.
     """
     client = h11.Connection(h11.CLIENT)
     server = h11.Connection(h11.SERVER)
     spent_s: float = 0
-    for _ in range(rounds):
+    for _ in range(exchange_count):
         began_s = time.process_time()
         sent = _send_request(client)
         spent_s += time.process_time() - began_s
@@ -67,11 +73,14 @@
         client.start_next_cycle()
         spent_s += time.process_time() - began_s
         server.start_next_cycle()
-    return spent_s / rounds
+    return spent_s / exchange_count
 
 
 def main() -> None:
-    """Print processor time per backend request, with and without idle work."""
+    """Print the processor time of all daemons per backend request.
+
+    The time that idle daemons use is measured first and subtracted.
+    """
     bare_s = bare_exchange_s()
     print(f'bare h11: {bare_s * 1e6:.0f} us per exchange')
     place = WORKPLACES['cooperative']
@@ -80,13 +89,13 @@
         daemons = tuple(fleet.entry_by_host.values())
         began_s = sum(daemon.processor_s() for daemon in daemons)
         time.sleep(_IDLE_S)
-        idle = sum(daemon.processor_s() for daemon in daemons) - began_s
-        idle_share = idle / _IDLE_S / len(daemons)
+        idle_s = sum(daemon.processor_s() for daemon in daemons) - began_s
+        idle_share = idle_s / _IDLE_S / len(daemons)
         print(f'idle: {idle_share:.4f} of a core per daemon')
-        for factor in (1, _FACTOR):
+        for factor in (1, _HIGH_LOAD_FACTOR):
             flows = scaled(place.ordinary, factor)
             run = driver.run(fleet, flows, _RUN_S)
-            used_s = run.daemon_s - idle / _IDLE_S * _RUN_S
+            used_s = run.daemon_s - idle_s / _IDLE_S * _RUN_S
             per_request_s = used_s / max(1, run.received)
             print(
                 f'{factor} times the ordinary load: {run.received} requests, '
--- a/boragespool/bench/fake_fleet.py
+++ b/boragespool/bench/fake_fleet.py
@@ -1,4 +1,8 @@
-"""In-process dispatchers and backend servers for measurements and tests."""
+"""Fake dispatchers and backend servers for benchmarks and tests.
+
+They run in one process without sockets and replace the peer network of a
+query controller, so virtual time is possible.
+"""
 
 from __future__ import annotations
 
@@ -45,20 +49,30 @@
     from boragespool.peers import PeerNetwork
     from boragespool.types import HostName, Seconds, ServerName
 
-#: Longer than any query.
-_LONG_S: Final = 600
+#: Stands for no timeout: longer than any query.
+_NO_TIMEOUT_S: Final = 600
 
 
 @dataclass(frozen=True, slots=True)
 class FleetOptions:
-    """Shape of a fake fleet.
+    """Size and settings of a fake fleet.
 
     Attributes
     ----------
+    shard_count, replica_count : int
+        Number of shards, and of backend servers that hold each shard.
+    host_count : int
+        Number of daemons that dispatch work.
     slots : int
-        Requests that one backend server runs at the same time.
+        Number of requests that one backend server runs at the same time.
     one_way_delay_s : float
-        One-way time of a message.
+        Network delay of a message, in seconds.
+    deadline_s : float
+        Deadline of the route, in seconds.
+    canary : bool
+        Value of `RouteSettings.canary` of the route.
+    hedging : HedgingSettings
+        Hedging settings of all routes.
     """
 
     shard_count: int = 30
@@ -72,25 +86,40 @@
 
 
 class FakeFleet:
-    """Takes the place of the peer network of one merger.
+    """Replaces `PeerNetwork` for the merger, the daemon that runs a query.
+
+    Parameters
+    ----------
+    options : FleetOptions
+        Size and settings.
+    seed : int
+        Seed of all random choices.
 
     Attributes
     ----------
+    rng : random.Random
+        Random numbers of the fleet and of the merger.
     service_time_s : callable
-        Draws how long a backend server runs one request.
+        Returns the time to run the next request, in seconds.
     behaviour_by_server : dict
-        Servers that answer otherwise; a behaviour gets the request and
-        returns a reply, or None for none at all.
+        Behaviour of servers that do not answer normally: a function of the
+        request that returns a reply, or None for no reply.
     holds : callable
-        Whether a backend server holds the version and range of a request.
+        Whether the server of a request holds its version and range.
     requests_by_server, started_by_server : Counter
-        Requests by server that dispatchers got and that servers began.
+        Number of requests sent to each server, and of those that it started.
+    requests : list of WorkRequest
+        All requests in the order of arrival.
+    cancel_count : int
+        Number of `CancelWork` messages received.
+    board : Blackboard
+        Configuration, members and servers that the merger reads.
     """
 
     def __init__(self, options: FleetOptions, seed: int) -> None:
-        """Post a configuration, members and servers on a blackboard."""
+        """Set up the fleet and post its state on a new blackboard."""
         self.options = options
-        self.draw = random.Random(seed)
+        self.rng = random.Random(seed)
         self.service_time_s: Callable[[], Seconds] = lambda: 0.01
         self.behaviour_by_server: dict[
             ServerName,
@@ -100,28 +129,28 @@
         self.requests_by_server: Counter[ServerName] = Counter()
         self.started_by_server: Counter[ServerName] = Counter()
         self.requests: list[WorkRequest] = []
-        self.cancelled = 0
+        self.cancel_count = 0
         self._slots_by_server: dict[ServerName, asyncio.Semaphore] = {}
         self._tasks_by_id: dict[str, asyncio.Task[Any]] = {}
         self.board = Blackboard()
         self.post()
 
     def context(self) -> Context:
-        """Return the context of a merger in this fleet."""
+        """Return the controller context of a merger in this fleet."""
         return Context(
             Identity('merger', 1, 'dc', 'region', '', ''),
             self.board,
             LoopTimers(),
             cast('PeerNetwork', self),
-            self.draw.random,
+            self.rng.random,
         )
 
     def post(self) -> None:
-        """Post the whole fleet with version 1 held everywhere."""
+        """Post settings, daemons and servers; all servers hold version 1."""
         self.post_members(
             [f'host{number}' for number in range(self.options.host_count)],
         )
-        records = dict(map(self._record, self._names()))
+        records = dict(map(self._server_record, self._shards_and_names()))
         self.board.post(SERVERS, records)
         servers = {
             name: ServerSettings('', 'dc', host=name) for name in records
@@ -146,7 +175,7 @@
         )
 
     def post_members(self, hosts: Iterable[HostName]) -> None:
-        """Post daemons that dispatch."""
+        """Replace the members by daemons with the given names."""
         members = {
             host: MemberRecord(
                 host, 1, 1, MemberStatus.ALIVE, 'dc', 'region', '', ''
@@ -156,7 +185,7 @@
         self.board.post(MEMBERS, members)
 
     def announce(self, server: ServerName, **changes: Any) -> None:
-        """Post a changed record of one server."""
+        """Post the record of one server with some fields changed."""
         known = self.board.read(SERVERS)
         changed = {server: replace(known[server], **changes)}
         self.board.post(SERVERS, {**known, **changed})
@@ -167,7 +196,7 @@
         message: WorkRequest,
         timeout_s: Seconds,
     ) -> WorkReply | Failure:
-        """Answer like `PeerNetwork.request`."""
+        """Replace `PeerNetwork.request`."""
         self.requests_by_server[message.server] += 1
         self.requests.append(message)
         task = asyncio.ensure_future(self._serve(message))
@@ -191,20 +220,20 @@
         message: WorkRequest,
         on_result: Callable[[WorkReply | Failure], None],
     ) -> Callable[[], object]:
-        """Answer like `PeerNetwork.request_with_callback`, without a limit."""
+        """Replace `PeerNetwork.request_with_callback`, without a timeout."""
 
         def finish(done: asyncio.Task[WorkReply | Failure]) -> None:
             if not done.cancelled():
                 on_result(done.result())
 
-        task = asyncio.ensure_future(self.request(host, message, _LONG_S))
+        task = asyncio.ensure_future(self.request(host, message, _NO_TIMEOUT_S))
         task.add_done_callback(finish)
         return task.cancel
 
     def send(self, host: HostName, message: object) -> bool:
-        """Deliver `CancelWork` after a trip."""
+        """Deliver `CancelWork` after the network delay; ignore other messages."""
         if isinstance(message, CancelWork):
-            self.cancelled += 1
+            self.cancel_count += 1
             asyncio.get_running_loop().call_later(
                 self.options.one_way_delay_s,
                 self._cancel,
@@ -241,18 +270,18 @@
             await asyncio.sleep(self.service_time_s())
             return correct_reply(message)
 
-    def _names(self) -> list[tuple[int, ServerName]]:
+    def _shards_and_names(self) -> list[tuple[int, ServerName]]:
         return [
             (shard, f's{shard}r{replica}')
             for shard in range(self.options.shard_count)
             for replica in range(self.options.replica_count)
         ]
 
-    def _record(
+    def _server_record(
         self,
-        place: tuple[int, ServerName],
+        shard_and_name: tuple[int, ServerName],
     ) -> tuple[ServerName, ServerRecord]:
-        shard, name = place
+        shard, name = shard_and_name
         held = (Holding(1, (shard_range(shard, self.options.shard_count),)),)
         record = ServerRecord(
             name, 'search', 'dc', '', 1, 1, 1, ServerState.SERVING, 5, held
@@ -260,14 +289,14 @@
         return name, record
 
 
-def shard_range(shard: int, shards: int) -> tuple[int, int]:
-    """Return the key range of one of equal shards."""
-    start = KEY_SPACE_SIZE * shard // shards
-    return start, KEY_SPACE_SIZE * (shard + 1) // shards
+def shard_range(shard: int, shard_count: int) -> tuple[int, int]:
+    """Return the key range ``[start, end)`` of one of several equal shards."""
+    start = KEY_SPACE_SIZE * shard // shard_count
+    return start, KEY_SPACE_SIZE * (shard + 1) // shard_count
 
 
 def correct_reply(message: WorkRequest) -> WorkReply:
-    """Return a correct reply with one item that names its origin."""
+    """Return a complete reply with one item that identifies the request."""
     origin = (
         message.request_id,
         message.version,
@@ -290,5 +319,13 @@
     code: ResultCode,
     run: RunState = RunState.NOT_RUN,
 ) -> Callable[[WorkRequest], WorkReply]:
-    """Return a behaviour that refuses all work with one code."""
+    """Return a server behaviour that refuses all work.
+
+    Parameters
+    ----------
+    code : ResultCode
+        Code of the replies.
+    run : RunState, optional
+        Whether the replies state that the work has run.
+    """
     return lambda message: WorkReply(message.attempt_id, int(code), run)
--- a/boragespool/bench/flood.py
+++ b/boragespool/bench/flood.py
@@ -1,7 +1,8 @@
-"""Service by rank in a closing rush and in a flood of urgent work.
+"""Queue policies under overload: service by rank during a flood of work.
 
-Virtual time. The rank queue, first-in-first-out, strict priority and weighted
-fair queueing run through the same seeded load.
+Simulates a closing rush of deferrable work and a flood of urgent work in
+virtual time. The rank queue, first-in-first-out, strict priority and weighted
+fair queueing get the same seeded load.
 """
 
 from __future__ import annotations
@@ -27,23 +28,25 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
 
-    from boragespool.bench.flood_simulation import Policy, Run
+    from boragespool.bench.flood_simulation import QueuePolicy, SimulationRun
 
 _SEED: Final = 7
-_RANKS: Final = Settings().ranks
-_STRICT: Final = MappingProxyType(
+_DEFAULT_RANKS: Final = Settings().ranks
+_STRICT_PRIORITY: Final = MappingProxyType(
     dict.fromkeys(Rank, RankSettings(floor=0, cap=1)),
 )
-_WEIGHTS: Final = MappingProxyType(
+_WEIGHT_BY_RANK: Final = MappingProxyType(
     {Rank.URGENT: 0.7, Rank.ROUTINE: 0.2, Rank.DEFERRABLE: 0.1},
 )
-_POLICIES: Final[Mapping[str, Callable[[], Policy]]] = MappingProxyType(
-    {
-        'ranks': lambda: ServerQueue(SLOTS, _RANKS),
-        'fifo': lambda: FirstInFirstOut(SLOTS),
-        'strict': lambda: ServerQueue(SLOTS, _STRICT),
-        'fair': lambda: WeightedFairQueue(SLOTS, _WEIGHTS),
-    },
+_BUILDERS_BY_POLICY: Final[Mapping[str, Callable[[], QueuePolicy]]] = (
+    MappingProxyType(
+        {
+            'ranks': lambda: ServerQueue(SLOTS, _DEFAULT_RANKS),
+            'fifo': lambda: FirstInFirstOut(SLOTS),
+            'strict': lambda: ServerQueue(SLOTS, _STRICT_PRIORITY),
+            'fair': lambda: WeightedFairQueue(SLOTS, _WEIGHT_BY_RANK),
+        },
+    )
 )
 _HEADINGS: Final = (
     'load',
@@ -59,18 +62,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Result:
-    """Figures of one queue under one load.
+    """Measurements of one queue policy under one load.
 
     Attributes
     ----------
     urgent_success : float
-        Share of urgent work answered in time, 0 to 1.
+        Share of the urgent work that arrived in the flood and was answered
+        before its deadline, 0 to 1.
     urgent_p99_ratio : float
-        99th percentile of urgent latency to that without the flood.
+        99th percentile of the latency of urgent work in the flood, divided by
+        that of the same period without a flood.
     shares : tuple of float
-        Useful share of the slots by rank in the flood, 0 to 1.
+        Share of the slot time in the flood, by rank, that was spent on work
+        answered before its deadline, 0 to 1.
     recovery_s : float
-        Time until the queues are as before the flood, in seconds.
+        Time after the flood until no more work misses its deadline, in
+        seconds.
     """
 
     urgent_success: float
@@ -80,77 +87,105 @@
 
     @property
     def useful(self) -> float:
-        """Useful share of the capacity in the flood, 0 to 1."""
+        """Sum of `shares`: useful share of the capacity in the flood, 0 to 1."""
         return sum(self.shares)
 
 
 def measure(
     policy: str,
     load: Load,
-    servers: int = 1,
+    server_count: int = 1,
     seed: int = _SEED,
 ) -> Result:
-    """Measure one queue under one load.
+    """Measure one queue policy under one load.
 
     Parameters
     ----------
     policy : str
         ``ranks``, ``fifo``, ``strict`` or ``fair``.
     load : Load
-        Demand over time.
-    servers : int
-        Backend servers; work goes to the shorter of two queues.
+        Demand before, during and after the flood.
+    server_count : int
+        Number of backend servers. Work goes to the server with the shorter
+        queue of two that are chosen at random.
+    seed : int
+        Seed of the arrivals and service times.
     """
-    build = _POLICIES[policy]
-    calm = Load(load.base, load.base, load.begin_s, load.end_s, load.stop_s)
-    unloaded = simulate([build() for _ in range(servers)], calm, seed)
-    flooded = simulate([build() for _ in range(servers)], load, seed)
+    new_queue = _BUILDERS_BY_POLICY[policy]
+    no_flood = Load(load.base, load.base, load.begin_s, load.end_s, load.stop_s)
+    without_flood = simulate(
+        [new_queue() for _ in range(server_count)], no_flood, seed
+    )
+    with_flood = simulate(
+        [new_queue() for _ in range(server_count)], load, seed
+    )
     urgent = list(
-        arrived_between(flooded, Rank.URGENT, load.begin_s, load.end_s),
+        arrived_between(with_flood, Rank.URGENT, load.begin_s, load.end_s),
     )
     answered = sum(outcome.in_time for outcome in urgent)
     return Result(
         urgent_success=answered / len(urgent),
-        urgent_p99_ratio=_p99(flooded, load) / _p99(unloaded, load),
+        urgent_p99_ratio=_urgent_p99_s(with_flood, load)
+        / _urgent_p99_s(without_flood, load),
         shares=tuple(
-            served_share(flooded, rank, load.begin_s + 1, load.end_s)
+            served_share(with_flood, rank, load.begin_s + 1, load.end_s)
             for rank in Rank
         ),
-        recovery_s=recovery_s(flooded, load),
+        recovery_s=recovery_s(with_flood, load),
     )
 
 
-def _p99(run: Run, load: Load) -> float:
-    """Return the 99th percentile of urgent latency in the flood."""
+def _urgent_p99_s(run: SimulationRun, load: Load) -> float:
+    """Return the 99th percentile of the latency of urgent work.
+
+    Only work that arrived in the flood and was answered counts.
+    """
     ordered = sorted(
-        outcome.done_s - outcome.arrived_s
+        outcome.done_at_s - outcome.arrived_at_s
         for outcome in arrived_between(
             run,
             Rank.URGENT,
             load.begin_s,
             load.end_s,
         )
-        if outcome.done_s is not None
+        if outcome.done_at_s is not None
     )
     return ordered[int(len(ordered) * 0.99)] if ordered else 0
 
 
 def rush(factor: float, urgent: float = 0.6) -> Load:
-    """Return a closing rush of deferrable work over a calm base load."""
+    """Return a closing rush: a flood of deferrable work over a base load.
+
+    Parameters
+    ----------
+    factor : float
+        Demand for deferrable work in the flood, in multiples of the capacity.
+    urgent : float
+        Constant demand for urgent work, in multiples of the capacity.
+    """
     base = {Rank.URGENT: urgent, Rank.ROUTINE: 0.1, Rank.DEFERRABLE: 0.05}
     return Load(base, {**base, Rank.DEFERRABLE: factor})
 
 
 def urgent_flood(factor: float) -> Load:
-    """Return a flood of urgent work while the other ranks want twice 0.2."""
+    """Return a flood of urgent work.
+
+    The other two ranks want 0.4 of the capacity each during the flood, twice
+    0.2.
+
+    Parameters
+    ----------
+    factor : float
+        Demand for urgent work in the flood, in multiples of the capacity.
+    """
     base = {Rank.URGENT: 0.3, Rank.ROUTINE: 0.2, Rank.DEFERRABLE: 0.1}
     flood = {Rank.URGENT: factor, Rank.ROUTINE: 0.4, Rank.DEFERRABLE: 0.4}
     return Load(base, flood)
 
 
 def scenarios(*, short: bool) -> list[tuple[str, Load, int]]:
-    """Return name, load and number of servers of each measurement."""
-    full = [
+    """Return the name, load and number of servers of each scenario."""
+    long_list = [
         ('rush x50', rush(50), 1),
         ('rush x10, urgent 0.7', rush(10, 0.7), 1),
         ('rush x10, urgent 0.75', rush(10, 0.75), 1),
@@ -162,16 +197,16 @@
     return [
         ('rush x10', rush(10), 1),
         ('urgent flood x10', urgent_flood(10), 1),
-        *([] if short else full),
+        *([] if short else long_list),
     ]
 
 
 def main() -> int:
-    """Print one line per queue and load; ``--short`` leaves out the rest."""
+    """Print one line per load and policy; ``--short`` runs two loads only."""
     _print_row(_HEADINGS)
-    for name, load, servers in scenarios(short='--short' in sys.argv):
-        for policy in _POLICIES:
-            result = measure(policy, load, servers)
+    for name, load, server_count in scenarios(short='--short' in sys.argv):
+        for policy in _BUILDERS_BY_POLICY:
+            result = measure(policy, load, server_count)
             shares = (f'{share:.3f}' for share in result.shares)
             _print_row(
                 (
--- a/boragespool/bench/flood_baselines.py
+++ b/boragespool/bench/flood_baselines.py
@@ -1,4 +1,4 @@
-"""Queues that the rank queue is compared with."""
+"""Queue policies with which the rank queue is compared."""
 
 from __future__ import annotations
 
@@ -18,17 +18,17 @@
 
 
 class FirstInFirstOut:
-    """One bounded queue for all ranks, without deadlines."""
+    """One bounded queue for all ranks that ignores deadlines."""
 
     def __init__(self, slots: int) -> None:
-        """Start empty."""
+        """Create an empty queue."""
         self._slots = slots
         self._waiting: deque[QueuedWork] = deque()
         self._running: set[AttemptId] = set()
 
     @property
     def waiting_count(self) -> int:
-        """Queued work."""
+        """Number of requests that wait for a slot."""
         return len(self._waiting)
 
     def offer(
@@ -36,14 +36,14 @@
         work: QueuedWork,
         _now_s: Seconds,
     ) -> tuple[RefusedWork, ...]:
-        """Queue work unless the queue is full."""
+        """Queue work, or refuse it if the queue is full."""
         if len(self._waiting) >= _QUEUE_LIMIT:
-            return (_full(work),)
+            return (_refuse(work),)
         self._waiting.append(work)
         return ()
 
     def schedule(self, _now_s: Seconds) -> ScheduleResult:
-        """Fill free slots in order of arrival."""
+        """Start waiting work in order of arrival while slots are free."""
         started = []
         while self._waiting and len(self._running) < self._slots:
             work = self._waiting.popleft()
@@ -58,65 +58,73 @@
         *,
         served: bool = True,
     ) -> bool:
-        """Release a slot."""
+        """Free the slot of an attempt."""
         del served
         self._running.discard(attempt_id)
         return True
 
 
 class WeightedFairQueue:
-    """Self-clocked fair queueing over ranks with their queue limits.
-
-    Golestani, "A self-clocked fair queueing scheme for broadband
-    applications", INFOCOM 1994, with equal work sizes. Queued work expires.
+    """Self-clocked fair queueing with one bounded queue per rank.
+
+    The algorithm of Golestani, "A self-clocked fair queueing scheme for
+    broadband applications", INFOCOM 1994, with equal work sizes. Queued work
+    whose deadline has passed is refused.
+
+    Parameters
+    ----------
+    slots : int
+        Number of requests that run at the same time.
+    weight_by_rank : mapping of Rank to float
+        Share of the capacity of each rank under overload.
     """
 
     def __init__(
         self, slots: int, weight_by_rank: Mapping[Rank, float]
     ) -> None:
-        """Start empty."""
+        """Create an empty queue."""
         self._slots = slots
-        self._weights = weight_by_rank
-        self._lanes: dict[Rank, deque[tuple[float, QueuedWork]]] = {
+        self._weight_by_rank = weight_by_rank
+        self._queue_by_rank: dict[Rank, deque[tuple[float, QueuedWork]]] = {
             rank: deque() for rank in Rank
         }
-        self._last_tag = dict.fromkeys(Rank, float())
+        self._last_tag_by_rank = dict.fromkeys(Rank, float())
         self._virtual_time: float = 0
         self._running: set[AttemptId] = set()
 
     @property
     def waiting_count(self) -> int:
-        """Queued work."""
-        return sum(map(len, self._lanes.values()))
+        """Number of requests that wait for a slot."""
+        return sum(map(len, self._queue_by_rank.values()))
 
     def offer(
         self,
         work: QueuedWork,
         _now_s: Seconds,
     ) -> tuple[RefusedWork, ...]:
-        """Queue work with its virtual finish time."""
-        lane = self._lanes[work.rank]
-        if len(lane) >= _QUEUE_LIMIT // len(self._lanes):
-            return (_full(work),)
-        begin = max(self._virtual_time, self._last_tag[work.rank])
-        tag = begin + 1 / self._weights[work.rank]
-        self._last_tag[work.rank] = tag
-        lane.append((tag, work))
+        """Queue work with its virtual finish time, unless its queue is full."""
+        queue = self._queue_by_rank[work.rank]
+        if len(queue) >= _QUEUE_LIMIT // len(self._queue_by_rank):
+            return (_refuse(work),)
+        start_tag = max(self._virtual_time, self._last_tag_by_rank[work.rank])
+        finish_tag = start_tag + 1 / self._weight_by_rank[work.rank]
+        self._last_tag_by_rank[work.rank] = finish_tag
+        queue.append((finish_tag, work))
         return ()
 
     def schedule(self, now_s: Seconds) -> ScheduleResult:
-        """Fill free slots in order of virtual finish times."""
+        """Start waiting work in order of finish times while slots are free."""
         started: list[QueuedWork] = []
         refused: list[RefusedWork] = []
         while len(self._running) < self._slots and self.waiting_count:
-            lane = min(
-                (lane for lane in self._lanes.values() if lane),
+            queue = min(
+                (queue for queue in self._queue_by_rank.values() if queue),
                 key=lambda waiting: waiting[0][0],
             )
-            tag, work = lane.popleft()
-            self._virtual_time = tag
+            finish_tag, work = queue.popleft()
+            self._virtual_time = finish_tag
             if work.deadline_at_s <= now_s:
-                refused.append(_full(work))
+                refused.append(_refuse(work))
             else:
                 self._running.add(work.attempt_id)
                 started.append(work)
@@ -129,11 +137,11 @@
         *,
         served: bool = True,
     ) -> bool:
-        """Release a slot."""
+        """Free the slot of an attempt."""
         del served
         self._running.discard(attempt_id)
         return True
 
 
-def _full(work: QueuedWork) -> RefusedWork:
+def _refuse(work: QueuedWork) -> RefusedWork:
     return RefusedWork(work, Failure(ResultCode.QUEUE_FULL, 'queue is full'))
--- a/boragespool/bench/links.py
+++ b/boragespool/bench/links.py
@@ -1,4 +1,4 @@
-"""Processor time of peer links by messages per frame.
+"""Processor time of peer links by number of messages per frame.
 
 ``python -m boragespool.bench.links``
 """
@@ -20,19 +20,21 @@
 if TYPE_CHECKING:
     from boragespool.peers import Sender
 
-_SIZES: Final = (1, 4, 16, 64, 256)
-_RUNS: Final = 3
-_MESSAGES_PER_RUN: Final = 3_000
+_BATCH_SIZES: Final = (1, 4, 16, 64, 256)
+_RUNS_PER_SIZE: Final = 3
+_REQUESTS_PER_RUN: Final = 3_000
 _ITEMS: Final = tuple(Item(number, 'x' * 16) for number in range(5))
 
 
 def main(*, short: bool = False) -> None:
-    """Print processor time per frame and per message of both ends."""
-    sizes = _SIZES[:3] if short else _SIZES
+    """Print the processor time of both ends per frame and per message."""
+    sizes = _BATCH_SIZES[:3] if short else _BATCH_SIZES
     points = [
         Point(
             size,
-            tuple(asyncio.run(_frame_cost_s(size)) for _ in range(_RUNS)),
+            tuple(
+                asyncio.run(_frame_cost_s(size)) for _ in range(_RUNS_PER_SIZE)
+            ),
         )
         for size in sizes
     ]
@@ -51,8 +53,11 @@
     )
 
 
-async def _frame_cost_s(batch: int) -> float:
-    """Return processor seconds for one batch of requests and replies."""
+async def _frame_cost_s(batch_size: int) -> float:
+    """Return the processor time of one batch of requests and replies.
+
+    In seconds, for both ends together.
+    """
     async with AsyncExitStack() as stack:
         networks = [
             await stack.enter_async_context(
@@ -66,15 +71,15 @@
         networks[0].set_address('b', networks[1].options.listen_address)
         networks[1].set_address('a', networks[0].options.listen_address)
         networks[1].on_request(WorkRequest, _reply)
-        await _exchange(networks[0], batch)
-        rounds = max(3, _MESSAGES_PER_RUN // batch)
+        await _exchange_batch(networks[0], batch_size)
+        rounds = max(3, _REQUESTS_PER_RUN // batch_size)
         started_s = time.process_time()
         for _ in range(rounds):
-            await _exchange(networks[0], batch)
+            await _exchange_batch(networks[0], batch_size)
         return (time.process_time() - started_s) / rounds
 
 
-async def _exchange(network: PeerNetwork, batch: int) -> None:
+async def _exchange_batch(network: PeerNetwork, batch_size: int) -> None:
     request = WorkRequest(
         attempt_id='attempt-0000000001',
         request_id='request-0000000001',
@@ -91,7 +96,7 @@
         end=2**28,
     )
     await asyncio.gather(
-        *(network.request('b', request, 5) for _ in range(batch)),
+        *(network.request('b', request, 5) for _ in range(batch_size)),
     )
 
 
--- a/boragespool/standins/workload.py
+++ b/boragespool/standins/workload.py
@@ -311,7 +311,7 @@
         return service_time_s
 
     def _cold_start_factor(self) -> float:
-        """Return the factor on the service time after a start, at least 1."""
+        """Return the factor by which a cold start lengthens work now."""
         switches = self._read_switches()
         uptime_s = asyncio.get_running_loop().time() - self._started_at_s
         if uptime_s >= switches.cold_s:
--- a/tests/test_query.py
+++ b/tests/test_query.py
@@ -56,7 +56,7 @@
     assert answer.coverage == 0.75
     assert answer.missing == (shard_range(2, 4),)
     assert 0.19 <= took_s <= 0.2
-    assert fleet.cancelled == 1
+    assert fleet.cancel_count == 1
 
 
 def test_straggler_is_hedged_and_cancelled():
@@ -75,7 +75,7 @@
         slowest_s.append(max(took_s for _, took_s in results))
         if options is SMALL:
             assert all(answer.coverage == 1 for answer, _ in results)
-            assert fleet.cancelled > 0
+            assert fleet.cancel_count > 0
     assert slowest_s[0] < 0.05
     assert slowest_s[1] > 0.3
 
