Rename BackendHost to BackendServerGroup

A host is a machine with a daemon here; this class runs several backend servers. The module follows as backend_server_group; the send lag names its histogram.

--- a/boragespool/bench/caller.py
+++ b/boragespool/bench/caller.py
@@ -148,7 +148,7 @@
     ----------
     tallies : tuple of FlowTally
         Results in the order of the flows.
-    send_lag : bytes
+    send_lag_histogram : bytes
         Encoded histogram of the time from the scheduled to the actual start
         of each request, in microseconds. High values mean that the driver
         itself is overloaded.
@@ -157,7 +157,7 @@
     """
 
     tallies: tuple[FlowTally, ...]
-    send_lag: bytes
+    send_lag_histogram: bytes
     processor_s: Seconds
 
 
@@ -199,7 +199,7 @@
         self._plan = plan
         self._tallies = tuple(FlowTally(flow) for flow in plan.flows)
         self._histograms = tuple(new_histogram() for _ in plan.flows)
-        self._send_lag = new_histogram()
+        self._send_lag_histogram = new_histogram()
         self._started_s: Seconds = 0
         self._client = Client(
             ClientOptions(
@@ -229,7 +229,7 @@
                     strict=True,
                 )
             ),
-            self._send_lag.encode(),
+            self._send_lag_histogram.encode(),
             time.process_time() - processor_s,
         )
 
@@ -245,7 +245,7 @@
     async def _send(self, due_s: Seconds, flow_index: int) -> None:
         flow = self._plan.flows[flow_index]
         send_lag_s = self._elapsed_since_s(due_s)
-        self._send_lag.record_value(_microseconds(send_lag_s))
+        self._send_lag_histogram.record_value(_microseconds(send_lag_s))
         # The deadline counts from the scheduled time, so a request that is sent
         # late has less time left.
         remaining_s = flow.deadline_s - send_lag_s
--- a/boragespool/bench/configuration.py
+++ b/boragespool/bench/configuration.py
@@ -83,11 +83,11 @@
         ),
     }
     for first in range(half, server_count, _SMALL_SERVICE_SERVER_COUNT):
-        service_names = names[first : first + _SMALL_SERVICE_SERVER_COUNT]
+        server_names = names[first : first + _SMALL_SERVICE_SERVER_COUNT]
         services[f'service-{first:06}'] = ServiceSettings(
             5,
             40,
-            {name: servers[name] for name in service_names},
+            {name: servers[name] for name in server_names},
         )
     return Settings(services=services)
 
--- a/boragespool/bench/configuration_parts.py
+++ b/boragespool/bench/configuration_parts.py
@@ -187,8 +187,8 @@
     )
     assert not isinstance(packed, Failure)
     texts = dict(packed.parts)
-    texts.update((one.part, b'{}') for one in replaced)
-    texts.update((one.part, b'{}') for one in retired)
+    texts.update((entry.part, b'{}') for entry in replaced)
+    texts.update((entry.part, b'{}') for entry in retired)
     for part, text in texts.items():
         key = part_key(part)
         store.values_by_key[key] = StoredValue(key, text.decode(), 1)
--- a/boragespool/bench/deployment.py
+++ b/boragespool/bench/deployment.py
@@ -23,7 +23,7 @@
 from boragespool.daemon.entry import EntryDaemon
 from boragespool.daemon.options import EntryOptions
 from boragespool.revisions import RevisionDocument
-from boragespool.standins.backend_host import BackendHost
+from boragespool.standins.backend_server_group import BackendServerGroup
 from boragespool.standins.platform import Platform
 from boragespool.store import StoreClient
 from boragespool.types import MemberStatus, Phase
@@ -55,7 +55,7 @@
         Running daemons.
     platform : Platform
         Stand-in platform, which holds the store.
-    backends : BackendHost
+    backends : BackendServerGroup
         Stand-in backend servers.
     settings : Settings
         Settings of the first revision.
@@ -66,7 +66,7 @@
     _stack: AsyncExitStack = field(default_factory=AsyncExitStack)
 
     platform: Platform = field(init=False)
-    backends: BackendHost = field(init=False)
+    backends: BackendServerGroup = field(init=False)
     settings: Settings = field(init=False)
 
     async def __aenter__(self) -> Self:
@@ -109,7 +109,7 @@
         self.platform = await stack.enter_async_context(Platform())
         placed = place_servers(self.shape)
         self.backends = await stack.enter_async_context(
-            BackendHost(server.spec for server in placed),
+            BackendServerGroup(server.spec for server in placed),
         )
         addresses = {
             name: server.address
--- a/boragespool/bench/flood_simulation.py
+++ b/boragespool/bench/flood_simulation.py
@@ -27,6 +27,7 @@
 DEADLINE_S_BY_RANK: Final = MappingProxyType(
     {Rank.URGENT: 0.39, Rank.ROUTINE: 1, Rank.DEFERRABLE: 5},
 )
+#: Shape parameter of the gamma distribution of service times.
 _GAMMA_SHAPE: Final = 4
 
 
--- a/boragespool/bench/load.py
+++ b/boragespool/bench/load.py
@@ -271,7 +271,7 @@
         },
         needed,
         received,
-        _quantile_s(_merged(one.send_lag for one in reports), _P99),
+        _quantile_s(_merged(one.send_lag_histogram for one in reports), _P99),
         daemon_s,
         sum(one.processor_s for one in reports),
         duration_s,
--- a/boragespool/standins/backend_main.py
+++ b/boragespool/standins/backend_main.py
@@ -12,7 +12,7 @@
 from boragespool.results import Failure
 from boragespool.standins.backend import BackendSpec
 from boragespool.standins.backend_flags import parse_servers
-from boragespool.standins.backend_host import BackendHost
+from boragespool.standins.backend_server_group import BackendServerGroup
 from boragespool.standins.process import (
     new_flag_values,
     parse_command_line,
@@ -125,14 +125,14 @@
     )
     if isinstance(specs, Failure):
         sys.exit(specs.reason)
-    async with BackendHost(specs, _FLAGS.control) as host:
+    async with BackendServerGroup(specs, _FLAGS.control) as group:
         log_event(
             Event.PROCESS_READY,
             f'{len(specs)} backend server stand-ins are listening',
-            address=host.control_address,
+            address=group.control_address,
             servers={
                 name: server.address
-                for name, server in host.servers_by_name.items()
+                for name, server in group.servers_by_name.items()
             },
         )
         await stop.wait()
--- a/boragespool/standins/backend_host.py
+++ b/boragespool/standins/backend_server_group.py
@@ -28,7 +28,7 @@
 _SERVERS_KEY: Final = 'servers'
 
 
-class BackendHost:
+class BackendServerGroup:
     """Runs backend servers and a control API, an async context manager.
 
     Parameters
--- a/tests/test_backend_standin.py
+++ b/tests/test_backend_standin.py
@@ -18,7 +18,7 @@
 from boragespool.results import Failure
 from boragespool.standins.backend import BackendServer, BackendSpec
 from boragespool.standins.backend_flags import parse_servers
-from boragespool.standins.backend_host import BackendHost
+from boragespool.standins.backend_server_group import BackendServerGroup
 from boragespool.standins.items import all_items, items_between
 from boragespool.standins.switches import BackendSwitches
 from tests.standin_calls import call, work
@@ -263,7 +263,7 @@
 
     async def scenario():
         specs = [BackendSpec(name, 'lots') for name in 'ab']
-        async with BackendHost(specs) as host:
+        async with BackendServerGroup(specs) as host:
 
             async def control(**changes):
                 return await call(
