Rename figurative names that the benchmarks share

Workplace, scaled, twice, spread and entry_by_host said little to a reader, and the modules load and loads differed by one letter. They are now DeploymentWorkload, scale_flows, duplicated, max_relative_error, daemons_by_host, load_driver and workloads; all uses follow.

--- a/boragespool/bench/__main__.py
+++ b/boragespool/bench/__main__.py
@@ -12,7 +12,7 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, Final
 
-from boragespool.bench.processes import end_on_sigterm
+from boragespool.bench.processes import exit_on_sigterm
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -127,5 +127,5 @@
 
 
 if __name__ == _MAIN:
-    end_on_sigterm()
+    exit_on_sigterm()
     sys.exit(main(tuple(sys.argv[1:])))
--- a/boragespool/bench/added_latency.py
+++ b/boragespool/bench/added_latency.py
@@ -87,7 +87,7 @@
 
 def _moment(fleet: ProcessFleet) -> tuple[Seconds, Seconds]:
     """Return the time and the processor time of all daemons, in seconds."""
-    entries = fleet.entry_by_host.values()
+    entries = fleet.daemons_by_host.values()
     return time.monotonic(), sum(entry.processor_s() for entry in entries)
 
 
--- a/boragespool/bench/claims.py
+++ b/boragespool/bench/claims.py
@@ -38,7 +38,9 @@
     for point in memory:
         print(f'{point.size:7.0f} records: {point.median / 1e6:8.2f} MB')
     line = fit_line(memory)
-    print(f'line: {line.slope:.0f} bytes per record, spread {line.spread:.1%}')
+    print(
+        f'line: {line.slope:.0f} bytes per record, spread {line.max_relative_error:.1%}'
+    )
     processor = [
         Point(size, tuple(_witness_cost_s(size) for _ in range(_RUNS)))
         for size in sizes
@@ -46,7 +48,7 @@
     line = fit_line(processor)
     print(
         f'witness: {line.slope * 1e6:.1f} us for start and outcome, '
-        f'spread {line.spread:.0%}',
+        f'spread {line.max_relative_error:.0%}',
     )
     processor = [
         Point(size, tuple(_ticket_cost_s(size) for _ in range(_RUNS)))
@@ -55,7 +57,7 @@
     line = fit_line(processor)
     print(
         f'ticket: {line.slope * 1e6:.1f} us to issue and parse, '
-        f'spread {line.spread:.0%}',
+        f'spread {line.max_relative_error:.0%}',
     )
 
 
--- a/boragespool/bench/configuration.py
+++ b/boragespool/bench/configuration.py
@@ -120,7 +120,7 @@
     for point in points:
         print(f'{name} {point.size:6.0f}: {point.median:12.1f} {unit}')
     line = fit_line(points)
-    print(f'{name} line: spread {line.spread:.0%}')
+    print(f'{name} line: spread {line.max_relative_error:.0%}')
     return line
 
 
--- a/boragespool/bench/control.py
+++ b/boragespool/bench/control.py
@@ -76,15 +76,15 @@
     print(
         f'line: {line.intercept:.3%} of a core + '
         f'{line.slope:.4%} per daemon in the fleet, '
-        f'spread {line.spread:.0%}',
+        f'spread {line.max_relative_error:.0%}',
     )
 
 
 def _measure(size: int) -> _Cost:
-    shape = replace(COOPERATIVE, entry_count=size)
+    shape = replace(COOPERATIVE, daemon_count=size)
     with ProcessFleet(shape) as fleet:
         time.sleep(_SETTLE_S)
-        entries = tuple(fleet.entry_by_host.values())
+        entries = tuple(fleet.daemons_by_host.values())
         calls_before = _store_calls(fleet)
         sent_before = [_sent(entry) for entry in entries]
         started_s = time.monotonic()
--- a/boragespool/bench/deployment.py
+++ b/boragespool/bench/deployment.py
@@ -15,7 +15,7 @@
 from boragespool.bench.placement import (
     deployment_settings,
     free_address,
-    place_entries,
+    place_daemons,
     place_servers,
 )
 from boragespool.blackboard.topics import MEMBERS, PHASE, SERVERS
@@ -135,7 +135,7 @@
     shape: DeploymentShape,
     platform_address: Address,
 ) -> tuple[EntryOptions, ...]:
-    placed = place_entries(shape)
+    placed = place_daemons(shape)
     peers = tuple((entry.host, free_address()) for entry in placed)
     return tuple(
         EntryOptions(
--- a/boragespool/bench/exchange.py
+++ b/boragespool/bench/exchange.py
@@ -11,9 +11,9 @@
 
 import h11
 
-from boragespool.bench.load import LoadDriver
-from boragespool.bench.loads import WORKPLACES, scaled
+from boragespool.bench.load_driver import LoadDriver
 from boragespool.bench.process_fleet import ProcessFleet
+from boragespool.bench.workloads import WORKLOADS_BY_DEPLOYMENT, scale_flows
 
 _ROUNDS: Final = 2_000
 _IDLE_S: Final = 4
@@ -74,17 +74,17 @@
     """Print processor time per backend request, with and without idle work."""
     bare_s = bare_exchange_s()
     print(f'bare h11: {bare_s * 1e6:.0f} us per exchange')
-    place = WORKPLACES['cooperative']
+    place = WORKLOADS_BY_DEPLOYMENT['cooperative']
     with LoadDriver() as driver, ProcessFleet(place.shape) as fleet:
-        driver.run(fleet, place.ordinary, _IDLE_S)
-        daemons = tuple(fleet.entry_by_host.values())
+        driver.run(fleet, place.ordinary_flows, _IDLE_S)
+        daemons = tuple(fleet.daemons_by_host.values())
         began_s = sum(daemon.processor_s() for daemon in daemons)
         time.sleep(_IDLE_S)
         idle = sum(daemon.processor_s() for daemon in daemons) - began_s
         idle_share = idle / _IDLE_S / len(daemons)
         print(f'idle: {idle_share:.4f} of a core per daemon')
         for factor in (1, _FACTOR):
-            flows = scaled(place.ordinary, factor)
+            flows = scale_flows(place.ordinary_flows, factor)
             run = driver.run(fleet, flows, _RUN_S)
             used_s = run.daemon_s - idle / _IDLE_S * _RUN_S
             per_request_s = used_s / max(1, run.received)
--- a/boragespool/bench/links.py
+++ b/boragespool/bench/links.py
@@ -47,7 +47,7 @@
     print(
         f'line: {line.intercept * 1e3:.3f} ms per exchange + '
         f'{line.slope * 1e6:.1f} us per request, '
-        f'spread {line.spread:.0%}',
+        f'spread {line.max_relative_error:.0%}',
     )
 
 
--- a/boragespool/bench/load.py
+++ b/boragespool/bench/load_driver.py
@@ -155,7 +155,7 @@
             Faults and changes, each at a time in seconds from the start.
         """
         received = _received(fleet)
-        daemons = tuple(fleet.entry_by_host.values())
+        daemons = tuple(fleet.daemons_by_host.values())
         began_s = sum(daemon.processor_s() for daemon in daemons)
         start_wall_s = time.time() + _LEAD_S
         reports = self._start(fleet, flows, duration_s, start_wall_s)
--- a/boragespool/bench/placement.py
+++ b/boragespool/bench/placement.py
@@ -40,7 +40,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PlacedEntry:
+class PlacedDaemon:
     """One daemon of a shape and where it stands."""
 
     host: HostName
@@ -64,12 +64,12 @@
     )
 
 
-def place_entries(shape: DeploymentShape) -> tuple[PlacedEntry, ...]:
+def place_daemons(shape: DeploymentShape) -> tuple[PlacedDaemon, ...]:
     """Spread the daemons over the data centres."""
     sites = shape.data_centres
     return tuple(
-        PlacedEntry(f'entry-{number + 1}', sites[number % len(sites)])
-        for number in range(shape.entry_count)
+        PlacedDaemon(f'entry-{number + 1}', sites[number % len(sites)])
+        for number in range(shape.daemon_count)
     )
 
 
--- a/boragespool/bench/plots.py
+++ b/boragespool/bench/plots.py
@@ -15,7 +15,7 @@
 import msgspec
 from matplotlib import pyplot
 
-from boragespool.bench.load import LoadSummary, RankSummary
+from boragespool.bench.load_driver import LoadSummary, RankSummary
 from boragespool.types import Rank
 
 if TYPE_CHECKING:
--- a/boragespool/bench/process_fleet.py
+++ b/boragespool/bench/process_fleet.py
@@ -12,11 +12,11 @@
 import msgspec
 
 from boragespool.bench.placement import (
-    PlacedEntry,
+    PlacedDaemon,
     deployment_settings,
     describe_servers,
     free_address,
-    place_entries,
+    place_daemons,
     place_servers,
 )
 from boragespool.bench.processes import ProcessGroup, fetch, wait_until
@@ -62,7 +62,7 @@
     ----------
     settings : Settings
         Settings of the last revision that was applied.
-    entry_by_host : dict
+    daemons_by_host : dict
         Daemons that were started last under each name.
     """
 
@@ -70,7 +70,9 @@
     backend_process_count: int = 3
     profile_path_by_host: dict[HostName, str] = field(default_factory=dict)
     variables: dict[str, str] = field(default_factory=dict)
-    entry_by_host: dict[HostName, RunningProcess] = field(default_factory=dict)
+    daemons_by_host: dict[HostName, RunningProcess] = field(
+        default_factory=dict
+    )
     placed: tuple[PlacedServer, ...] = ()
     revision: int = 0
 
@@ -97,7 +99,7 @@
     @property
     def addresses(self) -> tuple[Address, ...]:
         """Caller addresses of all daemons."""
-        return tuple(entry.address for entry in self.entry_by_host.values())
+        return tuple(entry.address for entry in self.daemons_by_host.values())
 
     def apply(self, settings: Settings) -> None:
         """Put settings in force at every daemon.
@@ -159,27 +161,27 @@
             merged |= answer
         return merged
 
-    def start_entry(
+    def start_daemon(
         self,
         host: HostName,
         peer_address: Address = '',
     ) -> RunningProcess:
         """Start a daemon, also as the replacement of one of that name."""
-        placed = {entry.host: entry for entry in place_entries(self.shape)}
+        placed = {entry.host: entry for entry in place_daemons(self.shape)}
         return self._start_entry(placed[host], peer_address)
 
-    def replace_entries(
+    def replace_daemons(
         self,
         hosts: Iterable[HostName],
         number: int = signal.SIGTERM,
     ) -> tuple[int, ...]:
         """Stop daemons at once, start others; return the exit codes."""
-        stopped = {host: self.entry_by_host[host] for host in hosts}
+        stopped = {host: self.daemons_by_host[host] for host in hosts}
         for entry in stopped.values():
             entry.signal(number)
         exit_codes = tuple(one.wait(_STOP_S) for one in stopped.values())
         for host in stopped:
-            self.start_entry(host)
+            self.start_daemon(host)
         for started in stopped:
             self._wait_until_ready(started)
         return exit_codes
@@ -201,7 +203,7 @@
             event = self._ready_event(process)
             process.address = event['address']
             address_by_server |= event['servers']
-        entries = place_entries(self.shape)
+        entries = place_daemons(self.shape)
         peers = {
             entry.host: free_address(_entry_ip(number))
             for number, entry in enumerate(entries)
@@ -211,7 +213,7 @@
         self.apply(
             deployment_settings(self.shape, self.placed, address_by_server),
         )
-        for host in self.entry_by_host:
+        for host in self.daemons_by_host:
             self._wait_until_ready(host)
 
     def _start_backends(
@@ -229,17 +231,17 @@
 
     def _start_entry(
         self,
-        placed: PlacedEntry,
+        placed: PlacedDaemon,
         peer_address: Address = '',
         peers: dict[HostName, Address] | None = None,
     ) -> RunningProcess:
         if peers is None:
             peers = {
                 host: running.peer_address
-                for host, running in self.entry_by_host.items()
+                for host, running in self.daemons_by_host.items()
                 if host != placed.host
             }
-        number = list(place_entries(self.shape)).index(placed)
+        number = list(place_daemons(self.shape)).index(placed)
         caller_address = free_address(_entry_ip(number))
         peer_address = peer_address or free_address(_entry_ip(number))
         joined = ','.join(f'{host}={peers[host]}' for host in peers)
@@ -258,7 +260,7 @@
         )
         entry.address = caller_address
         entry.peer_address = peer_address
-        self.entry_by_host[placed.host] = entry
+        self.daemons_by_host[placed.host] = entry
         return entry
 
     def _ready_event(self, process: RunningProcess) -> dict[str, Any]:
@@ -266,7 +268,7 @@
 
     def _status(self, host: HostName) -> dict[str, Any]:
         """Return the status of a daemon; empty while it does not answer."""
-        address = self.entry_by_host[host].address
+        address = self.daemons_by_host[host].address
         try:
             return dict(fetch(address, '/v1/status')[1])
         except OSError:
@@ -278,7 +280,7 @@
     def _has_revision(self) -> bool:
         return all(
             self._status(host).get('revision') == self.revision
-            for host in self.entry_by_host
+            for host in self.daemons_by_host
         )
 
     def _is_ready(self, host: HostName) -> bool:
@@ -291,7 +293,7 @@
         ]
         return (
             status.get('phase') == 'ready'
-            and len(alive) == len(self.entry_by_host)
+            and len(alive) == len(self.daemons_by_host)
             and len(status['servers']) == len(self.placed)
         )
 
--- a/boragespool/bench/processes.py
+++ b/boragespool/bench/processes.py
@@ -48,7 +48,7 @@
     return time.monotonic() - began_s
 
 
-def end_on_sigterm() -> None:
+def exit_on_sigterm() -> None:
     """Let SIGTERM, which ``timeout`` sends, end what was started too."""
     signal.signal(signal.SIGTERM, _exit)
 
--- a/boragespool/bench/profiling.py
+++ b/boragespool/bench/profiling.py
@@ -11,9 +11,9 @@
 import tempfile
 from typing import Final
 
-from boragespool.bench.load import LoadDriver
-from boragespool.bench.loads import WORKPLACES, scaled
+from boragespool.bench.load_driver import LoadDriver
 from boragespool.bench.process_fleet import ProcessFleet
+from boragespool.bench.workloads import WORKLOADS_BY_DEPLOYMENT, scale_flows
 
 _HOST: Final = 'entry-1'
 _RUN_S: Final = 10
@@ -26,7 +26,7 @@
 
 def main() -> None:
     """Print the functions of one daemon with the largest times."""
-    place = WORKPLACES['cooperative']
+    place = WORKLOADS_BY_DEPLOYMENT['cooperative']
     with tempfile.TemporaryDirectory() as directory:
         path = pathlib.Path(directory) / 'profile'
         with (
@@ -38,10 +38,10 @@
         ):
             run = driver.run(
                 fleet,
-                scaled(place.ordinary, _FACTOR),
+                scale_flows(place.ordinary_flows, _FACTOR),
                 _RUN_S,
             )
-            profiled = fleet.entry_by_host[_HOST]
+            profiled = fleet.daemons_by_host[_HOST]
             profiled.signal(signal.SIGTERM)
             profiled.wait(60)
         print(f'{run.received} backend requests by all daemons')
--- a/boragespool/bench/replacement.py
+++ b/boragespool/bench/replacement.py
@@ -19,9 +19,9 @@
 from typing import TYPE_CHECKING, Final
 
 from boragespool.bench.process_fleet import ProcessFleet
-from boragespool.bench.processes import end_on_sigterm
+from boragespool.bench.processes import exit_on_sigterm
 from boragespool.bench.replacement_load import (
-    ClaimTruth,
+    ClaimComparison,
     LoadMix,
     ReplacementLoad,
     Service,
@@ -73,7 +73,7 @@
 
     name: str
     service: Service
-    truth: ClaimTruth
+    truth: ClaimComparison
     exit_codes: Counter[int] = field(default_factory=Counter)
     phases_s: list[tuple[Seconds, ...]] = field(default_factory=list)
     duration_s: Seconds = 0
@@ -82,7 +82,9 @@
     def meets_goals(self) -> bool:
         """Whether no request was interrupted and no claim lost."""
         truth = self.truth
-        lost = truth.lost + truth.unknown + truth.false_not_run + truth.twice
+        lost = (
+            truth.lost + truth.unknown + truth.false_not_run + truth.duplicated
+        )
         missed = sum(self.service.broken.values()) + sum(
             self.service.failed.values()
         )
@@ -143,9 +145,9 @@
     with load:
         time.sleep(_WARM_UP_S)
         for hosts in rounds:
-            stopped = [fleet.entry_by_host[host] for host in hosts]
+            stopped = [fleet.daemons_by_host[host] for host in hosts]
             signalled_s = time.time()
-            exit_codes.update(fleet.replace_entries(hosts, number))
+            exit_codes.update(fleet.replace_daemons(hosts, number))
             phases_s += [_phases_of(entry, signalled_s) for entry in stopped]
     counts: Counter[str] = Counter()
     for report in fleet.reports().values():
@@ -176,7 +178,7 @@
     print(
         f'  {len(service.run_by_claim)} claims: {truth.lost} lost, '
         f'{truth.unknown} unknown, {truth.false_not_run} run after not_run, '
-        f'{truth.twice} run twice',
+        f'{truth.duplicated} run twice',
     )
     print(
         f'  slowest answer {service.slowest_s:.2f} s, driver lag at most '
@@ -224,7 +226,7 @@
     with ProcessFleet(COOPERATIVE) as fleet:
         addresses = replace(fleet.settings.addresses, keep_s=_KEEP_S)
         fleet.apply(replace(fleet.settings, addresses=addresses))
-        hosts = tuple(fleet.entry_by_host)
+        hosts = tuple(fleet.daemons_by_host)
         kills = max(1, stops // _STOPS_PER_KILL)
         plans = (
             ('killed', plan_rounds(hosts, kills, 1), signal.SIGKILL),
@@ -251,5 +253,5 @@
 
 
 if __name__ == '__main__':
-    end_on_sigterm()
+    exit_on_sigterm()
     sys.exit(main(sys.argv[1:]))
--- a/boragespool/bench/replacement_load.py
+++ b/boragespool/bench/replacement_load.py
@@ -67,7 +67,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ClaimTruth:
+class ClaimComparison:
     """Answers to claims compared with the runs that servers counted.
 
     Attributes
@@ -78,26 +78,26 @@
         Claims that were answered `unknown`.
     false_not_run : int
         Claims that were answered `not_run` and ran.
-    twice : int
+    duplicated : int
         Claims that ran more than once.
     """
 
     lost: int
     unknown: int
     false_not_run: int
-    twice: int
+    duplicated: int
 
 
 def compare_claims(
     run_by_claim: Mapping[str, RunState],
     count_by_claim: Mapping[str, int],
-) -> ClaimTruth:
+) -> ClaimComparison:
     """Compare the answers to claims with the counted runs."""
     told = Counter(
         (run, bool(count_by_claim.get(claim)))
         for claim, run in run_by_claim.items()
     )
-    return ClaimTruth(
+    return ClaimComparison(
         told[RunState.RUN, False],
         told[RunState.UNKNOWN, True] + told[RunState.UNKNOWN, False],
         told[RunState.NOT_RUN, True],
--- a/boragespool/bench/scenarios.py
+++ b/boragespool/bench/scenarios.py
@@ -14,23 +14,23 @@
 
 import msgspec
 
-from boragespool.bench.load import LoadDriver
-from boragespool.bench.loads import (
-    WORKPLACES,
-    flood_mix,
+from boragespool.bench.load_driver import LoadDriver
+from boragespool.bench.process_fleet import ProcessFleet
+from boragespool.bench.processes import exit_on_sigterm
+from boragespool.bench.workloads import (
+    WORKLOADS_BY_DEPLOYMENT,
+    flood_flows,
     flood_shape,
-    scaled,
+    scale_flows,
     without_hedging,
     without_ranks,
 )
-from boragespool.bench.process_fleet import ProcessFleet
-from boragespool.bench.processes import end_on_sigterm
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
 
-    from boragespool.bench.load import LoadSummary
-    from boragespool.bench.loads import Workplace
+    from boragespool.bench.load_driver import LoadSummary
+    from boragespool.bench.workloads import DeploymentWorkload
     from boragespool.types import Seconds, ServerName
 
     Runs = dict[str, LoadSummary]
@@ -52,7 +52,7 @@
 class Bench:
     """What a scenario runs on."""
 
-    place: Workplace
+    place: DeploymentWorkload
     fleet: ProcessFleet
     driver: LoadDriver
 
@@ -62,7 +62,7 @@
         duration_s: Seconds = _RUN_S,
     ) -> LoadSummary:
         """Send the ordinary load."""
-        flows = self.place.ordinary
+        flows = self.place.ordinary_flows
         return self.driver.run(self.fleet, flows, duration_s, actions)
 
     def servers(self, replica: int | None = None) -> list[ServerName]:
@@ -78,7 +78,7 @@
     """Ordinary load, and multiples of it up to what the machine carries."""
     runs = {'ordinary load': bench.run()}
     for factor in _FACTORS:
-        flows = scaled(bench.place.ordinary, factor)
+        flows = scale_flows(bench.place.ordinary_flows, factor)
         runs[f'{factor} times the load'] = bench.driver.run(
             bench.fleet,
             flows,
@@ -185,7 +185,7 @@
     Parameters
     ----------
     deployment : str
-        Key of `WORKPLACES`.
+        Key of `WORKLOADS_BY_DEPLOYMENT`.
     name : str
         Key of `SCENARIOS`.
     driver : LoadDriver
@@ -196,7 +196,7 @@
     dict of str to LoadSummary
         Runs by label; the baseline is the first one.
     """
-    place = WORKPLACES[deployment]
+    place = WORKLOADS_BY_DEPLOYMENT[deployment]
     shape = flood_shape(place) if name in _FLOODS else place.shape
     with ProcessFleet(shape) as fleet:
         bench = Bench(place, fleet, driver)
@@ -233,10 +233,10 @@
         that ends in ``.json`` names a file for the figures.
     """
     names = [name for name in arguments if name in SCENARIOS]
-    places = [name for name in arguments if name in WORKPLACES]
+    places = [name for name in arguments if name in WORKLOADS_BY_DEPLOYMENT]
     figures: list[Any] = []
     with LoadDriver() as driver:
-        for deployment in places or WORKPLACES:
+        for deployment in places or WORKLOADS_BY_DEPLOYMENT:
             for name in names or SCENARIOS:
                 print(f'{deployment}, {name}', flush=True)
                 runs = measure(deployment, name, driver)
@@ -252,8 +252,8 @@
 def _flood(bench: Bench, urgent: float, deferrable: float) -> Runs:
     """Run the load without the flood, in one rank, and in ranks."""
     place = bench.place
-    calm = flood_mix(place, min(urgent, 0.3), min(deferrable, 0.3), _FLOOD_S)
-    flood = flood_mix(place, urgent, deferrable, _FLOOD_S)
+    calm = flood_flows(place, min(urgent, 0.3), min(deferrable, 0.3), _FLOOD_S)
+    flood = flood_flows(place, urgent, deferrable, _FLOOD_S)
     send = bench.driver.run
     runs = {'no flood': send(bench.fleet, calm, _RUN_S)}
     settings = bench.fleet.settings
@@ -285,11 +285,11 @@
 
 
 def _replace_entry(fleet: ProcessFleet, host: str) -> None:
-    exit_codes = fleet.replace_entries((host,))
+    exit_codes = fleet.replace_daemons((host,))
     if any(exit_codes):
         raise RuntimeError(f'{host!r} stopped with exit codes {exit_codes!r}')
 
 
 if __name__ == '__main__':
-    end_on_sigterm()
+    exit_on_sigterm()
     main(sys.argv[1:])
--- a/boragespool/bench/shapes.py
+++ b/boragespool/bench/shapes.py
@@ -44,7 +44,7 @@
 
     name: str
     data_centres: tuple[DataCentre, ...]
-    entry_count: int
+    daemon_count: int
     services: tuple[ServiceShape, ...]
     routes: Mapping[RouteName, RouteSettings] = field(default_factory=dict)
 
--- a/boragespool/bench/slopes.py
+++ b/boragespool/bench/slopes.py
@@ -39,7 +39,7 @@
 
     slope: float
     intercept: float
-    spread: float
+    max_relative_error: float
 
     def at(self, size: float) -> float:
         """Return the value of the line at a size."""
@@ -69,10 +69,10 @@
         [point.median for point in points],
     )
     line = Line(fitted.slope, fitted.intercept, 0)
-    spread = max(
+    max_relative_error = max(
         abs(measured - line.at(point.size)) / measured
         for point in points
         for measured in point.values
         if measured
     )
-    return Line(fitted.slope, fitted.intercept, spread)
+    return Line(fitted.slope, fitted.intercept, max_relative_error)
--- a/boragespool/bench/slow_members.py
+++ b/boragespool/bench/slow_members.py
@@ -16,7 +16,7 @@
 from typing import TYPE_CHECKING, Final
 
 from boragespool.bench.process_fleet import ProcessFleet
-from boragespool.bench.processes import end_on_sigterm, wait_until
+from boragespool.bench.processes import exit_on_sigterm, wait_until
 from boragespool.bench.shapes import DeploymentShape, ServiceShape
 from boragespool.events import Event
 
@@ -72,7 +72,7 @@
     """Return observer, member and beat of each death that was declared."""
     return [
         (event['observer'], event['host'], event['beat'])
-        for entry in fleet.entry_by_host.values()
+        for entry in fleet.daemons_by_host.values()
         for event in entry.events()
         if event['event'] == Event.MEMBER_STATUS_CHANGED
         and event['status'] == 'dead'
@@ -81,10 +81,10 @@
 
 def detection_s(fleet: ProcessFleet) -> Seconds:
     """Kill the last daemon; return when all others call it dead."""
-    host = tuple(fleet.entry_by_host)[-1]
+    host = tuple(fleet.daemons_by_host)[-1]
     before = len([death for death in deaths(fleet) if death[1] == host])
-    others = len(fleet.entry_by_host) - 1
-    killed = fleet.entry_by_host[host]
+    others = len(fleet.daemons_by_host) - 1
+    killed = fleet.daemons_by_host[host]
     killed.signal(signal.SIGKILL)
     killed.wait()
     return wait_until(
@@ -133,7 +133,7 @@
 
 def _pause(fleets: tuple[ProcessFleet, ...], duration_s: Seconds) -> None:
     """Pause the daemons of all fleets at the same moments."""
-    entries = [tuple(fleet.entry_by_host.values()) for fleet in fleets]
+    entries = [tuple(fleet.daemons_by_host.values()) for fleet in fleets]
     draw = random.Random(_SEED)
     schedule = sorted(pause_schedule(len(entries[0]), duration_s, draw))
     began_s = time.monotonic()
@@ -145,5 +145,5 @@
 
 
 if __name__ == '__main__':
-    end_on_sigterm()
+    exit_on_sigterm()
     main(short='--short' in sys.argv)
--- a/boragespool/bench/tail.py
+++ b/boragespool/bench/tail.py
@@ -21,9 +21,9 @@
     OUTAGES,
     Indifferent,
     Variant,
-    tracker_maker,
+    tracker_factory,
 )
-from boragespool.bench.virtual_time import run_virtual
+from boragespool.bench.virtual_time import run_in_virtual_time
 from boragespool.controllers.queries.query import QueryController
 from boragespool.controllers.requests import QueryRequest
 from boragespool.results import Failure
@@ -110,7 +110,7 @@
     )
     fleet = FakeFleet(options, _SEED)
     fleet.service_time_s = _service_times(random.Random(_SEED + 1))
-    samples = run_virtual(_run(fleet, variant, outage, query_count))
+    samples = run_in_virtual_time(_run(fleet, variant, outage, query_count))
     measured = samples[min(_WARM_UP_COUNT, query_count // 4) :]
     times_s = sorted(sample.took_s for sample in measured)
     by_second: dict[int, list[int]] = {}
@@ -146,7 +146,7 @@
     controller = QueryController(
         fleet.context(),
         Indifferent() if variant.random_choice else None,
-        tracker_maker(variant),
+        tracker_factory(variant),
     )
     arrivals = random.Random(_SEED + 2)
     async with controller, asyncio.TaskGroup() as tasks:
--- a/boragespool/bench/tail_variants.py
+++ b/boragespool/bench/tail_variants.py
@@ -58,7 +58,7 @@
         return self._delay_s
 
 
-def tracker_maker(
+def tracker_factory(
     variant: Variant,
 ) -> Callable[[float, object], LatencyTracker]:
     """Return what makes the latency trackers of a variant."""
--- a/boragespool/bench/virtual_time.py
+++ b/boragespool/bench/virtual_time.py
@@ -47,7 +47,7 @@
         return self._clock.now_s
 
 
-def run_virtual(work: Coroutine[Any, Any, _ResultT]) -> _ResultT:
+def run_in_virtual_time(work: Coroutine[Any, Any, _ResultT]) -> _ResultT:
     """Run a coroutine without sockets in virtual time.
 
     Parameters
--- a/boragespool/bench/loads.py
+++ b/boragespool/bench/workloads.py
@@ -30,7 +30,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Workplace:
+class DeploymentWorkload:
     """One deployment and the routes that its scenarios use.
 
     Attributes
@@ -40,10 +40,10 @@
     """
 
     shape: DeploymentShape
-    flooded: ServiceName
-    urgent: RouteName
-    deferrable: RouteName
-    ordinary: tuple[Flow, ...]
+    flooded_service: ServiceName
+    urgent_route: RouteName
+    deferrable_route: RouteName
+    ordinary_flows: tuple[Flow, ...]
 
 
 def _query(route: RouteName, rank: Rank, rate_per_s: float) -> Flow:
@@ -72,14 +72,14 @@
 
 def _with_routine_claims(
     shape: DeploymentShape,
-    flooded: ServiceName,
+    flooded_service: ServiceName,
 ) -> DeploymentShape:
     """Add a route, so that each rank has one to the service of a flood."""
-    route = RouteSettings(flooded, Rank.ROUTINE, WorkKind.CLAIM, 2_000)
+    route = RouteSettings(flooded_service, Rank.ROUTINE, WorkKind.CLAIM, 2_000)
     return replace(shape, routes=dict(shape.routes) | {_AMEND: route})
 
 
-def flood_shape(place: Workplace) -> DeploymentShape:
+def flood_shape(place: DeploymentWorkload) -> DeploymentShape:
     """Return the shape with the flooded service cut to a known capacity."""
     slots = _FLOODED_SERVERS * _FLOODED_SLOTS
     return replace(
@@ -91,16 +91,16 @@
                 slots=_FLOODED_SLOTS,
                 service_time_s=slots / FLOOD_CAPACITY_PER_S,
             )
-            if service.name == place.flooded
+            if service.name == place.flooded_service
             else service
             for service in place.shape.services
         ),
     )
 
 
-WORKPLACES: Final = MappingProxyType(
+WORKLOADS_BY_DEPLOYMENT: Final = MappingProxyType(
     {
-        'cooperative': Workplace(
+        'cooperative': DeploymentWorkload(
             _with_routine_claims(COOPERATIVE, 'member-ledger'),
             'member-ledger',
             'claim-lot',
@@ -113,7 +113,7 @@
                 claim_flow('report', Rank.DEFERRABLE, 3),
             ),
         ),
-        'mwangaza': Workplace(
+        'mwangaza': DeploymentWorkload(
             _with_routine_claims(MWANGAZA, 'reconciler'),
             'reconciler',
             'top-up',
@@ -130,15 +130,15 @@
 )
 
 
-def scaled(flows: tuple[Flow, ...], factor: float) -> tuple[Flow, ...]:
+def scale_flows(flows: tuple[Flow, ...], factor: float) -> tuple[Flow, ...]:
     """Multiply the rates of flows."""
     return tuple(
         replace(flow, rate_per_s=flow.rate_per_s * factor) for flow in flows
     )
 
 
-def flood_mix(
-    place: Workplace,
+def flood_flows(
+    place: DeploymentWorkload,
     urgent_share: float,
     deferrable_share: float,
     flooded_s: tuple[Seconds, Seconds],
@@ -156,9 +156,11 @@
         Begin and end of the flood, in seconds from the start.
     """
     flows = (
-        _rush(place.urgent, Rank.URGENT, urgent_share, flooded_s),
+        _rush(place.urgent_route, Rank.URGENT, urgent_share, flooded_s),
         claim_flow(_AMEND, Rank.ROUTINE, FLOOD_CAPACITY_PER_S / 10),
-        _rush(place.deferrable, Rank.DEFERRABLE, deferrable_share, flooded_s),
+        _rush(
+            place.deferrable_route, Rank.DEFERRABLE, deferrable_share, flooded_s
+        ),
     )
     return tuple(flow for flow in flows if flow.rate_per_s > 0)
 
--- a/tests/query_cases.py
+++ b/tests/query_cases.py
@@ -6,7 +6,7 @@
 from dataclasses import replace
 
 from boragespool.bench.fake_fleet import FleetOptions
-from boragespool.bench.virtual_time import run_virtual
+from boragespool.bench.virtual_time import run_in_virtual_time
 from boragespool.controllers.queries.query import QueryController
 from boragespool.controllers.requests import QueryRequest
 from boragespool.settings import HedgingSettings
@@ -39,7 +39,7 @@
             assert controller.in_flight == 0
         return results
 
-    return run_virtual(run())
+    return run_in_virtual_time(run())
 
 
 def replicas(shard):
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -9,10 +9,10 @@
 
 from boragespool.bench import __main__ as program
 from boragespool.bench import (
-    loads,
     replacement,
     replacement_load,
     scenarios,
+    workloads,
 )
 from boragespool.bench.placement import deployment_settings, place_servers
 from boragespool.settings import validate
@@ -65,52 +65,55 @@
     assert "goals missed or failed: ['a']" in capsys.readouterr().out
 
 
-@pytest.mark.parametrize('place', loads.WORKPLACES.values())
+@pytest.mark.parametrize('place', workloads.WORKLOADS_BY_DEPLOYMENT.values())
 def test_mixes_use_routes_of_the_shape(place):
     """Guards against load that is refused for a wrong route or form."""
-    mixes = (place.ordinary, loads.flood_mix(place, 0.3, 10, (2, 6)))
-    for shape in (place.shape, loads.flood_shape(place)):
+    mixes = (
+        place.ordinary_flows,
+        workloads.flood_flows(place, 0.3, 10, (2, 6)),
+    )
+    for shape in (place.shape, workloads.flood_shape(place)):
         for flow in (flow for mix in mixes for flow in mix):
             route = shape.routes[flow.route]
             assert (route.form, route.rank) == (flow.kind, flow.rank)
 
 
-@pytest.mark.parametrize('place', loads.WORKPLACES.values())
+@pytest.mark.parametrize('place', workloads.WORKLOADS_BY_DEPLOYMENT.values())
 def test_flooded_service_has_the_stated_capacity(place):
     """The size of a flood is stated relative to this capacity."""
     service = next(
         one
-        for one in loads.flood_shape(place).services
-        if one.name == place.flooded
+        for one in workloads.flood_shape(place).services
+        if one.name == place.flooded_service
     )
     slots = service.slots * service.replicas * service.shards
     capacity = slots / service.service_time_s
-    assert capacity == pytest.approx(loads.FLOOD_CAPACITY_PER_S)
+    assert capacity == pytest.approx(workloads.FLOOD_CAPACITY_PER_S)
 
 
 def test_baselines_change_what_they_name():
     """A baseline that changes nothing would make each ratio 1."""
-    place = loads.WORKPLACES['cooperative']
+    place = workloads.WORKLOADS_BY_DEPLOYMENT['cooperative']
     placed = place_servers(place.shape)
     addresses = {
         one.spec.name: f'127.0.0.1:{port}' for port, one in enumerate(placed, 1)
     }
     settings = deployment_settings(place.shape, placed, addresses)
-    flat = loads.without_ranks(settings)
+    flat = workloads.without_ranks(settings)
     # Daemons ignore a revision with problems, and the run would never start.
     assert not validate(settings)
     assert not validate(flat)
-    assert not validate(loads.without_hedging(settings))
+    assert not validate(workloads.without_hedging(settings))
     assert {route.rank for route in flat.routes.values()} == {Rank.ROUTINE}
     assert flat.ranks[Rank.ROUTINE].cap == 1
-    unhedged = loads.without_hedging(settings)
+    unhedged = workloads.without_hedging(settings)
     assert (unhedged.hedging.budget_ratio, unhedged.hedging.burst) == (0, 0)
     assert replace(unhedged, hedging=settings.hedging) == settings
 
 
 def test_both_deployments_have_all_scenarios():
     """The scenarios that the results page lists."""
-    assert set(loads.WORKPLACES) == {'cooperative', 'mwangaza'}
+    assert set(workloads.WORKLOADS_BY_DEPLOYMENT) == {'cooperative', 'mwangaza'}
     assert len(scenarios.SCENARIOS) == 9
 
 
@@ -125,8 +128,8 @@
     }
     runs = {'served': 2, 'open': 1, 'denied': 1, 'of-others': 5}
     truth = replacement_load.compare_claims(told, runs)
-    assert truth == replacement_load.ClaimTruth(
-        lost=1, unknown=1, false_not_run=1, twice=1
+    assert truth == replacement_load.ClaimComparison(
+        lost=1, unknown=1, false_not_run=1, duplicated=1
     )
 
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -5,7 +5,7 @@
 import random
 
 from boragespool.bench.caller import Flow, arrival_times_s
-from boragespool.bench.load import LoadDriver
+from boragespool.bench.load_driver import LoadDriver
 from boragespool.bench.process_fleet import ProcessFleet
 from boragespool.types import Rank, WorkKind
 from tests.test_process_fleet import SMALL
--- a/tests/test_pinned.py
+++ b/tests/test_pinned.py
@@ -10,7 +10,7 @@
     shard_range,
     true_reply,
 )
-from boragespool.bench.virtual_time import run_virtual
+from boragespool.bench.virtual_time import run_in_virtual_time
 from boragespool.controllers.queries.query import QueryController
 from boragespool.messages import Holding
 from tests.query_cases import SMALL, ask, behave, query, replicas
@@ -36,7 +36,7 @@
             answer = await controller.answer(query())
             return answer, asyncio.get_running_loop().time() - began_s
 
-    return run_virtual(run())
+    return run_in_virtual_time(run())
 
 
 def test_lost_version_restarts_the_query_on_a_newer_one():
--- a/tests/test_query.py
+++ b/tests/test_query.py
@@ -14,7 +14,7 @@
     shard_range,
     true_reply,
 )
-from boragespool.bench.virtual_time import run_virtual
+from boragespool.bench.virtual_time import run_in_virtual_time
 from boragespool.blackboard.topics import (
     BLOCKED_FINGERPRINTS,
     SUSPECT_FINGERPRINTS,
@@ -118,7 +118,7 @@
             await controller.answer(query('b'))
             return await first
 
-    assert run_virtual(run()).coverage == 1
+    assert run_in_virtual_time(run()).coverage == 1
 
 
 def test_one_lost_server_does_not_stop_hedging():
@@ -190,7 +190,7 @@
                 )
             await controller.answer(query())
 
-    run_virtual(run())
+    run_in_virtual_time(run())
     assert sum(fleet.asked[name] for name in replicas(1)) == 1
 
 
@@ -262,7 +262,7 @@
             await asyncio.sleep(early.retry_after_s)
             return full_answer, early, await controller.answer(query())
 
-    full_answer, early, after = run_virtual(run())
+    full_answer, early, after = run_in_virtual_time(run())
     assert full_answer.code == ResultCode.QUEUE_FULL
     assert early.code == ResultCode.DEADLINE_UNREACHABLE
     assert early.run == RunState.NOT_RUN
--- a/tests/test_query_storm.py
+++ b/tests/test_query_storm.py
@@ -15,7 +15,7 @@
     shard_range,
     true_reply,
 )
-from boragespool.bench.virtual_time import run_virtual
+from boragespool.bench.virtual_time import run_in_virtual_time
 from boragespool.controllers.queries.query import QueryController
 from boragespool.messages import Holding
 from boragespool.results import Failure, ResultCode
@@ -130,5 +130,5 @@
 
     Replies are crossed, truncated or wrong while holdings change.
     """
-    coverages = run_virtual(Storm(seed).run())
+    coverages = run_in_virtual_time(Storm(seed).run())
     assert max(coverages) > 0
