--- a/boragespool/bench/load_driver.py
+++ b/boragespool/bench/load_driver.py
@@ -1,4 +1,4 @@
-"""Open-loop load on a deployment of real processes, and its summary."""
+"""Driver that sends open-loop load to a deployment and summarizes the run."""
 
 from __future__ import annotations
 
@@ -29,17 +29,17 @@
     from boragespool.bench.process_fleet import ProcessFleet
     from boragespool.types import RouteName
 
-    #: Fault or change at a time of the run, in seconds from its start.
+    #: Time in seconds from the start of a run, and a function called then.
     Action = tuple[Seconds, Callable[[], object]]
 
 _US_PER_S: Final = 1_000_000
 _P50: Final = 50
 _P99: Final = 99
-#: Until all caller processes wait for the start.
-_LEAD_S: Final = 0.5
-#: Counters of everything that arrives at a backend server stand-in. Work
-#: that is cancelled after its begin is part of ``work_run``.
-_ARRIVALS: Final = (
+#: Delay of the common start, in which all caller processes get their plan.
+_START_LEAD_S: Final = 0.5
+#: Counters of a backend server stand-in that add up to the requests that it
+#: received. ``work_run`` includes work that was cancelled after it began.
+_RECEIVED_COUNTERS: Final = (
     'work_run',
     'shed',
     'expired',
@@ -50,19 +50,26 @@
 
 @dataclass(frozen=True, slots=True)
 class RankSummary:
-    """Service of one rank.
+    """Results of the requests of one rank.
 
     Attributes
     ----------
+    offered : int
+        Requests that were due.
     answered : int
-        Answers within the deadline, counted from the scheduled time.
+        Requests answered within the deadline, which counts from the
+        scheduled start time.
     refused : int
-        Refusals that say `not_run`; what remains was late, failed, or is
-        unknown.
+        Requests that failed with `not_run`. The remaining requests were
+        late, failed, or have an unknown outcome.
     p50_s, p99_s : float
-        Latency of the answers in time, in seconds.
+        Latency of the answered requests, in seconds.
     coverage : float
-        Mean coverage of the answers in time, 0 to 1.
+        Mean coverage of the answered requests, 0 to 1.
+    offered_by_s, answered_by_s : dict of int to int
+        Requests by the second of the run in which they were due.
+    codes : dict of int to int
+        Unanswered requests by result code.
     """
 
     offered: int
@@ -77,26 +84,31 @@
 
     @property
     def answered_share(self) -> float:
-        """Answered requests per offered request, 0 to 1."""
+        """Share of the offered requests that were answered, 0 to 1."""
         return self.answered / self.offered if self.offered else 0
 
 
 @dataclass(frozen=True, slots=True)
 class LoadSummary:
-    """Figures of one run.
+    """Results and resource use of one run.
 
     Attributes
     ----------
     needed : int
-        Shard requests of all queries and claims that were not refused.
+        Requests to backend servers that the queries and claims need if each
+        is sent once: one per shard and query, one per claim. Refused requests
+        are not counted.
     received : int
-        Requests that arrived at backend servers. Requests on silent
+        Requests that the backend servers received. Requests on silent
         connections and to servers that do not listen are not counted.
     lag_p99_s : float
-        Delay with which requests left the driver itself, in seconds.
+        99th percentile of the delay between the scheduled time of a request
+        and its sending by the driver, in seconds.
     daemon_s, caller_s : float
         Processor time of all daemons and of all caller processes, in
         seconds.
+    duration_s : float
+        Time in which requests were due, in seconds.
     """
 
     by_rank: dict[Rank, RankSummary]
@@ -109,29 +121,40 @@
 
     @property
     def load(self) -> float:
-        """Requests received per request needed."""
+        """Requests received by backend servers per request needed."""
         return self.received / max(1, self.needed)
 
 
 @dataclass
 class LoadDriver:
-    """Caller processes that last for several runs, a context manager."""
+    """Context manager that owns caller processes, reused by several runs.
+
+    Parameters
+    ----------
+    caller_count : int
+        Number of caller processes.
+    """
 
     caller_count: int = 3
     _pool: ProcessPoolExecutor = field(init=False)
 
     def __enter__(self) -> Self:
-        """Start the processes and import what they need."""
+        """Start all caller processes."""
         self._pool = ProcessPoolExecutor(
             self.caller_count,
             multiprocessing.get_context('spawn'),
         )
-        # A sleep keeps each process busy until all others have started.
-        wait([self._pool.submit(_import_all) for _ in range(self.caller_count)])
+        # Each task sleeps, so the pool has to start a process for the next.
+        wait(
+            [
+                self._pool.submit(_occupy_process)
+                for _ in range(self.caller_count)
+            ]
+        )
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        """End the processes."""
+        """Shut down the caller processes."""
         self._pool.shutdown(cancel_futures=True)
 
     def run(
@@ -141,46 +164,47 @@
         duration_s: Seconds,
         actions: Iterable[Action] = (),
     ) -> LoadSummary:
-        """Send a load to a fleet.
+        """Send the requests of some flows to a fleet and summarize the results.
 
         Parameters
         ----------
         fleet : ProcessFleet
-            Target; its backend servers count what they receive.
+            Deployment under load; its stand-ins count received requests.
         flows : sequence of Flow
-            Mix of routes; the rates are those of all callers together.
+            Load per route; a rate is the total over all callers.
         duration_s : float
-            Time in which requests start, in seconds.
+            Time in which requests are due, in seconds.
         actions : iterable of (float, callable)
-            Faults and changes, each at a time in seconds from the start.
+            Functions to call, such as faults, each with its time in seconds
+            from the start.
         """
-        received = _received(fleet)
+        received_before = _received_count(fleet)
         daemons = tuple(fleet.daemons_by_host.values())
-        began_s = sum(daemon.processor_s() for daemon in daemons)
-        start_wall_s = time.time() + _LEAD_S
-        reports = self._start(fleet, flows, duration_s, start_wall_s)
-        for at_s, act in sorted(actions, key=_time_of):
+        cpu_before_s = sum(daemon.processor_s() for daemon in daemons)
+        start_wall_s = time.time() + _START_LEAD_S
+        reports = self._submit_plans(fleet, flows, duration_s, start_wall_s)
+        for at_s, act in sorted(actions, key=_action_time_s):
             time.sleep(max(0, start_wall_s + at_s - time.time()))
             act()
-        done = [report.result() for report in reports]
-        alive = [one for one in daemons if one.process.poll() is None]
-        ended_s = sum(daemon.processor_s() for daemon in alive)
+        finished = [report.result() for report in reports]
+        alive = [daemon for daemon in daemons if daemon.process.poll() is None]
+        cpu_after_s = sum(daemon.processor_s() for daemon in alive)
         return _summarize(
-            done,
+            finished,
             _shards_by_route(fleet),
-            _received(fleet) - received,
-            ended_s - began_s,
+            _received_count(fleet) - received_before,
+            cpu_after_s - cpu_before_s,
             duration_s,
         )
 
-    def _start(
+    def _submit_plans(
         self,
         fleet: ProcessFleet,
         flows: Sequence[Flow],
         duration_s: Seconds,
         start_wall_s: Seconds,
     ) -> list[Future[CallerReport]]:
-        sites = fleet.shape.data_centres
+        data_centres = fleet.shape.data_centres
         share = 1 / self.caller_count
         return [
             self._pool.submit(
@@ -188,8 +212,8 @@
                 CallerPlan(
                     f'caller-{number}',
                     fleet.addresses,
-                    sites[number % len(sites)],
-                    tuple(_scaled(flow, share) for flow in flows),
+                    data_centres[number % len(data_centres)],
+                    tuple(_scale_rate(flow, share) for flow in flows),
                     duration_s,
                     start_wall_s,
                     number,
@@ -199,15 +223,15 @@
         ]
 
 
-def _import_all() -> None:
-    time.sleep(_LEAD_S)
+def _occupy_process() -> None:
+    time.sleep(_START_LEAD_S)
 
 
-def _time_of(action: Action) -> Seconds:
+def _action_time_s(action: Action) -> Seconds:
     return action[0]
 
 
-def _scaled(flow: Flow, share: float) -> Flow:
+def _scale_rate(flow: Flow, share: float) -> Flow:
     return Flow(
         flow.route,
         flow.kind,
@@ -219,11 +243,11 @@
     )
 
 
-def _received(fleet: ProcessFleet) -> int:
+def _received_count(fleet: ProcessFleet) -> int:
     return sum(
         report['counters'][name]
-        for report in fleet.reports().values()
-        for name in _ARRIVALS
+        for report in fleet.server_reports().values()
+        for name in _RECEIVED_COUNTERS
     )
 
 
@@ -235,14 +259,14 @@
     }
 
 
-def _added(counters: Iterable[Counter[int]]) -> dict[int, int]:
+def _sum_counters(counters: Iterable[Counter[int]]) -> dict[int, int]:
     return dict(sum(counters, Counter()))
 
 
-def _merged(encoded: Iterable[bytes]) -> HdrHistogram:
+def _merge_histograms(encoded: Iterable[bytes]) -> HdrHistogram:
     histogram = new_histogram()
-    for one in encoded:
-        histogram.add(HdrHistogram.decode(one))
+    for histogram_bytes in encoded:
+        histogram.add(HdrHistogram.decode(histogram_bytes))
     return histogram
 
 
@@ -260,7 +284,7 @@
 ) -> LoadSummary:
     tallies_by_rank: dict[Rank, list[FlowTally]] = {}
     needed = 0
-    for tally in chain.from_iterable(one.tallies for one in reports):
+    for tally in chain.from_iterable(report.tallies for report in reports):
         tallies_by_rank.setdefault(tally.flow.rank, []).append(tally)
         shards = shards_by_route[tally.flow.route]
         needed += (tally.offered - tally.refused) * shards
@@ -271,25 +295,25 @@
         },
         needed,
         received,
-        _quantile_s(_merged(one.lag for one in reports), _P99),
+        _quantile_s(_merge_histograms(report.lag for report in reports), _P99),
         daemon_s,
-        sum(one.processor_s for one in reports),
+        sum(report.processor_s for report in reports),
         duration_s,
     )
 
 
 def _summarize_rank(tallies: Sequence[FlowTally]) -> RankSummary:
-    histogram = _merged(tally.latency for tally in tallies)
+    histogram = _merge_histograms(tally.latency for tally in tallies)
     answered = sum(tally.answered for tally in tallies)
-    covered = sum(tally.coverage_sum for tally in tallies)
+    coverage_sum = sum(tally.coverage_sum for tally in tallies)
     return RankSummary(
         sum(tally.offered for tally in tallies),
         answered,
         sum(tally.refused for tally in tallies),
         _quantile_s(histogram, _P50),
         _quantile_s(histogram, _P99),
-        covered / answered if answered else 0,
-        _added(tally.offered_by_s for tally in tallies),
-        _added(tally.answered_by_s for tally in tallies),
-        _added(tally.codes for tally in tallies),
+        coverage_sum / answered if answered else 0,
+        _sum_counters(tally.offered_by_s for tally in tallies),
+        _sum_counters(tally.answered_by_s for tally in tallies),
+        _sum_counters(tally.codes for tally in tallies),
     )
--- a/boragespool/bench/process_fleet.py
+++ b/boragespool/bench/process_fleet.py
@@ -1,4 +1,4 @@
-"""A whole deployment as real processes on 127.0.0.x."""
+"""Deployment of real processes on 127.0.0.x: platform, servers and daemons."""
 
 from __future__ import annotations
 
@@ -32,60 +32,67 @@
     from boragespool.settings import Settings
     from boragespool.types import Address, HostName, ServerName
 
-_ENTRY: Final = 'boragespool.daemon.main'
-_PROFILED_ENTRY: Final = 'boragespool.bench.profiled_entry'
-_READY_S: Final = 40
-_STOP_S: Final = 60
-_OK: Final = 200
-_CONTROL: Final = '/v1/control'
+_DAEMON_MODULE: Final = 'boragespool.daemon.main'
+_PROFILED_DAEMON_MODULE: Final = 'boragespool.bench.profiled_entry'
+_READY_TIMEOUT_S: Final = 40
+_STOP_TIMEOUT_S: Final = 60
+_HTTP_OK: Final = 200
+_CONTROL_PATH: Final = '/v1/control'
 _POST: Final = 'POST'
-#: First last byte of the daemons' addresses on 127.0.0.x.
-_FIRST_ENTRY_IP: Final = 10
+#: Last octet of the IP address of the first daemon, on 127.0.0.x.
+_FIRST_DAEMON_OCTET: Final = 10
 
 
 @dataclass
 class ProcessFleet:
-    """Platform, backend servers and daemons of a shape, a context manager.
+    """Context manager that runs a deployment, one process per daemon.
+
+    The platform stand-in is one process, and the backend server stand-ins
+    share a few.
 
     Parameters
     ----------
     shape : DeploymentShape
-        What to start.
+        Sizes, services and routes of the deployment.
     backend_process_count : int
-        Processes over which the backend servers are spread.
-    profile_path_by_host : dict
-        Daemons to run under cProfile and the files that they write.
+        Number of processes that host the backend server stand-ins.
+    profile_paths_by_host : dict
+        Hosts whose daemon runs under cProfile, with the output file of each.
     variables : dict
-        Further environment variables of the daemons.
+        Additional environment variables of the daemons.
 
     Attributes
     ----------
     settings : Settings
-        Settings of the last revision that was applied.
+        Settings of the most recently applied revision.
     daemons_by_host : dict
-        Daemons that were started last under each name.
+        Most recently started daemon process of each host.
+    placed_servers : tuple of PlacedServer
+        Backend servers of the deployment.
+    revision : int
+        Number of the most recently applied revision.
     """
 
     shape: DeploymentShape
     backend_process_count: int = 3
-    profile_path_by_host: dict[HostName, str] = field(default_factory=dict)
+    profile_paths_by_host: dict[HostName, str] = field(default_factory=dict)
     variables: dict[str, str] = field(default_factory=dict)
     daemons_by_host: dict[HostName, RunningProcess] = field(
         default_factory=dict
     )
-    placed: tuple[PlacedServer, ...] = ()
+    placed_servers: tuple[PlacedServer, ...] = ()
     revision: int = 0
 
     settings: Settings = field(init=False)
     platform: RunningProcess = field(init=False)
     backends: tuple[RunningProcess, ...] = ()
     _processes: ProcessGroup = field(default_factory=ProcessGroup)
-    _process_by_server: dict[ServerName, RunningProcess] = field(
+    _processes_by_server: dict[ServerName, RunningProcess] = field(
         default_factory=dict,
     )
 
     def __enter__(self) -> Self:
-        """Start everything and wait until all daemons are ready."""
+        """Start all processes and wait until every daemon is ready."""
         with contextlib.ExitStack() as stack:
             stack.enter_context(self._processes)
             self._start()
@@ -93,21 +100,21 @@
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        """End everything that was started."""
+        """Kill all processes that are still running."""
         self._processes.__exit__(*exc_info)
 
     @property
     def addresses(self) -> tuple[Address, ...]:
-        """Caller addresses of all daemons."""
-        return tuple(entry.address for entry in self.daemons_by_host.values())
+        """Addresses at which the daemons accept callers."""
+        return tuple(daemon.address for daemon in self.daemons_by_host.values())
 
     def apply(self, settings: Settings) -> None:
-        """Put settings in force at every daemon.
+        """Write settings as a new revision and wait until all daemons use it.
 
         Raises
         ------
         RuntimeError
-            If the store refuses the write.
+            If the store rejects the write.
         """
         revision = self.revision + 1
         document = RevisionDocument(revision, f'change-{revision}', settings)
@@ -117,47 +124,57 @@
         }
         path = '/v1/kv/config/current'
         written, answer = fetch(self.platform.address, path, body, 'PUT')
-        if written != _OK:
-            raise RuntimeError(f'store answered {written!r}: {answer!r}')
+        if written != _HTTP_OK:
+            raise RuntimeError(
+                f'store rejected the write with status {written!r}: {answer!r}',
+            )
         self.settings = settings
         self.revision = revision
-        wait_until(self._has_revision, _READY_S, f'revision {revision}')
+        wait_until(
+            self._has_revision,
+            _READY_TIMEOUT_S,
+            f'revision {revision}',
+        )
 
     def control(self, servers: Iterable[ServerName], **changes: Any) -> None:
-        """Change switches of backend servers; see `BackendSwitches`.
+        """Set fields of `BackendSwitches` at some backend server stand-ins.
 
         Raises
         ------
         RuntimeError
-            If a switch is refused.
+            If a stand-in rejects the change.
         """
         names_by_address: dict[Address, list[ServerName]] = {}
         for name in servers:
-            address = self._process_by_server[name].address
+            address = self._processes_by_server[name].address
             names_by_address.setdefault(address, []).append(name)
         for address, names in names_by_address.items():
             body = {'servers': names} | changes
-            status, answer = fetch(address, _CONTROL, body, _POST)
-            if status != _OK:
-                raise RuntimeError(f'{address!r} answered {answer!r}')
+            status, answer = fetch(address, _CONTROL_PATH, body, _POST)
+            if status != _HTTP_OK:
+                raise RuntimeError(
+                    f'{address!r} rejected the change: {answer!r}',
+                )
 
     def control_platform(self, **changes: Any) -> None:
-        """Change switches of the platform; see `PlatformSwitches`."""
-        fetch(self.platform.address, _CONTROL, changes, _POST)
+        """Set fields of `PlatformSwitches` at the platform stand-in."""
+        fetch(self.platform.address, _CONTROL_PATH, changes, _POST)
 
-    def reports(self) -> dict[ServerName, Any]:
-        """Return the report of each backend server.
+    def server_reports(self) -> dict[ServerName, Any]:
+        """Return the report of each backend server stand-in, by its name.
 
         Raises
         ------
         RuntimeError
-            If the process of some of them refuses.
+            If a process does not answer with status 200.
         """
         merged: dict[ServerName, Any] = {}
         for process in self.backends:
-            status, answer = fetch(process.address, _CONTROL)
-            if status != _OK:
-                raise RuntimeError(f'{process.address!r} answered {answer!r}')
+            status, answer = fetch(process.address, _CONTROL_PATH)
+            if status != _HTTP_OK:
+                raise RuntimeError(
+                    f'{process.address!r} returned no report: {answer!r}',
+                )
             merged |= answer
         return merged
 
@@ -166,20 +183,25 @@
         host: HostName,
         peer_address: Address = '',
     ) -> RunningProcess:
-        """Start a daemon, also as the replacement of one of that name."""
-        placed = {entry.host: entry for entry in place_daemons(self.shape)}
-        return self._start_entry(placed[host], peer_address)
+        """Start a daemon of the deployment, or one that replaces it."""
+        placed = {daemon.host: daemon for daemon in place_daemons(self.shape)}
+        return self._start_daemon(placed[host], peer_address)
 
     def replace_daemons(
         self,
         hosts: Iterable[HostName],
         number: int = signal.SIGTERM,
     ) -> tuple[int, ...]:
-        """Stop daemons at once, start others; return the exit codes."""
+        """Signal several daemons, replace them and return their exit codes.
+
+        All of them get the signal before the first new daemon starts.
+        """
         stopped = {host: self.daemons_by_host[host] for host in hosts}
-        for entry in stopped.values():
-            entry.signal(number)
-        exit_codes = tuple(one.wait(_STOP_S) for one in stopped.values())
+        for stopped_daemon in stopped.values():
+            stopped_daemon.signal(number)
+        exit_codes = tuple(
+            daemon.wait(_STOP_TIMEOUT_S) for daemon in stopped.values()
+        )
         for host in stopped:
             self.start_daemon(host)
         for started in stopped:
@@ -190,28 +212,32 @@
         self.platform = self._processes.start(
             'boragespool.standins.platform_main',
         )
-        self.placed = place_servers(self.shape)
+        self.placed_servers = place_servers(self.shape)
         self.backends = tuple(
             self._start_backends(
-                self.placed[number :: self.backend_process_count],
+                self.placed_servers[number :: self.backend_process_count],
             )
             for number in range(self.backend_process_count)
         )
         self.platform.address = self._ready_event(self.platform)['address']
-        address_by_server: dict[ServerName, Address] = {}
+        addresses_by_server: dict[ServerName, Address] = {}
         for process in self.backends:
             event = self._ready_event(process)
             process.address = event['address']
-            address_by_server |= event['servers']
-        entries = place_daemons(self.shape)
-        peers = {
-            entry.host: free_address(_entry_ip(number))
-            for number, entry in enumerate(entries)
+            addresses_by_server |= event['servers']
+        placed_daemons = place_daemons(self.shape)
+        peer_addresses = {
+            daemon.host: free_address(_daemon_ip(number))
+            for number, daemon in enumerate(placed_daemons)
         }
-        for entry in entries:
-            self._start_entry(entry, peers[entry.host], peers)
+        for daemon in placed_daemons:
+            self._start_daemon(
+                daemon, peer_addresses[daemon.host], peer_addresses
+            )
         self.apply(
-            deployment_settings(self.shape, self.placed, address_by_server),
+            deployment_settings(
+                self.shape, self.placed_servers, addresses_by_server
+            ),
         )
         for host in self.daemons_by_host:
             self._wait_until_ready(host)
@@ -226,28 +252,30 @@
             f'--servers={json.dumps(described)}',
         )
         for server in described:
-            self._process_by_server[server['name']] = process
+            self._processes_by_server[server['name']] = process
         return process
 
-    def _start_entry(
+    def _start_daemon(
         self,
         placed: PlacedDaemon,
         peer_address: Address = '',
-        peers: dict[HostName, Address] | None = None,
+        peer_addresses: dict[HostName, Address] | None = None,
     ) -> RunningProcess:
-        if peers is None:
-            peers = {
+        if peer_addresses is None:
+            peer_addresses = {
                 host: running.peer_address
                 for host, running in self.daemons_by_host.items()
                 if host != placed.host
             }
         number = list(place_daemons(self.shape)).index(placed)
-        caller_address = free_address(_entry_ip(number))
-        peer_address = peer_address or free_address(_entry_ip(number))
-        joined = ','.join(f'{host}={peers[host]}' for host in peers)
-        profile_path = self.profile_path_by_host.get(placed.host)
-        entry = self._processes.start(
-            _PROFILED_ENTRY if profile_path else _ENTRY,
+        caller_address = free_address(_daemon_ip(number))
+        peer_address = peer_address or free_address(_daemon_ip(number))
+        joined = ','.join(
+            f'{host}={peer_addresses[host]}' for host in peer_addresses
+        )
+        profile_path = self.profile_paths_by_host.get(placed.host)
+        daemon = self._processes.start(
+            _PROFILED_DAEMON_MODULE if profile_path else _DAEMON_MODULE,
             f'--host={placed.host}',
             f'--data_centre={placed.data_centre}',
             f'--region={placed.data_centre}',
@@ -258,16 +286,16 @@
             PROFILE_PATH=profile_path or '',
             **self.variables,
         )
-        entry.address = caller_address
-        entry.peer_address = peer_address
-        self.daemons_by_host[placed.host] = entry
-        return entry
+        daemon.address = caller_address
+        daemon.peer_address = peer_address
+        self.daemons_by_host[placed.host] = daemon
+        return daemon
 
     def _ready_event(self, process: RunningProcess) -> dict[str, Any]:
-        return process.wait_for_event(Event.PROCESS_READY, _READY_S)
+        return process.wait_for_event(Event.PROCESS_READY, _READY_TIMEOUT_S)
 
     def _status(self, host: HostName) -> dict[str, Any]:
-        """Return the status of a daemon; empty while it does not answer."""
+        """Return the status of a daemon, or an empty dict if unreachable."""
         address = self.daemons_by_host[host].address
         try:
             return dict(fetch(address, '/v1/status')[1])
@@ -275,7 +303,11 @@
             return {}
 
     def _wait_until_ready(self, host: HostName) -> None:
-        wait_until(partial(self._is_ready, host), _READY_S, f'{host} is ready')
+        wait_until(
+            partial(self._is_ready, host),
+            _READY_TIMEOUT_S,
+            f'{host} is ready',
+        )
 
     def _has_revision(self) -> bool:
         return all(
@@ -284,7 +316,7 @@
         )
 
     def _is_ready(self, host: HostName) -> bool:
-        """Tell whether a daemon serves and knows all others and servers."""
+        """Whether a daemon is ready and knows all daemons and servers."""
         status = self._status(host)
         alive = [
             member
@@ -294,9 +326,9 @@
         return (
             status.get('phase') == 'ready'
             and len(alive) == len(self.daemons_by_host)
-            and len(status['servers']) == len(self.placed)
+            and len(status['servers']) == len(self.placed_servers)
         )
 
 
-def _entry_ip(number: int) -> str:
-    return f'127.0.0.{_FIRST_ENTRY_IP + number}'
+def _daemon_ip(number: int) -> str:
+    return f'127.0.0.{_FIRST_DAEMON_OCTET + number}'
--- a/boragespool/bench/profiling.py
+++ b/boragespool/bench/profiling.py
@@ -26,19 +26,19 @@
 
 def main() -> None:
     """Print the functions of one daemon with the largest times."""
-    place = WORKLOADS_BY_DEPLOYMENT['cooperative']
+    workload = WORKLOADS_BY_DEPLOYMENT['cooperative']
     with tempfile.TemporaryDirectory() as directory:
         path = pathlib.Path(directory) / 'profile'
         with (
             LoadDriver() as driver,
             ProcessFleet(
-                place.shape,
-                profile_path_by_host={_HOST: str(path)},
+                workload.shape,
+                profile_paths_by_host={_HOST: str(path)},
             ) as fleet,
         ):
             run = driver.run(
                 fleet,
-                scale_flows(place.ordinary_flows, _FACTOR),
+                scale_flows(workload.ordinary_flows, _FACTOR),
                 _RUN_S,
             )
             profiled = fleet.daemons_by_host[_HOST]
--- a/boragespool/bench/replacement.py
+++ b/boragespool/bench/replacement.py
@@ -1,8 +1,8 @@
-"""Planned stops of daemons under load, compared with killing them.
+"""Effect of planned stops of daemons under load, compared with kills.
 
 ``python -m boragespool.bench replacement`` stops 100 daemons, some one by one
-and the rest three at once, and starts a new process as the same host each
-time.
+and the rest three at a time, and replaces each by a new process of the same
+host.
 """
 
 from __future__ import annotations
@@ -21,10 +21,10 @@
 from boragespool.bench.process_fleet import ProcessFleet
 from boragespool.bench.processes import exit_on_sigterm
 from boragespool.bench.replacement_load import (
+    CallerResults,
     ClaimComparison,
-    LoadMix,
+    LoadRates,
     ReplacementLoad,
-    Service,
     compare_claims,
 )
 from boragespool.bench.shapes import COOPERATIVE
@@ -36,20 +36,22 @@
     from boragespool.bench.processes import RunningProcess
     from boragespool.types import HostName, Seconds
 
-_STOPS: Final = 100
-_SHORT_STOPS: Final = 9
-_AT_ONCE: Final = 3
-#: Share of the stops that is done one by one, and planned stops per killed
-#: daemon of the baseline.
-_ONE_BY_ONE_SHARE: Final = 0.25
+_STOP_COUNT: Final = 100
+_SHORT_STOP_COUNT: Final = 9
+_CONCURRENT_STOPS: Final = 3
+#: Share of the planned stops that happen one at a time.
+_SINGLE_STOP_SHARE: Final = 0.25
+#: Planned stops for each daemon that the baseline kills.
 _STOPS_PER_KILL: Final = 10
-_KEEP_S: Final = 0.5
-#: Load before the first stop, in which connections open and callers learn
+#: Time for which callers may use addresses, in this run.
+_ADDRESS_KEEP_S: Final = 0.5
+#: Load before the first stop, while callers open connections and learn
 #: addresses.
 _WARM_UP_S: Final = 2
-_MIX: Final = LoadMix('lots', 'claim-lot', queries_per_s=6, claims_per_s=10)
+_RATES: Final = LoadRates('lots', 'claim-lot', queries_per_s=6, claims_per_s=10)
 _TIME_FORMAT: Final = '%Y-%m-%d %H:%M:%S,%f'
-#: Ends of the phases of a graceful stop, after the signal.
+#: Phases of a graceful stop in order, each with the event that ends it. The
+#: first one begins with the signal.
 _PHASES: Final = (
     ('signal handled', Event.STOP_REQUESTED),
     ('callers forget the address', Event.STOP_LEFT_ADDRESSES),
@@ -57,38 +59,45 @@
     ('records handed over', Event.STOP_HANDED_OVER),
     ('closed', Event.PROCESS_STOPPED),
 )
-#: Signals that end a daemon show as negative exit codes.
+#: Exit code of a killed daemon; `Popen` negates the signal number.
 _KILLED: Final = -signal.SIGKILL
 
 
 @dataclass(slots=True)
-class Part:
-    """Figures of one part of the measurement.
+class RunResult:
+    """Result of one run: a way of stopping daemons under load.
 
     Attributes
     ----------
     phases_s : list of tuple of float
-        Duration of each phase of each graceful stop, in seconds.
+        Duration of each phase, for each graceful stop, in seconds.
     """
 
     name: str
-    service: Service
-    truth: ClaimComparison
+    callers: CallerResults
+    claims: ClaimComparison
     exit_codes: Counter[int] = field(default_factory=Counter)
     phases_s: list[tuple[Seconds, ...]] = field(default_factory=list)
     duration_s: Seconds = 0
 
     @property
     def meets_goals(self) -> bool:
-        """Whether no request was interrupted and no claim lost."""
-        truth = self.truth
-        lost = (
-            truth.lost + truth.unknown + truth.false_not_run + truth.duplicated
+        """Whether all requests succeeded and all daemons exited with 0."""
+        claims = self.claims
+        wrong_claim_count = (
+            claims.lost
+            + claims.unknown
+            + claims.false_not_run
+            + claims.duplicated
         )
-        missed = sum(self.service.broken.values()) + sum(
-            self.service.failed.values()
+        failure_count = sum(self.callers.interrupted_by_kind.values()) + sum(
+            self.callers.failures_by_code.values()
+        )
+        return (
+            not wrong_claim_count
+            and not failure_count
+            and set(self.exit_codes) == {0}
         )
-        return not lost and not missed and set(self.exit_codes) == {0}
 
 
 def phase_times_s(
@@ -100,21 +109,22 @@
     Parameters
     ----------
     signalled_s : float
-        Wall time of the signal, in seconds.
+        Wall time at which the signal was sent, in seconds.
     events : iterable of mapping
-        Log of the daemon.
+        Log events of the daemon.
 
     Returns
     -------
     tuple of float
-        In the order of the phases; empty if an event is missing.
+        Durations in the order of the phases, or empty if the log lacks the
+        event at the end of a phase.
     """
     logged = {event['event']: str(event['asctime']) for event in events}
-    if not all(number in logged for _, number in _PHASES):
+    if not all(event in logged for _, event in _PHASES):
         return ()
     ends_s = [signalled_s] + [
-        datetime.strptime(logged[number], _TIME_FORMAT).timestamp()
-        for _, number in _PHASES
+        datetime.strptime(logged[event], _TIME_FORMAT).timestamp()
+        for _, event in _PHASES
     ]
     return tuple(after - before for before, after in itertools.pairwise(ends_s))
 
@@ -123,69 +133,71 @@
     fleet: ProcessFleet,
     name: str,
     rounds: Sequence[tuple[HostName, ...]],
-    number: int,
-) -> Part:
-    """Replace the daemons of each round at once while callers send.
+    signal_number: int,
+) -> RunResult:
+    """Replace daemons round by round under load.
 
     Parameters
     ----------
     fleet : ProcessFleet
-        Running fleet.
+        Running deployment.
     name : str
-        Name of the part; no two parts of a fleet have the same.
+        Name of the run, unique in the fleet, since claim ids contain it.
     rounds : sequence of tuple of str
-        Hosts that are replaced, round by round.
-    number : int
-        Signal that ends a daemon.
+        Hosts whose daemons are replaced at the same time, by round.
+    signal_number : int
+        Signal that stops the daemons.
     """
     began_s = time.monotonic()
     exit_codes: Counter[int] = Counter()
     phases_s = []
-    load = ReplacementLoad(fleet, _MIX, name)
+    load = ReplacementLoad(fleet, _RATES, name)
     with load:
         time.sleep(_WARM_UP_S)
         for hosts in rounds:
             stopped = [fleet.daemons_by_host[host] for host in hosts]
             signalled_s = time.time()
-            exit_codes.update(fleet.replace_daemons(hosts, number))
-            phases_s += [_phases_of(entry, signalled_s) for entry in stopped]
+            exit_codes.update(fleet.replace_daemons(hosts, signal_number))
+            phases_s += [
+                _daemon_phase_times_s(daemon, signalled_s) for daemon in stopped
+            ]
     counts: Counter[str] = Counter()
-    for report in fleet.reports().values():
+    for report in fleet.server_reports().values():
         counts.update(report['counters']['claims_run_by_id'])
-    return Part(
+    return RunResult(
         name,
-        load.service,
-        compare_claims(load.service.run_by_claim, counts),
+        load.results,
+        compare_claims(load.results.run_states_by_claim, counts),
         exit_codes,
         [phases for phases in phases_s if phases],
         time.monotonic() - began_s,
     )
 
 
-def show(part: Part) -> None:
-    """Print the figures of one part."""
-    service = part.service
-    truth = part.truth
+def show(result: RunResult) -> None:
+    """Print the result of one run."""
+    callers = result.callers
+    claims = result.claims
     print(
-        f'{part.name}: exit codes of the daemons {dict(part.exit_codes)}, '
-        f'{part.duration_s:.0f} s',
+        f'{result.name}: exit codes of the daemons {dict(result.exit_codes)}, '
+        f'{result.duration_s:.0f} s',
     )
     print(
-        f'  {service.offered} requests; exchanges interrupted '
-        f'{dict(service.broken)}, requests without a complete answer by '
-        f'result code {dict(service.failed)}',
+        f'  {callers.request_count} requests; exchanges interrupted '
+        f'{dict(callers.interrupted_by_kind)}, requests without a complete '
+        f'answer by result code {dict(callers.failures_by_code)}',
     )
     print(
-        f'  {len(service.run_by_claim)} claims: {truth.lost} lost, '
-        f'{truth.unknown} unknown, {truth.false_not_run} run after not_run, '
-        f'{truth.duplicated} run twice',
+        f'  {len(callers.run_states_by_claim)} claims: {claims.lost} lost, '
+        f'{claims.unknown} unknown, {claims.false_not_run} run after not_run, '
+        f'{claims.duplicated} run twice',
     )
     print(
-        f'  slowest answer {service.slowest_s:.2f} s, driver lag at most '
-        f'{service.lag_s * 1e3:.0f} ms',
+        f'  slowest answer {callers.max_latency_s:.2f} s, driver lag at most '
+        f'{callers.max_lag_s * 1e3:.0f} ms',
     )
     for number, (phase, _) in enumerate(_PHASES):
-        times_s = sorted(times[number] for times in part.phases_s)
+        times_s = sorted(times[number] for times in result.phases_s)
         if times_s:
             median_s = statistics.median(times_s)
             print(f'  {phase}: median {median_s:.3f} s, {times_s[-1]:.3f} s')
@@ -193,63 +205,70 @@
 
 def plan_rounds(
     hosts: Sequence[HostName],
-    stops: int,
-    at_once: int,
+    stop_count: int,
+    concurrent_count: int,
 ) -> tuple[tuple[HostName, ...], ...]:
-    """Distribute stops over hosts in turn, some at the same time."""
-    turn = tuple(itertools.islice(itertools.cycle(hosts), stops))
+    """Distribute stops over hosts in turn; return the hosts of each round."""
+    stop_order = tuple(itertools.islice(itertools.cycle(hosts), stop_count))
     return tuple(
-        turn[start : start + at_once] for start in range(0, stops, at_once)
+        stop_order[start : start + concurrent_count]
+        for start in range(0, stop_count, concurrent_count)
     )
 
 
 def main(arguments: Sequence[str] = (), *, short: bool = False) -> int:
-    """Print the figures of planned stops and of killed daemons.
+    """Print the results of planned stops and of killed daemons.
 
     Parameters
     ----------
     arguments : sequence of str
-        Number of planned stops.
+        Number of planned stops, by default 100.
     short : bool
-        Whether to do few of them.
+        Whether to stop fewer daemons.
 
     Returns
     -------
     int
         0 if no planned stop interrupted a request or lost a claim, else 1.
     """
-    stops = _SHORT_STOPS if short else _STOPS
+    stop_count = _SHORT_STOP_COUNT if short else _STOP_COUNT
     if arguments:
-        stops = int(arguments[0])
-    single = max(1, int(stops * _ONE_BY_ONE_SHARE))
-    print(f'load average {os.getloadavg()[0]:.1f}, keep_s {_KEEP_S}')
+        stop_count = int(arguments[0])
+    single_stop_count = max(1, int(stop_count * _SINGLE_STOP_SHARE))
+    print(f'load average {os.getloadavg()[0]:.1f}, keep_s {_ADDRESS_KEEP_S}')
     with ProcessFleet(COOPERATIVE) as fleet:
-        addresses = replace(fleet.settings.addresses, keep_s=_KEEP_S)
+        addresses = replace(fleet.settings.addresses, keep_s=_ADDRESS_KEEP_S)
         fleet.apply(replace(fleet.settings, addresses=addresses))
         hosts = tuple(fleet.daemons_by_host)
-        kills = max(1, stops // _STOPS_PER_KILL)
-        plans = (
-            ('killed', plan_rounds(hosts, kills, 1), signal.SIGKILL),
-            ('one by one', plan_rounds(hosts, single, 1), signal.SIGTERM),
+        kill_count = max(1, stop_count // _STOPS_PER_KILL)
+        runs = (
+            ('killed', plan_rounds(hosts, kill_count, 1), signal.SIGKILL),
+            (
+                'one by one',
+                plan_rounds(hosts, single_stop_count, 1),
+                signal.SIGTERM,
+            ),
             (
                 'three at once',
-                plan_rounds(hosts, stops - single, _AT_ONCE),
+                plan_rounds(
+                    hosts, stop_count - single_stop_count, _CONCURRENT_STOPS
+                ),
                 signal.SIGTERM,
             ),
         )
-        parts = []
-        for name, rounds, number in plans:
-            parts.append(measure(fleet, name, rounds, number))
-            show(parts[-1])
-    planned = [part for part in parts if _KILLED not in part.exit_codes]
-    return 0 if all(part.meets_goals for part in planned) else 1
+        results = []
+        for name, rounds, signal_number in runs:
+            results.append(measure(fleet, name, rounds, signal_number))
+            show(results[-1])
+    planned = [result for result in results if _KILLED not in result.exit_codes]
+    return 0 if all(result.meets_goals for result in planned) else 1
 
 
-def _phases_of(
-    entry: RunningProcess,
+def _daemon_phase_times_s(
+    daemon: RunningProcess,
     signalled_s: Seconds,
 ) -> tuple[Seconds, ...]:
-    return phase_times_s(signalled_s, entry.events())
+    return phase_times_s(signalled_s, daemon.events())
 
 
 if __name__ == '__main__':
--- a/boragespool/bench/scenarios.py
+++ b/boragespool/bench/scenarios.py
@@ -1,4 +1,7 @@
-"""Scenarios at the sizes of today, each against a baseline of the same run.
+"""Fault and overload scenarios on deployments of real processes.
+
+The deployments have today's sizes. Each scenario also measures a baseline on
+the same processes.
 
 ``python -m boragespool.bench.scenarios [DEPLOYMENT] [SCENARIO ...]``
 """
@@ -37,22 +40,22 @@
 
 _RUN_S: Final = 6
 _WARM_UP_S: Final = 3
-_FAULT_S: Final = 2
-#: Multiples of the ordinary load, to find what the machine carries.
-_FACTORS: Final = (2, 4, 8, 16)
-_FLOOD_S: Final = (2, 6)
+_FAULT_START_S: Final = 2
+#: Multiples of the ordinary load, to find the limit of the machine.
+_LOAD_FACTORS: Final = (2, 4, 8, 16)
+_FLOOD_WINDOW_S: Final = (2, 6)
 _FLOOD_RUN_S: Final = 10
 _FLOOD_FACTOR: Final = 10
-_REPLACE_RUN_S: Final = 13
-_REPLACED: Final = ('entry-2',)
+_REPLACEMENT_RUN_S: Final = 13
+_REPLACED_HOSTS: Final = ('entry-2',)
 _STRAGGLER_FACTOR: Final = 20
 
 
 @dataclass(frozen=True, slots=True)
-class Bench:
-    """What a scenario runs on."""
+class ScenarioContext:
+    """Workload, running fleet and load driver of a scenario."""
 
-    place: DeploymentWorkload
+    workload: DeploymentWorkload
     fleet: ProcessFleet
     driver: LoadDriver
 
@@ -61,111 +64,111 @@
         actions: Iterable[tuple[Seconds, Callable[[], object]]] = (),
         duration_s: Seconds = _RUN_S,
     ) -> LoadSummary:
-        """Send the ordinary load."""
-        flows = self.place.ordinary_flows
+        """Send the ordinary load and run actions at their times."""
+        flows = self.workload.ordinary_flows
         return self.driver.run(self.fleet, flows, duration_s, actions)
 
     def servers(self, replica: int | None = None) -> list[ServerName]:
-        """Return the names of all servers, or of one replica of each shard."""
+        """Return the server names of one replica of each shard, or of all."""
         return [
             placed.spec.name
-            for placed in self.fleet.placed
+            for placed in self.fleet.placed_servers
             if replica is None or placed.replica == replica
         ]
 
 
-def ordinary_day(bench: Bench) -> Runs:
-    """Ordinary load, and multiples of it up to what the machine carries."""
-    runs = {'ordinary load': bench.run()}
-    for factor in _FACTORS:
-        flows = scale_flows(bench.place.ordinary_flows, factor)
-        runs[f'{factor} times the load'] = bench.driver.run(
-            bench.fleet,
+def ordinary_load(context: ScenarioContext) -> Runs:
+    """Run the ordinary load and multiples of it."""
+    runs = {'ordinary load': context.run()}
+    for factor in _LOAD_FACTORS:
+        flows = scale_flows(context.workload.ordinary_flows, factor)
+        runs[f'{factor} times the load'] = context.driver.run(
+            context.fleet,
             flows,
             _RUN_S,
         )
     return runs
 
 
-def closing_rush(bench: Bench) -> Runs:
-    """Flood of deferrable work at 10 times capacity, urgent at 0.3."""
-    return _flood(bench, 0.3, _FLOOD_FACTOR)
+def deferrable_flood(context: ScenarioContext) -> Runs:
+    """Run a flood of deferrable work at 10 times capacity, urgent at 0.3."""
+    return _run_flood(context, 0.3, _FLOOD_FACTOR)
 
 
-def urgent_flood(bench: Bench) -> Runs:
-    """Flood of urgent work at 10 times capacity, deferrable at 0.3."""
-    return _flood(bench, _FLOOD_FACTOR, 0.3)
+def urgent_flood(context: ScenarioContext) -> Runs:
+    """Run a flood of urgent work at 10 times capacity, deferrable at 0.3."""
+    return _run_flood(context, _FLOOD_FACTOR, 0.3)
 
 
-def stragglers(bench: Bench) -> Runs:
-    """1 in 100 replies takes 20 times longer."""
-    bench.fleet.control(
-        bench.servers(),
+def stragglers(context: ScenarioContext) -> Runs:
+    """Let 1 in 100 replies take 20 times longer, with and without hedging."""
+    context.fleet.control(
+        context.servers(),
         straggler_probability=0.01,
         straggler_factor=_STRAGGLER_FACTOR,
         service_time_s=0.02,
     )
-    return _hedging_off_and_on(bench, bench.run)
+    return _run_without_and_with_hedging(context, context.run)
 
 
-def lost_replica(bench: Bench) -> Runs:
-    """One replica of each shard is lost during the run."""
-    lose = partial(bench.fleet.control, bench.servers(0), crash=True)
-    restore = partial(bench.fleet.control, bench.servers(0), restart=True)
-    runs = {'no fault': bench.run()}
-    runs['replica lost'] = bench.run(((_FAULT_S, lose),))
+def lost_replica(context: ScenarioContext) -> Runs:
+    """Crash one replica of each shard during the run."""
+    lose = partial(context.fleet.control, context.servers(0), crash=True)
+    restore = partial(context.fleet.control, context.servers(0), restart=True)
+    runs = {'no fault': context.run()}
+    runs['replica lost'] = context.run(((_FAULT_START_S, lose),))
     restore()
     return runs
 
 
-def version_change(bench: Bench) -> Runs:
-    """Each replica moves to the next index version, one after another."""
-    runs = {'no fault': bench.run()}
-    runs['version change'] = bench.run(
-        (_FAULT_S + replica, partial(_add_version, bench, replica))
+def version_change(context: ScenarioContext) -> Runs:
+    """Move the replicas to the next index version, one after another."""
+    runs = {'no fault': context.run()}
+    runs['version change'] = context.run(
+        (_FAULT_START_S + replica, partial(_add_version, context, replica))
         for replica in range(3)
     )
     return runs
 
 
-def silent_connections(bench: Bench) -> Runs:
-    """All open connections to backend servers stop delivering data."""
-    silence = partial(bench.fleet.control, bench.servers(), silence=True)
+def silent_connections(context: ScenarioContext) -> Runs:
+    """Let all open connections to backend servers stop delivering data."""
+    silence = partial(context.fleet.control, context.servers(), silence=True)
     return {
-        'no fault': bench.run(),
-        'silent connections': bench.run(((_FAULT_S, silence),)),
+        'no fault': context.run(),
+        'silent connections': context.run(((_FAULT_START_S, silence),)),
     }
 
 
-def store_down(bench: Bench) -> Runs:
-    """The store and the host list do not answer."""
-    down = partial(bench.fleet.control_platform, down=True)
+def store_down(context: ScenarioContext) -> Runs:
+    """Let the store and the host list stop answering during the run."""
+    down = partial(context.fleet.control_platform, down=True)
     runs = {
-        'no fault': bench.run(),
-        'store down': bench.run(((_FAULT_S, down),)),
+        'no fault': context.run(),
+        'store down': context.run(((_FAULT_START_S, down),)),
     }
-    bench.fleet.control_platform(down=False)
+    context.fleet.control_platform(down=False)
     return runs
 
 
-def rolling_replacement(bench: Bench) -> Runs:
-    """A daemon is stopped gracefully and replaced."""
+def rolling_replacement(context: ScenarioContext) -> Runs:
+    """Stop a daemon gracefully and replace it during the run."""
     return {
-        'no fault': bench.run(),
-        'replacement': bench.run(
+        'no fault': context.run(),
+        'replacement': context.run(
             [
-                (1, partial(_replace_entry, bench.fleet, host))
-                for host in _REPLACED
+                (1, partial(_replace_daemon, context.fleet, host))
+                for host in _REPLACED_HOSTS
             ],
-            _REPLACE_RUN_S,
+            _REPLACEMENT_RUN_S,
         ),
     }
 
 
 SCENARIOS: Final = MappingProxyType(
     {
-        'ordinary': ordinary_day,
-        'closing-rush': closing_rush,
+        'ordinary': ordinary_load,
+        'closing-rush': deferrable_flood,
         'urgent-flood': urgent_flood,
         'stragglers': stragglers,
         'lost-replica': lost_replica,
@@ -176,7 +179,7 @@
     },
 )
 
-_FLOODS: Final = ('closing-rush', 'urgent-flood')
+_FLOOD_SCENARIOS: Final = ('closing-rush', 'urgent-flood')
 
 
 def measure(deployment: str, name: str, driver: LoadDriver) -> Runs:
@@ -189,24 +192,26 @@
     name : str
         Key of `SCENARIOS`.
     driver : LoadDriver
-        Caller processes.
+        Running driver of the caller processes.
 
     Returns
     -------
     dict of str to LoadSummary
-        Runs by label; the baseline is the first one.
+        Summaries by run; the baseline is the first one.
     """
-    place = WORKLOADS_BY_DEPLOYMENT[deployment]
-    shape = flood_shape(place) if name in _FLOODS else place.shape
+    workload = WORKLOADS_BY_DEPLOYMENT[deployment]
+    shape = (
+        flood_shape(workload) if name in _FLOOD_SCENARIOS else workload.shape
+    )
     with ProcessFleet(shape) as fleet:
-        bench = Bench(place, fleet, driver)
-        # Hedging has its first measurements, and connections are open.
-        bench.run(duration_s=_WARM_UP_S)
-        return SCENARIOS[name](bench)
+        context = ScenarioContext(workload, fleet, driver)
+        # Opens connections and gives hedging its first latency samples.
+        context.run(duration_s=_WARM_UP_S)
+        return SCENARIOS[name](context)
 
 
 def show(runs: Runs) -> None:
-    """Print one line per run and rank."""
+    """Print a line per run, and one per rank in it."""
     for label, run in runs.items():
         print(
             f'  {label}: load {run.load:.3f}, '
@@ -214,29 +219,33 @@
             f'daemons {run.daemon_s:.2f} s, callers {run.caller_s:.2f} s '
             f'of processor time in {run.duration_s} s',
         )
-        for rank, one in run.by_rank.items():
+        for rank, summary in run.by_rank.items():
             print(
-                f'    {rank.value:10} offered {one.offered:5} answered '
-                f'{one.answered:5} refused {one.refused:5} '
-                f'p50 {one.p50_s * 1e3:7.1f} ms p99 {one.p99_s * 1e3:7.1f} ms '
-                f'coverage {one.coverage:.4f}',
+                f'    {rank.value:10} offered {summary.offered:5} answered '
+                f'{summary.answered:5} refused {summary.refused:5} '
+                f'p50 {summary.p50_s * 1e3:7.1f} ms '
+                f'p99 {summary.p99_s * 1e3:7.1f} ms '
+                f'coverage {summary.coverage:.4f}',
             )
 
 
 def main(arguments: Sequence[str] = ()) -> None:
-    """Run scenarios and print their figures.
+    """Run scenarios and print the results.
 
     Parameters
     ----------
     arguments : sequence of str
-        A deployment and names of scenarios; all by default. A last argument
-        that ends in ``.json`` names a file for the figures.
+        Names of deployments and scenarios, by default all of them. If the
+        last one ends in ``.json``, the results are also written to that
+        file.
     """
     names = [name for name in arguments if name in SCENARIOS]
-    places = [name for name in arguments if name in WORKLOADS_BY_DEPLOYMENT]
+    deployments = [
+        name for name in arguments if name in WORKLOADS_BY_DEPLOYMENT
+    ]
     figures: list[Any] = []
     with LoadDriver() as driver:
-        for deployment in places or WORKLOADS_BY_DEPLOYMENT:
+        for deployment in deployments or WORKLOADS_BY_DEPLOYMENT:
             for name in names or SCENARIOS:
                 print(f'{deployment}, {name}', flush=True)
                 runs = measure(deployment, name, driver)
@@ -249,45 +258,53 @@
         path.write_bytes(msgspec.json.encode(figures))
 
 
-def _flood(bench: Bench, urgent: float, deferrable: float) -> Runs:
-    """Run the load without the flood, in one rank, and in ranks."""
-    place = bench.place
-    calm = flood_flows(place, min(urgent, 0.3), min(deferrable, 0.3), _FLOOD_S)
-    flood = flood_flows(place, urgent, deferrable, _FLOOD_S)
-    send = bench.driver.run
-    runs = {'no flood': send(bench.fleet, calm, _RUN_S)}
-    settings = bench.fleet.settings
-    bench.fleet.apply(without_ranks(settings))
-    runs['one rank'] = send(bench.fleet, flood, _FLOOD_RUN_S)
-    bench.fleet.apply(settings)
-    runs['ranks'] = send(bench.fleet, flood, _FLOOD_RUN_S)
+def _run_flood(
+    context: ScenarioContext, urgent: float, deferrable: float
+) -> Runs:
+    """Run without a flood, and with one in a single rank and in all ranks."""
+    workload = context.workload
+    baseline_flows = flood_flows(
+        workload, min(urgent, 0.3), min(deferrable, 0.3), _FLOOD_WINDOW_S
+    )
+    flooded_flows = flood_flows(workload, urgent, deferrable, _FLOOD_WINDOW_S)
+    send = context.driver.run
+    runs = {'no flood': send(context.fleet, baseline_flows, _RUN_S)}
+    settings = context.fleet.settings
+    context.fleet.apply(without_ranks(settings))
+    runs['one rank'] = send(context.fleet, flooded_flows, _FLOOD_RUN_S)
+    context.fleet.apply(settings)
+    runs['ranks'] = send(context.fleet, flooded_flows, _FLOOD_RUN_S)
     return runs
 
 
-def _hedging_off_and_on(bench: Bench, run: Callable[[], LoadSummary]) -> Runs:
-    settings = bench.fleet.settings
-    bench.fleet.apply(without_hedging(settings))
+def _run_without_and_with_hedging(
+    context: ScenarioContext, run: Callable[[], LoadSummary]
+) -> Runs:
+    settings = context.fleet.settings
+    context.fleet.apply(without_hedging(settings))
     runs = {'no hedging': run()}
-    bench.fleet.apply(settings)
-    # The merger learns the latency with hedging on.
-    bench.run(duration_s=_WARM_UP_S)
+    context.fleet.apply(settings)
+    # Lets the merger measure the latency with hedging enabled.
+    context.run(duration_s=_WARM_UP_S)
     runs['hedging'] = run()
     return runs
 
 
-def _add_version(bench: Bench, replica: int) -> None:
-    """Let one replica of each shard hold only the next index version."""
-    for placed in bench.fleet.placed:
+def _add_version(context: ScenarioContext, replica: int) -> None:
+    """Replace the index version of one replica of each shard by the next."""
+    for placed in context.fleet.placed_servers:
         if placed.replica == replica:
             ranges = placed.spec.switches.holdings.values()
             holdings = {'2': next(iter(ranges))}
-            bench.fleet.control([placed.spec.name], holdings=holdings)
+            context.fleet.control([placed.spec.name], holdings=holdings)
 
 
-def _replace_entry(fleet: ProcessFleet, host: str) -> None:
+def _replace_daemon(fleet: ProcessFleet, host: str) -> None:
     exit_codes = fleet.replace_daemons((host,))
     if any(exit_codes):
-        raise RuntimeError(f'{host!r} stopped with exit codes {exit_codes!r}')
+        raise RuntimeError(
+            f'{host!r} stopped with exit codes {exit_codes!r}',
+        )
 
 
 if __name__ == '__main__':
--- a/boragespool/bench/workloads.py
+++ b/boragespool/bench/workloads.py
@@ -1,4 +1,4 @@
-"""Mixes of routes and settings that the scenarios share."""
+"""Workloads of the deployments, and baseline settings, for the scenarios."""
 
 from __future__ import annotations
 
@@ -16,27 +16,31 @@
     from boragespool.settings import Settings
     from boragespool.types import RouteName, Seconds, ServiceName
 
-_QUERY_S: Final = 1
-_CLAIM_S: Final = 2
-_UPLOAD_S: Final = 5
-#: Capacity of the service under a flood, in claims per second. A flood of 10
-#: times the capacity of all its servers exceeds what one machine can send, so
-#: the service keeps 3 servers that answer slowly.
+_QUERY_DEADLINE_S: Final = 1
+_CLAIM_DEADLINE_S: Final = 2
+_DEFERRABLE_CLAIM_DEADLINE_S: Final = 5
+#: Capacity of the flooded service, in claims per second. One machine can't
+#: send 10 times the capacity of all its servers, so the service is reduced to
+#: 3 servers that answer slowly.
 FLOOD_CAPACITY_PER_S: Final = 24
-_FLOODED_SERVERS: Final = 3
-_FLOODED_SLOTS: Final = 4
-_FOREVER_S: Final = float('inf')
-_AMEND: Final = 'amend'
+_FLOODED_REPLICA_COUNT: Final = 3
+_FLOODED_SERVER_SLOTS: Final = 4
+_UNLIMITED_S: Final = float('inf')
+_ROUTINE_CLAIM_ROUTE: Final = 'amend'
 
 
 @dataclass(frozen=True, slots=True)
 class DeploymentWorkload:
-    """One deployment and the routes that its scenarios use.
+    """One deployment, its ordinary load and the target of a flood.
 
     Attributes
     ----------
-    flooded : str
-        Service that a flood hits; `urgent` and `deferrable` are its routes.
+    flooded_service : str
+        Service that receives a flood.
+    urgent_route, deferrable_route : str
+        Claim routes of that service.
+    ordinary_flows : tuple of Flow
+        Load without a flood.
     """
 
     shape: DeploymentShape
@@ -46,8 +50,8 @@
     ordinary_flows: tuple[Flow, ...]
 
 
-def _query(route: RouteName, rank: Rank, rate_per_s: float) -> Flow:
-    return Flow(route, WorkKind.QUERY, rank, rate_per_s, _QUERY_S)
+def _query_flow(route: RouteName, rank: Rank, rate_per_s: float) -> Flow:
+    return Flow(route, WorkKind.QUERY, rank, rate_per_s, _QUERY_DEADLINE_S)
 
 
 def claim_flow(
@@ -55,10 +59,14 @@
     rank: Rank,
     rate_per_s: float,
     start_s: Seconds = 0,
-    end_s: Seconds = _FOREVER_S,
+    end_s: Seconds = _UNLIMITED_S,
 ) -> Flow:
-    """Return a flow of claims with the usual deadline of the rank."""
-    deadline_s = _UPLOAD_S if rank is Rank.DEFERRABLE else _CLAIM_S
+    """Return a flow of claims; the deadline depends on the rank."""
+    deadline_s = (
+        _DEFERRABLE_CLAIM_DEADLINE_S
+        if rank is Rank.DEFERRABLE
+        else _CLAIM_DEADLINE_S
+    )
     return Flow(
         route,
         WorkKind.CLAIM,
@@ -74,26 +82,28 @@
     shape: DeploymentShape,
     flooded_service: ServiceName,
 ) -> DeploymentShape:
-    """Add a route, so that each rank has one to the service of a flood."""
+    """Add a routine claim route, so the flooded service has all ranks."""
     route = RouteSettings(flooded_service, Rank.ROUTINE, WorkKind.CLAIM, 2_000)
-    return replace(shape, routes=dict(shape.routes) | {_AMEND: route})
+    return replace(
+        shape, routes=dict(shape.routes) | {_ROUTINE_CLAIM_ROUTE: route}
+    )
 
 
-def flood_shape(place: DeploymentWorkload) -> DeploymentShape:
-    """Return the shape with the flooded service cut to a known capacity."""
-    slots = _FLOODED_SERVERS * _FLOODED_SLOTS
+def flood_shape(workload: DeploymentWorkload) -> DeploymentShape:
+    """Return the shape with the flooded service at `FLOOD_CAPACITY_PER_S`."""
+    slots = _FLOODED_REPLICA_COUNT * _FLOODED_SERVER_SLOTS
     return replace(
-        place.shape,
+        workload.shape,
         services=tuple(
             replace(
                 service,
-                replicas=_FLOODED_SERVERS,
-                slots=_FLOODED_SLOTS,
+                replicas=_FLOODED_REPLICA_COUNT,
+                slots=_FLOODED_SERVER_SLOTS,
                 service_time_s=slots / FLOOD_CAPACITY_PER_S,
             )
-            if service.name == place.flooded_service
+            if service.name == workload.flooded_service
             else service
-            for service in place.shape.services
+            for service in workload.shape.services
         ),
     )
 
@@ -106,8 +116,8 @@
             'claim-lot',
             'report',
             (
-                _query('lots', Rank.ROUTINE, 4),
-                _query('notices', Rank.ROUTINE, 2),
+                _query_flow('lots', Rank.ROUTINE, 4),
+                _query_flow('notices', Rank.ROUTINE, 2),
                 claim_flow('claim-lot', Rank.URGENT, 5),
                 claim_flow('pickup', Rank.ROUTINE, 2),
                 claim_flow('report', Rank.DEFERRABLE, 3),
@@ -119,8 +129,8 @@
             'top-up',
             'upload',
             (
-                _query('lookup', Rank.ROUTINE, 4),
-                _query('unlock', Rank.URGENT, 2),
+                _query_flow('lookup', Rank.ROUTINE, 4),
+                _query_flow('unlock', Rank.URGENT, 2),
                 claim_flow('top-up', Rank.URGENT, 5),
                 claim_flow('visit', Rank.ROUTINE, 2),
                 claim_flow('upload', Rank.DEFERRABLE, 3),
@@ -131,48 +141,58 @@
 
 
 def scale_flows(flows: tuple[Flow, ...], factor: float) -> tuple[Flow, ...]:
-    """Multiply the rates of flows."""
+    """Return the flows with their rates multiplied by a factor."""
     return tuple(
         replace(flow, rate_per_s=flow.rate_per_s * factor) for flow in flows
     )
 
 
 def flood_flows(
-    place: DeploymentWorkload,
+    workload: DeploymentWorkload,
     urgent_share: float,
     deferrable_share: float,
-    flooded_s: tuple[Seconds, Seconds],
+    flood_window_s: tuple[Seconds, Seconds],
 ) -> tuple[Flow, ...]:
-    """Return load on the flooded service, in shares of its capacity.
+    """Return the load on the flooded service by rank.
 
     Parameters
     ----------
-    place : Workplace
-        Deployment.
+    workload : DeploymentWorkload
+        Workload whose service is flooded.
     urgent_share, deferrable_share : float
-        Demand of both ranks; routine demand is 0.1. A demand above 1 arrives
-        only in the time of the flood.
-    flooded_s : tuple of float
-        Begin and end of the flood, in seconds from the start.
+        Demand of the rank as a share of the capacity; routine demand is 0.1.
+        Demand above 1 arrives only during the flood.
+    flood_window_s : tuple of float
+        Start and end of the flood, in seconds from the start of the run.
     """
     flows = (
-        _rush(place.urgent_route, Rank.URGENT, urgent_share, flooded_s),
-        claim_flow(_AMEND, Rank.ROUTINE, FLOOD_CAPACITY_PER_S / 10),
-        _rush(
-            place.deferrable_route, Rank.DEFERRABLE, deferrable_share, flooded_s
+        _rank_flow(
+            workload.urgent_route, Rank.URGENT, urgent_share, flood_window_s
+        ),
+        claim_flow(
+            _ROUTINE_CLAIM_ROUTE, Rank.ROUTINE, FLOOD_CAPACITY_PER_S / 10
+        ),
+        _rank_flow(
+            workload.deferrable_route,
+            Rank.DEFERRABLE,
+            deferrable_share,
+            flood_window_s,
         ),
     )
     return tuple(flow for flow in flows if flow.rate_per_s > 0)
 
 
 def without_hedging(settings: Settings) -> Settings:
-    """Turn second attempts off; daemons refuse a quantile of 1."""
+    """Return settings without hedging.
+
+    The budget is set to 0, since daemons reject a quantile of 1.
+    """
     hedging = HedgingSettings(budget_ratio=0, burst=0)
     return replace(settings, hedging=hedging)
 
 
 def without_ranks(settings: Settings) -> Settings:
-    """Put the work of all routes into one rank without a floor or a cap."""
+    """Return settings with all routes in one rank without floor or cap."""
     ranks = dict.fromkeys(Rank, RankSettings(floor=0, cap=1))
     routes = {
         name: replace(route, rank=Rank.ROUTINE)
@@ -181,11 +201,11 @@
     return replace(settings, ranks=ranks, routes=routes)
 
 
-def _rush(
+def _rank_flow(
     route: RouteName,
     rank: Rank,
     share: float,
-    flooded_s: tuple[Seconds, Seconds],
+    flood_window_s: tuple[Seconds, Seconds],
 ) -> Flow:
-    during = flooded_s if share > 1 else (0, _FOREVER_S)
-    return claim_flow(route, rank, share * FLOOD_CAPACITY_PER_S, *during)
+    window_s = flood_window_s if share > 1 else (0, _UNLIMITED_S)
+    return claim_flow(route, rank, share * FLOOD_CAPACITY_PER_S, *window_s)
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -45,7 +45,7 @@
 def test_slow_servers_do_not_slow_the_load():
     """A closed loop would offer less, and hide the latency of the rest."""
     with LoadDriver(1) as driver, ProcessFleet(SMALL) as fleet:
-        names = [server.spec.name for server in fleet.placed]
+        names = [server.spec.name for server in fleet.placed_servers]
         fleet.control(names, service_time_s=5)
         find = Flow('find', WorkKind.QUERY, Rank.ROUTINE, 20, 0.3)
         routine = driver.run(fleet, (find,), 2).by_rank[Rank.ROUTINE]
