--- a/boragespool/bench/__main__.py
+++ b/boragespool/bench/__main__.py
@@ -1,4 +1,4 @@
-"""Benchmarks: ``python -m boragespool.bench [--short] [NAME ...]``."""
+"""Runs benchmarks: ``python -m boragespool.bench [--short] [NAME ...]``."""
 
 from __future__ import annotations
 
@@ -18,18 +18,22 @@
     from collections.abc import Mapping
 
 _PACKAGE: Final = 'boragespool.bench'
-_SCENARIOS: Final = 'scenarios'
-_MAIN: Final = '__main__'
+_SCENARIOS_MODULE: Final = 'scenarios'
+_MAIN_MODULE: Final = '__main__'
 _SHORT_FLAG: Final = '--short'
-#: Arguments of modules whose full run takes longer than a short run may.
-_SHORT_ARGUMENTS: Final[Mapping[str, dict[str, int]]] = MappingProxyType(
-    {
-        'tail': {'query_count': 100},
-        'planning': {'sub_requests': 2_000},
-    },
+#: Arguments that shorten modules whose full run takes too long for
+#: ``--short``.
+_SHORT_ARGUMENTS_BY_MODULE: Final[Mapping[str, dict[str, int]]] = (
+    MappingProxyType(
+        {
+            'tail': {'query_count': 100},
+            'planning': {'sub_requests': 2_000},
+        },
+    )
 )
-#: Several fleets, or one for long, take more time than a short run may.
-_NOT_SHORT: Final = frozenset(
+#: Modules that ``--short`` leaves out, because they start several fleets or
+#: run one for a long time.
+_LONG_MODULES: Final = frozenset(
     (
         'added_latency',
         'control',
@@ -40,56 +44,63 @@
     ),
 )
 _SHORT_SCENARIOS: Final = ('cooperative', 'stragglers')
-#: Name of the parameter of a `main` that shortens its run.
+#: Names of the boolean parameter by which a `main` shortens its run.
 _SHORT_PARAMETERS: Final = ('short', 'is_short')
 
 
 def module_names() -> tuple[str, ...]:
-    """Return the benchmarks, those with real processes last.
+    """Return the names of the benchmarks; `scenarios` is the last one.
 
-    Every module of the package whose source has a ``main`` is a benchmark.
+    Every module of the package with a ``main`` function is a benchmark.
     """
     names = [
-        found.name
-        for found in pkgutil.iter_modules(_path())
-        if found.name != _MAIN and _has_main(found.name)
+        module_info.name
+        for module_info in pkgutil.iter_modules(_package_path())
+        if module_info.name != _MAIN_MODULE and _has_main(module_info.name)
     ]
-    return tuple(sorted(names, key=_SCENARIOS.__eq__))
+    return tuple(sorted(names, key=_SCENARIOS_MODULE.__eq__))
 
 
 def short_arguments(name: str) -> dict[str, Any]:
-    """Return the keyword arguments of a short run of a module."""
-    given = inspect.signature(_module(name).main).parameters
-    chosen: dict[str, Any] = {
-        parameter: True for parameter in _SHORT_PARAMETERS if parameter in given
+    """Return the keyword arguments of `main` for a short run of a module."""
+    parameters = inspect.signature(_module(name).main).parameters
+    keyword_arguments: dict[str, Any] = {
+        parameter: True
+        for parameter in _SHORT_PARAMETERS
+        if parameter in parameters
     }
-    return chosen | _SHORT_ARGUMENTS.get(name, {})
+    return keyword_arguments | _SHORT_ARGUMENTS_BY_MODULE.get(name, {})
 
 
 def main(arguments: tuple[str, ...] = ()) -> int:
-    """Run benchmarks; a failed one does not keep others from running.
+    """Run benchmarks, also after one of them failed.
 
     Parameters
     ----------
     arguments : tuple of str
-        Names of modules, all by default. ``--short`` shortens the runs, and
-        leaves some modules out unless they are named.
+        Names of modules, all by default. ``--short`` shortens the runs and
+        leaves out some modules that are not named.
 
     Returns
     -------
     int
-        0 if all modules ran and met the goals that they check, else 1.
+        0 if all modules ran and met their goals, 1 if one did not, 2 if an
+        argument is unknown.
     """
     allowed = (_SHORT_FLAG, *module_names())
-    unknown = [given for given in arguments if given not in allowed]
+    unknown = [argument for argument in arguments if argument not in allowed]
     if unknown:
-        listed = ', '.join(allowed)
-        sys.stderr.write(f'{unknown!r} not known; allowed: {listed}\n')
+        allowed_names = ', '.join(allowed)
+        sys.stderr.write(
+            f'{unknown!r} not recognized; allowed: {allowed_names}\n'
+        )
         return 2
     is_short = _SHORT_FLAG in arguments
     print(f'{os.cpu_count()} cores, Python {platform.python_version()}')
-    names = [given for given in arguments if given != _SHORT_FLAG] or [
-        name for name in module_names() if not (is_short and name in _NOT_SHORT)
+    names = [argument for argument in arguments if argument != _SHORT_FLAG] or [
+        name
+        for name in module_names()
+        if not (is_short and name in _LONG_MODULES)
     ]
     failed = [name for name in names if not _run(name, is_short)]
     if failed:
@@ -98,15 +109,15 @@
 
 
 def _run(name: str, is_short: bool) -> bool:
-    """Run one module; tell whether it met its goals."""
-    chosen = short_arguments(name) if is_short else {}
-    if name == _SCENARIOS and is_short:
-        chosen['arguments'] = _SHORT_SCENARIOS
-    noted = f' with {chosen!r}' if chosen else ''
-    print(f'\n$ python -m boragespool.bench.{name}{noted}', flush=True)
+    """Run one module and return whether it met its goals."""
+    keyword_arguments = short_arguments(name) if is_short else {}
+    if name == _SCENARIOS_MODULE and is_short:
+        keyword_arguments['arguments'] = _SHORT_SCENARIOS
+    arguments_note = f' with {keyword_arguments!r}' if keyword_arguments else ''
+    print(f'\n$ python -m boragespool.bench.{name}{arguments_note}', flush=True)
     began_s = time.monotonic()
     try:
-        result = _module(name).main(**chosen)
+        result = _module(name).main(**keyword_arguments)
     except Exception as error:
         print(f'failed: {error!r}')
         return False
@@ -118,7 +129,7 @@
     return importlib.import_module(f'{_PACKAGE}.{name}')
 
 
-def _path() -> list[str]:
+def _package_path() -> list[str]:
     return list(importlib.import_module(_PACKAGE).__path__)
 
 
@@ -126,6 +137,6 @@
     return hasattr(_module(name), 'main')
 
 
-if __name__ == _MAIN:
+if __name__ == _MAIN_MODULE:
     exit_on_sigterm()
     sys.exit(main(tuple(sys.argv[1:])))
--- a/boragespool/bench/added_latency.py
+++ b/boragespool/bench/added_latency.py
@@ -1,8 +1,8 @@
-"""Latency and processor time that the tier adds to queries.
+"""Latency and processor time that the query tier adds to queries.
 
 ``python -m boragespool.bench.added_latency`` sends queries over 1, 10 and 30
-shards, one after another, to real processes, and compares them with the
-backend servers' own time.
+shards, one after another, to real processes and compares their latency with
+the service time of the backend servers.
 """
 
 from __future__ import annotations
@@ -25,27 +25,28 @@
     from boragespool.types import Seconds
 
 _SERVICE_TIME_S: Final = 0.02
-#: Queries by number of shards. The goal is for the widest.
-_COUNT_BY_SHARDS: Final = MappingProxyType({1: 200, 10: 200, 30: 400})
-_WARM_UP: Final = 100
-_SHORT_QUERIES: Final = 100
+#: Number of queries by number of shards. The latency goal applies to the
+#: largest number of shards.
+_QUERY_COUNTS_BY_SHARDS: Final = MappingProxyType({1: 200, 10: 200, 30: 400})
+_WARM_UP_COUNT: Final = 100
+_SHORT_QUERY_COUNT: Final = 100
 _IDLE_S: Final = 2
-_LARGEST_US: Final = 2_000_000
-_DIGITS: Final = 3
+_MAX_LATENCY_US: Final = 2_000_000
+_HISTOGRAM_DIGITS: Final = 3
 _US_PER_S: Final = 1_000_000
 _MS_PER_S: Final = 1_000
 
 
 def main(*, short: bool = False) -> None:
-    """Print added latency and processor time by number of shards."""
-    for shards, usual_count in _COUNT_BY_SHARDS.items():
-        count = _SHORT_QUERIES if short else usual_count
+    """Print the added latency and processor time by number of shards."""
+    for shards, full_count in _QUERY_COUNTS_BY_SHARDS.items():
+        count = _SHORT_QUERY_COUNT if short else full_count
         with ProcessFleet(_shape(shards)) as fleet:
             print(asyncio.run(_measure(fleet, shards, count)), flush=True)
 
 
 def _shape(shards: int) -> DeploymentShape:
-    """Return 3 daemons and 3 backend servers for each shard."""
+    """Return a deployment of 3 daemons, with 3 servers for each shard."""
     return DeploymentShape(
         'wide',
         ('north', 'centre', 'south'),
@@ -56,21 +57,27 @@
 
 
 async def _measure(fleet: ProcessFleet, shards: int, count: int) -> str:
-    """Return a line with the figures of one width.
+    """Measure one number of shards and return a line with the results.
 
-    The processor time of the daemons is that of the run less what idle
-    daemons use, which poll 3 backend servers for each shard every second.
+    The processor time excludes what idle daemons use: they poll 3 backend
+    servers for each shard every second.
     """
     async with Client(ClientOptions('bench', fleet.addresses)) as client:
-        await _query(client, _WARM_UP)
-        began = _moment(fleet)
+        await _send_queries(client, _WARM_UP_COUNT)
+        before_idle = _read_clocks(fleet)
         await asyncio.sleep(_IDLE_S)
-        idle = _moment(fleet)
-        histogram = await _query(client, count)
-        ended = _moment(fleet)
-    idle_share = (idle[1] - began[1]) / (idle[0] - began[0])
-    used_s = ended[1] - idle[1] - idle_share * (ended[0] - idle[0])
-    used_ms = used_s / count * _MS_PER_S
+        after_idle = _read_clocks(fleet)
+        histogram = await _send_queries(client, count)
+        after_queries = _read_clocks(fleet)
+    idle_share = (after_idle[1] - before_idle[1]) / (
+        after_idle[0] - before_idle[0]
+    )
+    cpu_s = (
+        after_queries[1]
+        - after_idle[1]
+        - idle_share * (after_queries[0] - after_idle[0])
+    )
+    cpu_ms = cpu_s / count * _MS_PER_S
     p50_ms, p99_ms = (
         histogram.get_value_at_percentile(percentile) / _MS_PER_S
         for percentile in (50, 99)
@@ -80,26 +87,32 @@
         f'{shards} shards: p50 {p50_ms:.1f} ms, p99 {p99_ms:.1f} ms; '
         f'{p50_ms - service_ms:.1f} and {p99_ms - service_ms:.1f} ms more '
         f'than the backend servers take (goal at p99: under 5 ms); '
-        f'daemons {used_ms:.1f} ms per query, {used_ms / shards:.2f} ms per '
+        f'daemons {cpu_ms:.1f} ms per query, {cpu_ms / shards:.2f} ms per '
         f'shard, and {idle_share:.1%} of a core when idle'
     )
 
 
-def _moment(fleet: ProcessFleet) -> tuple[Seconds, Seconds]:
-    """Return the time and the processor time of all daemons, in seconds."""
-    entries = fleet.daemons_by_host.values()
-    return time.monotonic(), sum(entry.processor_s() for entry in entries)
+def _read_clocks(fleet: ProcessFleet) -> tuple[Seconds, Seconds]:
+    """Return the monotonic time and the processor time of all daemons."""
+    daemons = fleet.daemons_by_host.values()
+    return time.monotonic(), sum(daemon.processor_s() for daemon in daemons)
 
 
-async def _query(client: Client, count: int) -> HdrHistogram:
-    """Send queries one after another; return complete ones' latencies."""
-    histogram = HdrHistogram(1, _LARGEST_US, _DIGITS)
+async def _send_queries(client: Client, count: int) -> HdrHistogram:
+    """Send queries one after another.
+
+    Returns
+    -------
+    HdrHistogram
+        Latencies of the queries that did not fail, in microseconds.
+    """
+    histogram = HdrHistogram(1, _MAX_LATENCY_US, _HISTOGRAM_DIGITS)
     for number in range(count):
         started_s = time.monotonic()
         answer = await client.query('wide', {'match': str(number)}, 1)
-        took_us = int((time.monotonic() - started_s) * _US_PER_S)
+        latency_us = int((time.monotonic() - started_s) * _US_PER_S)
         if not isinstance(answer, Failure):
-            histogram.record_value(took_us)
+            histogram.record_value(latency_us)
     return histogram
 
 
--- a/boragespool/bench/announcements.py
+++ b/boragespool/bench/announcements.py
@@ -1,7 +1,8 @@
-"""Bytes and time of spreading server records at the target's size.
+"""Bytes and processor time of spreading server records at the target size.
 
-``python -m boragespool.bench.announcements`` runs the decisions alone, with
-67,000 records and a view of 604 members, and encodes what they send.
+``python -m boragespool.bench.announcements`` simulates the gossip decisions of
+one daemon, without a network, with 67,000 records and 604 known members, and
+encodes the messages that it would send.
 """
 
 from __future__ import annotations
@@ -31,31 +32,31 @@
 )
 from boragespool.types import ServerState
 
-_RECORDS: Final = 67_000
-_VIEW: Final = 604
-#: 11,000 restarted daemons a day, each of 9.6 servers twice, are 2.4 changes
-#: a second in the whole fleet.
-_CHANGES_PER_S: Final = (0.1, 2.4, 24)
-_PERIODS: Final = 200
-_MISSING_SHARE: Final = 0.02
+_RECORD_COUNT: Final = 67_000
+_MEMBER_COUNT: Final = 604
+#: Changes of server records in the whole fleet. 2.4 per second correspond to
+#: 11,000 daemon restarts a day, each with 2 changes of 9.6 servers.
+_CHANGE_RATES_PER_S: Final = (0.1, 2.4, 24)
+_SECOND_COUNT: Final = 200
+_UNSPREAD_SHARE: Final = 0.02
 _SEED: Final = 1
 
 
 def main(*, short: bool = False) -> None:
-    """Print bytes per second and processor time for several rates."""
-    count = _RECORDS // 10 if short else _RECORDS
-    source = random.Random(_SEED)
+    """Print the cost of one daemon for several rates of change."""
+    count = _RECORD_COUNT // 10 if short else _RECORD_COUNT
+    rng = random.Random(_SEED)
     table = _full_table(count)
-    for rate in _CHANGES_PER_S:
-        spread = _spread(table, rate, source)
-        exchanged = _exchange(table, rate, source)
-        total = spread[0] + exchanged[0]
+    for changes_per_s in _CHANGE_RATES_PER_S:
+        spread_costs = _simulate_spread(table, changes_per_s, rng)
+        exchange_costs = _simulate_exchange(table, changes_per_s, rng)
+        total_bytes_per_s = spread_costs[0] + exchange_costs[0]
         print(
-            f'{count} records, view of {_VIEW}, {rate} changes/s: '
-            f'changes {spread[0]:.0f} B/s, digests {exchanged[0]:.0f} B/s, '
-            f'in all {total:.0f} B/s sent by one daemon; decisions and '
-            f'encoding {spread[1] + exchanged[1]:.3%} of a core; largest '
-            f'second {spread[2]} bytes of changes',
+            f'{count} records, view of {_MEMBER_COUNT}, {changes_per_s} changes/s: '
+            f'changes {spread_costs[0]:.0f} B/s, digests {exchange_costs[0]:.0f} B/s, '
+            f'in all {total_bytes_per_s:.0f} B/s sent by one daemon; decisions and '
+            f'encoding {spread_costs[1] + exchange_costs[1]:.3%} of a core; largest '
+            f'second {spread_costs[2]} bytes of changes',
         )
 
 
@@ -81,17 +82,17 @@
     )
 
 
-def _newer(
+def _changed_record(
     table: backends.RecordTable,
-    source: random.Random,
+    rng: random.Random,
 ) -> ServerRecord:
-    known = source.choice(tuple(table.by_server.values()))
-    lost = source.random() < 1 / 4
-    state = ServerState.LOST if lost else ServerState.SERVING
-    return replace(known, sequence=known.sequence + 1, state=state)
+    old_record = rng.choice(tuple(table.by_server.values()))
+    is_lost = rng.random() < 1 / 4
+    state = ServerState.LOST if is_lost else ServerState.SERVING
+    return replace(old_record, sequence=old_record.sequence + 1, state=state)
 
 
-def _size_bytes(message: Any, *, reply: bool = False) -> int:
+def _frame_size_bytes(message: Any, *, reply: bool = False) -> int:
     envelope = encode_message(message, 1, reply=reply)
     frame = Frame(
         FRAME_VERSION,
@@ -103,103 +104,128 @@
     return len(encode_frame(frame))
 
 
-def _spread(
+def _simulate_spread(
     table: backends.RecordTable,
-    rate: float,
-    source: random.Random,
+    changes_per_s: float,
+    rng: random.Random,
 ) -> tuple[float, float, int]:
-    """Pass on all changes; return bytes/s, core share, largest second."""
+    """Simulate the spreading of all changes.
+
+    Returns
+    -------
+    (float, float, int)
+        Bytes sent per second, share of a core, and the largest number of
+        bytes sent in one second.
+    """
     limits = ExchangeOptions().spread_limits
     queue = backends.SpreadQueue(limits, 0)
-    hosts = tuple(f'entry-{number:04}' for number in range(_VIEW))
-    waiting: float = 0
-    sizes: list[int] = []
-    used_s: float = 0
-    for period in range(_PERIODS):
-        waiting += rate
-        news = [_newer(table, source) for _ in range(int(waiting))]
-        waiting -= len(news)
-        started_s = time.process_time()
-        sizes.append(_one_second(table, queue, news, hosts, period, source))
-        used_s += time.process_time() - started_s
-    return sum(sizes) / _PERIODS, used_s / _PERIODS, max(sizes)
-
-
-def _one_second(
+    hosts = tuple(f'entry-{number:04}' for number in range(_MEMBER_COUNT))
+    due_count: float = 0
+    bytes_by_second: list[int] = []
+    cpu_s: float = 0
+    for second in range(_SECOND_COUNT):
+        due_count += changes_per_s
+        changes = [_changed_record(table, rng) for _ in range(int(due_count))]
+        due_count -= len(changes)
+        cpu_start_s = time.process_time()
+        bytes_by_second.append(
+            _simulate_second(table, queue, changes, hosts, second, rng)
+        )
+        cpu_s += time.process_time() - cpu_start_s
+    return (
+        sum(bytes_by_second) / _SECOND_COUNT,
+        cpu_s / _SECOND_COUNT,
+        max(bytes_by_second),
+    )
+
+
+def _simulate_second(
     table: backends.RecordTable,
     queue: backends.SpreadQueue,
-    news: list[ServerRecord],
+    changes: list[ServerRecord],
     hosts: tuple[str, ...],
     now_s: float,
-    source: random.Random,
+    rng: random.Random,
 ) -> int:
-    """Receive changes one by one and send what is due; return the bytes."""
+    """Receive changes, send the due messages and return their bytes."""
     sent_bytes = 0
     limits = queue.limits
-    for record in news:
+    for record in changes:
         table.merge(record)
         is_urgent = record.state in backends.OUT_OF_SERVICE
         queue.enqueue(record, is_urgent=is_urgent)
         if is_urgent:
             records = queue.take(limits.send_count, now_s, urgent_only=True)
-            sent_bytes += _sent_bytes(records, limits.send_count, hosts, source)
+            sent_bytes += _send_to_members(
+                records, limits.send_count, hosts, rng
+            )
     records = queue.take(limits.target_count, now_s, urgent_only=False)
-    return sent_bytes + _sent_bytes(records, limits.target_count, hosts, source)
+    return sent_bytes + _send_to_members(
+        records, limits.target_count, hosts, rng
+    )
 
 
-def _sent_bytes(
+def _send_to_members(
     records: tuple[ServerRecord, ...],
     count: int,
     hosts: tuple[str, ...],
-    source: random.Random,
+    rng: random.Random,
 ) -> int:
-    """Choose the members and encode the message for each of them."""
+    """Encode an announcement for some random members; return its bytes."""
     if not records:
         return 0
-    targets = backends.choose_targets(hosts, count, source.random)
-    return sum(_size_bytes(ServerAnnouncement(records)) for _ in targets)
+    targets = backends.choose_targets(hosts, count, rng.random)
+    return sum(_frame_size_bytes(ServerAnnouncement(records)) for _ in targets)
 
 
-def _exchange(
+def _simulate_exchange(
     table: backends.RecordTable,
-    rate: float,
-    source: random.Random,
+    changes_per_s: float,
+    rng: random.Random,
 ) -> tuple[float, float]:
-    """Ask for and answer one comparison per interval; return B/s and share.
+    """Simulate one digest exchange per interval and count both sides.
 
-    The other side lacks the changes of the last seconds and the share of
-    the older ones that spreading missed.
+    The peer lacks the changes of the last 10 seconds and, of those in 600
+    seconds, the share that spreading did not deliver.
+
+    Returns
+    -------
+    (float, float)
+        Bytes sent per second and share of a core.
     """
     options = ExchangeOptions()
-    other = backends.RecordTable()
+    peer_table = backends.RecordTable()
     for record in table.by_server.values():
-        other.merge(record)
-    lacking = int(rate * 10 + rate * 600 * _MISSING_SHARE)
-    for _ in range(lacking):
-        table.merge(_newer(table, source))
-    started_s = time.process_time()
+        peer_table.merge(record)
+    change_count = int(
+        changes_per_s * 10 + changes_per_s * 600 * _UNSPREAD_SHARE
+    )
+    for _ in range(change_count):
+        table.merge(_changed_record(table, rng))
+    cpu_start_s = time.process_time()
     count = backends.group_count(len(table.by_server))
     digest = table.digest(count)
     groups = backends.differing_groups(
-        other.digest(count), digest, options.exchange_limits, source.random
+        peer_table.digest(count), digest, options.exchange_limits, rng.random
     )
-    # The allowance for catching up lasts for hours, not for ever.
+    # Use the regular limit; the larger one for catching up applies for hours
+    # only.
     groups = groups[: options.exchange_limits.group_count]
-    versions = backends.pack_versions(other, groups, count)
+    versions = backends.pack_versions(peer_table, groups, count)
     compared = backends.compare_versions(table, groups, count, versions)
     limits = options.exchange_limits
     sent = backends.limit_total_size(
         compared.to_send, limits.group_count * limits.size_bytes
     )
     sent_bytes = (
-        _size_bytes(ServerDigest(digest))
-        + _size_bytes(ServerVersions(groups, versions), reply=True)
-        + _size_bytes(ServersWanted(compared.wanted))
-        + _size_bytes(ServerAnnouncement(sent, is_repair=True))
+        _frame_size_bytes(ServerDigest(digest))
+        + _frame_size_bytes(ServerVersions(groups, versions), reply=True)
+        + _frame_size_bytes(ServersWanted(compared.wanted))
+        + _frame_size_bytes(ServerAnnouncement(sent, is_repair=True))
     )
-    used_s = time.process_time() - started_s
+    cpu_s = time.process_time() - cpu_start_s
     interval_s = options.digest_interval_s
-    return sent_bytes / interval_s, used_s / interval_s
+    return sent_bytes / interval_s, cpu_s / interval_s
 
 
 if __name__ == '__main__':
--- a/boragespool/bench/load_driver.py
+++ b/boragespool/bench/load_driver.py
@@ -182,15 +182,16 @@
         daemons = tuple(fleet.daemons_by_host.values())
         cpu_before_s = sum(daemon.processor_s() for daemon in daemons)
         start_wall_s = time.time() + _START_LEAD_S
-        reports = self._submit_plans(fleet, flows, duration_s, start_wall_s)
-        for at_s, act in sorted(actions, key=_action_time_s):
+        futures = self._submit_plans(fleet, flows, duration_s, start_wall_s)
+        for at_s, run_action in sorted(actions, key=_action_time_s):
             time.sleep(max(0, start_wall_s + at_s - time.time()))
-            act()
-        finished = [report.result() for report in reports]
+            run_action()
+        reports = [future.result() for future in futures]
+        # Replaced daemons have exited, so their processor time can't be read.
         alive = [daemon for daemon in daemons if daemon.process.poll() is None]
         cpu_after_s = sum(daemon.processor_s() for daemon in alive)
         return _summarize(
-            finished,
+            reports,
             _shards_by_route(fleet),
             _received_count(fleet) - received_before,
             cpu_after_s - cpu_before_s,
--- a/boragespool/bench/placement.py
+++ b/boragespool/bench/placement.py
@@ -1,4 +1,4 @@
-"""Where the backend servers and daemons of a shape stand."""
+"""Placement of the servers and daemons of a deployment in data centres."""
 
 from __future__ import annotations
 
@@ -30,7 +30,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PlacedServer:
-    """One backend server of a shape and where it stands."""
+    """One backend server, its data centre and its place in the service.
+
+    Attributes
+    ----------
+    shard, replica : int
+        Numbers of the shard and of the replica, from 0.
+    shards : int
+        Number of shards of the service.
+    """
 
     spec: BackendSpec
     data_centre: DataCentre
@@ -41,14 +49,14 @@
 
 @dataclass(frozen=True, slots=True)
 class PlacedDaemon:
-    """One daemon of a shape and where it stands."""
+    """One daemon and its data centre."""
 
     host: HostName
     data_centre: DataCentre
 
 
 def free_address(ip: str = '127.0.0.1') -> Address:
-    """Return an address of the loopback network that nobody uses now."""
+    """Return a loopback address with a port that is currently free."""
     with socket.socket() as probe:
         probe.bind((ip, 0))
         port = probe.getsockname()[1]
@@ -56,7 +64,7 @@
 
 
 def place_servers(shape: DeploymentShape) -> tuple[PlacedServer, ...]:
-    """Spread the replicas of each shard over the data centres."""
+    """Distribute the replicas of each shard over the data centres."""
     return tuple(
         _place_server(shape, service, *divmod(number, service.replicas))
         for service in shape.services
@@ -65,10 +73,12 @@
 
 
 def place_daemons(shape: DeploymentShape) -> tuple[PlacedDaemon, ...]:
-    """Spread the daemons over the data centres."""
-    sites = shape.data_centres
+    """Distribute the daemons over the data centres."""
+    data_centres = shape.data_centres
     return tuple(
-        PlacedDaemon(f'entry-{number + 1}', sites[number % len(sites)])
+        PlacedDaemon(
+            f'entry-{number + 1}', data_centres[number % len(data_centres)]
+        )
         for number in range(shape.daemon_count)
     )
 
@@ -76,22 +86,24 @@
 def deployment_settings(
     shape: DeploymentShape,
     placed: Iterable[PlacedServer],
-    address_by_server: Mapping[ServerName, Address],
+    addresses_by_server: Mapping[ServerName, Address],
 ) -> Settings:
-    """Return the settings that name all servers and routes of a shape."""
-    servers: dict[ServiceName, dict[ServerName, ServerSettings]] = {}
+    """Return the settings with all servers and routes of a deployment."""
+    servers_by_service: dict[ServiceName, dict[ServerName, ServerSettings]] = {}
     for server in placed:
         name = server.spec.name
-        servers.setdefault(server.spec.service, {})[name] = ServerSettings(
-            address_by_server[name],
-            server.data_centre,
-            server.data_centre,
+        servers_by_service.setdefault(server.spec.service, {})[name] = (
+            ServerSettings(
+                addresses_by_server[name],
+                server.data_centre,
+                server.data_centre,
+            )
         )
     services = {
         service.name: ServiceSettings(
             service.slots,
             service.connections,
-            servers[service.name],
+            servers_by_service[service.name],
             service.connection_cost_ms,
         )
         for service in shape.services
@@ -102,7 +114,7 @@
 def describe_servers(
     placed: Iterable[PlacedServer],
 ) -> Iterator[dict[str, Any]]:
-    """Yield the backend servers as the stand-in program reads them."""
+    """Yield each server as an item of the stand-in's ``--servers`` flag."""
     for server in placed:
         switches = server.spec.switches
         yield {
@@ -129,7 +141,7 @@
 ) -> PlacedServer:
     name = f'{service.name}-{shard + 1:02}-{replica + 1}'
     return PlacedServer(
-        _spec(service, name, shard),
+        _backend_spec(service, name, shard),
         shape.data_centres[replica % len(shape.data_centres)],
         shard,
         service.shards,
@@ -137,7 +149,9 @@
     )
 
 
-def _spec(service: ServiceShape, name: ServerName, shard: int) -> BackendSpec:
+def _backend_spec(
+    service: ServiceShape, name: ServerName, shard: int
+) -> BackendSpec:
     return BackendSpec(
         name=name,
         service=service.name,
--- a/boragespool/bench/planning.py
+++ b/boragespool/bench/planning.py
@@ -1,4 +1,4 @@
-"""Processor time of planning, validating and merging per sub-request."""
+"""Processor time per sub-request of planning, validation and merging."""
 
 from __future__ import annotations
 
@@ -27,19 +27,19 @@
 
     from boragespool.types import Seconds
 
-_SHARDS: Final = (10, 30, 100, 300, 1_000, 1_900)
-_REPLICAS: Final = 3
-_ITEMS: Final = 5
-_SUB_REQUESTS: Final = 60_000
-_MICROSECONDS: Final = 1_000_000
-_THOUSAND: Final = 1_000
+_SHARD_COUNTS: Final = (10, 30, 100, 300, 1_000, 1_900)
+_REPLICA_COUNT: Final = 3
+_ITEM_COUNT: Final = 5
+_SUB_REQUEST_COUNT: Final = 60_000
+_US_PER_S: Final = 1_000_000
+_SHARDS_PER_THOUSAND: Final = 1_000
 
 
 def _holdings(shards: int) -> dict[str, tuple[Holding, ...]]:
     return {
         f's{shard}r{replica}': (Holding(1, (shard_range(shard, shards),)),)
         for shard in range(shards)
-        for replica in range(_REPLICAS)
+        for replica in range(_REPLICA_COUNT)
     }
 
 
@@ -52,20 +52,26 @@
             1,
             part.start,
             part.end,
-            tuple(Item(part.start + key, 'found') for key in range(_ITEMS)),
-            item_count=_ITEMS,
+            tuple(
+                Item(part.start + key, 'found') for key in range(_ITEM_COUNT)
+            ),
+            item_count=_ITEM_COUNT,
         )
         for part in catalogue.plans_by_version[1]
     ]
 
 
-def _query(
+def _run_query(
     catalogue: Catalogue,
     observations: ServerObservations,
     replies: Sequence[WorkReply],
     arrivals: Sequence[WorkReply],
 ) -> None:
-    """Pin, choose replicas, validate and merge one query."""
+    """Process one query without a network.
+
+    Chooses the index version and the replicas, then validates and merges the
+    replies.
+    """
     version = choose_version(catalogue) or 0
     state = MergeState(version)
     for part, reply in zip(
@@ -75,85 +81,94 @@
     ):
         choose_replica(part.replicas, (), observations, (0.3, 0.7), 0, 1)
         state.open_attempt(reply.attempt_id, (part.start, part.end))
-    for answered in arrivals:
-        state.merge(answered.attempt_id, answered)
-    if not state.complete or len(state.merged_items()) != _ITEMS * len(replies):
+    for reply in arrivals:
+        state.merge(reply.attempt_id, reply)
+    if not state.complete or len(state.merged_items()) != _ITEM_COUNT * len(
+        replies
+    ):
         raise RuntimeError(f'coverage is {state.coverage!r}, not 1')
 
 
 def measure(shards: int, sub_requests: int) -> tuple[Seconds, Seconds]:
-    """Measure one fan-out.
+    """Measure queries with one number of shards.
 
     Parameters
     ----------
     shards : int
-        Sub-requests per query.
+        Number of shards, each of which gets one sub-request per query.
     sub_requests : int
-        Sub-requests of all measured queries together.
+        Total number of sub-requests of the measured queries.
 
     Returns
     -------
     (float, float)
-        Processor seconds per sub-request, and processor seconds per shard
-        for the catalogue, which is built once per change of the holdings.
+        Processor time in seconds per sub-request, and per shard to build the
+        catalogue, which happens once per change of the holdings.
     """
     holdings = _holdings(shards)
     began_s = time.process_time()
     catalogue = build_catalogue(holdings)
-    built_s = time.process_time() - began_s
+    catalogue_s = time.process_time() - began_s
     observations = ServerObservations()
     for server in holdings:
         observations.record_sent(server)
         observations.record_answer(server, 0.01, 0)
-    # Replies arrive in another order than they were asked for.
+    # Replies arrive in a different order from the sub-requests.
     replies = _replies(catalogue)
     arrivals = sorted(
         replies,
         key=lambda reply: fingerprint_of('', reply.attempt_id.encode()),
     )
-    _query(catalogue, observations, replies, arrivals)
+    _run_query(catalogue, observations, replies, arrivals)
     count = max(sub_requests // shards, 1)
     began_s = time.process_time()
     for _ in range(count):
-        _query(catalogue, observations, replies, arrivals)
-    took_s = time.process_time() - began_s
-    return took_s / (count * shards), built_s / shards
+        _run_query(catalogue, observations, replies, arrivals)
+    cpu_s = time.process_time() - began_s
+    return cpu_s / (count * shards), catalogue_s / shards
 
 
-def slope(points: Sequence[tuple[float, float]]) -> float:
+def fit_slope(points: Sequence[tuple[float, float]]) -> float:
     """Return the least-squares slope of y over x."""
     count = len(points)
     mean_x = sum(x for x, _ in points) / count
     mean_y = sum(y for _, y in points) / count
-    spread = sum((x - mean_x) ** 2 for x, _ in points)
-    return sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    variance_sum = sum((x - mean_x) ** 2 for x, _ in points)
+    return sum((x - mean_x) * (y - mean_y) for x, y in points) / variance_sum
 
 
-def main(sub_requests: int = _SUB_REQUESTS) -> int:
-    """Print the processor time per sub-request and its growth.
+def main(sub_requests: int = _SUB_REQUEST_COUNT) -> int:
+    """Print the processor time per sub-request and how it grows.
 
     Parameters
     ----------
     sub_requests : int
-        Sub-requests measured per fan-out.
+        Number of sub-requests to measure for each number of shards.
 
     Returns
     -------
     int
-        0.
+        Always 0. This benchmark checks no goal.
     """
     points: list[tuple[float, float]] = []
-    for shards in _SHARDS:
-        each_s, built_s = measure(shards, sub_requests)
-        each_us = each_s * _MICROSECONDS
-        points.append((shards, each_us))
-        built_us = built_s * _MICROSECONDS
-        print(f'{shards} shards: {each_us:.2f} us per sub-request')
-        print(f'    catalogue, once per change: {built_us:.2f} us per shard')
-    growth = slope(points) * _THOUSAND
-    whole = slope([(width, width * each_us) for width, each_us in points])
-    print(f'growth {growth:.3f} us per sub-request and 1000 shards')
-    print(f'fitted cost of a query {whole:.2f} us per shard')
+    for shards in _SHARD_COUNTS:
+        sub_request_s, catalogue_s = measure(shards, sub_requests)
+        sub_request_us = sub_request_s * _US_PER_S
+        points.append((shards, sub_request_us))
+        catalogue_us = catalogue_s * _US_PER_S
+        print(f'{shards} shards: {sub_request_us:.2f} us per sub-request')
+        print(
+            f'    catalogue, once per change: {catalogue_us:.2f} us per shard'
+        )
+    growth_us = fit_slope(points) * _SHARDS_PER_THOUSAND
+    shard_cost_us = fit_slope(
+        [
+            (shard_count, shard_count * sub_request_us)
+            for shard_count, sub_request_us in points
+        ]
+    )
+    print(f'growth {growth_us:.3f} us per sub-request and 1000 shards')
+    print(f'fitted cost of a query {shard_cost_us:.2f} us per shard')
     return 0
 
 
--- a/boragespool/bench/plots.py
+++ b/boragespool/bench/plots.py
@@ -1,7 +1,7 @@
-"""Tables and plots of the figures that `scenarios` wrote as JSON.
+"""Tables and plots of the results that `scenarios` writes as JSON.
 
 ``python -m boragespool.bench.plots DIRECTORY FIGURES.json ...`` writes one
-SVG per scenario into the directory and prints the tables.
+SVG file per scenario into the directory and prints the tables.
 """
 
 from __future__ import annotations
@@ -30,39 +30,53 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Figures:
-    """Runs of one scenario on one deployment; the baseline is the first."""
+class ScenarioFigures:
+    """Runs of one scenario on one deployment, by name.
+
+    The first run is the baseline.
+    """
 
     deployment: str
     scenario: str
     runs: dict[str, LoadSummary]
 
 
-def read_figures(paths: Iterable[pathlib.Path]) -> list[Figures]:
-    """Read files that `scenarios` wrote.
+def read_figures(paths: Iterable[pathlib.Path]) -> list[ScenarioFigures]:
+    """Read JSON files that `scenarios` wrote.
 
     Raises
     ------
     msgspec.ValidationError
-        If a file has another form.
+        If a file does not have the structure of the results.
     """
     return [
         figures
         for path in paths
         for figures in msgspec.json.decode(
             path.read_bytes(),
-            type=list[Figures],
+            type=list[ScenarioFigures],
         )
     ]
 
 
-def table(figures: Iterable[Figures]) -> str:
-    """Return a Markdown table of one scenario."""
-    return '\n'.join((_HEADER, *(row for one in figures for row in _rows(one))))
+def markdown_table(figures: Iterable[ScenarioFigures]) -> str:
+    """Return a Markdown table of one scenario on several deployments."""
+    return '\n'.join(
+        (
+            _HEADER,
+            *(
+                row
+                for deployment_figures in figures
+                for row in _table_rows(deployment_figures)
+            ),
+        )
+    )
 
 
-def plot(scenario: str, figures: Sequence[Figures], path: pathlib.Path) -> None:
-    """Draw p99 by rank and answered requests by second, as SVG."""
+def write_plot(
+    scenario: str, figures: Sequence[ScenarioFigures], path: pathlib.Path
+) -> None:
+    """Write an SVG plot of p99 by rank and of the answered share by second."""
     untyped: Any = pyplot
     figure, axes = untyped.subplots(
         2,
@@ -70,52 +84,60 @@
         figsize=(5 * len(figures), 6),
         squeeze=False,
     )
-    for column, one in enumerate(figures):
-        _draw_p99(axes[0][column], one)
-        _draw_answered(axes[1][column], one)
+    for column, deployment_figures in enumerate(figures):
+        _draw_p99(axes[0][column], deployment_figures)
+        _draw_answered(axes[1][column], deployment_figures)
     figure.suptitle(scenario)
     figure.tight_layout()
-    # Without a date, the same figures give the same file.
+    # Leave out the date, so equal results give identical files.
     figure.savefig(path, metadata={'Date': None})
     untyped.close(figure)
 
 
-def write(arguments: Sequence[str]) -> None:
-    """Print the tables and write the plots."""
+def write_report(arguments: Sequence[str]) -> None:
+    """Print the tables and write the plots.
+
+    Parameters
+    ----------
+    arguments : sequence of str
+        Directory for the plots, then the JSON files.
+    """
     directory = pathlib.Path(arguments[0])
-    by_scenario: dict[str, list[Figures]] = {}
-    for one in read_figures(map(pathlib.Path, arguments[1:])):
-        by_scenario.setdefault(one.scenario, []).append(one)
-    for scenario, figures in by_scenario.items():
-        print(f'### {scenario}\n\n{table(figures)}\n')
-        plot(scenario, figures, directory / f'{scenario}.svg')
+    figures_by_scenario: dict[str, list[ScenarioFigures]] = {}
+    for scenario_figures in read_figures(map(pathlib.Path, arguments[1:])):
+        figures_by_scenario.setdefault(scenario_figures.scenario, []).append(
+            scenario_figures
+        )
+    for scenario, figures in figures_by_scenario.items():
+        print(f'### {scenario}\n\n{markdown_table(figures)}\n')
+        write_plot(scenario, figures, directory / f'{scenario}.svg')
 
 
-def _rows(figures: Figures) -> Iterator[str]:
+def _table_rows(figures: ScenarioFigures) -> Iterator[str]:
     baseline = next(iter(figures.runs.values()))
     for label, run in figures.runs.items():
-        for rank, one in run.by_rank.items():
-            fields = (
+        for rank, summary in run.by_rank.items():
+            cells = (
                 figures.deployment,
                 label,
                 rank.value,
-                f'{one.offered} | {one.answered} | {one.refused}',
-                f'{one.p50_s * _MS_PER_S:.0f}',
-                f'{one.p99_s * _MS_PER_S:.0f}',
-                _ratio(one, baseline.by_rank.get(rank)),
-                f'{one.coverage:.4f}',
+                f'{summary.offered} | {summary.answered} | {summary.refused}',
+                f'{summary.p50_s * _MS_PER_S:.0f}',
+                f'{summary.p99_s * _MS_PER_S:.0f}',
+                _p99_ratio(summary, baseline.by_rank.get(rank)),
+                f'{summary.coverage:.4f}',
                 f'{run.load:.3f}',
             )
-            yield f'| {" | ".join(fields)} |'
+            yield f'| {" | ".join(cells)} |'
 
 
-def _ratio(one: RankSummary, baseline: RankSummary | None) -> str:
+def _p99_ratio(summary: RankSummary, baseline: RankSummary | None) -> str:
     if baseline is None or not baseline.p99_s:
         return '-'
-    return f'{one.p99_s / baseline.p99_s:.2f}'
+    return f'{summary.p99_s / baseline.p99_s:.2f}'
 
 
-def _draw_p99(axis: Any, figures: Figures) -> None:
+def _draw_p99(axis: Any, figures: ScenarioFigures) -> None:
     width = 0.8 / len(figures.runs)
     ranks = list(Rank)
     for number, (label, run) in enumerate(figures.runs.items()):
@@ -123,21 +145,23 @@
             run.by_rank[rank].p99_s * _MS_PER_S if rank in run.by_rank else 0
             for rank in ranks
         ]
-        places = [place + number * width for place in range(len(ranks))]
-        axis.bar(places, heights, width, label=label)
+        positions = [
+            position + number * width for position in range(len(ranks))
+        ]
+        axis.bar(positions, heights, width, label=label)
     axis.set_xticks(range(len(ranks)), [rank.value for rank in ranks])
     axis.set_ylabel('p99, ms')
     axis.set_title(figures.deployment)
     axis.legend(fontsize='small')
 
 
-def _draw_answered(axis: Any, figures: Figures) -> None:
+def _draw_answered(axis: Any, figures: ScenarioFigures) -> None:
     for label, run in figures.runs.items():
         offered: Counter[int] = Counter()
         answered: Counter[int] = Counter()
-        for one in run.by_rank.values():
-            offered.update(one.offered_by_s)
-            answered.update(one.answered_by_s)
+        for summary in run.by_rank.values():
+            offered.update(summary.offered_by_s)
+            answered.update(summary.answered_by_s)
         seconds = sorted(offered)
         shares = [answered[second] / offered[second] for second in seconds]
         axis.plot(seconds, shares, label=label)
@@ -147,4 +171,4 @@
 
 
 if __name__ == '__main__':
-    write(sys.argv[1:])
+    write_report(sys.argv[1:])
--- a/boragespool/bench/process_fleet.py
+++ b/boragespool/bench/process_fleet.py
@@ -123,10 +123,10 @@
             'expected_version': self.revision,
         }
         path = '/v1/kv/config/current'
-        written, answer = fetch(self.platform.address, path, body, 'PUT')
-        if written != _HTTP_OK:
+        status, answer = fetch(self.platform.address, path, body, 'PUT')
+        if status != _HTTP_OK:
             raise RuntimeError(
-                f'store rejected the write with status {written!r}: {answer!r}',
+                f'store rejected the write with status {status!r}: {answer!r}',
             )
         self.settings = settings
         self.revision = revision
@@ -183,22 +183,34 @@
         host: HostName,
         peer_address: Address = '',
     ) -> RunningProcess:
-        """Start a daemon of the deployment, or one that replaces it."""
-        placed = {daemon.host: daemon for daemon in place_daemons(self.shape)}
-        return self._start_daemon(placed[host], peer_address)
+        """Start the daemon of a host, for the first time or as a replacement."""
+        placed_by_host = {
+            daemon.host: daemon for daemon in place_daemons(self.shape)
+        }
+        return self._start_daemon(placed_by_host[host], peer_address)
 
     def replace_daemons(
         self,
         hosts: Iterable[HostName],
-        number: int = signal.SIGTERM,
+        signal_number: int = signal.SIGTERM,
     ) -> tuple[int, ...]:
-        """Signal several daemons, replace them and return their exit codes.
-
-        All of them get the signal before the first new daemon starts.
+        """Stop several daemons at once and replace them.
+
+        Parameters
+        ----------
+        hosts : iterable of str
+            Hosts whose daemons are replaced.
+        signal_number : int
+            Signal that stops the daemons.
+
+        Returns
+        -------
+        tuple of int
+            Exit codes of the stopped daemons.
         """
         stopped = {host: self.daemons_by_host[host] for host in hosts}
         for stopped_daemon in stopped.values():
-            stopped_daemon.signal(number)
+            stopped_daemon.signal(signal_number)
         exit_codes = tuple(
             daemon.wait(_STOP_TIMEOUT_S) for daemon in stopped.values()
         )
@@ -246,12 +258,12 @@
         self,
         placed: Iterable[PlacedServer],
     ) -> RunningProcess:
-        described = list(describe_servers(placed))
+        server_specs = list(describe_servers(placed))
         process = self._processes.start(
             'boragespool.standins.backend_main',
-            f'--servers={json.dumps(described)}',
+            f'--servers={json.dumps(server_specs)}',
         )
-        for server in described:
+        for server in server_specs:
             self._processes_by_server[server['name']] = process
         return process
 
@@ -270,7 +282,7 @@
         number = list(place_daemons(self.shape)).index(placed)
         caller_address = free_address(_daemon_ip(number))
         peer_address = peer_address or free_address(_daemon_ip(number))
-        joined = ','.join(
+        peers_flag = ','.join(
             f'{host}={peer_addresses[host]}' for host in peer_addresses
         )
         profile_path = self.profile_paths_by_host.get(placed.host)
@@ -282,7 +294,7 @@
             f'--caller_address={caller_address}',
             f'--peer_address={peer_address}',
             f'--platform_address={self.platform.address}',
-            f'--peers={joined}',
+            f'--peers={peers_flag}',
             PROFILE_PATH=profile_path or '',
             **self.variables,
         )
--- a/boragespool/bench/processes.py
+++ b/boragespool/bench/processes.py
@@ -1,4 +1,4 @@
-"""Programs of this project as real processes with a log each."""
+"""Starts programs of this project as processes, each with a log file."""
 
 from __future__ import annotations
 
@@ -22,10 +22,11 @@
 
 ROOT: Final = pathlib.Path(__file__).resolve().parent.parent.parent
 _POLL_S: Final = 0.05
-_FETCH_S: Final = 5
-#: Exit code of a process that a signal ended is this plus its number.
-_SIGNAL_EXIT: Final = 128
-_LOG_TAIL: Final = 2_000
+_FETCH_TIMEOUT_S: Final = 5
+#: By shell convention, a process that a signal ended has this plus the signal
+#: number as its exit code.
+_SIGNAL_EXIT_BASE: Final = 128
+_LOG_TAIL_CHARS: Final = 2_000
 
 
 def wait_until(
@@ -33,28 +34,41 @@
     limit_s: Seconds = 10,
     what: str = 'condition',
 ) -> Seconds:
-    """Wait for a true result; return how long it took.
+    """Poll a condition until it is true; return the time waited in seconds.
+
+    Parameters
+    ----------
+    condition : callable
+        Function to poll.
+    limit_s : float
+        Timeout in seconds.
+    what : str
+        Description of the condition for the error message.
 
     Raises
     ------
     TimeoutError
-        If it is not true within `limit_s` seconds.
+        If the condition is not true within `limit_s` seconds.
     """
     began_s = time.monotonic()
     while not condition():
         if time.monotonic() - began_s >= limit_s:
-            raise TimeoutError(f'{what}: not within {limit_s} s')
+            raise TimeoutError(f'{what}: timed out after {limit_s} s')
         time.sleep(_POLL_S)
     return time.monotonic() - began_s
 
 
 def exit_on_sigterm() -> None:
-    """Let SIGTERM, which ``timeout`` sends, end what was started too."""
-    signal.signal(signal.SIGTERM, _exit)
+    """Raise `SystemExit` on SIGTERM, so that context managers clean up.
 
+    The ``timeout`` command sends SIGTERM. Without the handler, processes that
+    a benchmark started would outlive it.
+    """
+    signal.signal(signal.SIGTERM, _exit_with_signal_code)
 
-def _exit(number: int, frame: object) -> None:
-    sys.exit(_SIGNAL_EXIT + number)
+
+def _exit_with_signal_code(number: int, frame: object) -> None:
+    sys.exit(_SIGNAL_EXIT_BASE + number)
 
 
 def fetch(
@@ -63,14 +77,14 @@
     body: object = None,
     method: str = 'GET',
 ) -> tuple[int, Any]:
-    """Return the status and the JSON of one HTTP exchange."""
+    """Send an HTTP request; return the status and the decoded JSON body."""
     request = Request(
         f'http://{address}{path}',
         data=None if body is None else json.dumps(body).encode(),
         method=method,
     )
     try:
-        with urlopen(request, timeout=_FETCH_S) as response:
+        with urlopen(request, timeout=_FETCH_TIMEOUT_S) as response:
             return response.status, json.load(response)
     except HTTPError as error:
         return error.code, json.load(error)
@@ -84,6 +98,8 @@
     ----------
     address : str
         ``ip:port`` for callers, or of the control listener.
+    peer_address : str
+        ``ip:port`` for other daemons.
     """
 
     process: subprocess.Popen[bytes]
@@ -105,7 +121,7 @@
         os.kill(self.process.pid, number)
 
     def wait(self, limit_s: Seconds = 30) -> int:
-        """Wait for the end; return the exit code."""
+        """Wait until the process exits; return the exit code."""
         return self.process.wait(limit_s)
 
     def wait_for_event(
@@ -113,14 +129,15 @@
         number: int,
         limit_s: Seconds = 15,
     ) -> dict[str, Any]:
-        """Return the first event with this number.
+        """Wait for an event with a number; return the first one.
 
         Raises
         ------
         TimeoutError
-            If it is not logged within `limit_s` seconds.
+            If the event is not logged within `limit_s` seconds.
         RuntimeError
-            If the process ended without it; the log is in the message.
+            If the process exited without it; the message has the end of the
+            log.
         """
         wait_until(
             lambda: (
@@ -134,14 +151,17 @@
             if event['event'] == number:
                 return event
         log = self.log_path.read_text(encoding='utf-8')
-        raise RuntimeError(f'ended without event {number}: {log[-_LOG_TAIL:]}')
+        raise RuntimeError(
+            f'exited without event {number}: {log[-_LOG_TAIL_CHARS:]}'
+        )
 
     def processor_s(self) -> Seconds:
         """Return the processor time used so far, in seconds."""
         stat = pathlib.Path(f'/proc/{self.process.pid}/stat').read_text(
             encoding='ascii',
         )
-        # Fields 14 and 15, counted after the name, which may hold spaces.
+        # Fields 14 and 15, utime and stime. They are counted from the end of
+        # the process name, which may contain spaces.
         fields = stat.rpartition(')')[2].split()
         ticks = int(fields[11]) + int(fields[12])
         return ticks / os.sysconf('SC_CLK_TCK')
@@ -149,7 +169,7 @@
 
 @dataclass
 class ProcessGroup:
-    """Starts processes and always ends them, a context manager."""
+    """Context manager that kills the processes it started on exit."""
 
     started: list[RunningProcess] = field(default_factory=list)
     _directory: tempfile.TemporaryDirectory[str] = field(
@@ -161,7 +181,7 @@
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        """End what still runs, by process id."""
+        """Kill the processes that still run, and remove the logs."""
         for running in self.started:
             if running.process.poll() is None:
                 running.process.kill()
@@ -175,16 +195,16 @@
         *arguments: str,
         **variables: str,
     ) -> RunningProcess:
-        """Start one module; both output streams go to its log.
+        """Run a module in a new process; both output streams go to its log.
 
         Parameters
         ----------
         module : str
-            Module with a main part.
+            Name of the module, which is run as ``__main__``.
         *arguments : str
-            Its command line.
+            Command line arguments.
         **variables : str
-            Further environment variables.
+            Additional environment variables.
         """
         name = f'{len(self.started)}-{module}.log'
         log_path = pathlib.Path(self._directory.name) / name
--- a/boragespool/bench/profiled_entry.py
+++ b/boragespool/bench/profiled_entry.py
@@ -1,4 +1,4 @@
-"""A daemon under cProfile; ``PROFILE_PATH`` names the file that it writes."""
+"""Runs a daemon under cProfile and writes the profile to ``PROFILE_PATH``."""
 
 from __future__ import annotations
 
--- a/boragespool/bench/profiling.py
+++ b/boragespool/bench/profiling.py
@@ -1,4 +1,4 @@
-"""Largest costs of one daemon under load, by cProfile.
+"""Profile of one daemon under load, measured with cProfile.
 
 ``python -m boragespool.bench.profiling``
 """
@@ -17,15 +17,16 @@
 
 _HOST: Final = 'entry-1'
 _RUN_S: Final = 10
-#: The ordinary load, times this, is about half of what a machine carried.
-_FACTOR: Final = 4
-_ROWS: Final = 25
-#: Functions of one concept each; their cumulative times overlap.
-_CONCEPTS: Final = 'boragespool|pynng|h11|_run$'
+#: Multiple of the ordinary load; about half of what one machine can handle.
+_LOAD_FACTOR: Final = 4
+_ROW_COUNT: Final = 25
+#: Functions of this project and of its main dependencies. Their cumulative
+#: times overlap.
+_COMPONENT_PATTERN: Final = 'boragespool|pynng|h11|_run$'
 
 
 def main() -> None:
-    """Print the functions of one daemon with the largest times."""
+    """Print the functions of one daemon that take the most time."""
     workload = WORKLOADS_BY_DEPLOYMENT['cooperative']
     with tempfile.TemporaryDirectory() as directory:
         path = pathlib.Path(directory) / 'profile'
@@ -38,7 +39,7 @@
         ):
             run = driver.run(
                 fleet,
-                scale_flows(workload.ordinary_flows, _FACTOR),
+                scale_flows(workload.ordinary_flows, _LOAD_FACTOR),
                 _RUN_S,
             )
             profiled = fleet.daemons_by_host[_HOST]
@@ -47,9 +48,11 @@
         print(f'{run.received} backend requests by all daemons')
         profile = pstats.Stats(str(path))
         profile.strip_dirs()
-        profile.sort_stats('tottime').print_stats(_ROWS)
-        unstripped = pstats.Stats(str(path))
-        unstripped.sort_stats('cumtime').print_stats(_CONCEPTS, _ROWS)
+        profile.sort_stats('tottime').print_stats(_ROW_COUNT)
+        full_path_profile = pstats.Stats(str(path))
+        full_path_profile.sort_stats('cumtime').print_stats(
+            _COMPONENT_PATTERN, _ROW_COUNT
+        )
 
 
 if __name__ == '__main__':
--- a/boragespool/bench/shapes.py
+++ b/boragespool/bench/shapes.py
@@ -1,4 +1,7 @@
-"""Shapes of deployments at the sizes of today."""
+"""Shapes of deployments: data centres, daemons, services and routes.
+
+The two deployments have today's sizes.
+"""
 
 from __future__ import annotations
 
@@ -25,8 +28,15 @@
 
     Attributes
     ----------
+    slots : int
+        Requests that a server runs at the same time.
+    connections : int
+        Limit on the connections to a server.
+    connection_cost_ms : float
+        Extra time of the first request on a new connection, in
+        milliseconds.
     service_time_s : float
-        Time of one piece of work in the stand-in, in seconds.
+        Time for which the stand-in works on one request, in seconds.
     """
 
     name: ServiceName
@@ -40,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DeploymentShape:
-    """Sizes of one deployment."""
+    """Data centres, services and routes of a deployment, and their sizes."""
 
     name: str
     data_centres: tuple[DataCentre, ...]
--- a/boragespool/bench/slopes.py
+++ b/boragespool/bench/slopes.py
@@ -1,4 +1,4 @@
-"""Straight lines through measured points."""
+"""Least-squares fit of a line to measured points."""
 
 from __future__ import annotations
 
@@ -12,20 +12,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Point:
-    """One measurement: a size and the values of repeated runs."""
+    """Values measured at one size, one per run."""
 
     size: float
     values: tuple[float, ...]
 
     @property
     def median(self) -> float:
-        """Median of the runs."""
+        """Median of the values."""
         return statistics.median(self.values)
 
 
 @dataclass(frozen=True, slots=True)
 class Line:
-    """Least-squares line through the medians.
+    """Least-squares line through the median values of some points.
 
     Attributes
     ----------
@@ -34,7 +34,7 @@
     intercept : float
         Value at size 0.
     spread : float
-        Largest distance of a run from the line, relative to the run.
+        Largest distance of a value from the line, relative to the value.
     """
 
     slope: float
@@ -47,7 +47,7 @@
 
 
 def fit_line(points: Sequence[Point]) -> Line:
-    """Fit a line through at least two sizes.
+    """Fit a line to measurements at two or more sizes.
 
     Parameters
     ----------
@@ -57,7 +57,7 @@
     Returns
     -------
     Line
-        Fit through the medians.
+        Line through the median of each point.
 
     Raises
     ------
--- a/boragespool/bench/tail.py
+++ b/boragespool/bench/tail.py
@@ -1,8 +1,8 @@
-"""Tail latency, coverage and extra load with and without hedging.
+"""Tail latency, coverage and extra load of queries with and without hedging.
 
-30 shards with 3 replicas; 1 in 100 replies takes 20 times longer. Queries
-arrive in an open loop in virtual time, so the figures do not depend on the
-machine.
+Simulates 30 shards with 3 replicas, where 1 in 100 replies takes 20 times
+longer. Queries arrive in an open loop in virtual time, so the results do not
+depend on the machine.
 """
 
 from __future__ import annotations
@@ -19,7 +19,7 @@
 from boragespool.bench.tail_variants import (
     ALTERNATIVES,
     OUTAGES,
-    Indifferent,
+    UniformObservations,
     Variant,
     tracker_factory,
 )
@@ -38,18 +38,23 @@
 
 _RATE_PER_S: Final = 200
 _QUERY_COUNT: Final = 2_500
-#: Queries before the quantile is known and the burst is used.
+#: Queries sent before the latency quantile is known and the initial hedging
+#: burst is spent; latency and coverage leave them out.
 _WARM_UP_COUNT: Final = 300
 _DEADLINE_S: Final = 0.39
-_TYPICAL_S: Final = 0.01
-_SPREAD: Final = 0.25
-_SLOW_SHARE: Final = 0.01
-_SLOW_FACTOR: Final = 20
-_OUTAGE_SHARE: Final = 0.4
-#: Time until the loss of a backend server is announced.
-_NOTICE_S: Final = 1.5
+#: Service times are log-normal, with this median and standard deviation of
+#: the logarithm.
+_MEDIAN_SERVICE_TIME_S: Final = 0.01
+_SIGMA: Final = 0.25
+_STRAGGLER_SHARE: Final = 0.01
+_STRAGGLER_FACTOR: Final = 20
+#: Share of the queries that are sent before the outage starts.
+_OUTAGE_START_SHARE: Final = 0.4
+#: Time between the start of an outage and the announcement that the server
+#: is lost.
+_LOSS_NOTICE_S: Final = 1.5
 _SEED: Final = 20_261_204
-_P99_GOAL: Final = 0.35
+_P99_RATIO_GOAL: Final = 0.35
 _LOAD_GOAL: Final = 1.05
 _WORST_LOAD_GOAL: Final = 1.1
 _UNHEDGED: Final = HedgingSettings(quantile=1)
@@ -57,15 +62,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    """Figures of one run.
+    """Results of one run.
 
     Attributes
     ----------
     load, worst_load : float
-        Requests sent per shard and query, over the run and in its worst
-        second.
+        Requests sent per shard and query, over the run and in the second
+        with the highest value.
     started : float
-        Requests that backend servers began per shard and query.
+        Requests that backend servers started, per shard and query.
     """
 
     p50_s: Seconds
@@ -79,7 +84,7 @@
 @dataclass(frozen=True, slots=True)
 class _Sample:
     began_s: Seconds
-    took_s: Seconds
+    latency_s: Seconds
     coverage: float
     attempts: int
 
@@ -90,18 +95,19 @@
     query_count: int,
     shards: int = 30,
 ) -> Outcome:
-    """Run one variant.
+    """Run the queries with one variant and return the results.
 
     Parameters
     ----------
     variant : Variant
-        Hedging and replica choice.
+        Hedging settings and replica choice.
     outage : callable or None
-        Behaviour of one replica of each shard from some time on.
+        Answers of one replica of each shard during an outage, which starts
+        partway through the run; None for no outage.
     query_count : int
-        Queries, those of the warm-up included.
+        Number of queries, including the warm-up.
     shards : int
-        Sub-requests per query.
+        Number of shards, which is the number of sub-requests per query.
     """
     options = FleetOptions(
         shards=shards,
@@ -109,29 +115,34 @@
         hedging=variant.hedging,
     )
     fleet = FakeFleet(options, _SEED)
-    fleet.service_time_s = _service_times(random.Random(_SEED + 1))
+    fleet.service_time_s = _service_time_source(random.Random(_SEED + 1))
     samples = run_in_virtual_time(_run(fleet, variant, outage, query_count))
     measured = samples[min(_WARM_UP_COUNT, query_count // 4) :]
-    times_s = sorted(sample.took_s for sample in measured)
-    by_second: dict[int, list[int]] = {}
-    for one in samples:
-        by_second.setdefault(int(one.began_s), []).append(one.attempts)
+    latencies_s = sorted(sample.latency_s for sample in measured)
+    attempts_by_second: dict[int, list[int]] = {}
+    for query_sample in samples:
+        attempts_by_second.setdefault(int(query_sample.began_s), []).append(
+            query_sample.attempts
+        )
     requests = query_count * shards
     return Outcome(
-        _percentile(times_s, 0.5),
-        _percentile(times_s, 0.99),
+        _percentile(latencies_s, 0.5),
+        _percentile(latencies_s, 0.99),
         sum(sample.coverage for sample in measured) / len(measured),
         sum(fleet.asked.values()) / requests,
-        max(sum(sent) / len(sent) / shards for sent in by_second.values()),
+        max(
+            sum(sent) / len(sent) / shards
+            for sent in attempts_by_second.values()
+        ),
         sum(fleet.started.values()) / requests,
     )
 
 
-def _service_times(draw: random.Random) -> Callable[[], Seconds]:
+def _service_time_source(rng: random.Random) -> Callable[[], Seconds]:
     def service_time_s() -> Seconds:
-        slow = draw.random() < _SLOW_SHARE
-        typical_s = draw.lognormvariate(math.log(_TYPICAL_S), _SPREAD)
-        return typical_s * _SLOW_FACTOR if slow else typical_s
+        is_straggler = rng.random() < _STRAGGLER_SHARE
+        base_s = rng.lognormvariate(math.log(_MEDIAN_SERVICE_TIME_S), _SIGMA)
+        return base_s * _STRAGGLER_FACTOR if is_straggler else base_s
 
     return service_time_s
 
@@ -142,47 +153,52 @@
     outage: Callable[[WorkRequest], WorkReply | Failure | None] | None,
     query_count: int,
 ) -> list[_Sample]:
-    """Start queries at random times, whether others are answered or not."""
+    """Send queries at random times that don't depend on earlier answers."""
     controller = QueryController(
         fleet.context(),
-        Indifferent() if variant.random_choice else None,
+        UniformObservations() if variant.random_choice else None,
         tracker_factory(variant),
     )
-    arrivals = random.Random(_SEED + 2)
+    arrival_rng = random.Random(_SEED + 2)
     async with controller, asyncio.TaskGroup() as tasks:
-        running = []
+        query_tasks = []
         for number in range(query_count):
-            if outage is not None and number == query_count * _OUTAGE_SHARE:
-                _begin_outage(fleet, outage)
-            running.append(tasks.create_task(_sample(controller, number)))
-            await asyncio.sleep(arrivals.expovariate(_RATE_PER_S))
-    return [task.result() for task in running]
-
-
-def _begin_outage(
+            if (
+                outage is not None
+                and number == query_count * _OUTAGE_START_SHARE
+            ):
+                _start_outage(fleet, outage)
+            query_tasks.append(
+                tasks.create_task(_measure_query(controller, number))
+            )
+            await asyncio.sleep(arrival_rng.expovariate(_RATE_PER_S))
+    return [task.result() for task in query_tasks]
+
+
+def _start_outage(
     fleet: FakeFleet,
     outage: Callable[[WorkRequest], WorkReply | Failure | None],
 ) -> None:
-    """Lose one replica of each shard; its loss is announced later."""
+    """Start the outage of one replica per shard; schedule its notice."""
     for shard in range(fleet.options.shards):
         server = f's{shard}r0'
         fleet.behaviour_by_server[server] = outage
         asyncio.get_running_loop().call_later(
-            _NOTICE_S,
+            _LOSS_NOTICE_S,
             partial(fleet.announce, server, state=ServerState.LOST),
         )
 
 
-async def _sample(controller: QueryController, number: int) -> _Sample:
+async def _measure_query(controller: QueryController, number: int) -> _Sample:
     loop = asyncio.get_running_loop()
     began_s = loop.time()
     answer = await controller.answer(
         QueryRequest(f'q{number}', 'find', 'bench', b'{}', _DEADLINE_S),
     )
-    took_s = loop.time() - began_s
+    latency_s = loop.time() - began_s
     if isinstance(answer, Failure):
-        return _Sample(began_s, took_s, 0, 0)
-    return _Sample(began_s, took_s, answer.coverage, answer.attempts)
+        return _Sample(began_s, latency_s, 0, 0)
+    return _Sample(began_s, latency_s, answer.coverage, answer.attempts)
 
 
 def _percentile(ordered: Sequence[Seconds], share: float) -> Seconds:
@@ -204,7 +220,7 @@
 
 def _meets_goals(hedged: Outcome, baseline: Outcome) -> bool:
     return (
-        hedged.p99_s <= baseline.p99_s * _P99_GOAL
+        hedged.p99_s <= baseline.p99_s * _P99_RATIO_GOAL
         and hedged.load <= _LOAD_GOAL
         and hedged.worst_load <= _WORST_LOAD_GOAL
         and hedged.coverage >= baseline.coverage
@@ -212,12 +228,12 @@
 
 
 def main(query_count: int = _QUERY_COUNT) -> int:
-    """Print the figures of all outages and alternatives.
+    """Print the results of all outages and hedging alternatives.
 
     Parameters
     ----------
     query_count : int
-        Queries per run.
+        Number of queries per run.
 
     Returns
     -------
--- a/boragespool/bench/tail_variants.py
+++ b/boragespool/bench/tail_variants.py
@@ -1,4 +1,4 @@
-"""Outages and alternatives that `boragespool.bench.tail` compares."""
+"""Outages and hedging variants that `boragespool.bench.tail` compares."""
 
 from __future__ import annotations
 
@@ -21,14 +21,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Variant:
-    """One way to run the queries.
+    """Hedging settings and replica choice of one run.
 
     Attributes
     ----------
     random_choice : bool
-        Choose replicas at random.
+        Whether replicas are chosen at random.
     fixed_delay_s : float
-        Hedge after this time in place of the measured quantile; 0 for not.
+        Delay in seconds after which a request is hedged, in place of the
+        measured quantile; 0 to use the quantile.
     """
 
     hedging: HedgingSettings
@@ -36,8 +37,11 @@
     fixed_delay_s: Seconds = 0
 
 
-class Indifferent(ServerObservations):
-    """Sees all servers alike, so that replicas are chosen at random."""
+class UniformObservations(ServerObservations):
+    """Observations that are equal for all servers.
+
+    Replicas are therefore chosen at random.
+    """
 
     def load(self, server: ServerName) -> int:
         return 0
@@ -47,7 +51,7 @@
 
 
 class _FixedDelay(LatencyTracker):
-    """Hedges after a constant delay."""
+    """Latency tracker that returns a constant as its quantile."""
 
     def __init__(self, delay_s: Seconds) -> None:
         super().__init__(1)
@@ -61,20 +65,20 @@
 def tracker_factory(
     variant: Variant,
 ) -> Callable[[float, object], LatencyTracker]:
-    """Return what makes the latency trackers of a variant."""
+    """Return the function that creates the latency trackers of a variant."""
 
-    def make(quantile: float, settings: object) -> LatencyTracker:
+    def create_tracker(quantile: float, settings: object) -> LatencyTracker:
         if variant.fixed_delay_s:
             tracker: LatencyTracker = _FixedDelay(variant.fixed_delay_s)
             tracker.settings = settings
             return tracker
         return LatencyTracker(quantile, settings)
 
-    return make
+    return create_tracker
 
 
-def _silent(message: WorkRequest) -> None:
-    """Answer nothing."""
+def _never_answer(message: WorkRequest) -> None:
+    """Model a server that never answers."""
 
 
 OUTAGES: Final = MappingProxyType(
@@ -83,7 +87,7 @@
         'one replica of each shard refuses connections': refusal(
             ResultCode.SERVER_UNREACHABLE,
         ),
-        'one replica of each shard is silent': _silent,
+        'one replica of each shard is silent': _never_answer,
         'one replica of each shard closes connections': refusal(
             ResultCode.SERVER_CLOSED,
             RunState.UNKNOWN,
--- a/boragespool/bench/virtual_time.py
+++ b/boragespool/bench/virtual_time.py
@@ -1,4 +1,4 @@
-"""An event loop whose clock jumps to the next timer."""
+"""Event loop with a virtual clock that advances to the next timer."""
 
 from __future__ import annotations
 
@@ -14,8 +14,8 @@
 _ResultT = TypeVar('_ResultT')
 
 
-class _JumpingSelector(selectors.SelectSelector):
-    """Adds each wait to the clock instead of waiting."""
+class _VirtualTimeSelector(selectors.SelectSelector):
+    """Selector that advances a virtual clock instead of waiting."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -25,12 +25,12 @@
         self,
         timeout: float | None = None,
     ) -> list[tuple[selectors.SelectorKey, int]]:
-        """Return at once.
+        """Advance the clock by the timeout and return the ready events.
 
         Raises
         ------
         RuntimeError
-            If nothing would ever happen.
+            If there is no timeout, so the loop would wait forever.
         """
         if timeout is None:
             raise RuntimeError('no timer is set and no callback is ready')
@@ -38,27 +38,27 @@
         return super().select(0)
 
 
-class _VirtualLoop(asyncio.SelectorEventLoop):
+class _VirtualTimeLoop(asyncio.SelectorEventLoop):
     def __init__(self) -> None:
-        self._clock = _JumpingSelector()
-        super().__init__(self._clock)
+        self._virtual_selector = _VirtualTimeSelector()
+        super().__init__(self._virtual_selector)
 
     def time(self) -> float:
-        return self._clock.now_s
+        return self._virtual_selector.now_s
 
 
-def run_in_virtual_time(work: Coroutine[Any, Any, _ResultT]) -> _ResultT:
-    """Run a coroutine without sockets in virtual time.
+def run_in_virtual_time(coroutine: Coroutine[Any, Any, _ResultT]) -> _ResultT:
+    """Run a coroutine that uses no sockets in virtual time.
 
     Parameters
     ----------
-    work : coroutine
-        Sleeps and timeouts in it take no real time.
+    coroutine : coroutine
+        Coroutine to run. Its sleeps and timeouts take no real time.
 
     Returns
     -------
     object
-        Its result.
+        Result of the coroutine.
     """
-    with asyncio.Runner(loop_factory=_VirtualLoop) as runner:
-        return runner.run(work)
+    with asyncio.Runner(loop_factory=_VirtualTimeLoop) as runner:
+        return runner.run(coroutine)
