Describe the results of the replacement benchmark

Docstrings of the result classes left out most attributes, and one said that the claims differ, which is not so for unknown ones. They now name each field with its unit.

--- a/boragespool/bench/replacement.py
+++ b/boragespool/bench/replacement.py
@@ -43,7 +43,7 @@
 _SINGLE_STOP_SHARE: Final = 0.25
 #: Planned stops for each daemon that the baseline kills.
 _STOPS_PER_KILL: Final = 10
-#: Time for which callers may use addresses, in this run.
+#: Time for which callers may cache daemon addresses, in this benchmark.
 _ADDRESS_KEEP_S: Final = 0.5
 #: Load before the first stop, while callers open connections and learn
 #: addresses.
@@ -65,12 +65,20 @@
 
 @dataclass(slots=True)
 class RunResult:
-    """Result of one run: a way of stopping daemons under load.
+    """Results of one run, which stops daemons in one way under load.
 
     Attributes
     ----------
+    callers : CallerResults
+        Results that the callers saw.
+    claims : ClaimComparison
+        Answers to claims, compared with their runs.
+    exit_codes : Counter of int
+        Number of stopped daemons by exit code.
     phases_s : list of tuple of float
         Duration of each phase, for each graceful stop, in seconds.
+    duration_s : float
+        Duration of the run, in seconds.
     """
 
     name: str
--- a/boragespool/bench/replacement_load.py
+++ b/boragespool/bench/replacement_load.py
@@ -46,7 +46,7 @@
     Attributes
     ----------
     request_count : int
-        Requests sent.
+        Requests that have ended, with an answer or without.
     interrupted_by_kind : Counter of str
         HTTP exchanges that failed after a byte was sent, by kind of failure.
         The client resends the request, so most of them are still answered.
@@ -72,7 +72,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimComparison:
-    """Claims whose answer differs from the runs that the servers counted.
+    """Numbers of claims with an unknown, wrong or repeated run.
+
+    The answers are compared with the runs that the servers counted.
 
     Attributes
     ----------
