--- a/boragespool/bench/slopes.py
+++ b/boragespool/bench/slopes.py
@@ -1,4 +1,4 @@
-"""Straight lines through measured points."""
+"""Least-squares fit of a line to measured points."""
 
 from __future__ import annotations
 
@@ -12,20 +12,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Point:
-    """One measurement: a size and the values of repeated runs."""
+    """Values measured at one size, one per run."""
 
     size: float
     values: tuple[float, ...]
 
     @property
     def median(self) -> float:
-        """Median of the runs."""
+        """Median of the values."""
         return statistics.median(self.values)
 
 
 @dataclass(frozen=True, slots=True)
 class Line:
-    """Least-squares line through the medians.
+    """Least-squares line through the median values of some points.
 
     Attributes
     ----------
@@ -34,12 +34,12 @@
     intercept : float
         Value at size 0.
     spread : float
-        Largest distance of a run from the line, relative to the run.
+        Largest distance of a value from the line, relative to the value.
     """
 
     slope: float
     intercept: float
-    spread: float
+    max_relative_error: float
 
     def at(self, size: float) -> float:
         """Return the value of the line at a size."""
@@ -47,7 +47,7 @@
 
 
 def fit_line(points: Sequence[Point]) -> Line:
-    """Fit a line through at least two sizes.
+    """Fit a line to measurements at two or more sizes.
 
     Parameters
     ----------
@@ -57,7 +57,7 @@
     Returns
     -------
     Line
-        Fit through the medians.
+        Line through the median of each point.
 
     Raises
     ------
@@ -69,10 +69,10 @@
         [point.median for point in points],
     )
     line = Line(fitted.slope, fitted.intercept, 0)
-    spread = max(
+    max_relative_error = max(
         abs(measured - line.at(point.size)) / measured
         for point in points
         for measured in point.values
         if measured
     )
-    return Line(fitted.slope, fitted.intercept, spread)
+    return Line(fitted.slope, fitted.intercept, max_relative_error)
