Give each concept of the forwarding code one name

Network distance and round trip, place and locality, usual and mean service time, and answer and reply were each used for one thing. Renames them to the usual terms.

--- a/boragespool/controllers/forwarding/calls.py
+++ b/boragespool/controllers/forwarding/calls.py
@@ -45,7 +45,7 @@
 #: Minimum time left before the deadline for which another attempt is sent, in
 #: seconds; a later one cannot succeed.
 _MIN_TIME_LEFT_S: Final = 0.02
-#: Minimum Retry-After value of a refused request, in seconds: about two usual
+#: Minimum Retry-After value of a refused request, in seconds: about two mean
 #: service times of the slowest route.
 _RETRY_AFTER_S: Final = 0.5
 
@@ -189,14 +189,14 @@
         if not self._fleet.servers_of(self.service).keys() - self._tried:
             return False
         deadlines = self._routed_request.deadlines
-        usual_s = self._fleet.route_times.usual_s(
+        mean_service_s = self._fleet.route_times.mean_service_s(
             self._routed_request.route.name
         )
         number = self._fleet.next_attempt_number()
         call = WaitingCall(
             number,
             self._routed_request.route.priority,
-            deadlines.target_at_s - usual_s,
+            deadlines.target_at_s - mean_service_s,
             deadlines.deadline_at_s,
         )
         if not self._fleet.queues.enqueue(
@@ -213,11 +213,11 @@
     def _cancel_attempts(self) -> None:
         now_s = self._fleet.timers.now_s()
         route = self._routed_request.route.name
-        usual_s = self._fleet.route_times.usual_s(route)
+        mean_service_s = self._fleet.route_times.mean_service_s(route)
         unloaded_s = self._fleet.route_times.unloaded_s(route)
         for number, attempt in self._attempts_by_number.items():
             waited_s = attempt.server.load.abandon_attempt(
-                number, usual_s, now_s
+                number, mean_service_s, now_s
             )
             attempt.server.record_abandoned(waited_s, unloaded_s, now_s)
             if attempt.exchange is not None:
@@ -312,14 +312,14 @@
         if isinstance(result, ExchangeFailure):
             self._handle_failure(number, attempt.server, result)
             return
-        self._fleet.update_distance(attempt.server)
+        self._fleet.update_round_trip(attempt.server)
         reply = self._codec.read_reply(result)
         verdict = classify_reply(reply)
         if verdict is Verdict.SUCCESS:
             self._handle_success(number, attempt.server, reply)
             return
         now_s = self._fleet.timers.now_s()
-        attempt.server.load.fail_attempt(number, now_s, refused=False)
+        attempt.server.load.fail_attempt(number, now_s, connection_failed=False)
         if verdict is Verdict.NOT_RUN:
             attempt.server.record_failure(now_s)
         if reply.is_other_server:
@@ -342,7 +342,7 @@
         route = self._routed_request.route.name
         now_s = self._fleet.timers.now_s()
         service_s = server.load.complete_attempt(
-            number, route_times.usual_s(route), now_s
+            number, route_times.mean_service_s(route), now_s
         )
         if service_s is not None:
             route_times.record(route, service_s)
@@ -356,7 +356,7 @@
         failure: ExchangeFailure,
     ) -> None:
         now_s = self._fleet.timers.now_s()
-        server.load.fail_attempt(number, now_s, refused=True)
+        server.load.fail_attempt(number, now_s, connection_failed=True)
         server.record_failure(now_s)
         self._failure_reason = failure.reason
         if failure.sent:
--- a/boragespool/controllers/forwarding/fleet.py
+++ b/boragespool/controllers/forwarding/fleet.py
@@ -27,7 +27,7 @@
 from boragespool.events import Event, log_event
 from boragespool.forwarding import (
     Candidate,
-    Place,
+    Locality,
     RetryBudget,
     choose_server,
     diff_registrations,
@@ -113,7 +113,7 @@
             ServiceName, dict[str, Server]
         ] = defaultdict(dict)
         self._budgets_by_service: dict[ServiceName, RetryBudget] = {}
-        self._distance_s_by_data_centre: dict[DataCentre, Seconds] = {}
+        self._round_trip_s_by_data_centre: dict[DataCentre, Seconds] = {}
         self._region_by_data_centre = dict(options.regions_by_data_centre)
         self._started_at_s = timers.now_s()
         self._attempt_numbers = itertools.count()
@@ -170,19 +170,19 @@
         """
         now_s = self.timers.now_s()
         servers = self.servers_of(service)
-        usual_s = self.route_times.usual_s(route)
+        mean_service_s = self.route_times.mean_service_s(route)
         chosen = choose_server(
             (
                 Candidate(
                     name,
                     server.load,
-                    self._place_of(server.registration.data_centre),
+                    self._locality_of(server.registration.data_centre),
                     server.has_room,
                 )
                 for name, server in servers.items()
                 if name not in tried
             ),
-            usual_s,
+            mean_service_s,
             now_s,
             self._random(),
         )
@@ -226,7 +226,7 @@
             is_hedge=is_hedge,
         )
 
-    def update_distance(self, server: Server) -> None:
+    def update_round_trip(self, server: Server) -> None:
         """Update the network distance of the data centre of a server.
 
         The distance is the shortest TCP handshake with any of its servers;
@@ -236,12 +236,12 @@
         if took_s is None:
             return
         data_centre = server.registration.data_centre
-        known_s = self._distance_s_by_data_centre.get(data_centre)
+        known_s = self._round_trip_s_by_data_centre.get(data_centre)
         if known_s is None or took_s < known_s:
-            self._distance_s_by_data_centre[data_centre] = took_s
+            self._round_trip_s_by_data_centre[data_centre] = took_s
             for servers in self._servers_by_service.values():
                 for other in servers.values():
-                    _set_distance(other, data_centre, took_s)
+                    _set_round_trip(other, data_centre, took_s)
 
     def discard(self, server: Server) -> None:
         """Stop using a server whose address now belongs to another server."""
@@ -288,7 +288,7 @@
             partial(self.queues.dispatch, registration.service),
         )
         server = Server(registration, connections)
-        server.load.round_trip_s = self._distance_s_by_data_centre.get(
+        server.load.round_trip_s = self._round_trip_s_by_data_centre.get(
             registration.data_centre,
             0,
         )
@@ -303,12 +303,12 @@
             known.connections.close()
             _log_server_state(registration, state)
 
-    def _place_of(self, data_centre: DataCentre) -> Place:
+    def _locality_of(self, data_centre: DataCentre) -> Locality:
         if data_centre == self.options.data_centre:
-            return Place.DATA_CENTRE
+            return Locality.DATA_CENTRE
         region = self._region_by_data_centre.get(data_centre)
         is_near = region == self.options.region
-        return Place.REGION if is_near else Place.ELSEWHERE
+        return Locality.REGION if is_near else Locality.ELSEWHERE
 
     def _update_limits(self, _: object = None) -> None:
         """Recalculate this daemon's share of the capacity of each server."""
@@ -359,7 +359,7 @@
                 server.connections.close_expired()
 
 
-def _set_distance(
+def _set_round_trip(
     server: Server, data_centre: str, round_trip_s: Seconds
 ) -> None:
     if server.registration.data_centre == data_centre:
--- a/boragespool/controllers/forwarding/gateway.py
+++ b/boragespool/controllers/forwarding/gateway.py
@@ -99,19 +99,19 @@
         route: ForwardRoute,
         version: int,
     ) -> HttpResponse:
-        began_s = self._fleet.timers.now_s()
+        arrived_at_s = self._fleet.timers.now_s()
         self._fleet.route_times.set_initial(route.name, route.target_latency_s)
         routed_request = RoutedRequest(
             request,
             route,
-            plan_deadlines(route, request.timeout_s, began_s),
+            plan_deadlines(route, request.timeout_s, arrived_at_s),
         )
         outcome: MergedReply | Reply | Failure
         if route.shards:
             outcome, calls = await self._call_all_shards(routed_request)
         else:
             outcome, calls = await self._call_one_service(routed_request)
-        self._log_outcome(routed_request, outcome, calls, version, began_s)
+        self._log_outcome(routed_request, outcome, calls, version, arrived_at_s)
         if isinstance(outcome, MergedReply):
             return self._codec.write_merged_reply(outcome)
         if isinstance(outcome, Reply):
@@ -184,11 +184,11 @@
         """Return the service for one request, by the weights of a split."""
         if len(route.services) == 1:
             return route.services[0].service
-        turns = self._splits_by_route.get(route.name)
-        if turns is None or turns.services != route.services:
-            turns = WeightedRoundRobin(route.services)
-            self._splits_by_route[route.name] = turns
-        return turns.next_service()
+        split = self._splits_by_route.get(route.name)
+        if split is None or split.services != route.services:
+            split = WeightedRoundRobin(route.services)
+            self._splits_by_route[route.name] = split
+        return split.next_service()
 
     def _log_outcome(
         self,
@@ -196,9 +196,9 @@
         outcome: MergedReply | Reply | Failure,
         calls: tuple[ServiceCall, ...],
         version: int,
-        began_s: float,
+        arrived_at_s: float,
     ) -> None:
-        took_s = self._fleet.timers.now_s() - began_s
+        took_s = self._fleet.timers.now_s() - arrived_at_s
         outcome_label = _outcome_label(outcome)
         priority = str(routed_request.route.priority)
         FORWARDED_REQUESTS.labels(priority, outcome_label).inc()
--- a/boragespool/controllers/forwarding/hosts.py
+++ b/boragespool/controllers/forwarding/hosts.py
@@ -183,7 +183,7 @@
         if now_s >= grace_end_s:
             self._table.drop_removed()
         else:
-            self._timers.after(grace_end_s - now_s, self._drop_lapsed)
+            self._timers.after(grace_end_s - now_s, self._drop_removed)
         if state.changed_keys:
             hosts = sorted(record.host for record in self._serving_records())
             log_event(
@@ -230,7 +230,7 @@
         else:
             self._table.put(key, record)
 
-    def _drop_lapsed(self) -> None:
+    def _drop_removed(self) -> None:
         if self._table.drop_removed():
             self._post_hosts()
 
@@ -253,8 +253,8 @@
         host = self._own_record.host
         if lease is None:
             return await self._register()
-        answer = await self._store.renew(lease.lease)
-        if isinstance(answer, LeaseEnded):
+        renewed = await self._store.renew(lease.lease)
+        if isinstance(renewed, LeaseEnded):
             log_event(
                 Event.LEASE_LOST,
                 f'the lease of {host!r} has ended',
@@ -263,12 +263,12 @@
             )
             self._lease = None
             return 0
-        if isinstance(answer, Failure):
+        if isinstance(renewed, Failure):
             self._has_renewal_failed = True
             return _RETRY_DELAY_S
         self._on_lease_renewed(self._has_renewal_failed)
         self._has_renewal_failed = False
-        renewal_s = answer / _RENEWALS_PER_TTL
+        renewal_s = renewed / _RENEWALS_PER_TTL
         if self.is_reader:
             renewal_s = min(renewal_s, self._options.relay_wait_s)
         return renewal_s
--- a/boragespool/controllers/forwarding/mirror.py
+++ b/boragespool/controllers/forwarding/mirror.py
@@ -152,11 +152,11 @@
     async def _follow(self) -> None:
         retry_delay_s = _MIN_RETRY_DELAY_S
         while True:
-            began_s = self._timers.now_s()
+            started_at_s = self._timers.now_s()
             failure = await self._read_safely()
             if failure is None:
                 retry_delay_s = _MIN_RETRY_DELAY_S
-                spent_s = self._timers.now_s() - began_s
+                spent_s = self._timers.now_s() - started_at_s
                 await asyncio.sleep(
                     max(0, self._options.min_interval_s - spent_s)
                 )
@@ -186,14 +186,14 @@
             # A stale first read is fine: the watch that follows it returns
             # the changes that it misses.
             return await self._read_all(may_be_stale=not self._has_lost_history)
-        answer = await self._store.watch(
+        result = await self._store.watch(
             self._options.prefix,
             self._revision,
             self._options.wait_s,
         )
-        if isinstance(answer, Failure):
-            return answer
-        if isinstance(answer, HistoryLost):
+        if isinstance(result, Failure):
+            return result
+        if isinstance(result, HistoryLost):
             prefix = self._options.prefix
             log_event(
                 Event.STORE_HISTORY_LOST,
@@ -205,9 +205,9 @@
             self._revision = None
             self._has_lost_history = True
             return await self._read_all(may_be_stale=False)
-        self._record_recovery(answer.returned_ago_s)
+        self._record_recovery(result.returned_ago_s)
         changed_keys: set[str] = set()
-        for event in answer.events:
+        for event in result.events:
             current = self._items_by_key.get(event.key)
             if current is not None and current.revision >= event.revision:
                 continue
@@ -216,7 +216,7 @@
                 self._items_by_key[event.key] = event
             else:
                 self._items_by_key.pop(event.key, None)
-        self._publish(changed_keys, answer.revision, answer.age_s)
+        self._publish(changed_keys, result.revision, result.age_s)
         return None
 
     async def _read_all(self, *, may_be_stale: bool) -> Failure | None:
--- a/boragespool/controllers/forwarding/relay.py
+++ b/boragespool/controllers/forwarding/relay.py
@@ -145,11 +145,11 @@
             )
             if changes is not None:
                 return _to_item_events(changes)
-        answer = await self._store.watch(prefix, after_revision, wait_s)
-        if not isinstance(answer, Failure):
-            return answer
+        result = await self._store.watch(prefix, after_revision, wait_s)
+        if not isinstance(result, Failure):
+            return result
         changes = await self._read_from_others(prefix, after_revision)
-        return answer if changes is None else _to_item_events(changes)
+        return result if changes is None else _to_item_events(changes)
 
     def _usable_reader(self) -> Address | None:
         """Return the address of the reader unless it failed recently."""
--- a/boragespool/controllers/forwarding/route_times.py
+++ b/boragespool/controllers/forwarding/route_times.py
@@ -11,10 +11,10 @@
 
 #: Usual service time of a route without samples, as a fraction of its target
 #: latency.
-_INITIAL_USUAL_RATIO: Final = 0.15
+_INITIAL_MEAN_RATIO: Final = 0.15
 #: Weight of a new sample in the moving average of the service time.
-_USUAL_SMOOTHING: Final = 0.02
-#: Upper bound of a sample, as a multiple of the usual service time.
+_SAMPLE_WEIGHT: Final = 0.02
+#: Upper bound of a sample, as a multiple of the mean service time.
 _MAX_SAMPLE_RATIO: Final = 4
 #: Relative step of the estimate of the service time without load, which
 #: tracks the lower quartile of the samples: it falls by three steps after a
@@ -27,7 +27,7 @@
 class RouteTimes:
     """Service times by route, without the network round trip.
 
-    The usual service time is a moving average of the samples.
+    The mean service time is a moving average of the samples.
 
     Parameters
     ----------
@@ -39,29 +39,29 @@
         """Set up the statistics without samples."""
         self._hedge_quantile = hedge_quantile
         self._trackers_by_route: dict[RouteName, LatencyTracker] = {}
-        self._usual_s_by_route: dict[RouteName, Seconds] = {}
+        self._mean_service_s_by_route: dict[RouteName, Seconds] = {}
         self._unloaded_s_by_route: dict[RouteName, Seconds] = {}
 
     def set_initial(self, route: RouteName, target_s: Seconds) -> None:
-        """Set the usual service time of a route without samples.
+        """Set the mean service time of a route without samples.
 
         Parameters
         ----------
         target_s : float
             Target latency of the route, in seconds.
         """
-        self._usual_s_by_route.setdefault(
+        self._mean_service_s_by_route.setdefault(
             route,
-            target_s * _INITIAL_USUAL_RATIO,
+            target_s * _INITIAL_MEAN_RATIO,
         )
 
-    def usual_s(self, route: RouteName) -> Seconds:
-        """Return the usual service time of a route, in seconds."""
-        return self._usual_s_by_route.get(route, 0)
+    def mean_service_s(self, route: RouteName) -> Seconds:
+        """Return the mean service time of a route, in seconds."""
+        return self._mean_service_s_by_route.get(route, 0)
 
     def unloaded_s(self, route: RouteName) -> Seconds:
         """Return the service time without queueing, in seconds."""
-        return self._unloaded_s_by_route.get(route, self.usual_s(route))
+        return self._unloaded_s_by_route.get(route, self.mean_service_s(route))
 
     def quantile_s(self, route: RouteName) -> Seconds | None:
         """Return the hedging quantile of the service time, in seconds.
@@ -81,9 +81,13 @@
             tracker = LatencyTracker(self._hedge_quantile)
             self._trackers_by_route[route] = tracker
         tracker.record(service_s)
-        usual_s = self.usual_s(route)
-        step = min(service_s, _MAX_SAMPLE_RATIO * usual_s) - usual_s
-        self._usual_s_by_route[route] = usual_s + _USUAL_SMOOTHING * step
+        mean_service_s = self.mean_service_s(route)
+        step = (
+            min(service_s, _MAX_SAMPLE_RATIO * mean_service_s) - mean_service_s
+        )
+        self._mean_service_s_by_route[route] = (
+            mean_service_s + _SAMPLE_WEIGHT * step
+        )
         unloaded_s = self.unloaded_s(route)
         step = 1 if service_s > unloaded_s else -_UNLOADED_STEPS_DOWN
         self._unloaded_s_by_route[route] = unloaded_s * (
--- a/boragespool/controllers/forwarding/server_connections.py
+++ b/boragespool/controllers/forwarding/server_connections.py
@@ -189,7 +189,7 @@
     async def _open_connection(
         self, exchange: Exchange, outgoing: OutgoingRequest
     ) -> None:
-        began_s = self._timers.now_s()
+        started_at_s = self._timers.now_s()
         connection = await open_connection(
             self.address,
             min(outgoing.timeout_s, _CONNECT_TIMEOUT_S),
@@ -199,7 +199,7 @@
             exchange.finish(connection)
             self._on_room_available()
             return
-        took_s = self._timers.now_s() - began_s
+        took_s = self._timers.now_s() - started_at_s
         self.min_handshake_s = min(took_s, self.min_handshake_s or took_s)
         self._start_exchange(exchange, connection, outgoing)
 
--- a/boragespool/controllers/forwarding/service_queues.py
+++ b/boragespool/controllers/forwarding/service_queues.py
@@ -81,7 +81,7 @@
         queue = self._queues_by_service.get(service)
         if queue is None:
             return 0
-        return queue.wait_s(priority, self._timers.now_s())
+        return queue.expected_wait_s(priority, self._timers.now_s())
 
     def dispatch(self, service: ServiceName) -> None:
         """Send queued calls while servers of the service have room."""
--- a/boragespool/daemon/controllers.py
+++ b/boragespool/daemon/controllers.py
@@ -87,6 +87,10 @@
         QueryController(context, observations=observations)
     )
     overload = stack.enter_context(OverloadController(context))
-    ports = CallerControllers(queries, claims, membership, dispatch, overload)
-    api = await stack.enter_async_context(CallerApi(context, ports))
+    caller_controllers = CallerControllers(
+        queries, claims, membership, dispatch, overload
+    )
+    api = await stack.enter_async_context(
+        CallerApi(context, caller_controllers)
+    )
     return Controllers(membership, claims, dispatch, api)
--- a/boragespool/daemon/forwarder.py
+++ b/boragespool/daemon/forwarder.py
@@ -178,12 +178,12 @@
         self, request: HttpRequest
     ) -> HttpResponse:
         """Respond to a caller with the addresses of the nearest daemons."""
-        question = self._codec.read_address_query(request)
-        if isinstance(question, Failure):
-            return self._codec.write_failure(question)
+        query = self._codec.read_address_query(request)
+        if isinstance(query, Failure):
+            return self._codec.write_failure(query)
         addresses = self._hosts.addresses(
-            question.data_centre,
-            question.region,
+            query.data_centre,
+            query.region,
         )
         if not addresses:
             return self._codec.write_failure(
--- a/boragespool/forwarding/__init__.py
+++ b/boragespool/forwarding/__init__.py
@@ -40,7 +40,7 @@
 )
 from boragespool.forwarding.selection import (
     Candidate,
-    Place,
+    Locality,
     choose_server,
 )
 from boragespool.forwarding.splits import WeightedRoundRobin
@@ -61,7 +61,7 @@
     'ForwardRoute',
     'HostRecord',
     'HostTable',
-    'Place',
+    'Locality',
     'Registration',
     'RegistrationChanges',
     'RegistrationTable',
--- a/boragespool/forwarding/call_queue.py
+++ b/boragespool/forwarding/call_queue.py
@@ -80,7 +80,10 @@
         if not self._waiting_by_number:
             self._period_start_s = now_s
             self._period_dispatches = 0
-        if now_s + self.wait_s(call.priority, now_s) >= call.deadline_at_s:
+        if (
+            now_s + self.expected_wait_s(call.priority, now_s)
+            >= call.deadline_at_s
+        ):
             return False
         self._waiting_by_number[call.number] = call
         return True
@@ -119,7 +122,7 @@
             self._period_dispatches /= 2
             self._period_start_s = (self._period_start_s + now_s) / 2
 
-    def wait_s(self, priority: int, now_s: Seconds) -> Seconds:
+    def expected_wait_s(self, priority: int, now_s: Seconds) -> Seconds:
         """Return the expected wait of a new call, in seconds.
 
         It is 0 until enough calls were dispatched to estimate the rate.
--- a/boragespool/forwarding/loads.py
+++ b/boragespool/forwarding/loads.py
@@ -19,7 +19,7 @@
 #: phases of a server last a few seconds.
 _SLOWDOWN_HALF_LIFE_S: Final = 1.5
 #: Age of the oldest unanswered attempt from which a server counts as stalled,
-#: as a multiple of the usual service time.
+#: as a multiple of the mean service time.
 _STALL_FACTOR: Final = 2.5
 #: Lower bound of that age, in seconds.
 _MIN_STALL_S: Final = 0.05
@@ -52,7 +52,7 @@
     warm_at_s : float
         Time from which the server is no longer slow after its start.
     slowdown : float
-        Moving average of the ratio of service time to usual service time.
+        Moving average of the ratio of service time to mean service time.
     measured_at_s : float
         Time of the last change of `slowdown`.
     suspect_until_s : float
@@ -88,7 +88,7 @@
     def complete_attempt(
         self,
         attempt: int,
-        usual_s: Seconds,
+        mean_service_s: Seconds,
         now_s: Seconds,
     ) -> Seconds | None:
         """Record a successful reply.
@@ -97,7 +97,7 @@
         ----------
         attempt : int
             Number of the attempt.
-        usual_s : float
+        mean_service_s : float
             Usual service time of such a request, in seconds.
         now_s : float
             Time of the reply.
@@ -115,15 +115,17 @@
         self.failure_ratio *= 1 - _SAMPLE_WEIGHT
         self.suspect_until_s = -math.inf
         service_s = max(0, now_s - started_at_s - self.round_trip_s)
-        if usual_s > 0:
+        if mean_service_s > 0:
             current = self.current_slowdown(now_s)
-            sample = min(service_s / usual_s, current * _MAX_SAMPLE_RATIO)
+            sample = min(
+                service_s / mean_service_s, current * _MAX_SAMPLE_RATIO
+            )
             self.slowdown = current + _SAMPLE_WEIGHT * (sample - current)
             self.measured_at_s = now_s
         return service_s
 
     def fail_attempt(
-        self, attempt: int, now_s: Seconds, *, refused: bool
+        self, attempt: int, now_s: Seconds, *, connection_failed: bool
     ) -> None:
         """Record an attempt that failed.
 
@@ -133,13 +135,14 @@
             Number of the attempt.
         now_s : float
             Time of the failure.
-        refused : bool
-            Whether the connection was refused or broke, so that the server
-            is avoided for a while.
+        connection_failed : bool
+            Whether the attempt ended without a valid response, for example
+            because the connection was refused or timed out. The server is
+            then avoided for a while.
         """
         self.started_at_s_by_attempt.pop(attempt, None)
         self.failure_ratio += _SAMPLE_WEIGHT * (1 - self.failure_ratio)
-        if refused:
+        if connection_failed:
             suspicion_s = _MIN_SUSPICION_S * 2**self.failure_count
             self.failure_count += 1
             self.suspect_until_s = now_s + min(_MAX_SUSPICION_S, suspicion_s)
@@ -147,7 +150,7 @@
     def abandon_attempt(
         self,
         attempt: int,
-        usual_s: Seconds,
+        mean_service_s: Seconds,
         now_s: Seconds,
     ) -> Seconds:
         """Record an attempt that was abandoned before its reply.
@@ -156,7 +159,7 @@
         ----------
         attempt : int
             Number of the attempt.
-        usual_s : float
+        mean_service_s : float
             Usual service time of such a request, in seconds.
         now_s : float
             Time at which the attempt was abandoned.
@@ -166,14 +169,14 @@
         float
             Time for which the attempt was in flight, without the network
             round trip, in seconds. It is a lower bound of the service time.
-            0 if the attempt is not in flight or `usual_s` is not positive.
+            0 if the attempt is not in flight or `mean_service_s` is not positive.
         """
         started_at_s = self.started_at_s_by_attempt.pop(attempt, None)
-        if started_at_s is None or usual_s <= 0:
+        if started_at_s is None or mean_service_s <= 0:
             return 0
         current = self.current_slowdown(now_s)
         waited_s = max(0, now_s - started_at_s - self.round_trip_s)
-        min_sample = waited_s / usual_s
+        min_sample = waited_s / mean_service_s
         if min_sample > current:
             sample = min(min_sample, current * _MAX_SAMPLE_RATIO)
             self.slowdown = current + _SAMPLE_WEIGHT * (sample - current)
@@ -186,7 +189,7 @@
         decay: float = 0.5 ** (age_s / _SLOWDOWN_HALF_LIFE_S)
         return max(_MIN_SLOWDOWN, 1 + (self.slowdown - 1) * decay)
 
-    def stalled_s(self, usual_s: Seconds, now_s: Seconds) -> Seconds:
+    def stalled_s(self, mean_service_s: Seconds, now_s: Seconds) -> Seconds:
         """Return how long the oldest attempt is overdue, in seconds.
 
         0 if the server does not count as stalled.
@@ -194,13 +197,15 @@
         if not self.started_at_s_by_attempt:
             return 0
         oldest_started_at_s = next(iter(self.started_at_s_by_attempt.values()))
-        limit_s = max(_MIN_STALL_S, _STALL_FACTOR * usual_s)
+        limit_s = max(_MIN_STALL_S, _STALL_FACTOR * mean_service_s)
         return max(0, now_s - oldest_started_at_s - self.round_trip_s - limit_s)
 
-    def expected_latency_s(self, usual_s: Seconds, now_s: Seconds) -> Seconds:
+    def expected_latency_s(
+        self, mean_service_s: Seconds, now_s: Seconds
+    ) -> Seconds:
         """Return the expected latency of one more request, in seconds."""
         factor = self.current_slowdown(now_s)
         if now_s < self.warm_at_s:
             factor = max(factor, _COLD_SLOWDOWN)
         rounds = 1 + max(0, self.in_flight + 1 - self.slots) / self.slots
-        return self.round_trip_s + usual_s * factor * rounds
+        return self.round_trip_s + mean_service_s * factor * rounds
--- a/boragespool/forwarding/selection.py
+++ b/boragespool/forwarding/selection.py
@@ -36,7 +36,7 @@
 _SUSPECT_COST_S: Final = 2
 
 
-class Place(enum.Enum):
+class Locality(enum.Enum):
     """Locality of a backend server relative to the daemon."""
 
     DATA_CENTRE = 'data_centre'
@@ -45,11 +45,11 @@
     ELSEWHERE = 'elsewhere'
 
 
-_COST_S_BY_PLACE: Final = MappingProxyType(
+_COST_S_BY_LOCALITY: Final = MappingProxyType(
     {
-        Place.DATA_CENTRE: 0,
-        Place.REGION: _DATA_CENTRE_COST_S,
-        Place.ELSEWHERE: _REGION_COST_S,
+        Locality.DATA_CENTRE: 0,
+        Locality.REGION: _DATA_CENTRE_COST_S,
+        Locality.ELSEWHERE: _REGION_COST_S,
     },
 )
 
@@ -68,13 +68,13 @@
 
     server: ServerName
     load: ServerLoad
-    place: Place
+    locality: Locality
     has_room: bool
 
 
 def choose_server(
     candidates: Iterable[Candidate],
-    usual_s: Seconds,
+    mean_service_s: Seconds,
     now_s: Seconds,
     random_fraction: float,
 ) -> Candidate | None:
@@ -84,7 +84,7 @@
     ----------
     candidates : iterable of Candidate
         Servers that the request has not been sent to yet.
-    usual_s : float
+    mean_service_s : float
         Usual service time of such a request, in seconds.
     now_s : float
         Present time on the clock of the timer service.
@@ -98,24 +98,26 @@
         None if no candidate has room.
     """
     ranked = [
-        (cost_s(candidate, usual_s, now_s), number, candidate)
+        (cost_s(candidate, mean_service_s, now_s), number, candidate)
         for number, candidate in enumerate(candidates)
         if candidate.has_room
     ]
     if not ranked:
         return None
     min_cost_s = min(ranked)[0]
-    # Costs that differ by at most a tenth of the usual service time are
+    # Costs that differ by at most a tenth of the mean service time are
     # treated as equal.
     equal = [
-        entry[2] for entry in ranked if entry[0] <= min_cost_s + usual_s / 10
+        entry[2]
+        for entry in ranked
+        if entry[0] <= min_cost_s + mean_service_s / 10
     ]
     return equal[int(random_fraction * len(equal))]
 
 
 def cost_s(
     candidate: Candidate,
-    usual_s: Seconds,
+    mean_service_s: Seconds,
     now_s: Seconds,
 ) -> Seconds:
     """Return the expected latency of a candidate plus penalties, in seconds.
@@ -124,10 +126,10 @@
     connections and traffic that leaves the data centre.
     """
     load = candidate.load
-    cost = load.expected_latency_s(usual_s, now_s)
+    cost = load.expected_latency_s(mean_service_s, now_s)
     cost += _FAILURE_COST_S * load.failure_ratio
-    if load.stalled_s(usual_s, now_s) > 0:
+    if load.stalled_s(mean_service_s, now_s) > 0:
         cost += _STALL_COST_S
     if now_s < load.suspect_until_s:
         cost += _SUSPECT_COST_S
-    return cost + _COST_S_BY_PLACE[candidate.place]
+    return cost + _COST_S_BY_LOCALITY[candidate.locality]
--- a/boragespool/forwarding/timing.py
+++ b/boragespool/forwarding/timing.py
@@ -19,7 +19,7 @@
 _MIN_TARGET_RATIO: Final = 0.5
 #: Time before the caller's timeout at which the final answer must be sent, in
 #: seconds.
-_FINAL_ANSWER_MARGIN_S: Final = 0.03
+_FINAL_RESPONSE_MARGIN_S: Final = 0.03
 #: Lower bound of the hedging delay, as a fraction of the target latency.
 _MIN_HEDGE_DELAY_RATIO: Final = 0.12
 
@@ -71,7 +71,7 @@
     )
     return Deadlines(
         arrived_at_s + target_s,
-        arrived_at_s + max(0, caller_timeout_s - _FINAL_ANSWER_MARGIN_S),
+        arrived_at_s + max(0, caller_timeout_s - _FINAL_RESPONSE_MARGIN_S),
         arrived_at_s + caller_timeout_s,
     )
 
--- a/tests/test_call_queue.py
+++ b/tests/test_call_queue.py
@@ -61,8 +61,8 @@
         if number >= 10:
             queue.mark_dispatched(number - 10, number / 10)
     # Ten calls wait, and 20 were granted in 3 s.
-    assert queue.wait_s(0, 3) == pytest.approx(1.5)
-    assert queue.wait_s(1, 3) == pytest.approx(1.5)
+    assert queue.expected_wait_s(0, 3) == pytest.approx(1.5)
+    assert queue.expected_wait_s(1, 3) == pytest.approx(1.5)
     assert not queue.add(WaitingCall(50, 0, 4, 4.4), 3)
     assert queue.add(WaitingCall(51, 0, 4, 4.6), 3)
 
@@ -77,7 +77,7 @@
     assert not len(queue)
     for number in range(100, 110):
         assert queue.add(WaitingCall(number, 0, 31, 30.5), 30)
-    assert queue.wait_s(0, 30) == 0
+    assert queue.expected_wait_s(0, 30) == 0
 
 
 class Link:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -12,7 +12,7 @@
     Candidate,
     ForwardConfiguration,
     ForwardRoute,
-    Place,
+    Locality,
     Reply,
     ServerLoad,
     Verdict,
@@ -128,8 +128,8 @@
     assert classify_reply(replace(reply, **fields)) is expected
 
 
-def candidate(name, *, place=Place.DATA_CENTRE, **fields):
-    return Candidate(name, ServerLoad(slots=5, **fields), place, True)
+def candidate(name, *, locality=Locality.DATA_CENTRE, **fields):
+    return Candidate(name, ServerLoad(slots=5, **fields), locality, True)
 
 
 def chosen(*candidates, now_s=0, draw=0.0):
@@ -139,8 +139,8 @@
 
 def test_own_data_centre_comes_first():
     """Bytes between regions are dear."""
-    far = candidate('far', place=Place.ELSEWHERE, round_trip_s=0.024)
-    beside = candidate('beside', place=Place.REGION)
+    far = candidate('far', locality=Locality.ELSEWHERE, round_trip_s=0.024)
+    beside = candidate('beside', locality=Locality.REGION)
     assert chosen(far, beside, candidate('near')) == 'near'
     assert chosen(far, beside) == 'beside'
 
@@ -148,7 +148,7 @@
 def test_stalled_server_is_passed_over():
     """A pause of one server must not hold up every query that follows."""
     near = candidate('near')
-    far = candidate('far', place=Place.ELSEWHERE, round_trip_s=0.024)
+    far = candidate('far', locality=Locality.ELSEWHERE, round_trip_s=0.024)
     near.load.start_attempt(1, 0)
     assert chosen(near, far, now_s=0.02) == 'near'
     assert chosen(near, far, now_s=0.2) == 'far'
@@ -159,7 +159,7 @@
 def test_slow_server_is_left_and_tried_again():
     """A server that was slow gets work again after a while."""
     near = candidate('near')
-    far = candidate('far', place=Place.ELSEWHERE, round_trip_s=0.024)
+    far = candidate('far', locality=Locality.ELSEWHERE, round_trip_s=0.024)
     for number in range(6):
         near.load.start_attempt(number, number)
         near.load.complete_attempt(number, USUAL_S, number + 10 * USUAL_S)
@@ -178,10 +178,10 @@
 def test_refusing_server_is_avoided_for_longer_each_time():
     """A crashed server must not get every first attempt."""
     gone, other = candidate('gone'), candidate('other', round_trip_s=0.1)
-    gone.load.fail_attempt(1, 0, refused=True)
+    gone.load.fail_attempt(1, 0, connection_failed=True)
     assert chosen(gone, other, now_s=0.1) == 'other'
     first_s = gone.load.suspect_until_s
-    gone.load.fail_attempt(2, first_s, refused=True)
+    gone.load.fail_attempt(2, first_s, connection_failed=True)
     assert gone.load.suspect_until_s - first_s > first_s
 
 
--- a/tests/test_service_call.py
+++ b/tests/test_service_call.py
@@ -96,7 +96,7 @@
     def next_attempt_number(self):
         return next(self.numbers)
 
-    def update_distance(self, server):
+    def update_round_trip(self, server):
         """Learn no distance."""
 
 
