Call the room of a backend server its capacity

Error messages and docstrings used room and free capacity for one thing, and some texts of the forwarding code were imprecise. Renames has_room to has_capacity and corrects the texts. The check passes, and so do the pytest files of calls, queues, forwarding, platform adapter and daemon.

--- a/boragespool/controllers/forwarding/calls.py
+++ b/boragespool/controllers/forwarding/calls.py
@@ -123,7 +123,7 @@
 
     @property
     def may_succeed(self) -> bool:
-        """Whether a server is registered and has room before the deadline."""
+        """Whether a server is registered and has capacity before the deadline."""
         if not self._fleet.servers_of(self.service):
             return False
         now_s = self._fleet.timers.now_s()
@@ -139,7 +139,7 @@
         return RunState.UNKNOWN if is_sent else RunState.NOT_RUN
 
     def start(self) -> None:
-        """Send the first attempt, or queue the call if no server has room."""
+        """Send the first attempt, or queue the call if no server has capacity."""
         now_s = self._fleet.timers.now_s()
         self._fleet.retry_budget(self.service).record_request(now_s)
         if not self._send() and not self._enqueue():
@@ -174,7 +174,7 @@
             self._queue_number = None
 
     def _enqueue(self) -> bool:
-        """Queue the call until a server has room.
+        """Queue the call until a server has capacity.
 
         Returns
         -------
@@ -225,7 +225,7 @@
         self._attempts_by_number.clear()
 
     def _send_from_queue(self) -> bool:
-        """Send the queued call; return False if no untried server has room."""
+        """Send the queued call; return False if no untried server has capacity."""
         number = self._queue_number
         self._queue_number = None
         if self._send():
@@ -239,7 +239,7 @@
         Returns
         -------
         Server or None
-            None if no untried server has room, or if the attempts or the
+            None if no untried server has capacity, or if the attempts or the
             time of the request are used up.
         """
         left_s = (
@@ -291,8 +291,8 @@
     def _send_hedge(self) -> None:
         if self._ended or not self._attempts_by_number:
             return
-        has_room = self._fleet.has_room(self.service, self._tried)
-        if has_room and self._fleet.spend_retry_budget(
+        has_capacity = self._fleet.has_capacity(self.service, self._tried)
+        if has_capacity and self._fleet.spend_retry_budget(
             self.service, is_hedge=True
         ):
             self._send()
--- a/boragespool/controllers/forwarding/feed.py
+++ b/boragespool/controllers/forwarding/feed.py
@@ -65,7 +65,7 @@
     """
 
     def __init__(self, timers: TimerService) -> None:
-        """Set up an empty feed without history, before the first `publish`."""
+        """Set up an empty feed; `read` returns `HistoryLost` at first."""
         self._timers = timers
         self._items_by_key: dict[str, Item] = {}
         self._change_revisions_by_key: dict[str, int] = {}
--- a/boragespool/controllers/forwarding/fleet.py
+++ b/boragespool/controllers/forwarding/fleet.py
@@ -89,7 +89,7 @@
     route_times : RouteTimes
         Observed service times by route.
     queues : ServiceQueues
-        Calls that wait until a server has room, by service.
+        Calls that wait until a server has capacity, by service.
     """
 
     def __init__(
@@ -105,7 +105,7 @@
         self.options = options
         self.route_times = RouteTimes(options.hedge_quantile)
         self.queues = ServiceQueues(timers)
-        self._registrations_by_name: Mapping[ServerName, Registration] = {}
+        self._registrations_by_server: Mapping[ServerName, Registration] = {}
         self._daemons_by_data_centre: Counter[DataCentre] = Counter()
         self._random = random
         self._servers_by_service: defaultdict[
@@ -160,12 +160,12 @@
         route: RouteName,
         tried: Collection[str],
     ) -> Server | None:
-        """Return the best server that has room and was not tried yet.
+        """Return the best server that has capacity and was not tried yet.
 
         Returns
         -------
         Server or None
-            None if no such server has room.
+            None if no such server has capacity.
         """
         now_s = self.timers.now_s()
         servers = self.servers_of(service)
@@ -176,7 +176,7 @@
                     name,
                     server.load,
                     self._locality_of(server.registration.data_centre),
-                    server.has_room,
+                    server.has_capacity,
                 )
                 for name, server in servers.items()
                 if name not in tried
@@ -187,14 +187,14 @@
         )
         return None if chosen is None else servers[chosen.server]
 
-    def has_room(
+    def has_capacity(
         self,
         service: ServiceName,
         tried: Collection[str],
     ) -> bool:
         """Whether a server that was not tried yet can take a request now."""
         return any(
-            server.has_room
+            server.has_capacity
             for name, server in self.servers_of(service).items()
             if name not in tried
         )
@@ -250,12 +250,12 @@
 
     def _apply_registrations(
         self,
-        registered: Mapping[ServerName, Registration] | None,
+        registrations: Mapping[ServerName, Registration] | None,
     ) -> None:
         change = diff_registrations(
-            self._registrations_by_name, registered or {}
+            self._registrations_by_server, registrations or {}
         )
-        self._registrations_by_name = registered or {}
+        self._registrations_by_server = registrations or {}
         for registration in change.added + change.changed:
             self._add_or_update(registration)
         for registration in change.removed:
--- a/boragespool/controllers/forwarding/scatter_gather.py
+++ b/boragespool/controllers/forwarding/scatter_gather.py
@@ -28,7 +28,7 @@
 #: servers are replaced, or registered again, within a few seconds.
 _NO_SERVER_RETRY_AFTER_S: Final = 1
 #: Retry-After value if too many shards failed, in seconds; shorter, since
-#: servers that refused have room again sooner.
+#: servers that refused have capacity again sooner.
 _FAILED_RETRY_AFTER_S: Final = 0.5
 
 
@@ -89,7 +89,7 @@
                 Failure(
                     ResultCode.NO_SERVER,
                     f'only {usable_count} of {len(self.calls)} shards have a '
-                    'backend server with room before the deadline',
+                    'backend server with capacity before the deadline',
                     retry_after_s=_NO_SERVER_RETRY_AFTER_S,
                 ),
             )
--- a/boragespool/controllers/forwarding/server.py
+++ b/boragespool/controllers/forwarding/server.py
@@ -57,10 +57,10 @@
         self._concurrency = LimitState(connections.limit, connections.limit)
 
     @property
-    def has_room(self) -> bool:
+    def has_capacity(self) -> bool:
         """Whether another request can be sent now."""
         limit = max(self.min_concurrency, self._concurrency.limit)
-        return self.connections.has_room and self.load.in_flight < limit
+        return self.connections.has_capacity and self.load.in_flight < limit
 
     def set_limits(self, connection_limit: int, min_concurrency: int) -> None:
         """Set this daemon's share of the server's capacity.
--- a/boragespool/controllers/forwarding/server_connections.py
+++ b/boragespool/controllers/forwarding/server_connections.py
@@ -115,7 +115,7 @@
         Address of the server, as ``ip:port``.
     timers : TimerService
         Clock.
-    on_room_available : callable
+    on_capacity_available : callable
         Called without arguments whenever another request can be sent.
 
     Attributes
@@ -131,20 +131,20 @@
         self,
         address: Address,
         timers: TimerService,
-        on_room_available: Callable[[], None],
+        on_capacity_available: Callable[[], None],
     ) -> None:
         """Start without open connections and with a limit of 1."""
         self.address = address
         self.limit = 1
         self.min_handshake_s: Seconds | None = None
         self._timers = timers
-        self._on_room_available = on_room_available
+        self._on_capacity_available = on_capacity_available
         self._idle: list[tuple[Seconds, Seconds, HttpConnection]] = []
         self._busy_count = 0
         self._tasks = TaskSet()
 
     @property
-    def has_room(self) -> bool:
+    def has_capacity(self) -> bool:
         """Whether another request can be sent now."""
         return self._busy_count < self.limit
 
@@ -197,7 +197,7 @@
         if isinstance(connection, ExchangeFailure):
             self._busy_count -= 1
             exchange.finish(connection)
-            self._on_room_available()
+            self._on_capacity_available()
             return
         took_s = self._timers.now_s() - started_at_s
         self.min_handshake_s = min(took_s, self.min_handshake_s or took_s)
@@ -206,7 +206,7 @@
     def _release_if_cancelled(self, task: asyncio.Task[None]) -> None:
         if task.cancelled():
             self._busy_count -= 1
-            self._on_room_available()
+            self._on_capacity_available()
 
     def _start_exchange(
         self,
@@ -240,7 +240,7 @@
         else:
             connection.close()
         exchange.finish(result)
-        self._on_room_available()
+        self._on_capacity_available()
 
     def _pop_idle(self, max_idle_s: Seconds | None) -> HttpConnection | None:
         """Return the most recently used idle connection that can be reused.
--- a/boragespool/controllers/forwarding/service_queues.py
+++ b/boragespool/controllers/forwarding/service_queues.py
@@ -1,4 +1,4 @@
-"""Queues of calls that wait until a backend server has room."""
+"""Queues of calls that wait until a backend server has capacity."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
     from boragespool.timers import TimerService
     from boragespool.types import Seconds, ServiceName
 
-#: Maximum number of queued calls that are tried when a server has room. The
+#: Maximum number of queued calls that are tried when a server has capacity. The
 #: first ones may already have tried that server and need a different one.
 _MAX_TRIED_CALLS: Final = 4
 
@@ -43,13 +43,13 @@
         call: WaitingCall,
         send: Callable[[], bool],
     ) -> bool:
-        """Queue a call until a server of the service has room.
+        """Queue a call until a server of the service has capacity.
 
         Parameters
         ----------
         send : callable
             Send the call; return False, with the call still waiting, if no
-            server that it may use has room.
+            server that it may use has capacity.
 
         Returns
         -------
@@ -84,13 +84,13 @@
         return queue.expected_wait_s(priority, self._timers.now_s())
 
     def dispatch(self, service: ServiceName) -> None:
-        """Send queued calls while servers of the service have room."""
+        """Send queued calls while servers of the service have capacity."""
         queue = self._queues_by_service.get(service)
         while queue and self._dispatch_one(queue):
             pass
 
     def dispatch_all(self) -> None:
-        """Send queued calls of all services while their servers have room."""
+        """Send queued calls of all services while their servers have capacity."""
         for service in tuple(self._queues_by_service):
             self.dispatch(service)
 
--- a/boragespool/daemon/forwarder.py
+++ b/boragespool/daemon/forwarder.py
@@ -195,7 +195,7 @@
         )
 
     async def handle_control(self, request: HttpRequest) -> HttpResponse:
-        """Serve the metrics, and store data to other daemons.
+        """Respond with the metrics, or with changes of the store.
 
         Other daemons of the data centre may read the store through this one.
         """
--- a/boragespool/daemon/options.py
+++ b/boragespool/daemon/options.py
@@ -77,9 +77,9 @@
 
 
 def _setting(
-    value_type: parsing.ValueType, default: object, text: str
+    value_type: parsing.ValueType, default: object, help_text: str
 ) -> parsing.Setting:
-    return parsing.Setting(value_type, str(default), text)
+    return parsing.Setting(value_type, str(default), help_text)
 
 
 _LINKS: Final = PeerLimits()
--- a/boragespool/forwarding/selection.py
+++ b/boragespool/forwarding/selection.py
@@ -31,8 +31,8 @@
 #: Cost of an attempt that is certain to fail, in seconds: the time that a
 #: retry takes. It is scaled by the failure ratio of the server.
 _FAILURE_COST_S: Final = 0.5
-#: Cost of a server that recently refused or broke a connection, in seconds:
-#: higher than that of any other replica, so that it is the last choice.
+#: Cost of a server to which a connection recently failed, in seconds: higher
+#: than that of any other replica, so that it is the last choice.
 _SUSPECT_COST_S: Final = 2
 
 
@@ -62,14 +62,14 @@
     ----------
     place : Place
         Locality of the server relative to the daemon.
-    has_room : bool
+    has_capacity : bool
         Whether the server can take another request of this daemon now.
     """
 
     server: ServerName
     load: ServerLoad
     locality: Locality
-    has_room: bool
+    has_capacity: bool
 
 
 def choose_server(
@@ -95,12 +95,12 @@
     Returns
     -------
     Candidate or None
-        None if no candidate has room.
+        None if no candidate has capacity.
     """
     ranked = [
         (cost_s(candidate, mean_service_s, now_s), number, candidate)
         for number, candidate in enumerate(candidates)
-        if candidate.has_room
+        if candidate.has_capacity
     ]
     if not ranked:
         return None
@@ -122,8 +122,8 @@
 ) -> Seconds:
     """Return the expected latency of a candidate plus penalties, in seconds.
 
-    Penalties are added for failures, overdue attempts, recently broken
-    connections and traffic that leaves the data centre.
+    Penalties are added for failures, overdue attempts, recent connection
+    failures and traffic that leaves the data centre.
     """
     load = candidate.load
     cost = load.expected_latency_s(mean_service_s, now_s)
--- a/tests/test_call_queue.py
+++ b/tests/test_call_queue.py
@@ -83,7 +83,7 @@
 class Link:
     """Link without sockets."""
 
-    has_room = True
+    has_capacity = True
     limit = 30
 
 
@@ -140,7 +140,7 @@
         return self.SERVICE_S[priority] * self.slowness
 
     def arrive(self, number, now_s):
-        if not self.waits_here or self.server.has_room:
+        if not self.waits_here or self.server.has_capacity:
             self.send(number, now_s)
         else:
             self.queue.add(self.calls[number], now_s)
@@ -161,7 +161,7 @@
         service_s = self.server.load.complete_attempt(number, unloaded_s, now_s)
         self.server.record_reply(service_s, unloaded_s, now_s)
         self.answered_s[number] = now_s
-        while self.server.has_room and len(self.queue):
+        while self.server.has_capacity and len(self.queue):
             turn = self.queue.order(now_s)[0]
             self.queue.mark_dispatched(turn, now_s)
             if self.calls[turn].deadline_at_s > now_s:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -187,7 +187,7 @@
 
 def test_server_without_room_is_not_chosen():
     """Connections beyond the limit are reset by the server."""
-    full = replace(candidate('full'), has_room=False)
+    full = replace(candidate('full'), has_capacity=False)
     assert chosen(full) is None
     assert chosen(full, candidate('free')) == 'free'
 
--- a/tests/test_service_call.py
+++ b/tests/test_service_call.py
@@ -52,7 +52,7 @@
         self.registration = SimpleNamespace(server=name)
         self.load = ServerLoad(5)
         self.connections = self
-        self.has_room = True
+        self.has_capacity = True
         self.sent = []
 
     def send(self, outgoing, on_end):
@@ -80,11 +80,11 @@
 
     def choose(self, service, route, tried):
         for name, server in self.servers.items():
-            if server.has_room and name not in tried:
+            if server.has_capacity and name not in tried:
                 return server
         return None
 
-    def has_room(self, service, tried):
+    def has_capacity(self, service, tried):
         return self.choose(service, 'r', tried) is not None
 
     def retry_budget(self, service):
@@ -127,14 +127,14 @@
 def test_call_waits_once_whatever_ends(world):
     """A call that joins twice would be sent after its own end."""
     fleet = world.fleet
-    fleet.servers['c'].has_room = False
+    fleet.servers['c'].has_capacity = False
     world.call.start()
     fleet.timers.advance(0.25)
     assert sent_names(world) == ['a', 'b']
     for name in 'ab':
         fleet.servers[name].sent[0](BROKEN)
     assert not world.ends
-    fleet.servers['c'].has_room = True
+    fleet.servers['c'].has_capacity = True
     fleet.queues.dispatch_all()
     assert sent_names(world) == ['a', 'b', 'c']
     fleet.servers['c'].sent[0](BROKEN)
@@ -145,12 +145,12 @@
 def test_call_that_is_hedged_waits_no_more(world):
     """An attempt must not follow the answer."""
     fleet = world.fleet
-    fleet.servers['b'].has_room = fleet.servers['c'].has_room = False
+    fleet.servers['b'].has_capacity = fleet.servers['c'].has_capacity = False
     world.call.start()
     fleet.servers['a'].sent[0](BROKEN)
     assert fleet.queues.has_waiting('one')
     world.call.cancel()
-    fleet.servers['b'].has_room = True
+    fleet.servers['b'].has_capacity = True
     fleet.queues.dispatch_all()
     assert sent_names(world) == ['a']
     assert not fleet.queues.has_waiting('one')
@@ -160,12 +160,12 @@
     """What waits in the queue is forgotten with the call."""
     fleet = world.fleet
     for server in fleet.servers.values():
-        server.has_room = False
+        server.has_capacity = False
     world.call.start()
     assert world.call.run_state is RunState.NOT_RUN
     world.call.abandon()
     for server in fleet.servers.values():
-        server.has_room = True
+        server.has_capacity = True
     fleet.queues.dispatch_all()
     assert not sent_names(world)
 
@@ -173,7 +173,7 @@
 def test_wait_for_one_server_ends_with_the_answer_of_another(world):
     """An answer that comes first ends the wait for a retry."""
     fleet = world.fleet
-    fleet.servers['c'].has_room = False
+    fleet.servers['c'].has_capacity = False
     world.call.start()
     fleet.timers.advance(0.25)
     fleet.servers['a'].sent[0](BROKEN)
