--- a/boragespool/controllers/forwarding/calls.py
+++ b/boragespool/controllers/forwarding/calls.py
@@ -123,7 +123,7 @@
 
     @property
     def may_succeed(self) -> bool:
-        """Whether a server is registered and has capacity before the deadline."""
+        """Whether a server is expected to have capacity before the deadline."""
         if not self._fleet.servers_of(self.service):
             return False
         now_s = self._fleet.timers.now_s()
@@ -139,7 +139,7 @@
         return RunState.UNKNOWN if is_sent else RunState.NOT_RUN
 
     def start(self) -> None:
-        """Send the first attempt, or queue the call if no server has capacity."""
+        """Send the first attempt, or queue it if no server has capacity."""
         now_s = self._fleet.timers.now_s()
         self._fleet.retry_budget(self.service).record_request(now_s)
         if not self._send() and not self._enqueue():
@@ -225,7 +225,7 @@
         self._attempts_by_number.clear()
 
     def _send_from_queue(self) -> bool:
-        """Send the queued call; return False if no untried server has capacity."""
+        """Send the queued call; return whether it was sent."""
         number = self._queue_number
         self._queue_number = None
         if self._send():
--- a/boragespool/controllers/forwarding/route_times.py
+++ b/boragespool/controllers/forwarding/route_times.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from boragespool.types import RouteName, Seconds
 
-#: Usual service time of a route without samples, as a fraction of its target
+#: Mean service time of a route without samples, as a fraction of its target
 #: latency.
 _INITIAL_MEAN_RATIO: Final = 0.15
 #: Weight of a new sample in the moving average of the service time.
--- a/boragespool/controllers/forwarding/service_queues.py
+++ b/boragespool/controllers/forwarding/service_queues.py
@@ -90,7 +90,7 @@
             pass
 
     def dispatch_all(self) -> None:
-        """Send queued calls of all services while their servers have capacity."""
+        """Send queued calls of each service while its servers have capacity."""
         for service in tuple(self._queues_by_service):
             self.dispatch(service)
 
--- a/boragespool/forwarding/loads.py
+++ b/boragespool/forwarding/loads.py
@@ -98,7 +98,7 @@
         attempt : int
             Number of the attempt.
         mean_service_s : float
-            Usual service time of such a request, in seconds.
+            Mean service time of such a request, in seconds.
         now_s : float
             Time of the reply.
 
@@ -160,7 +160,7 @@
         attempt : int
             Number of the attempt.
         mean_service_s : float
-            Usual service time of such a request, in seconds.
+            Mean service time of such a request, in seconds.
         now_s : float
             Time at which the attempt was abandoned.
 
@@ -169,7 +169,8 @@
         float
             Time for which the attempt was in flight, without the network
             round trip, in seconds. It is a lower bound of the service time.
-            0 if the attempt is not in flight or `mean_service_s` is not positive.
+            0 if the attempt is not in flight or `mean_service_s` is not
+            positive.
         """
         started_at_s = self.started_at_s_by_attempt.pop(attempt, None)
         if started_at_s is None or mean_service_s <= 0:
--- a/boragespool/forwarding/selection.py
+++ b/boragespool/forwarding/selection.py
@@ -85,7 +85,7 @@
     candidates : iterable of Candidate
         Servers that the request has not been sent to yet.
     mean_service_s : float
-        Usual service time of such a request, in seconds.
+        Mean service time of such a request, in seconds.
     now_s : float
         Present time on the clock of the timer service.
     random_fraction : float
