Name durations and change tuples alike in the forwarding code

A tuple was called a list, a duration had two names, and the age limit of full reads was not documented. The check and the pytest files of relay, forwarder and daemon pass.

--- a/boragespool/controllers/forwarding/feed_http.py
+++ b/boragespool/controllers/forwarding/feed_http.py
@@ -47,7 +47,7 @@
 
 #: Changes of the requested prefixes, in their order; None for a prefix whose
 #: history does not reach back to the requested revision.
-_ChangesList = tuple[PrefixChanges | None, ...]
+_ChangesTuple = tuple[PrefixChanges | None, ...]
 
 
 @dataclass(slots=True)
@@ -251,13 +251,13 @@
 
 def _decode_response(
     response: HttpResponse | ExchangeFailure,
-) -> _ChangesList | str:
+) -> _ChangesTuple | str:
     """Return the changes by position, or the reason why there are none."""
     if isinstance(response, ExchangeFailure):
         return response.reason
     if response.status != _STATUS_OK:
         return f'status {response.status}'
     try:
-        return msgspec.msgpack.decode(response.body, type=_ChangesList)
+        return msgspec.msgpack.decode(response.body, type=_ChangesTuple)
     except msgspec.MsgspecError as error:
         return f'invalid response: {error}'
--- a/boragespool/controllers/forwarding/mirror.py
+++ b/boragespool/controllers/forwarding/mirror.py
@@ -156,9 +156,9 @@
             failure = await self._read_safely()
             if failure is None:
                 retry_delay_s = _MIN_RETRY_DELAY_S
-                spent_s = self._timers.now_s() - started_at_s
+                took_s = self._timers.now_s() - started_at_s
                 await asyncio.sleep(
-                    max(0, self._options.min_interval_s - spent_s)
+                    max(0, self._options.min_interval_s - took_s)
                 )
             else:
                 self._record_failure(failure)
--- a/boragespool/controllers/forwarding/relay.py
+++ b/boragespool/controllers/forwarding/relay.py
@@ -46,7 +46,8 @@
         the store is unavailable.
     max_age_s, max_other_age_s : float
         Maximum time since the store was read that is accepted from the reader
-        and from other daemons, in seconds.
+        and from other daemons, in seconds. A full read accepts data of any
+        age from other daemons.
     wait_s : float
         Maximum time that another daemon waits for a change, in seconds.
     """
@@ -169,7 +170,7 @@
 
         Several are tried, since some may have stopped.
         """
-        # A full read is accepted at any age: old data is better than none.
+        # For a full read, old data is better than none.
         max_age_s = self._options.max_other_age_s
         if after_revision is None:
             max_age_s = math.inf
