--- a/boragespool/controllers/forwarding/fleet.py
+++ b/boragespool/controllers/forwarding/fleet.py
@@ -27,7 +27,7 @@
 from boragespool.events import Event, log_event
 from boragespool.forwarding import (
     Candidate,
-    Place,
+    Locality,
     RetryBudget,
     choose_server,
     diff_registrations,
@@ -60,8 +60,7 @@
 #: Minimum number of requests per slot that the daemons of its data centre
 #: together may have in flight at a server: one runs while the next one waits.
 _MIN_REQUESTS_PER_SLOT: Final = 2
-#: Connections that a server allows if its service sets no limit, as deployed
-#: on the sites.
+#: Connections that a server allows if its service sets no limit.
 _DEFAULT_CONNECTION_COUNT: Final = 40
 #: Interval between checks for expired idle connections, in seconds; keep-alive
 #: timeouts are whole seconds.
@@ -90,7 +89,7 @@
     route_times : RouteTimes
         Observed service times by route.
     queues : ServiceQueues
-        Calls that wait until a server has room, by service.
+        Calls that wait until a server has capacity, by service.
     """
 
     def __init__(
@@ -106,14 +105,14 @@
         self.options = options
         self.route_times = RouteTimes(options.hedge_quantile)
         self.queues = ServiceQueues(timers)
-        self._registrations_by_name: Mapping[ServerName, Registration] = {}
+        self._registrations_by_server: Mapping[ServerName, Registration] = {}
         self._daemons_by_data_centre: Counter[DataCentre] = Counter()
         self._random = random
         self._servers_by_service: defaultdict[
             ServiceName, dict[str, Server]
         ] = defaultdict(dict)
         self._budgets_by_service: dict[ServiceName, RetryBudget] = {}
-        self._distance_s_by_data_centre: dict[DataCentre, Seconds] = {}
+        self._round_trip_s_by_data_centre: dict[DataCentre, Seconds] = {}
         self._region_by_data_centre = dict(options.regions_by_data_centre)
         self._started_at_s = timers.now_s()
         self._attempt_numbers = itertools.count()
@@ -161,41 +160,41 @@
         route: RouteName,
         tried: Collection[str],
     ) -> Server | None:
-        """Return the best server that has room and was not tried yet.
+        """Return the best server that has capacity and was not tried yet.
 
         Returns
         -------
         Server or None
-            None if no such server has room.
+            None if no such server has capacity.
         """
         now_s = self.timers.now_s()
         servers = self.servers_of(service)
-        usual_s = self.route_times.usual_s(route)
+        mean_service_s = self.route_times.mean_service_s(route)
         chosen = choose_server(
             (
                 Candidate(
                     name,
                     server.load,
-                    self._place_of(server.registration.data_centre),
-                    server.has_room,
+                    self._locality_of(server.registration.data_centre),
+                    server.has_capacity,
                 )
                 for name, server in servers.items()
                 if name not in tried
             ),
-            usual_s,
+            mean_service_s,
             now_s,
             self._random(),
         )
         return None if chosen is None else servers[chosen.server]
 
-    def has_room(
+    def has_capacity(
         self,
         service: ServiceName,
         tried: Collection[str],
     ) -> bool:
         """Whether a server that was not tried yet can take a request now."""
         return any(
-            server.has_room
+            server.has_capacity
             for name, server in self.servers_of(service).items()
             if name not in tried
         )
@@ -226,22 +225,22 @@
             is_hedge=is_hedge,
         )
 
-    def update_distance(self, server: Server) -> None:
-        """Update the network distance of the data centre of a server.
+    def update_round_trip(self, server: Server) -> None:
+        """Update the round trip time to the data centre of a server.
 
-        The distance is the shortest TCP handshake with any of its servers;
-        it applies to all servers in the data centre.
+        It is the shortest TCP handshake with any server in the data centre,
+        and applies to all of them.
         """
         took_s = server.connections.min_handshake_s
         if took_s is None:
             return
         data_centre = server.registration.data_centre
-        known_s = self._distance_s_by_data_centre.get(data_centre)
+        known_s = self._round_trip_s_by_data_centre.get(data_centre)
         if known_s is None or took_s < known_s:
-            self._distance_s_by_data_centre[data_centre] = took_s
+            self._round_trip_s_by_data_centre[data_centre] = took_s
             for servers in self._servers_by_service.values():
                 for other in servers.values():
-                    _set_distance(other, data_centre, took_s)
+                    _set_round_trip(other, data_centre, took_s)
 
     def discard(self, server: Server) -> None:
         """Stop using a server whose address now belongs to another server."""
@@ -251,12 +250,12 @@
 
     def _apply_registrations(
         self,
-        registered: Mapping[ServerName, Registration] | None,
+        registrations: Mapping[ServerName, Registration] | None,
     ) -> None:
         change = diff_registrations(
-            self._registrations_by_name, registered or {}
+            self._registrations_by_server, registrations or {}
         )
-        self._registrations_by_name = registered or {}
+        self._registrations_by_server = registrations or {}
         for registration in change.added + change.changed:
             self._add_or_update(registration)
         for registration in change.removed:
@@ -288,7 +287,7 @@
             partial(self.queues.dispatch, registration.service),
         )
         server = Server(registration, connections)
-        server.load.round_trip_s = self._distance_s_by_data_centre.get(
+        server.load.round_trip_s = self._round_trip_s_by_data_centre.get(
             registration.data_centre,
             0,
         )
@@ -303,12 +302,12 @@
             known.connections.close()
             _log_server_state(registration, state)
 
-    def _place_of(self, data_centre: DataCentre) -> Place:
+    def _locality_of(self, data_centre: DataCentre) -> Locality:
         if data_centre == self.options.data_centre:
-            return Place.DATA_CENTRE
+            return Locality.DATA_CENTRE
         region = self._region_by_data_centre.get(data_centre)
         is_near = region == self.options.region
-        return Place.REGION if is_near else Place.ELSEWHERE
+        return Locality.REGION if is_near else Locality.ELSEWHERE
 
     def _update_limits(self, _: object = None) -> None:
         """Recalculate this daemon's share of the capacity of each server."""
@@ -359,7 +358,7 @@
                 server.connections.close_expired()
 
 
-def _set_distance(
+def _set_round_trip(
     server: Server, data_centre: str, round_trip_s: Seconds
 ) -> None:
     if server.registration.data_centre == data_centre:
--- a/boragespool/controllers/forwarding/hosts.py
+++ b/boragespool/controllers/forwarding/hosts.py
@@ -170,9 +170,9 @@
     def apply_state(self, state: MirrorState) -> None:
         """Apply the records of a state of the mirror.
 
-        Records also vanish because their leases expire during an outage of
-        the store. They are kept until the grace period after the outage ends,
-        in which their daemons publish them again.
+        Removed records are kept until a grace period after an outage of the
+        store has ended, because leases also expire during the outage; the
+        daemons publish their records again in the grace period.
         """
         changes_by_key = state.changes_by_key
         self.feed.publish(changes_by_key, state)
@@ -183,7 +183,7 @@
         if now_s >= grace_end_s:
             self._table.drop_removed()
         else:
-            self._timers.after(grace_end_s - now_s, self._drop_lapsed)
+            self._timers.after(grace_end_s - now_s, self._drop_removed)
         if state.changed_keys:
             hosts = sorted(record.host for record in self._serving_records())
             log_event(
@@ -230,7 +230,7 @@
         else:
             self._table.put(key, record)
 
-    def _drop_lapsed(self) -> None:
+    def _drop_removed(self) -> None:
         if self._table.drop_removed():
             self._post_hosts()
 
@@ -253,8 +253,8 @@
         host = self._own_record.host
         if lease is None:
             return await self._register()
-        answer = await self._store.renew(lease.lease)
-        if isinstance(answer, LeaseEnded):
+        renewed = await self._store.renew(lease.lease)
+        if isinstance(renewed, LeaseEnded):
             log_event(
                 Event.LEASE_LOST,
                 f'the lease of {host!r} has ended',
@@ -263,12 +263,12 @@
             )
             self._lease = None
             return 0
-        if isinstance(answer, Failure):
+        if isinstance(renewed, Failure):
             self._has_renewal_failed = True
             return _RETRY_DELAY_S
         self._on_lease_renewed(self._has_renewal_failed)
         self._has_renewal_failed = False
-        renewal_s = answer / _RENEWALS_PER_TTL
+        renewal_s = renewed / _RENEWALS_PER_TTL
         if self.is_reader:
             renewal_s = min(renewal_s, self._options.relay_wait_s)
         return renewal_s
--- a/boragespool/daemon/forwarder.py
+++ b/boragespool/daemon/forwarder.py
@@ -35,7 +35,7 @@
     from boragespool.http import HttpRequest
     from boragespool.item_store import ItemStore
 
-#: Time before the end of the graceful stop by which all answers must have
+#: Time before the end of the graceful stop by which all responses must have
 #: been sent, in seconds.
 _STOP_MARGIN_S: Final = 0.5
 #: Time for which new connections are still accepted during a graceful stop,
@@ -178,12 +178,12 @@
         self, request: HttpRequest
     ) -> HttpResponse:
         """Respond to a caller with the addresses of the nearest daemons."""
-        question = self._codec.read_address_query(request)
-        if isinstance(question, Failure):
-            return self._codec.write_failure(question)
+        query = self._codec.read_address_query(request)
+        if isinstance(query, Failure):
+            return self._codec.write_failure(query)
         addresses = self._hosts.addresses(
-            question.data_centre,
-            question.region,
+            query.data_centre,
+            query.region,
         )
         if not addresses:
             return self._codec.write_failure(
@@ -195,7 +195,7 @@
         )
 
     async def handle_control(self, request: HttpRequest) -> HttpResponse:
-        """Serve the metrics, and store data to other daemons.
+        """Respond with the metrics, or with changes of the store.
 
         Other daemons of the data centre may read the store through this one.
         """
--- a/boragespool/daemon/options.py
+++ b/boragespool/daemon/options.py
@@ -53,8 +53,9 @@
     store_timeout_s : float
         Timeout of one call to the platform, in seconds.
     first_read_window_s : float
-        While no peer has a revision, the first reads of the platform are
-        delayed by a random part of this time, in seconds.
+        The first read of the host list and, while no peer has a revision, of
+        the configuration is delayed by a random part of this time, in
+        seconds.
     stop_timeout_s : float
         Maximum duration of a graceful stop, in seconds.
     """
@@ -76,9 +77,9 @@
 
 
 def _setting(
-    value_type: parsing.ValueType, default: object, text: str
+    value_type: parsing.ValueType, default: object, help_text: str
 ) -> parsing.Setting:
-    return parsing.Setting(value_type, str(default), text)
+    return parsing.Setting(value_type, str(default), help_text)
 
 
 _LINKS: Final = PeerLimits()
--- a/boragespool/forwarding/call_queue.py
+++ b/boragespool/forwarding/call_queue.py
@@ -1,8 +1,8 @@
 """Queue of calls that wait for a free backend server of one service.
 
-Calls wait here during bursts, and while all servers of a shard are slow. Not
-every call can then be answered by its target latency, after which an answer
-is worth little to the caller.
+Calls wait here during bursts, and while all servers of a shard are slow. Some
+of them then miss their target latency, after which a response is of little use
+to the caller.
 
 Calls that can still meet their target are dispatched first, by priority and
 then by remaining time, longest first. With the shortest remaining time first,
@@ -43,10 +43,10 @@
     priority : int
         0 is the most urgent.
     start_by_s : float
-        Latest time at which the call can be sent and still be answered
-        within the target latency.
+        Latest time at which the call can be sent and still meet its target
+        latency.
     deadline_at_s : float
-        Time by which the caller must have a final answer.
+        Time by which the final response must be sent.
     """
 
     number: int
@@ -80,7 +80,10 @@
         if not self._waiting_by_number:
             self._period_start_s = now_s
             self._period_dispatches = 0
-        if now_s + self.wait_s(call.priority, now_s) >= call.deadline_at_s:
+        if (
+            now_s + self.expected_wait_s(call.priority, now_s)
+            >= call.deadline_at_s
+        ):
             return False
         self._waiting_by_number[call.number] = call
         return True
@@ -119,7 +122,7 @@
             self._period_dispatches /= 2
             self._period_start_s = (self._period_start_s + now_s) / 2
 
-    def wait_s(self, priority: int, now_s: Seconds) -> Seconds:
+    def expected_wait_s(self, priority: int, now_s: Seconds) -> Seconds:
         """Return the expected wait of a new call, in seconds.
 
         It is 0 until enough calls were dispatched to estimate the rate.
--- a/boragespool/forwarding/selection.py
+++ b/boragespool/forwarding/selection.py
@@ -20,7 +20,7 @@
     from boragespool.types import Seconds, ServerName
 
 #: Expected extra wait at a server whose oldest attempt is overdue, in seconds:
-#: half of a typical pause, which lasted 300 ms on the milestone's sites.
+#: half of a typical pause of 300 ms.
 _STALL_COST_S: Final = 0.15
 #: Cost of traffic that leaves the region or the data centre, as the extra
 #: latency, in seconds, that is accepted from a nearer server to avoid it.
@@ -31,12 +31,12 @@
 #: Cost of an attempt that is certain to fail, in seconds: the time that a
 #: retry takes. It is scaled by the failure ratio of the server.
 _FAILURE_COST_S: Final = 0.5
-#: Cost of a server that recently refused or broke a connection, in seconds:
-#: higher than that of any other replica, so that it is the last choice.
+#: Cost of a server to which a connection recently failed, in seconds: higher
+#: than that of any other replica, so that it is the last choice.
 _SUSPECT_COST_S: Final = 2
 
 
-class Place(enum.Enum):
+class Locality(enum.Enum):
     """Locality of a backend server relative to the daemon."""
 
     DATA_CENTRE = 'data_centre'
@@ -45,11 +45,11 @@
     ELSEWHERE = 'elsewhere'
 
 
-_COST_S_BY_PLACE: Final = MappingProxyType(
+_COST_S_BY_LOCALITY: Final = MappingProxyType(
     {
-        Place.DATA_CENTRE: 0,
-        Place.REGION: _DATA_CENTRE_COST_S,
-        Place.ELSEWHERE: _REGION_COST_S,
+        Locality.DATA_CENTRE: 0,
+        Locality.REGION: _DATA_CENTRE_COST_S,
+        Locality.ELSEWHERE: _REGION_COST_S,
     },
 )
 
@@ -62,19 +62,19 @@
     ----------
     place : Place
         Locality of the server relative to the daemon.
-    has_room : bool
+    has_capacity : bool
         Whether the server can take another request of this daemon now.
     """
 
     server: ServerName
     load: ServerLoad
-    place: Place
-    has_room: bool
+    locality: Locality
+    has_capacity: bool
 
 
 def choose_server(
     candidates: Iterable[Candidate],
-    usual_s: Seconds,
+    mean_service_s: Seconds,
     now_s: Seconds,
     random_fraction: float,
 ) -> Candidate | None:
@@ -84,8 +84,8 @@
     ----------
     candidates : iterable of Candidate
         Servers that the request has not been sent to yet.
-    usual_s : float
-        Usual service time of such a request, in seconds.
+    mean_service_s : float
+        Mean service time of such a request, in seconds.
     now_s : float
         Present time on the clock of the timer service.
     random_fraction : float
@@ -95,39 +95,41 @@
     Returns
     -------
     Candidate or None
-        None if no candidate has room.
+        None if no candidate has capacity.
     """
     ranked = [
-        (cost_s(candidate, usual_s, now_s), number, candidate)
+        (cost_s(candidate, mean_service_s, now_s), number, candidate)
         for number, candidate in enumerate(candidates)
-        if candidate.has_room
+        if candidate.has_capacity
     ]
     if not ranked:
         return None
     min_cost_s = min(ranked)[0]
-    # Costs that differ by at most a tenth of the usual service time are
+    # Costs that differ by at most a tenth of the mean service time are
     # treated as equal.
     equal = [
-        entry[2] for entry in ranked if entry[0] <= min_cost_s + usual_s / 10
+        entry[2]
+        for entry in ranked
+        if entry[0] <= min_cost_s + mean_service_s / 10
     ]
     return equal[int(random_fraction * len(equal))]
 
 
 def cost_s(
     candidate: Candidate,
-    usual_s: Seconds,
+    mean_service_s: Seconds,
     now_s: Seconds,
 ) -> Seconds:
     """Return the expected latency of a candidate plus penalties, in seconds.
 
-    Penalties are added for failures, overdue attempts, recently broken
-    connections and traffic that leaves the data centre.
+    Penalties are added for failures, overdue attempts, recent connection
+    failures and traffic that leaves the data centre.
     """
     load = candidate.load
-    cost = load.expected_latency_s(usual_s, now_s)
+    cost = load.expected_latency_s(mean_service_s, now_s)
     cost += _FAILURE_COST_S * load.failure_ratio
-    if load.stalled_s(usual_s, now_s) > 0:
+    if load.stalled_s(mean_service_s, now_s) > 0:
         cost += _STALL_COST_S
     if now_s < load.suspect_until_s:
         cost += _SUSPECT_COST_S
-    return cost + _COST_S_BY_PLACE[candidate.place]
+    return cost + _COST_S_BY_LOCALITY[candidate.locality]
--- a/tests/test_call_queue.py
+++ b/tests/test_call_queue.py
@@ -61,8 +61,8 @@
         if number >= 10:
             queue.mark_dispatched(number - 10, number / 10)
     # Ten calls wait, and 20 were granted in 3 s.
-    assert queue.wait_s(0, 3) == pytest.approx(1.5)
-    assert queue.wait_s(1, 3) == pytest.approx(1.5)
+    assert queue.expected_wait_s(0, 3) == pytest.approx(1.5)
+    assert queue.expected_wait_s(1, 3) == pytest.approx(1.5)
     assert not queue.add(WaitingCall(50, 0, 4, 4.4), 3)
     assert queue.add(WaitingCall(51, 0, 4, 4.6), 3)
 
@@ -77,13 +77,13 @@
     assert not len(queue)
     for number in range(100, 110):
         assert queue.add(WaitingCall(number, 0, 31, 30.5), 30)
-    assert queue.wait_s(0, 30) == 0
+    assert queue.expected_wait_s(0, 30) == 0
 
 
 class Link:
     """Link without sockets."""
 
-    has_room = True
+    has_capacity = True
     limit = 30
 
 
@@ -140,7 +140,7 @@
         return self.SERVICE_S[priority] * self.slowness
 
     def arrive(self, number, now_s):
-        if not self.waits_here or self.server.has_room:
+        if not self.waits_here or self.server.has_capacity:
             self.send(number, now_s)
         else:
             self.queue.add(self.calls[number], now_s)
@@ -161,7 +161,7 @@
         service_s = self.server.load.complete_attempt(number, unloaded_s, now_s)
         self.server.record_reply(service_s, unloaded_s, now_s)
         self.answered_s[number] = now_s
-        while self.server.has_room and len(self.queue):
+        while self.server.has_capacity and len(self.queue):
             turn = self.queue.order(now_s)[0]
             self.queue.mark_dispatched(turn, now_s)
             if self.calls[turn].deadline_at_s > now_s:
