--- a/tests/claim_network.py
+++ b/tests/claim_simulation.py
@@ -63,7 +63,7 @@
 class FakePeers:
     """One daemon's view of the fake network."""
 
-    def __init__(self, world: World, host: str) -> None:
+    def __init__(self, world: ClaimSimulation, host: str) -> None:
         self.world = world
         self.host = host
         self.handlers = {}
@@ -95,7 +95,7 @@
         return result
 
 
-class World:
+class ClaimSimulation:
     """Daemons, backend servers and the faults between them."""
 
     def __init__(
@@ -335,14 +335,14 @@
     )
 
 
-def explore(
+def run_simulations(
     seeds, fault_rate: float, refusal_rate: float = 0
 ) -> tuple[Counter, list[str]]:
     """Run many worlds; return run states of answers and violations."""
     states: Counter = Counter()
     violations = []
     for seed in seeds:
-        world = World(seed, fault_rate, refusal_rate)
+        world = ClaimSimulation(seed, fault_rate, refusal_rate)
         asyncio.run(world.run())
         violations += [f'seed {seed}: {text}' for text in world.violations()]
         for answers in world.answers.values():
--- a/tests/client_world.py
+++ b/tests/faulty_fleet.py
@@ -27,7 +27,7 @@
 class Daemon(FakeTier):
     """One daemon; the world holds what issuer and witness would record."""
 
-    def __init__(self, world: World, number: int) -> None:
+    def __init__(self, world: FaultyFleet, number: int) -> None:
         super().__init__(prefix=f'd{number}')
         self.world = world
         settings = replace(SETTINGS, addresses=AddressSettings(world.keep_s))
@@ -112,7 +112,7 @@
     )
 
 
-class World:
+class FaultyFleet:
     """Some daemons, an async context manager, and the truth about claims."""
 
     def __init__(
--- a/tests/fuzz/test_claim_interleavings.py
+++ b/tests/fuzz/test_claim_interleavings.py
@@ -6,14 +6,14 @@
 
 import pytest
 
-from tests.claim_network import explore
+from tests.claim_simulation import run_simulations
 
 EXAMPLES = int(os.environ.get('FUZZ_EXAMPLES', '20000'))
 
 
 @pytest.mark.parametrize('fault_rate', [0.02, 0.1, 0.3, 0.5])
 def test_claims_run_at_most_once(fault_rate):
-    """A failing seed is printed and replays with `World(seed, rate)`."""
-    states, violations = explore(range(EXAMPLES // 4), fault_rate)
+    """A failing seed is printed and replays with `ClaimSimulation(seed, rate)`."""
+    states, violations = run_simulations(range(EXAMPLES // 4), fault_rate)
     print(fault_rate, dict(states))
     assert not violations
--- a/tests/query_cases.py
+++ b/tests/query_cases.py
@@ -11,8 +11,8 @@
 from boragespool.controllers.requests import QueryRequest
 from boragespool.settings import HedgingSettings
 
-SMALL = FleetOptions(shards=4)
-NO_HEDGES = replace(SMALL, hedging=HedgingSettings(quantile=1))
+SMALL_FLEET = FleetOptions(shards=4)
+NO_HEDGES = replace(SMALL_FLEET, hedging=HedgingSettings(quantile=1))
 
 
 def query(name='q', deadline_s=1.0, body=b'{}'):
@@ -20,14 +20,14 @@
     return QueryRequest(name, 'find', 'caller', body, deadline_s)
 
 
-def ask(fleet, *requests, warm=0):
+def run_queries(fleet, *requests, warmup_count=0):
     """Answer requests one after the other; also return the time of each."""
 
     async def run():
         loop = asyncio.get_running_loop()
         results = []
         async with QueryController(fleet.context()) as controller:
-            for number in range(warm):
+            for number in range(warmup_count):
                 await controller.answer(query(f'warm{number}'))
             fleet.asked.clear()
             fleet.requests.clear()
@@ -47,6 +47,6 @@
     return [f's{shard}r{replica}' for replica in range(3)]
 
 
-def behave(fleet, servers, behaviour):
+def set_behaviour(fleet, servers, behaviour):
     """Set the behaviour of some servers."""
     fleet.behaviour_by_server.update(dict.fromkeys(servers, behaviour))
--- a/tests/snapshot_world.py
+++ b/tests/snapshot_simulation.py
@@ -43,7 +43,7 @@
     )
 
 
-class World:
+class SimulatedServers:
     """Servers that change at any moment and an unreliable network."""
 
     def __init__(self, seed):
@@ -149,7 +149,7 @@
         return [reply, reply] if kind == 6 else [reply]
 
 
-class Query:
+class SimulatedQuery:
     """One query against the world, with the oracle's checks."""
 
     def __init__(self, world, request):
@@ -226,10 +226,10 @@
         assert self.state.complete == (not missing)
 
 
-def run_world(seed):
+def run_simulation(seed):
     """Run two queries in one world; return their final states."""
-    world = World(seed)
-    queries = [Query(world, 'p'), Query(world, 'q')]
+    world = SimulatedServers(seed)
+    queries = [SimulatedQuery(world, 'p'), SimulatedQuery(world, 'q')]
     for _ in range(3):
         for query in queries:
             query.act()
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -20,7 +20,7 @@
 from boragespool.controllers.requests import ClaimRequest
 from boragespool.messages import WitnessReply, WitnessVerdict
 from boragespool.results import Failure, ResultCode
-from tests.claim_network import HOSTS, World, explore
+from tests.claim_simulation import HOSTS, ClaimSimulation, run_simulations
 
 CI_SEEDS = 1_500
 
@@ -28,7 +28,7 @@
 @pytest.mark.parametrize('fault_rate', [0.05, 0.3])
 def test_interleavings_run_claims_at_most_once(fault_rate):
     """A claim must not run twice, nor a `not_run` hide a run."""
-    states, violations = explore(range(CI_SEEDS), fault_rate)
+    states, violations = run_simulations(range(CI_SEEDS), fault_rate)
     assert not violations
     assert states['run']
     assert states['not_run']
@@ -36,14 +36,14 @@
 
 def test_refusals_for_overload_are_true():
     """A claim that was refused early must not run, nor hide a run."""
-    states, violations = explore(range(1_000), 0.1, refusal_rate=0.3)
+    states, violations = run_simulations(range(1_000), 0.1, refusal_rate=0.3)
     assert not violations
     assert states['run']
 
 
 def test_no_outcome_is_unknown_without_faults():
     """`unknown` is allowed only where information was lost."""
-    states, violations = explore(range(500), 0)
+    states, violations = run_simulations(range(500), 0)
     assert not violations
     assert states['unknown'] == 0
 
@@ -121,7 +121,7 @@
     """A witness that is only slow must not look like one that restarted."""
 
     async def run():
-        world = World(1, 0)
+        world = ClaimSimulation(1, 0)
         for host in HOSTS:
             await world.start(host)
 
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -14,7 +14,7 @@
 from boragespool.http import HttpLimits, HttpResponse, HttpServer
 from boragespool.results import Failure, ResultCode
 from boragespool.types import Phase, Rank, RunState
-from tests.client_world import World
+from tests.faulty_fleet import FaultyFleet
 
 FAULTS = [
     '',
@@ -34,7 +34,7 @@
     async def run():
         draw = random.Random(seed).random
         async with (
-            World(3, tuple(faults)) as world,
+            FaultyFleet(3, tuple(faults)) as world,
             world.client(draw, attempt_share=share) as client,
         ):
             results = await asyncio.gather(
@@ -93,7 +93,10 @@
     """A claim that may have run must not run under another ticket."""
 
     async def run():
-        async with World(2, ['unknown']) as world, world.client() as client:
+        async with (
+            FaultyFleet(2, ['unknown']) as world,
+            world.client() as client,
+        ):
 
             async def forget(ticket, request_id):
                 return Failure(
@@ -140,7 +143,7 @@
 
     async def run_claim():
         async with (
-            World(2, ['late', 'refuse']) as world,
+            FaultyFleet(2, ['late', 'refuse']) as world,
             world.client(attempt_share=0.2) as client,
         ):
             for daemon in world.daemons:
@@ -156,7 +159,7 @@
 
     async def run():
         draw = random.Random(1).random
-        async with World(3) as world, world.client(draw) as client:
+        async with FaultyFleet(3) as world, world.client(draw) as client:
             for _ in range(10):
                 answers = await asyncio.gather(
                     *(
@@ -185,7 +188,10 @@
     """A daemon that left must not be used after `keep_s`."""
 
     async def run():
-        async with World(2, keep_s=0.1) as world, world.client() as client:
+        async with (
+            FaultyFleet(2, keep_s=0.1) as world,
+            world.client() as client,
+        ):
             for daemon in world.daemons:
                 await client.query('lookup', {}, 1)
                 world.dead = {daemon}
@@ -202,7 +208,7 @@
     """A dead or silent daemon must not cost the caller its answer."""
 
     async def run():
-        async with World(3) as world, world.client() as client:
+        async with FaultyFleet(3) as world, world.client() as client:
             assert isinstance(await client.query('lookup', {}, 1), QueryResult)
             first = next(
                 daemon for daemon in world.daemons if '/v1/query' in daemon.seen
@@ -226,7 +232,7 @@
         return Failure(ResultCode.QUEUE_FULL, 'full', retry_after_s=1)
 
     async def run():
-        async with World(3) as world, world.client() as client:
+        async with FaultyFleet(3) as world, world.client() as client:
             for daemon in world.daemons:
                 daemon.answer = refuse
             refused = await client.query('lookup', {}, 1)
@@ -242,7 +248,7 @@
     """A claim must use the ticket of a daemon that stays."""
 
     async def run():
-        async with World(2) as world, world.client() as client:
+        async with FaultyFleet(2) as world, world.client() as client:
             world.daemons[0].board.post(PHASE, Phase.LEAVING)
             settled = await client.claim('unlock', {'name': 'a'}, 1)
             assert settled.ticket.startswith('d1-')
@@ -254,7 +260,7 @@
     """Its witness can have stopped too; others then answer `unknown`."""
 
     async def run() -> None:
-        async with World(2) as world, world.client() as client:
+        async with FaultyFleet(2) as world, world.client() as client:
             first = await client.claim('unlock', {'name': 'a'}, 1)
             assert isinstance(first, ClaimResult)
             stopped = world.daemons[0]
@@ -273,7 +279,7 @@
     """Without a daemon a claim was not run, and the call must end in time."""
 
     async def run():
-        async with World(2) as world, world.client() as client:
+        async with FaultyFleet(2) as world, world.client() as client:
             for daemon in world.daemons:
                 await daemon.server.__aexit__()
             async with asyncio.timeout(1):
@@ -309,7 +315,7 @@
 
     async def run():
         async with HttpServer('127.0.0.1:0', HttpLimits(), answer) as server:
-            world = World(1)
+            world = FaultyFleet(1)
             world.daemons[0].server = server
             async with world.client() as client:
                 settled = await client.claim('unlock', {'name': 'a'}, 0.3)
--- a/tests/test_http_failures.py
+++ b/tests/test_http_failures.py
@@ -21,7 +21,7 @@
     open_connection,
 )
 from boragespool.types import RunState
-from tests.client_world import World
+from tests.faulty_fleet import FaultyFleet
 from tests.relay import Relay
 
 LIMITS = HttpLimits(
@@ -306,7 +306,7 @@
     """A claim on a silent or cut link must be resent under its ticket."""
 
     async def run():
-        async with World(2) as world:
+        async with FaultyFleet(2) as world:
             # The first daemon is reached through the relay only.
             direct = world.daemons[1].server.address
             async with Relay(world.daemons[0].server.address) as relay:
--- a/tests/test_pinned.py
+++ b/tests/test_pinned.py
@@ -13,7 +13,13 @@
 from boragespool.bench.virtual_time import run_virtual
 from boragespool.controllers.queries.query import QueryController
 from boragespool.messages import Holding
-from tests.query_cases import SMALL, ask, behave, query, replicas
+from tests.query_cases import (
+    SMALL_FLEET,
+    query,
+    replicas,
+    run_queries,
+    set_behaviour,
+)
 
 
 def later(fleet, changes_by_server):
@@ -41,7 +47,7 @@
 
 def test_lost_version_restarts_the_query_on_a_newer_one():
     """A version that is dropped in a query must not lower the coverage."""
-    fleet = FakeFleet(SMALL, 1)
+    fleet = FakeFleet(SMALL_FLEET, 1)
     lost = shard_range(1, 4)
     fleet.holds = lambda asked: asked.version == 2 or asked.start != lost[0]
     newer = {
@@ -53,7 +59,7 @@
     assert (answer.snapshot, answer.coverage) == (2, 1)
     assert {item.value[1] for item in answer.items} == {2}
     assert took_s < 0.1
-    older = FakeFleet(SMALL, 1)
+    older = FakeFleet(SMALL_FLEET, 1)
     older.holds = fleet.holds
     answer, took_s = ask_during_change(older, {})
     assert (answer.snapshot, answer.missing) == (1, (lost,))
@@ -62,7 +68,7 @@
 
 def test_repartitioned_shard_is_planned_again_for_the_same_version():
     """A shard that is cut in two must not lower the coverage."""
-    fleet = FakeFleet(SMALL, 1)
+    fleet = FakeFleet(SMALL_FLEET, 1)
     start, end = shard_range(1, 4)
     middle = (start + end) // 2
     truth = {'s1r0': (start, middle), 's1r1': (middle, end)}
@@ -80,10 +86,10 @@
 
 def test_rest_of_a_narrower_reply_is_asked_again():
     """A reply for half a range must not hide or lose the other half."""
-    fleet = FakeFleet(SMALL, 1)
+    fleet = FakeFleet(SMALL_FLEET, 1)
     start, end = shard_range(1, 4)
     middle = (start + end) // 2
-    behave(
+    set_behaviour(
         fleet,
         replicas(1),
         lambda asked: (
@@ -92,6 +98,6 @@
             else true_reply(asked)
         ),
     )
-    ((answer, _),) = ask(fleet, query())
+    ((answer, _),) = run_queries(fleet, query())
     assert answer.coverage == 1
     assert [asked.start for asked in fleet.requests[4:]] == [middle]
--- a/tests/test_query.py
+++ b/tests/test_query.py
@@ -27,18 +27,18 @@
 from boragespool.types import RunState, ServerState
 from tests.query_cases import (
     NO_HEDGES,
-    SMALL,
-    ask,
-    behave,
+    SMALL_FLEET,
     query,
     replicas,
+    run_queries,
+    set_behaviour,
 )
 
 
 def test_whole_answer():
     """Each shard must be asked once and every item must come back."""
-    fleet = FakeFleet(SMALL, 1)
-    ((answer, took_s),) = ask(fleet, query())
+    fleet = FakeFleet(SMALL_FLEET, 1)
+    ((answer, took_s),) = run_queries(fleet, query())
     assert answer.code == ResultCode.COMPLETE
     assert answer.coverage == 1
     assert answer.missing == ()
@@ -49,9 +49,9 @@
 
 def test_silent_shard_gives_true_coverage_at_the_deadline():
     """An answer must not wait beyond the deadline nor claim the shard."""
-    fleet = FakeFleet(SMALL, 1)
-    behave(fleet, replicas(2), lambda _: None)
-    ((answer, took_s),) = ask(fleet, query(deadline_s=0.2))
+    fleet = FakeFleet(SMALL_FLEET, 1)
+    set_behaviour(fleet, replicas(2), lambda _: None)
+    ((answer, took_s),) = run_queries(fleet, query(deadline_s=0.2))
     assert answer.code == ResultCode.PARTIAL
     assert answer.coverage == 0.75
     assert answer.missing == (shard_range(2, 4),)
@@ -62,18 +62,20 @@
 def test_straggler_is_hedged_and_cancelled():
     """One slow reply must not set the latency of the whole query."""
     slowest_s = []
-    for options in (SMALL, NO_HEDGES):
+    for options in (SMALL_FLEET, NO_HEDGES):
         fleet = FakeFleet(options, 1)
-        behave(
+        set_behaviour(
             fleet,
             ['s1r0', 's2r1'],
             lambda asked: (
                 true_reply(asked) if 'warm' in asked.request_id else None
             ),
         )
-        results = ask(fleet, *[query(str(n)) for n in range(10)], warm=14)
+        results = run_queries(
+            fleet, *[query(str(n)) for n in range(10)], warmup_count=14
+        )
         slowest_s.append(max(took_s for _, took_s in results))
-        if options is SMALL:
+        if options is SMALL_FLEET:
             assert all(answer.coverage == 1 for answer, _ in results)
             assert fleet.cancelled > 0
     assert slowest_s[0] < 0.05
@@ -88,19 +90,19 @@
         ResultCode.SERVER_UNREACHABLE,
         ResultCode.SERVER_REPLY_INVALID,
     ):
-        fleet = FakeFleet(SMALL, 1)
-        behave(fleet, ['s0r0', 's0r1'], refusal(code))
-        ((answer, _),) = ask(fleet, query())
+        fleet = FakeFleet(SMALL_FLEET, 1)
+        set_behaviour(fleet, ['s0r0', 's0r1'], refusal(code))
+        ((answer, _),) = run_queries(fleet, query())
         assert answer.coverage == 1, code
 
 
 def test_retry_waits_a_little_for_a_token():
     """The first queries after the loss of a replica used up the tokens."""
     hedging = HedgingSettings(quantile=1, budget_ratio=0.25, burst=1)
-    fleet = FakeFleet(replace(SMALL, hedging=hedging), 1)
+    fleet = FakeFleet(replace(SMALL_FLEET, hedging=hedging), 1)
     for shard in (0, 1):
         refused = refusal(ResultCode.SERVER_SHED)
-        behave(
+        set_behaviour(
             fleet,
             replicas(shard),
             lambda asked, seen=set(): (
@@ -123,14 +125,14 @@
 
 def test_one_lost_server_does_not_stop_hedging():
     """A query that meets a lost server must not wait for its stragglers."""
-    fleet = FakeFleet(SMALL, 1)
+    fleet = FakeFleet(SMALL_FLEET, 1)
     crash = refusal(ResultCode.SERVER_CLOSED, RunState.UNKNOWN)
-    behave(
+    set_behaviour(
         fleet,
         ['s1r0', 's1r1', 's1r2'],
         lambda asked: true_reply(asked) if 'warm' in asked.request_id else None,
     )
-    behave(
+    set_behaviour(
         fleet,
         replicas(2),
         lambda asked: (
@@ -139,7 +141,7 @@
             else crash(asked)
         ),
     )
-    ask(fleet, query(), warm=14)
+    run_queries(fleet, query(), warmup_count=14)
     assert sum(fleet.asked[name] for name in replicas(1)) == 3
 
 
@@ -150,26 +152,28 @@
         (RunState.NOT_RUN, Failure),
         (RunState.UNKNOWN, None),
     ):
-        fleet = FakeFleet(SMALL, 1)
-        behave(fleet, everywhere, refusal(ResultCode.SERVER_SHED))
-        behave(fleet, replicas(3), refusal(ResultCode.SERVER_CLOSED, run))
-        ((answer, _),) = ask(fleet, query())
+        fleet = FakeFleet(SMALL_FLEET, 1)
+        set_behaviour(fleet, everywhere, refusal(ResultCode.SERVER_SHED))
+        set_behaviour(
+            fleet, replicas(3), refusal(ResultCode.SERVER_CLOSED, run)
+        )
+        ((answer, _),) = run_queries(fleet, query())
         if expected is Failure:
             assert isinstance(answer, Failure)
             assert answer.run == RunState.NOT_RUN
         else:
             assert answer.code == ResultCode.PARTIAL
             assert answer.coverage == 0
-    fleet = FakeFleet(SMALL, 1)
-    behave(fleet, everywhere, lambda _: None)
-    ((answer, _),) = ask(fleet, query())
+    fleet = FakeFleet(SMALL_FLEET, 1)
+    set_behaviour(fleet, everywhere, lambda _: None)
+    ((answer, _),) = run_queries(fleet, query())
     assert not isinstance(answer, Failure)
 
 
 def test_hedge_avoids_servers_that_began_to_leave():
     """A hedge is planned after the first attempts and must look again."""
-    fleet = FakeFleet(SMALL, 1)
-    behave(
+    fleet = FakeFleet(SMALL_FLEET, 1)
+    set_behaviour(
         fleet,
         replicas(1),
         lambda asked: true_reply(asked) if 'warm' in asked.request_id else None,
@@ -197,27 +201,27 @@
 def test_blocked_and_suspect_requests():
     """A request that crashes servers must not reach one per shard."""
     fingerprint = fingerprint_of('find', b'{}')
-    fleet = FakeFleet(SMALL, 1)
+    fleet = FakeFleet(SMALL_FLEET, 1)
     fleet.board.post(BLOCKED_FINGERPRINTS, frozenset([fingerprint]))
-    ((answer, _),) = ask(fleet, query())
+    ((answer, _),) = run_queries(fleet, query())
     assert answer.code == ResultCode.REQUEST_BLOCKED
     assert answer.run == RunState.NOT_RUN
     assert not fleet.asked
-    fleet = FakeFleet(SMALL, 1)
+    fleet = FakeFleet(SMALL_FLEET, 1)
     fleet.board.post(SUSPECT_FINGERPRINTS, frozenset([fingerprint]))
-    ((answer, _),) = ask(fleet, query())
+    ((answer, _),) = run_queries(fleet, query())
     assert answer.coverage == 1
     assert all(asked.solo for asked in fleet.requests)
     crash = refusal(ResultCode.SERVER_CLOSED, RunState.UNKNOWN)
-    behave(fleet, [f's0r{n}' for n in range(3)], crash)
+    set_behaviour(fleet, [f's0r{n}' for n in range(3)], crash)
     fleet.asked.clear()
 
     def block(message):
         fleet.board.post(BLOCKED_FINGERPRINTS, frozenset([fingerprint]))
         return crash(message)
 
-    behave(fleet, replicas(0), block)
-    ((answer, _),) = ask(fleet, query())
+    set_behaviour(fleet, replicas(0), block)
+    ((answer, _),) = run_queries(fleet, query())
     assert answer.code == ResultCode.REQUEST_BLOCKED
     assert answer.run == RunState.UNKNOWN
     assert sum(fleet.asked.values()) == 1
@@ -225,15 +229,15 @@
 
 def test_canary_runs_first_and_once_per_fingerprint():
     """An unseen request must not crash one server of each shard."""
-    fleet = FakeFleet(replace(SMALL, canary=True), 1)
+    fleet = FakeFleet(replace(SMALL_FLEET, canary=True), 1)
     crash = refusal(ResultCode.SERVER_CLOSED, RunState.UNKNOWN)
     everywhere = [name for shard in range(4) for name in replicas(shard)]
-    behave(fleet, everywhere, crash)
-    ask(fleet, query(body=b'bad'))
+    set_behaviour(fleet, everywhere, crash)
+    run_queries(fleet, query(body=b'bad'))
     assert set(fleet.asked) <= set(replicas(0))
     assert [asked.solo for asked in fleet.requests] == [False, True, True]
     fleet.behaviour_by_server.clear()
-    (_, first_s), (_, second_s) = ask(fleet, query(), query())
+    (_, first_s), (_, second_s) = run_queries(fleet, query(), query())
     assert second_s < first_s * 0.7
     good = KnownGood(2)
     for fingerprint in (1, 2, 1, 3):
@@ -243,14 +247,14 @@
 
 def test_hopeless_query_is_refused_early_and_not_for_ever():
     """Reported waits beyond the deadline must not cost the whole deadline."""
-    fleet = FakeFleet(SMALL, 1)
+    fleet = FakeFleet(SMALL_FLEET, 1)
     everywhere = [name for shard in range(4) for name in replicas(shard)]
 
     def full(message):
         refused = refusal(ResultCode.QUEUE_FULL)(message)
         return replace(refused, waits_s=(0.0, 0.5, 0.5), retry_after_s=0.5)
 
-    behave(fleet, everywhere, full)
+    set_behaviour(fleet, everywhere, full)
 
     async def run():
         async with QueryController(fleet.context()) as controller:
@@ -275,11 +279,11 @@
 def test_second_attempts_stay_within_the_budget(ratio, burst):
     """An outage must not multiply the load on the servers that are left."""
     hedging = HedgingSettings(budget_ratio=ratio, burst=burst)
-    fleet = FakeFleet(replace(SMALL, hedging=hedging), 1)
-    behave(fleet, replicas(0), lambda _: None)
+    fleet = FakeFleet(replace(SMALL_FLEET, hedging=hedging), 1)
+    set_behaviour(fleet, replicas(0), lambda _: None)
     shed = refusal(ResultCode.SERVER_SHED)
     for shard in (1, 2):
-        behave(fleet, replicas(shard), shed)
-    results = ask(fleet, *[query(str(n), 0.1) for n in range(40)])
+        set_behaviour(fleet, replicas(shard), shed)
+    results = run_queries(fleet, *[query(str(n), 0.1) for n in range(40)])
     firsts = 4 * len(results)
     assert firsts <= sum(fleet.asked.values()) <= firsts * (1 + ratio) + burst
--- a/tests/test_query_peers.py
+++ b/tests/test_query_peers.py
@@ -10,7 +10,7 @@
 from boragespool.messages import CancelWork, WorkRequest
 from boragespool.results import Failure, ResultCode
 from boragespool.types import RunState
-from tests.query_cases import SMALL, query
+from tests.query_cases import SMALL_FLEET, query
 from tests.test_peers import pair
 
 
@@ -18,7 +18,7 @@
     """Messages that pass only in memory would fail between daemons."""
 
     async def run() -> None:
-        fleet = FakeFleet(replace(SMALL, hosts=0), 1)
+        fleet = FakeFleet(replace(SMALL_FLEET, hosts=0), 1)
         async with pair() as (merger, dispatcher):
             fleet.post_members(['b'])
             context = replace(fleet.context(), peers=merger)
--- a/tests/test_query_storm.py
+++ b/tests/test_query_storm.py
@@ -20,7 +20,7 @@
 from boragespool.messages import Holding
 from boragespool.results import Failure, ResultCode
 from boragespool.types import KEY_SPACE_SIZE, RunState, ServerState
-from tests.query_cases import SMALL, behave, query, replicas
+from tests.query_cases import SMALL_FLEET, query, replicas, set_behaviour
 
 
 class Storm:
@@ -28,7 +28,7 @@
 
     def __init__(self, seed):
         self.draw = random.Random(seed)
-        self.fleet = FakeFleet(replace(SMALL, deadline_s=0.3), seed)
+        self.fleet = FakeFleet(replace(SMALL_FLEET, deadline_s=0.3), seed)
         self.fleet.holds = self.holds
         self.truth = {
             name: {1: shard_range(shard, 4)}
@@ -37,7 +37,7 @@
         }
         self.closed = set()
         self.previous = None
-        behave(self.fleet, self.truth, self.behave)
+        set_behaviour(self.fleet, self.truth, self.behave)
 
     def holds(self, asked):
         """Return whether a server holds what it was asked for."""
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -24,7 +24,7 @@
     union,
 )
 from boragespool.types import KEY_SPACE_SIZE, RunState
-from tests.snapshot_world import run_world
+from tests.snapshot_simulation import run_simulation
 
 HALF = KEY_SPACE_SIZE // 2
 RANGES = st.lists(
@@ -67,7 +67,7 @@
     states = [
         state
         for seed in range(block * 400, (block + 1) * 400)
-        for state in run_world(seed)
+        for state in run_simulation(seed)
     ]
     assert sum(state.complete for state in states) > 100
 
