Describe the simulated fleets of the tests and name their parts

The docstrings now say what each fake does, which faults it injects and what its attributes hold; dictionaries name their key.

--- a/tests/member_records.py
+++ b/tests/member_records.py
@@ -1,4 +1,4 @@
-"""Member records for tests."""
+"""Builder of member records for tests."""
 
 from __future__ import annotations
 
@@ -12,7 +12,11 @@
     data_centre: str = 'north',
     **fields,
 ) -> MemberRecord:
-    """Return a record; the host is its own address."""
+    """Return a member record with defaults for its other fields.
+
+    The region is the first letter of the data centre. The addresses are made
+    from the name of the host.
+    """
     defaults = {'incarnation': 1, 'beat': 0, 'region': data_centre[0]}
     return MemberRecord(
         host=host,
--- a/tests/query_cases.py
+++ b/tests/query_cases.py
@@ -1,4 +1,4 @@
-"""Requests and fleets that the tests of the query controller share."""
+"""Requests and fake fleets for the tests of the query controller."""
 
 from __future__ import annotations
 
@@ -16,12 +16,28 @@
 
 
 def query(name='q', deadline_s=1.0, body=b'{}'):
-    """Return a checked request."""
+    """Return a query request as the API for callers passes it on."""
     return QueryRequest(name, 'find', 'caller', body, deadline_s)
 
 
 def run_queries(fleet, *requests, warmup_count=0):
-    """Answer requests one after the other; also return the time of each."""
+    """Run queries one after the other in virtual time.
+
+    Parameters
+    ----------
+    fleet : FakeFleet
+        Backend servers and their dispatchers.
+    *requests : QueryRequest
+        Queries to run.
+    warmup_count : int
+        Number of queries to run before; `fleet.asked` and `fleet.requests` do
+        not include them.
+
+    Returns
+    -------
+    list of (QueryAnswer or Failure, float)
+        Answer to each request and the time that it took, in seconds.
+    """
 
     async def run():
         loop = asyncio.get_running_loop()
@@ -43,7 +59,7 @@
 
 
 def replicas(shard):
-    """Return the names of the replicas of a shard."""
+    """Return the names of the servers that hold a shard."""
     return [f's{shard}r{replica}' for replica in range(3)]
 
 
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -121,21 +121,21 @@
     """A witness that is only slow must not look like one that restarted."""
 
     async def run():
-        world = ClaimSimulation(1, 0)
+        simulation = ClaimSimulation(1, 0)
         for host in HOSTS:
-            await world.start(host)
+            await simulation.start(host)
 
         async def no_witness(host, message, timeout_s):
             return answer
 
-        issuer = world.controllers['a']
+        issuer = simulation.controllers_by_host['a']
         (text,) = issuer.issue(1)
-        world.peers['a'].request = no_witness
+        simulation.peers_by_host['a'].request = no_witness
         request = ClaimRequest('r', 'claim', 'caller', text, b'1', 1)
         refusals = [await issuer.run(request) for _ in '12']
-        for controller in world.controllers.values():
+        for controller in simulation.controllers_by_host.values():
             await controller.__aexit__()
-        return refusals, world.runs
+        return refusals, simulation.run_counts_by_ticket
 
     refusals, runs = asyncio.run(run())
     for refusal in refusals:
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -29,13 +29,13 @@
 
 
 def claim_all(faults, names=('a',), deadline_s=0.6, share=0.3, seed=0):
-    """Claim concurrently; return the results by name and the world."""
+    """Claim concurrently; return the results by name and the fleet."""
 
     async def run():
         draw = random.Random(seed).random
         async with (
-            FaultyFleet(3, tuple(faults)) as world,
-            world.client(draw, attempt_share=share) as client,
+            FaultyFleet(3, tuple(faults)) as fleet,
+            fleet.client(draw, attempt_share=share) as client,
         ):
             results = await asyncio.gather(
                 *(
@@ -45,7 +45,7 @@
             )
             # Late work must have ended before the runs are counted.
             await asyncio.sleep(0.3 if 'late' in faults else 0)
-            return dict(zip(names, results, strict=True)), world
+            return dict(zip(names, results, strict=True)), fleet
 
     return asyncio.run(run())
 
@@ -57,13 +57,13 @@
 )
 def test_claims_run_at_most_once_and_reports_are_true(faults, seed):
     """No sequence of failures may run a claim twice or deny that it ran."""
-    results, world = claim_all(faults, ('a', 'b', 'c'), seed=seed)
-    for name, settled in results.items():
-        runs = world.runs_by_name[name]
+    results, fleet = claim_all(faults, ('a', 'b', 'c'), seed=seed)
+    for name, result in results.items():
+        runs = fleet.runs_by_name[name]
         assert runs <= 1
-        if settled.run is RunState.RUN:
+        if result.run is RunState.RUN:
             assert runs == 1
-        if settled.run is RunState.NOT_RUN:
+        if result.run is RunState.NOT_RUN:
             assert runs == 0
 
 
@@ -81,12 +81,12 @@
 )
 def test_claim_succeeds_after_one_failure(faults, tickets):
     """A claim must be resent, under a new ticket only after `not_run`."""
-    results, world = claim_all(faults, deadline_s=1.5, share=0.1)
-    settled = results['a']
-    assert isinstance(settled, ClaimResult)
-    assert settled.outcome == {'ticket': settled.ticket}
-    assert world.runs_by_name == {'a': 1}
-    assert len(world.sent_tickets) == tickets
+    results, fleet = claim_all(faults, deadline_s=1.5, share=0.1)
+    result = results['a']
+    assert isinstance(result, ClaimResult)
+    assert result.outcome == {'ticket': result.ticket}
+    assert fleet.runs_by_name == {'a': 1}
+    assert len(fleet.sent_tickets) == tickets
 
 
 def test_unknown_is_never_claimed_under_a_new_ticket():
@@ -94,8 +94,8 @@
 
     async def run():
         async with (
-            FaultyFleet(2, ['unknown']) as world,
-            world.client() as client,
+            FaultyFleet(2, ['unknown']) as fleet,
+            fleet.client() as client,
         ):
 
             async def forget(ticket, request_id):
@@ -105,13 +105,13 @@
                     RunState.UNKNOWN,
                 )
 
-            for daemon in world.daemons:
+            for daemon in fleet.daemons:
                 daemon.outcome = forget
-            settled = await client.claim('unlock', {'name': 'a'}, 0.4)
-            assert settled.run is RunState.UNKNOWN
-            assert world.sent_tickets == {('a', settled.ticket)}
-            del world.daemons[0].outcome, world.daemons[1].outcome
-            later = await client.outcome(settled.ticket, 0.4)
+            result = await client.claim('unlock', {'name': 'a'}, 0.4)
+            assert result.run is RunState.UNKNOWN
+            assert fleet.sent_tickets == {('a', result.ticket)}
+            del fleet.daemons[0].outcome, fleet.daemons[1].outcome
+            later = await client.outcome(result.ticket, 0.4)
             assert isinstance(later, ClaimResult)
             sealed = await client.outcome('d0-99', 0.4)
             assert sealed.code is ResultCode.NOT_RUN_SEALED
@@ -121,10 +121,10 @@
 
 def test_sealed_after_unknown_is_left_to_the_caller():
     """After `unknown` the library must not claim under a new ticket."""
-    results, world = claim_all(['unknown_unrun'])
+    results, fleet = claim_all(['unknown_unrun'])
     assert results['a'].code is ResultCode.NOT_RUN_SEALED
-    assert len(world.sent_tickets) == 1
-    assert not world.runs_by_name
+    assert len(fleet.sent_tickets) == 1
+    assert not fleet.runs_by_name
 
 
 @pytest.mark.parametrize(
@@ -143,13 +143,13 @@
 
     async def run_claim():
         async with (
-            FaultyFleet(2, ['late', 'refuse']) as world,
-            world.client(attempt_share=0.2) as client,
+            FaultyFleet(2, ['late', 'refuse']) as fleet,
+            fleet.client(attempt_share=0.2) as client,
         ):
-            for daemon in world.daemons:
+            for daemon in fleet.daemons:
                 daemon.outcome = refuse
-            settled = await client.claim('unlock', {'name': 'a'}, 0.8)
-            assert settled.run is run
+            result = await client.claim('unlock', {'name': 'a'}, 0.8)
+            assert result.run is run
 
     asyncio.run(run_claim())
 
@@ -159,7 +159,7 @@
 
     async def run():
         draw = random.Random(1).random
-        async with FaultyFleet(3) as world, world.client(draw) as client:
+        async with FaultyFleet(3) as fleet, fleet.client(draw) as client:
             for _ in range(10):
                 answers = await asyncio.gather(
                     *(
@@ -168,7 +168,7 @@
                     ),
                 )
                 assert {answer.rank for answer in answers} == {Rank.DEFERRABLE}
-            seen = [daemon.seen for daemon in world.daemons]
+            seen = [daemon.requested_paths for daemon in fleet.daemons]
             asked = [paths.count('/v1/addresses') for paths in seen]
             assert sum(asked) == 1
             assert all(paths.count('/v1/query') > 3 for paths in seen)
@@ -178,10 +178,10 @@
 
 def test_concurrent_claims_share_one_fetch_of_tickets():
     """A burst of claims must not become a burst of address requests."""
-    results, world = claim_all([], names=('a', 'b', 'c', 'd'))
-    seen = [path for daemon in world.daemons for path in daemon.seen]
+    results, fleet = claim_all([], names=('a', 'b', 'c', 'd'))
+    seen = [path for daemon in fleet.daemons for path in daemon.requested_paths]
     assert seen.count('/v1/addresses') == 1
-    assert len({settled.ticket for settled in results.values()}) == 4
+    assert len({result.ticket for result in results.values()}) == 4
 
 
 def test_addresses_expire():
@@ -189,16 +189,16 @@
 
     async def run():
         async with (
-            FaultyFleet(2, keep_s=0.1) as world,
-            world.client() as client,
+            FaultyFleet(2, keep_s=0.1) as fleet,
+            fleet.client() as client,
         ):
-            for daemon in world.daemons:
+            for daemon in fleet.daemons:
                 await client.query('lookup', {}, 1)
-                world.dead = {daemon}
+                fleet.dead_daemons = {daemon}
                 await asyncio.sleep(0.12)
-                served = len(daemon.seen)
+                served = len(daemon.requested_paths)
                 await client.query('lookup', {}, 1)
-                paths = daemon.seen[served:]
+                paths = daemon.requested_paths[served:]
                 assert '/v1/query' not in paths
 
     asyncio.run(run())
@@ -208,17 +208,19 @@
     """A dead or silent daemon must not cost the caller its answer."""
 
     async def run():
-        async with FaultyFleet(3) as world, world.client() as client:
+        async with FaultyFleet(3) as fleet, fleet.client() as client:
             assert isinstance(await client.query('lookup', {}, 1), QueryResult)
             first = next(
-                daemon for daemon in world.daemons if '/v1/query' in daemon.seen
+                daemon
+                for daemon in fleet.daemons
+                if '/v1/query' in daemon.requested_paths
             )
             first.delay_s = 5
             assert isinstance(await client.query('lookup', {}, 1), QueryResult)
             # The silent daemon is avoided by the next query.
             assert isinstance(await client.query('lookup', {}, 1), QueryResult)
-            assert first.seen.count('/v1/query') == 2
-            world.dead.add(first)
+            assert first.requested_paths.count('/v1/query') == 2
+            fleet.dead_daemons.add(first)
             await first.server.__aexit__()
             assert isinstance(await client.query('lookup', {}, 1), QueryResult)
 
@@ -232,13 +234,17 @@
         return Failure(ResultCode.QUEUE_FULL, 'full', retry_after_s=1)
 
     async def run():
-        async with FaultyFleet(3) as world, world.client() as client:
-            for daemon in world.daemons:
+        async with FaultyFleet(3) as fleet, fleet.client() as client:
+            for daemon in fleet.daemons:
                 daemon.answer = refuse
             refused = await client.query('lookup', {}, 1)
             assert refused.code is ResultCode.QUEUE_FULL
             assert refused.retry_after_s == 1
-            seen = [path for daemon in world.daemons for path in daemon.seen]
+            seen = [
+                path
+                for daemon in fleet.daemons
+                for path in daemon.requested_paths
+            ]
             assert seen.count('/v1/query') == 1
 
     asyncio.run(run())
@@ -248,10 +254,10 @@
     """A claim must use the ticket of a daemon that stays."""
 
     async def run():
-        async with FaultyFleet(2) as world, world.client() as client:
-            world.daemons[0].board.post(PHASE, Phase.LEAVING)
-            settled = await client.claim('unlock', {'name': 'a'}, 1)
-            assert settled.ticket.startswith('d1-')
+        async with FaultyFleet(2) as fleet, fleet.client() as client:
+            fleet.daemons[0].board.post(PHASE, Phase.LEAVING)
+            result = await client.claim('unlock', {'name': 'a'}, 1)
+            assert result.ticket.startswith('d1-')
 
     asyncio.run(run())
 
@@ -260,17 +266,17 @@
     """Its witness can have stopped too; others then answer `unknown`."""
 
     async def run() -> None:
-        async with FaultyFleet(2) as world, world.client() as client:
+        async with FaultyFleet(2) as fleet, fleet.client() as client:
             first = await client.claim('unlock', {'name': 'a'}, 1)
             assert isinstance(first, ClaimResult)
-            stopped = world.daemons[0]
+            stopped = fleet.daemons[0]
             await stopped.server.__aexit__()
-            world.dead.add(stopped)
+            fleet.dead_daemons.add(stopped)
             # The idle connection has to be seen closed.
             await asyncio.sleep(0.05)
             second = await client.claim('unlock', {'name': 'b'}, 1)
             assert isinstance(second, ClaimResult)
-            assert not world.sealed
+            assert not fleet.sealed_tickets
 
     asyncio.run(run())
 
@@ -279,12 +285,12 @@
     """Without a daemon a claim was not run, and the call must end in time."""
 
     async def run():
-        async with FaultyFleet(2) as world, world.client() as client:
-            for daemon in world.daemons:
+        async with FaultyFleet(2) as fleet, fleet.client() as client:
+            for daemon in fleet.daemons:
                 await daemon.server.__aexit__()
             async with asyncio.timeout(1):
-                settled = await client.claim('unlock', {'name': 'a'}, 0.3)
-                assert settled.run is RunState.NOT_RUN
+                result = await client.claim('unlock', {'name': 'a'}, 0.3)
+                assert result.run is RunState.NOT_RUN
                 lost = await client.query('lookup', {}, 0.3)
                 assert isinstance(lost, Failure)
 
@@ -315,11 +321,11 @@
 
     async def run():
         async with HttpServer('127.0.0.1:0', HttpLimits(), answer) as server:
-            world = FaultyFleet(1)
-            world.daemons[0].server = server
-            async with world.client() as client:
-                settled = await client.claim('unlock', {'name': 'a'}, 0.3)
-                assert settled.run is RunState.UNKNOWN
+            fleet = FaultyFleet(1)
+            fleet.daemons[0].server = server
+            async with fleet.client() as client:
+                result = await client.claim('unlock', {'name': 'a'}, 0.3)
+                assert result.run is RunState.UNKNOWN
                 lost = await client.query('lookup', {}, 0.3)
                 assert isinstance(lost, Failure)
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -15,7 +15,7 @@
 from tests.configuration_fleet import Fleet
 
 
-def documents(count):
+def encode_revisions(count):
     """Encode revisions 1 to `count`."""
     document = None
     encoded = []
@@ -31,10 +31,10 @@
 
     async def run() -> None:
         async with Fleet(20) as fleet:
-            for number, value in enumerate(documents(4), start=1):
+            for number, value in enumerate(encode_revisions(4), start=1):
                 fleet.platform.put(value)
                 await fleet.advance(3)
-                assert fleet.revisions() == {number}
+                assert fleet.revisions_in_force() == {number}
 
     asyncio.run(run())
 
@@ -45,14 +45,16 @@
     async def run() -> None:
         async with Fleet(20) as fleet:
             await fleet.advance(15)
-            watching = [one.is_watcher for one in fleet.controllers.values()]
+            watching = [
+                one.is_watcher for one in fleet.controllers_by_host.values()
+            ]
             assert sum(watching) == 3
-            fleet.platform.calls.update(watch=0, hosts=0)
-            fleet.platform.watchers.clear()
+            fleet.platform.call_counts.update(watch=0, hosts=0)
+            fleet.platform.calling_hosts.clear()
             await fleet.advance(60)
-            assert len(fleet.platform.watchers) == 3
-            assert fleet.platform.calls['watch'] <= 21
-            assert fleet.platform.calls['hosts'] <= 3 * 121
+            assert len(fleet.platform.calling_hosts) == 3
+            assert fleet.platform.call_counts['watch'] <= 21
+            assert fleet.platform.call_counts['hosts'] <= 3 * 121
 
     asyncio.run(run())
 
@@ -63,16 +65,16 @@
     async def run() -> None:
         async with Fleet(6) as fleet:
             await fleet.advance(1)
-            fleet.cut_off = {
+            fleet.isolated_hosts = {
                 host
-                for host, controller in fleet.controllers.items()
+                for host, controller in fleet.controllers_by_host.items()
                 if controller.is_watcher
             }
-            assert len(fleet.cut_off) == 3
+            assert len(fleet.isolated_hosts) == 3
             await fleet.advance(1)
-            fleet.platform.put(documents(1)[0])
+            fleet.platform.put(encode_revisions(1)[0])
             await fleet.advance(3)
-            assert fleet.revisions() == {1}
+            assert fleet.revisions_in_force() == {1}
 
     asyncio.run(run())
 
@@ -81,7 +83,7 @@
     """The highest revision of the peers is taken and never reverted."""
 
     async def run() -> None:
-        first, second, _, fourth = documents(4)
+        first, second, _, fourth = encode_revisions(4)
         async with Fleet(5) as fleet:
             fleet.platform.put(second)
             await fleet.advance(3)
@@ -89,14 +91,14 @@
             await fleet.advance(2)
             await fleet.start('late')
             await fleet.advance(3)
-            assert fleet.revision('late') == 2
+            assert fleet.revision_in_force('late') == 2
             fleet.platform.down = False
             fleet.platform.put(first)
             await fleet.advance(8)
-            assert fleet.revisions() == {2}
+            assert fleet.revisions_in_force() == {2}
             fleet.platform.put(fourth)
             await fleet.advance(3)
-            assert fleet.revisions() == {4}
+            assert fleet.revisions_in_force() == {4}
 
     asyncio.run(run())
 
@@ -107,13 +109,13 @@
     async def run() -> None:
         async with Fleet(5) as fleet:
             fleet.platform.down = True
-            fleet.platform.put(documents(1)[0])
+            fleet.platform.put(encode_revisions(1)[0])
             await fleet.advance(60)
-            assert fleet.revisions() == {0}
-            assert fleet.platform.calls['watch'] <= 5 + 3 * 25
+            assert fleet.revisions_in_force() == {0}
+            assert fleet.platform.call_counts['watch'] <= 5 + 3 * 25
             fleet.platform.down = False
             await fleet.advance(6)
-            assert fleet.revisions() == {1}
+            assert fleet.revisions_in_force() == {1}
 
     asyncio.run(run())
 
@@ -128,11 +130,11 @@
             async def watch(key, after_version, wait_s):
                 return await client.watch(key, after_version, 0)
 
-            fleet.controllers['h0']._store.watch = watch
+            fleet.controllers_by_host['h0']._store.watch = watch
             await fleet.advance(10)
-            calls = fleet.platform.calls['watch']
+            calls = fleet.platform.call_counts['watch']
             await fleet.advance(10)
-            assert fleet.platform.calls['watch'] - calls <= 21
+            assert fleet.platform.call_counts['watch'] - calls <= 21
 
     asyncio.run(run())
 
@@ -141,16 +143,16 @@
     """A document that fails validation must not stop a daemon."""
 
     async def run() -> None:
-        first, second, third = documents(3)
+        first, second, third = encode_revisions(3)
         async with Fleet(4) as fleet:
             fleet.platform.put(first)
             await fleet.advance(3)
             fleet.platform.put(second.replace('"keep_s":5', '"keep_s":-5'))
             await fleet.advance(3)
-            assert fleet.revisions() == {1}
+            assert fleet.revisions_in_force() == {1}
             fleet.platform.put(third)
             await fleet.advance(3)
-            assert fleet.revisions() == {3}
+            assert fleet.revisions_in_force() == {3}
 
     asyncio.run(run())
 
@@ -159,19 +161,19 @@
     """One faulty subscriber must not freeze the configuration."""
 
     async def run() -> None:
-        first, second = documents(2)
+        first, second = encode_revisions(2)
         async with Fleet(1) as fleet:
 
             def fail(document):
                 if document.revision == 1:
                     raise ValueError(document)
 
-            fleet.boards['h0'].subscribe(DOCUMENT_IN_FORCE, fail)
+            fleet.boards_by_host['h0'].subscribe(DOCUMENT_IN_FORCE, fail)
             fleet.platform.put(first)
             await fleet.advance(1)
             fleet.platform.put(second)
             await fleet.advance(8)
-            assert fleet.revisions() == {2}
+            assert fleet.revisions_in_force() == {2}
 
     asyncio.run(run())
 
@@ -183,17 +185,19 @@
     async def run() -> None:
         async with Fleet(20) as fleet:
             await fleet.advance(2)
-            fleet.loss = loss
-            fleet.platform.leaving = ('b1', 'b2')
+            fleet.loss_rate = loss
+            fleet.platform.leaving_hosts = ('b1', 'b2')
             await fleet.advance(3)
-            assert fleet.leaving() == {frozenset({'b1', 'b2'})}
-            fleet.platform.leaving = ('b2',)
+            assert fleet.leaving_host_sets() == {frozenset({'b1', 'b2'})}
+            fleet.platform.leaving_hosts = ('b2',)
             await fleet.advance(4)
-            assert fleet.leaving() == {frozenset({'b2'})}
+            assert fleet.leaving_host_sets() == {frozenset({'b2'})}
             fleet.platform.down = True
             await fleet.advance(10)
-            assert fleet.leaving() == {frozenset({'b2'})}
-            sent = sum(peers.sent for peers in fleet.peers.values())
+            assert fleet.leaving_host_sets() == {frozenset({'b2'})}
+            sent = sum(
+                peers.sent_count for peers in fleet.peers_by_host.values()
+            )
             # Each daemon passes each list on once, and up to three
             # watchers publish the same change.
             assert sent <= 3 * 3 * 20 * 4
@@ -234,18 +238,18 @@
     async def run() -> None:
         async with Fleet(2) as fleet:
             await fleet.advance(1)
-            host_list = fleet.controllers['h0']._host_list
-            fleet.platform.leaving = ('gone',)
+            host_list = fleet.controllers_by_host['h0']._host_list
+            fleet.platform.leaving_hosts = ('gone',)
             hosts = fleet.platform.client('h0').hosts
 
             async def slow_hosts():
                 answer = await hosts()
                 newer = LeavingHosts(9, 'h1', ('new',))
-                fleet.peers['h0'].handlers[LeavingHosts](None, newer)
+                fleet.peers_by_host['h0'].handlers[LeavingHosts](None, newer)
                 return answer
 
             host_list._source.hosts = slow_hosts
             await host_list.read()
-            assert fleet.leaving() == {frozenset({'new'})}
+            assert fleet.leaving_host_sets() == {frozenset({'new'})}
 
     asyncio.run(run())
--- a/tests/test_configuration_links.py
+++ b/tests/test_configuration_links.py
@@ -21,7 +21,7 @@
 from boragespool.store import HostEntry, HostState, StoreClient
 from boragespool.timers import LoopTimers
 from boragespool.types import MemberStatus
-from tests.test_configuration import documents
+from tests.test_configuration import encode_revisions
 from tests.test_peers import free_address
 
 HOSTS = tuple(f'h{number}' for number in range(5))
@@ -82,7 +82,7 @@
                 lambda: sum(one.is_watcher for one in controllers) == 3,
                 boards,
             )
-            for number, text in enumerate(documents(2)):
+            for number, text in enumerate(encode_revisions(2)):
                 await writer.put('config/current', text, number)
                 await until(
                     lambda wanted=number + 1: all(
--- a/tests/test_configuration_parts.py
+++ b/tests/test_configuration_parts.py
@@ -31,7 +31,7 @@
 from tests.test_revision_parts import many_servers
 
 
-def revisions(count, servers=600):
+def build_revisions(count, servers=600):
     """Build revisions that differ in one backend server each."""
     documents = []
     given_settings = many_servers(servers)
@@ -53,7 +53,7 @@
 def settings_in_force(fleet):
     """Return the distinct settings in force."""
     found = []
-    for board in fleet.boards.values():
+    for board in fleet.boards_by_host.values():
         document = board.read(DOCUMENT_IN_FORCE)
         if document.settings not in found:
             found.append(document.settings)
@@ -63,7 +63,7 @@
 def count_part_bytes(fleet):
     """Count the bytes of each kind of reply from now on."""
     counted = {'parts': 0, 'manifest': 0}
-    for peers in fleet.peers.values():
+    for peers in fleet.peers_by_host.values():
 
         def counting(serve):
             async def answer(sender, request):
@@ -86,20 +86,20 @@
 
     async def run() -> None:
         async with Fleet(12) as fleet:
-            first, second = map(encode_revision, revisions(2))
+            first, second = map(encode_revision, build_revisions(2))
             fleet.platform.put_parts(first)
             await fleet.advance(3)
-            assert fleet.revisions() == {1}
-            fleet.platform.watchers.clear()
-            fleet.platform.calls['get'] = 0
+            assert fleet.revisions_in_force() == {1}
+            fleet.platform.calling_hosts.clear()
+            fleet.platform.call_counts['get'] = 0
             counted = count_part_bytes(fleet)
             fleet.platform.put_parts(second)
             await fleet.advance(3)
-            assert fleet.revisions() == {2}
-            assert settings_in_force(fleet) == [revisions(2)[1].settings]
+            assert fleet.revisions_in_force() == {2}
+            assert settings_in_force(fleet) == [build_revisions(2)[1].settings]
             # An index and a part for each of three watchers.
-            assert fleet.platform.calls['get'] == 6
-            assert len(fleet.platform.watchers) == 3
+            assert fleet.platform.call_counts['get'] == 6
+            assert len(fleet.platform.calling_hosts) == 3
             largest = max(map(len, second.parts.values()))
             assert 0 < counted['parts'] <= 9 * 2 * largest
             assert 0 < counted['manifest'] <= 9 * len(second.encoded)
@@ -113,7 +113,7 @@
 
     async def run() -> None:
         async with Fleet(8) as fleet:
-            first, second = map(encode_revision, revisions(2))
+            first, second = map(encode_revision, build_revisions(2))
             fleet.platform.put_parts(first)
             await fleet.advance(3)
 
@@ -124,10 +124,10 @@
                 return PartsReply(tuple(wrong))
 
             for host in list(fleet.hosts)[:3]:
-                fleet.peers[host].handlers[PartsRequest] = answer
+                fleet.peers_by_host[host].handlers[PartsRequest] = answer
             fleet.platform.put_parts(second)
             await fleet.advance(6)
-            assert fleet.revisions() == {2}
+            assert fleet.revisions_in_force() == {2}
             assert len(settings_in_force(fleet)) == 1
 
     asyncio.run(run())
@@ -138,23 +138,23 @@
 
     async def run() -> None:
         async with Fleet(5) as fleet:
-            first, second = map(encode_revision, revisions(2))
+            first, second = map(encode_revision, build_revisions(2))
             fleet.platform.put_parts(first)
             await fleet.advance(3)
             fleet.platform.put_parts(second)
             lost = second.parts.keys() - first.parts.keys()
             kept = {
-                key: fleet.platform.parts.pop(key)
-                for key in list(fleet.platform.parts)
+                key: fleet.platform.texts_by_part_key.pop(key)
+                for key in list(fleet.platform.texts_by_part_key)
                 if key.rpartition('/')[2] in lost
             }
             await fleet.advance(6)
-            assert fleet.revisions() == {1}
+            assert fleet.revisions_in_force() == {1}
             # Failed reads are repeated with a delay, by the watchers only.
-            assert fleet.platform.calls['get'] < 5 * 20
-            fleet.platform.parts |= kept
+            assert fleet.platform.call_counts['get'] < 5 * 20
+            fleet.platform.texts_by_part_key |= kept
             await fleet.advance(6)
-            assert fleet.revisions() == {2}
+            assert fleet.revisions_in_force() == {2}
 
     asyncio.run(run())
 
@@ -163,16 +163,16 @@
     """Daemons of two releases work together while a fleet is upgraded."""
 
     async def run() -> None:
-        first, second, third, fourth = revisions(4)
+        first, second, third, fourth = build_revisions(4)
         async with Fleet(6) as fleet:
             fleet.platform.put(msgspec.json.encode(first).decode())
             await fleet.advance(3)
-            assert fleet.revisions() == {1}
+            assert fleet.revisions_in_force() == {1}
             fleet.platform.put_parts(encode_revision(second))
             await fleet.advance(3)
-            assert fleet.revisions() == {2}
+            assert fleet.revisions_in_force() == {2}
             # A daemon of the earlier release asks without the new field.
-            for peers in fleet.peers.values():
+            for peers in fleet.peers_by_host.values():
                 reply = await peers.handlers[RevisionRequest](
                     None, RevisionRequest(1)
                 )
@@ -186,19 +186,19 @@
             async def silent(sender, request):
                 return Failure(3000, 'silent')
 
-            fleet.peers['h0'].handlers[RevisionRequest] = answer
-            fleet.peers['h0'].handlers[PartsRequest] = silent
-            fleet.boards['h0'].post(DOCUMENT_IN_FORCE, third)
+            fleet.peers_by_host['h0'].handlers[RevisionRequest] = answer
+            fleet.peers_by_host['h0'].handlers[PartsRequest] = silent
+            fleet.boards_by_host['h0'].post(DOCUMENT_IN_FORCE, third)
             await fleet.advance(3)
-            assert fleet.revisions() == {3}
+            assert fleet.revisions_in_force() == {3}
             fleet.platform.put_parts(encode_revision(fourth))
             await fleet.advance(5)
-            assert fleet.revisions() == {4}
+            assert fleet.revisions_in_force() == {4}
 
     asyncio.run(run())
 
 
-class StrangersFleet(Fleet):
+class LateGossipFleet(Fleet):
     """Daemons that know nobody for their first two seconds."""
 
     def gossip(self):
@@ -212,14 +212,14 @@
 
     async def cold_start(window_s):
         options = ConfigurationOptions(first_read_window_s=window_s)
-        async with StrangersFleet(60, options) as fleet:
-            packed = encode_revision(revisions(1)[0])
+        async with LateGossipFleet(60, options) as fleet:
+            packed = encode_revision(build_revisions(1)[0])
             fleet.platform.put_parts(packed)
             await fleet.advance(1)
-            calls = dict(fleet.platform.calls)
+            calls = dict(fleet.platform.call_counts)
             await fleet.advance(window_s + 4)
-            assert fleet.revisions() == {1}
-            return calls, fleet.platform.calls['get'], len(packed.parts)
+            assert fleet.revisions_in_force() == {1}
+            return calls, fleet.platform.call_counts['get'], len(packed.parts)
 
     async def run() -> None:
         at_once, _, _ = await cold_start(0)
@@ -256,7 +256,7 @@
     assert len(held._texts) < 1_300
 
 
-PACKED = [encode_revision(document) for document in revisions(5, 120)]
+PACKED = [encode_revision(document) for document in build_revisions(5, 120)]
 
 
 def adopt_parts(held, packed, dropped):
@@ -283,7 +283,7 @@
     held = LocalRevision()
     highest = 0
     for index, is_whole, dropped in steps:
-        document = revisions(5, 120)[index]
+        document = build_revisions(5, 120)[index]
         packed = PACKED[index]
         if is_whole:
             adopted = held.adopt(document, msgspec.json.encode(document))
@@ -293,7 +293,7 @@
             assert adopted.revision == index + 1 > highest
             highest = index + 1
         if highest:
-            wanted = revisions(5, 120)[highest - 1].settings
+            wanted = build_revisions(5, 120)[highest - 1].settings
             assert held.document.settings == wanted
             reply = held.answer(RevisionRequest(0, takes_manifest=True))
             assert reply.revision == highest
