Say which failures the tests of stores, backends and claims guard against

Docstrings such as 'refusals must be true' and names such as ledger, sign or hold_up puzzled readers. They now name the failure and how it comes about.

--- a/tests/faulty_fleet.py
+++ b/tests/faulty_fleet.py
@@ -86,7 +86,7 @@
         return make_claim_answer(request.ticket, request.request_id)
 
     def record_run(self, name, ticket):
-        """Run the claim unless it ran already; False if the ticket is sealed."""
+        """Run a claim at most once; return False if its ticket is sealed."""
         fleet = self.fleet
         if ticket in fleet.run_tickets:
             return True
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -1,4 +1,7 @@
-"""Limits, states and crash verdicts of backend servers."""
+"""Concurrency limits, states and records of backend servers.
+
+Also covers the detection of requests that crash servers.
+"""
 
 from __future__ import annotations
 
@@ -23,7 +26,7 @@
 
 DETERMINISTIC = settings(derandomize=True, max_examples=200, deadline=None)
 OUT_OF_SERVICE = {ServerState.DRAINING, ServerState.LOST}
-SIGNS = st.builds(
+SIGNALS = st.builds(
     ServerSignals,
     announced=st.sampled_from(ServerState),
     drained=st.booleans(),
@@ -31,7 +34,7 @@
     reply_draining=st.booleans(),
     unreachable=st.booleans(),
 )
-REPORTS = st.builds(
+REPORTED_SIGNALS = st.builds(
     ServerSignals,
     announced=st.sampled_from(
         [ServerState.SERVING, ServerState.COLD, ServerState.DRAINING],
@@ -53,11 +56,11 @@
 )
 
 
-def states_of(signs_by_server):
-    """Return the states of all servers of a service."""
+def states_of(signals_by_server):
+    """Return the states of all servers of a service by name."""
     states = ServiceStates()
-    for server, signs in signs_by_server.items():
-        states.set_signals(server, signs)
+    for server, signals in signals_by_server.items():
+        states.set_signals(server, signals)
     return {server: states.state(server) for server in states.servers}
 
 
@@ -67,7 +70,11 @@
     st.lists(st.one_of(st.just('shed'), st.integers(1, 8))),
 )
 def test_limit_stays_between_one_and_the_slots(slots, events):
-    """A limit of 0 would never recover; one above the slots only sheds."""
+    """Guards against a concurrency limit that is out of range.
+
+    A limit of 0 would stay 0, since only replies raise it. With a limit above
+    the slots, the server would shed the requests that exceed its slots.
+    """
     state = initial_limit(slots)
     assert state.limit == 1
     for at_s, event in enumerate(events):
@@ -82,7 +89,11 @@
 
 
 def test_limit_ramps_up_and_halves():
-    """A cold server must not get all slots at once, nor stay cold."""
+    """Guards against overload of a cold server, and against a stuck limit.
+
+    The limit grows by one per round of replies up to the slots. It is halved
+    once per burst of shed requests.
+    """
     state = initial_limit(5)
     limits = []
     for _ in range(15):
@@ -100,41 +111,56 @@
 
 
 @DETERMINISTIC
-@given(st.lists(REPORTS, min_size=1, max_size=9))
-def test_reports_take_out_at_most_half(signs):
-    """A wave of false reports must not stop a service."""
-    states = states_of({str(place): each for place, each in enumerate(signs)})
+@given(st.lists(REPORTED_SIGNALS, min_size=1, max_size=9))
+def test_reports_take_out_at_most_half(signals_list):
+    """Guards against an outage of a service caused by false reports.
+
+    Reports that servers are draining can be wrong or outdated, and may then
+    concern most servers of a service at the same time.
+    """
+    states = states_of(
+        {str(number): signals for number, signals in enumerate(signals_list)}
+    )
     out = [state for state in states.values() if state in OUT_OF_SERVICE]
-    assert len(out) <= len(signs) // 2
+    assert len(out) <= len(signals_list) // 2
 
 
 @DETERMINISTIC
-@given(st.lists(SIGNS, min_size=1, max_size=9))
-def test_operators_and_lost_servers_are_obeyed(signs):
-    """Drained and lost servers must stay out of use in any company."""
-    by_server = {str(place): each for place, each in enumerate(signs)}
-    for server, state in states_of(by_server).items():
-        each = by_server[server]
-        if each.unreachable or each.announced == ServerState.LOST:
+@given(st.lists(SIGNALS, min_size=1, max_size=9))
+def test_drained_and_lost_servers_stay_out_of_use(signals_list):
+    """Guards against work for servers that are drained or lost.
+
+    Ignoring reports that concern too many servers must not put such servers
+    back into use.
+    """
+    signals_by_server = {
+        str(number): signals for number, signals in enumerate(signals_list)
+    }
+    for server, state in states_of(signals_by_server).items():
+        signals = signals_by_server[server]
+        if signals.unreachable or signals.announced == ServerState.LOST:
             assert state == ServerState.LOST
-        elif each.drained:
+        elif signals.drained:
             assert state == ServerState.DRAINING
 
 
-def test_each_sign_alone_stops_new_work():
-    """A leaving server must not get work until a second sign arrives."""
-    for sign in (
+def test_each_signal_alone_stops_new_work():
+    """Guards against work that is sent to a server which is leaving.
+
+    This would happen if its state changed only after two signals agree.
+    """
+    for signal in (
         {'announced': ServerState.DRAINING},
         {'drained': True},
         {'host_leaving': True},
         {'reply_draining': True},
     ):
-        by_server = {
-            'leaving': ServerSignals(**sign),
+        signals_by_server = {
+            'leaving': ServerSignals(**signal),
             'b': ServerSignals(),
             'c': ServerSignals(announced=ServerState.COLD),
         }
-        assert states_of(by_server) == {
+        assert states_of(signals_by_server) == {
             'leaving': ServerState.DRAINING,
             'b': ServerState.SERVING,
             'c': ServerState.COLD,
@@ -154,70 +180,87 @@
 @DETERMINISTIC
 @given(NOTICES, st.randoms(use_true_random=False))
 def test_verdict_counts_distinct_losses(notices, shuffle):
-    """One loss told twice, or a failed rack, must not block a request."""
+    """Guards against blocking requests that crash no server.
+
+    Notices of one loss can arrive twice and in any order. Servers that fail
+    together, as in a rack, share many requests, none of which ran alone.
+    """
     shuffled = list(notices)
     shuffle.shuffle(shuffled)
-    ledger = CrashTracker()
+    tracker = CrashTracker()
     for at_s, (fingerprint, loss_id, alone) in enumerate(shuffled):
-        ledger.record_loss(fingerprint, loss_id, at_s, alone=alone)
-    losses, ran_alone = {}, set()
+        tracker.record_loss(fingerprint, loss_id, at_s, alone=alone)
+    loss_ids_by_fingerprint, ran_alone = {}, set()
     for fingerprint, loss_id, alone in notices:
-        losses.setdefault(fingerprint, set()).add(loss_id)
+        loss_ids_by_fingerprint.setdefault(fingerprint, set()).add(loss_id)
         if alone:
             ran_alone.add(fingerprint)
     blocked = {
-        each
-        for each, ids in losses.items()
-        if len(ids) >= 2 and each in ran_alone
+        fingerprint
+        for fingerprint, loss_ids in loss_ids_by_fingerprint.items()
+        if len(loss_ids) >= 2 and fingerprint in ran_alone
     }
-    assert ledger.blocked(20) == blocked
-    assert ledger.suspects(20) == losses.keys() - blocked
-    assert set(ledger.losses()) == {notice[:2] for notice in notices}
+    assert tracker.blocked(20) == blocked
+    assert tracker.suspects(20) == loss_ids_by_fingerprint.keys() - blocked
+    assert set(tracker.losses()) == {notice[:2] for notice in notices}
 
 
 def test_verdicts_expire():
-    """A false verdict must not last for ever."""
-    ledger = CrashTracker(suspect_age_s=10, block_age_s=30)
-    ledger.record_loss(1, 'x@1', 0)
-    ledger.record_loss(2, 'x@1', 0)
-    ledger.record_loss(2, 'y@1', 5, alone=True)
-    assert ledger.suspects(9.9) == {1}
-    assert not ledger.suspects(10)
-    assert ledger.blocked(34.9) == {2}
-    assert not ledger.blocked(35)
+    """Guards against a request that stays blocked by mistake.
+
+    Suspicions and blocks must end some time after the latest loss.
+    """
+    tracker = CrashTracker(suspect_age_s=10, block_age_s=30)
+    tracker.record_loss(1, 'x@1', 0)
+    tracker.record_loss(2, 'x@1', 0)
+    tracker.record_loss(2, 'y@1', 5, alone=True)
+    assert tracker.suspects(9.9) == {1}
+    assert not tracker.suspects(10)
+    assert tracker.blocked(34.9) == {2}
+    assert not tracker.blocked(35)
 
 
 def test_cleared_losses_do_not_come_back():
-    """A late notice must not undo an operator's decision."""
-    ledger = CrashTracker()
-    ledger.record_loss(1, 'x@1', 0)
-    ledger.record_loss(1, 'y@1', 0, alone=True)
-    assert ledger.clear(1, 1)
-    assert not ledger.record_loss(1, 'x@1', 2)
-    assert not ledger.blocked(2) | ledger.suspects(2)
-    assert ledger.record_loss(1, 'x@2', 3)
-    assert ledger.suspects(3) == {1}
-
-
-def test_ledger_is_bounded(monkeypatch):
-    """A crash loop of distinct requests must not fill the memory."""
+    """Guards against late notices that undo an operator's decision.
+
+    A notice of a loss that an operator cleared may still arrive from a peer.
+    Later losses must count again.
+    """
+    tracker = CrashTracker()
+    tracker.record_loss(1, 'x@1', 0)
+    tracker.record_loss(1, 'y@1', 0, alone=True)
+    assert tracker.clear(1, 1)
+    assert not tracker.record_loss(1, 'x@1', 2)
+    assert not tracker.blocked(2) | tracker.suspects(2)
+    assert tracker.record_loss(1, 'x@2', 3)
+    assert tracker.suspects(3) == {1}
+
+
+def test_crash_tracker_is_bounded(monkeypatch):
+    """Guards against unbounded memory use of the crash tracker.
+
+    A server that crashes in a loop adds new fingerprints with every loss.
+    """
     monkeypatch.setattr('boragespool.backends.crashes._CAPACITY', 5)
-    ledger = CrashTracker()
+    tracker = CrashTracker()
     for fingerprint in range(20):
-        ledger.record_loss(fingerprint, 'x@1', fingerprint)
-    assert ledger.suspects(20) == set(range(15, 20))
+        tracker.record_loss(fingerprint, 'x@1', fingerprint)
+    assert tracker.suspects(20) == set(range(15, 20))
 
 
 @DETERMINISTIC
 @given(st.permutations(range(4)), st.lists(RECORDS, min_size=4, max_size=4))
 def test_newest_record_is_kept_in_any_order(order, records):
-    """Late announcements must not bring an old state back."""
+    """Guards against an old state that replaces a newer one.
+
+    Announcements of a server can arrive in any order.
+    """
     kept = None
-    for place in order:
-        kept = newer_record(kept, records[place])
+    for index in order:
+        kept = newer_record(kept, records[index])
     newest = max(
-        (each.sequence, -each.dispatcher_incarnation, each.dispatcher)
-        for each in records
+        (record.sequence, -record.dispatcher_incarnation, record.dispatcher)
+        for record in records
     )
     found = (kept.sequence, -kept.dispatcher_incarnation, kept.dispatcher)
     assert found == newest
@@ -226,7 +269,11 @@
 @DETERMINISTIC
 @given(RECORDS, RECORDS)
 def test_new_dispatcher_replaces_the_record_of_a_gone_one(known, seen):
-    """Views of any members must follow a dispatcher that takes over."""
+    """Guards against daemons that keep the record of a former dispatcher.
+
+    A new dispatcher must choose a version that every daemon takes as newer,
+    whatever its view of the members.
+    """
     taken = next_version(known, seen, 0, known_dispatcher_is_live=False)
     if taken is None:
         assert dataclasses.replace(seen, sequence=known.sequence) == known
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,4 +1,4 @@
-"""Claims run at most once and refusals are true."""
+"""Claims run at most once, and answers state truly whether they ran."""
 
 from __future__ import annotations
 
@@ -27,7 +27,11 @@
 
 @pytest.mark.parametrize('fault_rate', [0.05, 0.3])
 def test_interleavings_run_claims_at_most_once(fault_rate):
-    """A claim must not run twice, nor a `not_run` hide a run."""
+    """Guards against claims that run twice or are wrongly reported as not run.
+
+    Messages that are lost, delayed or reordered, and daemons that pause or
+    restart, can make an issuer and its witness disagree about a ticket.
+    """
     states, violations = run_simulations(range(CI_SEEDS), fault_rate)
     assert not violations
     assert states['run']
@@ -35,21 +39,28 @@
 
 
 def test_refusals_for_overload_are_true():
-    """A claim that was refused early must not run, nor hide a run."""
+    """Guards against overload refusals that are wrong about a claim.
+
+    A daemon can refuse a claim that also arrived elsewhere and ran there. The
+    refusal may then not say `not_run`.
+    """
     states, violations = run_simulations(range(1_000), 0.1, refusal_rate=0.3)
     assert not violations
     assert states['run']
 
 
 def test_no_outcome_is_unknown_without_faults():
-    """`unknown` is allowed only where information was lost."""
+    """Guards against outcomes that are reported as `unknown` for no reason.
+
+    Without faults no message is lost, so every outcome is known.
+    """
     states, violations = run_simulations(range(500), 0)
     assert not violations
     assert states['unknown'] == 0
 
 
 def ticket(sequence: int) -> Ticket:
-    """Return a ticket of one issuer."""
+    """Return a ticket of the issuer ``a`` with the witness ``b``."""
     return Ticket('a', 1, sequence, 0, 'b', 1, 'x')
 
 
@@ -64,7 +75,11 @@
     ),
 )
 def test_witness_never_allows_start_after_seal(steps):
-    """A bounded table must not forget that it sealed or started a ticket."""
+    """Guards against a witness that allows a ticket to start after its seal.
+
+    The table is bounded. Once a record is dropped, the witness must refuse
+    the ticket instead of taking it for a new one.
+    """
     table = ClaimRecordTable()
     started, sealed = set(), set()
     for now_s, (action, sequence) in enumerate(steps):
@@ -87,7 +102,11 @@
 
 
 def test_adopted_records_keep_marks():
-    """A successor must not vouch for what its predecessor dropped."""
+    """Guards against a successor that seals a ticket which was started.
+
+    The predecessor may have dropped the record. The successor must take over
+    the marks of dropped records as well, and answer that it was forgotten.
+    """
     old, successor = ClaimRecordTable(), ClaimRecordTable()
     for sequence in range(1, 5):
         record_start(old, starting_record(ticket(sequence), 1), 0)
@@ -102,7 +121,10 @@
 
 @pytest.mark.parametrize('text', ['', 'x', 'AAAA', 'é', '{}'])
 def test_other_text_is_not_a_ticket(text):
-    """Bad tickets must get a code instead of an exception."""
+    """Guards against an exception on a malformed ticket.
+
+    Callers can send any text as a ticket; they must get a result code.
+    """
     refused = parse_ticket(text)
     assert isinstance(refused, Failure)
     assert refused.code == ResultCode.BAD_TICKET
@@ -118,7 +140,11 @@
     ],
 )
 def test_silent_witness_seals_the_ticket(answer, verdict):
-    """A witness that is only slow must not look like one that restarted."""
+    """Guards against a refusal that gives the wrong reason.
+
+    Without an answer of the witness, the issuer seals the ticket and refuses
+    the claim. The reason must tell a silent witness from one that restarted.
+    """
 
     async def run():
         simulation = ClaimSimulation(1, 0)
