--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,4 +1,4 @@
-"""The operators' command."""
+"""The command-line interface for operators."""
 
 from __future__ import annotations
 
@@ -28,7 +28,15 @@
 
 
 class Operator:
-    """Calls the command with JSON output."""
+    """Runs the command with JSON output.
+
+    Parameters
+    ----------
+    capsys : pytest.CaptureFixture
+        Captures the output.
+    **flags
+        Values of flags, which are passed as environment variables.
+    """
 
     def __init__(self, capsys, **flags):
         self.capsys = capsys
@@ -38,7 +46,7 @@
         } | {'BORAGESPOOL_OUTPUT': 'json', 'BORAGESPOOL_AUTHOR': 'amina'}
 
     def __call__(self, *arguments):
-        """Return exit code and decoded output."""
+        """Run the command; return its exit code and decoded output."""
         self.capsys.readouterr()
         code = main(arguments, self.environment)
         return code, msgspec.json.decode(self.capsys.readouterr().out)
@@ -46,25 +54,34 @@
 
 @pytest.fixture
 def operator(capsys):
-    """An operator with a running store."""
+    """Command that uses a running stand-in of the platform."""
     with platform() as running:
-        called = Operator(capsys, store=running.address, timeout_s=1)
-        called.platform = running
-        yield called
+        operator = Operator(capsys, store=running.address, timeout_s=1)
+        operator.platform = running
+        yield operator
 
 
 class FakeStore:
-    """Store whose answers are lost, delayed or refused by a script."""
+    """Store in memory whose writes of the current revision fail as given.
+
+    Parameters
+    ----------
+    *faults : str
+        Faults of the first writes. ``lost``: the write takes effect, but its
+        answer is lost. ``unsent``: the write is refused. ``silent``: the
+        write has no effect and no answer, and reads fail while this is the
+        next fault; as the last one it applies to all further writes.
+    """
 
     def __init__(self, *faults):
         self.faults = list(faults)
-        self.stored = {}
+        self.values_by_key = {}
 
     async def get(self, key):
         await asyncio.sleep(0)
         if self.faults and self.faults[0] == 'silent':
             return Failure(ResultCode.STORE_UNAVAILABLE, 'no answer')
-        return self.stored.get(key) or Missing(key)
+        return self.values_by_key.get(key) or Missing(key)
 
     async def put(self, key, value, expected_version):
         await asyncio.sleep(0)
@@ -74,10 +91,10 @@
             fault = self.faults[0] if last else self.faults.pop(0)
         if fault == 'unsent':
             return Failure(ResultCode.STORE_UNAVAILABLE, 'refused')
-        held = self.stored.get(key)
-        version = held.version if held else 0
+        stored = self.values_by_key.get(key)
+        version = stored.version if stored else 0
         if version == expected_version and fault != 'silent':
-            self.stored[key] = StoredValue(key, value, version + 1)
+            self.values_by_key[key] = StoredValue(key, value, version + 1)
         if fault:
             run = RunState.UNKNOWN
             return Failure(ResultCode.STORE_UNAVAILABLE, 'lost', run)
@@ -86,8 +103,8 @@
         return version + 1
 
 
-def build_as(name, count=3):
-    """Return a builder of one operator's change."""
+def builder_of(name, count=3):
+    """Return the function that builds the next revision of an operator."""
 
     def build(base):
         settings = Settings(addresses=AddressSettings(count=count))
@@ -96,24 +113,32 @@
     return build
 
 
-def run_change(store, name='a', patience_s=0.4):
+def run_change(store, name='a', answer_timeout_s=0.4):
     """Apply one change and return its result."""
-    return asyncio.run(apply_change(store, build_as(name), patience_s))
+    return asyncio.run(apply_change(store, builder_of(name), answer_timeout_s))
 
 
 @pytest.mark.parametrize(
     'faults', [(), ('lost',), ('unsent', 'lost'), ('lost', 'lost', 'lost')]
 )
 def test_lost_answers_are_settled_by_change_id(faults):
-    """A change must not be reported as failed, or be applied twice."""
+    """Guards against a change that is applied twice or reported as failed.
+
+    The store may have written a change whose answer was lost. The command has
+    to read the store, and find its change by the identifier.
+    """
     store = FakeStore(*faults)
-    result = run_change(store, patience_s=5)
+    result = run_change(store, answer_timeout_s=5)
     assert isinstance(result, AppliedChange)
-    assert store.stored[CURRENT_KEY].version == 1
+    assert store.values_by_key[CURRENT_KEY].version == 1
 
 
 def test_unanswered_change_is_unconfirmed_or_not_written():
-    """Only a change that no call can have written is called not run."""
+    """Guards against `not_run` for a change that may still take effect.
+
+    A write without an answer may have been accepted; only a refused one was
+    certainly not.
+    """
     unconfirmed = run_change(FakeStore('lost', 'silent'))
     assert unconfirmed.code == ResultCode.APPLY_UNCONFIRMED
     assert unconfirmed.run is RunState.UNKNOWN
@@ -123,17 +148,22 @@
 
 
 def test_one_of_two_racing_operators_wins():
-    """The loser sees the winner and the difference; nothing is merged."""
+    """Guards against a change that silently replaces or merges another one.
+
+    Two operators build their changes on the same revision. The second must
+    get a conflict, with the revision that was accepted and its own.
+    """
     store = FakeStore()
 
     async def race():
         return await asyncio.gather(
-            apply_change(store, build_as('a', 4), 2),
-            apply_change(store, build_as('b', 5), 2),
+            apply_change(store, builder_of('a', 4), 2),
+            apply_change(store, builder_of('b', 5), 2),
         )
 
     applied, refused = sorted(
-        asyncio.run(race()), key=lambda one: isinstance(one, RevisionConflict)
+        asyncio.run(race()),
+        key=lambda result: isinstance(result, RevisionConflict),
     )
     assert isinstance(applied, AppliedChange)
     assert isinstance(refused, RevisionConflict)
@@ -142,13 +172,17 @@
 
 
 def test_life_of_a_configuration(operator):
-    """Each command must leave a revision that the next one can build on."""
+    """Guards against a command that breaks the configuration or its history.
+
+    Each command reads the revision that the previous one wrote, and must
+    write a valid one with its own audit entry.
+    """
     assert operator('show')[0] == 1
     code, applied = operator('apply', EXAMPLE, '--note', 'first')
     assert (code, applied['revision']) == (0, 1)
     assert operator('diff', EXAMPLE) == (0, {'revision': 1, 'difference': []})
     code, drained = operator('drain', 'north-truck-roster')
-    assert [one['path'] for one in drained['difference']] == [
+    assert [change['path'] for change in drained['difference']] == [
         'services.truck-roster.servers.truck-roster-1.drained',
     ]
     code, refused = operator('apply', EXAMPLE)
@@ -177,26 +211,36 @@
 
 
 def test_conflict_shows_the_difference(operator, tmp_path):
-    """An operator must not overwrite a change that nobody looked at."""
+    """Guards against overwriting a revision that the operator has not seen.
+
+    This would happen if ``--base`` were not compared with the store.
+    """
     operator('apply', EXAMPLE)
     code, refused = operator('apply', 'examples/mwangaza', '--base', '0')
     assert code == 3
     assert refused['failure']['code'] == ResultCode.REVISION_CONFLICT
     assert 'services.agent-app.slots' in {
-        one['path'] for one in refused['difference']
+        change['path'] for change in refused['difference']
     }
     assert operator('audit')[1][0]['revision'] == 1
 
 
 def test_answer_lost_by_the_platform(operator):
-    """The command must find out that its write took effect."""
+    """Guards against a failure report for a change that was written.
+
+    The platform writes the change, but its answer to the command is lost.
+    """
     operator.platform.control({'lost_answers': 1})
     assert operator('apply', EXAMPLE)[0] == 0
     assert len(operator('audit')[1]) == 1
 
 
 def test_store_outage_has_its_own_exit_code(operator):
-    """A script must be able to tell an outage from a refusal."""
+    """Guards against scripts that take an outage for a refused change.
+
+    While the store is down, every command must return its own exit code for
+    this, and write nothing.
+    """
     operator('apply', EXAMPLE)
     operator.platform.control({'down': True})
     for arguments in (
@@ -212,7 +256,7 @@
 
 
 def status_of(revisions_by_host):
-    """Answer as a daemon that sees these members."""
+    """Return the status of a daemon with these and one dead member."""
     members = [
         {'host': host, 'status': 'alive', 'revision': revision}
         for host, revision in revisions_by_host.items()
@@ -222,7 +266,11 @@
 
 
 def test_wait_names_daemons_that_lag(operator):
-    """A change must not count as done while a live daemon lacks it."""
+    """Guards against reporting success before all daemons have a change.
+
+    Live daemons with an older revision must be listed; dead ones must not be
+    waited for.
+    """
     revisions = {'h1': 1, 'h2': 0}
     with daemon(lambda _: status_of(revisions)) as entry:
         flags = ('--wait', '--entry', entry.address, '--wait_s')
@@ -236,7 +284,10 @@
 
 
 def test_status_is_read_leniently(operator):
-    """Daemons of another release may leave out or add fields."""
+    """Guards against a command that fails on the status of other releases.
+
+    Their daemons may omit fields, add some, or use other types.
+    """
     with daemon(lambda _: status_of({'h1': 1})) as entry:
         code, shown = operator('status', '--entry', entry.address)
         assert code == 0
@@ -253,13 +304,17 @@
     [('run', 200, 0), ('unknown', 504, 5), ('not_run', 409, 7)],
 )
 def test_claim_uses_one_ticket(capsys, run, status, code):
-    """A claim without a known outcome must be asked again by its ticket."""
-    seen = []
+    """Guards against a claim that runs twice because it is sent again.
+
+    The operator needs the ticket to ask for an unknown outcome, so the
+    command must print it, and use a given ticket instead of a new one.
+    """
+    bodies = []
 
     def answer(request):
         if request.path == '/v1/addresses':
             return {'tickets': ['t1']}
-        seen.append(msgspec.json.decode(request.body))
+        bodies.append(msgspec.json.decode(request.body))
         return {'run': run, 'http_status': status}
 
     with daemon(answer) as entry:
@@ -270,15 +325,19 @@
         operator('claim', 'r', '1', '--ticket', 't0')
         assert operator('claim', 'r', '{')[0] == 1
         assert operator('query', 'r', '[]')[0] == code
-    assert [one.get('ticket') for one in seen] == ['t1', 't0', None]
-    assert seen[0]['body'] == {'lot': 1}
-    assert seen[0]['rank'] == 'urgent'
+    assert [body.get('ticket') for body in bodies] == ['t1', 't0', None]
+    assert bodies[0]['body'] == {'lot': 1}
+    assert bodies[0]['rank'] == 'urgent'
     assert operator('claim', 'r', '1')[0] == 7
     assert operator('query', 'r', '1')[0] == 7
 
 
 def test_claim_that_one_entry_may_have_run_is_unknown(capsys):
-    """A refused connection afterwards must not make it look not run."""
+    """Guards against `not_run` for a claim that may have run.
+
+    The first daemon reads the claim and does not answer; the connection to
+    the second is refused. The refusal must not hide the unknown outcome.
+    """
     with swallowing_daemon() as entry:
         operator = Operator(capsys, entry=f'{entry},127.0.0.1:1')
         code, shown = operator('claim', 'r', '1', '--ticket', 't0')
@@ -287,11 +346,14 @@
 
 
 def test_check_lists_every_problem(capsys, tmp_path):
-    """An operator must not have to correct one problem per run."""
+    """Guards against a check that stops at the first of several problems."""
     (tmp_path / '1.toml').write_text('typo = 1\nroutes = 2\n')
     code, shown = Operator(capsys)('check', str(tmp_path))
     assert code == 1
-    assert {one['key'] for one in shown['problems']} == {'typo', 'routes'}
+    assert {problem['key'] for problem in shown['problems']} == {
+        'typo',
+        'routes',
+    }
     assert main(('check', str(tmp_path)), {}) == 1
     assert 'error 2001 unknown_setting: 1.toml: typo' in capsys.readouterr().out
     assert main(('check', EXAMPLE), {}) == 0
@@ -299,7 +361,10 @@
 
 
 def test_flag_goes_before_environment(capsys):
-    """An environment variable must not override what was typed."""
+    """Guards against an environment variable that overrides a flag.
+
+    Invalid values of either must be refused.
+    """
     environment = {'BORAGESPOOL_OUTPUT': 'json'}
     assert main(('check', EXAMPLE), environment) == 0
     assert capsys.readouterr().out.startswith('{')
@@ -311,9 +376,12 @@
             main(('show', '--store', address), {})
 
 
-@pytest.mark.parametrize('command', COMMANDS, ids=lambda one: one.name)
+@pytest.mark.parametrize('command', COMMANDS, ids=lambda command: command.name)
 def test_help_shows_example_variables_and_exit_codes(command, capsys):
-    """Operators and the guide rely on the same help."""
+    """Guards against help texts and a guide that do not match the flags.
+
+    This happens when a flag or command is added without documentation.
+    """
     with pytest.raises(SystemExit, match='0'):
         main((command.name, '--help'), {})
     shown = capsys.readouterr().out
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -1,4 +1,4 @@
-"""Library for callers against daemons that fail."""
+"""Client library with daemons that fail."""
 
 from __future__ import annotations
 
@@ -28,14 +28,14 @@
 ]
 
 
-def claim_all(faults, names=('a',), deadline_s=0.6, share=0.3, seed=0):
-    """Claim concurrently; return the results by name and the fleet."""
+def claim_all(faults, names=('a',), deadline_s=0.6, attempt_share=0.3, seed=0):
+    """Send one claim per name concurrently; return results and fleet."""
 
     async def run():
         draw = random.Random(seed).random
         async with (
             FaultyFleet(3, tuple(faults)) as fleet,
-            fleet.client(draw, attempt_share=share) as client,
+            fleet.client(draw, attempt_share=attempt_share) as client,
         ):
             results = await asyncio.gather(
                 *(
@@ -43,7 +43,7 @@
                     for name in names
                 ),
             )
-            # Late work must have ended before the runs are counted.
+            # Late claims must end before the runs are counted.
             await asyncio.sleep(0.3 if 'late' in faults else 0)
             return dict(zip(names, results, strict=True)), fleet
 
@@ -56,7 +56,11 @@
     seed=st.integers(0, 99),
 )
 def test_claims_run_at_most_once_and_reports_are_true(faults, seed):
-    """No sequence of failures may run a claim twice or deny that it ran."""
+    """Guards against claims that run twice or are reported wrongly.
+
+    The client resends claims after failures, some of which happen after the
+    claim ran.
+    """
     results, fleet = claim_all(faults, ('a', 'b', 'c'), seed=seed)
     for name, result in results.items():
         runs = fleet.runs_by_name[name]
@@ -80,8 +84,12 @@
     ],
 )
 def test_claim_succeeds_after_one_failure(faults, tickets):
-    """A claim must be resent, under a new ticket only after `not_run`."""
-    results, fleet = claim_all(faults, deadline_s=1.5, share=0.1)
+    """Guards against a claim that fails although a daemon could run it.
+
+    After a failure the client has to send the claim again: with the same
+    ticket as long as it may have run, with a new one only after `not_run`.
+    """
+    results, fleet = claim_all(faults, deadline_s=1.5, attempt_share=0.1)
     result = results['a']
     assert isinstance(result, ClaimResult)
     assert result.outcome == {'ticket': result.ticket}
@@ -90,7 +98,11 @@
 
 
 def test_unknown_is_never_claimed_under_a_new_ticket():
-    """A claim that may have run must not run under another ticket."""
+    """Guards against a second run of a claim with an unknown outcome.
+
+    If the client sent such a claim with a new ticket, it could run again. The
+    caller may ask for the outcome later, which seals a ticket that never ran.
+    """
 
     async def run():
         async with (
@@ -120,7 +132,11 @@
 
 
 def test_sealed_after_unknown_is_left_to_the_caller():
-    """After `unknown` the library must not claim under a new ticket."""
+    """Guards against a new ticket for a claim that was once unknown.
+
+    The ticket is found to be sealed later. Whether to claim again is left to
+    the caller.
+    """
     results, fleet = claim_all(['unknown_unrun'])
     assert results['a'].code is ResultCode.NOT_RUN_SEALED
     assert len(fleet.sent_tickets) == 1
@@ -136,7 +152,11 @@
     ],
 )
 def test_refused_question_about_an_open_ticket(code, run):
-    """A daemon that refuses a question does not vouch for the ticket."""
+    """Guards against taking a refused outcome request for the outcome.
+
+    While the outcome of a claim is open, a daemon can refuse to look it up.
+    Its refusal says nothing about whether the claim ran.
+    """
 
     async def refuse(ticket, request_id):
         return Failure(code, 'refused')
@@ -155,7 +175,11 @@
 
 
 def test_addresses_are_cached_and_spread():
-    """Callers must neither ask for addresses each time nor use one daemon."""
+    """Guards against a request for addresses per query, and against a hot spot.
+
+    This would happen if the client did not cache the addresses, or always
+    used the first one.
+    """
 
     async def run():
         draw = random.Random(1).random
@@ -177,7 +201,10 @@
 
 
 def test_concurrent_claims_share_one_fetch_of_tickets():
-    """A burst of claims must not become a burst of address requests."""
+    """Guards against one request for tickets per concurrent claim.
+
+    Claims that start together while there are no tickets must share one.
+    """
     results, fleet = claim_all([], names=('a', 'b', 'c', 'd'))
     seen = [path for daemon in fleet.daemons for path in daemon.requested_paths]
     assert seen.count('/v1/addresses') == 1
@@ -185,7 +212,10 @@
 
 
 def test_addresses_expire():
-    """A daemon that left must not be used after `keep_s`."""
+    """Guards against queries to a daemon that left the fleet.
+
+    This would happen if cached addresses were used for longer than `keep_s`.
+    """
 
     async def run():
         async with (
@@ -196,39 +226,46 @@
                 await client.query('lookup', {}, 1)
                 fleet.dead_daemons = {daemon}
                 await asyncio.sleep(0.12)
-                served = len(daemon.requested_paths)
+                count_before = len(daemon.requested_paths)
                 await client.query('lookup', {}, 1)
-                paths = daemon.requested_paths[served:]
+                paths = daemon.requested_paths[count_before:]
                 assert '/v1/query' not in paths
 
     asyncio.run(run())
 
 
 def test_query_is_resent_within_its_deadline():
-    """A dead or silent daemon must not cost the caller its answer."""
+    """Guards against a query that fails because one daemon is dead or silent.
+
+    The client must resend it to another daemon within the deadline, and avoid
+    the silent daemon for the next queries.
+    """
 
     async def run():
         async with FaultyFleet(3) as fleet, fleet.client() as client:
             assert isinstance(await client.query('lookup', {}, 1), QueryResult)
-            first = next(
+            used = next(
                 daemon
                 for daemon in fleet.daemons
                 if '/v1/query' in daemon.requested_paths
             )
-            first.delay_s = 5
+            used.delay_s = 5
             assert isinstance(await client.query('lookup', {}, 1), QueryResult)
             # The silent daemon is avoided by the next query.
             assert isinstance(await client.query('lookup', {}, 1), QueryResult)
-            assert first.requested_paths.count('/v1/query') == 2
-            fleet.dead_daemons.add(first)
-            await first.server.__aexit__()
+            assert used.requested_paths.count('/v1/query') == 2
+            fleet.dead_daemons.add(used)
+            await used.server.__aexit__()
             assert isinstance(await client.query('lookup', {}, 1), QueryResult)
 
     asyncio.run(run())
 
 
 def test_overload_is_not_answered_with_resends():
-    """Resends after a refusal for overload would add load to it."""
+    """Guards against resends that add load to overloaded daemons.
+
+    A refusal for overload must be returned to the caller at once.
+    """
 
     async def refuse(request):
         return Failure(ResultCode.QUEUE_FULL, 'full', retry_after_s=1)
@@ -251,7 +288,10 @@
 
 
 def test_leaving_daemon_gets_no_claims():
-    """A claim must use the ticket of a daemon that stays."""
+    """Guards against claims with a ticket of a daemon that is leaving.
+
+    Its issuer may have stopped before the claim arrives.
+    """
 
     async def run():
         async with FaultyFleet(2) as fleet, fleet.client() as client:
@@ -263,7 +303,11 @@
 
 
 def test_unused_ticket_of_a_stopped_issuer_is_dropped():
-    """Its witness can have stopped too; others then answer `unknown`."""
+    """Guards against claims with a cached ticket of a stopped daemon.
+
+    The witness of the ticket may have stopped as well, and the claim would
+    then end as `unknown`. The client must drop such tickets.
+    """
 
     async def run() -> None:
         async with FaultyFleet(2) as fleet, fleet.client() as client:
@@ -272,7 +316,7 @@
             stopped = fleet.daemons[0]
             await stopped.server.__aexit__()
             fleet.dead_daemons.add(stopped)
-            # The idle connection has to be seen closed.
+            # The client has to notice that its idle connection was closed.
             await asyncio.sleep(0.05)
             second = await client.claim('unlock', {'name': 'b'}, 1)
             assert isinstance(second, ClaimResult)
@@ -282,7 +326,10 @@
 
 
 def test_all_daemons_down():
-    """Without a daemon a claim was not run, and the call must end in time."""
+    """Guards against calls that hang, or report `unknown`, without a daemon.
+
+    All connections are refused, so the claim certainly did not run.
+    """
 
     async def run():
         async with FaultyFleet(2) as fleet, fleet.client() as client:
@@ -291,8 +338,8 @@
             async with asyncio.timeout(1):
                 result = await client.claim('unlock', {'name': 'a'}, 0.3)
                 assert result.run is RunState.NOT_RUN
-                lost = await client.query('lookup', {}, 0.3)
-                assert isinstance(lost, Failure)
+                failure = await client.query('lookup', {}, 0.3)
+                assert isinstance(failure, Failure)
 
     asyncio.run(run())
 
@@ -307,7 +354,11 @@
     ],
 )
 def test_crossed_or_broken_answers_are_not_believed(fields):
-    """A caller must not take the answer to another claim for its own."""
+    """Guards against accepting a malformed answer or that to another request.
+
+    Its identifier differs, is missing or has a wrong type, or the body is not
+    JSON.
+    """
 
     async def answer(request):
         if request.path == '/v1/addresses':
@@ -315,9 +366,9 @@
                 200,
                 b'{"addresses":[],"keep_s":1,"tickets":["d0-0"]}',
             )
-        whole = b'"code":1002,"rank":"urgent","outcome":1,"snapshot":1,'
-        whole += b'"coverage":1,"missing":[],"items":[],'
-        return HttpResponse(200, b'{' + whole + fields + b'}')
+        valid_fields = b'"code":1002,"rank":"urgent","outcome":1,"snapshot":1,'
+        valid_fields += b'"coverage":1,"missing":[],"items":[],'
+        return HttpResponse(200, b'{' + valid_fields + fields + b'}')
 
     async def run():
         async with HttpServer('127.0.0.1:0', HttpLimits(), answer) as server:
@@ -326,7 +377,7 @@
             async with fleet.client() as client:
                 result = await client.claim('unlock', {'name': 'a'}, 0.3)
                 assert result.run is RunState.UNKNOWN
-                lost = await client.query('lookup', {}, 0.3)
-                assert isinstance(lost, Failure)
+                failure = await client.query('lookup', {}, 0.3)
+                assert isinstance(failure, Failure)
 
     asyncio.run(run())
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,4 +1,4 @@
-"""Configuration controller: watching, spreading, outages."""
+"""Configuration controllers: new revisions, leaving hosts, store outages."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 def encode_revisions(count):
-    """Encode revisions 1 to `count`."""
+    """Return the encoded revisions 1 to `count`, with default settings."""
     document = None
     encoded = []
     for number in range(count):
@@ -27,7 +27,11 @@
 
 
 def test_revision_is_in_force_everywhere_within_seconds():
-    """Daemons that do not watch must learn revisions from their peers."""
+    """Guards against daemons that stay on an old revision.
+
+    Only a few daemons watch the store. The others must fetch new revisions
+    from peers within seconds.
+    """
 
     async def run() -> None:
         async with Fleet(20) as fleet:
@@ -40,13 +44,18 @@
 
 
 def test_only_three_daemons_call_the_store():
-    """Calls that grow with the fleet would exceed the store's rates."""
+    """Guards against calls to the store that grow with the fleet.
+
+    If every daemon watched the store, a large fleet would exceed the rate of
+    calls that the store allows.
+    """
 
     async def run() -> None:
         async with Fleet(20) as fleet:
             await fleet.advance(15)
             watching = [
-                one.is_watcher for one in fleet.controllers_by_host.values()
+                controller.is_watcher
+                for controller in fleet.controllers_by_host.values()
             ]
             assert sum(watching) == 3
             fleet.platform.call_counts.update(watch=0, hosts=0)
@@ -60,7 +69,10 @@
 
 
 def test_watcher_that_fails_is_replaced():
-    """A fleet whose watchers died would never learn a revision again."""
+    """Guards against a fleet that receives no more revisions.
+
+    This would happen if the watchers failed and no other daemon took over.
+    """
 
     async def run() -> None:
         async with Fleet(6) as fleet:
@@ -80,7 +92,12 @@
 
 
 def test_start_while_the_store_is_down():
-    """The highest revision of the peers is taken and never reverted."""
+    """Guards against a daemon without a configuration, and against a revert.
+
+    A daemon that starts while the store is down must take the highest
+    revision of its peers. A store that comes back with an older revision must
+    not replace it.
+    """
 
     async def run() -> None:
         first, second, _, fourth = encode_revisions(4)
@@ -104,7 +121,11 @@
 
 
 def test_all_start_while_the_store_is_down():
-    """Nobody has a revision until the store answers; then all have it."""
+    """Guards against daemons that give up when the store is down at the start.
+
+    They must keep calling it at a limited rate, and all get the revision once
+    it answers.
+    """
 
     async def run() -> None:
         async with Fleet(5) as fleet:
@@ -121,7 +142,11 @@
 
 
 def test_store_that_answers_at_once_is_not_called_in_a_loop():
-    """A store without long polls must not receive thousands of calls."""
+    """Guards against a tight loop of calls to the store.
+
+    A store that answers a watch at once, without waiting for a change, would
+    be called again at once each time.
+    """
 
     async def run() -> None:
         async with Fleet(1) as fleet:
@@ -132,15 +157,18 @@
 
             fleet.controllers_by_host['h0']._store.watch = watch
             await fleet.advance(10)
-            calls = fleet.platform.call_counts['watch']
+            calls_before = fleet.platform.call_counts['watch']
             await fleet.advance(10)
-            assert fleet.platform.call_counts['watch'] - calls <= 21
+            assert fleet.platform.call_counts['watch'] - calls_before <= 21
 
     asyncio.run(run())
 
 
 def test_invalid_document_leaves_the_old_one_in_force():
-    """A document that fails validation must not stop a daemon."""
+    """Guards against an invalid document that stops or reconfigures daemons.
+
+    The revision in force must stay until a valid one is in the store.
+    """
 
     async def run() -> None:
         first, second, third = encode_revisions(3)
@@ -158,7 +186,10 @@
 
 
 def test_error_of_a_subscriber_does_not_end_the_watch():
-    """One faulty subscriber must not freeze the configuration."""
+    """Guards against one faulty subscriber that stops all later revisions.
+
+    Its exception reaches the task that watches the store.
+    """
 
     async def run() -> None:
         first, second = encode_revisions(2)
@@ -180,7 +211,12 @@
 
 @pytest.mark.parametrize('loss', [0, 0.7])
 def test_leaving_hosts_reach_daemons_that_do_not_watch(loss):
-    """A backend server that leaves gets no new work after 3 seconds."""
+    """Guards against work for backend servers on leaving hosts.
+
+    Daemons that do not watch must learn a leaving host within 3 s, also if
+    messages are lost. An outage of the platform must not clear the list, and
+    the number of messages must stay proportional to the fleet.
+    """
 
     async def run() -> None:
         async with Fleet(20) as fleet:
@@ -198,15 +234,18 @@
             sent = sum(
                 peers.sent_count for peers in fleet.peers_by_host.values()
             )
-            # Each daemon passes each list on once, and up to three
-            # watchers publish the same change.
+            # Each daemon forwards each list once, and up to three watchers
+            # publish the same change.
             assert sent <= 3 * 3 * 20 * 4
 
     asyncio.run(run())
 
 
 def test_lists_are_ordered_and_removals_confirmed():
-    """Copies of the platform's list that lag must not undo each other."""
+    """Guards against lists of leaving hosts that replace each other endlessly.
+
+    Watchers read replicas of the platform's list that lag by different times.
+    """
     current = LeavingHosts(4, 'w1', ('a', 'b'))
     assert not supersedes(current, current)
     assert supersedes(current, LeavingHosts(4, 'w2'))
@@ -226,14 +265,22 @@
 
 
 def test_backoff_grows_to_its_limit():
-    """Daemons that failed together must not call together again."""
+    """Guards against retries of many daemons at the same moment.
+
+    Daemons whose calls failed together must draw different delays, which grow
+    up to a limit.
+    """
     assert backoff_s(1, 0.1, 3, 0) == pytest.approx(0.05)
     assert backoff_s(4, 0.1, 3, 0.5) == pytest.approx(0.6)
     assert backoff_s(10_000, 0.1, 3, 0.999) < 3
 
 
 def test_late_answer_does_not_undo_a_newer_list():
-    """An answer that is older than a received list must not be published."""
+    """Guards against publishing an outdated list of leaving hosts.
+
+    A newer list can arrive from a peer while a watcher waits for the answer
+    of the platform.
+    """
 
     async def run() -> None:
         async with Fleet(2) as fleet:
--- a/tests/test_configuration_links.py
+++ b/tests/test_configuration_links.py
@@ -1,4 +1,4 @@
-"""Configuration controllers on real links and the platform's protocol."""
+"""Configuration controllers with real peer links and a platform stand-in."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 
 
 def record(host, board):
-    """Build the member record that gossip would spread."""
+    """Return the member record of a daemon with its revision in force."""
     document = board.read(DOCUMENT_IN_FORCE)
     return MemberRecord(
         host, 1, 1, MemberStatus.ALIVE, 'north', 'north', '', '',
@@ -37,10 +37,10 @@
 
 
 async def until(condition, boards):
-    """Spread member records until a condition holds.
+    """Post member records at all daemons until a condition holds.
 
-    The limit only ends a test that hangs; the virtual-time tests hold the
-    goal of 3 s.
+    The limit of 10 s only ends a test that hangs; the tests in virtual time
+    check the goal of 3 s.
     """
     loop = asyncio.get_running_loop()
     began_s = loop.time()
@@ -53,7 +53,11 @@
 
 
 def test_revision_and_leaving_hosts_cross_real_links():
-    """The messages and the protocol of the fakes must be the real ones."""
+    """Guards against controllers that only work with fakes.
+
+    The fakes of the other tests skip the encoding of messages and the HTTP
+    protocol of the platform.
+    """
 
     async def run() -> None:
         boards = {host: Blackboard() for host in HOSTS}
@@ -79,7 +83,10 @@
                     await enter(ConfigurationController(context, store))
                 )
             await until(
-                lambda: sum(one.is_watcher for one in controllers) == 3,
+                lambda: (
+                    sum(controller.is_watcher for controller in controllers)
+                    == 3
+                ),
                 boards,
             )
             for number, text in enumerate(encode_revisions(2)):
--- a/tests/test_configuration_parts.py
+++ b/tests/test_configuration_parts.py
@@ -1,4 +1,4 @@
-"""Configuration controllers: revisions in parts."""
+"""Configuration controllers: revisions that are split into parts."""
 
 from __future__ import annotations
 
@@ -32,26 +32,26 @@
 
 
 def build_revisions(count, servers=600):
-    """Build revisions that differ in one backend server each."""
+    """Build revisions that each change one backend server."""
     documents = []
-    given_settings = many_servers(servers)
+    built_settings = many_servers(servers)
     for number in range(1, count + 1):
-        service = given_settings.services['a']
+        service = built_settings.services['a']
         server = dataclasses.replace(
             service.servers['s-00007'], region=f'r{number}'
         )
         service = dataclasses.replace(
             service, servers=service.servers | {'s-00007': server}
         )
-        given_settings = dataclasses.replace(
-            given_settings, services={'a': service}
+        built_settings = dataclasses.replace(
+            built_settings, services={'a': service}
         )
-        documents.append(RevisionDocument(number, f'c{number}', given_settings))
+        documents.append(RevisionDocument(number, f'c{number}', built_settings))
     return documents
 
 
 def settings_in_force(fleet):
-    """Return the distinct settings in force."""
+    """Return the distinct settings in force at the daemons."""
     found = []
     for board in fleet.boards_by_host.values():
         document = board.read(DOCUMENT_IN_FORCE)
@@ -61,28 +61,32 @@
 
 
 def count_part_bytes(fleet):
-    """Count the bytes of each kind of reply from now on."""
-    counted = {'parts': 0, 'manifest': 0}
+    """Return a dict in which the bytes of replies are counted from now on."""
+    byte_counts = {'parts': 0, 'manifest': 0}
     for peers in fleet.peers_by_host.values():
 
-        def counting(serve):
+        def count_bytes(serve):
             async def answer(sender, request):
                 reply = await serve(sender, request)
                 if isinstance(reply, PartsReply):
-                    counted['parts'] += sum(map(len, reply.texts))
+                    byte_counts['parts'] += sum(map(len, reply.texts))
                 else:
-                    counted['manifest'] += len(reply.manifest)
+                    byte_counts['manifest'] += len(reply.manifest)
                 return reply
 
             return answer
 
         for kind in (PartsRequest, RevisionRequest):
-            peers.handlers[kind] = counting(peers.handlers[kind])
-    return counted
+            peers.handlers[kind] = count_bytes(peers.handlers[kind])
+    return byte_counts
 
 
 def test_change_reaches_all_daemons_with_few_bytes_and_store_calls():
-    """Whole documents would exceed the bytes that a daemon may spend."""
+    """Guards against sending whole documents when little has changed.
+
+    A whole document per daemon and change would exceed the bytes that a
+    daemon may send; only the changed parts may be fetched.
+    """
 
     async def run() -> None:
         async with Fleet(12) as fleet:
@@ -92,24 +96,28 @@
             assert fleet.revisions_in_force() == {1}
             fleet.platform.calling_hosts.clear()
             fleet.platform.call_counts['get'] = 0
-            counted = count_part_bytes(fleet)
+            byte_counts = count_part_bytes(fleet)
             fleet.platform.put_parts(second)
             await fleet.advance(3)
             assert fleet.revisions_in_force() == {2}
             assert settings_in_force(fleet) == [build_revisions(2)[1].settings]
-            # An index and a part for each of three watchers.
+            # Each of three watchers reads an index and a part.
             assert fleet.platform.call_counts['get'] == 6
             assert len(fleet.platform.calling_hosts) == 3
             largest = max(map(len, second.parts.values()))
-            assert 0 < counted['parts'] <= 9 * 2 * largest
-            assert 0 < counted['manifest'] <= 9 * len(second.encoded)
+            assert 0 < byte_counts['parts'] <= 9 * 2 * largest
+            assert 0 < byte_counts['manifest'] <= 9 * len(second.encoded)
 
     asyncio.run(run())
 
 
 @pytest.mark.parametrize('fault', ['none', 'wrong', 'silent'])
 def test_peer_without_the_parts_does_not_hold_up_others(fault):
-    """A daemon that lost or garbled its parts must not stop the spread."""
+    """Guards against peers with missing or wrong parts that delay others.
+
+    Such a peer has the revision in its member record, but answers with other
+    texts, with none, or not at all.
+    """
 
     async def run() -> None:
         async with Fleet(8) as fleet:
@@ -134,7 +142,11 @@
 
 
 def test_revision_without_all_parts_is_not_in_force():
-    """Half a revision would be a configuration that nobody wrote."""
+    """Guards against a revision in force of which parts are missing.
+
+    This would be a configuration that nobody wrote. It can happen if the
+    store has the manifest but not all of its parts.
+    """
 
     async def run() -> None:
         async with Fleet(5) as fleet:
@@ -142,17 +154,17 @@
             fleet.platform.put_parts(first)
             await fleet.advance(3)
             fleet.platform.put_parts(second)
-            lost = second.parts.keys() - first.parts.keys()
-            kept = {
+            removed_hashes = second.parts.keys() - first.parts.keys()
+            removed_texts = {
                 key: fleet.platform.texts_by_part_key.pop(key)
                 for key in list(fleet.platform.texts_by_part_key)
-                if key.rpartition('/')[2] in lost
+                if key.rpartition('/')[2] in removed_hashes
             }
             await fleet.advance(6)
             assert fleet.revisions_in_force() == {1}
-            # Failed reads are repeated with a delay, by the watchers only.
+            # Only the watchers repeat failed reads, after a delay.
             assert fleet.platform.call_counts['get'] < 5 * 20
-            fleet.platform.texts_by_part_key |= kept
+            fleet.platform.texts_by_part_key |= removed_texts
             await fleet.advance(6)
             assert fleet.revisions_in_force() == {2}
 
@@ -160,7 +172,11 @@
 
 
 def test_both_forms_run_side_by_side():
-    """Daemons of two releases work together while a fleet is upgraded."""
+    """Guards against daemons of two releases that cannot exchange revisions.
+
+    While a fleet is upgraded, the earlier release sends and reads whole
+    documents, and the later one parts.
+    """
 
     async def run() -> None:
         first, second, third, fourth = build_revisions(4)
@@ -171,7 +187,7 @@
             fleet.platform.put_parts(encode_revision(second))
             await fleet.advance(3)
             assert fleet.revisions_in_force() == {2}
-            # A daemon of the earlier release asks without the new field.
+            # A daemon of the earlier release requests it without `takes_manifest`.
             for peers in fleet.peers_by_host.values():
                 reply = await peers.handlers[RevisionRequest](
                     None, RevisionRequest(1)
@@ -179,7 +195,7 @@
                 decoded = decode_document(reply.document)
                 assert decoded.settings == second.settings
 
-            # It answers with whole documents and not to other requests.
+            # Such a daemon sends whole documents, and does not serve parts.
             async def answer(sender, request):
                 return RevisionReply(3, msgspec.json.encode(third))
 
@@ -199,16 +215,20 @@
 
 
 class LateGossipFleet(Fleet):
-    """Daemons that know nobody for their first two seconds."""
+    """Fleet whose daemons know no peers in their first 2 s."""
 
     def gossip(self):
-        """Post member records once the daemons have met."""
+        """Post the member records, but not in the first 2 s."""
         if self.timers.now_s() >= 2:
             super().gossip()
 
 
 def test_first_reads_of_a_cold_start_are_spread():
-    """7,000 daemons that start together must not read the store at once."""
+    """Guards against a burst of reads when a whole fleet starts.
+
+    7,000 daemons that start at the same moment know no peers yet, and would
+    all read the store at once.
+    """
 
     async def cold_start(window_s):
         options = ConfigurationOptions(first_read_window_s=window_s)
@@ -226,7 +246,7 @@
         spread, parts_read, part_count = await cold_start(6)
         assert at_once['watch'] >= 60
         assert spread['watch'] * 3 <= at_once['watch']
-        # Nobody reads all parts before the daemons have met.
+        # With the window, no parts are read before the daemons know peers.
         assert at_once['get'] >= 60 * (part_count - 1)
         assert spread['get'] == 0
         assert parts_read <= 3 * part_count
@@ -235,40 +255,47 @@
 
 
 def test_parts_of_revisions_that_never_complete_do_not_pile_up():
-    """Parts lost one revision after the other must not fill the memory."""
-    held = LocalRevision()
+    """Guards against unbounded memory use by incomplete revisions.
+
+    If each of many revisions lacks a part, the parts that did arrive must not
+    accumulate.
+    """
+    local = LocalRevision()
     for number in range(1, 40):
-        given_settings = many_servers(2_000, number)
-        service = given_settings.services['a']
+        built_settings = many_servers(2_000, number)
+        service = built_settings.services['a']
         servers = {
-            f'{number}-{name}': one for name, one in service.servers.items()
+            f'{number}-{name}': server
+            for name, server in service.servers.items()
         }
         service = dataclasses.replace(service, servers=servers)
-        given_settings = dataclasses.replace(
-            given_settings, services={'a': service}
+        built_settings = dataclasses.replace(
+            built_settings, services={'a': service}
         )
-        packed = encode_revision(RevisionDocument(number, 'c', given_settings))
-        held.set_target(packed.manifest)
-        lacked = held.parts_to_fetch(packed.manifest)
-        held.add(lacked, [packed.parts[one] for one in lacked])
-        lacked = held.parts_to_fetch(packed.manifest)
-        held.add(lacked, [packed.parts[one] for one in lacked[1:]])
-    assert len(held._texts) < 1_300
-
-
-PACKED = [encode_revision(document) for document in build_revisions(5, 120)]
-
-
-def adopt_parts(held, packed, dropped):
-    """Offer a revision of whose parts some may never arrive."""
-    held.set_target(packed.manifest)
-    lacked = held.parts_to_fetch(packed.manifest)
-    while lacked:
-        texts = [packed.parts[one] for one in lacked[dropped:]]
-        if not held.add(lacked, [*texts, b'{}']):
+        packed = encode_revision(RevisionDocument(number, 'c', built_settings))
+        local.set_target(packed.manifest)
+        missing = local.parts_to_fetch(packed.manifest)
+        local.add(missing, [packed.parts[part] for part in missing])
+        missing = local.parts_to_fetch(packed.manifest)
+        local.add(missing, [packed.parts[part] for part in missing[1:]])
+    assert len(local._texts) < 1_300
+
+
+ENCODED_REVISIONS = [
+    encode_revision(document) for document in build_revisions(5, 120)
+]
+
+
+def add_parts(local, packed, dropped):
+    """Add the parts of a revision, without the first `dropped` of each reply."""
+    local.set_target(packed.manifest)
+    missing = local.parts_to_fetch(packed.manifest)
+    while missing:
+        texts = [packed.parts[part] for part in missing[dropped:]]
+        if not local.add(missing, [*texts, b'{}']):
             return None
-        lacked = held.parts_to_fetch(packed.manifest)
-    return held.adopt(packed.manifest, packed.encoded)
+        missing = local.parts_to_fetch(packed.manifest)
+    return local.adopt(packed.manifest, packed.encoded)
 
 
 @settings(derandomize=True, max_examples=100, deadline=None)
@@ -279,27 +306,31 @@
     )
 )
 def test_held_revision_is_whole_and_never_lower(steps):
-    """Parts that arrive in any order must not make or revert a revision."""
-    held = LocalRevision()
+    """Guards against a revision that is incomplete or replaces a newer one.
+
+    Parts and documents of several revisions arrive in any order, and some
+    parts never do.
+    """
+    local = LocalRevision()
     highest = 0
     for index, is_whole, dropped in steps:
         document = build_revisions(5, 120)[index]
-        packed = PACKED[index]
+        packed = ENCODED_REVISIONS[index]
         if is_whole:
-            adopted = held.adopt(document, msgspec.json.encode(document))
+            adopted = local.adopt(document, msgspec.json.encode(document))
         else:
-            adopted = adopt_parts(held, packed, dropped // 4)
+            adopted = add_parts(local, packed, dropped // 4)
         if adopted is not None:
             assert adopted.revision == index + 1 > highest
             highest = index + 1
         if highest:
-            wanted = build_revisions(5, 120)[highest - 1].settings
-            assert held.document.settings == wanted
-            reply = held.answer(RevisionRequest(0, takes_manifest=True))
+            expected = build_revisions(5, 120)[highest - 1].settings
+            assert local.document.settings == expected
+            reply = local.answer(RevisionRequest(0, takes_manifest=True))
             assert reply.revision == highest
-            everything = held.answer_parts(
-                PartsRequest(tuple(PACKED[highest - 1].parts))
+            parts_reply = local.answer_parts(
+                PartsRequest(tuple(ENCODED_REVISIONS[highest - 1].parts))
             )
-            # All but the history, which daemons do not read.
-            served = len(PACKED[highest - 1].parts) - 1
-            assert not reply.manifest or len(everything.texts) >= served
+            # Daemons have all parts but the history, which they do not read.
+            part_count = len(ENCODED_REVISIONS[highest - 1].parts) - 1
+            assert not reply.manifest or len(parts_reply.texts) >= part_count
