Say which failures the tests of dispatch and the daemon guard against

Docstrings such as 'a suspect must not take other requests with it' and names such as Setup, told and slow had to be guessed. They now name the failure, its cause, and the parts of the fixture. The check passes, and the tests of dispatch, daemon, docs and examples.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -335,8 +335,8 @@
 def test_claim_that_one_entry_may_have_run_is_unknown(capsys):
     """Guards against `not_run` for a claim that may have run.
 
-    The first daemon reads the claim and does not answer; the connection to
-    the second is refused. The refusal must not hide the unknown outcome.
+    The first daemon closes the connection after the claim was sent; the
+    connection to the second is refused. The claim may have run at the first.
     """
     with swallowing_daemon() as entry:
         operator = Operator(capsys, entry=f'{entry},127.0.0.1:1')
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -15,7 +15,7 @@
 from tests.configuration_fleet import Fleet
 
 
-def encode_revisions(count):
+def encoded_documents(count):
     """Return the encoded revisions 1 to `count`, with default settings."""
     document = None
     encoded = []
@@ -35,7 +35,7 @@
 
     async def run() -> None:
         async with Fleet(20) as fleet:
-            for number, value in enumerate(encode_revisions(4), start=1):
+            for number, value in enumerate(encoded_documents(4), start=1):
                 fleet.platform.put(value)
                 await fleet.advance(3)
                 assert fleet.revisions_in_force() == {number}
@@ -84,7 +84,7 @@
             }
             assert len(fleet.isolated_hosts) == 3
             await fleet.advance(1)
-            fleet.platform.put(encode_revisions(1)[0])
+            fleet.platform.put(encoded_documents(1)[0])
             await fleet.advance(3)
             assert fleet.revisions_in_force() == {1}
 
@@ -100,7 +100,7 @@
     """
 
     async def run() -> None:
-        first, second, _, fourth = encode_revisions(4)
+        first, second, _, fourth = encoded_documents(4)
         async with Fleet(5) as fleet:
             fleet.platform.put(second)
             await fleet.advance(3)
@@ -130,7 +130,7 @@
     async def run() -> None:
         async with Fleet(5) as fleet:
             fleet.platform.down = True
-            fleet.platform.put(encode_revisions(1)[0])
+            fleet.platform.put(encoded_documents(1)[0])
             await fleet.advance(60)
             assert fleet.revisions_in_force() == {0}
             assert fleet.platform.call_counts['watch'] <= 5 + 3 * 25
@@ -171,7 +171,7 @@
     """
 
     async def run() -> None:
-        first, second, third = encode_revisions(3)
+        first, second, third = encoded_documents(3)
         async with Fleet(4) as fleet:
             fleet.platform.put(first)
             await fleet.advance(3)
@@ -192,7 +192,7 @@
     """
 
     async def run() -> None:
-        first, second = encode_revisions(2)
+        first, second = encoded_documents(2)
         async with Fleet(1) as fleet:
 
             def fail(document):
--- a/tests/test_configuration_links.py
+++ b/tests/test_configuration_links.py
@@ -21,7 +21,7 @@
 from boragespool.store import HostEntry, HostState, StoreClient
 from boragespool.timers import LoopTimers
 from boragespool.types import MemberStatus
-from tests.test_configuration import encode_revisions
+from tests.test_configuration import encoded_documents
 from tests.test_peers import free_address
 
 HOSTS = tuple(f'h{number}' for number in range(5))
@@ -89,7 +89,7 @@
                 ),
                 boards,
             )
-            for number, text in enumerate(encode_revisions(2)):
+            for number, text in enumerate(encoded_documents(2)):
                 await writer.put('config/current', text, number)
                 await until(
                     lambda wanted=number + 1: all(
--- a/tests/test_configuration_parts.py
+++ b/tests/test_configuration_parts.py
@@ -187,7 +187,7 @@
             fleet.platform.put_parts(encode_revision(second))
             await fleet.advance(3)
             assert fleet.revisions_in_force() == {2}
-            # A daemon of the earlier release requests it without `takes_manifest`.
+            # The earlier release sends requests without `takes_manifest`.
             for peers in fleet.peers_by_host.values():
                 reply = await peers.handlers[RevisionRequest](
                     None, RevisionRequest(1)
@@ -286,8 +286,11 @@
 ]
 
 
-def add_parts(local, packed, dropped):
-    """Add the parts of a revision, without the first `dropped` of each reply."""
+def adopt_parts(local, packed, dropped):
+    """Adopt a revision unless `dropped` parts of each request are missing.
+
+    Returns the adopted document, or None.
+    """
     local.set_target(packed.manifest)
     missing = local.parts_to_fetch(packed.manifest)
     while missing:
@@ -319,7 +322,7 @@
         if is_whole:
             adopted = local.adopt(document, msgspec.json.encode(document))
         else:
-            adopted = add_parts(local, packed, dropped // 4)
+            adopted = adopt_parts(local, packed, dropped // 4)
         if adopted is not None:
             assert adopted.revision == index + 1 > highest
             highest = index + 1
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,4 +1,4 @@
-"""The daemon as a real process."""
+"""The daemon as a process: settings, exit codes, signals and membership."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 )
 
 KEEP_S = 1
-REQUIRED = {
+REQUIRED_SETTINGS = {
     'host': 'a',
     'data_centre': 'north',
     'region': 'east',
@@ -36,7 +36,7 @@
     'peer_address': '127.0.0.1:7002',
     'platform_address': '127.0.0.1:7003',
 }
-BAD = {
+INVALID_SETTINGS = {
     'caller_address': '127.0.0.1',
     'peer_address': '0.0.0.0:7000',
     'platform_address': '127.0.0.1:70000',
@@ -50,29 +50,38 @@
 
 
 def arguments(**changed: str) -> list[str]:
-    """A command line with the required settings."""
-    return ['entry', *(f'--{n}={v}' for n, v in (REQUIRED | changed).items())]
+    """Return a command line with the required settings, some changed."""
+    return [
+        'entry',
+        *(
+            f'--{name}={value}'
+            for name, value in (REQUIRED_SETTINGS | changed).items()
+        ),
+    ]
 
 
-@pytest.mark.parametrize('name', BAD)
+@pytest.mark.parametrize('name', INVALID_SETTINGS)
 def test_bad_setting_is_named(name):
-    """An operator must see which setting is wrong, and what is allowed."""
-    failure = read_settings(arguments(**{name: BAD[name]}), {})
+    """Guards against an error that does not say what to correct.
+
+    It must name the setting, the bad value and what is allowed, in one line.
+    """
+    failure = read_settings(arguments(**{name: INVALID_SETTINGS[name]}), {})
     assert isinstance(failure, Failure)
-    for part in (repr(name), repr(BAD[name]), 'allowed'):
+    for part in (repr(name), repr(INVALID_SETTINGS[name]), 'allowed'):
         assert part in failure.reason
     assert '\n' not in failure.reason
 
 
 def test_missing_and_unknown_settings_are_refused():
-    """A misspelt flag must not be ignored."""
+    """Guards against a daemon that ignores a misspelt flag."""
     assert "'host' is not set" in read_settings(['entry'], {}).reason
     assert isinstance(read_settings([*arguments(), '--hots=a'], {}), Failure)
     assert isinstance(read_settings([*arguments(), 'stray'], {}), Failure)
 
 
 def test_flag_precedes_the_environment():
-    """A flag on the command line must override the host's environment."""
+    """Guards against an environment variable that overrides a flag."""
     environment = {
         'BORAGESPOOL_HOST': 'from-environment',
         'BORAGESPOOL_HTTP_IDLE_TIMEOUT_S': '7',
@@ -93,7 +102,11 @@
 @settings(derandomize=True)
 @given(st.sampled_from(sorted(all_settings())), st.text(max_size=30))
 def test_any_text_is_parsed_or_refused(name, text):
-    """No setting may raise a traceback at the operator."""
+    """Guards against a traceback for a bad setting.
+
+    Any text can be given; it must be parsed or refused with a message. The
+    other required settings are missing here, so that each read fails.
+    """
     read = read_settings(['entry'], {'BORAGESPOOL_' + name.upper(): text})
     assert isinstance(read, Failure)
 
@@ -106,20 +119,20 @@
 
 @pytest.fixture
 def platform(processes):
-    """Address of a platform with a configuration that is kept for 1 s."""
+    """Address of a platform; callers may cache daemon addresses for 1 s."""
     address = processes.start_platform().address
     put_revision(address, 1, Settings(addresses=AddressSettings(keep_s=KEEP_S)))
     return address
 
 
-def members_of(entry) -> dict[str, dict]:
-    """What one daemon knows about its members."""
+def members_by_host(entry) -> dict[str, dict]:
+    """Return the members that a daemon knows, by host."""
     listed = fetch(entry.address, '/v1/status')[1]['members']
     return {member['host']: member for member in listed}
 
 
-def start_three(processes, platform, *flags: str):
-    """Three daemons that know each other; b and c join through a."""
+def start_three_daemons(processes, platform, *flags: str):
+    """Start three daemons that know each other; b and c join through a."""
     first = processes.start_entry('a', platform, *flags)
     for host in 'bc':
         processes.start_entry(
@@ -128,23 +141,27 @@
     entries = [processes.entries[host] for host in 'abc']
     for entry in entries:
         entry.wait_for_event(101)
-    until(lambda: all(len(members_of(entry)) == 3 for entry in entries))
+    until(lambda: all(len(members_by_host(entry)) == 3 for entry in entries))
     return entries
 
 
 def test_bad_setting_ends_the_process(processes):
-    """The process must not listen with settings it cannot use."""
+    """Guards against a daemon that keeps running with unusable settings."""
     entry = processes.start_entry('a', 'nowhere')
     assert entry.wait() == 2
     assert entry.event_numbers() == [107]
 
 
 def test_address_in_use_ends_the_process(processes, platform):
-    """A second daemon on one address must end with its own exit code."""
-    with socket.socket() as taken:
-        taken.bind(('127.0.0.1', 0))
-        taken.listen()
-        address = f'127.0.0.1:{taken.getsockname()[1]}'
+    """Guards against a daemon that keeps running without its addresses.
+
+    This happens if another process listens on one of them already. The exit
+    code must differ from that for bad settings.
+    """
+    with socket.socket() as listener:
+        listener.bind(('127.0.0.1', 0))
+        listener.listen()
+        address = f'127.0.0.1:{listener.getsockname()[1]}'
         for flag in ('caller_address', 'peer_address'):
             entry = processes.start_entry('a', platform, **{flag: address})
             assert entry.wait() == 3
@@ -152,7 +169,10 @@
 
 
 def test_daemons_join_through_the_platform_list(processes):
-    """A fleet without a peers option must find itself."""
+    """Guards against daemons that never join if no peers are configured.
+
+    They must then take the addresses of each other from the platform's list.
+    """
     addresses = {host: free_address() for host in 'ab'}
     platform = processes.start_platform(
         [
@@ -170,37 +190,52 @@
         processes.start_entry(host, platform, peer_address=address)
     for entry in processes.entries.values():
         entry.wait_for_event(101)
-        until(lambda entry=entry: set(members_of(entry)) == {'a', 'b'})
+        until(lambda entry=entry: set(members_by_host(entry)) == {'a', 'b'})
 
 
 def test_killed_and_paused_daemons(processes, platform):
-    """Peers must drop a dead daemon in seconds and take a paused one back."""
-    first, second, third = start_three(processes, platform)
+    """Guards against callers being sent to dead daemons.
 
-    def is_status(host: str, status: str) -> bool:
-        return members_of(first)[host]['status'] == status
+    Peers must notice a killed or paused process within seconds, and accept a
+    paused one again once it continues.
+    """
+    first, second, third = start_three_daemons(processes, platform)
+
+    def has_status(host: str, status: str) -> bool:
+        return members_by_host(first)[host]['status'] == status
 
     third.signal(signal.SIGKILL)
     second.signal(signal.SIGSTOP)
-    until(lambda: is_status('c', 'dead'), 10, 'killed daemon is dead')
-    until(lambda: is_status('b', 'dead'), 10, 'paused daemon is dead')
+    until(lambda: has_status('c', 'dead'), 10, 'killed daemon is dead')
+    until(lambda: has_status('b', 'dead'), 10, 'paused daemon is dead')
     listed = fetch(first.address, '/v1/addresses?count=3')[1]['addresses']
     assert listed == [first.address]
     second.signal(signal.SIGCONT)
-    until(lambda: is_status('b', 'alive'), 10, 'paused daemon returns')
-    assert members_of(first)['b']['beat'] > 0
-    until(lambda: members_of(second)['a']['status'] == 'alive')
+    until(lambda: has_status('b', 'alive'), 10, 'paused daemon returns')
+    assert members_by_host(first)['b']['beat'] > 0
+    until(lambda: members_by_host(second)['a']['status'] == 'alive')
+
 
+class PollingCaller(threading.Thread):
+    """Thread that sends requests to one daemon until it is stopped.
 
-class Caller(threading.Thread):
-    """Keeps asking one daemon; caches addresses as long as it is told."""
+    It changes to another daemon when the one in use is no longer among the
+    addresses, which it caches for `KEEP_S`.
+
+    Attributes
+    ----------
+    errors : list of str
+        Requests that failed because of the connection.
+    answer_counts : dict
+        Number of answers by address of the daemon.
+    """
 
     def __init__(self, address: str) -> None:
         super().__init__()
         self.address = address
         self.cached_at_s = time.monotonic()
-        self.cut: list[str] = []
-        self.answered_by: dict[str, int] = {}
+        self.errors: list[str] = []
+        self.answer_counts: dict[str, int] = {}
         self.stopping = False
         self.connection = None
 
@@ -208,16 +243,16 @@
         while not self.stopping:
             try:
                 if time.monotonic() - self.cached_at_s >= KEEP_S:
-                    listed = self.ask('/v1/addresses')['addresses']
+                    listed = self.get('/v1/addresses')['addresses']
                     self.cached_at_s = time.monotonic()
                     if self.address not in listed:
                         self.address, self.connection = listed[0], None
-                self.ask('/v1/health')
+                self.get('/v1/health')
             except (OSError, http.client.HTTPException) as error:
-                self.cut.append(repr(error))
+                self.errors.append(repr(error))
                 self.connection = None
 
-    def ask(self, path: str) -> dict:
+    def get(self, path: str) -> dict:
         if self.connection is None:
             self.connection = http.client.HTTPConnection(
                 self.address, timeout=5
@@ -226,7 +261,7 @@
         response = self.connection.getresponse()
         body = json.load(response)
         assert response.status == 200
-        counts = self.answered_by
+        counts = self.answer_counts
         counts[self.address] = counts.get(self.address, 0) + 1
         if response.getheader('connection') == 'close':
             self.connection = None
@@ -235,17 +270,23 @@
 
 @pytest.mark.parametrize('first_signal', stop_signals())
 def test_graceful_stop_cuts_no_request(processes, platform, first_signal):
-    """A planned stop under load must answer every request in flight."""
-    entries = start_three(processes, platform)
+    """Guards against requests that fail when a daemon is stopped gracefully.
+
+    Callers keep using the daemon until their cached addresses expire. Further
+    signals during the stop must not shorten it.
+    """
+    entries = start_three_daemons(processes, platform)
     leaving = entries[2]
-    callers = [Caller(leaving.address) for _ in range(8)]
+    callers = [PollingCaller(leaving.address) for _ in range(8)]
     for caller in callers:
         caller.start()
     try:
         time.sleep(0.5)
         leaving.signal(first_signal)
         leaving.wait_for_event(102)
-        until(lambda: members_of(entries[0])['c']['status'] == 'leaving', 0.5)
+        until(
+            lambda: members_by_host(entries[0])['c']['status'] == 'leaving', 0.5
+        )
         listed = fetch(entries[0].address, '/v1/addresses?count=3')[1]
         assert leaving.address not in listed['addresses']
         for number in stop_signals():
@@ -256,16 +297,22 @@
             caller.stopping = True
         for caller in callers:
             caller.join()
-    assert [caller.cut for caller in callers] == [[]] * len(callers)
+    assert [caller.errors for caller in callers] == [[]] * len(callers)
     for caller in callers:
-        assert caller.answered_by[leaving.address] > 5
-        assert len(caller.answered_by) > 1
-    stop_events = [n for n in leaving.event_numbers() if 102 <= n <= 106]
+        assert caller.answer_counts[leaving.address] > 5
+        assert len(caller.answer_counts) > 1
+    stop_events = [
+        number for number in leaving.event_numbers() if 102 <= number <= 106
+    ]
     assert stop_events == [102, 103, 104, 105, 106]
 
 
 def test_stop_is_bounded(processes, platform):
-    """A stop that cannot finish must end and say so in its exit code."""
+    """Guards against a stop that never ends.
+
+    The stop must end after the timeout, with an exit code and a last event
+    that say it is incomplete.
+    """
     entry = processes.start_entry('a', platform, '--stop_timeout_s=0.2')
     entry.wait_for_event(101)
     entry.signal(signal.SIGTERM)
@@ -274,10 +321,13 @@
 
 
 def test_operators_page_lists_every_setting():
-    """A flag that the page does not list would be found by nobody."""
+    """Guards against a flag that the operators' page does not list.
+
+    This happens when a setting is added or its default changes.
+    """
     page = (ROOT / 'docs/operators-daemon.md').read_text(encoding='utf-8')
     for name, setting in all_settings().items():
-        row = next(x for x in page.splitlines() if f'`--{name}`' in x)
+        row = next(line for line in page.splitlines() if f'`--{name}`' in line)
         assert f'`BORAGESPOOL_{name.upper()}`' in row
         assert setting.value_type.allowed in row
         assert setting.default is None or setting.default in row
--- a/tests/test_daemon_path.py
+++ b/tests/test_daemon_path.py
@@ -1,4 +1,4 @@
-"""Queries and claims through real daemons and backend server stand-ins."""
+"""Queries and claims through daemon processes and backend stand-ins."""
 
 from __future__ import annotations
 
@@ -18,11 +18,13 @@
 from boragespool.types import Rank, WorkKind
 from tests.processes import Processes, fetch, free_address, put_revision, until
 
-SERVERS = {f'{service}-{n}': service for service in ('s', 'l') for n in '012'}
+SERVICE_BY_SERVER = {
+    f'{service}-{number}': service for service in ('s', 'l') for number in '012'
+}
 
 
 def settings_for(address_by_server: dict[str, str]) -> Settings:
-    """A search service in three shards and a ledger."""
+    """Return settings of a search service in three shards, and a ledger."""
     services = {
         service: ServiceSettings(
             slots=5,
@@ -30,7 +32,7 @@
             servers={
                 name: ServerSettings(address, 'north')
                 for name, address in address_by_server.items()
-                if SERVERS[name] == service
+                if SERVICE_BY_SERVER[name] == service
             },
         )
         for service in ('s', 'l')
@@ -47,7 +49,7 @@
     """Three ready daemons in front of six backend servers."""
     with Processes() as processes:
         platform = processes.start_platform().address
-        addresses = {name: free_address() for name in SERVERS}
+        addresses = {name: free_address() for name in SERVICE_BY_SERVER}
         processes.start_backends(
             [
                 {
@@ -56,7 +58,7 @@
                     'address': addresses[name],
                     **({'shard': 0, 'shards': 1} if service == 'l' else {}),
                 }
-                for name, service in SERVERS.items()
+                for name, service in SERVICE_BY_SERVER.items()
             ],
             '--shards=3',
             '--service_time_ms=20',
@@ -75,21 +77,21 @@
 
 
 def is_settled(address: str) -> bool:
-    """Whether a daemon knows all members and backend servers."""
+    """Return whether a daemon knows all members and backend servers."""
     status = fetch(address, '/v1/status')[1]
     return len(status['members']) == 3 and len(status['servers']) == len(
-        SERVERS
+        SERVICE_BY_SERVER
     )
 
 
 def query(address: str):
-    """Send one query."""
+    """Send a query; return the HTTP status and the answer."""
     body = {'route': 'search', 'caller': 'till', 'body': {'text': 'rice'}}
     return fetch(address, '/v1/query', body, 'POST')
 
 
 def claim(address: str, ticket: str):
-    """Send one claim under a ticket."""
+    """Send a claim with a ticket; return the HTTP status and the answer."""
     body = {
         'route': 'claim',
         'caller': 'till',
@@ -100,7 +102,11 @@
 
 
 def test_query_and_claim_travel_the_whole_path(fleet):
-    """A part that is not wired in would leave its requests unanswered."""
+    """Guards against a controller that the daemon process does not start.
+
+    The requests that need it would then fail at one of the daemons. A claim
+    with one ticket must have one outcome, wherever it is sent.
+    """
     for entry in fleet:
         status, answer = query(entry.address)
         assert (status, answer['coverage']) == (200, 1), answer
@@ -111,8 +117,19 @@
     assert len({str(answer['outcome']) for _, answer in answers}) == 1
 
 
-class WorkingCaller(threading.Thread):
-    """Sends queries and claims, and keeps addresses as long as told."""
+class CallerThread(threading.Thread):
+    """Thread that sends queries and claims to one daemon for a given time.
+
+    It changes to another daemon when the one in use is no longer among the
+    addresses.
+
+    Attributes
+    ----------
+    failures : list
+        Errors and answers that are not complete.
+    count_by_address : dict
+        Number of pairs of query and claim by address of the daemon.
+    """
 
     def __init__(self, address: str, duration_s: float) -> None:
         super().__init__()
@@ -124,18 +141,18 @@
     def run(self) -> None:
         while time.monotonic() < self.stop_at_s:
             try:
-                self.work_until_stale()
+                self.send_until_expiry()
             except OSError as error:
                 self.failures.append(repr(error))
 
-    def work_until_stale(self) -> None:
-        """Ask for addresses and work as long as they are valid."""
+    def send_until_expiry(self) -> None:
+        """Fetch addresses and tickets; send requests until they expire."""
         listed = fetch(self.address, '/v1/addresses?tickets=60')[1]
-        stale_at_s = time.monotonic() + listed['keep_s']
+        expires_at_s = time.monotonic() + listed['keep_s']
         if self.address not in listed['addresses']:
             self.address = listed['addresses'][0]
         for ticket in listed['tickets']:
-            if time.monotonic() >= stale_at_s:
+            if time.monotonic() >= expires_at_s:
                 return
             for status, answer in (
                 query(self.address),
@@ -148,9 +165,13 @@
 
 
 def test_graceful_stop_keeps_queries_and_claims(fleet):
-    """Work in flight at a planned stop must be answered, not cut."""
+    """Guards against queries and claims that fail during a graceful stop.
+
+    Callers keep sending to the daemon until their cached addresses expire,
+    while it drains and hands over its records.
+    """
     leaving = fleet[2]
-    callers = [WorkingCaller(leaving.address, 6) for _ in range(4)]
+    callers = [CallerThread(leaving.address, 6) for _ in range(4)]
     for caller in callers:
         caller.start()
     time.sleep(1)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -1,4 +1,4 @@
-"""Dispatch of work to backend servers over HTTP."""
+"""Dispatch of work to a backend server over HTTP."""
 
 from __future__ import annotations
 
@@ -44,65 +44,76 @@
 from tests.relay import Relay
 from tests.test_peers import free_address
 
-CLAIM = {'kind': WorkKind.CLAIM}
+CLAIM_FIELDS = {'kind': WorkKind.CLAIM}
 DEAD = MemberStatus.DEAD
 
 
-class Setup:
-    """One dispatcher and one backend server."""
+class Dispatcher:
+    """Dispatch controller of the daemon ``a`` and its backend server ``s``.
+
+    Requests reach the controller over the daemon's own peer network.
+    """
 
     def __init__(self, backend, context, controller):
         self.backend, self.context = backend, context
         self.controller = controller
 
     async def send(self, request):
+        """Send work to the controller and return the reply."""
         return await self.context.peers.request('a', request, 5)
 
     def start(self, request):
+        """Send work in a new task and return the task."""
         return asyncio.create_task(self.send(request))
 
-    async def warm(self):
-        """Raise the limit to all five slots."""
+    async def raise_limit(self):
+        """Raise the concurrency limit to all 5 slots."""
         await asyncio.gather(*(self.send(work()) for _ in range(40)))
         assert self.controller.status()['s']['limit'] == 5
 
-    async def running(self, count):
+    async def wait_for_running(self, count):
+        """Wait until the backend server runs `count` requests."""
         while len(self.backend.running) < count:
             await asyncio.sleep(0.005)
 
 
 @asynccontextmanager
-async def dispatching(address=None):
+async def run_dispatcher(address=None):
+    """Run a dispatcher whose server is at `address`, or a fake one."""
     async with FakeBackend() as backend:
         revision = document({'s': address or backend.address})
         async with daemon(revision) as context:
             async with DispatchController(context) as controller:
-                yield Setup(backend, context, controller)
+                yield Dispatcher(backend, context, controller)
 
 
-def run(scenario):
-    """Run a scenario on one dispatcher, within ten seconds."""
+def run_scenario(scenario):
+    """Run a scenario on a new dispatcher; fail after 10 s."""
 
     async def bounded():
-        async with dispatching() as setup:
-            await scenario(setup)
+        async with run_dispatcher() as dispatcher:
+            await scenario(dispatcher)
 
     asyncio.run(asyncio.wait_for(bounded(), 10))
 
 
 def test_reply_carries_results_and_times():
-    """Mergers need the range, the items, and the backpressure."""
+    """Guards against fields of the reply that get lost on the way.
+
+    Mergers need the version, range and items. The service time and the waits
+    by rank tell them about the load of the server.
+    """
 
-    async def scenario(setup):
-        reply = await setup.send(work(delay_s=0.05, deadline_s=1))
+    async def scenario(dispatcher):
+        reply = await dispatcher.send(work(delay_s=0.05, deadline_s=1))
         assert (reply.version, reply.start, reply.end) == (7, 0, 100)
         assert reply.items[0].key == 1
         assert reply.run == RunState.RUN
         assert 0.05 <= reply.service_time_s < 0.5
         assert len(reply.waits_s) == 3
-        assert 0.9 < setup.backend.deadlines[-1] <= 1
+        assert 0.9 < dispatcher.backend.deadlines[-1] <= 1
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 @pytest.mark.parametrize(
@@ -116,169 +127,205 @@
         ('short', ResultCode.SERVER_REPLY_INVALID, RunState.UNKNOWN),
     ],
 )
-def test_other_answers_are_told_apart(mode, code, run_state):
-    """Another attempt's reply or a cut list must not reach a caller."""
+def test_error_replies_get_distinct_codes(mode, code, run_state):
+    """Guards against an error or a wrong reply that is taken for a result.
+
+    A server can shed work, drain, miss the deadline or not hold the version.
+    It can also send the reply to another attempt, or fewer items than it
+    counted; the run state is then unknown.
+    """
 
-    async def scenario(setup):
-        reply = await setup.send(work(mode))
+    async def scenario(dispatcher):
+        reply = await dispatcher.send(work(mode))
         assert (reply.code, reply.run) == (code, run_state)
-        observed = setup.context.board.read(SERVER_OBSERVATIONS).get('s')
+        observed = dispatcher.context.board.read(SERVER_OBSERVATIONS).get('s')
         is_draining = observed is not None and observed.draining_at_s > 0
         assert is_draining == (mode == 'draining')
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_unknown_server_is_refused():
-    """A message for a removed server must not raise."""
+    """Guards against an exception on work for a server that was removed.
 
-    async def scenario(setup):
-        reply = await setup.send(work(server='other'))
+    A sender whose settings are older can still send it.
+    """
+
+    async def scenario(dispatcher):
+        reply = await dispatcher.send(work(server='other'))
         assert (reply.code, reply.run) == (ResultCode.NO_SERVER, 'not_run')
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_limit_ramps_up_and_connections_are_reused():
-    """A cold server must not get all slots; connections cost time."""
+    """Guards against overload of a cold server, and needless connections.
+
+    The limit rises with the replies, and falls when the server sheds work.
+    Connections take time to open, so they must be reused.
+    """
 
-    async def scenario(setup):
-        await setup.warm()
-        assert setup.backend.peak <= 5
-        assert setup.backend.connection_count <= 5
-        await setup.send(work('shed'))
-        assert setup.controller.status()['s']['limit'] == 2
+    async def scenario(dispatcher):
+        await dispatcher.raise_limit()
+        assert dispatcher.backend.peak <= 5
+        assert dispatcher.backend.connection_count <= 5
+        await dispatcher.send(work('shed'))
+        assert dispatcher.controller.status()['s']['limit'] == 2
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_first_work_after_a_start_runs_alone():
-    """A server that just started must get one request at first."""
+    """Guards against several requests at once to a server that just started."""
 
-    async def scenario(setup):
-        started = [setup.start(work(delay_s=0.05)) for _ in range(4)]
-        await setup.running(1)
+    async def scenario(dispatcher):
+        started = [dispatcher.start(work(delay_s=0.05)) for _ in range(4)]
+        await dispatcher.wait_for_running(1)
         await asyncio.sleep(0.02)
-        assert len(setup.backend.running) == 1
+        assert len(dispatcher.backend.running) == 1
         await asyncio.gather(*started)
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 @pytest.mark.parametrize('kind', WorkKind)
 def test_attempt_runs_once(kind):
-    """A repeated message must not run a claim again."""
+    """Guards against work that runs twice because its message was repeated.
+
+    The same attempt can arrive while it runs; for a claim also afterwards.
+    """
 
-    async def scenario(setup):
+    async def scenario(dispatcher):
         request = work(delay_s=0.05, kind=kind)
         first, second = await asyncio.gather(
-            setup.send(request),
-            setup.send(request),
+            dispatcher.send(request),
+            dispatcher.send(request),
         )
         assert first == second
-        late = await setup.send(request)
+        late = await dispatcher.send(request)
         assert late == first or kind == WorkKind.QUERY
-        assert setup.backend.attempts.count(request.attempt_id) == 1
+        assert dispatcher.backend.attempts.count(request.attempt_id) == 1
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_waiting_work_is_cancelled_without_running():
-    """A hedge that lost must not take a slot later."""
+    """Guards against work that runs although its caller has the answer.
 
-    async def scenario(setup):
-        running = setup.start(work(delay_s=0.1))
-        await setup.running(1)
+    A merger cancels the slower of two hedged attempts, which may still wait
+    in the queue.
+    """
+
+    async def scenario(dispatcher):
+        running = dispatcher.start(work(delay_s=0.1))
+        await dispatcher.wait_for_running(1)
         request = work()
-        waiting = setup.start(request)
+        waiting = dispatcher.start(request)
         await asyncio.sleep(0.01)
-        setup.context.peers.send('a', CancelWork(request.attempt_id))
+        dispatcher.context.peers.send('a', CancelWork(request.attempt_id))
         reply = await waiting
         assert (reply.code, reply.run) == (ResultCode.CANCELLED, 'not_run')
         await running
-        assert request.attempt_id not in setup.backend.attempts
+        assert request.attempt_id not in dispatcher.backend.attempts
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_running_work_is_cancelled_at_the_server():
-    """Cancelled work must free its slot and keep its connection."""
+    """Guards against cancelled work that keeps its slot.
+
+    It must also be cancelled at the server, and its connection reused.
+    """
 
-    async def scenario(setup):
+    async def scenario(dispatcher):
         request = work(delay_s=3)
-        running = setup.start(request)
-        await setup.running(1)
-        setup.context.peers.send('a', CancelWork(request.attempt_id))
+        running = dispatcher.start(request)
+        await dispatcher.wait_for_running(1)
+        dispatcher.context.peers.send('a', CancelWork(request.attempt_id))
         reply = await asyncio.wait_for(running, 1)
         assert (reply.code, reply.run) == (ResultCode.CANCELLED, 'not_run')
-        assert setup.backend.cancelled == [request.attempt_id]
-        assert (await setup.send(work())).code == ResultCode.COMPLETE
-        assert setup.backend.connection_count == 2
+        assert dispatcher.backend.cancelled == [request.attempt_id]
+        assert (await dispatcher.send(work())).code == ResultCode.COMPLETE
+        assert dispatcher.backend.connection_count == 2
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_borrowed_slots_are_taken_back():
-    """Urgent work must not wait for deferrable work above its cap."""
+    """Guards against urgent work that waits for deferrable work.
+
+    Deferrable work may exceed its cap while slots are free. One of its
+    requests must be cancelled when urgent work arrives.
+    """
 
-    async def scenario(setup):
-        await setup.warm()
-        slow = [
-            setup.start(work(delay_s=1, rank=Rank.DEFERRABLE)) for _ in range(5)
+    async def scenario(dispatcher):
+        await dispatcher.raise_limit()
+        deferrable = [
+            dispatcher.start(work(delay_s=1, rank=Rank.DEFERRABLE))
+            for _ in range(5)
         ]
-        await setup.running(5)
-        reply = await asyncio.wait_for(setup.send(work()), 0.5)
+        await dispatcher.wait_for_running(5)
+        reply = await asyncio.wait_for(dispatcher.send(work()), 0.5)
         assert reply.code == ResultCode.COMPLETE
-        codes = [each.code for each in await asyncio.gather(*slow)]
+        codes = [reply.code for reply in await asyncio.gather(*deferrable)]
         assert codes.count(ResultCode.CANCELLED) == 1
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_running_claim_is_not_preempted():
-    """A claim that was cancelled half-way would be unknown."""
+    """Guards against preempting a running claim.
+
+    It would be unknown whether a cancelled claim ran.
+    """
 
-    async def scenario(setup):
-        await setup.warm()
-        slow = [
-            setup.start(work(delay_s=0.2, rank=Rank.DEFERRABLE, **CLAIM))
+    async def scenario(dispatcher):
+        await dispatcher.raise_limit()
+        deferrable = [
+            dispatcher.start(
+                work(delay_s=0.2, rank=Rank.DEFERRABLE, **CLAIM_FIELDS)
+            )
             for _ in range(5)
         ]
-        await setup.running(5)
-        await setup.send(work())
-        replies = await asyncio.gather(*slow)
-        assert {each.code for each in replies} == {ResultCode.COMPLETE}
+        await dispatcher.wait_for_running(5)
+        await dispatcher.send(work())
+        replies = await asyncio.gather(*deferrable)
+        assert {reply.code for reply in replies} == {ResultCode.COMPLETE}
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_deadline_frees_the_slot_of_a_slow_server():
-    """A straggler must not hold a slot after its deadline."""
+    """Guards against a slow request that keeps its slot past its deadline."""
 
-    async def scenario(setup):
-        reply = await setup.send(work(delay_s=3, deadline_s=0.1))
+    async def scenario(dispatcher):
+        reply = await dispatcher.send(work(delay_s=3, deadline_s=0.1))
         assert reply.code == ResultCode.DEADLINE_PASSED
-        assert not setup.backend.running
-        assert (await setup.send(work())).code == ResultCode.COMPLETE
+        assert not dispatcher.backend.running
+        assert (await dispatcher.send(work())).code == ResultCode.COMPLETE
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_silent_connection_is_replaced(caplog):
-    """A connection that swallows data must not take the server down."""
+    """Guards against a server that stays unusable due to one connection.
+
+    A connection that silently drops all bytes must be replaced by a new one,
+    and the claim that was sent on it reported as unknown.
+    """
 
     async def scenario():
         async with FakeBackend() as backend, Relay(backend.address) as relay:
             async with daemon(document({'s': relay.address})) as context:
                 async with DispatchController(context) as controller:
-                    setup = Setup(backend, context, controller)
-                    await setup.send(work())
+                    dispatcher = Dispatcher(backend, context, controller)
+                    await dispatcher.send(work())
                     relay.silence()
-                    claim = work(deadline_s=0.2, **CLAIM)
-                    reply = await setup.send(claim)
+                    claim = work(deadline_s=0.2, **CLAIM_FIELDS)
+                    reply = await dispatcher.send(claim)
                     assert reply.code == ResultCode.SERVER_SILENT
                     assert reply.run == RunState.UNKNOWN
-                    again = await setup.send(work())
+                    again = await dispatcher.send(work())
                     assert again.code == ResultCode.COMPLETE
                     assert claim.attempt_id not in backend.attempts
 
@@ -289,18 +336,22 @@
 
 
 def test_closed_idle_connection_is_replaced():
-    """An idle connection that the server closed must not fail a claim."""
+    """Guards against a claim that fails on a closed idle connection.
+
+    The server can close it between two requests. The claim must then be sent
+    on a new connection, exactly once.
+    """
 
     async def scenario():
         async with FakeBackend() as backend, Relay(backend.address) as relay:
             async with daemon(document({'s': relay.address})) as context:
                 async with DispatchController(context) as controller:
-                    setup = Setup(backend, context, controller)
-                    await setup.send(work())
+                    dispatcher = Dispatcher(backend, context, controller)
+                    await dispatcher.send(work())
                     relay.cut()
                     await asyncio.sleep(0.02)
-                    claim = work(**CLAIM)
-                    reply = await setup.send(claim)
+                    claim = work(**CLAIM_FIELDS)
+                    reply = await dispatcher.send(claim)
                     assert reply.code == ResultCode.COMPLETE
                     assert backend.attempts.count(claim.attempt_id) == 1
 
@@ -308,69 +359,79 @@
 
 
 def test_claim_on_a_cut_connection_is_unknown():
-    """A claim whose bytes were sent must never be sent again."""
+    """Guards against a claim that runs twice after its connection was reset.
+
+    Its bytes were sent, so it may have run, and must not be sent again.
+    """
 
     async def scenario():
         async with FakeBackend() as backend, Relay(backend.address) as relay:
             async with daemon(document({'s': relay.address})) as context:
                 async with DispatchController(context) as controller:
-                    setup = Setup(backend, context, controller)
-                    claim = work(delay_s=0.2, **CLAIM)
-                    running = setup.start(claim)
-                    await setup.running(1)
+                    dispatcher = Dispatcher(backend, context, controller)
+                    claim = work(delay_s=0.2, **CLAIM_FIELDS)
+                    running = dispatcher.start(claim)
+                    await dispatcher.wait_for_running(1)
                     relay.cut()
                     reply = await running
                     assert reply.code == ResultCode.SERVER_CLOSED
                     assert reply.run == RunState.UNKNOWN
                     assert backend.attempts.count(claim.attempt_id) == 1
-                    # The server itself is there, so nothing is suspected.
+                    # The server still accepts connections, so it did not crash.
                     assert not context.board.read(SUSPECT_FINGERPRINTS)
 
     asyncio.run(asyncio.wait_for(scenario(), 10))
 
 
 def test_refused_connection_promises_not_run():
-    """Work must not be unknown when no byte was sent."""
+    """Guards against `unknown` for work that certainly did not run.
+
+    If the connection is refused, no byte was sent.
+    """
 
-    async def scenario(setup):
-        await setup.backend.__aexit__()
-        reply = await setup.send(work(**CLAIM))
+    async def scenario(dispatcher):
+        await dispatcher.backend.__aexit__()
+        reply = await dispatcher.send(work(**CLAIM_FIELDS))
         code = ResultCode.SERVER_UNREACHABLE
         assert (reply.code, reply.run) == (code, RunState.NOT_RUN)
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_solo_work_runs_alone():
-    """A suspect must not take other requests with it."""
-
-    async def scenario(setup):
-        await setup.warm()
-        before = setup.start(work(delay_s=0.1))
-        await setup.running(1)
-        solo = setup.start(work(delay_s=0.1, solo=True))
-        after = setup.start(work(delay_s=0.1))
+    """Guards against a suspected request that crashes a server with others.
+
+    It must run alone: after the running work has ended, and before the next
+    work starts.
+    """
+
+    async def scenario(dispatcher):
+        await dispatcher.raise_limit()
+        before = dispatcher.start(work(delay_s=0.1))
+        await dispatcher.wait_for_running(1)
+        solo = dispatcher.start(work(delay_s=0.1, solo=True))
+        after = dispatcher.start(work(delay_s=0.1))
         await before
-        await setup.running(1)
-        setup.backend.peak = 0
+        await dispatcher.wait_for_running(1)
+        dispatcher.backend.peak = 0
         await asyncio.gather(solo, after)
-        assert setup.backend.peak == 1
+        assert dispatcher.backend.peak == 1
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 @asynccontextmanager
 async def listening_peer(context, *, acknowledges=True):
-    """Add a member ``b`` that collects notices."""
+    """Add a member ``b`` that collects notices, and a dead member ``c``."""
     options = PeerOptions('b', 1, free_address())
     async with PeerNetwork(options, LoopTimers()) as peer:
         notices = []
 
-        async def acknowledge(_, told):
-            notices.append(told)
+        async def acknowledge(_, notice):
+            notices.append(notice)
             return SuspectNoticeAck()
 
-        peer.on_message(SuspectNotice, lambda _, told: notices.append(told))
+        peer.on_message(SuspectNotice, lambda _, notice: notices.append(notice))
         if acknowledges:
             peer.on_request(SuspectNotice, acknowledge)
         context.peers.set_address('b', options.listen_address)
@@ -382,75 +443,94 @@
 
 
 def test_crashing_request_is_blocked_after_the_second_loss():
-    """A request that kills servers must not kill the whole fleet."""
+    """Guards against a request that crashes one server after the other.
 
-    async def scenario(setup):
-        address = setup.backend.address
-        async with listening_peer(setup.context) as notices:
+    It is a suspect after the first loss, and runs alone. After the second
+    loss it must be blocked until an operator clears it. Peers must get a
+    notice of each step.
+    """
+
+    async def scenario(dispatcher):
+        address = dispatcher.backend.address
+        async with listening_peer(dispatcher.context) as notices:
             first = work('crash', fingerprint=5)
-            reply = await setup.send(first)
+            reply = await dispatcher.send(first)
             assert (reply.code, reply.run) == (3105, RunState.UNKNOWN)
-            assert setup.context.board.read(SUSPECT_FINGERPRINTS) == {5}
-            assert [each.loss_id for each in notices] == ['s@1']
+            assert dispatcher.context.board.read(SUSPECT_FINGERPRINTS) == {5}
+            assert [notice.loss_id for notice in notices] == ['s@1']
             async with FakeBackend('s', 2, address):
-                reply = await setup.send(work('crash', fingerprint=5))
+                reply = await dispatcher.send(work('crash', fingerprint=5))
                 assert reply.code == ResultCode.SERVER_CLOSED
-                assert setup.context.board.read(BLOCKED_FINGERPRINTS) == {5}
+                assert dispatcher.context.board.read(BLOCKED_FINGERPRINTS) == {
+                    5
+                }
             async with FakeBackend('s', 3, address) as third:
-                reply = await setup.send(work('crash', fingerprint=5))
+                reply = await dispatcher.send(work('crash', fingerprint=5))
                 assert reply.code == ResultCode.REQUEST_BLOCKED
                 assert reply.run == RunState.NOT_RUN
                 assert not third.attempts
-                assert setup.controller.clear(5)
-                assert not setup.context.board.read(BLOCKED_FINGERPRINTS)
+                assert dispatcher.controller.clear(5)
+                assert not dispatcher.context.board.read(BLOCKED_FINGERPRINTS)
             await asyncio.sleep(1.1)
-        told = [(each.loss_id, each.alone, each.cleared) for each in notices]
+        received = [
+            (notice.loss_id, notice.alone, notice.cleared) for notice in notices
+        ]
         first, second = ('s@1', False, False), ('s@2', True, False)
-        assert told == [first, first, second, *[('', False, True)] * 2]
+        assert received == [first, first, second, *[('', False, True)] * 2]
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_notice_without_acknowledgement_is_repeated():
-    """A peer that missed the notice must still learn of the loss."""
+    """Guards against a peer that never learns of a loss.
+
+    Its notice can be lost, and must be sent again until it is acknowledged.
+    """
 
-    async def scenario(setup):
-        peer = listening_peer(setup.context, acknowledges=False)
+    async def scenario(dispatcher):
+        peer = listening_peer(dispatcher.context, acknowledges=False)
         async with peer as notices:
-            await setup.send(work('crash', fingerprint=5))
+            await dispatcher.send(work('crash', fingerprint=5))
             assert not notices
             await asyncio.sleep(1.1)
-            assert [each.loss_id for each in notices] == ['s@1']
+            assert [notice.loss_id for notice in notices] == ['s@1']
 
-    run(scenario)
+    run_scenario(scenario)
 
 
-def test_verdicts_of_peers_hold_here():
-    """Each daemon must know what crashed the servers of others."""
+def test_crash_notices_of_peers_are_applied():
+    """Guards against a request that crashes the servers of each dispatcher.
 
-    async def scenario(setup):
-        board, receive = setup.context.board, setup.context.peers.send
-        receive('a', SuspectNotice(9, 'x@1'))
-        receive('a', SuspectNotice(9, 'x@1'))
+    Notices of peers must count like losses at this daemon. A repeated notice
+    must count once.
+    """
+
+    async def scenario(dispatcher):
+        board, send = dispatcher.context.board, dispatcher.context.peers.send
+        send('a', SuspectNotice(9, 'x@1'))
+        send('a', SuspectNotice(9, 'x@1'))
         await asyncio.sleep(0.01)
         assert board.read(SUSPECT_FINGERPRINTS) == {9}
-        receive('a', SuspectNotice(9, 'y@1', alone=True))
+        send('a', SuspectNotice(9, 'y@1', alone=True))
         await asyncio.sleep(0.01)
         assert board.read(BLOCKED_FINGERPRINTS) == {9}
-        receive('a', SuspectNotice(9, '', cleared=True))
+        send('a', SuspectNotice(9, '', cleared=True))
         await asyncio.sleep(0.01)
         assert not board.read(BLOCKED_FINGERPRINTS)
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_revision_clears_a_false_verdict():
-    """An operator's clearance must reach every daemon with the revision."""
+    """Guards against a request that stays blocked after it was cleared.
+
+    An operator's clearance reaches the daemons with a new revision.
+    """
 
-    async def scenario(setup):
-        board, receive = setup.context.board, setup.context.peers.send
-        receive('a', SuspectNotice(9, 'x@1'))
-        receive('a', SuspectNotice(9, 'y@1', alone=True))
+    async def scenario(dispatcher):
+        board, send = dispatcher.context.board, dispatcher.context.peers.send
+        send('a', SuspectNotice(9, 'x@1'))
+        send('a', SuspectNotice(9, 'y@1', alone=True))
         await asyncio.sleep(0.01)
         assert board.read(BLOCKED_FINGERPRINTS) == {9}
         base = board.read(DOCUMENT_IN_FORCE)
@@ -461,98 +541,111 @@
         )
         assert not board.read(BLOCKED_FINGERPRINTS)
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_draining_server_gets_no_new_work():
-    """Queued work must not be sent to a server that leaves."""
+    """Guards against work that is sent to a draining server.
+
+    Work can already be queued when the state of the server changes.
+    """
 
-    async def scenario(setup):
-        running = setup.start(work(delay_s=0.1))
-        await setup.running(1)
-        waiting = setup.start(work())
+    async def scenario(dispatcher):
+        running = dispatcher.start(work(delay_s=0.1))
+        await dispatcher.wait_for_running(1)
+        waiting = dispatcher.start(work())
         await asyncio.sleep(0.01)
         state = ServerState.DRAINING
         record = ServerRecord('s', 'v', 'north', 'a', 1, 1, 1, state, 1)
-        setup.context.board.post(SERVERS, {'s': record})
-        for reply in (await waiting, await setup.send(work())):
+        dispatcher.context.board.post(SERVERS, {'s': record})
+        for reply in (await waiting, await dispatcher.send(work())):
             assert reply.code == ResultCode.SERVER_DRAINING
             assert reply.run == RunState.NOT_RUN
         assert (await running).code == ResultCode.COMPLETE
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_drain_finishes_running_and_answers_queued_work():
-    """A planned stop must interrupt nothing and leave nobody waiting."""
+    """Guards against work that is interrupted or unanswered at a stop.
 
-    async def scenario(setup):
-        running = setup.start(work(delay_s=0.1))
-        await setup.running(1)
-        waiting = setup.start(work())
+    Running work must end normally; queued and new work must be refused.
+    """
+
+    async def scenario(dispatcher):
+        running = dispatcher.start(work(delay_s=0.1))
+        await dispatcher.wait_for_running(1)
+        waiting = dispatcher.start(work())
         await asyncio.sleep(0.01)
-        assert setup.controller.in_flight == 2
-        assert await setup.controller.drain(2)
+        assert dispatcher.controller.in_flight == 2
+        assert await dispatcher.controller.drain(2)
         assert (await running).code == ResultCode.COMPLETE
         assert (await waiting).code == ResultCode.LEAVING
-        assert (await setup.send(work())).code == ResultCode.LEAVING
+        assert (await dispatcher.send(work())).code == ResultCode.LEAVING
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_queued_work_is_answered_at_its_deadline():
-    """A merger must not wait for work that can no longer be useful."""
+    """Guards against a merger that waits for work past its deadline."""
 
-    async def scenario(setup):
-        running = setup.start(work(delay_s=0.4))
-        await setup.running(1)
+    async def scenario(dispatcher):
+        running = dispatcher.start(work(delay_s=0.4))
+        await dispatcher.wait_for_running(1)
         started_s = asyncio.get_running_loop().time()
-        reply = await setup.send(work(deadline_s=0.1))
+        reply = await dispatcher.send(work(deadline_s=0.1))
         waited_s = asyncio.get_running_loop().time() - started_s
         assert reply.code == ResultCode.DEADLINE_UNREACHABLE
         assert waited_s < 0.2
         await running
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_message_type_is_served():
-    """The handler must be registered under the type that mergers send."""
+    """Guards against work messages that no handler is registered for."""
 
-    async def scenario(setup):
+    async def scenario(dispatcher):
         assert isinstance(work(), WorkRequest)
-        assert (await setup.send(work())).code == ResultCode.COMPLETE
-        assert setup.controller.status()['s']['connections'] == 1
+        assert (await dispatcher.send(work())).code == ResultCode.COMPLETE
+        assert dispatcher.controller.status()['s']['connections'] == 1
+
+    run_scenario(scenario)
 
-    run(scenario)
 
+def test_protocol_matches_the_stand_in():
+    """Guards against a dispatcher and a stand-in with different protocols.
 
-def test_stand_in_is_understood():
-    """The dispatcher and the stand-in must agree on the protocol."""
+    Most other tests here use a fake backend server instead.
+    """
 
     async def scenario():
         spec = BackendSpec('s', 'v', switches=BackendSwitches(slots=5))
         async with BackendServer(spec) as server:
             async with daemon(document({'s': server.address})) as context:
                 async with DispatchController(context) as controller:
-                    setup = Setup(None, context, controller)
+                    dispatcher = Dispatcher(None, context, controller)
                     query = work(version=1, end=2**32)
-                    reply = await setup.send(query)
+                    reply = await dispatcher.send(query)
                     assert (reply.code, len(reply.items)) == (1000, 200)
-                    reply = await setup.send(work(version=2))
+                    reply = await dispatcher.send(work(version=2))
                     assert reply.code == ResultCode.VERSION_NOT_HELD
-                    reply = await setup.send(work(**CLAIM))
+                    reply = await dispatcher.send(work(**CLAIM_FIELDS))
                     assert reply.outcome['runs'] == 1
-                    reply = await setup.send(work(body=b'{"fail":1}', **CLAIM))
+                    reply = await dispatcher.send(
+                        work(body=b'{"fail":1}', **CLAIM_FIELDS)
+                    )
                     assert reply.code == ResultCode.CLAIM_FAILED
                     assert reply.outcome['error']
                     assert reply.run == RunState.RUN
-                    # A claim that has begun runs to its end.
+                    # A claim that started runs to its end, past its deadline.
                     server.control({'service_time_s': 0.3})
-                    reply = await setup.send(work(deadline_s=0.1, **CLAIM))
+                    reply = await dispatcher.send(
+                        work(deadline_s=0.1, **CLAIM_FIELDS)
+                    )
                     assert reply.code == ResultCode.COMPLETE
                     query = work(version=1, end=9, deadline_s=0.1)
-                    reply = await setup.send(query)
+                    reply = await dispatcher.send(query)
                     assert reply.code == ResultCode.DEADLINE_PASSED
                     assert reply.run == RunState.RUN
                     assert controller.status()['s']['connections'] == 2
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -1,4 +1,4 @@
-"""The pages of the docs agree with the code."""
+"""Pages of the documentation that list codes and events of the code."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
     [('result-codes.md', ResultCode), ('events.md', Event)],
 )
 def test_catalogue_lists_every_number(page, numbers):
-    """Operators must find each number of the code in the docs."""
+    """Guards against a code or event that is added without documentation."""
     text = (DOCS / page).read_text(encoding='utf-8')
     rows = re.findall(r'^\| (\d+) \| ([A-Z_]+) \|', text, re.MULTILINE)
     listed = {name: int(number) for number, name in rows}
@@ -26,7 +26,7 @@
 
 
 def test_http_statuses_are_as_documented():
-    """The table's HTTP column must match what callers get."""
+    """Guards against documented HTTP statuses that differ from the code."""
     text = (DOCS / 'result-codes.md').read_text(encoding='utf-8')
     rows = re.findall(r'^\| (\d+) \| [A-Z_]+ \| (\d+) \|', text, re.MULTILINE)
     assert rows
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -1,4 +1,4 @@
-"""The example folders have the sizes of section 1.5 of the design page."""
+"""Example settings have the sizes of section 1.5 of the design page."""
 
 from __future__ import annotations
 
@@ -31,7 +31,11 @@
     ],
 )
 def test_example_has_the_sizes_of_the_deployment(name, sizes, data_centres):
-    """Demo and benchmarks would otherwise measure another deployment."""
+    """Guards against a demo and benchmarks that measure another deployment.
+
+    They use the example settings, which could be edited without noticing that
+    the sizes belong to the design.
+    """
     settings = load_folder(pathlib.Path('examples', name))
     assert isinstance(settings, Settings), settings
     assert sizes == {
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -1,4 +1,4 @@
-"""What the merger keeps between changes of the fleet."""
+"""Cached dispatchers and query plans of a merger."""
 
 from __future__ import annotations
 
@@ -27,7 +27,11 @@
 @settings(derandomize=True, deadline=None)
 @given(CHANGES)
 def test_dispatchers_are_never_stale(changes):
-    """Work for a daemon that lost a server would wait for a timeout."""
+    """Guards against work that is sent to a former dispatcher of a server.
+
+    The view caches dispatchers. If a change of the members did not update
+    them, such work would wait for a timeout.
+    """
     fleet = FakeFleet(FleetOptions(shards=4), 1)
     view = FleetView(fleet.board)
     for number, name in enumerate(fleet.board.read(SERVERS)):
@@ -43,7 +47,11 @@
 
 
 def test_catalogue_is_built_again_only_when_holdings_change():
-    """Every announcement of a load would cost a plan of the whole fleet."""
+    """Guards against replanning the whole fleet for every announcement.
+
+    Most announcements only change the limit of a server, and must not replace
+    the catalogue. A change of the state must.
+    """
     fleet = FakeFleet(FleetOptions(shards=4), 1)
     view = FleetView(fleet.board)
     service = fleet.board.read(DOCUMENT_IN_FORCE).settings.services['search']
