Clarify remaining names and docstrings of the tests and simulations

A second reading found words such as taken, seen, site and packed, and a few docstrings whose cause was vague or wrong, for example on outcome requests. They now use the terms of the code under test.

--- a/tests/claim_simulation.py
+++ b/tests/claim_simulation.py
@@ -67,7 +67,7 @@
     Attributes
     ----------
     alive : bool
-        False once the daemon was replaced by a new incarnation.
+        False once the daemon was killed.
     resumed : asyncio.Event
         Set unless the daemon is paused.
     """
@@ -195,9 +195,14 @@
         self.post_members()
 
     def identity(self, host: str) -> Identity:
-        site = 'north' if host in 'ab' else 'south'
+        data_centre = 'north' if host in 'ab' else 'south'
         return Identity(
-            host, self.incarnations_by_host[host], site, site, '', ''
+            host,
+            self.incarnations_by_host[host],
+            data_centre,
+            data_centre,
+            '',
+            '',
         )
 
     def post_members(self) -> None:
@@ -263,7 +268,7 @@
         )
 
     async def send_claim(self, ticket: str, body: bytes, host: str) -> None:
-        """Send a claim or ask for its outcome, and record the answer."""
+        """Send a claim, ask for its outcome or refuse it; record the answer."""
         await self.delay()
         peers, controller = (
             self.peers_by_host[host],
@@ -350,13 +355,13 @@
             for ticket, count in self.run_counts_by_ticket.items()
             if count > 1
         ]
-        for text, answers in self.answers_by_ticket.items():
-            count = self.run_counts_by_ticket[parse_ticket(text).ticket_id]
+        for ticket, answers in self.answers_by_ticket.items():
+            count = self.run_counts_by_ticket[parse_ticket(ticket).ticket_id]
             for answer in answers:
                 if answer.run is RunState.NOT_RUN and count:
-                    found.append(f'{text}: {answer} but it ran')
+                    found.append(f'{ticket}: {answer} but it ran')
                 if answer.run is RunState.RUN and not count:
-                    found.append(f'{text}: {answer} but it did not run')
+                    found.append(f'{ticket}: {answer} but it did not run')
         return found
 
 
@@ -387,7 +392,7 @@
         simulation = ClaimSimulation(seed, fault_rate, refusal_rate)
         asyncio.run(simulation.run())
         violations += [
-            f'seed {seed}: {text}' for text in simulation.violations()
+            f'seed {seed}: {violation}' for violation in simulation.violations()
         ]
         for answers in simulation.answers_by_ticket.values():
             states.update(answer.run.value for answer in answers)
--- a/tests/configuration_fleet.py
+++ b/tests/configuration_fleet.py
@@ -67,11 +67,11 @@
         self.value = value
         self.version += 1
 
-    def put_parts(self, packed):
+    def put_parts(self, encoded_revision):
         """Store a revision in parts, as the operators' command does."""
-        for part, text in packed.parts.items():
+        for part, text in encoded_revision.parts.items():
             self.texts_by_part_key[part_key(part)] = text.decode()
-        self.put(packed.encoded.decode())
+        self.put(encoded_revision.encoded.decode())
 
     async def read_part(self, host, key):
         """Return the stored text of a part."""
--- a/tests/faulty_fleet.py
+++ b/tests/faulty_fleet.py
@@ -131,7 +131,7 @@
 
 
 class FaultyFleet:
-    """Several daemons and the claims that ran, an async context manager.
+    """Daemons and a record of the claims that ran, an async context manager.
 
     Parameters
     ----------
@@ -183,6 +183,7 @@
         ]
 
     def issuer(self, ticket):
+        """Return the daemon that issued a ticket such as ``d0-7``."""
         return self.daemons[int(ticket.partition('-')[0][1:])]
 
     def client(self, draw=lambda: 0.0, **options) -> Client:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -268,14 +268,20 @@
 
 @DETERMINISTIC
 @given(RECORDS, RECORDS)
-def test_new_dispatcher_replaces_the_record_of_a_gone_one(known, seen):
+def test_new_dispatcher_replaces_the_record_of_a_gone_one(known, observed):
     """Guards against daemons that keep the record of a former dispatcher.
 
     A new dispatcher must choose a version that every daemon takes as newer,
     whatever its view of the members.
     """
-    taken = next_version(known, seen, 0, known_dispatcher_is_live=False)
-    if taken is None:
-        assert dataclasses.replace(seen, sequence=known.sequence) == known
+    next_record = next_version(
+        known, observed, 0, known_dispatcher_is_live=False
+    )
+    if next_record is None:
+        assert dataclasses.replace(observed, sequence=known.sequence) == known
     else:
-        assert newer_record(known, taken) == newer_record(taken, known) == taken
+        assert (
+            newer_record(known, next_record)
+            == newer_record(next_record, known)
+            == next_record
+        )
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -105,7 +105,7 @@
     """Guards against a successor that seals a ticket which was started.
 
     The predecessor may have dropped the record. The successor must take over
-    the marks of dropped records as well, and answer that it was forgotten.
+    the marks of dropped records as well, and answer ``FORGOTTEN``.
     """
     old, successor = ClaimRecordTable(), ClaimRecordTable()
     for sequence in range(1, 5):
@@ -139,11 +139,12 @@
         (WitnessReply(WitnessVerdict.FORGOTTEN), 'forgotten'),
     ],
 )
-def test_silent_witness_seals_the_ticket(answer, verdict):
+def test_ticket_is_sealed_without_its_witness(answer, verdict):
     """Guards against a refusal that gives the wrong reason.
 
-    Without an answer of the witness, the issuer seals the ticket and refuses
-    the claim. The reason must tell a silent witness from one that restarted.
+    If the witness does not record the start, the issuer seals the ticket and
+    refuses the claim. The reason must tell a witness that is only slow from
+    one that restarted and has no records.
     """
 
     async def run():
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -104,7 +104,7 @@
 
 
 def builder_of(name, count=3):
-    """Return the function that builds the next revision of an operator."""
+    """Return the function that builds the next revision of one operator."""
 
     def build(base):
         settings = Settings(addresses=AddressSettings(count=count))
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -151,11 +151,12 @@
         (ResultCode.TOO_MANY_CONNECTIONS, RunState.UNKNOWN),
     ],
 )
-def test_refused_question_about_an_open_ticket(code, run):
+def test_refused_outcome_request_for_an_open_ticket(code, run):
     """Guards against taking a refused outcome request for the outcome.
 
-    While the outcome of a claim is open, a daemon can refuse to look it up.
-    Its refusal says nothing about whether the claim ran.
+    While the outcome of a claim is open, a daemon can refuse the request
+    itself, for example because it is not ready. The claim may still run, so
+    it must not be sent with a new ticket then.
     """
 
     async def refuse(ticket, request_id):
@@ -175,7 +176,7 @@
 
 
 def test_addresses_are_cached_and_spread():
-    """Guards against a request for addresses per query, and against a hot spot.
+    """Guards against an address request per query, and load on one daemon.
 
     This would happen if the client did not cache the addresses, or always
     used the first one.
@@ -192,10 +193,16 @@
                     ),
                 )
                 assert {answer.rank for answer in answers} == {Rank.DEFERRABLE}
-            seen = [daemon.requested_paths for daemon in fleet.daemons]
-            asked = [paths.count('/v1/addresses') for paths in seen]
-            assert sum(asked) == 1
-            assert all(paths.count('/v1/query') > 3 for paths in seen)
+            paths_by_daemon = [
+                daemon.requested_paths for daemon in fleet.daemons
+            ]
+            address_request_counts = [
+                paths.count('/v1/addresses') for paths in paths_by_daemon
+            ]
+            assert sum(address_request_counts) == 1
+            assert all(
+                paths.count('/v1/query') > 3 for paths in paths_by_daemon
+            )
 
     asyncio.run(run())
 
@@ -206,8 +213,10 @@
     Claims that start together while there are no tickets must share one.
     """
     results, fleet = claim_all([], names=('a', 'b', 'c', 'd'))
-    seen = [path for daemon in fleet.daemons for path in daemon.requested_paths]
-    assert seen.count('/v1/addresses') == 1
+    paths = [
+        path for daemon in fleet.daemons for path in daemon.requested_paths
+    ]
+    assert paths.count('/v1/addresses') == 1
     assert len({result.ticket for result in results.values()}) == 4
 
 
@@ -251,7 +260,7 @@
             )
             used.delay_s = 5
             assert isinstance(await client.query('lookup', {}, 1), QueryResult)
-            # The silent daemon is avoided by the next query.
+            # The next query avoids the silent daemon.
             assert isinstance(await client.query('lookup', {}, 1), QueryResult)
             assert used.requested_paths.count('/v1/query') == 2
             fleet.dead_daemons.add(used)
@@ -277,12 +286,12 @@
             refused = await client.query('lookup', {}, 1)
             assert refused.code is ResultCode.QUEUE_FULL
             assert refused.retry_after_s == 1
-            seen = [
+            paths = [
                 path
                 for daemon in fleet.daemons
                 for path in daemon.requested_paths
             ]
-            assert seen.count('/v1/query') == 1
+            assert paths.count('/v1/query') == 1
 
     asyncio.run(run())
 
@@ -353,11 +362,11 @@
         b'nonsense',
     ],
 )
-def test_crossed_or_broken_answers_are_not_believed(fields):
-    """Guards against accepting a malformed answer or that to another request.
+def test_wrong_or_malformed_answers_are_rejected(fields):
+    """Guards against accepting a wrong or malformed answer.
 
-    Its identifier differs, is missing or has a wrong type, or the body is not
-    JSON.
+    It may belong to another request, lack fields, have a field of a wrong
+    type, or not be JSON.
     """
 
     async def answer(request):
--- a/tests/test_configuration_links.py
+++ b/tests/test_configuration_links.py
@@ -27,7 +27,7 @@
 HOSTS = tuple(f'h{number}' for number in range(5))
 
 
-def record(host, board):
+def member_record(host, board):
     """Return the member record of a daemon with its revision in force."""
     document = board.read(DOCUMENT_IN_FORCE)
     return MemberRecord(
@@ -36,7 +36,7 @@
     )  # fmt: skip
 
 
-async def until(condition, boards):
+async def post_members_until(condition, boards_by_host):
     """Post member records at all daemons until a condition holds.
 
     The limit of 10 s only ends a test that hangs; the tests in virtual time
@@ -46,8 +46,11 @@
     began_s = loop.time()
     while not condition():
         assert loop.time() - began_s < 10
-        members = {host: record(host, board) for host, board in boards.items()}
-        for board in boards.values():
+        members = {
+            host: member_record(host, board)
+            for host, board in boards_by_host.items()
+        }
+        for board in boards_by_host.values():
             board.post(MEMBERS, members)
         await asyncio.sleep(0.05)
 
@@ -60,8 +63,8 @@
     """
 
     async def run() -> None:
-        boards = {host: Blackboard() for host in HOSTS}
-        addresses = {host: free_address() for host in HOSTS}
+        boards_by_host = {host: Blackboard() for host in HOSTS}
+        address_by_host = {host: free_address() for host in HOSTS}
         async with AsyncExitStack() as stack:
             enter = stack.enter_async_context
             platform = await enter(Platform())
@@ -69,42 +72,46 @@
             writer = await enter(StoreClient(platform.address, 1))
             controllers = []
             for host in HOSTS:
-                options = PeerOptions(host, 1, addresses[host])
+                options = PeerOptions(host, 1, address_by_host[host])
                 peers = await enter(PeerNetwork(options, LoopTimers()))
                 for other in HOSTS:
-                    peers.set_address(other, addresses[other])
+                    peers.set_address(other, address_by_host[other])
                 identity = Identity(
-                    host, 1, 'north', 'north', addresses[host], ''
+                    host, 1, 'north', 'north', address_by_host[host], ''
                 )
                 context = Context(
-                    identity, boards[host], LoopTimers(), peers, lambda: 0.5
+                    identity,
+                    boards_by_host[host],
+                    LoopTimers(),
+                    peers,
+                    lambda: 0.5,
                 )
                 controllers.append(
                     await enter(ConfigurationController(context, store))
                 )
-            await until(
+            await post_members_until(
                 lambda: (
                     sum(controller.is_watcher for controller in controllers)
                     == 3
                 ),
-                boards,
+                boards_by_host,
             )
             for number, text in enumerate(encoded_documents(2)):
                 await writer.put('config/current', text, number)
-                await until(
+                await post_members_until(
                     lambda wanted=number + 1: all(
-                        record(host, board).revision == wanted
-                        for host, board in boards.items()
+                        member_record(host, board).revision == wanted
+                        for host, board in boards_by_host.items()
                     ),
-                    boards,
+                    boards_by_host,
                 )
             platform.set_hosts((HostEntry('b1', HostState.LEAVING),))
-            await until(
+            await post_members_until(
                 lambda: all(
                     board.read(LEAVING_HOSTS) == {'b1'}
-                    for board in boards.values()
+                    for board in boards_by_host.values()
                 ),
-                boards,
+                boards_by_host,
             )
 
     asyncio.run(run())
--- a/tests/test_configuration_parts.py
+++ b/tests/test_configuration_parts.py
@@ -142,7 +142,7 @@
 
 
 def test_revision_without_all_parts_is_not_in_force():
-    """Guards against a revision in force of which parts are missing.
+    """Guards against a revision in force although some parts are missing.
 
     This would be a configuration that nobody wrote. It can happen if the
     store has the manifest but not all of its parts.
@@ -233,13 +233,17 @@
     async def cold_start(window_s):
         options = ConfigurationOptions(first_read_window_s=window_s)
         async with LateGossipFleet(60, options) as fleet:
-            packed = encode_revision(build_revisions(1)[0])
-            fleet.platform.put_parts(packed)
+            encoded_revision = encode_revision(build_revisions(1)[0])
+            fleet.platform.put_parts(encoded_revision)
             await fleet.advance(1)
             calls = dict(fleet.platform.call_counts)
             await fleet.advance(window_s + 4)
             assert fleet.revisions_in_force() == {1}
-            return calls, fleet.platform.call_counts['get'], len(packed.parts)
+            return (
+                calls,
+                fleet.platform.call_counts['get'],
+                len(encoded_revision.parts),
+            )
 
     async def run() -> None:
         at_once, _, _ = await cold_start(0)
@@ -272,12 +276,16 @@
         built_settings = dataclasses.replace(
             built_settings, services={'a': service}
         )
-        packed = encode_revision(RevisionDocument(number, 'c', built_settings))
-        local.set_target(packed.manifest)
-        missing = local.parts_to_fetch(packed.manifest)
-        local.add(missing, [packed.parts[part] for part in missing])
-        missing = local.parts_to_fetch(packed.manifest)
-        local.add(missing, [packed.parts[part] for part in missing[1:]])
+        encoded_revision = encode_revision(
+            RevisionDocument(number, 'c', built_settings)
+        )
+        local.set_target(encoded_revision.manifest)
+        missing = local.parts_to_fetch(encoded_revision.manifest)
+        local.add(missing, [encoded_revision.parts[part] for part in missing])
+        missing = local.parts_to_fetch(encoded_revision.manifest)
+        local.add(
+            missing, [encoded_revision.parts[part] for part in missing[1:]]
+        )
     assert len(local._texts) < 1_300
 
 
@@ -286,19 +294,20 @@
 ]
 
 
-def adopt_parts(local, packed, dropped):
-    """Adopt a revision unless `dropped` parts of each request are missing.
+def adopt_parts(local, encoded_revision, dropped):
+    """Add the parts of a revision and adopt it.
 
-    Returns the adopted document, or None.
+    The first `dropped` parts of each request are withheld. Return None if a
+    request brings no part, or if the revision is not higher.
     """
-    local.set_target(packed.manifest)
-    missing = local.parts_to_fetch(packed.manifest)
+    local.set_target(encoded_revision.manifest)
+    missing = local.parts_to_fetch(encoded_revision.manifest)
     while missing:
-        texts = [packed.parts[part] for part in missing[dropped:]]
+        texts = [encoded_revision.parts[part] for part in missing[dropped:]]
         if not local.add(missing, [*texts, b'{}']):
             return None
-        missing = local.parts_to_fetch(packed.manifest)
-    return local.adopt(packed.manifest, packed.encoded)
+        missing = local.parts_to_fetch(encoded_revision.manifest)
+    return local.adopt(encoded_revision.manifest, encoded_revision.encoded)
 
 
 @settings(derandomize=True, max_examples=100, deadline=None)
@@ -318,11 +327,11 @@
     highest = 0
     for index, is_whole, dropped in steps:
         document = build_revisions(5, 120)[index]
-        packed = ENCODED_REVISIONS[index]
+        encoded_revision = ENCODED_REVISIONS[index]
         if is_whole:
             adopted = local.adopt(document, msgspec.json.encode(document))
         else:
-            adopted = adopt_parts(local, packed, dropped // 4)
+            adopted = adopt_parts(local, encoded_revision, dropped // 4)
         if adopted is not None:
             assert adopted.revision == index + 1 > highest
             highest = index + 1
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -289,8 +289,8 @@
         )
         listed = fetch(entries[0].address, '/v1/addresses?count=3')[1]
         assert leaving.address not in listed['addresses']
-        for number in stop_signals():
-            leaving.signal(number)
+        for signal_number in stop_signals():
+            leaving.signal(signal_number)
         assert leaving.wait(15) == 0
     finally:
         for caller in callers:
@@ -321,9 +321,9 @@
 
 
 def test_operators_page_lists_every_setting():
-    """Guards against a flag that the operators' page does not list.
+    """Guards against an operators' page without a flag or with an old default.
 
-    This happens when a setting is added or its default changes.
+    This happens when a setting is added or changed without the page.
     """
     page = (ROOT / 'docs/operators-daemon.md').read_text(encoding='utf-8')
     for name, setting in all_settings().items():
--- a/tests/test_daemon_path.py
+++ b/tests/test_daemon_path.py
@@ -49,13 +49,13 @@
     """Three ready daemons in front of six backend servers."""
     with Processes() as processes:
         platform = processes.start_platform().address
-        addresses = {name: free_address() for name in SERVICE_BY_SERVER}
+        address_by_server = {name: free_address() for name in SERVICE_BY_SERVER}
         processes.start_backends(
             [
                 {
                     'name': name,
                     'service': service,
-                    'address': addresses[name],
+                    'address': address_by_server[name],
                     **({'shard': 0, 'shards': 1} if service == 'l' else {}),
                 }
                 for name, service in SERVICE_BY_SERVER.items()
@@ -63,7 +63,7 @@
             '--shards=3',
             '--service_time_ms=20',
         )
-        put_revision(platform, 1, settings_for(addresses))
+        put_revision(platform, 1, settings_for(address_by_server))
         first = processes.start_entry('a', platform)
         for host in 'bc':
             processes.start_entry(
@@ -72,11 +72,11 @@
         entries = [processes.entries[host] for host in 'abc']
         for entry in entries:
             entry.wait_for_event(101)
-            until(lambda entry=entry: is_settled(entry.address))
+            until(lambda entry=entry: knows_whole_fleet(entry.address))
         yield entries
 
 
-def is_settled(address: str) -> bool:
+def knows_whole_fleet(address: str) -> bool:
     """Return whether a daemon knows all members and backend servers."""
     status = fetch(address, '/v1/status')[1]
     return len(status['members']) == 3 and len(status['servers']) == len(
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -98,7 +98,7 @@
 
 
 def test_reply_carries_results_and_times():
-    """Guards against fields of the reply that get lost on the way.
+    """Guards against a dispatcher that drops fields of the reply.
 
     Mergers need the version, range and items. The service time and the waits
     by rank tell them about the load of the server.
@@ -131,7 +131,7 @@
     """Guards against an error or a wrong reply that is taken for a result.
 
     A server can shed work, drain, miss the deadline or not hold the version.
-    It can also send the reply to another attempt, or fewer items than it
+    It can also send the reply of another attempt, or fewer items than it
     counted; the run state is then unknown.
     """
 
@@ -148,7 +148,7 @@
 def test_unknown_server_is_refused():
     """Guards against an exception on work for a server that was removed.
 
-    A sender whose settings are older can still send it.
+    Daemons with older settings can still send such work.
     """
 
     async def scenario(dispatcher):
