--- a/tests/query_cases.py
+++ b/tests/query_cases.py
@@ -1,4 +1,4 @@
-"""Requests and fleets that the tests of the query controller share."""
+"""Requests and fake fleets for the tests of the query controller."""
 
 from __future__ import annotations
 
@@ -11,23 +11,39 @@
 from boragespool.controllers.requests import QueryRequest
 from boragespool.settings import HedgingSettings
 
-SMALL = FleetOptions(shard_count=4)
-NO_HEDGES = replace(SMALL, hedging=HedgingSettings(quantile=1))
+SMALL_FLEET = FleetOptions(shard_count=4)
+NO_HEDGES = replace(SMALL_FLEET, hedging=HedgingSettings(quantile=1))
 
 
 def query(name='q', deadline_s=1.0, body=b'{}'):
-    """Return a checked request."""
+    """Return a query request as the API for callers passes it on."""
     return QueryRequest(name, 'find', 'caller', body, deadline_s)
 
 
-def ask(fleet, *requests, warm=0):
-    """Answer requests one after the other; also return the time of each."""
+def run_queries(fleet, *requests, warmup_count=0):
+    """Run queries one after the other in virtual time.
+
+    Parameters
+    ----------
+    fleet : FakeFleet
+        Backend servers and their dispatchers.
+    *requests : QueryRequest
+        Queries to run.
+    warmup_count : int
+        Number of queries to run before; `fleet.requests_by_server` and
+        `fleet.requests` do not include them.
+
+    Returns
+    -------
+    list of (QueryAnswer or Failure, float)
+        Answer to each request and the time that it took, in seconds.
+    """
 
     async def run():
         loop = asyncio.get_running_loop()
         results = []
         async with QueryController(fleet.context()) as controller:
-            for number in range(warm):
+            for number in range(warmup_count):
                 await controller.answer(query(f'warm{number}'))
             fleet.requests_by_server.clear()
             fleet.requests.clear()
@@ -43,10 +59,10 @@
 
 
 def replicas(shard):
-    """Return the names of the replicas of a shard."""
+    """Return the names of the servers that hold a shard."""
     return [f's{shard}r{replica}' for replica in range(3)]
 
 
-def behave(fleet, servers, behaviour):
+def set_behaviour(fleet, servers, behaviour):
     """Set the behaviour of some servers."""
     fleet.behaviour_by_server.update(dict.fromkeys(servers, behaviour))
