--- a/features/fleet.py
+++ b/features/fleet.py
@@ -15,7 +15,13 @@
 from boragespool.standins.items import shard_range
 from boragespool.types import Rank, WorkKind
 from features.partition import Partition
-from tests.processes import Processes, fetch, free_address, put_revision, until
+from tests.processes import (
+    Processes,
+    fetch,
+    free_address,
+    put_revision,
+    wait_until,
+)
 
 #: Peers need about 2 s to declare a silent daemon dead; machines of a build
 #: farm can be slower.
@@ -54,7 +60,7 @@
     @property
     def entries(self):
         """Daemons by host; a restarted one replaces its predecessor."""
-        return self.processes.entries
+        return self.processes.daemons_by_host
 
     def addresses(self) -> tuple[str, ...]:
         """Return the addresses for callers."""
@@ -101,7 +107,7 @@
         if self.partition is not None:
             platform = self.partition.reach_platform(host, platform)
             addresses |= self.partition.place(host)
-        self.processes.start_entry(
+        self.processes.start_daemon(
             host,
             platform,
             f'--peers={",".join(peers)}',
@@ -134,7 +140,7 @@
         for observer, entry in self.entries.items():
             if observer == host or entry.process.poll() is not None:
                 continue
-            until(
+            wait_until(
                 lambda seen=observer: self.member_status(seen, host) == status,
                 DEAD_LIMIT_S,
                 f'{observer} sees {host} {status}',
@@ -144,7 +150,7 @@
         """Wait until all daemons see all members and all servers."""
         for host, entry in self.entries.items():
             entry.wait_for_event(101)
-            until(
+            wait_until(
                 lambda host=host: self._is_ready(host),
                 READY_LIMIT_S,
                 f'{host} is ready',
@@ -187,7 +193,7 @@
 
     def wait_idle(self) -> None:
         """Wait until no daemon and no backend server works any more."""
-        until(lambda: not any(self._in_flight()), 10, 'nothing in flight')
+        wait_until(lambda: not any(self._in_flight()), 10, 'nothing in flight')
 
     def print_logs(self) -> None:
         """Print the ends of all logs, for a failed scenario."""
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -11,7 +11,7 @@
 from boragespool.types import RunState
 from features.fleet import UNREACHABLE
 from features.steps.fleet_steps import post
-from tests.processes import fetch, until
+from tests.processes import fetch, wait_until
 
 
 def ticket_of(context, host):
@@ -72,7 +72,7 @@
     pool = concurrent.futures.ThreadPoolExecutor(1)
     context.stack.callback(pool.shutdown)
     context.open_claim = pool.submit(send_claim, context, host)
-    until(
+    wait_until(
         lambda: context.claim_id in context.fleet.claim_runs(),
         10,
         'the claim runs',
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -12,7 +12,7 @@
 from behave import given, then, when
 
 from features.observer import Observer
-from tests.processes import ROOT, until
+from tests.processes import ROOT, wait_until
 
 COMMAND_LIMIT_S = 30
 APPLY = ('apply', '--patience_s=4')
@@ -119,7 +119,7 @@
 def in_force(context, revision, hosts, limit_s):
     """The time counts from the end of the operator's command."""
     for host in hosts.split(','):
-        until(
+        wait_until(
             lambda host=host: context.fleet.revision(host) == revision,
             limit_s,
             f'revision {revision} at {host}',
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -15,7 +15,7 @@
     own_query,
     querying,
 )
-from tests.processes import fetch, until
+from tests.processes import fetch, wait_until
 
 CLAIM_DEADLINE_S = 3
 QUERY_DEADLINE_S = 2
@@ -40,7 +40,7 @@
 def begin(context, load):
     context.loads[load.name] = load
     load.start()
-    until(lambda: len(load.sent) >= 20, 15, 'first answers')
+    wait_until(lambda: len(load.sent) >= 20, 15, 'first answers')
 
 
 @given('callers that keep sending claims')
@@ -61,7 +61,7 @@
 def wait_answers(context, count):
     for load in context.loads.values():
         target = len(load.sent) + count
-        until(lambda: len(load.sent) >= target, 30, 'more answers')
+        wait_until(lambda: len(load.sent) >= target, 30, 'more answers')
 
 
 @when('the callers stop')
--- a/features/steps/host_list_steps.py
+++ b/features/steps/host_list_steps.py
@@ -9,7 +9,7 @@
 
 from features.fleet import KEEP_S, UNREACHABLE
 from features.steps.stop_steps import stop_together
-from tests.processes import fetch, until
+from tests.processes import fetch, wait_until
 
 GIVEN_LIMIT_S = 10
 
@@ -96,7 +96,7 @@
     entries = context.fleet.entries
     wanted = {entries[host].address for host in hosts.split(',')}
     for entry in entries.values():
-        until(
+        wait_until(
             lambda entry=entry: set(given_by(entry.address)) == wanted,
             GIVEN_LIMIT_S,
             f'{entry.address} gives {wanted}',
--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -8,7 +8,7 @@
 from features.fleet import DEAD_LIMIT_S, SITES
 from features.partition import Partition
 from features.steps.fleet_steps import QUERY_DEADLINE_S, begin
-from tests.processes import until
+from tests.processes import wait_until
 
 
 @given('a network that can be cut between daemons {hosts} and the rest')
@@ -47,7 +47,7 @@
     sides = (near.split(','), far.split(','))
     for here, there in (sides, sides[::-1]):
         for observer in here:
-            until(
+            wait_until(
                 lambda observer=observer, there=there: all(
                     context.fleet.member_status(observer, host) == 'dead'
                     for host in there
--- a/features/steps/query_steps.py
+++ b/features/steps/query_steps.py
@@ -11,7 +11,7 @@
 from boragespool.types import KEY_SPACE_SIZE
 from features.callers import ITEM_COUNT
 from features.fleet import shard_of
-from tests.processes import until
+from tests.processes import wait_until
 
 
 def results(context):
@@ -71,7 +71,9 @@
             if not drop_old:
                 held.append(shard_of(spec['shard'], spec['shards']))
             context.fleet.control_servers(spec['name'], holdings={1: held})
-        until(lambda: seen_everywhere(context), 10, 'holdings are announced')
+        wait_until(
+            lambda: seen_everywhere(context), 10, 'holdings are announced'
+        )
 
 
 def seen_everywhere(context):
@@ -112,7 +114,7 @@
 @when('the callers get snapshot {version:d}')
 def wait_snapshot(context, version):
     load = context.loads['queries']
-    until(
+    wait_until(
         lambda: getattr(load.sent[-1].answer, 'snapshot', 0) == version,
         10,
         f'snapshot {version}',
@@ -122,7 +124,7 @@
 @when('the callers get coverage {coverage:g}')
 def wait_coverage(context, coverage):
     load = context.loads['queries']
-    until(
+    wait_until(
         lambda: getattr(load.sent[-1].answer, 'coverage', -1) == coverage,
         20,
         f'coverage {coverage}',
--- a/features/steps/rank_steps.py
+++ b/features/steps/rank_steps.py
@@ -8,7 +8,7 @@
 
 from features.callers import Load, claim_body, claiming
 from features.fleet import ROUTES
-from tests.processes import until
+from tests.processes import wait_until
 
 SLOTS = 10
 SERVICE_TIME_S = 0.2
@@ -61,7 +61,7 @@
 @when('the flood has lasted long enough to fill all slots')
 def fill_slots(context):
     """The limit of a cold server rises from one slot."""
-    until(
+    wait_until(
         lambda: counters(context)['peak_in_flight'] >= SLOTS,
         20,
         'all slots are used',
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -8,7 +8,7 @@
 
 from features.raw_callers import RawCaller
 from features.relays import RelayThread
-from tests.processes import until
+from tests.processes import wait_until
 
 
 class Group:
@@ -35,7 +35,7 @@
     context.loads['queries'] = group
     for caller in callers:
         caller.start()
-    until(lambda: len(group.sent) >= 20, 15, 'first answers')
+    wait_until(lambda: len(group.sent) >= 20, 15, 'first answers')
 
 
 @given('callers behind a relay that keep sending a different query')
--- a/features/steps/server_steps.py
+++ b/features/steps/server_steps.py
@@ -9,7 +9,7 @@
 from features.fleet import UNREACHABLE
 from features.steps.configuration_steps import finish, start_command
 from features.steps.fleet_steps import post
-from tests.processes import until
+from tests.processes import wait_until
 
 LEAVING_GOAL_S = 3
 QUIET_S = 1.5
@@ -123,7 +123,7 @@
 def others_served_soon(context, limit_s, hosts):
     """A dead daemon costs answers until its servers have a new dispatcher."""
     for host in hosts.split(','):
-        until(lambda host=host: is_served(context, host), limit_s, host)
+        wait_until(lambda host=host: is_served(context, host), limit_s, host)
 
 
 @then('no query was refused as blocked')
--- a/tests/caller_fakes.py
+++ b/tests/caller_fakes.py
@@ -36,7 +36,7 @@
 
 
 @dataclass
-class FakeTier:
+class FakeControllers:
     """All controllers behind the API; records what they were given.
 
     `script` holds what the next claims answer: a `ResultCode` that ran, a
@@ -115,7 +115,7 @@
         )
 
 
-def make_api(tier: FakeTier, phase=Phase.READY, settings=SETTINGS):
+def make_api(tier: FakeControllers, phase=Phase.READY, settings=SETTINGS):
     """Return the API of a daemon and its blackboard."""
     board = Blackboard()
     board.post(PHASE, phase)
--- a/tests/client_world.py
+++ b/tests/client_world.py
@@ -15,7 +15,7 @@
 from boragespool.results import Failure, ResultCode
 from boragespool.settings import AddressSettings
 from boragespool.types import Rank, RunState
-from tests.caller_fakes import SETTINGS, FakeTier, make_api
+from tests.caller_fakes import SETTINGS, FakeControllers, make_api
 
 SEALED = Failure(ResultCode.NOT_RUN_SEALED, 'the ticket is sealed')
 FULL = Failure(ResultCode.QUEUE_FULL, 'the queue is full')
@@ -24,7 +24,7 @@
 LATE_S = 0.25
 
 
-class Daemon(FakeTier):
+class Daemon(FakeControllers):
     """One daemon; the world holds what issuer and witness would record."""
 
     def __init__(self, world: World, number: int) -> None:
--- a/tests/fake_backend.py
+++ b/tests/fake_backend.py
@@ -109,7 +109,7 @@
         return json_response(reply)
 
 
-def work(mode=None, delay_s=0, **options):
+def work_request(mode=None, delay_s=0, **options):
     """Build a request to the server ``s``."""
     number = next(NUMBERS)
     fields = {
@@ -148,7 +148,7 @@
 
 
 @asynccontextmanager
-async def daemon(revision, host='a', incarnation=1):
+async def daemon_context(revision, host='a', incarnation=1):
     """Give the parts of one daemon."""
     address = free_address()
     identity = Identity(host, incarnation, 'north', 'r', address, 'x:1')
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -1,4 +1,4 @@
-"""Real processes for tests: platform, backend servers and daemons."""
+"""Platform, backend servers and daemons as child processes of a test."""
 
 from __future__ import annotations
 
@@ -13,8 +13,8 @@
     ProcessGroup,
     RunningProcess,
     fetch,
+    wait_until,
 )
-from boragespool.bench.processes import wait_until as until
 from boragespool.revisions import RevisionDocument
 from boragespool.settings import Settings
 
@@ -25,19 +25,19 @@
     'free_address',
     'put_revision',
     'stop_signals',
-    'until',
+    'wait_until',
 )
 
 
 class Processes(ProcessGroup):
-    """Starts stand-ins and daemons and always ends them."""
+    """Child processes of a test, all ended when the context is left."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.entries: dict[str, RunningProcess] = {}
+        self.daemons_by_host: dict[str, RunningProcess] = {}
 
     def start_platform(self, hosts: object = ()) -> RunningProcess:
-        """Start the platform stand-in with a host list."""
+        """Start the platform stand-in with a host list and wait for it."""
         platform = self.start(
             'boragespool.standins.platform_main',
             f'--hosts={json.dumps(hosts)}',
@@ -48,7 +48,7 @@
     def start_backends(
         self, servers: object, *arguments: str
     ) -> RunningProcess:
-        """Start backend server stand-ins in one process."""
+        """Start backend server stand-ins in one process and wait for it."""
         backends = self.start(
             'boragespool.standins.backend_main',
             f'--servers={json.dumps(servers)}',
@@ -57,7 +57,7 @@
         backends.address = backends.wait_for_event(101)['address']
         return backends
 
-    def start_entry(
+    def start_daemon(
         self,
         host: str,
         platform: str,
@@ -68,11 +68,11 @@
         module: str = 'boragespool.daemon.main',
         **variables: str,
     ) -> RunningProcess:
-        """Start a daemon on an address of its own; don't wait for it."""
+        """Start a daemon on its own loopback address without waiting for it."""
         ip = f'127.0.0.{10 + len(self.started)}'
         caller_address = caller_address or free_address(ip)
         peer_address = peer_address or free_address(ip)
-        entry = self.start(
+        daemon = self.start(
             module,
             f'--host={host}',
             f'--data_centre={data_centre}',
@@ -83,14 +83,14 @@
             *arguments,
             **variables,
         )
-        entry.address = caller_address
-        entry.peer_address = peer_address
-        self.entries[host] = entry
-        return entry
+        daemon.address = caller_address
+        daemon.peer_address = peer_address
+        self.daemons_by_host[host] = daemon
+        return daemon
 
 
 def put_revision(platform: str, revision: int, settings: Settings) -> None:
-    """Store a configuration as the operator command does."""
+    """Store a revision as the operator command does; fail unless accepted."""
     document = RevisionDocument(revision, f'change-{revision}', settings)
     value = msgspec.json.encode(document).decode()
     body = {'value': value, 'expected_version': revision - 1}
--- a/tests/standin_thread.py
+++ b/tests/standin_thread.py
@@ -40,7 +40,7 @@
     return in_thread(Platform)
 
 
-def daemon(answer):
+def fake_daemon(answer):
     """Run a listener that answers ``answer(request)`` as JSON.
 
     The key ``http_status`` of an answer sets its status.
@@ -65,6 +65,6 @@
         yield f'127.0.0.1:{port}'
 
 
-def swallowing_daemon():
+def closing_daemon():
     """Run a listener that closes each connection after the first byte."""
     return in_thread(_swallowing)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -13,7 +13,7 @@
 from boragespool.http import HttpLimits, HttpRequest, HttpServer
 from boragespool.results import Failure, ResultCode
 from boragespool.types import Phase, Rank
-from tests.caller_fakes import FakeTier, make_api
+from tests.caller_fakes import FakeControllers, make_api
 from tests.standin_calls import call, decoded, encoded
 
 QUERY = {'route': 'lookup', 'caller': 'till', 'body': {'match': 'a'}}
@@ -63,7 +63,7 @@
 @pytest.mark.parametrize(('body', 'code'), BAD_BODIES)
 def test_bad_queries_get_their_code(body, code):
     """Bad input must get its number and must not reach a controller."""
-    tier = FakeTier()
+    tier = FakeControllers()
     status, refusal = send(make_api(tier)[0], 'POST', '/v1/query', body)
     assert refusal['code'] == code
     assert 400 <= status < 500
@@ -90,7 +90,7 @@
 )
 def test_bad_targets_get_their_code(method, target, code):
     """A misspelt path or parameter must get a sentence, not a traceback."""
-    status, refusal = send(make_api(FakeTier())[0], method, target)
+    status, refusal = send(make_api(FakeControllers())[0], method, target)
     assert refusal['code'] == code
     assert 400 <= status < 500
 
@@ -98,7 +98,7 @@
 @pytest.mark.parametrize('ticket', ['', 'a b', 'é', 'x' * 600])
 def test_bad_tickets_do_not_reach_the_claim_controller(ticket):
     """A ticket that nobody issued must not be recorded."""
-    tier = FakeTier()
+    tier = FakeControllers()
     body = CLAIM | {'ticket': ticket}
     _, refusal = send(make_api(tier)[0], 'POST', '/v1/claim', body)
     assert refusal['code'] == ResultCode.BAD_TICKET
@@ -129,7 +129,7 @@
     whole = encoded(CLAIM | changed)
     for raw in (whole, whole[:cut]):
         status, answer = send(
-            make_api(FakeTier())[0],
+            make_api(FakeControllers())[0],
             'POST',
             '/v1/claim',
             raw,
@@ -145,7 +145,7 @@
 )
 def test_callers_may_only_lower_rank_and_deadline(rank, deadline_ms):
     """A caller must not get ahead of others by what it asks for."""
-    tier = FakeTier()
+    tier = FakeControllers()
     asked = QUERY | {'rank': rank, 'deadline_ms': deadline_ms}
     status, answer = send(make_api(tier)[0], 'POST', '/v1/query', asked)
     assert status == 200
@@ -161,7 +161,7 @@
 
 def test_refusals_keep_run_state_and_retry_time():
     """A refusal must pass on whether the work ran."""
-    tier = FakeTier(
+    tier = FakeControllers(
         script=[
             Failure(ResultCode.QUEUE_FULL, 'full', retry_after_s=2),
             Failure(ResultCode.OUTCOME_UNKNOWN, 'lost', 'unknown'),
@@ -186,7 +186,7 @@
 
 def test_crossed_answer_is_not_passed_on():
     """A caller must never see the answer to the request of another."""
-    api, _ = make_api(FakeTier(wrong_id='other'))
+    api, _ = make_api(FakeControllers(wrong_id='other'))
     status, refusal = send(api, 'POST', '/v1/query', QUERY)
     assert (status, refusal['run']) == (500, 'unknown')
     assert 'items' not in refusal
@@ -199,7 +199,7 @@
         raise ValueError(request)
 
     async def run():
-        api, _ = make_api(FakeTier(script=[fail]))
+        api, _ = make_api(FakeControllers(script=[fail]))
         limits = HttpLimits()
         async with HttpServer('127.0.0.1:0', limits, api.handle) as server:
             return await call(server.address, 'POST', '/v1/claim', CLAIM)
@@ -212,7 +212,7 @@
     """Addresses are chosen by load, which must fall back to 0."""
 
     async def run():
-        api, board = make_api(FakeTier(delay_s=0.02))
+        api, board = make_api(FakeControllers(delay_s=0.02))
         request = HttpRequest('POST', '/v1/query', encoded(QUERY))
         running = [asyncio.create_task(api.handle(request)) for _ in '123']
         await asyncio.sleep(0.01)
@@ -226,7 +226,7 @@
 
 def test_leaving_daemon_serves_but_gives_no_tickets():
     """Tickets of a daemon that leaves would outlive their issuer."""
-    tier = FakeTier(addresses_given=['127.0.0.1:9'])
+    tier = FakeControllers(addresses_given=['127.0.0.1:9'])
     api, board = make_api(tier)
     target = '/v1/addresses?tickets=2&count=1'
     _, answer = send(api, 'GET', target)
@@ -241,7 +241,7 @@
 
 def test_daemon_without_revision_is_not_ready():
     """A daemon must not guess routes before it has a configuration."""
-    api, _ = make_api(FakeTier(), Phase.STARTING, settings=None)
+    api, _ = make_api(FakeControllers(), Phase.STARTING, settings=None)
     for method, target, body in (
         ('POST', '/v1/query', QUERY),
         ('GET', '/v1/ready', None),
@@ -254,7 +254,7 @@
 
 def test_reports():
     """Operators need revision, queues and counters of a daemon."""
-    api, _ = make_api(FakeTier())
+    api, _ = make_api(FakeControllers())
     _, status = send(api, 'GET', '/v1/status')
     assert (status['revision'], status['phase']) == (3, 'ready')
     assert status['queues'] == {'lots-0': {'urgent': 3}}
@@ -271,7 +271,7 @@
 )
 def test_refused_request_reaches_no_controller(path, body):
     """A refusal for overload must cost less than an answer."""
-    tier = FakeTier(refusal=OVERLOADED)
+    tier = FakeControllers(refusal=OVERLOADED)
     api, _ = make_api(tier)
     response = asyncio.run(
         api.handle(HttpRequest('POST', path, encoded(body), waited_s=0.1))
@@ -289,7 +289,7 @@
 )
 def test_wait_in_the_daemon_counts_against_the_deadline(waited_s, code):
     """Work whose caller has given up must not be run."""
-    tier = FakeTier()
+    tier = FakeControllers()
     body = encoded(QUERY | {'deadline_ms': 500})
     request = HttpRequest('POST', '/v1/query', body, waited_s=waited_s)
     _, answer = decoded(asyncio.run(make_api(tier)[0].handle(request)))
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -22,7 +22,7 @@
 from boragespool.settings.schema import AddressSettings
 from boragespool.store import Conflict, Missing, StoredValue
 from boragespool.types import RunState
-from tests.standin_thread import daemon, platform, swallowing_daemon
+from tests.standin_thread import closing_daemon, fake_daemon, platform
 
 EXAMPLE = 'examples/cooperative'
 
@@ -224,7 +224,7 @@
 def test_wait_names_daemons_that_lag(operator):
     """A change must not count as done while a live daemon lacks it."""
     revisions = {'h1': 1, 'h2': 0}
-    with daemon(lambda _: status_of(revisions)) as entry:
+    with fake_daemon(lambda _: status_of(revisions)) as entry:
         flags = ('--wait', '--entry', entry.address, '--wait_s')
         code, applied = operator('apply', EXAMPLE, *flags, '0.3')
         assert code == 6
@@ -237,7 +237,7 @@
 
 def test_status_is_read_leniently(operator):
     """Daemons of another release may leave out or add fields."""
-    with daemon(lambda _: status_of({'h1': 1})) as entry:
+    with fake_daemon(lambda _: status_of({'h1': 1})) as entry:
         code, shown = operator('status', '--entry', entry.address)
         assert code == 0
         assert shown[entry.address]['host'] == 'h1'
@@ -262,7 +262,7 @@
         seen.append(msgspec.json.decode(request.body))
         return {'run': run, 'http_status': status}
 
-    with daemon(answer) as entry:
+    with fake_daemon(answer) as entry:
         operator = Operator(capsys, entry=entry.address)
         found, shown = operator('claim', 'r', '{"lot": 1}', '--rank', 'urgent')
         assert found == code
@@ -279,7 +279,7 @@
 
 def test_claim_that_one_entry_may_have_run_is_unknown(capsys):
     """A refused connection afterwards must not make it look not run."""
-    with swallowing_daemon() as entry:
+    with closing_daemon() as entry:
         operator = Operator(capsys, entry=f'{entry},127.0.0.1:1')
         code, shown = operator('claim', 'r', '1', '--ticket', 't0')
     assert code == 5
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -24,7 +24,7 @@
     free_address,
     put_revision,
     stop_signals,
-    until,
+    wait_until,
 )
 
 KEEP_S = 1
@@ -120,21 +120,21 @@
 
 def start_three(processes, platform, *flags: str):
     """Three daemons that know each other; b and c join through a."""
-    first = processes.start_entry('a', platform, *flags)
+    first = processes.start_daemon('a', platform, *flags)
     for host in 'bc':
-        processes.start_entry(
+        processes.start_daemon(
             host, platform, f'--peers=a={first.peer_address}', *flags
         )
-    entries = [processes.entries[host] for host in 'abc']
+    entries = [processes.daemons_by_host[host] for host in 'abc']
     for entry in entries:
         entry.wait_for_event(101)
-    until(lambda: all(len(members_of(entry)) == 3 for entry in entries))
+    wait_until(lambda: all(len(members_of(entry)) == 3 for entry in entries))
     return entries
 
 
 def test_bad_setting_ends_the_process(processes):
     """The process must not listen with settings it cannot use."""
-    entry = processes.start_entry('a', 'nowhere')
+    entry = processes.start_daemon('a', 'nowhere')
     assert entry.wait() == 2
     assert entry.event_numbers() == [107]
 
@@ -146,7 +146,7 @@
         taken.listen()
         address = f'127.0.0.1:{taken.getsockname()[1]}'
         for flag in ('caller_address', 'peer_address'):
-            entry = processes.start_entry('a', platform, **{flag: address})
+            entry = processes.start_daemon('a', platform, **{flag: address})
             assert entry.wait() == 3
             assert 109 in entry.event_numbers()
 
@@ -167,10 +167,10 @@
     ).address
     put_revision(platform, 1, Settings())
     for host, address in addresses.items():
-        processes.start_entry(host, platform, peer_address=address)
-    for entry in processes.entries.values():
+        processes.start_daemon(host, platform, peer_address=address)
+    for entry in processes.daemons_by_host.values():
         entry.wait_for_event(101)
-        until(lambda entry=entry: set(members_of(entry)) == {'a', 'b'})
+        wait_until(lambda entry=entry: set(members_of(entry)) == {'a', 'b'})
 
 
 def test_killed_and_paused_daemons(processes, platform):
@@ -182,14 +182,14 @@
 
     third.signal(signal.SIGKILL)
     second.signal(signal.SIGSTOP)
-    until(lambda: is_status('c', 'dead'), 10, 'killed daemon is dead')
-    until(lambda: is_status('b', 'dead'), 10, 'paused daemon is dead')
+    wait_until(lambda: is_status('c', 'dead'), 10, 'killed daemon is dead')
+    wait_until(lambda: is_status('b', 'dead'), 10, 'paused daemon is dead')
     listed = fetch(first.address, '/v1/addresses?count=3')[1]['addresses']
     assert listed == [first.address]
     second.signal(signal.SIGCONT)
-    until(lambda: is_status('b', 'alive'), 10, 'paused daemon returns')
+    wait_until(lambda: is_status('b', 'alive'), 10, 'paused daemon returns')
     assert members_of(first)['b']['beat'] > 0
-    until(lambda: members_of(second)['a']['status'] == 'alive')
+    wait_until(lambda: members_of(second)['a']['status'] == 'alive')
 
 
 class Caller(threading.Thread):
@@ -245,7 +245,9 @@
         time.sleep(0.5)
         leaving.signal(first_signal)
         leaving.wait_for_event(102)
-        until(lambda: members_of(entries[0])['c']['status'] == 'leaving', 0.5)
+        wait_until(
+            lambda: members_of(entries[0])['c']['status'] == 'leaving', 0.5
+        )
         listed = fetch(entries[0].address, '/v1/addresses?count=3')[1]
         assert leaving.address not in listed['addresses']
         for number in stop_signals():
@@ -266,7 +268,7 @@
 
 def test_stop_is_bounded(processes, platform):
     """A stop that cannot finish must end and say so in its exit code."""
-    entry = processes.start_entry('a', platform, '--stop_timeout_s=0.2')
+    entry = processes.start_daemon('a', platform, '--stop_timeout_s=0.2')
     entry.wait_for_event(101)
     entry.signal(signal.SIGTERM)
     assert entry.wait(3) == 4
--- a/tests/test_daemon_path.py
+++ b/tests/test_daemon_path.py
@@ -16,7 +16,13 @@
     Settings,
 )
 from boragespool.types import Rank, WorkKind
-from tests.processes import Processes, fetch, free_address, put_revision, until
+from tests.processes import (
+    Processes,
+    fetch,
+    free_address,
+    put_revision,
+    wait_until,
+)
 
 SERVERS = {f'{service}-{n}': service for service in ('s', 'l') for n in '012'}
 
@@ -62,15 +68,15 @@
             '--service_time_ms=20',
         )
         put_revision(platform, 1, settings_for(addresses))
-        first = processes.start_entry('a', platform)
+        first = processes.start_daemon('a', platform)
         for host in 'bc':
-            processes.start_entry(
+            processes.start_daemon(
                 host, platform, f'--peers=a={first.peer_address}'
             )
-        entries = [processes.entries[host] for host in 'abc']
+        entries = [processes.daemons_by_host[host] for host in 'abc']
         for entry in entries:
             entry.wait_for_event(101)
-            until(lambda entry=entry: is_settled(entry.address))
+            wait_until(lambda entry=entry: is_settled(entry.address))
         yield entries
 
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -39,7 +39,12 @@
     ServerState,
     WorkKind,
 )
-from tests.fake_backend import FakeBackend, daemon, document, work
+from tests.fake_backend import (
+    FakeBackend,
+    daemon_context,
+    document,
+    work_request,
+)
 from tests.member_records import record
 from tests.relay import Relay
 from tests.test_peers import free_address
@@ -63,7 +68,7 @@
 
     async def warm(self):
         """Raise the limit to all five slots."""
-        await asyncio.gather(*(self.send(work()) for _ in range(40)))
+        await asyncio.gather(*(self.send(work_request()) for _ in range(40)))
         assert self.controller.status()['s']['limit'] == 5
 
     async def running(self, count):
@@ -75,7 +80,7 @@
 async def dispatching(address=None):
     async with FakeBackend() as backend:
         revision = document({'s': address or backend.address})
-        async with daemon(revision) as context:
+        async with daemon_context(revision) as context:
             async with DispatchController(context) as controller:
                 yield Setup(backend, context, controller)
 
@@ -94,7 +99,7 @@
     """Mergers need the range, the items, and the backpressure."""
 
     async def scenario(setup):
-        reply = await setup.send(work(delay_s=0.05, deadline_s=1))
+        reply = await setup.send(work_request(delay_s=0.05, deadline_s=1))
         assert (reply.version, reply.start, reply.end) == (7, 0, 100)
         assert reply.items[0].key == 1
         assert reply.run == RunState.RUN
@@ -120,7 +125,7 @@
     """Another attempt's reply or a cut list must not reach a caller."""
 
     async def scenario(setup):
-        reply = await setup.send(work(mode))
+        reply = await setup.send(work_request(mode))
         assert (reply.code, reply.run) == (code, run_state)
         observed = setup.context.board.read(SERVER_OBSERVATIONS).get('s')
         is_draining = observed is not None and observed.draining_at_s > 0
@@ -133,7 +138,7 @@
     """A message for a removed server must not raise."""
 
     async def scenario(setup):
-        reply = await setup.send(work(server='other'))
+        reply = await setup.send(work_request(server='other'))
         assert (reply.code, reply.run) == (ResultCode.NO_SERVER, 'not_run')
 
     run(scenario)
@@ -146,7 +151,7 @@
         await setup.warm()
         assert setup.backend.peak <= 5
         assert setup.backend.connection_count <= 5
-        await setup.send(work('shed'))
+        await setup.send(work_request('shed'))
         assert setup.controller.status()['s']['limit'] == 2
 
     run(scenario)
@@ -156,7 +161,7 @@
     """A server that just started must get one request at first."""
 
     async def scenario(setup):
-        started = [setup.start(work(delay_s=0.05)) for _ in range(4)]
+        started = [setup.start(work_request(delay_s=0.05)) for _ in range(4)]
         await setup.running(1)
         await asyncio.sleep(0.02)
         assert len(setup.backend.running) == 1
@@ -170,7 +175,7 @@
     """A repeated message must not run a claim again."""
 
     async def scenario(setup):
-        request = work(delay_s=0.05, kind=kind)
+        request = work_request(delay_s=0.05, kind=kind)
         first, second = await asyncio.gather(
             setup.send(request),
             setup.send(request),
@@ -187,9 +192,9 @@
     """A hedge that lost must not take a slot later."""
 
     async def scenario(setup):
-        running = setup.start(work(delay_s=0.1))
+        running = setup.start(work_request(delay_s=0.1))
         await setup.running(1)
-        request = work()
+        request = work_request()
         waiting = setup.start(request)
         await asyncio.sleep(0.01)
         setup.context.peers.send('a', CancelWork(request.attempt_id))
@@ -205,14 +210,14 @@
     """Cancelled work must free its slot and keep its connection."""
 
     async def scenario(setup):
-        request = work(delay_s=3)
+        request = work_request(delay_s=3)
         running = setup.start(request)
         await setup.running(1)
         setup.context.peers.send('a', CancelWork(request.attempt_id))
         reply = await asyncio.wait_for(running, 1)
         assert (reply.code, reply.run) == (ResultCode.CANCELLED, 'not_run')
         assert setup.backend.cancelled == [request.attempt_id]
-        assert (await setup.send(work())).code == ResultCode.COMPLETE
+        assert (await setup.send(work_request())).code == ResultCode.COMPLETE
         assert setup.backend.connection_count == 2
 
     run(scenario)
@@ -224,10 +229,11 @@
     async def scenario(setup):
         await setup.warm()
         slow = [
-            setup.start(work(delay_s=1, rank=Rank.DEFERRABLE)) for _ in range(5)
+            setup.start(work_request(delay_s=1, rank=Rank.DEFERRABLE))
+            for _ in range(5)
         ]
         await setup.running(5)
-        reply = await asyncio.wait_for(setup.send(work()), 0.5)
+        reply = await asyncio.wait_for(setup.send(work_request()), 0.5)
         assert reply.code == ResultCode.COMPLETE
         codes = [each.code for each in await asyncio.gather(*slow)]
         assert codes.count(ResultCode.CANCELLED) == 1
@@ -241,11 +247,13 @@
     async def scenario(setup):
         await setup.warm()
         slow = [
-            setup.start(work(delay_s=0.2, rank=Rank.DEFERRABLE, **CLAIM))
+            setup.start(
+                work_request(delay_s=0.2, rank=Rank.DEFERRABLE, **CLAIM)
+            )
             for _ in range(5)
         ]
         await setup.running(5)
-        await setup.send(work())
+        await setup.send(work_request())
         replies = await asyncio.gather(*slow)
         assert {each.code for each in replies} == {ResultCode.COMPLETE}
 
@@ -256,10 +264,10 @@
     """A straggler must not hold a slot after its deadline."""
 
     async def scenario(setup):
-        reply = await setup.send(work(delay_s=3, deadline_s=0.1))
+        reply = await setup.send(work_request(delay_s=3, deadline_s=0.1))
         assert reply.code == ResultCode.DEADLINE_PASSED
         assert not setup.backend.running
-        assert (await setup.send(work())).code == ResultCode.COMPLETE
+        assert (await setup.send(work_request())).code == ResultCode.COMPLETE
 
     run(scenario)
 
@@ -269,16 +277,18 @@
 
     async def scenario():
         async with FakeBackend() as backend, Relay(backend.address) as relay:
-            async with daemon(document({'s': relay.address})) as context:
+            async with daemon_context(
+                document({'s': relay.address})
+            ) as context:
                 async with DispatchController(context) as controller:
                     setup = Setup(backend, context, controller)
-                    await setup.send(work())
+                    await setup.send(work_request())
                     relay.silence()
-                    claim = work(deadline_s=0.2, **CLAIM)
+                    claim = work_request(deadline_s=0.2, **CLAIM)
                     reply = await setup.send(claim)
                     assert reply.code == ResultCode.SERVER_SILENT
                     assert reply.run == RunState.UNKNOWN
-                    again = await setup.send(work())
+                    again = await setup.send(work_request())
                     assert again.code == ResultCode.COMPLETE
                     assert claim.attempt_id not in backend.attempts
 
@@ -293,13 +303,15 @@
 
     async def scenario():
         async with FakeBackend() as backend, Relay(backend.address) as relay:
-            async with daemon(document({'s': relay.address})) as context:
+            async with daemon_context(
+                document({'s': relay.address})
+            ) as context:
                 async with DispatchController(context) as controller:
                     setup = Setup(backend, context, controller)
-                    await setup.send(work())
+                    await setup.send(work_request())
                     relay.cut()
                     await asyncio.sleep(0.02)
-                    claim = work(**CLAIM)
+                    claim = work_request(**CLAIM)
                     reply = await setup.send(claim)
                     assert reply.code == ResultCode.COMPLETE
                     assert backend.attempts.count(claim.attempt_id) == 1
@@ -312,10 +324,12 @@
 
     async def scenario():
         async with FakeBackend() as backend, Relay(backend.address) as relay:
-            async with daemon(document({'s': relay.address})) as context:
+            async with daemon_context(
+                document({'s': relay.address})
+            ) as context:
                 async with DispatchController(context) as controller:
                     setup = Setup(backend, context, controller)
-                    claim = work(delay_s=0.2, **CLAIM)
+                    claim = work_request(delay_s=0.2, **CLAIM)
                     running = setup.start(claim)
                     await setup.running(1)
                     relay.cut()
@@ -334,7 +348,7 @@
 
     async def scenario(setup):
         await setup.backend.__aexit__()
-        reply = await setup.send(work(**CLAIM))
+        reply = await setup.send(work_request(**CLAIM))
         code = ResultCode.SERVER_UNREACHABLE
         assert (reply.code, reply.run) == (code, RunState.NOT_RUN)
 
@@ -346,10 +360,10 @@
 
     async def scenario(setup):
         await setup.warm()
-        before = setup.start(work(delay_s=0.1))
+        before = setup.start(work_request(delay_s=0.1))
         await setup.running(1)
-        solo = setup.start(work(delay_s=0.1, solo=True))
-        after = setup.start(work(delay_s=0.1))
+        solo = setup.start(work_request(delay_s=0.1, solo=True))
+        after = setup.start(work_request(delay_s=0.1))
         await before
         await setup.running(1)
         setup.backend.peak = 0
@@ -387,17 +401,17 @@
     async def scenario(setup):
         address = setup.backend.address
         async with listening_peer(setup.context) as notices:
-            first = work('crash', fingerprint=5)
+            first = work_request('crash', fingerprint=5)
             reply = await setup.send(first)
             assert (reply.code, reply.run) == (3105, RunState.UNKNOWN)
             assert setup.context.board.read(SUSPECT_FINGERPRINTS) == {5}
             assert [each.loss_id for each in notices] == ['s@1']
             async with FakeBackend('s', 2, address):
-                reply = await setup.send(work('crash', fingerprint=5))
+                reply = await setup.send(work_request('crash', fingerprint=5))
                 assert reply.code == ResultCode.SERVER_CLOSED
                 assert setup.context.board.read(BLOCKED_FINGERPRINTS) == {5}
             async with FakeBackend('s', 3, address) as third:
-                reply = await setup.send(work('crash', fingerprint=5))
+                reply = await setup.send(work_request('crash', fingerprint=5))
                 assert reply.code == ResultCode.REQUEST_BLOCKED
                 assert reply.run == RunState.NOT_RUN
                 assert not third.attempts
@@ -417,7 +431,7 @@
     async def scenario(setup):
         peer = listening_peer(setup.context, acknowledges=False)
         async with peer as notices:
-            await setup.send(work('crash', fingerprint=5))
+            await setup.send(work_request('crash', fingerprint=5))
             assert not notices
             await asyncio.sleep(1.1)
             assert [each.loss_id for each in notices] == ['s@1']
@@ -468,14 +482,14 @@
     """Queued work must not be sent to a server that leaves."""
 
     async def scenario(setup):
-        running = setup.start(work(delay_s=0.1))
+        running = setup.start(work_request(delay_s=0.1))
         await setup.running(1)
-        waiting = setup.start(work())
+        waiting = setup.start(work_request())
         await asyncio.sleep(0.01)
         state = ServerState.DRAINING
         record = ServerRecord('s', 'v', 'north', 'a', 1, 1, 1, state, 1)
         setup.context.board.post(SERVERS, {'s': record})
-        for reply in (await waiting, await setup.send(work())):
+        for reply in (await waiting, await setup.send(work_request())):
             assert reply.code == ResultCode.SERVER_DRAINING
             assert reply.run == RunState.NOT_RUN
         assert (await running).code == ResultCode.COMPLETE
@@ -487,15 +501,15 @@
     """A planned stop must interrupt nothing and leave nobody waiting."""
 
     async def scenario(setup):
-        running = setup.start(work(delay_s=0.1))
+        running = setup.start(work_request(delay_s=0.1))
         await setup.running(1)
-        waiting = setup.start(work())
+        waiting = setup.start(work_request())
         await asyncio.sleep(0.01)
         assert setup.controller.in_flight == 2
         assert await setup.controller.drain(2)
         assert (await running).code == ResultCode.COMPLETE
         assert (await waiting).code == ResultCode.LEAVING
-        assert (await setup.send(work())).code == ResultCode.LEAVING
+        assert (await setup.send(work_request())).code == ResultCode.LEAVING
 
     run(scenario)
 
@@ -504,10 +518,10 @@
     """A merger must not wait for work that can no longer be useful."""
 
     async def scenario(setup):
-        running = setup.start(work(delay_s=0.4))
+        running = setup.start(work_request(delay_s=0.4))
         await setup.running(1)
         started_s = asyncio.get_running_loop().time()
-        reply = await setup.send(work(deadline_s=0.1))
+        reply = await setup.send(work_request(deadline_s=0.1))
         waited_s = asyncio.get_running_loop().time() - started_s
         assert reply.code == ResultCode.DEADLINE_UNREACHABLE
         assert waited_s < 0.2
@@ -520,8 +534,8 @@
     """The handler must be registered under the type that mergers send."""
 
     async def scenario(setup):
-        assert isinstance(work(), WorkRequest)
-        assert (await setup.send(work())).code == ResultCode.COMPLETE
+        assert isinstance(work_request(), WorkRequest)
+        assert (await setup.send(work_request())).code == ResultCode.COMPLETE
         assert setup.controller.status()['s']['connections'] == 1
 
     run(scenario)
@@ -533,25 +547,31 @@
     async def scenario():
         spec = BackendSpec('s', 'v', switches=BackendSwitches(slots=5))
         async with BackendServer(spec) as server:
-            async with daemon(document({'s': server.address})) as context:
+            async with daemon_context(
+                document({'s': server.address})
+            ) as context:
                 async with DispatchController(context) as controller:
                     setup = Setup(None, context, controller)
-                    query = work(version=1, end=2**32)
+                    query = work_request(version=1, end=2**32)
                     reply = await setup.send(query)
                     assert (reply.code, len(reply.items)) == (1000, 200)
-                    reply = await setup.send(work(version=2))
+                    reply = await setup.send(work_request(version=2))
                     assert reply.code == ResultCode.VERSION_NOT_HELD
-                    reply = await setup.send(work(**CLAIM))
+                    reply = await setup.send(work_request(**CLAIM))
                     assert reply.outcome['runs'] == 1
-                    reply = await setup.send(work(body=b'{"fail":1}', **CLAIM))
+                    reply = await setup.send(
+                        work_request(body=b'{"fail":1}', **CLAIM)
+                    )
                     assert reply.code == ResultCode.CLAIM_FAILED
                     assert reply.outcome['error']
                     assert reply.run == RunState.RUN
                     # A claim that has begun runs to its end.
                     server.control({'service_time_s': 0.3})
-                    reply = await setup.send(work(deadline_s=0.1, **CLAIM))
+                    reply = await setup.send(
+                        work_request(deadline_s=0.1, **CLAIM)
+                    )
                     assert reply.code == ResultCode.COMPLETE
-                    query = work(version=1, end=9, deadline_s=0.1)
+                    query = work_request(version=1, end=9, deadline_s=0.1)
                     reply = await setup.send(query)
                     assert reply.code == ResultCode.DEADLINE_PASSED
                     assert reply.run == RunState.RUN
--- a/tests/test_server_exchange.py
+++ b/tests/test_server_exchange.py
@@ -9,7 +9,7 @@
 from boragespool.messages import ServerAnnouncement, ServerDigest
 from boragespool.results import ResultCode
 from boragespool.types import MemberStatus
-from tests.fake_backend import daemon
+from tests.fake_backend import daemon_context
 from tests.test_servers import (
     DRAINING,
     FAST,
@@ -48,7 +48,9 @@
     async def scenario(_backends, both):
         first, second = both
         known = first.board.read(SERVERS)
-        async with daemon(first.board.read(DOCUMENT_IN_FORCE), 'c') as third:
+        async with daemon_context(
+            first.board.read(DOCUMENT_IN_FORCE), 'c'
+        ) as third:
             for context in both:
                 host = context.identity.host
                 third.peers.set_address(host, context.identity.peer_address)
@@ -66,7 +68,9 @@
     async def scenario(_backends, both):
         first, second = both
         known = first.board.read(SERVERS)
-        async with daemon(first.board.read(DOCUMENT_IN_FORCE), 'c', 2) as third:
+        async with daemon_context(
+            first.board.read(DOCUMENT_IN_FORCE), 'c', 2
+        ) as third:
             for context in both:
                 host = context.identity.host
                 third.peers.set_address(host, context.identity.peer_address)
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -36,7 +36,12 @@
 from boragespool.results import ResultCode
 from boragespool.timers import VirtualTimers
 from boragespool.types import MemberStatus, ServerState
-from tests.fake_backend import FakeBackend, daemon, document, work
+from tests.fake_backend import (
+    FakeBackend,
+    daemon_context,
+    document,
+    work_request,
+)
 from tests.relay import Relay
 from tests.test_peers import free_address
 
@@ -67,7 +72,10 @@
 @asynccontextmanager
 async def two_daemons(revision, options):
     """Two daemons that know each other, with their controllers."""
-    async with daemon(revision, 'a') as first, daemon(revision, 'b') as second:
+    async with (
+        daemon_context(revision, 'a') as first,
+        daemon_context(revision, 'b') as second,
+    ):
         first.peers.set_address('b', second.identity.peer_address)
         second.peers.set_address('a', first.identity.peer_address)
         both = (first, second)
@@ -260,7 +268,9 @@
 
     async def scenario():
         async with FakeBackend('x') as backend, Relay(backend.address) as relay:
-            async with daemon(document({'x': relay.address})) as context:
+            async with daemon_context(
+                document({'x': relay.address})
+            ) as context:
                 context.board.post(MEMBERS, members(context))
                 async with ServerController(context, FAST):
                     await until(lambda: states(context) == {'x': SERVING})
@@ -280,7 +290,7 @@
     async def scenario():
         async with FakeBackend('s') as s, FakeBackend('t') as t:
             revision = document({'s': s.address, 't': t.address})
-            async with daemon(revision) as context:
+            async with daemon_context(revision) as context:
                 context.board.post(MEMBERS, members(context))
                 async with (
                     ServerController(context),
@@ -290,7 +300,9 @@
                     s.state = 'draining'
                     last_s = started_s = context.timers.now_s()
                     while context.timers.now_s() < started_s + 3:
-                        reply = await context.peers.request('a', work(), 2)
+                        reply = await context.peers.request(
+                            'a', work_request(), 2
+                        )
                         if reply.code == ResultCode.COMPLETE:
                             last_s = context.timers.now_s()
                         else:
@@ -349,7 +361,9 @@
 
     async def scenario():
         async with FakeBackend('x') as backend:
-            async with daemon(document({'x': backend.address})) as context:
+            async with daemon_context(
+                document({'x': backend.address})
+            ) as context:
                 context.board.post(MEMBERS, members(context))
                 async with ServerController(context, FAST) as controller:
                     await until(lambda: states(context) == {'x': SERVING})
