Name the platform stand-ins and the soak test in usual terms

World, promises, links and harm were private words; the docstrings left out modes, attributes and units. Now Cluster, Invariants, proxies and faults, with the state of each class stated.

--- a/tests/fuzz/test_query_fuzz.py
+++ b/tests/fuzz/test_query_fuzz.py
@@ -1,4 +1,4 @@
-"""Longer runs of the query storm."""
+"""Queries under random faults, with more seeds than CI."""
 
 from __future__ import annotations
 
@@ -7,11 +7,14 @@
 from boragespool.bench.virtual_time import run_virtual
 from tests.test_query_storm import Storm
 
-#: One storm takes about 20 times as long as one run of the snapshot world.
+#: One `Storm` takes about 20 times as long as one run of `run_world`.
 EXAMPLES = int(os.environ.get('FUZZ_EXAMPLES', '20000')) // 20
 
 
 def test_answers_stay_true_in_a_storm_of_changes():
-    """The checks of the storm must hold for seeds that CI does not run."""
+    """Answers must stay correct while holdings and server states change.
+
+    Runs `Storm` and its checks with seeds that CI does not use.
+    """
     for seed in range(1_000_000, 1_000_000 + EXAMPLES):
         run_virtual(Storm(seed).run())
--- a/tests/fuzz/test_snapshots_fuzz.py
+++ b/tests/fuzz/test_snapshots_fuzz.py
@@ -1,4 +1,4 @@
-"""Longer runs of the seeded snapshot world."""
+"""Snapshots of simulated servers, with more seeds than CI."""
 
 from __future__ import annotations
 
@@ -10,6 +10,9 @@
 
 
 def test_no_state_is_ever_mixed_or_falsely_covered():
-    """The oracle of the world must hold for seeds that CI does not run."""
+    """An answer must not mix snapshots nor claim coverage that it lacks.
+
+    Runs the checks of the simulation with seeds that CI does not use.
+    """
     for seed in range(1_000_000, 1_000_000 + EXAMPLES):
         run_world(seed)
--- a/tests/platform_standins/world.py
+++ b/tests/platform_standins/cluster.py
@@ -1,4 +1,4 @@
-"""Store, backend servers and daemons of the platform in one process."""
+"""Store, backend servers and daemons on the platform, in one process."""
 
 from __future__ import annotations
 
@@ -21,12 +21,12 @@
 
 
 def record(number):
-    """Return a record that sorts by its number."""
+    """Return a 16-byte record that sorts by its number."""
     return number.to_bytes(16, 'big')
 
 
 def route(**fields):
-    """Return a route as the operators write it."""
+    """Return a route as operators write it in the configuration."""
     return {
         'name': 'r-0',
         'host': DOMAIN,
@@ -40,7 +40,7 @@
 
 
 def gather_route(shards, **fields):
-    """Return a route over shards."""
+    """Return a route that gathers the top 3 records of several shards."""
     return route(gather=shards, top_k=3, min_coverage=0.5, **fields)
 
 
@@ -54,7 +54,7 @@
 
 
 def settings_document(name, zone, store_address):
-    """Return the settings file of a daemon, with free addresses."""
+    """Return the contents of a daemon's settings file, with free ports."""
     return {
         'node': name,
         'zone': zone,
@@ -68,15 +68,23 @@
     }
 
 
-async def until(condition, timeout_s=5):
-    """Wait until a condition holds."""
+async def wait_until(condition, timeout_s=5):
+    """Wait until a condition is true."""
     async with asyncio.timeout(timeout_s):
         while not condition():
             await asyncio.sleep(0.01)
 
 
-class World:
-    """Everything that one test needs."""
+class Cluster:
+    """A store, and the backend servers and daemons that a test starts.
+
+    Attributes
+    ----------
+    version : int
+        Version of the configuration that was written last.
+    servers : dict of str to ServerStandin
+        Backend servers by name.
+    """
 
     def __init__(self):
         self.stack = contextlib.AsyncExitStack()
@@ -92,7 +100,7 @@
         await self.stack.aclose()
 
     def configure(self, *routes, services=(), **fields):
-        """Write a newer configuration."""
+        """Write a configuration with the next version to the store."""
         self.version += 1
         document = {
             'version': self.version,
@@ -112,18 +120,18 @@
         return server
 
     def register(self, service, name, **fields):
-        """Write what a backend server says of itself."""
+        """Write the registration of a backend server to the store."""
         registration = self.servers[name].registration(service, **fields)
         self.store.put(f'servers/{name}', registration)
 
     def boot(self, name, zone='here', **fields):
-        """Return the settings file of a daemon."""
+        """Return the settings of a daemon."""
         bounds = {'bounds': {'grace_s': 3, 'budget_slack': 40}}
         document = settings_document(name, zone, self.store.address)
         return msgspec.convert(document | bounds | fields, Boot)
 
     async def _listen(self, boot):
-        """Start a daemon; None if a free port was taken meanwhile."""
+        """Start a daemon; return None if one of its ports was taken."""
         store = KeyValueStore(boot.platform.address)
         await self.stack.enter_async_context(store)
         daemon = Forwarder(forwarding_options(boot), CODEC, store)
@@ -135,14 +143,14 @@
             return None
 
     async def start(self, name='host-1', *, ready=True, **fields):
-        """Start a daemon; wait until it is ready."""
+        """Start a daemon and by default wait until it is ready."""
         daemon = None
         while daemon is None:
             daemon = await self._listen(self.boot(name, **fields))
         self.daemons.append(daemon)
         if ready:
-            await until(lambda: daemon.is_ready)
-            await until(lambda: f'hosts/{name}' in self.store.items)
+            await wait_until(lambda: daemon.is_ready)
+            await wait_until(lambda: f'hosts/{name}' in self.store.items)
         return daemon
 
 
@@ -154,7 +162,10 @@
     timeout_s=5,
     **fields,
 ):
-    """Send one request of a caller on a new connection."""
+    """Send one request as a caller, on a new connection.
+
+    Further keyword arguments are header fields.
+    """
     connection = await open_connection(daemon.options.caller_address, 1)
     headers = [('host', DOMAIN)]
     headers += [(n.replace('_', '-'), str(v)) for n, v in fields.items()]
@@ -168,10 +179,10 @@
 
 
 def run(scenario):
-    """Run a coroutine function that takes a world."""
+    """Run a coroutine function with a new cluster."""
 
     async def main():
-        async with World() as world:
-            await scenario(world)
+        async with Cluster() as cluster:
+            await scenario(cluster)
 
     asyncio.run(main())
--- a/tests/platform_standins/server.py
+++ b/tests/platform_standins/server.py
@@ -1,4 +1,4 @@
-"""Stand-in for a backend server of the users' platform."""
+"""Stand-in for a backend server, in the protocol of the platform."""
 
 from __future__ import annotations
 
@@ -13,12 +13,29 @@
 
 
 class ServerStandin:
-    """Answers requests as `modes` says; the last mode stays.
+    """HTTP server that answers each request in the next mode of `modes`.
+
+    The last mode applies to all further requests.
 
     Modes: ``ok``, ``error`` (500), ``shed`` (503, not executed), ``other``
-    (421), ``reset`` (runs, then resets), ``truncated``, ``garbage``,
-    ``unframed``, ``unframed-reset``, ``stale`` (an answer to another request
-    first), ``doubled``, ``encoded``, ``silent``, ``chunked``, ``closing``.
+    (421 of another instance), ``reset`` (runs the request, then resets the
+    connection), ``truncated`` (three bytes short), ``garbage`` (not HTTP),
+    ``unframed`` (no content length, ends with the connection),
+    ``unframed-reset`` (the same, ends with a reset), ``stale`` (preceded by
+    a response to another request), ``doubled`` (the response twice),
+    ``encoded`` (with a content encoding), ``silent`` (no response),
+    ``chunked`` (chunked transfer encoding), ``closing`` (with
+    ``Connection: close``).
+
+    Attributes
+    ----------
+    runs : list of str
+        Ids of the requests that were run, in order.
+    requests : list of tuple
+        Method, target, header fields and body of every request received.
+    abandoned_count : int
+        Number of requests whose caller closed the connection during
+        `delay_s`.
     """
 
     def __init__(self, name, address='127.0.0.1:0', body=b'', delay_s=0):
@@ -27,7 +44,7 @@
         self.delay_s = delay_s
         self.runs = []
         self.requests = []
-        self.cut_count = 0
+        self.abandoned_count = 0
         self.connection_count = 0
         self._writers = set()
 
@@ -44,7 +61,7 @@
             writer.transport.abort()
 
     def registration(self, service, **fields):
-        """Return what the backend server writes about itself."""
+        """Return the entry that the server writes to the store."""
         return {
             'service': service,
             'address': self.address,
@@ -77,33 +94,33 @@
         mode = self.modes.pop(0) if len(self.modes) > 1 else self.modes[0]
         request_id = fields.get('request-id', '')
         if mode == 'shed':
-            writer.write(_refusal(503, b'Not-Executed: 1\r\n'))
-            return _end_response(protocol)
+            writer.write(_empty_response(503, b'Not-Executed: 1\r\n'))
+            return _complete_cycle(protocol)
         if mode == 'other' or fields.get('target-instance') != self.name:
-            writer.write(_refusal(421, b'Instance-Id: i-other\r\n'))
+            writer.write(_empty_response(421, b'Instance-Id: i-other\r\n'))
             return False
         self.runs.append(request_id)
-        if self.delay_s and not await self._work(reader):
-            self.cut_count += 1
+        if self.delay_s and not await self._wait_for_delay(reader):
+            self.abandoned_count += 1
             return False
         if mode == 'silent':
             await asyncio.sleep(3600)
-        if self._answer(mode, request_id, writer):
-            return _end_response(protocol)
+        if self._write_response(mode, request_id, writer):
+            return _complete_cycle(protocol)
         return False
 
-    async def _work(self, reader):
-        """Wait for the delay; False if the caller closes meanwhile."""
-        gone = asyncio.ensure_future(reader.read(1))
-        done, _ = await asyncio.wait({gone}, timeout=self.delay_s)
-        gone.cancel()
+    async def _wait_for_delay(self, reader):
+        """Wait for `delay_s`; return False if the caller closes meanwhile."""
+        closed = asyncio.ensure_future(reader.read(1))
+        done, _ = await asyncio.wait({closed}, timeout=self.delay_s)
+        closed.cancel()
         with contextlib.suppress(asyncio.CancelledError):
-            await gone
+            await closed
         return not done
 
-    def _answer(self, mode, request_id, writer):
-        """Write the answer; tell whether the connection goes on."""
-        sent = {
+    def _write_response(self, mode, request_id, writer):
+        """Write the response; return whether the connection is kept open."""
+        closing_responses = {
             'reset': b'',
             'truncated': self._response(request_id)[:-3],
             'garbage': b'\x00\xff not http\r\n\r\n',
@@ -113,22 +130,22 @@
                 request_id, extra=b'Connection: close\r\n'
             ),
         }
-        if mode in sent:
-            writer.write(sent[mode])
+        if mode in closing_responses:
+            writer.write(closing_responses[mode])
             if mode.endswith('reset'):
-                _reset(writer)
+                _reset_connection(writer)
             return False
-        whole = self._response(request_id)
-        usual = {
-            'stale': self._response('another', b'x' * 32) + whole,
-            'doubled': whole + whole,
+        complete = self._response(request_id)
+        kept_responses = {
+            'stale': self._response('another', b'x' * 32) + complete,
+            'doubled': complete + complete,
             'encoded': self._response(
                 request_id, extra=b'Content-Encoding: br\r\n'
             ),
             'error': self._response(request_id, status=500),
             'chunked': self._chunked(request_id),
         }
-        writer.write(usual.get(mode, whole))
+        writer.write(kept_responses.get(mode, complete))
         return True
 
     def _head(self, request_id, status=200, extra=b''):
@@ -153,7 +170,7 @@
 
 
 async def _read_request(protocol, reader):
-    """Return the head and the body; None at the end of the stream."""
+    """Return the head and the body, or None if the connection ended."""
     head, body = None, b''
     while True:
         event = protocol.next_event()
@@ -164,19 +181,19 @@
         elif isinstance(event, h11.Data):
             body += bytes(event.data)
         else:
-            is_whole = isinstance(event, h11.EndOfMessage)
-            return (head, body) if is_whole else None
+            is_complete = isinstance(event, h11.EndOfMessage)
+            return (head, body) if is_complete else None
 
 
-def _end_response(protocol):
-    """Let the protocol begin its next cycle."""
+def _complete_cycle(protocol):
+    """Record the response in the protocol, so that its next cycle can start."""
     protocol.send(h11.Response(status_code=200, headers=[]))
     protocol.send(h11.EndOfMessage())
     return True
 
 
-def _reset(writer):
-    """Close with a reset; a plain close of a socket would end it cleanly."""
+def _reset_connection(writer):
+    """Close with a TCP reset; without SO_LINGER 0 the peer would see a FIN."""
     linger = struct.pack('ii', 1, 0)
     writer.get_extra_info('socket').setsockopt(
         socket.SOL_SOCKET, socket.SO_LINGER, linger
@@ -184,7 +201,7 @@
     writer.transport.abort()
 
 
-def _refusal(status, extra):
+def _empty_response(status, extra):
     return (
         f'HTTP/1.1 {status} x\r\nContent-Length: 0\r\n'.encode()
         + extra
--- a/tests/platform_standins/store.py
+++ b/tests/platform_standins/store.py
@@ -1,4 +1,4 @@
-"""Stand-in for the users' store, in the protocol of their platform."""
+"""Stand-in for the key-value store, in the protocol of the platform."""
 
 from __future__ import annotations
 
@@ -15,10 +15,32 @@
 
 
 class StoreStandin:
-    """Key-value store in memory, with switches for its failures.
-
-    `refusing` holds peer addresses' ports that get 503; `down` refuses all;
-    `silent` answers nobody; `page_size` bounds a range.
+    """In-memory key-value store with revisions, watches, leases and faults.
+
+    Attributes
+    ----------
+    items : dict
+        Current items by key, as they are sent.
+    history : list of dict
+        Changes since the last compaction, which watches return.
+    oldest_revision : int
+        Revision of the last compaction; a watch from an earlier one gets 410.
+    leases : dict
+        Time to live in seconds and time of expiry, by lease.
+    down : bool
+        Whether every request gets 503.
+    silent : bool
+        Whether requests get no response.
+    delay_s : float
+        Delay before each response.
+    lose_write_replies : bool
+        Whether transactions are applied but get no response.
+    page_size : int
+        Maximum number of items in a range response.
+    stale_state : tuple or None
+        Items and revision that stale reads return, if not the current ones.
+    calls : list of str
+        Method and path of every request.
     """
 
     def __init__(self, address='127.0.0.1:0'):
@@ -26,16 +48,16 @@
         self.items = {}
         self.history = []
         self.revision = 1
-        self.oldest = 1
+        self.oldest_revision = 1
         self.leases = {}
         self.down = False
         self.silent = False
         self.delay_s = 0
-        self.lose_writes = False
+        self.lose_write_replies = False
         self.page_size = 500
-        self.stale_page = None
+        self.stale_state = None
         self.calls = []
-        self._numbers = itertools.count(100)
+        self._lease_ids = itertools.count(100)
         self._changed = asyncio.Event()
 
     async def __aenter__(self):
@@ -43,60 +65,60 @@
         self._server = HttpServer(self.address, limits, self._handle)
         await self._server.__aenter__()
         self.address = self._server.address
-        self._expiry = asyncio.create_task(self._expire())
+        self._expiry_task = asyncio.create_task(self._expire_leases())
         return self
 
     async def __aexit__(self, *exc_info):
-        self._expiry.cancel()
+        self._expiry_task.cancel()
         await self._server.__aexit__(*exc_info)
 
     def put(self, key, value, lease=0):
-        """Write a key as the operator or a backend server does."""
+        """Write a key, as the operator or a backend server does."""
         if not isinstance(value, bytes):
             value = msgspec.json.encode(value)
         self.revision += 1
         before = self.items.get(key)
-        made = before['create_rev'] if before else self.revision
+        create_revision = before['create_rev'] if before else self.revision
         item = {
             'key': key,
             'value': base64.b64encode(value).decode(),
             'revision': self.revision,
-            'create_rev': made,
+            'create_rev': create_revision,
             'lease': lease,
         }
         self.items[key] = item
-        self._note(item)
+        self._append_event(item)
 
     def remove(self, key):
         if self.items.pop(key, None) is not None:
             self.revision += 1
-            self._note(
+            self._append_event(
                 {'key': key, 'revision': self.revision, 'removed': True},
             )
 
     def compact(self):
-        """Forget the history."""
-        self.oldest = self.revision
+        """Drop the history, so that watches of older revisions get 410."""
+        self.oldest_revision = self.revision
         self.history.clear()
-        self._wake()
+        self._wake_watches()
 
-    def _note(self, event):
+    def _append_event(self, event):
         self.history.append(event)
-        self._wake()
+        self._wake_watches()
 
-    def _wake(self):
+    def _wake_watches(self):
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _expire(self):
+    async def _expire_leases(self):
         loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(LEASE_CHECK_S)
             for lease, (_, until_s) in tuple(self.leases.items()):
                 if loop.time() > until_s:
-                    self._end(lease)
+                    self._end_lease(lease)
 
-    def _end(self, lease):
+    def _end_lease(self, lease):
         self.leases.pop(lease, None)
         for key, item in tuple(self.items.items()):
             if item['lease'] == lease:
@@ -113,7 +135,7 @@
         if request.path == '/v1/kv-watch':
             return await self._watch(request.query)
         response = self._answer(request)
-        if self.lose_writes and request.path == '/v1/kv-txn':
+        if self.lose_write_replies and request.path == '/v1/kv-txn':
             await asyncio.sleep(3600)
         return response
 
@@ -122,23 +144,23 @@
         if request.path == '/v1/kv-range':
             return self._range(request.query)
         if path == '/v1/kv-keep':
-            return self._keep(int(name))
+            return self._renew_lease(int(name))
         if path == '/v1/kv-lease-end':
-            self._end(int(name))
+            self._end_lease(int(name))
             return json_response({})
-        answers = {'/v1/kv-txn': self._txn, '/v1/kv-lease': self._grant}
+        answers = {'/v1/kv-txn': self._txn, '/v1/kv-lease': self._grant_lease}
         if request.path not in answers:
             return HttpResponse(404)
         return answers[request.path](msgspec.json.decode(request.body))
 
     def freeze_stale_reads(self):
-        """Let stale reads return the present state from now on."""
-        self.stale_page = (dict(self.items), self.revision)
+        """Make stale reads return the current state from now on."""
+        self.stale_state = (dict(self.items), self.revision)
 
     def _range(self, query):
         items, revision = self.items, self.revision
-        if query.get('stale_ok') == '1' and self.stale_page:
-            items, revision = self.stale_page
+        if query.get('stale_ok') == '1' and self.stale_state:
+            items, revision = self.stale_state
         keys = sorted(
             key
             for key in items
@@ -158,7 +180,10 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(query['wait_ms']) / 1000):
                 while True:
-                    if after < self.oldest and self.oldest > 1:
+                    if (
+                        after < self.oldest_revision
+                        and self.oldest_revision > 1
+                    ):
                         return HttpResponse(410)
                     if self._events(prefix, after) or self.down:
                         break
@@ -182,9 +207,9 @@
         ]
 
     def _txn(self, body):
-        for row in body['expected']:
-            held = self.items.get(row['key'])
-            if (held['revision'] if held else 0) != row['revision']:
+        for condition in body['expected']:
+            current = self.items.get(condition['key'])
+            if (current['revision'] if current else 0) != condition['revision']:
                 return json_response({'items': []}, 412)
         for put in body['puts']:
             lease = put.get('lease', 0)
@@ -195,14 +220,14 @@
             self.remove(key)
         return json_response({'revision': self.revision})
 
-    def _grant(self, body):
-        lease = next(self._numbers)
+    def _grant_lease(self, body):
+        lease = next(self._lease_ids)
         ttl_s = body['ttl_ms'] / 1000
         until_s = asyncio.get_running_loop().time() + ttl_s
         self.leases[lease] = (ttl_s, until_s)
         return json_response({'lease': lease, 'ttl_ms': body['ttl_ms']})
 
-    def _keep(self, lease):
+    def _renew_lease(self, lease):
         if lease not in self.leases:
             return HttpResponse(404)
         ttl_s, _ = self.leases[lease]
--- a/tests/soak/__init__.py
+++ b/tests/soak/__init__.py
@@ -1,1 +1,1 @@
-"""Randomized fault soak: real daemons, faults from outside, promises checked."""
+"""Randomized soak test: real daemons, injected faults, checked invariants."""
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,4 +1,4 @@
-"""Runs seeds of the soak: ``python -m tests.soak --seeds=0:10 --seconds=20``."""
+"""Run the soak test: ``python -m tests.soak --seeds=0:10 --seconds=20``."""
 
 from __future__ import annotations
 
@@ -9,22 +9,26 @@
 
 from tests.soak.run import Soak, summary
 
-SEEDS = flags.DEFINE_string('seeds', '0:1', 'First seed and end, as 0:10.')
-SECONDS = flags.DEFINE_float('seconds', 20, 'Time with faults, in seconds.')
-DAEMONS = flags.DEFINE_integer('daemons', 4, 'Daemons of each run.')
+SEEDS = flags.DEFINE_string(
+    'seeds', '0:1', 'First seed and end (exclusive), such as 0:10.'
+)
+SECONDS = flags.DEFINE_float(
+    'seconds', 20, 'Duration of fault injection, in seconds.'
+)
+DAEMONS = flags.DEFINE_integer('daemons', 4, 'Number of daemons in each run.')
 
 
 def main(_):
-    """Run the seeds; exit with 1 if a promise was broken."""
+    """Run the seeds; exit with 1 if an invariant was violated."""
     first, _, end = SEEDS.value.partition(':')
-    broken = 0
+    failed_count = 0
     for seed in range(int(first), int(end)):
         soak = Soak(seed, DAEMONS.value)
-        broken += bool(asyncio.run(soak.run(SECONDS.value)))
+        failed_count += bool(asyncio.run(soak.run(SECONDS.value)))
         print(seed, summary(soak), flush=True)
-        if soak.promises.broken:
-            print(*soak.injected, sep='\n', flush=True)
-    sys.exit(1 if broken else 0)
+        if soak.invariants.violations:
+            print(*soak.injected_faults, sep='\n', flush=True)
+    sys.exit(1 if failed_count else 0)
 
 
 if __name__ == '__main__':
--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -1,4 +1,4 @@
-"""Daemons of the soak: real processes with settings files."""
+"""Daemons of the soak test: processes, each with a settings file."""
 
 from __future__ import annotations
 
@@ -11,67 +11,74 @@
 
 import msgspec
 
-from tests.platform_standins.world import settings_document
+from tests.platform_standins.cluster import settings_document
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-GRACE_S = 4
-RESTART_S = 0.3
+STOP_GRACE_S = 4
+RESTART_DELAY_S = 0.3
 
 
 class DaemonProcess:
-    """One daemon; it is started again whenever it ends.
+    """One daemon process, restarted whenever it exits.
 
     Attributes
     ----------
-    planned_until_s : float
-        End of the last planned stop.
     disturbed_until_s : float
-        Until then answers of this daemon may break off.
+        Time on the event loop's clock until which connections to this daemon
+        may break without an answer, because of an injected fault.
+    exit_codes : list of int
+        Exit codes of the processes that have ended.
     """
 
     def __init__(self, name, zone, store_address, seeds, folder, bounds):
         self.name = name
         self.boot = settings_document(name, zone, store_address) | {
             'seeds': seeds,
-            'bounds': bounds | {'grace_s': GRACE_S},
+            'bounds': bounds | {'grace_s': STOP_GRACE_S},
         }
         self.path = pathlib.Path(folder) / f'{name}.json'
         self.path.write_bytes(msgspec.json.encode(self.boot))
         self.log = (pathlib.Path(folder) / f'{name}.log').open('ab')
         self.disturbed_until_s = 0.0
         self.exit_codes = []
-        self._ending = False
+        self._closing = False
 
     @property
-    def front(self):
+    def caller_address(self):
         return self.boot['listen_addrs']['front']
 
     async def __aenter__(self):
         await self._start()
-        self._keeping = asyncio.create_task(self._keep())
+        self._supervisor = asyncio.create_task(self._supervise())
         return self
 
     async def __aexit__(self, *exc_info):
-        self._ending = True
-        self._keeping.cancel()
-        self.send(signal.SIGCONT)
-        self.send(signal.SIGKILL)
+        self._closing = True
+        self._supervisor.cancel()
+        self.send_signal(signal.SIGCONT)
+        self.send_signal(signal.SIGKILL)
         with contextlib.suppress(asyncio.CancelledError):
-            await self._keeping
+            await self._supervisor
         await self._process.wait()
         self.log.close()
 
-    def send(self, number):
-        """Send a signal to the process that this soak started."""
+    def send_signal(self, number):
+        """Send a signal to the current process, if it still runs."""
         with contextlib.suppress(ProcessLookupError):
             self._process.send_signal(number)
 
     async def stop(self):
-        """Stop as planned: SIGTERM, then SIGKILL after the grace time."""
+        """Stop gracefully: SIGTERM, then SIGKILL after `STOP_GRACE_S`.
+
+        Returns
+        -------
+        bool
+            Whether the process exited before it was killed.
+        """
         process = self._process
-        self.send(signal.SIGTERM)
+        self.send_signal(signal.SIGTERM)
         try:
-            async with asyncio.timeout(GRACE_S):
+            async with asyncio.timeout(STOP_GRACE_S):
                 await process.wait()
         except TimeoutError:
             with contextlib.suppress(ProcessLookupError):
@@ -94,8 +101,8 @@
             stderr=self.log,
         )
 
-    async def _keep(self):
-        while not self._ending:
+    async def _supervise(self):
+        while not self._closing:
             self.exit_codes.append(await self._process.wait())
-            await asyncio.sleep(RESTART_S)
+            await asyncio.sleep(RESTART_DELAY_S)
             await self._start()
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,4 +1,4 @@
-"""Loopback TCP proxy that delays, resets, cuts one way or falls silent."""
+"""Loopback TCP proxy that injects delays, resets and lost bytes."""
 
 from __future__ import annotations
 
@@ -13,9 +13,16 @@
 class Proxy:
     """Forwards connections to one address; `mode` may change at any time.
 
-    Modes: ``pass``, ``delay`` (50 to 200 ms for each chunk), ``reset`` (all
-    connections at once and new ones), ``to_target`` and ``to_caller`` (bytes
-    of one direction vanish), ``silent`` (bytes of both vanish).
+    Modes: ``pass``, ``delay`` (50 to 200 ms for each chunk), ``reset`` (open
+    and new connections are reset), ``to_target`` and ``to_caller`` (bytes in
+    that direction are dropped), ``silent`` (bytes in both are dropped).
+
+    Parameters
+    ----------
+    target : str
+        Address to which connections are forwarded.
+    draw : callable
+        Returns a random number from 0 to 1, for the length of a delay.
     """
 
     def __init__(self, target, draw):
@@ -25,7 +32,7 @@
         self._writers = set()
 
     async def __aenter__(self):
-        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        self._server = await asyncio.start_server(self._relay, '127.0.0.1', 0)
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f'{host}:{port}'
         return self
@@ -34,8 +41,8 @@
         self._server.close()
         self.reset()
 
-    def set(self, mode):
-        """Change the mode; connections that lost bytes are cut later."""
+    def set_mode(self, mode):
+        """Change the mode; reset the connections that may have lost bytes."""
         if mode == 'reset':
             self.reset()
         if self.mode in {'to_target', 'to_caller', 'silent'}:
@@ -47,25 +54,25 @@
         for writer in tuple(self._writers):
             _reset(writer)
 
-    async def _serve(self, reader, writer):
+    async def _relay(self, reader, writer):
         if self.mode == 'reset':
             _reset(writer)
             return
         host, _, port = self.target.rpartition(':')
         try:
-            back_reader, back_writer = await asyncio.open_connection(
+            target_reader, target_writer = await asyncio.open_connection(
                 host, int(port)
             )
         except OSError:
             _reset(writer)
             return
-        ends = {writer, back_writer}
-        self._writers |= ends
+        writers = {writer, target_writer}
+        self._writers |= writers
         await asyncio.gather(
-            self._pump(reader, back_writer, 'to_target'),
-            self._pump(back_reader, writer, 'to_caller'),
+            self._pump(reader, target_writer, 'to_target'),
+            self._pump(target_reader, writer, 'to_caller'),
         )
-        self._writers -= ends
+        self._writers -= writers
 
     async def _pump(self, reader, writer, direction):
         with contextlib.suppress(OSError):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,4 +1,4 @@
-"""One seeded run of the soak."""
+"""One seeded run of the soak test."""
 
 from __future__ import annotations
 
@@ -13,11 +13,11 @@
 import msgspec
 
 from boragespool.http import ExchangeFailure, HttpRequest, open_connection
+from tests.platform_standins.cluster import DOMAIN, limits, route
 from tests.platform_standins.server import ServerStandin
 from tests.platform_standins.store import StoreStandin
-from tests.platform_standins.world import DOMAIN, limits, route
 from tests.soak.daemons import DaemonProcess
-from tests.soak.promises import Promises, body_of
+from tests.soak.invariants import Invariants, expected_body
 from tests.soak.proxy import Proxy
 
 BOUNDS = {
@@ -29,14 +29,15 @@
 SHARD_SETS = (['s-0', 's-1', 's-2', 's-3'], ['t-0', 't-1', 't-2'])
 REPLICAS = 2
 CALLER_COUNT = 6
-PAUSE_S = 0.03
-START_S = 20
-#: Time after a disturbance in which news may be late, in seconds.
-STABLE_S = 5
+REQUEST_INTERVAL_S = 0.03
+START_TIMEOUT_S = 20
+#: Time after a fault in which daemons may still act on outdated
+#: registrations, in seconds.
+SETTLE_S = 5
 
 
 class SoakServer(ServerStandin):
-    """Backend server whose answers can be told apart."""
+    """Backend server whose bodies differ by server and request."""
 
     def __init__(self, name, service, soak):
         super().__init__(name)
@@ -44,7 +45,7 @@
 
     def _response(self, request_id, body=None, status=200, **options):
         if body is None and status == 200:
-            body = body_of(self.name, request_id)
+            body = expected_body(self.name, request_id)
         return super()._response(request_id, body, status, **options)
 
     def _head(self, request_id, status=200, extra=b''):
@@ -54,59 +55,70 @@
         ).encode() + extra
 
     def _chunked(self, request_id):
-        self.body = body_of(self.name, request_id)
+        self.body = expected_body(self.name, request_id)
         return super()._chunked(request_id)
 
-    def _answer(self, mode, request_id, writer):
-        self.soak.note_run(self, request_id)
-        return super()._answer(mode, request_id, writer)
+    def _write_response(self, mode, request_id, writer):
+        self.soak.record_run(self, request_id)
+        return super()._write_response(mode, request_id, writer)
 
 
 class Soak:
-    """Everything of one run; `run` returns the broken promises."""
+    """Store, servers, daemons, callers and faults of one run.
+
+    Attributes
+    ----------
+    invariants : Invariants
+        The checks and their violations.
+    injected_faults : list of (float, str)
+        Time and description of each fault.
+    stable_since_s : float
+        Time from which registrations must reach the daemons on time again;
+        infinite while a fault that delays them lasts.
+    """
 
     def __init__(self, seed, daemon_count=4):
         self.random = random.Random(seed)
-        self.promises = Promises()
+        self.invariants = Invariants()
         self.daemon_count = daemon_count
-        self.injected = []
-        self.store_sound_since_s = 0.0
-        self._harm_count = 0
-        self._numbers = itertools.count()
+        self.injected_faults = []
+        self.stable_since_s = 0.0
+        self._active_fault_count = 0
+        self._request_numbers = itertools.count()
         self._version = 1
 
     async def run(self, seconds):
-        """Run callers and faults for some seconds."""
+        """Run callers and faults for some seconds; return the violations."""
         async with contextlib.AsyncExitStack() as stack:
             await self._start(stack)
             callers = [
-                asyncio.create_task(self._call(number))
+                asyncio.create_task(self._run_caller(number))
                 for number in range(CALLER_COUNT)
             ]
             faults = [
-                asyncio.create_task(self._inject(kind))
+                asyncio.create_task(self._repeat_fault(kind))
                 for kind in (
-                    self._signal_daemon,
-                    self._harm_link,
-                    self._harm_store,
-                    self._change,
-                    self._harm_server,
+                    self._inject_daemon_fault,
+                    self._inject_network_fault,
+                    self._inject_store_fault,
+                    self._change_state,
+                    self._inject_server_fault,
                 )
             ]
             await asyncio.sleep(seconds)
-            await self._end(faults)
-            await self._calm()
-            await self._end(callers)
-        return self.promises.broken
-
-    def note_run(self, server, request_id):
-        """Take a run that a backend server reports."""
-        self.promises.ran(
+            await self._cancel(faults)
+            await self._check_recovery()
+            await self._cancel(callers)
+        return self.invariants.violations
+
+    def record_run(self, server, request_id):
+        """Record a request that a backend server runs."""
+        self.invariants.record_run(
             server.name,
             server.service,
             request_id,
             self._now_s(),
-            self.store_sound_since_s,
+            self.stable_since_s,
         )
 
     def _now_s(self):
@@ -117,30 +129,30 @@
         folder = stack.enter_context(tempfile.TemporaryDirectory())
         self.store = await enter(StoreStandin())
         self.servers = []
-        self.links = []
+        self.server_proxies = []
         services = [*SHARD_SETS[0], *SHARD_SETS[1], 'one']
         for service in services:
             for number in range(REPLICAS):
                 name = f'{service}-{number}'
                 server = await enter(SoakServer(name, service, self))
-                server.link = await enter(
+                server.proxy = await enter(
                     Proxy(server.address, self.random.random)
                 )
-                self.links.append(server.link)
+                self.server_proxies.append(server.proxy)
                 self.servers.append(server)
                 self._register(server)
         self._configure()
         self.daemons = []
         for number in range(self.daemon_count):
-            link = await enter(Proxy(self.store.address, self.random.random))
+            proxy = await enter(Proxy(self.store.address, self.random.random))
             zone = ('here', 'there')[number % 2]
             seeds = [d.boot['listen_addrs']['control'] for d in self.daemons]
             daemon = DaemonProcess(
-                f'host-{number}', zone, link.address, seeds[:3], folder, BOUNDS
+                f'host-{number}', zone, proxy.address, seeds[:3], folder, BOUNDS
             )
-            daemon.link = link
+            daemon.proxy = proxy
             self.daemons.append(await enter(daemon))
-        async with asyncio.timeout(START_S):
+        async with asyncio.timeout(START_TIMEOUT_S):
             while sum(key.startswith('hosts/') for key in self.store.items) < (
                 self.daemon_count
             ):
@@ -149,10 +161,10 @@
     def _register(self, server, **fields):
         zone = ('here', 'there')[server.name.endswith('1')]
         entry = server.registration(server.service, zone=zone)
-        entry |= {'address': server.link.address} | fields
+        entry |= {'address': server.proxy.address} | fields
         server.sequence = entry['sequence'] = getattr(server, 'sequence', 0) + 1
         if entry['state'] == 'ready':
-            self.promises.draining_since_s.pop(server.name, None)
+            self.invariants.draining_since_s.pop(server.name, None)
         self.store.put(f'servers/{server.name}', entry)
 
     def _configure(self):
@@ -175,27 +187,27 @@
             },
         )
 
-    async def _call(self, number):
-        """Send requests on kept connections, sometimes on new ones."""
+    async def _run_caller(self, number):
+        """Send requests until cancelled, mostly on reused connections."""
         connection = daemon = None
         while True:
             if connection is None or not connection.usable:
                 daemon = self.random.choice(self.daemons)
-                connection = await open_connection(daemon.front, 1)
+                connection = await open_connection(daemon.caller_address, 1)
             if isinstance(connection, ExchangeFailure):
-                self.promises.outcomes['no connection'] += 1
+                self.invariants.outcomes['no connection'] += 1
                 connection = None
                 await asyncio.sleep(0.1)
                 continue
-            await self._request(connection, daemon)
+            await self._send_request(connection, daemon)
             if self.random.random() < 0.1:
                 connection.close()
-            await asyncio.sleep(PAUSE_S)
+            await asyncio.sleep(REQUEST_INTERVAL_S)
 
-    async def _request(self, connection, daemon):
+    async def _send_request(self, connection, daemon):
         is_once = self.random.random() < 0.3
         kind = 'once' if is_once else 'all'
-        request_id = f'{kind}-{next(self._numbers)}'
+        request_id = f'{kind}-{next(self._request_numbers)}'
         fields = [
             ('host', DOMAIN),
             ('request-id', request_id),
@@ -214,14 +226,14 @@
         answer = await connection.exchange(request, 2)
         if isinstance(answer, ExchangeFailure):
             is_disturbed = daemon.disturbed_until_s >= began_s
-            is_unread = not answer.sent or self._now_s() - began_s < 0.05
-            self.promises.broke_off(
+            is_not_received = not answer.sent or self._now_s() - began_s < 0.05
+            self.invariants.record_failure(
                 request_id,
                 answer.kind.value,
-                is_excused=is_disturbed or is_unread,
+                is_excused=is_disturbed or is_not_received,
             )
             return
-        self.promises.answered(
+        self.invariants.check_answer(
             request_id,
             answer.status,
             dict(answer.fields),
@@ -229,91 +241,93 @@
             SHARD_SETS,
         )
 
-    async def _inject(self, fault):
+    async def _repeat_fault(self, fault):
         """Repeat one kind of fault at random times."""
         while True:
             await asyncio.sleep(0.5 + 3 * self.random.random())
             await fault()
 
     @contextlib.contextmanager
-    def _unsound(self):
-        """Excuse late news while daemons or the store are disturbed."""
-        self._harm_count += 1
-        self.store_sound_since_s = math.inf
+    def _unstable(self):
+        """Mark the system as unstable until `SETTLE_S` after the block."""
+        self._active_fault_count += 1
+        self.stable_since_s = math.inf
         try:
             yield
         finally:
-            self._harm_count -= 1
-            if not self._harm_count:
-                self.store_sound_since_s = self._now_s() + STABLE_S
+            self._active_fault_count -= 1
+            if not self._active_fault_count:
+                self.stable_since_s = self._now_s() + SETTLE_S
 
-    def _note(self, text):
-        self.injected.append((round(self._now_s(), 2), text))
+    def _record_fault(self, text):
+        self.injected_faults.append((round(self._now_s(), 2), text))
 
-    def _disturb(self, daemon, duration_s):
+    def _mark_disturbed(self, daemon, duration_s):
         until_s = self._now_s() + duration_s
         daemon.disturbed_until_s = max(daemon.disturbed_until_s, until_s)
 
-    async def _signal_daemon(self):
+    async def _inject_daemon_fault(self):
         daemon = self.random.choice(self.daemons)
         kind = self.random.choice(('kill', 'pause', 'stop', 'hup'))
-        self._note(f'{kind} {daemon.name}')
+        self._record_fault(f'{kind} {daemon.name}')
         if kind == 'kill':
-            self._disturb(daemon, 1)
-            daemon.send(signal.SIGKILL)
+            self._mark_disturbed(daemon, 1)
+            daemon.send_signal(signal.SIGKILL)
         elif kind == 'pause':
             pause_s = 0.5 + 3 * self.random.random()
-            self._disturb(daemon, pause_s + 2)
-            with self._unsound():
-                daemon.send(signal.SIGSTOP)
+            self._mark_disturbed(daemon, pause_s + 2)
+            with self._unstable():
+                daemon.send_signal(signal.SIGSTOP)
                 await asyncio.sleep(pause_s)
-                daemon.send(signal.SIGCONT)
+                daemon.send_signal(signal.SIGCONT)
         elif kind == 'stop':
             if not await daemon.stop():
-                self.promises.broken.append(f'{daemon.name} was not stopped')
+                self.invariants.violations.append(
+                    f'{daemon.name} did not exit within its grace period'
+                )
         else:
-            daemon.send(signal.SIGHUP)
+            daemon.send_signal(signal.SIGHUP)
 
-    async def _harm_link(self):
-        link = self.random.choice(
-            self.links + [daemon.link for daemon in self.daemons]
+    async def _inject_network_fault(self):
+        proxy = self.random.choice(
+            self.server_proxies + [daemon.proxy for daemon in self.daemons]
         )
         mode = self.random.choice(
             ('delay', 'reset', 'to_target', 'to_caller', 'silent')
         )
-        self._note(f'{mode} {link.target}')
-        with self._unsound():
-            link.set(mode)
+        self._record_fault(f'{mode} {proxy.target}')
+        with self._unstable():
+            proxy.set_mode(mode)
             await asyncio.sleep(0.5 + 3 * self.random.random())
-            link.set('pass')
+            proxy.set_mode('pass')
 
-    async def _harm_store(self):
+    async def _inject_store_fault(self):
         kind = self.random.choice(('down', 'silent', 'slow', 'compact'))
-        self._note(f'store {kind}')
+        self._record_fault(f'store {kind}')
         if kind == 'compact':
             self.store.compact()
             return
-        with self._unsound():
+        with self._unstable():
             if kind == 'slow':
                 self.store.delay_s = 0.25
             else:
                 setattr(self.store, kind, True)
             await asyncio.sleep(0.5 + 3 * self.random.random())
-            self._mend_store()
+            self._restore_store()
 
-    async def _change(self):
+    async def _change_state(self):
         if self.random.random() < 0.5:
-            self._note('configuration')
+            self._record_fault('configuration')
             self._configure()
             return
         server = self.random.choice(self.servers)
-        self._note(f'drain {server.name}')
+        self._record_fault(f'drain {server.name}')
         self._register(server, state='draining')
-        self.promises.draining_since_s[server.name] = self._now_s()
+        self.invariants.draining_since_s[server.name] = self._now_s()
         await asyncio.sleep(3 + 2 * self.random.random())
         self._register(server)
 
-    async def _harm_server(self):
+    async def _inject_server_fault(self):
         server = self.random.choice(self.servers)
         server.modes = [
             self.random.choice(
@@ -333,51 +347,54 @@
             )
         ]
         server.delay_s = self.random.choice((0, 0, 0.05, 0.4))
-        self._note(f'{server.modes[0]} {server.name}')
+        self._record_fault(f'{server.modes[0]} {server.name}')
         await asyncio.sleep(0.5 + 3 * self.random.random())
         server.modes, server.delay_s = ['ok'], 0
 
-    def _mend_store(self):
+    def _restore_store(self):
         self.store.delay_s, self.store.down = 0, False
         self.store.silent = False
 
-    async def _end(self, tasks):
+    async def _cancel(self, tasks):
         for task in tasks:
             task.cancel()
         for ended in await asyncio.gather(*tasks, return_exceptions=True):
             if not isinstance(ended, asyncio.CancelledError):
                 raise ended
 
-    async def _calm(self):
-        """After all faults, requests must be served again."""
+    async def _check_recovery(self):
+        """End all faults; check that 95 % of the requests succeed again."""
         for daemon in self.daemons:
-            daemon.send(signal.SIGCONT)
-            daemon.link.set('pass')
+            daemon.send_signal(signal.SIGCONT)
+            daemon.proxy.set_mode('pass')
         for server in self.servers:
-            server.link.set('pass')
+            server.proxy.set_mode('pass')
             server.modes, server.delay_s = ['ok'], 0
             self._register(server)
-        self._mend_store()
+        self._restore_store()
         self._configure()
         await asyncio.sleep(10)
-        before = self.promises.outcomes[200]
-        total = self.promises.outcomes.total()
+        previous_success_count = self.invariants.outcomes[200]
+        previous_count = self.invariants.outcomes.total()
         await asyncio.sleep(2)
-        served = self.promises.outcomes[200] - before
-        asked = self.promises.outcomes.total() - total
-        if served < 0.95 * asked or not asked:
-            self.promises.broken.append(
-                f'only {served} of {asked} served after the faults'
+        success_count = self.invariants.outcomes[200] - previous_success_count
+        request_count = self.invariants.outcomes.total() - previous_count
+        if success_count < 0.95 * request_count or not request_count:
+            self.invariants.violations.append(
+                f'only {success_count} of {request_count} requests succeeded '
+                'after the faults'
             )
 
 
 def summary(soak):
-    """Return the figures of a run as JSON."""
+    """Return the counts of a run and its first violations as JSON."""
     return msgspec.json.encode(
         {
-            'outcomes': {str(k): v for k, v in soak.promises.outcomes.items()},
-            'faults': len(soak.injected),
-            'broken': len(soak.promises.broken),
-            'first': soak.promises.broken[:5],
+            'outcomes': {
+                str(k): v for k, v in soak.invariants.outcomes.items()
+            },
+            'faults': len(soak.injected_faults),
+            'broken': len(soak.invariants.violations),
+            'first': soak.invariants.violations[:5],
         }
     ).decode()
--- a/tests/test_call_queue.py
+++ b/tests/test_call_queue.py
@@ -13,7 +13,7 @@
 
 from boragespool.controllers.forwarding.server import Server
 from boragespool.forwarding import CallQueue, WaitingCall
-from tests.platform_standins.world import route, run, send
+from tests.platform_standins.cluster import route, run, send
 from tests.test_registrations import FIRST
 
 TIMES = st.floats(0, 2)
@@ -222,18 +222,18 @@
 def test_requests_wait_for_a_connection():
     """A burst beyond the connections of a shard is served, not refused."""
 
-    async def scenario(world):
-        await world.serve('one', 'i-a', body=b'answer', delay_s=0.05)
-        world.configure(
+    async def scenario(cluster):
+        await cluster.serve('one', 'i-a', body=b'answer', delay_s=0.05)
+        cluster.configure(
             route(service='one'),
             services=[{'name': 'one', 'max_conns': 5}],
         )
-        daemon = await world.start()
+        daemon = await cluster.start()
         answers = await asyncio.gather(
             *(send(daemon, request_id=f'q{n}') for n in range(10))
         )
         assert [answer.status for answer in answers] == [200] * 10
-        assert len(world.servers['i-a'].runs) == 10
+        assert len(cluster.servers['i-a'].runs) == 10
 
     run(scenario)
 
@@ -241,14 +241,14 @@
 def test_urgent_request_overtakes_those_that_wait():
     """Urgent work passes through a flood of other work."""
 
-    async def scenario(world):
-        server = await world.serve('one', 'i-a', body=b'answer', delay_s=0.1)
-        world.configure(
+    async def scenario(cluster):
+        server = await cluster.serve('one', 'i-a', body=b'answer', delay_s=0.1)
+        cluster.configure(
             route(service='one', priority=2, prefix='/slow/', name='r-1'),
             route(service='one', priority=0),
             services=[{'name': 'one', 'max_conns': 5}],
         )
-        daemon = await world.start()
+        daemon = await cluster.start()
         flood = [
             asyncio.ensure_future(
                 send(daemon, '/slow/x', request_id=f'slow{n}')
@@ -267,13 +267,13 @@
 def test_request_without_room_until_its_end_is_refused_truthfully():
     """What was never sent is answered as not run, and never runs."""
 
-    async def scenario(world):
-        server = await world.serve('one', 'i-a', body=b'answer', delay_s=0.9)
-        world.configure(
+    async def scenario(cluster):
+        server = await cluster.serve('one', 'i-a', body=b'answer', delay_s=0.9)
+        cluster.configure(
             route(service='one', type='non_idempotent', timeout_ms=700),
             services=[{'name': 'one', 'max_conns': 1}],
         )
-        daemon = await world.start()
+        daemon = await cluster.start()
         answers = await asyncio.gather(
             *(
                 send(daemon, method='POST', body=b'x', request_id=f'q{n}')
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,4 +1,4 @@
-"""A short seeded run of the fault soak; more seeds run by hand."""
+"""Short run of the soak test; ``python -m tests.soak`` runs more seeds."""
 
 from __future__ import annotations
 
@@ -8,14 +8,19 @@
 
 from tests.soak.run import Soak
 
-#: Time with faults, in seconds, so that all kinds come once or twice.
+#: Duration of fault injection; each kind of fault occurs once or twice.
 FAULT_S = 8
 
 
 @pytest.mark.parametrize('seed', [0])
 def test_promises_hold_under_random_faults(seed):
-    """Signals, links, the store and servers fail; promises must hold."""
+    """Answers must stay correct under faults of all parts of the system.
+
+    Daemons are killed, paused and stopped, connections break, and the store
+    and the servers fail. Then a request could run twice, run after a refusal,
+    or get the answer to another one.
+    """
     soak = Soak(seed)
-    broken = asyncio.run(soak.run(FAULT_S))
-    assert not broken, (broken[:5], soak.injected)
-    assert soak.promises.outcomes[200] > 100
+    violations = asyncio.run(soak.run(FAULT_S))
+    assert not violations, (violations[:5], soak.injected_faults)
+    assert soak.invariants.outcomes[200] > 100
