--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -1,4 +1,4 @@
-"""Tests; the adapter's package stands in the folder `platform`."""
+"""Tests; adds the folder `platform`, which has the adapter, to the path."""
 
 from __future__ import annotations
 
--- a/tests/fake_backend.py
+++ b/tests/fake_backend.py
@@ -1,4 +1,4 @@
-"""A small backend server and daemon parts for tests of controllers."""
+"""Minimal backend server and daemon context for tests of controllers."""
 
 from __future__ import annotations
 
@@ -24,13 +24,34 @@
 
 
 class FakeBackend:
-    """Answers work as its body says: ``{"mode": ..., "delay_s": ...}``."""
+    """Backend server that responds as the body of the work asks.
+
+    The body is ``{"mode": ..., "delay_s": ...}``. Modes: ``shed``,
+    ``draining``, ``deadline`` and ``not_held`` (refused with this reason),
+    ``crash`` (stops the server), ``wrong`` (another attempt id), ``short``
+    (fewer items than counted).
+
+    Attributes
+    ----------
+    attempts : list of str
+        Ids of the attempts received.
+    peak_in_flight : int
+        Largest number of attempts that ran at the same time.
+    polls : int
+        Number of status requests.
+    deadlines : list of float
+        Remaining time that each attempt was given, in seconds.
+    cancelled : list of str
+        Ids of the attempts that were cancelled.
+    running : dict of str to asyncio.Future
+        Running attempts by id.
+    """
 
     def __init__(self, name='s', incarnation=1, address='127.0.0.1:0'):
         self.name, self.incarnation, self.address = name, incarnation, address
         self.state = 'serving'
         self.slots = 5
-        self.attempts, self.peak, self.polls = [], 0, 0
+        self.attempts, self.peak_in_flight, self.polls = [], 0, 0
         self.deadlines = []
         self.cancelled = []
         self.running = {}
@@ -76,10 +97,10 @@
             )
         return await self._work(body, attempt_id, body['body'] or {})
 
-    async def _work(self, body, attempt_id, orders):
+    async def _work(self, body, attempt_id, options):
         self.attempts.append(attempt_id)
         self.deadlines.append(body['deadline_s'])
-        mode = orders.get('mode')
+        mode = options.get('mode')
         if mode in {'shed', 'draining', 'deadline'}:
             return json_response({'run': 'not_run', 'reason': mode}, 503)
         if mode == 'not_held':
@@ -90,9 +111,9 @@
                 self.__aexit__(),
             )
             await asyncio.sleep(5)
-        task = asyncio.ensure_future(asyncio.sleep(orders.get('delay_s', 0)))
+        task = asyncio.ensure_future(asyncio.sleep(options.get('delay_s', 0)))
         self.running[attempt_id] = task
-        self.peak = max(self.peak, len(self.running))
+        self.peak_in_flight = max(self.peak_in_flight, len(self.running))
         await asyncio.wait((task,))
         self.running.pop(attempt_id)
         if task.cancelled():
@@ -102,7 +123,7 @@
             'version': body['version'],
             'start': body['start'],
             'end': body['end'],
-            'items': [{'key': 1, 'value': orders}],
+            'items': [{'key': 1, 'value': options}],
             'item_count': 2 if mode == 'short' else 1,
             'run': 'run',
         }
@@ -110,7 +131,7 @@
 
 
 def work_request(mode=None, delay_s=0, **options):
-    """Build a request to the server ``s``."""
+    """Return a request to the server ``s``, with a new attempt id."""
     number = next(NUMBERS)
     fields = {
         'attempt_id': f'a{number}',
@@ -131,7 +152,7 @@
 
 
 def document(addresses, **server_options):
-    """Build a revision with one service ``v`` of the given servers."""
+    """Return a revision with one service ``v`` of the given servers."""
     servers = {
         name: ServerSettings(address, 'north', host=f'host-{name}')
         for name, address in addresses.items()
@@ -149,7 +170,7 @@
 
 @asynccontextmanager
 async def daemon_context(revision, host='a', incarnation=1):
-    """Give the parts of one daemon."""
+    """Yield the context of one daemon, with its own peer network."""
     address = free_address()
     identity = Identity(host, incarnation, 'north', 'r', address, 'x:1')
     board = Blackboard()
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -1,4 +1,4 @@
-"""A TCP relay whose open connections can be cut or made silent."""
+"""TCP relay whose connections can be reset or lose all their data."""
 
 from __future__ import annotations
 
@@ -8,24 +8,30 @@
 
 
 class Relay:
-    """Forwards connections to one address, an async context manager.
+    """Forwards connections on a loopback port to one address.
+
+    An async context manager; leaving it resets all connections.
 
     Attributes
     ----------
+    address : str
+        Address on which it listens.
+    accepted_count : int
+        Number of connections accepted so far.
     refuses : bool
         Whether new connections are reset.
     """
 
     def __init__(self, target: str) -> None:
         self.target = target
-        self.accepted = 0
+        self.accepted_count = 0
         self.refuses = False
         self._silent: set[asyncio.StreamWriter] = set()
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def __aenter__(self) -> Self:
         self._server = await asyncio.start_server(
-            self._relay,
+            self._serve,
             '127.0.0.1',
             0,
         )
@@ -38,7 +44,7 @@
         self.cut()
 
     def silence(self) -> None:
-        """Drop all further bytes of the open connections, in silence."""
+        """Drop all further bytes of the open connections; keep them open."""
         self._silent |= self._writers
 
     def cut(self) -> None:
@@ -46,25 +52,25 @@
         for writer in tuple(self._writers):
             writer.transport.abort()
 
-    async def _relay(
+    async def _serve(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        self.accepted += 1
+        self.accepted_count += 1
         host, port = self.target.split(':')
         if self.refuses:
             writer.transport.abort()
             return
         try:
-            far = await asyncio.open_connection(host, int(port))
+            target_streams = await asyncio.open_connection(host, int(port))
         except OSError:
             writer.transport.abort()
             return
-        self._writers |= {writer, far[1]}
+        self._writers |= {writer, target_streams[1]}
         await asyncio.gather(
-            self.forward(reader, far[1]),
-            self._pump(far[0], writer),
+            self.forward(reader, target_streams[1]),
+            self._pump(target_streams[0], writer),
         )
 
     async def forward(
@@ -72,7 +78,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        """Pass on what the side that connected sends."""
+        """Forward what the connecting side sends."""
         await self._pump(reader, writer)
 
     async def _pump(
--- a/tests/run_all.py
+++ b/tests/run_all.py
@@ -1,7 +1,7 @@
-"""Runs all tests and closes with one line ``N passed, N failed``.
+"""Run all tests; the last line is ``N passed, N failed``.
 
-Independent groups run side by side. Tests listed in ``KNOWN-RED.txt`` are
-left out and printed: a line ``pytest: <test id>`` there, or the tag
+Groups of test files run in parallel. Tests listed in ``KNOWN-RED.txt`` are
+excluded and printed: a line ``pytest: <test id>`` there, or the tag
 ``@known_red`` on a scenario.
 """
 
@@ -22,21 +22,25 @@
         r'scenarios? passed, (\d+) (?:failed|error)',
     ),
 }
-#: Groups of each suite that run at the same time. Scenarios start a dozen
-#: processes each, so that more groups would slow each other down.
+#: Number of parallel groups of each suite. A scenario starts a dozen
+#: processes, so more groups would slow each other down.
 GROUPS_BY_SUITE = {'pytest': 2, 'behave': 2}
 
 
 @dataclass(frozen=True, slots=True)
 class Group:
-    """Files of one suite that run one after the other."""
+    """Command line of one suite, whose files run one after the other."""
 
     suite: str
     arguments: tuple[str, ...]
 
 
 async def run_group(group: Group) -> tuple[int, int]:
-    """Run one group; return how many tests passed and failed."""
+    """Run one group; return the number of passed and of failed tests.
+
+    A group that exits with an error but reports no failed test counts as
+    one failure.
+    """
     began_s = time.monotonic()
     process = await asyncio.create_subprocess_exec(
         sys.executable,
@@ -60,14 +64,22 @@
     return passed, failed
 
 
-def dealt(files: list[pathlib.Path], count: int) -> list[tuple[str, ...]]:
-    """Deal files in turn, so that neighbours run in different groups."""
+def deal_round_robin(
+    files: list[pathlib.Path], count: int
+) -> list[tuple[str, ...]]:
+    """Distribute files over groups, neighbours in sorted order apart."""
     names = sorted(str(path.relative_to(ROOT)) for path in files)
     return [tuple(names[start::count]) for start in range(count)]
 
 
-def groups(known_red: str) -> list[Group]:
-    """Return the groups of all suites."""
+def make_groups(known_red: str) -> list[Group]:
+    """Return the groups of all suites.
+
+    Parameters
+    ----------
+    known_red : str
+        Contents of ``KNOWN-RED.txt``.
+    """
     deselected = tuple(
         f'--deselect={test}'
         for test in re.findall(r'^pytest: (\S+)', known_red, re.MULTILINE)
@@ -88,15 +100,15 @@
     return [
         Group(suite, (*options_by_suite[suite], *names))
         for suite, count in GROUPS_BY_SUITE.items()
-        for names in dealt(files_by_suite[suite], count)
+        for names in deal_round_robin(files_by_suite[suite], count)
     ]
 
 
 async def run_all() -> int:
-    """Run every group; print known red tests and the totals."""
+    """Run every group; print the excluded tests and the totals."""
     known_red = (ROOT / 'KNOWN-RED.txt').read_text(encoding='utf-8')
     print(known_red)
-    results = await asyncio.gather(*map(run_group, groups(known_red)))
+    results = await asyncio.gather(*map(run_group, make_groups(known_red)))
     passed = sum(result[0] for result in results)
     failed = sum(result[1] for result in results)
     print(f'{passed} passed, {failed} failed')
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -55,7 +55,8 @@
         if request_id.startswith('once-'):
             if len(self.servers_by_request_id[request_id]) > 1:
                 self._add_violation(
-                    f'{request_id} ran more than once, at {self.servers_by_request_id[request_id]}'
+                    f'{request_id} ran more than once, at '
+                    f'{self.servers_by_request_id[request_id]}'
                 )
             if request_id in self.refused:
                 self._add_violation(f'{request_id} ran after a refusal')
--- a/tests/standin_calls.py
+++ b/tests/standin_calls.py
@@ -1,4 +1,4 @@
-"""Calls of tests to the stand-ins and to the caller API."""
+"""HTTP calls to the stand-ins and to the caller API."""
 
 from __future__ import annotations
 
@@ -21,36 +21,39 @@
     body: Any = None,
     timeout_s: float = 2,
 ) -> tuple[int, Any] | ExchangeFailure:
-    """Exchange once on a new connection; bytes are sent as they are."""
+    """Send one request on a new connection; return status and JSON body.
+
+    A body that is not bytes is sent as JSON.
+    """
     connection = await open_connection(address, 1)
     if isinstance(connection, ExchangeFailure):
         return connection
     async with connection:
         response = await connection.exchange(
-            HttpRequest(method, target, encoded(body)),
+            HttpRequest(method, target, encode_body(body)),
             timeout_s,
         )
-    return decoded(response)
+    return decode_response(response)
 
 
-def encoded(body: Any) -> bytes:
-    """Encode a body as JSON, unless it is absent or bytes."""
+def encode_body(body: Any) -> bytes:
+    """Encode a body as JSON, unless it is None or bytes."""
     if body is None or isinstance(body, bytes):
         return body or b''
     return msgspec.json.encode(body)
 
 
-def decoded(
+def decode_response(
     response: HttpResponse | ExchangeFailure,
 ) -> tuple[int, Any] | ExchangeFailure:
-    """Return status and JSON value of a response."""
+    """Return the status and the JSON body of a response, or its failure."""
     if isinstance(response, ExchangeFailure):
         return response
     return response.status, msgspec.json.decode(response.body)
 
 
-def work(**fields: Any) -> dict[str, Any]:
-    """Return the body of a query over the whole key space."""
+def work_body(**fields: Any) -> dict[str, Any]:
+    """Return the body of a work request, by default a query of all keys."""
     return {
         'attempt_id': 'a1',
         'request_id': 'r1',
--- a/tests/standin_thread.py
+++ b/tests/standin_thread.py
@@ -1,4 +1,4 @@
-"""The stand-in platform and fake daemons beside a synchronous test."""
+"""Platform stand-in and fake daemons in a thread, for synchronous tests."""
 
 from __future__ import annotations
 
@@ -11,15 +11,15 @@
 
 
 @contextlib.contextmanager
-def in_thread(opener):
-    """Keep an async context manager open in a thread with its own loop."""
+def run_in_thread(factory):
+    """Hold an async context manager open in a thread with its own loop."""
     opened = []
     ready = threading.Event()
     loop = asyncio.new_event_loop()
     stop = asyncio.Event()
 
     async def serve():
-        async with opener() as entered:
+        async with factory() as entered:
             opened.append(entered)
             ready.set()
             await stop.wait()
@@ -36,25 +36,27 @@
 
 
 def platform():
-    """Run the stand-in platform."""
-    return in_thread(Platform)
+    """Run the platform stand-in."""
+    return run_in_thread(Platform)
 
 
 def fake_daemon(answer):
-    """Run a listener that answers ``answer(request)`` as JSON.
+    """Run an HTTP server that responds with ``answer(request)`` as JSON.
 
-    The key ``http_status`` of an answer sets its status.
+    The key ``http_status`` of the result sets the status of the response.
     """
 
     async def handle(request):
         body = answer(request)
         return json_response(body, body.pop('http_status', 200))
 
-    return in_thread(lambda: HttpServer('127.0.0.1:0', HttpLimits(), handle))
+    return run_in_thread(
+        lambda: HttpServer('127.0.0.1:0', HttpLimits(), handle)
+    )
 
 
 @contextlib.asynccontextmanager
-async def _swallowing():
+async def _closing_listener():
     async def close(reader, writer):
         await reader.read(1)
         writer.close()
@@ -67,4 +69,4 @@
 
 def closing_daemon():
     """Run a listener that closes each connection after the first byte."""
-    return in_thread(_swallowing)
+    return run_in_thread(_closing_listener)
--- a/tests/test_backend_standin.py
+++ b/tests/test_backend_standin.py
@@ -21,7 +21,7 @@
 from boragespool.standins.backend_host import BackendHost
 from boragespool.standins.items import all_items, items_between
 from boragespool.standins.switches import BackendSwitches
-from tests.standin_calls import call, work
+from tests.standin_calls import call, work_body
 
 
 def with_server(scenario, **switches):
@@ -41,7 +41,7 @@
 
 async def send(server, **fields) -> tuple[int, Any]:
     """Send work on a new connection."""
-    return await call(server.address, 'POST', '/v1/work', work(**fields))
+    return await call(server.address, 'POST', '/v1/work', work_body(**fields))
 
 
 def start(server, **fields) -> asyncio.Task:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -14,7 +14,7 @@
 from boragespool.results import Failure, ResultCode
 from boragespool.types import Phase, Rank
 from tests.caller_fakes import FakeControllers, make_api
-from tests.standin_calls import call, decoded, encoded
+from tests.standin_calls import call, decode_response, encode_body
 
 QUERY = {'route': 'lookup', 'caller': 'till', 'body': {'match': 'a'}}
 CLAIM = {'route': 'unlock', 'caller': 'till', 'body': {}, 'ticket': 't-0'}
@@ -22,8 +22,8 @@
 
 def send(api, method, target, body=None):
     """Send one request; return status and decoded body."""
-    request = HttpRequest(method, target, encoded(body))
-    return decoded(asyncio.run(api.handle(request)))
+    request = HttpRequest(method, target, encode_body(body))
+    return decode_response(asyncio.run(api.handle(request)))
 
 
 BAD_BODIES = [
@@ -63,14 +63,14 @@
 @pytest.mark.parametrize(('body', 'code'), BAD_BODIES)
 def test_bad_queries_get_their_code(body, code):
     """Bad input must get its number and must not reach a controller."""
-    tier = FakeControllers()
-    status, refusal = send(make_api(tier)[0], 'POST', '/v1/query', body)
+    controllers = FakeControllers()
+    status, refusal = send(make_api(controllers)[0], 'POST', '/v1/query', body)
     assert refusal['code'] == code
     assert 400 <= status < 500
     assert refusal['run'] == 'not_run'
     assert refusal['retry_after_s'] == 0
     assert refusal['reason']
-    assert not tier.requests
+    assert not controllers.requests
 
 
 @pytest.mark.parametrize(
@@ -98,11 +98,11 @@
 @pytest.mark.parametrize('ticket', ['', 'a b', 'é', 'x' * 600])
 def test_bad_tickets_do_not_reach_the_claim_controller(ticket):
     """A ticket that nobody issued must not be recorded."""
-    tier = FakeControllers()
+    controllers = FakeControllers()
     body = CLAIM | {'ticket': ticket}
-    _, refusal = send(make_api(tier)[0], 'POST', '/v1/claim', body)
+    _, refusal = send(make_api(controllers)[0], 'POST', '/v1/claim', body)
     assert refusal['code'] == ResultCode.BAD_TICKET
-    assert not tier.requests
+    assert not controllers.requests
 
 
 JSON = st.recursive(
@@ -126,7 +126,7 @@
 )
 def test_any_input_gets_a_numbered_answer(changed, cut):
     """No input may raise an exception in the daemon."""
-    whole = encoded(CLAIM | changed)
+    whole = encode_body(CLAIM | changed)
     for raw in (whole, whole[:cut]):
         status, answer = send(
             make_api(FakeControllers())[0],
@@ -145,11 +145,11 @@
 )
 def test_callers_may_only_lower_rank_and_deadline(rank, deadline_ms):
     """A caller must not get ahead of others by what it asks for."""
-    tier = FakeControllers()
+    controllers = FakeControllers()
     asked = QUERY | {'rank': rank, 'deadline_ms': deadline_ms}
-    status, answer = send(make_api(tier)[0], 'POST', '/v1/query', asked)
+    status, answer = send(make_api(controllers)[0], 'POST', '/v1/query', asked)
     assert status == 200
-    (request,) = tier.requests
+    (request,) = controllers.requests
     is_lower = rank is Rank.DEFERRABLE
     assert request.rank is (Rank.DEFERRABLE if is_lower else None)
     assert request.deadline_s == min(deadline_ms or 800, 800) / 1_000
@@ -161,13 +161,13 @@
 
 def test_refusals_keep_run_state_and_retry_time():
     """A refusal must pass on whether the work ran."""
-    tier = FakeControllers(
-        script=[
+    controllers = FakeControllers(
+        claim_results=[
             Failure(ResultCode.QUEUE_FULL, 'full', retry_after_s=2),
             Failure(ResultCode.OUTCOME_UNKNOWN, 'lost', 'unknown'),
         ],
     )
-    api, _ = make_api(tier)
+    api, _ = make_api(controllers)
     status, refusal = send(api, 'POST', '/v1/claim', CLAIM)
     assert (status, refusal['run'], refusal['retry_after_s']) == (
         429,
@@ -186,7 +186,7 @@
 
 def test_crossed_answer_is_not_passed_on():
     """A caller must never see the answer to the request of another."""
-    api, _ = make_api(FakeControllers(wrong_id='other'))
+    api, _ = make_api(FakeControllers(wrong_request_id='other'))
     status, refusal = send(api, 'POST', '/v1/query', QUERY)
     assert (status, refusal['run']) == (500, 'unknown')
     assert 'items' not in refusal
@@ -199,7 +199,7 @@
         raise ValueError(request)
 
     async def run():
-        api, _ = make_api(FakeControllers(script=[fail]))
+        api, _ = make_api(FakeControllers(claim_results=[fail]))
         limits = HttpLimits()
         async with HttpServer('127.0.0.1:0', limits, api.handle) as server:
             return await call(server.address, 'POST', '/v1/claim', CLAIM)
@@ -213,7 +213,7 @@
 
     async def run():
         api, board = make_api(FakeControllers(delay_s=0.02))
-        request = HttpRequest('POST', '/v1/query', encoded(QUERY))
+        request = HttpRequest('POST', '/v1/query', encode_body(QUERY))
         running = [asyncio.create_task(api.handle(request)) for _ in '123']
         await asyncio.sleep(0.01)
         assert board.read(LOAD) == api.in_flight == 3
@@ -226,8 +226,8 @@
 
 def test_leaving_daemon_serves_but_gives_no_tickets():
     """Tickets of a daemon that leaves would outlive their issuer."""
-    tier = FakeControllers(addresses_given=['127.0.0.1:9'])
-    api, board = make_api(tier)
+    controllers = FakeControllers(known_addresses=['127.0.0.1:9'])
+    api, board = make_api(controllers)
     target = '/v1/addresses?tickets=2&count=1'
     _, answer = send(api, 'GET', target)
     assert answer['tickets'] == ['t-0', 't-1']
@@ -271,17 +271,17 @@
 )
 def test_refused_request_reaches_no_controller(path, body):
     """A refusal for overload must cost less than an answer."""
-    tier = FakeControllers(refusal=OVERLOADED)
-    api, _ = make_api(tier)
+    controllers = FakeControllers(refusal=OVERLOADED)
+    api, _ = make_api(controllers)
     response = asyncio.run(
-        api.handle(HttpRequest('POST', path, encoded(body), waited_s=0.1))
+        api.handle(HttpRequest('POST', path, encode_body(body), waited_s=0.1))
     )
-    status, refusal = decoded(response)
+    status, refusal = decode_response(response)
     assert (status, refusal['code']) == (503, ResultCode.OVERLOADED)
     assert (refusal['run'], refusal['retry_after_s']) == ('not_run', 1)
     assert response.defer_next
-    assert tier.waits_s == [0.1]
-    assert not tier.requests
+    assert controllers.waits_s == [0.1]
+    assert not controllers.requests
 
 
 @pytest.mark.parametrize(
@@ -289,11 +289,13 @@
 )
 def test_wait_in_the_daemon_counts_against_the_deadline(waited_s, code):
     """Work whose caller has given up must not be run."""
-    tier = FakeControllers()
-    body = encoded(QUERY | {'deadline_ms': 500})
+    controllers = FakeControllers()
+    body = encode_body(QUERY | {'deadline_ms': 500})
     request = HttpRequest('POST', '/v1/query', body, waited_s=waited_s)
-    _, answer = decoded(asyncio.run(make_api(tier)[0].handle(request)))
+    _, answer = decode_response(
+        asyncio.run(make_api(controllers)[0].handle(request))
+    )
     assert answer['code'] == code
-    assert [r.deadline_s for r in tier.requests] == [
+    assert [r.deadline_s for r in controllers.requests] == [
         pytest.approx(0.01) for _ in range(code == 1001)
     ]
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -149,7 +149,7 @@
 
     async def scenario(setup):
         await setup.warm()
-        assert setup.backend.peak <= 5
+        assert setup.backend.peak_in_flight <= 5
         assert setup.backend.connection_count <= 5
         await setup.send(work_request('shed'))
         assert setup.controller.status()['s']['limit'] == 2
@@ -366,9 +366,9 @@
         after = setup.start(work_request(delay_s=0.1))
         await before
         await setup.running(1)
-        setup.backend.peak = 0
+        setup.backend.peak_in_flight = 0
         await asyncio.gather(solo, after)
-        assert setup.backend.peak == 1
+        assert setup.backend.peak_in_flight == 1
 
     run(scenario)
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -213,7 +213,7 @@
                 first.send('b', Gossip(()))
                 await asyncio.sleep(0.3)
                 assert len(received) == 2
-                assert relay.accepted == 2
+                assert relay.accepted_count == 2
 
     asyncio.run(run())
 
@@ -273,7 +273,7 @@
                     first.send('b', Gossip(()))
                     may_answer.set()
                     assert await reply == Ack()
-                while relay.accepted < 2:
+                while relay.accepted_count < 2:
                     await asyncio.sleep(0.05)
                     timers.advance(first.options.probe_interval_s)
 
