--- a/tests/test_account.py
+++ b/tests/test_account.py
@@ -1,4 +1,4 @@
-"""Slot time of one rank: when its queue counts as a flood."""
+"""Slot time account of one rank: when its queue counts as flooded."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 def flooded_account():
-    """Return an account whose queue has been full for two seconds."""
+    """Return an account whose queue was never empty for two seconds."""
     account = SlotAccount()
     work = QueuedWork('a', Rank.URGENT, 0, 10)
     account.start(work, 0)
@@ -22,7 +22,11 @@
 
 
 def test_short_gap_does_not_end_a_flood():
-    """Refused callers come back after a moment; floors must not give way."""
+    """A flood must not end while its refused callers wait to retry.
+
+    The queue is empty for a few milliseconds then. If that ended the flood,
+    the floors of the other ranks would be given up at once.
+    """
     account = flooded_account()
     account.advance(2.02, 1, waiting=False)
     account.advance(2.04, 1, waiting=True)
@@ -30,7 +34,10 @@
 
 
 def test_empty_queue_ends_a_flood():
-    """Floors must give way once the higher rank has room."""
+    """A flood must end once the queue stays empty.
+
+    Otherwise the floors of lower ranks would go on delaying its work.
+    """
     account = flooded_account()
     account.advance(2.06, 1, waiting=False)
     account.advance(2.08, 1, waiting=True)
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -1,4 +1,4 @@
-"""The benchmark program and its scenarios."""
+"""Benchmark program, its scenarios and load mixes."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 def test_every_module_with_a_main_is_a_benchmark():
-    """Guards against a measurement that `make bench` leaves out."""
+    """A new benchmark module must not be left out of `make bench`."""
     folder = pathlib.Path(program.__file__).parent
     expected = {
         path.stem
@@ -34,20 +34,24 @@
 
 @pytest.mark.parametrize('name', program.module_names())
 def test_short_arguments_fit_the_module(name):
-    """A renamed parameter must not break `--short` at its end."""
+    """Arguments of `--short` must be parameters of the module's `main`.
+
+    After a parameter is renamed, the module would fail only when a short
+    run reaches it.
+    """
     module = program._module(name)
     given = module.main.__code__.co_varnames
     assert set(program.short_arguments(name)) <= set(given)
 
 
 def test_refuses_unknown_arguments(capsys):
-    """A misspelt flag must not start the long run."""
+    """A misspelt flag must not be ignored and start the full run."""
     assert program.main(('--shrt',)) == 2
     assert '--short' in capsys.readouterr().err
 
 
 def test_a_failed_module_is_reported_and_others_run(monkeypatch, capsys):
-    """One failed measurement must not hide the others, nor pass."""
+    """An exception in one module must neither skip the others nor pass."""
 
     class Module:
         ran = 0
@@ -67,7 +71,11 @@
 
 @pytest.mark.parametrize('place', loads.WORKPLACES.values())
 def test_mixes_use_routes_of_the_shape(place):
-    """Guards against load that is refused for a wrong route or form."""
+    """Load must use the routes with their own kind and rank.
+
+    Otherwise daemons refuse the requests and the benchmark measures
+    refusals.
+    """
     mixes = (place.ordinary, loads.flood_mix(place, 0.3, 10, (2, 6)))
     for shape in (place.shape, loads.flood_shape(place)):
         for flow in (flow for mix in mixes for flow in mix):
@@ -77,7 +85,11 @@
 
 @pytest.mark.parametrize('place', loads.WORKPLACES.values())
 def test_flooded_service_has_the_stated_capacity(place):
-    """The size of a flood is stated relative to this capacity."""
+    """The flooded service must have `FLOOD_CAPACITY_PER_S`.
+
+    Floods are sized relative to this capacity, so a changed deployment
+    would change the load unnoticed.
+    """
     service = next(
         one
         for one in loads.flood_shape(place).services
@@ -89,34 +101,41 @@
 
 
 def test_baselines_change_what_they_name():
-    """A baseline that changes nothing would make each ratio 1."""
+    """A baseline must turn off ranks or hedging, and nothing else.
+
+    If it changed nothing, each ratio to the baseline would be 1.
+    """
     place = loads.WORKPLACES['cooperative']
     placed = place_servers(place.shape)
     addresses = {
         one.spec.name: f'127.0.0.1:{port}' for port, one in enumerate(placed, 1)
     }
     settings = deployment_settings(place.shape, placed, addresses)
-    flat = loads.without_ranks(settings)
-    # Daemons ignore a revision with problems, and the run would never start.
+    unranked = loads.without_ranks(settings)
+    # Daemons reject an invalid revision, so the run would never start.
     assert not validate(settings)
-    assert not validate(flat)
+    assert not validate(unranked)
     assert not validate(loads.without_hedging(settings))
-    assert {route.rank for route in flat.routes.values()} == {Rank.ROUTINE}
-    assert flat.ranks[Rank.ROUTINE].cap == 1
+    assert {route.rank for route in unranked.routes.values()} == {Rank.ROUTINE}
+    assert unranked.ranks[Rank.ROUTINE].cap == 1
     unhedged = loads.without_hedging(settings)
     assert (unhedged.hedging.budget_ratio, unhedged.hedging.burst) == (0, 0)
     assert replace(unhedged, hedging=settings.hedging) == settings
 
 
 def test_both_deployments_have_all_scenarios():
-    """The scenarios that the results page lists."""
+    """The program must run every scenario that the results page lists."""
     assert set(loads.WORKPLACES) == {'cooperative', 'mwangaza'}
     assert len(scenarios.SCENARIOS) == 9
 
 
 def test_claims_are_compared_with_the_runs():
-    """A lost or repeated claim must not pass as served."""
-    told = {
+    """Lost, repeated and wrongly reported claims must be counted.
+
+    The reported states are compared with the runs at the servers; a claim
+    that was lost or ran twice would otherwise count as served.
+    """
+    reported_states = {
         'served': RunState.RUN,
         'lost': RunState.RUN,
         'open': RunState.UNKNOWN,
@@ -124,13 +143,16 @@
         'refused': RunState.NOT_RUN,
     }
     runs = {'served': 2, 'open': 1, 'denied': 1, 'of-others': 5}
-    truth = replacement_load.compare_claims(told, runs)
-    assert truth == replacement_load.ClaimTruth(
+    comparison = replacement_load.compare_claims(reported_states, runs)
+    assert comparison == replacement_load.ClaimTruth(
         lost=1, unknown=1, false_not_run=1, twice=1
     )
 
 
 def test_every_planned_stop_takes_its_turn():
-    """A host that is left out would never be replaced."""
+    """Every host must be replaced equally often, in rounds of three.
+
+    A planner that forgets the hosts beyond a round would never replace them.
+    """
     rounds = replacement.plan_rounds(('a', 'b', 'c', 'd'), 8, 3)
     assert rounds == (('a', 'b', 'c'), ('d', 'a', 'b'), ('c', 'd'))
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -1,4 +1,4 @@
-"""Open-loop load driver."""
+"""Open-loop load driver: arrivals and reported counts."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 def test_arrivals_keep_the_mean_rate_and_the_window():
-    """A flow must not exceed its window or drift from its rate."""
+    """Arrivals must be sorted, inside the window and near the mean rate."""
     flow = Flow('find', WorkKind.QUERY, Rank.ROUTINE, 200, 1, 2, 6)
     times_s = list(arrival_times_s(flow, 10, random.Random(1)))
     assert times_s == sorted(times_s)
@@ -25,7 +25,11 @@
 
 
 def test_counts_every_request_and_what_backend_servers_received():
-    """Guards against requests that are neither answered nor reported."""
+    """Every request must be counted as answered or by its failure code.
+
+    Otherwise a lost request would go unnoticed, and the load per request at
+    the backend servers would be wrong.
+    """
     with LoadDriver(2) as driver, ProcessFleet(SMALL) as fleet:
         summary = driver.run(fleet, (FIND, PAY), 2)
         routine = summary.by_rank[Rank.ROUTINE]
@@ -43,7 +47,11 @@
 
 
 def test_slow_servers_do_not_slow_the_load():
-    """A closed loop would offer less, and hide the latency of the rest."""
+    """Slow servers must not reduce the offered load.
+
+    A closed loop waits for answers before it sends the next request, offers
+    less, and so hides the latency of the requests that it did not send.
+    """
     with LoadDriver(1) as driver, ProcessFleet(SMALL) as fleet:
         names = [server.spec.name for server in fleet.placed]
         fleet.control(names, service_time_s=5)
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -1,4 +1,4 @@
-"""Registrations: old copies, restarts and lapses."""
+"""Registration table: outdated writes, restarts and expired entries."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
 
 
 def test_older_copy_is_ignored():
-    """A late write of an older entry must not revive a draining server."""
+    """A delayed write of an older entry must not undo a drain."""
     table = RegistrationTable(GRACE_S)
     update(table, replace(FIRST, draining=True, sequence=9))
     update(table, FIRST)
@@ -41,7 +41,7 @@
 
 
 def test_removed_server_stays_gone():
-    """A late copy of an entry that was removed names no server."""
+    """A delayed write of a removed entry must not add the server again."""
     table = RegistrationTable(GRACE_S)
     update(table, FIRST)
     assert update(table).removed == (FIRST,)
@@ -50,16 +50,24 @@
 
 
 def test_restart_under_the_same_name_begins_anew():
-    """A restarted server counts from the start and is used again."""
+    """A restarted server must be used though its sequence starts over.
+
+    Compared by sequence alone, its first entry would be older than the
+    last one before the restart, and be ignored.
+    """
     table = RegistrationTable(GRACE_S)
     update(table, replace(FIRST, draining=True))
-    reborn = replace(FIRST, started_at_ms=200, sequence=1)
-    update(table, reborn)
-    assert table.registrations_by_server['i-a'] == reborn
+    restarted = replace(FIRST, started_at_ms=200, sequence=1)
+    update(table, restarted)
+    assert table.registrations_by_server['i-a'] == restarted
 
 
 def test_lapsed_entries_hold_until_the_grace_ends():
-    """Servers must serve on while their entries lapse with the store."""
+    """Servers must stay in use for a grace time after a store outage.
+
+    Leases expire while the store is away, so entries are missing until the
+    servers have registered again. They are dropped after `GRACE_S`.
+    """
     table = RegistrationTable(GRACE_S)
     update(table, FIRST, now_s=0)
     update(table, now_s=10, returned_at_s=10)
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -1,4 +1,4 @@
-"""Second attempts of all daemons together stay within the limit."""
+"""Retry budgets: the limit of all daemons together, hedges and time."""
 
 from __future__ import annotations
 
@@ -12,14 +12,18 @@
 STEP_S = 0.1
 
 
-def counted(times, begin_s):
+def count_in_window(times, begin_s):
     return sum(begin_s <= time_s < begin_s + 10 for time_s in times)
 
 
 @DETERMINISTIC
 @given(st.lists(st.integers(0, 12), min_size=1, max_size=6), st.integers(0, 9))
 def test_sum_over_daemons_stays_below_the_limit(rates, burst):
-    """Daemons that all use their budgets must not break the common limit."""
+    """Retries of all daemons together must stay within the common limit.
+
+    Each daemon counts only its own requests, so fixed allowances that
+    were not divided by the number of daemons would add up to more.
+    """
     budgets = [RetryBudget(LIMITS, started_at_s=-60) for _ in rates]
     requests, repeats = [], []
     for step in range(300):
@@ -31,19 +35,23 @@
                 if budget.spend(now_s, len(rates), is_hedge=False):
                     repeats.append(now_s)
     for begin in range(0, 200, 5):
-        allowed = 0.2 * counted(requests, begin / 10) + 52
-        assert counted(repeats, begin / 10) <= allowed
+        allowed = 0.2 * count_in_window(requests, begin / 10) + 52
+        assert count_in_window(repeats, begin / 10) <= allowed
 
 
 def test_restarted_daemons_have_little_at_once():
-    """A restart must not grant the whole allowance again."""
+    """A restarted daemon must not start with the whole allowance.
+
+    It does not know what was spent before the restart, so together they
+    would exceed the limit.
+    """
     fresh = RetryBudget(LIMITS, started_at_s=0)
     spent = sum(fresh.spend(0, 1, is_hedge=False) for _ in range(100))
     assert 0 < spent <= 0.3 * 52
 
 
 def test_hedges_leave_retries_their_part():
-    """Attempts that failed are repeated although hedges used their part."""
+    """Failed attempts must be retried although hedges used up their part."""
     budget = RetryBudget(LIMITS, started_at_s=-60)
     while budget.spend(0, 1, is_hedge=True):
         pass
@@ -51,7 +59,7 @@
 
 
 def test_budget_returns_with_time():
-    """A window that has passed no longer counts."""
+    """Retries must be possible again once the window has passed."""
     budget = RetryBudget(LIMITS, started_at_s=-60)
     while budget.spend(0, 1, is_hedge=False):
         pass
--- a/tests/test_service_call.py
+++ b/tests/test_service_call.py
@@ -1,4 +1,4 @@
-"""One request to one service while its servers have no room."""
+"""Service call: attempts and waiting while servers have no room."""
 
 from __future__ import annotations
 
@@ -22,7 +22,9 @@
 from boragespool.timers import VirtualTimers
 from boragespool.types import RunState
 
-BROKEN = ExchangeFailure(FailureKind.CLOSED, sent=True, reason='reset')
+CONNECTION_RESET = ExchangeFailure(
+    FailureKind.CLOSED, sent=True, reason='reset'
+)
 ROUTE = ForwardRoute(
     name='r',
     domain='shop.example',
@@ -46,7 +48,7 @@
 
 
 class FakeServer:
-    """Keeps what is sent until the test ends it."""
+    """Server whose attempts the test ends through the callbacks in `sent`."""
 
     def __init__(self, name):
         self.registration = SimpleNamespace(server=name)
@@ -60,13 +62,13 @@
         return SimpleNamespace(cancel=lambda: None)
 
     def record_reply(self, *args):
-        """Keep no window."""
+        """Ignore the reply; `has_room` is set by the test."""
 
     record_abandoned = record_failure = record_reply
 
 
 class FakeFleet:
-    """Three servers; the first one with room is chosen."""
+    """Fleet of three servers that chooses the first one with room."""
 
     def __init__(self):
         self.timers = VirtualTimers()
@@ -97,89 +99,97 @@
         return next(self.numbers)
 
     def update_distance(self, server):
-        """Learn no distance."""
+        """Ignore the round trip time."""
 
 
 @pytest.fixture
-def world():
+def harness():
     fleet = FakeFleet()
     codec = SimpleNamespace(
         echo_header='request-id',
         write_request=lambda *args: None,
         read_reply=lambda response: response,
     )
-    ends = []
+    outcomes = []
     call = ServiceCall(
         fleet,
         codec,
         RoutedRequest(REQUEST, ROUTE, Deadlines(0.4, 1.9, 2)),
         'one',
-        lambda ended, outcome: ends.append(outcome),
+        lambda ended, outcome: outcomes.append(outcome),
     )
-    return SimpleNamespace(fleet=fleet, call=call, ends=ends)
+    return SimpleNamespace(fleet=fleet, call=call, outcomes=outcomes)
 
 
-def sent_names(world):
-    servers = world.fleet.servers.items()
+def sent_names(harness):
+    servers = harness.fleet.servers.items()
     return [name for name, server in servers for _ in server.sent]
 
 
-def test_call_waits_once_whatever_ends(world):
-    """A call that joins twice would be sent after its own end."""
-    fleet = world.fleet
+def test_call_waits_once_whatever_ends(harness):
+    """A call must join the queue once, however many attempts fail.
+
+    A second entry in the queue would send another attempt after the call
+    has ended.
+    """
+    fleet = harness.fleet
     fleet.servers['c'].has_room = False
-    world.call.start()
+    harness.call.start()
     fleet.timers.advance(0.25)
-    assert sent_names(world) == ['a', 'b']
+    assert sent_names(harness) == ['a', 'b']
     for name in 'ab':
-        fleet.servers[name].sent[0](BROKEN)
-    assert not world.ends
+        fleet.servers[name].sent[0](CONNECTION_RESET)
+    assert not harness.outcomes
     fleet.servers['c'].has_room = True
     fleet.queues.dispatch_all()
-    assert sent_names(world) == ['a', 'b', 'c']
-    fleet.servers['c'].sent[0](BROKEN)
-    assert [end.run for end in world.ends] == [RunState.UNKNOWN]
+    assert sent_names(harness) == ['a', 'b', 'c']
+    fleet.servers['c'].sent[0](CONNECTION_RESET)
+    assert [end.run for end in harness.outcomes] == [RunState.UNKNOWN]
     assert not fleet.queues.has_waiting('one')
 
 
-def test_call_that_is_hedged_waits_no_more(world):
-    """An attempt must not follow the answer."""
-    fleet = world.fleet
+def test_call_that_is_hedged_waits_no_more(harness):
+    """A cancelled call must leave the queue and send no further attempt."""
+    fleet = harness.fleet
     fleet.servers['b'].has_room = fleet.servers['c'].has_room = False
-    world.call.start()
-    fleet.servers['a'].sent[0](BROKEN)
+    harness.call.start()
+    fleet.servers['a'].sent[0](CONNECTION_RESET)
     assert fleet.queues.has_waiting('one')
-    world.call.cancel()
+    harness.call.cancel()
     fleet.servers['b'].has_room = True
     fleet.queues.dispatch_all()
-    assert sent_names(world) == ['a']
+    assert sent_names(harness) == ['a']
     assert not fleet.queues.has_waiting('one')
 
 
-def test_ended_call_sends_nothing(world):
-    """What waits in the queue is forgotten with the call."""
-    fleet = world.fleet
+def test_ended_call_sends_nothing(harness):
+    """An abandoned call must not be sent when a server gets room."""
+    fleet = harness.fleet
     for server in fleet.servers.values():
         server.has_room = False
-    world.call.start()
-    assert world.call.run_state is RunState.NOT_RUN
-    world.call.abandon()
+    harness.call.start()
+    assert harness.call.run_state is RunState.NOT_RUN
+    harness.call.abandon()
     for server in fleet.servers.values():
         server.has_room = True
     fleet.queues.dispatch_all()
-    assert not sent_names(world)
+    assert not sent_names(harness)
+
 
+def test_wait_for_one_server_ends_with_the_answer_of_another(harness):
+    """A call that waits to retry must leave the queue on an answer.
 
-def test_wait_for_one_server_ends_with_the_answer_of_another(world):
-    """An answer that comes first ends the wait for a retry."""
-    fleet = world.fleet
+    One attempt has failed and waits for room while the hedge is answered.
+    Left in the queue, the call would be sent again after its answer.
+    """
+    fleet = harness.fleet
     fleet.servers['c'].has_room = False
-    world.call.start()
+    harness.call.start()
     fleet.timers.advance(0.25)
-    fleet.servers['a'].sent[0](BROKEN)
+    fleet.servers['a'].sent[0](CONNECTION_RESET)
     assert fleet.queues.has_waiting('one')
     reply = Reply(200, b'', (), 's', not_run=False)
     fleet.servers['b'].sent[0](reply)
-    assert world.ends == [reply]
-    assert not isinstance(world.ends[0], Failure)
+    assert harness.outcomes == [reply]
+    assert not isinstance(harness.outcomes[0], Failure)
     assert not fleet.queues.has_waiting('one')
