--- a/tests/test_call_queue.py
+++ b/tests/test_call_queue.py
@@ -1,4 +1,4 @@
-"""Calls that wait for room: their order, and what callers get of a flood."""
+"""Queue of calls that wait for a server: order, refusals and overload."""
 
 from __future__ import annotations
 
@@ -16,23 +16,26 @@
 from tests.platform_standins.cluster import route, run, send
 from tests.test_registrations import FIRST
 
-TIMES = st.floats(0, 2)
-WAITING = st.tuples(st.integers(0, 2), TIMES, TIMES)
+TIMES_S = st.floats(0, 2)
+WAITING = st.tuples(st.integers(0, 2), TIMES_S, TIMES_S)
 
 
 def queue_of(entries):
     queue = CallQueue()
-    for number, (priority, target_at_s, left_s) in enumerate(entries):
-        deadline_at_s = target_at_s + left_s + 0.1
-        call = WaitingCall(number, priority, target_at_s, deadline_at_s)
+    for number, (priority, start_by_s, remaining_s) in enumerate(entries):
+        deadline_at_s = start_by_s + remaining_s + 0.1
+        call = WaitingCall(number, priority, start_by_s, deadline_at_s)
         assert queue.add(call, 0)
     return queue
 
 
 @settings(derandomize=True, max_examples=200, deadline=None)
-@given(st.lists(WAITING, max_size=8), TIMES)
+@given(st.lists(WAITING, max_size=8), TIMES_S)
 def test_calls_in_time_go_before_late_ones(entries, now_s):
-    """A late call must not make one late that can still meet its target."""
+    """A call past its target must not go before one that can still meet it.
+
+    Sending the late call first would make the other one late as well.
+    """
     order = queue_of(entries).order(now_s)
     assert sorted(order) == list(range(len(entries)))
     keys = [
@@ -42,25 +45,32 @@
 
 
 def test_no_priority_starves():
-    """A flood of urgent calls must not keep another call waiting for ever."""
+    """A flood of urgent calls must not keep another one waiting for ever.
+
+    Ordered by priority alone, the other call would never be dispatched.
+    """
     queue = queue_of([(2, 5, 5)])
     for number in range(1, 40):
         queue.add(WaitingCall(number, 0, 3, 9), 0)
-    turns = []
+    dispatched = []
     for _ in range(12):
-        turns.append(queue.order(1)[0])
-        queue.mark_dispatched(turns[-1], 1)
-    assert 0 in turns
+        dispatched.append(queue.order(1)[0])
+        queue.mark_dispatched(dispatched[-1], 1)
+    assert 0 in dispatched
 
 
 def test_call_whose_turn_would_come_too_late_is_refused():
-    """A caller must learn at once that it cannot be served in time."""
+    """A call that would wait past its deadline must be refused at once.
+
+    The expected wait follows from the dispatch rate. Otherwise the caller
+    would wait in vain until its deadline.
+    """
     queue = CallQueue()
     for number in range(30):
         assert queue.add(WaitingCall(number, 0, 90, 99), number / 10)
         if number >= 10:
             queue.mark_dispatched(number - 10, number / 10)
-    # Ten calls wait, and 20 were granted in 3 s.
+    # Ten calls wait, and 20 were dispatched in 3 s.
     assert queue.wait_s(0, 3) == pytest.approx(1.5)
     assert queue.wait_s(1, 3) == pytest.approx(1.5)
     assert not queue.add(WaitingCall(50, 0, 4, 4.4), 3)
@@ -68,7 +78,11 @@
 
 
 def test_slow_period_does_not_refuse_later_calls():
-    """An outage that is over must not make the daemon refuse work."""
+    """A dispatch rate from an outage must not refuse calls after it.
+
+    The estimate starts anew once the queue was empty; with the old rate
+    the daemon would refuse calls that it could serve.
+    """
     queue = CallQueue()
     for number in range(20):
         queue.add(WaitingCall(number, 0, 90, 99), 0)
@@ -80,47 +94,61 @@
     assert queue.wait_s(0, 30) == 0
 
 
-class Link:
-    """Link without sockets."""
+class FakeConnections:
+    """Connections of a server that always have room, without sockets."""
 
     has_room = True
     limit = 30
 
 
-class Shard:
-    """One server with slots and a queue in order of arrival, in virtual time.
+class SimulatedServer:
+    """A server with 5 slots and a first-in, first-out queue, in virtual time.
 
-    Urgent calls take 9 ms and have a target of 100 ms, routine ones 28 ms
-    and 250 ms; both end after 1.5 s.
+    Urgent calls take 9 ms and have a target latency of 100 ms, routine ones
+    28 ms and 250 ms; the deadline of both is 1.5 s.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of arrivals and service times.
+    load : float
+        Offered load relative to the capacity of the server.
+    uses_queue : bool
+        Whether calls beyond the concurrency limit wait in a `CallQueue`;
+        otherwise all are sent to the server at once.
+    slowness : float
+        Factor by which the server is slower than usual.
     """
 
     SERVICE_S = (0.009, 0.028)
     TARGET_S = (0.1, 0.25)
 
-    def __init__(self, seed, load, *, waits_here, slowness=1):
-        self.draw = random.Random(seed)
-        self.waits_here = waits_here
+    def __init__(self, seed, load, *, uses_queue, slowness=1):
+        self.random = random.Random(seed)
+        self.uses_queue = uses_queue
         self.slowness = slowness
-        self.server = Server(FIRST, Link())
+        self.server = Server(FIRST, FakeConnections())
         self.server.set_limits(30, 5)
         self.queue = CallQueue()
-        self.events, self.order = [], itertools.count()
+        self.events, self.event_numbers = [], itertools.count()
         self.free_at_s = [0.0] * 5
         self.calls, self.answered_s = {}, {}
         mean_s = sum(s * p for s, p in zip(self.SERVICE_S, (0.25, 0.75)))
         self.rate = load * 5 / (mean_s * slowness)
 
     def push(self, at_s, kind, number):
-        heapq.heappush(self.events, (at_s, next(self.order), kind, number))
+        heapq.heappush(
+            self.events, (at_s, next(self.event_numbers), kind, number)
+        )
 
-    def play(self, until_s):
-        """Return the shares of urgent and routine calls that met targets."""
+    def simulate(self, until_s):
+        """Return the ratios of urgent and routine calls that met the target."""
         at_s = 0
         for number in itertools.count():
-            at_s += self.draw.expovariate(self.rate)
+            at_s += self.random.expovariate(self.rate)
             if at_s > until_s:
                 break
-            priority = int(self.draw.random() < 0.75)
+            priority = int(self.random.random() < 0.75)
             self.calls[number] = WaitingCall(
                 number,
                 priority,
@@ -134,24 +162,27 @@
                 self.arrive(number, now_s)
             else:
                 self.answer(number, now_s)
-        return [self.in_time(priority) for priority in (0, 1)]
+        return [self.on_time_ratio(priority) for priority in (0, 1)]
 
     def service_s(self, priority):
         return self.SERVICE_S[priority] * self.slowness
 
     def arrive(self, number, now_s):
-        if not self.waits_here or self.server.has_room:
+        if not self.uses_queue or self.server.has_room:
             self.send(number, now_s)
         else:
             self.queue.add(self.calls[number], now_s)
 
     def send(self, number, now_s):
-        """Queue a call at the server, which serves in order of arrival."""
+        """Queue a call at the server, which serves in order of arrival.
+
+        Service times vary by 40 %.
+        """
         self.server.load.start_attempt(number, now_s)
         priority = self.calls[number].priority
         mean_s = self.service_s(priority)
         began_s = max(now_s, heapq.heappop(self.free_at_s))
-        ended_s = began_s + mean_s * self.draw.uniform(0.6, 1.4)
+        ended_s = began_s + mean_s * self.random.uniform(0.6, 1.4)
         heapq.heappush(self.free_at_s, ended_s)
         self.push(ended_s, 'answer', number)
 
@@ -162,65 +193,75 @@
         self.server.record_reply(service_s, unloaded_s, now_s)
         self.answered_s[number] = now_s
         while self.server.has_room and len(self.queue):
-            turn = self.queue.order(now_s)[0]
-            self.queue.mark_dispatched(turn, now_s)
-            if self.calls[turn].deadline_at_s > now_s:
-                self.send(turn, now_s)
+            next_number = self.queue.order(now_s)[0]
+            self.queue.mark_dispatched(next_number, now_s)
+            if self.calls[next_number].deadline_at_s > now_s:
+                self.send(next_number, now_s)
 
-    def in_time(self, priority):
+    def on_time_ratio(self, priority):
         calls = [c for c in self.calls.values() if c.priority == priority]
-        met = [
+        on_time = [
             self.answered_s.get(call.number, 99)
             <= call.start_by_s + self.service_s(priority)
             for call in calls
         ]
-        return sum(met) / len(met)
+        return sum(on_time) / len(on_time)
 
 
-LOAD = 1.3
+OVERLOAD = 1.3
 
 
 @pytest.mark.parametrize('slowness', [1, 4])
 def test_no_kind_of_call_pays_for_another_in_a_flood(slowness):
-    """Urgent calls go first, and routine ones are not starved.
+    """Under overload urgent calls must go first without starving routine ones.
 
     Bounds: urgent calls meet their target less often than routine ones by at
     most 0.05, routine ones at least a quarter as often as all.
     """
     for seed in range(5):
-        shard = Shard(seed, LOAD, waits_here=True, slowness=slowness)
-        urgent, routine = shard.play(10)
+        simulated = SimulatedServer(
+            seed, OVERLOAD, uses_queue=True, slowness=slowness
+        )
+        urgent, routine = simulated.simulate(10)
         assert urgent >= routine - 0.05
         assert routine >= (0.25 * urgent + 0.75 * routine) / 4
 
 
 def test_flood_leaves_nine_tenths_of_what_is_possible():
-    """With 1.3 times the capacity most of the work is still done in time.
+    """With 1.3 times the capacity most work must still be done in time.
 
-    Before calls waited in the daemon, they waited at the server in order of
-    arrival, so that nearly all were late. A schedule that knows all arrivals
-    does 1 / 1.3 of the work in time; 0.9 of that is the bound.
+    When calls wait at the server, in order of arrival, instead of in the
+    daemon, nearly all are late. A schedule that knows all arrivals does
+    1 / 1.3 of the work in time; 0.9 of that is the bound.
     """
     urgent_work, routine_work = (
-        share * service_s for share, service_s in zip((1, 3), Shard.SERVICE_S)
+        share * service_s
+        for share, service_s in zip((1, 3), SimulatedServer.SERVICE_S)
     )
     for seed in range(5):
-        before = Shard(seed, LOAD, waits_here=False).play(10)
-        urgent, routine = Shard(seed, LOAD, waits_here=True).play(10)
+        unqueued = SimulatedServer(seed, OVERLOAD, uses_queue=False).simulate(
+            10
+        )
+        urgent, routine = SimulatedServer(
+            seed, OVERLOAD, uses_queue=True
+        ).simulate(10)
         done = urgent_work * urgent + routine_work * routine
         assert urgent >= 0.95
-        assert done >= 0.9 / LOAD * (urgent_work + routine_work)
-        assert max(before) < 0.5
+        assert done >= 0.9 / OVERLOAD * (urgent_work + routine_work)
+        assert max(unqueued) < 0.5
 
 
 def test_window_is_open_without_load():
-    """Below its capacity a server gets what comes, at once."""
-    shard = Shard(1, 0.6, waits_here=True)
-    assert min(shard.play(10)) > 0.99
+    """Below its capacity a server must get every call without delay.
+
+    A concurrency limit that falls without need would make calls late.
+    """
+    simulated = SimulatedServer(1, 0.6, uses_queue=True)
+    assert min(simulated.simulate(10)) > 0.99
 
 
 def test_requests_wait_for_a_connection():
-    """A burst beyond the connections of a shard is served, not refused."""
+    """A burst of more requests than connections must wait, not be refused."""
 
     async def scenario(cluster):
         await cluster.serve('one', 'i-a', body=b'answer', delay_s=0.05)
@@ -239,7 +280,10 @@
 
 
 def test_urgent_request_overtakes_those_that_wait():
-    """Urgent work passes through a flood of other work."""
+    """An urgent request must go before the less urgent ones that wait.
+
+    In order of arrival it would wait for the whole flood.
+    """
 
     async def scenario(cluster):
         server = await cluster.serve('one', 'i-a', body=b'answer', delay_s=0.1)
@@ -265,7 +309,11 @@
 
 
 def test_request_without_room_until_its_end_is_refused_truthfully():
-    """What was never sent is answered as not run, and never runs."""
+    """A request answered as not run must never run.
+
+    It waits for a connection until its deadline. If it stayed in the queue
+    after the answer, it would be sent as soon as one is free.
+    """
 
     async def scenario(cluster):
         server = await cluster.serve('one', 'i-a', body=b'answer', delay_s=0.9)
