Say in tests of the stand-in and the caller API what they catch

Docstrings stated needs of tests or sayings; names such as crossed answer, lies, lags and mark puzzled.

--- a/tests/test_backend_standin.py
+++ b/tests/test_backend_standin.py
@@ -1,4 +1,4 @@
-"""Stand-in for backend servers."""
+"""Backend server stand-in: its work, faults, status and programs."""
 
 from __future__ import annotations
 
@@ -52,7 +52,11 @@
 @settings(derandomize=True, deadline=None, max_examples=50)
 @given(cuts=st.lists(st.integers(1, 2**32 - 1), max_size=6, unique=True))
 def test_items_of_any_partition_add_up(cuts):
-    """Shards that are answered apart must give the answer of the whole."""
+    """Items of the shards must add up to the items of the whole key space.
+
+    Tests compare merged answers with them, so an item at a shard boundary
+    must be neither missing nor in two shards.
+    """
     bounds = [0, *sorted(cuts), 2**32]
     items = all_items('lots', 1, 100)
     parts = [
@@ -65,7 +69,10 @@
 
 
 def test_work_matches_the_seeded_items_and_held_ranges():
-    """A wrong version or range must be refused and not be answered."""
+    """Work for a version or range that the server lacks must be refused.
+
+    An answer would hold too few items and still look complete.
+    """
 
     async def scenario(server):
         status, body = await send(server, body={'match': '-00001'})
@@ -88,7 +95,11 @@
 
 
 def test_slots_backlog_and_deadlines():
-    """Overload must shed or drop work before it runs, never after."""
+    """Work beyond the backlog or past its deadline must not be run.
+
+    It is refused as not run; if it ran nevertheless, tests would count a
+    claim that was refused and run.
+    """
 
     async def scenario(server):
         running = start(server, attempt_id='a')
@@ -109,7 +120,11 @@
 
 
 def test_waiting_work_gets_each_free_slot():
-    """Work that waits must not stay behind while slots are idle."""
+    """Each slot that becomes free must start waiting work.
+
+    If several slots become free at once and only one is refilled, work
+    waits while slots are idle.
+    """
 
     async def scenario(server):
         first = [start(server, attempt_id=name) for name in 'ab']
@@ -127,7 +142,10 @@
 
 
 def test_cancel_frees_the_slot_and_tells_what_ran():
-    """A cancelled attempt must not block its slot; a claim must finish."""
+    """A cancelled query must free its slot; a claim must run to its end.
+
+    The answer states whether the attempt had started to run.
+    """
 
     async def cancel(server, attempt_id):
         body = {'attempt_id': attempt_id}
@@ -156,19 +174,23 @@
     with_server(scenario, slots=1, backlog=1, service_time_s=5)
 
 
-@pytest.mark.parametrize(('mark', 'runs'), [(True, 1), ('before', 0)])
-def test_crash_closes_connections_and_restarts(mark, runs):
-    """Crash tests need to know whether the claim ran before the crash."""
+@pytest.mark.parametrize(('crash_mode', 'runs'), [(True, 1), ('before', 0)])
+def test_crash_closes_connections_and_restarts(crash_mode, runs):
+    """A crash before or after a claim must count its run accordingly.
+
+    All connections are closed, and after the restart the server has a new
+    incarnation. Crash tests compare the counted runs with the answers.
+    """
 
     async def scenario(server):
         first = server.incarnation
         bystander = start(server, attempt_id='b')
         await asyncio.sleep(0.03)
         server.control({'service_time_s': 0.05})
-        body = {'crash': mark, 'claim_id': 'c1'}
-        lost = await send(server, kind='claim', body=body)
-        assert isinstance(lost, ExchangeFailure)
-        assert lost.sent
+        body = {'crash': crash_mode, 'claim_id': 'c1'}
+        crashed = await send(server, kind='claim', body=body)
+        assert isinstance(crashed, ExchangeFailure)
+        assert crashed.sent
         assert isinstance(await bystander, ExchangeFailure)
         refused = await send(server)
         assert not refused.sent
@@ -181,8 +203,11 @@
     with_server(scenario, restart_s=0.1, service_time_s=5)
 
 
-def test_silent_connections_swallow_data_while_new_ones_work():
-    """A silent link must not be seen as closed."""
+def test_silent_connections_drop_data_while_new_ones_work():
+    """A silent connection must time out, not be seen as closed.
+
+    Tests use it for a broken network, in which no reset arrives.
+    """
 
     async def scenario(server):
         old = await open_connection(server.address, 1)
@@ -198,8 +223,12 @@
     with_server(scenario)
 
 
-def test_status_lies_and_lags():
-    """Load reports that lag or are false must be available to tests."""
+def test_status_can_be_false_and_delayed():
+    """Reported status must follow the settings for delayed or false values.
+
+    Only the status is false: a draining server refuses work although it
+    reports that it serves.
+    """
 
     async def scenario(server):
         running = start(server)
@@ -219,31 +248,34 @@
 
 
 def test_cold_start_stragglers_and_connection_cost_take_time():
-    """Latency tests must find the slow replies that they ask for."""
+    """Cold start, stragglers and connection cost must slow down replies."""
 
-    async def timed(server):
-        before_s = asyncio.get_running_loop().time()
+    async def duration_s(server):
+        began_s = asyncio.get_running_loop().time()
         assert (await send(server))[0] == 200
-        return asyncio.get_running_loop().time() - before_s
+        return asyncio.get_running_loop().time() - began_s
 
     async def scenario(server):
         assert server.status()['state'] == 'cold'
-        assert await timed(server) > 0.1
+        assert await duration_s(server) > 0.1
         server.control({'cold_s': 0})
         assert server.status()['state'] == 'serving'
-        assert await timed(server) < 0.1
+        assert await duration_s(server) < 0.1
         server.control({'straggler_probability': 1})
-        assert await timed(server) > 0.1
+        assert await duration_s(server) > 0.1
         server.control({'straggler_probability': 0})
         server.control({'connection_cost_s': 0.15})
-        assert await timed(server) > 0.15
+        assert await duration_s(server) > 0.15
         assert server.counters.stragglers == 1
 
     with_server(scenario, cold_s=60, cold_factor=20, service_time_s=0.01)
 
 
 def test_flags_name_servers_and_shards():
-    """A process must host the shards that a test asks for."""
+    """Flags must give each server its shard, and wrong flags must fail.
+
+    A misread flag would start servers with other ranges than a test needs.
+    """
     template = BackendSpec('', '', connections=7)
     json = '[{"name":"c","service":"s","address":"127.0.0.1:0","shard":1,'
     json += '"switches":{"slots":2}}]'
@@ -259,7 +291,10 @@
 
 
 def test_host_controls_servers_that_do_not_listen():
-    """A crashed server must stay reachable for the switch that restarts it."""
+    """The host must control servers that do not listen after a crash.
+
+    A crashed server cannot be restarted over its own address.
+    """
 
     async def scenario():
         specs = [BackendSpec(name, 'lots') for name in 'ab']
@@ -296,7 +331,10 @@
     ],
 )
 def test_programs_start_and_stop(program, arguments):
-    """A flag that is misread must not go unnoticed."""
+    """The programs must start with their flags and stop on SIGTERM.
+
+    Settings from flags and from the environment must both be applied.
+    """
     module = f'boragespool.standins.{program}'
     environment = os.environ | {'BORAGESPOOL_SLOTS': '9'}
     with subprocess.Popen(
@@ -314,7 +352,11 @@
 
 
 def test_report_after_work_is_json():
-    """Counters by rank must not fail the report once work has run."""
+    """The report must be valid JSON once work has run.
+
+    The counters by rank have enumeration members as keys, which JSON does
+    not allow.
+    """
 
     async def scenario(server):
         status, _ = await send(server)
@@ -328,7 +370,10 @@
 
 
 def test_control_reports_the_runs_by_name():
-    """A test that counts runs from outside needs an answer it can read."""
+    """The report must have runs by the name of the rank and by claim id.
+
+    Tests in other processes count the runs by these names.
+    """
 
     async def scenario(server):
         await send(server, rank='urgent', kind='claim', body={'claim_id': 'x'})
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,4 +1,4 @@
-"""API towards callers."""
+"""Caller API: input checks, answers, refusals and reports."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 
 def send(api, method, target, body=None):
-    """Send one request; return status and decoded body."""
+    """Handle one request; return the status and the decoded body."""
     request = HttpRequest(method, target, encode_body(body))
     return decode_response(asyncio.run(api.handle(request)))
 
@@ -62,7 +62,11 @@
 
 @pytest.mark.parametrize(('body', 'code'), BAD_BODIES)
 def test_bad_queries_get_their_code(body, code):
-    """Bad input must get its number and must not reach a controller."""
+    """An invalid query must get its code and must not reach a controller.
+
+    Input that passes the checks by mistake would be run in part, or raise
+    an exception later.
+    """
     controllers = FakeControllers()
     status, refusal = send(make_api(controllers)[0], 'POST', '/v1/query', body)
     assert refusal['code'] == code
@@ -89,7 +93,7 @@
     ],
 )
 def test_bad_targets_get_their_code(method, target, code):
-    """A misspelt path or parameter must get a sentence, not a traceback."""
+    """A misspelt path or parameter must get its code, not an exception."""
     status, refusal = send(make_api(FakeControllers())[0], method, target)
     assert refusal['code'] == code
     assert 400 <= status < 500
@@ -97,7 +101,7 @@
 
 @pytest.mark.parametrize('ticket', ['', 'a b', 'é', 'x' * 600])
 def test_bad_tickets_do_not_reach_the_claim_controller(ticket):
-    """A ticket that nobody issued must not be recorded."""
+    """A ticket that no daemon can have issued must not be recorded."""
     controllers = FakeControllers()
     body = CLAIM | {'ticket': ticket}
     _, refusal = send(make_api(controllers)[0], 'POST', '/v1/claim', body)
@@ -122,17 +126,21 @@
         JSON,
         max_size=3,
     ),
-    cut=st.integers(0, 40),
+    length=st.integers(0, 40),
 )
-def test_any_input_gets_a_numbered_answer(changed, cut):
-    """No input may raise an exception in the daemon."""
+def test_any_input_gets_a_numbered_answer(changed, length):
+    """Any body, valid or truncated, must get a result code.
+
+    A value of an unexpected type would otherwise raise an exception in the
+    daemon.
+    """
     whole = encode_body(CLAIM | changed)
-    for raw in (whole, whole[:cut]):
+    for body in (whole, whole[:length]):
         status, answer = send(
             make_api(FakeControllers())[0],
             'POST',
             '/v1/claim',
-            raw,
+            body,
         )
         assert answer['code'] in set(ResultCode)
         assert status < 500
@@ -144,10 +152,13 @@
     deadline_ms=st.none() | st.floats(0.001, 1e6),
 )
 def test_callers_may_only_lower_rank_and_deadline(rank, deadline_ms):
-    """A caller must not get ahead of others by what it asks for."""
+    """A caller must not raise its rank or deadline above the route's.
+
+    It would get ahead of the other callers.
+    """
     controllers = FakeControllers()
-    asked = QUERY | {'rank': rank, 'deadline_ms': deadline_ms}
-    status, answer = send(make_api(controllers)[0], 'POST', '/v1/query', asked)
+    query = QUERY | {'rank': rank, 'deadline_ms': deadline_ms}
+    status, answer = send(make_api(controllers)[0], 'POST', '/v1/query', query)
     assert status == 200
     (request,) = controllers.requests
     is_lower = rank is Rank.DEFERRABLE
@@ -160,7 +171,11 @@
 
 
 def test_refusals_keep_run_state_and_retry_time():
-    """A refusal must pass on whether the work ran."""
+    """A refusal must state whether the claim ran and when to retry.
+
+    A caller that is told `not_run` for a claim that may have run would
+    claim a second time.
+    """
     controllers = FakeControllers(
         claim_results=[
             Failure(ResultCode.QUEUE_FULL, 'full', retry_after_s=2),
@@ -184,16 +199,19 @@
     assert send(api, 'GET', '/v1/claim/t-0')[1]['outcome'] == answer['outcome']
 
 
-def test_crossed_answer_is_not_passed_on():
-    """A caller must never see the answer to the request of another."""
+def test_answer_to_another_request_is_not_returned():
+    """An answer with the id of another request must not reach the caller."""
     api, _ = make_api(FakeControllers(wrong_request_id='other'))
     status, refusal = send(api, 'POST', '/v1/query', QUERY)
     assert (status, refusal['run']) == (500, 'unknown')
     assert 'items' not in refusal
 
 
-def test_fault_after_the_start_of_a_claim_is_unknown():
-    """An exception must not promise that the claim did not run."""
+def test_exception_in_a_claim_is_reported_as_unknown():
+    """An exception while a claim runs must be reported as `unknown`.
+
+    Reported as `not_run`, a claim that did run would be sent again.
+    """
 
     async def fail(request):
         raise ValueError(request)
@@ -209,7 +227,11 @@
 
 
 def test_load_counts_requests_in_flight():
-    """Addresses are chosen by load, which must fall back to 0."""
+    """The published load must count requests in flight and return to 0.
+
+    Daemons with less load are preferred, so a request that is cancelled but
+    still counted would keep callers away for ever.
+    """
 
     async def run():
         api, board = make_api(FakeControllers(delay_s=0.02))
@@ -225,7 +247,10 @@
 
 
 def test_leaving_daemon_serves_but_gives_no_tickets():
-    """Tickets of a daemon that leaves would outlive their issuer."""
+    """A leaving daemon must serve requests but issue no tickets.
+
+    A ticket is used after it was issued, when the daemon has left.
+    """
     controllers = FakeControllers(known_addresses=['127.0.0.1:9'])
     api, board = make_api(controllers)
     target = '/v1/addresses?tickets=2&count=1'
@@ -240,7 +265,11 @@
 
 
 def test_daemon_without_revision_is_not_ready():
-    """A daemon must not guess routes before it has a configuration."""
+    """A daemon without a configuration must refuse as not ready.
+
+    It knows no routes; an unknown-route error would tell callers that the
+    route does not exist.
+    """
     api, _ = make_api(FakeControllers(), Phase.STARTING, settings=None)
     for method, target, body in (
         ('POST', '/v1/query', QUERY),
@@ -252,8 +281,8 @@
     assert send(api, 'GET', '/v1/status')[1]['revision'] == 0
 
 
-def test_reports():
-    """Operators need revision, queues and counters of a daemon."""
+def test_status_and_metrics():
+    """Status must have revision, phase and queues, and metrics the counts."""
     api, _ = make_api(FakeControllers())
     _, status = send(api, 'GET', '/v1/status')
     assert (status['revision'], status['phase']) == (3, 'ready')
@@ -270,7 +299,11 @@
     ('path', 'body'), [('/v1/query', QUERY), ('/v1/claim', CLAIM)]
 )
 def test_refused_request_reaches_no_controller(path, body):
-    """A refusal for overload must cost less than an answer."""
+    """A request refused for overload must reach no controller.
+
+    A refusal has to cost less than an answer, so the next request on the
+    connection is deferred too.
+    """
     controllers = FakeControllers(refusal=OVERLOADED)
     api, _ = make_api(controllers)
     response = asyncio.run(
@@ -288,7 +321,10 @@
     ('waited_s', 'code'), [(0.49, 1001), (0.5, 1209), (0.7, 1209)]
 )
 def test_wait_in_the_daemon_counts_against_the_deadline(waited_s, code):
-    """Work whose caller has given up must not be run."""
+    """Time spent waiting in the daemon must count against the deadline.
+
+    Otherwise work would run whose caller has given up.
+    """
     controllers = FakeControllers()
     body = encode_body(QUERY | {'deadline_ms': 500})
     request = HttpRequest('POST', '/v1/query', body, waited_s=waited_s)
