--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -1,4 +1,4 @@
-"""Overload control of a daemon's event loop, in virtual time."""
+"""Overload control: admission by rank, controller and read limiter."""
 
 from __future__ import annotations
 
@@ -37,35 +37,45 @@
 WINDOW_S = 0.25
 CAPACITY_PER_S = 400
 COST_S = 1 / CAPACITY_PER_S
-REFUSAL_S = 0.001
+REFUSAL_COST_S = 0.001
 CONNECTIONS = 400
 DEADLINE_S = 2
 STEP_S = 0.005
 COUNTS = st.fixed_dictionaries({rank: st.integers(0, 5_000) for rank in Rank})
 
 
-class Loop:
-    """An event loop with callers that keep a bounded number of connections.
+class SimulatedLoop:
+    """Event loop in virtual time, with a bounded number of connections.
 
-    A request waits for the loop, then costs `COST_S` if it is admitted or
-    `REFUSAL_S`. A refused connection is deferred as by `ReadLimiter`.
+    A request waits for the loop and then takes `COST_S` if it is admitted,
+    else `REFUSAL_COST_S`. The next request on a connection whose last one
+    was refused is deferred, as by `ReadLimiter`.
+
+    Attributes
+    ----------
+    idle_connections : dict of Rank to int
+        Idle connections that are not deferred.
+    refused : Counter
+        Idle connections by rank whose last request was refused.
+    busy_s : float
+        Time for which the loop is busy with work that it has begun.
     """
 
     def __init__(self) -> None:
         self.admission = Admission()
         self.waiting = deque()
         self.deferred = deque()
-        self.fresh = dict.fromkeys(Rank, CONNECTIONS)
+        self.idle_connections = dict.fromkeys(Rank, CONNECTIONS)
         self.refused = Counter()
-        self.demand = Counter()
+        self.pending_arrivals = Counter()
         self.deferred_tokens = 0.0
         self.busy_s = 0.0
-        self.thinnings = {rank: RequestSampler() for rank in Rank}
+        self.samplers = {rank: RequestSampler() for rank in Rank}
         self.now_s = 0.0
         self.random = random.Random(1)
 
     def run(self, duration_s: float, per_s_by_rank) -> Counter:
-        """Offer load; return the admitted requests by rank."""
+        """Offer requests at a rate by rank; return those admitted by rank."""
         total = Counter()
         for _ in range(round(duration_s / WINDOW_S)):
             arrived, admitted, waits_s = Counter(), Counter(), [0.0]
@@ -81,15 +91,15 @@
     def _arrive(self, per_s_by_rank) -> None:
         deferred = []
         for rank, per_s in per_s_by_rank.items():
-            self.demand[rank] += per_s * STEP_S
-            count = int(self.demand[rank])
-            self.demand[rank] -= count
-            fresh = min(count, self.fresh[rank])
-            self.fresh[rank] -= fresh
-            self.waiting += [(self.now_s, rank)] * fresh
-            again = min(count - fresh, self.refused[rank])
-            self.refused[rank] -= again
-            deferred += [(self.now_s, rank)] * again
+            self.pending_arrivals[rank] += per_s * STEP_S
+            count = int(self.pending_arrivals[rank])
+            self.pending_arrivals[rank] -= count
+            sent = min(count, self.idle_connections[rank])
+            self.idle_connections[rank] -= sent
+            self.waiting += [(self.now_s, rank)] * sent
+            retried = min(count - sent, self.refused[rank])
+            self.refused[rank] -= retried
+            deferred += [(self.now_s, rank)] * retried
         self.random.shuffle(deferred)
         self.deferred += deferred
         self.deferred_tokens = min(
@@ -103,7 +113,7 @@
                 self.waiting.append((self.now_s, rank))
             else:
                 self.refused[rank] += 1
-                self.busy_s += REFUSAL_S
+                self.busy_s += REFUSAL_COST_S
 
     def _work(self, arrived, admitted, waits_s) -> None:
         self.busy_s = max(0, self.busy_s - STEP_S)
@@ -111,20 +121,23 @@
             since_s, rank = self.waiting.popleft()
             waits_s.append(self.now_s - since_s)
             arrived[rank] += 1
-            if self.thinnings[rank].admit(self.admission.share_by_rank[rank]):
+            if self.samplers[rank].admit(self.admission.share_by_rank[rank]):
                 admitted[rank] += 1
-                self.fresh[rank] += 1
+                self.idle_connections[rank] += 1
                 self.busy_s += COST_S
             else:
                 self.refused[rank] += 1
-                self.busy_s += REFUSAL_S
+                self.busy_s += REFUSAL_COST_S
 
 
 @pytest.mark.parametrize('flood', [Rank.ROUTINE, Rank.DEFERRABLE])
 @pytest.mark.parametrize('factor', [2, 5, 50])
 def test_urgent_work_gets_through_a_flood(flood, factor):
-    """A flood of lower work must not cost urgent work its admission."""
-    loop = Loop()
+    """A flood of a lower rank must not make the daemon refuse urgent work.
+
+    Refusals that ignore the rank hit urgent work in proportion.
+    """
+    loop = SimulatedLoop()
     load = {Rank.URGENT: 100, flood: factor * CAPACITY_PER_S}
     loop.run(5, load)
     admitted = loop.run(10, load)
@@ -133,8 +146,8 @@
 
 
 def test_other_ranks_keep_their_floor_in_a_flood_of_urgent_work():
-    """Urgent work must not starve the other ranks of this daemon."""
-    loop = Loop()
+    """A flood of urgent work must leave the other ranks their floors."""
+    loop = SimulatedLoop()
     load = {Rank.URGENT: 4_000, Rank.ROUTINE: 400, Rank.DEFERRABLE: 200}
     loop.run(5, load)
     admitted = loop.run(20, load)
@@ -146,8 +159,11 @@
 
 @pytest.mark.parametrize('normal_per_s', [60, 320])
 def test_admission_recovers_within_5_s_after_a_flood(normal_per_s):
-    """A daemon that goes on refusing after a flood has caused an outage."""
-    loop = Loop()
+    """Admission must return to normal within 5 s after a flood.
+
+    A limit that rises too slowly refuses normal load, an outage of its own.
+    """
+    loop = SimulatedLoop()
     loop.run(30, {Rank.URGENT: 20_000, Rank.ROUTINE: 20_000})
     loop.run(5, {Rank.ROUTINE: normal_per_s})
     assert loop.admission.share_by_rank == dict.fromkeys(Rank, 1)
@@ -156,7 +172,10 @@
 
 
 def test_late_loop_without_a_flood_refuses_nothing():
-    """A pause of the host must not refuse the few requests that came."""
+    """A late event loop must not lead to refusals below the minimum limit.
+
+    A pause of the host makes the loop late without any overload.
+    """
     arrived = {Rank.DEFERRABLE: int(MIN_LIMIT_PER_S * WINDOW_S)}
     admission = Admission()
     for _ in range(20):
@@ -172,10 +191,14 @@
     lateness_s=st.floats(0, 5),
 )
 def test_shares_keep_floors_and_order(arrived, limit_per_s, lateness_s):
-    """Floors are kept, nothing is idle, and lower ranks are refused first."""
+    """Admitted shares must keep the floors, use the limit and follow ranks.
+
+    Errors in the shares starve a rank, waste capacity, or refuse a higher
+    rank before a lower one.
+    """
     window = LoopWindow(WINDOW_S, lateness_s, arrived, arrived)
-    steady = {rank: count / WINDOW_S for rank, count in arrived.items()}
-    before = Admission(limit_per_s, expected_per_s_by_rank=steady)
+    expected_per_s = {rank: count / WINDOW_S for rank, count in arrived.items()}
+    before = Admission(limit_per_s, expected_per_s_by_rank=expected_per_s)
     after = next_admission(before, window, FLOORS)
     limit = after.limit_per_s * WINDOW_S
     admitted = {r: arrived[r] * after.share_by_rank[r] for r in Rank}
@@ -196,15 +219,18 @@
 
 @settings(derandomize=True)
 @given(share=st.floats(0, 1), count=st.integers(1, 400))
-def test_thinning_admits_the_share(share, count):
-    """Rounding must not turn a floor into nothing."""
-    thinning = RequestSampler()
-    admitted = sum(thinning.admit(share) for _ in range(count))
+def test_sampler_admits_the_share(share, count):
+    """A sampler must admit its share of any number of requests.
+
+    Rounded per request or window, a small share would admit none.
+    """
+    sampler = RequestSampler()
+    admitted = sum(sampler.admit(share) for _ in range(count))
     assert share * count - 1e-6 - 1 <= admitted <= share * count + 2
 
 
 def make_controller():
-    """Return a controller with its timers and blackboard."""
+    """Return a controller with its virtual timers and blackboard."""
     timers, board = VirtualTimers(), Blackboard()
     identity = Identity('h1', 5, 'north', 'r', '', '')
     context = Context(identity, board, timers, None, lambda: 0.5)
@@ -212,7 +238,10 @@
 
 
 def test_controller_refuses_while_requests_wait(caplog):
-    """Requests that wait must start refusals, and operators must see them."""
+    """Long waits must start refusals and end them, each with log events.
+
+    Only the lower rank is refused, and the number of events is bounded.
+    """
     controller, timers, board = make_controller()
     refused = Counter()
     with (
@@ -246,60 +275,71 @@
     assert 2 < len(shares) < 12
 
 
-class LateTimers(VirtualTimers):
-    """Fires each timer too late, as a busy event loop does."""
+class DelayedTimers(VirtualTimers):
+    """Timers that fire 0.1 s late, as in a busy event loop."""
 
     def after(self, delay_s, callback):
         return super().after(delay_s + 0.1, callback)
 
 
-@pytest.mark.parametrize('busy', [1, 0.5, 0.1])
-def test_controller_measures_how_late_its_timer_fires(busy):
-    """A loop is overloaded by its own work only, and by all kinds of it."""
-    timers = LateTimers()
+@pytest.mark.parametrize('cpu_share', [1, 0.5, 0.1])
+def test_controller_measures_how_late_its_timer_fires(cpu_share):
+    """Lateness must count only as far as the daemon used the processor.
+
+    On a host that is busy with other processes the loop is late as well,
+    but refusals would not help.
+    """
+    timers = DelayedTimers()
     controller, _, board = make_controller()
     controller._context = replace(controller._context, timers=timers)
-    controller._processor_s = lambda: busy * timers.now_s()
+    controller._processor_s = lambda: cpu_share * timers.now_s()
     with controller:
         for _ in range(20):
             for _ in range(40):
                 controller.refuse(Rank.ROUTINE)
             timers.advance(0.25)
-    assert board.read(ADMISSION).lateness_s == pytest.approx(0.1 * busy)
-    assert board.read(ADMISSION).is_limited is (busy > 0.2)
+    assert board.read(ADMISSION).lateness_s == pytest.approx(0.1 * cpu_share)
+    assert board.read(ADMISSION).is_limited is (cpu_share > 0.2)
 
 
 def test_read_limiter_yields_to_timers_and_peers():
-    """A burst of requests must not hold the loop until all are parsed."""
+    """At most 8 requests may be parsed in one iteration of the loop.
+
+    A burst that is parsed at once delays timers and messages of peers.
+    """
 
     async def run() -> None:
-        limiter, turns, passed = ReadLimiter(), [0], []
+        limiter, iterations, granted = ReadLimiter(), [0], []
 
         async def enter(number: int) -> None:
             await limiter.acquire(deferred=False)
-            passed.append((number, turns[0]))
+            granted.append((number, iterations[0]))
 
         tasks = [asyncio.create_task(enter(n)) for n in range(80)]
         tasks[50].cancel()
         while not all(task.done() for task in tasks):
             await asyncio.sleep(0)
-            turns[0] += 1
-        assert [n for n, _ in passed] == [n for n in range(80) if n != 50]
-        counts = Counter(turn for _, turn in passed)
+            iterations[0] += 1
+        assert [n for n, _ in granted] == [n for n in range(80) if n != 50]
+        counts = Counter(iteration for _, iteration in granted)
         assert max(counts.values()) <= 8
 
     asyncio.run(run())
 
 
 def test_read_limiter_defers_connections_that_were_refused():
-    """Refusals must not use up the loop when a large flood goes on."""
+    """Connections whose last request was refused must be rate-limited.
+
+    In a large flood their retries would use the whole event loop. Others
+    go first.
+    """
 
     async def run() -> None:
-        limiter, passed = ReadLimiter(), []
+        limiter, granted = ReadLimiter(), []
 
         async def enter(number: int) -> None:
             await limiter.acquire(deferred=number < 60)
-            passed.append(number)
+            granted.append(number)
 
         began_s = time.monotonic()
         await asyncio.gather(*map(enter, range(90)))
@@ -307,9 +347,9 @@
             time.monotonic() - began_s
             >= (60 - 8) / DEFERRED_REQUESTS_PER_S * 0.9
         )
-        refused = [number for number in passed if number < 60]
-        # The newest go first, as the oldest may have missed their deadlines.
+        refused = [number for number in granted if number < 60]
+        # The newest go first: the oldest may have missed their deadlines.
         assert refused == list(reversed(range(60)))
-        assert passed[60:] == list(reversed(range(30)))
+        assert granted[60:] == list(reversed(range(30)))
 
     asyncio.run(run())
--- a/tests/test_ranks.py
+++ b/tests/test_ranks.py
@@ -1,4 +1,4 @@
-"""Queue of one backend server by rank."""
+"""Scheduler of one backend server: ranks, floors, caps and refusals."""
 
 from __future__ import annotations
 
@@ -31,48 +31,48 @@
 
 
 def work(rank, caller='c', deadline_at_s=1e9, **options):
-    """Build work with a fresh attempt."""
+    """Return work with a new attempt id."""
     return QueuedWork(next(NAMES), rank, caller, deadline_at_s, **options)
 
 
 def offer_all(queue, rank, count, now_s=0, **options):
-    """Offer several pieces of work; return them."""
+    """Offer several pieces of work that must be accepted; return them."""
     offered = [work(rank, **options) for _ in range(count)]
     for each in offered:
         assert not queue.offer(each, now_s)
     return offered
 
 
-class Oracle:
-    """The rules without floors, on plain lists."""
+class ReferenceQueue:
+    """Reference implementation of the scheduler without floors, on lists."""
 
     def __init__(self, slots):
         self.slots = slots
-        self.turns = {rank: deque() for rank in Rank}
+        self.caller_order = {rank: deque() for rank in Rank}
         self.waiting = {rank: [] for rank in Rank}
         self.running = []
 
-    def push(self, new):
+    def enqueue(self, new):
         self.waiting[new.rank].append(new)
-        if new.caller not in self.turns[new.rank]:
-            self.turns[new.rank].append(new.caller)
+        if new.caller not in self.caller_order[new.rank]:
+            self.caller_order[new.rank].append(new.caller)
 
-    def offered(self, new, refused):
+    def record_offer(self, new, refused):
         if new not in refused:
-            self.push(new)
+            self.enqueue(new)
             for each in refused:
                 self.remove(each)
             return
-        # Only a caller with its fair share may be refused.
-        lane = self.waiting[new.rank]
-        own = sum(w.caller == new.caller for w in lane)
-        callers = {w.caller for w in lane} | {new.caller}
+        # Only a caller that has its fair share of the queue may be refused.
+        waiting = self.waiting[new.rank]
+        own = sum(w.caller == new.caller for w in waiting)
+        callers = {w.caller for w in waiting} | {new.caller}
         assert own >= 6 // len(callers)
 
     def remove(self, old):
         self.waiting[old.rank].remove(old)
         if not any(w.caller == old.caller for w in self.waiting[old.rank]):
-            self.turns[old.rank].remove(old.caller)
+            self.caller_order[old.rank].remove(old.caller)
 
     def below_cap(self, rank):
         held = sum(w.rank == rank for w in self.running)
@@ -85,20 +85,20 @@
             ranks.sort(key=lambda rank: not self.below_cap(rank))
             if not ranks:
                 break
-            caller = self.turns[ranks[0]][0]
+            caller = self.caller_order[ranks[0]][0]
             chosen = next(
                 w for w in self.waiting[ranks[0]] if w.caller == caller
             )
             self.remove(chosen)
-            if caller in self.turns[ranks[0]]:
-                self.turns[ranks[0]].rotate(-1)
+            if caller in self.caller_order[ranks[0]]:
+                self.caller_order[ranks[0]].rotate(-1)
             self.running.append(chosen)
             started.append(chosen)
         return started
 
 
 def random_operations(seed, count=150):
-    """Draw operations so that the queues are full part of the time."""
+    """Yield random operations that fill the queues part of the time."""
     draw = random.Random(seed)
     offers = draw.uniform(0.4, 0.8)
     for _ in range(count):
@@ -111,29 +111,35 @@
 
 @settings(derandomize=True, max_examples=100, deadline=None)
 @given(st.integers(), st.integers(1, 5))
-def test_choice_follows_the_oracle(seed, slots):
-    """Wrong order of ranks, caps, or callers' turns; lost or doubled work."""
-    queue, oracle = ServerQueue(slots, NO_FLOORS), Oracle(slots)
-    for now_s, (name, first, caller) in enumerate(random_operations(seed)):
-        if name == 'offer':
-            new = work(first, caller)
-            oracle.offered(new, [w.work for w in queue.offer(new, now_s)])
-        elif name == 'finish' and oracle.running:
-            done = oracle.running.pop(first % len(oracle.running))
+def test_schedule_matches_the_reference(seed, slots):
+    """The scheduler must agree with the reference after each operation.
+
+    Otherwise ranks, caps or the round-robin of callers are wrong, or work
+    is lost or started twice.
+    """
+    queue, reference = ServerQueue(slots, NO_FLOORS), ReferenceQueue(slots)
+    for now_s, (operation, argument, caller) in enumerate(random_operations(seed)):
+        if operation == 'offer':
+            new = work(argument, caller)
+            reference.record_offer(
+                new, [w.work for w in queue.offer(new, now_s)]
+            )
+        elif operation == 'finish' and reference.running:
+            done = reference.running.pop(argument % len(reference.running))
             assert queue.finish(done.attempt_id, now_s)
-        elif name == 'withdraw':
-            lane = [w for rank in Rank for w in oracle.waiting[rank]]
-            if lane:
-                gone = lane[first % len(lane)]
+        elif operation == 'withdraw':
+            waiting = [w for rank in Rank for w in reference.waiting[rank]]
+            if waiting:
+                gone = waiting[argument % len(waiting)]
                 assert queue.withdraw(gone.attempt_id) == gone
-                oracle.remove(gone)
-        assert list(queue.schedule(now_s).started) == oracle.schedule()
+                reference.remove(gone)
+        assert list(queue.schedule(now_s).started) == reference.schedule()
         for rank, counts in queue.counts_by_rank.items():
-            assert counts.waiting == len(oracle.waiting[rank]) <= 6
+            assert counts.waiting == len(reference.waiting[rank]) <= 6
 
 
-def saturate(queue, seconds, demand, service_s=lambda: 0.02):
-    """Keep the given ranks backlogged; return served slot seconds by rank."""
+def run_saturated(queue, seconds, demand, service_s=lambda: 0.02):
+    """Keep the given ranks waiting; return the slot time used by each, in s."""
     served = dict.fromkeys(Rank, 0)
     finishes = []
     now_s = 0
@@ -154,7 +160,11 @@
 @pytest.mark.parametrize('seed', range(3))
 @pytest.mark.parametrize('scale_s', (0.002, 0.02, 0.5))
 def test_floors_hold_in_a_flood_of_urgent_work(seed, scale_s):
-    """Urgent work must not starve other ranks, nor floors starve urgent."""
+    """Under urgent overload the other ranks must get their floors, no more.
+
+    Strict priority would starve the lower ranks, and floors that are applied
+    too generously would starve urgent work.
+    """
     draw = random.Random(seed)
 
     def service_s():
@@ -162,7 +172,7 @@
 
     queue = ServerQueue(5, FLOORS)
     seconds = 1_000 * scale_s
-    served = saturate(queue, seconds, Rank, service_s)
+    served = run_saturated(queue, seconds, Rank, service_s)
     share = {rank: served[rank] / (5 * seconds) for rank in Rank}
     assert share[ROUTINE] == pytest.approx(0.2, rel=0.1)
     assert share[DEFERRABLE] == pytest.approx(0.1, rel=0.1)
@@ -170,7 +180,10 @@
 
 
 def test_idle_slots_are_lent_and_taken_back():
-    """Idle slots must not be wasted, nor kept from entitled work."""
+    """Idle slots must be lent above a cap and be taken back when needed.
+
+    Otherwise slots stay idle, or urgent work waits for borrowed ones.
+    """
     queue = ServerQueue(5, FLOORS)
     deferrable = offer_all(queue, DEFERRABLE, 6)
     assert len(queue.schedule(0).started) == 5
@@ -185,7 +198,10 @@
 
 
 def test_only_cancellable_work_is_preempted():
-    """A running claim must never be cancelled to make room."""
+    """Work that is not cancellable, such as a claim, must not be pre-empted.
+
+    The newest cancellable work is pre-empted instead.
+    """
     queue = ServerQueue(5, FLOORS)
     offer_all(queue, DEFERRABLE, 4, cancellable=False)
     newest = offer_all(queue, DEFERRABLE, 1)
@@ -195,7 +211,11 @@
 
 
 def test_solo_work_runs_alone():
-    """A suspect must not take other work with it, nor wait for ever."""
+    """Solo work must run alone, and be started before later work.
+
+    It is suspected to crash the server, and other work would be lost with
+    it. If later work went first, it would never find all slots idle.
+    """
     queue = ServerQueue(3, FLOORS)
     first = offer_all(queue, URGENT, 1)
     queue.schedule(0)
@@ -210,7 +230,7 @@
 
 
 def test_late_work_expires_before_it_is_started():
-    """A slot must not go to work whose deadline passed."""
+    """Work past its deadline must be refused, not started."""
     queue = ServerQueue(1, FLOORS)
     offer_all(queue, URGENT, 1)
     queue.schedule(0)
@@ -225,8 +245,11 @@
     assert queue.next_expiry_s == 3
 
 
-def test_hopeless_work_is_refused_early():
-    """Work that will miss its deadline must not take queue space."""
+def test_work_that_would_be_late_is_refused_early():
+    """Work that is expected to miss its deadline must be refused at once.
+
+    In the queue it would only delay the refusal and take space.
+    """
     queue = ServerQueue(1, FLOORS)
     (first,) = offer_all(queue, URGENT, 1)
     queue.schedule(0)
@@ -240,7 +263,11 @@
 
 
 def test_idle_server_accepts_whatever_the_estimate_says():
-    """A slow past must not refuse all work, as no new sample would follow."""
+    """An idle server must accept work, whatever the estimated wait.
+
+    If one slow sample made the scheduler refuse all work, no new sample
+    would correct the estimate.
+    """
     queue = ServerQueue(1, FLOORS)
     (slow,) = offer_all(queue, URGENT, 1)
     queue.schedule(0)
@@ -249,7 +276,10 @@
 
 
 def test_one_caller_cannot_fill_a_queue():
-    """A greedy caller must leave room for others, even if it came first."""
+    """One caller must not fill the queue, even if it came first.
+
+    Without fair shares all other callers would be refused.
+    """
     queue = ServerQueue(1, NO_FLOORS)
     offer_all(queue, URGENT, 1, caller='first')
     queue.schedule(0)
@@ -265,7 +295,11 @@
 @settings(derandomize=True, max_examples=100, deadline=None)
 @given(st.integers(0, 6), st.integers(1, 5))
 def test_estimate_is_close_to_the_wait(queued, slots):
-    """A wrong estimate refuses good work or admits hopeless work."""
+    """The estimated wait must be within one service time of the real one.
+
+    A wrong estimate refuses work that would meet its deadline, or admits
+    work that will not.
+    """
     queue = ServerQueue(slots, NO_FLOORS)
     first = offer_all(queue, URGENT, slots)
     queue.schedule(0)
@@ -281,7 +315,10 @@
 
 
 def test_estimate_counts_the_slots_of_higher_ranks():
-    """Work behind a busy higher rank must not be admitted in vain."""
+    """The estimated wait must include the work of higher ranks.
+
+    Otherwise work of a lower rank is admitted and misses its deadline.
+    """
     queue = ServerQueue(5, NO_FLOORS)
     (first,) = offer_all(queue, ROUTINE, 1)
     queue.schedule(0)
