--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,4 +1,4 @@
-"""HTTP listener and client connection."""
+"""HTTP server and client connection: limits, drain and failures."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 
 
 async def echo(request: HttpRequest) -> HttpResponse:
-    """Answer with the request's body; some paths misbehave."""
+    """Return the body of the request; `/raise` fails, `/slow` takes 0.3 s."""
     if request.path == '/raise':
         raise ValueError('unexpected')
     if request.path == '/slow':
@@ -37,14 +37,14 @@
 
 
 @asynccontextmanager
-async def listening():
-    """Run the echo server."""
+async def run_echo_server():
+    """Run an HTTP server with `echo` as its handler."""
     async with HttpServer('127.0.0.1:0', LIMITS, echo) as server:
         yield server
 
 
 async def send_raw(address: str, raw: bytes) -> bytes:
-    """Send bytes and read until the server closes."""
+    """Send bytes; return all that the server sends until it closes."""
     host, port = address.split(':')
     reader, writer = await asyncio.open_connection(host, int(port))
     writer.write(raw)
@@ -73,10 +73,14 @@
 
 @pytest.mark.parametrize('raw', MALFORMED)
 def test_bad_input_gets_a_code(raw):
-    """Bad input must not hang the connection or show a traceback."""
+    """Malformed or too large requests must get their code as `not_run`.
+
+    Without an answer the caller waits for its timeout, and cannot know
+    whether the request was run.
+    """
 
     async def run() -> None:
-        async with listening() as server:
+        async with run_echo_server() as server:
             received = await send_raw(server.address, raw)
         body = msgspec.json.decode(received.split(b'\r\n\r\n', 1)[1])
         assert body['code'] == MALFORMED[raw]
@@ -85,11 +89,15 @@
     asyncio.run(run())
 
 
-def test_refusal_reaches_a_sender_that_goes_on():
-    """A reset of the connection must not destroy the refusal."""
+def test_refusal_reaches_a_caller_that_keeps_sending():
+    """A refusal must arrive though the caller is still sending.
+
+    If the server closes while bytes are unread, TCP resets the connection
+    and the caller loses the response.
+    """
 
     async def run() -> None:
-        async with listening() as server:
+        async with run_echo_server() as server:
             host, port = server.address.split(':')
             reader, writer = await asyncio.open_connection(host, int(port))
             writer.write(b'nonsense\r\n\r\n')
@@ -103,11 +111,15 @@
     asyncio.run(run())
 
 
-def test_handler_exception_is_hidden():
-    """A fault inside must not leak its traceback or promise `not_run`."""
+def test_handler_exception_is_not_exposed():
+    """An exception in the handler must not be sent to the caller.
+
+    The response must not state `not_run` either, as the request may have
+    been run in part.
+    """
 
     async def run() -> None:
-        async with listening() as server:
+        async with run_echo_server() as server:
             async with await open_connection(server.address, 1) as connection:
                 response = await connection.exchange(
                     HttpRequest('GET', '/raise'),
@@ -121,10 +133,10 @@
 
 
 def test_drain_finishes_requests_in_flight():
-    """A graceful stop must not cut a request that has arrived."""
+    """A graceful stop must answer the requests that have arrived."""
 
     async def run() -> None:
-        async with listening() as server:
+        async with run_echo_server() as server:
             connection = await open_connection(server.address, 1)
             idle = await open_connection(server.address, 1)
             running = asyncio.create_task(
@@ -141,11 +153,14 @@
     asyncio.run(run())
 
 
-def test_failure_tells_whether_a_byte_was_sent():
-    """A claim may be attempted again only if no byte was sent."""
+def test_failure_states_whether_a_byte_was_sent():
+    """A failure must state whether a byte of the request was sent.
+
+    Only if none was may a claim be attempted again.
+    """
 
     async def run() -> None:
-        async with listening() as server:
+        async with run_echo_server() as server:
             connection = await open_connection(server.address, 1)
             timed_out = await connection.exchange(
                 HttpRequest('GET', '/slow'),
@@ -160,12 +175,17 @@
 
 
 def test_connection_count_is_bounded():
-    """Callers must not exhaust the daemon's file descriptors."""
+    """Connections beyond the limit must be refused.
+
+    Otherwise callers exhaust the file descriptors of the daemon.
+    """
 
     async def run() -> None:
-        async with listening() as server:
-            held = [await open_connection(server.address, 1) for _ in '123']
-            assert held
+        async with run_echo_server() as server:
+            connections = [
+                await open_connection(server.address, 1) for _ in '123'
+            ]
+            assert connections
             received = await send_raw(server.address, b'')
         assert str(int(ResultCode.TOO_MANY_CONNECTIONS)).encode() in received
 
@@ -180,8 +200,11 @@
         (b'nonsense\r\n\r\n', 'malformed'),
     ],
 )
-def test_close_before_the_response_is_told_from_noise(answer, kind):
-    """A lost server must not look like one that writes bad HTTP."""
+def test_closed_and_malformed_responses_are_distinguished(answer, kind):
+    """A closed connection must be distinguished from malformed HTTP.
+
+    A server that was lost would be reported as one with a protocol error.
+    """
 
     async def reply(reader, writer):
         await reader.read(1_000)
--- a/tests/test_http_failures.py
+++ b/tests/test_http_failures.py
@@ -1,4 +1,4 @@
-"""HTTP listener, connection and pool when the other end fails."""
+"""HTTP server, connection and pool when the peer fails."""
 
 from __future__ import annotations
 
@@ -31,11 +31,14 @@
     idle_timeout_s=0.5,
 )
 LARGE_BYTES = 20_000_000
-ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n'
+RESPONSE_HEAD = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n'
 
 
-async def answer(request: HttpRequest) -> HttpResponse:
-    """Echo the body after the delay that the path names in milliseconds."""
+async def echo(request: HttpRequest) -> HttpResponse:
+    """Return the body after the delay in the path, in milliseconds.
+
+    The path `/large` returns `LARGE_BYTES` at once.
+    """
     if request.path == '/large':
         return HttpResponse(200, b'x' * LARGE_BYTES)
     await asyncio.sleep(float(request.path[1:] or 0) / 1_000)
@@ -43,10 +46,10 @@
 
 
 def with_server(scenario):
-    """Run a scenario with a listener."""
+    """Run a coroutine function with an HTTP server."""
 
     async def run():
-        async with HttpServer('127.0.0.1:0', LIMITS, answer) as server:
+        async with HttpServer('127.0.0.1:0', LIMITS, echo) as server:
             return await scenario(server)
 
     return asyncio.run(run())
@@ -54,7 +57,7 @@
 
 @asynccontextmanager
 async def raw_server(*answers: bytes, close=True):
-    """Answer each received chunk with the next raw bytes, then close."""
+    """Respond to each received chunk with the next raw bytes, then close."""
 
     async def serve(reader, writer):
         for raw in answers:
@@ -71,7 +74,7 @@
         yield f'{host}:{port}'
 
 
-PLANS = st.lists(
+EXCHANGES = st.lists(
     st.tuples(
         st.sampled_from([0, 5, 30]),
         st.sampled_from([0.015, 1]),
@@ -83,9 +86,13 @@
 
 
 @settings(derandomize=True, deadline=None, max_examples=25)
-@given(plans=PLANS, seed=st.integers(0, 9))
-def test_late_and_cancelled_exchanges_never_cross(plans, seed):
-    """A reused connection must not deliver the answer to another request."""
+@given(plans=EXCHANGES, seed=st.integers(0, 9))
+def test_late_and_cancelled_exchanges_are_not_mixed_up(plans, seed):
+    """A reused connection must not return the answer to another request.
+
+    After a timeout or a cancellation the late answer is still on its way on
+    the connection.
+    """
 
     async def scenario(server):
         draw = random.Random(seed)
@@ -124,8 +131,11 @@
         (b'', 'closed'),
     ],
 )
-def test_answers_cut_short_count_as_sent(raw, kind):
-    """A request whose answer was cut may have been executed."""
+def test_truncated_responses_count_as_sent(raw, kind):
+    """A failure with a truncated response must count as sent.
+
+    The request may have been run, and must not be sent again as new.
+    """
 
     async def run():
         async with (
@@ -142,14 +152,18 @@
 
 
 def test_bytes_between_exchanges_end_the_connection():
-    """A late second answer must not be read as that of the next request."""
+    """Bytes received between two exchanges must end the connection.
+
+    A second response to the first request would be read as the response to
+    the next one.
+    """
 
     async def run():
         async def serve(reader, writer):
             await reader.read(65_536)
-            writer.write(ANSWER + b'a1')
+            writer.write(RESPONSE_HEAD + b'a1')
             await asyncio.sleep(0.05)
-            writer.write(ANSWER + b'a2')
+            writer.write(RESPONSE_HEAD + b'a2')
             await reader.read(65_536)
 
         server = await asyncio.start_server(serve, '127.0.0.1', 0)
@@ -167,12 +181,17 @@
 
 
 def test_second_answer_is_not_taken_for_the_next_request():
-    """A server that answers twice must not shift all later answers."""
+    """A second response must not be returned for the next request.
+
+    It would shift all later responses on the connection by one.
+    """
 
     async def run():
-        twice = ANSWER + b'a1' + ANSWER + b'a2'
+        two_responses = RESPONSE_HEAD + b'a1' + RESPONSE_HEAD + b'a2'
         async with (
-            raw_server(twice, ANSWER + b'b1', close=False) as address,
+            raw_server(
+                two_responses, RESPONSE_HEAD + b'b1', close=False
+            ) as address,
             ConnectionPool(1) as pool,
         ):
             first = await pool.exchange(address, HttpRequest('GET', '/a'), 1)
@@ -186,7 +205,10 @@
 
 
 def test_idle_connection_closed_by_the_server_is_replaced():
-    """A claim must not be lost to a connection that was closed while idle."""
+    """A connection that the server closed while idle must be replaced.
+
+    A claim sent on it would be lost.
+    """
 
     async def scenario(server):
         async with ConnectionPool(1) as pool:
@@ -203,19 +225,22 @@
     with_server(scenario)
 
 
-def test_slow_sender_is_cut_and_does_not_delay_others():
-    """Senders of single bytes must not hold connections for ever."""
+def test_slow_sender_is_disconnected_and_does_not_delay_others():
+    """A caller that sends single bytes must be disconnected.
+
+    It would hold a connection for ever. Others must not be delayed.
+    """
 
     async def scenario(server):
         host, port = server.address.split(':')
         reader, writer = await asyncio.open_connection(host, int(port))
 
-        async def drip():
+        async def send_slowly():
             for byte in b'POST / HTTP/1.1\r\nhost: x\r\n' * 9:
                 writer.write(bytes([byte]))
                 await asyncio.sleep(0.02)
 
-        dripping = asyncio.create_task(drip())
+        sending = asyncio.create_task(send_slowly())
         async with ConnectionPool(1) as pool:
             response = await pool.exchange(
                 server.address,
@@ -224,15 +249,18 @@
             )
             assert response.body == b'quick'
         received = await asyncio.wait_for(reader.read(), 2)
-        dripping.cancel()
+        sending.cancel()
         writer.close()
         assert b' 408 ' in received
 
     with_server(scenario)
 
 
-def test_slow_reader_is_cut():
-    """A caller that does not read must not hold up a graceful stop."""
+def test_slow_reader_is_disconnected():
+    """A caller that does not read its response must be disconnected.
+
+    A graceful stop would wait for it until its timeout.
+    """
 
     async def scenario(server):
         host, port = server.address.split(':')
@@ -248,7 +276,7 @@
 
 
 def test_pipelined_requests_are_answered_in_order():
-    """Two requests in one packet must each get their own answer."""
+    """Pipelined requests must each get their own response, in order."""
 
     async def scenario(server):
         host, port = server.address.split(':')
@@ -265,7 +293,10 @@
 
 
 def test_cancelled_exchange_closes_its_connection():
-    """The late answer to a cancelled request must have no way to arrive."""
+    """A cancelled exchange must close its connection.
+
+    Its late response would be read as the response to the next request.
+    """
 
     async def scenario(server):
         connection = await open_connection(server.address, 1)
@@ -281,8 +312,11 @@
     with_server(scenario)
 
 
-def test_pool_bounds_exchanges_and_tells_that_nothing_was_sent():
-    """Waiting for a connection must not count as a sent request."""
+def test_pool_limits_exchanges_and_states_that_nothing_was_sent():
+    """A request that timed out waiting for a connection must be unsent.
+
+    Counted as sent, it could not be attempted at another server.
+    """
 
     async def scenario(server):
         async with ConnectionPool(1) as pool:
@@ -302,12 +336,16 @@
 
 
 @pytest.mark.parametrize('fault', ['silence', 'cut'])
-def test_claim_over_a_link_that_fails_after_the_start(fault):
-    """A claim on a silent or cut link must be resent under its ticket."""
+def test_claim_is_resent_after_its_connection_fails(fault):
+    """A claim must be resent with its ticket when its connection fails.
+
+    The connection is reset or loses all data after the claim was sent. With
+    a new ticket the claim could run twice.
+    """
 
     async def run():
         async with World(2) as world:
-            # The first daemon is reached through the relay only.
+            # The first daemon is reachable only through the relay.
             direct = world.daemons[1].server.address
             async with Relay(world.daemons[0].server.address) as relay:
                 world.daemons[0].addresses = lambda *_: (relay.address, direct)
@@ -315,9 +353,9 @@
                 async with Client(options, lambda: 0.0) as client:
                     await client.query('lookup', {}, 1)
                     getattr(relay, fault)()
-                    settled = await client.claim('unlock', {'name': 'a'}, 1)
-                    assert isinstance(settled, ClaimResult)
-        assert settled.run is RunState.RUN
+                    result = await client.claim('unlock', {'name': 'a'}, 1)
+                    assert isinstance(result, ClaimResult)
+        assert result.run is RunState.RUN
         assert world.runs_by_name == {'a': 1}
         assert len(world.sent_tickets) == 1
 
--- a/tests/test_ranks.py
+++ b/tests/test_ranks.py
@@ -118,7 +118,9 @@
     is lost or started twice.
     """
     queue, reference = ServerQueue(slots, NO_FLOORS), ReferenceQueue(slots)
-    for now_s, (operation, argument, caller) in enumerate(random_operations(seed)):
+    for now_s, (operation, argument, caller) in enumerate(
+        random_operations(seed)
+    ):
         if operation == 'offer':
             new = work(argument, caller)
             reference.record_offer(
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,4 +1,4 @@
-"""Changes that one daemon reads for others, and when they are believed."""
+"""Change feeds between daemons: contents, age, fallbacks and watches."""
 
 from __future__ import annotations
 
@@ -41,10 +41,10 @@
 from boragespool.results import Failure, ResultCode
 from boragespool.timers import LoopTimers, VirtualTimers
 
-AWAY = Failure(ResultCode.STORE_UNAVAILABLE, 'away')
+UNAVAILABLE = Failure(ResultCode.STORE_UNAVAILABLE, 'away')
 
 
-def state(revision, read_at_s=0, returned_at_s=-math.inf):
+def mirror_state(revision, read_at_s=0, returned_at_s=-math.inf):
     return MirrorState({}, frozenset(), revision, returned_at_s, read_at_s)
 
 
@@ -53,39 +53,49 @@
 
 
 def test_feed_returns_what_changed_after_a_revision():
-    """A daemon that reads on must miss no change and no removal."""
+    """A feed must return every change and removal after a revision.
+
+    A daemon reads on from its last revision; a change that the feed leaves
+    out would never reach it.
+    """
 
     async def scenario():
         feed = ChangeFeed(VirtualTimers())
         assert isinstance(feed.read(None), HistoryLost)
         first, second = item('a', 3), item('b', 5)
-        feed.publish({'a': first}, state(3))
-        feed.publish({'b': second}, state(5))
-        feed.publish({'a': None}, state(7))
-        feed.publish({}, state(9))
-        everything = feed.read(None)
-        assert (everything.items, everything.revision) == ((second,), 9)
-        part = feed.read(3)
-        assert part.items == (second,)
-        assert part.removals == (Removal('a', 7),)
-        nothing = feed.read(9)
-        assert not nothing.items + nothing.removals
+        feed.publish({'a': first}, mirror_state(3))
+        feed.publish({'b': second}, mirror_state(5))
+        feed.publish({'a': None}, mirror_state(7))
+        feed.publish({}, mirror_state(9))
+        complete = feed.read(None)
+        assert (complete.items, complete.revision) == ((second,), 9)
+        changes = feed.read(3)
+        assert changes.items == (second,)
+        assert changes.removals == (Removal('a', 7),)
+        unchanged = feed.read(9)
+        assert not unchanged.items + unchanged.removals
 
     asyncio.run(scenario())
 
 
 def test_feed_tells_the_age_of_the_read():
-    """Daemons that read from each other must not renew an old state."""
+    """The age of a state must grow while it is passed between daemons.
+
+    If each daemon restarted the age, daemons that read from each other
+    would keep an outdated state for ever.
+    """
 
     async def scenario():
         timers = VirtualTimers()
         feed = ChangeFeed(timers)
-        feed.publish({}, state(3, read_at_s=0))
+        feed.publish({}, mirror_state(3, read_at_s=0))
         timers.advance(4)
-        part = feed.read(None)
-        assert part.age_s == 4
+        changes = feed.read(None)
+        assert changes.age_s == 4
         other = ChangeFeed(timers)
-        other.publish({}, state(3, read_at_s=timers.now_s() - part.age_s))
+        other.publish(
+            {}, mirror_state(3, read_at_s=timers.now_s() - changes.age_s)
+        )
         timers.advance(3)
         assert other.read(None).age_s == 7
         feed.mark_read()
@@ -94,13 +104,17 @@
     asyncio.run(scenario())
 
 
-def test_feed_forgets_old_removals_openly():
-    """A daemon that is too far behind has to read everything."""
+def test_feed_reports_lost_removals():
+    """A feed must report when it no longer has all removals.
+
+    It keeps a bounded number of them. A daemon that is further behind would
+    keep the removed items; it has to read everything again.
+    """
 
     async def scenario():
         feed = ChangeFeed(VirtualTimers())
         for revision in range(2, 2_100):
-            feed.publish({str(revision): None}, state(revision))
+            feed.publish({str(revision): None}, mirror_state(revision))
         assert isinstance(feed.read(2), HistoryLost)
         assert isinstance(feed.read(2_090), PrefixChanges)
 
@@ -108,17 +122,17 @@
 
 
 class FakeStore:
-    """Store whose answers a test sets."""
+    """Store whose responses the test sets."""
 
     def __init__(self):
-        self.page = AWAY
-        self.events = AWAY
+        self.page = UNAVAILABLE
+        self.events = UNAVAILABLE
         self.calls = 0
-        self.stale = []
+        self.may_be_stale_flags = []
 
     async def read_page(self, prefix, after='', *, may_be_stale=False):
         self.calls += 1
-        self.stale.append(may_be_stale)
+        self.may_be_stale_flags.append(may_be_stale)
         return self.page
 
     async def watch(self, prefix, after_revision, wait_s):
@@ -126,13 +140,13 @@
         return self.events
 
 
-class Peer:
-    """Another daemon that serves one feed."""
+class FeedServer:
+    """Daemon that serves change feeds and counts the requests."""
 
     def __init__(self, feed, **feeds):
         self.feeds_by_prefix = {'p/': feed} | feeds
         self.address = '127.0.0.1:0'
-        self.asked = 0
+        self.request_count = 0
 
     async def __aenter__(self):
         self._server = HttpServer(self.address, HttpLimits(), self._handle)
@@ -145,29 +159,35 @@
 
     async def _handle(self, request):
         assert request.path == FEED_PATH
-        self.asked += 1
+        self.request_count += 1
         return await handle_feed_request(self.feeds_by_prefix, request, 1)
 
 
-def relayed(store, *, reader=None, others=(), oldest_s=1.0):
+def open_source(store, *, reader=None, others=(), max_age_s=1.0):
     options = RelayOptions(
-        lambda: reader, lambda: tuple(others), oldest_s, oldest_s, 1
+        lambda: reader, lambda: tuple(others), max_age_s, max_age_s, 1
     )
     return RelayedSource(store, options)
 
 
 @pytest.mark.parametrize('age_s', [0, 5])
 def test_reader_is_used_unless_its_state_is_old(age_s):
-    """Changes must not stay hidden behind a reader that the store cut off."""
+    """The reader must be used unless its state is too old.
+
+    A reader that lost the store would hide changes; then the store is read
+    directly.
+    """
 
     async def scenario():
         timers = LoopTimers()
         feed = ChangeFeed(timers)
-        feed.publish({'p/a': item('p/a', 4)}, state(4, timers.now_s() - age_s))
+        feed.publish(
+            {'p/a': item('p/a', 4)}, mirror_state(4, timers.now_s() - age_s)
+        )
         store = FakeStore()
         store.events = ItemEvents((item('p/b', 6),), 6)
-        async with Peer(feed) as peer:
-            async with relayed(store, reader=peer.address) as source:
+        async with FeedServer(feed) as peer:
+            async with open_source(store, reader=peer.address) as source:
                 answer = await source.watch('p/', 3, 1)
         keys = [event.key for event in answer.events]
         assert keys == (['p/b'] if age_s else ['p/a'])
@@ -176,85 +196,95 @@
     asyncio.run(scenario())
 
 
-def test_silent_reader_is_passed_over():
-    """A paused reader delays a change by less than a second and a half."""
+def test_silent_reader_is_skipped():
+    """A reader that does not respond must delay a change by at most 1.5 s.
+
+    After the first timeout it is skipped, and the store is read at once.
+    """
 
     async def scenario():
         store = FakeStore()
         store.events = ItemEvents((item('p/b', 6),), 6)
 
-        async def hang(reader, writer):
+        async def never_respond(reader, writer):
             await asyncio.sleep(3600)
 
-        server = await asyncio.start_server(hang, '127.0.0.1', 0)
+        server = await asyncio.start_server(never_respond, '127.0.0.1', 0)
         host, port = server.sockets[0].getsockname()
         loop = asyncio.get_running_loop()
-        async with relayed(store, reader=f'{host}:{port}') as source:
-            for longest_s in (1.5, 0.1):
+        async with open_source(store, reader=f'{host}:{port}') as source:
+            for max_duration_s in (1.5, 0.1):
                 began_s = loop.time()
                 answer = await source.watch('p/', 3, 1)
                 assert answer.revision == 6
-                assert loop.time() - began_s < longest_s
+                assert loop.time() - began_s < max_duration_s
         server.close()
 
     asyncio.run(scenario())
 
 
 def test_watches_share_one_exchange_and_end_with_the_first_change():
-    """Followers cost one exchange for each wait, however many prefixes."""
+    """Watches of several prefixes must share one exchange.
+
+    The first change of any prefix ends it for all. Separate exchanges would
+    multiply the requests between daemons.
+    """
 
     async def scenario():
         timers = LoopTimers()
         feeds_by_prefix = {name: ChangeFeed(timers) for name in 'pqr'}
         for name, feed in feeds_by_prefix.items():
-            feed.publish({name: item(name, 4)}, state(4, timers.now_s()))
+            feed.publish({name: item(name, 4)}, mirror_state(4, timers.now_s()))
         p_feed = feeds_by_prefix.pop('p')
         loop = asyncio.get_running_loop()
-        async with Peer(p_feed, **feeds_by_prefix) as peer:
-            rounds = FeedClient(wait_s=0.5)
+        async with FeedServer(p_feed, **feeds_by_prefix) as peer:
+            client = FeedClient(wait_s=0.5)
             watches = [
-                asyncio.ensure_future(rounds.watch(peer.address, name, 4))
+                asyncio.ensure_future(client.watch(peer.address, name, 4))
                 for name in ('p/', 'q', 'r')
             ]
             await asyncio.sleep(0.1)
-            late = asyncio.ensure_future(rounds.watch(peer.address, 'p/', 4))
+            later = asyncio.ensure_future(client.watch(peer.address, 'p/', 4))
             began_s = loop.time()
             feeds_by_prefix['q'].publish(
-                {'q2': item('q2', 6)}, state(6, timers.now_s())
+                {'q2': item('q2', 6)}, mirror_state(6, timers.now_s())
             )
-            parts = await asyncio.gather(*watches)
+            all_changes = await asyncio.gather(*watches)
             assert loop.time() - began_s < 0.2
-            assert [part.items for part in parts] == [
+            assert [changes.items for changes in all_changes] == [
                 (),
                 (item('q2', 6),),
                 (),
             ]
-            # A watch that came later waits no longer than those before it.
-            part = await late
-            assert (part.items, peer.asked) == ((), 2)
+            # The later watch ends with the wait of the earlier ones.
+            changes = await later
+            assert (changes.items, peer.request_count) == ((), 2)
             assert loop.time() - began_s < 0.5
-            lost = await rounds.watch(peer.address, 'r', -3)
+            lost = await client.watch(peer.address, 'r', -3)
             assert isinstance(lost, str)
-            await rounds.__aexit__()
+            await client.__aexit__()
 
     asyncio.run(scenario())
 
 
 def test_incomplete_answer_ends_the_watch():
-    """A watch must not wait for ever for a part that does not come."""
+    """A response without the requested prefix must fail the watch.
+
+    Otherwise the watch would wait for ever.
+    """
 
     async def scenario():
         async def answer(request):
             return HttpResponse(200, msgspec.msgpack.encode([]))
 
         async with HttpServer('127.0.0.1:0', HttpLimits(), answer) as server:
-            rounds = FeedClient(wait_s=0.2)
+            client = FeedClient(wait_s=0.2)
             async with asyncio.timeout(2):
-                part = await rounds.watch(server.address, 'p/', 4)
-                assert isinstance(part, str)
-                part = await rounds.read(server.address, 'p/')
-                assert isinstance(part, str)
-            await rounds.__aexit__()
+                changes = await client.watch(server.address, 'p/', 4)
+                assert isinstance(changes, str)
+                changes = await client.read(server.address, 'p/')
+                assert isinstance(changes, str)
+            await client.__aexit__()
 
     asyncio.run(scenario())
 
@@ -262,8 +292,8 @@
 @pytest.mark.parametrize(
     'query', ['prefix=x&after=1', 'prefix=p/&after=z', 'prefix=p/&after=1,2']
 )
-def test_questions_of_feeds_are_checked(query):
-    """A malformed question must not end the connection without an answer."""
+def test_feed_request_parameters_are_checked(query):
+    """Malformed parameters must get a 4xx response, not an exception."""
 
     async def scenario():
         feeds = {'p/': ChangeFeed(LoopTimers())}
@@ -273,47 +303,53 @@
     assert asyncio.run(scenario()) in {400, 404}
 
 
-def test_others_are_asked_only_while_the_store_is_away():
-    """A daemon that the store turns away learns from its peers."""
+def test_others_are_read_only_while_the_store_is_unavailable():
+    """Other daemons must be read while the store is unavailable, not after.
+
+    Once it is back, their states may be older than the store.
+    """
 
     async def scenario():
         timers = LoopTimers()
         feed = ChangeFeed(timers)
-        feed.publish({'p/a': item('p/a', 4)}, state(4, timers.now_s()))
+        feed.publish({'p/a': item('p/a', 4)}, mirror_state(4, timers.now_s()))
         store = FakeStore()
-        async with Peer(feed) as peer:
+        async with FeedServer(feed) as peer:
             others = ['127.0.0.1:9', peer.address]
-            async with relayed(store, others=others) as source:
+            async with open_source(store, others=others) as source:
                 page = await source.read_page('p/')
                 assert [entry.key for entry in page.items] == ['p/a']
                 store.page = ItemPage((), 9, truncated=False)
-                asked = peer.asked
+                request_count = peer.request_count
                 assert (await source.read_page('p/')).revision == 9
-                assert peer.asked == asked
+                assert peer.request_count == request_count
 
     asyncio.run(scenario())
 
 
 def test_mirror_survives_a_fault_in_its_callback():
-    """A fault in one change must not end the reading of later ones."""
+    """An exception in the callback must not end the mirror.
+
+    Later changes would never be read.
+    """
 
     async def scenario():
         store = FakeStore()
         store.page = ItemPage((item('p/a', 2),), 2, truncated=False)
         store.events = ItemEvents((item('p/b', 3),), 3)
-        seen = []
+        key_sets = []
 
-        def take(taken):
-            seen.append(set(taken.items_by_key))
-            if len(seen) == 1:
+        def on_state(mirrored):
+            key_sets.append(set(mirrored.items_by_key))
+            if len(key_sets) == 1:
                 raise ValueError('fault')
 
         options = MirrorOptions('p/', 0.01, 0.01)
-        async with PrefixMirror(store, LoopTimers(), options, take):
+        async with PrefixMirror(store, LoopTimers(), options, on_state):
             async with asyncio.timeout(2):
-                while len(seen) < 2:
+                while len(key_sets) < 2:
                     await asyncio.sleep(0.01)
-        assert seen[1] == {'p/a', 'p/b'}
+        assert key_sets[1] == {'p/a', 'p/b'}
 
     asyncio.run(scenario())
 
@@ -331,11 +367,12 @@
     return MirrorState(items, keys, revision, returned_at_s, read_at_s)
 
 
-def test_lapsed_entries_are_told_at_once_and_told_again():
-    """Daemons that read through this one must learn of every lapse.
+def test_expired_entries_are_published_at_once_and_again():
+    """Feeds must have each expired registration at once and each time.
 
-    A lapse that is told only after the grace would carry a revision that the
-    others have already seen, and would be missed.
+    The daemon itself uses the server for a grace time. A removal published
+    only after that time would have a revision that the other daemons have
+    already read, and they would miss it.
     """
 
     async def scenario():
@@ -366,8 +403,8 @@
         assert lapsed.removals == (Removal('servers/i-a', 8),)
         assert 'i-a' in board.read(REGISTRATIONS)
         registry.apply_state(registry_state(entry_item(9), 9, 10, 10))
-        back = registry.feed.read(8)
-        assert [item.key for item in back.items] == ['servers/i-a']
+        restored = registry.feed.read(8)
+        assert [item.key for item in restored.items] == ['servers/i-a']
         registry.apply_state(registry_state(None, 11, 10, 10))
         timers.advance(3)
         assert ['i-a' in known for known in posted] == [True, True, False]
@@ -376,23 +413,26 @@
 
 
 def test_lost_history_is_not_read_from_a_stale_copy():
-    """After a gap a stale page could hide the changes in the gap."""
+    """After a lost history the mirror must not accept a stale page.
+
+    A stale page can be from before the changes that were missed.
+    """
 
     async def scenario():
         store = FakeStore()
         store.page = ItemPage((item('p/a', 2),), 2, truncated=False)
         store.events = HistoryLost()
-        seen = asyncio.Event()
+        has_read_often = asyncio.Event()
         options = MirrorOptions('p/', 0.01, 0.01)
 
-        def take(_):
-            if len(store.stale) > 2:
-                seen.set()
+        def on_state(_):
+            if len(store.may_be_stale_flags) > 2:
+                has_read_often.set()
 
-        async with PrefixMirror(store, LoopTimers(), options, take):
+        async with PrefixMirror(store, LoopTimers(), options, on_state):
             async with asyncio.timeout(2):
-                await seen.wait()
-        assert store.stale[0]
-        assert not any(store.stale[1:])
+                await has_read_often.wait()
+        assert store.may_be_stale_flags[0]
+        assert not any(store.may_be_stale_flags[1:])
 
     asyncio.run(scenario())
