--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -1,4 +1,4 @@
-"""A daemon on the platform, against stand-ins that speak its protocol."""
+"""Daemons on the platform, with stand-ins for its store and servers."""
 
 from __future__ import annotations
 
@@ -21,15 +21,15 @@
 SHARDS = ['s-0', 's-1', 's-2']
 
 
-async def one_server(cluster):
-    """Serve one backend server behind one route; return a daemon."""
+async def start_with_one_server(cluster):
+    """Start a backend server, a route to it and a daemon; return the daemon."""
     await cluster.serve('one', 'i-a', body=b'answer')
     cluster.configure(route(service='one'))
     return await cluster.start()
 
 
-async def three_shards(cluster, replicas=1, **fields):
-    """Serve three shards with one record each and a route over them."""
+async def serve_three_shards(cluster, replicas=1, **fields):
+    """Start servers of three shards with two records each, and their route."""
     for number, shard in enumerate(SHARDS):
         for replica in range(replicas):
             await cluster.serve(
@@ -41,10 +41,14 @@
 
 
 def test_gather_merges_the_greatest_records():
-    """An answer holds the greatest records and names its parts."""
+    """An answer must have the greatest records of all shards.
+
+    The fields of the answer name the server of each shard and the number of
+    missing shards; without them a partial answer looks complete.
+    """
 
     async def scenario(cluster):
-        await three_shards(cluster)
+        await serve_three_shards(cluster)
         daemon = await cluster.start()
         answer = await send(daemon, request_id='q1', request_timeout_ms=1500)
         assert answer.status == 200
@@ -57,7 +61,10 @@
 
 
 def test_backend_gets_the_request_unchanged():
-    """Method, target, body and header fields arrive as the caller sent them."""
+    """The server must get method, target, header fields and body unchanged.
+
+    Decoding the target or dropping a field would change what is run.
+    """
 
     async def scenario(cluster):
         server = await cluster.serve('one', 'i-a', body=b'answer')
@@ -87,10 +94,13 @@
 
 
 def test_late_shard_is_left_out_at_the_target_latency():
-    """A shard that does not answer must not make the whole answer late."""
+    """A silent shard must be left out at the target latency.
+
+    Otherwise the whole answer waits for it until the deadline.
+    """
 
     async def scenario(cluster):
-        await three_shards(cluster)
+        await serve_three_shards(cluster)
         cluster.servers['i-2-0'].modes = ['silent']
         daemon = await cluster.start()
         loop = asyncio.get_running_loop()
@@ -108,11 +118,15 @@
     'mode',
     ['reset', 'truncated', 'garbage', 'error', 'unframed-reset', 'encoded'],
 )
-def test_failed_part_is_asked_again_elsewhere(mode):
-    """A reply that is no part must be replaced by that of another replica."""
+def test_failed_shard_request_is_retried_at_another_replica(mode):
+    """A failed or unusable response must be retried at another replica.
+
+    Otherwise the shard is missing from the answer though a replica is
+    healthy.
+    """
 
     async def scenario(cluster):
-        await three_shards(cluster, replicas=2)
+        await serve_three_shards(cluster, replicas=2)
         for number in range(3):
             cluster.servers[f'i-{number}-0'].modes = [mode]
         daemon = await cluster.start()
@@ -128,8 +142,12 @@
 
 
 @pytest.mark.parametrize('mode', ['stale', 'doubled', 'chunked', 'unframed'])
-def test_unusual_replies_reach_their_own_request(mode):
-    """Late, doubled and unframed replies must not reach another request."""
+def test_unusual_responses_reach_their_own_request(mode):
+    """A response must be returned for its own request only.
+
+    Late and doubled responses stay on a connection that is reused, and an
+    unframed one ends with the connection.
+    """
 
     async def scenario(cluster):
         server = await cluster.serve('one', 'i-a', body=b'answer')
@@ -146,7 +164,11 @@
 
 @pytest.mark.parametrize('mode', ['reset', 'truncated', 'garbage', 'error'])
 def test_request_that_must_not_run_twice_is_not_repeated(mode):
-    """After a lost answer the outcome is unknown, and no refusal is true."""
+    """A request that is not idempotent must not be retried once sent.
+
+    Its response is lost, so it may have run; a retry could run it twice,
+    and a status that means "not run" would be false.
+    """
 
     async def scenario(cluster):
         first = await cluster.serve('one', 'i-a')
@@ -162,7 +184,11 @@
 
 
 def test_refused_request_goes_to_another_server():
-    """A reply that proves that nothing ran allows another attempt."""
+    """A request that a server refused must be sent to another server.
+
+    The refusal states that it was not run, so a retry is safe even if the
+    route is not idempotent.
+    """
 
     async def scenario(cluster):
         first = await cluster.serve('one', 'i-a')
@@ -182,7 +208,11 @@
 
 
 def test_attempts_stay_within_the_limit_of_the_route():
-    """A request reaches no more servers than its route allows."""
+    """A request must not be attempted more often than its route allows.
+
+    With unlimited retries a failing service would get a multiple of its
+    load.
+    """
 
     async def scenario(cluster):
         for name in 'abcd':
@@ -197,8 +227,12 @@
     run(scenario)
 
 
-def test_taken_over_address_runs_nothing():
-    """Another server at a known address refuses, and is asked no more."""
+def test_request_to_a_reused_address_is_not_run():
+    """A request must not run at another server that reuses an address.
+
+    The registration is outdated. The server at the address refuses, and
+    after that it must get no more requests under the old name.
+    """
 
     async def scenario(cluster):
         old = await cluster.serve('one', 'i-old')
@@ -215,8 +249,11 @@
     run(scenario)
 
 
-def test_caller_that_leaves_frees_the_servers():
-    """Work for a caller that has closed its connection must stop."""
+def test_closed_caller_connection_cancels_the_request():
+    """A request must be cancelled when its caller closes the connection.
+
+    Otherwise servers go on with work for which nobody waits.
+    """
 
     async def scenario(cluster):
         server = await cluster.serve('one', 'i-a', delay_s=5)
@@ -238,7 +275,10 @@
 
 
 def test_draining_server_gets_no_new_work():
-    """A server that says that it leaves is left alone at once."""
+    """A server that registers as draining must get no new requests.
+
+    It would be stopped while it runs them.
+    """
 
     async def scenario(cluster):
         leaving = await cluster.serve('one', 'i-a')
@@ -247,7 +287,7 @@
         daemon = await cluster.start()
         cluster.register('one', 'i-a', state='draining', sequence=2)
         await wait_until(lambda: len(daemon.fleet.servers_of('one')) == 1, 1)
-        # A late copy of an older registration must not bring it back.
+        # A delayed write of an older registration must not undo this.
         cluster.register('one', 'i-a', state='ready', sequence=1)
         await asyncio.sleep(0.3)
         for number in range(5):
@@ -258,11 +298,14 @@
     run(scenario)
 
 
-def test_newer_configuration_is_in_force_and_never_reverts():
-    """A route of a newer version is served; an older version is ignored."""
+def test_newer_configuration_is_applied_and_never_reverts():
+    """A newer configuration must be applied, and an older one ignored.
+
+    A delayed write of an old version would bring back removed routes.
+    """
 
     async def scenario(cluster):
-        daemon = await one_server(cluster)
+        daemon = await start_with_one_server(cluster)
         cluster.configure(route(service='one', prefix='/other/'))
         await wait_until(
             lambda: daemon.board.read(ROUTES).version == cluster.version, 1
@@ -277,11 +320,15 @@
     run(scenario)
 
 
-def test_change_after_a_silent_outage_is_in_force_soon():
-    """A watch that the store never answers must not delay a change."""
+def test_change_after_a_silent_outage_is_applied_soon():
+    """A watch that never gets a response must not delay later changes.
+
+    The store was silent for a while without closing connections, so the
+    watch has to end by its own timeout.
+    """
 
     async def scenario(cluster):
-        daemon = await one_server(cluster)
+        daemon = await start_with_one_server(cluster)
         cluster.store.silent = True
         await asyncio.sleep(2)
         cluster.configure(route(service='one', prefix='/other/'))
@@ -294,8 +341,11 @@
     run(scenario)
 
 
-def test_stale_first_read_is_brought_up_to_date():
-    """A daemon that starts from an old copy must not serve it for long."""
+def test_stale_first_read_is_updated():
+    """A daemon that started from a stale read must be updated soon.
+
+    Its first read may be served by a replica of the store that is behind.
+    """
 
     async def scenario(cluster):
         await cluster.serve('one', 'i-a', body=b'answer')
@@ -317,7 +367,10 @@
 
 
 def test_compacted_history_is_read_again():
-    """A change in a gap of the history must not be missed."""
+    """A change that was compacted from the history must not be missed.
+
+    The watch fails then, and all keys have to be read again.
+    """
 
     async def scenario(cluster):
         await cluster.serve('one', 'i-a', body=b'answer')
@@ -333,7 +386,7 @@
 
 
 def test_split_follows_the_weights():
-    """Parts of a split get their shares of the requests."""
+    """Services of a split must get requests in proportion to their weights."""
 
     async def scenario(cluster):
         large = await cluster.serve('large', 'i-a')
@@ -352,7 +405,11 @@
 
 
 def test_request_without_a_server_is_refused_at_once():
-    """What cannot be served is refused truthfully, with a time to return."""
+    """A request that too few shards can serve must be refused at once.
+
+    Waiting would not help. Nothing is run, and the refusal states when to
+    retry.
+    """
 
     async def scenario(cluster):
         await cluster.serve('s-0', 'i-a')
@@ -370,7 +427,10 @@
 
 
 def test_daemon_without_a_configuration_refuses():
-    """A daemon that knows no configuration must not answer 404."""
+    """A daemon without a configuration must respond with 503, not 404.
+
+    A 404 would tell the caller that the route does not exist.
+    """
 
     async def scenario(cluster):
         daemon = await cluster.start(ready=False)
@@ -381,8 +441,11 @@
     run(scenario)
 
 
-def test_daemon_that_starts_in_an_outage_learns_from_others():
-    """Daemons that were killed while the store is away must serve again."""
+def test_daemon_that_starts_in_an_outage_reads_from_others():
+    """A daemon started while the store is down must read from other daemons.
+
+    Otherwise a daemon that is restarted in an outage cannot serve.
+    """
 
     async def scenario(cluster):
         await cluster.serve('one', 'i-a', body=b'answer')
@@ -402,11 +465,15 @@
     run(scenario)
 
 
-def test_lapsed_servers_serve_on_until_they_are_back():
-    """Registrations that lapse with the store are back within seconds."""
+def test_expired_servers_stay_in_use_for_a_grace_time():
+    """A registration that expired in a store outage must stay in use.
+
+    Leases expire during the outage, though the servers are healthy. They
+    are dropped if they have not registered again after a grace time.
+    """
 
     async def scenario(cluster):
-        daemon = await one_server(cluster)
+        daemon = await start_with_one_server(cluster)
         cluster.store.down = True
         await asyncio.sleep(1.5)
         cluster.store.remove('servers/i-a')
@@ -420,7 +487,11 @@
 
 
 def test_graceful_stop_answers_everything():
-    """A planned stop must cut no request, and callers hear that it leaves."""
+    """A graceful stop must answer all requests and then close.
+
+    Callers are told by `Connection: close` to use another daemon, and the
+    daemon removes its entry from the store.
+    """
 
     async def scenario(cluster):
         await cluster.serve('one', 'i-a', body=b'answer', delay_s=0.3)
@@ -434,9 +505,9 @@
         stopping = asyncio.create_task(daemon.stop())
         await asyncio.sleep(0.05)
         assert not daemon.is_ready
-        later = await send(daemon, request_id='q9')
-        assert later.status == 200
-        assert later.field('connection') == 'close'
+        late_answer = await send(daemon, request_id='q9')
+        assert late_answer.status == 200
+        assert late_answer.field('connection') == 'close'
         answers = await asyncio.gather(*pending)
         assert [answer.status for answer in answers] == [200] * 4
         await stopping
@@ -448,7 +519,11 @@
 
 
 def test_directory_names_ready_daemons_nearby():
-    """Callers get daemons of their own data centre while one serves."""
+    """The directory must return ready daemons of the caller's data centre.
+
+    If there is none, it returns those elsewhere; otherwise callers would
+    have no address.
+    """
 
     async def scenario(cluster):
         await cluster.serve('one', 'i-a')
@@ -478,10 +553,10 @@
 
 
 def test_readiness_and_metrics_are_served():
-    """The platform checks readiness; on-call engineers read metrics."""
+    """Readiness and metrics must be served on their own addresses."""
 
     async def scenario(cluster):
-        await three_shards(cluster)
+        await serve_three_shards(cluster)
         daemon = await cluster.start()
         await send(daemon, request_id='q1')
         for address, target, expected in (
