--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,4 +1,4 @@
-"""Decisions of forwarding: routes, splits, records, choice and timing."""
+"""Forwarding logic: routes, splits, merging, load balancing, deadlines."""
 
 from __future__ import annotations
 
@@ -44,7 +44,7 @@
 )
 
 
-def table(*prefixes):
+def route_index(*prefixes):
     routes = tuple(replace(ROUTE, name=p, prefix=p) for p in prefixes)
     return index_routes(ForwardConfiguration(1, routes, {}))
 
@@ -62,8 +62,11 @@
     ],
 )
 def test_longest_prefix_selects_the_route(path, expected):
-    """A request must not run at the service of a shorter prefix."""
-    found = table('/a/', '/a/b/').find('Shop.Example:80', path)
+    """The route with the longest matching prefix must be selected.
+
+    With a shorter one the request would run at another service.
+    """
+    found = route_index('/a/', '/a/b/').find('Shop.Example:80', path)
     assert (found and found.name) == expected
 
 
@@ -72,29 +75,34 @@
     st.lists(st.text('ab/', max_size=6), max_size=6),
     st.text('ab/', max_size=12),
 )
-def test_route_is_that_of_a_linear_search(middles, path):
-    """The index finds what a search through all routes finds."""
-    prefixes = {f'/{m}/'.replace('//', '/') for m in middles}
+def test_route_matches_a_linear_search(segments, path):
+    """The index must find the same route as a search through all routes."""
+    prefixes = {f'/{m}/'.replace('//', '/') for m in segments}
     matching = [p for p in prefixes if path.startswith(p)]
-    found = table(*prefixes).find('shop.example', path)
+    found = route_index(*prefixes).find('shop.example', path)
     assert (found and found.prefix) == max(matching, key=len, default=None)
 
 
 def test_unknown_domain_has_no_route():
-    """Requests for another domain must not run."""
-    assert table('/').find('other.example', '/a') is None
+    """A request for an unknown domain must not find a route."""
+    assert route_index('/').find('other.example', '/a') is None
 
 
 @DETERMINISTIC
 @given(st.lists(st.integers(1, 9), min_size=1, max_size=5))
 def test_split_is_exact_after_each_round(weights):
-    """Every part gets its weight in each round of the total."""
+    """Each service must get exactly its weight in each round.
+
+    A random choice would miss the weights over short times.
+    """
     parts = tuple(
         WeightedService(f's-{n}', weight) for n, weight in enumerate(weights)
     )
-    turns = WeightedRoundRobin(parts)
-    taken = [turns.next_service() for _ in range(3 * sum(weights))]
-    assert [taken.count(p.service) for p in parts] == [3 * w for w in weights]
+    round_robin = WeightedRoundRobin(parts)
+    services = [round_robin.next_service() for _ in range(3 * sum(weights))]
+    assert [services.count(p.service) for p in parts] == [
+        3 * w for w in weights
+    ]
 
 
 @DETERMINISTIC
@@ -103,11 +111,14 @@
     st.integers(0, 9),
     st.binary(max_size=15),
 )
-def test_greatest_records_of_all_bodies(bodies, count, rest):
-    """The answer holds the greatest records, and no remainder of a body."""
-    joined = [b''.join(body) + rest for body in bodies]
-    everything = sorted((r for body in bodies for r in body), reverse=True)
-    assert top_records(joined, count) == b''.join(everything[:count])
+def test_greatest_records_of_all_bodies(bodies, count, remainder):
+    """The merge must return the greatest records of all bodies.
+
+    An incomplete record at the end of a body must be ignored.
+    """
+    joined = [b''.join(body) + remainder for body in bodies]
+    expected = sorted((r for body in bodies for r in body), reverse=True)
+    assert top_records(joined, count) == b''.join(expected[:count])
 
 
 @pytest.mark.parametrize(
@@ -123,7 +134,11 @@
     ],
 )
 def test_only_an_explicit_refusal_proves_that_nothing_ran(fields, expected):
-    """A status alone must not let a claim be sent again."""
+    """Only an explicit refusal must count as not run.
+
+    Any other response may follow a run, and a claim that is sent again after
+    it could run twice.
+    """
     reply = Reply(200, b'', (), 'signed', not_run=False)
     assert classify_reply(replace(reply, **fields)) is expected
 
@@ -132,73 +147,92 @@
     return Candidate(name, ServerLoad(slots=5, **fields), place, True)
 
 
-def chosen(*candidates, now_s=0, draw=0.0):
+def choose(*candidates, now_s=0, draw=0.0):
     found = choose_server(candidates, USUAL_S, now_s, draw)
     return found and found.server
 
 
-def test_own_data_centre_comes_first():
-    """Bytes between regions are dear."""
+def test_own_data_centre_is_preferred():
+    """Servers of the own data centre, then region, must be preferred.
+
+    Traffic between regions is expensive.
+    """
     far = candidate('far', place=Place.ELSEWHERE, round_trip_s=0.024)
-    beside = candidate('beside', place=Place.REGION)
-    assert chosen(far, beside, candidate('near')) == 'near'
-    assert chosen(far, beside) == 'beside'
+    same_region = candidate('beside', place=Place.REGION)
+    assert choose(far, same_region, candidate('near')) == 'near'
+    assert choose(far, same_region) == 'beside'
+
 
+def test_stalled_server_is_avoided():
+    """A server whose oldest attempt is overdue must be avoided.
 
-def test_stalled_server_is_passed_over():
-    """A pause of one server must not hold up every query that follows."""
+    While a server pauses, every request sent to it would wait.
+    """
     near = candidate('near')
     far = candidate('far', place=Place.ELSEWHERE, round_trip_s=0.024)
     near.load.start_attempt(1, 0)
-    assert chosen(near, far, now_s=0.02) == 'near'
-    assert chosen(near, far, now_s=0.2) == 'far'
+    assert choose(near, far, now_s=0.02) == 'near'
+    assert choose(near, far, now_s=0.2) == 'far'
     near.load.complete_attempt(1, USUAL_S, 0.3)
     assert near.load.stalled_s(USUAL_S, 0.3) == 0
 
 
-def test_slow_server_is_left_and_tried_again():
-    """A server that was slow gets work again after a while."""
+def test_slow_server_is_avoided_and_tried_again():
+    """A slow server must be avoided, and be tried again after a while.
+
+    Without requests there are no new measurements, so it would be avoided
+    for ever.
+    """
     near = candidate('near')
     far = candidate('far', place=Place.ELSEWHERE, round_trip_s=0.024)
     for number in range(6):
         near.load.start_attempt(number, number)
         near.load.complete_attempt(number, USUAL_S, number + 10 * USUAL_S)
-    assert chosen(near, far, now_s=6) == 'far'
-    assert chosen(near, far, now_s=16) == 'near'
+    assert choose(near, far, now_s=6) == 'far'
+    assert choose(near, far, now_s=16) == 'near'
 
 
 def test_full_servers_share_the_load():
-    """A server whose slots are taken costs more than a free one."""
+    """A server with free slots must be preferred over a full one."""
     busy, free = candidate('busy'), candidate('free')
     for number in range(8):
         busy.load.start_attempt(number, 0)
-    assert chosen(busy, free) == 'free'
+    assert choose(busy, free) == 'free'
 
 
 def test_refusing_server_is_avoided_for_longer_each_time():
-    """A crashed server must not get every first attempt."""
-    gone, other = candidate('gone'), candidate('other', round_trip_s=0.1)
-    gone.load.fail_attempt(1, 0, refused=True)
-    assert chosen(gone, other, now_s=0.1) == 'other'
-    first_s = gone.load.suspect_until_s
-    gone.load.fail_attempt(2, first_s, refused=True)
-    assert gone.load.suspect_until_s - first_s > first_s
+    """A server that refuses connections must be avoided, longer each time.
+
+    A crashed server has no load, so it would get every first attempt.
+    """
+    crashed, other = candidate('gone'), candidate('other', round_trip_s=0.1)
+    crashed.load.fail_attempt(1, 0, refused=True)
+    assert choose(crashed, other, now_s=0.1) == 'other'
+    first_s = crashed.load.suspect_until_s
+    crashed.load.fail_attempt(2, first_s, refused=True)
+    assert crashed.load.suspect_until_s - first_s > first_s
 
 
 def test_server_without_room_is_not_chosen():
-    """Connections beyond the limit are reset by the server."""
+    """A server without a free connection must not be chosen.
+
+    It resets connections beyond its limit.
+    """
     full = replace(candidate('full'), has_room=False)
-    assert chosen(full) is None
-    assert chosen(full, candidate('free')) == 'free'
+    assert choose(full) is None
+    assert choose(full, candidate('free')) == 'free'
 
 
 @DETERMINISTIC
 @given(st.floats(0, 1, exclude_max=True))
-def test_equal_servers_are_drawn(draw):
-    """Several daemons must not all pick the same server."""
+def test_equal_servers_are_chosen_at_random(draw):
+    """Equal servers must be chosen at random.
+
+    With a fixed order all daemons would pick the same server.
+    """
     names = ['a', 'b', 'c', 'd']
-    picked = chosen(*map(candidate, names), draw=draw)
-    assert picked == names[int(draw * 4)]
+    choice = choose(*map(candidate, names), draw=draw)
+    assert choice == names[int(draw * 4)]
 
 
 @DETERMINISTIC
@@ -208,26 +242,36 @@
     st.floats(0.01, 10),
 )
 def test_deadlines_are_in_order(timeout_s, route_s, target_s):
-    """No server is told a longer time than the caller or the route allows."""
+    """Deadlines must stay within those of the caller and the route.
+
+    A server with a later deadline would work for a caller that has given up.
+    """
     route = replace(ROUTE, timeout_s=route_s, target_latency_s=target_s)
     deadlines = plan_deadlines(route, timeout_s, 100)
-    patience_s = route_s if timeout_s is None else min(route_s, timeout_s)
-    assert deadlines.caller_deadline_at_s == pytest.approx(100 + patience_s)
+    expected_timeout_s = (
+        route_s if timeout_s is None else min(route_s, timeout_s)
+    )
+    assert deadlines.caller_deadline_at_s == pytest.approx(
+        100 + expected_timeout_s
+    )
     assert 100 <= deadlines.deadline_at_s <= deadlines.caller_deadline_at_s
     assert 100 < deadlines.target_at_s < 100 + target_s
 
 
-def test_hedges_wait_for_the_way_to_the_server():
-    """A distant server is not late while its answer is on its way."""
+def test_hedge_delay_includes_the_round_trip():
+    """The hedge delay must include the round trip to the server.
+
+    Otherwise every request to a distant server would be hedged.
+    """
     near_s = hedge_delay_s(ROUTE, 0.06, 0)
     assert hedge_delay_s(ROUTE, 0.06, 0.024) == pytest.approx(near_s + 0.024)
 
 
 @DETERMINISTIC
 @given(st.integers(0, 40), st.integers(0, 40), st.floats(0, 1))
-def test_coverage_is_never_rounded_up(answered, total, least):
-    """An answer below the least coverage is no success."""
-    route = replace(ROUTE, required_coverage=least)
+def test_coverage_is_never_rounded_up(answered, total, required_ratio):
+    """Coverage below the required one must not count as met by rounding."""
+    route = replace(ROUTE, required_coverage=required_ratio)
     if meets_coverage(route, answered, total):
         assert 0 < answered
-        assert answered / total >= least - 1e-6
+        assert answered / total >= required_ratio - 1e-6
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,4 +1,4 @@
-"""Translations between the users' platform and the product."""
+"""Platform adapter: documents, messages, settings and store client."""
 
 from __future__ import annotations
 
@@ -37,7 +37,7 @@
 
 DETERMINISTIC = settings(derandomize=True, max_examples=200, deadline=None)
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-ENTRY = {
+REGISTRATION = {
     'service': 'one',
     'address': '10.0.0.1:80',
     'zone': 'here',
@@ -48,8 +48,8 @@
     'sequence': 4,
     'born': 1_700_000_000_000,
 }
-#: Names of the platform's wire that no product module may contain.
-WIRE_NAMES = (
+#: Names of the platform's protocols that no product module may contain.
+PLATFORM_NAMES = (
     'kv-range',
     'kv-watch',
     'kv-txn',
@@ -64,13 +64,16 @@
 )
 
 
-def entry(**fields):
-    return Item('servers/i-a', msgspec.json.encode(ENTRY | fields), 9)
+def registration_item(**fields):
+    return Item('servers/i-a', msgspec.json.encode(REGISTRATION | fields), 9)
 
 
 def test_registration_is_translated():
-    """Each field arrives under the product's name and unit."""
-    assert read_registration(entry()) == Registration(
+    """A registration must be read with the right names and units.
+
+    A mistaken unit would make a server warm up a thousand times too long.
+    """
+    assert read_registration(registration_item()) == Registration(
         server='i-a',
         service='one',
         address='10.0.0.1:80',
@@ -83,10 +86,13 @@
     )
 
 
-@pytest.mark.parametrize('name', sorted(set(ENTRY) - {'born'}))
-def test_registration_without_a_field_names_no_server(name):
-    """Entries of other writers must not receive requests."""
-    partial = {key: v for key, v in ENTRY.items() if key != name}
+@pytest.mark.parametrize('name', sorted(set(REGISTRATION) - {'born'}))
+def test_registration_without_a_field_is_rejected(name):
+    """A registration without a required field must be rejected.
+
+    It was not written by a backend server and must get no requests.
+    """
+    partial = {key: v for key, v in REGISTRATION.items() if key != name}
     item = Item('servers/i-a', msgspec.json.encode(partial), 9)
     assert isinstance(read_registration(item), Failure)
 
@@ -106,22 +112,30 @@
         ('born', 'yesterday'),
     ],
 )
-def test_registration_with_a_wrong_field_names_no_server(name, wrong):
-    """Fields of another type or value make the entry unreadable."""
-    assert isinstance(read_registration(entry(**{name: wrong})), Failure)
+def test_registration_with_a_wrong_field_is_rejected(name, wrong):
+    """A registration with an invalid type or value must be rejected."""
+    assert isinstance(
+        read_registration(registration_item(**{name: wrong})), Failure
+    )
 
 
 @DETERMINISTIC
 @given(st.binary())
 def test_unreadable_bytes_are_rejected(value):
-    """Bytes that are no entry must not raise."""
+    """Bytes that are not valid documents must be rejected, not raise.
+
+    An exception would end the processing of all other items.
+    """
     item = Item('servers/i-a', value, 9)
     assert isinstance(read_registration(item), Failure)
     assert isinstance(read_configuration(item), Failure)
 
 
 def test_configuration_is_translated():
-    """Routes over shards, to one service and with a split are understood."""
+    """Routes to shards, to one service and to a split must be read.
+
+    Times are converted to seconds, and domains to lower case.
+    """
     base = {
         'name': 'r',
         'host': 'Shop.Example',
@@ -160,15 +174,19 @@
     assert (gathered.shards, gathered.record_count) == (('x', 'y'), 3)
 
 
-def message(*fields, method='GET', body=b''):
+def make_request(*fields, method='GET', body=b''):
     headers = dict(fields)
     return HttpRequest(method, '/a/x?y', body, headers, fields=fields)
 
 
 def test_fields_of_one_connection_are_not_passed_on():
-    """Fields that concern one connection must not reach another one."""
+    """Hop-by-hop header fields must not be forwarded.
+
+    They concern one connection, such as its transfer encoding. A forged
+    `target-instance` must be replaced as well.
+    """
     request = read_request(
-        message(
+        make_request(
             ('host', 'shop.example'),
             ('connection', 'close, X-Hop'),
             ('x-hop', '1'),
@@ -193,25 +211,31 @@
 
 @pytest.mark.parametrize('text', ['', 'soon', '-5', '1.5', '٣'])
 def test_unreadable_timeout_counts_as_missing(text):
-    """A caller's wrong header must not fail its request."""
+    """An invalid timeout header must be ignored, not fail the request."""
     fields = (('host', 'a'), ('request-timeout-ms', text))
-    assert read_request(message(*fields)).timeout_s is None
+    assert read_request(make_request(*fields)).timeout_s is None
 
 
 def test_request_without_a_host_is_refused():
-    """Such a request has no route."""
-    refusal = read_request(message())
+    """A request without a host must be refused, as it has no route."""
+    refusal = read_request(make_request())
     assert write_failure(refusal).status == 400
 
 
 def test_empty_body_keeps_its_length():
-    """A POST without a body says so, or a server waits for one."""
-    request = read_request(message(('host', 'a'), method='POST'))
+    """A POST with an empty body must be sent with a content length of 0.
+
+    Without it the server waits for a body.
+    """
+    request = read_request(make_request(('host', 'a'), method='POST'))
     assert ('content-length', '0') in write_request(request, 'i', 1).fields
 
 
 def test_reply_is_passed_on_unchanged():
-    """Status, body, signature and other fields stay those of the server."""
+    """A response must be forwarded unchanged but for hop-by-hop fields.
+
+    Status, body, signature and other fields stay those of the server.
+    """
     response = HttpResponse(
         404,
         b'body',
@@ -222,21 +246,31 @@
             ('content-length', '4'),
         ),
     )
-    passed = write_reply(read_reply(response))
-    assert (passed.status, passed.body) == (404, b'body')
-    assert passed.fields == (('response-signature', 'sig'), ('x-note', 'n'))
+    response_out = write_reply(read_reply(response))
+    assert (response_out.status, response_out.body) == (404, b'body')
+    assert response_out.fields == (
+        ('response-signature', 'sig'),
+        ('x-note', 'n'),
+    )
 
 
 @pytest.mark.parametrize('code', list(ResultCode))
 @pytest.mark.parametrize('run', [RunState.UNKNOWN, RunState.RUN])
-def test_status_promises_nothing_after_a_run(code, run):
-    """Statuses that mean "not run" must not follow an attempt."""
+def test_failure_after_a_run_gets_502_or_504(code, run):
+    """A failure after a possible run must have status 502 or 504.
+
+    After a status that means "not run" the caller would send a claim again.
+    """
     status = write_failure(Failure(code, 'reason', run)).status
     assert status in {502, 504}
 
 
 def test_settings_file_is_translated(tmp_path):
-    """Zones are data centres, and times come in seconds."""
+    """Settings must be read with the right names and units.
+
+    Zones are data centres, times are in seconds, and unknown fields are
+    ignored. An unreadable or missing file must give a failure.
+    """
     boot = {
         'node': 'front-1',
         'zone': 'here',
@@ -264,45 +298,56 @@
 
 
 def test_store_pages_watches_and_leases():
-    """The client speaks the store's protocol, refusals included."""
+    """The store client must read pages, watch, and use leases.
+
+    An ended lease, a compacted history and an unavailable store must each
+    be reported as what they are; mistaken for success, a daemon would
+    miss changes or lose its entry.
+    """
 
     async def scenario():
-        async with StoreStandin() as standin:
-            standin.page_size = 2
+        async with StoreStandin() as store_standin:
+            store_standin.page_size = 2
             for name in 'abc':
-                standin.put(f'p/{name}', b'v')
-            async with KeyValueStore(standin.address) as store:
-                first = await store.read_page('p/')
-                assert [i.key for i in first.items] == ['p/a', 'p/b']
-                rest = await store.read_page('p/', 'p/b')
-                assert (rest.items[0].value, rest.truncated) == (b'v', False)
-                standin.remove('p/a')
-                events = await store.watch('p/', first.revision, 1)
+                store_standin.put(f'p/{name}', b'v')
+            async with KeyValueStore(store_standin.address) as store:
+                first_page = await store.read_page('p/')
+                assert [i.key for i in first_page.items] == ['p/a', 'p/b']
+                second_page = await store.read_page('p/', 'p/b')
+                assert (second_page.items[0].value, second_page.truncated) == (
+                    b'v',
+                    False,
+                )
+                store_standin.remove('p/a')
+                events = await store.watch('p/', first_page.revision, 1)
                 assert events.events[0].key == 'p/a'
-                quiet = await store.watch('p/', events.revision, 0.05)
-                assert not quiet.events
+                unchanged = await store.watch('p/', events.revision, 0.05)
+                assert not unchanged.events
                 lease = await store.grant(5)
                 assert await store.put('q/x', b'w', lease.lease) > 0
                 assert await store.renew(lease.lease) == 5
                 await store.end(lease.lease)
-                assert 'q/x' not in standin.items
+                assert 'q/x' not in store_standin.items
                 assert isinstance(await store.renew(lease.lease), LeaseEnded)
-                lost = await store.put('q/x', b'w', lease.lease)
-                assert isinstance(lost, LeaseEnded)
-                standin.compact()
-                behind = await store.watch('p/', 2, 0.05)
-                assert isinstance(behind, HistoryLost)
-                standin.down = True
+                refused_put = await store.put('q/x', b'w', lease.lease)
+                assert isinstance(refused_put, LeaseEnded)
+                store_standin.compact()
+                outdated = await store.watch('p/', 2, 0.05)
+                assert isinstance(outdated, HistoryLost)
+                store_standin.down = True
                 refused = await store.put('q/x', b'w', 0)
                 assert refused.run is RunState.NOT_RUN
 
     asyncio.run(scenario())
 
 
-def test_product_does_not_know_the_platform():
-    """Only the adapter may name the platform's wire."""
+def test_product_does_not_name_the_platform():
+    """No module of the product may use names of the platform's protocols.
+
+    Only the adapter depends on the platform.
+    """
     for path in (ROOT / 'boragespool').rglob('*.py'):
         text = path.read_text(encoding='utf-8').lower()
         assert 'boragespool_platform' not in text, path
-        for name in WIRE_NAMES:
+        for name in PLATFORM_NAMES:
             assert not re.search(rf'\b{name}\b', text), (path, name)
