--- a/tests/fuzz/test_query_fuzz.py
+++ b/tests/fuzz/test_query_fuzz.py
@@ -11,7 +11,7 @@
 EXAMPLES = int(os.environ.get('FUZZ_EXAMPLES', '20000')) // 20
 
 
-def test_answers_stay_true_in_a_storm_of_changes():
+def test_answers_stay_correct_under_random_faults():
     """Answers must stay correct while holdings and server states change.
 
     Runs `Storm` and its checks with seeds that CI does not use.
--- a/tests/fuzz/test_snapshots_fuzz.py
+++ b/tests/fuzz/test_snapshots_fuzz.py
@@ -9,7 +9,7 @@
 EXAMPLES = int(os.environ.get('FUZZ_EXAMPLES', '20000'))
 
 
-def test_no_state_is_ever_mixed_or_falsely_covered():
+def test_merged_answers_are_never_mixed_or_falsely_covered():
     """An answer must not mix snapshots nor claim coverage that it lacks.
 
     Runs the checks of the simulation with seeds that CI does not use.
--- a/tests/platform_standins/cluster.py
+++ b/tests/platform_standins/cluster.py
@@ -45,6 +45,7 @@
 
 
 def limits(**fields):
+    """Return the limits of a configuration."""
     return {
         'max_header_bytes': 16_384,
         'max_body_bytes': 262_144,
--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -14,6 +14,7 @@
 from tests.platform_standins.cluster import settings_document
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
+#: Time from SIGTERM to SIGKILL in a planned stop, in seconds.
 STOP_GRACE_S = 4
 RESTART_DELAY_S = 0.3
 
@@ -45,6 +46,7 @@
 
     @property
     def caller_address(self):
+        """Address on which the daemon serves callers."""
         return self.boot['listen_addrs']['front']
 
     async def __aenter__(self):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -205,6 +205,12 @@
             await asyncio.sleep(REQUEST_INTERVAL_S)
 
     async def _send_request(self, connection, daemon):
+        """Send one request and check its answer.
+
+        A missing answer is excused while the daemon is disturbed, and if the
+        exchange failed so early that the daemon may not have read it, as on
+        a connection that it was closing.
+        """
         is_once = self.random.random() < 0.3
         kind = 'once' if is_once else 'all'
         request_id = f'{kind}-{next(self._request_numbers)}'
@@ -226,11 +232,11 @@
         answer = await connection.exchange(request, 2)
         if isinstance(answer, ExchangeFailure):
             is_disturbed = daemon.disturbed_until_s >= began_s
-            is_not_received = not answer.sent or self._now_s() - began_s < 0.05
+            may_be_unread = not answer.sent or self._now_s() - began_s < 0.05
             self.invariants.record_failure(
                 request_id,
                 answer.kind.value,
-                is_excused=is_disturbed or is_not_received,
+                is_excused=is_disturbed or may_be_unread,
             )
             return
         self.invariants.check_answer(
@@ -316,6 +322,7 @@
             self._restore_store()
 
     async def _change_state(self):
+        """Write a new configuration, or drain a server for 3 to 5 s."""
         if self.random.random() < 0.5:
             self._record_fault('configuration')
             self._configure()
--- a/tests/test_backend_standin.py
+++ b/tests/test_backend_standin.py
@@ -141,7 +141,7 @@
     with_server(scenario, slots=2, backlog=2, service_time_s=0.1)
 
 
-def test_cancel_frees_the_slot_and_tells_what_ran():
+def test_cancel_frees_the_slot_and_reports_what_ran():
     """A cancelled query must free its slot; a claim must run to its end.
 
     The answer states whether the attempt had started to run.
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -100,7 +100,7 @@
     assert capacity == pytest.approx(loads.FLOOD_CAPACITY_PER_S)
 
 
-def test_baselines_change_what_they_name():
+def test_baselines_turn_off_only_what_they_name():
     """A baseline must turn off ranks or hedging, and nothing else.
 
     If it changed nothing, each ratio to the baseline would be 1.
@@ -149,7 +149,7 @@
     )
 
 
-def test_every_planned_stop_takes_its_turn():
+def test_planned_stops_are_distributed_over_hosts():
     """Every host must be replaced equally often, in rounds of three.
 
     A planner that forgets the hosts beyond a round would never replace them.
--- a/tests/test_call_queue.py
+++ b/tests/test_call_queue.py
@@ -21,6 +21,7 @@
 
 
 def queue_of(entries):
+    """Return a queue of calls of (priority, start_by_s, remaining_s)."""
     queue = CallQueue()
     for number, (priority, start_by_s, remaining_s) in enumerate(entries):
         deadline_at_s = start_by_s + remaining_s + 0.1
@@ -212,7 +213,7 @@
 
 
 @pytest.mark.parametrize('slowness', [1, 4])
-def test_no_kind_of_call_pays_for_another_in_a_flood(slowness):
+def test_overload_serves_urgent_calls_first_without_starving_others(slowness):
     """Under overload urgent calls must go first without starving routine ones.
 
     Bounds: urgent calls meet their target less often than routine ones by at
@@ -227,7 +228,7 @@
         assert routine >= (0.25 * urgent + 0.75 * routine) / 4
 
 
-def test_flood_leaves_nine_tenths_of_what_is_possible():
+def test_overload_completes_nine_tenths_of_the_possible_work():
     """With 1.3 times the capacity most work must still be done in time.
 
     When calls wait at the server, in order of arrival, instead of in the
@@ -251,7 +252,7 @@
         assert max(unqueued) < 0.5
 
 
-def test_window_is_open_without_load():
+def test_calls_do_not_wait_without_overload():
     """Below its capacity a server must get every call without delay.
 
     A concurrency limit that falls without need would make calls late.
@@ -308,7 +309,7 @@
     run(scenario)
 
 
-def test_request_without_room_until_its_end_is_refused_truthfully():
+def test_request_that_times_out_in_the_queue_is_never_run():
     """A request answered as not run must never run.
 
     It waits for a connection until its deadline. If it stayed in the queue
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -128,7 +128,7 @@
     ),
     length=st.integers(0, 40),
 )
-def test_any_input_gets_a_numbered_answer(changed, length):
+def test_any_input_gets_a_result_code(changed, length):
     """Any body, valid or truncated, must get a result code.
 
     A value of an unexpected type would otherwise raise an exception in the
--- a/tests/test_flood.py
+++ b/tests/test_flood.py
@@ -11,7 +11,7 @@
     return Load(load.base, load.flood, begin_s=2, end_s=5, stop_s=8)
 
 
-def test_closing_rush_does_not_hurt_urgent_work():
+def test_deferrable_flood_does_not_delay_urgent_work():
     """A flood of deferrable work must not delay urgent work.
 
     In a queue without ranks the urgent work waits behind the flood. Slots
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -148,6 +148,7 @@
 
 
 def choose(*candidates, now_s=0, draw=0.0):
+    """Return the name of the chosen server, or None."""
     found = choose_server(candidates, USUAL_S, now_s, draw)
     return found and found.server
 
--- a/tests/test_log_output.py
+++ b/tests/test_log_output.py
@@ -49,7 +49,7 @@
     os.close(write_fd)
 
 
-def test_lines_stay_whole_when_the_reader_returns():
+def test_lines_stay_complete_when_the_reader_resumes():
     """A line written in part must be finished before the next one.
 
     A full pipe takes only the start of a line; the rest has to follow when
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -26,6 +26,7 @@
 
 
 def update(table, *listed, now_s=0, returned_at_s=-math.inf):
+    """Update a table with the listed entries; return what changed."""
     before = dict(table.registrations_by_server)
     registrations_by_server = {entry.server: entry for entry in listed}
     table.update(registrations_by_server, now_s, returned_at_s)
@@ -40,7 +41,7 @@
     assert table.registrations_by_server['i-a'].draining
 
 
-def test_removed_server_stays_gone():
+def test_removed_server_is_not_added_again():
     """A delayed write of a removed entry must not add the server again."""
     table = RegistrationTable(GRACE_S)
     update(table, FIRST)
@@ -49,7 +50,7 @@
     assert update(table, replace(FIRST, sequence=8)).added
 
 
-def test_restart_under_the_same_name_begins_anew():
+def test_restarted_server_is_used_again():
     """A restarted server must be used though its sequence starts over.
 
     Compared by sequence alone, its first entry would be older than the
@@ -62,7 +63,7 @@
     assert table.registrations_by_server['i-a'] == restarted
 
 
-def test_lapsed_entries_hold_until_the_grace_ends():
+def test_expired_entries_are_kept_for_the_grace_time():
     """Servers must stay in use for a grace time after a store outage.
 
     Leases expire while the store is away, so entries are missing until the
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -78,7 +78,7 @@
     asyncio.run(scenario())
 
 
-def test_feed_tells_the_age_of_the_read():
+def test_feed_reports_the_age_of_the_read():
     """The age of a state must grow while it is passed between daemons.
 
     If each daemon restarted the age, daemons that read from each other
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -13,6 +13,7 @@
 
 
 def count_in_window(times, begin_s):
+    """Return how many times are in the 10 s from `begin_s`."""
     return sum(begin_s <= time_s < begin_s + 10 for time_s in times)
 
 
@@ -39,7 +40,7 @@
         assert count_in_window(repeats, begin / 10) <= allowed
 
 
-def test_restarted_daemons_have_little_at_once():
+def test_restarted_daemon_starts_with_a_small_allowance():
     """A restarted daemon must not start with the whole allowance.
 
     It does not know what was spent before the restart, so together they
@@ -50,7 +51,7 @@
     assert 0 < spent <= 0.3 * 52
 
 
-def test_hedges_leave_retries_their_part():
+def test_hedges_leave_a_reserve_for_retries():
     """Failed attempts must be retried although hedges used up their part."""
     budget = RetryBudget(LIMITS, started_at_s=-60)
     while budget.spend(0, 1, is_hedge=True):
@@ -58,7 +59,7 @@
     assert sum(budget.spend(0, 1, is_hedge=False) for _ in range(100)) >= 5
 
 
-def test_budget_returns_with_time():
+def test_budget_recovers_after_the_window():
     """Retries must be possible again once the window has passed."""
     budget = RetryBudget(LIMITS, started_at_s=-60)
     while budget.spend(0, 1, is_hedge=False):
--- a/tests/test_service_call.py
+++ b/tests/test_service_call.py
@@ -104,6 +104,7 @@
 
 @pytest.fixture
 def harness():
+    """Fleet, a call that is not started, and the outcomes it reported."""
     fleet = FakeFleet()
     codec = SimpleNamespace(
         echo_header='request-id',
@@ -122,11 +123,12 @@
 
 
 def sent_names(harness):
+    """Return the names of the servers, once for each attempt."""
     servers = harness.fleet.servers.items()
     return [name for name, server in servers for _ in server.sent]
 
 
-def test_call_waits_once_whatever_ends(harness):
+def test_call_joins_the_queue_once(harness):
     """A call must join the queue once, however many attempts fail.
 
     A second entry in the queue would send another attempt after the call
@@ -148,7 +150,7 @@
     assert not fleet.queues.has_waiting('one')
 
 
-def test_call_that_is_hedged_waits_no_more(harness):
+def test_cancelled_call_leaves_the_queue(harness):
     """A cancelled call must leave the queue and send no further attempt."""
     fleet = harness.fleet
     fleet.servers['b'].has_room = fleet.servers['c'].has_room = False
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,7 +13,7 @@
 
 
 @pytest.mark.parametrize('seed', [0])
-def test_promises_hold_under_random_faults(seed):
+def test_invariants_hold_under_random_faults(seed):
     """Answers must stay correct under faults of all parts of the system.
 
     Daemons are killed, paused and stopped, connections break, and the store
