--- a/tests/fake_backend.py
+++ b/tests/fake_backend.py
@@ -68,6 +68,7 @@
 
     @property
     def connection_count(self):
+        """Number of open connections."""
         return self._server.connection_count
 
     async def _handle(self, request):
--- a/tests/platform_standins/store.py
+++ b/tests/platform_standins/store.py
@@ -11,7 +11,7 @@
 
 from boragespool.http import HttpLimits, HttpResponse, HttpServer, json_response
 
-LEASE_CHECK_S = 0.05
+LEASE_CHECK_INTERVAL_S = 0.05
 
 
 class StoreStandin:
@@ -90,6 +90,7 @@
         self._append_event(item)
 
     def remove(self, key):
+        """Remove a key, if it exists."""
         if self.items.pop(key, None) is not None:
             self.revision += 1
             self._append_event(
@@ -113,7 +114,7 @@
     async def _expire_leases(self):
         loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(LEASE_CHECK_S)
+            await asyncio.sleep(LEASE_CHECK_INTERVAL_S)
             for lease, (_, until_s) in tuple(self.leases.items()):
                 if loop.time() > until_s:
                     self._end_lease(lease)
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -45,6 +45,7 @@
 
 
 def route_index(*prefixes):
+    """Return an index of routes with the given prefixes."""
     routes = tuple(replace(ROUTE, name=p, prefix=p) for p in prefixes)
     return index_routes(ForwardConfiguration(1, routes, {}))
 
--- a/tests/test_log_output.py
+++ b/tests/test_log_output.py
@@ -19,6 +19,8 @@
 
 
 class Clock:
+    """Clock that the test sets."""
+
     now_s = 0.0
 
     def __call__(self):
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -38,7 +38,7 @@
 CAPACITY_PER_S = 400
 COST_S = 1 / CAPACITY_PER_S
 REFUSAL_COST_S = 0.001
-CONNECTIONS = 400
+CONNECTION_COUNT = 400
 DEADLINE_S = 2
 STEP_S = 0.005
 COUNTS = st.fixed_dictionaries({rank: st.integers(0, 5_000) for rank in Rank})
@@ -65,7 +65,7 @@
         self.admission = Admission()
         self.waiting = deque()
         self.deferred = deque()
-        self.idle_connections = dict.fromkeys(Rank, CONNECTIONS)
+        self.idle_connections = dict.fromkeys(Rank, CONNECTION_COUNT)
         self.refused = Counter()
         self.pending_arrivals = Counter()
         self.deferred_tokens = 0.0
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -65,6 +65,7 @@
 
 
 def registration_item(**fields):
+    """Return `REGISTRATION` as an item of the store, with other fields."""
     return Item('servers/i-a', msgspec.json.encode(REGISTRATION | fields), 9)
 
 
@@ -175,6 +176,7 @@
 
 
 def make_request(*fields, method='GET', body=b''):
+    """Return a request with the given header fields."""
     headers = dict(fields)
     return HttpRequest(method, '/a/x?y', body, headers, fields=fields)
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -45,6 +45,7 @@
 
 
 def mirror_state(revision, read_at_s=0, returned_at_s=-math.inf):
+    """Return the state of a mirror without items."""
     return MirrorState({}, frozenset(), revision, returned_at_s, read_at_s)
 
 
@@ -355,6 +356,7 @@
 
 
 def entry_item(revision, **fields):
+    """Return the registration of the server ``i-a`` as an item."""
     value = {'service': 'one', 'address': '10.0.0.1:80', 'zone': 'here'}
     value |= {'version': 'v1', 'concurrency': 5, 'state': 'ready'}
     value |= {'warmup_left_ms': 0, 'sequence': revision}
