--- a/tests/faulty_fleet.py
+++ b/tests/faulty_fleet.py
@@ -19,7 +19,7 @@
 from boragespool.results import Failure, ResultCode
 from boragespool.settings import AddressSettings
 from boragespool.types import Rank, RunState
-from tests.caller_fakes import SETTINGS, FakeTier, make_api
+from tests.caller_fakes import SETTINGS, FakeControllers, make_api
 
 TICKET_SEALED = Failure(ResultCode.NOT_RUN_SEALED, 'the ticket is sealed')
 QUEUE_FULL = Failure(ResultCode.QUEUE_FULL, 'the queue is full')
@@ -30,7 +30,7 @@
 LATE_DELAY_S = 0.25
 
 
-class Daemon(FakeTier):
+class Daemon(FakeControllers):
     """HTTP server of one daemon, whose claims fail as the fleet says.
 
     A fault is one of the following; without one, the claim runs.
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -1,4 +1,4 @@
-"""API towards callers."""
+"""Caller API: input checks, answers, refusals and reports."""
 
 from __future__ import annotations
 
@@ -13,17 +13,17 @@
 from boragespool.http import HttpLimits, HttpRequest, HttpServer
 from boragespool.results import Failure, ResultCode
 from boragespool.types import Phase, Rank
-from tests.caller_fakes import FakeTier, make_api
-from tests.standin_calls import call, decoded, encoded
+from tests.caller_fakes import FakeControllers, make_api
+from tests.standin_calls import call, decode_response, encode_body
 
 QUERY = {'route': 'lookup', 'caller': 'till', 'body': {'match': 'a'}}
 CLAIM = {'route': 'unlock', 'caller': 'till', 'body': {}, 'ticket': 't-0'}
 
 
 def send(api, method, target, body=None):
-    """Send one request; return status and decoded body."""
-    request = HttpRequest(method, target, encoded(body))
-    return decoded(asyncio.run(api.handle(request)))
+    """Handle one request; return the status and the decoded body."""
+    request = HttpRequest(method, target, encode_body(body))
+    return decode_response(asyncio.run(api.handle(request)))
 
 
 BAD_BODIES = [
@@ -62,15 +62,19 @@
 
 @pytest.mark.parametrize(('body', 'code'), BAD_BODIES)
 def test_bad_queries_get_their_code(body, code):
-    """Bad input must get its number and must not reach a controller."""
-    tier = FakeTier()
-    status, refusal = send(make_api(tier)[0], 'POST', '/v1/query', body)
+    """An invalid query must get its code and must not reach a controller.
+
+    Input that passes the checks by mistake would be run in part, or raise
+    an exception later.
+    """
+    controllers = FakeControllers()
+    status, refusal = send(make_api(controllers)[0], 'POST', '/v1/query', body)
     assert refusal['code'] == code
     assert 400 <= status < 500
     assert refusal['run'] == 'not_run'
     assert refusal['retry_after_s'] == 0
     assert refusal['reason']
-    assert not tier.requests
+    assert not controllers.requests
 
 
 @pytest.mark.parametrize(
@@ -89,20 +93,20 @@
     ],
 )
 def test_bad_targets_get_their_code(method, target, code):
-    """A misspelt path or parameter must get a sentence, not a traceback."""
-    status, refusal = send(make_api(FakeTier())[0], method, target)
+    """A misspelt path or parameter must get its code, not an exception."""
+    status, refusal = send(make_api(FakeControllers())[0], method, target)
     assert refusal['code'] == code
     assert 400 <= status < 500
 
 
 @pytest.mark.parametrize('ticket', ['', 'a b', 'é', 'x' * 600])
 def test_bad_tickets_do_not_reach_the_claim_controller(ticket):
-    """A ticket that nobody issued must not be recorded."""
-    tier = FakeTier()
+    """A ticket that no daemon can have issued must not be recorded."""
+    controllers = FakeControllers()
     body = CLAIM | {'ticket': ticket}
-    _, refusal = send(make_api(tier)[0], 'POST', '/v1/claim', body)
+    _, refusal = send(make_api(controllers)[0], 'POST', '/v1/claim', body)
     assert refusal['code'] == ResultCode.BAD_TICKET
-    assert not tier.requests
+    assert not controllers.requests
 
 
 JSON = st.recursive(
@@ -122,17 +126,21 @@
         JSON,
         max_size=3,
     ),
-    cut=st.integers(0, 40),
+    length=st.integers(0, 40),
 )
-def test_any_input_gets_a_numbered_answer(changed, cut):
-    """No input may raise an exception in the daemon."""
-    whole = encoded(CLAIM | changed)
-    for raw in (whole, whole[:cut]):
+def test_any_input_gets_a_result_code(changed, length):
+    """Any body, valid or truncated, must get a result code.
+
+    A value of an unexpected type would otherwise raise an exception in the
+    daemon.
+    """
+    whole = encode_body(CLAIM | changed)
+    for body in (whole, whole[:length]):
         status, answer = send(
-            make_api(FakeTier())[0],
+            make_api(FakeControllers())[0],
             'POST',
             '/v1/claim',
-            raw,
+            body,
         )
         assert answer['code'] in set(ResultCode)
         assert status < 500
@@ -144,12 +152,15 @@
     deadline_ms=st.none() | st.floats(0.001, 1e6),
 )
 def test_callers_may_only_lower_rank_and_deadline(rank, deadline_ms):
-    """A caller must not get ahead of others by what it asks for."""
-    tier = FakeTier()
-    asked = QUERY | {'rank': rank, 'deadline_ms': deadline_ms}
-    status, answer = send(make_api(tier)[0], 'POST', '/v1/query', asked)
+    """A caller must not raise its rank or deadline above the route's.
+
+    It would get ahead of the other callers.
+    """
+    controllers = FakeControllers()
+    query = QUERY | {'rank': rank, 'deadline_ms': deadline_ms}
+    status, answer = send(make_api(controllers)[0], 'POST', '/v1/query', query)
     assert status == 200
-    (request,) = tier.requests
+    (request,) = controllers.requests
     is_lower = rank is Rank.DEFERRABLE
     assert request.rank is (Rank.DEFERRABLE if is_lower else None)
     assert request.deadline_s == min(deadline_ms or 800, 800) / 1_000
@@ -160,14 +171,18 @@
 
 
 def test_refusals_keep_run_state_and_retry_time():
-    """A refusal must pass on whether the work ran."""
-    tier = FakeTier(
-        script=[
+    """A refusal must state whether the claim ran and when to retry.
+
+    A caller that is told `not_run` for a claim that may have run would
+    claim a second time.
+    """
+    controllers = FakeControllers(
+        claim_results=[
             Failure(ResultCode.QUEUE_FULL, 'full', retry_after_s=2),
             Failure(ResultCode.OUTCOME_UNKNOWN, 'lost', 'unknown'),
         ],
     )
-    api, _ = make_api(tier)
+    api, _ = make_api(controllers)
     status, refusal = send(api, 'POST', '/v1/claim', CLAIM)
     assert (status, refusal['run'], refusal['retry_after_s']) == (
         429,
@@ -184,22 +199,25 @@
     assert send(api, 'GET', '/v1/claim/t-0')[1]['outcome'] == answer['outcome']
 
 
-def test_crossed_answer_is_not_passed_on():
-    """A caller must never see the answer to the request of another."""
-    api, _ = make_api(FakeTier(wrong_id='other'))
+def test_answer_to_another_request_is_not_returned():
+    """An answer with the id of another request must not reach the caller."""
+    api, _ = make_api(FakeControllers(wrong_request_id='other'))
     status, refusal = send(api, 'POST', '/v1/query', QUERY)
     assert (status, refusal['run']) == (500, 'unknown')
     assert 'items' not in refusal
 
 
-def test_fault_after_the_start_of_a_claim_is_unknown():
-    """An exception must not promise that the claim did not run."""
+def test_exception_in_a_claim_is_reported_as_unknown():
+    """An exception while a claim runs must be reported as `unknown`.
+
+    Reported as `not_run`, a claim that did run would be sent again.
+    """
 
     async def fail(request):
         raise ValueError(request)
 
     async def run():
-        api, _ = make_api(FakeTier(script=[fail]))
+        api, _ = make_api(FakeControllers(claim_results=[fail]))
         limits = HttpLimits()
         async with HttpServer('127.0.0.1:0', limits, api.handle) as server:
             return await call(server.address, 'POST', '/v1/claim', CLAIM)
@@ -209,11 +227,15 @@
 
 
 def test_load_counts_requests_in_flight():
-    """Addresses are chosen by load, which must fall back to 0."""
+    """The published load must count requests in flight and return to 0.
+
+    Daemons with less load are preferred, so a request that is cancelled but
+    still counted would keep callers away for ever.
+    """
 
     async def run():
-        api, board = make_api(FakeTier(delay_s=0.02))
-        request = HttpRequest('POST', '/v1/query', encoded(QUERY))
+        api, board = make_api(FakeControllers(delay_s=0.02))
+        request = HttpRequest('POST', '/v1/query', encode_body(QUERY))
         running = [asyncio.create_task(api.handle(request)) for _ in '123']
         await asyncio.sleep(0.01)
         assert board.read(LOAD) == api.in_flight == 3
@@ -225,9 +247,12 @@
 
 
 def test_leaving_daemon_serves_but_gives_no_tickets():
-    """Tickets of a daemon that leaves would outlive their issuer."""
-    tier = FakeTier(addresses_given=['127.0.0.1:9'])
-    api, board = make_api(tier)
+    """A leaving daemon must serve requests but issue no tickets.
+
+    A ticket is used after it was issued, when the daemon has left.
+    """
+    controllers = FakeControllers(known_addresses=['127.0.0.1:9'])
+    api, board = make_api(controllers)
     target = '/v1/addresses?tickets=2&count=1'
     _, answer = send(api, 'GET', target)
     assert answer['tickets'] == ['t-0', 't-1']
@@ -240,8 +265,12 @@
 
 
 def test_daemon_without_revision_is_not_ready():
-    """A daemon must not guess routes before it has a configuration."""
-    api, _ = make_api(FakeTier(), Phase.STARTING, settings=None)
+    """A daemon without a configuration must refuse as not ready.
+
+    It knows no routes; an unknown-route error would tell callers that the
+    route does not exist.
+    """
+    api, _ = make_api(FakeControllers(), Phase.STARTING, settings=None)
     for method, target, body in (
         ('POST', '/v1/query', QUERY),
         ('GET', '/v1/ready', None),
@@ -252,9 +281,9 @@
     assert send(api, 'GET', '/v1/status')[1]['revision'] == 0
 
 
-def test_reports():
-    """Operators need revision, queues and counters of a daemon."""
-    api, _ = make_api(FakeTier())
+def test_status_and_metrics():
+    """Status must have revision, phase and queues, and metrics the counts."""
+    api, _ = make_api(FakeControllers())
     _, status = send(api, 'GET', '/v1/status')
     assert (status['revision'], status['phase']) == (3, 'ready')
     assert status['queues'] == {'lots-0': {'urgent': 3}}
@@ -270,30 +299,39 @@
     ('path', 'body'), [('/v1/query', QUERY), ('/v1/claim', CLAIM)]
 )
 def test_refused_request_reaches_no_controller(path, body):
-    """A refusal for overload must cost less than an answer."""
-    tier = FakeTier(refusal=OVERLOADED)
-    api, _ = make_api(tier)
+    """A request refused for overload must reach no controller.
+
+    A refusal has to cost less than an answer, so the next request on the
+    connection is deferred too.
+    """
+    controllers = FakeControllers(refusal=OVERLOADED)
+    api, _ = make_api(controllers)
     response = asyncio.run(
-        api.handle(HttpRequest('POST', path, encoded(body), waited_s=0.1))
+        api.handle(HttpRequest('POST', path, encode_body(body), waited_s=0.1))
     )
-    status, refusal = decoded(response)
+    status, refusal = decode_response(response)
     assert (status, refusal['code']) == (503, ResultCode.OVERLOADED)
     assert (refusal['run'], refusal['retry_after_s']) == ('not_run', 1)
     assert response.defer_next
-    assert tier.waits_s == [0.1]
-    assert not tier.requests
+    assert controllers.waits_s == [0.1]
+    assert not controllers.requests
 
 
 @pytest.mark.parametrize(
     ('waited_s', 'code'), [(0.49, 1001), (0.5, 1209), (0.7, 1209)]
 )
 def test_wait_in_the_daemon_counts_against_the_deadline(waited_s, code):
-    """Work whose caller has given up must not be run."""
-    tier = FakeTier()
-    body = encoded(QUERY | {'deadline_ms': 500})
+    """Time spent waiting in the daemon must count against the deadline.
+
+    Otherwise work would run whose caller has given up.
+    """
+    controllers = FakeControllers()
+    body = encode_body(QUERY | {'deadline_ms': 500})
     request = HttpRequest('POST', '/v1/query', body, waited_s=waited_s)
-    _, answer = decoded(asyncio.run(make_api(tier)[0].handle(request)))
+    _, answer = decode_response(
+        asyncio.run(make_api(controllers)[0].handle(request))
+    )
     assert answer['code'] == code
-    assert [r.deadline_s for r in tier.requests] == [
+    assert [r.deadline_s for r in controllers.requests] == [
         pytest.approx(0.01) for _ in range(code == 1001)
     ]
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -22,7 +22,7 @@
 from boragespool.settings.schema import AddressSettings
 from boragespool.store import Conflict, Missing, StoredValue
 from boragespool.types import RunState
-from tests.standin_thread import daemon, platform, swallowing_daemon
+from tests.standin_thread import closing_daemon, fake_daemon, platform
 
 EXAMPLE = 'examples/cooperative'
 
@@ -272,7 +272,7 @@
     waited for.
     """
     revisions = {'h1': 1, 'h2': 0}
-    with daemon(lambda _: status_of(revisions)) as entry:
+    with fake_daemon(lambda _: status_of(revisions)) as entry:
         flags = ('--wait', '--entry', entry.address, '--wait_s')
         code, applied = operator('apply', EXAMPLE, *flags, '0.3')
         assert code == 6
@@ -288,7 +288,7 @@
 
     Their daemons may omit fields, add some, or use other types.
     """
-    with daemon(lambda _: status_of({'h1': 1})) as entry:
+    with fake_daemon(lambda _: status_of({'h1': 1})) as entry:
         code, shown = operator('status', '--entry', entry.address)
         assert code == 0
         assert shown[entry.address]['host'] == 'h1'
@@ -317,7 +317,7 @@
         bodies.append(msgspec.json.decode(request.body))
         return {'run': run, 'http_status': status}
 
-    with daemon(answer) as entry:
+    with fake_daemon(answer) as entry:
         operator = Operator(capsys, entry=entry.address)
         found, shown = operator('claim', 'r', '{"lot": 1}', '--rank', 'urgent')
         assert found == code
@@ -338,7 +338,7 @@
     The first daemon closes the connection after the claim was sent; the
     connection to the second is refused. The claim may have run at the first.
     """
-    with swallowing_daemon() as entry:
+    with closing_daemon() as entry:
         operator = Operator(capsys, entry=f'{entry},127.0.0.1:1')
         code, shown = operator('claim', 'r', '1', '--ticket', 't0')
     assert code == 5
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -24,7 +24,7 @@
     free_address,
     put_revision,
     stop_signals,
-    until,
+    wait_until,
 )
 
 KEEP_S = 1
@@ -133,21 +133,23 @@
 
 def start_three_daemons(processes, platform, *flags: str):
     """Start three daemons that know each other; b and c join through a."""
-    first = processes.start_entry('a', platform, *flags)
+    first = processes.start_daemon('a', platform, *flags)
     for host in 'bc':
-        processes.start_entry(
+        processes.start_daemon(
             host, platform, f'--peers=a={first.peer_address}', *flags
         )
-    entries = [processes.entries[host] for host in 'abc']
+    entries = [processes.daemons_by_host[host] for host in 'abc']
     for entry in entries:
         entry.wait_for_event(101)
-    until(lambda: all(len(members_by_host(entry)) == 3 for entry in entries))
+    wait_until(
+        lambda: all(len(members_by_host(entry)) == 3 for entry in entries)
+    )
     return entries
 
 
 def test_bad_setting_ends_the_process(processes):
     """Guards against a daemon that keeps running with unusable settings."""
-    entry = processes.start_entry('a', 'nowhere')
+    entry = processes.start_daemon('a', 'nowhere')
     assert entry.wait() == 2
     assert entry.event_numbers() == [107]
 
@@ -163,7 +165,7 @@
         listener.listen()
         address = f'127.0.0.1:{listener.getsockname()[1]}'
         for flag in ('caller_address', 'peer_address'):
-            entry = processes.start_entry('a', platform, **{flag: address})
+            entry = processes.start_daemon('a', platform, **{flag: address})
             assert entry.wait() == 3
             assert 109 in entry.event_numbers()
 
@@ -187,10 +189,12 @@
     ).address
     put_revision(platform, 1, Settings())
     for host, address in addresses.items():
-        processes.start_entry(host, platform, peer_address=address)
-    for entry in processes.entries.values():
+        processes.start_daemon(host, platform, peer_address=address)
+    for entry in processes.daemons_by_host.values():
         entry.wait_for_event(101)
-        until(lambda entry=entry: set(members_by_host(entry)) == {'a', 'b'})
+        wait_until(
+            lambda entry=entry: set(members_by_host(entry)) == {'a', 'b'}
+        )
 
 
 def test_killed_and_paused_daemons(processes, platform):
@@ -206,14 +210,14 @@
 
     third.signal(signal.SIGKILL)
     second.signal(signal.SIGSTOP)
-    until(lambda: has_status('c', 'dead'), 10, 'killed daemon is dead')
-    until(lambda: has_status('b', 'dead'), 10, 'paused daemon is dead')
+    wait_until(lambda: has_status('c', 'dead'), 10, 'killed daemon is dead')
+    wait_until(lambda: has_status('b', 'dead'), 10, 'paused daemon is dead')
     listed = fetch(first.address, '/v1/addresses?count=3')[1]['addresses']
     assert listed == [first.address]
     second.signal(signal.SIGCONT)
-    until(lambda: has_status('b', 'alive'), 10, 'paused daemon returns')
+    wait_until(lambda: has_status('b', 'alive'), 10, 'paused daemon returns')
     assert members_by_host(first)['b']['beat'] > 0
-    until(lambda: members_by_host(second)['a']['status'] == 'alive')
+    wait_until(lambda: members_by_host(second)['a']['status'] == 'alive')
 
 
 class PollingCaller(threading.Thread):
@@ -284,7 +288,7 @@
         time.sleep(0.5)
         leaving.signal(first_signal)
         leaving.wait_for_event(102)
-        until(
+        wait_until(
             lambda: members_by_host(entries[0])['c']['status'] == 'leaving', 0.5
         )
         listed = fetch(entries[0].address, '/v1/addresses?count=3')[1]
@@ -313,7 +317,7 @@
     The stop must end after the timeout, with an exit code and a last event
     that say it is incomplete.
     """
-    entry = processes.start_entry('a', platform, '--stop_timeout_s=0.2')
+    entry = processes.start_daemon('a', platform, '--stop_timeout_s=0.2')
     entry.wait_for_event(101)
     entry.signal(signal.SIGTERM)
     assert entry.wait(3) == 4
--- a/tests/test_daemon_path.py
+++ b/tests/test_daemon_path.py
@@ -16,7 +16,13 @@
     Settings,
 )
 from boragespool.types import Rank, WorkKind
-from tests.processes import Processes, fetch, free_address, put_revision, until
+from tests.processes import (
+    Processes,
+    fetch,
+    free_address,
+    put_revision,
+    wait_until,
+)
 
 SERVICE_BY_SERVER = {
     f'{service}-{number}': service for service in ('s', 'l') for number in '012'
@@ -64,15 +70,15 @@
             '--service_time_ms=20',
         )
         put_revision(platform, 1, settings_for(address_by_server))
-        first = processes.start_entry('a', platform)
+        first = processes.start_daemon('a', platform)
         for host in 'bc':
-            processes.start_entry(
+            processes.start_daemon(
                 host, platform, f'--peers=a={first.peer_address}'
             )
-        entries = [processes.entries[host] for host in 'abc']
+        entries = [processes.daemons_by_host[host] for host in 'abc']
         for entry in entries:
             entry.wait_for_event(101)
-            until(lambda entry=entry: knows_whole_fleet(entry.address))
+            wait_until(lambda entry=entry: knows_whole_fleet(entry.address))
         yield entries
 
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -39,7 +39,12 @@
     ServerState,
     WorkKind,
 )
-from tests.fake_backend import FakeBackend, daemon, document, work
+from tests.fake_backend import (
+    FakeBackend,
+    daemon_context,
+    document,
+    work_request,
+)
 from tests.member_records import record
 from tests.relay import Relay
 from tests.test_peers import free_address
@@ -68,7 +73,7 @@
 
     async def raise_limit(self):
         """Raise the concurrency limit to all 5 slots."""
-        await asyncio.gather(*(self.send(work()) for _ in range(40)))
+        await asyncio.gather(*(self.send(work_request()) for _ in range(40)))
         assert self.controller.status()['s']['limit'] == 5
 
     async def wait_for_running(self, count):
@@ -82,7 +87,7 @@
     """Run a dispatcher whose server is at `address`, or a fake one."""
     async with FakeBackend() as backend:
         revision = document({'s': address or backend.address})
-        async with daemon(revision) as context:
+        async with daemon_context(revision) as context:
             async with DispatchController(context) as controller:
                 yield Dispatcher(backend, context, controller)
 
@@ -105,7 +110,7 @@
     """
 
     async def scenario(dispatcher):
-        reply = await dispatcher.send(work(delay_s=0.05, deadline_s=1))
+        reply = await dispatcher.send(work_request(delay_s=0.05, deadline_s=1))
         assert (reply.version, reply.start, reply.end) == (7, 0, 100)
         assert reply.items[0].key == 1
         assert reply.run == RunState.RUN
@@ -136,7 +141,7 @@
     """
 
     async def scenario(dispatcher):
-        reply = await dispatcher.send(work(mode))
+        reply = await dispatcher.send(work_request(mode))
         assert (reply.code, reply.run) == (code, run_state)
         observed = dispatcher.context.board.read(SERVER_OBSERVATIONS).get('s')
         is_draining = observed is not None and observed.draining_at_s > 0
@@ -152,7 +157,7 @@
     """
 
     async def scenario(dispatcher):
-        reply = await dispatcher.send(work(server='other'))
+        reply = await dispatcher.send(work_request(server='other'))
         assert (reply.code, reply.run) == (ResultCode.NO_SERVER, 'not_run')
 
     run_scenario(scenario)
@@ -167,9 +172,9 @@
 
     async def scenario(dispatcher):
         await dispatcher.raise_limit()
-        assert dispatcher.backend.peak <= 5
+        assert dispatcher.backend.peak_in_flight <= 5
         assert dispatcher.backend.connection_count <= 5
-        await dispatcher.send(work('shed'))
+        await dispatcher.send(work_request('shed'))
         assert dispatcher.controller.status()['s']['limit'] == 2
 
     run_scenario(scenario)
@@ -179,7 +184,9 @@
     """Guards against several requests at once to a server that just started."""
 
     async def scenario(dispatcher):
-        started = [dispatcher.start(work(delay_s=0.05)) for _ in range(4)]
+        started = [
+            dispatcher.start(work_request(delay_s=0.05)) for _ in range(4)
+        ]
         await dispatcher.wait_for_running(1)
         await asyncio.sleep(0.02)
         assert len(dispatcher.backend.running) == 1
@@ -196,7 +203,7 @@
     """
 
     async def scenario(dispatcher):
-        request = work(delay_s=0.05, kind=kind)
+        request = work_request(delay_s=0.05, kind=kind)
         first, second = await asyncio.gather(
             dispatcher.send(request),
             dispatcher.send(request),
@@ -217,9 +224,9 @@
     """
 
     async def scenario(dispatcher):
-        running = dispatcher.start(work(delay_s=0.1))
+        running = dispatcher.start(work_request(delay_s=0.1))
         await dispatcher.wait_for_running(1)
-        request = work()
+        request = work_request()
         waiting = dispatcher.start(request)
         await asyncio.sleep(0.01)
         dispatcher.context.peers.send('a', CancelWork(request.attempt_id))
@@ -238,14 +245,16 @@
     """
 
     async def scenario(dispatcher):
-        request = work(delay_s=3)
+        request = work_request(delay_s=3)
         running = dispatcher.start(request)
         await dispatcher.wait_for_running(1)
         dispatcher.context.peers.send('a', CancelWork(request.attempt_id))
         reply = await asyncio.wait_for(running, 1)
         assert (reply.code, reply.run) == (ResultCode.CANCELLED, 'not_run')
         assert dispatcher.backend.cancelled == [request.attempt_id]
-        assert (await dispatcher.send(work())).code == ResultCode.COMPLETE
+        assert (
+            await dispatcher.send(work_request())
+        ).code == ResultCode.COMPLETE
         assert dispatcher.backend.connection_count == 2
 
     run_scenario(scenario)
@@ -261,11 +270,11 @@
     async def scenario(dispatcher):
         await dispatcher.raise_limit()
         deferrable = [
-            dispatcher.start(work(delay_s=1, rank=Rank.DEFERRABLE))
+            dispatcher.start(work_request(delay_s=1, rank=Rank.DEFERRABLE))
             for _ in range(5)
         ]
         await dispatcher.wait_for_running(5)
-        reply = await asyncio.wait_for(dispatcher.send(work()), 0.5)
+        reply = await asyncio.wait_for(dispatcher.send(work_request()), 0.5)
         assert reply.code == ResultCode.COMPLETE
         codes = [reply.code for reply in await asyncio.gather(*deferrable)]
         assert codes.count(ResultCode.CANCELLED) == 1
@@ -283,12 +292,12 @@
         await dispatcher.raise_limit()
         deferrable = [
             dispatcher.start(
-                work(delay_s=0.2, rank=Rank.DEFERRABLE, **CLAIM_FIELDS)
+                work_request(delay_s=0.2, rank=Rank.DEFERRABLE, **CLAIM_FIELDS)
             )
             for _ in range(5)
         ]
         await dispatcher.wait_for_running(5)
-        await dispatcher.send(work())
+        await dispatcher.send(work_request())
         replies = await asyncio.gather(*deferrable)
         assert {reply.code for reply in replies} == {ResultCode.COMPLETE}
 
@@ -299,10 +308,12 @@
     """Guards against a slow request that keeps its slot past its deadline."""
 
     async def scenario(dispatcher):
-        reply = await dispatcher.send(work(delay_s=3, deadline_s=0.1))
+        reply = await dispatcher.send(work_request(delay_s=3, deadline_s=0.1))
         assert reply.code == ResultCode.DEADLINE_PASSED
         assert not dispatcher.backend.running
-        assert (await dispatcher.send(work())).code == ResultCode.COMPLETE
+        assert (
+            await dispatcher.send(work_request())
+        ).code == ResultCode.COMPLETE
 
     run_scenario(scenario)
 
@@ -316,16 +327,18 @@
 
     async def scenario():
         async with FakeBackend() as backend, Relay(backend.address) as relay:
-            async with daemon(document({'s': relay.address})) as context:
+            async with daemon_context(
+                document({'s': relay.address})
+            ) as context:
                 async with DispatchController(context) as controller:
                     dispatcher = Dispatcher(backend, context, controller)
-                    await dispatcher.send(work())
+                    await dispatcher.send(work_request())
                     relay.silence()
-                    claim = work(deadline_s=0.2, **CLAIM_FIELDS)
+                    claim = work_request(deadline_s=0.2, **CLAIM_FIELDS)
                     reply = await dispatcher.send(claim)
                     assert reply.code == ResultCode.SERVER_SILENT
                     assert reply.run == RunState.UNKNOWN
-                    again = await dispatcher.send(work())
+                    again = await dispatcher.send(work_request())
                     assert again.code == ResultCode.COMPLETE
                     assert claim.attempt_id not in backend.attempts
 
@@ -344,13 +357,15 @@
 
     async def scenario():
         async with FakeBackend() as backend, Relay(backend.address) as relay:
-            async with daemon(document({'s': relay.address})) as context:
+            async with daemon_context(
+                document({'s': relay.address})
+            ) as context:
                 async with DispatchController(context) as controller:
                     dispatcher = Dispatcher(backend, context, controller)
-                    await dispatcher.send(work())
+                    await dispatcher.send(work_request())
                     relay.cut()
                     await asyncio.sleep(0.02)
-                    claim = work(**CLAIM_FIELDS)
+                    claim = work_request(**CLAIM_FIELDS)
                     reply = await dispatcher.send(claim)
                     assert reply.code == ResultCode.COMPLETE
                     assert backend.attempts.count(claim.attempt_id) == 1
@@ -366,10 +381,12 @@
 
     async def scenario():
         async with FakeBackend() as backend, Relay(backend.address) as relay:
-            async with daemon(document({'s': relay.address})) as context:
+            async with daemon_context(
+                document({'s': relay.address})
+            ) as context:
                 async with DispatchController(context) as controller:
                     dispatcher = Dispatcher(backend, context, controller)
-                    claim = work(delay_s=0.2, **CLAIM_FIELDS)
+                    claim = work_request(delay_s=0.2, **CLAIM_FIELDS)
                     running = dispatcher.start(claim)
                     await dispatcher.wait_for_running(1)
                     relay.cut()
@@ -391,7 +408,7 @@
 
     async def scenario(dispatcher):
         await dispatcher.backend.__aexit__()
-        reply = await dispatcher.send(work(**CLAIM_FIELDS))
+        reply = await dispatcher.send(work_request(**CLAIM_FIELDS))
         code = ResultCode.SERVER_UNREACHABLE
         assert (reply.code, reply.run) == (code, RunState.NOT_RUN)
 
@@ -407,15 +424,15 @@
 
     async def scenario(dispatcher):
         await dispatcher.raise_limit()
-        before = dispatcher.start(work(delay_s=0.1))
+        before = dispatcher.start(work_request(delay_s=0.1))
         await dispatcher.wait_for_running(1)
-        solo = dispatcher.start(work(delay_s=0.1, solo=True))
-        after = dispatcher.start(work(delay_s=0.1))
+        solo = dispatcher.start(work_request(delay_s=0.1, solo=True))
+        after = dispatcher.start(work_request(delay_s=0.1))
         await before
         await dispatcher.wait_for_running(1)
-        dispatcher.backend.peak = 0
+        dispatcher.backend.peak_in_flight = 0
         await asyncio.gather(solo, after)
-        assert dispatcher.backend.peak == 1
+        assert dispatcher.backend.peak_in_flight == 1
 
     run_scenario(scenario)
 
@@ -453,19 +470,23 @@
     async def scenario(dispatcher):
         address = dispatcher.backend.address
         async with listening_peer(dispatcher.context) as notices:
-            first = work('crash', fingerprint=5)
+            first = work_request('crash', fingerprint=5)
             reply = await dispatcher.send(first)
             assert (reply.code, reply.run) == (3105, RunState.UNKNOWN)
             assert dispatcher.context.board.read(SUSPECT_FINGERPRINTS) == {5}
             assert [notice.loss_id for notice in notices] == ['s@1']
             async with FakeBackend('s', 2, address):
-                reply = await dispatcher.send(work('crash', fingerprint=5))
+                reply = await dispatcher.send(
+                    work_request('crash', fingerprint=5)
+                )
                 assert reply.code == ResultCode.SERVER_CLOSED
                 assert dispatcher.context.board.read(BLOCKED_FINGERPRINTS) == {
                     5
                 }
             async with FakeBackend('s', 3, address) as third:
-                reply = await dispatcher.send(work('crash', fingerprint=5))
+                reply = await dispatcher.send(
+                    work_request('crash', fingerprint=5)
+                )
                 assert reply.code == ResultCode.REQUEST_BLOCKED
                 assert reply.run == RunState.NOT_RUN
                 assert not third.attempts
@@ -490,7 +511,7 @@
     async def scenario(dispatcher):
         peer = listening_peer(dispatcher.context, acknowledges=False)
         async with peer as notices:
-            await dispatcher.send(work('crash', fingerprint=5))
+            await dispatcher.send(work_request('crash', fingerprint=5))
             assert not notices
             await asyncio.sleep(1.1)
             assert [notice.loss_id for notice in notices] == ['s@1']
@@ -551,14 +572,14 @@
     """
 
     async def scenario(dispatcher):
-        running = dispatcher.start(work(delay_s=0.1))
+        running = dispatcher.start(work_request(delay_s=0.1))
         await dispatcher.wait_for_running(1)
-        waiting = dispatcher.start(work())
+        waiting = dispatcher.start(work_request())
         await asyncio.sleep(0.01)
         state = ServerState.DRAINING
         record = ServerRecord('s', 'v', 'north', 'a', 1, 1, 1, state, 1)
         dispatcher.context.board.post(SERVERS, {'s': record})
-        for reply in (await waiting, await dispatcher.send(work())):
+        for reply in (await waiting, await dispatcher.send(work_request())):
             assert reply.code == ResultCode.SERVER_DRAINING
             assert reply.run == RunState.NOT_RUN
         assert (await running).code == ResultCode.COMPLETE
@@ -573,15 +594,17 @@
     """
 
     async def scenario(dispatcher):
-        running = dispatcher.start(work(delay_s=0.1))
+        running = dispatcher.start(work_request(delay_s=0.1))
         await dispatcher.wait_for_running(1)
-        waiting = dispatcher.start(work())
+        waiting = dispatcher.start(work_request())
         await asyncio.sleep(0.01)
         assert dispatcher.controller.in_flight == 2
         assert await dispatcher.controller.drain(2)
         assert (await running).code == ResultCode.COMPLETE
         assert (await waiting).code == ResultCode.LEAVING
-        assert (await dispatcher.send(work())).code == ResultCode.LEAVING
+        assert (
+            await dispatcher.send(work_request())
+        ).code == ResultCode.LEAVING
 
     run_scenario(scenario)
 
@@ -590,10 +613,10 @@
     """Guards against a merger that waits for work past its deadline."""
 
     async def scenario(dispatcher):
-        running = dispatcher.start(work(delay_s=0.4))
+        running = dispatcher.start(work_request(delay_s=0.4))
         await dispatcher.wait_for_running(1)
         started_s = asyncio.get_running_loop().time()
-        reply = await dispatcher.send(work(deadline_s=0.1))
+        reply = await dispatcher.send(work_request(deadline_s=0.1))
         waited_s = asyncio.get_running_loop().time() - started_s
         assert reply.code == ResultCode.DEADLINE_UNREACHABLE
         assert waited_s < 0.2
@@ -606,8 +629,10 @@
     """Guards against work messages that no handler is registered for."""
 
     async def scenario(dispatcher):
-        assert isinstance(work(), WorkRequest)
-        assert (await dispatcher.send(work())).code == ResultCode.COMPLETE
+        assert isinstance(work_request(), WorkRequest)
+        assert (
+            await dispatcher.send(work_request())
+        ).code == ResultCode.COMPLETE
         assert dispatcher.controller.status()['s']['connections'] == 1
 
     run_scenario(scenario)
@@ -622,18 +647,20 @@
     async def scenario():
         spec = BackendSpec('s', 'v', switches=BackendSwitches(slots=5))
         async with BackendServer(spec) as server:
-            async with daemon(document({'s': server.address})) as context:
+            async with daemon_context(
+                document({'s': server.address})
+            ) as context:
                 async with DispatchController(context) as controller:
                     dispatcher = Dispatcher(None, context, controller)
-                    query = work(version=1, end=2**32)
+                    query = work_request(version=1, end=2**32)
                     reply = await dispatcher.send(query)
                     assert (reply.code, len(reply.items)) == (1000, 200)
-                    reply = await dispatcher.send(work(version=2))
+                    reply = await dispatcher.send(work_request(version=2))
                     assert reply.code == ResultCode.VERSION_NOT_HELD
-                    reply = await dispatcher.send(work(**CLAIM_FIELDS))
+                    reply = await dispatcher.send(work_request(**CLAIM_FIELDS))
                     assert reply.outcome['runs'] == 1
                     reply = await dispatcher.send(
-                        work(body=b'{"fail":1}', **CLAIM_FIELDS)
+                        work_request(body=b'{"fail":1}', **CLAIM_FIELDS)
                     )
                     assert reply.code == ResultCode.CLAIM_FAILED
                     assert reply.outcome['error']
@@ -641,10 +668,10 @@
                     # A claim that started runs to its end, past its deadline.
                     server.control({'service_time_s': 0.3})
                     reply = await dispatcher.send(
-                        work(deadline_s=0.1, **CLAIM_FIELDS)
+                        work_request(deadline_s=0.1, **CLAIM_FIELDS)
                     )
                     assert reply.code == ResultCode.COMPLETE
-                    query = work(version=1, end=9, deadline_s=0.1)
+                    query = work_request(version=1, end=9, deadline_s=0.1)
                     reply = await dispatcher.send(query)
                     assert reply.code == ResultCode.DEADLINE_PASSED
                     assert reply.run == RunState.RUN
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -1,4 +1,4 @@
-"""Registrations: old copies, restarts and lapses."""
+"""Registration table: outdated writes, restarts and expired entries."""
 
 from __future__ import annotations
 
@@ -26,6 +26,7 @@
 
 
 def update(table, *listed, now_s=0, returned_at_s=-math.inf):
+    """Update a table with the listed entries; return what changed."""
     before = dict(table.registrations_by_server)
     registrations_by_server = {entry.server: entry for entry in listed}
     table.update(registrations_by_server, now_s, returned_at_s)
@@ -33,15 +34,15 @@
 
 
 def test_older_copy_is_ignored():
-    """A late write of an older entry must not revive a draining server."""
+    """A delayed write of an older entry must not undo a drain."""
     table = RegistrationTable(GRACE_S)
     update(table, replace(FIRST, draining=True, sequence=9))
     update(table, FIRST)
     assert table.registrations_by_server['i-a'].draining
 
 
-def test_removed_server_stays_gone():
-    """A late copy of an entry that was removed names no server."""
+def test_removed_server_is_not_added_again():
+    """A delayed write of a removed entry must not add the server again."""
     table = RegistrationTable(GRACE_S)
     update(table, FIRST)
     assert update(table).removed == (FIRST,)
@@ -49,17 +50,25 @@
     assert update(table, replace(FIRST, sequence=8)).added
 
 
-def test_restart_under_the_same_name_begins_anew():
-    """A restarted server counts from the start and is used again."""
+def test_restarted_server_is_used_again():
+    """A restarted server must be used though its sequence starts over.
+
+    Compared by sequence alone, its first entry would be older than the
+    last one before the restart, and be ignored.
+    """
     table = RegistrationTable(GRACE_S)
     update(table, replace(FIRST, draining=True))
-    reborn = replace(FIRST, started_at_ms=200, sequence=1)
-    update(table, reborn)
-    assert table.registrations_by_server['i-a'] == reborn
+    restarted = replace(FIRST, started_at_ms=200, sequence=1)
+    update(table, restarted)
+    assert table.registrations_by_server['i-a'] == restarted
+
 
+def test_expired_entries_are_kept_for_the_grace_time():
+    """Servers must stay in use for a grace time after a store outage.
 
-def test_lapsed_entries_hold_until_the_grace_ends():
-    """Servers must serve on while their entries lapse with the store."""
+    Leases expire while the store is away, so entries are missing until the
+    servers have registered again. They are dropped after `GRACE_S`.
+    """
     table = RegistrationTable(GRACE_S)
     update(table, FIRST, now_s=0)
     update(table, now_s=10, returned_at_s=10)
