--- a/features/callers.py
+++ b/features/callers.py
@@ -15,7 +15,7 @@
 
 
 @dataclass(frozen=True)
-class Sent:
+class SentRequest:
     """One request and the answer that its caller got."""
 
     name: str
@@ -30,7 +30,7 @@
         return getattr(self.answer, 'run', None)
 
 
-class Load(threading.Thread):
+class LoadGenerator(threading.Thread):
     """Sends requests until it is stopped.
 
     Parameters
@@ -42,7 +42,7 @@
     make_body : callable
         Returns the body of the request with a number.
     workers : int
-        Requests at the same time; with `per_s` the rate counts instead.
+        Requests at the same time; with `rate_per_s` the rate counts instead.
     """
 
     def __init__(
@@ -53,18 +53,18 @@
         make_body,
         workers=8,
         pause_s=0.02,
-        per_s=0,
+        rate_per_s=0,
         **options,
     ) -> None:
         super().__init__(name=name)
-        self.sent: list[Sent] = []
-        self.fault: Exception | None = None
+        self.sent: list[SentRequest] = []
+        self.error: Exception | None = None
         self._options = ClientOptions(name, tuple(addresses), **options)
         self._send = send
         self._make_body = make_body
         self._workers = workers
         self._pause_s = pause_s
-        self._per_s = per_s
+        self._rate_per_s = rate_per_s
         self._number = 0
         self._is_stopping = threading.Event()
 
@@ -72,35 +72,35 @@
         try:
             asyncio.run(self._main())
         except Exception as error:
-            self.fault = error
+            self.error = error
 
-    def stop(self) -> list[Sent]:
+    def stop(self) -> list[SentRequest]:
         """Stop after the open requests; return all of them."""
         self._is_stopping.set()
         if self.ident is not None:
             self.join()
-        if self.fault is not None:
-            raise self.fault
+        if self.error is not None:
+            raise self.error
         return self.sent
 
     async def _main(self) -> None:
         async with Client(self._options) as client:
-            if self._per_s:
-                await self._keep_rate(client)
+            if self._rate_per_s:
+                await self._send_at_rate(client)
                 return
-            workers = (self._keep_sending(client) for _ in range(self._workers))
+            workers = (self._send_in_loop(client) for _ in range(self._workers))
             await asyncio.gather(*workers)
 
-    async def _keep_sending(self, client: Client) -> None:
+    async def _send_in_loop(self, client: Client) -> None:
         while not self._is_stopping.is_set():
             await self._send_one(client)
             await asyncio.sleep(self._pause_s)
 
-    async def _keep_rate(self, client: Client) -> None:
+    async def _send_at_rate(self, client: Client) -> None:
         began_s = time.monotonic()
         tasks = []
         while not self._is_stopping.is_set():
-            due = int((time.monotonic() - began_s) * self._per_s)
+            due = int((time.monotonic() - began_s) * self._rate_per_s)
             while len(tasks) < due:
                 tasks.append(asyncio.create_task(self._send_one(client)))
             await asyncio.sleep(0.01)
@@ -113,7 +113,7 @@
         began_s = time.monotonic()
         answer = await self._send(client, body)
         took_s = time.monotonic() - began_s
-        self.sent.append(Sent(name, body, answer, began_s, took_s))
+        self.sent.append(SentRequest(name, body, answer, began_s, took_s))
 
 
 def claim_body(number: int, name: str) -> dict:
@@ -121,17 +121,17 @@
     return {'claim_id': name}
 
 
-def any_query(number: int, name: str) -> dict:
+def match_all_body(number: int, name: str) -> dict:
     """Return a body that matches all items."""
     return {}
 
 
-def own_query(number: int, name: str) -> dict:
+def single_item_body(number: int, name: str) -> dict:
     """Return a body that matches one item, another one for each request."""
     return {'match': f'item-{number % ITEM_COUNT:06d}'}
 
 
-def claiming(route: str, deadline_s: float):
+def make_claim_sender(route: str, deadline_s: float):
     """Return a sender of claims."""
 
     async def send(client: Client, body: dict):
@@ -140,7 +140,7 @@
     return send
 
 
-def querying(route: str, deadline_s: float):
+def make_query_sender(route: str, deadline_s: float):
     """Return a sender of queries."""
 
     async def send(client: Client, body: dict):
--- a/features/environment.py
+++ b/features/environment.py
@@ -14,7 +14,7 @@
     processes = context.stack.enter_context(Processes())
     context.fleet = Fleet(processes)
     context.loads = {}
-    context.noted = {}
+    context.times_s_by_name = {}
 
 
 def after_scenario(context, scenario):
--- a/features/fleet.py
+++ b/features/fleet.py
@@ -21,10 +21,10 @@
 #: farm can be slower.
 DEAD_LIMIT_S = 15
 READY_LIMIT_S = 20
-KEEP_S = 1
+ADDRESS_KEEP_S = 1
 HOSTS = 'abcdef'
-SITES = ('north', 'south')
-UNREACHABLE = (OSError, http.client.HTTPException, json.JSONDecodeError)
+DATA_CENTRES = ('north', 'south')
+CONNECTION_ERRORS = (OSError, http.client.HTTPException, json.JSONDecodeError)
 
 ROUTES = {
     'find': RouteSettings('lots', Rank.ROUTINE, WorkKind.QUERY, 2_000),
@@ -48,7 +48,7 @@
         self.settings = Settings()
         self.platform = None
         self.backends = None
-        self.via: dict[str, str] = {}
+        self.relay_address_by_server: dict[str, str] = {}
         self.partition: Partition | None = None
 
     @property
@@ -99,13 +99,13 @@
         }
         platform = self.platform.address
         if self.partition is not None:
-            platform = self.partition.reach_platform(host, platform)
-            addresses |= self.partition.place(host)
+            platform = self.partition.platform_address_for(host, platform)
+            addresses |= self.partition.add_peer_relay(host)
         self.processes.start_entry(
             host,
             platform,
             f'--peers={",".join(peers)}',
-            data_centre=SITES[HOSTS.index(host) % 2],
+            data_centre=DATA_CENTRES[HOSTS.index(host) % 2],
             **addresses,
         )
 
@@ -129,7 +129,7 @@
         members = self.status(observer)['members']
         return {m['host']: m['status'] for m in members}.get(host, '')
 
-    def wait_member(self, host: str, status: str) -> None:
+    def wait_member_status(self, host: str, status: str) -> None:
         """Wait until all other running daemons give a daemon this status."""
         for observer, entry in self.entries.items():
             if observer == host or entry.process.poll() is not None:
@@ -154,7 +154,7 @@
         """Return the revision in force; None if silent or starting."""
         try:
             report = self.status(host)
-        except UNREACHABLE:
+        except CONNECTION_ERRORS:
             return None
         return None if report['phase'] == 'starting' else report['revision']
 
@@ -187,7 +187,9 @@
 
     def wait_idle(self) -> None:
         """Wait until no daemon and no backend server works any more."""
-        until(lambda: not any(self._in_flight()), 10, 'nothing in flight')
+        until(
+            lambda: not any(self._in_flight_counts()), 10, 'nothing in flight'
+        )
 
     def print_logs(self) -> None:
         """Print the ends of all logs, for a failed scenario."""
@@ -195,7 +197,7 @@
             log = running.log_path.read_text(encoding='utf-8')
             print(f'--- {running.log_path.name}\n{log[-1_500:]}')
 
-    def _in_flight(self):
+    def _in_flight_counts(self):
         for report in self.report().values():
             yield report['in_flight']
         for host, entry in self.entries.items():
@@ -217,8 +219,8 @@
         for number, spec in enumerate(self.specs):
             name = spec['name']
             servers.setdefault(spec['service'], {})[name] = ServerSettings(
-                self.via.get(name, spec['address']),
-                SITES[number % 2],
+                self.relay_address_by_server.get(name, spec['address']),
+                DATA_CENTRES[number % 2],
                 host=f'host-{name}',
             )
         return Settings(
@@ -233,7 +235,7 @@
                 for name, route in ROUTES.items()
                 if route.service in servers
             },
-            addresses=AddressSettings(keep_s=KEEP_S, count=4),
+            addresses=AddressSettings(keep_s=ADDRESS_KEEP_S, count=4),
         )
 
     def slots(self, service: str) -> int:
@@ -242,6 +244,6 @@
         return spec['switches'].get('slots', 5)
 
 
-def shard_of(shard: int, shards: int) -> list[int]:
+def shard_key_range(shard: int, shards: int) -> list[int]:
     """Return the key range of a shard as JSON has it."""
     return list(shard_range(shard, shards))
--- a/features/observer.py
+++ b/features/observer.py
@@ -8,7 +8,7 @@
 from features.fleet import Fleet
 
 
-class Observer(threading.Thread):
+class RevisionObserver(threading.Thread):
     """Asks every daemon again and again; a load without requests."""
 
     def __init__(self, fleet: Fleet) -> None:
--- a/features/partition.py
+++ b/features/partition.py
@@ -13,7 +13,7 @@
 
 #: Both ends of a link send 8 bytes first, then each message after its length
 #: in 8 bytes: the TCP mapping of the scalability protocols (SP).
-_HEAD_SIZE = 8
+_HEADER_SIZE_BYTES = 8
 
 
 class _PeerRelay(Relay):
@@ -25,9 +25,9 @@
 
     async def forward(self, reader, writer) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            writer.write(await reader.readexactly(_HEAD_SIZE))
+            writer.write(await reader.readexactly(_HEADER_SIZE_BYTES))
             while True:
-                head = await reader.readexactly(_HEAD_SIZE)
+                head = await reader.readexactly(_HEADER_SIZE_BYTES)
                 body = await reader.readexactly(int.from_bytes(head, 'big'))
                 frame = decode_frame(body)
                 assert isinstance(frame, Frame), frame
@@ -59,7 +59,7 @@
     def __exit__(self, *exc_info: object) -> None:
         self._relays.__exit__()
 
-    def reach_platform(self, host: str, platform: str) -> str:
+    def platform_address_for(self, host: str, platform: str) -> str:
         """Return the address under which a daemon reaches the platform."""
         if host not in self._far_hosts:
             return platform
@@ -68,7 +68,7 @@
             self._relays.add(self._platform)
         return self._platform.address
 
-    def place(self, host: str) -> dict[str, str]:
+    def add_peer_relay(self, host: str) -> dict[str, str]:
         """Return how to start a daemon that others reach through a relay."""
 
         def is_cut_off(sender: str) -> bool:
--- a/features/raw_callers.py
+++ b/features/raw_callers.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from boragespool.client.answers import QueryResult
-from features.callers import Sent, own_query
-from features.fleet import UNREACHABLE
+from features.callers import SentRequest, single_item_body
+from features.fleet import CONNECTION_ERRORS
 
 TIMEOUT_S = 3
 
@@ -36,14 +36,14 @@
         self, name, addresses, keep_s=0, *, claims=False, pause_s=0.01
     ) -> None:
         super().__init__(name=name)
-        self.sent: list[Sent] = []
-        self.broken: list[str] = []
-        self.refused: list[dict] = []
+        self.sent: list[SentRequest] = []
+        self.connection_errors: list[str] = []
+        self.refusals: list[dict] = []
         self._addresses = list(addresses)
         self._keep_s = keep_s
         self._claims = claims
         self._pause_s = pause_s
-        self._refresh_s = time.monotonic() + keep_s
+        self._refresh_at_s = time.monotonic() + keep_s
         self._connection = None
         self._number = 0
         self._is_stopping = threading.Event()
@@ -52,11 +52,13 @@
         while not self._is_stopping.wait(self._pause_s):
             try:
                 self._send_next()
-            except UNREACHABLE as error:
-                self.broken.append(f'{self._addresses[0]}: {error!r}')
-                self._move(self._addresses[1:] + self._addresses[:1])
+            except CONNECTION_ERRORS as error:
+                self.connection_errors.append(
+                    f'{self._addresses[0]}: {error!r}'
+                )
+                self._use_addresses(self._addresses[1:] + self._addresses[:1])
 
-    def stop(self) -> list[Sent]:
+    def stop(self) -> list[SentRequest]:
         """Stop after the open request."""
         self._is_stopping.set()
         if self.ident is not None:
@@ -64,11 +66,11 @@
         return self.sent
 
     def _send_next(self) -> None:
-        if self._keep_s and time.monotonic() >= self._refresh_s:
-            answer = self._ask('GET', '/v1/addresses?count=4')
-            self._refresh_s = time.monotonic() + answer['keep_s']
+        if self._keep_s and time.monotonic() >= self._refresh_at_s:
+            answer = self._request('GET', '/v1/addresses?count=4')
+            self._refresh_at_s = time.monotonic() + answer['keep_s']
             if self._addresses[0] not in answer['addresses']:
-                self._move(answer['addresses'])
+                self._use_addresses(answer['addresses'])
         self._number += 1
         if self._claims and self._number % 2:
             self._claim()
@@ -77,33 +79,33 @@
 
     def _query(self) -> None:
         name = f'{self.name}-{self._number}'
-        body = own_query(self._number, name)
-        asked = {'route': 'find', 'caller': self.name, 'body': body}
+        body = single_item_body(self._number, name)
+        request = {'route': 'find', 'caller': self.name, 'body': body}
         began_s = time.monotonic()
-        answer = self._ask('POST', '/v1/query', asked)
+        answer = self._request('POST', '/v1/query', request)
         if answer['code'] >= 1010:
-            self.refused.append(answer)
+            self.refusals.append(answer)
             return
         result = msgspec.convert(answer, QueryResult)
         took_s = time.monotonic() - began_s
-        self.sent.append(Sent(name, body, result, began_s, took_s))
+        self.sent.append(SentRequest(name, body, result, began_s, took_s))
 
     def _claim(self) -> None:
-        tickets = self._ask('GET', '/v1/addresses?tickets=1')['tickets']
+        tickets = self._request('GET', '/v1/addresses?tickets=1')['tickets']
         if not tickets:
             # A leaving daemon gives no tickets; that is no failure.
             return
-        asked = {
+        request = {
             'route': 'claim',
             'caller': self.name,
             'body': {'claim_id': f'{self.name}-{self._number}'},
             'ticket': tickets[0],
         }
-        answer = self._ask('POST', '/v1/claim', asked)
+        answer = self._request('POST', '/v1/claim', request)
         if answer['code'] >= 1010:
-            self.refused.append(answer)
+            self.refusals.append(answer)
 
-    def _ask(self, method, path, body=None) -> dict:
+    def _request(self, method, path, body=None) -> dict:
         if self._connection is None:
             self._connection = http.client.HTTPConnection(
                 self._addresses[0], timeout=TIMEOUT_S
@@ -117,7 +119,7 @@
             self._connection = None
         return answer
 
-    def _move(self, addresses) -> None:
+    def _use_addresses(self, addresses) -> None:
         if self._connection is not None:
             self._connection.close()
             self._connection = None
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -9,19 +9,19 @@
 from behave import given, then, when
 
 from boragespool.types import RunState
-from features.fleet import UNREACHABLE
+from features.fleet import CONNECTION_ERRORS
 from features.steps.fleet_steps import post
 from tests.processes import fetch, until
 
 
-def ticket_of(context, host):
+def fetch_ticket(context, host):
     address = context.fleet.entries[host].address
     return fetch(address, '/v1/addresses?tickets=1')[1]['tickets'][0]
 
 
 @given('a ticket from daemon {host}')
 def take_ticket(context, host):
-    context.ticket = ticket_of(context, host)
+    context.ticket = fetch_ticket(context, host)
     context.claim_id = 'the-claim'
     context.answers = []
 
@@ -34,7 +34,7 @@
     }
     try:
         answer = post(context.fleet.entries[host], '/v1/claim', body)[1]
-    except UNREACHABLE:
+    except CONNECTION_ERRORS:
         return {'run': 'no answer'}
     return answer
 
@@ -119,7 +119,7 @@
 
 
 @then('no claim ran twice')
-def none_twice(context):
+def check_no_claim_ran_twice(context):
     claims_of(context)
     context.fleet.wait_idle()
     runs = context.fleet.claim_runs()
@@ -128,7 +128,7 @@
 
 
 @then('no claim that was answered not_run ran')
-def not_run_is_true(context):
+def check_not_run_claims(context):
     sent = claims_of(context)
     context.fleet.wait_idle()
     runs = context.fleet.claim_runs()
@@ -147,7 +147,7 @@
 
 
 @then('every claim that was answered run ran once')
-def run_is_true(context):
+def check_run_claims_ran_once(context):
     runs = context.fleet.claim_runs()
     ran = [c for c in claims_of(context) if c.run is RunState.RUN]
     assert ran, 'no claim was answered run'
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -11,16 +11,16 @@
 
 from behave import given, then, when
 
-from features.observer import Observer
+from features.observer import RevisionObserver
 from tests.processes import ROOT, until
 
 COMMAND_LIMIT_S = 30
-APPLY = ('apply', '--patience_s=4')
+APPLY_ARGUMENTS = ('apply', '--patience_s=4')
 
 
 @given('an observer of the revisions')
 def observe(context):
-    observer = Observer(context.fleet)
+    observer = RevisionObserver(context.fleet)
     context.observer = observer
     context.stack.callback(observer.stop)
     observer.start()
@@ -70,7 +70,7 @@
     )
 
 
-def finish(context, commands):
+def wait_commands(context, commands):
     context.commands = []
     for command in commands:
         output, errors = command.communicate(timeout=COMMAND_LIMIT_S)
@@ -81,7 +81,10 @@
 @when('an operator applies a change')
 def apply_one(context):
     folder = write_folder(context, 4)
-    finish(context, [start_command(context, *APPLY, folder, '--note=one')])
+    wait_commands(
+        context,
+        [start_command(context, *APPLY_ARGUMENTS, folder, '--note=one')],
+    )
 
 
 @when('{count:d} operators apply different changes to revision 1 at once')
@@ -89,14 +92,14 @@
     commands = [
         start_command(
             context,
-            *APPLY,
+            *APPLY_ARGUMENTS,
             write_folder(context, number + 1),
             '--base=1',
             f'--note=operator {number}',
         )
         for number in range(count)
     ]
-    finish(context, commands)
+    wait_commands(context, commands)
 
 
 @when('the platform loses the next {count:d} answers to writes')
@@ -153,7 +156,7 @@
 
 
 @then('no daemon went back to an earlier revision')
-def never_reverts(context):
+def check_revisions_never_revert(context):
     context.observer.stop()
     seen = context.observer.revisions_by_host
     assert seen, 'nothing was observed'
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -8,18 +8,18 @@
 from behave import given, then, when
 
 from features.callers import (
-    Load,
-    any_query,
+    LoadGenerator,
     claim_body,
-    claiming,
-    own_query,
-    querying,
+    make_claim_sender,
+    make_query_sender,
+    match_all_body,
+    single_item_body,
 )
 from tests.processes import fetch, until
 
 CLAIM_DEADLINE_S = 3
 QUERY_DEADLINE_S = 2
-BODIES = {'the same': any_query, 'a different': own_query}
+BODIES = {'the same': match_all_body, 'a different': single_item_body}
 
 
 @given('{count:d} daemons')
@@ -37,7 +37,7 @@
     context.fleet.add_servers('lots', shards, replicas, service_time_s=0.01)
 
 
-def begin(context, load):
+def start_load(context, load):
     context.loads[load.name] = load
     load.start()
     until(lambda: len(load.sent) >= 20, 15, 'first answers')
@@ -45,16 +45,18 @@
 
 @given('callers that keep sending claims')
 def keep_claiming(context):
-    send = claiming('claim', CLAIM_DEADLINE_S)
+    send = make_claim_sender('claim', CLAIM_DEADLINE_S)
     addresses = context.fleet.addresses()
-    begin(context, Load('claims', addresses, send, claim_body))
+    start_load(context, LoadGenerator('claims', addresses, send, claim_body))
 
 
 @given('callers that keep sending {bodies} query')
 def keep_querying(context, bodies):
-    send = querying('find', QUERY_DEADLINE_S)
+    send = make_query_sender('find', QUERY_DEADLINE_S)
     addresses = context.fleet.addresses()
-    begin(context, Load('queries', addresses, send, BODIES[bodies]))
+    start_load(
+        context, LoadGenerator('queries', addresses, send, BODIES[bodies])
+    )
 
 
 @when('the callers have got {count:d} more answers')
@@ -83,7 +85,7 @@
     context.fleet.entries[host].signal(signal.SIGSTOP)
     paused = context.fleet.entries.pop(host)
     try:
-        context.fleet.wait_member(host, 'dead')
+        context.fleet.wait_member_status(host, 'dead')
     finally:
         context.fleet.entries[host] = paused
 
@@ -91,7 +93,7 @@
 @when('daemon {host} continues')
 def continue_daemon(context, host):
     context.fleet.entries[host].signal(signal.SIGCONT)
-    context.fleet.wait_member(host, 'alive')
+    context.fleet.wait_member_status(host, 'alive')
 
 
 @when('daemon {host} starts again')
@@ -134,7 +136,9 @@
 def later_answers(context, share):
     """Bodies of all loads; the failure must not end the service."""
     for load in context.loads.values():
-        later = [s for s in load.sent if s.began_s > context.noted['time']]
+        later = [
+            s for s in load.sent if s.began_s > context.times_s_by_name['time']
+        ]
         good = [s for s in later if getattr(s.answer, 'code', 0) < 1010]
         assert later, f'{load.name}: nothing was sent'
         assert len(good) * 100 >= share * len(later), (
@@ -147,7 +151,7 @@
 
 @when('this moment is noted')
 def note_time(context):
-    context.noted['time'] = time.monotonic()
+    context.times_s_by_name['time'] = time.monotonic()
 
 
 def post(entry, path, body):
@@ -162,16 +166,16 @@
 
 @given('far more claims than the server can run')
 def overload(context):
-    load = Load(
+    load = LoadGenerator(
         'claims',
         context.fleet.addresses(),
-        claiming('claim', CLAIM_DEADLINE_S),
+        make_claim_sender('claim', CLAIM_DEADLINE_S),
         claim_body,
-        per_s=80,
+        rate_per_s=80,
         tickets_per_claim=1,
         connection_count=512,
     )
-    begin(context, load)
+    start_load(context, load)
 
 
 @when('all servers begin to drain')
--- a/features/steps/host_list_steps.py
+++ b/features/steps/host_list_steps.py
@@ -7,11 +7,11 @@
 
 from behave import given, then, when
 
-from features.fleet import KEEP_S, UNREACHABLE
+from features.fleet import ADDRESS_KEEP_S, CONNECTION_ERRORS
 from features.steps.stop_steps import stop_together
 from tests.processes import fetch, until
 
-GIVEN_LIMIT_S = 10
+ADDRESSES_LIMIT_S = 10
 
 
 class AddressObserver(threading.Thread):
@@ -26,7 +26,7 @@
     def run(self) -> None:
         while not self._is_stopping.wait(0.02):
             for address in self._fleet.addresses():
-                addresses = given_by(address)
+                addresses = fetch_addresses(address)
                 if addresses:
                     self.given.append((time.monotonic(), addresses))
 
@@ -36,11 +36,11 @@
             self.join()
 
 
-def given_by(address):
+def fetch_addresses(address):
     """Return an address answer; empty if the daemon does not answer."""
     try:
         status, answer = fetch(address, '/v1/addresses?count=8')
-    except UNREACHABLE:
+    except CONNECTION_ERRORS:
         return ()
     return tuple(answer['addresses']) if status == 200 else ()
 
@@ -66,7 +66,7 @@
     observer = AddressObserver(context.fleet)
     context.address_observer = observer
     context.stack.callback(observer.stop)
-    context.gone_s_by_address = {}
+    context.stopped_s_by_address = {}
     observer.start()
 
 
@@ -74,7 +74,7 @@
 def replace(context, host, successor):
     address = context.fleet.entries[host].address
     stop_together(context, [host])
-    context.gone_s_by_address[address] = time.monotonic()
+    context.stopped_s_by_address[address] = time.monotonic()
     del context.fleet.entries[host]
     context.fleet.start_daemon(successor)
     context.fleet.wait_ready()
@@ -87,8 +87,11 @@
     assert len(given) > 100, len(given)
     for given_s, addresses in given:
         for address in addresses:
-            gone_s = context.gone_s_by_address.get(address, float('inf'))
-            assert given_s + KEEP_S <= gone_s, (address, gone_s - given_s)
+            gone_s = context.stopped_s_by_address.get(address, float('inf'))
+            assert given_s + ADDRESS_KEEP_S <= gone_s, (
+                address,
+                gone_s - given_s,
+            )
 
 
 @then('callers are given the addresses of {hosts}')
@@ -97,7 +100,7 @@
     wanted = {entries[host].address for host in hosts.split(',')}
     for entry in entries.values():
         until(
-            lambda entry=entry: set(given_by(entry.address)) == wanted,
-            GIVEN_LIMIT_S,
+            lambda entry=entry: set(fetch_addresses(entry.address)) == wanted,
+            ADDRESSES_LIMIT_S,
             f'{entry.address} gives {wanted}',
         )
--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -4,10 +4,10 @@
 
 from behave import given, then, when
 
-from features.callers import Load, own_query, querying
-from features.fleet import DEAD_LIMIT_S, SITES
+from features.callers import LoadGenerator, make_query_sender, single_item_body
+from features.fleet import DATA_CENTRES, DEAD_LIMIT_S
 from features.partition import Partition
-from features.steps.fleet_steps import QUERY_DEADLINE_S, begin
+from features.steps.fleet_steps import QUERY_DEADLINE_S, start_load
 from tests.processes import until
 
 
@@ -20,16 +20,16 @@
 @given('callers of each side that keep sending queries')
 def query_each_side(context):
     addresses = context.fleet.addresses()
-    for number, site in enumerate(SITES):
-        load = Load(
+    for number, site in enumerate(DATA_CENTRES):
+        load = LoadGenerator(
             f'queries-{site}',
-            addresses[number :: len(SITES)],
-            querying('find', QUERY_DEADLINE_S),
-            own_query,
+            addresses[number :: len(DATA_CENTRES)],
+            make_query_sender('find', QUERY_DEADLINE_S),
+            single_item_body,
             workers=4,
             data_centre=site,
         )
-        begin(context, load)
+        start_load(context, load)
 
 
 @when('the network is cut')
@@ -58,6 +58,6 @@
 
 
 @then('all daemons know each other again')
-def joined(context):
+def wait_all_alive(context):
     for host in context.fleet.entries:
-        context.fleet.wait_member(host, 'alive')
+        context.fleet.wait_member_status(host, 'alive')
--- a/features/steps/query_steps.py
+++ b/features/steps/query_steps.py
@@ -10,7 +10,7 @@
 from boragespool.standins.items import all_items, items_between
 from boragespool.types import KEY_SPACE_SIZE
 from features.callers import ITEM_COUNT
-from features.fleet import shard_of
+from features.fleet import shard_key_range
 from tests.processes import until
 
 
@@ -33,7 +33,7 @@
 
 def load_versions(context, specs, versions):
     for spec in specs:
-        held = shard_of(spec['shard'], spec['shards'])
+        held = shard_key_range(spec['shard'], spec['shards'])
         context.fleet.control_servers(
             spec['name'],
             holdings={version: [held] for version in versions},
@@ -54,27 +54,27 @@
 
 
 @when('replica {replica:d} of every shard is split into {parts:d} new shards')
-def split(context, replica, parts):
+def split_replica(context, replica, parts):
     """Replica number i then holds part i of the new partition."""
     for shard, name in enumerate(replicas(context, replica)):
         context.fleet.control_servers(
-            name, holdings={1: [shard_of(shard, parts)]}
+            name, holdings={1: [shard_key_range(shard, parts)]}
         )
 
 
 @when('the servers are partitioned anew into {parts:d} shards')
-def partition_anew(context, parts):
+def repartition(context, parts):
     """The new parts are loaded before the old ones are dropped."""
     for drop_old in (False, True):
         for number, spec in enumerate(context.fleet.specs):
-            held = [shard_of(number % parts, parts)]
+            held = [shard_key_range(number % parts, parts)]
             if not drop_old:
-                held.append(shard_of(spec['shard'], spec['shards']))
+                held.append(shard_key_range(spec['shard'], spec['shards']))
             context.fleet.control_servers(spec['name'], holdings={1: held})
-        until(lambda: seen_everywhere(context), 10, 'holdings are announced')
+        until(lambda: all_holdings_known(context), 10, 'holdings are announced')
 
 
-def seen_everywhere(context):
+def all_holdings_known(context):
     real = {
         name: sorted(report['switches']['holdings']['1'])
         for name, report in context.fleet.report().items()
@@ -100,9 +100,9 @@
 
 
 @when('server {name} claims to hold index version {version:d}')
-def lie(context, name, version):
+def report_unheld_version(context, name, version):
     spec = next(s for s in context.fleet.specs if s['name'] == name)
-    held = shard_of(spec['shard'], spec['shards'])
+    held = shard_key_range(spec['shard'], spec['shards'])
     context.fleet.control_servers(
         name,
         reported={'holdings': {1: [held], version: [held]}},
@@ -173,16 +173,16 @@
 
 
 @then('every answer belongs to its own request')
-def own_answers(context):
+def check_own_answers(context):
     for sent in results(context):
         names = {item.value['name'] for item in sent.answer.items}
         assert names <= {sent.body['match']}, (sent.body, names)
 
 
 @then('every answer misses exactly shard {shard:d} or nothing')
-def misses_shard(context, shard):
+def check_missing_shard(context, shard):
     spec = next(s for s in context.fleet.specs if s['shard'] == shard)
-    lost = tuple(shard_of(shard, spec['shards']))
+    lost = tuple(shard_key_range(shard, spec['shards']))
     for sent in results(context):
         assert all(
             lost[0] <= start < end <= lost[1]
@@ -209,7 +209,7 @@
 
 
 @then('no answer took longer than {limit_s:g} s')
-def bounded(context, limit_s):
+def check_max_duration(context, limit_s):
     slowest = max(s.took_s for s in context.loads['queries'].stop())
     assert slowest < limit_s, slowest
 
--- a/features/steps/rank_steps.py
+++ b/features/steps/rank_steps.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from features.callers import Load, claim_body, claiming
+from features.callers import LoadGenerator, claim_body, make_claim_sender
 from features.fleet import ROUTES
 from tests.processes import until
 
@@ -26,14 +26,14 @@
     )
 
 
-def flood(context, per_s_by_rank):
-    for rank, per_s in per_s_by_rank.items():
-        load = Load(
+def start_overload(context, per_s_by_rank):
+    for rank, rate_per_s in per_s_by_rank.items():
+        load = LoadGenerator(
             'claims' if rank == 'urgent' else rank,
             context.fleet.addresses(),
-            claiming(ROUTES_BY_RANK[rank], DEADLINE_S),
+            make_claim_sender(ROUTES_BY_RANK[rank], DEADLINE_S),
             claim_body,
-            per_s=per_s,
+            rate_per_s=rate_per_s,
             tickets_per_claim=1,
             connection_count=512,
             ticket_count=64,
@@ -43,15 +43,15 @@
 
 
 @given('urgent claims below and {rank} claims far above the capacity')
-def lower_flood(context, rank):
+def overload_lower_rank(context, rank):
     assert ROUTES['claim'].rank.value == 'urgent'
-    flood(context, {'urgent': 15, rank: 5 * CAPACITY_PER_S})
+    start_overload(context, {'urgent': 15, rank: 5 * CAPACITY_PER_S})
 
 
 @given('urgent claims far above the capacity and enough of the other ranks')
-def urgent_flood(context):
+def overload_urgent(context):
     rates = {'routine': 25, 'deferrable': 15}
-    flood(context, {'urgent': 5 * CAPACITY_PER_S} | rates)
+    start_overload(context, {'urgent': 5 * CAPACITY_PER_S} | rates)
 
 
 def counters(context):
@@ -66,7 +66,7 @@
         20,
         'all slots are used',
     )
-    context.noted['time'] = time.monotonic()
+    context.times_s_by_name['time'] = time.monotonic()
 
 
 @when('the runs of {duration_s:g} s of the flood are counted')
@@ -75,7 +75,7 @@
     began_s = time.monotonic()
     time.sleep(duration_s)
     after = counters(context)['work_run_by_rank']
-    context.counted_s = time.monotonic() - began_s
+    context.count_duration_s = time.monotonic() - began_s
     context.runs = {
         rank: count - before.get(rank, 0) for rank, count in after.items()
     }
@@ -87,7 +87,7 @@
     sent = [
         claim
         for claim in context.loads['claims'].stop()
-        if claim.began_s >= context.noted['time']
+        if claim.began_s >= context.times_s_by_name['time']
     ]
     served = [c for c in sent if getattr(c.answer, 'code', 0) == 1002]
     slowest_s = max((c.took_s for c in served), default=0)
@@ -99,13 +99,15 @@
 
 
 @then('the server was busy for at least {share:d} in 100 of its slots')
-def busy(context, share):
+def check_slot_usage(context, share):
     ran = sum(context.runs.values())
-    assert ran * 100 >= share * CAPACITY_PER_S * context.counted_s, ran
+    assert ran * 100 >= share * CAPACITY_PER_S * context.count_duration_s, ran
 
 
 @then('{rank} work got at least {share:g} of the runs')
-def kept_share(context, rank, share):
+def check_rank_share(context, rank, share):
     total = sum(context.runs.values())
-    assert total >= 0.75 * CAPACITY_PER_S * context.counted_s, context.runs
+    assert total >= 0.75 * CAPACITY_PER_S * context.count_duration_s, (
+        context.runs
+    )
     assert context.runs.get(rank, 0) >= share * total, context.runs
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -11,7 +11,7 @@
 from tests.processes import until
 
 
-class Group:
+class RawCallerGroup:
     """Raw callers that are treated as one load."""
 
     def __init__(self, callers) -> None:
@@ -30,8 +30,8 @@
         return self.sent
 
 
-def begin_raw(context, callers):
-    group = Group(callers)
+def start_raw_callers(context, callers):
+    group = RawCallerGroup(callers)
     context.loads['queries'] = group
     for caller in callers:
         caller.start()
@@ -42,7 +42,7 @@
 def relayed_callers(context):
     relays = RelayThread(context.fleet.addresses())
     context.relays = context.stack.enter_context(relays)
-    begin_raw(
+    start_raw_callers(
         context,
         [RawCaller(f'till-{n}', relays.addresses) for n in range(6)],
     )
@@ -61,4 +61,4 @@
 @then('the callers saw broken connections')
 def saw_broken(context):
     """Guards against a scenario in which nothing was broken."""
-    assert any(c.broken for c in context.loads['queries'].callers)
+    assert any(c.connection_errors for c in context.loads['queries'].callers)
--- a/features/steps/server_steps.py
+++ b/features/steps/server_steps.py
@@ -6,21 +6,27 @@
 
 from behave import then, when
 
-from features.fleet import UNREACHABLE
-from features.steps.configuration_steps import finish, start_command
+from features.fleet import CONNECTION_ERRORS
+from features.steps.configuration_steps import start_command, wait_commands
 from features.steps.fleet_steps import post
 from tests.processes import until
 
-LEAVING_GOAL_S = 3
-QUIET_S = 1.5
-BLOCKED = 1204
+LEAVING_LIMIT_S = 3
+OBSERVATION_S = 1.5
+REQUEST_BLOCKED_CODE = 1204
 #: Counters of work that reached a server, run or refused.
-ARRIVALS = ('work_run', 'refused_draining', 'shed', 'not_held', 'expired')
+ARRIVAL_COUNTERS = (
+    'work_run',
+    'refused_draining',
+    'shed',
+    'not_held',
+    'expired',
+)
 
 
 def arrivals(context):
     return {
-        name: sum(counters[kind] for kind in ARRIVALS)
+        name: sum(counters[kind] for kind in ARRIVAL_COUNTERS)
         for name, counters in context.fleet.counters().items()
     }
 
@@ -38,18 +44,18 @@
         fleet.control_servers(name, draining=True, reported=serving)
     else:
         drain = start_command(context, 'drain', f'host-{name}')
-        finish(context, [drain])
+        wait_commands(context, [drain])
         assert context.commands[0][0] == 0, context.commands
-    context.noted['sign'] = time.monotonic()
+    context.times_s_by_name['sign'] = time.monotonic()
 
 
 @then('server {name} gets no new work from {limit_s:g} s after the sign on')
 def no_new_work(context, name, limit_s):
     """The goal itself is the time bound; the watch after it is short."""
-    due_s = context.noted['sign'] + limit_s - time.monotonic()
+    due_s = context.times_s_by_name['sign'] + limit_s - time.monotonic()
     time.sleep(max(0, due_s))
     before = arrivals(context)
-    time.sleep(QUIET_S)
+    time.sleep(OBSERVATION_S)
     context.arrived = {
         server: count - before[server]
         for server, count in arrivals(context).items()
@@ -65,10 +71,10 @@
 
 def send_crashing(context, host):
     """Send to one server; the deadline leaves time for a dead daemon."""
-    asked = {'route': 'report', 'body': {'crash': True, 'id': 'bad'}}
+    request = {'route': 'report', 'body': {'crash': True, 'id': 'bad'}}
     try:
-        answer = post(context.fleet.entries[host], '/v1/query', asked)[1]
-    except UNREACHABLE as error:
+        answer = post(context.fleet.entries[host], '/v1/query', request)[1]
+    except CONNECTION_ERRORS as error:
         answer = {'code': 0, 'reason': repr(error)}
     answer['crashes'] = crashes(context)
     context.crash_answers.append(answer)
@@ -102,13 +108,15 @@
 def blocked(context, count):
     last = context.crash_answers[-count:]
     said = [(answer['code'], answer.get('run')) for answer in last]
-    assert said == [(BLOCKED, 'not_run')] * count, context.crash_answers
+    assert said == [(REQUEST_BLOCKED_CODE, 'not_run')] * count, (
+        context.crash_answers
+    )
 
 
 def is_served(context, host):
     """Tell whether a daemon answers another query in full."""
-    asked = {'route': 'report', 'body': {'match': f'from-{host}'}}
-    answer = post(context.fleet.entries[host], '/v1/query', asked)[1]
+    request = {'route': 'report', 'body': {'match': f'from-{host}'}}
+    answer = post(context.fleet.entries[host], '/v1/query', request)[1]
     return answer['code'] == 1000
 
 
@@ -130,5 +138,7 @@
 def none_blocked(context):
     """A healthy request must not be blamed for the loss of its servers."""
     sent = context.loads['queries'].stop()
-    blamed = [s for s in sent if getattr(s.answer, 'code', 0) == BLOCKED]
+    blamed = [
+        s for s in sent if getattr(s.answer, 'code', 0) == REQUEST_BLOCKED_CODE
+    ]
     assert not blamed, (len(blamed), len(sent), blamed[0].answer)
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -6,9 +6,9 @@
 
 from behave import given, then, when
 
-from features.fleet import KEEP_S
+from features.fleet import ADDRESS_KEEP_S
 from features.raw_callers import RawCaller
-from features.steps.relay_steps import begin_raw
+from features.steps.relay_steps import start_raw_callers
 
 STOP_LIMIT_S = 20
 
@@ -19,8 +19,10 @@
     for number in range(count):
         first = number % len(addresses)
         ordered = addresses[first:] + addresses[:first]
-        callers.append(RawCaller(f'till-{number}', ordered, KEEP_S, **options))
-    begin_raw(context, callers)
+        callers.append(
+            RawCaller(f'till-{number}', ordered, ADDRESS_KEEP_S, **options)
+        )
+    start_raw_callers(context, callers)
 
 
 @given('callers without a library that follow the address answers')
@@ -60,15 +62,17 @@
 def none_interrupted(context):
     group = context.loads['queries']
     group.stop()
-    broken = [b for caller in group.callers for b in caller.broken]
-    refused = [r for caller in group.callers for r in caller.refused]
+    connection_errors = [
+        b for caller in group.callers for b in caller.connection_errors
+    ]
+    refusals = [r for caller in group.callers for r in caller.refusals]
     print(f'{len(group.sent)} queries were answered')
-    assert not broken, broken[:5]
-    assert not refused, refused[:5]
+    assert not connection_errors, connection_errors[:5]
+    assert not refusals, refusals[:5]
 
 
 @then('no claim of these callers ran twice')
-def none_twice(context):
+def check_no_claim_ran_twice(context):
     context.fleet.wait_idle()
     runs = context.fleet.claim_runs()
     assert runs, 'no claim ran'
