--- a/tests/test_membership_controller.py
+++ b/tests/test_membership_controller.py
@@ -67,13 +67,13 @@
     def member(self, observer: str, host: str):
         return self.contexts[observer].board.read(MEMBERS).get(host)
 
-    async def until(self, condition, limit_s: float = 5) -> None:
+    async def wait_until(self, condition, limit_s: float = 5) -> None:
         async with asyncio.timeout(limit_s):
             while not condition():
                 await asyncio.sleep(0.02)
 
-    async def together(self) -> None:
-        await self.until(
+    async def wait_all_alive(self) -> None:
+        await self.wait_until(
             lambda: all(
                 (known := self.member(observer, host)) is not None
                 and known.status == MemberStatus.ALIVE
@@ -88,16 +88,16 @@
 
     async def run() -> None:
         async with Fleet('a', 'b', 'c', 'd') as fleet:
-            await fleet.together()
+            await fleet.wait_all_alive()
             await fleet.stacks.pop('d').aclose()
-            await fleet.until(
+            await fleet.wait_until(
                 lambda: all(
                     fleet.member(host, 'd').status == MemberStatus.DEAD
                     for host in fleet.stacks
                 ),
             )
             await fleet.start('d', 2)
-            await fleet.together()
+            await fleet.wait_all_alive()
             assert fleet.member('b', 'd').incarnation == 2
 
     asyncio.run(run())
@@ -108,12 +108,12 @@
 
     async def run() -> None:
         async with Fleet('a', 'b', 'c') as fleet:
-            await fleet.together()
+            await fleet.wait_all_alive()
             dead = replace(fleet.member('a', 'b'), status=MemberStatus.DEAD)
             for host in ('a', 'c'):
                 fleet.controllers[host]._state.receive((dead,), 'x')
             assert fleet.member('a', 'b').status == MemberStatus.DEAD
-            await fleet.together()
+            await fleet.wait_all_alive()
             assert fleet.member('a', 'b').beat == 1
 
     asyncio.run(run())
@@ -124,42 +124,42 @@
 
     async def run() -> None:
         async with Fleet('a', 'b') as fleet:
-            await fleet.together()
+            await fleet.wait_all_alive()
             fleet.seeds.clear()
             for observer, host in (('a', 'b'), ('b', 'a')):
                 known = fleet.member(observer, host)
                 dead = replace(known, status=MemberStatus.DEAD)
                 fleet.controllers[observer]._state.receive((dead,), 'x')
                 assert fleet.member(observer, host) == dead
-            await fleet.together()
+            await fleet.wait_all_alive()
 
     asyncio.run(run())
 
 
-def test_a_suspected_daemon_doubts_its_own_judgement():
+def test_suspected_daemon_doubles_its_suspicion_timeout():
     """A daemon that others find slow must not call them dead as fast."""
 
     async def run() -> None:
         async with Fleet('a', 'b') as fleet:
-            await fleet.together()
+            await fleet.wait_all_alive()
             state = fleet.controllers['a']._state
             state.health = 0
-            doubted = replace(state.own, status=MemberStatus.SUSPECT)
-            state.receive((doubted,), 'b')
+            suspected = replace(state.own, status=MemberStatus.SUSPECT)
+            state.receive((suspected,), 'b')
             assert state.scaled_options.suspicion_s == 2 * OPTIONS.suspicion_s
 
     asyncio.run(run())
 
 
-def test_leaving_daemon_is_in_no_answer():
+def test_leaving_daemon_is_in_no_address_answer():
     """Callers must not be sent to a daemon that has told it leaves."""
 
     async def run() -> None:
         async with Fleet('a', 'b', 'c') as fleet:
-            await fleet.together()
+            await fleet.wait_all_alive()
             fleet.controllers['c'].leave()
             fleet.controllers['c'].set_successor('b')
-            await fleet.until(
+            await fleet.wait_until(
                 lambda: all(
                     fleet.member(host, 'c').successor == 'b' for host in 'ab'
                 ),
@@ -171,7 +171,7 @@
                 assert len(answer) == 2
             gone = fleet.stacks.pop('c')
             closing = asyncio.create_task(gone.aclose())
-            await fleet.until(
+            await fleet.wait_until(
                 lambda: fleet.member('a', 'c').status == MemberStatus.DEAD,
                 limit_s=0.3,
             )
@@ -181,15 +181,15 @@
     asyncio.run(run())
 
 
-def test_revision_is_told_at_once():
+def test_revision_is_announced_at_once():
     """Peers must learn of a new revision before the next ping."""
 
     async def run() -> None:
         async with Fleet('a', 'b') as fleet:
-            await fleet.together()
+            await fleet.wait_all_alive()
             document = RevisionDocument(7, 'change', Settings())
             fleet.contexts['b'].board.post(DOCUMENT_IN_FORCE, document)
-            await fleet.until(
+            await fleet.wait_until(
                 lambda: fleet.member('a', 'b').revision == 7, 0.09
             )
 
@@ -201,7 +201,7 @@
 
     async def run() -> None:
         async with Fleet('a', 'b') as fleet:
-            await fleet.together()
+            await fleet.wait_all_alive()
             for controller in fleet.controllers.values():
                 await controller.__aexit__()
             await asyncio.sleep(1.5)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -37,7 +37,7 @@
 
 
 @asynccontextmanager
-async def ticking(timers):
+async def running_clock(timers):
     """Advance virtual time by 0.1 ms per turn, so that frames are flushed."""
 
     async def tick() -> None:
@@ -53,7 +53,7 @@
 
 
 @asynccontextmanager
-async def pair(idle_timeout_s: float = 10, new_timers=LoopTimers):
+async def connected_networks(idle_timeout_s: float = 10, new_timers=LoopTimers):
     """Two networks that know each other."""
     options = [
         PeerOptions(
@@ -79,7 +79,7 @@
     """Replies that arrive crossed must not reach another request."""
 
     async def run() -> None:
-        async with pair() as (first, second):
+        async with connected_networks() as (first, second):
 
             async def answer(sender, message):
                 await asyncio.sleep(0.02 if message.target == 'slow' else 0)
@@ -100,7 +100,7 @@
     """One frame per message would exceed the control budget."""
 
     async def run() -> None:
-        async with pair() as (first, second):
+        async with connected_networks() as (first, second):
             received = []
             second.on_message(Gossip, lambda _, m: received.append(m))
             for _ in range(200):
@@ -116,7 +116,7 @@
     """A request must not hang when nobody can answer it."""
 
     async def run() -> None:
-        async with pair() as (first, _):
+        async with connected_networks() as (first, _):
             refused = await first.request('b', Ping(), 2)
             assert isinstance(refused, Failure)
             assert refused.code == ResultCode.PEER_REFUSED
@@ -130,7 +130,7 @@
     """A reply after the end of a wait must not reach anybody."""
 
     async def run() -> None:
-        async with pair() as (first, second):
+        async with connected_networks() as (first, second):
             replies = []
             second.on_request_with_callback(
                 Ping, lambda _, __, reply: replies.append(reply)
@@ -154,7 +154,7 @@
     """A handler that raises must neither hang its caller nor its frame."""
 
     async def run() -> None:
-        async with pair() as (first, second):
+        async with connected_networks() as (first, second):
 
             async def fail_later(sender, message):
                 raise ValueError('later')
@@ -198,7 +198,7 @@
     """A connection that swallows data must be replaced by probing."""
 
     async def run() -> None:
-        async with pair() as (first, second):
+        async with connected_networks() as (first, second):
             received = []
             second.on_message(Gossip, lambda _, m: received.append(m))
             async with Relay(second.options.listen_address) as relay:
@@ -224,8 +224,8 @@
 
     async def run() -> None:
         async with (
-            ticking(timers),
-            pair(new_timers=lambda: timers) as (first, second),
+            running_clock(timers),
+            connected_networks(new_timers=lambda: timers) as (first, second),
         ):
 
             async def answer(_sender, _message):
@@ -248,8 +248,8 @@
 
     async def run() -> None:
         async with (
-            ticking(timers),
-            pair(new_timers=lambda: timers) as (first, second),
+            running_clock(timers),
+            connected_networks(new_timers=lambda: timers) as (first, second),
         ):
             may_answer = asyncio.Event()
             asked = asyncio.Event()
@@ -280,7 +280,7 @@
     asyncio.run(asyncio.wait_for(run(), 5))
 
 
-class SwallowingSocket:
+class UncancellableSocket:
     """Completes just when it is cancelled, as pynng does now and then."""
 
     def send(self, encoded: bytes, *, block: bool) -> None:
@@ -304,11 +304,11 @@
             network.send('b', Gossip(()))
             link = network._link_by_host['b']
             link._socket.close()
-            link._socket = SwallowingSocket()
+            link._socket = UncancellableSocket()
             await asyncio.sleep(0.05)
             async with PeerLink('127.0.0.1:1', options, LoopTimers()) as other:
                 other._socket.close()
-                other._socket = SwallowingSocket()
+                other._socket = UncancellableSocket()
                 other.queue(encode_message(Gossip(())))
                 await asyncio.sleep(0.05)
                 assert other._blocked_sends
@@ -323,7 +323,7 @@
     """A daemon that pings hundreds of peers must not keep all their links."""
 
     async def run() -> None:
-        async with pair(idle_timeout_s=0.3) as (first, second):
+        async with connected_networks(idle_timeout_s=0.3) as (first, second):
             received = []
             second.on_message(Gossip, lambda _, m: received.append(m))
             first.send('b', Gossip(()))
@@ -344,7 +344,7 @@
     """The idle check must not disturb the closing of the other links."""
 
     async def run() -> None:
-        async with pair() as (first, _):
+        async with connected_networks() as (first, _):
             first.set_address('c', free_address())
             for host in 'bc':
                 first.send(host, Gossip(()))
@@ -370,7 +370,7 @@
     """Pings behind a flood of work would make peers take each other for dead."""
 
     async def run() -> None:
-        async with pair() as (first, second):
+        async with connected_networks() as (first, second):
             handled = []
             second.on_message(Gossip, lambda _, m: handled.append('control'))
             second.on_message(CancelWork, lambda _, m: handled.append('bulk'))
@@ -389,7 +389,7 @@
     asyncio.run(run())
 
 
-def frame_of(*envelopes) -> Frame:
+def make_frame(*envelopes) -> Frame:
     return Frame(FRAME_VERSION, 'a', 1, '127.0.0.1:1', envelopes)
 
 
@@ -397,16 +397,16 @@
     """A backlog of work must not hold up witnesses and the failure detector."""
 
     async def run() -> None:
-        async with pair() as (_, second):
+        async with connected_networks() as (_, second):
             handled = []
             second.on_message(Gossip, lambda _, m: handled.append('control'))
             second.on_message(
                 CancelWork, lambda _, m: handled.append(int(m.attempt_id))
             )
             works = [encode_message(CancelWork(f'{n}')) for n in range(100)]
-            second._receive(frame_of(*works))
+            second._receive(make_frame(*works))
             await asyncio.sleep(0)
-            second._receive(frame_of(encode_message(Gossip(()))))
+            second._receive(make_frame(encode_message(Gossip(()))))
             assert handled.index('control') < 50
             while len(handled) < 101:
                 await asyncio.sleep(0)
@@ -436,7 +436,7 @@
     """With long turns, pings would wait behind all frames before them."""
 
     async def run() -> None:
-        async with pair() as (_, second):
+        async with connected_networks() as (_, second):
             received, turns = [], 0
             second.on_message(
                 CancelWork, lambda _, m: received.append(int(m.attempt_id))
@@ -446,7 +446,7 @@
             ) as s:
                 for number in range(100):
                     work = encode_message(CancelWork(f'{number}'))
-                    s.send(encode_frame(frame_of(work)))
+                    s.send(encode_frame(make_frame(work)))
                 while len(received) < 100:
                     # A turn of the loop that is busy with other work.
                     time.sleep(0.01)
--- a/tests/test_pinned.py
+++ b/tests/test_pinned.py
@@ -16,7 +16,7 @@
 from tests.query_cases import SMALL, ask, behave, query, replicas
 
 
-def later(fleet, changes_by_server):
+def announce_later(fleet, changes_by_server):
     """Announce holdings 30 ms after the start of a query."""
 
     def announce():
@@ -30,7 +30,7 @@
     """Answer one query while holdings change."""
 
     async def run():
-        later(fleet, changes_by_server)
+        announce_later(fleet, changes_by_server)
         async with QueryController(fleet.context()) as controller:
             began_s = asyncio.get_running_loop().time()
             answer = await controller.answer(query())
@@ -65,14 +65,17 @@
     fleet = FakeFleet(SMALL, 1)
     start, end = shard_range(1, 4)
     middle = (start + end) // 2
-    truth = {'s1r0': (start, middle), 's1r1': (middle, end)}
-    truth['s1r2'] = truth['s1r0']
+    actual_range_by_server = {'s1r0': (start, middle), 's1r1': (middle, end)}
+    actual_range_by_server['s1r2'] = actual_range_by_server['s1r0']
     fleet.holds = lambda asked: (
-        asked.server not in truth
-        or truth[asked.server][0] <= asked.start
-        and asked.end <= truth[asked.server][1]
+        asked.server not in actual_range_by_server
+        or actual_range_by_server[asked.server][0] <= asked.start
+        and asked.end <= actual_range_by_server[asked.server][1]
     )
-    halves = {name: (Holding(1, (held,)),) for name, held in truth.items()}
+    halves = {
+        name: (Holding(1, (held,)),)
+        for name, held in actual_range_by_server.items()
+    }
     answer, _ = ask_during_change(fleet, halves)
     assert (answer.snapshot, answer.coverage) == (1, 1)
     assert len(answer.items) == 5
--- a/tests/test_query.py
+++ b/tests/test_query.py
@@ -245,7 +245,7 @@
     assert [number in good for number in (1, 2, 3)] == [True, False, True]
 
 
-def test_hopeless_query_is_refused_early_and_not_for_ever():
+def test_query_that_cannot_meet_its_deadline_is_refused_early():
     """Reported waits beyond the deadline must not cost the whole deadline."""
     fleet = FakeFleet(SMALL, 1)
     everywhere = [name for shard in range(4) for name in replicas(shard)]
--- a/tests/test_query_peers.py
+++ b/tests/test_query_peers.py
@@ -11,7 +11,7 @@
 from boragespool.results import Failure, ResultCode
 from boragespool.types import RunState
 from tests.query_cases import SMALL, query
-from tests.test_peers import pair
+from tests.test_peers import connected_networks
 
 
 def test_query_over_links_gets_whole_answers_and_refusals():
@@ -19,7 +19,7 @@
 
     async def run() -> None:
         fleet = FakeFleet(replace(SMALL, host_count=0), 1)
-        async with pair() as (merger, dispatcher):
+        async with connected_networks() as (merger, dispatcher):
             fleet.post_members(['b'])
             context = replace(fleet.context(), peers=merger)
             cancelled = []
--- a/tests/test_record_exchange.py
+++ b/tests/test_record_exchange.py
@@ -28,7 +28,7 @@
 SERVERS = tuple(f's{number}' for number in range(12))
 #: Small, so that one exchange does not carry everything.
 LIMITS = backends.ExchangeLimits(1, 2, 500)
-FEW = settings(derandomize=True, max_examples=150, deadline=None)
+PROFILE = settings(derandomize=True, max_examples=150, deadline=None)
 STEPS = st.lists(
     st.tuples(
         st.sampled_from(('observe', 'exchange', 'deliver', 'repeat', 'lose')),
@@ -125,7 +125,7 @@
             self.carry(keep=kind == 'repeat')
 
 
-@FEW
+@PROFILE
 @given(STEPS, st.integers(0, 999))
 def test_all_daemons_converge_to_the_newest_records(steps, seed):
     """Guards against records that a lost or late message leaves behind."""
@@ -143,7 +143,7 @@
         assert table.digest(1) == daemons.tables[0].digest(1)
 
 
-@FEW
+@PROFILE
 @given(
     st.sets(st.integers(0, 2_000), max_size=300),
     st.sets(st.integers(0, 2_000), max_size=300),
@@ -238,7 +238,7 @@
     assert sizes[-1][1] <= limits.group_count * limits.size_bytes
 
 
-@FEW
+@PROFILE
 @given(st.integers(0, 5), st.integers(0, 5), st.text('abc', max_size=40))
 def test_size_of_a_record_is_not_underestimated(versions, ranges, name):
     """The bounds count estimated bytes."""
--- a/tests/test_revision_parts.py
+++ b/tests/test_revision_parts.py
@@ -268,7 +268,7 @@
         history = History(replaced=kept.replaced, kept_from=kept.kept_from)
 
 
-def test_large_changes_shorten_the_row_of_kept_revisions():
+def test_large_changes_reduce_the_kept_revisions():
     """The list of replaced parts must not exceed the size of a value."""
     history = History()
     for base in range(1, 6):
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -76,7 +76,7 @@
     assert held.revision == highest
 
 
-def test_document_survives_the_store():
+def test_document_round_trip():
     """Every process must read back what the operator wrote."""
     document = next_document(EXAMPLE, None, CHANGE)
     assert decode_document(encode_document(document)) == document
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -82,16 +82,16 @@
 
 
 NAMES = ('a', 'b', 'c', 'd')
-SOME = st.sets(st.sampled_from(NAMES))
+NAME_SETS = st.sets(st.sampled_from(NAMES))
 
 
 @settings(derandomize=True, max_examples=500)
 @given(
     st.tuples(*[st.sampled_from(ServerState)] * 4),
-    SOME,
-    SOME,
-    SOME,
-    SOME,
+    NAME_SETS,
+    NAME_SETS,
+    NAME_SETS,
+    NAME_SETS,
     st.integers(0, 2**32),
 )
 def test_no_new_work_to_servers_that_leave(
@@ -122,7 +122,7 @@
         assert not chosen & suspect
 
 
-def spread(observations, now_s=0.0, replicas=NAMES[:3]):
+def choice_counts(observations, now_s=0.0, replicas=NAMES[:3]):
     """Return how often each replica is chosen out of 300."""
     draw = random.Random(1).random
     chosen = [
@@ -136,9 +136,9 @@
     """A fault of the merger's own link must not close a whole service."""
     observations = ServerObservations()
     observations.record_failure('a', 0)
-    assert spread(observations)['a'] == 0
+    assert choice_counts(observations)['a'] == 0
     observations.record_failure('b', 0)
-    assert min(spread(observations).values()) > 0
+    assert min(choice_counts(observations).values()) > 0
 
 
 def test_own_observations_outweigh_reported_waits():
@@ -148,11 +148,11 @@
         observations.record_sent(name)
         observations.record_answer(name, 0.01, 0)
     observations.record_waits('a', (1e9,), 0)
-    assert spread(observations)['a'] == 0
+    assert choice_counts(observations)['a'] == 0
     for name in ('b', 'c'):
         observations.record_sent(name)
         observations.record_sent(name)
-    assert spread(observations)['a'] > 150
+    assert choice_counts(observations)['a'] > 150
     assert observations.wait_s('a', 0, 1) == 1
     assert observations.wait_s('a', 0, 3) == 0
 
--- a/tests/test_server_view.py
+++ b/tests/test_server_view.py
@@ -20,7 +20,7 @@
 RECORD = ServerRecord('s', 'v', 'north', 'b', 5, 9, 1, SERVING, 1)
 
 
-def view_after(view, configured, records, changed):
+def refresh_view(view, configured, records, changed):
     """Refresh a view without observations."""
     sources = ViewSources(configured, records, {}, frozenset(), 0)
     view.refresh(sources, changed)
@@ -35,10 +35,10 @@
         for name in 'xy'
     }
     view = ServerView()
-    by_server = view_after(view, configured, records, ())
+    by_server = refresh_view(view, configured, records, ())
     assert {each.state for each in by_server.values()} == {SERVING}
     records['y'] = dataclasses.replace(RECORD, server='y')
-    by_server = view_after(view, configured, records, 'y')
+    by_server = refresh_view(view, configured, records, 'y')
     assert by_server['x'].state == DRAINING
 
 
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -9,10 +9,10 @@
 
 from boragespool import backends
 from boragespool.types import ServerState
-from tests.test_record_exchange import FEW, SERVERS, record
+from tests.test_record_exchange import PROFILE, SERVERS, record
 
 
-@FEW
+@PROFILE
 @given(
     st.lists(
         st.tuples(
@@ -61,7 +61,7 @@
     assert backends.limit_total_size(several, 300) == (several[7],)
 
 
-@FEW
+@PROFILE
 @given(st.integers(0, 9), st.integers(0, 12), st.floats(0, 0.999))
 def test_targets_are_different_hosts(count, host_count, drawn):
     """A message sent twice to a host would miss another."""
