--- a/features/callers.py
+++ b/features/callers.py
@@ -1,4 +1,7 @@
-"""Callers that keep sending requests from a thread of their own."""
+"""Load generators that send requests through the client library.
+
+Each generator runs its own event loop in its own thread.
+"""
 
 from __future__ import annotations
 
@@ -16,7 +19,11 @@
 
 @dataclass(frozen=True)
 class SentRequest:
-    """One request and the answer that its caller got."""
+    """A request and the answer that its caller received.
+
+    `began_s` is the time on the monotonic clock at which the request was
+    sent, `took_s` the time until the answer.
+    """
 
     name: str
     body: dict
@@ -26,23 +33,31 @@
 
     @property
     def run(self) -> RunState | None:
-        """Run state of a claim or of a refusal."""
+        """Run state of the answer; None if the answer has none."""
         return getattr(self.answer, 'run', None)
 
 
 class LoadGenerator(threading.Thread):
-    """Sends requests until it is stopped.
+    """A thread that sends requests until it is stopped.
 
     Parameters
     ----------
     addresses : tuple of str
-        Daemons.
+        Addresses of the daemons.
     send : callable
-        Coroutine function of client, name and body.
+        Coroutine function that takes the client and the body of a request
+        and returns the answer.
     make_body : callable
-        Returns the body of the request with a number.
+        Returns the body for the number and the name of a request.
     workers : int
-        Requests at the same time; with `rate_per_s` the rate counts instead.
+        Number of concurrent requests; ignored if `rate_per_s` is set.
+    pause_s : float
+        Pause of each worker between two requests.
+    rate_per_s : float
+        Requests per second that are started without waiting for answers;
+        0 sends with `workers` instead.
+    options
+        Further fields of `ClientOptions`.
     """
 
     def __init__(
@@ -75,7 +90,7 @@
             self.error = error
 
     def stop(self) -> list[SentRequest]:
-        """Stop after the open requests; return all of them."""
+        """Stop after the open requests; return all answered requests."""
         self._is_stopping.set()
         if self.ident is not None:
             self.join()
@@ -117,22 +132,22 @@
 
 
 def claim_body(number: int, name: str) -> dict:
-    """Return a body that the counters of the servers know by its name."""
+    """Return a claim body; the servers count its runs by this name."""
     return {'claim_id': name}
 
 
 def match_all_body(number: int, name: str) -> dict:
-    """Return a body that matches all items."""
+    """Return a query body that matches all items."""
     return {}
 
 
 def single_item_body(number: int, name: str) -> dict:
-    """Return a body that matches one item, another one for each request."""
+    """Return a query body that matches one item, chosen by the number."""
     return {'match': f'item-{number % ITEM_COUNT:06d}'}
 
 
 def make_claim_sender(route: str, deadline_s: float):
-    """Return a sender of claims."""
+    """Return a coroutine function that sends a claim."""
 
     async def send(client: Client, body: dict):
         return await client.claim(route, body, deadline_s)
@@ -141,7 +156,7 @@
 
 
 def make_query_sender(route: str, deadline_s: float):
-    """Return a sender of queries."""
+    """Return a coroutine function that sends a query."""
 
     async def send(client: Client, body: dict):
         return await client.query(route, body, deadline_s)
--- a/features/claims_at_most_once.feature
+++ b/features/claims_at_most_once.feature
@@ -1,7 +1,7 @@
 Feature: A claim runs at most once
-  A claim or a payment must not run twice, whatever fails between the till
-  and the server, and however often the till sends it again under its ticket.
-  The servers count every run, and the count is compared with the answers.
+  A claim or a payment must not run twice, whatever fails between the caller
+  and the server, and however often the caller resends it with its ticket. The
+  servers count every run, and the steps compare the counts with the answers.
 
   Scenario: A claim is sent to all daemons many times at once
     Given 3 servers that run claims
--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -1,7 +1,7 @@
 Feature: An accepted configuration is in force everywhere and stays
   A change that the operator's command accepts is in force at every daemon
-  within 3 s, and no daemon ever goes back to an earlier revision: not after a
-  restart, a pause, an outage of the store or a lost answer.
+  within 3 s. No daemon reverts to an earlier revision after a restart, a
+  pause, an outage of the store or a lost answer.
 
   Scenario: A change reaches all daemons, also one that was paused
     Given 1 shards with 2 replicas each
--- a/features/crashing_request.feature
+++ b/features/crashing_request.feature
@@ -1,8 +1,8 @@
 Feature: A request that crashes servers is stopped
-  Now and then a request crashes every server that runs it, and its caller
-  sends it again. On a route that goes to one server it takes down two servers
-  at most; from then on it is refused at every daemon, and all other requests
-  are served.
+  Some requests crash every server that runs them, and their callers retry
+  them. On a route that uses one server per request, such a request crashes
+  two servers at most. After that every daemon refuses it, and all other
+  requests are served.
 
   Scenario: A crashing query is sent again and again, to all daemons
     Given 4 servers that run claims
--- a/features/environment.py
+++ b/features/environment.py
@@ -1,4 +1,4 @@
-"""Starts and ends the processes of each scenario."""
+"""Hooks of behave that set up and tear down each scenario."""
 
 from __future__ import annotations
 
@@ -9,7 +9,10 @@
 
 
 def before_scenario(context, scenario):
-    """Prepare an empty deployment; its processes end with the scenario."""
+    """Create a deployment without processes, and empty scenario state.
+
+    All processes that the scenario starts end with `context.stack`.
+    """
     context.stack = contextlib.ExitStack()
     processes = context.stack.enter_context(Processes())
     context.fleet = Fleet(processes)
@@ -18,7 +21,7 @@
 
 
 def after_scenario(context, scenario):
-    """Stop the callers, then end all processes."""
+    """Stop the load, print the logs of a failure and end all processes."""
     for load in context.loads.values():
         load.stop()
     if scenario.status.name == 'failed':
--- a/features/fleet.py
+++ b/features/fleet.py
@@ -1,4 +1,4 @@
-"""A small deployment of real processes for one scenario."""
+"""A deployment of real processes for one scenario."""
 
 from __future__ import annotations
 
@@ -17,10 +17,11 @@
 from features.partition import Partition
 from tests.processes import Processes, fetch, free_address, put_revision, until
 
-#: Peers need about 2 s to declare a silent daemon dead; machines of a build
-#: farm can be slower.
+#: Failure detection declares a silent daemon dead after about 2 s; the limit
+#: allows for slow build machines.
 DEAD_LIMIT_S = 15
 READY_LIMIT_S = 20
+#: How long a caller may use the addresses of an address answer.
 ADDRESS_KEEP_S = 1
 HOSTS = 'abcdef'
 DATA_CENTRES = ('north', 'south')
@@ -36,10 +37,20 @@
 
 
 class Fleet:
-    """Platform, backend servers and daemons of one scenario.
-
-    The service ``lots`` has shards with replicas and answers queries; the
-    service ``ledger`` has servers that hold everything and run claims.
+    """The platform, backend servers and daemons of one scenario.
+
+    The service ``lots`` has shards with replicas and answers queries. Each
+    server of the service ``ledger`` holds the whole key range and runs claims.
+
+    Attributes
+    ----------
+    specs : list of dict
+        Backend servers to start: name, service, address, shard and switches.
+    relay_address_by_server : dict
+        Addresses in the settings that replace those of the servers.
+    partition : Partition or None
+        Relays through which the daemons reach each other, if the scenario
+        cuts the network.
     """
 
     def __init__(self, processes: Processes) -> None:
@@ -53,15 +64,15 @@
 
     @property
     def entries(self):
-        """Daemons by host; a restarted one replaces its predecessor."""
+        """The latest process of each daemon, by host."""
         return self.processes.entries
 
     def addresses(self) -> tuple[str, ...]:
-        """Return the addresses for callers."""
+        """Return the caller addresses of all daemons."""
         return tuple(entry.address for entry in self.entries.values())
 
     def add_servers(self, service, shards, replicas, **switches) -> None:
-        """Describe the servers of a service; `start` starts them."""
+        """Add the servers of a service, which `start` starts."""
         for number in range(shards * replicas):
             shard, replica = divmod(number, replicas)
             self.specs.append(
@@ -76,7 +87,7 @@
             )
 
     def start(self, daemon_count: int) -> None:
-        """Start everything and wait until it serves."""
+        """Start servers, platform and daemons, and wait until all are ready."""
         self.backends = self.processes.start_backends(self.specs)
         self.settings = self._settings()
         self.platform = self.processes.start_platform(self.host_list())
@@ -86,7 +97,7 @@
         self.wait_ready()
 
     def start_daemon(self, host: str) -> None:
-        """Start a daemon, or start it again with the same addresses."""
+        """Start a daemon; a restarted one keeps its addresses."""
         before = self.entries.get(host)
         peers = [
             f'{name}={entry.peer_address}'
@@ -110,7 +121,7 @@
         )
 
     def host_list(self, *leaving: str) -> list[dict]:
-        """Return the platform's host list; each server has its own host."""
+        """Return the platform's host list, with one host per server."""
         return [
             {
                 'host': f'host-{spec["name"]}',
@@ -121,16 +132,16 @@
         ]
 
     def status(self, host: str) -> dict:
-        """Return what a daemon reports about itself and its view."""
+        """Return the status report of a daemon."""
         return fetch(self.entries[host].address, '/v1/status')[1]
 
     def member_status(self, observer: str, host: str) -> str:
-        """Return the status that one daemon gives another one."""
+        """Return the status of `host` in the view of `observer`, or ''."""
         members = self.status(observer)['members']
         return {m['host']: m['status'] for m in members}.get(host, '')
 
     def wait_member_status(self, host: str, status: str) -> None:
-        """Wait until all other running daemons give a daemon this status."""
+        """Wait until all other running daemons see `host` in this status."""
         for observer, entry in self.entries.items():
             if observer == host or entry.process.poll() is not None:
                 continue
@@ -141,7 +152,7 @@
             )
 
     def wait_ready(self) -> None:
-        """Wait until all daemons see all members and all servers."""
+        """Wait until each daemon sees all members alive and servers serving."""
         for host, entry in self.entries.items():
             entry.wait_for_event(101)
             until(
@@ -151,7 +162,7 @@
             )
 
     def revision(self, host: str) -> int | None:
-        """Return the revision in force; None if silent or starting."""
+        """Return the revision in force; None if unreachable or starting."""
         try:
             report = self.status(host)
         except CONNECTION_ERRORS:
@@ -159,13 +170,13 @@
         return None if report['phase'] == 'starting' else report['revision']
 
     def control_servers(self, *names: str, **switches) -> None:
-        """Change switches of some backend servers, or of all."""
+        """Set switches of the named backend servers, by default of all."""
         body = switches | ({'servers': names} if names else {})
         answer = fetch(self.backends.address, '/v1/control', body, 'POST')
         assert answer[0] == 200, answer
 
     def control_platform(self, **switches) -> None:
-        """Change switches of the platform."""
+        """Set switches of the platform."""
         answer = fetch(self.platform.address, '/v1/control', switches, 'POST')
         assert answer[0] == 200, answer
 
@@ -178,7 +189,7 @@
         return {name: r['counters'] for name, r in self.report().items()}
 
     def claim_runs(self) -> dict[str, int]:
-        """Return how often each claim really ran, over all servers."""
+        """Return the number of runs of each claim, summed over all servers."""
         runs: dict[str, int] = {}
         for counters in self.counters().values():
             for claim_id, count in counters['claims_run_by_id'].items():
@@ -186,13 +197,13 @@
         return runs
 
     def wait_idle(self) -> None:
-        """Wait until no daemon and no backend server works any more."""
+        """Wait until no daemon or backend server has a request in flight."""
         until(
             lambda: not any(self._in_flight_counts()), 10, 'nothing in flight'
         )
 
     def print_logs(self) -> None:
-        """Print the ends of all logs, for a failed scenario."""
+        """Print the last 1,500 characters of each log."""
         for running in self.processes.started:
             log = running.log_path.read_text(encoding='utf-8')
             print(f'--- {running.log_path.name}\n{log[-1_500:]}')
@@ -239,11 +250,11 @@
         )
 
     def slots(self, service: str) -> int:
-        """Return the slots of each server of a service."""
+        """Return the slot count of each server of a service."""
         spec = next(s for s in self.specs if s['service'] == service)
         return spec['switches'].get('slots', 5)
 
 
 def shard_key_range(shard: int, shards: int) -> list[int]:
-    """Return the key range of a shard as JSON has it."""
+    """Return the key range of a shard as a list, as it is in JSON."""
     return list(shard_range(shard, shards))
--- a/features/graceful_stop.feature
+++ b/features/graceful_stop.feature
@@ -1,8 +1,8 @@
 Feature: Every planned stop interrupts no request
   Operators restart daemons all day. A caller that follows the address answers
-  must not notice it: no connection breaks with a request in flight, and no
-  request is refused. The callers here have no client library that could hide
-  an interruption.
+  must not be affected: no connection breaks with a request in flight, and no
+  request is refused. The callers here don't use the client library, because
+  its retries would hide an interruption.
 
   Scenario: All daemons are replaced, one after the other
     Given 3 shards with 2 replicas each
--- a/features/leaving_server.feature
+++ b/features/leaving_server.feature
@@ -1,7 +1,7 @@
 Feature: A server that is leaving gets no new work
   Three seconds after the first sign that a server leaves, no daemon sends it
   new work, whichever sign comes first. The server counts all work that
-  reaches it, also what it refuses.
+  reaches it, including the work that it refuses.
 
   Scenario Outline: The first sign is <sign>
     Given 2 shards with 3 replicas each
--- a/features/not_run_is_true.feature
+++ b/features/not_run_is_true.feature
@@ -1,7 +1,7 @@
 Feature: A refusal that says not_run is true
-  A till that reads "not_run" sends the claim again under a new ticket. The
-  promise must hold for ever: also when the daemon that was going to run the
-  claim was only paused and continues later.
+  A caller that reads "not_run" sends the claim again with a new ticket, so
+  the refused claim must never run later. This includes the case in which the
+  daemon that was going to run the claim was only paused and continues.
 
   Scenario: A paused daemon finds its ticket sealed
     Given 2 servers that run claims
--- a/features/observer.py
+++ b/features/observer.py
@@ -1,4 +1,4 @@
-"""Watches which revision each daemon has in force."""
+"""Records which revision each daemon has in force over time."""
 
 from __future__ import annotations
 
@@ -9,7 +9,15 @@
 
 
 class RevisionObserver(threading.Thread):
-    """Asks every daemon again and again; a load without requests."""
+    """A thread that polls the revision of every daemon every 20 ms.
+
+    It has the interface of a load generator, but records no requests.
+
+    Attributes
+    ----------
+    revisions_by_host : dict
+        The revisions that each daemon reported, in order.
+    """
 
     def __init__(self, fleet: Fleet) -> None:
         super().__init__(name='observer')
@@ -28,7 +36,7 @@
                     self.revisions_by_host.setdefault(host, []).append(revision)
 
     def stop(self) -> list[object]:
-        """Stop asking."""
+        """Stop polling."""
         self._is_stopping.set()
         if self.ident is not None:
             self.join()
@@ -36,7 +44,10 @@
 
 
 def _is_paused(entry) -> bool:
-    """A paused daemon would hold the observer for a whole timeout."""
+    """Return whether a daemon is stopped by a signal, a zombie or gone.
+
+    A request to a paused daemon would block the observer until its timeout.
+    """
     try:
         stat = pathlib.Path(f'/proc/{entry.process.pid}/stat').read_text()
     except OSError:
--- a/features/one_snapshot.feature
+++ b/features/one_snapshot.feature
@@ -1,7 +1,7 @@
 Feature: Every answer is computed from one snapshot
-  Index versions change while queries run, and shards move between servers. A
-  member who searches for lots must never get items of two index versions in
-  one answer. Each item of the stand-in servers names its version.
+  Index versions change while queries run, and shards move between servers.
+  An answer must never mix items of two index versions. Each item of the
+  stand-in servers contains its version.
 
   Scenario: A new version is loaded and the old one is dropped
     Given 3 shards with 2 replicas each
--- a/features/own_answer.feature
+++ b/features/own_answer.feature
@@ -1,7 +1,7 @@
 Feature: Each caller gets the whole answer to its own request
-  Answers can arrive late, be overtaken by others, or belong to an attempt
-  that was given up. Each caller asks for another item, so that an answer to
-  somebody else's request is recognised.
+  Answers can arrive late, out of order, or after their attempt was abandoned.
+  Each request asks for another item, so that an answer to another request is
+  recognised.
 
   Scenario: Many replies are late
     Given servers of which 10 in 100 replies take 30 times longer
--- a/features/partition.py
+++ b/features/partition.py
@@ -1,4 +1,4 @@
-"""A network that can be cut between two groups of daemons."""
+"""Simulates a network partition between two groups of daemons."""
 
 from __future__ import annotations
 
@@ -11,13 +11,13 @@
 from tests.processes import free_address
 from tests.relay import Relay
 
-#: Both ends of a link send 8 bytes first, then each message after its length
-#: in 8 bytes: the TCP mapping of the scalability protocols (SP).
+#: TCP mapping of the scalability protocols (SP), which pynng uses: both ends
+#: send a header of 8 bytes, and each message follows its length in 8 bytes.
 _HEADER_SIZE_BYTES = 8
 
 
 class _PeerRelay(Relay):
-    """Relays the frames to one daemon, and drops those from behind the cut."""
+    """Forwards frames to one daemon; drops those from across the partition."""
 
     def __init__(self, target, is_cut_off) -> None:
         super().__init__(target)
@@ -41,9 +41,14 @@
 class Partition:
     """Relays in front of all daemons, a context manager.
 
-    A cut drops every frame between a daemon of `far_hosts` and another one,
-    without a sign to either end, and resets the connections of `far_hosts`
-    to the platform.
+    A cut silently drops every frame between a daemon of `far_hosts` and any
+    other daemon while the connections stay open. It also resets the
+    connections of `far_hosts` to the platform and refuses new ones.
+
+    Parameters
+    ----------
+    far_hosts : str
+        Hosts of the group without the platform, one character each.
     """
 
     def __init__(self, far_hosts: str) -> None:
@@ -60,7 +65,7 @@
         self._relays.__exit__()
 
     def platform_address_for(self, host: str, platform: str) -> str:
-        """Return the address under which a daemon reaches the platform."""
+        """Return the address at which a daemon reaches the platform."""
         if host not in self._far_hosts:
             return platform
         if self._platform is None:
@@ -69,7 +74,7 @@
         return self._platform.address
 
     def add_peer_relay(self, host: str) -> dict[str, str]:
-        """Return how to start a daemon that others reach through a relay."""
+        """Start a relay for a daemon; return the daemon's start options."""
 
         def is_cut_off(sender: str) -> bool:
             apart = (sender in self._far_hosts) != (host in self._far_hosts)
@@ -84,14 +89,14 @@
         }
 
     def cut(self) -> None:
-        """Separate the groups."""
+        """Start the partition."""
         self.is_cut = True
         if self._platform is not None:
             self._platform.refuses = True
             self._relays.cut(self._platform)
 
     def heal(self) -> None:
-        """Join the groups again."""
+        """End the partition."""
         if self._platform is not None:
             self._platform.refuses = False
         self.is_cut = False
--- a/features/ranks_in_a_flood.feature
+++ b/features/ranks_in_a_flood.feature
@@ -1,7 +1,7 @@
 Feature: Urgent work is served in a flood, and the other ranks keep a share
-  In the closing rush the demand of one rank exceeds the capacity by far.
-  Urgent claims must still be served in time; in a flood of urgent claims the
-  other ranks keep their floor: 0.2 of the slots for routine work and 0.1 for
+  At peak load the demand of one rank far exceeds the capacity. Urgent claims
+  must still meet their deadlines. In an overload of urgent claims the other
+  ranks keep their floor: 0.2 of the slots for routine work and 0.1 for
   deferrable work, within 10 in 100.
 
   Scenario Outline: A flood of <flood> claims
--- a/features/raw_callers.py
+++ b/features/raw_callers.py
@@ -1,4 +1,7 @@
-"""Callers without the client library, which see every broken connection."""
+"""Callers that use plain HTTP instead of the client library.
+
+The client library retries; these callers record every failed connection.
+"""
 
 from __future__ import annotations
 
@@ -17,19 +20,28 @@
 
 
 class RawCaller(threading.Thread):
-    """Keeps sending over one connection and never hides a failure.
+    """A thread that sends requests over one connection, without retries.
 
     Parameters
     ----------
     addresses : tuple of str
-        Daemons or relays; after a failure the next one is used.
+        Addresses of daemons or relays; a failure moves to the next one.
     keep_s : float
-        Time for which an address answer may be used; 0 keeps the addresses
-        that were given.
+        Time in seconds until the first request for new addresses; each
+        address answer sets the time until the next. 0 keeps `addresses`.
     claims : bool
-        Whether each second request is a claim.
+        Whether every second request is a claim; the others are queries.
     pause_s : float
         Time between two requests.
+
+    Attributes
+    ----------
+    sent : list of SentRequest
+        Answered queries.
+    connection_errors : list of str
+        Failed requests: the address and the exception.
+    refusals : list of dict
+        Answers whose result code is a refusal.
     """
 
     def __init__(
@@ -59,7 +71,7 @@
                 self._use_addresses(self._addresses[1:] + self._addresses[:1])
 
     def stop(self) -> list[SentRequest]:
-        """Stop after the open request."""
+        """Stop after the open request; return the answered queries."""
         self._is_stopping.set()
         if self.ident is not None:
             self.join()
@@ -93,7 +105,7 @@
     def _claim(self) -> None:
         tickets = self._request('GET', '/v1/addresses?tickets=1')['tickets']
         if not tickets:
-            # A leaving daemon gives no tickets; that is no failure.
+            # A leaving daemon issues no tickets, which is not a failure.
             return
         request = {
             'route': 'claim',
--- a/features/region_cut_off.feature
+++ b/features/region_cut_off.feature
@@ -1,8 +1,9 @@
 Feature: Each side of a network partition serves, and the sides join again
-  A region is cut off for longer than failure detection needs, and the store
-  is on the other side. No frame between the sides arrives and no connection
-  breaks. A claim whose issuer and witness are apart must not run twice, and
-  the side without the store takes the newer revision after the cut.
+  A region is cut off from the store and the other region for longer than
+  failure detection needs. Frames between the sides are dropped while their
+  connections stay open. A claim whose issuer and witness are on different
+  sides must not run twice, and the side without the store adopts the newer
+  revision after the partition.
 
   Scenario: A region without the store is cut off and reached again
     Given 2 shards with 2 replicas each
--- a/features/relayed_entry.py
+++ b/features/relayed_entry.py
@@ -1,6 +1,7 @@
-"""A daemon that peers reach through a relay.
+"""Runs a daemon that its peers reach through a relay.
 
-The daemon publishes the address of the relay and listens on another one.
+The daemon publishes the address of the relay as its peer address and listens
+on the address in the environment variable ``PEER_LISTEN_ADDRESS``.
 """
 
 from __future__ import annotations
@@ -13,7 +14,7 @@
 
 
 class _RelayedPull(pynng.Pull0):
-    """Listens where the relay connects to."""
+    """Listens on the target address of the relay."""
 
     def listen(self, address, *options, **named):
         listen_address = os.environ['PEER_LISTEN_ADDRESS']
--- a/features/relays.py
+++ b/features/relays.py
@@ -1,4 +1,4 @@
-"""Relays that run on an event loop of their own thread."""
+"""TCP relays that run on an event loop in a separate thread."""
 
 from __future__ import annotations
 
@@ -10,12 +10,12 @@
 
 
 class RelayThread:
-    """Relays connections to some addresses, a context manager.
+    """Runs relays in a thread of its own, a context manager.
 
     Attributes
     ----------
     relays : list of Relay
-        One for each address, in the same order.
+        One for each target address, in the same order, then the added ones.
     """
 
     def __init__(self, targets=()) -> None:
@@ -38,23 +38,23 @@
         self._loop.close()
 
     def add(self, relay: Relay) -> str:
-        """Start one more relay; return its address."""
+        """Start a further relay; return its address."""
         self.relays.append(relay)
         self._call(relay.__aenter__())
         return relay.address
 
     @property
     def addresses(self) -> tuple[str, ...]:
-        """Addresses to connect to."""
+        """Addresses at which the relays listen."""
         return tuple(relay.address for relay in self.relays)
 
-    def cut(self, *some: Relay) -> None:
-        """Reset all open connections, or those of some relays."""
-        for relay in some or self.relays:
+    def cut(self, *selected: Relay) -> None:
+        """Reset the open connections of the given relays, by default of all."""
+        for relay in selected or self.relays:
             self._loop.call_soon_threadsafe(relay.cut)
 
     def silence(self) -> None:
-        """Stop all data of the open connections."""
+        """Drop all further data of the open connections, which stay open."""
         for relay in self.relays:
             self._loop.call_soon_threadsafe(relay.silence)
 
@@ -65,7 +65,7 @@
     async def _cancel_rest(self) -> None:
         tasks = asyncio.all_tasks() - {asyncio.current_task()}
         if tasks:
-            # Relays whose connections were reset end by themselves.
+            # Tasks of connections that were reset end without cancellation.
             await asyncio.wait(tasks, timeout=1)
         for task in tasks:
             task.cancel()
--- a/features/stale_host_list.feature
+++ b/features/stale_host_list.feature
@@ -1,8 +1,8 @@
 Feature: A stale host list sends no caller to a daemon that is gone
-  The platform's host list lags by minutes: it still has the hosts that were
-  replaced, as live or as leaving, and not those that replaced them. Callers
-  must be given addresses of live daemons only, each for as long as they may
-  keep it, and no request may be interrupted.
+  The platform's host list lags by minutes: it still lists replaced hosts as
+  live or leaving, and not yet their replacements. Address answers must contain
+  live daemons only, each of which serves for as long as a caller may keep its
+  address, and no request may be interrupted.
 
   Scenario: All hosts are replaced by others while the list stays the same
     Given 2 shards with 2 replicas each
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -1,4 +1,4 @@
-"""Steps about claims and what really ran."""
+"""Steps that send claims and compare the answers with the runs."""
 
 from __future__ import annotations
 
@@ -81,7 +81,7 @@
 
 @when('daemon {host} is paused while the claim waits there')
 def pause_with_claim(context, host):
-    """The claim reaches the kernel of the paused daemon, which keeps it."""
+    """The kernel accepts the request and keeps it for the paused daemon."""
     context.fleet.entries[host].signal(signal.SIGSTOP)
     pool = concurrent.futures.ThreadPoolExecutor(1)
     context.stack.callback(pool.shutdown)
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -1,4 +1,4 @@
-"""Steps about operators and revisions."""
+"""Steps that run operator commands and check the revision in force."""
 
 from __future__ import annotations
 
@@ -26,8 +26,11 @@
     observer.start()
 
 
-def write_folder(context, note):
-    """Write the settings as an operator's folder; return its path."""
+def write_folder(context, count):
+    """Write the settings to a folder for `apply`; return its path.
+
+    `count` becomes ``addresses.count``, the setting that the change sets.
+    """
     folder = context.stack.enter_context(tempfile.TemporaryDirectory())
     lines = []
     for name, service in context.fleet.settings.services.items():
@@ -43,8 +46,8 @@
         lines.append(f"rank = '{route.rank.value}'")
         lines.append(f"form = '{route.form.value}'")
         lines.append(f'deadline_ms = {route.deadline_ms}')
-    # The change itself: a number that differs from operator to operator.
-    lines += ['[addresses]', 'keep_s = 1', f'count = {note}']
+    # The changed setting, which has another value for each operator.
+    lines += ['[addresses]', 'keep_s = 1', f'count = {count}']
     with open(f'{folder}/10-all.toml', 'w', encoding='utf-8') as file:
         file.write('\n'.join(lines))
     return folder
@@ -120,7 +123,7 @@
 
 @then('revision {revision:d} is in force at {hosts} within {limit_s:g} s')
 def in_force(context, revision, hosts, limit_s):
-    """The time counts from the end of the operator's command."""
+    """The limit starts at the end of the operator's command."""
     for host in hosts.split(','):
         until(
             lambda host=host: context.fleet.revision(host) == revision,
@@ -149,7 +152,7 @@
 
 
 def _entries(listed):
-    """Find the table in the JSON that the command prints."""
+    """Return the list of entries in the JSON output of a command."""
     if isinstance(listed, list):
         return listed
     return next(v for v in listed.values() if isinstance(v, list))
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -1,4 +1,4 @@
-"""Steps that start a deployment, load it and break it."""
+"""Steps that start a deployment, generate load and inject failures."""
 
 from __future__ import annotations
 
@@ -134,7 +134,7 @@
 
 @then('at least {share:d} in 100 answers that began later are complete')
 def later_answers(context, share):
-    """Bodies of all loads; the failure must not end the service."""
+    """Check that requests are still served after the noted time."""
     for load in context.loads.values():
         later = [
             s for s in load.sent if s.began_s > context.times_s_by_name['time']
@@ -155,7 +155,7 @@
 
 
 def post(entry, path, body):
-    """Send one request to one daemon."""
+    """Send a request to a daemon; return the status and the answer."""
     return fetch(entry.address, path, {'caller': 'till'} | body, 'POST')
 
 
--- a/features/steps/host_list_steps.py
+++ b/features/steps/host_list_steps.py
@@ -1,4 +1,4 @@
-"""Steps about a host list that lags behind."""
+"""Steps with a host list of the platform that is out of date."""
 
 from __future__ import annotations
 
@@ -15,11 +15,17 @@
 
 
 class AddressObserver(threading.Thread):
-    """Asks all daemons for addresses again and again."""
+    """A thread that polls the address answers of all daemons every 20 ms.
+
+    Attributes
+    ----------
+    answers : list of tuple
+        Time of each answer and the addresses in it.
+    """
 
     def __init__(self, fleet) -> None:
         super().__init__(name='address-observer')
-        self.given: list[tuple[float, tuple[str, ...]]] = []
+        self.answers: list[tuple[float, tuple[str, ...]]] = []
         self._fleet = fleet
         self._is_stopping = threading.Event()
 
@@ -28,7 +34,7 @@
             for address in self._fleet.addresses():
                 addresses = fetch_addresses(address)
                 if addresses:
-                    self.given.append((time.monotonic(), addresses))
+                    self.answers.append((time.monotonic(), addresses))
 
     def stop(self) -> None:
         self._is_stopping.set()
@@ -37,7 +43,7 @@
 
 
 def fetch_addresses(address):
-    """Return an address answer; empty if the daemon does not answer."""
+    """Return the addresses that a daemon gives; () if it does not answer."""
     try:
         status, answer = fetch(address, '/v1/addresses?count=8')
     except CONNECTION_ERRORS:
@@ -83,14 +89,14 @@
 @then('every address was served for as long as it could be kept')
 def served_long_enough(context):
     context.address_observer.stop()
-    given = context.address_observer.given
-    assert len(given) > 100, len(given)
-    for given_s, addresses in given:
+    answers = context.address_observer.answers
+    assert len(answers) > 100, len(answers)
+    for answered_s, addresses in answers:
         for address in addresses:
-            gone_s = context.stopped_s_by_address.get(address, float('inf'))
-            assert given_s + ADDRESS_KEEP_S <= gone_s, (
+            stopped_s = context.stopped_s_by_address.get(address, float('inf'))
+            assert answered_s + ADDRESS_KEEP_S <= stopped_s, (
                 address,
-                gone_s - given_s,
+                stopped_s - answered_s,
             )
 
 
--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -1,4 +1,4 @@
-"""Steps about a network that is cut between two groups of daemons."""
+"""Steps that partition the network between two groups of daemons."""
 
 from __future__ import annotations
 
@@ -20,14 +20,14 @@
 @given('callers of each side that keep sending queries')
 def query_each_side(context):
     addresses = context.fleet.addresses()
-    for number, site in enumerate(DATA_CENTRES):
+    for number, data_centre in enumerate(DATA_CENTRES):
         load = LoadGenerator(
-            f'queries-{site}',
+            f'queries-{data_centre}',
             addresses[number :: len(DATA_CENTRES)],
             make_query_sender('find', QUERY_DEADLINE_S),
             single_item_body,
             workers=4,
-            data_centre=site,
+            data_centre=data_centre,
         )
         start_load(context, load)
 
--- a/features/steps/query_steps.py
+++ b/features/steps/query_steps.py
@@ -1,4 +1,4 @@
-"""Steps about the snapshot, the coverage and the owner of an answer."""
+"""Steps that check the snapshot, coverage and items of query answers."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 def results(context):
-    """Return the queries that were answered with items."""
+    """Stop the queries; return those that have a query result."""
     sent = context.loads['queries'].stop()
     answered = [s for s in sent if isinstance(s.answer, QueryResult)]
     assert answered, [s.answer for s in sent][:3]
@@ -23,7 +23,7 @@
 
 
 def replicas(context, replica):
-    """Return the names of the servers with this number in all shards."""
+    """Return the names of the servers with this replica number."""
     return [
         spec['name']
         for spec in context.fleet.specs
@@ -42,7 +42,7 @@
 
 @when('all servers hold index version {versions}')
 def hold_versions(context, versions):
-    """One server after another, as an index loader does it."""
+    """The servers change one after another, as with an index loader."""
     numbers = [int(word) for word in versions.split(' and ')]
     load_versions(context, context.fleet.specs, numbers)
 
@@ -55,7 +55,7 @@
 
 @when('replica {replica:d} of every shard is split into {parts:d} new shards')
 def split_replica(context, replica, parts):
-    """Replica number i then holds part i of the new partition."""
+    """The replica of shard i then holds part i of the new partitioning."""
     for shard, name in enumerate(replicas(context, replica)):
         context.fleet.control_servers(
             name, holdings={1: [shard_key_range(shard, parts)]}
@@ -64,7 +64,7 @@
 
 @when('the servers are partitioned anew into {parts:d} shards')
 def repartition(context, parts):
-    """The new parts are loaded before the old ones are dropped."""
+    """Each server loads its new key range before it drops the old one."""
     for drop_old in (False, True):
         for number, spec in enumerate(context.fleet.specs):
             held = [shard_key_range(number % parts, parts)]
@@ -151,7 +151,7 @@
 
 @then('every answer has exactly the items of its snapshot and coverage')
 def true_coverage(context):
-    """The items are known, so that the coverage can be computed again."""
+    """Recompute the coverage from the known items of the stand-in servers."""
     for sent in results(context):
         answer = sent.answer
         missing_size = sum(end - start for start, end in answer.missing)
--- a/features/steps/rank_steps.py
+++ b/features/steps/rank_steps.py
@@ -1,4 +1,4 @@
-"""Steps about ranks in a flood."""
+"""Steps that overload a server and check how the ranks are served."""
 
 from __future__ import annotations
 
@@ -60,7 +60,7 @@
 
 @when('the flood has lasted long enough to fill all slots')
 def fill_slots(context):
-    """The limit of a cold server rises from one slot."""
+    """The concurrency limit of a new server starts at one and rises."""
     until(
         lambda: counters(context)['peak_in_flight'] >= SLOTS,
         20,
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -1,4 +1,4 @@
-"""Steps about callers whose connections pass a relay."""
+"""Steps with callers whose connections go through a relay."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class RawCallerGroup:
-    """Raw callers that are treated as one load."""
+    """Several raw callers with the interface of one load generator."""
 
     def __init__(self, callers) -> None:
         self.name = callers[0].name
@@ -20,11 +20,11 @@
 
     @property
     def sent(self):
-        """Answers of all callers."""
+        """Answered queries of all callers."""
         return list(itertools.chain.from_iterable(c.sent for c in self.callers))
 
     def stop(self):
-        """Stop all callers."""
+        """Stop all callers; return their answered queries."""
         for caller in self.callers:
             caller.stop()
         return self.sent
@@ -60,5 +60,5 @@
 
 @then('the callers saw broken connections')
 def saw_broken(context):
-    """Guards against a scenario in which nothing was broken."""
+    """Guards against a scenario that broke no connection."""
     assert any(c.connection_errors for c in context.loads['queries'].callers)
--- a/features/steps/server_steps.py
+++ b/features/steps/server_steps.py
@@ -1,4 +1,4 @@
-"""Steps about leaving servers and crashing requests."""
+"""Steps with leaving servers and with requests that crash servers."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 LEAVING_LIMIT_S = 3
 OBSERVATION_S = 1.5
 REQUEST_BLOCKED_CODE = 1204
-#: Counters of work that reached a server, run or refused.
+#: Counters of the work that reached a server, whether run or refused.
 ARRIVAL_COUNTERS = (
     'work_run',
     'refused_draining',
@@ -37,7 +37,7 @@
     if sign == "the platform's host list":
         fleet.control_platform(hosts=fleet.host_list(name))
     elif sign == 'its status':
-        # The server would still run work, so that only the sign stops it.
+        # The server still accepts work, so that only its status can stop it.
         fleet.control_servers(name, reported={'state': 'draining'})
     elif sign == 'its replies':
         serving = {'state': 'serving'}
@@ -51,7 +51,10 @@
 
 @then('server {name} gets no new work from {limit_s:g} s after the sign on')
 def no_new_work(context, name, limit_s):
-    """The goal itself is the time bound; the watch after it is short."""
+    """Check that no work arrives for `OBSERVATION_S` after the limit.
+
+    The limit is the requirement itself, so the check adds little time.
+    """
     due_s = context.times_s_by_name['sign'] + limit_s - time.monotonic()
     time.sleep(max(0, due_s))
     before = arrivals(context)
@@ -70,7 +73,10 @@
 
 
 def send_crashing(context, host):
-    """Send to one server; the deadline leaves time for a dead daemon."""
+    """Send a query that crashes its server, and record the crash count.
+
+    The deadline of the route leaves time to replace a dead daemon.
+    """
     request = {'route': 'report', 'body': {'crash': True, 'id': 'bad'}}
     try:
         answer = post(context.fleet.entries[host], '/v1/query', request)[1]
@@ -114,7 +120,7 @@
 
 
 def is_served(context, host):
-    """Tell whether a daemon answers another query in full."""
+    """Return whether a daemon answers a harmless query completely."""
     request = {'route': 'report', 'body': {'match': f'from-{host}'}}
     answer = post(context.fleet.entries[host], '/v1/query', request)[1]
     return answer['code'] == 1000
@@ -122,21 +128,21 @@
 
 @then('other queries are served at once at {hosts}')
 def others_served(context, hosts):
-    """A verdict on one request must not touch any other."""
+    """A block of one fingerprint must not affect other requests."""
     for host in hosts.split(','):
         assert is_served(context, host), host
 
 
 @then('other queries are served within {limit_s:d} s at {hosts}')
 def others_served_soon(context, limit_s, hosts):
-    """A dead daemon costs answers until its servers have a new dispatcher."""
+    """Servers of a dead daemon answer only with a new dispatcher."""
     for host in hosts.split(','):
         until(lambda host=host: is_served(context, host), limit_s, host)
 
 
 @then('no query was refused as blocked')
 def none_blocked(context):
-    """A healthy request must not be blamed for the loss of its servers."""
+    """A harmless request must not be blocked when its servers are lost."""
     sent = context.loads['queries'].stop()
     blamed = [
         s for s in sent if getattr(s.answer, 'code', 0) == REQUEST_BLOCKED_CODE
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -1,4 +1,4 @@
-"""Steps about graceful stops."""
+"""Steps that stop daemons gracefully while callers send requests."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 STOP_LIMIT_S = 20
 
 
-def protocol_callers(context, count, **options):
+def start_address_callers(context, count, **options):
     addresses = context.fleet.addresses()
     callers = []
     for number in range(count):
@@ -27,13 +27,13 @@
 
 @given('callers without a library that follow the address answers')
 def busy_callers(context):
-    protocol_callers(context, 9, claims=True)
+    start_address_callers(context, 9, claims=True)
 
 
 @given('callers that send rarely and follow the address answers')
 def rare_callers(context):
-    """A daemon that looks idle must still wait for them."""
-    protocol_callers(context, 4, pause_s=0.4)
+    """A stopping daemon without open requests must still wait for them."""
+    start_address_callers(context, 4, pause_s=0.4)
 
 
 def stop_together(context, hosts):
--- a/features/true_coverage.feature
+++ b/features/true_coverage.feature
@@ -1,7 +1,7 @@
 Feature: The coverage that an answer reports is its true coverage
-  A caller decides by the coverage whether an answer is good enough. The items
-  of the stand-in servers are known, so that each answer can be compared with
-  the items of the key ranges that it claims to cover.
+  A caller uses the coverage to decide whether an answer is good enough. The
+  items of the stand-in servers are known, so the steps compare each answer
+  with the items of the key ranges that it reports as covered.
 
   Scenario: All replicas of one shard are lost and one comes back
     Given 4 shards with 2 replicas each
