--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,4 +1,4 @@
-"""Decisions about members."""
+"""Functions on the member table: merging, gossip, pings and addresses."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 
 
 def table_of(count: int, data_centre: str = 'north') -> MemberTable:
-    """A table that received `count` alive members."""
+    """Build a table that received the records of `count` alive members."""
     return membership.merge_message(
         MemberTable(record('own')),
         [record(f'h{n}', data_centre=data_centre) for n in range(count)],
@@ -45,6 +45,8 @@
 @given(st.lists(versions, min_size=1, max_size=5))
 def test_merging_does_not_depend_on_the_order(records):
     """Daemons that hear the same records late or twice must agree."""
+    # Guards against daemons whose tables differ for ever because messages with
+    # the same records arrived late, twice or in another order.
     results = set()
     for order in itertools.permutations([*records, records[0]]):
         merged = order[0]
@@ -61,6 +63,9 @@
 @given(versions, versions)
 def test_refutation_wins(own, received):
     """A live daemon must outbid what is said about its incarnation."""
+    # Guards against a live daemon that stays suspect or dead at its peers: its
+    # refutation must have a higher precedence than the received record of the
+    # same incarnation.
     refuted = membership.refute(own, received)
     assert refuted.incarnation == own.incarnation
     assert refuted.status == own.status
@@ -75,6 +80,8 @@
 @given(st.integers(1, 40), st.integers(0, 30), st.randoms())
 def test_a_round_pings_every_member_once(count, joined_after, random_source):
     """A member that is never pinged would never be found dead."""
+    # Guards against a ping round that skips members when others join during the
+    # round.
     hosts = frozenset(f'h{n}' for n in range(count))
     order = membership.PingRound()
     pinged = []
@@ -90,7 +97,7 @@
 
 
 def test_no_target_without_members():
-    """A daemon that knows nobody must not fail."""
+    """Guards against a failure of the first daemon, which knows no members."""
     assert membership.next_target(
         membership.PingRound(),
         frozenset(),
@@ -102,6 +109,7 @@
 @given(st.integers(0, 300))
 def test_message_size_is_bounded(count):
     """Bytes per message must not grow with the fleet."""
+    # Guards against messages that carry a record of every member.
     table = table_of(count)
     for _ in range(5):
         sent, table = membership.compose_message(table, 'h0', OPTIONS)
@@ -111,7 +119,11 @@
 
 
 def test_change_goes_first_and_ends():
-    """A death must not wait for the sample, nor be repeated for ever."""
+    """Guards against late or endless gossip about a change.
+
+    A death that was only in the random sample of a message would spread
+    slowly; one that is always included would use up the message size.
+    """
     table = table_of(60)
     for _ in range(200):
         _, table = membership.compose_message(table, 'h0', OPTIONS)
@@ -127,7 +139,11 @@
 
 
 def test_sample_reaches_every_member():
-    """A record lost by a peer must be sent again some time."""
+    """Guards against members that stay unknown to a peer.
+
+    A message with their records can be lost, so each record is sent again in
+    some later sample.
+    """
     table = table_of(50)
     sent_hosts = set()
     for _ in range(400):
@@ -140,7 +156,11 @@
 
 
 def test_whole_view_is_not_spread_again():
-    """Joining daemons must not fill messages with what all others know."""
+    """Guards against gossip that repeats what all others know.
+
+    A joining daemon receives a bulk of records that are new only to itself;
+    spreading them as changes would fill its messages.
+    """
     records = [record(f'h{n}') for n in range(50)]
     table = membership.merge_message(
         MemberTable(record('own')),
@@ -155,7 +175,11 @@
 
 
 def test_other_data_centres_are_sampled():
-    """Memory and pings must not grow with the other data centres."""
+    """Guards against memory and pings that grow with other data centres.
+
+    A daemon keeps a bounded sample of their members, and different daemons
+    keep different samples.
+    """
     table = table_of(100, 'south')
     assert len(table.members_by_host) == OPTIONS.remote_count
     other = membership.merge_message(
@@ -170,7 +194,11 @@
 
 
 def test_death_of_an_unkept_member_is_passed_on():
-    """Holders of a remote member must hear of its death in seconds."""
+    """Guards against a death that its remote observers learn late.
+
+    A daemon that doesn't keep the member must still gossip its death, and
+    must not start again when it receives the same record once more.
+    """
     table = table_of(100, 'south')
     unkept = next(
         f'h{n}' for n in range(100) if f'h{n}' not in table.members_by_host
@@ -186,7 +214,11 @@
 
 
 def test_suspect_dies_after_its_time_and_is_dropped():
-    """A dead member must be noticed in seconds and forgotten later."""
+    """Guards against silent members that are never declared dead or removed.
+
+    A suspect becomes dead after the suspicion time; a dead member is dropped
+    after its keep time.
+    """
     table = table_of(3)
     tested = table.members_by_host['h1']
     table = membership.suspect(table, tested, 10, OPTIONS)
@@ -205,7 +237,11 @@
 
 
 def test_suspicion_about_an_older_record_is_void():
-    """A slow ping must not accuse a member that has refuted meanwhile."""
+    """Guards against a suspicion of a member that has already refuted it.
+
+    A ping that times out late refers to the record that was pinged; a newer
+    record makes its suspicion void.
+    """
     table = table_of(3)
     tested = table.members_by_host['h1']
     table = membership.merge_message(
@@ -215,7 +251,11 @@
 
 
 def test_leaving_member_that_stopped_is_found_dead():
-    """The leaving status must not protect a member from being removed."""
+    """Guards against a leaving member that stays in the table after it ended.
+
+    A suspicion doesn't replace the leaving status, so its time is kept
+    separately; an answered ping clears it.
+    """
     left = record('h1', MemberStatus.LEAVING, beat=1)
     table = membership.merge_message(table_of(3), [left], 'h1', 0, OPTIONS)
     doubted = membership.suspect(table, left, 1, OPTIONS)
@@ -247,6 +287,9 @@
 @given(members, st.integers(1, 5), st.randoms())
 def test_addresses_are_alive_and_near(known, count, random_source):
     """Callers must not be sent to members that are gone or far away."""
+    # Guards against address answers with dead or excluded members, or with
+    # remote members although local ones are left; one address is reserved for
+    # another data centre.
     chosen = membership.choose_addresses(
         known,
         'north',
@@ -272,7 +315,10 @@
 
 
 def test_loaded_members_are_chosen_less():
-    """Power of two choices must keep callers off a loaded daemon."""
+    """Guards against callers that are sent to a daemon with a high load.
+
+    The power of two choices picks the less loaded of two random members.
+    """
     source = random.Random(5)
     known = [record(f'h{n}', load=n) for n in range(10)]
     picks = [
@@ -286,7 +332,11 @@
 
 
 def test_suspicion_does_not_hide_leaving():
-    """At the same beat a suspicion must not look newer than leaving."""
+    """Guards against a leaving member that appears as only suspect.
+
+    The suspicion carries the beat that the member left with, so the status
+    decides which record is newer.
+    """
     left = record('a', MemberStatus.LEAVING)
     doubted = record('a', MemberStatus.SUSPECT)
     assert membership.merge_records(doubted, left) == left
@@ -294,7 +344,10 @@
 
 
 def test_members_without_a_revision_are_not_ready():
-    """Callers must not be sent to a daemon that refuses them."""
+    """Guards against address answers with a daemon that refuses all requests.
+
+    A starting daemon has no revision in force, even if its load is lowest.
+    """
     known = [record('ready', revision=1, load=9), record('starting')]
     for count in (1, 2):
         assert membership.choose_addresses(
@@ -303,7 +356,11 @@
 
 
 def test_a_stale_list_keeps_at_most_half_of_the_members_from_callers():
-    """Hosts that restarted stay listed; the rest must not get all callers."""
+    """Guards against a stale host list that concentrates all callers.
+
+    Hosts that restarted stay listed as leaving; if more than half of the
+    members are listed, the list is ignored.
+    """
     known = [record(f'h{number}') for number in range(4)]
     for listed, expected in ((2, 2), (3, 4), (4, 4)):
         chosen = membership.choose_addresses(
--- a/tests/test_membership_controller.py
+++ b/tests/test_membership_controller.py
@@ -1,4 +1,4 @@
-"""Membership over real links."""
+"""The membership controller over real peer links."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 
 
 class Fleet:
-    """Daemons' membership parts in one event loop."""
+    """Membership controllers of several daemons in one event loop."""
 
     def __init__(self, *hosts: str) -> None:
         self.addresses = {host: free_address() for host in hosts}
@@ -84,7 +84,11 @@
 
 
 def test_members_find_each_other_and_a_death():
-    """A crashed daemon must leave the address answers of its peers."""
+    """Guards against a crashed daemon that its peers keep as alive.
+
+    It must be found dead by all, and be known again after its restart with a
+    higher incarnation.
+    """
 
     async def run() -> None:
         async with Fleet('a', 'b', 'c', 'd') as fleet:
@@ -104,7 +108,11 @@
 
 
 def test_false_death_is_refuted():
-    """A live daemon that is called dead must return with a higher beat."""
+    """Guards against a live daemon that stays dead at its peers.
+
+    Peers that wrongly hold it as dead must receive its refutation, a record
+    with a higher beat.
+    """
 
     async def run() -> None:
         async with Fleet('a', 'b', 'c') as fleet:
@@ -120,7 +128,11 @@
 
 
 def test_sides_of_a_partition_join_without_seeds():
-    """Seeds can all be gone by the end of a partition."""
+    """Guards against sides of a partition that never join again.
+
+    All seed addresses can be gone by the end of a partition, so daemons must
+    also ping the members that they hold as dead.
+    """
 
     async def run() -> None:
         async with Fleet('a', 'b') as fleet:
@@ -137,7 +149,11 @@
 
 
 def test_suspected_daemon_doubles_its_suspicion_timeout():
-    """A daemon that others find slow must not call them dead as fast."""
+    """Guards against a slow daemon that declares its healthy peers dead.
+
+    Peers that suspect a daemon show that it is slow itself, so it doubles its
+    suspicion timeout.
+    """
 
     async def run() -> None:
         async with Fleet('a', 'b') as fleet:
@@ -152,7 +168,11 @@
 
 
 def test_leaving_daemon_is_in_no_address_answer():
-    """Callers must not be sent to a daemon that has told it leaves."""
+    """Guards against address answers with a leaving daemon.
+
+    Peers must learn of the leaving status and the successor before the next
+    ping, and of the end of the daemon without a failure detection.
+    """
 
     async def run() -> None:
         async with Fleet('a', 'b', 'c') as fleet:
@@ -182,7 +202,10 @@
 
 
 def test_revision_is_announced_at_once():
-    """Peers must learn of a new revision before the next ping."""
+    """Guards against revisions that spread only with the ping interval.
+
+    The 0.09 s limit is below the ping interval of 0.1 s.
+    """
 
     async def run() -> None:
         async with Fleet('a', 'b') as fleet:
@@ -197,7 +220,11 @@
 
 
 def test_probes_of_an_unused_link_end():
-    """Probe answers that cause probes would use the control budget."""
+    """Guards against probes that two daemons without traffic send for ever.
+
+    If the answer to a probe caused a probe, an unused link would use up the
+    budget for control messages.
+    """
 
     async def run() -> None:
         async with Fleet('a', 'b') as fleet:
--- a/tests/test_membership_machine.py
+++ b/tests/test_membership_machine.py
@@ -1,4 +1,4 @@
-"""Members that gossip through a lossy, delaying, reordering message bag."""
+"""Model test of gossip over a network that loses, delays and reorders."""
 
 from __future__ import annotations
 
@@ -28,12 +28,12 @@
 
 @dataclass
 class Node:
-    """One simulated daemon."""
+    """State of one simulated daemon."""
 
     table: MemberTable
     order: PingRound = PingRound()
     is_paused: bool = False
-    #: What was pinged and is unanswered: record and number of attempts.
+    #: Unanswered pings by host: the pinged record and the number of attempts.
     probes: dict = field(default_factory=dict)
 
 
@@ -44,10 +44,13 @@
     def start(self, seed):
         self.source = random.Random(seed)
         self.now_s = 0
+        # Messages in transit: send time, sender, target, kind and records.
         self.bag = []
         self.nodes = {}
         self.leaving = set()
+        # (observer, host, incarnation) of each leaving record delivered.
         self.told_leaving = set()
+        # Highest incarnation seen, by observer and host.
         self.highest = {}
         self.incarnation = 0
         for host in HOSTS:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,4 +1,4 @@
-"""Links between daemons."""
+"""Peer links: frames, requests, probing, priorities and closing."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
 
 
 def free_address() -> str:
-    """Return an address on the loopback interface that nobody uses."""
+    """Return an unused address on the loopback interface."""
     with socket.socket() as probe:
         probe.bind(('127.0.0.1', 0))
         return f'127.0.0.1:{probe.getsockname()[1]}'
@@ -54,7 +54,7 @@
 
 @asynccontextmanager
 async def connected_networks(idle_timeout_s: float = 10, new_timers=LoopTimers):
-    """Two networks that know each other."""
+    """Start two networks that know each other's address."""
     options = [
         PeerOptions(
             host,
@@ -76,7 +76,10 @@
 
 
 def test_request_gets_its_own_reply():
-    """Replies that arrive crossed must not reach another request."""
+    """Guards against a reply that is delivered to another request.
+
+    The replies arrive in the other order than the requests.
+    """
 
     async def run() -> None:
         async with connected_networks() as (first, second):
@@ -97,7 +100,10 @@
 
 
 def test_messages_of_one_interval_share_a_frame():
-    """One frame per message would exceed the control budget."""
+    """Guards against one frame per message.
+
+    The overhead of the frames would exceed the budget for control messages.
+    """
 
     async def run() -> None:
         async with connected_networks() as (first, second):
@@ -113,7 +119,10 @@
 
 
 def test_request_without_handler_or_peer_fails():
-    """A request must not hang when nobody can answer it."""
+    """Guards against a request that hangs because nobody can answer it.
+
+    The peer has no handler for its type, or the peer's address is unknown.
+    """
 
     async def run() -> None:
         async with connected_networks() as (first, _):
@@ -127,7 +136,11 @@
 
 
 def test_abandoned_call_gets_no_late_reply():
-    """A reply after the end of a wait must not reach anybody."""
+    """Guards against late or repeated replies.
+
+    The reply to an abandoned request and the second reply to a request must
+    not reach any callback.
+    """
 
     async def run() -> None:
         async with connected_networks() as (first, second):
@@ -151,7 +164,11 @@
 
 
 def test_failing_handler_leaves_the_run_state_open():
-    """A handler that raises must neither hang its caller nor its frame."""
+    """Guards against a caller that waits for a handler that raised.
+
+    A request that raised may have run, so its run state is unknown. The other
+    messages of its frame must still be handled.
+    """
 
     async def run() -> None:
         async with connected_networks() as (first, second):
@@ -173,14 +190,14 @@
             for result in await asyncio.gather(*calls):
                 assert result.code == ResultCode.PEER_UNREACHABLE
                 assert result.run == RunState.UNKNOWN
-                # Without the handler's failure the wait ends by its timeout.
+                # A timeout would have another reason.
                 assert 'handler' in result.reason
 
     asyncio.run(run())
 
 
 def test_other_frame_version_is_refused():
-    """A release must not guess at frames of another version."""
+    """Guards against a release that misreads frames of another version."""
     frame = Frame(FRAME_VERSION + 1, 'a', 1, '127.0.0.1:1', ())
     refused = decode_frame(msgspec.msgpack.encode(frame))
     assert isinstance(refused, Failure)
@@ -188,14 +205,20 @@
 
 
 def test_unknown_fields_are_ignored():
-    """A newer release may add fields to a frame."""
+    """Guards against frames of a newer release that are refused.
+
+    A release may add fields, which older ones ignore.
+    """
     frame = msgspec.to_builtins(Frame(FRAME_VERSION, 'a', 1, 'x:1', ()))
     frame['added_later'] = 1
     assert isinstance(decode_frame(msgspec.msgpack.encode(frame)), Frame)
 
 
 def test_silent_link_is_dialled_again():
-    """A connection that swallows data must be replaced by probing."""
+    """Guards against a connection that drops data and is never replaced.
+
+    The link must reconnect when its probes stay unanswered.
+    """
 
     async def run() -> None:
         async with connected_networks() as (first, second):
@@ -219,7 +242,11 @@
 
 
 def test_answered_requests_need_no_probes():
-    """Probes of pings and their answers were two thirds of all frames."""
+    """Guards against probes of links whose requests are answered.
+
+    The reply already shows that the link works; probes for pings and their
+    answers were two thirds of all frames.
+    """
     timers = VirtualTimers()
 
     async def run() -> None:
@@ -243,7 +270,11 @@
 
 @pytest.mark.parametrize('sends', ['request', 'message and request'])
 def test_silent_link_of_requests_is_dialled_again(sends):
-    """A reply must not hide that what followed its request was lost."""
+    """Guards against a silent link that a late reply makes appear healthy.
+
+    A reply only confirms what was sent up to its request. If the link drops
+    a later message, it must still be replaced.
+    """
     timers = VirtualTimers()
 
     async def run() -> None:
@@ -281,7 +312,7 @@
 
 
 class UncancellableSocket:
-    """Completes just when it is cancelled, as pynng does now and then."""
+    """Ignores a cancellation, as pynng sometimes does when a send completes."""
 
     def send(self, encoded: bytes, *, block: bool) -> None:
         raise pynng.TryAgain('the send buffer is full', 8)
@@ -291,11 +322,15 @@
             await asyncio.sleep(10)
 
     def close(self) -> None:
-        """Do nothing."""
+        """Accept the call and do nothing."""
 
 
 def test_close_ends_when_pynng_swallows_the_cancellation():
-    """A frame that is sent at that moment must not hang a stop."""
+    """Guards against a stop that hangs in a blocked send.
+
+    pynng can complete a send at the moment of its cancellation, so that the
+    cancellation is lost.
+    """
 
     async def run() -> None:
         options = PeerOptions('a', 1, free_address())
@@ -320,7 +355,11 @@
 
 
 def test_idle_link_is_closed_and_dialled_again():
-    """A daemon that pings hundreds of peers must not keep all their links."""
+    """Guards against links that stay open to every peer that was pinged.
+
+    A daemon pings hundreds of peers. An idle link must close, and the next
+    message must open it again.
+    """
 
     async def run() -> None:
         async with connected_networks(idle_timeout_s=0.3) as (first, second):
@@ -341,7 +380,10 @@
 
 
 def test_links_may_fall_idle_while_the_network_closes():
-    """The idle check must not disturb the closing of the other links."""
+    """Guards against a close that fails because an idle link was removed.
+
+    The idle check can run while the network closes its links one by one.
+    """
 
     async def run() -> None:
         async with connected_networks() as (first, _):
@@ -367,7 +409,10 @@
 
 
 def test_control_messages_go_first():
-    """Pings behind a flood of work would make peers take each other for dead."""
+    """Guards against pings that wait behind queued work.
+
+    Late pings would make overloaded peers declare each other dead.
+    """
 
     async def run() -> None:
         async with connected_networks() as (first, second):
@@ -394,7 +439,10 @@
 
 
 def test_received_control_messages_overtake_a_backlog():
-    """A backlog of work must not hold up witnesses and the failure detector."""
+    """Guards against control messages that wait behind received work.
+
+    Witnesses and the failure detector need them in time.
+    """
 
     async def run() -> None:
         async with connected_networks() as (_, second):
@@ -417,7 +465,11 @@
 
 
 def test_full_backlog_refuses_requests_and_keeps_replies():
-    """A dropped request must be `not_run`; a dropped reply would be lost."""
+    """Guards against requests or replies that a full backlog drops silently.
+
+    A refused request is answered with `not_run`. A dropped reply would be
+    lost, so replies are accepted beyond the limit.
+    """
 
     async def run() -> None:
         handled = []
@@ -433,7 +485,10 @@
 
 
 def test_frames_do_not_wait_for_one_turn_each():
-    """With long turns, pings would wait behind all frames before them."""
+    """Guards against one received frame per turn of the event loop.
+
+    With turns of 10 ms, a ping would wait one turn for each frame before it.
+    """
 
     async def run() -> None:
         async with connected_networks() as (_, second):
@@ -448,7 +503,7 @@
                     work = encode_message(CancelWork(f'{number}'))
                     s.send(encode_frame(make_frame(work)))
                 while len(received) < 100:
-                    # A turn of the loop that is busy with other work.
+                    # Block the event loop, as other work does.
                     time.sleep(0.01)
                     await asyncio.sleep(0)
                     turns += 1
--- a/tests/test_pinned.py
+++ b/tests/test_pinned.py
@@ -1,4 +1,4 @@
-"""Queries whose pinned version is lost or repartitioned."""
+"""Queries whose index version is dropped or repartitioned meanwhile."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 
 def ask_during_change(fleet, changes_by_server):
-    """Answer one query while holdings change."""
+    """Run a query while holdings change; return the answer and its duration."""
 
     async def run():
         announce_later(fleet, changes_by_server)
@@ -40,7 +40,11 @@
 
 
 def test_lost_version_restarts_the_query_on_a_newer_one():
-    """A version that is dropped in a query must not lower the coverage."""
+    """Guards against lower coverage when servers drop a version mid-query.
+
+    The query must restart on a newer version that is held completely. Without
+    one, it must return what the old version still covers, without a delay.
+    """
     fleet = FakeFleet(SMALL, 1)
     lost = shard_range(1, 4)
     fleet.holds = lambda asked: asked.version == 2 or asked.start != lost[0]
@@ -61,7 +65,11 @@
 
 
 def test_repartitioned_shard_is_planned_again_for_the_same_version():
-    """A shard that is cut in two must not lower the coverage."""
+    """Guards against lower coverage when a shard is split mid-query.
+
+    The servers refuse the old range; the query must plan the halves again for
+    the same version.
+    """
     fleet = FakeFleet(SMALL, 1)
     start, end = shard_range(1, 4)
     middle = (start + end) // 2
@@ -82,7 +90,10 @@
 
 
 def test_rest_of_a_narrower_reply_is_asked_again():
-    """A reply for half a range must not hide or lose the other half."""
+    """Guards against a lost rest when a reply covers only part of its range.
+
+    The rest must be requested again, and nothing else.
+    """
     fleet = FakeFleet(SMALL, 1)
     start, end = shard_range(1, 4)
     middle = (start + end) // 2
--- a/tests/test_process_fleet.py
+++ b/tests/test_process_fleet.py
@@ -1,4 +1,4 @@
-"""Deployments of real processes for load measurements."""
+"""Start and cleanup of the deployments for load measurements."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
 
 
 def test_ends_all_processes_after_a_fault_of_the_measurement():
-    """Guards against processes that outlive a measurement that failed."""
+    """Guards against processes that survive an exception in a measurement."""
     with pytest.raises(ZeroDivisionError), ProcessFleet(SMALL) as fleet:
         processes = started_processes(fleet)
         assert len(processes) == 1 + 3 + 2
@@ -39,7 +39,10 @@
 
 
 def test_ends_all_processes_when_the_start_fails(monkeypatch):
-    """Guards against processes left over by a start that never got ready."""
+    """Guards against processes that survive a failed start.
+
+    The store refuses the settings after the processes were started.
+    """
     fleet = ProcessFleet(SMALL)
 
     def refuse(settings):
--- a/tests/test_query.py
+++ b/tests/test_query.py
@@ -36,7 +36,7 @@
 
 
 def test_whole_answer():
-    """Each shard must be asked once and every item must come back."""
+    """Guards against repeated requests to a shard and against lost items."""
     fleet = FakeFleet(SMALL, 1)
     ((answer, took_s),) = ask(fleet, query())
     assert answer.code == ResultCode.COMPLETE
@@ -48,7 +48,10 @@
 
 
 def test_silent_shard_gives_true_coverage_at_the_deadline():
-    """An answer must not wait beyond the deadline nor claim the shard."""
+    """Guards against late answers and false coverage when a shard is silent.
+
+    The answer must come at the deadline and report the shard as missing.
+    """
     fleet = FakeFleet(SMALL, 1)
     behave(fleet, replicas(2), lambda _: None)
     ((answer, took_s),) = ask(fleet, query(deadline_s=0.2))
@@ -60,7 +63,11 @@
 
 
 def test_straggler_is_hedged_and_cancelled():
-    """One slow reply must not set the latency of the whole query."""
+    """Guards against one slow reply that delays the whole query.
+
+    A hedge to another replica must answer, and the slow attempt must be
+    cancelled. Without hedges the same replies take longer than 0.3 s.
+    """
     slowest_s = []
     for options in (SMALL, NO_HEDGES):
         fleet = FakeFleet(options, 1)
@@ -81,7 +88,10 @@
 
 
 def test_refused_attempt_is_retried_elsewhere():
-    """A shed, draining or unreachable replica must not lower coverage."""
+    """Guards against lower coverage when one replica refuses.
+
+    The attempt must be retried at another replica of the shard.
+    """
     for code in (
         ResultCode.SERVER_SHED,
         ResultCode.SERVER_DRAINING,
@@ -95,7 +105,11 @@
 
 
 def test_retry_waits_a_little_for_a_token():
-    """The first queries after the loss of a replica used up the tokens."""
+    """Guards against partial answers while the retry budget is empty.
+
+    The first queries after the loss of a replica spend all tokens. A retry
+    must wait for a token that another query earns.
+    """
     hedging = HedgingSettings(quantile=1, budget_ratio=0.25, burst=1)
     fleet = FakeFleet(replace(SMALL, hedging=hedging), 1)
     for shard in (0, 1):
@@ -122,7 +136,12 @@
 
 
 def test_one_lost_server_does_not_stop_hedging():
-    """A query that meets a lost server must not wait for its stragglers."""
+    """Guards against a query that stops hedging after one lost server.
+
+    A request is suspected of crashing servers only if it lost most of the
+    servers it was sent to. After one loss, the straggler of another shard
+    must still be hedged.
+    """
     fleet = FakeFleet(SMALL, 1)
     crash = refuse_with(ResultCode.SERVER_CLOSED, RunState.UNKNOWN)
     behave(
@@ -146,7 +165,11 @@
 
 
 def test_not_run_is_only_said_when_no_attempt_could_have_run():
-    """A caller relies on a refusal that says not_run."""
+    """Guards against a false `not_run`, on which callers rely.
+
+    It is only true if every attempt was refused before it ran; an attempt of
+    unknown state, or without a reply, may have run.
+    """
     everywhere = [name for shard in range(4) for name in replicas(shard)]
     for run, expected in (
         (RunState.NOT_RUN, Failure),
@@ -169,7 +192,11 @@
 
 
 def test_hedge_avoids_servers_that_began_to_leave():
-    """A hedge is planned after the first attempts and must look again."""
+    """Guards against hedges to servers that began to drain meanwhile.
+
+    The replicas are known from the plan, but their state can change between
+    the first attempt and the hedge.
+    """
     fleet = FakeFleet(SMALL, 1)
     behave(
         fleet,
@@ -199,7 +226,11 @@
 
 
 def test_blocked_and_suspect_requests():
-    """A request that crashes servers must not reach one per shard."""
+    """Guards against a crashing request that reaches one server per shard.
+
+    A blocked fingerprint must be refused before any attempt, also during a
+    query; a suspect one must run alone on its server.
+    """
     fingerprint = fingerprint_of('find', b'{}')
     fleet = FakeFleet(SMALL, 1)
     fleet.board.post(BLOCKED_FINGERPRINTS, frozenset([fingerprint]))
@@ -228,7 +259,11 @@
 
 
 def test_canary_runs_first_and_once_per_fingerprint():
-    """An unseen request must not crash one server of each shard."""
+    """Guards against an unseen request that crashes one server per shard.
+
+    The first request with a fingerprint runs on one shard before the others;
+    a later one with the same fingerprint doesn't wait for that.
+    """
     fleet = FakeFleet(replace(SMALL, canary=True), 1)
     crash = refuse_with(ResultCode.SERVER_CLOSED, RunState.UNKNOWN)
     everywhere = [name for shard in range(4) for name in replicas(shard)]
@@ -246,7 +281,11 @@
 
 
 def test_query_that_cannot_meet_its_deadline_is_refused_early():
-    """Reported waits beyond the deadline must not cost the whole deadline."""
+    """Guards against queries that wait for a deadline they cannot meet.
+
+    If all replicas report waits beyond the deadline, the query must be
+    refused without an attempt, and only until the reported wait is over.
+    """
     fleet = FakeFleet(SMALL, 1)
     everywhere = [name for shard in range(4) for name in replicas(shard)]
 
@@ -278,6 +317,8 @@
 @given(st.sampled_from([0, 0.045, 0.1]), st.integers(0, 30))
 def test_second_attempts_stay_within_the_budget(ratio, burst):
     """An outage must not multiply the load on the servers that are left."""
+    # Guards against retries and hedges beyond the token budget when replicas
+    # are silent or shed their load.
     hedging = HedgingSettings(budget_ratio=ratio, burst=burst)
     fleet = FakeFleet(replace(SMALL, hedging=hedging), 1)
     behave(fleet, replicas(0), lambda _: None)
--- a/tests/test_query_peers.py
+++ b/tests/test_query_peers.py
@@ -15,7 +15,11 @@
 
 
 def test_query_over_links_gets_whole_answers_and_refusals():
-    """Messages that pass only in memory would fail between daemons."""
+    """Guards against messages that work in memory but not over peer links.
+
+    Requests, refusals, silent attempts and cancellations are encoded and
+    sent between two daemons.
+    """
 
     async def run() -> None:
         fleet = FakeFleet(replace(SMALL, host_count=0), 1)
--- a/tests/test_query_storm.py
+++ b/tests/test_query_storm.py
@@ -1,4 +1,4 @@
-"""Queries while holdings, states and replies change at random."""
+"""Randomised test of queries while holdings, states and replies change."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 
 class Storm:
-    """Random holdings, faults and states while queries run."""
+    """Simulates servers whose holdings, states and replies change at random."""
 
     def __init__(self, seed):
         self.draw = random.Random(seed)
@@ -40,12 +40,12 @@
         behave(self.fleet, self.truth, self.behave)
 
     def holds(self, asked):
-        """Return whether a server holds what it was asked for."""
+        """Return whether a server holds the requested version and range."""
         start, end = self.truth[asked.server].get(asked.version, (0, 0))
         return start <= asked.start and asked.end <= end
 
     def behave(self, asked):
-        """Answer truly, with a fault, or not at all."""
+        """Reply correctly, with a random fault, or not at all."""
         assert asked.server not in self.closed
         if not self.holds(asked):
             return refuse_with(ResultCode.VERSION_NOT_HELD)(asked)
@@ -93,7 +93,7 @@
                 self.fleet.announce(name, holdings=holdings)
 
     async def query(self, controller, name):
-        """Ask one query and check its answer."""
+        """Run one query and check its deadline, items and coverage."""
         await asyncio.sleep(self.draw.uniform(0, 0.4))
         began_s = asyncio.get_running_loop().time()
         answer = await controller.answer(query(name))
@@ -130,5 +130,7 @@
 
     Replies are crossed, truncated or wrong while holdings change.
     """
+    # Guards against these four failures. `Storm.behave` asserts that closed
+    # servers get no work, `Storm.query` checks each answer.
     coverages = run_virtual(Storm(seed).run())
     assert max(coverages) > 0
--- a/tests/test_record_exchange.py
+++ b/tests/test_record_exchange.py
@@ -1,4 +1,4 @@
-"""Decisions that spread server records: digests, comparisons, changes."""
+"""Exchange of server records: digests, comparisons, sizes and versions."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 
 DAEMONS = 4
 SERVERS = tuple(f's{number}' for number in range(12))
-#: Small, so that one exchange does not carry everything.
+#: Too small to send all records in one exchange.
 LIMITS = backends.ExchangeLimits(1, 2, 500)
 PROFILE = settings(derandomize=True, max_examples=150, deadline=None)
 STEPS = st.lists(
@@ -41,7 +41,7 @@
 
 
 def record(server, dispatcher='a', **fields):
-    """Build a record."""
+    """Build a server record with version 1 and the given fields."""
     base = ServerRecord(
         server, 'v', 'north', dispatcher, 1, 1, 1, ServerState.SERVING, 1
     )
@@ -49,12 +49,15 @@
 
 
 def order(known):
-    """Return what orders the versions of a server."""
+    """Return the sort key of the versions of a server; the highest wins."""
     return known.sequence, -known.dispatcher_incarnation, known.dispatcher
 
 
 class Daemons:
-    """Tables of several daemons and the announcements on their way."""
+    """Simulates record tables of several daemons and the messages in transit.
+
+    `bag` holds the undelivered messages: the target daemon and the records.
+    """
 
     def __init__(self, seed):
         self.source = random.Random(seed)
@@ -63,7 +66,7 @@
         self.newest = {}
 
     def observe(self, daemon, server, state):
-        """Let any daemon believe that it dispatches to the server."""
+        """Let a daemon announce a server as if it were its dispatcher."""
         table = self.tables[daemon]
         announced = backends.next_version(
             table.by_server.get(server),
@@ -81,7 +84,7 @@
             self.bag.append((target, (announced,)))
 
     def exchange(self, first, second):
-        """Compare two tables; the records go into the bag."""
+        """Compare two tables and send the records that differ."""
         own, other = self.tables[first], self.tables[second]
         count = backends.group_count(len(own.by_server))
         groups = backends.differing_groups(
@@ -101,7 +104,7 @@
             )
 
     def carry(self, *, keep):
-        """Deliver a random message; an older record must not win."""
+        """Deliver a random message; no older record may replace a newer one."""
         if not self.bag:
             return
         place = self.source.randrange(len(self.bag))
@@ -114,7 +117,7 @@
             assert order(table.by_server[server]) >= order(known)
 
     def step(self, kind, daemon, server, state):
-        """Make one step of the history."""
+        """Execute one generated step."""
         if kind == 'observe':
             self.observe(daemon, server, state)
         elif kind == 'exchange':
@@ -129,6 +132,8 @@
 @given(STEPS, st.integers(0, 999))
 def test_all_daemons_converge_to_the_newest_records(steps, seed):
     """Guards against records that a lost or late message leaves behind."""
+    # After random losses, delays and repetitions, comparisons alone must bring
+    # the newest record of each server to all daemons.
     daemons = Daemons(seed)
     for step in steps:
         daemons.step(*step)
@@ -151,6 +156,8 @@
 )
 def test_digests_show_each_difference_at_any_size(first, second, power):
     """A hash that misses a change would never be repaired."""
+    # Guards against differences that comparisons never repair because the
+    # digests of different tables are equal.
     tables = []
     for numbers in (first, second):
         table = backends.RecordTable()
@@ -177,7 +184,11 @@
 
 
 def test_far_behind_tables_compare_more_groups():
-    """A fleet that starts must not need hours to exchange its records."""
+    """Guards against an exchange that takes hours after the start of a fleet.
+
+    Tables that differ in most groups must compare many groups at once; nearly
+    equal tables compare only those that differ.
+    """
     full, empty = backends.RecordTable(), backends.RecordTable()
     for number in range(5_000):
         full.merge(record(f's{number}'))
@@ -198,7 +209,7 @@
 
 
 class FakePeers(dict):
-    """Keeps handlers and what is sent."""
+    """Records the registered handlers and the sent messages."""
 
     def __init__(self):
         super().__init__()
@@ -210,7 +221,11 @@
 
 
 def test_catching_up_stays_within_its_allowance():
-    """Changes of most groups all the time must not exceed the budget."""
+    """Guards against catch-up traffic beyond its budget.
+
+    A peer that repeatedly sends an empty digest would otherwise get all
+    records each time; after the burst it gets the usual size.
+    """
     table = backends.RecordTable()
     for number in range(5_000):
         table.merge(record(f's{number}'))
@@ -242,6 +257,8 @@
 @given(st.integers(0, 5), st.integers(0, 5), st.text('abc', max_size=40))
 def test_size_of_a_record_is_not_underestimated(versions, ranges, name):
     """The bounds count estimated bytes."""
+    # Guards against messages beyond their size limit: the limits use this
+    # estimate instead of the encoded size.
     holdings = tuple(
         Holding(2**30 + version, ((2**31, 2**32),) * ranges)
         for version in range(versions)
@@ -254,7 +271,12 @@
 
 
 def test_two_dispatchers_do_not_replace_each_other_at_each_poll():
-    """Two views of the members must not cause an announcement per poll."""
+    """Guards against two dispatchers that announce a server at each poll.
+
+    Daemons with different views of the members can poll the same server. A
+    record with the same state from a live dispatcher is replaced only some
+    time after the assignment, a record with another state at once.
+    """
     theirs = record('s', 'b', sequence=7, limit=4)
     own = record('s', 'a')
 
--- a/tests/test_revision_parts.py
+++ b/tests/test_revision_parts.py
@@ -1,4 +1,4 @@
-"""Revisions in parts: splitting, joining, and what may be removed."""
+"""Revisions in parts: splitting, assembling and retention."""
 
 from __future__ import annotations
 
@@ -73,7 +73,7 @@
 
 
 def packed(given, revision=1):
-    """Pack settings as one revision."""
+    """Encode settings as a revision in parts."""
     return encode_revision(RevisionDocument(revision, str(revision), given))
 
 
@@ -81,6 +81,8 @@
 @given(configurations())
 def test_join_of_split_is_the_whole(given_settings):
     """A piece lost or altered on its way would change the configuration."""
+    # Guards against settings that differ after a revision is split into parts
+    # and assembled again.
     done = packed(given_settings)
     joined = assemble(done.manifest, done.parts)
     if find_problems(given_settings):
@@ -93,6 +95,8 @@
 @given(st.lists(configurations(), min_size=2, max_size=5))
 def test_step_by_step_equals_the_whole(chain):
     """Validating only what changed must accept exactly the valid ones."""
+    # Guards against incremental validation that accepts or rejects other
+    # settings than the validation of the whole revision.
     before = None
     for number, wanted in enumerate(chain, start=1):
         done = packed(wanted, number)
@@ -105,7 +109,11 @@
 
 
 def test_addresses_that_swap_places_are_checked():
-    """A duplicate across parts must be found when only one part changed."""
+    """Guards against duplicate addresses when only one part changed.
+
+    The other server with the address can be in a part that is not validated
+    again.
+    """
     servers = {
         f's-{number}': ServerSettings(f'10.0.0.{number}:9', 'north')
         for number in range(1, 200)
@@ -140,6 +148,8 @@
 )
 def test_one_name_more_changes_one_bucket(numbers, added, limit):
     """Chunks that shift would rewrite a whole service for one server."""
+    # Guards against one added server that moves the servers of other buckets,
+    # so that all their parts are rewritten.
     names = {str(number) for number in numbers}
     before = buckets(names, limit)
     after = buckets(names | {str(added)}, limit)
@@ -166,7 +176,11 @@
 
 
 def test_large_revision_fits_the_store_and_small_changes_stay_small():
-    """Servers beyond some thousands exceed the store's 1 MB in one value."""
+    """Guards against a revision that exceeds the store's limit per value.
+
+    Some thousand servers exceed 1 MB in one value. In parts, each value must
+    stay small, and a small change must rewrite few parts.
+    """
     first = next_document(many_servers(12_000), None, CHANGE)
     assert encode_document(first).code is ResultCode.VALUE_TOO_LARGE
     before = encode_revision(first)
@@ -186,6 +200,8 @@
     given_settings, draw
 ):
     """A revision must not come into force with a part missing."""
+    # Guards against a revision in force that lacks a part: parts are fetched in
+    # several steps, because indexes refer to further parts.
     done = packed(given_settings)
     held = {}
     while True:
@@ -200,7 +216,10 @@
 
 
 def test_part_that_is_wrong_fails_the_revision():
-    """Parts that do not fit together must not yield half a configuration."""
+    """Guards against a configuration that lacks a part.
+
+    Parts that are malformed or of another kind must fail the whole revision.
+    """
     done = packed(many_servers(200))
     index = next(iter(done.manifest.indexes.values()))
     for wrong in (b'{', b'\xff', b'[]', b'{"a":1}'):
@@ -221,7 +240,11 @@
 
 
 def test_pieces_that_are_lost_or_occur_twice_are_refused():
-    """A wrong manifest must not drop a service or a server unnoticed."""
+    """Guards against a manifest that silently drops a service or a server.
+
+    The limits of a service are lost, or one part occurs twice instead of
+    another.
+    """
     done = packed(many_servers(200))
     [limits] = [one for one, text in done.parts.items() if b'limits' in text]
     first, second, *_ = (
@@ -233,7 +256,11 @@
 
 
 def test_peers_get_no_audit_trail_but_newer_keys():
-    """The trail would use up the bytes that a daemon may spend."""
+    """Guards against audit entries in the documents for peers.
+
+    They would use up the bytes that a daemon may send. Unknown keys of a
+    newer release must stay.
+    """
     done = encode_revision(next_document(Settings(), None, CHANGE))
     newer = done.encoded[:-1] + b',"added_later":[1]}'
     sent = without_audit(newer)
@@ -245,6 +272,8 @@
 @given(st.integers(0, 2**32), st.integers(1, 4))
 def test_kept_revisions_keep_their_parts(seed, width):
     """A rollback must find every part of every revision that is kept."""
+    # Guards against the deletion of parts that a kept revision still refers to,
+    # and against parts that are never deleted.
     draw = random.Random(seed)
     names = [part_hash(bytes([number])) for number in range(6)]
     history = History()
@@ -260,7 +289,8 @@
         assert not in_use & set(kept.parts_to_retire)
         assert base + 1 - kept.kept_from <= 100
         emptied = {one: base for one in (*emptied, *kept.parts_to_retire)}
-        # Nothing is forgotten: what is not in use is due now or earlier.
+        # Each part that is no longer in use must be retired now or earlier,
+        # or be listed as replaced.
         seen = set().union(*revisions.values())
         assert seen - in_use <= emptied.keys() | {
             one.part for one in kept.replaced
@@ -269,7 +299,10 @@
 
 
 def test_large_changes_reduce_the_kept_revisions():
-    """The list of replaced parts must not exceed the size of a value."""
+    """Guards against a list of replaced parts that exceeds a store value.
+
+    If changes replace many parts, fewer old revisions are kept.
+    """
     history = History()
     for base in range(1, 6):
         held = frozenset(f'{base}-{number}' for number in range(3_000))
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -1,4 +1,4 @@
-"""Decisions about configuration revisions."""
+"""Functions on configuration revisions, and the watchers of the store."""
 
 from __future__ import annotations
 
@@ -40,7 +40,7 @@
 
 
 def chain(count):
-    """Build documents one after the other."""
+    """Build `count` documents, each based on the one before."""
     documents = [None]
     for number in range(count):
         change = dataclasses.replace(CHANGE, change_id=str(number))
@@ -49,7 +49,7 @@
 
 
 def member(host, status=MemberStatus.ALIVE, revision=0):
-    """Build the record of one daemon."""
+    """Build the member record of a daemon."""
     return MemberRecord(
         host, 1, 1, status, 'north', 'north', '', '', revision=revision
     )
@@ -59,6 +59,8 @@
 @given(st.lists(st.integers(0, 6), max_size=12), st.data())
 def test_highest_valid_revision_stays_in_force(order, data):
     """A late, repeated or invalid document must not revert a newer one."""
+    # Guards against a daemon that returns to an earlier revision because
+    # documents arrive out of order.
     documents = chain(7)
     held = LocalRevision()
     highest = 0
@@ -77,7 +79,11 @@
 
 
 def test_document_round_trip():
-    """Every process must read back what the operator wrote."""
+    """Guards against settings that change when they are stored and read.
+
+    Fields of newer releases are ignored; malformed or too large documents are
+    refused with their own codes.
+    """
     document = next_document(EXAMPLE, None, CHANGE)
     assert decode_document(encode_document(document)) == document
     newer = msgspec.to_builtins(document) | {'added_later': 1}
@@ -95,7 +101,10 @@
 
 
 def test_audit_trail_is_bounded():
-    """An unbounded trail would exceed the size of a store value."""
+    """Guards against an audit trail that exceeds the size of a store value.
+
+    Only the last entries are kept, and long notes are refused.
+    """
     trail = chain(AUDIT_ENTRY_LIMIT + 5)[-1].audit
     assert [entry.revision for entry in trail] == list(
         range(6, AUDIT_ENTRY_LIMIT + 6)
@@ -107,7 +116,10 @@
 
 
 def test_difference_names_path_and_values():
-    """An operator must see each setting that a conflict concerns."""
+    """Guards against a conflict report that omits a setting.
+
+    The operator must see the path and both values of each difference.
+    """
     changed = dataclasses.replace(EXAMPLE, addresses=AddressSettings(count=9))
     routes = dict(EXAMPLE.routes)
     del routes['claim-lot']
@@ -125,7 +137,10 @@
 
 
 def test_drain_marks_all_servers_of_a_host():
-    """A server that is left out would get new work on a leaving host."""
+    """Guards against a drain that leaves out a server of the host.
+
+    That server would get new work on a leaving host.
+    """
     host = 'north-member-ledger'
     drained = with_host_drained(EXAMPLE, host, drained=True)
     marked = [
@@ -143,7 +158,11 @@
 
 
 def test_clearance_acts_once():
-    """A fingerprint that crashes servers again must stay blocked."""
+    """Guards against a clearance that is applied more than once.
+
+    A fingerprint that crashes servers again after its clearance must stay
+    blocked, although later documents still contain the clearance.
+    """
     base = chain(1)[0]
     cleared = clear_fingerprint(7, base, CHANGE)
     following = next_document(Settings(), cleared, CHANGE)
@@ -156,7 +175,11 @@
 
 
 def test_three_watchers_for_the_whole_fleet():
-    """One watcher per daemon would exceed the rates of the store."""
+    """Guards against too many watchers, and against none.
+
+    A watcher on each daemon would exceed the call rate of the store. A dead
+    watcher must be replaced, and the others stay.
+    """
     members_by_host = {
         f'h{number}': member(f'h{number}') for number in range(40)
     }
@@ -175,7 +198,11 @@
 
 
 def test_dropped_audit_entry_leaves_the_outcome_open():
-    """Without its entry, a write is neither applied nor in conflict."""
+    """Guards against a false result of a write whose answer was lost.
+
+    The audit trail is bounded. If the entry of the write may have been
+    dropped, the write is neither confirmed nor in conflict.
+    """
     documents = chain(AUDIT_ENTRY_LIMIT + 2)
     assert (
         next_step_after_read(documents[1], documents[-1])
--- a/tests/test_revisions_machine.py
+++ b/tests/test_revisions_machine.py
@@ -1,4 +1,4 @@
-"""Operators that race each other at a store that loses answers."""
+"""Model test of concurrent `apply` commands on a store that loses answers."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 
 class StoreModel:
-    """One key with compare-and-swap; the oracle of accepted documents."""
+    """A stored key with compare-and-swap that records all accepted values."""
 
     def __init__(self):
         """Start without a value."""
@@ -55,7 +55,9 @@
         """Start with an empty store and idle operators."""
         super().__init__()
         self.store = StoreModel()
+        # Open writes by operator: document, expected version and next step.
         self.writes = {}
+        # Reported results by change ID.
         self.results = {}
         self.count = 0
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,4 +1,4 @@
-"""Replica choice, hedging and the budget."""
+"""Replica choice, hedging and the budget for retries and hedges."""
 
 from __future__ import annotations
 
@@ -34,6 +34,8 @@
 )
 def test_budget_holds_over_every_period(ratio, burst, rounds):
     """Retries of several hops at once must not multiply the load."""
+    # Guards against more second attempts than the budget allows in any period:
+    # its ratio of the first attempts plus the saved tokens.
     budget = TokenBudget(HedgingSettings(budget_ratio=ratio, burst=burst))
     firsts, seconds = [], []
     for earned, wished in rounds:
@@ -48,14 +50,18 @@
 
 
 def test_budget_takes_over_new_settings():
-    """A lower burst must hold at once."""
+    """Guards against tokens beyond a burst that an operator has lowered."""
     budget = TokenBudget(HedgingSettings(burst=20))
     budget.configure(HedgingSettings(burst=2))
     assert [budget.spend() for _ in range(4)] == [True, True, False, False]
 
 
 def test_a_wide_query_can_use_the_tokens_it_earns():
-    """A fixed burst would leave most stragglers of 1,900 shards unhedged."""
+    """Guards against a burst that limits the hedges of a wide query.
+
+    A query over 1,900 shards earns more tokens at once than the burst of 20
+    and needs them for its stragglers.
+    """
     budget = TokenBudget(HedgingSettings(budget_ratio=0.045, burst=20))
     budget.earn(1_900)
     assert budget.tokens == pytest.approx(85.5)
@@ -64,7 +70,7 @@
 
 
 def service(names, drained=()):
-    """Return a service whose server on each host has the host's name."""
+    """Return a service with one server per name, on a host of that name."""
     return ServiceSettings(
         5,
         40,
@@ -76,7 +82,7 @@
 
 
 def record(name, state):
-    """Return a server record."""
+    """Return a server record with one holding."""
     holdings = (Holding(1, ((0, 9),)),)
     return ServerRecord(name, 's', 'dc', 'd', 1, 1, 1, state, 5, holdings)
 
@@ -98,6 +104,8 @@
     states, drained, hosts, said, suspect, seed
 ):
     """Suspicion of the other replicas must not reopen a leaving one."""
+    # Guards against new work for a leaving server when most other replicas are
+    # suspect and their suspicion is ignored.
     records = {n: record(n, s) for n, s in zip(NAMES, states, strict=True)}
     replicas = tuple(eligible_holdings(service(NAMES, drained), records, hosts))
     observations = ServerObservations()
@@ -123,7 +131,7 @@
 
 
 def choice_counts(observations, now_s=0.0, replicas=NAMES[:3]):
-    """Return how often each replica is chosen out of 300."""
+    """Return how often each replica is chosen in 300 choices."""
     draw = random.Random(1).random
     chosen = [
         choose_replica(replicas, (), observations, (draw(), draw()), now_s, 0)
@@ -133,7 +141,11 @@
 
 
 def test_all_replicas_are_used_when_most_are_suspect():
-    """A fault of the merger's own link must not close a whole service."""
+    """Guards against a service without usable servers.
+
+    A fault of the daemon's own link makes most replicas suspect; then the
+    suspicion must be ignored.
+    """
     observations = ServerObservations()
     observations.record_failure('a', 0)
     assert choice_counts(observations)['a'] == 0
@@ -142,7 +154,11 @@
 
 
 def test_own_observations_outweigh_reported_waits():
-    """A false report must not keep all work away from a server."""
+    """Guards against a false report that keeps all work from a server.
+
+    A reported wait is capped and expires, so that attempts in flight at the
+    other replicas can outweigh it.
+    """
     observations = ServerObservations()
     for name in NAMES[:3]:
         observations.record_sent(name)
@@ -158,7 +174,11 @@
 
 
 def test_lost_server_is_tried_by_one_attempt_at_a_time():
-    """All queries at once must not test whether a server is back."""
+    """Guards against many concurrent attempts to a server that was lost.
+
+    After a while one attempt tests whether it is back; until its reply, the
+    server stays suspect for all others.
+    """
     observations = ServerObservations()
     observations.record_sent('a')
     observations.record_failure('a', 0)
@@ -171,7 +191,11 @@
 
 
 def test_silent_server_becomes_suspect_and_one_straggler_does_not():
-    """A dispatcher that died answers nothing; a straggler is normal."""
+    """Guards against a silent server that keeps getting work.
+
+    A dispatcher that died answers nothing. One overdue reply is a normal
+    straggler; two without an answer between them make the server suspect.
+    """
     observations = ServerObservations()
     observations.record_overdue('a', 0)
     observations.record_answer('a', 0.01, 0)
@@ -182,7 +206,10 @@
 
 
 def test_one_straggler_does_not_shut_a_replica_out():
-    """A reply 20 times slower would take a server out of use for long."""
+    """Guards against a server that gets no work for long after one slow reply.
+
+    A reply that is 20 times slower must raise the latency estimate little.
+    """
     observations = ServerObservations()
     for latency_s in (0.01, 0.2):
         observations.record_sent('a')
@@ -191,7 +218,10 @@
 
 
 def test_latency_quantile_follows_recent_attempts():
-    """A quantile of old attempts would hedge at the wrong time."""
+    """Guards against hedges at the wrong time.
+
+    The quantile must follow the recent attempts when the latency changes.
+    """
     tracker = LatencyTracker(0.97)
     draw = random.Random(3)
     for _ in range(47):
@@ -206,7 +236,11 @@
 
 
 def test_hedge_only_where_it_can_help():
-    """A hedge of a suspect request could crash a second server."""
+    """Guards against useless or harmful hedges.
+
+    A hedge of a suspect request could crash a second server; one that starts
+    after the deadline, or without a known latency, cannot help.
+    """
     assert hedge_delay_s(0.02, 0.1, suspect=False) == 0.02
     assert hedge_delay_s(0.02, 0.1, suspect=True) is None
     assert hedge_delay_s(0.2, 0.1, suspect=False) is None
@@ -214,6 +248,9 @@
 
 
 def test_fingerprint_separates_route_and_body():
-    """Two requests must not share the fate of one fingerprint."""
+    """Guards against different requests with the same fingerprint.
+
+    If one of them were blocked, the other one would be refused with it.
+    """
     assert fingerprint_of('ab', b'c') != fingerprint_of('a', b'bc')
     assert fingerprint_of('a', b'c') == fingerprint_of('a', b'c')
--- a/tests/test_server_exchange.py
+++ b/tests/test_server_exchange.py
@@ -22,7 +22,11 @@
 
 
 def test_lost_announcement_is_repaired():
-    """A change that no daemon passed on must still reach all of them."""
+    """Guards against a record that stays outdated after a lost announcement.
+
+    All announcements of the change are dropped; the digest exchange must
+    repair it.
+    """
 
     async def scenario(backends, both):
         for context in both:
@@ -43,7 +47,10 @@
 
 
 def test_new_daemon_gets_all_records_at_once():
-    """Without records a daemon would refuse queries after its start."""
+    """Guards against a started daemon that refuses queries.
+
+    It needs the records of all servers at once, before its first poll.
+    """
 
     async def scenario(_backends, both):
         first, second = both
@@ -61,7 +68,10 @@
 
 
 def test_new_daemon_does_not_claim_what_others_serve():
-    """A start with few members known must not announce the whole fleet."""
+    """Guards against a started daemon that announces servers of others.
+
+    As long as it knows few members, it assigns itself too many servers.
+    """
 
     async def scenario(_backends, both):
         first, second = both
@@ -83,7 +93,10 @@
 
 
 def test_invalid_digest_is_refused():
-    """A digest of another version must not end the handler."""
+    """Guards against a handler that fails on digests of another release.
+
+    They have an unexpected length and must be refused.
+    """
 
     async def scenario(_backends, both):
         for hashes in (b'', b'123', bytes(12), bytes(4_096)):
--- a/tests/test_server_view.py
+++ b/tests/test_server_view.py
@@ -1,4 +1,4 @@
-"""States of all servers at one daemon, from all signs."""
+"""States of all servers at one daemon, derived from all signs of leaving."""
 
 from __future__ import annotations
 
@@ -28,7 +28,10 @@
 
 
 def test_view_disregards_reports_about_most_servers():
-    """A wave of false reports must not empty a service."""
+    """Guards against a service that is left without serving servers.
+
+    Reports that most servers drain are taken as false and ignored.
+    """
     configured = document({'x': 'a:1', 'y': 'a:2', 'z': 'a:3'}).settings
     records = {
         name: dataclasses.replace(RECORD, server=name, state=DRAINING)
@@ -67,6 +70,8 @@
 @given(VIEW_STEPS)
 def test_steps_of_the_view_agree_with_a_whole_one(steps):
     """A step that misses a sign would send work to a leaving server."""
+    # Guards against an incremental refresh that differs from a view built from
+    # scratch.
     addresses = {name: f'a:{place}' for place, name in enumerate(NAMES, 1)}
     options = {name: {'drained': False} for name in NAMES}
     known = {
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -41,7 +41,7 @@
 from tests.test_peers import free_address
 
 FAST = PollOptions(0.05, 0.2, ExchangeOptions(0.1, 0.3))
-#: Polls once, so that other signs are seen alone.
+#: Polls only once, so that only other signs can change a state.
 SLOW = PollOptions(60, 0.2, ExchangeOptions(60, 60))
 SERVING, DRAINING = ServerState.SERVING, ServerState.DRAINING
 LOST = ServerState.LOST
@@ -66,7 +66,7 @@
 
 @asynccontextmanager
 async def two_daemons(revision, options):
-    """Two daemons that know each other, with their controllers."""
+    """Start two daemons that know each other, with their controllers."""
     async with daemon(revision, 'a') as first, daemon(revision, 'b') as second:
         first.peers.set_address('b', second.identity.peer_address)
         second.peers.set_address('a', first.identity.peer_address)
@@ -81,13 +81,13 @@
 
 
 def states(context):
-    """Return the states that a daemon sees."""
+    """Return the server states in the view of a daemon."""
     records = context.board.read(SERVERS)
     return {name: record.state for name, record in records.items()}
 
 
 async def until(condition, timeout_s=3):
-    """Wait for a condition."""
+    """Wait until a condition is true."""
     async with asyncio.timeout(timeout_s):
         while not condition():
             await asyncio.sleep(0.01)
@@ -95,7 +95,7 @@
 
 @asynccontextmanager
 async def three_servers(options):
-    """Three backend servers and two daemons that see them serving."""
+    """Start three servers and two daemons; wait until all are serving."""
     async with FakeBackend('x') as x, FakeBackend('y') as y:
         async with FakeBackend('z') as z:
             backends = {'x': x, 'y': y, 'z': z}
@@ -111,7 +111,7 @@
 
 
 def run(scenario, options=FAST):
-    """Run a scenario on three servers and two daemons."""
+    """Run a scenario with three servers and two daemons, for up to 20 s."""
 
     async def bounded():
         async with three_servers(options) as (backends, both):
@@ -121,7 +121,11 @@
 
 
 def test_each_server_is_polled_by_one_daemon_and_known_to_all():
-    """Polls by all daemons would not scale; unknown servers get no work."""
+    """Guards against servers that all daemons poll, or that some don't know.
+
+    Polls by every daemon would not scale, and a daemon sends no work to a
+    server without a record.
+    """
 
     async def scenario(backends, both):
         for context in both:
@@ -141,7 +145,10 @@
 
 
 def test_polled_status_reaches_all_daemons():
-    """A draining or restarted server must be known everywhere in time."""
+    """Guards against a server change that only its dispatcher knows.
+
+    A drain, a restart or a loss must reach all daemons within 1 s.
+    """
 
     async def scenario(backends, both):
         backends['x'].state = 'draining'
@@ -162,7 +169,11 @@
 
 
 def test_other_signs_stop_new_work():
-    """Each sign of leaving must count without the others."""
+    """Guards against a sign of leaving that only works with other signs.
+
+    The host list, a drained server in the settings and the removal of a
+    server must each stop new work.
+    """
 
     async def scenario(_backends, both):
         context = both[0]
@@ -183,7 +194,7 @@
         await until(lambda: set(states(context)) == {'x'}, 0.5)
         for other in both:
             other.board.post(DOCUMENT_IN_FORCE, document({'y': free_address()}))
-        # A server that comes back must not have the holdings of before.
+        # A server that is configured again must not keep its old holdings.
         await until(lambda: states(context) == {'y': LOST}, 0.5)
         assert not context.board.read(SERVERS)['y'].holdings
 
@@ -191,7 +202,11 @@
 
 
 def test_observations_reach_all_daemons():
-    """A draining reply must count before the next poll, everywhere."""
+    """Guards against a draining or refusing server that keeps getting work.
+
+    What a reply or a refused connection shows must reach all daemons before
+    the next poll.
+    """
 
     async def scenario(backends, both):
         owner = next(
@@ -217,7 +232,10 @@
 
 
 def test_own_limit_is_announced():
-    """Mergers weigh servers by the limit that the dispatcher found."""
+    """Guards against mergers that use an outdated concurrency limit.
+
+    They weight servers by the limit that the dispatcher has estimated.
+    """
 
     async def scenario(_backends, both):
         for context in both:
@@ -232,7 +250,7 @@
 
 
 def test_servers_move_with_the_members():
-    """The servers of a dead dispatcher must be polled by another daemon."""
+    """Guards against servers that nobody polls after their dispatcher died."""
 
     async def scenario(backends, both):
         first, second = both
@@ -256,7 +274,11 @@
 
 
 def test_silent_poll_connection_does_not_lose_the_server():
-    """A poll that hangs must not take the server out of use."""
+    """Guards against a serving server that is lost because one poll hangs.
+
+    A silent connection must be replaced; it doesn't show that the server is
+    lost.
+    """
 
     async def scenario():
         async with FakeBackend('x') as backend, Relay(backend.address) as relay:
@@ -275,7 +297,10 @@
 
 
 def test_leaving_server_gets_no_work_within_three_seconds():
-    """The goal for a leaving server must hold with the usual options."""
+    """Guards against new work for a leaving server after three seconds.
+
+    The default options must meet this goal.
+    """
 
     async def scenario():
         async with FakeBackend('s') as s, FakeBackend('t') as t:
@@ -302,7 +327,11 @@
 
 
 def test_stale_announcement_is_ignored():
-    """A dispatcher of the past must not overwrite the present one."""
+    """Guards against an old announcement that replaces a newer record.
+
+    It has a lower sequence number, a dispatcher that is not a member, or a
+    server that is not configured.
+    """
 
     async def scenario(_backends, both):
         record = both[0].board.read(SERVERS)['x']
@@ -321,7 +350,11 @@
 
 
 def test_steady_server_is_polled_less_often_and_leaves_in_time():
-    """Polls of servers that do not change were half of an idle daemon."""
+    """Guards against needless polls of servers that do not change.
+
+    They were half of the load of an idle daemon. The longer interval must
+    still notice a leaving server within 3 s.
+    """
     usual = PollOptions()
     longest_s = usual.poll_interval_s * STEADY_INTERVAL_TICKS
     assert longest_s + usual.poll_timeout_s < 3
@@ -345,7 +378,10 @@
 
 
 def test_change_and_failure_of_a_steady_server_are_polled_fast():
-    """Otherwise a lost server would be noticed twice as late."""
+    """Guards against a loss that is noticed twice as late.
+
+    A change or a failed poll must reset a server to the short interval.
+    """
 
     async def scenario():
         async with FakeBackend('x') as backend:
@@ -361,7 +397,7 @@
                     await backend.__aexit__()
                     await until(lambda: ticks['x'] < 1_000)
                     await until(lambda: states(context) == {'x': LOST})
-                    # A lost server that stays lost does not change.
+                    # Each further failed poll resets the interval too.
                     ticks['x'] = 1_000
                     await until(lambda: ticks['x'] < 1_000)
 
--- a/tests/test_settings_merge.py
+++ b/tests/test_settings_merge.py
@@ -1,4 +1,4 @@
-"""The merge rule of the settings folder."""
+"""Merging of the files in the settings folder."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
 
 
 def oracle(files):
-    """Apply files one by one to a dictionary, as the rule is worded."""
+    """Reference implementation: apply the files in order to a dictionary."""
     merged = {}
     for content, removed in files:
         for path in removed:
@@ -73,6 +73,8 @@
 @given(LAYERS, LAYERS, LAYERS)
 def test_compose_is_associative(first, second, third):
     """Grouping of files must not change the outcome."""
+    # Guards against merged settings that depend on the order in which pairs of
+    # layers are combined.
     left = merge_pair(merge_pair(first, second), third)
     assert left == merge_pair(first, merge_pair(second, third))
     assert merge_pair(EMPTY_LAYER, first).entries == first.entries
@@ -82,6 +84,8 @@
 @given(st.lists(st.tuples(TABLES, st.lists(PATHS, max_size=2)), max_size=4))
 def test_merge_follows_the_rule(files):
     """A removal or a change of type must not keep or drop other keys."""
+    # Guards against removals, or tables that replace scalars and lists, that
+    # keep or drop other keys than the reference implementation.
     layers = [make_layer('f', content, removed) for content, removed in files]
     assert as_builtins(resolve_removals(merge_layers(layers))) == oracle(files)
 
@@ -90,6 +94,7 @@
 @given(st.lists(TABLES, min_size=1, max_size=4))
 def test_later_file_wins_and_nothing_is_lost(contents):
     """Each value survives unless a later file sets its path."""
+    # Guards against lost values and against a wrong source file in messages.
     names = [f'{number}.toml' for number in range(len(contents))]
     merged = resolve_removals(merge_layers(map(make_layer, names, contents)))
     for number, content in enumerate(contents):
@@ -116,7 +121,10 @@
 
 
 def test_removal_acts_before_the_same_file():
-    """A file must be able to replace a table as a whole."""
+    """Guards against a file that cannot replace a whole table.
+
+    Its removals must act on earlier files, before its own values are merged.
+    """
     merged = merge_layers(
         (
             make_layer('1', {'a': {'old': 1, 'kept': 2}}),
--- a/tests/test_settings_validation.py
+++ b/tests/test_settings_validation.py
@@ -1,4 +1,4 @@
-"""Conversion of merged tables and the rules of the options."""
+"""Conversion and validation of settings."""
 
 from __future__ import annotations
 
@@ -46,7 +46,10 @@
 
 
 def test_defaults_fill_what_is_left_out():
-    """A folder that sets one rank in part must keep the other shares."""
+    """Guards against defaults that are lost when a table is set in part.
+
+    A folder may set one option of one rank only.
+    """
     loaded = load('ranks.urgent.queue_limit = 9')
     assert loaded.ranks[Rank.URGENT] == RankSettings(0.2, 1, 9)
     assert loaded.ranks[Rank.DEFERRABLE] == RankSettings(0.1, 0.4)
@@ -84,7 +87,7 @@
     ],
 )  # fmt: skip
 def test_rejected_setting_is_named(content, key, found, allowed):
-    """An error must name file, key, offending value and what is allowed."""
+    """Guards against errors without the file, key, value or allowed values."""
     (problem,) = load(content)
     assert problem.key == key
     text = describe_problem(problem)
@@ -110,7 +113,7 @@
     ],
 )  # fmt: skip
 def test_rejected_file_is_named(content, code, part):
-    """A file that cannot be used must not be skipped."""
+    """Guards against invalid files or removals that are silently skipped."""
     (problem,) = load(content)
     assert problem.code == code
     assert problem.file == '1.toml'
@@ -118,12 +121,16 @@
 
 
 def test_removal_reaches_the_settings():
-    """A removed route must not stay in force."""
+    """Guards against a removed route that stays in force."""
     assert load("remove = ['routes.search']").routes == {}
 
 
 def test_folder_is_read_in_name_order(tmp_path):
-    """A different order would let an earlier file win."""
+    """Guards against files that are merged in another order than by name.
+
+    An earlier file would override a later one. Other files than TOML are
+    ignored, and undecodable ones are reported.
+    """
     assert load_folder(tmp_path / 'none').code == ResultCode.UNREADABLE_FILE
     assert load_folder(tmp_path).code == ResultCode.UNREADABLE_FILE
     (tmp_path / '90.toml').write_text('addresses.count = 9')
@@ -136,7 +143,7 @@
 
 
 def test_every_option_has_a_rule():
-    """A new option without a rule would accept any value."""
+    """Guards against an option without a rule, which would accept any value."""
     for kind, rules in RULES.items():
         names = [option.name for option in dataclasses.fields(kind)]
         assert list(rules) == names
@@ -147,7 +154,10 @@
 
 
 def test_received_settings_are_checked_without_files():
-    """A document that another process wrote is not trusted."""
+    """Guards against invalid settings from the store or a peer.
+
+    Another process wrote them, so they are validated like files.
+    """
     shares = {Rank.URGENT: RankSettings(floor=math.inf)}
     assert validate(Settings(ranks=shares)).code == ResultCode.INVALID_SETTING
     assert (
@@ -167,12 +177,15 @@
      ('host:80', False), ('127.0.0.1:+80', False), ('[127.0.0.1:80', False)],
 )  # fmt: skip
 def test_address(value, good):
-    """A host name would need a resolver; a bad port would fail later."""
+    """Guards against addresses that fail only when they are used.
+
+    A host name would need a resolver, and a bad port cannot be connected to.
+    """
     assert is_address(value) is good
 
 
 def test_operators_guide_lists_every_option():
-    """The guide must not differ from the rules in force."""
+    """Guards against an operator guide that differs from the rules in code."""
     guide = pathlib.Path('docs/operators.md').read_text(encoding='utf-8')
     for kind, rules in RULES.items():
         for name, rule in rules.items():
--- a/tests/test_sharded.py
+++ b/tests/test_sharded.py
@@ -1,4 +1,4 @@
-"""The immutable mapping of the records of all servers."""
+"""The immutable mapping that holds the records of all servers."""
 
 from __future__ import annotations
 
@@ -14,6 +14,8 @@
 @given(CHANGES)
 def test_copies_equal_dictionaries_and_share_nothing_that_changes(changes):
     """A subscriber that keeps a value must not see later changes in it."""
+    # Guards against an update that changes an earlier copy, which shares most
+    # of its shards with the new one.
     mappings, expected = [ShardedMapping()], [{}]
     for change in changes:
         mappings.append(mappings[-1].updated(change))
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -1,4 +1,4 @@
-"""Key ranges, pinning, planning, validation and merging."""
+"""Key ranges, choice of the version, planning, validation and merging."""
 
 from __future__ import annotations
 
@@ -36,7 +36,7 @@
 
 
 def keys(ranges):
-    """Return the keys of ranges."""
+    """Return the set of all keys in the ranges."""
     return {key for start, end in ranges for key in range(start, end)}
 
 
@@ -44,6 +44,8 @@
 @given(RANGES, RANGES)
 def test_range_arithmetic_agrees_with_sets(first, second):
     """A wrong edge in the arithmetic would report false coverage."""
+    # Guards against off-by-one errors at range edges: each operation is
+    # compared with the same operation on sets of keys.
     joined, within = union(first), (3, 35)
     assert keys(joined) == keys(first)
     assert key_count(joined) == len(keys(first))
@@ -78,7 +80,10 @@
 
 
 def test_pin_prefers_whole_coverage_then_the_newer_version():
-    """A version that is still being loaded must not lower the coverage."""
+    """Guards against partial answers while a new version is being loaded.
+
+    The newest version is chosen only if no other one covers more keys.
+    """
     whole, half = (0, KEY_SPACE_SIZE), (0, HALF)
     loading = {'a': (Holding(1, (whole,)), Holding(2, (half,)))}
     assert choose_version(build_catalogue(loading)) == 1
@@ -90,7 +95,11 @@
 
 
 def test_plan_is_cut_at_the_edges_of_all_holders():
-    """A server must not be asked for keys outside its reported range."""
+    """Guards against requests for keys outside the range of a server.
+
+    The plan is split at the edges of all holdings, and a server is not asked
+    again for ranges that it has reported as not held.
+    """
     catalogue = build_catalogue(
         {'a': held((0, 100)), 'b': held((0, 40), (30, 60)), 'c': held((60, 70))}
     )
@@ -112,7 +121,7 @@
 
 
 def test_restart_needs_a_newer_version_with_more_coverage():
-    """A restart that cannot raise the coverage would only add load."""
+    """Guards against restarts that add load but cannot raise the coverage."""
     catalogue = build_catalogue(
         {'a': held((0, HALF), version=2), 'b': held((0, HALF + 1), version=3)}
     )
@@ -122,7 +131,11 @@
 
 
 def test_answer_uses_the_better_of_two_snapshots():
-    """A restart that reached less must not replace what was merged."""
+    """Guards against a restart that lowers the coverage of the answer.
+
+    If it reached less than the first snapshot, the first one is returned. A
+    second reply to the same attempt is refused.
+    """
     old, new = MergeState(1), MergeState(2)
     assert state_with_more_coverage(old, new) is new
     old.open_attempt('x', (0, 10))
--- a/tests/test_spreading.py
+++ b/tests/test_spreading.py
@@ -1,4 +1,4 @@
-"""Which changed records are passed on, and to whom."""
+"""The queue of changed server records, and the choice of their targets."""
 
 from __future__ import annotations
 
@@ -26,6 +26,8 @@
 )
 def test_changes_stay_within_rate_and_sends(steps):
     """Any number of changes at once must not exceed the bytes."""
+    # Guards against bursts of changes that exceed the byte rate or the number
+    # of sends per change, and against changes that are sent for ever.
     limits = backends.SpreadLimits(
         bytes_per_s=600, burst_bytes=2_000, queue_count=5
     )
@@ -49,7 +51,10 @@
 
 
 def test_urgent_changes_go_first():
-    """A lost server must not wait behind changes of limits."""
+    """Guards against a lost server that is announced late.
+
+    Under the byte limit, urgent changes go before changes of limits.
+    """
     limits = backends.SpreadLimits(bytes_per_s=0, burst_bytes=300)
     queue = backends.SpreadQueue(limits, 0)
     for server in SERVERS:
@@ -65,6 +70,7 @@
 @given(st.integers(0, 9), st.integers(0, 12), st.floats(0, 0.999))
 def test_targets_are_different_hosts(count, host_count, drawn):
     """A message sent twice to a host would miss another."""
+    # Guards against repeated targets, which would leave out other hosts.
     hosts = SERVERS[:host_count]
     targets = backends.choose_targets(hosts, count, lambda: drawn)
     assert len(set(targets)) == len(targets) == min(count, host_count)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -1,4 +1,4 @@
-"""Client of the store against the stand-in platform."""
+"""The store client against the stand-in platform."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 
 def with_store(scenario, timeout_s=0.5):
-    """Run a scenario with a platform and one client of it."""
+    """Run a scenario with a stand-in platform and a store client."""
 
     async def run():
         async with (
@@ -49,6 +49,8 @@
 @given(writes=WRITES)
 def test_writes_follow_compare_and_swap(writes):
     """A racing operator must not overwrite a version that it did not read."""
+    # Guards against lost updates: a write succeeds only with the version that
+    # is stored.
 
     async def scenario(platform, store):
         expected_by_key = {}
@@ -73,7 +75,10 @@
 
 
 def test_lost_answer_is_unknown_although_the_write_took_effect():
-    """`apply` must not report a failure for a write that took effect."""
+    """Guards against `apply` reporting a failure for a write that took effect.
+
+    If the answer is lost, the write may have run: its state is unknown.
+    """
 
     async def scenario(platform, store):
         platform.control({'lost_answers': 1})
@@ -86,7 +91,11 @@
 
 
 def test_slow_and_refused_writes_differ():
-    """Only a write of which no byte was sent may be called not written."""
+    """Guards against a false `not_run` for a write.
+
+    A write that timed out may still take effect; only a write of which no byte
+    was sent has certainly not run.
+    """
 
     async def scenario(platform, store):
         platform.control({'delay_s': 0.3})
@@ -112,7 +121,10 @@
 
 
 def test_down_platform_closes_without_an_answer():
-    """An outage must end calls at once and end with the switch."""
+    """Guards against calls that hang in an outage or fail after it.
+
+    The switch `down` of the stand-in closes connections without an answer.
+    """
 
     async def scenario(platform, store):
         platform.control({'down': True})
@@ -126,7 +138,10 @@
 
 
 def test_value_limit():
-    """A value over 1 MB must be refused with its own code."""
+    """Guards against values over 1 MB without a specific result code.
+
+    The limit counts the value, not its longer JSON encoding.
+    """
 
     async def scenario(platform, store):
         refused = await store.put('key', 'x' * 1_000_001, 0)
@@ -137,7 +152,11 @@
 
 
 def test_watch_waits_for_a_newer_version():
-    """A watch must deliver a write at once and end without one."""
+    """Guards against watches that miss a write or never end.
+
+    A watch must return a newer version at once, end unchanged at its timeout,
+    and fail in an outage.
+    """
 
     async def scenario(platform, store):
         assert await store.watch('key', 0, 0.05) == Unchanged('key', 0)
@@ -160,7 +179,10 @@
 
 
 def test_host_list_lags():
-    """Membership tests need a host list that is updated with a delay."""
+    """Guards against a stand-in whose host list changes without its lag.
+
+    Membership tests rely on a host list that is updated with a delay.
+    """
 
     async def scenario(platform, store):
         entry = HostEntry('a', HostState.LEAVING, 'north', '127.0.0.1:1')
@@ -176,7 +198,7 @@
 
 
 def test_leases_expire():
-    """A paused holder must lose its lease to another process."""
+    """Guards against a paused process that holds its lease for ever."""
 
     async def scenario(platform, store):
         assert await store.lease('l', 'a', 0.1) == Lease('l', 'a', 0.1)
@@ -191,7 +213,10 @@
 
 @pytest.mark.parametrize('body', [b'{', b'{"slow": 1}', b'{"delay_s": "x"}'])
 def test_bad_switches_are_refused(body):
-    """A misspelt switch must not leave a test without its failure."""
+    """Guards against tests that inject no failure.
+
+    The stand-in must refuse misspelt switches and invalid values.
+    """
 
     async def scenario(platform, store):
         async with await open_connection(platform.address, 1) as connection:
