--- a/features/partition.py
+++ b/features/partition.py
@@ -27,12 +27,12 @@
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             writer.write(await reader.readexactly(_HEADER_SIZE_BYTES))
             while True:
-                head = await reader.readexactly(_HEADER_SIZE_BYTES)
-                body = await reader.readexactly(int.from_bytes(head, 'big'))
+                header = await reader.readexactly(_HEADER_SIZE_BYTES)
+                body = await reader.readexactly(int.from_bytes(header, 'big'))
                 frame = decode_frame(body)
                 assert isinstance(frame, Frame), frame
                 if not self._is_cut_off(frame.sender):
-                    writer.write(head + body)
+                    writer.write(header + body)
                     await writer.drain()
         self._writers.discard(writer)
         writer.close()
--- a/features/steps/claim_steps.py
+++ b/features/steps/claim_steps.py
@@ -132,12 +132,12 @@
     sent = claims_of(context)
     context.fleet.wait_idle()
     runs = context.fleet.claim_runs()
-    false = [
+    wrongly_not_run = [
         claim
         for claim in sent
         if claim.run is RunState.NOT_RUN and claim.name in runs
     ]
-    assert not false, false[:5]
+    assert not wrongly_not_run, wrongly_not_run[:5]
 
 
 @then('at least {count:d} claims were answered {state}')
--- a/features/steps/query_steps.py
+++ b/features/steps/query_steps.py
@@ -75,7 +75,7 @@
 
 
 def all_holdings_known(context):
-    real = {
+    held_ranges_by_server = {
         name: sorted(report['switches']['holdings']['1'])
         for name, report in context.fleet.report().items()
     }
@@ -84,7 +84,7 @@
             continue
         for server in context.fleet.status(host)['servers']:
             seen = [r for held in server['holdings'] for r in held['ranges']]
-            if sorted(seen) != real[server['server']]:
+            if sorted(seen) != held_ranges_by_server[server['server']]:
                 return False
     return True
 
--- a/features/steps/server_steps.py
+++ b/features/steps/server_steps.py
@@ -113,8 +113,8 @@
 @then('the last {count:d} answers refuse it as blocked and not run')
 def blocked(context, count):
     last = context.crash_answers[-count:]
-    said = [(answer['code'], answer.get('run')) for answer in last]
-    assert said == [(REQUEST_BLOCKED_CODE, 'not_run')] * count, (
+    answers = [(answer['code'], answer.get('run')) for answer in last]
+    assert answers == [(REQUEST_BLOCKED_CODE, 'not_run')] * count, (
         context.crash_answers
     )
 
--- a/tests/test_query_storm.py
+++ b/tests/test_query_storm.py
@@ -27,36 +27,39 @@
     """Simulates servers whose holdings, states and replies change at random."""
 
     def __init__(self, seed):
-        self.draw = random.Random(seed)
+        self.random_source = random.Random(seed)
         self.fleet = FakeFleet(replace(SMALL, deadline_s=0.3), seed)
         self.fleet.holds = self.holds
-        self.truth = {
+        # The held range of each version, by server.
+        self.ranges_by_server = {
             name: {1: shard_range(shard, 4)}
             for shard in range(4)
             for name in replicas(shard)
         }
-        self.closed = set()
-        self.previous = None
-        behave(self.fleet, self.truth, self.behave)
+        self.closed_servers = set()
+        self.previous_reply = None
+        behave(self.fleet, self.ranges_by_server, self.behave)
 
     def holds(self, asked):
         """Return whether a server holds the requested version and range."""
-        start, end = self.truth[asked.server].get(asked.version, (0, 0))
+        start, end = self.ranges_by_server[asked.server].get(
+            asked.version, (0, 0)
+        )
         return start <= asked.start and asked.end <= end
 
     def behave(self, asked):
         """Reply correctly, with a random fault, or not at all."""
-        assert asked.server not in self.closed
+        assert asked.server not in self.closed_servers
         if not self.holds(asked):
             return refuse_with(ResultCode.VERSION_NOT_HELD)(asked)
         reply = correct_reply(asked)
         middle = (asked.start + asked.end) // 2
-        crossed, self.previous = self.previous or reply, reply
-        return self.draw.choice(
+        other_reply, self.previous_reply = self.previous_reply or reply, reply
+        return self.random_source.choice(
             [
                 *[reply] * 12,
                 None,
-                crossed,
+                other_reply,
                 correct_reply(replace(asked, version=asked.version + 1)),
                 correct_reply(replace(asked, start=middle)),
                 replace(reply, item_count=2),
@@ -69,23 +72,23 @@
     async def change(self):
         """Change holdings or states at random moments."""
         for _ in range(25):
-            await asyncio.sleep(self.draw.uniform(0, 0.03))
-            name = self.draw.choice(list(self.truth))
-            held = self.truth[name]
+            await asyncio.sleep(self.random_source.uniform(0, 0.03))
+            name = self.random_source.choice(list(self.ranges_by_server))
+            held = self.ranges_by_server[name]
             version = max(held, default=0) + 1
             start, end = shard_range(int(name[1]), 4)
-            cut = self.draw.choice([start, (start + end) // 2])
+            cut = self.random_source.choice([start, (start + end) // 2])
             held[version] = (cut, end)
-            if self.draw.random() < 0.3:
+            if self.random_source.random() < 0.3:
                 held.pop(version - 1, None)
-            if self.draw.random() < 0.1:
+            if self.random_source.random() < 0.1:
                 self.fleet.announce(name, state=ServerState.DRAINING)
                 asyncio.get_running_loop().call_later(
                     self.fleet.options.one_way_delay_s * 2,
-                    self.closed.add,
+                    self.closed_servers.add,
                     name,
                 )
-            if self.draw.random() < 0.7:
+            if self.random_source.random() < 0.7:
                 holdings = tuple(
                     Holding(number, (held_range,))
                     for number, held_range in held.items()
@@ -94,7 +97,7 @@
 
     async def query(self, controller, name):
         """Run one query and check its deadline, items and coverage."""
-        await asyncio.sleep(self.draw.uniform(0, 0.4))
+        await asyncio.sleep(self.random_source.uniform(0, 0.4))
         began_s = asyncio.get_running_loop().time()
         answer = await controller.answer(query(name))
         assert asyncio.get_running_loop().time() - began_s <= 0.3
--- a/tests/test_record_exchange.py
+++ b/tests/test_record_exchange.py
@@ -60,7 +60,7 @@
     """
 
     def __init__(self, seed):
-        self.source = random.Random(seed)
+        self.random_source = random.Random(seed)
         self.tables = [backends.RecordTable() for _ in range(DAEMONS)]
         self.bag = []
         self.newest = {}
@@ -91,7 +91,7 @@
             other.digest(count),
             own.digest(count),
             LIMITS,
-            self.source.random,
+            self.random_source.random,
         )
         versions = backends.pack_versions(other, groups, count)
         compared = backends.compare_versions(own, groups, count, versions)
@@ -107,7 +107,7 @@
         """Deliver a random message; no older record may replace a newer one."""
         if not self.bag:
             return
-        place = self.source.randrange(len(self.bag))
+        place = self.random_source.randrange(len(self.bag))
         target, records = self.bag[place] if keep else self.bag.pop(place)
         table = self.tables[target]
         before = dict(table.by_server)
@@ -121,9 +121,9 @@
         if kind == 'observe':
             self.observe(daemon, server, state)
         elif kind == 'exchange':
-            self.exchange(daemon, self.source.randrange(DAEMONS))
+            self.exchange(daemon, self.random_source.randrange(DAEMONS))
         elif kind == 'lose' and self.bag:
-            self.bag.pop(self.source.randrange(len(self.bag)))
+            self.bag.pop(self.random_source.randrange(len(self.bag)))
         else:
             self.carry(keep=kind == 'repeat')
 
