--- a/features/callers.py
+++ b/features/callers.py
@@ -1,4 +1,7 @@
-"""Callers that keep sending requests from a thread of their own."""
+"""Load generators that send requests through the client library.
+
+Each generator runs its own event loop in its own thread.
+"""
 
 from __future__ import annotations
 
@@ -15,8 +18,12 @@
 
 
 @dataclass(frozen=True)
-class Sent:
-    """One request and the answer that its caller got."""
+class SentRequest:
+    """A request and the answer that its caller received.
+
+    `began_s` is the time on the monotonic clock at which the request was
+    sent, `took_s` the time until the answer.
+    """
 
     name: str
     body: dict
@@ -26,23 +33,31 @@
 
     @property
     def run(self) -> RunState | None:
-        """Run state of a claim or of a refusal."""
+        """Run state of the answer; None if the answer has none."""
         return getattr(self.answer, 'run', None)
 
 
-class Load(threading.Thread):
-    """Sends requests until it is stopped.
+class LoadGenerator(threading.Thread):
+    """A thread that sends requests until it is stopped.
 
     Parameters
     ----------
     addresses : tuple of str
-        Daemons.
+        Addresses of the daemons.
     send : callable
-        Coroutine function of client, name and body.
+        Coroutine function that takes the client and the body of a request
+        and returns the answer.
     make_body : callable
-        Returns the body of the request with a number.
+        Returns the body for the number and the name of a request.
     workers : int
-        Requests at the same time; with `per_s` the rate counts instead.
+        Number of concurrent requests; ignored if `rate_per_s` is set.
+    pause_s : float
+        Pause of each worker between two requests.
+    rate_per_s : float
+        Requests per second that are started without waiting for answers;
+        0 sends with `workers` instead.
+    options
+        Further fields of `ClientOptions`.
     """
 
     def __init__(
@@ -53,18 +68,18 @@
         make_body,
         workers=8,
         pause_s=0.02,
-        per_s=0,
+        rate_per_s=0,
         **options,
     ) -> None:
         super().__init__(name=name)
-        self.sent: list[Sent] = []
-        self.fault: Exception | None = None
+        self.sent: list[SentRequest] = []
+        self.error: Exception | None = None
         self._options = ClientOptions(name, tuple(addresses), **options)
         self._send = send
         self._make_body = make_body
         self._workers = workers
         self._pause_s = pause_s
-        self._per_s = per_s
+        self._rate_per_s = rate_per_s
         self._number = 0
         self._is_stopping = threading.Event()
 
@@ -72,35 +87,35 @@
         try:
             asyncio.run(self._main())
         except Exception as error:
-            self.fault = error
+            self.error = error
 
-    def stop(self) -> list[Sent]:
-        """Stop after the open requests; return all of them."""
+    def stop(self) -> list[SentRequest]:
+        """Stop after the open requests; return all answered requests."""
         self._is_stopping.set()
         if self.ident is not None:
             self.join()
-        if self.fault is not None:
-            raise self.fault
+        if self.error is not None:
+            raise self.error
         return self.sent
 
     async def _main(self) -> None:
         async with Client(self._options) as client:
-            if self._per_s:
-                await self._keep_rate(client)
+            if self._rate_per_s:
+                await self._send_at_rate(client)
                 return
-            workers = (self._keep_sending(client) for _ in range(self._workers))
+            workers = (self._send_in_loop(client) for _ in range(self._workers))
             await asyncio.gather(*workers)
 
-    async def _keep_sending(self, client: Client) -> None:
+    async def _send_in_loop(self, client: Client) -> None:
         while not self._is_stopping.is_set():
             await self._send_one(client)
             await asyncio.sleep(self._pause_s)
 
-    async def _keep_rate(self, client: Client) -> None:
+    async def _send_at_rate(self, client: Client) -> None:
         began_s = time.monotonic()
         tasks = []
         while not self._is_stopping.is_set():
-            due = int((time.monotonic() - began_s) * self._per_s)
+            due = int((time.monotonic() - began_s) * self._rate_per_s)
             while len(tasks) < due:
                 tasks.append(asyncio.create_task(self._send_one(client)))
             await asyncio.sleep(0.01)
@@ -113,26 +128,26 @@
         began_s = time.monotonic()
         answer = await self._send(client, body)
         took_s = time.monotonic() - began_s
-        self.sent.append(Sent(name, body, answer, began_s, took_s))
+        self.sent.append(SentRequest(name, body, answer, began_s, took_s))
 
 
 def claim_body(number: int, name: str) -> dict:
-    """Return a body that the counters of the servers know by its name."""
+    """Return a claim body; the servers count its runs by this name."""
     return {'claim_id': name}
 
 
-def any_query(number: int, name: str) -> dict:
-    """Return a body that matches all items."""
+def match_all_body(number: int, name: str) -> dict:
+    """Return a query body that matches all items."""
     return {}
 
 
-def own_query(number: int, name: str) -> dict:
-    """Return a body that matches one item, another one for each request."""
+def single_item_body(number: int, name: str) -> dict:
+    """Return a query body that matches one item, chosen by the number."""
     return {'match': f'item-{number % ITEM_COUNT:06d}'}
 
 
-def claiming(route: str, deadline_s: float):
-    """Return a sender of claims."""
+def make_claim_sender(route: str, deadline_s: float):
+    """Return a coroutine function that sends a claim."""
 
     async def send(client: Client, body: dict):
         return await client.claim(route, body, deadline_s)
@@ -140,8 +155,8 @@
     return send
 
 
-def querying(route: str, deadline_s: float):
-    """Return a sender of queries."""
+def make_query_sender(route: str, deadline_s: float):
+    """Return a coroutine function that sends a query."""
 
     async def send(client: Client, body: dict):
         return await client.query(route, body, deadline_s)
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -1,4 +1,4 @@
-"""Steps about operators and revisions."""
+"""Steps that run operator commands and check the revision in force."""
 
 from __future__ import annotations
 
@@ -11,23 +11,26 @@
 
 from behave import given, then, when
 
-from features.observer import Observer
+from features.observer import RevisionObserver
 from tests.processes import ROOT, wait_until
 
 COMMAND_LIMIT_S = 30
-APPLY = ('apply', '--patience_s=4')
+APPLY_ARGUMENTS = ('apply', '--patience_s=4')
 
 
 @given('an observer of the revisions')
 def observe(context):
-    observer = Observer(context.fleet)
+    observer = RevisionObserver(context.fleet)
     context.observer = observer
     context.stack.callback(observer.stop)
     observer.start()
 
 
-def write_folder(context, note):
-    """Write the settings as an operator's folder; return its path."""
+def write_folder(context, count):
+    """Write the settings to a folder for `apply`; return its path.
+
+    `count` becomes ``addresses.count``, the setting that the change sets.
+    """
     folder = context.stack.enter_context(tempfile.TemporaryDirectory())
     lines = []
     for name, service in context.fleet.settings.services.items():
@@ -43,8 +46,8 @@
         lines.append(f"rank = '{route.rank.value}'")
         lines.append(f"form = '{route.form.value}'")
         lines.append(f'deadline_ms = {route.deadline_ms}')
-    # The change itself: a number that differs from operator to operator.
-    lines += ['[addresses]', 'keep_s = 1', f'count = {note}']
+    # The changed setting, which has another value for each operator.
+    lines += ['[addresses]', 'keep_s = 1', f'count = {count}']
     with open(f'{folder}/10-all.toml', 'w', encoding='utf-8') as file:
         file.write('\n'.join(lines))
     return folder
@@ -70,7 +73,7 @@
     )
 
 
-def finish(context, commands):
+def wait_commands(context, commands):
     context.commands = []
     for command in commands:
         output, errors = command.communicate(timeout=COMMAND_LIMIT_S)
@@ -81,7 +84,10 @@
 @when('an operator applies a change')
 def apply_one(context):
     folder = write_folder(context, 4)
-    finish(context, [start_command(context, *APPLY, folder, '--note=one')])
+    wait_commands(
+        context,
+        [start_command(context, *APPLY_ARGUMENTS, folder, '--note=one')],
+    )
 
 
 @when('{count:d} operators apply different changes to revision 1 at once')
@@ -89,14 +95,14 @@
     commands = [
         start_command(
             context,
-            *APPLY,
+            *APPLY_ARGUMENTS,
             write_folder(context, number + 1),
             '--base=1',
             f'--note=operator {number}',
         )
         for number in range(count)
     ]
-    finish(context, commands)
+    wait_commands(context, commands)
 
 
 @when('the platform loses the next {count:d} answers to writes')
@@ -117,7 +123,7 @@
 
 @then('revision {revision:d} is in force at {hosts} within {limit_s:g} s')
 def in_force(context, revision, hosts, limit_s):
-    """The time counts from the end of the operator's command."""
+    """The limit starts at the end of the operator's command."""
     for host in hosts.split(','):
         wait_until(
             lambda host=host: context.fleet.revision(host) == revision,
@@ -146,14 +152,14 @@
 
 
 def _entries(listed):
-    """Find the table in the JSON that the command prints."""
+    """Return the list of entries in the JSON output of a command."""
     if isinstance(listed, list):
         return listed
     return next(v for v in listed.values() if isinstance(v, list))
 
 
 @then('no daemon went back to an earlier revision')
-def never_reverts(context):
+def check_revisions_never_revert(context):
     context.observer.stop()
     seen = context.observer.revisions_by_host
     assert seen, 'nothing was observed'
--- a/features/steps/host_list_steps.py
+++ b/features/steps/host_list_steps.py
@@ -1,4 +1,4 @@
-"""Steps about a host list that lags behind."""
+"""Steps with a host list of the platform that is out of date."""
 
 from __future__ import annotations
 
@@ -7,28 +7,34 @@
 
 from behave import given, then, when
 
-from features.fleet import KEEP_S, UNREACHABLE
+from features.fleet import ADDRESS_KEEP_S, CONNECTION_ERRORS
 from features.steps.stop_steps import stop_together
 from tests.processes import fetch, wait_until
 
-GIVEN_LIMIT_S = 10
+ADDRESSES_LIMIT_S = 10
 
 
 class AddressObserver(threading.Thread):
-    """Asks all daemons for addresses again and again."""
+    """A thread that polls the address answers of all daemons every 20 ms.
+
+    Attributes
+    ----------
+    answers : list of tuple
+        Time of each answer and the addresses in it.
+    """
 
     def __init__(self, fleet) -> None:
         super().__init__(name='address-observer')
-        self.given: list[tuple[float, tuple[str, ...]]] = []
+        self.answers: list[tuple[float, tuple[str, ...]]] = []
         self._fleet = fleet
         self._is_stopping = threading.Event()
 
     def run(self) -> None:
         while not self._is_stopping.wait(0.02):
             for address in self._fleet.addresses():
-                addresses = given_by(address)
+                addresses = fetch_addresses(address)
                 if addresses:
-                    self.given.append((time.monotonic(), addresses))
+                    self.answers.append((time.monotonic(), addresses))
 
     def stop(self) -> None:
         self._is_stopping.set()
@@ -36,11 +42,11 @@
             self.join()
 
 
-def given_by(address):
-    """Return an address answer; empty if the daemon does not answer."""
+def fetch_addresses(address):
+    """Return the addresses that a daemon gives; () if it does not answer."""
     try:
         status, answer = fetch(address, '/v1/addresses?count=8')
-    except UNREACHABLE:
+    except CONNECTION_ERRORS:
         return ()
     return tuple(answer['addresses']) if status == 200 else ()
 
@@ -66,7 +72,7 @@
     observer = AddressObserver(context.fleet)
     context.address_observer = observer
     context.stack.callback(observer.stop)
-    context.gone_s_by_address = {}
+    context.stopped_s_by_address = {}
     observer.start()
 
 
@@ -74,7 +80,7 @@
 def replace(context, host, successor):
     address = context.fleet.entries[host].address
     stop_together(context, [host])
-    context.gone_s_by_address[address] = time.monotonic()
+    context.stopped_s_by_address[address] = time.monotonic()
     del context.fleet.entries[host]
     context.fleet.start_daemon(successor)
     context.fleet.wait_ready()
@@ -83,12 +89,15 @@
 @then('every address was served for as long as it could be kept')
 def served_long_enough(context):
     context.address_observer.stop()
-    given = context.address_observer.given
-    assert len(given) > 100, len(given)
-    for given_s, addresses in given:
+    answers = context.address_observer.answers
+    assert len(answers) > 100, len(answers)
+    for answered_s, addresses in answers:
         for address in addresses:
-            gone_s = context.gone_s_by_address.get(address, float('inf'))
-            assert given_s + KEEP_S <= gone_s, (address, gone_s - given_s)
+            stopped_s = context.stopped_s_by_address.get(address, float('inf'))
+            assert answered_s + ADDRESS_KEEP_S <= stopped_s, (
+                address,
+                stopped_s - answered_s,
+            )
 
 
 @then('callers are given the addresses of {hosts}')
@@ -97,7 +106,7 @@
     wanted = {entries[host].address for host in hosts.split(',')}
     for entry in entries.values():
         wait_until(
-            lambda entry=entry: set(given_by(entry.address)) == wanted,
-            GIVEN_LIMIT_S,
+            lambda entry=entry: set(fetch_addresses(entry.address)) == wanted,
+            ADDRESSES_LIMIT_S,
             f'{entry.address} gives {wanted}',
         )
--- a/features/steps/query_steps.py
+++ b/features/steps/query_steps.py
@@ -1,4 +1,4 @@
-"""Steps about the snapshot, the coverage and the owner of an answer."""
+"""Steps that check the snapshot, coverage and items of query answers."""
 
 from __future__ import annotations
 
@@ -10,12 +10,12 @@
 from boragespool.standins.items import all_items, items_between
 from boragespool.types import KEY_SPACE_SIZE
 from features.callers import ITEM_COUNT
-from features.fleet import shard_of
+from features.fleet import shard_key_range
 from tests.processes import wait_until
 
 
 def results(context):
-    """Return the queries that were answered with items."""
+    """Stop the queries; return those that have a query result."""
     sent = context.loads['queries'].stop()
     answered = [s for s in sent if isinstance(s.answer, QueryResult)]
     assert answered, [s.answer for s in sent][:3]
@@ -23,7 +23,7 @@
 
 
 def replicas(context, replica):
-    """Return the names of the servers with this number in all shards."""
+    """Return the names of the servers with this replica number."""
     return [
         spec['name']
         for spec in context.fleet.specs
@@ -33,7 +33,7 @@
 
 def load_versions(context, specs, versions):
     for spec in specs:
-        held = shard_of(spec['shard'], spec['shards'])
+        held = shard_key_range(spec['shard'], spec['shards'])
         context.fleet.control_servers(
             spec['name'],
             holdings={version: [held] for version in versions},
@@ -42,7 +42,7 @@
 
 @when('all servers hold index version {versions}')
 def hold_versions(context, versions):
-    """One server after another, as an index loader does it."""
+    """The servers change one after another, as with an index loader."""
     numbers = [int(word) for word in versions.split(' and ')]
     load_versions(context, context.fleet.specs, numbers)
 
@@ -54,30 +54,30 @@
 
 
 @when('replica {replica:d} of every shard is split into {parts:d} new shards')
-def split(context, replica, parts):
-    """Replica number i then holds part i of the new partition."""
+def split_replica(context, replica, parts):
+    """The replica of shard i then holds part i of the new partitioning."""
     for shard, name in enumerate(replicas(context, replica)):
         context.fleet.control_servers(
-            name, holdings={1: [shard_of(shard, parts)]}
+            name, holdings={1: [shard_key_range(shard, parts)]}
         )
 
 
 @when('the servers are partitioned anew into {parts:d} shards')
-def partition_anew(context, parts):
-    """The new parts are loaded before the old ones are dropped."""
+def repartition(context, parts):
+    """Each server loads its new key range before it drops the old one."""
     for drop_old in (False, True):
         for number, spec in enumerate(context.fleet.specs):
-            held = [shard_of(number % parts, parts)]
+            held = [shard_key_range(number % parts, parts)]
             if not drop_old:
-                held.append(shard_of(spec['shard'], spec['shards']))
+                held.append(shard_key_range(spec['shard'], spec['shards']))
             context.fleet.control_servers(spec['name'], holdings={1: held})
         wait_until(
-            lambda: seen_everywhere(context), 10, 'holdings are announced'
+            lambda: all_holdings_known(context), 10, 'holdings are announced'
         )
 
 
-def seen_everywhere(context):
-    real = {
+def all_holdings_known(context):
+    held_ranges_by_server = {
         name: sorted(report['switches']['holdings']['1'])
         for name, report in context.fleet.report().items()
     }
@@ -86,7 +86,7 @@
             continue
         for server in context.fleet.status(host)['servers']:
             seen = [r for held in server['holdings'] for r in held['ranges']]
-            if sorted(seen) != real[server['server']]:
+            if sorted(seen) != held_ranges_by_server[server['server']]:
                 return False
     return True
 
@@ -102,9 +102,9 @@
 
 
 @when('server {name} claims to hold index version {version:d}')
-def lie(context, name, version):
+def report_unheld_version(context, name, version):
     spec = next(s for s in context.fleet.specs if s['name'] == name)
-    held = shard_of(spec['shard'], spec['shards'])
+    held = shard_key_range(spec['shard'], spec['shards'])
     context.fleet.control_servers(
         name,
         reported={'holdings': {1: [held], version: [held]}},
@@ -153,7 +153,7 @@
 
 @then('every answer has exactly the items of its snapshot and coverage')
 def true_coverage(context):
-    """The items are known, so that the coverage can be computed again."""
+    """Recompute the coverage from the known items of the stand-in servers."""
     for sent in results(context):
         answer = sent.answer
         missing_size = sum(end - start for start, end in answer.missing)
@@ -175,16 +175,16 @@
 
 
 @then('every answer belongs to its own request')
-def own_answers(context):
+def check_own_answers(context):
     for sent in results(context):
         names = {item.value['name'] for item in sent.answer.items}
         assert names <= {sent.body['match']}, (sent.body, names)
 
 
 @then('every answer misses exactly shard {shard:d} or nothing')
-def misses_shard(context, shard):
+def check_missing_shard(context, shard):
     spec = next(s for s in context.fleet.specs if s['shard'] == shard)
-    lost = tuple(shard_of(shard, spec['shards']))
+    lost = tuple(shard_key_range(shard, spec['shards']))
     for sent in results(context):
         assert all(
             lost[0] <= start < end <= lost[1]
@@ -211,7 +211,7 @@
 
 
 @then('no answer took longer than {limit_s:g} s')
-def bounded(context, limit_s):
+def check_max_duration(context, limit_s):
     slowest = max(s.took_s for s in context.loads['queries'].stop())
     assert slowest < limit_s, slowest
 
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -1,4 +1,4 @@
-"""Steps about callers whose connections pass a relay."""
+"""Steps with callers whose connections go through a relay."""
 
 from __future__ import annotations
 
@@ -11,8 +11,8 @@
 from tests.processes import wait_until
 
 
-class Group:
-    """Raw callers that are treated as one load."""
+class RawCallerGroup:
+    """Several raw callers with the interface of one load generator."""
 
     def __init__(self, callers) -> None:
         self.name = callers[0].name
@@ -20,18 +20,18 @@
 
     @property
     def sent(self):
-        """Answers of all callers."""
+        """Answered queries of all callers."""
         return list(itertools.chain.from_iterable(c.sent for c in self.callers))
 
     def stop(self):
-        """Stop all callers."""
+        """Stop all callers; return their answered queries."""
         for caller in self.callers:
             caller.stop()
         return self.sent
 
 
-def begin_raw(context, callers):
-    group = Group(callers)
+def start_raw_callers(context, callers):
+    group = RawCallerGroup(callers)
     context.loads['queries'] = group
     for caller in callers:
         caller.start()
@@ -42,7 +42,7 @@
 def relayed_callers(context):
     relays = RelayThread(context.fleet.addresses())
     context.relays = context.stack.enter_context(relays)
-    begin_raw(
+    start_raw_callers(
         context,
         [RawCaller(f'till-{n}', relays.addresses) for n in range(6)],
     )
@@ -60,5 +60,5 @@
 
 @then('the callers saw broken connections')
 def saw_broken(context):
-    """Guards against a scenario in which nothing was broken."""
-    assert any(c.broken for c in context.loads['queries'].callers)
+    """Guards against a scenario that broke no connection."""
+    assert any(c.connection_errors for c in context.loads['queries'].callers)
--- a/features/steps/server_steps.py
+++ b/features/steps/server_steps.py
@@ -1,4 +1,4 @@
-"""Steps about leaving servers and crashing requests."""
+"""Steps with leaving servers and with requests that crash servers."""
 
 from __future__ import annotations
 
@@ -6,21 +6,27 @@
 
 from behave import then, when
 
-from features.fleet import UNREACHABLE
-from features.steps.configuration_steps import finish, start_command
+from features.fleet import CONNECTION_ERRORS
+from features.steps.configuration_steps import start_command, wait_commands
 from features.steps.fleet_steps import post
 from tests.processes import wait_until
 
-LEAVING_GOAL_S = 3
-QUIET_S = 1.5
-BLOCKED = 1204
-#: Counters of work that reached a server, run or refused.
-ARRIVALS = ('work_run', 'refused_draining', 'shed', 'not_held', 'expired')
+LEAVING_LIMIT_S = 3
+OBSERVATION_S = 1.5
+REQUEST_BLOCKED_CODE = 1204
+#: Counters of the work that reached a server, whether run or refused.
+ARRIVAL_COUNTERS = (
+    'work_run',
+    'refused_draining',
+    'shed',
+    'not_held',
+    'expired',
+)
 
 
 def arrivals(context):
     return {
-        name: sum(counters[kind] for kind in ARRIVALS)
+        name: sum(counters[kind] for kind in ARRIVAL_COUNTERS)
         for name, counters in context.fleet.counters().items()
     }
 
@@ -31,25 +37,28 @@
     if sign == "the platform's host list":
         fleet.control_platform(hosts=fleet.host_list(name))
     elif sign == 'its status':
-        # The server would still run work, so that only the sign stops it.
+        # The server still accepts work, so that only its status can stop it.
         fleet.control_servers(name, reported={'state': 'draining'})
     elif sign == 'its replies':
         serving = {'state': 'serving'}
         fleet.control_servers(name, draining=True, reported=serving)
     else:
         drain = start_command(context, 'drain', f'host-{name}')
-        finish(context, [drain])
+        wait_commands(context, [drain])
         assert context.commands[0][0] == 0, context.commands
-    context.noted['sign'] = time.monotonic()
+    context.times_s_by_name['sign'] = time.monotonic()
 
 
 @then('server {name} gets no new work from {limit_s:g} s after the sign on')
 def no_new_work(context, name, limit_s):
-    """The goal itself is the time bound; the watch after it is short."""
-    due_s = context.noted['sign'] + limit_s - time.monotonic()
+    """Check that no work arrives for `OBSERVATION_S` after the limit.
+
+    The limit is the requirement itself, so the check adds little time.
+    """
+    due_s = context.times_s_by_name['sign'] + limit_s - time.monotonic()
     time.sleep(max(0, due_s))
     before = arrivals(context)
-    time.sleep(QUIET_S)
+    time.sleep(OBSERVATION_S)
     context.arrived = {
         server: count - before[server]
         for server, count in arrivals(context).items()
@@ -64,11 +73,14 @@
 
 
 def send_crashing(context, host):
-    """Send to one server; the deadline leaves time for a dead daemon."""
-    asked = {'route': 'report', 'body': {'crash': True, 'id': 'bad'}}
+    """Send a query that crashes its server, and record the crash count.
+
+    The deadline of the route leaves time to replace a dead daemon.
+    """
+    request = {'route': 'report', 'body': {'crash': True, 'id': 'bad'}}
     try:
-        answer = post(context.fleet.entries[host], '/v1/query', asked)[1]
-    except UNREACHABLE as error:
+        answer = post(context.fleet.entries[host], '/v1/query', request)[1]
+    except CONNECTION_ERRORS as error:
         answer = {'code': 0, 'reason': repr(error)}
     answer['crashes'] = crashes(context)
     context.crash_answers.append(answer)
@@ -101,34 +113,38 @@
 @then('the last {count:d} answers refuse it as blocked and not run')
 def blocked(context, count):
     last = context.crash_answers[-count:]
-    said = [(answer['code'], answer.get('run')) for answer in last]
-    assert said == [(BLOCKED, 'not_run')] * count, context.crash_answers
+    answers = [(answer['code'], answer.get('run')) for answer in last]
+    assert answers == [(REQUEST_BLOCKED_CODE, 'not_run')] * count, (
+        context.crash_answers
+    )
 
 
 def is_served(context, host):
-    """Tell whether a daemon answers another query in full."""
-    asked = {'route': 'report', 'body': {'match': f'from-{host}'}}
-    answer = post(context.fleet.entries[host], '/v1/query', asked)[1]
+    """Return whether a daemon answers a harmless query completely."""
+    request = {'route': 'report', 'body': {'match': f'from-{host}'}}
+    answer = post(context.fleet.entries[host], '/v1/query', request)[1]
     return answer['code'] == 1000
 
 
 @then('other queries are served at once at {hosts}')
 def others_served(context, hosts):
-    """A verdict on one request must not touch any other."""
+    """A block of one fingerprint must not affect other requests."""
     for host in hosts.split(','):
         assert is_served(context, host), host
 
 
 @then('other queries are served within {limit_s:d} s at {hosts}')
 def others_served_soon(context, limit_s, hosts):
-    """A dead daemon costs answers until its servers have a new dispatcher."""
+    """Servers of a dead daemon answer only with a new dispatcher."""
     for host in hosts.split(','):
         wait_until(lambda host=host: is_served(context, host), limit_s, host)
 
 
 @then('no query was refused as blocked')
 def none_blocked(context):
-    """A healthy request must not be blamed for the loss of its servers."""
+    """A harmless request must not be blocked when its servers are lost."""
     sent = context.loads['queries'].stop()
-    blamed = [s for s in sent if getattr(s.answer, 'code', 0) == BLOCKED]
+    blamed = [
+        s for s in sent if getattr(s.answer, 'code', 0) == REQUEST_BLOCKED_CODE
+    ]
     assert not blamed, (len(blamed), len(sent), blamed[0].answer)
--- a/tests/test_pinned.py
+++ b/tests/test_pinned.py
@@ -1,4 +1,4 @@
-"""Queries whose pinned version is lost or repartitioned."""
+"""Queries whose index version is dropped or repartitioned meanwhile."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 )
 
 
-def later(fleet, changes_by_server):
+def announce_later(fleet, changes_by_server):
     """Announce holdings 30 ms after the start of a query."""
 
     def announce():
@@ -33,10 +33,10 @@
 
 
 def ask_during_change(fleet, changes_by_server):
-    """Answer one query while holdings change."""
+    """Run a query while holdings change; return the answer and its duration."""
 
     async def run():
-        later(fleet, changes_by_server)
+        announce_later(fleet, changes_by_server)
         async with QueryController(fleet.context()) as controller:
             began_s = asyncio.get_running_loop().time()
             answer = await controller.answer(query())
@@ -46,7 +46,11 @@
 
 
 def test_lost_version_restarts_the_query_on_a_newer_one():
-    """A version that is dropped in a query must not lower the coverage."""
+    """Guards against lower coverage when servers drop a version mid-query.
+
+    The query must restart on a newer version that is held completely. Without
+    one, it must return what the old version still covers, without a delay.
+    """
     fleet = FakeFleet(SMALL_FLEET, 1)
     lost = shard_range(1, 4)
     fleet.holds = lambda asked: asked.version == 2 or asked.start != lost[0]
@@ -67,25 +71,35 @@
 
 
 def test_repartitioned_shard_is_planned_again_for_the_same_version():
-    """A shard that is cut in two must not lower the coverage."""
+    """Guards against lower coverage when a shard is split mid-query.
+
+    The servers refuse the old range; the query must plan the halves again for
+    the same version.
+    """
     fleet = FakeFleet(SMALL_FLEET, 1)
     start, end = shard_range(1, 4)
     middle = (start + end) // 2
-    truth = {'s1r0': (start, middle), 's1r1': (middle, end)}
-    truth['s1r2'] = truth['s1r0']
+    actual_range_by_server = {'s1r0': (start, middle), 's1r1': (middle, end)}
+    actual_range_by_server['s1r2'] = actual_range_by_server['s1r0']
     fleet.holds = lambda asked: (
-        asked.server not in truth
-        or truth[asked.server][0] <= asked.start
-        and asked.end <= truth[asked.server][1]
+        asked.server not in actual_range_by_server
+        or actual_range_by_server[asked.server][0] <= asked.start
+        and asked.end <= actual_range_by_server[asked.server][1]
     )
-    halves = {name: (Holding(1, (held,)),) for name, held in truth.items()}
+    halves = {
+        name: (Holding(1, (held,)),)
+        for name, held in actual_range_by_server.items()
+    }
     answer, _ = ask_during_change(fleet, halves)
     assert (answer.snapshot, answer.coverage) == (1, 1)
     assert len(answer.items) == 5
 
 
 def test_rest_of_a_narrower_reply_is_asked_again():
-    """A reply for half a range must not hide or lose the other half."""
+    """Guards against a lost rest when a reply covers only part of its range.
+
+    The rest must be requested again, and nothing else.
+    """
     fleet = FakeFleet(SMALL_FLEET, 1)
     start, end = shard_range(1, 4)
     middle = (start + end) // 2
--- a/tests/test_query_peers.py
+++ b/tests/test_query_peers.py
@@ -11,15 +11,19 @@
 from boragespool.results import Failure, ResultCode
 from boragespool.types import RunState
 from tests.query_cases import SMALL_FLEET, query
-from tests.test_peers import pair
+from tests.test_peers import connected_networks
 
 
 def test_query_over_links_gets_whole_answers_and_refusals():
-    """Messages that pass only in memory would fail between daemons."""
+    """Guards against messages that work in memory but not over peer links.
+
+    Requests, refusals, silent attempts and cancellations are encoded and
+    sent between two daemons.
+    """
 
     async def run() -> None:
         fleet = FakeFleet(replace(SMALL_FLEET, host_count=0), 1)
-        async with pair() as (merger, dispatcher):
+        async with connected_networks() as (merger, dispatcher):
             fleet.post_members(['b'])
             context = replace(fleet.context(), peers=merger)
             cancelled = []
--- a/tests/test_record_exchange.py
+++ b/tests/test_record_exchange.py
@@ -1,4 +1,4 @@
-"""Decisions that spread server records: digests, comparisons, changes."""
+"""Exchange of server records: digests, comparisons, sizes and versions."""
 
 from __future__ import annotations
 
@@ -26,9 +26,9 @@
 
 DAEMONS = 4
 SERVERS = tuple(f's{number}' for number in range(12))
-#: Small, so that one exchange does not carry everything.
+#: Too small to send all records in one exchange.
 LIMITS = backends.ExchangeLimits(1, 2, 500)
-FEW = settings(derandomize=True, max_examples=150, deadline=None)
+PROFILE = settings(derandomize=True, max_examples=150, deadline=None)
 STEPS = st.lists(
     st.tuples(
         st.sampled_from(('observe', 'exchange', 'deliver', 'repeat', 'lose')),
@@ -41,7 +41,7 @@
 
 
 def record(server, dispatcher='a', **fields):
-    """Build a record."""
+    """Build a server record with version 1 and the given fields."""
     base = ServerRecord(
         server, 'v', 'north', dispatcher, 1, 1, 1, ServerState.SERVING, 1
     )
@@ -49,21 +49,24 @@
 
 
 def order(known):
-    """Return what orders the versions of a server."""
+    """Return the sort key of the versions of a server; the highest wins."""
     return known.sequence, -known.dispatcher_incarnation, known.dispatcher
 
 
 class Daemons:
-    """Tables of several daemons and the announcements on their way."""
+    """Simulates record tables of several daemons and the messages in transit.
+
+    `bag` holds the undelivered messages: the target daemon and the records.
+    """
 
     def __init__(self, seed):
-        self.source = random.Random(seed)
+        self.random_source = random.Random(seed)
         self.tables = [backends.RecordTable() for _ in range(DAEMONS)]
         self.bag = []
         self.newest = {}
 
     def observe(self, daemon, server, state):
-        """Let any daemon believe that it dispatches to the server."""
+        """Let a daemon announce a server as if it were its dispatcher."""
         table = self.tables[daemon]
         announced = backends.next_version(
             table.by_server.get(server),
@@ -81,14 +84,14 @@
             self.bag.append((target, (announced,)))
 
     def exchange(self, first, second):
-        """Compare two tables; the records go into the bag."""
+        """Compare two tables and send the records that differ."""
         own, other = self.tables[first], self.tables[second]
         count = backends.group_count(len(own.by_server))
         groups = backends.differing_groups(
             other.digest(count),
             own.digest(count),
             LIMITS,
-            self.source.random,
+            self.random_source.random,
         )
         versions = backends.pack_versions(other, groups, count)
         compared = backends.compare_versions(own, groups, count, versions)
@@ -101,10 +104,10 @@
             )
 
     def carry(self, *, keep):
-        """Deliver a random message; an older record must not win."""
+        """Deliver a random message; no older record may replace a newer one."""
         if not self.bag:
             return
-        place = self.source.randrange(len(self.bag))
+        place = self.random_source.randrange(len(self.bag))
         target, records = self.bag[place] if keep else self.bag.pop(place)
         table = self.tables[target]
         before = dict(table.by_server)
@@ -114,21 +117,23 @@
             assert order(table.by_server[server]) >= order(known)
 
     def step(self, kind, daemon, server, state):
-        """Make one step of the history."""
+        """Execute one generated step."""
         if kind == 'observe':
             self.observe(daemon, server, state)
         elif kind == 'exchange':
-            self.exchange(daemon, self.source.randrange(DAEMONS))
+            self.exchange(daemon, self.random_source.randrange(DAEMONS))
         elif kind == 'lose' and self.bag:
-            self.bag.pop(self.source.randrange(len(self.bag)))
+            self.bag.pop(self.random_source.randrange(len(self.bag)))
         else:
             self.carry(keep=kind == 'repeat')
 
 
-@FEW
+@PROFILE
 @given(STEPS, st.integers(0, 999))
 def test_all_daemons_converge_to_the_newest_records(steps, seed):
     """Guards against records that a lost or late message leaves behind."""
+    # After random losses, delays and repetitions, comparisons alone must bring
+    # the newest record of each server to all daemons.
     daemons = Daemons(seed)
     for step in steps:
         daemons.step(*step)
@@ -143,7 +148,7 @@
         assert table.digest(1) == daemons.tables[0].digest(1)
 
 
-@FEW
+@PROFILE
 @given(
     st.sets(st.integers(0, 2_000), max_size=300),
     st.sets(st.integers(0, 2_000), max_size=300),
@@ -151,6 +156,8 @@
 )
 def test_digests_show_each_difference_at_any_size(first, second, power):
     """A hash that misses a change would never be repaired."""
+    # Guards against differences that comparisons never repair because the
+    # digests of different tables are equal.
     tables = []
     for numbers in (first, second):
         table = backends.RecordTable()
@@ -177,7 +184,11 @@
 
 
 def test_far_behind_tables_compare_more_groups():
-    """A fleet that starts must not need hours to exchange its records."""
+    """Guards against an exchange that takes hours after the start of a fleet.
+
+    Tables that differ in most groups must compare many groups at once; nearly
+    equal tables compare only those that differ.
+    """
     full, empty = backends.RecordTable(), backends.RecordTable()
     for number in range(5_000):
         full.merge(record(f's{number}'))
@@ -198,7 +209,7 @@
 
 
 class FakePeers(dict):
-    """Keeps handlers and what is sent."""
+    """Records the registered handlers and the sent messages."""
 
     def __init__(self):
         super().__init__()
@@ -210,7 +221,11 @@
 
 
 def test_catching_up_stays_within_its_allowance():
-    """Changes of most groups all the time must not exceed the budget."""
+    """Guards against catch-up traffic beyond its budget.
+
+    A peer that repeatedly sends an empty digest would otherwise get all
+    records each time; after the burst it gets the usual size.
+    """
     table = backends.RecordTable()
     for number in range(5_000):
         table.merge(record(f's{number}'))
@@ -238,10 +253,12 @@
     assert sizes[-1][1] <= limits.group_count * limits.size_bytes
 
 
-@FEW
+@PROFILE
 @given(st.integers(0, 5), st.integers(0, 5), st.text('abc', max_size=40))
 def test_size_of_a_record_is_not_underestimated(versions, ranges, name):
     """The bounds count estimated bytes."""
+    # Guards against messages beyond their size limit: the limits use this
+    # estimate instead of the encoded size.
     holdings = tuple(
         Holding(2**30 + version, ((2**31, 2**32),) * ranges)
         for version in range(versions)
@@ -254,7 +271,12 @@
 
 
 def test_two_dispatchers_do_not_replace_each_other_at_each_poll():
-    """Two views of the members must not cause an announcement per poll."""
+    """Guards against two dispatchers that announce a server at each poll.
+
+    Daemons with different views of the members can poll the same server. A
+    record with the same state from a live dispatcher is replaced only some
+    time after the assignment, a record with another state at once.
+    """
     theirs = record('s', 'b', sequence=7, limit=4)
     own = record('s', 'a')
 
--- a/tests/test_server_view.py
+++ b/tests/test_server_view.py
@@ -1,4 +1,4 @@
-"""States of all servers at one daemon, from all signs."""
+"""States of all servers at one daemon, derived from all signs of leaving."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 RECORD = ServerRecord('s', 'v', 'north', 'b', 5, 9, 1, SERVING, 1)
 
 
-def view_after(view, configured, records, changed):
+def refresh_view(view, configured, records, changed):
     """Refresh a view without observations."""
     sources = ViewSources(configured, records, {}, frozenset(), 0)
     view.refresh(sources, changed)
@@ -28,17 +28,20 @@
 
 
 def test_view_disregards_reports_about_most_servers():
-    """A wave of false reports must not empty a service."""
+    """Guards against a service that is left without serving servers.
+
+    Reports that most servers drain are taken as false and ignored.
+    """
     configured = document({'x': 'a:1', 'y': 'a:2', 'z': 'a:3'}).settings
     records = {
         name: dataclasses.replace(RECORD, server=name, state=DRAINING)
         for name in 'xy'
     }
     view = ServerView()
-    by_server = view_after(view, configured, records, ())
+    by_server = refresh_view(view, configured, records, ())
     assert {each.state for each in by_server.values()} == {SERVING}
     records['y'] = dataclasses.replace(RECORD, server='y')
-    by_server = view_after(view, configured, records, 'y')
+    by_server = refresh_view(view, configured, records, 'y')
     assert by_server['x'].state == DRAINING
 
 
@@ -67,6 +70,8 @@
 @given(VIEW_STEPS)
 def test_steps_of_the_view_agree_with_a_whole_one(steps):
     """A step that misses a sign would send work to a leaving server."""
+    # Guards against an incremental refresh that differs from a view built from
+    # scratch.
     addresses = {name: f'a:{place}' for place, name in enumerate(NAMES, 1)}
     options = {name: {'drained': False} for name in NAMES}
     known = {
