Name the recording of a success and the removal of a queued record plainly

record_answer, beside record_refusal and record_failure, did not say that only complete replies count; it is record_success now. SpreadQueue.forget is discard, as it removes a record if there is one. Renames only.

--- a/boragespool/backends/spreading.py
+++ b/boragespool/backends/spreading.py
@@ -120,7 +120,7 @@
         if len(self._pending_by_server) > self.limits.queue_count:
             self._pending_by_server.pop(next(iter(self._pending_by_server)))
 
-    def forget(self, server: ServerName) -> None:
+    def discard(self, server: ServerName) -> None:
         """Remove the waiting record of a server, if any."""
         self._pending_by_server.pop(server, None)
 
--- a/boragespool/bench/planning.py
+++ b/boragespool/bench/planning.py
@@ -112,7 +112,7 @@
     observations = ServerObservations()
     for server in holdings:
         observations.record_sent(server)
-        observations.record_answer(server, 0.01, 0)
+        observations.record_success(server, 0.01, 0)
     # Replies arrive in a different order from the sub-requests.
     replies = _replies(catalogue)
     arrivals = sorted(
--- a/boragespool/controllers/backend_servers/record_exchange.py
+++ b/boragespool/controllers/backend_servers/record_exchange.py
@@ -192,7 +192,7 @@
             if self._hooks.accepts(record.server) and self._table.merge(record)
         ]
         for record in kept:
-            self._queue.forget(record.server)
+            self._queue.discard(record.server)
             self._hooks.on_changed(record)
         return kept
 
--- a/boragespool/controllers/queries/attempt_results.py
+++ b/boragespool/controllers/queries/attempt_results.py
@@ -51,7 +51,7 @@
     if isinstance(result, WorkReply):
         observations.record_waits(server, result.waits_s, now_s)
     if result.code == ResultCode.COMPLETE:
-        observations.record_answer(server, latency_s, now_s)
+        observations.record_success(server, latency_s, now_s)
     elif result.code == ResultCode.SERVER_DRAINING:
         observations.record_draining(server, now_s)
     elif result.code in _HEALTHY_CODES:
--- a/boragespool/routing/observations.py
+++ b/boragespool/routing/observations.py
@@ -58,7 +58,7 @@
         """Record that an attempt was sent to a server."""
         self._stats_by_server[server].in_flight += 1
 
-    def record_answer(
+    def record_success(
         self,
         server: ServerName,
         latency_s: Seconds,
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -146,7 +146,7 @@
     observations = ServerObservations()
     for name in NAMES[:3]:
         observations.record_sent(name)
-        observations.record_answer(name, 0.01, 0)
+        observations.record_success(name, 0.01, 0)
     observations.record_waits('a', (1e9,), 0)
     assert spread(observations)['a'] == 0
     for name in ('b', 'c'):
@@ -166,7 +166,7 @@
     assert not observations.is_suspect('a', 0.6)
     observations.record_sent('a')
     assert observations.is_suspect('a', 0.6)
-    observations.record_answer('a', 0.01, 0.7)
+    observations.record_success('a', 0.01, 0.7)
     assert not observations.is_suspect('a', 0.7)
 
 
@@ -174,7 +174,7 @@
     """A dispatcher that died answers nothing; a straggler is normal."""
     observations = ServerObservations()
     observations.record_overdue('a', 0)
-    observations.record_answer('a', 0.01, 0)
+    observations.record_success('a', 0.01, 0)
     observations.record_overdue('a', 0)
     assert not observations.is_suspect('a', 0)
     observations.record_overdue('a', 0)
@@ -186,7 +186,7 @@
     observations = ServerObservations()
     for latency_s in (0.01, 0.2):
         observations.record_sent('a')
-        observations.record_answer('a', latency_s, 0)
+        observations.record_success('a', latency_s, 0)
     assert observations.latency_s('a', 0) == pytest.approx(0.013)
 
 
