--- a/boragespool/backends/__init__.py
+++ b/boragespool/backends/__init__.py
@@ -1,7 +1,7 @@
 """State of backend servers: limits, health, records and crashing requests.
 
-Holds data structures and decisions without any input or output; controllers
-send and receive the messages.
+Holds data structures and decisions without I/O; controllers send and receive
+the messages.
 """
 
 from __future__ import annotations
--- a/boragespool/backends/crashes.py
+++ b/boragespool/backends/crashes.py
@@ -137,6 +137,6 @@
             age_s = self._block_age_s if is_blocked else self._suspect_age_s
             if now_s - max(losses.values()) >= age_s:
                 self._remove(fingerprint)
-        for cleared, losses in tuple(self._cleared_by_fingerprint.items()):
-            if now_s - max(losses.values()) >= self._block_age_s:
-                self._cleared_by_fingerprint.pop(cleared)
+        for fingerprint, cleared in tuple(self._cleared_by_fingerprint.items()):
+            if now_s - max(cleared.values()) >= self._block_age_s:
+                self._cleared_by_fingerprint.pop(fingerprint)
--- a/boragespool/backends/digests.py
+++ b/boragespool/backends/digests.py
@@ -69,7 +69,7 @@
     Attributes
     ----------
     to_send : tuple of ServerRecord
-        Own records that are newer.
+        Own records that may be newer than those of the other daemon.
     wanted : tuple of int
         Keys of servers whose records may be newer at the other daemon.
     """
@@ -89,7 +89,7 @@
     limits: ExchangeLimits,
     draw: Callable[[], float],
 ) -> tuple[int, ...]:
-    """Return the groups whose records are compared, from a random one on.
+    """Return the groups whose records are compared, a random one first.
 
     Parameters
     ----------
@@ -150,7 +150,7 @@
 
     Returns
     -------
-    Comparison
+    VersionComparison
         Records with the same sequence number and different hashes are both
         sent and wanted, as only the whole records show which one is newer.
     """
@@ -188,7 +188,7 @@
     records: Iterable[ServerRecord],
     size_bytes: int,
 ) -> tuple[ServerRecord, ...]:
-    """Return the records that fit into a size, at least one.
+    """Return the records that fit into a size, but at least one if any.
 
     Records of servers that are out of service go first.
     """
--- a/boragespool/backends/limit.py
+++ b/boragespool/backends/limit.py
@@ -2,8 +2,8 @@
 
 Additive increase, multiplicative decrease (Chiu and Jain, "Analysis of the
 increase and decrease algorithms for congestion avoidance in computer
-networks", 1989). Only replies and shed requests change the limit; load that
-the backend server reports does not.
+networks", 1989). Only replies, shed requests and a change of the configured
+slots change the limit; load that the backend server reports does not.
 """
 
 from __future__ import annotations
@@ -28,7 +28,7 @@
     ----------
     slots : int
         Configured number of slots, the upper bound of the limit.
-    allowed : float
+    fractional_limit : float
         Number of requests that may run at the same time, before rounding
         down.
     reduced_at_s : float
--- a/boragespool/backends/records.py
+++ b/boragespool/backends/records.py
@@ -9,7 +9,7 @@
     from boragespool.messages import ServerRecord
     from boragespool.types import Seconds
 
-#: Shortest time before a dispatcher replaces the equal record of another live
+#: Minimum time before a dispatcher replaces the equal record of another live
 #: one. Two daemons whose views of the members differ may both dispatch to a
 #: server, and would otherwise replace each other's record at each poll.
 _TAKEOVER_DELAY_S: Final = 10
--- a/boragespool/backends/service_states.py
+++ b/boragespool/backends/service_states.py
@@ -18,9 +18,10 @@
 
     ``DRAINING`` and ``LOST`` servers get no new work. The candidates are the
     servers that are neither drained by an operator nor lost. If reports say
-    that more than half of the candidates are draining, the reports are ignored
-    and all candidates are used. A change costs as much as one server, unless it
-    changes whether reports are ignored.
+    that more than half of the candidates are leaving, the reports are ignored
+    and all candidates are used. Setting the signals of a server takes constant
+    time; it affects the states of the others only if it changes whether reports
+    are ignored.
     """
 
     def __init__(self) -> None:
--- a/boragespool/backends/spreading.py
+++ b/boragespool/backends/spreading.py
@@ -61,7 +61,7 @@
     bytes_per_s, burst_bytes : int
         Rate at which the bucket is filled, and its size.
     now_s : float
-        Present time in seconds.
+        Current time in seconds.
     """
 
     def __init__(
@@ -140,7 +140,7 @@
         target_count : int
             Number of members that get the message.
         now_s : float
-            Present time in seconds.
+            Current time in seconds.
         urgent_only : bool
             Whether only urgent records are sent.
 
--- a/boragespool/claims/records.py
+++ b/boragespool/claims/records.py
@@ -31,7 +31,7 @@
     """
 
     def __init__(self) -> None:
-        """Initialize an empty table."""
+        """Set up an empty table."""
         self._record_by_ticket: OrderedDict[
             str,
             tuple[Seconds, ClaimRecord],
--- a/boragespool/claims/tickets.py
+++ b/boragespool/claims/tickets.py
@@ -24,13 +24,13 @@
 
     Attributes
     ----------
-    issuer, issuer_incarnation
+    issuer, issuer_incarnation : str, int
         The only daemon process that may run the claim.
     sequence : int
         Number of the ticket among those of the issuer's incarnation, from 1.
     issued_at_s : float
         Issue time on the issuer's monotonic clock, in seconds.
-    witness, witness_incarnation
+    witness, witness_incarnation : str, int
         Daemon process that records the start; the host is empty for a ticket
         without a witness.
     signature : str
--- a/boragespool/ranks/account.py
+++ b/boragespool/ranks/account.py
@@ -1,10 +1,10 @@
 """Slot time that a rank used at one backend server, compared with its floor.
 
-The floor is the share of the slots that a rank is guaranteed. The balance is a
+The floor is the share of the slots that a rank is guaranteed. The credit is a
 deficit counter (Shreedhar and Varghese, "Efficient fair queueing using deficit
-round robin", SIGCOMM 1995) in slot seconds, that is slots times seconds: it
-grows at the rate of the floor while work of the rank waits, and is charged for
-the slot time that the rank's work used.
+round robin", SIGCOMM 1995) in slot seconds, that is slots times seconds. It
+grows at the rate of the floor, is positive only while work of the rank waits,
+and is charged for the slot time that served work used.
 """
 
 from __future__ import annotations
@@ -17,8 +17,9 @@
     from boragespool.types import AttemptId, Seconds
 
 #: Credit and debt are bounded by the slot time that the floor gives in this
-#: period, so that a rank that borrowed idle slots gets its floor back soon
-#: after a flood begins.
+#: period, plus one mean service time for each slot of the floor and for one
+#: more. A rank that borrowed idle slots thus gets its floor back soon after a
+#: flood starts.
 _CREDIT_WINDOW_S: Final = 0.5
 #: Weight of the latest service time in the moving average.
 _MEAN_WEIGHT: Final = 0.05
@@ -92,7 +93,7 @@
         Parameters
         ----------
         now_s : float
-            Present time in seconds.
+            Current time in seconds.
         floor_slots : float
             Guaranteed number of slots.
         waiting : bool
@@ -127,7 +128,7 @@
     def is_flooded(self) -> bool:
         """Whether work has waited for so long that the queue must be growing.
 
-        Short gaps in which nothing waits are not counted.
+        Short gaps in which nothing waits do not reset the waiting time.
         """
         limit_s = (
             _CREDIT_WINDOW_S + _FLOOD_START_SERVICE_TIMES * self.mean_service_s
@@ -140,11 +141,11 @@
         Running work is charged with its time so far, and with at least one
         mean service time.
         """
-        charged = sum(
+        charged_slot_s = sum(
             max(self.mean_service_s, now_s - entry.started_s)
             for entry in self.running_by_attempt.values()
         )
-        return self._credit_slot_s > charged
+        return self._credit_slot_s > charged_slot_s
 
     def start(self, work: QueuedWork, now_s: Seconds) -> None:
         """Record that work got a slot."""
@@ -164,7 +165,7 @@
         attempt_id : str
             Attempt that ended.
         now_s : float
-            Present time in seconds.
+            Current time in seconds.
         served : bool
             Whether the work ran to its end. Slot time of cancelled or refused
             work is neither charged nor counted in the mean service time.
--- a/boragespool/ranks/overload.py
+++ b/boragespool/ranks/overload.py
@@ -133,7 +133,8 @@
     Admission
         The limit is cut while the lateness is above `TARGET_LATENESS_S` and
         not falling, and is raised while it is not above. The limit is lifted
-        after one second without overload or refusal.
+        after `_LIFT_WINDOW_COUNT` windows (one second) in a row without
+        overload or refusal.
     """
     limit_per_s = _next_limit(before, window)
     expected_per_s = _expected_arrivals(before, window)
@@ -197,31 +198,35 @@
 
 
 def _admitted_shares(
-    arrived_per_s: Mapping[Rank, float],
+    expected_per_s: Mapping[Rank, float],
     limit_per_s: float,
     floor_by_rank: Mapping[Rank, float],
 ) -> dict[Rank, float]:
-    """Return the admitted share of each rank's requests, 0 to 1.
+    """Return the admitted share of each rank's expected requests, 0 to 1.
 
-    The floors are granted first, and the rest of the limit by rank, most
-    urgent first.
+    The floors are granted first, then the rest of the limit, to the highest
+    rank first.
     """
-    if sum(arrived_per_s.values()) <= limit_per_s:
+    if sum(expected_per_s.values()) <= limit_per_s:
         return _admit_all()
     admitted_per_s = {
-        rank: min(asked_per_s, floor_by_rank.get(rank, 0) * limit_per_s)
-        for rank, asked_per_s in arrived_per_s.items()
+        rank: min(wanted_per_s, floor_by_rank.get(rank, 0) * limit_per_s)
+        for rank, wanted_per_s in expected_per_s.items()
     }
     left_per_s = limit_per_s - sum(admitted_per_s.values())
-    for rank, asked_per_s in arrived_per_s.items():
+    for rank, wanted_per_s in expected_per_s.items():
         extra_per_s = max(
-            0, min(asked_per_s - admitted_per_s[rank], left_per_s)
+            0, min(wanted_per_s - admitted_per_s[rank], left_per_s)
         )
         admitted_per_s[rank] += extra_per_s
         left_per_s -= extra_per_s
     return {
-        name: min(1, admitted_per_s[name] / requested) if requested else 1
-        for name, requested in arrived_per_s.items()
+        requested_rank: (
+            min(1, admitted_per_s[requested_rank] / requested_per_s)
+            if requested_per_s
+            else 1
+        )
+        for requested_rank, requested_per_s in expected_per_s.items()
     }
 
 
--- a/boragespool/ranks/queue.py
+++ b/boragespool/ranks/queue.py
@@ -40,7 +40,7 @@
 _SERVICE_MARGIN_FACTOR: Final = 2
 _RANKS: Final = tuple(Rank)
 _NO_WAITS_S: Final = (0,) * len(_RANKS)
-#: Shortest time between two updates of the accounts; saves processor time.
+#: Minimum time between two updates of the accounts; saves CPU time.
 _ACCOUNTING_INTERVAL_S: Final = 0.0005
 _LOWEST_FIRST: Final = tuple(reversed(Rank))
 _DEFAULT_SETTINGS: Final = RankSettings()
@@ -55,7 +55,7 @@
     Parameters
     ----------
     slots : int
-        Number of slots, that is of pieces of work that run at the same time.
+        Number of slots: how many pieces of work may run at the same time.
     settings_by_rank : mapping of Rank to RankSettings
         Floors, caps and queue limits. A missing rank has the default ones.
     """
@@ -121,21 +121,23 @@
         tuple of RefusedWork
             Empty if the work was queued and no other was removed. New work is
             refused with ``DEADLINE_UNREACHABLE`` or ``QUEUE_FULL``. If the
-            queue is full and another caller exceeds its fair share, the newest
-            work of that caller is removed and refused instead.
+            queue is full, the caller has not used up its fair share and another
+            one exceeds its share, then the newest work of the caller with the
+            longest queue is removed and refused instead.
         """
         self._advance(now_s)
-        expected_s = self.wait_s(work.rank, work.caller)
+        estimated_wait_s = self.wait_s(work.rank, work.caller)
         mean_s = (
             self._accounts_by_rank[work.rank].mean_service_s
-            if expected_s
+            if estimated_wait_s
             else 0
         )
         needed_s = (
-            expected_s * _WAIT_MARGIN_FACTOR + mean_s * _SERVICE_MARGIN_FACTOR
+            estimated_wait_s * _WAIT_MARGIN_FACTOR
+            + mean_s * _SERVICE_MARGIN_FACTOR
         )
         if now_s + needed_s >= work.deadline_at_s:
-            return (refuse_unreachable(work, now_s, expected_s),)
+            return (refuse_unreachable(work, now_s, estimated_wait_s),)
         queue = self._queues_by_rank[work.rank]
         limit = self.settings_by_rank.get(
             work.rank, _DEFAULT_SETTINGS
@@ -144,12 +146,12 @@
         if queue.count >= limit:
             evicted = queue.evict(work.caller, limit)
             if evicted is None:
-                return (refuse_queue_full(work, limit, expected_s),)
+                return (refuse_queue_full(work, limit, estimated_wait_s),)
         queue.push(work)
         return (
             ()
             if evicted is None
-            else (refuse_queue_full(evicted, limit, expected_s),)
+            else (refuse_queue_full(evicted, limit, estimated_wait_s),)
         )
 
     def schedule(self, now_s: Seconds) -> ScheduleResult:
@@ -209,7 +211,10 @@
         return tuple(itertools.chain.from_iterable(cleared))
 
     def wait_s(self, rank: Rank, caller: CallerName = '') -> Seconds:
-        """Return the estimated queueing time of new work of a caller."""
+        """Return the estimated queueing time in seconds of new work.
+
+        An empty `caller` stands for one without queued work.
+        """
         if self._free_slots and not any_waiting(self._queues_by_rank):
             return 0
         loads = self._rank_loads(caller)
--- a/boragespool/ranks/rank_queue.py
+++ b/boragespool/ranks/rank_queue.py
@@ -55,7 +55,7 @@
         return None
 
     def pop(self) -> QueuedWork:
-        """Remove and return the next work; its caller gets the last turn.
+        """Remove and return the next work; its caller moves to the end.
 
         Raises
         ------
--- a/boragespool/ranks/waits.py
+++ b/boragespool/ranks/waits.py
@@ -55,14 +55,14 @@
     Parameters
     ----------
     loads : sequence of RankLoad
-        Load by rank, most important rank first.
+        Load by rank, highest rank first.
     position : int
         Index of the rank of the new work.
     slots, free_slots : int
-        Number of slots that are in use or usable, and how many of them
-        are idle.
+        Number of slots of the server, and of those that are idle.
     lower_floors_first : bool
-        Whether lower ranks below their floors are served before the rank.
+        Whether the floors of lower ranks with queued work are subtracted from
+        the slots that are left to the rank.
 
     Returns
     -------
--- a/boragespool/ranks/work.py
+++ b/boragespool/ranks/work.py
@@ -15,7 +15,7 @@
     Attributes
     ----------
     deadline_at_s : float
-        Time from which the answer is useless, in seconds on the clock of the
+        Time from which the reply is of no use, in seconds on the clock of the
         queue.
     cancellable : bool
         Whether it may be cancelled after it started.
--- a/boragespool/routing/admission.py
+++ b/boragespool/routing/admission.py
@@ -27,12 +27,12 @@
     Parameters
     ----------
     shards : iterable of (int, tuple of str)
-        Number of keys and replicas of each range of keys.
+        Number of keys and replicas, at least one, of each key range.
     observations : ServerObservations
         Queueing times that dispatchers reported. They decrease with time, so
         that a refusal never lasts longer than the reported wait.
     rank_index : int
-        Position of the rank, most important first.
+        Position of the rank, highest rank first.
     now_s, time_left_s : float
         Monotonic time and time to the deadline, in seconds.
 
--- a/boragespool/routing/assignment.py
+++ b/boragespool/routing/assignment.py
@@ -80,7 +80,7 @@
             self._add_candidate(host, data_centre)
 
     def _add_candidate(self, host: HostName, data_centre: DataCentre) -> None:
-        """Assign the servers to a new host for which it ranks highest."""
+        """Assign to a new host the servers for which it is the best one."""
         for server, server_data_centre in self._data_centre_by_server.items():
             candidate = (
                 data_centre == server_data_centre,
--- a/boragespool/routing/eligibility.py
+++ b/boragespool/routing/eligibility.py
@@ -13,7 +13,7 @@
     from boragespool.settings import ServiceSettings
     from boragespool.types import HostName, ServerName
 
-_CLOSED_STATES: Final = frozenset((ServerState.DRAINING, ServerState.LOST))
+_OUT_OF_SERVICE: Final = frozenset((ServerState.DRAINING, ServerState.LOST))
 
 
 def eligible_holdings(
@@ -46,6 +46,6 @@
         record = records_by_server.get(server)
         if configured.drained or configured.host in leaving_hosts:
             continue
-        if record is not None and record.state not in _CLOSED_STATES:
+        if record is not None and record.state not in _OUT_OF_SERVICE:
             holdings[server] = record.holdings
     return holdings
--- a/boragespool/routing/hedging.py
+++ b/boragespool/routing/hedging.py
@@ -17,7 +17,7 @@
 _MICROSECONDS_PER_S: Final = 1_000_000
 _MAX_LATENCY_S: Final = 60
 _SIGNIFICANT_DIGITS: Final = 2
-#: Number of samples after which a new histogram is begun.
+#: Number of samples after which a new histogram is started.
 _WINDOW_SAMPLE_COUNT: Final = 4_096
 #: Fewer samples give no usable 0.97 quantile.
 _MIN_SAMPLE_COUNT: Final = 48
@@ -42,9 +42,9 @@
 
     Notes
     -----
-    A cancelled attempt is recorded with the time until it was cancelled. This
-    is above the quantile already, so the quantile stays correct although the
-    full latency is unknown.
+    The owner records a cancelled attempt, with the time until it was cancelled,
+    only if this is at least the tracked latency. The quantile then stays
+    correct although the full latency is unknown.
     """
 
     def __init__(self, quantile: float, settings: object = None) -> None:
--- a/boragespool/routing/observations.py
+++ b/boragespool/routing/observations.py
@@ -19,8 +19,8 @@
 #: Overdue attempts in a row after which a server is suspect. Stragglers are
 #: about 1 in 100, so two in a row mean a lost replica.
 _OVERDUE_LIMIT: Final = 2
-#: A reply that the server is draining holds until the dispatcher has announced
-#: this state.
+#: Time for which a server counts as draining after it replied so; by the
+#: end of it, its dispatcher has announced this state.
 _DRAINING_HOLD_S: Final = 5
 #: Upper bound of a reported queueing time, so that a wrong report keeps work
 #: away no longer.
@@ -31,7 +31,7 @@
 class _ServerStats:
     in_flight: int = 0
     latency_s: Seconds = 0
-    answered_at_s: Seconds = 0
+    succeeded_at_s: Seconds = 0
     failure_count: int = 0
     overdue_count: int = 0
     suspect_until_s: Seconds = 0
@@ -64,23 +64,27 @@
         latency_s: Seconds,
         now_s: Seconds,
     ) -> None:
-        """Record a useful answer and the latency of its attempt, in seconds."""
+        """Record a complete reply and the latency of its attempt in seconds."""
         stats = self._finish(server)
         stats.failure_count = 0
         stats.overdue_count = 0
-        stats.answered_at_s = now_s
+        stats.succeeded_at_s = now_s
         known_s = stats.latency_s or latency_s
         step_s = min(latency_s, known_s * _MAX_LATENCY_RATIO) - known_s
         stats.latency_s = known_s + _LATENCY_WEIGHT * step_s
 
     def record_refusal(self, server: ServerName) -> None:
-        """Record an end that says nothing about health, such as shedding."""
+        """Record the end of an attempt that does not tell the server's health.
+
+        Examples are a shed request and a cancelled attempt.
+        """
         self._finish(server)
 
     def record_failure(self, server: ServerName, now_s: Seconds) -> None:
-        """Record a lost attempt.
+        """Record a failed attempt.
 
-        The server is suspect for a time that doubles with each loss in a row.
+        The server is suspect for a time that doubles with each failure in a
+        row, up to `_MAX_SUSPECT_S`.
         """
         self._mark_suspect(self._finish(server), now_s)
 
@@ -92,7 +96,7 @@
             self._mark_suspect(stats, now_s)
 
     def record_draining(self, server: ServerName, now_s: Seconds) -> None:
-        """Record an answer which says that the server is draining."""
+        """Record a reply which says that the server is draining."""
         self._finish(server).draining_until_s = now_s + _DRAINING_HOLD_S
 
     def record_waits(
@@ -101,7 +105,10 @@
         waits_s: tuple[Seconds, ...],
         now_s: Seconds,
     ) -> None:
-        """Record the queueing times by rank, in seconds, of a dispatcher."""
+        """Record the queueing times by rank that a dispatcher reported.
+
+        They are given in seconds, highest rank first.
+        """
         self._stats_by_server[server].wait_ends_s = tuple(
             now_s + min(wait_s, _MAX_WAIT_S) for wait_s in waits_s
         )
@@ -112,18 +119,19 @@
         )
 
     def longest_wait_s(self, now_s: Seconds) -> Seconds:
-        """Return an upper bound of what is left of all reported waits."""
+        """Return an upper bound of the rest of all waits, in seconds."""
         return max(0, self._last_wait_end_s - now_s)
 
     def is_draining(self, server: ServerName, now_s: Seconds) -> bool:
-        """Return whether a server answered lately that it is draining."""
+        """Return whether a server replied lately that it is draining."""
         return now_s < self._stats_by_server[server].draining_until_s
 
     def is_suspect(self, server: ServerName, now_s: Seconds) -> bool:
-        """Return whether a server's latest attempts were lost.
+        """Return whether new attempts should avoid a server.
 
-        When the time of suspicion is over, the server gets one attempt at a
-        time, until one of them is answered.
+        A server is suspect for a time after an attempt failed, or after
+        `_OVERDUE_LIMIT` in a row were overdue. After that time it gets one
+        attempt at a time, until one of them succeeds.
         """
         stats = self._stats_by_server[server]
         if not stats.failure_count:
@@ -136,7 +144,7 @@
         rank_index: int,
         now_s: Seconds,
     ) -> Seconds:
-        """Return what is left of a reported wait in seconds; 0 if unknown."""
+        """Return the rest of a reported wait in seconds; 0 if unknown."""
         wait_ends_s = self._stats_by_server[server].wait_ends_s
         if rank_index >= len(wait_ends_s):
             return 0
@@ -149,11 +157,11 @@
     def latency_s(self, server: ServerName, now_s: Seconds) -> Seconds:
         """Return the smoothed latency in seconds; 0 if unknown.
 
-        It decreases with the time since the last answer, so that a server that
+        It decreases with the time since the last success, so that a server that
         was slow gets work again.
         """
         stats = self._stats_by_server[server]
-        return stats.latency_s / (1 + max(0, now_s - stats.answered_at_s))
+        return stats.latency_s / (1 + max(0, now_s - stats.succeeded_at_s))
 
     def keep_only(self, servers: frozenset[ServerName]) -> None:
         """Remove idle servers that are not configured any more."""
--- a/boragespool/routing/replicas.py
+++ b/boragespool/routing/replicas.py
@@ -14,7 +14,7 @@
     from boragespool.routing.observations import ServerObservations
     from boragespool.types import Seconds, ServerName
 
-#: Assumed while the latency of no candidate is known.
+#: Latency assumed if that of no candidate is known.
 _DEFAULT_LATENCY_S: Final = 0.01
 
 
@@ -31,9 +31,9 @@
     Parameters
     ----------
     replicas : sequence of str
-        Backend servers that may get new work and hold the range of keys.
+        Backend servers that may get new work and hold the key range.
     tried : collection of str
-        Replicas that had an attempt before; they are left out.
+        Replicas that an attempt was sent to before; they are left out.
     observations : ServerObservations
         Observations of this daemon.
     draws : (float, float)
@@ -41,7 +41,7 @@
     now_s : float
         Monotonic time in seconds.
     rank_index : int
-        Position of the rank, most important first.
+        Position of the rank, highest rank first.
 
     Returns
     -------
--- a/boragespool/snapshots/catalogue.py
+++ b/boragespool/snapshots/catalogue.py
@@ -64,7 +64,7 @@
     Parameters
     ----------
     holdings_by_server : mapping of str to iterable of Holding
-        Reported holdings of those backend servers that may receive work.
+        Reported holdings of those backend servers that may get new work.
         Ranges that are empty or outside the key space are ignored.
 
     Returns
@@ -132,7 +132,7 @@
     Parameters
     ----------
     catalogue : Catalogue
-        Plans of the backend servers that may receive work.
+        Plans of the backend servers that may get new work.
 
     Returns
     -------
--- a/boragespool/snapshots/merging.py
+++ b/boragespool/snapshots/merging.py
@@ -25,7 +25,7 @@
     """
 
     def __init__(self, version: IndexVersion) -> None:
-        """Initialize the state without merged replies or open attempts."""
+        """Set up the state without merged replies or open attempts."""
         self.version = version
         self._asked_by_attempt: dict[AttemptId, KeyRange] = {}
         self._starts: list[int] = []
--- a/boragespool/snapshots/replanning.py
+++ b/boragespool/snapshots/replanning.py
@@ -28,7 +28,7 @@
     """
 
     def __init__(self) -> None:
-        """Initialize an empty collection."""
+        """Set up an empty collection."""
         self._refused: set[tuple[ServerName, int, int]] = set()
 
     def add(self, server: ServerName, asked: KeyRange) -> None:
