--- a/boragespool/backends/spreading.py
+++ b/boragespool/backends/spreading.py
@@ -61,7 +61,7 @@
     bytes_per_s, burst_bytes : int
         Rate at which the bucket is filled, and its size.
     now_s : float
-        Present time in seconds.
+        Current time in seconds.
     """
 
     def __init__(
@@ -120,7 +120,7 @@
         if len(self._pending_by_server) > self.limits.queue_count:
             self._pending_by_server.pop(next(iter(self._pending_by_server)))
 
-    def forget(self, server: ServerName) -> None:
+    def discard(self, server: ServerName) -> None:
         """Remove the waiting record of a server, if any."""
         self._pending_by_server.pop(server, None)
 
@@ -140,7 +140,7 @@
         target_count : int
             Number of members that get the message.
         now_s : float
-            Present time in seconds.
+            Current time in seconds.
         urgent_only : bool
             Whether only urgent records are sent.
 
