Correct docstrings of the membership modules

State what the code does; two private names follow. The check and the tests of the membership modules pass.

--- a/boragespool/membership/composing.py
+++ b/boragespool/membership/composing.py
@@ -38,8 +38,8 @@
     -------
     tuple of MemberRecord, MemberTable
         At most ``options.record_count`` records, and the table with the sends
-        counted. The records are this daemon's own one, the target's one
-        unless it is alive (so that the target can refute it), changes, and a
+        counted. The records are that of this daemon, that of the target
+        unless it is alive (so that the target can refute it), rumours, and a
         rotating sample of the other members.
     """
     first = [table.own]
@@ -71,7 +71,7 @@
 ) -> list[MemberRecord]:
     """Return the records from which the rotating sample is taken.
 
-    Dead members are excluded and sent as changes only. Otherwise daemons that
+    Dead members are excluded and sent as rumours only. Otherwise daemons that
     learned of a death late would send the record to those that have already
     dropped it.
     """
--- a/boragespool/membership/detection.py
+++ b/boragespool/membership/detection.py
@@ -1,4 +1,4 @@
-"""Failure detection: order of pings and timeout of suspicions.
+"""Failure detection: order of pings and suspicion timeout.
 
 Follows SWIM: Das, Gupta and Motivala, "SWIM: scalable weakly-consistent
 infection-style process group membership protocol", DSN 2002.
--- a/boragespool/membership/health.py
+++ b/boragespool/membership/health.py
@@ -29,15 +29,15 @@
     late_s : float
         How late the tick is, in seconds.
     options : MembershipOptions
-        Interval of the ticks and maximum score.
+        Provides the interval of the ticks and the maximum score.
 
     Returns
     -------
     int
-        The score, raised by one for each half interval of delay, because a
-        daemon that was paused has not read the answers and refutations that
-        arrived meanwhile. It falls by one after a tick without such a delay,
-        also if there is no other member to answer pings.
+        Score from 0 to ``options.health_limit``. Each half interval of delay
+        raises it by one, because a daemon that was paused has not read the
+        answers and refutations that arrived meanwhile. A tick without such a
+        delay lowers it by one, even if no member answers its pings.
     """
     half_intervals = int(2 * late_s / options.ping_interval_s)
     if not half_intervals:
--- a/boragespool/membership/merging.py
+++ b/boragespool/membership/merging.py
@@ -51,9 +51,9 @@
     Returns
     -------
     MemberRecord
-        The record with the higher precedence. If both are equal, `known` with
-        the higher revision of the two, and with the load of `received` if
-        that is direct.
+        The record with the higher precedence. If both have the same, `known`
+        with the higher revision of the two, and with the load of `received`
+        if `is_direct`.
 
     Notes
     -----
@@ -77,7 +77,7 @@
 ) -> bool:
     """Return whether a merged record is new or has another precedence.
 
-    Such a change is spread to other members at once.
+    Only such a change is spread as a rumour.
     """
     return known is None or precedence(known) != precedence(merged)
 
--- a/boragespool/membership/options.py
+++ b/boragespool/membership/options.py
@@ -16,11 +16,11 @@
     ping_interval_s : float
         Time between two pings that this daemon sends, in seconds.
     ping_timeout_s : float
-        Timeout of a direct ping, in seconds. The indirect pings through
-        helpers that follow have the same timeout again.
+        Timeout of a direct ping and of a ping that a helper sends, in
+        seconds. The answer of a helper is awaited for twice as long.
     helper_count : int
-        Number of members that are asked to ping a member that did not
-        answer.
+        Maximum number of members that are asked to ping a member that did
+        not answer.
     suspicion_s : float
         Time that a suspected member has to refute, in seconds, with up to ten
         members. With more members it is multiplied by the decimal logarithm
@@ -30,23 +30,25 @@
         exceeds the validity of tickets, so that the successor of a witness
         that left stays known.
     seed_interval_s : float
-        Time between two pings of a seed that is not a live member, in
-        seconds. These pings reconnect the sides of a partition that ended.
+        Time between two rounds that ping one seed that is not a live member
+        and one dead member, in seconds. These pings reconnect the sides of a
+        partition that ended.
     record_count : int
-        Maximum number of records in one ping, answer or gossip message.
+        Maximum number of records in one `Ping`, `Ack` or `Gossip` message.
     join_record_count : int
         Maximum number of records in each message that sends the whole member
         table to a new daemon.
     send_factor : float
-        Factor of the number of times that a change is sent: it is multiplied
-        by the binary logarithm of the member count.
+        A daemon sends a change in this number of messages, multiplied by the
+        binary logarithm of the number of members it knows plus two.
     remote_count : int
-        Number of members of each other data centre that a daemon keeps.
+        Maximum number of members of each other data centre that a daemon
+        keeps.
     leave_count : int
-        Number of members that a leaving daemon notifies at once.
+        Number of random members that a leaving daemon notifies.
     revision_fanout : int
-        Number of members that are notified of a new revision in force at
-        once.
+        Number of random members that a daemon notifies when it has a new
+        revision in force.
     health_limit : int
         Maximum health score of this daemon. The timeouts for answers and
         refutations are multiplied by one plus the score; 0 keeps them fixed.
--- a/boragespool/membership/receiving.py
+++ b/boragespool/membership/receiving.py
@@ -161,12 +161,13 @@
 ) -> MemberTable:
     """Drop a member from the table.
 
-    For a leaving one a rumour is kept, so that older records are ignored.
+    For a leaving one, a rumour that is not sent is kept, so that older records
+    are ignored.
     """
     rumours = dict(table.rumours_by_host)
     if member.status == MemberStatus.LEAVING:
-        handled = Rumour(member, 0, now_s + options.dead_keep_s)
-        rumours.setdefault(member.host, handled)
+        unsent_rumour = Rumour(member, 0, now_s + options.dead_keep_s)
+        rumours.setdefault(member.host, unsent_rumour)
     else:
         rumours.pop(member.host, None)
     table = replace(table, rumours_by_host=rumours)
--- a/boragespool/membership/spreading.py
+++ b/boragespool/membership/spreading.py
@@ -31,7 +31,8 @@
         0 is kept so that the change is not spread again when it is received
         again.
     until_s : float
-        Monotonic time at which the entry is dropped, in seconds.
+        Monotonic time until which the entry is kept without sends left if the
+        member is not in the table, in seconds.
     """
 
     record: MemberRecord
@@ -55,8 +56,8 @@
     Parameters
     ----------
     rumours_by_host : mapping of str to Rumour
-        Changes to send. Those with the most sends left come first, and of
-        these the latest ones.
+        Rumours to send: those with the most sends left first, and among equals
+        the latest.
     sample : sequence of MemberRecord
         Records that fill the rest of the message, in a stable order.
     sample_position : int
--- a/boragespool/membership/table.py
+++ b/boragespool/membership/table.py
@@ -1,7 +1,4 @@
-"""Member table of one daemon and its changes by events.
-
-Tables are immutable: each function returns a new one.
-"""
+"""Member table of one daemon, and functions that return a changed table."""
 
 from __future__ import annotations
 
@@ -35,8 +32,8 @@
         Changes that are being spread, including those of members that this
         daemon does not keep.
     unreachable_since_s_by_host : mapping of str to float
-        Monotonic time since which a member is suspected or dead, or did not
-        answer while leaving, in seconds.
+        Monotonic time in seconds since which a member is suspected or dead,
+        or has not answered pings while leaving.
     sample_position : int
         Index at which the rotating sample of records continues.
     """
@@ -92,8 +89,8 @@
     Returns
     -------
     MemberTable
-        Table after the change. A leaving member keeps its status; only the
-        time of the failed ping is recorded.
+        Table after the change. A member that is not alive keeps its status.
+        For a leaving one, the time of its first failed ping is recorded.
     """
     known = table.members_by_host.get(tested.host)
     if known is None or precedence_changed(known, tested):
@@ -127,9 +124,10 @@
     now_s: Seconds,
     options: MembershipOptions,
 ) -> MemberTable:
-    """Mark members dead that did not refute in time, and drop old entries.
+    """Mark members dead after the suspicion timeout, and drop old entries.
 
-    Dead members and rumours are dropped after ``options.dead_keep_s``.
+    Dead members are dropped after ``options.dead_keep_s``, rumours once they
+    are no longer needed.
     """
     suspicion_timeout_s = suspicion_time_s(
         options.suspicion_s,
@@ -146,11 +144,11 @@
         elif age_s >= suspicion_timeout_s:
             dead = replace(member, status=MemberStatus.DEAD)
             table = store_record(table, dead, now_s, options)
-    return replace(table, rumours_by_host=_unexpired_rumours(table, now_s))
+    return replace(table, rumours_by_host=_needed_rumours(table, now_s))
 
 
 def restart_suspicion_timers(table: MemberTable, now_s: Seconds) -> MemberTable:
-    """Restart the timeouts of all suspected and dead members.
+    """Restart the timeouts of all suspected, dead and unreachable members.
 
     Used after this daemon itself was paused, when answers and refutations may
     still be unread in its sockets.
@@ -185,7 +183,7 @@
     now_s: Seconds,
     options: MembershipOptions,
 ) -> MemberTable:
-    """Queue a record for the next messages, which carry changes first."""
+    """Queue a changed record for the next messages."""
     sends = send_count(len(table.members_by_host), options.send_factor)
     rumour = Rumour(record, sends, now_s + options.dead_keep_s)
     rumours = {**table.rumours_by_host, record.host: rumour}
@@ -206,7 +204,7 @@
     return clear_unreachable(replace(table, members_by_host=members), host)
 
 
-def _unexpired_rumours(
+def _needed_rumours(
     table: MemberTable,
     now_s: Seconds,
 ) -> dict[HostName, Rumour]:
