Correct docstrings of the settings schema and problems

The schema allowed a hedging quantile of 1, which the rule rejects, and left out empty values and the other sources of a problem.

--- a/boragespool/settings/problems.py
+++ b/boragespool/settings/problems.py
@@ -26,8 +26,9 @@
     allowed : str
         Description of the allowed values.
     file : str
-        Name of the file that set the value; empty if the settings come from a
-        revision document.
+        Name of the file that set the value, or path of a folder that cannot
+        be read; ``defaults`` for a default value. Empty if the settings come
+        from a revision document.
     code : ResultCode
         Code to report for the problem.
     """
--- a/boragespool/settings/rules.py
+++ b/boragespool/settings/rules.py
@@ -36,7 +36,7 @@
     allowed : str
         Description of the allowed values for error messages.
     unit : str
-        Unit of the value; empty for names and booleans.
+        Unit of the value; empty if it has none.
     """
 
     accepts: Callable[[Any], bool]
--- a/boragespool/settings/schema.py
+++ b/boragespool/settings/schema.py
@@ -25,9 +25,10 @@
     address : str
         ``ip:port`` on which the server listens.
     data_centre, region : str
-        Location of the server.
+        Location of the server; the region is empty if not set.
     host : str
-        Name of the server's host in the platform's host list.
+        Name of the server's host in the platform's host list; empty if not
+        set.
     drained : bool
         Whether the server gets no new work; set by ``boragespool drain``.
     """
@@ -74,7 +75,7 @@
     form : WorkKind
         Whether the requests are queries or claims.
     deadline_ms : float
-        Default and longest time for an answer, in milliseconds.
+        Default and maximum deadline of a request, in milliseconds.
     canary : bool
         Whether a query with an unseen fingerprint is first sent to a single
         shard.
@@ -97,7 +98,7 @@
     Attributes
     ----------
     floor, cap : float
-        Guaranteed and largest share of the slots, 0 to 1.
+        Guaranteed and maximum share of the slots, 0 to 1.
     queue_limit : int
         Maximum number of queued requests per backend server.
     """
@@ -114,8 +115,8 @@
     Attributes
     ----------
     quantile : float
-        Latency quantile, 0 to 1, after which a second attempt is sent; 1
-        disables hedging.
+        Latency quantile after which a second attempt is sent, more than 0
+        and less than 1. Benchmarks use 1, which disables hedging.
     budget_ratio : float
         Maximum number of second attempts per first attempt.
     burst : float
--- a/boragespool/settings/validation.py
+++ b/boragespool/settings/validation.py
@@ -41,7 +41,7 @@
 
     from boragespool.settings.merge import Node
 
-#: Values of the ranks that a folder does not set, or sets only in part.
+#: Ranks, for those that a folder does not set or sets only in part.
 DEFAULTS: Final = make_layer(
     'defaults',
     {'ranks': msgspec.to_builtins(Settings().ranks)},
