Correct docstrings of the revision modules

Failures of an assembly, the order of equal host lists and the identity of EMPTY_SETTINGS were missing or vague; the store's answer had two names. State them plainly. The check and the revision tests pass.

--- a/boragespool/revisions/assembly.py
+++ b/boragespool/revisions/assembly.py
@@ -105,7 +105,7 @@
     manifest : Manifest
         Revision to assemble.
     texts_by_hash : mapping of str to bytes
-        Texts by hash; `hashes_to_fetch` must return none for them.
+        Texts by hash, complete: `hashes_to_fetch` must return none.
     previous : AssembledRevision, optional
         Earlier valid revision. Only parts that are not in it are decoded, and
         only the difference is validated.
@@ -113,8 +113,8 @@
     Returns
     -------
     AssembledRevision or Failure
-        ``INVALID_SETTING`` for parts that are missing or contradict each
-        other, or for settings that are not valid.
+        ``INVALID_SETTING`` if an index or a part cannot be decoded, if parts
+        do not combine to one configuration, or if its settings are invalid.
     """
     part_hashes = _part_hashes(manifest, texts_by_hash)
     if isinstance(part_hashes, Failure):
--- a/boragespool/revisions/buckets.py
+++ b/boragespool/revisions/buckets.py
@@ -29,7 +29,7 @@
     -------
     dict of str to tuple of str
         Sorted names of each bucket, by the hash prefix that they share, as a
-        string of bits.
+        string of bits. Without names, one empty bucket.
 
     Notes
     -----
--- a/boragespool/revisions/building.py
+++ b/boragespool/revisions/building.py
@@ -148,8 +148,8 @@
 ) -> frozenset[int]:
     """Return the fingerprints to unblock when a document comes into force.
 
-    The result is empty without a previous document, because such a daemon has
-    nothing to unblock.
+    Empty without a previous document, because a daemon that had none yet has
+    blocked nothing.
     """
     if previous is None:
         return frozenset()
--- a/boragespool/revisions/document.py
+++ b/boragespool/revisions/document.py
@@ -64,7 +64,7 @@
     Attributes
     ----------
     change_id : str
-        Random identifier of the change. If the store's response to the write
+        Random identifier of the change. If the store's answer to the write
         was lost, it tells whether the write took effect.
     settings : Settings
         Whole configuration, merged from the operator's files.
--- a/boragespool/revisions/host_list.py
+++ b/boragespool/revisions/host_list.py
@@ -18,7 +18,11 @@
 
 
 def supersedes(current: LeavingHosts, candidate: LeavingHosts) -> bool:
-    """Return whether a candidate is newer than the list in use."""
+    """Return whether a candidate replaces the list in use.
+
+    Of two lists with the same sequence number, that of the watcher with the
+    greater host name is used.
+    """
     return (candidate.sequence, candidate.watcher) > (
         current.sequence,
         current.watcher,
@@ -39,8 +43,8 @@
         List in use. The caller ensures that it did not change while the
         platform's list was read.
     observed, observed_before : frozenset of str
-        Leaving hosts in the latest response of the platform and in the
-        response before it.
+        Leaving hosts in the latest answer of the platform and in the
+        answer before it.
     watcher : str
         Host name of this daemon.
 
@@ -48,7 +52,7 @@
     -------
     LeavingHosts or None
         None if the list in use is still correct. A new host is added at once.
-        A host is removed only if two consecutive responses lack it, because
+        A host is removed only if two consecutive answers lack it, because
         the replicas of the platform's list lag by different times.
     """
     listed = frozenset(current.hosts)
--- a/boragespool/revisions/joining.py
+++ b/boragespool/revisions/joining.py
@@ -22,7 +22,8 @@
 
 _EntryT = TypeVar('_EntryT')
 
-#: Initial settings, to which the first parts are added.
+#: Settings to which the first parts are added. `replace_parts` compares them
+#: by identity.
 EMPTY_SETTINGS: Final = Settings(ranks={})
 
 
@@ -71,7 +72,7 @@
 
 
 def subset_of_settings(settings: Settings, parts: Iterable[Part]) -> Settings:
-    """Return settings with only the servers and routes of some parts.
+    """Return settings whose only servers and routes are those of some parts.
 
     Parameters
     ----------
@@ -83,7 +84,8 @@
     Returns
     -------
     Settings
-        Services that do not exist in `settings` have limits of 1.
+        Only services of the parts. Those that do not exist in `settings`
+        have 1 slot and 1 connection.
     """
     servers_by_service: dict[ServiceName, dict[ServerName, ServerSettings]] = {}
     routes = {}
--- a/boragespool/revisions/manifest.py
+++ b/boragespool/revisions/manifest.py
@@ -36,11 +36,9 @@
 #: daemons do not read.
 RECENT_AUDIT_ENTRY_COUNT: Final = 8
 
-
 #: Hashes of the indexes by bucket; texts of indexes and parts by hash.
 IndexedTexts: TypeAlias = tuple[dict[str, PartHash], dict[PartHash, bytes]]
 
-
 #: Number of decoded indexes to cache. A configuration of 67,000 backend
 #: servers has about 50, and each revision changes one or two of them.
 _CACHED_INDEX_COUNT: Final = 256
--- a/boragespool/revisions/outcome.py
+++ b/boragespool/revisions/outcome.py
@@ -1,6 +1,6 @@
-"""Steps of a compare-and-swap write when responses may be lost.
+"""Steps of a compare-and-swap write when answers may be lost.
 
-A conflict or a lost response does not tell whether the write took effect: an
+A conflict or a lost answer does not tell whether the write took effect: an
 earlier attempt of the same write may have succeeded. The stored document is
 therefore read back, and the change id in its audit trail tells whether the
 write was applied.
@@ -16,10 +16,10 @@
 
 
 class WriteAnswer(enum.Enum):
-    """Response of the store to a compare-and-swap, or why there is none.
+    """Answer of the store to a compare-and-swap, or why there is none.
 
     ``NOT_SENT``: the call failed and certainly had no effect. ``LOST``: no
-    response arrived; the write may have taken effect.
+    answer arrived; the write may have taken effect.
     """
 
     WRITTEN = 'written'
@@ -47,13 +47,13 @@
     Parameters
     ----------
     answer : WriteAnswer
-        Response of the store, or why there is none.
+        Answer of the store, or why there is none.
 
     Returns
     -------
     WriteStep
         ``APPLIED`` if the store confirmed the write, ``WRITE`` if the call
-        had no effect, ``READ_BACK`` after a conflict or a lost response.
+        had no effect, ``READ_BACK`` after a conflict or a lost answer.
     """
     if answer is WriteAnswer.WRITTEN:
         return WriteStep.APPLIED
--- a/boragespool/revisions/parts.py
+++ b/boragespool/revisions/parts.py
@@ -96,8 +96,8 @@
     Returns
     -------
     dict of str to bytes
-        JSON of the parts by name. Equal settings yield equal parts, in
-        whatever order their tables are.
+        JSON of the parts by name. Equal settings yield equal parts,
+        regardless of the order of their tables.
     """
     parts: dict[str, dict[str, Any]] = {}
     parts[_REST] = {_REST: replace(settings, services={}, routes={})}
--- a/boragespool/revisions/retention.py
+++ b/boragespool/revisions/retention.py
@@ -84,8 +84,8 @@
     )
     kept_from = max(history.kept_from, base + 1 - KEPT_REVISIONS)
     if len(replaced) > REPLACED_PART_LIMIT:
-        first_kept = replaced[-REPLACED_PART_LIMIT]
-        kept_from = max(kept_from, min(base, first_kept.revision + 1))
+        oldest_within_limit = replaced[-REPLACED_PART_LIMIT]
+        kept_from = max(kept_from, min(base, oldest_within_limit.revision + 1))
     return RetentionPlan(
         tuple(entry for entry in replaced if entry.revision >= kept_from),
         tuple(entry.part for entry in replaced if entry.revision < kept_from),
