Name the suspicion timeout and the pinged record alike

suspicion_time_s returned what its caller called the suspicion timeout, and the record of a pinged member was called tested. One name each; the text on until_s and on failures of an assembly follow. The check, the membership, revision and settings tests pass.

--- a/boragespool/membership/__init__.py
+++ b/boragespool/membership/__init__.py
@@ -12,7 +12,7 @@
     PingRound,
     choose_random_hosts,
     next_target,
-    suspicion_time_s,
+    suspicion_timeout_s,
 )
 from boragespool.membership.health import (
     scale_timeouts,
@@ -64,6 +64,6 @@
     'score_after_tick',
     'send_count',
     'suspect',
-    'suspicion_time_s',
+    'suspicion_timeout_s',
     'update_own_record',
 )
--- a/boragespool/membership/detection.py
+++ b/boragespool/membership/detection.py
@@ -85,8 +85,8 @@
     return tuple(host for _, host in drawn[:count])
 
 
-def suspicion_time_s(suspicion_s: Seconds, member_count: int) -> Seconds:
-    """Return how long a suspected member has to refute, in seconds.
+def suspicion_timeout_s(suspicion_s: Seconds, member_count: int) -> Seconds:
+    """Return the time that a suspected member has to refute, in seconds.
 
     The timeout grows with the logarithm of the member count, as does the time
     in which a suspicion and its refutation spread.
--- a/boragespool/membership/spreading.py
+++ b/boragespool/membership/spreading.py
@@ -31,8 +31,8 @@
         0 is kept so that the change is not spread again when it is received
         again.
     until_s : float
-        Monotonic time until which the entry is kept without sends left if the
-        member is not in the table, in seconds.
+        Monotonic time in seconds until which an entry with no sends left is
+        kept, unless the member is in the table.
     """
 
     record: MemberRecord
--- a/boragespool/membership/table.py
+++ b/boragespool/membership/table.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
-from boragespool.membership.detection import suspicion_time_s
+from boragespool.membership.detection import suspicion_timeout_s
 from boragespool.membership.merging import precedence_changed
 from boragespool.membership.spreading import Rumour, send_count
 from boragespool.types import MemberStatus
@@ -68,7 +68,7 @@
 
 def suspect(
     table: MemberTable,
-    tested: MemberRecord,
+    pinged: MemberRecord,
     now_s: Seconds,
     options: MembershipOptions,
 ) -> MemberTable:
@@ -78,7 +78,7 @@
     ----------
     table : MemberTable
         Table before the change.
-    tested : MemberRecord
+    pinged : MemberRecord
         Record of the member when the ping was sent. If a newer record has
         arrived since, the table is returned unchanged.
     now_s : float
@@ -92,10 +92,10 @@
         Table after the change. A member that is not alive keeps its status.
         For a leaving one, the time of its first failed ping is recorded.
     """
-    known = table.members_by_host.get(tested.host)
-    if known is None or precedence_changed(known, tested):
+    known = table.members_by_host.get(pinged.host)
+    if known is None or precedence_changed(known, pinged):
         return table
-    since_s_by_host = {tested.host: now_s, **table.unreachable_since_s_by_host}
+    since_s_by_host = {pinged.host: now_s, **table.unreachable_since_s_by_host}
     table = replace(table, unreachable_since_s_by_host=since_s_by_host)
     if known.status != MemberStatus.ALIVE:
         return table
@@ -129,7 +129,7 @@
     Dead members are dropped after ``options.dead_keep_s``, rumours once they
     are no longer needed.
     """
-    suspicion_timeout_s = suspicion_time_s(
+    timeout_s = suspicion_timeout_s(
         options.suspicion_s,
         len(table.members_by_host),
     )
@@ -141,14 +141,14 @@
         if member.status == MemberStatus.DEAD:
             if age_s >= options.dead_keep_s:
                 table = drop_member(table, host)
-        elif age_s >= suspicion_timeout_s:
+        elif age_s >= timeout_s:
             dead = replace(member, status=MemberStatus.DEAD)
             table = store_record(table, dead, now_s, options)
     return replace(table, rumours_by_host=_needed_rumours(table, now_s))
 
 
 def restart_suspicion_timers(table: MemberTable, now_s: Seconds) -> MemberTable:
-    """Restart the timeouts of all suspected, dead and unreachable members.
+    """Restart the timeouts of all unreachable members, dead ones included.
 
     Used after this daemon itself was paused, when answers and refutations may
     still be unread in its sockets.
--- a/boragespool/revisions/assembly.py
+++ b/boragespool/revisions/assembly.py
@@ -114,7 +114,7 @@
     -------
     AssembledRevision or Failure
         ``INVALID_SETTING`` if an index or a part cannot be decoded, if parts
-        do not combine to one configuration, or if its settings are invalid.
+        do not combine into one configuration, or if its settings are invalid.
     """
     part_hashes = _part_hashes(manifest, texts_by_hash)
     if isinstance(part_hashes, Failure):
--- a/boragespool/revisions/manifest.py
+++ b/boragespool/revisions/manifest.py
@@ -153,13 +153,17 @@
         Hashes of the indexes by bucket, and the texts of parts and indexes
         by hash.
     """
-    hash_by_name = {
+    hashes_by_name = {
         name: part_hash(encoded) for name, encoded in settings_parts.items()
     }
-    texts = {hash_by_name[name]: settings_parts[name] for name in hash_by_name}
+    texts = {
+        hashes_by_name[name]: settings_parts[name] for name in hashes_by_name
+    }
     indexes = {}
-    for bucket, names in buckets(hash_by_name, PARTS_PER_INDEX).items():
-        encoded = _ENCODER.encode({name: hash_by_name[name] for name in names})
+    for bucket, names in buckets(hashes_by_name, PARTS_PER_INDEX).items():
+        encoded = _ENCODER.encode(
+            {name: hashes_by_name[name] for name in names}
+        )
         indexes[bucket] = part_hash(encoded)
         texts[indexes[bucket]] = encoded
     return indexes, texts
