--- a/boragespool/revisions/manifest.py
+++ b/boragespool/revisions/manifest.py
@@ -36,11 +36,9 @@
 #: daemons do not read.
 RECENT_AUDIT_ENTRY_COUNT: Final = 8
 
-
 #: Hashes of the indexes by bucket; texts of indexes and parts by hash.
 IndexedTexts: TypeAlias = tuple[dict[str, PartHash], dict[PartHash, bytes]]
 
-
 #: Number of decoded indexes to cache. A configuration of 67,000 backend
 #: servers has about 50, and each revision changes one or two of them.
 _CACHED_INDEX_COUNT: Final = 256
@@ -155,13 +153,17 @@
         Hashes of the indexes by bucket, and the texts of parts and indexes
         by hash.
     """
-    hash_by_name = {
+    hashes_by_name = {
         name: part_hash(encoded) for name, encoded in settings_parts.items()
     }
-    texts = {hash_by_name[name]: settings_parts[name] for name in hash_by_name}
+    texts = {
+        hashes_by_name[name]: settings_parts[name] for name in hashes_by_name
+    }
     indexes = {}
-    for bucket, names in buckets(hash_by_name, PARTS_PER_INDEX).items():
-        encoded = _ENCODER.encode({name: hash_by_name[name] for name in names})
+    for bucket, names in buckets(hashes_by_name, PARTS_PER_INDEX).items():
+        encoded = _ENCODER.encode(
+            {name: hashes_by_name[name] for name in names}
+        )
         indexes[bucket] = part_hash(encoded)
         texts[indexes[bucket]] = encoded
     return indexes, texts
