Correct docstrings and local names of queries and claims

Some docstrings named an old parameter or left out None, failures and the conditions of the code; timers were called subscriptions. They now state what the code does; renames stay inside one file.

--- a/boragespool/controllers/claims/claim_attempts.py
+++ b/boragespool/controllers/claims/claim_attempts.py
@@ -154,7 +154,7 @@
         prepared: PreparedClaim,
         tried_servers: set[ServerName],
     ) -> _Target | None:
-        """Return a server that was not tried, and its dispatcher."""
+        """Return an untried server and its dispatcher, or None."""
         board = self._context.board
         leaving = board.read(LEAVING_HOSTS)
         eligible = eligible_holdings(
--- a/boragespool/controllers/claims/claim_forwarding.py
+++ b/boragespool/controllers/claims/claim_forwarding.py
@@ -63,8 +63,8 @@
         """Return the claim record of a ticket.
 
         Runs the claim if this daemon issued the ticket. Else forwards the
-        claim to the issuer, and asks the witness if the issuer does not
-        answer.
+        claim to the issuer. Has the witness seal the ticket if the issuer is
+        dead, has restarted or does not answer with a `ClaimReply`.
         """
         if self.is_own(ticket):
             return await self._runner.run(ticket, claim)
--- a/boragespool/controllers/claims/claim_outcomes.py
+++ b/boragespool/controllers/claims/claim_outcomes.py
@@ -88,7 +88,7 @@
     ticket: Ticket,
     reply: ClaimReply,
 ) -> ClaimRecord | Failure:
-    """Return a record for the issuer's reply; a failure unless it ran."""
+    """Return a record for a reply; a failure unless the claim ran."""
     if reply.run is not RunState.RUN:
         return Failure(ResultCode(reply.code), reply.reason, reply.run)
     return ClaimRecord(
--- a/boragespool/controllers/claims/claim_runs.py
+++ b/boragespool/controllers/claims/claim_runs.py
@@ -110,7 +110,8 @@
         -------
         ClaimRecord or Failure
             Returned after at most `claim.deadline_s` seconds. If the record
-            is not final, the claim is still running.
+            is not final, the claim is still running. A failure if the ticket
+            cannot be used for this claim.
         """
         body_hash = (
             0 if claim.outcome_only else fingerprint_of(claim.route, claim.body)
@@ -142,8 +143,9 @@
         Returns
         -------
         Failure or None
-            The failure for the caller; None if this daemon already has a
-            record of the ticket.
+            The failure for the caller, with run state ``UNKNOWN`` if another
+            daemon issued the ticket; None if this daemon already has a record
+            of the ticket.
         """
         ticket = parse_ticket(text)
         if isinstance(ticket, Failure):
@@ -240,7 +242,10 @@
         self._report_tasks.spawn(self._report_outcome(ticket, final))
 
     async def _record_start(self, ticket: Ticket, record: ClaimRecord) -> bool:
-        """Record the start at the witness; if that fails, seal the ticket."""
+        """Record the start at the witness, if the ticket has one.
+
+        Returns False, and seals the ticket, if the witness did not record it.
+        """
         if ticket.witness:
             reply = await self._witnesses.ask(
                 RecordStart(
@@ -274,7 +279,7 @@
     async def _report_outcome(
         self, ticket: Ticket, record: ClaimRecord
     ) -> None:
-        """Send the outcome to the witness; retry if it is down or slow."""
+        """Send the outcome to the witness, with a limited number of tries."""
         if not ticket.witness:
             return
         message = RecordOutcome(
--- a/boragespool/controllers/claims/claims.py
+++ b/boragespool/controllers/claims/claims.py
@@ -103,7 +103,7 @@
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
-        """Cancel the timers and running claims."""
+        """Cancel the timers, running claims and pending outcome reports."""
         if self._expire_timer is not None:
             self._expire_timer.cancel()
         await self._runner.stop()
--- a/boragespool/controllers/claims/witnesses.py
+++ b/boragespool/controllers/claims/witnesses.py
@@ -68,7 +68,7 @@
         self._table = ClaimRecordTable()
         self._successor_by_witness: dict[_WitnessIdentity, HostName] = {}
         self._hand_over_result: asyncio.Future[HostName | None] | None = None
-        self._timer_subscriptions: list[TimerHandle] = []
+        self._timers: list[TimerHandle] = []
         self._unsubscribe_from_members: Callable[[], None] | None = None
 
     async def __aenter__(self) -> Self:
@@ -82,15 +82,15 @@
             MEMBERS,
             self._record_successors,
         )
-        self._timer_subscriptions.append(
+        self._timers.append(
             self._context.timers.every(_EXPIRE_INTERVAL_S, self._expire),
         )
         return self
 
     async def __aexit__(self, *exc_info: object) -> None:
         """Cancel the timers and the subscription to the members."""
-        for subscription in self._timer_subscriptions:
-            subscription.cancel()
+        for timer in self._timers:
+            timer.cancel()
         if self._unsubscribe_from_members is not None:
             self._unsubscribe_from_members()
 
@@ -116,8 +116,10 @@
         Returns
         -------
         WitnessReply
-            ``FORGOTTEN`` if there is no witness or it refuses the message,
-            ``SILENT`` if it does not answer within `timeout_s` seconds.
+            Reply of the witness. In its place, ``FORGOTTEN`` if the message
+            names no witness or is refused, and ``SILENT`` if the witness
+            cannot be reached, fails to handle it or does not answer within
+            `timeout_s` seconds.
         """
         host = self._current_host(message)
         if not host:
@@ -170,7 +172,7 @@
         self,
         message: WitnessMessage,
     ) -> WitnessReply | Failure:
-        """Forward a message to the successor, as the sender may not know it."""
+        """Forward a message to the successor, which its sender may not know."""
         timeout_s = self._settings().witness_timeout_s
         hand_over_result = self._hand_over_result
         if hand_over_result is None:
@@ -219,7 +221,7 @@
         return True
 
     def _successor_candidates(self) -> tuple[HostName, ...]:
-        """Return alive members, those of the same data centre first."""
+        """Return a few alive members, those of the same data centre first."""
         identity = self._context.identity
         members = [
             member
--- a/boragespool/controllers/queries/attempts.py
+++ b/boragespool/controllers/queries/attempts.py
@@ -70,8 +70,10 @@
     def crash_suspected(self) -> bool:
         """Whether the request is suspected of crashing backend servers.
 
-        A single lost server is common. A request that crashes servers loses
-        most of the servers that it was sent to.
+        True if its fingerprint is posted as a suspect, or if the number of
+        attempts that may have crashed a server exceeds half the number of
+        completed ones. A single lost server is common, while a request that
+        crashes servers loses most of the servers that it was sent to.
         """
         return (
             self._query.suspect or self._crash_count * 2 > self._completed_count
@@ -161,8 +163,8 @@
         """Cancel an open attempt whose result is no longer needed.
 
         A cancelled attempt counts as one that may have run. If it took at
-        least the tracked latency quantile, its time is recorded as a latency
-        sample and the server as slow.
+        least the tracked latency quantile, or if the quantile is unknown, its
+        time is recorded as a latency sample and the attempt as overdue.
         """
         self.may_have_run = True
         self._remove_open_attempt(attempt)
--- a/boragespool/controllers/queries/hedge_timer.py
+++ b/boragespool/controllers/queries/hedge_timer.py
@@ -48,7 +48,7 @@
         self._query = query
         self._sender = sender
         self._hedge = hedge
-        self._subscription: TimerHandle | None = None
+        self._timer: TimerHandle | None = None
 
     def schedule(self, due_in_s: Seconds | None = None) -> None:
         """Schedule the next check for overdue attempts.
@@ -66,28 +66,30 @@
             self._query.time_left_s(),
             suspect=self._sender.crash_suspected,
         )
-        if delay_s is not None and self._subscription is None:
-            self._subscription = self._query.shared.context.timers.after(
+        if delay_s is not None and self._timer is None:
+            self._timer = self._query.shared.context.timers.after(
                 delay_s if due_in_s is None else due_in_s,
                 self._hedge_overdue_parts,
             )
 
     def schedule_soon(self) -> None:
-        """Schedule a check at once if the latency quantile is now known.
+        """Schedule a check after 0.5 ms if the latency quantile is known.
+
+        Does nothing if a check is scheduled already.
 
         The first query of a daemon to many shards collects enough latency
         samples while it runs.
         """
-        if self._subscription is None:
+        if self._timer is None:
             self.schedule(_COALESCING_WINDOW_S)
 
     def stop(self) -> None:
         """Cancel the timer."""
-        if self._subscription is not None:
-            self._subscription.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
 
     def _hedge_overdue_parts(self) -> None:
-        self._subscription = None
+        self._timer = None
         if self._sender.crash_suspected:
             return
         delay_s = self._query.tracker.quantile_s or 0
--- a/boragespool/controllers/queries/pinned_snapshot.py
+++ b/boragespool/controllers/queries/pinned_snapshot.py
@@ -111,8 +111,8 @@
 
         Parameters
         ----------
-        hoped : iterable of (int, int)
-            Ranges that are in flight or still have a replica.
+        obtainable_ranges : iterable of (int, int)
+            Ranges of open attempts, and ranges that are still to be sent.
 
         Returns
         -------
--- a/boragespool/controllers/queries/query.py
+++ b/boragespool/controllers/queries/query.py
@@ -204,10 +204,14 @@
 
         Creates a new one when the settings that latencies depend on change.
         """
-        bounds = (service.slots, service.connections, hedging.quantile)
+        tracker_settings = (
+            service.slots,
+            service.connections,
+            hedging.quantile,
+        )
         tracker = self._tracker_by_service.get(route.service)
-        if tracker is None or tracker.settings != bounds:
-            tracker = self._create_tracker(hedging.quantile, bounds)
+        if tracker is None or tracker.settings != tracker_settings:
+            tracker = self._create_tracker(hedging.quantile, tracker_settings)
             self._tracker_by_service[route.service] = tracker
         return tracker
 
--- a/boragespool/controllers/queries/query_run.py
+++ b/boragespool/controllers/queries/query_run.py
@@ -79,7 +79,7 @@
             Returned at the deadline at the latest.
         """
         plan = self._snapshot.full_plan()
-        deadline = self._query.shared.context.timers.after(
+        deadline_timer = self._query.shared.context.timers.after(
             self._query.time_left_s(),
             self._done.set,
         )
@@ -88,12 +88,12 @@
             self._send_first_attempts(plan[:1] if canary else plan)
             await self._done.wait()
         finally:
-            deadline.cancel()
+            deadline_timer.cancel()
             self._cancel_all()
-        replaced_snapshot = self._replaced_snapshot or self._snapshot
+        first_snapshot = self._replaced_snapshot or self._snapshot
         ending = Ending(
             state_with_more_coverage(
-                replaced_snapshot.state, self._snapshot.state
+                first_snapshot.state, self._snapshot.state
             ),
             self._sender.sent_count,
             self._last_refusal,
--- a/boragespool/controllers/queries/query_waits.py
+++ b/boragespool/controllers/queries/query_waits.py
@@ -1,4 +1,4 @@
-"""Waits of a query that has no open attempts: for holdings and for tokens."""
+"""Waits of one query for changed holdings and for budget tokens."""
 
 from __future__ import annotations
 
