Correct docstrings and messages of the backend server controllers

Some texts claimed more than the code does, and the reasons for invalid replies named a value without saying what was wrong with it. They now state the condition; no test matches the changed messages.

--- a/boragespool/controllers/backend_servers/backend.py
+++ b/boragespool/controllers/backend_servers/backend.py
@@ -281,7 +281,7 @@
         failure: ExchangeFailure,
         incarnation: Incarnation,
     ) -> None:
-        """Close silent connections, and detect the loss of the server."""
+        """Update the pool and the health after a failed exchange."""
         if failure.kind == FailureKind.REFUSED:
             self.health.note_refused_connection()
         elif not failure.sent:
--- a/boragespool/controllers/backend_servers/backend_protocol.py
+++ b/boragespool/controllers/backend_servers/backend_protocol.py
@@ -39,6 +39,7 @@
 )
 
 
+#: Result codes by the reason in a reply with HTTP status 503.
 _CODE_BY_REASON: Final = MappingProxyType(
     {
         'draining': ResultCode.SERVER_DRAINING,
@@ -84,7 +85,7 @@
     cancelled : bool
         Whether the server cancelled the work.
     run : RunState
-        Whether the work had run.
+        Run state of the work at the server.
     """
 
     cancelled: bool = False
@@ -106,7 +107,7 @@
     state : ServerState
         State that the server reports.
     holdings : dict of str to tuple
-        Held key ranges ``[start, end)`` by index version.
+        Held key ranges ``[start, end)`` by index version in decimal digits.
     """
 
     server: str
@@ -197,7 +198,7 @@
     if response.status == _HTTP_OK:
         return _completed_reply(work, body)
     if body.attempt_id not in {'', work.attempt_id}:
-        return _invalid_reply(work, f'attempt {body.attempt_id!r}')
+        return _invalid_reply(work, f'wrong attempt {body.attempt_id!r}')
     code = _refusal_code(response.status, body)
     if code == ResultCode.SERVER_REPLY_INVALID and _is_failed_claim(work, body):
         code = ResultCode.CLAIM_FAILED
@@ -237,15 +238,16 @@
 
 def _completed_reply(work: WorkRequest, body: _ReplyBody) -> WorkReply:
     if body.attempt_id != work.attempt_id:
-        return _invalid_reply(work, f'attempt {body.attempt_id!r}')
+        return _invalid_reply(work, f'wrong attempt {body.attempt_id!r}')
     if work.kind == WorkKind.CLAIM:
         return _claim_reply(work, body)
     searched = (body.version, body.start, body.end)
     if searched != (work.version, work.start, work.end):
-        return _invalid_reply(work, f'version and range {searched!r}')
+        return _invalid_reply(work, f'wrong version or range {searched!r}')
     if body.item_count != len(body.items):
         return _invalid_reply(
-            work, f'{len(body.items)} of {body.item_count} items'
+            work,
+            f'{len(body.items)} items, but {body.item_count} in item_count',
         )
     return WorkReply(
         work.attempt_id,
--- a/boragespool/controllers/backend_servers/dispatch.py
+++ b/boragespool/controllers/backend_servers/dispatch.py
@@ -154,7 +154,7 @@
         Returns
         -------
         bool
-            Whether nothing was in flight within `timeout_s` seconds.
+            Whether all work ended within `timeout_s` seconds.
         """
         self._is_draining = True
         for backend in self._all_backends():
@@ -177,7 +177,7 @@
         """Run one attempt, and call `reply` with its reply.
 
         A request with the identifier of an earlier attempt is not run again;
-        it gets the reply of that attempt.
+        it gets the reply that `RecentReplies.find` returns.
         """
         reply_or_future = self._recent_replies.find(work)
         if reply_or_future is None:
--- a/boragespool/controllers/backend_servers/recent_replies.py
+++ b/boragespool/controllers/backend_servers/recent_replies.py
@@ -26,8 +26,8 @@
 class RecentReplies:
     """Pending attempts and a bounded number of answered ones.
 
-    A repeated request gets the reply of the first one, so that no attempt runs
-    twice.
+    No attempt runs twice: a repeated request gets the reply of the first one,
+    or a refusal if that reply was not kept.
     """
 
     def __init__(self) -> None:
@@ -49,8 +49,8 @@
         -------
         Future, WorkReply or None
             Future of a pending reply, or the reply; None if the attempt is
-            unknown. The reply to an answered query is a refusal, as its items
-            were not kept.
+            unknown. A refusal if the attempt was answered and its reply was
+            not kept.
         """
         kept = self._replies_by_attempt.get(work.attempt_id)
         if isinstance(kept, Failure):
@@ -64,8 +64,8 @@
     ) -> None:
         """Add a pending attempt; its reply is kept when it is known.
 
-        Of queries only the attempt is kept, because the items in their replies
-        would take too much memory.
+        For an answered query only the attempt ID is kept, because the items of
+        its reply would take too much memory.
         """
         self._pending_by_attempt[work.attempt_id] = reply_future
 
--- a/boragespool/controllers/backend_servers/record_exchange.py
+++ b/boragespool/controllers/backend_servers/record_exchange.py
@@ -1,8 +1,8 @@
 """Replicates server records between the daemons.
 
 A daemon sends a changed record to a few members, which forward it. In addition
-each daemon periodically compares a digest of all records with a random member,
-which repairs the changes that it missed. A daemon that starts fetches all
+each daemon periodically compares a digest of its records with a random member
+to find the changes that either of them missed. A daemon that starts fetches all
 records.
 """
 
@@ -146,7 +146,7 @@
         await self._tasks.close()
 
     def announce(self, record: ServerRecord) -> None:
-        """Send a changed record of this daemon to a few members at once."""
+        """Send a changed record to a few members within about 10 ms."""
         self._enqueue(record, is_urgent=True)
 
     def _on_members(
@@ -185,7 +185,7 @@
                 self._enqueue(record, is_urgent=is_urgent)
 
     def _merge(self, records: Iterable[ServerRecord]) -> list[ServerRecord]:
-        """Store the newer ones of some records and return them."""
+        """Store and return the records that are newer than the stored ones."""
         kept = [
             record
             for record in records
--- a/boragespool/controllers/backend_servers/record_repair.py
+++ b/boragespool/controllers/backend_servers/record_repair.py
@@ -51,7 +51,7 @@
     server_count : callable
         Returns the number of configured servers.
     merge : callable
-        Stores the newer ones of some records.
+        Stores those of the given records that are newer than the stored ones.
     """
 
     def __init__(
--- a/boragespool/controllers/backend_servers/server_polls.py
+++ b/boragespool/controllers/backend_servers/server_polls.py
@@ -25,8 +25,8 @@
     from boragespool.timers import TimerService
     from boragespool.types import Address, Seconds, ServerName
 
-#: Number of connection attempts in a row that time out before a server counts
-#: as lost.
+#: Number of connection timeouts without an answered poll in between after which
+#: a server counts as lost.
 _CONNECT_TIMEOUTS_UNTIL_LOST: Final = 3
 #: Number of ticks without a change or failure after which a server is polled at
 #: every second tick only. With ticks of 1 s and a poll timeout of 0.8 s, a
@@ -44,8 +44,9 @@
     on_status : callable
         Called with the server and each status that it returns.
     on_lost : callable
-        Called after each poll of a server that accepts no connections. A
-        server that accepts one but answers too late is not lost.
+        Called after each poll that finds a server lost: it refused the
+        connection, or three connection attempts timed out without an answered
+        poll in between. A slow answer alone does not make a server lost.
     """
 
     on_status: Callable[[ServerName, BackendStatus], None]
--- a/boragespool/controllers/backend_servers/server_records.py
+++ b/boragespool/controllers/backend_servers/server_records.py
@@ -53,7 +53,10 @@
 
 
 def holdings_from_status(status: BackendStatus) -> tuple[Holding, ...]:
-    """Return the held index versions in a status, oldest first."""
+    """Return the held index versions in a status, oldest first.
+
+    Versions that are not decimal numbers are ignored.
+    """
     return tuple(
         sorted(
             (
--- a/boragespool/controllers/backend_servers/servers.py
+++ b/boragespool/controllers/backend_servers/servers.py
@@ -90,7 +90,7 @@
 
 
 class ServerController:
-    """Records of all backend servers, an async context manager.
+    """Maintains the server records of a daemon; an async context manager.
 
     Parameters
     ----------
