Correct the texts of the API for callers

Some docstrings left out cases: outcome requests count as in flight, too deeply nested JSON is malformed, and a ticket is only checked for its form. check without findings; test_callers and test_overload pass.

--- a/boragespool/controllers/callers/caller_admission.py
+++ b/boragespool/controllers/callers/caller_admission.py
@@ -92,8 +92,8 @@
         checked = check_body(request.body, form, settings)
         if isinstance(checked, Failure):
             return failure_response(checked)
-        left_s = max(0, checked.deadline_s - request.waited_s)
-        return replace(checked, deadline_s=left_s)
+        remaining_s = max(0, checked.deadline_s - request.waited_s)
+        return replace(checked, deadline_s=remaining_s)
 
     def _refuse(
         self,
@@ -117,7 +117,7 @@
 
 
 def _decode_head(raw: bytes) -> _Head:
-    """Decode only the fields that decide; an invalid body has none."""
+    """Decode the fields for admission; use defaults for an invalid body."""
     try:
         return _DECODER.decode(raw)
     except (msgspec.MsgspecError, RecursionError, UnicodeDecodeError):
@@ -125,7 +125,11 @@
 
 
 def _admission_rank(head: _Head, settings: Settings) -> Rank:
-    """Return the rank, or the lowest one if the route does not exist."""
+    """Return the rank that decides about admission.
+
+    It is the lowest one if the route does not exist, and that of the route if
+    the caller's is missing, unknown or higher.
+    """
     route = settings.routes.get(head.route)
     if route is None:
         return Rank.DEFERRABLE
@@ -139,7 +143,7 @@
     request: HttpRequest,
     settings: Settings,
 ) -> Failure | None:
-    """Refuse a request whose deadline passed while it waited."""
+    """Return a failure if the deadline passed while the request waited."""
     route = settings.routes.get(head.route)
     if route is None:
         return None
--- a/boragespool/controllers/callers/caller_input.py
+++ b/boragespool/controllers/callers/caller_input.py
@@ -26,7 +26,8 @@
     from boragespool.settings import RouteSettings, Settings
 
 CLAIM_PREFIX: Final = '/v1/claim/'
-#: Maximum length of names that callers send, in characters.
+#: Maximum length in characters of caller names and request IDs, and of values
+#: that are quoted in an error message.
 MAX_NAME_LENGTH: Final = 128
 #: Maximum length of a path that is quoted in an error message, in characters.
 _MAX_SHOWN_LENGTH: Final = 64
@@ -81,7 +82,8 @@
     rank : Rank
         Rank of the request, never above the rank of its route.
     lowered : Rank or None
-        `rank` if the caller asked for a lower one than that of the route.
+        `rank` if the caller asked for a lower one than that of the route,
+        else None.
     deadline_s : float
         Time left for the answer, in seconds.
     """
@@ -133,7 +135,10 @@
 
 
 def check_method(path: str, request: HttpRequest) -> Failure | None:
-    """Return a failure unless the API has this path with this method."""
+    """Return a failure unless the API has this path with the request's method.
+
+    All paths of outcomes are passed as `CLAIM_PREFIX`.
+    """
     method = _METHODS_BY_PATH.get(path)
     if method is None:
         shown = path[:_MAX_SHOWN_LENGTH]
@@ -152,7 +157,10 @@
 
 
 def check_ticket(ticket: str) -> Failure | None:
-    """Return a failure if no daemon can have issued the ticket."""
+    """Return a failure unless the ticket has a form that a daemon can issue.
+
+    It has 1 to `MAX_TICKET_LENGTH` printable ASCII characters, and no spaces.
+    """
     is_plain = ticket.isascii() and ticket.isprintable() and ' ' not in ticket
     if ticket and is_plain and len(ticket) <= MAX_TICKET_LENGTH:
         return None
--- a/boragespool/controllers/callers/caller_status.py
+++ b/boragespool/controllers/callers/caller_status.py
@@ -62,7 +62,7 @@
     context : Context
         Identity and blackboard.
     in_flight : int
-        Number of requests of callers in flight.
+        Number of queries, claims and outcome requests in flight.
     queues : object
         Report of the dispatch controller, encodable as JSON.
     """
--- a/boragespool/controllers/callers/callers.py
+++ b/boragespool/controllers/callers/callers.py
@@ -80,7 +80,7 @@
 
     @property
     def in_flight(self) -> int:
-        """Number of queries and claims that are not answered yet."""
+        """Number of queries, claims and outcome requests in flight."""
         return self._in_flight
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
--- a/boragespool/controllers/callers/strict_json.py
+++ b/boragespool/controllers/callers/strict_json.py
@@ -26,7 +26,8 @@
     -------
     dict or Failure
         ``DUPLICATE_KEY`` if an object at any depth has a key twice,
-        ``MALFORMED_BODY`` if the text is not an object in JSON (RFC 8259).
+        ``MALFORMED_BODY`` if the text is not a JSON object (RFC 8259) or is
+        nested too deeply.
 
     Notes
     -----
