Correct the texts of the configuration controllers

Texts overstated or left out cases: failures of apply_change, the delay of the first read, and when parts are asked from peers. A step counter was named as a failure counter. check without findings; test_configuration, test_configuration_parts, test_apply_races and test_revision_parts pass.

--- a/boragespool/controllers/configuration/applying.py
+++ b/boragespool/controllers/configuration/applying.py
@@ -107,8 +107,8 @@
     Returns
     -------
     AppliedChange or RevisionConflict or Failure
-        With ``STORE_UNAVAILABLE`` the change is not in force and never will
-        be. With ``APPLY_UNCONFIRMED`` it is unknown whether it is.
+        With ``APPLY_UNCONFIRMED`` it is unknown whether the change is in
+        force. With any other failure it is not and never will be.
     """
     indexed_texts = (
         build_indexes(split_settings(settings)) if settings else ({}, {})
@@ -160,7 +160,7 @@
 
 
 class _Writer:
-    """Write of one revision by compare-and-swap, with its known outcome."""
+    """Writes one revision by compare-and-swap, and tracks the outcome."""
 
     def __init__(
         self,
@@ -218,14 +218,14 @@
 
     async def _run_steps(self) -> WriteStep:
         step = WriteStep.WRITE
-        failure_count = 0
+        step_count = 0
         while (
             step in {WriteStep.WRITE, WriteStep.READ_BACK}
             and not self._store_refusal
         ):
-            if failure_count:
-                await sleep_with_backoff(failure_count)
-            failure_count += 1
+            if step_count:
+                await sleep_with_backoff(step_count)
+            step_count += 1
             if step is WriteStep.WRITE:
                 step = next_step_after_write(await self._write_manifest())
             else:
--- a/boragespool/controllers/configuration/configuration.py
+++ b/boragespool/controllers/configuration/configuration.py
@@ -47,8 +47,8 @@
 class ConfigurationController:
     """Runs the tasks that follow the configuration and the host list.
 
-    It is an async context manager. It posts `DOCUMENT_IN_FORCE` and `LEAVING_HOSTS` on
-    the blackboard.
+    An async context manager, which posts `DOCUMENT_IN_FORCE` and
+    `LEAVING_HOSTS` on the blackboard.
 
     Parameters
     ----------
@@ -105,7 +105,7 @@
 
     @property
     def is_watcher(self) -> bool:
-        """Whether this daemon is one of those that watch the store."""
+        """Whether this daemon currently watches the store."""
         return self._watch_enabled.is_set()
 
     def _start_task(
@@ -212,12 +212,12 @@
                 failure_count = 0
                 version = answer.version
             else:
-                # Parts could not be read: watch for the same version again.
+                # Not all parts were read: get the same version again.
                 failure_count += 1
                 await self._back_off(failure_count)
 
     async def _apply_stored_value(self, encoded: bytes) -> bool:
-        """Apply a value of the store; return whether it is complete.
+        """Apply a value of the store; return False if it has to be retried.
 
         During the first read window the daemons do not know each other yet,
         and each of them may consider itself a watcher. Therefore none of them
--- a/boragespool/controllers/configuration/configuration_options.py
+++ b/boragespool/controllers/configuration/configuration_options.py
@@ -34,11 +34,14 @@
     first_read_window_s : float
         While no peer has a revision, the first read of the store waits for a
         random part of this time, in seconds, so that daemons that start at
-        the same moment do not read the store at the same time.
+        the same moment do not read the store at the same time. If many parts
+        are missing, they are read only after the whole time. 0 disables the
+        delay.
     max_store_part_count : int
         Maximum number of missing parts that a watcher reads from the store
-        without asking peers first. A usual change has fewer parts, and peers
-        do not have them yet.
+        without asking peers first. A usual change has no more parts than
+        this, and peers do not have them yet. While no revision is in force,
+        peers are asked first for any number of parts.
     host_list : HostListOptions
         Intervals, timeouts and limits of the host list.
     """
--- a/boragespool/controllers/configuration/configuration_store.py
+++ b/boragespool/controllers/configuration/configuration_store.py
@@ -13,7 +13,7 @@
 
 
 class VersionedAnswer(Protocol):
-    """Answer to a watch that timed out without a newer version."""
+    """Answer with a version; without a value if a watch found no newer one."""
 
     @property
     def version(self) -> int:
@@ -57,7 +57,7 @@
     """Client that reads values from the store."""
 
     async def get(self, key: str) -> StoredAnswer | object:
-        """Return the value of a key, or another object if there is none."""
+        """Return the value of a key; an object of another type if none."""
         ...
 
 
--- a/boragespool/controllers/configuration/host_list.py
+++ b/boragespool/controllers/configuration/host_list.py
@@ -88,8 +88,8 @@
         self._source = source
         self._options = options
         self._newest = EMPTY_HOST_LIST
-        # Leaving hosts in the previous answer of the platform. None if the
-        # previous read failed, or this daemon was no watcher at that time.
+        # Leaving hosts in the platform's previous answer. None before the
+        # first read, after a failed one, and after this daemon was no watcher.
         self._last_leaving_hosts: frozenset[HostName] | None = None
         self._failure_count = 0
 
@@ -101,7 +101,7 @@
     async def poll_while(self, watch_enabled: asyncio.Event) -> None:
         """Read the platform's list at intervals while this daemon watches.
 
-        This does not return.
+        Never returns: waits while the event is not set.
 
         Parameters
         ----------
@@ -116,7 +116,7 @@
             await pause(self._context.timers, self._read_delay_s())
 
     async def read(self) -> None:
-        """Read the platform's list once and publish a new list if needed."""
+        """Read the platform's list once; publish a new list if it changed."""
         known = self._newest
         entries = await self._source.hosts()
         if isinstance(entries, Failure):
--- a/boragespool/controllers/configuration/local_revision.py
+++ b/boragespool/controllers/configuration/local_revision.py
@@ -67,15 +67,18 @@
         return self.document.revision if self.document else 0
 
     def set_target(self, manifest: Manifest) -> None:
-        """Set the manifest to complete; its parts are not dropped."""
+        """Make a manifest the target if it is newer than the current target.
+
+        Parts that the target refers to are not dropped.
+        """
         if (
             self._target_manifest is None
             or manifest.revision > self._target_manifest.revision
         ):
             self._target_manifest = manifest
             wanted = referenced_hashes(manifest, self._texts)
-            # Texts of manifests that are never completed would accumulate
-            # if each of these manifests has parts that cannot be fetched.
+            # Without this, the texts of successive manifests that cannot be
+            # completed would accumulate.
             if len(self._texts) > 2 * len(wanted) + _MAX_SURPLUS_COUNT:
                 self._prune()
 
@@ -131,8 +134,8 @@
         Returns
         -------
         RevisionDocument or Failure or None
-            New document, a failure if its parts are invalid, or None if the
-            revision is not higher than the current one.
+            New document, a failure if its parts are invalid, or None if its
+            revision is not higher than the one in force.
         """
         if value.revision <= self.revision:
             return None
@@ -150,8 +153,8 @@
     def answer(self, request: RevisionRequest) -> RevisionReply:
         """Return the reply to a peer, in a form that its release supports.
 
-        Without a revision above the one that the peer has, it names only the
-        number of the revision.
+        The reply contains only the number of the revision if that is not
+        higher than the peer's.
         """
         if self.document is None or self.revision <= request.have:
             return RevisionReply(self.revision)
@@ -165,7 +168,7 @@
         return RevisionReply(self.revision, self._encoded_document)
 
     def answer_parts(self, request: PartsRequest) -> PartsReply:
-        """Return the requested parts, as many as fit in one reply."""
+        """Return the requested parts held here, as many as fit in one reply."""
         texts: list[bytes] = []
         size_bytes = 0
         for part in request.parts:
--- a/boragespool/controllers/configuration/revision_updating.py
+++ b/boragespool/controllers/configuration/revision_updating.py
@@ -1,6 +1,7 @@
 """Puts revisions from the store and from peers in force at this daemon.
 
-Posts `DOCUMENT_IN_FORCE` and answers requests of peers for revisions and their parts.
+Posts `DOCUMENT_IN_FORCE` and answers requests of peers for revisions and
+their parts.
 """
 
 from __future__ import annotations
@@ -44,8 +45,8 @@
     from boragespool.revisions import RevisionDocument
     from boragespool.types import HostName, Revision
 
-#: Number of peers that are asked for parts, besides the one from which the
-#: revision came.
+#: Maximum number of peers that are asked for parts, besides the one from which
+#: the revision came.
 _ADDITIONAL_PEER_COUNT: Final = 2
 
 
@@ -135,9 +136,10 @@
         return await self._apply_encoded(encoded, 'the store', sources)
 
     def needs_many_parts(self, encoded: bytes) -> bool:
-        """Whether a value lacks more parts here than a usual change has.
+        """Whether more than `max_store_part_count` parts are missing here.
 
-        This holds for each manifest while no revision is in force.
+        Always true for a manifest while no revision is in force, and false
+        for a whole document or an invalid value.
         """
         value = decode_revision(encoded)
         if not isinstance(value, Manifest):
--- a/boragespool/controllers/configuration/store_access.py
+++ b/boragespool/controllers/configuration/store_access.py
@@ -64,9 +64,10 @@
     document : RevisionDocument or None
         None before the first revision.
     version : int
-        Version of the key, for compare-and-swap.
+        Version of the key, for compare-and-swap; 0 before the first revision
+        and for a replaced revision.
     text : str
-        Value as stored.
+        Value as stored; empty before the first revision.
     parts : frozenset of str
         Hashes of the parts that the revision refers to; empty for a whole
         document.
@@ -97,8 +98,8 @@
     Returns
     -------
     StoredBase or Failure
-        ``STORE_UNAVAILABLE``, or ``INVALID_SETTING`` for a value that this
-        release cannot read.
+        ``STORE_UNAVAILABLE``, ``INVALID_SETTING`` for a value that this
+        release cannot read, or ``REVISION_UNKNOWN`` if parts are missing.
     """
     answer = await store.get(CURRENT_KEY)
     if isinstance(answer, Failure):
@@ -168,7 +169,7 @@
     store: Store,
     revision: Revision,
 ) -> RevisionDocument | Failure:
-    """Return a replaced revision."""
+    """Return a replaced revision, or a failure if it is not kept."""
     answer = await store.get(revision_key(revision))
     if isinstance(answer, Failure):
         return answer
