--- a/boragespool/controllers/membership/member_state.py
+++ b/boragespool/controllers/membership/member_state.py
@@ -67,7 +67,7 @@
         )
 
     def apply(self, table: membership.MemberTable) -> None:
-        """Replace the table; post it if more than loads changed.
+        """Replace the table; post it unless only loads changed.
 
         Subscribers recompute the assignment of backend servers at each post,
         which is too expensive for every change of a load.
@@ -107,7 +107,7 @@
             )
 
     def compose_records(self, host: HostName) -> tuple[MemberRecord, ...]:
-        """Return the records to send to a host in one message."""
+        """Return the records to send to a host; update the send counts."""
         records_and_table = membership.compose_message(
             self.table, host, self.options
         )
@@ -146,7 +146,7 @@
             self._context.peers.send(host, Gossip((record,)))
 
     def send_member_table(self, host: HostName) -> None:
-        """Send all records to a daemon that has just started."""
+        """Send the records of all other members to a newly started daemon."""
         members = tuple(self.table.members_by_host.values())
         count = self.options.join_record_count
         for start in range(0, len(members), count):
@@ -162,7 +162,7 @@
         )
 
     def _apply_changes_to_peers(self, before: membership.MemberTable) -> bool:
-        """Update the peer of each changed member, and log its status.
+        """Update the peer of each changed member, and log changes of status.
 
         Return whether a change has to be posted.
         """
@@ -179,7 +179,7 @@
         previous: MemberRecord | None,
         member: MemberRecord,
     ) -> None:
-        """Update the address and link of a changed member, and log it."""
+        """Update the address and link of a member, and log a new status."""
         self._context.peers.set_address(member.host, member.peer_address)
         if member.status == MemberStatus.DEAD:
             self._context.peers.close_link(member.host)
--- a/boragespool/controllers/membership/pinging.py
+++ b/boragespool/controllers/membership/pinging.py
@@ -18,7 +18,7 @@
     from boragespool.types import Address, HostName, Seconds
 
 #: Number of answered pings after the start that ask for the whole member
-#: table.
+#: table, and of seeds that are pinged at once to join.
 _JOIN_PING_COUNT: Final = 3
 
 
@@ -66,7 +66,7 @@
             self._tasks.spawn(self._probe(target))
 
     def join(self) -> None:
-        """Ask a member of the own data centre, else seeds, for its table.
+        """Ask a member of the own data centre, or seeds, for the member table.
 
         Do nothing after `_JOIN_PING_COUNT` of these pings were answered.
         """
@@ -139,7 +139,7 @@
             self._join_pings_left -= 1
 
     async def _probe(self, target: MemberRecord) -> None:
-        """Ping a member directly, then through helpers; suspect it if both fail.
+        """Ping a member directly, then by helpers; suspect it if both fail.
 
         A suspected member is sent its record, so that it can refute.
         """
