State error cases in the texts of three controllers

Docstrings of refused tickets, restarted tasks, parts to fetch and refuted records left out cases. They now name them. check without findings; test_callers, test_overload, test_configuration, test_configuration_parts, test_apply_races, test_membership, test_membership_controller and test_revision_parts pass.

--- a/boragespool/controllers/callers/caller_admission.py
+++ b/boragespool/controllers/callers/caller_admission.py
@@ -57,8 +57,9 @@
         Blackboard from which the settings in force are read.
     controllers : CallerControllers
         The overload controller decides by rank. The claim controller seals
-        the tickets of refused claims, so that these claims can never run
-        after the caller was told that they did not (``NOT_RUN``).
+        the ticket of a refused claim if this daemon issued it, so that the
+        claim cannot run after the caller was told that it did not
+        (``NOT_RUN``).
     """
 
     def __init__(
--- a/boragespool/controllers/callers/caller_controllers.py
+++ b/boragespool/controllers/callers/caller_controllers.py
@@ -40,8 +40,10 @@
     def refuse(self, ticket: str, refusal: Failure) -> Failure | None:
         """Seal the ticket of a claim that is refused before it is checked.
 
-        Return the refusal, or None if this daemon has already started the
-        claim, so that the request has to be answered with its outcome.
+        Return the refusal, or None if this daemon already has a record of
+        the ticket, so that the request has to be answered with its outcome.
+        The ticket of another daemon is not sealed; the refusal then has the
+        run state ``UNKNOWN``.
         """
         ...
 
--- a/boragespool/controllers/configuration/configuration.py
+++ b/boragespool/controllers/configuration/configuration.py
@@ -122,7 +122,10 @@
     async def _run_forever(
         self, coroutine_function: Callable[[], Awaitable[None]]
     ) -> None:
-        """Restart a task that raised, for example in a board subscriber."""
+        """Run a task and restart it after an error.
+
+        An error can come from a subscriber of the blackboard, for example.
+        """
         while True:
             try:
                 await coroutine_function()
--- a/boragespool/controllers/configuration/local_revision.py
+++ b/boragespool/controllers/configuration/local_revision.py
@@ -85,7 +85,11 @@
     def parts_to_fetch(
         self, manifest: Manifest
     ) -> tuple[PartHash, ...] | Failure:
-        """Return the hashes to fetch next; empty if none is missing."""
+        """Return the hashes to fetch next; a failure if an index is invalid.
+
+        Parts are known only when all indexes are present. The result is empty
+        if nothing is missing.
+        """
         return hashes_to_fetch(manifest, self._texts)
 
     def add(
--- a/boragespool/controllers/configuration/store_access.py
+++ b/boragespool/controllers/configuration/store_access.py
@@ -69,8 +69,8 @@
     text : str
         Value as stored; empty before the first revision.
     parts : frozenset of str
-        Hashes of the parts that the revision refers to; empty for a whole
-        document.
+        Hashes of the parts that the revision refers to, with its indexes and
+        history; empty for a whole document.
     history : History
         Audit trail, and the parts and revisions that are to be removed.
     """
--- a/boragespool/controllers/membership/member_state.py
+++ b/boragespool/controllers/membership/member_state.py
@@ -87,7 +87,8 @@
     ) -> None:
         """Merge the records of a received message into the table.
 
-        The health score gets worse if this daemon had to refute a suspicion.
+        The health score rises if this daemon had to refute a record that
+        marks it as suspect or dead.
         """
         beat = self.own.beat
         self.apply(
