--- a/boragespool/http/read_limiter.py
+++ b/boragespool/http/read_limiter.py
@@ -40,7 +40,7 @@
         self._deferred: deque[asyncio.Future[None]] = deque()
         self._deferred_tokens: float = _DEFERRED_BURST_COUNT
         self._tokens_updated_s: float = 0
-        self._scheduled_run: asyncio.Handle | None = None
+        self._scheduled_release: asyncio.Handle | None = None
 
     async def acquire(self, *, deferred: bool) -> None:
         """Wait until the connection may read its next request.
@@ -54,33 +54,38 @@
         """
         if not deferred and self._reads_left and not self._waiting:
             self._reads_left -= 1
-            self._schedule_run(0)
+            self._schedule_release(0)
             return
-        entry = asyncio.get_running_loop().create_future()
-        (self._deferred if deferred else self._waiting).append(entry)
-        self._schedule_run(0)
-        await entry
+        waiter = asyncio.get_running_loop().create_future()
+        (self._deferred if deferred else self._waiting).append(waiter)
+        self._schedule_release(0)
+        await waiter
 
     def close(self) -> None:
-        """Cancel the scheduled callback once all connections are cancelled."""
-        if self._scheduled_run is not None:
-            self._scheduled_run.cancel()
+        """Cancel the scheduled callback.
 
-    def _schedule_run(self, delay_s: float) -> None:
-        if self._scheduled_run is not None:
+        Connections that still wait would never be served.
+        """
+        if self._scheduled_release is not None:
+            self._scheduled_release.cancel()
+
+    def _schedule_release(self, delay_s: float) -> None:
+        if self._scheduled_release is not None:
             return
         loop = asyncio.get_running_loop()
         if delay_s:
-            self._scheduled_run = loop.call_later(delay_s, self._release_next)
+            self._scheduled_release = loop.call_later(
+                delay_s, self._release_next
+            )
         else:
-            self._scheduled_run = loop.call_soon(self._release_next)
+            self._scheduled_release = loop.call_soon(self._release_next)
 
     def _release_next(self) -> None:
-        self._scheduled_run = None
-        passed = _release(
+        self._scheduled_release = None
+        released_count = _release(
             self._waiting.popleft, len(self._waiting), _READS_PER_ITERATION
         )
-        self._reads_left = _READS_PER_ITERATION - passed
+        self._reads_left = _READS_PER_ITERATION - released_count
         now_s = asyncio.get_running_loop().time()
         new_tokens = (now_s - self._tokens_updated_s) * DEFERRED_REQUESTS_PER_S
         tokens = min(_DEFERRED_BURST_COUNT, self._deferred_tokens + new_tokens)
@@ -92,24 +97,24 @@
         self._deferred_tokens = tokens
         self._tokens_updated_s = now_s
         if self._waiting or self._reads_left < _READS_PER_ITERATION:
-            self._schedule_run(0)
+            self._schedule_release(0)
         elif self._deferred:
-            self._schedule_run(1 / DEFERRED_REQUESTS_PER_S)
+            self._schedule_release(1 / DEFERRED_REQUESTS_PER_S)
 
 
 def _release(
-    take: Callable[[], asyncio.Future[None]],
-    waiting: int,
-    count: int,
+    pop_waiter: Callable[[], asyncio.Future[None]],
+    waiting_count: int,
+    limit: int,
 ) -> int:
-    """Release up to `count` waiters and return how many were released."""
-    released = 0
-    for _ in range(waiting):
-        if released == count:
+    """Release up to `limit` waiters and return how many were released."""
+    released_count = 0
+    for _ in range(waiting_count):
+        if released_count == limit:
             break
-        entry = take()
+        waiter = pop_waiter()
         # The future of a cancelled connection is done already and not counted.
-        if not entry.done():
-            entry.set_result(None)
-            released += 1
-    return released
+        if not waiter.done():
+            waiter.set_result(None)
+            released_count += 1
+    return released_count
