Correct docstrings of transport, client and store

Some statements did not match the code: return values, which messages a full backlog drops, which responses are accepted, what a reply confirms.

--- a/boragespool/blackboard/board.py
+++ b/boragespool/blackboard/board.py
@@ -57,7 +57,7 @@
         topic: Topic[_ValueT],
         callback: Callable[[_ValueT], None],
     ) -> Callable[[], None]:
-        """Call a function with each value that is posted from now on.
+        """Call a function with each changed value from now on.
 
         Returns
         -------
--- a/boragespool/client/addresses.py
+++ b/boragespool/client/addresses.py
@@ -165,7 +165,7 @@
         -------
         bool
             Whether the cache already held what is needed, or tickets were
-            fetched; False if the deadline passed.
+            fetched; False if no daemon sent tickets or the deadline passed.
         """
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(deadline_s), self._fetch_lock:
@@ -187,7 +187,7 @@
         return None
 
     async def _fetch(self, deadline_s: Seconds) -> bool:
-        """Request addresses and tickets from one daemon after another.
+        """Request addresses from daemons in turn until one sends tickets.
 
         Returns
         -------
--- a/boragespool/client/answers.py
+++ b/boragespool/client/answers.py
@@ -100,7 +100,7 @@
     ticket : str
         Last ticket with which the claim was sent. If `run` is ``UNKNOWN``,
         pass it to `Client.outcome` and never send the claim again. Empty if
-        no ticket was received.
+        no ticket was available for the last attempt.
     """
 
     ticket: str = ''
--- a/boragespool/client/channel.py
+++ b/boragespool/client/channel.py
@@ -1,6 +1,7 @@
 """HTTP requests of a client to daemons.
 
-A response is accepted only if it carries the id of its request.
+The response to a query or a claim is accepted only if it carries the id of the
+request. A refusal may carry none.
 """
 
 from __future__ import annotations
@@ -138,7 +139,8 @@
         Returns
         -------
         Reply or ExchangeFailure
-            The response to another request is a ``MALFORMED`` failure.
+            A response that is not valid or carries the id of another request
+            is a ``MALFORMED`` failure.
         """
         self._request_count += 1
         request_id = f'{self._client_id}.{self._request_count}'
--- a/boragespool/client/claims.py
+++ b/boragespool/client/claims.py
@@ -1,7 +1,7 @@
 """Submission of a claim with one ticket, including resends.
 
-A ticket is executed at most once, so the claim may be resent with the same
-ticket to any daemon until its outcome is known.
+A claim runs at most once per ticket, so it may be resent with the same ticket
+to any daemon until its outcome is known.
 """
 
 from __future__ import annotations
@@ -178,7 +178,7 @@
         return address
 
     async def _back_off(self) -> None:
-        """Wait twice as long as the previous time."""
+        """Wait twice as long as before, but not beyond the deadline."""
         left_s = time_left_s(self._deadline_s)
         await asyncio.sleep(max(0, min(self._backoff_s, left_s)))
         self._backoff_s *= 2
--- a/boragespool/client/client.py
+++ b/boragespool/client/client.py
@@ -255,7 +255,10 @@
         result: ClaimResult | ClaimFailure,
         deadline_at_s: Seconds,
     ) -> bool:
-        """Wait before the next ticket; return False if no time is left."""
+        """Wait before the next ticket.
+
+        Return False at once if the wait would last until the deadline.
+        """
         # Exponential backoff with a random factor from 0.5 to 1.
         backoff_s = (
             _INITIAL_BACKOFF_S * 2**attempt_number * (1 + self._draw()) / 2
--- a/boragespool/http/client.py
+++ b/boragespool/http/client.py
@@ -104,7 +104,7 @@
         self._parse()
 
     def eof_received(self) -> None:
-        """Complete a response whose body ends with the connection."""
+        """Complete a response that ends with the connection, or fail it."""
         self._usable = False
         self._peer_closed = True
         if (
@@ -295,6 +295,7 @@
                 'only the response to an earlier request arrived',
             )
         self._protocol = h11.Connection(h11.CLIENT)
+        # Puts the new parser into the state after the request; sends nothing.
         self._encode(self._request, self._request_body)
         self._body_parts = []
         if not received:
--- a/boragespool/http/exchange.py
+++ b/boragespool/http/exchange.py
@@ -110,6 +110,7 @@
     async def lingering_close(self, limits: HttpLimits) -> None:
         """Close the write side and discard input until the peer closes.
 
+        It stops after `_LINGERING_CLOSE_S` or more bytes than a body may have.
         Closing a socket with unread bytes resets the connection, which can
         discard a failure response before the peer has read it.
         """
--- a/boragespool/http/pool.py
+++ b/boragespool/http/pool.py
@@ -118,7 +118,10 @@
         return response
 
     def _take_idle(self, address: Address) -> HttpConnection | None:
-        """Return the idle connection used last; close unusable ones."""
+        """Return the idle connection used last, or None.
+
+        Connections that are closed or idle for too long are dropped.
+        """
         idle = self._idle_by_address.get(address, [])
         oldest_s = asyncio.get_running_loop().time() - _MAX_IDLE_S
         while idle:
--- a/boragespool/peers/backlog.py
+++ b/boragespool/peers/backlog.py
@@ -26,9 +26,8 @@
     Parameters
     ----------
     limit : int
-        Number of queued messages from which on requests are rejected. Replies
-        are always queued, because the outcome of a request whose reply is
-        dropped would stay unknown.
+        Maximum length of the queue. Replies are queued even above it, because
+        the outcome of a request whose reply is dropped would stay unknown.
     handle : callable
         Called with the sender and the envelope of each message.
     """
@@ -45,7 +44,10 @@
         self._scheduled_batch: asyncio.Handle | None = None
 
     def add(self, sender: Sender, envelope: Envelope) -> bool:
-        """Queue a message; return False for a request if the queue is full."""
+        """Queue a message; return False if the queue is full.
+
+        Replies are always queued.
+        """
         if len(self._queue) >= self._limit and not envelope.reply:
             return False
         self._queue.append((sender, envelope))
--- a/boragespool/peers/link.py
+++ b/boragespool/peers/link.py
@@ -139,8 +139,7 @@
     def record_reply(self, exchange: int) -> None:
         """Record a reply; no probe is needed if its request was queued last.
 
-        Such a reply confirms that the request and all earlier messages were
-        delivered.
+        Such a reply shows that the link was alive after that request.
         """
         if exchange == self._last_exchange:
             self._has_unconfirmed_messages = False
@@ -224,7 +223,7 @@
 
         A non-blocking send needs no callback from a pynng thread, which costs
         more than the send itself. Only a frame that would block is sent
-        asynchronously.
+        asynchronously. After any other error the frame is lost.
         """
         self._flush_scheduled = False
         self._flushed_at_s = self._timers.now_s()
@@ -241,7 +240,7 @@
             self._count_frame(encoded)
 
     async def _send_blocked(self, encoded: bytes) -> None:
-        """Send a frame; it is lost if the send times out."""
+        """Send a frame; it is lost if the send fails or times out."""
         with contextlib.suppress(pynng.NNGException):
             await self._socket.asend(encoded)
             self._count_frame(encoded)
--- a/boragespool/peers/network.py
+++ b/boragespool/peers/network.py
@@ -311,7 +311,10 @@
             )
 
     def _refuse(self, sender: Sender, envelope: Envelope) -> None:
-        """Refuse a request because the backlog is full."""
+        """Refuse a request because the backlog is full.
+
+        A one-way message is dropped without a reply.
+        """
         if not envelope.exchange:
             return
         limit = self.options.queue_count
--- a/boragespool/peers/options.py
+++ b/boragespool/peers/options.py
@@ -28,9 +28,10 @@
     queue_count : int
         Limit of each queue: of the control messages and of the bulk messages
         to one peer, and of the received bulk messages. Messages above it are
-        dropped or refused.
+        dropped or refused, except for received replies.
     probe_interval_s : float
-        Time after a message until the link is probed, in seconds.
+        Time after a message until the link is probed if no reply confirmed
+        it, in seconds.
     silence_timeout_s : float
         Time without an answer to a probe after which a link reconnects, in
         seconds. A blocked send times out after the same time.
--- a/boragespool/results.py
+++ b/boragespool/results.py
@@ -13,9 +13,9 @@
 class ResultCode(enum.IntEnum):
     """Outcome of an operation; ``docs/result-codes.md`` explains each code.
 
-    Codes 1000 to 1999 are answers to callers, 2000 to 2999 concern settings
-    and revisions, and 3000 to 3999 concern requests to other daemons and to
-    backend servers.
+    Codes 1000 to 1999 are answers to callers, 2000 to 2999 concern settings,
+    revisions and the store, and 3000 to 3999 concern requests to other daemons
+    and to backend servers.
     """
 
     COMPLETE = 1000
--- a/boragespool/store/client.py
+++ b/boragespool/store/client.py
@@ -210,9 +210,9 @@
         Parameters
         ----------
         name : str
-            Lease.
+            Name of the lease.
         holder : str
-            Who acquires it.
+            Name of the holder that acquires it.
         ttl_s : float
             Time until the lease expires, in seconds; 0 releases it.
 
--- a/boragespool/timers/service.py
+++ b/boragespool/timers/service.py
@@ -21,7 +21,7 @@
     Attributes
     ----------
     active : bool
-        Whether it was not cancelled.
+        False once the timer was cancelled.
     """
 
     callback: Callable[[], None]
@@ -68,8 +68,8 @@
 ) -> TimerHandle:
     """Schedule a callback repeatedly with a chain of one-shot timers.
 
-    The next call is due one interval after the last one began, so that a late
-    call delays the following ones and none is made up for.
+    The next call is due one interval after the last one began: a late call
+    delays the following ones, and missed calls are not made up for.
     """
 
     def reschedule_and_call() -> None:
