--- a/boragespool/blackboard/topics.py
+++ b/boragespool/blackboard/topics.py
@@ -34,7 +34,8 @@
         Time of the latest reply ``draining``, on the clock of the timer
         service; negative infinity if there was none.
     refused_at_s : float
-        Time of the latest refused connection, on the same clock.
+        Time of the latest refused connection, on the same clock; negative
+        infinity if there was none.
     """
 
     limit: int
--- a/boragespool/http/pool.py
+++ b/boragespool/http/pool.py
@@ -125,8 +125,8 @@
         idle = self._idle_by_address.get(address, [])
         oldest_s = asyncio.get_running_loop().time() - _MAX_IDLE_S
         while idle:
-            used_s, connection = idle.pop()
-            if used_s >= oldest_s and connection.usable:
+            last_used_at_s, connection = idle.pop()
+            if last_used_at_s >= oldest_s and connection.usable:
                 return connection
             connection.close()
         return None
--- a/boragespool/item_store.py
+++ b/boragespool/item_store.py
@@ -48,14 +48,14 @@
     Attributes
     ----------
     items : tuple of Item
-        Items in the order of their keys.
+        Items, in the order of their keys if the page is truncated.
     revision : int
         Revision of the store when the page was read.
     truncated : bool
         Whether more keys follow the last one.
     returned_ago_s : float or None
-        If another daemon read the store: time since the store was reachable
-        again after an outage, in seconds. None if there was no outage.
+        If another daemon read the store: time since the latest outage of the
+        store ended, in seconds. None if there was no outage.
     age_s : float
         Time since the page was read from the store, in seconds.
     """
--- a/boragespool/log_output.py
+++ b/boragespool/log_output.py
@@ -86,8 +86,8 @@
             except BlockingIOError:
                 break
             except OSError:
-                # The reader has closed its end. Returning False makes the
-                # caller count its line as omitted.
+                # The reader has closed its end; the buffered lines are lost.
+                # Returning False makes `write` count its new line as omitted.
                 self._buffer.clear()
                 return False
             del self._buffer[:written]
--- a/boragespool/peers/listener.py
+++ b/boragespool/peers/listener.py
@@ -22,10 +22,10 @@
 
 #: Bounds the time for which other callbacks of the event loop wait.
 _FRAMES_PER_ITERATION: Final = 16
-#: A Pull0 socket holds one received frame for each peer, and a pynng thread
-#: fetches the next one. In long iterations of the event loop, reading a single
-#: frame in each would delay control messages behind all earlier frames, so
-#: from this duration on the listener waits for the next frame.
+#: Duration of an event loop iteration above which the listener waits for the
+#: next frame. A Pull0 socket holds one received frame for each peer, and a
+#: pynng thread fetches the next one. If only that frame were read in each long
+#: iteration, control messages would be delayed by all earlier frames.
 _LONG_ITERATION_S: Final = 0.002
 _NEXT_FRAME_WAIT_S: Final = 0.0002
 
--- a/boragespool/peers/network.py
+++ b/boragespool/peers/network.py
@@ -197,7 +197,7 @@
         Returns
         -------
         callable
-            Stops waiting for the reply. There is no timeout: a caller must
+            Stops waiting for the reply. There is no timeout: the caller must
             call it if no reply arrives.
         """
         exchange = self._pending_requests.add(on_result)
--- a/boragespool/peers/pending_requests.py
+++ b/boragespool/peers/pending_requests.py
@@ -69,8 +69,8 @@
     """Return the failure of a request that was not sent."""
     return Failure(
         ResultCode.PEER_UNREACHABLE,
-        f'request not sent: the address of peer {host!r} is unknown or its '
-        'send queue is full',
+        f'request not sent: the address of peer {host!r} is unknown, its send '
+        'queue is full or this daemon is stopping',
     )
 
 
--- a/boragespool/results.py
+++ b/boragespool/results.py
@@ -125,8 +125,7 @@
     code : ResultCode
         Kind of failure.
     reason : str
-        Error message: one sentence that names the invalid value and what is
-        allowed.
+        Error message of one sentence.
     run : RunState
         Whether the work was executed. ``NOT_RUN`` guarantees that it was not.
     retry_after_s : float
