--- a/boragespool/peers/network.py
+++ b/boragespool/peers/network.py
@@ -197,7 +197,7 @@
         Returns
         -------
         callable
-            Stops waiting for the reply. There is no timeout: a caller must
+            Stops waiting for the reply. There is no timeout: the caller must
             call it if no reply arrives.
         """
         exchange = self._pending_requests.add(on_result)
@@ -311,7 +311,10 @@
             )
 
     def _refuse(self, sender: Sender, envelope: Envelope) -> None:
-        """Refuse a request because the backlog is full."""
+        """Refuse a request because the backlog is full.
+
+        A one-way message is dropped without a reply.
+        """
         if not envelope.exchange:
             return
         limit = self.options.queue_count
--- a/boragespool/results.py
+++ b/boragespool/results.py
@@ -13,9 +13,9 @@
 class ResultCode(enum.IntEnum):
     """Outcome of an operation; ``docs/result-codes.md`` explains each code.
 
-    Codes 1000 to 1999 are answers to callers, 2000 to 2999 concern settings
-    and revisions, and 3000 to 3999 concern requests to other daemons and to
-    backend servers.
+    Codes 1000 to 1999 are answers to callers, 2000 to 2999 concern settings,
+    revisions and the store, and 3000 to 3999 concern requests to other daemons
+    and to backend servers.
     """
 
     COMPLETE = 1000
@@ -125,8 +125,7 @@
     code : ResultCode
         Kind of failure.
     reason : str
-        Error message: one sentence that names the invalid value and what is
-        allowed.
+        Error message of one sentence.
     run : RunState
         Whether the work was executed. ``NOT_RUN`` guarantees that it was not.
     retry_after_s : float
