--- a/boragespool/ranks/preemption.py
+++ b/boragespool/ranks/preemption.py
@@ -16,7 +16,7 @@
         yield from account.running_by_attempt.values()
 
 
-def choose_victims(
+def choose_preemption_candidates(
     running: Iterable[RunningWork],
     excess_slots: int,
     wanted_slots: int,
--- a/boragespool/ranks/queue.py
+++ b/boragespool/ranks/queue.py
@@ -13,7 +13,10 @@
 from typing import TYPE_CHECKING, Final
 
 from boragespool.ranks.account import SlotAccount
-from boragespool.ranks.preemption import all_running, choose_victims
+from boragespool.ranks.preemption import (
+    all_running,
+    choose_preemption_candidates,
+)
 from boragespool.ranks.rank_queue import RankQueue, any_waiting
 from boragespool.ranks.refusals import refuse_queue_full, refuse_unreachable
 from boragespool.ranks.waits import RankLoad, estimate_wait_s
@@ -355,13 +358,13 @@
         )
         for rank in _LOWEST_FIRST:
             account = self._accounts_by_rank[rank]
-            chosen = choose_victims(
+            candidates = choose_preemption_candidates(
                 account.running_by_attempt.values(),
                 account.running_count - self._cap_slots(rank),
                 wanted_slots,
             )
-            wanted_slots -= len(chosen)
-            for entry in chosen:
+            wanted_slots -= len(candidates)
+            for entry in candidates:
                 entry.preempted = True
                 yield entry.work
 
