--- a/boragespool/revisions/assembly.py
+++ b/boragespool/revisions/assembly.py
@@ -7,16 +7,16 @@
 
 from boragespool.results import Failure
 from boragespool.revisions.document import RevisionDocument
-from boragespool.revisions.joining import (
-    EMPTY_SETTINGS,
-    replace_parts,
-    subset_of_settings,
-)
 from boragespool.revisions.manifest import (
     Manifest,
     decode_index,
     missing_hashes,
 )
+from boragespool.revisions.part_replacement import (
+    EMPTY_SETTINGS,
+    replace_parts,
+    subset_of_settings,
+)
 from boragespool.revisions.parts import Part, PartHash, decode_part
 from boragespool.settings import validate_change
 
