--- a/boragespool/bench/flood_baselines.py
+++ b/boragespool/bench/flood_baselines.py
@@ -31,12 +31,12 @@
         """Number of requests that wait for a slot."""
         return len(self._waiting)
 
-    def offer(
+    def enqueue(
         self,
         work: QueuedWork,
         _now_s: Seconds,
     ) -> tuple[RefusedWork, ...]:
-        """Queue work, or refuse it if the queue is full."""
+        """Enqueue work, or refuse it if the queue is full."""
         if len(self._waiting) >= _QUEUE_LIMIT:
             return (_refuse(work),)
         self._waiting.append(work)
@@ -97,12 +97,12 @@
         """Number of requests that wait for a slot."""
         return sum(map(len, self._queue_by_rank.values()))
 
-    def offer(
+    def enqueue(
         self,
         work: QueuedWork,
         _now_s: Seconds,
     ) -> tuple[RefusedWork, ...]:
-        """Queue work with its virtual finish time, unless its queue is full."""
+        """Enqueue work with its virtual finish time, if its queue has room."""
         queue = self._queue_by_rank[work.rank]
         if len(queue) >= _QUEUE_LIMIT // len(self._queue_by_rank):
             return (_refuse(work),)
--- a/boragespool/bench/flood_simulation.py
+++ b/boragespool/bench/flood_simulation.py
@@ -39,13 +39,13 @@
         """Number of requests that wait for a slot."""
         ...
 
-    def offer(
+    def enqueue(
         self,
         work: QueuedWork,
         now_s: Seconds,
         /,
     ) -> tuple[RefusedWork, ...]:
-        """Queue work; return the work that is refused."""
+        """Enqueue work; return the work that is refused."""
         ...
 
     def schedule(self, now_s: Seconds, /) -> ScheduleResult:
@@ -199,7 +199,7 @@
             at_s = boundary_s
 
     def _arrive(self, now_s: Seconds, rank: Rank) -> int:
-        """Offer new work to the shorter of two random queues.
+        """Enqueue new work in the shorter of two random queues.
 
         Returns
         -------
@@ -226,7 +226,7 @@
             candidates,
             key=lambda index: self._run.queues[index].waiting_count,
         )
-        self._run.queues[server].offer(work, now_s)
+        self._run.queues[server].enqueue(work, now_s)
         return server
 
     def _finish(
--- a/boragespool/controllers/backend_servers/backend.py
+++ b/boragespool/controllers/backend_servers/backend.py
@@ -122,7 +122,7 @@
         loop = asyncio.get_running_loop()
         job = Job(work, queued, now_s, loop.create_future())
         self.jobs_by_attempt[work.attempt_id] = job
-        for refused in self.queue.offer(queued, now_s):
+        for refused in self.queue.enqueue(queued, now_s):
             self._refuse(refused.work, refused.failure)
         self.schedule()
         return job
--- a/boragespool/ranks/queue.py
+++ b/boragespool/ranks/queue.py
@@ -112,12 +112,12 @@
             queue.earliest_deadline_s for queue in self._queues_by_rank.values()
         )
 
-    def offer(
+    def enqueue(
         self,
         work: QueuedWork,
         now_s: Seconds,
     ) -> tuple[RefusedWork, ...]:
-        """Queue new work, or refuse it.
+        """Enqueue new work, or refuse it.
 
         Returns
         -------
--- a/tests/test_ranks.py
+++ b/tests/test_ranks.py
@@ -35,12 +35,12 @@
     return QueuedWork(next(NAMES), rank, caller, deadline_at_s, **options)
 
 
-def offer_all(queue, rank, count, now_s=0, **options):
-    """Offer several pieces of work that must be accepted; return them."""
-    offered = [work(rank, **options) for _ in range(count)]
-    for each in offered:
-        assert not queue.offer(each, now_s)
-    return offered
+def enqueue_all(queue, rank, count, now_s=0, **options):
+    """Enqueue work that must be accepted, `count` times; return it."""
+    enqueued = [work(rank, **options) for _ in range(count)]
+    for each in enqueued:
+        assert not queue.enqueue(each, now_s)
+    return enqueued
 
 
 class ReferenceQueue:
@@ -57,7 +57,7 @@
         if new.caller not in self.caller_order[new.rank]:
             self.caller_order[new.rank].append(new.caller)
 
-    def record_offer(self, new, refused):
+    def record_enqueue(self, new, refused):
         if new not in refused:
             self.enqueue(new)
             for each in refused:
@@ -100,9 +100,9 @@
 def random_operations(seed, count=150):
     """Yield random operations that fill the queues part of the time."""
     draw = random.Random(seed)
-    offers = draw.uniform(0.4, 0.8)
+    enqueue_probability = draw.uniform(0.4, 0.8)
     for _ in range(count):
-        if draw.random() < offers:
+        if draw.random() < enqueue_probability:
             yield 'offer', draw.choice(list(Rank)), draw.choice('abc')
         else:
             name = draw.choice(('finish', 'finish', 'withdraw'))
@@ -123,8 +123,8 @@
     ):
         if operation == 'offer':
             new = work(argument, caller)
-            reference.record_offer(
-                new, [w.work for w in queue.offer(new, now_s)]
+            reference.record_enqueue(
+                new, [w.work for w in queue.enqueue(new, now_s)]
             )
         elif operation == 'finish' and reference.running:
             done = reference.running.pop(argument % len(reference.running))
@@ -148,7 +148,7 @@
     while now_s < seconds:
         for rank in demand:
             while queue.counts_by_rank[rank].waiting < 10:
-                if queue.offer(work(rank, cancellable=False), now_s):
+                if queue.enqueue(work(rank, cancellable=False), now_s):
                     break
         for new in queue.schedule(now_s).started:
             cost = service_s()
@@ -187,9 +187,9 @@
     Otherwise slots stay idle, or urgent work waits for borrowed ones.
     """
     queue = ServerQueue(5, FLOORS)
-    deferrable = offer_all(queue, DEFERRABLE, 6)
+    deferrable = enqueue_all(queue, DEFERRABLE, 6)
     assert len(queue.schedule(0).started) == 5
-    urgent = offer_all(queue, URGENT, 4, now_s=1)
+    urgent = enqueue_all(queue, URGENT, 4, now_s=1)
     preempted = queue.schedule(1).preempted
     assert len(preempted) == 3
     assert not queue.schedule(1).preempted
@@ -205,10 +205,10 @@
     The newest cancellable work is pre-empted instead.
     """
     queue = ServerQueue(5, FLOORS)
-    offer_all(queue, DEFERRABLE, 4, cancellable=False)
-    newest = offer_all(queue, DEFERRABLE, 1)
+    enqueue_all(queue, DEFERRABLE, 4, cancellable=False)
+    newest = enqueue_all(queue, DEFERRABLE, 1)
     queue.schedule(0)
-    offer_all(queue, URGENT, 4, now_s=1)
+    enqueue_all(queue, URGENT, 4, now_s=1)
     assert queue.schedule(1).preempted == tuple(newest)
 
 
@@ -219,10 +219,10 @@
     it. If later work went first, it would never find all slots idle.
     """
     queue = ServerQueue(3, FLOORS)
-    first = offer_all(queue, URGENT, 1)
+    first = enqueue_all(queue, URGENT, 1)
     queue.schedule(0)
-    (solo,) = offer_all(queue, URGENT, 1, solo=True)
-    (later,) = offer_all(queue, URGENT, 1)
+    (solo,) = enqueue_all(queue, URGENT, 1, solo=True)
+    (later,) = enqueue_all(queue, URGENT, 1)
     assert not queue.schedule(0).started
     queue.finish(first[0].attempt_id, 1)
     assert queue.schedule(1).started == (solo,)
@@ -234,12 +234,12 @@
 def test_late_work_expires_before_it_is_started():
     """Work past its deadline must be refused, not started."""
     queue = ServerQueue(1, FLOORS)
-    offer_all(queue, URGENT, 1)
+    enqueue_all(queue, URGENT, 1)
     queue.schedule(0)
     late = work(URGENT, deadline_at_s=1)
     in_time = work(URGENT, deadline_at_s=3)
-    assert not queue.offer(late, 0)
-    assert not queue.offer(in_time, 0)
+    assert not queue.enqueue(late, 0)
+    assert not queue.enqueue(in_time, 0)
     assert queue.next_expiry_s == 1
     (refused,) = queue.schedule(1).refused
     assert refused.work == late
@@ -253,15 +253,15 @@
     In the queue it would only delay the refusal and take space.
     """
     queue = ServerQueue(1, FLOORS)
-    (first,) = offer_all(queue, URGENT, 1)
+    (first,) = enqueue_all(queue, URGENT, 1)
     queue.schedule(0)
     queue.finish(first.attempt_id, 1)
-    offer_all(queue, URGENT, 4, now_s=1)
+    enqueue_all(queue, URGENT, 4, now_s=1)
     queue.schedule(1)
-    (refused,) = queue.offer(work(URGENT, deadline_at_s=4), 1)
+    (refused,) = queue.enqueue(work(URGENT, deadline_at_s=4), 1)
     assert refused.failure.code == ResultCode.DEADLINE_UNREACHABLE
     assert refused.failure.retry_after_s > 3
-    assert not queue.offer(work(URGENT, deadline_at_s=20), 1)
+    assert not queue.enqueue(work(URGENT, deadline_at_s=20), 1)
 
 
 def test_idle_server_accepts_whatever_the_estimate_says():
@@ -271,10 +271,10 @@
     would correct the estimate.
     """
     queue = ServerQueue(1, FLOORS)
-    (slow,) = offer_all(queue, URGENT, 1)
+    (slow,) = enqueue_all(queue, URGENT, 1)
     queue.schedule(0)
     queue.finish(slow.attempt_id, 100)
-    assert not queue.offer(work(URGENT, deadline_at_s=100.1), 100)
+    assert not queue.enqueue(work(URGENT, deadline_at_s=100.1), 100)
 
 
 def test_one_caller_cannot_fill_a_queue():
@@ -283,14 +283,14 @@
     Without fair shares all other callers would be refused.
     """
     queue = ServerQueue(1, NO_FLOORS)
-    offer_all(queue, URGENT, 1, caller='first')
+    enqueue_all(queue, URGENT, 1, caller='first')
     queue.schedule(0)
-    greedy = offer_all(queue, URGENT, 6, caller='greedy')
-    assert queue.offer(work(URGENT, 'greedy'), 0)
-    (displaced,) = queue.offer(work(URGENT, 'modest'), 0)
+    greedy = enqueue_all(queue, URGENT, 6, caller='greedy')
+    assert queue.enqueue(work(URGENT, 'greedy'), 0)
+    (displaced,) = queue.enqueue(work(URGENT, 'modest'), 0)
     assert displaced.work == greedy[-1]
     assert displaced.failure.code == ResultCode.QUEUE_FULL
-    (refused,) = queue.offer(work(URGENT, 'greedy'), 0)
+    (refused,) = queue.enqueue(work(URGENT, 'greedy'), 0)
     assert refused.work.caller == 'greedy'
 
 
@@ -303,13 +303,13 @@
     work that will not.
     """
     queue = ServerQueue(slots, NO_FLOORS)
-    first = offer_all(queue, URGENT, slots)
+    first = enqueue_all(queue, URGENT, slots)
     queue.schedule(0)
     for each in first:
         queue.finish(each.attempt_id, 1)
-    offer_all(queue, URGENT, slots, now_s=1)
+    enqueue_all(queue, URGENT, slots, now_s=1)
     queue.schedule(1)
-    offer_all(queue, URGENT, queued, now_s=1)
+    enqueue_all(queue, URGENT, queued, now_s=1)
     expected_s = queue.wait_s(URGENT, 'c')
     # All slots free up each second, so the true wait is a whole number.
     true_s = queued // slots + 1
@@ -322,11 +322,11 @@
     Otherwise work of a lower rank is admitted and misses its deadline.
     """
     queue = ServerQueue(5, NO_FLOORS)
-    (first,) = offer_all(queue, ROUTINE, 1)
+    (first,) = enqueue_all(queue, ROUTINE, 1)
     queue.schedule(0)
     queue.finish(first.attempt_id, 1)
-    offer_all(queue, URGENT, 5, now_s=1)
+    enqueue_all(queue, URGENT, 5, now_s=1)
     queue.schedule(1)
-    assert not queue.offer(work(ROUTINE, deadline_at_s=5), 1)
-    (refused,) = queue.offer(work(ROUTINE, deadline_at_s=6), 2)
+    assert not queue.enqueue(work(ROUTINE, deadline_at_s=5), 1)
+    (refused,) = queue.enqueue(work(ROUTINE, deadline_at_s=6), 2)
     assert refused.failure.code == ResultCode.DEADLINE_UNREACHABLE
