--- a/review/standins.py
+++ b/review/standins.py
@@ -128,7 +128,7 @@
     async def start(self):
         """Listen on a loopback address."""
         self._server = await asyncio.start_server(
-            self._serve, '127.0.0.1', self._port
+            self._serve, '127.0.0.1', self._port, limit=1_048_576
         )
         self._port = self._server.sockets[0].getsockname()[1]
         self.address = f'127.0.0.1:{self._port}'
