review: case 1 with draining backends and without heartbeat events

Some backends report draining now, and entries change only when more than the sequence does. Six services are released, each backend after the other.

--- a/review/1/run.py
+++ b/review/1/run.py
@@ -13,14 +13,23 @@
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 MACHINES = 6
-SERVERS = 10
-SERVICES = ('member-ledger', 'truck-roster', 'lot-finder')
-#: One backend of each service is replaced each second; the old one serves on
-#: after its entry was removed, for `drain_ms` and a little longer.
+SERVERS = 5
+SERVICES = (
+    'member-ledger',
+    'truck-roster',
+    'lot-finder-1',
+    'lot-finder-2',
+    'lot-finder-3',
+    'lot-finder-4',
+)
+#: One backend of each service is replaced each second: the new one starts, and
+#: half a second later the old one leaves. It serves on for `drain_ms` and a
+#: little longer.
 RELEASE_GAP_S = 1.0
 SERVES_ON_S = 12
-RESTARTS = 8
-RESTART_INTERVAL_S = 11
+RESTARTS = 11
+RESTART_INTERVAL_S = 8.5
+LAST_RESTART_AT_S = 92
 REQUEST_INTERVAL_S = 0.1
 DRAIN_S = s.BOUNDS['drain_ms'] / 1000
 
@@ -49,20 +58,19 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def beat(self):
-        """Write the heartbeats of the registered backends."""
-        while True:
-            for backend in tuple(self.backends):
-                if backend.name not in self.gone_at_s:
-                    entry = backend.entry()
-                    self.store.put(f'servers/{backend.name}', entry)
-                    await asyncio.sleep(1.2 / SERVERS / len(SERVICES))
-
     async def release(self, service):
-        """Replace the backends of a service, one after the other."""
+        """Replace the backends of a service, one after the other.
+
+        Every second one reports that it drains; the entries of the others are
+        removed at once.
+        """
+        count = 0
+        offset = SERVICES.index(service) / len(SERVICES)
+        await asyncio.sleep(RELEASE_GAP_S * offset)
         while True:
-            await asyncio.sleep(RELEASE_GAP_S)
+            await asyncio.sleep(RELEASE_GAP_S / 2)
             await self.add_backend(service)
+            await asyncio.sleep(RELEASE_GAP_S / 2)
             old = next(
                 backend
                 for backend in self.backends
@@ -70,14 +78,21 @@
                 and backend.name not in self.gone_at_s
             )
             self.gone_at_s[old.name] = self.record.now_s()
-            self.store.remove(f'servers/{old.name}')
-            self.record.write(f'entry of {old.name} is removed')
+            count += 1
+            if count % 2:
+                self.store.remove(f'servers/{old.name}')
+                self.record.write(f'entry of {old.name} is removed')
+            else:
+                entry = old.entry('draining')
+                self.store.put(f'servers/{old.name}', entry)
+                self.record.write(f'{old.name} is draining')
             self.spawn(self.end_later(old))
 
     async def end_later(self, backend):
         """End a backend some time after its entry was removed."""
         await asyncio.sleep(SERVES_ON_S)
         backend.stop()
+        self.store.remove(f'servers/{backend.name}')
         self.record.write(f'{backend.name} ends')
 
     async def request(self):
@@ -87,7 +102,8 @@
             await asyncio.sleep(REQUEST_INTERVAL_S)
             for daemon in self.daemons[1:]:
                 number += 1
-                service = SERVICES[number // len(self.daemons) % 3]
+                turn = number // len(self.daemons)
+                service = SERVICES[turn % len(SERVICES)]
                 request_id = f'{daemon.name}-{number}'
                 self.spawn(self.send(daemon, service, request_id))
 
@@ -140,18 +156,19 @@
                 await daemon.start()
             for daemon in self.daemons:
                 await daemon.wait_until_ready()
-            self.spawn(self.beat())
             await asyncio.sleep(6)  # in touch
             self.spawn(self.request())
             for service in SERVICES:
                 self.spawn(self.release(service))
             for _ in range(RESTARTS):
+                if self.record.now_s() > LAST_RESTART_AT_S:
+                    break
                 if TROUBLE:
                     await self.daemons[0].stop()
                     await asyncio.sleep(0.5)
                     await self.daemons[0].start()
                     await self.daemons[0].wait_until_ready()
-                    await asyncio.sleep(RESTART_INTERVAL_S - 6)
+                    await asyncio.sleep(RESTART_INTERVAL_S - 4)
                 else:
                     await asyncio.sleep(RESTART_INTERVAL_S)
         finally:
