Tell readers of a feed when it cannot know all removals

Cause: a process that starts reads all keys, which does not list the keys that were removed before. Its feed nevertheless took any older revision of another daemon as covered by its history and returned the items without these removals. The other daemon then claimed the newer revision, so that neither the feed nor the store ever returned the removal to it. The same holds for each later read of all keys, after the store has dropped its history: keys written and removed in between were never seen.

Change: a mirror states the revision of its last read of all keys, and its feed returns HistoryLost to readers with an older one. They then read all keys of the feed, which finds the removals; the call to the store that the failure caused before is not needed. A daemon that has read nothing yet responds with 503 in place of the same answer. A read of all keys ends the waits of readers that lack changes.

Evidence: tests/test_relay.py, 3 of 19 failed before (one of them for the new type of the result: test_watches_share_one_exchange_and_end_with_the_first_change expected a text, which could not be told from a failed exchange).

--- a/boragespool/controllers/forwarding/feed.py
+++ b/boragespool/controllers/forwarding/feed.py
@@ -65,18 +65,24 @@
     """
 
     def __init__(self, timers: TimerService) -> None:
-        """Set up an empty feed; `read` returns `HistoryLost` at first."""
+        """Set up an empty feed, which has no state to read yet."""
         self._timers = timers
         self._items_by_key: dict[str, Item] = {}
         self._change_revisions_by_key: dict[str, int] = {}
         self._removal_revisions_by_key: dict[str, int] = {}
-        self._oldest_revision = 0
+        # Removals up to this revision may be missing.
+        self._history_revision = 0
         self._last_change_revision = 0
         self._revision: int | None = None
         self._read_at_s: Seconds = -math.inf
         self._returned_at_s: Seconds = -math.inf
         self._change_event = asyncio.Event()
 
+    @property
+    def has_state(self) -> bool:
+        """Whether anything was published."""
+        return self._revision is not None
+
     def publish(
         self,
         changes_by_key: Mapping[str, Item | None],
@@ -110,10 +116,13 @@
                 self._removal_revisions_by_key.pop(key, None)
         while len(self._removal_revisions_by_key) > _MAX_REMOVAL_COUNT:
             oldest_key = next(iter(self._removal_revisions_by_key))
-            self._oldest_revision = self._removal_revisions_by_key.pop(
+            self._history_revision = self._removal_revisions_by_key.pop(
                 oldest_key
             )
-        if changes_by_key:
+        has_gap = state.history_revision > self._history_revision
+        if has_gap:
+            self._history_revision = state.history_revision
+        if changes_by_key or has_gap:
             self._last_change_revision = max(
                 self._last_change_revision,
                 revision,
@@ -142,8 +151,8 @@
         Returns
         -------
         PrefixChanges or HistoryLost
-            `HistoryLost` if removals after the revision were dropped, or if
-            nothing was published yet.
+            `HistoryLost` if removals after the revision may be missing, or
+            if nothing was published yet.
         """
         if after_revision is None:
             return self._changes_after(-1)
@@ -155,7 +164,7 @@
         return self._change_revisions_by_key.get(key, 0)
 
     def _lacks_history(self, revision: int) -> bool:
-        return revision < self._oldest_revision or self._revision is None
+        return revision < self._history_revision or self._revision is None
 
     def _changes_after(self, after: int) -> PrefixChanges | HistoryLost:
         if self._revision is None:
--- a/boragespool/controllers/forwarding/feed_http.py
+++ b/boragespool/controllers/forwarding/feed_http.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, TypeAlias
 from urllib.parse import urlencode
 
 import msgspec
@@ -31,6 +31,7 @@
 
 FEED_PATH: Final = '/v1/feed'
 _STATUS_OK: Final = 200
+_STATUS_NOT_READY: Final = 503
 _SEPARATOR: Final = ','
 #: Timeout of an exchange beyond its wait, in seconds; a paused daemon must not
 #: delay changes.
@@ -48,6 +49,8 @@
 #: Changes of the requested prefixes, in their order; None for a prefix whose
 #: history does not reach back to the requested revision.
 _ChangesTuple = tuple[PrefixChanges | None, ...]
+#: Changes of one prefix; the reason as text if the other daemon sent none.
+_FeedResult: TypeAlias = PrefixChanges | HistoryLost | str
 
 
 @dataclass(slots=True)
@@ -55,7 +58,7 @@
     """Watches that are sent to one daemon in one exchange."""
 
     after_by_prefix: dict[str, int] = field(default_factory=dict)
-    answers_by_prefix: dict[str, asyncio.Future[PrefixChanges | str]] = field(
+    answers_by_prefix: dict[str, asyncio.Future[_FeedResult]] = field(
         default_factory=dict,
     )
 
@@ -84,12 +87,12 @@
         await self._tasks.close()
         await self._pool.__aexit__(*exc_info)
 
-    async def read(self, address: Address, prefix: str) -> PrefixChanges | str:
+    async def read(self, address: Address, prefix: str) -> _FeedResult:
         """Return all items of a prefix without waiting.
 
         Returns
         -------
-        PrefixChanges or str
+        PrefixChanges, HistoryLost or str
             The reason as text if the other daemon sent no changes.
         """
         changes_by_prefix = await self._exchange(address, {prefix: None}, 0)
@@ -100,13 +103,14 @@
         address: Address,
         prefix: str,
         after_revision: int,
-    ) -> PrefixChanges | str:
+    ) -> _FeedResult:
         """Return the changes of a prefix after a revision without waiting.
 
         Returns
         -------
-        PrefixChanges or str
-            The reason as text if the other daemon sent no changes.
+        PrefixChanges, HistoryLost or str
+            `HistoryLost` if the other daemon lacks changes after the revision;
+            the reason as text if it sent none.
         """
         changes_by_prefix = await self._exchange(
             address, {prefix: after_revision}, 0
@@ -118,23 +122,24 @@
         address: Address,
         prefix: str,
         after_revision: int,
-    ) -> PrefixChanges | str:
+    ) -> _FeedResult:
         """Wait for changes of a prefix after a revision.
 
         Watches of several prefixes at one daemon share an exchange.
 
         Returns
         -------
-        PrefixChanges or str
-            The changes, which may be none; the reason as text if the other
-            daemon sent no changes.
+        PrefixChanges, HistoryLost or str
+            The changes, which may be none; `HistoryLost` if the other daemon
+            lacks changes after the revision; the reason as text if it sent
+            none.
         """
         batch = self._open_batches_by_address.get(address)
         if batch is None:
             batch = _WatchBatch()
             self._open_batches_by_address[address] = batch
             self._tasks.spawn(self._send_batch(address, batch))
-        future: asyncio.Future[PrefixChanges | str]
+        future: asyncio.Future[_FeedResult]
         future = asyncio.get_running_loop().create_future()
         batch.after_by_prefix[prefix] = after_revision
         batch.answers_by_prefix[prefix] = future
@@ -172,7 +177,7 @@
         address: Address,
         after_by_prefix: Mapping[str, int | None],
         wait_s: Seconds,
-    ) -> dict[str, PrefixChanges | str]:
+    ) -> dict[str, _FeedResult]:
         query = {
             'prefix': _SEPARATOR.join(after_by_prefix),
             'after': _SEPARATOR.join(
@@ -190,7 +195,7 @@
         if isinstance(changes, str):
             return dict.fromkeys(after_by_prefix, changes)
         return {
-            prefix: change or 'its history does not reach back to the revision'
+            prefix: HistoryLost() if change is None else change
             for prefix, change in zip(after_by_prefix, changes, strict=False)
         }
 
@@ -204,8 +209,8 @@
 
     It is sent after the first change of any requested prefix or the requested
     wait; at once if `ChangeFeed.read` already returns changes or `HistoryLost`.
-    The status is 404 for an unknown prefix and 400 for parameters that cannot
-    be parsed.
+    The status is 404 for an unknown prefix, 400 for parameters that cannot be
+    parsed and 503 if this daemon has not read a prefix yet.
 
     Parameters
     ----------
@@ -232,6 +237,8 @@
     if len(after_revisions) != len(prefixes):
         return HttpResponse(400)
     feeds = [feeds_by_prefix[prefix] for prefix in prefixes]
+    if not all(feed.has_state for feed in feeds):
+        return HttpResponse(_STATUS_NOT_READY)
     feeds_and_revisions = list(zip(feeds, after_revisions, strict=True))
     if wait_s > 0:
         await _wait_for_first(
--- a/boragespool/controllers/forwarding/mirror.py
+++ b/boragespool/controllers/forwarding/mirror.py
@@ -72,6 +72,9 @@
         seconds; ``-inf`` if there was none.
     read_at_s : float
         Time at which the store was read, in seconds.
+    history_revision : int
+        Revision after which all removals were followed: that of the last read
+        of all keys, which does not list the keys removed before it.
     """
 
     items_by_key: Mapping[str, Item]
@@ -79,6 +82,7 @@
     revision: int
     returned_at_s: Seconds
     read_at_s: Seconds
+    history_revision: int = 0
 
     @property
     def changes_by_key(self) -> dict[str, Item | None]:
@@ -116,6 +120,7 @@
         self._on_state = on_state
         self._items_by_key: dict[str, Item] = {}
         self._revision: int | None = None
+        self._history_revision = 0
         # Whether the store has dropped changes. It may also have dropped those
         # after a stale read, so reads must not be stale from then on.
         self._has_lost_history = False
@@ -197,7 +202,7 @@
             prefix = self._options.prefix
             log_event(
                 Event.STORE_HISTORY_LOST,
-                'the store dropped changes; reading all keys again for prefix '
+                'the source lacks changes; reading all keys again for prefix '
                 f'{prefix!r}',
                 prefix=prefix,
                 revision=self._revision,
@@ -248,6 +253,7 @@
             if (listed_items_by_key.get(key) != previous.get(key))
         }
         self._items_by_key = listed_items_by_key
+        self._history_revision = revision
         self._publish(changed_keys, revision, age_s)
         return None
 
@@ -277,6 +283,7 @@
             revision,
             self._returned_at_s,
             now_s - age_s,
+            self._history_revision,
         )
         self._on_state(state)
 
--- a/boragespool/controllers/forwarding/relay.py
+++ b/boragespool/controllers/forwarding/relay.py
@@ -132,7 +132,7 @@
             )
         plan = self._options.get_plan()
         changes = await self._read_from_sources(plan, prefix, None)
-        if changes is not None:
+        if isinstance(changes, PrefixChanges):
             return _to_item_page(changes)
         failure = _NO_CURRENT_DATA
         if plan.is_pending or self._may_read_store(plan, prefix):
@@ -144,7 +144,9 @@
                 return page
             failure = page
         changes = await self._read_from_others(prefix, None)
-        return failure if changes is None else _to_item_page(changes)
+        if isinstance(changes, PrefixChanges):
+            return _to_item_page(changes)
+        return failure
 
     async def watch(
         self,
@@ -161,7 +163,7 @@
             return await self._wait_for_plan(prefix, after_revision)
         changes = await self._read_from_sources(plan, prefix, after_revision)
         if changes is not None:
-            return _to_item_events(changes)
+            return _to_watch_result(changes)
         failure = _NO_CURRENT_DATA
         if self._may_read_store(plan, prefix):
             if plan.sources:
@@ -171,7 +173,7 @@
                 return result
             failure = result
         changes = await self._read_from_others(prefix, after_revision)
-        return failure if changes is None else _to_item_events(changes)
+        return failure if changes is None else _to_watch_result(changes)
 
     async def _wait_for_plan(
         self, prefix: str, after_revision: int
@@ -219,7 +221,7 @@
         plan: ReadPlan,
         prefix: str,
         after_revision: int | None,
-    ) -> PrefixChanges | None:
+    ) -> PrefixChanges | HistoryLost | None:
         """Return the changes from the first source with current data.
 
         Only the first one is waited for: a wait for each of several silent
@@ -249,7 +251,7 @@
         self,
         prefix: str,
         after_revision: int | None,
-    ) -> PrefixChanges | None:
+    ) -> PrefixChanges | HistoryLost | None:
         """Return the changes from the first of a few daemons that has them.
 
         Several are tried, since some may have stopped.
@@ -279,14 +281,15 @@
         max_age_s: Seconds,
         *,
         may_wait: bool = True,
-    ) -> PrefixChanges | None:
+    ) -> PrefixChanges | HistoryLost | None:
         """Return the changes from another daemon, which may wait for one.
 
         Returns
         -------
-        PrefixChanges or None
-            None if it failed or its data is older than `max_age_s`; it is
-            then skipped for a while.
+        PrefixChanges, HistoryLost or None
+            `HistoryLost` if it lacks changes after the revision. None if it
+            failed or its data is older than `max_age_s`; it is then skipped
+            for a while.
         """
         if after_revision is None:
             changes = await self._feed_client.read(address, prefix)
@@ -300,10 +303,12 @@
             )
         if isinstance(changes, PrefixChanges) and changes.age_s <= max_age_s:
             return changes
+        if isinstance(changes, HistoryLost) and after_revision is not None:
+            return changes
         reason = (
-            changes
-            if isinstance(changes, str)
-            else f'{changes.age_s:.1f} s old'
+            f'{changes.age_s:.1f} s old'
+            if isinstance(changes, PrefixChanges)
+            else str(changes)
         )
         now_s = asyncio.get_running_loop().time()
         self._skipped_until_s_by_address[address] = now_s + _SKIP_TIME_S
@@ -317,7 +322,11 @@
         return None
 
 
-def _to_item_events(changes: PrefixChanges) -> ItemEvents:
+def _to_watch_result(
+    changes: PrefixChanges | HistoryLost,
+) -> ItemEvents | HistoryLost:
+    if isinstance(changes, HistoryLost):
+        return changes
     return ItemEvents(
         changes.items + changes.removals,
         changes.revision,
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import math
+from contextlib import AsyncExitStack
+from dataclasses import replace
 
 import msgspec
 import pytest
@@ -140,6 +142,27 @@
     asyncio.run(scenario())
 
 
+def test_gap_in_the_history_ends_a_wait():
+    """A wait must end when the feed read all keys again without a change.
+
+    The daemon that waits may know a key that this one has never seen, whose
+    removal it would learn a full wait later.
+    """
+
+    async def scenario():
+        feed = ChangeFeed(VirtualTimers())
+        feed.publish({'a': item('a', 3)}, mirror_state(5))
+        wait = asyncio.ensure_future(feed.wait(5))
+        await asyncio.sleep(0)
+        assert not wait.done()
+        feed.publish({}, replace(mirror_state(9), history_revision=9))
+        async with asyncio.timeout(1):
+            await wait
+        assert isinstance(feed.read(5), HistoryLost)
+
+    asyncio.run(scenario())
+
+
 class FakeStore:
     """Store whose responses the test sets."""
 
@@ -216,6 +239,73 @@
     asyncio.run(scenario())
 
 
+def test_removals_before_the_start_of_the_reader_are_noticed():
+    """A key removed while the reader restarted must not stay known.
+
+    The new process never saw the removal, so its feed cannot list it. A
+    daemon that reads on from an older revision has to read all keys.
+    """
+
+    async def scenario():
+        timers = LoopTimers()
+        old_feed, new_feed = ChangeFeed(timers), ChangeFeed(timers)
+        kept, removed = item('p/b', 3), item('p/a', 2)
+        old_feed.publish(
+            {'p/a': removed, 'p/b': kept}, mirror_state(5, timers.now_s())
+        )
+        store = FakeStore()
+        store.page = ItemPage((kept,), 9, truncated=False)
+        key_sets = []
+        options = MirrorOptions('p/', 0.01, 0.1)
+        reader = PrefixMirror(
+            store,
+            timers,
+            options,
+            lambda state: new_feed.publish(state.changes_by_key, state),
+        )
+        async with AsyncExitStack() as stack:
+            peer = await stack.enter_async_context(FeedServer(old_feed))
+            source = await stack.enter_async_context(
+                open_source(FakeStore(), reader=peer.address)
+            )
+            await stack.enter_async_context(
+                PrefixMirror(
+                    source,
+                    timers,
+                    options,
+                    lambda state: key_sets.append(set(state.items_by_key)),
+                )
+            )
+            async with asyncio.timeout(3):
+                while not key_sets:
+                    await asyncio.sleep(0.01)
+                assert key_sets[-1] == {'p/a', 'p/b'}
+                await stack.enter_async_context(reader)
+                while isinstance(new_feed.read(None), HistoryLost):
+                    await asyncio.sleep(0.01)
+                peer.feeds_by_prefix['p/'] = new_feed
+                while key_sets[-1] != {'p/b'}:
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(scenario())
+
+
+def test_daemon_without_a_state_is_not_read_from():
+    """A daemon that has read nothing yet must not count as one with a gap.
+
+    Others would read all keys again, though their own state is sound.
+    """
+
+    async def scenario():
+        async with FeedServer(ChangeFeed(LoopTimers())) as peer:
+            client = FeedClient(wait_s=0.2)
+            changes = await client.check(peer.address, 'p/', 4)
+            assert isinstance(changes, str)
+            await client.__aexit__()
+
+    asyncio.run(scenario())
+
+
 def test_silent_reader_is_skipped():
     """A reader that does not respond must delay a change by at most 1.5 s.
 
@@ -281,7 +371,7 @@
             assert (changes.items, peer.request_count) == ((), 2)
             assert loop.time() - began_s < 0.5
             lost = await client.watch(peer.address, 'r', -3)
-            assert isinstance(lost, str)
+            assert isinstance(lost, HistoryLost)
             await client.__aexit__()
 
     asyncio.run(scenario())
