Keep repeated removals of a feed in the order of their revisions

A feed keeps a limited number of removed keys and drops the first of them. A key that is removed again kept its first place with its newest revision. Once it was dropped, the next key dropped moved the revision up to which removals are known to be missing back, and a daemon in between got neither the removal nor HistoryLost.

A key that is removed again is now moved to the end of the list.

Evidence: test_removal_that_is_repeated_stays_in_the_list failed before.

--- a/boragespool/controllers/forwarding/feed.py
+++ b/boragespool/controllers/forwarding/feed.py
@@ -105,6 +105,9 @@
             if item is None:
                 self._items_by_key.pop(key, None)
                 self._change_revisions_by_key.pop(key, None)
+                # Removed first, so that the keys stay in the order of their
+                # removals.
+                self._removal_revisions_by_key.pop(key, None)
                 self._removal_revisions_by_key[key] = revision
             else:
                 # An item may be newer than the state, whose revision claims
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -163,6 +163,27 @@
     asyncio.run(scenario())
 
 
+def test_removal_that_is_repeated_stays_in_the_list():
+    """A removal published again must be dropped as the latest one.
+
+    Dropped at its first place, it is lost to readers that are older than it,
+    as the next removal dropped is from before it.
+    """
+
+    async def scenario():
+        feed = ChangeFeed(VirtualTimers())
+        feed.publish({'a': None}, mirror_state(2))
+        for revision in range(3, 1_900):
+            feed.publish({str(revision): None}, mirror_state(revision))
+        feed.publish({'a': None}, mirror_state(4_000))
+        for revision in range(4_001, 4_200):
+            feed.publish({str(revision): None}, mirror_state(revision))
+        changes = feed.read(3_000)
+        assert Removal('a', 4_000) in changes.removals
+
+    asyncio.run(scenario())
+
+
 class FakeStore:
     """Store whose responses the test sets."""
 
@@ -478,6 +499,24 @@
     return MirrorState(items, keys, revision, returned_at_s, read_at_s)
 
 
+def open_registry(timers):
+    """Return a registry of backend servers and its blackboard."""
+    boot = msgspec.convert(
+        {
+            'node': 'h',
+            'zone': 'here',
+            'region': 'r',
+            'zones': {'here': 'r'},
+            'listen_addrs': {},
+            'platform': {'address': '127.0.0.1:9'},
+        },
+        Boot,
+    )
+    board = Blackboard()
+    registry = ServerRegistry(board, timers, forwarding_options(boot), CODEC)
+    return registry, board
+
+
 def test_expired_entries_are_published_at_once_and_again():
     """Feeds must have each expired registration at once and each time.
 
@@ -488,23 +527,9 @@
 
     async def scenario():
         timers = VirtualTimers()
-        boot = msgspec.convert(
-            {
-                'node': 'h',
-                'zone': 'here',
-                'region': 'r',
-                'zones': {'here': 'r'},
-                'listen_addrs': {},
-                'platform': {'address': '127.0.0.1:9'},
-            },
-            Boot,
-        )
-        board = Blackboard()
         posted = []
+        registry, board = open_registry(timers)
         board.subscribe(REGISTRATIONS, posted.append)
-        registry = ServerRegistry(
-            board, timers, forwarding_options(boot), CODEC
-        )
         registry.apply_state(registry_state(entry_item(3), 3, 0))
         first = registry.feed.read(None)
         assert [item.key for item in first.items] == ['servers/i-a']
