Pass on removals of servers that the daemon itself does not know

DRAIN: a daemon that reads on from another one kept sending to a server that had left. A daemon that starts reads all keys page by page; a server removed in the meantime is in no page, and its removal is an event of the first watch. As the registry did not know the server, its feed did not list the removal, but claimed the revision after it.

The registry now publishes the removal of each key that changed and is not listed.

Evidence: test_removal_of_an_unknown_server_is_passed_on failed before.

--- a/boragespool/controllers/forwarding/registry.py
+++ b/boragespool/controllers/forwarding/registry.py
@@ -124,10 +124,10 @@
             if is_accepted and self._published_by_key.get(key) != published:
                 self._published_by_key[key] = published
                 changes_by_key[key] = state.items_by_key[key]
-        for removed_key in (
-            self._published_by_key.keys() - self._listed_by_key.keys()
-        ):
-            del self._published_by_key[removed_key]
+        # Also keys that this daemon does not know: another one may, if they
+        # were removed while all keys were read page by page.
+        for removed_key in state.changed_keys - self._listed_by_key.keys():
+            self._published_by_key.pop(removed_key, None)
             changes_by_key[removed_key] = None
         self.feed.publish(
             changes_by_key,
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -572,3 +572,14 @@
         assert not any(store.may_be_stale_flags[1:])
 
     asyncio.run(scenario())
+
+
+def test_removal_of_an_unknown_server_is_passed_on():
+    """A removal must reach the other daemons if this one lacks the key.
+
+    The key may have been removed while all keys were read page by page; a
+    daemon that read it before would never learn of the removal.
+    """
+    registry, _ = open_registry(VirtualTimers())
+    registry.apply_state(registry_state(None, 5, 0))
+    assert registry.feed.read(3).removals == (Removal('servers/i-a', 5),)
