Pass on registrations that were removed and written again

A server was unknown to some daemons for good, though it was registered, or was draining for them though it was ready again. The feed of registrations leaves out heartbeats. A daemon that gets the removal of a registration and a new one in the same read compared only the last one with what it had published, took it for a heartbeat and left it out. Another daemon may have read the removal elsewhere and then turned to this feed.

The mirror now states which keys may have had another value in between: those with several events in one read, all that come from another feed, which lists the last change of each key only, and all that a read of all keys changes. The registry publishes these.

Evidence: test_registration_written_again_is_passed_on failed in its three cases before.

--- a/boragespool/controllers/forwarding/mirror.py
+++ b/boragespool/controllers/forwarding/mirror.py
@@ -17,7 +17,7 @@
 from boragespool.tasks import TaskSet
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from boragespool.item_store import ItemSource
     from boragespool.timers import TimerService
@@ -75,6 +75,9 @@
     history_revision : int
         Revision after which all removals were followed: that of the last read
         of all keys, which does not list the keys removed before it.
+    rewritten_keys : frozenset of str
+        Changed keys that may have been removed, or had another value, between
+        the previous state and this one.
     """
 
     items_by_key: Mapping[str, Item]
@@ -83,6 +86,7 @@
     returned_at_s: Seconds
     read_at_s: Seconds
     history_revision: int = 0
+    rewritten_keys: frozenset[str] = frozenset()
 
     @property
     def changes_by_key(self) -> dict[str, Item | None]:
@@ -212,16 +216,21 @@
             return await self._read_all(may_be_stale=False)
         self._record_recovery(result.returned_ago_s)
         changed_keys: set[str] = set()
+        rewritten_keys: set[str] = set()
         for event in result.events:
             current = self._items_by_key.get(event.key)
             if current is not None and current.revision >= event.revision:
                 continue
+            if result.is_coalesced or event.key in changed_keys:
+                rewritten_keys.add(event.key)
             changed_keys.add(event.key)
             if isinstance(event, Item):
                 self._items_by_key[event.key] = event
             else:
                 self._items_by_key.pop(event.key, None)
-        self._publish(changed_keys, result.revision, result.age_s)
+        self._publish(
+            changed_keys, result.revision, result.age_s, rewritten_keys
+        )
         return None
 
     async def _read_all(self, *, may_be_stale: bool) -> Failure | None:
@@ -254,7 +263,7 @@
         }
         self._items_by_key = listed_items_by_key
         self._history_revision = revision
-        self._publish(changed_keys, revision, age_s)
+        self._publish(changed_keys, revision, age_s, changed_keys)
         return None
 
     def _publish(
@@ -262,6 +271,7 @@
         changed_keys: set[str],
         revision: int,
         age_s: Seconds,
+        rewritten_keys: Iterable[str] = (),
     ) -> None:
         now_s = self._timers.now_s()
         if self._failing_since_s is not None:
@@ -284,6 +294,7 @@
             self._returned_at_s,
             now_s - age_s,
             self._history_revision,
+            frozenset(rewritten_keys),
         )
         self._on_state(state)
 
--- a/boragespool/controllers/forwarding/registry.py
+++ b/boragespool/controllers/forwarding/registry.py
@@ -121,7 +121,11 @@
                 self._table.registrations_by_server.get(listed.server) == listed
             )
             published = listed.without_heartbeat_fields
-            if is_accepted and self._published_by_key.get(key) != published:
+            is_changed = (
+                key in state.rewritten_keys
+                or self._published_by_key.get(key) != published
+            )
+            if is_accepted and is_changed:
                 self._published_by_key[key] = published
                 changes_by_key[key] = state.items_by_key[key]
         # Also keys that this daemon does not know: another one may, if they
--- a/boragespool/controllers/forwarding/relay.py
+++ b/boragespool/controllers/forwarding/relay.py
@@ -332,6 +332,7 @@
         changes.revision,
         changes.returned_ago_s,
         changes.age_s,
+        is_coalesced=True,
     )
 
 
--- a/boragespool/item_store.py
+++ b/boragespool/item_store.py
@@ -79,12 +79,15 @@
         Revision of the store up to which the changes are complete.
     returned_ago_s, age_s : float
         As in `ItemPage`.
+    is_coalesced : bool
+        Whether only the last change of each key is listed.
     """
 
     events: tuple[Item | Removal, ...]
     revision: int
     returned_ago_s: Seconds | None = None
     age_s: Seconds = 0
+    is_coalesced: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -583,3 +583,39 @@
     registry, _ = open_registry(VirtualTimers())
     registry.apply_state(registry_state(None, 5, 0))
     assert registry.feed.read(3).removals == (Removal('servers/i-a', 5),)
+
+
+@pytest.mark.parametrize(
+    'result',
+    [
+        ItemEvents((Removal('servers/i-a', 4), entry_item(5)), 5),
+        ItemEvents((entry_item(5),), 5, is_coalesced=True),
+        HistoryLost(),
+    ],
+    ids=['two events', 'from a feed', 'history lost'],
+)
+def test_registration_written_again_is_passed_on(result):
+    """A removed registration that is written again must be passed on.
+
+    Another daemon may have read on from the removal. The registration looks
+    like a heartbeat here, so that this one would never tell it.
+    """
+
+    async def scenario():
+        timers = LoopTimers()
+        registry, _ = open_registry(timers)
+        store = FakeStore()
+        store.page = ItemPage((entry_item(3),), 3, truncated=False)
+        options = MirrorOptions('servers/', 0.01, 0.01)
+        async with PrefixMirror(store, timers, options, registry.apply_state):
+            async with asyncio.timeout(2):
+                while not registry.feed.has_state:
+                    await asyncio.sleep(0.01)
+                store.page = ItemPage((entry_item(5),), 5, truncated=False)
+                store.events = result
+                while registry.feed.read(None).revision < 5:
+                    await asyncio.sleep(0.01)
+        return registry.feed.read(None).items
+
+    (published,) = asyncio.run(scenario())
+    assert published.revision == 5
