Follow keys read in several pages from the oldest page

The mirror followed the changes since the first page, so that those between an older later page and the first one were missed: a server removed in between stayed known for good. No deployment in force has over 500 servers, the size of a page; the target has 67,000.

The watch now begins at the oldest revision of the pages.

--- a/boragespool/controllers/forwarding/mirror.py
+++ b/boragespool/controllers/forwarding/mirror.py
@@ -246,9 +246,10 @@
             )
             if isinstance(page, Failure):
                 return page
-            # Pages are read one after the other and are no snapshot; the
-            # watch from the revision of the first page returns what changed.
-            revision = page.revision if revision is None else revision
+            # Pages are read one after the other and are no snapshot, and a
+            # stale one may be older than the first; the watch from the oldest
+            # revision returns what changed.
+            revision = min(page.revision, revision or page.revision)
             age_s = max(age_s, page.age_s)
             self._record_recovery(page.returned_ago_s)
             listed_items_by_key.update((item.key, item) for item in page.items)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -619,3 +619,39 @@
 
     (published,) = asyncio.run(scenario())
     assert published.revision == 5
+
+
+class PagedStore(FakeStore):
+    """Store whose second page is older than the first."""
+
+    def __init__(self):
+        super().__init__()
+        self.watched_revisions = []
+
+    async def read_page(self, prefix, after='', *, may_be_stale=False):
+        if after:
+            return ItemPage((item('p/b', 20),), 22, truncated=False)
+        return ItemPage((item('p/a', 25),), 30, truncated=True)
+
+    async def watch(self, prefix, after_revision, wait_s):
+        self.watched_revisions.append(after_revision)
+        return await super().watch(prefix, after_revision, wait_s)
+
+
+def test_pages_of_different_age_are_followed_from_the_oldest():
+    """Changes after an old second page must not be missed.
+
+    A stale page may be older than the first one. Followed from the revision
+    of the first, a key removed in between would stay known.
+    """
+
+    async def scenario():
+        store = PagedStore()
+        options = MirrorOptions('p/', 0.01, 0.01)
+        async with PrefixMirror(store, LoopTimers(), options, lambda _: None):
+            async with asyncio.timeout(2):
+                while not store.watched_revisions:
+                    await asyncio.sleep(0.01)
+        return store.watched_revisions[0]
+
+    assert asyncio.run(scenario()) == 22
