Do not replace the items of a mirror by older ones

After a lost history a daemon reads all keys again, while the store is away from any other daemon and however old its data is. Servers that had been removed would be used again, and newer items, which the mirror had from a later page, were replaced by older ones.

A read of all keys from a source behind the revision that the mirror already holds now fails and is tried again, the state is kept. Items that are newer than the page are kept as well; the watch returns what became of them.

Evidence: test_state_does_not_return_to_an_older_revision failed before.

--- a/boragespool/controllers/forwarding/mirror.py
+++ b/boragespool/controllers/forwarding/mirror.py
@@ -125,6 +125,8 @@
         self._items_by_key: dict[str, Item] = {}
         self._revision: int | None = None
         self._history_revision = 0
+        # Highest revision that was ever complete; no state may be older.
+        self._held_revision = 0
         # Whether the store has dropped changes. It may also have dropped those
         # after a stale read, so reads must not be stale from then on.
         self._has_lost_history = False
@@ -256,7 +258,19 @@
             if not (page.truncated and page.items):
                 break
             after = page.items[-1].key
+        if revision < self._held_revision:
+            return Failure(
+                ResultCode.STORE_UNAVAILABLE,
+                f'the source is at revision {revision!r}, before '
+                f'{self._held_revision!r}',
+            )
         previous = self._items_by_key
+        listed_items_by_key |= {
+            key: item
+            for key, item in previous.items()
+            if item.revision
+            > _revision_of(listed_items_by_key.get(key), revision)
+        }
         changed_keys = {
             key
             for key in listed_items_by_key.keys() | previous.keys()
@@ -288,6 +302,7 @@
             )
             self._failing_since_s = None
         self._revision = revision
+        self._held_revision = revision
         state = MirrorState(
             self._items_by_key,
             frozenset(changed_keys),
@@ -317,3 +332,7 @@
             prefix=prefix,
             revision=self._revision,
         )
+
+
+def _revision_of(item: Item | None, default: int) -> int:
+    return default if item is None else item.revision
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -655,3 +655,35 @@
         return store.watched_revisions[0]
 
     assert asyncio.run(scenario()) == 22
+
+
+def test_state_does_not_return_to_an_older_revision():
+    """A mirror must not replace its items by older ones.
+
+    After a lost history all keys may be read from a daemon that is behind;
+    servers that were removed would be used again.
+    """
+
+    async def scenario():
+        store = FakeStore()
+        store.page = ItemPage((item('p/a', 9),), 9, truncated=False)
+        store.events = HistoryLost()
+        states = []
+        options = MirrorOptions('p/', 0.01, 0.01)
+
+        def on_state(state):
+            states.append(dict(state.items_by_key))
+            store.page = ItemPage((item('p/b', 3),), 5, truncated=False)
+
+        async with PrefixMirror(store, LoopTimers(), options, on_state):
+            async with asyncio.timeout(2):
+                while store.calls < 5:
+                    await asyncio.sleep(0.01)
+                assert len(states) == 1
+                page = ItemPage((item('p/a', 8),), 12, truncated=False)
+                store.page = page
+                while len(states) == 1:
+                    await asyncio.sleep(0.01)
+        assert states == [{'p/a': item('p/a', 9)}] * 2
+
+    asyncio.run(scenario())
