Do not add old records of daemons to a newer state

A daemon that starts and knows no other one looks for them in pages that may be stale. A record in such a page that had been removed before the state of the mirror was added to it for good, since the watch from its revision does not return this removal: callers would be given the address of a daemon that has left.

Only records written after the revision of the state are taken from these pages; the others are known or removed.

Evidence: test_old_host_records_are_not_added_to_a_newer_state failed before.

--- a/boragespool/controllers/forwarding/relay.py
+++ b/boragespool/controllers/forwarding/relay.py
@@ -188,9 +188,13 @@
         page = await asyncio.shield(self._host_read)
         if isinstance(page, Failure):
             return page
+        # Older items are known already, or have been removed since.
+        new_items = tuple(
+            item for item in page.items if item.revision > after_revision
+        )
         is_host_prefix = prefix == self._options.host_prefix
         return ItemEvents(
-            page.items if is_host_prefix else (),
+            new_items if is_host_prefix else (),
             after_revision,
             age_s=math.inf,
         )
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -687,3 +687,24 @@
         assert states == [{'p/a': item('p/a', 9)}] * 2
 
     asyncio.run(scenario())
+
+
+def test_old_host_records_are_not_added_to_a_newer_state():
+    """A stale page must not bring back the record of a removed daemon.
+
+    A daemon that starts looks for the others in stale pages. The watch from
+    its own revision does not return a removal from before it.
+    """
+
+    async def scenario():
+        store = FakeStore()
+        items = (item('hosts/a', 3), item('hosts/b', 8))
+        store.page = ItemPage(items, 8, truncated=False)
+        plan = ReadPlan(is_pending=True)
+        options = RelayOptions(lambda: plan, tuple, 'hosts/', 1, 1, 1)
+        async with RelayedSource(store, options) as source:
+            return await source.watch('hosts/', 5, 1)
+
+    result = asyncio.run(scenario())
+    assert [event.key for event in result.events] == ['hosts/b']
+    assert result.revision == 5
