--- a/boragespool/controllers/forwarding/mirror.py
+++ b/boragespool/controllers/forwarding/mirror.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
 
-    from boragespool.item_store import ItemSource
+    from boragespool.item_store import ItemEvents, ItemSource
     from boragespool.timers import TimerService
     from boragespool.types import Seconds
 
@@ -216,12 +216,17 @@
             self._revision = None
             self._has_lost_history = True
             return await self._read_all(may_be_stale=False)
+        self._apply_events(result)
+        return None
+
+    def _apply_events(self, result: ItemEvents) -> None:
         self._record_recovery(result.returned_ago_s)
         changed_keys: set[str] = set()
         rewritten_keys: set[str] = set()
         for event in result.events:
-            current = self._items_by_key.get(event.key)
-            if current is not None and current.revision >= event.revision:
+            if event.revision <= _revision_of(
+                self._items_by_key.get(event.key), 0
+            ):
                 continue
             if result.is_coalesced or event.key in changed_keys:
                 rewritten_keys.add(event.key)
@@ -233,7 +238,6 @@
         self._publish(
             changed_keys, result.revision, result.age_s, rewritten_keys
         )
-        return None
 
     async def _read_all(self, *, may_be_stale: bool) -> Failure | None:
         listed_items_by_key: dict[str, Item] = {}
@@ -265,7 +269,7 @@
                 f'{self._held_revision!r}',
             )
         previous = self._items_by_key
-        listed_items_by_key |= {
+        self._items_by_key = listed_items_by_key | {
             key: item
             for key, item in previous.items()
             if item.revision
@@ -273,10 +277,9 @@
         }
         changed_keys = {
             key
-            for key in listed_items_by_key.keys() | previous.keys()
-            if (listed_items_by_key.get(key) != previous.get(key))
+            for key in self._items_by_key.keys() | previous.keys()
+            if self._items_by_key.get(key) != previous.get(key)
         }
-        self._items_by_key = listed_items_by_key
         self._history_revision = revision
         self._publish(changed_keys, revision, age_s, changed_keys)
         return None
