Bound the processor time that a response in tiny chunks takes

Cause: each chunk takes about 12 us in the parser whatever it carries, a read of 256 kB holds 43,000 of them, and the limit of 10,000 pieces of a body was reached only after a tenth of a second, in one turn of the event loop. Each further attempt began anew.

Change: a body may have 128 chunks, and one more for each 16 bytes that it carries; the exchange then fails as too large, with the reason in the log. A response is parsed in turns of 64 events, about 1 ms, with reading paused in between, so that a sound body in many small chunks does not delay others either. While a head is incomplete the parser gets 8 kB at a time, as it has no limit for a head that comes in one read.

--- a/boragespool/http/client.py
+++ b/boragespool/http/client.py
@@ -186,12 +186,29 @@
     def _handle_result(
         self, result: HttpResponse | ExchangeFailure | None
     ) -> None:
+        if self._parser.is_interrupted:
+            self._pause_reading()
+            return
         if result is None:
             return
         if not self._parser.is_reusable:
             self.close()
         self._set_result(result)
 
+    def _pause_reading(self) -> None:
+        """Parse the rest of the received bytes after other callbacks."""
+        if self._transport is not None:
+            self._transport.pause_reading()
+        asyncio.get_running_loop().call_soon(self._resume)
+
+    def _resume(self) -> None:
+        if self._response_future is None or self._response_future.done():
+            return
+        result = self._parser.resume()
+        if self._transport is not None and not self._parser.is_interrupted:
+            self._transport.resume_reading()
+        self._handle_result(result)
+
     def _set_result(self, result: HttpResponse | ExchangeFailure) -> None:
         if isinstance(result, ExchangeFailure):
             self.close()
--- a/boragespool/http/limits.py
+++ b/boragespool/http/limits.py
@@ -1,8 +1,36 @@
-"""Size, connection and time limits of an HTTP server."""
+"""Limits of sizes, connections, times and parsing work in HTTP."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Final
+
+#: Maximum number of events that one connection parses in one turn of the
+#: event loop; about 1 ms.
+EVENTS_PER_TURN: Final = 64
+#: Maximum number of bytes that are parsed at once while a head is incomplete.
+#: A head can exceed the limit of its size by this much.
+HEAD_READ_SIZE_BYTES: Final = 8_192
+#: Number of chunks that a body may have whatever their size, and number of
+#: bytes that it has to carry for each further one.
+_FREE_CHUNK_COUNT: Final = 128
+_MIN_CHUNK_SIZE_BYTES: Final = 16
+
+
+def is_chunking_wasteful(chunk_count: int, size_bytes: int) -> bool:
+    """Return whether a body has too many chunks for what it carries.
+
+    A chunk of one byte takes as much processor time as a large one.
+
+    Parameters
+    ----------
+    chunk_count : int
+        Number of chunks received so far.
+    size_bytes : int
+        Number of bytes that they carried, without chunk headers.
+    """
+    allowed_count = _FREE_CHUNK_COUNT + size_bytes // _MIN_CHUNK_SIZE_BYTES
+    return chunk_count > allowed_count
 
 
 @dataclass(frozen=True, slots=True)
--- a/boragespool/http/response_parser.py
+++ b/boragespool/http/response_parser.py
@@ -10,6 +10,11 @@
 import h11
 
 from boragespool.http.failures import ExchangeFailure, FailureKind
+from boragespool.http.limits import (
+    EVENTS_PER_TURN,
+    HEAD_READ_SIZE_BYTES,
+    is_chunking_wasteful,
+)
 from boragespool.http.messages import HttpResponse
 
 if TYPE_CHECKING:
@@ -29,6 +34,11 @@
         Connection that receives the responses.
     buffers : ResponseBuffers
         Limits of responses, and the memory that connections share.
+
+    Attributes
+    ----------
+    is_interrupted : bool
+        Whether received bytes are left to parse; see `resume`.
     """
 
     def __init__(
@@ -44,8 +54,12 @@
         self._head: h11.Response | None = None
         self._body = bytearray()
         self._piece_count = 0
+        self._chunk_count = 0
         self._skipped_count = 0
         self._has_ended = False
+        # Received bytes that the protocol has not been given yet.
+        self._unparsed = b''
+        self.is_interrupted = False
 
     @property
     def is_reusable(self) -> bool:
@@ -54,8 +68,8 @@
         Bytes after the response would be taken for the next response.
         """
         states = (self._protocol.our_state, self._protocol.their_state)
-        has_extra_bytes = bool(self._protocol.trailing_data[0])
-        return states == (h11.DONE, h11.DONE) and not has_extra_bytes
+        extra_bytes = self._protocol.trailing_data[0] or self._unparsed
+        return states == (h11.DONE, h11.DONE) and not extra_bytes
 
     def start(
         self, request: HttpRequest, echo_header: tuple[str, str] | None
@@ -79,8 +93,19 @@
             None if the response is not complete yet.
         """
         self._has_ended = not received
-        try:
+        self._unparsed = received
+        if self._has_ended:
             self._protocol.receive_data(received)
+        return self.resume()
+
+    def resume(self) -> HttpResponse | ExchangeFailure | None:
+        """Parse on after an interruption; see `receive`.
+
+        Parsing is interrupted after `EVENTS_PER_TURN` events, so that other
+        connections get their turn; `is_interrupted` is then true.
+        """
+        self.is_interrupted = False
+        try:
             return self._next_response()
         except h11.RemoteProtocolError as error:
             # h11 raises this also if the peer closes within a response.
@@ -93,6 +118,7 @@
         """Free the memory of the body that is being received."""
         self._body = bytearray()
         self._piece_count = 0
+        self._chunk_count = 0
         self._buffers.release(self._receiver)
 
     def failure(self, kind: FailureKind, reason: str) -> ExchangeFailure:
@@ -108,20 +134,36 @@
         return b''.join(piece or b'' for piece in encoded)
 
     def _next_response(self) -> HttpResponse | ExchangeFailure | None:
-        while True:
+        for _ in range(EVENTS_PER_TURN):
             event = self._protocol.next_event()
             if event is h11.NEED_DATA:
-                return None
+                if not self._unparsed:
+                    return None
+                self._give_bytes()
+                continue
             result = self._handle_event(event)
             if result is not None:
                 return result
+        self.is_interrupted = True
+        return None
+
+    def _give_bytes(self) -> None:
+        """Give the protocol received bytes, at first only those of a head.
+
+        It has no limit for a head that it gets at once.
+        """
+        count = len(self._unparsed)
+        if self._head is None:
+            count = HEAD_READ_SIZE_BYTES
+        self._protocol.receive_data(self._unparsed[:count])
+        self._unparsed = self._unparsed[count:]
 
     def _handle_event(
         self, event: object
     ) -> HttpResponse | ExchangeFailure | None:
         """Return the result, or None if further events follow."""
         if isinstance(event, h11.Data):
-            return self._add_to_body(event.data)
+            return self._add_to_body(event)
         if isinstance(event, h11.InformationalResponse):
             return self._count_skipped_response()
         if isinstance(event, h11.Response):
@@ -143,18 +185,24 @@
             return response
         return self._count_skipped_response() or self._skip_stale_response()
 
-    def _add_to_body(self, piece: bytes) -> ExchangeFailure | None:
+    def _add_to_body(self, event: h11.Data) -> ExchangeFailure | None:
         """Append to the body; return a failure if it is too large."""
         self._piece_count += 1
-        self._body += piece
+        self._chunk_count += event.chunk_start
+        self._body += event.data
         limits = self._buffers.limits
-        is_counted = self._buffers.add(self._receiver, len(piece))
-        if is_counted and self._piece_count <= limits.piece_count:
+        is_counted = self._buffers.add(self._receiver, len(event.data))
+        is_wasteful = is_chunking_wasteful(self._chunk_count, len(self._body))
+        if (
+            is_counted
+            and self._piece_count <= limits.piece_count
+            and not is_wasteful
+        ):
             return None
         return self.failure(
             FailureKind.TOO_LARGE,
             f'the body of {len(self._body)} bytes in {self._piece_count} '
-            f'pieces exceeds {limits!r}',
+            f'pieces exceeds {limits!r}, or has too many chunks',
         )
 
     def _count_skipped_response(self) -> ExchangeFailure | None:
@@ -184,11 +232,11 @@
                 'only the response to an earlier request arrived',
             )
         self._protocol = h11.Connection(h11.CLIENT)
+        self._head = None
         # Puts the new parser into the state after the request; the encoded
         # request is not sent.
         self._send_request()
-        if received:
-            self._protocol.receive_data(received)
+        self._unparsed = received + self._unparsed
         return None
 
 
