Refuse requests in tiny chunks early, and read bodies in turns

Cause: as with responses, but without any limit on the number of chunks: a body of 1 MB in chunks of one byte took the event loop for seconds, 64 kB at a time.

The request has not run. A body is read in turns of 64 events. A head is read 8 kB at a time, so that one over its limit is refused before all of it is parsed.

--- a/boragespool/http/exchange.py
+++ b/boragespool/http/exchange.py
@@ -8,6 +8,11 @@
 
 import h11
 
+from boragespool.http.limits import (
+    EVENTS_PER_TURN,
+    HEAD_READ_SIZE_BYTES,
+    is_chunking_wasteful,
+)
 from boragespool.http.messages import HttpRequest
 from boragespool.results import Failure, ResultCode
 
@@ -54,7 +59,7 @@
         if self._protocol.trailing_data[0]:
             self._first_bytes_at_s = asyncio.get_running_loop().time()
             return True
-        received = await self.reader.read(_READ_SIZE_BYTES)
+        received = await self.reader.read(HEAD_READ_SIZE_BYTES)
         self._first_bytes_at_s = asyncio.get_running_loop().time()
         self._protocol.receive_data(received)
         return bool(received)
@@ -179,6 +184,7 @@
     async def _read_body(self, limits: HttpLimits) -> bytes | Failure:
         parts: list[bytes] = []
         size_bytes = 0
+        chunk_count = 0
         while True:
             event = await self._next_event(limits.header_size_bytes)
             if isinstance(event, h11.EndOfMessage):
@@ -189,9 +195,14 @@
                     'the connection closed inside a request body',
                 )
             size_bytes += len(event.data)
-            if size_bytes > limits.body_size_bytes:
-                return _body_too_large(size_bytes, limits)
+            chunk_count += event.chunk_start
+            failure = _check_body(size_bytes, chunk_count, limits)
+            if failure is not None:
+                return failure
             parts.append(bytes(event.data))
+            if not len(parts) % EVENTS_PER_TURN:
+                # Other connections get their turn.
+                await asyncio.sleep(0)
 
     async def _next_event(self, head_limit_bytes: int) -> object:
         """Return the next h11 event, reading from the stream as needed."""
@@ -209,7 +220,11 @@
                 self._writer.write(
                     self._protocol.send(continue_response) or b''
                 )
-            received = await self.reader.read(_READ_SIZE_BYTES)
+            # A head is checked against its limit after each read.
+            is_in_head = self._protocol.their_state is h11.IDLE
+            received = await self.reader.read(
+                HEAD_READ_SIZE_BYTES if is_in_head else _READ_SIZE_BYTES
+            )
             self._protocol.receive_data(received)
 
 
@@ -254,6 +269,21 @@
     return None
 
 
+def _check_body(
+    size_bytes: int, chunk_count: int, limits: HttpLimits
+) -> Failure | None:
+    """Return a failure for a body that is too large or wastes time."""
+    if size_bytes > limits.body_size_bytes:
+        return _body_too_large(size_bytes, limits)
+    if is_chunking_wasteful(chunk_count, size_bytes):
+        return Failure(
+            ResultCode.TINY_CHUNKS,
+            f'the first {size_bytes} bytes of the body came in {chunk_count} '
+            'chunks',
+        )
+    return None
+
+
 def _body_too_large(size_bytes: int, limits: HttpLimits) -> Failure:
     return Failure(
         ResultCode.BODY_TOO_LARGE,
--- a/tests/test_wasteful_peers.py
+++ b/tests/test_wasteful_peers.py
@@ -12,14 +12,19 @@
     ExchangeFailure,
     FailureKind,
     HttpConnection,
+    HttpLimits,
     HttpRequest,
     HttpResponse,
+    HttpServer,
     ResponseBuffers,
 )
 
 #: 5 ms of processor time at 20 us for each event.
 MAX_EVENTS_PER_TURN = 250
 RESPONSE_HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+REQUEST_HEAD = (
+    b'POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n'
+)
 LAST_CHUNK = b'0\r\n\r\n'
 
 
@@ -189,3 +194,84 @@
         assert counter.counts == [0]
 
     asyncio.run(scenario())
+
+
+async def exchange_with_server(received, counter):
+    """Send bytes to a server; return its response and the bodies it got."""
+    bodies = []
+
+    async def handle(request):
+        bodies.append(request.body)
+        return HttpResponse(200, b'answer')
+
+    limits = HttpLimits(body_size_bytes=1_000_000)
+    async with HttpServer('127.0.0.1:0', limits, handle) as server:
+        host, port = server.address.split(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        turns = asyncio.ensure_future(counter.count_turns())
+        with counter.patch():
+            writer.write(received)
+            async with asyncio.timeout(5):
+                response = await reader.readuntil(b'\r\n\r\n')
+        turns.cancel()
+        writer.transport.abort()
+    return response, bodies
+
+
+def test_request_of_tiny_chunks_is_refused_early():
+    """A caller that sends chunks of one byte must be refused after a few.
+
+    One such caller delayed the requests of all others by seconds.
+    """
+
+    async def scenario():
+        counter = EventCounter()
+        response, bodies = await exchange_with_server(
+            REQUEST_HEAD + chunks(1, 40_000), counter
+        )
+        assert response.startswith(b'HTTP/1.1 400 ')
+        assert b'connection: close' in response.lower()
+        assert not bodies
+        assert sum(counter.counts) <= MAX_EVENTS_PER_TURN
+
+    asyncio.run(scenario())
+
+
+def test_request_of_small_chunks_is_read_in_turns():
+    """A body in small chunks must be read whole and let others run.
+
+    Callers may send what they read from a device as it comes.
+    """
+
+    async def scenario():
+        counter = EventCounter()
+        response, bodies = await exchange_with_server(
+            REQUEST_HEAD + chunks(40, 8_000) + LAST_CHUNK, counter
+        )
+        assert response.startswith(b'HTTP/1.1 200 ')
+        assert bodies == [b'x' * 320_000]
+        assert max(counter.counts) <= MAX_EVENTS_PER_TURN
+
+    asyncio.run(scenario())
+
+
+def test_request_head_of_many_fields_is_bounded():
+    """A head over the limit must be refused before all of it is parsed."""
+
+    async def scenario():
+        received = b'GET /x HTTP/1.1\r\nHost: a\r\n' + b'a:b\r\n' * 12_000
+        parsed = []
+        receive_data = h11.Connection.receive_data
+
+        def count(protocol, data):
+            parsed.append(len(data))
+            return receive_data(protocol, data)
+
+        with mock.patch.object(h11.Connection, 'receive_data', count):
+            response, _ = await exchange_with_server(
+                received + b'\r\n', EventCounter()
+            )
+        assert response.startswith(b'HTTP/1.1 431 ')
+        assert sum(parsed) <= 2 * HttpLimits().header_size_bytes
+
+    asyncio.run(scenario())
