Bound the memory for responses of the store and of other daemons together

The users' report of bytes without end, for the daemons' own connections: bodies of backend servers shared a limit of an eighth of the memory, but each connection to the store and to other daemons had a limit of its own of 16 MB. Eight connections to an address that sends without end held 133 MB, 16 of them take more than a process may have (200 to 552 MB).

A pool's connections now share the limits: an eighth of the memory for the responses of the store and an eighth for those of other daemons, with the largest body given up first. One body may use all of it, as a page has 1 MB and a watch may return several configurations.

Evidence: test_endless_responses_of_store_and_daemons_are_bounded failed for both before (132,907,008 bytes held, bound 2,097,152).

--- a/boragespool/controllers/forwarding/feed_http.py
+++ b/boragespool/controllers/forwarding/feed_http.py
@@ -19,6 +19,7 @@
     ExchangeFailure,
     HttpRequest,
     HttpResponse,
+    ResponseBuffers,
 )
 from boragespool.item_store import HistoryLost
 from boragespool.tasks import TaskSet
@@ -27,6 +28,7 @@
     from collections.abc import Awaitable, Mapping, Sequence
 
     from boragespool.controllers.forwarding.feed import ChangeFeed
+    from boragespool.http import ResponseLimits
     from boragespool.types import Address, Seconds
 
 FEED_PATH: Final = '/v1/feed'
@@ -72,12 +74,18 @@
     ----------
     wait_s : float
         Maximum time that another daemon waits for a change, in seconds.
+    limits : ResponseLimits, optional
+        Limits of the responses of all other daemons together.
     """
 
-    def __init__(self, wait_s: Seconds) -> None:
+    def __init__(
+        self, wait_s: Seconds, limits: ResponseLimits | None = None
+    ) -> None:
         """Set up the client without open connections."""
         self._wait_s = wait_s
-        self._pool = ConnectionPool(_CONNECTION_COUNT, _RESPONSE_MARGIN_S)
+        self._pool = ConnectionPool(
+            _CONNECTION_COUNT, _RESPONSE_MARGIN_S, ResponseBuffers(limits)
+        )
         self._open_batches_by_address: dict[Address, _WatchBatch] = {}
         self._wait_ends_at_s_by_address: dict[Address, Seconds] = {}
         self._tasks = TaskSet()
--- a/boragespool/controllers/forwarding/options.py
+++ b/boragespool/controllers/forwarding/options.py
@@ -72,6 +72,9 @@
         hedged.
     response_limits : ResponseLimits
         Limits of the responses of backend servers.
+    record_response_limits : ResponseLimits
+        Limits of the responses of the store, and again of other daemons, from
+        which registrations, configuration and records are read.
     """
 
     host: HostName
@@ -100,6 +103,7 @@
     configuration_read_interval_s: Seconds = 0.15
     hedge_quantile: float = 0.9
     response_limits: ResponseLimits = ResponseLimits()
+    record_response_limits: ResponseLimits = ResponseLimits()
 
     def min_read_interval_s(self, prefix: str) -> Seconds:
         """Return the minimum interval between reads of a prefix, in seconds.
--- a/boragespool/controllers/forwarding/relay.py
+++ b/boragespool/controllers/forwarding/relay.py
@@ -26,6 +26,7 @@
     from collections.abc import Callable
 
     from boragespool.forwarding import ReadPlan
+    from boragespool.http import ResponseLimits
     from boragespool.item_store import ItemSource
     from boragespool.types import Address, Seconds
 
@@ -68,6 +69,8 @@
         Maximum time that another daemon waits for a change, in seconds, and
         a watch of the store by a daemon that is not the reader. Both prove
         the age of the data to those who read through this daemon.
+    response_limits : ResponseLimits, optional
+        Limits of the responses of other daemons.
     """
 
     get_plan: Callable[[], ReadPlan]
@@ -76,6 +79,7 @@
     max_age_s: Seconds
     max_other_age_s: Seconds
     wait_s: Seconds
+    response_limits: ResponseLimits | None = None
 
 
 class RelayedSource:
@@ -96,7 +100,7 @@
         """Set up the source without open connections."""
         self._store = store
         self._options = options
-        self._feed_client = FeedClient(options.wait_s)
+        self._feed_client = FeedClient(options.wait_s, options.response_limits)
         self._skipped_until_s_by_address: dict[Address, Seconds] = {}
         self._store_due_at_s_by_prefix: dict[str, Seconds] = {}
         self._host_read: asyncio.Task[ItemPage | Failure] | None = None
--- a/boragespool/controllers/forwarding/store_mirrors.py
+++ b/boragespool/controllers/forwarding/store_mirrors.py
@@ -84,6 +84,7 @@
                 options.relay_wait_s + _READ_MARGIN_S,
                 options.watch_wait_s + _READ_MARGIN_S,
                 options.relay_wait_s,
+                options.record_response_limits,
             ),
         )
         self.hosts = HostRegistry(
--- a/boragespool/http/pool.py
+++ b/boragespool/http/pool.py
@@ -8,6 +8,7 @@
 
 from boragespool.http.client import HttpConnection, open_connection
 from boragespool.http.failures import ExchangeFailure, FailureKind
+from boragespool.http.response_buffers import ResponseBuffers
 
 if TYPE_CHECKING:
     from boragespool.http.messages import HttpRequest, HttpResponse
@@ -27,14 +28,19 @@
         Maximum number of concurrent exchanges; further ones wait.
     connect_timeout_s : float, optional
         Longest time for a TCP handshake, in seconds.
+    buffers : ResponseBuffers, optional
+        Limits of the responses, and the memory that the connections share;
+        own ones with the default limits if it is missing.
     """
 
     def __init__(
         self,
         connection_count: int,
         connect_timeout_s: Seconds = math.inf,
+        buffers: ResponseBuffers | None = None,
     ) -> None:
         """Create an empty pool."""
+        self._buffers = buffers or ResponseBuffers()
         self._exchange_slots = asyncio.Semaphore(connection_count)
         self._connect_timeout_s = connect_timeout_s
         self._idle_by_address: dict[
@@ -104,6 +110,7 @@
         connection = self._take_idle(address) or await open_connection(
             address,
             min(deadline_s - loop.time(), self._connect_timeout_s),
+            self._buffers,
         )
         if isinstance(connection, ExchangeFailure):
             return connection
--- a/tests/platform_standins/cluster.py
+++ b/tests/platform_standins/cluster.py
@@ -133,9 +133,12 @@
 
     async def _listen(self, boot):
         """Start a daemon; return None if one of its ports was taken."""
-        store = KeyValueStore(boot.platform.address)
+        options = forwarding_options(boot)
+        store = KeyValueStore(
+            boot.platform.address, options.record_response_limits
+        )
         await self.stack.enter_async_context(store)
-        daemon = Forwarder(forwarding_options(boot), CODEC, store)
+        daemon = Forwarder(options, CODEC, store)
         try:
             return await self.stack.enter_async_context(daemon)
         except OSError as error:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -29,7 +29,7 @@
 from hypothesis import strategies as st
 
 from boragespool.forwarding import Registration
-from boragespool.http import HttpRequest, HttpResponse
+from boragespool.http import HttpRequest, HttpResponse, ResponseLimits
 from boragespool.item_store import HistoryLost, Item, LeaseEnded
 from boragespool.results import Failure, ResultCode
 from boragespool.types import RunState
@@ -312,7 +312,9 @@
             store_standin.page_size = 2
             for name in 'abc':
                 store_standin.put(f'p/{name}', b'v')
-            async with KeyValueStore(store_standin.address) as store:
+            async with KeyValueStore(
+                store_standin.address, ResponseLimits()
+            ) as store:
                 first_page = await store.read_page('p/')
                 assert [i.key for i in first_page.items] == ['p/a', 'p/b']
                 second_page = await store.read_page('p/', 'p/b')
--- a/tests/test_response_limits.py
+++ b/tests/test_response_limits.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from unittest import mock
 
 import pytest
+from boragespool_platform.store import KeyValueStore
 
+from boragespool.controllers.forwarding.feed_http import FeedClient
 from boragespool.http import (
     ExchangeFailure,
     FailureKind,
@@ -15,6 +19,7 @@
     ResponseBuffers,
     ResponseLimits,
 )
+from boragespool.results import Failure
 
 LIMITS = ResponseLimits(
     body_size_bytes=10_000,
@@ -203,3 +208,78 @@
             assert result.result().kind is FailureKind.CLOSED
 
     run_in_loop(scenario)
+
+
+async def send_endlessly(reader, writer):
+    """Answer with a body without end."""
+    with contextlib.suppress(OSError):
+        writer.write(HEAD + b'\r\n')
+        while True:
+            writer.write(b'x' * 65_536)
+            await writer.drain()
+
+
+class BodyMeter:
+    """Records the most bytes of bodies that connections held at a time."""
+
+    def __init__(self):
+        self.peak_bytes = 0
+        self.connections = set()
+
+    def patch(self):
+        """Return a context manager that records."""
+        receive = HttpConnection.data_received
+
+        def data_received(connection, received):
+            receive(connection, received)
+            self.connections.add(connection)
+            held_bytes = sum(
+                len(each._parser._body) for each in self.connections
+            )
+            self.peak_bytes = max(self.peak_bytes, held_bytes)
+
+        return mock.patch.object(HttpConnection, 'data_received', data_received)
+
+
+async def read_all_from(store):
+    """Send as many calls and watches at once as the client has connections."""
+    async with store:
+        return await asyncio.gather(
+            *(store.read_page('p/') for _ in range(4)),
+            *(store.watch('p/', 1, 1) for _ in range(4)),
+        )
+
+
+async def read_feeds_from(address, limits):
+    """Read from another daemon on all connections of the client."""
+    client = FeedClient(1, limits)
+    results = await asyncio.gather(
+        *(client.read(address, 'p/') for _ in range(8))
+    )
+    await client.__aexit__()
+    return results
+
+
+@pytest.mark.parametrize('peer_kind', ['store', 'daemon'])
+def test_endless_responses_of_store_and_daemons_are_bounded(peer_kind):
+    """Records read without end must not fill the memory of the process.
+
+    Each of the connections had a limit of its own, 16 of them 268 MB together.
+    """
+
+    async def scenario():
+        limits = ResponseLimits(2_097_152, 2_097_152)
+        meter = BodyMeter()
+        server = await asyncio.start_server(send_endlessly, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        address = f'{host}:{port}'
+        with meter.patch():
+            if peer_kind == 'store':
+                results = await read_all_from(KeyValueStore(address, limits))
+            else:
+                results = await read_feeds_from(address, limits)
+        server.close()
+        assert all(isinstance(each, (Failure, str)) for each in results)
+        assert 0 < meter.peak_bytes <= limits.total_size_bytes
+
+    asyncio.run(scenario())
