Free the callback of a cancelled timer at once

Cause: cancelling a timer only cleared a flag. The event loop, or the heap of the virtual clock, kept the callback until the delay had passed, and with it the request to whose deadline it belonged, body included. Memory grew with rate, size and timeout instead of with the requests that are open.

A cancelled timer now gives up its callback, for all users of the timer service. The entry of the event loop stays until it is due; it holds the empty handle only.

--- a/boragespool/timers/service.py
+++ b/boragespool/timers/service.py
@@ -20,20 +20,25 @@
 
     Attributes
     ----------
-    active : bool
-        False once the timer was cancelled.
+    callback : callable or None
+        None once the timer was cancelled, so that what it refers to can be
+        freed before the timer is due.
     """
 
-    callback: Callable[[], None]
-    active: bool = True
+    callback: Callable[[], None] | None
+
+    @property
+    def active(self) -> bool:
+        """False once the timer was cancelled."""
+        return self.callback is not None
 
     def cancel(self) -> None:
         """Cancel the timer; its callback is not called any more."""
-        self.active = False
+        self.callback = None
 
     def fire(self) -> None:
         """Call the callback unless the timer was cancelled."""
-        if self.active:
+        if self.callback is not None:
             self.callback()
 
 
