Send field values outside ASCII to servers, and give connections back

Cause: values are kept as text of one character for each byte, but were handed to the HTTP library as text, which it takes in ASCII only. It raised after a connection of the server's limit had been counted, so that the connection was never given back.

Fields are now encoded at one place as the bytes that they were. A request that the library refuses for another reason fails as not sent, like a refused connection, and gives its connection back.

--- a/boragespool/http/client.py
+++ b/boragespool/http/client.py
@@ -6,6 +6,8 @@
 from functools import partial
 from typing import TYPE_CHECKING, Self, cast
 
+import h11
+
 from boragespool.http.failures import ExchangeFailure, FailureKind
 from boragespool.http.response_buffers import ResponseBuffers
 from boragespool.http.response_parser import ResponseParser
@@ -174,7 +176,17 @@
                 self._response_future = None
 
         result.add_done_callback(on_done)
-        encoded = self._parser.start(request, echo_header)
+        try:
+            encoded = self._parser.start(request, echo_header)
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            self._set_result(
+                ExchangeFailure(
+                    FailureKind.MALFORMED,
+                    sent=False,
+                    reason=f'the request cannot be sent: {error}',
+                ),
+            )
+            return result
         if self._transport is not None:
             self._transport.write(encoded)
         return result
--- a/boragespool/http/exchange.py
+++ b/boragespool/http/exchange.py
@@ -13,7 +13,7 @@
     HEAD_READ_SIZE_BYTES,
     is_chunking_wasteful,
 )
-from boragespool.http.messages import HttpRequest
+from boragespool.http.messages import HttpRequest, read_fields
 from boragespool.results import Failure, ResultCode
 
 if TYPE_CHECKING:
@@ -159,10 +159,7 @@
             )
         # A head that arrives in one piece is never incomplete.
         _check_head_size(_head_size_bytes(head), limits.header_size_bytes)
-        fields = tuple(
-            (name.decode('ascii'), text.decode('latin-1'))
-            for name, text in head.headers
-        )
+        fields = read_fields(head.headers)
         headers = dict(fields)
         failure = _check_framing(headers, limits)
         if failure is not None:
--- a/boragespool/http/messages.py
+++ b/boragespool/http/messages.py
@@ -11,7 +11,7 @@
 from boragespool.results import Failure, http_status
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Mapping
 
     from boragespool.types import HeaderFields
 
@@ -38,7 +38,8 @@
         Whether its connection was deferred because the request before it was
         refused for overload.
     fields : tuple of tuple of str
-        All header fields in order, with names in lower case.
+        All header fields in order, with names in lower case. Each character
+        of a value stands for one byte, as in `HttpResponse`.
     """
 
     method: str
@@ -99,6 +100,27 @@
         return None
 
 
+def read_fields(raw_fields: Iterable[tuple[bytes, bytes]]) -> HeaderFields:
+    """Decode header fields as text of one character for each byte.
+
+    A value may hold any byte above 127 (obs-text, RFC 9110, section 5.5).
+    """
+    return tuple(
+        (name.decode('ascii'), value.decode('latin-1'))
+        for name, value in raw_fields
+    )
+
+
+def encode_fields(
+    fields: Iterable[tuple[str, str]],
+) -> list[tuple[bytes, bytes]]:
+    """Encode header fields as the bytes that `read_fields` decoded."""
+    return [
+        (name.encode('ascii'), value.encode('latin-1'))
+        for name, value in fields
+    ]
+
+
 def _split(target: str) -> SplitResult:
     """Split a target. An invalid one, such as ``//[``, has an empty path."""
     try:
--- a/boragespool/http/response_parser.py
+++ b/boragespool/http/response_parser.py
@@ -15,7 +15,11 @@
     HEAD_READ_SIZE_BYTES,
     is_chunking_wasteful,
 )
-from boragespool.http.messages import HttpResponse
+from boragespool.http.messages import (
+    HttpResponse,
+    encode_fields,
+    read_fields,
+)
 
 if TYPE_CHECKING:
     from boragespool.http.messages import HttpRequest
@@ -251,7 +255,7 @@
     head = h11.Request(
         method=request.method,
         target=request.target,
-        headers=headers,
+        headers=encode_fields(headers),
     )
     if request.body:
         return (head, h11.Data(data=request.body), h11.EndOfMessage())
@@ -259,8 +263,5 @@
 
 
 def _to_http_response(head: h11.Response, body: bytes) -> HttpResponse:
-    fields = tuple(
-        (name.decode('ascii'), text.decode('latin-1'))
-        for name, text in head.headers
-    )
+    fields = read_fields(head.headers)
     return HttpResponse(head.status_code, body, fields=fields)
