Return field values outside ASCII to callers

Cause: as with requests to servers; the library raised while the answer was encoded, which ended the task of the connection.

Evidence: test_field_value_outside_ascii_is_returned failed before (UnicodeEncodeError).

--- a/boragespool/http/exchange.py
+++ b/boragespool/http/exchange.py
@@ -13,7 +13,11 @@
     HEAD_READ_SIZE_BYTES,
     is_chunking_wasteful,
 )
-from boragespool.http.messages import HttpRequest, read_fields
+from boragespool.http.messages import (
+    HttpRequest,
+    encode_fields,
+    read_fields,
+)
 from boragespool.results import Failure, ResultCode
 
 if TYPE_CHECKING:
@@ -100,7 +104,9 @@
             headers.append(('content-type', response.content_type))
         if close:
             headers.append(('connection', 'close'))
-        head = h11.Response(status_code=response.status, headers=headers)
+        head = h11.Response(
+            status_code=response.status, headers=encode_fields(headers)
+        )
         try:
             self._writer.write(
                 (self._protocol.send(head) or b'')
--- a/tests/test_field_values.py
+++ b/tests/test_field_values.py
@@ -9,6 +9,7 @@
     ServerConnections,
 )
 from boragespool.http import (
+    ConnectionPool,
     ExchangeFailure,
     HttpLimits,
     HttpRequest,
@@ -42,6 +43,32 @@
     run(scenario)
 
 
+def test_field_value_outside_ascii_is_returned():
+    """An answer with such a value must reach the caller unchanged.
+
+    Its claim has run; the caller got a closed connection.
+    """
+
+    async def scenario():
+        fields = (('x-member', NAME),)
+
+        async def handle(request):
+            assert request.fields[-1] == fields[0]
+            return HttpResponse(200, b'answer', fields=fields)
+
+        async with HttpServer('127.0.0.1:0', HttpLimits(), handle) as server:
+            async with ConnectionPool(1) as pool:
+                for _ in range(2):
+                    request = HttpRequest(
+                        'GET', '/x', fields=(('host', 'a'), *fields)
+                    )
+                    response = await pool.exchange(server.address, request, 2)
+                    assert isinstance(response, HttpResponse)
+                    assert response.field('x-member') == NAME
+
+    asyncio.run(scenario())
+
+
 def test_request_that_cannot_be_sent_gives_its_connection_back():
     """A request that cannot be encoded must fail and use no connection."""
 
