Answer requests whose response the HTTP library refuses

Cause: the daemon's own answers have a body whatever the method. The library allows none for HEAD, nor for 204 and 304, and raised after the head had been taken; the connection was closed without a byte.

The answer to HEAD now has the length and no body, 204 and 304 have none. A response that cannot be encoded at all becomes 500 with event 201, and the connection is closed after it.

--- a/boragespool/http/exchange.py
+++ b/boragespool/http/exchange.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import contextlib
+import logging
 from typing import TYPE_CHECKING, Final
 
 import h11
 
+from boragespool.events import Event, log_event
 from boragespool.http.limits import (
     EVENTS_PER_TURN,
     HEAD_READ_SIZE_BYTES,
@@ -16,9 +18,11 @@
 from boragespool.http.messages import (
     HttpRequest,
     encode_fields,
+    failure_response,
     read_fields,
 )
 from boragespool.results import Failure, ResultCode
+from boragespool.types import RunState
 
 if TYPE_CHECKING:
     from boragespool.http.limits import HttpLimits
@@ -31,6 +35,8 @@
 #: connection is closed, in seconds.
 _LINGERING_CLOSE_S: Final = 0.5
 _HEADERS_TOO_LARGE_STATUS: Final = 431
+#: Statuses of responses without a body: no content, not modified.
+_BODILESS_STATUSES: Final = frozenset((204, 304))
 #: Bytes that h11 buffers for an incomplete head or chunk header; the limit of
 #: the server, which is checked as well, is usually lower.
 _MAX_INCOMPLETE_BYTES: Final = 1_048_576
@@ -55,6 +61,8 @@
         self._peer_ip = str(peer[0])
         self._first_bytes_at_s: Seconds = 0
         self._waited_s: Seconds = 0
+        # Of the last request whose head could be parsed.
+        self._method = ''
         #: Whether the last request was refused for overload.
         self.deferred = False
 
@@ -96,25 +104,19 @@
         The connection is aborted if the peer does not receive the response
         within `write_timeout_s`, so that it cannot delay a graceful stop.
         """
-        headers = [
-            *response.fields,
-            ('content-length', str(len(response.body))),
-        ]
-        if response.field('content-type') is None and response.content_type:
-            headers.append(('content-type', response.content_type))
-        if close:
-            headers.append(('connection', 'close'))
-        head = h11.Response(
-            status_code=response.status, headers=encode_fields(headers)
-        )
         try:
-            self._writer.write(
-                (self._protocol.send(head) or b'')
-                + (self._protocol.send(h11.Data(data=response.body)) or b'')
-                + (self._protocol.send(h11.EndOfMessage()) or b''),
+            encoded = self._encode(response, close=close)
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            log_event(
+                Event.HANDLER_FAILED,
+                f'a response cannot be encoded: {error!r}',
+                level=logging.ERROR,
+                status=response.status,
             )
-        except h11.LocalProtocolError:
-            return False
+            if self._protocol.our_state is not h11.SEND_RESPONSE:
+                return False
+            encoded = self._encode(_encoding_failure(), close=True)
+        self._writer.write(encoded)
         if not await self._drain_writer(write_timeout_s):
             return False
         if self._protocol.our_state is not h11.DONE:
@@ -136,6 +138,26 @@
             async with asyncio.timeout(_LINGERING_CLOSE_S):
                 await self._discard_input(limits.body_size_bytes)
 
+    def _encode(self, response: HttpResponse, *, close: bool) -> bytes:
+        """Encode a response; one to HEAD has the length but not the body."""
+        headers = [
+            *response.fields,
+            ('content-length', str(len(response.body))),
+        ]
+        if response.field('content-type') is None and response.content_type:
+            headers.append(('content-type', response.content_type))
+        if close:
+            headers.append(('connection', 'close'))
+        events: list[h11.Event] = [
+            h11.Response(
+                status_code=response.status, headers=encode_fields(headers)
+            )
+        ]
+        if self._method != 'HEAD' and response.status not in _BODILESS_STATUSES:
+            events.append(h11.Data(data=response.body))
+        events.append(h11.EndOfMessage())
+        return b''.join(self._protocol.send(event) or b'' for event in events)
+
     async def _drain_writer(self, timeout_s: Seconds) -> bool:
         """Wait until the write buffer of the transport is empty."""
         if not self._writer.transport.get_write_buffer_size():
@@ -163,6 +185,7 @@
                 ResultCode.MALFORMED_HTTP,
                 'the connection closed before a request was complete',
             )
+        self._method = head.method.decode('ascii')
         # A head that arrives in one piece is never incomplete.
         _check_head_size(_head_size_bytes(head), limits.header_size_bytes)
         fields = read_fields(head.headers)
@@ -174,7 +197,7 @@
         if isinstance(body, Failure):
             return body
         return HttpRequest(
-            head.method.decode('ascii'),
+            self._method,
             head.target.decode('latin-1'),
             body,
             headers,
@@ -272,6 +295,16 @@
     return None
 
 
+def _encoding_failure() -> HttpResponse:
+    return failure_response(
+        Failure(
+            ResultCode.INTERNAL_ERROR,
+            'the response cannot be encoded; see event 201',
+            RunState.UNKNOWN,
+        ),
+    )
+
+
 def _check_body(
     size_bytes: int, chunk_count: int, limits: HttpLimits
 ) -> Failure | None:
