Give a replaced server its share of connections at once

A server that was started again under its id, without a removal in between, got one connection from each daemon until the next change of any server, host or route: limits were updated for added and removed registrations only, and a changed one may be that of a new server.

--- a/boragespool/controllers/forwarding/fleet.py
+++ b/boragespool/controllers/forwarding/fleet.py
@@ -289,11 +289,13 @@
             self._registrations_by_server, registrations or {}
         )
         self._registrations_by_server = registrations or {}
-        for registration in change.added + change.changed:
+        has_new = [
             self._add_or_update(registration)
+            for registration in change.added + change.changed
+        ]
         for registration in change.removed:
             self._remove(registration, 'gone')
-        if change.added or change.removed:
+        if change.removed or any(has_new):
             self._update_limits()
 
     def _apply_hosts(self, records: tuple[HostRecord, ...]) -> None:
@@ -306,17 +308,18 @@
         )
         self._update_limits()
 
-    def _add_or_update(self, registration: Registration) -> None:
+    def _add_or_update(self, registration: Registration) -> bool:
+        """Use a registration; return whether it is that of a new server."""
         servers = self._servers_by_service[registration.service]
         known = servers.get(registration.server)
         if registration.draining:
             if known is not None:
                 self._remove(registration, 'draining')
-            return
+            return False
         if known is not None:
             if _is_same_process(known.registration, registration):
                 known.registration = registration
-                return
+                return False
             known.connections.close()
         dispatch = partial(self.queues.dispatch, registration.service)
         server = Server(
@@ -336,6 +339,7 @@
         server.load.warm_at_s = self.timers.now_s() + registration.warm_up_s
         servers[registration.server] = server
         _log_server_state(registration, 'ready')
+        return True
 
     def _remove(self, registration: Registration, state: str) -> None:
         servers = self._servers_by_service[registration.service]
--- /dev/null
+++ b/tests/test_replaced_servers.py
@@ -0,0 +1,67 @@
+"""Servers that come back under the id of an earlier one."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from dataclasses import replace
+
+import msgspec
+import pytest
+from boragespool_platform.settings import Boot, forwarding_options
+
+from boragespool.blackboard import Blackboard
+from boragespool.blackboard.forwarding_topics import REGISTRATIONS
+from boragespool.controllers.forwarding.fleet import ServerFleet
+from boragespool.forwarding import Registration
+from boragespool.timers import VirtualTimers
+
+OLD = Registration(
+    'i-a',
+    'one',
+    '10.0.0.1:80',
+    'here',
+    5,
+    False,
+    0,
+    started_at_ms=1,
+    sequence=1,
+)
+NEW = replace(OLD, started_at_ms=2)
+MOVED = replace(NEW, address='10.0.0.2:80')
+
+
+@contextmanager
+def run_fleet():
+    """Return a fleet that follows a blackboard, and the blackboard."""
+    boot = msgspec.convert(
+        {
+            'node': 'h',
+            'zone': 'here',
+            'region': 'r',
+            'zones': {'here': 'r'},
+            'listen_addrs': {},
+            'platform': {'address': '127.0.0.1:9'},
+        },
+        Boot,
+    )
+    board = Blackboard()
+    with ServerFleet(
+        board, VirtualTimers(), forwarding_options(boot), lambda: 0.5
+    ) as fleet:
+        yield fleet, board
+
+
+@pytest.mark.parametrize('after', [NEW, MOVED], ids=['address', 'elsewhere'])
+def test_replaced_server_gets_its_share_of_connections(after):
+    """A server started again under its id must get more than one connection.
+
+    If no removal came between the two registrations it had a limit of one
+    until the next change of any server.
+    """
+    with run_fleet() as (fleet, board):
+        board.post(REGISTRATIONS, {'i-a': OLD})
+        limit = fleet.servers_of('one')['i-a'].connections.limit
+        board.post(REGISTRATIONS, {'i-a': after})
+        server = fleet.servers_of('one')['i-a']
+        assert server.registration == after
+        assert server.connections.limit == limit > 1
