Keep a server in use if its predecessor answers late

A 421 of an old address that came after the server had been registered anew removed the new server, as servers were discarded by id. Noted by the review while reading. Only the server that answered is discarded now.

Evidence: test_late_refusal_of_an_old_address_keeps_the_new_server failed before.

--- a/boragespool/controllers/forwarding/fleet.py
+++ b/boragespool/controllers/forwarding/fleet.py
@@ -277,8 +277,11 @@
 
     def discard(self, server: Server) -> None:
         """Stop using a server whose address now belongs to another server."""
-        name = server.registration.server
-        self._servers_by_service[server.registration.service].pop(name, None)
+        if _is_in_use(self.servers_of, server):
+            registration = server.registration
+            del self._servers_by_service[registration.service][
+                registration.server
+            ]
         server.connections.close()
 
     def _apply_registrations(
--- a/tests/test_replaced_servers.py
+++ b/tests/test_replaced_servers.py
@@ -65,3 +65,15 @@
         server = fleet.servers_of('one')['i-a']
         assert server.registration == after
         assert server.connections.limit == limit > 1
+
+
+def test_late_refusal_of_an_old_address_keeps_the_new_server():
+    """A server must stay in use if its predecessor answers 421 late."""
+    with run_fleet() as (fleet, board):
+        board.post(REGISTRATIONS, {'i-a': OLD})
+        old = fleet.servers_of('one')['i-a']
+        board.post(REGISTRATIONS, {'i-a': MOVED})
+        fleet.discard(old)
+        assert fleet.servers_of('one')['i-a'].registration == MOVED
+        fleet.discard(fleet.servers_of('one')['i-a'])
+        assert not fleet.servers_of('one')
