Remove a server from the service that it had before

A registration that named another service than the one before it under the same id added the server there and left the earlier entry in place, so that requests went on to an address that belongs to another service. It answers 421 to them if it is asked by id.

Evidence: test_server_that_changes_its_service_leaves_the_old_one failed before.

--- a/boragespool/controllers/forwarding/fleet.py
+++ b/boragespool/controllers/forwarding/fleet.py
@@ -291,7 +291,12 @@
         change = diff_registrations(
             self._registrations_by_server, registrations or {}
         )
+        before_by_server = self._registrations_by_server
         self._registrations_by_server = registrations or {}
+        for changed in change.changed:
+            before = before_by_server[changed.server]
+            if before.service != changed.service:
+                self._remove(before, 'gone')
         has_new = [
             self._add_or_update(registration)
             for registration in change.added + change.changed
--- a/tests/test_replaced_servers.py
+++ b/tests/test_replaced_servers.py
@@ -77,3 +77,12 @@
         assert fleet.servers_of('one')['i-a'].registration == MOVED
         fleet.discard(fleet.servers_of('one')['i-a'])
         assert not fleet.servers_of('one')
+
+
+def test_server_that_changes_its_service_leaves_the_old_one():
+    """A server must not get requests of the service that it had before."""
+    with run_fleet() as (fleet, board):
+        board.post(REGISTRATIONS, {'i-a': OLD})
+        board.post(REGISTRATIONS, {'i-a': replace(MOVED, service='two')})
+        assert not fleet.servers_of('one')
+        assert 'i-a' in fleet.servers_of('two')
