Write the record of a daemon again if it is removed during its lease

A write of the record that got no response may be executed by the store late, under an earlier lease. When that lease ended the record was removed, and the daemon, which held a newer lease, did not write it again: it stayed unknown to callers and to the other daemons. Noted by the review while reading.

The daemon follows the records anyway; it now writes its own again if it is removed after the revision of its last write.

Evidence: test_record_that_is_removed_during_its_lease_is_written_again failed before (not written in 5 s).

--- a/boragespool/controllers/forwarding/hosts.py
+++ b/boragespool/controllers/forwarding/hosts.py
@@ -108,6 +108,7 @@
         self._table = HostTable()
         self._lease: GrantedLease | None = None
         self._written_record: HostRecord | None = None
+        self._written_revision = 0
         self._is_serving = False
         self._started_at_s = timers.now_s()
         self._has_renewal_failed = False
@@ -203,6 +204,7 @@
         for key, item in changes_by_key.items():
             if not is_report_key(key):
                 self._apply_item(key, item)
+        self._restore_record(state)
         now_s = self._timers.now_s()
         grace_end_s = state.returned_at_s + self._options.return_grace_s
         if now_s >= grace_end_s:
@@ -219,6 +221,22 @@
             )
         self._post_hosts()
 
+    def _restore_record(self, state: MirrorState) -> None:
+        """Write the own record again if it was removed during its lease.
+
+        A write that got no response may be executed late, under an earlier
+        lease, which then takes the record away when it ends.
+        """
+        own_key = self._options.host_prefix + self._own_record.host
+        is_removed = (
+            own_key in state.changed_keys
+            and own_key not in state.items_by_key
+            and state.revision >= self._written_revision
+        )
+        if is_removed and self._lease is not None:
+            self._written_record = None
+            self._tasks.spawn(self._update_record(self._lease))
+
     def _serving_records(self) -> tuple[HostRecord, ...]:
         """Return the records of all daemons that accept requests.
 
@@ -336,6 +354,7 @@
         )
         if isinstance(written, int):
             self._written_record = record
+            self._written_revision = written
         return written
 
     async def _update_record(self, lease: GrantedLease) -> None:
--- a/tests/test_store_readers.py
+++ b/tests/test_store_readers.py
@@ -235,3 +235,22 @@
         assert watches <= 2 * DAEMON_COUNT
 
     run(scenario)
+
+
+def test_record_that_is_removed_during_its_lease_is_written_again():
+    """A daemon must not stay unknown to callers while it holds its lease.
+
+    A write that the store executes late, under an earlier lease, takes the
+    record away when that lease ends.
+    """
+
+    async def scenario(cluster):
+        await cluster.serve('one', 'i-a')
+        cluster.configure(route(service='one'))
+        await cluster.start('host-1')
+        await cluster.start('host-2')
+        for _ in range(2):
+            cluster.store.remove('hosts/host-1')
+            await wait_until(lambda: 'hosts/host-1' in cluster.store.items)
+
+    run(scenario)
