--- a/tests/relay_simulation.py
+++ b/tests/relay_simulation.py
@@ -15,7 +15,6 @@
 
 import msgspec
 from boragespool_platform.messages import CODEC
-from boragespool_platform.settings import Boot, forwarding_options
 
 from boragespool.bench.virtual_time import run_in_virtual_time
 from boragespool.blackboard import Blackboard
@@ -39,6 +38,7 @@
 )
 from boragespool.results import Failure, ResultCode
 from boragespool.timers import LoopTimers
+from tests.platform_standins.options import simple_options
 
 PREFIX = 'servers/'
 DAEMONS = 5
@@ -50,19 +50,7 @@
 RENEWAL_S = 1
 #: Longest time for which an earlier write may still reach a daemon.
 MAX_DELAY_S = 10
-OPTIONS = forwarding_options(
-    msgspec.convert(
-        {
-            'node': 'h',
-            'zone': 'here',
-            'region': 'r',
-            'zones': {'here': 'r'},
-            'listen_addrs': {},
-            'platform': {'address': '127.0.0.1:9'},
-        },
-        Boot,
-    )
-)
+OPTIONS = simple_options()
 UNAVAILABLE = Failure(ResultCode.STORE_UNAVAILABLE, 'away')
 
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -10,7 +10,6 @@
 import msgspec
 import pytest
 from boragespool_platform.messages import CODEC
-from boragespool_platform.settings import Boot, forwarding_options
 
 from boragespool.blackboard import Blackboard
 from boragespool.blackboard.forwarding_topics import REGISTRATIONS
@@ -43,6 +42,7 @@
 )
 from boragespool.results import Failure, ResultCode
 from boragespool.timers import LoopTimers, VirtualTimers
+from tests.platform_standins.options import simple_options
 
 UNAVAILABLE = Failure(ResultCode.STORE_UNAVAILABLE, 'away')
 
@@ -501,19 +501,8 @@
 
 def open_registry(timers):
     """Return a registry of backend servers and its blackboard."""
-    boot = msgspec.convert(
-        {
-            'node': 'h',
-            'zone': 'here',
-            'region': 'r',
-            'zones': {'here': 'r'},
-            'listen_addrs': {},
-            'platform': {'address': '127.0.0.1:9'},
-        },
-        Boot,
-    )
     board = Blackboard()
-    registry = ServerRegistry(board, timers, forwarding_options(boot), CODEC)
+    registry = ServerRegistry(board, timers, simple_options(), CODEC)
     return registry, board
 
 
--- a/tests/test_replaced_servers.py
+++ b/tests/test_replaced_servers.py
@@ -5,15 +5,14 @@
 from contextlib import contextmanager
 from dataclasses import replace
 
-import msgspec
 import pytest
-from boragespool_platform.settings import Boot, forwarding_options
 
 from boragespool.blackboard import Blackboard
 from boragespool.blackboard.forwarding_topics import REGISTRATIONS
 from boragespool.controllers.forwarding.fleet import ServerFleet
 from boragespool.forwarding import Registration
 from boragespool.timers import VirtualTimers
+from tests.platform_standins.options import simple_options
 
 OLD = Registration(
     'i-a',
@@ -33,20 +32,9 @@
 @contextmanager
 def run_fleet():
     """Return a fleet that follows a blackboard, and the blackboard."""
-    boot = msgspec.convert(
-        {
-            'node': 'h',
-            'zone': 'here',
-            'region': 'r',
-            'zones': {'here': 'r'},
-            'listen_addrs': {},
-            'platform': {'address': '127.0.0.1:9'},
-        },
-        Boot,
-    )
     board = Blackboard()
     with ServerFleet(
-        board, VirtualTimers(), forwarding_options(boot), lambda: 0.5
+        board, VirtualTimers(), simple_options(), lambda: 0.5
     ) as fleet:
         yield fleet, board
 
