Take the method of an answer from its own request

A malformed request behind a HEAD request on the same connection got no answer: the body of the refusal was left out, as for HEAD, and the connection was closed.

Evidence: test_malformed_request_after_head_gets_400 failed before.

--- a/boragespool/http/exchange.py
+++ b/boragespool/http/exchange.py
@@ -61,7 +61,7 @@
         self._peer_ip = str(peer[0])
         self._first_bytes_at_s: Seconds = 0
         self._waited_s: Seconds = 0
-        # Of the last request whose head could be parsed.
+        # Empty until the head of the request could be parsed.
         self._method = ''
         #: Whether the last request was refused for overload.
         self.deferred = False
@@ -80,6 +80,7 @@
         """Read one request within the limits."""
         now_s = asyncio.get_running_loop().time()
         self._waited_s = now_s - self._first_bytes_at_s
+        self._method = ''
         try:
             async with asyncio.timeout(limits.read_timeout_s):
                 return await self._read_request(limits)
--- a/tests/test_bodiless_answers.py
+++ b/tests/test_bodiless_answers.py
@@ -90,6 +90,30 @@
     asyncio.run(scenario())
 
 
+def test_malformed_request_after_head_gets_400():
+    """A refusal must have its body although the request before was HEAD.
+
+    The method of the earlier request took the body from it, so that the
+    connection was closed without an answer.
+    """
+
+    async def scenario():
+        async def handle(request):
+            return HttpResponse(200, BODY)
+
+        async with HttpServer('127.0.0.1:0', HttpLimits(), handle) as server:
+            host, port = server.address.split(':')
+            reader, writer = await asyncio.open_connection(host, int(port))
+            await exchange_raw(reader, writer, 'HEAD')
+            head = await exchange_raw(reader, writer, 'GET', '/x y')
+            assert head.startswith('HTTP/1.1 400 ')
+            async with asyncio.timeout(2):
+                assert b'malformed_http' in await reader.read()
+            writer.close()
+
+    asyncio.run(scenario())
+
+
 def test_head_request_that_times_out_gets_504():
     """HEAD at a silent server must get 504 at the timeout of its route."""
 
