Do not lower the revision from which a feed knows all removals

Dropping an old removal at the limit set it back for a moment; the state that is published with it raised it again, so that no reader saw this. It is now the maximum in any case.

--- a/boragespool/controllers/forwarding/feed.py
+++ b/boragespool/controllers/forwarding/feed.py
@@ -119,8 +119,9 @@
                 self._removal_revisions_by_key.pop(key, None)
         while len(self._removal_revisions_by_key) > _MAX_REMOVAL_COUNT:
             oldest_key = next(iter(self._removal_revisions_by_key))
-            self._history_revision = self._removal_revisions_by_key.pop(
-                oldest_key
+            self._history_revision = max(
+                self._history_revision,
+                self._removal_revisions_by_key.pop(oldest_key),
             )
         has_gap = state.history_revision > self._history_revision
         if has_gap:
