Test expired calls of the queue without equal times of arrival

The test took five requests to arrive together. If the last ones arrive 10 ms later, the connections are freed before their deadline, and they are sent with the time that is left and get 504, which is allowed: they may run, and no refused one did.

The connections are now held by two requests with a longer timeout while three others wait and expire, so that exactly three are refused whatever their times. The check is as strict: exactly two requests run.

--- a/tests/test_call_queue.py
+++ b/tests/test_call_queue.py
@@ -15,7 +15,7 @@
 from boragespool.controllers.forwarding.server_rate import ServerRate
 from boragespool.forwarding import CallQueue, WaitingCall
 from boragespool.timers import VirtualTimers
-from tests.platform_standins.cluster import route, run, send
+from tests.platform_standins.cluster import route, run, send, wait_until
 from tests.test_registrations import FIRST
 
 TIMES_S = st.floats(0, 2)
@@ -324,21 +324,33 @@
 
     async def scenario(cluster):
         server = await cluster.serve('one', 'i-a', body=b'answer', delay_s=0.9)
+        fields = {'service': 'one', 'type': 'non_idempotent'}
         cluster.configure(
-            route(service='one', type='non_idempotent', timeout_ms=700),
+            route(name='hold', prefix='/hold/', timeout_ms=3_000, **fields),
+            route(timeout_ms=400, **fields),
             services=[{'name': 'one', 'max_conns': 1}],
         )
         daemon = await cluster.start()
+        holding = [
+            asyncio.ensure_future(
+                send(
+                    daemon, '/hold/x', 'POST', body=b'x', request_id=f'hold{n}'
+                )
+            )
+            for n in range(2)
+        ]
+        await wait_until(lambda: len(server.runs) == 2)
         answers = await asyncio.gather(
             *(
                 send(daemon, method='POST', body=b'x', request_id=f'q{n}')
-                for n in range(5)
+                for n in range(3)
             )
         )
-        statuses = {f'q{n}': one.status for n, one in enumerate(answers)}
-        refused = {name for name, status in statuses.items() if status == 503}
-        assert len(refused) == 3
+        assert [answer.status for answer in answers] == [503] * 3
+        assert not any(task.done() for task in holding)
+        held = await asyncio.gather(*holding)
+        assert [answer.status for answer in held] == [200] * 2
         await asyncio.sleep(1)
-        assert refused.isdisjoint(server.runs)
+        assert sorted(server.runs) == ['hold0', 'hold1']
 
     run(scenario)
