--- a/features/stale_host_list.feature
+++ b/features/stale_host_list.feature
@@ -4,6 +4,7 @@
   live daemons only, each of which serves for as long as a caller may keep its
   address, and no request may be interrupted.
 
+  @known_red
   Scenario: All hosts are replaced by others while the list stays the same
     Given 2 shards with 2 replicas each
     And 2 servers that run claims
