Log when a suspect is cleared and when a lost server is not checked

Two decisions of the crash guard were silent: a success that clears a request which may have crashed a server, and a closed connection that is not checked because an equal request was answered recently. A loss that is followed by no event 403 could have either cause, or a report that did not arrive.

Events 411 and 412, boragespool_cleared_suspects_total, and the result 'skipped' of boragespool_server_checks_total. No decision changes.

--- a/boragespool/controllers/forwarding/crash_guard.py
+++ b/boragespool/controllers/forwarding/crash_guard.py
@@ -27,7 +27,11 @@
 from boragespool.controllers.forwarding.trial_turns import TrialTurns
 from boragespool.events import Event, log_event
 from boragespool.forwarding import LossNotice
-from boragespool.metrics import BLOCKED_FINGERPRINTS
+from boragespool.metrics import (
+    BLOCKED_FINGERPRINTS,
+    CLEARED_SUSPECTS,
+    SERVER_CHECKS,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -177,6 +181,16 @@
         """
         unproven = [f for f in fingerprints if f not in self._answers]
         if not unproven:
+            SERVER_CHECKS.labels('skipped').inc()
+            name = server.registration.server
+            log_event(
+                Event.SERVER_NOT_CHECKED,
+                f'{name!r} closed a connection; an equal request was answered '
+                'recently',
+                server=name,
+                request=request_id,
+                fingerprints=[hex(f) for f in fingerprints],
+            )
             self.end_attempt(number, fingerprints)
             return
         self._unchecked.update(unproven)
@@ -186,13 +200,24 @@
             InterruptedAttempt(request_id, number, fingerprints, is_trial),
         )
 
-    def record_answer(self, fingerprints: tuple[int, ...]) -> None:
+    def record_answer(
+        self, request_id: RequestId | None, fingerprints: tuple[int, ...]
+    ) -> None:
         """Clear a request that a server has answered with success."""
         self._answers.add(fingerprints)
         if not self.is_suspect(fingerprints) and not self.is_blocked(
             fingerprints
         ):
             return
+        CLEARED_SUSPECTS.inc()
+        log_event(
+            Event.SUSPECT_CLEARED,
+            'a request that may have crashed a server was answered',
+            request=request_id,
+            fingerprints=[hex(f) for f in fingerprints],
+            losses=self._most_losses(fingerprints),
+            blocked=self.is_blocked(fingerprints),
+        )
         self.turns.release(fingerprints)
         now_s = self._timers.now_s()
         for fingerprint in fingerprints:
--- a/boragespool/controllers/forwarding/request_guard.py
+++ b/boragespool/controllers/forwarding/request_guard.py
@@ -91,7 +91,7 @@
 
     def record_answer(self) -> None:
         """Record that a server answered the request with success."""
-        self._guard.record_answer(self._fingerprints)
+        self._guard.record_answer(self._request_id, self._fingerprints)
 
 
 def blocked_failure(
--- a/boragespool/metrics.py
+++ b/boragespool/metrics.py
@@ -52,9 +52,13 @@
 SERVER_CHECKS: Final = Counter(
     'boragespool_server_checks_total',
     'Checks of backend servers that closed connections without a response, '
-    'by result: lost or in_use.',
+    'by result: lost, in_use or skipped.',
     ('result',),
 )
+CLEARED_SUSPECTS: Final = Counter(
+    'boragespool_cleared_suspects_total',
+    'Successes of requests that may have crashed a backend server.',
+)
 LIMITED_ATTEMPTS: Final = Counter(
     'boragespool_limited_attempts_total',
     'Attempts sent to backend servers that name a rate limit.',
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -210,12 +210,12 @@
     run(scenario)
 
 
-def blocked_events(caplog):
-    """Return the log entries of requests that were blocked."""
+def logged(caplog, event):
+    """Return the log entries of an event."""
     return [
         entry
         for entry in caplog.records
-        if getattr(entry, 'event', None) == Event.REQUEST_BLOCKED
+        if getattr(entry, 'event', None) == event
     ]
 
 
@@ -245,7 +245,7 @@
                 server.down_s = 1
                 server.crash()
         await running
-        assert not blocked_events(caplog)
+        assert not logged(caplog, Event.REQUEST_BLOCKED)
         assert traffic.statuses.count(200) >= 0.8 * len(traffic.statuses)
         # Requests of one path still run after all losses.
         again = Traffic(daemons)
@@ -299,3 +299,31 @@
         assert len(crash_times_s(cluster)) == crash_count
 
     run(scenario)
+
+
+def test_answered_suspect_and_unchecked_server_are_logged(caplog):
+    """Without events 411 and 412 a loss that does not count is silent."""
+    caplog.set_level(logging.INFO, 'boragespool')
+
+    async def scenario(cluster):
+        await cluster.serve('one', 'i-one')
+        await cluster.serve('one', 'i-two')
+        cluster.configure(route(service='one', attempts=1))
+        (daemon,) = await start_daemons(cluster, 1)
+        for standin in cluster.servers.values():
+            standin.crashing_path = CRASHING_PATH
+        assert (await send(daemon, CRASHING_PATH)).status == 502
+        await asyncio.sleep(0.3)
+        for standin in cluster.servers.values():
+            standin.crashing_path = None
+        answer = await send(daemon, CRASHING_PATH, request_id='answered')
+        assert answer.status == 200
+        (cleared,) = logged(caplog, Event.SUSPECT_CLEARED)
+        assert (cleared.request, cleared.losses) == ('answered', 1)
+        for standin in cluster.servers.values():
+            standin.modes = ['reset']
+        await send(daemon, CRASHING_PATH, request_id='cut')
+        (skipped,) = logged(caplog, Event.SERVER_NOT_CHECKED)
+        assert skipped.request == 'cut'
+
+    run(scenario)
