--- a/tests/platform_standins/server.py
+++ b/tests/platform_standins/server.py
@@ -45,6 +45,8 @@
     crashing_path, crashing_target : str or None
         Path, or path with query, of requests that end the server when it runs
         them.
+    crashing_fields : dict of str to str
+        Header fields that such requests must have too.
     limit_per_s : float or None
         Requests a second that the server names as its limit.
     down_s : float
@@ -59,6 +61,7 @@
         self.name, self.address, self.body = name, address, body
         self.crashing_path = None
         self.crashing_target = None
+        self.crashing_fields = {}
         self.limit_per_s = None
         self.down_s = 3
         self.arrivals = []
@@ -133,9 +136,9 @@
         self.requests.append((head.method.decode(), target, fields, body))
         path = target.partition('?')[0]
         self.arrivals.append((asyncio.get_running_loop().time(), path))
-        is_crashing = self.crashing_path == path or (
-            self.crashing_target == target
-        )
+        is_crashing = (
+            self.crashing_path == path or self.crashing_target == target
+        ) and self.crashing_fields.items() <= fields.items()
         return await self._respond(
             protocol, reader, writer, (is_crashing, fields)
         )
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -28,7 +28,10 @@
 
 
 class Traffic:
-    """Requests at a fixed rate to daemons in turn, and their statuses."""
+    """Requests at a fixed rate to daemons in turn, and their statuses.
+
+    Targets and fields may be functions that return another value each time.
+    """
 
     def __init__(self, daemons, seed=7):
         self._daemons = itertools.cycle(daemons)
@@ -40,12 +43,16 @@
 
     async def _send(self, target, fields):
         number = next(self._numbers)
+        values = {
+            name: value() if callable(value) else value
+            for name, value in fields.items()
+        }
         answer = await send(
             next(self._daemons),
             target() if callable(target) else target,
             request_id=f'{number:016x}',
             request_timeout_ms=1900,
-            **fields,
+            **values,
         )
         is_answer = isinstance(answer, HttpResponse)
         self.statuses.append(answer.status if is_answer else 0)
@@ -86,13 +93,17 @@
     ]
 
 
-def late_arrival_count(cluster, window_s=STABLE_WINDOW_S):
+def late_arrival_count(cluster, window_s=STABLE_WINDOW_S, caller=None):
     """Count the crashing requests that came late after the third crash."""
     third_s = crash_times_s(cluster)[2]
     return sum(
-        path == CRASHING_PATH and time_s > third_s + window_s
+        path == CRASHING_PATH
+        and time_s > third_s + window_s
+        and fields.get('caller') == caller
         for server in cluster.servers.values()
-        for time_s, path in server.arrivals
+        for (time_s, path), (_, _, fields, _) in zip(
+            server.arrivals, server.requests, strict=True
+        )
     )
 
 
@@ -190,6 +201,38 @@
     run(scenario)
 
 
+@pytest.mark.parametrize('part', ['query', 'field'])
+def test_part_that_differs_does_not_hide_a_crashing_request(part):
+    """Sound requests with its path and body must not clear a caller's crash."""
+
+    async def scenario(cluster):
+        await serve_many(cluster, 'one', 16)
+        for server in cluster.servers.values():
+            server.crashing_fields = {'caller': 'bad'}
+        cluster.configure(route(service='one', type='non_idempotent'))
+        daemons = await start_daemons(cluster, 3)
+        numbers = itertools.count()
+
+        def target():
+            return f'{CRASHING_PATH}?page={next(numbers)}'
+
+        request = {'method': 'POST', 'body': b'x' * 300}
+        if part == 'field':
+            request['trace'] = lambda: f'{next(numbers):032x}'
+        else:
+            request['target'] = target
+        request.setdefault('target', CRASHING_PATH)
+        bad, sound = Traffic(daemons), Traffic(daemons, 8)
+        await asyncio.gather(
+            bad.run(per_s=3, for_s=9, caller='bad', **request),
+            sound.run(per_s=5, for_s=9, caller='sound', **request),
+        )
+        assert late_arrival_count(cluster, caller='bad') <= ALLOWED_LATE_COUNT
+        assert not blocked_answers(sound)
+
+    run(scenario)
+
+
 def test_crashing_request_does_not_block_others_with_its_path():
     """Sound requests that differ only in the query must stay allowed."""
 
