Find what repeats of a crashing request have in common

Callers saw: a request whose query or a header field differs each time ended servers for ever while other callers sent sound requests with its path and body, which got 503 and 502 beside it.

Cause: two fingerprints stood for a request. The exact one never came twice, and the coarse one (method, domain, path, body) was cleared by each success of another caller. Class of fault: one hash as the identity of things that are only partly known to be equal.

Now a request has a base and parts (the query, each header field). Losses count for what their requests share (Find-S), an answer refutes only the parts that it shares with a suspect, and the most supported set of parts is blocked. Requests without the shared parts neither clear a crash nor are refused for it. Reports state base and parts; the exact fingerprint is computed as before, so that daemons of both versions know each other's.

--- a/boragespool/backends/crashes.py
+++ b/boragespool/backends/crashes.py
@@ -127,6 +127,14 @@
         """Return the number of losses with a fingerprint in flight."""
         return len(self._losses_by_fingerprint.get(fingerprint, ()))
 
+    def losses_of(self, fingerprint: int) -> frozenset[str]:
+        """Return the identifiers of the losses of a fingerprint."""
+        return frozenset(self._losses_by_fingerprint.get(fingerprint, ()))
+
+    def trials_of(self, fingerprint: int) -> frozenset[str]:
+        """Return those of its losses in which a fingerprint ran alone."""
+        return frozenset(self._alone_by_fingerprint.get(fingerprint, ()))
+
     def losses(self) -> Iterable[tuple[int, str]]:
         """Return all recorded pairs of fingerprint and loss identifier."""
         return tuple(
--- a/boragespool/controllers/forwarding/calls.py
+++ b/boragespool/controllers/forwarding/calls.py
@@ -40,6 +40,7 @@
         Deadlines,
         ForwardRequest,
         ForwardRoute,
+        RequestIdentity,
     )
     from boragespool.types import Seconds, ServerName, ServiceName
 
@@ -64,14 +65,14 @@
 
     Attributes
     ----------
-    fingerprints : tuple of int
-        Fingerprints of the request, see `request_fingerprints`.
+    identity : RequestIdentity
+        What the request has in common with its repeats.
     """
 
     request: ForwardRequest
     route: ForwardRoute
     deadlines: Deadlines
-    fingerprints: tuple[int, ...] = ()
+    identity: RequestIdentity
 
 
 @dataclass(slots=True)
@@ -142,7 +143,7 @@
         self._guard = RequestGuard(
             fleet.crash_guard,
             routed_request.request.request_id,
-            routed_request.fingerprints,
+            routed_request.identity,
         )
 
     @property
@@ -455,7 +456,7 @@
         outcome: Reply | Failure | None = self._last_error_reply
         if outcome is None and self._guard.is_blocked:
             outcome = blocked_failure(
-                self._routed_request.fingerprints, self.run_state
+                self._routed_request.identity, self.run_state
             )
         self._finish(
             outcome
@@ -502,7 +503,7 @@
     if in_trial:
         server = fleet.choose(service, route, tried | in_trial)
         if server is not None or fleet.crash_guard.is_suspect(
-            routed_request.fingerprints
+            routed_request.identity
         ):
             return server
     return fleet.choose(service, route, tried)
--- a/boragespool/controllers/forwarding/crash_guard.py
+++ b/boragespool/controllers/forwarding/crash_guard.py
@@ -1,23 +1,20 @@
 """Keeps requests that crash backend servers away from them.
 
 A request that was in flight when a server was lost is a suspect until a
-server has answered it. Of the requests with the fingerprint of a suspect, one
+server has answered it. Of the requests that may be repeats of a suspect, one
 at a time is sent, as a trial; the others wait for its result. After several
-losses, two of them in trials, the fingerprint is blocked. No other request is
-sent to a server with a trial if another server has capacity, so that the
-result is that of the trial.
+losses, two of them in trials, they are blocked. No other request is sent to a
+server with a trial if another server has capacity, so that the result is that
+of the trial.
 """
 
 from __future__ import annotations
 
-from collections import Counter
+from collections import defaultdict
 from typing import TYPE_CHECKING, Final, Self
 
-from boragespool.backends import CrashTracker
-from boragespool.blackboard.forwarding_topics import (
-    OWN_LOSSES,
-    REPORTED_LOSSES,
-)
+from boragespool.blackboard.forwarding_topics import REPORTED_LOSSES
+from boragespool.controllers.forwarding.own_losses import OwnLosses
 from boragespool.controllers.forwarding.recent_answers import RecentAnswers
 from boragespool.controllers.forwarding.server_losses import (
     InterruptedAttempt,
@@ -26,7 +23,7 @@
 )
 from boragespool.controllers.forwarding.trial_turns import TrialTurns
 from boragespool.events import Event, log_event
-from boragespool.forwarding import LossNotice
+from boragespool.forwarding import BlockingLimits, CrashEvidence, LossNotice
 from boragespool.metrics import (
     BLOCKED_FINGERPRINTS,
     CLEARED_SUSPECTS,
@@ -38,29 +35,25 @@
 
     from boragespool.blackboard import Blackboard
     from boragespool.controllers.forwarding.server import Server
-    from boragespool.forwarding import LossReport
+    from boragespool.forwarding import (
+        BlockedRequests,
+        LossReport,
+        RequestIdentity,
+    )
     from boragespool.timers import TimerHandle, TimerService
-    from boragespool.types import HostName, RequestId, ServerName
-
-#: Number of lost servers from which a request is blocked. With fewer, a rack
-#: that fails in steps could block a request that is sound.
-_BLOCKING_LOSS_COUNT: Final = 3
-#: Number of these losses that must have been trials. A query over shards loses
-#: a server of each shard at once.
-_BLOCKING_TRIAL_COUNT: Final = 2
+    from boragespool.types import HostName, RequestId, Seconds, ServerName
+
+#: With fewer losses, a rack that fails in steps could block a request that is
+#: sound. A query over shards loses a server of each shard at once, so that
+#: some of them must be trials.
+_LIMITS: Final = BlockingLimits(loss_count=3, trial_count=2)
 #: Delay before the next trial after a server was lost in one, in seconds. It
-#: lies between these values and follows from the fingerprint.
+#: lies between these values and follows from the request.
 _MIN_TRIAL_DELAY_S: Final = 0.2
 _MAX_TRIAL_DELAY_S: Final = 0.6
 _DELAY_STEPS: Final = 1_024
 #: Interval at which expired suspicions and blocks are dropped, in seconds.
 _EXPIRY_INTERVAL_S: Final = 10
-#: Delay before losses are reported, in seconds, unless a request is blocked.
-#: Most requests that were in flight are sound and are answered by another
-#: server in this time.
-_REPORT_DELAY_S: Final = 0.8
-#: Maximum number of own losses that are reported to the other daemons.
-_MAX_REPORTED_LOSSES: Final = 256
 
 
 class CrashGuard:
@@ -95,21 +88,17 @@
         self.turns = TrialTurns()
         self._board = board
         self._timers = timers
-        self._tracker = CrashTracker(
-            blocking_loss_count=_BLOCKING_LOSS_COUNT,
-            blocking_alone_count=_BLOCKING_TRIAL_COUNT,
-        )
+        self._evidence = CrashEvidence(_LIMITS)
         self._detector = LossDetector(
             timers, host, is_in_use, self._handle_check
         )
         self._answers = RecentAnswers()
-        self._suspects: frozenset[int] = frozenset()
-        self._blocked: frozenset[int] = frozenset()
-        # Fingerprints in flight at servers whose check is in progress.
-        self._unchecked: Counter[int] = Counter()
-        self._own_notices: dict[LossNotice, None] = {}
+        self._blocked: frozenset[BlockedRequests] = frozenset()
+        # Requests in flight at servers whose check is in progress, by base.
+        self._unchecked: defaultdict[int, list[RequestIdentity]]
+        self._unchecked = defaultdict(list)
+        self._own_losses = OwnLosses(board, timers)
         self._host = host
-        self._is_report_due = False
         self._expiry_timer: TimerHandle | None = None
         self._unsubscribe: Callable[[], None] | None = None
 
@@ -128,40 +117,42 @@
         if self._expiry_timer is not None:
             self._expiry_timer.cancel()
 
-    def is_blocked(self, fingerprints: tuple[int, ...]) -> bool:
-        """Whether requests with any of these fingerprints must not be sent."""
-        return not self._blocked.isdisjoint(fingerprints)
+    def is_blocked(self, identity: RequestIdentity) -> bool:
+        """Whether a request must not be sent."""
+        return self._evidence.is_blocked(identity)
 
-    def is_suspect(self, fingerprints: tuple[int, ...]) -> bool:
-        """Whether any of these fingerprints may have crashed a server."""
-        return any(
-            fingerprint in self._suspects or fingerprint in self._unchecked
-            for fingerprint in fingerprints
+    def is_suspect(self, identity: RequestIdentity) -> bool:
+        """Whether a request may have crashed a server."""
+        return self._evidence.is_suspect(identity) or any(
+            self._evidence.is_related(identity, other)
+            for other in self._unchecked.get(identity.base, ())
         )
 
-    def may_send(self, fingerprints: tuple[int, ...]) -> bool:
+    def may_send(self, identity: RequestIdentity) -> bool:
         """Whether a request may be sent now; False while a trial runs."""
-        return self.turns.is_free(fingerprints)
+        return self.turns.is_free(identity.base) or not self.is_suspect(
+            identity
+        )
 
     def start_attempt(
-        self, number: int, fingerprints: tuple[int, ...], server: ServerName
+        self, number: int, identity: RequestIdentity, server: ServerName
     ) -> None:
         """Record that an attempt is sent; that of a suspect is a trial."""
-        if self.is_suspect(fingerprints):
-            self.turns.take(number, fingerprints, server)
+        if self.is_suspect(identity):
+            self.turns.take(number, identity.base, server)
 
-    def end_attempt(self, number: int, fingerprints: tuple[int, ...]) -> None:
+    def end_attempt(self, number: int, identity: RequestIdentity) -> None:
         """Record the end of an attempt; after a trial the next one may run."""
-        if self.turns.has_turn(number, fingerprints):
-            self.turns.release(fingerprints)
-            self.turns.resume(fingerprints)
+        if self.turns.has_turn(number, identity.base):
+            self.turns.release(identity.base)
+            self.turns.resume(identity.base)
 
     def record_interruption(
         self,
         server: Server,
         request_id: RequestId | None,
         number: int,
-        fingerprints: tuple[int, ...],
+        identity: RequestIdentity,
     ) -> None:
         """Check a server that closed a connection without a response.
 
@@ -176,56 +167,55 @@
             Id of the request, for the log.
         number : int
             Number of the attempt.
-        fingerprints : tuple of int
-            Fingerprints of the request.
+        identity : RequestIdentity
+            Identity of the request.
         """
-        unproven = [f for f in fingerprints if f not in self._answers]
-        if not unproven:
-            SERVER_CHECKS.labels('skipped').inc()
+        if identity.fingerprint in self._answers:
             name = server.registration.server
+            SERVER_CHECKS.labels('skipped').inc()
             log_event(
                 Event.SERVER_NOT_CHECKED,
                 f'{name!r} closed a connection; an equal request was answered '
                 'recently',
                 server=name,
                 request=request_id,
-                fingerprints=[hex(f) for f in fingerprints],
+                fingerprint=hex(identity.fingerprint),
+                base=hex(identity.base),
             )
-            self.end_attempt(number, fingerprints)
+            self.end_attempt(number, identity)
             return
-        self._unchecked.update(unproven)
-        is_trial = self.turns.has_turn(number, fingerprints)
+        self._unchecked[identity.base].append(identity)
+        is_trial = self.turns.has_turn(number, identity.base)
         self._detector.record(
-            server,
-            InterruptedAttempt(request_id, number, fingerprints, is_trial),
+            server, InterruptedAttempt(request_id, number, identity, is_trial)
         )
 
     def record_answer(
-        self, request_id: RequestId | None, fingerprints: tuple[int, ...]
+        self, request_id: RequestId | None, identity: RequestIdentity
     ) -> None:
         """Clear a request that a server has answered with success."""
-        self._answers.add(fingerprints)
-        if not self.is_suspect(fingerprints) and not self.is_blocked(
-            fingerprints
+        self._answers.add(identity)
+        losses = self._evidence.loss_count(identity)
+        is_blocked = self.is_blocked(identity)
+        if self._evidence.has_base(identity.base) and (
+            self._evidence.record_answer(
+                identity.base, identity.parts, self._timers.now_s()
+            )
         ):
-            return
-        CLEARED_SUSPECTS.inc()
-        log_event(
-            Event.SUSPECT_CLEARED,
-            'a request that may have crashed a server was answered',
-            request=request_id,
-            fingerprints=[hex(f) for f in fingerprints],
-            losses=self._most_losses(fingerprints),
-            blocked=self.is_blocked(fingerprints),
-        )
-        self.turns.release(fingerprints)
-        now_s = self._timers.now_s()
-        for fingerprint in fingerprints:
-            self._tracker.clear(fingerprint, now_s)
-            self._unchecked.pop(fingerprint, None)
-        self._drop_own_notices()
-        self._update_verdicts()
-        self.turns.resume(fingerprints)
+            self._own_losses.retain(self._counts)
+            self._update_verdicts()
+        if losses:
+            CLEARED_SUSPECTS.inc()
+            log_event(
+                Event.SUSPECT_CLEARED,
+                'a request that may have crashed a server was answered',
+                request=request_id,
+                fingerprint=hex(identity.fingerprint),
+                base=hex(identity.base),
+                losses=losses,
+                blocked=is_blocked,
+            )
+            self.turns.resume(identity.base)
 
     def _merge(self, reports: tuple[LossReport, ...]) -> None:
         """Apply reported losses, also those from before a restart."""
@@ -237,28 +227,29 @@
             if notice.fingerprint not in self._answers
         )
         for host, notice in hosts_and_notices:
-            fingerprint = notice.fingerprint
-            self._tracker.record_loss(
-                fingerprint, notice.loss_id, now_s, alone=notice.alone
-            )
-            if host == self._host and self._tracker.loss_count(fingerprint):
-                self._own_notices[notice] = None
+            self._record(notice, now_s)
+            if host == self._host and self._counts(notice):
+                self._own_losses.add(notice)
         self._update_verdicts()
 
     def _handle_check(self, check: ServerCheck) -> None:
-        in_flight: set[int] = set()
         for attempt in check.attempts:
-            in_flight.update(attempt.fingerprints)
-            self._unchecked.subtract(attempt.fingerprints)
+            self._end_check(attempt.identity)
             if check.is_lost:
                 self._end_trial_later(attempt)
             else:
-                self.end_attempt(attempt.number, attempt.fingerprints)
-        # Counter.__iadd__ drops the counts that are not positive.
-        self._unchecked += Counter()
+                self.end_attempt(attempt.number, attempt.identity)
         if check.is_lost:
             self._record_loss(check)
-        self.turns.resume(tuple(in_flight))
+        bases = {checked.identity.base for checked in check.attempts}
+        for base in bases:
+            self.turns.resume(base)
+
+    def _end_check(self, identity: RequestIdentity) -> None:
+        unchecked = self._unchecked[identity.base]
+        unchecked.remove(identity)
+        if not unchecked:
+            self._unchecked.pop(identity.base)
 
     def _end_trial_later(self, attempt: InterruptedAttempt) -> None:
         """Allow the next trial after a delay that differs by request.
@@ -268,11 +259,11 @@
         """
         if not attempt.is_trial:
             return
-        fraction = min(attempt.fingerprints) % _DELAY_STEPS / _DELAY_STEPS
+        fraction = attempt.identity.base % _DELAY_STEPS / _DELAY_STEPS
         self._timers.after(
             _MIN_TRIAL_DELAY_S
             + fraction * (_MAX_TRIAL_DELAY_S - _MIN_TRIAL_DELAY_S),
-            lambda: self.end_attempt(attempt.number, attempt.fingerprints),
+            lambda: self.end_attempt(attempt.number, attempt.identity),
         )
 
     def _record_loss(self, check: ServerCheck) -> None:
@@ -282,107 +273,93 @@
         sound was probably in flight by chance.
         """
         counts_and_attempts = [
-            (self._most_losses(attempt.fingerprints), attempt)
+            (self._evidence.loss_count(attempt.identity), attempt)
             for attempt in check.attempts
         ]
         most = max((count for count, _ in counts_and_attempts), default=0)
         for count, attempt in counts_and_attempts:
             if count == most:
-                for notice in _notices(check.loss_id, attempt):
-                    self._record_notice(check, notice)
-        while len(self._own_notices) > _MAX_REPORTED_LOSSES:
-            self._own_notices.pop(next(iter(self._own_notices)))
+                self._record_notice(check, attempt)
         before = self._blocked
         self._update_verdicts()
         if self._blocked == before:
-            self._report_later()
+            self._own_losses.report_later()
         else:
-            self._report()
-
-    def _most_losses(self, fingerprints: tuple[int, ...]) -> int:
-        return max(map(self._tracker.loss_count, fingerprints), default=0)
-
-    def _record_notice(self, check: ServerCheck, notice: LossNotice) -> None:
-        fingerprint = notice.fingerprint
-        if fingerprint in self._answers or not self._tracker.record_loss(
-            fingerprint,
-            notice.loss_id,
-            self._timers.now_s(),
-            alone=notice.alone,
+            self._own_losses.report()
+
+    def _record_notice(
+        self, check: ServerCheck, attempt: InterruptedAttempt
+    ) -> None:
+        identity = attempt.identity
+        notice = LossNotice(
+            identity.fingerprint,
+            check.loss_id,
+            attempt.is_trial,
+            identity.base,
+            tuple(sorted(identity.parts)),
+        )
+        if identity.fingerprint in self._answers or not self._record(
+            notice, self._timers.now_s()
         ):
             return
-        self._own_notices[notice] = None
+        self._own_losses.add(notice)
         log_event(
             Event.SERVER_CRASH_SUSPECTED,
-            f'{check.server!r} was lost with {hex(fingerprint)} in flight',
+            f'{check.server!r} was lost with {hex(identity.fingerprint)} in '
+            'flight',
             server=check.server,
-            loss_id=notice.loss_id,
-            fingerprint=hex(fingerprint),
-            losses=self._tracker.loss_count(fingerprint),
-            trial=notice.alone,
+            loss_id=check.loss_id,
+            fingerprint=hex(identity.fingerprint),
+            base=hex(identity.base),
+            losses=self._evidence.loss_count(identity),
+            trial=attempt.is_trial,
         )
 
+    def _record(self, notice: LossNotice, now_s: Seconds) -> bool:
+        """Record a loss, and recent answers if it is the first of its base."""
+        is_first = not self._evidence.has_base(notice.base)
+        is_new = self._evidence.record_loss(notice, now_s)
+        if is_first:
+            for parts in self._answers.parts_of(notice.base):
+                self._evidence.record_answer(notice.base, parts, now_s)
+        return is_new
+
+    def _counts(self, notice: LossNotice) -> bool:
+        return self._evidence.has_losses(notice.fingerprint)
+
     def _expire(self) -> None:
         self._answers.expire()
         self._update_verdicts()
-        self._drop_own_notices()
-
-    def _drop_own_notices(self) -> None:
-        """Drop the own losses that no longer count."""
-        kept = {
-            notice: None
-            for notice in self._own_notices
-            if self._tracker.loss_count(notice.fingerprint)
-        }
-        if len(kept) != len(self._own_notices):
-            self._own_notices = kept
-            self._report_later()
-
-    def _report_later(self) -> None:
-        if not self._is_report_due:
-            self._is_report_due = True
-            self._timers.after(_REPORT_DELAY_S, self._report)
-
-    def _report(self) -> None:
-        self._is_report_due = False
-        self._board.post(OWN_LOSSES, tuple(self._own_notices))
+        self._own_losses.retain(self._counts)
 
     def _update_verdicts(self) -> None:
-        """Update the suspects and blocks; log changes of the blocks."""
-        now_s = self._timers.now_s()
+        """Update the verdicts; log changes of the blocks."""
         before = self._blocked
-        self._blocked = self._tracker.blocked(now_s)
-        self._suspects = self._tracker.suspects(now_s)
+        self._evidence.update(self._timers.now_s())
+        self._blocked = self._evidence.blocked
         BLOCKED_FINGERPRINTS.set(len(self._blocked))
-        for fingerprint in self._blocked - before:
-            log_event(
-                Event.REQUEST_BLOCKED,
-                f'requests with fingerprint {hex(fingerprint)} are blocked',
-                fingerprint=hex(fingerprint),
-                losses=self._tracker.loss_count(fingerprint),
-            )
-        for fingerprint in before - self._blocked:
-            log_event(
-                Event.REQUEST_UNBLOCKED,
-                f'requests with fingerprint {hex(fingerprint)} are no longer '
-                'blocked',
-                fingerprint=hex(fingerprint),
+        for blocked in self._blocked - before:
+            _log_block(Event.REQUEST_BLOCKED, blocked, 'are blocked')
+        for unblocked in before - self._blocked:
+            _log_block(
+                Event.REQUEST_UNBLOCKED, unblocked, 'are no longer blocked'
             )
         if self._blocked != before:
-            self.turns.resume(tuple(self._blocked - before))
-
+            self.turns.resume_all()
 
-def _notices(
-    loss_id: str, attempt: InterruptedAttempt
-) -> tuple[LossNotice, ...]:
-    """Return the notices of one loss for both fingerprints of a request.
 
-    The second fingerprint leaves out the query and the header fields. It
-    counts different requests and not losses, so that one request does not
-    block others with the same path.
-    """
-    exact, path = attempt.fingerprints
-    return (
-        LossNotice(exact, loss_id, alone=attempt.is_trial),
-        LossNotice(path, hex(exact), alone=attempt.is_trial),
+def _log_block(event: Event, blocked: BlockedRequests, state: str) -> None:
+    name = hex(blocked.fingerprint)
+    if blocked.parts is None:
+        log_event(
+            event,
+            f'requests with fingerprint {name} {state}',
+            fingerprint=name,
+        )
+        return
+    log_event(
+        event,
+        f'requests with base {name} and {len(blocked.parts)} parts {state}',
+        base=name,
+        parts=sorted(map(hex, blocked.parts)),
     )
--- a/boragespool/controllers/forwarding/gateway.py
+++ b/boragespool/controllers/forwarding/gateway.py
@@ -21,7 +21,7 @@
     WeightedRoundRobin,
     can_finish_before_stop,
     plan_deadlines,
-    request_fingerprints,
+    request_identity,
 )
 from boragespool.metrics import FORWARD_LATENCY, FORWARDED_REQUESTS
 from boragespool.results import Failure, ResultCode
@@ -146,9 +146,9 @@
         version: int,
     ) -> HttpResponse:
         arrived_at_s = self._fleet.timers.now_s()
-        fingerprints = request_fingerprints(request, self._codec.echo_header)
-        if self._fleet.crash_guard.is_blocked(fingerprints):
-            failure = blocked_failure(fingerprints)
+        identity = request_identity(request, self._codec.echo_header)
+        if self._fleet.crash_guard.is_blocked(identity):
+            failure = blocked_failure(identity)
             _log_refusal(request.request_id, failure, version)
             return self._codec.write_failure(failure)
         self._fleet.route_times.set_initial(route.name, route.target_latency_s)
@@ -156,7 +156,7 @@
             request,
             route,
             plan_deadlines(route, request.timeout_s, arrived_at_s),
-            fingerprints,
+            identity,
         )
         outcome: MergedReply | Reply | Failure
         if route.shards:
--- a/boragespool/controllers/forwarding/loss_reports.py
+++ b/boragespool/controllers/forwarding/loss_reports.py
@@ -16,7 +16,7 @@
     REPORTED_LOSSES,
 )
 from boragespool.events import Event, log_event
-from boragespool.forwarding import LossNotice, LossReport
+from boragespool.forwarding import MAX_PART_COUNT, LossNotice, LossReport
 from boragespool.item_decoding import decode_json, is_name, shorten
 from boragespool.results import Failure
 from boragespool.tasks import TaskSet
@@ -35,7 +35,7 @@
 _LEASE_TTL_S: Final = 600
 #: Delay between attempts while the store fails, in seconds.
 _RETRY_DELAY_S: Final = 0.5
-_FINGERPRINTS: Final = range(2**64)
+_HASHES: Final = range(2**64)
 
 
 def is_report_key(key: str) -> bool:
@@ -158,8 +158,15 @@
     if isinstance(notices, str):
         return notices
     for notice in notices:
-        if notice.fingerprint not in _FINGERPRINTS or not is_name(
-            notice.loss_id
-        ):
+        if not _is_valid(notice):
             return shorten(f'{notice!r} is not a loss')
     return notices
+
+
+def _is_valid(notice: LossNotice) -> bool:
+    hashes = (notice.fingerprint, notice.base, *notice.parts)
+    return (
+        is_name(notice.loss_id)
+        and len(notice.parts) <= MAX_PART_COUNT
+        and all(number in _HASHES for number in hashes)
+    )
--- a/boragespool/controllers/forwarding/request_guard.py
+++ b/boragespool/controllers/forwarding/request_guard.py
@@ -12,6 +12,7 @@
 
     from boragespool.controllers.forwarding.crash_guard import CrashGuard
     from boragespool.controllers.forwarding.server import Server
+    from boragespool.forwarding import RequestIdentity
     from boragespool.types import RequestId, ServerName
 
 #: Retry-After value of a blocked request, in seconds; blocks last for minutes.
@@ -27,36 +28,36 @@
         Suspect and blocked requests of this daemon.
     request_id : str or None
         Id of the request, for the log.
-    fingerprints : tuple of int
-        Fingerprints of the request, see `request_fingerprints`.
+    identity : RequestIdentity
+        Identity of the request.
     """
 
     def __init__(
         self,
         guard: CrashGuard,
         request_id: RequestId | None,
-        fingerprints: tuple[int, ...],
+        identity: RequestIdentity,
     ) -> None:
         """Set up the view of one request, which does not wait."""
         self._guard = guard
         self._request_id = request_id
-        self._fingerprints = fingerprints
+        self._identity = identity
         self._wait_number: int | None = None
 
     @property
     def is_blocked(self) -> bool:
         """Whether the request must not be sent."""
-        return self._guard.is_blocked(self._fingerprints)
+        return self._guard.is_blocked(self._identity)
 
     @property
     def is_suspect(self) -> bool:
         """Whether the request may have crashed a server."""
-        return self._guard.is_suspect(self._fingerprints)
+        return self._guard.is_suspect(self._identity)
 
     @property
     def may_send(self) -> bool:
         """Whether the request may be sent now."""
-        return not self.is_blocked and self._guard.may_send(self._fingerprints)
+        return not self.is_blocked and self._guard.may_send(self._identity)
 
     def wait(self, number: int, resume: Callable[[], None]) -> None:
         """Call `resume` when the trial of an equal request has ended.
@@ -67,7 +68,7 @@
             Number that no other attempt or wait uses.
         """
         self._wait_number = number
-        self._guard.turns.wait(number, self._fingerprints, resume)
+        self._guard.turns.wait(number, self._identity.base, resume)
 
     def stop_waiting(self) -> None:
         """End a wait, if there is one, without a call."""
@@ -77,39 +78,39 @@
 
     def start_attempt(self, number: int, server: ServerName) -> None:
         """Record that an attempt is sent to a server."""
-        self._guard.start_attempt(number, self._fingerprints, server)
+        self._guard.start_attempt(number, self._identity, server)
 
     def end_attempt(self, number: int) -> None:
         """Record the end of an attempt, whatever its result."""
-        self._guard.end_attempt(number, self._fingerprints)
+        self._guard.end_attempt(number, self._identity)
 
     def record_interruption(self, number: int, server: Server) -> None:
         """Record that a server closed the connection without a response."""
         self._guard.record_interruption(
-            server, self._request_id, number, self._fingerprints
+            server, self._request_id, number, self._identity
         )
 
     def record_answer(self) -> None:
         """Record that a server answered the request with success."""
-        self._guard.record_answer(self._request_id, self._fingerprints)
+        self._guard.record_answer(self._request_id, self._identity)
 
 
 def blocked_failure(
-    fingerprints: tuple[int, ...], run_state: RunState = RunState.NOT_RUN
+    identity: RequestIdentity, run_state: RunState = RunState.NOT_RUN
 ) -> Failure:
     """Return the failure of a request that crashes backend servers.
 
     Parameters
     ----------
-    fingerprints : tuple of int
-        Fingerprints of the request.
+    identity : RequestIdentity
+        Identity of the request.
     run_state : RunState
         Whether this request may have run.
     """
-    names = ', '.join(map(hex, fingerprints))
     return Failure(
         ResultCode.REQUEST_BLOCKED,
-        f'requests with fingerprints {names} crashed backend servers',
+        f'requests like {hex(identity.fingerprint)} with base '
+        f'{hex(identity.base)} crashed backend servers',
         run_state,
         retry_after_s=_BLOCKED_RETRY_AFTER_S,
     )
--- a/boragespool/controllers/forwarding/server_losses.py
+++ b/boragespool/controllers/forwarding/server_losses.py
@@ -19,6 +19,7 @@
     from collections.abc import Callable
 
     from boragespool.controllers.forwarding.server import Server
+    from boragespool.forwarding import RequestIdentity
     from boragespool.http import ExchangeFailure
     from boragespool.timers import TimerService
     from boragespool.types import HostName, RequestId, ServerName
@@ -38,16 +39,16 @@
     ----------
     number : int
         Number of the attempt, unique in this daemon.
-    fingerprints : tuple of int
-        Fingerprints of the request, see `request_fingerprints`.
+    identity : RequestIdentity
+        Identity of the request.
     is_trial : bool
-        Whether the request was a suspect and the only one with its
-        fingerprints that this daemon had sent.
+        Whether the request was a suspect and the only one with its base that
+        this daemon had sent.
     """
 
     request_id: RequestId | None
     number: int
-    fingerprints: tuple[int, ...]
+    identity: RequestIdentity
     is_trial: bool
 
 
@@ -151,7 +152,8 @@
             in_flight=[
                 {
                     'request': attempt.request_id,
-                    'fingerprints': [hex(f) for f in attempt.fingerprints],
+                    'fingerprint': hex(attempt.identity.fingerprint),
+                    'base': hex(attempt.identity.base),
                 }
                 for attempt in attempts[:_MAX_LOGGED_REQUESTS]
             ],
--- a/boragespool/controllers/forwarding/trial_turns.py
+++ b/boragespool/controllers/forwarding/trial_turns.py
@@ -1,4 +1,4 @@
-"""Turns of requests with equal fingerprints, of which one at a time is sent."""
+"""Turns of requests with the same base, of which one at a time is sent."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from boragespool.types import ServerName
 
@@ -20,74 +20,69 @@
 
 
 class TrialTurns:
-    """Attempts that have the turn of their fingerprints, and waiting calls."""
+    """Attempts that have the turn of their base, and waiting calls."""
 
     def __init__(self) -> None:
         """Start without turns and waiting calls."""
-        self._turns_by_fingerprint: dict[int, _Turn] = {}
-        self._waiting_by_number: dict[
-            int, tuple[tuple[int, ...], Callable[[], None]]
-        ] = {}
+        self._turns_by_base: dict[int, _Turn] = {}
+        self._waiting_by_number: dict[int, tuple[int, Callable[[], None]]] = {}
 
-    def is_free(self, fingerprints: tuple[int, ...]) -> bool:
-        """Whether no attempt has the turn of any of the fingerprints."""
-        return self._turns_by_fingerprint.keys().isdisjoint(fingerprints)
+    def is_free(self, base: int) -> bool:
+        """Whether no attempt has the turn of a base."""
+        return base not in self._turns_by_base
 
     @property
     def servers(self) -> frozenset[ServerName]:
         """Servers that attempts with a turn were sent to."""
-        return frozenset(
-            turn.server for turn in self._turns_by_fingerprint.values()
-        )
+        return frozenset(turn.server for turn in self._turns_by_base.values())
 
-    def take(
-        self, number: int, fingerprints: tuple[int, ...], server: ServerName
-    ) -> None:
+    def take(self, number: int, base: int, server: ServerName) -> None:
         """Give the turn to an attempt at a server."""
-        turn = _Turn(number, server)
-        self._turns_by_fingerprint.update(dict.fromkeys(fingerprints, turn))
-
-    def has_turn(self, number: int, fingerprints: tuple[int, ...]) -> bool:
-        """Whether an attempt has the turn of any of the fingerprints."""
-        turns = map(self._turns_by_fingerprint.get, fingerprints)
-        return any(turn is not None and turn.number == number for turn in turns)
-
-    def release(self, fingerprints: tuple[int, ...]) -> None:
-        """End the turns of the fingerprints."""
-        for fingerprint in fingerprints:
-            self._turns_by_fingerprint.pop(fingerprint, None)
-
-    def wait(
-        self,
-        number: int,
-        fingerprints: tuple[int, ...],
-        resume: Callable[[], None],
-    ) -> None:
-        """Call `resume` once when a turn has ended or a verdict has changed.
+        self._turns_by_base[base] = _Turn(number, server)
+
+    def has_turn(self, number: int, base: int) -> bool:
+        """Whether an attempt has the turn of a base."""
+        turn = self._turns_by_base.get(base)
+        return turn is not None and turn.number == number
+
+    def release(self, base: int) -> None:
+        """End the turn of a base."""
+        self._turns_by_base.pop(base, None)
+
+    def wait(self, number: int, base: int, resume: Callable[[], None]) -> None:
+        """Call `resume` once when the turn has ended or a verdict has changed.
 
         Parameters
         ----------
         number : int
             Identifies the wait, see `stop_waiting`.
-        fingerprints : tuple of int
-            Fingerprints of the request.
+        base : int
+            Base of the request, see `RequestIdentity`.
         resume : callable
             Called without arguments; it may wait again.
         """
-        self._waiting_by_number[number] = (fingerprints, resume)
+        self._waiting_by_number[number] = (base, resume)
 
     def stop_waiting(self, number: int) -> None:
         """End a wait without a call; unknown numbers are ignored."""
         self._waiting_by_number.pop(number, None)
 
-    def resume(self, fingerprints: tuple[int, ...]) -> None:
-        """Resume the calls that wait for any of the fingerprints."""
-        resumed = [
-            number
-            for number, (waiting, _) in self._waiting_by_number.items()
-            if not frozenset(waiting).isdisjoint(fingerprints)
-        ]
-        for number in resumed:
+    def resume(self, base: int) -> None:
+        """Resume the calls that wait for a base."""
+        self._resume(
+            [
+                number
+                for number, (waiting, _) in self._waiting_by_number.items()
+                if waiting == base
+            ]
+        )
+
+    def resume_all(self) -> None:
+        """Resume all calls that wait."""
+        self._resume(tuple(self._waiting_by_number))
+
+    def _resume(self, numbers: Collection[int]) -> None:
+        for number in numbers:
             entry = self._waiting_by_number.pop(number, None)
             if entry is not None:
                 entry[1]()
--- a/boragespool/forwarding/__init__.py
+++ b/boragespool/forwarding/__init__.py
@@ -14,7 +14,20 @@
     SharingDaemons,
     sharing_daemons,
 )
-from boragespool.forwarding.fingerprints import request_fingerprints
+from boragespool.forwarding.crash_evidence import (
+    BlockedRequests,
+    CrashEvidence,
+)
+from boragespool.forwarding.crash_patterns import (
+    BlockingLimits,
+    SuspectRequest,
+    find_crash_patterns,
+)
+from boragespool.forwarding.fingerprints import (
+    MAX_PART_COUNT,
+    RequestIdentity,
+    request_identity,
+)
 from boragespool.forwarding.hosts import (
     HostRecord,
     HostTable,
@@ -71,12 +84,16 @@
 from boragespool.forwarding.warming import IdleState, servers_to_warm
 
 __all__ = (
+    'MAX_PART_COUNT',
     'RECORD_SIZE_BYTES',
     'AllowanceShare',
+    'BlockedRequests',
+    'BlockingLimits',
     'Busyness',
     'CallQueue',
     'CallerLimits',
     'Candidate',
+    'CrashEvidence',
     'Deadlines',
     'ForwardConfiguration',
     'ForwardRequest',
@@ -94,11 +111,13 @@
     'RegistrationChanges',
     'RegistrationTable',
     'Reply',
+    'RequestIdentity',
     'RetryBudget',
     'RetryLimits',
     'RouteTable',
     'ServerLoad',
     'SharingDaemons',
+    'SuspectRequest',
     'Verdict',
     'WaitingCall',
     'WeightedRoundRobin',
@@ -110,6 +129,7 @@
     'classify_reply',
     'control_addresses',
     'diff_registrations',
+    'find_crash_patterns',
     'hedge_delay_s',
     'hosts_for_callers',
     'index_routes',
@@ -117,7 +137,7 @@
     'nearest_hosts',
     'plan_deadlines',
     'plan_reads',
-    'request_fingerprints',
+    'request_identity',
     'servers_to_warm',
     'sharing_daemons',
     'top_records',
--- a/boragespool/forwarding/loss_notices.py
+++ b/boragespool/forwarding/loss_notices.py
@@ -16,18 +16,24 @@
     Attributes
     ----------
     fingerprint : int
-        Fingerprint of the request, see `request_fingerprints`.
+        Fingerprint of the request, see `RequestIdentity`.
     loss_id : str
         Identifies the loss; the daemons agree on it if the server states when
         it started.
     alone : bool
         Whether the request was a suspect already, and the only one with its
-        fingerprint that the daemon had sent.
+        base that the daemon had sent.
+    base : int
+        Base of the request; 0 in reports of daemons that do not state it.
+    parts : tuple of int
+        Parts of the request, in ascending order.
     """
 
     fingerprint: int
     loss_id: str
     alone: bool = False
+    base: int = 0
+    parts: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/simulated_servers.py
+++ b/tests/simulated_servers.py
@@ -36,6 +36,7 @@
     RetryLimits,
     index_routes,
     plan_deadlines,
+    request_identity,
 )
 from boragespool.http import ExchangeFailure, FailureKind, HttpResponse
 from boragespool.timers import VirtualTimers
@@ -275,7 +276,10 @@
         fleet,
         codec,
         RoutedRequest(
-            request, route, plan_deadlines(route, route.timeout_s, now_s)
+            request,
+            route,
+            plan_deadlines(route, route.timeout_s, now_s),
+            request_identity(request, 'request-id'),
         ),
         result,
     ).start()
--- a/tests/test_service_call.py
+++ b/tests/test_service_call.py
@@ -19,6 +19,7 @@
     ForwardRoute,
     Reply,
     ServerLoad,
+    request_identity,
 )
 from boragespool.http import ExchangeFailure, FailureKind
 from boragespool.results import Failure
@@ -129,7 +130,12 @@
     call = ServiceCall(
         fleet,
         codec,
-        RoutedRequest(REQUEST, ROUTE, Deadlines(0.4, 1.9, 2)),
+        RoutedRequest(
+            REQUEST,
+            ROUTE,
+            Deadlines(0.4, 1.9, 2),
+            request_identity(REQUEST, 'request-id'),
+        ),
         'one',
         lambda ended, outcome: outcomes.append(outcome),
     )
