--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -93,14 +93,20 @@
     ]
 
 
-def late_arrival_count(cluster, window_s=STABLE_WINDOW_S, caller=None):
-    """Count the crashing requests that came late after the third crash."""
+def late_arrival_count(
+    cluster, window_s=STABLE_WINDOW_S, caller=None, servers=''
+):
+    """Count the crashing requests that came late after the third crash.
+
+    Only arrivals at servers whose names begin with `servers` count.
+    """
     third_s = crash_times_s(cluster)[2]
     return sum(
         path == CRASHING_PATH
         and time_s > third_s + window_s
         and fields.get('caller') == caller
-        for server in cluster.servers.values()
+        for name, server in cluster.servers.items()
+        if name.startswith(servers)
         for (time_s, path), (_, _, fields, _) in zip(
             server.arrivals, server.requests, strict=True
         )
@@ -163,6 +169,27 @@
     run(scenario)
 
 
+def test_crash_in_one_shard_is_not_cleared_by_the_others():
+    """A query that ends the servers of one shard must not do so for ever."""
+
+    async def scenario(cluster):
+        shards = [f's-{number}' for number in range(4)]
+        for number, shard in enumerate(shards):
+            await serve_many(cluster, shard, 8, body=record(number))
+            for name, server in cluster.servers.items():
+                if not name.startswith('i-s-0'):
+                    server.crashing_path = None
+        cluster.configure(gather_route(shards))
+        daemons = await start_daemons(cluster, 3)
+        bad = Traffic(daemons)
+        await bad.run(CRASHING_PATH, 3, 9)
+        assert (
+            late_arrival_count(cluster, servers='i-s-0') <= ALLOWED_LATE_COUNT
+        )
+
+    run(scenario)
+
+
 def test_rare_crashing_query_is_blocked_after_its_first_attempt():
     """A query that comes rarely must not get a wave of servers each time."""
 
