Judge only the requests that a loss or an answer concerns

Callers would have seen a pause of a daemon: after many servers end at once, each answer that clears a suspect judged all suspects anew. Cause: the tracker looked for expired entries in each call, and the guard found its verdicts for all requests. Recent answers keep the parts of the latest request of each base, so that they need no search.

Reports without a base, as older daemons write them, no longer make up a base of their own: tests/test_crash_evidence.py test_reports_without_base_block_single_requests_only.

--- a/boragespool/backends/crashes.py
+++ b/boragespool/backends/crashes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from typing import TYPE_CHECKING, Final
 
@@ -48,6 +49,8 @@
         self._blocking_alone_count = blocking_alone_count
         self._losses_by_fingerprint: dict[int, dict[str, Seconds]] = {}
         self._cleared_by_fingerprint: dict[int, dict[str, Seconds]] = {}
+        # No loss and no cleared loss expires before this time.
+        self._next_expiry_s: Seconds = math.inf
         self._alone_by_fingerprint: defaultdict[int, set[str]]
         self._alone_by_fingerprint = defaultdict(set)
 
@@ -80,6 +83,7 @@
             cleared by an operator.
         """
         self._expire(now_s)
+        self._expire_not_before(now_s)
         if loss_id in self._cleared_by_fingerprint.get(fingerprint, ()):
             return False
         losses = self._losses_by_fingerprint.pop(fingerprint, {})
@@ -102,6 +106,7 @@
             Whether the fingerprint was a suspect or blocked.
         """
         self._expire(now_s)
+        self._expire_not_before(now_s)
         losses = self._remove(fingerprint)
         if losses:
             known = self._cleared_by_fingerprint.get(fingerprint, {})
@@ -154,12 +159,26 @@
         self._alone_by_fingerprint.pop(fingerprint, None)
         return self._losses_by_fingerprint.pop(fingerprint, {})
 
+    def _expire_not_before(self, now_s: Seconds) -> None:
+        """Note that what is recorded now may be the first to expire."""
+        due_s = now_s + min(self._suspect_age_s, self._block_age_s)
+        self._next_expiry_s = min(self._next_expiry_s, due_s)
+
     def _expire(self, now_s: Seconds) -> None:
+        if now_s < self._next_expiry_s:
+            return
+        self._next_expiry_s = math.inf
         for fingerprint, losses in tuple(self._losses_by_fingerprint.items()):
             is_blocked = self._is_blocked(fingerprint)
             age_s = self._block_age_s if is_blocked else self._suspect_age_s
-            if now_s - max(losses.values()) >= age_s:
+            if self._is_due(max(losses.values()) + age_s, now_s):
                 self._remove(fingerprint)
         for fingerprint, cleared in tuple(self._cleared_by_fingerprint.items()):
-            if now_s - max(cleared.values()) >= self._block_age_s:
+            if self._is_due(max(cleared.values()) + self._block_age_s, now_s):
                 self._cleared_by_fingerprint.pop(fingerprint)
+
+    def _is_due(self, expiry_s: Seconds, now_s: Seconds) -> bool:
+        if now_s >= expiry_s:
+            return True
+        self._next_expiry_s = min(self._next_expiry_s, expiry_s)
+        return False
--- a/boragespool/controllers/forwarding/crash_guard.py
+++ b/boragespool/controllers/forwarding/crash_guard.py
@@ -329,6 +329,7 @@
 
     def _expire(self) -> None:
         self._answers.expire()
+        self._evidence.expire(self._timers.now_s())
         self._update_verdicts()
         self._own_losses.retain(self._counts)
 
--- a/boragespool/controllers/forwarding/recent_answers.py
+++ b/boragespool/controllers/forwarding/recent_answers.py
@@ -11,15 +11,18 @@
 
 
 class RecentAnswers:
-    """Fingerprints, bases and parts, each kept for one to two periods.
+    """Answered requests, each kept for one to two periods.
 
     A period ends with each call of `expire`.
     """
 
     def __init__(self) -> None:
         """Start without answers."""
-        self._current: dict[int, tuple[int, frozenset[int]]] = {}
-        self._previous: dict[int, tuple[int, frozenset[int]]] = {}
+        self._current: set[int] = set()
+        self._previous: set[int] = set()
+        # Parts of the latest answered request with each base.
+        self._current_parts_by_base: dict[int, frozenset[int]] = {}
+        self._previous_parts_by_base: dict[int, frozenset[int]] = {}
 
     def __contains__(self, fingerprint: int) -> bool:
         """Return whether a request with the fingerprint was answered."""
@@ -28,19 +31,22 @@
     def add(self, identity: RequestIdentity) -> None:
         """Add a request that was answered."""
         if identity.fingerprint not in self._current:
-            self._current[identity.fingerprint] = (
-                identity.base,
-                identity.parts,
-            )
+            self._current.add(identity.fingerprint)
+            self._current_parts_by_base[identity.base] = identity.parts
 
     def parts_of(self, base: int) -> Iterator[frozenset[int]]:
-        """Return the parts of the answered requests with a base."""
-        for period in (self._previous, self._current):
-            for other_base, parts in period.values():
-                if other_base == base:
-                    yield parts
+        """Return the parts of answered requests with a base."""
+        for parts_by_base in (
+            self._previous_parts_by_base,
+            self._current_parts_by_base,
+        ):
+            parts = parts_by_base.get(base)
+            if parts is not None:
+                yield parts
 
     def expire(self) -> None:
         """Drop the requests that were not added in the last period."""
         self._previous = self._current
-        self._current = {}
+        self._current = set()
+        self._previous_parts_by_base = self._current_parts_by_base
+        self._current_parts_by_base = {}
--- a/boragespool/forwarding/crash_evidence.py
+++ b/boragespool/forwarding/crash_evidence.py
@@ -122,7 +122,7 @@
         is_new = self._tracker.record_loss(
             notice.fingerprint, notice.loss_id, now_s, alone=notice.alone
         )
-        if self.has_losses(notice.fingerprint):
+        if notice.base and self.has_losses(notice.fingerprint):
             self._changed_bases.add(notice.base)
             parts_by_fingerprint = self._parts_by_base[notice.base]
             parts_by_fingerprint[notice.fingerprint] = frozenset(notice.parts)
@@ -173,12 +173,16 @@
             self._changed_bases.add(base)
         return base in self._changed_bases
 
+    def expire(self, now_s: Seconds) -> None:
+        """Drop the losses that have expired."""
+        self._changed_bases.update(self._parts_by_base)
+        self.update(now_s)
+
     def update(self, now_s: Seconds) -> None:
-        """Drop what has expired, and judge the requests that are concerned."""
+        """Judge the requests with new losses or answers."""
         self._blocked_single = self._tracker.blocked(now_s)
-        for base in tuple(self._parts_by_base):
-            self._drop_expired(base)
         for changed in self._changed_bases:
+            self._drop_uncounted(changed)
             patterns = self._find_patterns(changed)
             if patterns:
                 self._patterns_by_base[changed] = patterns
@@ -199,18 +203,15 @@
             if not is_refuted(parts & suspected, answered)
         ]
 
-    def _drop_expired(self, base: int) -> None:
+    def _drop_uncounted(self, base: int) -> None:
         kept = {
             fingerprint: parts
-            for fingerprint, parts in self._parts_by_base[base].items()
+            for fingerprint, parts in self._parts_by_base.pop(base, {}).items()
             if self.has_losses(fingerprint)
         }
-        if len(kept) != len(self._parts_by_base[base]):
-            self._changed_bases.add(base)
         if kept:
             self._parts_by_base[base] = kept
         else:
-            self._parts_by_base.pop(base)
             self._answered_by_base.pop(base, None)
 
     def _find_patterns(self, base: int) -> frozenset[frozenset[int]]:
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -126,13 +126,26 @@
     assert not evidence.is_blocked(identity('page=9', caller='sound'))
 
 
+def test_reports_without_base_block_single_requests_only():
+    """Reports of older daemons must not share the blame between requests."""
+    evidence = CrashEvidence(LIMITS)
+    for fingerprint in range(1, 4):
+        for number in range(fingerprint):
+            loss_id = f'loss-{fingerprint}-{number}'
+            evidence.record_loss(
+                LossNotice(fingerprint, loss_id, alone=True), 0
+            )
+    evidence.update(0)
+    assert evidence.blocked == {BlockedRequests(3)}
+
+
 def test_losses_expire():
     """A suspicion must end, and take its answers with it."""
     evidence = CrashEvidence(LIMITS)
     request = identity(caller='bad')
     lose(evidence, request, 'loss-1')
     answer(evidence, identity(caller='sound'))
-    evidence.update(1_000)
+    evidence.expire(1_000)
     assert not evidence.has_base(request.base)
     assert not evidence.is_suspect(request)
 
