--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -138,6 +138,10 @@
         b'[{"fingerprint":%s,"loss_id":"a"}]' % HUGE,
         b'[{"fingerprint":-1,"loss_id":"a"}]',
         b'[{"fingerprint":1,"loss_id":"%s"}]' % (b'x' * 300_000),
+        b'[{"fingerprint":1,"loss_id":"a","base":-1}]',
+        b'[{"fingerprint":1,"loss_id":"a","base":1,"parts":[%s]}]' % HUGE,
+        b'[{"fingerprint":1,"loss_id":"a","base":1,"parts":[%s]}]'
+        % b','.join([b'1'] * 33),
     ],
 )
 def test_odd_report_of_losses_costs_only_itself(report):
